Read settings from nested JSON and from path=value with one parser

wire.parse_settings held the reading of all settings, which a real node needs for its JSON as well. It moves to firgrade/settings.py unchanged; flatten() turns JSON into the same pairs. The inherited wire tests pass as they were.

--- /dev/null
+++ b/firgrade/settings.py
@@ -0,0 +1,118 @@
+"""A node's settings as path=value pairs, read into interface.Settings.
+
+The bench's wire writes them so; a real node's nested JSON is flattened into the same pairs first.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from . import interface as io
+
+
+class SettingsError(ValueError):
+    """Settings that lack a key or hold a value that cannot be read."""
+
+
+def flatten(value: object, path: str = "") -> dict[str, str]:
+    """Nested JSON as path=value pairs: plain lists joined by commas, lists of objects counted."""
+    dot = f"{path}." if path else ""
+    if isinstance(value, Mapping):
+        pairs: dict[str, str] = {}
+        for name, item in value.items():
+            pairs.update(flatten(item, f"{dot}{name}"))
+        return pairs
+    if isinstance(value, list):
+        if not any(isinstance(item, Mapping | list) for item in value):
+            return {path: ",".join(map(_plain, value))}
+        pairs = {f"{dot}count": str(len(value))}
+        for number, item in enumerate(value):
+            pairs.update(flatten(item, f"{dot}{number}"))
+        return pairs
+    return {path: _plain(value)}
+
+
+def _plain(value: object) -> str:
+    if isinstance(value, bool) or value is None:
+        return {True: "true", False: "false", None: "null"}[value]
+    return str(value).replace(",", "_").replace(" ", "_")
+
+
+def read_settings(given: Mapping[str, str]) -> io.Settings:
+    """Read the pairs; unknown keys are passed over."""
+    pairs = {key: value for key, value in given.items() if value != "null"}
+
+    def need(key: str, kind: Callable[[str], Any] = int) -> Any:
+        if key not in pairs:
+            raise SettingsError(f"settings lack the key {key}, which has no safe default")
+        return get(key, None, kind)
+
+    def get(key: str, default: Any, kind: Callable[[str], Any] = int) -> Any:
+        try:
+            return kind(pairs[key]) if key in pairs else default
+        except ValueError as exc:
+            raise SettingsError(f"settings: {key}={pairs[key]} is not readable") from exc
+
+    def floats(text: str) -> tuple[float, ...]:
+        return tuple(math.inf if part == "null" else float(part) for part in text.split(",") if part)
+
+    def branch(prefix: str) -> dict[str, float]:
+        return {k[len(prefix) :]: get(k, 0.0, float) for k in pairs if k.startswith(prefix)}
+
+    flag = {"true": True, "false": False}
+
+    def yes(text: str) -> bool:
+        if text not in flag:
+            raise ValueError(text)
+        return flag[text]
+
+    message_aims = get("domain.messageAimUs", (), floats)
+    classes = []
+    for i in range(need("classes.count")):
+        aim = need(f"classes.{i}.aimUs")
+        classes.append(
+            io.TrafficClass(
+                aim=aim,
+                deadline=need(f"classes.{i}.deadlineUs"),
+                effect=need(f"classes.{i}.effect", str),
+                key_scope=get(f"classes.{i}.keyScope", "cell", str),
+                repeat_window=get(f"classes.{i}.repeatWindowUs", 0),
+                worth=get(f"classes.{i}.worth", 1.0, float),
+                message_aim=int(message_aims[i]) if i < len(message_aims) else aim,
+            )
+        )
+    fields = get("loadInfo.fields", "", str)
+    return io.Settings(
+        balancers=need("balancers"),
+        zone=need("zone"),
+        classes=tuple(classes),
+        discovery=need("discovery", str),
+        ask_every=need("invariants.askEveryUs"),
+        drain_grace=need("invariants.drainGraceUs"),
+        start_capacity=need("invariants.startCapacity", float),
+        warm_up=need("invariants.warmUpUs"),
+        overload_factor=need("invariants.overloadFactor", float),
+        overload_for=need("invariants.overloadForUs"),
+        me=get("me", 0),
+        answer_slack=get("invariants.graceToAnswerUs", 0),
+        try_limit=get("caps.tryLimit", 1),
+        parallel_tries=get("caps.parallelTries", False, yes),
+        cancel=get("caps.cancel", False, yes),
+        probes=get("caps.probes", False, yes),
+        peers=get("caps.peers", False, yes),
+        retry_after=get("caps.retryAfter", False, yes),
+        max_retry_after=get("caps.maxRetryAfterUs", 0),
+        connect_timeout=get("caps.dialTimeoutUs", 0),
+        tick=get("tickUs", 1000),
+        groups=get("domain.groups", False, yes),
+        mode=get("domain.mode", "proxy", str),
+        park=get("domain.parkUs", 0),
+        report_fields=tuple(fields.split(",")) if fields else (),
+        report_via=get("loadInfo.via", "none", str),
+        tenant_quotas=get("domain.tenantQuotaConnections", (), floats),
+        over_share_worth=get("overShareWorth", 1.0, float),
+        prices=branch("prices."),
+        goal=branch("resultMix."),
+    )
--- a/firgrade/wire.py
+++ b/firgrade/wire.py
@@ -5,12 +5,12 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable, Iterator
 from struct import Struct, error, unpack_from
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from . import interface as io
+from .settings import SettingsError, read_settings
 
 BATCH_HEADER = Struct("<IQI")
 REPLY_HEADER = Struct("<III")
@@ -127,81 +127,10 @@
         text = data.decode()
     except UnicodeDecodeError as exc:
         raise WireError(f"settings are not UTF-8: {exc}") from exc
-    pairs = dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
-    pairs = {key: value for key, value in pairs.items() if value != "null"}
-
-    def need(key: str, kind: Callable[[str], Any] = int) -> Any:
-        if key not in pairs:
-            raise WireError(f"settings lack the key {key}, which has no safe default")
-        return get(key, None, kind)
-
-    def get(key: str, default: Any, kind: Callable[[str], Any] = int) -> Any:
-        try:
-            return kind(pairs[key]) if key in pairs else default
-        except ValueError as exc:
-            raise WireError(f"settings: {key}={pairs[key]} is not readable") from exc
-
-    def floats(text: str) -> tuple[float, ...]:
-        return tuple(math.inf if part == "null" else float(part) for part in text.split(",") if part)
-
-    def branch(prefix: str) -> dict[str, float]:
-        return {k[len(prefix) :]: get(k, 0.0, float) for k in pairs if k.startswith(prefix)}
-
-    flag = {"true": True, "false": False}
-
-    def yes(text: str) -> bool:
-        if text not in flag:
-            raise ValueError(text)
-        return flag[text]
-
-    message_aims = get("domain.messageAimUs", (), floats)
-    classes = []
-    for i in range(need("classes.count")):
-        aim = need(f"classes.{i}.aimUs")
-        classes.append(
-            io.TrafficClass(
-                aim=aim,
-                deadline=need(f"classes.{i}.deadlineUs"),
-                effect=need(f"classes.{i}.effect", str),
-                key_scope=get(f"classes.{i}.keyScope", "cell", str),
-                repeat_window=get(f"classes.{i}.repeatWindowUs", 0),
-                worth=get(f"classes.{i}.worth", 1.0, float),
-                message_aim=int(message_aims[i]) if i < len(message_aims) else aim,
-            )
-        )
-    fields = get("loadInfo.fields", "", str)
-    return io.Settings(
-        balancers=need("balancers"),
-        zone=need("zone"),
-        classes=tuple(classes),
-        discovery=need("discovery", str),
-        ask_every=need("invariants.askEveryUs"),
-        drain_grace=need("invariants.drainGraceUs"),
-        start_capacity=need("invariants.startCapacity", float),
-        warm_up=need("invariants.warmUpUs"),
-        overload_factor=need("invariants.overloadFactor", float),
-        overload_for=need("invariants.overloadForUs"),
-        me=get("me", 0),
-        answer_slack=get("invariants.graceToAnswerUs", 0),
-        try_limit=get("caps.tryLimit", 1),
-        parallel_tries=get("caps.parallelTries", False, yes),
-        cancel=get("caps.cancel", False, yes),
-        probes=get("caps.probes", False, yes),
-        peers=get("caps.peers", False, yes),
-        retry_after=get("caps.retryAfter", False, yes),
-        max_retry_after=get("caps.maxRetryAfterUs", 0),
-        connect_timeout=get("caps.dialTimeoutUs", 0),
-        tick=get("tickUs", 1000),
-        groups=get("domain.groups", False, yes),
-        mode=get("domain.mode", "proxy", str),
-        park=get("domain.parkUs", 0),
-        report_fields=tuple(fields.split(",")) if fields else (),
-        report_via=get("loadInfo.via", "none", str),
-        tenant_quotas=get("domain.tenantQuotaConnections", (), floats),
-        over_share_worth=get("overShareWorth", 1.0, float),
-        prices=branch("prices."),
-        goal=branch("resultMix."),
-    )
+    try:
+        return read_settings(dict(line.split("=", 1) for line in text.splitlines() if "=" in line))
+    except SettingsError as exc:
+        raise WireError(str(exc)) from exc
 
 
 _TEXT = Struct("<BHH")
