--- /dev/null
+++ b/limerudder/__main__.py
@@ -0,0 +1,89 @@
+"""Start a node: configuration, event loop, signals."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import resource
+import signal
+import sys
+
+import uvloop
+
+from .config import Config, ConfigError, load
+from .core.client import LineSession
+from .core.link import Caller
+from .core.node import Node
+from .net.clock import Clock
+from .net.log import Log
+from .net.peers import Peers
+from .net.stream import Dialler, Stream
+
+BACKLOG = 4096
+
+
+class Network:
+    """The node's way out: connections and datagrams."""
+
+    def __init__(self, dialler: Dialler) -> None:
+        self.dialler = dialler
+        self.peers: Peers | None = None
+
+    def dial(self, address: tuple[str, int], machine: Caller) -> Stream:
+        """Set up a connection."""
+        return self.dialler.dial(address, machine)
+
+    def tell(self, peer: int, data: bytes) -> None:
+        """Send a datagram."""
+        if self.peers:
+            self.peers.send(peer, data)
+
+
+async def serve(config: Config, log: Log) -> None:
+    """Run the node until it is told to stop."""
+    loop, clock, stopped = asyncio.get_running_loop(), Clock(), asyncio.Event()
+    network = Network(Dialler(loop, clock))
+    node = Node(config, network, log, clock.now())
+    node.stopped = stopped.set
+    if config.settings.peers and config.peer_listen:
+        peers = Peers(config.peers, config.peers_all, lambda n, data: node.heard(n, data, clock.now()))
+        await loop.create_datagram_endpoint(lambda: peers, local_addr=config.peer_listen)
+        network.peers = peers
+
+    def client() -> Stream:
+        session = LineSession(node, node.sessions.discard)
+        node.sessions.add(session)
+        return Stream(session, clock)
+
+    def tick() -> None:
+        loop.call_later(config.settings.tick / 1e6, tick)
+        node.wheel.advance(clock.now())
+
+    loop.add_signal_handler(signal.SIGTERM, lambda: node.stop(clock.now()))
+    loop.add_signal_handler(signal.SIGINT, stopped.set)
+    loop.add_signal_handler(signal.SIGUSR1, lambda: log("counters", f"counters: {node.counters.text()}"))
+    server = await loop.create_server(client, *config.listen, backlog=BACKLOG, reuse_address=True)
+    tick()
+    log("start", f"node: listening on {config.listen[0]}:{config.listen[1]}")
+    gc.freeze()
+    await stopped.wait()
+    server.close()
+    log("end", f"counters: {node.counters.text()}")
+
+
+def main() -> int:
+    """Run; a bad configuration is one line on standard error and exit code 2."""
+    try:
+        config = load(os.environ)
+    except ConfigError as exc:
+        print(f"limerudder: {exc}", file=sys.stderr)
+        return 2
+    _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
+    uvloop.run(serve(config, Log(config.name)))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/limerudder/config.py
@@ -0,0 +1,111 @@
+"""What a node is told at its start: environment and configuration file, read into one typed object."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from ipaddress import IPv4Address
+from typing import Any
+
+from firgrade.interface import Settings
+from firgrade.settings import SettingsError, flatten, read_settings
+
+from .core.director import HostList, ListError, read_hosts
+
+Address = tuple[str, int]
+
+
+class ConfigError(Exception):
+    """A configuration the node cannot start with."""
+
+
+@dataclass(frozen=True, slots=True)
+class Names:
+    """What the settings call their classes, tenants, zones and kinds, each in the settings' order."""
+
+    classes: tuple[str, ...]
+    tenants: tuple[str, ...]
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """Everything a node knows when it starts."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    settings: Settings
+    names: Names
+    tells_delay: bool
+    known: HostList
+    peer_listen: Address | None = None
+    peers: tuple[Address, ...] = ()
+    peers_all: Address | None = None
+
+
+def parse_address(text: object) -> Address:
+    """An IPv4 address and a port: there is no DNS where a node runs."""
+    host, colon, port = str(text).rpartition(":")
+    try:
+        if not colon or not 0 <= int(port) <= 65535:
+            raise ValueError(text)
+        return str(IPv4Address(host)), int(port)
+    except ValueError:
+        raise ConfigError(f"not an address: {text!r}") from None
+
+
+def load(environment: Mapping[str, str]) -> Config:
+    """Read the file that PROXY_CONFIG names; the other PROXY variables win over what it says."""
+    path = environment.get("PROXY_CONFIG")
+    if not path:
+        raise ConfigError("PROXY_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            given = json.load(file)
+    except (OSError, ValueError) as exc:
+        raise ConfigError(f"cannot read {path}: {exc}") from None
+    if not isinstance(given, dict):
+        raise ConfigError(f"{path} holds no JSON object")
+    try:
+        return _read({**given, **_overrides(environment)})
+    except KeyError as exc:
+        raise ConfigError(f"{path} lacks {exc}") from None
+    except (SettingsError, ListError, TypeError, ValueError, AttributeError) as exc:
+        raise ConfigError(f"{path}: {exc}") from None
+
+
+def _overrides(environment: Mapping[str, str]) -> dict[str, str]:
+    variables = {"name": "PROXY_NAME", "listen": "PROXY_LISTEN", "discovery": "PROXY_DISCOVERY"}
+    return {key: environment[name] for key, name in variables.items() if environment.get(name)}
+
+
+def _read(given: dict[str, Any]) -> Config:
+    told = given["settings"]
+    peer_listen, peers_all = given.get("peer_listen"), given.get("peers_all")
+    settings = read_settings(flatten(told))
+    if not settings.classes:
+        raise ConfigError("the settings name no class")
+    return Config(
+        name=str(given["name"]),
+        listen=parse_address(given["listen"]),
+        discovery=parse_address(given["discovery"]),
+        seed=int(str(given["seed"]), 16),
+        sockets=int(given.get("limits", {}).get("sockets", 4096)),
+        settings=settings,
+        names=Names(
+            classes=tuple(item["name"] for item in told["classes"]),
+            tenants=tuple(item["name"] for item in told.get("customers") or ()),
+            zones=tuple(told.get("areas") or ()),
+            kinds=tuple(told.get("kinds") or ()),
+        ),
+        tells_delay=bool((told.get("domain") or {}).get("tellsDelay")),
+        known=read_hosts(given["known"]),
+        peer_listen=parse_address(peer_listen) if peer_listen else None,
+        peers=tuple(parse_address(peer) for peer in given.get("peers") or ()),
+        peers_all=parse_address(peers_all) if peers_all else None,
+    )
--- /dev/null
+++ b/limerudder/core/__init__.py
@@ -0,0 +1,1 @@
+"""State machines fed bytes or events: no sockets, no clock, no event loop."""
--- /dev/null
+++ b/limerudder/core/director.py
@@ -0,0 +1,176 @@
+"""The director: discovery's list of backends, as it is read and as it is asked for over HTTP."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from ipaddress import IPv4Address
+from typing import Any, NamedTuple
+
+import httptools
+
+from firgrade.interface import State
+
+from .link import Link
+
+PATH = "/discovery/hosts"
+MOST_BODY = 1 << 22  #: bytes of one list; a longer one is a broken service
+LIFECYCLES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
+
+
+class ListError(ValueError):
+    """A list of backends that cannot be read."""
+
+
+class Host(NamedTuple):
+    """One backend as discovery lists it, by its names."""
+
+    name: str
+    address: tuple[str, int]
+    zone: str
+    kind: str
+    cell: int
+    state: State
+    weight: float
+    started_ms: int
+
+
+class HostList(NamedTuple):
+    """The whole list, or what has changed."""
+
+    version: int
+    whole: bool
+    hosts: tuple[Host, ...]
+
+
+def read_hosts(given: Any) -> HostList:
+    """Discovery's JSON object as a HostList; anything amiss is a ListError."""
+    try:
+        hosts = tuple(map(_host, given["instances"]))
+        return HostList(int(given["generation"]), bool(given["reset"]), hosts)
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as exc:
+        raise ListError(f"bad list of hosts: {type(exc).__name__} {exc}") from None
+
+
+def _host(given: Any) -> Host:
+    ip, _, port = given["hostPort"].rpartition(":")
+    address = str(IPv4Address(ip)), int(port)
+    if not 0 < address[1] < 65536:
+        raise ValueError(f"port {port}")
+    return Host(
+        name=str(given["instanceId"]),
+        address=address,
+        zone=str(given["zone"]),
+        kind=str(given["machineType"]),
+        cell=int(given["cell"]),
+        state=LIFECYCLES[given["lifecycle"]],
+        weight=float(given["weight"]),
+        started_ms=int(given["startedAtMs"]),
+    )
+
+
+class DirectorCall:
+    """One HTTP call: a watch, which gives list after list, or a question, which gives one.
+
+    `told` hears each list; `ended` hears once that no more comes, and whether that is a failure.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        after: int | None,
+        told: Callable[[HostList, int], None],
+        ended: Callable[[DirectorCall, bool, int], None],
+    ) -> None:
+        self.host, self.after, self.told, self.ended = host, after, told, ended
+        self.watch = after is not None
+        self.parser = httptools.HttpResponseParser(self)
+        self.body = b""
+        self.lists: list[HostList] = []  # read, to be told once the parser has returned
+        self.link: Link | None = None
+        self.done = self.complete = False
+        self.heard = 0  # when the last sign of life came
+
+    # the connection
+
+    def opening(self, now: int) -> bytes:
+        """The request."""
+        self.heard = now
+        query = f"?watch=1&after={self.after}" if self.watch else ""
+        return f"GET {PATH}{query} HTTP/1.1\r\nHost: {self.host}\r\nAccept: application/json\r\n\r\n".encode()
+
+    def written(self) -> None:
+        """Nothing depends on it."""
+
+    def connected(self, link: Link, now: int) -> None:
+        """Keep the link, to end it."""
+        self.link = link
+
+    def crowded(self, on: bool) -> None:
+        """Nothing but the short request is ever sent."""
+
+    def feed(self, data: bytes, now: int) -> None:
+        """Parse; what cannot be read fails the call."""
+        if self.done:
+            return
+        self.heard = now
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, ListError):  # guards against a service that talks nonsense
+            self._end(True, now)
+            return
+        lists, self.lists = self.lists, []
+        for told in lists:
+            self.told(told, now)
+        if self.complete:  # a watch that is complete is a watch that has ended
+            self._end(self.watch, now)
+
+    def eof(self, now: int) -> None:
+        """The service has ended the answer."""
+        self._end(True, now)
+
+    def lost(self, now: int) -> None:
+        """The connection broke or never came up."""
+        self._end(True, now)
+
+    def close(self) -> None:
+        """No longer wanted."""
+        self.done = True
+        if self.link:
+            self.link.close()
+
+    def _end(self, failed: bool, now: int) -> None:
+        if not self.done:
+            self.close()
+            self.ended(self, failed, now)
+
+    # httptools calls these
+
+    def on_headers_complete(self) -> None:
+        """Only a 200 carries a list."""
+        if self.parser.get_status_code() != 200:
+            raise ListError(f"status {self.parser.get_status_code()}")
+
+    def on_body(self, data: bytes) -> None:
+        """A watch gives a list a line, and empty lines as heartbeats; lines and chunks need not agree."""
+        self.body += data
+        if self.watch:
+            *lines, self.body = self.body.split(b"\n")
+            for line in lines:
+                if line.strip():
+                    self._read(line)
+        if len(self.body) > MOST_BODY:
+            raise ListError("the list is too long")
+
+    def on_message_complete(self) -> None:
+        """The whole answer is here."""
+        self.complete = True
+        if not self.watch:
+            self._read(self.body)
+
+    def _read(self, text: bytes) -> None:
+        try:
+            given = json.loads(text)
+        except (ValueError, RecursionError) as exc:
+            raise ListError(f"not JSON: {exc}") from None
+        self.lists.append(read_hosts(given))
--- /dev/null
+++ b/limerudder/core/link.py
@@ -0,0 +1,63 @@
+"""What joins a state machine to the driver of its connection."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+
+class Link(Protocol):
+    """A connection as a state machine sees it: what it may ask of the driver."""
+
+    def write(self, data: bytes) -> None:
+        """Send bytes, in order."""
+
+    def finish(self) -> None:
+        """End the sending side once all is written; what comes in is still read."""
+
+    def close(self) -> None:
+        """End the connection now, also while it is being set up. The machine hears no more of it."""
+
+    def reset(self) -> None:
+        """End the connection now with a reset. The machine hears no more of it."""
+
+    def hold(self, on: bool) -> None:
+        """Stop reading, or read on."""
+
+
+class Machine(Protocol):
+    """A state machine as a driver sees it. Times are the node's clock, in microseconds."""
+
+    def connected(self, link: Link, now: int) -> None:
+        """The connection stands."""
+
+    def feed(self, data: bytes, now: int) -> None:
+        """Bytes have come."""
+
+    def eof(self, now: int) -> None:
+        """The other side has ended its sending."""
+
+    def lost(self, now: int) -> None:
+        """The connection is broken, or never came up."""
+
+    def crowded(self, on: bool) -> None:
+        """The other side reads too slowly, or reads again."""
+
+
+class Caller(Machine, Protocol):
+    """A machine whose connection this node sets up: its first bytes are written as part of that."""
+
+    def opening(self, now: int) -> bytes:
+        """The connection is up; these bytes are to be written first."""
+
+    def written(self) -> None:
+        """The last of those bytes has been written."""
+
+
+class Network(Protocol):
+    """Sets up connections to other parties and sends datagrams to peers."""
+
+    def dial(self, address: tuple[str, int], machine: Caller) -> Link:
+        """Connect; failure comes as the machine's `lost`, later and never inside this call."""
+
+    def tell(self, peer: int, data: bytes) -> None:
+        """Send a datagram to one peer, by number, or to firgrade's ALL_PEERS."""
--- /dev/null
+++ b/limerudder/core/node.py
@@ -0,0 +1,531 @@
+"""The node: owns the Balancer, turns what happens into its events and carries out its actions.
+
+It knows no protocol's syntax: reqs come as Req, answers go through ClientSession, attempts are Fetches.
+"""
+
+from __future__ import annotations
+
+import traceback
+from collections import deque
+from collections.abc import Callable
+from functools import partial
+from random import Random
+from typing import Any
+from zlib import crc32
+
+from firgrade import Balancer
+from firgrade import interface as io
+
+from ..config import Config
+from .counters import Counters
+from .director import DirectorCall, Host, HostList
+from .link import Network
+from .probe import Probe
+from .req import ClientSession, Fetch, Req
+from .wheel import Timer, Wheel
+
+SECOND = 1_000_000
+PROBE_WAIT = 120_000  #: for the answer to a probe
+WATCH_SILENT = 9 * SECOND // 2  #: two heartbeats missed: the watch is dead
+CALL_WAIT = 3 * SECOND  #: for the first word on a call to discovery
+CHECK = SECOND // 4  #: between looks at probes and the watch
+AT_WAIT, AT_AGAIN = 30 * SECOND, SECOND // 4  #: for a connection of before the start, and between its tries
+SPARE_SOCKETS = 128  #: for discovery, probes, peers and connections that are ending
+MOVE_AFTER = 450_000  #: after a SIGTERM: until then the front may send clients right back here
+STOP_LEAST, STOP_SPARE = 3 * SECOND, 700_000  #: SIGKILL comes no sooner than their sum, as told
+MOVES_DONE = SECOND  #: moves are over this long before the earliest SIGKILL
+MOVE_STEP = 20_000
+
+Log = Callable[[str, str], None]  #: kind of line, text
+
+
+class Backend:
+    """A host, as the node reaches it."""
+
+    def __init__(self, number: int, name: str) -> None:
+        self.number, self.name = number, name
+        self.address = ("", 0)
+        self.state: io.State = io.State.GONE
+        self.probe: Probe | None = None
+        self.dialled: dict[Held, None] = {}  # reqs whose fetch here has not had its line written
+        self.slow, self.noted = False, -SECOND  # whether the module holds it slow, and since when
+
+
+class Held:
+    """A req from its first line to the end of its connection; hears from its session and its fetch."""
+
+    def __init__(self, node: Node, number: int, session: ClientSession, req: Req, deadline: int) -> None:
+        self.node, self.number, self.session, self.req, self.deadline = node, number, session, req, deadline
+        self.sends = self.sent = 0
+        self.fetch: Fetch | None = None
+        self.backend: Backend | None = None
+        self.answered = self.up = False
+        self.timers: list[Timer] = []  # of the fetch that is out
+        self.overdue: Timer | None = None
+
+    def client_left(self, now: int) -> None:
+        """The client has gone."""
+        self.node.left(self, now)
+
+    def fetch_up(self, now: int) -> None:
+        """The backend has taken the connection."""
+        self.node.up(self, now)
+
+    def fetch_done(self, ending: io.Ending, report: tuple[float, ...], now: int) -> None:
+        """The fetch has ended."""
+        self.node.ended(self, ending, report, now)
+
+    def fetch_load(self, load: float, now: int) -> None:
+        """The backend tells the connection's load."""
+        self.node.note(self, load, io.NOTE_LOAD, now)
+
+    def fetch_answered(self, took: int, now: int) -> None:
+        """The backend has answered a message."""
+        self.node.delay(self, took, now)
+
+
+class Node:
+    """One node. Every call brings the time; `stopped` is called when a planned stop is done."""
+
+    def __init__(self, config: Config, network: Network, log: Log, now: int) -> None:
+        self.config, self.settings, self.network, self.log = config, config.settings, network, log
+        self.wheel, self.counters = Wheel(self.settings.tick, now), Counters()
+        self.balancer = Balancer(self.settings, Random(config.seed))
+        self.report_fields = self.settings.report_fields if self.settings.report_via != "none" else ()
+        self.most = max((config.sockets - SPARE_SOCKETS) // 2, 1)
+        self.sessions: set[Any] = set()
+        self.classes = {name: number for number, name in enumerate(config.names.classes)}
+        self.tenants = {name: number for number, name in enumerate(config.names.tenants)}
+        self.reqs: dict[int, Held] = {}
+        self.next_req = 1
+        self.backends: dict[int, Backend] = {}
+        self.numbers: dict[str, int] = {}
+        self.version = config.known.version
+        self.watch: DirectorCall | None = None
+        self.watch_told = False  # the watch has given its first list
+        self.calls: set[DirectorCall] = set()
+        self.events: deque[io.Event] = deque()
+        self.giving = False
+        self.stopping = 0  # when SIGKILL comes at the earliest
+        self.stopped: Callable[[], None] = lambda: None
+        aims = [c.message_aim for c in self.settings.classes if c.message_aim]
+        self.long = min(aims, default=0) // 3  # a message that takes longer is told to the module
+        self._list(config.known, io.ListKind.CACHED, now)
+        self._check(now)
+
+    # the module
+
+    def give(self, event: io.Event, now: int) -> None:
+        """Hand an event to the module and carry out what it decides, in order."""
+        self.events.append(event)
+        if self.giving:
+            return  # an action's own consequence waits until the actions before it are done
+        self.giving = True
+        while self.events:
+            event = self.events.popleft()
+            try:
+                actions = self.balancer.handle(event, now)
+            except Exception as exc:  # guards the other reqs against a fault met on one of them
+                self._fault(event, exc, now)
+                continue
+            for action in actions:
+                self.carry_out[type(action)](self, action, now)
+        self.giving = False
+
+    def _fault(self, event: io.Event, exc: Exception, now: int) -> None:
+        self.counters.count("module_faults")
+        where = traceback.extract_tb(exc.__traceback__)[-1]
+        text = f"{type(exc).__name__}: {exc} in {where.name} line {where.lineno}"
+        self.log(f"fault {where.name}", f"module: {text}")
+        if isinstance(event, io.Timer):  # its next one would have been set by the call that failed
+            self.wheel.at(now + SECOND, lambda at: self.give(event, at))
+        held = self.reqs.get(getattr(event, "id", 0))
+        if held and not held.answered:
+            self._final(held, "failed", now)
+            held.session.fail(now)
+
+    def _fail(self, action: io.Fail, now: int) -> None:
+        if (held := self.reqs.get(action.id)) and not held.answered:
+            self._final(held, "failed", now)
+            held.session.fail(now)
+
+    def _refuse(self, action: io.Refuse, now: int) -> None:
+        if (held := self.reqs.get(action.id)) and not held.answered:
+            self._final(held, "refused", now)
+            held.session.refuse(min(action.retry_after, self.settings.max_retry_after), now)
+
+    def _final(self, held: Held, what: str, now: int) -> None:
+        """The req has its final answer, which is not a backend's."""
+        self.counters.count(f"answers_{what}")
+        held.answered = True
+        if held.overdue:
+            held.overdue.cancel()
+        if held.fetch:
+            self._give_up(held, io.Ending.CANCELLED, now)
+        else:
+            del self.reqs[held.number]
+
+    def _send(self, action: io.Send, now: int) -> None:
+        held, backend = self.reqs.get(action.id), self.backends.get(action.server)
+        if held is None:
+            return
+        attempt, held.sends = held.sends, held.sends + 1
+        left = held.deadline - now
+        wait = min(action.timeout, left) if action.timeout else left
+        # guards the rules whatever the module says: no second copy, nothing late, no host that drains
+        may = not held.answered and held.fetch is None and attempt < self.settings.try_limit and wait > 0
+        if not may or backend is None or backend.state != io.State.READY:
+            self.counters.count("fetches_moot")
+            answered = int(held.answered)
+            self.give(io.Outcome(held.number, attempt, action.server, io.Ending.MOOT, 0, answered, ()), now)
+            return
+        self._dial(held, backend, wait, now)
+
+    def _dial(self, held: Held, backend: Backend, wait: int | None, now: int) -> None:
+        self.counters.count("fetches")
+        fetch = held.session.fetch(held, wait)
+        held.fetch, held.backend, held.sent = fetch, backend, now
+        backend.dialled[held] = None
+        fetch.link = self.network.dial(backend.address, fetch)
+        dial = self.settings.connect_timeout or AT_WAIT
+        held.timers = [self.wheel.at(now + dial, lambda at: self._dial_over(held, at))]
+        if wait is not None:
+            held.timers.append(self.wheel.at(now + wait, lambda at: self._wait_over(held, at)))
+
+    def _dial_over(self, held: Held, now: int) -> None:
+        if held.fetch and not held.fetch.out:
+            self._give_up(held, io.Ending.CONNECT_FAILED, now)
+
+    def _wait_over(self, held: Held, now: int) -> None:
+        if held.fetch and not held.up:
+            self._give_up(held, io.Ending.TIMEOUT if held.fetch.out else io.Ending.CONNECT_FAILED, now)
+
+    def _cancel(self, action: io.Cancel, now: int) -> None:
+        held = self.reqs.get(action.id)
+        if held and held.fetch and not held.up and action.attempt == held.sends - 1:
+            self._give_up(held, io.Ending.CANCELLED, now)
+
+    def _move(self, action: io.Move, now: int) -> None:
+        if (held := self.reqs.get(action.id)) and held.up:
+            self._move_away(held, now)
+
+    def _move_away(self, held: Held, now: int) -> None:
+        self.counters.count("moves")
+        held.session.move(now)
+        self._give_up(held, io.Ending.CANCELLED, now)
+
+    def _give_up(self, held: Held, ending: io.Ending, now: int) -> None:
+        """Close the fetch that is out, then tell how it ended."""
+        if held.fetch:
+            held.fetch.close()
+            self.ended(held, ending, (), now)
+
+    def _set_timer(self, action: io.SetTimer, now: int) -> None:
+        self.wheel.at(action.at, lambda at: self.give(io.Timer(action.token), at))
+
+    def _log(self, action: io.Log | io.Fault, now: int) -> None:
+        self.log("module", f"module: {action.text}")
+
+    def _tell(self, action: io.Tell, now: int) -> None:
+        if self.settings.peers and len(action.data) <= 256:
+            self.counters.count("peer_messages_sent")
+            self.network.tell(action.peer, action.data)
+
+    # probes
+
+    def _probe(self, action: io.Probe, now: int) -> None:
+        backend = self.backends.get(action.server)
+        if backend is None or not self.settings.probes:
+            return
+        self.counters.count("probes")
+        if backend.probe is None or backend.probe.done:
+            probe = backend.probe = Probe(self.report_fields, partial(self._probed, backend.number))
+            probe.ask(now)
+            probe.link = self.network.dial(backend.address, probe)
+        else:
+            backend.probe.ask(now)
+        self.wheel.at(now + PROBE_WAIT, partial(backend.probe.overdue, now))
+
+    def _probed(
+        self, number: int, latency: int, ending: io.Ending, report: tuple[float, ...], now: int
+    ) -> None:
+        self.counters.count(f"probes_{ending.name.lower()}")
+        self.give(io.Probed(number, latency, ending, report), now)
+
+    def _close_idle(self, action: io.CloseIdle, now: int) -> None:
+        backend = self.backends.get(action.server)
+        if backend and backend.probe and not backend.probe.asked:
+            backend.probe.close()
+
+    # the director
+
+    def _watch(self, action: io.Watch, now: int) -> None:
+        if not action.on:
+            if self.watch:
+                self.watch.close()
+            self.watch = None
+        elif self.watch is None:
+            self.counters.count("director_calls")
+            self.watch_told = False
+            self.watch = self._call(self.version, now)
+        elif self.watch_told:  # it lives, so nothing was missed: no need to ask the shared service again
+            self.give(io.Members(io.ListKind.DELTA, self.version, ()), now)
+
+    def _fetch(self, action: io.Fetch, now: int) -> None:
+        self.counters.count("director_calls")
+        self.calls.add(self._call(None, now))
+
+    def _call(self, after: int | None, now: int) -> DirectorCall:
+        host, port = self.config.discovery
+        call = DirectorCall(f"{host}:{port}", after, self._told, self._call_over)
+        call.heard = now
+        call.link = self.network.dial(self.config.discovery, call)
+        return call
+
+    def _told(self, hosts: HostList, now: int) -> None:
+        self.watch_told = True
+        self._list(hosts, io.ListKind.FULL if hosts.whole else io.ListKind.DELTA, now)
+
+    def _call_over(self, call: DirectorCall, failed: bool, now: int) -> None:
+        self.calls.discard(call)
+        if call is self.watch:
+            self.watch = None
+        if failed:
+            self.counters.count("director_failures")
+            self.log("director", "director: a call failed or the watch ended; the module will ask again")
+            self.give(io.Members(io.ListKind.FAILED, self.version, ()), now)
+
+    def _check(self, now: int) -> None:
+        """Look for calls to discovery that have gone silent."""
+        self.wheel.at(now + CHECK, self._check)
+        for call in [*self.calls, *([self.watch] if self.watch else [])]:
+            limit = WATCH_SILENT if call is self.watch and self.watch_told else CALL_WAIT
+            if now - call.heard > limit:
+                call.lost(now)
+
+    def _list(self, hosts: HostList, kind: io.ListKind, now: int) -> None:
+        self.counters.count("lists")
+        self.version = hosts.version
+        entries = [self._entry(host) for host in hosts.hosts]
+        if kind != io.ListKind.DELTA:
+            named = {entry.server for entry in entries}
+            for backend in self.backends.values():
+                if backend.number not in named:
+                    backend.state = io.State.GONE
+        self.give(io.Members(kind, hosts.version, entries), now)
+        for backend in self.backends.values():
+            if backend.state != io.State.READY:
+                # guards against a line written after the grace by a dial begun before it
+                for held in [h for h in backend.dialled if h.fetch and not h.fetch.out]:
+                    self._give_up(held, io.Ending.CONNECT_FAILED, now)
+                if backend.probe:
+                    backend.probe.close()
+
+    def _entry(self, host: Host) -> io.ServerEntry:
+        backend = self.backend(host.name)
+        backend.address, backend.state = host.address, host.state
+        names = self.config.names
+        zone = names.zones.index(host.zone) if host.zone in names.zones else len(names.zones)
+        kind = names.kinds.index(host.kind) if host.kind in names.kinds else len(names.kinds)
+        since = host.started_ms * 1000
+        return io.ServerEntry(backend.number, zone, kind, host.cell, host.state, host.weight, since)
+
+    def backend(self, name: str) -> Backend:
+        """The backend of this name; its number is the same at every node, so that rings agree."""
+        number = self.numbers.get(name)
+        if number is None:
+            number = crc32(name.encode())
+            while number in self.backends:
+                number = (number + 1) % (1 << 32)
+            self.numbers[name] = number
+            self.backends[number] = Backend(number, name)
+        return self.backends[number]
+
+    # reqs
+
+    def full(self) -> bool:
+        """Whether sockets for one more client are lacking."""
+        return len(self.sessions) + len(self.reqs) > self.config.sockets - SPARE_SOCKETS
+
+    def take(self, session: ClientSession, req: Req, now: int) -> Held | None:
+        """Take a req; None where its class is unknown."""
+        cls = self.classes.get(req.cls)
+        if cls is None:
+            return None
+        self.counters.count("reqs")
+        number, self.next_req = self.next_req, self.next_req + 1
+        left = self.settings.classes[cls].deadline if req.time_left is None else req.time_left
+        held = Held(self, number, session, req, now + left)
+        if self.stopping or len(self.reqs) >= self.most:
+            self.counters.count("answers_refused")
+            held.answered = True
+            session.refuse(0, now)
+            return held
+        self.reqs[number] = held
+        tenant = self.tenants.get(req.tenant, len(self.tenants))
+        flags = (req.hint is not None) + 2 * req.retry + io.CAME_BACK * req.came_back
+        told = (number, cls, tenant, req.key, left, req.hint or 0, req.group, flags)
+        if req.at is not None:
+            self.counters.count("reqs_of_before")
+            held.deadline, held.sends = now + AT_WAIT, 1
+            self.give(io.Open(*told, self.backend(req.at).number), now)
+            self._reopen(held, req.at, now)
+        else:
+            held.overdue = self.wheel.at(
+                held.deadline + self.settings.answer_slack, partial(self._overdue, held)
+            )
+            self.give(io.Request(*told), now)
+        return held
+
+    def _reopen(self, held: Held, at: str, now: int) -> None:
+        """Join a connection of before the start to its backend."""
+        backend = self.backend(at)
+        if held.answered or held.fetch:
+            return
+        if backend.state == io.State.READY and not self.stopping:
+            self._dial(held, backend, None, now)
+        else:
+            held.backend = backend
+            self._reopen_later(held, io.Ending.CONNECT_FAILED, now)
+
+    def _reopen_later(self, held: Held, ending: io.Ending, now: int) -> None:
+        if now + AT_AGAIN < held.deadline and not self.stopping and held.req.at is not None:
+            self.wheel.at(now + AT_AGAIN, partial(self._reopen, held, held.req.at))
+            return
+        self._final(held, "failed", now)
+        held.session.fail(now)
+        self._outcome(held, ending, (), now)
+
+    def _overdue(self, held: Held, now: int) -> None:
+        # guards the client against a module that never answers: the rule's time is nearly up
+        if not held.answered:
+            self.counters.count("reqs_overdue")
+            self.log("overdue", "node: the module left a req without its answer; it is answered failed")
+            self._final(held, "failed", now)
+            held.session.fail(now)
+            self.give(io.Gone(held.number), now)
+
+    def left(self, held: Held, now: int) -> None:
+        """The client has gone."""
+        if held.up:
+            self._give_up(held, io.Ending.CANCELLED, now)
+        elif not held.answered:
+            self.counters.count("clients_left")
+            held.answered = True
+            if held.overdue:
+                held.overdue.cancel()
+            if held.req.at is not None:
+                if held.fetch:
+                    self._give_up(held, io.Ending.CANCELLED, now)
+                else:
+                    self.reqs.pop(held.number, None)
+                    self._outcome(held, io.Ending.CANCELLED, (), now)
+                return
+            self.give(io.Gone(held.number), now)
+            if held.fetch is None:
+                self.reqs.pop(held.number, None)
+
+    # fetches
+
+    def up(self, held: Held, now: int) -> None:
+        """The backend has taken the connection."""
+        fetch, backend = held.fetch, held.backend
+        if fetch is None or backend is None:
+            return
+        if held.answered:  # its client has left meanwhile
+            return self._give_up(held, io.Ending.CANCELLED, now)
+        self._stop_timers(held)
+        held.answered = held.up = True
+        if held.overdue:
+            held.overdue.cancel()
+        self.counters.count("answers_served")
+        held.session.serve(fetch, now)
+        if held.req.at is None:
+            self.give(io.Established(held.number, backend.number, held.sends - 1, now - held.sent), now)
+
+    def ended(self, held: Held, ending: io.Ending, report: tuple[float, ...], now: int) -> None:
+        """The fetch has ended and its connection is closed."""
+        self._stop_timers(held)
+        self.counters.count(f"fetches_{ending.name.lower()}")
+        was_up, held.fetch, held.up = held.up, None, False
+        if held.req.at is not None and not was_up and not held.answered:
+            return self._reopen_later(held, ending, now)
+        if held.answered:
+            self.reqs.pop(held.number, None)
+        self._outcome(held, ending, report, now)
+
+    def _outcome(self, held: Held, ending: io.Ending, report: tuple[float, ...], now: int) -> None:
+        if held.backend:
+            told = report if self.settings.report_via == "answers" else ()
+            took, closed = min(now - held.sent, (1 << 32) - 1), int(held.answered)
+            number, attempt, server = held.number, held.sends - 1, held.backend.number
+            self.give(io.Outcome(number, attempt, server, ending, took, closed, told), now)
+
+    def _stop_timers(self, held: Held) -> None:
+        for timer in held.timers:
+            timer.cancel()
+        held.timers = []
+        if held.backend:
+            held.backend.dialled.pop(held, None)
+
+    def note(self, held: Held, value: float, kind: int, now: int) -> None:
+        """Word on a connection that stands."""
+        if held.up and held.backend:
+            self.give(io.Note(held.number, held.backend.number, value, held.sends - 1, kind), now)
+
+    def delay(self, held: Held, took: int, now: int) -> None:
+        """A message took so long: told once a second while that is long, and once when it is well again."""
+        backend = held.backend
+        if backend is None or not self.config.tells_delay or not self.long:
+            return
+        slow = took > self.long
+        if slow and now < backend.noted + SECOND or not slow and not backend.slow:
+            return
+        backend.slow, backend.noted = slow, now
+        self.counters.count("notes_slow" if slow else "notes_well")
+        self.note(held, took / 1000, io.NOTE_DELAY, now)
+
+    # peers
+
+    def heard(self, sender: int, data: bytes, now: int) -> None:
+        """A message from a peer."""
+        self.counters.count("peer_messages")
+        self.give(io.PeerMessage(sender, data), now)
+
+    # a planned stop
+
+    def stop(self, now: int) -> None:
+        """Refuse what comes and move what stands, spread out, before the earliest SIGKILL."""
+        if self.stopping:
+            return
+        longest = max(c.deadline for c in self.settings.classes)
+        self.stopping = now + min(longest, STOP_LEAST) + STOP_SPARE
+        self.log("stop", f"node: told to stop; moving {sum(h.up for h in self.reqs.values())} connections")
+        self.wheel.at(now + MOVE_AFTER, self._move_some)
+
+    def _move_some(self, now: int) -> None:
+        until = self.stopping - MOVES_DONE
+        standing = [held for held in self.reqs.values() if held.up]
+        steps = max((until - now) // MOVE_STEP, 1)
+        for held in standing[: -(-len(standing) // steps)]:
+            self._move_away(held, now)
+        if (not self.reqs and now >= until) or now >= self.stopping - STOP_SPARE // 4:
+            self.stopped()
+        else:
+            self.wheel.at(now + MOVE_STEP, self._move_some)
+
+    carry_out: dict[type, Callable[[Node, Any, int], None]] = {
+        io.Send: _send,
+        io.Refuse: _refuse,
+        io.Fail: _fail,
+        io.Cancel: _cancel,
+        io.SetTimer: _set_timer,
+        io.Probe: _probe,
+        io.CloseIdle: _close_idle,
+        io.Tell: _tell,
+        io.Log: _log,
+        io.Watch: _watch,
+        io.Fetch: _fetch,
+        io.Move: _move,
+        io.Fault: _log,
+    }
--- /dev/null
+++ b/limerudder/core/probe.py
@@ -0,0 +1,87 @@
+"""Probes of one backend, asked over one connection that is kept for as long as it answers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from firgrade.interface import Ending
+
+from .lines import LineError, LineFramer
+from .link import Link
+from .reports import read_report
+
+Heard = Callable[[int, Ending, tuple[float, ...], int], None]
+
+
+class Probe:
+    """A connection that carries probes; `heard` gets latency, ending, report and the time of each."""
+
+    def __init__(self, fields: Sequence[str], heard: Heard) -> None:
+        self.fields, self.heard = fields, heard
+        self.word = b"STATS\r\n" if fields else b"PING\r\n"
+        self.framer = LineFramer()
+        self.link: Link | None = None
+        self.up = self.done = False
+        self.asked: list[int] = []  # when each probe that is out was asked
+
+    def ask(self, now: int) -> None:
+        """Ask once more; the first question goes out as the connection comes up."""
+        self.asked.append(now)
+        if self.up and self.link:
+            self.link.write(self.word)
+
+    def opening(self, now: int) -> bytes:
+        """All that was asked while the connection was set up."""
+        self.asked = [now] * len(self.asked)  # what setting up took says nothing of the backend's work
+        self.up = True
+        return self.word * len(self.asked)
+
+    def written(self) -> None:
+        """Nothing depends on it."""
+
+    def connected(self, link: Link, now: int) -> None:
+        """The link was handed out when the dial began."""
+        self.link = link
+
+    def crowded(self, on: bool) -> None:
+        """A few short lines are all that is ever sent."""
+
+    def feed(self, data: bytes, now: int) -> None:
+        """Answers, in the order of the questions."""
+        try:
+            lines = self.framer.feed(data)
+        except LineError:
+            return self._end(Ending.ERROR, now)
+        for line in lines:
+            if self.done:
+                return
+            word, _, rest = line.decode("ascii", "replace").partition(" ")
+            if word == "PONG" and self.asked:
+                self.heard(now - self.asked.pop(0), Ending.OK, read_report(rest, self.fields), now)
+            else:
+                self._end(Ending.FULL if word == "BUSY" else Ending.ERROR, now)
+
+    def eof(self, now: int) -> None:
+        """The backend has ended the connection."""
+        self._end(Ending.RESET, now)
+
+    def lost(self, now: int) -> None:
+        """The connection broke or never came up."""
+        self._end(Ending.RESET if self.up else Ending.CONNECT_FAILED, now)
+
+    def overdue(self, since: int, now: int) -> None:
+        """Give up what was asked before `since` and is not answered, and the connection with it."""
+        if self.asked and self.asked[0] <= since:
+            self._end(Ending.TIMEOUT, now)
+
+    def _end(self, ending: Ending, now: int) -> None:
+        asked = self.asked
+        self.close()
+        for at in asked:
+            self.heard(now - at, ending, (), now)
+
+    def close(self) -> None:
+        """No longer wanted; nothing more is heard."""
+        self.done, self.asked = True, []
+        if self.link:
+            self.link.close()
--- /dev/null
+++ b/limerudder/core/reports.py
@@ -0,0 +1,18 @@
+"""Load reports as hosts write them behind a word: `inflight=7,queue=2,util=0.61`."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from math import nan
+
+
+def read_report(text: str, fields: Sequence[str]) -> tuple[float, ...]:
+    """The values of these fields in their order; one that is missing is not a number. No report is ()."""
+    told: dict[str, float] = {}
+    for part in text.split(","):
+        name, _, value = part.partition("=")
+        try:
+            told[name.strip()] = float(value)
+        except ValueError:
+            continue
+    return tuple(told.get(field, nan) for field in fields) if told else ()
--- /dev/null
+++ b/limerudder/core/req.py
@@ -0,0 +1,72 @@
+"""What the node and a protocol say to each other, in neither's syntax.
+
+A protocol turns its clients' words into a Req and its backends' words into calls of FetchOwner. A second
+protocol brings its own ClientSession and Fetch and goes through the same node.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple, Protocol
+
+from firgrade.interface import Ending
+
+from .link import Caller, Link
+
+
+class Req(NamedTuple):
+    """A client wants a connection. Names are the settings' and discovery's; times are microseconds."""
+
+    cls: str
+    tenant: str
+    key: int
+    time_left: int | None
+    hint: int | None
+    group: int
+    retry: bool
+    came_back: bool
+    at: str | None  # the backend that holds this connection since before the node started
+
+
+class ClientSession(Protocol):
+    """The client's side of one req, as the node uses it."""
+
+    def fetch(self, owner: FetchOwner, wait: int | None) -> Fetch:
+        """A new attempt for this req, to be dialled; the backend is told how long it is waited for."""
+
+    def serve(self, fetch: Fetch, now: int) -> None:
+        """The final answer: the backend's own; the two sides pass on what comes from now on."""
+
+    def refuse(self, wait: int, now: int) -> None:
+        """The final answer: turned away, to come again after `wait` microseconds if not 0."""
+
+    def fail(self, now: int) -> None:
+        """The final answer: failed."""
+
+    def move(self, now: int) -> None:
+        """Send a served client away politely; it will come again."""
+
+
+class Fetch(Caller, Protocol):
+    """One attempt at a backend, as the node uses it."""
+
+    link: Link | None
+    out: bool  # its last byte is written: from here on the backend may have it
+
+    def close(self) -> None:
+        """Give the attempt up; its owner hears no more of it."""
+
+
+class FetchOwner(Protocol):
+    """Who hears how a fetch fares: the node."""
+
+    def fetch_up(self, now: int) -> None:
+        """The backend has taken the connection."""
+
+    def fetch_done(self, ending: Ending, report: tuple[float, ...], now: int) -> None:
+        """The fetch has ended and its connection is closed."""
+
+    def fetch_load(self, load: float, now: int) -> None:
+        """The backend tells the connection's load."""
+
+    def fetch_answered(self, took: int, now: int) -> None:
+        """The backend has answered a message after this long."""
--- /dev/null
+++ b/limerudder/net/stream.py
@@ -0,0 +1,142 @@
+"""TCP connections: an asyncio Protocol that hands what happens to a state machine, and dials."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import Coroutine
+from contextlib import suppress
+from typing import cast
+
+from ..core.link import Caller, Machine
+from .clock import Clock
+
+BUFFER = 64 * 1024  #: bytes waiting to be sent, before the machine is told that it is crowded
+
+
+class Stream(asyncio.Protocol):
+    """Drives one machine with one connection; to the machine it is the Link."""
+
+    def __init__(self, machine: Machine, clock: Clock) -> None:
+        self.machine: Machine | None = machine
+        self.clock = clock
+        self.transport: asyncio.Transport | None = None
+        self.sock: socket.socket | None = None  # of a connection that this node dialled
+        self.task: asyncio.Task[None] | None = None
+        self.early = b""  # written while there was no transport yet
+        self.finishing = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Asyncio's word that the connection stands."""
+        # cast, not checked: uvloop's transports do not descend from asyncio's classes
+        transport = self.transport = cast(asyncio.Transport, transport)
+        if self.machine is None:
+            transport.abort()
+            return
+        transport.set_write_buffer_limits(BUFFER)
+        if self.early:
+            transport.write(self.early)
+        self.machine.connected(self, self.clock.now())
+        if self.finishing and not transport.is_closing():
+            transport.write_eof()
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes."""
+        if self.machine:
+            self.machine.feed(data, self.clock.now())
+
+    def eof_received(self) -> bool:
+        """FIN; what goes out may still be sent."""
+        if self.machine:
+            self.machine.eof(self.clock.now())
+        return self.machine is not None
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The connection is gone."""
+        machine, self.machine = self.machine, None
+        if machine:
+            machine.lost(self.clock.now())
+
+    def pause_writing(self) -> None:
+        """The other side reads slowly."""
+        if self.machine:
+            self.machine.crowded(True)
+
+    def resume_writing(self) -> None:
+        """It reads again."""
+        if self.machine:
+            self.machine.crowded(False)
+
+    # Link
+
+    def write(self, data: bytes) -> None:
+        """Send bytes, in order."""
+        if self.transport is None:
+            self.early += data
+        elif not self.transport.is_closing() and not self.finishing:
+            self.transport.write(data)
+
+    def finish(self) -> None:
+        """FIN once all is written."""
+        if self.transport and not self.finishing and not self.transport.is_closing():
+            self.transport.write_eof()
+        self.finishing = True
+
+    def hold(self, on: bool) -> None:
+        """Stop reading, or read on."""
+        if self.transport and not self.transport.is_closing():
+            (self.transport.pause_reading if on else self.transport.resume_reading)()
+
+    def close(self) -> None:
+        """End the connection now."""
+        self.machine = None
+        if self.task and self.transport is None:
+            self.task.cancel()
+        if self.sock:
+            # guards against two fetches of a req out: a transport closes in the loop's next round only,
+            # and by then the next fetch would be on its way
+            with suppress(OSError):
+                self.sock.shutdown(socket.SHUT_RDWR)
+        if self.transport:
+            self.transport.abort()
+
+    def reset(self) -> None:
+        """End the connection now with a reset."""
+        if self.transport and not self.transport.is_closing():
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.sock = None
+        self.close()
+
+
+class Dialler:
+    """Sets up connections."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock) -> None:
+        self.loop, self.clock = loop, clock
+
+    def dial(self, address: tuple[str, int], machine: Caller) -> Stream:
+        """Connect and write the machine's first bytes; the task ends when the connection stands."""
+        stream = Stream(machine, self.clock)
+        dialling: Coroutine[None, None, None] = self._connect(address, machine, stream)
+        stream.task = self.loop.create_task(dialling)
+        return stream
+
+    async def _connect(self, address: tuple[str, int], machine: Caller, stream: Stream) -> None:
+        sock = None
+        try:
+            sock = stream.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            await self.loop.sock_connect(sock, address)
+            # written here and not by the transport, which would not say when the last byte was out
+            await self.loop.sock_sendall(sock, machine.opening(self.clock.now()))
+            machine.written()
+            await self.loop.create_connection(lambda: stream, sock=sock)
+        except (OSError, asyncio.CancelledError):  # refused, unreachable, no socket left; or given up
+            stream.sock = None
+            if sock:
+                sock.close()
+            if stream.machine:
+                stream.machine = None
+                machine.lost(self.clock.now())
