--- a/firgrade/choice.py
+++ b/firgrade/choice.py
@@ -29,6 +29,8 @@
 FULL = 0.85  # no new connection beyond this: loads swing after they are placed
 DEVIATIONS = 2  # mean errors that must fit below capacity too, where loads swing more than that
 BRIM = 0.95  # past this a server is eased: beyond its capacity nothing is answered in time
+FAR = 1.25  # one report past this is beyond doubt; from 1 to here two in a row are wanted
+OPENS_PAY = 60 * SECOND  # for so long what stood at the start pays for probes too, as requests do
 WAVE = 4  # times the usual rate: where set-ups fail everywhere, sends are first slowed to this
 TEXT = "turning away: of {} servers {} healthy, {} have room, {} warm; level {:.2f}, gap {} ms"
 SWEEP, ASK, HELD = 0, 1, 2  # timer tokens; from HELD on, one for each held request
@@ -54,6 +56,7 @@
         self.credit, self.asking = 4.0 * D, self.probing  # asking: before a draw, in place of sweeps
         self.long = min((c.message_aim for c in settings.classes), default=SECOND) / 3  # for a message
         self.log_at = self.next_slot = self.unheard = self.gap = 0  # gap: between sends, where all fail
+        self.opens = 0  # connections that stood at the start
         self.out: list[io.Action] = []
         kinds = "Members Request Open Established Outcome Gone Note Timer Probed".split()
         self.on: dict[type, Any] = {getattr(io, k): getattr(self, f"_on_{k.lower()}") for k in kinds}
@@ -126,7 +129,9 @@
         """Set the level above which servers are spared, and probe every server where requests pay for it."""
         # DANGER: hundreds of nodes that sweep a large fleet spend more than reports are worth. A node whose
         # own requests do not pay for sweeps asks only the servers it is about to draw from.
-        spend = SECOND * len(self.ready) / (self.earn * max(self.rate, 0.01))
+        # DANGER: a node with few new requests but many connections of before would never hear of overload
+        opens = self.opens * SECOND / OPENS_PAY if self.now < self.born + OPENS_PAY else 0
+        spend = SECOND * len(self.ready) / (self.earn * max(self.rate, opens, 0.01))
         self.asking = spend > SWEEP_MOST
         self.sweep_every = SWEEP_LEAST if self.asking else int(max(spend, SWEEP_LEAST))
         if not self.asking:
@@ -185,13 +190,18 @@
             server.load = load if before is None else (load + before) / 2
             server.load_at, server.load_count = self.now, server.count
             self.known[server] = None
-            if load > BRIM and self.now >= server.eased_at + SECOND and not self._healthy(server):
+            since, again, server.over = self.now - server.eased_at, server.over, load > 1
+            if load > BRIM and since >= SECOND and not self._healthy(server):
                 self._ease(server, (load - BRIM) / load)
+            elif load > (1 if again else FAR) and since >= 2 * SECOND:
+                # DANGER: where a slow server still returns messages at once no delay is ever told. What has
+                # piled up unseen is worked off only well below capacity.
+                self._ease(server, (load - EASY) / load)
 
     def _ease(self, server: Server, excess: float) -> None:
         """Move the dearest connections off a server that asks for more than it can do."""
         # DANGER: past its capacity a server answers nobody in time, and what it holds stays for minutes. A
-        # report alone may be seconds old; only while messages are seen to take long does it move anyone.
+        # report may be seconds old: alone it moves someone only where it is beyond doubt, and not soon again.
         server.eased_at = self.now
         loads = [f.load for f in self.flows.values() if f.live and f.load]
         usual = sum(loads) / max(len(loads), 1)
@@ -377,6 +387,7 @@
         server = self.servers.setdefault(event.server, Server(event.server, self.now, 0.0))
         self.flows[event.id] = flow = Flow(event, self.settings.classes[event.cls], self.now)
         flow.sends, flow.live, flow.over = 1, True, True
+        self.opens += 1
         self._join(flow, server)
 
     def _out(self, event: io.Established | io.Outcome | io.Note) -> Flow | None:
--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -8,6 +8,7 @@
 import resource
 import signal
 import sys
+from collections.abc import Callable
 
 import uvloop
 
@@ -40,7 +41,7 @@
             self.peers.send(peer, data)
 
 
-async def serve(config: Config, log: Log) -> None:
+async def serve(config: Config, log: Callable[[str, str], None]) -> None:
     """Run the node until it is told to stop."""
     loop, clock, stopped = asyncio.get_running_loop(), Clock(), asyncio.Event()
     network = Network(Dialler(loop, clock))
@@ -65,7 +66,7 @@
     loop.add_signal_handler(signal.SIGUSR1, lambda: log("counters", f"counters: {node.counters.text()}"))
     server = await loop.create_server(client, *config.listen, backlog=BACKLOG, reuse_address=True)
     tick()
-    log("start", f"node: listening on {config.listen[0]}:{config.listen[1]}")
+    log("start", "node: listening on {}:{}".format(*server.sockets[0].getsockname()))
     gc.freeze()
     await stopped.wait()
     server.close()
--- /dev/null
+++ b/tests/scripted.py
@@ -0,0 +1,213 @@
+"""The one helper of the node's tests: a node among scripted peers, in memory or on loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+from limerudder.__main__ import serve
+from limerudder.config import Config, load
+from limerudder.core.client import LineSession
+from limerudder.core.link import Caller
+from limerudder.core.node import Node
+
+SECOND = 1_000_000
+ID, KEY = "9b1f03aa5c7e2d41", "7f3a9c21e0b4d655"
+LINE = f"OPEN {ID} {KEY} c=chat,t=acme,d=2000,g=5c0f6e1a2b3d4c59"
+
+
+def settings(**caps: Any) -> dict[str, Any]:
+    """Settings as a configuration file holds them."""
+    chat = {"aimUs": 300_000, "deadlineUs": 2 * SECOND, "effect": "safe", "name": "chat", "stream": True}
+    allowed = {"cancel": True, "probes": False, "peers": True, "tryLimit": 3, "dialTimeoutUs": 100_000}
+    return {
+        "balancers": 2,
+        "zone": 0,
+        "areas": ["a", "b"],
+        "kinds": ["m1"],
+        "classes": [chat],
+        "customers": [{"name": "acme"}, {"name": "bolt"}],
+        "discovery": "on_request",
+        "caps": {**allowed, **caps},
+        "domain": {"tellsDelay": True, "messageAimUs": [60_000.0], "groups": True},
+        "loadInfo": {"fields": ["inflight", "x0"], "via": "probe"},
+        "invariants": {
+            "askEveryUs": 10 * SECOND,
+            "drainGraceUs": 500_000,
+            "startCapacity": 0.13,
+            "warmUpUs": 24 * SECOND,
+            "overloadFactor": 3.0,
+            "overloadForUs": 2 * SECOND,
+            "graceToAnswerUs": 20_000,
+        },
+        "prices": {"probe": 0.002},
+        "tickUs": 5000,
+    }
+
+
+def host(name: str, address: str = "127.0.0.1:9", lifecycle: str = "active") -> dict[str, Any]:
+    """One entry of discovery's list."""
+    fixed = {"zone": "a", "machineType": "m1", "cell": 0, "weight": 1.0, "startedAtMs": 0}
+    return {"instanceId": name, "hostPort": address, "lifecycle": lifecycle, **fixed}
+
+
+def hosts(*entries: dict[str, Any], reset: bool = True) -> dict[str, Any]:
+    """Discovery's list."""
+    return {"generation": 41, "reset": reset, "instances": list(entries)}
+
+
+def configuration(folder: Path, **changes: Any) -> dict[str, str]:
+    """Write a configuration; return the environment that names it."""
+    given = {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:9",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"sockets": 1024},
+        "known": hosts(host("s-1"), host("s-2")),
+        "settings": settings(),
+        **changes,
+    }
+    path = folder / "config.json"
+    path.write_text(json.dumps(given))
+    return {"PROXY_CONFIG": str(path)}
+
+
+class FakeLink:
+    """A link that remembers what was asked of it; for a dial, with the machine that dialled."""
+
+    def __init__(self, machine: Any = None, address: tuple[str, int] = ("", 0)) -> None:
+        self.machine, self.address = machine, address
+        self.sent = b""
+        self.held = self.finished = self.closed = self.was_reset = False
+
+    def write(self, data: bytes) -> None:
+        assert not self.finished and not self.closed
+        self.sent += data
+
+    def finish(self) -> None:
+        self.finished = True
+
+    def close(self) -> None:
+        self.closed = True
+
+    def reset(self) -> None:
+        self.closed = self.was_reset = True
+
+    def hold(self, on: bool) -> None:
+        self.held = on
+
+    def accept(self, now: int) -> str:
+        """The dial succeeds and its first bytes are written; they are returned."""
+        self.sent += self.machine.opening(now)
+        self.machine.written()
+        self.machine.connected(self, now)
+        return self.sent.decode()
+
+
+class World:
+    """A node in memory: its clock, its dials, its log; checks that no req has two fetches out."""
+
+    def __init__(self, config: Config) -> None:
+        self.now, self.dials, self.logged = 50 * SECOND, list[FakeLink](), list[str]()
+        self.told: list[tuple[int, bytes]] = []
+        self.node = Node(config, self, lambda kind, text: self.logged.append(text), self.now)
+
+    def dial(self, address: tuple[str, int], machine: Caller) -> FakeLink:
+        self.dials.append(FakeLink(machine, address))
+        owners = [d.machine.owner for d in self.fetches()]
+        assert len(owners) == len(set(owners)), "two fetches of a req are out"
+        return self.dials[-1]
+
+    def tell(self, peer: int, data: bytes) -> None:
+        self.told.append((peer, data))
+
+    def client(self, line: str = LINE) -> tuple[LineSession, FakeLink]:
+        """A client connects and sends its first line."""
+        session, link = LineSession(self.node, self.node.sessions.discard), FakeLink()
+        self.node.sessions.add(session)
+        session.connected(link, self.now)
+        session.feed(line.encode() + b"\r\n", self.now)
+        return session, link
+
+    def fetches(self) -> list[FakeLink]:
+        """The dials to backends with a client's line that are not closed."""
+        return [d for d in self.dials if hasattr(d.machine, "line") and not d.closed]
+
+    def served(self, line: str = LINE) -> tuple[LineSession, FakeLink, FakeLink]:
+        """A client that is up: its session, its link and its fetch's."""
+        session, link = self.client(line)
+        fetch = self.fetches()[-1]
+        fetch.accept(self.now)
+        fetch.machine.feed(b"UP 77\r\n", self.now)
+        assert link.sent == b"UP 77\r\n"
+        return session, link, fetch
+
+    def run(self, duration: int) -> None:
+        """Let time pass, a tick at a time."""
+        for _ in range(duration // 5000):
+            self.now += 5000
+            self.node.wheel.advance(self.now)
+
+
+def world(folder: Path, **changes: Any) -> World:
+    """A node in memory with this configuration."""
+    return World(load(configuration(folder, **changes)))
+
+
+class Peer:
+    """One scripted connection, as a client or as a backend."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    async def line(self) -> str:
+        """The next line; nothing at the end."""
+        return (await self.reader.readline()).decode().removesuffix("\r\n")
+
+    def say(self, *lines: str) -> None:
+        self.writer.write("".join(line + "\r\n" for line in lines).encode())
+
+
+class Listener:
+    """A scripted server; `take` gives its next connection."""
+
+    def __init__(self) -> None:
+        self.came: asyncio.Queue[Peer] = asyncio.Queue()
+
+    async def start(self) -> str:
+        server = await asyncio.start_server(lambda r, w: self.came.put_nowait(Peer(r, w)), "127.0.0.1", 0)
+        return "{}:{}".format(*server.sockets[0].getsockname())
+
+    async def take(self) -> Peer:
+        return await self.came.get()
+
+
+class Loopback:
+    """A real node on loopback with scripted backends and director."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder, self.director, self.backend = folder, Listener(), Listener()
+        self.logged: asyncio.Queue[str] = asyncio.Queue()
+
+    async def client(self) -> Peer:
+        return Peer(*await asyncio.open_connection(*self.address))
+
+    @asynccontextmanager
+    async def running(self, **changes: Any) -> AsyncIterator[asyncio.Task[None]]:
+        """Run the node; its one backend is `s-1`."""
+        where = await self.backend.start()
+        given = {"discovery": await self.director.start(), "known": hosts(host("s-1", where)), **changes}
+        config = load(configuration(self.folder, **given))
+        task = asyncio.create_task(serve(config, lambda kind, text: self.logged.put_nowait(text)))
+        port = (await self.logged.get()).rpartition(":")[2]
+        self.address = ("127.0.0.1", int(port))
+        try:
+            yield task
+        finally:
+            task.cancel()
+            await asyncio.wait([task])
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -296,6 +296,33 @@
     assert moved and moved[0] == numbers[-1] and len(moved) < 6
 
 
+@pytest.mark.parametrize(
+    ("loads", "eased"), [([1.4], True), ([1.1], False), ([1.1, 1.1], True), ([0.99] * 5, False)]
+)
+def test_reports_alone_ease_a_server_beyond_doubt(loads: list[float], eased: bool) -> None:
+    driver = Driver(BASE, servers=fleet(2))
+    numbers = [driver.open(1) for _ in range(10)]
+    for number in numbers:
+        driver.give(io.Note(number, 1, 1000.0, 0, io.NOTE_LOAD))
+    for load in loads:
+        driver.report(1, load)
+    moved = len(driver.logged(io.Move))
+    assert (moved > 0) is eased and moved < 10
+    driver.report(1, 1.4)
+    driver.report(1, 1.4)
+    assert len(driver.logged(io.Move)) == moved or not eased, "the same report again moves nobody"
+
+
+def test_connections_of_before_pay_for_sweeps() -> None:
+    driver = Driver(BASE, servers=fleet(5))
+    driver.run(SECOND)
+    assert not driver.logged(io.Probe)
+    for _ in range(50):
+        driver.open(1)
+    driver.run(2 * SECOND)
+    assert driver.logged(io.Probe)
+
+
 def test_a_group_stays_on_the_servers_that_hold_it() -> None:
     driver = Driver(replace(BASE, probes=False), servers=fleet(8))
     places = {driver.where(driver.connect(group=7)) for _ in range(20)}
--- /dev/null
+++ b/tests/test_machines.py
@@ -0,0 +1,162 @@
+"""The node's state machines in memory, fed bytes cut at every point."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from firgrade import interface as io
+from limerudder.config import ConfigError, load
+from limerudder.core.client import BadLine, read_open, with_wait
+from limerudder.core.director import DirectorCall, HostList
+from limerudder.core.lines import LineError, LineFramer
+from limerudder.core.probe import Probe
+from limerudder.core.wheel import Wheel
+
+from .scripted import ID, KEY, LINE, SECOND, FakeLink, configuration, host, hosts, settings
+
+TEXT = b"OPEN a\r\n\r\nLOAD 1.5\r\nhalf"
+
+
+@pytest.mark.parametrize("cut", range(len(TEXT) + 1))
+def test_lines_cut_anywhere_come_out_whole(cut: int) -> None:
+    framer = LineFramer()
+    assert framer.feed(TEXT[:cut]) + framer.feed(TEXT[cut:]) == [b"OPEN a", b"", b"LOAD 1.5"]
+    assert framer.rest == b"half"
+
+
+@pytest.mark.parametrize("data", [b"x" * 4096, b"x" * 4095 + b"\r\n"])
+def test_a_line_over_4_kib_is_refused(data: bytes) -> None:
+    assert LineFramer().feed(b"x" * 4094 + b"\r\n")
+    with pytest.raises(LineError):
+        LineFramer().feed(data)
+
+
+def test_a_first_line_is_read_and_passed_on_unchanged_but_for_d() -> None:
+    req = read_open((LINE + ",r=1,again=1,h=12,x=y").encode())
+    assert (req.cls, req.tenant, req.key, req.time_left) == ("chat", "acme", int(KEY, 16), 2 * SECOND)
+    assert (req.group, req.retry, req.came_back, req.hint) == (0x5C0F6E1A2B3D4C59, True, True, 12)
+    assert with_wait(LINE.encode(), 1_234_567) == LINE.replace("d=2000", "d=1234").encode() + b"\r\n"
+    assert with_wait(LINE.encode(), None) == LINE.encode() + b"\r\n"
+
+
+@pytest.mark.parametrize(
+    "line",
+    ["", "HELLO", "OPEN", f"OPEN {ID} {KEY}", f"OPEN {ID} {KEY} t=acme", f"OPEN x! {KEY} c=chat", f"{LINE} x"]
+    + [
+        f"OPEN {ID} {KEY} c=chat,{bad}"
+        for bad in ("d=nan", "d=-1", "d=1e99", "h=x", "g=", "at=", "d", "\u00e9=1")
+    ],
+)
+def test_a_malformed_first_line_is_told_apart(line: str) -> None:
+    with pytest.raises(BadLine):
+        read_open(line.encode())
+
+
+def _watch(told: list[HostList], ended: list[bool]) -> DirectorCall:
+    return DirectorCall(
+        "d", 41, lambda hosts, now: told.append(hosts), lambda c, failed, now: ended.append(failed)
+    )
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+LIST = b'{"generation":43,"reset":false,"instances":[{"instanceId":"s-9","hostPort":"10.1.0.18:8081",'
+LIST += b'"zone":"a","machineType":"m1","cell":3,"lifecycle":"leaving","weight":1.0,"startedAtMs":7}]}\n'
+WATCH = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + _chunk(b"\n") + _chunk(LIST[:50])
+WATCH += _chunk(LIST[50:] + b"\n")
+
+
+@pytest.mark.parametrize("cut", range(0, len(WATCH) + 1, 3))
+def test_a_watch_gives_a_list_a_line_however_it_is_cut(cut: int) -> None:
+    told, ended = list[HostList](), list[bool]()
+    call = _watch(told, ended)
+    assert b"GET /discovery/hosts?watch=1&after=41 HTTP/1.1\r\n" in call.opening(0)
+    call.feed(WATCH[:cut], 1)
+    call.feed(WATCH[cut:], 2)
+    assert [h.version for h in told] == [43] and not ended
+    assert told[0].hosts[0][:2] == ("s-9", ("10.1.0.18", 8081)) and told[0].hosts[0].started_ms == 7
+    call.feed(b"0\r\n\r\n", 3)
+    assert ended == [True], "a watch that is complete has ended"
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [b"HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n", b"nonsense\r\n\r\n"]
+    + [
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + _chunk(bad + b"\n")
+        for bad in (
+            b"{",
+            b"[]",
+            b"7",
+            b"[" * 100_000,
+            LIST.replace(b"leaving", b"odd"),
+            LIST.replace(b"18:", b":"),
+        )
+    ],
+)
+def test_what_discovery_gets_wrong_is_a_failed_call(answer: bytes) -> None:
+    told, ended = list[HostList](), list[bool]()
+    _watch(told, ended).feed(answer, 1)
+    assert (told, ended) == ([], [True])
+
+
+@pytest.mark.parametrize(
+    ("answer", "heard"),
+    [
+        (b"PONG inflight=7,x0=0.61\r\n", (io.Ending.OK, (7.0, 0.61))),
+        (b"PONG\r\n", (io.Ending.OK, ())),
+        (b"ERR\r\n", (io.Ending.ERROR, ())),
+        (b"BUSY\r\n", (io.Ending.FULL, ())),
+        (b"x" * 5000, (io.Ending.ERROR, ())),
+    ],
+)
+def test_a_probe_is_answered_once(answer: bytes, heard: tuple[Any, ...]) -> None:
+    got: list[tuple[Any, ...]] = []
+    probe = Probe(("inflight", "x0"), lambda took, ending, report, now: got.append((took, ending, report)))
+    probe.ask(0)
+    link = FakeLink(probe)
+    assert link.accept(30) == "STATS\r\n"
+    probe.feed(answer, 40)
+    probe.overdue(50, 60)
+    assert got == [(10, *heard)], "setting up the connection does not count"
+
+
+def test_a_wheel_calls_at_the_first_tick_not_before_the_time_and_never_what_was_cancelled() -> None:
+    wheel, called = Wheel(5000, 0), list[tuple[str, int]]()
+    for name, at in (("near", 12_000), ("far", 6 * SECOND), ("past", -1), ("gone", 12_000)):
+        timer = wheel.at(at, lambda now, name=name: called.append((name, now)))  # type: ignore[misc]
+    timer.cancel()
+    for now in range(0, 7 * SECOND, 5000):
+        wheel.advance(now)
+    assert called == [("past", 5000), ("near", 15_000), ("far", 6 * SECOND)]
+
+
+def test_a_configuration_reads_the_same_settings_as_the_wire(tmp_path: Path) -> None:
+    config = load(configuration(tmp_path) | {"PROXY_NAME": "n7", "PROXY_LISTEN": "127.0.0.1:81"})
+    assert (config.name, config.listen, config.seed) == ("n7", ("127.0.0.1", 81), 0x8C1F30D27A5BE964)
+    told = config.settings
+    assert (told.try_limit, told.connect_timeout, told.report_fields) == (3, 100_000, ("inflight", "x0"))
+    assert told.classes[0].message_aim == 60_000 and told.prices == {"probe": 0.002}
+    assert config.names.zones == ("a", "b") and config.known.hosts[0].name == "s-1"
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"listen": "here"},
+        {"seed": "zz"},
+        {"settings": {}},
+        {"settings": settings() | {"classes": []}},
+        {"settings": settings() | {"balancers": "two"}},
+        {"known": hosts(host("s-1", "name:1"))},
+        {"known": {}},
+    ],
+)
+def test_a_bad_configuration_is_told(tmp_path: Path, changes: dict[str, Any]) -> None:
+    with pytest.raises(ConfigError):
+        load(configuration(tmp_path, **changes))
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,274 @@
+"""The node in memory: one final answer to each req, one fetch at a time, and what the module is owed."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from firgrade import interface as io
+from limerudder.core.director import read_hosts
+
+from .scripted import LINE, SECOND, World, host, hosts, settings, world
+
+
+def events(node: World) -> list[io.Event]:
+    """From here on, what the module is told."""
+    told, handle = list[io.Event](), node.node.balancer.handle
+
+    def spy(event: io.Event, now: int) -> list[io.Action]:
+        told.append(event)
+        return handle(event, now)
+
+    node.node.balancer.handle = spy  # type: ignore[method-assign]
+    return told
+
+
+@pytest.mark.parametrize("pieces", [1, 2, 5])
+def test_a_served_client_and_its_end(tmp_path: Path, pieces: int) -> None:
+    here = world(tmp_path)
+    told = events(here)
+    session, link, fetch = here.served()
+    assert fetch.sent.decode().startswith(LINE.split("d=")[0]) and "d=300," in fetch.sent.decode()
+    session.feed(b"M 1\r\nM 2\r\n", here.now)
+    assert fetch.sent.endswith(b"M 1\r\nM 2\r\n")
+    data = b"LOAD 2500.5\r\nM 1\r\nBYE\r\n"
+    for at in range(0, len(data), -(-len(data) // pieces)):
+        fetch.machine.feed(data[at : at + -(-len(data) // pieces)], here.now)
+    fetch.machine.eof(here.now)
+    assert link.sent == b"UP 77\r\n" + data and link.finished and fetch.closed
+    assert [e.value for e in told if isinstance(e, io.Note)] == [2500.5]
+    (end,) = (e for e in told if isinstance(e, io.Outcome))
+    assert (end.ending, end.closed) == (io.Ending.OK, 1) and not here.node.reqs
+
+
+@pytest.mark.parametrize(
+    ("line", "counted"),
+    [
+        ("HELLO", "reqs_malformed"),
+        ("x" * 5000, "reqs_overlong"),
+        (LINE.replace("c=chat", "c=odd"), "reqs_of_unknown_class"),
+    ],
+    ids=["malformed", "overlong", "unknown class"],
+)
+def test_a_bad_first_line_fails_is_counted_and_reaches_no_backend(
+    tmp_path: Path, line: str, counted: str
+) -> None:
+    here = world(tmp_path)
+    _, link = here.client(line)
+    assert link.sent == b"FAILED\r\n" and link.finished and not link.closed
+    assert here.node.counters[counted] == 1 and not here.fetches()
+    here.run(SECOND + 5000)
+    assert link.closed and not here.node.sessions
+
+
+@pytest.mark.parametrize(
+    ("how", "ending"),
+    [
+        ("refused", io.Ending.CONNECT_FAILED),
+        ("no answer to the dial", io.Ending.CONNECT_FAILED),
+        ("broken after the line", io.Ending.RESET),
+        ("silent", io.Ending.TIMEOUT),
+        ("BUSY", io.Ending.FULL),
+        ("ERR inflight=1", io.Ending.ERROR),
+        ("UP", io.Ending.ERROR),
+        ("x" * 5000, io.Ending.ERROR),
+    ],
+    ids=lambda value: str(value)[:20],
+)
+def test_a_fetch_that_fails_is_closed_before_the_next(tmp_path: Path, how: str, ending: io.Ending) -> None:
+    here = world(tmp_path)
+    told = events(here)
+    _, link = here.client()
+    (first,) = here.fetches()
+    if how == "no answer to the dial":
+        here.run(110_000)
+    elif how != "refused":
+        first.accept(here.now)
+    if how in ("refused", "broken after the line"):
+        first.machine.lost(here.now)
+    elif how == "silent":
+        here.run(310_000)
+    else:
+        first.machine.feed(how.encode() + b"\r\n", here.now)
+    assert [e.ending for e in told if isinstance(e, io.Outcome)] == [ending]
+    (second,) = here.fetches()
+    assert first.closed and second is not first and not link.sent
+
+
+def test_a_req_given_up_is_answered_at_once_and_in_time(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    _, link = here.client()
+    for _ in range(2):  # as many backends as there are
+        here.fetches()[0].machine.lost(here.now)
+    here.run(1_990_000)
+    assert link.sent == b"BUSY\r\n" and not here.node.reqs and not here.fetches()
+
+
+@pytest.mark.parametrize(("allowed", "advice"), [(False, b"BUSY\r\n"), (True, b"BUSY 700\r\n")])
+def test_advice_is_given_where_allowed_and_never_more_than_clients_follow(
+    tmp_path: Path, allowed: bool, advice: bytes
+) -> None:
+    told = settings(retryAfter=allowed, maxRetryAfterUs=700_000)
+    here = world(tmp_path, settings=told, known=hosts())
+    _, link = here.client()
+    here.run(400_000)
+    assert link.sent == advice
+
+
+def test_a_client_that_leaves_early_takes_its_fetch_with_it(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    told = events(here)
+    session, link = here.client()
+    (fetch,) = here.fetches()
+    session.eof(here.now)
+    assert fetch.closed and link.closed and not here.node.reqs
+    (end,) = (e for e in told if isinstance(e, io.Outcome))
+    assert (end.ending, end.closed) == (io.Ending.CANCELLED, 1)
+    assert any(isinstance(e, io.Gone) for e in told)
+
+
+@pytest.mark.parametrize("way", ["backend resets", "client resets", "client ends"])
+def test_the_other_side_ends_as_the_first_did(tmp_path: Path, way: str) -> None:
+    here = world(tmp_path)
+    session, link, fetch = here.served()
+    if way == "backend resets":
+        fetch.machine.lost(here.now)
+        assert link.was_reset
+    elif way == "client resets":
+        session.lost(here.now)
+        assert fetch.was_reset
+    else:
+        session.eof(here.now)
+        assert fetch.finished and not fetch.closed
+        here.run(800_000)
+        assert fetch.closed and link.finished
+    assert not here.node.reqs
+
+
+def test_a_slow_reader_holds_the_other_side(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    session, link, fetch = here.served()
+    for on in (True, False):
+        session.crowded(on)
+        fetch.machine.crowded(on)
+        assert (link.held, fetch.held) == (on, on)
+
+
+def test_a_backend_gone_silent_is_noticed_and_its_client_moved_between_two_lines(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    session, link, fetch = here.served()
+    session.feed(b"M 1\r\n", here.now)
+    fetch.machine.feed(b"half a li", here.now)
+    here.run(5 * SECOND + 5000)
+    assert link.sent == b"UP 77\r\nMOVE\r\n" and link.finished and fetch.closed
+
+
+def test_a_long_message_is_noted_once_a_second_and_once_when_it_is_well(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    told = events(here)
+    session, _, fetch = here.served()
+    for took in (30_000, 30_000, 5000, 5000):
+        session.feed(b"M\r\n", here.now)
+        here.run(took)
+        fetch.machine.feed(b"M\r\n", here.now)
+    notes = [(e.kind, e.value) for e in told if isinstance(e, io.Note)]
+    assert notes == [(io.NOTE_DELAY, 30.0), (io.NOTE_DELAY, 5.0)]
+
+
+def test_a_connection_of_before_goes_to_its_backend_and_is_tried_again(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    told = events(here)
+    line = LINE.replace("d=2000", "d=4294967") + ",at=s-2"
+    _, link = here.client(line)
+    here.fetches()[0].machine.lost(here.now)
+    assert not here.fetches()
+    here.run(260_000)
+    (fetch,) = here.fetches()
+    assert fetch.accept(here.now) == line + "\r\n"
+    fetch.machine.feed(b"UP 5\r\n", here.now)
+    assert link.sent == b"UP 5\r\n"
+    assert [type(e) for e in told if not isinstance(e, io.Timer | io.Probed)] == [io.Open]
+
+
+def test_a_dial_under_way_to_a_backend_that_drains_is_given_up(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    here.client()
+    (fetch,) = here.fetches()
+    (name,) = (b.name for b in here.node.backends.values() if b.dialled)
+    drains = read_hosts(hosts(host(name, lifecycle="leaving"), reset=False))
+    here.node._told(drains, here.now)
+    assert fetch.closed and len(here.fetches()) == 1
+
+
+def test_a_silent_watch_is_a_dead_one(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    told = events(here)
+    watch = next(d for d in here.dials if b"watch=1" in d.machine.opening(here.now))
+    watch.machine.connected(watch, here.now)
+    watch.machine.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", here.now)
+    here.run(3 * SECOND + 300_000)
+    assert watch.closed
+    assert [e.kind for e in told if isinstance(e, io.Members)] == [io.ListKind.FAILED]
+    here.run(SECOND)
+    assert here.node.watch and here.node.watch is not watch.machine
+
+
+@pytest.mark.parametrize("kind", [io.Request, io.Timer])
+def test_a_fault_in_the_module_costs_one_req_at_most(tmp_path: Path, kind: type) -> None:
+    here = world(tmp_path)
+    handle, met = here.node.balancer.handle, list[io.Event]()
+
+    def fails_once(event: io.Event, now: int) -> list[io.Action]:
+        if isinstance(event, kind):
+            met.append(event)
+            if len(met) == 1:
+                raise ZeroDivisionError("in a test")
+        return handle(event, now)
+
+    here.node.balancer.handle = fails_once  # type: ignore[method-assign]
+    here.node.give(io.Timer(77), here.now)
+    _, link = here.client()
+    assert (link.sent == b"FAILED\r\n") is (kind is io.Request)
+    assert len([t for t in here.logged if "ZeroDivisionError: in a test" in t]) == 1
+    here.served()
+    here.run(SECOND + 5000)
+    assert here.node.counters["module_faults"] == 1
+    assert met.count(io.Timer(77)) == (2 if kind is io.Timer else 0), "the timer it would have set anew"
+
+
+def test_a_module_that_never_answers_does_not_lose_the_req(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    here.node.balancer.handle = lambda event, now: []  # type: ignore[method-assign]
+    _, link = here.client()
+    here.run(2 * SECOND + 15_000)
+    assert not link.finished
+    here.run(10_000)
+    assert link.sent == b"FAILED\r\n" and not here.node.reqs
+
+
+def test_a_planned_stop_refuses_newcomers_and_moves_all_that_stand_bit_by_bit(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    links = [here.served()[1] for _ in range(30)]
+    done: list[int] = []
+    here.node.stopped = lambda: done.append(here.now)
+    begun = here.now
+    here.node.stop(here.now)
+    _, late = here.client()
+    assert late.sent == b"BUSY\r\n"
+    moved = []
+    while not done and here.now < begun + 4 * SECOND:
+        here.run(100_000)
+        moved.append(sum(link.sent.endswith(b"MOVE\r\n") for link in links))
+    assert moved[3] == 0 and 0 < moved[7] < 30 and moved[-1] == 30
+    assert done and done[0] < begun + 2_700_000, "SIGKILL may come then"
+
+
+def test_peers_are_told_and_heard_only_within_the_rules(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    for size in (256, 257):
+        here.node._tell(io.Tell(1, b"x" * size), here.now)
+    assert [len(data) for _, data in here.told] == [256]
+    alone = world(tmp_path, settings=settings(peers=False))
+    alone.node._tell(io.Tell(1, b"x"), alone.now)
+    assert not alone.told
