Guard what a peer or a late start can break, and tell the node's stories on loopback

Read over and mended, each with a test: a connection of before at a host of no list made a backend entry for any name (node._reopen); a planned stop could end the process in the tick of its last MOVE, before its client had read it (node._move_some); a req failed by a fault stayed in the module (node._fault); an address in use was a traceback (now one line, exit 2); the descriptor limit was the machine's, not the node's.

Stories over loopback sockets against scripted peers.

--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -7,12 +7,13 @@
 import os
 import resource
 import signal
+import socket
 import sys
 from collections.abc import Callable
 
 import uvloop
 
-from .config import Config, ConfigError, load
+from .config import Address, Config, ConfigError, load
 from .core.client import LineSession
 from .core.link import Caller
 from .core.node import Node
@@ -41,15 +42,33 @@
             self.peers.send(peer, data)
 
 
+def bind(address: Address, kind: socket.SocketKind) -> socket.socket:
+    """A socket at one of the node's own addresses."""
+    sock = socket.socket(socket.AF_INET, kind)
+    try:
+        if kind is socket.SOCK_STREAM:  # a node starts again while connections of its last run are ending
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+        if kind is socket.SOCK_STREAM:
+            sock.listen(BACKLOG)
+        sock.setblocking(False)
+    except OSError as exc:
+        sock.close()
+        raise ConfigError("cannot listen on {}:{}: {}".format(*address, exc.strerror)) from None
+    return sock
+
+
 async def serve(config: Config, log: Callable[[str, str], None]) -> None:
     """Run the node until it is told to stop."""
     loop, clock, stopped = asyncio.get_running_loop(), Clock(), asyncio.Event()
+    listening = bind(config.listen, socket.SOCK_STREAM)
     network = Network(Dialler(loop, clock))
     node = Node(config, network, log, clock.now())
     node.stopped = stopped.set
     if config.settings.peers and config.peer_listen:
         peers = Peers(config.peers, config.peers_all, lambda n, data: node.heard(n, data, clock.now()))
-        await loop.create_datagram_endpoint(lambda: peers, local_addr=config.peer_listen)
+        sock = bind(config.peer_listen, socket.SOCK_DGRAM)
+        await loop.create_datagram_endpoint(lambda: peers, sock=sock)
         network.peers = peers
 
     def client() -> Stream:
@@ -61,12 +80,12 @@
         loop.call_later(config.settings.tick / 1e6, tick)
         node.wheel.advance(clock.now())
 
-    loop.add_signal_handler(signal.SIGTERM, lambda: node.stop(clock.now()))
-    loop.add_signal_handler(signal.SIGINT, stopped.set)
+    for planned in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(planned, lambda: node.stop(clock.now()))
     loop.add_signal_handler(signal.SIGUSR1, lambda: log("counters", f"counters: {node.counters.text()}"))
-    server = await loop.create_server(client, *config.listen, backlog=BACKLOG, reuse_address=True)
+    server = await loop.create_server(client, sock=listening, backlog=BACKLOG)
     tick()
-    log("start", "node: listening on {}:{}".format(*server.sockets[0].getsockname()))
+    log("start", "node: listening on {}:{}".format(*listening.getsockname()))
     gc.freeze()
     await stopped.wait()
     server.close()
@@ -77,12 +96,13 @@
     """Run; a bad configuration is one line on standard error and exit code 2."""
     try:
         config = load(os.environ)
+        _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+        # what the node is allowed, and not more: a socket too many fails here instead of breaking the limit
+        resource.setrlimit(resource.RLIMIT_NOFILE, (min(config.sockets, most), most))
+        uvloop.run(serve(config, Log(config.name)))
     except ConfigError as exc:
         print(f"limerudder: {exc}", file=sys.stderr)
         return 2
-    _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
-    uvloop.run(serve(config, Log(config.name)))
     return 0
 
 
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -56,6 +56,7 @@
 
     def __init__(self, node: Node, number: int, session: ClientSession, req: Req, deadline: int) -> None:
         self.node, self.number, self.session, self.req, self.deadline = node, number, session, req, deadline
+        self.told = (number, 0, 0, 0, 0, 0, 0, 0)  # as the module is told of it
         self.sends = self.sent = 0
         self.fetch: Fetch | None = None
         self.backend: Backend | None = None
@@ -143,6 +144,7 @@
         if held and not held.answered:
             self._final(held, "failed", now)
             held.session.fail(now)
+            self.give(io.Gone(held.number), now)  # so that the module does not keep it
 
     def _fail(self, action: io.Fail, now: int) -> None:
         if (held := self.reqs.get(action.id)) and not held.answered:
@@ -364,28 +366,28 @@
         self.reqs[number] = held
         tenant = self.tenants.get(req.tenant, len(self.tenants))
         flags = (req.hint is not None) + 2 * req.retry + io.CAME_BACK * req.came_back
-        told = (number, cls, tenant, req.key, left, req.hint or 0, req.group, flags)
+        held.told = (number, cls, tenant, req.key, left, req.hint or 0, req.group, flags)
         if req.at is not None:
             self.counters.count("reqs_of_before")
-            held.deadline, held.sends = now + AT_WAIT, 1
-            self.give(io.Open(*told, self.backend(req.at).number), now)
+            held.deadline = now + AT_WAIT
             self._reopen(held, req.at, now)
         else:
-            held.overdue = self.wheel.at(
-                held.deadline + self.settings.answer_slack, partial(self._overdue, held)
-            )
-            self.give(io.Request(*told), now)
+            last = held.deadline + self.settings.answer_slack
+            held.overdue = self.wheel.at(last, partial(self._overdue, held))
+            self.give(io.Request(*held.told), now)
         return held
 
     def _reopen(self, held: Held, at: str, now: int) -> None:
         """Join a connection of before the start to its backend."""
-        backend = self.backend(at)
         if held.answered or held.fetch:
             return
-        if backend.state == io.State.READY and not self.stopping:
+        backend = self.backends.get(self.numbers.get(at, -1))  # a name of no list makes no backend
+        if backend and not held.sends:
+            held.sends, held.backend = 1, backend
+            self.give(io.Open(*held.told, backend.number), now)
+        if backend and backend.state == io.State.READY and not self.stopping:
             self._dial(held, backend, None, now)
         else:
-            held.backend = backend
             self._reopen_later(held, io.Ending.CONNECT_FAILED, now)
 
     def _reopen_later(self, held: Held, ending: io.Ending, now: int) -> None:
@@ -509,7 +511,9 @@
         steps = max((until - now) // MOVE_STEP, 1)
         for held in standing[: -(-len(standing) // steps)]:
             self._move_away(held, now)
-        if (not self.reqs and now >= until) or now >= self.stopping - STOP_SPARE // 4:
+        # guards the last MOVEs: a process that ends closes sockets whose clients have not read them
+        over = not self.reqs and not self.sessions and now >= until
+        if over or now >= self.stopping - STOP_SPARE // 4:
             self.stopped()
         else:
             self.wheel.at(now + MOVE_STEP, self._move_some)
--- a/limerudder/net/stream.py
+++ b/limerudder/net/stream.py
@@ -38,8 +38,6 @@
         if self.early:
             transport.write(self.early)
         self.machine.connected(self, self.clock.now())
-        if self.finishing and not transport.is_closing():
-            transport.write_eof()
 
     def data_received(self, data: bytes) -> None:
         """Bytes."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -191,6 +191,22 @@
     assert [type(e) for e in told if not isinstance(e, io.Timer | io.Probed)] == [io.Open]
 
 
+def test_a_connection_of_before_at_a_host_of_no_list_fails_and_leaves_nothing(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    told, known = events(here), len(here.node.backends)
+    _, link = here.client(LINE + ",at=s-99")
+    here.run(31 * SECOND)
+    assert link.sent == b"FAILED\r\n" and not here.node.reqs and not here.fetches()
+    assert len(here.node.backends) == known and not [e for e in told if isinstance(e, io.Open)]
+
+
+def test_where_sockets_are_short_a_client_is_refused_at_once(tmp_path: Path) -> None:
+    here = world(tmp_path, limits={"sockets": 130})
+    links = [here.served()[1], here.client()[1], here.client("PING")[1]]
+    assert [link.finished for link in links] == [False, True, True] and links[1].sent == b"BUSY\r\n"
+    assert len(here.fetches()) == 1
+
+
 def test_a_dial_under_way_to_a_backend_that_drains_is_given_up(tmp_path: Path) -> None:
     here = world(tmp_path)
     here.client()
--- /dev/null
+++ b/tests/test_stories.py
@@ -0,0 +1,155 @@
+"""Stories over loopback sockets: a real node among scripted clients, backends and a director."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import struct
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+import uvloop
+
+from .scripted import LINE, Loopback, Peer, configuration, host, hosts, settings
+
+Story = Callable[[Loopback], Awaitable[None]]
+
+
+def reset(peer: Peer) -> None:
+    """End a scripted connection with a reset."""
+    sock = peer.writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    peer.writer.transport.abort()
+
+
+async def served(here: Loopback) -> tuple[Peer, Peer]:
+    """A client that is up, and its backend's side."""
+    client = await here.client()
+    client.say("PING")
+    assert await client.line() == "PONG"
+    client.say(LINE)
+    backend = await here.backend.take()
+    assert (await backend.line()).startswith(LINE.partition("d=")[0])
+    backend.say("UP 77")
+    assert await client.line() == "UP 77"
+    return client, backend
+
+
+async def lines_pass_both_ways_until_the_backend_ends(here: Loopback) -> None:
+    async with here.running():
+        client, backend = await served(here)
+        client.say("M 1")
+        assert await backend.line() == "M 1"
+        backend.say("LOAD 12.5", "M 1", "BYE")
+        backend.writer.close()
+        assert [await client.line() for _ in range(4)] == ["LOAD 12.5", "M 1", "BYE", ""]
+
+
+async def a_reset_ends_the_other_side_with_a_reset(here: Loopback) -> None:
+    async with here.running():
+        client, backend = await served(here)
+        reset(backend)
+        with pytest.raises(ConnectionResetError):
+            await client.line()
+        client, backend = await served(here)
+        reset(client)
+        with pytest.raises(ConnectionResetError):
+            await backend.line()
+
+
+async def a_client_that_ends_its_side_hears_its_backends_last_words(here: Loopback) -> None:
+    async with here.running():
+        client, backend = await served(here)
+        client.writer.write_eof()
+        assert await backend.line() == ""
+        backend.say("BYE")
+        backend.writer.close()
+        assert [await client.line(), await client.line()] == ["BYE", ""]
+
+
+async def more_than_the_buffers_hold_passes_whole_to_a_slow_reader(here: Loopback) -> None:
+    async with here.running():
+        client, backend = await served(here)
+        text = ["x" * 4000] * 2000
+        backend.say(*text)
+        backend.writer.close()
+        assert [await client.line() for _ in text] == text and await client.line() == ""
+
+
+async def a_backend_that_refuses_leaves_the_req_to_be_answered(here: Loopback) -> None:
+    async with here.running(known=hosts(host("s-1", "127.0.0.1:9"))):
+        client = await here.client()
+        client.say(LINE)
+        assert [await client.line(), await client.line()] == ["BUSY", ""]
+
+
+async def a_fetch_given_up_is_closed_at_its_backend(here: Loopback) -> None:
+    async with here.running():
+        client = await here.client()
+        client.say(LINE)
+        backend = await here.backend.take()
+        await backend.line()
+        client.writer.close()
+        assert await backend.line() == ""
+
+
+async def the_director_brings_a_backend_that_was_not_known(here: Loopback) -> None:
+    async with here.running(known=hosts()):
+        director = await here.director.take()
+        assert await director.line() == "GET /discovery/hosts?watch=1&after=41 HTTP/1.1"
+        told = json.dumps(hosts(host("s-1", await here.backend.start()))) + "\n"
+        director.say("HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "", f"{len(told):x}", told)
+        await served(here)
+
+
+async def a_planned_stop_moves_its_clients_and_ends(here: Loopback) -> None:
+    quick = settings()
+    quick["classes"][0] |= {"aimUs": 100_000, "deadlineUs": 800_000}
+    async with here.running(settings=quick) as node:
+        clients = [(await served(here))[0] for _ in range(3)]
+        os.kill(os.getpid(), signal.SIGTERM)
+        late = await here.client()
+        late.say(LINE)
+        assert await late.line() == "BUSY"
+        assert [await client.line() for client in clients] == ["MOVE"] * 3
+        await node
+    counters = [await here.logged.get() for _ in range(here.logged.qsize())][-1]
+    assert "answers_served=3" in counters and "moves=3" in counters
+
+
+STORIES = [
+    lines_pass_both_ways_until_the_backend_ends,
+    a_reset_ends_the_other_side_with_a_reset,
+    a_client_that_ends_its_side_hears_its_backends_last_words,
+    more_than_the_buffers_hold_passes_whole_to_a_slow_reader,
+    a_backend_that_refuses_leaves_the_req_to_be_answered,
+    a_fetch_given_up_is_closed_at_its_backend,
+    the_director_brings_a_backend_that_was_not_known,
+    a_planned_stop_moves_its_clients_and_ends,
+]
+
+
+@pytest.mark.parametrize("story", STORIES, ids=lambda story: story.__name__)
+def test_story(story: Story, tmp_path: Path) -> None:
+    async def told() -> None:
+        await asyncio.wait_for(
+            story(Loopback(tmp_path)), 60
+        )  # a story that hangs fails, whatever the machine
+
+    uvloop.run(told())
+
+
+@pytest.mark.parametrize("words", ["not an address", "cannot listen on 127.0.0.1:"])
+def test_a_bad_configuration_is_one_line_and_exit_code_2(tmp_path: Path, words: str) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        listen = "nowhere" if words == "not an address" else "{}:{}".format(*taken.getsockname())
+        given = os.environ | configuration(tmp_path, listen=listen)
+        ran = subprocess.run([sys.executable, "-m", "limerudder"], env=given, capture_output=True, text=True)
+    assert (ran.returncode, ran.stdout) == (2, "")
+    assert ran.stderr.count("\n") == 1 and words in ran.stderr
