--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+# The node's everyday commands. `build` is the operators' own, from deploy/balancer.toml.
+BUILD = $(shell python3 -c "import tomllib; print(tomllib.load(open('deploy/balancer.toml', 'rb'))['build'])")
+PYTHON = .venv/bin/python
+
+.PHONY: build dev test lint run
+
+build:
+	$(BUILD)
+
+dev: build
+	$(PYTHON) -m pip -q install -r requirements-dev.txt
+
+test: dev
+	$(PYTHON) -m pytest -q -p no:cacheprovider
+
+lint: dev
+	$(PYTHON) -m ruff check .
+	$(PYTHON) -m ruff format --check .
+	$(PYTHON) -m mypy
+	@lines=$$(grep -cv '^[[:space:]]*$$' firgrade/choice.py); \
+	    [ "$$lines" -le 500 ] || { echo "firgrade/choice.py has $$lines lines"; exit 1; }
+
+run: build
+	@test -n "$$PROXY_CONFIG" || { echo "set PROXY_CONFIG to the node's configuration file"; exit 2; }
+	exec $(PYTHON) -m limerudder
