Keep a half-closed client's last words, and answer every req before a stop ends

Read over and mended, each with a test that fails without it: - net/stream.py hold(): uvloop brings a FIN again for every resume_reading (measured: four resumes, four FINs), so reading on at a session's end could cut what was still to be sent. It resumes only where it had paused. - core/node.py: a req whose class waits longer than a planned stop was left without an answer; a fault while carrying an action out left the node deaf (give() now ends its turn in a finally). - core/client.py: a connection that only pings is kept for as long as it does.

--- a/limerudder/core/client.py
+++ b/limerudder/core/client.py
@@ -147,6 +147,7 @@
             if line == b"PING":
                 self.taker.counters.count("pings")
                 self._write(b"PONG\r\n")
+                self._after(FIRST_LINE, now)
                 continue
             try:
                 req = read_open(line)
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -34,6 +34,7 @@
 MOVE_AFTER = 450_000  #: after a SIGTERM: until then the front may send clients right back here
 STOP_LEAST, STOP_SPARE = 3 * SECOND, 700_000  #: SIGKILL comes no sooner than their sum, as told
 MOVES_DONE = SECOND  #: moves are over this long before the earliest SIGKILL
+LAST_ANSWERS = 400_000  #: as long before it, what still waits is answered failed
 MOVE_STEP = 20_000
 
 Log = Callable[[str, str], None]  #: kind of line, text
@@ -122,16 +123,18 @@
         if self.giving:
             return  # an action's own consequence waits until the actions before it are done
         self.giving = True
-        while self.events:
-            event = self.events.popleft()
-            try:
-                actions = self.balancer.handle(event, now)
-            except Exception as exc:  # guards the other reqs against a fault met on one of them
-                self._fault(event, exc, now)
-                continue
-            for action in actions:
-                self.carry_out[type(action)](self, action, now)
-        self.giving = False
+        try:
+            while self.events:
+                event = self.events.popleft()
+                try:
+                    actions = self.balancer.handle(event, now)
+                except Exception as exc:  # guards the other reqs against a fault met on one of them
+                    self._fault(event, exc, now)
+                    continue
+                for action in actions:
+                    self.carry_out[type(action)](self, action, now)
+        finally:  # guards against a node deaf for good after a fault in carrying an action out
+            self.giving = False
 
     def _fault(self, event: io.Event, exc: Exception, now: int) -> None:
         self.counters.count("module_faults")
@@ -511,6 +514,10 @@
         steps = max((until - now) // MOVE_STEP, 1)
         for held in standing[: -(-len(standing) // steps)]:
             self._move_away(held, now)
+        if now >= self.stopping - LAST_ANSWERS:  # guards reqs whose class may wait longer than this node
+            for held in [h for h in self.reqs.values() if not h.answered]:
+                self._final(held, "failed", now)
+                held.session.fail(now)
         # guards the last MOVEs: a process that ends closes sockets whose clients have not read them
         over = not self.reqs and not self.sessions and now >= until
         if over or now >= self.stopping - STOP_SPARE // 4:
--- a/limerudder/net/stream.py
+++ b/limerudder/net/stream.py
@@ -25,7 +25,7 @@
         self.sock: socket.socket | None = None  # of a connection that this node dialled
         self.task: asyncio.Task[None] | None = None
         self.early = b""  # written while there was no transport yet
-        self.finishing = False
+        self.finishing = self.held = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Asyncio's word that the connection stands."""
@@ -83,7 +83,9 @@
 
     def hold(self, on: bool) -> None:
         """Stop reading, or read on."""
-        if self.transport and not self.transport.is_closing():
+        # guards last words to a client that has ended its side: reading on after a FIN would bring it again
+        if on != self.held and self.transport and not self.transport.is_closing():
+            self.held = on
             (self.transport.pause_reading if on else self.transport.resume_reading)()
 
     def close(self) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -96,6 +96,18 @@
     assert first.closed and second is not first and not link.sent
 
 
+def test_the_rules_hold_whatever_the_module_sends(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    first, other = here.node.backends.values()
+    other.state = io.State.DRAINING
+    sends = [io.Send(1, other.number, 0), io.Send(1, first.number, 0), io.Send(1, first.number, 0)]
+    here.node.balancer.handle = lambda event, now: (  # type: ignore[method-assign]
+        list(sends) if isinstance(event, io.Request) else []
+    )
+    here.client()
+    assert len(here.fetches()) == 1 and here.node.counters["fetches_moot"] == 2
+
+
 def test_a_req_given_up_is_answered_at_once_and_in_time(tmp_path: Path) -> None:
     here = world(tmp_path)
     _, link = here.client()
@@ -280,6 +292,42 @@
     assert done and done[0] < begun + 2_700_000, "SIGKILL may come then"
 
 
+def test_a_planned_stop_leaves_no_req_without_its_answer(tmp_path: Path) -> None:
+    slow = settings(dialTimeoutUs=60 * SECOND)
+    slow["classes"][0] |= {"aimUs": 60 * SECOND, "deadlineUs": 60 * SECOND}
+    here = world(tmp_path, settings=slow)
+    _, link = here.client(LINE.replace("d=2000", "d=60000"))
+    here.node.stop(here.now)
+    here.run(3_200_000)
+    assert not link.finished
+    here.run(200_000)
+    assert link.sent == b"FAILED\r\n" and not here.fetches()
+
+
+def test_a_fault_in_an_action_does_not_deafen_the_node(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    here.node.balancer.handle = lambda event, now: [io.Tell(1, b"")]  # type: ignore[method-assign]
+    here.tell = lambda peer, data: 1 / 0  # type: ignore[method-assign, assignment]
+    with pytest.raises(ZeroDivisionError):
+        here.node.give(io.Timer(5), here.now)
+    told = events(here)
+    with pytest.raises(ZeroDivisionError):
+        here.node.give(io.Timer(6), here.now)
+    assert told == [io.Timer(6)]
+
+
+def test_a_connection_that_only_pings_is_kept_while_it_does(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    session, link = here.client("PING")
+    here.run(20 * SECOND)
+    session.feed(b"PI", here.now)
+    session.feed(b"NG\r\n", here.now)
+    here.run(20 * SECOND)
+    assert link.sent == b"PONG\r\n" * 2 and not link.closed
+    here.run(11 * SECOND)
+    assert link.closed and not here.node.sessions
+
+
 def test_peers_are_told_and_heard_only_within_the_rules(tmp_path: Path) -> None:
     here = world(tmp_path)
     for size in (256, 257):
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -12,10 +12,15 @@
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from unittest.mock import Mock
 
 import pytest
 import uvloop
 
+from limerudder.core.probe import Probe
+from limerudder.net.clock import Clock
+from limerudder.net.stream import Stream
+
 from .scripted import LINE, Loopback, Peer, configuration, host, hosts, settings
 
 Story = Callable[[Loopback], Awaitable[None]]
@@ -68,9 +73,10 @@
         client, backend = await served(here)
         client.writer.write_eof()
         assert await backend.line() == ""
-        backend.say("BYE")
+        last = ["x" * 4000] * 100 + ["BYE"]
+        backend.say(*last)
         backend.writer.close()
-        assert [await client.line(), await client.line()] == ["BYE", ""]
+        assert [await client.line() for _ in last] == last and await client.line() == ""
 
 
 async def more_than_the_buffers_hold_passes_whole_to_a_slow_reader(here: Loopback) -> None:
@@ -123,7 +129,28 @@
     assert "answers_served=3" in counters and "moves=3" in counters
 
 
+async def a_link_reads_on_only_where_it_had_stopped(here: Loopback) -> None:
+    transport = Mock(is_closing=lambda: False)
+    link = Stream(Probe((), lambda *heard: None), Clock())
+    link.connection_made(transport)
+    for on in (False, True, True, False, False):
+        link.hold(on)
+    asked = [name for name, _, _ in transport.method_calls if name.endswith("_reading")]
+    assert asked == ["pause_reading", "resume_reading"], "uvloop brings a FIN again for each resume"
+
+
+async def a_link_that_is_closed_is_ended_before_close_returns(here: Loopback) -> None:
+    ours, theirs = socket.socketpair()
+    link = Stream(Probe((), lambda *heard: None), Clock())
+    link.sock = ours
+    link.close()
+    theirs.setblocking(False)
+    assert theirs.recv(1) == b"", "the loop has not run since: a fetch that follows cannot overtake this end"
+
+
 STORIES = [
+    a_link_reads_on_only_where_it_had_stopped,
+    a_link_that_is_closed_is_ended_before_close_returns,
     lines_pass_both_ways_until_the_backend_ends,
     a_reset_ends_the_other_side_with_a_reset,
     a_client_that_ends_its_side_hears_its_backends_last_words,
