--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -10,6 +10,7 @@
 import socket
 import sys
 from collections.abc import Callable
+from dataclasses import replace
 
 import uvloop
 
@@ -97,8 +98,10 @@
     try:
         config = load(os.environ)
         _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if most != resource.RLIM_INFINITY:
+            config = replace(config, sockets=min(config.sockets, most))
         # what the node is allowed, and not more: a socket too many fails here instead of breaking the limit
-        resource.setrlimit(resource.RLIMIT_NOFILE, (min(config.sockets, most), most))
+        resource.setrlimit(resource.RLIMIT_NOFILE, (config.sockets, most))
         uvloop.run(serve(config, Log(config.name)))
     except ConfigError as exc:
         print(f"limerudder: {exc}", file=sys.stderr)
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -94,7 +94,9 @@
         self.wheel, self.counters = Wheel(self.settings.tick, now), Counters()
         self.balancer = Balancer(self.settings, Random(config.seed))
         self.report_fields = self.settings.report_fields if self.settings.report_via != "none" else ()
-        self.most = max((config.sockets - SPARE_SOCKETS) // 2, 1)
+        self.room = config.sockets - min(
+            SPARE_SOCKETS, config.sockets // 4
+        )  # sockets for clients and fetches
         self.sessions: set[Any] = set()
         self.classes = {name: number for number, name in enumerate(config.names.classes)}
         self.tenants = {name: number for number, name in enumerate(config.names.tenants)}
@@ -350,7 +352,7 @@
 
     def full(self) -> bool:
         """Whether sockets for one more client are lacking."""
-        return len(self.sessions) + len(self.reqs) > self.config.sockets - SPARE_SOCKETS
+        return len(self.sessions) + len(self.reqs) > self.room
 
     def take(self, session: ClientSession, req: Req, now: int) -> Held | None:
         """Take a req; None where its class is unknown."""
@@ -361,7 +363,7 @@
         number, self.next_req = self.next_req, self.next_req + 1
         left = self.settings.classes[cls].deadline if req.time_left is None else req.time_left
         held = Held(self, number, session, req, now + left)
-        if self.stopping or len(self.reqs) >= self.most:
+        if self.stopping or 2 * len(self.reqs) + 2 > self.room:
             self.counters.count("answers_refused")
             held.answered = True
             session.refuse(0, now)
