--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -94,9 +94,8 @@
         self.wheel, self.counters = Wheel(self.settings.tick, now), Counters()
         self.balancer = Balancer(self.settings, Random(config.seed))
         self.report_fields = self.settings.report_fields if self.settings.report_via != "none" else ()
-        self.room = config.sockets - min(
-            SPARE_SOCKETS, config.sockets // 4
-        )  # sockets for clients and fetches
+        spare = min(SPARE_SOCKETS, config.sockets // 4)
+        self.room = config.sockets - spare  # sockets for clients and fetches
         self.sessions: set[Any] = set()
         self.classes = {name: number for number, name in enumerate(config.names.classes)}
         self.tenants = {name: number for number, name in enumerate(config.names.tenants)}
