Say once what the node said twice: addresses, timers, answers, dialled machines

Found by reading the whole change; behaviour is meant to stay as it is. - config and director each read an address: both call link.read_address now. - tellsDelay went round the shared settings parser: it is a field of Settings like the rest. - node.py wrote 'failed' out five times and the end of what is owed three times: _answer_failed and Held.settle.

--- a/firgrade/interface.py
+++ b/firgrade/interface.py
@@ -93,6 +93,7 @@
     connect_timeout: int = 0
     tick: int = 1000
     groups: bool = False
+    tells_delay: bool = False
     mode: str = "proxy"
     park: int = 0
     report_fields: Sequence[str] = ()
--- a/firgrade/settings.py
+++ b/firgrade/settings.py
@@ -107,6 +107,7 @@
         connect_timeout=get("caps.dialTimeoutUs", 0),
         tick=get("tickUs", 1000),
         groups=get("domain.groups", False, yes),
+        tells_delay=get("domain.tellsDelay", False, yes),
         mode=get("domain.mode", "proxy", str),
         park=get("domain.parkUs", 0),
         report_fields=tuple(fields.split(",")) if fields else (),
--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -14,9 +14,9 @@
 
 import uvloop
 
-from .config import Address, Config, ConfigError, load
+from .config import Config, ConfigError, load
 from .core.client import LineSession
-from .core.link import Caller
+from .core.link import Address, Caller
 from .core.node import Node
 from .net.clock import Clock
 from .net.log import Log
@@ -33,7 +33,7 @@
         self.dialler = dialler
         self.peers: Peers | None = None
 
-    def dial(self, address: tuple[str, int], machine: Caller) -> Stream:
+    def dial(self, address: Address, machine: Caller) -> Stream:
         """Set up a connection."""
         return self.dialler.dial(address, machine)
 
--- a/limerudder/config.py
+++ b/limerudder/config.py
@@ -5,15 +5,13 @@
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass
-from ipaddress import IPv4Address
 from typing import Any
 
 from firgrade.interface import Settings
-from firgrade.settings import SettingsError, flatten, read_settings
+from firgrade.settings import flatten, read_settings
 
-from .core.director import HostList, ListError, read_hosts
-
-Address = tuple[str, int]
+from .core.director import HostList, read_hosts
+from .core.link import Address, read_address
 
 
 class ConfigError(Exception):
@@ -41,7 +39,6 @@
     sockets: int
     settings: Settings
     names: Names
-    tells_delay: bool
     known: HostList
     peer_listen: Address | None = None
     peers: tuple[Address, ...] = ()
@@ -50,11 +47,8 @@
 
 def parse_address(text: object) -> Address:
     """An IPv4 address and a port: there is no DNS where a node runs."""
-    host, colon, port = str(text).rpartition(":")
     try:
-        if not colon or not 0 <= int(port) <= 65535:
-            raise ValueError(text)
-        return str(IPv4Address(host)), int(port)
+        return read_address(text)
     except ValueError:
         raise ConfigError(f"not an address: {text!r}") from None
 
@@ -75,7 +69,7 @@
         return _read({**given, **_overrides(environment)})
     except KeyError as exc:
         raise ConfigError(f"{path} lacks {exc}") from None
-    except (SettingsError, ListError, TypeError, ValueError, AttributeError) as exc:
+    except (TypeError, ValueError, AttributeError) as exc:
         raise ConfigError(f"{path}: {exc}") from None
 
 
@@ -103,7 +97,6 @@
             zones=tuple(told.get("areas") or ()),
             kinds=tuple(told.get("kinds") or ()),
         ),
-        tells_delay=bool((told.get("domain") or {}).get("tellsDelay")),
         known=read_hosts(given["known"]),
         peer_listen=parse_address(peer_listen) if peer_listen else None,
         peers=tuple(parse_address(peer) for peer in given.get("peers") or ()),
--- a/limerudder/core/client.py
+++ b/limerudder/core/client.py
@@ -12,7 +12,7 @@
 from .lines import MOST, LineError, LineFramer
 from .link import Link
 from .req import Fetch, FetchOwner, Req
-from .wheel import Timer, Wheel
+from .wheel import Alarm, Wheel
 
 LINGER = 1_000_000  #: to let a client read its last line before its connection is closed
 FIRST_LINE = 30_000_000  #: for a connection's first line
@@ -111,7 +111,7 @@
         self.owner: ReqOwner | None = None
         self.line = self.early = b""  # early: what the client sent before its answer
         self.served: LineFetch | None = None
-        self.timer: Timer | None = None
+        self.timer = Alarm(taker.wheel)
 
     # from the driver
 
@@ -146,7 +146,7 @@
         for number, line in enumerate(lines):
             if line == b"PING":
                 self.taker.counters.count("pings")
-                self._write(b"PONG\r\n")
+                self.pass_on(b"PONG\r\n")
                 self._after(FIRST_LINE, now)
                 continue
             try:
@@ -154,7 +154,7 @@
             except BadLine:
                 return self._malformed("reqs_malformed", now)
             self.line, self.stage = line, Stage.WAITING
-            self._stop_timer()
+            self.timer.stop()
             self._keep(b"".join(rest + b"\r\n" for rest in lines[number + 1 :]) + self.framer.rest)
             self.owner = self.taker.take(self, req, now)
             if self.owner is None:
@@ -227,7 +227,8 @@
 
     def pass_on(self, data: bytes) -> None:
         """Bytes from the backend for the client."""
-        self._write(data)
+        if self.link:
+            self.link.write(data)
 
     def end(self, now: int) -> None:
         """The backend has ended: so does this side."""
@@ -242,10 +243,6 @@
 
     # endings
 
-    def _write(self, data: bytes) -> None:
-        if self.link:
-            self.link.write(data)
-
     def _last(self, line: bytes, now: int) -> None:
         # guards against a reset that overtakes the last line: a socket closed with unread bytes sends one,
         # so the client is given a moment to read and to close first
@@ -258,13 +255,7 @@
         self._after(LINGER, now)
 
     def _after(self, wait: int, now: int) -> None:
-        self._stop_timer()
-        self.timer = self.taker.wheel.at(now + wait, lambda _: self._close())
-
-    def _stop_timer(self) -> None:
-        if self.timer:
-            self.timer.cancel()
-            self.timer = None
+        self.timer.set(now + wait, lambda _: self._close())
 
     def _close(self) -> None:
         self.stage = Stage.ENDED
@@ -273,6 +264,6 @@
         self._forget()
 
     def _forget(self) -> None:
-        self._stop_timer()
+        self.timer.stop()
         self.link = self.served = None
         self.closed(self)
--- a/limerudder/core/director.py
+++ b/limerudder/core/director.py
@@ -4,14 +4,13 @@
 
 import json
 from collections.abc import Callable
-from ipaddress import IPv4Address
 from typing import Any, NamedTuple
 
 import httptools
 
 from firgrade.interface import State
 
-from .link import Link
+from .link import Address, Dialled, read_address
 
 PATH = "/discovery/hosts"
 MOST_BODY = 1 << 22  #: bytes of one list; a longer one is a broken service
@@ -26,7 +25,7 @@
     """One backend as discovery lists it, by its names."""
 
     name: str
-    address: tuple[str, int]
+    address: Address
     zone: str
     kind: str
     cell: int
@@ -53,10 +52,9 @@
 
 
 def _host(given: Any) -> Host:
-    ip, _, port = given["hostPort"].rpartition(":")
-    address = str(IPv4Address(ip)), int(port)
-    if not 0 < address[1] < 65536:
-        raise ValueError(f"port {port}")
+    address = read_address(given["hostPort"])
+    if address[1] == 0:
+        raise ValueError("port 0")
     return Host(
         name=str(given["instanceId"]),
         address=address,
@@ -69,7 +67,7 @@
     )
 
 
-class DirectorCall:
+class DirectorCall(Dialled):
     """One HTTP call: a watch, which gives list after list, or a question, which gives one.
 
     `told` hears each list; `ended` hears once that no more comes, and whether that is a failure.
@@ -87,7 +85,6 @@
         self.parser = httptools.HttpResponseParser(self)
         self.body = b""
         self.lists: list[HostList] = []  # read, to be told once the parser has returned
-        self.link: Link | None = None
         self.done = self.complete = False
         self.heard = 0  # when the last sign of life came
 
@@ -99,16 +96,6 @@
         query = f"?watch=1&after={self.after}" if self.watch else ""
         return f"GET {PATH}{query} HTTP/1.1\r\nHost: {self.host}\r\nAccept: application/json\r\n\r\n".encode()
 
-    def written(self) -> None:
-        """Nothing depends on it."""
-
-    def connected(self, link: Link, now: int) -> None:
-        """Keep the link, to end it."""
-        self.link = link
-
-    def crowded(self, on: bool) -> None:
-        """Nothing but the short request is ever sent."""
-
     def feed(self, data: bytes, now: int) -> None:
         """Parse; what cannot be read fails the call."""
         if self.done:
--- a/limerudder/core/fetch.py
+++ b/limerudder/core/fetch.py
@@ -9,10 +9,10 @@
 from firgrade.interface import Ending
 
 from .lines import LineError, LineFramer
-from .link import Link
+from .link import Dialled, Link
 from .reports import read_report
 from .req import FetchOwner
-from .wheel import Timer, Wheel
+from .wheel import Alarm, Wheel
 
 SILENT = 5_000_000  #: a message unanswered for so long: the backend is gone, though nothing said so
 LAST_WORDS = 700_000  #: for a backend to end its side once the client has ended its own
@@ -36,12 +36,11 @@
         """The backend's side is broken."""
 
 
-class LineFetch:
+class LineFetch(Dialled):
     """A state machine fed what its backend sends. It tells its owner of its end once."""
 
     def __init__(self, owner: FetchOwner, line: bytes, fields: Sequence[str], wheel: Wheel) -> None:
-        self.owner, self.line, self.fields, self.wheel = owner, line, fields, wheel
-        self.link: Link | None = None
+        self.owner, self.line, self.fields = owner, line, fields
         self.client: Client | None = None
         self.framer = LineFramer()
         self.out = self.up = self.done = False  # out: the last byte of its line is written
@@ -49,7 +48,7 @@
         self.last = b""
         self.report: tuple[float, ...] = ()
         self.asked: int | None = None  # when the client's oldest unanswered message was passed on
-        self.timer: Timer | None = None
+        self.timer = Alarm(wheel)
 
     # from the driver
 
@@ -61,10 +60,6 @@
         """From here on the backend may have it."""
         self.out = True
 
-    def connected(self, link: Link, now: int) -> None:
-        """The link was handed out when the dial began."""
-        self.link = link
-
     def feed(self, data: bytes, now: int) -> None:
         """Lines from the backend: its answer first, then what it has for the client."""
         if self.done:
@@ -89,7 +84,7 @@
             self.up = True
             self.owner.fetch_up(now)
         elif word in (b"ERR", b"BUSY"):
-            self.report = self._figures(rest)
+            self.report = read_report(rest, self.fields)
             self._end(Ending.ERROR if word == b"ERR" else Ending.FULL, now)
         else:
             self._end(Ending.ERROR, now)  # a malformed line is an error of this fetch
@@ -106,15 +101,12 @@
                 self.owner.fetch_load(load, now)
             return
         if word == b"BYE":
-            self.report = self._figures(rest)
+            self.report = read_report(rest, self.fields)
         if self.asked is not None:
             took, self.asked = now - self.asked, None
-            self._stop_timer()
+            self.timer.stop()
             self.owner.fetch_answered(took, now)
 
-    def _figures(self, text: bytes) -> tuple[float, ...]:
-        return read_report(text.decode("ascii", "replace"), self.fields)
-
     def eof(self, now: int) -> None:
         """The backend has ended its side."""
         if self.done:
@@ -163,15 +155,14 @@
         self.link.write(data)
         if self.asked is None and data.endswith(b"\n"):
             self.asked = now
-            self.timer = self.wheel.at(now + SILENT, self._silent)
+            self.timer.set(now + SILENT, self._silent)
 
     def finish(self, now: int) -> None:
         """The client has ended its side: so does this one, and the backend may have its last words."""
         if self.link and not self.leaving and not self.done:
             self.leaving = True
             self.link.finish()
-            self._stop_timer()
-            self.timer = self.wheel.at(now + LAST_WORDS, self._silent)
+            self.timer.set(now + LAST_WORDS, self._silent)
 
     def reset(self) -> None:
         """The client's side broke: so does this one."""
@@ -193,7 +184,7 @@
     def close(self) -> None:
         """Give up: the connection is closed before anything else can be sent."""
         self.done = True
-        self._stop_timer()
+        self.timer.stop()
         self.client = None
         if self.link:
             self.link.close()
@@ -201,8 +192,3 @@
     def _end(self, ending: Ending, now: int) -> None:
         self.close()
         self.owner.fetch_done(ending, self.report, now)
-
-    def _stop_timer(self) -> None:
-        if self.timer:
-            self.timer.cancel()
-            self.timer = None
--- a/limerudder/core/link.py
+++ b/limerudder/core/link.py
@@ -2,8 +2,20 @@
 
 from __future__ import annotations
 
+from ipaddress import IPv4Address
 from typing import Protocol
 
+Address = tuple[str, int]
+MOST_DATAGRAM = 256  #: bytes to a peer; a longer one is against the rules
+
+
+def read_address(text: object) -> Address:
+    """An IPv4 address and a port, or ValueError: there is no DNS where a node runs."""
+    host, colon, port = str(text).rpartition(":")
+    if not colon or not 0 <= int(port) <= 65535:
+        raise ValueError(f"not an address: {text!r}")
+    return str(IPv4Address(host)), int(port)
+
 
 class Link(Protocol):
     """A connection as a state machine sees it: what it may ask of the driver."""
@@ -53,10 +65,25 @@
         """The last of those bytes has been written."""
 
 
+class Dialled:
+    """What machines whose connection this node sets up have in common."""
+
+    link: Link | None = None  # handed out when the dial begins
+
+    def connected(self, link: Link, now: int) -> None:
+        """The connection stands; it is the one that was dialled."""
+
+    def written(self) -> None:
+        """Most have no need of it."""
+
+    def crowded(self, on: bool) -> None:
+        """Most send a few short lines only."""
+
+
 class Network(Protocol):
     """Sets up connections to other parties and sends datagrams to peers."""
 
-    def dial(self, address: tuple[str, int], machine: Caller) -> Link:
+    def dial(self, address: Address, machine: Caller) -> Link:
         """Connect; failure comes as the machine's `lost`, later and never inside this call."""
 
     def tell(self, peer: int, data: bytes) -> None:
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -19,7 +19,7 @@
 from ..config import Config
 from .counters import Counters
 from .director import DirectorCall, Host, HostList
-from .link import Network
+from .link import MOST_DATAGRAM, Network
 from .probe import Probe
 from .req import ClientSession, Fetch, Req
 from .wheel import Timer, Wheel
@@ -28,7 +28,7 @@
 PROBE_WAIT = 120_000  #: for the answer to a probe
 WATCH_SILENT = 9 * SECOND // 2  #: two heartbeats missed: the watch is dead
 CALL_WAIT = 3 * SECOND  #: for the first word on a call to discovery
-CHECK = SECOND // 4  #: between looks at probes and the watch
+CHECK = SECOND // 4  #: between looks at calls to discovery
 AT_WAIT, AT_AGAIN = 30 * SECOND, SECOND // 4  #: for a connection of before the start, and between its tries
 SPARE_SOCKETS = 128  #: for discovery, probes, peers and connections that are ending
 MOVE_AFTER = 450_000  #: after a SIGTERM: until then the front may send clients right back here
@@ -37,6 +37,7 @@
 LAST_ANSWERS = 400_000  #: as long before it, what still waits is answered failed
 MOVE_STEP = 20_000
 
+Told = tuple[int, int, int, int, int, int, int, int]  #: a req as the module is told of it
 Log = Callable[[str, str], None]  #: kind of line, text
 
 
@@ -48,16 +49,15 @@
         self.address = ("", 0)
         self.state: io.State = io.State.GONE
         self.probe: Probe | None = None
-        self.dialled: dict[Held, None] = {}  # reqs whose fetch here has not had its line written
         self.slow, self.noted = False, -SECOND  # whether the module holds it slow, and since when
 
 
 class Held:
     """A req from its first line to the end of its connection; hears from its session and its fetch."""
 
-    def __init__(self, node: Node, number: int, session: ClientSession, req: Req, deadline: int) -> None:
-        self.node, self.number, self.session, self.req, self.deadline = node, number, session, req, deadline
-        self.told = (number, 0, 0, 0, 0, 0, 0, 0)  # as the module is told of it
+    def __init__(self, node: Node, session: ClientSession, req: Req, told: Told, deadline: int) -> None:
+        self.node, self.session, self.req, self.deadline = node, session, req, deadline
+        self.told, self.number = told, told[0]
         self.sends = self.sent = 0
         self.fetch: Fetch | None = None
         self.backend: Backend | None = None
@@ -65,6 +65,12 @@
         self.timers: list[Timer] = []  # of the fetch that is out
         self.overdue: Timer | None = None
 
+    def settle(self) -> None:
+        """No answer is owed any more."""
+        self.answered = True
+        if self.overdue:
+            self.overdue.cancel()
+
     def client_left(self, now: int) -> None:
         """The client has gone."""
         self.node.left(self, now)
@@ -146,26 +152,26 @@
             self.wheel.at(now + SECOND, lambda at: self.give(event, at))
         held = self.reqs.get(getattr(event, "id", 0))
         if held and not held.answered:
-            self._final(held, "failed", now)
-            held.session.fail(now)
+            self._answer_failed(held, now)
             self.give(io.Gone(held.number), now)  # so that the module does not keep it
 
     def _fail(self, action: io.Fail, now: int) -> None:
         if (held := self.reqs.get(action.id)) and not held.answered:
-            self._final(held, "failed", now)
-            held.session.fail(now)
+            self._answer_failed(held, now)
 
     def _refuse(self, action: io.Refuse, now: int) -> None:
         if (held := self.reqs.get(action.id)) and not held.answered:
             self._final(held, "refused", now)
             held.session.refuse(min(action.retry_after, self.settings.max_retry_after), now)
 
+    def _answer_failed(self, held: Held, now: int) -> None:
+        self._final(held, "failed", now)
+        held.session.fail(now)
+
     def _final(self, held: Held, what: str, now: int) -> None:
         """The req has its final answer, which is not a backend's."""
         self.counters.count(f"answers_{what}")
-        held.answered = True
-        if held.overdue:
-            held.overdue.cancel()
+        held.settle()
         if held.fetch:
             self._give_up(held, io.Ending.CANCELLED, now)
         else:
@@ -191,7 +197,6 @@
         self.counters.count("fetches")
         fetch = held.session.fetch(held, wait)
         held.fetch, held.backend, held.sent = fetch, backend, now
-        backend.dialled[held] = None
         fetch.link = self.network.dial(backend.address, fetch)
         dial = self.settings.connect_timeout or AT_WAIT
         held.timers = [self.wheel.at(now + dial, lambda at: self._dial_over(held, at))]
@@ -233,7 +238,7 @@
         self.log("module", f"module: {action.text}")
 
     def _tell(self, action: io.Tell, now: int) -> None:
-        if self.settings.peers and len(action.data) <= 256:
+        if self.settings.peers and len(action.data) <= MOST_DATAGRAM:
             self.counters.count("peer_messages_sent")
             self.network.tell(action.peer, action.data)
 
@@ -319,13 +324,14 @@
                 if backend.number not in named:
                     backend.state = io.State.GONE
         self.give(io.Members(kind, hosts.version, entries), now)
+        dialled = [h for h in self.reqs.values() if h.fetch and not h.fetch.out]
+        for held in dialled:
+            # guards against a line written after the grace by a dial begun before it
+            if held.backend and held.backend.state != io.State.READY:
+                self._give_up(held, io.Ending.CONNECT_FAILED, now)
         for backend in self.backends.values():
-            if backend.state != io.State.READY:
-                # guards against a line written after the grace by a dial begun before it
-                for held in [h for h in backend.dialled if h.fetch and not h.fetch.out]:
-                    self._give_up(held, io.Ending.CONNECT_FAILED, now)
-                if backend.probe:
-                    backend.probe.close()
+            if backend.state != io.State.READY and backend.probe:
+                backend.probe.close()
 
     def _entry(self, host: Host) -> io.ServerEntry:
         backend = self.backend(host.name)
@@ -361,16 +367,16 @@
         self.counters.count("reqs")
         number, self.next_req = self.next_req, self.next_req + 1
         left = self.settings.classes[cls].deadline if req.time_left is None else req.time_left
-        held = Held(self, number, session, req, now + left)
+        tenant = self.tenants.get(req.tenant, len(self.tenants))
+        flags = (req.hint is not None) + 2 * req.retry + io.CAME_BACK * req.came_back
+        told = (number, cls, tenant, req.key, left, req.hint or 0, req.group, flags)
+        held = Held(self, session, req, told, now + left)
         if self.stopping or 2 * len(self.reqs) + 2 > self.room:
             self.counters.count("answers_refused")
             held.answered = True
             session.refuse(0, now)
             return held
         self.reqs[number] = held
-        tenant = self.tenants.get(req.tenant, len(self.tenants))
-        flags = (req.hint is not None) + 2 * req.retry + io.CAME_BACK * req.came_back
-        held.told = (number, cls, tenant, req.key, left, req.hint or 0, req.group, flags)
         if req.at is not None:
             self.counters.count("reqs_of_before")
             held.deadline = now + AT_WAIT
@@ -398,8 +404,7 @@
         if now + AT_AGAIN < held.deadline and not self.stopping and held.req.at is not None:
             self.wheel.at(now + AT_AGAIN, partial(self._reopen, held, held.req.at))
             return
-        self._final(held, "failed", now)
-        held.session.fail(now)
+        self._answer_failed(held, now)
         self._outcome(held, ending, (), now)
 
     def _overdue(self, held: Held, now: int) -> None:
@@ -407,8 +412,7 @@
         if not held.answered:
             self.counters.count("reqs_overdue")
             self.log("overdue", "node: the module left a req without its answer; it is answered failed")
-            self._final(held, "failed", now)
-            held.session.fail(now)
+            self._answer_failed(held, now)
             self.give(io.Gone(held.number), now)
 
     def left(self, held: Held, now: int) -> None:
@@ -417,9 +421,7 @@
             self._give_up(held, io.Ending.CANCELLED, now)
         elif not held.answered:
             self.counters.count("clients_left")
-            held.answered = True
-            if held.overdue:
-                held.overdue.cancel()
+            held.settle()
             if held.req.at is not None:
                 if held.fetch:
                     self._give_up(held, io.Ending.CANCELLED, now)
@@ -441,9 +443,8 @@
         if held.answered:  # its client has left meanwhile
             return self._give_up(held, io.Ending.CANCELLED, now)
         self._stop_timers(held)
-        held.answered = held.up = True
-        if held.overdue:
-            held.overdue.cancel()
+        held.up = True
+        held.settle()
         self.counters.count("answers_served")
         held.session.serve(fetch, now)
         if held.req.at is None:
@@ -471,8 +472,6 @@
         for timer in held.timers:
             timer.cancel()
         held.timers = []
-        if held.backend:
-            held.backend.dialled.pop(held, None)
 
     def note(self, held: Held, value: float, kind: int, now: int) -> None:
         """Word on a connection that stands."""
@@ -482,7 +481,7 @@
     def delay(self, held: Held, took: int, now: int) -> None:
         """A message took so long: told once a second while that is long, and once when it is well again."""
         backend = held.backend
-        if backend is None or not self.config.tells_delay or not self.long:
+        if backend is None or not self.settings.tells_delay or not self.long:
             return
         slow = took > self.long
         if slow and now < backend.noted + SECOND or not slow and not backend.slow:
@@ -517,8 +516,7 @@
             self._move_away(held, now)
         if now >= self.stopping - LAST_ANSWERS:  # guards reqs whose class may wait longer than this node
             for held in [h for h in self.reqs.values() if not h.answered]:
-                self._final(held, "failed", now)
-                held.session.fail(now)
+                self._answer_failed(held, now)
         # guards the last MOVEs: a process that ends closes sockets whose clients have not read them
         over = not self.reqs and not self.sessions and now >= until
         if over or now >= self.stopping - STOP_SPARE // 4:
--- a/limerudder/core/probe.py
+++ b/limerudder/core/probe.py
@@ -7,20 +7,19 @@
 from firgrade.interface import Ending
 
 from .lines import LineError, LineFramer
-from .link import Link
+from .link import Dialled
 from .reports import read_report
 
 Heard = Callable[[int, Ending, tuple[float, ...], int], None]
 
 
-class Probe:
+class Probe(Dialled):
     """A connection that carries probes; `heard` gets latency, ending, report and the time of each."""
 
     def __init__(self, fields: Sequence[str], heard: Heard) -> None:
         self.fields, self.heard = fields, heard
         self.word = b"STATS\r\n" if fields else b"PING\r\n"
         self.framer = LineFramer()
-        self.link: Link | None = None
         self.up = self.done = False
         self.asked: list[int] = []  # when each probe that is out was asked
 
@@ -36,16 +35,6 @@
         self.up = True
         return self.word * len(self.asked)
 
-    def written(self) -> None:
-        """Nothing depends on it."""
-
-    def connected(self, link: Link, now: int) -> None:
-        """The link was handed out when the dial began."""
-        self.link = link
-
-    def crowded(self, on: bool) -> None:
-        """A few short lines are all that is ever sent."""
-
     def feed(self, data: bytes, now: int) -> None:
         """Answers, in the order of the questions."""
         try:
@@ -55,11 +44,11 @@
         for line in lines:
             if self.done:
                 return
-            word, _, rest = line.decode("ascii", "replace").partition(" ")
-            if word == "PONG" and self.asked:
+            word, _, rest = line.partition(b" ")
+            if word == b"PONG" and self.asked:
                 self.heard(now - self.asked.pop(0), Ending.OK, read_report(rest, self.fields), now)
             else:
-                self._end(Ending.FULL if word == "BUSY" else Ending.ERROR, now)
+                self._end(Ending.FULL if word == b"BUSY" else Ending.ERROR, now)
 
     def eof(self, now: int) -> None:
         """The backend has ended the connection."""
--- a/limerudder/core/reports.py
+++ b/limerudder/core/reports.py
@@ -6,10 +6,10 @@
 from math import nan
 
 
-def read_report(text: str, fields: Sequence[str]) -> tuple[float, ...]:
+def read_report(text: bytes, fields: Sequence[str]) -> tuple[float, ...]:
     """The values of these fields in their order; one that is missing is not a number. No report is ()."""
     told: dict[str, float] = {}
-    for part in text.split(","):
+    for part in text.decode("ascii", "replace").split(","):
         name, _, value = part.partition("=")
         try:
             told[name.strip()] = float(value)
--- a/limerudder/core/wheel.py
+++ b/limerudder/core/wheel.py
@@ -21,6 +21,24 @@
         self.call = None
 
 
+class Alarm:
+    """One timer at a time: setting it anew takes the earlier one back."""
+
+    def __init__(self, wheel: Wheel) -> None:
+        self.wheel = wheel
+        self.timer: Timer | None = None
+
+    def set(self, when: int, call: Callable[[int], None]) -> None:
+        """Have `call(now)` made at `when`."""
+        self.stop()
+        self.timer = self.wheel.at(when, call)
+
+    def stop(self) -> None:
+        """Take it back, if it is set."""
+        if self.timer:
+            self.timer.cancel()
+
+
 class Wheel:
     """Timers fall due at the first tick that is not before their time, in the order of their ticks."""
 
--- a/limerudder/net/peers.py
+++ b/limerudder/net/peers.py
@@ -8,9 +8,7 @@
 
 from firgrade.interface import ALL_PEERS
 
-MOST = 256  #: bytes of a datagram; a longer one is against the rules
-
-Address = tuple[str, int]
+from ..core.link import MOST_DATAGRAM, Address
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -30,7 +28,7 @@
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """A datagram; one from elsewhere is passed over."""
         number = self.numbers.get((addr[0], addr[1]))
-        if number is not None and len(data) <= MOST:
+        if number is not None and len(data) <= MOST_DATAGRAM:
             self.heard(number, data)
 
     def error_received(self, exc: Exception) -> None:
@@ -39,5 +37,5 @@
     def send(self, peer: int, data: bytes) -> None:
         """To one peer, or to all of them."""
         address = self.everyone if peer == ALL_PEERS else self.peers[peer] if peer < len(self.peers) else None
-        if self.transport and address and len(data) <= MOST:
+        if self.transport and address and len(data) <= MOST_DATAGRAM:
             self.transport.sendto(data, address)
--- a/limerudder/net/stream.py
+++ b/limerudder/net/stream.py
@@ -5,11 +5,10 @@
 import asyncio
 import socket
 import struct
-from collections.abc import Coroutine
 from contextlib import suppress
 from typing import cast
 
-from ..core.link import Caller, Machine
+from ..core.link import Address, Caller, Machine
 from .clock import Clock
 
 BUFFER = 64 * 1024  #: bytes waiting to be sent, before the machine is told that it is crowded
@@ -116,14 +115,13 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock) -> None:
         self.loop, self.clock = loop, clock
 
-    def dial(self, address: tuple[str, int], machine: Caller) -> Stream:
+    def dial(self, address: Address, machine: Caller) -> Stream:
         """Connect and write the machine's first bytes; the task ends when the connection stands."""
         stream = Stream(machine, self.clock)
-        dialling: Coroutine[None, None, None] = self._connect(address, machine, stream)
-        stream.task = self.loop.create_task(dialling)
+        stream.task = self.loop.create_task(self._connect(address, machine, stream))
         return stream
 
-    async def _connect(self, address: tuple[str, int], machine: Caller, stream: Stream) -> None:
+    async def _connect(self, address: Address, machine: Caller, stream: Stream) -> None:
         sock = None
         try:
             sock = stream.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -223,8 +223,9 @@
     here = world(tmp_path)
     here.client()
     (fetch,) = here.fetches()
-    (name,) = (b.name for b in here.node.backends.values() if b.dialled)
-    drains = read_hosts(hosts(host(name, lifecycle="leaving"), reset=False))
+    (held,) = here.node.reqs.values()
+    assert held.backend
+    drains = read_hosts(hosts(host(held.backend.name, lifecycle="leaving"), reset=False))
     here.node._told(drains, here.now)
     assert fetch.closed and len(here.fetches()) == 1
 
