Refuse a first line with control characters; end a fetch whose client has ended

Two defects found while reading the change; each test failed before. - client.read_open took a name with a lone CR or LF or a NUL in it and passed the line on to a backend. Such a line is malformed now: answered FAILED and counted. - fetch.finish starts the wait for a backend's last words, but an answer to the client's last message then took that timer back (fetch._read), and a backend that did not end its side was waited for without limit.

--- a/limerudder/core/client.py
+++ b/limerudder/core/client.py
@@ -26,8 +26,10 @@
 def read_open(line: bytes) -> Req:
     """`OPEN ID KEY c=..,t=..,...` as a Req."""
     try:
-        words = line.decode("ascii").split(" ")
-        if len(words) != 4 or words[0] != "OPEN":
+        text = line.decode("ascii")
+        words = text.split(" ")
+        # guards backends against what is no line of text: a lone CR or LF, or another control character
+        if not text.isprintable() or len(words) != 4 or words[0] != "OPEN":
             raise BadLine(line)
         _number(words[1])
         told = dict(pair.split("=", 1) for pair in words[3].split(","))
--- a/limerudder/core/fetch.py
+++ b/limerudder/core/fetch.py
@@ -162,6 +162,7 @@
         if self.link and not self.leaving and not self.done:
             self.leaving = True
             self.link.finish()
+            self.asked = None  # guards this wait: an answer still to come would take the timer back
             self.timer.set(now + LAST_WORDS, self._silent)
 
     def reset(self) -> None:
--- a/limerudder/core/lines.py
+++ b/limerudder/core/lines.py
@@ -6,7 +6,7 @@
 
 
 class LineError(Exception):
-    """A line too long, or broken by a lone CR or LF."""
+    """A line too long."""
 
 
 class LineFramer:
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -47,7 +47,19 @@
     ["", "HELLO", "OPEN", f"OPEN {ID} {KEY}", f"OPEN {ID} {KEY} t=acme", f"OPEN x! {KEY} c=chat", f"{LINE} x"]
     + [
         f"OPEN {ID} {KEY} c=chat,{bad}"
-        for bad in ("d=nan", "d=-1", "d=1e99", "h=x", "g=", "at=", "d", "\u00e9=1")
+        for bad in (
+            "d=nan",
+            "d=-1",
+            "d=1e99",
+            "h=x",
+            "g=",
+            "at=",
+            "d",
+            "\u00e9=1",
+            "t=a\nb",
+            "t=a\rb",
+            "x=\0",
+        )
     ],
 )
 def test_a_malformed_first_line_is_told_apart(line: str) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -158,6 +158,16 @@
     assert not here.node.reqs
 
 
+def test_a_backend_that_answers_a_client_that_has_ended_is_not_waited_for_for_ever(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    session, link, fetch = here.served()
+    session.feed(b"M 1\r\n", here.now)
+    session.eof(here.now)
+    fetch.machine.feed(b"M 1\r\n", here.now)
+    here.run(800_000)
+    assert fetch.closed and link.finished and not here.node.reqs
+
+
 def test_a_slow_reader_holds_the_other_side(tmp_path: Path) -> None:
     here = world(tmp_path)
     session, link, fetch = here.served()
