Take SIGHUP: watch discovery at the address the file names and keep all else

Checked: no handler for SIGHUP in __main__.py, so the signal's default ended the process; config.load lets PROXY_DISCOVERY win over the file, which after a reload still holds the old address; core/node.py asked discovery only at the address of the start and after the version it had. Change: handlers stand before the node listens; the file is read again with its own discovery; what keeps in touch with discovery moved from node.py to core/watch.py, which drops the old watch and questions, asks the new service for all after version 0, and asks for the whole list if it tells changes only. A file that cannot be used is one log line.

--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -9,12 +9,12 @@
 import signal
 import socket
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 
 import uvloop
 
-from .config import Config, ConfigError, load
+from .config import Config, ConfigError, load, load_again
 from .core.client import LineSession
 from .core.link import Address, Caller
 from .core.node import Node
@@ -50,27 +50,25 @@
         if kind is socket.SOCK_STREAM:  # a node starts again while connections of its last run are ending
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(address)
-        if kind is socket.SOCK_STREAM:
-            sock.listen(BACKLOG)
         sock.setblocking(False)
     except OSError as exc:
         sock.close()
-        raise ConfigError("cannot listen on {}:{}: {}".format(*address, exc.strerror)) from None
+        raise cannot_listen(address, exc) from None
     return sock
 
 
-async def serve(config: Config, log: Callable[[str, str], None]) -> None:
-    """Run the node until it is told to stop."""
+def cannot_listen(address: Address, exc: OSError) -> ConfigError:
+    """One of the node's own addresses is not to be had."""
+    return ConfigError("cannot listen on {}:{}: {}".format(*address, exc.strerror))
+
+
+async def serve(config: Config, log: Callable[[str, str], None], environment: Mapping[str, str]) -> None:
+    """Run the node until it is told to stop; `environment` names the file that SIGHUP has read again."""
     loop, clock, stopped = asyncio.get_running_loop(), Clock(), asyncio.Event()
     listening = bind(config.listen, socket.SOCK_STREAM)
     network = Network(Dialler(loop, clock))
     node = Node(config, network, log, clock.now())
     node.stopped = stopped.set
-    if config.settings.peers and config.peer_listen:
-        peers = Peers(config.peers, config.peers_all, lambda n, data: node.heard(n, data, clock.now()))
-        sock = bind(config.peer_listen, socket.SOCK_DGRAM)
-        await loop.create_datagram_endpoint(lambda: peers, sock=sock)
-        network.peers = peers
 
     def client() -> Stream:
         session = LineSession(node, node.sessions.discard)
@@ -81,10 +79,29 @@
         loop.call_later(config.settings.tick / 1e6, tick)
         node.wheel.advance(clock.now())
 
+    def reload() -> None:
+        try:
+            again = load_again(environment)
+        except ConfigError as exc:  # guards a node that serves against a file that cannot be used
+            log("config", f"config: {exc}; going on as before")
+            return
+        log("config", "config: read again; discovery is at {}:{}".format(*again.discovery))
+        node.director.move(again.discovery, clock.now())
+
+    # before the node listens: a signal that finds no handler ends the process and all that it holds
     for planned in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(planned, lambda: node.stop(clock.now()))
+    loop.add_signal_handler(signal.SIGHUP, reload)
     loop.add_signal_handler(signal.SIGUSR1, lambda: log("counters", f"counters: {node.counters.text()}"))
-    server = await loop.create_server(client, sock=listening, backlog=BACKLOG)
+    if config.settings.peers and config.peer_listen:
+        peers = Peers(config.peers, config.peers_all, lambda n, data: node.heard(n, data, clock.now()))
+        sock = bind(config.peer_listen, socket.SOCK_DGRAM)
+        await loop.create_datagram_endpoint(lambda: peers, sock=sock)
+        network.peers = peers
+    try:
+        server = await loop.create_server(client, sock=listening, backlog=BACKLOG)
+    except OSError as exc:
+        raise cannot_listen(config.listen, exc) from None
     tick()
     log("start", "node: listening on {}:{}".format(*listening.getsockname()))
     gc.freeze()
@@ -102,7 +119,7 @@
             config = replace(config, sockets=min(config.sockets, most))
         # what the node is allowed, and not more: a socket too many fails here instead of breaking the limit
         resource.setrlimit(resource.RLIMIT_NOFILE, (config.sockets, most))
-        uvloop.run(serve(config, Log(config.name)))
+        uvloop.run(serve(config, Log(config.name), os.environ))
     except ConfigError as exc:
         print(f"limerudder: {exc}", file=sys.stderr)
         return 2
--- a/limerudder/config.py
+++ b/limerudder/config.py
@@ -61,7 +61,7 @@
     try:
         with open(path, encoding="utf-8") as file:
             given = json.load(file)
-    except (OSError, ValueError) as exc:
+    except (OSError, ValueError, RecursionError) as exc:
         raise ConfigError(f"cannot read {path}: {exc}") from None
     if not isinstance(given, dict):
         raise ConfigError(f"{path} holds no JSON object")
@@ -69,10 +69,15 @@
         return _read({**given, **_overrides(environment)})
     except KeyError as exc:
         raise ConfigError(f"{path} lacks {exc}") from None
-    except (TypeError, ValueError, AttributeError) as exc:
+    except (TypeError, ValueError, AttributeError, OverflowError) as exc:
         raise ConfigError(f"{path}: {exc}") from None
 
 
+def load_again(environment: Mapping[str, str]) -> Config:
+    """Read the file as it is now. Its `discovery` wins: the environment still holds that of the start."""
+    return load({name: value for name, value in environment.items() if name != "PROXY_DISCOVERY"})
+
+
 def _overrides(environment: Mapping[str, str]) -> dict[str, str]:
     variables = {"name": "PROXY_NAME", "listen": "PROXY_LISTEN", "discovery": "PROXY_DISCOVERY"}
     return {key: environment[name] for key, name in variables.items() if environment.get(name)}
--- a/limerudder/core/director.py
+++ b/limerudder/core/director.py
@@ -77,7 +77,7 @@
         self,
         host: str,
         after: int | None,
-        told: Callable[[HostList, int], None],
+        told: Callable[[DirectorCall, HostList, int], None],
         ended: Callable[[DirectorCall, bool, int], None],
     ) -> None:
         self.host, self.after, self.told, self.ended = host, after, told, ended
@@ -108,7 +108,7 @@
             return
         lists, self.lists = self.lists, []
         for told in lists:
-            self.told(told, now)
+            self.told(self, told, now)
         if self.complete:  # a watch that is complete is a watch that has ended
             self._end(self.watch, now)
 
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -18,17 +18,15 @@
 
 from ..config import Config
 from .counters import Counters
-from .director import DirectorCall, Host, HostList
+from .director import Host, HostList
 from .link import MOST_DATAGRAM, Network
 from .probe import Probe
 from .req import ClientSession, Fetch, Req
+from .watch import Director
 from .wheel import Timer, Wheel
 
 SECOND = 1_000_000
 PROBE_WAIT = 120_000  #: for the answer to a probe
-WATCH_SILENT = 9 * SECOND // 2  #: two heartbeats missed: the watch is dead
-CALL_WAIT = 3 * SECOND  #: for the first word on a call to discovery
-CHECK = SECOND // 4  #: between looks at calls to discovery
 AT_WAIT, AT_AGAIN = 30 * SECOND, SECOND // 4  #: for a connection of before the start, and between its tries
 SPARE_SOCKETS = 128  #: for discovery, probes, peers and connections that are ending
 MOVE_AFTER = 450_000  #: after a SIGTERM: until then the front may send clients right back here
@@ -109,10 +107,7 @@
         self.next_req = 1
         self.backends: dict[int, Backend] = {}
         self.numbers: dict[str, int] = {}
-        self.version = config.known.version
-        self.watch: DirectorCall | None = None
-        self.watch_told = False  # the watch has given its first list
-        self.calls: set[DirectorCall] = set()
+        self.director = Director(config.discovery, config.known.version, self, now)
         self.events: deque[io.Event] = deque()
         self.giving = False
         self.stopping = 0  # when SIGKILL comes at the earliest
@@ -120,7 +115,6 @@
         aims = [c.message_aim for c in self.settings.classes if c.message_aim]
         self.long = min(aims, default=0) // 3  # a message that takes longer is told to the module
         self._list(config.known, io.ListKind.CACHED, now)
-        self._check(now)
 
     # the module
 
@@ -271,52 +265,29 @@
     # the director
 
     def _watch(self, action: io.Watch, now: int) -> None:
-        if not action.on:
-            if self.watch:
-                self.watch.close()
-            self.watch = None
-        elif self.watch is None:
-            self.counters.count("director_calls")
-            self.watch_told = False
-            self.watch = self._call(self.version, now)
-        elif self.watch_told:  # it lives, so nothing was missed: no need to ask the shared service again
-            self.give(io.Members(io.ListKind.DELTA, self.version, ()), now)
+        if action.on:
+            self.director.keep_watch(now)
+        else:
+            self.director.drop_watch()
 
     def _fetch(self, action: io.Fetch, now: int) -> None:
-        self.counters.count("director_calls")
-        self.calls.add(self._call(None, now))
-
-    def _call(self, after: int | None, now: int) -> DirectorCall:
-        host, port = self.config.discovery
-        call = DirectorCall(f"{host}:{port}", after, self._told, self._call_over)
-        call.heard = now
-        call.link = self.network.dial(self.config.discovery, call)
-        return call
-
-    def _told(self, hosts: HostList, now: int) -> None:
-        self.watch_told = True
+        self.director.ask(now)
+
+    def list_told(self, hosts: HostList, now: int) -> None:
+        """Discovery's list, or changes of it."""
         self._list(hosts, io.ListKind.FULL if hosts.whole else io.ListKind.DELTA, now)
 
-    def _call_over(self, call: DirectorCall, failed: bool, now: int) -> None:
-        self.calls.discard(call)
-        if call is self.watch:
-            self.watch = None
-        if failed:
-            self.counters.count("director_failures")
-            self.log("director", "director: a call failed or the watch ended; the module will ask again")
-            self.give(io.Members(io.ListKind.FAILED, self.version, ()), now)
-
-    def _check(self, now: int) -> None:
-        """Look for calls to discovery that have gone silent."""
-        self.wheel.at(now + CHECK, self._check)
-        for call in [*self.calls, *([self.watch] if self.watch else [])]:
-            limit = WATCH_SILENT if call is self.watch and self.watch_told else CALL_WAIT
-            if now - call.heard > limit:
-                call.lost(now)
+    def list_unchanged(self, version: int, now: int) -> None:
+        """The module has asked again, and nothing was missed."""
+        self.give(io.Members(io.ListKind.DELTA, version, ()), now)
+
+    def list_failed(self, version: int, now: int) -> None:
+        """A call failed or the watch ended."""
+        self.log("director", "director: a call failed or the watch ended; the module will ask again")
+        self.give(io.Members(io.ListKind.FAILED, version, ()), now)
 
     def _list(self, hosts: HostList, kind: io.ListKind, now: int) -> None:
         self.counters.count("lists")
-        self.version = hosts.version
         entries = [self._entry(host) for host in hosts.hosts]
         if kind != io.ListKind.DELTA:
             named = {entry.server for entry in entries}
--- /dev/null
+++ b/limerudder/core/watch.py
@@ -0,0 +1,107 @@
+"""How a node keeps in touch with discovery: the address, the watch, single questions, and what fails."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from .counters import Counters
+from .director import DirectorCall, HostList
+from .link import Address, Network
+from .wheel import Wheel
+
+SECOND = 1_000_000
+WATCH_SILENT = 9 * SECOND // 2  #: two heartbeats missed: the watch is dead
+CALL_WAIT = 3 * SECOND  #: for the first word on a call to discovery
+CHECK = SECOND // 4  #: between looks at calls to discovery
+NO_VERSION = 0  #: before any version a service tells: what is asked after it is all there is
+
+
+class Hearer(Protocol):
+    """Who hears what discovery tells: the node."""
+
+    network: Network
+    wheel: Wheel
+    counters: Counters
+
+    def list_told(self, hosts: HostList, now: int) -> None:
+        """A list, or changes of it."""
+
+    def list_unchanged(self, version: int, now: int) -> None:
+        """Asked while the watch lives: nothing was missed."""
+
+    def list_failed(self, version: int, now: int) -> None:
+        """A call failed or the watch ended; the list held so far stays."""
+
+
+class Director:
+    """One watch at a time, and questions beside it, all at one address that may be changed."""
+
+    def __init__(self, address: Address, version: int, hearer: Hearer, now: int) -> None:
+        self.address, self.version, self.hearer = address, version, hearer
+        self.watch: DirectorCall | None = None
+        self.told = False  # the watch has given its first list
+        self.calls: set[DirectorCall] = set()  # questions that are out
+        self._check(now)
+
+    def keep_watch(self, now: int) -> None:
+        """Open the watch. Where it lives, nothing was missed: no need to ask the shared service again."""
+        if self.watch is None:
+            self.told = False
+            self.watch = self._call(self.version, now)
+        elif self.told:
+            self.hearer.list_unchanged(self.version, now)
+
+    def drop_watch(self) -> None:
+        """Close the watch."""
+        if self.watch:
+            self.watch.close()
+        self.watch = None
+
+    def ask(self, now: int) -> None:
+        """Ask once for the whole list."""
+        self.calls.add(self._call(None, now))
+
+    def move(self, address: Address, now: int) -> None:
+        """Discovery is elsewhere from now on. What is known stays until the new service has told its own."""
+        if address == self.address:
+            return
+        self.address = address
+        # guards against changes that never come: another service counts its versions as it likes
+        self.version = NO_VERSION
+        self.drop_watch()
+        for call in self.calls:  # guards against an old answer that would undo what the new service tells
+            call.close()
+        self.calls.clear()
+        self.keep_watch(now)
+
+    def _call(self, after: int | None, now: int) -> DirectorCall:
+        self.hearer.counters.count("director_calls")
+        host, port = self.address
+        call = DirectorCall(f"{host}:{port}", after, self._told, self._over)
+        call.heard = now
+        call.link = self.hearer.network.dial(self.address, call)
+        return call
+
+    def _told(self, call: DirectorCall, hosts: HostList, now: int) -> None:
+        first = call is self.watch and not self.told
+        self.told = self.told or call is self.watch
+        self.version = hosts.version
+        self.hearer.list_told(hosts, now)
+        if first and call.after == NO_VERSION and not hosts.whole:
+            self.ask(now)  # guards against changes to a list that this node never had
+
+    def _over(self, call: DirectorCall, failed: bool, now: int) -> None:
+        self.calls.discard(call)
+        if call is self.watch:
+            self.watch = None
+        if failed:
+            self.hearer.counters.count("director_failures")
+            self.hearer.list_failed(self.version, now)
+
+    def _check(self, now: int) -> None:
+        """Look for calls that have gone silent."""
+        self.hearer.wheel.at(now + CHECK, self._check)
+        for call in [*self.calls, *([self.watch] if self.watch else [])]:
+            limit = WATCH_SILENT if call is self.watch and self.told else CALL_WAIT
+            if now - call.heard > limit:
+                call.lost(now)
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -202,8 +202,9 @@
         """Run the node; its one backend is `s-1`."""
         where = await self.backend.start()
         given = {"discovery": await self.director.start(), "known": hosts(host("s-1", where)), **changes}
-        config = load(configuration(self.folder, **given))
-        task = asyncio.create_task(serve(config, lambda kind, text: self.logged.put_nowait(text)))
+        environment = configuration(self.folder, **given) | {"PROXY_DISCOVERY": given["discovery"]}
+        log = lambda kind, text: self.logged.put_nowait(text)  # noqa: E731
+        task = asyncio.create_task(serve(load(environment), log, environment))
         port = (await self.logged.get()).rpartition(":")[2]
         self.address = ("127.0.0.1", int(port))
         try:
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -8,7 +8,7 @@
 import pytest
 
 from firgrade import interface as io
-from limerudder.config import ConfigError, load
+from limerudder.config import ConfigError, load, load_again
 from limerudder.core.client import BadLine, read_open, with_wait
 from limerudder.core.director import DirectorCall, HostList
 from limerudder.core.lines import LineError, LineFramer
@@ -69,7 +69,7 @@
 
 def _watch(told: list[HostList], ended: list[bool]) -> DirectorCall:
     return DirectorCall(
-        "d", 41, lambda hosts, now: told.append(hosts), lambda c, failed, now: ended.append(failed)
+        "d", 41, lambda call, hosts, now: told.append(hosts), lambda c, failed, now: ended.append(failed)
     )
 
 
@@ -157,9 +157,17 @@
     assert config.names.zones == ("a", "b") and config.known.hosts[0].name == "s-1"
 
 
+def test_a_configuration_read_again_has_its_own_discovery_whatever_the_environment_says(
+    tmp_path: Path,
+) -> None:
+    given = configuration(tmp_path, discovery="127.0.0.1:7") | {"PROXY_DISCOVERY": "127.0.0.1:8"}
+    assert load(given).discovery[1] == 8 and load_again(given).discovery[1] == 7
+
+
 @pytest.mark.parametrize(
     "changes",
     [
+        {"limits": {"sockets": float("inf")}},
         {"listen": "here"},
         {"seed": "zz"},
         {"settings": {}},
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import json
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from firgrade import interface as io
-from limerudder.core.director import read_hosts
+from limerudder.core.director import DirectorCall, read_hosts
 
-from .scripted import LINE, SECOND, World, host, hosts, settings, world
+from .scripted import LINE, SECOND, FakeLink, World, host, hosts, settings, world
 
 
 def events(node: World) -> list[io.Event]:
@@ -236,7 +238,7 @@
     (held,) = here.node.reqs.values()
     assert held.backend
     drains = read_hosts(hosts(host(held.backend.name, lifecycle="leaving"), reset=False))
-    here.node._told(drains, here.now)
+    here.node.list_told(drains, here.now)
     assert fetch.closed and len(here.fetches()) == 1
 
 
@@ -250,7 +252,52 @@
     assert watch.closed
     assert [e.kind for e in told if isinstance(e, io.Members)] == [io.ListKind.FAILED]
     here.run(SECOND)
-    assert here.node.watch and here.node.watch is not watch.machine
+    assert here.node.director.watch and here.node.director.watch is not watch.machine
+
+
+ANSWER = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def _say(call: FakeLink, told: dict[str, Any], now: int) -> None:
+    text = json.dumps(told).encode() + b"\n"
+    call.machine.feed(ANSWER + b"%x\r\n%b\r\n" % (len(text), text), now)
+
+
+@pytest.mark.parametrize("whole", [True, False])
+def test_a_director_elsewhere_is_asked_for_all_and_the_old_one_is_heard_no_more(
+    tmp_path: Path, whole: bool
+) -> None:
+    here = world(tmp_path)
+    told = events(here)
+    link = here.served()[1]
+    old = [d for d in here.dials if isinstance(d.machine, DirectorCall)]
+    here.node.director.ask(here.now)
+    old.append(here.dials[-1])
+    here.node.director.move(("127.0.0.1", 99), here.now)
+    assert all(call.closed for call in old) and not link.finished
+    new = here.dials[-1]
+    assert new.address == ("127.0.0.1", 99) and b"&after=0 " in new.machine.opening(here.now)
+    for call in old:
+        _say(call, hosts(), here.now)
+    assert not [e for e in told if isinstance(e, io.Members)]
+    assert [b.state for b in here.node.backends.values()] == [io.State.READY] * 2
+    _say(new, hosts(host("s-3"), reset=whole) | {"generation": 3}, here.now)
+    assert here.node.director.version == 3
+    ready = [b.name for b in here.node.backends.values() if b.state == io.State.READY]
+    assert ready == (["s-3"] if whole else ["s-1", "s-2", "s-3"])
+    question = here.dials[-1]
+    assert (question is new) is whole, "changes alone say nothing of what else there is"
+    here.node.director.move(("127.0.0.1", 99), here.now)
+    assert not new.closed, "discovery is where it was"
+
+
+def test_a_watch_that_fails_before_its_first_word_asks_again_for_all(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    here.node.director.move(("127.0.0.1", 99), here.now)
+    here.dials[-1].machine.lost(here.now)
+    here.run(SECOND)
+    again = here.dials[-1].machine
+    assert isinstance(again, DirectorCall) and again.after == 0
 
 
 @pytest.mark.parametrize("kind", [io.Request, io.Timer])
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -21,7 +21,7 @@
 from limerudder.net.clock import Clock
 from limerudder.net.stream import Stream
 
-from .scripted import LINE, Loopback, Peer, configuration, host, hosts, settings
+from .scripted import LINE, Listener, Loopback, Peer, configuration, host, hosts, settings
 
 Story = Callable[[Loopback], Awaitable[None]]
 
@@ -129,6 +129,30 @@
     assert "answers_served=3" in counters and "moves=3" in counters
 
 
+async def a_reload_watches_at_the_new_address_and_keeps_what_stands(here: Loopback) -> None:
+    async with here.running() as node:
+        client, backend = await served(here)
+        old = await here.director.take()
+        config, new = here.folder / "config.json", Listener()
+        given = json.loads(config.read_text())
+        config.write_text("{")
+        os.kill(os.getpid(), signal.SIGHUP)
+        while not (await here.logged.get()).endswith("; going on as before"):
+            pass
+        config.write_text(json.dumps(given | {"discovery": await new.start()}))
+        for _ in range(2):  # a repeat changes nothing
+            os.kill(os.getpid(), signal.SIGHUP)
+        director = await new.take()
+        assert await director.line() == "GET /discovery/hosts?watch=1&after=0 HTTP/1.1"
+        assert await old.reader.read() != b"" and old.reader.at_eof()
+        client.say("M 1")
+        assert await backend.line() == "M 1" and new.came.empty()
+        os.kill(os.getpid(), signal.SIGTERM)
+        os.kill(os.getpid(), signal.SIGHUP)
+        assert await client.line() == "MOVE"
+        await node
+
+
 async def a_link_reads_on_only_where_it_had_stopped(here: Loopback) -> None:
     transport = Mock(is_closing=lambda: False)
     link = Stream(Probe((), lambda *heard: None), Clock())
@@ -159,6 +183,7 @@
     a_fetch_given_up_is_closed_at_its_backend,
     the_director_brings_a_backend_that_was_not_known,
     a_planned_stop_moves_its_clients_and_ends,
+    a_reload_watches_at_the_new_address_and_keeps_what_stands,
 ]
 
 
