Read first lines strictly, refuse an id in use, and let idle connections make place

Checked with a trace of first lines and fetch endings: every fetch that ended in ERROR (61 requests of bad clients came to hosts) carried the id of a req that was open on the same node. core/client.py read the id and threw it away, so the line went out, hosts refused it, and the module took that for failing set-ups and spaced out all sends. The trace also showed hundreds of connections that ask PING once and stay: each was kept 30 s, up to the descriptor limit (620 of 724), where LineSession.connected answers usual clients BUSY. A silent client or a dribbler was waited for 30 s (FIRST_LINE), lines kept what came early, and read_open took duplicates, signs, 1_0, unicode digits and 1e9. Ruled out: usual clients that send early (none in the trace), and work by the loop (0.19 of a core at most). Change: read_open takes only the forms that clients send; one line at a time, kept to 4 KiB, answered ERR; whatever follows before its answer ends the req; an id that is open here or a name the settings lack is refused before the module hears of it; 2.5 s for a first line from its first byte or the connection's first moment; after the last line 256 KiB are thrown away, then nothing is read until the close; 64 KiB of receive buffer bound one event's work; connections without a req, in core/lobby.py, make place oldest first.

--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -24,6 +24,9 @@
 from .net.stream import Dialler, Stream
 
 BACKLOG = 4096
+RECEIVED = (
+    64 * 1024
+)  #: bytes of a client that the system keeps: what one read can bring, and so one event's work
 
 
 class Network:
@@ -49,6 +52,8 @@
     try:
         if kind is socket.SOCK_STREAM:  # a node starts again while connections of its last run are ending
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            # guards the loop against one sender at full speed; connections inherit it
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVED)
         sock.bind(address)
         sock.setblocking(False)
     except OSError as exc:
@@ -71,9 +76,7 @@
     node.stopped = stopped.set
 
     def client() -> Stream:
-        session = LineSession(node, node.sessions.discard)
-        node.sessions.add(session)
-        return Stream(session, clock)
+        return Stream(LineSession(node), clock)
 
     def tick() -> None:
         loop.call_later(config.settings.tick / 1e6, tick)
--- a/limerudder/core/client.py
+++ b/limerudder/core/client.py
@@ -2,21 +2,28 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+import re
+from collections.abc import Sequence
 from enum import Enum, auto
-from math import isfinite
 from typing import Protocol
 
 from .counters import Counters
 from .fetch import LineFetch
-from .lines import MOST, LineError, LineFramer
+from .lines import MOST
 from .link import Link
+from .lobby import Lobby
 from .req import Fetch, FetchOwner, Req
 from .wheel import Alarm, Wheel
 
 LINGER = 1_000_000  #: to let a client read its last line before its connection is closed
-FIRST_LINE = 30_000_000  #: for a connection's first line
-FAILED = b"FAILED\r\n"
+DISCARDED = 1 << 18  #: bytes read and thrown away meanwhile; from there on nothing is read
+FIRST_LINE = 2_500_000  #: for a first line to come whole: a client is owed a word or a close within 3 s
+BETWEEN_PINGS = 30_000_000  #: for one that has been answered PONG to begin another line
+ERROR = b"ERR\r\n"
+ID = re.compile("[0-9a-f]{16}")
+NAME = re.compile("[A-Za-z][A-Za-z0-9_]*")
+WAIT = re.compile("0|[1-9][0-9]{0,9}")
+FIGURE = re.compile(r"[0-9]{1,10}(\.[0-9]{1,10})?")
 
 
 class BadLine(ValueError):
@@ -25,43 +32,47 @@
 
 def read_open(line: bytes) -> Req:
     """`OPEN ID KEY c=..,t=..,...` as a Req."""
-    try:
-        text = line.decode("ascii")
-        words = text.split(" ")
-        # guards backends against what is no line of text: a lone CR or LF, or another control character
-        if not text.isprintable() or len(words) != 4 or words[0] != "OPEN":
+    # guards backends against a line in a form that no client sends, and against one read in two ways: what
+    # Python would read as a number or a name is wider than what clients write
+    words = line.decode("ascii", "replace").split(" ")
+    if not _printable(line) or len(words) != 4 or words[0] != "OPEN":
+        raise BadLine(line)
+    told: dict[str, str] = {}
+    for pair in words[3].split(","):
+        name, _, value = pair.partition("=")
+        if not NAME.fullmatch(name) or name in told or not value or "=" in value:
             raise BadLine(line)
-        _number(words[1])
-        told = dict(pair.split("=", 1) for pair in words[3].split(","))
-        at = told.get("at")
-        if at == "":
-            raise BadLine(line)
-        return Req(
-            cls=told["c"],
-            tenant=told.get("t", ""),
-            key=_number(words[2]),
-            time_left=_figure(told["d"], 1000) if "d" in told else None,
-            hint=_figure(told["h"], 1) if "h" in told else None,
-            group=_number(told["g"]) if "g" in told else 0,
-            retry=told.get("r") == "1",
-            came_back=told.get("again") == "1",
-            at=at,
-        )
-    except (ValueError, KeyError):
-        raise BadLine(line) from None
+        told[name] = value
+    if "c" not in told or {told.get("r", "1"), told.get("again", "1")} != {"1"}:
+        raise BadLine(line)
+    return Req(
+        id=_number(words[1]),
+        cls=told["c"],
+        tenant=told.get("t", ""),
+        key=_number(words[2]),
+        time_left=_figure(told["d"], WAIT, 1000) if "d" in told else None,
+        hint=_figure(told["h"], FIGURE, 1) if "h" in told else None,
+        group=_number(told["g"]) if "g" in told else 0,
+        retry="r" in told,
+        came_back="again" in told,
+        at=told.get("at"),
+    )
+
+
+def _printable(text: bytes) -> bool:
+    return text.isascii() and text.decode().isprintable()
 
 
 def _number(text: str) -> int:
-    if not 0 < len(text) <= 16 or not set(text) <= set("0123456789abcdefABCDEF"):
+    if not ID.fullmatch(text):
         raise BadLine(text)
     return int(text, 16)
 
 
-def _figure(text: str, unit: int) -> int:
-    value = float(text) * unit
-    if not isfinite(value) or not 0 <= value < 1 << 32:
+def _figure(text: str, form: re.Pattern[str], unit: int) -> int:
+    if not form.fullmatch(text) or float(text) * unit >= 1 << 32:
         raise BadLine(text)
-    return int(value)
+    return int(float(text) * unit)
 
 
 def with_wait(line: bytes, wait: int | None) -> bytes:
@@ -78,13 +89,11 @@
 
     wheel: Wheel
     counters: Counters
+    lobby: Lobby
     report_fields: Sequence[str]
 
-    def full(self) -> bool:
-        """Whether there is room for no further client."""
-
     def take(self, session: LineSession, req: Req, now: int) -> ReqOwner | None:
-        """Take a req; None where the settings do not know its class."""
+        """Take a req; None, and counted, where it is none that this node can take."""
 
 
 class ReqOwner(Protocol):
@@ -106,66 +115,104 @@
 class LineSession:
     """One client connection."""
 
-    def __init__(self, taker: Taker, closed: Callable[[LineSession], None]) -> None:
-        self.taker, self.closed = taker, closed
-        self.stage, self.framer = Stage.FIRST, LineFramer()
+    def __init__(self, taker: Taker) -> None:
+        self.taker = taker
+        self.stage = Stage.FIRST
         self.link: Link | None = None
         self.owner: ReqOwner | None = None
-        self.line = self.early = b""  # early: what the client sent before its answer
+        self.line = b""  # the first line, as far as it has come: never longer than a line may be
         self.served: LineFetch | None = None
         self.timer = Alarm(taker.wheel)
+        self.pinged = False  # its last line was a PING, and no further one has begun
+        self.discarded = 0
 
     # from the driver
 
     def connected(self, link: Link, now: int) -> None:
         """A client has come."""
         self.link = link
-        if self.taker.full():
-            self._last(b"BUSY\r\n", now)
+        if self.taker.lobby.enter(self):
+            self._line_due(now)
         else:
-            self._after(FIRST_LINE, now)
+            self._last(b"BUSY\r\n", now)
 
     def feed(self, data: bytes, now: int) -> None:
         """Bytes from the client."""
         if self.stage is Stage.OPEN and self.served:
             self.served.send(data, now)
-        elif self.stage is Stage.WAITING:
-            self._keep(data)
         elif self.stage is Stage.FIRST:
             self._first(data, now)
-
-    def _keep(self, data: bytes) -> None:
-        # guards against a client that talks before its answer: two reads are kept at most, then none
-        self.early += data
-        if len(self.early) >= MOST and self.link:
-            self.link.hold(True)
+        elif self.stage is Stage.WAITING:
+            self._impatient(now)
+        elif self.link:
+            # guards the loop against a client that has its last line and sends on at full speed
+            self.discarded += len(data)
+            if self.discarded > DISCARDED:
+                self.link.hold(True)
 
     def _first(self, data: bytes, now: int) -> None:
-        try:
-            lines = self.framer.feed(data)
-        except LineError:
+        if not self.line and self.pinged:
+            self._line_due(now)
+        # guards against values and lines without end: what is kept and looked at is one line at most
+        text = self.line + data[:MOST]
+        line, end, more = text.partition(b"\r\n")
+        if len(line) + 2 > MOST:
             return self._malformed("reqs_overlong", now)
-        for number, line in enumerate(lines):
-            if line == b"PING":
-                self.taker.counters.count("pings")
-                self.pass_on(b"PONG\r\n")
-                self._after(FIRST_LINE, now)
-                continue
-            try:
-                req = read_open(line)
-            except BadLine:
-                return self._malformed("reqs_malformed", now)
-            self.line, self.stage = line, Stage.WAITING
-            self.timer.stop()
-            self._keep(b"".join(rest + b"\r\n" for rest in lines[number + 1 :]) + self.framer.rest)
-            self.owner = self.taker.take(self, req, now)
-            if self.owner is None:
-                self._malformed("reqs_of_unknown_class", now)
-            return
+        self.line = line
+        if not end:
+            if not _printable(line.removesuffix(b"\r")):
+                self._malformed("reqs_malformed", now)
+        elif more or len(data) > MOST:
+            # guards against commands sent in one go: a client waits for the answer to its line
+            self._malformed("reqs_impatient", now)
+        elif line == b"PING":
+            self.taker.counters.count("pings")
+            self.line, self.pinged = b"", True
+            self.pass_on(b"PONG\r\n")
+            self.taker.lobby.rest(self)
+            self.timer.set(now + BETWEEN_PINGS, self._silent)
+        else:
+            self._open(line, now)
+
+    def _open(self, line: bytes, now: int) -> None:
+        try:
+            req = read_open(line)
+        except BadLine:
+            return self._malformed("reqs_malformed", now)
+        self.stage = Stage.WAITING
+        self.timer.stop()
+        self.taker.lobby.seat(self)
+        self.owner = self.taker.take(self, req, now)
+        if self.owner is None:
+            self._last(ERROR, now)
+
+    def _line_due(self, now: int) -> None:
+        # guards against dribblers: the time runs from the line's first byte or the connection's first moment
+        self.pinged = False
+        self.timer.set(now + FIRST_LINE, self._silent)
+
+    def _silent(self, now: int) -> None:
+        """The first line has not come in time."""
+        if self.line:
+            self._malformed("reqs_unfinished", now)
+        else:
+            self.put_out("clients_silent")
+
+    def put_out(self, counted: str = "clients_put_out") -> None:
+        """Close the connection of a client without a req."""
+        self.taker.counters.count(counted)
+        self._close()
+
+    def _impatient(self, now: int) -> None:
+        # guards against what follows a first line before its answer: nothing of it is kept or passed on
+        owner, self.owner = self.owner, None
+        self._malformed("reqs_impatient", now)
+        if owner:
+            owner.client_left(now)
 
     def _malformed(self, what: str, now: int) -> None:
         self.taker.counters.count(what)
-        self._last(FAILED, now)
+        self._last(ERROR, now)
 
     def eof(self, now: int) -> None:
         """The client has ended its sending: it leaves."""
@@ -181,9 +228,11 @@
         self._leave(now)
 
     def crowded(self, on: bool) -> None:
-        """The client reads slowly: its backend is read no faster."""
+        """The client reads slowly: its backend, or what it asks before it has one, is read no faster."""
         if self.served and self.served.link:
             self.served.link.hold(on)
+        elif self.stage is Stage.FIRST and self.link:
+            self.link.hold(on)
 
     def _leave(self, now: int) -> None:
         stage, self.stage = self.stage, Stage.ENDED
@@ -204,11 +253,6 @@
             return
         self.stage, self.served = Stage.OPEN, fetch
         fetch.join(self)
-        early, self.early = self.early, b""
-        if early:
-            fetch.send(early, now)
-        if self.link:
-            self.link.hold(False)
 
     def refuse(self, wait: int, now: int) -> None:
         """BUSY, with the advice when to come again."""
@@ -218,7 +262,7 @@
     def fail(self, now: int) -> None:
         """Any other line means failed."""
         if self.stage is Stage.WAITING:
-            self._last(FAILED, now)
+            self._last(ERROR, now)
 
     def move(self, now: int) -> None:
         """MOVE stands between two lines, since only whole lines are passed to a client."""
@@ -248,16 +292,14 @@
     def _last(self, line: bytes, now: int) -> None:
         # guards against a reset that overtakes the last line: a socket closed with unread bytes sends one,
         # so the client is given a moment to read and to close first
-        self.stage, self.served, self.early = Stage.ENDED, None, b""
+        self.stage, self.served, self.line = Stage.ENDED, None, b""
         if self.link:
+            self.taker.lobby.rest(self)
             if line:
                 self.link.write(line)
             self.link.finish()
             self.link.hold(False)
-        self._after(LINGER, now)
-
-    def _after(self, wait: int, now: int) -> None:
-        self.timer.set(now + wait, lambda _: self._close())
+        self.timer.set(now + LINGER, lambda _: self._close())
 
     def _close(self) -> None:
         self.stage = Stage.ENDED
@@ -268,4 +310,4 @@
     def _forget(self) -> None:
         self.timer.stop()
         self.link = self.served = None
-        self.closed(self)
+        self.taker.lobby.gone(self)
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -20,6 +20,7 @@
 from .counters import Counters
 from .director import Host, HostList
 from .link import MOST_DATAGRAM, Network
+from .lobby import Lobby
 from .probe import Probe
 from .req import ClientSession, Fetch, Req
 from .watch import Director
@@ -99,11 +100,11 @@
         self.balancer = Balancer(self.settings, Random(config.seed))
         self.report_fields = self.settings.report_fields if self.settings.report_via != "none" else ()
         spare = min(SPARE_SOCKETS, config.sockets // 4)
-        self.room = config.sockets - spare  # sockets for clients and fetches
-        self.sessions: set[Any] = set()
         self.classes = {name: number for number, name in enumerate(config.names.classes)}
         self.tenants = {name: number for number, name in enumerate(config.names.tenants)}
         self.reqs: dict[int, Held] = {}
+        self.ids: set[int] = set()  # of these reqs, as their clients named them
+        self.lobby = Lobby(config.sockets - spare, self.reqs)
         self.next_req = 1
         self.backends: dict[int, Backend] = {}
         self.numbers: dict[str, int] = {}
@@ -169,7 +170,12 @@
         if held.fetch:
             self._give_up(held, io.Ending.CANCELLED, now)
         else:
-            del self.reqs[held.number]
+            self._forget(held)
+
+    def _forget(self, held: Held) -> None:
+        """Nothing of the req is out any more."""
+        if self.reqs.pop(held.number, None):
+            self.ids.discard(held.req.id)
 
     def _send(self, action: io.Send, now: int) -> None:
         held, backend = self.reqs.get(action.id), self.backends.get(action.server)
@@ -326,14 +332,15 @@
 
     # reqs
 
-    def full(self) -> bool:
-        """Whether sockets for one more client are lacking."""
-        return len(self.sessions) + len(self.reqs) > self.room
-
     def take(self, session: ClientSession, req: Req, now: int) -> Held | None:
-        """Take a req; None where its class is unknown."""
+        """Take a req; None where its names are unknown or its id is that of a req already here."""
         cls = self.classes.get(req.cls)
-        if cls is None:
+        if cls is None or (req.tenant and self.tenants and req.tenant not in self.tenants):
+            self.counters.count("reqs_of_unknown_names")
+            return None
+        if req.id in self.ids:
+            # guards the req that has this id, and what the module thinks of the backends that would refuse it
+            self.counters.count("reqs_of_id_in_use")
             return None
         self.counters.count("reqs")
         number, self.next_req = self.next_req, self.next_req + 1
@@ -342,12 +349,14 @@
         flags = (req.hint is not None) + 2 * req.retry + io.CAME_BACK * req.came_back
         told = (number, cls, tenant, req.key, left, req.hint or 0, req.group, flags)
         held = Held(self, session, req, told, now + left)
-        if self.stopping or 2 * len(self.reqs) + 2 > self.room:
+        if self.stopping or 2 * len(self.reqs) + 2 > self.lobby.room:
             self.counters.count("answers_refused")
             held.answered = True
             session.refuse(0, now)
             return held
         self.reqs[number] = held
+        self.ids.add(req.id)
+        self.lobby.make_room()  # for its fetch
         if req.at is not None:
             self.counters.count("reqs_of_before")
             held.deadline = now + AT_WAIT
@@ -397,12 +406,12 @@
                 if held.fetch:
                     self._give_up(held, io.Ending.CANCELLED, now)
                 else:
-                    self.reqs.pop(held.number, None)
+                    self._forget(held)
                     self._outcome(held, io.Ending.CANCELLED, (), now)
                 return
             self.give(io.Gone(held.number), now)
             if held.fetch is None:
-                self.reqs.pop(held.number, None)
+                self._forget(held)
 
     # fetches
 
@@ -429,7 +438,7 @@
         if held.req.at is not None and not was_up and not held.answered:
             return self._reopen_later(held, ending, now)
         if held.answered:
-            self.reqs.pop(held.number, None)
+            self._forget(held)
         self._outcome(held, ending, report, now)
 
     def _outcome(self, held: Held, ending: io.Ending, report: tuple[float, ...], now: int) -> None:
@@ -489,7 +498,7 @@
             for held in [h for h in self.reqs.values() if not h.answered]:
                 self._answer_failed(held, now)
         # guards the last MOVEs: a process that ends closes sockets whose clients have not read them
-        over = not self.reqs and not self.sessions and now >= until
+        over = not self.reqs and not self.lobby.guests and now >= until
         if over or now >= self.stopping - STOP_SPARE // 4:
             self.stopped()
         else:
--- a/limerudder/core/req.py
+++ b/limerudder/core/req.py
@@ -16,6 +16,7 @@
 class Req(NamedTuple):
     """A client wants a connection. Names are the settings' and discovery's; times are microseconds."""
 
+    id: int  # new for every req
     cls: str
     tenant: str
     key: int
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -20,6 +20,11 @@
 LINE = f"OPEN {ID} {KEY} c=chat,t=acme,d=2000,g=5c0f6e1a2b3d4c59"
 
 
+def fresh(line: str, number: int) -> str:
+    """The line with an id of its own for each number; the first is as it stands."""
+    return line.replace(ID, f"{int(ID, 16) + number:016x}")
+
+
 def settings(**caps: Any) -> dict[str, Any]:
     """Settings as a configuration file holds them."""
     chat = {"aimUs": 300_000, "deadlineUs": 2 * SECOND, "effect": "safe", "name": "chat", "stream": True}
@@ -114,6 +119,7 @@
 
     def __init__(self, config: Config) -> None:
         self.now, self.dials, self.logged = 50 * SECOND, list[FakeLink](), list[str]()
+        self.came = 0
         self.told: list[tuple[int, bytes]] = []
         self.node = Node(config, self, lambda kind, text: self.logged.append(text), self.now)
 
@@ -126,11 +132,16 @@
     def tell(self, peer: int, data: bytes) -> None:
         self.told.append((peer, data))
 
-    def client(self, line: str = LINE) -> tuple[LineSession, FakeLink]:
-        """A client connects and sends its first line."""
-        session, link = LineSession(self.node, self.node.sessions.discard), FakeLink()
-        self.node.sessions.add(session)
+    def connect(self) -> tuple[LineSession, FakeLink]:
+        """A client connects and says nothing."""
+        session, link = LineSession(self.node), FakeLink()
         session.connected(link, self.now)
+        return session, link
+
+    def client(self, line: str = LINE) -> tuple[LineSession, FakeLink]:
+        """A client connects and sends its first line, with an id of its own."""
+        line, self.came = fresh(line, self.came), self.came + 1
+        session, link = self.connect()
         session.feed(line.encode() + b"\r\n", self.now)
         return session, link
 
@@ -192,8 +203,14 @@
 
     def __init__(self, folder: Path) -> None:
         self.folder, self.director, self.backend = folder, Listener(), Listener()
+        self.came = 0
         self.logged: asyncio.Queue[str] = asyncio.Queue()
 
+    def line(self) -> str:
+        """A first line with an id of its own."""
+        self.came += 1
+        return fresh(LINE, self.came)
+
     async def client(self) -> Peer:
         return Peer(*await asyncio.open_connection(*self.address))
 
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -44,22 +44,36 @@
 
 @pytest.mark.parametrize(
     "line",
-    ["", "HELLO", "OPEN", f"OPEN {ID} {KEY}", f"OPEN {ID} {KEY} t=acme", f"OPEN x! {KEY} c=chat", f"{LINE} x"]
+    [
+        "",
+        "HELLO",
+        "OPEN",
+        f"OPEN {ID}",
+        f"OPEN {ID} {KEY}",
+        f"OPEN {ID} {KEY} t=acme",
+        f"{LINE} x",
+        f" {LINE}",
+    ]
+    + [f"OPEN {bad} {KEY} c=chat" for bad in ("x!", "+1", "0x1", "1_0", ID[:-1], ID + "0", ID.upper())]
+    + [f"OPEN {ID} {KEY[:-1]}\u0661 c=chat", LINE.replace("OPEN", "open")]
     + [
         f"OPEN {ID} {KEY} c=chat,{bad}"
         for bad in (
             "d=nan",
+            "d=inf",
             "d=-1",
-            "d=1e99",
-            "h=x",
-            "g=",
-            "at=",
+            "d=+1",
+            "d=1e9",
+            "d=1_0",
+            "d=1.5",
+            "d=",
             "d",
-            "\u00e9=1",
-            "t=a\nb",
-            "t=a\rb",
-            "x=\0",
+            "d=soon",
+            "d=\u0661",
         )
+        + ("d=4294968", "d=99999999999999999999999", "d=1,d=2", "d=1,d=1", "c=chat", "h=x", "h=1e3", "h=-1")
+        + ("g=", "g=1", "at=", "r=2", "again=yes", "r=", "=1", "", "\u00e9=1", "t=a=b", "t=a\tb", "t=a\x7f")
+        + ("t=a\nb", "t=a\rb", "x=\0", "t=\xa0")
     ],
 )
 def test_a_malformed_first_line_is_told_apart(line: str) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -44,24 +44,133 @@
     assert (end.ending, end.closed) == (io.Ending.OK, 1) and not here.node.reqs
 
 
-@pytest.mark.parametrize(
-    ("line", "counted"),
-    [
-        ("HELLO", "reqs_malformed"),
-        ("x" * 5000, "reqs_overlong"),
-        (LINE.replace("c=chat", "c=odd"), "reqs_of_unknown_class"),
-    ],
-    ids=["malformed", "overlong", "unknown class"],
-)
-def test_a_bad_first_line_fails_is_counted_and_reaches_no_backend(
-    tmp_path: Path, line: str, counted: str
+BAD = {
+    b"HELLO\r\n": "reqs_malformed",
+    b"\x16\x03\x01": "reqs_malformed",
+    b"OPEN a\nOPEN": "reqs_malformed",
+    LINE.replace("d=2000", "d=-5").encode() + b"\r\n": "reqs_malformed",
+    LINE.replace("c=chat", "c=odd").encode() + b"\r\n": "reqs_of_unknown_names",
+    LINE.replace("t=acme", "t=odd").encode() + b"\r\n": "reqs_of_unknown_names",
+    LINE.encode() + b"x" * 5000: "reqs_overlong",
+    b"PING\r\n" * 300: "reqs_impatient",
+    b"PING\r\n" + LINE.encode() + b"\r\n": "reqs_impatient",
+    (LINE.encode() + b"\r\n") * 300: "reqs_impatient",
+}
+
+
+# a PING alone is none of them: only what follows it in the same read is bad
+CUTS = [(data, n) for data in BAD for n in (1, 7, 5000) if n < 5000 or not data.startswith(b"PING")]
+
+
+@pytest.mark.parametrize(("data", "pieces"), CUTS, ids=lambda value: str(value)[:20])
+def test_a_bad_first_line_is_an_error_is_counted_and_leaves_nothing(
+    tmp_path: Path, data: bytes, pieces: int
 ) -> None:
     here = world(tmp_path)
-    _, link = here.client(line)
-    assert link.sent == b"FAILED\r\n" and link.finished and not link.closed
-    assert here.node.counters[counted] == 1 and not here.fetches()
+    session, link = here.connect()
+    step = max(len(data) // pieces, 1)
+    for at in range(0, len(data), step):
+        session.feed(data[at : at + step], here.now)
+        assert len(session.line) < 4096
+    assert link.sent.replace(b"PONG\r\n", b"") == b"ERR\r\n" and link.finished and not link.closed
+    if pieces == 1:
+        assert here.node.counters[BAD[data]] == 1
+    assert not here.node.reqs and not here.node.ids and not here.fetches()
+    here.run(SECOND + 5000)
+    assert link.closed and not here.node.lobby.guests and not here.node.lobby.idle
+
+
+def test_what_comes_before_the_answer_ends_the_req_and_its_fetch(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    told = events(here)
+    session, link = here.client()
+    (fetch,) = here.fetches()
+    fetch.accept(here.now)
+    session.feed(LINE.encode() + b"\r\n", here.now)
+    assert link.sent == b"ERR\r\n" and fetch.closed and b"OPEN" not in fetch.sent[5:]
+    assert not here.node.reqs and [type(e) for e in told] == [io.Request, io.Gone, io.Outcome]
+
+
+def test_the_id_of_an_open_req_is_refused_and_that_req_goes_on(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    told = events(here)
+    first, link, fetch = here.served()
+    line = fetch.sent.partition(b"d=")[0] + b"d=2000\r\n"
+    for turn in range(2):
+        session, other = here.connect()
+        session.feed(line, here.now)
+        assert other.sent == b"ERR\r\n" and not fetch.closed and here.fetches() == [fetch]
+        assert here.node.counters["reqs_of_id_in_use"] == turn + 1 == here.node.counters["reqs"] + turn
+    assert [type(e) for e in told] == [io.Request, io.Established], "the module hears nothing of it"
+    first.lost(here.now)
+    session, other = here.connect()
+    session.feed(line, here.now)
+    assert not other.sent and len(here.fetches()) == 1, "the id is free again"
+
+
+@pytest.mark.parametrize("said", [b"", b"OPEN ", b"PING\r\nOPEN"])
+def test_a_first_line_that_does_not_come_is_waited_for_two_and_a_half_seconds(
+    tmp_path: Path, said: bytes
+) -> None:
+    here = world(tmp_path)
+    session, link = here.connect()
+    for at in range(len(said)):  # a dribbler gains nothing
+        session.feed(said[at : at + 1], here.now)
+        here.run(100_000)
+    here.run(2_500_000 - (len(said) - 6 if said[:1] == b"P" else len(said)) * 100_000)
+    here.run(5000)
+    assert link.sent.removeprefix(b"PONG\r\n") == (b"ERR\r\n" if said else b"")
+    assert link.finished if said else link.closed
+    here.run(SECOND + 5000)
+    assert link.closed and not here.node.lobby.guests
+
+
+def test_a_first_line_that_comes_slowly_is_served(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    session, link = here.connect()
+    text = LINE.encode() + b"\r\n"
+    for at in range(len(text)):
+        here.run(25_000)
+        session.feed(text[at : at + 1], here.now)
+    (fetch,) = here.fetches()
+    assert fetch.accept(here.now).startswith(LINE.partition("d=")[0]) and not link.sent
+
+
+def test_a_client_that_sends_on_after_its_last_line_is_read_no_further(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    session, link = here.connect()
+    for _ in range(6):
+        assert not link.held
+        session.feed(b"x" * 65_536, here.now)
+    assert link.sent == b"ERR\r\n" and link.held
     here.run(SECOND + 5000)
-    assert link.closed and not here.node.sessions
+    assert link.closed
+
+
+def test_one_that_asks_and_does_not_read_is_not_read_either(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    session, link = here.client("PING")
+    for on in (True, False):
+        session.crowded(on)
+        assert link.held is on
+
+
+def test_where_sockets_are_short_those_without_a_req_make_place_the_longest_idle_first(
+    tmp_path: Path,
+) -> None:
+    here = world(tmp_path, limits={"sockets": 16})  # room for 12
+    standing = [here.served() for _ in range(3)]
+    silent = [here.connect() for _ in range(6)]
+    silent[0][0].feed(b"PING\r\n", here.now)
+    session, link = here.connect()
+    assert [guest.closed for _, guest in silent] == [False, True] + [False] * 4
+    session.feed(LINE.replace("9b", "77").encode() + b"\r\n", here.now)
+    assert [guest.closed for _, guest in silent] == [False, True, True] + [False] * 3, "its fetch needs one"
+    for _ in range(100):
+        here.connect()
+    assert len(here.node.lobby.guests) + len(here.node.reqs) == 12
+    assert not link.closed and not any(fetch.closed for _, _, fetch in standing)
+    assert here.node.counters["clients_put_out"] == 102
 
 
 @pytest.mark.parametrize(
@@ -220,14 +329,15 @@
     told, known = events(here), len(here.node.backends)
     _, link = here.client(LINE + ",at=s-99")
     here.run(31 * SECOND)
-    assert link.sent == b"FAILED\r\n" and not here.node.reqs and not here.fetches()
+    assert link.sent == b"ERR\r\n" and not here.node.reqs and not here.fetches()
     assert len(here.node.backends) == known and not [e for e in told if isinstance(e, io.Open)]
 
 
 def test_where_sockets_are_short_a_client_is_refused_at_once(tmp_path: Path) -> None:
     here = world(tmp_path, limits={"sockets": 4})
     links = [here.served()[1], here.client()[1], here.client("PING")[1]]
-    assert [link.finished for link in links] == [False, True, True] and links[1].sent == b"BUSY\r\n"
+    assert [link.sent for link in links] == [b"UP 77\r\n", b"BUSY\r\n", b"PONG\r\n"]
+    assert [link.closed for link in links] == [False, True, False], "the second has had its answer"
     assert len(here.fetches()) == 1
 
 
@@ -315,7 +425,7 @@
     here.node.balancer.handle = fails_once  # type: ignore[method-assign]
     here.node.give(io.Timer(77), here.now)
     _, link = here.client()
-    assert (link.sent == b"FAILED\r\n") is (kind is io.Request)
+    assert (link.sent == b"ERR\r\n") is (kind is io.Request)
     assert len([t for t in here.logged if "ZeroDivisionError: in a test" in t]) == 1
     here.served()
     here.run(SECOND + 5000)
@@ -330,7 +440,7 @@
     here.run(2 * SECOND + 15_000)
     assert not link.finished
     here.run(10_000)
-    assert link.sent == b"FAILED\r\n" and not here.node.reqs
+    assert link.sent == b"ERR\r\n" and not here.node.reqs
 
 
 def test_a_planned_stop_refuses_newcomers_and_moves_all_that_stand_bit_by_bit(tmp_path: Path) -> None:
@@ -359,7 +469,7 @@
     here.run(3_200_000)
     assert not link.finished
     here.run(200_000)
-    assert link.sent == b"FAILED\r\n" and not here.fetches()
+    assert link.sent == b"ERR\r\n" and not here.fetches()
 
 
 def test_a_fault_in_an_action_does_not_deafen_the_node(tmp_path: Path) -> None:
@@ -383,7 +493,7 @@
     here.run(20 * SECOND)
     assert link.sent == b"PONG\r\n" * 2 and not link.closed
     here.run(11 * SECOND)
-    assert link.closed and not here.node.sessions
+    assert link.closed and not here.node.lobby.guests
 
 
 def test_peers_are_told_and_heard_only_within_the_rules(tmp_path: Path) -> None:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -38,9 +38,10 @@
     client = await here.client()
     client.say("PING")
     assert await client.line() == "PONG"
-    client.say(LINE)
+    line = here.line()
+    client.say(line)
     backend = await here.backend.take()
-    assert (await backend.line()).startswith(LINE.partition("d=")[0])
+    assert (await backend.line()).startswith(line.partition("d=")[0])
     backend.say("UP 77")
     assert await client.line() == "UP 77"
     return client, backend
@@ -88,6 +89,19 @@
         assert [await client.line() for _ in text] == text and await client.line() == ""
 
 
+async def a_line_without_end_at_full_speed_is_an_error_and_a_close(here: Loopback) -> None:
+    async with here.running():
+        client, backend = await served(here)
+        bad = await here.client()
+        for _ in range(200):
+            bad.say("k" * 300_000)
+        assert await bad.line() == "ERR"
+        with pytest.raises(ConnectionError):
+            await bad.writer.drain()
+        client.say("M 1")
+        assert await backend.line() == "M 1"
+
+
 async def a_backend_that_refuses_leaves_the_req_to_be_answered(here: Loopback) -> None:
     async with here.running(known=hosts(host("s-1", "127.0.0.1:9"))):
         client = await here.client()
@@ -179,6 +193,7 @@
     a_reset_ends_the_other_side_with_a_reset,
     a_client_that_ends_its_side_hears_its_backends_last_words,
     more_than_the_buffers_hold_passes_whole_to_a_slow_reader,
+    a_line_without_end_at_full_speed_is_an_error_and_a_close,
     a_backend_that_refuses_leaves_the_req_to_be_answered,
     a_fetch_given_up_is_closed_at_its_backend,
     the_director_brings_a_backend_that_was_not_known,
