Reckon what has piled up at a server, ease from 0.9 on, and empty servers that drain

At fault: _on_probed eased a server only past 1.25 or on two reports past 1, two seconds apart at least, and took no account of what had piled up, which at 0.97 is never worked off. Change: a pile is reckoned from each report and counts against room and for easing until worked off; easing starts at 0.9 and may come again after 1.5 s; connections of a draining server are moved over one second.

--- a/firgrade/choice.py
+++ b/firgrade/choice.py
@@ -28,8 +28,11 @@
 EASY = 0.7  # up to this share of its capacity a server answers in time: no need to spare it
 FULL = 0.85  # no new connection beyond this: loads swing after they are placed
 DEVIATIONS = 2  # mean errors that must fit below capacity too, where loads swing more than that
-BRIM = 0.95  # past this a server is eased: beyond its capacity nothing is answered in time
-FAR = 1.25  # one report past this is beyond doubt; from 1 to here two in a row are wanted
+BRIM = 0.9  # past this a server is eased: beyond its capacity nothing is answered in time
+EASE_AGAIN = 3 * SECOND // 2  # a report is as old as that at most: an earlier one may not show the last moves
+WORK_OFF = 3 * SECOND // 2  # what has piled up at a server is to be worked off in this time
+PILE_MOST = 3 * SECOND  # no server keeps more work than that
+LEAVE = SECOND  # connections of a server that drains are moved over this time
 OPENS_PAY = 60 * SECOND  # for so long what stood at the start pays for probes too, as requests do
 WAVE = 4  # times the usual rate: where set-ups fail everywhere, sends are first slowed to this
 TEXT = "turning away: of {} servers {} healthy, {} have room, {} warm; level {:.2f}, gap {} ms"
@@ -103,6 +106,12 @@
             return
         self.ring.put(server.id, state == io.State.READY)
         (self.ready.append if state == io.State.READY else self.ready.remove)(server)
+        if state == io.State.DRAINING:
+            # DANGER: what a server still holds when it stops is cut off; sent away at once, all would crowd
+            # the others in one moment
+            live = [flow for flow in server.flows.values() if flow.live]
+            for i, flow in enumerate(live):
+                self._hold(flow, self.now + LEAVE * i // len(live))
 
     def _count_warm(self) -> None:
         self.cold = {s: None for s in self.cold if self.now < s.since + self.settings.warm_up}
@@ -120,8 +129,11 @@
             self._ask_at(1)
         elif event.token == SWEEP:
             self._sweep()
-        elif (flow := self.held.pop(event.token, None)) is not None and not flow.over:
-            self._place(flow)
+        elif (flow := self.held.pop(event.token, None)) is not None:
+            if flow.live and flow.server and flow.server.state == io.State.DRAINING:
+                self.out.append(io.Move(flow.id))
+            elif not flow.over:
+                self._place(flow)
 
     # What reports tell of room
 
@@ -186,17 +198,17 @@
             if before is not None:
                 off = abs(min(load, 1) - min(before, 1)) - self.error
                 self.error += off / (4 * max(len(self.ready), 1))  # the mean of some four sweeps
+            # DANGER: a report tells what is asked now, not what has piled up before; until that is worked off
+            # nobody is answered in time, and just below capacity that takes for ever
+            past = min(self.now - server.load_at, SWEEP_MOST) if server.load is not None else 0
+            server.piled = min(max(server.piled + (load - 1) * past, 0), PILE_MOST)
             # DANGER: one report may be a moment's low or high; taken whole, all would crowd the low ones
             server.load = load if before is None else (load + before) / 2
             server.load_at, server.load_count = self.now, server.count
             self.known[server] = None
-            since, again, server.over = self.now - server.eased_at, server.over, load > 1
-            if load > BRIM and since >= SECOND and not self._healthy(server):
-                self._ease(server, (load - BRIM) / load)
-            elif load > (1 if again else FAR) and since >= 2 * SECOND:
-                # DANGER: where a slow server still returns messages at once no delay is ever told. What has
-                # piled up unseen is worked off only well below capacity.
-                self._ease(server, (load - EASY) / load)
+            asked = load + server.piled / WORK_OFF
+            if asked > BRIM and self.now - server.eased_at >= EASE_AGAIN:
+                self._ease(server, (asked - self.level) / load)
 
     def _ease(self, server: Server, excess: float) -> None:
         """Move the dearest connections off a server that asks for more than it can do."""
@@ -228,7 +240,7 @@
             # Where none answers any more, it is the probes that fail, and nobody is turned away for that.
             if self.asking and (level < 1 or (self.now < server.asked_at + SECOND and self.unheard < WIDE)):
                 return False
-        elif estimate + self.unit > min(level, self.full):
+        elif estimate + server.piled / WORK_OFF + self.unit > min(level, self.full):
             return False
         grown = 1 + RELAX * (self.now - server.ceiling_at) / SECOND
         return server.ceiling is None or server.count + 1 <= server.ceiling * grown
--- a/firgrade/records.py
+++ b/firgrade/records.py
@@ -33,7 +33,7 @@
         self.tokens, self.tokens_at = phase, now
         self.load: float | None = None  # share of its capacity asked for, as last reckoned from reports
         self.load_at = self.load_count = self.asked_at = self.eased_at = 0
-        self.over = False  # the last report told of more asked than it can do
+        self.piled = 0.0  # microseconds of work that have piled up, as reckoned from reports
 
 
 class Flow:
