Bound set-ups at a server, reckon a connection's load from reports, move late at a stop

At fault: MOVE_AFTER in core/node.py; in choice.py, no bound on what a server sets up at a time; unit, reckoned by the node's own count, took each connection for 0.15 of a server where servers with 39 stood at 0.7; and what came back was added to reports that had it already. Ruled out: discovery after SIGHUP (told in time), capacity (the fleet stood at half), the sockets. Change: moves take the last 1.2 s that are safe, done 0.7 s before the earliest SIGKILL; at most four set-ups at a server; unit from the reported number of connections; what comes back may go by the reports alone while the fleet as a whole is below 0.7.

--- a/firgrade/choice.py
+++ b/firgrade/choice.py
@@ -26,6 +26,7 @@
 PROBE_SPEND = 0.01  # of the result goes into probes at most: what is learned must be worth more than that
 SWEEP_LEAST, SWEEP_MOST = SECOND // 2, 4 * SECOND  # reports are rarely renewed faster; slower, they mislead
 EASY = 0.7  # up to this share of its capacity a server answers in time: no need to spare it
+BACK = math.inf  # in place of a level: the servers' own reports alone decide
 FULL = 0.85  # no new connection beyond this: loads swing after they are placed
 DEVIATIONS = 2  # mean errors that must fit below capacity too, where loads swing more than that
 BRIM = 0.9  # past this a server is eased: beyond its capacity nothing is answered in time
@@ -34,6 +35,7 @@
 PILE_MOST = 3 * SECOND  # no server keeps more work than that
 LEAVE = SECOND  # connections of a server that drains are moved over this time
 OPENS_PAY = 60 * SECOND  # for so long what stood at the start pays for probes too, as requests do
+SET_UPS = 4  # of this node's that a server has in work at a time
 WAVE = 4  # times the usual rate: where set-ups fail everywhere, sends are first slowed to this
 TEXT = "turning away: of {} servers {} healthy, {} have room, {} warm; level {:.2f}, gap {} ms"
 SWEEP, ASK, HELD = 0, 1, 2  # timer tokens; from HELD on, one for each held request
@@ -52,6 +54,7 @@
         self.born = self.ask_at = self.ask_failures = self.warm = 0  # warm: of the ready servers
         fields = list(settings.report_fields)
         self.load_field = next((fields.index(name) for name in ("x0", "util") if name in fields), -1)
+        self.held_field = fields.index("inflight") if "inflight" in fields else -1
         self.probing = settings.probes and settings.report_via != "none" and self.load_field >= 0
         self.error = (1 - FULL) / DEVIATIONS  # how far estimates are off reports, on average
         self.level, self.full, self.unit, self.sweep_every = FULL, FULL, 0.0, SWEEP_LEAST
@@ -59,6 +62,7 @@
         self.credit, self.asking = 4.0 * D, self.probing  # asking: before a draw, in place of sweeps
         self.long = min((c.message_aim for c in settings.classes), default=SECOND) / 3  # for a message
         self.log_at = self.next_slot = self.unheard = self.gap = 0  # gap: between sends, where all fail
+        self.told = 1.0  # share of its capacity that the fleet is asked for, by reports alone
         self.opens = 0  # connections that stood at the start
         self.out: list[io.Action] = []
         kinds = "Members Request Open Established Outcome Gone Note Timer Probed".split()
@@ -152,10 +156,15 @@
         known = [s for s in self.known if self._estimate(s) is not None and s.state == io.State.READY]
         self.known = dict.fromkeys(known)
         if known:
-            nodes = self.settings.balancers if self.asking else 1  # with no sweep, what one adds alone
-            mine = nodes * sum(s.load_count for s in known) + len(known)
-            # DANGER: a node just restarted holds next to nothing; one more would seem to fill a server
-            self.unit = min(sum(s.load or 0 for s in known) / mine, FULL - EASY)
+            self.told = sum(s.load or 0 for s in known) / len(known)
+            # what one connection adds; where reports are swept, with as many as other nodes add meanwhile.
+            # DANGER: by its own count a node just restarted, which holds next to nothing, takes each one for
+            # dozens; reports may say how many the servers hold in all
+            nodes = self.settings.balancers
+            own = nodes * sum(s.load_count for s in known)
+            many = sum(s.held for s in known) if self.held_field >= 0 else own
+            mine = (many if self.asking else many / nodes) + len(known)
+            self.unit = min(self.told * len(known) / mine, FULL - EASY)
             mean = sum(self._estimate(s) or 0 for s in known) / len(known)
             self.full = min(FULL, 1 - DEVIATIONS * self.error)
             self.level = min(max(EASY, mean), self.full)
@@ -185,6 +194,14 @@
             return None  # DANGER: reports that stopped must not shut a server out for good
         return server.load + (server.count - server.load_count) * self.unit
 
+    def _added(self, server: Server, level: float) -> float:
+        """What this balancer has added since the report, and one more; nothing for one that comes back.
+
+        DANGER: what comes back by the dozen after another node's end was in the reports already, where it
+        stood before. Counted again it fills every server in a moment, and its clients are sent away.
+        """
+        return 0.0 if level == BACK else (server.count + 1 - server.load_count) * self.unit
+
     def _on_probed(self, event: io.Probed) -> None:
         server = self.servers.get(event.server)
         # DANGER: the load reported is what is asked, not what is piled up; a probe waits behind that too
@@ -205,6 +222,8 @@
             # DANGER: one report may be a moment's low or high; taken whole, all would crowd the low ones
             server.load = load if before is None else (load + before) / 2
             server.load_at, server.load_count = self.now, server.count
+            held = event.report[self.held_field] if len(event.report) > self.held_field >= 0 else 0
+            server.held = held if 0 <= held < math.inf else 0  # neither NaN nor nonsense
             self.known[server] = None
             asked = load + server.piled / WORK_OFF
             if asked > BRIM and self.now - server.eased_at >= EASE_AGAIN:
@@ -240,7 +259,13 @@
             # Where none answers any more, it is the probes that fail, and nobody is turned away for that.
             if self.asking and (level < 1 or (self.now < server.asked_at + SECOND and self.unheard < WIDE)):
                 return False
-        elif estimate + server.piled / WORK_OFF + self.unit > min(level, self.full):
+        elif (server.load or 0) + server.piled / WORK_OFF + self._added(server, level) > min(
+            level, self.full
+        ):
+            return False
+        # DANGER: a node just back, or the only one, meets a wave; what one server sets up at once it sets up
+        # late or not at all, and its reports tell of none of it yet
+        if server.setting_up >= SET_UPS:
             return False
         grown = 1 + RELAX * (self.now - server.ceiling_at) / SECOND
         return server.ceiling is None or server.count + 1 <= server.ceiling * grown
@@ -306,6 +331,12 @@
             for pool in self._pools(flow):
                 if (chosen := self._fewest(flow, pool, level)) is not None:
                     return chosen
+        if (
+            flow.back
+            and self.told <= EASY
+            and (chosen := self._fewest(flow, self._sample(self.ready), BACK)) is not None
+        ):
+            return chosen
         if any(self._healthy(s) and self._may_warm(s) for s in self.ready):
             return None
         # DANGER: something all servers share makes them all look bad; with none left, health is no guide.
@@ -365,6 +396,7 @@
 
     def _join(self, flow: Flow, server: Server) -> None:
         flow.server = server
+        server.setting_up += not flow.up
         server.flows[flow.id] = flow
         self.holdings.tally(flow, server, 1)
 
@@ -398,7 +430,7 @@
             return
         server = self.servers.setdefault(event.server, Server(event.server, self.now, 0.0))
         self.flows[event.id] = flow = Flow(event, self.settings.classes[event.cls], self.now)
-        flow.sends, flow.live, flow.over = 1, True, True
+        flow.sends, flow.live, flow.up, flow.over = 1, True, True, True
         self.opens += 1
         self._join(flow, server)
 
@@ -412,7 +444,8 @@
     def _on_established(self, event: io.Established) -> None:
         if (flow := self._out(event)) is None or flow.server is None:
             return
-        flow.live = flow.over = True
+        flow.server.setting_up -= not flow.up
+        flow.live = flow.up = flow.over = True
         flow.server.strikes = flow.server.trial_at = 0
         self.gap = self.gap // 2 if self.gap > SECOND / (8 * WAVE * max(self.rate, 1.0)) else 0
 
@@ -442,6 +475,7 @@
         if (flow := self._out(event)) is None or (server := flow.server) is None:
             return
         flow.server = None
+        server.setting_up -= not flow.up
         del server.flows[flow.id]
         self.holdings.tally(flow, server, -1)
         self._learn(server, flow, event.ending)
--- a/firgrade/records.py
+++ b/firgrade/records.py
@@ -17,6 +17,7 @@
         self.id = server
         self.zone = self.cell = self.since = 0
         self.flows: dict[int, Flow] = {}  # the attempts and connections that make up the count
+        self.setting_up = 0  # of these, the attempts
         self.state: int = io.State.GONE
         self.forget(now, phase)
 
@@ -33,6 +34,7 @@
         self.tokens, self.tokens_at = phase, now
         self.load: float | None = None  # share of its capacity asked for, as last reckoned from reports
         self.load_at = self.load_count = self.asked_at = self.eased_at = 0
+        self.held = 0.0  # connections it holds, of all nodes, as reported
         self.piled = 0.0  # microseconds of work that have piled up, as reckoned from reports
 
 
@@ -46,6 +48,8 @@
         self.sends = self.slot = self.looks = 0  # slot: when it may be sent, while sends are paced
         self.server: Server | None = None  # where an attempt is out or the connection lives
         self.live = self.over = False
+        self.back = bool(event.flags & io.CAME_BACK)  # stood elsewhere a moment ago
+        self.up = False  # set up; stays so to its end
         self.risk: tuple[int, Server] | None = None  # when and where an attempt was sent that may have run
         self.load = 0.0
 
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -32,7 +32,8 @@
 SPARE_SOCKETS = 128  #: for discovery, probes, peers and connections that are ending
 MOVE_AFTER = 450_000  #: after a SIGTERM: until then the front may send clients right back here
 STOP_LEAST, STOP_SPARE = 3 * SECOND, 700_000  #: SIGKILL comes no sooner than their sum, as told
-MOVES_DONE = SECOND  #: moves are over this long before the earliest SIGKILL
+MOVES_TAKE = 6 * SECOND // 5  #: moves are spread over this time, as late as may be
+MOVES_DONE = 7 * SECOND // 10  #: they are over this long before the earliest SIGKILL
 LAST_ANSWERS = 400_000  #: as long before it, what still waits is answered failed
 MOVE_STEP = 20_000
 
@@ -486,7 +487,9 @@
         longest = max(c.deadline for c in self.settings.classes)
         self.stopping = now + min(longest, STOP_LEAST) + STOP_SPARE
         self.log("stop", f"node: told to stop; moving {sum(h.up for h in self.reqs.values())} connections")
-        self.wheel.at(now + MOVE_AFTER, self._move_some)
+        # guards clients against a tier whose other nodes are down too: what stands loses nothing by staying,
+        # and a node that was stopped before this one may be back by then
+        self.wheel.at(max(now + MOVE_AFTER, self.stopping - MOVES_DONE - MOVES_TAKE), self._move_some)
 
     def _move_some(self, now: int) -> None:
         until = self.stopping - MOVES_DONE
