Notice a silent backend across its connections and move its clients bit by bit

Checked with a trace of reports, reqs and endings: probes of two backends timed out from 9.2 s on, their 42 connections stood without a word from about 8.4 s until the machines were back at 11.4 s and reset them; all came back at once, 19 attempts at the other three timed out and 60 clients were refused. At fault: SILENT in core/fetch.py, 5 s for each connection on its own; and a stopped stream ended as RESET, from which choice.py learns a ceiling as after a drop under load. Ruled out: overload (reports at 0.3 before), draining (discovery told nothing), wrong refusals before the wave. Change: core/silence.py looks at all that stands at a backend each 100 ms; a message unanswered for 1 s with no word on any connection or probe means that it is gone. Its clients are moved over one to two seconds, and no further once it is heard again. One stopped stream is noticed after 2.5 s. Neither teaches the decisions a ceiling.

--- a/limerudder/core/fetch.py
+++ b/limerudder/core/fetch.py
@@ -14,7 +14,7 @@
 from .req import FetchOwner
 from .wheel import Alarm, Wheel
 
-SILENT = 5_000_000  #: a message unanswered for so long: the backend is gone, though nothing said so
+SILENT = 2_500_000  #: a message unanswered for so long: its stream has stopped, though nothing said so
 LAST_WORDS = 700_000  #: for a backend to end its side once the client has ended its own
 
 
@@ -48,6 +48,7 @@
         self.last = b""
         self.report: tuple[float, ...] = ()
         self.asked: int | None = None  # when the client's oldest unanswered message was passed on
+        self.heard = 0  # when the backend's last word came
         self.timer = Alarm(wheel)
 
     # from the driver
@@ -64,6 +65,7 @@
         """Lines from the backend: its answer first, then what it has for the client."""
         if self.done:
             return
+        self.heard = now
         try:
             lines = self.framer.feed(data)
         except LineError:
@@ -155,7 +157,7 @@
         self.link.write(data)
         if self.asked is None and data.endswith(b"\n"):
             self.asked = now
-            self.timer.set(now + SILENT, self._silent)
+            self.timer.set(now + SILENT, self.vanish)
 
     def finish(self, now: int) -> None:
         """The client has ended its side: so does this one, and the backend may have its last words."""
@@ -163,7 +165,7 @@
             self.leaving = True
             self.link.finish()
             self.asked = None  # guards this wait: an answer still to come would take the timer back
-            self.timer.set(now + LAST_WORDS, self._silent)
+            self.timer.set(now + LAST_WORDS, self.vanish)
 
     def reset(self) -> None:
         """The client's side broke: so does this one."""
@@ -171,10 +173,10 @@
             self.link.reset()
         self.close()
 
-    def _silent(self, now: int) -> None:
-        # guards against a backend that vanished without a word: its connections stay open for ever
+    def vanish(self, now: int) -> None:
+        """The backend is silent: its client is moved. That tells nothing of what the backend can hold."""
         client = self.client
-        self._end(Ending.CANCELLED if self.leaving else Ending.RESET, now)
+        self._end(Ending.CANCELLED, now)
         if client and self.leaving:
             client.end(now)
         elif client:
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -23,6 +23,7 @@
 from .lobby import Lobby
 from .probe import Probe
 from .req import ClientSession, Fetch, Req
+from .silence import LOOK, LOOKS, Silence
 from .watch import Director
 from .wheel import Timer, Wheel
 
@@ -49,6 +50,7 @@
         self.address = ("", 0)
         self.state: io.State = io.State.GONE
         self.probe: Probe | None = None
+        self.silence, self.heard = Silence(), 0  # heard: when a probe was last answered
         self.slow, self.noted = False, -SECOND  # whether the module holds it slow, and since when
 
 
@@ -117,6 +119,7 @@
         aims = [c.message_aim for c in self.settings.classes if c.message_aim]
         self.long = min(aims, default=0) // 3  # a message that takes longer is told to the module
         self._list(config.known, io.ListKind.CACHED, now)
+        self._look(now)
 
     # the module
 
@@ -262,6 +265,8 @@
         self, number: int, latency: int, ending: io.Ending, report: tuple[float, ...], now: int
     ) -> None:
         self.counters.count(f"probes_{ending.name.lower()}")
+        if ending in (io.Ending.OK, io.Ending.ERROR, io.Ending.FULL):
+            self.backends[number].heard = now
         self.give(io.Probed(number, latency, ending, report), now)
 
     def _close_idle(self, action: io.CloseIdle, now: int) -> None:
@@ -471,6 +476,26 @@
         self.counters.count("notes_slow" if slow else "notes_well")
         self.note(held, took / 1000, io.NOTE_DELAY, now)
 
+    def _look(self, now: int) -> None:
+        """Look for backends that have fallen silent; send their clients away bit by bit while they are."""
+        self.wheel.at(now + LOOK, self._look)
+        standing: dict[Backend, list[Fetch]] = {}
+        for held in self.reqs.values():
+            if held.up and held.backend and held.fetch:
+                standing.setdefault(held.backend, []).append(held.fetch)
+        for backend, fetches in standing.items():
+            was = backend.silence.since
+            if not backend.silence.look(fetches, backend.heard, now):
+                continue
+            if was is None:
+                self.counters.count("backends_silent")
+                self.log(
+                    "silent", f"node: backend {backend.name} is silent; moving {len(fetches)} connections"
+                )
+            for fetch in fetches[: -(-len(fetches) // LOOKS)]:
+                self.counters.count("moves")
+                fetch.vanish(now)
+
     # peers
 
     def heard(self, sender: int, data: bytes, now: int) -> None:
--- a/limerudder/core/req.py
+++ b/limerudder/core/req.py
@@ -52,6 +52,11 @@
 
     link: Link | None
     out: bool  # its last byte is written: from here on the backend may have it
+    asked: int | None  # when the client's oldest unanswered message was passed on
+    heard: int  # when the backend's last word came
+
+    def vanish(self, now: int) -> None:
+        """Its backend is silent: move its client, end it and tell its owner."""
 
     def close(self) -> None:
         """Give the attempt up; its owner hears no more of it."""
