Refuse the id of a req that ended lately too

Checked: the trace of first lines shows a bad client sending one id again and again for seconds; take in core/node.py forgot an id as soon as its req ended (a move, an end), and the next copy went out to a host, which turns it away and lets the module think worse of it. Conclusion: what remains is an id open at another node.

--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -30,6 +30,7 @@
 SECOND = 1_000_000
 PROBE_WAIT = 120_000  #: for the answer to a probe
 AT_WAIT, AT_AGAIN = 30 * SECOND, SECOND // 4  #: for a connection of before the start, and between its tries
+PAST = 4096  #: ids of ended reqs that are still refused: whoever copied one may come a little late
 SPARE_SOCKETS = 128  #: for discovery, probes, peers and connections that are ending
 MOVE_AFTER = 450_000  #: after a SIGTERM: until then the front may send clients right back here
 STOP_LEAST, STOP_SPARE = 3 * SECOND, 700_000  #: SIGKILL comes no sooner than their sum, as told
@@ -107,6 +108,7 @@
         self.tenants = {name: number for number, name in enumerate(config.names.tenants)}
         self.reqs: dict[int, Held] = {}
         self.ids: set[int] = set()  # of these reqs, as their clients named them
+        self.past: dict[int, None] = {}  # of the last that ended, oldest first
         self.lobby = Lobby(config.sockets - spare, self.reqs)
         self.next_req = 1
         self.backends: dict[int, Backend] = {}
@@ -180,6 +182,9 @@
         """Nothing of the req is out any more."""
         if self.reqs.pop(held.number, None):
             self.ids.discard(held.req.id)
+            self.past[held.req.id] = None
+            if len(self.past) > PAST:
+                del self.past[next(iter(self.past))]
 
     def _send(self, action: io.Send, now: int) -> None:
         held, backend = self.reqs.get(action.id), self.backends.get(action.server)
@@ -339,12 +344,12 @@
     # reqs
 
     def take(self, session: ClientSession, req: Req, now: int) -> Held | None:
-        """Take a req; None where its names are unknown or its id is that of a req already here."""
+        """Take a req; None where its names are unknown or its id is that of a req here, now or lately."""
         cls = self.classes.get(req.cls)
         if cls is None or (req.tenant and self.tenants and req.tenant not in self.tenants):
             self.counters.count("reqs_of_unknown_names")
             return None
-        if req.id in self.ids:
+        if req.id in self.ids or req.id in self.past:  # clients take a new one for every connection
             # guards the req that has this id, and what the module thinks of the backends that would refuse it
             self.counters.count("reqs_of_id_in_use")
             return None
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -91,7 +91,9 @@
     assert not here.node.reqs and [type(e) for e in told] == [io.Request, io.Gone, io.Outcome]
 
 
-def test_the_id_of_an_open_req_is_refused_and_that_req_goes_on(tmp_path: Path) -> None:
+def test_the_id_of_an_open_req_is_refused_and_that_req_goes_on(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     here = world(tmp_path)
     told = events(here)
     first, link, fetch = here.served()
@@ -105,7 +107,11 @@
     first.lost(here.now)
     session, other = here.connect()
     session.feed(line, here.now)
-    assert not other.sent and len(here.fetches()) == 1, "the id is free again"
+    assert other.sent == b"ERR\r\n" and not here.fetches(), "a copy may come when the req has just ended"
+    monkeypatch.setattr("limerudder.core.node.PAST", 3)
+    for _ in range(4):
+        here.served()[0].lost(here.now)
+    assert len(here.node.past) == 3 and not here.node.ids, "what is kept is bounded"
 
 
 @pytest.mark.parametrize("said", [b"", b"OPEN ", b"PING\r\nOPEN"])
