Reckon room from the one estimate instead of a second sum beside it

Read again: _added in choice.py summed what _estimate had summed already, and RECEIVED in __main__.py stood wrapped over three lines. _has_room now uses the estimate, and the reports alone for what comes back.

--- a/firgrade/choice.py
+++ b/firgrade/choice.py
@@ -194,14 +194,6 @@
             return None  # DANGER: reports that stopped must not shut a server out for good
         return server.load + (server.count - server.load_count) * self.unit
 
-    def _added(self, server: Server, level: float) -> float:
-        """What this balancer has added since the report, and one more; nothing for one that comes back.
-
-        DANGER: what comes back by the dozen after another node's end was in the reports already, where it
-        stood before. Counted again it fills every server in a moment, and its clients are sent away.
-        """
-        return 0.0 if level == BACK else (server.count + 1 - server.load_count) * self.unit
-
     def _on_probed(self, event: io.Probed) -> None:
         server = self.servers.get(event.server)
         # DANGER: the load reported is what is asked, not what is piled up; a probe waits behind that too
@@ -259,10 +251,12 @@
             # Where none answers any more, it is the probes that fail, and nobody is turned away for that.
             if self.asking and (level < 1 or (self.now < server.asked_at + SECOND and self.unheard < WIDE)):
                 return False
-        elif (server.load or 0) + server.piled / WORK_OFF + self._added(server, level) > min(
-            level, self.full
-        ):
-            return False
+        else:
+            # DANGER: what comes back by the dozen after another node's end was in the reports already, where
+            # it stood before. Counted again it fills every server in a moment, and its clients are sent away.
+            asked = (server.load or 0) if level == BACK else estimate + self.unit
+            if asked + server.piled / WORK_OFF > min(level, self.full):
+                return False
         # DANGER: a node just back, or the only one, meets a wave; what one server sets up at once it sets up
         # late or not at all, and its reports tell of none of it yet
         if server.setting_up >= SET_UPS:
--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -24,9 +24,7 @@
 from .net.stream import Dialler, Stream
 
 BACKLOG = 4096
-RECEIVED = (
-    64 * 1024
-)  #: bytes of a client that the system keeps: what one read can bring, and so one event's work
+RECEIVED = 64 * 1024  #: bytes of a client that the system keeps, and so what one event's read can bring
 
 
 class Network:
