Answer operators on a console of its own: status, and stats counted where things happen

'relayed' carries no class; 'out_of_rotation' takes the ready hosts that the module holds unhealthy. Ruled out: the SIGUSR1 counters as the source (no class; a served connection counts at its end).

--- a/firgrade/choice.py
+++ b/firgrade/choice.py
@@ -241,6 +241,11 @@
 
     # Which servers are eligible
 
+    def avoided(self, now: int) -> set[int]:
+        """The ready servers that are left out for now because of how they fare."""
+        self.now = max(now, self.now)
+        return {server.id for server in self.ready if not self._healthy(server)}
+
     def _healthy(self, server: Server) -> bool:
         return server.trial_at <= self.now and server.slow_at + NOTE_LIFE <= self.now
 
--- a/firgrade/interface.py
+++ b/firgrade/interface.py
@@ -9,7 +9,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import IntEnum
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 ALL_PEERS = 0xFFFFFFFF
 
@@ -298,3 +298,13 @@
 Action = (
     Send | Refuse | Fail | Cancel | SetTimer | Probe | CloseIdle | Tell | Log | Watch | Fetch | Move | Fault
 )
+
+
+class Decisions(Protocol):
+    """What a host of a Balancer may ask of it."""
+
+    def handle(self, event: Event, now: int) -> list[Action]:
+        """Decide on one event; the actions are to be carried out in order."""
+
+    def avoided(self, now: int) -> set[int]:
+        """The listed servers that new connections are kept from by choice, whatever the list says."""
--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -16,6 +16,7 @@
 
 from .config import Config, ConfigError, load, load_again
 from .core.client import LineSession
+from .core.console import CallError, Console, ConsoleSession
 from .core.link import Address, Caller
 from .core.node import Node
 from .net.clock import Clock
@@ -65,6 +66,17 @@
     return ConfigError("cannot listen on {}:{}: {}".format(*address, exc.strerror))
 
 
+async def listen(
+    loop: asyncio.AbstractEventLoop, take: Callable[[], Stream], sock: socket.socket
+) -> asyncio.Server:
+    """Take connections at a socket that is bound."""
+    address = sock.getsockname()
+    try:
+        return await loop.create_server(take, sock=sock, backlog=BACKLOG)
+    except OSError as exc:
+        raise cannot_listen(address, exc) from None
+
+
 async def serve(config: Config, log: Callable[[str, str], None], environment: Mapping[str, str]) -> None:
     """Run the node until it is told to stop; `environment` names the file that SIGHUP has read again."""
     loop, clock, stopped = asyncio.get_running_loop(), Clock(), asyncio.Event()
@@ -76,6 +88,15 @@
     def client() -> Stream:
         return Stream(LineSession(node), clock)
 
+    def status(_: str, now: int) -> str:
+        if node.stopping:
+            raise CallError("stopping")
+        return "done\n"
+
+    console = Console(node.wheel, node.counters)
+    console.offer("status", status)
+    console.offer("stats", lambda _, now: node.figures.text(node.gauges(now)) + "end\n")
+
     def tick() -> None:
         loop.call_later(config.settings.tick / 1e6, tick)
         node.wheel.advance(clock.now())
@@ -99,10 +120,10 @@
         sock = bind(config.peer_listen, socket.SOCK_DGRAM)
         await loop.create_datagram_endpoint(lambda: peers, sock=sock)
         network.peers = peers
-    try:
-        server = await loop.create_server(client, sock=listening, backlog=BACKLOG)
-    except OSError as exc:
-        raise cannot_listen(config.listen, exc) from None
+    server = await listen(loop, client, listening)
+    if config.console:
+        calls = bind(config.console, socket.SOCK_STREAM)
+        await listen(loop, lambda: Stream(ConsoleSession(console), clock), calls)
     tick()
     log("start", "node: listening on {}:{}".format(*listening.getsockname()))
     gc.freeze()
--- a/limerudder/config.py
+++ b/limerudder/config.py
@@ -43,6 +43,7 @@
     peer_listen: Address | None = None
     peers: tuple[Address, ...] = ()
     peers_all: Address | None = None
+    console: Address | None = None  # where operators call
 
 
 def parse_address(text: object) -> Address:
@@ -79,13 +80,14 @@
 
 
 def _overrides(environment: Mapping[str, str]) -> dict[str, str]:
-    variables = {"name": "PROXY_NAME", "listen": "PROXY_LISTEN", "discovery": "PROXY_DISCOVERY"}
+    variables = {key: f"PROXY_{key.upper()}" for key in ("name", "listen", "discovery", "console")}
     return {key: environment[name] for key, name in variables.items() if environment.get(name)}
 
 
 def _read(given: dict[str, Any]) -> Config:
     told = given["settings"]
     peer_listen, peers_all = given.get("peer_listen"), given.get("peers_all")
+    console = given.get("console")
     settings = read_settings(flatten(told))
     if not settings.classes:
         raise ConfigError("the settings name no class")
@@ -106,4 +108,5 @@
         peer_listen=parse_address(peer_listen) if peer_listen else None,
         peers=tuple(parse_address(peer) for peer in given.get("peers") or ()),
         peers_all=parse_address(peers_all) if peers_all else None,
+        console=parse_address(console) if console else None,
     )
--- a/limerudder/core/fetch.py
+++ b/limerudder/core/fetch.py
@@ -60,6 +60,7 @@
     def written(self) -> None:
         """From here on the backend may have it."""
         self.out = True
+        self.owner.fetch_out()
 
     def feed(self, data: bytes, now: int) -> None:
         """Lines from the backend: its answer first, then what it has for the client."""
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -19,6 +19,7 @@
 from ..config import Config
 from .counters import Counters
 from .director import Host, HostList
+from .figures import Figures
 from .link import MOST_DATAGRAM, Network
 from .lobby import Lobby
 from .probe import Probe
@@ -78,6 +79,10 @@
         """The client has gone."""
         self.node.left(self, now)
 
+    def fetch_out(self) -> None:
+        """The fetch's first line is out."""
+        self.node.figures.relayed += 1
+
     def fetch_up(self, now: int) -> None:
         """The backend has taken the connection."""
         self.node.up(self, now)
@@ -101,7 +106,8 @@
     def __init__(self, config: Config, network: Network, log: Log, now: int) -> None:
         self.config, self.settings, self.network, self.log = config, config.settings, network, log
         self.wheel, self.counters = Wheel(self.settings.tick, now), Counters()
-        self.balancer = Balancer(self.settings, Random(config.seed))
+        self.figures = Figures(config.names.classes)
+        self.balancer: io.Decisions = Balancer(self.settings, Random(config.seed))
         self.report_fields = self.settings.report_fields if self.settings.report_via != "none" else ()
         spare = min(SPARE_SOCKETS, config.sockets // 4)
         self.classes = {name: number for number, name in enumerate(config.names.classes)}
@@ -162,16 +168,17 @@
 
     def _refuse(self, action: io.Refuse, now: int) -> None:
         if (held := self.reqs.get(action.id)) and not held.answered:
-            self._final(held, "refused", now)
+            self._final(held, "refused", "throttled", now)
             held.session.refuse(min(action.retry_after, self.settings.max_retry_after), now)
 
     def _answer_failed(self, held: Held, now: int) -> None:
-        self._final(held, "failed", now)
+        self._final(held, "failed", "faulted", now)
         held.session.fail(now)
 
-    def _final(self, held: Held, what: str, now: int) -> None:
+    def _final(self, held: Held, what: str, figure: str, now: int) -> None:
         """The req has its final answer, which is not a backend's."""
         self.counters.count(f"answers_{what}")
+        self.figures.count(figure, held.told[1])
         held.settle()
         if held.fetch:
             self._give_up(held, io.Ending.CANCELLED, now)
@@ -362,6 +369,7 @@
         held = Held(self, session, req, told, now + left)
         if self.stopping or 2 * len(self.reqs) + 2 > self.lobby.room:
             self.counters.count("answers_refused")
+            self.figures.count("throttled", cls)
             held.answered = True
             session.refuse(0, now)
             return held
@@ -437,6 +445,7 @@
         held.up = True
         held.settle()
         self.counters.count("answers_served")
+        self.figures.count("fulfilled", held.told[1])
         held.session.serve(fetch, now)
         if held.req.at is None:
             self.give(io.Established(held.number, backend.number, held.sends - 1, now - held.sent), now)
@@ -508,6 +517,19 @@
         self.counters.count("peer_messages")
         self.give(io.PeerMessage(sender, data), now)
 
+    # the numbers
+
+    def gauges(self, now: int) -> dict[str, int]:
+        """How things stand at this moment."""
+        listed = [b.number for b in self.backends.values() if b.state != io.State.GONE]
+        avoided = self.balancer.avoided(now)
+        return {
+            # one whose client has left before its answer, and whose fetch is ending, has ended
+            "open_requests": sum(held.up or not held.answered for held in self.reqs.values()),
+            "registry_entries": len(listed),
+            "out_of_rotation": sum(number in avoided for number in listed),
+        }
+
     # a planned stop
 
     def stop(self, now: int) -> None:
--- a/limerudder/core/req.py
+++ b/limerudder/core/req.py
@@ -65,6 +65,9 @@
 class FetchOwner(Protocol):
     """Who hears how a fetch fares: the node."""
 
+    def fetch_out(self) -> None:
+        """The last byte of the req's line is written."""
+
     def fetch_up(self, now: int) -> None:
         """The backend has taken the connection."""
 
