--- a/firgrade/choice.py
+++ b/firgrade/choice.py
@@ -65,7 +65,7 @@
         self.told = 1.0  # share of its capacity that the fleet is asked for, by reports alone
         self.opens = 0  # connections that stood at the start
         self.out: list[io.Action] = []
-        kinds = "Members Request Open Established Outcome Gone Note Timer Probed".split()
+        kinds = "Members Request Open Established Outcome Gone Note Timer Probed Elsewhere".split()
         self.on: dict[type, Any] = {getattr(io, k): getattr(self, f"_on_{k.lower()}") for k in kinds}
 
     def handle(self, event: io.Event, now: int) -> list[io.Action]:
@@ -435,6 +435,12 @@
         self.opens += 1
         self._join(flow, server)
 
+    def _on_elsewhere(self, event: io.Elsewhere) -> None:
+        # DANGER: a process just begun that holds nothing would take each client that comes over from the one
+        # before it for load on top of what reports tell; until they tell otherwise, it would turn all away
+        if (server := self.servers.get(event.server)) is not None:
+            server.elsewhere = event.many
+
     def _out(self, event: io.Established | io.Outcome | io.Note) -> Flow | None:
         """The flow whose attempt this is about. DANGER: late or repeated words would count it off twice."""
         flow = self.flows.get(event.id)
--- a/firgrade/interface.py
+++ b/firgrade/interface.py
@@ -188,6 +188,13 @@
     kind: int
 
 
+class Elsewhere(NamedTuple):
+    """Another process of this node, which it replaces, holds so many of its connections at a server."""
+
+    server: int
+    many: int
+
+
 class Timer(NamedTuple):
     """A timer set by this balancer is due."""
 
@@ -210,7 +217,9 @@
     data: bytes
 
 
-Event = Members | Request | Open | Established | Outcome | Gone | Note | Timer | Probed | PeerMessage
+Event = (
+    Members | Request | Open | Established | Outcome | Gone | Note | Timer | Probed | PeerMessage | Elsewhere
+)
 
 
 class Send(NamedTuple):
--- a/firgrade/records.py
+++ b/firgrade/records.py
@@ -18,13 +18,14 @@
         self.zone = self.cell = self.since = 0
         self.flows: dict[int, Flow] = {}  # the attempts and connections that make up the count
         self.setting_up = 0  # of these, the attempts
+        self.elsewhere = 0  # connections of this balancer that another process of its node holds
         self.state: int = io.State.GONE
         self.forget(now, phase)
 
     @property
     def count(self) -> int:
         """The balancer's own live connections here, with attempts that are out."""
-        return len(self.flows)
+        return len(self.flows) + self.elsewhere
 
     def forget(self, now: int, phase: float) -> None:
         """A fresh start, at first sight or after a restart: nothing learned before holds."""
--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -17,16 +17,17 @@
 from .config import Config, ConfigError, load, load_again
 from .core.client import LineSession
 from .core.console import CallError, Console, ConsoleSession
+from .core.director import ListError
+from .core.handover import Asker, Elder, Heir, Hello, read_hello
 from .core.link import Address, Caller
 from .core.node import Node
 from .net.clock import Clock
+from .net.handover import Folder, Legacy, Offer, ask, join
+from .net.listen import Door, bind, listen
 from .net.log import Log
 from .net.peers import Peers
 from .net.stream import Dialler, Stream
 
-BACKLOG = 4096
-RECEIVED = 64 * 1024  #: bytes of a client that the system keeps, and so what one event's read can bring
-
 
 class Network:
     """The node's way out: connections and datagrams."""
@@ -45,52 +46,44 @@
             self.peers.send(peer, data)
 
 
-def bind(address: Address, kind: socket.SocketKind) -> socket.socket:
-    """A socket at one of the node's own addresses."""
-    sock = socket.socket(socket.AF_INET, kind)
-    try:
-        if kind is socket.SOCK_STREAM:  # a node starts again while connections of its last run are ending
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            # guards the loop against one sender at full speed; connections inherit it
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVED)
-        sock.bind(address)
-        sock.setblocking(False)
-    except OSError as exc:
-        sock.close()
-        raise cannot_listen(address, exc) from None
-    return sock
-
-
-def cannot_listen(address: Address, exc: OSError) -> ConfigError:
-    """One of the node's own addresses is not to be had."""
-    return ConfigError("cannot listen on {}:{}: {}".format(*address, exc.strerror))
-
-
-async def listen(
-    loop: asyncio.AbstractEventLoop, take: Callable[[], Stream], sock: socket.socket
-) -> asyncio.Server:
-    """Take connections at a socket that is bound."""
-    address = sock.getsockname()
-    try:
-        return await loop.create_server(take, sock=sock, backlog=BACKLOG)
-    except OSError as exc:
-        raise cannot_listen(address, exc) from None
-
-
 async def serve(config: Config, log: Callable[[str, str], None], environment: Mapping[str, str]) -> None:
     """Run the node until it is told to stop; `environment` names the file that SIGHUP has read again."""
     loop, clock, stopped = asyncio.get_running_loop(), Clock(), asyncio.Event()
-    listening = bind(config.listen, socket.SOCK_STREAM)
+    folder = open_folder(config, log)
+    legacy, hello = take_over(folder, log)
+    if hello:
+        config = replace(config, known=hello.hosts)
+    sockets = legacy.sockets if legacy else bind_all(config)
     network = Network(Dialler(loop, clock))
     node = Node(config, network, log, clock.now())
     node.stopped = stopped.set
-
-    def client() -> Stream:
-        return Stream(LineSession(node), clock)
+    peers = Peers(config.peers, config.peers_all, lambda n, data: node.heard(n, data, clock.now()))
+    network.peers = peers
+    door = Door(sockets, lambda: Stream(LineSession(node), clock), peers)
+    tasks = set[asyncio.Task[None]]()
+
+    def enter() -> None:
+        task = loop.create_task(serving())
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+
+    elder = Elder(node, door.close, enter)
+    offer = Offer(folder, sockets, elder.hello, lambda: Asker(elder), clock) if folder else None
+
+    async def serving() -> None:
+        """Take clients here, from now on or again."""
+        await door.open()
+        if offer:
+            offer.open()
+        if heir:
+            heir.say("serving")
+        log("start", "node: listening on {}:{}".format(*sockets[0].getsockname()))
 
     def status(_: str, now: int) -> str:
         if node.stopping:
             raise CallError("stopping")
+        if not door.server:
+            raise CallError("another process takes the clients" if node.succeeded else "starting")
         return "done\n"
 
     console = Console(node.wheel, node.counters)
@@ -110,28 +103,66 @@
         log("config", "config: read again; discovery is at {}:{}".format(*again.discovery))
         node.director.move(again.discovery, clock.now())
 
+    def stop() -> None:
+        if not door.server and not node.succeeded:
+            stopped.set()  # it has not begun to serve
+        elder.tell("stopping")
+        node.stop(clock.now())
+
     # before the node listens: a signal that finds no handler ends the process and all that it holds
     for planned in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(planned, lambda: node.stop(clock.now()))
+        loop.add_signal_handler(planned, stop)
     loop.add_signal_handler(signal.SIGHUP, reload)
     loop.add_signal_handler(signal.SIGUSR1, lambda: log("counters", f"counters: {node.counters.text()}"))
-    if config.settings.peers and config.peer_listen:
-        peers = Peers(config.peers, config.peers_all, lambda n, data: node.heard(n, data, clock.now()))
-        sock = bind(config.peer_listen, socket.SOCK_DGRAM)
-        await loop.create_datagram_endpoint(lambda: peers, sock=sock)
-        network.peers = peers
-    server = await listen(loop, client, listening)
     if config.console:
         calls = bind(config.console, socket.SOCK_STREAM)
-        await listen(loop, lambda: Stream(ConsoleSession(console), clock), calls)
+        await listen(lambda: Stream(ConsoleSession(console), clock), calls)
+    heir = None
+    if legacy and hello:
+        for req in hello.ids:
+            node.taken_elsewhere(req)
+        heir = Heir(node, hello, enter, clock.now())
+        await join(legacy.line, heir, clock)
+    else:
+        await serving()
     tick()
-    log("start", "node: listening on {}:{}".format(*listening.getsockname()))
     gc.freeze()
     await stopped.wait()
-    server.close()
+    door.close()
     log("end", f"counters: {node.counters.text()}")
 
 
+def open_folder(config: Config, log: Callable[[str, str], None]) -> Folder | None:
+    """The folder that outlives this process; None, and a line, where there is none to be had."""
+    try:
+        return Folder(config.state) if config.state else None
+    except OSError as exc:
+        log("state", f"state: cannot use {config.state}: {exc.strerror}; nothing will outlive this process")
+        return None
+
+
+def take_over(folder: Folder | None, log: Callable[[str, str], None]) -> tuple[Legacy | None, Hello | None]:
+    """What the process that serves passes on, where there is one."""
+    legacy = ask(folder) if folder else None
+    if legacy is None:
+        return None, None
+    try:
+        return legacy, read_hello(legacy.hello)
+    except ListError as exc:  # guards this process against another build: it binds its own sockets
+        log("state", f"state: {exc}")
+        for sock in [legacy.line, *legacy.sockets]:
+            sock.close()
+        return None, None
+
+
+def bind_all(config: Config) -> list[socket.socket]:
+    """The clients' socket, and that for datagrams where peers may talk."""
+    sockets = [bind(config.listen, socket.SOCK_STREAM, shared=True)]
+    if config.settings.peers and config.peer_listen:
+        sockets.append(bind(config.peer_listen, socket.SOCK_DGRAM, shared=True))
+    return sockets
+
+
 def main() -> int:
     """Run; a bad configuration is one line on standard error and exit code 2."""
     try:
--- a/limerudder/config.py
+++ b/limerudder/config.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import json
+import os
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from firgrade.interface import Settings
@@ -44,6 +45,7 @@
     peers: tuple[Address, ...] = ()
     peers_all: Address | None = None
     console: Address | None = None  # where operators call
+    state: str | None = None  # the folder that outlives this process, where there is one
 
 
 def parse_address(text: object) -> Address:
@@ -67,11 +69,16 @@
     if not isinstance(given, dict):
         raise ConfigError(f"{path} holds no JSON object")
     try:
-        return _read({**given, **_overrides(environment)})
+        config = _read({**given, **_overrides(environment)})
     except KeyError as exc:
         raise ConfigError(f"{path} lacks {exc}") from None
     except (TypeError, ValueError, AttributeError, OverflowError) as exc:
         raise ConfigError(f"{path}: {exc}") from None
+    shared = environment.get("TMPDIR")
+    if not shared:
+        return config
+    # by the clients' address, which is what one process of a node takes over from another
+    return replace(config, state=os.path.join(shared, "limerudder-{}-{}".format(*config.listen)))
 
 
 def load_again(environment: Mapping[str, str]) -> Config:
--- a/limerudder/core/director.py
+++ b/limerudder/core/director.py
@@ -67,6 +67,28 @@
     )
 
 
+def write_hosts(told: HostList) -> dict[str, Any]:
+    """A HostList in discovery's form."""
+    names = {state: name for name, state in LIFECYCLES.items()}
+    return {
+        "generation": told.version,
+        "reset": told.whole,
+        "instances": [
+            {
+                "instanceId": host.name,
+                "hostPort": "{}:{}".format(*host.address),
+                "zone": host.zone,
+                "machineType": host.kind,
+                "cell": host.cell,
+                "lifecycle": names[host.state],
+                "weight": host.weight,
+                "startedAtMs": host.started_ms,
+            }
+            for host in told.hosts
+        ],
+    }
+
+
 class DirectorCall(Dialled):
     """One HTTP call: a watch, which gives list after list, or a question, which gives one.
 
--- /dev/null
+++ b/limerudder/core/handover.py
@@ -0,0 +1,235 @@
+"""Replacing the process: what the old process and its successor say to each other, in lines closed by LF.
+
+The old one's first line is JSON: its list of hosts, the ids in use and the descriptors it holds for clients.
+Then it says `taken ID` for each req it takes, `holds JSON` for its descriptors and its connections at each
+backend, and `stopping`; the new one says `serving`.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any, NamedTuple, Protocol
+
+from .director import HostList, ListError, read_hosts, write_hosts
+from .link import Link
+from .wheel import Wheel
+
+SECOND = 1_000_000
+LOOK = SECOND // 20  #: between looks whether the successor is ready
+TOLD = SECOND // 10  #: between words on descriptors
+READY_MOST = 2 * SECOND  #: for discovery's first word and the first probes; then the old one's list will do
+MOST = 1 << 22  #: bytes of a line
+
+
+class Holds(NamedTuple):
+    """What one process of a node holds: descriptors, and connections by backend."""
+
+    descriptors: int = 0
+    at: dict[str, int] = {}
+
+
+def read_holds(given: Any) -> Holds:
+    """It as JSON has it, or one of several errors."""
+    return Holds(int(given["descriptors"]), {str(name): int(many) for name, many in given["at"].items()})
+
+
+class Hello(NamedTuple):
+    """What a process starts with that takes over from another."""
+
+    hosts: HostList
+    ids: tuple[int, ...]
+    holds: Holds
+
+
+def read_hello(line: bytes) -> Hello:
+    """The old process's first line; anything amiss is a ListError."""
+    try:
+        given = json.loads(line)
+        ids = tuple(int(one, 16) for one in given["ids"])
+        return Hello(read_hosts(given["hosts"]), ids, read_holds(given["holds"]))
+    except (KeyError, TypeError, ValueError, AttributeError, RecursionError) as exc:
+        raise ListError(f"bad hello: {type(exc).__name__} {exc}") from None
+
+
+class Serving(Protocol):
+    """The node, as far as being replaced goes."""
+
+    wheel: Wheel
+    stopping: int
+    succeeded: bool
+    hear_taken: list[Callable[[int], None]]
+
+    def listed(self) -> HostList:
+        """Discovery's list as it stands here."""
+
+    def ids_lately(self) -> list[int]:
+        """The ids of the reqs that are here, or were a moment ago."""
+
+    def taken_elsewhere(self, req: int) -> None:
+        """Another process has this req."""
+
+    def holds(self) -> Holds:
+        """What this process holds."""
+
+    def held_elsewhere(self, holds: Holds, now: int) -> None:
+        """What another process of this node holds."""
+
+    def informed(self) -> bool:
+        """Discovery has told its list, and no first probe is out."""
+
+
+class Words:
+    """A connection between the two processes, as either's side: whole lines in, lines out."""
+
+    def __init__(self) -> None:
+        self.link: Link | None = None
+        self.rest = b""
+
+    def connected(self, link: Link, now: int) -> None:
+        """It stands."""
+        self.link = link
+
+    def feed(self, data: bytes, now: int) -> None:
+        """Lines, in any pieces."""
+        *lines, self.rest = (self.rest + data).split(b"\n")
+        if len(self.rest) > MOST:
+            return self.lost(now)
+        for line in lines:
+            word, _, value = line.decode("ascii", "replace").partition(" ")
+            self.heard(word, value, now)
+
+    def heard(self, word: str, value: str, now: int) -> None:
+        """A line."""
+
+    def say(self, text: str) -> None:
+        """Send a line."""
+        if self.link:
+            self.link.write(text.encode() + b"\n")
+
+    def eof(self, now: int) -> None:
+        """The other process ends it."""
+        self.lost(now)
+
+    def lost(self, now: int) -> None:
+        """The other process is gone."""
+        if self.link:
+            self.link.close()
+            self.link = None
+
+    def crowded(self, on: bool) -> None:
+        """Few and short lines."""
+
+
+class Elder:
+    """The serving process's side: who asks to take over, and who has."""
+
+    def __init__(self, node: Serving, shut: Callable[[], None], open_again: Callable[[], None]) -> None:
+        self.node, self.shut, self.open_again = node, shut, open_again
+        self.asking: list[Asker] = []  # all that have connected, the successor among them
+        self.successor: Asker | None = None
+        self.told = Holds()
+        node.hear_taken.append(lambda number: self.tell(f"taken {number:016x}"))
+
+    def hello(self) -> bytes:
+        """The first line to whoever asks."""
+        given: dict[str, Any] = {
+            "hosts": write_hosts(self.node.listed()),
+            "ids": [f"{one:016x}" for one in self.node.ids_lately()],
+            "holds": self.node.holds()._asdict(),
+        }
+        return json.dumps(given).encode() + b"\n"
+
+    def tell(self, text: str) -> None:
+        """Say a line to all of them."""
+        for asker in self.asking:
+            asker.say(text)
+
+    def serves(self, asker: Asker, now: int) -> None:
+        """It takes clients from now on: this process takes no more, and serves all it has."""
+        if self.successor is None:
+            self.successor, self.node.succeeded = asker, True
+            self.shut()
+            self._count(now)
+
+    def gone(self, asker: Asker, now: int) -> None:
+        """It has ended. Where it had taken over, this process serves again, or stops as one alone does."""
+        if asker in self.asking:
+            self.asking.remove(asker)
+        if asker is self.successor:
+            self.successor, self.node.succeeded = None, False
+            self.open_again()
+
+    def _count(self, now: int) -> None:
+        if self.successor:
+            self.node.wheel.at(now + TOLD, self._count)
+            holds = self.node.holds()
+            if holds != self.told:
+                self.told = holds
+                self.successor.say(f"holds {json.dumps(holds._asdict())}")
+
+
+class Asker(Words):
+    """One that wants to take over, as the serving process sees it."""
+
+    def __init__(self, elder: Elder) -> None:
+        super().__init__()
+        self.elder = elder
+
+    def connected(self, link: Link, now: int) -> None:
+        """It has its hello."""
+        super().connected(link, now)
+        self.elder.asking.append(self)
+        if self.elder.node.stopping:
+            self.say("stopping")
+
+    def heard(self, word: str, value: str, now: int) -> None:
+        """Its one word."""
+        if word == "serving":
+            self.elder.serves(self, now)
+
+    def lost(self, now: int) -> None:
+        """It has ended, or broken off."""
+        super().lost(now)
+        self.elder.gone(self, now)
+
+
+class Heir(Words):
+    """The successor's side: `ready` is called once, when it is to take clients."""
+
+    def __init__(self, node: Serving, hello: Hello, ready: Callable[[], None], now: int) -> None:
+        super().__init__()
+        self.node, self.ready, self.started = node, ready, now
+        self.called = False
+        self.node.held_elsewhere(hello.holds, now)
+        self._look(now)
+
+    def _look(self, now: int) -> None:
+        # guards clients against a process that knows too little yet: the old one serves them meanwhile
+        if not self.called:
+            self.node.wheel.at(now + LOOK, self._look)
+            if now > self.started and (self.node.informed() or now >= self.started + READY_MOST):
+                self._call()
+
+    def _call(self) -> None:
+        if not self.called:
+            self.called = True
+            self.ready()
+
+    def heard(self, word: str, value: str, now: int) -> None:
+        """The old process's words."""
+        try:
+            if word == "holds":
+                self.node.held_elsewhere(read_holds(json.loads(value)), now)
+            elif word == "taken":
+                self.node.taken_elsewhere(int(value, 16))
+            elif word == "stopping":
+                self._call()
+        except (KeyError, TypeError, ValueError, AttributeError):  # guards against another build's words
+            return
+
+    def lost(self, now: int) -> None:
+        """The old process has ended: what it held is free, and nobody else takes clients."""
+        super().lost(now)
+        self.node.held_elsewhere(Holds(), now)
+        self._call()
--- a/limerudder/core/lobby.py
+++ b/limerudder/core/lobby.py
@@ -17,13 +17,19 @@
     """All client connections; those without a req in the order of their last sign of life."""
 
     def __init__(self, room: int, fetches: Sized) -> None:
-        self.room, self.fetches = (
-            room,
-            fetches,
-        )  # descriptors for clients and fetches; the fetches that are out
+        # descriptors for clients and fetches; the fetches that are out
+        self.room, self.all, self.fetches = room, room, fetches
         self.guests: set[Guest] = set()
         self.idle: dict[Guest, None] = {}  # before their first line, after a PING, or after their last line
 
+    def in_use(self) -> int:
+        """Descriptors of clients and fetches."""
+        return len(self.guests) + len(self.fetches)
+
+    def share(self, others: int) -> None:
+        """Another process of this node holds so many: only the rest is here."""
+        self.room = max(self.all - others, 0)
+
     def enter(self, guest: Guest) -> bool:
         """Let a new client in; False where that leaves too few descriptors though nobody idle is left."""
         self.guests.add(guest)
@@ -48,7 +54,7 @@
         """Close idle connections until the rest has the descriptors it needs."""
         # guards usual clients and their fetches against hundreds that connect and say nothing: the longest
         # idle goes first, and a usual client says its first line soon after it has come
-        while len(self.guests) + len(self.fetches) > self.room:
+        while self.in_use() > self.room:
             oldest = next(iter(self.idle), None)
             if oldest is None or len(self.idle) == 1:
                 return False
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import traceback
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from functools import partial
 from random import Random
@@ -20,6 +20,7 @@
 from .counters import Counters
 from .director import Host, HostList
 from .figures import Figures
+from .handover import Holds
 from .link import MOST_DATAGRAM, Network
 from .lobby import Lobby
 from .probe import Probe
@@ -38,7 +39,7 @@
 MOVES_TAKE = 6 * SECOND // 5  #: moves are spread over this time, as late as may be
 MOVES_DONE = 7 * SECOND // 10  #: they are over this long before the earliest SIGKILL
 LAST_ANSWERS = 400_000  #: as long before it, what still waits is answered failed
-MOVE_STEP = 20_000
+MOVE_STEP, MOVE_PACE = 20_000, 200_000  #: between moves: at least, and where a successor waits for them
 
 Told = tuple[int, int, int, int, int, int, int, int]  #: a req as the module is told of it
 Log = Callable[[str, str], None]  #: kind of line, text
@@ -49,6 +50,7 @@
 
     def __init__(self, number: int, name: str) -> None:
         self.number, self.name = number, name
+        self.host: Host | None = None  # as discovery last listed it
         self.address = ("", 0)
         self.state: io.State = io.State.GONE
         self.probe: Probe | None = None
@@ -123,6 +125,9 @@
         self.events: deque[io.Event] = deque()
         self.giving = False
         self.stopping = 0  # when SIGKILL comes at the earliest
+        self.elsewhere = set[str]()  # backends where another process of this node holds connections
+        self.succeeded = False  # another process takes this node's clients
+        self.hear_taken: list[Callable[[int], None]] = []  # hear the id of each req
         self.stopped: Callable[[], None] = lambda: None
         aims = [c.message_aim for c in self.settings.classes if c.message_aim]
         self.long = min(aims, default=0) // 3  # a message that takes longer is told to the module
@@ -189,9 +194,13 @@
         """Nothing of the req is out any more."""
         if self.reqs.pop(held.number, None):
             self.ids.discard(held.req.id)
-            self.past[held.req.id] = None
-            if len(self.past) > PAST:
-                del self.past[next(iter(self.past))]
+            self.taken_elsewhere(held.req.id)
+
+    def taken_elsewhere(self, req: int) -> None:
+        """A req of this id ended here, or is at another process of this node: it is refused for a while."""
+        self.past[req] = None
+        if len(self.past) > PAST:
+            del self.past[next(iter(self.past))]
 
     def _send(self, action: io.Send, now: int) -> None:
         held, backend = self.reqs.get(action.id), self.backends.get(action.server)
@@ -330,7 +339,7 @@
 
     def _entry(self, host: Host) -> io.ServerEntry:
         backend = self.backend(host.name)
-        backend.address, backend.state = host.address, host.state
+        backend.host, backend.address, backend.state = host, host.address, host.state
         names = self.config.names
         zone = names.zones.index(host.zone) if host.zone in names.zones else len(names.zones)
         kind = names.kinds.index(host.kind) if host.kind in names.kinds else len(names.kinds)
@@ -367,7 +376,8 @@
         flags = (req.hint is not None) + 2 * req.retry + io.CAME_BACK * req.came_back
         told = (number, cls, tenant, req.key, left, req.hint or 0, req.group, flags)
         held = Held(self, session, req, told, now + left)
-        if self.stopping or 2 * len(self.reqs) + 2 > self.lobby.room:
+        turned_away = self.stopping and not self.succeeded
+        if turned_away or 2 * len(self.reqs) + 2 > self.lobby.room:
             self.counters.count("answers_refused")
             self.figures.count("throttled", cls)
             held.answered = True
@@ -375,6 +385,8 @@
             return held
         self.reqs[number] = held
         self.ids.add(req.id)
+        for hear in self.hear_taken:
+            hear(req.id)
         self.lobby.make_room()  # for its fetch
         if req.at is not None:
             self.counters.count("reqs_of_before")
@@ -530,6 +542,34 @@
             "out_of_rotation": sum(number in avoided for number in listed),
         }
 
+    # a successor
+
+    def listed(self) -> HostList:
+        """Discovery's list as it stands here."""
+        hosts = (b.host for b in self.backends.values() if b.host and b.state != io.State.GONE)
+        return HostList(self.director.version, True, tuple(hosts))
+
+    def ids_lately(self) -> list[int]:
+        """The ids of the reqs that are here, or were a moment ago."""
+        return [*self.past, *self.ids]
+
+    def holds(self) -> Holds:
+        """What this process holds: descriptors for clients, and connections by backend."""
+        at = Counter(h.backend.name for h in self.reqs.values() if h.fetch and h.backend)
+        return Holds(self.lobby.in_use(), dict(at))
+
+    def held_elsewhere(self, holds: Holds, now: int) -> None:
+        """What another process of this node holds: the module counts it as this node's own."""
+        self.lobby.share(holds.descriptors)
+        for name in self.elsewhere | holds.at.keys():
+            if name in self.numbers:
+                self.give(io.Elsewhere(self.numbers[name], holds.at.get(name, 0)), now)
+        self.elsewhere = set(holds.at)
+
+    def informed(self) -> bool:
+        """Discovery has told its list, and no probe is out."""
+        return self.director.told and not any(b.probe and b.probe.asked for b in self.backends.values())
+
     # a planned stop
 
     def stop(self, now: int) -> None:
@@ -541,7 +581,9 @@
         self.log("stop", f"node: told to stop; moving {sum(h.up for h in self.reqs.values())} connections")
         # guards clients against a tier whose other nodes are down too: what stands loses nothing by staying,
         # and a node that was stopped before this one may be back by then
-        self.wheel.at(max(now + MOVE_AFTER, self.stopping - MOVES_DONE - MOVES_TAKE), self._move_some)
+        # and where a successor takes them already, they come back to it in steps as small as time allows
+        late = max(now + MOVE_AFTER, self.stopping - MOVES_DONE - MOVES_TAKE)
+        self.wheel.at(now if self.succeeded else late, self._move_some)
 
     def _move_some(self, now: int) -> None:
         until = self.stopping - MOVES_DONE
@@ -553,11 +595,14 @@
             for held in [h for h in self.reqs.values() if not h.answered]:
                 self._answer_failed(held, now)
         # guards the last MOVEs: a process that ends closes sockets whose clients have not read them
-        over = not self.reqs and not self.lobby.guests and now >= until
+        over = not self.reqs and not self.lobby.guests and (now >= until or self.succeeded)
         if over or now >= self.stopping - STOP_SPARE // 4:
             self.stopped()
         else:
-            self.wheel.at(now + MOVE_STEP, self._move_some)
+            left = max(until - now, 0) // max(len(standing), 1)
+            # guards the hosts, and the successor's sight of them, against all in its first moment
+            wait = max(MOVE_STEP, min(left, MOVE_PACE)) if self.succeeded else MOVE_STEP
+            self.wheel.at(now + wait, self._move_some)
 
     carry_out: dict[type, Callable[[Node, Any, int], None]] = {
         io.Send: _send,
