Hold hosts out by hand: marks in the state folder, the module hears the worse of both

Checked: a call by hand goes to the module as a list of its own kind, since an ordinary change would put off asking a discovery that has just failed (choice.py _ask_at). A connection that comes up after its server began to drain is moved now too. A host put back is told as started at that moment, so that the cold budget holds before discovery tells of its start. Ruled out: telling the other process over the handover's connection; see docs/DECISIONS.md.

--- a/firgrade/choice.py
+++ b/firgrade/choice.py
@@ -81,19 +81,23 @@
             self.ask_failures += 1
             self._ask_at(0.5 ** max(1, 5 - self.ask_failures) * self.rng.uniform(0.5, 1))
             return
-        if event.kind != io.ListKind.DELTA:
+        hand = event.kind == io.ListKind.HAND
+        if not hand and event.kind != io.ListKind.DELTA:
             named = {entry.server for entry in event.entries}
             for server in [s for s in self.ready if s.id not in named]:
                 self._list(server, io.State.GONE)
         for entry in event.entries:
             server = self.servers.get(entry.server) or Server(entry.server, self.now, self.rng.random())
             if entry.since != server.since or (entry.state == io.State.READY != server.state):
-                server.forget(self.now, self.rng.random())
+                # one that hands put back is tried at once: each node has its own staff's word on it
+                server.forget(self.now, 1.0 if hand else self.rng.random())
                 self.cold[server] = None
             self.servers[server.id] = server
             _, server.zone, _, server.cell, _, _, server.since = entry
             self._list(server, entry.state)
         self._count_warm()
+        if hand:  # DANGER: discovery was not heard, and is to be asked no later for it
+            return
         if not self.started:
             self.started, self.born, self.rate_at = True, self.now, self.now
             if self.probing:
@@ -453,6 +457,8 @@
             return
         flow.server.setting_up -= not flow.up
         flow.live = flow.up = flow.over = True
+        if flow.server.state == io.State.DRAINING:  # since it was sent: it leaves like what stood there
+            self._hold(flow, self.now)
         flow.server.strikes = flow.server.trial_at = 0
         self.gap = self.gap // 2 if self.gap > SECOND / (8 * WAVE * max(self.rate, 1.0)) else 0
 
--- a/firgrade/interface.py
+++ b/firgrade/interface.py
@@ -29,6 +29,7 @@
     FAILED = 1
     FULL = 2
     CACHED = 3
+    HAND = 4  # not discovery's word: staff have taken these out or put them back
 
 
 class Ending(IntEnum):
--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -25,6 +25,7 @@
 from .net.handover import Folder, Legacy, Offer, ask, join
 from .net.listen import Door, bind, listen
 from .net.log import Log
+from .net.marks import Files
 from .net.peers import Peers
 from .net.stream import Dialler, Stream
 
@@ -55,7 +56,7 @@
         config = replace(config, known=hello.hosts)
     sockets = legacy.sockets if legacy else bind_all(config)
     network = Network(Dialler(loop, clock))
-    node = Node(config, network, log, clock.now())
+    node = Node(config, network, log, clock.now(), Files(folder.path) if folder else None)
     node.stopped = stopped.set
     peers = Peers(config.peers, config.peers_all, lambda n, data: node.heard(n, data, clock.now()))
     network.peers = peers
@@ -90,6 +91,20 @@
     console.offer("status", status)
     console.offer("stats", lambda _, now: node.figures.text(node.gauges(now)) + "end\n")
 
+    def by_hand(call: Callable[[str, int], bool]) -> Callable[[str, int], str]:
+        def answer(name: str, now: int) -> str:
+            try:
+                if call(name, now):
+                    return "done\n"
+            except OSError as exc:  # guards a yes that would not outlive this process
+                raise CallError(f"cannot write that down: {exc.strerror}") from None
+            raise CallError("no such host")
+
+        return answer
+
+    console.offer("maint-on", by_hand(node.maintenance.on), takes=True)
+    console.offer("maint-off", by_hand(node.maintenance.off), takes=True)
+
     def tick() -> None:
         loop.call_later(config.settings.tick / 1e6, tick)
         node.wheel.advance(clock.now())
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -23,6 +23,7 @@
 from .handover import Holds
 from .link import MOST_DATAGRAM, Network
 from .lobby import Lobby
+from .maintenance import Maintenance, Marks, Memory
 from .probe import Probe
 from .req import ClientSession, Fetch, Req
 from .silence import LOOK, LOOKS, Silence
@@ -56,6 +57,8 @@
         self.probe: Probe | None = None
         self.silence, self.heard = Silence(), 0  # heard: when a probe was last answered
         self.slow, self.noted = False, -SECOND  # whether the module holds it slow, and since when
+        self.back_at = 0  # when staff last put it back
+        self.returning = False  # put back, and not listed as ready since
 
 
 class Held:
@@ -105,7 +108,9 @@
 class Node:
     """One node. Every call brings the time; `stopped` is called when a planned stop is done."""
 
-    def __init__(self, config: Config, network: Network, log: Log, now: int) -> None:
+    def __init__(
+        self, config: Config, network: Network, log: Log, now: int, marks: Marks | None = None
+    ) -> None:
         self.config, self.settings, self.network, self.log = config, config.settings, network, log
         self.wheel, self.counters = Wheel(self.settings.tick, now), Counters()
         self.figures = Figures(config.names.classes)
@@ -121,6 +126,7 @@
         self.next_req = 1
         self.backends: dict[int, Backend] = {}
         self.numbers: dict[str, int] = {}
+        self.maintenance = Maintenance(marks or Memory(), self)
         self.director = Director(config.discovery, config.known.version, self, now)
         self.events: deque[io.Event] = deque()
         self.giving = False
@@ -132,6 +138,7 @@
         aims = [c.message_aim for c in self.settings.classes if c.message_aim]
         self.long = min(aims, default=0) // 3  # a message that takes longer is told to the module
         self._list(config.known, io.ListKind.CACHED, now)
+        self.maintenance.start(now)
         self._look(now)
 
     # the module
@@ -320,13 +327,18 @@
         self.give(io.Members(io.ListKind.FAILED, version, ()), now)
 
     def _list(self, hosts: HostList, kind: io.ListKind, now: int) -> None:
-        self.counters.count("lists")
+        self.counters["lists"] += kind != io.ListKind.HAND
         entries = [self._entry(host) for host in hosts.hosts]
-        if kind != io.ListKind.DELTA:
+        if kind in (io.ListKind.FULL, io.ListKind.CACHED):
             named = {entry.server for entry in entries}
             for backend in self.backends.values():
                 if backend.number not in named:
                     backend.state = io.State.GONE
+        # before discovery's word, which then changes nothing there
+        returned = [e for e in entries if e.state == io.State.READY and self.backends[e.server].returning]
+        for entry in returned:
+            self.backends[entry.server].returning = False
+            self.give(io.Members(io.ListKind.HAND, hosts.version, [entry]), now)
         self.give(io.Members(kind, hosts.version, entries), now)
         dialled = [h for h in self.reqs.values() if h.fetch and not h.fetch.out]
         for held in dialled:
@@ -340,11 +352,14 @@
     def _entry(self, host: Host) -> io.ServerEntry:
         backend = self.backend(host.name)
         backend.host, backend.address, backend.state = host, host.address, host.state
+        if host.state == io.State.READY and host.name in self.maintenance.held:
+            backend.state = io.State.DRAINING  # the worse of the list's word and that of staff
         names = self.config.names
         zone = names.zones.index(host.zone) if host.zone in names.zones else len(names.zones)
         kind = names.kinds.index(host.kind) if host.kind in names.kinds else len(names.kinds)
-        since = host.started_ms * 1000
-        return io.ServerEntry(backend.number, zone, kind, host.cell, host.state, host.weight, since)
+        # guards a host that comes back cold before discovery tells of its new start
+        since = max(host.started_ms * 1000, backend.back_at)
+        return io.ServerEntry(backend.number, zone, kind, host.cell, backend.state, host.weight, since)
 
     def backend(self, name: str) -> Backend:
         """The backend of this name; its number is the same at every node, so that rings agree."""
@@ -357,6 +372,32 @@
             self.backends[number] = Backend(number, name)
         return self.backends[number]
 
+    # maintenance
+
+    def lists(self, name: str) -> bool:
+        """Whether discovery lists this host."""
+        return name in self.numbers and self.backends[self.numbers[name]].state != io.State.GONE
+
+    def take_out(self, name: str, now: int) -> None:
+        """Staff hold this host."""
+        self.counters.count("hosts_taken_out")
+        self.log("hand", f"node: host {name} is taken out by hand")
+        self._by_hand(name, now)
+
+    def put_back(self, name: str, now: int) -> None:
+        """Staff hold it no more: it may have been restarted, and nothing known of it holds."""
+        self.counters.count("hosts_put_back")
+        self.log("hand", f"node: host {name} is put back by hand")
+        if name in self.numbers:
+            backend = self.backends[self.numbers[name]]
+            backend.back_at, backend.returning = now, True
+            backend.silence, backend.heard, backend.slow = Silence(), now, False
+        self._by_hand(name, now)
+
+    def _by_hand(self, name: str, now: int) -> None:
+        if self.lists(name) and (host := self.backends[self.numbers[name]].host):
+            self._list(HostList(self.director.version, False, (host,)), io.ListKind.HAND, now)
+
     # reqs
 
     def take(self, session: ClientSession, req: Req, now: int) -> Held | None:
@@ -535,6 +576,7 @@
         """How things stand at this moment."""
         listed = [b.number for b in self.backends.values() if b.state != io.State.GONE]
         avoided = self.balancer.avoided(now)
+        avoided |= {self.numbers[name] for name in self.maintenance.held if name in self.numbers}
         return {
             # one whose client has left before its answer, and whose fetch is ending, has ended
             "open_requests": sum(held.up or not held.answered for held in self.reqs.values()),
