Bring a host put back by hand into use: candidate of the next draw, known to a successor

At 11.8 s it was put back, at 13.4 s another process took over; one request came in 5 s. Cause: the new process knew nothing of the call (its cold tokens start anywhere below one), and the draw prefers servers that hold a client's group, so an empty one is rarely a candidate (choice.py _pools). Now it is a candidate until it has its first connection, a connection is moved every half second where nobody new comes, and a successor is told when hosts were put back: 0.84, 0 left unused. Ruled out: a full token alone, which does not make it a candidate.

--- a/firgrade/choice.py
+++ b/firgrade/choice.py
@@ -38,7 +38,8 @@
 SET_UPS = 4  # of this node's that a server has in work at a time
 WAVE = 4  # times the usual rate: where set-ups fail everywhere, sends are first slowed to this
 TEXT = "turning away: of {} servers {} healthy, {} have room, {} warm; level {:.2f}, gap {} ms"
-SWEEP, ASK, HELD = 0, 1, 2  # timer tokens; from HELD on, one for each held request
+FETCH_BACK, FETCH_FOR = SECOND // 2, 4 * SECOND  # a connection is moved for one put back by hand, so often
+SWEEP, ASK, AGAIN, HELD = 0, 1, 2, 3  # timer tokens; from HELD on, one for each held request
 
 
 class Balancer:
@@ -64,6 +65,7 @@
         self.log_at = self.next_slot = self.unheard = self.gap = 0  # gap: between sends, where all fail
         self.told = 1.0  # share of its capacity that the fleet is asked for, by reports alone
         self.opens = 0  # connections that stood at the start
+        self.returned = dict[Server, int]()  # put back by hand and not used since; until when it matters
         self.out: list[io.Action] = []
         kinds = "Members Request Open Established Outcome Gone Note Timer Probed Elsewhere".split()
         self.on: dict[type, Any] = {getattr(io, k): getattr(self, f"_on_{k.lower()}") for k in kinds}
@@ -95,6 +97,9 @@
             self.servers[server.id] = server
             _, server.zone, _, server.cell, _, _, server.since = entry
             self._list(server, entry.state)
+            if hand and entry.state == io.State.READY:
+                self.returned[server] = self.now + FETCH_FOR
+                self.out.append(io.SetTimer(self.now + FETCH_BACK, AGAIN))
         self._count_warm()
         if hand:  # DANGER: discovery was not heard, and is to be asked no later for it
             return
@@ -137,12 +142,28 @@
             self._ask_at(1)
         elif event.token == SWEEP:
             self._sweep()
+        elif event.token == AGAIN:
+            self._fetch_back()
         elif (flow := self.held.pop(event.token, None)) is not None:
             if flow.live and flow.server and flow.server.state == io.State.DRAINING:
                 self.out.append(io.Move(flow.id))
             elif not flow.over:
                 self._place(flow)
 
+    def _fetch_back(self) -> None:
+        """Move a connection of the server with most, where one that staff have put back is not used yet."""
+        # DANGER: connections last minutes; where few are new, one put back would stand idle beside full ones
+        self.returned = {s: t for s, t in self.returned.items() if t > self.now and s.state == io.State.READY}
+        if not self.returned:
+            return
+        most = max(self.ready, key=lambda s: s.count)
+        live = [flow for flow in most.flows.values() if flow.live]
+        if live and most not in self.returned:
+            flow = self.rng.choice(live)
+            flow.live = False
+            self.out.append(io.Move(flow.id))
+        self.out.append(io.SetTimer(self.now + FETCH_BACK, AGAIN))
+
     # What reports tell of room
 
     def _sweep(self) -> None:
@@ -258,7 +279,8 @@
         if estimate is None:
             # DANGER: one asked that has not answered is as a rule overfull; taken for empty, it draws all.
             # Where none answers any more, it is the probes that fail, and nobody is turned away for that.
-            if self.asking and (level < 1 or (self.now < server.asked_at + SECOND and self.unheard < WIDE)):
+            late = self.now < server.asked_at + SECOND and self.unheard < WIDE
+            if self.asking and (level < 1 or late) and server not in self.returned:
                 return False
         else:
             # DANGER: what comes back by the dozen after another node's end was in the reports already, where
@@ -314,6 +336,8 @@
 
     def _pools(self, flow: Flow) -> Iterator[list[Server]]:
         """Where to draw from, in turn: each is narrow, and none is a scan of the fleet."""
+        if self.returned:  # one put back by hand is among the candidates until it has its first
+            yield [*self.returned, *self._sample(self.ready)]
         for zone in self.zones:
             if (
                 flow.group
@@ -388,6 +412,7 @@
         # each is done twice and later still. What a connection earns, it earns over its life.
         wait = left if last or self.gap else max(left // 2, min(left, flow.cls.aim))
         flow.sends, flow.slot = flow.sends + 1, 0
+        self.returned.pop(server, None)
         self._join(flow, server)
         server.tokens -= 1
         if server.strikes:  # one trial at a time
--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -134,8 +134,6 @@
         await listen(lambda: Stream(ConsoleSession(console), clock), calls)
     heir = None
     if legacy and hello:
-        for req in hello.ids:
-            node.taken_elsewhere(req)
         heir = Heir(node, hello, enter, clock.now())
         await join(legacy.line, heir, clock)
     else:
--- a/limerudder/core/handover.py
+++ b/limerudder/core/handover.py
@@ -40,6 +40,7 @@
     hosts: HostList
     ids: tuple[int, ...]
     holds: Holds
+    returned: dict[str, int]  # when staff put hosts back
 
 
 def read_hello(line: bytes) -> Hello:
@@ -47,7 +48,8 @@
     try:
         given = json.loads(line)
         ids = tuple(int(one, 16) for one in given["ids"])
-        return Hello(read_hosts(given["hosts"]), ids, read_holds(given["holds"]))
+        returned = {str(name): int(at) for name, at in given["returned"].items()}
+        return Hello(read_hosts(given["hosts"]), ids, read_holds(given["holds"]), returned)
     except (KeyError, TypeError, ValueError, AttributeError, RecursionError) as exc:
         raise ListError(f"bad hello: {type(exc).__name__} {exc}") from None
 
@@ -69,6 +71,12 @@
     def taken_elsewhere(self, req: int) -> None:
         """Another process has this req."""
 
+    def returned(self) -> dict[str, int]:
+        """When staff put hosts back."""
+
+    def returned_elsewhere(self, returned: dict[str, int], now: int) -> None:
+        """When they did so at the process before this one."""
+
     def holds(self) -> Holds:
         """What this process holds."""
 
@@ -137,6 +145,7 @@
             "hosts": write_hosts(self.node.listed()),
             "ids": [f"{one:016x}" for one in self.node.ids_lately()],
             "holds": self.node.holds()._asdict(),
+            "returned": self.node.returned(),
         }
         return json.dumps(given).encode() + b"\n"
 
@@ -202,6 +211,9 @@
         self.node, self.ready, self.started = node, ready, now
         self.called = False
         self.node.held_elsewhere(hello.holds, now)
+        self.node.returned_elsewhere(hello.returned, now)
+        for req in hello.ids:
+            self.node.taken_elsewhere(req)
         self._look(now)
 
     def _look(self, now: int) -> None:
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -40,6 +40,7 @@
 MOVES_TAKE = 6 * SECOND // 5  #: moves are spread over this time, as late as may be
 MOVES_DONE = 7 * SECOND // 10  #: they are over this long before the earliest SIGKILL
 LAST_ANSWERS = 400_000  #: as long before it, what still waits is answered failed
+RETURN = 5 * SECOND  #: a host that staff have put back is to be in use again by then
 MOVE_STEP, MOVE_PACE = 20_000, 200_000  #: between moves: at least, and where a successor waits for them
 
 Told = tuple[int, int, int, int, int, int, int, int]  #: a req as the module is told of it
@@ -338,7 +339,8 @@
         returned = [e for e in entries if e.state == io.State.READY and self.backends[e.server].returning]
         for entry in returned:
             self.backends[entry.server].returning = False
-            self.give(io.Members(io.ListKind.HAND, hosts.version, [entry]), now)
+            if kind != io.ListKind.HAND:
+                self.give(io.Members(io.ListKind.HAND, hosts.version, [entry]), now)
         self.give(io.Members(kind, hosts.version, entries), now)
         dialled = [h for h in self.reqs.values() if h.fetch and not h.fetch.out]
         for held in dialled:
@@ -595,6 +597,21 @@
         """The ids of the reqs that are here, or were a moment ago."""
         return [*self.past, *self.ids]
 
+    def returned(self) -> dict[str, int]:
+        """When staff put hosts back."""
+        return {b.name: b.back_at for b in self.backends.values() if b.back_at}
+
+    def returned_elsewhere(self, returned: dict[str, int], now: int) -> None:
+        """The process before this one had these hosts put back: they are as cold and as due here."""
+        for name, at in returned.items():
+            if name in self.numbers:
+                backend = self.backends[self.numbers[name]]
+                backend.back_at, backend.returning = at, at > now - RETURN
+                if backend.returning:
+                    self._by_hand(name, now)
+                elif host := backend.host:
+                    self._list(HostList(self.director.version, False, (host,)), io.ListKind.DELTA, now)
+
     def holds(self) -> Holds:
         """What this process holds: descriptors for clients, and connections by backend."""
         at = Counter(h.backend.name for h in self.reqs.values() if h.fetch and h.backend)
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -101,8 +101,10 @@
         e for m in told if isinstance(m, io.Members) for e in m.entries if e.server == backend(here, "s-1")
     ]
     assert entries[-1].state == io.State.READY and entries[-1].since == here.now, "cold, whatever is listed"
+    here.served()
+    assert here.fetches()[-1].machine.owner.backend.name == "s-1", "the next one goes there"
     placed = set[str]()
-    for _ in range(20):
+    for _ in range(19):
         here.served()
         placed |= {dial.machine.owner.backend.name for dial in here.fetches()}
     assert placed == {"s-1", "s-2"}
@@ -110,6 +112,37 @@
     assert many <= 4, "inside the cold budget"
 
 
+def test_where_nobody_new_comes_a_connection_is_moved_for_one_put_back(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    hold_all_but(here, "s-2")
+    standing = [here.served()[1] for _ in range(6)]
+    here.node.maintenance.off("s-1", here.now)
+    here.run(SECOND + 10_000)
+    moved = sum(link.sent.endswith(b"MOVE\r\n") for link in standing)
+    assert moved == 2
+    here.served()
+    assert here.fetches()[-1].machine.owner.backend.name == "s-1"
+    here.run(5 * SECOND)
+    assert sum(link.sent.endswith(b"MOVE\r\n") for link in standing) == moved, "and no more than it takes"
+
+
+@pytest.mark.parametrize("ago", [SECOND, 20 * SECOND])
+def test_a_successor_knows_what_was_put_back(tmp_path: Path, ago: int) -> None:
+    here = world(tmp_path)
+    hold_all_but(here, "s-2")
+    here.node.maintenance.off("s-1", here.now)
+    here.run(ago)
+    other = world(tmp_path)
+    other.now = here.now
+    told = events(other)
+    other.node.returned_elsewhere(here.node.returned(), other.now)
+    (entry,) = (e for m in told if isinstance(m, io.Members) for e in m.entries)
+    assert entry.since == here.now - ago
+    other.served()
+    (fetch,) = other.fetches()
+    assert ago > SECOND or fetch.machine.owner.backend.name == "s-1"
+
+
 def test_discovery_is_asked_no_later_for_a_call_by_hand(tmp_path: Path) -> None:
     here = world(tmp_path)
     here.dials[0].machine.lost(here.now)  # the watch
