Test the replacing of the process: two machines in memory, two processes on loopback

Guards: readiness (discovery's word, its absence, a stop, an old process gone), one successor at a time, going back to accepting, ids, room and counts of both as one, moves over the whole time, stale socket files, a folder's path beyond 108 bytes, a second upgrade, a host held across one, a new process that fails to start.

--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -4,6 +4,9 @@
 
 import asyncio
 import json
+import os
+import socket
+import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -12,7 +15,7 @@
 from limerudder.__main__ import serve
 from limerudder.config import Config, load
 from limerudder.core.client import LineSession
-from limerudder.core.link import Caller
+from limerudder.core.link import Caller, read_address
 from limerudder.core.node import Node
 
 SECOND = 1_000_000
@@ -198,6 +201,35 @@
         return await self.came.get()
 
 
+class Process:
+    """A node in a process of its own, its console, and what it prints."""
+
+    def __init__(self, ran: asyncio.subprocess.Process, console: tuple[str, int]) -> None:
+        self.ran, self.console = ran, console
+
+    async def says(self, words: str) -> None:
+        """Wait for a line with these words."""
+        assert self.ran.stderr
+        while words not in (line := (await self.ran.stderr.readline()).decode()):
+            assert line, f"it ended and never said {words}"
+
+    def signal(self, number: int) -> None:
+        self.ran.send_signal(number)
+
+    async def ended(self) -> int:
+        """Its exit code."""
+        assert self.ran.stderr
+        await self.ran.stderr.read()
+        return await self.ran.wait()
+
+
+def free() -> str:
+    """An address that nobody has."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return "{}:{}".format(*sock.getsockname())
+
+
 class Loopback:
     """A real node on loopback with scripted backends and director."""
 
@@ -205,6 +237,8 @@
         self.folder, self.director, self.backend = folder, Listener(), Listener()
         self.came = 0
         self.logged: asyncio.Queue[str] = asyncio.Queue()
+        self.given: dict[str, Any] = {}  # what all processes of the node are told
+        self.before = False  # one of them has served
 
     def line(self) -> str:
         """A first line with an id of its own."""
@@ -229,3 +263,73 @@
         finally:
             task.cancel()
             await asyncio.wait([task])
+
+    @asynccontextmanager
+    async def process(self, **changes: Any) -> AsyncIterator[Process]:
+        """Run the node as the operators do: each with a console of its own, all with one TMPDIR."""
+        if not self.given:
+            where = [await listener.start() for listener in (self.backend, self.backend)]
+            listed = hosts(*(host(name, at) for name, at in zip(("s-1", "s-2"), where, strict=True)))
+            self.telling = asyncio.create_task(self._tell(listed))
+            fixed = {"listen": free(), "discovery": await self.director.start(), "known": listed}
+            quick = settings(peers=False)
+            quick["classes"][0] |= {"aimUs": 100_000, "deadlineUs": 800_000}
+            self.given = {**fixed, "settings": quick}
+            # longer than a Unix socket's name may be
+            self.shared = self.folder / ("t" * 120)
+            self.shared.mkdir()
+        given = {**self.given, "console": free(), **changes}
+        told = os.environ | configuration(self.folder, **given) | {"TMPDIR": str(self.shared)}
+        self.address = read_address(given["listen"])
+        args = [sys.executable, "-m", "limerudder"]
+        ran = await asyncio.create_subprocess_exec(*args, env=told, stderr=asyncio.subprocess.PIPE)
+        process = Process(ran, read_address(given["console"]))
+        if not self.before:
+            self.before = True
+            await process.says("listening on")
+        try:
+            yield process
+        finally:
+            if ran.returncode is None:
+                ran.kill()
+            await process.ended()
+
+    async def _tell(self, listed: dict[str, Any]) -> None:
+        """The director: each watch hears the list."""
+        text = json.dumps(listed) + "\n"
+        kept = []
+        while True:
+            kept.append(peer := await self.director.take())
+            peer.say("HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "", f"{len(text):x}", text)
+
+    async def up(self) -> Peer:
+        """A client that is up."""
+        client = await self.client()
+        client.say(self.line())
+        backend = await self.backend.take()
+        while not (line := await backend.line()).startswith("OPEN"):  # a probe, or one that has ended
+            asyncio.create_task(self._probed(backend, line))
+            backend = await self.backend.take()
+        backend.say("UP 77")
+        asyncio.create_task(self._echo(backend))
+        assert await client.line() == "UP 77"
+        return client
+
+    async def _probed(self, backend: Peer, line: str) -> None:
+        while line:
+            backend.say("PONG inflight=1,x0=0.1")
+            line = await backend.line()
+
+    async def _echo(self, backend: Peer) -> None:
+        while line := await backend.line():
+            backend.say(line)
+
+    async def answer(self, process: Process, call: str) -> str:
+        """All that the console answers to a call."""
+        peer = Peer(*await asyncio.open_connection(*process.console))
+        peer.say(call)
+        return (await peer.reader.read()).decode()
+
+    async def call(self, process: Process, call: str) -> str:
+        """The line that it answers."""
+        return (await self.answer(process, call)).rstrip("\n")
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,294 @@
+"""Replacing the process: two machines joined in memory, and two processes on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+import uvloop
+
+from firgrade import interface as io
+from limerudder.core.director import ListError, read_hosts
+from limerudder.core.handover import Asker, Elder, Heir, read_hello
+
+from .scripted import LINE, SECOND, FakeLink, Loopback, World, host, hosts, world
+from .test_node import events
+
+
+class Joined(FakeLink):
+    """One end of the connection between two processes: what is written comes out of the other in pieces."""
+
+    def __init__(self, here: World, step: int) -> None:
+        super().__init__()
+        self.here, self.step = here, step
+        self.other: Joined | None = None
+        self.owner: Asker | Heir | None = None
+
+    def write(self, data: bytes) -> None:
+        other = self.other
+        if other and other.owner and not self.closed:
+            for at in range(0, len(data), self.step):
+                other.owner.feed(data[at : at + self.step], other.here.now)
+
+
+class Pair:
+    """The old process and one that has asked to take over."""
+
+    def __init__(self, folder: Path, step: int = 5000) -> None:
+        self.old, self.new = (
+            world(folder, known=hosts(host("s-1"), host("s-2"))),
+            world(folder, known=hosts()),
+        )
+        self.step, self.did = step, list[str]()
+        self.elder = Elder(self.old.node, lambda: self.did.append("shut"), lambda: self.did.append("open"))
+
+    def ask(self) -> Heir:
+        here, there = Joined(self.old, self.step), Joined(self.new, self.step)
+        here.other, there.other = there, here
+        hello = read_hello(self.elder.hello())
+        self.new.node._list(hello.hosts, io.ListKind.CACHED, self.new.now)
+        there.owner = heir = Heir(self.new.node, hello, lambda: self.did.append("ready"), self.new.now)
+        heir.connected(there, self.new.now)
+        here.owner = asker = Asker(self.elder)
+        asker.connected(here, self.old.now)
+        return heir
+
+    def run(self, duration: int) -> None:
+        for _ in range(duration // 5000):
+            self.old.run(5000)
+            self.new.run(5000)
+
+
+def told(here: World) -> None:
+    """Discovery's watch gives its list."""
+    body = json.dumps(hosts(host("s-1"), host("s-2"))).encode() + b"\n"
+    watch = next(dial.machine for dial in here.dials if getattr(dial.machine, "watch", False))
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    watch.feed(head + f"{len(body):x}".encode() + b"\r\n" + body + b"\r\n", here.now)
+
+
+@pytest.mark.parametrize("step", [1, 7, 5000])
+def test_a_successor_serves_once_it_knows_enough_and_the_old_one_takes_no_more(
+    tmp_path: Path, step: int
+) -> None:
+    pair = Pair(tmp_path, step)
+    heir = pair.ask()
+    pair.run(SECOND // 10)
+    assert pair.did == [], "discovery has told it nothing yet"
+    told(pair.new)
+    pair.run(SECOND // 10)
+    assert pair.did == ["ready"] and not pair.old.node.succeeded
+    heir.say("serving")
+    assert pair.did == ["ready", "shut"] and pair.old.node.succeeded
+    pair.run(3 * SECOND)
+    assert pair.did == ["ready", "shut"]
+
+
+@pytest.mark.parametrize(("why", "after"), [("discovery is down", 2 * SECOND), ("stopping", 0), ("gone", 0)])
+def test_it_does_not_wait_for_ever(tmp_path: Path, why: str, after: int) -> None:
+    pair = Pair(tmp_path)
+    heir = pair.ask()
+    if why == "stopping":
+        pair.elder.tell("stopping")
+    elif why == "gone":
+        heir.lost(pair.new.now)
+    pair.run(after - 100_000 if after else 0)
+    assert pair.did == ([] if after else ["ready"])
+    pair.run(200_000)
+    assert pair.did == ["ready"]
+
+
+def test_one_that_asks_amid_a_stop_serves_at_once(tmp_path: Path) -> None:
+    pair = Pair(tmp_path)
+    pair.old.node.stop(pair.old.now)
+    pair.ask()
+    assert pair.did == ["ready"]
+
+
+def test_the_old_one_takes_clients_again_if_its_successor_dies(tmp_path: Path) -> None:
+    pair = Pair(tmp_path)
+    heir = pair.ask()
+    heir.say("serving")
+    (asker,) = pair.elder.asking
+    asker.lost(pair.old.now)
+    assert pair.did == ["shut", "open"] and not pair.old.node.succeeded and not pair.elder.asking
+    pair.ask().say("serving")
+    assert pair.did == ["shut", "open", "shut"]
+
+
+def test_one_that_only_asked_and_left_changes_nothing(tmp_path: Path) -> None:
+    pair = Pair(tmp_path)
+    first, second = pair.ask(), pair.ask()
+    second.say("serving")
+    first.say("serving")
+    assert pair.did == ["shut"], "one successor at a time"
+    pair.elder.asking[0].lost(pair.old.now)
+    assert pair.did == ["shut"] and pair.old.node.succeeded
+
+
+def test_a_hello_tells_list_ids_and_what_is_held(tmp_path: Path) -> None:
+    pair = Pair(tmp_path)
+    entries = [host("s-1") | {"startedAtMs": 7}, host("s-2", lifecycle="leaving")]
+    pair.old.node.list_told(read_hosts(hosts(*entries)), pair.old.now)
+    pair.old.served()
+    hello = read_hello(pair.elder.hello())
+    assert hello.hosts == read_hosts(hosts(*entries))
+    assert hello.holds == (2, {"s-1": 1}) and len(hello.ids) == 1
+
+
+@pytest.mark.parametrize("line", [b"", b"{}", b"[]", b'{"hosts": 1}', b"\xff", b"[" * 100_000])
+def test_a_hello_that_cannot_be_read_is_an_error_of_its_own(line: bytes) -> None:
+    with pytest.raises(ListError):
+        read_hello(line)
+
+
+@pytest.mark.parametrize("words", [b"holds x\n", b"holds {}\n", b"taken zz\n", b"what\n", b"\xff\n\n"])
+def test_words_that_cannot_be_read_are_passed_over(tmp_path: Path, words: bytes) -> None:
+    pair = Pair(tmp_path)
+    heir = pair.ask()
+    heir.feed(words, pair.new.now)
+    (asker,) = pair.elder.asking
+    asker.feed(words, pair.old.now)
+    assert pair.did == []
+
+
+def test_an_id_that_is_at_the_old_one_is_refused_at_the_new_one(tmp_path: Path) -> None:
+    pair = Pair(tmp_path)
+    pair.old.served()
+    pair.ask()
+    pair.old.served()
+    for _ in range(2):
+        _, link = pair.new.client()
+        assert link.sent == b"ERR\r\n"
+    _, link = pair.new.client()
+    assert not link.sent
+
+
+def test_both_together_keep_to_one_room_and_one_count(tmp_path: Path) -> None:
+    pair = Pair(tmp_path)
+    heard = events(pair.new)
+    standing = [pair.old.served() for _ in range(5)]
+    room = pair.new.node.lobby.room
+    heir = pair.ask()
+    assert pair.new.node.lobby.room == room - 10
+    heir.say("serving")
+    for session, _, _ in standing:
+        session.lost(pair.old.now)
+    pair.run(SECOND // 5)
+    assert pair.new.node.lobby.room == room
+    counts = {e.server: e.many for e in heard if isinstance(e, io.Elsewhere)}
+    assert counts and set(counts.values()) == {0}
+    assert max(e.many for e in heard if isinstance(e, io.Elsewhere)) >= 2
+
+
+def test_what_the_old_one_holds_counts_in_the_draw(tmp_path: Path) -> None:
+    pair = Pair(tmp_path)
+    pair.ask()
+    server = pair.new.node.numbers["s-1"]
+    pair.new.node.give(io.Elsewhere(server, 5), pair.new.now)
+    for _ in range(4):
+        pair.new.served()
+    assert {dial.machine.owner.backend.name for dial in pair.new.fetches()} == {"s-2"}
+
+
+def test_after_a_stop_with_a_successor_nobody_is_refused_and_moves_take_all_the_time(tmp_path: Path) -> None:
+    pair = Pair(tmp_path)
+    here = pair.old
+    standing = [here.served()[1] for _ in range(30)]
+    _, waiting = here.client()
+    (fetch,) = (d for d in here.fetches() if not d.machine.out)
+    quiet, late = here.connect()
+    pair.ask().say("serving")
+    here.node.stop(here.now)
+    fetch.accept(here.now)
+    fetch.machine.feed(b"UP 7\r\n", here.now)
+    quiet.feed(LINE.replace("9b", "77").encode() + b"\r\n", here.now)
+    assert not late.sent and not here.fetches()[-1].machine.out, "it is tried like any other"
+    seen = []
+    for _ in range(
+        12
+    ):  # SIGKILL comes 2.7 s after the signal at the earliest, and 0.7 s before it all is done
+        here.run(SECOND // 6)
+        seen.append(sum(link.sent.endswith(b"MOVE\r\n") for link in standing))
+    assert waiting.sent == b"UP 7\r\nMOVE\r\n"
+    assert seen[-1] == 30 and max(b - a for a, b in zip([0, *seen], seen, strict=False)) <= 5, seen
+
+
+async def a_successor_serves_and_nobody_is_turned_away(here: Loopback) -> None:
+    async with here.process() as old:
+        standing = await here.up()
+        assert await here.call(old, "maint-on s-2") == "done"
+        async with here.process() as new:
+            await new.says("listening on")
+            assert await here.call(new, "status") == "done"
+            old.signal(signal.SIGTERM)
+            assert (await here.call(old, "status")).startswith("error")
+            fresh = await here.up()
+            assert await standing.line() == "MOVE"
+            assert await old.ended() == 0
+            fresh.say("M 1")
+            assert await fresh.line() == "M 1"
+            assert "app.out_of_rotation:1|g" in await here.answer(new, "stats")
+            assert await here.call(new, "maint-off s-2") == "done"
+            async with here.process() as third:  # the name in the folder is the new one's by now
+                await third.says("listening on")
+                new.signal(signal.SIGTERM)
+                assert await fresh.line() == "MOVE"
+                assert await new.ended() == 0
+                await here.up()
+                assert "app.out_of_rotation:0|g" in await here.answer(third, "stats")
+
+
+async def the_old_one_takes_clients_again_where_the_new_one_dies(here: Loopback) -> None:
+    async with here.process() as old:
+        standing = await here.up()
+        async with here.process() as new:
+            await new.says("listening on")
+            new.signal(signal.SIGKILL)
+            await new.ended()
+        await old.says("listening on")
+        assert await here.call(old, "status") == "done"
+        standing.say("M 1")
+        assert await standing.line() == "M 1"
+        await here.up()
+        async with here.process() as new:
+            await new.says("listening on")
+            await here.up()
+
+
+async def one_that_fails_to_start_leaves_the_old_one_as_it_was(here: Loopback) -> None:
+    async with here.process() as old:
+        async with here.process(console="{}:{}".format(*old.console)) as new:
+            assert await new.ended() == 2
+        assert await here.call(old, "status") == "done"
+        await here.up()
+
+
+async def stale_files_are_passed_over(here: Loopback) -> None:
+    async with here.process() as old:
+        old.signal(signal.SIGKILL)
+        await old.ended()
+    async with here.process() as new:
+        await new.says("listening on")
+        await here.up()
+        async with here.process() as newer:
+            await newer.says("listening on")
+            new.signal(signal.SIGTERM)
+            assert await new.ended() == 0
+
+
+STORIES = [
+    a_successor_serves_and_nobody_is_turned_away,
+    the_old_one_takes_clients_again_where_the_new_one_dies,
+    one_that_fails_to_start_leaves_the_old_one_as_it_was,
+    stale_files_are_passed_over,
+]
+
+
+@pytest.mark.parametrize("story", STORIES, ids=lambda story: story.__name__)
+def test_two_processes(story: Callable[[Loopback], Awaitable[None]], tmp_path: Path) -> None:
+    uvloop.run(asyncio.wait_for(story(Loopback(tmp_path)), 60))
