Count clients back from a draining server where they go, not by reports alone

Lines at fault: choice.py _draw lets who comes back pass on reports alone (BACK), which holds for a node's end, whose clients the reports still show, and not for a server that drains.

--- a/firgrade/choice.py
+++ b/firgrade/choice.py
@@ -34,6 +34,7 @@
 WORK_OFF = 3 * SECOND // 2  # what has piled up at a server is to be worked off in this time
 PILE_MOST = 3 * SECOND  # no server keeps more work than that
 LEAVE = SECOND  # connections of a server that drains are moved over this time
+DRAINED = 3 * SECOND  # for so long those who come back may have stood at a server that drains
 OPENS_PAY = 60 * SECOND  # for so long what stood at the start pays for probes too, as requests do
 SET_UPS = 4  # of this node's that a server has in work at a time
 WAVE = 4  # times the usual rate: where set-ups fail everywhere, sends are first slowed to this
@@ -63,6 +64,7 @@
         self.credit, self.asking = 4.0 * D, self.probing  # asking: before a draw, in place of sweeps
         self.long = min((c.message_aim for c in settings.classes), default=SECOND) / 3  # for a message
         self.log_at = self.next_slot = self.unheard = self.gap = 0  # gap: between sends, where all fail
+        self.drained_at = -DRAINED  # when a server with connections of this node last began to drain
         self.told = 1.0  # share of its capacity that the fleet is asked for, by reports alone
         self.opens = 0  # connections that stood at the start
         self.returned = dict[Server, int]()  # put back by hand and not used since; until when it matters
@@ -123,6 +125,7 @@
             # DANGER: what a server still holds when it stops is cut off; sent away at once, all would crowd
             # the others in one moment
             live = [flow for flow in server.flows.values() if flow.live]
+            self.drained_at = self.now if live else self.drained_at
             for i, flow in enumerate(live):
                 self._hold(flow, self.now + LEAVE * i // len(live))
 
@@ -285,6 +288,7 @@
         else:
             # DANGER: what comes back by the dozen after another node's end was in the reports already, where
             # it stood before. Counted again it fills every server in a moment, and its clients are sent away.
+            # What comes back from a server that drains was in the reports of that one only.
             asked = (server.load or 0) if level == BACK else estimate + self.unit
             if asked + server.piled / WORK_OFF > min(level, self.full):
                 return False
@@ -361,6 +365,7 @@
         if (
             flow.back
             and self.told <= EASY
+            and self.now >= self.drained_at + DRAINED
             and (chosen := self._fewest(flow, self._sample(self.ready), BACK)) is not None
         ):
             return chosen
