Ask discovery for changes alone at a start, whatever number the known list has

Line at fault: watch.py _told took a known list of generation 0 for a list of an unknown service. A question for the whole list after SIGHUP that fails is asked again now; it was not.

--- a/limerudder/core/watch.py
+++ b/limerudder/core/watch.py
@@ -40,6 +40,7 @@
         self.address, self.version, self.hearer = address, version, hearer
         self.watch: DirectorCall | None = None
         self.told = False  # the watch has given its first list
+        self.moved = False  # to a service that has not told its list yet
         self.calls: set[DirectorCall] = set()  # questions that are out
         self._check(now)
 
@@ -48,6 +49,8 @@
         if self.watch is None:
             self.told = False
             self.watch = self._call(self.version, now)
+        elif self.told and self.moved:
+            self.ask(now)  # the question before it has failed
         elif self.told:
             self.hearer.list_unchanged(self.version, now)
 
@@ -67,7 +70,7 @@
             return
         self.address = address
         # guards against changes that never come: another service counts its versions as it likes
-        self.version = NO_VERSION
+        self.version, self.moved = NO_VERSION, True
         self.drop_watch()
         for call in self.calls:  # guards against an old answer that would undo what the new service tells
             call.close()
@@ -87,8 +90,10 @@
         self.told = self.told or call is self.watch
         self.version = hosts.version
         self.hearer.list_told(hosts, now)
-        if first and call.after == NO_VERSION and not hosts.whole:
+        if first and self.moved and not hosts.whole:
             self.ask(now)  # guards against changes to a list that this node never had
+        # guards the shared service: changes to the list a node starts with are enough, whatever its number
+        self.moved = self.moved and not hosts.whole
 
     def _over(self, call: DirectorCall, failed: bool, now: int) -> None:
         self.calls.discard(call)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -445,6 +445,25 @@
     assert isinstance(again, DirectorCall) and again.after == 0
 
 
+def test_a_question_for_all_that_fails_is_asked_again(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    here.node.director.move(("127.0.0.1", 99), here.now)
+    _say(here.dials[-1], hosts(reset=False) | {"generation": 3}, here.now)
+    here.dials[-1].machine.lost(here.now)
+    here.run(SECOND)
+    again = here.dials[-1]
+    assert isinstance(again.machine, DirectorCall) and again.machine.after is None
+    _say(again, hosts(host("s-3")), here.now)
+    again.machine.feed(b"0\r\n\r\n", here.now)
+    assert [b.name for b in here.node.backends.values() if b.state == io.State.READY] == ["s-3"]
+
+
+def test_a_node_that_starts_asks_for_changes_alone(tmp_path: Path) -> None:
+    here = world(tmp_path, known=hosts(host("s-1")) | {"generation": 0})
+    _say(here.dials[0], hosts(reset=False) | {"generation": 0}, here.now)
+    assert len(here.dials) == 1, "many nodes start at once, and each whole list costs the service they share"
+
+
 @pytest.mark.parametrize("kind", [io.Request, io.Timer])
 def test_a_fault_in_the_module_costs_one_req_at_most(tmp_path: Path, kind: type) -> None:
     here = world(tmp_path)
