--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -69,7 +69,7 @@
         task.add_done_callback(tasks.discard)
 
     elder = Elder(node, door.close, enter)
-    offer = Offer(folder, sockets, elder.hello, lambda: Asker(elder), clock) if folder else None
+    offer = Offer(folder, sockets, elder.hello, lambda: Asker(elder), clock, log) if folder else None
 
     async def serving() -> None:
         """Take clients here, from now on or again."""
--- a/limerudder/core/handover.py
+++ b/limerudder/core/handover.py
@@ -62,6 +62,9 @@
     succeeded: bool
     hear_taken: list[Callable[[int], None]]
 
+    def log(self, kind: str, text: str) -> None:
+        """A line for whoever is on call."""
+
     def listed(self) -> HostList:
         """Discovery's list as it stands here."""
 
@@ -158,6 +161,7 @@
         """It takes clients from now on: this process takes no more, and serves all it has."""
         if self.successor is None:
             self.successor, self.node.succeeded = asker, True
+            self.node.log("handover", "node: another process takes the clients from now on")
             self.shut()
             self._count(now)
 
@@ -167,6 +171,7 @@
             self.asking.remove(asker)
         if asker is self.successor:
             self.successor, self.node.succeeded = None, False
+            self.node.log("handover", "node: the other process has ended; this one takes clients again")
             self.open_again()
 
     def _count(self, now: int) -> None:
@@ -189,6 +194,7 @@
         """It has its hello."""
         super().connected(link, now)
         self.elder.asking.append(self)
+        self.elder.node.log("handover", "node: another process has asked to take over")
         if self.elder.node.stopping:
             self.say("stopping")
 
--- a/limerudder/net/handover.py
+++ b/limerudder/net/handover.py
@@ -73,8 +73,10 @@
         hello: Callable[[], bytes],
         asker: Callable[[], Machine],
         clock: Clock,
+        log: Callable[[str, str], None],
     ) -> None:
         self.folder, self.sockets, self.hello, self.asker, self.clock = folder, sockets, hello, asker, clock
+        self.log = log
         self.loop = asyncio.get_running_loop()
         self.tasks: set[asyncio.Task[None]] = set()
         self.sock: socket.socket | None = None
@@ -91,7 +93,8 @@
             sock.bind(self.folder.short(own))
             sock.listen()
             os.rename(own, NAME, src_dir_fd=self.folder.fd, dst_dir_fd=self.folder.fd)
-        except OSError:  # guards a node that serves: without the file, a successor binds anew
+        except OSError as exc:  # guards a node that serves: without the file, a successor binds anew
+            self.log("state", f"state: cannot be asked to hand over: {exc.strerror}")
             sock.close()
             return
         self.sock = sock
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -260,6 +260,32 @@
             await here.up()
 
 
+async def a_stop_before_the_new_one_is_ready_hands_over_at_once(here: Loopback) -> None:
+    async with here.process() as old:
+        standing = await here.up()
+        # discovery is not there: the new one would wait for its word
+        async with here.process(discovery="127.0.0.1:9") as new:
+            await old.says("another process has asked to take over")
+            old.signal(signal.SIGTERM)
+            await new.says("listening on")
+            await old.says("another process takes the clients")
+            fresh = await here.up()
+            assert await standing.line() == "MOVE"
+            assert await old.ended() == 0
+            fresh.say("M 1")
+            assert await fresh.line() == "M 1"
+
+
+async def a_new_one_stopped_before_it_is_ready_leaves_the_old_one_as_it_was(here: Loopback) -> None:
+    async with here.process() as old:
+        async with here.process(discovery="127.0.0.1:9") as new:
+            await old.says("another process has asked to take over")
+            new.signal(signal.SIGTERM)
+            assert await new.ended() in (0, -signal.SIGTERM)
+        assert await here.call(old, "status") == "done"
+        await here.up()
+
+
 async def one_that_fails_to_start_leaves_the_old_one_as_it_was(here: Loopback) -> None:
     async with here.process() as old:
         async with here.process(console="{}:{}".format(*old.console)) as new:
@@ -285,6 +311,8 @@
     a_successor_serves_and_nobody_is_turned_away,
     the_old_one_takes_clients_again_where_the_new_one_dies,
     one_that_fails_to_start_leaves_the_old_one_as_it_was,
+    a_stop_before_the_new_one_is_ready_hands_over_at_once,
+    a_new_one_stopped_before_it_is_ready_leaves_the_old_one_as_it_was,
     stale_files_are_passed_over,
 ]
 
