Let a cold server that reports room earn three times as much where nodes are few

Its budget follows the rate of new connections, which is low where they last minutes (choice.py _may_warm).

--- a/firgrade/choice.py
+++ b/firgrade/choice.py
@@ -35,6 +35,8 @@
 PILE_MOST = 3 * SECOND  # no server keeps more work than that
 LEAVE = SECOND  # connections of a server that drains are moved over this time
 DRAINED = 3 * SECOND  # for so long those who come back may have stood at a server that drains
+SUCCEEDS = 15 * SECOND  # for so long what another process of the node sends over is in the rate
+IDLE, IDLE_TIMES, FEW = 0.4, 3, 6  # a cold server that reports less is sent more, where nodes are few
 OPENS_PAY = 60 * SECOND  # for so long what stood at the start pays for probes too, as requests do
 SET_UPS = 4  # of this node's that a server has in work at a time
 WAVE = 4  # times the usual rate: where set-ups fail everywhere, sends are first slowed to this
@@ -63,7 +65,8 @@
         self.earn = PROBE_SPEND / max(settings.prices.get("probe", 0), 1e-5)  # probes a request pays for
         self.credit, self.asking = 4.0 * D, self.probing  # asking: before a draw, in place of sweeps
         self.long = min((c.message_aim for c in settings.classes), default=SECOND) / 3  # for a message
-        self.log_at = self.next_slot = self.unheard = self.gap = 0  # gap: between sends, where all fail
+        self.log_at = self.next_slot = self.unheard = self.succeeds = 0  # the last: until when SUCCEEDS
+        self.gap = 0  # between sends, where all fail
         self.drained_at = -DRAINED  # when a server with connections of this node last began to drain
         self.told = 1.0  # share of its capacity that the fleet is asked for, by reports alone
         self.opens = 0  # connections that stood at the start
@@ -307,7 +310,11 @@
         if not server.since or age >= told.warm_up:
             return True
         share = told.start_capacity + (1 - told.start_capacity) * max(age, 0) / told.warm_up
-        usual = self.rate / max(self.warm, 1)
+        # DANGER: clients that a process before this one moved here are in the rate already; and the more
+        # nodes there are, the more they send before one report tells of it
+        load, alone = self._estimate(server), told.balancers <= FEW and self.now >= self.succeeds
+        idle = alone and load is not None and load < IDLE
+        usual = self.rate / max(self.warm, 1) * (IDLE_TIMES if idle else 1)
         earned = told.overload_factor * share * usual * (self.now - server.tokens_at) / SECOND
         server.tokens, server.tokens_at = min(1.0, server.tokens + earned), self.now
         return server.tokens >= 1
@@ -343,9 +350,7 @@
         if self.returned:  # one put back by hand is among the candidates until it has its first
             yield [*self.returned, *self._sample(self.ready)]
         for zone in self.zones:
-            if (
-                flow.group
-            ):  # servers that hold some of the group already do its shared work: first among those
+            if flow.group:  # servers that hold some of the group already do its shared work: first of all
                 held = [s for s in self.holdings.groups.get(flow.group, ()) if zone in (None, s.zone)]
                 yield self._sample(held)
             if flow.group or self.asking:
@@ -362,12 +367,8 @@
             for pool in self._pools(flow):
                 if (chosen := self._fewest(flow, pool, level)) is not None:
                     return chosen
-        if (
-            flow.back
-            and self.told <= EASY
-            and self.now >= self.drained_at + DRAINED
-            and (chosen := self._fewest(flow, self._sample(self.ready), BACK)) is not None
-        ):
+        back = flow.back and self.told <= EASY and self.now >= self.drained_at + DRAINED
+        if back and (chosen := self._fewest(flow, self._sample(self.ready), BACK)) is not None:
             return chosen
         if any(self._healthy(s) and self._may_warm(s) for s in self.ready):
             return None
@@ -473,7 +474,7 @@
         # DANGER: a process just begun that holds nothing would take each client that comes over from the one
         # before it for load on top of what reports tell; until they tell otherwise, it would turn all away
         if (server := self.servers.get(event.server)) is not None:
-            server.elsewhere = event.many
+            server.elsewhere, self.succeeds = event.many, self.now + SUCCEEDS
 
     def _out(self, event: io.Established | io.Outcome | io.Note) -> Flow | None:
         """The flow whose attempt this is about. DANGER: late or repeated words would count it off twice."""
