--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -53,11 +53,13 @@
     folder = open_folder(config, log)
     legacy, hello = take_over(folder, log)
     if hello:
-        config = replace(config, known=hello.hosts)
+        # guards a successor against an environment that SIGHUP has overruled at the process before it
+        where = load_again(environment).discovery if hello.reloaded else config.discovery
+        config = replace(config, known=hello.hosts, discovery=where)
     sockets = legacy.sockets if legacy else bind_all(config)
     network = Network(Dialler(loop, clock))
     node = Node(config, network, log, clock.now(), Files(folder.path) if folder else None)
-    node.stopped = stopped.set
+    node.stopped, node.reloaded = stopped.set, bool(hello and hello.reloaded)
     peers = Peers(config.peers, config.peers_all, lambda n, data: node.heard(n, data, clock.now()))
     network.peers = peers
     door = Door(sockets, lambda: Stream(LineSession(node), clock), peers)
@@ -116,6 +118,7 @@
             log("config", f"config: {exc}; going on as before")
             return
         log("config", "config: read again; discovery is at {}:{}".format(*again.discovery))
+        node.reloaded = True
         node.director.move(again.discovery, clock.now())
 
     def stop() -> None:
--- a/limerudder/core/handover.py
+++ b/limerudder/core/handover.py
@@ -41,6 +41,7 @@
     ids: tuple[int, ...]
     holds: Holds
     returned: dict[str, int]  # when staff put hosts back
+    reloaded: bool  # it was told to ask discovery where the file says
 
 
 def read_hello(line: bytes) -> Hello:
@@ -49,7 +50,8 @@
         given = json.loads(line)
         ids = tuple(int(one, 16) for one in given["ids"])
         returned = {str(name): int(at) for name, at in given["returned"].items()}
-        return Hello(read_hosts(given["hosts"]), ids, read_holds(given["holds"]), returned)
+        holds, reloaded = read_holds(given["holds"]), bool(given["reloaded"])
+        return Hello(read_hosts(given["hosts"]), ids, holds, returned, reloaded)
     except (KeyError, TypeError, ValueError, AttributeError, RecursionError) as exc:
         raise ListError(f"bad hello: {type(exc).__name__} {exc}") from None
 
@@ -60,6 +62,7 @@
     wheel: Wheel
     stopping: int
     succeeded: bool
+    reloaded: bool
     hear_taken: list[Callable[[int], None]]
 
     def log(self, kind: str, text: str) -> None:
@@ -149,6 +152,7 @@
             "ids": [f"{one:016x}" for one in self.node.ids_lately()],
             "holds": self.node.holds()._asdict(),
             "returned": self.node.returned(),
+            "reloaded": self.node.reloaded,
         }
         return json.dumps(given).encode() + b"\n"
 
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -133,6 +133,7 @@
         self.giving = False
         self.stopping = 0  # when SIGKILL comes at the earliest
         self.elsewhere = set[str]()  # backends where another process of this node holds connections
+        self.reloaded = False  # discovery is asked where the file says, whatever the environment does
         self.succeeded = False  # another process takes this node's clients
         self.hear_taken: list[Callable[[int], None]] = []  # hear the id of each req
         self.stopped: Callable[[], None] = lambda: None
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -239,6 +239,8 @@
         self.logged: asyncio.Queue[str] = asyncio.Queue()
         self.given: dict[str, Any] = {}  # what all processes of the node are told
         self.before = False  # one of them has served
+        self.environment: dict[str, str] = {}  # what they are told beside the file
+        self.watches: list[Peer] = []  # that the director has answered
 
     def line(self) -> str:
         """A first line with an id of its own."""
@@ -279,7 +281,9 @@
             self.shared = self.folder / ("t" * 120)
             self.shared.mkdir()
         given = {**self.given, "console": free(), **changes}
-        told = os.environ | configuration(self.folder, **given) | {"TMPDIR": str(self.shared)}
+        told = (
+            os.environ | configuration(self.folder, **given) | {"TMPDIR": str(self.shared)} | self.environment
+        )
         self.address = read_address(given["listen"])
         args = [sys.executable, "-m", "limerudder"]
         ran = await asyncio.create_subprocess_exec(*args, env=told, stderr=asyncio.subprocess.PIPE)
@@ -297,9 +301,8 @@
     async def _tell(self, listed: dict[str, Any]) -> None:
         """The director: each watch hears the list."""
         text = json.dumps(listed) + "\n"
-        kept = []
         while True:
-            kept.append(peer := await self.director.take())
+            self.watches.append(peer := await self.director.take())
             peer.say("HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "", f"{len(text):x}", text)
 
     async def up(self) -> Peer:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -286,6 +286,16 @@
         await here.up()
 
 
+async def a_successor_asks_discovery_where_sighup_had_it_asked(here: Loopback) -> None:
+    here.environment["PROXY_DISCOVERY"] = "127.0.0.1:9"
+    async with here.process() as old:
+        old.signal(signal.SIGHUP)
+        await old.says("config: read again")
+        async with here.process() as new:
+            await new.says("listening on")
+            assert len(here.watches) == 2, "the file's, as the old one"
+
+
 async def one_that_fails_to_start_leaves_the_old_one_as_it_was(here: Loopback) -> None:
     async with here.process() as old:
         async with here.process(console="{}:{}".format(*old.console)) as new:
@@ -311,6 +321,7 @@
     a_successor_serves_and_nobody_is_turned_away,
     the_old_one_takes_clients_again_where_the_new_one_dies,
     one_that_fails_to_start_leaves_the_old_one_as_it_was,
+    a_successor_asks_discovery_where_sighup_had_it_asked,
     a_stop_before_the_new_one_is_ready_hands_over_at_once,
     a_new_one_stopped_before_it_is_ready_leaves_the_old_one_as_it_was,
     stale_files_are_passed_over,
