List a host anew in one place, look for readiness by the timer alone, name one bound once

Found on reading the change again: node.py wrote the listing of one host anew twice (_by_hand, returned_elsewhere), Heir made a first look that could do nothing, and the bound on a hello stood in core and net alike.

--- a/limerudder/core/handover.py
+++ b/limerudder/core/handover.py
@@ -224,13 +224,13 @@
         self.node.returned_elsewhere(hello.returned, now)
         for req in hello.ids:
             self.node.taken_elsewhere(req)
-        self._look(now)
+        node.wheel.at(now + LOOK, self._look)
 
     def _look(self, now: int) -> None:
         # guards clients against a process that knows too little yet: the old one serves them meanwhile
         if not self.called:
             self.node.wheel.at(now + LOOK, self._look)
-            if now > self.started and (self.node.informed() or now >= self.started + READY_MOST):
+            if self.node.informed() or now >= self.started + READY_MOST:
                 self._call()
 
     def _call(self) -> None:
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -385,7 +385,7 @@
         """Staff hold this host."""
         self.counters.count("hosts_taken_out")
         self.log("hand", f"node: host {name} is taken out by hand")
-        self._by_hand(name, now)
+        self._relist(name, io.ListKind.HAND, now)
 
     def put_back(self, name: str, now: int) -> None:
         """Staff hold it no more: it may have been restarted, and nothing known of it holds."""
@@ -395,11 +395,11 @@
             backend = self.backends[self.numbers[name]]
             backend.back_at, backend.returning = now, True
             backend.silence, backend.heard, backend.slow = Silence(), now, False
-        self._by_hand(name, now)
+        self._relist(name, io.ListKind.HAND, now)
 
-    def _by_hand(self, name: str, now: int) -> None:
+    def _relist(self, name: str, kind: io.ListKind, now: int) -> None:
         if self.lists(name) and (host := self.backends[self.numbers[name]].host):
-            self._list(HostList(self.director.version, False, (host,)), io.ListKind.HAND, now)
+            self._list(HostList(self.director.version, False, (host,)), kind, now)
 
     # reqs
 
@@ -608,10 +608,7 @@
             if name in self.numbers:
                 backend = self.backends[self.numbers[name]]
                 backend.back_at, backend.returning = at, at > now - RETURN
-                if backend.returning:
-                    self._by_hand(name, now)
-                elif host := backend.host:
-                    self._list(HostList(self.director.version, False, (host,)), io.ListKind.DELTA, now)
+                self._relist(name, io.ListKind.HAND if backend.returning else io.ListKind.DELTA, now)
 
     def holds(self) -> Holds:
         """What this process holds: descriptors for clients, and connections by backend."""
--- a/limerudder/net/handover.py
+++ b/limerudder/net/handover.py
@@ -9,13 +9,13 @@
 from contextlib import suppress
 from typing import NamedTuple
 
+from ..core.handover import MOST
 from ..core.link import Machine
 from .clock import Clock
 from .stream import Stream
 
 NAME = "handover"
 WAIT = 1.0  #: seconds for the old process to answer; one that hangs holds nobody up for longer
-MOST = 1 << 22
 MOST_SOCKETS = 4
 
 
