Add a command line, typed records for the operator's file, and the log's JSON form

The store and all later parts need a place for settings, commands and structured events; the node had one JSON file from the platform and print.

- limerudder/cli.py on click: node, check, completion; each imports what it needs.
Weighed: cyclopts (pulls in rich and attrs), argparse (no completion).
- limerudder/typed: a small part of CUE on Lark; schema.py holds the schema and the frozen objects.
All errors at once, with places.

--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -171,6 +171,16 @@
         return None, None
 
 
+def open_log(config: Config) -> Log:
+    """The log, as the operator's file has it where there is one."""
+    if config.operator is None:
+        return Log(config.name)
+    told = config.operator.log
+    log = Log(config.name, told.format, told.lines, told.per / 1e6)
+    log.through_structlog()
+    return log
+
+
 def bind_all(config: Config) -> list[socket.socket]:
     """The clients' socket, and that for datagrams where peers may talk."""
     sockets = [bind(config.listen, socket.SOCK_STREAM, shared=True)]
@@ -188,7 +198,7 @@
             config = replace(config, sockets=min(config.sockets, most))
         # what the node is allowed, and not more: a socket too many fails here instead of breaking the limit
         resource.setrlimit(resource.RLIMIT_NOFILE, (config.sockets, most))
-        uvloop.run(serve(config, Log(config.name), os.environ))
+        uvloop.run(serve(config, open_log(config), os.environ))
     except ConfigError as exc:
         print(f"limerudder: {exc}", file=sys.stderr)
         return 2
--- a/limerudder/config.py
+++ b/limerudder/config.py
@@ -6,7 +6,7 @@
 import os
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from firgrade.interface import Settings
 from firgrade.settings import flatten, read_settings
@@ -14,6 +14,9 @@
 from .core.director import HostList, read_hosts
 from .core.link import Address, read_address
 
+if TYPE_CHECKING:
+    from .schema import OperatorFile
+
 
 class ConfigError(Exception):
     """A configuration the node cannot start with."""
@@ -46,6 +49,7 @@
     peers_all: Address | None = None
     console: Address | None = None  # where operators call
     state: str | None = None  # the folder that outlives this process, where there is one
+    operator: OperatorFile | None = None  # what the operator's file says, where there is one
 
 
 def parse_address(text: object) -> Address:
@@ -74,6 +78,7 @@
         raise ConfigError(f"{path} lacks {exc}") from None
     except (TypeError, ValueError, AttributeError, OverflowError) as exc:
         raise ConfigError(f"{path}: {exc}") from None
+    config = replace(config, operator=load_operator_file(environment))
     shared = environment.get("TMPDIR")
     if not shared:
         return config
@@ -81,6 +86,24 @@
     return replace(config, state=os.path.join(shared, "limerudder-{}-{}".format(*config.listen)))
 
 
+def load_operator_file(environment: Mapping[str, str]) -> OperatorFile | None:
+    """The file that LIMERUDDER_FILE names, if it names one; ConfigError with all that is wrong with it."""
+    path = environment.get("LIMERUDDER_FILE")
+    if not path:
+        return None
+    # here, not above: the grammar's library is no part of a node that has no such file
+    from .schema import read_operator_file
+    from .typed.syntax import MOST_BYTES, FileError
+
+    try:
+        with open(path, "rb") as file:
+            return read_operator_file(file.read(MOST_BYTES + 1), path)
+    except OSError as exc:
+        raise ConfigError(f"cannot read {path}: {exc}") from None
+    except FileError as exc:
+        raise ConfigError(str(exc)) from None
+
+
 def load_again(environment: Mapping[str, str]) -> Config:
     """Read the file as it is now. Its `discovery` wins: the environment still holds that of the start."""
     return load({name: value for name, value in environment.items() if name != "PROXY_DISCOVERY"})
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,120 @@
+"""The command line, the log's forms, and what the node pays for them."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import click
+import pytest
+from click.testing import CliRunner
+
+from limerudder import exits
+from limerudder.cli import main
+from limerudder.config import ConfigError, load
+from limerudder.net.log import Log, Rate
+
+from .scripted import configuration
+
+ROOT = Path(__file__).parent.parent
+
+
+def run(*args: str) -> tuple[int, str, str]:
+    result = CliRunner().invoke(main, list(args), prog_name="limerudder")
+    return result.exit_code, result.stdout, result.stderr
+
+
+def test_check_says_good_or_everything_that_is_wrong(tmp_path: Path) -> None:
+    assert run("check", str(ROOT / "deploy/limerudder.cue"))[0] == exits.OK
+    bad = tmp_path / "bad.cue"
+    bad.write_text('log: {format: "xml", lines: 0}\nstroe: 1\n')
+    code, out, err = run("check", str(bad))
+    assert (code, out) == (exits.WRONG_INPUT, "")
+    assert err.count(f"{bad}:1:") == 2 and f"{bad}:2:1: stroe: no such field; did you mean store?" in err
+    assert err.endswith("has 3 errors\n")
+    assert run("check", str(tmp_path / "none"))[0] == exits.WRONG_INPUT
+    assert run("check")[0] == exits.WRONG_INPUT
+    schema = run("check", "--schema")[1]
+    told = json.loads(run("check", "--json", str(ROOT / "deploy/limerudder.cue"))[1])
+    assert "#Store" in schema and told["log"] == {"format": "text", "lines": 5, "per": 10_000_000}
+
+
+def test_every_command_has_help_with_an_example() -> None:
+    pending: list[tuple[tuple[str, ...], click.Command]] = [((), main)]
+    seen = 0
+    while pending:
+        words, command = pending.pop()
+        code, out, _ = run(*words, "--help")
+        assert code == 0 and "Example" in out and f"limerudder {' '.join(words)}".rstrip() in out, words
+        seen += 1
+        if isinstance(command, click.Group):
+            ctx = click.Context(command)
+            for name in command.list_commands(ctx):
+                inner = command.get_command(ctx, name)
+                assert inner
+                pending.append(((*words, name), inner))
+    assert seen >= 4
+    assert run("--version")[1].startswith("limerudder 0.")
+    for shell in ("bash", "zsh", "fish"):
+        assert "_LIMERUDDER_COMPLETE" in run("completion", shell)[1]
+
+
+def test_a_node_without_an_operators_file_loads_none_of_the_libraries_for_it() -> None:
+    heavy = ["click", "lark", "structlog", "msgspec", "sqlite3", "limerudder.store", "limerudder.typed"]
+    code = f"import sys, limerudder.__main__; print([m for m in {heavy} if m in sys.modules])"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT)
+    assert done.stdout == "[]\n", done.stderr
+
+
+def test_a_bad_operators_file_stops_a_node_at_its_start(tmp_path: Path) -> None:
+    file = tmp_path / "op.cue"
+    file.write_text("log: {lines: 9}")
+    environment = configuration(tmp_path) | {"LIMERUDDER_FILE": str(file)}
+    told = load(environment).operator
+    assert told and told.log.lines == 9
+    file.write_text("log: {lines: 9\n")
+    with pytest.raises(ConfigError, match=r"op.cue:2:1: the end of the file stands here"):
+        load(environment)
+    file.unlink()
+    with pytest.raises(ConfigError, match="cannot read"):
+        load(environment)
+
+
+@pytest.mark.parametrize("through", [False, True], ids=["by hand", "structlog"])
+def test_both_forms_hold_the_same_fields(capsys: pytest.CaptureFixture[str], through: bool) -> None:
+    def lines(format: str) -> list[str]:
+        log = Log("n0", format, most=2, while_=60.0)
+        if through:
+            log.through_structlog()
+        for n in range(4):
+            log("silent", f"node: backend s-{n} is silent; moving 3 connections")
+        log.rate.kinds["silent"] = (-1e9, 4)  # the while is over
+        log("silent", "node: again")
+        log("fault f", "module: bad")
+        return capsys.readouterr().err.splitlines()
+
+    text, objects = lines("text"), [json.loads(line) for line in lines("json")]
+    assert text == [
+        "limerudder n0: node: backend s-0 is silent; moving 3 connections",
+        "limerudder n0: node: backend s-1 is silent; moving 3 connections",
+        "limerudder n0: node: again (2 more like this not shown)",
+        "limerudder n0: module: bad",
+    ]
+    assert [one["event"] for one in objects] == ["host.silent"] * 3 + ["module.fault"]
+    assert objects[2] == {
+        "node": "n0",
+        "event": "host.silent",
+        "level": "warning",
+        "text": "node: again",
+        "left_out": 2,
+    }
+    assert objects[3]["level"] == "error"
+
+
+def test_the_rate_is_a_step_of_its_own() -> None:
+    rate = Rate(1, 60.0)
+    assert rate(None, "info", {"kind": "a"}) is not None
+    assert rate(None, "info", {"kind": "a"}) is None
+    assert rate(None, "info", {"kind": "b"}) is not None
--- /dev/null
+++ b/tests/test_typed.py
@@ -0,0 +1,171 @@
+"""The operator's file: what it may say, and that everything wrong with it is told, whatever it holds."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from limerudder.schema import SCHEMA, LogSettings, OperatorFile, read_operator_file
+from limerudder.typed.load import load
+from limerudder.typed.syntax import MOST_BYTES, MOST_DEPTH, MOST_ERRORS, FileError
+
+LAB = r"""
+#Member: {name: string, address: string & =~"^[0-9.:]+$"}
+#Lab: {
+    mode:     *"off" | "on"
+    count:    *3 | int & >=1 & <=9
+    wait:     *250ms | duration & >0ms
+    room:     *2MiB | size & <=1GiB
+    share:    *0.5 | number & >=0 & <=1
+    note?:    string
+    members:  [...#Member]
+    limits:   {[string]: int & >=0}
+    either:   *{kind: "a", depth: *1 | int} | {kind: "b", width: int}
+    pair?:    [int, string]
+}
+"""
+LEAST = "members: []\nlimits: {}\n"
+
+
+def lab(text: str) -> dict[str, Any]:
+    return load(text, "lab.cue", LAB, "#Lab")
+
+
+def errors(text: str) -> list[str]:
+    with pytest.raises(FileError) as caught:
+        lab(text)
+    return [str(error) for error in caught.value.errors]
+
+
+def test_an_empty_file_is_all_defaults() -> None:
+    assert read_operator_file("", "x.cue") == OperatorFile(LogSettings(), None)
+    assert lab(LEAST) == {
+        "mode": "off",
+        "count": 3,
+        "wait": 250_000,
+        "room": 2 << 20,
+        "share": 0.5,
+        "members": [],
+        "limits": {},
+        "either": {"kind": "a", "depth": 1},
+    }
+
+
+def test_definitions_references_units_lists_and_alternatives() -> None:
+    text = """
+    #Base: {name: string, address: "127.0.0.1:7", ...}
+    base: 7   // a field of its own would not be let in
+    """
+    assert any("base: no such field" in line for line in errors(text + LEAST))
+    told = lab("""
+    #Here: "127.0.0.1:7"
+    members: [{name: "a", address: #Here}, #Member & {name: "b", address: "1.2.3.4:5"}]
+    limits: {x: 1, "with space": 2_000}
+    wait: 1.5s, room: 64KiB
+    either: {kind: "b", width: 4}
+    note: "line\\n"
+    pair: [1, "x"]
+    mode: "on" | "off" & "off" | "on"
+    count: >=2 & 4
+    """)
+    assert told["members"] == [
+        {"name": "a", "address": "127.0.0.1:7"},
+        {"name": "b", "address": "1.2.3.4:5"},
+    ]
+    assert told["limits"] == {"x": 1, "with space": 2000} and told["wait"] == 1_500_000
+    assert told["room"] == 65536 and told["either"] == {"kind": "b", "width": 4}
+    assert told["note"] == "line\n" and told["pair"] == [1, "x"] and told["count"] == 4
+
+
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        ("mode: 'x'", 'lab.cue:1:7: "\'" stands here, expected'),
+        ('mode: "maybe"', 'lab.cue:1:7: mode: "maybe" stands here, expected "off" | "on"'),
+        ("count: 10", "lab.cue:1:8: count: 10 stands here, expected 3 | int & >=1 & <=9"),
+        ("count: 2.5", "count: 2.5 stands here"),
+        ("wait: 3", "wait: 3 stands here, expected 250ms | duration & >0ms"),
+        ("wait: 3days", "3days has the unit days; there are us, ms, s"),
+        ("cuont: 3", "lab.cue:1:1: cuont: no such field; did you mean count?"),
+        ("members: [{name: 3, address: #Nowhere}]", "#Nowhere is not defined"),
+        ("members: [{name: 3}]", "members.0.name: 3 stands here, expected string"),
+        ('members: [{name: "a"}]', "members.0.address: nothing is said"),
+        ("limits: {x: -1}", "limits.x: -1 stands here, expected int & >=0"),
+        ('either: {kind: "b"}', "either.width: nothing is said, expected int"),
+        ('either: {kind: "c"}', "either"),
+        ("pair: [1]", "pair: a list of 1 items stands here, expected a list of 2 items"),
+        ("note: [1]", "note: a list of 1 items stands here, expected string"),
+        ('mode: "on"\nmode: "off"', 'mode: "on" stands here, expected "off"'),
+        ('note: "a" & "b"', 'stands here, expected "'),
+        ("count: count", "a reference leads back to itself"),
+        ("count: >=true", "true stands here, expected what has an order"),
+        ('note: =~"("', "is no regular expression"),
+        ('note: "\\q"', "is no string"),
+        ("mode", "lab.cue:2:1: members stands here, expected ':'"),
+        (LEAST + "mode", "lab.cue:3:5: the end of the file stands here, expected ':'"),
+        ("count: 3 }", "} stands here"),
+        ("[int]: 3", "[int] stands here, expected [string]"),
+        ("count: " + "9" * 5000, "a number of 5000 digits"),
+        ("note: " + "(" * (MOST_DEPTH + 1), f"nested deeper than {MOST_DEPTH} brackets"),
+        ("//" + "x" * MOST_BYTES, f"more than {MOST_BYTES} bytes"),
+    ],
+)
+def test_what_is_wrong_is_told_with_its_place(text: str, told: str) -> None:
+    found = errors(text + "\n" + LEAST if "members" not in text and "limits" not in text else text)
+    assert any(told in line for line in found), found
+
+
+def test_all_errors_are_told_at_once_and_in_order() -> None:
+    found = errors('mode: "x"\ncount: 0\nshare: 2\nnope: 1\nlimits: {a: "b"}\n')
+    assert [line.split(":")[1] for line in found] == ["1", "2", "3", "4", "5"]
+    assert len(errors("a: : 3\nb c: 2\nd: ]\ne: 1\n")) == 3, "syntax errors too, one a line"
+    assert len(errors("".join(f"x{n}: 1\n" for n in range(200)))) == MOST_ERRORS
+
+
+def test_bytes_that_are_no_text_are_an_error() -> None:
+    with pytest.raises(FileError, match="x.cue:2:1: bytes that are no UTF-8"):
+        read_operator_file(b"// fine\n\xff\xfe", "x.cue")
+
+
+def test_a_chain_of_references_is_bounded() -> None:
+    chain = "".join(f"#A{n}: #A{n + 1}\n" for n in range(500)) + "#A500: 3\ncount: #A0\n" + LEAST
+    assert any("or too far" in line for line in errors(chain))
+    doubling = "".join(f"#B{n}: {{a: #B{n + 1}, b: #B{n + 1}}}\n" for n in range(40)) + "#B40: 1\n"
+    assert any("or too far" in line for line in errors(doubling + "note: #B0\n" + LEAST))
+
+
+WORDS = ["#A", "count", "mode", "limits", ":", "?", "{", "}", "[", "]", "...", ",", "&", "|", "*", "(", ")"]
+WORDS += [
+    ">=",
+    "=~",
+    "!=",
+    "3",
+    "-1",
+    "2s",
+    "64KiB",
+    '"on"',
+    '"("',
+    "true",
+    "null",
+    "string",
+    "int",
+    ".",
+    "\n",
+]
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(
+    st.lists(st.sampled_from(WORDS), max_size=40).map(" ".join)
+    | st.text(max_size=60)
+    | st.binary(max_size=60)
+)
+def test_nothing_in_a_file_is_a_traceback(text: str | bytes) -> None:
+    for schema, root in ((LAB, "#Lab"), (SCHEMA, "#File")):
+        try:
+            load(text, "x.cue", schema, root)
+        except FileError as exc:
+            assert exc.errors and all(str(error).startswith("x.cue:") for error in exc.errors)
