--- /dev/null
+++ b/limerudder/store/raft/log.py
@@ -0,0 +1,103 @@
+"""The log in memory: the entries since the last snapshot, and who the members are at its end."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from .messages import Config, Entry, Kind, read_config
+
+
+class Log:
+    """Entries `base + 1` to `last`; those up to `base` stand in a snapshot."""
+
+    def __init__(self, base: int, base_term: int, config: Config) -> None:
+        self.base, self.base_term = base, base_term
+        self.entries: list[Entry] = []
+        self.bytes = 0
+        self.configs: list[tuple[int, Config]] = [(base, config)]  # each with its entry's index
+
+    @property
+    def last(self) -> int:
+        """The last entry's index."""
+        return self.base + len(self.entries)
+
+    @property
+    def last_term(self) -> int:
+        """The last entry's term."""
+        return self.entries[-1].term if self.entries else self.base_term
+
+    @property
+    def config(self) -> Config:
+        """Who the members are: by the last such entry, committed or not (4.1)."""
+        return self.configs[-1][1]
+
+    @property
+    def config_index(self) -> int:
+        """Where that entry stands."""
+        return self.configs[-1][0]
+
+    def config_at(self, index: int) -> Config:
+        """Who the members were as of an entry; not before `base`."""
+        return next(config for at, config in reversed(self.configs) if at <= index)
+
+    def term(self, index: int) -> int | None:
+        """The term of an entry; None where it is not here."""
+        if index == self.base:
+            return self.base_term
+        if self.base < index <= self.last:
+            return self.entries[index - self.base - 1].term
+        return None
+
+    def get(self, index: int) -> Entry:
+        """The entry of this index."""
+        return self.entries[index - self.base - 1]
+
+    def slice(self, first: int, most_bytes: int, most: int) -> tuple[Entry, ...]:
+        """Entries from `first` on: at least one where there is one, else within both bounds."""
+        found: list[Entry] = []
+        room = most_bytes
+        for entry in self.entries[first - self.base - 1 : first - self.base - 1 + most]:
+            room -= entry.size()
+            if room < 0 and found:
+                break
+            found.append(entry)
+        return tuple(found)
+
+    def append(self, entries: Sequence[Entry]) -> None:
+        """Put entries at the end."""
+        for entry in entries:
+            assert entry.index == self.last + 1, "the log has no gaps"
+            assert entry.term >= self.last_term, "terms never fall along the log"
+            self.entries.append(entry)
+            self.bytes += entry.size()
+            if entry.kind == Kind.CONFIG:
+                self.configs.append((entry.index, read_config(entry.data)))
+
+    def truncate(self, first: int) -> None:
+        """Take away all entries from `first` on, and with them what they said of the members."""
+        assert first > self.base
+        for entry in self.entries[first - self.base - 1 :]:
+            self.bytes -= entry.size()
+        del self.entries[first - self.base - 1 :]
+        while self.configs[-1][0] >= first:
+            self.configs.pop()
+
+    def compact(self, index: int) -> None:
+        """Let go of all entries up to `index`, which a snapshot holds."""
+        if index <= self.base:
+            return
+        assert index <= self.last
+        term, config = self.term(index), self.config_at(index)
+        assert term is not None
+        for entry in self.entries[: index - self.base]:
+            self.bytes -= entry.size()
+        del self.entries[: index - self.base]
+        self.base, self.base_term = index, term
+        self.configs = [(index, config), *((at, one) for at, one in self.configs if at > index)]
+
+    def agreeing(self, index: int, term: int) -> int:
+        """The last index up to `index` whose term is not over `term`: where two logs may still agree (5.3)."""
+        index = min(index, self.last)
+        while index > self.base and (self.term(index) or 0) > term:
+            index -= 1
+        return index
