--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Long measurements, each a command; results stand in docs/."""
--- a/limerudder/schema.py
+++ b/limerudder/schema.py
@@ -33,7 +33,7 @@
     snapshot_bytes:   *16MiB | size & >=64KiB & <=1GiB     // ... or so much of it
     value_most:       *64KiB | size & >=1KiB & <=512KiB    // of one value
     waiting_most:     *4096 | int & >=16 & <=100000        // writes that wait for their answer
-    history:          *10000 | int & >=10 & <=1000000      // changes that watches can go back by
+    history:          *10000 | int & >=100 & <=1000000     // changes that watches can go back by
 }
 
 #File: {
--- a/limerudder/store/raft/log.py
+++ b/limerudder/store/raft/log.py
@@ -96,7 +96,7 @@
         self.configs = [(index, config), *((at, one) for at, one in self.configs if at > index)]
 
     def agreeing(self, index: int, term: int) -> int:
-        """The last index up to `index` whose term is not over `term`: where two logs may still agree (5.3)."""
+        """The last index up to `index` whose term is not over `term`: two logs may agree up to it."""
         index = min(index, self.last)
         while index > self.base and (self.term(index) or 0) > term:
             index -= 1
--- a/limerudder/store/raft/machine.py
+++ b/limerudder/store/raft/machine.py
@@ -1,14 +1,14 @@
 """The machine: one member's part in the agreement.
 
-It is told what happens (`receive`, `tick`, `written`) and asked what to do (`take`). It does no I/O and reads no
-clock: every call brings the time, in microseconds of a clock that never goes back. Chance comes from the `Random`
-it is given, so that a run can be replayed.
+It is told what happens (`receive`, `tick`, `written`) and asked what to do (`take`). It does no I/O and reads
+no clock: every call brings the time, in microseconds of a clock that never goes back. Chance comes from the
+`Random` it is given, so that a run can be replayed.
 
 What a driver owes the machine, for each `Output` in its order:
 
 1. Send what is in `send` at once.
-2. Make `write` durable, whole or not at all, after all writes before it. Then send what is in `after`, and call
-   `written`. An `Output` without a write but with `after` waits for the writes before it.
+2. Make `write` durable, whole or not at all, after all writes before it. Then send what is in `after`, and
+   call `written`. An `Output` without a write but with `after` waits for the writes before it.
 3. Hand `install` and then `committed` to the records, in order.
 """
 
@@ -253,9 +253,8 @@
         if self.standing != Standing.LEADER:
             raise NotLeading(self.leader)
         number, self.next_read = self.next_read, self.next_read + 1
-        if (
-            self.commit < self.first
-        ):  # guards a read against what earlier leaders have committed unknown to us
+        if self.commit < self.first:
+            # guards a read against what earlier leaders have committed unknown to us
             self.early_reads.append(number)
         else:
             self._begin_read(number)
@@ -333,7 +332,7 @@
             self.transfer_to = NOBODY
         if now >= self.quorum_due:  # guards clients against a leader that is cut off (6.2)
             self.quorum_due = now + self.timing.election
-            active = {number for number, one in self.progress.items() if one.active or number == self.me}
+            active = {number for number, one in self.progress.items() if one.active} | {self.me}
             for one in self.progress.values():
                 one.active = False
             if not self._majority(active):
--- a/limerudder/store/raft/messages.py
+++ b/limerudder/store/raft/messages.py
@@ -91,7 +91,7 @@
 
 
 class Vote(Message, frozen=True, array_like=True, tag=True):
-    """A candidate asks for a vote; `pre` only whether it would get it (9.6), `transfer` at a leader's word."""
+    """Asks for a vote; `pre`: only whether it would be given (9.6), `transfer`: at a leader's word."""
 
     last_index: int
     last_term: int
@@ -151,7 +151,7 @@
 AnyMessage = Vote | Voted | Append | Appended | Piece | PieceHeld | TakeOver
 
 _encode = msgspec.msgpack.Encoder().encode
-_decode_config = msgspec.msgpack.Decoder(Config).decode
+_decode_config: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(Config)
 
 
 def write_config(config: Config) -> bytes:
@@ -161,7 +161,8 @@
 
 def read_config(data: bytes) -> Config:
     """A configuration from an entry; msgspec.DecodeError where it is none."""
-    return _decode_config(data)
+    config: Config = _decode_config.decode(data)
+    return config
 
 
 def as_dict(what: Any) -> Any:
--- /dev/null
+++ b/rigs/disks.py
@@ -0,0 +1,77 @@
+"""A disk in memory that keeps what `limerudder.store.disk` keeps, and loses what a crash loses."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+
+from limerudder.store.doorman import Boot, Shown
+from limerudder.store.ledger import Fact, read_fact, write_fact
+from limerudder.store.member import Job, Start
+from limerudder.store.raft.machine import HardState, Saved
+from limerudder.store.raft.messages import Config, Entry, Snapshot, SnapshotMeta
+
+
+@dataclass
+class MemoryDisk:
+    """What is durable."""
+
+    config: Config
+    hard: HardState = HardState(0, 0)
+    log: dict[int, Entry] = field(default_factory=dict)
+    snapshot: Snapshot | None = None
+    incoming: tuple[SnapshotMeta, tuple[bytes, ...]] | None = None
+    facts: dict[int, bytes] = field(default_factory=dict)
+    known: dict[str, tuple[int, bytes | None]] = field(default_factory=dict)
+    boot: Boot = Boot(0, 0)
+    shown: dict[int, Shown] = field(default_factory=dict)
+
+    def copy(self) -> MemoryDisk:
+        """The disk as it is now."""
+        return replace(
+            self, log=dict(self.log), facts=dict(self.facts), known=dict(self.known), shown=dict(self.shown)
+        )
+
+    def do(self, job: Job) -> Snapshot | None:
+        """Make a job durable; gives the snapshot that was built for it."""
+        write = job.write
+        if write:
+            if write.hard:
+                self.hard = write.hard
+            if write.truncate is not None:
+                self._drop(lambda index: index >= (write.truncate or 0))
+            for meta, number, data in write.pieces:
+                held = self.incoming[1] if self.incoming and self.incoming[0] == meta and number else ()
+                assert number == len(held), "pieces come in order"
+                self.incoming = meta, (*held, data)
+            if write.install:
+                assert self.incoming and self.incoming[0] == write.install
+                self.snapshot, self.incoming = Snapshot(*self.incoming), None
+                upto = write.install.index
+                self._drop((lambda index: index <= upto) if write.keep else (lambda index: True))
+            for entry in write.entries:
+                assert entry.index not in self.log, "an entry is written once, or truncated first"
+                self.log[entry.index] = entry
+        built = None
+        if job.snapshot:
+            built = self.snapshot = job.snapshot.build()
+            keep_from = job.snapshot.keep_from
+            self._drop(lambda index: index < keep_from)
+        for fact_number, fact in job.facts:
+            self.facts[fact_number] = write_fact(fact)
+        for fact_number in job.gone_facts:
+            self.facts.pop(fact_number, None)
+        for key, modified, value in job.known:
+            self.known[key] = modified, value
+        return built
+
+    def _drop(self, goes: object) -> None:
+        assert callable(goes)
+        for index in [index for index in self.log if goes(index)]:
+            del self.log[index]
+
+    def start(self) -> Start:
+        """What a member starts with."""
+        entries = [self.log[index] for index in sorted(self.log)]
+        facts: dict[int, Fact] = {number: read_fact(data) for number, data in self.facts.items()}
+        saved = Saved(self.hard, self.snapshot, entries, self.config, self.incoming)
+        return Start(saved, facts, dict(self.known))
