--- a/limerudder/cli.py
+++ b/limerudder/cli.py
@@ -55,8 +55,8 @@
 
 @click.group(
     cls=Lazily,
-    elsewhere={},
-    epilog=EXAMPLES + "  limerudder node\n  limerudder check limerudder.cue",
+    elsewhere={"state": (".store.cli", "state", "Look after the replicated store.")},
+    epilog=EXAMPLES + "  limerudder node\n  limerudder check limerudder.cue\n  limerudder state status",
     context_settings={"help_option_names": ["-h", "--help"]},
 )
 @click.version_option(__version__, message="limerudder %(version)s")
--- a/limerudder/store/member.py
+++ b/limerudder/store/member.py
@@ -16,6 +16,7 @@
 
 from . import records as rec
 from . import talk
+from .doorman import Shown
 from .ledger import HOSTS, Fact, Known, Ledger
 from .raft.machine import ChangeError, NotLeading, Output, Raft, Saved, Standing, Timing, Write, digest
 from .raft.messages import Append, Config, Kind, Role, Snapshot, SnapshotMeta
@@ -65,6 +66,7 @@
     facts: tuple[tuple[int, Fact], ...] = ()
     gone_facts: tuple[int, ...] = ()
     known: tuple[tuple[str, int, bytes | None], ...] = ()  # key, revision, value
+    shown: tuple[tuple[int, Shown], ...] = ()  # what members have shown of their disks
 
 
 @dataclass(slots=True)
@@ -120,8 +122,9 @@
         now: int,
         limits: Limits | None = None,
         timing: Timing | None = None,
+        check: Callable[[Txn, int], str] = rec.check_txn,
     ) -> None:
-        self.me, self.limits, self.random = me, limits or Limits(), random
+        self.me, self.limits, self.random, self.check = me, limits or Limits(), random, check
         self.raft = Raft(me, start.saved, random, now, timing)
         self.records = Records(self.limits.history)
         if start.saved.snapshot:
@@ -133,6 +136,7 @@
             self.ledger.learn(key.removeprefix(HOSTS), modified, value)
         self.ledger.new_known.clear()  # that is durable
         self.new_known: dict[str, tuple[int, bytes | None]] = {}
+        self.new_shown: dict[int, Shown] = {}  # to be made durable, for the doorman
         self.jobs = 0
         self.raft_writes: dict[int, int] = {}  # by job, the machine's write
         self.snapshotting = False
@@ -151,8 +155,7 @@
         self.fact_jobs: dict[int, list[int]] = {}  # by job
         self.fresh = now  # when this member last had all that it knew to be committed
         self.session, self.session_asked = 0, False
-        self.serial, self.seen = 0, set[int]()
-        self.seen_upto = 0
+        self.serials = rec.Serials()
         self.push_due = now
         self.on_change: list[
             Callable[[int], None]
@@ -196,7 +199,7 @@
         self, command: rec.Command, deadline: int, done: Callable[[Result | Failure, int], None], now: int
     ) -> None:
         """Have a command applied; `done` hears its result. A `Do` may be given again with the same serial."""
-        if isinstance(command, Do) and (wrong := rec.check_txn(command.txn, self.limits.value)):
+        if isinstance(command, Do) and (wrong := self.check(command.txn, self.limits.value)):
             return done(Failure("refused", wrong), now)
 
         def told(outcome: bytes | Failure, at: int) -> None:
@@ -467,7 +470,8 @@
     def _job(self, write: Write | None) -> Job | None:
         ledger = self.ledger
         snapshot = self._snapshot_due()
-        if not (write or snapshot or ledger.new_facts or ledger.gone_facts or self.new_known):
+        ledgers = ledger.new_facts or ledger.gone_facts
+        if not (write or snapshot or ledgers or self.new_known or self.new_shown):
             return None
         self.jobs += 1
         job = Job(
@@ -477,12 +481,13 @@
             tuple(ledger.new_facts),
             tuple(ledger.gone_facts),
             tuple((key, modified, value) for key, (modified, value) in self.new_known.items()),
+            tuple(self.new_shown.items()),
         )
         if write:
             self.raft_writes[job.number] = write.number
         if ledger.new_facts:
             self.fact_jobs[job.number] = [number for number, _ in ledger.new_facts]
-        ledger.new_facts, ledger.gone_facts, self.new_known = [], [], {}
+        ledger.new_facts, ledger.gone_facts, self.new_known, self.new_shown = [], [], {}, {}
         ledger.new_known.clear()
         return job
 
@@ -497,10 +502,14 @@
 
     def snapshot_now(self) -> SnapshotJob:
         """Begin a snapshot of the records as they are."""
+        self.snapshotting = True
+        return self.frozen_now()
+
+    def frozen_now(self) -> SnapshotJob:
+        """The records as they are, to be written out beside the member."""
         log, applied = self.raft.log, self.records.applied
         term = log.term(applied)
         assert term is not None
-        self.snapshotting = True
         keep_from = max(applied - self.limits.keep_entries, log.base) + 1
         return SnapshotJob(
             applied, term, log.config_at(applied), self.records.freeze(self.limits.piece), keep_from
@@ -521,14 +530,13 @@
                 self._push_one(host, push[0], now)
 
     def _push_one(self, host: str, txn: Txn, now: int) -> None:
-        self.serial += 1
-        serial = self.serial
+        serial = self.serials.next()
 
         session = self.session
 
         def done(outcome: Result | Failure, at: int) -> None:
             if session == self.session:
-                self._seen(serial)
+                self.serials.done(serial)
             if isinstance(outcome, Failure):
                 return self.ledger.pushed(host, None)
             if outcome.error:
@@ -538,15 +546,9 @@
             revision = outcome.revision if outcome.ok else None
             self.once_applied(outcome.index, lambda _: self.ledger.pushed(host, revision), at)
 
-        command = Do(session, serial, self.seen_upto, txn)
+        command = Do(session, serial, self.serials.seen, txn)
         self.write(command, now + 20 * PUSH_AGAIN, done, now)
 
-    def _seen(self, serial: int) -> None:
-        self.seen.add(serial)
-        while self.seen_upto + 1 in self.seen:
-            self.seen_upto += 1
-            self.seen.discard(self.seen_upto)
-
     def _open_session(self, now: int) -> None:
         if self.session_asked:
             return
@@ -555,8 +557,7 @@
         def done(outcome: Result | Failure, at: int) -> None:
             self.session_asked = False
             if isinstance(outcome, Result):
-                self.session, self.serial, self.seen_upto = outcome.index, 0, 0
-                self.seen.clear()
+                self.session, self.serials = outcome.index, rec.Serials()
                 self._push(at)
 
         self.write(Open(), now + 20 * PUSH_AGAIN, done, now)
--- a/limerudder/store/records.py
+++ b/limerudder/store/records.py
@@ -136,6 +136,26 @@
         self.results = results or {}
 
 
+class Serials:
+    """A session as its writer keeps it: the last serial, and up to which all have been answered."""
+
+    def __init__(self) -> None:
+        self.last = self.seen = 0
+        self.answered: set[int] = set()
+
+    def next(self) -> int:
+        """A new one."""
+        self.last += 1
+        return self.last
+
+    def done(self, serial: int) -> None:
+        """It has been answered, or will not be said again."""
+        self.answered.add(serial)
+        while self.seen + 1 in self.answered:
+            self.seen += 1
+            self.answered.discard(self.seen)
+
+
 class _Head(msgspec.Struct, frozen=True, array_like=True):
     format: int
     applied: int
--- /dev/null
+++ b/limerudder/store/store.py
@@ -0,0 +1,223 @@
+"""The store in a process: one member with its disk, its connections and its time. It decides nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import socket
+from collections import deque
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from ..schema import StoreSettings
+from . import talk
+from .checks import check
+from .disk import Disk
+from .doorman import BUILD, Doorman, Hello
+from .ledger import Drain
+from .member import Job, Limits, Member
+from .raft.machine import Standing, Timing
+from .raft.messages import Appended, Config, Snapshot
+from .transport import Hall, Net, Writer
+
+TICK = 0.01  #: seconds between looks at what is due; elections and signs of life are far coarser
+END_WAIT = 0.5  #: seconds for the last jobs at a planned end
+
+Log = Callable[[str, str], None]
+
+
+class Store(Hall):
+    """One member, running. All calls come from its loop; `now` is in microseconds and never goes back."""
+
+    def __init__(self, settings: StoreSettings, log: Log, now: Callable[[], int]) -> None:
+        """Open the folder: DiskError where it cannot be used."""
+        self.settings, self.log, self.now = settings, log, now
+        self.disk = Disk(settings.folder)
+        try:
+            self.opened = opened = self.disk.load()
+        except Exception:
+            self.disk.close()
+            raise
+        limits = Limits(
+            settings.snapshot_entries,
+            settings.snapshot_bytes,
+            min(Limits().keep_entries, settings.snapshot_entries),
+            settings.waiting_most,
+            settings.value_most,
+            history=settings.history,
+        )
+        timing = Timing(settings.election, settings.heartbeat)
+        random = Random(secrets.randbits(64))
+        me = opened.identity.me
+        self.member = Member(me, opened.start, random, now(), limits, timing, check)
+        self.doorman = Doorman(opened.identity.cluster, me, opened.shown)
+        self.durable_term = opened.start.saved.hard.term
+        self.net = Net(self, me, log)
+        self.afters: deque[tuple[int, list[tuple[int, talk.Any]]]] = deque()  # by the job they wait for
+        self.given = self.done = 0  # jobs
+        self.pumping = self.closed = False
+        self.leader = -1
+        self.config: Config | None = None
+        self.loop = asyncio.get_running_loop()
+        self.writer: Writer | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+    async def run(self, sock: socket.socket) -> None:
+        """Begin to talk, at a bound socket."""
+        self.writer = Writer(self.disk, self._durable, self.log)
+        await self.net.listen(sock)
+        self._tick()
+
+    def close(self) -> None:
+        """End; what waits for the disk is written first, as far as that is quick."""
+        if self.closed:
+            return
+        self.closed = True
+        if self.timer:
+            self.timer.cancel()
+        if self.member.leads:  # guards clients against an election that nobody saw coming
+            self.member.raft.yield_lead(self.now())
+            out = self.member.take(self.now())
+            for to, message in out.send if out else ():
+                self.net.send(to, message)
+        self.net.close()
+        if self.writer:
+            self.writer.close(END_WAIT)
+        else:
+            self.disk.close()
+
+    # Hall
+
+    def hello(self, to: int) -> Hello:
+        """Ours."""
+        identity, raft = self.opened.identity, self.member.raft
+        last = max(min(raft.durable, raft.log.last), raft.log.base)
+        return Hello(
+            BUILD, identity.cluster, identity.me, to, identity.name, self.opened.boot, self.durable_term, last
+        )
+
+    def judge(self, hello: Hello) -> str:
+        """Theirs."""
+        why = self.doorman.judge(hello, self.member.config, self.member.leads)
+        self.member.new_shown.update(self.doorman.new)
+        self.doorman.new.clear()
+        self.pump_soon()
+        return why
+
+    def heard(self, sender: int, message: talk.Any) -> None:
+        """A message."""
+        if isinstance(message, Appended) and message.ok:
+            self.doorman.acknowledged(sender, message.term, message.index)
+        self.member.receive(sender, message, self.now())
+        self.pump_soon()
+
+    # the pump
+
+    def pump_soon(self) -> None:
+        """Carry out what the member wants, once: all of this round's events share a write and a message."""
+        if not self.pumping and not self.closed:
+            self.pumping = True
+            self.loop.call_soon(self._pump)
+
+    def _pump(self) -> None:
+        self.pumping = False
+        if self.closed or self.writer is None:
+            return
+        while out := self.member.take(self.now()):
+            for to, message in out.send:
+                self.net.send(to, message)
+            if out.job:
+                self.given = out.job.number
+                self.writer.put(out.job)
+            if out.after:
+                if self.done >= self.given:
+                    self._send(out.after)
+                else:
+                    self.afters.append((self.given, out.after))
+        raft = self.member.raft
+        if raft.log.config != self.config:
+            self.config = raft.log.config
+            self.net.follow(self.config)
+        if raft.leader != self.leader and (raft.leader or raft.standing == Standing.FOLLOWER):
+            self.leader = raft.leader
+            one = self.member.config.get(self.leader)
+            who = f"{one.name} leads" if one else "nobody leads"
+            self.log("store-lead", f"store: {who} in term {raft.term}")
+
+    def _send(self, messages: list[tuple[int, talk.Any]]) -> None:
+        for to, message in messages:
+            self.net.send(to, message)
+
+    def _durable(self, jobs: list[Job], results: list[Snapshot | None]) -> None:
+        """The disk has these; now what waited for them may leave."""
+        now = self.now()
+        for job, snapshot in zip(jobs, results, strict=True):
+            self.done = job.number
+            if job.write and job.write.hard:
+                self.durable_term = job.write.hard.term
+            for _, fact in job.facts:
+                if isinstance(fact, Drain):
+                    self.log(
+                        "drain", f"store: host {fact.host} drains; remembered for its start {fact.started_ms}"
+                    )
+            self.member.written(job.number, snapshot, now)
+        while self.afters and self.afters[0][0] <= self.done:
+            self._send(self.afters.popleft()[1])
+        if not self.closed:
+            self._pump()
+
+    def _tick(self) -> None:
+        if not self.closed:
+            self.timer = self.loop.call_later(TICK, self._tick)
+            self.member.tick(self.now())
+            self._pump()
+
+    # for people
+
+    def status(self) -> dict[str, Any]:
+        """How it stands."""
+        member, raft, now = self.member, self.member.raft, self.now()
+        leader = member.config.get(raft.leader)
+        return {
+            "cluster": f"{self.opened.identity.cluster:016x}",
+            "name": self.opened.identity.name,
+            "member": f"{member.me:016x}",
+            "standing": raft.standing.name.lower(),
+            "leader": leader.name if leader else "",
+            "term": raft.term,
+            "revision": member.records.revision,
+            "committed": raft.commit,
+            "applied": member.records.applied,
+            "log_from": raft.log.base + 1,
+            "log_to": raft.log.last,
+            "age_ms": member.age(now) // 1000,
+            "keys": len(member.records.items),
+            "sessions": len(member.records.sessions),
+            "waiting": len(member.wishes),
+            "facts_waiting": len(member.ledger.facts),
+            "disk_failing": self.writer.failing if self.writer else "",
+            "disk_stuck": raft.stuck(now),
+            "dropped": self.net.dropped,
+            "start": self.opened.boot.number,
+        }
+
+    def members(self) -> list[dict[str, Any]]:
+        """Who they are, and how far each is as far as this member knows."""
+        raft, now = self.member.raft, self.now()
+        rows = []
+        for one in self.member.config.members:
+            seen = raft.progress.get(one.id)
+            rows.append(
+                {
+                    "name": one.name,
+                    "member": f"{one.id:016x}",
+                    "address": one.address,
+                    "role": one.role.name.lower(),
+                    "leads": one.id == raft.leader,
+                    "connected": one.id == self.member.me or one.id in self.net.dialled,
+                    "match": seen.match if seen else raft.durable if one.id == self.member.me else None,
+                    "heard_ms": (now - seen.heard) // 1000 if seen else None,
+                }
+            )
+        return rows
--- a/rigs/cluster.py
+++ b/rigs/cluster.py
@@ -310,7 +310,7 @@
                 if why:
                     self.refused.append(why)
                     return
-                door.disk.shown.update(door.doorman.new)
+                door.member.new_shown.update(door.doorman.new)
                 door.doorman.new.clear()
             server.met[sender.number] = life, server.life
             sender.met[to] = server.life, life
--- a/rigs/disks.py
+++ b/rigs/disks.py
@@ -62,6 +62,7 @@
             self.facts.pop(fact_number, None)
         for key, modified, value in job.known:
             self.known[key] = modified, value
+        self.shown.update(job.shown)
         return built
 
     def _drop(self, goes: object) -> None:
