Join the store to the node: drains, hands, settings and the last list outlive the process

A node that restarts knew only its last list. With a store in the operator's file it serves at once from what is durable here, keeps drains and hands' holds with or without a quorum, and hands them on to a successor; without one nothing of the store is loaded.

--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -11,16 +11,19 @@
 import sys
 from collections.abc import Callable, Mapping
 from dataclasses import replace
+from functools import partial
 
 import uvloop
 
 from .config import Config, ConfigError, load, load_again
 from .core.client import LineSession
-from .core.console import CallError, Console, ConsoleSession
+from .core.console import CallError, Console, ConsoleSession, Later
 from .core.director import ListError
 from .core.handover import Asker, Elder, Heir, Hello, read_hello
 from .core.link import Address, Caller
+from .core.maintenance import Marks, Memory
 from .core.node import Node
+from .keeping import Keeping
 from .net.clock import Clock
 from .net.handover import Folder, Legacy, Offer, ask, join
 from .net.listen import Door, bind, listen
@@ -52,13 +55,18 @@
     loop, clock, stopped = asyncio.get_running_loop(), Clock(), asyncio.Event()
     folder = open_folder(config, log)
     legacy, hello = take_over(folder, log)
+    keeping = Keeping(config, log, clock)
+    if not hello:
+        config = keeping.open(config)
     if hello:
         # guards a successor against an environment that SIGHUP has overruled at the process before it
         where = load_again(environment).discovery if hello.reloaded else config.discovery
         config = replace(config, known=hello.hosts, discovery=where)
     sockets = legacy.sockets if legacy else bind_all(config)
     network = Network(Dialler(loop, clock))
-    node = Node(config, network, log, clock.now(), Files(folder.path) if folder else None)
+    marks: Marks = Files(folder.path) if folder else Memory()
+    recall = keeping.recall(hello.drained if hello else {})
+    node = Node(config, network, log, clock.now(), keeping.marks(marks), recall)
     node.stopped, node.reloaded = stopped.set, bool(hello and hello.reloaded)
     peers = Peers(config.peers, config.peers_all, lambda n, data: node.heard(n, data, clock.now()))
     network.peers = peers
@@ -93,11 +101,11 @@
     console.offer("status", status)
     console.offer("stats", lambda _, now: node.figures.text(node.gauges(now)) + "end\n")
 
-    def by_hand(call: Callable[[str, int], bool]) -> Callable[[str, int], str]:
-        def answer(name: str, now: int) -> str:
+    def by_hand(call: Callable[[str, int], bool]) -> Callable[[str, int], str | Later]:
+        def answer(name: str, now: int) -> str | Later:
             try:
                 if call(name, now):
-                    return "done\n"
+                    return keeping.done(name)
             except OSError as exc:  # guards a yes that would not outlive this process
                 raise CallError(f"cannot write that down: {exc.strerror}") from None
             raise CallError("no such host")
@@ -137,13 +145,17 @@
         await listen(lambda: Stream(ConsoleSession(console), clock), calls)
     heir = None
     if legacy and hello:
-        heir = Heir(node, hello, enter, clock.now())
+        # the store's folder is the old process's until it has ended
+        over = partial(keeping.attach_soon, node, marks, elder)
+        heir = Heir(node, hello, enter, clock.now(), over)
         await join(legacy.line, heir, clock)
     else:
+        await keeping.attach(node, elder)
         await serving()
     tick()
     gc.freeze()
     await stopped.wait()
+    keeping.close()
     door.close()
     log("end", f"counters: {node.counters.text()}")
 
--- a/limerudder/core/console.py
+++ b/limerudder/core/console.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 
 from .counters import Counters
 from .link import Link
@@ -13,7 +14,23 @@
 PATIENCE = 5_000_000  #: for a call to come whole
 LINGER = 1_000_000  #: for a caller to read its answer and to close first
 
-Call = Callable[[str, int], str]  #: what follows the call's name, and the time; gives the answer
+
+class Later:
+    """An answer that is given once something has been done."""
+
+    def __init__(self) -> None:
+        self.text: str | None = None
+        self.hear: Callable[[str, int], None] | None = None
+
+    def settle(self, text: str, now: int) -> None:
+        """Give the answer; only the first counts."""
+        if self.text is None:
+            self.text = text
+            if self.hear:
+                self.hear(text, now)
+
+
+Call = Callable[[str, int], str | Later]  #: what follows the call's name, and the time; gives the answer
 
 
 class CallError(Exception):
@@ -32,7 +49,7 @@
         """Have `name` answered by `call`; `takes` where a word follows the name."""
         self.calls[name] = call, takes
 
-    def answer(self, line: bytes, now: int) -> str:
+    def answer(self, line: bytes, now: int) -> str | Later:
         """What is answered to a line."""
         self.counters.count("calls")
         name, _, rest = line.decode("ascii", "replace").strip().partition(" ")
@@ -101,8 +118,14 @@
     def crowded(self, on: bool) -> None:
         """An answer is short."""
 
-    def _say(self, answer: str, now: int) -> None:
+    def _say(self, answer: str | Later, now: int) -> None:
         self.answered, self.text = True, b""
+        if isinstance(answer, Later) and answer.text is None:
+            answer.hear = self._say
+            late = "error that is not written down yet; it holds here, and is tried on\n"
+            self.timer.set(now + PATIENCE, partial(answer.settle, late))
+            return
+        answer = answer if isinstance(answer, str) else answer.text or ""
         if self.link:
             self.link.write(answer.encode())
             self.link.finish()
--- a/limerudder/core/handover.py
+++ b/limerudder/core/handover.py
@@ -2,7 +2,7 @@
 
 The old one's first line is JSON: its list of hosts, the ids in use and the descriptors it holds for clients.
 Then it says `taken ID` for each req it takes, `holds JSON` for its descriptors and its connections at each
-backend, and `stopping`; the new one says `serving`.
+backend, `drained START HOST` for each drain it comes to know, and `stopping`; the new one says `serving`.
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 
 from .director import HostList, ListError, read_hosts, write_hosts
 from .link import Link
+from .recall import Inherited, Recall
 from .wheel import Wheel
 
 SECOND = 1_000_000
@@ -42,6 +43,7 @@
     holds: Holds
     returned: dict[str, int]  # when staff put hosts back
     reloaded: bool  # it was told to ask discovery where the file says
+    drained: dict[str, int]  # starts that are remembered to drain, by host
 
 
 def read_hello(line: bytes) -> Hello:
@@ -51,7 +53,8 @@
         ids = tuple(int(one, 16) for one in given["ids"])
         returned = {str(name): int(at) for name, at in given["returned"].items()}
         holds, reloaded = read_holds(given["holds"]), bool(given["reloaded"])
-        return Hello(read_hosts(given["hosts"]), ids, holds, returned, reloaded)
+        drained = {str(name): int(start) for name, start in given.get("drained", {}).items()}
+        return Hello(read_hosts(given["hosts"]), ids, holds, returned, reloaded, drained)
     except (KeyError, TypeError, ValueError, AttributeError, RecursionError) as exc:
         raise ListError(f"bad hello: {type(exc).__name__} {exc}") from None
 
@@ -64,6 +67,10 @@
     succeeded: bool
     reloaded: bool
     hear_taken: list[Callable[[int], None]]
+    recall: Recall | None
+
+    def relist(self, name: str, now: int) -> None:
+        """Tell the module of a host anew."""
 
     def log(self, kind: str, text: str) -> None:
         """A line for whoever is on call."""
@@ -153,6 +160,7 @@
             "holds": self.node.holds()._asdict(),
             "returned": self.node.returned(),
             "reloaded": self.node.reloaded,
+            "drained": self.node.recall.drained() if self.node.recall else {},
         }
         return json.dumps(given).encode() + b"\n"
 
@@ -214,11 +222,18 @@
 
 
 class Heir(Words):
-    """The successor's side: `ready` is called once, when it is to take clients."""
-
-    def __init__(self, node: Serving, hello: Hello, ready: Callable[[], None], now: int) -> None:
+    """The successor's side: `ready` is called once, when it is to take clients, `over` when it is alone."""
+
+    def __init__(
+        self,
+        node: Serving,
+        hello: Hello,
+        ready: Callable[[], None],
+        now: int,
+        over: Callable[[], None] = lambda: None,
+    ) -> None:
         super().__init__()
-        self.node, self.ready, self.started = node, ready, now
+        self.node, self.ready, self.over, self.started = node, ready, over, now
         self.called = False
         self.node.held_elsewhere(hello.holds, now)
         self.node.returned_elsewhere(hello.returned, now)
@@ -245,6 +260,10 @@
                 self.node.held_elsewhere(read_holds(json.loads(value)), now)
             elif word == "taken":
                 self.node.taken_elsewhere(int(value, 16))
+            elif word == "drained" and isinstance(self.node.recall, Inherited):
+                start, _, name = value.partition(" ")
+                self.node.recall.told(name, int(start))
+                self.node.relist(name, now)
             elif word == "stopping":
                 self._call()
         except (KeyError, TypeError, ValueError, AttributeError):  # guards against another build's words
@@ -255,3 +274,4 @@
         super().lost(now)
         self.node.held_elsewhere(Holds(), now)
         self._call()
+        self.over()
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -25,8 +25,10 @@
 from .lobby import Lobby
 from .maintenance import Maintenance, Marks, Memory
 from .probe import Probe
+from .recall import Recall
 from .req import ClientSession, Fetch, Req
 from .silence import LOOK, LOOKS, Silence
+from .stop import PlannedStop
 from .watch import Director
 from .wheel import Timer, Wheel
 
@@ -35,13 +37,7 @@
 AT_WAIT, AT_AGAIN = 30 * SECOND, SECOND // 4  #: for a connection of before the start, and between its tries
 PAST = 4096  #: ids of ended reqs that are still refused: whoever copied one may come a little late
 SPARE_SOCKETS = 128  #: for discovery, probes, peers and connections that are ending
-MOVE_AFTER = 450_000  #: after a SIGTERM: until then the front may send clients right back here
-STOP_LEAST, STOP_SPARE = 3 * SECOND, 700_000  #: SIGKILL comes no sooner than their sum, as told
-MOVES_TAKE = 6 * SECOND // 5  #: moves are spread over this time, as late as may be
-MOVES_DONE = 7 * SECOND // 10  #: they are over this long before the earliest SIGKILL
-LAST_ANSWERS = 400_000  #: as long before it, what still waits is answered failed
 RETURN = 5 * SECOND  #: a host that staff have put back is to be in use again by then
-MOVE_STEP, MOVE_PACE = 20_000, 200_000  #: between moves: at least, and where a successor waits for them
 
 Told = tuple[int, int, int, int, int, int, int, int]  #: a req as the module is told of it
 Log = Callable[[str, str], None]  #: kind of line, text
@@ -110,7 +106,13 @@
     """One node. Every call brings the time; `stopped` is called when a planned stop is done."""
 
     def __init__(
-        self, config: Config, network: Network, log: Log, now: int, marks: Marks | None = None
+        self,
+        config: Config,
+        network: Network,
+        log: Log,
+        now: int,
+        marks: Marks | None = None,
+        recall: Recall | None = None,
     ) -> None:
         self.config, self.settings, self.network, self.log = config, config.settings, network, log
         self.wheel, self.counters = Wheel(self.settings.tick, now), Counters()
@@ -128,6 +130,7 @@
         self.backends: dict[int, Backend] = {}
         self.numbers: dict[str, int] = {}
         self.maintenance = Maintenance(marks or Memory(), self)
+        self.recall = recall  # drains that outlive a list, where there is a store
         self.director = Director(config.discovery, config.known.version, self, now)
         self.events: deque[io.Event] = deque()
         self.giving = False
@@ -173,19 +176,20 @@
             self.wheel.at(now + SECOND, lambda at: self.give(event, at))
         held = self.reqs.get(getattr(event, "id", 0))
         if held and not held.answered:
-            self._answer_failed(held, now)
+            self.answer_failed(held, now)
             self.give(io.Gone(held.number), now)  # so that the module does not keep it
 
     def _fail(self, action: io.Fail, now: int) -> None:
         if (held := self.reqs.get(action.id)) and not held.answered:
-            self._answer_failed(held, now)
+            self.answer_failed(held, now)
 
     def _refuse(self, action: io.Refuse, now: int) -> None:
         if (held := self.reqs.get(action.id)) and not held.answered:
             self._final(held, "refused", "throttled", now)
             held.session.refuse(min(action.retry_after, self.settings.max_retry_after), now)
 
-    def _answer_failed(self, held: Held, now: int) -> None:
+    def answer_failed(self, held: Held, now: int) -> None:
+        """Give a req its final answer: it has failed."""
         self._final(held, "failed", "faulted", now)
         held.session.fail(now)
 
@@ -252,9 +256,10 @@
 
     def _move(self, action: io.Move, now: int) -> None:
         if (held := self.reqs.get(action.id)) and held.up:
-            self._move_away(held, now)
+            self.move_away(held, now)
 
-    def _move_away(self, held: Held, now: int) -> None:
+    def move_away(self, held: Held, now: int) -> None:
+        """Send a client that stands away."""
         self.counters.count("moves")
         held.session.move(now)
         self._give_up(held, io.Ending.CANCELLED, now)
@@ -355,8 +360,9 @@
     def _entry(self, host: Host) -> io.ServerEntry:
         backend = self.backend(host.name)
         backend.host, backend.address, backend.state = host, host.address, host.state
-        if host.state == io.State.READY and host.name in self.maintenance.held:
-            backend.state = io.State.DRAINING  # the worse of the list's word and that of staff
+        out = self.recall.out(host) if self.recall else False
+        if host.state == io.State.READY and (out or host.name in self.maintenance.held):
+            backend.state = io.State.DRAINING  # the worse of the list's word, that of staff and what is known
         names = self.config.names
         zone = names.zones.index(host.zone) if host.zone in names.zones else len(names.zones)
         kind = names.kinds.index(host.kind) if host.kind in names.kinds else len(names.kinds)
@@ -385,7 +391,7 @@
         """Staff hold this host."""
         self.counters.count("hosts_taken_out")
         self.log("hand", f"node: host {name} is taken out by hand")
-        self._relist(name, io.ListKind.HAND, now)
+        self.relist(name, now, io.ListKind.HAND)
 
     def put_back(self, name: str, now: int) -> None:
         """Staff hold it no more: it may have been restarted, and nothing known of it holds."""
@@ -395,9 +401,10 @@
             backend = self.backends[self.numbers[name]]
             backend.back_at, backend.returning = now, True
             backend.silence, backend.heard, backend.slow = Silence(), now, False
-        self._relist(name, io.ListKind.HAND, now)
+        self.relist(name, now, io.ListKind.HAND)
 
-    def _relist(self, name: str, kind: io.ListKind, now: int) -> None:
+    def relist(self, name: str, now: int, kind: io.ListKind = io.ListKind.DELTA) -> None:
+        """Tell the module of a host anew: what is known of it has changed."""
         if self.lists(name) and (host := self.backends[self.numbers[name]].host):
             self._list(HostList(self.director.version, False, (host,)), kind, now)
 
@@ -459,7 +466,7 @@
         if now + AT_AGAIN < held.deadline and not self.stopping and held.req.at is not None:
             self.wheel.at(now + AT_AGAIN, partial(self._reopen, held, held.req.at))
             return
-        self._answer_failed(held, now)
+        self.answer_failed(held, now)
         self._outcome(held, ending, (), now)
 
     def _overdue(self, held: Held, now: int) -> None:
@@ -467,7 +474,7 @@
         if not held.answered:
             self.counters.count("reqs_overdue")
             self.log("overdue", "node: the module left a req without its answer; it is answered failed")
-            self._answer_failed(held, now)
+            self.answer_failed(held, now)
             self.give(io.Gone(held.number), now)
 
     def left(self, held: Held, now: int) -> None:
@@ -608,7 +615,7 @@
             if name in self.numbers:
                 backend = self.backends[self.numbers[name]]
                 backend.back_at, backend.returning = at, at > now - RETURN
-                self._relist(name, io.ListKind.HAND if backend.returning else io.ListKind.DELTA, now)
+                self.relist(name, now, io.ListKind.HAND if backend.returning else io.ListKind.DELTA)
 
     def holds(self) -> Holds:
         """What this process holds: descriptors for clients, and connections by backend."""
@@ -631,35 +638,8 @@
 
     def stop(self, now: int) -> None:
         """Refuse what comes and move what stands, spread out, before the earliest SIGKILL."""
-        if self.stopping:
-            return
-        longest = max(c.deadline for c in self.settings.classes)
-        self.stopping = now + min(longest, STOP_LEAST) + STOP_SPARE
-        self.log("stop", f"node: told to stop; moving {sum(h.up for h in self.reqs.values())} connections")
-        # guards clients against a tier whose other nodes are down too: what stands loses nothing by staying,
-        # and a node that was stopped before this one may be back by then
-        # and where a successor takes them already, they come back to it in steps as small as time allows
-        late = max(now + MOVE_AFTER, self.stopping - MOVES_DONE - MOVES_TAKE)
-        self.wheel.at(now if self.succeeded else late, self._move_some)
-
-    def _move_some(self, now: int) -> None:
-        until = self.stopping - MOVES_DONE
-        standing = [held for held in self.reqs.values() if held.up]
-        steps = max((until - now) // MOVE_STEP, 1)
-        for held in standing[: -(-len(standing) // steps)]:
-            self._move_away(held, now)
-        if now >= self.stopping - LAST_ANSWERS:  # guards reqs whose class may wait longer than this node
-            for held in [h for h in self.reqs.values() if not h.answered]:
-                self._answer_failed(held, now)
-        # guards the last MOVEs: a process that ends closes sockets whose clients have not read them
-        over = not self.reqs and not self.lobby.guests and (now >= until or self.succeeded)
-        if over or now >= self.stopping - STOP_SPARE // 4:
-            self.stopped()
-        else:
-            left = max(until - now, 0) // max(len(standing), 1)
-            # guards the hosts, and the successor's sight of them, against all in its first moment
-            wait = max(MOVE_STEP, min(left, MOVE_PACE)) if self.succeeded else MOVE_STEP
-            self.wheel.at(now + wait, self._move_some)
+        if not self.stopping:
+            PlannedStop(self, max(c.deadline for c in self.settings.classes), now)
 
     carry_out: dict[type, Callable[[Node, Any, int], None]] = {
         io.Send: _send,
--- /dev/null
+++ b/limerudder/keeping.py
@@ -0,0 +1,124 @@
+"""Whether a node keeps a store: without one, all here does nothing and none of the store is loaded."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from .config import Config, ConfigError
+from .core.console import Later
+from .core.handover import Elder
+from .core.maintenance import Marks
+from .core.node import Node
+from .core.recall import Inherited, Recall
+from .net.clock import Clock
+from .net.listen import bind
+
+if TYPE_CHECKING:
+    from .store.glue import Glue
+
+AGAIN = 0.05  #: seconds between looks whether the process before this one has let go of the folder
+PATIENCE = 5.0  #: seconds after which the log says that it has not
+
+Log = Callable[[str, str], None]
+
+
+class Keeping:
+    """A node's store, where the operator's file asks for one."""
+
+    def __init__(self, config: Config, log: Log, clock: Clock) -> None:
+        self.settings = config.operator.store if config.operator else None
+        self.name, self.log, self.clock = config.name, log, clock
+        self.glue: Glue | None = None
+        self.inherited: Inherited | None = None
+        self.task: asyncio.Task[None] | None = None
+
+    def _open(self) -> Glue:
+        from .store.glue import Glue
+
+        assert self.settings
+        configure = getattr(self.log, "configure", lambda *args: None)
+        return Glue(self.settings, self.name, self.log, self.clock.now, configure)
+
+    def open(self, config: Config) -> Config:
+        """Open the store where there is to be one; gives the configuration with what is known there."""
+        if self.settings is None:
+            return config
+        from .store.disk import DiskError
+
+        try:
+            self.glue = self._open()
+        except DiskError as exc:
+            raise ConfigError(f"store: {exc}") from None
+        return self.glue.begin_with(config)
+
+    def recall(self, drained: dict[str, int]) -> Recall | None:
+        """Who remembers drains: the store, or until it is open what the process before this one knew."""
+        if self.settings is None:
+            return None
+        if self.glue is None:
+            self.inherited = Inherited(drained)
+        return self.glue or self.inherited
+
+    def marks(self, marks: Marks) -> Marks:
+        """Hosts held out by hand: in the store as well, where it is open."""
+        if self.glue is None:
+            return marks
+        from .store.glue import Holds
+
+        return Holds(self.glue, marks)
+
+    def done(self, name: str) -> str | Later:
+        """The yes to a hand, once it is durable here."""
+        if self.glue is None:
+            return "done\n"
+        later = Later()
+        self.glue.durable(name, lambda now: later.settle("done\n", now))
+        return later
+
+    async def attach(self, node: Node, elder: Elder) -> None:
+        """Have the store talk, now that the node is there."""
+        if self.glue is None:
+            return
+        assert self.settings
+        self.glue.hear_drained = lambda host, start: elder.tell(f"drained {start} {host}")
+        await self.glue.run(node, bind(self.settings.listen, socket.SOCK_STREAM))
+
+    def attach_soon(self, node: Node, marks: Marks, elder: Elder) -> None:
+        """The process before this one has ended: take the store over."""
+        if self.settings is not None and self.task is None:
+            self.task = asyncio.get_running_loop().create_task(self._take_over(node, marks, elder))
+
+    async def _take_over(self, node: Node, marks: Marks, elder: Elder) -> None:
+        from .store.disk import DiskError
+
+        waited, told = 0.0, False
+        while self.glue is None:
+            try:
+                self.glue = self._open()
+            except DiskError as exc:
+                waited += AGAIN
+                if waited > PATIENCE and not told:
+                    told = True
+                    self.log("store-disk", f"store: {exc}; tried on")
+                await asyncio.sleep(AGAIN)
+        if self.inherited:
+            self.glue.inherit(self.inherited.heard)
+        node.recall = self.glue
+        node.maintenance.marks = self.marks(marks)
+        try:
+            await self.attach(node, elder)
+        except ConfigError as exc:  # guards a node that serves against an address that is taken
+            self.log("store-disk", f"store: {exc}; this process goes on without its store")
+            return
+        for host in node.listed().hosts:
+            node.relist(host.name, self.clock.now())
+
+    def close(self) -> None:
+        """The node ends."""
+        if self.task:
+            self.task.cancel()
+        if self.glue:
+            self.glue.close()
--- /dev/null
+++ b/limerudder/store/glue.py
@@ -0,0 +1,294 @@
+"""The store inside a node: what the node hears of it, and what it tells it.
+
+The node serves from what is known here, at once and without a quorum. Hosts that the ledger keeps out are
+drained as if discovery said so; hands hold hosts for the whole tier; settings take effect in service; the
+last list of hosts outlives the process.
+"""
+
+from __future__ import annotations
+
+import json
+import socket
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any, Protocol
+
+from firgrade.interface import State
+
+from ..config import Config
+from ..core.director import Host, HostList, ListError, read_hosts, write_hosts
+from ..core.link import read_address
+from ..core.maintenance import Marks
+from ..core.wheel import Wheel
+from ..schema import StoreSettings
+from .checks import LIST, SETTINGS, read_setting
+from .control import Control
+from .member import Failure
+from .records import Compare, Do, Open, Put, Result, Serials, Txn, What
+from .store import Store
+
+LIST_EVERY = 2_000_000  #: between lists written to the records, and only by whoever leads
+
+Log = Callable[[str, str], None]
+
+
+class Ward(Protocol):
+    """The node, as far as the store goes."""
+
+    wheel: Wheel
+    director: Any
+
+    def lists(self, name: str) -> bool:
+        """Whether discovery lists this host."""
+
+    def relist(self, name: str, now: int) -> None:
+        """What is known of this host has changed."""
+
+    def listed(self) -> HostList:
+        """Discovery's list as it stands here."""
+
+    def returned(self) -> dict[str, int]:
+        """When staff put hosts back."""
+
+    def returned_elsewhere(self, returned: dict[str, int], now: int) -> None:
+        """When they did so, as others know."""
+
+
+class Holds:
+    """Hosts held out by hand: in the ledger, for the whole tier, and as marks for this node's other process.
+
+    The marks are kept like the ledger; one that another process of this node sets or removes is taken as a
+    hand's word.
+    """
+
+    def __init__(self, glue: Glue, marks: Marks) -> None:
+        self.glue, self.marks = glue, marks
+        self.mirror = glue.store.member.ledger.held()
+        for name in self.mirror - marks.read():
+            marks.put(name)
+
+    def read(self) -> set[str]:
+        """All that are held."""
+        ledger, seen = self.glue.store.member.ledger, self.marks.read()
+        for name in seen - self.mirror:
+            self.glue.hold(name)
+        for name in self.mirror - seen:
+            self.glue.back(name)
+        held = ledger.held()
+        for name in held - seen:
+            self.marks.put(name)
+        for name in seen - held:
+            self.marks.remove(name)
+        self.mirror = held
+        return held
+
+    def put(self, name: str) -> None:
+        """Hold one."""
+        self.marks.put(name)
+        self.mirror = self.mirror | {name}
+        self.glue.hold(name)
+
+    def remove(self, name: str) -> None:
+        """Hold it no more; a drain that was remembered is lifted as well."""
+        self.marks.remove(name)
+        self.mirror = self.mirror - {name}
+        self.glue.back(name)
+
+
+class Glue:
+    """Between one node and its store."""
+
+    def __init__(
+        self,
+        settings: StoreSettings,
+        name: str,
+        log: Log,
+        now: Callable[[], int],
+        configure: Callable[..., None],
+    ) -> None:
+        """Open the store; DiskError where its folder cannot be used or is another member's."""
+        self.settings, self.log, self.now, self.configure = settings, log, now, configure
+        self.store = Store(settings, log, now)
+        found = self.store.opened.identity.name
+        if found != name:
+            from .disk import DiskError
+
+            self.store.disk.close()
+            raise DiskError(f"{settings.folder} is the folder of {found}; this node is {name}")
+        self.control = Control(self.store)
+        self.node: Ward | None = None
+        self.applied: dict[str, int] = {}  # settings in force, by the revision that set them
+        self.version = -1  # of the list that was written last
+        self.list_due = now()
+        self.session, self.serials, self.opening = 0, Serials(), False
+        ledger = self.store.member.ledger
+        ledger.changed = self._host_changed
+        self.changed_hosts: set[str] = set()
+        self.hear_drained: Callable[[str, int], None] = lambda host, start: None
+        self.store.member.on_change.append(self._records_changed)
+
+    # before the node is there
+
+    def begin_with(self, config: Config) -> Config:
+        """The configuration with what is known here: a later list of hosts, another address of discovery."""
+        _, value = self.store.member.value(LIST)
+        if value is not None:
+            try:
+                hosts = read_hosts(json.loads(value))
+                if hosts.version > config.known.version:
+                    config = replace(config, known=hosts._replace(whole=True))
+            except (ListError, ValueError, RecursionError):  # guards the start against a value gone bad
+                self.log("store", "store: the last list of hosts cannot be read; the platform's is used")
+        address = self._setting("config/discovery")
+        return replace(config, discovery=read_address(address)) if address else config
+
+    def _setting(self, key: str) -> Any:
+        modified, value = self.store.member.value(key)
+        if value is None:
+            return None
+        self.applied[key] = modified
+        try:
+            return read_setting(key, value)
+        except ValueError as exc:
+            self.log("store-config", f"store: {exc}; passed over")
+            return None
+
+    # with the node
+
+    async def run(self, node: Ward, sock: socket.socket) -> None:
+        """Begin: the node is there and knows its hosts."""
+        self.node = node
+        await self.store.run(sock)
+        await self.control.listen()
+        told = self._setting("config/log")
+        if told:
+            self._set("config/log", told)
+        backs = {
+            host: self.store.member.ledger.view(host).back_at for host in self.store.member.ledger.hosts()
+        }
+        node.returned_elsewhere({host: at for host, at in backs.items() if at}, self.now())
+        self._look(self.now())
+
+    def close(self) -> None:
+        """The node ends, or another process of it takes over."""
+        self.control.close()
+        self.store.close()
+
+    def out(self, host: Host) -> bool:
+        """Whether this host gets nothing new, whatever discovery lists; hears what discovery lists, too."""
+        ledger = self.store.member.ledger
+        if host.state == State.DRAINING:
+            if ledger.drain(host.name, host.started_ms) is not None:
+                self.store.pump_soon()
+            return True
+        return ledger.view(host.name).out(host.started_ms)
+
+    def drained(self) -> dict[str, int]:
+        """By host, the last start that is known to drain."""
+        ledger = self.store.member.ledger
+        views = {host: ledger.view(host).drained for host in ledger.hosts()}
+        return {host: start for host, start in views.items() if start >= 0}
+
+    def inherit(self, heard: dict[str, int]) -> None:
+        """Drains that were heard before the store could be opened."""
+        for host, start in heard.items():
+            self.store.member.ledger.drain(host, start)
+        self.store.pump_soon()
+
+    def hold(self, name: str) -> None:
+        """A hand holds a host."""
+        self.store.member.ledger.hold(name, self.store.opened.identity.name)
+        self.store.pump_soon()
+
+    def back(self, name: str) -> None:
+        """A hand puts it back."""
+        self.store.member.ledger.back(name, self.now())
+        self.store.pump_soon()
+
+    def durable(self, name: str, call: Callable[[int], None]) -> None:
+        """Make a call once all that hands have said of a host is durable here."""
+        member, now = self.store.member, self.now()
+        facts = [number for number, fact in member.ledger.facts.items() if fact.host == name]
+        if facts:
+            self.store.pump_soon()
+            member.once_durable(facts[-1], call, now)
+        else:
+            call(now)
+
+    def _host_changed(self, host: str) -> None:
+        self.changed_hosts.add(host)
+
+    def _records_changed(self, now: int) -> None:
+        for key in SETTINGS:
+            modified, value = self.store.member.value(key)
+            if value is not None and modified > self.applied.get(key, 0):
+                told = self._setting(key)
+                if told is not None:
+                    self._set(key, told)
+
+    def _set(self, key: str, told: Any) -> None:
+        """A setting takes effect, here and now."""
+        revision = self.applied[key]
+        if key == "config/discovery" and self.node:
+            self.node.director.move(read_address(told), self.now())
+        elif key == "config/log":
+            self.configure(told["format"], told["lines"], told["per"] / 1e6)
+        self.log("store-config", f"store: {key} of revision {revision} is in force")
+
+    def _look(self, now: int) -> None:
+        """What has changed since; every few ticks, so that the module hears of a host once."""
+        node = self.node
+        if node is None or self.store.closed:
+            return
+        node.wheel.at(now + 20_000, self._look)
+        changed, self.changed_hosts = self.changed_hosts, set()
+        backs = node.returned()
+        for host in sorted(changed):
+            view = self.store.member.ledger.view(host)
+            if view.drained >= 0:
+                self.hear_drained(host, view.drained)
+            if view.back_at > backs.get(host, 0):
+                node.returned_elsewhere({host: view.back_at}, now)
+            elif node.lists(host):
+                node.relist(host, now)
+        if now >= self.list_due:
+            self.list_due = now + LIST_EVERY
+            self._write_list(now)
+
+    def _write_list(self, now: int) -> None:
+        """Whoever leads keeps the last list for all; a write that fails is made again with the next look."""
+        member = self.store.member
+        hosts = self.node.listed() if self.node else None
+        if not member.leads or hosts is None or hosts.version == self.version or not hosts.hosts:
+            return
+        if not self.session:
+            return self._open_session(now)
+        value = json.dumps(write_hosts(hosts)).encode()
+        modified, before = member.value(LIST)
+        self.version = hosts.version
+        if before == value or len(value) > self.settings.value_most:
+            return
+        txn = Txn((Compare(LIST, What.MODIFIED, b"", modified),), (Put(LIST, value),))
+        serial = self.serials.next()
+
+        def done(outcome: Result | Failure, at: int) -> None:
+            self.serials.done(serial)
+            if isinstance(outcome, Failure) or outcome.error or not outcome.ok:
+                self.version = -1
+                self.session = 0 if isinstance(outcome, Result) and outcome.error else self.session
+
+        member.write(Do(self.session, serial, self.serials.seen, txn), now + LIST_EVERY, done, now)
+        self.store.pump_soon()
+
+    def _open_session(self, now: int) -> None:
+        if self.opening:
+            return
+        self.opening = True
+
+        def done(outcome: Result | Failure, at: int) -> None:
+            self.opening = False
+            if isinstance(outcome, Result):
+                self.session, self.serials = outcome.index, Serials()
+
+        self.store.member.write(Open(), now + LIST_EVERY, done, now)
+        self.store.pump_soon()
