--- /dev/null
+++ b/bench/store_kills.py
@@ -0,0 +1,102 @@
+"""Four real nodes killed in overlapping order, again and again, under load: `python -m bench.store_kills`."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import random
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import uvloop
+
+from rigs.tier import Tier, overlapping_kills, until
+
+
+async def write_on(tier: Tier, acked: dict[str, int], stop: asyncio.Event) -> None:
+    """Write counters through any node, and remember what was acknowledged."""
+    number = 0
+    while not stop.is_set():
+        number += 1
+        key = f"kv/{number}"
+        told = await random.choice(tier.nodes).ask("put", 1.0, key=key, value=str(number))
+        if told["ok"]:
+            acked[key] = told["revision"]
+        else:
+            await asyncio.sleep(0.02)
+
+
+async def play(rounds: int, folder: Path) -> int:
+    """The run; how many promises were broken."""
+    tier = Tier(folder)
+    acked: dict[str, int] = {}
+    stop = asyncio.Event()
+    broken = 0
+    try:
+        await tier.start()
+        await tier.settled()
+        told = await tier.nodes[0].ask("put", key="config/log", value='{"format":"text","lines":50}')
+        assert told["ok"], told
+        # a drain that one node alone hears, and a hand at another
+        tier.director.entries["h0"]["lifecycle"] = "leaving"
+        tier.director.tell(only=1)
+        assert await tier.nodes[2].hand("maint-on h1") == "done"
+        await until(lambda: all(_knows(tier)), "all nodes know of h0 and h1")
+        await asyncio.sleep(0.5)  # the grace
+        # from here on discovery says that h0 is active again, with the same start: that must lift nothing
+        tier.director.entries["h0"]["lifecycle"] = "active"
+        tier.director.tell()
+        since = time.monotonic()
+        tier.come(24)
+        writer = asyncio.create_task(write_on(tier, acked, stop))
+        for number in range(rounds):
+            order = random.Random(number).sample(range(4), 4)
+            back = await overlapping_kills(tier, order, gap=0.25, down=0.6)
+            await tier.settled()
+            took = time.monotonic() - back
+            print(f"round {number + 1}: order {order}, agreed {took:.2f} s after the last was up")
+        stop.set()
+        await writer
+        await tier.settled()
+        lost = 0
+        for node in tier.nodes:
+            told = await node.ask("get", prefix="kv/", stale=True)
+            have = {item["key"]: item["modified"] for item in told["items"]}
+            lost += sum(have.get(key) != revision for key, revision in acked.items())
+        setting = {(await node.ask("get", key="config/log"))["items"][0]["modified"] for node in tier.nodes}
+        sends = tier.sends_after("h0", since), tier.sends_after("h1", since)
+        print(f"clients: {dict(tier.counts)}; wrong: {tier.wrong[:5]}")
+        print(f"acknowledged writes {len(acked)}, lost {lost}; config/log at revisions {sorted(setting)}")
+        print(f"reqs sent to the drained host {sends[0]}, to the held host {sends[1]}")
+        broken = len(tier.wrong) + lost + sum(sends) + len(setting) - 1
+        print("broken promises:", broken)
+    finally:
+        stop.set()
+        await tier.close()
+    return broken
+
+
+def _knows(tier: Tier) -> list[bool]:
+    told = [node.call("hosts") for node in tier.nodes]
+    found = []
+    for one in told:
+        rows = {row["host"]: row for row in one.get("hosts", [])}
+        found.append(
+            "h0" in rows and rows["h0"].get("drained", -1) >= 0 and rows.get("h1", {}).get("held", False)
+        )
+    return found
+
+
+def main() -> int:
+    """Play."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--rounds", type=int, default=5)
+    given = parser.parse_args()
+    with tempfile.TemporaryDirectory() as folder:
+        return 1 if uvloop.run(play(given.rounds, Path(folder))) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/limerudder/store/control.py
+++ b/limerudder/store/control.py
@@ -199,16 +199,17 @@
     def get(self, given: dict[str, Any], deadline: int, told: Callable[[Any], None]) -> None:
         """A key, or all under a prefix; `stale` asks this member alone and tells how old its word may be."""
         member = self.store.member
+        prefix, key = given.get("prefix"), "" if "prefix" in given else str(given["key"])
+        most = min(int(given.get("most", 10_000)), 10_000)
 
         def answer() -> None:
-            if "prefix" in given:
-                most = min(int(given.get("most", 10_000)), 10_000)
-                items = [item_out(*one) for one in member.records.under(str(given["prefix"]), most)]
+            if prefix is not None:
+                items = [item_out(*one) for one in member.records.under(str(prefix), most)]
             else:
-                item = member.records.get(str(given["key"]))
+                item = member.records.get(key)
                 if item is None:
-                    return told(Failure("not_there", f"there is no {given['key']}"))
-                items = [item_out(str(given["key"]), item)]
+                    return told(Failure("not_there", f"there is no {key}"))
+                items = [item_out(key, item)]
             now = self.store.now()
             told({"items": items, "revision": member.records.revision, "age_ms": member.age(now) // 1000})
 
--- a/rigs/cluster.py
+++ b/rigs/cluster.py
@@ -24,7 +24,7 @@
 from limerudder.store.ledger import NEVER
 from limerudder.store.member import Failure, Job, Limits, Member
 from limerudder.store.raft.machine import Standing, Timing
-from limerudder.store.raft.messages import Appended, Config, Kind, Role
+from limerudder.store.raft.messages import Appended, Config, Kind, Role, Voted
 from limerudder.store.raft.messages import Member as MemberEntry
 from limerudder.store.records import Compare, Delete, Do, Get, Open, Put, Result, Txn, What
 from limerudder.store.talk import Wish
@@ -62,17 +62,37 @@
     drain_every: float = 0.4
     hand_every: float = 0.9
     back_within: float = 0.6  # seconds until a process that was killed is back, at the most
+    spite: float = 0.02  # chance to be killed right after a vote was given, or after taking the lead
+    burst: int = 1  # changes of members asked for at once
+    least: int = 3  # voters that are left at least
+    delay: float = 3.0  # milliseconds that a message takes, at the most, where it is not late
 
     @staticmethod
     def of(seed: int) -> Plan:
         """The kind of trouble that a seed has: some of everything, or much of one thing."""
-        match seed % 4:
+        match seed % 6:
             case 1:  # killed and back at once, again and again
-                return Plan(members=3, crash_every=0.08, back_within=0.04, cut_every=0.6, stuck_every=0.7)
+                return Plan(
+                    members=3, crash_every=0.08, back_within=0.04, cut_every=0.6, stuck_every=0.7, spite=0.3
+                )
             case 2:  # cut off in all ways
-                return Plan(members=5, crash_every=0.3, cut_every=0.12, late=0.15, back_within=0.1)
+                return Plan(
+                    members=5, crash_every=0.3, cut_every=0.12, late=0.15, back_within=0.1, spite=0.15
+                )
             case 3:  # members come and go
-                return Plan(members=4, change_every=0.12, crash_every=0.3, cut_every=0.3, back_within=0.2)
+                return Plan(
+                    members=5,
+                    change_every=0.12,
+                    crash_every=0.3,
+                    cut_every=0.2,
+                    back_within=0.2,
+                    burst=3,
+                    least=2,
+                )
+            case 4:  # a slow network, and killed at the worst moments
+                return Plan(members=3, delay=40, spite=0.6, crash_every=0.5, cut_every=0.4, back_within=0.05)
+            case 5:
+                return Plan(members=5, delay=40, spite=0.5, crash_every=0.5, cut_every=0.2, back_within=0.05)
         return Plan()
 
 
@@ -259,6 +279,9 @@
         snapshot = server.disk.do(job)
         for to, message in after:
             self.send(server, to, message)
+        gave = any(isinstance(m, Voted) and m.granted and not m.pre for _, m in after)
+        if gave and self._spited(server):
+            return
         for _, fact in job.facts:
             started = getattr(fact, "started_ms", None)
             if started is not None:
@@ -284,7 +307,7 @@
         life = sender.life
         hello = self._hello(sender, to)
         for _ in range(times):
-            delay = random.randrange(300, 3 * MS)
+            delay = random.randrange(300, int(plan.delay * MS) if self.troubled else 3 * MS)
             if self.troubled and random.random() < plan.late:
                 delay = random.randrange(SECOND)
             self.at(delay, lambda: self._arrive(sender, life, hello, to, data))
@@ -332,6 +355,18 @@
             wait = int(self.random.choice((0.02, 0.2, 1)) * self.plan.back_within * SECOND) + 1
             self.at(self.random.randrange(wait), lambda server=server: self._back(server))  # type: ignore[misc]
 
+    def _spited(self, server: Server) -> bool:
+        """Kill a process at a moment when it has just done what it must not forget; it is back at once."""
+        if not self.troubled or self.random.random() >= self.plan.spite:
+            return False
+        self.crash(server)
+        self.at(self.random.randrange(1, 4 * MS), lambda: self._back(server))
+        return True
+
+    def _spite_leader(self, server: Server, life: int) -> None:
+        if server.life == life and server.member:
+            self._spited(server)
+
     def _back(self, server: Server) -> None:
         if server.member is None and not server.dead:
             self.boot(server)
@@ -366,9 +401,13 @@
         alive = self.alive()
         if not alive:
             return
-        server = self.random.choice(alive)
-        member = server.member
-        assert member
+        leads = [server for server in alive if server.member and server.member.leads]
+        server = self.random.choice(leads if leads and self.plan.burst > 1 else alive)
+        for _ in range(self.random.randrange(self.plan.burst) + 1):
+            if server.member:
+                self._change(server, server.member)
+
+    def _change(self, server: Server, member: Member) -> None:
         config = member.config
         kind = self.random.randrange(3)
         if not config.members:
@@ -380,7 +419,7 @@
             self.servers[number] = Server(number, entry.name, MemoryDisk(Config(())))
             self.boot(self.servers[number])
             wish, data = Wish.ADD, msgspec.msgpack.encode(entry)
-        elif kind == 1 and len(config.voters()) > 3:
+        elif kind == 1 and len(config.voters()) > self.plan.least:
             wish, data = Wish.REMOVE, self.random.choice([m.id for m in config.members]).to_bytes(8, "big")
         now = self.clock(server)
         member.wish(wish, data, now + SECOND, lambda outcome, at: None, now)
@@ -437,6 +476,10 @@
         raft = member.raft
         where = f"seed {self.seed}, {self.now / SECOND:.3f} s, {server.name}"
         if raft.standing == Standing.LEADER:
+            if raft.term not in self.leaders:
+                life = server.life
+                later = self.random.randrange(1, 15 * MS)
+                self.at(later, lambda: self._spite_leader(server, life))
             led = self.leaders.setdefault(raft.term, server.number)
             if led != server.number:
                 raise Broken(f"{where}: two leaders in term {raft.term}: {led} and {server.number}")
--- /dev/null
+++ b/rigs/lone.py
@@ -0,0 +1,33 @@
+"""A member in a process of its own, without a node: `python -m rigs.lone FOLDER ADDRESS`, for measuring."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import sys
+
+import uvloop
+
+from limerudder.core.link import read_address
+from limerudder.net.clock import Clock
+from limerudder.schema import StoreSettings
+from limerudder.store.control import Control
+from limerudder.store.store import Store
+
+
+async def run(folder: str, address: str) -> None:
+    """Until it is killed."""
+    where = read_address(address)
+    store = Store(StoreSettings(folder, where), lambda kind, text: print(text, flush=True), Clock().now)
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(where)
+    sock.setblocking(False)
+    await store.run(sock)
+    await Control(store).listen()
+    print("ready", flush=True)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    uvloop.run(run(*sys.argv[1:3]))
--- /dev/null
+++ b/tests/test_store_control.py
@@ -0,0 +1,279 @@
+"""A member's calls: what tools are told, what garbage gets, and what a slow or lost caller costs."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import socket
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+import uvloop
+from click.testing import CliRunner
+
+from limerudder import exits
+from limerudder.cli import main
+from limerudder.net.clock import Clock
+from limerudder.schema import StoreSettings
+from limerudder.store.control import Control
+from limerudder.store.folder import init
+from limerudder.store.store import Store
+
+LIMITS = {"election": 50_000, "heartbeat": 10_000, "history": 100}
+
+
+class Here:
+    """One or more members in this process, and callers."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.stores: list[Store] = []
+        self.controls: list[Control] = []
+        self.lines: list[str] = []
+
+    async def start(self, many: int = 1, **changes: Any) -> None:
+        socks = [socket.socket() for _ in range(many)]
+        for sock in socks:
+            sock.bind(("127.0.0.1", 0))
+            sock.setblocking(False)
+        addresses = ["{}:{}".format(*sock.getsockname()) for sock in socks]
+        paths = init(str(self.folder / "s"), [(f"n{n}", address) for n, address in enumerate(addresses)])
+        for sock, path in zip(socks, paths, strict=True):
+            settings = StoreSettings(path, sock.getsockname(), **{**LIMITS, **changes})
+            store = Store(settings, lambda kind, text: self.lines.append(text), Clock().now)
+            await store.run(sock)
+            control = Control(store)
+            await control.listen()
+            self.stores.append(store)
+            self.controls.append(control)
+
+    async def caller(self, number: int = 0) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        handle = os.open(self.stores[number].settings.folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            return await asyncio.open_unix_connection(f"/proc/self/fd/{handle}/control", limit=1 << 23)
+        finally:
+            os.close(handle)
+
+    async def call(self, name: str, number: int = 0, **given: Any) -> dict[str, Any]:
+        reader, writer = await self.caller(number)
+        writer.write(json.dumps({"call": name, **given}).encode() + b"\n")
+        told: dict[str, Any] = json.loads(await reader.readline())
+        writer.close()
+        return told
+
+    def close(self) -> None:
+        for control in self.controls:
+            control.close()
+        for store in self.stores:
+            store.close()
+
+
+def told(story: Callable[[Here], Awaitable[None]], folder: Path) -> None:
+    async def run() -> None:
+        here = Here(folder)
+        try:
+            await asyncio.wait_for(story(here), 60)  # one that hangs fails
+        finally:
+            here.close()
+
+    uvloop.run(run())
+
+
+def test_calls_and_their_errors(tmp_path: Path) -> None:
+    async def story(here: Here) -> None:
+        await here.start()
+        put = await here.call("put", key="kv/a", value="1")
+        assert put["ok"] and put["done"] and put["revision"] == 1
+        assert (await here.call("get", key="kv/a"))["items"][0]["value"] == "1"
+        assert (await here.call("get", key="kv/b"))["kind"] == "not_there"
+        again = await here.call("put", key="kv/a", value="2", modified=0)
+        assert again["ok"] and not again["done"] and again["items"][0]["modified"] == 1
+        assert (await here.call("put", key="kv/raw", value={"base64": "/wA="}))["done"]
+        assert (await here.call("get", key="kv/raw"))["items"][0]["value"] == {"base64": "/wA="}
+        txn: Any = {"if": [{"key": "kv/a", "version": 1}]}
+        txn["then"] = [{"put": "kv/c", "value": "x"}, {"get": "kv/a"}]
+        assert (await here.call("txn", **txn))["items"][0]["value"] == "1"
+        assert (await here.call("delete", key="kv/c"))["done"]
+        status = await here.call("status")
+        assert status["standing"] == "leader" and status["revision"] == 4 and status["keys"] == 2
+        wrong: list[tuple[str, dict[str, Any], str]] = [
+            ("nothing", {}, "wrong"),
+            ("put", {"key": "kv/a"}, "wrong"),
+            ("put", {"key": "kv/a", "value": 7}, "wrong"),
+            ("put", {"key": "kv/a", "value": {"base64": "?"}}, "wrong"),
+            ("put", {"key": "nowhere/a", "value": ""}, "refused"),
+            ("put", {"key": "kv/a", "value": "x" * 100_000}, "refused"),
+            ("put", {"key": "config/log", "value": "{}", "wait_ms": -1}, "wrong"),
+            ("put", {"key": "config/log", "value": '{"format": 3}'}, "refused"),
+            ("txn", {"then": [{"jump": 1}]}, "wrong"),
+            ("txn", {"then": 7}, "wrong"),
+            ("watch", {"after": "x"}, "wrong"),
+            ("do", {"session": 999, "serial": 1, "seen": 0, "then": []}, "refused"),
+            ("do", {"session": -1, "serial": 1, "seen": 0, "then": []}, "wrong"),
+            ("add", {"member": "x", "address": "nowhere"}, "wrong"),
+            ("remove", {"member": "x"}, "not_there"),
+            ("remove", {"member": "n0"}, "refused"),
+            ("backup", {"path": "relative"}, "wrong"),
+            ("backup", {"path": "/proc/nothing/there"}, "refused"),
+        ]
+        for name, given, kind in wrong:
+            answer = await here.call(name, **given)
+            assert (answer["ok"], answer.get("kind")) == (False, kind), (name, given, answer)
+        assert (await here.call("status"))["revision"] == 4, "and nothing was done"
+
+    told(story, tmp_path)
+
+
+def test_a_write_of_ten_megabytes_and_garbage_cost_the_caller_alone(tmp_path: Path) -> None:
+    async def story(here: Here) -> None:
+        await here.start()
+        reader, writer = await here.caller()
+        writer.write(b'{"call":"put","key":"kv/a","value":"' + b"x" * 10_000_000)
+        assert json.loads(await reader.readline())["error"].startswith("a line of more than")
+        for line in (b"\xff\xfe", b"[]", b"7", b"[" * 50_000, b'{"call":7}', b'{"call":"get"}'):
+            reader, writer = await here.caller()
+            writer.write(line + b"\n")
+            assert json.loads(await reader.readline())["kind"] == "wrong"
+            writer.close()
+        # and on the members' port
+        for data in (b"GET / HTTP/1.1\r\n\r\n", os.urandom(300), (1 << 31).to_bytes(4, "big") + bytes(4)):
+            peer, out = await asyncio.open_connection(*here.stores[0].settings.listen)
+            out.write(data)
+            out.write_eof()
+            assert await peer.read() == b"", "whoever is unknown is told nothing"
+            out.close()
+        assert any("store: refused" in line for line in here.lines)
+        assert (await here.call("put", key="kv/a", value="1"))["ok"]
+
+    told(story, tmp_path)
+
+
+def test_a_watch_follows_and_is_told_when_it_is_too_late(tmp_path: Path) -> None:
+    async def story(here: Here) -> None:
+        await here.start()
+        reader, writer = await here.caller()
+        writer.write(b'{"call":"watch","prefix":"kv/a"}\n')
+        assert json.loads(await reader.readline()) == {"ok": True, "watching": True, "after": 0}
+        for n in range(150):
+            assert (await here.call("put", key=f"kv/{'ab'[n % 2]}", value=str(n)))["ok"]
+        seen = [json.loads(await reader.readline()) for _ in range(75)]
+        assert [one["value"] for one in seen] == [str(n) for n in range(0, 150, 2)]
+        late = await here.call("watch", after=3)
+        assert late["kind"] == "compacted" and "up to revision 50" in late["error"]
+        writer.close()
+
+    told(story, tmp_path)
+
+
+def test_a_write_whose_answer_was_lost_is_done_once(tmp_path: Path) -> None:
+    async def story(here: Here) -> None:
+        await here.start(3)
+        session = (await here.call("open", 0))["session"]
+        given = {"session": session, "serial": 1, "seen": 0, "then": [{"put": "kv/a", "value": "1"}]}
+        answers = [await here.call("do", number, **given) for number in (0, 1, 2, 0)]
+        assert [one["revision"] for one in answers] == [1] * 4, "at whichever member it is said again"
+
+    told(story, tmp_path)
+
+
+def test_a_restarted_member_is_ready_at_once_and_without_a_quorum_tells_what_it_knows(tmp_path: Path) -> None:
+    async def story(here: Here) -> None:
+        await here.start(3)
+        for number in range(3):
+            assert (await here.call("put", number, key="hosts/h", value='{"drained":7}'))["ok"]
+        one = here.stores[1]
+        while one.member.records.revision < 3:
+            await asyncio.sleep(0.001)
+        one.pump_soon()
+        for control in here.controls:
+            control.close()
+        for store in here.stores:
+            store.close()
+        again = Store(one.settings, lambda kind, text: None, Clock().now)  # and nobody else
+        assert again.member.ledger.view("h").out(7) and not again.member.ledger.view("h").out(8)
+        again.close()
+
+    told(story, tmp_path)
+
+
+def test_the_commands_from_init_to_recover(tmp_path: Path) -> None:
+    def run(*args: str) -> tuple[int, str, str]:
+        result = CliRunner().invoke(main, ["state", *args], prog_name="limerudder")
+        return result.exit_code, result.stdout, result.stderr
+
+    made = str(tmp_path / "made")
+    assert run("init", made, "n0=127.0.0.1:1", "n1=127.0.0.1:2")[0] == exits.OK
+    assert run("init", made, "n0=127.0.0.1:1")[0] == exits.REFUSED, "it is there already"
+    assert run("init", made)[0] == exits.WRONG_INPUT
+    assert run("init", made, "n0=nowhere")[0] == exits.WRONG_INPUT
+    assert run("--folder", made + "/n0", "status")[0] == exits.NOT_NOW
+    assert run("status")[0] == exits.WRONG_INPUT
+    code, out, _ = run("recover", made + "/n0")
+    assert code == exits.OK and "Nothing was done" in out and "n1 may have more" in out
+    code, out, _ = run("--json", "recover", made + "/n0", "--do-it")
+    assert code == exits.OK and json.loads(out)["done"]
+    assert run("recover", str(tmp_path))[0] == exits.REFUSED
+    assert run("restore", str(tmp_path / "none"), made + "2", "n0=127.0.0.1:1")[0] == exits.REFUSED
+
+    async def story(here: Here) -> None:
+        await here.start()
+        folder = here.stores[0].settings.folder
+
+        async def state(*args: str) -> tuple[int, str, str]:
+            return await asyncio.to_thread(run, "--folder", folder, *args)
+
+        assert (await state("put", "kv/a", "one"))[0] == exits.OK
+        assert (await state("get", "kv/a"))[1] == "one\n"
+        assert (await state("get", "kv/b"))[0] == exits.NOT_THERE
+        assert (await state("put", "kv/a", "two", "--modified", "0"))[0] == exits.REFUSED
+        assert (await state("put", "config/log", "nonsense"))[0] == exits.REFUSED
+        rows = (await state("get", "--prefix", "kv/", "--stale"))[1].splitlines()
+        assert rows[1].split()[:2] == ["kv/a", "one"]
+        code, out, _ = await state("watch", "kv/", "--after", "0", "--most", "1")
+        assert code == exits.OK and json.loads(out)["value"] == "one"
+        assert "leader" in (await state("status"))[1]
+        assert (await state("members"))[1].splitlines()[1].startswith("n0")
+        assert (await state("transfer", "n9"))[0] == exits.NOT_THERE
+        backup = str(tmp_path / "backup")
+        assert (await state("backup", backup))[0] == exits.OK
+        assert run("restore", backup, str(tmp_path / "again"), "m0=127.0.0.1:3")[0] == exits.OK
+        assert (await state("delete", "kv/a"))[0] == exits.OK
+        assert (await state("hosts"))[0] == exits.OK
+
+    told(story, tmp_path)
+
+
+@pytest.mark.parametrize("role", ["voter", "learner"])
+def test_a_member_joins_catches_up_and_goes(tmp_path: Path, role: str) -> None:
+    async def story(here: Here) -> None:
+        await here.start(snapshot_entries=100)
+        for n in range(250):  # so that only a snapshot can bring it up
+            await here.call("put", key=f"kv/{n}", value="x" * 200)
+        sock = socket.socket()
+        sock.bind(("127.0.0.1", 0))
+        sock.setblocking(False)
+        address = "{}:{}".format(*sock.getsockname())
+        added = await here.call("add", member="n1", address=address, learner=role == "learner")
+        assert added["ok"], added
+        folder = str(tmp_path / "joined")
+        result = CliRunner().invoke(main, ["state", "init", folder, "--ticket", added["ticket"]])
+        assert result.exit_code == 0, result.output
+        new = Store(StoreSettings(folder, sock.getsockname(), **LIMITS), lambda kind, text: None, Clock().now)
+        await new.run(sock)
+        here.stores.append(new)
+        while True:
+            rows = {row["name"]: row for row in (await here.call("members"))["members"]}
+            if rows["n1"]["role"] == role and len(new.member.records.items) == 250:
+                break
+            await asyncio.sleep(0.005)
+        assert new.member.raft.snapshot, "it came by a snapshot"
+        twice = await here.call("add", member="n1", address="127.0.0.1:9")
+        assert twice["kind"] == "refused" and "is a member already" in twice["error"]
+        assert (await here.call("remove", member="n1"))["ok"]
+        assert [row["name"] for row in (await here.call("members"))["members"]] == ["n0"]
+        assert (await here.call("put", key="kv/last", value="1"))["ok"], "it leads alone again"
+
+    told(story, tmp_path)
--- /dev/null
+++ b/tests/test_store_tier.py
@@ -0,0 +1,190 @@
+"""Real node processes with the store: killed in overlapping order, replaced, and told things by one alone."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import uvloop
+
+from rigs.tier import Node, Tier, free_ports, overlapping_kills, until
+
+
+def told(story: Callable[[Tier], Awaitable[None]], folder: Path, nodes: int = 4) -> None:
+    async def run() -> None:
+        tier = Tier(folder, nodes)
+        try:
+            await asyncio.wait_for(story(tier), 120)
+        finally:
+            await tier.close()
+
+    uvloop.run(run())
+
+
+async def everybody(tier: Tier, wanted: Callable[[dict[str, dict[str, object]]], bool], what: str) -> None:
+    """Until all nodes say so of their hosts."""
+    for node in tier.nodes:
+        end = time.monotonic() + 20
+        while True:
+            answer = await node.ask("hosts")
+            if answer["ok"] and wanted({row["host"]: row for row in answer["hosts"]}):
+                break
+            assert time.monotonic() < end, f"{node.name} never knew: {what}; {answer}"
+            await asyncio.sleep(0.01)
+
+
+def test_four_nodes_killed_in_overlapping_order_remember_drains_and_lose_nothing(tmp_path: Path) -> None:
+    async def story(tier: Tier) -> None:
+        await tier.start()
+        await tier.settled()
+        tier.director.entries["h0"]["lifecycle"] = "leaving"
+        tier.director.tell(only=1)  # one node alone hears it
+        assert await tier.nodes[2].hand("maint-on h1") == "done"
+        await everybody(tier, lambda rows: "h0" in rows and bool(rows.get("h1", {}).get("held")), "h0 and h1")
+        tier.director.entries["h0"]["lifecycle"] = "active"  # the same start: discovery's stale word
+        tier.director.tell()
+        await asyncio.sleep(0.6)  # the grace of drains
+        since = time.monotonic()
+        tier.come(12)
+        acked: dict[str, int] = {}
+
+        async def write() -> None:
+            for n in range(10_000):
+                answer = await tier.nodes[n % 4].ask("put", 1.0, key=f"kv/{n}", value="x")
+                if answer["ok"]:
+                    acked[f"kv/{n}"] = answer["revision"]
+                await asyncio.sleep(0.01)
+
+        writing = asyncio.create_task(write())
+        await overlapping_kills(tier, [2, 0, 3, 1], gap=0.2, down=0.5)
+        await tier.settled()
+        writing.cancel()
+        await asyncio.gather(writing, return_exceptions=True)
+        await tier.settled()
+        before = tier.counts["UP"]
+        await until(lambda: tier.counts["UP"] > before + 20, "clients are served again")
+        for node in tier.nodes:
+            answer = await node.ask("get", prefix="kv/", stale=True)
+            have = {item["key"]: item["modified"] for item in answer["items"]}
+            assert {key: have.get(key) for key in acked} == acked, f"{node.name} lost an acknowledged write"
+        assert tier.wrong == [] and len(acked) > 5
+        assert (tier.sends_after("h0", since), tier.sends_after("h1", since)) == (0, 0)
+        assert sum(tier.sends_after(name, since) for name in ("h2", "h3", "h4")) > 20
+        assert await tier.nodes[0].hand("maint-off h1") == "done"
+        tier.director.entries["h0"]["startedAtMs"] = 1000  # a newer start
+        tier.director.tell()
+        await until(lambda: tier.sends_after("h0", since) and tier.sends_after("h1", since), "both are back")
+
+    told(story, tmp_path)
+
+
+def test_without_a_store_the_same_drain_is_forgotten(tmp_path: Path) -> None:
+    """So the story above can fail."""
+
+    async def run() -> None:
+        tier = Tier(tmp_path, 1, keeps=False)
+        try:
+            await tier.start()
+            tier.director.entries["h0"]["lifecycle"] = "leaving"
+            tier.director.tell()
+            await asyncio.sleep(0.6)
+            tier.director.entries["h0"]["lifecycle"] = "active"
+            tier.director.tell()
+            since = time.monotonic()
+            tier.come(6)
+            await until(lambda: tier.sends_after("h0", since), "the drained host gets new work")
+        finally:
+            await tier.close()
+
+    uvloop.run(asyncio.wait_for(run(), 60))
+
+
+def test_settings_take_effect_in_service_and_at_one_revision_everywhere(tmp_path: Path) -> None:
+    async def story(tier: Tier) -> None:
+        await tier.start()
+        await tier.settled()
+        answer = await tier.nodes[1].ask("put", key="config/log", value='{"format":"json","lines":50}')
+        assert answer["ok"]
+        words = f"store: config/log of revision {answer['revision']} is in force"
+        for node in tier.nodes:
+            await until(lambda node=node: any(words in line for line in node.lines), words)  # type: ignore[misc]
+            said = next(line for line in node.lines if words in line)
+            assert json.loads(said)["event"] == "store.config", "by then it is JSON"
+        await tier.nodes[3].kill()
+        await tier.nodes[3].start()
+        again = [line for line in tier.nodes[3].lines if words in line]
+        assert len(again) == 2, "a restarted node has it from its own disk"
+
+    told(story, tmp_path)
+
+
+def test_a_node_serves_without_a_quorum_and_keeps_what_it_hears_then(tmp_path: Path) -> None:
+    async def story(tier: Tier) -> None:
+        await tier.start()
+        await tier.settled()
+        alone = tier.nodes[0]
+        for node in tier.nodes[1:]:
+            await node.kill()
+        tier.come(4)
+        assert await alone.hand("maint-on h1") == "done", "durable here, quorum or not"
+        assert (await alone.ask("put", 0.5, key="kv/a", value="1"))["kind"] in ("not_now", "unsure")
+        await alone.kill()
+        await alone.start()
+        since = time.monotonic()
+        assert (await alone.ask("hosts"))["hosts"][0]["held"]
+        before = tier.counts["UP"]
+        await until(lambda: tier.counts["UP"] > before + 10, "it serves alone, from its own disk")
+        assert tier.sends_after("h1", since) == 0
+        for node in tier.nodes[1:]:
+            await node.start()
+        await tier.settled()
+        await everybody(tier, lambda rows: bool(rows.get("h1", {}).get("held")), "what one heard alone")
+        assert tier.wrong == []
+
+    told(story, tmp_path)
+
+
+def test_a_successor_takes_the_store_over_and_knows_drains_all_along(tmp_path: Path) -> None:
+    async def story(tier: Tier) -> None:
+        await tier.start()
+        await tier.settled()
+        old = tier.nodes[0]
+        tier.director.entries["h0"]["lifecycle"] = "leaving"
+        tier.director.tell()
+        await everybody(tier, lambda rows: "h0" in rows, "h0")
+        tier.director.entries["h0"]["lifecycle"] = "active"
+        tier.director.tell()
+        await asyncio.sleep(0.6)
+        since = time.monotonic()
+        tier.come(8)
+        old_process, reading = old.ran, old.reading
+        old.console = f"127.0.0.1:{free_ports(1)[0]}"
+        old.environment["PROXY_CONSOLE"] = old.console
+        await old.start()  # beside the old process: the same files and TMPDIR
+        assert old_process and old_process.returncode is None and reading
+        old_process.terminate()
+        await old_process.wait()
+        await until(lambda: (old.store / "control").exists(), "the new process has the store")
+        await tier.settled()
+        assert tier.sends_after("h0", since) == 0 and tier.wrong == []
+        assert (await old.ask("status"))["start"] == 2
+
+    told(story, tmp_path, nodes=3)
+
+
+def test_a_folder_of_another_member_stops_a_node_at_its_start(tmp_path: Path) -> None:
+    async def story(tier: Tier) -> None:
+        await tier.start()
+        one, other = tier.nodes[0], tier.nodes[1]
+        await one.kill()
+        await other.kill()
+        file: Path = one.folder / "limerudder.cue"
+        file.write_text(file.read_text().replace("/n0", "/n1"))
+        await Node.start(one)
+        assert one.ran and await one.ran.wait() == 2
+        assert any("is the folder of n1; this node is n0" in line for line in one.lines)
+
+    told(story, tmp_path, nodes=2)
