--- a/limerudder/schema.py
+++ b/limerudder/schema.py
@@ -28,7 +28,7 @@
     folder: string & =~"^/"              // must outlive the process; made by `limerudder state init`
     listen: #Address                     // where the other members reach this one
     election:  *300ms | duration & >=50ms & <=1m       // without a leader for so long, one stands for it
-    heartbeat: *60ms | duration & >=5ms & <=10s        // between a leader's signs of life
+    heartbeat: *100ms | duration & >=5ms & <=10s        // between a leader's signs of life
     snapshot_entries: *20000 | int & >=100 & <=10000000    // in the log, before it is cut ...
     snapshot_bytes:   *16MiB | size & >=64KiB & <=1GiB     // ... or so much of it
     value_most:       *64KiB | size & >=1KiB & <=512KiB    // of one value
@@ -59,7 +59,7 @@
     folder: str
     listen: Address
     election: int = 300_000
-    heartbeat: int = 60_000
+    heartbeat: int = 100_000
     snapshot_entries: int = 20_000
     snapshot_bytes: int = 16 << 20
     value_most: int = 64 << 10
--- a/limerudder/store/glue.py
+++ b/limerudder/store/glue.py
@@ -27,6 +27,7 @@
 from .records import Compare, Do, Open, Put, Result, Serials, Txn, What
 from .store import Store
 
+LOOK = 25_000  #: between looks at what has changed: far inside the grace for drains
 LIST_EVERY = 2_000_000  #: between lists written to the records, and only by whoever leads
 
 Log = Callable[[str, str], None]
@@ -240,9 +241,9 @@
         node = self.node
         if node is None or self.store.closed:
             return
-        node.wheel.at(now + 20_000, self._look)
+        node.wheel.at(now + LOOK, self._look)
         changed, self.changed_hosts = self.changed_hosts, set()
-        backs = node.returned()
+        backs = node.returned() if changed else {}
         for host in sorted(changed):
             view = self.store.member.ledger.view(host)
             if view.drained >= 0:
--- a/limerudder/store/raft/machine.py
+++ b/limerudder/store/raft/machine.py
@@ -63,7 +63,7 @@
     election: int = (
         300_000  #: without a leader for this long, up to twice of it, a member stands for election
     )
-    heartbeat: int = 60_000  #: between signs of life
+    heartbeat: int = 100_000  #: between signs of life
 
 
 class HardState(NamedTuple):
--- a/limerudder/store/store.py
+++ b/limerudder/store/store.py
@@ -172,8 +172,10 @@
     def _tick(self) -> None:
         if not self.closed:
             self.timer = self.loop.call_later(TICK, self._tick)
-            self.member.tick(self.now())
-            self._pump()
+            now = self.now()
+            if now >= self.member.next_due():
+                self.member.tick(now)
+                self._pump()
 
     # for people
 
