--- a/bench/store_defects.py
+++ b/bench/store_defects.py
@@ -9,14 +9,16 @@
 
 from rigs.defects import DEFECTS, plant
 
+KINDS = 6  #: of trouble, by the seed; see rigs.cluster.Plan
 
-def hunt(number: int, most: int) -> tuple[int, str]:
+
+def hunt(number: int, most: int, kind: int | None) -> tuple[int, str]:
     """In this process: the first seed that finds the defect, and what it found; -1 where none does."""
     plant(DEFECTS[number])
     from bench.store_sim import play
     from rigs.cluster import Plan
 
-    for seed in range(most):
+    for seed in range(kind or 0, most, 1 if kind is None else KINDS):
         _, why, _ = play((seed, Plan.of(seed)))
         if why:
             return seed + 1, why
@@ -28,9 +30,10 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--most", type=int, default=2000, help="seeds to try for each")
     parser.add_argument("--one", type=int, help="only the defect of this number, in this process")
+    parser.add_argument("--kind", type=int, help="only seeds of this kind of trouble, 0 to 5")
     given = parser.parse_args()
     if given.one is not None:
-        needed, why = hunt(given.one, given.most)
+        needed, why = hunt(given.one, given.most, given.kind)
         print(f"{needed}\t{why}")
         return 0 if needed > 0 else 1
 
--- a/limerudder/store/member.py
+++ b/limerudder/store/member.py
@@ -161,6 +161,7 @@
             Callable[[int], None]
         ] = []  # the records, the members or the leader have changed
         self.out = MemberOutput()
+        self.led_by = self.raft.leader  # when wishes were last said
         self.learn_all()
 
     # what is known
@@ -378,6 +379,10 @@
 
     def take(self, now: int) -> MemberOutput | None:
         """What is to be done since the last call; None where there is nothing."""
+        if self.raft.leader != self.led_by:
+            self.led_by = self.raft.leader
+            for one in list(self.wishes.values()):  # guards whoever waits against waiting for a tick as well
+                self._say(one, now)
         if self.proposals:
             self._propose(now)
         raft = self.raft.take(now)
