Serve beside an old process that hangs on the store's folder, and have the store after it

README promises that a new process serves where the old one hangs; with a store it would have ended with exit code 2, since the folder was locked. It now goes on without, says so, and takes the folder when the old process has ended. Tested with a stopped process.

--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -150,7 +150,7 @@
         heir = Heir(node, hello, enter, clock.now(), over)
         await join(legacy.line, heir, clock)
     else:
-        await keeping.attach(node, elder)
+        await keeping.attach(node, marks, elder)
         await serving()
     tick()
     gc.freeze()
--- a/limerudder/keeping.py
+++ b/limerudder/keeping.py
@@ -33,6 +33,7 @@
         self.name, self.log, self.clock = config.name, log, clock
         self.glue: Glue | None = None
         self.inherited: Inherited | None = None
+        self.late = False  # the folder is another process's as yet
         self.task: asyncio.Task[None] | None = None
 
     def _open(self) -> Glue:
@@ -46,10 +47,15 @@
         """Open the store where there is to be one; gives the configuration with what is known there."""
         if self.settings is None:
             return config
-        from .store.disk import DiskError
+        from .store.disk import DiskBusy, DiskError
 
         try:
             self.glue = self._open()
+        except DiskBusy as exc:
+            # guards clients against an old process that hangs: this one serves, and has the store after it
+            self.log("store-disk", f"store: {exc}; this process goes on without it until that one has ended")
+            self.late = True
+            return config
         except DiskError as exc:
             raise ConfigError(f"store: {exc}") from None
         return self.glue.begin_with(config)
@@ -78,9 +84,11 @@
         self.glue.durable(name, lambda now: later.settle("done\n", now))
         return later
 
-    async def attach(self, node: Node, elder: Elder) -> None:
+    async def attach(self, node: Node, marks: Marks, elder: Elder) -> None:
         """Have the store talk, now that the node is there."""
         if self.glue is None:
+            if self.late:
+                self.attach_soon(node, marks, elder)
             return
         assert self.settings
         self.glue.hear_drained = lambda host, start: elder.tell(f"drained {start} {host}")
@@ -109,7 +117,7 @@
         node.recall = self.glue
         node.maintenance.marks = self.marks(marks)
         try:
-            await self.attach(node, elder)
+            await self.attach(node, marks, elder)
         except ConfigError as exc:  # guards a node that serves against an address that is taken
             self.log("store-disk", f"store: {exc}; this process goes on without its store")
             return
--- a/limerudder/store/disk.py
+++ b/limerudder/store/disk.py
@@ -46,6 +46,10 @@
     """A folder that cannot be used as a member's, and why."""
 
 
+class DiskBusy(DiskError):
+    """A folder that another process has."""
+
+
 class Identity(msgspec.Struct, frozen=True, array_like=True):
     """Whose disk this is."""
 
@@ -94,7 +98,7 @@
             fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError:
             os.close(self.lock)
-            raise DiskError(f"{folder} is in use by another process") from None
+            raise DiskBusy(f"{folder} is in use by another process") from None
         try:
             self._open(identity, config)
         except sqlite3.Error as exc:
--- a/rigs/cluster.py
+++ b/rigs/cluster.py
@@ -552,7 +552,12 @@
         assert leader.member
         config = leader.member.config
         part = [s for s in sound if config.get(s.number)]
-        states = {(s.member.records.revision, fingerprint(s.member)) for s in part if s.member}
+        states = set[tuple[int, int]]()
+        for _ in range(100):  # a client's last write may come at this very moment
+            states = {(s.member.records.revision, fingerprint(s.member)) for s in part if s.member}
+            if len(states) == 1:
+                break
+            self._until(self.now + 20 * MS)
         if len(states) != 1:
             revisions = {s.name: (s.member.records.revision, s.member.raft.commit) for s in part if s.member}
             raise Broken(f"{where}: members differ: {revisions}")
