--- a/limerudder/cli.py
+++ b/limerudder/cli.py
@@ -55,7 +55,10 @@
 
 @click.group(
     cls=Lazily,
-    elsewhere={"state": (".store.cli", "state", "Look after the replicated store.")},
+    elsewhere={
+        "state": (".store.cli", "state", "Look after the replicated store."),
+        "lab": (".lab.cli", "lab", "Drive nodes and judge them."),
+    },
     epilog=EXAMPLES + "  limerudder node\n  limerudder check limerudder.cue\n  limerudder state status",
     context_settings={"help_option_names": ["-h", "--help"]},
 )
