Keep a console caller whose answer comes later, also when it has ended its sending

A yes that waits for the disk closed the connection of a caller who had ended its sending, as echo | nc does: it heard nothing. Also a test of drains inherited by a successor.

--- a/limerudder/core/console.py
+++ b/limerudder/core/console.py
@@ -83,6 +83,7 @@
         self.link: Link | None = None
         self.text = b""
         self.answered = False
+        self.waiting: Later | None = None  # the answer, where it comes later
         self.timer = Alarm(console.wheel)
 
     def connected(self, link: Link, now: int) -> None:
@@ -104,6 +105,8 @@
 
     def eof(self, now: int) -> None:
         """The caller has ended its sending: what it said is its call."""
+        if self.waiting:
+            return  # it has ended its sending, as `echo … | nc` does, and is still owed the answer
         if self.answered:
             self.close()
         elif self.text:
@@ -121,10 +124,11 @@
     def _say(self, answer: str | Later, now: int) -> None:
         self.answered, self.text = True, b""
         if isinstance(answer, Later) and answer.text is None:
-            answer.hear = self._say
+            answer.hear, self.waiting = self._say, answer
             late = "error that is not written down yet; it holds here, and is tried on\n"
             self.timer.set(now + PATIENCE, partial(answer.settle, late))
             return
+        self.waiting = None
         answer = answer if isinstance(answer, str) else answer.text or ""
         if self.link:
             self.link.write(answer.encode())
--- a/rigs/tier.py
+++ b/rigs/tier.py
@@ -191,6 +191,7 @@
         """A call to its console."""
         reader, writer = await asyncio.open_connection(*self.console.split(":"))
         writer.write(line.encode() + b"\n")
+        writer.write_eof()  # as `echo … | nc` does
         answer = (await reader.read()).decode().strip()
         writer.close()
         return answer
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -8,7 +8,7 @@
 import pytest
 
 from limerudder.config import ConfigError, load
-from limerudder.core.console import CALLERS, MOST, CallError, Console, ConsoleSession
+from limerudder.core.console import CALLERS, MOST, PATIENCE, CallError, Console, ConsoleSession, Later
 from limerudder.core.counters import Counters
 from limerudder.core.wheel import Wheel
 
@@ -87,6 +87,39 @@
     return dict(line.removeprefix("app.").split(":") for line in lines)
 
 
+@pytest.mark.parametrize("ends", [False, True], ids=["open", "ended its sending"])
+@pytest.mark.parametrize("settled", [True, False])
+def test_an_answer_that_comes_later_is_waited_for_and_not_for_ever(
+    console: Console, ends: bool, settled: bool
+) -> None:
+    later = Later()
+    console.offer("hold", lambda word, now: later, takes=True)
+    session, link = call(console)
+    session.feed(b"hold x\n", 0)
+    if ends:
+        session.eof(0)
+    assert link.sent == b"" and not link.closed
+    if settled:
+        later.settle("done\n", 5)
+    else:
+        console.wheel.advance(PATIENCE + 10_000)
+    assert link.sent == (
+        b"done\n" if settled else b"error that is not written down yet; it holds here, and is tried on\n"
+    )
+    later.settle("done\n", 9)
+    assert link.sent.count(b"\n") == 1 and link.finished, "one answer"
+
+
+def test_an_answer_for_a_caller_that_has_gone_is_passed_over(console: Console) -> None:
+    later = Later()
+    console.offer("hold", lambda word, now: later, takes=True)
+    session, link = call(console)
+    session.feed(b"hold x\n", 0)
+    session.lost(0)
+    later.settle("done\n", 5)
+    assert link.sent == b"" and not console.callers
+
+
 def test_every_number_is_there_from_the_start(tmp_path: Path) -> None:
     names = ["fulfilled.chat", "throttled.chat", "faulted.chat", "relayed"]
     gauges = {"open_requests": "0|g", "registry_entries": "2|g", "out_of_rotation": "0|g"}
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -9,6 +9,7 @@
 from firgrade import interface as io
 from limerudder.core.director import read_hosts
 from limerudder.core.maintenance import Memory
+from limerudder.core.recall import Inherited
 from limerudder.net.marks import Files
 
 from .scripted import LINE, SECOND, World, host, hosts, world
@@ -206,3 +207,19 @@
     assert marks.read() == set()
     with pytest.raises(OSError):
         marks.put("x" * 300)
+
+
+def test_a_remembered_drain_outlives_the_list_and_is_lifted_by_a_newer_start_alone(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    here.node.recall = recall = Inherited({"s-1": START})
+    for started, out in [(START, True), (START - 5, True), (START + 1, False)]:
+        entry = host("s-1") | {"startedAtMs": started}
+        here.node.list_told(read_hosts(hosts(entry, host("s-2"))), here.now)
+        assert (here.node.backends[backend(here, "s-1")].state == io.State.DRAINING) == out, started
+    recall.told("s-1", START + 9)
+    here.node.relist("s-1", here.now)
+    assert here.node.backends[backend(here, "s-1")].state == io.State.DRAINING
+    leaving = host("s-2", lifecycle="leaving") | {"startedAtMs": 7}
+    here.node.list_told(read_hosts(hosts(leaving)), here.now)
+    assert recall.heard == {"s-2": 7} and recall.drained() == {"s-1": START + 9, "s-2": 7}
+    assert backend(here, "s-2") and not here.node.lists("s-1")
