--- a/bench/store_kills.py
+++ b/bench/store_kills.py
@@ -8,6 +8,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from pathlib import Path
 
 import uvloop
@@ -15,12 +16,12 @@
 from rigs.tier import Tier, overlapping_kills, until
 
 
-async def write_on(tier: Tier, acked: dict[str, int], stop: asyncio.Event) -> None:
+async def write_on(tier: Tier, who: int, acked: dict[str, int], stop: asyncio.Event) -> None:
     """Write counters through any node, and remember what was acknowledged."""
     number = 0
     while not stop.is_set():
         number += 1
-        key = f"kv/{number}"
+        key = f"kv/{who}/{number}"
         told = await random.choice(tier.nodes).ask("put", 1.0, key=key, value=str(number))
         if told["ok"]:
             acked[key] = told["revision"]
@@ -28,14 +29,14 @@
             await asyncio.sleep(0.02)
 
 
-async def play(rounds: int, folder: Path) -> int:
+async def play(rounds: int, rough: bool, folder: Path) -> int:
     """The run; how many promises were broken."""
     tier = Tier(folder)
     acked: dict[str, int] = {}
     stop = asyncio.Event()
     broken = 0
     try:
-        await tier.start()
+        await tier.start("snapshot_entries: 100" if rough else "")
         await tier.settled()
         told = await tier.nodes[0].ask("put", key="config/log", value='{"format":"text","lines":50}')
         assert told["ok"], told
@@ -50,16 +51,26 @@
         tier.director.tell()
         since = time.monotonic()
         tier.come(24)
-        writer = asyncio.create_task(write_on(tier, acked, stop))
+        many = 8 if rough else 1
+        tasks = [asyncio.create_task(write_on(tier, who, acked, stop)) for who in range(many)]
+        changes = asyncio.create_task(change_on(tier, stop)) if rough else None
         for number in range(rounds):
             order = random.Random(number).sample(range(4), 4)
             back = await overlapping_kills(tier, order, gap=0.25, down=0.6)
-            await tier.settled()
+            if rough:  # writes go on: an agreement at one moment cannot be asked for
+                leads = await tier.leader()
+                assert (await leads.ask("put", 10.0, key="kv/round", value=str(number)))["ok"]
+            else:
+                await tier.settled()
             took = time.monotonic() - back
             print(f"round {number + 1}: order {order}, agreed {took:.2f} s after the last was up")
         stop.set()
-        await writer
+        await asyncio.gather(*tasks)
+        if changes:
+            print(f"members: {dict(await changes)}")
         await tier.settled()
+        logs = [(await node.ask("status"))["log_from"] for node in tier.nodes]
+        print(f"the logs begin at {logs}")
         lost = 0
         for node in tier.nodes:
             told = await node.ask("get", prefix="kv/", stale=True)
@@ -78,6 +89,22 @@
     return broken
 
 
+async def change_on(tier: Tier, stop: asyncio.Event) -> Counter[str]:
+    """Add and remove a learner that never starts, and hand the lead around; what came of it."""
+    told: Counter[str] = Counter()
+    while not stop.is_set():
+        some = random.choice(tier.nodes)
+        for call, given in (
+            ("add", {"member": "x", "address": "127.0.0.1:1", "learner": True}),
+            ("transfer", {"member": random.choice(tier.nodes).name}),
+            ("remove", {"member": "x"}),
+        ):
+            answer = await some.ask(call, 1.0, **given)
+            told[f"{call} {'done' if answer['ok'] else answer['kind']}"] += 1
+            await asyncio.sleep(0.05)
+    return told
+
+
 def _knows(tier: Tier) -> list[bool]:
     told = [node.call("hosts") for node in tier.nodes]
     found = []
@@ -93,9 +120,10 @@
     """Play."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--rounds", type=int, default=5)
+    parser.add_argument("--rough", action="store_true", help="with snapshots, and members that come and go")
     given = parser.parse_args()
     with tempfile.TemporaryDirectory() as folder:
-        return 1 if uvloop.run(play(given.rounds, Path(folder))) else 0
+        return 1 if uvloop.run(play(given.rounds, given.rough, Path(folder))) else 0
 
 
 if __name__ == "__main__":
