Look once a tick for waiting writes that are under way, not once for each

With thousands of waiting writes at a leader whose disk is slow, each look compared every one with every other.

--- a/limerudder/store/member.py
+++ b/limerudder/store/member.py
@@ -264,6 +264,7 @@
         if now >= self.raft.next_due():
             self.raft.tick(now)
         retry = self.raft.timing.election
+        under_way = self._under_way() if self.leads and self.wishes else set()
         for one in list(self.wishes.values()):
             if now >= one.deadline:
                 del self.wishes[one.number]
@@ -272,21 +273,18 @@
             elif one.to != self.raft.leader or now >= one.said + retry:
                 # guards against a wish lost on its way or with its leader; sessions keep it from being done
                 # twice
-                if not (one.to == self.me and self.leads and self._under_way(one.number)):
+                if not (one.to == self.me and one.number in under_way):
                     self._say(one, now)
         if now >= self.push_due:
             self.push_due = now + PUSH_AGAIN
             self._push(now)
 
-    def _under_way(self, number: int) -> bool:
-        """Whether a wish of this member still waits in its own log or among its own reads."""
-        mine = (self.me, number)
-        term = self.raft.term
-        return (
-            any(one[1:] == mine and one[0] == term for one in self.proposed.values())
-            or mine in self.asked_reads.values()
-            or any(one[1:] == mine for one in self.proposals)
-        )
+    def _under_way(self) -> set[int]:
+        """Wishes of this member that wait in its own log or among its reads: no need to say them again."""
+        asked = [one[1:] for one in self.proposed.values() if one[0] == self.raft.term]
+        asked += self.asked_reads.values()
+        asked += [one[1:] for one in self.proposals]
+        return {number for sender, number in asked if sender == self.me}
 
     def written(self, job: int, snapshot: Snapshot | None, now: int) -> None:
         """A job is durable; `snapshot` is what its SnapshotJob has built."""
