--- a/rigs/cluster.py
+++ b/rigs/cluster.py
@@ -427,6 +427,8 @@
 
     def _restore_some(self) -> None:
         """Put an older copy of its disk into a server: whoever has seen more must refuse it for good."""
+        if self.plan.least < 3:  # two voters of whom one is lost for good are no quorum, and nobody's fault
+            return
         able = [s for s in self.servers.values() if len(s.copies) >= 2 and not s.dead]
         if not able or any(s.dead for s in self.servers.values()):
             return
