--- a/tests/test_store_raft.py
+++ b/tests/test_store_raft.py
@@ -310,3 +310,23 @@
     bench.all = {9: bench.fresh(9, Config(()))}
     bench.run(2000)
     assert bench.all[9].term == 0 and bench.seen == []
+
+
+def test_a_log_that_disagrees_with_a_snapshot_goes_with_it() -> None:
+    bench = Bench(1, 2)
+    old = tuple(Entry(n, 1, Kind.DATA, b"%d" % n) for n in range(1, 6))
+    one = bench.fresh(2, config(1, 2), hard=HardState(1, 0), entries=old)
+    whole = snapshot(3, 2, config(1, 2), 1)
+    one.receive(1, Piece(2, whole.meta, 0, whole.pieces[0], 0), bench.now)
+    out = one.take(bench.now)
+    assert out and out.install == whole and out.write and out.write.keep is False
+    assert (one.log.base, one.log.last, one.log.last_term) == (
+        3,
+        3,
+        2,
+    ), "entries 4 and 5 are of another history"
+    agreeing = tuple(Entry(n, 2, Kind.DATA, b"%d" % n) for n in range(1, 6))
+    two = bench.fresh(2, config(1, 2), hard=HardState(2, 0), entries=agreeing)
+    two.receive(1, Piece(2, whole.meta, 0, whole.pieces[0], 0), bench.now)
+    out = two.take(bench.now)
+    assert out and out.write and out.write.keep is True and two.log.last == 5
