--- a/limerudder/store/ledger.py
+++ b/limerudder/store/ledger.py
@@ -122,7 +122,6 @@
         self.pushing: dict[str, tuple[int, ...]] = {}  # the facts of a host that are under way
         self.new_facts: list[tuple[int, Fact]] = []  # to be made durable
         self.gone_facts: list[int] = []  # to be forgotten by the disk
-        self.new_known: dict[str, Known] = {}  # to be made durable
         self.changed: Callable[[str], None] = lambda host: None
 
     def view(self, host: str) -> HostRecord:
@@ -191,7 +190,7 @@
             record = read_record(value) if value is not None else HostRecord()
         except msgspec.DecodeError:  # guards hosts that are out against a value that nobody can read
             return
-        self.known[host] = self.new_known[host] = Known(modified, record)
+        self.known[host] = Known(modified, record)
         self._touch(host)
 
     def push(self, host: str, modified: int, value: bytes | None) -> tuple[Txn, tuple[int, ...]] | None:
--- a/limerudder/store/member.py
+++ b/limerudder/store/member.py
@@ -17,7 +17,7 @@
 from . import records as rec
 from . import talk
 from .doorman import Shown
-from .ledger import HOSTS, Fact, Known, Ledger
+from .ledger import HOSTS, Fact, Ledger
 from .raft.machine import ChangeError, NotLeading, Output, Raft, Saved, Standing, Timing, Write, digest
 from .raft.messages import Append, Config, Kind, Role, Snapshot, SnapshotMeta
 from .raft.messages import Member as MemberEntry
@@ -134,7 +134,6 @@
         self.ledger = Ledger({}, start.facts)
         for key, (modified, value) in hosts.items():
             self.ledger.learn(key.removeprefix(HOSTS), modified, value)
-        self.ledger.new_known.clear()  # that is durable
         self.new_known: dict[str, tuple[int, bytes | None]] = {}
         self.new_shown: dict[int, Shown] = {}  # to be made durable, for the doorman
         self.jobs = 0
@@ -491,7 +490,6 @@
         if ledger.new_facts:
             self.fact_jobs[job.number] = [number for number, _ in ledger.new_facts]
         ledger.new_facts, ledger.gone_facts, self.new_known, self.new_shown = [], [], {}, {}
-        ledger.new_known.clear()
         return job
 
     def _snapshot_due(self) -> SnapshotJob | None:
@@ -572,12 +570,3 @@
 def _read_result(data: bytes) -> Result:
     result: Result = _decode_result.decode(data)
     return result
-
-
-def known_hosts(known: Mapping[str, tuple[int, bytes | None]]) -> dict[str, Known]:
-    """The hosts among the known keys."""
-    ledger = Ledger({}, {})
-    for key, (modified, value) in known.items():
-        if key.startswith(HOSTS):
-            ledger.learn(key.removeprefix(HOSTS), modified, value)
-    return ledger.known
