--- a/rigs/tier.py
+++ b/rigs/tier.py
@@ -137,6 +137,7 @@
         self.lines: list[str] = []
         self.reading: asyncio.Task[None] | None = None
         self.serving = asyncio.Event()
+        self.wrapper: list[str] = []  # a program that runs the node's process, such as a tracer
 
     def write(self, listen: str, console: str, store: str, given: dict[str, Any], extra: str) -> None:
         """Write its files."""
@@ -153,7 +154,12 @@
         """Run it, until it serves."""
         self.serving = asyncio.Event()
         self.ran = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "limerudder", env=self.environment, stderr=asyncio.subprocess.PIPE
+            *self.wrapper,
+            sys.executable,
+            "-m",
+            "limerudder",
+            env=self.environment,
+            stderr=asyncio.subprocess.PIPE,
         )
         self.reading = asyncio.create_task(self._read(self.ran))
         await self.serving.wait()
