Name the signal in the log when SIGTERM or SIGINT reaches the node

The process ends with 0 only after SIGTERM or SIGINT (limerudder/__main__.py, stop()).

Change: stop() logs 'node: SIGTERM received' (or SIGINT) first, under the event kind 'stop'. The planned-stop story checks for the line; without it the story fails (checked by taking the line out).

--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -129,7 +129,9 @@
         node.reloaded = True
         node.director.move(again.discovery, clock.now())
 
-    def stop() -> None:
+    def stop(number: signal.Signals) -> None:
+        # guards whoever reads the log after a process ended with 0: this line names the signal that ended it
+        log("stop", f"node: {number.name} received")
         if not door.server and not node.succeeded:
             stopped.set()  # it has not begun to serve
         elder.tell("stopping")
@@ -137,7 +139,7 @@
 
     # before the node listens: a signal that finds no handler ends the process and all that it holds
     for planned in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(planned, stop)
+        loop.add_signal_handler(planned, stop, planned)
     loop.add_signal_handler(signal.SIGHUP, reload)
     loop.add_signal_handler(signal.SIGUSR1, lambda: log("counters", f"counters: {node.counters.text()}"))
     if config.console:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -139,8 +139,9 @@
         assert await late.line() == "BUSY"
         assert [await client.line() for client in clients] == ["MOVE"] * 3
         await node
-    counters = [await here.logged.get() for _ in range(here.logged.qsize())][-1]
-    assert "answers_served=3" in counters and "moves=3" in counters
+    lines = [await here.logged.get() for _ in range(here.logged.qsize())]
+    assert "answers_served=3" in lines[-1] and "moves=3" in lines[-1]
+    assert any(line.endswith("node: SIGTERM received") for line in lines)
 
 
 async def a_reload_watches_at_the_new_address_and_keeps_what_stands(here: Loopback) -> None:
