--- a/firgrade/choice.py
+++ b/firgrade/choice.py
@@ -204,7 +204,10 @@
         self.out.append(io.SetTimer(min(due, self.now + SECOND), SHARE))
 
     def _on_peermessage(self, event: io.PeerMessage) -> None:
-        if event.sender != self.settings.me and (message := decode(event.data)) is not None:
+        message = decode(event.data) if event.sender != self.settings.me else ((0.0, 0.0), [])
+        if message is None:
+            self.out.append(io.Log(f"node {event.sender} sent a datagram of no known form; passed over"))
+        elif event.sender != self.settings.me:
             self.sharing.told(event.sender, message[0], self.now)
             for number, load, held in matched(message[1], self.servers):
                 self._hear(self.servers[number], load, held)
