Count strange datagrams and spoilt load reports, and tell of them without flooding the log

A datagram of no known form was logged each time (choice.py, _on_peermessage), so a peer of another build could push out other lines of the module (five in 10 s), and had no counter; datagrams from elsewhere or over 256 bytes vanished in net/peers.py; a report that was not a number vanished in Loads.hear.

Now peer_messages_strange counts the former, one line in 5 s; reports_spoilt the latter, with a line naming the host.

--- a/firgrade/choice.py
+++ b/firgrade/choice.py
@@ -203,7 +203,7 @@
     def _on_peermessage(self, event: io.PeerMessage) -> None:
         message = decode(event.data) if event.sender != self.settings.me else ((0.0, 0.0), [])
         if message is None:
-            self.out.append(io.Log(f"node {event.sender} sent a datagram of no known form; passed over"))
+            self.out.extend(self.sharing.stray(event.sender, self.now))
         elif event.sender != self.settings.me:
             self.sharing.told(event.sender, message[0], self.now)
             for number, load, held in matched(message[1], self.servers):
@@ -255,6 +255,10 @@
 
     # Which servers are eligible
 
+    def strange(self) -> int:
+        """Datagrams of peers that were passed over."""
+        return self.sharing.strange
+
     def avoided(self, now: int) -> set[int]:
         """The ready servers that are left out for now because of how they fare."""
         self.now = max(now, self.now)
--- a/firgrade/interface.py
+++ b/firgrade/interface.py
@@ -318,3 +318,6 @@
 
     def avoided(self, now: int) -> set[int]:
         """The listed servers that new connections are kept from by choice, whatever the list says."""
+
+    def strange(self) -> int:
+        """How many datagrams of peers were passed over, since they are of no known form."""
--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -68,7 +68,7 @@
     recall = keeping.recall(hello.drained if hello else {})
     node = Node(config, network, log, clock.now(), keeping.marks(marks), recall)
     node.stopped, node.reloaded = stopped.set, bool(hello and hello.reloaded)
-    peers = Peers(config.peers, config.peers_all, lambda n, data: node.heard(n, data, clock.now()))
+    peers = Peers(config.peers, config.peers_all, lambda n, data: node.peering.heard(n, data, clock.now()))
     network.peers = peers
     door = Door(sockets, lambda: Stream(LineSession(node), clock), peers)
     tasks = set[asyncio.Task[None]]()
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -21,11 +21,13 @@
 from .director import Host, HostList
 from .figures import Figures
 from .handover import Holds
-from .link import MOST_DATAGRAM, Network
+from .link import Network
 from .lobby import Lobby
 from .maintenance import Maintenance, Marks, Memory
+from .peering import Peering
 from .probe import Probe
 from .recall import Recall
+from .reports import SPOILT, spoilt
 from .req import ClientSession, Fetch, Req
 from .silence import LOOK, LOOKS, Silence
 from .stop import PlannedStop
@@ -122,6 +124,7 @@
         spare = min(SPARE_SOCKETS, config.sockets // 4)
         self.classes = {name: number for number, name in enumerate(config.names.classes)}
         self.tenants = {name: number for number, name in enumerate(config.names.tenants)}
+        self.peering = Peering(self.counters, network, self.balancer, self.give, self.settings.peers)
         self.reqs: dict[int, Held] = {}
         self.ids: set[int] = set()  # of these reqs, as their clients named them
         self.past: dict[int, None] = {}  # of the last that ended, oldest first
@@ -277,9 +280,7 @@
         self.log("module", f"module: {action.text}")
 
     def _tell(self, action: io.Tell, now: int) -> None:
-        if self.settings.peers and len(action.data) <= MOST_DATAGRAM:
-            self.counters.count("peer_messages_sent")
-            self.network.tell(action.peer, action.data)
+        self.peering.tell(action)
 
     # probes
 
@@ -300,6 +301,9 @@
         self, number: int, latency: int, ending: io.Ending, report: tuple[float, ...], now: int
     ) -> None:
         self.counters.count(f"probes_{ending.name.lower()}")
+        if spoilt(report):
+            self.counters.count("reports_spoilt")
+            self.log("report", SPOILT.format(self.backends[number].name))
         if ending in (io.Ending.OK, io.Ending.ERROR, io.Ending.FULL):
             self.backends[number].heard = now
         self.give(io.Probed(number, latency, ending, report), now)
@@ -573,13 +577,6 @@
                 self.counters.count("moves")
                 fetch.vanish(now)
 
-    # peers
-
-    def heard(self, sender: int, data: bytes, now: int) -> None:
-        """A message from a peer."""
-        self.counters.count("peer_messages")
-        self.give(io.PeerMessage(sender, data), now)
-
     # the numbers
 
     def gauges(self, now: int) -> dict[str, int]:
--- /dev/null
+++ b/limerudder/core/peering.py
@@ -0,0 +1,41 @@
+"""Datagrams from and to the other nodes of the tier: within the rules, and counted."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from firgrade import interface as io
+
+from .counters import Counters
+from .link import MOST_DATAGRAM, Network
+
+
+class Peering:
+    """What one node hears from its peers and tells them."""
+
+    def __init__(
+        self,
+        counters: Counters,
+        network: Network,
+        balancer: io.Decisions,
+        give: Callable[[io.Event, int], None],
+        allowed: bool,
+    ) -> None:
+        self.counters, self.network, self.balancer = counters, network, balancer
+        self.give, self.allowed = give, allowed
+
+    def heard(self, sender: int | None, data: bytes, now: int) -> None:
+        """A datagram; one that no peer sent, or that is too long, is counted and passed over."""
+        if sender is None or len(data) > MOST_DATAGRAM:
+            return self.counters.count("peer_messages_strange")
+        self.counters.count("peer_messages")
+        before = self.balancer.strange()
+        self.give(io.PeerMessage(sender, data), now)
+        if self.balancer.strange() > before:
+            self.counters.count("peer_messages_strange")
+
+    def tell(self, action: io.Tell) -> None:
+        """Carry out what the module decides, within the platform's rules."""
+        if self.allowed and len(action.data) <= MOST_DATAGRAM:
+            self.counters.count("peer_messages_sent")
+            self.network.tell(action.peer, action.data)
--- a/limerudder/core/reports.py
+++ b/limerudder/core/reports.py
@@ -5,6 +5,13 @@
 from collections.abc import Sequence
 from math import nan
 
+SPOILT = "node: host {} sent a load report that lacks a field or cannot be read"
+
+
+def spoilt(report: Sequence[float]) -> bool:
+    """Whether a value is missing, or is none that a host can have."""
+    return not all(value >= 0 for value in report)
+
 
 def read_report(text: bytes, fields: Sequence[str]) -> tuple[float, ...]:
     """The values of these fields in their order; one that is missing is not a number. No report is ()."""
--- a/limerudder/net/peers.py
+++ b/limerudder/net/peers.py
@@ -12,10 +12,10 @@
 
 
 class Peers(asyncio.DatagramProtocol):
-    """Sends to a peer by number; `heard` gets each message with its sender's number."""
+    """Sends to a peer by number; `heard` gets each datagram with its sender's number, if a peer's."""
 
     def __init__(
-        self, peers: Sequence[Address], everyone: Address | None, heard: Callable[[int, bytes], None]
+        self, peers: Sequence[Address], everyone: Address | None, heard: Callable[[int | None, bytes], None]
     ) -> None:
         self.peers, self.everyone, self.heard = peers, everyone, heard
         self.numbers = {address: number for number, address in enumerate(peers)}
@@ -26,10 +26,8 @@
         self.transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: Address) -> None:
-        """A datagram; one from elsewhere is passed over."""
-        number = self.numbers.get((addr[0], addr[1]))
-        if number is not None and len(data) <= MOST_DATAGRAM:
-            self.heard(number, data)
+        """A datagram, whoever sent it."""
+        self.heard(self.numbers.get((addr[0], addr[1])), data)
 
     def error_received(self, exc: Exception) -> None:
         """Datagrams may be lost."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,6 +10,7 @@
 
 from firgrade import interface as io
 from limerudder.core.director import DirectorCall, read_hosts
+from limerudder.net.peers import Peers
 
 from .scripted import LINE, SECOND, FakeLink, World, host, hosts, settings, world
 
@@ -558,3 +559,51 @@
     alone = world(tmp_path, settings=settings(peers=False))
     alone.node._tell(io.Tell(1, b"x"), alone.now)
     assert not alone.told
+
+
+def test_datagrams_that_mean_nothing_are_counted_and_told_of_now_and_then(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    told = events(here)
+    here.node.peering.heard(None, b"hello", here.now)  # no peer's
+    here.node.peering.heard(1, b"\xa7" * 257, here.now)
+    assert not told and here.node.counters["peer_messages_strange"] == 2
+    for _ in range(20):
+        here.node.peering.heard(1, b"hello", here.now)
+    assert here.node.counters["peer_messages_strange"] == 22 and here.node.counters["peer_messages"] == 20
+    assert [line for line in here.logged if "no known form" in line] == [
+        "module: node 1 sent a datagram of no known form; passed over, 1 in all so far"
+    ], "a flood of them would hide other lines"
+    here.run(6 * SECOND)
+    here.node.peering.heard(1, b"hello", here.now)
+    assert here.logged[-1].endswith("21 in all so far")
+    here.node.peering.heard(1, bytes((0xA7, 0, 0, 0, 0)), here.now)
+    assert here.node.counters["peer_messages_strange"] == 23, "one that is well formed is not among them"
+
+
+@pytest.mark.parametrize(
+    ("said", "spoilt"),
+    [
+        ("inflight=1,x0=0.5", 0),
+        ("inflight=1,x0=nan", 1),
+        ("inflight=1", 1),
+        ("inflight=-1,x0=0.5", 1),
+        ("", 0),
+    ],
+)
+def test_a_report_that_cannot_be_read_is_counted_and_told_of(tmp_path: Path, said: str, spoilt: int) -> None:
+    here = world(tmp_path, settings=settings(probes=True))
+    told = events(here)
+    here.node._probe(io.Probe(next(iter(here.node.backends))), here.now)
+    link = here.dials[-1]
+    link.accept(here.now)
+    link.machine.feed(f"PONG {said}".strip().encode() + b"\r\n", here.now)
+    assert [type(event) for event in told] == [io.Probed], "the module hears of it either way"
+    assert here.node.counters["reports_spoilt"] == spoilt == sum("load report" in t for t in here.logged)
+
+
+def test_the_driver_hands_on_whose_datagram_it_is() -> None:
+    heard: list[tuple[int | None, bytes]] = []
+    peers = Peers([("127.0.0.1", 9001), ("127.0.0.1", 9002)], None, lambda n, data: heard.append((n, data)))
+    peers.datagram_received(b"a", ("127.0.0.1", 9002))
+    peers.datagram_received(b"b", ("127.0.0.1", 9003))
+    assert heard == [(1, b"a"), (None, b"b")]
