Weigh 256 hosts at most for a draw; test a silent discovery and rounds that come sooner

Fleets of up to 256 draw as before.

That rounds are looked at each second has a test that fails without it (one set for the turn of before).

--- a/firgrade/choice.py
+++ b/firgrade/choice.py
@@ -26,6 +26,7 @@
 HOLD, LOOK = 100_000, 50_000  # between tries of a held request, and to wait for reports: inside any aim
 MOST_WEIGHT = 100.0  # a server's size beyond that, or below the inverse, is nonsense
 WIDE = 8 * D  # servers looked at for a draw at most, however large the fleet
+MANY = 16 * WIDE  # servers weighed for it at most
 PROBE_SPEND = 0.01  # of the result goes into probes at most: what is learned must be worth more than that
 SWEEP_LEAST, SWEEP_MOST = SECOND // 2, 4 * SECOND  # reports are rarely renewed faster; slower, they mislead
 BACK = math.inf  # in place of a level: the servers' own reports alone decide
@@ -335,7 +336,7 @@
         return list(islice((s for s in ring if zone in (None, s.zone)), D))
 
     def _pools(self, flow: Flow) -> Iterator[list[Server]]:
-        """Where to draw from, in turn: each is narrow, though a sample weighs all servers by their room."""
+        """Where to draw from, in turn: each is narrow, though a sample weighs many by their room."""
         if self.returned:  # one put back by hand is among the candidates until it has its first
             yield [*self.returned, *self.sample(self.ready)]
         for zone in self.zones:
@@ -372,6 +373,8 @@
         # DANGER: drawn alike, small servers are full while the large idle, and a node that holds few
         # connections learns of neither
         # DANGER: reports are seconds old; were those with room filled in turn, all nodes would fill the same
+        # DANGER: weighed one by one, thousands would take milliseconds of every draw
+        servers = self.rng.sample(servers, MANY) if len(servers) > MANY else servers
         room = {s: self.loads.size(s, self.now) * max(1 - (self.estimate(s) or 0), 0.1) for s in servers}
         keys = {s: self.rng.random() ** (1 / room[s]) for s in servers}  # after Efraimidis and Spirakis
         return sorted(servers, key=keys.__getitem__, reverse=True)[:WIDE]
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -9,8 +9,8 @@
 import pytest
 
 from firgrade import interface as io
-from firgrade.choice import Balancer
-from firgrade.records import SECOND
+from firgrade.choice import MANY, Balancer
+from firgrade.records import SECOND, Server
 
 from .driver import BASE, Driver, entry
 
@@ -752,3 +752,18 @@
     assert moved(0.6, 0.3) == 0
     # on that day all that came home made the tier do 1.2 times the work, and a burst filled it
     assert moved(0.4, 0.6) == 0, "half as much again would stand above 0.7"
+
+
+def test_a_draw_among_thousands_weighs_no_more_of_them_than_among_hundreds() -> None:
+    driver = Driver(PLAIN, servers=fleet(3000))
+    loads, size = driver.balancer.loads, driver.balancer.loads.size
+    weighed: list[int] = []
+
+    def count(server: Server, now: int) -> float:
+        weighed.append(server.id)
+        return size(server, now)
+
+    loads.size = count  # type: ignore[method-assign]
+    met = {driver.balancer.sample(driver.balancer.ready)[0].id for _ in range(100)}
+    assert len(weighed) <= 100 * MANY
+    assert len(met) > 90, "any of them may be drawn"
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from dataclasses import replace
+from pathlib import Path
 
 import pytest
 
@@ -11,6 +12,7 @@
 from firgrade.records import SECOND
 
 from .driver import Driver, entry
+from .scripted import world
 from .test_sharing import NODES, SERVERS, TIER, Tier
 
 
@@ -149,3 +151,19 @@
     alone = tier.nodes[3].balancer
     assert all(alone.estimate(s) is not None for s in alone.ready)
     assert len(tier.nodes[3].logged(io.Probe)) <= 2 * len(SERVERS)
+
+
+def test_a_silent_discovery_is_asked_again_and_the_list_of_before_serves(tmp_path: Path) -> None:
+    """Seven in ten nodes begin together and overbook discovery: it takes the call, and no answer comes."""
+    here = world(tmp_path)
+    asked = 0
+    for _ in range(60):
+        for dial in here.dials[asked:]:
+            if dial.address == here.node.config.discovery and not dial.closed:
+                dial.accept(here.now)
+        asked = len(here.dials)
+        here.run(SECOND // 2)
+    calls, failures = (here.node.counters[f"director_{what}"] for what in ("calls", "failures"))
+    assert 3 <= failures <= calls <= 30, "asked again, and less often than it could bear"
+    assert any(line.startswith("director: a call failed") for line in here.logged)
+    here.served()
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -179,3 +179,15 @@
             node.open(1)
     tier.run(4 * SECOND)
     assert tier.told >= 3
+
+
+def test_rounds_come_sooner_as_soon_as_connections_pay_for_them() -> None:
+    """Each node looks at whose turn it is every second, not when the turn of before would have come."""
+    tier = Tier()
+    tier.run(2 * SECOND + SECOND // 4)  # each has looked once, in its place
+    before = tier.told
+    for node in tier.nodes:
+        for _ in range(5):
+            node.open(1)
+    tier.run(SECOND + SECOND // 2)
+    assert tier.told > before
