--- a/firgrade/moves.py
+++ b/firgrade/moves.py
@@ -15,7 +15,6 @@
     from .choice import Balancer
 
 FETCH_BACK, FETCH_FOR = SECOND // 2, 4 * SECOND  #: one is moved for a server put back by hand, so often
-BURST = 1.5  #: times the usual load that a tier is to bear at any moment
 HOMING = 3  #: a move home pays where a whole life away costs this many times the move: gaps cost too
 LIVES = 300 * SECOND  #: longest mean life of a connection: how often those that stood at the start began
 BRIM = 0.9  #: past this a server is eased: beyond its capacity nothing is answered in time
@@ -87,9 +86,7 @@
     if told.prices.get("crossZone", 0) <= HOMING * told.prices.get("moves", 0):
         return
     away: list[Flow] = []
-    # DANGER: a server that gets the first of a group does the group's work too, and of a group a zone has one
-    # or two: all brought home, a tier did a quarter more, and a burst then filled it
-    if not node.gap and (not node.loads.known or node.loads.told < EASY / BURST):
+    if not node.gap:
         far = {s.id for s in node.ready if s.zone != told.zone}
         away = [f for f in node.flows.values() if f.live and f.server and f.server.id in far]
         # DANGER: one that came back and found no room at home would be sent to and fro
