--- a/firgrade/felt.py
+++ b/firgrade/felt.py
@@ -155,8 +155,9 @@
         if not can or not server.word_at:
             # DANGER: a group whose clients all come at once would crowd one server; but a guess is no
             # word of a limit, and turns nobody away: the last level is without bound
-            bound = level if level == math.inf else CROWDED
-            return not can or self.words or self.asked(server, now) + asks <= bound * can
+            if flow is None or not flow.live:  # one that stands is moved there by choice only
+                level = math.inf if self.words or level == math.inf else CROWDED
+            return not can or self.asked(server, now) + asks <= level * can
         may = min(AIM, level)
         if quiet > WORD:
             server.fits = max(server.fits, self.mine(server) / WELL)
