--- a/firgrade/felt.py
+++ b/firgrade/felt.py
@@ -53,7 +53,7 @@
         self.connections = sum(quotas) / SHARED_OUT  # of the usual load, that the fleet can hold
         self.total = 0.0  # size of the fleet that the tenants' shares were made for
         self.ready = list[Server]()
-        self.words = False  # messages do tell here
+        self.tells = False  # until a message does
         self.all, self.all_at = 0.0, -SECOND  # load of all this node's connections
         self.full = math.inf  # a server of which no word has come is never taken for full
 
@@ -96,7 +96,7 @@
 
     def note(self, server: Server, took: float, now: int) -> float:
         """A message took so many microseconds there; returns what is to leave of this node's load."""
-        (before, at), server.word_at, self.words = server.word, now, True
+        (before, at), server.word_at, self.tells = server.word, now, True
         if now - at < APART:
             return 0.0
         here, server.word = self.mine(server), (took, now)
@@ -113,7 +113,7 @@
     def crowded(self, server: Server, now: int) -> float:
         """What is to leave of this node's load, by a guess: messages never tell, and others have room."""
         can = self.can(server, now)
-        if self.words or not can or self.asked(server, now) <= CROWDED * can:
+        if self.tells or not can or self.asked(server, now) <= CROWDED * can:
             return 0.0
         room = sum(
             max(EASY * self.can(s, now) - self.asked(s, now), 0.0) for s in self.ready if s is not server
@@ -156,7 +156,7 @@
             # DANGER: a group whose clients all come at once would crowd one server; but a guess is no
             # word of a limit, and turns nobody away: the last level is without bound
             if flow is None or not flow.live:  # one that stands is moved there by choice only
-                level = math.inf if self.words or level == math.inf else CROWDED
+                level = math.inf if self.tells or level == math.inf else CROWDED
             return not can or self.asked(server, now) + asks <= level * can
         may = min(AIM, level)
         if quiet > WORD:
--- a/firgrade/loads.py
+++ b/firgrade/loads.py
@@ -31,6 +31,7 @@
         self.error = (1 - FULL) / DEVIATIONS  # how far estimates are off reports, on average
         self.level = self.full = FULL  # above these a server is spared, or gets nothing
         self.unit, self.mean_size = 0.0, 1.0  # what one connection adds to a server of the mean size
+        self.tells = True  # something tells of loads
         self.told = 1.0  # share of its capacity that the fleet is asked for, by reports alone
         self.known = dict[Server, None]()
 
--- a/firgrade/moves.py
+++ b/firgrade/moves.py
@@ -175,7 +175,8 @@
     if told.prices.get("crossZone", 0) <= HOMING * told.prices.get("moves", 0):
         return
     away: list[Flow] = []
-    if not node.spacing.gap:
+    # DANGER: a zone's hosts filled by a guess alone are overfull, and nothing would ever tell
+    if not node.spacing.gap and node.loads.tells:
         far = {s.id for s in node.ready if s.zone != told.zone}
         away = [f for f in node.flows.values() if f.live and f.server and f.server.id in far]
         # DANGER: one that came back and found no room at home would be sent to and fro
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -118,3 +118,9 @@
     assert rate(None, "info", {"kind": "a"}) is not None
     assert rate(None, "info", {"kind": "a"}) is None
     assert rate(None, "info", {"kind": "b"}) is not None
+
+
+def test_build_puts_the_command_beside_its_python(tmp_path: Path) -> None:
+    command = Path(sys.executable).parent / "limerudder"
+    ran = subprocess.run([command, "--help"], cwd=tmp_path, capture_output=True, text=True, check=False)
+    assert ran.returncode == 0 and "check" in ran.stdout
