--- a/firgrade/choice.py
+++ b/firgrade/choice.py
@@ -51,7 +51,7 @@
 class Balancer:
     """Events in, actions out; the clock comes with each event, chance from the seeded source handed in."""
 
-    WAVE, D, LOOK, AGAIN, HOME, SPREAD = WAVE, D, LOOK, AGAIN, HOME, SPREAD  # for firgrade/moves.py
+    WAVE, D, LOOK, AGAIN, HOME = WAVE, D, LOOK, AGAIN, HOME  # for firgrade/moves.py
 
     def __init__(self, settings: io.Settings, rng: Random) -> None:
         self.settings, self.rng, self.now = settings, rng, 0
@@ -120,8 +120,6 @@
             self.started, self.born = True, self.now
             if self.probing:
                 self._sweep()
-            if self.felt:
-                moves.spread(self, self.felt)
             if self.probing or self.felt:
                 moves.bring_home(self)
             if self.sharing.able and self.probing:
@@ -166,8 +164,6 @@
             self._sweep()
         elif event.token == SHARE:
             self._share()
-        elif event.token == SPREAD and self.felt:
-            moves.spread(self, self.felt)
         elif event.token in (AGAIN, HOME):
             (moves.fetch_back if event.token == AGAIN else moves.bring_home)(self)
         elif (flow := self.held.pop(event.token, None)) is not None:
--- a/firgrade/felt.py
+++ b/firgrade/felt.py
@@ -15,7 +15,7 @@
 from collections.abc import Sequence
 
 from . import interface as io
-from .loads import EASY, Loads
+from .loads import Loads
 from .records import SECOND, Flow, Server
 
 SHARED_OUT = 0.82  #: of what a fleet can do, about so much is shared out to its tenants
@@ -34,7 +34,7 @@
     6,
 )  #: of what others ask, a second of quiet; seconds until none is believed
 STANDS = 1.2  #: load of a server that breaks off what stands, at least
-CROWDED = 1.0  #: load of a server by a guess, from which some leave
+CROWDED = 1.0  #: load by a guess, above which a server is drawn last
 LOOK = SECOND // 4  #: between looks at all own connections
 ALONE = 4 * SECOND  #: of quiet, after which others are not reckoned to take the same room at the same time
 
@@ -110,16 +110,6 @@
         server.was = here
         return max(here * (1 - self.may(took) / load), 0.0) if known and took > self.short else 0.0
 
-    def crowded(self, server: Server, now: int) -> float:
-        """What is to leave of this node's load, by a guess: messages never tell, and others have room."""
-        can = self.can(server, now)
-        if self.tells or not can or self.asked(server, now) <= CROWDED * can:
-            return 0.0
-        room = sum(
-            max(EASY * self.can(s, now) - self.asked(s, now), 0.0) for s in self.ready if s is not server
-        )
-        return min(self.asked(server, now) - can, room) / self.nodes
-
     def dropped(self, server: Server, now: int) -> None:
         """A server has broken off a connection that stood: some do where too much has piled up."""
         twice = now - server.dropped_at < SECOND
--- a/firgrade/moves.py
+++ b/firgrade/moves.py
@@ -22,7 +22,6 @@
 #: A report is as old as that at most: an earlier one may not show the last moves.
 EASE_AGAIN = 3 * SECOND // 2
 STAYED = 5 * SECOND  #: after so long even one that came back may be brought home
-SPREAD = 3 * SECOND // 2  #: between looks for crowded servers, where nothing tells of them
 HOME_LEAST, HOME_MOST = SECOND // 2, 10 * SECOND  #: between two that are brought home
 
 
@@ -34,7 +33,6 @@
     LOOK: int
     AGAIN: int
     HOME: int
-    SPREAD: int
     settings: io.Settings
     rng: Random
     now: int
@@ -104,13 +102,6 @@
         ease(node, server, (asked - node.loads.level) / load, shared)
 
 
-def spread(node: Mover, felt: Felt) -> None:
-    """Where nothing tells of loads but connections themselves: ease what must be crowded, by and by."""
-    for server in [s for s in node.ready if s.flows]:
-        lighten(node, felt, server, felt.crowded(server, node.now))
-    node.out.append(io.SetTimer(node.now + SPREAD, node.SPREAD))
-
-
 def feel(node: Mover, felt: Felt, server: Server, took: float) -> None:
     """A message took so long at a server: send away what is too much there."""
     lighten(node, felt, server, felt.note(server, took, node.now))
