--- a/firgrade/choice.py
+++ b/firgrade/choice.py
@@ -546,7 +546,8 @@
             # the paper's block, or a drop under load (of one being moved too): it holds all it can of ours
             server.ceiling, server.ceiling_at = server.count, self.now
             return
-        young, shared = self.now < self.born + YOUNG, ending in (io.Ending.ERROR, io.Ending.TIMEOUT)
+        young = self.felt is not None and self.now < self.born + YOUNG
+        shared = ending in (io.Ending.ERROR, io.Ending.TIMEOUT)
         if shared and self.spacing.failed(self.rate, young):
             return
         server.strikes += 1
--- a/tests/test_felt.py
+++ b/tests/test_felt.py
@@ -15,6 +15,7 @@
 from firgrade import interface as io
 from firgrade.felt import AIM, DEAR, KEYS, Felt
 from firgrade.records import SECOND, Flow, Server
+from firgrade.spacing import Spacing
 from rigs.crowd import STEP, Client, Crowd
 
 from .driver import BASE, SAFE
@@ -151,3 +152,13 @@
         assert 0 <= goal <= felt.mine(server)
         assert felt.mine(server) <= felt.asked(server, now) < math.inf
         assert felt.can(server, now) > 0
+
+
+def test_one_error_at_a_young_process_turns_no_wave_away() -> None:
+    young, known_rate = Spacing(), Spacing()
+    assert not young.failed(0.0, young=True) and young.gap == 0
+    known_rate.failed(0.0, young=False)
+    assert known_rate.gap == SECOND // 4
+    for _ in range(2):
+        young.failed(0.0, young=True)
+    assert young.gap > 0, "three more that failed than were made"
