Keep discovery's clocks in one machine: a change is heard 6 s after it could be

Added up, a change could be heard 8 s after discovery was back, and a watch that gave empty lines and never its first list lived for ever (Director._check went by the last byte). The operators now allow 6 s, whatever became of the calls before.

firgrade/listclock.py holds every limit and the sum that has to stay under 6 s; module and node both go by it. Waits double from 0.5 s to 0.8 s at most, drawn anew; 3 s for silence, for a list that does not end and for a first list that does not come; an agent is asked anew after 0.4 s.

Also in choice._place: a keyed request is sent again only if a dial as late as the settings allow would still write its line within the window; the test fails without it.

--- a/firgrade/choice.py
+++ b/firgrade/choice.py
@@ -16,6 +16,7 @@
 from . import interface as io
 from . import moves
 from .felt import Felt
+from .listclock import Waits
 from .loads import EASY, Loads
 from .records import NOTE_LIFE, SECOND, Flow, Holdings, Pace, Rate, Server
 from .ring import Ring
@@ -57,7 +58,8 @@
         self.next_token, self.started = HELD, False
         # own sends a second, those of them that stood nowhere before, and the first as of the last send
         self.sent, self.fresh, self.rate = Rate(), Rate(), 0.0
-        self.born = self.ask_at = self.ask_failures = self.warm = 0  # warm: of the ready servers
+        self.born = self.ask_at = self.warm = 0  # warm: of the ready servers
+        self.waits = Waits(settings.ask_every)
         self.opens = 0  # connections that stood at the start
         fields = list(settings.report_fields)
         self.load_field = next((fields.index(name) for name in ("x0", "util") if name in fields), -1)
@@ -87,9 +89,7 @@
 
     def _on_members(self, event: io.Members) -> None:
         if event.kind == io.ListKind.FAILED:
-            self.ask_failures += 1
-            self._ask_at(0.5 ** max(1, 5 - self.ask_failures) * self.rng.uniform(0.5, 1))
-            return
+            return self._ask_in(self.waits.failed(self.rng))
         hand = event.kind == io.ListKind.HAND
         if not hand and event.kind != io.ListKind.DELTA:
             named = {entry.server for entry in event.entries}
@@ -123,8 +123,8 @@
             if self.settings.discovery == "on_request":
                 self._on_timer(io.Timer(ASK))
         else:
-            self.ask_failures = 0
-            self._ask_at(self.rng.uniform(0.7, 0.9))
+            self.waits.heard()
+            self._ask_in(int(self.settings.ask_every * self.rng.uniform(0.7, 0.9)))
 
     def _list(self, server: Server, state: int) -> None:
         was, server.state = server.state, state
@@ -145,16 +145,16 @@
         self.cold = {s: None for s in self.cold if self.now < s.since + self.settings.warm_up}
         self.warm = len(self.ready) - sum(s.state == io.State.READY for s in self.cold) or len(self.ready)
 
-    def _ask_at(self, part: float) -> None:
-        """Ask again after this part of the time within which a node is held to have asked."""
+    def _ask_in(self, wait: int) -> None:
+        """Ask discovery again after so long, and no sooner."""
         if self.settings.discovery == "on_request":
-            self.ask_at = self.now + int(part * self.settings.ask_every)
+            self.ask_at = self.now + wait
             self.out.append(io.SetTimer(self.ask_at, ASK))
 
     def _on_timer(self, event: io.Timer) -> None:
         if event.token == ASK and self.now >= self.ask_at:
             self.out.append(io.Watch(True))
-            self._ask_at(1)
+            self._ask_in(self.settings.ask_every)
         elif event.token == SWEEP:
             self._sweep()
         elif event.token == SHARE:
@@ -384,7 +384,8 @@
         """Send the flow, hold it while there is hope, or give its final answer."""
         told, left = self.settings, flow.deadline - self.now
         window = flow.cls.repeat_window if flow.cls.effect == "keyed" else 0
-        stale = flow.risk is not None and self.now >= flow.risk[0] + window
+        # DANGER: a connection may come up as late as its dial allows, and the line is written only then
+        stale = flow.risk is not None and self.now + told.connect_timeout >= flow.risk[0] + window
         if stale or flow.sends >= told.try_limit or left <= 2 * told.tick:
             return self._answer(flow)
         if self.spacing.gap and not flow.slot:
--- /dev/null
+++ b/firgrade/listclock.py
@@ -0,0 +1,66 @@
+"""The clocks of discovery's list: when a call is dead, and how long to wait until the next. Free of I/O.
+
+A change counts as told TOLD after discovery had it and could be reached, whatever became of calls before. So
+the longest way from any moment to an answer has to be shorter: a call that is out and dead is given up, its
+node waits, and the next call is answered:
+
+    GIVEN_UP + LOOK + WAIT_MOST + FIRST_WORD < TOLD
+
+Times are microseconds. docs/design/clocks.md tells what holds where, and why.
+"""
+
+from __future__ import annotations
+
+from random import Random
+
+SECOND = 1_000_000
+TOLD = 6 * SECOND  #: the operators' bound, silence and failures included
+FIRST_WORD = 2 * SECOND  #: for the first byte of an answer; the service fails what waits longer by itself
+WHOLE = 3 * SECOND  #: for a list from its first byte on, and for a call's first list from the call on
+SILENT = 3 * SECOND  #: a watch without a word: an empty line is due every 2 s
+GIVEN_UP = max(FIRST_WORD, WHOLE, SILENT)  #: no call is out and dead for longer
+WAIT_FIRST, WAIT_MOST = SECOND // 2, 4 * SECOND // 5  #: until the next call: after one failure, after many
+LOOK = SECOND // 10  #: between looks at the calls that are out
+AGENT_WORD = 3 * SECOND // 10  #: an agent on the node's own machine answers at once, or discovery is down
+AGENT_WAIT = SECOND // 10  #: until it is asked anew: that costs nobody anything
+
+
+class CallClock:
+    """One call that is out: told of its signs of life, it tells whether it is dead."""
+
+    def __init__(self, pushed: bool, now: int) -> None:
+        self.called, self.first = now, AGENT_WORD if pushed else FIRST_WORD
+        self.heard: int | None = None  # when the last byte came
+        self.begun: int | None = None  # when the list that has not ended began
+        self.lists = 0
+
+    def word(self, lists: int, unfinished: bool, now: int) -> None:
+        """Bytes have come; so many lists ended with them, and another has begun and not ended."""
+        self.heard, self.lists = now, self.lists + lists
+        self.begun = (now if lists else self.begun or now) if unfinished else None
+
+    def dead(self, now: int) -> bool:
+        """Whether it is to be given up: nothing that comes on it would come in time."""
+        if self.heard is None:
+            return now - self.called > self.first
+        # guards against a list that never ends and one that never begins, however lively the call is
+        if self.begun is not None and now - self.begun > WHOLE:
+            return True
+        return now - (self.heard if self.lists else self.called) > SILENT
+
+
+class Waits:
+    """Waits between calls while they fail (truncated exponential back-off, drawn anew each time)."""
+
+    def __init__(self, ask_every: int) -> None:
+        self.most, self.failures = min(WAIT_MOST, max(ask_every // 2, LOOK)), 0
+
+    def heard(self) -> None:
+        """Discovery has told its list."""
+        self.failures = 0
+
+    def failed(self, rng: Random) -> int:
+        """One more call has failed: how long to wait, so that not all nodes ask at once."""
+        most = min(WAIT_FIRST << min(self.failures, 4), self.most)
+        self.failures += 1
+        return int(most * rng.uniform(0.25, 1))
--- a/limerudder/core/director.py
+++ b/limerudder/core/director.py
@@ -9,6 +9,7 @@
 import httptools
 
 from firgrade.interface import State
+from firgrade.listclock import CallClock
 
 from .link import Address, Dialled, read_address
 from .objects import Objects, ObjectsError
@@ -102,22 +103,20 @@
         after: int | None,
         told: Callable[[DirectorCall, HostList, int], None],
         ended: Callable[[DirectorCall, bool, int], None],
+        clock: CallClock,
     ) -> None:
-        self.host, self.after, self.told, self.ended = host, after, told, ended
+        self.host, self.after, self.told, self.ended, self.clock = host, after, told, ended, clock
         self.watch = after is not None
         self.parser = httptools.HttpResponseParser(self)
         self.objects = Objects(MOST_BODY)
         self.lists: list[HostList] = []  # read, to be told once the parser has returned
         self.done = self.complete = False
         self.many = 0  # lists read in all
-        self.heard = 0  # when the last sign of life came
-        self.begun: int | None = None  # when the list that has not ended began
 
     # the connection
 
     def opening(self, now: int) -> bytes:
         """The request."""
-        self.heard = now
         query = f"?watch=1&after={self.after}" if self.watch else ""
         return f"GET {PATH}{query} HTTP/1.1\r\nHost: {self.host}\r\nAccept: application/json\r\n\r\n".encode()
 
@@ -125,14 +124,13 @@
         """Parse; what cannot be read fails the call."""
         if self.done:
             return
-        self.heard = now
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, ListError, ObjectsError):  # guards against nonsense
             self._end(True, now)
             return
         lists, self.lists = self.lists, []
-        self.begun = (now if lists else self.begun or now) if self.objects.begun else None
+        self.clock.word(len(lists), bool(self.objects.begun), now)
         for told in lists:
             self.told(self, told, now)
         if self.complete:  # a watch that is complete is a watch that has ended
--- a/limerudder/core/watch.py
+++ b/limerudder/core/watch.py
@@ -4,17 +4,13 @@
 
 from typing import Protocol
 
+from firgrade.listclock import AGENT_WAIT, LOOK, CallClock
+
 from .counters import Counters
 from .director import DirectorCall, HostList
 from .link import Address, Network
 from .wheel import Wheel
 
-SECOND = 1_000_000
-WATCH_SILENT = 9 * SECOND // 2  #: two heartbeats missed: the watch is dead
-CALL_WAIT = 3 * SECOND  #: for the first word on a call to discovery
-AGENT_WAIT = SECOND  #: the same where lists are pushed: the agent answers at once, or discovery is down
-AGENT_AGAIN = SECOND // 4  #: until a watch of an agent that ended is opened anew: it costs nobody anything
-CHECK = SECOND // 4  #: between looks at calls to discovery
 NO_VERSION = 0  #: before any version a service tells: what is asked after it is all there is
 
 
@@ -89,8 +85,7 @@
     def _call(self, after: int | None, now: int) -> DirectorCall:
         self.hearer.counters.count("director_calls")
         host, port = self.address
-        call = DirectorCall(f"{host}:{port}", after, self._told, self._over)
-        call.heard = now
+        call = DirectorCall(f"{host}:{port}", after, self._told, self._over, CallClock(self.pushed, now))
         call.link = self.hearer.network.dial(self.address, call)
         return call
 
@@ -108,20 +103,16 @@
         self.calls.discard(call)
         if call is self.watch:
             self.watch = None
-            self.again_at = now + AGENT_AGAIN if self.pushed else None
+            self.again_at = now + AGENT_WAIT if self.pushed else None
         if failed:
             self.hearer.counters.count("director_failures")
             self.hearer.list_failed(self.version, now)
 
     def _check(self, now: int) -> None:
-        """Look for calls that have gone silent."""
-        self.hearer.wheel.at(now + CHECK, self._check)
+        """Give up the calls that are dead."""
+        self.hearer.wheel.at(now + LOOK, self._check)
         for call in [*self.calls, *([self.watch] if self.watch else [])]:
-            first = AGENT_WAIT if self.pushed else CALL_WAIT
-            limit = WATCH_SILENT if call is self.watch and self.told else first
-            # guards against a list that never ends, however lively its call is
-            endless = call.begun is not None and now - call.begun > WATCH_SILENT
-            if now - call.heard > limit or endless:
+            if call.clock.dead(now):
                 call.lost(now)
         if self.again_at is not None and now >= self.again_at:
             self.again_at = None
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -765,3 +765,14 @@
     met = {driver.balancer.sample(driver.balancer.ready)[0].id for _ in range(100)}
     assert len(weighed) <= 100 * MANY
     assert len(met) > 90, "any of them may be drawn"
+
+
+def test_a_keyed_request_is_sent_again_only_while_a_late_dial_would_be_within_its_window() -> None:
+    """The line is written when the connection is up, as late as the settings let a dial take."""
+    window, dial = BASE.classes[2].repeat_window, BASE.connect_timeout
+    for after, again in ((window - dial - 1, True), (window - dial, False)):
+        driver = Driver(PLAIN, servers=fleet(4))
+        number = driver.request(cls=2)
+        driver.now += after
+        actions = driver.end(number, io.Ending.RESET)
+        assert any(isinstance(a, io.Send) for a in actions) is again, after
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -9,9 +9,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from firgrade.listclock import AGENT_WAIT, AGENT_WORD, WHOLE, CallClock
 from limerudder.core.director import DirectorCall, HostList
 from limerudder.core.objects import DEEPEST, Objects, ObjectsError
-from limerudder.core.watch import AGENT_AGAIN, AGENT_WAIT, WATCH_SILENT
 
 from .scripted import SECOND, FakeLink, World, host, hosts, settings, world
 
@@ -51,7 +51,11 @@
 def test_a_list_may_come_indented(watch: bool, cut: int) -> None:
     told, over = list[HostList](), list[bool]()
     call = DirectorCall(
-        "x", 0 if watch else None, lambda c, h, n: told.append(h), lambda c, f, n: over.append(f)
+        "x",
+        0 if watch else None,
+        lambda c, h, n: told.append(h),
+        lambda c, f, n: over.append(f),
+        CallClock(False, 0),
     )
     call.connected(FakeLink(), 1)
     text = json.dumps(hosts(host("s-1")), indent=2).encode()
@@ -77,7 +81,7 @@
     watch.machine.feed(HEAD + chunk(json.dumps(hosts(host("s-new"))).encode() + b"\n"), here.now)
     assert here.node.lists("s-new")
     watch.machine.eof(here.now)
-    here.run(AGENT_AGAIN + SECOND // 2)
+    here.run(AGENT_WAIT + AGENT_WORD // 2)
     assert len(watches(here)) == 2 and not watches(here)[1].closed
     assert b"after=41" in watches(here)[1].machine.opening(here.now), "what was missed comes first"
 
@@ -85,7 +89,7 @@
 def test_an_agent_that_says_nothing_is_asked_again_until_it_speaks(tmp_path: Path) -> None:
     here = pushed(tmp_path)
     for _ in range(3):
-        here.run(AGENT_WAIT + SECOND)
+        here.run(AGENT_WORD + AGENT_WAIT + SECOND)
         watches(here)[-1].accept(here.now)
     assert len(watches(here)) >= 3
     assert sum(not d.closed for d in watches(here)) == 1, "one watch at a time"
@@ -96,7 +100,7 @@
     (watch,) = watches(here)
     watch.accept(here.now)
     watch.machine.feed(HEAD + chunk(b'{"generation": 42, '), here.now)
-    for _ in range(WATCH_SILENT // (SECOND // 2)):
+    for _ in range(WHOLE // (SECOND // 2)):
         here.run(SECOND // 2)
         assert not watch.closed, "a long list takes its time, the first too"
         watch.machine.feed(chunk(b"\r\n"), here.now)
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -8,6 +8,7 @@
 import pytest
 
 from firgrade import interface as io
+from firgrade.listclock import CallClock
 from limerudder.config import ConfigError, load, load_again
 from limerudder.core.client import BadLine, read_open, with_wait
 from limerudder.core.director import DirectorCall, HostList
@@ -83,7 +84,11 @@
 
 def _watch(told: list[HostList], ended: list[bool]) -> DirectorCall:
     return DirectorCall(
-        "d", 41, lambda call, hosts, now: told.append(hosts), lambda c, failed, now: ended.append(failed)
+        "d",
+        41,
+        lambda call, hosts, now: told.append(hosts),
+        lambda c, failed, now: ended.append(failed),
+        CallClock(False, 0),
     )
 
 
