Look for a client's end where its line is written; give every client a last word

A client that left while the loop was busy, or behind unread bytes, was seen to leave only once its bytes were read: its line could be written meanwhile. One place now decides in the moment of the write (Node.may_write): the request unanswered, the host ready, the client there, its FIN looked for behind unread bytes (Stream.left, POLLRDHUP). A client that waits is always read (LineSession.crowded).

A client that rests was closed without a word (put_out): a first line that crossed the close was reset, unanswered. It gets BUSY and an end of sending now, what comes is read and thrown away, bounded and counted; a planned stop ends all who rest in good time before the process does. Under shortage a quarter of the spared descriptors is for last words. Probes of a long list are kept out of what clients may fill. Accepted sockets have TCP_NODELAY from their listener.

--- a/limerudder/core/client.py
+++ b/limerudder/core/client.py
@@ -131,7 +131,7 @@
     def connected(self, link: Link, now: int) -> None:
         """A client has come."""
         self.link = link
-        if self.taker.lobby.enter(self):
+        if self.taker.lobby.enter(self, now):
             self._line_due(now)
         else:
             self._last(b"BUSY\r\n", now)
@@ -146,6 +146,7 @@
             self._impatient(now)
         elif self.link:
             # guards the loop against a client that has its last line and sends on at full speed
+            self.taker.counters["bytes_discarded"] += len(data)
             self.discarded += len(data)
             if self.discarded > DISCARDED:
                 self.link.hold(True)
@@ -196,11 +197,17 @@
         if self.line:
             self._malformed("reqs_unfinished", now)
         else:
-            self.put_out("clients_silent")
+            self.put_out(now, "clients_silent")
 
-    def put_out(self, counted: str = "clients_put_out") -> None:
-        """Close the connection of a client without a req."""
+    def put_out(self, now: int, counted: str = "clients_put_out") -> None:
+        """End the connection of a client without a req."""
+        # guards a first line that crosses this end: it is read by nobody, and BUSY is its final answer
         self.taker.counters.count(counted)
+        self._last(b"BUSY\r\n", now)
+
+    def put_away(self) -> None:
+        """Close at once: the client has had its last word, and its descriptor is needed."""
+        self.taker.counters.count("clients_put_away")
         self._close()
 
     def _impatient(self, now: int) -> None:
@@ -231,8 +238,9 @@
         """The client reads slowly: its backend, or what it asks before it has one, is read no faster."""
         if self.served and self.served.link:
             self.served.link.hold(on)
-        elif self.stage is Stage.FIRST and self.link:
-            self.link.hold(on)
+        elif self.link and self.stage in (Stage.FIRST, Stage.WAITING):
+            # guards the sight of a client that leaves while it waits: one that is not read is not seen to
+            self.link.hold(on and self.stage is Stage.FIRST)
 
     def _leave(self, now: int) -> None:
         stage, self.stage = self.stage, Stage.ENDED
@@ -269,6 +277,12 @@
         if self.stage is Stage.OPEN:
             self._last(b"MOVE\r\n", now)
 
+    def look(self, now: int) -> None:
+        """A client that has gone, behind bytes that are not read yet too, is one that leaves."""
+        if self.stage is Stage.WAITING and self.link and self.link.left():
+            self.taker.counters.count("clients_left_unread")
+            self._leave(now)
+
     # from the fetch that serves
 
     def pass_on(self, data: bytes) -> None:
@@ -294,7 +308,7 @@
         # so the client is given a moment to read and to close first
         self.stage, self.served, self.line = Stage.ENDED, None, b""
         if self.link:
-            self.taker.lobby.rest(self)
+            self.taker.lobby.ending(self)
             if line:
                 self.link.write(line)
             self.link.finish()
--- a/limerudder/core/fetch.py
+++ b/limerudder/core/fetch.py
@@ -54,8 +54,8 @@
     # from the driver
 
     def opening(self, now: int) -> bytes:
-        """The client's line."""
-        return self.line
+        """The client's line, if it may still be sent."""
+        return self.line if self.owner.fetch_due(now) else b""
 
     def written(self) -> None:
         """From here on the backend may have it."""
@@ -156,7 +156,7 @@
         if not self.link or self.done:
             return
         self.link.write(data)
-        if self.asked is None and data.endswith(b"\n"):
+        if self.asked is None and b"\n" in data:
             self.asked = now
             self.timer.set(now + SILENT, self.vanish)
 
--- a/limerudder/core/link.py
+++ b/limerudder/core/link.py
@@ -35,6 +35,9 @@
     def hold(self, on: bool) -> None:
         """Stop reading, or read on."""
 
+    def left(self) -> bool:
+        """Whether the other side has ended its sending or broken off, read or not yet."""
+
 
 class Machine(Protocol):
     """A state machine as a driver sees it. Times are the node's clock, in microseconds."""
@@ -59,7 +62,7 @@
     """A machine whose connection this node sets up: its first bytes are written as part of that."""
 
     def opening(self, now: int) -> bytes:
-        """The connection is up; these bytes are to be written first."""
+        """The connection is up; these bytes are to be written first. It may close its link instead."""
 
     def written(self) -> None:
         """The last of those bytes has been written."""
--- a/limerudder/core/lobby.py
+++ b/limerudder/core/lobby.py
@@ -9,32 +9,44 @@
 class Guest(Protocol):
     """A client's connection, as the lobby sees it."""
 
-    def put_out(self) -> None:
-        """Close it now; it has no req."""
+    def put_out(self, now: int) -> None:
+        """Give it its last word; it has no req."""
+
+    def put_away(self) -> None:
+        """Close it at once; it has had its last word."""
 
 
 class Lobby:
     """All client connections; those without a req in the order of their last sign of life."""
 
-    def __init__(self, room: int, fetches: Sized) -> None:
-        # descriptors for clients and fetches; the fetches that are out
-        self.room, self.all, self.fetches = room, room, fetches
+    def __init__(self, sockets: int, spare: int, fetches: Sized) -> None:
+        # descriptors for clients and fetches, with and without a second process; the fetches that are out
+        self.sockets, self.spare, self.fetches = sockets, spare, fetches
+        self.others = self.hosts = 0
         self.guests: set[Guest] = set()
-        self.idle: dict[Guest, None] = {}  # before their first line, after a PING, or after their last line
+        self.idle: dict[Guest, None] = {}  # before their first line, or after a PING
+        self.ended: dict[Guest, None] = {}  # that have their last word and are given a moment to read it
+
+    @property
+    def room(self) -> int:
+        """Descriptors for clients and fetches; the rest is for discovery, probes, peers and last words."""
+        # guards probes of a large list: each host may hold one connection of this node beside its fetches
+        kept = min(self.spare + self.hosts, max(self.sockets // 2, self.spare))
+        return max(self.sockets - kept - self.others, 0)
 
     def in_use(self) -> int:
-        """Descriptors of clients and fetches."""
-        return len(self.guests) + len(self.fetches)
+        """Descriptors of clients and fetches. Of those that are ending, a part is what was spared."""
+        return len(self.guests) - min(len(self.ended), self.spare // 4) + len(self.fetches)
 
     def share(self, others: int) -> None:
         """Another process of this node holds so many: only the rest is here."""
-        self.room = max(self.all - others, 0)
+        self.others = others
 
-    def enter(self, guest: Guest) -> bool:
+    def enter(self, guest: Guest, now: int) -> bool:
         """Let a new client in; False where that leaves too few descriptors though nobody idle is left."""
         self.guests.add(guest)
         self.rest(guest)
-        return self.make_room()
+        return self.make_room(now)
 
     def rest(self, guest: Guest) -> None:
         """A sign of life from a client without a req: all others make place before it."""
@@ -45,18 +57,31 @@
         """The client has a req: it stays."""
         self.idle.pop(guest, None)
 
+    def ending(self, guest: Guest) -> None:
+        """It has its last word."""
+        self.idle.pop(guest, None)
+        self.ended[guest] = None
+
     def gone(self, guest: Guest) -> None:
         """Its connection is closed."""
         self.idle.pop(guest, None)
+        self.ended.pop(guest, None)
         self.guests.discard(guest)
 
-    def make_room(self) -> bool:
-        """Close idle connections until the rest has the descriptors it needs."""
+    def make_room(self, now: int) -> bool:
+        """End idle connections until the rest has the descriptors it needs."""
         # guards usual clients and their fetches against hundreds that connect and say nothing: the longest
         # idle goes first, and a usual client says its first line soon after it has come
         while self.in_use() > self.room:
-            oldest = next(iter(self.idle), None)
-            if oldest is None or len(self.idle) == 1:
+            if len(self.ended) > self.spare // 4:
+                next(iter(self.ended)).put_away()
+            elif len(self.idle) > 1:
+                next(iter(self.idle)).put_out(now)
+            else:
                 return False
-            oldest.put_out()
         return True
+
+    def put_out_all(self, now: int) -> None:
+        """The node stops: nobody rests here any more."""
+        for guest in list(self.idle):
+            guest.put_out(now)
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -83,6 +83,10 @@
         """The client has gone."""
         self.node.left(self, now)
 
+    def fetch_due(self, now: int) -> bool:
+        """Whether the line may be written now."""
+        return self.node.may_write(self, now)
+
     def fetch_out(self) -> None:
         """The fetch's first line is out."""
         self.node.figures.relayed += 1
@@ -128,7 +132,7 @@
         self.reqs: dict[int, Held] = {}
         self.ids: set[int] = set()  # of these reqs, as their clients named them
         self.past: dict[int, None] = {}  # of the last that ended, oldest first
-        self.lobby = Lobby(config.sockets - spare, self.reqs)
+        self.lobby = Lobby(config.sockets, spare, self.reqs)
         self.next_req = 1
         self.backends: dict[int, Backend] = {}
         self.numbers: dict[str, int] = {}
@@ -336,7 +340,7 @@
 
     def list_failed(self, version: int, now: int) -> None:
         """A call failed or the watch ended."""
-        self.log("director", "director: a call failed or the watch ended; the module will ask again")
+        self.log("director", "director: a call failed or the watch ended; it is asked anew within a second")
         self.give(io.Members(io.ListKind.FAILED, version, ()), now)
 
     def _list(self, hosts: HostList, kind: io.ListKind, now: int) -> None:
@@ -354,6 +358,8 @@
             if kind != io.ListKind.HAND:
                 self.give(io.Members(io.ListKind.HAND, hosts.version, [entry]), now)
         self.give(io.Members(kind, hosts.version, entries), now)
+        if self.settings.probes:
+            self.lobby.hosts = sum(b.state != io.State.GONE for b in self.backends.values())
         dialled = [h for h in self.reqs.values() if h.fetch and not h.fetch.out]
         for held in dialled:
             # guards against a line written after the grace by a dial begun before it
@@ -444,7 +450,7 @@
         self.ids.add(req.id)
         for hear in self.hear_taken:
             hear(req.id)
-        self.lobby.make_room()  # for its fetch
+        self.lobby.make_room(now)  # for its fetch
         if req.at is not None:
             self.counters.count("reqs_of_before")
             held.deadline = now + AT_WAIT
@@ -503,6 +509,17 @@
 
     # fetches
 
+    def may_write(self, held: Held, now: int) -> bool:
+        """Whether a req's line may be written to the backend that has just come up; else its fetch is closed.
+
+        All that may have changed since the dial began is looked at here, in the moment of the send.
+        """
+        held.session.look(now)
+        if held.fetch and not held.answered and held.backend and held.backend.state == io.State.READY:
+            return True
+        self._give_up(held, io.Ending.CONNECT_FAILED, now)
+        return False
+
     def up(self, held: Held, now: int) -> None:
         """The backend has taken the connection."""
         fetch, backend = held.fetch, held.backend
--- a/limerudder/core/req.py
+++ b/limerudder/core/req.py
@@ -46,11 +46,15 @@
     def move(self, now: int) -> None:
         """Send a served client away politely; it will come again."""
 
+    def look(self, now: int) -> None:
+        """Tell the owner now if the client has gone, though what it sent before is not read yet."""
+
 
 class Fetch(Caller, Protocol):
     """One attempt at a backend, as the node uses it."""
 
     link: Link | None
+    done: bool  # it has ended
     out: bool  # its last byte is written: from here on the backend may have it
     asked: int | None  # when the client's oldest unanswered message was passed on
     heard: int  # when the backend's last word came
@@ -65,6 +69,9 @@
 class FetchOwner(Protocol):
     """Who hears how a fetch fares: the node."""
 
+    def fetch_due(self, now: int) -> bool:
+        """Whether the req's line may be written now, to a backend that is up; if not, the fetch is closed."""
+
     def fetch_out(self) -> None:
         """The last byte of the req's line is written."""
 
--- a/limerudder/core/stop.py
+++ b/limerudder/core/stop.py
@@ -60,6 +60,9 @@
         steps = max((until - now) // MOVE_STEP, 1)
         for held in standing[: -(-len(standing) // steps)]:
             node.move_away(held, now)
+        if now >= until:
+            # guards a line of a client that rests until the process ends: it would be read by nobody
+            node.lobby.put_out_all(now)
         if now >= node.stopping - LAST_ANSWERS:  # guards reqs whose class may wait longer than this node
             for held in [h for h in node.reqs.values() if not h.answered]:
                 node.answer_failed(held, now)
--- a/limerudder/net/listen.py
+++ b/limerudder/net/listen.py
@@ -23,6 +23,8 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             # guards the loop against one sender at full speed; connections inherit it
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVED)
+            # guards last words: what the system holds back goes with a close over unread bytes. Inherited too
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if shared:  # guards a successor that the old process does not answer
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         sock.bind(address)
--- a/limerudder/net/stream.py
+++ b/limerudder/net/stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 import struct
 from contextlib import suppress
@@ -87,6 +88,14 @@
             self.held = on
             (self.transport.pause_reading if on else self.transport.resume_reading)()
 
+    def left(self) -> bool:
+        """Whether the other side's FIN or reset is here, also behind bytes that are not read yet."""
+        if self.transport is None or self.transport.is_closing():
+            return True
+        look = select.poll()
+        look.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(look.poll(0))
+
     def close(self) -> None:
         """End the connection now."""
         self.machine = None
@@ -128,7 +137,10 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             await self.loop.sock_connect(sock, address)
             # written here and not by the transport, which would not say when the last byte was out
-            await self.loop.sock_sendall(sock, machine.opening(self.clock.now()))
+            first = machine.opening(self.clock.now())
+            if stream.machine is None:  # found out at the last moment that nobody wants it any more
+                raise ConnectionAbortedError
+            await self.loop.sock_sendall(sock, first)
             machine.written()
             await self.loop.create_connection(lambda: stream, sock=sock)
         except (OSError, asyncio.CancelledError):  # refused, unreachable, no socket left; or given up
