Reckon a cold server's budget from usual demand, its size and a floor shared by all nodes

Cause, choice._may_warm: a node's part was reckoned from its sends of at most its own age, so a process of one second took the wave of connections that came again for its usual rate, and that rate stood until the next send. Also: servers of all sizes had one budget, and an idle cold server got three times the usual whatever the others' load.

firgrade/warming.py: new connections that neither came back nor are repeats, over 15 s whatever the process's age, times the server's part of the warm servers' size; half a call a window, shared by all nodes, so that a fleet that is cold as a whole and knows nothing still serves; idle ones up to 0.8 of what the others' reports leave, three times at most. The cold budget test by reports is kept with two cases more; the new tests fail on the old reckoning and without the floor.

--- a/firgrade/choice.py
+++ b/firgrade/choice.py
@@ -22,6 +22,7 @@
 from .ring import Ring
 from .sharing import FEW, Sharing, decode, matched
 from .spacing import WAVE, Spacing
+from .warming import Warming
 
 D = 2  # the paper's d: two choices already bring the doubly exponential fall in blocking
 TRIAL_AFTER, MOST_DOUBLINGS = SECOND, 4  # a suspect server's first trial, and up to 16 s for later ones
@@ -37,6 +38,7 @@
 DRAINED = 3 * SECOND  # for so long those who come back may have stood at a server that drains
 SUCCEEDS = 15 * SECOND  # for so long what another process of the node sends over is in the rate
 IDLE, IDLE_TIMES = 0.4, 3  # a cold server that reports less is sent more, where nodes are few
+SPENT = 0.8  # of what it can do by the others' reports, at most
 OPENS_PAY = 60 * SECOND  # for so long what stood at the start pays for probes too, as requests do
 SET_UPS = 4  # of this node's that a server has in work at a time
 YOUNG = 15 * SECOND  # a process that does not know its rate yet
@@ -58,7 +60,8 @@
         self.next_token, self.started = HELD, False
         # own sends a second, those of them that stood nowhere before, and the first as of the last send
         self.sent, self.fresh, self.rate = Rate(), Rate(), 0.0
-        self.born = self.ask_at = self.warm = 0  # warm: of the ready servers
+        self.born = self.ask_at = 0
+        self.warming = Warming(settings)
         self.waits = Waits(settings.ask_every)
         self.opens = 0  # connections that stood at the start
         fields = list(settings.report_fields)
@@ -143,7 +146,7 @@
 
     def _count_warm(self) -> None:
         self.cold = {s: None for s in self.cold if self.now < s.since + self.settings.warm_up}
-        self.warm = len(self.ready) - sum(s.state == io.State.READY for s in self.cold) or len(self.ready)
+        self.warming.listed(self.ready, self.cold)
 
     def _ask_in(self, wait: int) -> None:
         """Ask discovery again after so long, and no sooner."""
@@ -287,8 +290,7 @@
 
     def _may_warm(self, server: Server) -> bool:
         """Whether a cold server's budget allows one more; an old server always does."""
-        # DANGER: a new id holds nothing and would win nearly every draw of every balancer. Each spends the
-        # told multiple of the told share of what it sends to a usual server, so the sum stays in bounds.
+        # DANGER: a new id holds nothing and would win nearly every draw of every balancer
         told, share = self.settings, self.loads.size(server, self.now) / server.weight
         if share >= 1:
             return True
@@ -296,10 +298,9 @@
         # nodes there are, the more they send before one report tells of it
         load, alone = self.estimate(server), told.balancers <= FEW and self.now >= self.succeeds
         idle = alone and load is not None and load < IDLE
-        usual = self.rate / max(self.warm, 1) * (IDLE_TIMES if idle else 1)
-        earned = told.overload_factor * share * usual * (self.now - server.tokens_at) / SECOND
-        server.tokens, server.tokens_at = min(1.0, server.tokens + earned), self.now
-        return server.tokens >= 1
+        # DANGER: it is idle because little is asked of it; what it can do is what reports tell of the others
+        times = min(IDLE_TIMES, max(SPENT / max(self.loads.told, 0.01), 1)) if idle else 1
+        return self.warming.may(server, share, times, self.now)
 
     def _allowed(self, flow: Flow, server: Server) -> bool:
         """The rules alone: listed, within a cold budget, and not where an effect might happen twice."""
@@ -458,6 +459,7 @@
         if event.id not in self.flows:
             self.flows[event.id] = flow = Flow(event, self.settings.classes[event.cls], self.now)
             flow.place = self.rng.getrandbits(32)
+            self.warming.came(flow, self.now)
             self._place(flow)
 
     def _on_open(self, event: io.Open) -> None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -139,30 +139,43 @@
 
 
 @pytest.mark.parametrize(
-    ("load", "nodes", "elsewhere", "times"),
-    [(None, 2, 0, 1), (0.1, 2, 0, 3), (0.5, 2, 0, 1), (0.1, 14, 0, 1), (0.1, 2, 9, 1)],
-    ids=["no report", "idle", "busy", "many nodes", "amid an upgrade"],
+    ("load", "others", "nodes", "elsewhere", "times"),
+    [
+        (None, 0.2, 2, 0, 1),
+        (0.1, 0.2, 2, 0, 3),
+        (0.1, 0.4, 2, 0, 2),
+        (0.1, 0.9, 2, 0, 1),
+        (0.5, 0.2, 2, 0, 1),
+        (0.1, 0.2, 14, 0, 1),
+        (0.1, 0.2, 2, 9, 1),
+    ],
+    ids=["no report", "idle", "others half busy", "others busy", "busy", "many nodes", "amid an upgrade"],
 )
 def test_a_cold_server_that_reports_room_earns_more(
-    load: float | None, nodes: int, elsewhere: int, times: int
+    load: float | None, others: float, nodes: int, elsewhere: int, times: int
 ) -> None:
-    """A host put back stood at a fifth of what it could do while the others were past theirs."""
+    """A host put back stood at a fifth of what it could do while the others were past theirs.
+
+    What it can do beyond the usual is what the others' reports leave, and no more.
+    """
     driver = Driver(replace(PLAIN, balancers=nodes), servers=fleet(4))
     driver.members([entry(5, since=driver.now)])
-    driver.balancer.rate, server = 1.0, driver.balancer.servers[5]
+    warming, server = driver.balancer.warming, driver.balancer.servers[5]
+    warming.usual.value, warming.usual.at = 1.0, driver.now
+    driver.balancer.loads.told = others
     if elsewhere:
         driver.balancer.handle(io.Elsewhere(1, elsewhere), driver.now)
     if load is not None:
         server.load, server.load_at = load, driver.now
     server.tokens, server.tokens_at = 0.0, driver.now - SECOND
     driver.balancer._may_warm(server)
-    assert server.tokens == pytest.approx(times * 2 * 0.25 / 4)
+    assert server.tokens == pytest.approx(times * 2 * 0.25 / 4 + warming.floor)
 
 
 def test_a_whole_cold_fleet_is_not_reckoned_as_one_server() -> None:
     driver = Driver(PLAIN, servers=fleet(9))
     driver.members(fleet(9, since=driver.now))
-    assert driver.balancer.warm == 9
+    assert driver.balancer.warming.weight == 9
 
 
 def test_reports_spare_the_busier_server() -> None:
--- /dev/null
+++ b/tests/test_warming.py
@@ -0,0 +1,150 @@
+"""What all nodes together send cold servers, on one clock: never more than they bear, and not nothing."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from random import Random
+
+import pytest
+
+from firgrade import interface as io
+from firgrade.records import SECOND
+from firgrade.warming import FLOOR, SPAN
+from rigs.ramp import Ramp
+
+from .driver import BASE, SAFE, Driver, entry
+
+TOLD = replace(
+    BASE,
+    classes=(replace(SAFE, aim=300_000, deadline=1_800_000),),
+    start_capacity=0.13,
+    warm_up=24 * SECOND,
+    overload_factor=3.0,
+    overload_for=2 * SECOND,
+    probes=False,
+    groups=False,
+    report_via="none",
+    report_fields=(),
+)
+#: nodes: servers, and new connections a second of all
+FLEETS = {1: (12, 15.0), 3: (12, 15.0), 20: (15, 20.0), 30: (15, 20.0), 200: (60, 80.0)}
+LIFE = 60.0  #: seconds that a connection stands: what comes again at once is a minute's worth
+
+
+def fleet(nodes: int, seed: int, load: float, **changes: float) -> Ramp:
+    """A fleet that has served for a while; some nodes see several times the mean."""
+    rng, (servers, total) = Random(seed), FLEETS[nodes]
+    parts = [rng.lognormvariate(0, 0.8) for _ in range(nodes)]
+    rates = [total * part / sum(parts) for part in parts]
+    here = Ramp(replace(TOLD, balancers=nodes, **changes), rates, servers, load, LIFE, seed)  # type: ignore[arg-type]
+    here.run(20 if nodes > 30 else 40)
+    return here
+
+
+def some_start(here: Ramp) -> None:
+    here.cool([1, 2, 3])
+    here.run(20)
+
+
+def half_start(here: Ramp) -> None:
+    here.cool(list(here.since)[::2])
+    here.run(20)
+
+
+def some_start_as_a_third_of_the_nodes_begin_without_memory(here: Ramp) -> None:
+    here.cool([1, 2, 3])
+    here.run(2)
+    here.restart(list(range(0, len(here.nodes), 3)))
+    here.run(15)
+
+
+def some_start_as_all_nodes_begin_without_memory(here: Ramp) -> None:
+    here.restart(list(range(len(here.nodes))))
+    here.cool([1, 2, 3])
+    here.run(15)
+
+
+def some_start_as_traffic_doubles(here: Ramp) -> None:
+    here.cool([1, 2, 3])
+    here.grown = 2.0
+    here.run(20)
+
+
+TROUBLES = [
+    some_start,
+    half_start,
+    some_start_as_a_third_of_the_nodes_begin_without_memory,
+    some_start_as_all_nodes_begin_without_memory,
+    some_start_as_traffic_doubles,
+]
+
+
+@pytest.mark.parametrize("trouble", TROUBLES, ids=lambda trouble: trouble.__name__)
+@pytest.mark.parametrize("nodes", list(FLEETS))
+def test_no_cold_server_falls_under_the_sum_of_all_nodes(nodes: int, trouble: object) -> None:
+    """Beyond N calls in a window two roots of N and two more are chance, and more is not."""
+    for seed in range(1 if nodes > 30 else 2):
+        here = fleet(nodes, seed, 0.5 if trouble is some_start_as_traffic_doubles else 0.8)
+        trouble(here)  # type: ignore[operator]
+        assert here.worst() <= 1, f"seed {seed}"
+        assert any(here.sends[server] for server, since in here.since.items() if since), "none was ever used"
+
+
+@pytest.mark.parametrize(("factor", "window"), [(2.0, 1_500_000), (4.0, SECOND)])
+def test_other_settings_hold_as_well(factor: float, window: int) -> None:
+    for trouble in (half_start, some_start_as_all_nodes_begin_without_memory):
+        here = fleet(3, 5, 0.8, overload_factor=factor, overload_for=window)
+        trouble(here)
+        assert here.worst() <= 1
+
+
+@pytest.mark.parametrize("nodes", [1, 3, 30])
+@pytest.mark.parametrize("memory", [True, False])
+def test_a_fleet_that_is_cold_as_a_whole_still_serves_and_none_falls(nodes: int, memory: bool) -> None:
+    """All hosts at once, as after a zone's return: nothing warm tells what is usual."""
+    here = fleet(nodes, 1, 0.5)
+    if not memory:
+        here.restart(list(range(nodes)))
+    here.cool(list(here.since))
+    here.run(4)
+    assert here.worst() <= 1
+    first = sum(map(len, here.sends.values()))
+    assert first >= len(here.since), "each was asked for something within four seconds"
+    here.run(18)
+    assert here.worst() <= 1
+    asked, refused = here.asked, here.refused
+    here.run(2)
+    assert here.refused - refused <= 0.05 * (here.asked - asked), "all as they are warm"
+
+
+def test_what_comes_again_is_no_demand_and_a_young_process_knows_no_rate() -> None:
+    driver = Driver(replace(TOLD, cancel=False), servers=[entry(1), entry(2)])
+    for flags in (io.CAME_BACK, io.RETRY):
+        for _ in range(20):
+            driver.request(flags=flags)
+    usual = driver.balancer.warming.usual
+    assert usual.read(driver.now, driver.now - SPAN) == 0
+    driver.request()
+    assert usual.read(driver.now, driver.now - SPAN) == pytest.approx(SECOND / (SPAN + SECOND))
+
+
+def test_servers_are_asked_by_their_size() -> None:
+    """Of two cold ones the one four times as large gets four times as much; what is warm sets the scale."""
+    big, small = (entry(n, since=50 * SECOND)._replace(weight=w) for n, w in ((3, 2.0), (4, 0.5)))
+    driver = Driver(TOLD, servers=[entry(1), entry(2)])
+    driver.members([big, small])
+    warming, servers = driver.balancer.warming, driver.balancer.servers
+    warming.usual.value, warming.usual.at, warming.floor = 10.0, driver.now, 0.0
+    assert warming.weight == 2.0
+    for number, weight in ((3, 2.0), (4, 0.5)):
+        server = servers[number]
+        server.tokens, server.tokens_at = 0.0, driver.now - SECOND // 10
+        warming.may(server, 0.13, 1, driver.now)
+        assert server.tokens == pytest.approx(3 * 0.13 * 10 * weight / 2 / 10)
+
+
+@pytest.mark.parametrize("nodes", [1, 7, 200])
+def test_the_floor_is_shared_by_all_nodes(nodes: int) -> None:
+    driver = Driver(replace(TOLD, balancers=nodes), servers=[entry(1)])
+    whole = driver.balancer.warming.floor * nodes * TOLD.overload_for / SECOND
+    assert whole == pytest.approx(FLOOR)
