--- a/firgrade/choice.py
+++ b/firgrade/choice.py
@@ -423,6 +423,7 @@
             server.trial_at = self.now + TRIAL_AFTER
         if flow.sends == 1:
             self.rate = self.sent.count(self.now, self.born)
+            self.warming.sent(self.now)
             self.fresh.count(self.now, self.born) if not flow.back else None
             self.credit = min(self.credit + self.earn, 4 * D + self.earn)
         self.out.append(io.Send(flow.id, server.id, wait))
@@ -459,7 +460,6 @@
         if event.id not in self.flows:
             self.flows[event.id] = flow = Flow(event, self.settings.classes[event.cls], self.now)
             flow.place = self.rng.getrandbits(32)
-            self.warming.came(flow, self.now)
             self._place(flow)
 
     def _on_open(self, event: io.Open) -> None:
@@ -468,7 +468,7 @@
         server = self.servers.setdefault(event.server, Server(event.server, self.now, 0.0))
         self.flows[event.id] = flow = Flow(event, self.settings.classes[event.cls], self.now)
         flow.sends, flow.live, flow.up, flow.over = 1, True, True, True
-        self.opens += 1
+        self.opens, self.warming.born = self.opens + 1, self.born
         self._join(flow, server)
 
     def _on_elsewhere(self, event: io.Elsewhere) -> None:
--- a/firgrade/interface.py
+++ b/firgrade/interface.py
@@ -49,7 +49,6 @@
 NEVER_RAN = frozenset({Ending.FULL, Ending.MOOT, Ending.CONNECT_FAILED})
 
 MID_FLOW = 8  #: request flag: packets of an open connection have reached this node
-RETRY = 2  #: request flag: its client asks once more
 CAME_BACK = 16  #: request flag: the client came again after a break or a move
 
 NOTE_LOAD = 1  #: the connection's load has changed
--- a/firgrade/records.py
+++ b/firgrade/records.py
@@ -90,7 +90,6 @@
         self.server: Server | None = None  # where an attempt is out or the connection lives
         self.live = self.over = False
         self.back = bool(event.flags & io.CAME_BACK)  # stood elsewhere a moment ago
-        self.retry = bool(event.flags & io.RETRY)  # its client asks once more, where clients say so
         self.up, self.up_at = False, 0  # set up; stays so to its end; since when
         self.risk: tuple[int, Server] | None = None  # when and where an attempt was sent that may have run
         self.load, self.kind, self.key = 0.0, event.cls, event.key
--- a/firgrade/warming.py
+++ b/firgrade/warming.py
@@ -11,10 +11,12 @@
 from collections.abc import Iterable
 
 from . import interface as io
-from .records import SECOND, Flow, Rate, Server
+from .records import SECOND, Rate, Server
 
-SPAN = 15 * SECOND  #: that rates are over; before a process's first moment it has asked for nothing
-FLOOR = 0.5  #: calls in `overload_for`, of all nodes, that a cold server gets where nothing is known yet
+SPAN = 15 * SECOND  #: that rates are over
+#: Calls in `overload_for`, of all nodes, that a cold server gets whatever is usual: two are chance anyway.
+#: Where each of hundreds of nodes sees a request in ten seconds, the usual is a small part of one call.
+FLOOR = 1.0
 
 
 class Warming:
@@ -22,16 +24,18 @@
 
     def __init__(self, settings: io.Settings) -> None:
         self.told, self.usual, self.weight = settings, Rate(), 1.0
+        self.born: int | None = None  # of a process that was there with the connections that stand
         self.floor = FLOOR * SECOND / (max(settings.overload_for, SECOND // 10) * max(settings.balancers, 1))
 
-    def came(self, flow: Flow, now: int) -> None:
-        """A request has come."""
-        # DANGER: after another node's end, or a release, a minute's connections come again in a second; no
-        # server can do more for it. Refused ones that come again are no demand either
-        if not (flow.back or flow.retry):
-            # DANGER: a process just begun that took its first second for the usual would send its part of
-            # a wave, as would all that began with it
-            self.usual.count(now, now - SPAN)
+    def since(self, now: int) -> int:
+        """From when on this node's traffic is known."""
+        # DANGER: a process begun without memory that took its first second for the usual would send its part
+        # of a wave, as would all that began with it: before its first moment it has sent nothing
+        return max(now - SPAN, self.born) if self.born is not None else now - SPAN
+
+    def sent(self, now: int) -> None:
+        """A request's first attempt is sent; further ones are no demand."""
+        self.usual.count(now, self.since(now))
 
     def listed(self, ready: Iterable[Server], cold: Iterable[Server]) -> None:
         """The servers among which traffic is shared: the warm ones, or all where none is."""
@@ -41,7 +45,7 @@
 
     def may(self, server: Server, share: float, times: float, now: int) -> bool:
         """Whether the budget allows one more; `share`: of all it can do, `times`: more than usual."""
-        usual = self.usual.read(now, now - SPAN) * server.weight / self.weight
+        usual = self.usual.read(now, self.since(now)) * server.weight / self.weight
         earned = self.told.overload_factor * share * usual * times + self.floor
         server.tokens = min(1.0, server.tokens + earned * (now - server.tokens_at) / SECOND)
         server.tokens_at = now
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -39,6 +39,7 @@
 AT_WAIT, AT_AGAIN = 30 * SECOND, SECOND // 4  #: for a connection of before the start, and between its tries
 PAST = 4096  #: ids of ended reqs that are still refused: whoever copied one may come a little late
 SPARE_SOCKETS = 128  #: for discovery, probes, peers and connections that are ending
+OWN_SOCKETS = 40  #: of these what a process has at least: 24 stand open before its first client comes
 RETURN = 5 * SECOND  #: a host that staff have put back is to be in use again by then
 
 Told = tuple[int, int, int, int, int, int, int, int]  #: a req as the module is told of it
@@ -125,7 +126,7 @@
         self.figures = Figures(config.names.classes)
         self.balancer: io.Decisions = Balancer(self.settings, Random(config.seed))
         self.report_fields = self.settings.report_fields if self.settings.report_via != "none" else ()
-        spare = min(SPARE_SOCKETS, config.sockets // 4)
+        spare = min(SPARE_SOCKETS, max(config.sockets // 4, min(OWN_SOCKETS, config.sockets // 2)))
         self.classes = {name: number for number, name in enumerate(config.names.classes)}
         self.tenants = {name: number for number, name in enumerate(config.names.tenants)}
         self.peering = Peering(self.counters, network, self.balancer, self.give, log, self.settings.peers)
