--- a/bench/store_kills.py
+++ b/bench/store_kills.py
@@ -41,14 +41,14 @@
         told = await tier.nodes[0].ask("put", key="config/log", value='{"format":"text","lines":50}')
         assert told["ok"], told
         # a drain that one node alone hears, and a hand at another
-        tier.director.entries["h0"]["lifecycle"] = "leaving"
-        tier.director.tell(only=1)
+        tier.discovery.entries["h0"]["lifecycle"] = "leaving"
+        tier.discovery.tell(only=1)
         assert await tier.nodes[2].hand("maint-on h1") == "done"
         await until(lambda: all(_knows(tier)), "all nodes know of h0 and h1")
         await asyncio.sleep(0.5)  # the grace
         # from here on discovery says that h0 is active again, with the same start: that must lift nothing
-        tier.director.entries["h0"]["lifecycle"] = "active"
-        tier.director.tell()
+        tier.discovery.entries["h0"]["lifecycle"] = "active"
+        tier.discovery.tell()
         since = time.monotonic()
         tier.come(24)
         many = 8 if rough else 1
--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -18,7 +18,7 @@
 from .config import Config, ConfigError, load, load_again
 from .core.client import LineSession
 from .core.console import CallError, Console, ConsoleSession, Later
-from .core.director import ListError
+from .core.discovery import ListError
 from .core.handover import Asker, Elder, Heir, Hello, read_hello
 from .core.link import Address, Caller
 from .core.maintenance import Marks, Memory
@@ -127,7 +127,7 @@
             return
         log("config", "config: read again; discovery is at {}:{}".format(*again.discovery))
         node.reloaded = True
-        node.director.move(again.discovery, clock.now())
+        node.discovery.move(again.discovery, clock.now())
 
     def stop(number: signal.Signals) -> None:
         # guards whoever reads the log after a process ended with 0: this line names the signal that ended it
--- a/limerudder/config.py
+++ b/limerudder/config.py
@@ -12,7 +12,7 @@
 from firgrade.interface import Settings
 from firgrade.settings import flatten, read_settings
 
-from .core.director import HostList, read_hosts
+from .core.discovery import HostList, read_hosts
 from .core.link import Address, read_address
 
 if TYPE_CHECKING:
--- a/limerudder/core/lobby.py
+++ b/limerudder/core/admission.py
@@ -7,7 +7,7 @@
 
 
 class Guest(Protocol):
-    """A client's connection, as the lobby sees it."""
+    """A client's connection, as the admission sees it."""
 
     def put_out(self, now: int) -> None:
         """Give it its last word; it has no req."""
@@ -16,7 +16,7 @@
         """Close it at once; it has had its last word."""
 
 
-class Lobby:
+class Admission:
     """All client connections; those without a req in the order of their last sign of life."""
 
     def __init__(self, sockets: int, spare: int, fetches: Sized) -> None:
--- a/limerudder/core/client.py
+++ b/limerudder/core/client.py
@@ -7,11 +7,11 @@
 from enum import Enum, auto
 from typing import Protocol
 
+from .admission import Admission
 from .counters import Counters
 from .fetch import LineFetch
 from .lines import MOST
 from .link import Link
-from .lobby import Lobby
 from .req import Fetch, FetchOwner, Req
 from .wheel import Alarm, Wheel
 
@@ -89,7 +89,7 @@
 
     wheel: Wheel
     counters: Counters
-    lobby: Lobby
+    admission: Admission
     report_fields: Sequence[str]
 
     def take(self, session: LineSession, req: Req, now: int) -> ReqOwner | None:
@@ -131,7 +131,7 @@
     def connected(self, link: Link, now: int) -> None:
         """A client has come."""
         self.link = link
-        if self.taker.lobby.enter(self, now):
+        if self.taker.admission.enter(self, now):
             self._line_due(now)
         else:
             self._last(b"BUSY\r\n", now)
@@ -170,7 +170,7 @@
             self.taker.counters.count("pings")
             self.line, self.pinged = b"", True
             self.pass_on(b"PONG\r\n")
-            self.taker.lobby.rest(self)
+            self.taker.admission.rest(self)
             self.timer.set(now + BETWEEN_PINGS, self._silent)
         else:
             self._open(line, now)
@@ -182,7 +182,7 @@
             return self._malformed("reqs_malformed", now)
         self.stage = Stage.WAITING
         self.timer.stop()
-        self.taker.lobby.seat(self)
+        self.taker.admission.seat(self)
         self.owner = self.taker.take(self, req, now)
         if self.owner is None:
             self._last(ERROR, now)
@@ -308,7 +308,7 @@
         # so the client is given a moment to read and to close first
         self.stage, self.served, self.line = Stage.ENDED, None, b""
         if self.link:
-            self.taker.lobby.ending(self)
+            self.taker.admission.ending(self)
             if line:
                 self.link.write(line)
             self.link.finish()
@@ -324,4 +324,4 @@
     def _forget(self) -> None:
         self.timer.stop()
         self.link = self.served = None
-        self.taker.lobby.gone(self)
+        self.taker.admission.gone(self)
--- a/limerudder/core/director.py
+++ b/limerudder/core/discovery.py
@@ -1,4 +1,4 @@
-"""The director: discovery's list of backends, as it is read and as it is asked for over HTTP."""
+"""Discovery: its list of backends, as it is read and as it is asked for over HTTP."""
 
 from __future__ import annotations
 
@@ -91,7 +91,7 @@
     }
 
 
-class DirectorCall(Dialled):
+class DiscoveryCall(Dialled):
     """One HTTP call: a watch, which gives list after list, or a question, which gives one.
 
     `told` hears each list; `ended` hears once that no more comes, and whether that is a failure.
@@ -101,8 +101,8 @@
         self,
         host: str,
         after: int | None,
-        told: Callable[[DirectorCall, HostList, int], None],
-        ended: Callable[[DirectorCall, bool, int], None],
+        told: Callable[[DiscoveryCall, HostList, int], None],
+        ended: Callable[[DiscoveryCall, bool, int], None],
         clock: CallClock,
     ) -> None:
         self.host, self.after, self.told, self.ended, self.clock = host, after, told, ended, clock
--- a/limerudder/core/handover.py
+++ b/limerudder/core/handover.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple, Protocol
 
-from .director import HostList, ListError, read_hosts, write_hosts
+from .discovery import HostList, ListError, read_hosts, write_hosts
 from .link import Link
 from .recall import Inherited, Recall
 from .wheel import Wheel
--- a/limerudder/core/invariants.py
+++ b/limerudder/core/invariants.py
@@ -120,8 +120,14 @@
         for number, server in servers.items():
             hold(len(server.flows) == at[number], "the module counts other connections than there are")
             hold(server.setting_up >= 0, "a set-up that ended twice")
-        lobby = node.lobby
-        hold(not lobby.idle.keys() & lobby.ended.keys(), "a client that rests and has its last word")
-        hold(lobby.guests >= lobby.idle.keys() | lobby.ended.keys(), "a client that is gone makes place")
-        spared = lobby.spare // 4
-        hold(len(lobby.guests) + len(node.reqs) <= lobby.room + spared + 1, "more descriptors than there are")
+        admission = node.admission
+        hold(not admission.idle.keys() & admission.ended.keys(), "a client that rests and has its last word")
+        hold(
+            admission.guests >= admission.idle.keys() | admission.ended.keys(),
+            "a client that is gone makes place",
+        )
+        spared = admission.spare // 4
+        hold(
+            len(admission.guests) + len(node.reqs) <= admission.room + spared + 1,
+            "more descriptors than there are",
+        )
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -17,12 +17,12 @@
 from firgrade import interface as io
 
 from ..config import Config
+from .admission import Admission
 from .counters import Counters
-from .director import Host, HostList
+from .discovery import Host, HostList
 from .figures import Figures
 from .handover import Holds
 from .link import Network
-from .lobby import Lobby
 from .maintenance import Maintenance, Marks, Memory
 from .peering import Peering
 from .probe import Probe
@@ -31,7 +31,7 @@
 from .req import ClientSession, Fetch, Req
 from .silence import LOOK, LOOKS, Silence
 from .stop import PlannedStop
-from .watch import Director
+from .watch import Discovery
 from .wheel import Timer, Wheel
 
 SECOND = 1_000_000
@@ -133,14 +133,14 @@
         self.reqs: dict[int, Held] = {}
         self.ids: set[int] = set()  # of these reqs, as their clients named them
         self.past: dict[int, None] = {}  # of the last that ended, oldest first
-        self.lobby = Lobby(config.sockets, spare, self.reqs)
+        self.admission = Admission(config.sockets, spare, self.reqs)
         self.next_req = 1
         self.backends: dict[int, Backend] = {}
         self.numbers: dict[str, int] = {}
         self.maintenance = Maintenance(marks or Memory(), self)
         self.recall = recall  # drains that outlive a list, where there is a store
         pushed = self.settings.discovery == "pushed"
-        self.director = Director(config.discovery, config.known.version, pushed, self, now)
+        self.discovery = Discovery(config.discovery, config.known.version, pushed, self, now)
         self.events: deque[io.Event] = deque()
         self.giving = False
         self.stopping = 0  # when SIGKILL comes at the earliest
@@ -152,7 +152,7 @@
         aims = [c.message_aim for c in self.settings.classes if c.message_aim]
         self.long = min(aims, default=0) // 3  # a message that takes longer is told to the module
         self._list(config.known, io.ListKind.CACHED, now)
-        self.director.start(now)
+        self.discovery.start(now)
         self.maintenance.start(now)
         self._look(now)
 
@@ -320,16 +320,16 @@
         if backend and backend.probe and not backend.probe.asked:
             backend.probe.close()
 
-    # the director
+    # discovery
 
     def _watch(self, action: io.Watch, now: int) -> None:
         if action.on:
-            self.director.keep_watch(now)
+            self.discovery.keep_watch(now)
         else:
-            self.director.drop_watch()
+            self.discovery.drop_watch()
 
     def _fetch(self, action: io.Fetch, now: int) -> None:
-        self.director.ask(now)
+        self.discovery.ask(now)
 
     def list_told(self, hosts: HostList, now: int) -> None:
         """Discovery's list, or changes of it."""
@@ -360,7 +360,7 @@
                 self.give(io.Members(io.ListKind.HAND, hosts.version, [entry]), now)
         self.give(io.Members(kind, hosts.version, entries), now)
         if self.settings.probes:
-            self.lobby.hosts = sum(b.state != io.State.GONE for b in self.backends.values())
+            self.admission.hosts = sum(b.state != io.State.GONE for b in self.backends.values())
         dialled = [h for h in self.reqs.values() if h.fetch and not h.fetch.out]
         for held in dialled:
             # guards against a line written after the grace by a dial begun before it
@@ -419,7 +419,7 @@
     def relist(self, name: str, now: int, kind: io.ListKind = io.ListKind.DELTA) -> None:
         """Tell the module of a host anew: what is known of it has changed."""
         if self.lists(name) and (host := self.backends[self.numbers[name]].host):
-            self._list(HostList(self.director.version, False, (host,)), kind, now)
+            self._list(HostList(self.discovery.version, False, (host,)), kind, now)
 
     # reqs
 
@@ -441,7 +441,7 @@
         told = (number, cls, tenant, req.key, left, req.hint or 0, req.group, flags)
         held = Held(self, session, req, told, now + left)
         turned_away = self.stopping and not self.succeeded
-        if turned_away or 2 * len(self.reqs) + 2 > self.lobby.room:
+        if turned_away or 2 * len(self.reqs) + 2 > self.admission.room:
             self.counters.count("answers_refused")
             self.figures.count("throttled", cls)
             held.answered = True
@@ -451,7 +451,7 @@
         self.ids.add(req.id)
         for hear in self.hear_taken:
             hear(req.id)
-        self.lobby.make_room(now)  # for its fetch
+        self.admission.make_room(now)  # for its fetch
         if req.at is not None:
             self.counters.count("reqs_of_before")
             held.deadline = now + AT_WAIT
@@ -616,7 +616,7 @@
     def listed(self) -> HostList:
         """Discovery's list as it stands here."""
         hosts = (b.host for b in self.backends.values() if b.host and b.state != io.State.GONE)
-        return HostList(self.director.version, True, tuple(hosts))
+        return HostList(self.discovery.version, True, tuple(hosts))
 
     def ids_lately(self) -> list[int]:
         """The ids of the reqs that are here, or were a moment ago."""
@@ -637,11 +637,11 @@
     def holds(self) -> Holds:
         """What this process holds: descriptors for clients, and connections by backend."""
         at = Counter(h.backend.name for h in self.reqs.values() if h.fetch and h.backend)
-        return Holds(self.lobby.in_use(), dict(at))
+        return Holds(self.admission.in_use(), dict(at))
 
     def held_elsewhere(self, holds: Holds, now: int) -> None:
         """What another process of this node holds: the module counts it as this node's own."""
-        self.lobby.share(holds.descriptors)
+        self.admission.share(holds.descriptors)
         for name in self.elsewhere | holds.at.keys():
             if name in self.numbers:
                 self.give(io.Elsewhere(self.numbers[name], holds.at.get(name, 0)), now)
@@ -649,7 +649,7 @@
 
     def informed(self) -> bool:
         """Discovery has told its list, and no probe is out."""
-        return self.director.told and not any(b.probe and b.probe.asked for b in self.backends.values())
+        return self.discovery.told and not any(b.probe and b.probe.asked for b in self.backends.values())
 
     # a planned stop
 
--- a/limerudder/core/recall.py
+++ b/limerudder/core/recall.py
@@ -6,7 +6,7 @@
 
 from firgrade.interface import State
 
-from .director import Host
+from .discovery import Host
 
 
 class Recall(Protocol):
--- a/limerudder/core/stop.py
+++ b/limerudder/core/stop.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
-from .lobby import Lobby
+from .admission import Admission
 from .wheel import Wheel
 
 SECOND = 1_000_000
@@ -21,7 +21,7 @@
     """The node, as far as a stop goes."""
 
     wheel: Wheel
-    lobby: Lobby
+    admission: Admission
     stopping: int
     succeeded: bool
     stopped: Callable[[], None]
@@ -62,12 +62,12 @@
             node.move_away(held, now)
         if now >= until:
             # guards a line of a client that rests until the process ends: it would be read by nobody
-            node.lobby.put_out_all(now)
+            node.admission.put_out_all(now)
         if now >= node.stopping - LAST_ANSWERS:  # guards reqs whose class may wait longer than this node
             for held in [h for h in node.reqs.values() if not h.answered]:
                 node.answer_failed(held, now)
         # guards the last MOVEs: a process that ends closes sockets whose clients have not read them
-        over = not node.reqs and not node.lobby.guests and (now >= until or node.succeeded)
+        over = not node.reqs and not node.admission.guests and (now >= until or node.succeeded)
         if over or now >= node.stopping - STOP_SPARE // 4:
             node.stopped()
         else:
--- a/limerudder/core/watch.py
+++ b/limerudder/core/watch.py
@@ -7,7 +7,7 @@
 from firgrade.listclock import AGENT_WAIT, LOOK, CallClock
 
 from .counters import Counters
-from .director import DirectorCall, HostList
+from .discovery import DiscoveryCall, HostList
 from .link import Address, Network
 from .wheel import Wheel
 
@@ -31,16 +31,16 @@
         """A call failed or the watch ended; the list held so far stays."""
 
 
-class Director:
+class Discovery:
     """One watch at a time, and questions beside it, all at one address that may be changed."""
 
     def __init__(self, address: Address, version: int, pushed: bool, hearer: Hearer, now: int) -> None:
         self.address, self.version, self.pushed, self.hearer = address, version, pushed, hearer
         self.again_at: int | None = None  # when the watch of an agent is opened anew
-        self.watch: DirectorCall | None = None
+        self.watch: DiscoveryCall | None = None
         self.told = False  # the watch has given its first list
         self.moved = False  # to a service that has not told its list yet
-        self.calls: set[DirectorCall] = set()  # questions that are out
+        self.calls: set[DiscoveryCall] = set()  # questions that are out
         self._check(now)
 
     def start(self, now: int) -> None:
@@ -82,14 +82,14 @@
         self.calls.clear()
         self.keep_watch(now)
 
-    def _call(self, after: int | None, now: int) -> DirectorCall:
+    def _call(self, after: int | None, now: int) -> DiscoveryCall:
         self.hearer.counters.count("director_calls")
         host, port = self.address
-        call = DirectorCall(f"{host}:{port}", after, self._told, self._over, CallClock(self.pushed, now))
+        call = DiscoveryCall(f"{host}:{port}", after, self._told, self._over, CallClock(self.pushed, now))
         call.link = self.hearer.network.dial(self.address, call)
         return call
 
-    def _told(self, call: DirectorCall, hosts: HostList, now: int) -> None:
+    def _told(self, call: DiscoveryCall, hosts: HostList, now: int) -> None:
         first = call is self.watch and not self.told
         self.told = self.told or call is self.watch
         self.version = hosts.version
@@ -99,7 +99,7 @@
         # guards the shared service: changes to the list a node starts with are enough, whatever its number
         self.moved = self.moved and not hosts.whole
 
-    def _over(self, call: DirectorCall, failed: bool, now: int) -> None:
+    def _over(self, call: DiscoveryCall, failed: bool, now: int) -> None:
         self.calls.discard(call)
         if call is self.watch:
             self.watch = None
--- a/limerudder/lab/rules.py
+++ b/limerudder/lab/rules.py
@@ -1,6 +1,6 @@
 """The rules that a node keeps, checked on what was seen from outside. Knows nothing of a node's code.
 
-Stand-in hosts, the director and clients tell what they saw, each with the time on one clock; the checker
+Stand-in hosts, discovery and clients tell what they saw, each with the time on one clock; the checker
 holds it to the rules and gives the exchange that breaks one. Events must be told in the order of their times.
 """
 
@@ -177,7 +177,7 @@
         if at > waiting[0][0] + self.limits.line_grace:
             self._breach("held lines", at, f"{req}: a line was held for {at - waiting[0][0]} us", one)
 
-    # the director
+    # discovery
 
     def listed(self, at: int, host: str, ready: bool, capacity: float, started: int) -> None:
         """The node has been told of a host: whether it may get new work, its capacity, its start."""
--- a/limerudder/store/checks.py
+++ b/limerudder/store/checks.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from ..core.director import ListError, read_hosts
+from ..core.discovery import ListError, read_hosts
 from ..schema import SCHEMA
 from ..typed.load import load
 from ..typed.syntax import FileError
--- a/limerudder/store/glue.py
+++ b/limerudder/store/glue.py
@@ -16,7 +16,7 @@
 from firgrade.interface import State
 
 from ..config import Config
-from ..core.director import Host, HostList, ListError, read_hosts, write_hosts
+from ..core.discovery import Host, HostList, ListError, read_hosts, write_hosts
 from ..core.link import read_address
 from ..core.maintenance import Marks
 from ..core.wheel import Wheel
@@ -37,7 +37,7 @@
     """The node, as far as the store goes."""
 
     wheel: Wheel
-    director: Any
+    discovery: Any
 
     def lists(self, name: str) -> bool:
         """Whether discovery lists this host."""
@@ -231,7 +231,7 @@
         """A setting takes effect, here and now."""
         revision = self.applied[key]
         if key == "config/discovery" and self.node:
-            self.node.director.move(read_address(told), self.now())
+            self.node.discovery.move(read_address(told), self.now())
         elif key == "config/log":
             self.configure(told["format"], told["lines"], told["per"] / 1e6)
         self.log("store-config", f"store: {key} of revision {revision} is in force")
--- a/rigs/tier.py
+++ b/rigs/tier.py
@@ -33,7 +33,7 @@
     return ports
 
 
-class Director:
+class Discovery:
     """Discovery: a list, told to whoever watches; which list a node hears may differ."""
 
     def __init__(self) -> None:
@@ -208,7 +208,7 @@
 
     def __init__(self, folder: Path, nodes: int = 4, stand_ins: int = 5, keeps: bool = True) -> None:
         self.folder, self.keeps = folder, keeps
-        self.director = Director()
+        self.discovery = Discovery()
         self.hosts = {name: StandInHost(name) for name in (f"h{n}" for n in range(stand_ins))}
         self.nodes = [Node(n, self) for n in range(nodes)]
         self.counts: Counter[str] = Counter()
@@ -219,19 +219,19 @@
 
     async def start(self, extra: str = "", **caps: Any) -> None:
         """All of it."""
-        await self.director.start()
+        await self.discovery.start()
         for one in self.hosts.values():
             await one.start()
-        self.director.entries = {one.name: host(one.name, one.address) for one in self.hosts.values()}
+        self.discovery.entries = {one.name: host(one.name, one.address) for one in self.hosts.values()}
         ports = free_ports(3 * len(self.nodes))
         addresses = [f"127.0.0.1:{port}" for port in ports]
         members = [(node.name, addresses[3 * node.number + 2]) for node in self.nodes]
         if self.keeps:
             init(str(self.folder / "store"), members)
-        listed = hosts(*self.director.entries.values())
+        listed = hosts(*self.discovery.entries.values())
         told = settings(probes=True, peers=False, **caps)
         told["balancers"] = len(self.nodes)
-        given = {"discovery": self.director.address, "known": listed, "settings": told}
+        given = {"discovery": self.discovery.address, "known": listed, "settings": told}
         for node in self.nodes:
             listen, console, store = addresses[3 * node.number : 3 * node.number + 3]
             node.write(listen, console, store, given, extra)
@@ -322,7 +322,7 @@
         await asyncio.gather(*self.clients, return_exceptions=True)
         for node in self.nodes:
             await node.kill()
-        self.director.close()
+        self.discovery.close()
         for one in self.hosts.values():
             one.close()
 
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -178,7 +178,7 @@
     """A real node on loopback with scripted backends and director."""
 
     def __init__(self, folder: Path) -> None:
-        self.folder, self.director, self.backend = folder, Listener(), Listener()
+        self.folder, self.discovery, self.backend = folder, Listener(), Listener()
         self.came = 0
         self.logged: asyncio.Queue[str] = asyncio.Queue()
         self.given: dict[str, Any] = {}  # what all processes of the node are told
@@ -198,7 +198,7 @@
     async def running(self, **changes: Any) -> AsyncIterator[asyncio.Task[None]]:
         """Run the node; its one backend is `s-1`."""
         where = await self.backend.start()
-        given = {"discovery": await self.director.start(), "known": hosts(host("s-1", where)), **changes}
+        given = {"discovery": await self.discovery.start(), "known": hosts(host("s-1", where)), **changes}
         environment = configuration(self.folder, **given) | {"PROXY_DISCOVERY": given["discovery"]}
         log = lambda kind, text: self.logged.put_nowait(text)  # noqa: E731
         task = asyncio.create_task(serve(load(environment), log, environment))
@@ -217,7 +217,7 @@
             where = [await listener.start() for listener in (self.backend, self.backend)]
             listed = hosts(*(host(name, at) for name, at in zip(("s-1", "s-2"), where, strict=True)))
             self.telling = asyncio.create_task(self._tell(listed))
-            fixed = {"listen": free(), "discovery": await self.director.start(), "known": listed}
+            fixed = {"listen": free(), "discovery": await self.discovery.start(), "known": listed}
             quick = settings(peers=False)
             quick["classes"][0] |= {"aimUs": 100_000, "deadlineUs": 800_000}
             self.given = {**fixed, "settings": quick}
@@ -246,7 +246,7 @@
         """The director: each watch hears the list."""
         text = json.dumps(listed) + "\n"
         while True:
-            self.watches.append(peer := await self.director.take())
+            self.watches.append(peer := await self.discovery.take())
             peer.say("HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "", f"{len(text):x}", text)
 
     async def up(self) -> Peer:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -141,7 +141,7 @@
 
     patch.setattr(Stream, "connection_made", spy)
     async with here.running():
-        await here.director.take()
+        await here.discovery.take()
         await served(here)
         assert len(told) >= 3 and all(told), "client, backend and director"
 
@@ -309,7 +309,7 @@
     here: Loopback, patch: pytest.MonkeyPatch
 ) -> None:
     async with here.running():
-        old = await here.director.take()
+        old = await here.discovery.take()
         await old.line()
         gone = json.dumps(hosts(host("s-1", lifecycle="leaving"))) + "\n"
         old.say("HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "", f"{len(gone):x}", gone[:40])
@@ -373,9 +373,9 @@
             idle += [await here.client() for _ in range(60)]
             await served(here)
         service = await asyncio.start_server(
-            lambda r, w: here.director.came.put_nowait(Peer(r, w)), *discovery.rsplit(":", 1)
+            lambda r, w: here.discovery.came.put_nowait(Peer(r, w)), *discovery.rsplit(":", 1)
         )
-        director = await here.director.take()
+        director = await here.discovery.take()
         told = json.dumps(hosts(host("s-1", where, "leaving"), host("s-9", where))) + "\n"
         director.say("HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "", f"{len(told):x}", told)
         assert await first.line() == "MOVE", "its host drains, and the node has heard"
@@ -395,14 +395,14 @@
     here.shared.mkdir()
     here.given = {
         "listen": free(),
-        "discovery": await here.director.start(),
+        "discovery": await here.discovery.start(),
         "known": hosts(host("s-1", where)),
         "settings": settings(peers=False),
     }
     for ends in ("silent", "closed"):
         here.before = False
         async with here.process():
-            director = await here.director.take()
+            director = await here.discovery.take()
             if ends == "closed":
                 director.writer.close()
             await served(here)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from firgrade.listclock import AGENT_WAIT, AGENT_WORD, WHOLE, CallClock
-from limerudder.core.director import DirectorCall, HostList
+from limerudder.core.discovery import DiscoveryCall, HostList
 from limerudder.core.objects import DEEPEST, Objects, ObjectsError
 
 from .scripted import SECOND, FakeLink, World, host, hosts, settings, world
@@ -50,7 +50,7 @@
 @pytest.mark.parametrize("cut", [1, 7, 1000])
 def test_a_list_may_come_indented(watch: bool, cut: int) -> None:
     told, over = list[HostList](), list[bool]()
-    call = DirectorCall(
+    call = DiscoveryCall(
         "x",
         0 if watch else None,
         lambda c, h, n: told.append(h),
@@ -71,7 +71,7 @@
 
 
 def watches(here: World) -> list[FakeLink]:
-    return [d for d in here.dials if isinstance(d.machine, DirectorCall) and d.machine.watch]
+    return [d for d in here.dials if isinstance(d.machine, DiscoveryCall) and d.machine.watch]
 
 
 def test_where_lists_are_pushed_the_agent_is_watched_from_the_start_and_again(tmp_path: Path) -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -13,7 +13,7 @@
 
 from firgrade import interface as io
 from limerudder.config import load
-from limerudder.core.director import ListError, read_hosts
+from limerudder.core.discovery import ListError, read_hosts
 from limerudder.core.handover import Asker, Elder, Heir, read_hello
 from rigs.given import configuration, settings
 
@@ -174,14 +174,14 @@
     pair = Pair(tmp_path)
     heard = events(pair.new)
     standing = [pair.old.served() for _ in range(5)]
-    room = pair.new.node.lobby.room
+    room = pair.new.node.admission.room
     heir = pair.ask()
-    assert pair.new.node.lobby.room == room - 10
+    assert pair.new.node.admission.room == room - 10
     heir.say("serving")
     for session, _, _ in standing:
         session.lost(pair.old.now)
     pair.run(SECOND // 5)
-    assert pair.new.node.lobby.room == room
+    assert pair.new.node.admission.room == room
     counts = {e.server: e.many for e in heard if isinstance(e, io.Elsewhere)}
     assert counts and set(counts.values()) == {0}
     assert max(e.many for e in heard if isinstance(e, io.Elsewhere)) >= 2
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -14,7 +14,7 @@
 
 from firgrade import interface as io
 from limerudder.core.client import LineSession
-from limerudder.core.director import HostList, read_hosts
+from limerudder.core.discovery import HostList, read_hosts
 from limerudder.core.invariants import Broken, Invariants
 
 from .scripted import LINE, SECOND, FakeLink, World, host, hosts, settings, world
@@ -167,7 +167,7 @@
         if which == 0:
             self.here.node.stop(self.here.now)
         else:
-            self.here.node.director.move(("127.0.0.1", which), self.here.now)
+            self.here.node.discovery.move(("127.0.0.1", which), self.here.now)
 
     @invariant()
     def hold(self) -> None:
--- a/tests/test_listclock.py
+++ b/tests/test_listclock.py
@@ -29,7 +29,7 @@
     CallClock,
     Waits,
 )
-from limerudder.core.director import DirectorCall
+from limerudder.core.discovery import DiscoveryCall
 
 from .scripted import SECOND, FakeLink, World, host, hosts, settings, world
 
@@ -68,10 +68,10 @@
     def step(self) -> None:
         here = self.here
         for at, link in enumerate(here.dials):
-            if isinstance(link.machine, DirectorCall) and not link.closed:
+            if isinstance(link.machine, DiscoveryCall) and not link.closed:
                 if at not in self.seen:
                     # from the moment on each call is answered: by an agent at once, by a busy service late
-                    well = "good" if here.node.director.pushed else "late, then good"
+                    well = "good" if here.node.discovery.pushed else "late, then good"
                     fate = well if self.drained else next(self.fates, "silent")
                     self.seen[at] = fate, here.now
                 self.play(at, link)
@@ -97,7 +97,7 @@
         elif (fate in ("endless", "listless") or fate.endswith("good")) and (now - since) % HEARTBEAT < STEP:
             call.feed(chunk(b"\n"), now)
 
-    def begin(self, fate: str, call: DirectorCall) -> None:
+    def begin(self, fate: str, call: DiscoveryCall) -> None:
         """The first that comes on a call."""
         now = self.here.now
         first = {
@@ -131,7 +131,7 @@
         service.step()
         here.run(STEP)
         if step in moves:  # SIGHUP: discovery is elsewhere
-            here.node.director.move(("127.0.0.1", 7000 + step), here.now)
+            here.node.discovery.move(("127.0.0.1", 7000 + step), here.now)
     since = here.now
     service.drain()
     while here.node.backend("s-1").state == io.State.READY:
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -11,7 +11,7 @@
 from firgrade.listclock import CallClock
 from limerudder.config import ConfigError, load, load_again
 from limerudder.core.client import BadLine, read_open, with_wait
-from limerudder.core.director import DirectorCall, HostList
+from limerudder.core.discovery import DiscoveryCall, HostList
 from limerudder.core.lines import LineError, LineFramer
 from limerudder.core.probe import Probe
 from limerudder.core.wheel import Wheel
@@ -82,8 +82,8 @@
         read_open(line.encode())
 
 
-def _watch(told: list[HostList], ended: list[bool]) -> DirectorCall:
-    return DirectorCall(
+def _watch(told: list[HostList], ended: list[bool]) -> DiscoveryCall:
+    return DiscoveryCall(
         "d",
         41,
         lambda call, hosts, now: told.append(hosts),
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -7,7 +7,7 @@
 import pytest
 
 from firgrade import interface as io
-from limerudder.core.director import read_hosts
+from limerudder.core.discovery import read_hosts
 from limerudder.core.maintenance import Memory
 from limerudder.core.recall import Inherited
 from limerudder.net.marks import Files
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,7 +9,7 @@
 import pytest
 
 from firgrade import interface as io
-from limerudder.core.director import DirectorCall, read_hosts
+from limerudder.core.discovery import DiscoveryCall, read_hosts
 from limerudder.net.peers import Peers
 
 from .scripted import LINE, SECOND, FakeLink, World, host, hosts, settings, world
@@ -78,7 +78,7 @@
         assert here.node.counters[BAD[data]] == 1
     assert not here.node.reqs and not here.node.ids and not here.fetches()
     here.run(SECOND + 5000)
-    assert link.closed and not here.node.lobby.guests and not here.node.lobby.idle
+    assert link.closed and not here.node.admission.guests and not here.node.admission.idle
 
 
 def test_what_comes_before_the_answer_ends_the_req_and_its_fetch(tmp_path: Path) -> None:
@@ -133,7 +133,7 @@
         session.feed(LINE.encode() + b"\r\n", here.now)
         assert not here.node.reqs and not here.fetches(), "read after the end, and never sent on"
     here.run(SECOND + 5000)
-    assert link.closed and not here.node.lobby.guests
+    assert link.closed and not here.node.admission.guests
 
 
 def test_a_first_line_that_comes_slowly_is_served(tmp_path: Path) -> None:
@@ -183,9 +183,9 @@
     for _ in range(100):
         here.connect()
     assert all(guest.closed for _, guest in silent), "and no more than that"
-    lobby, counters = here.node.lobby, here.node.counters
-    assert len(lobby.guests) + len(here.node.reqs) == 12 + 3
-    assert len(lobby.ended) == 3 == counters["clients_put_out"] - counters["clients_put_away"]
+    admission, counters = here.node.admission, here.node.counters
+    assert len(admission.guests) + len(here.node.reqs) == 12 + 3
+    assert len(admission.ended) == 3 == counters["clients_put_out"] - counters["clients_put_away"]
     assert not link.closed and not any(fetch.closed for _, _, fetch in standing)
     assert counters["clients_put_out"] == 102
 
@@ -193,9 +193,9 @@
 def test_probes_of_many_hosts_have_descriptors_of_their_own(tmp_path: Path) -> None:
     listed = hosts(*(host(f"s-{n}") for n in range(300)))
     here = world(tmp_path, known=listed, settings=settings(probes=True), limits={"sockets": 384})
-    assert here.node.lobby.room == 192, "half of all at most"
+    assert here.node.admission.room == 192, "half of all at most"
     here = world(tmp_path, known=hosts(host("s-1")), settings=settings(probes=True), limits={"sockets": 384})
-    assert here.node.lobby.room == 384 - 96 - 1
+    assert here.node.admission.room == 384 - 96 - 1
 
 
 def test_one_that_waits_is_read_on_and_seen_to_leave(tmp_path: Path) -> None:
@@ -442,7 +442,7 @@
     assert watch.closed
     assert [e.kind for e in told if isinstance(e, io.Members)] == [io.ListKind.FAILED]
     here.run(SECOND)
-    assert here.node.director.watch and here.node.director.watch is not watch.machine
+    assert here.node.discovery.watch and here.node.discovery.watch is not watch.machine
 
 
 ANSWER = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -460,10 +460,10 @@
     here = world(tmp_path)
     told = events(here)
     link = here.served()[1]
-    old = [d for d in here.dials if isinstance(d.machine, DirectorCall)]
-    here.node.director.ask(here.now)
+    old = [d for d in here.dials if isinstance(d.machine, DiscoveryCall)]
+    here.node.discovery.ask(here.now)
     old.append(here.dials[-1])
-    here.node.director.move(("127.0.0.1", 99), here.now)
+    here.node.discovery.move(("127.0.0.1", 99), here.now)
     assert all(call.closed for call in old) and not link.finished
     new = here.dials[-1]
     assert new.address == ("127.0.0.1", 99) and b"&after=0 " in new.machine.opening(here.now)
@@ -472,32 +472,32 @@
     assert not [e for e in told if isinstance(e, io.Members)]
     assert [b.state for b in here.node.backends.values()] == [io.State.READY] * 2
     _say(new, hosts(host("s-3"), reset=whole) | {"generation": 3}, here.now)
-    assert here.node.director.version == 3
+    assert here.node.discovery.version == 3
     ready = [b.name for b in here.node.backends.values() if b.state == io.State.READY]
     assert ready == (["s-3"] if whole else ["s-1", "s-2", "s-3"])
     question = here.dials[-1]
     assert (question is new) is whole, "changes alone say nothing of what else there is"
-    here.node.director.move(("127.0.0.1", 99), here.now)
+    here.node.discovery.move(("127.0.0.1", 99), here.now)
     assert not new.closed, "discovery is where it was"
 
 
 def test_a_watch_that_fails_before_its_first_word_asks_again_for_all(tmp_path: Path) -> None:
     here = world(tmp_path)
-    here.node.director.move(("127.0.0.1", 99), here.now)
+    here.node.discovery.move(("127.0.0.1", 99), here.now)
     here.dials[-1].machine.lost(here.now)
     here.run(SECOND)
     again = here.dials[-1].machine
-    assert isinstance(again, DirectorCall) and again.after == 0
+    assert isinstance(again, DiscoveryCall) and again.after == 0
 
 
 def test_a_question_for_all_that_fails_is_asked_again(tmp_path: Path) -> None:
     here = world(tmp_path)
-    here.node.director.move(("127.0.0.1", 99), here.now)
+    here.node.discovery.move(("127.0.0.1", 99), here.now)
     _say(here.dials[-1], hosts(reset=False) | {"generation": 3}, here.now)
     here.dials[-1].machine.lost(here.now)
     here.run(SECOND)
     again = here.dials[-1]
-    assert isinstance(again.machine, DirectorCall) and again.machine.after is None
+    assert isinstance(again.machine, DiscoveryCall) and again.machine.after is None
     _say(again, hosts(host("s-3")), here.now)
     again.machine.feed(b"0\r\n\r\n", here.now)
     assert [b.name for b in here.node.backends.values() if b.state == io.State.READY] == ["s-3"]
@@ -592,7 +592,7 @@
     here.run(20 * SECOND)
     assert link.sent == b"PONG\r\n" * 2 and not link.closed
     here.run(11 * SECOND)
-    assert link.closed and not here.node.lobby.guests
+    assert link.closed and not here.node.admission.guests
 
 
 def test_peers_are_told_and_heard_only_within_the_rules(tmp_path: Path) -> None:
--- a/tests/test_store_tier.py
+++ b/tests/test_store_tier.py
@@ -41,12 +41,12 @@
     async def story(tier: Tier) -> None:
         await tier.start()
         await tier.settled()
-        tier.director.entries["h0"]["lifecycle"] = "leaving"
-        tier.director.tell(only=1)  # one node alone hears it
+        tier.discovery.entries["h0"]["lifecycle"] = "leaving"
+        tier.discovery.tell(only=1)  # one node alone hears it
         assert await tier.nodes[2].hand("maint-on h1") == "done"
         await everybody(tier, lambda rows: "h0" in rows and bool(rows.get("h1", {}).get("held")), "h0 and h1")
-        tier.director.entries["h0"]["lifecycle"] = "active"  # the same start: discovery's stale word
-        tier.director.tell()
+        tier.discovery.entries["h0"]["lifecycle"] = "active"  # the same start: discovery's stale word
+        tier.discovery.tell()
         since = time.monotonic()
         tier.come(12)
         acked: dict[str, int] = {}
@@ -76,8 +76,8 @@
         assert (tier.sends_after("h0", since), tier.sends_after("h1", since)) == (0, 0)
         assert sum(tier.sends_after(name, since) for name in ("h2", "h3", "h4")) > 20
         assert await tier.nodes[0].hand("maint-off h1") == "done"
-        tier.director.entries["h0"]["startedAtMs"] = 1000  # a newer start
-        tier.director.tell()
+        tier.discovery.entries["h0"]["startedAtMs"] = 1000  # a newer start
+        tier.discovery.tell()
         await until(lambda: tier.sends_after("h0", since) and tier.sends_after("h1", since), "both are back")
 
     told(story, tmp_path)
@@ -90,10 +90,10 @@
         tier = Tier(tmp_path, 1, keeps=False)
         try:
             await tier.start()
-            tier.director.entries["h0"]["lifecycle"] = "leaving"
-            tier.director.tell()
-            tier.director.entries["h0"]["lifecycle"] = "active"
-            tier.director.tell()
+            tier.discovery.entries["h0"]["lifecycle"] = "leaving"
+            tier.discovery.tell()
+            tier.discovery.entries["h0"]["lifecycle"] = "active"
+            tier.discovery.tell()
             since = time.monotonic()
             tier.come(6)
             await until(lambda: tier.sends_after("h0", since), "the drained host gets new work")
@@ -153,11 +153,11 @@
         await tier.start()
         await tier.settled()
         old = tier.nodes[0]
-        tier.director.entries["h0"]["lifecycle"] = "leaving"
-        tier.director.tell()
+        tier.discovery.entries["h0"]["lifecycle"] = "leaving"
+        tier.discovery.tell()
         await everybody(tier, lambda rows: "h0" in rows, "h0")
-        tier.director.entries["h0"]["lifecycle"] = "active"
-        tier.director.tell()
+        tier.discovery.entries["h0"]["lifecycle"] = "active"
+        tier.discovery.tell()
         since = time.monotonic()
         tier.come(8)
         old_process, reading = old.ran, old.reading
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -121,7 +121,7 @@
 
 async def the_director_brings_a_backend_that_was_not_known(here: Loopback) -> None:
     async with here.running(known=hosts()):
-        director = await here.director.take()
+        director = await here.discovery.take()
         assert await director.line() == "GET /discovery/hosts?watch=1&after=41 HTTP/1.1"
         told = json.dumps(hosts(host("s-1", await here.backend.start()))) + "\n"
         director.say("HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "", f"{len(told):x}", told)
@@ -147,7 +147,7 @@
 async def a_reload_watches_at_the_new_address_and_keeps_what_stands(here: Loopback) -> None:
     async with here.running() as node:
         client, backend = await served(here)
-        old = await here.director.take()
+        old = await here.discovery.take()
         config, new = here.folder / "config.json", Listener()
         given = json.loads(config.read_text())
         config.write_text("{")
