Believe a young process in what stood nowhere before, so that cold hosts do not starve

Connections that stood nowhere before are in no wave: their rate since the process began is believed at once (Warming.may, fresh).

--- a/firgrade/choice.py
+++ b/firgrade/choice.py
@@ -300,7 +300,9 @@
         idle = alone and load is not None and load < IDLE
         # DANGER: it is idle because little is asked of it; what it can do is what reports tell of the others
         times = min(IDLE_TIMES, max(SPENT / max(self.loads.told, 0.01), 1)) if idle else 1
-        return self.warming.may(server, share, times, self.now)
+        # DANGER: of a fleet that is restarted bit by bit nobody remembers much, and cold servers would starve
+        fresh = self.fresh.read(self.now, self.born)
+        return self.warming.may(server, share, times, fresh, self.now)
 
     def _allowed(self, flow: Flow, server: Server) -> bool:
         """The rules alone: listed, within a cold budget, and not where an effect might happen twice."""
--- a/firgrade/warming.py
+++ b/firgrade/warming.py
@@ -43,9 +43,13 @@
         warm = [server for server in ready if server not in cold]
         self.weight = sum(server.weight for server in warm or ready) or 1.0
 
-    def may(self, server: Server, share: float, times: float, now: int) -> bool:
-        """Whether the budget allows one more; `share`: of all it can do, `times`: more than usual."""
-        usual = self.usual.read(now, self.since(now)) * server.weight / self.weight
+    def may(self, server: Server, share: float, times: float, fresh: float, now: int) -> bool:
+        """Whether the budget allows one more.
+
+        `share`: of all it can do; `times`: more than usual; `fresh`: this node's connections a second that stood
+        nowhere before, since it began: in no wave, so that a process is believed from its first second on.
+        """
+        usual = max(self.usual.read(now, self.since(now)), fresh) * server.weight / self.weight
         earned = self.told.overload_factor * share * usual * times + self.floor
         server.tokens = min(1.0, server.tokens + earned * (now - server.tokens_at) / SECOND)
         server.tokens_at = now
--- a/tests/test_warming.py
+++ b/tests/test_warming.py
@@ -129,6 +129,22 @@
         assert warming.usual.read(driver.now, warming.since(driver.now)) == pytest.approx(rate, rel=0.05)
 
 
+@pytest.mark.parametrize(("flags", "rate"), [(io.CAME_BACK, 20 / 16), (0, 20 / 2)])
+def test_a_young_process_is_believed_in_what_stood_nowhere_before(flags: int, rate: float) -> None:
+    """Twenty in its first second: a wave, or its usual traffic. Clients that come again say so."""
+    driver = Driver(TOLD, servers=[entry(1), entry(2)])
+    driver.members([entry(3, since=driver.now)])
+    driver.run(SECOND)
+    for _ in range(20):
+        driver.establish(driver.request(flags=flags))
+    server = driver.balancer.servers[3]
+    server.tokens, server.tokens_at = 0.0, driver.now - SECOND // 10
+    driver.balancer._may_warm(server)
+    share = driver.balancer.loads.size(server, driver.now)
+    earned = TOLD.overload_factor * share * rate / 2 + driver.balancer.warming.floor
+    assert server.tokens == pytest.approx(earned / 10, rel=0.05)
+
+
 def test_attempts_after_the_first_are_no_demand() -> None:
     driver = Driver(TOLD, servers=[entry(n) for n in range(1, 6)])
     number = driver.request()
@@ -149,7 +165,7 @@
     for number, weight in ((3, 2.0), (4, 0.5)):
         server = servers[number]
         server.tokens, server.tokens_at = 0.0, driver.now - SECOND // 10
-        warming.may(server, 0.13, 1, driver.now)
+        warming.may(server, 0.13, 1, 0.0, driver.now)
         assert server.tokens == pytest.approx(3 * 0.13 * 10 * weight / 2 / 10)
 
 
