--- a/firgrade/warming.py
+++ b/firgrade/warming.py
@@ -46,8 +46,8 @@
     def may(self, server: Server, share: float, times: float, fresh: float, now: int) -> bool:
         """Whether the budget allows one more.
 
-        `share`: of all it can do; `times`: more than usual; `fresh`: this node's connections a second that stood
-        nowhere before, since it began: in no wave, so that a process is believed from its first second on.
+        `share`: of all it can do; `times`: more than usual; `fresh`: connections a second at this node that
+        stood nowhere before, since it began: in no wave, so a process is believed from its first second on.
         """
         usual = max(self.usual.read(now, self.since(now)), fresh) * server.weight / self.weight
         earned = self.told.overload_factor * share * usual * times + self.floor
