--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -339,12 +339,15 @@
         assert (link.held, fetch.held) == (on, on)
 
 
-def test_a_stream_that_stops_is_noticed_and_its_client_moved_between_two_lines(tmp_path: Path) -> None:
+@pytest.mark.parametrize("said", [b"M 1\r\n", b"M 1\r\nM"], ids=["a line", "a line and a half"])
+def test_a_stream_that_stops_is_noticed_and_its_client_moved_between_two_lines(
+    tmp_path: Path, said: bytes
+) -> None:
     here = world(tmp_path)
     told = events(here)
     session, link, fetch = here.served()
     backend = here.node.backends[here.node.numbers["s-1"]]
-    session.feed(b"M 1\r\n", here.now)
+    session.feed(said, here.now)
     for _ in range(25):  # the machine answers on other connections
         for each in here.node.backends.values():
             each.heard = here.now
