--- a/limerudder/store/raft/messages.py
+++ b/limerudder/store/raft/messages.py
@@ -84,13 +84,13 @@
     pieces: tuple[bytes, ...]
 
 
-class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
+class Message(msgspec.Struct, frozen=True, array_like=True, tag="Message"):
     """Anything that one member's machine says to another's."""
 
     term: int
 
 
-class Vote(Message, frozen=True, array_like=True, tag=True):
+class Vote(Message, frozen=True, array_like=True, tag="Vote"):
     """Asks for a vote; `pre`: only whether it would be given (9.6), `transfer`: at a leader's word."""
 
     last_index: int
@@ -99,14 +99,14 @@
     transfer: bool
 
 
-class Voted(Message, frozen=True, array_like=True, tag=True):
+class Voted(Message, frozen=True, array_like=True, tag="Voted"):
     """The answer to it."""
 
     granted: bool
     pre: bool
 
 
-class Append(Message, frozen=True, array_like=True, tag=True):
+class Append(Message, frozen=True, array_like=True, tag="Append"):
     """Entries after `prev_index`, none for a sign of life; `round` is given back with the answer (6.4)."""
 
     prev_index: int
@@ -116,7 +116,7 @@
     round: int
 
 
-class Appended(Message, frozen=True, array_like=True, tag=True):
+class Appended(Message, frozen=True, array_like=True, tag="Appended"):
     """The answer: the log agrees up to `index`; or it does not at `index`, and may up to `hint`."""
 
     ok: bool
@@ -126,7 +126,7 @@
     round: int
 
 
-class Piece(Message, frozen=True, array_like=True, tag=True):
+class Piece(Message, frozen=True, array_like=True, tag="Piece"):
     """A piece of a snapshot; one without data asks how many the other has already."""
 
     meta: SnapshotMeta
@@ -135,7 +135,7 @@
     round: int
 
 
-class PieceHeld(Message, frozen=True, array_like=True, tag=True):
+class PieceHeld(Message, frozen=True, array_like=True, tag="PieceHeld"):
     """How many pieces of that snapshot are held, from the first on without a gap."""
 
     index: int
@@ -144,7 +144,7 @@
     round: int
 
 
-class TakeOver(Message, frozen=True, array_like=True, tag=True):
+class TakeOver(Message, frozen=True, array_like=True, tag="TakeOver"):
     """The leader's word to stand for election at once (3.10)."""
 
 
--- a/limerudder/store/talk.py
+++ b/limerudder/store/talk.py
@@ -29,7 +29,7 @@
     NOT_LEADING = 3  #: nothing was done
 
 
-class Ask(msgspec.Struct, frozen=True, array_like=True, tag=True):
+class Ask(msgspec.Struct, frozen=True, array_like=True, tag="Ask"):
     """A wish; `number` is given back with the answer."""
 
     number: int
@@ -37,7 +37,7 @@
     data: bytes
 
 
-class Told(msgspec.Struct, frozen=True, array_like=True, tag=True):
+class Told(msgspec.Struct, frozen=True, array_like=True, tag="Told"):
     """The answer."""
 
     number: int
