--- a/Makefile
+++ b/Makefile
@@ -19,8 +19,8 @@
 	$(PYTHON) -m ruff check .
 	$(PYTHON) -m ruff format --check .
 	$(PYTHON) -m mypy
-	@lines=$$(grep -cv '^[[:space:]]*$$' firgrade/choice.py); \
-	    [ "$$lines" -le 500 ] || { echo "firgrade/choice.py has $$lines lines"; exit 1; }
+	@lines=$$(grep -cv '^[[:space:]]*$$' limerudder/policy/balancer.py); \
+	    [ "$$lines" -le 500 ] || { echo "limerudder/policy/balancer.py has $$lines lines"; exit 1; }
 
 run: build
 	@test -n "$$PROXY_CONFIG" || { echo "set PROXY_CONFIG to the node's configuration file"; exit 2; }
--- a/bench/filter.py
+++ b/bench/filter.py
@@ -23,7 +23,7 @@
 
 import uvloop
 
-from rigs.tier import Tier, until
+from harness.multi_process import MultiProcessTier, until
 
 #: the calls the page names, and those that would reveal a second process or a socket of another family
 WATCHED = (
@@ -72,7 +72,7 @@
 
 async def play(folder: Path) -> tuple[Counter[str], Counter[str], list[str], int | None]:
     """One node under the tracer: clients, a new configuration, a planned stop."""
-    tier = Tier(folder, 1, stand_ins=3, keeps=False)
+    tier = MultiProcessTier(folder, 1, stand_ins=3, keeps=False)
     trace = folder / "trace"
     tier.nodes[0].wrapper = tracer(trace)
     try:
--- a/bench/lab_load.py
+++ b/bench/lab_load.py
@@ -14,9 +14,9 @@
 
 import uvloop
 
-from limerudder.lab.arrivals import Mix, Phase, draw
-from limerudder.lab.load import Loader, raise_descriptors
-from limerudder.lab.tally import Tally
+from limerudder.loadtest.arrivals import Mix, Phase, draw
+from limerudder.loadtest.latency_histogram import LatencyHistogram
+from limerudder.loadtest.load_generator import LoadGenerator, raise_descriptors
 
 SECOND = 1_000_000
 SLOW = 100_000  #: microseconds; far over what an answer takes outside the stall
@@ -63,7 +63,7 @@
     uvloop.run(run())
 
 
-def play(rate: float, seconds: float, stall: float) -> tuple[Tally, int]:
+def play(rate: float, seconds: float, stall: float) -> tuple[LatencyHistogram, int]:
     """A run; what it saw, and how many came in the stall so that they waited over SLOW."""
     ours, theirs = multiprocessing.Pipe()
     process = multiprocessing.Process(target=stand_in, args=(theirs, seconds / 3, stall), daemon=True)
@@ -71,8 +71,8 @@
     where = ours.recv()
     arrivals = draw([Phase(seconds, rate)], [], Mix(life=0.05), 1)
 
-    async def go() -> Tally:
-        loader = Loader(arrivals, [where])
+    async def go() -> LatencyHistogram:
+        loader = LoadGenerator(arrivals, [where])
         running = asyncio.ensure_future(loader.run())
         await asyncio.sleep(0)
         ours.send(loader.start / SECOND)
--- a/bench/store_cost.py
+++ b/bench/store_cost.py
@@ -14,7 +14,7 @@
 
 import uvloop
 
-from rigs.tier import Tier
+from harness.multi_process import MultiProcessTier
 
 TICKS = os.sysconf("SC_CLK_TCK")
 
@@ -32,7 +32,7 @@
 
 async def once(folder: Path, keeps: bool, clients: int, seconds: float) -> tuple[float, float]:
     """CPU milliseconds a req, over all nodes, and the largest node's memory."""
-    tier = Tier(folder, 4, keeps=keeps)
+    tier = MultiProcessTier(folder, 4, keeps=keeps)
     try:
         await tier.start()
         if keeps:
--- a/bench/store_defects.py
+++ b/bench/store_defects.py
@@ -7,19 +7,19 @@
 import sys
 from concurrent.futures import ThreadPoolExecutor
 
-from rigs.defects import DEFECTS, plant
+from harness.mutations import MUTATIONS, install_mutation
 
-KINDS = 6  #: of trouble, by the seed; see rigs.cluster.Plan
+KINDS = 6  #: of trouble, by the seed; see harness.cluster_simulation.Plan
 
 
 def hunt(number: int, most: int, kind: int | None) -> tuple[int, str]:
     """In this process: the first seed that finds the defect, and what it found; -1 where none does."""
-    plant(DEFECTS[number])
+    install_mutation(MUTATIONS[number])
     from bench.store_sim import play
-    from rigs.cluster import Plan
+    from harness.cluster_simulation import FaultPlan
 
     for seed in range(kind or 0, most, 1 if kind is None else KINDS):
-        _, why, _ = play((seed, Plan.of(seed)))
+        _, why, _ = play((seed, FaultPlan.of(seed)))
         if why:
             return seed + 1, why
     return -1, ""
@@ -44,7 +44,7 @@
 
     missed = 0
     with ThreadPoolExecutor(8) as pool:
-        for defect, told in zip(DEFECTS, pool.map(run, range(len(DEFECTS))), strict=True):
+        for defect, told in zip(MUTATIONS, pool.map(run, range(len(MUTATIONS))), strict=True):
             seeds, _, what = told.partition("\t")
             missed += not seeds.isdigit()
             print(f"| {defect.name} | {seeds} | {what[:90]} |", flush=True)
--- a/bench/store_failover.py
+++ b/bench/store_failover.py
@@ -15,15 +15,21 @@
 from pathlib import Path
 from random import Random
 
-from limerudder.store.client import Client
+from bench.store_speed import Cluster, percentile
+from limerudder.store.client import ControlClient
+from limerudder.store.data_directory import init_cluster
 from limerudder.store.disk import Disk
-from limerudder.store.folder import init
 from limerudder.store.member import Member
-from limerudder.store.raft.machine import HardState, digest
 from limerudder.store.raft.messages import Snapshot, SnapshotMeta
-from limerudder.store.records import Do, Open, Put, Records, Txn, write_command
-
-from .store_speed import Cluster, percentile
+from limerudder.store.raft.raft import HardState, snapshot_digest
+from limerudder.store.state_machine import (
+    KeyValueState,
+    OpenSession,
+    Put,
+    SessionWrite,
+    Transaction,
+    encode_command,
+)
 
 
 def failover(folder: Path, kills: int) -> None:
@@ -34,7 +40,7 @@
         for number in range(kills):
             leads = cluster.leader()
             other = random.choice([name for name in cluster.addresses if name != leads])
-            with Client(cluster.folders[other], 10) as client:
+            with ControlClient(cluster.folders[other], 10) as client:
                 assert client.call("put", key="kv/before", value="x")["ok"]
                 began = time.perf_counter()
                 cluster.kill(leads)
@@ -53,16 +59,16 @@
 
 def opening(folder: Path, many: int) -> None:
     """Open a folder with so many records in its snapshot, and as many thousand entries in its log."""
-    records = Records()
-    records.apply(1, write_command(Open()))
+    records = KeyValueState()
+    records.apply(1, encode_command(OpenSession()))
     for n in range(many // 50):
         puts = tuple(Put(f"kv/{n * 50 + k:06d}", b"v" * 100) for k in range(50))
-        records.apply(n + 2, write_command(Do(1, n + 1, n, Txn((), puts))))
-    (path,) = init(str(folder), [("n0", "127.0.0.1:1")])
+        records.apply(n + 2, encode_command(SessionWrite(1, n + 1, n, Transaction((), puts))))
+    (path,) = init_cluster(str(folder), [("n0", "127.0.0.1:1")])
     disk = Disk(path)
     opened = disk.load(start=False)
     pieces = tuple(records.freeze().pieces())
-    meta = SnapshotMeta(records.applied, 1, opened.start.saved.config, len(pieces), digest(pieces))
+    meta = SnapshotMeta(records.applied, 1, opened.start.saved.config, len(pieces), snapshot_digest(pieces))
     disk.begin_anew(opened.identity, HardState(1, 0), Snapshot(meta, pieces))
     disk.close()
     took = []
--- a/bench/store_kills.py
+++ b/bench/store_kills.py
@@ -13,10 +13,10 @@
 
 import uvloop
 
-from rigs.tier import Tier, overlapping_kills, until
+from harness.multi_process import MultiProcessTier, overlapping_kills, until
 
 
-async def write_on(tier: Tier, who: int, acked: dict[str, int], stop: asyncio.Event) -> None:
+async def write_on(tier: MultiProcessTier, who: int, acked: dict[str, int], stop: asyncio.Event) -> None:
     """Write counters through any node, and remember what was acknowledged."""
     number = 0
     while not stop.is_set():
@@ -31,7 +31,7 @@
 
 async def play(rounds: int, rough: bool, folder: Path) -> int:
     """The run; how many promises were broken."""
-    tier = Tier(folder)
+    tier = MultiProcessTier(folder)
     acked: dict[str, int] = {}
     stop = asyncio.Event()
     broken = 0
@@ -89,7 +89,7 @@
     return broken
 
 
-async def change_on(tier: Tier, stop: asyncio.Event) -> Counter[str]:
+async def change_on(tier: MultiProcessTier, stop: asyncio.Event) -> Counter[str]:
     """Add and remove a learner that never starts, and hand the lead around; what came of it."""
     told: Counter[str] = Counter()
     while not stop.is_set():
@@ -105,7 +105,7 @@
     return told
 
 
-def _knows(tier: Tier) -> list[bool]:
+def _knows(tier: MultiProcessTier) -> list[bool]:
     told = [node.call("hosts") for node in tier.nodes]
     found = []
     for one in told:
--- a/bench/store_sim.py
+++ b/bench/store_sim.py
@@ -10,16 +10,16 @@
 from dataclasses import replace
 from multiprocessing import Pool
 
-from rigs.cluster import Broken, Plan, Sim
+from harness.cluster_simulation import ClusterSimulation, FaultPlan, InvariantViolation
 
 
-def play(task: tuple[int, Plan]) -> tuple[int, str, dict[str, int]]:
+def play(task: tuple[int, FaultPlan]) -> tuple[int, str, dict[str, int]]:
     """One seed; what broke, or nothing."""
     seed, plan = task
-    sim = Sim(seed, plan)
+    sim = ClusterSimulation(seed, plan)
     try:
         sim.run()
-    except Broken as exc:
+    except InvariantViolation as exc:
         return seed, str(exc), {}
     except Exception as exc:  # an assertion of the machine's own counts as found
         where = traceback.extract_tb(exc.__traceback__)[-1]
@@ -47,7 +47,7 @@
     totals: Counter[str] = Counter()
     broken = []
     tasks = (
-        (seed, replace(Plan.of(seed), seconds=given.seconds))
+        (seed, replace(FaultPlan.of(seed), seconds=given.seconds))
         for seed in range(given.first, given.first + given.seeds)
     )
     with Pool(given.jobs) as pool:
--- a/bench/store_speed.py
+++ b/bench/store_speed.py
@@ -22,9 +22,9 @@
 
 import uvloop
 
-from limerudder.store.client import Client, NotThere
-from limerudder.store.folder import init
-from rigs.tier import free_ports
+from harness.multi_process import free_ports
+from limerudder.store.client import ControlClient, ControlUnavailable
+from limerudder.store.data_directory import init_cluster
 
 VALUE = "v" * 100
 
@@ -83,14 +83,16 @@
 
     def __init__(self, folder: Path) -> None:
         self.addresses = {f"n{n}": f"127.0.0.1:{port}" for n, port in enumerate(free_ports(4))}
-        self.folders = dict(zip(self.addresses, init(str(folder), list(self.addresses.items())), strict=True))
+        self.folders = dict(
+            zip(self.addresses, init_cluster(str(folder), list(self.addresses.items())), strict=True)
+        )
         self.ran: dict[str, subprocess.Popen[bytes]] = {}
         for name in self.addresses:
             self.start(name)
 
     def start(self, name: str) -> None:
         """Start one, and wait until it answers."""
-        args = [sys.executable, "-m", "rigs.lone", self.folders[name], self.addresses[name]]
+        args = [sys.executable, "-m", "harness.single_member", self.folders[name], self.addresses[name]]
         self.ran[name] = subprocess.Popen(args, stdout=subprocess.DEVNULL)
         while not self.status(name):
             time.sleep(0.02)
@@ -98,10 +100,10 @@
     def status(self, name: str) -> dict[str, Any]:
         """Its status; empty where it does not answer."""
         try:
-            with Client(self.folders[name], 1) as client:
+            with ControlClient(self.folders[name], 1) as client:
                 found = client.call("status")
                 return found if found.pop("ok") else {}
-        except NotThere:
+        except ControlUnavailable:
             return {}
 
     def leader(self) -> str:
--- a/rigs/cluster.py
+++ b/harness/cluster_simulation.py
@@ -19,32 +19,47 @@
 
 import msgspec
 
-from limerudder.store import talk
-from limerudder.store.doorman import BUILD, Boot, Doorman, Hello
-from limerudder.store.ledger import NEVER
-from limerudder.store.member import Failure, Job, Limits, Member
-from limerudder.store.raft.machine import Standing, Timing
-from limerudder.store.raft.messages import Appended, Config, Kind, Role, Voted
+from harness.memory_disk import MemoryDisk
+from limerudder.store import rpc
+from limerudder.store.drain_log import NEVER_DRAINED
+from limerudder.store.member import CallFailure, DurabilityJob, Member, MemberLimits
+from limerudder.store.peer_authentication import PROTOCOL_BUILD, Handshake, Incarnation, PeerAuthenticator
+from limerudder.store.raft.messages import (
+    AppendEntriesReply,
+    ClusterConfig,
+    EntryKind,
+    MemberRole,
+    RequestVoteReply,
+)
 from limerudder.store.raft.messages import Member as MemberEntry
-from limerudder.store.records import Compare, Delete, Do, Get, Open, Put, Result, Txn, What
-from limerudder.store.talk import Wish
-
-from .disks import MemoryDisk
+from limerudder.store.raft.raft import RaftRole, RaftTiming
+from limerudder.store.rpc import RequestKind
+from limerudder.store.state_machine import (
+    Compare,
+    CompareTarget,
+    Delete,
+    Get,
+    OpenSession,
+    Put,
+    Result,
+    SessionWrite,
+    Transaction,
+)
 
 MS = 1000
 SECOND = 1_000_000
-LIMITS = Limits(snapshot_entries=40, keep_entries=8, piece=200, waiting=64, history=100)
-TIMING = Timing(election=150 * MS, heartbeat=30 * MS)
+LIMITS = MemberLimits(snapshot_entries=40, keep_entries=8, piece=200, waiting=64, history=100)
+TIMING = RaftTiming(election=150 * MS, heartbeat=30 * MS)
 KEYS = ("kv/a", "kv/b", "kv/c")
 CLUSTER = 7
 
 
-class Broken(AssertionError):
+class InvariantViolation(AssertionError):
     """A promise was broken; the text says which, and where."""
 
 
 @dataclass
-class Plan:
+class FaultPlan:
     """How rough a run is."""
 
     members: int = 4
@@ -68,19 +83,19 @@
     delay: float = 3.0  # milliseconds that a message takes, at the most, where it is not late
 
     @staticmethod
-    def of(seed: int) -> Plan:
+    def of(seed: int) -> FaultPlan:
         """The kind of trouble that a seed has: some of everything, or much of one thing."""
         match seed % 6:
             case 1:  # killed and back at once, again and again
-                return Plan(
+                return FaultPlan(
                     members=3, crash_every=0.08, back_within=0.04, cut_every=0.6, stuck_every=0.7, spite=0.3
                 )
             case 2:  # cut off in all ways
-                return Plan(
+                return FaultPlan(
                     members=5, crash_every=0.3, cut_every=0.12, late=0.15, back_within=0.1, spite=0.15
                 )
             case 3:  # members come and go
-                return Plan(
+                return FaultPlan(
                     members=5,
                     change_every=0.12,
                     crash_every=0.3,
@@ -90,23 +105,27 @@
                     least=2,
                 )
             case 4:  # a slow network, and killed at the worst moments
-                return Plan(members=3, delay=40, spite=0.6, crash_every=0.5, cut_every=0.4, back_within=0.05)
+                return FaultPlan(
+                    members=3, delay=40, spite=0.6, crash_every=0.5, cut_every=0.4, back_within=0.05
+                )
             case 5:
-                return Plan(members=5, delay=40, spite=0.5, crash_every=0.5, cut_every=0.2, back_within=0.05)
-        return Plan()
+                return FaultPlan(
+                    members=5, delay=40, spite=0.5, crash_every=0.5, cut_every=0.2, back_within=0.05
+                )
+        return FaultPlan()
 
 
 @dataclass(eq=False)
-class Server:
+class SimulatedMember:
     """A member's machine: its disk outlives its process."""
 
     number: int
     name: str
     disk: MemoryDisk
     member: Member | None = None
-    doorman: Doorman | None = None
+    doorman: PeerAuthenticator | None = None
     life: int = 0  # processes so far; what belongs to an earlier one is dropped
-    queue: deque[tuple[Job | None, list[tuple[int, Any]]]] = field(default_factory=deque)
+    queue: deque[tuple[DurabilityJob | None, list[tuple[int, Any]]]] = field(default_factory=deque)
     busy: bool = False
     rate: float = 1.0
     offset: int = 0
@@ -119,16 +138,16 @@
     complete: int = 0  # the last term in which it led and was found to have all
 
 
-class Sim:
+class ClusterSimulation:
     """One run."""
 
-    def __init__(self, seed: int, plan: Plan | None = None) -> None:
-        self.seed, self.plan = seed, plan or Plan()
+    def __init__(self, seed: int, plan: FaultPlan | None = None) -> None:
+        self.seed, self.plan = seed, plan or FaultPlan()
         self.random = Random(seed)
         self.now = 0
         self.events: list[tuple[int, int, Callable[[], None]]] = []
         self.serial = self.steps = 0
-        self.servers: dict[int, Server] = {}
+        self.servers: dict[int, SimulatedMember] = {}
         self.cuts: set[tuple[int, int]] = set()
         self.troubled = True
         self.refused: list[str] = []
@@ -140,13 +159,13 @@
         self.states: dict[int, int] = {}  # by index, the records' digest
         self.promised: dict[tuple[int, str], int] = {}  # server and host: the start that must be remembered
         self.lifted: set[str] = set()  # hosts that hands have put back
-        self.history: list[Done] = []
+        self.history: list[CompletedCall] = []
         self.acked = 0
-        config = Config(
+        config = ClusterConfig(
             tuple(MemberEntry(n + 1, f"n{n}", f"127.0.0.1:{7000 + n}") for n in range(self.plan.members))
         )
         for one in config.members:
-            self.servers[one.id] = Server(one.id, one.name, MemoryDisk(config))
+            self.servers[one.id] = SimulatedMember(one.id, one.name, MemoryDisk(config))
             self.boot(self.servers[one.id])
         self.next_number = self.plan.members + 1
 
@@ -161,7 +180,7 @@
         """Trouble, then peace; everything is checked all along and at the end."""
         plan, random = self.plan, self.random
         for number in range(plan.clients):
-            self.at(random.randrange(200 * MS), Client(self, number).begin)
+            self.at(random.randrange(200 * MS), SimulatedClient(self, number).begin)
         for every, call in [
             (plan.crash_every, self._crash_some),
             (plan.cut_every, self._cut_some),
@@ -202,46 +221,46 @@
 
     # servers
 
-    def clock(self, server: Server) -> int:
+    def clock(self, server: SimulatedMember) -> int:
         """The time as this server has it."""
         return int(self.now * server.rate) + server.offset
 
-    def boot(self, server: Server) -> None:
+    def boot(self, server: SimulatedMember) -> None:
         """Start a process on a server's disk."""
         server.life += 1
         server.busy = False
         server.queue.clear()
         disk = server.disk
-        disk.boot = Boot(disk.boot.number + 1, self.random.getrandbits(32))
+        disk.boot = Incarnation(disk.boot.number + 1, self.random.getrandbits(32))
         if server.life % 2:
             server.copies = [*server.copies[-2:], disk.copy()]
         random = Random(self.random.getrandbits(64))
         now = self.clock(server)
         server.member = Member(server.number, disk.start(), random, now, LIMITS, TIMING)
-        server.doorman = Doorman(CLUSTER, server.number, disk.shown)
+        server.doorman = PeerAuthenticator(CLUSTER, server.number, disk.shown)
         server.met = {}
         self._check_promises(server)
         self._tick(server, server.life)
 
-    def crash(self, server: Server) -> None:
+    def crash(self, server: SimulatedMember) -> None:
         """End its process: the job that the disk is at may be done or not, the others are not."""
         server.life += 1
         if server.busy and server.queue and server.queue[0][0] and self.random.random() < 0.5:
             server.disk.do(server.queue[0][0])
         server.member = None
 
-    def alive(self) -> list[Server]:
+    def alive(self) -> list[SimulatedMember]:
         """Those whose process runs."""
         return [server for server in self.servers.values() if server.member]
 
-    def _tick(self, server: Server, life: int) -> None:
+    def _tick(self, server: SimulatedMember, life: int) -> None:
         if server.life != life or server.member is None:
             return
         server.member.tick(self.clock(server))
         self.pump(server)
         self.at(5 * MS + self.random.randrange(2 * MS), lambda: self._tick(server, life))
 
-    def pump(self, server: Server) -> None:
+    def pump(self, server: SimulatedMember) -> None:
         """Carry out what a member wants, and check it."""
         member = server.member
         assert member
@@ -256,7 +275,7 @@
                 self._work(server)
         self.check(server)
 
-    def _work(self, server: Server) -> None:
+    def _work(self, server: SimulatedMember) -> None:
         if server.busy or not server.queue:
             return
         job, after = server.queue[0]
@@ -270,7 +289,7 @@
         took = self.random.choice((200, 400, 800, 3 * MS))
         self.at(max(took, server.stuck_until - self.now), lambda: self._worked(server, life))
 
-    def _worked(self, server: Server, life: int) -> None:
+    def _worked(self, server: SimulatedMember, life: int) -> None:
         if server.life != life or server.member is None:
             return
         job, after = server.queue.popleft()
@@ -279,25 +298,25 @@
         snapshot = server.disk.do(job)
         for to, message in after:
             self.send(server, to, message)
-        gave = any(isinstance(m, Voted) and m.granted and not m.pre for _, m in after)
+        gave = any(isinstance(m, RequestVoteReply) and m.granted and not m.pre for _, m in after)
         if gave and self._spited(server):
             return
         for _, fact in job.facts:
             started = getattr(fact, "started_ms", None)
             if started is not None:
                 key = server.number, fact.host
-                self.promised[key] = max(self.promised.get(key, NEVER), started)
+                self.promised[key] = max(self.promised.get(key, NEVER_DRAINED), started)
         server.member.written(job.number, snapshot, self.clock(server))
         self._work(server)
         self.pump(server)
 
     # the network
 
-    def send(self, sender: Server, to: int, message: Any) -> None:
+    def send(self, sender: SimulatedMember, to: int, message: Any) -> None:
         """A message leaves; what comes of it is chance."""
         if to not in self.servers:
             return
-        data = talk.write(message)
+        data = rpc.encode_message(message)
         plan, random = self.plan, self.random
         times = 1
         if self.troubled:
@@ -312,12 +331,14 @@
                 delay = random.randrange(SECOND)
             self.at(delay, lambda: self._arrive(sender, life, hello, to, data))
 
-    def _hello(self, sender: Server, to: int) -> Hello:
+    def _hello(self, sender: SimulatedMember, to: int) -> Handshake:
         disk = sender.disk
         last = max(disk.log, default=disk.snapshot.meta.index if disk.snapshot else 0)
-        return Hello(BUILD, CLUSTER, sender.number, to, sender.name, disk.boot, disk.hard.term, last)
+        return Handshake(
+            PROTOCOL_BUILD, CLUSTER, sender.number, to, sender.name, disk.boot, disk.hard.term, last
+        )
 
-    def _arrive(self, sender: Server, life: int, hello: Hello, to: int, data: bytes) -> None:
+    def _arrive(self, sender: SimulatedMember, life: int, hello: Handshake, to: int, data: bytes) -> None:
         server = self.servers[to]
         if server.member is None or (sender.number, to) in self.cuts:
             return
@@ -337,8 +358,8 @@
                 door.doorman.new.clear()
             server.met[sender.number] = life, server.life
             sender.met[to] = server.life, life
-        message = talk.read(data)
-        if isinstance(message, Appended) and message.ok:
+        message = rpc.decode_message(data)
+        if isinstance(message, AppendEntriesReply) and message.ok:
             server.doorman.acknowledged(sender.number, message.term, message.index)
         server.member.receive(sender.number, message, self.clock(server))
         self.pump(server)
@@ -355,7 +376,7 @@
             wait = int(self.random.choice((0.02, 0.2, 1)) * self.plan.back_within * SECOND) + 1
             self.at(self.random.randrange(wait), lambda server=server: self._back(server))  # type: ignore[misc]
 
-    def _spited(self, server: Server) -> bool:
+    def _spited(self, server: SimulatedMember) -> bool:
         """Kill a process at a moment when it has just done what it must not forget; it is back at once."""
         if not self.troubled or self.random.random() >= self.plan.spite:
             return False
@@ -363,11 +384,11 @@
         self.at(self.random.randrange(1, 4 * MS), lambda: self._back(server))
         return True
 
-    def _spite_leader(self, server: Server, life: int) -> None:
+    def _spite_leader(self, server: SimulatedMember, life: int) -> None:
         if server.life == life and server.member:
             self._spited(server)
 
-    def _back(self, server: Server) -> None:
+    def _back(self, server: SimulatedMember) -> None:
         if server.member is None and not server.dead:
             self.boot(server)
 
@@ -407,20 +428,23 @@
             if server.member:
                 self._change(server, server.member)
 
-    def _change(self, server: Server, member: Member) -> None:
+    def _change(self, server: SimulatedMember, member: Member) -> None:
         config = member.config
         kind = self.random.randrange(3)
         if not config.members:
             return
-        wish, data = Wish.LEAD, self.random.choice([m.id for m in config.members]).to_bytes(8, "big")
+        wish, data = RequestKind.LEAD, self.random.choice([m.id for m in config.members]).to_bytes(8, "big")
         if kind == 0 and len(config.members) < self.plan.members + 2:
             number, self.next_number = self.next_number, self.next_number + 1
-            entry = MemberEntry(number, f"n{number}", f"127.0.0.1:{7000 + number}", Role.JOINING)
-            self.servers[number] = Server(number, entry.name, MemoryDisk(Config(())))
+            entry = MemberEntry(number, f"n{number}", f"127.0.0.1:{7000 + number}", MemberRole.JOINING)
+            self.servers[number] = SimulatedMember(number, entry.name, MemoryDisk(ClusterConfig(())))
             self.boot(self.servers[number])
-            wish, data = Wish.ADD, msgspec.msgpack.encode(entry)
+            wish, data = RequestKind.ADD, msgspec.msgpack.encode(entry)
         elif kind == 1 and len(config.voters()) > self.plan.least:
-            wish, data = Wish.REMOVE, self.random.choice([m.id for m in config.members]).to_bytes(8, "big")
+            wish, data = (
+                RequestKind.REMOVE,
+                self.random.choice([m.id for m in config.members]).to_bytes(8, "big"),
+            )
         now = self.clock(server)
         member.wish(wish, data, now + SECOND, lambda outcome, at: None, now)
         self.pump(server)
@@ -471,42 +495,44 @@
 
     # checks
 
-    def check(self, server: Server) -> None:
+    def check(self, server: SimulatedMember) -> None:
         """What must hold after each step of a member."""
         member = server.member
         assert member
         raft = member.raft
         where = f"seed {self.seed}, {self.now / SECOND:.3f} s, {server.name}"
-        if raft.standing == Standing.LEADER:
+        if raft.standing == RaftRole.LEADER:
             if raft.term not in self.leaders:
                 life = server.life
                 later = self.random.randrange(1, 15 * MS)
                 self.at(later, lambda: self._spite_leader(server, life))
             led = self.leaders.setdefault(raft.term, server.number)
             if led != server.number:
-                raise Broken(f"{where}: two leaders in term {raft.term}: {led} and {server.number}")
+                raise InvariantViolation(
+                    f"{where}: two leaders in term {raft.term}: {led} and {server.number}"
+                )
             self._complete(server, where)
         first = max(server.checked, raft.log.base) + 1
         for index in range(first, member.records.applied + 1):
             entry = raft.log.get(index)
             found = entry.term, crc32(entry.data + bytes([entry.kind]))
             known = self.committed.setdefault(index, (*found, raft.term))
-            if entry.kind == Kind.DATA:
+            if entry.kind == EntryKind.DATA:
                 self.commands.setdefault(index, entry.data)
             if known[:2] != found:
-                raise Broken(f"{where}: entry {index} was committed as {known} and is {found}")
+                raise InvariantViolation(f"{where}: entry {index} was committed as {known} and is {found}")
             self.committed_upto = max(self.committed_upto, index)
         server.checked = member.records.applied
         applied = member.records.applied
         if applied % 8 == 0:
             state = fingerprint(member)
             if self.states.setdefault(applied, state) != state:
-                raise Broken(f"{where}: the records differ at entry {applied}")
+                raise InvariantViolation(f"{where}: the records differ at entry {applied}")
         if self.steps % 16 == 0:
             self._check_promises(server)
             self._matching(server, where)
 
-    def _complete(self, server: Server, where: str) -> None:
+    def _complete(self, server: SimulatedMember, where: str) -> None:
         """A leader has all that was committed in terms before its own."""
         raft = server.member.raft if server.member else None
         assert raft
@@ -516,9 +542,11 @@
         for index in range(raft.log.base + 1, self.committed_upto + 1):
             term, _, when = self.committed.get(index, (0, 0, 1 << 62))
             if when < raft.term and raft.log.term(index) != term:
-                raise Broken(f"{where}: leads term {raft.term} without entry {index} of term {term}")
+                raise InvariantViolation(
+                    f"{where}: leads term {raft.term} without entry {index} of term {term}"
+                )
 
-    def _matching(self, server: Server, where: str) -> None:
+    def _matching(self, server: SimulatedMember, where: str) -> None:
         """Where two logs have an entry of the same index and term, they have the same up to there."""
         mine = server.member.raft.log if server.member else None
         assert mine
@@ -530,16 +558,18 @@
             for index in range(high, low - 1, -1):
                 a, b = mine.get(index), log.get(index)
                 if agree and a != b or a.term == b.term and a != b:
-                    raise Broken(f"{where}: log differs from that of {other.name} at entry {index}")
+                    raise InvariantViolation(
+                        f"{where}: log differs from that of {other.name} at entry {index}"
+                    )
                 agree = agree or a.term == b.term
 
-    def _check_promises(self, server: Server) -> None:
+    def _check_promises(self, server: SimulatedMember) -> None:
         """A drain that was durable at a member is remembered there ever after."""
         member = server.member
         assert member
         for (number, host), started in self.promised.items():
             if number == server.number and not member.ledger.view(host).out(started):
-                raise Broken(
+                raise InvariantViolation(
                     f"seed {self.seed}, {self.now / SECOND:.3f} s, {server.name}:"
                     f" forgot that {host} drains ({started})"
                 )
@@ -549,7 +579,7 @@
         sound = [server for server in self.alive() if not server.dead]
         leaders = [s for s in sound if s.member and s.member.leads]
         if not leaders:
-            raise Broken(f"{where}: nobody leads after six quiet seconds")
+            raise InvariantViolation(f"{where}: nobody leads after six quiet seconds")
         leader = max(leaders, key=lambda s: s.member.raft.term if s.member else 0)
         assert leader.member
         config = leader.member.config
@@ -562,12 +592,14 @@
             self._until(self.now + 20 * MS)
         if len(states) != 1:
             revisions = {s.name: (s.member.records.revision, s.member.raft.commit) for s in part if s.member}
-            raise Broken(f"{where}: members differ: {revisions}")
+            raise InvariantViolation(f"{where}: members differ: {revisions}")
         for server in part:
             assert server.member
             for (number, host), started in self.promised.items():
                 if config.get(number) and not server.member.ledger.view(host).out(started):
-                    raise Broken(f"{where}: {server.name} does not know that {host} drains ({started})")
+                    raise InvariantViolation(
+                        f"{where}: {server.name} does not know that {host} drains ({started})"
+                    )
         self._linear(leader.member)
 
     def _linear(self, member: Member) -> None:
@@ -582,38 +614,40 @@
                 seen = max(seen, finished[upto].revision)
                 upto += 1
             if one.end is not None and (one.revision < seen or one.wrote and one.revision <= seen):
-                raise Broken(f"{where}: {one} came after revision {seen} was seen")
+                raise InvariantViolation(f"{where}: {one} came after revision {seen} was seen")
         values: dict[tuple[str, int], bytes | None] = {}
         once: set[bytes] = set()
         for revision, key, value in self._canonical():
             if value is not None and key in KEYS:
                 if value in once:
-                    raise Broken(f"{where}: {value[:20]!r} was written twice, at last at revision {revision}")
+                    raise InvariantViolation(
+                        f"{where}: {value[:20]!r} was written twice, at last at revision {revision}"
+                    )
                 once.add(value)
             values[key, revision] = value
         writes = set(values)
         for one in finished:
             if one.wrote:
                 if (one.key, one.revision) not in writes or values[one.key, one.revision] != one.value:
-                    raise Broken(f"{where}: the acknowledged {one} is not in the records")
+                    raise InvariantViolation(f"{where}: the acknowledged {one} is not in the records")
             else:
                 last = max((r for k, r in writes if k == one.key and r <= one.revision), default=0)
                 if (values[one.key, last] if last else None) != one.value:
-                    raise Broken(f"{where}: {one} read what never was")
+                    raise InvariantViolation(f"{where}: {one} read what never was")
         self.acked = sum(one.wrote for one in finished)
 
     def _canonical(self) -> Iterable[tuple[int, str, bytes | None]]:
         """All changes, as the committed commands make them, reckoned here anew from the first entry on."""
-        from limerudder.store.records import Records
+        from limerudder.store.state_machine import KeyValueState
 
-        records = Records(1 << 30)
+        records = KeyValueState(1 << 30)
         for index in sorted(self.commands):
             records.apply(index, self.commands[index])
         return [(e.revision, e.key, e.item.value if e.item else None) for e in records.history]
 
 
 @dataclass
-class Done:
+class CompletedCall:
     """What a client did: times, and the revision it was told."""
 
     client: int
@@ -625,10 +659,10 @@
     revision: int = 0
 
 
-class Client:
+class SimulatedClient:
     """Writes and reads through any member, one thing at a time; says a write again until it is answered."""
 
-    def __init__(self, sim: Sim, number: int) -> None:
+    def __init__(self, sim: ClusterSimulation, number: int) -> None:
         self.sim, self.number = sim, number
         self.session = self.serial = self.count = 0
 
@@ -649,18 +683,21 @@
     def _next(self) -> None:
         self.sim.at(self.sim.random.randrange(1, 40 * MS), self.begin)
 
-    def _open(self, server: Server) -> None:
-        assert server.member
+    def _open(self, server: SimulatedMember) -> None:
+        member = server.member
+        assert member
         now = self.sim.clock(server)
 
-        def done(outcome: Result | Failure, at: int) -> None:
+        def done(outcome: Result | CallFailure, at: int) -> None:
             if isinstance(outcome, Result):
                 self.session, self.serial = outcome.index, 0
             self._next()
 
-        self._guarded(server, done, lambda told: server.member.write(Open(), now + 400 * MS, told, now))  # type: ignore[union-attr]
+        self._guarded(server, done, lambda told: member.write(OpenSession(), now + 400 * MS, told, now))
 
-    def _guarded(self, server: Server, done: Callable[[Any, int], None], call: Callable[[Any], None]) -> None:
+    def _guarded(
+        self, server: SimulatedMember, done: Callable[[Any, int], None], call: Callable[[Any], None]
+    ) -> None:
         """Whoever is killed with the server hears of a failure all the same, once."""
         life, heard = server.life, [False]
 
@@ -672,7 +709,7 @@
         call(told)
         if server.member and server.life == life:
             self.sim.pump(server)
-        self.sim.at(700 * MS, lambda: told(Failure("not_now", "it was killed", True), 0))
+        self.sim.at(700 * MS, lambda: told(CallFailure("not_now", "it was killed", True), 0))
 
     def _write(self) -> None:
         self.serial += 1
@@ -684,38 +721,38 @@
             value = value * 40
         else:
             op = Put(key, value)
-        txn = Txn((), (op, Get(key)))
+        txn = Transaction((), (op, Get(key)))
         if self.sim.random.random() < 0.3:
-            txn = Txn((Compare(key, What.VERSION, b"", 0),), (op,), (op, Get(key)))
-        record = Done(self.number, self.sim.now, key, True, value)
+            txn = Transaction((Compare(key, CompareTarget.VERSION, b"", 0),), (op,), (op, Get(key)))
+        record = CompletedCall(self.number, self.sim.now, key, True, value)
         self.sim.history.append(record)
-        self._say(Do(self.session, self.serial, self.serial - 1, txn), record)
+        self._say(SessionWrite(self.session, self.serial, self.serial - 1, txn), record)
 
-    def _say(self, command: Do, record: Done) -> None:
+    def _say(self, command: SessionWrite, record: CompletedCall) -> None:
         alive = self.sim.alive()
         if not alive:
             return self.sim.at(50 * MS, lambda: self._say(command, record))
         server = self.sim.random.choice(alive)
         now = self.sim.clock(server)
 
-        def done(outcome: Result | Failure, at: int) -> None:
-            if isinstance(outcome, Failure):
+        def done(outcome: Result | CallFailure, at: int) -> None:
+            if isinstance(outcome, CallFailure):
                 self.sim.at(20 * MS, lambda: self._say(command, record))  # the same serial
                 return
             if outcome.error:
-                raise Broken(f"seed {self.sim.seed}: a session that was in use: {outcome.error}")
+                raise InvariantViolation(f"seed {self.sim.seed}: a session that was in use: {outcome.error}")
             record.end, record.revision = self.sim.now, outcome.revision
             self._next()
 
         self._guarded(server, done, lambda told: server.member.write(command, now + 400 * MS, told, now))  # type: ignore[union-attr]
 
-    def _read(self, server: Server) -> None:
+    def _read(self, server: SimulatedMember) -> None:
         key = self.sim.random.choice(KEYS)
-        record = Done(self.number, self.sim.now, key, False, None)
+        record = CompletedCall(self.number, self.sim.now, key, False, None)
         self.sim.history.append(record)
         now = self.sim.clock(server)
 
-        def done(outcome: Failure | None, at: int) -> None:
+        def done(outcome: CallFailure | None, at: int) -> None:
             member = server.member
             if outcome is None and member:
                 item = member.records.get(key)
--- a/rigs/disks.py
+++ b/harness/memory_disk.py
@@ -4,26 +4,26 @@
 
 from dataclasses import dataclass, field, replace
 
-from limerudder.store.doorman import Boot, Shown
-from limerudder.store.ledger import Fact, read_fact, write_fact
-from limerudder.store.member import Job, Start
-from limerudder.store.raft.machine import HardState, Saved
-from limerudder.store.raft.messages import Config, Entry, Snapshot, SnapshotMeta
+from limerudder.store.drain_log import DrainFact, decode_fact, encode_fact
+from limerudder.store.member import DurabilityJob, MemberStart
+from limerudder.store.peer_authentication import DurabilityProof, Incarnation
+from limerudder.store.raft.messages import ClusterConfig, Entry, Snapshot, SnapshotMeta
+from limerudder.store.raft.raft import HardState, PersistentState
 
 
 @dataclass
 class MemoryDisk:
     """What is durable."""
 
-    config: Config
+    config: ClusterConfig
     hard: HardState = HardState(0, 0)
     log: dict[int, Entry] = field(default_factory=dict)
     snapshot: Snapshot | None = None
     incoming: tuple[SnapshotMeta, tuple[bytes, ...]] | None = None
     facts: dict[int, bytes] = field(default_factory=dict)
     known: dict[str, tuple[int, bytes | None]] = field(default_factory=dict)
-    boot: Boot = Boot(0, 0)
-    shown: dict[int, Shown] = field(default_factory=dict)
+    boot: Incarnation = Incarnation(0, 0)
+    shown: dict[int, DurabilityProof] = field(default_factory=dict)
 
     def copy(self) -> MemoryDisk:
         """The disk as it is now."""
@@ -31,7 +31,7 @@
             self, log=dict(self.log), facts=dict(self.facts), known=dict(self.known), shown=dict(self.shown)
         )
 
-    def do(self, job: Job) -> Snapshot | None:
+    def do(self, job: DurabilityJob) -> Snapshot | None:
         """Make a job durable; gives the snapshot that was built for it."""
         write = job.write
         if write:
@@ -57,7 +57,7 @@
             keep_from = job.snapshot.keep_from
             self._drop(lambda index: index < keep_from)
         for fact_number, fact in job.facts:
-            self.facts[fact_number] = write_fact(fact)
+            self.facts[fact_number] = encode_fact(fact)
         for fact_number in job.gone_facts:
             self.facts.pop(fact_number, None)
         for key, modified, value in job.known:
@@ -70,9 +70,9 @@
         for index in [index for index in self.log if goes(index)]:
             del self.log[index]
 
-    def start(self) -> Start:
+    def start(self) -> MemberStart:
         """What a member starts with."""
         entries = [self.log[index] for index in sorted(self.log)]
-        facts: dict[int, Fact] = {number: read_fact(data) for number, data in self.facts.items()}
-        saved = Saved(self.hard, self.snapshot, entries, self.config, self.incoming)
-        return Start(saved, facts, dict(self.known))
+        facts: dict[int, DrainFact] = {number: decode_fact(data) for number, data in self.facts.items()}
+        saved = PersistentState(self.hard, self.snapshot, entries, self.config, self.incoming)
+        return MemberStart(saved, facts, dict(self.known))
--- a/rigs/tier.py
+++ b/harness/multi_process.py
@@ -14,10 +14,9 @@
 from pathlib import Path
 from typing import Any
 
-from limerudder.store.client import Client, NotThere
-from limerudder.store.folder import init
-
-from .given import configuration, host, hosts, settings
+from harness.configurations import configuration, host, hosts, settings
+from limerudder.store.client import ControlClient, ControlUnavailable
+from limerudder.store.data_directory import init_cluster
 
 ANSWERS = (b"UP", b"BUSY", b"FAIL", b"ERR")
 
@@ -33,7 +32,7 @@
     return ports
 
 
-class Discovery:
+class StandInDiscovery:
     """Discovery: a list, told to whoever watches; which list a node hears may differ."""
 
     def __init__(self) -> None:
@@ -124,10 +123,10 @@
             self.server.close()
 
 
-class Node:
+class NodeProcess:
     """One node's process, again and again."""
 
-    def __init__(self, number: int, tier: Tier) -> None:
+    def __init__(self, number: int, tier: MultiProcessTier) -> None:
         self.number, self.tier = number, tier
         self.name = f"n{number}"
         self.folder = tier.folder / self.name
@@ -184,9 +183,9 @@
     def call(self, name: str, wait: float = 2.0, **given: Any) -> dict[str, Any]:
         """A call to its store; not `ok` where nobody answers."""
         try:
-            with Client(str(self.store), wait) as client:
+            with ControlClient(str(self.store), wait) as client:
                 return client.call(name, **given)
-        except NotThere as exc:
+        except ControlUnavailable as exc:
             return {"ok": False, "kind": "not_now", "error": str(exc)}
 
     async def ask(self, name: str, wait: float = 2.0, **given: Any) -> dict[str, Any]:
@@ -203,14 +202,14 @@
         return answer
 
 
-class Tier:
+class MultiProcessTier:
     """Nodes, director, hosts, clients."""
 
     def __init__(self, folder: Path, nodes: int = 4, stand_ins: int = 5, keeps: bool = True) -> None:
         self.folder, self.keeps = folder, keeps
-        self.discovery = Discovery()
+        self.discovery = StandInDiscovery()
         self.hosts = {name: StandInHost(name) for name in (f"h{n}" for n in range(stand_ins))}
-        self.nodes = [Node(n, self) for n in range(nodes)]
+        self.nodes = [NodeProcess(n, self) for n in range(nodes)]
         self.counts: Counter[str] = Counter()
         self.wrong: list[str] = []
         self.ended = False
@@ -227,7 +226,7 @@
         addresses = [f"127.0.0.1:{port}" for port in ports]
         members = [(node.name, addresses[3 * node.number + 2]) for node in self.nodes]
         if self.keeps:
-            init(str(self.folder / "store"), members)
+            init_cluster(str(self.folder / "store"), members)
         listed = hosts(*self.discovery.entries.values())
         told = settings(probes=True, peers=False, **caps)
         told["balancers"] = len(self.nodes)
@@ -249,7 +248,7 @@
             await asyncio.sleep(0.02)
         raise AssertionError(f"not settled after {wait} s: {told}")
 
-    async def leader(self) -> Node:
+    async def leader(self) -> NodeProcess:
         """The node that leads."""
         while True:
             for node in self.nodes:
@@ -275,7 +274,7 @@
                 self.next_id += 1
                 line = f"OPEN {self.next_id:016x} {number:016x} c=chat,t=acme,d=2000\r\n".encode()
 
-    async def _once(self, node: Node, line: bytes) -> bool:
+    async def _once(self, node: NodeProcess, line: bytes) -> bool:
         life = node.ran
         try:
             reader, writer = await asyncio.open_connection(*node.listen.split(":"))
@@ -335,10 +334,10 @@
         await asyncio.sleep(0.01)
 
 
-async def overlapping_kills(tier: Tier, order: Sequence[int], gap: float, down: float) -> float:
+async def overlapping_kills(tier: MultiProcessTier, order: Sequence[int], gap: float, down: float) -> float:
     """Kill nodes one after the other while the ones before are still down; when the last was back."""
 
-    async def one(node: Node, wait: float) -> None:
+    async def one(node: NodeProcess, wait: float) -> None:
         await asyncio.sleep(wait)
         await node.kill()
         await asyncio.sleep(down)
--- a/rigs/defects.py
+++ b/harness/mutations.py
@@ -13,13 +13,17 @@
 from dataclasses import dataclass
 from types import CodeType, ModuleType
 
-MACHINE, RECORDS = "limerudder.store.raft.machine", "limerudder.store.records"
-MEMBER, LEDGER, DOORMAN = "limerudder.store.member", "limerudder.store.ledger", "limerudder.store.doorman"
-DISK, CLUSTER = "rigs.disks", "rigs.cluster"
+MACHINE, RECORDS = "limerudder.store.raft.raft", "limerudder.store.state_machine"
+MEMBER, LEDGER, DOORMAN = (
+    "limerudder.store.member",
+    "limerudder.store.drain_log",
+    "limerudder.store.peer_authentication",
+)
+DISK, CLUSTER = "harness.memory_disk", "harness.cluster_simulation"
 
 
 @dataclass(frozen=True)
-class Defect:
+class Mutation:
     """What is changed, and where."""
 
     name: str
@@ -28,158 +32,160 @@
     after: str
 
 
-DEFECTS = [
-    Defect("vote not persisted", DISK, "self.hard = write.hard", "self.hard = HardState(write.hard.term, 0)"),
-    Defect("term and vote not persisted", DISK, "self.hard = write.hard", "pass"),
-    Defect(
+MUTATIONS = [
+    Mutation(
+        "vote not persisted", DISK, "self.hard = write.hard", "self.hard = HardState(write.hard.term, 0)"
+    ),
+    Mutation("term and vote not persisted", DISK, "self.hard = write.hard", "pass"),
+    Mutation(
         "an older term's entry committed by count",
         MACHINE,
         "if index <= self.commit or self.log.term(index) != self.term:",
         "if index <= self.commit:",
     ),
-    Defect(
+    Mutation(
         "a majority is half",
         MACHINE,
         "return 2 * len(voters & numbers) > len(voters)",
         "return 2 * len(voters & numbers) >= len(voters)",
     ),
-    Defect(
+    Mutation(
         "vote given to an older log",
         MACHINE,
         "newer = (message.last_term, message.last_index) >= (self.log.last_term, self.log.last)",
         "newer = True",
     ),
-    Defect(
+    Mutation(
         "log lengths compared without terms",
         MACHINE,
         "newer = (message.last_term, message.last_index) >= (self.log.last_term, self.log.last)",
         "newer = message.last_index >= self.log.last",
     ),
-    Defect(
+    Mutation(
         "two votes in a term",
         MACHINE,
         "free = self.vote in (NOBODY, sender) and self.leader == NOBODY",
         "free = True",
     ),
-    Defect(
+    Mutation(
         "entries taken without comparing what is before them",
         MACHINE,
         "agrees = self.log.term(prev) == message.prev_term",
         "agrees = self.log.term(prev) is not None",
     ),
-    Defect(
+    Mutation(
         "follower commits past what it knows to agree",
         MACHINE,
         "self._commit_to(min(message.commit, upto))",
         "self._commit_to(min(message.commit, self.log.last))",
     ),
-    Defect(
+    Mutation(
         "truncation does not reach the disk",
         DISK,
         "if write.truncate is not None:",
         "if write.truncate == -1:",
     ),
-    Defect(
+    Mutation(
         "acknowledged before it is durable",
         CLUSTER,
         "            if out.job or out.after:",
         "            for to, message in out.after:\n                self.send(server, to, message)\n"
         "            out.after = []\n            if out.job or out.after:",
     ),
-    Defect(
+    Mutation(
         "leader counts its own entries before they are durable",
         MACHINE,
         "held = sorted(self.durable if v == self.me",
         "held = sorted(self.log.last if v == self.me",
     ),
-    Defect(
+    Mutation(
         "several changes of members at once",
         MACHINE,
         'if self.log.config_index > self.commit:\n            raise ChangeError("another',
         'if False:\n            raise ChangeError("another',
     ),
-    Defect(
+    Mutation(
         "membership applied late",
         MACHINE,
         "voters = self.log.config.voters()\n        return 2",
         "voters = self.log.config_at(max(self.commit, self.log.base)).voters()\n        return 2",
     ),
-    Defect(
+    Mutation(
         "reads answered without asking a quorum",
         MACHINE,
         "self.reads.append((number, self.commit, self.round))",
         "self.out.reads.append((number, self.commit))",
     ),
-    Defect(
+    Mutation(
         "reads of a new leader before its first entry",
         MACHINE,
         "if self.commit < self.first:\n            # guards a read",
         "if False:\n            # guards a read",
     ),
-    Defect(
+    Mutation(
         "a round shared with messages already sent",
         MACHINE,
         "            self.round += 1\n            self.round_new",
         "            self.round_new",
     ),
-    Defect(
+    Mutation(
         "snapshot without its sessions",
         RECORDS,
         "self.sessions = [(n, one.seen, dict(one.results)) for n, one in records.sessions.items()]",
         "self.sessions = []\n        self.head = msgspec.structs.replace(self.head, sessions=0)",
     ),
-    Defect(
+    Mutation(
         "snapshot without sessions' results",
         RECORDS,
         "self.sessions = [(n, one.seen, dict(one.results))",
         "self.sessions = [(n, one.seen, {})",
     ),
-    Defect(
+    Mutation(
         "a write said again is done again",
         RECORDS,
         "if command.serial in session.results:",
         "if False:",
     ),
-    Defect(
+    Mutation(
         "another's result given after an overwritten entry",
         MEMBER,
         "if term != entry.term:",
         "if False:",
     ),
-    Defect(
+    Mutation(
         "older log kept under a newer snapshot",
         MACHINE,
         "keep = self.log.term(meta.index) == meta.term",
         "keep = self.log.last >= meta.index",
     ),
-    Defect(
+    Mutation(
         "snapshot pieces of two snapshots mixed",
         MACHINE,
         "if self.incoming is None or self.incoming[0] != meta:",
         "if self.incoming is None:",
     ),
-    Defect("facts not persisted", DISK, "self.facts[fact_number] = write_fact(fact)", "pass"),
-    Defect(
+    Mutation("facts not persisted", DISK, "self.facts[fact_number] = write_fact(fact)", "pass"),
+    Mutation(
         "facts dropped when answered, not when applied here",
         MEMBER,
         "self.once_applied(outcome.index, lambda _: self.ledger.pushed(host, revision), at)",
         "self.ledger.pushed(host, revision)",
     ),
-    Defect("known records not persisted", DISK, "self.known[key] = modified, value", "pass"),
-    Defect(
+    Mutation("known records not persisted", DISK, "self.known[key] = modified, value", "pass"),
+    Mutation(
         "a later, smaller drain replaces a greater one",
         LEDGER,
         "return HostRecord(max(record.drained, started_ms), record.held",
         "return HostRecord(started_ms, record.held",
     ),
-    Defect("an older disk is let in", DOORMAN, "if before and (why := _less(before, hello)):", "if False:"),
+    Mutation("an older disk is let in", DOORMAN, "if before and (why := _less(before, hello)):", "if False:"),
 ]
 
 
-class _Planter(importlib.abc.MetaPathFinder, importlib.machinery.SourceFileLoader):
+class _MutatingLoader(importlib.abc.MetaPathFinder, importlib.machinery.SourceFileLoader):
     """Finds the one module and loads it with the change."""
 
-    def __init__(self, defect: Defect, path: str) -> None:
+    def __init__(self, defect: Mutation, path: str) -> None:
         super().__init__(defect.module, path)
         self.defect = defect
 
@@ -201,8 +207,8 @@
         return code
 
 
-def plant(defect: Defect) -> None:
+def install_mutation(defect: Mutation) -> None:
     """Have the defect in this process; the store must not have been imported yet."""
     assert defect.module not in sys.modules, "too late"
     path = defect.module.replace(".", "/") + ".py"
-    sys.meta_path.insert(0, _Planter(defect, path))
+    sys.meta_path.insert(0, _MutatingLoader(defect, path))
--- a/rigs/crowd.py
+++ b/harness/overload_fleet.py
@@ -14,8 +14,32 @@
 from itertools import count
 from random import Random
 
-from firgrade import Balancer
-from firgrade import interface as io
+from limerudder.policy import Balancer
+from limerudder.policy.actions import (
+    FailRequest,
+    MigrateClient,
+    RejectRequest,
+    SetTimer,
+    StartAttempt,
+)
+from limerudder.policy.events import (
+    FLAG_RECONNECT,
+    AttemptEnded,
+    AttemptOutcome,
+    ConnectionEstablished,
+    EndpointUpdate,
+    Event,
+    LatencySample,
+    LoadSample,
+    NewRequest,
+    ServerEntry,
+    ServerState,
+    TimerFired,
+    UpdateKind,
+)
+from limerudder.policy.settings import (
+    Settings,
+)
 
 SECOND = 1_000_000
 STEP = SECOND // 10
@@ -23,22 +47,22 @@
 
 
 @dataclass
-class Host:
+class SimulatedHost:
     """One host: `can` and loads in microseconds of work a second, the pile in seconds of all it can do."""
 
     id: int
     can: float
     pile: float = 0.0
-    there: list[Client] = field(default_factory=list)
+    there: list[SimulatedClient] = field(default_factory=list)
 
     def asked(self) -> float:
         """Load over what it can do, each group once more."""
         groups = {client.group for client in self.there}
-        return (sum(client.load for client in self.there) + Crowd.SHARED * len(groups)) / self.can
+        return (sum(client.load for client in self.there) + OverloadFleet.SHARED * len(groups)) / self.can
 
 
 @dataclass(eq=False)
-class Client:
+class SimulatedClient:
     """One client, its connection, and where it stands."""
 
     key: int
@@ -48,22 +72,22 @@
     came: bool = False
     node: int = -1
     req: int = 0
-    host: Host | None = None
+    host: SimulatedHost | None = None
     waits: int = 0  # refusals since it was last up
 
 
-class Crowd:
+class OverloadFleet:
     """Nodes, hosts and clients; `served` is the share of the worth at each STEP."""
 
     SHARED = 30_000.0
 
     def __init__(
-        self, settings: io.Settings, hosts: list[float], clients: list[Client], seed: int, shed: bool
+        self, settings: Settings, hosts: list[float], clients: list[SimulatedClient], seed: int, shed: bool
     ) -> None:
         self.rng, self.now, self.shed = Random(seed), 10 * SECOND, shed
         self.settings = settings
-        self.hosts = {n + 1: Host(n + 1, can) for n, can in enumerate(hosts)}
-        self.clients, self.reqs = clients, dict[tuple[int, int], Client]()
+        self.hosts = {n + 1: SimulatedHost(n + 1, can) for n, can in enumerate(hosts)}
+        self.clients, self.reqs = clients, dict[tuple[int, int], SimulatedClient]()
         self.due: list[tuple[int, int, Callable[[], None]]] = []
         self.order, self.ids = count(), count(1)
         self.served, self.attempts, self.broken = list[float](), 0, 0
@@ -74,8 +98,8 @@
     def begin(self, node: int) -> Balancer:
         """A process that has just begun and knows discovery's list alone."""
         balancer = Balancer(self.settings, Random(self.rng.random()))
-        entries = [io.ServerEntry(h, 0, 0, 0, io.State.READY, 1.0, 0) for h in self.hosts]
-        self.carry(node, balancer, io.Members(io.ListKind.CACHED, 1, entries))
+        entries = [ServerEntry(h, 0, 0, 0, ServerState.READY, 1.0, 0) for h in self.hosts]
+        self.carry(node, balancer, EndpointUpdate(UpdateKind.CACHED, 1, entries))
         return balancer
 
     def restart(self, node: int) -> None:
@@ -90,43 +114,43 @@
         """Do it after so long."""
         heapq.heappush(self.due, (self.now + int(seconds * SECOND), next(self.order), what))
 
-    def come(self, client: Client) -> None:
+    def come(self, client: SimulatedClient) -> None:
         """A client asks for a connection at any node."""
         client.node, client.req = self.rng.randrange(len(self.nodes)), next(self.ids)
         self.reqs[client.node, client.req] = client
         deadline = self.settings.classes[client.cls].deadline
-        flags = io.CAME_BACK if client.came else 0
+        flags = FLAG_RECONNECT if client.came else 0
         self.give(
-            client.node, io.Request(client.req, client.cls, 0, client.key, deadline, 0, client.group, flags)
+            client.node, NewRequest(client.req, client.cls, 0, client.key, deadline, 0, client.group, flags)
         )
 
-    def leave(self, client: Client) -> None:
+    def leave(self, client: SimulatedClient) -> None:
         """Its connection is no more."""
         if client.host:
             client.host.there.remove(client)
         client.host, client.came = None, True
         self.reqs.pop((client.node, client.req), None)
 
-    def give(self, node: int, event: io.Event) -> None:
+    def give(self, node: int, event: Event) -> None:
         """Hand a node an event."""
         self.carry(node, self.nodes[node], event)
 
-    def carry(self, node: int, balancer: Balancer, event: io.Event) -> None:
+    def carry(self, node: int, balancer: Balancer, event: Event) -> None:
         """Hand it over and do what the module says."""
         for action in balancer.handle(event, self.now):
             client = self.reqs.get((node, getattr(action, "id", 0)))
-            if isinstance(action, io.SetTimer):
+            if isinstance(action, SetTimer):
                 wait = max(action.at - self.now, 0) / SECOND
                 self.later(wait, partial(self.timer, node, balancer, action.token))
-            elif isinstance(action, io.Send) and client:
+            elif isinstance(action, StartAttempt) and client:
                 self.attempts += 1
                 client.host = self.hosts[action.server]
                 client.host.there.append(client)
                 client.waits = 0
                 self.later(0.02, partial(self.up, node, client, client.req))
-            elif isinstance(action, io.Move) and client and client.host:
-                self.gone(client, io.Ending.CANCELLED, 0.3)
-            elif isinstance(action, io.Refuse | io.Fail) and client:
+            elif isinstance(action, MigrateClient) and client and client.host:
+                self.gone(client, AttemptOutcome.CANCELLED, 0.3)
+            elif isinstance(action, RejectRequest | FailRequest) and client:
                 client.waits += 1
                 self.reqs.pop((node, client.req), None)
                 self.later(min(0.3 * 2**client.waits, 5), partial(self.come, client))
@@ -134,22 +158,22 @@
     def timer(self, node: int, balancer: Balancer, token: int) -> None:
         """A timer is due, unless its process has ended."""
         if self.nodes[node] is balancer:
-            self.give(node, io.Timer(token))
+            self.give(node, TimerFired(token))
 
-    def up(self, node: int, client: Client, req: int) -> None:
+    def up(self, node: int, client: SimulatedClient, req: int) -> None:
         """A connection is set up, and tells its load."""
         if client.req == req and client.host:
-            self.give(node, io.Established(req, client.host.id, 0, 20_000))
+            self.give(node, ConnectionEstablished(req, client.host.id, 0, 20_000))
             if client.req == req and client.host:
-                self.give(node, io.Note(req, client.host.id, client.load, 0, io.NOTE_LOAD))
+                self.give(node, LoadSample(req, client.host.id, client.load, 0))
 
-    def gone(self, client: Client, ending: io.Ending, wait: float) -> None:
+    def gone(self, client: SimulatedClient, ending: AttemptOutcome, wait: float) -> None:
         """A connection that stood has ended; its client comes again."""
         node, req, host = client.node, client.req, client.host
         assert host is not None
         self.leave(client)
         self.later(wait * self.rng.uniform(0.5, 2), partial(self.come, client))
-        self.later(0, lambda: self.give(node, io.Outcome(req, 0, host.id, int(ending), 0, 1, ())))
+        self.later(0, lambda: self.give(node, AttemptEnded(req, 0, host.id, int(ending), 0, 1, ())))
 
     def run(self, seconds: float) -> None:
         """Let time pass. Worth is earned where the pile is shorter than the message aim of the class."""
@@ -161,14 +185,14 @@
             for host in self.hosts.values():
                 host.pile = max(host.pile + (host.asked() - 1) * STEP / SECOND, 0.0)
                 for client in host.there:
-                    aim = self.settings.classes[client.cls].message_aim
+                    aim = self.settings.classes[client.cls].message_objective_us
                     worth += self.settings.classes[client.cls].worth * (host.pile * SECOND < aim)
                 if self.shed and host.pile > SHED_PILE:
                     for client in host.there[-max(len(host.there) // 10, 1) :]:
                         self.broken += 1
-                        self.gone(client, io.Ending.RESET, 0.5)
+                        self.gone(client, AttemptOutcome.RESET, 0.5)
             self.served.append(worth / sum(self.settings.classes[c.cls].worth for c in self.clients))
-            if self.now % SECOND == 0 and self.settings.tells_delay and not self.shed:
+            if self.now % SECOND == 0 and self.settings.reports_latency and not self.shed:
                 self.tell()
             self.now += STEP
 
@@ -178,4 +202,4 @@
             for node in range(len(self.nodes)):
                 up = [c for c in host.there if c.node == node]
                 if up and host.pile > 0.02:
-                    self.give(node, io.Note(up[0].req, host.id, host.pile * 1000, 0, io.NOTE_DELAY))
+                    self.give(node, LatencySample(up[0].req, host.id, host.pile * 1000, 0))
--- a/rigs/lone.py
+++ b/harness/single_member.py
@@ -1,4 +1,4 @@
-"""A member in a process of its own, without a node: `python -m rigs.lone FOLDER ADDRESS`, for measuring."""
+"""A store member in its own process, without a node: `python -m harness.single_member FOLDER ADDRESS`."""
 
 from __future__ import annotations
 
@@ -8,14 +8,14 @@
 
 import uvloop
 
-from limerudder.core.link import read_address
+from limerudder.core.transport import read_address
 from limerudder.net.clock import Clock
 from limerudder.schema import StoreSettings
-from limerudder.store.control import Control
+from limerudder.store.control import ControlServer
 from limerudder.store.store import Store
 
 
-async def run(folder: str, address: str) -> None:
+async def run_member(folder: str, address: str) -> None:
     """Until it is killed."""
     where = read_address(address)
     store = Store(StoreSettings(folder, where), lambda kind, text: print(text, flush=True), Clock().now)
@@ -24,10 +24,10 @@
     sock.bind(where)
     sock.setblocking(False)
     await store.run(sock)
-    await Control(store).listen()
+    await ControlServer(store).listen()
     print("ready", flush=True)
     await asyncio.Event().wait()
 
 
 if __name__ == "__main__":
-    uvloop.run(run(*sys.argv[1:3]))
+    uvloop.run(run_member(*sys.argv[1:3]))
--- a/rigs/ramp.py
+++ b/harness/slow_start_fleet.py
@@ -13,18 +13,39 @@
 from math import sqrt
 from random import Random
 
-from firgrade import Balancer
-from firgrade import interface as io
+from limerudder.policy import Balancer
+from limerudder.policy.actions import (
+    FailRequest,
+    RejectRequest,
+    SetTimer,
+    StartAttempt,
+)
+from limerudder.policy.events import (
+    FLAG_RECONNECT,
+    AttemptEnded,
+    AttemptOutcome,
+    ConnectionEstablished,
+    EndpointUpdate,
+    Event,
+    NewRequest,
+    ServerEntry,
+    ServerState,
+    TimerFired,
+    UpdateKind,
+)
+from limerudder.policy.settings import (
+    Settings,
+)
 
 SECOND = 1_000_000
 SETUP = 20_000
 
 
-class Ramp:
+class SlowStartFleet:
     """A fleet. `rates`: new connections a second at each node; `load`: what servers carry of all they can."""
 
     def __init__(
-        self, settings: io.Settings, rates: list[float], servers: int, load: float, life: float, seed: int
+        self, settings: Settings, rates: list[float], servers: int, load: float, life: float, seed: int
     ) -> None:
         self.settings, self.rates, self.life, self.rng = settings, rates, life, Random(seed)
         self.now, self.grown = 100 * SECOND, 1.0
@@ -44,13 +65,13 @@
     def begin(self, node: int) -> Balancer:
         """A process without memory: it has the list alone."""
         balancer = Balancer(self.settings, Random(self.rng.random()))
-        self.carry(node, balancer, io.Members(io.ListKind.CACHED, 1, self.entries(self.since)))
+        self.carry(node, balancer, EndpointUpdate(UpdateKind.CACHED, 1, self.entries(self.since)))
         return balancer
 
-    def entries(self, servers: object) -> list[io.ServerEntry]:
+    def entries(self, servers: object) -> list[ServerEntry]:
         """These servers as discovery lists them."""
         listed = [s for s in self.since if s in servers]  # type: ignore[operator]
-        return [io.ServerEntry(s, 0, 0, 0, io.State.READY, 1.0, self.since[s]) for s in listed]
+        return [ServerEntry(s, 0, 0, 0, ServerState.READY, 1.0, self.since[s]) for s in listed]
 
     def later(self, seconds: float, what: Callable[[], None]) -> None:
         """Do it after so long."""
@@ -69,40 +90,40 @@
         """A client asks for a connection."""
         self.asked += 1
         deadline = self.settings.classes[0].deadline
-        self.give(node, io.Request(next(self.ids), 0, 0, 0, deadline, 0, 0, flags))
+        self.give(node, NewRequest(next(self.ids), 0, 0, 0, deadline, 0, 0, flags))
 
-    def give(self, node: int, event: io.Event) -> None:
+    def give(self, node: int, event: Event) -> None:
         """Hand a node an event."""
         self.carry(node, self.nodes[node], event)
 
-    def carry(self, node: int, balancer: Balancer, event: io.Event) -> None:
+    def carry(self, node: int, balancer: Balancer, event: Event) -> None:
         """Hand it over and do what the module says."""
         for action in balancer.handle(event, self.now):
-            if isinstance(action, io.SetTimer):
+            if isinstance(action, SetTimer):
                 wait = max(action.at - self.now, 0) / SECOND
                 self.later(wait, partial(self.timer, node, balancer, action.token))
-            elif isinstance(action, io.Send):
+            elif isinstance(action, StartAttempt):
                 self.up[node, action.id] = action.server
                 self.sends[action.server].append(self.now)
                 self.later(SETUP / SECOND, partial(self.stand, node, action.id))
-            elif isinstance(action, io.Refuse | io.Fail):
+            elif isinstance(action, RejectRequest | FailRequest):
                 self.refused += 1
 
     def timer(self, node: int, balancer: Balancer, token: int) -> None:
         """A timer is due, unless its process has ended."""
         if self.nodes[node] is balancer:
-            self.give(node, io.Timer(token))
+            self.give(node, TimerFired(token))
 
     def stand(self, node: int, req: int) -> None:
         """It is set up, and will end."""
         if (server := self.up.get((node, req))) is not None:
-            self.give(node, io.Established(req, server, 0, SETUP))
+            self.give(node, ConnectionEstablished(req, server, 0, SETUP))
             self.later(self.rng.expovariate(1 / self.life), partial(self.end, node, req))
 
     def end(self, node: int, req: int) -> None:
         """It has ended by itself."""
         if (server := self.up.pop((node, req), None)) is not None:
-            self.give(node, io.Outcome(req, 0, server, io.Ending.OK, SETUP, 1, ()))
+            self.give(node, AttemptEnded(req, 0, server, AttemptOutcome.OK, SETUP, 1, ()))
 
     def cool(self, servers: list[int]) -> None:
         """These servers start anew; all nodes hear of it at once, and what stood there comes again."""
@@ -111,10 +132,10 @@
         for (node, req), server in list(self.up.items()):
             if server in servers:
                 del self.up[node, req]
-                self.give(node, io.Outcome(req, 0, server, io.Ending.RESET, SETUP, 1, ()))
+                self.give(node, AttemptEnded(req, 0, server, AttemptOutcome.RESET, SETUP, 1, ()))
                 self.again()
         for node in range(len(self.nodes)):
-            self.give(node, io.Members(io.ListKind.DELTA, 2, self.entries(servers)))
+            self.give(node, EndpointUpdate(UpdateKind.DELTA, 2, self.entries(servers)))
 
     def restart(self, nodes: list[int]) -> None:
         """These processes end and begin without memory; their clients come again, to any node."""
@@ -127,7 +148,7 @@
     def again(self) -> None:
         """A client that stood comes again within a second."""
         node = self.rng.choices(range(len(self.nodes)), self.rates)[0]
-        self.later(self.rng.uniform(0.1, 1), partial(self.come, node, io.CAME_BACK))
+        self.later(self.rng.uniform(0.1, 1), partial(self.come, node, FLAG_RECONNECT))
 
     def run(self, seconds: float) -> None:
         """Let time pass."""
@@ -147,11 +168,11 @@
         for server, sends in self.sends.items():
             start = 0
             for at, sent in enumerate(sends):
-                while sends[start] <= sent - told.overload_for:
+                while sends[start] <= sent - told.overload_window_us:
                     start += 1
-                age = (sends[start] - self.since[server]) / told.warm_up
+                age = (sends[start] - self.since[server]) / told.warm_up_us
                 if self.since[server] and age < 1:
-                    share = told.start_capacity + (1 - told.start_capacity) * age
-                    n = told.overload_factor * share * self.can * told.overload_for / SECOND
+                    share = told.initial_capacity + (1 - told.initial_capacity) * age
+                    n = told.overload_factor * share * self.can * told.overload_window_us / SECOND
                     most = max(most, (at - start + 1) / (n + chance * sqrt(n) + 2))
         return most
--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -15,32 +15,44 @@
 
 import uvloop
 
-from .config import Config, ConfigError, load, load_again
-from .core.client import LineSession
-from .core.console import CallError, Console, ConsoleSession, Later
-from .core.discovery import ListError
-from .core.handover import Asker, Elder, Heir, Hello, read_hello
-from .core.link import Address, Caller
-from .core.maintenance import Marks, Memory
-from .core.node import Node
-from .keeping import Keeping
-from .net.clock import Clock
-from .net.handover import Folder, Legacy, Offer, ask, join
-from .net.listen import Door, bind, listen
-from .net.log import Log
-from .net.marks import Files
-from .net.peers import Peers
-from .net.stream import Dialler, Stream
+from limerudder.config import ConfigError, NodeConfig, load_config, reload_config
+from limerudder.core.client.session import LineSession
+from limerudder.core.discovery.endpoint_list import EndpointListError
+from limerudder.core.lifecycle.hot_restart import (
+    HandoverState,
+    HotRestartParent,
+    HotRestartSuccessor,
+    SuccessorConnection,
+    parse_handover_state,
+)
+from limerudder.core.node import Node
+from limerudder.core.operations.console import Console, ConsoleError, ConsoleSession, DeferredAnswer
+from limerudder.core.operations.maintenance import InMemoryMarks, MaintenanceMarks
+from limerudder.core.transport import Address, OutboundMachine
+from limerudder.net.clock import Clock
+from limerudder.net.listener import ClientListener, bind, listen
+from limerudder.net.log import Log
+from limerudder.net.mark_files import MarkFiles
+from limerudder.net.peer_socket import PeerSocket
+from limerudder.net.socket_handover import (
+    HandoverListener,
+    InheritedSockets,
+    StateDirectory,
+    drive_connection,
+    request_handover,
+)
+from limerudder.net.tcp import TcpConnection, TcpConnector
+from limerudder.store_runtime import StoreRuntime
 
 
 class Network:
     """The node's way out: connections and datagrams."""
 
-    def __init__(self, dialler: Dialler) -> None:
+    def __init__(self, dialler: TcpConnector) -> None:
         self.dialler = dialler
-        self.peers: Peers | None = None
+        self.peers: PeerSocket | None = None
 
-    def dial(self, address: Address, machine: Caller) -> Stream:
+    def dial(self, address: Address, machine: OutboundMachine) -> TcpConnection:
         """Set up a connection."""
         return self.dialler.dial(address, machine)
 
@@ -50,27 +62,29 @@
             self.peers.send(peer, data)
 
 
-async def serve(config: Config, log: Callable[[str, str], None], environment: Mapping[str, str]) -> None:
+async def serve(config: NodeConfig, log: Callable[[str, str], None], environment: Mapping[str, str]) -> None:
     """Run the node until it is told to stop; `environment` names the file that SIGHUP has read again."""
     loop, clock, stopped = asyncio.get_running_loop(), Clock(), asyncio.Event()
     folder = open_folder(config, log)
     legacy, hello = take_over(folder, log)
-    keeping = Keeping(config, log, clock)
+    keeping = StoreRuntime(config, log, clock)
     if not hello:
         config = keeping.open(config)
     if hello:
         # guards a successor against an environment that SIGHUP has overruled at the process before it
-        where = load_again(environment).discovery if hello.reloaded else config.discovery
+        where = reload_config(environment).discovery if hello.reloaded else config.discovery
         config = replace(config, known=hello.hosts, discovery=where)
     sockets = legacy.sockets if legacy else bind_all(config)
-    network = Network(Dialler(loop, clock))
-    marks: Marks = Files(folder.path) if folder else Memory()
+    network = Network(TcpConnector(loop, clock))
+    marks: MaintenanceMarks = MarkFiles(folder.path) if folder else InMemoryMarks()
     recall = keeping.recall(hello.drained if hello else {})
     node = Node(config, network, log, clock.now(), keeping.marks(marks), recall)
     node.stopped, node.reloaded = stopped.set, bool(hello and hello.reloaded)
-    peers = Peers(config.peers, config.peers_all, lambda n, data: node.peering.heard(n, data, clock.now()))
+    peers = PeerSocket(
+        config.peers, config.peers_all, lambda n, data: node.peering.heard(n, data, clock.now())
+    )
     network.peers = peers
-    door = Door(sockets, lambda: Stream(LineSession(node), clock), peers)
+    door = ClientListener(sockets, lambda: TcpConnection(LineSession(node), clock), peers)
     tasks = set[asyncio.Task[None]]()
 
     def enter() -> None:
@@ -78,8 +92,12 @@
         tasks.add(task)
         task.add_done_callback(tasks.discard)
 
-    elder = Elder(node, door.close, enter)
-    offer = Offer(folder, sockets, elder.hello, lambda: Asker(elder), clock, log) if folder else None
+    elder = HotRestartParent(node, door.close, enter)
+    offer = (
+        HandoverListener(folder, sockets, elder.hello, lambda: SuccessorConnection(elder), clock, log)
+        if folder
+        else None
+    )
 
     async def serving() -> None:
         """Take clients here, from now on or again."""
@@ -92,23 +110,23 @@
 
     def status(_: str, now: int) -> str:
         if node.stopping:
-            raise CallError("stopping")
+            raise ConsoleError("stopping")
         if not door.server:
-            raise CallError("another process takes the clients" if node.succeeded else "starting")
+            raise ConsoleError("another process takes the clients" if node.succeeded else "starting")
         return "done\n"
 
     console = Console(node.wheel, node.counters)
     console.offer("status", status)
     console.offer("stats", lambda _, now: node.figures.text(node.gauges(now)) + "end\n")
 
-    def by_hand(call: Callable[[str, int], bool]) -> Callable[[str, int], str | Later]:
-        def answer(name: str, now: int) -> str | Later:
+    def by_hand(call: Callable[[str, int], bool]) -> Callable[[str, int], str | DeferredAnswer]:
+        def answer(name: str, now: int) -> str | DeferredAnswer:
             try:
                 if call(name, now):
                     return keeping.done(name)
             except OSError as exc:  # guards a yes that would not outlive this process
-                raise CallError(f"cannot write that down: {exc.strerror}") from None
-            raise CallError("no such host")
+                raise ConsoleError(f"cannot write that down: {exc.strerror}") from None
+            raise ConsoleError("no such host")
 
         return answer
 
@@ -121,7 +139,7 @@
 
     def reload() -> None:
         try:
-            again = load_again(environment)
+            again = reload_config(environment)
         except ConfigError as exc:  # guards a node that serves against a file that cannot be used
             log("config", f"config: {exc}; going on as before")
             return
@@ -144,13 +162,13 @@
     loop.add_signal_handler(signal.SIGUSR1, lambda: log("counters", f"counters: {node.counters.text()}"))
     if config.console:
         calls = bind(config.console, socket.SOCK_STREAM)
-        await listen(lambda: Stream(ConsoleSession(console), clock), calls)
+        await listen(lambda: TcpConnection(ConsoleSession(console), clock), calls)
     heir = None
     if legacy and hello:
         # the store's folder is the old process's until it has ended
         over = partial(keeping.attach_soon, node, marks, elder)
-        heir = Heir(node, hello, enter, clock.now(), over)
-        await join(legacy.line, heir, clock)
+        heir = HotRestartSuccessor(node, hello, enter, clock.now(), over)
+        await drive_connection(legacy.line, heir, clock)
     else:
         await keeping.attach(node, marks, elder)
         await serving()
@@ -162,30 +180,32 @@
     log("end", f"counters: {node.counters.text()}")
 
 
-def open_folder(config: Config, log: Callable[[str, str], None]) -> Folder | None:
+def open_folder(config: NodeConfig, log: Callable[[str, str], None]) -> StateDirectory | None:
     """The folder that outlives this process; None, and a line, where there is none to be had."""
     try:
-        return Folder(config.state) if config.state else None
+        return StateDirectory(config.state) if config.state else None
     except OSError as exc:
         log("state", f"state: cannot use {config.state}: {exc.strerror}; nothing will outlive this process")
         return None
 
 
-def take_over(folder: Folder | None, log: Callable[[str, str], None]) -> tuple[Legacy | None, Hello | None]:
+def take_over(
+    folder: StateDirectory | None, log: Callable[[str, str], None]
+) -> tuple[InheritedSockets | None, HandoverState | None]:
     """What the process that serves passes on, where there is one."""
-    legacy = ask(folder) if folder else None
+    legacy = request_handover(folder) if folder else None
     if legacy is None:
         return None, None
     try:
-        return legacy, read_hello(legacy.hello)
-    except ListError as exc:  # guards this process against another build: it binds its own sockets
+        return legacy, parse_handover_state(legacy.hello)
+    except EndpointListError as exc:  # guards this process against another build: it binds its own sockets
         log("state", f"state: {exc}")
         for sock in [legacy.line, *legacy.sockets]:
             sock.close()
         return None, None
 
 
-def open_log(config: Config) -> Log:
+def open_log(config: NodeConfig) -> Log:
     """The log, as the operator's file has it where there is one."""
     if config.operator is None:
         return Log(config.name)
@@ -195,7 +215,7 @@
     return log
 
 
-def bind_all(config: Config) -> list[socket.socket]:
+def bind_all(config: NodeConfig) -> list[socket.socket]:
     """The clients' socket, and that for datagrams where peers may talk."""
     sockets = [bind(config.listen, socket.SOCK_STREAM, shared=True)]
     if config.settings.peers and config.peer_listen:
@@ -206,7 +226,7 @@
 def main() -> int:
     """Run; a bad configuration is one line on standard error and exit code 2."""
     try:
-        config = load(os.environ)
+        config = load_config(os.environ)
         _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
         if most != resource.RLIM_INFINITY:
             config = replace(config, sockets=min(config.sockets, most))
--- a/limerudder/cli.py
+++ b/limerudder/cli.py
@@ -11,8 +11,8 @@
 
 import click
 
-from . import __version__
-from .exits import FAILED, WRONG_INPUT
+from limerudder import __version__
+from limerudder.exits import FAILED, WRONG_INPUT
 
 EXAMPLES = "\b\nExamples:\n"
 
@@ -80,7 +80,7 @@
     """
     import os
 
-    from .__main__ import main as run
+    from limerudder.__main__ import main as run
 
     if file:
         os.environ["LIMERUDDER_FILE"] = file
@@ -93,8 +93,8 @@
 @click.option("--json", "as_json", is_flag=True, help="Print what the file says, with defaults.")
 def check(file: str | None, schema: bool, as_json: bool) -> None:
     """Check the operator's file and tell everything that is wrong with it."""
-    from .schema import SCHEMA, read_operator_file
-    from .typed.syntax import MOST_BYTES, FileError
+    from limerudder.cue.syntax import MAX_FILE_BYTES, CueError
+    from limerudder.schema import SCHEMA, read_operator_file
 
     if schema:
         click.echo(SCHEMA, nl=False)
@@ -103,11 +103,11 @@
         raise click.UsageError("FILE is missing")
     try:
         with open(file, "rb") as opened:
-            text = opened.read(MOST_BYTES + 1)
+            text = opened.read(MAX_FILE_BYTES + 1)
         told = read_operator_file(text, file)
     except OSError as exc:
         fail(f"cannot read {file}: {exc.strerror}", WRONG_INPUT)
-    except FileError as exc:
+    except CueError as exc:
         click.echo(str(exc), err=True)
         fail(f"{file} has {len(exc.errors)} error{'s' if len(exc.errors) != 1 else ''}", WRONG_INPUT)
     if as_json:
--- a/limerudder/config.py
+++ b/limerudder/config.py
@@ -9,14 +9,13 @@
 from hashlib import sha256
 from typing import TYPE_CHECKING, Any
 
-from firgrade.interface import Settings
-from firgrade.settings import flatten, read_settings
-
-from .core.discovery import HostList, read_hosts
-from .core.link import Address, read_address
+from limerudder.core.discovery.endpoint_list import EndpointList, parse_endpoints
+from limerudder.core.transport import Address, read_address
+from limerudder.policy.settings import Settings, TrafficClass
+from limerudder.policy.settings_reader import flatten, read_settings
 
 if TYPE_CHECKING:
-    from .schema import OperatorFile
+    from limerudder.schema import OperatorFile
 
 
 class ConfigError(Exception):
@@ -34,7 +33,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Config:
+class NodeConfig:
     """Everything a node knows when it starts."""
 
     name: str
@@ -44,7 +43,7 @@
     sockets: int
     settings: Settings
     names: Names
-    known: HostList
+    known: EndpointList
     peer_listen: Address | None = None
     peers: tuple[Address, ...] = ()
     peers_all: Address | None = None
@@ -61,7 +60,7 @@
         raise ConfigError(f"not an address: {text!r}") from None
 
 
-def load(environment: Mapping[str, str]) -> Config:
+def load_config(environment: Mapping[str, str]) -> NodeConfig:
     """Read the file that PROXY_CONFIG names; the other PROXY variables win over what it says."""
     path = environment.get("PROXY_CONFIG")
     if not path:
@@ -86,18 +85,46 @@
     return replace(config, state=os.path.join(shared, state_name(config)))
 
 
-def state_name(config: Config) -> str:
-    """The state folder's name: by the clients' address, and by what makes this one node of one tier.
+def state_name(config: NodeConfig) -> str:
+    """Return the name of the state folder, which is unique to this node of this tier.
+
+    The socket over which a new process takes over from the running one stands in that folder. The name
+    therefore covers everything that distinguishes the node, so that it never takes over the clients of a node
+    of another deployment that has the same name and address.
+    """
+    digest = sha256(_identity_text(config).encode()).hexdigest()[:12]
+    return "limerudder-{}-{}-{}".format(*config.listen, digest)
+
+
+def _identity_text(config: NodeConfig) -> str:
+    """Return the text whose hash is in the state folder's name.
 
-    The socket by which one process of a node takes over from another stands in that folder.
+    The text is a stored form: processes of earlier releases build the same one, with these words in it.
     """
-    # guards a node against one of another deployment that has the same name and address and finds its folder:
-    # it would take that node's clients, and have it end
-    told = config.settings
-    same = (config.name, config.peer_listen, config.peers, config.names)
-    tier = (told.balancers, told.me, told.zone, tuple(told.tenant_quotas), tuple(told.classes))
-    mark = sha256(repr((same, tier)).encode()).hexdigest()[:12]
-    return "limerudder-{}-{}-{}".format(*config.listen, mark)
+    settings = config.settings
+    names = config.names
+    names_text = (
+        f"Names(classes={names.classes!r}, tenants={names.tenants!r}, zones={names.zones!r},"
+        f" kinds={names.kinds!r})"
+    )
+    node_text = f"({config.name!r}, {config.peer_listen!r}, {config.peers!r}, {names_text})"
+    classes_text = ", ".join(_class_text(traffic_class) for traffic_class in settings.classes)
+    if len(settings.classes) == 1:
+        classes_text += ","
+    tier_text = (
+        f"({settings.balancers!r}, {settings.me!r}, {settings.zone!r}, {tuple(settings.tenant_quotas)!r},"
+        f" ({classes_text}))"
+    )
+    return f"({node_text}, {tier_text})"
+
+
+def _class_text(traffic_class: TrafficClass) -> str:
+    return (
+        f"TrafficClass(aim={traffic_class.aim!r}, deadline={traffic_class.deadline!r},"
+        f" effect={traffic_class.effect!r}, key_scope={traffic_class.key_scope!r},"
+        f" repeat_window={traffic_class.repeat_window!r}, worth={traffic_class.worth!r},"
+        f" message_aim={traffic_class.message_objective_us!r})"
+    )
 
 
 def load_operator_file(environment: Mapping[str, str]) -> OperatorFile | None:
@@ -106,21 +133,21 @@
     if not path:
         return None
     # here, not above: the grammar's library is no part of a node that has no such file
-    from .schema import read_operator_file
-    from .typed.syntax import MOST_BYTES, FileError
+    from limerudder.cue.syntax import MAX_FILE_BYTES, CueError
+    from limerudder.schema import read_operator_file
 
     try:
         with open(path, "rb") as file:
-            return read_operator_file(file.read(MOST_BYTES + 1), path)
+            return read_operator_file(file.read(MAX_FILE_BYTES + 1), path)
     except OSError as exc:
         raise ConfigError(f"cannot read {path}: {exc}") from None
-    except FileError as exc:
+    except CueError as exc:
         raise ConfigError(str(exc)) from None
 
 
-def load_again(environment: Mapping[str, str]) -> Config:
+def reload_config(environment: Mapping[str, str]) -> NodeConfig:
     """Read the file as it is now. Its `discovery` wins: the environment still holds that of the start."""
-    return load({name: value for name, value in environment.items() if name != "PROXY_DISCOVERY"})
+    return load_config({name: value for name, value in environment.items() if name != "PROXY_DISCOVERY"})
 
 
 def _overrides(environment: Mapping[str, str]) -> dict[str, str]:
@@ -128,14 +155,14 @@
     return {key: environment[name] for key, name in variables.items() if environment.get(name)}
 
 
-def _read(given: dict[str, Any]) -> Config:
+def _read(given: dict[str, Any]) -> NodeConfig:
     told = given["settings"]
     peer_listen, peers_all = given.get("peer_listen"), given.get("peers_all")
     console = given.get("console")
     settings = read_settings(flatten(told))
     if not settings.classes:
         raise ConfigError("the settings name no class")
-    return Config(
+    return NodeConfig(
         name=str(given["name"]),
         listen=parse_address(given["listen"]),
         discovery=parse_address(given["discovery"]),
@@ -148,7 +175,7 @@
             zones=tuple(told.get("areas") or ()),
             kinds=tuple(told.get("kinds") or ()),
         ),
-        known=read_hosts(given["known"]),
+        known=parse_endpoints(given["known"]),
         peer_listen=parse_address(peer_listen) if peer_listen else None,
         peers=tuple(parse_address(peer) for peer in given.get("peers") or ()),
         peers_all=parse_address(peers_all) if peers_all else None,
--- /dev/null
+++ b/limerudder/core/client/__init__.py
@@ -0,0 +1,1 @@
+"""The client side: sessions of client connections and their admission."""
--- a/limerudder/core/admission.py
+++ b/limerudder/core/client/admission.py
@@ -6,26 +6,28 @@
 from typing import Protocol
 
 
-class Guest(Protocol):
+class AdmittedConnection(Protocol):
     """A client's connection, as the admission sees it."""
 
-    def put_out(self, now: int) -> None:
+    def evict(self, now: int) -> None:
         """Give it its last word; it has no req."""
 
-    def put_away(self) -> None:
+    def force_close(self) -> None:
         """Close it at once; it has had its last word."""
 
 
-class Admission:
+class AdmissionControl:
     """All client connections; those without a req in the order of their last sign of life."""
 
     def __init__(self, sockets: int, spare: int, fetches: Sized) -> None:
         # descriptors for clients and fetches, with and without a second process; the fetches that are out
         self.sockets, self.spare, self.fetches = sockets, spare, fetches
         self.others = self.hosts = 0
-        self.guests: set[Guest] = set()
-        self.idle: dict[Guest, None] = {}  # before their first line, or after a PING
-        self.ended: dict[Guest, None] = {}  # that have their last word and are given a moment to read it
+        self.guests: set[AdmittedConnection] = set()
+        self.idle: dict[AdmittedConnection, None] = {}  # before their first line, or after a PING
+        self.ended: dict[
+            AdmittedConnection, None
+        ] = {}  # that have their last word and are given a moment to read it
 
     @property
     def room(self) -> int:
@@ -42,27 +44,27 @@
         """Another process of this node holds so many: only the rest is here."""
         self.others = others
 
-    def enter(self, guest: Guest, now: int) -> bool:
+    def enter(self, guest: AdmittedConnection, now: int) -> bool:
         """Let a new client in; False where that leaves too few descriptors though nobody idle is left."""
         self.guests.add(guest)
         self.rest(guest)
         return self.make_room(now)
 
-    def rest(self, guest: Guest) -> None:
+    def rest(self, guest: AdmittedConnection) -> None:
         """A sign of life from a client without a req: all others make place before it."""
         self.idle.pop(guest, None)
         self.idle[guest] = None
 
-    def seat(self, guest: Guest) -> None:
+    def seat(self, guest: AdmittedConnection) -> None:
         """The client has a req: it stays."""
         self.idle.pop(guest, None)
 
-    def ending(self, guest: Guest) -> None:
+    def ending(self, guest: AdmittedConnection) -> None:
         """It has its last word."""
         self.idle.pop(guest, None)
         self.ended[guest] = None
 
-    def gone(self, guest: Guest) -> None:
+    def gone(self, guest: AdmittedConnection) -> None:
         """Its connection is closed."""
         self.idle.pop(guest, None)
         self.ended.pop(guest, None)
@@ -74,14 +76,14 @@
         # idle goes first, and a usual client says its first line soon after it has come
         while self.in_use() > self.room:
             if len(self.ended) > self.spare // 4:
-                next(iter(self.ended)).put_away()
+                next(iter(self.ended)).force_close()
             elif len(self.idle) > 1:
-                next(iter(self.idle)).put_out(now)
+                next(iter(self.idle)).evict(now)
             else:
                 return False
         return True
 
-    def put_out_all(self, now: int) -> None:
+    def evict_all(self, now: int) -> None:
         """The node stops: nobody rests here any more."""
         for guest in list(self.idle):
-            guest.put_out(now)
+            guest.evict(now)
--- a/limerudder/core/client.py
+++ b/limerudder/core/client/session.py
@@ -7,13 +7,13 @@
 from enum import Enum, auto
 from typing import Protocol
 
-from .admission import Admission
-from .counters import Counters
-from .fetch import LineFetch
-from .lines import MOST
-from .link import Link
-from .req import Fetch, FetchOwner, Req
-from .wheel import Alarm, Wheel
+from limerudder.core.client.admission import AdmissionControl
+from limerudder.core.line_framing import MAX_LINE_BYTES
+from limerudder.core.operations.counters import Counters
+from limerudder.core.ports import Attempt, AttemptObserver, ConnectRequest
+from limerudder.core.timer_wheel import ResettableTimer, TimerWheel
+from limerudder.core.transport import Transport
+from limerudder.core.upstream.attempt import LineAttempt
 
 LINGER = 1_000_000  #: to let a client read its last line before its connection is closed
 DISCARDED = 1 << 18  #: bytes read and thrown away meanwhile; from there on nothing is read
@@ -26,26 +26,26 @@
 FIGURE = re.compile(r"[0-9]{1,10}(\.[0-9]{1,10})?")
 
 
-class BadLine(ValueError):
+class MalformedLine(ValueError):
     """A first line that does not follow the protocol."""
 
 
-def read_open(line: bytes) -> Req:
+def parse_open(line: bytes) -> ConnectRequest:
     """`OPEN ID KEY c=..,t=..,...` as a Req."""
     # guards backends against a line in a form that no client sends, and against one read in two ways: what
     # Python would read as a number or a name is wider than what clients write
     words = line.decode("ascii", "replace").split(" ")
     if not _printable(line) or len(words) != 4 or words[0] != "OPEN":
-        raise BadLine(line)
+        raise MalformedLine(line)
     told: dict[str, str] = {}
     for pair in words[3].split(","):
         name, _, value = pair.partition("=")
         if not NAME.fullmatch(name) or name in told or not value or "=" in value:
-            raise BadLine(line)
+            raise MalformedLine(line)
         told[name] = value
     if "c" not in told or {told.get("r", "1"), told.get("again", "1")} != {"1"}:
-        raise BadLine(line)
-    return Req(
+        raise MalformedLine(line)
+    return ConnectRequest(
         id=_number(words[1]),
         cls=told["c"],
         tenant=told.get("t", ""),
@@ -65,13 +65,13 @@
 
 def _number(text: str) -> int:
     if not ID.fullmatch(text):
-        raise BadLine(text)
+        raise MalformedLine(text)
     return int(text, 16)
 
 
 def _figure(text: str, form: re.Pattern[str], unit: int) -> int:
     if not form.fullmatch(text) or float(text) * unit >= 1 << 32:
-        raise BadLine(text)
+        raise MalformedLine(text)
     return int(float(text) * unit)
 
 
@@ -84,26 +84,26 @@
     return head + b" " + b",".join(told) + b"\r\n"
 
 
-class Taker(Protocol):
+class RequestHandler(Protocol):
     """Who takes the reqs of client sessions: the node."""
 
-    wheel: Wheel
+    wheel: TimerWheel
     counters: Counters
-    admission: Admission
+    admission: AdmissionControl
     report_fields: Sequence[str]
 
-    def take(self, session: LineSession, req: Req, now: int) -> ReqOwner | None:
+    def take(self, session: LineSession, req: ConnectRequest, now: int) -> RequestObserver | None:
         """Take a req; None, and counted, where it is none that this node can take."""
 
 
-class ReqOwner(Protocol):
+class RequestObserver(Protocol):
     """Who is told that the client has left."""
 
-    def client_left(self, now: int) -> None:
+    def client_disconnected(self, now: int) -> None:
         """The client has gone; before its final answer, or after it."""
 
 
-class Stage(Enum):
+class SessionState(Enum):
     """How far a session has come."""
 
     FIRST = auto()
@@ -115,20 +115,20 @@
 class LineSession:
     """One client connection."""
 
-    def __init__(self, taker: Taker) -> None:
+    def __init__(self, taker: RequestHandler) -> None:
         self.taker = taker
-        self.stage = Stage.FIRST
-        self.link: Link | None = None
-        self.owner: ReqOwner | None = None
+        self.stage = SessionState.FIRST
+        self.link: Transport | None = None
+        self.owner: RequestObserver | None = None
         self.line = b""  # the first line, as far as it has come: never longer than a line may be
-        self.served: LineFetch | None = None
-        self.timer = Alarm(taker.wheel)
+        self.served: LineAttempt | None = None
+        self.timer = ResettableTimer(taker.wheel)
         self.pinged = False  # its last line was a PING, and no further one has begun
         self.discarded = 0
 
     # from the driver
 
-    def connected(self, link: Link, now: int) -> None:
+    def connected(self, link: Transport, now: int) -> None:
         """A client has come."""
         self.link = link
         if self.taker.admission.enter(self, now):
@@ -138,11 +138,11 @@
 
     def feed(self, data: bytes, now: int) -> None:
         """Bytes from the client."""
-        if self.stage is Stage.OPEN and self.served:
+        if self.stage is SessionState.OPEN and self.served:
             self.served.send(data, now)
-        elif self.stage is Stage.FIRST:
+        elif self.stage is SessionState.FIRST:
             self._first(data, now)
-        elif self.stage is Stage.WAITING:
+        elif self.stage is SessionState.WAITING:
             self._impatient(now)
         elif self.link:
             # guards the loop against a client that has its last line and sends on at full speed
@@ -155,15 +155,15 @@
         if not self.line and self.pinged:
             self._line_due(now)
         # guards against values and lines without end: what is kept and looked at is one line at most
-        text = self.line + data[:MOST]
+        text = self.line + data[:MAX_LINE_BYTES]
         line, end, more = text.partition(b"\r\n")
-        if len(line) + 2 > MOST:
+        if len(line) + 2 > MAX_LINE_BYTES:
             return self._malformed("reqs_overlong", now)
         self.line = line
         if not end:
             if not _printable(line.removesuffix(b"\r")):
                 self._malformed("reqs_malformed", now)
-        elif more or len(data) > MOST:
+        elif more or len(data) > MAX_LINE_BYTES:
             # guards against commands sent in one go: a client waits for the answer to its line
             self._malformed("reqs_impatient", now)
         elif line == b"PING":
@@ -177,10 +177,10 @@
 
     def _open(self, line: bytes, now: int) -> None:
         try:
-            req = read_open(line)
-        except BadLine:
+            req = parse_open(line)
+        except MalformedLine:
             return self._malformed("reqs_malformed", now)
-        self.stage = Stage.WAITING
+        self.stage = SessionState.WAITING
         self.timer.stop()
         self.taker.admission.seat(self)
         self.owner = self.taker.take(self, req, now)
@@ -197,15 +197,15 @@
         if self.line:
             self._malformed("reqs_unfinished", now)
         else:
-            self.put_out(now, "clients_silent")
+            self.evict(now, "clients_silent")
 
-    def put_out(self, now: int, counted: str = "clients_put_out") -> None:
+    def evict(self, now: int, counted: str = "clients_put_out") -> None:
         """End the connection of a client without a req."""
         # guards a first line that crosses this end: it is read by nobody, and BUSY is its final answer
         self.taker.counters.count(counted)
         self._last(b"BUSY\r\n", now)
 
-    def put_away(self) -> None:
+    def force_close(self) -> None:
         """Close at once: the client has had its last word, and its descriptor is needed."""
         self.taker.counters.count("clients_put_away")
         self._close()
@@ -215,7 +215,7 @@
         owner, self.owner = self.owner, None
         self._malformed("reqs_impatient", now)
         if owner:
-            owner.client_left(now)
+            owner.client_disconnected(now)
 
     def _malformed(self, what: str, now: int) -> None:
         self.taker.counters.count(what)
@@ -223,14 +223,14 @@
 
     def eof(self, now: int) -> None:
         """The client has ended its sending: it leaves."""
-        if self.stage is Stage.OPEN and self.served:
+        if self.stage is SessionState.OPEN and self.served:
             self.served.finish(now)
         else:
             self._leave(now)
 
     def lost(self, now: int) -> None:
         """The connection broke."""
-        if self.stage is Stage.OPEN and self.served:
+        if self.stage is SessionState.OPEN and self.served:
             self.served.reset()
         self._leave(now)
 
@@ -238,48 +238,48 @@
         """The client reads slowly: its backend, or what it asks before it has one, is read no faster."""
         if self.served and self.served.link:
             self.served.link.hold(on)
-        elif self.link and self.stage in (Stage.FIRST, Stage.WAITING):
+        elif self.link and self.stage in (SessionState.FIRST, SessionState.WAITING):
             # guards the sight of a client that leaves while it waits: one that is not read is not seen to
-            self.link.hold(on and self.stage is Stage.FIRST)
+            self.link.hold(on and self.stage is SessionState.FIRST)
 
     def _leave(self, now: int) -> None:
-        stage, self.stage = self.stage, Stage.ENDED
+        stage, self.stage = self.stage, SessionState.ENDED
         self._close()
-        if stage in (Stage.WAITING, Stage.OPEN) and self.owner:
-            self.owner.client_left(now)
+        if stage in (SessionState.WAITING, SessionState.OPEN) and self.owner:
+            self.owner.client_disconnected(now)
 
     # from the node
 
-    def fetch(self, owner: FetchOwner, wait: int | None) -> LineFetch:
+    def fetch(self, owner: AttemptObserver, wait: int | None) -> LineAttempt:
         """A new attempt: the client's own line, but for `d`."""
-        return LineFetch(owner, with_wait(self.line, wait), self.taker.report_fields, self.taker.wheel)
+        return LineAttempt(owner, with_wait(self.line, wait), self.taker.report_fields, self.taker.wheel)
 
-    def serve(self, fetch: Fetch, now: int) -> None:
+    def serve(self, fetch: Attempt, now: int) -> None:
         """Join the two sides and give the client the backend's answer."""
-        assert isinstance(fetch, LineFetch)
-        if self.stage is not Stage.WAITING:
+        assert isinstance(fetch, LineAttempt)
+        if self.stage is not SessionState.WAITING:
             return
-        self.stage, self.served = Stage.OPEN, fetch
+        self.stage, self.served = SessionState.OPEN, fetch
         fetch.join(self)
 
     def refuse(self, wait: int, now: int) -> None:
         """BUSY, with the advice when to come again."""
-        if self.stage is Stage.WAITING:
+        if self.stage is SessionState.WAITING:
             self._last(b"BUSY %d\r\n" % (wait // 1000) if wait else b"BUSY\r\n", now)
 
     def fail(self, now: int) -> None:
         """Any other line means failed."""
-        if self.stage is Stage.WAITING:
+        if self.stage is SessionState.WAITING:
             self._last(ERROR, now)
 
     def move(self, now: int) -> None:
         """MOVE stands between two lines, since only whole lines are passed to a client."""
-        if self.stage is Stage.OPEN:
+        if self.stage is SessionState.OPEN:
             self._last(b"MOVE\r\n", now)
 
     def look(self, now: int) -> None:
         """A client that has gone, behind bytes that are not read yet too, is one that leaves."""
-        if self.stage is Stage.WAITING and self.link and self.link.left():
+        if self.stage is SessionState.WAITING and self.link and self.link.left():
             self.taker.counters.count("clients_left_unread")
             self._leave(now)
 
@@ -296,7 +296,7 @@
 
     def break_off(self) -> None:
         """The backend broke off: so does this side."""
-        self.stage = Stage.ENDED
+        self.stage = SessionState.ENDED
         if self.link:
             self.link.reset()
         self._forget()
@@ -306,7 +306,7 @@
     def _last(self, line: bytes, now: int) -> None:
         # guards against a reset that overtakes the last line: a socket closed with unread bytes sends one,
         # so the client is given a moment to read and to close first
-        self.stage, self.served, self.line = Stage.ENDED, None, b""
+        self.stage, self.served, self.line = SessionState.ENDED, None, b""
         if self.link:
             self.taker.admission.ending(self)
             if line:
@@ -316,7 +316,7 @@
         self.timer.set(now + LINGER, lambda _: self._close())
 
     def _close(self) -> None:
-        self.stage = Stage.ENDED
+        self.stage = SessionState.ENDED
         if self.link:
             self.link.close()
         self._forget()
--- a/limerudder/core/watch.py
+++ b/limerudder/core/discovery/discovery_client.py
@@ -4,37 +4,38 @@
 
 from typing import Protocol
 
-from firgrade.listclock import AGENT_WAIT, LOOK, CallClock
-
-from .counters import Counters
-from .discovery import DiscoveryCall, HostList
-from .link import Address, Network
-from .wheel import Wheel
+from limerudder.core.discovery.endpoint_list import DiscoveryCall, EndpointList
+from limerudder.core.operations.counters import Counters
+from limerudder.core.timer_wheel import TimerWheel
+from limerudder.core.transport import Address, Network
+from limerudder.policy.discovery_timing import AGENT_RETRY_INTERVAL_US, CHECK_INTERVAL_US, CallDeadline
 
 NO_VERSION = 0  #: before any version a service tells: what is asked after it is all there is
 
 
-class Hearer(Protocol):
+class EndpointObserver(Protocol):
     """Who hears what discovery tells: the node."""
 
     network: Network
-    wheel: Wheel
+    wheel: TimerWheel
     counters: Counters
 
-    def list_told(self, hosts: HostList, now: int) -> None:
+    def endpoints_received(self, hosts: EndpointList, now: int) -> None:
         """A list, or changes of it."""
 
-    def list_unchanged(self, version: int, now: int) -> None:
+    def endpoints_unchanged(self, version: int, now: int) -> None:
         """Asked while the watch lives: nothing was missed."""
 
-    def list_failed(self, version: int, now: int) -> None:
+    def endpoints_failed(self, version: int, now: int) -> None:
         """A call failed or the watch ended; the list held so far stays."""
 
 
-class Discovery:
+class DiscoveryClient:
     """One watch at a time, and questions beside it, all at one address that may be changed."""
 
-    def __init__(self, address: Address, version: int, pushed: bool, hearer: Hearer, now: int) -> None:
+    def __init__(
+        self, address: Address, version: int, pushed: bool, hearer: EndpointObserver, now: int
+    ) -> None:
         self.address, self.version, self.pushed, self.hearer = address, version, pushed, hearer
         self.again_at: int | None = None  # when the watch of an agent is opened anew
         self.watch: DiscoveryCall | None = None
@@ -57,7 +58,7 @@
         elif self.told and self.moved:
             self.ask(now)  # the question before it has failed
         elif self.told:
-            self.hearer.list_unchanged(self.version, now)
+            self.hearer.endpoints_unchanged(self.version, now)
 
     def drop_watch(self) -> None:
         """Close the watch."""
@@ -85,15 +86,15 @@
     def _call(self, after: int | None, now: int) -> DiscoveryCall:
         self.hearer.counters.count("director_calls")
         host, port = self.address
-        call = DiscoveryCall(f"{host}:{port}", after, self._told, self._over, CallClock(self.pushed, now))
+        call = DiscoveryCall(f"{host}:{port}", after, self._told, self._over, CallDeadline(self.pushed, now))
         call.link = self.hearer.network.dial(self.address, call)
         return call
 
-    def _told(self, call: DiscoveryCall, hosts: HostList, now: int) -> None:
+    def _told(self, call: DiscoveryCall, hosts: EndpointList, now: int) -> None:
         first = call is self.watch and not self.told
         self.told = self.told or call is self.watch
         self.version = hosts.version
-        self.hearer.list_told(hosts, now)
+        self.hearer.endpoints_received(hosts, now)
         if first and self.moved and not hosts.whole:
             self.ask(now)  # guards against changes to a list that this node never had
         # guards the shared service: changes to the list a node starts with are enough, whatever its number
@@ -103,14 +104,14 @@
         self.calls.discard(call)
         if call is self.watch:
             self.watch = None
-            self.again_at = now + AGENT_WAIT if self.pushed else None
+            self.again_at = now + AGENT_RETRY_INTERVAL_US if self.pushed else None
         if failed:
             self.hearer.counters.count("director_failures")
-            self.hearer.list_failed(self.version, now)
+            self.hearer.endpoints_failed(self.version, now)
 
     def _check(self, now: int) -> None:
         """Give up the calls that are dead."""
-        self.hearer.wheel.at(now + LOOK, self._check)
+        self.hearer.wheel.at(now + CHECK_INTERVAL_US, self._check)
         for call in [*self.calls, *([self.watch] if self.watch else [])]:
             if call.clock.dead(now):
                 call.lost(now)
--- a/limerudder/core/discovery.py
+++ b/limerudder/core/discovery/endpoint_list.py
@@ -8,22 +8,21 @@
 
 import httptools
 
-from firgrade.interface import State
-from firgrade.listclock import CallClock
-
-from .link import Address, Dialled, read_address
-from .objects import Objects, ObjectsError
+from limerudder.core.discovery.json_stream import JsonObjectStream, JsonStreamError
+from limerudder.core.transport import Address, OutboundMachineBase, read_address
+from limerudder.policy.discovery_timing import CallDeadline
+from limerudder.policy.events import ServerState
 
 PATH = "/discovery/hosts"
 MOST_BODY = 1 << 22  #: bytes of one list; a longer one is a broken service
-LIFECYCLES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
+LIFECYCLES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
 
 
-class ListError(ValueError):
+class EndpointListError(ValueError):
     """A list of backends that cannot be read."""
 
 
-class Host(NamedTuple):
+class Endpoint(NamedTuple):
     """One backend as discovery lists it, by its names."""
 
     name: str
@@ -31,33 +30,33 @@
     zone: str
     kind: str
     cell: int
-    state: State
+    state: ServerState
     weight: float
     started_ms: int
 
 
-class HostList(NamedTuple):
+class EndpointList(NamedTuple):
     """The whole list, or what has changed."""
 
     version: int
     whole: bool
-    hosts: tuple[Host, ...]
+    hosts: tuple[Endpoint, ...]
 
 
-def read_hosts(given: Any) -> HostList:
+def parse_endpoints(given: Any) -> EndpointList:
     """Discovery's JSON object as a HostList; anything amiss is a ListError."""
     try:
         hosts = tuple(map(_host, given["instances"]))
-        return HostList(int(given["generation"]), bool(given["reset"]), hosts)
+        return EndpointList(int(given["generation"]), bool(given["reset"]), hosts)
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as exc:
-        raise ListError(f"bad list of hosts: {type(exc).__name__} {exc}") from None
+        raise EndpointListError(f"bad list of hosts: {type(exc).__name__} {exc}") from None
 
 
-def _host(given: Any) -> Host:
+def _host(given: Any) -> Endpoint:
     address = read_address(given["hostPort"])
     if address[1] == 0:
         raise ValueError("port 0")
-    return Host(
+    return Endpoint(
         name=str(given["instanceId"]),
         address=address,
         zone=str(given["zone"]),
@@ -69,7 +68,7 @@
     )
 
 
-def write_hosts(told: HostList) -> dict[str, Any]:
+def format_endpoints(told: EndpointList) -> dict[str, Any]:
     """A HostList in discovery's form."""
     names = {state: name for name, state in LIFECYCLES.items()}
     return {
@@ -91,7 +90,7 @@
     }
 
 
-class DiscoveryCall(Dialled):
+class DiscoveryCall(OutboundMachineBase):
     """One HTTP call: a watch, which gives list after list, or a question, which gives one.
 
     `told` hears each list; `ended` hears once that no more comes, and whether that is a failure.
@@ -101,15 +100,15 @@
         self,
         host: str,
         after: int | None,
-        told: Callable[[DiscoveryCall, HostList, int], None],
+        told: Callable[[DiscoveryCall, EndpointList, int], None],
         ended: Callable[[DiscoveryCall, bool, int], None],
-        clock: CallClock,
+        clock: CallDeadline,
     ) -> None:
         self.host, self.after, self.told, self.ended, self.clock = host, after, told, ended, clock
         self.watch = after is not None
         self.parser = httptools.HttpResponseParser(self)
-        self.objects = Objects(MOST_BODY)
-        self.lists: list[HostList] = []  # read, to be told once the parser has returned
+        self.objects = JsonObjectStream(MOST_BODY)
+        self.lists: list[EndpointList] = []  # read, to be told once the parser has returned
         self.done = self.complete = False
         self.many = 0  # lists read in all
 
@@ -126,7 +125,7 @@
             return
         try:
             self.parser.feed_data(data)
-        except (httptools.HttpParserError, ListError, ObjectsError):  # guards against nonsense
+        except (httptools.HttpParserError, EndpointListError, JsonStreamError):  # guards against nonsense
             self._end(True, now)
             return
         lists, self.lists = self.lists, []
@@ -160,7 +159,7 @@
     def on_headers_complete(self) -> None:
         """Only a 200 carries a list."""
         if self.parser.get_status_code() != 200:
-            raise ListError(f"status {self.parser.get_status_code()}")
+            raise EndpointListError(f"status {self.parser.get_status_code()}")
 
     def on_body(self, data: bytes) -> None:
         """Lists as they end, and empty lines as heartbeats; neither lines nor chunks need agree with them."""
@@ -171,12 +170,12 @@
         """The whole answer is here."""
         self.complete = True
         if self.objects.begun or not (self.watch or self.many):
-            raise ListError("the answer ends before its list does")
+            raise EndpointListError("the answer ends before its list does")
 
     def _read(self, text: bytes) -> None:
         try:
             given = json.loads(text)
         except (ValueError, RecursionError) as exc:
-            raise ListError(f"not JSON: {exc}") from None
-        self.lists.append(read_hosts(given))
+            raise EndpointListError(f"not JSON: {exc}") from None
+        self.lists.append(parse_endpoints(given))
         self.many += 1
--- a/limerudder/core/objects.py
+++ b/limerudder/core/discovery/json_stream.py
@@ -10,11 +10,11 @@
 _SPACE = b" \t\r\n"
 
 
-class ObjectsError(ValueError):
+class JsonStreamError(ValueError):
     """A stream that is no sequence of JSON objects."""
 
 
-class Objects:
+class JsonObjectStream:
     """Fed bytes, gives each object's text once its last brace is there; empty lines between them are nothing.
 
     What is within an object is not checked here, but for its depth; `most` bounds its bytes.
@@ -31,7 +31,7 @@
         while self._scan(found):
             pass
         if len(self.begun) > self.most:
-            raise ObjectsError(f"an object is longer than {self.most} bytes")
+            raise JsonStreamError(f"an object is longer than {self.most} bytes")
         return found
 
     def _scan(self, found: list[bytes]) -> bool:
@@ -42,7 +42,7 @@
             del begun[:start]
             self._at = 0
             if begun and begun[0] != 0x7B:
-                raise ObjectsError(f"an object was expected, not {bytes(begun[:20])!r}")
+                raise JsonStreamError(f"an object was expected, not {bytes(begun[:20])!r}")
         if self._at >= len(begun):
             return False
         mark = (_WITHIN if self._string else _BETWEEN).search(begun, self._at)
@@ -60,7 +60,7 @@
         elif what in b"{[":
             self._depth += 1
             if self._depth > DEEPEST:
-                raise ObjectsError(f"more than {DEEPEST} levels within each other")
+                raise JsonStreamError(f"more than {DEEPEST} levels within each other")
         else:
             self._depth -= 1
             if not self._depth:
--- a/limerudder/core/invariants.py
+++ b/limerudder/core/invariants.py
@@ -5,23 +5,29 @@
 from collections import Counter
 from typing import TYPE_CHECKING, cast
 
-from firgrade import interface as io
+from limerudder.policy.events import (
+    NOT_EXECUTED_OUTCOMES,
+    AttemptOutcome,
+    ServerState,
+)
+from limerudder.policy.settings import (
+    TrafficClass,
+)
 
 if TYPE_CHECKING:
-    from firgrade.choice import Balancer
+    from limerudder.core.node import Node, ProxiedConnection, Upstream
+    from limerudder.core.ports import Attempt
+    from limerudder.policy.balancer import Balancer
 
-    from .node import Backend, Held, Node
-    from .req import Fetch
 
-
-class Broken(AssertionError):
+class InvariantViolation(AssertionError):
     """An invariant does not hold."""
 
 
 def hold(what: bool, text: str) -> None:
     """Break off where it does not hold; not an `assert`, which an optimised run would leave out."""
     if not what:
-        raise Broken(text)
+        raise InvariantViolation(text)
 
 
 class Invariants:
@@ -30,30 +36,30 @@
     def __init__(self, node: Node) -> None:
         self.node = node
         self.answers = Counter[int]()
-        self.fetches: dict[int, Fetch] = {}  # the last of each req
+        self.fetches: dict[int, Attempt] = {}  # the last of each req
         #: by req: when the first attempt that may have run was sent, and its backend
-        self.risks: dict[int, tuple[int, Backend]] = {}
+        self.risks: dict[int, tuple[int, Upstream]] = {}
         self._dial, self._final, self._up = node._dial, node._final, node.up
         self._may_write, self._ended = node.may_write, node.ended
         node._dial, node._final, node.up = self.dial, self.final, self.up  # type: ignore[method-assign]
         node.may_write, node.ended = self.may_write, self.ended  # type: ignore[method-assign]
 
-    def dial(self, held: Held, backend: Backend, wait: int | None, now: int) -> None:
+    def dial(self, held: ProxiedConnection, backend: Upstream, wait: int | None, now: int) -> None:
         """One attempt out at a time, and none beyond the limit."""
         last = self.fetches.get(held.number)
         hold(held.fetch is None and (last is None or last.done), "two attempts of a request are out")
         hold(not held.answered, "an attempt of a request that has its answer")
-        hold(held.sends <= self.node.settings.try_limit, "more attempts than the settings allow")
+        hold(held.sends <= self.node.settings.max_attempts, "more attempts than the settings allow")
         self._dial(held, backend, wait, now)
         if held.fetch:
             self.fetches[held.number] = held.fetch
 
-    def may_write(self, held: Held, now: int) -> bool:
+    def may_write(self, held: ProxiedConnection, now: int) -> bool:
         """No send to a host that drains, for a client that has gone, or that might repeat an effect."""
         may = self._may_write(held, now)
         if may:
             backend = held.backend
-            hold(backend is not None and backend.state == io.State.READY, "a send to a host that drains")
+            hold(backend is not None and backend.state == ServerState.READY, "a send to a host that drains")
             hold(not held.answered and held.number in self.node.reqs, "a send for a client that has gone")
             risk = self.risks.get(held.number)
             cls = self.node.settings.classes[held.told[1]]
@@ -68,23 +74,25 @@
         return may
 
     @staticmethod
-    def place(backend: Backend, cls: io.TrafficClass) -> object:
+    def place(backend: Upstream, cls: TrafficClass) -> object:
         """Where repeats of this class are known."""
         return getattr(backend.host, cls.key_scope)
 
-    def ended(self, held: Held, ending: io.Ending, report: tuple[float, ...], now: int) -> None:
+    def ended(
+        self, held: ProxiedConnection, ending: AttemptOutcome, report: tuple[float, ...], now: int
+    ) -> None:
         """What may have run is remembered as the rules count it: from its send on."""
         fetch = self.fetches.get(held.number)
         hold(fetch is None or fetch.done, "an attempt that has ended is still open")
         hold(
-            fetch is None or not fetch.out or ending != io.Ending.CONNECT_FAILED,
+            fetch is None or not fetch.out or ending != AttemptOutcome.CONNECT_FAILED,
             "written, and told as never run",
         )
-        if ending not in io.NEVER_RAN and held.backend and not held.answered:
+        if ending not in NOT_EXECUTED_OUTCOMES and held.backend and not held.answered:
             self.risks.setdefault(held.number, (held.sent, held.backend))
         self._ended(held, ending, report, now)
 
-    def final(self, held: Held, what: str, figure: str, now: int) -> None:
+    def final(self, held: ProxiedConnection, what: str, figure: str, now: int) -> None:
         """One final answer, and a refusal only where trying again is harmless."""
         self.answered(held)
         cls = self.node.settings.classes[held.told[1]]
@@ -93,20 +101,20 @@
             hold(harmless, "refused, though it may have run")
         self._final(held, what, figure, now)
 
-    def up(self, held: Held, now: int) -> None:
+    def up(self, held: ProxiedConnection, now: int) -> None:
         """The backend's answer is a final one."""
         if not held.answered:
             self.answered(held)
         self._up(held, now)
 
-    def answered(self, held: Held) -> None:
+    def answered(self, held: ProxiedConnection) -> None:
         """Count a final answer."""
         self.answers[held.number] += 1
         hold(self.answers[held.number] == 1, "two final answers")
 
     def check(self, now: int) -> None:
         """Between two events: answers in time, and the books of node and module agree."""
-        node, slack = self.node, self.node.settings.answer_slack + 2 * self.node.settings.tick
+        node, slack = self.node, self.node.settings.answer_slack_us + 2 * self.node.settings.tick
         at = Counter[int]()
         for held in node.reqs.values():
             hold(held.answered or now <= held.deadline + slack, "a request without its answer in time")
--- a/limerudder/core/stop.py
+++ b/limerudder/core/lifecycle/graceful_shutdown.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
-from .admission import Admission
-from .wheel import Wheel
+from limerudder.core.client.admission import AdmissionControl
+from limerudder.core.timer_wheel import TimerWheel
 
 SECOND = 1_000_000
 MOVE_AFTER = 450_000  #: after a SIGTERM: until then the front may send clients right back here
@@ -17,11 +17,11 @@
 MOVE_STEP, MOVE_PACE = 20_000, 200_000  #: between moves: at least, and where a successor waits for them
 
 
-class Stopping(Protocol):
+class ShutdownTarget(Protocol):
     """The node, as far as a stop goes."""
 
-    wheel: Wheel
-    admission: Admission
+    wheel: TimerWheel
+    admission: AdmissionControl
     stopping: int
     succeeded: bool
     stopped: Callable[[], None]
@@ -40,10 +40,10 @@
         """Give a req its final answer."""
 
 
-class PlannedStop:
+class GracefulShutdown:
     """One stop, begun now."""
 
-    def __init__(self, node: Stopping, longest: int, now: int) -> None:
+    def __init__(self, node: ShutdownTarget, longest: int, now: int) -> None:
         self.node = node
         node.stopping = now + min(longest, STOP_LEAST) + STOP_SPARE
         node.log("stop", f"node: told to stop; moving {sum(h.up for h in node.reqs.values())} connections")
@@ -62,7 +62,7 @@
             node.move_away(held, now)
         if now >= until:
             # guards a line of a client that rests until the process ends: it would be read by nobody
-            node.admission.put_out_all(now)
+            node.admission.evict_all(now)
         if now >= node.stopping - LAST_ANSWERS:  # guards reqs whose class may wait longer than this node
             for held in [h for h in node.reqs.values() if not h.answered]:
                 node.answer_failed(held, now)
--- a/limerudder/core/handover.py
+++ b/limerudder/core/lifecycle/hot_restart.py
@@ -11,10 +11,15 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple, Protocol
 
-from .discovery import HostList, ListError, read_hosts, write_hosts
-from .link import Link
-from .recall import Inherited, Recall
-from .wheel import Wheel
+from limerudder.core.discovery.drain_memory import DrainMemory, InheritedDrains
+from limerudder.core.discovery.endpoint_list import (
+    EndpointList,
+    EndpointListError,
+    format_endpoints,
+    parse_endpoints,
+)
+from limerudder.core.timer_wheel import TimerWheel
+from limerudder.core.transport import Transport
 
 SECOND = 1_000_000
 LOOK = SECOND // 20  #: between looks whether the successor is ready
@@ -23,51 +28,53 @@
 MOST = 1 << 22  #: bytes of a line
 
 
-class Holds(NamedTuple):
+class ProcessUsage(NamedTuple):
     """What one process of a node holds: descriptors, and connections by backend."""
 
     descriptors: int = 0
     at: dict[str, int] = {}
 
 
-def read_holds(given: Any) -> Holds:
+def parse_usage(given: Any) -> ProcessUsage:
     """It as JSON has it, or one of several errors."""
-    return Holds(int(given["descriptors"]), {str(name): int(many) for name, many in given["at"].items()})
+    return ProcessUsage(
+        int(given["descriptors"]), {str(name): int(many) for name, many in given["at"].items()}
+    )
 
 
-class Hello(NamedTuple):
+class HandoverState(NamedTuple):
     """What a process starts with that takes over from another."""
 
-    hosts: HostList
+    hosts: EndpointList
     ids: tuple[int, ...]
-    holds: Holds
+    holds: ProcessUsage
     returned: dict[str, int]  # when staff put hosts back
     reloaded: bool  # it was told to ask discovery where the file says
     drained: dict[str, int]  # starts that are remembered to drain, by host
 
 
-def read_hello(line: bytes) -> Hello:
+def parse_handover_state(line: bytes) -> HandoverState:
     """The old process's first line; anything amiss is a ListError."""
     try:
         given = json.loads(line)
         ids = tuple(int(one, 16) for one in given["ids"])
         returned = {str(name): int(at) for name, at in given["returned"].items()}
-        holds, reloaded = read_holds(given["holds"]), bool(given["reloaded"])
+        holds, reloaded = parse_usage(given["holds"]), bool(given["reloaded"])
         drained = {str(name): int(start) for name, start in given.get("drained", {}).items()}
-        return Hello(read_hosts(given["hosts"]), ids, holds, returned, reloaded, drained)
+        return HandoverState(parse_endpoints(given["hosts"]), ids, holds, returned, reloaded, drained)
     except (KeyError, TypeError, ValueError, AttributeError, RecursionError) as exc:
-        raise ListError(f"bad hello: {type(exc).__name__} {exc}") from None
+        raise EndpointListError(f"bad hello: {type(exc).__name__} {exc}") from None
 
 
-class Serving(Protocol):
+class RestartableNode(Protocol):
     """The node, as far as being replaced goes."""
 
-    wheel: Wheel
+    wheel: TimerWheel
     stopping: int
     succeeded: bool
     reloaded: bool
     hear_taken: list[Callable[[int], None]]
-    recall: Recall | None
+    recall: DrainMemory | None
 
     def relist(self, name: str, now: int) -> None:
         """Tell the module of a host anew."""
@@ -75,7 +82,7 @@
     def log(self, kind: str, text: str) -> None:
         """A line for whoever is on call."""
 
-    def listed(self) -> HostList:
+    def listed(self) -> EndpointList:
         """Discovery's list as it stands here."""
 
     def ids_lately(self) -> list[int]:
@@ -90,24 +97,24 @@
     def returned_elsewhere(self, returned: dict[str, int], now: int) -> None:
         """When they did so at the process before this one."""
 
-    def holds(self) -> Holds:
+    def holds(self) -> ProcessUsage:
         """What this process holds."""
 
-    def held_elsewhere(self, holds: Holds, now: int) -> None:
+    def held_elsewhere(self, holds: ProcessUsage, now: int) -> None:
         """What another process of this node holds."""
 
     def informed(self) -> bool:
         """Discovery has told its list, and no first probe is out."""
 
 
-class Words:
+class LineConnection:
     """A connection between the two processes, as either's side: whole lines in, lines out."""
 
     def __init__(self) -> None:
-        self.link: Link | None = None
+        self.link: Transport | None = None
         self.rest = b""
 
-    def connected(self, link: Link, now: int) -> None:
+    def connected(self, link: Transport, now: int) -> None:
         """It stands."""
         self.link = link
 
@@ -142,20 +149,22 @@
         """Few and short lines."""
 
 
-class Elder:
+class HotRestartParent:
     """The serving process's side: who asks to take over, and who has."""
 
-    def __init__(self, node: Serving, shut: Callable[[], None], open_again: Callable[[], None]) -> None:
+    def __init__(
+        self, node: RestartableNode, shut: Callable[[], None], open_again: Callable[[], None]
+    ) -> None:
         self.node, self.shut, self.open_again = node, shut, open_again
-        self.asking: list[Asker] = []  # all that have connected, the successor among them
-        self.successor: Asker | None = None
-        self.told = Holds()
+        self.asking: list[SuccessorConnection] = []  # all that have connected, the successor among them
+        self.successor: SuccessorConnection | None = None
+        self.told = ProcessUsage()
         node.hear_taken.append(lambda number: self.tell(f"taken {number:016x}"))
 
     def hello(self) -> bytes:
         """The first line to whoever asks."""
         given: dict[str, Any] = {
-            "hosts": write_hosts(self.node.listed()),
+            "hosts": format_endpoints(self.node.listed()),
             "ids": [f"{one:016x}" for one in self.node.ids_lately()],
             "holds": self.node.holds()._asdict(),
             "returned": self.node.returned(),
@@ -169,7 +178,7 @@
         for asker in self.asking:
             asker.say(text)
 
-    def serves(self, asker: Asker, now: int) -> None:
+    def serves(self, asker: SuccessorConnection, now: int) -> None:
         """It takes clients from now on: this process takes no more, and serves all it has."""
         if self.successor is None:
             self.successor, self.node.succeeded = asker, True
@@ -177,7 +186,7 @@
             self.shut()
             self._count(now)
 
-    def gone(self, asker: Asker, now: int) -> None:
+    def gone(self, asker: SuccessorConnection, now: int) -> None:
         """It has ended. Where it had taken over, this process serves again, or stops as one alone does."""
         if asker in self.asking:
             self.asking.remove(asker)
@@ -195,14 +204,14 @@
                 self.successor.say(f"holds {json.dumps(holds._asdict())}")
 
 
-class Asker(Words):
+class SuccessorConnection(LineConnection):
     """One that wants to take over, as the serving process sees it."""
 
-    def __init__(self, elder: Elder) -> None:
+    def __init__(self, elder: HotRestartParent) -> None:
         super().__init__()
         self.elder = elder
 
-    def connected(self, link: Link, now: int) -> None:
+    def connected(self, link: Transport, now: int) -> None:
         """It has its hello."""
         super().connected(link, now)
         self.elder.asking.append(self)
@@ -221,13 +230,13 @@
         self.elder.gone(self, now)
 
 
-class Heir(Words):
+class HotRestartSuccessor(LineConnection):
     """The successor's side: `ready` is called once, when it is to take clients, `over` when it is alone."""
 
     def __init__(
         self,
-        node: Serving,
-        hello: Hello,
+        node: RestartableNode,
+        hello: HandoverState,
         ready: Callable[[], None],
         now: int,
         over: Callable[[], None] = lambda: None,
@@ -257,10 +266,10 @@
         """The old process's words."""
         try:
             if word == "holds":
-                self.node.held_elsewhere(read_holds(json.loads(value)), now)
+                self.node.held_elsewhere(parse_usage(json.loads(value)), now)
             elif word == "taken":
                 self.node.taken_elsewhere(int(value, 16))
-            elif word == "drained" and isinstance(self.node.recall, Inherited):
+            elif word == "drained" and isinstance(self.node.recall, InheritedDrains):
                 start, _, name = value.partition(" ")
                 self.node.recall.told(name, int(start))
                 self.node.relist(name, now)
@@ -272,6 +281,6 @@
     def lost(self, now: int) -> None:
         """The old process has ended: what it held is free, and nobody else takes clients."""
         super().lost(now)
-        self.node.held_elsewhere(Holds(), now)
+        self.node.held_elsewhere(ProcessUsage(), now)
         self._call()
         self.over()
--- a/limerudder/core/lines.py
+++ b/limerudder/core/line_framing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-MOST = 4096  #: bytes of a line, its CRLF included
+MAX_LINE_BYTES = 4096  #: bytes of a line, its CRLF included
 
 
 class LineError(Exception):
@@ -19,7 +19,7 @@
         """Add bytes; return the lines that are complete now."""
         # guards against a peer that never ends its line: what is kept stays bounded
         *lines, self.rest = (self.rest + data).split(b"\r\n")
-        if len(self.rest) >= MOST or any(len(line) + 2 > MOST for line in lines):
+        if len(self.rest) >= MAX_LINE_BYTES or any(len(line) + 2 > MAX_LINE_BYTES for line in lines):
             self.rest = b""
             raise LineError("a line is too long")
         return lines
--- /dev/null
+++ b/limerudder/core/operations/__init__.py
@@ -0,0 +1,1 @@
+"""Operation by staff: console, maintenance, metrics and log events."""
--- a/limerudder/core/console.py
+++ b/limerudder/core/operations/console.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 from functools import partial
 
-from .counters import Counters
-from .link import Link
-from .wheel import Alarm, Wheel
+from limerudder.core.operations.counters import Counters
+from limerudder.core.timer_wheel import ResettableTimer, TimerWheel
+from limerudder.core.transport import Transport
 
 MOST = 1024  #: bytes of a call
 CALLERS = 16  #: at a time; their descriptors are among those kept spare
@@ -15,7 +15,7 @@
 LINGER = 1_000_000  #: for a caller to read its answer and to close first
 
 
-class Later:
+class DeferredAnswer:
     """An answer that is given once something has been done."""
 
     def __init__(self) -> None:
@@ -30,17 +30,19 @@
                 self.hear(text, now)
 
 
-Call = Callable[[str, int], str | Later]  #: what follows the call's name, and the time; gives the answer
+Call = Callable[
+    [str, int], str | DeferredAnswer
+]  #: what follows the call's name, and the time; gives the answer
 
 
-class CallError(Exception):
+class ConsoleError(Exception):
     """A call that cannot be done; its text is the answer."""
 
 
 class Console:
     """The calls by their names, and who is calling."""
 
-    def __init__(self, wheel: Wheel, counters: Counters) -> None:
+    def __init__(self, wheel: TimerWheel, counters: Counters) -> None:
         self.wheel, self.counters = wheel, counters
         self.calls: dict[str, tuple[Call, bool]] = {}
         self.callers: dict[ConsoleSession, None] = {}  # in the order they came
@@ -49,7 +51,7 @@
         """Have `name` answered by `call`; `takes` where a word follows the name."""
         self.calls[name] = call, takes
 
-    def answer(self, line: bytes, now: int) -> str | Later:
+    def answer(self, line: bytes, now: int) -> str | DeferredAnswer:
         """What is answered to a line."""
         self.counters.count("calls")
         name, _, rest = line.decode("ascii", "replace").strip().partition(" ")
@@ -57,13 +59,13 @@
         call, takes = self.calls.get(name, (None, False))
         try:
             if call is None:
-                raise CallError(
+                raise ConsoleError(
                     f"no such call; there are {' '.join(self.calls)}" if name else "an empty line"
                 )
             if takes != bool(rest) or " " in rest:
-                raise CallError(f"{name} takes {'one word' if takes else 'nothing'} after it")
+                raise ConsoleError(f"{name} takes {'one word' if takes else 'nothing'} after it")
             return call(rest, now)
-        except CallError as exc:
+        except ConsoleError as exc:
             self.counters.count("calls_wrong")
             return f"error {exc}\n"
 
@@ -80,13 +82,13 @@
 
     def __init__(self, console: Console) -> None:
         self.console = console
-        self.link: Link | None = None
+        self.link: Transport | None = None
         self.text = b""
         self.answered = False
-        self.waiting: Later | None = None  # the answer, where it comes later
-        self.timer = Alarm(console.wheel)
+        self.waiting: DeferredAnswer | None = None  # the answer, where it comes later
+        self.timer = ResettableTimer(console.wheel)
 
-    def connected(self, link: Link, now: int) -> None:
+    def connected(self, link: Transport, now: int) -> None:
         """An operator has come."""
         self.link = link
         self.console.enter(self)
@@ -121,9 +123,9 @@
     def crowded(self, on: bool) -> None:
         """An answer is short."""
 
-    def _say(self, answer: str | Later, now: int) -> None:
+    def _say(self, answer: str | DeferredAnswer, now: int) -> None:
         self.answered, self.text = True, b""
-        if isinstance(answer, Later) and answer.text is None:
+        if isinstance(answer, DeferredAnswer) and answer.text is None:
             answer.hear, self.waiting = self._say, answer
             late = "error that is not written down yet; it holds here, and is tried on\n"
             self.timer.set(now + PATIENCE, partial(answer.settle, late))
--- a/limerudder/core/events.py
+++ b/limerudder/core/operations/log_events.py
@@ -28,6 +28,6 @@
 }
 
 
-def named(kind: str) -> tuple[str, str]:
+def event_for_kind(kind: str) -> tuple[str, str]:
     """The stable name and level of a kind; what follows its first word tells events of one kind apart."""
     return EVENTS.get(kind.partition(" ")[0], (f"node.{kind.partition(' ')[0]}", "info"))
--- a/limerudder/core/maintenance.py
+++ b/limerudder/core/operations/maintenance.py
@@ -8,12 +8,12 @@
 
 from typing import Protocol
 
-from .wheel import Wheel
+from limerudder.core.timer_wheel import TimerWheel
 
 LOOK = 100_000  #: between looks at the marks: both processes follow well inside the grace for drains
 
 
-class Marks(Protocol):
+class MaintenanceMarks(Protocol):
     """Names kept where they outlive a process. Any of these may raise OSError."""
 
     def read(self) -> set[str]:
@@ -26,7 +26,7 @@
         """Take one away; it may be gone already."""
 
 
-class Memory:
+class InMemoryMarks:
     """Marks where nothing outlives the process."""
 
     def __init__(self) -> None:
@@ -45,10 +45,10 @@
         self.names.discard(name)
 
 
-class Ward(Protocol):
+class MaintenanceTarget(Protocol):
     """Who keeps from the hosts that are held: the node."""
 
-    wheel: Wheel
+    wheel: TimerWheel
 
     def lists(self, name: str) -> bool:
         """Whether discovery lists this host."""
@@ -63,7 +63,7 @@
 class Maintenance:
     """Which hosts are held."""
 
-    def __init__(self, marks: Marks, ward: Ward) -> None:
+    def __init__(self, marks: MaintenanceMarks, ward: MaintenanceTarget) -> None:
         self.marks, self.ward = marks, ward
         self.held: set[str] = self._read() or set()
 
--- a/limerudder/core/figures.py
+++ b/limerudder/core/operations/metrics.py
@@ -8,7 +8,7 @@
 OUTCOMES = ("fulfilled", "throttled", "faulted")  #: brought up, refused, failed
 
 
-class Figures:
+class RequestMetrics:
     """Counts where a thing happens, a req's once: every name is there from the start, zeros too."""
 
     def __init__(self, classes: Sequence[str]) -> None:
--- a/limerudder/core/peering.py
+++ b/limerudder/core/peering.py
@@ -4,10 +4,16 @@
 
 from collections.abc import Callable
 
-from firgrade import interface as io
-
-from .counters import Counters
-from .link import MOST_DATAGRAM, Network
+from limerudder.core.operations.counters import Counters
+from limerudder.core.transport import MAX_DATAGRAM_BYTES, Network
+from limerudder.policy.actions import (
+    SendPeerMessage,
+)
+from limerudder.policy.events import (
+    Event,
+    PeerMessage,
+)
+from limerudder.policy.interface import ConnectionPolicy
 
 
 class Peering:
@@ -17,8 +23,8 @@
         self,
         counters: Counters,
         network: Network,
-        balancer: io.Decisions,
-        give: Callable[[io.Event, int], None],
+        balancer: ConnectionPolicy,
+        give: Callable[[Event, int], None],
         log: Callable[[str, str], None],
         allowed: bool,
     ) -> None:
@@ -27,11 +33,11 @@
 
     def heard(self, sender: int | None, data: bytes, now: int) -> None:
         """A datagram; one that no peer sent, or that is too long, is counted and passed over."""
-        if sender is None or len(data) > MOST_DATAGRAM:
-            return self._passed_over(sender, f"of {len(data)} bytes (at most {MOST_DATAGRAM} are taken)")
+        if sender is None or len(data) > MAX_DATAGRAM_BYTES:
+            return self._passed_over(sender, f"of {len(data)} bytes (at most {MAX_DATAGRAM_BYTES} are taken)")
         self.counters.count("peer_messages")
         before = self.balancer.strange()
-        self.give(io.PeerMessage(sender, data), now)
+        self.give(PeerMessage(sender, data), now)
         if self.balancer.strange() > before:
             self._passed_over(sender, "of no known form")
 
@@ -40,8 +46,8 @@
         who = "an address that is no peer's" if sender is None else f"node {sender}"
         self.log("peer", f"node: a datagram {what} came from {who}; passed over")
 
-    def tell(self, action: io.Tell) -> None:
+    def tell(self, action: SendPeerMessage) -> None:
         """Carry out what the module decides, within the platform's rules."""
-        if self.allowed and len(action.data) <= MOST_DATAGRAM:
+        if self.allowed and len(action.data) <= MAX_DATAGRAM_BYTES:
             self.counters.count("peer_messages_sent")
             self.network.tell(action.peer, action.data)
--- a/limerudder/core/req.py
+++ b/limerudder/core/ports.py
@@ -8,12 +8,11 @@
 
 from typing import NamedTuple, Protocol
 
-from firgrade.interface import Ending
+from limerudder.core.transport import OutboundMachine, Transport
+from limerudder.policy.events import AttemptOutcome
 
-from .link import Caller, Link
 
-
-class Req(NamedTuple):
+class ConnectRequest(NamedTuple):
     """A client wants a connection. Names are the settings' and discovery's; times are microseconds."""
 
     id: int  # new for every req
@@ -31,10 +30,10 @@
 class ClientSession(Protocol):
     """The client's side of one req, as the node uses it."""
 
-    def fetch(self, owner: FetchOwner, wait: int | None) -> Fetch:
+    def fetch(self, owner: AttemptObserver, wait: int | None) -> Attempt:
         """A new attempt for this req, to be dialled; the backend is told how long it is waited for."""
 
-    def serve(self, fetch: Fetch, now: int) -> None:
+    def serve(self, fetch: Attempt, now: int) -> None:
         """The final answer: the backend's own; the two sides pass on what comes from now on."""
 
     def refuse(self, wait: int, now: int) -> None:
@@ -50,10 +49,10 @@
         """Tell the owner now if the client has gone, though what it sent before is not read yet."""
 
 
-class Fetch(Caller, Protocol):
+class Attempt(OutboundMachine, Protocol):
     """One attempt at a backend, as the node uses it."""
 
-    link: Link | None
+    link: Transport | None
     done: bool  # it has ended
     out: bool  # its last byte is written: from here on the backend may have it
     asked: int | None  # when the client's oldest unanswered message was passed on
@@ -66,23 +65,23 @@
         """Give the attempt up; its owner hears no more of it."""
 
 
-class FetchOwner(Protocol):
+class AttemptObserver(Protocol):
     """Who hears how a fetch fares: the node."""
 
-    def fetch_due(self, now: int) -> bool:
+    def attempt_ready(self, now: int) -> bool:
         """Whether the req's line may be written now, to a backend that is up; if not, the fetch is closed."""
 
-    def fetch_out(self) -> None:
+    def attempt_sent(self) -> None:
         """The last byte of the req's line is written."""
 
-    def fetch_up(self, now: int) -> None:
+    def attempt_established(self, now: int) -> None:
         """The backend has taken the connection."""
 
-    def fetch_done(self, ending: Ending, report: tuple[float, ...], now: int) -> None:
+    def attempt_ended(self, ending: AttemptOutcome, report: tuple[float, ...], now: int) -> None:
         """The fetch has ended and its connection is closed."""
 
-    def fetch_load(self, load: float, now: int) -> None:
+    def attempt_load_reported(self, load: float, now: int) -> None:
         """The backend tells the connection's load."""
 
-    def fetch_answered(self, took: int, now: int) -> None:
+    def attempt_latency_measured(self, took: int, now: int) -> None:
         """The backend has answered a message after this long."""
--- a/limerudder/core/wheel.py
+++ b/limerudder/core/timer_wheel.py
@@ -21,10 +21,10 @@
         self.call = None
 
 
-class Alarm:
+class ResettableTimer:
     """One timer at a time: setting it anew takes the earlier one back."""
 
-    def __init__(self, wheel: Wheel) -> None:
+    def __init__(self, wheel: TimerWheel) -> None:
         self.wheel = wheel
         self.timer: Timer | None = None
 
@@ -39,7 +39,7 @@
             self.timer.cancel()
 
 
-class Wheel:
+class TimerWheel:
     """Timers fall due at the first tick that is not before their time, in the order of their ticks."""
 
     def __init__(self, tick: int, now: int) -> None:
--- a/limerudder/core/link.py
+++ b/limerudder/core/transport.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 Address = tuple[str, int]
-MOST_DATAGRAM = 256  #: bytes to a peer; a longer one is against the rules
+MAX_DATAGRAM_BYTES = 256  #: bytes to a peer; a longer one is against the rules
 
 
 def read_address(text: object) -> Address:
@@ -17,7 +17,7 @@
     return str(IPv4Address(host)), int(port)
 
 
-class Link(Protocol):
+class Transport(Protocol):
     """A connection as a state machine sees it: what it may ask of the driver."""
 
     def write(self, data: bytes) -> None:
@@ -39,10 +39,10 @@
         """Whether the other side has ended its sending or broken off, read or not yet."""
 
 
-class Machine(Protocol):
+class ConnectionMachine(Protocol):
     """A state machine as a driver sees it. Times are the node's clock, in microseconds."""
 
-    def connected(self, link: Link, now: int) -> None:
+    def connected(self, link: Transport, now: int) -> None:
         """The connection stands."""
 
     def feed(self, data: bytes, now: int) -> None:
@@ -58,7 +58,7 @@
         """The other side reads too slowly, or reads again."""
 
 
-class Caller(Machine, Protocol):
+class OutboundMachine(ConnectionMachine, Protocol):
     """A machine whose connection this node sets up: its first bytes are written as part of that."""
 
     def opening(self, now: int) -> bytes:
@@ -68,12 +68,12 @@
         """The last of those bytes has been written."""
 
 
-class Dialled:
+class OutboundMachineBase:
     """What machines whose connection this node sets up have in common."""
 
-    link: Link | None = None  # handed out when the dial begins
+    link: Transport | None = None  # handed out when the dial begins
 
-    def connected(self, link: Link, now: int) -> None:
+    def connected(self, link: Transport, now: int) -> None:
         """The connection stands; it is the one that was dialled."""
 
     def written(self) -> None:
@@ -86,8 +86,8 @@
 class Network(Protocol):
     """Sets up connections to other parties and sends datagrams to peers."""
 
-    def dial(self, address: Address, machine: Caller) -> Link:
+    def dial(self, address: Address, machine: OutboundMachine) -> Transport:
         """Connect; failure comes as the machine's `lost`, later and never inside this call."""
 
     def tell(self, peer: int, data: bytes) -> None:
-        """Send a datagram to one peer, by number, or to firgrade's ALL_PEERS."""
+        """Send a datagram to one peer, by number, or to policy.actions.ALL_PEERS."""
--- /dev/null
+++ b/limerudder/core/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""The upstream side: connection attempts, health checks, liveness and load reports."""
--- a/limerudder/core/fetch.py
+++ b/limerudder/core/upstream/attempt.py
@@ -6,22 +6,21 @@
 from math import isfinite
 from typing import Protocol
 
-from firgrade.interface import Ending
-
-from .lines import LineError, LineFramer
-from .link import Dialled, Link
-from .reports import read_report
-from .req import FetchOwner
-from .wheel import Alarm, Wheel
+from limerudder.core.line_framing import LineError, LineFramer
+from limerudder.core.ports import AttemptObserver
+from limerudder.core.timer_wheel import ResettableTimer, TimerWheel
+from limerudder.core.transport import OutboundMachineBase, Transport
+from limerudder.core.upstream.load_report import parse_report
+from limerudder.policy.events import AttemptOutcome
 
 SILENT = 2_500_000  #: a message unanswered for so long: its stream has stopped, though nothing said so
 LAST_WORDS = 700_000  #: for a backend to end its side once the client has ended its own
 
 
-class Client(Protocol):
+class ServedClient(Protocol):
     """The client's side, as a fetch that serves it uses it."""
 
-    link: Link | None
+    link: Transport | None
 
     def pass_on(self, data: bytes) -> None:
         """Bytes for the client."""
@@ -36,12 +35,12 @@
         """The backend's side is broken."""
 
 
-class LineFetch(Dialled):
+class LineAttempt(OutboundMachineBase):
     """A state machine fed what its backend sends. It tells its owner of its end once."""
 
-    def __init__(self, owner: FetchOwner, line: bytes, fields: Sequence[str], wheel: Wheel) -> None:
+    def __init__(self, owner: AttemptObserver, line: bytes, fields: Sequence[str], wheel: TimerWheel) -> None:
         self.owner, self.line, self.fields = owner, line, fields
-        self.client: Client | None = None
+        self.client: ServedClient | None = None
         self.framer = LineFramer()
         self.out = self.up = self.done = False  # out: the last byte of its line is written
         self.leaving = False  # the client has ended its side
@@ -49,18 +48,18 @@
         self.report: tuple[float, ...] = ()
         self.asked: int | None = None  # when the client's oldest unanswered message was passed on
         self.heard = 0  # when the backend's last word came
-        self.timer = Alarm(wheel)
+        self.timer = ResettableTimer(wheel)
 
     # from the driver
 
     def opening(self, now: int) -> bytes:
         """The client's line, if it may still be sent."""
-        return self.line if self.owner.fetch_due(now) else b""
+        return self.line if self.owner.attempt_ready(now) else b""
 
     def written(self) -> None:
         """From here on the backend may have it."""
         self.out = True
-        self.owner.fetch_out()
+        self.owner.attempt_sent()
 
     def feed(self, data: bytes, now: int) -> None:
         """Lines from the backend: its answer first, then what it has for the client."""
@@ -70,7 +69,7 @@
         try:
             lines = self.framer.feed(data)
         except LineError:
-            return self._broken(now, Ending.ERROR)
+            return self._broken(now, AttemptOutcome.ERROR)
         if lines and not self.up:
             self._answer(lines[0], now)
             if self.done:
@@ -85,12 +84,12 @@
         word, _, rest = line.partition(b" ")
         if word == b"UP" and rest:
             self.up = True
-            self.owner.fetch_up(now)
+            self.owner.attempt_established(now)
         elif word in (b"ERR", b"BUSY"):
-            self.report = read_report(rest, self.fields)
-            self._end(Ending.ERROR if word == b"ERR" else Ending.FULL, now)
+            self.report = parse_report(rest, self.fields)
+            self._end(AttemptOutcome.ERROR if word == b"ERR" else AttemptOutcome.FULL, now)
         else:
-            self._end(Ending.ERROR, now)  # a malformed line is an error of this fetch
+            self._end(AttemptOutcome.ERROR, now)  # a malformed line is an error of this fetch
 
     def _read(self, line: bytes, now: int) -> None:
         word, _, rest = line.partition(b" ")
@@ -101,14 +100,14 @@
             except ValueError:
                 return
             if isfinite(load):
-                self.owner.fetch_load(load, now)
+                self.owner.attempt_load_reported(load, now)
             return
         if word == b"BYE":
-            self.report = read_report(rest, self.fields)
+            self.report = parse_report(rest, self.fields)
         if self.asked is not None:
             took, self.asked = now - self.asked, None
             self.timer.stop()
-            self.owner.fetch_answered(took, now)
+            self.owner.attempt_latency_measured(took, now)
 
     def eof(self, now: int) -> None:
         """The backend has ended its side."""
@@ -126,16 +125,16 @@
         if not self.done:
             self._broken(now, self._how())
 
-    def _how(self) -> Ending:
+    def _how(self) -> AttemptOutcome:
         if not self.up:
-            return Ending.RESET if self.out else Ending.CONNECT_FAILED
-        said = {b"BYE": Ending.OK, b"MOVE": Ending.CANCELLED}
-        return said.get(self.last, Ending.CANCELLED if self.leaving else Ending.RESET)
+            return AttemptOutcome.RESET if self.out else AttemptOutcome.CONNECT_FAILED
+        said = {b"BYE": AttemptOutcome.OK, b"MOVE": AttemptOutcome.CANCELLED}
+        return said.get(self.last, AttemptOutcome.CANCELLED if self.leaving else AttemptOutcome.RESET)
 
-    def _broken(self, now: int, ending: Ending) -> None:
+    def _broken(self, now: int, ending: AttemptOutcome) -> None:
         client = self.client
         self._end(ending, now)
-        if client and ending in (Ending.OK, Ending.CANCELLED):
+        if client and ending in (AttemptOutcome.OK, AttemptOutcome.CANCELLED):
             client.end(now)
         elif client:
             client.break_off()
@@ -147,7 +146,7 @@
 
     # from the client session
 
-    def join(self, client: Client) -> None:
+    def join(self, client: ServedClient) -> None:
         """The fetch serves: what comes from the backend goes to the client."""
         self.client = client
 
@@ -177,7 +176,7 @@
     def vanish(self, now: int) -> None:
         """The backend is silent: its client is moved. That tells nothing of what the backend can hold."""
         client = self.client
-        self._end(Ending.CANCELLED, now)
+        self._end(AttemptOutcome.CANCELLED, now)
         if client and self.leaving:
             client.end(now)
         elif client:
@@ -193,6 +192,6 @@
         if self.link:
             self.link.close()
 
-    def _end(self, ending: Ending, now: int) -> None:
+    def _end(self, ending: AttemptOutcome, now: int) -> None:
         self.close()
-        self.owner.fetch_done(ending, self.report, now)
+        self.owner.attempt_ended(ending, self.report, now)
--- a/limerudder/core/probe.py
+++ b/limerudder/core/upstream/health_check.py
@@ -4,16 +4,15 @@
 
 from collections.abc import Callable, Sequence
 
-from firgrade.interface import Ending
+from limerudder.core.line_framing import LineError, LineFramer
+from limerudder.core.transport import OutboundMachineBase
+from limerudder.core.upstream.load_report import parse_report
+from limerudder.policy.events import AttemptOutcome
 
-from .lines import LineError, LineFramer
-from .link import Dialled
-from .reports import read_report
+Heard = Callable[[int, AttemptOutcome, tuple[float, ...], int], None]
 
-Heard = Callable[[int, Ending, tuple[float, ...], int], None]
 
-
-class Probe(Dialled):
+class HealthCheckConnection(OutboundMachineBase):
     """A connection that carries probes; `heard` gets latency, ending, report and the time of each."""
 
     def __init__(self, fields: Sequence[str], heard: Heard) -> None:
@@ -40,30 +39,30 @@
         try:
             lines = self.framer.feed(data)
         except LineError:
-            return self._end(Ending.ERROR, now)
+            return self._end(AttemptOutcome.ERROR, now)
         for line in lines:
             if self.done:
                 return
             word, _, rest = line.partition(b" ")
             if word == b"PONG" and self.asked:
-                self.heard(now - self.asked.pop(0), Ending.OK, read_report(rest, self.fields), now)
+                self.heard(now - self.asked.pop(0), AttemptOutcome.OK, parse_report(rest, self.fields), now)
             else:
-                self._end(Ending.FULL if word == b"BUSY" else Ending.ERROR, now)
+                self._end(AttemptOutcome.FULL if word == b"BUSY" else AttemptOutcome.ERROR, now)
 
     def eof(self, now: int) -> None:
         """The backend has ended the connection."""
-        self._end(Ending.RESET, now)
+        self._end(AttemptOutcome.RESET, now)
 
     def lost(self, now: int) -> None:
         """The connection broke or never came up."""
-        self._end(Ending.RESET if self.up else Ending.CONNECT_FAILED, now)
+        self._end(AttemptOutcome.RESET if self.up else AttemptOutcome.CONNECT_FAILED, now)
 
     def overdue(self, since: int, now: int) -> None:
         """Give up what was asked before `since` and is not answered, and the connection with it."""
         if self.asked and self.asked[0] <= since:
-            self._end(Ending.TIMEOUT, now)
+            self._end(AttemptOutcome.TIMEOUT, now)
 
-    def _end(self, ending: Ending, now: int) -> None:
+    def _end(self, ending: AttemptOutcome, now: int) -> None:
         asked = self.asked
         self.close()
         for at in asked:
--- a/limerudder/core/silence.py
+++ b/limerudder/core/upstream/liveness.py
@@ -10,20 +10,20 @@
 LOOKS = 10  #: in so many, about, the clients of a silent backend are sent away
 
 
-class Standing(Protocol):
+class MonitoredAttempt(Protocol):
     """A connection that stands, as far as silence goes."""
 
     asked: int | None  # when the client's oldest unanswered message was passed on
     heard: int  # when the backend's last word came
 
 
-class Silence:
+class LivenessMonitor:
     """Whether one backend is silent; it stays so until it is heard again."""
 
     def __init__(self) -> None:
         self.since: int | None = None
 
-    def look(self, standing: Sequence[Standing], probed: int, now: int) -> bool:
+    def look(self, standing: Sequence[MonitoredAttempt], probed: int, now: int) -> bool:
         """Look at what stands there; `probed` is when it last answered a probe."""
         # guards clients of a machine that vanished or was cut off: nothing is said, and each alone would wait
         # for its own message to go unanswered. One stream that stopped short is not taken for that.
--- a/limerudder/core/reports.py
+++ b/limerudder/core/upstream/load_report.py
@@ -5,15 +5,15 @@
 from collections.abc import Sequence
 from math import nan
 
-SPOILT = "node: host {} sent a load report that lacks a field or cannot be read"
+MALFORMED_REPORT = "node: host {} sent a load report that lacks a field or cannot be read"
 
 
-def spoilt(report: Sequence[float]) -> bool:
+def is_malformed(report: Sequence[float]) -> bool:
     """Whether a value is missing, or is none that a host can have."""
     return not all(value >= 0 for value in report)
 
 
-def read_report(text: bytes, fields: Sequence[str]) -> tuple[float, ...]:
+def parse_report(text: bytes, fields: Sequence[str]) -> tuple[float, ...]:
     """The values of these fields in their order; one that is missing is not a number. No report is ()."""
     told: dict[str, float] = {}
     for part in text.decode("ascii", "replace").split(","):
--- a/limerudder/typed/syntax.py
+++ b/limerudder/cue/syntax.py
@@ -10,9 +10,9 @@
 
 from lark import Lark, Token, Transformer, UnexpectedCharacters, UnexpectedToken, v_args
 
-MOST_BYTES = 256 * 1024  #: of a file
-MOST_DEPTH = 32  #: brackets within brackets
-MOST_ERRORS = 50  #: told of one file
+MAX_FILE_BYTES = 256 * 1024  #: of a file
+MAX_DEPTH = 32  #: brackets within brackets
+MAX_ERRORS = 50  #: told of one file
 
 GRAMMAR = r"""
 start: fields
@@ -72,7 +72,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Place:
+class SourcePosition:
     """Where something stands."""
 
     file: str
@@ -84,21 +84,21 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Error:
+class SourceError:
     """What is wrong, and where."""
 
-    place: Place
+    place: SourcePosition
     text: str
 
     def __str__(self) -> str:
         return f"{self.place}: {self.text}"
 
 
-class FileError(Exception):
+class CueError(Exception):
     """A file that cannot be used; `errors` holds all that is wrong with it, in the order of the file."""
 
-    def __init__(self, errors: list[Error]) -> None:
-        self.errors = sorted(set(errors), key=lambda e: (e.place.line, e.place.column, e.text))[:MOST_ERRORS]
+    def __init__(self, errors: list[SourceError]) -> None:
+        self.errors = sorted(set(errors), key=lambda e: (e.place.line, e.place.column, e.text))[:MAX_ERRORS]
         super().__init__("\n".join(map(str, self.errors)))
 
 
@@ -109,7 +109,7 @@
 class Literal:
     """A value as it stands: `kind` is string, int, float, bool, null, duration (us) or size (bytes)."""
 
-    place: Place
+    place: SourcePosition
     kind: str
     value: Any
     text: str
@@ -119,7 +119,7 @@
 class Bound:
     """`>=1` and its like."""
 
-    place: Place
+    place: SourcePosition
     sign: str
     limit: Literal
 
@@ -128,72 +128,72 @@
 class Reference:
     """A name, or names joined by dots."""
 
-    place: Place
+    place: SourcePosition
     names: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class Both:
+class Conjunction:
     """All of these at once: `a & b`."""
 
-    place: Place
+    place: SourcePosition
     parts: tuple[Tree, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class Either:
+class Disjunction:
     """One of these: `*a | b`; the favoured one is taken where nothing else is said."""
 
-    place: Place
+    place: SourcePosition
     parts: tuple[tuple[Tree, bool], ...]
 
 
 @dataclass(frozen=True, slots=True)
-class FieldTree:
+class FieldDeclaration:
     """A field of a record."""
 
-    place: Place
+    place: SourcePosition
     name: str
     optional: bool
     tree: Tree
 
 
 @dataclass(frozen=True, slots=True)
-class Record:
+class StructLiteral:
     """Fields in braces; `others` is what every further field must be, `open` lets any in."""
 
-    place: Place
-    fields: tuple[FieldTree, ...]
+    place: SourcePosition
+    fields: tuple[FieldDeclaration, ...]
     others: Tree | None
     open: bool
 
 
 @dataclass(frozen=True, slots=True)
-class ListTree:
+class ListLiteral:
     """Items in brackets; `rest` is what every further item must be, None where there may be none."""
 
-    place: Place
+    place: SourcePosition
     items: tuple[Tree, ...]
     rest: Tree | None
 
 
-Tree = Literal | Bound | Reference | Both | Either | Record | ListTree
+Tree = Literal | Bound | Reference | Conjunction | Disjunction | StructLiteral | ListLiteral
 
 
-class _Bad(Exception):
-    def __init__(self, error: Error) -> None:
+class _SyntaxProblem(Exception):
+    def __init__(self, error: SourceError) -> None:
         self.error = error
 
 
-class _Build(Transformer[Token, Any]):
+class _TreeBuilder(Transformer[Token, Any]):
     """Lark's tree to ours."""
 
-    def __init__(self, file: str, errors: list[Error]) -> None:
+    def __init__(self, file: str, errors: list[SourceError]) -> None:
         super().__init__()
         self.file, self.errors = file, errors
 
-    def _at(self, token: Token) -> Place:
-        return Place(self.file, token.line or 1, token.column or 1)
+    def _at(self, token: Token) -> SourcePosition:
+        return SourcePosition(self.file, token.line or 1, token.column or 1)
 
     def literal(self, parts: list[Token]) -> Literal:
         (token,) = parts
@@ -203,7 +203,7 @@
                 return Literal(place, "string", json.loads(text), text)
             except ValueError:
                 self.errors.append(
-                    Error(place, f"{text} is no string: an escape or character is not allowed")
+                    SourceError(place, f"{text} is no string: an escape or character is not allowed")
                 )
                 return Literal(place, "string", "", text)
         if token.type == "WORD":
@@ -211,12 +211,12 @@
             return Literal(place, "null" if value is None else "bool", value, text)
         return self._number(place, text)
 
-    def _number(self, place: Place, text: str) -> Literal:
+    def _number(self, place: SourcePosition, text: str) -> Literal:
         match = re.fullmatch(r"(-?[0-9][0-9_]*(?:\.[0-9]+)?)([A-Za-zµ]*)", text)
         assert match, "the grammar lets no other number in"
         digits, unit = match[1].replace("_", ""), match[2].replace("µ", "u")
         if len(digits) > 40:
-            self.errors.append(Error(place, f"a number of {len(digits)} digits; at most 40 are read"))
+            self.errors.append(SourceError(place, f"a number of {len(digits)} digits; at most 40 are read"))
             return Literal(place, "int", 0, text)
         number: int | float = float(digits) if "." in digits else int(digits)
         for kind, units in (("duration", DURATIONS), ("size", SIZES)):
@@ -224,7 +224,7 @@
                 return Literal(place, kind, round(number * units[unit]), text)
         if unit:
             known = ", ".join([*DURATIONS, *SIZES])
-            self.errors.append(Error(place, f"{text} has the unit {unit}; there are {known}"))
+            self.errors.append(SourceError(place, f"{text} has the unit {unit}; there are {known}"))
         return Literal(place, "float" if "." in digits else "int", number, text)
 
     def bound(self, parts: list[Any]) -> Bound:
@@ -233,7 +233,7 @@
             try:
                 re.compile(limit.value)
             except (re.error, RecursionError, OverflowError) as exc:
-                self.errors.append(Error(limit.place, f"{limit.text} is no regular expression: {exc}"))
+                self.errors.append(SourceError(limit.place, f"{limit.text} is no regular expression: {exc}"))
                 limit = Literal(limit.place, "string", "", limit.text)
         return Bound(self._at(sign), str(sign), limit)
 
@@ -253,26 +253,26 @@
 
     def either(self, parts: list[Any]) -> Any:
         marked = [part if isinstance(part, tuple) else (part, False) for part in parts]
-        return marked[0][0] if len(marked) == 1 else Either(marked[0][0].place, tuple(marked))
+        return marked[0][0] if len(marked) == 1 else Disjunction(marked[0][0].place, tuple(marked))
 
     def both(self, parts: list[Any]) -> Any:
-        return parts[0] if len(parts) == 1 else Both(parts[0].place, tuple(parts))
+        return parts[0] if len(parts) == 1 else Conjunction(parts[0].place, tuple(parts))
 
-    def must(self, parts: list[Any]) -> FieldTree:
+    def must(self, parts: list[Any]) -> FieldDeclaration:
         return self._field(parts, False)
 
-    def may(self, parts: list[Any]) -> FieldTree:
+    def may(self, parts: list[Any]) -> FieldDeclaration:
         return self._field(parts, True)
 
-    def _field(self, parts: list[Any], optional: bool) -> FieldTree:
+    def _field(self, parts: list[Any], optional: bool) -> FieldDeclaration:
         label, tree = parts
         name = self.literal([label]).value if label.type == "STRING" else str(label)
-        return FieldTree(self._at(label), name, optional, tree[0] if isinstance(tree, tuple) else tree)
+        return FieldDeclaration(self._at(label), name, optional, tree[0] if isinstance(tree, tuple) else tree)
 
     def others(self, parts: list[Any]) -> tuple[str, Any]:
         kind, tree = parts
         if kind != "string":
-            self.errors.append(Error(self._at(kind), f"[{kind}] stands here, expected [string]"))
+            self.errors.append(SourceError(self._at(kind), f"[{kind}] stands here, expected [string]"))
         return "others", tree
 
     def open(self, parts: list[Any]) -> tuple[str, Any]:
@@ -282,27 +282,29 @@
         return parts
 
     @v_args(meta=True)
-    def record(self, meta: Any, parts: list[Any]) -> Record:
-        return self._record(Place(self.file, meta.line, meta.column), parts[0])
+    def record(self, meta: Any, parts: list[Any]) -> StructLiteral:
+        return self._record(SourcePosition(self.file, meta.line, meta.column), parts[0])
 
-    def _record(self, place: Place, parts: list[Any]) -> Record:
-        fields = tuple(part for part in parts if isinstance(part, FieldTree))
+    def _record(self, place: SourcePosition, parts: list[Any]) -> StructLiteral:
+        fields = tuple(part for part in parts if isinstance(part, FieldDeclaration))
         marks: dict[str, Any] = dict(part for part in parts if isinstance(part, tuple))
-        return Record(place, fields, marks.get("others"), "open" in marks)
+        return StructLiteral(place, fields, marks.get("others"), "open" in marks)
 
     @v_args(meta=True)
-    def closed_list(self, meta: Any, parts: list[Any]) -> ListTree:
-        return ListTree(Place(self.file, meta.line, meta.column), tuple(p for p in parts if p), None)
+    def closed_list(self, meta: Any, parts: list[Any]) -> ListLiteral:
+        return ListLiteral(
+            SourcePosition(self.file, meta.line, meta.column), tuple(p for p in parts if p), None
+        )
 
     @v_args(meta=True)
-    def open_list(self, meta: Any, parts: list[Any]) -> ListTree:
-        place = Place(self.file, meta.line, meta.column)
+    def open_list(self, meta: Any, parts: list[Any]) -> ListLiteral:
+        place = SourcePosition(self.file, meta.line, meta.column)
         (dots,) = (n for n, part in enumerate(parts) if isinstance(part, Token))
         rest = parts[dots + 1] if len(parts) > dots + 1 else Reference(place, ("any",))
-        return ListTree(place, tuple(parts[:dots]), rest)
+        return ListLiteral(place, tuple(parts[:dots]), rest)
 
-    def start(self, parts: list[Any]) -> Record:
-        return self._record(Place(self.file, 1, 1), parts[0])
+    def start(self, parts: list[Any]) -> StructLiteral:
+        return self._record(SourcePosition(self.file, 1, 1), parts[0])
 
 
 @lru_cache(1)
@@ -313,17 +315,17 @@
 def _decoded(text: str | bytes, file: str) -> str:
     """The text, or FileError where it is too long or no UTF-8."""
     given = text if isinstance(text, bytes) else text.encode(errors="replace")
-    if len(given) > MOST_BYTES:
-        place = Place(file, 1, 1)
-        raise FileError([Error(place, f"more than {MOST_BYTES} bytes, which is all that is read")])
+    if len(given) > MAX_FILE_BYTES:
+        place = SourcePosition(file, 1, 1)
+        raise CueError([SourceError(place, f"more than {MAX_FILE_BYTES} bytes, which is all that is read")])
     try:
         return given.decode()
     except UnicodeDecodeError as exc:
         line = given.count(b"\n", 0, exc.start) + 1
-        raise FileError([Error(Place(file, line, 1), "bytes that are no UTF-8")]) from None
+        raise CueError([SourceError(SourcePosition(file, line, 1), "bytes that are no UTF-8")]) from None
 
 
-def parse(given: str | bytes, file: str) -> Record:
+def parse(given: str | bytes, file: str) -> StructLiteral:
     """The tree of a whole file.
 
     Raises FileError with every syntax error (one a line): more than `MOST_BYTES`, brackets deeper than
@@ -331,7 +333,7 @@
     """
     text = _decoded(given, file)
     _bounded(text, file)
-    errors: list[Error] = []
+    errors: list[SourceError] = []
 
     def skip(exc: Exception) -> bool:
         """Tell the first error of a line, drop what stands there, and go on for the others."""
@@ -349,18 +351,20 @@
         else:
             return False
         if errors and errors[-1].place.line == line:
-            return len(errors) < MOST_ERRORS and "end of the file" not in stands
-        errors.append(Error(Place(file, line, column), f"{stands} stands here, expected {expected}"))
-        return len(errors) < MOST_ERRORS and "end of the file" not in stands
+            return len(errors) < MAX_ERRORS and "end of the file" not in stands
+        errors.append(
+            SourceError(SourcePosition(file, line, column), f"{stands} stands here, expected {expected}")
+        )
+        return len(errors) < MAX_ERRORS and "end of the file" not in stands
 
     try:
         tree = _parser().parse(text, on_error=skip)
-        record = _Build(file, errors).transform(tree)
+        record = _TreeBuilder(file, errors).transform(tree)
     except (UnexpectedCharacters, UnexpectedToken):
-        raise FileError(errors) from None
+        raise CueError(errors) from None
     if errors:
-        raise FileError(errors)
-    assert isinstance(record, Record)
+        raise CueError(errors)
+    assert isinstance(record, StructLiteral)
     return record
 
 
@@ -370,11 +374,15 @@
     for token in re.finditer(r'"(?:\\.|[^"\\\n])*"|//[^\n]*|[\[{(]|[\]})]', text):
         if token[0] in "[{(":
             depth += 1
-            if depth > MOST_DEPTH:
+            if depth > MAX_DEPTH:
                 line = text.count("\n", 0, token.start()) + 1
                 column = token.start() - (text.rfind("\n", 0, token.start()) + 1) + 1
-                raise FileError(
-                    [Error(Place(file, line, column), f"nested deeper than {MOST_DEPTH} brackets")]
+                raise CueError(
+                    [
+                        SourceError(
+                            SourcePosition(file, line, column), f"nested deeper than {MAX_DEPTH} brackets"
+                        )
+                    ]
                 )
         elif token[0] in "]})":
             depth -= 1
--- a/limerudder/typed/values.py
+++ b/limerudder/cue/values.py
@@ -7,19 +7,19 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from . import syntax as tree
-from .syntax import Error, Place
+from limerudder.cue import syntax as tree
+from limerudder.cue.syntax import SourceError, SourcePosition
 
 KINDS = ("string", "int", "float", "number", "bool", "null", "duration", "size", "any")
-MOST_LOOKUPS = 64  #: references within references, and what they hold
-MOST_NODES = 100_000  #: of one meaning; references can multiply what a short file says
+MAX_REFERENCE_DEPTH = 64  #: references within references, and what they hold
+MAX_VALUES = 100_000  #: of one meaning; references can multiply what a short file says
 
 
 @dataclass(frozen=True, slots=True)
 class Scalar:
     """A concrete value: microseconds for a duration, bytes for a size."""
 
-    place: Place
+    place: SourcePosition
     kind: str
     value: Any
     text: str
@@ -29,10 +29,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Rule:
+class Constraint:
     """Any value of these kinds that keeps these bounds."""
 
-    place: Place
+    place: SourcePosition
     kinds: frozenset[str]
     bounds: tuple[tuple[str, Scalar], ...] = ()
 
@@ -48,10 +48,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Choice:
+class Disjunction:
     """One of these meanings; the favoured ones first where nothing else is said."""
 
-    place: Place
+    place: SourcePosition
     parts: tuple[tuple[Meaning, bool], ...]
 
     def __str__(self) -> str:
@@ -62,16 +62,16 @@
 class Field:
     """A field of a record."""
 
-    place: Place
+    place: SourcePosition
     meaning: Meaning
     optional: bool
 
 
 @dataclass(frozen=True, slots=True)
-class Struct:
+class StructValue:
     """A record; `closed` where no field but these may be."""
 
-    place: Place
+    place: SourcePosition
     fields: dict[str, Field] = field(hash=False)
     others: Meaning | None = None
     closed: bool = False
@@ -81,10 +81,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Items:
+class ListValue:
     """A list: these, and then any number of `rest` where it is not None."""
 
-    place: Place
+    place: SourcePosition
     items: tuple[Meaning, ...]
     rest: Meaning | None
 
@@ -92,7 +92,7 @@
         return f"a list of {self.rest}" if self.rest else f"a list of {len(self.items)} items"
 
 
-Meaning = Scalar | Rule | Choice | Struct | Items
+Meaning = Scalar | Constraint | Disjunction | StructValue | ListValue
 
 SCALARS = frozenset({"string", "int", "float", "bool", "null", "duration", "size"})
 NUMBERS = frozenset({"int", "float"})
@@ -119,10 +119,10 @@
     return bool(value.value > limit.value if sign == ">" else value.value < limit.value)
 
 
-class Scope:
+class ReferenceScope:
     """The names of a record, and of those around it."""
 
-    def __init__(self, record: tree.Record, outer: Scope | None) -> None:
+    def __init__(self, record: tree.StructLiteral, outer: ReferenceScope | None) -> None:
         self.trees: dict[str, list[tree.Tree]] = {}
         for one in record.fields:
             self.trees.setdefault(one.name, []).append(one.tree)
@@ -130,32 +130,32 @@
 
     def all_names(self) -> Iterator[str]:
         """Every name that can be referred to from here."""
-        scope: Scope | None = self
+        scope: ReferenceScope | None = self
         while scope:
             yield from scope.trees
             scope = scope.outer
 
 
-class Reader:
+class Evaluator:
     """Gives trees their meaning; what is wrong is added to `errors`, and read as anything at all."""
 
-    def __init__(self, errors: list[Error]) -> None:
+    def __init__(self, errors: list[SourceError]) -> None:
         self.errors = errors
         self.depth = self.made = 0
 
-    def read(self, what: tree.Tree, scope: Scope | None, closed: bool = False) -> Meaning:
+    def read(self, what: tree.Tree, scope: ReferenceScope | None, closed: bool = False) -> Meaning:
         """The meaning of a tree; `closed` where it is that of a definition."""
         self.depth += 1
         self.made += 1
         try:
-            if self.depth > MOST_LOOKUPS or self.made > MOST_NODES:
+            if self.depth > MAX_REFERENCE_DEPTH or self.made > MAX_VALUES:
                 return self._wrong(what.place, "a reference leads back to itself, or too far")
             return self._read(what, scope, closed)
         finally:
             self.depth -= 1
 
-    def _read(self, what: tree.Tree, scope: Scope | None, closed: bool) -> Meaning:
-        from .unify import Unifier  # the two know each other
+    def _read(self, what: tree.Tree, scope: ReferenceScope | None, closed: bool) -> Meaning:
+        from limerudder.cue.unification import Unifier  # the two know each other
 
         match what:
             case tree.Literal(place, kind, value, text):
@@ -169,27 +169,29 @@
                     return self._wrong(limit.place, f"{limit.text} stands here, expected a string to match")
                 if sign != "!=" and limit.kind in ("bool", "null"):
                     return self._wrong(limit.place, f"{limit.text} stands here, expected what has an order")
-                return Rule(place, kinds, ((sign, meant),))
-            case tree.Both(_, parts):
+                return Constraint(place, kinds, ((sign, meant),))
+            case tree.Conjunction(_, parts):
                 first, *rest = (self.read(part, scope, closed) for part in parts)
                 for part in rest:
                     first = Unifier(self.errors).unify(first, part, ())
                 return first
-            case tree.Either(place, parts):
-                return Choice(place, tuple((self.read(part, scope, closed), mark) for part, mark in parts))
-            case tree.ListTree(place, items, rest_tree):
+            case tree.Disjunction(place, parts):
+                return Disjunction(
+                    place, tuple((self.read(part, scope, closed), mark) for part, mark in parts)
+                )
+            case tree.ListLiteral(place, items, rest_tree):
                 rest_meaning = self.read(rest_tree, scope, closed) if rest_tree else None
-                return Items(place, tuple(self.read(item, scope, closed) for item in items), rest_meaning)
-            case tree.Record():
+                return ListValue(place, tuple(self.read(item, scope, closed) for item in items), rest_meaning)
+            case tree.StructLiteral():
                 return self.record(what, scope, closed)
             case tree.Reference():
                 return self._follow(what, scope)
 
-    def record(self, what: tree.Record, scope: Scope | None, closed: bool) -> Struct:
+    def record(self, what: tree.StructLiteral, scope: ReferenceScope | None, closed: bool) -> StructValue:
         """A record's meaning; its definitions are there to be referred to and are no fields of it."""
-        from .unify import Unifier
+        from limerudder.cue.unification import Unifier
 
-        inner, fields = Scope(what, scope), dict[str, Field]()
+        inner, fields = ReferenceScope(what, scope), dict[str, Field]()
         for one in what.fields:
             definition = one.name.startswith("#")
             meaning = self.read(one.tree, inner, closed or definition)
@@ -202,26 +204,26 @@
             else:
                 fields[one.name] = Field(one.place, meaning, one.optional)
         others = self.read(what.others, inner, closed) if what.others else None
-        return Struct(what.place, fields, others, closed and not what.open and others is None)
+        return StructValue(what.place, fields, others, closed and not what.open and others is None)
 
-    def _follow(self, what: tree.Reference, scope: Scope | None) -> Meaning:
+    def _follow(self, what: tree.Reference, scope: ReferenceScope | None) -> Meaning:
         name, *path = what.names
         at = scope
         while at and name not in at.trees:
             at = at.outer
         if at is None:
             if name in KINDS and not path:
-                return Rule(what.place, KIND_SETS[name])
+                return Constraint(what.place, KIND_SETS[name])
             known = [*KINDS, *(scope.all_names() if scope else ())]
             return self._wrong(what.place, f"{name} is not defined{nearest(name, known)}")
         found = at.trees[name]
         for step in path:
-            records = [one for one in found if isinstance(one, tree.Record)]
+            records = [one for one in found if isinstance(one, tree.StructLiteral)]
             if not records:
                 return self._wrong(
                     what.place, f"{'.'.join(what.names)}: {step} is sought in what is no record"
                 )
-            at = Scope(records[0], at)
+            at = ReferenceScope(records[0], at)
             if step not in at.trees:
                 return self._wrong(
                     what.place, f"{'.'.join(what.names)}: there is no {step}{nearest(step, at.trees)}"
@@ -229,9 +231,9 @@
             found = at.trees[step]
         return self.read(found[0], at, closed=what.names[-1].startswith("#"))
 
-    def _wrong(self, place: Place, text: str) -> Meaning:
-        self.errors.append(Error(place, text))
-        return Rule(place, SCALARS)
+    def _wrong(self, place: SourcePosition, text: str) -> Meaning:
+        self.errors.append(SourceError(place, text))
+        return Constraint(place, SCALARS)
 
 
 def nearest(name: str, known: Any) -> str:
--- a/limerudder/lab/arrivals.py
+++ b/limerudder/loadtest/arrivals.py
@@ -13,7 +13,7 @@
 import numpy as np
 
 SECOND = 1_000_000
-MOST = 20_000_000  #: arrivals of one plan
+MAX_ARRIVALS = 20_000_000  #: arrivals of one plan
 
 
 class PlanError(ValueError):
@@ -89,8 +89,8 @@
     for part in parts:
         part.check()
     expected = sum(one.seconds * (one.rate + (one.rate if one.to is None else one.to)) / 2 for one in phases)
-    if expected + sum(one.many for one in bursts) > MOST:
-        raise PlanError(f"some {expected:.0f} arrivals; at most {MOST} are drawn")
+    if expected + sum(one.many for one in bursts) > MAX_ARRIVALS:
+        raise PlanError(f"some {expected:.0f} arrivals; at most {MAX_ARRIVALS} are drawn")
     random = np.random.default_rng(seed)
     moments = [
         _phase(random, one, sum(before.seconds for before in phases[:n])) for n, one in enumerate(phases)
--- a/limerudder/lab/cli.py
+++ b/limerudder/loadtest/cli.py
@@ -8,8 +8,8 @@
 
 import click
 
-from ..cli import EXAMPLES, fail
-from ..exits import FAILED, WRONG_INPUT
+from limerudder.cli import EXAMPLES, fail
+from limerudder.exits import FAILED, WRONG_INPUT
 
 
 @click.group(
@@ -79,10 +79,10 @@
     targets: tuple[str, ...], trace: Path | None, save: Path | None, figures: Path | None, **given: Any
 ) -> None:
     """Load nodes in an open loop, and tell latencies from the intended moments."""
-    from ..core.link import read_address
-    from .arrivals import Burst, Mix, Phase, PlanError, draw
-    from .load import run
-    from .trace import read, write
+    from limerudder.core.transport import read_address
+    from limerudder.loadtest.arrivals import Burst, Mix, Phase, PlanError, draw
+    from limerudder.loadtest.load_generator import run
+    from limerudder.loadtest.trace import read, write
 
     try:
         where = [read_address(one) for one in targets]
--- a/limerudder/lab/tally.py
+++ b/limerudder/loadtest/latency_histogram.py
@@ -13,7 +13,7 @@
 LATE = 1000  #: microseconds after its intended moment, from which an arrival counts as late by the generator
 
 
-class Tally:
+class LatencyHistogram:
     """Counts and histograms, in microseconds."""
 
     def __init__(self) -> None:
--- a/limerudder/lab/load.py
+++ b/limerudder/loadtest/load_generator.py
@@ -17,21 +17,21 @@
 from contextlib import suppress
 from typing import IO, Any
 
-from .arrivals import Arrival
-from .tally import Tally
+from limerudder.loadtest.arrivals import Arrival
+from limerudder.loadtest.latency_histogram import LatencyHistogram
 
 SECOND = 1_000_000
-PATIENCE = 10 * SECOND  #: for a final answer, from the intended moment; then it counts as `none`
-BATCH = 64  #: arrivals begun before answers are looked at again: guards answers against a burst
-MOST_LINE = 4096
+ANSWER_TIMEOUT_US = 10 * SECOND  #: for a final answer, from the intended moment; then it counts as `none`
+ARRIVALS_PER_STEP = 64  #: arrivals begun before answers are looked at again: guards answers against a burst
+MAX_LINE_BYTES = 4096
 
 
-class Guest:
+class SimulatedClient:
     """One client's connection, from its first line to its end."""
 
     __slots__ = ("arrival", "began", "fd", "line", "loader", "number", "rest", "served", "sock", "timer")
 
-    def __init__(self, loader: Loader, number: int, arrival: Arrival, began: int) -> None:
+    def __init__(self, loader: LoadGenerator, number: int, arrival: Arrival, began: int) -> None:
         self.loader, self.number, self.arrival, self.began = loader, number, arrival, began
         self.rest, self.served = b"", False
         self.timer: asyncio.TimerHandle | None = None
@@ -49,7 +49,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.connect_ex(loader.targets[number % len(loader.targets)])
         loader.loop.add_writer(self.fd, self._connected)
-        self.timer = loader.loop.call_later(PATIENCE / SECOND, self._end, "none")
+        self.timer = loader.loop.call_later(ANSWER_TIMEOUT_US / SECOND, self._end, "none")
 
     def _connected(self) -> None:
         assert self.sock
@@ -86,7 +86,7 @@
             if self.timer:
                 self.timer.cancel()
             self.timer = self.loader.loop.call_later(self.arrival.life / SECOND, self._close)
-        elif not data or len(self.rest) > MOST_LINE:
+        elif not data or len(self.rest) > MAX_LINE_BYTES:
             self._end("closed without an answer")
 
     def _count(self, answer: str) -> None:
@@ -111,7 +111,7 @@
         self.loader.guests.discard(self)
 
 
-class Loader:
+class LoadGenerator:
     """One run."""
 
     def __init__(
@@ -123,9 +123,9 @@
         number_from: int = 1,
     ) -> None:
         self.arrivals, self.targets, self.deadline = arrivals, list(targets), deadline_ms
-        self.tally, self.figures, self.number_from = Tally(), figures, number_from
+        self.tally, self.figures, self.number_from = LatencyHistogram(), figures, number_from
         self.loop = asyncio.get_running_loop()
-        self.guests: set[Guest] = set()
+        self.guests: set[SimulatedClient] = set()
         self.standing = 0
         self.start = 0
         self.next = 0
@@ -147,7 +147,7 @@
         """Begin no more, and end what is there: what has been seen is still told."""
         self.halted = True
 
-    async def run(self, drain: float = 5.0) -> Tally:
+    async def run(self, drain: float = 5.0) -> LatencyHistogram:
         """All arrivals; then so many seconds at the most for answers that are out."""
         self.start = time.monotonic_ns() // 1000 + 50_000
         ticking = self.loop.create_task(self._tell())
@@ -169,12 +169,16 @@
         while self.next < len(self.arrivals) and not self.halted:
             begun = 0
             now = self.now()
-            while self.next < len(self.arrivals) and self.arrivals[self.next].at <= now and begun < BATCH:
+            while (
+                self.next < len(self.arrivals)
+                and self.arrivals[self.next].at <= now
+                and begun < ARRIVALS_PER_STEP
+            ):
                 number, one = self.next, self.arrivals[self.next]
                 self.next, begun = number + 1, begun + 1
                 now = self.now()
                 self.tally.begin(now - one.at)
-                guest = Guest(self, number, one, now)
+                guest = SimulatedClient(self, number, one, now)
                 if guest.sock:
                     self.guests.add(guest)
             if self.next < len(self.arrivals):
@@ -208,15 +212,15 @@
     targets: Sequence[tuple[str, int]],
     deadline_ms: int,
     figures: IO[str] | None,
-    hear: Callable[[Loader], None] = lambda loader: None,
-) -> Tally:
+    hear: Callable[[LoadGenerator], None] = lambda loader: None,
+) -> LatencyHistogram:
     """A run of its own loop; SIGINT halts it, and what has been seen is given all the same."""
     import signal
 
     import uvloop
 
-    async def go() -> Tally:
-        loader = Loader(arrivals, targets, deadline_ms, figures, time.time_ns() & 0xFFFFFFFFFF)
+    async def go() -> LatencyHistogram:
+        loader = LoadGenerator(arrivals, targets, deadline_ms, figures, time.time_ns() & 0xFFFFFFFFFF)
         asyncio.get_running_loop().add_signal_handler(signal.SIGINT, loader.halt)
         hear(loader)
         return await loader.run()
