--- a/limerudder/lab/rules.py
+++ b/limerudder/loadtest/rule_checker.py
@@ -14,20 +14,20 @@
 FINAL = ("UP", "BUSY", "FAIL", "ERR")  #: the first words of final answers
 
 
-class Limits(NamedTuple):
+class RuleLimits(NamedTuple):
     """What the rules allow. Times in microseconds."""
 
     answer_grace: int = 20_000  #: after a client's own deadline
-    drain_grace: int = 500_000  #: from the node's being told to the last new attempt
-    warm_up: int = 24 * SECOND
-    start_capacity: float = 0.13  #: of a host that has just started, growing evenly to 1
+    drain_grace_us: int = 500_000  #: from the node's being told to the last new attempt
+    warm_up_us: int = 24 * SECOND
+    initial_capacity: float = 0.13  #: of a host that has just started, growing evenly to 1
     overload_factor: float = 3.0  #: times the present capacity, within any window of ...
-    overload_for: int = 2 * SECOND  #: ... this length
+    overload_window_us: int = 2 * SECOND  #: ... this length
     slack: int = 2  #: attempts over that, for chance
     line_grace: int = 100_000  #: for a line to pass through
 
 
-class Breach(NamedTuple):
+class RuleViolation(NamedTuple):
     """A broken rule, and the exchange that shows it."""
 
     rule: str
@@ -41,47 +41,47 @@
 
 
 @dataclass(slots=True)
-class _Req:
+class _TrackedRequest:
     deadline: int
     seen: list[str] = field(default_factory=list)  # the exchange so far
     answers: list[str] = field(default_factory=list)
     out: str = ""  # the host that has its attempt
     up: bool = False
     moved: bool = False
-    client_left: bool = False
+    client_disconnected: bool = False
     host_ended: bool = False
     passing: deque[tuple[int, str, str]] = field(default_factory=deque)  # time, direction, line
 
 
 @dataclass(slots=True)
-class _Host:
+class _TrackedServer:
     capacity: float  # new connections a second, once it is warm
     started: int
     out_since: int | None = None  # when the node was first told that it drains or is gone
     recent: deque[int] = field(default_factory=deque)  # attempts within the window
 
 
-class Checker:
+class RuleChecker:
     """One node's exchanges, or those of a tier where reqs have ids of their own."""
 
-    def __init__(self, limits: Limits | None = None) -> None:
-        self.limits = limits or Limits()
-        self.reqs: dict[str, _Req] = {}
-        self.hosts: dict[str, _Host] = {}
-        self.breaches: list[Breach] = []
+    def __init__(self, limits: RuleLimits | None = None) -> None:
+        self.limits = limits or RuleLimits()
+        self.reqs: dict[str, _TrackedRequest] = {}
+        self.hosts: dict[str, _TrackedServer] = {}
+        self.breaches: list[RuleViolation] = []
         self.now = 0
         self.checked = 0  # events
 
-    def _event(self, at: int, req: str, text: str) -> _Req:
+    def _event(self, at: int, req: str, text: str) -> _TrackedRequest:
         assert at >= self.now, "events are told in the order of their times"
         self.now = at
         self.checked += 1
-        one = self.reqs.setdefault(req, _Req(1 << 62))
+        one = self.reqs.setdefault(req, _TrackedRequest(1 << 62))
         one.seen.append(f"{at / SECOND:.6f}  {text}")
         return one
 
-    def _breach(self, rule: str, at: int, text: str, one: _Req | None = None) -> None:
-        self.breaches.append(Breach(rule, at, text, tuple(one.seen[-12:]) if one else ()))
+    def _breach(self, rule: str, at: int, text: str, one: _TrackedRequest | None = None) -> None:
+        self.breaches.append(RuleViolation(rule, at, text, tuple(one.seen[-12:]) if one else ()))
 
     # clients
 
@@ -109,14 +109,14 @@
 
     def left(self, at: int, req: str) -> None:
         """The client has gone by itself."""
-        self._event(at, req, "client leaves").client_left = True
+        self._event(at, req, "client leaves").client_disconnected = True
 
     def closed(self, at: int, req: str) -> None:
         """The node has ended the client's connection."""
         one = self._event(at, req, "node closes the client's connection")
-        if not one.answers and not one.client_left:
+        if not one.answers and not one.client_disconnected:
             self._breach("one answer", at, f"{req} was closed without an answer", one)
-        elif one.up and not (one.moved or one.client_left or one.host_ended):
+        elif one.up and not (one.moved or one.client_disconnected or one.host_ended):
             self._breach("lost connections", at, f"{req} stood, and was cut off without MOVE", one)
 
     # hosts
@@ -133,20 +133,20 @@
         if there is None:
             return self._breach("listed hosts", at, f"{req} went to {host}, which was never listed", one)
         since = there.out_since
-        if since is not None and at > since + self.limits.drain_grace:
+        if since is not None and at > since + self.limits.drain_grace_us:
             self._breach("drains", at, f"{req} went to {host}, told to be out {at - since} us before", one)
         self._cold(at, req, host, there, one)
 
-    def _cold(self, at: int, req: str, host: str, there: _Host, one: _Req) -> None:
+    def _cold(self, at: int, req: str, host: str, there: _TrackedServer, one: _TrackedRequest) -> None:
         limits = self.limits
         there.recent.append(at)
-        while there.recent[0] <= at - limits.overload_for:
+        while there.recent[0] <= at - limits.overload_window_us:
             there.recent.popleft()
         age = at - there.started
-        if age >= limits.warm_up:
+        if age >= limits.warm_up_us:
             return
-        share = limits.start_capacity + (1 - limits.start_capacity) * age / limits.warm_up
-        window = min(limits.overload_for, max(age, 1)) / SECOND
+        share = limits.initial_capacity + (1 - limits.initial_capacity) * age / limits.warm_up_us
+        window = min(limits.overload_window_us, max(age, 1)) / SECOND
         most = limits.overload_factor * share * there.capacity * window + limits.slack
         if len(there.recent) > most:
             many = f"{len(there.recent)} in {window:.2f} s; {most:.1f} are allowed"
@@ -184,7 +184,7 @@
         self.now = max(self.now, at)
         there = self.hosts.get(host)
         if there is None or started > there.started:
-            there = self.hosts[host] = _Host(capacity, started)
+            there = self.hosts[host] = _TrackedServer(capacity, started)
         if ready:
             there.out_since = None
         elif there.out_since is None:
@@ -192,14 +192,14 @@
 
     # the end
 
-    def finish(self, at: int) -> list[Breach]:
+    def finish(self, at: int) -> list[RuleViolation]:
         """The run is over: what was never answered is told too. Gives all breaches, in order."""
         for req, one in self.reqs.items():
             due = one.deadline + self.limits.answer_grace
-            if not one.answers and not one.client_left and due < at and one.deadline < 1 << 62:
+            if not one.answers and not one.client_disconnected and due < at and one.deadline < 1 << 62:
                 self._breach("one answer", due, f"{req} never got an answer", one)
             for since, way, line in one.passing:
-                gone = one.client_left or one.host_ended or one.moved
+                gone = one.client_disconnected or one.host_ended or one.moved
                 if not gone and at > since + self.limits.line_grace:
                     self._breach("held lines", since, f"{req}: {line} never came out {way}", one)
         return sorted(self.breaches, key=lambda breach: breach.at)
--- a/limerudder/lab/trace.py
+++ b/limerudder/loadtest/trace.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any
 
-from .arrivals import MOST, Arrival, PlanError
+from limerudder.loadtest.arrivals import MAX_ARRIVALS, Arrival, PlanError
 
 FIELDS = Arrival._fields
 
@@ -30,8 +30,8 @@
     try:
         for number, given in _rows(path):
             found.append(_arrival(path, number, given))
-            if len(found) > MOST:
-                raise PlanError(f"{path}: more than {MOST} arrivals")
+            if len(found) > MAX_ARRIVALS:
+                raise PlanError(f"{path}: more than {MAX_ARRIVALS} arrivals")
     except OSError as exc:
         raise PlanError(f"cannot read {path}: {exc.strerror}") from None
     except UnicodeDecodeError:
--- a/limerudder/net/listen.py
+++ b/limerudder/net/listener.py
@@ -6,10 +6,10 @@
 import socket
 from collections.abc import Callable
 
-from ..config import ConfigError
-from ..core.link import Address
-from .peers import Peers
-from .stream import Stream
+from limerudder.config import ConfigError
+from limerudder.core.transport import Address
+from limerudder.net.peer_socket import PeerSocket
+from limerudder.net.tcp import TcpConnection
 
 BACKLOG = 4096
 RECEIVED = 64 * 1024  #: bytes of a client that the system keeps, and so what one event's read can bring
@@ -40,7 +40,7 @@
     return ConfigError("cannot listen on {}:{}: {}".format(*address, exc.strerror))
 
 
-async def listen(take: Callable[[], Stream], sock: socket.socket) -> asyncio.Server:
+async def listen(take: Callable[[], TcpConnection], sock: socket.socket) -> asyncio.Server:
     """Take connections at a socket that is bound."""
     address = sock.getsockname()
     try:
@@ -49,10 +49,12 @@
         raise cannot_listen(address, exc) from None
 
 
-class Door:
+class ClientListener:
     """Where clients and peers come in: their sockets are kept, open here or not."""
 
-    def __init__(self, sockets: list[socket.socket], take: Callable[[], Stream], peers: Peers) -> None:
+    def __init__(
+        self, sockets: list[socket.socket], take: Callable[[], TcpConnection], peers: PeerSocket
+    ) -> None:
         self.sockets, self.take, self.peers = sockets, take, peers
         self.server: asyncio.Server | None = None
 
--- a/limerudder/net/log.py
+++ b/limerudder/net/log.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, MutableMapping
 from typing import Any
 
-from ..core.events import named
+from limerudder.core.operations.log_events import event_for_kind
 
 MOST, WHILE = 5, 10.0  #: lines of a kind, in so many seconds
 
@@ -21,7 +21,7 @@
 Step = Callable[[Any, str, EventDict], EventDict | str | None]  #: None ends the event there
 
 
-class Rate:
+class LogRateLimiter:
     """Lets so many events of a kind pass in a while; those left out are counted in the kind's next one."""
 
     def __init__(self, most: int = MOST, while_: float = WHILE) -> None:
@@ -56,7 +56,7 @@
     """Prints events: `log(kind, text)`, where the kind gives the event's stable name and level."""
 
     def __init__(self, name: str, format: str = "text", most: int = MOST, while_: float = WHILE) -> None:
-        self.name, self.rate = name, Rate(most, while_)
+        self.name, self.rate = name, LogRateLimiter(most, while_)
         self.render = as_json if format == "json" else as_text
         self.print: Callable[[str, EventDict], None] = self._by_hand
 
@@ -89,7 +89,7 @@
 
     def __call__(self, kind: str, text: str) -> None:
         """An event of this kind."""
-        name, level = named(kind)
+        name, level = event_for_kind(kind)
         self.print(level, {"node": self.name, "event": name, "level": level, "text": text, "kind": kind})
 
     def _by_hand(self, level: str, event: EventDict) -> None:
--- a/limerudder/net/marks.py
+++ b/limerudder/net/mark_files.py
@@ -9,7 +9,7 @@
 PREFIX = "held-"
 
 
-class Files:
+class MarkFiles:
     """One empty file a name."""
 
     def __init__(self, folder: str) -> None:
--- a/limerudder/net/peers.py
+++ b/limerudder/net/peer_socket.py
@@ -6,12 +6,11 @@
 from collections.abc import Callable, Sequence
 from typing import cast
 
-from firgrade.interface import ALL_PEERS
+from limerudder.core.transport import MAX_DATAGRAM_BYTES, Address
+from limerudder.policy.actions import ALL_PEERS
 
-from ..core.link import MOST_DATAGRAM, Address
 
-
-class Peers(asyncio.DatagramProtocol):
+class PeerSocket(asyncio.DatagramProtocol):
     """Sends to a peer by number; `heard` gets each datagram with its sender's number, if a peer's."""
 
     def __init__(
@@ -35,5 +34,5 @@
     def send(self, peer: int, data: bytes) -> None:
         """To one peer, or to all of them."""
         address = self.everyone if peer == ALL_PEERS else self.peers[peer] if peer < len(self.peers) else None
-        if self.transport and address and len(data) <= MOST_DATAGRAM:
+        if self.transport and address and len(data) <= MAX_DATAGRAM_BYTES:
             self.transport.sendto(data, address)
--- a/limerudder/net/handover.py
+++ b/limerudder/net/socket_handover.py
@@ -9,17 +9,17 @@
 from contextlib import suppress
 from typing import NamedTuple
 
-from ..core.handover import MOST
-from ..core.link import Machine
-from .clock import Clock
-from .stream import Stream
+from limerudder.core.lifecycle.hot_restart import MOST
+from limerudder.core.transport import ConnectionMachine
+from limerudder.net.clock import Clock
+from limerudder.net.tcp import TcpConnection
 
 NAME = "handover"
 WAIT = 1.0  #: seconds for the old process to answer; one that hangs holds nobody up for longer
 MOST_SOCKETS = 4
 
 
-class Legacy(NamedTuple):
+class InheritedSockets(NamedTuple):
     """What the old process has passed on."""
 
     sockets: list[socket.socket]
@@ -27,7 +27,7 @@
     line: socket.socket  # the connection to it
 
 
-class Folder:
+class StateDirectory:
     """The folder that outlives a process; its files are reached by names of any length."""
 
     def __init__(self, path: str) -> None:
@@ -39,7 +39,7 @@
         return f"/proc/self/fd/{self.fd}/{name}"
 
 
-def ask(folder: Folder) -> Legacy | None:
+def request_handover(folder: StateDirectory) -> InheritedSockets | None:
     """Ask the process that serves here for its sockets; None where nobody answers."""
     line = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
     line.settimeout(WAIT)
@@ -60,18 +60,18 @@
             sock.close()
         return None
     line.setblocking(False)
-    return Legacy(sockets, hello, line)
+    return InheritedSockets(sockets, hello, line)
 
 
-class Offer:
+class HandoverListener:
     """Offers this process's sockets to whoever asks under the folder's one name."""
 
     def __init__(
         self,
-        folder: Folder,
+        folder: StateDirectory,
         sockets: Sequence[socket.socket],
         hello: Callable[[], bytes],
-        asker: Callable[[], Machine],
+        asker: Callable[[], ConnectionMachine],
         clock: Clock,
         log: Callable[[str, str], None],
     ) -> None:
@@ -121,12 +121,12 @@
             hello = self.hello()
             sent = socket.send_fds(line, [hello], [sock.fileno() for sock in self.sockets])
             await self.loop.sock_sendall(line, hello[sent:])
-            await join(line, self.asker(), self.clock)
+            await drive_connection(line, self.asker(), self.clock)
         except OSError:  # whoever asked has gone again
             line.close()
 
 
-async def join(line: socket.socket, machine: Machine, clock: Clock) -> None:
+async def drive_connection(line: socket.socket, machine: ConnectionMachine, clock: Clock) -> None:
     """Drive a machine with the connection between two processes."""
     loop = asyncio.get_running_loop()
-    await loop.create_unix_connection(lambda: Stream(machine, clock), sock=line)
+    await loop.create_unix_connection(lambda: TcpConnection(machine, clock), sock=line)
--- a/limerudder/net/stream.py
+++ b/limerudder/net/tcp.py
@@ -9,17 +9,17 @@
 from contextlib import suppress
 from typing import cast
 
-from ..core.link import Address, Caller, Machine
-from .clock import Clock
+from limerudder.core.transport import Address, ConnectionMachine, OutboundMachine
+from limerudder.net.clock import Clock
 
 BUFFER = 64 * 1024  #: bytes waiting to be sent, before the machine is told that it is crowded
 
 
-class Stream(asyncio.Protocol):
+class TcpConnection(asyncio.Protocol):
     """Drives one machine with one connection; to the machine it is the Link."""
 
-    def __init__(self, machine: Machine, clock: Clock) -> None:
-        self.machine: Machine | None = machine
+    def __init__(self, machine: ConnectionMachine, clock: Clock) -> None:
+        self.machine: ConnectionMachine | None = machine
         self.clock = clock
         self.transport: asyncio.Transport | None = None
         self.sock: socket.socket | None = None  # of a connection that this node dialled
@@ -118,19 +118,19 @@
         self.close()
 
 
-class Dialler:
+class TcpConnector:
     """Sets up connections."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock) -> None:
         self.loop, self.clock = loop, clock
 
-    def dial(self, address: Address, machine: Caller) -> Stream:
+    def dial(self, address: Address, machine: OutboundMachine) -> TcpConnection:
         """Connect and write the machine's first bytes; the task ends when the connection stands."""
-        stream = Stream(machine, self.clock)
+        stream = TcpConnection(machine, self.clock)
         stream.task = self.loop.create_task(self._connect(address, machine, stream))
         return stream
 
-    async def _connect(self, address: Address, machine: Caller, stream: Stream) -> None:
+    async def _connect(self, address: Address, machine: OutboundMachine, stream: TcpConnection) -> None:
         sock = None
         try:
             sock = stream.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
--- a/firgrade/__init__.py
+++ b/limerudder/policy/__init__.py
@@ -3,6 +3,6 @@
 ``Balancer`` decides; ``interface`` holds the settings, events and actions it is spoken to with.
 """
 
-from .choice import Balancer
+from limerudder.policy.balancer import Balancer
 
 __all__ = ["Balancer"]
--- a/firgrade/choice.py
+++ b/limerudder/policy/balancer.py
@@ -1,4 +1,4 @@
-"""Every decision of a balancer for long-lived connections. Interface: firgrade/interface.py.
+"""Every decision of a balancer for long-lived connections. Interface: limerudder/policy/interface.py.
 
 The ordinary path is the power of d choices of Xie, Dong, Lu and Srikant, "Power of d Choices for Large-Scale
 Bin Packing: A Loss Model" (SIGMETRICS'15): draw d servers at random and join the one with the fewest of this
@@ -13,76 +13,71 @@
 from random import Random
 from typing import Any
 
-from . import interface as io
-from . import moves
-from .felt import Felt
-from .listclock import Waits
-from .loads import EASY, Loads
-from .records import NOTE_LIFE, SECOND, Flow, Holdings, Pace, Rate, Server
-from .ring import Ring
-from .sharing import FEW, Sharing, decode, matched
-from .spacing import WAVE, Spacing
-from .warming import Warming
-
-D = 2  # the paper's d: two choices already bring the doubly exponential fall in blocking
+from limerudder.policy import actions, events, rebalancing
+from limerudder.policy.gossip import FEW, decode, match_servers
+from limerudder.policy.pacing import WAVE
+from limerudder.policy.policy_state import (
+    AGAIN,
+    ASK,
+    DRAINED,
+    HOME,
+    SHARE,
+    SWEEP,
+    SWEEP_LEAST,
+    SWEEP_MOST,
+    D,
+    PolicyState,
+)
+from limerudder.policy.records import (
+    NOTE_LIFE,
+    SECOND,
+    Connection,
+    Server,
+)
+from limerudder.policy.reported_loads import EASY
+from limerudder.policy.settings import (
+    Settings,
+)
+
 TRIAL_AFTER, MOST_DOUBLINGS = SECOND, 4  # a suspect server's first trial, and up to 16 s for later ones
 RELAX = 0.1  # a ceiling gives way by a tenth a second: a few refusals buy the news that room is back
 HOLD, LOOK = 100_000, 50_000  # between tries of a held request, and to wait for reports: inside any aim
 MOST_WEIGHT = 100.0  # a server's size beyond that, or below the inverse, is nonsense
 WIDE = 8 * D  # servers looked at for a draw at most, however large the fleet
 MANY = 16 * WIDE  # servers weighed for it at most
-PROBE_SPEND = 0.01  # of the result goes into probes at most: what is learned must be worth more than that
-SWEEP_LEAST, SWEEP_MOST = SECOND // 2, 4 * SECOND  # reports are rarely renewed faster; slower, they mislead
 BACK = math.inf  # in place of a level: the servers' own reports alone decide
 LEAVE = SECOND  # connections of a server that drains are moved over this time
-DRAINED = 3 * SECOND  # for so long those who come back may have stood at a server that drains
 SUCCEEDS = 15 * SECOND  # for so long what another process of the node sends over is in the rate
 IDLE, IDLE_TIMES = 0.4, 3  # a cold server that reports less is sent more, where nodes are few
 SPENT = 0.8  # of what it can do by the others' reports, at most
-OPENS_PAY = 60 * SECOND  # for so long what stood at the start pays for probes too, as requests do
 SET_UPS = 4  # of this node's that a server has in work at a time
 YOUNG = 15 * SECOND  # a process that does not know its rate yet
 TEXT = "turning away: of {} servers {} healthy, {} have room, {} warm; level {:.2f}, gap {} ms"
-SWEEP, ASK, AGAIN, HOME, SHARE, HELD = range(6)  # timer tokens; from HELD on, one for each held request
 
 
-class Balancer:
+class Balancer(PolicyState):
     """Events in, actions out; the clock comes with each event, chance from the seeded source handed in."""
 
-    WAVE, D, LOOK, AGAIN, HOME = WAVE, D, LOOK, AGAIN, HOME  # for firgrade/moves.py
-
-    def __init__(self, settings: io.Settings, rng: Random) -> None:
-        self.settings, self.rng, self.now = settings, rng, 0
-        self.servers, self.ready, self.ring = dict[int, Server](), list[Server](), Ring()
-        self.zones = (settings.zone, None) if settings.prices.get("crossZone", 0) > 0 else (None,)
-        self.flows, self.held, self.holdings = dict[int, Flow](), dict[int, Flow](), Holdings()
-        self.cold = dict[Server, None]()  # not warm yet
-        self.next_token, self.started = HELD, False
-        # own sends a second, those of them that stood nowhere before, and the first as of the last send
-        self.sent, self.fresh, self.rate = Rate(), Rate(), 0.0
-        self.born = self.ask_at = 0
-        self.warming = Warming(settings)
-        self.waits = Waits(settings.ask_every)
-        self.opens = 0  # connections that stood at the start
-        fields = list(settings.report_fields)
-        self.load_field = next((fields.index(name) for name in ("x0", "util") if name in fields), -1)
-        self.held_field = fields.index("inflight") if "inflight" in fields else -1
-        self.probing = settings.probes and settings.report_via != "none" and self.load_field >= 0
-        self.felt = Felt(settings, SWEEP_LEAST) if settings.tells_delay and not self.probing else None
-        self.loads, self.sharing = self.felt or Loads(settings, SWEEP_LEAST), Sharing(settings)
-        self.earn = PROBE_SPEND / max(settings.prices.get("probe", 0), 1e-5)  # probes a request pays for
-        self.credit, self.asking = 4.0 * D, self.probing  # asking: before a draw, in place of sweeps
-        self.long = min((c.message_aim for c in settings.classes), default=SECOND) / 3  # for a message
-        self.log_at = self.unheard = self.succeeds = 0  # succeeds: until when SUCCEEDS
-        self.spacing = Spacing()
-        self.drained_at = -DRAINED  # when a server with connections of this node last began to drain
-        self.returned = dict[Server, int]()  # put back by hand and not used since; until when it matters
-        self.out: list[io.Action] = []
-        self.pace = Pace(2.0)  # of moves off full servers, where all nodes make them
-        kinds = "Members Request Open Established Outcome Gone Note Timer Probed PeerMessage Elsewhere"
-        self.on: dict[type, Any] = {getattr(io, k): getattr(self, f"_on_{k.lower()}") for k in kinds.split()}
-
-    def handle(self, event: io.Event, now: int) -> list[io.Action]:
+    WAVE, D, LOOK, AGAIN, HOME = WAVE, D, LOOK, AGAIN, HOME  # for limerudder/policy/rebalancing.py
+
+    def __init__(self, settings: Settings, rng: Random) -> None:
+        super().__init__(settings, rng)
+        self.on: dict[type, Any] = {
+            events.EndpointUpdate: self._on_members,
+            events.NewRequest: self._on_request,
+            events.ExistingConnection: self._on_open,
+            events.ConnectionEstablished: self._on_established,
+            events.AttemptEnded: self._on_outcome,
+            events.ClientDisconnected: self._on_gone,
+            events.LoadSample: self._on_load_sample,
+            events.LatencySample: self._on_latency_sample,
+            events.TimerFired: self._on_timer,
+            events.HealthCheckResult: self._on_probed,
+            events.PeerMessage: self._on_peermessage,
+            events.PredecessorConnections: self._on_elsewhere,
+        }
+
+    def handle(self, event: events.Event, now: int) -> list[actions.Action]:
         """Decide on one event; the actions are to be carried out in order."""
         self.now, self.out = max(now, self.now), []
         self.on[type(event)](event)
@@ -90,17 +85,17 @@
 
     # The list of servers
 
-    def _on_members(self, event: io.Members) -> None:
-        if event.kind == io.ListKind.FAILED:
+    def _on_members(self, event: events.EndpointUpdate) -> None:
+        if event.kind == events.UpdateKind.FAILED:
             return self._ask_in(self.waits.failed(self.rng))
-        hand = event.kind == io.ListKind.HAND
-        if not hand and event.kind != io.ListKind.DELTA:
+        hand = event.kind == events.UpdateKind.OPERATOR
+        if not hand and event.kind != events.UpdateKind.DELTA:
             named = {entry.server for entry in event.entries}
             for server in [s for s in self.ready if s.id not in named]:
-                self._list(server, io.State.GONE)
+                self._list(server, events.ServerState.GONE)
         for entry in event.entries:
             server = self.servers.get(entry.server) or Server(entry.server, self.now, self.rng.random())
-            if entry.since != server.since or (entry.state == io.State.READY != server.state):
+            if entry.since != server.since or (entry.state == events.ServerState.READY != server.state):
                 # one that hands put back is tried at once: each node has its own staff's word on it
                 server.forget(self.now, 1.0 if hand else self.rng.random())
                 self.cold[server] = None
@@ -108,9 +103,9 @@
             _, server.zone, _, server.cell, _, weight, server.since = entry
             server.weight = min(MOST_WEIGHT, max(1 / MOST_WEIGHT, weight))  # NaN too
             self._list(server, entry.state)
-            if hand and entry.state == io.State.READY:
-                self.returned[server] = self.now + moves.FETCH_FOR
-                self.out.append(io.SetTimer(self.now + moves.FETCH_BACK, AGAIN))
+            if hand and entry.state == events.ServerState.READY:
+                self.returned[server] = self.now + rebalancing.FETCH_FOR
+                self.out.append(actions.SetTimer(self.now + rebalancing.FETCH_BACK, AGAIN))
         self._count_warm()
         if hand:  # DANGER: discovery was not heard, and is to be asked no later for it
             return
@@ -119,24 +114,24 @@
             if self.probing:
                 self._sweep()
             if self.probing or self.felt:
-                moves.bring_home(self)
+                rebalancing.bring_home(self)
             if self.sharing.able and self.probing:
                 self.sharing.last = self.now
                 self._share()
             if self.settings.discovery == "on_request":
-                self._on_timer(io.Timer(ASK))
+                self._on_timer(events.TimerFired(ASK))
         else:
             self.waits.heard()
-            self._ask_in(int(self.settings.ask_every * self.rng.uniform(0.7, 0.9)))
+            self._ask_in(int(self.settings.poll_interval_us * self.rng.uniform(0.7, 0.9)))
 
     def _list(self, server: Server, state: int) -> None:
         was, server.state = server.state, state
-        if io.State.READY not in (was, state) or was == state:
+        if events.ServerState.READY not in (was, state) or was == state:
             return
-        self.ring.put(server.id, state == io.State.READY, server.weight)
-        (self.ready.append if state == io.State.READY else self.ready.remove)(server)
+        self.ring.put(server.id, state == events.ServerState.READY, server.weight)
+        (self.ready.append if state == events.ServerState.READY else self.ready.remove)(server)
         self.loads.listed(server, self.ready, self.now)
-        if state == io.State.DRAINING:
+        if state == events.ServerState.DRAINING:
             # DANGER: what a server still holds when it stops is cut off; sent away at once, all would crowd
             # the others in one moment
             live = [flow for flow in server.flows.values() if flow.live]
@@ -145,28 +140,28 @@
                 self._hold(flow, self.now + LEAVE * i // len(live))
 
     def _count_warm(self) -> None:
-        self.cold = {s: None for s in self.cold if self.now < s.since + self.settings.warm_up}
+        self.cold = {s: None for s in self.cold if self.now < s.since + self.settings.warm_up_us}
         self.warming.listed(self.ready, self.cold)
 
     def _ask_in(self, wait: int) -> None:
         """Ask discovery again after so long, and no sooner."""
         if self.settings.discovery == "on_request":
             self.ask_at = self.now + wait
-            self.out.append(io.SetTimer(self.ask_at, ASK))
+            self.out.append(actions.SetTimer(self.ask_at, ASK))
 
-    def _on_timer(self, event: io.Timer) -> None:
+    def _on_timer(self, event: events.TimerFired) -> None:
         if event.token == ASK and self.now >= self.ask_at:
-            self.out.append(io.Watch(True))
-            self._ask_in(self.settings.ask_every)
+            self.out.append(actions.WatchEndpoints(True))
+            self._ask_in(self.settings.poll_interval_us)
         elif event.token == SWEEP:
             self._sweep()
         elif event.token == SHARE:
             self._share()
         elif event.token in (AGAIN, HOME):
-            (moves.fetch_back if event.token == AGAIN else moves.bring_home)(self)
+            (rebalancing.fetch_back if event.token == AGAIN else rebalancing.bring_home)(self)
         elif (flow := self.held.pop(event.token, None)) is not None:
-            if flow.live and flow.server and flow.server.state == io.State.DRAINING:
-                self.out.append(io.Move(flow.id))
+            if flow.live and flow.server and flow.server.state == events.ServerState.DRAINING:
+                self.out.append(actions.MigrateClient(flow.id))
             elif not flow.over:
                 self._place(flow)
 
@@ -182,35 +177,30 @@
         self.asking, least = spend > SWEEP_MOST or shared, self.sharing.every // 2 if shared else SWEEP_LEAST
         self.loads.every = least if self.asking else int(max(spend, SWEEP_LEAST))
         if not self.asking:
-            self.out.extend(io.Probe(server.id) for server in self.ready)
+            self.out.extend(actions.CheckHealth(server.id) for server in self.ready)
         self._count_warm()
         self.loads.reckon(self.settings.balancers, self.asking, self.now)
         late = self.asking and not shared and self.now >= self.born + SWEEP_MOST
         wait = SWEEP_MOST if late else min(self.loads.every, SECOND if shared else SWEEP_MOST)
-        self.out.append(io.SetTimer(self.now + wait, SWEEP))
+        self.out.append(actions.SetTimer(self.now + wait, SWEEP))
 
     def _share(self) -> None:
         """Ask all servers in this node's turn, and tell its peers."""
         rates = self.usual_rate(), self.fresh.read(self.now, self.born)
-        actions, due = self.sharing.round(self.ready, rates, self.asking, self.now)
+        told, due = self.sharing.round(self.ready, rates, self.asking, self.now)
         # DANGER: what stood at the start comes after the first round, which shows servers that hold nothing
-        self.out += [*actions, io.SetTimer(min(due, self.now + SECOND), SHARE)]
+        self.out += [*told, actions.SetTimer(min(due, self.now + SECOND), SHARE)]
 
-    def _on_peermessage(self, event: io.PeerMessage) -> None:
+    def _on_peermessage(self, event: events.PeerMessage) -> None:
         message = decode(event.data) if event.sender != self.settings.me else ((0.0, 0.0), [])
         if message is None:
             self.sharing.strange += 1
         elif event.sender != self.settings.me:
             self.sharing.told(event.sender, message[0], self.now)
-            for number, load, held in matched(message[1], self.servers):
+            for number, load, held in match_servers(message[1], self.servers):
                 self._hear(self.servers[number], load, held)
 
-    def usual_rate(self) -> float:
-        """New connections a second that this node sees, or those that stood at the start tell of."""
-        opens = self.opens * SECOND / OPENS_PAY if self.now < self.born + OPENS_PAY else 0
-        return max(self.sent.read(self.now, self.born), opens, 0.01)
-
-    def _look(self, flow: Flow) -> bool:
+    def _look(self, flow: Connection) -> bool:
         """Ask the servers that the draw will meet, as far as own requests pay; whether to wait for them."""
         if not self.asking or flow.looked or self.now + LOOK >= flow.aim_at:
             return False
@@ -222,24 +212,20 @@
         due = self.probing and self.estimate(server) is None and self.now >= server.asked_at + SWEEP_LEAST
         if due and self.credit >= 1:
             self.credit, server.asked_at, self.unheard = self.credit - 1, self.now, self.unheard + 1
-            self.out.append(io.Probe(server.id))
+            self.out.append(actions.CheckHealth(server.id))
             return True
         return False
 
-    def estimate(self, server: Server) -> float | None:
-        """The server's load now, as far as it is known."""
-        return self.loads.estimate(server, self.now)
-
-    def adds(self, server: Server) -> float:
-        """What one more connection adds to this server's load."""
-        return self.loads.adds(server, self.now)
-
-    def _on_probed(self, event: io.Probed) -> None:
+    def _on_probed(self, event: events.HealthCheckResult) -> None:
         server = self.servers.get(event.server)
         # DANGER: the load reported is what is asked, not what is piled up; a probe waits behind that too
-        if server and event.latency > self.long and event.ending in (io.Ending.OK, io.Ending.TIMEOUT):
+        if (
+            server
+            and event.latency > self.long
+            and event.ending in (events.AttemptOutcome.OK, events.AttemptOutcome.TIMEOUT)
+        ):
             server.slow_at = self.now
-        if server is None or event.ending != io.Ending.OK or len(event.report) <= self.load_field:
+        if server is None or event.ending != events.AttemptOutcome.OK or len(event.report) <= self.load_field:
             return
         held = event.report[self.held_field] if len(event.report) > self.held_field >= 0 else 0
         self._hear(server, event.report[self.load_field], held)
@@ -247,24 +233,16 @@
     def _hear(self, server: Server, load: float, held: float) -> None:
         server.asked_at, self.unheard = 0, 0
         asked = self.loads.hear(server, load, held, len(self.ready), self.now)
-        moves.relieve(self, server, load, asked)
+        rebalancing.relieve(self, server, load, asked)
 
     # Which servers are eligible
 
-    def strange(self) -> int:
-        """Datagrams of peers that were passed over."""
-        return self.sharing.strange
-
     def avoided(self, now: int) -> set[int]:
         """The ready servers that are left out for now because of how they fare."""
         self.now = max(now, self.now)
         return {server.id for server in self.ready if not self.healthy(server)}
 
-    def healthy(self, server: Server) -> bool:
-        """Whether a server is not avoided for how it fares."""
-        return server.trial_at <= self.now and server.slow_at + NOTE_LIFE <= self.now
-
-    def _has_room(self, server: Server, level: float = 1.0, flow: Flow | None = None) -> bool:
+    def _has_room(self, server: Server, level: float = 1.0, flow: Connection | None = None) -> bool:
         estimate = self.estimate(server)
         if (felt := self.felt) and not felt.room(server, level, flow, self.now):
             return False
@@ -304,9 +282,9 @@
         fresh = self.fresh.read(self.now, self.born)
         return self.warming.may(server, share, times, fresh, self.now)
 
-    def _allowed(self, flow: Flow, server: Server) -> bool:
+    def _allowed(self, flow: Connection, server: Server) -> bool:
         """The rules alone: listed, within a cold budget, and not where an effect might happen twice."""
-        if server.state != io.State.READY or server in flow.tried:
+        if server.state != events.ServerState.READY or server in flow.tried:
             return False
         if flow.risk is not None:
             scope, where = flow.cls.key_scope, flow.risk[1]
@@ -314,26 +292,26 @@
                 return False
         return self._may_warm(server)
 
-    def over_share(self, flow: Flow) -> bool:
+    def over_share(self, flow: Connection) -> bool:
         """Whether the flow's tenant holds more here than its share."""
         quotas, mine = self.settings.tenant_quotas, self.holdings.tenants[flow.tenant]
         quota = quotas[flow.tenant] / self.settings.balancers if flow.tenant < len(quotas) else math.inf
         return mine > quota + math.sqrt(quota)  # DANGER: of a few connections, one by chance is no excess
 
-    def eligible(self, flow: Flow, server: Server, level: float, sick: bool = False) -> bool:
+    def eligible(self, flow: Connection, server: Server, level: float, sick: bool = False) -> bool:
         """Whether the flow may join this server, for all that this balancer knows."""
         well = sick or self.healthy(server)
         return well and self._has_room(server, level, flow) and self._allowed(flow, server)
 
     # The draw
 
-    def _walk(self, flow: Flow, zone: int | None) -> list[Server]:
+    def _walk(self, flow: Connection, zone: int | None) -> list[Server]:
         """Servers as they follow on the ring for the flow's group: candidates alike at every node."""
         # DANGER: without a group from a place of its own: ids begin at 1 at each node that begins anew
         ring = map(self.servers.__getitem__, self.ring.walk(flow.group or flow.place))
         return list(islice((s for s in ring if zone in (None, s.zone)), D))
 
-    def _pools(self, flow: Flow) -> Iterator[list[Server]]:
+    def _pools(self, flow: Connection) -> Iterator[list[Server]]:
         """Where to draw from, in turn: each is narrow, though a sample weighs many by their room."""
         if self.returned:  # one put back by hand is among the candidates until it has its first
             yield [*self.returned, *self.sample(self.ready)]
@@ -347,7 +325,7 @@
             if not (flow.group and self.asking) or self.sharing.live(self.now):
                 yield [s for s in self.sample(self.ready) if zone in (None, s.zone)]
 
-    def _draw(self, flow: Flow) -> Server | None:
+    def _draw(self, flow: Connection) -> Server | None:
         """The first pool that has an eligible server; in it, the fewest own connections of d at random."""
         # DANGER: where all stand at the mean, none is below it; sparing the busier must not turn anyone away
         # DANGER: a tenant beyond its share, worth little, would crowd out the others where room is short
@@ -377,22 +355,24 @@
         keys = {s: self.rng.random() ** (1 / room[s]) for s in servers}  # after Efraimidis and Spirakis
         return sorted(servers, key=keys.__getitem__, reverse=True)[:WIDE]
 
-    def _fewest(self, flow: Flow, pool: list[Server], level: float, sick: bool = False) -> Server | None:
+    def _fewest(
+        self, flow: Connection, pool: list[Server], level: float, sick: bool = False
+    ) -> Server | None:
         """The ordinary path: d servers, a few more looked at where some are not eligible."""
         found = list(islice((s for s in pool if self.eligible(flow, s, level, sick)), D))
         # in random order the first of equals is a tie broken at random; on the ring it is the group's first
         return min(found, key=lambda s: s.count) if found else None
 
-    def _place(self, flow: Flow) -> None:
+    def _place(self, flow: Connection) -> None:
         """Send the flow, hold it while there is hope, or give its final answer."""
         told, left = self.settings, flow.deadline - self.now
         window = flow.cls.repeat_window if flow.cls.effect == "keyed" else 0
         # DANGER: a connection may come up as late as its dial allows, and the line is written only then
-        stale = flow.risk is not None and self.now + told.connect_timeout >= flow.risk[0] + window
-        if stale or flow.sends >= told.try_limit or left <= 2 * told.tick:
+        stale = flow.risk is not None and self.now + told.connect_timeout_us >= flow.risk[0] + window
+        if stale or flow.sends >= told.max_attempts or left <= 2 * told.tick:
             return self._answer(flow)
         if self.spacing.gap and not flow.slot:
-            slot = self.spacing.slot(self.now, flow.deadline - told.connect_timeout)
+            slot = self.spacing.slot(self.now, flow.deadline - told.connect_timeout_us)
             if slot is None:
                 return self._answer(flow)  # early: it could not be set up in time
             flow.slot = slot
@@ -407,13 +387,13 @@
         else:
             self._answer(flow)
 
-    def _hold(self, flow: Flow, until: int) -> None:
+    def _hold(self, flow: Connection, until: int) -> None:
         self.next_token += 1
         self.held[self.next_token] = flow
-        self.out.append(io.SetTimer(until, self.next_token))
+        self.out.append(actions.SetTimer(until, self.next_token))
 
-    def _send(self, flow: Flow, server: Server, left: int) -> None:
-        last = flow.sends + 1 >= self.settings.try_limit
+    def _send(self, flow: Connection, server: Server, left: int) -> None:
+        last = flow.sends + 1 >= self.settings.max_attempts
         # DANGER: after a wave set-ups take long at a store they share; given up at the aim and sent again,
         # each is done twice and later still. What a connection earns, it earns over its life.
         wait = left if last or self.spacing.gap else max(left // 2, min(left, flow.cls.aim))
@@ -428,9 +408,9 @@
             self.warming.sent(self.now)
             self.fresh.count(self.now, self.born) if not flow.back else None
             self.credit = min(self.credit + self.earn, 4 * D + self.earn)
-        self.out.append(io.Send(flow.id, server.id, wait))
+        self.out.append(actions.StartAttempt(flow.id, server.id, wait))
 
-    def _join(self, flow: Flow, server: Server) -> None:
+    def _join(self, flow: Connection, server: Server) -> None:
         flow.server = server
         server.setting_up += not flow.up
         server.flows[flow.id] = flow
@@ -438,88 +418,98 @@
 
     # What follows an outcome
 
-    def _answer(self, flow: Flow) -> None:
+    def _answer(self, flow: Connection) -> None:
         """The final answer: refused where the rules let a client try again, else failed."""
         if self.now >= self.log_at:
             self.log_at = self.now + 5 * SECOND
             fit = [sum(map(test, self.ready)) for test in (self.healthy, self._has_room, self._may_warm)]
             self.out.append(
-                io.Log(TEXT.format(len(self.ready), *fit, self.loads.level, self.spacing.gap // 1000))
+                actions.LogMessage(
+                    TEXT.format(len(self.ready), *fit, self.loads.level, self.spacing.gap // 1000)
+                )
             )
         keyed = flow.cls.effect == "keyed" and flow.cls.key_scope == "all"
         if flow.risk is None or keyed or flow.cls.effect == "safe":
-            self.out.append(io.Refuse(flow.id, SECOND if self.settings.retry_after else 0))
+            self.out.append(actions.RejectRequest(flow.id, SECOND if self.settings.retry_after else 0))
         else:
-            self.out.append(io.Fail(flow.id))
+            self.out.append(actions.FailRequest(flow.id))
         self._conclude(flow)
 
-    def _conclude(self, flow: Flow) -> None:
+    def _conclude(self, flow: Connection) -> None:
         flow.over = True
         if flow.server is None:
             self.flows.pop(flow.id, None)
 
-    def _on_request(self, event: io.Request) -> None:
+    def _on_request(self, event: events.NewRequest) -> None:
         if event.id not in self.flows:
-            self.flows[event.id] = flow = Flow(event, self.settings.classes[event.cls], self.now)
+            self.flows[event.id] = flow = Connection(event, self.settings.classes[event.cls], self.now)
             flow.place = self.rng.getrandbits(32)
             self._place(flow)
 
-    def _on_open(self, event: io.Open) -> None:
+    def _on_open(self, event: events.ExistingConnection) -> None:
         if event.id in self.flows:
             return
         server = self.servers.setdefault(event.server, Server(event.server, self.now, 0.0))
-        self.flows[event.id] = flow = Flow(event, self.settings.classes[event.cls], self.now)
+        self.flows[event.id] = flow = Connection(event, self.settings.classes[event.cls], self.now)
         flow.sends, flow.live, flow.up, flow.over = 1, True, True, True
         self.opens, self.warming.born = self.opens + 1, self.born
         self._join(flow, server)
 
-    def _on_elsewhere(self, event: io.Elsewhere) -> None:
+    def _on_elsewhere(self, event: events.PredecessorConnections) -> None:
         # DANGER: a process just begun that holds nothing would take each client that comes over from the one
         # before it for load on top of what reports tell; until they tell otherwise, it would turn all away
         if (server := self.servers.get(event.server)) is not None:
             server.elsewhere, self.succeeds = event.many, self.now + SUCCEEDS
 
-    def _out(self, event: io.Established | io.Outcome | io.Note) -> Flow | None:
+    def _out(
+        self,
+        event: events.ConnectionEstablished | events.AttemptEnded | events.LoadSample | events.LatencySample,
+    ) -> Connection | None:
         """The flow whose attempt this is about. DANGER: late or repeated words would count it off twice."""
         flow = self.flows.get(event.id)
         if flow is None or flow.server is None or flow.sends - 1 != event.attempt:
             return None
         return flow if flow.server.id == event.server else None
 
-    def _on_established(self, event: io.Established) -> None:
+    def _on_established(self, event: events.ConnectionEstablished) -> None:
         if (flow := self._out(event)) is None or flow.server is None:
             return
         flow.server.setting_up -= not flow.up
         flow.live, flow.up, flow.over, flow.up_at = True, True, True, self.now
-        if flow.server.state == io.State.DRAINING:  # since it was sent: it leaves like what stood there
+        if (
+            flow.server.state == events.ServerState.DRAINING
+        ):  # since it was sent: it leaves like what stood there
             self._hold(flow, self.now)
         flow.server.strikes = flow.server.trial_at = 0
         if self.felt and 3 * event.latency > flow.cls.aim:  # as with messages: a third of the aim is long
             flow.server.slow_at = self.now - NOTE_LIFE + SECOND
         self.spacing.made(self.rate)
 
-    def _on_gone(self, event: io.Gone) -> None:
+    def _on_gone(self, event: events.ClientDisconnected) -> None:
         flow = self.flows.get(event.id)
         if flow is None or flow.over:
             return
         self._conclude(flow)
         if flow.server is not None and not flow.live and self.settings.cancel:
-            self.out.append(io.Cancel(flow.id, flow.sends - 1))
+            self.out.append(actions.CancelAttempt(flow.id, flow.sends - 1))
 
-    def _on_note(self, event: io.Note) -> None:
-        if (flow := self._out(event)) is None or flow.server is None:
+    def _on_load_sample(self, event: events.LoadSample) -> None:
+        flow = self._out(event)
+        if flow is not None and flow.server is not None and event.load >= 0:
+            self.loads.weigh(flow, event.load)
+
+    def _on_latency_sample(self, event: events.LatencySample) -> None:
+        flow = self._out(event)
+        if flow is None or flow.server is None:
             return
-        if event.kind == io.NOTE_LOAD and event.value >= 0:
-            self.loads.weigh(flow, event.value)
-        elif event.kind == io.NOTE_DELAY:
-            server, took = flow.server, event.value * 1000
-            server.slow_at = self.now if took > self.long else -NOTE_LIFE
-            if self.felt:
-                moves.feel(self, self.felt, server, took)
-            elif self.asking and took > flow.cls.message_aim:
-                moves.ease_slow(self, server)
-
-    def _on_outcome(self, event: io.Outcome) -> None:
+        server, took = flow.server, event.latency_ms * 1000
+        server.slow_at = self.now if took > self.long else -NOTE_LIFE
+        if self.felt:
+            rebalancing.feel(self, self.felt, server, took)
+        elif self.asking and took > flow.cls.message_objective_us:
+            rebalancing.ease_slow(self, server)
+
+    def _on_outcome(self, event: events.AttemptEnded) -> None:
         if (flow := self._out(event)) is None or (server := flow.server) is None:
             return
         flow.server = None
@@ -531,23 +521,33 @@
             self._conclude(flow)
             return
         flow.tried.append(server)
-        if event.ending not in io.NEVER_RAN and flow.cls.effect != "safe" and flow.risk is None:
+        if (
+            event.ending not in events.NOT_EXECUTED_OUTCOMES
+            and flow.cls.effect != "safe"
+            and flow.risk is None
+        ):
             flow.risk = (self.now - event.latency, server)
-        (self._answer if event.ending == io.Ending.MOOT else self._place)(flow)
+        (self._answer if event.ending == events.AttemptOutcome.OBSOLETE else self._place)(flow)
 
-    def _learn(self, server: Server, flow: Flow, ending: int) -> None:
+    def _learn(self, server: Server, flow: Connection, ending: int) -> None:
         """What an ending tells of its server."""
-        if ending in (io.Ending.OK, io.Ending.CANCELLED, io.Ending.MOOT) or server.state != io.State.READY:
+        if (
+            ending
+            in (events.AttemptOutcome.OK, events.AttemptOutcome.CANCELLED, events.AttemptOutcome.OBSOLETE)
+            or server.state != events.ServerState.READY
+        ):
             return
-        if self.felt and ending == io.Ending.RESET and flow.over:
+        if self.felt and ending == events.AttemptOutcome.RESET and flow.over:
             self.felt.dropped(server, self.now)
         # DANGER: one that is full without any of ours is no ceiling: it would win each further draw
-        if server.count and (ending == io.Ending.FULL or (ending == io.Ending.RESET and flow.over)):
+        if server.count and (
+            ending == events.AttemptOutcome.FULL or (ending == events.AttemptOutcome.RESET and flow.over)
+        ):
             # the paper's block, or a drop under load (of one being moved too): it holds all it can of ours
             server.ceiling, server.ceiling_at = server.count, self.now
             return
         young = self.felt is not None and self.now < self.born + YOUNG
-        shared = ending in (io.Ending.ERROR, io.Ending.TIMEOUT)
+        shared = ending in (events.AttemptOutcome.ERROR, events.AttemptOutcome.TIMEOUT)
         if shared and self.spacing.failed(self.rate, young):
             return
         server.strikes += 1
--- a/firgrade/listclock.py
+++ b/limerudder/policy/discovery_timing.py
@@ -14,22 +14,33 @@
 from random import Random
 
 SECOND = 1_000_000
-TOLD = 6 * SECOND  #: the operators' bound, silence and failures included
-FIRST_WORD = 2 * SECOND  #: for the first byte of an answer; the service fails what waits longer by itself
-WHOLE = 3 * SECOND  #: for a list from its first byte on, and for a call's first list from the call on
-SILENT = 3 * SECOND  #: a watch without a word: an empty line is due every 2 s
-GIVEN_UP = max(FIRST_WORD, WHOLE, SILENT)  #: no call is out and dead for longer
-WAIT_FIRST, WAIT_MOST = SECOND // 2, 4 * SECOND // 5  #: until the next call: after one failure, after many
-LOOK = SECOND // 10  #: between looks at the calls that are out
-AGENT_WORD = 3 * SECOND // 10  #: an agent on the node's own machine answers at once, or discovery is down
-AGENT_WAIT = SECOND // 10  #: until it is asked anew: that costs nobody anything
-
-
-class CallClock:
+NOTIFY_DEADLINE_US = 6 * SECOND  #: the operators' bound, silence and failures included
+FIRST_BYTE_TIMEOUT_US = (
+    2 * SECOND
+)  #: for the first byte of an answer; the service fails what waits longer by itself
+COMPLETE_TIMEOUT_US = (
+    3 * SECOND
+)  #: for a list from its first byte on, and for a call's first list from the call on
+IDLE_TIMEOUT_US = 3 * SECOND  #: a watch without a word: an empty line is due every 2 s
+CALL_TIMEOUT_US = max(
+    FIRST_BYTE_TIMEOUT_US, COMPLETE_TIMEOUT_US, IDLE_TIMEOUT_US
+)  #: no call is out and dead for longer
+FIRST_BACKOFF_US, MAX_BACKOFF_US = (
+    SECOND // 2,
+    4 * SECOND // 5,
+)  #: until the next call: after one failure, after many
+CHECK_INTERVAL_US = SECOND // 10  #: between looks at the calls that are out
+AGENT_FIRST_BYTE_TIMEOUT_US = (
+    3 * SECOND // 10
+)  #: an agent on the node's own machine answers at once, or discovery is down
+AGENT_RETRY_INTERVAL_US = SECOND // 10  #: until it is asked anew: that costs nobody anything
+
+
+class CallDeadline:
     """One call that is out: told of its signs of life, it tells whether it is dead."""
 
     def __init__(self, pushed: bool, now: int) -> None:
-        self.called, self.first = now, AGENT_WORD if pushed else FIRST_WORD
+        self.called, self.first = now, AGENT_FIRST_BYTE_TIMEOUT_US if pushed else FIRST_BYTE_TIMEOUT_US
         self.heard: int | None = None  # when the last byte came
         self.begun: int | None = None  # when the list that has not ended began
         self.lists = 0
@@ -44,16 +55,16 @@
         if self.heard is None:
             return now - self.called > self.first
         # guards against a list that never ends and one that never begins, however lively the call is
-        if self.begun is not None and now - self.begun > WHOLE:
+        if self.begun is not None and now - self.begun > COMPLETE_TIMEOUT_US:
             return True
-        return now - (self.heard if self.lists else self.called) > SILENT
+        return now - (self.heard if self.lists else self.called) > IDLE_TIMEOUT_US
 
 
-class Waits:
+class Backoff:
     """Waits between calls while they fail (truncated exponential back-off, drawn anew each time)."""
 
-    def __init__(self, ask_every: int) -> None:
-        self.most, self.failures = min(WAIT_MOST, max(ask_every // 2, LOOK)), 0
+    def __init__(self, poll_interval_us: int) -> None:
+        self.most, self.failures = min(MAX_BACKOFF_US, max(poll_interval_us // 2, CHECK_INTERVAL_US)), 0
 
     def heard(self) -> None:
         """Discovery has told its list."""
@@ -61,6 +72,6 @@
 
     def failed(self, rng: Random) -> int:
         """One more call has failed: how long to wait, so that not all nodes ask at once."""
-        most = min(WAIT_FIRST << min(self.failures, 4), self.most)
+        most = min(FIRST_BACKOFF_US << min(self.failures, 4), self.most)
         self.failures += 1
         return int(most * rng.uniform(0.25, 1))
--- a/firgrade/sharing.py
+++ b/limerudder/policy/gossip.py
@@ -11,8 +11,16 @@
 import struct
 from collections.abc import Iterable, Iterator, Sequence
 
-from . import interface as io
-from .records import SECOND, Server
+from limerudder.policy.actions import (
+    ALL_PEERS,
+    Action,
+    CheckHealth,
+    SendPeerMessage,
+)
+from limerudder.policy.records import SECOND, Server
+from limerudder.policy.settings import (
+    Settings,
+)
 
 SPEND = 0.02  #: of the result goes into shared reports at most; each node's own asking took as much
 FEW = 6  #: nodes that see enough of every server by themselves
@@ -50,10 +58,10 @@
     ]
 
 
-class Sharing:
+class LoadGossip:
     """One node's view of the rounds. Times in microseconds."""
 
-    def __init__(self, settings: io.Settings) -> None:
+    def __init__(self, settings: Settings) -> None:
         self.me, self.nodes = settings.me, max(settings.balancers, 1)
         self.able = settings.peers and settings.probes and self.nodes > FEW
         self.price_probe = settings.prices.get("probe", 0)
@@ -93,7 +101,7 @@
 
     def round(
         self, ready: Sequence[Server], rates: Rates, asking: bool, now: int
-    ) -> tuple[list[io.Action], int]:
+    ) -> tuple[list[Action], int]:
         """What to do now, and when to look again: ask all servers in one's own turn, then tell all peers."""
         # DANGER: of 40 nodes each sees a request in ten seconds or so. None can pay for what it has to know,
         # and all together pay for the same reports over and over
@@ -103,16 +111,16 @@
             return [], now + PAUSE
         if self.asked_at:
             rows = [(s.id, *s.report) for s in ready if s.report_at >= self.asked_at]
-            told: list[io.Action] = [io.Tell(io.ALL_PEERS, data) for data in encode(rates, rows)]
+            told: list[Action] = [SendPeerMessage(ALL_PEERS, data) for data in encode(rates, rows)]
             self.told(self.me, rates, now)
             return told, self.turn()
         if now >= due:
             self.asked_at = now
-            return [io.Probe(server.id) for server in ready], now + REPORTS
+            return [CheckHealth(server.id) for server in ready], now + REPORTS
         return [], due
 
 
-def matched(rows: Iterable[Row], known: Iterable[int]) -> Iterator[tuple[int, float, int]]:
+def match_servers(rows: Iterable[Row], known: Iterable[int]) -> Iterator[tuple[int, float, int]]:
     """The rows with whole ids; those that two servers share or none has are left out."""
     by_low: dict[int, int] = {}
     for server in known:
--- a/firgrade/ring.py
+++ b/limerudder/policy/hash_ring.py
@@ -1,6 +1,6 @@
 """Consistent hashing: where members stand on a ring that looks the same to all who hold the same members.
 
-A container only; who is put in, and how far a draw walks, is decided in firgrade/choice.py.
+A container only; who is put in, and how far a draw walks, is decided in limerudder/policy/balancer.py.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 _MASK = 0xFFFFFFFF
 
 
-class Ring:
+class HashRing:
     """Members are 32-bit ids; putting one in or out touches its own points only."""
 
     def __init__(self) -> None:
--- a/firgrade/felt.py
+++ b/limerudder/policy/load_inference.py
@@ -5,8 +5,8 @@
 fast it grows tells the load: the bottleneck model of TCP BBR (Cardwell et al., 2016), with CoDel's lesson
 (Nichols and Jacobson, 2012) that a queue which stands is what does harm. What is not this node's own is the
 other nodes'. The longer all is quiet the less they are believed to ask, slowly at first, then fast, as CUBIC
-probes (Ha, Rhee and Xu, 2008). Readings only: firgrade/choice.py decides. Loads are in microseconds of work a
-second.
+probes (Ha, Rhee and Xu, 2008). Readings only: the balancer decides.
+Loads are in microseconds of work a second.
 """
 
 from __future__ import annotations
@@ -14,9 +14,11 @@
 import math
 from collections.abc import Sequence
 
-from . import interface as io
-from .loads import Loads
-from .records import SECOND, Flow, Server
+from limerudder.policy.records import SECOND, Connection, Server
+from limerudder.policy.reported_loads import ReportedLoads
+from limerudder.policy.settings import (
+    Settings,
+)
 
 SHARED_OUT = 0.82  #: of what a fleet can do, about so much is shared out to its tenants
 WORD = 3 * SECOND // 2  #: words come once a second while messages are slow: so long without, they are well
@@ -36,15 +38,15 @@
 ALONE = 4 * SECOND  #: of quiet, after which others are not reckoned to take the same room at the same time
 
 
-class Felt(Loads):
+class InferredLoads(ReportedLoads):
     """Loads without reports."""
 
-    def __init__(self, settings: io.Settings, every: int) -> None:
+    def __init__(self, settings: Settings, every: int) -> None:
         super().__init__(settings, every)
         self.usual = dict[int, tuple[float, int]]()  # of each class: mean load of a connection; of so many
         self.mean, self.many = 0.0, 0  # load of a connection; of so many
         self.keys = dict[int, float]()  # load of what is much dearer than usual, the latest last
-        self.short = min((c.message_aim for c in settings.classes), default=SECOND)
+        self.short = min((c.message_objective_us for c in settings.classes), default=SECOND)
         self.nodes, self.groups = max(settings.balancers, 1), settings.groups
         quotas = [quota for quota in settings.tenant_quotas if 0 < quota < math.inf]
         self.connections = sum(quotas) / SHARED_OUT  # of the usual load, that the fleet can hold
@@ -58,7 +60,7 @@
         """The list has changed: the most that stood on it is the fleet that shares are told of."""
         self.ready, self.total = others, max(self.total, sum(other.weight for other in others))
 
-    def weigh(self, flow: Flow, load: float) -> None:
+    def weigh(self, flow: Connection, load: float) -> None:
         """A connection has told its load."""
         mean, many = self.usual.get(flow.kind, (0.0, 0))
         if flow.key and (flow.key in self.keys or (many and load > DEAR * mean)):
@@ -72,11 +74,11 @@
             self.mean += (load - self.mean) / self.many
         flow.load = load
 
-    def weight(self, flow: Flow) -> float:
+    def weight(self, flow: Connection) -> float:
         """Load of one connection as far as it is known."""
         return flow.load or self.keys.get(flow.key, 0.0) or self.usual.get(flow.kind, (self.mean, 0))[0]
 
-    def dear(self, flow: Flow) -> bool:
+    def dear(self, flow: Connection) -> bool:
         """Whether a connection asks for many times what is usual in its class."""
         return self.weight(flow) > DEAR * self.usual.get(flow.kind, (math.inf, 0))[0]
 
@@ -133,7 +135,7 @@
         # as if all nodes were like this one
         return here + self.all * (self.nodes - 1) * server.weight / self.total
 
-    def room(self, server: Server, level: float, flow: Flow | None, now: int) -> bool:
+    def room(self, server: Server, level: float, flow: Connection | None, now: int) -> bool:
         """Whether this node may add a connection there, `level` of what it can do at most being asked."""
         can, quiet = self.can(server, now), now - server.word_at
         asks = self.weight(flow) if flow else self.mean
--- a/firgrade/spacing.py
+++ b/limerudder/policy/pacing.py
@@ -6,13 +6,13 @@
 
 from __future__ import annotations
 
-from .records import SECOND
+from limerudder.policy.records import SECOND
 
 WAVE = 4  #: times the usual rate: to this sends are first slowed
 FAILS = 3  #: more set-ups that failed than were made, before a process of no known rate is slowed
 
 
-class Spacing:
+class ConnectPacer:
     """The gap between sends, in microseconds; 0 as a rule."""
 
     def __init__(self) -> None:
--- a/firgrade/moves.py
+++ b/limerudder/policy/rebalancing.py
@@ -1,6 +1,6 @@
 """Connections that stand, moved for a reason of the node's own: which, and when.
 
-Where a moved client goes is decided by firgrade/choice.py as it comes again, like any other.
+Where a moved client goes is decided by limerudder/policy/balancer.py as it comes again, like any other.
 """
 
 from __future__ import annotations
@@ -8,12 +8,22 @@
 from random import Random
 from typing import Protocol
 
-from . import interface as io
-from .felt import Felt
-from .loads import EASY, Loads
-from .records import SECOND, Flow, Pace, Rate, Server
-from .sharing import Sharing
-from .spacing import Spacing
+from limerudder.policy.actions import (
+    Action,
+    MigrateClient,
+    SetTimer,
+)
+from limerudder.policy.events import (
+    ServerState,
+)
+from limerudder.policy.gossip import LoadGossip
+from limerudder.policy.load_inference import InferredLoads
+from limerudder.policy.pacing import ConnectPacer
+from limerudder.policy.records import SECOND, Connection, RateEstimator, Server, TokenBucket
+from limerudder.policy.reported_loads import EASY, ReportedLoads
+from limerudder.policy.settings import (
+    Settings,
+)
 
 FETCH_BACK, FETCH_FOR = SECOND // 2, 4 * SECOND  #: one is moved for a server put back by hand, so often
 HOMING = 3  #: a move home pays where a whole life away costs this many times the move: gaps cost too
@@ -33,22 +43,22 @@
     LOOK: int
     AGAIN: int
     HOME: int
-    settings: io.Settings
+    settings: Settings
     rng: Random
     now: int
     born: int
-    spacing: Spacing
+    spacing: ConnectPacer
     opens: int
-    out: list[io.Action]
+    out: list[Action]
     ready: list[Server]
-    flows: dict[int, Flow]
+    flows: dict[int, Connection]
     returned: dict[Server, int]
-    fresh: Rate
-    pace: Pace
-    sharing: Sharing
+    fresh: RateEstimator
+    pace: TokenBucket
+    sharing: LoadGossip
 
     @property
-    def loads(self) -> Loads:
+    def loads(self) -> ReportedLoads:
         """What is known of the servers' loads."""
 
     def usual_rate(self) -> float:
@@ -60,13 +70,13 @@
     def adds(self, server: Server) -> float:
         """What one more connection adds to it."""
 
-    def over_share(self, flow: Flow) -> bool:
+    def over_share(self, flow: Connection) -> bool:
         """Whether the flow's tenant holds more than its share."""
 
     def healthy(self, server: Server) -> bool:
         """Whether the server is not avoided for how it fares."""
 
-    def eligible(self, flow: Flow, server: Server, level: float) -> bool:
+    def eligible(self, flow: Connection, server: Server, level: float) -> bool:
         """Whether the flow may join the server."""
 
     def sample(self, servers: list[Server]) -> list[Server]:
@@ -79,7 +89,7 @@
 def fetch_back(node: Mover) -> None:
     """Move a connection of the server with most, where one that staff have put back is not used yet."""
     # DANGER: connections last minutes; where few are new, one put back would stand idle beside full ones
-    node.returned = {s: t for s, t in node.returned.items() if t > node.now and s.state == io.State.READY}
+    node.returned = {s: t for s, t in node.returned.items() if t > node.now and s.state == ServerState.READY}
     if not node.returned:
         return
     most = max(node.ready, key=lambda s: s.count)
@@ -87,8 +97,8 @@
     if live and most not in node.returned:
         flow = node.rng.choice(live)
         flow.live = False
-        node.out.append(io.Move(flow.id))
-    node.out.append(io.SetTimer(node.now + FETCH_BACK, node.AGAIN))
+        node.out.append(MigrateClient(flow.id))
+    node.out.append(SetTimer(node.now + FETCH_BACK, node.AGAIN))
 
 
 def relieve(node: Mover, server: Server, load: float, asked: float) -> None:
@@ -102,9 +112,9 @@
         ease(node, server, (asked - node.loads.level) / load, shared)
 
 
-def feel(node: Mover, felt: Felt, server: Server, took: float) -> None:
+def feel(node: Mover, felt: InferredLoads, server: Server, took: float) -> None:
     """A message took so long at a server: send away what is too much, the dearest for its worth first."""
-    goal, spare = felt.note(server, took, node.now), max(node.settings.over_share_worth, 0.01)
+    goal, spare = felt.note(server, took, node.now), max(node.settings.over_quota_weight, 0.01)
     live = [f for f in server.flows.values() if f.live] if goal > 0 else []
     live.sort(key=lambda f: felt.weight(f) / f.cls.worth / (spare if node.over_share(f) else 1), reverse=True)
     for flow in live:
@@ -113,7 +123,7 @@
         # DANGER: one that asks for half a server by itself would have all the others sent away in its stead
         if felt.dear(flow) or node.rng.random() * felt.weight(flow) < goal:
             goal, flow.live = goal - felt.weight(flow), False
-            node.out.append(io.Move(flow.id))
+            node.out.append(MigrateClient(flow.id))
     felt.settle(server)
 
 
@@ -133,7 +143,7 @@
     loads = [f.load for f in node.flows.values() if f.live and f.load]
     usual = sum(loads) / max(len(loads), 1)
     live = [f for f in server.flows.values() if f.live and f.load]
-    spare = max(node.settings.over_share_worth, 0.01)
+    spare = max(node.settings.over_quota_weight, 0.01)
     live.sort(key=lambda f: f.load / f.cls.worth / (spare if node.over_share(f) else 1), reverse=True)
     goal = excess * sum(f.load for f in live)
     for flow in live:
@@ -143,7 +153,7 @@
         if shared and not node.pace.take(node.now, node.WAVE * usual_fresh(node)):
             break
         goal, flow.live = goal - flow.load, False
-        node.out.append(io.Move(flow.id))
+        node.out.append(MigrateClient(flow.id))
 
 
 def usual_fresh(node: Mover) -> float:
@@ -160,7 +170,7 @@
     told = node.settings
     if told.prices.get("crossZone", 0) <= HOMING * told.prices.get("moves", 0):
         return
-    away: list[Flow] = []
+    away: list[Connection] = []
     # DANGER: filled by a guess alone, a zone's hosts may be overfull, and nothing would ever tell
     if not node.spacing.gap and node.loads.tells:
         far = {s.id for s in node.ready if s.zone != told.zone}
@@ -182,7 +192,7 @@
         room = sum((level - (node.estimate(s) or 0)) / max(node.adds(s), 0.001) for s in known)
         if node.rng.random() < room / told.balancers * wait / max(2 * node.loads.every, SECOND):
             flow.live = False
-            node.out.append(io.Move(flow.id))
+            node.out.append(MigrateClient(flow.id))
         elif not known and sum(node.ask(server) for server in near[: node.D]):
             wait = node.LOOK
-    node.out.append(io.SetTimer(node.now + int(wait * node.rng.uniform(0.5, 1.5)), node.HOME))
+    node.out.append(SetTimer(node.now + int(wait * node.rng.uniform(0.5, 1.5)), node.HOME))
--- a/firgrade/records.py
+++ b/limerudder/policy/records.py
@@ -1,16 +1,24 @@
-"""What a balancer keeps of each server and of each request. Records only: firgrade/choice.py decides."""
+"""What a balancer keeps of each server and of each request; it decides nothing."""
 
 from __future__ import annotations
 
 from collections import Counter
 
-from . import interface as io
+from limerudder.policy.events import (
+    FLAG_RECONNECT,
+    ExistingConnection,
+    NewRequest,
+    ServerState,
+)
+from limerudder.policy.settings import (
+    TrafficClass,
+)
 
 SECOND = 1_000_000
 NOTE_LIFE = 5 * SECOND // 2  #: delay notes come once a second; one may be lost, two mean silence
 
 
-class Rate:
+class RateEstimator:
     """How often something happens, a second, over the last 15 s or since the start."""
 
     def __init__(self) -> None:
@@ -30,7 +38,7 @@
         return min(now - born, 15 * SECOND) + SECOND
 
 
-class Pace:
+class TokenBucket:
     """A bound on how often something is done: a few at once, then at a rate (a token bucket)."""
 
     def __init__(self, most: float) -> None:
@@ -49,10 +57,10 @@
     def __init__(self, server: int, now: int, phase: float) -> None:
         self.id = server
         self.zone = self.cell = self.since = 0
-        self.flows: dict[int, Flow] = {}  # the attempts and connections that make up the count
+        self.flows: dict[int, Connection] = {}  # the attempts and connections that make up the count
         self.setting_up = 0  # of these, the attempts
         self.elsewhere = 0  # connections of this balancer that another process of its node holds
-        self.state: int = io.State.GONE
+        self.state: int = ServerState.GONE
         self.weight = 1.0  # its size as discovery lists it
         self.forget(now, phase)
 
@@ -78,10 +86,10 @@
         self.piled = 0.0  # microseconds of work that have piled up, as reckoned from reports
 
 
-class Flow:
+class Connection:
     """One request, from its arrival to the end of its connection."""
 
-    def __init__(self, event: io.Request | io.Open, cls: io.TrafficClass, now: int) -> None:
+    def __init__(self, event: NewRequest | ExistingConnection, cls: TrafficClass, now: int) -> None:
         self.id, self.cls, self.tenant, self.group = event.id, cls, event.tenant, event.group
         self.deadline, self.aim_at = now + event.time_left, now + min(cls.aim, event.time_left)
         self.tried: list[Server] = []
@@ -89,20 +97,20 @@
         self.place, self.looked = 0, False  # on the ring, without a group; its candidates were asked
         self.server: Server | None = None  # where an attempt is out or the connection lives
         self.live = self.over = False
-        self.back = bool(event.flags & io.CAME_BACK)  # stood elsewhere a moment ago
+        self.back = bool(event.flags & FLAG_RECONNECT)  # stood elsewhere a moment ago
         self.up, self.up_at = False, 0  # set up; stays so to its end; since when
         self.risk: tuple[int, Server] | None = None  # when and where an attempt was sent that may have run
         self.load, self.kind, self.key = 0.0, event.cls, event.key
 
 
-class Holdings:
+class GroupIndex:
     """Where this node's connections are: each tenant's number, and each group's number on each server."""
 
     def __init__(self) -> None:
         self.tenants: Counter[int] = Counter()
         self.groups: dict[int, Counter[Server]] = {}
 
-    def tally(self, flow: Flow, server: Server, by: int) -> None:
+    def tally(self, flow: Connection, server: Server, by: int) -> None:
         """Count a connection in (1) or out (-1)."""
         self.tenants[flow.tenant] += by
         if flow.group:
--- a/firgrade/loads.py
+++ b/limerudder/policy/reported_loads.py
@@ -1,7 +1,7 @@
 """What load reports tell of the servers: their load now, what one more connection would add, the usual level.
 
-Readings only: which server gets what is decided in firgrade/choice.py. Loads are shares of what a server can
-do at this moment, times microseconds.
+Readings only: which server gets what is decided by the balancer.
+Loads are shares of what a server can do at this moment, times are microseconds.
 """
 
 from __future__ import annotations
@@ -9,8 +9,13 @@
 import math
 from collections.abc import Sequence
 
-from . import interface as io
-from .records import SECOND, Flow, Server
+from limerudder.policy.events import (
+    ServerState,
+)
+from limerudder.policy.records import SECOND, Connection, Server
+from limerudder.policy.settings import (
+    Settings,
+)
 
 EASY = 0.7  #: up to this share of its capacity a server answers in time: no need to spare it
 FULL = 0.85  #: no new connection beyond this: loads swing after they are placed
@@ -21,11 +26,11 @@
 LIVES = 3  #: times the time between reports that one counts for
 
 
-class Loads:
+class ReportedLoads:
     """The reports that one node has heard."""
 
-    def __init__(self, settings: io.Settings, every: int) -> None:
-        self.start_capacity, self.warm_up = settings.start_capacity, max(settings.warm_up, 1)
+    def __init__(self, settings: Settings, every: int) -> None:
+        self.initial_capacity, self.warm_up_us = settings.initial_capacity, max(settings.warm_up_us, 1)
         self.counted = "inflight" in settings.report_fields  # reports say how many connections a server holds
         self.every = every  # between reports of a server
         self.error = (1 - FULL) / DEVIATIONS  # how far estimates are off reports, on average
@@ -58,7 +63,7 @@
         self.known[server] = None
         return load + self.pile(server)
 
-    def weigh(self, flow: Flow, load: float) -> None:
+    def weigh(self, flow: Connection, load: float) -> None:
         """A connection has told its load, in microseconds of work a second."""
         flow.load = load
 
@@ -67,7 +72,7 @@
         # DANGER: all that stood there comes again within a second or two, to every node, and no report shows
         # it yet: each node would fill what looked empty before
         asked, sizes = self.estimate(server, now), [self.size(s, now) for s in others]
-        for other in others if server.state != io.State.READY else ():
+        for other in others if server.state != ServerState.READY else ():
             if other.load is not None and asked:
                 other.load += max(asked, 0) * self.size(server, now) / sum(sizes)
 
@@ -77,7 +82,7 @@
 
     def reckon(self, nodes: int, alone: bool, now: int) -> None:
         """Set the level and what one connection adds; `alone`: each counts once, else for all nodes."""
-        known = [s for s in self.known if self.estimate(s, now) is not None and s.state == io.State.READY]
+        known = [s for s in self.known if self.estimate(s, now) is not None and s.state == ServerState.READY]
         self.known = dict.fromkeys(known)
         if not known:
             return
@@ -107,5 +112,5 @@
 
     def size(self, server: Server, now: int) -> float:
         """What the server can do at this moment, in the unit of its listed size."""
-        age = max(now - server.since, 0) / self.warm_up if server.since else 1.0
-        return server.weight * min(1.0, self.start_capacity + (1 - self.start_capacity) * age)
+        age = max(now - server.since, 0) / self.warm_up_us if server.since else 1.0
+        return server.weight * min(1.0, self.initial_capacity + (1 - self.initial_capacity) * age)
--- a/firgrade/settings.py
+++ b/limerudder/policy/settings_reader.py
@@ -9,7 +9,10 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from . import interface as io
+from limerudder.policy.settings import (
+    Settings,
+    TrafficClass,
+)
 
 
 class SettingsError(ValueError):
@@ -40,7 +43,7 @@
     return str(value).replace(",", "_").replace(" ", "_")
 
 
-def read_settings(given: Mapping[str, str]) -> io.Settings:
+def read_settings(given: Mapping[str, str]) -> Settings:
     """Read the pairs; unknown keys are passed over."""
     pairs = {key: value for key, value in given.items() if value != "null"}
 
@@ -73,47 +76,47 @@
     for i in range(need("classes.count")):
         aim = need(f"classes.{i}.aimUs")
         classes.append(
-            io.TrafficClass(
+            TrafficClass(
                 aim=aim,
                 deadline=need(f"classes.{i}.deadlineUs"),
                 effect=need(f"classes.{i}.effect", str),
                 key_scope=get(f"classes.{i}.keyScope", "cell", str),
                 repeat_window=get(f"classes.{i}.repeatWindowUs", 0),
                 worth=get(f"classes.{i}.worth", 1.0, float),
-                message_aim=int(message_aims[i]) if i < len(message_aims) else aim,
+                message_objective_us=int(message_aims[i]) if i < len(message_aims) else aim,
             )
         )
     fields = get("loadInfo.fields", "", str)
-    return io.Settings(
+    return Settings(
         balancers=need("balancers"),
         zone=need("zone"),
         classes=tuple(classes),
         discovery=need("discovery", str),
-        ask_every=need("invariants.askEveryUs"),
-        drain_grace=need("invariants.drainGraceUs"),
-        start_capacity=need("invariants.startCapacity", float),
-        warm_up=need("invariants.warmUpUs"),
+        poll_interval_us=need("invariants.askEveryUs"),
+        drain_grace_us=need("invariants.drainGraceUs"),
+        initial_capacity=need("invariants.startCapacity", float),
+        warm_up_us=need("invariants.warmUpUs"),
         overload_factor=need("invariants.overloadFactor", float),
-        overload_for=need("invariants.overloadForUs"),
+        overload_window_us=need("invariants.overloadForUs"),
         me=get("me", 0),
-        answer_slack=get("invariants.graceToAnswerUs", 0),
-        try_limit=get("caps.tryLimit", 1),
-        parallel_tries=get("caps.parallelTries", False, yes),
+        answer_slack_us=get("invariants.graceToAnswerUs", 0),
+        max_attempts=get("caps.tryLimit", 1),
+        allows_hedging=get("caps.parallelTries", False, yes),
         cancel=get("caps.cancel", False, yes),
         probes=get("caps.probes", False, yes),
         peers=get("caps.peers", False, yes),
         retry_after=get("caps.retryAfter", False, yes),
-        max_retry_after=get("caps.maxRetryAfterUs", 0),
-        connect_timeout=get("caps.dialTimeoutUs", 0),
+        max_retry_after_us=get("caps.maxRetryAfterUs", 0),
+        connect_timeout_us=get("caps.dialTimeoutUs", 0),
         tick=get("tickUs", 1000),
         groups=get("domain.groups", False, yes),
-        tells_delay=get("domain.tellsDelay", False, yes),
+        reports_latency=get("domain.tellsDelay", False, yes),
         mode=get("domain.mode", "proxy", str),
         park=get("domain.parkUs", 0),
         report_fields=tuple(fields.split(",")) if fields else (),
         report_via=get("loadInfo.via", "none", str),
         tenant_quotas=get("domain.tenantQuotaConnections", (), floats),
-        over_share_worth=get("overShareWorth", 1.0, float),
+        over_quota_weight=get("overShareWorth", 1.0, float),
         prices=branch("prices."),
         goal=branch("resultMix."),
     )
--- a/firgrade/warming.py
+++ b/limerudder/policy/slow_start.py
@@ -3,15 +3,17 @@
 The settings bound the sum: `overload_factor` times what the server can do by now, over `overload_for`. Nobody
 is told what it can do, only its share of it; what warm servers of its size are usually asked is the guide.
 Each node goes by its own traffic, so that the parts add up to that, whatever the number of nodes and however
-uneven their traffic. Decides only whether one more call fits; firgrade/choice.py asks.
+uneven their traffic. Decides only whether one more call fits; limerudder/policy/balancer.py asks.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 
-from . import interface as io
-from .records import SECOND, Rate, Server
+from limerudder.policy.records import SECOND, RateEstimator, Server
+from limerudder.policy.settings import (
+    Settings,
+)
 
 SPAN = 15 * SECOND  #: that rates are over
 #: Calls in `overload_for`, of all nodes, that a cold server gets whatever is usual: two are chance anyway.
@@ -19,13 +21,15 @@
 FLOOR = 1.0
 
 
-class Warming:
+class SlowStartBudget:
     """Budgets of cold servers: one token each, earned at a rate, spent with each call."""
 
-    def __init__(self, settings: io.Settings) -> None:
-        self.told, self.usual, self.weight = settings, Rate(), 1.0
+    def __init__(self, settings: Settings) -> None:
+        self.told, self.usual, self.weight = settings, RateEstimator(), 1.0
         self.born: int | None = None  # of a process that was there with the connections that stand
-        self.floor = FLOOR * SECOND / (max(settings.overload_for, SECOND // 10) * max(settings.balancers, 1))
+        self.floor = (
+            FLOOR * SECOND / (max(settings.overload_window_us, SECOND // 10) * max(settings.balancers, 1))
+        )
 
     def since(self, now: int) -> int:
         """From when on this node's traffic is known."""
--- a/limerudder/schema.py
+++ b/limerudder/schema.py
@@ -7,8 +7,8 @@
 
 from dataclasses import dataclass, field
 
-from .core.link import Address, read_address
-from .typed.load import load
+from limerudder.core.transport import Address, read_address
+from limerudder.cue.load import load
 
 SCHEMA = r"""// What may stand in the operator's file, by default limerudder.cue.
 // Durations: us, ms, s, m, h. Sizes: B, KB, MB, GB, KiB, MiB, GiB.
--- a/limerudder/store/checks.py
+++ b/limerudder/store/checks.py
@@ -13,13 +13,13 @@
 
 import msgspec
 
-from ..core.discovery import ListError, read_hosts
-from ..schema import SCHEMA
-from ..typed.load import load
-from ..typed.syntax import FileError
-from . import records as rec
-from .ledger import HOSTS, read_record
-from .records import Put, Txn
+from limerudder.core.discovery.endpoint_list import EndpointListError, parse_endpoints
+from limerudder.cue.load import load
+from limerudder.cue.syntax import CueError
+from limerudder.schema import SCHEMA
+from limerudder.store import state_machine as rec
+from limerudder.store.drain_log import HOST_KEY_PREFIX, decode_host_record
+from limerudder.store.state_machine import Put, Transaction
 
 CONFIG, LIST, FREE = "config/", "list/last", "kv/"
 
@@ -36,14 +36,14 @@
         text = value.decode()
         json.loads(text)
         told = load("value: " + text, key, _SCHEMA, "#" + key.replace("/", "_"))
-    except (FileError, ValueError, RecursionError) as exc:
+    except (CueError, ValueError, RecursionError) as exc:
         raise ValueError(f"{key}: {exc}") from None
     return told["value"]
 
 
-def check(txn: Txn, value_most: int) -> str:
+def check(txn: Transaction, value_most: int) -> str:
     """What is wrong with a write; nothing where it may be proposed."""
-    if wrong := rec.check_txn(txn, value_most):
+    if wrong := rec.validate_transaction(txn, value_most):
         return wrong
     for op in (*txn.then, *txn.other):
         if isinstance(op, Put) and (wrong := _check_put(op.key, op.value)):
@@ -53,14 +53,14 @@
 
 def _check_put(key: str, value: bytes) -> str:
     try:
-        if key.startswith(HOSTS):
-            read_record(value)
+        if key.startswith(HOST_KEY_PREFIX):
+            decode_host_record(value)
         elif key.startswith(CONFIG):
             read_setting(key, value)
         elif key == LIST:
-            read_hosts(json.loads(value))
+            parse_endpoints(json.loads(value))
         elif not key.startswith(FREE):
-            return f"{key}: keys begin with {HOSTS}, {CONFIG} or {FREE}, or are {LIST}"
-    except (msgspec.DecodeError, ListError, ValueError, RecursionError) as exc:
+            return f"{key}: keys begin with {HOST_KEY_PREFIX}, {CONFIG} or {FREE}, or are {LIST}"
+    except (msgspec.DecodeError, EndpointListError, ValueError, RecursionError) as exc:
         return str(exc) if str(exc).startswith(key) else f"{key}: {exc}"
     return ""
--- a/limerudder/store/cli.py
+++ b/limerudder/store/cli.py
@@ -10,8 +10,8 @@
 
 import click
 
-from ..cli import EXAMPLES, fail
-from ..exits import FAILED, NOT_NOW, NOT_THERE, OK, REFUSED, UNSURE, WRONG_INPUT
+from limerudder.cli import EXAMPLES, fail
+from limerudder.exits import FAILED, NOT_NOW, NOT_THERE, OK, REFUSED, UNSURE, WRONG_INPUT
 
 CODES = {
     "wrong": WRONG_INPUT,
@@ -32,14 +32,14 @@
 
     def call(self, name: str, **given: Any) -> dict[str, Any]:
         """Make a call to the node; ends the command where it is not done."""
-        from .client import Client, NotThere
+        from limerudder.store.client import ControlClient, ControlUnavailable
 
         if not self.folder:
             fail("say --folder, or set LIMERUDDER_STATE: the folder of this node's store", WRONG_INPUT)
         try:
-            with Client(self.folder, self.wait) as client:
+            with ControlClient(self.folder, self.wait) as client:
                 told = client.call(name, **given)
-        except NotThere as exc:
+        except ControlUnavailable as exc:
             fail(str(exc), NOT_NOW)
         if not told.pop("ok"):
             self.failed(told)
@@ -95,7 +95,7 @@
 
 def offline(call: Any, *args: Any) -> Any:
     """Do something to folders; ends the command where that cannot be."""
-    from .disk import DiskError
+    from limerudder.store.disk import DiskError
 
     try:
         return call(*args)
@@ -107,7 +107,7 @@
 
 def pairs(members: Sequence[str]) -> list[tuple[str, str]]:
     """NAME=ADDRESS each."""
-    from ..core.link import read_address
+    from limerudder.core.transport import read_address
 
     found = []
     for word in members:
@@ -137,14 +137,14 @@
     A cluster begins with a folder a member under FOLDER, each to be taken to its own machine: nothing runs
     yet.
     """
-    from . import folder as folders
+    from limerudder.store import data_directory as folders
 
     if bool(ticket) == bool(members):
         fail("say the first members as NAME=ADDRESS, or --ticket", WRONG_INPUT)
     if ticket:
-        one = offline(folders.join, folder, ticket)
+        one = offline(folders.join_cluster, folder, ticket)
         return self.show({"name": one.name, "listen": one.address, "folder": folder})
-    made = offline(folders.init, folder, pairs(members))
+    made = offline(folders.init_cluster, folder, pairs(members))
     self.show({"folders": made}, [{"folder": path} for path in made])
 
 
@@ -227,12 +227,12 @@
 @here
 def watch(self: Here, prefix: str, after: int | None, most: int | None) -> None:
     """Print changes as they come, a JSON object a line."""
-    from .client import Client, NotThere
+    from limerudder.store.client import ControlClient, ControlUnavailable
 
     if not self.folder:
         fail("say --folder, or set LIMERUDDER_STATE: the folder of this node's store", WRONG_INPUT)
     try:
-        with Client(self.folder, self.wait) as client:
+        with ControlClient(self.folder, self.wait) as client:
             told = client.call("watch", prefix=prefix, **({} if after is None else {"after": after}))
             if not told["ok"]:
                 self.failed(told)
@@ -242,7 +242,7 @@
                 click.echo(json.dumps(event))
                 if number + 1 == most:
                     return
-    except NotThere as exc:
+    except ControlUnavailable as exc:
         fail(str(exc), NOT_NOW)
     except KeyboardInterrupt:
         sys.exit(OK)
@@ -293,9 +293,9 @@
 @here
 def restore(self: Here, path: str, folder: str, members: tuple[str, ...]) -> None:
     """Begin a new cluster with a backup's records; as with `init`, a folder a member."""
-    from . import folder as folders
+    from limerudder.store import data_directory as folders
 
-    made = offline(folders.restore, folder, path, pairs(members))
+    made = offline(folders.restore_backup, folder, path, pairs(members))
     self.show({"folders": made}, [{"folder": one} for one in made])
 
 
@@ -311,9 +311,9 @@
     """
     import msgspec
 
-    from . import folder as folders
+    from limerudder.store import data_directory as folders
 
-    lost = offline(folders.recover, folder, do_it)
+    lost = offline(folders.recover_single_member, folder, do_it)
     if self.as_json:
         return self.show({**msgspec.to_builtins(lost), "done": do_it})
     others = ", ".join(lost.others) or "nobody else"
--- a/limerudder/store/client.py
+++ b/limerudder/store/client.py
@@ -8,14 +8,14 @@
 from collections.abc import Iterator
 from typing import Any
 
-from .control import NAME
+from limerudder.store.control import NAME
 
 
-class NotThere(Exception):
+class ControlUnavailable(Exception):
     """No member can be called there."""
 
 
-class Client:
+class ControlClient:
     """A connection to the member that runs on a folder."""
 
     def __init__(self, folder: str, wait: float = 5.0) -> None:
@@ -30,7 +30,7 @@
                 os.close(handle)
         except OSError as exc:
             self.sock.close()
-            raise NotThere(f"no node with a store runs on {folder}: {exc.strerror}") from None
+            raise ControlUnavailable(f"no node with a store runs on {folder}: {exc.strerror}") from None
         self.file = self.sock.makefile("rb")
 
     def call(self, name: str, **given: Any) -> dict[str, Any]:
@@ -65,7 +65,7 @@
         self.file.close()
         self.sock.close()
 
-    def __enter__(self) -> Client:
+    def __enter__(self) -> ControlClient:
         return self
 
     def __exit__(self, *exc: object) -> None:
--- a/limerudder/store/control.py
+++ b/limerudder/store/control.py
@@ -19,29 +19,29 @@
 
 import msgspec
 
-from ..core.link import read_address
-from . import folder as folders
-from .ledger import HOSTS
-from .member import Failure
-from .raft.messages import Member, Role
-from .records import (
+from limerudder.core.transport import read_address
+from limerudder.store import data_directory as folders
+from limerudder.store.drain_log import HOST_KEY_PREFIX
+from limerudder.store.member import CallFailure
+from limerudder.store.raft.messages import Member, MemberRole
+from limerudder.store.rpc import RequestKind
+from limerudder.store.state_machine import (
     Command,
-    Compacted,
+    CompactedError,
     Compare,
+    CompareTarget,
     Delete,
-    Do,
     Get,
     Item,
     Op,
-    Open,
+    OpenSession,
     Put,
+    RequestSequence,
     Result,
-    Serials,
-    Txn,
-    What,
+    SessionWrite,
+    Transaction,
 )
-from .store import Store
-from .talk import Wish
+from limerudder.store.store import Store
 
 NAME = "control"  #: the socket in the folder
 MOST = 2 << 20  #: bytes of a line
@@ -50,7 +50,7 @@
 WAIT_MOST = 600_000_000
 
 
-class CallError(Exception):
+class ControlError(Exception):
     """A call that is not done, and what kind of reason there is."""
 
     def __init__(self, kind: str, text: str) -> None:
@@ -74,8 +74,8 @@
         try:
             return base64.b64decode(value["base64"], validate=True)
         except ValueError as exc:
-            raise CallError("wrong", f"base64: {exc}") from None
-    raise CallError("wrong", 'a value is a string or {"base64": …}')
+            raise ControlError("wrong", f"base64: {exc}") from None
+    raise ControlError("wrong", 'a value is a string or {"base64": …}')
 
 
 def item_out(key: str, item: Item | None) -> dict[str, Any]:
@@ -86,26 +86,28 @@
     return told | {"created": item.created, "version": item.version}
 
 
-def read_txn(given: Any) -> Txn:
+def read_txn(given: Any) -> Transaction:
     """A transaction from JSON: `if`, `then` and `else`."""
     try:
-        return Txn(
+        return Transaction(
             tuple(map(_read_compare, given.get("if", []))),
             tuple(map(_read_op, given.get("then", []))),
             tuple(map(_read_op, given.get("else", []))),
         )
     except (AttributeError, KeyError, TypeError) as exc:
-        raise CallError("wrong", f"a transaction that cannot be read: {type(exc).__name__} {exc}") from None
+        raise ControlError(
+            "wrong", f"a transaction that cannot be read: {type(exc).__name__} {exc}"
+        ) from None
 
 
 def _read_compare(given: Any) -> Compare:
     key = str(given["key"])
     if "value" in given:
-        return Compare(key, What.VALUE, value_in(given["value"]))
-    what = What.MODIFIED if "modified" in given else What.VERSION
+        return Compare(key, CompareTarget.VALUE, value_in(given["value"]))
+    what = CompareTarget.MODIFIED if "modified" in given else CompareTarget.VERSION
     number = given["modified"] if "modified" in given else given["version"]
     if not isinstance(number, int) or not 0 <= number < 1 << 63:
-        raise CallError("wrong", f"{number!r} is no revision")
+        raise ControlError("wrong", f"{number!r} is no revision")
     return Compare(key, what, b"", number)
 
 
@@ -115,14 +117,14 @@
     return Delete(str(given["delete"])) if "delete" in given else Get(str(given["get"]))
 
 
-class Caller(asyncio.Protocol):
+class ControlSession(asyncio.Protocol):
     """One tool's connection. Writes share a session, which ends with it."""
 
-    def __init__(self, control: Control) -> None:
+    def __init__(self, control: ControlServer) -> None:
         self.control, self.store = control, control.store
         self.transport: asyncio.Transport | None = None
         self.rest = b""
-        self.session, self.serials = 0, Serials()
+        self.session, self.serials = 0, RequestSequence()
         self.opening: list[Callable[[], None]] | None = None
         self.watching: tuple[str, int] | None = None
 
@@ -158,18 +160,18 @@
         try:
             given = json.loads(line)
             if not isinstance(given, dict):
-                raise CallError("wrong", "a call is a JSON object")
+                raise ControlError("wrong", "a call is a JSON object")
             tag = given.get("tag")
             call = CALLS.get(str(given.get("call")))
             if call is None:
-                raise CallError("wrong", f"no such call; there are {', '.join(CALLS)}")
+                raise ControlError("wrong", f"no such call; there are {', '.join(CALLS)}")
             wait = given.get("wait_ms", WAIT // 1000)
             if not isinstance(wait, int) or not 0 <= wait <= WAIT_MOST // 1000:
-                raise CallError("wrong", f"wait_ms: {wait!r} is not from 0 to {WAIT_MOST // 1000}")
+                raise ControlError("wrong", f"wait_ms: {wait!r} is not from 0 to {WAIT_MOST // 1000}")
             now = self.store.now()
 
             def told(outcome: Any) -> None:
-                if isinstance(outcome, Failure):
+                if isinstance(outcome, CallFailure):
                     kind = "unsure" if outcome.unsure else outcome.kind
                     outcome = {"ok": False, "kind": kind, "error": outcome.text}
                 else:
@@ -177,7 +179,7 @@
                 self._say(outcome if tag is None else {**outcome, "tag": tag})
 
             call(self, given, now + wait * 1000, told)
-        except CallError as exc:
+        except ControlError as exc:
             self._wrong(exc.kind, str(exc), tag)
         except (ValueError, KeyError, TypeError, RecursionError) as exc:  # guards the member against any call
             self._wrong("wrong", f"a call that cannot be read: {type(exc).__name__} {exc}", tag)
@@ -208,7 +210,7 @@
             else:
                 item = member.records.get(key)
                 if item is None:
-                    return told(Failure("not_there", f"there is no {key}"))
+                    return told(CallFailure("not_there", f"there is no {key}"))
                 items = [item_out(key, item)]
             now = self.store.now()
             told({"items": items, "revision": member.records.revision, "age_ms": member.age(now) // 1000})
@@ -216,7 +218,7 @@
         if given.get("stale"):
             return answer()
 
-        def read(outcome: Failure | None, at: int) -> None:
+        def read(outcome: CallFailure | None, at: int) -> None:
             if outcome:
                 return told(outcome)
             answer()
@@ -229,7 +231,7 @@
         compares = (
             (_read_compare({"key": key, "modified": given["modified"]}),) if "modified" in given else ()
         )
-        self._write(Txn(compares, (Put(key, value),), (Get(key),)), deadline, told)
+        self._write(Transaction(compares, (Put(key, value),), (Get(key),)), deadline, told)
 
     def delete(self, given: dict[str, Any], deadline: int, told: Callable[[Any], None]) -> None:
         """Remove a key; `modified` only where that was its last change."""
@@ -237,7 +239,7 @@
         compares = (
             (_read_compare({"key": key, "modified": given["modified"]}),) if "modified" in given else ()
         )
-        self._write(Txn(compares, (Get(key), Delete(key)), (Get(key),)), deadline, told)
+        self._write(Transaction(compares, (Get(key), Delete(key)), (Get(key),)), deadline, told)
 
     def txn(self, given: dict[str, Any], deadline: int, told: Callable[[Any], None]) -> None:
         """A transaction."""
@@ -245,30 +247,30 @@
 
     def open(self, given: dict[str, Any], deadline: int, told: Callable[[Any], None]) -> None:
         """Begin a session of the caller's own, to be used with `do` on any connection."""
-        self._command(Open(), deadline, told)
+        self._command(OpenSession(), deadline, told)
 
     def do(self, given: dict[str, Any], deadline: int, told: Callable[[Any], None]) -> None:
         """A transaction in a session, which may be said again with the same serial."""
         txn = read_txn(given)
         numbers = [int(given[name]) for name in ("session", "serial", "seen")]
         if not all(0 <= number < 1 << 63 for number in numbers):
-            raise CallError("wrong", "session, serial and seen are numbers from 0 on")
+            raise ControlError("wrong", "session, serial and seen are numbers from 0 on")
         session, serial, seen = numbers
-        self._command(Do(session, serial, seen, txn), deadline, told)
+        self._command(SessionWrite(session, serial, seen, txn), deadline, told)
 
-    def _write(self, txn: Txn, deadline: int, told: Callable[[Any], None]) -> None:
+    def _write(self, txn: Transaction, deadline: int, told: Callable[[Any], None]) -> None:
         """In this connection's own session, which is opened first."""
 
         def go() -> None:
             if not self.session:
-                return told(Failure("not_now", "no session could be opened: nothing was done"))
+                return told(CallFailure("not_now", "no session could be opened: nothing was done"))
             serial = self.serials.next()
 
             def answered(outcome: Any) -> None:
                 self.serials.done(serial)
                 told(outcome)
 
-            self._command(Do(self.session, serial, self.serials.seen, txn), deadline, answered)
+            self._command(SessionWrite(self.session, serial, self.serials.seen, txn), deadline, answered)
             self.store.pump_soon()
 
         if self.session:
@@ -277,24 +279,24 @@
             return self.opening.append(go)
         self.opening = [go]
 
-        def opened(outcome: Result | Failure, at: int) -> None:
+        def opened(outcome: Result | CallFailure, at: int) -> None:
             waiting, self.opening = self.opening or [], None
             if isinstance(outcome, Result):
                 self.session = outcome.index
             for one in waiting:
                 one()
 
-        self.store.member.write(Open(), deadline, opened, self.store.now())
+        self.store.member.write(OpenSession(), deadline, opened, self.store.now())
 
     def _command(self, command: Command, deadline: int, told: Callable[[Any], None]) -> None:
-        def done(outcome: Result | Failure, at: int) -> None:
-            if isinstance(outcome, Failure):
+        def done(outcome: Result | CallFailure, at: int) -> None:
+            if isinstance(outcome, CallFailure):
                 return told(outcome)
             if outcome.error:
-                return told(Failure("refused", outcome.error))
-            if isinstance(command, Open):
+                return told(CallFailure("refused", outcome.error))
+            if isinstance(command, OpenSession):
                 return told({"session": outcome.index})
-            txn = command.txn if isinstance(command, Do) else Txn()
+            txn = command.txn if isinstance(command, SessionWrite) else Transaction()
             gets = [op.key for op in (txn.then if outcome.ok else txn.other) if isinstance(op, Get)]
             items = [item_out(*one) for one in zip(gets, outcome.items, strict=True)]
             told({"done": outcome.ok, "revision": outcome.revision, "items": items})
@@ -306,9 +308,9 @@
         records = self.store.member.records
         revision = given.get("after", records.revision)
         if not isinstance(revision, int) or revision < 0:
-            raise CallError("wrong", f"after: {revision!r} is no revision")
+            raise ControlError("wrong", f"after: {revision!r} is no revision")
         if revision < records.compacted:
-            raise CallError("compacted", str(Compacted(records.compacted)))
+            raise ControlError("compacted", str(CompactedError(records.compacted)))
         told({"watching": True, "after": revision})
         self.watching = str(given.get("prefix", "")), revision
         self.watch_on()
@@ -319,7 +321,7 @@
             prefix, revision = self.watching
             try:
                 events, upto = self.store.member.records.since(revision, prefix, 500)
-            except Compacted as exc:  # guards the caller against a gap that it would not notice
+            except CompactedError as exc:  # guards the caller against a gap that it would not notice
                 self.watching = None
                 self._say({"ok": False, "kind": "compacted", "error": str(exc), "revision": exc.revision})
                 return
@@ -335,36 +337,40 @@
 
     def add(self, given: dict[str, Any], deadline: int, told: Callable[[Any], None]) -> None:
         """Add a member; the answer holds the ticket that its folder is made from."""
-        role = Role.LEARNER if given.get("learner") else Role.JOINING
-        new = Member(folders.new_number(), str(given["member"]), str(given["address"]), role)
+        role = MemberRole.LEARNER if given.get("learner") else MemberRole.JOINING
+        new = Member(folders.random_id(), str(given["member"]), str(given["address"]), role)
         try:
             read_address(new.address)
         except ValueError as exc:
-            raise CallError("wrong", str(exc)) from None
-        ticket = folders.write_ticket(self.store.opened.identity.cluster, new)
+            raise ControlError("wrong", str(exc)) from None
+        ticket = folders.encode_join_token(self.store.opened.identity.cluster, new)
 
-        def done(outcome: bytes | Failure, at: int) -> None:
-            told(outcome if isinstance(outcome, Failure) else {"member": f"{new.id:016x}", "ticket": ticket})
+        def done(outcome: bytes | CallFailure, at: int) -> None:
+            told(
+                outcome
+                if isinstance(outcome, CallFailure)
+                else {"member": f"{new.id:016x}", "ticket": ticket}
+            )
 
-        self.store.member.wish(Wish.ADD, msgspec.msgpack.encode(new), deadline, done, self.store.now())
+        self.store.member.wish(RequestKind.ADD, msgspec.msgpack.encode(new), deadline, done, self.store.now())
 
     def _named(self, given: dict[str, Any]) -> int:
         one = self.store.member.config.named(str(given["member"]))
         if one is None:
-            raise CallError("not_there", f"there is no member {given['member']}")
+            raise ControlError("not_there", f"there is no member {given['member']}")
         return one.id
 
     def remove(self, given: dict[str, Any], deadline: int, told: Callable[[Any], None]) -> None:
         """Take a member out."""
-        self._simple(Wish.REMOVE, self._named(given), deadline, told)
+        self._simple(RequestKind.REMOVE, self._named(given), deadline, told)
 
     def transfer(self, given: dict[str, Any], deadline: int, told: Callable[[Any], None]) -> None:
         """Have a member lead."""
-        self._simple(Wish.LEAD, self._named(given), deadline, told)
+        self._simple(RequestKind.LEAD, self._named(given), deadline, told)
 
-    def _simple(self, wish: Wish, number: int, deadline: int, told: Callable[[Any], None]) -> None:
-        def done(outcome: bytes | Failure, at: int) -> None:
-            told(outcome if isinstance(outcome, Failure) else {})
+    def _simple(self, wish: RequestKind, number: int, deadline: int, told: Callable[[Any], None]) -> None:
+        def done(outcome: bytes | CallFailure, at: int) -> None:
+            told(outcome if isinstance(outcome, CallFailure) else {})
 
         self.store.member.wish(wish, number.to_bytes(8, "big"), deadline, done, self.store.now())
 
@@ -372,10 +378,10 @@
         """Write the records, as of a linearizable read, into a file."""
         path = str(given["path"])
         if not os.path.isabs(path):
-            raise CallError("wrong", "path: an absolute path is wanted")
+            raise ControlError("wrong", "path: an absolute path is wanted")
         member = self.store.member
 
-        def read(outcome: Failure | None, at: int) -> None:
+        def read(outcome: CallFailure | None, at: int) -> None:
             if outcome:
                 return told(outcome)
             job = member.frozen_now()
@@ -386,7 +392,7 @@
 
             def written(future: asyncio.Future[None]) -> None:
                 exc = future.exception()
-                failed = Failure("refused", f"cannot write {path}: {exc}") if exc else None
+                failed = CallFailure("refused", f"cannot write {path}: {exc}") if exc else None
                 told(failed or {"path": path, "revision": revision, "entry": job.index})
 
             # beside the loop: a large file would keep clients waiting
@@ -402,33 +408,33 @@
             {"host": host, "agreed": host not in waiting, **msgspec.to_builtins(ledger.view(host))}
             for host in sorted(ledger.hosts())
         ]
-        told({"hosts": rows, "key": HOSTS})
-
-
-CALLS: dict[str, Callable[[Caller, dict[str, Any], int, Callable[[Any], None]], None]] = {
-    "status": Caller.status,
-    "members": Caller.members,
-    "get": Caller.get,
-    "put": Caller.put,
-    "delete": Caller.delete,
-    "txn": Caller.txn,
-    "open": Caller.open,
-    "do": Caller.do,
-    "watch": Caller.watch,
-    "add": Caller.add,
-    "remove": Caller.remove,
-    "transfer": Caller.transfer,
-    "backup": Caller.backup,
-    "hosts": Caller.hosts,
+        told({"hosts": rows, "key": HOST_KEY_PREFIX})
+
+
+CALLS: dict[str, Callable[[ControlSession, dict[str, Any], int, Callable[[Any], None]], None]] = {
+    "status": ControlSession.status,
+    "members": ControlSession.members,
+    "get": ControlSession.get,
+    "put": ControlSession.put,
+    "delete": ControlSession.delete,
+    "txn": ControlSession.txn,
+    "open": ControlSession.open,
+    "do": ControlSession.do,
+    "watch": ControlSession.watch,
+    "add": ControlSession.add,
+    "remove": ControlSession.remove,
+    "transfer": ControlSession.transfer,
+    "backup": ControlSession.backup,
+    "hosts": ControlSession.hosts,
 }
 
 
-class Control:
+class ControlServer:
     """The socket, and who is calling."""
 
     def __init__(self, store: Store) -> None:
         self.store = store
-        self.callers: set[Caller] = set()
+        self.callers: set[ControlSession] = set()
         self.server: asyncio.Server | None = None
         self.path = os.path.join(store.settings.folder, NAME)
         store.member.on_change.append(self._changed)
@@ -446,7 +452,9 @@
             os.close(handle)
         os.chmod(self.path, 0o600)
         sock.setblocking(False)
-        self.server = await asyncio.get_running_loop().create_unix_server(lambda: Caller(self), sock=sock)
+        self.server = await asyncio.get_running_loop().create_unix_server(
+            lambda: ControlSession(self), sock=sock
+        )
 
     def _changed(self, now: int) -> None:
         for caller in self.callers:
--- a/limerudder/store/disk.py
+++ b/limerudder/store/disk.py
@@ -20,11 +20,11 @@
 
 import msgspec
 
-from .doorman import Boot, Shown
-from .ledger import Fact, read_fact, write_fact
-from .member import Job, Start
-from .raft.machine import HardState, Saved, digest
-from .raft.messages import Config, Entry, Kind, Snapshot, SnapshotMeta
+from limerudder.store.drain_log import DrainFact, decode_fact, encode_fact
+from limerudder.store.member import DurabilityJob, MemberStart
+from limerudder.store.peer_authentication import DurabilityProof, Incarnation
+from limerudder.store.raft.messages import ClusterConfig, Entry, EntryKind, Snapshot, SnapshotMeta
+from limerudder.store.raft.raft import HardState, PersistentState, snapshot_digest
 
 FORMAT = 2  #: of the file; 1 lacked the table `shown`
 FILE, LOCK = "store.sqlite", "lock"
@@ -58,13 +58,13 @@
     name: str
 
 
-class Opened(NamedTuple):
+class OpenedDisk(NamedTuple):
     """What a disk holds when it is opened."""
 
     identity: Identity
-    boot: Boot
-    start: Start
-    shown: dict[int, Shown]
+    boot: Incarnation
+    start: MemberStart
+    shown: dict[int, DurabilityProof]
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -84,7 +84,9 @@
 class Disk:
     """One member's folder. Only one process may have it."""
 
-    def __init__(self, folder: str, identity: Identity | None = None, config: Config | None = None) -> None:
+    def __init__(
+        self, folder: str, identity: Identity | None = None, config: ClusterConfig | None = None
+    ) -> None:
         """Open a folder, or make it where an identity is given. DiskError where it cannot be used."""
         self.folder = folder
         self.path = os.path.join(folder, FILE)
@@ -110,7 +112,7 @@
 
     db: sqlite3.Connection | None = None
 
-    def _open(self, identity: Identity | None, config: Config | None) -> None:
+    def _open(self, identity: Identity | None, config: ClusterConfig | None) -> None:
         there = os.path.exists(self.path)
         if identity and there:
             raise DiskError(f"{self.folder} holds a member already")
@@ -129,9 +131,9 @@
             db.execute(SHOWN)
             self._meta("format", FORMAT)
             self._meta("identity", identity)
-            self._meta("config", config or Config(()))
+            self._meta("config", config or ClusterConfig(()))
             self._meta("hard", (0, 0))
-            self._meta("boot", Boot(0, 0))
+            self._meta("boot", Incarnation(0, 0))
             db.execute("COMMIT")
             self._sync_folder()
 
@@ -161,27 +163,27 @@
 
     # reading
 
-    def load(self, start: bool = True) -> Opened:
+    def load(self, start: bool = True) -> OpenedDisk:
         """All that is kept; `start` counts a start of the disk. DiskError names what is spoiled."""
         try:
             return self._load(start)
         except sqlite3.Error as exc:
             raise DiskError(f"{self.path}: {exc}") from None
 
-    def _load(self, start: bool) -> Opened:
+    def _load(self, start: bool) -> OpenedDisk:
         found = self._get_meta("format", int)
         if found > FORMAT:
             raise DiskError(f"{self.path} has format {found}; this build reads up to {FORMAT}")
         if found < FORMAT:
             self._migrate()
         identity = self._get_meta("identity", Identity)
-        boot = self._get_meta("boot", Boot)
+        boot = self._get_meta("boot", Incarnation)
         if start:
-            boot = Boot(boot.number + 1, secrets.randbits(32))
+            boot = Incarnation(boot.number + 1, secrets.randbits(32))
             with self._transaction():
                 self._meta("boot", boot)
         entries = [
-            Entry(index, term, Kind(kind), data)
+            Entry(index, term, EntryKind(kind), data)
             for index, term, kind, data in self._rows(
                 "SELECT idx, term, kind, data, crc FROM log ORDER BY idx", "log entry"
             )
@@ -195,22 +197,22 @@
         if first > base + 1:
             raise DiskError(f"{self.path}: the log begins at entry {first}, after a snapshot of entry {base}")
         incoming = self._incoming()
-        facts: dict[int, Fact] = {}
+        facts: dict[int, DrainFact] = {}
         for number, data in self._rows("SELECT number, data, crc FROM facts ORDER BY number", "fact"):
             try:
-                facts[number] = read_fact(data)
+                facts[number] = decode_fact(data)
             except msgspec.DecodeError as exc:
                 raise DiskError(f"{self.path}: fact {number} cannot be read: {exc}") from None
         known: dict[str, tuple[int, bytes | None]] = {}
         for name, value in self._rows("SELECT name, value, crc FROM known", "known record"):
             known[name] = _decode(value, tuple[int, bytes | None], f"known record {name}")
         shown = {
-            number: _decode(data, Shown, f"what member {number:016x} has shown")
+            number: _decode(data, DurabilityProof, f"what member {number:016x} has shown")
             for number, data in self._rows("SELECT number, data, crc FROM shown", "what a member has shown,")
         }
         hard = HardState(*self._get_meta("hard", tuple[int, int]))
-        saved = Saved(hard, snapshot, entries, self._get_meta("config", Config), incoming)
-        return Opened(identity, boot, Start(saved, facts, known), shown)
+        saved = PersistentState(hard, snapshot, entries, self._get_meta("config", ClusterConfig), incoming)
+        return OpenedDisk(identity, boot, MemberStart(saved, facts, known), shown)
 
     def _migrate(self) -> None:
         """Format 1 to 2."""
@@ -229,7 +231,7 @@
         if meta is None:
             return None
         pieces = tuple(data for _, data in self._pieces(table))
-        if len(pieces) != meta.pieces or digest(pieces) != meta.digest:
+        if len(pieces) != meta.pieces or snapshot_digest(pieces) != meta.digest:
             raise DiskError(f"{self.path}: the snapshot of entry {meta.index} is not whole")
         return Snapshot(meta, pieces)
 
@@ -263,7 +265,7 @@
     def _transaction(self) -> _Transaction:
         return _Transaction(self._sql)
 
-    def do(self, jobs: list[Job]) -> list[Snapshot | None]:
+    def do(self, jobs: list[DurabilityJob]) -> list[Snapshot | None]:
         """Make jobs durable, all in one transaction; gives the snapshots built for them.
 
         sqlite3.Error where that fails: nothing of them is there then, and they may be done again.
@@ -271,7 +273,7 @@
         with self._transaction():
             return [self._do(job) for job in jobs]
 
-    def _do(self, job: Job) -> Snapshot | None:
+    def _do(self, job: DurabilityJob) -> Snapshot | None:
         sql, write = self._sql, job.write
         if write:
             if write.hard:
@@ -304,7 +306,7 @@
             self.put_snapshot(snapshot)
             sql.execute("DELETE FROM log WHERE idx<?", (job.snapshot.keep_from,))
         for number, fact in job.facts:
-            data = write_fact(fact)
+            data = encode_fact(fact)
             sql.execute("INSERT OR REPLACE INTO facts VALUES (?,?,?)", (number, data, _crc(number, data)))
         sql.executemany("DELETE FROM facts WHERE number=?", [(number,) for number in job.gone_facts])
         for key, modified, value in job.known:
--- a/limerudder/store/ledger.py
+++ b/limerudder/store/drain_log.py
@@ -19,16 +19,16 @@
 
 import msgspec
 
-from .records import Compare, Put, Txn, What
+from limerudder.store.state_machine import Compare, CompareTarget, Put, Transaction
 
-HOSTS = "hosts/"  #: a key a host
-NEVER = -1  #: no start of this host was drained
+HOST_KEY_PREFIX = "hosts/"  #: a key a host
+NEVER_DRAINED = -1  #: no start of this host was drained
 
 
 class HostRecord(msgspec.Struct, frozen=True, omit_defaults=True):
     """What is agreed on about a host; JSON in the records."""
 
-    drained: int = NEVER  # starts up to this one, in ms since 1970, get nothing new
+    drained: int = NEVER_DRAINED  # starts up to this one, in ms since 1970, get nothing new
     held: bool = False
     by: str = ""  # whose hand holds it
     back_at: int = 0  # when a hand last put it back, in us
@@ -38,21 +38,21 @@
         return self.held or started_ms <= self.drained
 
 
-class Drain(msgspec.Struct, frozen=True, array_like=True, tag="drain"):
+class DrainObserved(msgspec.Struct, frozen=True, array_like=True, tag="drain"):
     """Discovery has said that this start of a host drains."""
 
     host: str
     started_ms: int
 
 
-class Hold(msgspec.Struct, frozen=True, array_like=True, tag="hold"):
+class MaintenanceHold(msgspec.Struct, frozen=True, array_like=True, tag="hold"):
     """A hand holds the host out."""
 
     host: str
     by: str
 
 
-class Back(msgspec.Struct, frozen=True, array_like=True, tag="back"):
+class ReturnToService(msgspec.Struct, frozen=True, array_like=True, tag="back"):
     """A hand puts it back, having seen the record as of this revision."""
 
     host: str
@@ -60,67 +60,67 @@
     basis: int
 
 
-Fact = Drain | Hold | Back
+DrainFact = DrainObserved | MaintenanceHold | ReturnToService
 
 _json = msgspec.json.Encoder().encode
 _decode_record: msgspec.json.Decoder[Any] = msgspec.json.Decoder(HostRecord)
 _encode_fact = msgspec.msgpack.Encoder().encode
-_decode_fact: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(Fact)
+_decode_fact: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(DrainFact)
 
 
-def write_fact(fact: Fact) -> bytes:
+def encode_fact(fact: DrainFact) -> bytes:
     """A fact as the disk keeps it."""
     return _encode_fact(fact)
 
 
-def read_fact(data: bytes) -> Fact:
+def decode_fact(data: bytes) -> DrainFact:
     """A fact from the disk; msgspec.DecodeError where it is none."""
-    fact: Fact = _decode_fact.decode(data)
+    fact: DrainFact = _decode_fact.decode(data)
     return fact
 
 
-def write_record(record: HostRecord) -> bytes:
+def encode_host_record(record: HostRecord) -> bytes:
     """A record's value."""
     return _json(record)
 
 
-def read_record(value: bytes) -> HostRecord:
+def decode_host_record(value: bytes) -> HostRecord:
     """A record from a value; msgspec.DecodeError where it is none."""
     record: HostRecord = _decode_record.decode(value)
     return record
 
 
-def fold(record: HostRecord, modified: int, fact: Fact) -> HostRecord:
+def apply_fact(record: HostRecord, modified: int, fact: DrainFact) -> HostRecord:
     """The record with a fact: `modified` is the revision at which it last changed."""
     match fact:
-        case Drain(_, started_ms):
+        case DrainObserved(_, started_ms):
             return HostRecord(max(record.drained, started_ms), record.held, record.by, record.back_at)
-        case Hold(_, by):
+        case MaintenanceHold(_, by):
             return HostRecord(record.drained, True, by if not record.held else record.by, record.back_at)
-        case Back(_, at, basis):
+        case ReturnToService(_, at, basis):
             if modified > basis:  # guards what others have put down since the hand looked
                 return record
-            return HostRecord(NEVER, False, "", max(record.back_at, at))
+            return HostRecord(NEVER_DRAINED, False, "", max(record.back_at, at))
     raise AssertionError("all facts are above")
 
 
-class Known(NamedTuple):
+class KnownRecord(NamedTuple):
     """A record as the disk last kept it."""
 
     modified: int
     record: HostRecord
 
 
-class Ledger:
+class DrainLog:
     """Facts that are not in the records yet, over the records as they were last known here."""
 
-    def __init__(self, known: Mapping[str, Known], facts: Mapping[int, Fact]) -> None:
+    def __init__(self, known: Mapping[str, KnownRecord], facts: Mapping[int, DrainFact]) -> None:
         self.known = dict(known)  # by host
         self.facts = dict(sorted(facts.items()))  # by number, in the order they came
         self.next_fact = max(facts, default=0) + 1
         self.views: dict[str, HostRecord] = {}  # reckoned when asked for
         self.pushing: dict[str, tuple[int, ...]] = {}  # the facts of a host that are under way
-        self.new_facts: list[tuple[int, Fact]] = []  # to be made durable
+        self.new_facts: list[tuple[int, DrainFact]] = []  # to be made durable
         self.gone_facts: list[int] = []  # to be forgotten by the disk
         self.changed: Callable[[str], None] = lambda host: None
 
@@ -128,10 +128,10 @@
         """What holds for a host here and now."""
         view = self.views.get(host)
         if view is None:
-            modified, view = self.known.get(host, Known(0, HostRecord()))
+            modified, view = self.known.get(host, KnownRecord(0, HostRecord()))
             for fact in self.facts.values():
                 if fact.host == host:
-                    view = fold(view, modified, fact)
+                    view = apply_fact(view, modified, fact)
             self.views[host] = view
         return view
 
@@ -149,20 +149,22 @@
         """Discovery says that it drains; gives the new fact's number, None where that is no news."""
         if started_ms <= self.view(host).drained:
             return None
-        return self._add(Drain(host, started_ms))
+        return self._add(DrainObserved(host, started_ms))
 
     def hold(self, host: str, by: str) -> int | None:
         """A hand holds it."""
-        return None if self.view(host).held else self._add(Hold(host, by))
+        return None if self.view(host).held else self._add(MaintenanceHold(host, by))
 
     def back(self, host: str, at: int) -> int:
         """A hand puts it back: what was only noted here is dropped, what is agreed on is undone."""
         for number, fact in list(self.facts.items()):
             if fact.host == host and number not in self.pushing.get(host, ()):
                 self._drop(number)
-        return self._add(Back(host, at, self.known.get(host, Known(0, HostRecord())).modified))
+        return self._add(
+            ReturnToService(host, at, self.known.get(host, KnownRecord(0, HostRecord())).modified)
+        )
 
-    def _add(self, fact: Fact) -> int:
+    def _add(self, fact: DrainFact) -> int:
         number, self.next_fact = self.next_fact, self.next_fact + 1
         self.facts[number] = fact
         self.new_facts.append((number, fact))
@@ -187,13 +189,15 @@
         if before and before.modified >= modified:
             return  # guards what is known here against records that are still catching up
         try:
-            record = read_record(value) if value is not None else HostRecord()
+            record = decode_host_record(value) if value is not None else HostRecord()
         except msgspec.DecodeError:  # guards hosts that are out against a value that nobody can read
             return
-        self.known[host] = Known(modified, record)
+        self.known[host] = KnownRecord(modified, record)
         self._touch(host)
 
-    def push(self, host: str, modified: int, value: bytes | None) -> tuple[Txn, tuple[int, ...]] | None:
+    def push(
+        self, host: str, modified: int, value: bytes | None
+    ) -> tuple[Transaction, tuple[int, ...]] | None:
         """The write that brings a host's facts into the records, which hold this of it now.
 
         Gives the write and the facts in it, None where nothing has to be written; those facts are then
@@ -201,19 +205,21 @@
         """
         numbers = tuple(number for number, fact in self.facts.items() if fact.host == host)
         try:
-            record = read_record(value) if value is not None else HostRecord()
+            record = decode_host_record(value) if value is not None else HostRecord()
         except msgspec.DecodeError:
             record = HostRecord()
         after = record
         for number in numbers:
-            after = fold(after, modified, self.facts[number])
+            after = apply_fact(after, modified, self.facts[number])
         if after == record:
             for number in numbers:
                 self._drop(number)
             return None
-        key = HOSTS + host
+        key = HOST_KEY_PREFIX + host
         self.pushing[host] = numbers
-        return Txn((Compare(key, What.MODIFIED, b"", modified),), (Put(key, write_record(after)),)), numbers
+        return Transaction(
+            (Compare(key, CompareTarget.MODIFIED, b"", modified),), (Put(key, encode_host_record(after)),)
+        ), numbers
 
     def pushed(self, host: str, revision: int | None) -> None:
         """A push has ended: its facts stand in the records as of a revision, or do not."""
@@ -225,8 +231,8 @@
                 self._drop(number)
         for number, fact in list(self.facts.items()):
             # a hand that came amid the push has seen what was pushed
-            if isinstance(fact, Back) and fact.host == host and fact.basis < revision:
-                self.facts[number] = Back(host, fact.at, revision)
+            if isinstance(fact, ReturnToService) and fact.host == host and fact.basis < revision:
+                self.facts[number] = ReturnToService(host, fact.at, revision)
                 self.new_facts.append((number, self.facts[number]))
         self._touch(host)
 
--- a/limerudder/store/wire.py
+++ b/limerudder/store/framing.py
@@ -5,7 +5,7 @@
 import struct
 from zlib import crc32
 
-MOST = 1 << 20  #: bytes of a frame; more is never believed
+MAX_FRAME_BYTES = 1 << 20  #: bytes of a frame; more is never believed
 HEAD = struct.Struct("!II")
 
 
@@ -13,16 +13,16 @@
     """Bytes that are no frames: the connection cannot go on."""
 
 
-def frame(data: bytes) -> bytes:
+def encode_frame(data: bytes) -> bytes:
     """A frame with this in it."""
-    assert len(data) <= MOST, "whoever writes keeps to the limit"
+    assert len(data) <= MAX_FRAME_BYTES, "whoever writes keeps to the limit"
     return HEAD.pack(len(data), crc32(data)) + data
 
 
-class Frames:
+class FrameDecoder:
     """What has come of a connection."""
 
-    def __init__(self, most: int = MOST) -> None:
+    def __init__(self, most: int = MAX_FRAME_BYTES) -> None:
         self.most = most
         self.rest = bytearray()
 
--- a/limerudder/store/member.py
+++ b/limerudder/store/member.py
@@ -14,21 +14,38 @@
 
 import msgspec
 
-from . import records as rec
-from . import talk
-from .doorman import Shown
-from .ledger import HOSTS, Fact, Ledger
-from .raft.machine import ChangeError, NotLeading, Output, Raft, Saved, Standing, Timing, Write, digest
-from .raft.messages import Append, Config, Kind, Role, Snapshot, SnapshotMeta
-from .raft.messages import Member as MemberEntry
-from .records import Do, Open, Records, Result, Txn
-from .talk import Ask, Status, Told, Wish
+from limerudder.store import rpc
+from limerudder.store import state_machine as rec
+from limerudder.store.drain_log import HOST_KEY_PREFIX, DrainFact, DrainLog
+from limerudder.store.peer_authentication import DurabilityProof
+from limerudder.store.raft.messages import (
+    AppendEntries,
+    ClusterConfig,
+    EntryKind,
+    MemberRole,
+    Snapshot,
+    SnapshotMeta,
+)
+from limerudder.store.raft.messages import Member as MemberEntry
+from limerudder.store.raft.raft import (
+    MembershipChangeError,
+    NotLeader,
+    PersistentState,
+    Raft,
+    RaftOutput,
+    RaftRole,
+    RaftTiming,
+    RaftWrite,
+    snapshot_digest,
+)
+from limerudder.store.rpc import Reply, ReplyStatus, Request, RequestKind
+from limerudder.store.state_machine import KeyValueState, OpenSession, Result, SessionWrite, Transaction
 
 PUSH_AGAIN = 500_000  #: between tries to bring the ledger's facts into the records
-KEPT_KEYS = (HOSTS, "config/", "list/")  #: the node needs these at its start, quorum or not
+KEPT_KEYS = (HOST_KEY_PREFIX, "config/", "list/")  #: the node needs these at its start, quorum or not
 
 
-class Limits(NamedTuple):
+class MemberLimits(NamedTuple):
     """How much a member takes."""
 
     snapshot_entries: int = 20_000
@@ -36,7 +53,7 @@
     keep_entries: int = 1000  # behind a snapshot, for members that are a little late
     waiting: int = 4096
     value: int = 64 << 10
-    piece: int = rec.PIECE
+    piece: int = rec.SNAPSHOT_CHUNK_BYTES
     history: int = 10_000
 
 
@@ -46,39 +63,41 @@
 
     index: int
     term: int
-    config: Config
-    frozen: rec.Frozen
+    config: ClusterConfig
+    frozen: rec.SnapshotView
     keep_from: int  # entries before this one may go
 
     def build(self) -> Snapshot:
         """It as bytes."""
         pieces = tuple(self.frozen.pieces())
-        return Snapshot(SnapshotMeta(self.index, self.term, self.config, len(pieces), digest(pieces)), pieces)
+        return Snapshot(
+            SnapshotMeta(self.index, self.term, self.config, len(pieces), snapshot_digest(pieces)), pieces
+        )
 
 
 @dataclass(slots=True)
-class Job:
+class DurabilityJob:
     """What is made durable together."""
 
     number: int
-    write: Write | None = None
+    write: RaftWrite | None = None
     snapshot: SnapshotJob | None = None
-    facts: tuple[tuple[int, Fact], ...] = ()
+    facts: tuple[tuple[int, DrainFact], ...] = ()
     gone_facts: tuple[int, ...] = ()
     known: tuple[tuple[str, int, bytes | None], ...] = ()  # key, revision, value
-    shown: tuple[tuple[int, Shown], ...] = ()  # what members have shown of their disks
+    shown: tuple[tuple[int, DurabilityProof], ...] = ()  # what members have shown of their disks
 
 
 @dataclass(slots=True)
 class MemberOutput:
     """What is to be done: send, make durable, and only then send `after`."""
 
-    send: list[tuple[int, talk.Any]] = field(default_factory=list)
-    job: Job | None = None
-    after: list[tuple[int, talk.Any]] = field(default_factory=list)
+    send: list[tuple[int, rpc.StoreMessage]] = field(default_factory=list)
+    job: DurabilityJob | None = None
+    after: list[tuple[int, rpc.StoreMessage]] = field(default_factory=list)
 
 
-class Failure(NamedTuple):
+class CallFailure(NamedTuple):
     """Why a wish was not granted. `unsure`: it may have been, or may be yet."""
 
     kind: str  # refused, busy, not_now
@@ -86,15 +105,15 @@
     unsure: bool = False
 
 
-Done = Callable[[bytes | Failure, int], None]
+Done = Callable[[bytes | CallFailure, int], None]
 
 
 @dataclass(slots=True, eq=False)
-class Waiting:
+class PendingCall:
     """A wish that waits for its answer; it is said again until then."""
 
     number: int
-    wish: Wish
+    wish: RequestKind
     data: bytes
     deadline: int
     done: Done
@@ -103,11 +122,11 @@
     tried: bool = False  # it has gone out at least once: it may have been granted
 
 
-class Start(NamedTuple):
+class MemberStart(NamedTuple):
     """What a member starts with: all that was durable."""
 
-    saved: Saved
-    facts: Mapping[int, Fact]
+    saved: PersistentState
+    facts: Mapping[int, DrainFact]
     known: Mapping[str, tuple[int, bytes | None]]
 
 
@@ -117,29 +136,29 @@
     def __init__(
         self,
         me: int,
-        start: Start,
+        start: MemberStart,
         random: Random,
         now: int,
-        limits: Limits | None = None,
-        timing: Timing | None = None,
-        check: Callable[[Txn, int], str] = rec.check_txn,
+        limits: MemberLimits | None = None,
+        timing: RaftTiming | None = None,
+        check: Callable[[Transaction, int], str] = rec.validate_transaction,
     ) -> None:
-        self.me, self.limits, self.random, self.check = me, limits or Limits(), random, check
+        self.me, self.limits, self.random, self.check = me, limits or MemberLimits(), random, check
         self.raft = Raft(me, start.saved, random, now, timing)
-        self.records = Records(self.limits.history)
+        self.records = KeyValueState(self.limits.history)
         if start.saved.snapshot:
             self.records.restore(start.saved.snapshot.pieces)
         self.known = dict(start.known)  # the keys that the node needs, as last known here
-        hosts = {key: value for key, value in start.known.items() if key.startswith(HOSTS)}
-        self.ledger = Ledger({}, start.facts)
+        hosts = {key: value for key, value in start.known.items() if key.startswith(HOST_KEY_PREFIX)}
+        self.ledger = DrainLog({}, start.facts)
         for key, (modified, value) in hosts.items():
-            self.ledger.learn(key.removeprefix(HOSTS), modified, value)
+            self.ledger.learn(key.removeprefix(HOST_KEY_PREFIX), modified, value)
         self.new_known: dict[str, tuple[int, bytes | None]] = {}
-        self.new_shown: dict[int, Shown] = {}  # to be made durable, for the doorman
+        self.new_shown: dict[int, DurabilityProof] = {}  # to be made durable, for the doorman
         self.jobs = 0
         self.raft_writes: dict[int, int] = {}  # by job, the machine's write
         self.snapshotting = False
-        self.wishes: dict[int, Waiting] = {}  # of this member, by number
+        self.wishes: dict[int, PendingCall] = {}  # of this member, by number
         # numbers of wishes must not be those of an earlier life: late answers to these may still come
         self.next_wish = random.getrandbits(48)
         self.proposals: list[tuple[bytes, int, int]] = []  # command, who asked, number: for one proposal
@@ -154,7 +173,7 @@
         self.fact_jobs: dict[int, list[int]] = {}  # by job
         self.fresh = now  # when this member last had all that it knew to be committed
         self.session, self.session_asked = 0, False
-        self.serials = rec.Serials()
+        self.serials = rec.RequestSequence()
         self.push_due = now
         self.on_change: list[
             Callable[[int], None]
@@ -166,14 +185,14 @@
     # what is known
 
     @property
-    def config(self) -> Config:
+    def config(self) -> ClusterConfig:
         """Who the members are."""
         return self.raft.log.config
 
     @property
     def leads(self) -> bool:
         """Whether this member leads."""
-        return self.raft.standing == Standing.LEADER
+        return self.raft.standing == RaftRole.LEADER
 
     def value(self, key: str) -> tuple[int, bytes | None]:
         """A key that the node needs, as last known here: the revision of its last change, and its value."""
@@ -187,35 +206,35 @@
 
     # what is wanted
 
-    def wish(self, wish: Wish, data: bytes, deadline: int, done: Done, now: int) -> None:
+    def wish(self, wish: RequestKind, data: bytes, deadline: int, done: Done, now: int) -> None:
         """Have something done by whoever leads; `done` hears once, at the deadline at the latest."""
         if len(self.wishes) >= self.limits.waiting:
-            return done(Failure("busy", f"{len(self.wishes)} wishes wait already"), now)
+            return done(CallFailure("busy", f"{len(self.wishes)} wishes wait already"), now)
         number, self.next_wish = self.next_wish, self.next_wish + 1
-        one = self.wishes[number] = Waiting(number, wish, data, deadline, done)
+        one = self.wishes[number] = PendingCall(number, wish, data, deadline, done)
         self._say(one, now)
 
     def write(
-        self, command: rec.Command, deadline: int, done: Callable[[Result | Failure, int], None], now: int
+        self, command: rec.Command, deadline: int, done: Callable[[Result | CallFailure, int], None], now: int
     ) -> None:
         """Have a command applied; `done` hears its result. A `Do` may be given again with the same serial."""
-        if isinstance(command, Do) and (wrong := self.check(command.txn, self.limits.value)):
-            return done(Failure("refused", wrong), now)
+        if isinstance(command, SessionWrite) and (wrong := self.check(command.txn, self.limits.value)):
+            return done(CallFailure("refused", wrong), now)
 
-        def told(outcome: bytes | Failure, at: int) -> None:
-            done(outcome if isinstance(outcome, Failure) else _read_result(outcome), at)
+        def told(outcome: bytes | CallFailure, at: int) -> None:
+            done(outcome if isinstance(outcome, CallFailure) else _read_result(outcome), at)
 
-        self.wish(Wish.WRITE, rec.write_command(command), deadline, told, now)
+        self.wish(RequestKind.WRITE, rec.encode_command(command), deadline, told, now)
 
-    def read(self, deadline: int, done: Callable[[Failure | None, int], None], now: int) -> None:
+    def read(self, deadline: int, done: Callable[[CallFailure | None, int], None], now: int) -> None:
         """`done` hears once the records here hold all that was committed when this was called."""
 
-        def told(outcome: bytes | Failure, at: int) -> None:
-            if isinstance(outcome, Failure):
+        def told(outcome: bytes | CallFailure, at: int) -> None:
+            if isinstance(outcome, CallFailure):
                 return done(outcome, at)
             self.once_applied(int.from_bytes(outcome, "big"), lambda then: done(None, then), at)
 
-        self.wish(Wish.INDEX, b"", deadline, told, now)
+        self.wish(RequestKind.INDEX, b"", deadline, told, now)
 
     def once_applied(self, index: int, call: Callable[[int], None], now: int) -> None:
         """Make a call once the entry of this index is in the records here."""
@@ -233,12 +252,12 @@
         else:
             call(now)
 
-    def _say(self, one: Waiting, now: int) -> None:
+    def _say(self, one: PendingCall, now: int) -> None:
         leader = self.raft.leader
         if not leader:
             return
         one.said, one.to, one.tried = now, leader, True
-        ask = Ask(one.number, one.wish, one.data)
+        ask = Request(one.number, one.wish, one.data)
         if leader == self.me:
             self._asked(self.me, ask, now)
         else:
@@ -246,16 +265,16 @@
 
     # what happens
 
-    def receive(self, sender: int, message: talk.Any, now: int) -> None:
+    def receive(self, sender: int, message: rpc.StoreMessage, now: int) -> None:
         """A message from another member."""
         match message:
-            case Ask():
+            case Request():
                 self._asked(sender, message, now)
-            case Told():
+            case Reply():
                 self._told(message, now)
             case _:
                 self.raft.receive(sender, message, now)
-                if isinstance(message, Append) and message.term == self.raft.term:
+                if isinstance(message, AppendEntries) and message.term == self.raft.term:
                     self.fresh = now if message.commit <= self.raft.commit else self.fresh
 
     def tick(self, now: int) -> None:
@@ -268,7 +287,7 @@
             if now >= one.deadline:
                 del self.wishes[one.number]
                 why = "nobody leads" if not self.raft.leader else "no answer came in time"
-                one.done(Failure("not_now", why, unsure=one.tried and one.wish != Wish.INDEX), now)
+                one.done(CallFailure("not_now", why, unsure=one.tried and one.wish != RequestKind.INDEX), now)
             elif one.to != self.raft.leader or now >= one.said + retry:
                 # guards against a wish lost on its way or with its leader; sessions keep it from being done
                 # twice
@@ -307,70 +326,72 @@
 
     # the leader's side
 
-    def _asked(self, sender: int, ask: Ask, now: int) -> None:
+    def _asked(self, sender: int, ask: Request, now: int) -> None:
         if not self.leads:
-            return self._answer(sender, ask.number, Status.NOT_LEADING, b"", now)
+            return self._answer(sender, ask.number, ReplyStatus.NOT_LEADING, b"", now)
         try:
             match ask.wish:
-                case Wish.WRITE:
+                case RequestKind.WRITE:
                     if len(self.proposals) + len(self.proposed) >= self.limits.waiting:
                         return self._answer(
-                            sender, ask.number, Status.BUSY, b"too much waits at the leader", now
+                            sender, ask.number, ReplyStatus.BUSY, b"too much waits at the leader", now
                         )
                     self.proposals.append((ask.data, sender, ask.number))
-                case Wish.INDEX:
+                case RequestKind.INDEX:
                     self.asked_reads[self.raft.read(now)] = sender, ask.number
-                case Wish.LEAD:
+                case RequestKind.LEAD:
                     self.raft.transfer(int.from_bytes(ask.data, "big"), now)
-                    self._answer(sender, ask.number, Status.DONE, b"", now)
-                case Wish.ADD | Wish.REMOVE:
+                    self._answer(sender, ask.number, ReplyStatus.DONE, b"", now)
+                case RequestKind.ADD | RequestKind.REMOVE:
                     after = self._changed(ask)
                     same = after == self.config  # said again, after its answer was lost
                     index = self.raft.log.config_index if same else self.raft.change(after, now)
                     if index <= self.records.applied:
-                        return self._answer(sender, ask.number, Status.DONE, index.to_bytes(8, "big"), now)
+                        return self._answer(
+                            sender, ask.number, ReplyStatus.DONE, index.to_bytes(8, "big"), now
+                        )
                     self.proposed[index] = self.raft.term, sender, ask.number
-        except ChangeError as exc:
-            self._answer(sender, ask.number, Status.REFUSED, str(exc).encode(), now)
-        except NotLeading:
-            self._answer(sender, ask.number, Status.NOT_LEADING, b"", now)
+        except MembershipChangeError as exc:
+            self._answer(sender, ask.number, ReplyStatus.REFUSED, str(exc).encode(), now)
+        except NotLeader:
+            self._answer(sender, ask.number, ReplyStatus.NOT_LEADING, b"", now)
 
-    def _changed(self, ask: Ask) -> Config:
+    def _changed(self, ask: Request) -> ClusterConfig:
         members = self.config.members
-        if ask.wish == Wish.REMOVE:
+        if ask.wish == RequestKind.REMOVE:
             number = int.from_bytes(ask.data, "big")
-            return Config(tuple(one for one in members if one.id != number))
+            return ClusterConfig(tuple(one for one in members if one.id != number))
         try:
             new: MemberEntry = msgspec.msgpack.decode(ask.data, type=MemberEntry)
         except msgspec.DecodeError as exc:
-            raise ChangeError(f"no member: {exc}") from None
-        if new.role == Role.VOTER:
-            raise ChangeError("a member joins first and becomes a voter once it has caught up")
+            raise MembershipChangeError(f"no member: {exc}") from None
+        if new.role == MemberRole.VOTER:
+            raise MembershipChangeError("a member joins first and becomes a voter once it has caught up")
         before = self.config.get(new.id)
         if before and (before.name, before.address) == (new.name, new.address):
             return self.config
         for one in members:
             if one.id == new.id or one.name == new.name or one.address == new.address:
-                raise ChangeError(f"{one.name} at {one.address} is a member already")
-        return Config((*members, new))
+                raise MembershipChangeError(f"{one.name} at {one.address} is a member already")
+        return ClusterConfig((*members, new))
 
-    def _answer(self, to: int, number: int, status: Status, data: bytes, now: int) -> None:
-        told = Told(number, status, data)
+    def _answer(self, to: int, number: int, status: ReplyStatus, data: bytes, now: int) -> None:
+        told = Reply(number, status, data)
         if to == self.me:
             self._told(told, now)
         else:
             self.out.send.append((to, told))
 
-    def _told(self, told: Told, now: int) -> None:
+    def _told(self, told: Reply, now: int) -> None:
         one = self.wishes.get(told.number)
-        if one is None or told.status == Status.NOT_LEADING:
+        if one is None or told.status == ReplyStatus.NOT_LEADING:
             return  # said again in time
         del self.wishes[told.number]
-        if told.status == Status.DONE:
+        if told.status == ReplyStatus.DONE:
             one.done(told.data, now)
         else:
-            kind = "busy" if told.status == Status.BUSY else "refused"
-            one.done(Failure(kind, told.data.decode("utf-8", "replace")), now)
+            kind = "busy" if told.status == ReplyStatus.BUSY else "refused"
+            one.done(CallFailure(kind, told.data.decode("utf-8", "replace")), now)
 
     # what is to be done
 
@@ -399,14 +420,14 @@
         wanted, self.proposals = self.proposals, []
         try:
             first, term = self.raft.propose([command for command, _, _ in wanted], now)
-        except NotLeading:
+        except NotLeader:
             for _, sender, number in wanted:
-                self._answer(sender, number, Status.NOT_LEADING, b"", now)
+                self._answer(sender, number, ReplyStatus.NOT_LEADING, b"", now)
             return
         for n, (_, sender, number) in enumerate(wanted):
             self.proposed[first + n] = term, sender, number
 
-    def _carry_out(self, raft: Output, now: int) -> None:
+    def _carry_out(self, raft: RaftOutput, now: int) -> None:
         changed = bool(raft.committed or raft.install)
         if raft.install:
             self.records.restore(raft.install.pieces)
@@ -414,7 +435,7 @@
         for entry in raft.committed:
             before = self.records.revision
             result = None
-            if entry.kind == Kind.DATA:
+            if entry.kind == EntryKind.DATA:
                 result = self.records.apply(entry.index, entry.data)
             else:
                 self.records.applied = entry.index
@@ -424,18 +445,18 @@
             if waiting:
                 term, sender, number = waiting
                 if term != entry.term:  # guards whoever asked against the result of another's command
-                    self._answer(sender, number, Status.NOT_LEADING, b"", now)
+                    self._answer(sender, number, ReplyStatus.NOT_LEADING, b"", now)
                 else:
                     data = msgspec.msgpack.encode(result) if result else entry.index.to_bytes(8, "big")
-                    self._answer(sender, number, Status.DONE, data, now)
+                    self._answer(sender, number, ReplyStatus.DONE, data, now)
         for number, index in raft.reads:
             asked = self.asked_reads.pop(number, None)
             if asked:
-                self._answer(*asked, Status.DONE, index.to_bytes(8, "big"), now)
+                self._answer(*asked, ReplyStatus.DONE, index.to_bytes(8, "big"), now)
         for number in raft.reads_lost:
             asked = self.asked_reads.pop(number, None)
             if asked:
-                self._answer(*asked, Status.NOT_LEADING, b"", now)
+                self._answer(*asked, ReplyStatus.NOT_LEADING, b"", now)
         if not self.leads and self.proposed:
             # their entries may still be committed; whoever asked says it again, and sessions see to the rest
             lost = [
@@ -466,17 +487,17 @@
         if self.known.get(key, (0, None))[0] >= modified:
             return
         self.known[key] = self.new_known[key] = modified, value
-        if key.startswith(HOSTS):
-            self.ledger.learn(key.removeprefix(HOSTS), modified, value)
+        if key.startswith(HOST_KEY_PREFIX):
+            self.ledger.learn(key.removeprefix(HOST_KEY_PREFIX), modified, value)
 
-    def _job(self, write: Write | None) -> Job | None:
+    def _job(self, write: RaftWrite | None) -> DurabilityJob | None:
         ledger = self.ledger
         snapshot = self._snapshot_due()
         ledgers = ledger.new_facts or ledger.gone_facts
         if not (write or snapshot or ledgers or self.new_known or self.new_shown):
             return None
         self.jobs += 1
-        job = Job(
+        job = DurabilityJob(
             self.jobs,
             write,
             snapshot,
@@ -525,20 +546,20 @@
         if not self.session:
             return self._open_session(now)
         for host in hosts:
-            item = self.records.get(HOSTS + host)
+            item = self.records.get(HOST_KEY_PREFIX + host)
             push = self.ledger.push(host, item.modified if item else 0, item.value if item else None)
             if push:
                 self._push_one(host, push[0], now)
 
-    def _push_one(self, host: str, txn: Txn, now: int) -> None:
+    def _push_one(self, host: str, txn: Transaction, now: int) -> None:
         serial = self.serials.next()
 
         session = self.session
 
-        def done(outcome: Result | Failure, at: int) -> None:
+        def done(outcome: Result | CallFailure, at: int) -> None:
             if session == self.session:
                 self.serials.done(serial)
-            if isinstance(outcome, Failure):
+            if isinstance(outcome, CallFailure):
                 return self.ledger.pushed(host, None)
             if outcome.error:
                 self.session = 0 if session == self.session else self.session
@@ -547,7 +568,7 @@
             revision = outcome.revision if outcome.ok else None
             self.once_applied(outcome.index, lambda _: self.ledger.pushed(host, revision), at)
 
-        command = Do(session, serial, self.serials.seen, txn)
+        command = SessionWrite(session, serial, self.serials.seen, txn)
         self.write(command, now + 20 * PUSH_AGAIN, done, now)
 
     def _open_session(self, now: int) -> None:
@@ -555,13 +576,13 @@
             return
         self.session_asked = True
 
-        def done(outcome: Result | Failure, at: int) -> None:
+        def done(outcome: Result | CallFailure, at: int) -> None:
             self.session_asked = False
             if isinstance(outcome, Result):
-                self.session, self.serials = outcome.index, rec.Serials()
+                self.session, self.serials = outcome.index, rec.RequestSequence()
                 self._push(at)
 
-        self.write(Open(), now + 20 * PUSH_AGAIN, done, now)
+        self.write(OpenSession(), now + 20 * PUSH_AGAIN, done, now)
 
 
 _decode_result: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(Result)
--- a/limerudder/store/glue.py
+++ b/limerudder/store/node_bridge.py
@@ -13,19 +13,33 @@
 from dataclasses import replace
 from typing import Any, Protocol
 
-from firgrade.interface import State
-
-from ..config import Config
-from ..core.discovery import Host, HostList, ListError, read_hosts, write_hosts
-from ..core.link import read_address
-from ..core.maintenance import Marks
-from ..core.wheel import Wheel
-from ..schema import StoreSettings
-from .checks import LIST, SETTINGS, read_setting
-from .control import Control
-from .member import Failure
-from .records import Compare, Do, Open, Put, Result, Serials, Txn, What
-from .store import Store
+from limerudder.config import NodeConfig
+from limerudder.core.discovery.endpoint_list import (
+    Endpoint,
+    EndpointList,
+    EndpointListError,
+    format_endpoints,
+    parse_endpoints,
+)
+from limerudder.core.operations.maintenance import MaintenanceMarks
+from limerudder.core.timer_wheel import TimerWheel
+from limerudder.core.transport import read_address
+from limerudder.policy.events import ServerState
+from limerudder.schema import StoreSettings
+from limerudder.store.checks import LIST, SETTINGS, read_setting
+from limerudder.store.control import ControlServer
+from limerudder.store.member import CallFailure
+from limerudder.store.state_machine import (
+    Compare,
+    CompareTarget,
+    OpenSession,
+    Put,
+    RequestSequence,
+    Result,
+    SessionWrite,
+    Transaction,
+)
+from limerudder.store.store import Store
 
 LOOK = 25_000  #: between looks at what has changed: far inside the grace for drains
 LIST_EVERY = 2_000_000  #: between lists written to the records, and only by whoever leads
@@ -33,10 +47,10 @@
 Log = Callable[[str, str], None]
 
 
-class Ward(Protocol):
+class BridgedNode(Protocol):
     """The node, as far as the store goes."""
 
-    wheel: Wheel
+    wheel: TimerWheel
     discovery: Any
 
     def lists(self, name: str) -> bool:
@@ -45,7 +59,7 @@
     def relist(self, name: str, now: int) -> None:
         """What is known of this host has changed."""
 
-    def listed(self) -> HostList:
+    def listed(self) -> EndpointList:
         """Discovery's list as it stands here."""
 
     def returned(self) -> dict[str, int]:
@@ -55,14 +69,14 @@
         """When they did so, as others know."""
 
 
-class Holds:
+class StoreMarks:
     """Hosts held out by hand: in the ledger, for the whole tier, and as marks for this node's other process.
 
     The marks are kept like the ledger; one that another process of this node sets or removes is taken as a
     hand's word.
     """
 
-    def __init__(self, glue: Glue, marks: Marks) -> None:
+    def __init__(self, glue: NodeStoreBridge, marks: MaintenanceMarks) -> None:
         self.glue, self.marks = glue, marks
         self.mirror = glue.store.member.ledger.held()
         for name in self.mirror - marks.read():
@@ -96,7 +110,7 @@
         self.glue.back(name)
 
 
-class Glue:
+class NodeStoreBridge:
     """Between one node and its store."""
 
     def __init__(
@@ -112,16 +126,16 @@
         self.store = Store(settings, log, now)
         found = self.store.opened.identity.name
         if found != name:
-            from .disk import DiskError
+            from limerudder.store.disk import DiskError
 
             self.store.disk.close()
             raise DiskError(f"{settings.folder} is the folder of {found}; this node is {name}")
-        self.control = Control(self.store)
-        self.node: Ward | None = None
+        self.control = ControlServer(self.store)
+        self.node: BridgedNode | None = None
         self.applied: dict[str, int] = {}  # settings in force, by the revision that set them
         self.version = -1  # of the list that was written last
         self.list_due = now()
-        self.session, self.serials, self.opening = 0, Serials(), False
+        self.session, self.serials, self.opening = 0, RequestSequence(), False
         ledger = self.store.member.ledger
         ledger.changed = self._host_changed
         self.changed_hosts: set[str] = set()
@@ -130,15 +144,19 @@
 
     # before the node is there
 
-    def begin_with(self, config: Config) -> Config:
+    def begin_with(self, config: NodeConfig) -> NodeConfig:
         """The configuration with what is known here: a later list of hosts, another address of discovery."""
         _, value = self.store.member.value(LIST)
         if value is not None:
             try:
-                hosts = read_hosts(json.loads(value))
+                hosts = parse_endpoints(json.loads(value))
                 if hosts.version > config.known.version:
                     config = replace(config, known=hosts._replace(whole=True))
-            except (ListError, ValueError, RecursionError):  # guards the start against a value gone bad
+            except (
+                EndpointListError,
+                ValueError,
+                RecursionError,
+            ):  # guards the start against a value gone bad
                 self.log("store", "store: the last list of hosts cannot be read; the platform's is used")
         address = self._setting("config/discovery")
         return replace(config, discovery=read_address(address)) if address else config
@@ -156,7 +174,7 @@
 
     # with the node
 
-    async def run(self, node: Ward, sock: socket.socket) -> None:
+    async def run(self, node: BridgedNode, sock: socket.socket) -> None:
         """Begin: the node is there and knows its hosts."""
         self.node = node
         await self.store.run(sock)
@@ -175,10 +193,10 @@
         self.control.close()
         self.store.close()
 
-    def out(self, host: Host) -> bool:
+    def out(self, host: Endpoint) -> bool:
         """Whether this host gets nothing new, whatever discovery lists; hears what discovery lists, too."""
         ledger = self.store.member.ledger
-        if host.state == State.DRAINING:
+        if host.state == ServerState.DRAINING:
             if ledger.drain(host.name, host.started_ms) is not None:
                 self.store.pump_soon()
             return True
@@ -264,21 +282,21 @@
             return
         if not self.session:
             return self._open_session(now)
-        value = json.dumps(write_hosts(hosts)).encode()
+        value = json.dumps(format_endpoints(hosts)).encode()
         modified, before = member.value(LIST)
         self.version = hosts.version
         if before == value or len(value) > self.settings.value_most:
             return
-        txn = Txn((Compare(LIST, What.MODIFIED, b"", modified),), (Put(LIST, value),))
+        txn = Transaction((Compare(LIST, CompareTarget.MODIFIED, b"", modified),), (Put(LIST, value),))
         serial = self.serials.next()
 
-        def done(outcome: Result | Failure, at: int) -> None:
+        def done(outcome: Result | CallFailure, at: int) -> None:
             self.serials.done(serial)
-            if isinstance(outcome, Failure) or outcome.error or not outcome.ok:
+            if isinstance(outcome, CallFailure) or outcome.error or not outcome.ok:
                 self.version = -1
                 self.session = 0 if isinstance(outcome, Result) and outcome.error else self.session
 
-        member.write(Do(self.session, serial, self.serials.seen, txn), now + LIST_EVERY, done, now)
+        member.write(SessionWrite(self.session, serial, self.serials.seen, txn), now + LIST_EVERY, done, now)
         self.store.pump_soon()
 
     def _open_session(self, now: int) -> None:
@@ -286,10 +304,10 @@
             return
         self.opening = True
 
-        def done(outcome: Result | Failure, at: int) -> None:
+        def done(outcome: Result | CallFailure, at: int) -> None:
             self.opening = False
             if isinstance(outcome, Result):
-                self.session, self.serials = outcome.index, Serials()
+                self.session, self.serials = outcome.index, RequestSequence()
 
-        self.store.member.write(Open(), now + LIST_EVERY, done, now)
+        self.store.member.write(OpenSession(), now + LIST_EVERY, done, now)
         self.store.pump_soon()
--- a/limerudder/store/doorman.py
+++ b/limerudder/store/peer_authentication.py
@@ -14,19 +14,19 @@
 
 import msgspec
 
-from .raft.messages import Config
+from limerudder.store.raft.messages import ClusterConfig
 
-BUILD = 1  #: of frames and messages; others are refused
+PROTOCOL_BUILD = 1  #: of frames and messages; others are refused
 
 
-class Boot(msgspec.Struct, frozen=True, array_like=True):
+class Incarnation(msgspec.Struct, frozen=True, array_like=True):
     """A start of a disk: how many there were before, and a word drawn for it."""
 
     number: int
     word: int
 
 
-class Hello(msgspec.Struct, frozen=True, array_like=True):
+class Handshake(msgspec.Struct, frozen=True, array_like=True):
     """The first thing said on a connection."""
 
     build: int
@@ -34,35 +34,35 @@
     sender: int
     to: int
     name: str
-    boot: Boot
+    boot: Incarnation
     term: int
     last: int  # its log's last index, durable
 
 
-class Shown(msgspec.Struct, frozen=True, array_like=True):
+class DurabilityProof(msgspec.Struct, frozen=True, array_like=True):
     """What a member has shown of its disk: its start, and the index it acknowledged in a term."""
 
-    boot: Boot
+    boot: Incarnation
     term: int = 0
     index: int = 0
 
 
-class Doorman:
+class PeerAuthenticator:
     """Judges whoever comes."""
 
-    def __init__(self, cluster: int, me: int, shown: Mapping[int, Shown]) -> None:
+    def __init__(self, cluster: int, me: int, shown: Mapping[int, DurabilityProof]) -> None:
         self.cluster, self.me = cluster, me
         self.shown = dict(shown)
-        self.new: dict[int, Shown] = {}  # to be made durable
+        self.new: dict[int, DurabilityProof] = {}  # to be made durable
 
-    def judge(self, hello: Hello, config: Config, sure: bool) -> str:
+    def judge(self, hello: Handshake, config: ClusterConfig, sure: bool) -> str:
         """Why this one may not talk here; nothing where it may.
 
         `sure` says that `config` is the newest there is. Where it may not be, a member that it lacks must
         be heard: it may be the one that leads, and the only one that can tell of itself.
         """
-        if hello.build != BUILD:
-            return f"build {hello.build} of the protocol; this member speaks {BUILD}"
+        if hello.build != PROTOCOL_BUILD:
+            return f"build {hello.build} of the protocol; this member speaks {PROTOCOL_BUILD}"
         if hello.cluster != self.cluster:
             return f"cluster {hello.cluster:016x}; this is {self.cluster:016x}"
         if hello.to != self.me:
@@ -79,24 +79,26 @@
         if before and (why := _less(before, hello)):
             return f"the disk of {hello.name} ({hello.sender:016x}) {why}"
         if before is None or before.boot != hello.boot:
-            self._note(hello.sender, Shown(hello.boot, *_most(before, hello.term)))
+            self._note(hello.sender, DurabilityProof(hello.boot, *_most(before, hello.term)))
         return ""
 
     def acknowledged(self, sender: int, term: int, index: int) -> None:
         """A member has acknowledged entries: from then on it has them."""
         before = self.shown.get(sender)
         if before and (term, index) > (before.term, before.index):
-            self.shown[sender] = Shown(before.boot, term, index)  # durable with its next start, if at all
+            self.shown[sender] = DurabilityProof(
+                before.boot, term, index
+            )  # durable with its next start, if at all
 
-    def _note(self, sender: int, shown: Shown) -> None:
+    def _note(self, sender: int, shown: DurabilityProof) -> None:
         self.shown[sender] = self.new[sender] = shown
 
 
-def _most(before: Shown | None, term: int) -> tuple[int, int]:
+def _most(before: DurabilityProof | None, term: int) -> tuple[int, int]:
     return (before.term, before.index) if before else (0, 0)
 
 
-def _less(before: Shown, hello: Hello) -> str:
+def _less(before: DurabilityProof, hello: Handshake) -> str:
     if hello.boot.number < before.boot.number:
         return f"shows start {hello.boot.number} after start {before.boot.number}: it is an older copy"
     if hello.boot.number == before.boot.number and hello.boot.word != before.boot.word:
--- a/limerudder/store/transport.py
+++ b/limerudder/store/peer_transport.py
@@ -13,13 +13,13 @@
 
 import msgspec
 
-from ..core.link import Address, read_address
-from . import talk
-from .disk import Disk
-from .doorman import Hello
-from .member import Job
-from .raft.messages import Config, Snapshot
-from .wire import FrameError, Frames, frame
+from limerudder.core.transport import Address, read_address
+from limerudder.store import rpc
+from limerudder.store.disk import Disk
+from limerudder.store.framing import FrameDecoder, FrameError, encode_frame
+from limerudder.store.member import DurabilityJob
+from limerudder.store.peer_authentication import Handshake
+from limerudder.store.raft.messages import ClusterConfig, Snapshot
 
 MOST_HELLO = 4096  #: bytes of a frame before the hello has been taken
 BUFFER = 8 << 20  #: bytes that wait for a slow member; what comes on top is dropped, as a network would
@@ -29,34 +29,34 @@
 RETRY = 0.1  #: seconds before a disk that has failed is tried again
 
 _encode = msgspec.msgpack.Encoder().encode
-_decode_hello: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(Hello | str)
+_decode_hello: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(Handshake | str)
 
 Log = Callable[[str, str], None]
 
 
-class Hall:
+class PeerObserver:
     """What the connections need of the store."""
 
-    def hello(self, to: int) -> Hello:
+    def hello(self, to: int) -> Handshake:
         """Ours, for this member."""
         raise NotImplementedError
 
-    def judge(self, hello: Hello) -> str:
+    def judge(self, hello: Handshake) -> str:
         """Why it may not talk here; nothing where it may."""
         raise NotImplementedError
 
-    def heard(self, sender: int, message: talk.Any) -> None:
+    def heard(self, sender: int, message: rpc.StoreMessage) -> None:
         """A message."""
         raise NotImplementedError
 
 
-class Peer(asyncio.Protocol):
+class PeerConnection(asyncio.Protocol):
     """One connection between two members; `to` is known where we have dialled."""
 
-    def __init__(self, net: Net, to: int = 0) -> None:
+    def __init__(self, net: PeerTransport, to: int = 0) -> None:
         self.net, self.to = net, to
         self.dialled = to != 0
-        self.frames = Frames(MOST_HELLO)
+        self.frames = FrameDecoder(MOST_HELLO)
         self.transport: asyncio.Transport | None = None
         self.up = False
         self.timer: asyncio.TimerHandle | None = None
@@ -71,16 +71,16 @@
         else:
             self.net.let_in(self)
 
-    def _say(self, what: Hello | str) -> None:
+    def _say(self, what: Handshake | str) -> None:
         if self.transport:
-            self.transport.write(frame(_encode(what)))
+            self.transport.write(encode_frame(_encode(what)))
 
     def data_received(self, data: bytes) -> None:
         """Bytes, of whoever it is."""
         try:
             for body in self.frames.feed(data):
                 if self.up:
-                    self.net.hall.heard(self.to, talk.read(body))
+                    self.net.hall.heard(self.to, rpc.decode_message(body))
                 elif self.transport and not self.transport.is_closing():
                     self._greeted(body)
         except (FrameError, msgspec.DecodeError) as exc:  # guards the store against garbage on its port
@@ -103,7 +103,7 @@
                 self._say(why)
             return self.close()
         self.to, self.up = hello.sender, True
-        self.frames.most = Frames().most
+        self.frames.most = FrameDecoder().most
         if self.timer:
             self.timer.cancel()
         if not self.dialled:
@@ -131,26 +131,26 @@
                 self.transport.write(data)
 
 
-class Net:
+class PeerTransport:
     """All connections of one member."""
 
-    def __init__(self, hall: Hall, me: int, log: Log) -> None:
+    def __init__(self, hall: PeerObserver, me: int, log: Log) -> None:
         self.hall, self.me, self.log = hall, me, log
-        self.all: set[Peer] = set()
-        self.dialled: dict[int, Peer] = {}  # those that are up, by member
-        self.accepted: dict[int, Peer] = {}
+        self.all: set[PeerConnection] = set()
+        self.dialled: dict[int, PeerConnection] = {}  # those that are up, by member
+        self.accepted: dict[int, PeerConnection] = {}
         self.dialling: dict[int, asyncio.Task[None]] = {}
         self.addresses: dict[int, Address] = {}
-        self.strangers: dict[Peer, None] = {}
+        self.strangers: dict[PeerConnection, None] = {}
         self.server: asyncio.Server | None = None
         self.dropped = 0
         self.closed = False
 
     async def listen(self, sock: socket.socket) -> None:
         """Take connections at a bound socket."""
-        self.server = await asyncio.get_running_loop().create_server(lambda: Peer(self), sock=sock)
+        self.server = await asyncio.get_running_loop().create_server(lambda: PeerConnection(self), sock=sock)
 
-    def follow(self, config: Config) -> None:
+    def follow(self, config: ClusterConfig) -> None:
         """Be connected to these members, and dial no others."""
         self.addresses = {}
         for one in config.members:
@@ -175,7 +175,7 @@
         try:
             while number in self.addresses and not self.closed:
                 try:
-                    peer = Peer(self, number)
+                    peer = PeerConnection(self, number)
                     await loop.create_connection(lambda peer=peer: peer, *self.addresses[number])  # type: ignore[misc]
                     return
                 except OSError:
@@ -183,7 +183,7 @@
         finally:
             self.dialling.pop(number, None)
 
-    def let_in(self, peer: Peer) -> None:
+    def let_in(self, peer: PeerConnection) -> None:
         """Somebody has come, unknown as yet; the oldest of too many goes."""
         self.strangers[peer] = None
         while len(self.strangers) > STRANGERS:
@@ -191,12 +191,12 @@
             del self.strangers[oldest]
             oldest.close()
 
-    def came_up(self, peer: Peer) -> None:
+    def came_up(self, peer: PeerConnection) -> None:
         """Both sides have taken the other's hello."""
         self.strangers.pop(peer, None)
         (self.dialled if peer.dialled else self.accepted)[peer.to] = peer
 
-    def gone(self, peer: Peer) -> None:
+    def gone(self, peer: PeerConnection) -> None:
         """A connection has ended."""
         self.all.discard(peer)
         self.strangers.pop(peer, None)
@@ -210,16 +210,16 @@
         if number in self.addresses:
             self._dial(number)
 
-    def refused(self, peer: Peer, why: str) -> None:
+    def refused(self, peer: PeerConnection, why: str) -> None:
         """A line for whoever is on call."""
         where = peer.transport.get_extra_info("peername") if peer.transport else None
         self.log("store-peer", "store: refused {}: {}".format(":".join(map(str, where or ("nobody",))), why))
 
-    def send(self, to: int, message: talk.Any) -> None:
+    def send(self, to: int, message: rpc.StoreMessage) -> None:
         """Send, or drop it where there is no connection: it is said again."""
         peer = self.dialled.get(to) or self.accepted.get(to)
         if peer:
-            peer.send(frame(talk.write(message)))
+            peer.send(encode_frame(rpc.encode_message(message)))
         else:
             self.dropped += 1
 
@@ -237,21 +237,21 @@
                 peer.transport.abort()
 
 
-class Writer:
+class DiskWriter:
     """The thread that makes jobs durable: all that wait go in one transaction."""
 
     def __init__(
-        self, disk: Disk, done: Callable[[list[Job], list[Snapshot | None]], None], log: Log
+        self, disk: Disk, done: Callable[[list[DurabilityJob], list[Snapshot | None]], None], log: Log
     ) -> None:
         self.disk, self.done, self.log = disk, done, log
         self.loop = asyncio.get_running_loop()
-        self.jobs: queue.SimpleQueue[Job | None] = queue.SimpleQueue()
+        self.jobs: queue.SimpleQueue[DurabilityJob | None] = queue.SimpleQueue()
         self.failing = ""  # what the disk said last, while it fails
         self.ended = threading.Event()
         self.thread = threading.Thread(target=self._run, name="store-disk", daemon=True)
         self.thread.start()
 
-    def put(self, job: Job) -> None:
+    def put(self, job: DurabilityJob) -> None:
         """Make it durable in its turn; `done` hears of it in the loop."""
         self.jobs.put(job)
 
@@ -283,7 +283,7 @@
         self.disk.close()
         self.ended.set()
 
-    def _do(self, jobs: list[Job]) -> list[Snapshot | None]:
+    def _do(self, jobs: list[DurabilityJob]) -> list[Snapshot | None]:
         while True:
             try:
                 results = self.disk.do(jobs)
--- a/limerudder/store/raft/log.py
+++ b/limerudder/store/raft/log.py
@@ -4,17 +4,17 @@
 
 from collections.abc import Sequence
 
-from .messages import Config, Entry, Kind, read_config
+from limerudder.store.raft.messages import ClusterConfig, Entry, EntryKind, decode_config
 
 
-class Log:
+class RaftLog:
     """Entries `base + 1` to `last`; those up to `base` stand in a snapshot."""
 
-    def __init__(self, base: int, base_term: int, config: Config) -> None:
+    def __init__(self, base: int, base_term: int, config: ClusterConfig) -> None:
         self.base, self.base_term = base, base_term
         self.entries: list[Entry] = []
         self.bytes = 0
-        self.configs: list[tuple[int, Config]] = [(base, config)]  # each with its entry's index
+        self.configs: list[tuple[int, ClusterConfig]] = [(base, config)]  # each with its entry's index
 
     @property
     def last(self) -> int:
@@ -27,7 +27,7 @@
         return self.entries[-1].term if self.entries else self.base_term
 
     @property
-    def config(self) -> Config:
+    def config(self) -> ClusterConfig:
         """Who the members are: by the last such entry, committed or not (4.1)."""
         return self.configs[-1][1]
 
@@ -36,7 +36,7 @@
         """Where that entry stands."""
         return self.configs[-1][0]
 
-    def config_at(self, index: int) -> Config:
+    def config_at(self, index: int) -> ClusterConfig:
         """Who the members were as of an entry; not before `base`."""
         return next(config for at, config in reversed(self.configs) if at <= index)
 
@@ -70,8 +70,8 @@
             assert entry.term >= self.last_term, "terms never fall along the log"
             self.entries.append(entry)
             self.bytes += entry.size()
-            if entry.kind == Kind.CONFIG:
-                self.configs.append((entry.index, read_config(entry.data)))
+            if entry.kind == EntryKind.CONFIG:
+                self.configs.append((entry.index, decode_config(entry.data)))
 
     def truncate(self, first: int) -> None:
         """Take away all entries from `first` on, and with them what they said of the members."""
--- a/limerudder/store/raft/messages.py
+++ b/limerudder/store/raft/messages.py
@@ -11,7 +11,7 @@
 import msgspec
 
 
-class Kind(IntEnum):
+class EntryKind(IntEnum):
     """What an entry holds."""
 
     DATA = 0  #: a command for the records
@@ -19,7 +19,7 @@
     EMPTY = 2  #: a new leader's first entry
 
 
-class Role(IntEnum):
+class MemberRole(IntEnum):
     """What a member may do."""
 
     VOTER = 0
@@ -33,17 +33,17 @@
     id: int
     name: str
     address: str
-    role: Role = Role.VOTER
+    role: MemberRole = MemberRole.VOTER
 
 
-class Config(msgspec.Struct, frozen=True, array_like=True):
+class ClusterConfig(msgspec.Struct, frozen=True, array_like=True):
     """Who the members are."""
 
     members: tuple[Member, ...]
 
     def voters(self) -> frozenset[int]:
         """The numbers of those that count."""
-        return frozenset(one.id for one in self.members if one.role == Role.VOTER)
+        return frozenset(one.id for one in self.members if one.role == MemberRole.VOTER)
 
     def get(self, number: int) -> Member | None:
         """The member of this number."""
@@ -59,7 +59,7 @@
 
     index: int
     term: int
-    kind: Kind
+    kind: EntryKind
     data: bytes = b""
 
     def size(self) -> int:
@@ -72,7 +72,7 @@
 
     index: int
     term: int
-    config: Config
+    config: ClusterConfig
     pieces: int
     digest: int  #: CRC-32 over all pieces
 
@@ -90,7 +90,7 @@
     term: int
 
 
-class Vote(Message, frozen=True, array_like=True, tag="Vote"):
+class RequestVote(Message, frozen=True, array_like=True, tag="Vote"):
     """Asks for a vote; `pre`: only whether it would be given (9.6), `transfer`: at a leader's word."""
 
     last_index: int
@@ -99,14 +99,14 @@
     transfer: bool
 
 
-class Voted(Message, frozen=True, array_like=True, tag="Voted"):
+class RequestVoteReply(Message, frozen=True, array_like=True, tag="Voted"):
     """The answer to it."""
 
     granted: bool
     pre: bool
 
 
-class Append(Message, frozen=True, array_like=True, tag="Append"):
+class AppendEntries(Message, frozen=True, array_like=True, tag="Append"):
     """Entries after `prev_index`, none for a sign of life; `round` is given back with the answer (6.4)."""
 
     prev_index: int
@@ -116,7 +116,7 @@
     round: int
 
 
-class Appended(Message, frozen=True, array_like=True, tag="Appended"):
+class AppendEntriesReply(Message, frozen=True, array_like=True, tag="Appended"):
     """The answer: the log agrees up to `index`; or it does not at `index`, and may up to `hint`."""
 
     ok: bool
@@ -126,7 +126,7 @@
     round: int
 
 
-class Piece(Message, frozen=True, array_like=True, tag="Piece"):
+class InstallSnapshotChunk(Message, frozen=True, array_like=True, tag="Piece"):
     """A piece of a snapshot; one without data asks how many the other has already."""
 
     meta: SnapshotMeta
@@ -135,7 +135,7 @@
     round: int
 
 
-class PieceHeld(Message, frozen=True, array_like=True, tag="PieceHeld"):
+class InstallSnapshotReply(Message, frozen=True, array_like=True, tag="PieceHeld"):
     """How many pieces of that snapshot are held, from the first on without a gap."""
 
     index: int
@@ -144,31 +144,39 @@
     round: int
 
 
-class TakeOver(Message, frozen=True, array_like=True, tag="TakeOver"):
+class TimeoutNow(Message, frozen=True, array_like=True, tag="TakeOver"):
     """The leader's word to stand for election at once (3.10)."""
 
 
-AnyMessage = Vote | Voted | Append | Appended | Piece | PieceHeld | TakeOver
+RaftMessage = (
+    RequestVote
+    | RequestVoteReply
+    | AppendEntries
+    | AppendEntriesReply
+    | InstallSnapshotChunk
+    | InstallSnapshotReply
+    | TimeoutNow
+)
 
 _encode = msgspec.msgpack.Encoder().encode
-_decode_config: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(Config)
+_decode_config: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(ClusterConfig)
 
 
-def write_config(config: Config) -> bytes:
+def encode_config(config: ClusterConfig) -> bytes:
     """A configuration as an entry holds it."""
     return _encode(config)
 
 
-def read_config(data: bytes) -> Config:
+def decode_config(data: bytes) -> ClusterConfig:
     """A configuration from an entry; msgspec.DecodeError where it is none."""
-    config: Config = _decode_config.decode(data)
+    config: ClusterConfig = _decode_config.decode(data)
     return config
 
 
-def as_dict(what: Any) -> Any:
+def to_plain(what: Any) -> Any:
     """Plain values, for people and for JSON."""
     if isinstance(what, msgspec.Struct):
-        return {name: as_dict(getattr(what, name)) for name in what.__struct_fields__}
+        return {name: to_plain(getattr(what, name)) for name in what.__struct_fields__}
     if isinstance(what, tuple | list):
-        return [as_dict(one) for one in what]
+        return [to_plain(one) for one in what]
     return what.name.lower() if isinstance(what, IntEnum) else what
--- a/limerudder/store/raft/progress.py
+++ b/limerudder/store/raft/progress.py
@@ -5,13 +5,13 @@
 from collections import deque
 from enum import IntEnum
 
-from .messages import Snapshot
+from limerudder.store.raft.messages import Snapshot
 
-WINDOW = 32  #: appends under way to a member that follows
-PIECES = 4  #: pieces of a snapshot under way
+MAX_INFLIGHT_APPENDS = 32  #: appends under way to a member that follows
+MAX_INFLIGHT_CHUNKS = 4  #: pieces of a snapshot under way
 
 
-class Mode(IntEnum):
+class ProgressMode(IntEnum):
     """How entries go to a member."""
 
     PROBE = 0  #: one append at a time, until it is known where the logs agree
@@ -25,7 +25,7 @@
     def __init__(self, next_index: int, now: int) -> None:
         self.match = 0  # its log agrees with ours up to here, durably
         self.next = next_index
-        self.mode = Mode.PROBE
+        self.mode = ProgressMode.PROBE
         self.under_way: deque[int] = deque()  # the last index of each append that is not answered
         self.waits = False  # a probe, or an offer of a snapshot, is out
         self.sent = now  # when anything last went to it
@@ -37,19 +37,19 @@
 
     def probe(self, next_index: int) -> None:
         """Find out where the logs agree, from here downwards."""
-        self.mode, self.next, self.waits = Mode.PROBE, max(next_index, self.match + 1), False
+        self.mode, self.next, self.waits = ProgressMode.PROBE, max(next_index, self.match + 1), False
         self.under_way.clear()
         self.snapshot = None
 
     def follow(self) -> None:
         """It agrees: send on without waiting."""
-        self.mode, self.next, self.waits = Mode.FOLLOW, self.match + 1, False
+        self.mode, self.next, self.waits = ProgressMode.FOLLOW, self.match + 1, False
         self.under_way.clear()
         self.snapshot = None
 
     def send_snapshot(self, snapshot: Snapshot) -> None:
         """Begin with a snapshot: first ask what it has of it."""
-        self.mode, self.snapshot, self.waits = Mode.SNAPSHOT, snapshot, False
+        self.mode, self.snapshot, self.waits = ProgressMode.SNAPSHOT, snapshot, False
         self.held = self.sent_pieces = -1
         self.under_way.clear()
 
@@ -64,6 +64,6 @@
 
     def full(self) -> bool:
         """Nothing more may go to it before it has answered."""
-        if self.mode == Mode.FOLLOW:
-            return len(self.under_way) >= WINDOW
+        if self.mode == ProgressMode.FOLLOW:
+            return len(self.under_way) >= MAX_INFLIGHT_APPENDS
         return self.waits
--- a/limerudder/store/talk.py
+++ b/limerudder/store/rpc.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 from enum import IntEnum
-from typing import Any as Whatever
+from typing import Any
 
 import msgspec
 
-from .raft.messages import AnyMessage
+from limerudder.store.raft.messages import RaftMessage
 
 
-class Wish(IntEnum):
+class RequestKind(IntEnum):
     """What is wanted of the leader."""
 
     WRITE = 0  #: a command; comes back once it is applied
@@ -20,7 +20,7 @@
     LEAD = 4  #: the member of this number is to lead
 
 
-class Status(IntEnum):
+class ReplyStatus(IntEnum):
     """How it went."""
 
     DONE = 0
@@ -29,35 +29,35 @@
     NOT_LEADING = 3  #: nothing was done
 
 
-class Ask(msgspec.Struct, frozen=True, array_like=True, tag="Ask"):
+class Request(msgspec.Struct, frozen=True, array_like=True, tag="Ask"):
     """A wish; `number` is given back with the answer."""
 
     number: int
-    wish: Wish
+    wish: RequestKind
     data: bytes
 
 
-class Told(msgspec.Struct, frozen=True, array_like=True, tag="Told"):
+class Reply(msgspec.Struct, frozen=True, array_like=True, tag="Told"):
     """The answer."""
 
     number: int
-    status: Status
+    status: ReplyStatus
     data: bytes
 
 
-Talk = Ask | Told
-Any = AnyMessage | Talk
+Rpc = Request | Reply
+StoreMessage = RaftMessage | Rpc
 
 _encode = msgspec.msgpack.Encoder().encode
-_decode: msgspec.msgpack.Decoder[Whatever] = msgspec.msgpack.Decoder(Any)
+_decode: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(StoreMessage)
 
 
-def write(message: Any) -> bytes:
+def encode_message(message: StoreMessage) -> bytes:
     """A message as it goes over the wire."""
     return _encode(message)
 
 
-def read(data: bytes) -> Any:
+def decode_message(data: bytes) -> StoreMessage:
     """A message; msgspec.DecodeError where it is none."""
-    message: Any = _decode.decode(data)
+    message: StoreMessage = _decode.decode(data)
     return message
--- a/limerudder/store/records.py
+++ b/limerudder/store/state_machine.py
@@ -14,11 +14,13 @@
 
 import msgspec
 
-MOST_SESSIONS = 4096  #: the longest unused goes for one more
-MOST_RESULTS = 512  #: of a session that its writer has not seen: so many writes may be under way in it
-MOST_KEY = 256  #: bytes
-MOST_OPS = 64  #: comparisons and operations of one transaction
-PIECE = 128 * 1024  #: bytes of a snapshot's piece, about
+MAX_SESSIONS = 4096  #: the longest unused goes for one more
+MAX_UNACKNOWLEDGED_RESULTS = (
+    512  #: of a session that its writer has not seen: so many writes may be under way in it
+)
+MAX_KEY_BYTES = 256  #: bytes
+MAX_OPERATIONS = 64  #: comparisons and operations of one transaction
+SNAPSHOT_CHUNK_BYTES = 128 * 1024  #: bytes of a snapshot's piece, about
 FORMAT = 1  #: of snapshots; older ones are read as well, newer ones refused
 
 
@@ -31,7 +33,7 @@
     version: int
 
 
-class What(IntEnum):
+class CompareTarget(IntEnum):
     """What of a key is compared."""
 
     VALUE = 0
@@ -43,7 +45,7 @@
     """Whether what a key holds is just this."""
 
     key: str
-    what: What
+    what: CompareTarget
     value: bytes = b""
     number: int = 0
 
@@ -70,7 +72,7 @@
 Op = Put | Delete | Get
 
 
-class Txn(msgspec.Struct, frozen=True, array_like=True):
+class Transaction(msgspec.Struct, frozen=True, array_like=True):
     """`then` where all comparisons hold, `other` where not; all of it at one revision, or none."""
 
     compares: tuple[Compare, ...] = ()
@@ -78,26 +80,26 @@
     other: tuple[Op, ...] = ()
 
 
-class Open(msgspec.Struct, frozen=True, array_like=True, tag="open"):
+class OpenSession(msgspec.Struct, frozen=True, array_like=True, tag="open"):
     """Begin a session; its number is the index of this command."""
 
 
-class End(msgspec.Struct, frozen=True, array_like=True, tag="end"):
+class CloseSession(msgspec.Struct, frozen=True, array_like=True, tag="end"):
     """End a session."""
 
     session: int
 
 
-class Do(msgspec.Struct, frozen=True, array_like=True, tag="do"):
+class SessionWrite(msgspec.Struct, frozen=True, array_like=True, tag="do"):
     """A session's write. `seen`: the results of all its writes up to this serial have arrived."""
 
     session: int
     serial: int
     seen: int
-    txn: Txn
+    txn: Transaction
 
 
-Command = Open | End | Do
+Command = OpenSession | CloseSession | SessionWrite
 
 
 class Result(msgspec.Struct, frozen=True, array_like=True):
@@ -110,7 +112,7 @@
     error: str = ""  # nothing was done: the session is not known, or has passed this serial
 
 
-class Event(msgspec.Struct, frozen=True, array_like=True):
+class ChangeEvent(msgspec.Struct, frozen=True, array_like=True):
     """A change of a key; no item where it was removed."""
 
     revision: int
@@ -118,7 +120,7 @@
     item: Item | None
 
 
-class Compacted(Exception):
+class CompactedError(Exception):
     """Changes that are no longer kept were asked for; `revision` is the last that is gone."""
 
     def __init__(self, revision: int) -> None:
@@ -136,7 +138,7 @@
         self.results = results or {}
 
 
-class Serials:
+class RequestSequence:
     """A session as its writer keeps it: the last serial, and up to which all have been answered."""
 
     def __init__(self) -> None:
@@ -173,25 +175,25 @@
 )
 
 
-def write_command(command: Command) -> bytes:
+def encode_command(command: Command) -> bytes:
     """A command as the log holds it."""
     return _encode(command)
 
 
-def read_command(data: bytes) -> Command:
+def decode_command(data: bytes) -> Command:
     """A command from the log; msgspec.DecodeError where it is none."""
     command: Command = _decode_command.decode(data)
     return command
 
 
-class RecordsError(Exception):
+class SnapshotError(Exception):
     """A snapshot that cannot be read."""
 
 
-class Frozen:
+class SnapshotView:
     """The records as they were at one moment, to be written out while they go on changing."""
 
-    def __init__(self, records: Records, piece: int) -> None:
+    def __init__(self, records: KeyValueState, piece: int) -> None:
         self.piece = piece
         self.head = _Head(
             FORMAT, records.applied, records.revision, len(records.items), len(records.sessions)
@@ -219,7 +221,7 @@
         yield _encode(batch)
 
 
-class Records:
+class KeyValueState:
     """The key space, its sessions, and its last changes."""
 
     def __init__(self, history: int = 10_000) -> None:
@@ -227,7 +229,7 @@
         self.keys: list[str] = []  # in order
         self.sessions: dict[int, Session] = {}  # the longest unused first
         self.revision = self.applied = 0
-        self.history: deque[Event] = deque()
+        self.history: deque[ChangeEvent] = deque()
         self.history_most = history
         self.compacted = 0  # changes up to this revision are gone
 
@@ -238,23 +240,23 @@
         assert index > self.applied, "each entry is applied once, in order"
         self.applied = index
         try:
-            command = read_command(data)
+            command = decode_command(data)
         except msgspec.DecodeError as exc:  # alike at every member: it changes nothing
             return Result(index, self.revision, False, (), f"a command that cannot be read: {exc}")
         match command:
-            case Open():
-                while len(self.sessions) >= MOST_SESSIONS:
+            case OpenSession():
+                while len(self.sessions) >= MAX_SESSIONS:
                     del self.sessions[next(iter(self.sessions))]
                 self.sessions[index] = Session()
                 return Result(index, self.revision)
-            case End(session):
+            case CloseSession(session):
                 self.sessions.pop(session, None)
                 return Result(index, self.revision)
-            case Do():
+            case SessionWrite():
                 return self._do(index, command)
         raise AssertionError("all commands are above")
 
-    def _do(self, index: int, command: Do) -> Result:
+    def _do(self, index: int, command: SessionWrite) -> Result:
         session = self.sessions.pop(command.session, None)
         if session is None:
             return Result(index, self.revision, False, (), "the session has ended")
@@ -267,12 +269,12 @@
             return session.results[command.serial]
         if command.serial <= session.seen:
             return Result(index, self.revision, False, (), "the session has passed this serial")
-        if len(session.results) >= MOST_RESULTS:
+        if len(session.results) >= MAX_UNACKNOWLEDGED_RESULTS:
             return Result(index, self.revision, False, (), "too many results of the session are not seen")
         result = session.results[command.serial] = self._txn(index, command.txn)
         return result
 
-    def _txn(self, index: int, txn: Txn) -> Result:
+    def _txn(self, index: int, txn: Transaction) -> Result:
         ok = all(map(self._holds, txn.compares))
         ops = txn.then if ok else txn.other
         revision = self.revision + 1
@@ -295,11 +297,11 @@
     def _holds(self, compare: Compare) -> bool:
         item = self.items.get(compare.key)
         match compare.what:
-            case What.VALUE:
+            case CompareTarget.VALUE:
                 return item is not None and item.value == compare.value
-            case What.MODIFIED:
+            case CompareTarget.MODIFIED:
                 return (item.modified if item else 0) == compare.number
-            case What.VERSION:
+            case CompareTarget.VERSION:
                 return (item.version if item else 0) == compare.number
 
     def _set(self, key: str, value: bytes, revision: int) -> None:
@@ -310,13 +312,13 @@
             value, before.created if before else revision, revision, before.version + 1 if before else 1
         )
         self.items[key] = item
-        self.history.append(Event(revision, key, item))
+        self.history.append(ChangeEvent(revision, key, item))
 
     def _remove(self, key: str, revision: int) -> bool:
         if self.items.pop(key, None) is None:
             return False
         del self.keys[bisect_left(self.keys, key)]
-        self.history.append(Event(revision, key, None))
+        self.history.append(ChangeEvent(revision, key, None))
         return True
 
     # reading
@@ -335,14 +337,14 @@
             found.append((key, self.items[key]))
         return found
 
-    def since(self, revision: int, prefix: str = "", most: int = 1000) -> tuple[list[Event], int]:
+    def since(self, revision: int, prefix: str = "", most: int = 1000) -> tuple[list[ChangeEvent], int]:
         """Changes after a revision, and the revision up to which this is all; Compacted where some are gone.
 
         A transaction's changes come together, so that a watch never stops within one.
         """
         if revision < self.compacted:
-            raise Compacted(self.compacted)
-        found: list[Event] = []
+            raise CompactedError(self.compacted)
+        found: list[ChangeEvent] = []
         upto = self.revision
         for event in self._after(revision):
             if len(found) >= most and event.revision != found[-1].revision:
@@ -352,8 +354,8 @@
                 found.append(event)
         return found, upto
 
-    def _after(self, revision: int) -> Iterator[Event]:
-        tail = list[Event]()
+    def _after(self, revision: int) -> Iterator[ChangeEvent]:
+        tail = list[ChangeEvent]()
         for event in reversed(self.history):
             if event.revision <= revision:
                 break
@@ -362,16 +364,16 @@
 
     # snapshots
 
-    def freeze(self, piece: int = PIECE) -> Frozen:
+    def freeze(self, piece: int = SNAPSHOT_CHUNK_BYTES) -> SnapshotView:
         """What is needed to write them out later, in pieces of about so many bytes."""
-        return Frozen(self, piece)
+        return SnapshotView(self, piece)
 
     def restore(self, pieces: Sequence[bytes]) -> None:
         """Become what a snapshot holds; RecordsError, and no change, where it cannot be read."""
         try:
             head = _decode_head.decode(pieces[0])
             if head.format > FORMAT:
-                raise RecordsError(f"a snapshot of format {head.format}; this build reads up to {FORMAT}")
+                raise SnapshotError(f"a snapshot of format {head.format}; this build reads up to {FORMAT}")
             items: dict[str, Item] = {}
             sessions: dict[int, Session] = {}
             for piece in pieces[1:]:
@@ -381,9 +383,9 @@
                     for number, seen, results in _decode_sessions.decode(piece):
                         sessions[number] = Session(seen, results)
         except (msgspec.DecodeError, IndexError) as exc:
-            raise RecordsError(f"a snapshot that cannot be read: {exc}") from None
+            raise SnapshotError(f"a snapshot that cannot be read: {exc}") from None
         if (len(items), len(sessions)) != (head.items, head.sessions):
-            raise RecordsError("a snapshot that lacks a piece")
+            raise SnapshotError("a snapshot that lacks a piece")
         self.items, self.sessions = items, sessions
         self.keys = sorted(items)
         self.revision, self.applied = head.revision, head.applied
@@ -391,13 +393,13 @@
         self.compacted = head.revision  # what came before is gone for watches here
 
 
-def check_txn(txn: Txn, value_most: int) -> str:
+def validate_transaction(txn: Transaction, value_most: int) -> str:
     """What is wrong with a transaction's size and keys; nothing where it may go on."""
-    if len(txn.compares) + len(txn.then) + len(txn.other) > MOST_OPS:
-        return f"more than {MOST_OPS} comparisons and operations"
+    if len(txn.compares) + len(txn.then) + len(txn.other) > MAX_OPERATIONS:
+        return f"more than {MAX_OPERATIONS} comparisons and operations"
     for key in [one.key for one in (*txn.compares, *txn.then, *txn.other)]:
-        if not key or len(key.encode()) > MOST_KEY or not key.isprintable():
-            return f"the key {key[:40]!r} is empty, longer than {MOST_KEY} bytes or not printable"
+        if not key or len(key.encode()) > MAX_KEY_BYTES or not key.isprintable():
+            return f"the key {key[:40]!r} is empty, longer than {MAX_KEY_BYTES} bytes or not printable"
     for op in (*txn.then, *txn.other):
         if isinstance(op, Put) and len(op.value) > value_most:
             return f"the value of {op.key} has {len(op.value)} bytes; at most {value_most} are taken"
