--- a/limerudder/store/store.py
+++ b/limerudder/store/store.py
@@ -10,16 +10,16 @@
 from random import Random
 from typing import Any
 
-from ..schema import StoreSettings
-from . import talk
-from .checks import check
-from .disk import Disk
-from .doorman import BUILD, Doorman, Hello
-from .ledger import Drain
-from .member import Job, Limits, Member
-from .raft.machine import Standing, Timing
-from .raft.messages import Appended, Config, Snapshot
-from .transport import Hall, Net, Writer
+from limerudder.schema import StoreSettings
+from limerudder.store import rpc
+from limerudder.store.checks import check
+from limerudder.store.disk import Disk
+from limerudder.store.drain_log import DrainObserved
+from limerudder.store.member import DurabilityJob, Member, MemberLimits
+from limerudder.store.peer_authentication import PROTOCOL_BUILD, Handshake, PeerAuthenticator
+from limerudder.store.peer_transport import DiskWriter, PeerObserver, PeerTransport
+from limerudder.store.raft.messages import AppendEntriesReply, ClusterConfig, Snapshot
+from limerudder.store.raft.raft import RaftRole, RaftTiming
 
 TICK = 0.01  #: seconds between looks at what is due; elections and signs of life are far coarser
 END_WAIT = 0.5  #: seconds for the last jobs at a planned end
@@ -27,7 +27,7 @@
 Log = Callable[[str, str], None]
 
 
-class Store(Hall):
+class Store(PeerObserver):
     """One member, running. All calls come from its loop; `now` is in microseconds and never goes back."""
 
     def __init__(self, settings: StoreSettings, log: Log, now: Callable[[], int]) -> None:
@@ -39,33 +39,35 @@
         except Exception:
             self.disk.close()
             raise
-        limits = Limits(
+        limits = MemberLimits(
             settings.snapshot_entries,
             settings.snapshot_bytes,
-            min(Limits().keep_entries, settings.snapshot_entries),
+            min(MemberLimits().keep_entries, settings.snapshot_entries),
             settings.waiting_most,
             settings.value_most,
             history=settings.history,
         )
-        timing = Timing(settings.election, settings.heartbeat)
+        timing = RaftTiming(settings.election, settings.heartbeat)
         random = Random(secrets.randbits(64))
         me = opened.identity.me
         self.member = Member(me, opened.start, random, now(), limits, timing, check)
-        self.doorman = Doorman(opened.identity.cluster, me, opened.shown)
+        self.doorman = PeerAuthenticator(opened.identity.cluster, me, opened.shown)
         self.durable_term = opened.start.saved.hard.term
-        self.net = Net(self, me, log)
-        self.afters: deque[tuple[int, list[tuple[int, talk.Any]]]] = deque()  # by the job they wait for
+        self.net = PeerTransport(self, me, log)
+        self.afters: deque[tuple[int, list[tuple[int, rpc.StoreMessage]]]] = (
+            deque()
+        )  # by the job they wait for
         self.given = self.done = 0  # jobs
         self.pumping = self.closed = False
         self.leader = -1
-        self.config: Config | None = None
+        self.config: ClusterConfig | None = None
         self.loop = asyncio.get_running_loop()
-        self.writer: Writer | None = None
+        self.writer: DiskWriter | None = None
         self.timer: asyncio.TimerHandle | None = None
 
     async def run(self, sock: socket.socket) -> None:
         """Begin to talk, at a bound socket."""
-        self.writer = Writer(self.disk, self._durable, self.log)
+        self.writer = DiskWriter(self.disk, self._durable, self.log)
         await self.net.listen(sock)
         self._tick()
 
@@ -89,15 +91,22 @@
 
     # Hall
 
-    def hello(self, to: int) -> Hello:
+    def hello(self, to: int) -> Handshake:
         """Ours."""
         identity, raft = self.opened.identity, self.member.raft
         last = max(min(raft.durable, raft.log.last), raft.log.base)
-        return Hello(
-            BUILD, identity.cluster, identity.me, to, identity.name, self.opened.boot, self.durable_term, last
+        return Handshake(
+            PROTOCOL_BUILD,
+            identity.cluster,
+            identity.me,
+            to,
+            identity.name,
+            self.opened.boot,
+            self.durable_term,
+            last,
         )
 
-    def judge(self, hello: Hello) -> str:
+    def judge(self, hello: Handshake) -> str:
         """Theirs."""
         why = self.doorman.judge(hello, self.member.config, self.member.leads)
         self.member.new_shown.update(self.doorman.new)
@@ -105,9 +114,9 @@
         self.pump_soon()
         return why
 
-    def heard(self, sender: int, message: talk.Any) -> None:
+    def heard(self, sender: int, message: rpc.StoreMessage) -> None:
         """A message."""
-        if isinstance(message, Appended) and message.ok:
+        if isinstance(message, AppendEntriesReply) and message.ok:
             self.doorman.acknowledged(sender, message.term, message.index)
         self.member.receive(sender, message, self.now())
         self.pump_soon()
@@ -141,17 +150,17 @@
         if raft.log.config != self.config:
             self.config = raft.log.config
             self.net.follow(self.config)
-        if raft.leader != self.leader and (raft.leader or raft.standing == Standing.FOLLOWER):
+        if raft.leader != self.leader and (raft.leader or raft.standing == RaftRole.FOLLOWER):
             self.leader = raft.leader
             one = self.member.config.get(self.leader)
             who = f"{one.name} leads" if one else "nobody leads"
             self.log("store-lead", f"store: {who} in term {raft.term}")
 
-    def _send(self, messages: list[tuple[int, talk.Any]]) -> None:
+    def _send(self, messages: list[tuple[int, rpc.StoreMessage]]) -> None:
         for to, message in messages:
             self.net.send(to, message)
 
-    def _durable(self, jobs: list[Job], results: list[Snapshot | None]) -> None:
+    def _durable(self, jobs: list[DurabilityJob], results: list[Snapshot | None]) -> None:
         """The disk has these; now what waited for them may leave."""
         now = self.now()
         for job, snapshot in zip(jobs, results, strict=True):
@@ -159,7 +168,7 @@
             if job.write and job.write.hard:
                 self.durable_term = job.write.hard.term
             for _, fact in job.facts:
-                if isinstance(fact, Drain):
+                if isinstance(fact, DrainObserved):
                     self.log(
                         "drain", f"store: host {fact.host} drains; remembered for its start {fact.started_ms}"
                     )
--- a/limerudder/keeping.py
+++ b/limerudder/store_runtime.py
@@ -7,17 +7,17 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from .config import Config, ConfigError
-from .core.console import Later
-from .core.handover import Elder
-from .core.maintenance import Marks
-from .core.node import Node
-from .core.recall import Inherited, Recall
-from .net.clock import Clock
-from .net.listen import bind
+from limerudder.config import ConfigError, NodeConfig
+from limerudder.core.discovery.drain_memory import DrainMemory, InheritedDrains
+from limerudder.core.lifecycle.hot_restart import HotRestartParent
+from limerudder.core.node import Node
+from limerudder.core.operations.console import DeferredAnswer
+from limerudder.core.operations.maintenance import MaintenanceMarks
+from limerudder.net.clock import Clock
+from limerudder.net.listener import bind
 
 if TYPE_CHECKING:
-    from .store.glue import Glue
+    from limerudder.store.node_bridge import NodeStoreBridge
 
 AGAIN = 0.05  #: seconds between looks whether the process before this one has let go of the folder
 PATIENCE = 5.0  #: seconds after which the log says that it has not
@@ -25,29 +25,29 @@
 Log = Callable[[str, str], None]
 
 
-class Keeping:
+class StoreRuntime:
     """A node's store, where the operator's file asks for one."""
 
-    def __init__(self, config: Config, log: Log, clock: Clock) -> None:
+    def __init__(self, config: NodeConfig, log: Log, clock: Clock) -> None:
         self.settings = config.operator.store if config.operator else None
         self.name, self.log, self.clock = config.name, log, clock
-        self.glue: Glue | None = None
-        self.inherited: Inherited | None = None
+        self.glue: NodeStoreBridge | None = None
+        self.inherited: InheritedDrains | None = None
         self.late = False  # the folder is another process's as yet
         self.task: asyncio.Task[None] | None = None
 
-    def _open(self) -> Glue:
-        from .store.glue import Glue
+    def _open(self) -> NodeStoreBridge:
+        from limerudder.store.node_bridge import NodeStoreBridge
 
         assert self.settings
         configure = getattr(self.log, "configure", lambda *args: None)
-        return Glue(self.settings, self.name, self.log, self.clock.now, configure)
+        return NodeStoreBridge(self.settings, self.name, self.log, self.clock.now, configure)
 
-    def open(self, config: Config) -> Config:
+    def open(self, config: NodeConfig) -> NodeConfig:
         """Open the store where there is to be one; gives the configuration with what is known there."""
         if self.settings is None:
             return config
-        from .store.disk import DiskBusy, DiskError
+        from limerudder.store.disk import DiskBusy, DiskError
 
         try:
             self.glue = self._open()
@@ -60,31 +60,31 @@
             raise ConfigError(f"store: {exc}") from None
         return self.glue.begin_with(config)
 
-    def recall(self, drained: dict[str, int]) -> Recall | None:
+    def recall(self, drained: dict[str, int]) -> DrainMemory | None:
         """Who remembers drains: the store, or until it is open what the process before this one knew."""
         if self.settings is None:
             return None
         if self.glue is None:
-            self.inherited = Inherited(drained)
+            self.inherited = InheritedDrains(drained)
         return self.glue or self.inherited
 
-    def marks(self, marks: Marks) -> Marks:
+    def marks(self, marks: MaintenanceMarks) -> MaintenanceMarks:
         """Hosts held out by hand: in the store as well, where it is open."""
         if self.glue is None:
             return marks
-        from .store.glue import Holds
+        from limerudder.store.node_bridge import StoreMarks
 
-        return Holds(self.glue, marks)
+        return StoreMarks(self.glue, marks)
 
-    def done(self, name: str) -> str | Later:
+    def done(self, name: str) -> str | DeferredAnswer:
         """The yes to a hand, once it is durable here."""
         if self.glue is None:
             return "done\n"
-        later = Later()
+        later = DeferredAnswer()
         self.glue.durable(name, lambda now: later.settle("done\n", now))
         return later
 
-    async def attach(self, node: Node, marks: Marks, elder: Elder) -> None:
+    async def attach(self, node: Node, marks: MaintenanceMarks, elder: HotRestartParent) -> None:
         """Have the store talk, now that the node is there."""
         if self.glue is None:
             if self.late:
@@ -94,13 +94,13 @@
         self.glue.hear_drained = lambda host, start: elder.tell(f"drained {start} {host}")
         await self.glue.run(node, bind(self.settings.listen, socket.SOCK_STREAM))
 
-    def attach_soon(self, node: Node, marks: Marks, elder: Elder) -> None:
+    def attach_soon(self, node: Node, marks: MaintenanceMarks, elder: HotRestartParent) -> None:
         """The process before this one has ended: take the store over."""
         if self.settings is not None and self.task is None:
             self.task = asyncio.get_running_loop().create_task(self._take_over(node, marks, elder))
 
-    async def _take_over(self, node: Node, marks: Marks, elder: Elder) -> None:
-        from .store.disk import DiskError
+    async def _take_over(self, node: Node, marks: MaintenanceMarks, elder: HotRestartParent) -> None:
+        from limerudder.store.disk import DiskError
 
         waited, told = 0.0, False
         while self.glue is None:
--- a/tests/driver.py
+++ b/tests/policy_driver.py
@@ -6,12 +6,41 @@
 from dataclasses import dataclass, field, replace
 from random import Random
 
-from firgrade import interface as io
-from firgrade.choice import Balancer
-from firgrade.records import SECOND
+from limerudder.policy.actions import (
+    Action,
+    CheckHealth,
+    FailRequest,
+    LogMessage,
+    MigrateClient,
+    RejectRequest,
+    SetTimer,
+    StartAttempt,
+)
+from limerudder.policy.balancer import Balancer
+from limerudder.policy.events import (
+    NOT_EXECUTED_OUTCOMES,
+    AttemptEnded,
+    AttemptOutcome,
+    ClientDisconnected,
+    ConnectionEstablished,
+    EndpointUpdate,
+    Event,
+    ExistingConnection,
+    HealthCheckResult,
+    NewRequest,
+    ServerEntry,
+    ServerState,
+    TimerFired,
+    UpdateKind,
+)
+from limerudder.policy.records import SECOND
+from limerudder.policy.settings import (
+    Settings,
+    TrafficClass,
+)
 
-SAFE = io.TrafficClass(aim=500_000, deadline=2 * SECOND, effect="safe", message_aim=100_000)
-BASE = io.Settings(
+SAFE = TrafficClass(aim=500_000, deadline=2 * SECOND, effect="safe", message_objective_us=100_000)
+BASE = Settings(
     balancers=2,
     zone=0,
     classes=(
@@ -20,18 +49,18 @@
         *(replace(SAFE, effect="keyed", key_scope=s, repeat_window=SECOND) for s in ("all", "zone", "cell")),
     ),
     discovery="pushed",
-    ask_every=10 * SECOND,
-    drain_grace=2 * SECOND,
-    start_capacity=0.25,
-    warm_up=10 * SECOND,
+    poll_interval_us=10 * SECOND,
+    drain_grace_us=2 * SECOND,
+    initial_capacity=0.25,
+    warm_up_us=10 * SECOND,
     overload_factor=2.0,
-    overload_for=SECOND,
-    answer_slack=20_000,
-    try_limit=4,
+    overload_window_us=SECOND,
+    answer_slack_us=20_000,
+    max_attempts=4,
     cancel=True,
     probes=True,
     groups=True,
-    connect_timeout=200_000,
+    connect_timeout_us=200_000,
     report_via="probe",
     report_fields=("queue", "x0"),
     prices={"probe": 0.002},
@@ -39,9 +68,9 @@
 
 
 def entry(
-    server: int, state: int = io.State.READY, zone: int = 0, since: int = 0, cell: int = 0
-) -> io.ServerEntry:
-    return io.ServerEntry(server, zone, 0, cell, state, 1.0, since)
+    server: int, state: int = ServerState.READY, zone: int = 0, since: int = 0, cell: int = 0
+) -> ServerEntry:
+    return ServerEntry(server, zone, 0, cell, state, 1.0, since)
 
 
 @dataclass
@@ -60,7 +89,7 @@
 class Asked:
     """What the rules need to know of a request."""
 
-    cls: io.TrafficClass
+    cls: TrafficClass
     deadline: int
     answered: bool = False
     maybe_ran: list[tuple[int, int]] = field(default_factory=list)
@@ -69,46 +98,44 @@
 class Driver:
     """One Balancer with its clock, timers and attempts; `violations` never stay silent: they assert."""
 
-    def __init__(
-        self, settings: io.Settings = BASE, seed: int = 1, servers: Sequence[io.ServerEntry] = ()
-    ) -> None:
+    def __init__(self, settings: Settings = BASE, seed: int = 1, servers: Sequence[ServerEntry] = ()) -> None:
         self.settings, self.now = settings, 50 * SECOND
         self.balancer = Balancer(settings, Random(seed))
         self.attempts: dict[int, Attempt] = {}
         self.asked: dict[int, Asked] = {}
         self.sends: dict[int, int] = {}
-        self.entries: dict[int, io.ServerEntry] = {}
+        self.entries: dict[int, ServerEntry] = {}
         self.timers: list[tuple[int, int]] = []
-        self.log: list[io.Action] = []
+        self.log: list[Action] = []
         self.next_id = 1
         if servers:
-            self.members(servers, io.ListKind.CACHED)
+            self.members(servers, UpdateKind.CACHED)
 
-    def give(self, event: io.Event) -> list[io.Action]:
+    def give(self, event: Event) -> list[Action]:
         """Deliver one event and hold the actions to the rules."""
         actions = self.balancer.handle(event, self.now)
         for action in actions:
             self.log.append(action)
-            if isinstance(action, io.Send):
+            if isinstance(action, StartAttempt):
                 self._sent(action)
-            elif isinstance(action, io.Refuse | io.Fail):
+            elif isinstance(action, RejectRequest | FailRequest):
                 self._final(action)
-            elif isinstance(action, io.SetTimer):
+            elif isinstance(action, SetTimer):
                 self.timers.append((action.at, action.token))
-            elif isinstance(action, io.Probe):
+            elif isinstance(action, CheckHealth):
                 assert self.settings.probes, "probed where that is not allowed"
-            elif isinstance(action, io.Move):
+            elif isinstance(action, MigrateClient):
                 assert self.attempts[action.id].live
         self.check_counts()
         return actions
 
-    def _sent(self, action: io.Send) -> None:
+    def _sent(self, action: StartAttempt) -> None:
         asked, where = self.asked[action.id], self.entries[action.server]
         assert not asked.answered, "sent after the final answer"
         assert action.id not in self.attempts, "two attempts out at once"
-        assert where.state == io.State.READY, "sent to a server that drains or is gone"
+        assert where.state == ServerState.READY, "sent to a server that drains or is gone"
         number = self.sends.get(action.id, 0)
-        assert number < self.settings.try_limit
+        assert number < self.settings.max_attempts
         for server, sent in asked.maybe_ran:
             assert asked.cls.effect != "unsafe", "an unsafe request that may have run was sent again"
             if asked.cls.effect == "keyed":
@@ -120,12 +147,12 @@
         ends = min(self.now + action.timeout, asked.deadline) if action.timeout else asked.deadline
         self.attempts[action.id] = Attempt(action.id, number, action.server, self.now, ends)
 
-    def _final(self, action: io.Refuse | io.Fail) -> None:
+    def _final(self, action: RejectRequest | FailRequest) -> None:
         asked = self.asked[action.id]
         assert not asked.answered, "answered twice"
         assert action.id not in self.attempts, "answered while an attempt is out"
-        assert self.now <= asked.deadline + self.settings.answer_slack, "answered late"
-        if isinstance(action, io.Refuse) and asked.maybe_ran:
+        assert self.now <= asked.deadline + self.settings.answer_slack_us, "answered late"
+        if isinstance(action, RejectRequest) and asked.maybe_ran:
             assert asked.cls.effect == "safe" or asked.cls.key_scope == "all" != asked.cls.effect
             assert asked.cls.effect != "unsafe"
         asked.answered = True
@@ -140,11 +167,11 @@
         held = sum(sum(h.values()) for h in self.balancer.holdings.groups.values())
         assert held <= len(self.attempts)
 
-    def members(self, entries: Sequence[io.ServerEntry], kind: int = io.ListKind.DELTA) -> list[io.Action]:
-        if kind in (io.ListKind.FULL, io.ListKind.CACHED):
-            self.entries = {s: e._replace(state=io.State.GONE) for s, e in self.entries.items()}
+    def members(self, entries: Sequence[ServerEntry], kind: int = UpdateKind.DELTA) -> list[Action]:
+        if kind in (UpdateKind.FULL, UpdateKind.CACHED):
+            self.entries = {s: e._replace(state=ServerState.GONE) for s, e in self.entries.items()}
         self.entries.update({e.server: e for e in entries})
-        return self.give(io.Members(kind, 1, entries))
+        return self.give(EndpointUpdate(kind, 1, entries))
 
     def request(
         self, cls: int = 0, group: int = 0, time_left: int | None = None, tenant: int = 0, flags: int = 0
@@ -152,7 +179,7 @@
         number, self.next_id = self.next_id, self.next_id + 1
         left = self.settings.classes[cls].deadline if time_left is None else time_left
         self.asked[number] = Asked(self.settings.classes[cls], self.now + left)
-        self.give(io.Request(number, cls, tenant, 0, left, 0, group, flags))
+        self.give(NewRequest(number, cls, tenant, 0, left, 0, group, flags))
         return number
 
     def open(self, server: int, cls: int = 0, group: int = 0) -> int:
@@ -160,31 +187,33 @@
         self.asked[number] = Asked(self.settings.classes[cls], self.now, answered=True)
         self.attempts[number] = Attempt(number, 0, server, self.now, 1 << 62, live=True)
         self.sends[number] = 1
-        self.give(io.Open(number, cls, 0, 0, 0, 0, group, 0, server))
+        self.give(ExistingConnection(number, cls, 0, 0, 0, 0, group, 0, server))
         return number
 
     def establish(self, number: int) -> None:
         attempt = self.attempts[number]
         attempt.live, attempt.ends = True, 1 << 62
         self.asked[number].answered = True
-        self.give(io.Established(number, attempt.server, attempt.number, self.now - attempt.sent))
+        self.give(ConnectionEstablished(number, attempt.server, attempt.number, self.now - attempt.sent))
 
-    def end(self, number: int, ending: int) -> list[io.Action]:
+    def end(self, number: int, ending: int) -> list[Action]:
         attempt, asked = self.attempts.pop(number), self.asked[number]
-        if ending == io.Ending.OK:
+        if ending == AttemptOutcome.OK:
             asked.answered = True
-        if ending not in io.NEVER_RAN and not asked.answered:
+        if ending not in NOT_EXECUTED_OUTCOMES and not asked.answered:
             asked.maybe_ran.append((attempt.server, attempt.sent))
-        event = io.Outcome(
+        event = AttemptEnded(
             number, attempt.number, attempt.server, ending, self.now - attempt.sent, int(asked.answered), ()
         )
         actions = self.give(event)
-        assert not [a for a in self.give(event) if not isinstance(a, io.Log)], "acted on a repeated outcome"
+        assert not [
+            a for a in self.give(event) if not isinstance(a, LogMessage)
+        ], "acted on a repeated outcome"
         return actions
 
     def gone(self, number: int) -> None:
         self.asked[number].answered = True
-        self.give(io.Gone(number))
+        self.give(ClientDisconnected(number))
 
     def run(self, duration: int) -> None:
         """Let time pass: timers fall due, attempts time out at their time."""
@@ -198,10 +227,10 @@
             at, kind, which = min(due)
             self.now = max(self.now, at)
             if kind:
-                self.end(which, io.Ending.TIMEOUT)
+                self.end(which, AttemptOutcome.TIMEOUT)
             else:
                 self.timers.remove((at, which))
-                self.give(io.Timer(which))
+                self.give(TimerFired(which))
         self.now = until
 
     def connect(self, **kwargs: int) -> int:
@@ -210,11 +239,11 @@
         self.establish(number)
         return number
 
-    def report(self, server: int, load: float) -> list[io.Action]:
-        return self.give(io.Probed(server, 1000, io.Ending.OK, (0.0, load)))
+    def report(self, server: int, load: float) -> list[Action]:
+        return self.give(HealthCheckResult(server, 1000, AttemptOutcome.OK, (0.0, load)))
 
     def where(self, number: int) -> int:
         return self.attempts[number].server
 
-    def logged(self, kind: type) -> list[io.Action]:
+    def logged(self, kind: type) -> list[Action]:
         return [a for a in self.log if isinstance(a, kind)]
--- a/tests/scripted.py
+++ b/tests/scripted_peers.py
@@ -12,12 +12,12 @@
 from pathlib import Path
 from typing import Any
 
+from harness.configurations import ID, KEY, LINE, SECOND, configuration, fresh, host, hosts, settings
 from limerudder.__main__ import serve
-from limerudder.config import Config, load
-from limerudder.core.client import LineSession
-from limerudder.core.link import Caller, read_address
+from limerudder.config import NodeConfig, load_config
+from limerudder.core.client.session import LineSession
 from limerudder.core.node import Node
-from rigs.given import ID, KEY, LINE, SECOND, configuration, fresh, host, hosts, settings
+from limerudder.core.transport import OutboundMachine, read_address
 
 __all__ = ["ID", "KEY", "LINE", "SECOND", "configuration", "fresh", "host", "hosts", "settings"]
 
@@ -64,13 +64,13 @@
 class World:
     """A node in memory: its clock, its dials, its log; checks that no req has two fetches out."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: NodeConfig) -> None:
         self.now, self.dials, self.logged = 50 * SECOND, list[FakeLink](), list[str]()
         self.came = 0
         self.told: list[tuple[int, bytes]] = []
         self.node = Node(config, self, lambda kind, text: self.logged.append(text), self.now)
 
-    def dial(self, address: tuple[str, int], machine: Caller) -> FakeLink:
+    def dial(self, address: tuple[str, int], machine: OutboundMachine) -> FakeLink:
         self.dials.append(FakeLink(machine, address))
         owners = [d.machine.owner for d in self.fetches()]
         assert len(owners) == len(set(owners)), "two fetches of a req are out"
@@ -114,7 +114,7 @@
 
 def world(folder: Path, **changes: Any) -> World:
     """A node in memory with this configuration."""
-    return World(load(configuration(folder, **changes)))
+    return World(load_config(configuration(folder, **changes)))
 
 
 class Peer:
@@ -201,7 +201,7 @@
         given = {"discovery": await self.discovery.start(), "known": hosts(host("s-1", where)), **changes}
         environment = configuration(self.folder, **given) | {"PROXY_DISCOVERY": given["discovery"]}
         log = lambda kind, text: self.logged.put_nowait(text)  # noqa: E731
-        task = asyncio.create_task(serve(load(environment), log, environment))
+        task = asyncio.create_task(serve(load_config(environment), log, environment))
         port = (await self.logged.get()).rpartition(":")[2]
         self.address = ("127.0.0.1", int(port))
         try:
--- a/tests/test_choice.py
+++ b/tests/test_balancer.py
@@ -8,17 +8,40 @@
 
 import pytest
 
-from firgrade import interface as io
-from firgrade.choice import MANY, Balancer
-from firgrade.records import SECOND, Server
-
-from .driver import BASE, Driver, entry
+from limerudder.policy.actions import (
+    CheckHealth,
+    FailRequest,
+    LogMessage,
+    MigrateClient,
+    RejectRequest,
+    StartAttempt,
+    WatchEndpoints,
+)
+from limerudder.policy.balancer import MANY, Balancer
+from limerudder.policy.events import (
+    AttemptOutcome,
+    EndpointUpdate,
+    HealthCheckResult,
+    LatencySample,
+    LoadSample,
+    PeerMessage,
+    PredecessorConnections,
+    ServerEntry,
+    ServerState,
+    TimerFired,
+    UpdateKind,
+)
+from limerudder.policy.records import SECOND, Server
+from limerudder.policy.settings import (
+    Settings,
+)
+from tests.policy_driver import BASE, Driver, entry
 
 PLAIN = replace(BASE, probes=False, groups=False)
 SWEEPS = replace(BASE, prices={})  # probes cost nothing: every server is asked, again and again
 
 
-def fleet(n: int, **kwargs: int) -> list[io.ServerEntry]:
+def fleet(n: int, **kwargs: int) -> list[ServerEntry]:
     return [entry(s, **kwargs) for s in range(1, n + 1)]
 
 
@@ -38,7 +61,7 @@
     for _ in range(200):
         number = driver.connect()
         hits += driver.where(number) == 10
-        driver.end(number, io.Ending.OK)
+        driver.end(number, AttemptOutcome.OK)
     assert 20 < hits < 80  # 2 in 10 draws contain it
 
 
@@ -47,7 +70,7 @@
     number = driver.request()
     seen = {driver.where(number)}
     for _ in range(2):
-        driver.end(number, io.Ending.CONNECT_FAILED)
+        driver.end(number, AttemptOutcome.CONNECT_FAILED)
         assert driver.where(number) not in seen
         seen.add(driver.where(number))
 
@@ -57,7 +80,7 @@
     for _ in range(10):
         driver.connect()
     number = driver.request()
-    driver.end(number, io.Ending.FULL)
+    driver.end(number, AttemptOutcome.FULL)
     driver.run(SECOND)
     assert driver.asked[number].answered and number not in driver.attempts
     driver.run(2 * SECOND)  # a tenth of ten a second
@@ -66,17 +89,17 @@
 
 def test_a_draining_server_gets_nothing_at_once() -> None:
     driver = Driver(PLAIN, servers=fleet(2))
-    driver.members([entry(1, io.State.DRAINING)])
+    driver.members([entry(1, ServerState.DRAINING)])
     assert {driver.where(driver.connect()) for _ in range(20)} == {2}
-    driver.members([entry(2)], io.ListKind.FULL)
-    driver.members([entry(1, io.State.READY)])
+    driver.members([entry(2)], UpdateKind.FULL)
+    driver.members([entry(1, ServerState.READY)])
     assert 1 in {
         driver.where(driver.connect()) for _ in range(20)
     }, "back under the same id, it is used again"
 
 
 def test_all_draining_refuses_and_comes_back() -> None:
-    driver = Driver(PLAIN, servers=fleet(2, state=io.State.DRAINING))
+    driver = Driver(PLAIN, servers=fleet(2, state=ServerState.DRAINING))
     number = driver.request()
     driver.run(SECOND)
     assert driver.asked[number].answered
@@ -88,7 +111,7 @@
     driver = Driver(PLAIN, servers=fleet(2))
     number = driver.request()
     bad = driver.where(number)
-    driver.end(number, io.Ending.CONNECT_FAILED)
+    driver.end(number, AttemptOutcome.CONNECT_FAILED)
     assert driver.where(number) != bad
     driver.establish(number)
     assert {driver.where(driver.connect()) for _ in range(10)} == {3 - bad}
@@ -100,14 +123,14 @@
 def test_when_all_look_bad_nobody_is_shut_out() -> None:
     driver = Driver(PLAIN, servers=fleet(3))
     for s in range(1, 4):
-        driver.give(io.Note(driver.open(s), s, 900.0, 0, io.NOTE_DELAY))
+        driver.give(LatencySample(driver.open(s), s, 900.0, 0))
     driver.connect()
 
 
 def test_delay_notes_shut_a_server_out_and_silence_lets_it_back() -> None:
     driver = Driver(PLAIN, servers=fleet(2))
     number = driver.open(1)
-    driver.give(io.Note(number, 1, 90.0, 0, io.NOTE_DELAY))
+    driver.give(LatencySample(number, 1, 90.0, 0))
     assert {driver.where(driver.connect()) for _ in range(9)} == {2}
     driver.run(3 * SECOND)
     assert driver.where(driver.connect()) == 1
@@ -116,8 +139,10 @@
 def test_unsafe_work_that_may_have_run_is_failed_not_refused() -> None:
     driver = Driver(PLAIN, servers=fleet(3))
     number = driver.request(cls=1)
-    actions = driver.end(number, io.Ending.RESET)
-    assert [type(a) for a in actions if isinstance(a, io.Fail | io.Refuse | io.Send)] == [io.Fail]
+    actions = driver.end(number, AttemptOutcome.RESET)
+    assert [type(a) for a in actions if isinstance(a, FailRequest | RejectRequest | StartAttempt)] == [
+        FailRequest
+    ]
 
 
 def test_a_cold_server_keeps_to_its_budget() -> None:
@@ -126,13 +151,13 @@
     for seed in range(20):
         driver = Driver(PLAIN, seed, fleet(9))
         for _ in range(100):
-            driver.end(driver.connect(), io.Ending.OK)
+            driver.end(driver.connect(), AttemptOutcome.OK)
             driver.run(SECOND // 10)
         driver.members([entry(10, since=driver.now)])
         for _ in range(30):
             number = driver.connect()
             sent += driver.where(number) == 10
-            driver.end(number, io.Ending.OK)
+            driver.end(number, AttemptOutcome.OK)
             driver.run(SECOND // 10)
     # 10/s over 9 servers, twice a share of 0.25 to 0.475 over three seconds: 2.4 a run at the most
     assert 0 < sent <= 20 * 2.4
@@ -164,7 +189,7 @@
     warming.usual.value, warming.usual.at = 1.0, driver.now
     driver.balancer.loads.told = others
     if elsewhere:
-        driver.balancer.handle(io.Elsewhere(1, elsewhere), driver.now)
+        driver.balancer.handle(PredecessorConnections(1, elsewhere), driver.now)
     if load is not None:
         server.load, server.load_at = load, driver.now
     server.tokens, server.tokens_at = 0.0, driver.now - SECOND
@@ -205,8 +230,8 @@
         driver.report(s, 1.2)
     number = driver.request()
     driver.run(SECOND)
-    assert driver.asked[number].answered and not driver.logged(io.Send)
-    assert driver.logged(io.Log)
+    assert driver.asked[number].answered and not driver.logged(StartAttempt)
+    assert driver.logged(LogMessage)
 
 
 @pytest.mark.parametrize("load", [float("nan"), -2.0, 1e9])
@@ -244,7 +269,7 @@
     """At full size a quarter of all joins went to servers past their capacity that had not answered yet."""
     driver = Driver(BASE, servers=fleet(2))
     number = driver.request()
-    asked = [a.server for a in driver.logged(io.Probe) if isinstance(a, io.Probe)]
+    asked = [a.server for a in driver.logged(CheckHealth) if isinstance(a, CheckHealth)]
     assert sorted(asked) == [1, 2] and number not in driver.attempts
     driver.report(1, 0.2)
     driver.run(SECOND // 2)
@@ -257,11 +282,11 @@
     for _ in range(20):
         driver.run(5 * SECOND)
         number = driver.request(group=7)
-        for probe in driver.logged(io.Probe)[-2:]:
+        for probe in driver.logged(CheckHealth)[-2:]:
             driver.report(getattr(probe, "server"), 0.3)  # noqa: B009
         driver.run(SECOND // 10)
         driver.establish(number)
-    assert 0 < len(driver.logged(io.Probe)) <= 20 * 5 + 8
+    assert 0 < len(driver.logged(CheckHealth)) <= 20 * 5 + 8
 
 
 def test_nodes_that_know_nothing_of_each_other_gather_a_group() -> None:
@@ -281,11 +306,11 @@
     for seed in range(200):
         driver = Driver(replace(BASE, balancers=500), seed, fleet(6))
         for s in range(2, 7):
-            driver.give(io.Note(driver.open(s), s, 1000.0, 0, io.NOTE_LOAD))
+            driver.give(LoadSample(driver.open(s), s, 1000.0, 0))
         number = driver.open(1)
-        driver.give(io.Note(number, 1, 1000.0, 0, io.NOTE_LOAD))
-        driver.give(io.Note(number, 1, 2000.0, 0, io.NOTE_DELAY))
-        moved += len(driver.logged(io.Move))
+        driver.give(LoadSample(number, 1, 1000.0, 0))
+        driver.give(LatencySample(number, 1, 2000.0, 0))
+        moved += len(driver.logged(MigrateClient))
     assert 30 < moved < 95  # three tenths of 200
 
 
@@ -323,7 +348,7 @@
     driver = Driver(BASE, servers=fleet(2))
     numbers = [driver.open(1) for _ in range(10)]
     for i, number in enumerate(numbers):
-        driver.give(io.Note(number, 1, 1000.0 + i, 0, io.NOTE_LOAD))
+        driver.give(LoadSample(number, 1, 1000.0 + i, 0))
     driver.run(2 * SECOND)
     return driver, numbers
 
@@ -331,10 +356,10 @@
 def test_easing_moves_the_dearest_and_not_again_for_the_same_report() -> None:
     driver, numbers = loaded()
     driver.report(1, 1.2)
-    moved = [a.id for a in driver.logged(io.Move) if isinstance(a, io.Move)]
+    moved = [a.id for a in driver.logged(MigrateClient) if isinstance(a, MigrateClient)]
     assert moved and moved[0] == numbers[-1] and len(moved) < 6
     driver.report(1, 1.4)
-    assert len(driver.logged(io.Move)) == len(moved)
+    assert len(driver.logged(MigrateClient)) == len(moved)
 
 
 @pytest.mark.parametrize(
@@ -344,7 +369,7 @@
     driver, _ = loaded()
     for load in loads:
         driver.report(1, load)
-    assert (0 < len(driver.logged(io.Move)) < 10) is eased
+    assert (0 < len(driver.logged(MigrateClient)) < 10) is eased
 
 
 def test_what_has_piled_up_is_eased_and_spared_until_it_is_worked_off() -> None:
@@ -352,9 +377,11 @@
     driver, _ = loaded()
     server = driver.balancer.servers[1]
     for load, moves in ((1.5, True), (1.5, False), (0.8, True), (0.8, False)):
-        before = len(driver.logged(io.Move))
+        before = len(driver.logged(MigrateClient))
         driver.report(1, load)
-        assert (len(driver.logged(io.Move)) > before) is moves, "just below capacity a pile stays for seconds"
+        assert (
+            len(driver.logged(MigrateClient)) > before
+        ) is moves, "just below capacity a pile stays for seconds"
         driver.now += SECOND
     assert server.piled > 0 and driver.where(driver.connect()) == 2
     driver.report(1, 0.2)
@@ -364,11 +391,11 @@
 def test_the_connections_of_a_draining_server_are_moved_bit_by_bit_before_it_stops() -> None:
     """Disco day, seed 3: 58 connections were cut off by servers that drained and then stopped."""
     driver, numbers = loaded()
-    driver.members(fleet(2, state=io.State.DRAINING)[:1])
+    driver.members(fleet(2, state=ServerState.DRAINING)[:1])
     moved = []
     for _ in range(5):
         driver.run(SECOND // 4)
-        moved.append(len(driver.logged(io.Move)))
+        moved.append(len(driver.logged(MigrateClient)))
     assert 0 < moved[0] < moved[1] < moved[4] == len(numbers)
 
 
@@ -382,7 +409,7 @@
         driver.establish(number)
     driver.run(SECOND // 5)
     assert sorted(driver.where(n) for n in numbers) == [1] * 6 + [2] * 6
-    for ending in (io.Ending.CONNECT_FAILED, io.Ending.OK):
+    for ending in (AttemptOutcome.CONNECT_FAILED, AttemptOutcome.OK):
         driver.end(numbers.pop(), ending)
     for number in numbers:
         driver.establish(number)
@@ -407,12 +434,12 @@
 REPORTS = replace(SWEEPS, report_fields=("inflight", "x0"), balancers=2)
 
 
-def reported(settings: io.Settings, held: float, load: float) -> Driver:
+def reported(settings: Settings, held: float, load: float) -> Driver:
     """A node that holds nothing, with swept reports of two servers."""
     driver = Driver(settings, servers=fleet(2))
     for server in (1, 2):
-        driver.give(io.Probed(server, 1000, io.Ending.OK, (held, load)))
-    driver.give(io.Timer(0))
+        driver.give(HealthCheckResult(server, 1000, AttemptOutcome.OK, (held, load)))
+    driver.give(TimerFired(0))
     return driver
 
 
@@ -438,11 +465,11 @@
 def test_connections_of_before_pay_for_sweeps() -> None:
     driver = Driver(BASE, servers=fleet(5))
     driver.run(SECOND)
-    assert not driver.logged(io.Probe)
+    assert not driver.logged(CheckHealth)
     for _ in range(50):
         driver.open(1)
     driver.run(2 * SECOND)
-    assert driver.logged(io.Probe)
+    assert driver.logged(CheckHealth)
 
 
 def test_a_group_stays_on_the_servers_that_hold_it() -> None:
@@ -456,7 +483,7 @@
     told = replace(PLAIN, prices={"crossZone": 0.1})
     driver = Driver(told, servers=[entry(1, zone=0), entry(2, zone=1), entry(3, zone=1)])
     assert {driver.where(driver.connect()) for _ in range(10)} == {1}
-    driver.members([entry(1, io.State.DRAINING)])
+    driver.members([entry(1, ServerState.DRAINING)])
     assert driver.where(driver.connect()) in (2, 3)
 
 
@@ -475,14 +502,14 @@
     for _ in range(20):
         driver.run(50_000)
         for number in [a.id for a in driver.attempts.values() if not a.live]:
-            driver.end(number, io.Ending.ERROR)
-    before = len(driver.logged(io.Send))
+            driver.end(number, AttemptOutcome.ERROR)
+    before = len(driver.logged(StartAttempt))
     for _ in range(20):
         driver.request()
         for number in [a.id for a in driver.attempts.values() if not a.live]:
-            driver.end(number, io.Ending.ERROR)
+            driver.end(number, AttemptOutcome.ERROR)
         driver.run(50_000)
-    assert len(driver.logged(io.Send)) - before <= 4
+    assert len(driver.logged(StartAttempt)) - before <= 4
     driver.run(3 * SECOND)
     for _ in range(30):  # the store is back: successes take the spacing away
         driver.request()
@@ -494,15 +521,17 @@
 
 def test_discovery_on_request_subscribes_renews_and_backs_off() -> None:
     driver = Driver(replace(PLAIN, discovery="on_request"), servers=fleet(2))
-    assert driver.logged(io.Watch) == [io.Watch(True)]
+    assert driver.logged(WatchEndpoints) == [WatchEndpoints(True)]
     driver.members([entry(2)])
-    driver.run(BASE.ask_every)
-    assert len(driver.logged(io.Watch)) == 2, "renewed within the time after which a node counts as told"
-    asked = len(driver.logged(io.Watch))
+    driver.run(BASE.poll_interval_us)
+    assert (
+        len(driver.logged(WatchEndpoints)) == 2
+    ), "renewed within the time after which a node counts as told"
+    asked = len(driver.logged(WatchEndpoints))
     for _ in range(6):
-        driver.give(io.Members(io.ListKind.FAILED, 0, ()))
+        driver.give(EndpointUpdate(UpdateKind.FAILED, 0, ()))
     driver.run(SECOND)
-    assert len(driver.logged(io.Watch)) <= asked + 1
+    assert len(driver.logged(WatchEndpoints)) <= asked + 1
 
 
 def test_a_clock_that_jumps_breaks_nothing() -> None:
@@ -510,19 +539,19 @@
     number = driver.connect()
     driver.now += 10**6 * SECOND
     driver.connect()
-    driver.end(number, io.Ending.OK)
+    driver.end(number, AttemptOutcome.OK)
 
 
 def test_empty_lists_hold_then_refuse() -> None:
     driver = Driver(BASE)
-    driver.members([], io.ListKind.CACHED)
+    driver.members([], UpdateKind.CACHED)
     number = driver.request()
     driver.run(3 * SECOND)
     assert driver.asked[number].answered
 
 
 def test_a_tenant_beyond_its_share_gets_no_scarce_room() -> None:
-    told = replace(SWEEPS, groups=False, tenant_quotas=(4.0, 1000.0), over_share_worth=0.1)
+    told = replace(SWEEPS, groups=False, tenant_quotas=(4.0, 1000.0), over_quota_weight=0.1)
     driver = Driver(told, servers=fleet(2))
     for s in (1, 2):
         for _ in range(40):
@@ -541,7 +570,7 @@
         for _ in range(40):
             number = driver.open(s)
         driver.report(s, 0.75)
-        driver.give(io.Note(number, s, 500.0, 0, io.NOTE_DELAY))
+        driver.give(LatencySample(number, s, 500.0, 0))
     assert driver.request() not in driver.attempts
     driver.report(1, 0.5)
     assert driver.request() in driver.attempts
@@ -551,11 +580,11 @@
     driver = Driver(BASE, servers=fleet(2))
     numbers = [driver.open(1) for _ in range(10)]
     for number in numbers:
-        driver.give(io.Note(number, 1, 1000.0, 0, io.NOTE_LOAD))
-    driver.give(io.Note(numbers[0], 1, 80.0, 0, io.NOTE_DELAY))
+        driver.give(LoadSample(number, 1, 1000.0, 0))
+    driver.give(LatencySample(numbers[0], 1, 80.0, 0))
     driver.report(1, 1.2)
-    moved = [a.id for a in driver.logged(io.Move) if isinstance(a, io.Move)]
-    driver.end(moved[0], io.Ending.RESET)
+    moved = [a.id for a in driver.logged(MigrateClient) if isinstance(a, MigrateClient)]
+    driver.end(moved[0], AttemptOutcome.RESET)
     assert driver.balancer.servers[1].strikes == 0
 
 
@@ -565,12 +594,12 @@
     for group in range(10):
         driver.request(group=group)
     driver.run(SECOND * 3 // 5)
-    assert len({getattr(a, "server") for a in driver.logged(io.Probe)}) == 10  # noqa: B009
+    assert len({getattr(a, "server") for a in driver.logged(CheckHealth)}) == 10  # noqa: B009
     for server in range(1, 11):
         driver.report(server, 0.5)
-    before = len(driver.logged(io.Probe))
+    before = len(driver.logged(CheckHealth))
     driver.run(2 * SECOND)  # the price paces them
-    assert len(driver.logged(io.Probe)) - before <= 30
+    assert len(driver.logged(CheckHealth)) - before <= 30
 
 
 def test_a_node_that_holds_next_to_nothing_still_finds_room() -> None:
@@ -628,7 +657,7 @@
     for s in range(3, 9):
         driver.balancer.servers[s].tokens = 0.0
     for s in (1, 2):
-        driver.give(io.Note(driver.open(s), s, 900.0, 0, io.NOTE_DELAY))
+        driver.give(LatencySample(driver.open(s), s, 900.0, 0))
     assert driver.where(driver.request()) in (1, 2)
 
 
@@ -639,10 +668,10 @@
         driver = Driver(replace(BASE, prices={"probe": 0.002}, balancers=600), seed, fleet(60))
         driver.request(group=7)
         for _ in range(12):
-            for probe in driver.logged(io.Probe):
+            for probe in driver.logged(CheckHealth):
                 driver.report(getattr(probe, "server"), 0.95)  # noqa: B009
             driver.run(SECOND // 20)
-        places |= {getattr(a, "server") for a in driver.logged(io.Send)}  # noqa: B009
+        places |= {getattr(a, "server") for a in driver.logged(StartAttempt)}  # noqa: B009
     assert len(places) <= 4
 
 
@@ -652,17 +681,19 @@
     driver = Driver(told, servers=fleet(150))
     for group in range(40):
         driver.connect(group=group)
-    driver.members([entry(s, since=driver.now) for s in range(1001, 1151)], io.ListKind.FULL)
-    before = len(driver.logged(io.Send))
+    driver.members([entry(s, since=driver.now) for s in range(1001, 1151)], UpdateKind.FULL)
+    before = len(driver.logged(StartAttempt))
     for group in range(20):
         driver.request(group=group)
-    assert all(getattr(a, "server") > 1000 for a in driver.logged(io.Send)[before:])  # noqa: B009
+    assert all(getattr(a, "server") > 1000 for a in driver.logged(StartAttempt)[before:])  # noqa: B009
     assert len(driver.balancer.ready) == 150
     for number, attempt in list(driver.attempts.items()):
         if not attempt.live:
             driver.establish(number)
-    assert len(driver.logged(io.Send)) - before < 10, "held back: cold budgets of one of a thousand nodes"
-    for _ in range(4 * told.warm_up // SECOND):
+    assert (
+        len(driver.logged(StartAttempt)) - before < 10
+    ), "held back: cold budgets of one of a thousand nodes"
+    for _ in range(4 * told.warm_up_us // SECOND):
         driver.run(SECOND // 4)
         for number, attempt in list(driver.attempts.items()):
             if not attempt.live:
@@ -673,14 +704,14 @@
 @pytest.mark.parametrize("data", [b"", b"\xff" * 256, b"load=nan"])
 def test_what_peers_say_is_passed_over(data: bytes) -> None:
     driver = Driver(replace(BASE, peers=True), servers=fleet(3))
-    assert driver.give(io.PeerMessage(7, data)) == [] and driver.balancer.strange() == 1
+    assert driver.give(PeerMessage(7, data)) == [] and driver.balancer.strange() == 1
     assert driver.balancer.ready and not driver.balancer.flows
 
 
 def test_a_delta_that_takes_off_an_unknown_server_changes_nothing() -> None:
     driver = Driver(PLAIN, servers=fleet(3))
-    driver.members([entry(99, io.State.GONE)])
-    driver.members([entry(98, io.State.DRAINING)])
+    driver.members([entry(99, ServerState.GONE)])
+    driver.members([entry(98, ServerState.DRAINING)])
     assert {driver.where(driver.connect()) for _ in range(30)} == {1, 2, 3}
 
 
@@ -700,7 +731,7 @@
     driver = Driver(replace(PLAIN, groups=True), servers=[entry(1)._replace(weight=weight), entry(2)])
     for _ in range(20):
         driver.connect(group=7)
-    driver.members([entry(1, io.State.GONE)])
+    driver.members([entry(1, ServerState.GONE)])
     driver.members([entry(1)._replace(weight=weight)])
     driver.connect(group=7)
 
@@ -708,7 +739,7 @@
 AWAY = replace(BASE, prices={"crossZone": 0.16, "moves": 0.0087, "probe": 0.002})
 
 
-def moved_home(settings: io.Settings, load: float) -> int:
+def moved_home(settings: Settings, load: float) -> int:
     """How many of four connections that stand in another zone are sent away in 20 s."""
     driver = Driver(settings, servers=[entry(1), entry(2, zone=1)])
     for _ in range(4):
@@ -717,7 +748,7 @@
         driver.run(SECOND // 10)
         driver.report(1, load)
         driver.report(2, 0.3)
-    return len(driver.logged(io.Move))
+    return len(driver.logged(MigrateClient))
 
 
 def test_what_stands_in_another_zone_is_brought_home_where_there_is_room() -> None:
@@ -733,8 +764,8 @@
     driver = Driver(AWAY, servers=[entry(1), entry(2, zone=1)])
     driver.open(2)
     driver.run(12 * SECOND)
-    assert not driver.logged(io.Move), "moved to a home of which nothing is known"
-    assert {p.server for p in driver.logged(io.Probe) if isinstance(p, io.Probe)} >= {1}
+    assert not driver.logged(MigrateClient), "moved to a home of which nothing is known"
+    assert {p.server for p in driver.logged(CheckHealth) if isinstance(p, CheckHealth)} >= {1}
 
 
 def test_bringing_home_is_spread_over_time() -> None:
@@ -745,7 +776,7 @@
         driver.report(1, 0.1)
         driver.report(2, 0.5)
         driver.run(SECOND // 10)
-    assert 0 < len(driver.logged(io.Move)) <= 4
+    assert 0 < len(driver.logged(MigrateClient)) <= 4
 
 
 def test_home_is_filled_no_further_than_the_tier_stands_or_the_old_place_does() -> None:
@@ -759,7 +790,7 @@
             driver.report(1, home)
             driver.report(2, away)
             driver.run(SECOND // 10)
-        return len(driver.logged(io.Move))
+        return len(driver.logged(MigrateClient))
 
     assert moved(0.3, 0.6) > 0
     assert moved(0.6, 0.3) == 0
@@ -782,10 +813,10 @@
 
 def test_a_keyed_request_is_sent_again_only_while_a_late_dial_would_be_within_its_window() -> None:
     """The line is written when the connection is up, as late as the settings let a dial take."""
-    window, dial = BASE.classes[2].repeat_window, BASE.connect_timeout
+    window, dial = BASE.classes[2].repeat_window, BASE.connect_timeout_us
     for after, again in ((window - dial - 1, True), (window - dial, False)):
         driver = Driver(PLAIN, servers=fleet(4))
         number = driver.request(cls=2)
         driver.now += after
-        actions = driver.end(number, io.Ending.RESET)
-        assert any(isinstance(a, io.Send) for a in actions) is again, after
+        actions = driver.end(number, AttemptOutcome.RESET)
+        assert any(isinstance(a, StartAttempt) for a in actions) is again, after
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -13,10 +13,9 @@
 
 from limerudder import exits
 from limerudder.cli import main
-from limerudder.config import ConfigError, load
-from limerudder.net.log import Log, Rate
-
-from .scripted import configuration
+from limerudder.config import ConfigError, load_config
+from limerudder.net.log import Log, LogRateLimiter
+from tests.scripted_peers import configuration
 
 ROOT = Path(__file__).parent.parent
 
@@ -62,7 +61,7 @@
 
 
 def test_a_node_without_an_operators_file_loads_none_of_the_libraries_for_it() -> None:
-    heavy = ["click", "lark", "structlog", "msgspec", "sqlite3", "limerudder.store", "limerudder.typed"]
+    heavy = ["click", "lark", "structlog", "msgspec", "sqlite3", "limerudder.store", "limerudder.cue"]
     code = f"import sys, limerudder.__main__; print([m for m in {heavy} if m in sys.modules])"
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT)
     assert done.stdout == "[]\n", done.stderr
@@ -72,14 +71,14 @@
     file = tmp_path / "op.cue"
     file.write_text("log: {lines: 9}")
     environment = configuration(tmp_path) | {"LIMERUDDER_FILE": str(file)}
-    told = load(environment).operator
+    told = load_config(environment).operator
     assert told and told.log.lines == 9
     file.write_text("log: {lines: 9\n")
     with pytest.raises(ConfigError, match=r"op.cue:2:1: the end of the file stands here"):
-        load(environment)
+        load_config(environment)
     file.unlink()
     with pytest.raises(ConfigError, match="cannot read"):
-        load(environment)
+        load_config(environment)
 
 
 @pytest.mark.parametrize("through", [False, True], ids=["by hand", "structlog"])
@@ -114,7 +113,7 @@
 
 
 def test_the_rate_is_a_step_of_its_own() -> None:
-    rate = Rate(1, 60.0)
+    rate = LogRateLimiter(1, 60.0)
     assert rate(None, "info", {"kind": "a"}) is not None
     assert rate(None, "info", {"kind": "a"}) is None
     assert rate(None, "info", {"kind": "b"}) is not None
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -7,21 +7,28 @@
 
 import pytest
 
-from limerudder.config import ConfigError, load
-from limerudder.core.console import CALLERS, MOST, PATIENCE, CallError, Console, ConsoleSession, Later
-from limerudder.core.counters import Counters
-from limerudder.core.wheel import Wheel
-
-from .scripted import SECOND, FakeLink, World, configuration, settings, world
+from limerudder.config import ConfigError, load_config
+from limerudder.core.operations.console import (
+    CALLERS,
+    MOST,
+    PATIENCE,
+    Console,
+    ConsoleError,
+    ConsoleSession,
+    DeferredAnswer,
+)
+from limerudder.core.operations.counters import Counters
+from limerudder.core.timer_wheel import TimerWheel
+from tests.scripted_peers import SECOND, FakeLink, World, configuration, settings, world
 
 
 def no(word: str, now: int) -> str:
-    raise CallError(f"no {word}")
+    raise ConsoleError(f"no {word}")
 
 
 @pytest.fixture
 def console() -> Console:
-    here = Console(Wheel(5000, 0), Counters())
+    here = Console(TimerWheel(5000, 0), Counters())
     here.offer("status", lambda _, now: "done\n")
     here.offer("maint-on", lambda word, now: f"done {word}\n", takes=True)
     here.offer("deny", no, takes=True)
@@ -92,7 +99,7 @@
 def test_an_answer_that_comes_later_is_waited_for_and_not_for_ever(
     console: Console, ends: bool, settled: bool
 ) -> None:
-    later = Later()
+    later = DeferredAnswer()
     console.offer("hold", lambda word, now: later, takes=True)
     session, link = call(console)
     session.feed(b"hold x\n", 0)
@@ -111,7 +118,7 @@
 
 
 def test_an_answer_for_a_caller_that_has_gone_is_passed_over(console: Console) -> None:
-    later = Later()
+    later = DeferredAnswer()
     console.offer("hold", lambda word, now: later, takes=True)
     session, link = call(console)
     session.feed(b"hold x\n", 0)
@@ -197,8 +204,8 @@
 
 def test_the_environment_names_the_console_before_the_file(tmp_path: Path) -> None:
     told = configuration(tmp_path, console="127.0.0.1:7")
-    assert load(told).console == ("127.0.0.1", 7)
-    assert load(told | {"PROXY_CONSOLE": "127.0.0.1:8"}).console == ("127.0.0.1", 8)
-    assert load(configuration(tmp_path)).console is None
+    assert load_config(told).console == ("127.0.0.1", 7)
+    assert load_config(told | {"PROXY_CONSOLE": "127.0.0.1:8"}).console == ("127.0.0.1", 8)
+    assert load_config(configuration(tmp_path)).console is None
     with pytest.raises(ConfigError):
-        load(told | {"PROXY_CONSOLE": "here"})
+        load_config(told | {"PROXY_CONSOLE": "here"})
--- a/tests/test_typed.py
+++ b/tests/test_cue.py
@@ -8,9 +8,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from limerudder.cue.load import load
+from limerudder.cue.syntax import MAX_DEPTH, MAX_ERRORS, MAX_FILE_BYTES, CueError
 from limerudder.schema import SCHEMA, LogSettings, OperatorFile, read_operator_file
-from limerudder.typed.load import load
-from limerudder.typed.syntax import MOST_BYTES, MOST_DEPTH, MOST_ERRORS, FileError
 
 LAB = r"""
 #Member: {name: string, address: string & =~"^[0-9.:]+$"}
@@ -35,7 +35,7 @@
 
 
 def errors(text: str) -> list[str]:
-    with pytest.raises(FileError) as caught:
+    with pytest.raises(CueError) as caught:
         lab(text)
     return [str(error) for error in caught.value.errors]
 
@@ -109,8 +109,8 @@
         ("count: 3 }", "} stands here"),
         ("[int]: 3", "[int] stands here, expected [string]"),
         ("count: " + "9" * 5000, "a number of 5000 digits"),
-        ("note: " + "(" * (MOST_DEPTH + 1), f"nested deeper than {MOST_DEPTH} brackets"),
-        ("//" + "x" * MOST_BYTES, f"more than {MOST_BYTES} bytes"),
+        ("note: " + "(" * (MAX_DEPTH + 1), f"nested deeper than {MAX_DEPTH} brackets"),
+        ("//" + "x" * MAX_FILE_BYTES, f"more than {MAX_FILE_BYTES} bytes"),
     ],
 )
 def test_what_is_wrong_is_told_with_its_place(text: str, told: str) -> None:
@@ -122,11 +122,11 @@
     found = errors('mode: "x"\ncount: 0\nshare: 2\nnope: 1\nlimits: {a: "b"}\n')
     assert [line.split(":")[1] for line in found] == ["1", "2", "3", "4", "5"]
     assert len(errors("a: : 3\nb c: 2\nd: 1 ]\n")) == 3, "syntax errors too, one a line"
-    assert len(errors("".join(f"x{n}: 1\n" for n in range(200)))) == MOST_ERRORS
+    assert len(errors("".join(f"x{n}: 1\n" for n in range(200)))) == MAX_ERRORS
 
 
 def test_bytes_that_are_no_text_are_an_error() -> None:
-    with pytest.raises(FileError, match="x.cue:2:1: bytes that are no UTF-8"):
+    with pytest.raises(CueError, match="x.cue:2:1: bytes that are no UTF-8"):
         read_operator_file(b"// fine\n\xff\xfe", "x.cue")
 
 
@@ -167,5 +167,5 @@
     for schema, root in ((LAB, "#Lab"), (SCHEMA, "#File")):
         try:
             load(text, "x.cue", schema, root)
-        except FileError as exc:
+        except CueError as exc:
             assert exc.errors and all(str(error).startswith("x.cue:") for error in exc.errors)
--- a/tests/test_sites.py
+++ b/tests/test_deployment_sites.py
@@ -79,7 +79,7 @@
 def test_nothing_in_the_program_is_fitted_to_a_deployment() -> None:
     known = {name for path in SITES for name in names(read(path))} | set(CUSTOMERS)
     files = subprocess.run(
-        ["git", "ls-files", "firgrade", "limerudder", "deploy/balancer.toml"],
+        ["git", "ls-files", "limerudder", "deploy/balancer.toml"],
         cwd=ROOT,
         capture_output=True,
         text=True,
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -9,11 +9,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from firgrade.listclock import AGENT_WAIT, AGENT_WORD, WHOLE, CallClock
-from limerudder.core.discovery import DiscoveryCall, HostList
-from limerudder.core.objects import DEEPEST, Objects, ObjectsError
-
-from .scripted import SECOND, FakeLink, World, host, hosts, settings, world
+from limerudder.core.discovery.endpoint_list import DiscoveryCall, EndpointList
+from limerudder.core.discovery.json_stream import DEEPEST, JsonObjectStream, JsonStreamError
+from limerudder.policy.discovery_timing import (
+    AGENT_FIRST_BYTE_TIMEOUT_US,
+    AGENT_RETRY_INTERVAL_US,
+    COMPLETE_TIMEOUT_US,
+    CallDeadline,
+)
+from tests.scripted_peers import SECOND, FakeLink, World, host, hosts, settings, world
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 values = st.recursive(
@@ -34,7 +38,7 @@
 ) -> None:
     text = b"\n\n".join(json.dumps(one, indent=indent or None).encode() for one in told) + b"\n"
     cuts = sorted(data.draw(st.lists(st.integers(0, len(text)), max_size=6)))
-    cutter, found = Objects(1 << 20), list[bytes]()
+    cutter, found = JsonObjectStream(1 << 20), list[bytes]()
     for start, end in zip([0, *cuts], [*cuts, len(text)], strict=True):
         found += cutter.feed(text[start:end])
     assert [json.loads(one) for one in found] == told and not cutter.begun
@@ -42,20 +46,20 @@
 
 @pytest.mark.parametrize("bad", [b"x", b"[1]", b'{"a":1} 2', b'{"a":' * (DEEPEST + 1), b'{"a":"' + b"x" * 99])
 def test_what_is_no_object_is_an_error(bad: bytes) -> None:
-    with pytest.raises(ObjectsError):
-        Objects(64 if b"xxx" in bad else 1 << 20).feed(bad)
+    with pytest.raises(JsonStreamError):
+        JsonObjectStream(64 if b"xxx" in bad else 1 << 20).feed(bad)
 
 
 @pytest.mark.parametrize("watch", [True, False])
 @pytest.mark.parametrize("cut", [1, 7, 1000])
 def test_a_list_may_come_indented(watch: bool, cut: int) -> None:
-    told, over = list[HostList](), list[bool]()
+    told, over = list[EndpointList](), list[bool]()
     call = DiscoveryCall(
         "x",
         0 if watch else None,
         lambda c, h, n: told.append(h),
         lambda c, f, n: over.append(f),
-        CallClock(False, 0),
+        CallDeadline(False, 0),
     )
     call.connected(FakeLink(), 1)
     text = json.dumps(hosts(host("s-1")), indent=2).encode()
@@ -81,7 +85,7 @@
     watch.machine.feed(HEAD + chunk(json.dumps(hosts(host("s-new"))).encode() + b"\n"), here.now)
     assert here.node.lists("s-new")
     watch.machine.eof(here.now)
-    here.run(AGENT_WAIT + AGENT_WORD // 2)
+    here.run(AGENT_RETRY_INTERVAL_US + AGENT_FIRST_BYTE_TIMEOUT_US // 2)
     assert len(watches(here)) == 2 and not watches(here)[1].closed
     assert b"after=41" in watches(here)[1].machine.opening(here.now), "what was missed comes first"
 
@@ -89,7 +93,7 @@
 def test_an_agent_that_says_nothing_is_asked_again_until_it_speaks(tmp_path: Path) -> None:
     here = pushed(tmp_path)
     for _ in range(3):
-        here.run(AGENT_WORD + AGENT_WAIT + SECOND)
+        here.run(AGENT_FIRST_BYTE_TIMEOUT_US + AGENT_RETRY_INTERVAL_US + SECOND)
         watches(here)[-1].accept(here.now)
     assert len(watches(here)) >= 3
     assert sum(not d.closed for d in watches(here)) == 1, "one watch at a time"
@@ -100,7 +104,7 @@
     (watch,) = watches(here)
     watch.accept(here.now)
     watch.machine.feed(HEAD + chunk(b'{"generation": 42, '), here.now)
-    for _ in range(WHOLE // (SECOND // 2)):
+    for _ in range(COMPLETE_TIMEOUT_US // (SECOND // 2)):
         here.run(SECOND // 2)
         assert not watch.closed, "a long list takes its time, the first too"
         watch.machine.feed(chunk(b"\r\n"), here.now)
--- a/tests/test_listclock.py
+++ b/tests/test_discovery_timing.py
@@ -17,21 +17,22 @@
 from hypothesis import settings as limits
 from hypothesis import strategies as st
 
-from firgrade import interface as io
-from firgrade.listclock import (
-    FIRST_WORD,
-    GIVEN_UP,
-    LOOK,
-    SILENT,
-    TOLD,
-    WAIT_MOST,
-    WHOLE,
-    CallClock,
-    Waits,
+from limerudder.core.discovery.endpoint_list import DiscoveryCall
+from limerudder.policy.discovery_timing import (
+    CALL_TIMEOUT_US,
+    CHECK_INTERVAL_US,
+    COMPLETE_TIMEOUT_US,
+    FIRST_BYTE_TIMEOUT_US,
+    IDLE_TIMEOUT_US,
+    MAX_BACKOFF_US,
+    NOTIFY_DEADLINE_US,
+    Backoff,
+    CallDeadline,
 )
-from limerudder.core.discovery import DiscoveryCall
-
-from .scripted import SECOND, FakeLink, World, host, hosts, settings, world
+from limerudder.policy.events import (
+    ServerState,
+)
+from tests.scripted_peers import SECOND, FakeLink, World, host, hosts, settings, world
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 STEP = 100_000
@@ -134,12 +135,12 @@
             here.node.discovery.move(("127.0.0.1", 7000 + step), here.now)
     since = here.now
     service.drain()
-    while here.node.backend("s-1").state == io.State.READY:
+    while here.node.backend("s-1").state == ServerState.READY:
         assert here.now - since < 60 * SECOND, "never heard"
         service.step()
         here.run(STEP)
     server = here.node.balancer.servers[here.node.numbers["s-1"]]  # type: ignore[attr-defined]
-    assert server.state == io.State.DRAINING, "the module goes by it too"
+    assert server.state == ServerState.DRAINING, "the module goes by it too"
     return here.now - since
 
 
@@ -163,21 +164,21 @@
 ) -> None:
     with TemporaryDirectory() as folder:
         took = play(Path(folder), discovery, fates, before, moves)
-    assert took <= TOLD, f"heard {took / SECOND:.2f} s after"
+    assert took <= NOTIFY_DEADLINE_US, f"heard {took / SECOND:.2f} s after"
 
 
 def test_the_longest_way_to_an_answer_is_shorter_than_the_bound() -> None:
-    assert GIVEN_UP + LOOK + WAIT_MOST + FIRST_WORD < TOLD
-    assert SILENT > 2 * SECOND, "an empty line is due every 2 s"
+    assert CALL_TIMEOUT_US + CHECK_INTERVAL_US + MAX_BACKOFF_US + FIRST_BYTE_TIMEOUT_US < NOTIFY_DEADLINE_US
+    assert IDLE_TIMEOUT_US > 2 * SECOND, "an empty line is due every 2 s"
 
 
 @pytest.mark.parametrize("ask_every", [0, SECOND, 10 * SECOND])
-def test_waits_grow_and_stay_bounded_and_begin_anew_once_discovery_has_told(ask_every: int) -> None:
-    waits, rng = Waits(ask_every), Random(7)
+def test_waits_grow_and_stay_bounded_and_begin_anew_once_discovery_has_told(poll_interval_us: int) -> None:
+    waits, rng = Backoff(poll_interval_us), Random(7)
     drawn = [waits.failed(rng) for _ in range(200)]
-    assert min(drawn) > 0 and max(drawn) <= min(WAIT_MOST, max(ask_every // 2, LOOK))
+    assert min(drawn) > 0 and max(drawn) <= min(MAX_BACKOFF_US, max(poll_interval_us // 2, CHECK_INTERVAL_US))
     assert len(set(drawn)) > 150, "nodes that fail together do not ask together"
-    many = [Waits(10 * SECOND) for _ in range(400)]
+    many = [Backoff(10 * SECOND) for _ in range(400)]
     firsts = [one.failed(rng) for one in many]
     later = [one.failed(rng) for one in many]
     assert sum(firsts) < sum(later)
@@ -188,19 +189,21 @@
 
 @pytest.mark.parametrize("pushed", [False, True])
 def test_a_call_is_dead_where_nothing_on_it_would_come_in_time(pushed: bool) -> None:
-    def call(*words: tuple[int, int, bool]) -> CallClock:
-        clock = CallClock(pushed, 0)
+    def call(*words: tuple[int, int, bool]) -> CallDeadline:
+        clock = CallDeadline(pushed, 0)
         for at, lists, unfinished in words:
             clock.word(lists, unfinished, at)
         return clock
 
-    assert not call().dead(FIRST_WORD // 8) and call().dead(FIRST_WORD + 1)
-    assert call().dead(FIRST_WORD // 2) == pushed, "an agent on the same machine answers at once"
+    assert not call().dead(FIRST_BYTE_TIMEOUT_US // 8) and call().dead(FIRST_BYTE_TIMEOUT_US + 1)
+    assert call().dead(FIRST_BYTE_TIMEOUT_US // 2) == pushed, "an agent on the same machine answers at once"
     second = (1, 0, True)
-    assert not call(second).dead(WHOLE) and call(second, (WHOLE, 0, True)).dead(WHOLE + 2)
+    assert not call(second).dead(COMPLETE_TIMEOUT_US) and call(second, (COMPLETE_TIMEOUT_US, 0, True)).dead(
+        COMPLETE_TIMEOUT_US + 2
+    )
     # lines without a list, however many
     assert call(*((n * SECOND, 0, False) for n in range(1, 5))).dead(4 * SECOND)
     told = call((1, 1, False), (2 * SECOND, 0, False))
-    assert not told.dead(2 * SECOND + SILENT) and told.dead(2 * SECOND + SILENT + 1)
+    assert not told.dead(2 * SECOND + IDLE_TIMEOUT_US) and told.dead(2 * SECOND + IDLE_TIMEOUT_US + 1)
     # one list after another, each in time
     assert not call(*((n * SECOND, 1, True) for n in range(1, 9))).dead(9 * SECOND)
--- a/tests/test_stories.py
+++ b/tests/test_end_to_end.py
@@ -17,11 +17,10 @@
 import pytest
 import uvloop
 
-from limerudder.core.probe import Probe
+from limerudder.core.upstream.health_check import HealthCheckConnection
 from limerudder.net.clock import Clock
-from limerudder.net.stream import Stream
-
-from .scripted import LINE, Listener, Loopback, Peer, configuration, host, hosts, settings
+from limerudder.net.tcp import TcpConnection
+from tests.scripted_peers import LINE, Listener, Loopback, Peer, configuration, host, hosts, settings
 
 Story = Callable[[Loopback], Awaitable[None]]
 
@@ -170,7 +169,7 @@
 
 async def a_link_reads_on_only_where_it_had_stopped(here: Loopback) -> None:
     transport = Mock(is_closing=lambda: False)
-    link = Stream(Probe((), lambda *heard: None), Clock())
+    link = TcpConnection(HealthCheckConnection((), lambda *heard: None), Clock())
     link.connection_made(transport)
     for on in (False, True, True, False, False):
         link.hold(on)
@@ -180,7 +179,7 @@
 
 async def a_link_that_is_closed_is_ended_before_close_returns(here: Loopback) -> None:
     ours, theirs = socket.socketpair()
-    link = Stream(Probe((), lambda *heard: None), Clock())
+    link = TcpConnection(HealthCheckConnection((), lambda *heard: None), Clock())
     link.sock = ours
     link.close()
     theirs.setblocking(False)
--- a/tests/test_sharing.py
+++ b/tests/test_gossip.py
@@ -6,12 +6,27 @@
 
 import pytest
 
-from firgrade import interface as io
-from firgrade.choice import SHARE
-from firgrade.records import SECOND
-from firgrade.sharing import MOST, ROWS, Sharing, decode, encode, matched
-
-from .driver import BASE, Driver, entry
+from limerudder.policy.actions import (
+    ALL_PEERS,
+    CheckHealth,
+    MigrateClient,
+    SendPeerMessage,
+    SetTimer,
+)
+from limerudder.policy.events import (
+    AttemptOutcome,
+    HealthCheckResult,
+    LoadSample,
+    PeerMessage,
+    UpdateKind,
+)
+from limerudder.policy.gossip import MOST, ROWS, LoadGossip, decode, encode, match_servers
+from limerudder.policy.policy_state import SHARE
+from limerudder.policy.records import SECOND
+from limerudder.policy.settings import (
+    Settings,
+)
+from tests.policy_driver import BASE, Driver, entry
 
 NODES, STEP = 20, SECOND // 50
 TIER = replace(
@@ -27,7 +42,7 @@
 class Tier:
     """Nodes that hear each other a step late, and servers that report `load`."""
 
-    def __init__(self, settings: io.Settings = TIER, load: float = 0.5) -> None:
+    def __init__(self, settings: Settings = TIER, load: float = 0.5) -> None:
         self.nodes = [Driver(replace(settings, me=i), i + 1, SERVERS) for i in range(settings.balancers)]
         self.load, self.deaf = load, False
         self.read = [0] * len(self.nodes)
@@ -45,17 +60,19 @@
                 node.run(STEP)
                 new, self.read[i] = node.log[self.read[i] :], len(node.log)
                 for action in new:
-                    if isinstance(action, io.Probe):
+                    if isinstance(action, CheckHealth):
                         self.probes += 1
-                        node.give(io.Probed(action.server, 1000, io.Ending.OK, (0.0, 4.0, self.load)))
-                    elif isinstance(action, io.Tell):
-                        assert action.peer == io.ALL_PEERS and len(action.data) <= 256
+                        node.give(
+                            HealthCheckResult(action.server, 1000, AttemptOutcome.OK, (0.0, 4.0, self.load))
+                        )
+                    elif isinstance(action, SendPeerMessage):
+                        assert action.peer == ALL_PEERS and len(action.data) <= 256
                         said.append((i, action.data))
             self.told += len(said)
             for i, node in enumerate(self.nodes):
                 for sender, data in said:
                     if i != sender and i not in self.dead and not self.deaf:
-                        node.give(io.PeerMessage(sender, data))
+                        node.give(PeerMessage(sender, data))
 
     def knowing(self) -> int:
         alive = [n.balancer for i, n in enumerate(self.nodes) if i not in self.dead]
@@ -86,7 +103,7 @@
     tier = Tier()
     tier.deaf = True
     tier.run(20 * SECOND)
-    asked = [sum(isinstance(a, io.Probe) for a in node.log) for node in tier.nodes]
+    asked = [sum(isinstance(a, CheckHealth) for a in node.log) for node in tier.nodes]
     assert min(asked) >= len(SERVERS)
 
 
@@ -96,9 +113,9 @@
     old = tier.nodes[3]
     new = tier.nodes[3] = Driver(old.settings, 99, ())
     new.now, tier.read[3] = old.now, 0
-    new.members(SERVERS, io.ListKind.CACHED)
+    new.members(SERVERS, UpdateKind.CACHED)
     tier.run(tier.nodes[0].balancer.sharing.every + SECOND)
-    assert len(new.logged(io.Tell)) <= 1
+    assert len(new.logged(SendPeerMessage)) <= 1
     assert tier.knowing() == NODES
 
 
@@ -106,7 +123,7 @@
     tier = Tier(replace(TIER, balancers=4))
     tier.run(10 * SECOND)
     assert not tier.told
-    assert not any(t.token == SHARE for t in tier.nodes[0].logged(io.SetTimer) if isinstance(t, io.SetTimer))
+    assert not any(t.token == SHARE for t in tier.nodes[0].logged(SetTimer) if isinstance(t, SetTimer))
 
 
 def test_what_is_told_is_what_was_reported() -> None:
@@ -114,8 +131,8 @@
     (data,) = encode((1.25, 0.5), rows)
     told = decode(data)
     assert told == ((1.25, 0.5), [(0x5678, 0.5, 12), (0xFFFF, 255 / 64, 255)])
-    assert list(matched(told[1], [0x12345678, 7])) == [(0x12345678, 0.5, 12)]
-    assert not list(matched(told[1], [0x12345678, 0x99995678])), "a row that two servers share"
+    assert list(match_servers(told[1], [0x12345678, 7])) == [(0x12345678, 0.5, 12)]
+    assert not list(match_servers(told[1], [0x12345678, 0x99995678])), "a row that two servers share"
 
 
 def test_a_large_fleet_takes_several_datagrams() -> None:
@@ -130,13 +147,13 @@
 def test_foreign_datagrams_are_passed_over(data: bytes) -> None:
     assert decode(data) is None
     driver = Driver(TIER, servers=SERVERS)
-    assert driver.give(io.PeerMessage(3, data)) == [] and driver.balancer.strange() == 1
-    assert driver.give(io.PeerMessage(driver.settings.me, data)) == [], "its own comes back from the network"
+    assert driver.give(PeerMessage(3, data)) == [] and driver.balancer.strange() == 1
+    assert driver.give(PeerMessage(driver.settings.me, data)) == [], "its own comes back from the network"
     assert driver.balancer.strange() == 1 and not driver.balancer.sharing.heard
 
 
 def test_rounds_come_as_often_as_requests_pay_for() -> None:
-    thin, busy = Sharing(TIER), Sharing(TIER)
+    thin, busy = LoadGossip(TIER), LoadGossip(TIER)
     thin.reckon(60, 0.2)
     busy.reckon(60, 0.4)
     assert thin.every == pytest.approx(2 * busy.every, rel=0.01) and thin.every < MOST
@@ -150,8 +167,8 @@
     driver.open(1)
     for load in (3.0, 0.0):
         driver.run(SECOND)
-        driver.give(io.Probed(1, 1000, io.Ending.OK, (0.0, 4.0, load)))
-    assert not driver.logged(io.Move)
+        driver.give(HealthCheckResult(1, 1000, AttemptOutcome.OK, (0.0, 4.0, load)))
+    assert not driver.logged(MigrateClient)
 
 
 def eased(tier: Tier, load: float) -> int:
@@ -159,11 +176,11 @@
     for node in tier.nodes:
         for number in [node.open(1 + i % len(SERVERS)) for i in range(11)]:
             where = node.attempts[number].server
-            node.give(io.Note(number, where, 1000.0, 0, io.NOTE_LOAD))
+            node.give(LoadSample(number, where, 1000.0, 0))
     tier.run(3 * SECOND)
     tier.load = load
     tier.run(17 * SECOND)
-    return sum(len(node.logged(io.Move)) for node in tier.nodes)
+    return sum(len(node.logged(MigrateClient)) for node in tier.nodes)
 
 
 def test_what_all_nodes_hear_at_once_moves_no_wave() -> None:
--- a/tests/test_handover.py
+++ b/tests/test_hot_restart.py
@@ -11,14 +11,21 @@
 import pytest
 import uvloop
 
-from firgrade import interface as io
-from limerudder.config import load
-from limerudder.core.discovery import ListError, read_hosts
-from limerudder.core.handover import Asker, Elder, Heir, read_hello
-from rigs.given import configuration, settings
-
-from .scripted import LINE, SECOND, FakeLink, Loopback, World, host, hosts, world
-from .test_node import events
+from harness.configurations import configuration, settings
+from limerudder.config import load_config
+from limerudder.core.discovery.endpoint_list import EndpointListError, parse_endpoints
+from limerudder.core.lifecycle.hot_restart import (
+    HotRestartParent,
+    HotRestartSuccessor,
+    SuccessorConnection,
+    parse_handover_state,
+)
+from limerudder.policy.events import (
+    PredecessorConnections,
+    UpdateKind,
+)
+from tests.scripted_peers import LINE, SECOND, FakeLink, Loopback, World, host, hosts, world
+from tests.test_node import events
 
 
 class Joined(FakeLink):
@@ -28,7 +35,7 @@
         super().__init__()
         self.here, self.step = here, step
         self.other: Joined | None = None
-        self.owner: Asker | Heir | None = None
+        self.owner: SuccessorConnection | HotRestartSuccessor | None = None
 
     def write(self, data: bytes) -> None:
         other = self.other
@@ -46,16 +53,20 @@
             world(folder, known=hosts()),
         )
         self.step, self.did = step, list[str]()
-        self.elder = Elder(self.old.node, lambda: self.did.append("shut"), lambda: self.did.append("open"))
+        self.elder = HotRestartParent(
+            self.old.node, lambda: self.did.append("shut"), lambda: self.did.append("open")
+        )
 
-    def ask(self) -> Heir:
+    def ask(self) -> HotRestartSuccessor:
         here, there = Joined(self.old, self.step), Joined(self.new, self.step)
         here.other, there.other = there, here
-        hello = read_hello(self.elder.hello())
-        self.new.node._list(hello.hosts, io.ListKind.CACHED, self.new.now)
-        there.owner = heir = Heir(self.new.node, hello, lambda: self.did.append("ready"), self.new.now)
+        hello = parse_handover_state(self.elder.hello())
+        self.new.node._list(hello.hosts, UpdateKind.CACHED, self.new.now)
+        there.owner = heir = HotRestartSuccessor(
+            self.new.node, hello, lambda: self.did.append("ready"), self.new.now
+        )
         heir.connected(there, self.new.now)
-        here.owner = asker = Asker(self.elder)
+        here.owner = asker = SuccessorConnection(self.elder)
         asker.connected(here, self.old.now)
         return heir
 
@@ -135,17 +146,17 @@
 def test_a_hello_tells_list_ids_and_what_is_held(tmp_path: Path) -> None:
     pair = Pair(tmp_path)
     entries = [host("s-1") | {"startedAtMs": 7}, host("s-2", lifecycle="leaving")]
-    pair.old.node.list_told(read_hosts(hosts(*entries)), pair.old.now)
+    pair.old.node.endpoints_received(parse_endpoints(hosts(*entries)), pair.old.now)
     pair.old.served()
-    hello = read_hello(pair.elder.hello())
-    assert hello.hosts == read_hosts(hosts(*entries))
+    hello = parse_handover_state(pair.elder.hello())
+    assert hello.hosts == parse_endpoints(hosts(*entries))
     assert hello.holds == (2, {"s-1": 1}) and len(hello.ids) == 1
 
 
 @pytest.mark.parametrize("line", [b"", b"{}", b"[]", b'{"hosts": 1}', b"\xff", b"[" * 100_000])
 def test_a_hello_that_cannot_be_read_is_an_error_of_its_own(line: bytes) -> None:
-    with pytest.raises(ListError):
-        read_hello(line)
+    with pytest.raises(EndpointListError):
+        parse_handover_state(line)
 
 
 @pytest.mark.parametrize("words", [b"holds x\n", b"holds {}\n", b"taken zz\n", b"what\n", b"\xff\n\n"])
@@ -182,16 +193,16 @@
         session.lost(pair.old.now)
     pair.run(SECOND // 5)
     assert pair.new.node.admission.room == room
-    counts = {e.server: e.many for e in heard if isinstance(e, io.Elsewhere)}
+    counts = {e.server: e.many for e in heard if isinstance(e, PredecessorConnections)}
     assert counts and set(counts.values()) == {0}
-    assert max(e.many for e in heard if isinstance(e, io.Elsewhere)) >= 2
+    assert max(e.many for e in heard if isinstance(e, PredecessorConnections)) >= 2
 
 
 def test_what_the_old_one_holds_counts_in_the_draw(tmp_path: Path) -> None:
     pair = Pair(tmp_path)
     pair.ask()
     server = pair.new.node.numbers["s-1"]
-    pair.new.node.give(io.Elsewhere(server, 5), pair.new.now)
+    pair.new.node.give(PredecessorConnections(server, 5), pair.new.now)
     for _ in range(4):
         pair.new.served()
     assert {dial.machine.owner.backend.name for dial in pair.new.fetches()} == {"s-2"}
@@ -346,7 +357,9 @@
 
 def state(folder: Path, **given: object) -> str | None:
     """The folder in which a node so configured looks for the process before it."""
-    return load(configuration(folder, listen="127.0.0.1:8081", **given) | {"TMPDIR": str(folder)}).state
+    return load_config(
+        configuration(folder, listen="127.0.0.1:8081", **given) | {"TMPDIR": str(folder)}
+    ).state
 
 
 @pytest.mark.parametrize("given", OTHERS.values(), ids=OTHERS.keys())
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -12,12 +12,13 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from firgrade import interface as io
-from limerudder.core.client import LineSession
-from limerudder.core.discovery import HostList, read_hosts
-from limerudder.core.invariants import Broken, Invariants
-
-from .scripted import LINE, SECOND, FakeLink, World, host, hosts, settings, world
+from limerudder.core.client.session import LineSession
+from limerudder.core.discovery.endpoint_list import EndpointList, parse_endpoints
+from limerudder.core.invariants import Invariants, InvariantViolation
+from limerudder.policy.events import (
+    ServerState,
+)
+from tests.scripted_peers import LINE, SECOND, FakeLink, World, host, hosts, settings, world
 
 CLASSES = ["safe", "unsafe", "all", "zone", "cell"]
 NAMES = ["s-1", "s-2", "s-3", "s-4"]
@@ -64,7 +65,7 @@
             Path(self.folder.name), settings=told, known=listed, limits={"sockets": sockets}
         )
         self.watch = Invariants(self.here.node)
-        self.hosts = {h.name: h for h in read_hosts(listed).hosts}
+        self.hosts = {h.name: h for h in parse_endpoints(listed).hosts}
         self.deadline = deadline
 
     @rule(cls=st.integers(0, 4), far=st.sampled_from(["asked", "sent", "up"]), many=st.integers(1, 3))
@@ -148,13 +149,13 @@
 
     @rule(
         name=st.sampled_from(NAMES),
-        state=st.sampled_from([io.State.READY] * 4 + [io.State.DRAINING] * 2 + [io.State.GONE]),
+        state=st.sampled_from([ServerState.READY] * 4 + [ServerState.DRAINING] * 2 + [ServerState.GONE]),
         anew=st.booleans(),
     )
-    def list(self, name: str, state: io.State, anew: bool) -> None:
+    def list(self, name: str, state: ServerState, anew: bool) -> None:
         started = self.hosts[name].started_ms + anew * 1000
         self.hosts[name] = self.hosts[name]._replace(state=state, started_ms=started)
-        self.here.node.list_told(HostList(42, False, (self.hosts[name],)), self.here.now)
+        self.here.node.endpoints_received(EndpointList(42, False, (self.hosts[name],)), self.here.now)
 
     @rule(ticks=st.sampled_from([1, 2, 5, 20, 25, 100]))
     def time(self, ticks: int) -> None:
@@ -209,23 +210,23 @@
     here.client()
     held = next(iter(here.node.reqs.values()))
     assert held.backend
-    with pytest.raises(Broken, match="two attempts"):
+    with pytest.raises(InvariantViolation, match="two attempts"):
         here.node._dial(held, held.backend, None, here.now)
 
     here, watch = fresh()
     here.client()
     held = next(iter(here.node.reqs.values()))
     here.node._final(held, "failed", "faulted", here.now)
-    with pytest.raises(Broken, match="two final answers"):
+    with pytest.raises(InvariantViolation, match="two final answers"):
         here.node._final(held, "failed", "faulted", here.now)
 
     here, watch = fresh()
     here.client()
     held = next(iter(here.node.reqs.values()))
     assert held.backend
-    held.backend.state = io.State.DRAINING
+    held.backend.state = ServerState.DRAINING
     watch._may_write = lambda held, now: True
-    with pytest.raises(Broken, match="drains"):
+    with pytest.raises(InvariantViolation, match="drains"):
         here.fetches()[0].accept(here.now)
 
     here, watch = fresh()
@@ -233,7 +234,7 @@
     held = next(iter(here.node.reqs.values()))
     held.settle()
     watch._may_write = lambda held, now: True
-    with pytest.raises(Broken, match="gone"):
+    with pytest.raises(InvariantViolation, match="gone"):
         here.fetches()[0].accept(here.now)
 
     told = site(["unsafe"], 0, 3, True, 2 * SECOND)
@@ -243,9 +244,9 @@
     held = next(iter(here.node.reqs.values()))
     assert held.backend
     watch.risks[held.number] = here.now, held.backend
-    with pytest.raises(Broken, match="unsafe"):
+    with pytest.raises(InvariantViolation, match="unsafe"):
         here.fetches()[0].accept(here.now)
-    with pytest.raises(Broken, match="may have run"):
+    with pytest.raises(InvariantViolation, match="may have run"):
         here.node._final(held, "refused", "throttled", here.now)
 
     here, watch = fresh()
@@ -254,7 +255,7 @@
     assert held.overdue
     held.overdue.cancel()
     held.timers.clear()
-    with pytest.raises(Broken, match="in time"):
+    with pytest.raises(InvariantViolation, match="in time"):
         watch.check(here.now + 3 * SECOND)
 
     here, watch = fresh()
@@ -262,5 +263,5 @@
     watch.check(here.now)
     servers = here.node.balancer.servers.values()  # type: ignore[attr-defined]
     next(server for server in servers if server.flows).flows.clear()
-    with pytest.raises(Broken, match="counts other"):
+    with pytest.raises(InvariantViolation, match="counts other"):
         watch.check(here.now)
--- a/tests/test_lab_load.py
+++ b/tests/test_load_generator.py
@@ -11,13 +11,13 @@
 import uvloop
 from click.testing import CliRunner
 
+from harness.multi_process import StandInHost
 from limerudder import exits
 from limerudder.cli import main
-from limerudder.lab.arrivals import Arrival, Burst, Mix, Phase, PlanError, draw
-from limerudder.lab.load import Loader
-from limerudder.lab.tally import Tally
-from limerudder.lab.trace import read, write
-from rigs.tier import StandInHost
+from limerudder.loadtest.arrivals import Arrival, Burst, Mix, Phase, PlanError, draw
+from limerudder.loadtest.latency_histogram import LatencyHistogram
+from limerudder.loadtest.load_generator import LoadGenerator
+from limerudder.loadtest.trace import read, write
 
 SECOND = 1_000_000
 
@@ -78,7 +78,7 @@
     """A server that stalls for 2 s, on a clock of our own: exactly those that came meanwhile are late."""
     arrivals = draw([Phase(10, 500)], [], Mix(), 3)
     begin, end, usual, random = 4 * SECOND, 6 * SECOND, 800, Random(1)
-    tally, in_stall = Tally(), 0
+    tally, in_stall = LatencyHistogram(), 0
     for one in arrivals:
         tally.begin(0)
         answered = one.at + usual + random.randrange(200)
@@ -96,7 +96,7 @@
         await host.start()
         where = (host.address.split(":")[0], int(host.address.split(":")[1]))
         arrivals = [Arrival(0, "chat", "", 0, 10_000)] * 400  # all at one moment
-        loader = Loader(arrivals, [where])
+        loader = LoadGenerator(arrivals, [where])
         tally = await loader.run()
         host.close()
         assert tally.came == 400 == sum(tally.answers.values()) and tally.waiting == 0
@@ -123,12 +123,12 @@
         servers = [await asyncio.start_server(one, "127.0.0.1", 0) for one in (silent, busy)]
         targets = [server.sockets[0].getsockname() for server in servers] + [("127.0.0.1", 9)]
         figures = (tmp_path / "f.jsonl").open("w")
-        loader = Loader([Arrival(0, "chat", "", 0, 0)] * 30, targets, figures=figures)
+        loader = LoadGenerator([Arrival(0, "chat", "", 0, 0)] * 30, targets, figures=figures)
         tally = await loader.run(drain=0.2)
         figures.close()
         assert tally.answers == {"none": 10, "BUSY": 10, "refused connection": 10} and tally.waiting == 0
         assert json.loads((tmp_path / "f.jsonl").read_text().splitlines()[-1])["came"] == 30
-        later = Loader([Arrival(n * SECOND, "chat", "", 0, 0) for n in range(100)], targets)
+        later = LoadGenerator([Arrival(n * SECOND, "chat", "", 0, 0) for n in range(100)], targets)
         later.halt()
         assert (await later.run()).came == 0
         for server in servers:
--- a/tests/test_felt.py
+++ b/tests/test_load_inference.py
@@ -12,12 +12,26 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from firgrade import interface as io
-from firgrade.felt import AIM, DEAR, KEYS, Felt
-from firgrade.records import SECOND, Flow, Server
-from rigs.crowd import STEP, Client, Crowd
-
-from .driver import BASE, SAFE, Driver, entry
+from harness.overload_fleet import STEP, OverloadFleet, SimulatedClient
+from limerudder.policy.actions import (
+    MigrateClient,
+    RejectRequest,
+)
+from limerudder.policy.events import (
+    FLAG_RECONNECT,
+    AttemptOutcome,
+    ExistingConnection,
+    LatencySample,
+    LoadSample,
+    NewRequest,
+    ServerState,
+)
+from limerudder.policy.load_inference import AIM, DEAR, KEYS, InferredLoads
+from limerudder.policy.records import SECOND, Connection, Server
+from limerudder.policy.settings import (
+    Settings,
+)
+from tests.policy_driver import BASE, SAFE, Driver, entry
 
 SILENT = replace(
     BASE,
@@ -25,31 +39,33 @@
     probes=False,
     report_via="none",
     report_fields=(),
-    tells_delay=True,
+    reports_latency=True,
     tenant_quotas=(200.0,),
     prices={},
 )
 USUAL = 30_000.0
 
 
-def tier(seed: int, load: float, settings: io.Settings = SILENT, shed: bool = False) -> Crowd:
+def tier(seed: int, load: float, settings: Settings = SILENT, shed: bool = False) -> OverloadFleet:
     """Three nodes, hosts of three sizes, and clients that ask for so much of what the hosts can do."""
     rng, sizes = Random(seed), [1.6, 1.0, 0.7] * 2
-    told = [Client(n + 1, n % 2, rng.expovariate(1 / USUAL), rng.randrange(1, 9)) for n in range(200)]
+    told = [
+        SimulatedClient(n + 1, n % 2, rng.expovariate(1 / USUAL), rng.randrange(1, 9)) for n in range(200)
+    ]
     unit = len(told) * USUAL / load / sum(sizes)
-    crowd = Crowd(replace(settings, balancers=3), [size * unit for size in sizes], told, seed, shed)
+    crowd = OverloadFleet(replace(settings, balancers=3), [size * unit for size in sizes], told, seed, shed)
     for n, client in enumerate(told):
         crowd.later(n / 100, partial(crowd.come, client))
     return crowd
 
 
-def level(crowd: Crowd, seconds: float) -> float:
+def level(crowd: OverloadFleet, seconds: float) -> float:
     return mean(crowd.served[-int(seconds * SECOND / STEP) :])
 
 
 @pytest.mark.parametrize("seed", range(3))
 def test_piles_do_not_stand_where_messages_tell_of_them(seed: int) -> None:
-    felt, deaf = tier(seed, 0.65), tier(seed, 0.65, replace(SILENT, tells_delay=False))
+    felt, deaf = tier(seed, 0.65), tier(seed, 0.65, replace(SILENT, reports_latency=False))
     for crowd in (felt, deaf):
         crowd.run(25)
     assert level(felt, 10) > 0.8
@@ -60,15 +76,15 @@
 def test_one_dear_connection_leaves_and_not_all_the_others_in_its_stead(seed: int) -> None:
     driver = Driver(SILENT, seed, [entry(s) for s in (1, 2)])
     for number in range(1, 31):
-        driver.give(io.Note(driver.open(1), 1, USUAL if number > 1 else 100 * USUAL, 0, io.NOTE_LOAD))
+        driver.give(LoadSample(driver.open(1), 1, USUAL if number > 1 else 100 * USUAL, 0))
     for took in (100.0, 400.0):
         driver.now += SECOND
-        driver.give(io.Note(2, 1, took, 0, io.NOTE_DELAY))
-    moved = [action.id for action in driver.log if isinstance(action, io.Move)]
+        driver.give(LatencySample(2, 1, took, 0))
+    moved = [action.id for action in driver.log if isinstance(action, MigrateClient)]
     assert moved == [1]
 
 
-def storm(settings: io.Settings) -> tuple[int, int, int]:
+def storm(settings: Settings) -> tuple[int, int, int]:
     """Hosts break off their newest and messages tell nothing, while all nodes are replaced.
 
     How many are broken off in all, how many of these in the 17 s after, and the attempts of those.
@@ -88,7 +104,7 @@
 
 
 def test_hosts_break_off_fewer_through_restarts_where_own_load_is_weighed() -> None:
-    (broken, late, again), deaf = storm(SILENT), storm(replace(SILENT, tells_delay=False))
+    (broken, late, again), deaf = storm(SILENT), storm(replace(SILENT, reports_latency=False))
     assert broken < 0.6 * deaf[0] and late < 0.6 * deaf[1]
     assert again < 200, "of 800 clients in all"
 
@@ -106,11 +122,11 @@
 def test_a_guess_draws_a_full_host_last_and_turns_nobody_away() -> None:
     driver = Driver(replace(SILENT, tenant_quotas=(math.inf, 100.0)), servers=[entry(s) for s in (1, 2)])
     for _ in range(90):
-        driver.give(io.Note(driver.open(1, group=5), 1, USUAL, 0, io.NOTE_LOAD))
+        driver.give(LoadSample(driver.open(1, group=5), 1, USUAL, 0))
     assert driver.where(driver.connect(group=5)) == 2, "though its group stands at the other"
     for _ in range(40):
         driver.connect()
-    assert not driver.logged(io.Refuse)
+    assert not driver.logged(RejectRequest)
 
 
 def test_a_slow_set_up_spares_its_host_for_a_second() -> None:
@@ -129,30 +145,30 @@
     priced = replace(SILENT, prices={"crossZone": 0.13, "moves": 0.01}, tenant_quotas=quotas)
     driver = Driver(priced, servers=[entry(1), entry(2, zone=1)])
     for _ in range(8):
-        driver.give(io.Note(driver.open(2), 2, USUAL, 0, io.NOTE_LOAD))
+        driver.give(LoadSample(driver.open(2), 2, USUAL, 0))
     driver.run(20 * SECOND)
-    assert not driver.logged(io.Move)
-    driver.give(io.Note(1, 2, 30.0, 0, io.NOTE_DELAY))
+    assert not driver.logged(MigrateClient)
+    driver.give(LatencySample(1, 2, 30.0, 0))
     driver.run(20 * SECOND)
-    assert bool(driver.logged(io.Move)) == bool(quotas), "nor where nothing tells what a host can do"
+    assert bool(driver.logged(MigrateClient)) == bool(quotas), "nor where nothing tells what a host can do"
 
 
 @pytest.mark.parametrize("reports", [False, True])
 def test_one_error_spaces_sends_out_at_once_but_at_a_young_process_without_reports(reports: bool) -> None:
     driver = Driver(replace(BASE, prices={}) if reports else SILENT, servers=[entry(s) for s in range(1, 9)])
-    driver.end(driver.request(), io.Ending.ERROR)
+    driver.end(driver.request(), AttemptOutcome.ERROR)
     assert (driver.balancer.spacing.gap > 0) == reports
     for _ in range(0 if reports else 2):
-        driver.end(driver.request(), io.Ending.ERROR)
+        driver.end(driver.request(), AttemptOutcome.ERROR)
     assert driver.balancer.spacing.gap > 0
 
 
-def known(load: float = USUAL) -> tuple[Felt, Server]:
-    felt, server = Felt(replace(SILENT, balancers=2), SECOND), Server(1, SECOND, 0.0)
-    server.state = io.State.READY
+def known(load: float = USUAL) -> tuple[InferredLoads, Server]:
+    felt, server = InferredLoads(replace(SILENT, balancers=2), SECOND), Server(1, SECOND, 0.0)
+    server.state = ServerState.READY
     felt.listed(server, [server], SECOND)
     for number in range(100):
-        flow = Flow(io.Open(number + 1, 0, 0, 7, 0, 0, 0, 0, 1), SILENT.classes[0], SECOND)
+        flow = Connection(ExistingConnection(number + 1, 0, 0, 7, 0, 0, 0, 0, 1), SILENT.classes[0], SECOND)
         flow.live = flow.up = True
         server.flows[flow.id] = flow
         felt.weigh(flow, load)
@@ -184,13 +200,14 @@
     felt, server = known()
     flow = next(iter(server.flows.values()))
     felt.weigh(flow, 50 * USUAL)
-    again = Flow(io.Request(999, 0, 0, 7, SECOND, 0, 0, io.CAME_BACK), SILENT.classes[0], SECOND)
-    other = Flow(io.Request(998, 0, 0, 8, SECOND, 0, 0, 0), SILENT.classes[0], SECOND)
+    again = Connection(NewRequest(999, 0, 0, 7, SECOND, 0, 0, FLAG_RECONNECT), SILENT.classes[0], SECOND)
+    other = Connection(NewRequest(998, 0, 0, 8, SECOND, 0, 0, 0), SILENT.classes[0], SECOND)
     assert felt.weight(again) == 50 * USUAL and felt.dear(again)
     assert felt.weight(other) == pytest.approx(USUAL) and not felt.dear(other)
     for key in range(2 * KEYS):
         felt.weigh(
-            Flow(io.Request(key, 0, 0, key + 9, SECOND, 0, 0, 0), SILENT.classes[0], 0), 99 * DEAR * USUAL
+            Connection(NewRequest(key, 0, 0, key + 9, SECOND, 0, 0, 0), SILENT.classes[0], 0),
+            99 * DEAR * USUAL,
         )
     assert len(felt.keys) <= KEYS
 
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -6,14 +6,16 @@
 
 import pytest
 
-from firgrade import interface as io
-from limerudder.core.discovery import read_hosts
-from limerudder.core.maintenance import Memory
-from limerudder.core.recall import Inherited
-from limerudder.net.marks import Files
-
-from .scripted import LINE, SECOND, World, host, hosts, world
-from .test_node import events
+from limerudder.core.discovery.drain_memory import InheritedDrains
+from limerudder.core.discovery.endpoint_list import parse_endpoints
+from limerudder.core.operations.maintenance import InMemoryMarks
+from limerudder.net.mark_files import MarkFiles
+from limerudder.policy.events import (
+    EndpointUpdate,
+    ServerState,
+)
+from tests.scripted_peers import LINE, SECOND, World, host, hosts, world
+from tests.test_node import events
 
 START = 1_700_000_000_000  #: milliseconds
 
@@ -35,9 +37,9 @@
     if lists_meanwhile == "restarted":
         entry["startedAtMs"] = START
     if lists_meanwhile == "gone and back":
-        here.node.list_told(read_hosts(hosts(host("s-2"))), here.now)
+        here.node.endpoints_received(parse_endpoints(hosts(host("s-2"))), here.now)
     if lists_meanwhile != "nothing":
-        here.node.list_told(read_hosts(hosts(entry, host("s-2"))), here.now)
+        here.node.endpoints_received(parse_endpoints(hosts(entry, host("s-2"))), here.now)
     for _ in range(20):
         here.client()
     assert {dial.machine.owner.backend.name for dial in here.fetches()} == {"s-2"}
@@ -77,7 +79,7 @@
     node = here.node.maintenance
     assert not node.on("s-9", here.now) and not node.off("s-9", here.now) and not node.held
     assert node.on("s-1", here.now) and node.on("s-1", here.now)
-    here.node.list_told(read_hosts(hosts(host("s-2"))), here.now)
+    here.node.endpoints_received(parse_endpoints(hosts(host("s-2"))), here.now)
     assert node.on("s-1", here.now), "held, though listed no more"
     assert node.off("s-1", here.now) and not node.held and not node.off("s-1", here.now)
     assert node.off("s-2", here.now), "listed, though not held"
@@ -90,18 +92,26 @@
     told = events(here)
     hold_all_but(here, "s-2")
     if way == "listed again later":
-        here.node.list_told(read_hosts(hosts(host("s-2"))), here.now)
+        here.node.endpoints_received(parse_endpoints(hosts(host("s-2"))), here.now)
         here.node.maintenance.off("s-1", here.now)
-        here.node.list_told(read_hosts(hosts(host("s-1"), host("s-2"))), here.now)
+        here.node.endpoints_received(parse_endpoints(hosts(host("s-1"), host("s-2"))), here.now)
     else:
         here.node.maintenance.off("s-1", here.now)
     if way == "listed with its new start":
         assert here.node.backends[backend(here, "s-1")].back_at == here.now
-        here.node.list_told(read_hosts(hosts(host("s-1") | {"startedAtMs": 40_000}, host("s-2"))), here.now)
+        here.node.endpoints_received(
+            parse_endpoints(hosts(host("s-1") | {"startedAtMs": 40_000}, host("s-2"))), here.now
+        )
     entries = [
-        e for m in told if isinstance(m, io.Members) for e in m.entries if e.server == backend(here, "s-1")
+        e
+        for m in told
+        if isinstance(m, EndpointUpdate)
+        for e in m.entries
+        if e.server == backend(here, "s-1")
     ]
-    assert entries[-1].state == io.State.READY and entries[-1].since == here.now, "cold, whatever is listed"
+    assert (
+        entries[-1].state == ServerState.READY and entries[-1].since == here.now
+    ), "cold, whatever is listed"
     here.served()
     assert here.fetches()[-1].machine.owner.backend.name == "s-1", "the next one goes there"
     placed = set[str]()
@@ -137,7 +147,7 @@
     other.now = here.now
     told = events(other)
     other.node.returned_elsewhere(here.node.returned(), other.now)
-    (entry,) = (e for m in told if isinstance(m, io.Members) for e in m.entries)
+    (entry,) = (e for m in told if isinstance(m, EndpointUpdate) for e in m.entries)
     assert entry.since == here.now - ago
     other.served()
     (fetch,) = other.fetches()
@@ -157,26 +167,26 @@
     here = world(tmp_path)
     hold_all_but(here, "s-2")
     assert here.node.gauges(here.now)["out_of_rotation"] == 1
-    here.node.list_told(read_hosts(hosts(host("s-2"))), here.now)
+    here.node.endpoints_received(parse_endpoints(hosts(host("s-2"))), here.now)
     gauges = here.node.gauges(here.now)
     assert (gauges["registry_entries"], gauges["out_of_rotation"]) == (1, 0)
 
 
 def test_both_processes_follow_the_marks(tmp_path: Path) -> None:
     here, other = world(tmp_path), world(tmp_path)
-    marks = Memory()
+    marks = InMemoryMarks()
     here.node.maintenance.marks = other.node.maintenance.marks = marks
     assert here.node.maintenance.on("s-1", here.now)
     other.run(SECOND // 10 + 10_000)
     assert other.node.maintenance.held == {"s-1"}
-    assert other.node.backends[backend(other, "s-1")].state == io.State.DRAINING
+    assert other.node.backends[backend(other, "s-1")].state == ServerState.DRAINING
     assert other.node.maintenance.off("s-1", other.now)
     here.run(SECOND // 10 + 10_000)
     assert not here.node.maintenance.held
-    assert here.node.backends[backend(here, "s-1")].state == io.State.READY
+    assert here.node.backends[backend(here, "s-1")].state == ServerState.READY
 
 
-class Broken(Memory):
+class Broken(InMemoryMarks):
     def put(self, name: str) -> None:
         raise OSError(28, "No space left on device")
 
@@ -197,11 +207,11 @@
 def test_marks_are_files_in_their_folder_whatever_the_name(tmp_path: Path, name: str) -> None:
     folder = tmp_path / "state"
     folder.mkdir()
-    marks = Files(str(folder))
+    marks = MarkFiles(str(folder))
     marks.put(name)
     marks.put(name)
     (folder / "handover").touch()
-    assert Files(str(folder)).read() == {name} and len(list(tmp_path.iterdir())) == 1
+    assert MarkFiles(str(folder)).read() == {name} and len(list(tmp_path.iterdir())) == 1
     marks.remove(name)
     marks.remove(name)
     assert marks.read() == set()
@@ -211,15 +221,15 @@
 
 def test_a_remembered_drain_outlives_the_list_and_is_lifted_by_a_newer_start_alone(tmp_path: Path) -> None:
     here = world(tmp_path)
-    here.node.recall = recall = Inherited({"s-1": START})
+    here.node.recall = recall = InheritedDrains({"s-1": START})
     for started, out in [(START, True), (START - 5, True), (START + 1, False)]:
         entry = host("s-1") | {"startedAtMs": started}
-        here.node.list_told(read_hosts(hosts(entry, host("s-2"))), here.now)
-        assert (here.node.backends[backend(here, "s-1")].state == io.State.DRAINING) == out, started
+        here.node.endpoints_received(parse_endpoints(hosts(entry, host("s-2"))), here.now)
+        assert (here.node.backends[backend(here, "s-1")].state == ServerState.DRAINING) == out, started
     recall.told("s-1", START + 9)
     here.node.relist("s-1", here.now)
-    assert here.node.backends[backend(here, "s-1")].state == io.State.DRAINING
+    assert here.node.backends[backend(here, "s-1")].state == ServerState.DRAINING
     leaving = host("s-2", lifecycle="leaving") | {"startedAtMs": 7}
-    here.node.list_told(read_hosts(hosts(leaving)), here.now)
+    here.node.endpoints_received(parse_endpoints(hosts(leaving)), here.now)
     assert recall.heard == {"s-2": 7} and recall.drained() == {"s-1": START + 9, "s-2": 7}
     assert backend(here, "s-2") and not here.node.lists("s-1")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -8,18 +8,38 @@
 
 import pytest
 
-from firgrade import interface as io
-from limerudder.core.discovery import DiscoveryCall, read_hosts
-from limerudder.net.peers import Peers
-
-from .scripted import LINE, SECOND, FakeLink, World, host, hosts, settings, world
+from limerudder.core.discovery.endpoint_list import DiscoveryCall, parse_endpoints
+from limerudder.net.peer_socket import PeerSocket
+from limerudder.policy.actions import (
+    Action,
+    CheckHealth,
+    SendPeerMessage,
+    StartAttempt,
+)
+from limerudder.policy.events import (
+    AttemptEnded,
+    AttemptOutcome,
+    ClientDisconnected,
+    ConnectionEstablished,
+    EndpointUpdate,
+    Event,
+    ExistingConnection,
+    HealthCheckResult,
+    LatencySample,
+    LoadSample,
+    NewRequest,
+    ServerState,
+    TimerFired,
+    UpdateKind,
+)
+from tests.scripted_peers import LINE, SECOND, FakeLink, World, host, hosts, settings, world
 
 
-def events(node: World) -> list[io.Event]:
+def events(node: World) -> list[Event]:
     """From here on, what the module is told."""
-    told, handle = list[io.Event](), node.node.balancer.handle
+    told, handle = list[Event](), node.node.balancer.handle
 
-    def spy(event: io.Event, now: int) -> list[io.Action]:
+    def spy(event: Event, now: int) -> list[Action]:
         told.append(event)
         return handle(event, now)
 
@@ -40,9 +60,9 @@
         fetch.machine.feed(data[at : at + -(-len(data) // pieces)], here.now)
     fetch.machine.eof(here.now)
     assert link.sent == b"UP 77\r\n" + data and link.finished and fetch.closed
-    assert [e.value for e in told if isinstance(e, io.Note)] == [2500.5]
-    (end,) = (e for e in told if isinstance(e, io.Outcome))
-    assert (end.ending, end.closed) == (io.Ending.OK, 1) and not here.node.reqs
+    assert [e.load for e in told if isinstance(e, LoadSample)] == [2500.5]
+    (end,) = (e for e in told if isinstance(e, AttemptEnded))
+    assert (end.ending, end.closed) == (AttemptOutcome.OK, 1) and not here.node.reqs
 
 
 BAD = {
@@ -89,7 +109,7 @@
     fetch.accept(here.now)
     session.feed(LINE.encode() + b"\r\n", here.now)
     assert link.sent == b"ERR\r\n" and fetch.closed and b"OPEN" not in fetch.sent[5:]
-    assert not here.node.reqs and [type(e) for e in told] == [io.Request, io.Gone, io.Outcome]
+    assert not here.node.reqs and [type(e) for e in told] == [NewRequest, ClientDisconnected, AttemptEnded]
 
 
 def test_the_id_of_an_open_req_is_refused_and_that_req_goes_on(
@@ -104,7 +124,7 @@
         session.feed(line, here.now)
         assert other.sent == b"ERR\r\n" and not fetch.closed and here.fetches() == [fetch]
         assert here.node.counters["reqs_of_id_in_use"] == turn + 1 == here.node.counters["reqs"] + turn
-    assert [type(e) for e in told] == [io.Request, io.Established], "the module hears nothing of it"
+    assert [type(e) for e in told] == [NewRequest, ConnectionEstablished], "the module hears nothing of it"
     first.lost(here.now)
     session, other = here.connect()
     session.feed(line, here.now)
@@ -227,18 +247,20 @@
 @pytest.mark.parametrize(
     ("how", "ending"),
     [
-        ("refused", io.Ending.CONNECT_FAILED),
-        ("no answer to the dial", io.Ending.CONNECT_FAILED),
-        ("broken after the line", io.Ending.RESET),
-        ("silent", io.Ending.TIMEOUT),
-        ("BUSY", io.Ending.FULL),
-        ("ERR inflight=1", io.Ending.ERROR),
-        ("UP", io.Ending.ERROR),
-        ("x" * 5000, io.Ending.ERROR),
+        ("refused", AttemptOutcome.CONNECT_FAILED),
+        ("no answer to the dial", AttemptOutcome.CONNECT_FAILED),
+        ("broken after the line", AttemptOutcome.RESET),
+        ("silent", AttemptOutcome.TIMEOUT),
+        ("BUSY", AttemptOutcome.FULL),
+        ("ERR inflight=1", AttemptOutcome.ERROR),
+        ("UP", AttemptOutcome.ERROR),
+        ("x" * 5000, AttemptOutcome.ERROR),
     ],
     ids=lambda value: str(value)[:20],
 )
-def test_a_fetch_that_fails_is_closed_before_the_next(tmp_path: Path, how: str, ending: io.Ending) -> None:
+def test_a_fetch_that_fails_is_closed_before_the_next(
+    tmp_path: Path, how: str, ending: AttemptOutcome
+) -> None:
     here = world(tmp_path)
     told = events(here)
     _, link = here.client()
@@ -253,7 +275,7 @@
         here.run(1_010_000)
     else:
         first.machine.feed(how.encode() + b"\r\n", here.now)
-    assert [e.ending for e in told if isinstance(e, io.Outcome)] == [ending]
+    assert [e.ending for e in told if isinstance(e, AttemptEnded)] == [ending]
     (second,) = here.fetches()
     assert first.closed and second is not first and not link.sent
 
@@ -261,10 +283,14 @@
 def test_the_rules_hold_whatever_the_module_sends(tmp_path: Path) -> None:
     here = world(tmp_path)
     first, other = here.node.backends.values()
-    other.state = io.State.DRAINING
-    sends = [io.Send(1, other.number, 0), io.Send(1, first.number, 0), io.Send(1, first.number, 0)]
+    other.state = ServerState.DRAINING
+    sends = [
+        StartAttempt(1, other.number, 0),
+        StartAttempt(1, first.number, 0),
+        StartAttempt(1, first.number, 0),
+    ]
     here.node.balancer.handle = lambda event, now: (  # type: ignore[method-assign]
-        list(sends) if isinstance(event, io.Request) else []
+        list(sends) if isinstance(event, NewRequest) else []
     )
     here.client()
     assert len(here.fetches()) == 1 and here.node.counters["fetches_moot"] == 2
@@ -297,9 +323,9 @@
     (fetch,) = here.fetches()
     session.eof(here.now)
     assert fetch.closed and link.closed and not here.node.reqs
-    (end,) = (e for e in told if isinstance(e, io.Outcome))
-    assert (end.ending, end.closed) == (io.Ending.CANCELLED, 1)
-    assert any(isinstance(e, io.Gone) for e in told)
+    (end,) = (e for e in told if isinstance(e, AttemptEnded))
+    assert (end.ending, end.closed) == (AttemptOutcome.CANCELLED, 1)
+    assert any(isinstance(e, ClientDisconnected) for e in told)
 
 
 @pytest.mark.parametrize("way", ["backend resets", "client resets", "client ends"])
@@ -356,8 +382,8 @@
         here.run(100_000)
     here.run(5000)
     assert link.sent == b"UP 77\r\nMOVE\r\n" and link.finished and fetch.closed
-    (end,) = (e for e in told if isinstance(e, io.Outcome))
-    assert end.ending == io.Ending.CANCELLED, "nothing is learned of what the backend can hold"
+    (end,) = (e for e in told if isinstance(e, AttemptEnded))
+    assert end.ending == AttemptOutcome.CANCELLED, "nothing is learned of what the backend can hold"
 
 
 @pytest.mark.parametrize("back", [False, True], ids=["gone", "heard again"])
@@ -388,8 +414,8 @@
         session.feed(b"M\r\n", here.now)
         here.run(took)
         fetch.machine.feed(b"M\r\n", here.now)
-    notes = [(e.kind, e.value) for e in told if isinstance(e, io.Note)]
-    assert notes == [(io.NOTE_DELAY, 30.0), (io.NOTE_DELAY, 5.0)]
+    samples = [(type(e), e[2]) for e in told if isinstance(e, LatencySample | LoadSample)]
+    assert samples == [(LatencySample, 30.0), (LatencySample, 5.0)]
 
 
 def test_a_connection_of_before_goes_to_its_backend_and_is_tried_again(tmp_path: Path) -> None:
@@ -404,7 +430,9 @@
     assert fetch.accept(here.now) == line + "\r\n"
     fetch.machine.feed(b"UP 5\r\n", here.now)
     assert link.sent == b"UP 5\r\n"
-    assert [type(e) for e in told if not isinstance(e, io.Timer | io.Probed)] == [io.Open]
+    assert [type(e) for e in told if not isinstance(e, TimerFired | HealthCheckResult)] == [
+        ExistingConnection
+    ]
 
 
 def test_a_connection_of_before_at_a_host_of_no_list_fails_and_leaves_nothing(tmp_path: Path) -> None:
@@ -413,7 +441,7 @@
     _, link = here.client(LINE + ",at=s-99")
     here.run(31 * SECOND)
     assert link.sent == b"ERR\r\n" and not here.node.reqs and not here.fetches()
-    assert len(here.node.backends) == known and not [e for e in told if isinstance(e, io.Open)]
+    assert len(here.node.backends) == known and not [e for e in told if isinstance(e, ExistingConnection)]
 
 
 def test_where_sockets_are_short_a_client_is_refused_at_once(tmp_path: Path) -> None:
@@ -430,8 +458,8 @@
     (fetch,) = here.fetches()
     (held,) = here.node.reqs.values()
     assert held.backend
-    drains = read_hosts(hosts(host(held.backend.name, lifecycle="leaving"), reset=False))
-    here.node.list_told(drains, here.now)
+    drains = parse_endpoints(hosts(host(held.backend.name, lifecycle="leaving"), reset=False))
+    here.node.endpoints_received(drains, here.now)
     assert fetch.closed and len(here.fetches()) == 1
 
 
@@ -443,7 +471,7 @@
     watch.machine.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", here.now)
     here.run(3 * SECOND + 300_000)
     assert watch.closed
-    assert [e.kind for e in told if isinstance(e, io.Members)] == [io.ListKind.FAILED]
+    assert [e.kind for e in told if isinstance(e, EndpointUpdate)] == [UpdateKind.FAILED]
     here.run(SECOND)
     assert here.node.discovery.watch and here.node.discovery.watch is not watch.machine
 
@@ -472,11 +500,11 @@
     assert new.address == ("127.0.0.1", 99) and b"&after=0 " in new.machine.opening(here.now)
     for call in old:
         _say(call, hosts(), here.now)
-    assert not [e for e in told if isinstance(e, io.Members)]
-    assert [b.state for b in here.node.backends.values()] == [io.State.READY] * 2
+    assert not [e for e in told if isinstance(e, EndpointUpdate)]
+    assert [b.state for b in here.node.backends.values()] == [ServerState.READY] * 2
     _say(new, hosts(host("s-3"), reset=whole) | {"generation": 3}, here.now)
     assert here.node.discovery.version == 3
-    ready = [b.name for b in here.node.backends.values() if b.state == io.State.READY]
+    ready = [b.name for b in here.node.backends.values() if b.state == ServerState.READY]
     assert ready == (["s-3"] if whole else ["s-1", "s-2", "s-3"])
     question = here.dials[-1]
     assert (question is new) is whole, "changes alone say nothing of what else there is"
@@ -503,7 +531,7 @@
     assert isinstance(again.machine, DiscoveryCall) and again.machine.after is None
     _say(again, hosts(host("s-3")), here.now)
     again.machine.feed(b"0\r\n\r\n", here.now)
-    assert [b.name for b in here.node.backends.values() if b.state == io.State.READY] == ["s-3"]
+    assert [b.name for b in here.node.backends.values() if b.state == ServerState.READY] == ["s-3"]
 
 
 def test_a_node_that_starts_asks_for_changes_alone(tmp_path: Path) -> None:
@@ -512,12 +540,12 @@
     assert len(here.dials) == 1, "many nodes start at once, and each whole list costs the service they share"
 
 
-@pytest.mark.parametrize("kind", [io.Request, io.Timer])
+@pytest.mark.parametrize("kind", [NewRequest, TimerFired])
 def test_a_fault_in_the_module_costs_one_req_at_most(tmp_path: Path, kind: type) -> None:
     here = world(tmp_path)
-    handle, met = here.node.balancer.handle, list[io.Event]()
+    handle, met = here.node.balancer.handle, list[Event]()
 
-    def fails_once(event: io.Event, now: int) -> list[io.Action]:
+    def fails_once(event: Event, now: int) -> list[Action]:
         if isinstance(event, kind):
             met.append(event)
             if len(met) == 1:
@@ -525,14 +553,14 @@
         return handle(event, now)
 
     here.node.balancer.handle = fails_once  # type: ignore[method-assign]
-    here.node.give(io.Timer(77), here.now)
+    here.node.give(TimerFired(77), here.now)
     _, link = here.client()
-    assert (link.sent == b"ERR\r\n") is (kind is io.Request)
+    assert (link.sent == b"ERR\r\n") is (kind is NewRequest)
     assert len([t for t in here.logged if "ZeroDivisionError: in a test" in t]) == 1
     here.served()
     here.run(SECOND + 5000)
     assert here.node.counters["module_faults"] == 1
-    assert met.count(io.Timer(77)) == (2 if kind is io.Timer else 0), "the timer it would have set anew"
+    assert met.count(TimerFired(77)) == (2 if kind is TimerFired else 0), "the timer it would have set anew"
 
 
 def test_a_module_that_never_answers_does_not_lose_the_req(tmp_path: Path) -> None:
@@ -576,14 +604,14 @@
 
 def test_a_fault_in_an_action_does_not_deafen_the_node(tmp_path: Path) -> None:
     here = world(tmp_path)
-    here.node.balancer.handle = lambda event, now: [io.Tell(1, b"")]  # type: ignore[method-assign]
+    here.node.balancer.handle = lambda event, now: [SendPeerMessage(1, b"")]  # type: ignore[method-assign]
     here.tell = lambda peer, data: 1 / 0  # type: ignore[method-assign, assignment]
     with pytest.raises(ZeroDivisionError):
-        here.node.give(io.Timer(5), here.now)
+        here.node.give(TimerFired(5), here.now)
     told = events(here)
     with pytest.raises(ZeroDivisionError):
-        here.node.give(io.Timer(6), here.now)
-    assert told == [io.Timer(6)]
+        here.node.give(TimerFired(6), here.now)
+    assert told == [TimerFired(6)]
 
 
 def test_a_connection_that_only_pings_is_kept_while_it_does(tmp_path: Path) -> None:
@@ -601,10 +629,10 @@
 def test_peers_are_told_and_heard_only_within_the_rules(tmp_path: Path) -> None:
     here = world(tmp_path)
     for size in (256, 257):
-        here.node._tell(io.Tell(1, b"x" * size), here.now)
+        here.node._tell(SendPeerMessage(1, b"x" * size), here.now)
     assert [len(data) for _, data in here.told] == [256]
     alone = world(tmp_path, settings=settings(peers=False))
-    alone.node._tell(io.Tell(1, b"x"), alone.now)
+    alone.node._tell(SendPeerMessage(1, b"x"), alone.now)
     assert not alone.told
 
 
@@ -640,17 +668,19 @@
 def test_a_report_that_cannot_be_read_is_counted_and_told_of(tmp_path: Path, said: str, spoilt: int) -> None:
     here = world(tmp_path, settings=settings(probes=True))
     told = events(here)
-    here.node._probe(io.Probe(next(iter(here.node.backends))), here.now)
+    here.node._probe(CheckHealth(next(iter(here.node.backends))), here.now)
     link = here.dials[-1]
     link.accept(here.now)
     link.machine.feed(f"PONG {said}".strip().encode() + b"\r\n", here.now)
-    assert [type(event) for event in told] == [io.Probed], "the module hears of it either way"
+    assert [type(event) for event in told] == [HealthCheckResult], "the module hears of it either way"
     assert here.node.counters["reports_spoilt"] == spoilt == sum("load report" in t for t in here.logged)
 
 
 def test_the_driver_hands_on_whose_datagram_it_is() -> None:
     heard: list[tuple[int | None, bytes]] = []
-    peers = Peers([("127.0.0.1", 9001), ("127.0.0.1", 9002)], None, lambda n, data: heard.append((n, data)))
+    peers = PeerSocket(
+        [("127.0.0.1", 9001), ("127.0.0.1", 9002)], None, lambda n, data: heard.append((n, data))
+    )
     peers.datagram_received(b"a", ("127.0.0.1", 9002))
     peers.datagram_received(b"b", ("127.0.0.1", 9003))
     assert heard == [(1, b"a"), (None, b"b")]
--- a/tests/test_fleet.py
+++ b/tests/test_policy_fleet.py
@@ -8,12 +8,21 @@
 
 import pytest
 
-from firgrade import interface as io
-from firgrade.records import SECOND
-
-from .driver import Driver, entry
-from .scripted import world
-from .test_sharing import NODES, SERVERS, TIER, Tier
+from limerudder.policy.actions import (
+    CheckHealth,
+    StartAttempt,
+)
+from limerudder.policy.events import (
+    AttemptOutcome,
+    EndpointUpdate,
+    HealthCheckResult,
+    ServerState,
+    UpdateKind,
+)
+from limerudder.policy.records import SECOND
+from tests.policy_driver import Driver, entry
+from tests.scripted_peers import world
+from tests.test_gossip import NODES, SERVERS, TIER, Tier
 
 
 def restart(tier: Tier, which: range) -> None:
@@ -22,7 +31,7 @@
         old = tier.nodes[i]
         new = tier.nodes[i] = Driver(old.settings, 1000 + i, ())
         new.now, tier.read[i] = old.now, 0
-        new.members(SERVERS, io.ListKind.CACHED)
+        new.members(SERVERS, UpdateKind.CACHED)
 
 
 def wave(tier: Tier, nodes: range, each: int) -> list[tuple[Driver, int]]:
@@ -44,7 +53,7 @@
     tier.run(5 * SECOND)
     restart(tier, range(14))
     for node in tier.nodes[:14]:
-        node.give(io.Members(io.ListKind.FAILED, 0, ()))
+        node.give(EndpointUpdate(UpdateKind.FAILED, 0, ()))
     came = wave(tier, range(14), 4)
     tier.run(SECOND)
     placed = Counter(node.where(number) for node, number in came if number in node.attempts)
@@ -69,13 +78,13 @@
         wave(tier, range(4), 1)
     cold = entry(1, since=tier.nodes[0].now)
     for node in tier.nodes:
-        node.members([entry(1, io.State.GONE)])
+        node.members([entry(1, ServerState.GONE)])
         node.members([cold])
     marks = [len(node.log) for node in tier.nodes]
     for _ in range(2):
         wave(tier, range(NODES), 4)
     got = sum(
-        isinstance(a, io.Send) and a.server == 1
+        isinstance(a, StartAttempt) and a.server == 1
         for node, mark in zip(tier.nodes, marks, strict=True)
         for a in node.log[mark:]
     )
@@ -88,10 +97,10 @@
     driver = Driver(TIER, servers=SERVERS)
     for s in range(1, 7):
         driver.report(s, 0.6) if s == 1 else driver.give(
-            io.Probed(s, 1000, io.Ending.OK, (0.0, 10.0, 0.6 if s < 4 else 0.2))
+            HealthCheckResult(s, 1000, AttemptOutcome.OK, (0.0, 10.0, 0.6 if s < 4 else 0.2))
         )
     before = {s: driver.balancer.servers[s].load or 0 for s in range(1, 7)}
-    driver.members([entry(2, io.State.DRAINING)])
+    driver.members([entry(2, ServerState.DRAINING)])
     after = {s: driver.balancer.servers[s].load or 0 for s in range(1, 7)}
     for s in (3, 4, 5, 6):
         assert after[s] > before[s]
@@ -103,7 +112,7 @@
     tier.run(3 * SECOND)
     new = [entry(s, since=tier.nodes[0].now) for s in range(11, 15)]
     for node in tier.nodes:
-        node.members([*new, *(entry(s, io.State.GONE) for s in range(1, 5))])
+        node.members([*new, *(entry(s, ServerState.GONE) for s in range(1, 5))])
     came = wave(tier, range(NODES), 2)
     tier.run(SECOND)
     assert all(number in node.attempts for node, number in came)
@@ -119,10 +128,10 @@
             node.run(SECOND // 10)
             while number in node.attempts and node.where(number) == 1:
                 tries += 1
-                node.end(number, io.Ending.CONNECT_FAILED)
+                node.end(number, AttemptOutcome.CONNECT_FAILED)
             if number in node.attempts:
                 node.establish(number)
-                node.end(number, io.Ending.OK)
+                node.end(number, AttemptOutcome.OK)
         assert tries <= 2  # one, and a trial after a second
 
 
@@ -137,7 +146,7 @@
                 driver.establish(number)
                 served += 1
                 break
-            driver.end(number, io.Ending.FULL)
+            driver.end(number, AttemptOutcome.FULL)
             driver.run(SECOND // 10)
         driver.run(SECOND)
         assert driver.asked[number].answered
@@ -150,7 +159,7 @@
         wave(tier, range(3, 4), 1)
     alone = tier.nodes[3].balancer
     assert all(alone.estimate(s) is not None for s in alone.ready)
-    assert len(tier.nodes[3].logged(io.Probe)) <= 2 * len(SERVERS)
+    assert len(tier.nodes[3].logged(CheckHealth)) <= 2 * len(SERVERS)
 
 
 def test_a_silent_discovery_is_asked_again_and_the_list_of_before_serves(tmp_path: Path) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_policy_rules.py
@@ -9,19 +9,39 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from firgrade import interface as io
-from firgrade.records import SECOND
-
-from .driver import BASE, Driver, entry
+from limerudder.policy.events import (
+    AttemptEnded,
+    AttemptOutcome,
+    ClientDisconnected,
+    ConnectionEstablished,
+    EndpointUpdate,
+    HealthCheckResult,
+    LatencySample,
+    LoadSample,
+    PeerMessage,
+    TimerFired,
+    UpdateKind,
+)
+from limerudder.policy.records import SECOND
+from limerudder.policy.settings import (
+    Settings,
+)
+from tests.policy_driver import BASE, Driver, entry
 
 SETTINGS = (
     BASE,
-    replace(BASE, discovery="on_request", prices={"crossZone": 0.1, "probe": 0.0}, try_limit=2),
+    replace(BASE, discovery="on_request", prices={"crossZone": 0.1, "probe": 0.0}, max_attempts=2),
     replace(
-        BASE, probes=False, cancel=False, parallel_tries=True, mode="pass", park=5 * SECOND, groups=False
+        BASE, probes=False, cancel=False, allows_hedging=True, mode="pass", park=5 * SECOND, groups=False
     ),
 )
-ENDINGS = [io.Ending.FULL, io.Ending.CONNECT_FAILED, io.Ending.RESET, io.Ending.ERROR, io.Ending.OK]
+ENDINGS = [
+    AttemptOutcome.FULL,
+    AttemptOutcome.CONNECT_FAILED,
+    AttemptOutcome.RESET,
+    AttemptOutcome.ERROR,
+    AttemptOutcome.OK,
+]
 STEPS = "request request request establish establish end gone time list report open note stray failed".split()
 
 
@@ -38,7 +58,10 @@
         number = rng.choice(out)
         live = driver.attempts[number].live
         driver.end(
-            number, rng.choice([io.Ending.OK, io.Ending.RESET, io.Ending.CANCELLED] if live else ENDINGS)
+            number,
+            rng.choice(
+                [AttemptOutcome.OK, AttemptOutcome.RESET, AttemptOutcome.CANCELLED] if live else ENDINGS
+            ),
         )
     elif what == "gone":
         open_ids = [i for i, a in driver.asked.items() if not a.answered]
@@ -47,7 +70,7 @@
     elif what == "time":
         driver.run(rng.choice([5_000, 100_000, SECOND, 20 * SECOND]))
     elif what == "list":
-        kind = rng.choice([io.ListKind.DELTA, io.ListKind.FULL])
+        kind = rng.choice([UpdateKind.DELTA, UpdateKind.FULL])
         chosen = rng.sample(range(1, 9), rng.randrange(1, 9))
         driver.members(
             [
@@ -58,31 +81,33 @@
         )
     elif what == "report":
         load = rng.choice([0.1, 0.6, 0.9, 2.0, float("nan"), -1.0, 1e30])
-        driver.give(io.Probed(rng.randrange(12), 900, rng.choice([200, 408]), rng.choice([(), (0.0, load)])))
+        driver.give(
+            HealthCheckResult(rng.randrange(12), 900, rng.choice([200, 408]), rng.choice([(), (0.0, load)]))
+        )
     elif what == "open" and driver.entries:
         driver.open(rng.choice(list(driver.entries)), rng.randrange(5), rng.randrange(4))
     elif what == "note" and out:
         number = rng.choice(out)
-        driver.give(
-            io.Note(
-                number, driver.where(number), rng.choice([0.0, 500.0, float("nan")]), 0, rng.choice([1, 2])
-            )
-        )
+        value = rng.choice([0.0, 500.0, float("nan")])
+        if rng.choice([True, False]):
+            driver.give(LoadSample(number, driver.where(number), value, 0))
+        else:
+            driver.give(LatencySample(number, driver.where(number), value, 0))
     elif what == "stray":
-        driver.give(io.Outcome(10**6, 0, 1, 200, 1, 1, ()))
-        driver.give(io.Established(10**6, 1, 0, 1))
-        driver.give(io.Gone(10**6))
-        driver.give(io.Note(10**6, 1, 1.0, 0, 1))
-        driver.give(io.PeerMessage(1, b"\xff\x00"))
-        driver.give(io.Timer(987_654))
+        driver.give(AttemptEnded(10**6, 0, 1, 200, 1, 1, ()))
+        driver.give(ConnectionEstablished(10**6, 1, 0, 1))
+        driver.give(ClientDisconnected(10**6))
+        driver.give(LoadSample(10**6, 1, 1.0, 0))
+        driver.give(PeerMessage(1, b"\xff\x00"))
+        driver.give(TimerFired(987_654))
     elif what == "failed":
-        driver.give(io.Members(io.ListKind.FAILED, 0, ()))
+        driver.give(EndpointUpdate(UpdateKind.FAILED, 0, ()))
 
 
 @pytest.mark.parametrize("told", SETTINGS)
 @given(seed=st.integers(0, 2**32))
 @settings(max_examples=120, derandomize=True, deadline=None, database=None)
-def test_rules_and_counts_hold_on_any_legal_sequence(told: io.Settings, seed: int) -> None:
+def test_rules_and_counts_hold_on_any_legal_sequence(told: Settings, seed: int) -> None:
     rng = Random(seed)
     driver = Driver(told, seed, [entry(s, 1, s % 2, 0, s % 3) for s in range(1, 7)])
     for _ in range(80):
@@ -90,5 +115,5 @@
     driver.run(3 * SECOND)
     assert all(asked.answered for asked in driver.asked.values()), "a request was lost"
     for number in list(driver.attempts):
-        driver.end(number, io.Ending.OK)
+        driver.end(number, AttemptOutcome.OK)
     assert not driver.balancer.flows and not driver.balancer.holdings.groups and not driver.balancer.held
--- a/tests/test_crossings.py
+++ b/tests/test_race_conditions.py
@@ -17,11 +17,10 @@
 import pytest
 import uvloop
 
-from limerudder.core.client import LineSession
-from limerudder.net.stream import Dialler, Stream
-
-from .scripted import LINE, SECOND, Listener, Loopback, Peer, free, host, hosts, settings
-from .test_stories import reset, served
+from limerudder.core.client.session import LineSession
+from limerudder.net.tcp import TcpConnection, TcpConnector
+from tests.scripted_peers import LINE, SECOND, Listener, Loopback, Peer, free, host, hosts, settings
+from tests.test_end_to_end import reset, served
 
 Story = Callable[[Loopback, pytest.MonkeyPatch], Awaitable[None]]
 
@@ -37,15 +36,15 @@
     """The loop as a dial sees it: hosts take the connection at once, and the node learns of it at `open`."""
 
     def __init__(self, patch: pytest.MonkeyPatch) -> None:
-        self.gate, begin = asyncio.Event(), Dialler.__init__
+        self.gate, begin = asyncio.Event(), TcpConnector.__init__
         self.loop: Any = None
         late = self
 
-        def init(dialler: Dialler, loop: Any, clock: Any) -> None:
+        def init(dialler: TcpConnector, loop: Any, clock: Any) -> None:
             begin(dialler, loop, clock)
             late.loop, dialler.loop = loop, late  # type: ignore[assignment]
 
-        patch.setattr(Dialler, "__init__", init)
+        patch.setattr(TcpConnector, "__init__", init)
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self.loop, name)
@@ -80,7 +79,7 @@
 
 async def a_resting_client_is_told_before_it_is_ended(here: Loopback, patch: pytest.MonkeyPatch) -> None:
     """Its first line crosses the end: it has its final answer, is read by nobody and never sent on."""
-    patch.setattr("limerudder.core.client.BETWEEN_PINGS", 50_000)
+    patch.setattr("limerudder.core.client.session.BETWEEN_PINGS", 50_000)
     async with here.running():
         client = await here.client()
         client.say("PING")
@@ -132,14 +131,14 @@
 
 async def small_writes_are_never_held_back(here: Loopback, patch: pytest.MonkeyPatch) -> None:
     """What the system still holds back goes with a close over unread bytes."""
-    told, made = list[int](), Stream.connection_made
+    told, made = list[int](), TcpConnection.connection_made
 
-    def spy(stream: Stream, transport: Any) -> None:
+    def spy(stream: TcpConnection, transport: Any) -> None:
         sock = transport.get_extra_info("socket")
         told.append(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
         made(stream, transport)
 
-    patch.setattr(Stream, "connection_made", spy)
+    patch.setattr(TcpConnection, "connection_made", spy)
     async with here.running():
         await here.discovery.take()
         await served(here)
@@ -174,7 +173,7 @@
         client.say(here.line())
         backend = await here.backend.take()
         link = came[-1].link
-        assert isinstance(link, Stream) and not link.left()
+        assert isinstance(link, TcpConnection) and not link.left()
         link.hold(True)  # as where the loop has not come to it yet
         client.say("M 1")
         client.writer.close()
@@ -331,12 +330,12 @@
     here: Loopback, patch: pytest.MonkeyPatch
 ) -> None:
     """Its host does not read. What it sends waits with it, in bounds; both sides are let go in the end."""
-    patch.setattr("limerudder.core.fetch.SILENT", 400_000)
+    patch.setattr("limerudder.core.upstream.attempt.SILENT", 400_000)
     came, many = sessions(patch), 5000
     async with here.running():
         client, backend = await served(here)
         link = came[-1].served and came[-1].served.link
-        assert isinstance(link, Stream) and link.transport
+        assert isinstance(link, TcpConnection) and link.transport
         backend.reader._transport.pause_reading()  # type: ignore[attr-defined]
         for _ in range(many):  # twenty megabytes
             client.say("M " + "x" * 4000)
--- a/tests/test_store_raft.py
+++ b/tests/test_raft.py
@@ -7,41 +7,41 @@
 
 import pytest
 
-from limerudder.store.raft.machine import (
-    ChangeError,
-    HardState,
-    NotLeading,
-    Raft,
-    Saved,
-    Standing,
-    Timing,
-    digest,
-)
 from limerudder.store.raft.messages import (
-    AnyMessage,
-    Append,
-    Config,
+    AppendEntries,
+    ClusterConfig,
     Entry,
-    Kind,
+    EntryKind,
+    InstallSnapshotChunk,
+    InstallSnapshotReply,
     Member,
-    Piece,
-    PieceHeld,
-    Role,
+    MemberRole,
+    RaftMessage,
+    RequestVote,
     Snapshot,
     SnapshotMeta,
-    TakeOver,
-    Vote,
+    TimeoutNow,
+)
+from limerudder.store.raft.raft import (
+    HardState,
+    MembershipChangeError,
+    NotLeader,
+    PersistentState,
+    Raft,
+    RaftRole,
+    RaftTiming,
+    snapshot_digest,
 )
 
 MS = 1000
-TIMING = Timing(150 * MS, 30 * MS)
+TIMING = RaftTiming(150 * MS, 30 * MS)
 
 
-def config(*numbers: int, joining: int = 0) -> Config:
+def config(*numbers: int, joining: int = 0) -> ClusterConfig:
     found = [Member(n, f"n{n}", f"127.0.0.1:{n}") for n in numbers]
     if joining:
-        found.append(Member(joining, f"n{joining}", f"127.0.0.1:{joining}", Role.JOINING))
-    return Config(tuple(found))
+        found.append(Member(joining, f"n{joining}", f"127.0.0.1:{joining}", MemberRole.JOINING))
+    return ClusterConfig(tuple(found))
 
 
 class Bench:
@@ -50,21 +50,21 @@
     def __init__(self, *numbers: int) -> None:
         self.now = 0
         self.all = {n: self.fresh(n, config(*numbers)) for n in numbers}
-        self.lost: Callable[[int, int, AnyMessage], bool] = lambda sender, to, message: False
+        self.lost: Callable[[int, int, RaftMessage], bool] = lambda sender, to, message: False
         self.stuck: set[int] = set()
         self.reads: dict[int, list[tuple[int, int]]] = {n: [] for n in numbers}
         self.installed: dict[int, Snapshot] = {}
-        self.seen: list[tuple[int, int, AnyMessage]] = []
+        self.seen: list[tuple[int, int, RaftMessage]] = []
 
     def fresh(
         self,
         number: int,
-        members: Config,
+        members: ClusterConfig,
         hard: HardState = HardState(0, 0),  # noqa: B008
         entries: tuple[Entry, ...] = (),
         incoming: tuple[SnapshotMeta, tuple[bytes, ...]] | None = None,
     ) -> Raft:
-        saved = Saved(hard, None, entries, members, incoming)
+        saved = PersistentState(hard, None, entries, members, incoming)
         return Raft(number, saved, Random(number), self.now, TIMING)
 
     def settle(self) -> None:
@@ -109,28 +109,28 @@
                 one.heard_leader = -(10**9)
             raft.tick(self.now)
             self.settle()
-            if raft.standing == Standing.LEADER:
+            if raft.standing == RaftRole.LEADER:
                 break
-        assert raft.standing == Standing.LEADER
+        assert raft.standing == RaftRole.LEADER
         return raft
 
 
-def snapshot(index: int, term: int, members: Config, pieces: int) -> Snapshot:
+def snapshot(index: int, term: int, members: ClusterConfig, pieces: int) -> Snapshot:
     data = tuple(b"%d" % n * 10 for n in range(pieces))
-    return Snapshot(SnapshotMeta(index, term, members, pieces, digest(data)), data)
+    return Snapshot(SnapshotMeta(index, term, members, pieces, snapshot_digest(data)), data)
 
 
 def test_one_leads_and_what_it_proposes_is_committed_everywhere() -> None:
     bench = Bench(1, 2, 3)
     bench.run(700)
-    leaders = [raft for raft in bench.all.values() if raft.standing == Standing.LEADER]
+    leaders = [raft for raft in bench.all.values() if raft.standing == RaftRole.LEADER]
     assert len(leaders) == 1
     leaders[0].propose([b"a", b"b"], bench.now)
     bench.settle()
     bench.run(60)
     assert {raft.commit for raft in bench.all.values()} == {3}
     other = next(raft for raft in bench.all.values() if raft is not leaders[0])
-    with pytest.raises(NotLeading) as caught:
+    with pytest.raises(NotLeader) as caught:
         other.propose([b"c"], bench.now)
     assert caught.value.leader == leaders[0].me
 
@@ -144,7 +144,7 @@
     assert bench.all[3].term == term, "it asks before it stands"
     bench.lost = lambda sender, to, message: False
     bench.run(500)
-    assert leader.standing == Standing.LEADER and leader.term == term
+    assert leader.standing == RaftRole.LEADER and leader.term == term
 
 
 def test_a_leader_that_nobody_hears_gives_up_and_its_reads_are_lost() -> None:
@@ -153,7 +153,7 @@
     bench.lost = lambda sender, to, message: True
     leader.read(bench.now)
     bench.run(400)
-    assert leader.standing != Standing.LEADER and bench.reads[1] == []
+    assert leader.standing != RaftRole.LEADER and bench.reads[1] == []
 
 
 def test_a_read_waits_for_a_round_begun_after_it() -> None:
@@ -176,33 +176,33 @@
     bench.settle()
     assert leader.commit == 2, "the others have it: a quorum without the leader's own disk"
     bench.run(400)
-    assert leader.standing == Standing.FOLLOWER and leader.stuck(bench.now)
-    assert any(isinstance(message, TakeOver) for _, _, message in bench.seen)
+    assert leader.standing == RaftRole.FOLLOWER and leader.stuck(bench.now)
+    assert any(isinstance(message, TimeoutNow) for _, _, message in bench.seen)
     bench.run(1000)
-    assert leader.standing == Standing.FOLLOWER, "and stands for nothing meanwhile"
-    assert any(raft.standing == Standing.LEADER for raft in bench.all.values())
+    assert leader.standing == RaftRole.FOLLOWER, "and stands for nothing meanwhile"
+    assert any(raft.standing == RaftRole.LEADER for raft in bench.all.values())
 
 
 def test_the_lead_is_handed_over_without_an_election_time_out() -> None:
     bench = Bench(1, 2, 3)
     leader = bench.elect(1)
     leader.transfer(3, bench.now)
-    with pytest.raises(NotLeading):
+    with pytest.raises(NotLeader):
         leader.propose([b"a"], bench.now)
     bench.settle()
-    assert bench.all[3].standing == Standing.LEADER and leader.leader == 3
-    with pytest.raises(ChangeError, match="only a voter"):
+    assert bench.all[3].standing == RaftRole.LEADER and leader.leader == 3
+    with pytest.raises(MembershipChangeError, match="only a voter"):
         bench.all[3].transfer(9, bench.now)
 
 
 def test_no_vote_leaves_before_it_is_durable_and_none_is_given_twice_in_a_term() -> None:
     bench = Bench(1, 2, 3)
     one = bench.all[3]
-    one.receive(1, Vote(5, 0, 0, False, False), bench.now)
+    one.receive(1, RequestVote(5, 0, 0, False, False), bench.now)
     out = one.take(bench.now)
     assert out and not out.send and out.write and out.write.hard == HardState(5, 1) and len(out.after) == 1
     again = bench.fresh(3, config(1, 2, 3), hard=out.write.hard)
-    again.receive(2, Vote(5, 9, 4, False, False), bench.now)
+    again.receive(2, RequestVote(5, 9, 4, False, False), bench.now)
     out = again.take(bench.now)
     assert out and out.after[0][1].granted is False  # type: ignore[union-attr]
 
@@ -211,13 +211,15 @@
     """Figure 3.7 of the thesis."""
     members = config(1, 2, 3, 4, 5)
     bench = Bench(1, 2, 3, 4, 5)
-    old, newer = Entry(1, 2, Kind.DATA, b"old"), Entry(1, 3, Kind.DATA, b"newer")
+    old, newer = Entry(1, 2, EntryKind.DATA, b"old"), Entry(1, 3, EntryKind.DATA, b"newer")
     for number in (1, 2, 3):
         bench.all[number] = bench.fresh(number, members, hard=HardState(3, 0), entries=(old,))
     bench.all[5] = bench.fresh(5, members, hard=HardState(3, 5), entries=(newer,))
     # the leader's own first entry reaches nobody; that all three have the old one is known to it
     bench.lost = (
-        lambda sender, to, message: 5 in (sender, to) or isinstance(message, Append) and bool(message.entries)
+        lambda sender, to, message: 5 in (sender, to)
+        or isinstance(message, AppendEntries)
+        and bool(message.entries)
     )
     leader = bench.elect(1)
     bench.run(60)
@@ -241,8 +243,8 @@
     leader.compact(whole, 0)
     behind = bench.all[2]
 
-    def late(sender: int, to: int, message: AnyMessage) -> bool:
-        return isinstance(message, Piece) and message.number >= 6 and bool(message.data)
+    def late(sender: int, to: int, message: RaftMessage) -> bool:
+        return isinstance(message, InstallSnapshotChunk) and message.number >= 6 and bool(message.data)
 
     bench.lost = late
     bench.run(100)
@@ -252,7 +254,7 @@
     bench.lost = lambda sender, to, message: False
     bench.seen.clear()
     bench.run(100)
-    sent = [m.number for _, _, m in bench.seen if isinstance(m, Piece) and m.data]
+    sent = [m.number for _, _, m in bench.seen if isinstance(m, InstallSnapshotChunk) and m.data]
     assert bench.installed[2] == whole and min(sent) >= 6, sent
     assert bench.all[2].commit == leader.commit
 
@@ -262,11 +264,11 @@
     bench = Bench(1, 2)
     whole = snapshot(9, 1, members, 2)
     one = bench.all[2]
-    one.receive(1, Piece(1, whole.meta, 0, b"spoiled", 0), bench.now)
-    one.receive(1, Piece(1, whole.meta, 1, whole.pieces[1], 0), bench.now)
+    one.receive(1, InstallSnapshotChunk(1, whole.meta, 0, b"spoiled", 0), bench.now)
+    one.receive(1, InstallSnapshotChunk(1, whole.meta, 1, whole.pieces[1], 0), bench.now)
     out = one.take(bench.now)
     assert out and out.install is None and one.incoming is None
-    assert isinstance(out.after[-1][1], PieceHeld) and out.after[-1][1].held == 0
+    assert isinstance(out.after[-1][1], InstallSnapshotReply) and out.after[-1][1].held == 0
 
 
 def test_a_joining_member_counts_for_nothing_until_it_has_caught_up() -> None:
@@ -276,20 +278,20 @@
     bench.settle()
     bench.lost = lambda sender, to, message: 4 in (sender, to)
     leader.change(config(1, 2, 3, joining=4), bench.now)
-    with pytest.raises(ChangeError, match="another change is under way"):
+    with pytest.raises(MembershipChangeError, match="another change is under way"):
         leader.change(config(1, 2), bench.now)
     bench.run(100)
     assert leader.log.config.voters() == {1, 2, 3} and leader.commit == leader.log.last
-    bench.all[4] = bench.fresh(4, Config(()))
+    bench.all[4] = bench.fresh(4, ClusterConfig(()))
     bench.lost = lambda sender, to, message: False
     bench.run(100)
     assert leader.log.config.voters() == {1, 2, 3, 4} and bench.all[4].commit == leader.commit
-    with pytest.raises(ChangeError, match="one voter at a time"):
+    with pytest.raises(MembershipChangeError, match="one voter at a time"):
         leader.change(config(1, 2), bench.now)
-    with pytest.raises(ChangeError, match="the last voter"):
+    with pytest.raises(MembershipChangeError, match="the last voter"):
         alone = Bench(1)
         alone.run(400)
-        alone.all[1].change(Config(()), alone.now)
+        alone.all[1].change(ClusterConfig(()), alone.now)
 
 
 def test_a_leader_that_is_taken_out_leads_until_that_is_agreed_on() -> None:
@@ -298,26 +300,26 @@
     bench.settle()
     leader.change(config(2, 3), bench.now)
     bench.settle()
-    assert leader.standing == Standing.FOLLOWER
+    assert leader.standing == RaftRole.FOLLOWER
     bench.run(20)
-    assert any(bench.all[n].standing == Standing.LEADER for n in (2, 3)), "at once, and not after a time-out"
+    assert any(bench.all[n].standing == RaftRole.LEADER for n in (2, 3)), "at once, and not after a time-out"
     bench.run(2000)
-    assert bench.all[1].standing == Standing.FOLLOWER, "it stands for nothing any more"
+    assert bench.all[1].standing == RaftRole.FOLLOWER, "it stands for nothing any more"
 
 
 def test_a_member_with_an_empty_disk_and_no_configuration_never_stands() -> None:
     bench = Bench(1)
-    bench.all = {9: bench.fresh(9, Config(()))}
+    bench.all = {9: bench.fresh(9, ClusterConfig(()))}
     bench.run(2000)
     assert bench.all[9].term == 0 and bench.seen == []
 
 
 def test_a_log_that_disagrees_with_a_snapshot_goes_with_it() -> None:
     bench = Bench(1, 2)
-    old = tuple(Entry(n, 1, Kind.DATA, b"%d" % n) for n in range(1, 6))
+    old = tuple(Entry(n, 1, EntryKind.DATA, b"%d" % n) for n in range(1, 6))
     one = bench.fresh(2, config(1, 2), hard=HardState(1, 0), entries=old)
     whole = snapshot(3, 2, config(1, 2), 1)
-    one.receive(1, Piece(2, whole.meta, 0, whole.pieces[0], 0), bench.now)
+    one.receive(1, InstallSnapshotChunk(2, whole.meta, 0, whole.pieces[0], 0), bench.now)
     out = one.take(bench.now)
     assert out and out.install == whole and out.write and out.write.keep is False
     assert (one.log.base, one.log.last, one.log.last_term) == (
@@ -325,8 +327,8 @@
         3,
         2,
     ), "entries 4 and 5 are of another history"
-    agreeing = tuple(Entry(n, 2, Kind.DATA, b"%d" % n) for n in range(1, 6))
+    agreeing = tuple(Entry(n, 2, EntryKind.DATA, b"%d" % n) for n in range(1, 6))
     two = bench.fresh(2, config(1, 2), hard=HardState(2, 0), entries=agreeing)
-    two.receive(1, Piece(2, whole.meta, 0, whole.pieces[0], 0), bench.now)
+    two.receive(1, InstallSnapshotChunk(2, whole.meta, 0, whole.pieces[0], 0), bench.now)
     out = two.take(bench.now)
     assert out and out.write and out.write.keep is True and two.log.last == 5
--- a/tests/test_lab_rules.py
+++ b/tests/test_rule_checker.py
@@ -6,19 +6,19 @@
 
 import pytest
 
-from limerudder.lab.rules import Checker, Limits
+from limerudder.loadtest.rule_checker import RuleChecker, RuleLimits
 
 S = 1_000_000
 
 
-def fleet() -> Checker:
-    one = Checker(Limits())
+def fleet() -> RuleChecker:
+    one = RuleChecker(RuleLimits())
     one.listed(0, "h1", True, 50.0, -60 * S)
     one.listed(0, "h2", True, 50.0, -60 * S)
     return one
 
 
-def served(one: Checker, req: str = "r", at: int = S, host: str = "h1") -> None:
+def served(one: RuleChecker, req: str = "r", at: int = S, host: str = "h1") -> None:
     one.asked(at, req, 2 * S)
     one.sent(at + 1000, req, host)
     one.answered(at + 3000, req, "UP 77")
@@ -54,76 +54,76 @@
     assert one.finish(20 * S) == [] and one.checked == 29
 
 
-def two_answers(one: Checker) -> None:
+def two_answers(one: RuleChecker) -> None:
     served(one)
     one.answered(2 * S, "r", "BUSY 10")
 
 
-def late(one: Checker) -> None:
+def late(one: RuleChecker) -> None:
     one.asked(S, "r", S)
     one.answered(2 * S + 20_001, "r", "FAIL")
 
 
-def never(one: Checker) -> None:
+def never(one: RuleChecker) -> None:
     one.asked(S, "r", S)
 
 
-def closed_without(one: Checker) -> None:
+def closed_without(one: RuleChecker) -> None:
     one.asked(S, "r", S)
     one.closed(S + 5, "r")
 
 
-def moved_before_up(one: Checker) -> None:
+def moved_before_up(one: RuleChecker) -> None:
     one.asked(S, "r", S)
     one.answered(S + 5, "r", "MOVE")
     one.left(S + 6, "r")
 
 
-def two_out(one: Checker) -> None:
+def two_out(one: RuleChecker) -> None:
     one.asked(S, "r", S)
     one.sent(S + 1, "r", "h1")
     one.sent(S + 2, "r", "h2")
     one.answered(S + 3, "r", "UP 1")
 
 
-def after_the_answer(one: Checker) -> None:
+def after_the_answer(one: RuleChecker) -> None:
     one.asked(S, "r", S)
     one.answered(S + 3, "r", "FAIL")
     one.sent(S + 4, "r", "h1")
 
 
-def to_a_drained_host(one: Checker) -> None:
+def to_a_drained_host(one: RuleChecker) -> None:
     one.listed(S, "h1", False, 50.0, -60 * S)
     served(one, at=S + 500_000)
 
 
-def to_a_stranger(one: Checker) -> None:
+def to_a_stranger(one: RuleChecker) -> None:
     served(one, host="h9")
 
 
-def over_a_cold_host(one: Checker) -> None:
+def over_a_cold_host(one: RuleChecker) -> None:
     one.listed(S, "h3", True, 10.0, S)
     for n in range(20):
         served(one, f"r{n}", S + 500_000 + n * 5000, "h3")
 
 
-def cut_off(one: Checker) -> None:
+def cut_off(one: RuleChecker) -> None:
     served(one)
     one.closed(3 * S, "r")
 
 
-def held_too_long(one: Checker) -> None:
+def held_too_long(one: RuleChecker) -> None:
     served(one)
     one.line_in(2 * S, "r", True, "M 1")
     one.line_out(2 * S + 100_001, "r", True, "M 1")
 
 
-def swallowed(one: Checker) -> None:
+def swallowed(one: RuleChecker) -> None:
     served(one)
     one.line_in(2 * S, "r", False, "M 1")
 
 
-def out_of_order(one: Checker) -> None:
+def out_of_order(one: RuleChecker) -> None:
     served(one)
     one.line_in(2 * S, "r", True, "M 1")
     one.line_in(2 * S, "r", True, "M 2")
@@ -152,7 +152,7 @@
     ids=lambda one: getattr(one, "__name__", one),
 )
 def test_each_rule_is_found_broken_with_the_exchange_that_shows_it(
-    wrong: Callable[[Checker], None], rule: str
+    wrong: Callable[[RuleChecker], None], rule: str
 ) -> None:
     one = fleet()
     wrong(one)
--- a/tests/test_drill.py
+++ b/tests/test_simulator_adapter.py
@@ -10,11 +10,11 @@
 
 import pytest
 
-from firgrade import drill
-from firgrade.choice import Balancer
-from firgrade.interface import Action, Event
-
-from .test_wire import LIST, REQUEST, SETTINGS, SYNC
+from limerudder.policy.actions import Action
+from limerudder.policy.balancer import Balancer
+from limerudder.policy.events import Event
+from limerudder.simulator import adapter
+from tests.test_simulator_protocol import LIST, REQUEST, SETTINGS, SYNC
 
 ROOT = Path(__file__).parent.parent
 
@@ -80,7 +80,7 @@
     done = run(data)
     assert done.returncode == 2
     lines = done.stderr.decode().splitlines()
-    assert len(lines) == 1 and words in lines[0] and lines[0].startswith("firgrade: ")
+    assert len(lines) == 1 and words in lines[0] and lines[0].startswith("limerudder: ")
 
 
 def test_an_exception_in_the_module_becomes_a_bug_action(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -89,7 +89,7 @@
 
     monkeypatch.setattr(Balancer, "handle", broken)
     sink = std_io.BytesIO()
-    drill.serve(std_io.BytesIO(batch(1, START)), sink)
+    adapter.serve(std_io.BytesIO(batch(1, START)), sink)
     assert replies(sink.getvalue())[0][2] == bytes.fromhex("49 0300 1800") + b"IndexError: out of range"
 
 
@@ -100,7 +100,7 @@
         )
         asks = [bytes.fromhex(REQUEST.replace("0300", f"{i:02x}00", 1)) for i in instances]
         sink = std_io.BytesIO()
-        drill.serve(std_io.BytesIO(batch(1, first) + batch(2, *asks)), sink)
+        adapter.serve(std_io.BytesIO(batch(1, first) + batch(2, *asks)), sink)
         return [body for _, _, body in replies(sink.getvalue())]
 
     both, one, two = session(3, 4), session(3), session(4)
--- a/tests/test_warming.py
+++ b/tests/test_slow_start.py
@@ -7,20 +7,22 @@
 
 import pytest
 
-from firgrade import interface as io
-from firgrade.records import SECOND
-from firgrade.warming import FLOOR
-from rigs.ramp import Ramp
-
-from .driver import BASE, SAFE, Driver, entry
+from harness.slow_start_fleet import SlowStartFleet
+from limerudder.policy.events import (
+    FLAG_RECONNECT,
+    AttemptOutcome,
+)
+from limerudder.policy.records import SECOND
+from limerudder.policy.slow_start import FLOOR
+from tests.policy_driver import BASE, SAFE, Driver, entry
 
 TOLD = replace(
     BASE,
     classes=(replace(SAFE, aim=300_000, deadline=1_800_000),),
-    start_capacity=0.13,
-    warm_up=24 * SECOND,
+    initial_capacity=0.13,
+    warm_up_us=24 * SECOND,
     overload_factor=3.0,
-    overload_for=2 * SECOND,
+    overload_window_us=2 * SECOND,
     probes=False,
     groups=False,
     report_via="none",
@@ -31,40 +33,40 @@
 LIFE = 60.0  #: seconds that a connection stands: what comes again at once is a minute's worth
 
 
-def fleet(nodes: int, seed: int, load: float, **changes: float) -> Ramp:
+def fleet(nodes: int, seed: int, load: float, **changes: float) -> SlowStartFleet:
     """A fleet that has served for a while; some nodes see several times the mean."""
     rng, (servers, total) = Random(seed), FLEETS[nodes]
     parts = [rng.lognormvariate(0, 0.8) for _ in range(nodes)]
     rates = [total * part / sum(parts) for part in parts]
-    here = Ramp(replace(TOLD, balancers=nodes, **changes), rates, servers, load, LIFE, seed)  # type: ignore[arg-type]
+    here = SlowStartFleet(replace(TOLD, balancers=nodes, **changes), rates, servers, load, LIFE, seed)  # type: ignore[arg-type]
     here.run(20 if nodes > 30 else 40)
     return here
 
 
-def some_start(here: Ramp) -> None:
+def some_start(here: SlowStartFleet) -> None:
     here.cool([1, 2, 3])
     here.run(20)
 
 
-def half_start(here: Ramp) -> None:
+def half_start(here: SlowStartFleet) -> None:
     here.cool(list(here.since)[::2])
     here.run(20)
 
 
-def some_start_as_a_third_of_the_nodes_begin_without_memory(here: Ramp) -> None:
+def some_start_as_a_third_of_the_nodes_begin_without_memory(here: SlowStartFleet) -> None:
     here.cool([1, 2, 3])
     here.run(2)
     here.restart(list(range(0, len(here.nodes), 3)))
     here.run(15)
 
 
-def some_start_as_all_nodes_begin_without_memory(here: Ramp) -> None:
+def some_start_as_all_nodes_begin_without_memory(here: SlowStartFleet) -> None:
     here.restart(list(range(len(here.nodes))))
     here.cool([1, 2, 3])
     here.run(15)
 
 
-def some_start_as_traffic_doubles(here: Ramp) -> None:
+def some_start_as_traffic_doubles(here: SlowStartFleet) -> None:
     here.cool([1, 2, 3])
     here.grown = 2.0
     here.run(20)
@@ -93,7 +95,7 @@
 @pytest.mark.parametrize(("factor", "window"), [(2.0, 1_500_000), (4.0, SECOND)])
 def test_other_settings_hold_as_well(factor: float, window: int) -> None:
     for trouble in (half_start, some_start_as_all_nodes_begin_without_memory):
-        here = fleet(3, 5, 0.8, overload_factor=factor, overload_for=window)
+        here = fleet(3, 5, 0.8, overload_factor=factor, overload_window_us=window)
         trouble(here)
         assert here.worst() <= 1
 
@@ -129,7 +131,7 @@
         assert warming.usual.read(driver.now, warming.since(driver.now)) == pytest.approx(rate, rel=0.05)
 
 
-@pytest.mark.parametrize(("flags", "rate"), [(io.CAME_BACK, 20 / 16), (0, 20 / 2)])
+@pytest.mark.parametrize(("flags", "rate"), [(FLAG_RECONNECT, 20 / 16), (0, 20 / 2)])
 def test_a_young_process_is_believed_in_what_stood_nowhere_before(flags: int, rate: float) -> None:
     """Twenty in its first second: a wave, or its usual traffic. Clients that come again say so."""
     driver = Driver(TOLD, servers=[entry(1), entry(2)])
@@ -150,7 +152,7 @@
     number = driver.request()
     first = driver.balancer.warming.usual.value
     for _ in range(2):
-        driver.end(number, io.Ending.CONNECT_FAILED)
+        driver.end(number, AttemptOutcome.CONNECT_FAILED)
     assert driver.balancer.warming.usual.value == first
 
 
@@ -172,5 +174,5 @@
 @pytest.mark.parametrize("nodes", [1, 7, 200])
 def test_the_floor_is_shared_by_all_nodes(nodes: int) -> None:
     driver = Driver(replace(TOLD, balancers=nodes), servers=[entry(1)])
-    whole = driver.balancer.warming.floor * nodes * TOLD.overload_for / SECOND
+    whole = driver.balancer.warming.floor * nodes * TOLD.overload_window_us / SECOND
     assert whole == pytest.approx(FLOOR)
--- a/tests/test_machines.py
+++ b/tests/test_state_machines.py
@@ -7,16 +7,17 @@
 
 import pytest
 
-from firgrade import interface as io
-from firgrade.listclock import CallClock
-from limerudder.config import ConfigError, load, load_again
-from limerudder.core.client import BadLine, read_open, with_wait
-from limerudder.core.discovery import DiscoveryCall, HostList
-from limerudder.core.lines import LineError, LineFramer
-from limerudder.core.probe import Probe
-from limerudder.core.wheel import Wheel
-
-from .scripted import ID, KEY, LINE, SECOND, FakeLink, configuration, host, hosts, settings
+from limerudder.config import ConfigError, load_config, reload_config
+from limerudder.core.client.session import MalformedLine, parse_open, with_wait
+from limerudder.core.discovery.endpoint_list import DiscoveryCall, EndpointList
+from limerudder.core.line_framing import LineError, LineFramer
+from limerudder.core.timer_wheel import TimerWheel
+from limerudder.core.upstream.health_check import HealthCheckConnection
+from limerudder.policy.discovery_timing import CallDeadline
+from limerudder.policy.events import (
+    AttemptOutcome,
+)
+from tests.scripted_peers import ID, KEY, LINE, SECOND, FakeLink, configuration, host, hosts, settings
 
 TEXT = b"OPEN a\r\n\r\nLOAD 1.5\r\nhalf"
 
@@ -36,7 +37,7 @@
 
 
 def test_a_first_line_is_read_and_passed_on_unchanged_but_for_d() -> None:
-    req = read_open((LINE + ",r=1,again=1,h=12,x=y").encode())
+    req = parse_open((LINE + ",r=1,again=1,h=12,x=y").encode())
     assert (req.cls, req.tenant, req.key, req.time_left) == ("chat", "acme", int(KEY, 16), 2 * SECOND)
     assert (req.group, req.retry, req.came_back, req.hint) == (0x5C0F6E1A2B3D4C59, True, True, 12)
     assert with_wait(LINE.encode(), 1_234_567) == LINE.replace("d=2000", "d=1234").encode() + b"\r\n"
@@ -78,17 +79,17 @@
     ],
 )
 def test_a_malformed_first_line_is_told_apart(line: str) -> None:
-    with pytest.raises(BadLine):
-        read_open(line.encode())
+    with pytest.raises(MalformedLine):
+        parse_open(line.encode())
 
 
-def _watch(told: list[HostList], ended: list[bool]) -> DiscoveryCall:
+def _watch(told: list[EndpointList], ended: list[bool]) -> DiscoveryCall:
     return DiscoveryCall(
         "d",
         41,
         lambda call, hosts, now: told.append(hosts),
         lambda c, failed, now: ended.append(failed),
-        CallClock(False, 0),
+        CallDeadline(False, 0),
     )
 
 
@@ -104,7 +105,7 @@
 
 @pytest.mark.parametrize("cut", range(0, len(WATCH) + 1, 3))
 def test_a_watch_gives_a_list_a_line_however_it_is_cut(cut: int) -> None:
-    told, ended = list[HostList](), list[bool]()
+    told, ended = list[EndpointList](), list[bool]()
     call = _watch(told, ended)
     assert b"GET /discovery/hosts?watch=1&after=41 HTTP/1.1\r\n" in call.opening(0)
     call.feed(WATCH[:cut], 1)
@@ -131,7 +132,7 @@
     ],
 )
 def test_what_discovery_gets_wrong_is_a_failed_call(answer: bytes) -> None:
-    told, ended = list[HostList](), list[bool]()
+    told, ended = list[EndpointList](), list[bool]()
     _watch(told, ended).feed(answer, 1)
     assert (told, ended) == ([], [True])
 
@@ -139,16 +140,18 @@
 @pytest.mark.parametrize(
     ("answer", "heard"),
     [
-        (b"PONG inflight=7,x0=0.61\r\n", (io.Ending.OK, (7.0, 0.61))),
-        (b"PONG\r\n", (io.Ending.OK, ())),
-        (b"ERR\r\n", (io.Ending.ERROR, ())),
-        (b"BUSY\r\n", (io.Ending.FULL, ())),
-        (b"x" * 5000, (io.Ending.ERROR, ())),
+        (b"PONG inflight=7,x0=0.61\r\n", (AttemptOutcome.OK, (7.0, 0.61))),
+        (b"PONG\r\n", (AttemptOutcome.OK, ())),
+        (b"ERR\r\n", (AttemptOutcome.ERROR, ())),
+        (b"BUSY\r\n", (AttemptOutcome.FULL, ())),
+        (b"x" * 5000, (AttemptOutcome.ERROR, ())),
     ],
 )
 def test_a_probe_is_answered_once(answer: bytes, heard: tuple[Any, ...]) -> None:
     got: list[tuple[Any, ...]] = []
-    probe = Probe(("inflight", "x0"), lambda took, ending, report, now: got.append((took, ending, report)))
+    probe = HealthCheckConnection(
+        ("inflight", "x0"), lambda took, ending, report, now: got.append((took, ending, report))
+    )
     probe.ask(0)
     link = FakeLink(probe)
     assert link.accept(30) == "STATS\r\n"
@@ -158,7 +161,7 @@
 
 
 def test_a_wheel_calls_at_the_first_tick_not_before_the_time_and_never_what_was_cancelled() -> None:
-    wheel, called = Wheel(5000, 0), list[tuple[str, int]]()
+    wheel, called = TimerWheel(5000, 0), list[tuple[str, int]]()
     for name, at in (("near", 12_000), ("far", 6 * SECOND), ("past", -1), ("gone", 12_000)):
         timer = wheel.at(at, lambda now, name=name: called.append((name, now)))  # type: ignore[misc]
     timer.cancel()
@@ -168,11 +171,15 @@
 
 
 def test_a_configuration_reads_the_same_settings_as_the_wire(tmp_path: Path) -> None:
-    config = load(configuration(tmp_path) | {"PROXY_NAME": "n7", "PROXY_LISTEN": "127.0.0.1:81"})
+    config = load_config(configuration(tmp_path) | {"PROXY_NAME": "n7", "PROXY_LISTEN": "127.0.0.1:81"})
     assert (config.name, config.listen, config.seed) == ("n7", ("127.0.0.1", 81), 0x8C1F30D27A5BE964)
     told = config.settings
-    assert (told.try_limit, told.connect_timeout, told.report_fields) == (3, 100_000, ("inflight", "x0"))
-    assert told.classes[0].message_aim == 60_000 and told.prices == {"probe": 0.002}
+    assert (told.max_attempts, told.connect_timeout_us, told.report_fields) == (
+        3,
+        100_000,
+        ("inflight", "x0"),
+    )
+    assert told.classes[0].message_objective_us == 60_000 and told.prices == {"probe": 0.002}
     assert config.names.zones == ("a", "b") and config.known.hosts[0].name == "s-1"
 
 
@@ -180,7 +187,7 @@
     tmp_path: Path,
 ) -> None:
     given = configuration(tmp_path, discovery="127.0.0.1:7") | {"PROXY_DISCOVERY": "127.0.0.1:8"}
-    assert load(given).discovery[1] == 8 and load_again(given).discovery[1] == 7
+    assert load_config(given).discovery[1] == 8 and reload_config(given).discovery[1] == 7
 
 
 @pytest.mark.parametrize(
@@ -198,4 +205,4 @@
 )
 def test_a_bad_configuration_is_told(tmp_path: Path, changes: dict[str, Any]) -> None:
     with pytest.raises(ConfigError):
-        load(configuration(tmp_path, **changes))
+        load_config(configuration(tmp_path, **changes))
--- a/tests/test_store_parts.py
+++ b/tests/test_store_components.py
@@ -9,28 +9,51 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from limerudder.store import records as rec
-from limerudder.store import talk
+from harness.configurations import host, hosts
+from limerudder.store import rpc
+from limerudder.store import state_machine as rec
 from limerudder.store.checks import check, read_setting
-from limerudder.store.doorman import BUILD, Boot, Doorman, Hello, Shown
-from limerudder.store.ledger import Back, Drain, Hold, HostRecord, Ledger, fold, write_record
-from limerudder.store.raft.messages import Append, Config, Entry, Kind, Member, Piece, SnapshotMeta, Vote
-from limerudder.store.records import (
-    Compacted,
+from limerudder.store.drain_log import (
+    DrainLog,
+    DrainObserved,
+    HostRecord,
+    MaintenanceHold,
+    ReturnToService,
+    apply_fact,
+    encode_host_record,
+)
+from limerudder.store.framing import MAX_FRAME_BYTES, FrameDecoder, FrameError, encode_frame
+from limerudder.store.peer_authentication import (
+    PROTOCOL_BUILD,
+    DurabilityProof,
+    Handshake,
+    Incarnation,
+    PeerAuthenticator,
+)
+from limerudder.store.raft.messages import (
+    AppendEntries,
+    ClusterConfig,
+    Entry,
+    EntryKind,
+    InstallSnapshotChunk,
+    Member,
+    RequestVote,
+    SnapshotMeta,
+)
+from limerudder.store.state_machine import (
+    CloseSession,
+    CompactedError,
     Compare,
+    CompareTarget,
     Delete,
-    Do,
-    End,
     Get,
-    Open,
+    KeyValueState,
+    OpenSession,
     Put,
-    Records,
-    RecordsError,
-    Txn,
-    What,
+    SessionWrite,
+    SnapshotError,
+    Transaction,
 )
-from limerudder.store.wire import MOST, FrameError, Frames, frame
-from rigs.given import host, hosts
 
 # frames and messages
 
@@ -38,7 +61,7 @@
 @given(st.lists(st.binary(max_size=300), max_size=6), st.lists(st.integers(1, 50), min_size=1, max_size=40))
 @settings(derandomize=True, deadline=None)
 def test_frames_come_whole_however_they_are_cut(bodies: list[bytes], cuts: list[int]) -> None:
-    data, frames, found = b"".join(map(frame, bodies)), Frames(), list[bytes]()
+    data, frames, found = b"".join(map(encode_frame, bodies)), FrameDecoder(), list[bytes]()
     at = turn = 0
     while at < len(data):
         step = cuts[turn % len(cuts)]
@@ -51,33 +74,33 @@
 @settings(derandomize=True, deadline=None)
 def test_garbage_is_an_error_or_waits_and_never_more(data: bytes) -> None:
     try:
-        bodies = Frames().feed(data)
+        bodies = FrameDecoder().feed(data)
         for body in bodies:
-            talk.read(body)
+            rpc.decode_message(body)
     except (FrameError, msgspec.DecodeError):
         pass
 
 
 def test_a_length_is_not_believed_and_a_flipped_bit_is_noticed() -> None:
-    with pytest.raises(FrameError, match=f"at most {MOST} are taken"):
-        Frames().feed((MOST + 1).to_bytes(4, "big") + bytes(4))
-    spoiled = bytearray(frame(b"hello"))
+    with pytest.raises(FrameError, match=f"at most {MAX_FRAME_BYTES} are taken"):
+        FrameDecoder().feed((MAX_FRAME_BYTES + 1).to_bytes(4, "big") + bytes(4))
+    spoiled = bytearray(encode_frame(b"hello"))
     spoiled[-1] ^= 1
     with pytest.raises(FrameError, match="checksum"):
-        Frames().feed(bytes(spoiled))
+        FrameDecoder().feed(bytes(spoiled))
 
 
 def test_each_message_is_read_as_it_was_written() -> None:
-    config = Config((Member(1, "a", "127.0.0.1:1"),))
+    config = ClusterConfig((Member(1, "a", "127.0.0.1:1"),))
     meta = SnapshotMeta(4, 2, config, 3, 77)
     for message in (
-        Vote(3, 9, 2, True, False),
-        Append(3, 8, 2, (Entry(9, 3, Kind.DATA, b"x"), Entry(10, 3, Kind.EMPTY)), 8, 5),
-        Piece(3, meta, 1, b"data", 5),
-        talk.Ask(1, talk.Wish.WRITE, b"x"),
-        talk.Told(1, talk.Status.DONE, b""),
+        RequestVote(3, 9, 2, True, False),
+        AppendEntries(3, 8, 2, (Entry(9, 3, EntryKind.DATA, b"x"), Entry(10, 3, EntryKind.EMPTY)), 8, 5),
+        InstallSnapshotChunk(3, meta, 1, b"data", 5),
+        rpc.Request(1, rpc.RequestKind.WRITE, b"x"),
+        rpc.Reply(1, rpc.ReplyStatus.DONE, b""),
     ):
-        assert talk.read(talk.write(message)) == message
+        assert rpc.decode_message(rpc.encode_message(message)) == message
 
 
 # records
@@ -87,47 +110,53 @@
     """One session on records of its own."""
 
     def __init__(self, history: int = 1000) -> None:
-        self.records = Records(history)
+        self.records = KeyValueState(history)
         self.index = 1
-        self.session = self.records.apply(1, rec.write_command(Open())).index
+        self.session = self.records.apply(1, rec.encode_command(OpenSession())).index
         self.serial = 0
 
     def do(
         self, *then: rec.Op, compares: tuple[Compare, ...] = (), other: tuple[rec.Op, ...] = ()
     ) -> rec.Result:
         self.serial += 1
-        return self.say(self.serial, self.serial - 1, Txn(compares, then, other))
+        return self.say(self.serial, self.serial - 1, Transaction(compares, then, other))
 
-    def say(self, serial: int, seen: int, txn: Txn) -> rec.Result:
+    def say(self, serial: int, seen: int, txn: Transaction) -> rec.Result:
         self.index += 1
-        return self.records.apply(self.index, rec.write_command(Do(self.session, serial, seen, txn)))
+        return self.records.apply(
+            self.index, rec.encode_command(SessionWrite(self.session, serial, seen, txn))
+        )
 
 
 def test_a_transaction_is_one_revision_and_compares_first() -> None:
     one = Writer()
     assert one.do(Put("a", b"1"), Put("b", b"1")).revision == 1
-    again = one.do(Put("a", b"2"), Get("a"), Delete("b"), compares=(Compare("a", What.VALUE, b"1"),))
+    again = one.do(Put("a", b"2"), Get("a"), Delete("b"), compares=(Compare("a", CompareTarget.VALUE, b"1"),))
     assert again.ok and again.revision == 2
     (item,) = again.items
     assert item and (item.value, item.created, item.modified, item.version) == (b"2", 1, 2, 2)
-    refused = one.do(Put("a", b"3"), compares=(Compare("a", What.MODIFIED, b"", 1),), other=(Get("a"),))
+    refused = one.do(
+        Put("a", b"3"), compares=(Compare("a", CompareTarget.MODIFIED, b"", 1),), other=(Get("a"),)
+    )
     assert not refused.ok and refused.revision == 2 and refused.items == (item,)
-    assert one.do(Put("b", b"1"), compares=(Compare("b", What.VERSION, b"", 0),)).ok, "not there: version 0"
+    assert one.do(
+        Put("b", b"1"), compares=(Compare("b", CompareTarget.VERSION, b"", 0),)
+    ).ok, "not there: version 0"
     assert one.do(Delete("nothing")).revision == 3, "what changes nothing is no revision"
     assert [key for key, _ in one.records.under("")] == ["a", "b"]
 
 
 def test_a_write_said_again_gives_its_first_result_and_is_done_once() -> None:
     one = Writer()
-    add = Txn((), (Put("a", b"1"),))
+    add = Transaction((), (Put("a", b"1"),))
     first = one.say(1, 0, add)
     assert one.say(1, 0, add) == first and one.records.revision == 1
     assert one.say(3, 0, add).revision == 2 and one.say(2, 0, add).revision == 3, "in any order"
     assert "passed this serial" in one.say(1, 2, add).error and one.records.revision == 3
-    for n in range(10, 10 + rec.MOST_RESULTS - 1):
+    for n in range(10, 10 + rec.MAX_UNACKNOWLEDGED_RESULTS - 1):
         assert not one.say(n, 2, add).error
     assert "not seen" in one.say(9999, 2, add).error
-    one.records.apply(one.index + 1, rec.write_command(End(one.session)))
+    one.records.apply(one.index + 1, rec.encode_command(CloseSession(one.session)))
     one.index += 1
     assert "has ended" in one.say(10_000, 2, add).error
 
@@ -135,10 +164,10 @@
 def test_the_longest_unused_session_goes_first() -> None:
     one = Writer()
     one.do(Put("a", b"1"))
-    for n in range(rec.MOST_SESSIONS):
-        one.records.apply(one.index + 1 + n, rec.write_command(Open()))
-    one.index += rec.MOST_SESSIONS
-    assert len(one.records.sessions) == rec.MOST_SESSIONS
+    for n in range(rec.MAX_SESSIONS):
+        one.records.apply(one.index + 1 + n, rec.encode_command(OpenSession()))
+    one.index += rec.MAX_SESSIONS
+    assert len(one.records.sessions) == rec.MAX_SESSIONS
     assert "has ended" in one.do(Put("a", b"2")).error
 
 
@@ -155,10 +184,10 @@
     ] and upto == 8
     events, upto = one.records.since(4, "", 1)
     assert [e.key for e in events] == ["k/4", "other"] and upto == 5, "a transaction's changes stay together"
-    with pytest.raises(Compacted) as caught:
+    with pytest.raises(CompactedError) as caught:
         one.records.since(1)
     assert caught.value.revision == 3 == one.records.compacted
-    fresh = Records()
+    fresh = KeyValueState()
     fresh.restore(list(one.records.freeze().pieces()))
     assert fresh.compacted == 8 and fresh.since(8) == ([], 8)
 
@@ -169,12 +198,12 @@
         one.do(Put(f"k/{n}", b"v" * n))
     pieces = list(one.records.freeze(200).pieces())
     assert len(pieces) > 5
-    fresh = Records()
+    fresh = KeyValueState()
     fresh.restore(pieces)
     assert list(fresh.freeze(200).pieces()) == pieces, "the same records are the same bytes"
     newer = msgspec.msgpack.encode([99, 1, 1, 0, 0])
     for spoiled in (pieces[:-2], pieces[:1], [b"?"], [], [pieces[0], b"?"], [newer]):
-        with pytest.raises(RecordsError):
+        with pytest.raises(SnapshotError):
             fresh.restore(spoiled)
     assert list(fresh.freeze(200).pieces()) == pieces
 
@@ -182,7 +211,7 @@
 @given(st.binary(max_size=60))
 @settings(derandomize=True, deadline=None)
 def test_a_command_that_cannot_be_read_changes_nothing(data: bytes) -> None:
-    records = Records()
+    records = KeyValueState()
     result = records.apply(1, data)
     assert records.revision == 0 and (result.error or records.sessions)
 
@@ -190,38 +219,44 @@
 @pytest.mark.parametrize(
     ("txn", "told"),
     [
-        (Txn((), (Put("kv/a", b"x" * 65537),)), "has 65537 bytes; at most 65536 are taken"),
-        (Txn((), (Put("kv/a", b"x" * 10_000_000),)), "has 10000000 bytes"),
-        (Txn((), tuple(Put(f"kv/{n}", b"x" * 60000) for n in range(5))), "in one go"),
-        (Txn((), (Put("", b""),)), "is empty"),
-        (Txn((), (Put("kv/" + "a" * 300, b""),)), "longer than 256 bytes"),
-        (Txn((), (Put("kv/\n", b""),)), "not printable"),
-        (Txn((), tuple(Put(f"kv/{n}", b"") for n in range(65))), "more than 64"),
-        (Txn((), (Put("else/a", b""),)), "keys begin with hosts/, config/ or kv/, or are list/last"),
-        (Txn((), (), (Put("config/nope", b"1"),)), "no such setting; there are config/discovery, config/log"),
-        (Txn((), (Put("config/discovery", b'"there"'),)), '"there" stands here, expected string'),
-        (Txn((), (Put("config/log", b'{"format":"xml"}'),)), '"xml" stands here, expected "text" | "json"'),
-        (Txn((), (Put("config/log", b'{"lnes":3}'),)), "did you mean lines?"),
-        (Txn((), (Put("config/log", b"\xff"),)), "config/log"),
-        (Txn((), (Put("config/log", b"[" * 5000),)), "config/log"),
-        (Txn((), (Put("hosts/a", b'{"held":"yes"}'),)), "hosts/a: "),
-        (Txn((), (Put("list/last", b'{"generation":1}'),)), "list/last: bad list of hosts"),
+        (Transaction((), (Put("kv/a", b"x" * 65537),)), "has 65537 bytes; at most 65536 are taken"),
+        (Transaction((), (Put("kv/a", b"x" * 10_000_000),)), "has 10000000 bytes"),
+        (Transaction((), tuple(Put(f"kv/{n}", b"x" * 60000) for n in range(5))), "in one go"),
+        (Transaction((), (Put("", b""),)), "is empty"),
+        (Transaction((), (Put("kv/" + "a" * 300, b""),)), "longer than 256 bytes"),
+        (Transaction((), (Put("kv/\n", b""),)), "not printable"),
+        (Transaction((), tuple(Put(f"kv/{n}", b"") for n in range(65))), "more than 64"),
+        (Transaction((), (Put("else/a", b""),)), "keys begin with hosts/, config/ or kv/, or are list/last"),
+        (
+            Transaction((), (), (Put("config/nope", b"1"),)),
+            "no such setting; there are config/discovery, config/log",
+        ),
+        (Transaction((), (Put("config/discovery", b'"there"'),)), '"there" stands here, expected string'),
+        (
+            Transaction((), (Put("config/log", b'{"format":"xml"}'),)),
+            '"xml" stands here, expected "text" | "json"',
+        ),
+        (Transaction((), (Put("config/log", b'{"lnes":3}'),)), "did you mean lines?"),
+        (Transaction((), (Put("config/log", b"\xff"),)), "config/log"),
+        (Transaction((), (Put("config/log", b"[" * 5000),)), "config/log"),
+        (Transaction((), (Put("hosts/a", b'{"held":"yes"}'),)), "hosts/a: "),
+        (Transaction((), (Put("list/last", b'{"generation":1}'),)), "list/last: bad list of hosts"),
     ],
 )
-def test_a_write_that_breaks_the_schema_is_told_why(txn: Txn, told: str) -> None:
+def test_a_write_that_breaks_the_schema_is_told_why(txn: Transaction, told: str) -> None:
     assert told in check(txn, 65536)
 
 
 def test_what_keeps_the_schema_passes() -> None:
     good = (
         Put("kv/a", b"\xff\x00"),
-        Put("hosts/a", write_record(HostRecord(3, True, "x", 4))),
+        Put("hosts/a", encode_host_record(HostRecord(3, True, "x", 4))),
         Put("config/log", b'{"format":"json"}'),
         Put("config/discovery", b'"10.0.0.1:8500"'),
         Put("list/last", json.dumps(hosts(host("a"))).encode()),
         Delete("anything"),
     )
-    assert check(Txn((), good), 65536) == ""
+    assert check(Transaction((), good), 65536) == ""
     assert read_setting("config/log", b'{"lines":7}') == {"format": "text", "lines": 7, "per": 10_000_000}
 
 
@@ -229,7 +264,7 @@
 
 
 def test_only_a_newer_start_or_the_hand_lifts_a_drain() -> None:
-    ledger = Ledger({}, {})
+    ledger = DrainLog({}, {})
     assert ledger.drain("h", 100) and ledger.drain("h", 100) is None and ledger.drain("h", 50) is None
     assert ledger.view("h").out(100) and ledger.view("h").out(50) and not ledger.view("h").out(101)
     ledger.back("h", 7)
@@ -239,23 +274,23 @@
 
 
 def test_a_hand_puts_back_what_it_has_seen_and_not_what_others_put_down_meanwhile() -> None:
-    ledger = Ledger({}, {})
-    ledger.learn("h", 5, write_record(HostRecord(held=True, by="n1")))
+    ledger = DrainLog({}, {})
+    ledger.learn("h", 5, encode_host_record(HostRecord(held=True, by="n1")))
     ledger.back("h", 9)
     assert not ledger.view("h").held
-    push = ledger.push("h", 8, write_record(HostRecord(held=True, by="n2")))
+    push = ledger.push("h", 8, encode_host_record(HostRecord(held=True, by="n2")))
     assert push is None and ledger.facts == {}, "it was held anew at revision 8: that stands"
-    ledger.learn("h", 8, write_record(HostRecord(held=True, by="n2")))
+    ledger.learn("h", 8, encode_host_record(HostRecord(held=True, by="n2")))
     assert ledger.view("h").held
     ledger.back("h", 10)
-    push = ledger.push("h", 8, write_record(HostRecord(held=True, by="n2")))
+    push = ledger.push("h", 8, encode_host_record(HostRecord(held=True, by="n2")))
     assert push
     (put,) = push[0].then
     assert isinstance(put, Put) and json.loads(put.value) == {"back_at": 10}
 
 
 def test_a_hand_amid_a_push_of_its_own_hold_is_heard() -> None:
-    ledger = Ledger({}, {})
+    ledger = DrainLog({}, {})
     ledger.hold("h", "n0")
     push = ledger.push("h", 0, None)
     assert push
@@ -263,14 +298,14 @@
     ledger.learn("h", 4, push[0].then[0].value if isinstance(push[0].then[0], Put) else b"")
     ledger.pushed("h", 4)
     assert not ledger.view("h").held
-    again = ledger.push("h", 4, write_record(HostRecord(held=True, by="n0")))
+    again = ledger.push("h", 4, encode_host_record(HostRecord(held=True, by="n0")))
     assert again, "and goes into the records after it"
 
 
 def test_what_is_known_never_falls_back_and_bad_values_change_nothing() -> None:
-    ledger = Ledger({}, {})
-    ledger.learn("h", 5, write_record(HostRecord(drained=9)))
-    ledger.learn("h", 4, write_record(HostRecord()))
+    ledger = DrainLog({}, {})
+    ledger.learn("h", 5, encode_host_record(HostRecord(drained=9)))
+    ledger.learn("h", 4, encode_host_record(HostRecord()))
     ledger.learn("h", 6, b"nonsense")
     assert ledger.view("h").out(9)
     ledger.learn("h", 7, None)
@@ -287,8 +322,12 @@
 def test_nothing_but_a_hand_makes_a_record_less_safe(words: list[tuple[str, int, int]]) -> None:
     record = HostRecord()
     for modified, (word, a, b) in enumerate(words):
-        facts = {"drain": Drain("h", a), "hold": Hold("h", "x"), "back": Back("h", a, b)}
-        after = fold(record, modified, facts[word])  # type: ignore[arg-type]
+        facts = {
+            "drain": DrainObserved("h", a),
+            "hold": MaintenanceHold("h", "x"),
+            "back": ReturnToService("h", a, b),
+        }
+        after = apply_fact(record, modified, facts[word])  # type: ignore[arg-type]
         if word != "back" or modified > b:
             assert after.drained >= record.drained and after.held >= record.held
         assert after.back_at >= record.back_at
@@ -297,11 +336,11 @@
 
 # the doorman
 
-CONFIG = Config((Member(1, "n0", "a"), Member(2, "n1", "b")))
-GOOD = Hello(BUILD, 7, 2, 1, "n1", Boot(3, 33), 5, 50)
+CONFIG = ClusterConfig((Member(1, "n0", "a"), Member(2, "n1", "b")))
+GOOD = Handshake(PROTOCOL_BUILD, 7, 2, 1, "n1", Incarnation(3, 33), 5, 50)
 
 
-def _with(**changes: object) -> Hello:
+def _with(**changes: object) -> Handshake:
     return msgspec.structs.replace(GOOD, **changes)
 
 
@@ -309,22 +348,22 @@
     ("hello", "told"),
     [
         (GOOD, ""),
-        (_with(build=BUILD + 1), f"this member speaks {BUILD}"),
+        (_with(build=PROTOCOL_BUILD + 1), f"this member speaks {PROTOCOL_BUILD}"),
         (_with(cluster=8), "cluster 0000000000000008; this is 0000000000000007"),
         (_with(to=9), "it looks for member 0000000000000009"),
         (_with(sender=9), "n1 is member 0000000000000002 and this is 0000000000000009: a new disk"),
         (_with(sender=9, name="n9"), "is no member, or is one no more"),
-        (_with(boot=Boot(2, 22)), "shows start 2 after start 3: it is an older copy"),
-        (_with(boot=Boot(3, 34)), "is used by two processes, or is a copy"),
-        (_with(boot=Boot(4, 44), term=4), "shows term 4 after term 5"),
-        (_with(boot=Boot(4, 44), term=5, last=49), "has acknowledged entry 50 and shows 49"),
-        (_with(boot=Boot(4, 44), term=5, last=50), ""),
-        (_with(boot=Boot(4, 44), term=6, last=10), ""),
+        (_with(boot=Incarnation(2, 22)), "shows start 2 after start 3: it is an older copy"),
+        (_with(boot=Incarnation(3, 34)), "is used by two processes, or is a copy"),
+        (_with(boot=Incarnation(4, 44), term=4), "shows term 4 after term 5"),
+        (_with(boot=Incarnation(4, 44), term=5, last=49), "has acknowledged entry 50 and shows 49"),
+        (_with(boot=Incarnation(4, 44), term=5, last=50), ""),
+        (_with(boot=Incarnation(4, 44), term=6, last=10), ""),
     ],
 )
-def test_who_may_talk(hello: Hello, told: str) -> None:
-    doorman = Doorman(7, 1, {})
-    assert doorman.judge(GOOD, CONFIG, True) == "" and doorman.new == {2: Shown(Boot(3, 33))}
+def test_who_may_talk(hello: Handshake, told: str) -> None:
+    doorman = PeerAuthenticator(7, 1, {})
+    assert doorman.judge(GOOD, CONFIG, True) == "" and doorman.new == {2: DurabilityProof(Incarnation(3, 33))}
     doorman.acknowledged(2, 5, 50)
     doorman.acknowledged(2, 5, 40)
     said = doorman.judge(hello, CONFIG, True)
@@ -333,10 +372,10 @@
 
 def test_who_does_not_lead_hears_members_that_it_does_not_know_yet() -> None:
     stranger = _with(sender=9, name="n9")
-    assert Doorman(7, 1, {}).judge(stranger, CONFIG, False) == ""
-    assert Doorman(7, 1, {}).judge(stranger, CONFIG, True) != ""
+    assert PeerAuthenticator(7, 1, {}).judge(stranger, CONFIG, False) == ""
+    assert PeerAuthenticator(7, 1, {}).judge(stranger, CONFIG, True) != ""
 
 
 def test_an_old_copy_passes_where_nobody_has_seen_more() -> None:
-    fresh = Doorman(7, 1, {})
-    assert fresh.judge(_with(boot=Boot(1, 1)), CONFIG, True) == "", "so it is the memory that refuses"
+    fresh = PeerAuthenticator(7, 1, {})
+    assert fresh.judge(_with(boot=Incarnation(1, 1)), CONFIG, True) == "", "so it is the memory that refuses"
--- a/tests/test_store_control.py
+++ b/tests/test_store_control.py
@@ -18,8 +18,8 @@
 from limerudder.cli import main
 from limerudder.net.clock import Clock
 from limerudder.schema import StoreSettings
-from limerudder.store.control import Control
-from limerudder.store.folder import init
+from limerudder.store.control import ControlServer
+from limerudder.store.data_directory import init_cluster
 from limerudder.store.store import Store
 
 LIMITS = {"election": 50_000, "heartbeat": 10_000, "history": 100}
@@ -31,7 +31,7 @@
     def __init__(self, folder: Path) -> None:
         self.folder = folder
         self.stores: list[Store] = []
-        self.controls: list[Control] = []
+        self.controls: list[ControlServer] = []
         self.lines: list[str] = []
 
     async def start(self, many: int = 1, **changes: Any) -> None:
@@ -40,12 +40,14 @@
             sock.bind(("127.0.0.1", 0))
             sock.setblocking(False)
         addresses = ["{}:{}".format(*sock.getsockname()) for sock in socks]
-        paths = init(str(self.folder / "s"), [(f"n{n}", address) for n, address in enumerate(addresses)])
+        paths = init_cluster(
+            str(self.folder / "s"), [(f"n{n}", address) for n, address in enumerate(addresses)]
+        )
         for sock, path in zip(socks, paths, strict=True):
             settings = StoreSettings(path, sock.getsockname(), **{**LIMITS, **changes})
             store = Store(settings, lambda kind, text: self.lines.append(text), Clock().now)
             await store.run(sock)
-            control = Control(store)
+            control = ControlServer(store)
             await control.listen()
             self.stores.append(store)
             self.controls.append(control)
--- a/tests/test_store_disk.py
+++ b/tests/test_store_disk.py
@@ -16,19 +16,35 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from harness.memory_disk import MemoryDisk
+from limerudder.store.data_directory import (
+    encode_join_token,
+    init_cluster,
+    join_cluster,
+    read_backup,
+    recover_single_member,
+    restore_backup,
+    write_backup,
+)
 from limerudder.store.disk import FILE, Disk, DiskError, Identity
-from limerudder.store.doorman import Boot, Shown
-from limerudder.store.folder import init, join, read_backup, recover, restore, write_backup, write_ticket
-from limerudder.store.ledger import Drain, Hold
-from limerudder.store.member import Job, Limits, Member, SnapshotJob
-from limerudder.store.raft.machine import HardState, Write, digest
-from limerudder.store.raft.messages import Config, Entry, Kind, Role, SnapshotMeta
+from limerudder.store.drain_log import DrainObserved, MaintenanceHold
+from limerudder.store.member import DurabilityJob, Member, MemberLimits, SnapshotJob
+from limerudder.store.peer_authentication import DurabilityProof, Incarnation
+from limerudder.store.peer_transport import DiskWriter
+from limerudder.store.raft.messages import ClusterConfig, Entry, EntryKind, MemberRole, SnapshotMeta
 from limerudder.store.raft.messages import Member as MemberEntry
-from limerudder.store.records import Command, Do, Open, Put, Records, Txn, write_command
-from limerudder.store.transport import Writer
-from rigs.disks import MemoryDisk
-
-CONFIG = Config((MemberEntry(5, "n0", "127.0.0.1:7000"),))
+from limerudder.store.raft.raft import HardState, RaftWrite, snapshot_digest
+from limerudder.store.state_machine import (
+    Command,
+    KeyValueState,
+    OpenSession,
+    Put,
+    SessionWrite,
+    Transaction,
+    encode_command,
+)
+
+CONFIG = ClusterConfig((MemberEntry(5, "n0", "127.0.0.1:7000"),))
 ME = Identity(9, 5, "n0")
 
 
@@ -37,11 +53,11 @@
 
 
 def entries(first: int, last: int, term: int = 1) -> tuple[Entry, ...]:
-    return tuple(Entry(n, term, Kind.DATA, f"{n}.{term}".encode()) for n in range(first, last + 1))
+    return tuple(Entry(n, term, EntryKind.DATA, f"{n}.{term}".encode()) for n in range(first, last + 1))
 
 
-def write(number: int, **given: Any) -> Job:
-    return Job(number, Write(number, **given))
+def write(number: int, **given: Any) -> DurabilityJob:
+    return DurabilityJob(number, RaftWrite(number, **given))
 
 
 def reopened(folder: Path) -> Any:
@@ -80,7 +96,7 @@
     real, model = disk(folder), MemoryDisk(CONFIG)
     real.load()
     last, number, term = 0, 0, 1
-    records = Records()
+    records = KeyValueState()
     for _ in range(random.randrange(1, 12)):
         jobs = []
         for _ in range(random.randrange(1, 4)):
@@ -100,21 +116,26 @@
                 records.applied = random.randrange(records.applied + 1, last + 1)
                 frozen = records.freeze(64)
                 jobs.append(
-                    Job(number, None, SnapshotJob(records.applied, 1, CONFIG, frozen, records.applied + 1))
+                    DurabilityJob(
+                        number, None, SnapshotJob(records.applied, 1, CONFIG, frozen, records.applied + 1)
+                    )
                 )
             elif kind == 4:
                 pieces = (b"a" * random.randrange(1, 9), b"b")
                 index = last + random.randrange(1, 5)
-                meta = SnapshotMeta(index, term, CONFIG, 2, digest(pieces))
+                meta = SnapshotMeta(index, term, CONFIG, 2, snapshot_digest(pieces))
                 held = tuple((meta, n, piece) for n, piece in enumerate(pieces))
                 jobs.append(write(number, pieces=held, install=meta))
                 last = records.applied = index
             else:
-                facts = ((number, Drain(f"h{random.randrange(3)}", number)), (number + 1000, Hold("h", "x")))
+                facts = (
+                    (number, DrainObserved(f"h{random.randrange(3)}", number)),
+                    (number + 1000, MaintenanceHold("h", "x")),
+                )
                 known = ((f"hosts/{random.randrange(3)}", number, random.choice((None, b"{}"))),)
-                shown = ((random.randrange(3), Shown(Boot(number, 7), 1, number)),)
+                shown = ((random.randrange(3), DurabilityProof(Incarnation(number, 7), 1, number)),)
                 gone = (random.randrange(1, number + 1),)
-                jobs.append(Job(number, None, None, facts, gone, known, shown))
+                jobs.append(DurabilityJob(number, None, None, facts, gone, known, shown))
         real.do(jobs)
         for job in jobs:
             model.do(job)
@@ -177,7 +198,12 @@
 def test_a_flipped_bit_is_found_and_named(tmp_path: Path) -> None:
     one = disk(tmp_path)
     one.load()
-    one.do([write(1, entries=entries(1, 40), hard=HardState(3, 5)), Job(2, facts=((1, Drain("h", 7)),))])
+    one.do(
+        [
+            write(1, entries=entries(1, 40), hard=HardState(3, 5)),
+            DurabilityJob(2, facts=((1, DrainObserved("h", 7)),)),
+        ]
+    )
     one.close()
     path = tmp_path / "s" / FILE
     whole = path.read_bytes()
@@ -208,7 +234,7 @@
     again = Disk(str(tmp_path / "s"))
     opened = again.load()
     assert opened.shown == {} and len(opened.start.saved.entries) == 2
-    again.do([Job(1, shown=((3, Shown(Boot(1, 1))),))])
+    again.do([DurabilityJob(1, shown=((3, DurabilityProof(Incarnation(1, 1))),))])
     again._meta("format", 99)
     again.close()
     newer = Disk(str(tmp_path / "s"))
@@ -241,12 +267,12 @@
 
         done = asyncio.Event()
 
-        def durable(jobs: list[Job], results: object) -> None:
+        def durable(jobs: list[DurabilityJob], results: object) -> None:
             told.extend(job.number for job in jobs)
             done.set()
 
-        writer = Writer(one, durable, log)
-        big = tuple(Entry(n, 1, Kind.DATA, b"x" * 9000) for n in range(1, 9))
+        writer = DiskWriter(one, durable, log)
+        big = tuple(Entry(n, 1, EntryKind.DATA, b"x" * 9000) for n in range(1, 9))
         writer.put(write(1, entries=big))
         await failed.wait()
         assert not told and "full" in lines[0] and "trying on" in lines[0]
@@ -264,7 +290,7 @@
         one.load()
         release, entered, do = threading.Event(), threading.Event(), one.do
 
-        def stuck(jobs: list[Job]) -> Any:
+        def stuck(jobs: list[DurabilityJob]) -> Any:
             entered.set()
             release.wait(20)
             return do(jobs)
@@ -272,12 +298,12 @@
         one.do = stuck  # type: ignore[method-assign]
         order, all_done = list[int](), asyncio.Event()
 
-        def durable(jobs: list[Job], results: object) -> None:
+        def durable(jobs: list[DurabilityJob], results: object) -> None:
             order.extend(job.number for job in jobs)
             if len(order) == 3:
                 all_done.set()
 
-        writer = Writer(one, durable, lambda kind, text: None)
+        writer = DiskWriter(one, durable, lambda kind, text: None)
         for n in (1, 2, 3):
             writer.put(write(n, entries=entries(n, n)))
         await asyncio.to_thread(entered.wait, 20)
@@ -291,11 +317,13 @@
     uvloop.run(asyncio.wait_for(story(), 30))
 
 
-def some_records(many: int) -> Records:
-    records = Records()
-    records.apply(1, write_command(Open()))
+def some_records(many: int) -> KeyValueState:
+    records = KeyValueState()
+    records.apply(1, encode_command(OpenSession()))
     for n in range(many):
-        records.apply(n + 2, write_command(Do(1, n + 1, n, Txn((), (Put(f"kv/{n}", b"v%d" % n),)))))
+        records.apply(
+            n + 2, encode_command(SessionWrite(1, n + 1, n, Transaction((), (Put(f"kv/{n}", b"v%d" % n),))))
+        )
     return records
 
 
@@ -305,7 +333,9 @@
     assert snapshot.meta.pieces > 3
     write_backup(str(tmp_path / "b"), 9, snapshot)
     assert read_backup(str(tmp_path / "b"))[1] == snapshot
-    made = restore(str(tmp_path / "new"), str(tmp_path / "b"), [("a", "127.0.0.1:1"), ("b", "127.0.0.1:2")])
+    made = restore_backup(
+        str(tmp_path / "new"), str(tmp_path / "b"), [("a", "127.0.0.1:1"), ("b", "127.0.0.1:2")]
+    )
     clusters = set()
     for path in made:
         one = Disk(path)
@@ -325,45 +355,45 @@
     ):
         (tmp_path / "c").write_bytes(spoiled)
         with pytest.raises(DiskError):
-            restore(str(tmp_path / "newer"), str(tmp_path / "c"), [("a", "127.0.0.1:1")])
+            restore_backup(str(tmp_path / "newer"), str(tmp_path / "c"), [("a", "127.0.0.1:1")])
         assert not (tmp_path / "newer").exists()
 
 
 def test_recovery_tells_first_and_then_begins_a_cluster_of_one_with_all_there_is(tmp_path: Path) -> None:
-    paths = init(str(tmp_path), [("n0", "127.0.0.1:1"), ("n1", "127.0.0.1:2"), ("n2", "127.0.0.1:3")])
+    paths = init_cluster(str(tmp_path), [("n0", "127.0.0.1:1"), ("n1", "127.0.0.1:2"), ("n2", "127.0.0.1:3")])
     one = Disk(paths[0])
     before = one.load()
     commands: list[Command] = [
-        Open(),
-        Do(1, 1, 0, Txn((), (Put("kv/a", b"1"),))),
-        Do(1, 2, 0, Txn((), (Put("kv/b", b"2"),))),
+        OpenSession(),
+        SessionWrite(1, 1, 0, Transaction((), (Put("kv/a", b"1"),))),
+        SessionWrite(1, 2, 0, Transaction((), (Put("kv/b", b"2"),))),
     ]
-    log = tuple(Entry(n + 1, 2, Kind.DATA, write_command(c)) for n, c in enumerate(commands))
+    log = tuple(Entry(n + 1, 2, EntryKind.DATA, encode_command(c)) for n, c in enumerate(commands))
     one.do([write(1, hard=HardState(2, 1), entries=log)])
     one.close()
-    told = recover(paths[0], False)
+    told = recover_single_member(paths[0], False)
     assert (told.last, told.unknown, told.others) == (3, 3, ("n1", "n2"))
     one = Disk(paths[0])
     assert one.load().identity == before.identity, "nothing was done"
     one.close()
-    recover(paths[0], True)
+    recover_single_member(paths[0], True)
     one = Disk(paths[0])
     opened = one.load()
     one.close()
     assert opened.identity.cluster != before.identity.cluster
-    member = Member(opened.identity.me, opened.start, Random(1), 0, Limits())
+    member = Member(opened.identity.me, opened.start, Random(1), 0, MemberLimits())
     assert [m.name for m in member.config.members] == ["n0"] and member.raft.term == 3
     assert {key: item.value for key, item in member.records.items.items()} == {"kv/a": b"1", "kv/b": b"2"}
 
 
 def test_a_ticket_makes_one_members_folder(tmp_path: Path) -> None:
-    new = MemberEntry(77, "n4", "127.0.0.1:9", Role.JOINING)
-    assert join(str(tmp_path / "n4"), write_ticket(9, new)) == new
+    new = MemberEntry(77, "n4", "127.0.0.1:9", MemberRole.JOINING)
+    assert join_cluster(str(tmp_path / "n4"), encode_join_token(9, new)) == new
     one = Disk(str(tmp_path / "n4"))
     opened = one.load()
     one.close()
     assert opened.identity == Identity(9, 77, "n4") and opened.start.saved.config.members == ()
     with pytest.raises(DiskError, match="no ticket"):
-        join(str(tmp_path / "n5"), "nonsense")
+        join_cluster(str(tmp_path / "n5"), "nonsense")
     with pytest.raises(DiskError, match="a name and an address of its own"):
-        init(str(tmp_path / "x"), [("a", "127.0.0.1:1"), ("a", "127.0.0.1:2")])
+        init_cluster(str(tmp_path / "x"), [("a", "127.0.0.1:1"), ("a", "127.0.0.1:2")])
--- a/tests/test_store_tier.py
+++ b/tests/test_store_multi_process.py
@@ -11,12 +11,12 @@
 
 import uvloop
 
-from rigs.tier import Node, Tier, free_ports, overlapping_kills, until
+from harness.multi_process import MultiProcessTier, NodeProcess, free_ports, overlapping_kills, until
 
 
-def told(story: Callable[[Tier], Awaitable[None]], folder: Path, nodes: int = 4) -> None:
+def told(story: Callable[[MultiProcessTier], Awaitable[None]], folder: Path, nodes: int = 4) -> None:
     async def run() -> None:
-        tier = Tier(folder, nodes)
+        tier = MultiProcessTier(folder, nodes)
         try:
             await asyncio.wait_for(story(tier), 120)
         finally:
@@ -25,7 +25,9 @@
     uvloop.run(run())
 
 
-async def everybody(tier: Tier, wanted: Callable[[dict[str, dict[str, object]]], bool], what: str) -> None:
+async def everybody(
+    tier: MultiProcessTier, wanted: Callable[[dict[str, dict[str, object]]], bool], what: str
+) -> None:
     """Until all nodes say so of their hosts."""
     for node in tier.nodes:
         end = time.monotonic() + 20
@@ -38,7 +40,7 @@
 
 
 def test_four_nodes_killed_in_overlapping_order_remember_drains_and_lose_nothing(tmp_path: Path) -> None:
-    async def story(tier: Tier) -> None:
+    async def story(tier: MultiProcessTier) -> None:
         await tier.start()
         await tier.settled()
         tier.discovery.entries["h0"]["lifecycle"] = "leaving"
@@ -87,7 +89,7 @@
     """So the story above can fail."""
 
     async def run() -> None:
-        tier = Tier(tmp_path, 1, keeps=False)
+        tier = MultiProcessTier(tmp_path, 1, keeps=False)
         try:
             await tier.start()
             tier.discovery.entries["h0"]["lifecycle"] = "leaving"
@@ -104,7 +106,7 @@
 
 
 def test_settings_take_effect_in_service_and_at_one_revision_everywhere(tmp_path: Path) -> None:
-    async def story(tier: Tier) -> None:
+    async def story(tier: MultiProcessTier) -> None:
         await tier.start()
         await tier.settled()
         answer = await tier.nodes[1].ask("put", key="config/log", value='{"format":"json","lines":50}')
@@ -123,7 +125,7 @@
 
 
 def test_a_node_serves_without_a_quorum_and_keeps_what_it_hears_then(tmp_path: Path) -> None:
-    async def story(tier: Tier) -> None:
+    async def story(tier: MultiProcessTier) -> None:
         await tier.start()
         await tier.settled()
         alone = tier.nodes[0]
@@ -149,7 +151,7 @@
 
 
 def test_a_successor_takes_the_store_over_and_knows_drains_all_along(tmp_path: Path) -> None:
-    async def story(tier: Tier) -> None:
+    async def story(tier: MultiProcessTier) -> None:
         await tier.start()
         await tier.settled()
         old = tier.nodes[0]
@@ -176,7 +178,7 @@
 
 
 def test_a_node_whose_old_process_hangs_serves_and_has_the_store_after_it(tmp_path: Path) -> None:
-    async def story(tier: Tier) -> None:
+    async def story(tier: MultiProcessTier) -> None:
         await tier.start()
         await tier.settled()
         one = tier.nodes[0]
@@ -197,14 +199,14 @@
 
 
 def test_a_folder_of_another_member_stops_a_node_at_its_start(tmp_path: Path) -> None:
-    async def story(tier: Tier) -> None:
+    async def story(tier: MultiProcessTier) -> None:
         await tier.start()
         one, other = tier.nodes[0], tier.nodes[1]
         await one.kill()
         await other.kill()
         file: Path = one.folder / "limerudder.cue"
         file.write_text(file.read_text().replace("/n0", "/n1"))
-        await Node.start(one)
+        await NodeProcess.start(one)
         assert one.ran and await one.ran.wait() == 2
         assert any("is the folder of n1; this node is n0" in line for line in one.lines)
 
--- a/tests/test_store_sim.py
+++ b/tests/test_store_simulation.py
@@ -11,8 +11,8 @@
 import pytest
 
 from bench.store_sim import play
-from rigs.cluster import Plan, Sim, fingerprint
-from rigs.defects import DEFECTS
+from harness.cluster_simulation import ClusterSimulation, FaultPlan, fingerprint
+from harness.mutations import MUTATIONS
 
 ROOT = Path(__file__).parent.parent
 SEEDS = 160
@@ -32,7 +32,7 @@
 
 def test_no_promise_is_broken_in_fixed_seeds() -> None:
     with ProcessPoolExecutor(os.cpu_count()) as pool:
-        played = list(pool.map(play, [(seed, Plan.of(seed)) for seed in range(SEEDS)], chunksize=4))
+        played = list(pool.map(play, [(seed, FaultPlan.of(seed)) for seed in range(SEEDS)], chunksize=4))
     assert [why for _, why, _ in played if why] == []
     totals = {name: sum(told[name] for _, _, told in played) for name in played[0][2]}
     # guards the run against one in which nothing happens
@@ -42,7 +42,7 @@
 
 def test_the_same_seed_is_the_same_run() -> None:
     def told(seed: int) -> tuple[object, ...]:
-        sim = Sim(seed, Plan.of(seed))
+        sim = ClusterSimulation(seed, FaultPlan.of(seed))
         sim.run()
         states = [fingerprint(one.member) for one in sim.servers.values() if one.member]
         return sim.steps, sim.committed, sim.leaders, states, [str(one) for one in sim.history]
@@ -53,7 +53,7 @@
 
 @pytest.mark.parametrize("name", QUICK)
 def test_a_planted_defect_is_found(name: str) -> None:
-    number = next(n for n, defect in enumerate(DEFECTS) if defect.name == name)
+    number = next(n for n, defect in enumerate(MUTATIONS) if defect.name == name)
     args = [sys.executable, "-m", "bench.store_defects", "--one", str(number), "--most", "60"]
     done = subprocess.run(args, capture_output=True, text=True, cwd=ROOT)
     assert done.returncode == 0, done.stdout + done.stderr
@@ -62,9 +62,11 @@
 
 def test_every_planted_defect_still_fits_the_shipped_text() -> None:
     def fits(number: int) -> str:
-        code = f"from rigs.defects import *; plant(DEFECTS[{number}]); __import__(DEFECTS[{number}].module)"
+        code = (
+            f"from harness.mutations import *; plant(DEFECTS[{number}]); __import__(DEFECTS[{number}].module)"
+        )
         done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT)
         return done.stderr
 
     with ThreadPoolExecutor(os.cpu_count()) as pool:
-        assert [told for told in pool.map(fits, range(len(DEFECTS))) if told] == []
+        assert [told for told in pool.map(fits, range(len(MUTATIONS))) if told] == []
