--- a/bench/store_cost.py
+++ b/bench/store_cost.py
@@ -31,7 +31,7 @@
 
 
 async def once(folder: Path, keeps: bool, clients: int, seconds: float) -> tuple[float, float]:
-    """CPU milliseconds a req, over all nodes, and the largest node's memory."""
+    """CPU milliseconds a request, over all nodes, and the largest node's memory."""
     tier = MultiProcessTier(folder, 4, keeps=keeps)
     try:
         await tier.start()
@@ -40,9 +40,9 @@
         tier.come(clients)
         await asyncio.sleep(1)
         pids = [node.ran.pid for node in tier.nodes if node.ran]
-        before, reqs = sum(map(cpu, pids)), sum(tier.counts.values())
+        before, requests = sum(map(cpu, pids)), sum(tier.counts.values())
         await asyncio.sleep(seconds)
-        used, done = sum(map(cpu, pids)) - before, sum(tier.counts.values()) - reqs
+        used, done = sum(map(cpu, pids)) - before, sum(tier.counts.values()) - requests
         assert not tier.wrong, tier.wrong
         return used / done * 1000, max(map(memory, pids))
     finally:
@@ -64,12 +64,12 @@
                 found[keeps] = uvloop.run(once(Path(name), keeps, given.clients, given.seconds))
         ratios.append(found[True][0] / found[False][0])
         print(
-            f"on {found[True][0]:.3f} ms a req and {found[True][1]:.0f} MB,"
+            f"on {found[True][0]:.3f} ms a request and {found[True][1]:.0f} MB,"
             f" off {found[False][0]:.3f} ms and {found[False][1]:.0f} MB: {ratios[-1]:.3f}"
         )
     ratios.sort()
     middle = ratios[len(ratios) // 2]
-    print(f"CPU a req, on over off: median {middle:.3f}, from {ratios[0]:.3f} to {ratios[-1]:.3f}")
+    print(f"CPU a request, on over off: median {middle:.3f}, from {ratios[0]:.3f} to {ratios[-1]:.3f}")
     return 0
 
 
--- a/bench/store_kills.py
+++ b/bench/store_kills.py
@@ -80,7 +80,7 @@
         sends = tier.sends_after("h0", since), tier.sends_after("h1", since)
         print(f"clients: {dict(tier.counts)}; wrong: {tier.wrong[:5]}")
         print(f"acknowledged writes {len(acked)}, lost {lost}; config/log at revisions {sorted(setting)}")
-        print(f"reqs sent to the drained host {sends[0]}, to the held host {sends[1]}")
+        print(f"requests sent to the drained host {sends[0]}, to the held host {sends[1]}")
         broken = len(tier.wrong) + lost + sum(sends) + len(setting) - 1
         print("broken promises:", broken)
     finally:
--- a/harness/multi_process.py
+++ b/harness/multi_process.py
@@ -91,7 +91,7 @@
 
 
 class StandInHost:
-    """A host: takes what comes, answers probes, and notes when each req came."""
+    """A host: takes what comes, answers probes, and notes when each request came."""
 
     def __init__(self, name: str) -> None:
         self.name = name
@@ -310,7 +310,7 @@
         return bool(answers)
 
     def sends_after(self, name: str, since: float) -> int:
-        """How many reqs a host got after a moment."""
+        """How many requests a host got after a moment."""
         return sum(at > since for at in self.hosts[name].came)
 
     async def close(self) -> None:
--- a/harness/overload_fleet.py
+++ b/harness/overload_fleet.py
@@ -71,7 +71,7 @@
     group: int
     came: bool = False
     node: int = -1
-    req: int = 0
+    request: int = 0
     host: SimulatedHost | None = None
     waits: int = 0  # refusals since it was last up
 
@@ -87,7 +87,7 @@
         self.rng, self.now, self.shed = Random(seed), 10 * SECOND, shed
         self.settings = settings
         self.hosts = {n + 1: SimulatedHost(n + 1, can) for n, can in enumerate(hosts)}
-        self.clients, self.reqs = clients, dict[tuple[int, int], SimulatedClient]()
+        self.clients, self.requests = clients, dict[tuple[int, int], SimulatedClient]()
         self.due: list[tuple[int, int, Callable[[], None]]] = []
         self.order, self.ids = count(), count(1)
         self.served, self.attempts, self.broken = list[float](), 0, 0
@@ -104,7 +104,7 @@
 
     def restart(self, node: int) -> None:
         """The process ends, and all its clients come again; another takes its place, as after an upgrade."""
-        left = [client for (at, _), client in self.reqs.items() if at == node]
+        left = [client for (at, _), client in self.requests.items() if at == node]
         self.nodes[node] = self.begin(node)
         for client in left:
             self.leave(client)
@@ -116,12 +116,13 @@
 
     def come(self, client: SimulatedClient) -> None:
         """A client asks for a connection at any node."""
-        client.node, client.req = self.rng.randrange(len(self.nodes)), next(self.ids)
-        self.reqs[client.node, client.req] = client
+        client.node, client.request = self.rng.randrange(len(self.nodes)), next(self.ids)
+        self.requests[client.node, client.request] = client
         deadline = self.settings.classes[client.cls].deadline
         flags = FLAG_RECONNECT if client.came else 0
         self.give(
-            client.node, NewRequest(client.req, client.cls, 0, client.key, deadline, 0, client.group, flags)
+            client.node,
+            NewRequest(client.request, client.cls, 0, client.key, deadline, 0, client.group, flags),
         )
 
     def leave(self, client: SimulatedClient) -> None:
@@ -129,7 +130,7 @@
         if client.host:
             client.host.there.remove(client)
         client.host, client.came = None, True
-        self.reqs.pop((client.node, client.req), None)
+        self.requests.pop((client.node, client.request), None)
 
     def give(self, node: int, event: Event) -> None:
         """Hand a node an event."""
@@ -138,7 +139,7 @@
     def carry(self, node: int, balancer: Balancer, event: Event) -> None:
         """Hand it over and do what the module says."""
         for action in balancer.handle(event, self.now):
-            client = self.reqs.get((node, getattr(action, "id", 0)))
+            client = self.requests.get((node, getattr(action, "id", 0)))
             if isinstance(action, SetTimer):
                 wait = max(action.at - self.now, 0) / SECOND
                 self.later(wait, partial(self.timer, node, balancer, action.token))
@@ -147,12 +148,12 @@
                 client.host = self.hosts[action.server]
                 client.host.there.append(client)
                 client.waits = 0
-                self.later(0.02, partial(self.up, node, client, client.req))
+                self.later(0.02, partial(self.up, node, client, client.request))
             elif isinstance(action, MigrateClient) and client and client.host:
                 self.gone(client, AttemptOutcome.CANCELLED, 0.3)
             elif isinstance(action, RejectRequest | FailRequest) and client:
                 client.waits += 1
-                self.reqs.pop((node, client.req), None)
+                self.requests.pop((node, client.request), None)
                 self.later(min(0.3 * 2**client.waits, 5), partial(self.come, client))
 
     def timer(self, node: int, balancer: Balancer, token: int) -> None:
@@ -160,20 +161,20 @@
         if self.nodes[node] is balancer:
             self.give(node, TimerFired(token))
 
-    def up(self, node: int, client: SimulatedClient, req: int) -> None:
+    def up(self, node: int, client: SimulatedClient, request: int) -> None:
         """A connection is set up, and tells its load."""
-        if client.req == req and client.host:
-            self.give(node, ConnectionEstablished(req, client.host.id, 0, 20_000))
-            if client.req == req and client.host:
-                self.give(node, LoadSample(req, client.host.id, client.load, 0))
+        if client.request == request and client.host:
+            self.give(node, ConnectionEstablished(request, client.host.id, 0, 20_000))
+            if client.request == request and client.host:
+                self.give(node, LoadSample(request, client.host.id, client.load, 0))
 
     def gone(self, client: SimulatedClient, ending: AttemptOutcome, wait: float) -> None:
         """A connection that stood has ended; its client comes again."""
-        node, req, host = client.node, client.req, client.host
+        node, request, host = client.node, client.request, client.host
         assert host is not None
         self.leave(client)
         self.later(wait * self.rng.uniform(0.5, 2), partial(self.come, client))
-        self.later(0, lambda: self.give(node, AttemptEnded(req, 0, host.id, int(ending), 0, 1, ())))
+        self.later(0, lambda: self.give(node, AttemptEnded(request, 0, host.id, int(ending), 0, 1, ())))
 
     def run(self, seconds: float) -> None:
         """Let time pass. Worth is earned where the pile is shorter than the message aim of the class."""
@@ -202,4 +203,4 @@
             for node in range(len(self.nodes)):
                 up = [c for c in host.there if c.node == node]
                 if up and host.pile > 0.02:
-                    self.give(node, LatencySample(up[0].req, host.id, host.pile * 1000, 0))
+                    self.give(node, LatencySample(up[0].request, host.id, host.pile * 1000, 0))
--- a/harness/slow_start_fleet.py
+++ b/harness/slow_start_fleet.py
@@ -114,25 +114,25 @@
         if self.nodes[node] is balancer:
             self.give(node, TimerFired(token))
 
-    def stand(self, node: int, req: int) -> None:
+    def stand(self, node: int, request: int) -> None:
         """It is set up, and will end."""
-        if (server := self.up.get((node, req))) is not None:
-            self.give(node, ConnectionEstablished(req, server, 0, SETUP))
-            self.later(self.rng.expovariate(1 / self.life), partial(self.end, node, req))
+        if (server := self.up.get((node, request))) is not None:
+            self.give(node, ConnectionEstablished(request, server, 0, SETUP))
+            self.later(self.rng.expovariate(1 / self.life), partial(self.end, node, request))
 
-    def end(self, node: int, req: int) -> None:
+    def end(self, node: int, request: int) -> None:
         """It has ended by itself."""
-        if (server := self.up.pop((node, req), None)) is not None:
-            self.give(node, AttemptEnded(req, 0, server, AttemptOutcome.OK, SETUP, 1, ()))
+        if (server := self.up.pop((node, request), None)) is not None:
+            self.give(node, AttemptEnded(request, 0, server, AttemptOutcome.OK, SETUP, 1, ()))
 
     def cool(self, servers: list[int]) -> None:
         """These servers start anew; all nodes hear of it at once, and what stood there comes again."""
         for server in servers:
             self.since[server], self.sends[server] = self.now, []
-        for (node, req), server in list(self.up.items()):
+        for (node, request), server in list(self.up.items()):
             if server in servers:
-                del self.up[node, req]
-                self.give(node, AttemptEnded(req, 0, server, AttemptOutcome.RESET, SETUP, 1, ()))
+                del self.up[node, request]
+                self.give(node, AttemptEnded(request, 0, server, AttemptOutcome.RESET, SETUP, 1, ()))
                 self.again()
         for node in range(len(self.nodes)):
             self.give(node, EndpointUpdate(UpdateKind.DELTA, 2, self.entries(servers)))
--- a/limerudder/core/client/admission.py
+++ b/limerudder/core/client/admission.py
@@ -10,18 +10,18 @@
     """A client's connection, as the admission sees it."""
 
     def evict(self, now: int) -> None:
-        """Give it its last word; it has no req."""
+        """Give it its last word; it has no request."""
 
     def force_close(self) -> None:
         """Close it at once; it has had its last word."""
 
 
 class AdmissionControl:
-    """All client connections; those without a req in the order of their last sign of life."""
+    """All client connections; those without a request in the order of their last sign of life."""
 
-    def __init__(self, sockets: int, spare: int, fetches: Sized) -> None:
-        # descriptors for clients and fetches, with and without a second process; the fetches that are out
-        self.sockets, self.spare, self.fetches = sockets, spare, fetches
+    def __init__(self, sockets: int, spare: int, attempts: Sized) -> None:
+        # descriptors for clients and attempts, with and without a second process; the attempts that are out
+        self.sockets, self.spare, self.attempts = sockets, spare, attempts
         self.others = self.hosts = 0
         self.guests: set[AdmittedConnection] = set()
         self.idle: dict[AdmittedConnection, None] = {}  # before their first line, or after a PING
@@ -31,14 +31,14 @@
 
     @property
     def room(self) -> int:
-        """Descriptors for clients and fetches; the rest is for discovery, probes, peers and last words."""
-        # guards probes of a large list: each host may hold one connection of this node beside its fetches
+        """Descriptors for clients and attempts; the rest is for discovery, probes, peers and last words."""
+        # guards probes of a large list: each host may hold one connection of this node beside its attempts
         kept = min(self.spare + self.hosts, max(self.sockets // 2, self.spare))
         return max(self.sockets - kept - self.others, 0)
 
     def in_use(self) -> int:
-        """Descriptors of clients and fetches. Of those that are ending, a part is what was spared."""
-        return len(self.guests) - min(len(self.ended), self.spare // 4) + len(self.fetches)
+        """Descriptors of clients and attempts. Of those that are ending, a part is what was spared."""
+        return len(self.guests) - min(len(self.ended), self.spare // 4) + len(self.attempts)
 
     def share(self, others: int) -> None:
         """Another process of this node holds so many: only the rest is here."""
@@ -51,12 +51,12 @@
         return self.make_room(now)
 
     def rest(self, guest: AdmittedConnection) -> None:
-        """A sign of life from a client without a req: all others make place before it."""
+        """A sign of life from a client without a request: all others make place before it."""
         self.idle.pop(guest, None)
         self.idle[guest] = None
 
     def seat(self, guest: AdmittedConnection) -> None:
-        """The client has a req: it stays."""
+        """The client has a request: it stays."""
         self.idle.pop(guest, None)
 
     def ending(self, guest: AdmittedConnection) -> None:
@@ -72,7 +72,7 @@
 
     def make_room(self, now: int) -> bool:
         """End idle connections until the rest has the descriptors it needs."""
-        # guards usual clients and their fetches against hundreds that connect and say nothing: the longest
+        # guards usual clients and their attempts against hundreds that connect and say nothing: the longest
         # idle goes first, and a usual client says its first line soon after it has come
         while self.in_use() > self.room:
             if len(self.ended) > self.spare // 4:
--- a/limerudder/core/client/session.py
+++ b/limerudder/core/client/session.py
@@ -31,8 +31,8 @@
 
 
 def parse_open(line: bytes) -> ConnectRequest:
-    """`OPEN ID KEY c=..,t=..,...` as a Req."""
-    # guards backends against a line in a form that no client sends, and against one read in two ways: what
+    """`OPEN ID KEY c=..,t=..,...` as a request."""
+    # guards upstreams against a line in a form that no client sends, and against one read in two ways: what
     # Python would read as a number or a name is wider than what clients write
     words = line.decode("ascii", "replace").split(" ")
     if not _printable(line) or len(words) != 4 or words[0] != "OPEN":
@@ -85,15 +85,15 @@
 
 
 class RequestHandler(Protocol):
-    """Who takes the reqs of client sessions: the node."""
+    """Who takes the requests of client sessions: the node."""
 
     wheel: TimerWheel
     counters: Counters
     admission: AdmissionControl
     report_fields: Sequence[str]
 
-    def take(self, session: LineSession, req: ConnectRequest, now: int) -> RequestObserver | None:
-        """Take a req; None, and counted, where it is none that this node can take."""
+    def take(self, session: LineSession, request: ConnectRequest, now: int) -> RequestObserver | None:
+        """Take a request; None, and counted, where it is none that this node can take."""
 
 
 class RequestObserver(Protocol):
@@ -158,14 +158,14 @@
         text = self.line + data[:MAX_LINE_BYTES]
         line, end, more = text.partition(b"\r\n")
         if len(line) + 2 > MAX_LINE_BYTES:
-            return self._malformed("reqs_overlong", now)
+            return self._malformed("requests_overlong", now)
         self.line = line
         if not end:
             if not _printable(line.removesuffix(b"\r")):
-                self._malformed("reqs_malformed", now)
+                self._malformed("requests_malformed", now)
         elif more or len(data) > MAX_LINE_BYTES:
             # guards against commands sent in one go: a client waits for the answer to its line
-            self._malformed("reqs_impatient", now)
+            self._malformed("requests_impatient", now)
         elif line == b"PING":
             self.taker.counters.count("pings")
             self.line, self.pinged = b"", True
@@ -177,13 +177,13 @@
 
     def _open(self, line: bytes, now: int) -> None:
         try:
-            req = parse_open(line)
+            request = parse_open(line)
         except MalformedLine:
-            return self._malformed("reqs_malformed", now)
+            return self._malformed("requests_malformed", now)
         self.stage = SessionState.WAITING
         self.timer.stop()
         self.taker.admission.seat(self)
-        self.owner = self.taker.take(self, req, now)
+        self.owner = self.taker.take(self, request, now)
         if self.owner is None:
             self._last(ERROR, now)
 
@@ -195,12 +195,12 @@
     def _silent(self, now: int) -> None:
         """The first line has not come in time."""
         if self.line:
-            self._malformed("reqs_unfinished", now)
+            self._malformed("requests_unfinished", now)
         else:
             self.evict(now, "clients_silent")
 
     def evict(self, now: int, counted: str = "clients_put_out") -> None:
-        """End the connection of a client without a req."""
+        """End the connection of a client without a request."""
         # guards a first line that crosses this end: it is read by nobody, and BUSY is its final answer
         self.taker.counters.count(counted)
         self._last(b"BUSY\r\n", now)
@@ -213,7 +213,7 @@
     def _impatient(self, now: int) -> None:
         # guards against what follows a first line before its answer: nothing of it is kept or passed on
         owner, self.owner = self.owner, None
-        self._malformed("reqs_impatient", now)
+        self._malformed("requests_impatient", now)
         if owner:
             owner.client_disconnected(now)
 
@@ -235,7 +235,7 @@
         self._leave(now)
 
     def crowded(self, on: bool) -> None:
-        """The client reads slowly: its backend, or what it asks before it has one, is read no faster."""
+        """The client reads slowly: its upstream, or what it asks before it has one, is read no faster."""
         if self.served and self.served.link:
             self.served.link.hold(on)
         elif self.link and self.stage in (SessionState.FIRST, SessionState.WAITING):
@@ -250,17 +250,17 @@
 
     # from the node
 
-    def fetch(self, owner: AttemptObserver, wait: int | None) -> LineAttempt:
+    def new_attempt(self, owner: AttemptObserver, wait: int | None) -> LineAttempt:
         """A new attempt: the client's own line, but for `d`."""
         return LineAttempt(owner, with_wait(self.line, wait), self.taker.report_fields, self.taker.wheel)
 
-    def serve(self, fetch: Attempt, now: int) -> None:
-        """Join the two sides and give the client the backend's answer."""
-        assert isinstance(fetch, LineAttempt)
+    def serve(self, attempt: Attempt, now: int) -> None:
+        """Join the two sides and give the client the upstream's answer."""
+        assert isinstance(attempt, LineAttempt)
         if self.stage is not SessionState.WAITING:
             return
-        self.stage, self.served = SessionState.OPEN, fetch
-        fetch.join(self)
+        self.stage, self.served = SessionState.OPEN, attempt
+        attempt.join(self)
 
     def refuse(self, wait: int, now: int) -> None:
         """BUSY, with the advice when to come again."""
@@ -283,19 +283,19 @@
             self.taker.counters.count("clients_left_unread")
             self._leave(now)
 
-    # from the fetch that serves
+    # from the attempt that serves
 
     def pass_on(self, data: bytes) -> None:
-        """Bytes from the backend for the client."""
+        """Bytes from the upstream for the client."""
         if self.link:
             self.link.write(data)
 
     def end(self, now: int) -> None:
-        """The backend has ended: so does this side."""
+        """The upstream has ended: so does this side."""
         self._last(b"", now)
 
     def break_off(self) -> None:
-        """The backend broke off: so does this side."""
+        """The upstream broke off: so does this side."""
         self.stage = SessionState.ENDED
         if self.link:
             self.link.reset()
--- a/limerudder/core/discovery/discovery_client.py
+++ b/limerudder/core/discovery/discovery_client.py
@@ -84,7 +84,7 @@
         self.keep_watch(now)
 
     def _call(self, after: int | None, now: int) -> DiscoveryCall:
-        self.hearer.counters.count("director_calls")
+        self.hearer.counters.count("discovery_calls")
         host, port = self.address
         call = DiscoveryCall(f"{host}:{port}", after, self._told, self._over, CallDeadline(self.pushed, now))
         call.link = self.hearer.network.dial(self.address, call)
@@ -106,7 +106,7 @@
             self.watch = None
             self.again_at = now + AGENT_RETRY_INTERVAL_US if self.pushed else None
         if failed:
-            self.hearer.counters.count("director_failures")
+            self.hearer.counters.count("discovery_failures")
             self.hearer.endpoints_failed(self.version, now)
 
     def _check(self, now: int) -> None:
--- a/limerudder/core/discovery/endpoint_list.py
+++ b/limerudder/core/discovery/endpoint_list.py
@@ -1,4 +1,4 @@
-"""Discovery: its list of backends, as it is read and as it is asked for over HTTP."""
+"""Discovery: its list of upstreams, as it is read and as it is asked for over HTTP."""
 
 from __future__ import annotations
 
@@ -19,11 +19,11 @@
 
 
 class EndpointListError(ValueError):
-    """A list of backends that cannot be read."""
+    """A list of upstreams that cannot be read."""
 
 
 class Endpoint(NamedTuple):
-    """One backend as discovery lists it, by its names."""
+    """One upstream as discovery lists it, by its names."""
 
     name: str
     address: Address
--- a/limerudder/core/discovery/json_stream.py
+++ b/limerudder/core/discovery/json_stream.py
@@ -4,7 +4,7 @@
 
 import re
 
-DEEPEST = 32  #: objects and arrays within each other; a list of backends has three
+DEEPEST = 32  #: objects and arrays within each other; a list of upstreams has three
 _BETWEEN = re.compile(rb'[{}\[\]"]')  # outside strings
 _WITHIN = re.compile(rb'["\\]')  # within a string
 _SPACE = b" \t\r\n"
--- a/limerudder/core/invariants.py
+++ b/limerudder/core/invariants.py
@@ -36,60 +36,60 @@
     def __init__(self, node: Node) -> None:
         self.node = node
         self.answers = Counter[int]()
-        self.fetches: dict[int, Attempt] = {}  # the last of each req
-        #: by req: when the first attempt that may have run was sent, and its backend
+        self.attempts: dict[int, Attempt] = {}  # the last of each request
+        #: by request: when the first attempt that may have run was sent, and its upstream
         self.risks: dict[int, tuple[int, Upstream]] = {}
         self._dial, self._final, self._up = node._dial, node._final, node.up
         self._may_write, self._ended = node.may_write, node.ended
         node._dial, node._final, node.up = self.dial, self.final, self.up  # type: ignore[method-assign]
         node.may_write, node.ended = self.may_write, self.ended  # type: ignore[method-assign]
 
-    def dial(self, held: ProxiedConnection, backend: Upstream, wait: int | None, now: int) -> None:
+    def dial(self, held: ProxiedConnection, upstream: Upstream, wait: int | None, now: int) -> None:
         """One attempt out at a time, and none beyond the limit."""
-        last = self.fetches.get(held.number)
-        hold(held.fetch is None and (last is None or last.done), "two attempts of a request are out")
+        last = self.attempts.get(held.number)
+        hold(held.attempt is None and (last is None or last.done), "two attempts of a request are out")
         hold(not held.answered, "an attempt of a request that has its answer")
         hold(held.sends <= self.node.settings.max_attempts, "more attempts than the settings allow")
-        self._dial(held, backend, wait, now)
-        if held.fetch:
-            self.fetches[held.number] = held.fetch
+        self._dial(held, upstream, wait, now)
+        if held.attempt:
+            self.attempts[held.number] = held.attempt
 
     def may_write(self, held: ProxiedConnection, now: int) -> bool:
         """No send to a host that drains, for a client that has gone, or that might repeat an effect."""
         may = self._may_write(held, now)
         if may:
-            backend = held.backend
-            hold(backend is not None and backend.state == ServerState.READY, "a send to a host that drains")
-            hold(not held.answered and held.number in self.node.reqs, "a send for a client that has gone")
+            upstream = held.upstream
+            hold(upstream is not None and upstream.state == ServerState.READY, "a send to a host that drains")
+            hold(not held.answered and held.number in self.node.requests, "a send for a client that has gone")
             risk = self.risks.get(held.number)
             cls = self.node.settings.classes[held.told[1]]
-            if risk is not None and backend is not None and cls.effect != "safe":
+            if risk is not None and upstream is not None and cls.effect != "safe":
                 hold(cls.effect == "keyed", "an unsafe request that may have run is sent again")
                 hold(now <= risk[0] + cls.repeat_window, "a keyed request is sent again after its window")
                 hold(
                     cls.key_scope not in ("zone", "cell")
-                    or self.place(backend, cls) == self.place(risk[1], cls),
+                    or self.place(upstream, cls) == self.place(risk[1], cls),
                     "a keyed request is sent again where the first attempt is not known",
                 )
         return may
 
     @staticmethod
-    def place(backend: Upstream, cls: TrafficClass) -> object:
+    def place(upstream: Upstream, cls: TrafficClass) -> object:
         """Where repeats of this class are known."""
-        return getattr(backend.host, cls.key_scope)
+        return getattr(upstream.host, cls.key_scope)
 
     def ended(
         self, held: ProxiedConnection, ending: AttemptOutcome, report: tuple[float, ...], now: int
     ) -> None:
         """What may have run is remembered as the rules count it: from its send on."""
-        fetch = self.fetches.get(held.number)
-        hold(fetch is None or fetch.done, "an attempt that has ended is still open")
+        attempt = self.attempts.get(held.number)
+        hold(attempt is None or attempt.done, "an attempt that has ended is still open")
         hold(
-            fetch is None or not fetch.out or ending != AttemptOutcome.CONNECT_FAILED,
+            attempt is None or not attempt.out or ending != AttemptOutcome.CONNECT_FAILED,
             "written, and told as never run",
         )
-        if ending not in NOT_EXECUTED_OUTCOMES and held.backend and not held.answered:
-            self.risks.setdefault(held.number, (held.sent, held.backend))
+        if ending not in NOT_EXECUTED_OUTCOMES and held.upstream and not held.answered:
+            self.risks.setdefault(held.number, (held.sent, held.upstream))
         self._ended(held, ending, report, now)
 
     def final(self, held: ProxiedConnection, what: str, figure: str, now: int) -> None:
@@ -102,7 +102,7 @@
         self._final(held, what, figure, now)
 
     def up(self, held: ProxiedConnection, now: int) -> None:
-        """The backend's answer is a final one."""
+        """The upstream's answer is a final one."""
         if not held.answered:
             self.answered(held)
         self._up(held, now)
@@ -116,13 +116,14 @@
         """Between two events: answers in time, and the books of node and module agree."""
         node, slack = self.node, self.node.settings.answer_slack_us + 2 * self.node.settings.tick
         at = Counter[int]()
-        for held in node.reqs.values():
+        for held in node.requests.values():
             hold(held.answered or now <= held.deadline + slack, "a request without its answer in time")
-            if held.fetch and held.backend:
-                hold(not held.fetch.done, "an attempt that is closed is taken for open")
-                at[held.backend.number] += 1
+            if held.attempt and held.upstream:
+                hold(not held.attempt.done, "an attempt that is closed is taken for open")
+                at[held.upstream.number] += 1
         hold(
-            node.ids == {held.req.id for held in node.reqs.values()}, "ids that are not those of the requests"
+            node.ids == {held.request.id for held in node.requests.values()},
+            "ids that are not those of the requests",
         )
         servers = cast("Balancer", node.balancer).servers
         for number, server in servers.items():
@@ -136,6 +137,6 @@
         )
         spared = admission.spare // 4
         hold(
-            len(admission.guests) + len(node.reqs) <= admission.room + spared + 1,
+            len(admission.guests) + len(node.requests) <= admission.room + spared + 1,
             "more descriptors than there are",
         )
--- a/limerudder/core/lifecycle/graceful_shutdown.py
+++ b/limerudder/core/lifecycle/graceful_shutdown.py
@@ -27,7 +27,7 @@
     stopped: Callable[[], None]
 
     @property
-    def reqs(self) -> Mapping[int, Any]:
+    def requests(self) -> Mapping[int, Any]:
         """Those that are here."""
 
     def log(self, kind: str, text: str) -> None:
@@ -37,7 +37,7 @@
         """Send a client that stands away."""
 
     def answer_failed(self, held: Any, now: int) -> None:
-        """Give a req its final answer."""
+        """Give a request its final answer."""
 
 
 class GracefulShutdown:
@@ -46,7 +46,9 @@
     def __init__(self, node: ShutdownTarget, longest: int, now: int) -> None:
         self.node = node
         node.stopping = now + min(longest, STOP_LEAST) + STOP_SPARE
-        node.log("stop", f"node: told to stop; moving {sum(h.up for h in node.reqs.values())} connections")
+        node.log(
+            "stop", f"node: told to stop; moving {sum(h.up for h in node.requests.values())} connections"
+        )
         # guards clients against a tier whose other nodes are down too: what stands loses nothing by staying,
         # and a node that was stopped before this one may be back by then
         # and where a successor takes them already, they come back to it in steps as small as time allows
@@ -56,18 +58,18 @@
     def _move_some(self, now: int) -> None:
         node = self.node
         until = node.stopping - MOVES_DONE
-        standing = [held for held in node.reqs.values() if held.up]
+        standing = [held for held in node.requests.values() if held.up]
         steps = max((until - now) // MOVE_STEP, 1)
         for held in standing[: -(-len(standing) // steps)]:
             node.move_away(held, now)
         if now >= until:
             # guards a line of a client that rests until the process ends: it would be read by nobody
             node.admission.evict_all(now)
-        if now >= node.stopping - LAST_ANSWERS:  # guards reqs whose class may wait longer than this node
-            for held in [h for h in node.reqs.values() if not h.answered]:
+        if now >= node.stopping - LAST_ANSWERS:  # guards requests whose class may wait longer than this node
+            for held in [h for h in node.requests.values() if not h.answered]:
                 node.answer_failed(held, now)
         # guards the last MOVEs: a process that ends closes sockets whose clients have not read them
-        over = not node.reqs and not node.admission.guests and (now >= until or node.succeeded)
+        over = not node.requests and not node.admission.guests and (now >= until or node.succeeded)
         if over or now >= node.stopping - STOP_SPARE // 4:
             node.stopped()
         else:
--- a/limerudder/core/lifecycle/hot_restart.py
+++ b/limerudder/core/lifecycle/hot_restart.py
@@ -1,8 +1,8 @@
 """Replacing the process: what the old process and its successor say to each other, in lines closed by LF.
 
 The old one's first line is JSON: its list of hosts, the ids in use and the descriptors it holds for clients.
-Then it says `taken ID` for each req it takes, `holds JSON` for its descriptors and its connections at each
-backend, `drained START HOST` for each drain it comes to know, and `stopping`; the new one says `serving`.
+Then it says `taken ID` for each request it takes, `holds JSON` for its descriptors and its connections at
+each upstream, `drained START HOST` for each drain it comes to know, and `stopping`; the new one says `serving`.
 """
 
 from __future__ import annotations
@@ -29,7 +29,7 @@
 
 
 class ProcessUsage(NamedTuple):
-    """What one process of a node holds: descriptors, and connections by backend."""
+    """What one process of a node holds: descriptors, and connections by upstream."""
 
     descriptors: int = 0
     at: dict[str, int] = {}
@@ -86,10 +86,10 @@
         """Discovery's list as it stands here."""
 
     def ids_lately(self) -> list[int]:
-        """The ids of the reqs that are here, or were a moment ago."""
+        """The ids of the requests that are here, or were a moment ago."""
 
-    def taken_elsewhere(self, req: int) -> None:
-        """Another process has this req."""
+    def taken_elsewhere(self, request: int) -> None:
+        """Another process has this request."""
 
     def returned(self) -> dict[str, int]:
         """When staff put hosts back."""
@@ -246,8 +246,8 @@
         self.called = False
         self.node.held_elsewhere(hello.holds, now)
         self.node.returned_elsewhere(hello.returned, now)
-        for req in hello.ids:
-            self.node.taken_elsewhere(req)
+        for request in hello.ids:
+            self.node.taken_elsewhere(request)
         node.wheel.at(now + LOOK, self._look)
 
     def _look(self, now: int) -> None:
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -1,6 +1,7 @@
 """The node: owns the Balancer, turns what happens into its events and carries out its actions.
 
-It knows no protocol's syntax: reqs come as Req, answers go through ClientSession, attempts are Fetches.
+It knows no protocol's syntax: requests come as ConnectRequest, answers go through ClientSession, and each
+try at an upstream is an Attempt.
 """
 
 from __future__ import annotations
@@ -70,12 +71,12 @@
 SECOND = 1_000_000
 PROBE_WAIT = 120_000  #: for the answer to a probe
 AT_WAIT, AT_AGAIN = 30 * SECOND, SECOND // 4  #: for a connection of before the start, and between its tries
-PAST = 4096  #: ids of ended reqs that are still refused: whoever copied one may come a little late
+PAST = 4096  #: ids of ended requests that are still refused: whoever copied one may come a little late
 SPARE_SOCKETS = 128  #: for discovery, probes, peers and connections that are ending
 OWN_SOCKETS = 40  #: of these what a process has at least: 24 stand open before its first client comes
 RETURN = 5 * SECOND  #: a host that staff have put back is to be in use again by then
 
-Told = tuple[int, int, int, int, int, int, int, int]  #: a req as the module is told of it
+Told = tuple[int, int, int, int, int, int, int, int]  #: a request as the module is told of it
 Log = Callable[[str, str], None]  #: kind of line, text
 
 
@@ -95,18 +96,18 @@
 
 
 class ProxiedConnection:
-    """A req from its first line to the end of its connection; hears from its session and its fetch."""
+    """A request from its first line to the end of its connection; hears from its session and its attempt."""
 
     def __init__(
-        self, node: Node, session: ClientSession, req: ConnectRequest, told: Told, deadline: int
+        self, node: Node, session: ClientSession, request: ConnectRequest, told: Told, deadline: int
     ) -> None:
-        self.node, self.session, self.req, self.deadline = node, session, req, deadline
+        self.node, self.session, self.request, self.deadline = node, session, request, deadline
         self.told, self.number = told, told[0]
         self.sends = self.sent = 0
-        self.fetch: Attempt | None = None
-        self.backend: Upstream | None = None
+        self.attempt: Attempt | None = None
+        self.upstream: Upstream | None = None
         self.answered = self.up = False
-        self.timers: list[Timer] = []  # of the fetch that is out
+        self.timers: list[Timer] = []  # of the attempt that is out
         self.overdue: Timer | None = None
 
     def settle(self) -> None:
@@ -124,23 +125,23 @@
         return self.node.may_write(self, now)
 
     def attempt_sent(self) -> None:
-        """The fetch's first line is out."""
+        """The attempt's first line is out."""
         self.node.figures.relayed += 1
 
     def attempt_established(self, now: int) -> None:
-        """The backend has taken the connection."""
+        """The upstream has taken the connection."""
         self.node.up(self, now)
 
     def attempt_ended(self, ending: AttemptOutcome, report: tuple[float, ...], now: int) -> None:
-        """The fetch has ended."""
+        """The attempt has ended."""
         self.node.ended(self, ending, report, now)
 
     def attempt_load_reported(self, load: float, now: int) -> None:
-        """The backend tells the connection's load."""
+        """The upstream tells the connection's load."""
         self.node.load_reported(self, load, now)
 
     def attempt_latency_measured(self, took: int, now: int) -> None:
-        """The backend has answered a message."""
+        """The upstream has answered a message."""
         self.node.delay(self, took, now)
 
 
@@ -165,12 +166,12 @@
         self.classes = {name: number for number, name in enumerate(config.names.classes)}
         self.tenants = {name: number for number, name in enumerate(config.names.tenants)}
         self.peering = Peering(self.counters, network, self.balancer, self.give, log, self.settings.peers)
-        self.reqs: dict[int, ProxiedConnection] = {}
-        self.ids: set[int] = set()  # of these reqs, as their clients named them
+        self.requests: dict[int, ProxiedConnection] = {}
+        self.ids: set[int] = set()  # of these requests, as their clients named them
         self.past: dict[int, None] = {}  # of the last that ended, oldest first
-        self.admission = AdmissionControl(config.sockets, spare, self.reqs)
-        self.next_req = 1
-        self.backends: dict[int, Upstream] = {}
+        self.admission = AdmissionControl(config.sockets, spare, self.requests)
+        self.next_request = 1
+        self.upstreams: dict[int, Upstream] = {}
         self.numbers: dict[str, int] = {}
         self.maintenance = Maintenance(marks or InMemoryMarks(), self)
         self.recall = recall  # drains that outlive a list, where there is a store
@@ -179,10 +180,10 @@
         self.events: deque[Event] = deque()
         self.giving = False
         self.stopping = 0  # when SIGKILL comes at the earliest
-        self.elsewhere = set[str]()  # backends where another process of this node holds connections
+        self.elsewhere = set[str]()  # upstreams where another process of this node holds connections
         self.reloaded = False  # discovery is asked where the file says, whatever the environment does
         self.succeeded = False  # another process takes this node's clients
-        self.hear_taken: list[Callable[[int], None]] = []  # hear the id of each req
+        self.hear_taken: list[Callable[[int], None]] = []  # hear the id of each request
         self.stopped: Callable[[], None] = lambda: None
         aims = [c.message_objective_us for c in self.settings.classes if c.message_objective_us]
         self.long = min(aims, default=0) // 3  # a message that takes longer is told to the module
@@ -204,7 +205,7 @@
                 event = self.events.popleft()
                 try:
                     actions = self.balancer.handle(event, now)
-                except Exception as exc:  # guards the other reqs against a fault met on one of them
+                except Exception as exc:  # guards the other requests against a fault met on one of them
                     self._fault(event, exc, now)
                     continue
                 for action in actions:
@@ -219,93 +220,100 @@
         self.log(f"fault {where.name}", f"module: {text}")
         if isinstance(event, TimerFired):  # its next one would have been set by the call that failed
             self.wheel.at(now + SECOND, lambda at: self.give(event, at))
-        held = self.reqs.get(getattr(event, "id", 0))
+        held = self.requests.get(getattr(event, "id", 0))
         if held and not held.answered:
             self.answer_failed(held, now)
             self.give(ClientDisconnected(held.number), now)  # so that the module does not keep it
 
     def _fail(self, action: FailRequest, now: int) -> None:
-        if (held := self.reqs.get(action.id)) and not held.answered:
+        if (held := self.requests.get(action.id)) and not held.answered:
             self.answer_failed(held, now)
 
     def _refuse(self, action: RejectRequest, now: int) -> None:
-        if (held := self.reqs.get(action.id)) and not held.answered:
+        if (held := self.requests.get(action.id)) and not held.answered:
             self._final(held, "refused", "throttled", now)
             held.session.refuse(min(action.retry_after, self.settings.max_retry_after_us), now)
 
     def answer_failed(self, held: ProxiedConnection, now: int) -> None:
-        """Give a req its final answer: it has failed."""
+        """Give a request its final answer: it has failed."""
         self._final(held, "failed", "faulted", now)
         held.session.fail(now)
 
     def _final(self, held: ProxiedConnection, what: str, figure: str, now: int) -> None:
-        """The req has its final answer, which is not a backend's."""
+        """The request has its final answer, which is not an upstream's."""
         self.counters.count(f"answers_{what}")
         self.figures.count(figure, held.told[1])
         held.settle()
-        if held.fetch:
+        if held.attempt:
             self._give_up(held, AttemptOutcome.CANCELLED, now)
         else:
             self._forget(held)
 
     def _forget(self, held: ProxiedConnection) -> None:
-        """Nothing of the req is out any more."""
-        if self.reqs.pop(held.number, None):
-            self.ids.discard(held.req.id)
-            self.taken_elsewhere(held.req.id)
-
-    def taken_elsewhere(self, req: int) -> None:
-        """A req of this id ended here, or is at another process of this node: it is refused for a while."""
-        self.past[req] = None
+        """Nothing of the request is out any more."""
+        if self.requests.pop(held.number, None):
+            self.ids.discard(held.request.id)
+            self.taken_elsewhere(held.request.id)
+
+    def taken_elsewhere(self, request: int) -> None:
+        """A request of this id ended here, or is at another process of this node: it is rejected for now."""
+        self.past[request] = None
         if len(self.past) > PAST:
             del self.past[next(iter(self.past))]
 
     def _send(self, action: StartAttempt, now: int) -> None:
-        held, backend = self.reqs.get(action.id), self.backends.get(action.server)
+        held, upstream = self.requests.get(action.id), self.upstreams.get(action.server)
         if held is None:
             return
-        attempt, held.sends = held.sends, held.sends + 1
+        attempt_number, held.sends = held.sends, held.sends + 1
         left = held.deadline - now
         wait = min(action.timeout, left) if action.timeout else left
         # guards the rules whatever the module says: no second copy, nothing late, no host that drains
-        may = not held.answered and held.fetch is None and attempt < self.settings.max_attempts and wait > 0
-        if not may or backend is None or backend.state != ServerState.READY:
-            self.counters.count("fetches_moot")
+        may = (
+            not held.answered
+            and held.attempt is None
+            and attempt_number < self.settings.max_attempts
+            and wait > 0
+        )
+        if not may or upstream is None or upstream.state != ServerState.READY:
+            self.counters.count("attempts_moot")
             answered = int(held.answered)
             self.give(
-                AttemptEnded(held.number, attempt, action.server, AttemptOutcome.OBSOLETE, 0, answered, ()),
+                AttemptEnded(
+                    held.number, attempt_number, action.server, AttemptOutcome.OBSOLETE, 0, answered, ()
+                ),
                 now,
             )
             return
-        self._dial(held, backend, wait, now)
+        self._dial(held, upstream, wait, now)
 
-    def _dial(self, held: ProxiedConnection, backend: Upstream, wait: int | None, now: int) -> None:
-        self.counters.count("fetches")
-        fetch = held.session.fetch(held, wait)
-        held.fetch, held.backend, held.sent = fetch, backend, now
-        fetch.link = self.network.dial(backend.address, fetch)
+    def _dial(self, held: ProxiedConnection, upstream: Upstream, wait: int | None, now: int) -> None:
+        self.counters.count("attempts")
+        attempt = held.session.new_attempt(held, wait)
+        held.attempt, held.upstream, held.sent = attempt, upstream, now
+        attempt.link = self.network.dial(upstream.address, attempt)
         dial = self.settings.connect_timeout_us or AT_WAIT
         held.timers = [self.wheel.at(now + dial, lambda at: self._dial_over(held, at))]
         if wait is not None:
             held.timers.append(self.wheel.at(now + wait, lambda at: self._wait_over(held, at)))
 
     def _dial_over(self, held: ProxiedConnection, now: int) -> None:
-        if held.fetch and not held.fetch.out:
+        if held.attempt and not held.attempt.out:
             self._give_up(held, AttemptOutcome.CONNECT_FAILED, now)
 
     def _wait_over(self, held: ProxiedConnection, now: int) -> None:
-        if held.fetch and not held.up:
+        if held.attempt and not held.up:
             self._give_up(
-                held, AttemptOutcome.TIMEOUT if held.fetch.out else AttemptOutcome.CONNECT_FAILED, now
+                held, AttemptOutcome.TIMEOUT if held.attempt.out else AttemptOutcome.CONNECT_FAILED, now
             )
 
     def _cancel(self, action: CancelAttempt, now: int) -> None:
-        held = self.reqs.get(action.id)
-        if held and held.fetch and not held.up and action.attempt == held.sends - 1:
+        held = self.requests.get(action.id)
+        if held and held.attempt and not held.up and action.attempt == held.sends - 1:
             self._give_up(held, AttemptOutcome.CANCELLED, now)
 
     def _move(self, action: MigrateClient, now: int) -> None:
-        if (held := self.reqs.get(action.id)) and held.up:
+        if (held := self.requests.get(action.id)) and held.up:
             self.move_away(held, now)
 
     def move_away(self, held: ProxiedConnection, now: int) -> None:
@@ -315,9 +323,9 @@
         self._give_up(held, AttemptOutcome.CANCELLED, now)
 
     def _give_up(self, held: ProxiedConnection, ending: AttemptOutcome, now: int) -> None:
-        """Close the fetch that is out, then tell how it ended."""
-        if held.fetch:
-            held.fetch.close()
+        """Close the attempt that is out, then tell how it ended."""
+        if held.attempt:
+            held.attempt.close()
             self.ended(held, ending, (), now)
 
     def _set_timer(self, action: SetTimer, now: int) -> None:
@@ -332,19 +340,19 @@
     # probes
 
     def _probe(self, action: CheckHealth, now: int) -> None:
-        backend = self.backends.get(action.server)
-        if backend is None or not self.settings.probes:
+        upstream = self.upstreams.get(action.server)
+        if upstream is None or not self.settings.probes:
             return
         self.counters.count("probes")
-        if backend.probe is None or backend.probe.done:
-            probe = backend.probe = HealthCheckConnection(
-                self.report_fields, partial(self._probed, backend.number)
+        if upstream.probe is None or upstream.probe.done:
+            probe = upstream.probe = HealthCheckConnection(
+                self.report_fields, partial(self._probed, upstream.number)
             )
             probe.ask(now)
-            probe.link = self.network.dial(backend.address, probe)
+            probe.link = self.network.dial(upstream.address, probe)
         else:
-            backend.probe.ask(now)
-        self.wheel.at(now + PROBE_WAIT, partial(backend.probe.overdue, now))
+            upstream.probe.ask(now)
+        self.wheel.at(now + PROBE_WAIT, partial(upstream.probe.overdue, now))
 
     def _probed(
         self, number: int, latency: int, ending: AttemptOutcome, report: tuple[float, ...], now: int
@@ -352,15 +360,15 @@
         self.counters.count(f"probes_{ending.name.lower()}")
         if is_malformed(report):
             self.counters.count("reports_spoilt")
-            self.log("report", MALFORMED_REPORT.format(self.backends[number].name))
+            self.log("report", MALFORMED_REPORT.format(self.upstreams[number].name))
         if ending in (AttemptOutcome.OK, AttemptOutcome.ERROR, AttemptOutcome.FULL):
-            self.backends[number].heard = now
+            self.upstreams[number].heard = now
         self.give(HealthCheckResult(number, latency, ending, report), now)
 
     def _close_idle(self, action: CloseIdleConnections, now: int) -> None:
-        backend = self.backends.get(action.server)
-        if backend and backend.probe and not backend.probe.asked:
-            backend.probe.close()
+        upstream = self.upstreams.get(action.server)
+        if upstream and upstream.probe and not upstream.probe.asked:
+            upstream.probe.close()
 
     # discovery
 
@@ -370,7 +378,7 @@
         else:
             self.discovery.drop_watch()
 
-    def _fetch(self, action: PollEndpoints, now: int) -> None:
+    def _poll_endpoints(self, action: PollEndpoints, now: int) -> None:
         self.discovery.ask(now)
 
     def endpoints_received(self, hosts: EndpointList, now: int) -> None:
@@ -391,58 +399,58 @@
         entries = [self._entry(host) for host in hosts.hosts]
         if kind in (UpdateKind.FULL, UpdateKind.CACHED):
             named = {entry.server for entry in entries}
-            for backend in self.backends.values():
-                if backend.number not in named:
-                    backend.state = ServerState.GONE
+            for upstream in self.upstreams.values():
+                if upstream.number not in named:
+                    upstream.state = ServerState.GONE
         # before discovery's word, which then changes nothing there
-        returned = [e for e in entries if e.state == ServerState.READY and self.backends[e.server].returning]
+        returned = [e for e in entries if e.state == ServerState.READY and self.upstreams[e.server].returning]
         for entry in returned:
-            self.backends[entry.server].returning = False
+            self.upstreams[entry.server].returning = False
             if kind != UpdateKind.OPERATOR:
                 self.give(EndpointUpdate(UpdateKind.OPERATOR, hosts.version, [entry]), now)
         self.give(EndpointUpdate(kind, hosts.version, entries), now)
         if self.settings.probes:
-            self.admission.hosts = sum(b.state != ServerState.GONE for b in self.backends.values())
-        dialled = [h for h in self.reqs.values() if h.fetch and not h.fetch.out]
+            self.admission.hosts = sum(b.state != ServerState.GONE for b in self.upstreams.values())
+        dialled = [h for h in self.requests.values() if h.attempt and not h.attempt.out]
         for held in dialled:
             # guards against a line written after the grace by a dial begun before it
-            if held.backend and held.backend.state != ServerState.READY:
+            if held.upstream and held.upstream.state != ServerState.READY:
                 self._give_up(held, AttemptOutcome.CONNECT_FAILED, now)
-        for backend in self.backends.values():
-            if backend.state != ServerState.READY and backend.probe:
-                backend.probe.close()
+        for upstream in self.upstreams.values():
+            if upstream.state != ServerState.READY and upstream.probe:
+                upstream.probe.close()
 
     def _entry(self, host: Endpoint) -> ServerEntry:
-        backend = self.backend(host.name)
-        backend.host, backend.address, backend.state = host, host.address, host.state
+        upstream = self.upstream(host.name)
+        upstream.host, upstream.address, upstream.state = host, host.address, host.state
         out = self.recall.out(host) if self.recall else False
         if host.state == ServerState.READY and (out or host.name in self.maintenance.held):
-            backend.state = (
+            upstream.state = (
                 ServerState.DRAINING
             )  # the worse of the list's word, that of staff and what is known
         names = self.config.names
         zone = names.zones.index(host.zone) if host.zone in names.zones else len(names.zones)
         kind = names.kinds.index(host.kind) if host.kind in names.kinds else len(names.kinds)
         # guards a host that comes back cold before discovery tells of its new start
-        since = max(host.started_ms * 1000, backend.back_at)
-        return ServerEntry(backend.number, zone, kind, host.cell, backend.state, host.weight, since)
+        since = max(host.started_ms * 1000, upstream.back_at)
+        return ServerEntry(upstream.number, zone, kind, host.cell, upstream.state, host.weight, since)
 
-    def backend(self, name: str) -> Upstream:
-        """The backend of this name; its number is the same at every node, so that rings agree."""
+    def upstream(self, name: str) -> Upstream:
+        """The upstream of this name; its number is the same at every node, so that rings agree."""
         number = self.numbers.get(name)
         if number is None:
             number = crc32(name.encode())
-            while number in self.backends:
+            while number in self.upstreams:
                 number = (number + 1) % (1 << 32)
             self.numbers[name] = number
-            self.backends[number] = Upstream(number, name)
-        return self.backends[number]
+            self.upstreams[number] = Upstream(number, name)
+        return self.upstreams[number]
 
     # maintenance
 
     def lists(self, name: str) -> bool:
         """Whether discovery lists this host."""
-        return name in self.numbers and self.backends[self.numbers[name]].state != ServerState.GONE
+        return name in self.numbers and self.upstreams[self.numbers[name]].state != ServerState.GONE
 
     def take_out(self, name: str, now: int) -> None:
         """Staff hold this host."""
@@ -455,51 +463,51 @@
         self.counters.count("hosts_put_back")
         self.log("hand", f"node: host {name} is put back by hand")
         if name in self.numbers:
-            backend = self.backends[self.numbers[name]]
-            backend.back_at, backend.returning = now, True
-            backend.silence, backend.heard, backend.slow = LivenessMonitor(), now, False
+            upstream = self.upstreams[self.numbers[name]]
+            upstream.back_at, upstream.returning = now, True
+            upstream.silence, upstream.heard, upstream.slow = LivenessMonitor(), now, False
         self.relist(name, now, UpdateKind.OPERATOR)
 
     def relist(self, name: str, now: int, kind: UpdateKind = UpdateKind.DELTA) -> None:
         """Tell the module of a host anew: what is known of it has changed."""
-        if self.lists(name) and (host := self.backends[self.numbers[name]].host):
+        if self.lists(name) and (host := self.upstreams[self.numbers[name]].host):
             self._list(EndpointList(self.discovery.version, False, (host,)), kind, now)
 
-    # reqs
+    # requests
 
-    def take(self, session: ClientSession, req: ConnectRequest, now: int) -> ProxiedConnection | None:
-        """Take a req; None where its names are unknown or its id is that of a req here, now or lately."""
-        cls = self.classes.get(req.cls)
-        if cls is None or (req.tenant and self.tenants and req.tenant not in self.tenants):
-            self.counters.count("reqs_of_unknown_names")
+    def take(self, session: ClientSession, request: ConnectRequest, now: int) -> ProxiedConnection | None:
+        """Take a request; None where its names are unknown or its id is in use here, or was lately."""
+        cls = self.classes.get(request.cls)
+        if cls is None or (request.tenant and self.tenants and request.tenant not in self.tenants):
+            self.counters.count("requests_of_unknown_names")
             return None
-        if req.id in self.ids or req.id in self.past:  # clients take a new one for every connection
-            # guards the req that has this id, and what the module thinks of the backends that would refuse it
-            self.counters.count("reqs_of_id_in_use")
+        if request.id in self.ids or request.id in self.past:  # clients take a new one for every connection
+            # protects the request that has this id, and what the policy thinks of upstreams that would reject it
+            self.counters.count("requests_of_id_in_use")
             return None
-        self.counters.count("reqs")
-        number, self.next_req = self.next_req, self.next_req + 1
-        left = self.settings.classes[cls].deadline if req.time_left is None else req.time_left
-        tenant = self.tenants.get(req.tenant, len(self.tenants))
-        flags = (req.hint is not None) + 2 * req.retry + FLAG_RECONNECT * req.came_back
-        told = (number, cls, tenant, req.key, left, req.hint or 0, req.group, flags)
-        held = ProxiedConnection(self, session, req, told, now + left)
+        self.counters.count("requests")
+        number, self.next_request = self.next_request, self.next_request + 1
+        left = self.settings.classes[cls].deadline if request.time_left is None else request.time_left
+        tenant = self.tenants.get(request.tenant, len(self.tenants))
+        flags = (request.hint is not None) + 2 * request.retry + FLAG_RECONNECT * request.came_back
+        told = (number, cls, tenant, request.key, left, request.hint or 0, request.group, flags)
+        held = ProxiedConnection(self, session, request, told, now + left)
         turned_away = self.stopping and not self.succeeded
-        if turned_away or 2 * len(self.reqs) + 2 > self.admission.room:
+        if turned_away or 2 * len(self.requests) + 2 > self.admission.room:
             self.counters.count("answers_refused")
             self.figures.count("throttled", cls)
             held.answered = True
             session.refuse(0, now)
             return held
-        self.reqs[number] = held
-        self.ids.add(req.id)
+        self.requests[number] = held
+        self.ids.add(request.id)
         for hear in self.hear_taken:
-            hear(req.id)
-        self.admission.make_room(now)  # for its fetch
-        if req.at is not None:
-            self.counters.count("reqs_of_before")
+            hear(request.id)
+        self.admission.make_room(now)  # for its attempt
+        if request.at is not None:
+            self.counters.count("requests_of_before")
             held.deadline = now + AT_WAIT
-            self._reopen(held, req.at, now)
+            self._reopen(held, request.at, now)
         else:
             last = held.deadline + self.settings.answer_slack_us
             held.overdue = self.wheel.at(last, partial(self._overdue, held))
@@ -507,21 +515,21 @@
         return held
 
     def _reopen(self, held: ProxiedConnection, at: str, now: int) -> None:
-        """Join a connection of before the start to its backend."""
-        if held.answered or held.fetch:
+        """Join a connection of before the start to its upstream."""
+        if held.answered or held.attempt:
             return
-        backend = self.backends.get(self.numbers.get(at, -1))  # a name of no list makes no backend
-        if backend and not held.sends:
-            held.sends, held.backend = 1, backend
-            self.give(ExistingConnection(*held.told, backend.number), now)
-        if backend and backend.state == ServerState.READY and not self.stopping:
-            self._dial(held, backend, None, now)
+        upstream = self.upstreams.get(self.numbers.get(at, -1))  # a name of no list makes no upstream
+        if upstream and not held.sends:
+            held.sends, held.upstream = 1, upstream
+            self.give(ExistingConnection(*held.told, upstream.number), now)
+        if upstream and upstream.state == ServerState.READY and not self.stopping:
+            self._dial(held, upstream, None, now)
         else:
             self._reopen_later(held, AttemptOutcome.CONNECT_FAILED, now)
 
     def _reopen_later(self, held: ProxiedConnection, ending: AttemptOutcome, now: int) -> None:
-        if now + AT_AGAIN < held.deadline and not self.stopping and held.req.at is not None:
-            self.wheel.at(now + AT_AGAIN, partial(self._reopen, held, held.req.at))
+        if now + AT_AGAIN < held.deadline and not self.stopping and held.request.at is not None:
+            self.wheel.at(now + AT_AGAIN, partial(self._reopen, held, held.request.at))
             return
         self.answer_failed(held, now)
         self._outcome(held, ending, (), now)
@@ -529,8 +537,8 @@
     def _overdue(self, held: ProxiedConnection, now: int) -> None:
         # guards the client against a module that never answers: the rule's time is nearly up
         if not held.answered:
-            self.counters.count("reqs_overdue")
-            self.log("overdue", "node: the module left a req without its answer; it is answered failed")
+            self.counters.count("requests_overdue")
+            self.log("overdue", "node: the module left a request without its answer; it is answered failed")
             self.answer_failed(held, now)
             self.give(ClientDisconnected(held.number), now)
 
@@ -541,34 +549,34 @@
         elif not held.answered:
             self.counters.count("clients_left")
             held.settle()
-            if held.req.at is not None:
-                if held.fetch:
+            if held.request.at is not None:
+                if held.attempt:
                     self._give_up(held, AttemptOutcome.CANCELLED, now)
                 else:
                     self._forget(held)
                     self._outcome(held, AttemptOutcome.CANCELLED, (), now)
                 return
             self.give(ClientDisconnected(held.number), now)
-            if held.fetch is None:
+            if held.attempt is None:
                 self._forget(held)
 
-    # fetches
+    # attempts
 
     def may_write(self, held: ProxiedConnection, now: int) -> bool:
-        """Whether a req's line may be written to the backend that has just come up; else its fetch is closed.
+        """Whether a request's line may be written to the upstream that has just come up; else close its attempt.
 
         All that may have changed since the dial began is looked at here, in the moment of the send.
         """
         held.session.look(now)
-        if held.fetch and not held.answered and held.backend and held.backend.state == ServerState.READY:
+        if held.attempt and not held.answered and held.upstream and held.upstream.state == ServerState.READY:
             return True
         self._give_up(held, AttemptOutcome.CONNECT_FAILED, now)
         return False
 
     def up(self, held: ProxiedConnection, now: int) -> None:
-        """The backend has taken the connection."""
-        fetch, backend = held.fetch, held.backend
-        if fetch is None or backend is None:
+        """The upstream has taken the connection."""
+        attempt, upstream = held.attempt, held.upstream
+        if attempt is None or upstream is None:
             return
         if held.answered:  # its client has left meanwhile
             return self._give_up(held, AttemptOutcome.CANCELLED, now)
@@ -577,20 +585,20 @@
         held.settle()
         self.counters.count("answers_served")
         self.figures.count("fulfilled", held.told[1])
-        held.session.serve(fetch, now)
-        if held.req.at is None:
+        held.session.serve(attempt, now)
+        if held.request.at is None:
             self.give(
-                ConnectionEstablished(held.number, backend.number, held.sends - 1, now - held.sent), now
+                ConnectionEstablished(held.number, upstream.number, held.sends - 1, now - held.sent), now
             )
 
     def ended(
         self, held: ProxiedConnection, ending: AttemptOutcome, report: tuple[float, ...], now: int
     ) -> None:
-        """The fetch has ended and its connection is closed."""
+        """The attempt has ended and its connection is closed."""
         self._stop_timers(held)
-        self.counters.count(f"fetches_{ending.name.lower()}")
-        was_up, held.fetch, held.up = held.up, None, False
-        if held.req.at is not None and not was_up and not held.answered:
+        self.counters.count(f"attempts_{ending.name.lower()}")
+        was_up, held.attempt, held.up = held.up, None, False
+        if held.request.at is not None and not was_up and not held.answered:
             return self._reopen_later(held, ending, now)
         if held.answered:
             self._forget(held)
@@ -599,10 +607,10 @@
     def _outcome(
         self, held: ProxiedConnection, ending: AttemptOutcome, report: tuple[float, ...], now: int
     ) -> None:
-        if held.backend:
+        if held.upstream:
             told = report if self.settings.report_via == "answers" else ()
             took, closed = min(now - held.sent, (1 << 32) - 1), int(held.answered)
-            number, attempt, server = held.number, held.sends - 1, held.backend.number
+            number, attempt, server = held.number, held.sends - 1, held.upstream.number
             self.give(AttemptEnded(number, attempt, server, ending, took, closed, told), now)
 
     def _stop_timers(self, held: ProxiedConnection) -> None:
@@ -612,52 +620,52 @@
 
     def load_reported(self, held: ProxiedConnection, load: float, now: int) -> None:
         """The upstream has told the load of an open connection."""
-        if held.up and held.backend:
-            self.give(LoadSample(held.number, held.backend.number, load, held.sends - 1), now)
+        if held.up and held.upstream:
+            self.give(LoadSample(held.number, held.upstream.number, load, held.sends - 1), now)
 
     def delay(self, held: ProxiedConnection, took: int, now: int) -> None:
         """A message took so long: told once a second while that is long, and once when it is well again."""
-        backend = held.backend
-        if backend is None or not self.settings.reports_latency or not self.long:
+        upstream = held.upstream
+        if upstream is None or not self.settings.reports_latency or not self.long:
             return
         slow = took > self.long
-        if slow and now < backend.noted + SECOND or not slow and not backend.slow:
+        if slow and now < upstream.noted + SECOND or not slow and not upstream.slow:
             return
-        backend.slow, backend.noted = slow, now
+        upstream.slow, upstream.noted = slow, now
         self.counters.count("notes_slow" if slow else "notes_well")
         if held.up:
-            self.give(LatencySample(held.number, backend.number, took / 1000, held.sends - 1), now)
+            self.give(LatencySample(held.number, upstream.number, took / 1000, held.sends - 1), now)
 
     def _look(self, now: int) -> None:
-        """Look for backends that have fallen silent; send their clients away bit by bit while they are."""
+        """Look for upstreams that have fallen silent; send their clients away bit by bit while they are."""
         self.wheel.at(now + LOOK, self._look)
         standing: dict[Upstream, list[Attempt]] = {}
-        for held in self.reqs.values():
-            if held.up and held.backend and held.fetch:
-                standing.setdefault(held.backend, []).append(held.fetch)
-        for backend, fetches in standing.items():
-            was = backend.silence.since
-            if not backend.silence.look(fetches, backend.heard, now):
+        for held in self.requests.values():
+            if held.up and held.upstream and held.attempt:
+                standing.setdefault(held.upstream, []).append(held.attempt)
+        for upstream, attempts in standing.items():
+            was = upstream.silence.since
+            if not upstream.silence.look(attempts, upstream.heard, now):
                 continue
             if was is None:
-                self.counters.count("backends_silent")
+                self.counters.count("upstreams_silent")
                 self.log(
-                    "silent", f"node: backend {backend.name} is silent; moving {len(fetches)} connections"
+                    "silent", f"node: upstream {upstream.name} is silent; moving {len(attempts)} connections"
                 )
-            for fetch in fetches[: -(-len(fetches) // LOOKS)]:
+            for attempt in attempts[: -(-len(attempts) // LOOKS)]:
                 self.counters.count("moves")
-                fetch.vanish(now)
+                attempt.vanish(now)
 
     # the numbers
 
     def gauges(self, now: int) -> dict[str, int]:
         """How things stand at this moment."""
-        listed = [b.number for b in self.backends.values() if b.state != ServerState.GONE]
+        listed = [b.number for b in self.upstreams.values() if b.state != ServerState.GONE]
         avoided = self.balancer.avoided(now)
         avoided |= {self.numbers[name] for name in self.maintenance.held if name in self.numbers}
         return {
-            # one whose client has left before its answer, and whose fetch is ending, has ended
-            "open_requests": sum(held.up or not held.answered for held in self.reqs.values()),
+            # one whose client has left before its answer, and whose attempt is ending, has ended
+            "open_requests": sum(held.up or not held.answered for held in self.requests.values()),
             "registry_entries": len(listed),
             "out_of_rotation": sum(number in avoided for number in listed),
         }
@@ -666,28 +674,28 @@
 
     def listed(self) -> EndpointList:
         """Discovery's list as it stands here."""
-        hosts = (b.host for b in self.backends.values() if b.host and b.state != ServerState.GONE)
+        hosts = (b.host for b in self.upstreams.values() if b.host and b.state != ServerState.GONE)
         return EndpointList(self.discovery.version, True, tuple(hosts))
 
     def ids_lately(self) -> list[int]:
-        """The ids of the reqs that are here, or were a moment ago."""
+        """The ids of the requests that are here, or were a moment ago."""
         return [*self.past, *self.ids]
 
     def returned(self) -> dict[str, int]:
         """When staff put hosts back."""
-        return {b.name: b.back_at for b in self.backends.values() if b.back_at}
+        return {b.name: b.back_at for b in self.upstreams.values() if b.back_at}
 
     def returned_elsewhere(self, returned: dict[str, int], now: int) -> None:
         """The process before this one had these hosts put back: they are as cold and as due here."""
         for name, at in returned.items():
             if name in self.numbers:
-                backend = self.backends[self.numbers[name]]
-                backend.back_at, backend.returning = at, at > now - RETURN
-                self.relist(name, now, UpdateKind.OPERATOR if backend.returning else UpdateKind.DELTA)
+                upstream = self.upstreams[self.numbers[name]]
+                upstream.back_at, upstream.returning = at, at > now - RETURN
+                self.relist(name, now, UpdateKind.OPERATOR if upstream.returning else UpdateKind.DELTA)
 
     def holds(self) -> ProcessUsage:
-        """What this process holds: descriptors for clients, and connections by backend."""
-        at = Counter(h.backend.name for h in self.reqs.values() if h.fetch and h.backend)
+        """What this process holds: descriptors for clients, and connections by upstream."""
+        at = Counter(h.upstream.name for h in self.requests.values() if h.attempt and h.upstream)
         return ProcessUsage(self.admission.in_use(), dict(at))
 
     def held_elsewhere(self, holds: ProcessUsage, now: int) -> None:
@@ -700,7 +708,7 @@
 
     def informed(self) -> bool:
         """Discovery has told its list, and no probe is out."""
-        return self.discovery.told and not any(b.probe and b.probe.asked for b in self.backends.values())
+        return self.discovery.told and not any(b.probe and b.probe.asked for b in self.upstreams.values())
 
     # a planned stop
 
@@ -720,7 +728,7 @@
         SendPeerMessage: _tell,
         LogMessage: _log,
         WatchEndpoints: _watch,
-        PollEndpoints: _fetch,
+        PollEndpoints: _poll_endpoints,
         MigrateClient: _move,
         PolicyError: _log,
     }
--- a/limerudder/core/operations/log_events.py
+++ b/limerudder/core/operations/log_events.py
@@ -16,7 +16,7 @@
     "director": ("director.failed", "warning"),
     "module": ("module.says", "info"),
     "fault": ("module.fault", "error"),
-    "overdue": ("req.overdue", "error"),
+    "overdue": ("request.overdue", "error"),
     "store": ("store.says", "info"),
     "store-peer": ("store.peer_refused", "warning"),
     "store-disk": ("store.disk", "error"),
--- a/limerudder/core/ports.py
+++ b/limerudder/core/ports.py
@@ -1,6 +1,6 @@
 """What the node and a protocol say to each other, in neither's syntax.
 
-A protocol turns its clients' words into a Req and its backends' words into calls of FetchOwner. A second
+A protocol turns its clients' words into a request and its upstreams' words into calls of FetchOwner. A second
 protocol brings its own ClientSession and Fetch and goes through the same node.
 """
 
@@ -15,7 +15,7 @@
 class ConnectRequest(NamedTuple):
     """A client wants a connection. Names are the settings' and discovery's; times are microseconds."""
 
-    id: int  # new for every req
+    id: int  # new for every request
     cls: str
     tenant: str
     key: int
@@ -24,17 +24,17 @@
     group: int
     retry: bool
     came_back: bool
-    at: str | None  # the backend that holds this connection since before the node started
+    at: str | None  # the upstream that holds this connection since before the node started
 
 
 class ClientSession(Protocol):
-    """The client's side of one req, as the node uses it."""
+    """The client's side of one request, as the node uses it."""
 
-    def fetch(self, owner: AttemptObserver, wait: int | None) -> Attempt:
-        """A new attempt for this req, to be dialled; the backend is told how long it is waited for."""
+    def new_attempt(self, owner: AttemptObserver, wait: int | None) -> Attempt:
+        """A new attempt for this request, to be dialled; the upstream is told how long it is waited for."""
 
-    def serve(self, fetch: Attempt, now: int) -> None:
-        """The final answer: the backend's own; the two sides pass on what comes from now on."""
+    def serve(self, attempt: Attempt, now: int) -> None:
+        """The final answer: the upstream's own; the two sides pass on what comes from now on."""
 
     def refuse(self, wait: int, now: int) -> None:
         """The final answer: turned away, to come again after `wait` microseconds if not 0."""
@@ -50,38 +50,38 @@
 
 
 class Attempt(OutboundMachine, Protocol):
-    """One attempt at a backend, as the node uses it."""
+    """One attempt at an upstream, as the node uses it."""
 
     link: Transport | None
     done: bool  # it has ended
-    out: bool  # its last byte is written: from here on the backend may have it
+    out: bool  # its last byte is written: from here on the upstream may have it
     asked: int | None  # when the client's oldest unanswered message was passed on
-    heard: int  # when the backend's last word came
+    heard: int  # when the upstream's last word came
 
     def vanish(self, now: int) -> None:
-        """Its backend is silent: move its client, end it and tell its owner."""
+        """Its upstream is silent: move its client, end it and tell its owner."""
 
     def close(self) -> None:
         """Give the attempt up; its owner hears no more of it."""
 
 
 class AttemptObserver(Protocol):
-    """Who hears how a fetch fares: the node."""
+    """Who hears how an attempt fares: the node."""
 
     def attempt_ready(self, now: int) -> bool:
-        """Whether the req's line may be written now, to a backend that is up; if not, the fetch is closed."""
+        """Whether the request's line may be written now to an upstream that is up; else the attempt is closed."""
 
     def attempt_sent(self) -> None:
-        """The last byte of the req's line is written."""
+        """The last byte of the request's line is written."""
 
     def attempt_established(self, now: int) -> None:
-        """The backend has taken the connection."""
+        """The upstream has taken the connection."""
 
     def attempt_ended(self, ending: AttemptOutcome, report: tuple[float, ...], now: int) -> None:
-        """The fetch has ended and its connection is closed."""
+        """The attempt has ended and its connection is closed."""
 
     def attempt_load_reported(self, load: float, now: int) -> None:
-        """The backend tells the connection's load."""
+        """The upstream tells the connection's load."""
 
     def attempt_latency_measured(self, took: int, now: int) -> None:
-        """The backend has answered a message after this long."""
+        """The upstream has answered a message after this long."""
--- a/limerudder/core/upstream/attempt.py
+++ b/limerudder/core/upstream/attempt.py
@@ -1,4 +1,4 @@
-"""The line protocol's fetch: one attempt at a backend, from its first line to the end of its connection."""
+"""The line protocol's attempt at an upstream, from its first line to the end of its connection."""
 
 from __future__ import annotations
 
@@ -14,11 +14,11 @@
 from limerudder.policy.events import AttemptOutcome
 
 SILENT = 2_500_000  #: a message unanswered for so long: its stream has stopped, though nothing said so
-LAST_WORDS = 700_000  #: for a backend to end its side once the client has ended its own
+LAST_WORDS = 700_000  #: for an upstream to end its side once the client has ended its own
 
 
 class ServedClient(Protocol):
-    """The client's side, as a fetch that serves it uses it."""
+    """The client's side, as an attempt that serves it uses it."""
 
     link: Transport | None
 
@@ -29,14 +29,14 @@
         """Send the client away politely."""
 
     def end(self, now: int) -> None:
-        """The backend has ended its side."""
+        """The upstream has ended its side."""
 
     def break_off(self) -> None:
-        """The backend's side is broken."""
+        """The upstream's side is broken."""
 
 
 class LineAttempt(OutboundMachineBase):
-    """A state machine fed what its backend sends. It tells its owner of its end once."""
+    """A state machine fed what its upstream sends. It tells its owner of its end once."""
 
     def __init__(self, owner: AttemptObserver, line: bytes, fields: Sequence[str], wheel: TimerWheel) -> None:
         self.owner, self.line, self.fields = owner, line, fields
@@ -47,7 +47,7 @@
         self.last = b""
         self.report: tuple[float, ...] = ()
         self.asked: int | None = None  # when the client's oldest unanswered message was passed on
-        self.heard = 0  # when the backend's last word came
+        self.heard = 0  # when the upstream's last word came
         self.timer = ResettableTimer(wheel)
 
     # from the driver
@@ -57,12 +57,12 @@
         return self.line if self.owner.attempt_ready(now) else b""
 
     def written(self) -> None:
-        """From here on the backend may have it."""
+        """From here on the upstream may have it."""
         self.out = True
         self.owner.attempt_sent()
 
     def feed(self, data: bytes, now: int) -> None:
-        """Lines from the backend: its answer first, then what it has for the client."""
+        """Lines from the upstream: its answer first, then what it has for the client."""
         if self.done:
             return
         self.heard = now
@@ -89,7 +89,7 @@
             self.report = parse_report(rest, self.fields)
             self._end(AttemptOutcome.ERROR if word == b"ERR" else AttemptOutcome.FULL, now)
         else:
-            self._end(AttemptOutcome.ERROR, now)  # a malformed line is an error of this fetch
+            self._end(AttemptOutcome.ERROR, now)  # a malformed line is an error of this attempt
 
     def _read(self, line: bytes, now: int) -> None:
         word, _, rest = line.partition(b" ")
@@ -110,7 +110,7 @@
             self.owner.attempt_latency_measured(took, now)
 
     def eof(self, now: int) -> None:
-        """The backend has ended its side."""
+        """The upstream has ended its side."""
         if self.done:
             return
         if self.client and self.framer.rest:
@@ -140,18 +140,18 @@
             client.break_off()
 
     def crowded(self, on: bool) -> None:
-        """The backend reads slowly: its client is read no faster."""
+        """The upstream reads slowly: its client is read no faster."""
         if self.client and self.client.link:
             self.client.link.hold(on)
 
     # from the client session
 
     def join(self, client: ServedClient) -> None:
-        """The fetch serves: what comes from the backend goes to the client."""
+        """The attempt serves: what comes from the upstream goes to the client."""
         self.client = client
 
     def send(self, data: bytes, now: int) -> None:
-        """Bytes from the client for the backend, passed on as they come."""
+        """Bytes from the client for the upstream, passed on as they come."""
         if not self.link or self.done:
             return
         self.link.write(data)
@@ -160,7 +160,7 @@
             self.timer.set(now + SILENT, self.vanish)
 
     def finish(self, now: int) -> None:
-        """The client has ended its side: so does this one, and the backend may have its last words."""
+        """The client has ended its side: so does this one, and the upstream may have its last words."""
         if self.link and not self.leaving and not self.done:
             self.leaving = True
             self.link.finish()
@@ -174,7 +174,7 @@
         self.close()
 
     def vanish(self, now: int) -> None:
-        """The backend is silent: its client is moved. That tells nothing of what the backend can hold."""
+        """The upstream is silent: its client is moved. That tells nothing of what the upstream can hold."""
         client = self.client
         self._end(AttemptOutcome.CANCELLED, now)
         if client and self.leaving:
--- a/limerudder/core/upstream/health_check.py
+++ b/limerudder/core/upstream/health_check.py
@@ -1,4 +1,4 @@
-"""Probes of one backend, asked over one connection that is kept for as long as it answers."""
+"""Probes of one upstream, asked over one connection that is kept for as long as it answers."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
 
     def opening(self, now: int) -> bytes:
         """All that was asked while the connection was set up."""
-        self.asked = [now] * len(self.asked)  # what setting up took says nothing of the backend's work
+        self.asked = [now] * len(self.asked)  # what setting up took says nothing of the upstream's work
         self.up = True
         return self.word * len(self.asked)
 
@@ -50,7 +50,7 @@
                 self._end(AttemptOutcome.FULL if word == b"BUSY" else AttemptOutcome.ERROR, now)
 
     def eof(self, now: int) -> None:
-        """The backend has ended the connection."""
+        """The upstream has ended the connection."""
         self._end(AttemptOutcome.RESET, now)
 
     def lost(self, now: int) -> None:
--- a/limerudder/core/upstream/liveness.py
+++ b/limerudder/core/upstream/liveness.py
@@ -1,24 +1,24 @@
-"""A backend that has fallen silent, noticed across all connections that a node holds there."""
+"""An upstream that has fallen silent, noticed across all connections that a node holds there."""
 
 from __future__ import annotations
 
 from collections.abc import Sequence
 from typing import Protocol
 
-SILENT = 1_000_000  #: a message unanswered for so long, with no word from its backend on any connection
+SILENT = 1_000_000  #: a message unanswered for so long, with no word from its upstream on any connection
 LOOK = 100_000  #: between looks
-LOOKS = 10  #: in so many, about, the clients of a silent backend are sent away
+LOOKS = 10  #: in so many, about, the clients of a silent upstream are sent away
 
 
 class MonitoredAttempt(Protocol):
     """A connection that stands, as far as silence goes."""
 
     asked: int | None  # when the client's oldest unanswered message was passed on
-    heard: int  # when the backend's last word came
+    heard: int  # when the upstream's last word came
 
 
 class LivenessMonitor:
-    """Whether one backend is silent; it stays so until it is heard again."""
+    """Whether one upstream is silent; it stays so until it is heard again."""
 
     def __init__(self) -> None:
         self.since: int | None = None
--- a/limerudder/loadtest/rule_checker.py
+++ b/limerudder/loadtest/rule_checker.py
@@ -62,21 +62,21 @@
 
 
 class RuleChecker:
-    """One node's exchanges, or those of a tier where reqs have ids of their own."""
+    """One node's exchanges, or those of a tier where requests have ids of their own."""
 
     def __init__(self, limits: RuleLimits | None = None) -> None:
         self.limits = limits or RuleLimits()
-        self.reqs: dict[str, _TrackedRequest] = {}
+        self.requests: dict[str, _TrackedRequest] = {}
         self.hosts: dict[str, _TrackedServer] = {}
         self.breaches: list[RuleViolation] = []
         self.now = 0
         self.checked = 0  # events
 
-    def _event(self, at: int, req: str, text: str) -> _TrackedRequest:
+    def _event(self, at: int, request: str, text: str) -> _TrackedRequest:
         assert at >= self.now, "events are told in the order of their times"
         self.now = at
         self.checked += 1
-        one = self.reqs.setdefault(req, _TrackedRequest(1 << 62))
+        one = self.requests.setdefault(request, _TrackedRequest(1 << 62))
         one.seen.append(f"{at / SECOND:.6f}  {text}")
         return one
 
@@ -85,59 +85,63 @@
 
     # clients
 
-    def asked(self, at: int, req: str, wait: int) -> None:
+    def asked(self, at: int, request: str, wait: int) -> None:
         """A client has said its first line; it waits so long."""
-        self._event(at, req, f"client asks {req}, waits {wait} us").deadline = at + wait
+        self._event(at, request, f"client asks {request}, waits {wait} us").deadline = at + wait
 
-    def answered(self, at: int, req: str, line: str) -> None:
+    def answered(self, at: int, request: str, line: str) -> None:
         """A client has got a line that may be its final answer, or MOVE."""
-        one = self._event(at, req, f"client gets {line}")
+        one = self._event(at, request, f"client gets {line}")
         word = line.partition(" ")[0]
         if word == "MOVE":
             one.moved = True
             if not one.up:
-                self._breach("one answer", at, f"{req} was moved before it was up", one)
+                self._breach("one answer", at, f"{request} was moved before it was up", one)
             return
         if word not in FINAL:
             return
         one.answers.append(word)
         if len(one.answers) > 1:
-            self._breach("one answer", at, f"{req} got {len(one.answers)} final answers", one)
+            self._breach("one answer", at, f"{request} got {len(one.answers)} final answers", one)
         if at > one.deadline + self.limits.answer_grace:
-            self._breach("in time", at, f"{req} was answered {at - one.deadline} us after its deadline", one)
+            self._breach(
+                "in time", at, f"{request} was answered {at - one.deadline} us after its deadline", one
+            )
         one.up = one.up or word == "UP"
 
-    def left(self, at: int, req: str) -> None:
+    def left(self, at: int, request: str) -> None:
         """The client has gone by itself."""
-        self._event(at, req, "client leaves").client_disconnected = True
+        self._event(at, request, "client leaves").client_disconnected = True
 
-    def closed(self, at: int, req: str) -> None:
+    def closed(self, at: int, request: str) -> None:
         """The node has ended the client's connection."""
-        one = self._event(at, req, "node closes the client's connection")
+        one = self._event(at, request, "node closes the client's connection")
         if not one.answers and not one.client_disconnected:
-            self._breach("one answer", at, f"{req} was closed without an answer", one)
+            self._breach("one answer", at, f"{request} was closed without an answer", one)
         elif one.up and not (one.moved or one.client_disconnected or one.host_ended):
-            self._breach("lost connections", at, f"{req} stood, and was cut off without MOVE", one)
+            self._breach("lost connections", at, f"{request} stood, and was cut off without MOVE", one)
 
     # hosts
 
-    def sent(self, at: int, req: str, host: str) -> None:
-        """A host has got the req's first line."""
-        one = self._event(at, req, f"{host} gets the first line of {req}")
+    def sent(self, at: int, request: str, host: str) -> None:
+        """A host has got the request's first line."""
+        one = self._event(at, request, f"{host} gets the first line of {request}")
         if one.out:
-            self._breach("one attempt", at, f"{req} went to {host} while it was at {one.out}", one)
+            self._breach("one attempt", at, f"{request} went to {host} while it was at {one.out}", one)
         one.out, one.host_ended = host, False
         if one.answers and not one.up:
-            self._breach("one attempt", at, f"{req} went to {host} after its final answer", one)
+            self._breach("one attempt", at, f"{request} went to {host} after its final answer", one)
         there = self.hosts.get(host)
         if there is None:
-            return self._breach("listed hosts", at, f"{req} went to {host}, which was never listed", one)
+            return self._breach("listed hosts", at, f"{request} went to {host}, which was never listed", one)
         since = there.out_since
         if since is not None and at > since + self.limits.drain_grace_us:
-            self._breach("drains", at, f"{req} went to {host}, told to be out {at - since} us before", one)
-        self._cold(at, req, host, there, one)
+            self._breach(
+                "drains", at, f"{request} went to {host}, told to be out {at - since} us before", one
+            )
+        self._cold(at, request, host, there, one)
 
-    def _cold(self, at: int, req: str, host: str, there: _TrackedServer, one: _TrackedRequest) -> None:
+    def _cold(self, at: int, request: str, host: str, there: _TrackedServer, one: _TrackedRequest) -> None:
         limits = self.limits
         there.recent.append(at)
         while there.recent[0] <= at - limits.overload_window_us:
@@ -152,30 +156,30 @@
             many = f"{len(there.recent)} in {window:.2f} s; {most:.1f} are allowed"
             self._breach("cold hosts", at, f"{host}, {age / SECOND:.2f} s old, got {many}", one)
 
-    def ended(self, at: int, req: str, host: str, by_host: bool) -> None:
-        """The req's connection at a host has ended, by the host or by the node."""
-        one = self._event(at, req, f"{host if by_host else 'node'} ends {req} at {host}")
+    def ended(self, at: int, request: str, host: str, by_host: bool) -> None:
+        """The request's connection at a host has ended, by the host or by the node."""
+        one = self._event(at, request, f"{host if by_host else 'node'} ends {request} at {host}")
         if one.out == host:
             one.out, one.host_ended = "", by_host
 
     # lines
 
-    def line_in(self, at: int, req: str, to_host: bool, line: str) -> None:
+    def line_in(self, at: int, request: str, to_host: bool, line: str) -> None:
         """A line has been given to the node, by the client or by the host."""
         way = "to the host" if to_host else "to the client"
-        self._event(at, req, f"line {way} goes in: {line}").passing.append((at, way, line))
+        self._event(at, request, f"line {way} goes in: {line}").passing.append((at, way, line))
 
-    def line_out(self, at: int, req: str, to_host: bool, line: str) -> None:
+    def line_out(self, at: int, request: str, to_host: bool, line: str) -> None:
         """A line has come out at the other side."""
         way = "to the host" if to_host else "to the client"
-        one = self._event(at, req, f"line {way} comes out: {line}")
+        one = self._event(at, request, f"line {way} comes out: {line}")
         waiting = [item for item in one.passing if item[1] == way]
         if not waiting or waiting[0][2] != line:
             expected = waiting[0][2] if waiting else "none"
-            return self._breach("held lines", at, f"{req}: {line} came {way}, expected {expected}", one)
+            return self._breach("held lines", at, f"{request}: {line} came {way}, expected {expected}", one)
         one.passing.remove(waiting[0])
         if at > waiting[0][0] + self.limits.line_grace:
-            self._breach("held lines", at, f"{req}: a line was held for {at - waiting[0][0]} us", one)
+            self._breach("held lines", at, f"{request}: a line was held for {at - waiting[0][0]} us", one)
 
     # discovery
 
@@ -194,12 +198,12 @@
 
     def finish(self, at: int) -> list[RuleViolation]:
         """The run is over: what was never answered is told too. Gives all breaches, in order."""
-        for req, one in self.reqs.items():
+        for request, one in self.requests.items():
             due = one.deadline + self.limits.answer_grace
             if not one.answers and not one.client_disconnected and due < at and one.deadline < 1 << 62:
-                self._breach("one answer", due, f"{req} never got an answer", one)
+                self._breach("one answer", due, f"{request} never got an answer", one)
             for since, way, line in one.passing:
                 gone = one.client_disconnected or one.host_ended or one.moved
                 if not gone and at > since + self.limits.line_grace:
-                    self._breach("held lines", since, f"{req}: {line} never came out {way}", one)
+                    self._breach("held lines", since, f"{request}: {line} never came out {way}", one)
         return sorted(self.breaches, key=lambda breach: breach.at)
--- a/limerudder/net/tcp.py
+++ b/limerudder/net/tcp.py
@@ -102,8 +102,8 @@
         if self.task and self.transport is None:
             self.task.cancel()
         if self.sock:
-            # guards against two fetches of a req out: a transport closes in the loop's next round only,
-            # and by then the next fetch would be on its way
+            # guards against two attempts of a request out: a transport closes in the loop's next round only,
+            # and by then the next attempt would be on its way
             with suppress(OSError):
                 self.sock.shutdown(socket.SHUT_RDWR)
         if self.transport:
--- a/tests/scripted_peers.py
+++ b/tests/scripted_peers.py
@@ -62,7 +62,7 @@
 
 
 class World:
-    """A node in memory: its clock, its dials, its log; checks that no req has two fetches out."""
+    """A node in memory: its clock, its dials, its log; checks that no request has two attempts out."""
 
     def __init__(self, config: NodeConfig) -> None:
         self.now, self.dials, self.logged = 50 * SECOND, list[FakeLink](), list[str]()
@@ -72,8 +72,8 @@
 
     def dial(self, address: tuple[str, int], machine: OutboundMachine) -> FakeLink:
         self.dials.append(FakeLink(machine, address))
-        owners = [d.machine.owner for d in self.fetches()]
-        assert len(owners) == len(set(owners)), "two fetches of a req are out"
+        owners = [d.machine.owner for d in self.attempts()]
+        assert len(owners) == len(set(owners)), "two attempts of a request are out"
         return self.dials[-1]
 
     def tell(self, peer: int, data: bytes) -> None:
@@ -92,18 +92,18 @@
         session.feed(line.encode() + b"\r\n", self.now)
         return session, link
 
-    def fetches(self) -> list[FakeLink]:
-        """The dials to backends with a client's line that are not closed."""
+    def attempts(self) -> list[FakeLink]:
+        """The dials to upstreams with a client's line that are not closed."""
         return [d for d in self.dials if hasattr(d.machine, "line") and not d.closed]
 
     def served(self, line: str = LINE) -> tuple[LineSession, FakeLink, FakeLink]:
-        """A client that is up: its session, its link and its fetch's."""
+        """A client that is up: its session, its link and its attempt's."""
         session, link = self.client(line)
-        fetch = self.fetches()[-1]
-        fetch.accept(self.now)
-        fetch.machine.feed(b"UP 77\r\n", self.now)
+        attempt = self.attempts()[-1]
+        attempt.accept(self.now)
+        attempt.machine.feed(b"UP 77\r\n", self.now)
         assert link.sent == b"UP 77\r\n"
-        return session, link, fetch
+        return session, link, attempt
 
     def run(self, duration: int) -> None:
         """Let time pass, a tick at a time."""
@@ -118,7 +118,7 @@
 
 
 class Peer:
-    """One scripted connection, as a client or as a backend."""
+    """One scripted connection, as a client or as an upstream."""
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader, self.writer = reader, writer
@@ -175,10 +175,10 @@
 
 
 class Loopback:
-    """A real node on loopback with scripted backends and director."""
+    """A real node on loopback with scripted upstreams and director."""
 
     def __init__(self, folder: Path) -> None:
-        self.folder, self.discovery, self.backend = folder, Listener(), Listener()
+        self.folder, self.discovery, self.upstream = folder, Listener(), Listener()
         self.came = 0
         self.logged: asyncio.Queue[str] = asyncio.Queue()
         self.given: dict[str, Any] = {}  # what all processes of the node are told
@@ -196,8 +196,8 @@
 
     @asynccontextmanager
     async def running(self, **changes: Any) -> AsyncIterator[asyncio.Task[None]]:
-        """Run the node; its one backend is `s-1`."""
-        where = await self.backend.start()
+        """Run the node; its one upstream is `s-1`."""
+        where = await self.upstream.start()
         given = {"discovery": await self.discovery.start(), "known": hosts(host("s-1", where)), **changes}
         environment = configuration(self.folder, **given) | {"PROXY_DISCOVERY": given["discovery"]}
         log = lambda kind, text: self.logged.put_nowait(text)  # noqa: E731
@@ -214,7 +214,7 @@
     async def process(self, **changes: Any) -> AsyncIterator[Process]:
         """Run the node as the operators do: each with a console of its own, all with one TMPDIR."""
         if not self.given:
-            where = [await listener.start() for listener in (self.backend, self.backend)]
+            where = [await listener.start() for listener in (self.upstream, self.upstream)]
             listed = hosts(*(host(name, at) for name, at in zip(("s-1", "s-2"), where, strict=True)))
             self.telling = asyncio.create_task(self._tell(listed))
             fixed = {"listen": free(), "discovery": await self.discovery.start(), "known": listed}
@@ -253,23 +253,23 @@
         """A client that is up."""
         client = await self.client()
         client.say(self.line())
-        backend = await self.backend.take()
-        while not (line := await backend.line()).startswith("OPEN"):  # a probe, or one that has ended
-            asyncio.create_task(self._probed(backend, line))
-            backend = await self.backend.take()
-        backend.say("UP 77")
-        asyncio.create_task(self._echo(backend))
+        upstream = await self.upstream.take()
+        while not (line := await upstream.line()).startswith("OPEN"):  # a probe, or one that has ended
+            asyncio.create_task(self._probed(upstream, line))
+            upstream = await self.upstream.take()
+        upstream.say("UP 77")
+        asyncio.create_task(self._echo(upstream))
         assert await client.line() == "UP 77"
         return client
 
-    async def _probed(self, backend: Peer, line: str) -> None:
+    async def _probed(self, upstream: Peer, line: str) -> None:
         while line:
-            backend.say("PONG inflight=1,x0=0.1")
-            line = await backend.line()
+            upstream.say("PONG inflight=1,x0=0.1")
+            line = await upstream.line()
 
-    async def _echo(self, backend: Peer) -> None:
-        while line := await backend.line():
-            backend.say(line)
+    async def _echo(self, upstream: Peer) -> None:
+        while line := await upstream.line():
+            upstream.say(line)
 
     async def answer(self, process: Process, call: str) -> str:
         """All that the console answers to a call."""
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -88,7 +88,7 @@
         if through:
             log.through_structlog()
         for n in range(4):
-            log("silent", f"node: backend s-{n} is silent; moving 3 connections")
+            log("silent", f"node: upstream s-{n} is silent; moving 3 connections")
         log.rate.kinds["silent"] = (-1e9, 4)  # the while is over
         log("silent", "node: again")
         log("fault f", "module: bad")
@@ -96,8 +96,8 @@
 
     text, objects = lines("text"), [json.loads(line) for line in lines("json")]
     assert text == [
-        "limerudder n0: node: backend s-0 is silent; moving 3 connections",
-        "limerudder n0: node: backend s-1 is silent; moving 3 connections",
+        "limerudder n0: node: upstream s-0 is silent; moving 3 connections",
+        "limerudder n0: node: upstream s-1 is silent; moving 3 connections",
         "limerudder n0: node: again (2 more like this not shown)",
         "limerudder n0: module: bad",
     ]
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -138,24 +138,24 @@
 
 
 def ended(here: World) -> None:
-    _, _, fetch = here.served()
-    fetch.machine.feed(b"BYE\r\n", here.now)
-    fetch.machine.eof(here.now)
+    _, _, attempt = here.served()
+    attempt.machine.feed(b"BYE\r\n", here.now)
+    attempt.machine.eof(here.now)
 
 
 def retried(here: World) -> None:
     here.client()
-    (first,) = here.fetches()
+    (first,) = here.attempts()
     first.accept(here.now)
     first.machine.feed(b"BUSY\r\n", here.now)
-    (second,) = here.fetches()
+    (second,) = here.attempts()
     second.accept(here.now)
     second.machine.feed(b"UP 7\r\n", here.now)
 
 
 def never_dialled_up(here: World) -> None:
     here.client()
-    here.fetches()[0].machine.lost(here.now)
+    here.attempts()[0].machine.lost(here.now)
 
 
 def turned_away(here: World) -> None:
@@ -196,7 +196,7 @@
 def test_whom_the_module_avoids_by_choice_is_out_of_rotation(tmp_path: Path) -> None:
     here = world(tmp_path, settings=settings(tryLimit=1))
     here.client()
-    here.fetches()[0].machine.lost(here.now)  # a strike
+    here.attempts()[0].machine.lost(here.now)  # a strike
     assert stats(here)["out_of_rotation"] == "1|g"
     here.run(4 * SECOND)
     assert stats(here)["out_of_rotation"] == "0|g", "it is tried again"
--- a/tests/test_discovery_timing.py
+++ b/tests/test_discovery_timing.py
@@ -135,7 +135,7 @@
             here.node.discovery.move(("127.0.0.1", 7000 + step), here.now)
     since = here.now
     service.drain()
-    while here.node.backend("s-1").state == ServerState.READY:
+    while here.node.upstream("s-1").state == ServerState.READY:
         assert here.now - since < 60 * SECOND, "never heard"
         service.step()
         here.run(STEP)
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -1,4 +1,4 @@
-"""Stories over loopback sockets: a real node among scripted clients, backends and a director."""
+"""Stories over loopback sockets: a real node among scripted clients, upstreams and a director."""
 
 from __future__ import annotations
 
@@ -33,64 +33,64 @@
 
 
 async def served(here: Loopback) -> tuple[Peer, Peer]:
-    """A client that is up, and its backend's side."""
+    """A client that is up, and its upstream's side."""
     client = await here.client()
     client.say("PING")
     assert await client.line() == "PONG"
     line = here.line()
     client.say(line)
-    backend = await here.backend.take()
-    assert (await backend.line()).startswith(line.partition("d=")[0])
-    backend.say("UP 77")
+    upstream = await here.upstream.take()
+    assert (await upstream.line()).startswith(line.partition("d=")[0])
+    upstream.say("UP 77")
     assert await client.line() == "UP 77"
-    return client, backend
+    return client, upstream
 
 
-async def lines_pass_both_ways_until_the_backend_ends(here: Loopback) -> None:
+async def lines_pass_both_ways_until_the_upstream_ends(here: Loopback) -> None:
     async with here.running():
-        client, backend = await served(here)
+        client, upstream = await served(here)
         client.say("M 1")
-        assert await backend.line() == "M 1"
-        backend.say("LOAD 12.5", "M 1", "BYE")
-        backend.writer.close()
+        assert await upstream.line() == "M 1"
+        upstream.say("LOAD 12.5", "M 1", "BYE")
+        upstream.writer.close()
         assert [await client.line() for _ in range(4)] == ["LOAD 12.5", "M 1", "BYE", ""]
 
 
 async def a_reset_ends_the_other_side_with_a_reset(here: Loopback) -> None:
     async with here.running():
-        client, backend = await served(here)
-        reset(backend)
+        client, upstream = await served(here)
+        reset(upstream)
         with pytest.raises(ConnectionResetError):
             await client.line()
-        client, backend = await served(here)
+        client, upstream = await served(here)
         reset(client)
         with pytest.raises(ConnectionResetError):
-            await backend.line()
+            await upstream.line()
 
 
-async def a_client_that_ends_its_side_hears_its_backends_last_words(here: Loopback) -> None:
+async def a_client_that_ends_its_side_hears_its_upstreams_last_words(here: Loopback) -> None:
     async with here.running():
-        client, backend = await served(here)
+        client, upstream = await served(here)
         client.writer.write_eof()
-        assert await backend.line() == ""
+        assert await upstream.line() == ""
         last = ["x" * 4000] * 100 + ["BYE"]
-        backend.say(*last)
-        backend.writer.close()
+        upstream.say(*last)
+        upstream.writer.close()
         assert [await client.line() for _ in last] == last and await client.line() == ""
 
 
 async def more_than_the_buffers_hold_passes_whole_to_a_slow_reader(here: Loopback) -> None:
     async with here.running():
-        client, backend = await served(here)
+        client, upstream = await served(here)
         text = ["x" * 4000] * 2000
-        backend.say(*text)
-        backend.writer.close()
+        upstream.say(*text)
+        upstream.writer.close()
         assert [await client.line() for _ in text] == text and await client.line() == ""
 
 
 async def a_line_without_end_at_full_speed_is_an_error_and_a_close(here: Loopback) -> None:
     async with here.running():
-        client, backend = await served(here)
+        client, upstream = await served(here)
         bad = await here.client()
         for _ in range(200):
             bad.say("k" * 300_000)
@@ -98,31 +98,31 @@
         with pytest.raises(ConnectionError):
             await bad.writer.drain()
         client.say("M 1")
-        assert await backend.line() == "M 1"
+        assert await upstream.line() == "M 1"
 
 
-async def a_backend_that_refuses_leaves_the_req_to_be_answered(here: Loopback) -> None:
+async def a_upstream_that_refuses_leaves_the_request_to_be_answered(here: Loopback) -> None:
     async with here.running(known=hosts(host("s-1", "127.0.0.1:9"))):
         client = await here.client()
         client.say(LINE)
         assert [await client.line(), await client.line()] == ["BUSY", ""]
 
 
-async def a_fetch_given_up_is_closed_at_its_backend(here: Loopback) -> None:
+async def a_attempt_given_up_is_closed_at_its_upstream(here: Loopback) -> None:
     async with here.running():
         client = await here.client()
         client.say(LINE)
-        backend = await here.backend.take()
-        await backend.line()
+        upstream = await here.upstream.take()
+        await upstream.line()
         client.writer.close()
-        assert await backend.line() == ""
+        assert await upstream.line() == ""
 
 
-async def the_director_brings_a_backend_that_was_not_known(here: Loopback) -> None:
+async def the_director_brings_a_upstream_that_was_not_known(here: Loopback) -> None:
     async with here.running(known=hosts()):
         director = await here.discovery.take()
         assert await director.line() == "GET /discovery/hosts?watch=1&after=41 HTTP/1.1"
-        told = json.dumps(hosts(host("s-1", await here.backend.start()))) + "\n"
+        told = json.dumps(hosts(host("s-1", await here.upstream.start()))) + "\n"
         director.say("HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "", f"{len(told):x}", told)
         await served(here)
 
@@ -145,7 +145,7 @@
 
 async def a_reload_watches_at_the_new_address_and_keeps_what_stands(here: Loopback) -> None:
     async with here.running() as node:
-        client, backend = await served(here)
+        client, upstream = await served(here)
         old = await here.discovery.take()
         config, new = here.folder / "config.json", Listener()
         given = json.loads(config.read_text())
@@ -160,7 +160,7 @@
         assert await director.line() == "GET /discovery/hosts?watch=1&after=0 HTTP/1.1"
         assert await old.reader.read() != b"" and old.reader.at_eof()
         client.say("M 1")
-        assert await backend.line() == "M 1" and new.came.empty()
+        assert await upstream.line() == "M 1" and new.came.empty()
         os.kill(os.getpid(), signal.SIGTERM)
         os.kill(os.getpid(), signal.SIGHUP)
         assert await client.line() == "MOVE"
@@ -183,20 +183,22 @@
     link.sock = ours
     link.close()
     theirs.setblocking(False)
-    assert theirs.recv(1) == b"", "the loop has not run since: a fetch that follows cannot overtake this end"
+    assert (
+        theirs.recv(1) == b""
+    ), "the loop has not run since: an attempt that follows cannot overtake this end"
 
 
 STORIES = [
     a_link_reads_on_only_where_it_had_stopped,
     a_link_that_is_closed_is_ended_before_close_returns,
-    lines_pass_both_ways_until_the_backend_ends,
+    lines_pass_both_ways_until_the_upstream_ends,
     a_reset_ends_the_other_side_with_a_reset,
-    a_client_that_ends_its_side_hears_its_backends_last_words,
+    a_client_that_ends_its_side_hears_its_upstreams_last_words,
     more_than_the_buffers_hold_passes_whole_to_a_slow_reader,
     a_line_without_end_at_full_speed_is_an_error_and_a_close,
-    a_backend_that_refuses_leaves_the_req_to_be_answered,
-    a_fetch_given_up_is_closed_at_its_backend,
-    the_director_brings_a_backend_that_was_not_known,
+    a_upstream_that_refuses_leaves_the_request_to_be_answered,
+    a_attempt_given_up_is_closed_at_its_upstream,
+    the_director_brings_a_upstream_that_was_not_known,
     a_planned_stop_moves_its_clients_and_ends,
     a_reload_watches_at_the_new_address_and_keeps_what_stands,
 ]
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -205,7 +205,7 @@
     pair.new.node.give(PredecessorConnections(server, 5), pair.new.now)
     for _ in range(4):
         pair.new.served()
-    assert {dial.machine.owner.backend.name for dial in pair.new.fetches()} == {"s-2"}
+    assert {dial.machine.owner.upstream.name for dial in pair.new.attempts()} == {"s-2"}
 
 
 def test_after_a_stop_with_a_successor_nobody_is_refused_and_moves_take_all_the_time(tmp_path: Path) -> None:
@@ -213,14 +213,14 @@
     here = pair.old
     standing = [here.served()[1] for _ in range(30)]
     _, waiting = here.client()
-    (fetch,) = (d for d in here.fetches() if not d.machine.out)
+    (attempt,) = (d for d in here.attempts() if not d.machine.out)
     quiet, late = here.connect()
     pair.ask().say("serving")
     here.node.stop(here.now)
-    fetch.accept(here.now)
-    fetch.machine.feed(b"UP 7\r\n", here.now)
+    attempt.accept(here.now)
+    attempt.machine.feed(b"UP 7\r\n", here.now)
     quiet.feed(LINE.replace("9b", "77").encode() + b"\r\n", here.now)
-    assert not late.sent and not here.fetches()[-1].machine.out, "it is tried like any other"
+    assert not late.sent and not here.attempts()[-1].machine.out, "it is tried like any other"
     seen = []
     for _ in range(
         12
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -117,7 +117,7 @@
 
     @rule(which=st.integers(0, 99), up=st.booleans())
     def dialled(self, which: int, up: bool) -> None:
-        waiting = [d for d in self.here.fetches() if not d.machine.out]
+        waiting = [d for d in self.here.attempts() if not d.machine.out]
         if waiting:
             link = waiting[-1 - which % min(len(waiting), 3)]
             if not up:
@@ -135,7 +135,7 @@
         ),
     )
     def answer(self, which: int, what: bytes | str) -> None:
-        out = [d for d in self.here.fetches() if d.machine.out]
+        out = [d for d in self.here.attempts() if d.machine.out]
         if not out:
             return
         machine = out[-1 - which % min(len(out), 3)].machine
@@ -180,7 +180,7 @@
             for _ in range(8 * SECOND // 50_000):
                 self.here.run(50_000)
                 self.watch.check(self.here.now)
-            waiting = [h for h in self.here.node.reqs.values() if not h.answered]
+            waiting = [h for h in self.here.node.requests.values() if not h.answered]
             assert not waiting, "after all, each request has its answer"
             for which, (_, link) in enumerate(self.clients):
                 if which not in self.left and not link.closed:
@@ -208,50 +208,50 @@
 
     here, watch = fresh()
     here.client()
-    held = next(iter(here.node.reqs.values()))
-    assert held.backend
+    held = next(iter(here.node.requests.values()))
+    assert held.upstream
     with pytest.raises(InvariantViolation, match="two attempts"):
-        here.node._dial(held, held.backend, None, here.now)
+        here.node._dial(held, held.upstream, None, here.now)
 
     here, watch = fresh()
     here.client()
-    held = next(iter(here.node.reqs.values()))
+    held = next(iter(here.node.requests.values()))
     here.node._final(held, "failed", "faulted", here.now)
     with pytest.raises(InvariantViolation, match="two final answers"):
         here.node._final(held, "failed", "faulted", here.now)
 
     here, watch = fresh()
     here.client()
-    held = next(iter(here.node.reqs.values()))
-    assert held.backend
-    held.backend.state = ServerState.DRAINING
+    held = next(iter(here.node.requests.values()))
+    assert held.upstream
+    held.upstream.state = ServerState.DRAINING
     watch._may_write = lambda held, now: True
     with pytest.raises(InvariantViolation, match="drains"):
-        here.fetches()[0].accept(here.now)
+        here.attempts()[0].accept(here.now)
 
     here, watch = fresh()
     here.client()
-    held = next(iter(here.node.reqs.values()))
+    held = next(iter(here.node.requests.values()))
     held.settle()
     watch._may_write = lambda held, now: True
     with pytest.raises(InvariantViolation, match="gone"):
-        here.fetches()[0].accept(here.now)
+        here.attempts()[0].accept(here.now)
 
     told = site(["unsafe"], 0, 3, True, 2 * SECOND)
     told["classes"][0]["name"] = "chat"
     here, watch = fresh(settings=told)
     here.client()
-    held = next(iter(here.node.reqs.values()))
-    assert held.backend
-    watch.risks[held.number] = here.now, held.backend
+    held = next(iter(here.node.requests.values()))
+    assert held.upstream
+    watch.risks[held.number] = here.now, held.upstream
     with pytest.raises(InvariantViolation, match="unsafe"):
-        here.fetches()[0].accept(here.now)
+        here.attempts()[0].accept(here.now)
     with pytest.raises(InvariantViolation, match="may have run"):
         here.node._final(held, "refused", "throttled", here.now)
 
     here, watch = fresh()
     here.client()
-    held = next(iter(here.node.reqs.values()))
+    held = next(iter(here.node.requests.values()))
     assert held.overdue
     held.overdue.cancel()
     held.timers.clear()
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -20,7 +20,7 @@
 START = 1_700_000_000_000  #: milliseconds
 
 
-def backend(here: World, name: str) -> int:
+def upstream(here: World, name: str) -> int:
     return here.node.numbers[name]
 
 
@@ -42,17 +42,17 @@
         here.node.endpoints_received(parse_endpoints(hosts(entry, host("s-2"))), here.now)
     for _ in range(20):
         here.client()
-    assert {dial.machine.owner.backend.name for dial in here.fetches()} == {"s-2"}
+    assert {dial.machine.owner.upstream.name for dial in here.attempts()} == {"s-2"}
 
 
 def test_what_is_pending_ends_and_what_stands_is_moved_at_once_and_spread(tmp_path: Path) -> None:
     here = world(tmp_path, known=hosts(host("s-1")))
     standing = [here.served() for _ in range(10)]
     _, late = here.client()
-    (setting_up,) = (d for d in here.fetches() if d not in [fetch for _, _, fetch in standing])
+    (setting_up,) = (d for d in here.attempts() if d not in [attempt for _, _, attempt in standing])
     setting_up.accept(here.now)
     here.client()
-    (dialled,) = (d for d in here.fetches() if not d.machine.out)
+    (dialled,) = (d for d in here.attempts() if not d.machine.out)
     assert here.node.maintenance.on("s-1", here.now)
     assert dialled.closed, "no line is written after the yes"
     here.run(SECOND // 2)
@@ -68,10 +68,10 @@
     here = world(tmp_path)
     hold_all_but(here, "s-2")
     here.client(LINE + ",at=s-1")
-    assert not here.fetches()
+    assert not here.attempts()
     assert here.node.maintenance.off("s-1", here.now)
     here.run(SECOND // 4 + 5000)
-    assert [dial.machine.owner.backend.name for dial in here.fetches()] == ["s-1"]
+    assert [dial.machine.owner.upstream.name for dial in here.attempts()] == ["s-1"]
 
 
 def test_two_calls_out_are_undone_by_one_back_and_unknown_ids_are_refused(tmp_path: Path) -> None:
@@ -98,7 +98,7 @@
     else:
         here.node.maintenance.off("s-1", here.now)
     if way == "listed with its new start":
-        assert here.node.backends[backend(here, "s-1")].back_at == here.now
+        assert here.node.upstreams[upstream(here, "s-1")].back_at == here.now
         here.node.endpoints_received(
             parse_endpoints(hosts(host("s-1") | {"startedAtMs": 40_000}, host("s-2"))), here.now
         )
@@ -107,19 +107,19 @@
         for m in told
         if isinstance(m, EndpointUpdate)
         for e in m.entries
-        if e.server == backend(here, "s-1")
+        if e.server == upstream(here, "s-1")
     ]
     assert (
         entries[-1].state == ServerState.READY and entries[-1].since == here.now
     ), "cold, whatever is listed"
     here.served()
-    assert here.fetches()[-1].machine.owner.backend.name == "s-1", "the next one goes there"
+    assert here.attempts()[-1].machine.owner.upstream.name == "s-1", "the next one goes there"
     placed = set[str]()
     for _ in range(19):
         here.served()
-        placed |= {dial.machine.owner.backend.name for dial in here.fetches()}
+        placed |= {dial.machine.owner.upstream.name for dial in here.attempts()}
     assert placed == {"s-1", "s-2"}
-    many = sum(dial.machine.owner.backend.name == "s-1" for dial in here.fetches())
+    many = sum(dial.machine.owner.upstream.name == "s-1" for dial in here.attempts())
     assert many <= 4, "inside the cold budget"
 
 
@@ -132,7 +132,7 @@
     moved = sum(link.sent.endswith(b"MOVE\r\n") for link in standing)
     assert moved == 2
     here.served()
-    assert here.fetches()[-1].machine.owner.backend.name == "s-1"
+    assert here.attempts()[-1].machine.owner.upstream.name == "s-1"
     here.run(5 * SECOND)
     assert sum(link.sent.endswith(b"MOVE\r\n") for link in standing) == moved, "and no more than it takes"
 
@@ -150,8 +150,8 @@
     (entry,) = (e for m in told if isinstance(m, EndpointUpdate) for e in m.entries)
     assert entry.since == here.now - ago
     other.served()
-    (fetch,) = other.fetches()
-    assert ago > SECOND or fetch.machine.owner.backend.name == "s-1"
+    (attempt,) = other.attempts()
+    assert ago > SECOND or attempt.machine.owner.upstream.name == "s-1"
 
 
 def test_discovery_is_asked_no_later_for_a_call_by_hand(tmp_path: Path) -> None:
@@ -179,11 +179,11 @@
     assert here.node.maintenance.on("s-1", here.now)
     other.run(SECOND // 10 + 10_000)
     assert other.node.maintenance.held == {"s-1"}
-    assert other.node.backends[backend(other, "s-1")].state == ServerState.DRAINING
+    assert other.node.upstreams[upstream(other, "s-1")].state == ServerState.DRAINING
     assert other.node.maintenance.off("s-1", other.now)
     here.run(SECOND // 10 + 10_000)
     assert not here.node.maintenance.held
-    assert here.node.backends[backend(here, "s-1")].state == ServerState.READY
+    assert here.node.upstreams[upstream(here, "s-1")].state == ServerState.READY
 
 
 class Broken(InMemoryMarks):
@@ -225,11 +225,11 @@
     for started, out in [(START, True), (START - 5, True), (START + 1, False)]:
         entry = host("s-1") | {"startedAtMs": started}
         here.node.endpoints_received(parse_endpoints(hosts(entry, host("s-2"))), here.now)
-        assert (here.node.backends[backend(here, "s-1")].state == ServerState.DRAINING) == out, started
+        assert (here.node.upstreams[upstream(here, "s-1")].state == ServerState.DRAINING) == out, started
     recall.told("s-1", START + 9)
     here.node.relist("s-1", here.now)
-    assert here.node.backends[backend(here, "s-1")].state == ServerState.DRAINING
+    assert here.node.upstreams[upstream(here, "s-1")].state == ServerState.DRAINING
     leaving = host("s-2", lifecycle="leaving") | {"startedAtMs": 7}
     here.node.endpoints_received(parse_endpoints(hosts(leaving)), here.now)
     assert recall.heard == {"s-2": 7} and recall.drained() == {"s-1": START + 9, "s-2": 7}
-    assert backend(here, "s-2") and not here.node.lists("s-1")
+    assert upstream(here, "s-2") and not here.node.lists("s-1")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,4 +1,4 @@
-"""The node in memory: one final answer to each req, one fetch at a time, and what the module is owed."""
+"""The node with its state machines: first lines, attempts, health checks and discovery, without sockets."""
 
 from __future__ import annotations
 
@@ -51,31 +51,31 @@
 def test_a_served_client_and_its_end(tmp_path: Path, pieces: int) -> None:
     here = world(tmp_path)
     told = events(here)
-    session, link, fetch = here.served()
-    assert fetch.sent.decode().startswith(LINE.split("d=")[0]) and "d=1000," in fetch.sent.decode()
+    session, link, attempt = here.served()
+    assert attempt.sent.decode().startswith(LINE.split("d=")[0]) and "d=1000," in attempt.sent.decode()
     session.feed(b"M 1\r\nM 2\r\n", here.now)
-    assert fetch.sent.endswith(b"M 1\r\nM 2\r\n")
+    assert attempt.sent.endswith(b"M 1\r\nM 2\r\n")
     data = b"LOAD 2500.5\r\nM 1\r\nBYE\r\n"
     for at in range(0, len(data), -(-len(data) // pieces)):
-        fetch.machine.feed(data[at : at + -(-len(data) // pieces)], here.now)
-    fetch.machine.eof(here.now)
-    assert link.sent == b"UP 77\r\n" + data and link.finished and fetch.closed
+        attempt.machine.feed(data[at : at + -(-len(data) // pieces)], here.now)
+    attempt.machine.eof(here.now)
+    assert link.sent == b"UP 77\r\n" + data and link.finished and attempt.closed
     assert [e.load for e in told if isinstance(e, LoadSample)] == [2500.5]
     (end,) = (e for e in told if isinstance(e, AttemptEnded))
-    assert (end.ending, end.closed) == (AttemptOutcome.OK, 1) and not here.node.reqs
+    assert (end.ending, end.closed) == (AttemptOutcome.OK, 1) and not here.node.requests
 
 
 BAD = {
-    b"HELLO\r\n": "reqs_malformed",
-    b"\x16\x03\x01": "reqs_malformed",
-    b"OPEN a\nOPEN": "reqs_malformed",
-    LINE.replace("d=2000", "d=-5").encode() + b"\r\n": "reqs_malformed",
-    LINE.replace("c=chat", "c=odd").encode() + b"\r\n": "reqs_of_unknown_names",
-    LINE.replace("t=acme", "t=odd").encode() + b"\r\n": "reqs_of_unknown_names",
-    LINE.encode() + b"x" * 5000: "reqs_overlong",
-    b"PING\r\n" * 300: "reqs_impatient",
-    b"PING\r\n" + LINE.encode() + b"\r\n": "reqs_impatient",
-    (LINE.encode() + b"\r\n") * 300: "reqs_impatient",
+    b"HELLO\r\n": "requests_malformed",
+    b"\x16\x03\x01": "requests_malformed",
+    b"OPEN a\nOPEN": "requests_malformed",
+    LINE.replace("d=2000", "d=-5").encode() + b"\r\n": "requests_malformed",
+    LINE.replace("c=chat", "c=odd").encode() + b"\r\n": "requests_of_unknown_names",
+    LINE.replace("t=acme", "t=odd").encode() + b"\r\n": "requests_of_unknown_names",
+    LINE.encode() + b"x" * 5000: "requests_overlong",
+    b"PING\r\n" * 300: "requests_impatient",
+    b"PING\r\n" + LINE.encode() + b"\r\n": "requests_impatient",
+    (LINE.encode() + b"\r\n") * 300: "requests_impatient",
 }
 
 
@@ -96,39 +96,45 @@
     assert link.sent.replace(b"PONG\r\n", b"") == b"ERR\r\n" and link.finished and not link.closed
     if pieces == 1:
         assert here.node.counters[BAD[data]] == 1
-    assert not here.node.reqs and not here.node.ids and not here.fetches()
+    assert not here.node.requests and not here.node.ids and not here.attempts()
     here.run(SECOND + 5000)
     assert link.closed and not here.node.admission.guests and not here.node.admission.idle
 
 
-def test_what_comes_before_the_answer_ends_the_req_and_its_fetch(tmp_path: Path) -> None:
+def test_what_comes_before_the_answer_ends_the_request_and_its_attempt(tmp_path: Path) -> None:
     here = world(tmp_path)
     told = events(here)
     session, link = here.client()
-    (fetch,) = here.fetches()
-    fetch.accept(here.now)
+    (attempt,) = here.attempts()
+    attempt.accept(here.now)
     session.feed(LINE.encode() + b"\r\n", here.now)
-    assert link.sent == b"ERR\r\n" and fetch.closed and b"OPEN" not in fetch.sent[5:]
-    assert not here.node.reqs and [type(e) for e in told] == [NewRequest, ClientDisconnected, AttemptEnded]
+    assert link.sent == b"ERR\r\n" and attempt.closed and b"OPEN" not in attempt.sent[5:]
+    assert not here.node.requests and [type(e) for e in told] == [
+        NewRequest,
+        ClientDisconnected,
+        AttemptEnded,
+    ]
 
 
-def test_the_id_of_an_open_req_is_refused_and_that_req_goes_on(
+def test_the_id_of_an_open_request_is_refused_and_that_request_goes_on(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     here = world(tmp_path)
     told = events(here)
-    first, link, fetch = here.served()
-    line = fetch.sent.partition(b"d=")[0] + b"d=2000\r\n"
+    first, link, attempt = here.served()
+    line = attempt.sent.partition(b"d=")[0] + b"d=2000\r\n"
     for turn in range(2):
         session, other = here.connect()
         session.feed(line, here.now)
-        assert other.sent == b"ERR\r\n" and not fetch.closed and here.fetches() == [fetch]
-        assert here.node.counters["reqs_of_id_in_use"] == turn + 1 == here.node.counters["reqs"] + turn
+        assert other.sent == b"ERR\r\n" and not attempt.closed and here.attempts() == [attempt]
+        assert (
+            here.node.counters["requests_of_id_in_use"] == turn + 1 == here.node.counters["requests"] + turn
+        )
     assert [type(e) for e in told] == [NewRequest, ConnectionEstablished], "the module hears nothing of it"
     first.lost(here.now)
     session, other = here.connect()
     session.feed(line, here.now)
-    assert other.sent == b"ERR\r\n" and not here.fetches(), "a copy may come when the req has just ended"
+    assert other.sent == b"ERR\r\n" and not here.attempts(), "a copy may come when the request has just ended"
     monkeypatch.setattr("limerudder.core.node.PAST", 3)
     for _ in range(4):
         here.served()[0].lost(here.now)
@@ -151,7 +157,7 @@
     assert link.finished and not link.closed
     if not said:
         session.feed(LINE.encode() + b"\r\n", here.now)
-        assert not here.node.reqs and not here.fetches(), "read after the end, and never sent on"
+        assert not here.node.requests and not here.attempts(), "read after the end, and never sent on"
     here.run(SECOND + 5000)
     assert link.closed and not here.node.admission.guests
 
@@ -163,8 +169,8 @@
     for at in range(len(text)):
         here.run(25_000)
         session.feed(text[at : at + 1], here.now)
-    (fetch,) = here.fetches()
-    assert fetch.accept(here.now).startswith(LINE.partition("d=")[0]) and not link.sent
+    (attempt,) = here.attempts()
+    assert attempt.accept(here.now).startswith(LINE.partition("d=")[0]) and not link.sent
 
 
 def test_a_client_that_sends_on_after_its_last_line_is_read_no_further(tmp_path: Path) -> None:
@@ -186,7 +192,7 @@
         assert link.held is on
 
 
-def test_where_sockets_are_short_those_without_a_req_make_place_the_longest_idle_first(
+def test_where_sockets_are_short_those_without_a_request_make_place_the_longest_idle_first(
     tmp_path: Path,
 ) -> None:
     here = world(tmp_path, limits={"sockets": 24})  # room for 12; of the 12 spared, 3 are for last words
@@ -198,15 +204,15 @@
     assert ended == [False, True] + [False] * 4 and silent[1][1].sent == b"BUSY\r\n"
     session.feed(LINE.replace("9b", "77").encode() + b"\r\n", here.now)
     ended = [guest.finished for _, guest in silent]
-    assert ended == [False, True, True] + [False] * 3, "its fetch needs one"
+    assert ended == [False, True, True] + [False] * 3, "its attempt needs one"
     assert not any(guest.closed for _, guest in silent), "a moment to read it"
     for _ in range(100):
         here.connect()
     assert all(guest.closed for _, guest in silent), "and no more than that"
     admission, counters = here.node.admission, here.node.counters
-    assert len(admission.guests) + len(here.node.reqs) == 12 + 3
+    assert len(admission.guests) + len(here.node.requests) == 12 + 3
     assert len(admission.ended) == 3 == counters["clients_put_out"] - counters["clients_put_away"]
-    assert not link.closed and not any(fetch.closed for _, _, fetch in standing)
+    assert not link.closed and not any(attempt.closed for _, _, attempt in standing)
     assert counters["clients_put_out"] == 102
 
 
@@ -226,22 +232,22 @@
     session.feed(LINE.encode() + b"\r\n", here.now)
     session.crowded(True)
     assert not link.held
-    (fetch,) = here.fetches()
+    (attempt,) = here.attempts()
     link.gone = True  # its FIN is there, behind bytes that the loop has not come to
-    assert fetch.accept(here.now) == "" and fetch.closed and link.closed
-    assert not here.node.reqs and here.node.counters["clients_left_unread"] == 1
+    assert attempt.accept(here.now) == "" and attempt.closed and link.closed
+    assert not here.node.requests and here.node.counters["clients_left_unread"] == 1
     here.run(SECOND)
-    assert not here.fetches(), "and never sent on"
+    assert not here.attempts(), "and never sent on"
 
 
 def test_a_client_that_leaves_while_its_attempt_is_dialled_is_never_sent_on(tmp_path: Path) -> None:
     """Also where the settings allow no attempt to be called off: this one has not begun."""
     here = world(tmp_path, settings=settings(cancel=False))
     session, _ = here.client()
-    (fetch,) = here.fetches()
+    (attempt,) = here.attempts()
     session.eof(here.now)
-    assert fetch.accept(here.now) == "" and fetch.closed
-    assert not here.node.reqs and here.node.counters["fetches_connect_failed"] == 1
+    assert attempt.accept(here.now) == "" and attempt.closed
+    assert not here.node.requests and here.node.counters["attempts_connect_failed"] == 1
 
 
 @pytest.mark.parametrize(
@@ -258,13 +264,13 @@
     ],
     ids=lambda value: str(value)[:20],
 )
-def test_a_fetch_that_fails_is_closed_before_the_next(
+def test_a_attempt_that_fails_is_closed_before_the_next(
     tmp_path: Path, how: str, ending: AttemptOutcome
 ) -> None:
     here = world(tmp_path)
     told = events(here)
     _, link = here.client()
-    (first,) = here.fetches()
+    (first,) = here.attempts()
     if how == "no answer to the dial":
         here.run(110_000)
     elif how != "refused":
@@ -276,13 +282,13 @@
     else:
         first.machine.feed(how.encode() + b"\r\n", here.now)
     assert [e.ending for e in told if isinstance(e, AttemptEnded)] == [ending]
-    (second,) = here.fetches()
+    (second,) = here.attempts()
     assert first.closed and second is not first and not link.sent
 
 
 def test_the_rules_hold_whatever_the_module_sends(tmp_path: Path) -> None:
     here = world(tmp_path)
-    first, other = here.node.backends.values()
+    first, other = here.node.upstreams.values()
     other.state = ServerState.DRAINING
     sends = [
         StartAttempt(1, other.number, 0),
@@ -293,16 +299,16 @@
         list(sends) if isinstance(event, NewRequest) else []
     )
     here.client()
-    assert len(here.fetches()) == 1 and here.node.counters["fetches_moot"] == 2
+    assert len(here.attempts()) == 1 and here.node.counters["attempts_moot"] == 2
 
 
-def test_a_req_given_up_is_answered_at_once_and_in_time(tmp_path: Path) -> None:
+def test_a_request_given_up_is_answered_at_once_and_in_time(tmp_path: Path) -> None:
     here = world(tmp_path)
     _, link = here.client()
-    for _ in range(2):  # as many backends as there are
-        here.fetches()[0].machine.lost(here.now)
+    for _ in range(2):  # as many upstreams as there are
+        here.attempts()[0].machine.lost(here.now)
     here.run(1_990_000)
-    assert link.sent == b"BUSY\r\n" and not here.node.reqs and not here.fetches()
+    assert link.sent == b"BUSY\r\n" and not here.node.requests and not here.attempts()
 
 
 @pytest.mark.parametrize(("allowed", "advice"), [(False, b"BUSY\r\n"), (True, b"BUSY 700\r\n")])
@@ -316,53 +322,53 @@
     assert link.sent == advice
 
 
-def test_a_client_that_leaves_early_takes_its_fetch_with_it(tmp_path: Path) -> None:
+def test_a_client_that_leaves_early_takes_its_attempt_with_it(tmp_path: Path) -> None:
     here = world(tmp_path)
     told = events(here)
     session, link = here.client()
-    (fetch,) = here.fetches()
+    (attempt,) = here.attempts()
     session.eof(here.now)
-    assert fetch.closed and link.closed and not here.node.reqs
+    assert attempt.closed and link.closed and not here.node.requests
     (end,) = (e for e in told if isinstance(e, AttemptEnded))
     assert (end.ending, end.closed) == (AttemptOutcome.CANCELLED, 1)
     assert any(isinstance(e, ClientDisconnected) for e in told)
 
 
-@pytest.mark.parametrize("way", ["backend resets", "client resets", "client ends"])
+@pytest.mark.parametrize("way", ["upstream resets", "client resets", "client ends"])
 def test_the_other_side_ends_as_the_first_did(tmp_path: Path, way: str) -> None:
     here = world(tmp_path)
-    session, link, fetch = here.served()
-    if way == "backend resets":
-        fetch.machine.lost(here.now)
+    session, link, attempt = here.served()
+    if way == "upstream resets":
+        attempt.machine.lost(here.now)
         assert link.was_reset
     elif way == "client resets":
         session.lost(here.now)
-        assert fetch.was_reset
+        assert attempt.was_reset
     else:
         session.eof(here.now)
-        assert fetch.finished and not fetch.closed
+        assert attempt.finished and not attempt.closed
         here.run(800_000)
-        assert fetch.closed and link.finished
-    assert not here.node.reqs
+        assert attempt.closed and link.finished
+    assert not here.node.requests
 
 
-def test_a_backend_that_answers_a_client_that_has_ended_is_not_waited_for_for_ever(tmp_path: Path) -> None:
+def test_a_upstream_that_answers_a_client_that_has_ended_is_not_waited_for_for_ever(tmp_path: Path) -> None:
     here = world(tmp_path)
-    session, link, fetch = here.served()
+    session, link, attempt = here.served()
     session.feed(b"M 1\r\n", here.now)
     session.eof(here.now)
-    fetch.machine.feed(b"M 1\r\n", here.now)
+    attempt.machine.feed(b"M 1\r\n", here.now)
     here.run(800_000)
-    assert fetch.closed and link.finished and not here.node.reqs
+    assert attempt.closed and link.finished and not here.node.requests
 
 
 def test_a_slow_reader_holds_the_other_side(tmp_path: Path) -> None:
     here = world(tmp_path)
-    session, link, fetch = here.served()
+    session, link, attempt = here.served()
     for on in (True, False):
         session.crowded(on)
-        fetch.machine.crowded(on)
-        assert (link.held, fetch.held) == (on, on)
+        attempt.machine.crowded(on)
+        assert (link.held, attempt.held) == (on, on)
 
 
 @pytest.mark.parametrize("said", [b"M 1\r\n", b"M 1\r\nM"], ids=["a line", "a line and a half"])
@@ -371,23 +377,23 @@
 ) -> None:
     here = world(tmp_path)
     told = events(here)
-    session, link, fetch = here.served()
-    backend = here.node.backends[here.node.numbers["s-1"]]
+    session, link, attempt = here.served()
+    upstream = here.node.upstreams[here.node.numbers["s-1"]]
     session.feed(said, here.now)
     for _ in range(25):  # the machine answers on other connections
-        for each in here.node.backends.values():
+        for each in here.node.upstreams.values():
             each.heard = here.now
-        fetch.machine.framer.feed(b"half a li")
-        assert not link.finished and backend.silence.since is None
+        attempt.machine.framer.feed(b"half a li")
+        assert not link.finished and upstream.silence.since is None
         here.run(100_000)
     here.run(5000)
-    assert link.sent == b"UP 77\r\nMOVE\r\n" and link.finished and fetch.closed
+    assert link.sent == b"UP 77\r\nMOVE\r\n" and link.finished and attempt.closed
     (end,) = (e for e in told if isinstance(e, AttemptEnded))
-    assert end.ending == AttemptOutcome.CANCELLED, "nothing is learned of what the backend can hold"
+    assert end.ending == AttemptOutcome.CANCELLED, "nothing is learned of what the upstream can hold"
 
 
 @pytest.mark.parametrize("back", [False, True], ids=["gone", "heard again"])
-def test_the_clients_of_a_backend_gone_silent_are_moved_bit_by_bit_while_it_is(
+def test_the_clients_of_a_upstream_gone_silent_are_moved_bit_by_bit_while_it_is(
     tmp_path: Path, back: bool
 ) -> None:
     """Incident rcd69b2: two machines were cut off, and 42 clients waited until they were back."""
@@ -402,33 +408,33 @@
         if back and moved[-1]:
             all_up[-1][2].machine.feed(b"LOAD 1\r\n", here.now)
     assert moved[0] == 0 and 0 < moved[1] < 10 and (moved[-1] < 10 if back else moved[-1] == 20)
-    assert here.node.counters["backends_silent"] == 1
+    assert here.node.counters["upstreams_silent"] == 1
     assert len([text for text in here.logged if "s-1 is silent" in text]) == 1
 
 
 def test_a_long_message_is_noted_once_a_second_and_once_when_it_is_well(tmp_path: Path) -> None:
     here = world(tmp_path)
     told = events(here)
-    session, _, fetch = here.served()
+    session, _, attempt = here.served()
     for took in (30_000, 30_000, 5000, 5000):
         session.feed(b"M\r\n", here.now)
         here.run(took)
-        fetch.machine.feed(b"M\r\n", here.now)
+        attempt.machine.feed(b"M\r\n", here.now)
     samples = [(type(e), e[2]) for e in told if isinstance(e, LatencySample | LoadSample)]
     assert samples == [(LatencySample, 30.0), (LatencySample, 5.0)]
 
 
-def test_a_connection_of_before_goes_to_its_backend_and_is_tried_again(tmp_path: Path) -> None:
+def test_a_connection_of_before_goes_to_its_upstream_and_is_tried_again(tmp_path: Path) -> None:
     here = world(tmp_path)
     told = events(here)
     line = LINE.replace("d=2000", "d=4294967") + ",at=s-2"
     _, link = here.client(line)
-    here.fetches()[0].machine.lost(here.now)
-    assert not here.fetches()
+    here.attempts()[0].machine.lost(here.now)
+    assert not here.attempts()
     here.run(260_000)
-    (fetch,) = here.fetches()
-    assert fetch.accept(here.now) == line + "\r\n"
-    fetch.machine.feed(b"UP 5\r\n", here.now)
+    (attempt,) = here.attempts()
+    assert attempt.accept(here.now) == line + "\r\n"
+    attempt.machine.feed(b"UP 5\r\n", here.now)
     assert link.sent == b"UP 5\r\n"
     assert [type(e) for e in told if not isinstance(e, TimerFired | HealthCheckResult)] == [
         ExistingConnection
@@ -437,11 +443,11 @@
 
 def test_a_connection_of_before_at_a_host_of_no_list_fails_and_leaves_nothing(tmp_path: Path) -> None:
     here = world(tmp_path)
-    told, known = events(here), len(here.node.backends)
+    told, known = events(here), len(here.node.upstreams)
     _, link = here.client(LINE + ",at=s-99")
     here.run(31 * SECOND)
-    assert link.sent == b"ERR\r\n" and not here.node.reqs and not here.fetches()
-    assert len(here.node.backends) == known and not [e for e in told if isinstance(e, ExistingConnection)]
+    assert link.sent == b"ERR\r\n" and not here.node.requests and not here.attempts()
+    assert len(here.node.upstreams) == known and not [e for e in told if isinstance(e, ExistingConnection)]
 
 
 def test_where_sockets_are_short_a_client_is_refused_at_once(tmp_path: Path) -> None:
@@ -449,18 +455,18 @@
     links = [here.served()[1], here.client()[1], here.client("PING")[1]]
     assert [link.sent for link in links] == [b"UP 77\r\n", b"BUSY\r\n", b"PONG\r\n"]
     assert [link.closed for link in links] == [False, True, False], "the second has had its answer"
-    assert len(here.fetches()) == 1
+    assert len(here.attempts()) == 1
 
 
-def test_a_dial_under_way_to_a_backend_that_drains_is_given_up(tmp_path: Path) -> None:
+def test_a_dial_under_way_to_a_upstream_that_drains_is_given_up(tmp_path: Path) -> None:
     here = world(tmp_path)
     here.client()
-    (fetch,) = here.fetches()
-    (held,) = here.node.reqs.values()
-    assert held.backend
-    drains = parse_endpoints(hosts(host(held.backend.name, lifecycle="leaving"), reset=False))
+    (attempt,) = here.attempts()
+    (held,) = here.node.requests.values()
+    assert held.upstream
+    drains = parse_endpoints(hosts(host(held.upstream.name, lifecycle="leaving"), reset=False))
     here.node.endpoints_received(drains, here.now)
-    assert fetch.closed and len(here.fetches()) == 1
+    assert attempt.closed and len(here.attempts()) == 1
 
 
 def test_a_silent_watch_is_a_dead_one(tmp_path: Path) -> None:
@@ -501,10 +507,10 @@
     for call in old:
         _say(call, hosts(), here.now)
     assert not [e for e in told if isinstance(e, EndpointUpdate)]
-    assert [b.state for b in here.node.backends.values()] == [ServerState.READY] * 2
+    assert [b.state for b in here.node.upstreams.values()] == [ServerState.READY] * 2
     _say(new, hosts(host("s-3"), reset=whole) | {"generation": 3}, here.now)
     assert here.node.discovery.version == 3
-    ready = [b.name for b in here.node.backends.values() if b.state == ServerState.READY]
+    ready = [b.name for b in here.node.upstreams.values() if b.state == ServerState.READY]
     assert ready == (["s-3"] if whole else ["s-1", "s-2", "s-3"])
     question = here.dials[-1]
     assert (question is new) is whole, "changes alone say nothing of what else there is"
@@ -531,7 +537,7 @@
     assert isinstance(again.machine, DiscoveryCall) and again.machine.after is None
     _say(again, hosts(host("s-3")), here.now)
     again.machine.feed(b"0\r\n\r\n", here.now)
-    assert [b.name for b in here.node.backends.values() if b.state == ServerState.READY] == ["s-3"]
+    assert [b.name for b in here.node.upstreams.values() if b.state == ServerState.READY] == ["s-3"]
 
 
 def test_a_node_that_starts_asks_for_changes_alone(tmp_path: Path) -> None:
@@ -541,7 +547,7 @@
 
 
 @pytest.mark.parametrize("kind", [NewRequest, TimerFired])
-def test_a_fault_in_the_module_costs_one_req_at_most(tmp_path: Path, kind: type) -> None:
+def test_a_fault_in_the_module_costs_one_request_at_most(tmp_path: Path, kind: type) -> None:
     here = world(tmp_path)
     handle, met = here.node.balancer.handle, list[Event]()
 
@@ -563,14 +569,14 @@
     assert met.count(TimerFired(77)) == (2 if kind is TimerFired else 0), "the timer it would have set anew"
 
 
-def test_a_module_that_never_answers_does_not_lose_the_req(tmp_path: Path) -> None:
+def test_a_module_that_never_answers_does_not_lose_the_request(tmp_path: Path) -> None:
     here = world(tmp_path)
     here.node.balancer.handle = lambda event, now: []  # type: ignore[method-assign]
     _, link = here.client()
     here.run(2 * SECOND + 15_000)
     assert not link.finished
     here.run(10_000)
-    assert link.sent == b"ERR\r\n" and not here.node.reqs
+    assert link.sent == b"ERR\r\n" and not here.node.requests
 
 
 def test_a_planned_stop_refuses_newcomers_and_moves_all_that_stand_bit_by_bit(tmp_path: Path) -> None:
@@ -590,7 +596,7 @@
     assert moved[19] == 30 and done and done[0] < begun + 2_700_000, "SIGKILL may come then"
 
 
-def test_a_planned_stop_leaves_no_req_without_its_answer(tmp_path: Path) -> None:
+def test_a_planned_stop_leaves_no_request_without_its_answer(tmp_path: Path) -> None:
     slow = settings(dialTimeoutUs=60 * SECOND)
     slow["classes"][0] |= {"aimUs": 60 * SECOND, "deadlineUs": 60 * SECOND}
     here = world(tmp_path, settings=slow)
@@ -599,7 +605,7 @@
     here.run(3_200_000)
     assert not link.finished
     here.run(200_000)
-    assert link.sent == b"ERR\r\n" and not here.fetches()
+    assert link.sent == b"ERR\r\n" and not here.attempts()
 
 
 def test_a_fault_in_an_action_does_not_deafen_the_node(tmp_path: Path) -> None:
@@ -668,7 +674,7 @@
 def test_a_report_that_cannot_be_read_is_counted_and_told_of(tmp_path: Path, said: str, spoilt: int) -> None:
     here = world(tmp_path, settings=settings(probes=True))
     told = events(here)
-    here.node._probe(CheckHealth(next(iter(here.node.backends))), here.now)
+    here.node._probe(CheckHealth(next(iter(here.node.upstreams))), here.now)
     link = here.dials[-1]
     link.accept(here.now)
     link.machine.feed(f"PONG {said}".strip().encode() + b"\r\n", here.now)
--- a/tests/test_race_conditions.py
+++ b/tests/test_race_conditions.py
@@ -88,7 +88,7 @@
         assert await client.line() == ""
         patch.undo()
         await served(here)  # and its host has this one alone
-        assert here.backend.came.empty()
+        assert here.upstream.came.empty()
 
 
 async def a_planned_stop_ends_those_who_rest(here: Loopback, patch: pytest.MonkeyPatch) -> None:
@@ -103,7 +103,7 @@
         assert not node.done(), "told while the process is there to take what crosses"
         client.say(here.line())
         await node
-    assert here.backend.came.empty()
+    assert here.upstream.came.empty()
 
 
 # a close over unread bytes
@@ -111,8 +111,8 @@
 
 async def a_move_reaches_a_client_that_never_stops_sending(here: Loopback, patch: pytest.MonkeyPatch) -> None:
     async with here.running(settings=quick()) as node:
-        client, backend = await served(here)
-        taking = asyncio.create_task(all_that_comes(backend))
+        client, upstream = await served(here)
+        taking = asyncio.create_task(all_that_comes(upstream))
 
         async def send() -> None:
             while True:
@@ -142,7 +142,7 @@
     async with here.running():
         await here.discovery.take()
         await served(here)
-        assert len(told) >= 3 and all(told), "client, backend and director"
+        assert len(told) >= 3 and all(told), "client, upstream and director"
 
 
 # a client that has gone
@@ -156,11 +156,11 @@
         async with here.running(settings=settings(dialTimeoutUs=5 * SECOND, cancel=cancel)):
             client = await here.client()
             client.say(here.line())
-            backend = await here.backend.take()
+            upstream = await here.upstream.take()
             client.writer.write_eof()  # it ends its sending: it leaves
             assert await client.line() == "", "the node has seen it"
             late.gate.set()
-            assert await all_that_comes(backend) == b""
+            assert await all_that_comes(upstream) == b""
         patch.undo()
 
 
@@ -171,7 +171,7 @@
     async with here.running(settings=settings(dialTimeoutUs=5 * SECOND)):
         client = await here.client()
         client.say(here.line())
-        backend = await here.backend.take()
+        upstream = await here.upstream.take()
         link = came[-1].link
         assert isinstance(link, TcpConnection) and not link.left()
         link.hold(True)  # as where the loop has not come to it yet
@@ -180,7 +180,7 @@
         while not link.left():
             await asyncio.sleep(0)
         late.gate.set()
-        assert await all_that_comes(backend) == b""
+        assert await all_that_comes(upstream) == b""
 
 
 async def hundreds_that_leave_at_once_are_never_sent_on(here: Loopback, patch: pytest.MonkeyPatch) -> None:
@@ -189,15 +189,15 @@
         clients = [await here.client() for _ in range(many)]
         for client in clients:
             client.say(here.line())
-        backends = [await here.backend.take() for _ in range(4)]  # as many are set up there at a time
+        upstreams = [await here.upstream.take() for _ in range(4)]  # as many are set up there at a time
         for client in clients:
             client.writer.close()
         for client in clients:
             await client.writer.wait_closed()
         late.gate.set()
-        assert [await all_that_comes(backend) for backend in backends] == [b""] * len(backends)
-        while not here.backend.came.empty():
-            assert await all_that_comes(await here.backend.take()) == b""
+        assert [await all_that_comes(upstream) for upstream in upstreams] == [b""] * len(upstreams)
+        while not here.upstream.came.empty():
+            assert await all_that_comes(await here.upstream.take()) == b""
         await served(here)
 
 
@@ -208,17 +208,17 @@
     here: Loopback, patch: pytest.MonkeyPatch
 ) -> None:
     late = Late(patch)
-    where = await here.backend.start()
+    where = await here.upstream.start()
     async with here.running(known=hosts(host("s-1", where), host("s-2", where))):
         client = await here.client()
         client.say(here.line())
-        first, second = await here.backend.take(), await here.backend.take()  # given up after 100 ms
+        first, second = await here.upstream.take(), await here.upstream.take()  # given up after 100 ms
         late.gate.set()
         assert await all_that_comes(first) == b""
         assert (await second.line()).startswith("OPEN")
         second.say("UP 7")
         assert await client.line() == "UP 7"
-        assert here.backend.came.empty()
+        assert here.upstream.came.empty()
 
 
 @pytest.mark.parametrize("how", ["reset", "end"])
@@ -226,16 +226,16 @@
     """`UP` without its line's end, then nothing: it may have run; a safe one is tried elsewhere, once."""
 
     async def story(here: Loopback, patch: pytest.MonkeyPatch) -> None:
-        where = await here.backend.start()
+        where = await here.upstream.start()
         async with here.running(known=hosts(host("s-1", where), host("s-2", where))):
             client = await here.client()
             client.say(here.line())
-            first = await here.backend.take()
+            first = await here.upstream.take()
             assert (await first.line()).startswith("OPEN")
             first.writer.write(b"UP 8")
             await first.writer.drain()
             reset(first) if how == "reset" else first.writer.close()
-            second = await here.backend.take()
+            second = await here.upstream.take()
             assert (await second.line()).startswith("OPEN")
             second.say("BUSY")
             assert [await client.line(), await client.line()] == ["BUSY", ""]
@@ -248,11 +248,11 @@
     async with here.running(settings=quick(tryLimit=1)):
         client = await here.client()
         client.say(here.line())
-        backend = await here.backend.take()
-        assert (await backend.line()).startswith("OPEN")
-        backend.say("ERR")
+        upstream = await here.upstream.take()
+        assert (await upstream.line()).startswith("OPEN")
+        upstream.say("ERR")
         answer = await client.line()
-        backend.say("UP 7")
+        upstream.say("UP 7")
         assert answer in ("BUSY", "ERR") and await client.line() == ""
 
 
@@ -262,12 +262,12 @@
     async with here.running(settings=quick(400_000)):
         client = await here.client()
         client.say(LINE.replace("d=2000", "d=400"))
-        backend = await here.backend.take()
-        assert (await backend.line()).startswith("OPEN")
+        upstream = await here.upstream.take()
+        assert (await upstream.line()).startswith("OPEN")
 
         async def drip() -> None:
             while True:
-                backend.writer.write(b"U")
+                upstream.writer.write(b"U")
                 await asyncio.sleep(0.01)
 
         dripping = asyncio.create_task(drip())
@@ -288,12 +288,12 @@
     async with here.running(settings=quick(dialTimeoutUs=5 * SECOND)) as node:
         hanging = await here.client()
         hanging.say(here.line())
-        backend = await here.backend.take()
-        assert (await backend.line()).startswith("OPEN")
+        upstream = await here.upstream.take()
+        assert (await upstream.line()).startswith("OPEN")
         late.gate.clear()
         dialling = await here.client()
         dialling.say(here.line())
-        other = await here.backend.take()
+        other = await here.upstream.take()
         os.kill(os.getpid(), signal.SIGTERM)
         os.kill(os.getpid(), signal.SIGTERM)
         for client in (hanging, dialling):
@@ -333,10 +333,10 @@
     patch.setattr("limerudder.core.upstream.attempt.SILENT", 400_000)
     came, many = sessions(patch), 5000
     async with here.running():
-        client, backend = await served(here)
+        client, upstream = await served(here)
         link = came[-1].served and came[-1].served.link
         assert isinstance(link, TcpConnection) and link.transport
-        backend.reader._transport.pause_reading()  # type: ignore[attr-defined]
+        upstream.reader._transport.pause_reading()  # type: ignore[attr-defined]
         for _ in range(many):  # twenty megabytes
             client.say("M " + "x" * 4000)
         kept = list[int]()
@@ -346,15 +346,15 @@
         assert 0 < max(kept) < 1 << 20, "what waits for a host that does not read"
         client.writer.transport.abort()
         await served(here)
-        backend.reader._transport.resume_reading()  # type: ignore[attr-defined]
-        assert len(await all_that_comes(backend)) < many * 4000
+        upstream.reader._transport.resume_reading()  # type: ignore[attr-defined]
+        assert len(await all_that_comes(upstream)) < many * 4000
 
 
 async def idle_clients_fill_the_descriptors_while_discovery_is_down(
     here: Loopback, patch: pytest.MonkeyPatch
 ) -> None:
     """Usual clients, their attempts and discovery still get theirs; nothing raises, accept goes on."""
-    where, discovery = await here.backend.start(), free()
+    where, discovery = await here.upstream.start(), free()
     here.shared = here.folder / "t"
     here.shared.mkdir()
     here.given = {
@@ -388,7 +388,7 @@
     here: Loopback, patch: pytest.MonkeyPatch
 ) -> None:
     """It takes the connection and says nothing: PONG and the list of before do not wait for it."""
-    where = await here.backend.start()
+    where = await here.upstream.start()
     here.shared = here.folder / "t"
     here.shared.mkdir()
     here.given = {
--- a/tests/test_rule_checker.py
+++ b/tests/test_rule_checker.py
@@ -18,10 +18,10 @@
     return one
 
 
-def served(one: RuleChecker, req: str = "r", at: int = S, host: str = "h1") -> None:
-    one.asked(at, req, 2 * S)
-    one.sent(at + 1000, req, host)
-    one.answered(at + 3000, req, "UP 77")
+def served(one: RuleChecker, request: str = "r", at: int = S, host: str = "h1") -> None:
+    one.asked(at, request, 2 * S)
+    one.sent(at + 1000, request, host)
+    one.answered(at + 3000, request, "UP 77")
 
 
 def test_clean_exchanges_of_all_kinds_pass() -> None:
--- a/tests/test_state_machines.py
+++ b/tests/test_state_machines.py
@@ -37,9 +37,19 @@
 
 
 def test_a_first_line_is_read_and_passed_on_unchanged_but_for_d() -> None:
-    req = parse_open((LINE + ",r=1,again=1,h=12,x=y").encode())
-    assert (req.cls, req.tenant, req.key, req.time_left) == ("chat", "acme", int(KEY, 16), 2 * SECOND)
-    assert (req.group, req.retry, req.came_back, req.hint) == (0x5C0F6E1A2B3D4C59, True, True, 12)
+    request = parse_open((LINE + ",r=1,again=1,h=12,x=y").encode())
+    assert (request.cls, request.tenant, request.key, request.time_left) == (
+        "chat",
+        "acme",
+        int(KEY, 16),
+        2 * SECOND,
+    )
+    assert (request.group, request.retry, request.came_back, request.hint) == (
+        0x5C0F6E1A2B3D4C59,
+        True,
+        True,
+        12,
+    )
     assert with_wait(LINE.encode(), 1_234_567) == LINE.replace("d=2000", "d=1234").encode() + b"\r\n"
     assert with_wait(LINE.encode(), None) == LINE.encode() + b"\r\n"
 
