--- a/limerudder/core/lifecycle/hot_restart.py
+++ b/limerudder/core/lifecycle/hot_restart.py
@@ -2,7 +2,8 @@
 
 The old one's first line is JSON: its list of hosts, the ids in use and the descriptors it holds for clients.
 Then it says `taken ID` for each request it takes, `holds JSON` for its descriptors and its connections at
-each upstream, `drained START HOST` for each drain it comes to know, and `stopping`; the new one says `serving`.
+each upstream, `drained START HOST` for each drain it comes to know, and `stopping`; the new one says
+`serving`.
 """
 
 from __future__ import annotations
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -482,7 +482,7 @@
             self.counters.count("requests_of_unknown_names")
             return None
         if request.id in self.ids or request.id in self.past:  # clients take a new one for every connection
-            # protects the request that has this id, and what the policy thinks of upstreams that would reject it
+            # protects the request that has this id, and the record of upstreams that would reject the copy
             self.counters.count("requests_of_id_in_use")
             return None
         self.counters.count("requests")
@@ -563,7 +563,7 @@
     # attempts
 
     def may_write(self, held: ProxiedConnection, now: int) -> bool:
-        """Whether a request's line may be written to the upstream that has just come up; else close its attempt.
+        """Whether a request's line may be written to the upstream just connected; else close its attempt.
 
         All that may have changed since the dial began is looked at here, in the moment of the send.
         """
--- a/limerudder/core/ports.py
+++ b/limerudder/core/ports.py
@@ -69,7 +69,7 @@
     """Who hears how an attempt fares: the node."""
 
     def attempt_ready(self, now: int) -> bool:
-        """Whether the request's line may be written now to an upstream that is up; else the attempt is closed."""
+        """Whether the request's line may be written to the connected upstream; else the attempt is closed."""
 
     def attempt_sent(self) -> None:
         """The last byte of the request's line is written."""
