--- a/harness/overload_fleet.py
+++ b/harness/overload_fleet.py
@@ -92,7 +92,7 @@
         self.order, self.ids = count(), count(1)
         self.served, self.attempts, self.broken = list[float](), 0, 0
         self.nodes = list[Balancer]()
-        for node in range(settings.balancers):
+        for node in range(settings.node_count):
             self.nodes.append(self.begin(node))
 
     def begin(self, node: int) -> Balancer:
@@ -118,7 +118,7 @@
         """A client asks for a connection at any node."""
         client.node, client.request = self.rng.randrange(len(self.nodes)), next(self.ids)
         self.requests[client.node, client.request] = client
-        deadline = self.settings.classes[client.cls].deadline
+        deadline = self.settings.classes[client.cls].deadline_us
         flags = FLAG_RECONNECT if client.came else 0
         self.give(
             client.node,
@@ -139,13 +139,13 @@
     def carry(self, node: int, balancer: Balancer, event: Event) -> None:
         """Hand it over and do what the module says."""
         for action in balancer.handle(event, self.now):
-            client = self.requests.get((node, getattr(action, "id", 0)))
+            client = self.requests.get((node, getattr(action, "request_id", 0)))
             if isinstance(action, SetTimer):
-                wait = max(action.at - self.now, 0) / SECOND
+                wait = max(action.due_at_us - self.now, 0) / SECOND
                 self.later(wait, partial(self.timer, node, balancer, action.token))
             elif isinstance(action, StartAttempt) and client:
                 self.attempts += 1
-                client.host = self.hosts[action.server]
+                client.host = self.hosts[action.server_id]
                 client.host.there.append(client)
                 client.waits = 0
                 self.later(0.02, partial(self.up, node, client, client.request))
@@ -187,12 +187,14 @@
                 host.pile = max(host.pile + (host.asked() - 1) * STEP / SECOND, 0.0)
                 for client in host.there:
                     aim = self.settings.classes[client.cls].message_objective_us
-                    worth += self.settings.classes[client.cls].worth * (host.pile * SECOND < aim)
+                    worth += self.settings.classes[client.cls].priority_weight * (host.pile * SECOND < aim)
                 if self.shed and host.pile > SHED_PILE:
                     for client in host.there[-max(len(host.there) // 10, 1) :]:
                         self.broken += 1
                         self.gone(client, AttemptOutcome.RESET, 0.5)
-            self.served.append(worth / sum(self.settings.classes[c.cls].worth for c in self.clients))
+            self.served.append(
+                worth / sum(self.settings.classes[c.cls].priority_weight for c in self.clients)
+            )
             if self.now % SECOND == 0 and self.settings.reports_latency and not self.shed:
                 self.tell()
             self.now += STEP
--- a/harness/slow_start_fleet.py
+++ b/harness/slow_start_fleet.py
@@ -89,7 +89,7 @@
     def come(self, node: int, flags: int) -> None:
         """A client asks for a connection."""
         self.asked += 1
-        deadline = self.settings.classes[0].deadline
+        deadline = self.settings.classes[0].deadline_us
         self.give(node, NewRequest(next(self.ids), 0, 0, 0, deadline, 0, 0, flags))
 
     def give(self, node: int, event: Event) -> None:
@@ -100,12 +100,12 @@
         """Hand it over and do what the module says."""
         for action in balancer.handle(event, self.now):
             if isinstance(action, SetTimer):
-                wait = max(action.at - self.now, 0) / SECOND
+                wait = max(action.due_at_us - self.now, 0) / SECOND
                 self.later(wait, partial(self.timer, node, balancer, action.token))
             elif isinstance(action, StartAttempt):
-                self.up[node, action.id] = action.server
-                self.sends[action.server].append(self.now)
-                self.later(SETUP / SECOND, partial(self.stand, node, action.id))
+                self.up[node, action.request_id] = action.server_id
+                self.sends[action.server_id].append(self.now)
+                self.later(SETUP / SECOND, partial(self.stand, node, action.request_id))
             elif isinstance(action, RejectRequest | FailRequest):
                 self.refused += 1
 
--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -134,7 +134,7 @@
     console.offer("maint-off", by_hand(node.maintenance.off), takes=True)
 
     def tick() -> None:
-        loop.call_later(config.settings.tick / 1e6, tick)
+        loop.call_later(config.settings.tick_us / 1e6, tick)
         node.wheel.advance(clock.now())
 
     def reload() -> None:
@@ -218,7 +218,7 @@
 def bind_all(config: NodeConfig) -> list[socket.socket]:
     """The clients' socket, and that for datagrams where peers may talk."""
     sockets = [bind(config.listen, socket.SOCK_STREAM, shared=True)]
-    if config.settings.peers and config.peer_listen:
+    if config.settings.allows_peer_messages and config.peer_listen:
         sockets.append(bind(config.peer_listen, socket.SOCK_DGRAM, shared=True))
     return sockets
 
--- a/limerudder/config.py
+++ b/limerudder/config.py
@@ -112,7 +112,8 @@
     if len(settings.classes) == 1:
         classes_text += ","
     tier_text = (
-        f"({settings.balancers!r}, {settings.me!r}, {settings.zone!r}, {tuple(settings.tenant_quotas)!r},"
+        f"({settings.node_count!r}, {settings.node_index!r}, {settings.zone!r},"
+        f" {tuple(settings.tenant_quotas)!r},"
         f" ({classes_text}))"
     )
     return f"({node_text}, {tier_text})"
@@ -120,9 +121,9 @@
 
 def _class_text(traffic_class: TrafficClass) -> str:
     return (
-        f"TrafficClass(aim={traffic_class.aim!r}, deadline={traffic_class.deadline!r},"
+        f"TrafficClass(aim={traffic_class.latency_objective_us!r}, deadline={traffic_class.deadline_us!r},"
         f" effect={traffic_class.effect!r}, key_scope={traffic_class.key_scope!r},"
-        f" repeat_window={traffic_class.repeat_window!r}, worth={traffic_class.worth!r},"
+        f" repeat_window={traffic_class.idempotency_window_us!r}, worth={traffic_class.priority_weight!r},"
         f" message_aim={traffic_class.message_objective_us!r})"
     )
 
--- a/limerudder/core/invariants.py
+++ b/limerudder/core/invariants.py
@@ -65,7 +65,10 @@
             cls = self.node.settings.classes[held.told[1]]
             if risk is not None and upstream is not None and cls.effect != "safe":
                 hold(cls.effect == "keyed", "an unsafe request that may have run is sent again")
-                hold(now <= risk[0] + cls.repeat_window, "a keyed request is sent again after its window")
+                hold(
+                    now <= risk[0] + cls.idempotency_window_us,
+                    "a keyed request is sent again after its window",
+                )
                 hold(
                     cls.key_scope not in ("zone", "cell")
                     or self.place(upstream, cls) == self.place(risk[1], cls),
@@ -114,7 +117,7 @@
 
     def check(self, now: int) -> None:
         """Between two events: answers in time, and the books of node and module agree."""
-        node, slack = self.node, self.node.settings.answer_slack_us + 2 * self.node.settings.tick
+        node, slack = self.node, self.node.settings.answer_slack_us + 2 * self.node.settings.tick_us
         at = Counter[int]()
         for held in node.requests.values():
             hold(held.answered or now <= held.deadline + slack, "a request without its answer in time")
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -158,14 +158,16 @@
         recall: DrainMemory | None = None,
     ) -> None:
         self.config, self.settings, self.network, self.log = config, config.settings, network, log
-        self.wheel, self.counters = TimerWheel(self.settings.tick, now), Counters()
+        self.wheel, self.counters = TimerWheel(self.settings.tick_us, now), Counters()
         self.figures = RequestMetrics(config.names.classes)
         self.balancer: ConnectionPolicy = Balancer(self.settings, Random(config.seed))
         self.report_fields = self.settings.report_fields if self.settings.report_via != "none" else ()
         spare = min(SPARE_SOCKETS, max(config.sockets // 4, min(OWN_SOCKETS, config.sockets // 2)))
         self.classes = {name: number for number, name in enumerate(config.names.classes)}
         self.tenants = {name: number for number, name in enumerate(config.names.tenants)}
-        self.peering = Peering(self.counters, network, self.balancer, self.give, log, self.settings.peers)
+        self.peering = Peering(
+            self.counters, network, self.balancer, self.give, log, self.settings.allows_peer_messages
+        )
         self.requests: dict[int, ProxiedConnection] = {}
         self.ids: set[int] = set()  # of these requests, as their clients named them
         self.past: dict[int, None] = {}  # of the last that ended, oldest first
@@ -220,19 +222,19 @@
         self.log(f"fault {where.name}", f"module: {text}")
         if isinstance(event, TimerFired):  # its next one would have been set by the call that failed
             self.wheel.at(now + SECOND, lambda at: self.give(event, at))
-        held = self.requests.get(getattr(event, "id", 0))
+        held = self.requests.get(getattr(event, "request_id", 0))
         if held and not held.answered:
             self.answer_failed(held, now)
             self.give(ClientDisconnected(held.number), now)  # so that the module does not keep it
 
     def _fail(self, action: FailRequest, now: int) -> None:
-        if (held := self.requests.get(action.id)) and not held.answered:
+        if (held := self.requests.get(action.request_id)) and not held.answered:
             self.answer_failed(held, now)
 
     def _refuse(self, action: RejectRequest, now: int) -> None:
-        if (held := self.requests.get(action.id)) and not held.answered:
+        if (held := self.requests.get(action.request_id)) and not held.answered:
             self._final(held, "refused", "throttled", now)
-            held.session.refuse(min(action.retry_after, self.settings.max_retry_after_us), now)
+            held.session.refuse(min(action.retry_after_us, self.settings.max_retry_after_us), now)
 
     def answer_failed(self, held: ProxiedConnection, now: int) -> None:
         """Give a request its final answer: it has failed."""
@@ -262,12 +264,12 @@
             del self.past[next(iter(self.past))]
 
     def _send(self, action: StartAttempt, now: int) -> None:
-        held, upstream = self.requests.get(action.id), self.upstreams.get(action.server)
+        held, upstream = self.requests.get(action.request_id), self.upstreams.get(action.server_id)
         if held is None:
             return
         attempt_number, held.sends = held.sends, held.sends + 1
         left = held.deadline - now
-        wait = min(action.timeout, left) if action.timeout else left
+        wait = min(action.timeout_us, left) if action.timeout_us else left
         # guards the rules whatever the module says: no second copy, nothing late, no host that drains
         may = (
             not held.answered
@@ -280,7 +282,7 @@
             answered = int(held.answered)
             self.give(
                 AttemptEnded(
-                    held.number, attempt_number, action.server, AttemptOutcome.OBSOLETE, 0, answered, ()
+                    held.number, attempt_number, action.server_id, AttemptOutcome.OBSOLETE, 0, answered, ()
                 ),
                 now,
             )
@@ -308,12 +310,12 @@
             )
 
     def _cancel(self, action: CancelAttempt, now: int) -> None:
-        held = self.requests.get(action.id)
+        held = self.requests.get(action.request_id)
         if held and held.attempt and not held.up and action.attempt == held.sends - 1:
             self._give_up(held, AttemptOutcome.CANCELLED, now)
 
     def _move(self, action: MigrateClient, now: int) -> None:
-        if (held := self.requests.get(action.id)) and held.up:
+        if (held := self.requests.get(action.request_id)) and held.up:
             self.move_away(held, now)
 
     def move_away(self, held: ProxiedConnection, now: int) -> None:
@@ -329,7 +331,7 @@
             self.ended(held, ending, (), now)
 
     def _set_timer(self, action: SetTimer, now: int) -> None:
-        self.wheel.at(action.at, lambda at: self.give(TimerFired(action.token), at))
+        self.wheel.at(action.due_at_us, lambda at: self.give(TimerFired(action.token), at))
 
     def _log(self, action: LogMessage | PolicyError, now: int) -> None:
         self.log("module", f"module: {action.text}")
@@ -340,8 +342,8 @@
     # probes
 
     def _probe(self, action: CheckHealth, now: int) -> None:
-        upstream = self.upstreams.get(action.server)
-        if upstream is None or not self.settings.probes:
+        upstream = self.upstreams.get(action.server_id)
+        if upstream is None or not self.settings.allows_health_checks:
             return
         self.counters.count("probes")
         if upstream.probe is None or upstream.probe.done:
@@ -366,14 +368,14 @@
         self.give(HealthCheckResult(number, latency, ending, report), now)
 
     def _close_idle(self, action: CloseIdleConnections, now: int) -> None:
-        upstream = self.upstreams.get(action.server)
+        upstream = self.upstreams.get(action.server_id)
         if upstream and upstream.probe and not upstream.probe.asked:
             upstream.probe.close()
 
     # discovery
 
     def _watch(self, action: WatchEndpoints, now: int) -> None:
-        if action.on:
+        if action.enabled:
             self.discovery.keep_watch(now)
         else:
             self.discovery.drop_watch()
@@ -398,18 +400,20 @@
         self.counters["lists"] += kind != UpdateKind.OPERATOR
         entries = [self._entry(host) for host in hosts.hosts]
         if kind in (UpdateKind.FULL, UpdateKind.CACHED):
-            named = {entry.server for entry in entries}
+            named = {entry.server_id for entry in entries}
             for upstream in self.upstreams.values():
                 if upstream.number not in named:
                     upstream.state = ServerState.GONE
         # before discovery's word, which then changes nothing there
-        returned = [e for e in entries if e.state == ServerState.READY and self.upstreams[e.server].returning]
+        returned = [
+            e for e in entries if e.state == ServerState.READY and self.upstreams[e.server_id].returning
+        ]
         for entry in returned:
-            self.upstreams[entry.server].returning = False
+            self.upstreams[entry.server_id].returning = False
             if kind != UpdateKind.OPERATOR:
                 self.give(EndpointUpdate(UpdateKind.OPERATOR, hosts.version, [entry]), now)
         self.give(EndpointUpdate(kind, hosts.version, entries), now)
-        if self.settings.probes:
+        if self.settings.allows_health_checks:
             self.admission.hosts = sum(b.state != ServerState.GONE for b in self.upstreams.values())
         dialled = [h for h in self.requests.values() if h.attempt and not h.attempt.out]
         for held in dialled:
@@ -487,7 +491,7 @@
             return None
         self.counters.count("requests")
         number, self.next_request = self.next_request, self.next_request + 1
-        left = self.settings.classes[cls].deadline if request.time_left is None else request.time_left
+        left = self.settings.classes[cls].deadline_us if request.time_left is None else request.time_left
         tenant = self.tenants.get(request.tenant, len(self.tenants))
         flags = (request.hint is not None) + 2 * request.retry + FLAG_RECONNECT * request.came_back
         told = (number, cls, tenant, request.key, left, request.hint or 0, request.group, flags)
@@ -661,7 +665,7 @@
     def gauges(self, now: int) -> dict[str, int]:
         """How things stand at this moment."""
         listed = [b.number for b in self.upstreams.values() if b.state != ServerState.GONE]
-        avoided = self.balancer.avoided(now)
+        avoided = self.balancer.avoided_servers(now)
         avoided |= {self.numbers[name] for name in self.maintenance.held if name in self.numbers}
         return {
             # one whose client has left before its answer, and whose attempt is ending, has ended
@@ -715,7 +719,7 @@
     def stop(self, now: int) -> None:
         """Refuse what comes and move what stands, spread out, before the earliest SIGKILL."""
         if not self.stopping:
-            GracefulShutdown(self, max(c.deadline for c in self.settings.classes), now)
+            GracefulShutdown(self, max(c.deadline_us for c in self.settings.classes), now)
 
     carry_out: dict[type, Callable[[Node, Any, int], None]] = {
         StartAttempt: _send,
--- a/limerudder/core/peering.py
+++ b/limerudder/core/peering.py
@@ -36,9 +36,9 @@
         if sender is None or len(data) > MAX_DATAGRAM_BYTES:
             return self._passed_over(sender, f"of {len(data)} bytes (at most {MAX_DATAGRAM_BYTES} are taken)")
         self.counters.count("peer_messages")
-        before = self.balancer.strange()
+        before = self.balancer.malformed_peer_messages()
         self.give(PeerMessage(sender, data), now)
-        if self.balancer.strange() > before:
+        if self.balancer.malformed_peer_messages() > before:
             self._passed_over(sender, "of no known form")
 
     def _passed_over(self, sender: int | None, what: str) -> None:
--- a/limerudder/policy/actions.py
+++ b/limerudder/policy/actions.py
@@ -1,93 +1,94 @@
 """Actions that a connection policy asks its node to carry out, in order.
 
-Times are whole microseconds.
+Times are whole microseconds. The simulator's protocol packs the fields by position, so their order is part
+of the interface.
 """
 
 from __future__ import annotations
 
 from typing import NamedTuple
 
-ALL_PEERS = 0xFFFFFFFF
+ALL_PEERS = 0xFFFFFFFF  #: in place of one peer's number: every other node of the tier
 
 
 class StartAttempt(NamedTuple):
-    """Start an attempt at a server."""
+    """Start an attempt to connect a request to a server, and give it up after the timeout."""
 
-    id: int
-    server: int
-    timeout: int
+    request_id: int
+    server_id: int
+    timeout_us: int
 
 
 class RejectRequest(NamedTuple):
-    """Final answer: turned away; trying again is harmless."""
+    """Final answer: rejected; the client may safely retry, after `retry_after_us` where that is not 0."""
 
-    id: int
-    retry_after: int
+    request_id: int
+    retry_after_us: int
 
 
 class FailRequest(NamedTuple):
-    """Final answer: failure, nothing promised."""
+    """Final answer: failed; the request may have been executed, so a retry is not known to be safe."""
 
-    id: int
+    request_id: int
 
 
 class CancelAttempt(NamedTuple):
     """Stop waiting for one attempt."""
 
-    id: int
+    request_id: int
     attempt: int
 
 
 class SetTimer(NamedTuple):
-    """Ask for a Timer event at a clock time."""
+    """Deliver a TimerFired event with this token at a clock time."""
 
-    at: int
+    due_at_us: int
     token: int
 
 
 class CheckHealth(NamedTuple):
-    """Ask one server how it fares."""
+    """Send a health check, which brings a load report, to one server."""
 
-    server: int
+    server_id: int
 
 
 class CloseIdleConnections(NamedTuple):
     """Close idle connections to a server."""
 
-    server: int
+    server_id: int
 
 
 class SendPeerMessage(NamedTuple):
-    """Send a short message to a peer, or to ALL_PEERS."""
+    """Send a datagram to a peer, or to ALL_PEERS."""
 
     peer: int
     data: bytes
 
 
 class LogMessage(NamedTuple):
-    """A line for whoever is on call."""
+    """Write a line to the node's log."""
 
     text: str
 
 
 class WatchEndpoints(NamedTuple):
-    """Subscribe to changes of the list, or unsubscribe."""
+    """Subscribe to changes of the endpoint list, or unsubscribe."""
 
-    on: bool
+    enabled: bool
 
 
 class PollEndpoints(NamedTuple):
-    """Ask once for the whole list."""
+    """Ask once for the complete endpoint list."""
 
 
 class MigrateClient(NamedTuple):
-    """End an open connection politely; its client comes again."""
+    """Close an open connection gracefully so that its client reconnects."""
 
-    id: int
+    request_id: int
 
 
 class PolicyError(NamedTuple):
-    """The decision code has failed; written by the host of a Balancer, never by the Balancer itself."""
+    """The policy raised an exception; made by the host of a Balancer, never by the Balancer itself."""
 
     text: str
 
--- a/limerudder/policy/balancer.py
+++ b/limerudder/policy/balancer.py
@@ -77,9 +77,9 @@
             events.PredecessorConnections: self._on_elsewhere,
         }
 
-    def handle(self, event: events.Event, now: int) -> list[actions.Action]:
+    def handle(self, event: events.Event, now_us: int) -> list[actions.Action]:
         """Decide on one event; the actions are to be carried out in order."""
-        self.now, self.out = max(now, self.now), []
+        self.now, self.out = max(now_us, self.now), []
         self.on[type(event)](event)
         return self.out
 
@@ -90,12 +90,14 @@
             return self._ask_in(self.waits.failed(self.rng))
         hand = event.kind == events.UpdateKind.OPERATOR
         if not hand and event.kind != events.UpdateKind.DELTA:
-            named = {entry.server for entry in event.entries}
+            named = {entry.server_id for entry in event.entries}
             for server in [s for s in self.ready if s.id not in named]:
                 self._list(server, events.ServerState.GONE)
         for entry in event.entries:
-            server = self.servers.get(entry.server) or Server(entry.server, self.now, self.rng.random())
-            if entry.since != server.since or (entry.state == events.ServerState.READY != server.state):
+            server = self.servers.get(entry.server_id) or Server(entry.server_id, self.now, self.rng.random())
+            if entry.ready_since_us != server.since or (
+                entry.state == events.ServerState.READY != server.state
+            ):
                 # one that hands put back is tried at once: each node has its own staff's word on it
                 server.forget(self.now, 1.0 if hand else self.rng.random())
                 self.cold[server] = None
@@ -179,7 +181,7 @@
         if not self.asking:
             self.out.extend(actions.CheckHealth(server.id) for server in self.ready)
         self._count_warm()
-        self.loads.reckon(self.settings.balancers, self.asking, self.now)
+        self.loads.reckon(self.settings.node_count, self.asking, self.now)
         late = self.asking and not shared and self.now >= self.born + SWEEP_MOST
         wait = SWEEP_MOST if late else min(self.loads.every, SECOND if shared else SWEEP_MOST)
         self.out.append(actions.SetTimer(self.now + wait, SWEEP))
@@ -192,10 +194,10 @@
         self.out += [*told, actions.SetTimer(min(due, self.now + SECOND), SHARE)]
 
     def _on_peermessage(self, event: events.PeerMessage) -> None:
-        message = decode(event.data) if event.sender != self.settings.me else ((0.0, 0.0), [])
+        message = decode(event.data) if event.sender != self.settings.node_index else ((0.0, 0.0), [])
         if message is None:
             self.sharing.strange += 1
-        elif event.sender != self.settings.me:
+        elif event.sender != self.settings.node_index:
             self.sharing.told(event.sender, message[0], self.now)
             for number, load, held in match_servers(message[1], self.servers):
                 self._hear(self.servers[number], load, held)
@@ -217,18 +219,22 @@
         return False
 
     def _on_probed(self, event: events.HealthCheckResult) -> None:
-        server = self.servers.get(event.server)
+        server = self.servers.get(event.server_id)
         # DANGER: the load reported is what is asked, not what is piled up; a probe waits behind that too
         if (
             server
-            and event.latency > self.long
-            and event.ending in (events.AttemptOutcome.OK, events.AttemptOutcome.TIMEOUT)
+            and event.latency_us > self.long
+            and event.outcome in (events.AttemptOutcome.OK, events.AttemptOutcome.TIMEOUT)
         ):
             server.slow_at = self.now
-        if server is None or event.ending != events.AttemptOutcome.OK or len(event.report) <= self.load_field:
+        if (
+            server is None
+            or event.outcome != events.AttemptOutcome.OK
+            or len(event.load_report) <= self.load_field
+        ):
             return
-        held = event.report[self.held_field] if len(event.report) > self.held_field >= 0 else 0
-        self._hear(server, event.report[self.load_field], held)
+        held = event.load_report[self.held_field] if len(event.load_report) > self.held_field >= 0 else 0
+        self._hear(server, event.load_report[self.load_field], held)
 
     def _hear(self, server: Server, load: float, held: float) -> None:
         server.asked_at, self.unheard = 0, 0
@@ -237,9 +243,9 @@
 
     # Which servers are eligible
 
-    def avoided(self, now: int) -> set[int]:
+    def avoided_servers(self, now_us: int) -> set[int]:
         """The ready servers that are left out for now because of how they fare."""
-        self.now = max(now, self.now)
+        self.now = max(now_us, self.now)
         return {server.id for server in self.ready if not self.healthy(server)}
 
     def _has_room(self, server: Server, level: float = 1.0, flow: Connection | None = None) -> bool:
@@ -274,7 +280,7 @@
             return True
         # DANGER: clients that a process before this one moved here are in the rate already; and the more
         # nodes there are, the more they send before one report tells of it
-        load, alone = self.estimate(server), told.balancers <= FEW and self.now >= self.succeeds
+        load, alone = self.estimate(server), told.node_count <= FEW and self.now >= self.succeeds
         idle = alone and load is not None and load < IDLE
         # DANGER: it is idle because little is asked of it; what it can do is what reports tell of the others
         times = min(IDLE_TIMES, max(SPENT / max(self.loads.told, 0.01), 1)) if idle else 1
@@ -295,7 +301,7 @@
     def over_share(self, flow: Connection) -> bool:
         """Whether the flow's tenant holds more here than its share."""
         quotas, mine = self.settings.tenant_quotas, self.holdings.tenants[flow.tenant]
-        quota = quotas[flow.tenant] / self.settings.balancers if flow.tenant < len(quotas) else math.inf
+        quota = quotas[flow.tenant] / self.settings.node_count if flow.tenant < len(quotas) else math.inf
         return mine > quota + math.sqrt(quota)  # DANGER: of a few connections, one by chance is no excess
 
     def eligible(self, flow: Connection, server: Server, level: float, sick: bool = False) -> bool:
@@ -366,10 +372,10 @@
     def _place(self, flow: Connection) -> None:
         """Send the flow, hold it while there is hope, or give its final answer."""
         told, left = self.settings, flow.deadline - self.now
-        window = flow.cls.repeat_window if flow.cls.effect == "keyed" else 0
+        window = flow.cls.idempotency_window_us if flow.cls.effect == "keyed" else 0
         # DANGER: a connection may come up as late as its dial allows, and the line is written only then
         stale = flow.risk is not None and self.now + told.connect_timeout_us >= flow.risk[0] + window
-        if stale or flow.sends >= told.max_attempts or left <= 2 * told.tick:
+        if stale or flow.sends >= told.max_attempts or left <= 2 * told.tick_us:
             return self._answer(flow)
         if self.spacing.gap and not flow.slot:
             slot = self.spacing.slot(self.now, flow.deadline - told.connect_timeout_us)
@@ -396,7 +402,7 @@
         last = flow.sends + 1 >= self.settings.max_attempts
         # DANGER: after a wave set-ups take long at a store they share; given up at the aim and sent again,
         # each is done twice and later still. What a connection earns, it earns over its life.
-        wait = left if last or self.spacing.gap else max(left // 2, min(left, flow.cls.aim))
+        wait = left if last or self.spacing.gap else max(left // 2, min(left, flow.cls.latency_objective_us))
         flow.sends, flow.slot = flow.sends + 1, 0
         self.returned.pop(server, None)
         self._join(flow, server)
@@ -430,7 +436,7 @@
             )
         keyed = flow.cls.effect == "keyed" and flow.cls.key_scope == "all"
         if flow.risk is None or keyed or flow.cls.effect == "safe":
-            self.out.append(actions.RejectRequest(flow.id, SECOND if self.settings.retry_after else 0))
+            self.out.append(actions.RejectRequest(flow.id, SECOND if self.settings.sends_retry_after else 0))
         else:
             self.out.append(actions.FailRequest(flow.id))
         self._conclude(flow)
@@ -441,16 +447,20 @@
             self.flows.pop(flow.id, None)
 
     def _on_request(self, event: events.NewRequest) -> None:
-        if event.id not in self.flows:
-            self.flows[event.id] = flow = Connection(event, self.settings.classes[event.cls], self.now)
+        if event.request_id not in self.flows:
+            self.flows[event.request_id] = flow = Connection(
+                event, self.settings.classes[event.traffic_class], self.now
+            )
             flow.place = self.rng.getrandbits(32)
             self._place(flow)
 
     def _on_open(self, event: events.ExistingConnection) -> None:
-        if event.id in self.flows:
+        if event.request_id in self.flows:
             return
-        server = self.servers.setdefault(event.server, Server(event.server, self.now, 0.0))
-        self.flows[event.id] = flow = Connection(event, self.settings.classes[event.cls], self.now)
+        server = self.servers.setdefault(event.server_id, Server(event.server_id, self.now, 0.0))
+        self.flows[event.request_id] = flow = Connection(
+            event, self.settings.classes[event.traffic_class], self.now
+        )
         flow.sends, flow.live, flow.up, flow.over = 1, True, True, True
         self.opens, self.warming.born = self.opens + 1, self.born
         self._join(flow, server)
@@ -458,18 +468,18 @@
     def _on_elsewhere(self, event: events.PredecessorConnections) -> None:
         # DANGER: a process just begun that holds nothing would take each client that comes over from the one
         # before it for load on top of what reports tell; until they tell otherwise, it would turn all away
-        if (server := self.servers.get(event.server)) is not None:
-            server.elsewhere, self.succeeds = event.many, self.now + SUCCEEDS
+        if (server := self.servers.get(event.server_id)) is not None:
+            server.elsewhere, self.succeeds = event.connections, self.now + SUCCEEDS
 
     def _out(
         self,
         event: events.ConnectionEstablished | events.AttemptEnded | events.LoadSample | events.LatencySample,
     ) -> Connection | None:
         """The flow whose attempt this is about. DANGER: late or repeated words would count it off twice."""
-        flow = self.flows.get(event.id)
+        flow = self.flows.get(event.request_id)
         if flow is None or flow.server is None or flow.sends - 1 != event.attempt:
             return None
-        return flow if flow.server.id == event.server else None
+        return flow if flow.server.id == event.server_id else None
 
     def _on_established(self, event: events.ConnectionEstablished) -> None:
         if (flow := self._out(event)) is None or flow.server is None:
@@ -481,22 +491,24 @@
         ):  # since it was sent: it leaves like what stood there
             self._hold(flow, self.now)
         flow.server.strikes = flow.server.trial_at = 0
-        if self.felt and 3 * event.latency > flow.cls.aim:  # as with messages: a third of the aim is long
+        if (
+            self.felt and 3 * event.latency_us > flow.cls.latency_objective_us
+        ):  # as with messages: a third of the aim is long
             flow.server.slow_at = self.now - NOTE_LIFE + SECOND
         self.spacing.made(self.rate)
 
     def _on_gone(self, event: events.ClientDisconnected) -> None:
-        flow = self.flows.get(event.id)
+        flow = self.flows.get(event.request_id)
         if flow is None or flow.over:
             return
         self._conclude(flow)
-        if flow.server is not None and not flow.live and self.settings.cancel:
+        if flow.server is not None and not flow.live and self.settings.allows_cancellation:
             self.out.append(actions.CancelAttempt(flow.id, flow.sends - 1))
 
     def _on_load_sample(self, event: events.LoadSample) -> None:
         flow = self._out(event)
-        if flow is not None and flow.server is not None and event.load >= 0:
-            self.loads.weigh(flow, event.load)
+        if flow is not None and flow.server is not None and event.load_us_per_second >= 0:
+            self.loads.weigh(flow, event.load_us_per_second)
 
     def _on_latency_sample(self, event: events.LatencySample) -> None:
         flow = self._out(event)
@@ -516,18 +528,18 @@
         server.setting_up -= not flow.up
         del server.flows[flow.id]
         self.holdings.tally(flow, server, -1)
-        self._learn(server, flow, event.ending)
-        if event.closed or flow.over:
+        self._learn(server, flow, event.outcome)
+        if event.request_closed or flow.over:
             self._conclude(flow)
             return
         flow.tried.append(server)
         if (
-            event.ending not in events.NOT_EXECUTED_OUTCOMES
+            event.outcome not in events.NOT_EXECUTED_OUTCOMES
             and flow.cls.effect != "safe"
             and flow.risk is None
         ):
-            flow.risk = (self.now - event.latency, server)
-        (self._answer if event.ending == events.AttemptOutcome.OBSOLETE else self._place)(flow)
+            flow.risk = (self.now - event.latency_us, server)
+        (self._answer if event.outcome == events.AttemptOutcome.OBSOLETE else self._place)(flow)
 
     def _learn(self, server: Server, flow: Connection, ending: int) -> None:
         """What an ending tells of its server."""
--- a/limerudder/policy/events.py
+++ b/limerudder/policy/events.py
@@ -1,7 +1,8 @@
 """Events that a node reports to its connection policy: what has happened.
 
 Times are whole microseconds. Events are NamedTuples: they are made by the thousand, and a tuple is the
-cheapest immutable record Python has.
+cheapest immutable record Python has. The simulator's protocol fills them by position, so the order of the
+fields is part of the interface.
 """
 
 from __future__ import annotations
@@ -12,7 +13,7 @@
 
 
 class ServerState(IntEnum):
-    """What discovery says of a server."""
+    """The state in which discovery lists a server."""
 
     GONE = 0
     READY = 1
@@ -20,17 +21,17 @@
 
 
 class UpdateKind(IntEnum):
-    """How a Members event relates to the list the balancer holds."""
+    """How an EndpointUpdate relates to the endpoint list that the policy holds."""
 
-    DELTA = 0
-    FAILED = 1
-    FULL = 2
-    CACHED = 3
-    OPERATOR = 4  # not discovery's word: staff have taken these out or put them back
+    DELTA = 0  #: only the entries that have changed
+    FAILED = 1  #: discovery could not be read
+    FULL = 2  #: the complete list
+    CACHED = 3  #: the complete list as this node stored it before it started
+    OPERATOR = 4  #: entries that operators have taken out of service or put back, not discovery
 
 
 class AttemptOutcome(IntEnum):
-    """How an attempt, or a probe, ended."""
+    """How an attempt, or a health check, ended."""
 
     OK = 200
     FULL = 429
@@ -42,32 +43,29 @@
     CONNECT_FAILED = 521
 
 
-#: Endings that prove that the attempt never ran.
+#: Outcomes that prove that the server has not executed the attempt.
 NOT_EXECUTED_OUTCOMES = frozenset(
     {AttemptOutcome.FULL, AttemptOutcome.OBSOLETE, AttemptOutcome.CONNECT_FAILED}
 )
 
-
 FLAG_MID_CONNECTION = 8  #: request flag: packets of an open connection have reached this node
-
-
-FLAG_RECONNECT = 16  #: request flag: the client came again after a break or a move
+FLAG_RECONNECT = 16  #: request flag: the client reconnects after its connection broke or was migrated
 
 
 class ServerEntry(NamedTuple):
-    """One line of the list of servers."""
+    """One line of the endpoint list."""
 
-    server: int
+    server_id: int
     zone: int
     kind: int
     cell: int
     state: int
     weight: float
-    since: int
+    ready_since_us: int
 
 
 class EndpointUpdate(NamedTuple):
-    """Discovery's word on the servers."""
+    """The endpoint list has changed, or could not be read; `kind` is an UpdateKind."""
 
     kind: int
     version: int
@@ -75,101 +73,107 @@
 
 
 class NewRequest(NamedTuple):
-    """A client wants a connection; exactly one final answer is owed."""
+    """A client requests a connection; exactly one final answer is owed.
 
-    id: int
-    cls: int
+    `traffic_class` is the index of the class in the settings.
+    """
+
+    request_id: int
+    traffic_class: int
     tenant: int
     key: int
-    time_left: int
+    time_left_us: int
     hint: int
     group: int
     flags: int
 
 
 class ExistingConnection(NamedTuple):
-    """A connection that already ran through this node when it started."""
+    """A connection that already ran through this node when the policy started."""
 
-    id: int
-    cls: int
+    request_id: int
+    traffic_class: int
     tenant: int
     key: int
-    time_left: int
+    time_left_us: int
     hint: int
     group: int
     flags: int
-    server: int
+    server_id: int
 
 
 class ConnectionEstablished(NamedTuple):
-    """The connection stands and lasts until an Outcome ends it."""
+    """The attempt's connection is established and lasts until an AttemptEnded ends it."""
 
-    id: int
-    server: int
+    request_id: int
+    server_id: int
     attempt: int
-    latency: int
+    latency_us: int
 
 
 class AttemptEnded(NamedTuple):
-    """How one attempt ended; `closed` says that no further answer is owed."""
+    """One attempt, or the connection it established, has ended.
+
+    `outcome` is an AttemptOutcome; `request_closed` says that no further answer is owed.
+    """
 
-    id: int
+    request_id: int
     attempt: int
-    server: int
-    ending: int
-    latency: int
-    closed: int
-    report: Sequence[float]
+    server_id: int
+    outcome: int
+    latency_us: int
+    request_closed: int
+    load_report: Sequence[float]
 
 
 class ClientDisconnected(NamedTuple):
-    """The client has left; nothing more is owed."""
+    """The client has disconnected; no answer is owed any more."""
 
-    id: int
+    request_id: int
 
 
 class LoadSample(NamedTuple):
     """The load of an open connection has changed; in microseconds of work a second."""
 
-    id: int
-    server: int
-    load: float
+    request_id: int
+    server_id: int
+    load_us_per_second: float
     attempt: int
 
 
 class LatencySample(NamedTuple):
     """How long a message took on an open connection, in milliseconds."""
 
-    id: int
-    server: int
+    request_id: int
+    server_id: int
     latency_ms: float
     attempt: int
 
 
 class PredecessorConnections(NamedTuple):
-    """Another process of this node, which it replaces, holds so many of its connections at a server."""
+    """How many connections at a server the process that this one replaces still holds."""
 
-    server: int
-    many: int
+    server_id: int
+    connections: int
 
 
 class TimerFired(NamedTuple):
-    """A timer set by this balancer is due."""
+    """A timer that the policy has set is due."""
 
     token: int
 
 
 class HealthCheckResult(NamedTuple):
-    """The answer to a probe."""
+    """A health check has ended; `load_report` holds the values of the settings' report fields."""
 
-    server: int
-    latency: int
-    ending: int
-    report: Sequence[float]
+    server_id: int
+    latency_us: int
+    outcome: int
+    load_report: Sequence[float]
 
 
 class PeerMessage(NamedTuple):
-    """A message from another node of the tier."""
+    """A datagram from another node of the tier."""
 
     sender: int
     data: bytes
--- a/limerudder/policy/gossip.py
+++ b/limerudder/policy/gossip.py
@@ -62,8 +62,8 @@
     """One node's view of the rounds. Times in microseconds."""
 
     def __init__(self, settings: Settings) -> None:
-        self.me, self.nodes = settings.me, max(settings.balancers, 1)
-        self.able = settings.peers and settings.probes and self.nodes > FEW
+        self.me, self.nodes = settings.node_index, max(settings.node_count, 1)
+        self.able = settings.allows_peer_messages and settings.allows_health_checks and self.nodes > FEW
         self.price_probe = settings.prices.get("probe", 0)
         self.price_byte = settings.prices.get("peer", 0) / 256
         self.every = MOST  # between rounds
--- a/limerudder/policy/interface.py
+++ b/limerudder/policy/interface.py
@@ -9,13 +9,13 @@
 
 
 class ConnectionPolicy(Protocol):
-    """What a host of a Balancer may ask of it."""
+    """What a host may ask of a connection policy. Times are whole microseconds."""
 
-    def handle(self, event: Event, now: int) -> list[Action]:
+    def handle(self, event: Event, now_us: int) -> list[Action]:
         """Decide on one event; the actions are to be carried out in order."""
 
-    def avoided(self, now: int) -> set[int]:
-        """The listed servers that new connections are kept from by choice, whatever the list says."""
+    def avoided_servers(self, now_us: int) -> set[int]:
+        """Return the ids of the ready servers that new connections avoid, whatever the endpoint list says."""
 
-    def strange(self) -> int:
-        """How many datagrams of peers were passed over, since they are of no known form."""
+    def malformed_peer_messages(self) -> int:
+        """Return how many datagrams of peers were dropped because they are of no known form."""
--- a/limerudder/policy/load_inference.py
+++ b/limerudder/policy/load_inference.py
@@ -47,7 +47,7 @@
         self.mean, self.many = 0.0, 0  # load of a connection; of so many
         self.keys = dict[int, float]()  # load of what is much dearer than usual, the latest last
         self.short = min((c.message_objective_us for c in settings.classes), default=SECOND)
-        self.nodes, self.groups = max(settings.balancers, 1), settings.groups
+        self.nodes, self.groups = max(settings.node_count, 1), settings.has_groups
         quotas = [quota for quota in settings.tenant_quotas if 0 < quota < math.inf]
         self.connections = sum(quotas) / SHARED_OUT  # of the usual load, that the fleet can hold
         self.total = 0.0  # size of the fleet that the tenants' shares were made for
--- a/limerudder/policy/policy_state.py
+++ b/limerudder/policy/policy_state.py
@@ -50,7 +50,9 @@
         fields = list(settings.report_fields)
         self.load_field = next((fields.index(name) for name in ("x0", "util") if name in fields), -1)
         self.held_field = fields.index("inflight") if "inflight" in fields else -1
-        self.probing = settings.probes and settings.report_via != "none" and self.load_field >= 0
+        self.probing = (
+            settings.allows_health_checks and settings.report_via != "none" and self.load_field >= 0
+        )
         self.felt = (
             InferredLoads(settings, SWEEP_LEAST) if settings.reports_latency and not self.probing else None
         )
@@ -80,7 +82,7 @@
         """What one more connection adds to this server's load."""
         return self.loads.adds(server, self.now)
 
-    def strange(self) -> int:
+    def malformed_peer_messages(self) -> int:
         """Datagrams of peers that were passed over."""
         return self.sharing.strange
 
--- a/limerudder/policy/rebalancing.py
+++ b/limerudder/policy/rebalancing.py
@@ -116,7 +116,10 @@
     """A message took so long at a server: send away what is too much, the dearest for its worth first."""
     goal, spare = felt.note(server, took, node.now), max(node.settings.over_quota_weight, 0.01)
     live = [f for f in server.flows.values() if f.live] if goal > 0 else []
-    live.sort(key=lambda f: felt.weight(f) / f.cls.worth / (spare if node.over_share(f) else 1), reverse=True)
+    live.sort(
+        key=lambda f: felt.weight(f) / f.cls.priority_weight / (spare if node.over_share(f) else 1),
+        reverse=True,
+    )
     for flow in live:
         if goal <= 0:
             break
@@ -144,11 +147,13 @@
     usual = sum(loads) / max(len(loads), 1)
     live = [f for f in server.flows.values() if f.live and f.load]
     spare = max(node.settings.over_quota_weight, 0.01)
-    live.sort(key=lambda f: f.load / f.cls.worth / (spare if node.over_share(f) else 1), reverse=True)
+    live.sort(
+        key=lambda f: f.load / f.cls.priority_weight / (spare if node.over_share(f) else 1), reverse=True
+    )
     goal = excess * sum(f.load for f in live)
     for flow in live:
         # DANGER: where each of hundreds of nodes rounds up, all move all they hold at once
-        if node.rng.random() > max(goal / usual, (goal > 0) / node.settings.balancers):
+        if node.rng.random() > max(goal / usual, (goal > 0) / node.settings.node_count):
             break
         if shared and not node.pace.take(node.now, node.WAVE * usual_fresh(node)):
             break
@@ -190,7 +195,7 @@
         known = [s for s in near if node.estimate(s) is not None]
         # DANGER: until reports show whom the others brought, each of 40 nodes would fill the same room
         room = sum((level - (node.estimate(s) or 0)) / max(node.adds(s), 0.001) for s in known)
-        if node.rng.random() < room / told.balancers * wait / max(2 * node.loads.every, SECOND):
+        if node.rng.random() < room / told.node_count * wait / max(2 * node.loads.every, SECOND):
             flow.live = False
             node.out.append(MigrateClient(flow.id))
         elif not known and sum(node.ask(server) for server in near[: node.D]):
--- a/limerudder/policy/records.py
+++ b/limerudder/policy/records.py
@@ -90,8 +90,11 @@
     """One request, from its arrival to the end of its connection."""
 
     def __init__(self, event: NewRequest | ExistingConnection, cls: TrafficClass, now: int) -> None:
-        self.id, self.cls, self.tenant, self.group = event.id, cls, event.tenant, event.group
-        self.deadline, self.aim_at = now + event.time_left, now + min(cls.aim, event.time_left)
+        self.id, self.cls, self.tenant, self.group = event.request_id, cls, event.tenant, event.group
+        self.deadline, self.aim_at = (
+            now + event.time_left_us,
+            now + min(cls.latency_objective_us, event.time_left_us),
+        )
         self.tried: list[Server] = []
         self.sends = self.slot = 0  # slot: when it may be sent, while sends are paced
         self.place, self.looked = 0, False  # on the ring, without a group; its candidates were asked
@@ -100,7 +103,7 @@
         self.back = bool(event.flags & FLAG_RECONNECT)  # stood elsewhere a moment ago
         self.up, self.up_at = False, 0  # set up; stays so to its end; since when
         self.risk: tuple[int, Server] | None = None  # when and where an attempt was sent that may have run
-        self.load, self.kind, self.key = 0.0, event.cls, event.key
+        self.load, self.kind, self.key = 0.0, event.traffic_class, event.key
 
 
 class GroupIndex:
--- a/limerudder/policy/settings.py
+++ b/limerudder/policy/settings.py
@@ -8,22 +8,26 @@
 
 @dataclass(frozen=True, slots=True)
 class TrafficClass:
-    """What is promised to, and known of, one class of requests."""
+    """The service objectives of one class of requests, and whether they may be retried.
 
-    aim: int
-    deadline: int
+    `effect` is "safe" (no side effect), "keyed" (idempotent by its key within `idempotency_window_us`, at the
+    servers of `key_scope`: "all", "zone" or "cell") or "unsafe".
+    """
+
+    latency_objective_us: int
+    deadline_us: int
     effect: str = "unsafe"
     key_scope: str = "cell"
-    repeat_window: int = 0
-    worth: float = 1.0
+    idempotency_window_us: int = 0
+    priority_weight: float = 1.0
     message_objective_us: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """What a node is told when it starts. Defaults are the cautious reading of silence."""
+    """The settings that a node receives at start; the defaults are the cautious choice."""
 
-    balancers: int
+    node_count: int
     zone: int
     classes: Sequence[TrafficClass]
     discovery: str
@@ -33,24 +37,24 @@
     warm_up_us: int
     overload_factor: float
     overload_window_us: int
-    me: int = 0
+    node_index: int = 0
     answer_slack_us: int = 0
     max_attempts: int = 1
     allows_hedging: bool = False
-    cancel: bool = False
-    probes: bool = False
-    peers: bool = False
-    retry_after: bool = False
+    allows_cancellation: bool = False
+    allows_health_checks: bool = False
+    allows_peer_messages: bool = False
+    sends_retry_after: bool = False
     max_retry_after_us: int = 0
     connect_timeout_us: int = 0
-    tick: int = 1000
-    groups: bool = False
+    tick_us: int = 1000
+    has_groups: bool = False
     reports_latency: bool = False
     mode: str = "proxy"
-    park: int = 0
+    park_us: int = 0
     report_fields: Sequence[str] = ()
     report_via: str = "none"
     tenant_quotas: Sequence[float] = ()
     over_quota_weight: float = 1.0
     prices: dict[str, float] = field(default_factory=dict)
-    goal: dict[str, float] = field(default_factory=dict)
+    result_weights: dict[str, float] = field(default_factory=dict)
--- a/limerudder/policy/slow_start.py
+++ b/limerudder/policy/slow_start.py
@@ -28,7 +28,7 @@
         self.told, self.usual, self.weight = settings, RateEstimator(), 1.0
         self.born: int | None = None  # of a process that was there with the connections that stand
         self.floor = (
-            FLOOR * SECOND / (max(settings.overload_window_us, SECOND // 10) * max(settings.balancers, 1))
+            FLOOR * SECOND / (max(settings.overload_window_us, SECOND // 10) * max(settings.node_count, 1))
         )
 
     def since(self, now: int) -> int:
--- a/tests/policy_driver.py
+++ b/tests/policy_driver.py
@@ -39,14 +39,19 @@
     TrafficClass,
 )
 
-SAFE = TrafficClass(aim=500_000, deadline=2 * SECOND, effect="safe", message_objective_us=100_000)
+SAFE = TrafficClass(
+    latency_objective_us=500_000, deadline_us=2 * SECOND, effect="safe", message_objective_us=100_000
+)
 BASE = Settings(
-    balancers=2,
+    node_count=2,
     zone=0,
     classes=(
         SAFE,
         replace(SAFE, effect="unsafe"),
-        *(replace(SAFE, effect="keyed", key_scope=s, repeat_window=SECOND) for s in ("all", "zone", "cell")),
+        *(
+            replace(SAFE, effect="keyed", key_scope=s, idempotency_window_us=SECOND)
+            for s in ("all", "zone", "cell")
+        ),
     ),
     discovery="pushed",
     poll_interval_us=10 * SECOND,
@@ -57,9 +62,9 @@
     overload_window_us=SECOND,
     answer_slack_us=20_000,
     max_attempts=4,
-    cancel=True,
-    probes=True,
-    groups=True,
+    allows_cancellation=True,
+    allows_health_checks=True,
+    has_groups=True,
     connect_timeout_us=200_000,
     report_via="probe",
     report_fields=("queue", "x0"),
@@ -121,36 +126,38 @@
             elif isinstance(action, RejectRequest | FailRequest):
                 self._final(action)
             elif isinstance(action, SetTimer):
-                self.timers.append((action.at, action.token))
+                self.timers.append((action.due_at_us, action.token))
             elif isinstance(action, CheckHealth):
-                assert self.settings.probes, "probed where that is not allowed"
+                assert self.settings.allows_health_checks, "probed where that is not allowed"
             elif isinstance(action, MigrateClient):
-                assert self.attempts[action.id].live
+                assert self.attempts[action.request_id].live
         self.check_counts()
         return actions
 
     def _sent(self, action: StartAttempt) -> None:
-        asked, where = self.asked[action.id], self.entries[action.server]
+        asked, where = self.asked[action.request_id], self.entries[action.server_id]
         assert not asked.answered, "sent after the final answer"
-        assert action.id not in self.attempts, "two attempts out at once"
+        assert action.request_id not in self.attempts, "two attempts out at once"
         assert where.state == ServerState.READY, "sent to a server that drains or is gone"
-        number = self.sends.get(action.id, 0)
+        number = self.sends.get(action.request_id, 0)
         assert number < self.settings.max_attempts
         for server, sent in asked.maybe_ran:
             assert asked.cls.effect != "unsafe", "an unsafe request that may have run was sent again"
             if asked.cls.effect == "keyed":
                 there, scope = self.entries[server], asked.cls.key_scope
-                assert self.now <= sent + asked.cls.repeat_window
+                assert self.now <= sent + asked.cls.idempotency_window_us
                 assert scope != "zone" or there.zone == where.zone
                 assert scope != "cell" or there.cell == where.cell
-        self.sends[action.id] = number + 1
-        ends = min(self.now + action.timeout, asked.deadline) if action.timeout else asked.deadline
-        self.attempts[action.id] = Attempt(action.id, number, action.server, self.now, ends)
+        self.sends[action.request_id] = number + 1
+        ends = min(self.now + action.timeout_us, asked.deadline) if action.timeout_us else asked.deadline
+        self.attempts[action.request_id] = Attempt(
+            action.request_id, number, action.server_id, self.now, ends
+        )
 
     def _final(self, action: RejectRequest | FailRequest) -> None:
-        asked = self.asked[action.id]
+        asked = self.asked[action.request_id]
         assert not asked.answered, "answered twice"
-        assert action.id not in self.attempts, "answered while an attempt is out"
+        assert action.request_id not in self.attempts, "answered while an attempt is out"
         assert self.now <= asked.deadline + self.settings.answer_slack_us, "answered late"
         if isinstance(action, RejectRequest) and asked.maybe_ran:
             assert asked.cls.effect == "safe" or asked.cls.key_scope == "all" != asked.cls.effect
@@ -170,14 +177,14 @@
     def members(self, entries: Sequence[ServerEntry], kind: int = UpdateKind.DELTA) -> list[Action]:
         if kind in (UpdateKind.FULL, UpdateKind.CACHED):
             self.entries = {s: e._replace(state=ServerState.GONE) for s, e in self.entries.items()}
-        self.entries.update({e.server: e for e in entries})
+        self.entries.update({e.server_id: e for e in entries})
         return self.give(EndpointUpdate(kind, 1, entries))
 
     def request(
         self, cls: int = 0, group: int = 0, time_left: int | None = None, tenant: int = 0, flags: int = 0
     ) -> int:
         number, self.next_id = self.next_id, self.next_id + 1
-        left = self.settings.classes[cls].deadline if time_left is None else time_left
+        left = self.settings.classes[cls].deadline_us if time_left is None else time_left
         self.asked[number] = Asked(self.settings.classes[cls], self.now + left)
         self.give(NewRequest(number, cls, tenant, 0, left, 0, group, flags))
         return number
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -37,7 +37,7 @@
 )
 from tests.policy_driver import BASE, Driver, entry
 
-PLAIN = replace(BASE, probes=False, groups=False)
+PLAIN = replace(BASE, allows_health_checks=False, has_groups=False)
 SWEEPS = replace(BASE, prices={})  # probes cost nothing: every server is asked, again and again
 
 
@@ -183,7 +183,7 @@
 
     What it can do beyond the usual is what the others' reports leave, and no more.
     """
-    driver = Driver(replace(PLAIN, balancers=nodes), servers=fleet(4))
+    driver = Driver(replace(PLAIN, node_count=nodes), servers=fleet(4))
     driver.members([entry(5, since=driver.now)])
     warming, server = driver.balancer.warming, driver.balancer.servers[5]
     warming.usual.value, warming.usual.at = 1.0, driver.now
@@ -204,7 +204,7 @@
 
 
 def test_reports_spare_the_busier_server() -> None:
-    driver = Driver(replace(BASE, groups=False), servers=fleet(4))
+    driver = Driver(replace(BASE, has_groups=False), servers=fleet(4))
     for s, load in ((1, 0.84), (2, 0.3), (3, 0.3), (4, 0.3)):
         for _ in range(8):
             driver.open(s)
@@ -215,7 +215,7 @@
 
 def test_all_at_the_mean_turns_nobody_away() -> None:
     """Incident i4f7320: 32 servers healthy at 0.74, none under the mean, everyone refused."""
-    driver = Driver(replace(BASE, groups=False), servers=fleet(4))
+    driver = Driver(replace(BASE, has_groups=False), servers=fleet(4))
     for s in range(1, 5):
         for _ in range(10):
             driver.open(s)
@@ -225,7 +225,7 @@
 
 
 def test_overfull_servers_get_no_more_and_all_full_refuses() -> None:
-    driver = Driver(replace(BASE, groups=False), servers=fleet(3))
+    driver = Driver(replace(BASE, has_groups=False), servers=fleet(3))
     for s in range(1, 4):
         driver.report(s, 1.2)
     number = driver.request()
@@ -269,7 +269,7 @@
     """At full size a quarter of all joins went to servers past their capacity that had not answered yet."""
     driver = Driver(BASE, servers=fleet(2))
     number = driver.request()
-    asked = [a.server for a in driver.logged(CheckHealth) if isinstance(a, CheckHealth)]
+    asked = [a.server_id for a in driver.logged(CheckHealth) if isinstance(a, CheckHealth)]
     assert sorted(asked) == [1, 2] and number not in driver.attempts
     driver.report(1, 0.2)
     driver.run(SECOND // 2)
@@ -278,12 +278,12 @@
 
 def test_a_node_with_few_requests_asks_only_whom_it_is_about_to_draw() -> None:
     """Incident iad2208: 1,667 nodes swept 196 servers each, five million probes in eight seconds."""
-    driver = Driver(replace(BASE, prices={"probe": 0.002}, balancers=600), servers=fleet(100))
+    driver = Driver(replace(BASE, prices={"probe": 0.002}, node_count=600), servers=fleet(100))
     for _ in range(20):
         driver.run(5 * SECOND)
         number = driver.request(group=7)
         for probe in driver.logged(CheckHealth)[-2:]:
-            driver.report(getattr(probe, "server"), 0.3)  # noqa: B009
+            driver.report(getattr(probe, "server_id"), 0.3)  # noqa: B009
         driver.run(SECOND // 10)
         driver.establish(number)
     assert 0 < len(driver.logged(CheckHealth)) <= 20 * 5 + 8
@@ -293,10 +293,10 @@
     """At full size no node holds any of a group; drawn afresh at each, its shared work is done everywhere."""
     places = []
     for seed in range(40):
-        driver = Driver(replace(BASE, probes=False), seed, fleet(50))
+        driver = Driver(replace(BASE, allows_health_checks=False), seed, fleet(50))
         places.append(driver.where(driver.connect(group=99)))
     assert len(set(places)) <= 2
-    groups = [Driver(replace(BASE, probes=False), 1, fleet(50)) for _ in range(1)][0]
+    groups = [Driver(replace(BASE, allows_health_checks=False), 1, fleet(50)) for _ in range(1)][0]
     assert len({groups.where(groups.connect(group=g)) for g in range(1, 60)}) > 15
 
 
@@ -304,7 +304,7 @@
     """Where each of 500 nodes holds one connection, rounding up would move all of them at once."""
     moved = 0
     for seed in range(200):
-        driver = Driver(replace(BASE, balancers=500), seed, fleet(6))
+        driver = Driver(replace(BASE, node_count=500), seed, fleet(6))
         for s in range(2, 7):
             driver.give(LoadSample(driver.open(s), s, 1000.0, 0))
         number = driver.open(1)
@@ -356,7 +356,7 @@
 def test_easing_moves_the_dearest_and_not_again_for_the_same_report() -> None:
     driver, numbers = loaded()
     driver.report(1, 1.2)
-    moved = [a.id for a in driver.logged(MigrateClient) if isinstance(a, MigrateClient)]
+    moved = [a.request_id for a in driver.logged(MigrateClient) if isinstance(a, MigrateClient)]
     assert moved and moved[0] == numbers[-1] and len(moved) < 6
     driver.report(1, 1.4)
     assert len(driver.logged(MigrateClient)) == len(moved)
@@ -431,7 +431,7 @@
     assert driver.sends[late] == 1, "with little time left, the aim is what an attempt gets"
 
 
-REPORTS = replace(SWEEPS, report_fields=("inflight", "x0"), balancers=2)
+REPORTS = replace(SWEEPS, report_fields=("inflight", "x0"), node_count=2)
 
 
 def reported(settings: Settings, held: float, load: float) -> Driver:
@@ -473,7 +473,7 @@
 
 
 def test_a_group_stays_on_the_servers_that_hold_it() -> None:
-    driver = Driver(replace(BASE, probes=False), servers=fleet(8))
+    driver = Driver(replace(BASE, allows_health_checks=False), servers=fleet(8))
     places = {driver.where(driver.connect(group=7)) for _ in range(20)}
     assert len(places) == 1
     assert len({driver.where(driver.connect(group=8 + i)) for i in range(40)}) > 3
@@ -488,7 +488,7 @@
 
 
 def test_a_group_does_not_pull_its_members_over_a_priced_zone() -> None:
-    told = replace(BASE, probes=False, prices={"crossZone": 0.1})
+    told = replace(BASE, allows_health_checks=False, prices={"crossZone": 0.1})
     driver = Driver(told, servers=[entry(1, zone=0), entry(2, zone=1)])
     driver.open(2, group=5)
     assert driver.where(driver.connect(group=5)) == 1
@@ -551,7 +551,7 @@
 
 
 def test_a_tenant_beyond_its_share_gets_no_scarce_room() -> None:
-    told = replace(SWEEPS, groups=False, tenant_quotas=(4.0, 1000.0), over_quota_weight=0.1)
+    told = replace(SWEEPS, has_groups=False, tenant_quotas=(4.0, 1000.0), over_quota_weight=0.1)
     driver = Driver(told, servers=fleet(2))
     for s in (1, 2):
         for _ in range(40):
@@ -564,7 +564,7 @@
 
 def test_when_all_are_slow_only_little_used_servers_get_more() -> None:
     """Incident i14f10e: all slow, each filled to 0.85, so what had piled up never drained."""
-    driver = Driver(replace(SWEEPS, groups=False), servers=fleet(2))
+    driver = Driver(replace(SWEEPS, has_groups=False), servers=fleet(2))
     driver.balancer.asking = False
     for s in (1, 2):
         for _ in range(40):
@@ -583,7 +583,7 @@
         driver.give(LoadSample(number, 1, 1000.0, 0))
     driver.give(LatencySample(numbers[0], 1, 80.0, 0))
     driver.report(1, 1.2)
-    moved = [a.id for a in driver.logged(MigrateClient) if isinstance(a, MigrateClient)]
+    moved = [a.request_id for a in driver.logged(MigrateClient) if isinstance(a, MigrateClient)]
     driver.end(moved[0], AttemptOutcome.RESET)
     assert driver.balancer.servers[1].strikes == 0
 
@@ -594,7 +594,7 @@
     for group in range(10):
         driver.request(group=group)
     driver.run(SECOND * 3 // 5)
-    assert len({getattr(a, "server") for a in driver.logged(CheckHealth)}) == 10  # noqa: B009
+    assert len({getattr(a, "server_id") for a in driver.logged(CheckHealth)}) == 10  # noqa: B009
     for server in range(1, 11):
         driver.report(server, 0.5)
     before = len(driver.logged(CheckHealth))
@@ -665,19 +665,19 @@
     """Each further server does the group's work again: at full size 119 group-server pairs became 680."""
     places = set()
     for seed in range(20):  # as many nodes that know nothing of each other
-        driver = Driver(replace(BASE, prices={"probe": 0.002}, balancers=600), seed, fleet(60))
+        driver = Driver(replace(BASE, prices={"probe": 0.002}, node_count=600), seed, fleet(60))
         driver.request(group=7)
         for _ in range(12):
             for probe in driver.logged(CheckHealth):
-                driver.report(getattr(probe, "server"), 0.95)  # noqa: B009
+                driver.report(getattr(probe, "server_id"), 0.95)  # noqa: B009
             driver.run(SECOND // 20)
-        places |= {getattr(a, "server") for a in driver.logged(StartAttempt)}  # noqa: B009
+        places |= {getattr(a, "server_id") for a in driver.logged(StartAttempt)}  # noqa: B009
     assert len(places) <= 4
 
 
 def test_a_large_list_replaced_at_once_is_taken_over_and_warmed_within_bounds() -> None:
     """One of a thousand nodes: no send to an old server, next to none to cold ones, all of them once warm."""
-    told = replace(BASE, balancers=1000, probes=False)
+    told = replace(BASE, node_count=1000, allows_health_checks=False)
     driver = Driver(told, servers=fleet(150))
     for group in range(40):
         driver.connect(group=group)
@@ -685,7 +685,7 @@
     before = len(driver.logged(StartAttempt))
     for group in range(20):
         driver.request(group=group)
-    assert all(getattr(a, "server") > 1000 for a in driver.logged(StartAttempt)[before:])  # noqa: B009
+    assert all(getattr(a, "server_id") > 1000 for a in driver.logged(StartAttempt)[before:])  # noqa: B009
     assert len(driver.balancer.ready) == 150
     for number, attempt in list(driver.attempts.items()):
         if not attempt.live:
@@ -703,8 +703,8 @@
 
 @pytest.mark.parametrize("data", [b"", b"\xff" * 256, b"load=nan"])
 def test_what_peers_say_is_passed_over(data: bytes) -> None:
-    driver = Driver(replace(BASE, peers=True), servers=fleet(3))
-    assert driver.give(PeerMessage(7, data)) == [] and driver.balancer.strange() == 1
+    driver = Driver(replace(BASE, allows_peer_messages=True), servers=fleet(3))
+    assert driver.give(PeerMessage(7, data)) == [] and driver.balancer.malformed_peer_messages() == 1
     assert driver.balancer.ready and not driver.balancer.flows
 
 
@@ -728,7 +728,7 @@
 
 @pytest.mark.parametrize("weight", [0.0, -1.0, math.nan, math.inf, 1e300])
 def test_nonsense_for_a_size_harms_nobody(weight: float) -> None:
-    driver = Driver(replace(PLAIN, groups=True), servers=[entry(1)._replace(weight=weight), entry(2)])
+    driver = Driver(replace(PLAIN, has_groups=True), servers=[entry(1)._replace(weight=weight), entry(2)])
     for _ in range(20):
         driver.connect(group=7)
     driver.members([entry(1, ServerState.GONE)])
@@ -765,7 +765,7 @@
     driver.open(2)
     driver.run(12 * SECOND)
     assert not driver.logged(MigrateClient), "moved to a home of which nothing is known"
-    assert {p.server for p in driver.logged(CheckHealth) if isinstance(p, CheckHealth)} >= {1}
+    assert {p.server_id for p in driver.logged(CheckHealth) if isinstance(p, CheckHealth)} >= {1}
 
 
 def test_bringing_home_is_spread_over_time() -> None:
@@ -813,7 +813,7 @@
 
 def test_a_keyed_request_is_sent_again_only_while_a_late_dial_would_be_within_its_window() -> None:
     """The line is written when the connection is up, as late as the settings let a dial take."""
-    window, dial = BASE.classes[2].repeat_window, BASE.connect_timeout_us
+    window, dial = BASE.classes[2].idempotency_window_us, BASE.connect_timeout_us
     for after, again in ((window - dial - 1, True), (window - dial, False)):
         driver = Driver(PLAIN, servers=fleet(4))
         number = driver.request(cls=2)
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -31,8 +31,8 @@
 NODES, STEP = 20, SECOND // 50
 TIER = replace(
     BASE,
-    balancers=NODES,
-    peers=True,
+    node_count=NODES,
+    allows_peer_messages=True,
     report_fields=("eps", "inflight", "x0"),
     prices={"probe": 0.002, "peer": 0.01},
 )
@@ -43,13 +43,15 @@
     """Nodes that hear each other a step late, and servers that report `load`."""
 
     def __init__(self, settings: Settings = TIER, load: float = 0.5) -> None:
-        self.nodes = [Driver(replace(settings, me=i), i + 1, SERVERS) for i in range(settings.balancers)]
+        self.nodes = [
+            Driver(replace(settings, node_index=i), i + 1, SERVERS) for i in range(settings.node_count)
+        ]
         self.load, self.deaf = load, False
         self.read = [0] * len(self.nodes)
         self.dead = set[int]()
         self.probes = self.told = 0
         for node in self.nodes:
-            node.open(1 + node.settings.me % len(SERVERS))
+            node.open(1 + node.settings.node_index % len(SERVERS))
 
     def run(self, duration: int) -> None:
         for _ in range(duration // STEP):
@@ -63,7 +65,9 @@
                     if isinstance(action, CheckHealth):
                         self.probes += 1
                         node.give(
-                            HealthCheckResult(action.server, 1000, AttemptOutcome.OK, (0.0, 4.0, self.load))
+                            HealthCheckResult(
+                                action.server_id, 1000, AttemptOutcome.OK, (0.0, 4.0, self.load)
+                            )
                         )
                     elif isinstance(action, SendPeerMessage):
                         assert action.peer == ALL_PEERS and len(action.data) <= 256
@@ -120,7 +124,7 @@
 
 
 def test_few_nodes_share_nothing() -> None:
-    tier = Tier(replace(TIER, balancers=4))
+    tier = Tier(replace(TIER, node_count=4))
     tier.run(10 * SECOND)
     assert not tier.told
     assert not any(t.token == SHARE for t in tier.nodes[0].logged(SetTimer) if isinstance(t, SetTimer))
@@ -147,9 +151,11 @@
 def test_foreign_datagrams_are_passed_over(data: bytes) -> None:
     assert decode(data) is None
     driver = Driver(TIER, servers=SERVERS)
-    assert driver.give(PeerMessage(3, data)) == [] and driver.balancer.strange() == 1
-    assert driver.give(PeerMessage(driver.settings.me, data)) == [], "its own comes back from the network"
-    assert driver.balancer.strange() == 1 and not driver.balancer.sharing.heard
+    assert driver.give(PeerMessage(3, data)) == [] and driver.balancer.malformed_peer_messages() == 1
+    assert (
+        driver.give(PeerMessage(driver.settings.node_index, data)) == []
+    ), "its own comes back from the network"
+    assert driver.balancer.malformed_peer_messages() == 1 and not driver.balancer.sharing.heard
 
 
 def test_rounds_come_as_often_as_requests_pay_for() -> None:
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -193,9 +193,9 @@
         session.lost(pair.old.now)
     pair.run(SECOND // 5)
     assert pair.new.node.admission.room == room
-    counts = {e.server: e.many for e in heard if isinstance(e, PredecessorConnections)}
+    counts = {e.server_id: e.connections for e in heard if isinstance(e, PredecessorConnections)}
     assert counts and set(counts.values()) == {0}
-    assert max(e.many for e in heard if isinstance(e, PredecessorConnections)) >= 2
+    assert max(e.connections for e in heard if isinstance(e, PredecessorConnections)) >= 2
 
 
 def test_what_the_old_one_holds_counts_in_the_draw(tmp_path: Path) -> None:
--- a/tests/test_load_inference.py
+++ b/tests/test_load_inference.py
@@ -35,8 +35,8 @@
 
 SILENT = replace(
     BASE,
-    classes=(replace(SAFE, worth=3.0), replace(SAFE, worth=1.0)),
-    probes=False,
+    classes=(replace(SAFE, priority_weight=3.0), replace(SAFE, priority_weight=1.0)),
+    allows_health_checks=False,
     report_via="none",
     report_fields=(),
     reports_latency=True,
@@ -53,7 +53,7 @@
         SimulatedClient(n + 1, n % 2, rng.expovariate(1 / USUAL), rng.randrange(1, 9)) for n in range(200)
     ]
     unit = len(told) * USUAL / load / sum(sizes)
-    crowd = OverloadFleet(replace(settings, balancers=3), [size * unit for size in sizes], told, seed, shed)
+    crowd = OverloadFleet(replace(settings, node_count=3), [size * unit for size in sizes], told, seed, shed)
     for n, client in enumerate(told):
         crowd.later(n / 100, partial(crowd.come, client))
     return crowd
@@ -80,7 +80,7 @@
     for took in (100.0, 400.0):
         driver.now += SECOND
         driver.give(LatencySample(2, 1, took, 0))
-    moved = [action.id for action in driver.log if isinstance(action, MigrateClient)]
+    moved = [action.request_id for action in driver.log if isinstance(action, MigrateClient)]
     assert moved == [1]
 
 
@@ -133,7 +133,7 @@
     driver = Driver(SILENT, servers=[entry(s) for s in (1, 2)])
     number = driver.request()
     slow = driver.where(number)
-    driver.now += SAFE.aim // 2
+    driver.now += SAFE.latency_objective_us // 2
     driver.establish(number)
     assert {driver.where(driver.connect()) for _ in range(6)} == {3 - slow}
     driver.run(SECOND)
@@ -164,7 +164,7 @@
 
 
 def known(load: float = USUAL) -> tuple[InferredLoads, Server]:
-    felt, server = InferredLoads(replace(SILENT, balancers=2), SECOND), Server(1, SECOND, 0.0)
+    felt, server = InferredLoads(replace(SILENT, node_count=2), SECOND), Server(1, SECOND, 0.0)
     server.state = ServerState.READY
     felt.listed(server, [server], SECOND)
     for number in range(100):
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -107,10 +107,10 @@
         for m in told
         if isinstance(m, EndpointUpdate)
         for e in m.entries
-        if e.server == upstream(here, "s-1")
+        if e.server_id == upstream(here, "s-1")
     ]
     assert (
-        entries[-1].state == ServerState.READY and entries[-1].since == here.now
+        entries[-1].state == ServerState.READY and entries[-1].ready_since_us == here.now
     ), "cold, whatever is listed"
     here.served()
     assert here.attempts()[-1].machine.owner.upstream.name == "s-1", "the next one goes there"
@@ -148,7 +148,7 @@
     told = events(other)
     other.node.returned_elsewhere(here.node.returned(), other.now)
     (entry,) = (e for m in told if isinstance(m, EndpointUpdate) for e in m.entries)
-    assert entry.since == here.now - ago
+    assert entry.ready_since_us == here.now - ago
     other.served()
     (attempt,) = other.attempts()
     assert ago > SECOND or attempt.machine.owner.upstream.name == "s-1"
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -60,9 +60,9 @@
         attempt.machine.feed(data[at : at + -(-len(data) // pieces)], here.now)
     attempt.machine.eof(here.now)
     assert link.sent == b"UP 77\r\n" + data and link.finished and attempt.closed
-    assert [e.load for e in told if isinstance(e, LoadSample)] == [2500.5]
+    assert [e.load_us_per_second for e in told if isinstance(e, LoadSample)] == [2500.5]
     (end,) = (e for e in told if isinstance(e, AttemptEnded))
-    assert (end.ending, end.closed) == (AttemptOutcome.OK, 1) and not here.node.requests
+    assert (end.outcome, end.request_closed) == (AttemptOutcome.OK, 1) and not here.node.requests
 
 
 BAD = {
@@ -220,7 +220,12 @@
     listed = hosts(*(host(f"s-{n}") for n in range(300)))
     here = world(tmp_path, known=listed, settings=settings(probes=True), limits={"sockets": 384})
     assert here.node.admission.room == 192, "half of all at most"
-    here = world(tmp_path, known=hosts(host("s-1")), settings=settings(probes=True), limits={"sockets": 384})
+    here = world(
+        tmp_path,
+        known=hosts(host("s-1")),
+        settings=settings(probes=True),
+        limits={"sockets": 384},
+    )
     assert here.node.admission.room == 384 - 96 - 1
 
 
@@ -281,7 +286,7 @@
         here.run(1_010_000)
     else:
         first.machine.feed(how.encode() + b"\r\n", here.now)
-    assert [e.ending for e in told if isinstance(e, AttemptEnded)] == [ending]
+    assert [e.outcome for e in told if isinstance(e, AttemptEnded)] == [ending]
     (second,) = here.attempts()
     assert first.closed and second is not first and not link.sent
 
@@ -330,7 +335,7 @@
     session.eof(here.now)
     assert attempt.closed and link.closed and not here.node.requests
     (end,) = (e for e in told if isinstance(e, AttemptEnded))
-    assert (end.ending, end.closed) == (AttemptOutcome.CANCELLED, 1)
+    assert (end.outcome, end.request_closed) == (AttemptOutcome.CANCELLED, 1)
     assert any(isinstance(e, ClientDisconnected) for e in told)
 
 
@@ -389,7 +394,7 @@
     here.run(5000)
     assert link.sent == b"UP 77\r\nMOVE\r\n" and link.finished and attempt.closed
     (end,) = (e for e in told if isinstance(e, AttemptEnded))
-    assert end.ending == AttemptOutcome.CANCELLED, "nothing is learned of what the upstream can hold"
+    assert end.outcome == AttemptOutcome.CANCELLED, "nothing is learned of what the upstream can hold"
 
 
 @pytest.mark.parametrize("back", [False, True], ids=["gone", "heard again"])
--- a/tests/test_policy_fleet.py
+++ b/tests/test_policy_fleet.py
@@ -65,7 +65,7 @@
     """Ids begin at 1 at every node: without a group, all walked the ring from the same place."""
     met = set[tuple[int, ...]]()
     for i in range(NODES):
-        node = Driver(replace(TIER, me=i, probes=False), i, SERVERS)
+        node = Driver(replace(TIER, node_index=i, allows_health_checks=False), i, SERVERS)
         first = node.balancer.flows[node.request()]
         met.add(tuple(s.id for s in node.balancer._walk(first, None)))
     assert len(met) >= 3
@@ -84,7 +84,7 @@
     for _ in range(2):
         wave(tier, range(NODES), 4)
     got = sum(
-        isinstance(a, StartAttempt) and a.server == 1
+        isinstance(a, StartAttempt) and a.server_id == 1
         for node, mark in zip(tier.nodes, marks, strict=True)
         for a in node.log[mark:]
     )
@@ -136,7 +136,7 @@
 
 
 def test_servers_out_of_connections_at_most_draws_leave_no_req_without_its_answer() -> None:
-    driver = Driver(replace(TIER, peers=False), servers=SERVERS)
+    driver = Driver(replace(TIER, allows_peer_messages=False), servers=SERVERS)
     served = 0
     for _ in range(30):
         number = driver.request()
--- a/tests/test_policy_rules.py
+++ b/tests/test_policy_rules.py
@@ -32,7 +32,13 @@
     BASE,
     replace(BASE, discovery="on_request", prices={"crossZone": 0.1, "probe": 0.0}, max_attempts=2),
     replace(
-        BASE, probes=False, cancel=False, allows_hedging=True, mode="pass", park=5 * SECOND, groups=False
+        BASE,
+        allows_health_checks=False,
+        allows_cancellation=False,
+        allows_hedging=True,
+        mode="pass",
+        park_us=5 * SECOND,
+        has_groups=False,
     ),
 )
 ENDINGS = [
--- a/tests/test_simulator_protocol.py
+++ b/tests/test_simulator_protocol.py
@@ -77,8 +77,8 @@
     second = "06 00 01000000 f211902c 0100 00 0200 02 0000803f 0000000000000000"
     got = list(protocol.decode(bytes.fromhex(LIST + SYNC + second + SYNC), {}))
     first, other = (e for _, e in got if isinstance(e, EndpointUpdate))
-    assert [e.server for e in first.entries] == [HOST, 0x2C9011F2]
-    assert first.entries[1].since == 0x5D1420 and first.entries[1].weight == 1.5
+    assert [e.server_id for e in first.entries] == [HOST, 0x2C9011F2]
+    assert first.entries[1].ready_since_us == 0x5D1420 and first.entries[1].weight == 1.5
     assert other.entries == [ServerEntry(0x2C9011F2, 1, 0, 2, 2, 1.0, 0)]
 
 
@@ -149,7 +149,12 @@
 
 def test_settings_are_read_and_unknown_keys_passed_over() -> None:
     told = protocol.parse_settings(SETTINGS.encode())
-    assert (told.balancers, told.zone, told.probes, told.cancel) == (3, 1, True, False)
+    assert (told.node_count, told.zone, told.allows_health_checks, told.allows_cancellation) == (
+        3,
+        1,
+        True,
+        False,
+    )
     assert told.classes[0].message_objective_us == 250000 and told.report_fields == ("qps", "x0")
     assert told.tenant_quotas == (204.0, float("inf")) and told.prices == {"probe": 0.002}
 
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -18,13 +18,13 @@
 
 TOLD = replace(
     BASE,
-    classes=(replace(SAFE, aim=300_000, deadline=1_800_000),),
+    classes=(replace(SAFE, latency_objective_us=300_000, deadline_us=1_800_000),),
     initial_capacity=0.13,
     warm_up_us=24 * SECOND,
     overload_factor=3.0,
     overload_window_us=2 * SECOND,
-    probes=False,
-    groups=False,
+    allows_health_checks=False,
+    has_groups=False,
     report_via="none",
     report_fields=(),
 )
@@ -38,7 +38,7 @@
     rng, (servers, total) = Random(seed), FLEETS[nodes]
     parts = [rng.lognormvariate(0, 0.8) for _ in range(nodes)]
     rates = [total * part / sum(parts) for part in parts]
-    here = SlowStartFleet(replace(TOLD, balancers=nodes, **changes), rates, servers, load, LIFE, seed)  # type: ignore[arg-type]
+    here = SlowStartFleet(replace(TOLD, node_count=nodes, **changes), rates, servers, load, LIFE, seed)  # type: ignore[arg-type]
     here.run(20 if nodes > 30 else 40)
     return here
 
@@ -173,6 +173,6 @@
 
 @pytest.mark.parametrize("nodes", [1, 7, 200])
 def test_the_floor_is_shared_by_all_nodes(nodes: int) -> None:
-    driver = Driver(replace(TOLD, balancers=nodes), servers=[entry(1)])
+    driver = Driver(replace(TOLD, node_count=nodes), servers=[entry(1)])
     whole = driver.balancer.warming.floor * nodes * TOLD.overload_window_us / SECOND
     assert whole == pytest.approx(FLOOR)
