--- a/limerudder/core/discovery/discovery_client.py
+++ b/limerudder/core/discovery/discovery_client.py
@@ -113,7 +113,7 @@
         """Give up the calls that are dead."""
         self.hearer.wheel.at(now + CHECK_INTERVAL_US, self._check)
         for call in [*self.calls, *([self.watch] if self.watch else [])]:
-            if call.clock.dead(now):
+            if call.clock.is_expired(now):
                 call.lost(now)
         if self.again_at is not None and now >= self.again_at:
             self.again_at = None
--- a/limerudder/core/discovery/endpoint_list.py
+++ b/limerudder/core/discovery/endpoint_list.py
@@ -129,7 +129,7 @@
             self._end(True, now)
             return
         lists, self.lists = self.lists, []
-        self.clock.word(len(lists), bool(self.objects.begun), now)
+        self.clock.record_bytes(len(lists), bool(self.objects.begun), now)
         for told in lists:
             self.told(self, told, now)
         if self.complete:  # a watch that is complete is a watch that has ended
--- a/limerudder/policy/balancer.py
+++ b/limerudder/policy/balancer.py
@@ -14,8 +14,8 @@
 from typing import Any
 
 from limerudder.policy import actions, events, rebalancing
-from limerudder.policy.gossip import FEW, decode, match_servers
-from limerudder.policy.pacing import WAVE
+from limerudder.policy.gossip import MAX_INDEPENDENT_NODES, decode, match_servers
+from limerudder.policy.pacing import PACED_RATE_FACTOR
 from limerudder.policy.policy_state import (
     AGAIN,
     ASK,
@@ -34,7 +34,7 @@
     Connection,
     Server,
 )
-from limerudder.policy.reported_loads import EASY
+from limerudder.policy.reported_loads import COMFORTABLE_LOAD
 from limerudder.policy.settings import (
     Settings,
 )
@@ -58,7 +58,13 @@
 class Balancer(PolicyState):
     """Events in, actions out; the clock comes with each event, chance from the seeded source handed in."""
 
-    WAVE, D, LOOK, AGAIN, HOME = WAVE, D, LOOK, AGAIN, HOME  # for limerudder/policy/rebalancing.py
+    WAVE, D, LOOK, AGAIN, HOME = (
+        PACED_RATE_FACTOR,
+        D,
+        LOOK,
+        AGAIN,
+        HOME,
+    )  # for limerudder/policy/rebalancing.py
 
     def __init__(self, settings: Settings, rng: Random) -> None:
         super().__init__(settings, rng)
@@ -87,7 +93,7 @@
 
     def _on_members(self, event: events.EndpointUpdate) -> None:
         if event.kind == events.UpdateKind.FAILED:
-            return self._ask_in(self.waits.failed(self.rng))
+            return self._ask_in(self.waits.record_failure(self.rng))
         hand = event.kind == events.UpdateKind.OPERATOR
         if not hand and event.kind != events.UpdateKind.DELTA:
             named = {entry.server for entry in event.entries}
@@ -115,13 +121,13 @@
                 self._sweep()
             if self.probing or self.felt:
                 rebalancing.bring_home(self)
-            if self.sharing.able and self.probing:
-                self.sharing.last = self.now
+            if self.sharing.enabled and self.probing:
+                self.sharing.last_round_at_us = self.now
                 self._share()
             if self.settings.discovery == "on_request":
                 self._on_timer(events.TimerFired(ASK))
         else:
-            self.waits.heard()
+            self.waits.record_success()
             self._ask_in(int(self.settings.poll_interval_us * self.rng.uniform(0.7, 0.9)))
 
     def _list(self, server: Server, state: int) -> None:
@@ -130,7 +136,7 @@
             return
         self.ring.put(server.id, state == events.ServerState.READY, server.weight)
         (self.ready.append if state == events.ServerState.READY else self.ready.remove)(server)
-        self.loads.listed(server, self.ready, self.now)
+        self.loads.on_server_state_change(server, self.ready, self.now)
         if state == events.ServerState.DRAINING:
             # DANGER: what a server still holds when it stops is cut off; sent away at once, all would crowd
             # the others in one moment
@@ -141,7 +147,7 @@
 
     def _count_warm(self) -> None:
         self.cold = {s: None for s in self.cold if self.now < s.since + self.settings.warm_up_us}
-        self.warming.listed(self.ready, self.cold)
+        self.warming.update_servers(self.ready, self.cold)
 
     def _ask_in(self, wait: int) -> None:
         """Ask discovery again after so long, and no sooner."""
@@ -173,30 +179,33 @@
         # own requests do not pay for sweeps asks only the servers it is about to draw from.
         # DANGER: a node with few new requests but many connections of before would never hear of overload
         spend = SECOND * len(self.ready) / (self.earn * self.usual_rate())
-        shared = self.sharing.live(self.now)
-        self.asking, least = spend > SWEEP_MOST or shared, self.sharing.every // 2 if shared else SWEEP_LEAST
-        self.loads.every = least if self.asking else int(max(spend, SWEEP_LEAST))
+        shared = self.sharing.is_active(self.now)
+        self.asking, least = (
+            spend > SWEEP_MOST or shared,
+            self.sharing.round_interval_us // 2 if shared else SWEEP_LEAST,
+        )
+        self.loads.report_interval_us = least if self.asking else int(max(spend, SWEEP_LEAST))
         if not self.asking:
             self.out.extend(actions.CheckHealth(server.id) for server in self.ready)
         self._count_warm()
-        self.loads.reckon(self.settings.balancers, self.asking, self.now)
+        self.loads.update_levels(self.settings.balancers, self.asking, self.now)
         late = self.asking and not shared and self.now >= self.born + SWEEP_MOST
-        wait = SWEEP_MOST if late else min(self.loads.every, SECOND if shared else SWEEP_MOST)
+        wait = SWEEP_MOST if late else min(self.loads.report_interval_us, SECOND if shared else SWEEP_MOST)
         self.out.append(actions.SetTimer(self.now + wait, SWEEP))
 
     def _share(self) -> None:
         """Ask all servers in this node's turn, and tell its peers."""
         rates = self.usual_rate(), self.fresh.read(self.now, self.born)
-        told, due = self.sharing.round(self.ready, rates, self.asking, self.now)
+        told, due = self.sharing.run_round(self.ready, rates, self.asking, self.now)
         # DANGER: what stood at the start comes after the first round, which shows servers that hold nothing
         self.out += [*told, actions.SetTimer(min(due, self.now + SECOND), SHARE)]
 
     def _on_peermessage(self, event: events.PeerMessage) -> None:
         message = decode(event.data) if event.sender != self.settings.me else ((0.0, 0.0), [])
         if message is None:
-            self.sharing.strange += 1
+            self.sharing.malformed += 1
         elif event.sender != self.settings.me:
-            self.sharing.told(event.sender, message[0], self.now)
+            self.sharing.record_round(event.sender, message[0], self.now)
             for number, load, held in match_servers(message[1], self.servers):
                 self._hear(self.servers[number], load, held)
 
@@ -232,7 +241,7 @@
 
     def _hear(self, server: Server, load: float, held: float) -> None:
         server.asked_at, self.unheard = 0, 0
-        asked = self.loads.hear(server, load, held, len(self.ready), self.now)
+        asked = self.loads.record_report(server, load, held, len(self.ready), self.now)
         rebalancing.relieve(self, server, load, asked)
 
     # Which servers are eligible
@@ -244,7 +253,7 @@
 
     def _has_room(self, server: Server, level: float = 1.0, flow: Connection | None = None) -> bool:
         estimate = self.estimate(server)
-        if (felt := self.felt) and not felt.room(server, level, flow, self.now):
+        if (felt := self.felt) and not felt.has_room(server, level, flow, self.now):
             return False
         if estimate is None and not felt:
             # DANGER: one asked that has not answered is as a rule overfull; taken for empty, it draws all.
@@ -257,7 +266,7 @@
             # it stood before. Counted again it fills every server in a moment, and its clients are sent away.
             # What comes back from a server that drains was in the reports of that one only.
             asked = (server.load or 0) if level == BACK else estimate + self.adds(server)
-            if asked + self.loads.pile(server) > min(level, self.loads.full):
+            if asked + self.loads.backlog_load(server) > min(level, self.loads.max_load):
                 return False
         # DANGER: a node just back, or the only one, meets a wave; what one server sets up at once it sets up
         # late or not at all, and its reports tell of none of it yet
@@ -269,18 +278,21 @@
     def _may_warm(self, server: Server) -> bool:
         """Whether a cold server's budget allows one more; an old server always does."""
         # DANGER: a new id holds nothing and would win nearly every draw of every balancer
-        told, share = self.settings, self.loads.size(server, self.now) / server.weight
+        told, share = self.settings, self.loads.effective_size(server, self.now) / server.weight
         if share >= 1:
             return True
         # DANGER: clients that a process before this one moved here are in the rate already; and the more
         # nodes there are, the more they send before one report tells of it
-        load, alone = self.estimate(server), told.balancers <= FEW and self.now >= self.succeeds
+        load, alone = (
+            self.estimate(server),
+            told.balancers <= MAX_INDEPENDENT_NODES and self.now >= self.succeeds,
+        )
         idle = alone and load is not None and load < IDLE
         # DANGER: it is idle because little is asked of it; what it can do is what reports tell of the others
-        times = min(IDLE_TIMES, max(SPENT / max(self.loads.told, 0.01), 1)) if idle else 1
+        times = min(IDLE_TIMES, max(SPENT / max(self.loads.mean_reported_load, 0.01), 1)) if idle else 1
         # DANGER: of a fleet that is restarted bit by bit nobody remembers much, and cold servers would starve
         fresh = self.fresh.read(self.now, self.born)
-        return self.warming.may(server, share, times, fresh, self.now)
+        return self.warming.allows(server, share, times, fresh, self.now)
 
     def _allowed(self, flow: Connection, server: Server) -> bool:
         """The rules alone: listed, within a cold budget, and not where an effect might happen twice."""
@@ -322,7 +334,7 @@
             if flow.group or self.asking:
                 yield self._walk(flow, zone)
             # DANGER: each further server does the group's work again
-            if not (flow.group and self.asking) or self.sharing.live(self.now):
+            if not (flow.group and self.asking) or self.sharing.is_active(self.now):
                 yield [s for s in self.sample(self.ready) if zone in (None, s.zone)]
 
     def _draw(self, flow: Connection) -> Server | None:
@@ -330,19 +342,27 @@
         # DANGER: where all stand at the mean, none is below it; sparing the busier must not turn anyone away
         # DANGER: a tenant beyond its share, worth little, would crowd out the others where room is short
         levels = (
-            (min(self.loads.level, EASY),) if self.over_share(flow) else (self.loads.level, self.loads.full)
+            (min(self.loads.preferred_max_load, COMFORTABLE_LOAD),)
+            if self.over_share(flow)
+            else (self.loads.preferred_max_load, self.loads.max_load)
         )
         for level in (*levels, 1.0) if self.asking else levels:
             for pool in self._pools(flow):
                 if (chosen := self._fewest(flow, pool, level)) is not None:
                     return chosen
-        back = flow.back and self.loads.told <= EASY and self.now >= self.drained_at + DRAINED
+        back = (
+            flow.back
+            and self.loads.mean_reported_load <= COMFORTABLE_LOAD
+            and self.now >= self.drained_at + DRAINED
+        )
         if back and (chosen := self._fewest(flow, self.sample(self.ready), BACK)) is not None:
             return chosen
         if any(self.healthy(s) and self._may_warm(s) for s in self.ready):
             return None
         # DANGER: something all servers share makes them all look bad; with none left, health is no guide.
-        return self._fewest(flow, self.sample(self.ready), 1.0 if self.asking else EASY, sick=True)
+        return self._fewest(
+            flow, self.sample(self.ready), 1.0 if self.asking else COMFORTABLE_LOAD, sick=True
+        )
 
     def sample(self, servers: list[Server]) -> list[Server]:
         """Some of these servers in random order, the larger as a rule before the smaller."""
@@ -351,7 +371,9 @@
         # DANGER: reports are seconds old; were those with room filled in turn, all nodes would fill the same
         # DANGER: weighed one by one, thousands would take milliseconds of every draw
         servers = self.rng.sample(servers, MANY) if len(servers) > MANY else servers
-        room = {s: self.loads.size(s, self.now) * max(1 - (self.estimate(s) or 0), 0.1) for s in servers}
+        room = {
+            s: self.loads.effective_size(s, self.now) * max(1 - (self.estimate(s) or 0), 0.1) for s in servers
+        }
         keys = {s: self.rng.random() ** (1 / room[s]) for s in servers}  # after Efraimidis and Spirakis
         return sorted(servers, key=keys.__getitem__, reverse=True)[:WIDE]
 
@@ -371,8 +393,8 @@
         stale = flow.risk is not None and self.now + told.connect_timeout_us >= flow.risk[0] + window
         if stale or flow.sends >= told.max_attempts or left <= 2 * told.tick:
             return self._answer(flow)
-        if self.spacing.gap and not flow.slot:
-            slot = self.spacing.slot(self.now, flow.deadline - told.connect_timeout_us)
+        if self.spacing.interval_us and not flow.slot:
+            slot = self.spacing.reserve(self.now, flow.deadline - told.connect_timeout_us)
             if slot is None:
                 return self._answer(flow)  # early: it could not be set up in time
             flow.slot = slot
@@ -396,7 +418,7 @@
         last = flow.sends + 1 >= self.settings.max_attempts
         # DANGER: after a wave set-ups take long at a store they share; given up at the aim and sent again,
         # each is done twice and later still. What a connection earns, it earns over its life.
-        wait = left if last or self.spacing.gap else max(left // 2, min(left, flow.cls.aim))
+        wait = left if last or self.spacing.interval_us else max(left // 2, min(left, flow.cls.aim))
         flow.sends, flow.slot = flow.sends + 1, 0
         self.returned.pop(server, None)
         self._join(flow, server)
@@ -405,7 +427,7 @@
             server.trial_at = self.now + TRIAL_AFTER
         if flow.sends == 1:
             self.rate = self.sent.count(self.now, self.born)
-            self.warming.sent(self.now)
+            self.warming.record_request(self.now)
             self.fresh.count(self.now, self.born) if not flow.back else None
             self.credit = min(self.credit + self.earn, 4 * D + self.earn)
         self.out.append(actions.StartAttempt(flow.id, server.id, wait))
@@ -425,7 +447,9 @@
             fit = [sum(map(test, self.ready)) for test in (self.healthy, self._has_room, self._may_warm)]
             self.out.append(
                 actions.LogMessage(
-                    TEXT.format(len(self.ready), *fit, self.loads.level, self.spacing.gap // 1000)
+                    TEXT.format(
+                        len(self.ready), *fit, self.loads.preferred_max_load, self.spacing.interval_us // 1000
+                    )
                 )
             )
         keyed = flow.cls.effect == "keyed" and flow.cls.key_scope == "all"
@@ -452,7 +476,7 @@
         server = self.servers.setdefault(event.server, Server(event.server, self.now, 0.0))
         self.flows[event.id] = flow = Connection(event, self.settings.classes[event.cls], self.now)
         flow.sends, flow.live, flow.up, flow.over = 1, True, True, True
-        self.opens, self.warming.born = self.opens + 1, self.born
+        self.opens, self.warming.started_at_us = self.opens + 1, self.born
         self._join(flow, server)
 
     def _on_elsewhere(self, event: events.PredecessorConnections) -> None:
@@ -483,7 +507,7 @@
         flow.server.strikes = flow.server.trial_at = 0
         if self.felt and 3 * event.latency > flow.cls.aim:  # as with messages: a third of the aim is long
             flow.server.slow_at = self.now - NOTE_LIFE + SECOND
-        self.spacing.made(self.rate)
+        self.spacing.record_success(self.rate)
 
     def _on_gone(self, event: events.ClientDisconnected) -> None:
         flow = self.flows.get(event.id)
@@ -496,7 +520,7 @@
     def _on_load_sample(self, event: events.LoadSample) -> None:
         flow = self._out(event)
         if flow is not None and flow.server is not None and event.load >= 0:
-            self.loads.weigh(flow, event.load)
+            self.loads.record_connection_load(flow, event.load)
 
     def _on_latency_sample(self, event: events.LatencySample) -> None:
         flow = self._out(event)
@@ -538,7 +562,7 @@
         ):
             return
         if self.felt and ending == events.AttemptOutcome.RESET and flow.over:
-            self.felt.dropped(server, self.now)
+            self.felt.record_reset(server, self.now)
         # DANGER: one that is full without any of ours is no ceiling: it would win each further draw
         if server.count and (
             ending == events.AttemptOutcome.FULL or (ending == events.AttemptOutcome.RESET and flow.over)
@@ -548,7 +572,7 @@
             return
         young = self.felt is not None and self.now < self.born + YOUNG
         shared = ending in (events.AttemptOutcome.ERROR, events.AttemptOutcome.TIMEOUT)
-        if shared and self.spacing.failed(self.rate, young):
+        if shared and self.spacing.record_failure(self.rate, young):
             return
         server.strikes += 1
         server.trial_at = self.now + (TRIAL_AFTER << min(server.strikes - 1, MOST_DOUBLINGS))
--- a/limerudder/policy/discovery_timing.py
+++ b/limerudder/policy/discovery_timing.py
@@ -40,38 +40,46 @@
     """One call that is out: told of its signs of life, it tells whether it is dead."""
 
     def __init__(self, pushed: bool, now: int) -> None:
-        self.called, self.first = now, AGENT_FIRST_BYTE_TIMEOUT_US if pushed else FIRST_BYTE_TIMEOUT_US
-        self.heard: int | None = None  # when the last byte came
-        self.begun: int | None = None  # when the list that has not ended began
-        self.lists = 0
-
-    def word(self, lists: int, unfinished: bool, now: int) -> None:
+        self._called_at_us, self._first_byte_timeout_us = (
+            now,
+            AGENT_FIRST_BYTE_TIMEOUT_US if pushed else FIRST_BYTE_TIMEOUT_US,
+        )
+        self._last_byte_at_us: int | None = None  # when the last byte came
+        self._list_started_at_us: int | None = None  # when the list that has not ended began
+        self._lists_completed = 0
+
+    def record_bytes(self, lists: int, unfinished: bool, now: int) -> None:
         """Bytes have come; so many lists ended with them, and another has begun and not ended."""
-        self.heard, self.lists = now, self.lists + lists
-        self.begun = (now if lists else self.begun or now) if unfinished else None
+        self._last_byte_at_us, self._lists_completed = now, self._lists_completed + lists
+        self._list_started_at_us = (now if lists else self._list_started_at_us or now) if unfinished else None
 
-    def dead(self, now: int) -> bool:
+    def is_expired(self, now: int) -> bool:
         """Whether it is to be given up: nothing that comes on it would come in time."""
-        if self.heard is None:
-            return now - self.called > self.first
+        if self._last_byte_at_us is None:
+            return now - self._called_at_us > self._first_byte_timeout_us
         # guards against a list that never ends and one that never begins, however lively the call is
-        if self.begun is not None and now - self.begun > COMPLETE_TIMEOUT_US:
+        if self._list_started_at_us is not None and now - self._list_started_at_us > COMPLETE_TIMEOUT_US:
             return True
-        return now - (self.heard if self.lists else self.called) > IDLE_TIMEOUT_US
+        return (
+            now - (self._last_byte_at_us if self._lists_completed else self._called_at_us) > IDLE_TIMEOUT_US
+        )
 
 
 class Backoff:
     """Waits between calls while they fail (truncated exponential back-off, drawn anew each time)."""
 
     def __init__(self, poll_interval_us: int) -> None:
-        self.most, self.failures = min(MAX_BACKOFF_US, max(poll_interval_us // 2, CHECK_INTERVAL_US)), 0
+        self._max_wait_us, self._failures = (
+            min(MAX_BACKOFF_US, max(poll_interval_us // 2, CHECK_INTERVAL_US)),
+            0,
+        )
 
-    def heard(self) -> None:
+    def record_success(self) -> None:
         """Discovery has told its list."""
-        self.failures = 0
+        self._failures = 0
 
-    def failed(self, rng: Random) -> int:
+    def record_failure(self, rng: Random) -> int:
         """One more call has failed: how long to wait, so that not all nodes ask at once."""
-        most = min(FIRST_BACKOFF_US << min(self.failures, 4), self.most)
-        self.failures += 1
+        most = min(FIRST_BACKOFF_US << min(self._failures, 4), self._max_wait_us)
+        self._failures += 1
         return int(most * rng.uniform(0.25, 1))
--- a/limerudder/policy/gossip.py
+++ b/limerudder/policy/gossip.py
@@ -22,39 +22,47 @@
     Settings,
 )
 
-SPEND = 0.02  #: of the result goes into shared reports at most; each node's own asking took as much
-FEW = 6  #: nodes that see enough of every server by themselves
-PLACE = SECOND // 10  #: between one place in the order and the next: a round of probes and a late message
-LEAST, MOST = SECOND, 8 * SECOND  #: between rounds; less often, reports say nothing of now
-MARK, HEAD, ROW = 0xA7, struct.Struct("<BHH"), struct.Struct("<HBB")
-ROWS = (256 - HEAD.size) // ROW.size  #: in one datagram
-REPORTS, PAUSE = SECOND // 20, 4 * SECOND  #: to wait for reports; until the next look while not needed
-MEAN_OF = 8  #: rounds that a mean rate is over
-STEPS = 64  #: of load 1.0; what is over four times that is told as four times
-RATES = 100  #: steps of one new connection a second
+MAX_COST_SHARE = 0.02  #: of the result goes into shared reports at most; each node's own asking took as much
+MAX_INDEPENDENT_NODES = 6  #: nodes that see enough of every server by themselves
+TAKEOVER_STEP_US = (
+    SECOND // 10
+)  #: between one place in the order and the next: a round of probes and a late message
+MIN_ROUND_INTERVAL_US, MAX_ROUND_INTERVAL_US = (
+    SECOND,
+    8 * SECOND,
+)  #: between rounds; less often, reports say nothing of now
+MAGIC, HEADER, ROW = 0xA7, struct.Struct("<BHH"), struct.Struct("<HBB")
+ROWS_PER_DATAGRAM = (256 - HEADER.size) // ROW.size  #: in one datagram
+REPORT_WAIT_US, IDLE_CHECK_INTERVAL_US = (
+    SECOND // 20,
+    4 * SECOND,
+)  #: to wait for reports; until the next look while not needed
+MEAN_RATE_ROUNDS = 8  #: rounds that a mean rate is over
+LOAD_STEPS = 64  #: of load 1.0; what is over four times that is told as four times
+RATE_STEPS = 100  #: steps of one new connection a second
 
 #: New connections a second at a node, and those of them that stood nowhere before.
-Rates = tuple[float, float]
-Row = tuple[int, float, int]  #: low 16 bits of the server's id, load, connections held
+ConnectionRates = tuple[float, float]
+LoadRow = tuple[int, float, int]  #: low 16 bits of the server's id, load, connections held
 
 
-def encode(rates: Rates, rows: Sequence[Row]) -> Iterator[bytes]:
+def encode(rates: ConnectionRates, rows: Sequence[LoadRow]) -> Iterator[bytes]:
     """Datagrams of 256 bytes at most: own rates, then a row for each server."""
-    head = HEAD.pack(MARK, *(min(int(rate * RATES), 65535) for rate in rates))
-    for at in range(0, len(rows), ROWS):
+    head = HEADER.pack(MAGIC, *(min(int(rate * RATE_STEPS), 65535) for rate in rates))
+    for at in range(0, len(rows), ROWS_PER_DATAGRAM):
         data = head
-        for server, load, held in rows[at : at + ROWS]:
-            data += ROW.pack(server & 0xFFFF, min(int(load * STEPS + 0.5), 255), min(held, 255))
+        for server, load, held in rows[at : at + ROWS_PER_DATAGRAM]:
+            data += ROW.pack(server & 0xFFFF, min(int(load * LOAD_STEPS + 0.5), 255), min(held, 255))
         yield data
 
 
-def decode(data: bytes) -> tuple[Rates, list[Row]] | None:
+def decode(data: bytes) -> tuple[ConnectionRates, list[LoadRow]] | None:
     """What a peer's datagram says; None where it is of no such form."""
-    if len(data) < HEAD.size or data[0] != MARK or (len(data) - HEAD.size) % ROW.size:
+    if len(data) < HEADER.size or data[0] != MAGIC or (len(data) - HEADER.size) % ROW.size:
         return None
-    _, rate, fresh = HEAD.unpack_from(data)
-    return (rate / RATES, fresh / RATES), [
-        (server, load / STEPS, held) for server, load, held in ROW.iter_unpack(data[HEAD.size :])
+    _, rate, fresh = HEADER.unpack_from(data)
+    return (rate / RATE_STEPS, fresh / RATE_STEPS), [
+        (server, load / LOAD_STEPS, held) for server, load, held in ROW.iter_unpack(data[HEADER.size :])
     ]
 
 
@@ -62,65 +70,73 @@
     """One node's view of the rounds. Times in microseconds."""
 
     def __init__(self, settings: Settings) -> None:
-        self.me, self.nodes = settings.me, max(settings.balancers, 1)
-        self.able = settings.peers and settings.probes and self.nodes > FEW
-        self.price_probe = settings.prices.get("probe", 0)
-        self.price_byte = settings.prices.get("peer", 0) / 256
-        self.every = MOST  # between rounds
-        self.rate = self.fresh = 0.0  # the rates of a node, the mean of those that told
-        self.last = 0  # when the last round was told; before the first, when this node began
-        self.after = self.nodes - 1  # whose it was
-        self.heard = 0  # rounds told
-        self.asked_at = 0  # when this node's own round began; 0 where none is under way
-        self.strange = 0  # datagrams of no known form
-
-    def live(self, now: int) -> bool:
+        self._own_number, self._node_count = settings.me, max(settings.balancers, 1)
+        self.enabled = settings.peers and settings.probes and self._node_count > MAX_INDEPENDENT_NODES
+        self._probe_price = settings.prices.get("probe", 0)
+        self._byte_price = settings.prices.get("peer", 0) / 256
+        self.round_interval_us = MAX_ROUND_INTERVAL_US  # between rounds
+        self.mean_rate = self.mean_fresh_rate = 0.0  # the rates of a node, the mean of those that told
+        self.last_round_at_us = 0  # when the last round was told; before the first, when this node began
+        self._last_sender = self._node_count - 1  # whose it was
+        self.rounds_recorded = 0  # rounds told
+        self._own_round_started_at_us = 0  # when this node's own round began; 0 where none is under way
+        self.malformed = 0  # datagrams of no known form
+
+    def is_active(self, now: int) -> bool:
         """Whether reports keep coming."""
-        return self.able and self.heard > 0 and now < self.last + 2 * self.every + PLACE * self.nodes
+        return (
+            self.enabled
+            and self.rounds_recorded > 0
+            and now < self.last_round_at_us + 2 * self.round_interval_us + TAKEOVER_STEP_US * self._node_count
+        )
 
-    def reckon(self, servers: int, rate: float) -> None:
+    def update_interval(self, servers: int, rate: float) -> None:
         """How often the tier's requests pay for a round; `rate`: this node's own new connections a second."""
-        datagram = HEAD.size * -(-servers // ROWS) + ROW.size * servers
-        cost = servers * self.price_probe + self.nodes * datagram * self.price_byte
+        datagram = HEADER.size * -(-servers // ROWS_PER_DATAGRAM) + ROW.size * servers
+        cost = servers * self._probe_price + self._node_count * datagram * self._byte_price
         # DANGER: the first to tell may not have its clients yet, and the others would wait by its word
-        mean = self.rate if self.heard >= MEAN_OF else max(self.rate, rate)
-        wanted = SECOND * cost / (SPEND * self.nodes * mean)
-        self.every = int(min(max(wanted, LEAST), MOST))
+        mean = self.mean_rate if self.rounds_recorded >= MEAN_RATE_ROUNDS else max(self.mean_rate, rate)
+        wanted = SECOND * cost / (MAX_COST_SHARE * self._node_count * mean)
+        self.round_interval_us = int(min(max(wanted, MIN_ROUND_INTERVAL_US), MAX_ROUND_INTERVAL_US))
 
-    def turn(self) -> int:
+    def next_turn_us(self) -> int:
         """When this node is to ask all servers, if nobody does before."""
-        return self.last + self.every * (self.heard > 0) + PLACE * ((self.me - self.after - 1) % self.nodes)
+        return (
+            self.last_round_at_us
+            + self.round_interval_us * (self.rounds_recorded > 0)
+            + TAKEOVER_STEP_US * ((self._own_number - self._last_sender - 1) % self._node_count)
+        )
 
-    def told(self, sender: int, rates: Rates, now: int) -> None:
+    def record_round(self, sender: int, rates: ConnectionRates, now: int) -> None:
         """A round was told, by a peer or by this node."""
-        self.heard += 1
-        part = 1 / min(self.heard, MEAN_OF)
-        self.rate += (rates[0] - self.rate) * part
-        self.fresh += (rates[1] - self.fresh) * part
-        self.last, self.after, self.asked_at = now, sender, 0
-
-    def round(
-        self, ready: Sequence[Server], rates: Rates, asking: bool, now: int
+        self.rounds_recorded += 1
+        part = 1 / min(self.rounds_recorded, MEAN_RATE_ROUNDS)
+        self.mean_rate += (rates[0] - self.mean_rate) * part
+        self.mean_fresh_rate += (rates[1] - self.mean_fresh_rate) * part
+        self.last_round_at_us, self._last_sender, self._own_round_started_at_us = now, sender, 0
+
+    def run_round(
+        self, ready: Sequence[Server], rates: ConnectionRates, asking: bool, now: int
     ) -> tuple[list[Action], int]:
         """What to do now, and when to look again: ask all servers in one's own turn, then tell all peers."""
         # DANGER: of 40 nodes each sees a request in ten seconds or so. None can pay for what it has to know,
         # and all together pay for the same reports over and over
-        self.reckon(len(ready), rates[0])
-        due = self.turn()
+        self.update_interval(len(ready), rates[0])
+        due = self.next_turn_us()
         if not asking:
-            return [], now + PAUSE
-        if self.asked_at:
-            rows = [(s.id, *s.report) for s in ready if s.report_at >= self.asked_at]
+            return [], now + IDLE_CHECK_INTERVAL_US
+        if self._own_round_started_at_us:
+            rows = [(s.id, *s.report) for s in ready if s.report_at >= self._own_round_started_at_us]
             told: list[Action] = [SendPeerMessage(ALL_PEERS, data) for data in encode(rates, rows)]
-            self.told(self.me, rates, now)
-            return told, self.turn()
+            self.record_round(self._own_number, rates, now)
+            return told, self.next_turn_us()
         if now >= due:
-            self.asked_at = now
-            return [CheckHealth(server.id) for server in ready], now + REPORTS
+            self._own_round_started_at_us = now
+            return [CheckHealth(server.id) for server in ready], now + REPORT_WAIT_US
         return [], due
 
 
-def match_servers(rows: Iterable[Row], known: Iterable[int]) -> Iterator[tuple[int, float, int]]:
+def match_servers(rows: Iterable[LoadRow], known: Iterable[int]) -> Iterator[tuple[int, float, int]]:
     """The rows with whole ids; those that two servers share or none has are left out."""
     by_low: dict[int, int] = {}
     for server in known:
--- a/limerudder/policy/hash_ring.py
+++ b/limerudder/policy/hash_ring.py
@@ -9,8 +9,8 @@
 from collections.abc import Iterator
 from zlib import crc32
 
-POINTS = 4  #: of a member of weight 1: evens out how many walks each one is met first on
-MOST_POINTS = 64  #: of any member, whatever its weight
+POINTS_PER_WEIGHT = 4  #: of a member of weight 1: evens out how many walks each one is met first on
+MAX_POINTS = 64  #: of any member, whatever its weight
 _MASK = 0xFFFFFFFF
 
 
@@ -19,13 +19,13 @@
 
     def __init__(self) -> None:
         self._points: list[int] = []
-        self._many: dict[int, int] = {}  # points that each member has
+        self._point_counts: dict[int, int] = {}  # points that each member has
 
     def put(self, member: int, on: bool, weight: float = 1.0) -> None:
         """Put a member on the ring, with points by its weight, or take one that is on it off."""
         if on:
-            self._many[member] = min(max(round(POINTS * weight), 1), MOST_POINTS)
-        for k in range(self._many[member]):
+            self._point_counts[member] = min(max(round(POINTS_PER_WEIGHT * weight), 1), MAX_POINTS)
+        for k in range(self._point_counts[member]):
             point = crc32(b"%d %d" % (member, k)) << 32 | member & _MASK
             if on:
                 insort(self._points, point)
--- a/limerudder/policy/policy_state.py
+++ b/limerudder/policy/policy_state.py
@@ -78,11 +78,11 @@
 
     def adds(self, server: Server) -> float:
         """What one more connection adds to this server's load."""
-        return self.loads.adds(server, self.now)
+        return self.loads.marginal_load(server, self.now)
 
     def strange(self) -> int:
         """Datagrams of peers that were passed over."""
-        return self.sharing.strange
+        return self.sharing.malformed
 
     def healthy(self, server: Server) -> bool:
         """Whether a server is not avoided for how it fares."""
--- a/limerudder/policy/rebalancing.py
+++ b/limerudder/policy/rebalancing.py
@@ -20,7 +20,7 @@
 from limerudder.policy.load_inference import InferredLoads
 from limerudder.policy.pacing import ConnectPacer
 from limerudder.policy.records import SECOND, Connection, RateEstimator, Server, TokenBucket
-from limerudder.policy.reported_loads import EASY, ReportedLoads
+from limerudder.policy.reported_loads import COMFORTABLE_LOAD, ReportedLoads
 from limerudder.policy.settings import (
     Settings,
 )
@@ -103,28 +103,34 @@
 
 def relieve(node: Mover, server: Server, load: float, asked: float) -> None:
     """A report has come: ease the server if it asks for too much; `asked`: with what has piled up."""
-    again, shared = EASE_AGAIN, node.sharing.live(node.now)
+    again, shared = EASE_AGAIN, node.sharing.is_active(node.now)
     if shared:
         # DANGER: where all nodes hear the same, what each takes off adds up. What has piled up is no share of
         # what stands there, and before reports show what left, all would take it off again
-        asked, again = load, 2 * EASE_AGAIN + node.sharing.every
+        asked, again = load, 2 * EASE_AGAIN + node.sharing.round_interval_us
     if load > 0 and asked > BRIM and node.now - server.eased_at >= again:
-        ease(node, server, (asked - node.loads.level) / load, shared)
+        ease(node, server, (asked - node.loads.preferred_max_load) / load, shared)
 
 
 def feel(node: Mover, felt: InferredLoads, server: Server, took: float) -> None:
     """A message took so long at a server: send away what is too much, the dearest for its worth first."""
-    goal, spare = felt.note(server, took, node.now), max(node.settings.over_quota_weight, 0.01)
+    goal, spare = (
+        felt.record_message_latency(server, took, node.now),
+        max(node.settings.over_quota_weight, 0.01),
+    )
     live = [f for f in server.flows.values() if f.live] if goal > 0 else []
-    live.sort(key=lambda f: felt.weight(f) / f.cls.worth / (spare if node.over_share(f) else 1), reverse=True)
+    live.sort(
+        key=lambda f: felt.connection_load(f) / f.cls.worth / (spare if node.over_share(f) else 1),
+        reverse=True,
+    )
     for flow in live:
         if goal <= 0:
             break
         # DANGER: one that asks for half a server by itself would have all the others sent away in its stead
-        if felt.dear(flow) or node.rng.random() * felt.weight(flow) < goal:
-            goal, flow.live = goal - felt.weight(flow), False
+        if felt.is_costly(flow) or node.rng.random() * felt.connection_load(flow) < goal:
+            goal, flow.live = goal - felt.connection_load(flow), False
             node.out.append(MigrateClient(flow.id))
-    felt.settle(server)
+    felt.remember_own_load(server)
 
 
 def ease_slow(node: Mover, server: Server) -> None:
@@ -132,7 +138,7 @@
     # DANGER: were all slow, hundreds of nodes would move all; most of one's own must be well
     mine = [node.healthy(f.server) for f in node.flows.values() if f.live and f.server]
     if 2 * sum(mine) >= len(mine) - 1:
-        ease(node, server, 1 - EASY)
+        ease(node, server, 1 - COMFORTABLE_LOAD)
 
 
 def ease(node: Mover, server: Server, excess: float, shared: bool = False) -> None:
@@ -158,7 +164,11 @@
 
 def usual_fresh(node: Mover) -> float:
     """Connections a second that usually begin at a node: the store of set-ups bears a few times that."""
-    fresh = node.sharing.fresh if node.sharing.live(node.now) else node.fresh.read(node.now, node.born)
+    fresh = (
+        node.sharing.mean_fresh_rate
+        if node.sharing.is_active(node.now)
+        else node.fresh.read(node.now, node.born)
+    )
     return max(fresh, node.opens * SECOND / LIVES if node.now < node.born + LIVES else 0, 0.01)
 
 
@@ -172,7 +182,7 @@
         return
     away: list[Connection] = []
     # DANGER: filled by a guess alone, a zone's hosts may be overfull, and nothing would ever tell
-    if not node.spacing.gap and node.loads.tells:
+    if not node.spacing.interval_us and node.loads.has_load_data:
         far = {s.id for s in node.ready if s.zone != told.zone}
         away = [f for f in node.flows.values() if f.live and f.server and f.server.id in far]
         # DANGER: one that came back and found no room at home would be sent to and fro
@@ -185,12 +195,12 @@
         flow, near = node.rng.choice(away), [s for s in node.sample(node.ready) if s.zone == told.zone]
         # DANGER: filled beyond the tier's mean, servers of a zone with many clients had no room for a burst
         there = node.estimate(flow.server) if flow.server else None
-        level = min(EASY, max(node.loads.told, there or 0))
+        level = min(COMFORTABLE_LOAD, max(node.loads.mean_reported_load, there or 0))
         near = [s for s in near if node.estimate(s) is None or node.eligible(flow, s, level)]
         known = [s for s in near if node.estimate(s) is not None]
         # DANGER: until reports show whom the others brought, each of 40 nodes would fill the same room
         room = sum((level - (node.estimate(s) or 0)) / max(node.adds(s), 0.001) for s in known)
-        if node.rng.random() < room / told.balancers * wait / max(2 * node.loads.every, SECOND):
+        if node.rng.random() < room / told.balancers * wait / max(2 * node.loads.report_interval_us, SECOND):
             flow.live = False
             node.out.append(MigrateClient(flow.id))
         elif not known and sum(node.ask(server) for server in near[: node.D]):
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -186,21 +186,21 @@
     driver = Driver(replace(PLAIN, balancers=nodes), servers=fleet(4))
     driver.members([entry(5, since=driver.now)])
     warming, server = driver.balancer.warming, driver.balancer.servers[5]
-    warming.usual.value, warming.usual.at = 1.0, driver.now
-    driver.balancer.loads.told = others
+    warming.request_rate.value, warming.request_rate.at = 1.0, driver.now
+    driver.balancer.loads.mean_reported_load = others
     if elsewhere:
         driver.balancer.handle(PredecessorConnections(1, elsewhere), driver.now)
     if load is not None:
         server.load, server.load_at = load, driver.now
     server.tokens, server.tokens_at = 0.0, driver.now - SECOND
     driver.balancer._may_warm(server)
-    assert server.tokens == pytest.approx(times * 2 * 0.25 / 4 + warming.floor)
+    assert server.tokens == pytest.approx(times * 2 * 0.25 / 4 + warming.min_tokens_per_second)
 
 
 def test_a_whole_cold_fleet_is_not_reckoned_as_one_server() -> None:
     driver = Driver(PLAIN, servers=fleet(9))
     driver.members(fleet(9, since=driver.now))
-    assert driver.balancer.warming.weight == 9
+    assert driver.balancer.warming.serving_weight == 9
 
 
 def test_reports_spare_the_busier_server() -> None:
@@ -446,7 +446,7 @@
 @pytest.mark.parametrize(("held", "unit"), [(38.0, 0.03), (0.0, 0.15), (math.nan, 0.15)])
 def test_what_one_adds_is_reckoned_from_what_servers_say_they_hold(held: float, unit: float) -> None:
     """Reload day, seed 29110028191: a node just back took each connection for 0.15 of a server."""
-    assert reported(REPORTS, held, 0.6).balancer.loads.unit == pytest.approx(unit)
+    assert reported(REPORTS, held, 0.6).balancer.loads.load_per_connection == pytest.approx(unit)
 
 
 @pytest.mark.parametrize(("flags", "load", "served"), [(0, 0.6, 16), (16, 0.6, 40), (16, 0.8, 2)])
@@ -516,7 +516,7 @@
         driver.run(SECOND // 3)
         for number in [a.id for a in driver.attempts.values() if not a.live]:
             driver.establish(number)
-    assert driver.balancer.spacing.gap == 0
+    assert driver.balancer.spacing.interval_us == 0
 
 
 def test_discovery_on_request_subscribes_renews_and_backs_off() -> None:
@@ -798,14 +798,14 @@
 
 def test_a_draw_among_thousands_weighs_no_more_of_them_than_among_hundreds() -> None:
     driver = Driver(PLAIN, servers=fleet(3000))
-    loads, size = driver.balancer.loads, driver.balancer.loads.size
+    loads, size = driver.balancer.loads, driver.balancer.loads.effective_size
     weighed: list[int] = []
 
     def count(server: Server, now: int) -> float:
         weighed.append(server.id)
         return size(server, now)
 
-    loads.size = count  # type: ignore[method-assign]
+    loads.effective_size = count  # type: ignore[method-assign]
     met = {driver.balancer.sample(driver.balancer.ready)[0].id for _ in range(100)}
     assert len(weighed) <= 100 * MANY
     assert len(met) > 90, "any of them may be drawn"
--- a/tests/test_discovery_timing.py
+++ b/tests/test_discovery_timing.py
@@ -172,19 +172,19 @@
     assert IDLE_TIMEOUT_US > 2 * SECOND, "an empty line is due every 2 s"
 
 
-@pytest.mark.parametrize("ask_every", [0, SECOND, 10 * SECOND])
+@pytest.mark.parametrize("poll_interval_us", [0, SECOND, 10 * SECOND])
 def test_waits_grow_and_stay_bounded_and_begin_anew_once_discovery_has_told(poll_interval_us: int) -> None:
     waits, rng = Backoff(poll_interval_us), Random(7)
-    drawn = [waits.failed(rng) for _ in range(200)]
+    drawn = [waits.record_failure(rng) for _ in range(200)]
     assert min(drawn) > 0 and max(drawn) <= min(MAX_BACKOFF_US, max(poll_interval_us // 2, CHECK_INTERVAL_US))
     assert len(set(drawn)) > 150, "nodes that fail together do not ask together"
     many = [Backoff(10 * SECOND) for _ in range(400)]
-    firsts = [one.failed(rng) for one in many]
-    later = [one.failed(rng) for one in many]
+    firsts = [one.record_failure(rng) for one in many]
+    later = [one.record_failure(rng) for one in many]
     assert sum(firsts) < sum(later)
     for one in many:
-        one.heard()
-    assert abs(sum(one.failed(rng) for one in many) / sum(firsts) - 1) < 0.2
+        one.record_success()
+    assert abs(sum(one.record_failure(rng) for one in many) / sum(firsts) - 1) < 0.2
 
 
 @pytest.mark.parametrize("pushed", [False, True])
@@ -192,18 +192,22 @@
     def call(*words: tuple[int, int, bool]) -> CallDeadline:
         clock = CallDeadline(pushed, 0)
         for at, lists, unfinished in words:
-            clock.word(lists, unfinished, at)
+            clock.record_bytes(lists, unfinished, at)
         return clock
 
-    assert not call().dead(FIRST_BYTE_TIMEOUT_US // 8) and call().dead(FIRST_BYTE_TIMEOUT_US + 1)
-    assert call().dead(FIRST_BYTE_TIMEOUT_US // 2) == pushed, "an agent on the same machine answers at once"
+    assert not call().is_expired(FIRST_BYTE_TIMEOUT_US // 8) and call().is_expired(FIRST_BYTE_TIMEOUT_US + 1)
+    assert (
+        call().is_expired(FIRST_BYTE_TIMEOUT_US // 2) == pushed
+    ), "an agent on the same machine answers at once"
     second = (1, 0, True)
-    assert not call(second).dead(COMPLETE_TIMEOUT_US) and call(second, (COMPLETE_TIMEOUT_US, 0, True)).dead(
-        COMPLETE_TIMEOUT_US + 2
-    )
+    assert not call(second).is_expired(COMPLETE_TIMEOUT_US) and call(
+        second, (COMPLETE_TIMEOUT_US, 0, True)
+    ).is_expired(COMPLETE_TIMEOUT_US + 2)
     # lines without a list, however many
-    assert call(*((n * SECOND, 0, False) for n in range(1, 5))).dead(4 * SECOND)
+    assert call(*((n * SECOND, 0, False) for n in range(1, 5))).is_expired(4 * SECOND)
     told = call((1, 1, False), (2 * SECOND, 0, False))
-    assert not told.dead(2 * SECOND + IDLE_TIMEOUT_US) and told.dead(2 * SECOND + IDLE_TIMEOUT_US + 1)
+    assert not told.is_expired(2 * SECOND + IDLE_TIMEOUT_US) and told.is_expired(
+        2 * SECOND + IDLE_TIMEOUT_US + 1
+    )
     # one list after another, each in time
-    assert not call(*((n * SECOND, 1, True) for n in range(1, 9))).dead(9 * SECOND)
+    assert not call(*((n * SECOND, 1, True) for n in range(1, 9))).is_expired(9 * SECOND)
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -20,7 +20,14 @@
     PeerMessage,
     UpdateKind,
 )
-from limerudder.policy.gossip import MOST, ROWS, LoadGossip, decode, encode, match_servers
+from limerudder.policy.gossip import (
+    MAX_ROUND_INTERVAL_US,
+    ROWS_PER_DATAGRAM,
+    LoadGossip,
+    decode,
+    encode,
+    match_servers,
+)
 from limerudder.policy.policy_state import SHARE
 from limerudder.policy.records import SECOND
 from limerudder.policy.settings import (
@@ -84,7 +91,7 @@
     tier = Tier()
     tier.run(20 * SECOND)
     assert tier.knowing() == NODES
-    every = tier.nodes[0].balancer.sharing.every
+    every = tier.nodes[0].balancer.sharing.round_interval_us
     assert tier.told <= 20 * SECOND / every + 2
     assert tier.probes <= len(SERVERS) * (tier.told + 1)
 
@@ -114,7 +121,7 @@
     new = tier.nodes[3] = Driver(old.settings, 99, ())
     new.now, tier.read[3] = old.now, 0
     new.members(SERVERS, UpdateKind.CACHED)
-    tier.run(tier.nodes[0].balancer.sharing.every + SECOND)
+    tier.run(tier.nodes[0].balancer.sharing.round_interval_us + SECOND)
     assert len(new.logged(SendPeerMessage)) <= 1
     assert tier.knowing() == NODES
 
@@ -136,9 +143,9 @@
 
 
 def test_a_large_fleet_takes_several_datagrams() -> None:
-    rows = [(s, 0.25, 1) for s in range(2 * ROWS + 1)]
+    rows = [(s, 0.25, 1) for s in range(2 * ROWS_PER_DATAGRAM + 1)]
     told = [decode(data) for data in encode((0.0, 0.0), rows)]
-    assert [len(t[1]) for t in told if t] == [ROWS, ROWS, 1]
+    assert [len(t[1]) for t in told if t] == [ROWS_PER_DATAGRAM, ROWS_PER_DATAGRAM, 1]
 
 
 @pytest.mark.parametrize(
@@ -149,16 +156,19 @@
     driver = Driver(TIER, servers=SERVERS)
     assert driver.give(PeerMessage(3, data)) == [] and driver.balancer.strange() == 1
     assert driver.give(PeerMessage(driver.settings.me, data)) == [], "its own comes back from the network"
-    assert driver.balancer.strange() == 1 and not driver.balancer.sharing.heard
+    assert driver.balancer.strange() == 1 and not driver.balancer.sharing.rounds_recorded
 
 
 def test_rounds_come_as_often_as_requests_pay_for() -> None:
     thin, busy = LoadGossip(TIER), LoadGossip(TIER)
-    thin.reckon(60, 0.2)
-    busy.reckon(60, 0.4)
-    assert thin.every == pytest.approx(2 * busy.every, rel=0.01) and thin.every < MOST
-    thin.reckon(60, 0.05)
-    assert thin.every == MOST
+    thin.update_interval(60, 0.2)
+    busy.update_interval(60, 0.4)
+    assert (
+        thin.round_interval_us == pytest.approx(2 * busy.round_interval_us, rel=0.01)
+        and thin.round_interval_us < MAX_ROUND_INTERVAL_US
+    )
+    thin.update_interval(60, 0.05)
+    assert thin.round_interval_us == MAX_ROUND_INTERVAL_US
 
 
 def test_a_load_of_nothing_with_work_piled_up_moves_nobody() -> None:
--- a/tests/test_load_inference.py
+++ b/tests/test_load_inference.py
@@ -26,7 +26,7 @@
     NewRequest,
     ServerState,
 )
-from limerudder.policy.load_inference import AIM, DEAR, KEYS, InferredLoads
+from limerudder.policy.load_inference import COSTLY_FACTOR, MAX_COSTLY_KEYS, TARGET_LOAD, InferredLoads
 from limerudder.policy.records import SECOND, Connection, Server
 from limerudder.policy.settings import (
     Settings,
@@ -111,12 +111,12 @@
 
 def test_a_host_that_breaks_off_two_within_a_second_gets_nothing_until_that_fades() -> None:
     felt, server = known()
-    felt.dropped(server, 20 * SECOND)
-    assert felt.room(server, AIM, None, 20 * SECOND), "one may be chance"
-    felt.dropped(server, 20 * SECOND + SECOND // 2)
+    felt.record_reset(server, 20 * SECOND)
+    assert felt.has_room(server, TARGET_LOAD, None, 20 * SECOND), "one may be chance"
+    felt.record_reset(server, 20 * SECOND + SECOND // 2)
     server.flows = {}
-    assert not felt.room(server, AIM, None, 21 * SECOND)
-    assert felt.room(server, AIM, None, 27 * SECOND)
+    assert not felt.has_room(server, TARGET_LOAD, None, 21 * SECOND)
+    assert felt.has_room(server, TARGET_LOAD, None, 27 * SECOND)
 
 
 def test_a_guess_draws_a_full_host_last_and_turns_nobody_away() -> None:
@@ -157,59 +157,65 @@
 def test_one_error_spaces_sends_out_at_once_but_at_a_young_process_without_reports(reports: bool) -> None:
     driver = Driver(replace(BASE, prices={}) if reports else SILENT, servers=[entry(s) for s in range(1, 9)])
     driver.end(driver.request(), AttemptOutcome.ERROR)
-    assert (driver.balancer.spacing.gap > 0) == reports
+    assert (driver.balancer.spacing.interval_us > 0) == reports
     for _ in range(0 if reports else 2):
         driver.end(driver.request(), AttemptOutcome.ERROR)
-    assert driver.balancer.spacing.gap > 0
+    assert driver.balancer.spacing.interval_us > 0
 
 
 def known(load: float = USUAL) -> tuple[InferredLoads, Server]:
     felt, server = InferredLoads(replace(SILENT, balancers=2), SECOND), Server(1, SECOND, 0.0)
     server.state = ServerState.READY
-    felt.listed(server, [server], SECOND)
+    felt.on_server_state_change(server, [server], SECOND)
     for number in range(100):
         flow = Connection(ExistingConnection(number + 1, 0, 0, 7, 0, 0, 0, 0, 1), SILENT.classes[0], SECOND)
         flow.live = flow.up = True
         server.flows[flow.id] = flow
-        felt.weigh(flow, load)
+        felt.record_connection_load(flow, load)
     return felt, server
 
 
 def test_a_slope_of_messages_tells_the_load_and_what_is_to_leave() -> None:
     felt, server = known()
-    felt.note(server, 100_000, 10 * SECOND)
-    felt.settle(server)
-    goal = felt.note(server, 350_000, 11 * SECOND)  # a quarter of a second a second: a load of 1.25
-    assert felt.asked(server, 11 * SECOND) == pytest.approx(1.25 * felt.can(server, 11 * SECOND), rel=0.01)
-    assert goal == pytest.approx(felt.mine(server) * (1 - felt.may(350_000) / 1.25))
-    assert not felt.room(server, AIM, None, 11 * SECOND)
+    felt.record_message_latency(server, 100_000, 10 * SECOND)
+    felt.remember_own_load(server)
+    goal = felt.record_message_latency(
+        server, 350_000, 11 * SECOND
+    )  # a quarter of a second a second: a load of 1.25
+    assert felt.total_load(server, 11 * SECOND) == pytest.approx(
+        1.25 * felt.capacity(server, 11 * SECOND), rel=0.01
+    )
+    assert goal == pytest.approx(felt.own_load(server) * (1 - felt.permitted_load(350_000) / 1.25))
+    assert not felt.has_room(server, TARGET_LOAD, None, 11 * SECOND)
 
 
 def test_what_others_ask_fades_while_all_is_quiet() -> None:
     felt, server = known()
-    felt.note(server, 100_000, 10 * SECOND)
-    felt.settle(server)
-    felt.note(server, 350_000, 11 * SECOND)
+    felt.record_message_latency(server, 100_000, 10 * SECOND)
+    felt.remember_own_load(server)
+    felt.record_message_latency(server, 350_000, 11 * SECOND)
     server.flows = dict(list(server.flows.items())[:10])  # this node's own have left
-    asked = [felt.asked(server, (11 + s) * SECOND) for s in range(8)]
-    assert asked == sorted(asked, reverse=True) and asked[7] == pytest.approx(felt.mine(server))
-    assert not felt.room(server, AIM, None, 11 * SECOND) and felt.room(server, AIM, None, 16 * SECOND)
+    asked = [felt.total_load(server, (11 + s) * SECOND) for s in range(8)]
+    assert asked == sorted(asked, reverse=True) and asked[7] == pytest.approx(felt.own_load(server))
+    assert not felt.has_room(server, TARGET_LOAD, None, 11 * SECOND) and felt.has_room(
+        server, TARGET_LOAD, None, 16 * SECOND
+    )
 
 
 def test_a_key_that_was_dear_is_dear_when_it_comes_again_and_few_are_remembered() -> None:
     felt, server = known()
     flow = next(iter(server.flows.values()))
-    felt.weigh(flow, 50 * USUAL)
+    felt.record_connection_load(flow, 50 * USUAL)
     again = Connection(NewRequest(999, 0, 0, 7, SECOND, 0, 0, FLAG_RECONNECT), SILENT.classes[0], SECOND)
     other = Connection(NewRequest(998, 0, 0, 8, SECOND, 0, 0, 0), SILENT.classes[0], SECOND)
-    assert felt.weight(again) == 50 * USUAL and felt.dear(again)
-    assert felt.weight(other) == pytest.approx(USUAL) and not felt.dear(other)
-    for key in range(2 * KEYS):
-        felt.weigh(
+    assert felt.connection_load(again) == 50 * USUAL and felt.is_costly(again)
+    assert felt.connection_load(other) == pytest.approx(USUAL) and not felt.is_costly(other)
+    for key in range(2 * MAX_COSTLY_KEYS):
+        felt.record_connection_load(
             Connection(NewRequest(key, 0, 0, key + 9, SECOND, 0, 0, 0), SILENT.classes[0], 0),
-            99 * DEAR * USUAL,
+            99 * COSTLY_FACTOR * USUAL,
         )
-    assert len(felt.keys) <= KEYS
+    assert len(felt._costly_keys) <= MAX_COSTLY_KEYS
 
 
 @given(st.lists(st.tuples(st.floats(0, 1e7), st.integers(1, 5 * SECOND)), max_size=30))
@@ -218,7 +224,7 @@
     now = 10 * SECOND
     for took, wait in words:
         now += wait
-        goal = felt.note(server, took, now)
-        assert 0 <= goal <= felt.mine(server)
-        assert felt.mine(server) <= felt.asked(server, now) < math.inf
-        assert felt.can(server, now) > 0
+        goal = felt.record_message_latency(server, took, now)
+        assert 0 <= goal <= felt.own_load(server)
+        assert felt.own_load(server) <= felt.total_load(server, now) < math.inf
+        assert felt.capacity(server, now) > 0
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -13,7 +13,7 @@
     AttemptOutcome,
 )
 from limerudder.policy.records import SECOND
-from limerudder.policy.slow_start import FLOOR
+from limerudder.policy.slow_start import MIN_CALLS_PER_WINDOW
 from tests.policy_driver import BASE, SAFE, Driver, entry
 
 TOLD = replace(
@@ -128,7 +128,9 @@
         for _ in range(20):
             driver.establish(driver.request())
         warming = driver.balancer.warming
-        assert warming.usual.read(driver.now, warming.since(driver.now)) == pytest.approx(rate, rel=0.05)
+        assert warming.request_rate.read(
+            driver.now, warming.rate_known_since_us(driver.now)
+        ) == pytest.approx(rate, rel=0.05)
 
 
 @pytest.mark.parametrize(("flags", "rate"), [(FLAG_RECONNECT, 20 / 16), (0, 20 / 2)])
@@ -142,18 +144,18 @@
     server = driver.balancer.servers[3]
     server.tokens, server.tokens_at = 0.0, driver.now - SECOND // 10
     driver.balancer._may_warm(server)
-    share = driver.balancer.loads.size(server, driver.now)
-    earned = TOLD.overload_factor * share * rate / 2 + driver.balancer.warming.floor
+    share = driver.balancer.loads.effective_size(server, driver.now)
+    earned = TOLD.overload_factor * share * rate / 2 + driver.balancer.warming.min_tokens_per_second
     assert server.tokens == pytest.approx(earned / 10, rel=0.05)
 
 
 def test_attempts_after_the_first_are_no_demand() -> None:
     driver = Driver(TOLD, servers=[entry(n) for n in range(1, 6)])
     number = driver.request()
-    first = driver.balancer.warming.usual.value
+    first = driver.balancer.warming.request_rate.value
     for _ in range(2):
         driver.end(number, AttemptOutcome.CONNECT_FAILED)
-    assert driver.balancer.warming.usual.value == first
+    assert driver.balancer.warming.request_rate.value == first
 
 
 def test_servers_are_asked_by_their_size() -> None:
@@ -162,17 +164,17 @@
     driver = Driver(TOLD, servers=[entry(1), entry(2)])
     driver.members([big, small])
     warming, servers = driver.balancer.warming, driver.balancer.servers
-    warming.usual.value, warming.usual.at, warming.floor = 10.0, driver.now, 0.0
-    assert warming.weight == 2.0
+    warming.request_rate.value, warming.request_rate.at, warming.min_tokens_per_second = 10.0, driver.now, 0.0
+    assert warming.serving_weight == 2.0
     for number, weight in ((3, 2.0), (4, 0.5)):
         server = servers[number]
         server.tokens, server.tokens_at = 0.0, driver.now - SECOND // 10
-        warming.may(server, 0.13, 1, 0.0, driver.now)
+        warming.allows(server, 0.13, 1, 0.0, driver.now)
         assert server.tokens == pytest.approx(3 * 0.13 * 10 * weight / 2 / 10)
 
 
 @pytest.mark.parametrize("nodes", [1, 7, 200])
 def test_the_floor_is_shared_by_all_nodes(nodes: int) -> None:
     driver = Driver(replace(TOLD, balancers=nodes), servers=[entry(1)])
-    whole = driver.balancer.warming.floor * nodes * TOLD.overload_window_us / SECOND
-    assert whole == pytest.approx(FLOOR)
+    whole = driver.balancer.warming.min_tokens_per_second * nodes * TOLD.overload_window_us / SECOND
+    assert whole == pytest.approx(MIN_CALLS_PER_WINDOW)
