Decode the simulator's records by tables of small decoders, and encode in a module of its own

There are now four modules: `protocol` (headers, record codes as enums, errors), `decoding` (a table of fixed and one of variable records), `encoding`, and `adapter` (`InstanceHost` for the instances, `serve` for the frames). Record layouts and error texts stay.

The message on an instance that is not attached held the class name of the event and so changed when the class was renamed; the names that messages use are written out now.

--- a/limerudder/simulator/adapter.py
+++ b/limerudder/simulator/adapter.py
@@ -1,4 +1,4 @@
-"""Hosts one Balancer an instance and speaks the bench's wire on standard input and output.
+"""Runs the connection policy in the simulator: one Balancer for each instance, on standard input and output.
 
 The instances share this process and nothing else: each has its own settings, state and random source.
 """
@@ -12,64 +12,129 @@
 
 from limerudder.policy.actions import PolicyError
 from limerudder.policy.balancer import Balancer
-from limerudder.policy.events import ServerEntry
-from limerudder.simulator import protocol
+from limerudder.policy.events import (
+    AttemptEnded,
+    ClientDisconnected,
+    ConnectionEstablished,
+    EndpointUpdate,
+    ExistingConnection,
+    HealthCheckResult,
+    LatencySample,
+    LoadSample,
+    NewRequest,
+    PeerMessage,
+    ServerEntry,
+    TimerFired,
+)
+from limerudder.simulator.decoding import decode
+from limerudder.simulator.encoding import encode
+from limerudder.simulator.protocol import (
+    BATCH_HEADER,
+    MAX_FRAME_BYTES,
+    REPLY_HEADER,
+    InstanceCrashed,
+    InstanceStarted,
+    ProtocolError,
+    SimulatorEvent,
+)
 
+EXIT_OK = 0
+EXIT_MALFORMED_INPUT = 2
 
-def _read(stream: BinaryIO, size: int, what: str) -> bytes:
-    """Exactly `size` bytes; nothing at all only where a batch might start."""
-    data = stream.read(size)
-    if len(data) < size and (data or what != "header"):
-        raise protocol.ProtocolError(f"the input ends inside a {what}: {len(data)} of {size} bytes")
-    return data
+#: What error messages call the events.
+EVENT_NAMES: dict[type, str] = {
+    EndpointUpdate: "Members",
+    NewRequest: "Request",
+    ExistingConnection: "Open",
+    ConnectionEstablished: "Established",
+    AttemptEnded: "Outcome",
+    ClientDisconnected: "Gone",
+    LoadSample: "Note",
+    LatencySample: "Note",
+    TimerFired: "Timer",
+    HealthCheckResult: "Probed",
+    PeerMessage: "PeerMessage",
+    InstanceCrashed: "Crash",
+}
 
 
-def serve(source: BinaryIO, sink: BinaryIO) -> None:
-    """Answer batch after batch until the input ends."""
-    balancers: dict[int, Balancer] = {}
-    tables: dict[int, list[ServerEntry]] = {}
-    while header := _read(source, protocol.BATCH_HEADER.size, "header"):
-        size, now, number = protocol.BATCH_HEADER.unpack(header)
-        if size > protocol.MAX_FRAME:
-            raise protocol.ProtocolError(
-                f"batch {number} claims {size} bytes, more than {protocol.MAX_FRAME}"
-            )
+class InstanceHost:
+    """The simulator's instances, each with its Balancer."""
+
+    def __init__(self) -> None:
+        self._balancers: dict[int, Balancer] = {}
+        self._server_lists: dict[int, list[ServerEntry]] = {}
+
+    def handle_batch(self, body: bytes, now_us: int) -> list[bytes]:
+        """Return the action records that answer a batch of events. Raises ProtocolError."""
         records: list[bytes] = []
-        body = _read(source, size, "batch") if size else b""
+        for instance, event in decode(body, self._server_lists):
+            self._handle_event(instance, event, now_us, records)
+        return records
+
+    def _handle_event(self, instance: int, event: SimulatorEvent, now_us: int, records: list[bytes]) -> None:
+        if isinstance(event, InstanceStarted):
+            self._balancers[instance] = Balancer(event.settings, Random(event.seed))
+            return
+        balancer = self._balancers.get(instance)
+        if balancer is None:
+            name = EVENT_NAMES[type(event)]
+            raise ProtocolError(f"{name} for instance {instance}, which is not attached")
+        if isinstance(event, InstanceCrashed):
+            del self._balancers[instance]
+            return
+        try:
+            for action in balancer.handle(event, now_us):
+                records.append(encode(instance, action))
+        except Exception as exc:  # the protocol wants a faulty policy named, not a dead process
+            records.append(encode(instance, PolicyError(f"{type(exc).__name__}: {exc}")))
+
+
+def serve(source: BinaryIO, sink: BinaryIO) -> None:
+    """Answer batch after batch until the input ends. Raises ProtocolError."""
+    host = InstanceHost()
+    while header := _read_header(source):
+        body_size, now_us, number = BATCH_HEADER.unpack(header)
+        if body_size > MAX_FRAME_BYTES:
+            raise ProtocolError(f"batch {number} claims {body_size} bytes, more than {MAX_FRAME_BYTES}")
+        body = _read_exactly(source, body_size, "batch")
         try:
-            for who, event in protocol.decode(body, tables):
-                if isinstance(event, protocol.InstanceStarted):
-                    balancers[who] = Balancer(event.settings, Random(event.seed))
-                    continue
-                balancer = balancers.get(who)
-                if balancer is None:
-                    raise protocol.ProtocolError(
-                        f"{type(event).__name__} for instance {who}, which is not attached"
-                    )
-                if isinstance(event, protocol.InstanceCrashed):
-                    del balancers[who]
-                    continue
-                try:
-                    for action in balancer.handle(event, now):
-                        records.append(protocol.encode(who, action))
-                except Exception as exc:  # the wire wants a faulty module named, not a dead process
-                    records.append(protocol.encode(who, PolicyError(f"{type(exc).__name__}: {exc}")))
-        except protocol.ProtocolError as exc:
-            raise protocol.ProtocolError(f"batch {number}: {exc}") from exc
-        out = b"".join(records)
-        sink.write(protocol.REPLY_HEADER.pack(len(out), len(records), number) + out)
+            records = host.handle_batch(body, now_us)
+        except ProtocolError as exc:
+            raise ProtocolError(f"batch {number}: {exc}") from exc
+        reply = b"".join(records)
+        sink.write(REPLY_HEADER.pack(len(reply), len(records), number) + reply)
         sink.flush()
 
 
+def _read_header(source: BinaryIO) -> bytes:
+    """Return the header of the next batch, or nothing where the input ends."""
+    data = source.read(BATCH_HEADER.size)
+    if data:
+        _check_size(data, BATCH_HEADER.size, "header")
+    return data
+
+
+def _read_exactly(source: BinaryIO, size: int, part: str) -> bytes:
+    data = source.read(size)
+    _check_size(data, size, part)
+    return data
+
+
+def _check_size(data: bytes, size: int, part: str) -> None:
+    if len(data) < size:
+        raise ProtocolError(f"the input ends inside a {part}: {len(data)} of {size} bytes")
+
+
 def main() -> int:
-    """Run the drill; a malformed input is told in one line on standard error."""
-    gc.disable()  # records are freed by count; a collector's pauses would be booked to a node
+    """Serve standard input; report malformed input in one line on standard error."""
+    gc.disable()  # no reference cycles are made per event, and a collector's pauses would count as a node's
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
-    except protocol.ProtocolError as exc:
+    except ProtocolError as exc:
         print(f"limerudder: {exc}", file=sys.stderr)
-        return 2
-    return 0
+        return EXIT_MALFORMED_INPUT
+    return EXIT_OK
 
 
 if __name__ == "__main__":
--- a/tests/test_simulator_adapter.py
+++ b/tests/test_simulator_adapter.py
@@ -1,4 +1,4 @@
-"""The `sim` command as the bench starts it: batches in, replies out."""
+"""The adapter as the simulator starts it: batches in, replies out."""
 
 from __future__ import annotations
 
@@ -24,18 +24,19 @@
     return struct.pack("<IQI", len(body), clock, number) + body
 
 
-def attach(who: int, text: str = SETTINGS) -> bytes:
+def attach(instance: int, text: str = SETTINGS) -> bytes:
     data = text.encode()
-    return struct.pack("<BHQI", 2, who, 42, len(data)) + data
+    return struct.pack("<BHQI", 2, instance, 42, len(data)) + data
 
 
 def run(data: bytes) -> subprocess.CompletedProcess[bytes]:
     with (ROOT / "deploy" / "balancer.toml").open("rb") as file:
-        sim = tomllib.load(file)["sim"]
-    return subprocess.run(["/bin/sh", "-c", sim], input=data, capture_output=True, cwd=ROOT, timeout=60)
+        command = tomllib.load(file)["sim"]
+    return subprocess.run(["/bin/sh", "-c", command], input=data, capture_output=True, cwd=ROOT, timeout=60)
 
 
 def replies(out: bytes) -> list[tuple[int, int, bytes]]:
+    """Return each reply's batch number, number of records and body."""
     found = []
     while out:
         size, count, number = struct.unpack_from("<III", out)
@@ -48,16 +49,16 @@
 
 
 def test_a_session_from_attach_to_end_of_input() -> None:
-    again = bytes.fromhex("0b 0300") + START  # killed and attached again in one batch
-    done = run(
+    restart = bytes.fromhex("0b 0300") + START  # killed and attached again in one batch
+    process = run(
         batch(1)
         + batch(2, START)
         + batch(3, bytes.fromhex(REQUEST))
         + batch(4, bytes.fromhex("07 0300 c4913a5db8a60a00 074a1203 00 22240000"))
-        + batch(5, again, bytes.fromhex(REQUEST))
+        + batch(5, restart, bytes.fromhex(REQUEST))
     )
-    assert done.returncode == 0 and done.stderr == b""
-    got = replies(done.stdout)
+    assert process.returncode == 0 and process.stderr == b""
+    got = replies(process.stdout)
     assert [number for number, _, _ in got] == [1, 2, 3, 4, 5]
     assert got[0] == (1, 0, b"")
     assert bytes.fromhex("4a 0300 01") in got[1][2]
@@ -76,14 +77,14 @@
         (batch(7, attach(3, SETTINGS.replace("zone=1", ""))), "lack the key zone"),
     ],
 )
-def test_bad_input_is_one_plain_line_and_a_failing_exit(data: bytes, words: str) -> None:
-    done = run(data)
-    assert done.returncode == 2
-    lines = done.stderr.decode().splitlines()
+def test_malformed_input_is_reported_in_one_line_with_a_failing_exit(data: bytes, words: str) -> None:
+    process = run(data)
+    assert process.returncode == 2
+    lines = process.stderr.decode().splitlines()
     assert len(lines) == 1 and words in lines[0] and lines[0].startswith("limerudder: ")
 
 
-def test_an_exception_in_the_module_becomes_a_bug_action(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_an_exception_in_the_policy_becomes_an_error_record(monkeypatch: pytest.MonkeyPatch) -> None:
     def broken(self: Balancer, event: Event, now: int) -> list[Action]:
         raise IndexError("out of range")
 
@@ -93,7 +94,7 @@
     assert replies(sink.getvalue())[0][2] == bytes.fromhex("49 0300 1800") + b"IndexError: out of range"
 
 
-def test_instances_side_by_side_act_as_each_alone() -> None:
+def test_instances_in_one_process_act_as_each_does_alone() -> None:
     def session(*instances: int) -> list[bytes]:
         first = b"".join(
             attach(i) + bytes.fromhex(LIST + SYNC.replace("0300", f"{i:02x}00", 1)) for i in instances
--- a/tests/test_simulator_protocol.py
+++ b/tests/test_simulator_protocol.py
@@ -1,4 +1,4 @@
-"""The codec against bytes written by hand from the wire's layout."""
+"""The decoder and the encoder against bytes written by hand from the protocol's layout."""
 
 from __future__ import annotations
 
@@ -34,7 +34,9 @@
     ServerEntry,
     TimerFired,
 )
-from limerudder.simulator import protocol
+from limerudder.simulator.decoding import decode, parse_settings
+from limerudder.simulator.encoding import encode
+from limerudder.simulator.protocol import InstanceCrashed, ProtocolError, SimulatorEvent
 
 HOST = 0x03124A07
 REQUEST = "01 0300 c4913a5db8a60a00 00 0000 640ad2557c3bf091 80a90300 e02e0000 107cf3d901648e2b 01"
@@ -54,7 +56,7 @@
     ),
     ("00 0300 4d000000", TimerFired(77)),
     ("07 0300 c4913a5db8a60a00 074a1203 00 22240000", ConnectionEstablished(0x0AA6B85D3A91C4, HOST, 0, 9250)),
-    ("0b 0300", protocol.InstanceCrashed()),
+    ("0b 0300", InstanceCrashed()),
     (
         "03 0300 c4913a5db8a60a00 00 074a1203 c800 44480000 01 00",
         AttemptEnded(0x0AA6B85D3A91C4, 0, HOST, 200, 18500, 1, ()),
@@ -69,15 +71,15 @@
 
 
 @pytest.mark.parametrize(("text", "event"), EVENTS)
-def test_each_event_as_the_page_shows_it(text: str, event: protocol.SimulatorEvent) -> None:
-    assert list(protocol.decode(bytes.fromhex(text), {})) == [(3, event)]
+def test_each_event_is_decoded_as_the_protocol_page_shows_it(text: str, event: SimulatorEvent) -> None:
+    assert list(decode(bytes.fromhex(text), {})) == [(3, event)]
 
 
-def test_a_list_number_reused_inside_one_batch() -> None:
+def test_a_list_number_may_be_reused_inside_one_batch() -> None:
     second = "06 00 01000000 f211902c 0100 00 0200 02 0000803f 0000000000000000"
-    got = list(protocol.decode(bytes.fromhex(LIST + SYNC + second + SYNC), {}))
-    first, other = (e for _, e in got if isinstance(e, EndpointUpdate))
-    assert [e.server for e in first.entries] == [HOST, 0x2C9011F2]
+    events = list(decode(bytes.fromhex(LIST + SYNC + second + SYNC), {}))
+    first, other = (event for _, event in events if isinstance(event, EndpointUpdate))
+    assert [entry.server for entry in first.entries] == [HOST, 0x2C9011F2]
     assert first.entries[1].since == 0x5D1420 and first.entries[1].weight == 1.5
     assert other.entries == [ServerEntry(0x2C9011F2, 1, 0, 2, 2, 1.0, 0)]
 
@@ -100,8 +102,8 @@
         (CloseIdleConnections(0x2C9011F2), "46 0300 f211902c"),
     ],
 )
-def test_each_action_as_the_page_shows_it(action: Action, text: str) -> None:
-    assert protocol.encode(3, action) == bytes.fromhex(text)
+def test_each_action_is_encoded_as_the_protocol_page_shows_it(action: Action, text: str) -> None:
+    assert encode(3, action) == bytes.fromhex(text)
 
 
 @pytest.mark.parametrize(
@@ -118,8 +120,8 @@
     ],
 )
 def test_malformed_records_are_named_with_their_place(text: str, words: str) -> None:
-    with pytest.raises(protocol.ProtocolError, match=words):
-        list(protocol.decode(bytes.fromhex(text), {}))
+    with pytest.raises(ProtocolError, match=words):
+        list(decode(bytes.fromhex(text), {}))
 
 
 SETTINGS = """\
@@ -147,11 +149,11 @@
 """
 
 
-def test_settings_are_read_and_unknown_keys_passed_over() -> None:
-    told = protocol.parse_settings(SETTINGS.encode())
-    assert (told.balancers, told.zone, told.probes, told.cancel) == (3, 1, True, False)
-    assert told.classes[0].message_objective_us == 250000 and told.report_fields == ("qps", "x0")
-    assert told.tenant_quotas == (204.0, float("inf")) and told.prices == {"probe": 0.002}
+def test_settings_are_read_and_unknown_keys_are_ignored() -> None:
+    settings = parse_settings(SETTINGS.encode())
+    assert (settings.balancers, settings.zone, settings.probes, settings.cancel) == (3, 1, True, False)
+    assert settings.classes[0].message_objective_us == 250000 and settings.report_fields == ("qps", "x0")
+    assert settings.tenant_quotas == (204.0, float("inf")) and settings.prices == {"probe": 0.002}
 
 
 @pytest.mark.parametrize(
@@ -159,10 +161,10 @@
 )
 def test_a_missing_key_with_no_safe_default_is_named(key: str) -> None:
     text = "\n".join(line for line in SETTINGS.splitlines() if not line.startswith(key + "="))
-    with pytest.raises(protocol.ProtocolError, match=f"lack the key {key}"):
-        protocol.parse_settings(text.encode())
+    with pytest.raises(ProtocolError, match=f"lack the key {key}"):
+        parse_settings(text.encode())
 
 
 def test_an_unreadable_value_is_named() -> None:
-    with pytest.raises(protocol.ProtocolError, match="balancers=many"):
-        protocol.parse_settings(SETTINGS.replace("balancers=3", "balancers=many").encode())
+    with pytest.raises(ProtocolError, match="balancers=many"):
+        parse_settings(SETTINGS.replace("balancers=3", "balancers=many").encode())
