Read settings by an object with methods in place of five closures

`read_settings` was one function of 77 lines whose closures captured the pairs. `_Pairs` holds the pairs and raises the errors; reading a class and parsing a flag or a list of numbers are functions. Keys, defaults and error texts stay.

Measured: the settings of 20,000 random frames, with missing and unreadable keys among them, are read to the same values and errors as before, and 20,000 random JSON values are flattened to the same pairs in the same order. mypy and ruff clean.

--- a/limerudder/policy/settings_reader.py
+++ b/limerudder/policy/settings_reader.py
@@ -1,122 +1,155 @@
-"""A node's settings as path=value pairs, read into interface.Settings.
+"""Reads a node's settings, given as path=value pairs, into Settings.
 
-The bench's wire writes them so; a real node's nested JSON is flattened into the same pairs first.
+The simulator's protocol writes the pairs so; the nested JSON of a real node is flattened into the same pairs
+first. The value "null" stands for a key that is not given.
 """
 
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Mapping
-from typing import Any
+from collections.abc import Callable, Iterable, Mapping
+from typing import TypeVar
 
 from limerudder.policy.settings import (
     Settings,
     TrafficClass,
 )
 
+T = TypeVar("T")
+
+NULL = "null"
+FLAGS = {"true": True, "false": False}
+
 
 class SettingsError(ValueError):
     """Settings that lack a key or hold a value that cannot be read."""
 
 
 def flatten(value: object, path: str = "") -> dict[str, str]:
-    """Nested JSON as path=value pairs: plain lists joined by commas, lists of objects counted."""
-    dot = f"{path}." if path else ""
+    """Flatten nested JSON into path=value pairs.
+
+    A list of plain values becomes one value with commas; a list that holds objects or lists becomes a `count`
+    and the numbered items.
+    """
+    prefix = f"{path}." if path else ""
     if isinstance(value, Mapping):
-        pairs: dict[str, str] = {}
-        for name, item in value.items():
-            pairs.update(flatten(item, f"{dot}{name}"))
-        return pairs
-    if isinstance(value, list):
-        if not any(isinstance(item, Mapping | list) for item in value):
-            return {path: ",".join(map(_plain, value))}
-        pairs = {f"{dot}count": str(len(value))}
-        for number, item in enumerate(value):
-            pairs.update(flatten(item, f"{dot}{number}"))
-        return pairs
-    return {path: _plain(value)}
-
-
-def _plain(value: object) -> str:
-    if isinstance(value, bool) or value is None:
-        return {True: "true", False: "false", None: "null"}[value]
+        return _flatten_items(value.items(), prefix)
+    if not isinstance(value, list):
+        return {path: _to_text(value)}
+    if not any(isinstance(item, Mapping | list) for item in value):
+        return {path: ",".join(map(_to_text, value))}
+    return {f"{prefix}count": str(len(value)), **_flatten_items(enumerate(value), prefix)}
+
+
+def _flatten_items(items: Iterable[tuple[object, object]], prefix: str) -> dict[str, str]:
+    pairs: dict[str, str] = {}
+    for name, item in items:
+        pairs.update(flatten(item, f"{prefix}{name}"))
+    return pairs
+
+
+def _to_text(value: object) -> str:
+    if value is None:
+        return NULL
+    if isinstance(value, bool):
+        return "true" if value else "false"
     return str(value).replace(",", "_").replace(" ", "_")
 
 
 def read_settings(given: Mapping[str, str]) -> Settings:
-    """Read the pairs; unknown keys are passed over."""
-    pairs = {key: value for key, value in given.items() if value != "null"}
+    """Read the pairs; unknown keys are ignored. Raises SettingsError."""
+    pairs = _Pairs(given)
+    classes = _read_classes(pairs)
+    report_fields = pairs.optional("loadInfo.fields", "", str)
+    return Settings(
+        balancers=pairs.required("balancers", int),
+        zone=pairs.required("zone", int),
+        classes=classes,
+        discovery=pairs.required("discovery", str),
+        poll_interval_us=pairs.required("invariants.askEveryUs", int),
+        drain_grace_us=pairs.required("invariants.drainGraceUs", int),
+        initial_capacity=pairs.required("invariants.startCapacity", float),
+        warm_up_us=pairs.required("invariants.warmUpUs", int),
+        overload_factor=pairs.required("invariants.overloadFactor", float),
+        overload_window_us=pairs.required("invariants.overloadForUs", int),
+        me=pairs.optional("me", 0, int),
+        answer_slack_us=pairs.optional("invariants.graceToAnswerUs", 0, int),
+        max_attempts=pairs.optional("caps.tryLimit", 1, int),
+        allows_hedging=pairs.optional("caps.parallelTries", False, _parse_flag),
+        cancel=pairs.optional("caps.cancel", False, _parse_flag),
+        probes=pairs.optional("caps.probes", False, _parse_flag),
+        peers=pairs.optional("caps.peers", False, _parse_flag),
+        retry_after=pairs.optional("caps.retryAfter", False, _parse_flag),
+        max_retry_after_us=pairs.optional("caps.maxRetryAfterUs", 0, int),
+        connect_timeout_us=pairs.optional("caps.dialTimeoutUs", 0, int),
+        tick=pairs.optional("tickUs", 1000, int),
+        groups=pairs.optional("domain.groups", False, _parse_flag),
+        reports_latency=pairs.optional("domain.tellsDelay", False, _parse_flag),
+        mode=pairs.optional("domain.mode", "proxy", str),
+        park=pairs.optional("domain.parkUs", 0, int),
+        report_fields=tuple(report_fields.split(",")) if report_fields else (),
+        report_via=pairs.optional("loadInfo.via", "none", str),
+        tenant_quotas=pairs.optional("domain.tenantQuotaConnections", (), _parse_floats),
+        over_quota_weight=pairs.optional("overShareWorth", 1.0, float),
+        prices=pairs.floats_below("prices."),
+        goal=pairs.floats_below("resultMix."),
+    )
+
+
+def _read_classes(pairs: _Pairs) -> tuple[TrafficClass, ...]:
+    message_objectives: tuple[float, ...] = pairs.optional("domain.messageAimUs", (), _parse_floats)
+    class_count = pairs.required("classes.count", int)
+    return tuple(_read_class(pairs, index, message_objectives) for index in range(class_count))
+
+
+def _read_class(pairs: _Pairs, index: int, message_objectives: tuple[float, ...]) -> TrafficClass:
+    prefix = f"classes.{index}."
+    objective = pairs.required(f"{prefix}aimUs", int)
+    has_message_objective = index < len(message_objectives)
+    return TrafficClass(
+        aim=objective,
+        deadline=pairs.required(f"{prefix}deadlineUs", int),
+        effect=pairs.required(f"{prefix}effect", str),
+        key_scope=pairs.optional(f"{prefix}keyScope", "cell", str),
+        repeat_window=pairs.optional(f"{prefix}repeatWindowUs", 0, int),
+        worth=pairs.optional(f"{prefix}worth", 1.0, float),
+        message_objective_us=int(message_objectives[index]) if has_message_objective else objective,
+    )
+
+
+class _Pairs:
+    """The pairs that are given, with the errors that reading them may raise."""
 
-    def need(key: str, kind: Callable[[str], Any] = int) -> Any:
-        if key not in pairs:
+    def __init__(self, given: Mapping[str, str]) -> None:
+        self._pairs = {key: value for key, value in given.items() if value != NULL}
+
+    def required(self, key: str, parse: Callable[[str], T]) -> T:
+        if key not in self._pairs:
             raise SettingsError(f"settings lack the key {key}, which has no safe default")
-        return get(key, None, kind)
+        return self._parse(key, parse)
+
+    def optional(self, key: str, default: T, parse: Callable[[str], T]) -> T:
+        return self._parse(key, parse) if key in self._pairs else default
+
+    def floats_below(self, prefix: str) -> dict[str, float]:
+        """The numbers under all keys that begin with a prefix, by the rest of the key."""
+        keys = [key for key in self._pairs if key.startswith(prefix)]
+        return {key.removeprefix(prefix): self._parse(key, float) for key in keys}
 
-    def get(key: str, default: Any, kind: Callable[[str], Any] = int) -> Any:
+    def _parse(self, key: str, parse: Callable[[str], T]) -> T:
+        text = self._pairs[key]
         try:
-            return kind(pairs[key]) if key in pairs else default
+            return parse(text)
         except ValueError as exc:
-            raise SettingsError(f"settings: {key}={pairs[key]} is not readable") from exc
-
-    def floats(text: str) -> tuple[float, ...]:
-        return tuple(math.inf if part == "null" else float(part) for part in text.split(",") if part)
-
-    def branch(prefix: str) -> dict[str, float]:
-        return {k[len(prefix) :]: get(k, 0.0, float) for k in pairs if k.startswith(prefix)}
-
-    flag = {"true": True, "false": False}
-
-    def yes(text: str) -> bool:
-        if text not in flag:
-            raise ValueError(text)
-        return flag[text]
-
-    message_aims = get("domain.messageAimUs", (), floats)
-    classes = []
-    for i in range(need("classes.count")):
-        aim = need(f"classes.{i}.aimUs")
-        classes.append(
-            TrafficClass(
-                aim=aim,
-                deadline=need(f"classes.{i}.deadlineUs"),
-                effect=need(f"classes.{i}.effect", str),
-                key_scope=get(f"classes.{i}.keyScope", "cell", str),
-                repeat_window=get(f"classes.{i}.repeatWindowUs", 0),
-                worth=get(f"classes.{i}.worth", 1.0, float),
-                message_objective_us=int(message_aims[i]) if i < len(message_aims) else aim,
-            )
-        )
-    fields = get("loadInfo.fields", "", str)
-    return Settings(
-        balancers=need("balancers"),
-        zone=need("zone"),
-        classes=tuple(classes),
-        discovery=need("discovery", str),
-        poll_interval_us=need("invariants.askEveryUs"),
-        drain_grace_us=need("invariants.drainGraceUs"),
-        initial_capacity=need("invariants.startCapacity", float),
-        warm_up_us=need("invariants.warmUpUs"),
-        overload_factor=need("invariants.overloadFactor", float),
-        overload_window_us=need("invariants.overloadForUs"),
-        me=get("me", 0),
-        answer_slack_us=get("invariants.graceToAnswerUs", 0),
-        max_attempts=get("caps.tryLimit", 1),
-        allows_hedging=get("caps.parallelTries", False, yes),
-        cancel=get("caps.cancel", False, yes),
-        probes=get("caps.probes", False, yes),
-        peers=get("caps.peers", False, yes),
-        retry_after=get("caps.retryAfter", False, yes),
-        max_retry_after_us=get("caps.maxRetryAfterUs", 0),
-        connect_timeout_us=get("caps.dialTimeoutUs", 0),
-        tick=get("tickUs", 1000),
-        groups=get("domain.groups", False, yes),
-        reports_latency=get("domain.tellsDelay", False, yes),
-        mode=get("domain.mode", "proxy", str),
-        park=get("domain.parkUs", 0),
-        report_fields=tuple(fields.split(",")) if fields else (),
-        report_via=get("loadInfo.via", "none", str),
-        tenant_quotas=get("domain.tenantQuotaConnections", (), floats),
-        over_quota_weight=get("overShareWorth", 1.0, float),
-        prices=branch("prices."),
-        goal=branch("resultMix."),
-    )
+            raise SettingsError(f"settings: {key}={text} is not readable") from exc
+
+
+def _parse_flag(text: str) -> bool:
+    if text not in FLAGS:
+        raise ValueError(text)
+    return FLAGS[text]
+
+
+def _parse_floats(text: str) -> tuple[float, ...]:
+    """Parse numbers with commas between them; a number that is not given is without bound."""
+    return tuple(math.inf if part == NULL else float(part) for part in text.split(",") if part)
