--- a/limerudder/policy/balancer.py
+++ b/limerudder/policy/balancer.py
@@ -14,7 +14,13 @@
 from typing import Any
 
 from limerudder.policy import actions, events, rebalancing
-from limerudder.policy.gossip import MAX_INDEPENDENT_NODES, decode, match_servers
+from limerudder.policy.gossip import (
+    MAX_INDEPENDENT_NODES,
+    ConnectionRates,
+    LoadMessage,
+    decode,
+    match_servers,
+)
 from limerudder.policy.pacing import PACED_RATE_FACTOR
 from limerudder.policy.policy_state import (
     AGAIN,
@@ -134,7 +140,10 @@
         was, server.state = server.state, state
         if events.ServerState.READY not in (was, state) or was == state:
             return
-        self.ring.put(server.id, state == events.ServerState.READY, server.weight)
+        if state == events.ServerState.READY:
+            self.ring.add(server.id, server.weight)
+        else:
+            self.ring.remove(server.id)
         (self.ready.append if state == events.ServerState.READY else self.ready.remove)(server)
         self.loads.on_server_state_change(server, self.ready, self.now)
         if state == events.ServerState.DRAINING:
@@ -195,13 +204,17 @@
 
     def _share(self) -> None:
         """Ask all servers in this node's turn, and tell its peers."""
-        rates = self.usual_rate(), self.fresh.read(self.now, self.born)
+        rates = ConnectionRates(self.usual_rate(), self.fresh.read(self.now, self.born))
         told, due = self.sharing.run_round(self.ready, rates, self.asking, self.now)
         # DANGER: what stood at the start comes after the first round, which shows servers that hold nothing
         self.out += [*told, actions.SetTimer(min(due, self.now + SECOND), SHARE)]
 
     def _on_peermessage(self, event: events.PeerMessage) -> None:
-        message = decode(event.data) if event.sender != self.settings.me else ((0.0, 0.0), [])
+        message = (
+            decode(event.data)
+            if event.sender != self.settings.me
+            else LoadMessage(ConnectionRates(0.0, 0.0), [])
+        )
         if message is None:
             self.sharing.malformed += 1
         elif event.sender != self.settings.me:
--- a/limerudder/policy/gossip.py
+++ b/limerudder/policy/gossip.py
@@ -1,15 +1,19 @@
-"""Load reports shared among the nodes of a tier: whose turn it is to ask all servers, and what is told.
+"""Load reports shared among the nodes of a tier: whose turn it is to ask all servers, and what it tells.
 
-One node at a time asks every server and tells all peers in a datagram; the turn goes round in the order of
-the nodes' numbers. A node that does not hear the one whose turn it is takes over after a short wait that
-grows with its place in that order (staggered back-off, as SRM suppresses repairs, Floyd et al. 1997), so
-nobody needs to know who is dead. Alone or unheard, a node asks for itself. Free of I/O and clock.
+One node at a time asks every server for a load report and sends the answers to all peers in datagrams. The
+turn goes round in the order of the nodes' numbers. A node that does not hear from the node whose turn it is
+takes over after a short wait that grows with its distance in that order, so no failure detector is needed
+(staggered back-off, as SRM suppresses repairs: Floyd et al., "A Reliable Multicast Framework for Light-weight
+Sessions and Application Level Framing", 1997). A node that hears from nobody asks for itself.
+
+Free of I/O and clock: the current time comes with each call. Times are microseconds.
 """
 
 from __future__ import annotations
 
 import struct
 from collections.abc import Iterable, Iterator, Sequence
+from typing import NamedTuple
 
 from limerudder.policy.actions import (
     ALL_PEERS,
@@ -22,126 +26,188 @@
     Settings,
 )
 
-MAX_COST_SHARE = 0.02  #: of the result goes into shared reports at most; each node's own asking took as much
-MAX_INDEPENDENT_NODES = 6  #: nodes that see enough of every server by themselves
-TAKEOVER_STEP_US = (
-    SECOND // 10
-)  #: between one place in the order and the next: a round of probes and a late message
-MIN_ROUND_INTERVAL_US, MAX_ROUND_INTERVAL_US = (
-    SECOND,
-    8 * SECOND,
-)  #: between rounds; less often, reports say nothing of now
-MAGIC, HEADER, ROW = 0xA7, struct.Struct("<BHH"), struct.Struct("<HBB")
-ROWS_PER_DATAGRAM = (256 - HEADER.size) // ROW.size  #: in one datagram
-REPORT_WAIT_US, IDLE_CHECK_INTERVAL_US = (
-    SECOND // 20,
-    4 * SECOND,
-)  #: to wait for reports; until the next look while not needed
-MEAN_RATE_ROUNDS = 8  #: rounds that a mean rate is over
-LOAD_STEPS = 64  #: of load 1.0; what is over four times that is told as four times
-RATE_STEPS = 100  #: steps of one new connection a second
-
-#: New connections a second at a node, and those of them that stood nowhere before.
-ConnectionRates = tuple[float, float]
-LoadRow = tuple[int, float, int]  #: low 16 bits of the server's id, load, connections held
+MAX_COST_SHARE = 0.02  #: share of the result that shared reports may cost
+MAX_INDEPENDENT_NODES = 6  #: up to so many nodes, each sees enough of every server by itself
+#: Between one node's turn to take over and the next one's: a round of health checks and a late datagram.
+TAKEOVER_STEP_US = SECOND // 10
+MIN_ROUND_INTERVAL_US = SECOND
+MAX_ROUND_INTERVAL_US = 8 * SECOND  #: with a longer interval, reports say nothing about the present
+REPORT_WAIT_US = SECOND // 20  #: time that the servers have to answer within a round
+IDLE_CHECK_INTERVAL_US = 4 * SECOND  #: until the next check while shared reports are not needed
+MEAN_RATE_ROUNDS = 8  #: number of rounds that the mean rates are taken over
+
+MAGIC = 0xA7  #: first byte of each datagram
+MAX_DATAGRAM_BYTES = 256
+HEADER = struct.Struct("<BHH")  #: magic, rate of new connections, rate of fresh connections
+ROW = struct.Struct("<HBB")  #: low bits of the server's id, load, connections
+ROWS_PER_DATAGRAM = (MAX_DATAGRAM_BYTES - HEADER.size) // ROW.size
+SERVER_ID_MASK = 0xFFFF  #: the bits of a server's id that a row carries
+LOAD_STEPS = 64  #: encoded steps of a load of 1.0; a load of nearly four or more is sent as the highest step
+RATE_STEPS = 100  #: encoded steps of one connection a second
+MAX_ENCODED_RATE = 0xFFFF
+MAX_ENCODED_BYTE = 0xFF
+
+_AMBIGUOUS = -1  #: in place of a server's id, where two known servers share the bits that a row carries
+
+
+class ConnectionRates(NamedTuple):
+    """New connections a second at one node."""
+
+    total: float
+    fresh: float  #: those that are no reconnections
+
+
+class LoadRow(NamedTuple):
+    """One server's load report within a datagram."""
+
+    server: int  #: low bits of the server's id, or the whole id once it is matched
+    load: float
+    connections: int
+
+
+class LoadMessage(NamedTuple):
+    """The content of one datagram."""
+
+    rates: ConnectionRates
+    rows: list[LoadRow]
+
+
+class RoundStep(NamedTuple):
+    """What a node has to do now, and when it has to look again."""
+
+    actions: list[Action]
+    next_check_us: int
 
 
 def encode(rates: ConnectionRates, rows: Sequence[LoadRow]) -> Iterator[bytes]:
-    """Datagrams of 256 bytes at most: own rates, then a row for each server."""
-    head = HEADER.pack(MAGIC, *(min(int(rate * RATE_STEPS), 65535) for rate in rates))
-    for at in range(0, len(rows), ROWS_PER_DATAGRAM):
-        data = head
-        for server, load, held in rows[at : at + ROWS_PER_DATAGRAM]:
-            data += ROW.pack(server & 0xFFFF, min(int(load * LOAD_STEPS + 0.5), 255), min(held, 255))
-        yield data
+    """Yield datagrams of at most `MAX_DATAGRAM_BYTES`: the sender's rates, then a row for each server."""
+    header = HEADER.pack(MAGIC, *(min(int(rate * RATE_STEPS), MAX_ENCODED_RATE) for rate in rates))
+    for start in range(0, len(rows), ROWS_PER_DATAGRAM):
+        packed_rows = [_pack_row(row) for row in rows[start : start + ROWS_PER_DATAGRAM]]
+        yield header + b"".join(packed_rows)
 
 
-def decode(data: bytes) -> tuple[ConnectionRates, list[LoadRow]] | None:
-    """What a peer's datagram says; None where it is of no such form."""
+def _pack_row(row: LoadRow) -> bytes:
+    server, load, connections = row
+    encoded_load = min(int(load * LOAD_STEPS + 0.5), MAX_ENCODED_BYTE)
+    return ROW.pack(server & SERVER_ID_MASK, encoded_load, min(connections, MAX_ENCODED_BYTE))
+
+
+def decode(data: bytes) -> LoadMessage | None:
+    """Return what a peer's datagram says, or None where it does not have this form."""
     if len(data) < HEADER.size or data[0] != MAGIC or (len(data) - HEADER.size) % ROW.size:
         return None
-    _, rate, fresh = HEADER.unpack_from(data)
-    return (rate / RATE_STEPS, fresh / RATE_STEPS), [
-        (server, load / LOAD_STEPS, held) for server, load, held in ROW.iter_unpack(data[HEADER.size :])
+    _, total, fresh = HEADER.unpack_from(data)
+    rates = ConnectionRates(total / RATE_STEPS, fresh / RATE_STEPS)
+    rows = [
+        LoadRow(server, load / LOAD_STEPS, connections)
+        for server, load, connections in ROW.iter_unpack(data[HEADER.size :])
     ]
+    return LoadMessage(rates, rows)
+
+
+def match_servers(rows: Iterable[LoadRow], known_servers: Iterable[int]) -> Iterator[LoadRow]:
+    """Yield the rows with whole server ids; a row that two known servers share, or none has, is left out."""
+    id_by_low_bits: dict[int, int] = {}
+    for server in known_servers:
+        low_bits = server & SERVER_ID_MASK
+        id_by_low_bits[low_bits] = _AMBIGUOUS if low_bits in id_by_low_bits else server
+    for low_bits, load, connections in rows:
+        server = id_by_low_bits.get(low_bits, _AMBIGUOUS)
+        if server >= 0:
+            yield LoadRow(server, load, connections)
 
 
 class LoadGossip:
-    """One node's view of the rounds. Times in microseconds."""
+    """One node's view of the rounds."""
 
     def __init__(self, settings: Settings) -> None:
-        self._own_number, self._node_count = settings.me, max(settings.balancers, 1)
+        self._own_number = settings.me
+        self._node_count = max(settings.balancers, 1)
         self.enabled = settings.peers and settings.probes and self._node_count > MAX_INDEPENDENT_NODES
-        self._probe_price = settings.prices.get("probe", 0)
-        self._byte_price = settings.prices.get("peer", 0) / 256
-        self.round_interval_us = MAX_ROUND_INTERVAL_US  # between rounds
-        self.mean_rate = self.mean_fresh_rate = 0.0  # the rates of a node, the mean of those that told
-        self.last_round_at_us = 0  # when the last round was told; before the first, when this node began
-        self._last_sender = self._node_count - 1  # whose it was
-        self.rounds_recorded = 0  # rounds told
-        self._own_round_started_at_us = 0  # when this node's own round began; 0 where none is under way
-        self.malformed = 0  # datagrams of no known form
-
-    def is_active(self, now: int) -> bool:
+        self._health_check_price = settings.prices.get("probe", 0)
+        self._byte_price = settings.prices.get("peer", 0) / MAX_DATAGRAM_BYTES
+        self.round_interval_us = MAX_ROUND_INTERVAL_US
+        # mean rates of one node, over the nodes whose rounds were recorded last
+        self.mean_rate = 0.0
+        self.mean_fresh_rate = 0.0
+        self.rounds_recorded = 0
+        #: time of the last round; before the first round, time at which this node began
+        self.last_round_at_us = 0
+        self._last_sender = self._node_count - 1
+        self._own_round_started_at_us = 0  # 0 while no round of this node is under way
+        self.malformed = 0  #: datagrams received that do not have the form of a round
+
+    def is_active(self, now_us: int) -> bool:
         """Whether reports keep coming."""
+        takeover_us = TAKEOVER_STEP_US * self._node_count
         return (
             self.enabled
             and self.rounds_recorded > 0
-            and now < self.last_round_at_us + 2 * self.round_interval_us + TAKEOVER_STEP_US * self._node_count
+            and now_us < self.last_round_at_us + 2 * self.round_interval_us + takeover_us
         )
 
-    def update_interval(self, servers: int, rate: float) -> None:
-        """How often the tier's requests pay for a round; `rate`: this node's own new connections a second."""
-        datagram = HEADER.size * -(-servers // ROWS_PER_DATAGRAM) + ROW.size * servers
-        cost = servers * self._probe_price + self._node_count * datagram * self._byte_price
-        # DANGER: the first to tell may not have its clients yet, and the others would wait by its word
-        mean = self.mean_rate if self.rounds_recorded >= MEAN_RATE_ROUNDS else max(self.mean_rate, rate)
-        wanted = SECOND * cost / (MAX_COST_SHARE * self._node_count * mean)
-        self.round_interval_us = int(min(max(wanted, MIN_ROUND_INTERVAL_US), MAX_ROUND_INTERVAL_US))
+    def update_interval(self, server_count: int, own_rate: float) -> None:
+        """Set the round interval by what the tier's requests can pay for.
 
-    def next_turn_us(self) -> int:
-        """When this node is to ask all servers, if nobody does before."""
-        return (
-            self.last_round_at_us
-            + self.round_interval_us * (self.rounds_recorded > 0)
-            + TAKEOVER_STEP_US * ((self._own_number - self._last_sender - 1) % self._node_count)
+        `own_rate`: this node's new connections a second.
+        """
+        datagram_bytes = HEADER.size * -(-server_count // ROWS_PER_DATAGRAM) + ROW.size * server_count
+        round_cost = (
+            server_count * self._health_check_price + self._node_count * datagram_bytes * self._byte_price
         )
+        # The first nodes that send may not have their clients yet; their mean alone would make the interval
+        # too long for the others.
+        is_mean_settled = self.rounds_recorded >= MEAN_RATE_ROUNDS
+        rate = self.mean_rate if is_mean_settled else max(self.mean_rate, own_rate)
+        affordable_us = SECOND * round_cost / (MAX_COST_SHARE * self._node_count * rate)
+        self.round_interval_us = int(min(max(affordable_us, MIN_ROUND_INTERVAL_US), MAX_ROUND_INTERVAL_US))
+
+    def next_turn_us(self) -> int:
+        """When this node has to ask all servers, unless another node's round comes before."""
+        interval_us = self.round_interval_us * (self.rounds_recorded > 0)
+        distance = (self._own_number - self._last_sender - 1) % self._node_count
+        return self.last_round_at_us + interval_us + TAKEOVER_STEP_US * distance
 
-    def record_round(self, sender: int, rates: ConnectionRates, now: int) -> None:
-        """A round was told, by a peer or by this node."""
+    def record_round(self, sender: int, rates: ConnectionRates, now_us: int) -> None:
+        """Record a round that a peer or this node has sent."""
         self.rounds_recorded += 1
-        part = 1 / min(self.rounds_recorded, MEAN_RATE_ROUNDS)
-        self.mean_rate += (rates[0] - self.mean_rate) * part
-        self.mean_fresh_rate += (rates[1] - self.mean_fresh_rate) * part
-        self.last_round_at_us, self._last_sender, self._own_round_started_at_us = now, sender, 0
+        weight = 1 / min(self.rounds_recorded, MEAN_RATE_ROUNDS)
+        self.mean_rate += (rates.total - self.mean_rate) * weight
+        self.mean_fresh_rate += (rates.fresh - self.mean_fresh_rate) * weight
+        self.last_round_at_us = now_us
+        self._last_sender = sender
+        self._own_round_started_at_us = 0
 
     def run_round(
-        self, ready: Sequence[Server], rates: ConnectionRates, asking: bool, now: int
-    ) -> tuple[list[Action], int]:
-        """What to do now, and when to look again: ask all servers in one's own turn, then tell all peers."""
-        # DANGER: of 40 nodes each sees a request in ten seconds or so. None can pay for what it has to know,
-        # and all together pay for the same reports over and over
-        self.update_interval(len(ready), rates[0])
-        due = self.next_turn_us()
-        if not asking:
-            return [], now + IDLE_CHECK_INTERVAL_US
+        self, ready: Sequence[Server], rates: ConnectionRates, needs_reports: bool, now_us: int
+    ) -> RoundStep:
+        """Ask all servers when it is this node's turn; send their answers to all peers a moment later.
+
+        In a tier of dozens of nodes, each node sees too few requests to pay for the reports that it needs,
+        and all together would pay for the same reports many times.
+
+        `ready`: the servers that are ready; `rates`: this node's own; `needs_reports`: False for a node whose
+        own requests pay for all the reports that it needs.
+        """
+        self.update_interval(len(ready), rates.total)
+        turn_us = self.next_turn_us()
+        if not needs_reports:
+            return RoundStep([], now_us + IDLE_CHECK_INTERVAL_US)
         if self._own_round_started_at_us:
-            rows = [(s.id, *s.report) for s in ready if s.report_at >= self._own_round_started_at_us]
-            told: list[Action] = [SendPeerMessage(ALL_PEERS, data) for data in encode(rates, rows)]
-            self.record_round(self._own_number, rates, now)
-            return told, self.next_turn_us()
-        if now >= due:
-            self._own_round_started_at_us = now
-            return [CheckHealth(server.id) for server in ready], now + REPORT_WAIT_US
-        return [], due
-
-
-def match_servers(rows: Iterable[LoadRow], known: Iterable[int]) -> Iterator[tuple[int, float, int]]:
-    """The rows with whole ids; those that two servers share or none has are left out."""
-    by_low: dict[int, int] = {}
-    for server in known:
-        low = server & 0xFFFF
-        by_low[low] = -1 if low in by_low else server
-    for low, load, held in rows:
-        if by_low.get(low, -1) >= 0:
-            yield by_low[low], load, held
+            return self._send_reports(ready, rates, now_us)
+        if now_us >= turn_us:
+            self._own_round_started_at_us = now_us
+            checks: list[Action] = [CheckHealth(server.id) for server in ready]
+            return RoundStep(checks, now_us + REPORT_WAIT_US)
+        return RoundStep([], turn_us)
+
+    def _send_reports(self, ready: Sequence[Server], rates: ConnectionRates, now_us: int) -> RoundStep:
+        rows = [
+            LoadRow(server.id, *server.report)
+            for server in ready
+            if server.report_at >= self._own_round_started_at_us
+        ]
+        messages: list[Action] = [SendPeerMessage(ALL_PEERS, data) for data in encode(rates, rows)]
+        self.record_round(self._own_number, rates, now_us)
+        return RoundStep(messages, self.next_turn_us())
--- a/limerudder/policy/hash_ring.py
+++ b/limerudder/policy/hash_ring.py
@@ -1,6 +1,7 @@
-"""Consistent hashing: where members stand on a ring that looks the same to all who hold the same members.
+"""Consistent hashing: a ring of members that looks the same to every node that holds the same members.
 
-A container only; who is put in, and how far a draw walks, is decided in limerudder/policy/balancer.py.
+After Karger et al., "Consistent Hashing and Random Trees" (STOC'97). A container only: the balancer decides
+which servers are members and how far a walk goes.
 """
 
 from __future__ import annotations
@@ -9,35 +10,42 @@
 from collections.abc import Iterator
 from zlib import crc32
 
-POINTS_PER_WEIGHT = 4  #: of a member of weight 1: evens out how many walks each one is met first on
+POINTS_PER_WEIGHT = 4  #: points of a member of weight 1: more points even out how often each one is met first
 MAX_POINTS = 64  #: of any member, whatever its weight
-_MASK = 0xFFFFFFFF
+MEMBER_BITS = 32
+MEMBER_MASK = (1 << MEMBER_BITS) - 1
 
 
 class HashRing:
-    """Members are 32-bit ids; putting one in or out touches its own points only."""
+    """A ring of members with 32-bit ids; adding or removing one touches its own points only."""
 
     def __init__(self) -> None:
-        self._points: list[int] = []
-        self._point_counts: dict[int, int] = {}  # points that each member has
-
-    def put(self, member: int, on: bool, weight: float = 1.0) -> None:
-        """Put a member on the ring, with points by its weight, or take one that is on it off."""
-        if on:
-            self._point_counts[member] = min(max(round(POINTS_PER_WEIGHT * weight), 1), MAX_POINTS)
-        for k in range(self._point_counts[member]):
-            point = crc32(b"%d %d" % (member, k)) << 32 | member & _MASK
-            if on:
-                insort(self._points, point)
-            else:
-                del self._points[bisect_left(self._points, point)]
+        self._points: list[int] = []  # sorted; hash in the high bits, member in the low bits
+        self._point_counts: dict[int, int] = {}
+
+    def add(self, member: int, weight: float = 1.0) -> None:
+        """Add a member that is not on the ring, with points in proportion to its weight."""
+        point_count = min(max(round(POINTS_PER_WEIGHT * weight), 1), MAX_POINTS)
+        self._point_counts[member] = point_count
+        for number in range(point_count):
+            insort(self._points, _point(member, number))
+
+    def remove(self, member: int) -> None:
+        """Remove a member that is on the ring."""
+        for number in range(self._point_counts[member]):
+            del self._points[bisect_left(self._points, _point(member, number))]
 
     def walk(self, key: int) -> Iterator[int]:
-        """Yield every member once, in the ring's order from the key's place on."""
-        points, met = self._points, set[int]()
-        at = bisect_left(points, crc32(b"%d" % key) << 32)
-        for step in range(at, at + len(points)):
-            member = points[step % len(points)] & _MASK
-            if member not in met:
-                met.add(member)
+        """Yield every member once, in the order of the ring from the key's place on."""
+        points = self._points
+        visited = set[int]()
+        start = bisect_left(points, crc32(b"%d" % key) << MEMBER_BITS)
+        for step in range(start, start + len(points)):
+            member = points[step % len(points)] & MEMBER_MASK
+            if member not in visited:
+                visited.add(member)
                 yield member
+
+
+def _point(member: int, number: int) -> int:
+    return crc32(b"%d %d" % (member, number)) << MEMBER_BITS | member & MEMBER_MASK
--- a/limerudder/policy/load_inference.py
+++ b/limerudder/policy/load_inference.py
@@ -1,18 +1,21 @@
-"""What a node feels of its servers' load where they report none: from its own connections and their messages.
-
-A message waits behind the work that has piled up, and work piles up by a second each second for each time a
-server's capacity that is asked beyond the first. So the time that messages take is the pile itself, and how
-fast it grows tells the load: the bottleneck model of TCP BBR (Cardwell et al., 2016), with CoDel's lesson
-(Nichols and Jacobson, 2012) that a queue which stands is what does harm. What is not this node's own is the
-other nodes'. The longer all is quiet the less they are believed to ask, slowly at first, then fast, as CUBIC
-probes (Ha, Rhee and Xu, 2008). Readings only: the balancer decides.
-Loads are in microseconds of work a second.
+"""Loads inferred from message latency, for servers that report nothing.
+
+A message waits behind the work that has piled up, and for each time a server's capacity that is asked of it
+beyond the first, a second of work piles up each second. So a message's latency is the backlog itself, and its
+slope tells the load: the bottleneck model of TCP BBR (Cardwell et al., 2016), with the lesson of CoDel
+(Nichols and Jacobson, 2012) that a queue which stands is what does harm. Load that is not this node's own is
+the other nodes'. The longer a server stays quiet, the less the other nodes are believed to ask of it: slowly
+at first, then fast, as CUBIC probes (Ha, Rhee and Xu, 2008).
+
+Readings only: the balancer decides. Unless said otherwise, loads and capacities are microseconds of work a
+second. docs/design/load-inference.md compares the alternatives.
 """
 
 from __future__ import annotations
 
 import math
 from collections.abc import Sequence
+from typing import NamedTuple
 
 from limerudder.policy.records import SECOND, Connection, Server
 from limerudder.policy.reported_loads import ReportedLoads
@@ -20,196 +23,248 @@
     Settings,
 )
 
-QUOTA_SHARE_OF_CAPACITY = 0.82  #: of what a fleet can do, about so much is shared out to its tenants
-SAMPLE_SILENCE_US = (
-    3 * SECOND // 2
-)  #: words come once a second while messages are slow: so long without, they are well
-MAX_UNDELAYED_LOAD = 0.85  #: load of a server whose messages are not slow, at most
-TARGET_LOAD = 0.9  #: of what a server can do is asked of it at most
-BACKLOG_DRAIN_US = SECOND  #: in which a pile is to be worked off
-MIN_RETAINED_LOAD = (
-    0.7  #: of what it can do is left to a server with a pile at least: what leaves crowds the others
-)
-ADMISSION_MARGIN = 0.1  #: so much below what is left to it, one with a pile gets nothing new
-MIN_SLOPE_LOAD, MAX_SLOPE_LOAD = 0.4, 3.0  #: bounds of a load read from a slope
-COSTLY_FACTOR, MAX_COSTLY_KEYS = (
-    4,
-    1024,
-)  #: times the usual load that are remembered by the client's key, of so many at most
-MAX_CLASS_SAMPLES, MAX_SAMPLES = 200, 400  #: connections that a mean load is over
-MIN_SLOPE_INTERVAL_US, MAX_SLOPE_INTERVAL_US = (
-    7 * SECOND // 10,
-    3 * SECOND,
-)  #: between two words whose difference tells a slope
-DECAY_PER_SECOND, DECAY_SECONDS = (
-    0.04,
-    6,
-)  #: of what others ask fades a second of quiet; none is left after so many
-MIN_RESET_LOAD = 1.2  #: load of a server that breaks off what stands, at least
-MAX_GUESSED_LOAD = 1.0  #: load by a guess, above which a server is drawn last
-NODE_LOAD_INTERVAL_US = SECOND // 4  #: between looks at all own connections
-ROOM_SHARING_US = (
-    4 * SECOND
-)  #: of quiet, after which others are not reckoned to take the same room at the same time
+# Shares of a server's capacity
+QUOTA_SHARE_OF_CAPACITY = 0.82  #: the tenants' quotas together are about this share of the fleet's capacity
+MAX_UNDELAYED_LOAD = 0.85  #: a server whose messages are not slow has at most this load
+TARGET_LOAD = 0.9  #: at most this load is asked of a server
+MIN_RETAINED_LOAD = 0.7  #: at least this load stays at a server with a backlog: what leaves crowds the others
+ADMISSION_MARGIN = 0.1  #: a server with a backlog admits nothing within this margin below the load that stays
+MIN_SLOPE_LOAD = 0.4  #: lower bound of a load read from a slope
+MAX_SLOPE_LOAD = 3.0  #: upper bound of a load read from a slope
+MIN_RESET_LOAD = 1.2  #: a server that breaks off established connections has at least this load
+MAX_GUESSED_LOAD = 1.0  #: a server above this load is drawn last where loads are only guessed
+
+# Times
+BACKLOG_DRAIN_US = SECOND  #: time in which a backlog is to be worked off
+#: While messages are slow, a sample comes once a second: a server silent for this long has no slow messages.
+SAMPLE_SILENCE_US = 3 * SECOND // 2
+MIN_SLOPE_INTERVAL_US = 7 * SECOND // 10  #: between two samples that give a slope
+MAX_SLOPE_INTERVAL_US = 3 * SECOND
+RESET_PAIR_INTERVAL_US = SECOND  #: two resets within this time are no chance
+NODE_LOAD_INTERVAL_US = SECOND // 4  #: between two sums over all of this node's connections
+ROOM_SHARING_US = 4 * SECOND  #: quiet time after which the nodes no longer divide a server's room among them
+
+# How the load that other nodes ask of a quiet server decays
+DECAY_PER_SECOND = 0.04  #: share lost each second
+DECAY_SECONDS = 6  #: time after which none is left
+
+# Means
+COSTLY_FACTOR = 4  #: a connection with more than so many times its class's mean load is costly
+MAX_COSTLY_KEYS = 1024  #: number of clients' keys whose costly connections are remembered
+MAX_CLASS_SAMPLES = 200  #: number of connections that a class's mean load is taken over
+MAX_SAMPLES = 400  #: number of connections that the mean load of all classes is taken over
+
+
+class ClassMean(NamedTuple):
+    """The mean load of one class's connections."""
+
+    load: float
+    samples: int
+
+
+NO_SAMPLES = ClassMean(0.0, 0)
 
 
 class InferredLoads(ReportedLoads):
-    """Loads without reports."""
-
-    def __init__(self, settings: Settings, every: int) -> None:
-        super().__init__(settings, every)
-        self._class_means = dict[
-            int, tuple[float, int]
-        ]()  # of each class: mean load of a connection; of so many
-        self._mean_load, self._load_samples = 0.0, 0  # load of a connection; of so many
-        self._costly_keys = dict[int, float]()  # load of what is much dearer than usual, the latest last
-        self._min_objective_us = min((c.message_objective_us for c in settings.classes), default=SECOND)
-        self._node_count, self._counts_groups = max(settings.balancers, 1), settings.groups
+    """Loads that one node infers from its own connections and their messages."""
+
+    def __init__(self, settings: Settings, report_interval_us: int) -> None:
+        super().__init__(settings, report_interval_us)
+        self.max_load = math.inf  # no server counts as full before a message has told its load
+        self.has_load_data = False  # until a message's latency is known
+        self._node_count = max(settings.balancers, 1)
+        self._counts_groups = settings.groups
+        objectives_us = [traffic_class.message_objective_us for traffic_class in settings.classes]
+        self._min_objective_us = min(objectives_us, default=SECOND)
+        self._class_means = dict[int, ClassMean]()
+        self._mean_load = 0.0
+        self._load_samples = 0
+        self._costly_keys = dict[int, float]()  # load by client's key, the latest last
         quotas = [quota for quota in settings.tenant_quotas if 0 < quota < math.inf]
-        self._fleet_connections = (
-            sum(quotas) / QUOTA_SHARE_OF_CAPACITY
-        )  # of the usual load, that the fleet can hold
-        self._fleet_weight = 0.0  # size of the fleet that the tenants' shares were made for
+        # connections of the mean load that the fleet can hold
+        self._fleet_connections = sum(quotas) / QUOTA_SHARE_OF_CAPACITY
+        self._fleet_weight = 0.0  # size of the fleet that the tenants' quotas were made for
         self._ready_servers: Sequence[Server] = ()
-        self.has_load_data = False  # until a message does
-        self._node_load, self._node_load_at_us = 0.0, -SECOND  # load of all this node's connections
-        self.max_load = math.inf  # a server of which no word has come is never taken for full
-
-    def on_server_state_change(self, server: Server, others: Sequence[Server], now: int) -> None:
-        """The list has changed: the most that stood on it is the fleet that shares are told of."""
-        self._ready_servers, self._fleet_weight = (
-            others,
-            max(self._fleet_weight, sum(other.weight for other in others)),
-        )
-
-    def record_connection_load(self, flow: Connection, load: float) -> None:
-        """A connection has told its load."""
-        mean, many = self._class_means.get(flow.kind, (0.0, 0))
-        if flow.key and (flow.key in self._costly_keys or (many and load > COSTLY_FACTOR * mean)):
-            self._costly_keys.pop(flow.key, None)
-            self._costly_keys[flow.key] = load
-            if len(self._costly_keys) > MAX_COSTLY_KEYS:
-                del self._costly_keys[next(iter(self._costly_keys))]
-        if not flow.load:
-            many, self._load_samples = (
-                min(many + 1, MAX_CLASS_SAMPLES),
-                min(self._load_samples + 1, MAX_SAMPLES),
-            )
-            self._class_means[flow.kind] = mean + (load - mean) / many, many
-            self._mean_load += (load - self._mean_load) / self._load_samples
-        flow.load = load
-
-    def connection_load(self, flow: Connection) -> float:
-        """Load of one connection as far as it is known."""
-        return (
-            flow.load
-            or self._costly_keys.get(flow.key, 0.0)
-            or self._class_means.get(flow.kind, (self._mean_load, 0))[0]
-        )
-
-    def is_costly(self, flow: Connection) -> bool:
-        """Whether a connection asks for many times what is usual in its class."""
-        return self.connection_load(flow) > COSTLY_FACTOR * self._class_means.get(flow.kind, (math.inf, 0))[0]
+        self._node_load = 0.0  # of all this node's connections
+        self._node_load_at_us = -SECOND
 
-    def own_load(self, server: Server) -> float:
-        """Load of this node's own connections at a server, each group's shared work once."""
-        shared = (
-            len({flow.group for flow in server.flows.values() if flow.group}) if self._counts_groups else 0
-        )
-        return (
-            sum(map(self.connection_load, server.flows.values()))
-            + (shared + server.elsewhere) * self._mean_load
-        )
-
-    def capacity(self, server: Server, now: int) -> float:
-        """What a server can do; 0 where nothing tells of it."""
-        told = (
-            self._fleet_connections * self._mean_load / self._fleet_weight * self.effective_size(server, now)
-            if self._fleet_weight
-            else 0.0
-        )
-        return max(told, server.fits)
-
-    def record_message_latency(self, server: Server, took: float, now: int) -> float:
-        """A message took so many microseconds there; returns what is to leave of this node's load."""
-        (before, at), server.word_at, self.has_load_data = server.word, now, True
-        if now - at < MIN_SLOPE_INTERVAL_US:
+    # Records of events
+
+    def on_server_state_change(self, server: Server, ready_servers: Sequence[Server], now_us: int) -> None:
+        """Note the ready servers; the largest fleet ever listed is the one that the quotas were made for.
+
+        `ready_servers` is kept: the caller may change it in place.
+        """
+        self._ready_servers = ready_servers
+        self._fleet_weight = max(self._fleet_weight, sum(ready.weight for ready in ready_servers))
+
+    def record_connection_load(self, connection: Connection, load: float) -> None:
+        """Record the load that a connection has reported."""
+        class_mean = self._class_means.get(connection.kind, NO_SAMPLES)
+        if connection.key:
+            is_above_mean = class_mean.samples > 0 and load > COSTLY_FACTOR * class_mean.load
+            if is_above_mean or connection.key in self._costly_keys:
+                self._remember_costly_key(connection.key, load)
+        is_first_report = not connection.load
+        if is_first_report:
+            self._update_means(connection.kind, class_mean, load)
+        connection.load = load
+
+    def _remember_costly_key(self, key: int, load: float) -> None:
+        self._costly_keys.pop(key, None)
+        self._costly_keys[key] = load
+        if len(self._costly_keys) > MAX_COSTLY_KEYS:
+            oldest_key = next(iter(self._costly_keys))
+            del self._costly_keys[oldest_key]
+
+    def _update_means(self, kind: int, class_mean: ClassMean, load: float) -> None:
+        class_samples = min(class_mean.samples + 1, MAX_CLASS_SAMPLES)
+        class_load = class_mean.load + (load - class_mean.load) / class_samples
+        self._class_means[kind] = ClassMean(class_load, class_samples)
+        self._load_samples = min(self._load_samples + 1, MAX_SAMPLES)
+        self._mean_load += (load - self._mean_load) / self._load_samples
+
+    def record_message_latency(self, server: Server, latency_us: float, now_us: int) -> float:
+        """Record how long a message took at a server; return the load of this node's that has to leave it."""
+        previous_latency_us, previous_at_us = server.word
+        server.word_at = now_us
+        self.has_load_data = True
+        elapsed_us = now_us - previous_at_us
+        if elapsed_us < MIN_SLOPE_INTERVAL_US:
+            return 0.0
+        own_load = self.own_load(server)
+        server.word = (latency_us, now_us)
+        is_slow = latency_us > self._min_objective_us
+        # A backlog cannot be less than nothing, so a latency that falls below the objective tells no load.
+        has_slope = elapsed_us <= MAX_SLOPE_INTERVAL_US and (is_slow or latency_us > previous_latency_us)
+        if not has_slope:
+            server.was = own_load
+            return 0.0
+        slope = (latency_us - previous_latency_us) / elapsed_us
+        relative_load = min(max(1 + slope, MIN_SLOPE_LOAD), MAX_SLOPE_LOAD)
+        self._record_relative_load(server, relative_load, own_load, now_us)
+        server.was = own_load
+        if not is_slow:
             return 0.0
-        here, server.word = self.own_load(server), (took, now)
-        known, load = (
-            now - at <= MAX_SLOPE_INTERVAL_US and (took > self._min_objective_us or took > before),
-            TARGET_LOAD,
-        )
-        if known:
-            load = min(max(1 + (took - before) / (now - at), MIN_SLOPE_LOAD), MAX_SLOPE_LOAD)
-            there = (here + server.was) / 2
-            server.fits = max(server.fits, there / load)
-            others = max(self.capacity(server, now) * load - there, 0.0)
-            server.others = (server.others + others) / 2 if server.others else others
-        server.was = here
-        return (
-            max(here * (1 - self.permitted_load(took) / load), 0.0)
-            if known and took > self._min_objective_us
-            else 0.0
-        )
-
-    def record_reset(self, server: Server, now: int) -> None:
-        """A server has broken off a connection that stood: some do where too much has piled up."""
-        twice = now - server.dropped_at < SECOND
-        server.dropped_at = now
-        if twice and self._mean_load:
-            server.word, server.word_at = (BACKLOG_DRAIN_US, now), now
-            server.others = max(
-                server.others, MIN_RESET_LOAD * self.capacity(server, now) - self.own_load(server)
-            )
-            self.remember_own_load(server)
-
-    def permitted_load(self, took: float) -> float:
-        """Of what a server can do, what may be asked of it where a message takes so long."""
-        return min(TARGET_LOAD, max(MIN_RETAINED_LOAD, 1 - took / BACKLOG_DRAIN_US))
+        return max(own_load * (1 - self.permitted_load(latency_us) / relative_load), 0.0)
+
+    def _record_relative_load(
+        self, server: Server, relative_load: float, own_load: float, now_us: int
+    ) -> None:
+        """Derive the server's least capacity and the other nodes' load from a share of its capacity."""
+        mean_own_load = (own_load + server.was) / 2
+        server.fits = max(server.fits, mean_own_load / relative_load)
+        others_load = max(self.capacity(server, now_us) * relative_load - mean_own_load, 0.0)
+        server.others = (server.others + others_load) / 2 if server.others else others_load
+
+    def record_reset(self, server: Server, now_us: int) -> None:
+        """Record that a server has broken off an established connection, as some do under a backlog."""
+        is_second = now_us - server.dropped_at < RESET_PAIR_INTERVAL_US
+        server.dropped_at = now_us
+        if not is_second or not self._mean_load:
+            return
+        server.word = (BACKLOG_DRAIN_US, now_us)
+        server.word_at = now_us
+        others_load = MIN_RESET_LOAD * self.capacity(server, now_us) - self.own_load(server)
+        server.others = max(server.others, others_load)
+        self.remember_own_load(server)
 
     def remember_own_load(self, server: Server) -> None:
-        """Some have just been sent away: what is here from now on."""
+        """Take this node's load at a server for the next slope as it is now, after some of it has left."""
         server.was = self.own_load(server)
 
-    def total_load(self, server: Server, now: int) -> float:
-        """What all nodes ask of a server, as believed now."""
-        here, quiet = self.own_load(server), (now - server.word_at) / SECOND
+    # Loads
+
+    def connection_load(self, connection: Connection) -> float:
+        """The load of one connection: its own, else that of its client's key, else its class's mean."""
+        known_load = connection.load or self._costly_keys.get(connection.key, 0.0)
+        if known_load:
+            return known_load
+        class_mean = self._class_means.get(connection.kind)
+        return self._mean_load if class_mean is None else class_mean.load
+
+    def is_costly(self, connection: Connection) -> bool:
+        """Whether a connection asks for many times the mean load of its class."""
+        class_mean = self._class_means.get(connection.kind)
+        if class_mean is None:
+            return False
+        return self.connection_load(connection) > COSTLY_FACTOR * class_mean.load
+
+    def own_load(self, server: Server) -> float:
+        """The load of this node's connections at a server, with each group's shared work counted once."""
+        group_count = 0
+        if self._counts_groups:
+            group_count = len({connection.group for connection in server.flows.values() if connection.group})
+        connections_load = sum(map(self.connection_load, server.flows.values()))
+        return connections_load + (group_count + server.elsewhere) * self._mean_load
+
+    def total_load(self, server: Server, now_us: int) -> float:
+        """The load that all nodes together are believed to ask of a server now."""
+        own_load = self.own_load(server)
         if server.word_at:
-            return here + server.others * max(
-                1 - DECAY_PER_SECOND * quiet - (quiet / DECAY_SECONDS) ** 3, 0.0
-            )
-        if now - self._node_load_at_us >= NODE_LOAD_INTERVAL_US:
-            self._node_load, self._node_load_at_us = sum(map(self.own_load, self._ready_servers)), now
-        # as if all nodes were like this one
-        return here + self._node_load * (self._node_count - 1) * server.weight / self._fleet_weight
-
-    def has_room(self, server: Server, level: float, flow: Connection | None, now: int) -> bool:
-        """Whether this node may add a connection there, `level` of what it can do at most being asked."""
-        can, quiet = self.capacity(server, now), now - server.word_at
-        asks = self.connection_load(flow) if flow else self._mean_load
-        if not can or not server.word_at:
-            # DANGER: a group whose clients all come at once would crowd one server; but a guess is no word of
-            # a limit, and turns nobody inside its share away: the last level is without bound
-            if flow is None or not flow.live:  # one that stands is moved there by choice only
-                level = math.inf if self.has_load_data or level == math.inf else MAX_GUESSED_LOAD
-            return not can or self.total_load(server, now) + asks <= level * can
-        may = min(TARGET_LOAD, level)
-        if quiet > SAMPLE_SILENCE_US:
+            quiet_seconds = (now_us - server.word_at) / SECOND
+            remaining = 1 - DECAY_PER_SECOND * quiet_seconds - (quiet_seconds / DECAY_SECONDS) ** 3
+            return own_load + server.others * max(remaining, 0.0)
+        if now_us - self._node_load_at_us >= NODE_LOAD_INTERVAL_US:
+            self._node_load = sum(map(self.own_load, self._ready_servers))
+            self._node_load_at_us = now_us
+        # Nothing is known of the other nodes: each is taken to have as much load as this one.
+        return own_load + self._node_load * (self._node_count - 1) * server.weight / self._fleet_weight
+
+    # Capacity and room
+
+    def capacity(self, server: Server, now_us: int) -> float:
+        """What a server can do; 0 where nothing tells it."""
+        if not self._fleet_weight:
+            return max(0.0, server.fits)
+        fleet_capacity = self._fleet_connections * self._mean_load
+        guessed_capacity = fleet_capacity / self._fleet_weight * self.effective_size(server, now_us)
+        return max(guessed_capacity, server.fits)
+
+    def permitted_load(self, latency_us: float) -> float:
+        """The share of its capacity that may be asked of a server where a message takes so long."""
+        return min(TARGET_LOAD, max(MIN_RETAINED_LOAD, 1 - latency_us / BACKLOG_DRAIN_US))
+
+    def has_room(self, server: Server, level: float, connection: Connection | None, now_us: int) -> bool:
+        """Whether this node may add a connection, with at most `level` of the server's capacity in use then.
+
+        `connection` is None for any connection of the mean load.
+        """
+        capacity = self.capacity(server, now_us)
+        added_load = self._mean_load if connection is None else self.connection_load(connection)
+        if not capacity:
+            return True
+        if not server.word_at:
+            # A guess bounds no admission within a tenant's quota: the last level is unbounded. Below it, a
+            # group whose clients all come at once must not crowd one server. An established connection is
+            # moved there by choice only, and is held to the level as it is.
+            if connection is None or not connection.live:
+                is_unbounded = self.has_load_data or level == math.inf
+                level = math.inf if is_unbounded else MAX_GUESSED_LOAD
+            return self.total_load(server, now_us) + added_load <= level * capacity
+        return self._measured_room(server, level, capacity, now_us) >= added_load
+
+    def _measured_room(self, server: Server, level: float, capacity: float, now_us: int) -> float:
+        """The load that this node may add at a server whose message latency is known."""
+        quiet_us = now_us - server.word_at
+        permitted_load = min(TARGET_LOAD, level)
+        if quiet_us > SAMPLE_SILENCE_US:
             server.fits = max(server.fits, self.own_load(server) / MAX_UNDELAYED_LOAD)
-            can = max(can, server.fits)
-        elif server.word[0] > self._min_objective_us:
-            may = self.permitted_load(server.word[0]) - ADMISSION_MARGIN
-        # DANGER: all nodes hear the same word at the same time; each may take its part of the room
-        part = max(self._node_count * (1 - quiet / ROOM_SHARING_US), 1)
-        return (may * can - self.total_load(server, now)) / part >= asks
-
-    def estimate(self, server: Server, now: int) -> float | None:
-        """The server's load now, as far as it is felt."""
-        can = self.capacity(server, now)
-        return self.total_load(server, now) / can if can else None
-
-    def marginal_load(self, server: Server, now: int) -> float:
-        """What one more connection of the usual load adds."""
-        can = self.capacity(server, now)
-        return self._mean_load / can if can else 0.0
+            capacity = max(capacity, server.fits)
+        else:
+            latency_us = server.word[0]
+            if latency_us > self._min_objective_us:
+                permitted_load = self.permitted_load(latency_us) - ADMISSION_MARGIN
+        # All nodes see the same latency at the same time, so each may take only its part of the room.
+        sharing_nodes = max(self._node_count * (1 - quiet_us / ROOM_SHARING_US), 1)
+        return (permitted_load * capacity - self.total_load(server, now_us)) / sharing_nodes
+
+    def estimate(self, server: Server, now_us: int) -> float | None:
+        """The server's load now as a share of its capacity; None where nothing tells its capacity."""
+        capacity = self.capacity(server, now_us)
+        return self.total_load(server, now_us) / capacity if capacity else None
+
+    def marginal_load(self, server: Server, now_us: int) -> float:
+        """What one more connection of the mean load adds, as a share of the server's capacity."""
+        capacity = self.capacity(server, now_us)
+        return self._mean_load / capacity if capacity else 0.0
--- a/limerudder/policy/reported_loads.py
+++ b/limerudder/policy/reported_loads.py
@@ -1,7 +1,7 @@
-"""What load reports tell of the servers: their load now, what one more connection would add, the usual level.
+"""Loads by the servers' reports: each server's load now, what one more connection adds, and the usual level.
 
-Readings only: which server gets what is decided by the balancer.
-Loads are shares of what a server can do at this moment, times are microseconds.
+Readings only: the balancer decides which server gets what. A load is a share of what a server can do at this
+moment, so that 1.0 is its capacity. Times are microseconds.
 """
 
 from __future__ import annotations
@@ -17,117 +17,163 @@
     Settings,
 )
 
-COMFORTABLE_LOAD = 0.7  #: up to this share of its capacity a server answers in time: no need to spare it
-MAX_LOAD = 0.85  #: no new connection beyond this: loads swing after they are placed
-ERROR_MARGIN_DEVIATIONS = 2  #: mean errors that must fit below capacity too, where loads swing more than that
-BACKLOG_WORK_OFF_US = 3 * SECOND // 2  #: what has piled up at a server is to be worked off in this time
-MAX_BACKLOG_US = 3 * SECOND  #: no server keeps more work than that
+COMFORTABLE_LOAD = 0.7  #: up to this load a server answers in time, and need not be spared
+MAX_LOAD = 0.85  #: no new connection beyond this load, since loads swing after connections are placed
+ERROR_MARGIN_DEVIATIONS = 2  #: number of mean estimate errors that must fit between the limit and capacity
+MAX_PLAUSIBLE_LOAD = 1000  #: a report of this load or more is nonsense
+BACKLOG_WORK_OFF_US = 3 * SECOND // 2  #: time in which a server's backlog is to be worked off
+MAX_BACKLOG_US = 3 * SECOND  #: no server keeps more work than this
 MAX_BACKLOG_GROWTH_US = (
     4 * SECOND
-)  #: of time without a report, for so long at most it is taken to have piled up
-REPORT_LIFETIME_INTERVALS = 3  #: times the time between reports that one counts for
+)  #: a backlog is taken to have grown for no longer than this without a report
+REPORT_LIFETIME_INTERVALS = 3  #: number of report intervals after which a report no longer counts
+ERROR_MEAN_SWEEPS = 4  #: the mean estimate error is taken over about so many reports of each server
 
 
 class ReportedLoads:
-    """The reports that one node has heard."""
-
-    def __init__(self, settings: Settings, every: int) -> None:
-        self._initial_capacity, self._warm_up_us = settings.initial_capacity, max(settings.warm_up_us, 1)
-        self._reports_connections = (
-            "inflight" in settings.report_fields
-        )  # reports say how many connections a server holds
-        self.report_interval_us = every  # between reports of a server
-        self._mean_estimate_error = (
-            1 - MAX_LOAD
-        ) / ERROR_MARGIN_DEVIATIONS  # how far estimates are off reports, on average
-        self.preferred_max_load = self.max_load = MAX_LOAD  # above these a server is spared, or gets nothing
-        self.load_per_connection, self._mean_effective_size = (
-            0.0,
-            1.0,
-        )  # what one connection adds to a server of the mean size
-        self.has_load_data = True  # something tells of loads
-        self.mean_reported_load = 1.0  # share of its capacity that the fleet is asked for, by reports alone
-        self._reporting_servers = dict[Server, None]()
-
-    def record_report(self, server: Server, load: float, held: float, servers: int, now: int) -> float:
-        """A report: what is asked of the server over what it can do, and how many connections it holds.
-
-        Returns what is asked with what has piled up.
+    """The load reports that one node has received, and what it derives from them."""
+
+    def __init__(self, settings: Settings, report_interval_us: int) -> None:
+        self._initial_capacity = settings.initial_capacity
+        self._warm_up_us = max(settings.warm_up_us, 1)
+        self._reports_connections = "inflight" in settings.report_fields
+        self._mean_estimate_error = (1 - MAX_LOAD) / ERROR_MARGIN_DEVIATIONS
+        self._mean_effective_size = 1.0
+        self._reporting_servers = dict[Server, None]()  # used as an ordered set
+        self.report_interval_us = report_interval_us  #: between two reports of a server
+        self.preferred_max_load = MAX_LOAD  #: above this a server is spared
+        self.max_load = MAX_LOAD  #: above this a server gets no new connection
+        self.load_per_connection = 0.0  #: what one connection adds to a server of the mean effective size
+        self.has_load_data = True  #: whether anything tells of loads
+        self.mean_reported_load = 1.0  #: by reports alone, over all servers that report
+
+    def record_report(
+        self, server: Server, load: float, connections: float, server_count: int, now_us: int
+    ) -> float:
+        """Record a server's report; return its load together with the backlog's.
+
+        `load`: what is asked of the server over what it can do; `connections`: how many it holds, of all
+        nodes; `server_count`: servers that are ready. For a load that cannot be true, nothing is recorded and
+        0.0 is returned.
         """
-        if not 0 <= load < 1000:  # NaN or nonsense
+        if not 0 <= load < MAX_PLAUSIBLE_LOAD:  # this way round, NaN is out of range too
             return 0.0
-        held = held if 0 <= held < math.inf else 0
-        server.report, server.report_at = (load, int(held)), now
-        before = self.estimate(server, now)
-        if before is not None:
-            off = abs(min(load, 1) - min(before, 1)) - self._mean_estimate_error
-            self._mean_estimate_error += off / (4 * max(servers, 1))  # the mean of some four sweeps
-        # DANGER: a report tells what is asked now, not what has piled up before; until that is worked off
-        # nobody is answered in time, and just below capacity that takes for ever
-        past = min(now - server.load_at, MAX_BACKLOG_GROWTH_US) if server.load is not None else 0
-        server.piled = min(max(server.piled + (load - 1) * past, 0), MAX_BACKLOG_US)
-        # DANGER: one report may be a moment's low or high; taken whole, all would crowd the low ones
-        server.load = load if before is None else (load + before) / 2
-        server.load_at, server.load_count, server.held = now, server.count, held
+        if not 0 <= connections < math.inf:
+            connections = 0
+        server.report = (load, int(connections))
+        server.report_at = now_us
+        estimate = self.estimate(server, now_us)
+        if estimate is not None:
+            self._record_estimate_error(load, estimate, server_count)
+        self._update_backlog(server, load, now_us)
+        # One report may show a moment's low or high. Taken whole, all nodes would crowd the servers that are
+        # low for a moment.
+        server.load = load if estimate is None else (load + estimate) / 2
+        server.load_at = now_us
+        server.load_count = server.count
+        server.held = connections
         self._reporting_servers[server] = None
         return load + self.backlog_load(server)
 
-    def record_connection_load(self, flow: Connection, load: float) -> None:
-        """A connection has told its load, in microseconds of work a second."""
-        flow.load = load
+    def _record_estimate_error(self, load: float, estimate: float, server_count: int) -> None:
+        error = abs(min(load, 1) - min(estimate, 1))
+        change = error - self._mean_estimate_error
+        self._mean_estimate_error += change / (ERROR_MEAN_SWEEPS * max(server_count, 1))
 
-    def on_server_state_change(self, server: Server, others: Sequence[Server], now: int) -> None:
-        """Where this server leaves, what it carries will stand at the others: the tier's load stays."""
-        # DANGER: all that stood there comes again within a second or two, to every node, and no report shows
-        # it yet: each node would fill what looked empty before
-        asked, sizes = self.estimate(server, now), [self.effective_size(s, now) for s in others]
-        for other in others if server.state != ServerState.READY else ():
-            if other.load is not None and asked:
-                other.load += max(asked, 0) * self.effective_size(server, now) / sum(sizes)
+    def _update_backlog(self, server: Server, load: float, now_us: int) -> None:
+        """Add what has piled up since the last report.
+
+        A report tells what is asked of the server now, not what it still has to do from before. Until that is
+        worked off it answers nobody in time, and just below capacity working it off takes very long.
+        """
+        elapsed_us = 0
+        if server.load is not None:
+            elapsed_us = min(now_us - server.load_at, MAX_BACKLOG_GROWTH_US)
+        server.piled = min(max(server.piled + (load - 1) * elapsed_us, 0), MAX_BACKLOG_US)
 
     def backlog_load(self, server: Server) -> float:
-        """What has piled up, as load until it is worked off."""
+        """The load that working off the server's backlog in `BACKLOG_WORK_OFF_US` takes."""
         return server.piled / BACKLOG_WORK_OFF_US
 
-    def update_levels(self, nodes: int, alone: bool, now: int) -> None:
-        """Set the level and what one connection adds; `alone`: each counts once, else for all nodes."""
-        known = [
-            s
-            for s in self._reporting_servers
-            if self.estimate(s, now) is not None and s.state == ServerState.READY
-        ]
-        self._reporting_servers = dict.fromkeys(known)
-        if not known:
+    def record_connection_load(self, connection: Connection, load: float) -> None:
+        """Record the load that a connection has reported, in microseconds of work a second."""
+        connection.load = load
+
+    def on_server_state_change(self, server: Server, ready_servers: Sequence[Server], now_us: int) -> None:
+        """Spread the load of a server that has left over the servers that are ready.
+
+        Its clients come again within a second or two, to every node, and no report shows them yet: each node
+        would fill what looks empty. The load of the tier as a whole stays the same.
+        """
+        if server.state == ServerState.READY:
             return
-        self.mean_reported_load = sum(s.load or 0 for s in known) / len(known)
-        self._mean_effective_size = sum(self.effective_size(s, now) for s in known) / len(known)
-        # what one connection adds; where reports are swept, with as many as other nodes add meanwhile.
-        # DANGER: by its own count a node just restarted, which holds next to nothing, takes each one for
-        # dozens; reports may say how many the servers hold in all
-        many = (
-            sum(s.held for s in known)
-            if self._reports_connections
-            else nodes * sum(s.load_count for s in known)
-        )
-        mine = (many if alone else many / nodes) + len(known)
-        asked = sum((s.load or 0) * self.effective_size(s, now) for s in known) / self._mean_effective_size
-        self.load_per_connection = min(asked / mine, MAX_LOAD - COMFORTABLE_LOAD)
-        mean = sum(self.estimate(s, now) or 0 for s in known) / len(known)
+        estimate = self.estimate(server, now_us)
+        if not estimate:
+            return
+        leaving_work = max(estimate, 0) * self.effective_size(server, now_us)
+        total_size = sum(self.effective_size(ready, now_us) for ready in ready_servers)
+        for ready in ready_servers:
+            if ready.load is not None:
+                ready.load += leaving_work / total_size
+
+    def update_levels(self, node_count: int, counts_own_only: bool, now_us: int) -> None:
+        """Set the load limits and what one connection adds, by the reports that still count.
+
+        `counts_own_only`: a new connection of this node counts once. Else, where all servers are asked at
+        intervals, it counts with as many as the other nodes add meanwhile.
+        """
+        servers = [server for server in self._reporting_servers if self._has_current_report(server, now_us)]
+        self._reporting_servers = dict.fromkeys(servers)
+        if not servers:
+            return
+        self.mean_reported_load = sum(server.load or 0 for server in servers) / len(servers)
+        sizes = [self.effective_size(server, now_us) for server in servers]
+        self._mean_effective_size = sum(sizes) / len(servers)
+        self._update_load_per_connection(servers, node_count, counts_own_only, now_us)
+        mean_estimate = sum(self.estimate(server, now_us) or 0 for server in servers) / len(servers)
         self.max_load = min(MAX_LOAD, 1 - ERROR_MARGIN_DEVIATIONS * self._mean_estimate_error)
-        self.preferred_max_load = min(max(COMFORTABLE_LOAD, mean), self.max_load)
-
-    def estimate(self, server: Server, now: int) -> float | None:
-        """The server's load now: as last reckoned, with what this balancer has added or lost since."""
-        if server.load is None or now - server.load_at > REPORT_LIFETIME_INTERVALS * self.report_interval_us:
-            return None  # DANGER: reports that stopped must not shut a server out for good
-        return server.load + (server.count - server.load_count) * self.marginal_load(server, now)
-
-    def marginal_load(self, server: Server, now: int) -> float:
-        """What one more connection adds to this server's load."""
-        # DANGER: sizes differ by five times, and a cold server can do a fifth: alike, small ones overflow
-        return self.load_per_connection * self._mean_effective_size / self.effective_size(server, now)
-
-    def effective_size(self, server: Server, now: int) -> float:
-        """What the server can do at this moment, in the unit of its listed size."""
-        age = max(now - server.since, 0) / self._warm_up_us if server.since else 1.0
+        self.preferred_max_load = min(max(COMFORTABLE_LOAD, mean_estimate), self.max_load)
+
+    def _has_current_report(self, server: Server, now_us: int) -> bool:
+        return self.estimate(server, now_us) is not None and server.state == ServerState.READY
+
+    def _update_load_per_connection(
+        self, servers: Sequence[Server], node_count: int, counts_own_only: bool, now_us: int
+    ) -> None:
+        # The servers' own counts are better where they report them: a node just restarted holds next to
+        # nothing, and by its own count it would take each connection for dozens.
+        if self._reports_connections:
+            all_connections = sum(server.held for server in servers)
+        else:
+            all_connections = node_count * sum(server.load_count for server in servers)
+        counted_connections = all_connections if counts_own_only else all_connections / node_count
+        work = sum((server.load or 0) * self.effective_size(server, now_us) for server in servers)
+        load = work / self._mean_effective_size
+        self.load_per_connection = min(
+            load / (counted_connections + len(servers)), MAX_LOAD - COMFORTABLE_LOAD
+        )
+
+    def estimate(self, server: Server, now_us: int) -> float | None:
+        """The server's load now: as last reported, with what this node has added or lost since.
+
+        None where no report is recent enough: reports that have stopped must not shut a server out for good.
+        """
+        if (
+            server.load is None
+            or now_us - server.load_at > REPORT_LIFETIME_INTERVALS * self.report_interval_us
+        ):
+            return None
+        return server.load + (server.count - server.load_count) * self.marginal_load(server, now_us)
+
+    def marginal_load(self, server: Server, now_us: int) -> float:
+        """What one more connection adds to this server's load.
+
+        By the server's size, as sizes differ by five times and a server that is warming up can do a fifth:
+        with one figure for all, the small servers would be overloaded.
+        """
+        return self.load_per_connection * self._mean_effective_size / self.effective_size(server, now_us)
+
+    def effective_size(self, server: Server, now_us: int) -> float:
+        """What the server can do at this moment, in the unit of the size that discovery lists."""
+        age = max(now_us - server.since, 0) / self._warm_up_us if server.since else 1.0
         return server.weight * min(1.0, self._initial_capacity + (1 - self._initial_capacity) * age)
--- a/limerudder/policy/slow_start.py
+++ b/limerudder/policy/slow_start.py
@@ -1,9 +1,12 @@
-"""A node's part of what all nodes together may send a server that is cold.
+"""Slow start: one node's part of what all nodes together may send a server that is warming up.
 
-The settings bound the sum: `overload_factor` times what the server can do by now, over `overload_for`. Nobody
-is told what it can do, only its share of it; what warm servers of its size are usually asked is the guide.
-Each node goes by its own traffic, so that the parts add up to that, whatever the number of nodes and however
-uneven their traffic. Decides only whether one more call fits; limerudder/policy/balancer.py asks.
+The settings bound the sum: `overload_factor` times what the server can do by now, over `overload_window_us`.
+No node is told what a server can do, only which share of its full capacity it has by now. What warm servers
+of its size are usually asked serves as the measure of the rest. Each node goes by its own traffic. So the
+parts add up to the bound, whatever the number of nodes and however uneven their traffic.
+
+The balancer asks whether one more attempt fits; which server it goes to is decided there. Times are
+microseconds.
 """
 
 from __future__ import annotations
@@ -15,56 +18,64 @@
     Settings,
 )
 
-RATE_WINDOW_US = 15 * SECOND  #: that rates are over
-#: Calls in `overload_for`, of all nodes, that a cold server gets whatever is usual: two are chance anyway.
-#: Where each of hundreds of nodes sees a request in ten seconds, the usual is a small part of one call.
+RATE_WINDOW_US = 15 * SECOND  #: window of the request rate
+#: Attempts within the overload window, of all nodes together, that a cold server gets whatever the usual rate
+#: is: two are chance anyway. Where each of hundreds of nodes sees a request in ten seconds, a node's part of
+#: the usual rate is a small part of one attempt.
 MIN_CALLS_PER_WINDOW = 1.0
+MIN_OVERLOAD_WINDOW_US = SECOND // 10
+MAX_TOKENS = 1.0  #: of one server's token bucket
 
 
 class SlowStartBudget:
-    """Budgets of cold servers: one token each, earned at a rate, spent with each call."""
+    """The budgets of servers that warm up: a token bucket for each, one token an attempt."""
 
     def __init__(self, settings: Settings) -> None:
-        self._settings, self.request_rate, self.serving_weight = settings, RateEstimator(), 1.0
-        self.started_at_us: int | None = None  # of a process that was there with the connections that stand
-        self.min_tokens_per_second = (
-            MIN_CALLS_PER_WINDOW
-            * SECOND
-            / (max(settings.overload_window_us, SECOND // 10) * max(settings.balancers, 1))
-        )
+        self._overload_factor = settings.overload_factor
+        self.request_rate = RateEstimator()  #: of requests at this node, attempts after the first left out
+        self.serving_weight = 1.0  #: size of the servers among which the traffic is shared
+        #: When a process began that inherited connections; None for a process without memory.
+        self.started_at_us: int | None = None
+        window_us = max(settings.overload_window_us, MIN_OVERLOAD_WINDOW_US)
+        self.min_tokens_per_second = MIN_CALLS_PER_WINDOW * SECOND / (window_us * max(settings.balancers, 1))
+
+    def rate_known_since_us(self, now_us: int) -> int:
+        """From when on this node's traffic is known.
 
-    def rate_known_since_us(self, now: int) -> int:
-        """From when on this node's traffic is known."""
-        # DANGER: a process begun without memory that took its first second for the usual would send its part
-        # of a wave, as would all that began with it: before its first moment it has sent nothing
-        return (
-            max(now - RATE_WINDOW_US, self.started_at_us)
-            if self.started_at_us is not None
-            else now - RATE_WINDOW_US
-        )
+        A process without memory that took its first second for the usual would send its part of a wave, and
+        so would all that began with it. So it counts as having had no traffic before its first moment.
+        """
+        window_start_us = now_us - RATE_WINDOW_US
+        if self.started_at_us is None:
+            return window_start_us
+        return max(window_start_us, self.started_at_us)
 
-    def record_request(self, now: int) -> None:
-        """A request's first attempt is sent; further ones are no demand."""
-        self.request_rate.count(now, self.rate_known_since_us(now))
+    def record_request(self, now_us: int) -> None:
+        """Record that a request's first attempt is sent; further attempts are no demand."""
+        self.request_rate.count(now_us, self.rate_known_since_us(now_us))
 
     def update_servers(self, ready: Iterable[Server], cold: Iterable[Server]) -> None:
-        """The servers among which traffic is shared: the warm ones, or all where none is."""
-        ready, cold = list(ready), set(cold)
-        warm = [server for server in ready if server not in cold]
-        self.serving_weight = sum(server.weight for server in warm or ready) or 1.0
+        """Take over the servers among which traffic is shared: the warm ones, or all where none is warm."""
+        ready_servers = list(ready)
+        cold_servers = set(cold)
+        warm_servers = [server for server in ready_servers if server not in cold_servers]
+        self.serving_weight = sum(server.weight for server in warm_servers or ready_servers) or 1.0
 
-    def allows(self, server: Server, share: float, times: float, fresh: float, now: int) -> bool:
-        """Whether the budget allows one more.
+    def allows(
+        self, server: Server, capacity_share: float, rate_factor: float, fresh_rate: float, now_us: int
+    ) -> bool:
+        """Whether the server's budget allows one more attempt.
 
-        `share`: of all it can do; `times`: more than usual; `fresh`: connections a second at this node that
-        stood nowhere before, since it began: in no wave, so a process is believed from its first second on.
+        `capacity_share`: what the server can do by now, as a share of its full capacity. `rate_factor`: how
+        many times the usual rate it may get. `fresh_rate`: connections a second at this node that are no
+        reconnections, since it began. These are part of no wave, so a process is believed in them from its
+        first second on.
         """
-        usual = (
-            max(self.request_rate.read(now, self.rate_known_since_us(now)), fresh)
-            * server.weight
-            / self.serving_weight
-        )
-        earned = self._settings.overload_factor * share * usual * times + self.min_tokens_per_second
-        server.tokens = min(1.0, server.tokens + earned * (now - server.tokens_at) / SECOND)
-        server.tokens_at = now
+        known_rate = self.request_rate.read(now_us, self.rate_known_since_us(now_us))
+        usual_rate = max(known_rate, fresh_rate) * server.weight / self.serving_weight
+        allowed_rate = self._overload_factor * capacity_share * usual_rate * rate_factor
+        tokens_per_second = allowed_rate + self.min_tokens_per_second
+        earned_tokens = tokens_per_second * (now_us - server.tokens_at) / SECOND
+        server.tokens = min(MAX_TOKENS, server.tokens + earned_tokens)
+        server.tokens_at = now_us
         return server.tokens >= 1
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -801,9 +801,9 @@
     loads, size = driver.balancer.loads, driver.balancer.loads.effective_size
     weighed: list[int] = []
 
-    def count(server: Server, now: int) -> float:
+    def count(server: Server, now_us: int) -> float:
         weighed.append(server.id)
-        return size(server, now)
+        return size(server, now_us)
 
     loads.effective_size = count  # type: ignore[method-assign]
     met = {driver.balancer.sample(driver.balancer.ready)[0].id for _ in range(100)}
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -1,4 +1,4 @@
-"""A tier of nodes that take turns in asking the servers: who asks, who knows, who takes over."""
+"""Load gossip in a tier of nodes: which node asks the servers, which nodes know, which one takes over."""
 
 from __future__ import annotations
 
@@ -23,7 +23,9 @@
 from limerudder.policy.gossip import (
     MAX_ROUND_INTERVAL_US,
     ROWS_PER_DATAGRAM,
+    ConnectionRates,
     LoadGossip,
+    LoadRow,
     decode,
     encode,
     match_servers,
@@ -47,42 +49,56 @@
 
 
 class Tier:
-    """Nodes that hear each other a step late, and servers that report `load`."""
+    """Nodes that receive each other's datagrams one step late, and servers that report `load`."""
 
     def __init__(self, settings: Settings = TIER, load: float = 0.5) -> None:
         self.nodes = [Driver(replace(settings, me=i), i + 1, SERVERS) for i in range(settings.balancers)]
-        self.load, self.deaf = load, False
-        self.read = [0] * len(self.nodes)
+        self.load = load
+        self.drops_datagrams = False
+        self.actions_read = [0] * len(self.nodes)
         self.dead = set[int]()
-        self.probes = self.told = 0
+        self.health_checks = 0
+        self.datagrams = 0
         for node in self.nodes:
             node.open(1 + node.settings.me % len(SERVERS))
 
     def run(self, duration: int) -> None:
         for _ in range(duration // STEP):
-            said: list[tuple[int, bytes]] = []
-            for i, node in enumerate(self.nodes):
-                if i in self.dead:
-                    continue
-                node.run(STEP)
-                new, self.read[i] = node.log[self.read[i] :], len(node.log)
-                for action in new:
-                    if isinstance(action, CheckHealth):
-                        self.probes += 1
-                        node.give(
-                            HealthCheckResult(action.server, 1000, AttemptOutcome.OK, (0.0, 4.0, self.load))
-                        )
-                    elif isinstance(action, SendPeerMessage):
-                        assert action.peer == ALL_PEERS and len(action.data) <= 256
-                        said.append((i, action.data))
-            self.told += len(said)
-            for i, node in enumerate(self.nodes):
-                for sender, data in said:
-                    if i != sender and i not in self.dead and not self.deaf:
-                        node.give(PeerMessage(sender, data))
-
-    def knowing(self) -> int:
-        alive = [n.balancer for i, n in enumerate(self.nodes) if i not in self.dead]
+            sent = self._run_step()
+            self.datagrams += len(sent)
+            if not self.drops_datagrams:
+                self._deliver(sent)
+
+    def _run_step(self) -> list[tuple[int, bytes]]:
+        """Run each node for one step; return the datagrams sent, each with its sender."""
+        sent: list[tuple[int, bytes]] = []
+        for number, node in enumerate(self.nodes):
+            if number in self.dead:
+                continue
+            node.run(STEP)
+            new_actions = node.log[self.actions_read[number] :]
+            self.actions_read[number] = len(node.log)
+            for action in new_actions:
+                if isinstance(action, CheckHealth):
+                    self._answer(node, action.server)
+                elif isinstance(action, SendPeerMessage):
+                    assert action.peer == ALL_PEERS and len(action.data) <= 256
+                    sent.append((number, action.data))
+        return sent
+
+    def _answer(self, node: Driver, server: int) -> None:
+        self.health_checks += 1
+        node.give(HealthCheckResult(server, 1000, AttemptOutcome.OK, (0.0, 4.0, self.load)))
+
+    def _deliver(self, sent: list[tuple[int, bytes]]) -> None:
+        for number, node in enumerate(self.nodes):
+            for sender, data in sent:
+                if number != sender and number not in self.dead:
+                    node.give(PeerMessage(sender, data))
+
+    def informed_nodes(self) -> int:
+        """The number of live nodes that know the load of every server."""
+        alive = [node.balancer for number, node in enumerate(self.nodes) if number not in self.dead]
         return sum(all(b.estimate(s) is not None for s in b.ready) for b in alive)
 
 
@@ -90,25 +106,25 @@
     """On the vast days 40 nodes asked 520 times in 25 s, and knew two servers of twelve."""
     tier = Tier()
     tier.run(20 * SECOND)
-    assert tier.knowing() == NODES
+    assert tier.informed_nodes() == NODES
     every = tier.nodes[0].balancer.sharing.round_interval_us
-    assert tier.told <= 20 * SECOND / every + 2
-    assert tier.probes <= len(SERVERS) * (tier.told + 1)
+    assert tier.datagrams <= 20 * SECOND / every + 2
+    assert tier.health_checks <= len(SERVERS) * (tier.datagrams + 1)
 
 
 def test_the_turn_goes_on_when_most_nodes_are_gone() -> None:
     tier = Tier()
     tier.run(10 * SECOND)
     tier.dead = set(range(2, 16))
-    before = tier.told
+    before = tier.datagrams
     tier.run(30 * SECOND)
-    assert tier.told - before >= 2
-    assert tier.knowing() == NODES - 14
+    assert tier.datagrams - before >= 2
+    assert tier.informed_nodes() == NODES - 14
 
 
 def test_a_node_that_hears_nobody_asks_for_itself() -> None:
     tier = Tier()
-    tier.deaf = True
+    tier.drops_datagrams = True
     tier.run(20 * SECOND)
     asked = [sum(isinstance(a, CheckHealth) for a in node.log) for node in tier.nodes]
     assert min(asked) >= len(SERVERS)
@@ -119,33 +135,33 @@
     tier.run(10 * SECOND)
     old = tier.nodes[3]
     new = tier.nodes[3] = Driver(old.settings, 99, ())
-    new.now, tier.read[3] = old.now, 0
+    new.now, tier.actions_read[3] = old.now, 0
     new.members(SERVERS, UpdateKind.CACHED)
     tier.run(tier.nodes[0].balancer.sharing.round_interval_us + SECOND)
     assert len(new.logged(SendPeerMessage)) <= 1
-    assert tier.knowing() == NODES
+    assert tier.informed_nodes() == NODES
 
 
 def test_few_nodes_share_nothing() -> None:
     tier = Tier(replace(TIER, balancers=4))
     tier.run(10 * SECOND)
-    assert not tier.told
+    assert not tier.datagrams
     assert not any(t.token == SHARE for t in tier.nodes[0].logged(SetTimer) if isinstance(t, SetTimer))
 
 
-def test_what_is_told_is_what_was_reported() -> None:
-    rows = [(0x12345678, 0.5, 12), (0x0000FFFF, 9.0, 4000)]
-    (data,) = encode((1.25, 0.5), rows)
-    told = decode(data)
-    assert told == ((1.25, 0.5), [(0x5678, 0.5, 12), (0xFFFF, 255 / 64, 255)])
-    assert list(match_servers(told[1], [0x12345678, 7])) == [(0x12345678, 0.5, 12)]
-    assert not list(match_servers(told[1], [0x12345678, 0x99995678])), "a row that two servers share"
+def test_a_decoded_message_holds_what_was_reported() -> None:
+    rows = [LoadRow(0x12345678, 0.5, 12), LoadRow(0x0000FFFF, 9.0, 4000)]
+    (data,) = encode(ConnectionRates(1.25, 0.5), rows)
+    message = decode(data)
+    assert message == ((1.25, 0.5), [(0x5678, 0.5, 12), (0xFFFF, 255 / 64, 255)])
+    assert list(match_servers(message.rows, [0x12345678, 7])) == [(0x12345678, 0.5, 12)]
+    assert not list(match_servers(message.rows, [0x12345678, 0x99995678])), "a row that two servers share"
 
 
 def test_a_large_fleet_takes_several_datagrams() -> None:
-    rows = [(s, 0.25, 1) for s in range(2 * ROWS_PER_DATAGRAM + 1)]
-    told = [decode(data) for data in encode((0.0, 0.0), rows)]
-    assert [len(t[1]) for t in told if t] == [ROWS_PER_DATAGRAM, ROWS_PER_DATAGRAM, 1]
+    rows = [LoadRow(server, 0.25, 1) for server in range(2 * ROWS_PER_DATAGRAM + 1)]
+    messages = [decode(data) for data in encode(ConnectionRates(0.0, 0.0), rows)]
+    assert [len(message.rows) for message in messages if message] == [ROWS_PER_DATAGRAM, ROWS_PER_DATAGRAM, 1]
 
 
 @pytest.mark.parametrize(
@@ -160,7 +176,8 @@
 
 
 def test_rounds_come_as_often_as_requests_pay_for() -> None:
-    thin, busy = LoadGossip(TIER), LoadGossip(TIER)
+    thin = LoadGossip(TIER)
+    busy = LoadGossip(TIER)
     thin.update_interval(60, 0.2)
     busy.update_interval(60, 0.4)
     assert (
@@ -209,16 +226,16 @@
         for _ in range(5):
             node.open(1)
     tier.run(4 * SECOND)
-    assert tier.told >= 3
+    assert tier.datagrams >= 3
 
 
 def test_rounds_come_sooner_as_soon_as_connections_pay_for_them() -> None:
     """Each node looks at whose turn it is every second, not when the turn of before would have come."""
     tier = Tier()
     tier.run(2 * SECOND + SECOND // 4)  # each has looked once, in its place
-    before = tier.told
+    before = tier.datagrams
     for node in tier.nodes:
         for _ in range(5):
             node.open(1)
     tier.run(SECOND + SECOND // 2)
-    assert tier.told > before
+    assert tier.datagrams > before
--- a/tests/test_policy_fleet.py
+++ b/tests/test_policy_fleet.py
@@ -30,7 +30,8 @@
     for i in which:
         old = tier.nodes[i]
         new = tier.nodes[i] = Driver(old.settings, 1000 + i, ())
-        new.now, tier.read[i] = old.now, 0
+        new.now = old.now
+        tier.actions_read[i] = 0
         new.members(SERVERS, UpdateKind.CACHED)
 
 
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -270,7 +270,8 @@
 def test_peer_datagram() -> None:
     written = bytes.fromhex(WRITTEN["peer_datagram"])
     assert gossip.decode(written) == ((12.34, 5.6), [(70000 & 0xFFFF, 0.5, 3), (2, 255 / 64, 255)])
-    assert next(gossip.encode((12.34, 5.6), [(70000, 0.5, 3), (2, 9.0, 400)])) == written
+    rows = [gossip.LoadRow(70000, 0.5, 3), gossip.LoadRow(2, 9.0, 400)]
+    assert next(gossip.encode(gossip.ConnectionRates(12.34, 5.6), rows)) == written
 
 
 class _Link:
