--- a/tests/test_discovery_timing.py
+++ b/tests/test_discovery_timing.py
@@ -1,8 +1,8 @@
-"""Discovery's clocks: whatever became of the calls before, a change is heard once discovery can be reached.
+"""Deadlines of discovery calls: whatever became of earlier calls, a change arrives once discovery answers.
 
-A real node on a simulated clock calls a scripted discovery whose calls go wrong as Hypothesis has them, until
-one moment from which each new call is answered. From then on the operators allow 6 s, a call that is out and
-dead, the wait that its failure caused and the answer's own time included.
+A real node on a simulated clock calls a scripted discovery whose calls fail as Hypothesis draws it, until one
+moment from which each new call is answered. From then on the operators allow 6 s, which includes a call that
+is out and dead, the wait that its failure caused and the answer's own time.
 """
 
 from __future__ import annotations
--- a/tests/test_load_inference.py
+++ b/tests/test_load_inference.py
@@ -1,4 +1,4 @@
-"""Loads felt where nothing is reported: what fits, dear connections, storms that end by themselves."""
+"""Loads inferred where nothing is reported: room, costly connections, recovery from waves of resets."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 from functools import partial
 from random import Random
 from statistics import mean
+from typing import NamedTuple
 
 import pytest
 from hypothesis import given
@@ -33,7 +34,7 @@
 )
 from tests.policy_driver import BASE, SAFE, Driver, entry
 
-SILENT = replace(
+NO_REPORTS = replace(
     BASE,
     classes=(replace(SAFE, worth=3.0), replace(SAFE, worth=1.0)),
     probes=False,
@@ -43,94 +44,114 @@
     tenant_quotas=(200.0,),
     prices={},
 )
-USUAL = 30_000.0
+MEAN_LOAD = 30_000.0
 
 
-def tier(seed: int, load: float, settings: Settings = SILENT, shed: bool = False) -> OverloadFleet:
-    """Three nodes, hosts of three sizes, and clients that ask for so much of what the hosts can do."""
-    rng, sizes = Random(seed), [1.6, 1.0, 0.7] * 2
-    told = [
-        SimulatedClient(n + 1, n % 2, rng.expovariate(1 / USUAL), rng.randrange(1, 9)) for n in range(200)
+def make_fleet(
+    seed: int, load: float, settings: Settings = NO_REPORTS, resets: bool = False
+) -> OverloadFleet:
+    """Three nodes, hosts of three sizes, and clients that ask for `load` of what all hosts can do."""
+    rng = Random(seed)
+    sizes = [1.6, 1.0, 0.7] * 2
+    clients = [
+        SimulatedClient(n + 1, n % 2, rng.expovariate(1 / MEAN_LOAD), rng.randrange(1, 9)) for n in range(200)
     ]
-    unit = len(told) * USUAL / load / sum(sizes)
-    crowd = OverloadFleet(replace(settings, balancers=3), [size * unit for size in sizes], told, seed, shed)
-    for n, client in enumerate(told):
-        crowd.later(n / 100, partial(crowd.come, client))
-    return crowd
+    unit = len(clients) * MEAN_LOAD / load / sum(sizes)
+    capacities = [size * unit for size in sizes]
+    fleet = OverloadFleet(replace(settings, balancers=3), capacities, clients, seed, resets)
+    for number, client in enumerate(clients):
+        fleet.later(number / 100, partial(fleet.come, client))
+    return fleet
 
 
-def level(crowd: OverloadFleet, seconds: float) -> float:
-    return mean(crowd.served[-int(seconds * SECOND / STEP) :])
+def mean_served(fleet: OverloadFleet, seconds: float) -> float:
+    """The mean share of the clients' worth that was served over the last seconds."""
+    return mean(fleet.served[-int(seconds * SECOND / STEP) :])
 
 
 @pytest.mark.parametrize("seed", range(3))
-def test_piles_do_not_stand_where_messages_tell_of_them(seed: int) -> None:
-    felt, deaf = tier(seed, 0.65), tier(seed, 0.65, replace(SILENT, reports_latency=False))
-    for crowd in (felt, deaf):
-        crowd.run(25)
-    assert level(felt, 10) > 0.8
-    assert level(felt, 10) > level(deaf, 10) + 0.1
+def test_backlogs_do_not_stand_where_messages_tell_of_them(seed: int) -> None:
+    inferring = make_fleet(seed, 0.65)
+    ignorant = make_fleet(seed, 0.65, replace(NO_REPORTS, reports_latency=False))
+    inferring.run(25)
+    ignorant.run(25)
+    assert mean_served(inferring, 10) > 0.8
+    assert mean_served(inferring, 10) > mean_served(ignorant, 10) + 0.1
 
 
 @pytest.mark.parametrize("seed", range(6))
-def test_one_dear_connection_leaves_and_not_all_the_others_in_its_stead(seed: int) -> None:
-    driver = Driver(SILENT, seed, [entry(s) for s in (1, 2)])
+def test_one_costly_connection_leaves_and_not_all_the_others_in_its_stead(seed: int) -> None:
+    driver = Driver(NO_REPORTS, seed, [entry(s) for s in (1, 2)])
     for number in range(1, 31):
-        driver.give(LoadSample(driver.open(1), 1, USUAL if number > 1 else 100 * USUAL, 0))
-    for took in (100.0, 400.0):
+        driver.give(LoadSample(driver.open(1), 1, MEAN_LOAD if number > 1 else 100 * MEAN_LOAD, 0))
+    for latency_ms in (100.0, 400.0):
         driver.now += SECOND
-        driver.give(LatencySample(2, 1, took, 0))
+        driver.give(LatencySample(2, 1, latency_ms, 0))
     moved = [action.id for action in driver.log if isinstance(action, MigrateClient)]
     assert moved == [1]
 
 
-def storm(settings: Settings) -> tuple[int, int, int]:
-    """Hosts break off their newest and messages tell nothing, while all nodes are replaced.
+class ResetCounts(NamedTuple):
+    """What happened while all nodes were replaced, over several seeds."""
 
-    How many are broken off in all, how many of these in the 17 s after, and the attempts of those.
+    resets: int
+    resets_afterwards: int
+    attempts_afterwards: int
+
+
+def count_resets_while_nodes_restart(settings: Settings) -> ResetCounts:
+    """Replace all nodes while hosts reset their newest connections, and messages tell nothing.
+
+    Resets and attempts afterwards are those of the 17 s after the last restart.
     """
-    broken = late = again = 0
+    resets = 0
+    resets_afterwards = 0
+    attempts_afterwards = 0
     for seed in range(4):
-        crowd = tier(seed, 0.6, settings, shed=True)
-        crowd.run(12)
+        fleet = make_fleet(seed, 0.6, settings, resets=True)
+        fleet.run(12)
         for node in range(3):
-            crowd.restart(node)
-            crowd.run(4)
-        before, attempts = crowd.broken, crowd.attempts
-        crowd.run(17)
-        broken, late, again = broken + crowd.broken, late + crowd.broken - before, again + crowd.attempts
-        again -= attempts
-    return broken, late, again
-
-
-def test_hosts_break_off_fewer_through_restarts_where_own_load_is_weighed() -> None:
-    (broken, late, again), deaf = storm(SILENT), storm(replace(SILENT, reports_latency=False))
-    assert broken < 0.6 * deaf[0] and late < 0.6 * deaf[1]
-    assert again < 200, "of 800 clients in all"
-
-
-def test_a_host_that_breaks_off_two_within_a_second_gets_nothing_until_that_fades() -> None:
-    felt, server = known()
-    felt.record_reset(server, 20 * SECOND)
-    assert felt.has_room(server, TARGET_LOAD, None, 20 * SECOND), "one may be chance"
-    felt.record_reset(server, 20 * SECOND + SECOND // 2)
+            fleet.restart(node)
+            fleet.run(4)
+        resets_before = fleet.broken
+        attempts_before = fleet.attempts
+        fleet.run(17)
+        resets += fleet.broken
+        resets_afterwards += fleet.broken - resets_before
+        attempts_afterwards += fleet.attempts - attempts_before
+    return ResetCounts(resets, resets_afterwards, attempts_afterwards)
+
+
+def test_hosts_reset_fewer_connections_through_restarts_where_own_load_is_counted() -> None:
+    inferring = count_resets_while_nodes_restart(NO_REPORTS)
+    ignorant = count_resets_while_nodes_restart(replace(NO_REPORTS, reports_latency=False))
+    assert inferring.resets < 0.6 * ignorant.resets
+    assert inferring.resets_afterwards < 0.6 * ignorant.resets_afterwards
+    assert inferring.attempts_afterwards < 200, "of 800 clients in all"
+
+
+def test_a_host_that_resets_two_connections_within_a_second_gets_none_until_that_decays() -> None:
+    loads, server = loaded_server()
+    loads.record_reset(server, 20 * SECOND)
+    assert loads.has_room(server, TARGET_LOAD, None, 20 * SECOND), "one may be chance"
+    loads.record_reset(server, 20 * SECOND + SECOND // 2)
     server.flows = {}
-    assert not felt.has_room(server, TARGET_LOAD, None, 21 * SECOND)
-    assert felt.has_room(server, TARGET_LOAD, None, 27 * SECOND)
+    assert not loads.has_room(server, TARGET_LOAD, None, 21 * SECOND)
+    assert loads.has_room(server, TARGET_LOAD, None, 27 * SECOND)
 
 
-def test_a_guess_draws_a_full_host_last_and_turns_nobody_away() -> None:
-    driver = Driver(replace(SILENT, tenant_quotas=(math.inf, 100.0)), servers=[entry(s) for s in (1, 2)])
+def test_a_guess_draws_a_full_host_last_and_rejects_nobody() -> None:
+    driver = Driver(replace(NO_REPORTS, tenant_quotas=(math.inf, 100.0)), servers=[entry(s) for s in (1, 2)])
     for _ in range(90):
-        driver.give(LoadSample(driver.open(1, group=5), 1, USUAL, 0))
+        driver.give(LoadSample(driver.open(1, group=5), 1, MEAN_LOAD, 0))
     assert driver.where(driver.connect(group=5)) == 2, "though its group stands at the other"
     for _ in range(40):
         driver.connect()
     assert not driver.logged(RejectRequest)
 
 
-def test_a_slow_set_up_spares_its_host_for_a_second() -> None:
-    driver = Driver(SILENT, servers=[entry(s) for s in (1, 2)])
+def test_a_slow_set_up_keeps_connections_from_its_host_for_a_second() -> None:
+    driver = Driver(NO_REPORTS, servers=[entry(s) for s in (1, 2)])
     number = driver.request()
     slow = driver.where(number)
     driver.now += SAFE.aim // 2
@@ -141,21 +162,25 @@
 
 
 @pytest.mark.parametrize("quotas", [(200.0,), ()])
-def test_nobody_is_brought_home_before_a_message_tells_and_no_host_is_probed(quotas: tuple[float]) -> None:
-    priced = replace(SILENT, prices={"crossZone": 0.13, "moves": 0.01}, tenant_quotas=quotas)
+def test_no_client_is_moved_home_before_a_message_tells_the_load_and_no_host_is_checked(
+    quotas: tuple[float],
+) -> None:
+    priced = replace(NO_REPORTS, prices={"crossZone": 0.13, "moves": 0.01}, tenant_quotas=quotas)
     driver = Driver(priced, servers=[entry(1), entry(2, zone=1)])
     for _ in range(8):
-        driver.give(LoadSample(driver.open(2), 2, USUAL, 0))
+        driver.give(LoadSample(driver.open(2), 2, MEAN_LOAD, 0))
     driver.run(20 * SECOND)
     assert not driver.logged(MigrateClient)
     driver.give(LatencySample(1, 2, 30.0, 0))
     driver.run(20 * SECOND)
-    assert bool(driver.logged(MigrateClient)) == bool(quotas), "nor where nothing tells what a host can do"
+    assert bool(driver.logged(MigrateClient)) == bool(quotas), "nor where nothing tells a host's capacity"
 
 
 @pytest.mark.parametrize("reports", [False, True])
-def test_one_error_spaces_sends_out_at_once_but_at_a_young_process_without_reports(reports: bool) -> None:
-    driver = Driver(replace(BASE, prices={}) if reports else SILENT, servers=[entry(s) for s in range(1, 9)])
+def test_one_error_starts_pacing_at_once_except_at_a_young_process_without_reports(reports: bool) -> None:
+    driver = Driver(
+        replace(BASE, prices={}) if reports else NO_REPORTS, servers=[entry(s) for s in range(1, 9)]
+    )
     driver.end(driver.request(), AttemptOutcome.ERROR)
     assert (driver.balancer.spacing.interval_us > 0) == reports
     for _ in range(0 if reports else 2):
@@ -163,68 +188,74 @@
     assert driver.balancer.spacing.interval_us > 0
 
 
-def known(load: float = USUAL) -> tuple[InferredLoads, Server]:
-    felt, server = InferredLoads(replace(SILENT, balancers=2), SECOND), Server(1, SECOND, 0.0)
+def loaded_server() -> tuple[InferredLoads, Server]:
+    """One server with 100 connections of the mean load, as one of two nodes sees it."""
+    loads = InferredLoads(replace(NO_REPORTS, balancers=2), SECOND)
+    server = Server(1, SECOND, 0.0)
     server.state = ServerState.READY
-    felt.on_server_state_change(server, [server], SECOND)
+    loads.on_server_state_change(server, [server], SECOND)
     for number in range(100):
-        flow = Connection(ExistingConnection(number + 1, 0, 0, 7, 0, 0, 0, 0, 1), SILENT.classes[0], SECOND)
+        flow = Connection(
+            ExistingConnection(number + 1, 0, 0, 7, 0, 0, 0, 0, 1), NO_REPORTS.classes[0], SECOND
+        )
         flow.live = flow.up = True
         server.flows[flow.id] = flow
-        felt.record_connection_load(flow, load)
-    return felt, server
+        loads.record_connection_load(flow, MEAN_LOAD)
+    return loads, server
 
 
-def test_a_slope_of_messages_tells_the_load_and_what_is_to_leave() -> None:
-    felt, server = known()
-    felt.record_message_latency(server, 100_000, 10 * SECOND)
-    felt.remember_own_load(server)
-    goal = felt.record_message_latency(
+def test_the_slope_of_message_latency_tells_the_load_and_how_much_has_to_leave() -> None:
+    loads, server = loaded_server()
+    loads.record_message_latency(server, 100_000, 10 * SECOND)
+    loads.remember_own_load(server)
+    excess = loads.record_message_latency(
         server, 350_000, 11 * SECOND
     )  # a quarter of a second a second: a load of 1.25
-    assert felt.total_load(server, 11 * SECOND) == pytest.approx(
-        1.25 * felt.capacity(server, 11 * SECOND), rel=0.01
+    assert loads.total_load(server, 11 * SECOND) == pytest.approx(
+        1.25 * loads.capacity(server, 11 * SECOND), rel=0.01
     )
-    assert goal == pytest.approx(felt.own_load(server) * (1 - felt.permitted_load(350_000) / 1.25))
-    assert not felt.has_room(server, TARGET_LOAD, None, 11 * SECOND)
+    assert excess == pytest.approx(loads.own_load(server) * (1 - loads.permitted_load(350_000) / 1.25))
+    assert not loads.has_room(server, TARGET_LOAD, None, 11 * SECOND)
 
 
-def test_what_others_ask_fades_while_all_is_quiet() -> None:
-    felt, server = known()
-    felt.record_message_latency(server, 100_000, 10 * SECOND)
-    felt.remember_own_load(server)
-    felt.record_message_latency(server, 350_000, 11 * SECOND)
+def test_the_load_of_other_nodes_decays_while_a_server_is_quiet() -> None:
+    loads, server = loaded_server()
+    loads.record_message_latency(server, 100_000, 10 * SECOND)
+    loads.remember_own_load(server)
+    loads.record_message_latency(server, 350_000, 11 * SECOND)
     server.flows = dict(list(server.flows.items())[:10])  # this node's own have left
-    asked = [felt.total_load(server, (11 + s) * SECOND) for s in range(8)]
-    assert asked == sorted(asked, reverse=True) and asked[7] == pytest.approx(felt.own_load(server))
-    assert not felt.has_room(server, TARGET_LOAD, None, 11 * SECOND) and felt.has_room(
+    asked = [loads.total_load(server, (11 + s) * SECOND) for s in range(8)]
+    assert asked == sorted(asked, reverse=True) and asked[7] == pytest.approx(loads.own_load(server))
+    assert not loads.has_room(server, TARGET_LOAD, None, 11 * SECOND) and loads.has_room(
         server, TARGET_LOAD, None, 16 * SECOND
     )
 
 
-def test_a_key_that_was_dear_is_dear_when_it_comes_again_and_few_are_remembered() -> None:
-    felt, server = known()
+def test_a_costly_key_is_costly_when_its_client_reconnects_and_a_bounded_number_is_remembered() -> None:
+    loads, server = loaded_server()
     flow = next(iter(server.flows.values()))
-    felt.record_connection_load(flow, 50 * USUAL)
-    again = Connection(NewRequest(999, 0, 0, 7, SECOND, 0, 0, FLAG_RECONNECT), SILENT.classes[0], SECOND)
-    other = Connection(NewRequest(998, 0, 0, 8, SECOND, 0, 0, 0), SILENT.classes[0], SECOND)
-    assert felt.connection_load(again) == 50 * USUAL and felt.is_costly(again)
-    assert felt.connection_load(other) == pytest.approx(USUAL) and not felt.is_costly(other)
+    loads.record_connection_load(flow, 50 * MEAN_LOAD)
+    reconnected = Connection(
+        NewRequest(999, 0, 0, 7, SECOND, 0, 0, FLAG_RECONNECT), NO_REPORTS.classes[0], SECOND
+    )
+    other = Connection(NewRequest(998, 0, 0, 8, SECOND, 0, 0, 0), NO_REPORTS.classes[0], SECOND)
+    assert loads.connection_load(reconnected) == 50 * MEAN_LOAD and loads.is_costly(reconnected)
+    assert loads.connection_load(other) == pytest.approx(MEAN_LOAD) and not loads.is_costly(other)
     for key in range(2 * MAX_COSTLY_KEYS):
-        felt.record_connection_load(
-            Connection(NewRequest(key, 0, 0, key + 9, SECOND, 0, 0, 0), SILENT.classes[0], 0),
-            99 * COSTLY_FACTOR * USUAL,
+        loads.record_connection_load(
+            Connection(NewRequest(key, 0, 0, key + 9, SECOND, 0, 0, 0), NO_REPORTS.classes[0], 0),
+            99 * COSTLY_FACTOR * MEAN_LOAD,
         )
-    assert len(felt._costly_keys) <= MAX_COSTLY_KEYS
+    assert len(loads._costly_keys) <= MAX_COSTLY_KEYS
 
 
 @given(st.lists(st.tuples(st.floats(0, 1e7), st.integers(1, 5 * SECOND)), max_size=30))
-def test_whatever_messages_say_estimates_stay_in_bounds(words: list[tuple[float, int]]) -> None:
-    felt, server = known()
+def test_estimates_stay_in_bounds_for_any_message_latencies(samples: list[tuple[float, int]]) -> None:
+    loads, server = loaded_server()
     now = 10 * SECOND
-    for took, wait in words:
-        now += wait
-        goal = felt.record_message_latency(server, took, now)
-        assert 0 <= goal <= felt.own_load(server)
-        assert felt.own_load(server) <= felt.total_load(server, now) < math.inf
-        assert felt.capacity(server, now) > 0
+    for latency_us, wait_us in samples:
+        now += wait_us
+        excess = loads.record_message_latency(server, latency_us, now)
+        assert 0 <= excess <= loads.own_load(server)
+        assert loads.own_load(server) <= loads.total_load(server, now) < math.inf
+        assert loads.capacity(server, now) > 0
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -1,4 +1,4 @@
-"""What all nodes together send cold servers, on one clock: never more than they bear, and not nothing."""
+"""What all nodes together send servers that warm up, on one clock: within the budget, and not nothing."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 from limerudder.policy.slow_start import MIN_CALLS_PER_WINDOW
 from tests.policy_driver import BASE, SAFE, Driver, entry
 
-TOLD = replace(
+SETTINGS = replace(
     BASE,
     classes=(replace(SAFE, aim=300_000, deadline=1_800_000),),
     initial_capacity=0.13,
@@ -28,129 +28,138 @@
     report_via="none",
     report_fields=(),
 )
-#: nodes: servers, and new connections a second of all
+#: number of nodes: number of servers, and new connections a second at all nodes together
 FLEETS = {1: (12, 15.0), 3: (12, 15.0), 20: (15, 20.0), 30: (15, 20.0), 200: (60, 80.0)}
-LIFE = 60.0  #: seconds that a connection stands: what comes again at once is a minute's worth
+LIFE_SECONDS = 60.0  #: of a connection; so what reconnects at once is a minute's worth
 
 
 def fleet(nodes: int, seed: int, load: float, **changes: float) -> SlowStartFleet:
     """A fleet that has served for a while; some nodes see several times the mean."""
-    rng, (servers, total) = Random(seed), FLEETS[nodes]
+    rng = Random(seed)
+    servers, total_rate = FLEETS[nodes]
     parts = [rng.lognormvariate(0, 0.8) for _ in range(nodes)]
-    rates = [total * part / sum(parts) for part in parts]
-    here = SlowStartFleet(replace(TOLD, balancers=nodes, **changes), rates, servers, load, LIFE, seed)  # type: ignore[arg-type]
-    here.run(20 if nodes > 30 else 40)
-    return here
+    rates = [total_rate * part / sum(parts) for part in parts]
+    settings = replace(SETTINGS, balancers=nodes, **changes)  # type: ignore[arg-type]
+    simulated = SlowStartFleet(settings, rates, servers, load, LIFE_SECONDS, seed)
+    simulated.run(20 if nodes > 30 else 40)
+    return simulated
 
 
-def some_start(here: SlowStartFleet) -> None:
-    here.cool([1, 2, 3])
-    here.run(20)
+def some_servers_start(simulated: SlowStartFleet) -> None:
+    simulated.cool([1, 2, 3])
+    simulated.run(20)
 
 
-def half_start(here: SlowStartFleet) -> None:
-    here.cool(list(here.since)[::2])
-    here.run(20)
+def half_the_servers_start(simulated: SlowStartFleet) -> None:
+    simulated.cool(list(simulated.since)[::2])
+    simulated.run(20)
 
 
-def some_start_as_a_third_of_the_nodes_begin_without_memory(here: SlowStartFleet) -> None:
-    here.cool([1, 2, 3])
-    here.run(2)
-    here.restart(list(range(0, len(here.nodes), 3)))
-    here.run(15)
+def some_servers_start_as_a_third_of_the_nodes_restart(simulated: SlowStartFleet) -> None:
+    simulated.cool([1, 2, 3])
+    simulated.run(2)
+    simulated.restart(list(range(0, len(simulated.nodes), 3)))
+    simulated.run(15)
 
 
-def some_start_as_all_nodes_begin_without_memory(here: SlowStartFleet) -> None:
-    here.restart(list(range(len(here.nodes))))
-    here.cool([1, 2, 3])
-    here.run(15)
+def some_servers_start_as_all_nodes_restart(simulated: SlowStartFleet) -> None:
+    simulated.restart(list(range(len(simulated.nodes))))
+    simulated.cool([1, 2, 3])
+    simulated.run(15)
 
 
-def some_start_as_traffic_doubles(here: SlowStartFleet) -> None:
-    here.cool([1, 2, 3])
-    here.grown = 2.0
-    here.run(20)
+def some_servers_start_as_traffic_doubles(simulated: SlowStartFleet) -> None:
+    simulated.cool([1, 2, 3])
+    simulated.grown = 2.0
+    simulated.run(20)
 
 
-TROUBLES = [
-    some_start,
-    half_start,
-    some_start_as_a_third_of_the_nodes_begin_without_memory,
-    some_start_as_all_nodes_begin_without_memory,
-    some_start_as_traffic_doubles,
+DISTURBANCES = [
+    some_servers_start,
+    half_the_servers_start,
+    some_servers_start_as_a_third_of_the_nodes_restart,
+    some_servers_start_as_all_nodes_restart,
+    some_servers_start_as_traffic_doubles,
 ]
 
 
-@pytest.mark.parametrize("trouble", TROUBLES, ids=lambda trouble: trouble.__name__)
+@pytest.mark.parametrize("disturbance", DISTURBANCES, ids=lambda disturbance: disturbance.__name__)
 @pytest.mark.parametrize("nodes", list(FLEETS))
-def test_no_cold_server_falls_under_the_sum_of_all_nodes(nodes: int, trouble: object) -> None:
-    """Beyond N calls in a window two roots of N and two more are chance, and more is not."""
+def test_no_cold_server_is_overloaded_by_all_nodes_together(nodes: int, disturbance: object) -> None:
+    """Beyond a budget of N calls in a window, 2 * sqrt(N) + 2 more are put down to chance."""
     for seed in range(1 if nodes > 30 else 2):
-        here = fleet(nodes, seed, 0.5 if trouble is some_start_as_traffic_doubles else 0.8)
-        trouble(here)  # type: ignore[operator]
-        assert here.worst() <= 1, f"seed {seed}"
-        assert any(here.sends[server] for server, since in here.since.items() if since), "none was ever used"
+        simulated = fleet(nodes, seed, 0.5 if disturbance is some_servers_start_as_traffic_doubles else 0.8)
+        disturbance(simulated)  # type: ignore[operator]
+        assert simulated.worst() <= 1, f"seed {seed}"
+        assert any(
+            simulated.sends[server] for server, since in simulated.since.items() if since
+        ), "none was ever used"
 
 
 @pytest.mark.parametrize(("factor", "window"), [(2.0, 1_500_000), (4.0, SECOND)])
-def test_other_settings_hold_as_well(factor: float, window: int) -> None:
-    for trouble in (half_start, some_start_as_all_nodes_begin_without_memory):
-        here = fleet(3, 5, 0.8, overload_factor=factor, overload_window_us=window)
-        trouble(here)
-        assert here.worst() <= 1
+def test_other_overload_settings_hold_as_well(factor: float, window: int) -> None:
+    for disturbance in (half_the_servers_start, some_servers_start_as_all_nodes_restart):
+        simulated = fleet(3, 5, 0.8, overload_factor=factor, overload_window_us=window)
+        disturbance(simulated)
+        assert simulated.worst() <= 1
 
 
 @pytest.mark.parametrize("nodes", [1, 3, 30])
 @pytest.mark.parametrize("memory", [True, False])
-def test_a_fleet_that_is_cold_as_a_whole_still_serves_and_none_falls(nodes: int, memory: bool) -> None:
-    """All hosts at once, as after a zone's return: nothing warm tells what is usual."""
-    here = fleet(nodes, 1, 0.5)
+def test_a_fleet_that_is_cold_as_a_whole_still_serves_and_no_server_is_overloaded(
+    nodes: int, memory: bool
+) -> None:
+    """All servers start at once, as after a zone's return: no warm server tells the usual rate."""
+    simulated = fleet(nodes, 1, 0.5)
     if not memory:
-        here.restart(list(range(nodes)))
-    here.cool(list(here.since))
-    here.run(4)
-    assert here.worst() <= 1
-    first = sum(map(len, here.sends.values()))
-    assert first >= len(here.since) // 2, "within four seconds, though nobody knows what is usual"
-    here.run(20)
-    assert here.worst() <= 1
-    asked, refused = here.asked, here.refused
-    here.run(2)
-    assert here.refused - refused <= 0.05 * (here.asked - asked), (here.refused - refused, here.asked - asked)
-
-
-def test_a_process_begun_without_memory_knows_no_rate_and_one_with_connections_its_own() -> None:
+        simulated.restart(list(range(nodes)))
+    simulated.cool(list(simulated.since))
+    simulated.run(4)
+    assert simulated.worst() <= 1
+    first_calls = sum(map(len, simulated.sends.values()))
+    assert first_calls >= len(simulated.since) // 2, "within four seconds, though nobody knows what is usual"
+    simulated.run(20)
+    assert simulated.worst() <= 1
+    asked_before = simulated.asked
+    refused_before = simulated.refused
+    simulated.run(2)
+    asked = simulated.asked - asked_before
+    refused = simulated.refused - refused_before
+    assert refused <= 0.05 * asked, (refused, asked)
+
+
+def test_a_process_without_memory_knows_no_rate_and_one_with_connections_knows_its_own() -> None:
     for opened, rate in ((False, 20 / 16), (True, 20 / 2)):
-        driver = Driver(TOLD, servers=[entry(1), entry(2)])
+        driver = Driver(SETTINGS, servers=[entry(1), entry(2)])
         if opened:
             driver.open(1)
         driver.run(SECOND)
         for _ in range(20):
             driver.establish(driver.request())
-        warming = driver.balancer.warming
-        assert warming.request_rate.read(
-            driver.now, warming.rate_known_since_us(driver.now)
-        ) == pytest.approx(rate, rel=0.05)
+        budget = driver.balancer.warming
+        known_since_us = budget.rate_known_since_us(driver.now)
+        assert budget.request_rate.read(driver.now, known_since_us) == pytest.approx(rate, rel=0.05)
 
 
 @pytest.mark.parametrize(("flags", "rate"), [(FLAG_RECONNECT, 20 / 16), (0, 20 / 2)])
-def test_a_young_process_is_believed_in_what_stood_nowhere_before(flags: int, rate: float) -> None:
-    """Twenty in its first second: a wave, or its usual traffic. Clients that come again say so."""
-    driver = Driver(TOLD, servers=[entry(1), entry(2)])
+def test_a_young_process_is_believed_in_its_fresh_connections(flags: int, rate: float) -> None:
+    """Twenty requests in its first second: a wave, or its usual traffic. Reconnections are marked as such."""
+    driver = Driver(SETTINGS, servers=[entry(1), entry(2)])
     driver.members([entry(3, since=driver.now)])
     driver.run(SECOND)
     for _ in range(20):
         driver.establish(driver.request(flags=flags))
     server = driver.balancer.servers[3]
-    server.tokens, server.tokens_at = 0.0, driver.now - SECOND // 10
+    server.tokens = 0.0
+    server.tokens_at = driver.now - SECOND // 10
     driver.balancer._may_warm(server)
     share = driver.balancer.loads.effective_size(server, driver.now)
-    earned = TOLD.overload_factor * share * rate / 2 + driver.balancer.warming.min_tokens_per_second
+    earned = SETTINGS.overload_factor * share * rate / 2 + driver.balancer.warming.min_tokens_per_second
     assert server.tokens == pytest.approx(earned / 10, rel=0.05)
 
 
-def test_attempts_after_the_first_are_no_demand() -> None:
-    driver = Driver(TOLD, servers=[entry(n) for n in range(1, 6)])
+def test_attempts_after_the_first_do_not_count_as_demand() -> None:
+    driver = Driver(SETTINGS, servers=[entry(n) for n in range(1, 6)])
     number = driver.request()
     first = driver.balancer.warming.request_rate.value
     for _ in range(2):
@@ -158,23 +167,27 @@
     assert driver.balancer.warming.request_rate.value == first
 
 
-def test_servers_are_asked_by_their_size() -> None:
-    """Of two cold ones the one four times as large gets four times as much; what is warm sets the scale."""
+def test_budgets_are_in_proportion_to_the_servers_sizes() -> None:
+    """Of two cold servers the one four times as large gets four times as much; warm ones set the scale."""
     big, small = (entry(n, since=50 * SECOND)._replace(weight=w) for n, w in ((3, 2.0), (4, 0.5)))
-    driver = Driver(TOLD, servers=[entry(1), entry(2)])
+    driver = Driver(SETTINGS, servers=[entry(1), entry(2)])
     driver.members([big, small])
-    warming, servers = driver.balancer.warming, driver.balancer.servers
-    warming.request_rate.value, warming.request_rate.at, warming.min_tokens_per_second = 10.0, driver.now, 0.0
-    assert warming.serving_weight == 2.0
+    budget = driver.balancer.warming
+    servers = driver.balancer.servers
+    budget.request_rate.value = 10.0
+    budget.request_rate.at = driver.now
+    budget.min_tokens_per_second = 0.0
+    assert budget.serving_weight == 2.0
     for number, weight in ((3, 2.0), (4, 0.5)):
         server = servers[number]
-        server.tokens, server.tokens_at = 0.0, driver.now - SECOND // 10
-        warming.allows(server, 0.13, 1, 0.0, driver.now)
+        server.tokens = 0.0
+        server.tokens_at = driver.now - SECOND // 10
+        budget.allows(server, 0.13, 1, 0.0, driver.now)
         assert server.tokens == pytest.approx(3 * 0.13 * 10 * weight / 2 / 10)
 
 
 @pytest.mark.parametrize("nodes", [1, 7, 200])
-def test_the_floor_is_shared_by_all_nodes(nodes: int) -> None:
-    driver = Driver(replace(TOLD, balancers=nodes), servers=[entry(1)])
-    whole = driver.balancer.warming.min_tokens_per_second * nodes * TOLD.overload_window_us / SECOND
-    assert whole == pytest.approx(MIN_CALLS_PER_WINDOW)
+def test_the_minimum_budget_is_shared_by_all_nodes(nodes: int) -> None:
+    driver = Driver(replace(SETTINGS, balancers=nodes), servers=[entry(1)])
+    calls = driver.balancer.warming.min_tokens_per_second * nodes * SETTINGS.overload_window_us / SECOND
+    assert calls == pytest.approx(MIN_CALLS_PER_WINDOW)
