--- a/limerudder/policy/interface.py
+++ b/limerudder/policy/interface.py
@@ -11,7 +11,7 @@
 class ConnectionPolicy(Protocol):
     """What a host may ask of a connection policy. Times are whole microseconds."""
 
-    def handle(self, event: Event, now_us: int) -> list[Action]:
+    def handle(self, event: Event, now_us: int, /) -> list[Action]:
         """Decide on one event; the actions are to be carried out in order."""
 
     def avoided_servers(self, now_us: int) -> set[int]:
