--- a/examples/node.py
+++ b/examples/node.py
@@ -43,50 +43,56 @@
 )
 
 
+REQUEST_ID = 1
+CONNECT_US = 700
+LIFETIME_US = 10_000_000
+
+
 def main() -> None:
-    """Walk one request through its life, then a late word on it, then the end of the node."""
-    balancer, now = Balancer(SETTINGS, Random(7)), 1_000_000
-    servers = [
-        ServerEntry(s, zone=0, kind=0, cell=0, state=ServerState.READY, weight=1.0, ready_since_us=0)
-        for s in (1, 2)
+    """Walk one request through its life, then deliver late events, then drop the node."""
+    now_us = 1_000_000
+    balancer = Balancer(SETTINGS, Random(7))
+    entries = [
+        ServerEntry(server_id, zone=0, kind=0, cell=0, state=ServerState.READY, weight=1.0, ready_since_us=0)
+        for server_id in (1, 2)
     ]
-    balancer.handle(EndpointUpdate(UpdateKind.CACHED, version=1, entries=servers), now)
+    balancer.handle(EndpointUpdate(UpdateKind.CACHED, version=1, entries=entries), now_us)
 
     request = NewRequest(
-        request_id=1, traffic_class=0, tenant=0, key=0, time_left_us=2_000_000, hint=0, group=0, flags=0
+        REQUEST_ID, traffic_class=0, tenant=0, key=0, time_left_us=2_000_000, hint=0, group=0, flags=0
     )
-    (send,) = balancer.handle(request, now)
-    assert isinstance(send, StartAttempt)
-    print(f"request 1 goes to server {send.server_id}")
-
-    full = AttemptEnded(
-        1,
-        attempt=0,
-        server_id=send.server_id,
-        outcome=AttemptOutcome.FULL,
+    (first,) = balancer.handle(request, now_us)
+    assert isinstance(first, StartAttempt)
+    print(f"request {REQUEST_ID} goes to server {first.server_id}")
+
+    now_us += 900
+    (second,) = balancer.handle(_attempt_ended(0, first.server_id, AttemptOutcome.FULL), now_us)
+    assert isinstance(second, StartAttempt) and second.server_id != first.server_id
+    print(f"rejected as full, it goes to server {second.server_id}")
+
+    now_us += CONNECT_US
+    established = ConnectionEstablished(REQUEST_ID, second.server_id, attempt=1, latency_us=CONNECT_US)
+    balancer.handle(established, now_us)
+
+    now_us += LIFETIME_US
+    ended = _attempt_ended(1, second.server_id, AttemptOutcome.OK)
+    balancer.handle(ended, now_us)
+    assert balancer.handle(ended, now_us) == []  # a repeated event changes nothing
+    assert balancer.handle(ClientDisconnected(99), now_us) == []  # nor does one about an unknown request
+    print("its connection has ended")
+    del balancer  # a node that ends just drops its Balancer; connections end with it
+
+
+def _attempt_ended(attempt: int, server_id: int, outcome: AttemptOutcome) -> AttemptEnded:
+    return AttemptEnded(
+        REQUEST_ID,
+        attempt=attempt,
+        server_id=server_id,
+        outcome=outcome,
         latency_us=900,
-        request_closed=0,
-        load_report=(),
-    )
-    (again,) = balancer.handle(full, now + 900)
-    assert isinstance(again, StartAttempt) and again.server_id != send.server_id
-    print(f"refused as full, it goes to server {again.server_id}")
-
-    balancer.handle(ConnectionEstablished(1, again.server_id, attempt=1, latency_us=700), now + 1_600)
-    end = AttemptEnded(
-        1,
-        attempt=1,
-        server_id=again.server_id,
-        outcome=AttemptOutcome.OK,
-        latency_us=10**7,
-        request_closed=1,
+        request_closed=int(outcome == AttemptOutcome.OK),
         load_report=(),
     )
-    balancer.handle(end, now + 10**7)
-    assert balancer.handle(end, now + 10**7) == []  # a repeated outcome changes nothing
-    assert balancer.handle(ClientDisconnected(99), now + 10**7) == []  # nor does word on an unknown request
-    print("its connection has ended")
-    del balancer  # a node that ends just drops its Balancer; connections end with it
 
 
 if __name__ == "__main__":
--- a/harness/overload_fleet.py
+++ b/harness/overload_fleet.py
@@ -1,8 +1,8 @@
-"""A tier of real modules on one clock, with stand-in hosts of which nothing is reported.
+"""Simulates several policies on one clock beside overloaded hosts that report no loads.
 
-A host works off what its connections ask; what it cannot piles up, messages wait behind the pile, and some
-hosts break off their newest connections while too much is piled up. Clients that are moved or broken off come
-again.
+A host works off what its connections ask of it. What it cannot do piles up, messages wait behind this
+backlog, and some hosts reset their newest connections while the backlog is long. Clients that are migrated
+or reset reconnect.
 """
 
 from __future__ import annotations
@@ -16,6 +16,7 @@
 
 from limerudder.policy import Balancer
 from limerudder.policy.actions import (
+    Action,
     FailRequest,
     MigrateClient,
     RejectRequest,
@@ -37,172 +38,217 @@
     TimerFired,
     UpdateKind,
 )
-from limerudder.policy.settings import (
-    Settings,
-)
+from limerudder.policy.settings import Settings
 
 SECOND = 1_000_000
-STEP = SECOND // 10
-SHED_PILE = 2.0  #: seconds piled up at which hosts break off their newest
+STEP = SECOND // 10  #: between two updates of the backlogs, in microseconds
+GROUP_LOAD_US_PER_SECOND = 30_000.0  #: work that each group shares, once at each of its hosts
+CONNECT_SECONDS = 0.02
+RESET_BACKLOG_SECONDS = 2.0  #: backlog at which hosts reset their newest connections
+RESET_FRACTION = 10  #: one in so many connections is reset
+REPORTED_BACKLOG_SECONDS = 0.02  #: shorter backlogs show in no latency sample
+RECONNECT_SECONDS = (0.1, 2.0)  #: after a node has restarted
+MIGRATION_SECONDS = 0.3  #: until a migrated client reconnects, on average
+RESET_SECONDS = 0.5  #: until a client reconnects whose connection was reset, on average
+MAX_REJECTION_BACKOFF_SECONDS = 5
 
 
 @dataclass
 class SimulatedHost:
-    """One host: `can` and loads in microseconds of work a second, the pile in seconds of all it can do."""
+    """One host: capacity and loads in microseconds of work a second."""
 
     id: int
-    can: float
-    pile: float = 0.0
-    there: list[SimulatedClient] = field(default_factory=list)
+    capacity: float
+    backlog_seconds: float = 0.0
+    clients: list[SimulatedClient] = field(default_factory=list)
 
-    def asked(self) -> float:
-        """Load over what it can do, each group once more."""
-        groups = {client.group for client in self.there}
-        return (sum(client.load for client in self.there) + OverloadFleet.SHARED * len(groups)) / self.can
+    def relative_load(self) -> float:
+        """Return the load as a share of the capacity, each group's shared work once."""
+        groups = {client.group for client in self.clients}
+        client_load = sum(client.load for client in self.clients)
+        return (client_load + GROUP_LOAD_US_PER_SECOND * len(groups)) / self.capacity
 
 
 @dataclass(eq=False)
 class SimulatedClient:
-    """One client, its connection, and where it stands."""
+    """One client, its connection, and the host it is connected to."""
 
     key: int
-    cls: int
+    traffic_class: int
     load: float
     group: int
-    came: bool = False
+    is_reconnect: bool = False
     node: int = -1
     request: int = 0
     host: SimulatedHost | None = None
-    waits: int = 0  # refusals since it was last up
+    rejections: int = 0  # since its last attempt
 
 
 class OverloadFleet:
-    """Nodes, hosts and clients; `served` is the share of the worth at each STEP."""
-
-    SHARED = 30_000.0
+    """Nodes, hosts and clients; `served` is the served share of the priority weights at each STEP."""
 
     def __init__(
-        self, settings: Settings, hosts: list[float], clients: list[SimulatedClient], seed: int, shed: bool
+        self,
+        settings: Settings,
+        capacities: list[float],
+        clients: list[SimulatedClient],
+        seed: int,
+        resets_connections: bool,
     ) -> None:
-        self.rng, self.now, self.shed = Random(seed), 10 * SECOND, shed
         self.settings = settings
-        self.hosts = {n + 1: SimulatedHost(n + 1, can) for n, can in enumerate(hosts)}
-        self.clients, self.requests = clients, dict[tuple[int, int], SimulatedClient]()
-        self.due: list[tuple[int, int, Callable[[], None]]] = []
-        self.order, self.ids = count(), count(1)
-        self.served, self.attempts, self.broken = list[float](), 0, 0
-        self.nodes = list[Balancer]()
+        self.rng = Random(seed)
+        self.now = 10 * SECOND
+        self.resets_connections = resets_connections
+        self.hosts = {n + 1: SimulatedHost(n + 1, capacity) for n, capacity in enumerate(capacities)}
+        self.clients = clients
+        self.requests: dict[tuple[int, int], SimulatedClient] = {}  # by node and request id
+        self.served: list[float] = []
+        self.attempts = 0
+        self.resets = 0
+        self._scheduled: list[tuple[int, int, Callable[[], None]]] = []
+        self._schedule_order = count()
+        self._request_ids = count(1)
+        self.nodes: list[Balancer] = []
         for node in range(settings.node_count):
-            self.nodes.append(self.begin(node))
+            self.nodes.append(self._start_node(node))
 
-    def begin(self, node: int) -> Balancer:
-        """A process that has just begun and knows discovery's list alone."""
-        balancer = Balancer(self.settings, Random(self.rng.random()))
-        entries = [ServerEntry(h, 0, 0, 0, ServerState.READY, 1.0, 0) for h in self.hosts]
-        self.carry(node, balancer, EndpointUpdate(UpdateKind.CACHED, 1, entries))
-        return balancer
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        until = self.now + int(seconds * SECOND)
+        while self.now < until:
+            while self._scheduled and self._scheduled[0][0] <= self.now:
+                _, _, task = heapq.heappop(self._scheduled)
+                task()
+            self._work_off()
+            samples_latency = self.settings.reports_latency and not self.resets_connections
+            if self.now % SECOND == 0 and samples_latency:
+                self._sample_latencies()
+            self.now += STEP
 
     def restart(self, node: int) -> None:
-        """The process ends, and all its clients come again; another takes its place, as after an upgrade."""
-        left = [client for (at, _), client in self.requests.items() if at == node]
-        self.nodes[node] = self.begin(node)
-        for client in left:
-            self.leave(client)
-            self.later(self.rng.uniform(0.1, 2), partial(self.come, client))
-
-    def later(self, seconds: float, what: Callable[[], None]) -> None:
-        """Do it after so long."""
-        heapq.heappush(self.due, (self.now + int(seconds * SECOND), next(self.order), what))
-
-    def come(self, client: SimulatedClient) -> None:
-        """A client asks for a connection at any node."""
-        client.node, client.request = self.rng.randrange(len(self.nodes)), next(self.ids)
+        """End a node's process and start another in its place; all its clients reconnect to any node."""
+        clients = [client for (client_node, _), client in self.requests.items() if client_node == node]
+        self.nodes[node] = self._start_node(node)
+        for client in clients:
+            self._disconnect(client)
+            self.schedule(self.rng.uniform(*RECONNECT_SECONDS), partial(self.connect, client))
+
+    def schedule(self, seconds: float, task: Callable[[], None]) -> None:
+        """Run a task after this time."""
+        due_at = self.now + int(seconds * SECOND)
+        heapq.heappush(self._scheduled, (due_at, next(self._schedule_order), task))
+
+    def connect(self, client: SimulatedClient) -> None:
+        """Let a client ask for a connection at any node."""
+        client.node = self.rng.randrange(len(self.nodes))
+        client.request = next(self._request_ids)
         self.requests[client.node, client.request] = client
-        deadline = self.settings.classes[client.cls].deadline_us
-        flags = FLAG_RECONNECT if client.came else 0
-        self.give(
-            client.node,
-            NewRequest(client.request, client.cls, 0, client.key, deadline, 0, client.group, flags),
+        deadline_us = self.settings.classes[client.traffic_class].deadline_us
+        flags = FLAG_RECONNECT if client.is_reconnect else 0
+        request = NewRequest(
+            client.request, client.traffic_class, 0, client.key, deadline_us, 0, client.group, flags
         )
+        self._deliver(client.node, request)
+
+    def _start_node(self, node: int) -> Balancer:
+        """Start a process that knows the endpoint list alone."""
+        balancer = Balancer(self.settings, Random(self.rng.random()))
+        entries = [ServerEntry(host, 0, 0, 0, ServerState.READY, 1.0, 0) for host in self.hosts]
+        self._deliver_to(node, balancer, EndpointUpdate(UpdateKind.CACHED, 1, entries))
+        return balancer
 
-    def leave(self, client: SimulatedClient) -> None:
-        """Its connection is no more."""
+    def _disconnect(self, client: SimulatedClient) -> None:
         if client.host:
-            client.host.there.remove(client)
-        client.host, client.came = None, True
+            client.host.clients.remove(client)
+        client.host = None
+        client.is_reconnect = True
         self.requests.pop((client.node, client.request), None)
 
-    def give(self, node: int, event: Event) -> None:
-        """Hand a node an event."""
-        self.carry(node, self.nodes[node], event)
+    def _deliver(self, node: int, event: Event) -> None:
+        self._deliver_to(node, self.nodes[node], event)
 
-    def carry(self, node: int, balancer: Balancer, event: Event) -> None:
-        """Hand it over and do what the module says."""
+    def _deliver_to(self, node: int, balancer: Balancer, event: Event) -> None:
         for action in balancer.handle(event, self.now):
-            client = self.requests.get((node, getattr(action, "request_id", 0)))
-            if isinstance(action, SetTimer):
-                wait = max(action.due_at_us - self.now, 0) / SECOND
-                self.later(wait, partial(self.timer, node, balancer, action.token))
-            elif isinstance(action, StartAttempt) and client:
-                self.attempts += 1
-                client.host = self.hosts[action.server_id]
-                client.host.there.append(client)
-                client.waits = 0
-                self.later(0.02, partial(self.up, node, client, client.request))
-            elif isinstance(action, MigrateClient) and client and client.host:
-                self.gone(client, AttemptOutcome.CANCELLED, 0.3)
-            elif isinstance(action, RejectRequest | FailRequest) and client:
-                client.waits += 1
-                self.requests.pop((node, client.request), None)
-                self.later(min(0.3 * 2**client.waits, 5), partial(self.come, client))
-
-    def timer(self, node: int, balancer: Balancer, token: int) -> None:
-        """A timer is due, unless its process has ended."""
+            self._carry_out(node, balancer, action)
+
+    def _carry_out(self, node: int, balancer: Balancer, action: Action) -> None:
+        if isinstance(action, SetTimer):
+            wait_seconds = max(action.due_at_us - self.now, 0) / SECOND
+            self.schedule(wait_seconds, partial(self._fire_timer, node, balancer, action.token))
+            return
+        client = self.requests.get((node, getattr(action, "request_id", 0)))
+        if client is None:
+            return
+        if isinstance(action, StartAttempt):
+            self._start_attempt(client, self.hosts[action.server_id])
+        elif isinstance(action, MigrateClient) and client.host:
+            self._end_connection(client, AttemptOutcome.CANCELLED, MIGRATION_SECONDS)
+        elif isinstance(action, RejectRequest | FailRequest):
+            client.rejections += 1
+            self.requests.pop((node, client.request), None)
+            backoff_seconds = min(0.3 * 2**client.rejections, MAX_REJECTION_BACKOFF_SECONDS)
+            self.schedule(backoff_seconds, partial(self.connect, client))
+
+    def _start_attempt(self, client: SimulatedClient, host: SimulatedHost) -> None:
+        self.attempts += 1
+        client.host = host
+        host.clients.append(client)
+        client.rejections = 0
+        self.schedule(CONNECT_SECONDS, partial(self._establish, client.node, client, client.request))
+
+    def _fire_timer(self, node: int, balancer: Balancer, token: int) -> None:
+        """Deliver a timer, unless its process has ended."""
         if self.nodes[node] is balancer:
-            self.give(node, TimerFired(token))
-
-    def up(self, node: int, client: SimulatedClient, request: int) -> None:
-        """A connection is set up, and tells its load."""
+            self._deliver(node, TimerFired(token))
+
+    def _establish(self, node: int, client: SimulatedClient, request: int) -> None:
+        """Establish a connection, which then tells its load."""
+        if client.request != request or not client.host:
+            return
+        connect_us = int(CONNECT_SECONDS * SECOND)
+        self._deliver(node, ConnectionEstablished(request, client.host.id, 0, connect_us))
         if client.request == request and client.host:
-            self.give(node, ConnectionEstablished(request, client.host.id, 0, 20_000))
-            if client.request == request and client.host:
-                self.give(node, LoadSample(request, client.host.id, client.load, 0))
+            self._deliver(node, LoadSample(request, client.host.id, client.load, 0))
 
-    def gone(self, client: SimulatedClient, ending: AttemptOutcome, wait: float) -> None:
-        """A connection that stood has ended; its client comes again."""
-        node, request, host = client.node, client.request, client.host
+    def _end_connection(
+        self, client: SimulatedClient, outcome: AttemptOutcome, reconnect_seconds: float
+    ) -> None:
+        """End an established connection; its client reconnects after about this time."""
+        host = client.host
         assert host is not None
-        self.leave(client)
-        self.later(wait * self.rng.uniform(0.5, 2), partial(self.come, client))
-        self.later(0, lambda: self.give(node, AttemptEnded(request, 0, host.id, int(ending), 0, 1, ())))
-
-    def run(self, seconds: float) -> None:
-        """Let time pass. Worth is earned where the pile is shorter than the message aim of the class."""
-        until = self.now + int(seconds * SECOND)
-        while self.now < until:
-            while self.due and self.due[0][0] <= self.now:
-                heapq.heappop(self.due)[2]()
-            worth = 0.0
-            for host in self.hosts.values():
-                host.pile = max(host.pile + (host.asked() - 1) * STEP / SECOND, 0.0)
-                for client in host.there:
-                    aim = self.settings.classes[client.cls].message_objective_us
-                    worth += self.settings.classes[client.cls].priority_weight * (host.pile * SECOND < aim)
-                if self.shed and host.pile > SHED_PILE:
-                    for client in host.there[-max(len(host.there) // 10, 1) :]:
-                        self.broken += 1
-                        self.gone(client, AttemptOutcome.RESET, 0.5)
-            self.served.append(
-                worth / sum(self.settings.classes[c.cls].priority_weight for c in self.clients)
-            )
-            if self.now % SECOND == 0 and self.settings.reports_latency and not self.shed:
-                self.tell()
-            self.now += STEP
-
-    def tell(self) -> None:
-        """Once a second, what a message takes at hosts where that is long, on one connection of each node."""
+        ended = AttemptEnded(client.request, 0, host.id, int(outcome), 0, 1, ())
+        node = client.node
+        self._disconnect(client)
+        self.schedule(reconnect_seconds * self.rng.uniform(0.5, 2), partial(self.connect, client))
+        self.schedule(0, lambda: self._deliver(node, ended))
+
+    def _work_off(self) -> None:
+        """Update the backlogs; a client is served while the backlog is below its message objective."""
+        classes = self.settings.classes
+        served_weight = 0.0
+        for host in self.hosts.values():
+            growth_seconds = (host.relative_load() - 1) * STEP / SECOND
+            host.backlog_seconds = max(host.backlog_seconds + growth_seconds, 0.0)
+            for client in host.clients:
+                traffic_class = classes[client.traffic_class]
+                is_served = host.backlog_seconds * SECOND < traffic_class.message_objective_us
+                served_weight += traffic_class.priority_weight * is_served
+            if self.resets_connections and host.backlog_seconds > RESET_BACKLOG_SECONDS:
+                self._reset_newest(host)
+        total_weight = sum(classes[client.traffic_class].priority_weight for client in self.clients)
+        self.served.append(served_weight / total_weight)
+
+    def _reset_newest(self, host: SimulatedHost) -> None:
+        reset_count = max(len(host.clients) // RESET_FRACTION, 1)
+        for client in host.clients[-reset_count:]:
+            self.resets += 1
+            self._end_connection(client, AttemptOutcome.RESET, RESET_SECONDS)
+
+    def _sample_latencies(self) -> None:
+        """Tell each node how long messages take at slow hosts, by one of its connections there."""
         for host in self.hosts.values():
             for node in range(len(self.nodes)):
-                up = [c for c in host.there if c.node == node]
-                if up and host.pile > 0.02:
-                    self.give(node, LatencySample(up[0].request, host.id, host.pile * 1000, 0))
+                clients = [client for client in host.clients if client.node == node]
+                if clients and host.backlog_seconds > REPORTED_BACKLOG_SECONDS:
+                    latency_ms = host.backlog_seconds * 1000
+                    self._deliver(node, LatencySample(clients[0].request, host.id, latency_ms, 0))
--- a/harness/slow_start_fleet.py
+++ b/harness/slow_start_fleet.py
@@ -1,13 +1,14 @@
-"""Many decision modules on one clock beside cold servers: what all of them together send each.
+"""Simulates many policies on one clock beside servers in slow start: what all together send to each server.
 
-Arrivals at a node are a Poisson process of its own rate; a connection is set up after SETUP and lives for a
-random time. Nothing is reported and nobody talks: each module has its own traffic and the list, no more.
+Requests at a node are a Poisson process with the node's own rate; a connection is established after a fixed
+time and lasts for a random one. Nothing is reported and the nodes do not talk to each other: each policy
+knows its own traffic and the endpoint list, no more.
 """
 
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from functools import partial
 from itertools import count
 from math import sqrt
@@ -15,6 +16,7 @@
 
 from limerudder.policy import Balancer
 from limerudder.policy.actions import (
+    Action,
     FailRequest,
     RejectRequest,
     SetTimer,
@@ -33,146 +35,178 @@
     TimerFired,
     UpdateKind,
 )
-from limerudder.policy.settings import (
-    Settings,
-)
+from limerudder.policy.settings import Settings
 
 SECOND = 1_000_000
-SETUP = 20_000
+CONNECT_US = 20_000
+RECONNECT_SECONDS = (0.1, 1.0)
+CHANCE_DEVIATIONS = 2.0  #: standard deviations by which attempts may exceed a budget by chance
 
 
 class SlowStartFleet:
-    """A fleet. `rates`: new connections a second at each node; `load`: what servers carry of all they can."""
+    """Nodes and servers.
+
+    `rates`: new connections a second at each node; `load`: what servers carry of all they can do;
+    `lifetime`: mean life of a connection in seconds.
+    """
 
     def __init__(
-        self, settings: Settings, rates: list[float], servers: int, load: float, life: float, seed: int
+        self,
+        settings: Settings,
+        rates: list[float],
+        server_count: int,
+        load: float,
+        lifetime: float,
+        seed: int,
     ) -> None:
-        self.settings, self.rates, self.life, self.rng = settings, rates, life, Random(seed)
-        self.now, self.grown = 100 * SECOND, 1.0
-        #: new connections a second that fill a server, once warm
-        self.can = sum(rates) / servers / load
-        self.since = dict.fromkeys(range(1, servers + 1), 0)
-        self.due: list[tuple[int, int, Callable[[], None]]] = []
-        self.order, self.ids = count(), count(1)
-        self.up: dict[tuple[int, int], int] = {}  # node and request: server
-        self.sends: dict[int, list[int]] = {server: [] for server in self.since}
-        self.asked = self.refused = 0
+        self.settings = settings
+        self.rates = rates
+        self.lifetime = lifetime
+        self.rng = Random(seed)
+        self.now = 100 * SECOND
+        self.rate_factor = 1.0  #: by which the nodes' rates have grown
+        #: New connections a second that fill a warm server.
+        self.server_capacity = sum(rates) / server_count / load
+        self.ready_since = dict.fromkeys(range(1, server_count + 1), 0)
+        self.attempts: dict[int, list[int]] = {server: [] for server in self.ready_since}  # start times
+        self.requests = 0
+        self.rejections = 0
+        self._connections: dict[tuple[int, int], int] = {}  # node and request: server
+        self._scheduled: list[tuple[int, int, Callable[[], None]]] = []
+        self._schedule_order = count()
+        self._request_ids = count(1)
         self.nodes: list[Balancer] = []
         for node in range(len(rates)):
-            self.nodes.append(self.begin(node))
-            self.next(node)
-
-    def begin(self, node: int) -> Balancer:
-        """A process without memory: it has the list alone."""
-        balancer = Balancer(self.settings, Random(self.rng.random()))
-        self.carry(node, balancer, EndpointUpdate(UpdateKind.CACHED, 1, self.entries(self.since)))
-        return balancer
-
-    def entries(self, servers: object) -> list[ServerEntry]:
-        """These servers as discovery lists them."""
-        listed = [s for s in self.since if s in servers]  # type: ignore[operator]
-        return [ServerEntry(s, 0, 0, 0, ServerState.READY, 1.0, self.since[s]) for s in listed]
+            self.nodes.append(self._start_node(node))
+            self._schedule_next_request(node)
 
-    def later(self, seconds: float, what: Callable[[], None]) -> None:
-        """Do it after so long."""
-        heapq.heappush(self.due, (self.now + int(seconds * SECOND), next(self.order), what))
-
-    def next(self, node: int) -> None:
-        """The node's next new connection."""
-        self.later(self.rng.expovariate(self.rates[node] * self.grown), partial(self.arrive, node))
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        until = self.now + int(seconds * SECOND)
+        while self._scheduled and self._scheduled[0][0] <= until:
+            self.now, _, task = heapq.heappop(self._scheduled)
+            task()
+        self.now = until
 
-    def arrive(self, node: int) -> None:
-        """One has come that stood nowhere before."""
-        self.come(node, 0)
-        self.next(node)
+    def restart_servers(self, servers: list[int]) -> None:
+        """Restart servers: all nodes learn it at once, and the clients connected there reconnect."""
+        for server in servers:
+            self.ready_since[server] = self.now
+            self.attempts[server] = []
+        for (node, request), server in list(self._connections.items()):
+            if server in servers:
+                del self._connections[node, request]
+                self._deliver(node, AttemptEnded(request, 0, server, AttemptOutcome.RESET, CONNECT_US, 1, ()))
+                self._schedule_reconnect()
+        for node in range(len(self.nodes)):
+            self._deliver(node, EndpointUpdate(UpdateKind.DELTA, 2, self._entries(servers)))
 
-    def come(self, node: int, flags: int) -> None:
-        """A client asks for a connection."""
-        self.asked += 1
-        deadline = self.settings.classes[0].deadline_us
-        self.give(node, NewRequest(next(self.ids), 0, 0, 0, deadline, 0, 0, flags))
+    def restart_nodes(self, nodes: list[int]) -> None:
+        """Restart nodes without memory; their clients reconnect to any node."""
+        for node in nodes:
+            for key in [key for key in self._connections if key[0] == node]:
+                del self._connections[key]
+                self._schedule_reconnect()
+            self.nodes[node] = self._start_node(node)
 
-    def give(self, node: int, event: Event) -> None:
-        """Hand a node an event."""
-        self.carry(node, self.nodes[node], event)
+    def worst_excess(self, deviations: float = CHANCE_DEVIATIONS) -> float:
+        """Return the fullest window of any server in slow start: its attempts over those that are allowed.
 
-    def carry(self, node: int, balancer: Balancer, event: Event) -> None:
-        """Hand it over and do what the module says."""
-        for action in balancer.handle(event, self.now):
-            if isinstance(action, SetTimer):
-                wait = max(action.due_at_us - self.now, 0) / SECOND
-                self.later(wait, partial(self.timer, node, balancer, action.token))
-            elif isinstance(action, StartAttempt):
-                self.up[node, action.request_id] = action.server_id
-                self.sends[action.server_id].append(self.now)
-                self.later(SETUP / SECOND, partial(self.stand, node, action.request_id))
-            elif isinstance(action, RejectRequest | FailRequest):
-                self.refused += 1
-
-    def timer(self, node: int, balancer: Balancer, token: int) -> None:
-        """A timer is due, unless its process has ended."""
-        if self.nodes[node] is balancer:
-            self.give(node, TimerFired(token))
+        The budget N is `overload_factor` times what the server can do when the window begins, times the
+        window. `deviations` roots of N and two more may come besides by chance. Over 1 a server would fall.
+        """
+        settings = self.settings
+        worst = 0.0
+        for server, started in self.attempts.items():
+            window_start = 0
+            for position, started_at in enumerate(started):
+                while started[window_start] <= started_at - settings.overload_window_us:
+                    window_start += 1
+                age = (started[window_start] - self.ready_since[server]) / settings.warm_up_us
+                if self.ready_since[server] and age < 1:
+                    budget = self._budget(age)
+                    allowed = budget + deviations * sqrt(budget) + 2
+                    worst = max(worst, (position - window_start + 1) / allowed)
+        return worst
+
+    def _budget(self, age: float) -> float:
+        """Return the attempts that a server may get in a window that begins at this share of its warm-up."""
+        settings = self.settings
+        capacity_share = settings.initial_capacity + (1 - settings.initial_capacity) * age
+        rate = settings.overload_factor * capacity_share * self.server_capacity
+        return rate * settings.overload_window_us / SECOND
+
+    def _start_node(self, node: int) -> Balancer:
+        """Start a process without memory, which has the endpoint list alone."""
+        balancer = Balancer(self.settings, Random(self.rng.random()))
+        update = EndpointUpdate(UpdateKind.CACHED, 1, self._entries(self.ready_since))
+        self._deliver_to(node, balancer, update)
+        return balancer
 
-    def stand(self, node: int, request: int) -> None:
-        """It is set up, and will end."""
-        if (server := self.up.get((node, request))) is not None:
-            self.give(node, ConnectionEstablished(request, server, 0, SETUP))
-            self.later(self.rng.expovariate(1 / self.life), partial(self.end, node, request))
+    def _entries(self, servers: Collection[int]) -> list[ServerEntry]:
+        """Return these servers as discovery lists them."""
+        listed = [server for server in self.ready_since if server in servers]
+        return [
+            ServerEntry(server, 0, 0, 0, ServerState.READY, 1.0, self.ready_since[server])
+            for server in listed
+        ]
 
-    def end(self, node: int, request: int) -> None:
-        """It has ended by itself."""
-        if (server := self.up.pop((node, request), None)) is not None:
-            self.give(node, AttemptEnded(request, 0, server, AttemptOutcome.OK, SETUP, 1, ()))
+    def _schedule(self, seconds: float, task: Callable[[], None]) -> None:
+        due_at = self.now + int(seconds * SECOND)
+        heapq.heappush(self._scheduled, (due_at, next(self._schedule_order), task))
 
-    def cool(self, servers: list[int]) -> None:
-        """These servers start anew; all nodes hear of it at once, and what stood there comes again."""
-        for server in servers:
-            self.since[server], self.sends[server] = self.now, []
-        for (node, request), server in list(self.up.items()):
-            if server in servers:
-                del self.up[node, request]
-                self.give(node, AttemptEnded(request, 0, server, AttemptOutcome.RESET, SETUP, 1, ()))
-                self.again()
-        for node in range(len(self.nodes)):
-            self.give(node, EndpointUpdate(UpdateKind.DELTA, 2, self.entries(servers)))
+    def _schedule_next_request(self, node: int) -> None:
+        rate = self.rates[node] * self.rate_factor
+        self._schedule(self.rng.expovariate(rate), partial(self._next_request, node))
 
-    def restart(self, nodes: list[int]) -> None:
-        """These processes end and begin without memory; their clients come again, to any node."""
-        for node in nodes:
-            for key in [key for key in self.up if key[0] == node]:
-                del self.up[key]
-                self.again()
-            self.nodes[node] = self.begin(node)
+    def _next_request(self, node: int) -> None:
+        self._request(node, 0)
+        self._schedule_next_request(node)
 
-    def again(self) -> None:
-        """A client that stood comes again within a second."""
+    def _schedule_reconnect(self) -> None:
+        """Let a client that was connected ask any node for a connection, within a second."""
         node = self.rng.choices(range(len(self.nodes)), self.rates)[0]
-        self.later(self.rng.uniform(0.1, 1), partial(self.come, node, FLAG_RECONNECT))
+        wait_seconds = self.rng.uniform(*RECONNECT_SECONDS)
+        self._schedule(wait_seconds, partial(self._request, node, FLAG_RECONNECT))
 
-    def run(self, seconds: float) -> None:
-        """Let time pass."""
-        until = self.now + int(seconds * SECOND)
-        while self.due and self.due[0][0] <= until:
-            self.now, _, what = heapq.heappop(self.due)
-            what()
-        self.now = until
+    def _request(self, node: int, flags: int) -> None:
+        self.requests += 1
+        deadline_us = self.settings.classes[0].deadline_us
+        self._deliver(node, NewRequest(next(self._request_ids), 0, 0, 0, deadline_us, 0, 0, flags))
 
-    def worst(self, chance: float = 2.0) -> float:
-        """The fullest window of any cold server: calls over its budget and what is put down to chance.
+    def _deliver(self, node: int, event: Event) -> None:
+        self._deliver_to(node, self.nodes[node], event)
 
-        The budget N is `overload_factor` times what the server can do at the window's begin, times the
-        window; `chance` roots of N and two more may come besides. Over 1 it would fall.
-        """
-        told, most = self.settings, 0.0
-        for server, sends in self.sends.items():
-            start = 0
-            for at, sent in enumerate(sends):
-                while sends[start] <= sent - told.overload_window_us:
-                    start += 1
-                age = (sends[start] - self.since[server]) / told.warm_up_us
-                if self.since[server] and age < 1:
-                    share = told.initial_capacity + (1 - told.initial_capacity) * age
-                    n = told.overload_factor * share * self.can * told.overload_window_us / SECOND
-                    most = max(most, (at - start + 1) / (n + chance * sqrt(n) + 2))
-        return most
+    def _deliver_to(self, node: int, balancer: Balancer, event: Event) -> None:
+        for action in balancer.handle(event, self.now):
+            self._carry_out(node, balancer, action)
+
+    def _carry_out(self, node: int, balancer: Balancer, action: Action) -> None:
+        if isinstance(action, SetTimer):
+            wait_seconds = max(action.due_at_us - self.now, 0) / SECOND
+            self._schedule(wait_seconds, partial(self._fire_timer, node, balancer, action.token))
+        elif isinstance(action, StartAttempt):
+            self._connections[node, action.request_id] = action.server_id
+            self.attempts[action.server_id].append(self.now)
+            self._schedule(CONNECT_US / SECOND, partial(self._establish, node, action.request_id))
+        elif isinstance(action, RejectRequest | FailRequest):
+            self.rejections += 1
+
+    def _fire_timer(self, node: int, balancer: Balancer, token: int) -> None:
+        """Deliver a timer, unless its process has ended."""
+        if self.nodes[node] is balancer:
+            self._deliver(node, TimerFired(token))
+
+    def _establish(self, node: int, request: int) -> None:
+        """Establish a connection, and schedule its end."""
+        server = self._connections.get((node, request))
+        if server is None:
+            return
+        self._deliver(node, ConnectionEstablished(request, server, 0, CONNECT_US))
+        self._schedule(self.rng.expovariate(1 / self.lifetime), partial(self._end, node, request))
+
+    def _end(self, node: int, request: int) -> None:
+        """End a connection by its client's wish."""
+        server = self._connections.pop((node, request), None)
+        if server is not None:
+            self._deliver(node, AttemptEnded(request, 0, server, AttemptOutcome.OK, CONNECT_US, 1, ()))
--- a/limerudder/core/invariants.py
+++ b/limerudder/core/invariants.py
@@ -128,10 +128,10 @@
             node.ids == {held.request.id for held in node.requests.values()},
             "ids that are not those of the requests",
         )
-        servers = cast("Balancer", node.balancer).servers
+        servers = cast("Balancer", node.balancer).registry.servers
         for number, server in servers.items():
-            hold(len(server.flows) == at[number], "the module counts other connections than there are")
-            hold(server.setting_up >= 0, "a set-up that ended twice")
+            hold(len(server.connections) == at[number], "the module counts other connections than there are")
+            hold(server.pending_attempts >= 0, "a set-up that ended twice")
         admission = node.admission
         hold(not admission.idle.keys() & admission.ended.keys(), "a client that rests and has its last word")
         hold(
--- a/limerudder/policy/__init__.py
+++ b/limerudder/policy/__init__.py
@@ -1,6 +1,8 @@
-"""A balancer's decisions for long-lived connections.
+"""The connection policy: a balancer node's decisions for long-lived connections, free of I/O.
 
-``Balancer`` decides; ``interface`` holds the settings, events and actions it is spoken to with.
+`Balancer` takes events (`events`) and returns actions (`actions`), by the node's `settings`. `selection`,
+`retry`, `load_shedding` and `outlier_detection` decide which server a request gets, and whether it is retried
+or rejected; the other modules keep the state that these decisions need.
 """
 
 from limerudder.policy.balancer import Balancer
--- /dev/null
+++ b/limerudder/policy/draining.py
@@ -0,0 +1,37 @@
+"""Migrates the connections of a server that drains, spread over a short time."""
+
+from __future__ import annotations
+
+from limerudder.policy.context import PolicyContext
+from limerudder.policy.records import SECOND, Server
+from limerudder.policy.timers import ConnectionTimers
+
+MIGRATION_PERIOD_US = SECOND  #: over which the connections of a draining server are migrated
+#: After a drain began, reconnecting clients may for so long have been connected to the draining server.
+RECONNECT_PERIOD_US = 3 * SECOND
+
+
+class DrainMigration:
+    """Schedules migrations; the Balancer carries one out when its connection's timer fires."""
+
+    def __init__(self, context: PolicyContext, timers: ConnectionTimers) -> None:
+        self._clock = context.clock
+        self._timers = timers
+        self._last_drain_at_us = -RECONNECT_PERIOD_US
+
+    def start(self, server: Server) -> None:
+        """Migrate all connections of a server that has begun to drain.
+
+        What it still holds when it stops is cut off; but migrated all at once, the clients would crowd the
+        other servers in one moment.
+        """
+        now_us = self._clock.now_us
+        live = [connection for connection in server.connections.values() if connection.live]
+        if live:
+            self._last_drain_at_us = now_us
+        for position, connection in enumerate(live):
+            self._timers.schedule(connection, now_us + MIGRATION_PERIOD_US * position // len(live))
+
+    def clients_may_reconnect(self) -> bool:
+        """Whether reconnecting clients may come from a server that drains."""
+        return self._clock.now_us < self._last_drain_at_us + RECONNECT_PERIOD_US
--- a/limerudder/policy/gossip.py
+++ b/limerudder/policy/gossip.py
@@ -208,9 +208,9 @@
 
     def _send_reports(self, ready: Sequence[Server], rates: ConnectionRates, now_us: int) -> RoundStep:
         rows = [
-            LoadRow(server.id, *server.report)
+            LoadRow(server.id, *server.load_report)
             for server in ready
-            if server.report_at >= self._own_round_started_at_us
+            if server.load_report_at_us >= self._own_round_started_at_us
         ]
         messages: list[Action] = [SendPeerMessage(ALL_PEERS, data) for data in encode(rates, rows)]
         self.record_round(self._own_number, rates, now_us)
--- /dev/null
+++ b/limerudder/policy/gossip_exchange.py
@@ -0,0 +1,67 @@
+"""Runs this node's part of the gossip of load reports: rounds in its turn, and peers' datagrams."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from limerudder.policy.actions import SetTimer
+from limerudder.policy.context import PolicyContext
+from limerudder.policy.events import PeerMessage
+from limerudder.policy.gossip import ConnectionRates, LoadGossip, decode, match_servers
+from limerudder.policy.load_polling import LoadPoller
+from limerudder.policy.records import SECOND, Server
+from limerudder.policy.server_registry import ServerRegistry
+from limerudder.policy.timers import TimerToken
+from limerudder.policy.traffic_rates import TrafficRates
+
+
+class GossipExchange:
+    """Connects the gossip protocol to the node's servers, traffic and timers."""
+
+    def __init__(
+        self,
+        context: PolicyContext,
+        registry: ServerRegistry,
+        gossip: LoadGossip,
+        rates: TrafficRates,
+        poller: LoadPoller,
+    ) -> None:
+        self._node_index = context.settings.node_index
+        self._clock = context.clock
+        self._actions = context.actions
+        self._registry = registry
+        self._gossip = gossip
+        self._rates = rates
+        self._poller = poller
+
+    def start(self) -> None:
+        """Begin with the rounds."""
+        if self._gossip.enabled and self._poller.enabled:
+            self._gossip.last_round_at_us = self._clock.now_us
+            self.run_round()
+
+    def run_round(self) -> None:
+        """Poll all servers in this node's turn, send their reports to the peers, and set the next timer."""
+        now_us = self._clock.now_us
+        rates = ConnectionRates(self._rates.usual_request_rate(), self._rates.fresh_rate())
+        step = self._gossip.run_round(self._registry.ready, rates, self._poller.on_demand, now_us)
+        self._actions.extend(step.actions)
+        # Connections that existed at the start reconnect after the first round, whose reports show servers
+        # that hold nothing: the turn is looked at once a second, however long the interval it gives.
+        self._actions.append(SetTimer(min(step.next_check_us, now_us + SECOND), TimerToken.GOSSIP_ROUND))
+
+    def receive(self, event: PeerMessage) -> Iterator[tuple[Server, float, float]]:
+        """Yield the server, load and connections of each report in a peer's datagram.
+
+        The node's own datagrams may come back to it by a broadcast address and are ignored.
+        """
+        if event.sender == self._node_index:
+            return
+        message = decode(event.data)
+        if message is None:
+            self._gossip.malformed += 1
+            return
+        rates, rows = message
+        self._gossip.record_round(event.sender, rates, self._clock.now_us)
+        for server_id, load, connections in match_servers(rows, self._registry.servers):
+            yield self._registry.servers[server_id], load, connections
--- a/limerudder/policy/load_inference.py
+++ b/limerudder/policy/load_inference.py
@@ -100,15 +100,15 @@
 
     def record_connection_load(self, connection: Connection, load: float) -> None:
         """Record the load that a connection has reported."""
-        class_mean = self._class_means.get(connection.kind, NO_SAMPLES)
-        if connection.key:
+        class_mean = self._class_means.get(connection.traffic_class_index, NO_SAMPLES)
+        if connection.client_key:
             is_above_mean = class_mean.samples > 0 and load > COSTLY_FACTOR * class_mean.load
-            if is_above_mean or connection.key in self._costly_keys:
-                self._remember_costly_key(connection.key, load)
-        is_first_report = not connection.load
+            if is_above_mean or connection.client_key in self._costly_keys:
+                self._remember_costly_key(connection.client_key, load)
+        is_first_report = not connection.load_us_per_second
         if is_first_report:
-            self._update_means(connection.kind, class_mean, load)
-        connection.load = load
+            self._update_means(connection.traffic_class_index, class_mean, load)
+        connection.load_us_per_second = load
 
     def _remember_costly_key(self, key: int, load: float) -> None:
         self._costly_keys.pop(key, None)
@@ -126,24 +126,24 @@
 
     def record_message_latency(self, server: Server, latency_us: float, now_us: int) -> float:
         """Record how long a message took at a server; return the load of this node's that has to leave it."""
-        previous_latency_us, previous_at_us = server.word
-        server.word_at = now_us
+        previous_latency_us, previous_at_us = server.latency_sample
+        server.latency_sample_at_us = now_us
         self.has_load_data = True
         elapsed_us = now_us - previous_at_us
         if elapsed_us < MIN_SLOPE_INTERVAL_US:
             return 0.0
         own_load = self.own_load(server)
-        server.word = (latency_us, now_us)
+        server.latency_sample = (latency_us, now_us)
         is_slow = latency_us > self._min_objective_us
         # A backlog cannot be less than nothing, so a latency that falls below the objective tells no load.
         has_slope = elapsed_us <= MAX_SLOPE_INTERVAL_US and (is_slow or latency_us > previous_latency_us)
         if not has_slope:
-            server.was = own_load
+            server.load_at_latency_sample = own_load
             return 0.0
         slope = (latency_us - previous_latency_us) / elapsed_us
         relative_load = min(max(1 + slope, MIN_SLOPE_LOAD), MAX_SLOPE_LOAD)
         self._record_relative_load(server, relative_load, own_load, now_us)
-        server.was = own_load
+        server.load_at_latency_sample = own_load
         if not is_slow:
             return 0.0
         return max(own_load * (1 - self.permitted_load(latency_us) / relative_load), 0.0)
@@ -152,40 +152,42 @@
         self, server: Server, relative_load: float, own_load: float, now_us: int
     ) -> None:
         """Derive the server's least capacity and the other nodes' load from a share of its capacity."""
-        mean_own_load = (own_load + server.was) / 2
-        server.fits = max(server.fits, mean_own_load / relative_load)
+        mean_own_load = (own_load + server.load_at_latency_sample) / 2
+        server.min_capacity = max(server.min_capacity, mean_own_load / relative_load)
         others_load = max(self.capacity(server, now_us) * relative_load - mean_own_load, 0.0)
-        server.others = (server.others + others_load) / 2 if server.others else others_load
+        server.other_nodes_load = (
+            (server.other_nodes_load + others_load) / 2 if server.other_nodes_load else others_load
+        )
 
     def record_reset(self, server: Server, now_us: int) -> None:
         """Record that a server has broken off an established connection, as some do under a backlog."""
-        is_second = now_us - server.dropped_at < RESET_PAIR_INTERVAL_US
-        server.dropped_at = now_us
+        is_second = now_us - server.reset_at_us < RESET_PAIR_INTERVAL_US
+        server.reset_at_us = now_us
         if not is_second or not self._mean_load:
             return
-        server.word = (BACKLOG_DRAIN_US, now_us)
-        server.word_at = now_us
+        server.latency_sample = (BACKLOG_DRAIN_US, now_us)
+        server.latency_sample_at_us = now_us
         others_load = MIN_RESET_LOAD * self.capacity(server, now_us) - self.own_load(server)
-        server.others = max(server.others, others_load)
+        server.other_nodes_load = max(server.other_nodes_load, others_load)
         self.remember_own_load(server)
 
     def remember_own_load(self, server: Server) -> None:
         """Take this node's load at a server for the next slope as it is now, after some of it has left."""
-        server.was = self.own_load(server)
+        server.load_at_latency_sample = self.own_load(server)
 
     # Loads
 
     def connection_load(self, connection: Connection) -> float:
         """The load of one connection: its own, else that of its client's key, else its class's mean."""
-        known_load = connection.load or self._costly_keys.get(connection.key, 0.0)
+        known_load = connection.load_us_per_second or self._costly_keys.get(connection.client_key, 0.0)
         if known_load:
             return known_load
-        class_mean = self._class_means.get(connection.kind)
+        class_mean = self._class_means.get(connection.traffic_class_index)
         return self._mean_load if class_mean is None else class_mean.load
 
     def is_costly(self, connection: Connection) -> bool:
         """Whether a connection asks for many times the mean load of its class."""
-        class_mean = self._class_means.get(connection.kind)
+        class_mean = self._class_means.get(connection.traffic_class_index)
         if class_mean is None:
             return False
         return self.connection_load(connection) > COSTLY_FACTOR * class_mean.load
@@ -194,17 +196,19 @@
         """The load of this node's connections at a server, with each group's shared work counted once."""
         group_count = 0
         if self._counts_groups:
-            group_count = len({connection.group for connection in server.flows.values() if connection.group})
-        connections_load = sum(map(self.connection_load, server.flows.values()))
-        return connections_load + (group_count + server.elsewhere) * self._mean_load
+            group_count = len(
+                {connection.group for connection in server.connections.values() if connection.group}
+            )
+        connections_load = sum(map(self.connection_load, server.connections.values()))
+        return connections_load + (group_count + server.predecessor_connections) * self._mean_load
 
     def total_load(self, server: Server, now_us: int) -> float:
         """The load that all nodes together are believed to ask of a server now."""
         own_load = self.own_load(server)
-        if server.word_at:
-            quiet_seconds = (now_us - server.word_at) / SECOND
+        if server.latency_sample_at_us:
+            quiet_seconds = (now_us - server.latency_sample_at_us) / SECOND
             remaining = 1 - DECAY_PER_SECOND * quiet_seconds - (quiet_seconds / DECAY_SECONDS) ** 3
-            return own_load + server.others * max(remaining, 0.0)
+            return own_load + server.other_nodes_load * max(remaining, 0.0)
         if now_us - self._node_load_at_us >= NODE_LOAD_INTERVAL_US:
             self._node_load = sum(map(self.own_load, self._ready_servers))
             self._node_load_at_us = now_us
@@ -216,10 +220,10 @@
     def capacity(self, server: Server, now_us: int) -> float:
         """What a server can do; 0 where nothing tells it."""
         if not self._fleet_weight:
-            return max(0.0, server.fits)
+            return max(0.0, server.min_capacity)
         fleet_capacity = self._fleet_connections * self._mean_load
         guessed_capacity = fleet_capacity / self._fleet_weight * self.effective_size(server, now_us)
-        return max(guessed_capacity, server.fits)
+        return max(guessed_capacity, server.min_capacity)
 
     def permitted_load(self, latency_us: float) -> float:
         """The share of its capacity that may be asked of a server where a message takes so long."""
@@ -234,7 +238,7 @@
         added_load = self._mean_load if connection is None else self.connection_load(connection)
         if not capacity:
             return True
-        if not server.word_at:
+        if not server.latency_sample_at_us:
             # A guess bounds no admission within a tenant's quota: the last level is unbounded. Below it, a
             # group whose clients all come at once must not crowd one server. An established connection is
             # moved there by choice only, and is held to the level as it is.
@@ -246,13 +250,13 @@
 
     def _measured_room(self, server: Server, level: float, capacity: float, now_us: int) -> float:
         """The load that this node may add at a server whose message latency is known."""
-        quiet_us = now_us - server.word_at
+        quiet_us = now_us - server.latency_sample_at_us
         permitted_load = min(TARGET_LOAD, level)
         if quiet_us > SAMPLE_SILENCE_US:
-            server.fits = max(server.fits, self.own_load(server) / MAX_UNDELAYED_LOAD)
-            capacity = max(capacity, server.fits)
+            server.min_capacity = max(server.min_capacity, self.own_load(server) / MAX_UNDELAYED_LOAD)
+            capacity = max(capacity, server.min_capacity)
         else:
-            latency_us = server.word[0]
+            latency_us = server.latency_sample[0]
             if latency_us > self._min_objective_us:
                 permitted_load = self.permitted_load(latency_us) - ADMISSION_MARGIN
         # All nodes see the same latency at the same time, so each may take only its part of the room.
--- /dev/null
+++ b/limerudder/policy/load_polling.py
@@ -0,0 +1,140 @@
+"""Sends health checks for load reports, as often as this node's own requests pay for them.
+
+Either every server is swept at intervals, or (`on_demand`) only the servers that a request may join are
+polled just before it is placed.
+"""
+
+from __future__ import annotations
+
+from limerudder.policy.actions import CheckHealth, SetTimer
+from limerudder.policy.context import PolicyContext
+from limerudder.policy.events import AttemptOutcome, HealthCheckResult
+from limerudder.policy.gossip import LoadGossip
+from limerudder.policy.records import SECOND, Server
+from limerudder.policy.reported_loads import ReportedLoads
+from limerudder.policy.server_registry import ServerRegistry
+from limerudder.policy.settings import Settings
+from limerudder.policy.timers import TimerToken
+from limerudder.policy.traffic_rates import TrafficRates
+
+#: Share of the result that health checks may cost: what they tell must be worth more than that.
+HEALTH_CHECK_SPEND = 0.01
+MIN_HEALTH_CHECK_PRICE = 1e-5  #: keeps the budget finite where health checks cost nothing
+#: Reports are rarely renewed faster than that, and mislead if they are older.
+MIN_SWEEP_INTERVAL_US = SECOND // 2
+MAX_SWEEP_INTERVAL_US = 4 * SECOND
+REPORT_WAIT_US = SECOND // 20  #: how long a decision waits for reports: within any latency objective
+INITIAL_CREDIT = 8.0  #: health checks that a node may send before its first request
+
+
+class LoadPoller:
+    """Decides when which servers are asked for a load report."""
+
+    def __init__(
+        self,
+        context: PolicyContext,
+        registry: ServerRegistry,
+        loads: ReportedLoads,
+        gossip: LoadGossip,
+        rates: TrafficRates,
+    ) -> None:
+        settings = context.settings
+        self.enabled = polls_load_reports(settings)
+        self.on_demand = self.enabled
+        self.unanswered = 0  # health checks on demand since the last report
+        self._settings = settings
+        self._clock = context.clock
+        self._actions = context.actions
+        self._registry = registry
+        self._loads = loads
+        self._gossip = gossip
+        self._rates = rates
+        #: Health checks that one request pays for, and those that are paid for and not sent.
+        self._credit_per_request = HEALTH_CHECK_SPEND / max(
+            settings.prices.get("probe", 0), MIN_HEALTH_CHECK_PRICE
+        )
+        self._credit = INITIAL_CREDIT
+        self._load_field = load_field(settings)
+        self._connections_field = connections_field(settings)
+
+    def sweep(self) -> None:
+        """Poll every server if requests pay for it, update the load levels, and schedule the next sweep.
+
+        Hundreds of nodes that sweep a large fleet spend more than reports are worth: a node whose own
+        requests do not pay for sweeps polls only the servers that it is about to choose from. Connections
+        that existed at the start pay too: a node with few new requests but many old connections would
+        otherwise never learn of overload.
+        """
+        now_us = self._clock.now_us
+        ready = self._registry.ready
+        paid_interval_us = SECOND * len(ready) / (self._credit_per_request * self._rates.usual_request_rate())
+        gossips = self._gossip.is_active(now_us)
+        self.on_demand = paid_interval_us > MAX_SWEEP_INTERVAL_US or gossips
+        if not self.on_demand:
+            self._loads.report_interval_us = int(max(paid_interval_us, MIN_SWEEP_INTERVAL_US))
+            self._actions.extend(CheckHealth(server.id) for server in ready)
+        elif gossips:
+            self._loads.report_interval_us = self._gossip.round_interval_us // 2
+        else:
+            self._loads.report_interval_us = MIN_SWEEP_INTERVAL_US
+        self._registry.update_slow_start()
+        self._loads.update_levels(self._settings.node_count, self.on_demand, now_us)
+        self._actions.append(SetTimer(now_us + self._next_sweep_in_us(gossips), TimerToken.LOAD_SWEEP))
+
+    def poll(self, server: Server) -> bool:
+        """Poll a server of unknown load, if requests have paid for it; return whether it was polled."""
+        now_us = self._clock.now_us
+        is_due = (
+            self.enabled
+            and self._loads.estimate(server, now_us) is None
+            and now_us >= server.health_check_sent_at_us + MIN_SWEEP_INTERVAL_US
+        )
+        if not is_due or self._credit < 1:
+            return False
+        self._credit -= 1
+        server.health_check_sent_at_us = now_us
+        self.unanswered += 1
+        self._actions.append(CheckHealth(server.id))
+        return True
+
+    def earn_credit(self) -> None:
+        """A request has been placed: it pays for health checks."""
+        earned = self._credit_per_request
+        self._credit = min(self._credit + earned, INITIAL_CREDIT + earned)
+
+    def read_report(self, event: HealthCheckResult) -> tuple[float, float] | None:
+        """Return the load and the number of connections that a server reports, or None."""
+        report = event.load_report
+        if event.outcome != AttemptOutcome.OK or len(report) <= self._load_field:
+            return None
+        has_connections = len(report) > self._connections_field >= 0
+        return report[self._load_field], report[self._connections_field] if has_connections else 0
+
+    def on_report(self, server: Server) -> None:
+        """A report of this server has come, by a health check or from a peer."""
+        server.health_check_sent_at_us = 0
+        self.unanswered = 0
+
+    def _next_sweep_in_us(self, gossips: bool) -> int:
+        now_us = self._clock.now_us
+        just_started = now_us < self._clock.started_at_us + MAX_SWEEP_INTERVAL_US
+        if self.on_demand and not gossips and not just_started:
+            return MAX_SWEEP_INTERVAL_US
+        return min(self._loads.report_interval_us, SECOND if gossips else MAX_SWEEP_INTERVAL_US)
+
+
+def polls_load_reports(settings: Settings) -> bool:
+    """Whether servers report a load that health checks may ask for."""
+    return settings.allows_health_checks and settings.report_via != "none" and load_field(settings) >= 0
+
+
+def load_field(settings: Settings) -> int:
+    """Return the place of the load in a report, or -1."""
+    fields = list(settings.report_fields)
+    return next((fields.index(name) for name in ("x0", "util") if name in fields), -1)
+
+
+def connections_field(settings: Settings) -> int:
+    """Return the place of the server's number of connections in a report, or -1."""
+    fields = list(settings.report_fields)
+    return fields.index("inflight") if "inflight" in fields else -1
--- a/limerudder/policy/rebalancing.py
+++ b/limerudder/policy/rebalancing.py
@@ -1,210 +1,183 @@
-"""Connections that stand, moved for a reason of the node's own: which, and when.
+"""Migrates connections to where they are better placed: the local zone, or a server put back into service.
 
-Where a moved client goes is decided by limerudder/policy/balancer.py as it comes again, like any other.
+Where a migrated client goes is decided when it reconnects, as for any other request.
 """
 
 from __future__ import annotations
 
-from random import Random
-from typing import Protocol
-
-from limerudder.policy.actions import (
-    Action,
-    MigrateClient,
-    SetTimer,
-)
-from limerudder.policy.events import (
-    ServerState,
-)
-from limerudder.policy.gossip import LoadGossip
-from limerudder.policy.load_inference import InferredLoads
-from limerudder.policy.pacing import ConnectPacer
-from limerudder.policy.records import SECOND, Connection, RateEstimator, Server, TokenBucket
+from limerudder.policy.actions import MigrateClient, SetTimer
+from limerudder.policy.connection_table import ConnectionTable
+from limerudder.policy.context import PolicyContext
+from limerudder.policy.events import ServerState
+from limerudder.policy.load_polling import REPORT_WAIT_US, LoadPoller
+from limerudder.policy.pacing import PACED_RATE_FACTOR, ConnectPacer
+from limerudder.policy.records import SECOND, Connection, Server
 from limerudder.policy.reported_loads import COMFORTABLE_LOAD, ReportedLoads
-from limerudder.policy.settings import (
-    Settings,
-)
-
-FETCH_BACK, FETCH_FOR = SECOND // 2, 4 * SECOND  #: one is moved for a server put back by hand, so often
-HOMING = 3  #: a move home pays where a whole life away costs this many times the move: gaps cost too
-LIVES = 300 * SECOND  #: longest mean life of a connection: how often those that stood at the start began
-BRIM = 0.9  #: past this a server is eased: beyond its capacity nothing is answered in time
-#: A report is as old as that at most: an earlier one may not show the last moves.
-EASE_AGAIN = 3 * SECOND // 2
-STAYED = 5 * SECOND  #: after so long even one that came back may be brought home
-HOME_LEAST, HOME_MOST = SECOND // 2, 10 * SECOND  #: between two that are brought home
-
-
-class Mover(Protocol):
-    """The balancer, as far as moves go."""
-
-    WAVE: int
-    D: int
-    LOOK: int
-    AGAIN: int
-    HOME: int
-    settings: Settings
-    rng: Random
-    now: int
-    born: int
-    spacing: ConnectPacer
-    opens: int
-    out: list[Action]
-    ready: list[Server]
-    flows: dict[int, Connection]
-    returned: dict[Server, int]
-    fresh: RateEstimator
-    pace: TokenBucket
-    sharing: LoadGossip
-
-    @property
-    def loads(self) -> ReportedLoads:
-        """What is known of the servers' loads."""
-
-    def usual_rate(self) -> float:
-        """New connections a second."""
-
-    def estimate(self, server: Server) -> float | None:
-        """The server's load now."""
-
-    def adds(self, server: Server) -> float:
-        """What one more connection adds to it."""
-
-    def over_share(self, flow: Connection) -> bool:
-        """Whether the flow's tenant holds more than its share."""
-
-    def healthy(self, server: Server) -> bool:
-        """Whether the server is not avoided for how it fares."""
-
-    def eligible(self, flow: Connection, server: Server, level: float) -> bool:
-        """Whether the flow may join the server."""
-
-    def sample(self, servers: list[Server]) -> list[Server]:
-        """Some of these servers in random order."""
-
-    def ask(self, server: Server) -> bool:
-        """Ask one server, as far as own requests pay."""
-
-
-def fetch_back(node: Mover) -> None:
-    """Move a connection of the server with most, where one that staff have put back is not used yet."""
-    # DANGER: connections last minutes; where few are new, one put back would stand idle beside full ones
-    node.returned = {s: t for s, t in node.returned.items() if t > node.now and s.state == ServerState.READY}
-    if not node.returned:
-        return
-    most = max(node.ready, key=lambda s: s.count)
-    live = [flow for flow in most.flows.values() if flow.live]
-    if live and most not in node.returned:
-        flow = node.rng.choice(live)
-        flow.live = False
-        node.out.append(MigrateClient(flow.id))
-    node.out.append(SetTimer(node.now + FETCH_BACK, node.AGAIN))
-
-
-def relieve(node: Mover, server: Server, load: float, asked: float) -> None:
-    """A report has come: ease the server if it asks for too much; `asked`: with what has piled up."""
-    again, shared = EASE_AGAIN, node.sharing.is_active(node.now)
-    if shared:
-        # DANGER: where all nodes hear the same, what each takes off adds up. What has piled up is no share of
-        # what stands there, and before reports show what left, all would take it off again
-        asked, again = load, 2 * EASE_AGAIN + node.sharing.round_interval_us
-    if load > 0 and asked > BRIM and node.now - server.eased_at >= again:
-        ease(node, server, (asked - node.loads.preferred_max_load) / load, shared)
-
-
-def feel(node: Mover, felt: InferredLoads, server: Server, took: float) -> None:
-    """A message took so long at a server: send away what is too much, the dearest for its worth first."""
-    goal, spare = (
-        felt.record_message_latency(server, took, node.now),
-        max(node.settings.over_quota_weight, 0.01),
-    )
-    live = [f for f in server.flows.values() if f.live] if goal > 0 else []
-    live.sort(
-        key=lambda f: felt.connection_load(f) / f.cls.priority_weight / (spare if node.over_share(f) else 1),
-        reverse=True,
-    )
-    for flow in live:
-        if goal <= 0:
-            break
-        # DANGER: one that asks for half a server by itself would have all the others sent away in its stead
-        if felt.is_costly(flow) or node.rng.random() * felt.connection_load(flow) < goal:
-            goal, flow.live = goal - felt.connection_load(flow), False
-            node.out.append(MigrateClient(flow.id))
-    felt.remember_own_load(server)
-
-
-def ease_slow(node: Mover, server: Server) -> None:
-    """A message took too long at a server, in a tier whose nodes cannot pay for sweeps."""
-    # DANGER: were all slow, hundreds of nodes would move all; most of one's own must be well
-    mine = [node.healthy(f.server) for f in node.flows.values() if f.live and f.server]
-    if 2 * sum(mine) >= len(mine) - 1:
-        ease(node, server, 1 - COMFORTABLE_LOAD)
-
-
-def ease(node: Mover, server: Server, excess: float, shared: bool = False) -> None:
-    """Move the dearest connections off a server: this share of what this node's ask of it."""
-    # DANGER: past its capacity a server answers nobody in time, and what it holds stays for minutes. A
-    # report may be seconds old: alone it moves someone only where it is beyond doubt, and not soon again.
-    server.eased_at = node.now
-    loads = [f.load for f in node.flows.values() if f.live and f.load]
-    usual = sum(loads) / max(len(loads), 1)
-    live = [f for f in server.flows.values() if f.live and f.load]
-    spare = max(node.settings.over_quota_weight, 0.01)
-    live.sort(
-        key=lambda f: f.load / f.cls.priority_weight / (spare if node.over_share(f) else 1), reverse=True
-    )
-    goal = excess * sum(f.load for f in live)
-    for flow in live:
-        # DANGER: where each of hundreds of nodes rounds up, all move all they hold at once
-        if node.rng.random() > max(goal / usual, (goal > 0) / node.settings.node_count):
-            break
-        if shared and not node.pace.take(node.now, node.WAVE * usual_fresh(node)):
-            break
-        goal, flow.live = goal - flow.load, False
-        node.out.append(MigrateClient(flow.id))
-
-
-def usual_fresh(node: Mover) -> float:
-    """Connections a second that usually begin at a node: the store of set-ups bears a few times that."""
-    fresh = (
-        node.sharing.mean_fresh_rate
-        if node.sharing.is_active(node.now)
-        else node.fresh.read(node.now, node.born)
-    )
-    return max(fresh, node.opens * SECOND / LIVES if node.now < node.born + LIVES else 0, 0.01)
-
-
-def bring_home(node: Mover) -> None:
-    """Move one connection that crosses zones, where a server of this node's own zone is known to have room.
-
-    A crossing is paid for as long as the connection stands, a move once.
+from limerudder.policy.selection import CHOICES, ServerSelector
+from limerudder.policy.server_registry import RETURNED_SERVER_INTERVAL_US, ServerRegistry
+from limerudder.policy.timers import TimerToken
+from limerudder.policy.traffic_rates import TrafficRates
+
+#: Migration to the local zone pays where a whole life across zones costs this many times a migration:
+#: the gap in a client's connection costs too.
+MIN_CROSSING_TO_MIGRATION_PRICE = 3
+SETTLED_AFTER_US = 5 * SECOND  #: after so long even a reconnected client may be migrated to the local zone
+MIN_MIGRATION_INTERVAL_US = SECOND // 2
+MAX_MIGRATION_INTERVAL_US = 10 * SECOND
+IDLE_INTERVAL_US = SECOND  #: until the next look, while no connection crosses zones
+MIN_MARGINAL_LOAD = 0.001  #: keeps the number of connections that fit finite
+
+
+class ReturnedServerRebalancer:
+    """Migrates connections for the sake of servers that operators have put back into service."""
+
+    def __init__(self, context: PolicyContext, registry: ServerRegistry) -> None:
+        self._rng = context.rng
+        self._clock = context.clock
+        self._actions = context.actions
+        self._registry = registry
+
+    def migrate(self) -> None:
+        """Migrate a connection of the server with most, while a returned server is not used yet.
+
+        Connections last for minutes: where few are new, a returned server would stand idle beside full ones.
+        """
+        now_us = self._clock.now_us
+        registry = self._registry
+        registry.returned = {
+            server: until_us
+            for server, until_us in registry.returned.items()
+            if until_us > now_us and server.state == ServerState.READY
+        }
+        if not registry.returned:
+            return
+        fullest = max(registry.ready, key=lambda server: server.connection_count)
+        live = [connection for connection in fullest.connections.values() if connection.live]
+        if live and fullest not in registry.returned:
+            connection = self._rng.choice(live)
+            connection.live = False
+            self._actions.append(MigrateClient(connection.id))
+        self._actions.append(SetTimer(now_us + RETURNED_SERVER_INTERVAL_US, TimerToken.RETURNED_SERVER))
+
+
+class LocalZoneRebalancer:
+    """Migrates connections that cross zones, where crossing is priced.
+
+    A crossing is paid for as long as the connection lasts, a migration once.
     """
-    told = node.settings
-    if told.prices.get("crossZone", 0) <= HOMING * told.prices.get("moves", 0):
-        return
-    away: list[Connection] = []
-    # DANGER: filled by a guess alone, a zone's hosts may be overfull, and nothing would ever tell
-    if not node.spacing.interval_us and node.loads.has_load_data:
-        far = {s.id for s in node.ready if s.zone != told.zone}
-        away = [f for f in node.flows.values() if f.live and f.server and f.server.id in far]
-        # DANGER: one that came back and found no room at home would be sent to and fro
-        away = [f for f in away if not f.back or node.now >= f.up_at + STAYED]
-    wait = SECOND
-    if away:
-        # DANGER: moved at once, all nodes' would meet at the store that set-ups share; it bears some times
-        # the usual rate, and what breaks by itself needs room there too
-        wait = min(max(int(SECOND / (node.WAVE * node.usual_rate())), HOME_LEAST), HOME_MOST)
-        flow, near = node.rng.choice(away), [s for s in node.sample(node.ready) if s.zone == told.zone]
-        # DANGER: filled beyond the tier's mean, servers of a zone with many clients had no room for a burst
-        there = node.estimate(flow.server) if flow.server else None
-        level = min(COMFORTABLE_LOAD, max(node.loads.mean_reported_load, there or 0))
-        near = [s for s in near if node.estimate(s) is None or node.eligible(flow, s, level)]
-        known = [s for s in near if node.estimate(s) is not None]
-        # DANGER: until reports show whom the others brought, each of 40 nodes would fill the same room
-        room = sum((level - (node.estimate(s) or 0)) / max(node.adds(s), 0.001) for s in known)
-        if node.rng.random() < room / told.node_count * wait / max(2 * node.loads.report_interval_us, SECOND):
-            flow.live = False
-            node.out.append(MigrateClient(flow.id))
-        elif not known and sum(node.ask(server) for server in near[: node.D]):
-            wait = node.LOOK
-    node.out.append(SetTimer(node.now + int(wait * node.rng.uniform(0.5, 1.5)), node.HOME))
+
+    def __init__(
+        self,
+        context: PolicyContext,
+        registry: ServerRegistry,
+        connections: ConnectionTable,
+        loads: ReportedLoads,
+        poller: LoadPoller,
+        pacer: ConnectPacer,
+        rates: TrafficRates,
+        selector: ServerSelector,
+    ) -> None:
+        self._settings = context.settings
+        self._rng = context.rng
+        self._clock = context.clock
+        self._actions = context.actions
+        self._registry = registry
+        self._connections = connections
+        self._loads = loads
+        self._poller = poller
+        self._pacer = pacer
+        self._rates = rates
+        self._selector = selector
+
+    def migrate(self) -> None:
+        """Migrate one connection if a local server is known to have room, and schedule the next look."""
+        prices = self._settings.prices
+        if prices.get("crossZone", 0) <= MIN_CROSSING_TO_MIGRATION_PRICE * prices.get("moves", 0):
+            return
+        wait_us = IDLE_INTERVAL_US
+        remote = self._migratable_connections()
+        if remote:
+            wait_us = self._migrate_one_of(remote)
+        due_at_us = self._clock.now_us + int(wait_us * self._rng.uniform(0.5, 1.5))
+        self._actions.append(SetTimer(due_at_us, TimerToken.LOCAL_ZONE_MIGRATION))
+
+    def _migratable_connections(self) -> list[Connection]:
+        """Return the connections in other zones.
+
+        Not while connects fail everywhere, nor without load data: filled by a guess, the servers of a zone
+        may be overloaded, and nothing would ever show it.
+        """
+        if self._pacer.interval_us or not self._loads.has_load_data:
+            return []
+        zone = self._settings.zone
+        remote_ids = {server.id for server in self._registry.ready if server.zone != zone}
+        return [
+            connection
+            for connection in self._connections.by_id.values()
+            if connection.live
+            and connection.server
+            and connection.server.id in remote_ids
+            and self._is_settled(connection)
+        ]
+
+    def _is_settled(self, connection: Connection) -> bool:
+        """Whether a reconnected client may be migrated: one that found no room here would go to and fro."""
+        settled_at_us = connection.established_at_us + SETTLED_AFTER_US
+        return not connection.is_reconnect or self._clock.now_us >= settled_at_us
+
+    def _migrate_one_of(self, remote: list[Connection]) -> int:
+        """Migrate one of these connections if there is room; return the time until the next look."""
+        interval_us = self._migration_interval_us()
+        connection = self._rng.choice(remote)
+        zone = self._settings.zone
+        local = [server for server in self._selector.sample(self._registry.ready) if server.zone == zone]
+        level = self._max_load(connection)
+        local = [
+            server
+            for server in local
+            if self._estimate(server) is None or self._selector.is_eligible(connection, server, level)
+        ]
+        known = [server for server in local if self._estimate(server) is not None]
+        if self._rng.random() < self._migration_probability(known, level, interval_us):
+            connection.live = False
+            self._actions.append(MigrateClient(connection.id))
+        elif not known:
+            polled = [self._poller.poll(server) for server in local[:CHOICES]]
+            if any(polled):
+                return REPORT_WAIT_US
+        return interval_us
+
+    def _migration_interval_us(self) -> int:
+        """Return the time between migrations, by the usual rate of requests.
+
+        Migrated at once, all nodes' clients would meet at the store that connects share: it bears some times
+        the usual rate, and connections that break by themselves need room there too.
+        """
+        interval_us = int(SECOND / (PACED_RATE_FACTOR * self._rates.usual_request_rate()))
+        return min(max(interval_us, MIN_MIGRATION_INTERVAL_US), MAX_MIGRATION_INTERVAL_US)
+
+    def _max_load(self, connection: Connection) -> float:
+        """Return the load up to which local servers are filled.
+
+        That of the fleet, or of the connection's own server: filled beyond it, the servers of a zone with
+        many clients had no room for a burst.
+        """
+        current_load = self._estimate(connection.server) if connection.server else None
+        return min(COMFORTABLE_LOAD, max(self._loads.mean_reported_load, current_load or 0))
+
+    def _migration_probability(self, servers: list[Server], level: float, interval_us: int) -> float:
+        """Return this node's part of the room at these servers.
+
+        Until reports show whom the other nodes have migrated, each of them would fill the same room.
+        """
+        now_us = self._clock.now_us
+        room = sum(
+            (level - (self._estimate(server) or 0))
+            / max(self._loads.marginal_load(server, now_us), MIN_MARGINAL_LOAD)
+            for server in servers
+        )
+        report_interval_us = max(2 * self._loads.report_interval_us, SECOND)
+        return room / self._settings.node_count * interval_us / report_interval_us
+
+    def _estimate(self, server: Server) -> float | None:
+        return self._loads.estimate(server, self._clock.now_us)
--- a/limerudder/policy/records.py
+++ b/limerudder/policy/records.py
@@ -1,8 +1,9 @@
-"""What a balancer keeps of each server and of each request; it decides nothing."""
+"""What a policy keeps of each server and of each connection; it decides nothing."""
 
 from __future__ import annotations
 
 from collections import Counter
+from typing import NamedTuple
 
 from limerudder.policy.events import (
     FLAG_RECONNECT,
@@ -10,116 +11,179 @@
     NewRequest,
     ServerState,
 )
-from limerudder.policy.settings import (
-    TrafficClass,
-)
+from limerudder.policy.settings import TrafficClass
 
-SECOND = 1_000_000
-NOTE_LIFE = 5 * SECOND // 2  #: delay notes come once a second; one may be lost, two mean silence
+SECOND = 1_000_000  #: in microseconds, the unit of all times here
+RATE_WINDOW_US = 15 * SECOND
 
 
 class RateEstimator:
-    """How often something happens, a second, over the last 15 s or since the start."""
+    """Estimates how often something happens per second, over the last 15 s or since the process started.
+
+    An exponentially decaying count whose window grows until it is 15 s long.
+    """
 
     def __init__(self) -> None:
-        self.value, self.at = 0.0, 0
+        self.rate = 0.0
+        self.updated_at_us = 0
 
-    def count(self, now: int, born: int) -> float:
-        """It has happened once more; returns the rate."""
-        span = self._span(now, born)
-        self.value, self.at = self.value * max(0.0, 1 - (now - self.at) / span) + SECOND / span, now
-        return self.value
+    def record(self, now_us: int, started_at_us: int) -> float:
+        """Count one occurrence and return the new rate."""
+        window_us = self._window_us(now_us, started_at_us)
+        decay = max(0.0, 1 - (now_us - self.updated_at_us) / window_us)
+        self.rate = self.rate * decay + SECOND / window_us
+        self.updated_at_us = now_us
+        return self.rate
 
-    def read(self, now: int, born: int) -> float:
-        """The rate now, lower the longer it has not happened."""
-        return self.value * max(0.0, 1 - (now - self.at) / self._span(now, born))
+    def read(self, now_us: int, started_at_us: int) -> float:
+        """Return the rate now; it falls while nothing is recorded."""
+        window_us = self._window_us(now_us, started_at_us)
+        return self.rate * max(0.0, 1 - (now_us - self.updated_at_us) / window_us)
 
-    def _span(self, now: int, born: int) -> int:
-        return min(now - born, 15 * SECOND) + SECOND
+    def _window_us(self, now_us: int, started_at_us: int) -> int:
+        return min(now_us - started_at_us, RATE_WINDOW_US) + SECOND
 
 
 class TokenBucket:
-    """A bound on how often something is done: a few at once, then at a rate (a token bucket)."""
+    """Limits how often an operation runs: bursts up to `capacity`, then a steady refill rate."""
 
-    def __init__(self, most: float) -> None:
-        self.most, self.left, self.at = most, most, 0
+    def __init__(self, capacity: float) -> None:
+        self._capacity = capacity
+        self._tokens = capacity
+        self._refilled_at_us = 0
 
-    def take(self, now: int, rate: float) -> bool:
-        """Whether it may be done now, at so many a second."""
-        self.left, self.at = min(self.most, self.left + rate * (now - self.at) / SECOND), now
-        self.left -= (may := self.left >= 1)
-        return may
+    def try_acquire(self, now_us: int, refill_per_second: float) -> bool:
+        """Take one token and return True, or return False if none is available."""
+        self._refill(now_us, refill_per_second)
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+    def _refill(self, now_us: int, refill_per_second: float) -> None:
+        refill = refill_per_second * (now_us - self._refilled_at_us) / SECOND
+        self._tokens = min(self._capacity, self._tokens + refill)
+        self._refilled_at_us = now_us
 
 
 class Server:
-    """What this balancer knows of one server."""
-
-    def __init__(self, server: int, now: int, phase: float) -> None:
-        self.id = server
-        self.zone = self.cell = self.since = 0
-        self.flows: dict[int, Connection] = {}  # the attempts and connections that make up the count
-        self.setting_up = 0  # of these, the attempts
-        self.elsewhere = 0  # connections of this balancer that another process of its node holds
+    """What the policy knows of one server."""
+
+    def __init__(self, server_id: int, now_us: int, slow_start_tokens: float) -> None:
+        self.id = server_id
+        self.zone = 0
+        self.cell = 0
         self.state: int = ServerState.GONE
         self.weight = 1.0  # its size as discovery lists it
-        self.forget(now, phase)
+        self.ready_since_us = 0
+        #: Attempts under way and established connections of this node, by request id.
+        self.connections: dict[int, Connection] = {}
+        self.pending_attempts = 0
+        #: Connections that the process which this one replaces still holds.
+        self.predecessor_connections = 0
+        self.reset(now_us, slow_start_tokens)
 
     @property
-    def count(self) -> int:
-        """The balancer's own live connections here, with attempts that are out."""
-        return len(self.flows) + self.elsewhere
-
-    def forget(self, now: int, phase: float) -> None:
-        """A fresh start, at first sight or after a restart: nothing learned before holds."""
-        self.ceiling: int | None = None
-        self.ceiling_at = self.strikes = self.trial_at = 0
-        self.slow_at = -NOTE_LIFE
-        self.tokens, self.tokens_at = phase, now
-        self.load: float | None = None  # share of its capacity asked for, as last reckoned from reports
-        self.load_at = self.load_count = self.asked_at = self.eased_at = 0
-        self.report, self.report_at = (0.0, 0), -SECOND  # the last one as it was told: load and connections
-        self.held = 0.0  # connections it holds, of all nodes, as reported
-        # where loads are felt: the last word of a message's time, and when; when any came; own load then
-        self.word, self.word_at, self.was = (0.0, -SECOND), 0, 0.0
-        self.dropped_at = -SECOND  # when it last broke off a connection that stood
-        self.fits = self.others = 0.0  # what it can do at least; what other nodes ask of it
-        self.piled = 0.0  # microseconds of work that have piled up, as reckoned from reports
+    def connection_count(self) -> int:
+        """The node's own connections here, with attempts under way."""
+        return len(self.connections) + self.predecessor_connections
+
+    def reset(self, now_us: int, slow_start_tokens: float) -> None:
+        """Forget everything learned: the server is new, or has restarted."""
+        self._reset_availability(now_us, slow_start_tokens)
+        self._reset_reports()
+        self._reset_inference()
+
+    def _reset_availability(self, now_us: int, slow_start_tokens: float) -> None:
+        self.connection_limit: int | None = None  # learned when the server refused or reset a connection
+        self.connection_limit_set_at_us = 0
+        self.consecutive_failures = 0
+        self.ejected_until_us = 0
+        self.slow_until_us = 0  # avoided until then because messages or health checks took long
+        self.slow_start_tokens = slow_start_tokens
+        self.slow_start_tokens_at_us = now_us
+
+    def _reset_reports(self) -> None:
+        #: Share of its capacity that the server is asked for, smoothed over its reports.
+        self.load: float | None = None
+        self.load_at_us = 0
+        self.load_connection_count = 0  # own connections here when `load` was computed
+        self.health_check_sent_at_us = 0  # 0: none is unanswered
+        self.relieved_at_us = 0  # when connections were last migrated away from here
+        self.load_report = (0.0, 0)  # the last one as received: load, connections of all nodes
+        self.load_report_at_us = -SECOND
+        self.reported_connections = 0.0
+        self.backlog_us = 0.0  # work that has piled up, computed from reports
+
+    def _reset_inference(self) -> None:
+        """Where servers report no loads: see load_inference."""
+        self.latency_sample = (0.0, -SECOND)  # message latency in microseconds, and when it was sampled
+        self.latency_sample_at_us = 0  # when any sample came
+        self.load_at_latency_sample = 0.0  # own load here at that time
+        self.reset_at_us = -SECOND  # when the server last reset an established connection
+        self.min_capacity = 0.0
+        self.other_nodes_load = 0.0
+
+
+class PossibleExecution(NamedTuple):
+    """A failed attempt whose request the server may have executed."""
+
+    started_at_us: int
+    server: Server
 
 
 class Connection:
     """One request, from its arrival to the end of its connection."""
 
-    def __init__(self, event: NewRequest | ExistingConnection, cls: TrafficClass, now: int) -> None:
-        self.id, self.cls, self.tenant, self.group = event.request_id, cls, event.tenant, event.group
-        self.deadline, self.aim_at = (
-            now + event.time_left_us,
-            now + min(cls.latency_objective_us, event.time_left_us),
-        )
-        self.tried: list[Server] = []
-        self.sends = self.slot = 0  # slot: when it may be sent, while sends are paced
-        self.place, self.looked = 0, False  # on the ring, without a group; its candidates were asked
-        self.server: Server | None = None  # where an attempt is out or the connection lives
-        self.live = self.over = False
-        self.back = bool(event.flags & FLAG_RECONNECT)  # stood elsewhere a moment ago
-        self.up, self.up_at = False, 0  # set up; stays so to its end; since when
-        self.risk: tuple[int, Server] | None = None  # when and where an attempt was sent that may have run
-        self.load, self.kind, self.key = 0.0, event.traffic_class, event.key
+    def __init__(
+        self, event: NewRequest | ExistingConnection, traffic_class: TrafficClass, now_us: int
+    ) -> None:
+        self.id = event.request_id
+        self.traffic_class = traffic_class
+        self.traffic_class_index = event.traffic_class
+        self.tenant = event.tenant
+        self.group = event.group
+        self.client_key = event.key
+        self.is_reconnect = bool(event.flags & FLAG_RECONNECT)
+        self.deadline_us = now_us + event.time_left_us
+        self.objective_at_us = now_us + min(traffic_class.latency_objective_us, event.time_left_us)
+        self.ring_key = 0  # its place on the hash ring if it has no group
+        self.answered = False  # no further answer is owed
+        self.established = False  # stays True to its end
+        self.established_at_us = 0
+        self.live = False  # established, and not asked to migrate
+        self.load_us_per_second = 0.0  # 0 until a sample tells
+        #: Where an attempt is under way or the connection is established.
+        self.server: Server | None = None
+        self.attempts_started = 0
+        self.tried_servers: list[Server] = []
+        self.possibly_executed: PossibleExecution | None = None
+        self.candidates_polled = False  # reports of the servers it may join were requested
+        self.paced_start_us = 0  # when its next attempt may start, while connects are paced
 
 
 class GroupIndex:
-    """Where this node's connections are: each tenant's number, and each group's number on each server."""
+    """Counts this node's connections by tenant, and each group's connections by server."""
 
     def __init__(self) -> None:
-        self.tenants: Counter[int] = Counter()
-        self.groups: dict[int, Counter[Server]] = {}
-
-    def tally(self, flow: Connection, server: Server, by: int) -> None:
-        """Count a connection in (1) or out (-1)."""
-        self.tenants[flow.tenant] += by
-        if flow.group:
-            held = self.groups.setdefault(flow.group, Counter())
-            held[server] += by
-            if not held[server]:
-                del held[server]
-            if not held:
-                del self.groups[flow.group]
+        self.connections_by_tenant: Counter[int] = Counter()
+        self.servers_by_group: dict[int, Counter[Server]] = {}
+
+    def add(self, connection: Connection, server: Server) -> None:
+        """Count a connection in."""
+        self._adjust(connection, server, 1)
+
+    def remove(self, connection: Connection, server: Server) -> None:
+        """Count a connection out."""
+        self._adjust(connection, server, -1)
+
+    def _adjust(self, connection: Connection, server: Server, change: int) -> None:
+        self.connections_by_tenant[connection.tenant] += change
+        if not connection.group:
+            return
+        servers = self.servers_by_group.setdefault(connection.group, Counter())
+        servers[server] += change
+        if not servers[server]:
+            del servers[server]
+        if not servers:
+            del self.servers_by_group[connection.group]
--- a/limerudder/policy/reported_loads.py
+++ b/limerudder/policy/reported_loads.py
@@ -60,8 +60,8 @@
             return 0.0
         if not 0 <= connections < math.inf:
             connections = 0
-        server.report = (load, int(connections))
-        server.report_at = now_us
+        server.load_report = (load, int(connections))
+        server.load_report_at_us = now_us
         estimate = self.estimate(server, now_us)
         if estimate is not None:
             self._record_estimate_error(load, estimate, server_count)
@@ -69,9 +69,9 @@
         # One report may show a moment's low or high. Taken whole, all nodes would crowd the servers that are
         # low for a moment.
         server.load = load if estimate is None else (load + estimate) / 2
-        server.load_at = now_us
-        server.load_count = server.count
-        server.held = connections
+        server.load_at_us = now_us
+        server.load_connection_count = server.connection_count
+        server.reported_connections = connections
         self._reporting_servers[server] = None
         return load + self.backlog_load(server)
 
@@ -88,16 +88,16 @@
         """
         elapsed_us = 0
         if server.load is not None:
-            elapsed_us = min(now_us - server.load_at, MAX_BACKLOG_GROWTH_US)
-        server.piled = min(max(server.piled + (load - 1) * elapsed_us, 0), MAX_BACKLOG_US)
+            elapsed_us = min(now_us - server.load_at_us, MAX_BACKLOG_GROWTH_US)
+        server.backlog_us = min(max(server.backlog_us + (load - 1) * elapsed_us, 0), MAX_BACKLOG_US)
 
     def backlog_load(self, server: Server) -> float:
         """The load that working off the server's backlog in `BACKLOG_WORK_OFF_US` takes."""
-        return server.piled / BACKLOG_WORK_OFF_US
+        return server.backlog_us / BACKLOG_WORK_OFF_US
 
     def record_connection_load(self, connection: Connection, load: float) -> None:
         """Record the load that a connection has reported, in microseconds of work a second."""
-        connection.load = load
+        connection.load_us_per_second = load
 
     def on_server_state_change(self, server: Server, ready_servers: Sequence[Server], now_us: int) -> None:
         """Spread the load of a server that has left over the servers that are ready.
@@ -143,9 +143,9 @@
         # The servers' own counts are better where they report them: a node just restarted holds next to
         # nothing, and by its own count it would take each connection for dozens.
         if self._reports_connections:
-            all_connections = sum(server.held for server in servers)
+            all_connections = sum(server.reported_connections for server in servers)
         else:
-            all_connections = node_count * sum(server.load_count for server in servers)
+            all_connections = node_count * sum(server.load_connection_count for server in servers)
         counted_connections = all_connections if counts_own_only else all_connections / node_count
         work = sum((server.load or 0) * self.effective_size(server, now_us) for server in servers)
         load = work / self._mean_effective_size
@@ -160,10 +160,12 @@
         """
         if (
             server.load is None
-            or now_us - server.load_at > REPORT_LIFETIME_INTERVALS * self.report_interval_us
+            or now_us - server.load_at_us > REPORT_LIFETIME_INTERVALS * self.report_interval_us
         ):
             return None
-        return server.load + (server.count - server.load_count) * self.marginal_load(server, now_us)
+        return server.load + (server.connection_count - server.load_connection_count) * self.marginal_load(
+            server, now_us
+        )
 
     def marginal_load(self, server: Server, now_us: int) -> float:
         """What one more connection adds to this server's load.
@@ -175,5 +177,5 @@
 
     def effective_size(self, server: Server, now_us: int) -> float:
         """What the server can do at this moment, in the unit of the size that discovery lists."""
-        age = max(now_us - server.since, 0) / self._warm_up_us if server.since else 1.0
+        age = max(now_us - server.ready_since_us, 0) / self._warm_up_us if server.ready_since_us else 1.0
         return server.weight * min(1.0, self._initial_capacity + (1 - self._initial_capacity) * age)
--- /dev/null
+++ b/limerudder/policy/server_registry.py
@@ -0,0 +1,105 @@
+"""The servers that discovery lists, and those among them that new connections may join."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from limerudder.policy.actions import SetTimer
+from limerudder.policy.context import PolicyContext
+from limerudder.policy.events import EndpointUpdate, ServerEntry, ServerState, UpdateKind
+from limerudder.policy.hash_ring import HashRing
+from limerudder.policy.records import SECOND, Server
+from limerudder.policy.slow_start import SlowStartBudget
+from limerudder.policy.timers import TimerToken
+
+MAX_WEIGHT = 100.0  #: a listed size beyond that, or below its inverse, is a mistake and cut off there
+#: A server that operators put back counts as returned for so long, or until it gets its first connection.
+RETURNED_SERVER_LIFETIME_US = 4 * SECOND
+RETURNED_SERVER_INTERVAL_US = SECOND // 2  #: between two connections that are migrated for its sake
+
+StateListener = Callable[[Server], None]
+
+
+class ServerRegistry:
+    """Keeps the servers in the states in which discovery and operators have listed them."""
+
+    def __init__(self, context: PolicyContext, slow_start: SlowStartBudget) -> None:
+        self.servers: dict[int, Server] = {}
+        self.ready: list[Server] = []
+        self.ring = HashRing()
+        #: Servers that operators put back and that are not used yet, and until when that matters.
+        self.returned: dict[Server, int] = {}
+        self._settings = context.settings
+        self._rng = context.rng
+        self._clock = context.clock
+        self._actions = context.actions
+        self._slow_start = slow_start
+        self._warming_up: dict[Server, None] = {}
+
+    def apply(self, update: EndpointUpdate, on_state_change: StateListener) -> None:
+        """Take over an update; `on_state_change` is called when a server becomes or ceases to be ready."""
+        if update.kind in (UpdateKind.FULL, UpdateKind.CACHED):
+            self._remove_unlisted({entry.server_id for entry in update.entries}, on_state_change)
+        by_operator = update.kind == UpdateKind.OPERATOR
+        for entry in update.entries:
+            server = self._update_server(entry, by_operator)
+            self._set_state(server, entry.state, on_state_change)
+            if by_operator and entry.state == ServerState.READY:
+                self._mark_returned(server)
+        self.update_slow_start()
+
+    def get_or_create(self, server_id: int) -> Server:
+        """Return a server, which may not be listed yet."""
+        server = self.servers.get(server_id)
+        if server is None:
+            server = Server(server_id, self._clock.now_us, 0.0)
+            self.servers[server_id] = server
+        return server
+
+    def update_slow_start(self) -> None:
+        """Tell the slow-start budget which ready servers are still warming up."""
+        now_us = self._clock.now_us
+        warm_up_us = self._settings.warm_up_us
+        self._warming_up = {s: None for s in self._warming_up if now_us < s.ready_since_us + warm_up_us}
+        self._slow_start.update_servers(self.ready, self._warming_up)
+
+    def _mark_returned(self, server: Server) -> None:
+        now_us = self._clock.now_us
+        self.returned[server] = now_us + RETURNED_SERVER_LIFETIME_US
+        self._actions.append(SetTimer(now_us + RETURNED_SERVER_INTERVAL_US, TimerToken.RETURNED_SERVER))
+
+    def _remove_unlisted(self, listed_ids: set[int], on_state_change: StateListener) -> None:
+        for server in [s for s in self.ready if s.id not in listed_ids]:
+            self._set_state(server, ServerState.GONE, on_state_change)
+
+    def _update_server(self, entry: ServerEntry, by_operator: bool) -> Server:
+        server = self.servers.get(entry.server_id)
+        if server is None:
+            server = Server(entry.server_id, self._clock.now_us, self._rng.random())
+        becomes_ready = entry.state == ServerState.READY and server.state != ServerState.READY
+        if entry.ready_since_us != server.ready_since_us or becomes_ready:
+            # A server that operators put back is tried at once: each node has its own operators' update, so
+            # the nodes do not all try it in the same moment.
+            server.reset(self._clock.now_us, 1.0 if by_operator else self._rng.random())
+            self._warming_up[server] = None
+        self.servers[server.id] = server
+        server.zone = entry.zone
+        server.cell = entry.cell
+        server.ready_since_us = entry.ready_since_us
+        server.weight = min(MAX_WEIGHT, max(1 / MAX_WEIGHT, entry.weight))  # NaN becomes the smallest
+        return server
+
+    def _set_state(self, server: Server, state: int, on_state_change: StateListener) -> None:
+        previous_state = server.state
+        server.state = state
+        if state == previous_state:
+            return
+        if state == ServerState.READY:
+            self.ring.add(server.id, server.weight)
+            self.ready.append(server)
+        elif previous_state == ServerState.READY:
+            self.ring.remove(server.id)
+            self.ready.remove(server)
+        else:
+            return
+        on_state_change(server)
--- a/limerudder/policy/slow_start.py
+++ b/limerudder/policy/slow_start.py
@@ -52,7 +52,7 @@
 
     def record_request(self, now_us: int) -> None:
         """Record that a request's first attempt is sent; further attempts are no demand."""
-        self.request_rate.count(now_us, self.rate_known_since_us(now_us))
+        self.request_rate.record(now_us, self.rate_known_since_us(now_us))
 
     def update_servers(self, ready: Iterable[Server], cold: Iterable[Server]) -> None:
         """Take over the servers among which traffic is shared: the warm ones, or all where none is warm."""
@@ -75,7 +75,7 @@
         usual_rate = max(known_rate, fresh_rate) * server.weight / self.serving_weight
         allowed_rate = self._overload_factor * capacity_share * usual_rate * rate_factor
         tokens_per_second = allowed_rate + self.min_tokens_per_second
-        earned_tokens = tokens_per_second * (now_us - server.tokens_at) / SECOND
-        server.tokens = min(MAX_TOKENS, server.tokens + earned_tokens)
-        server.tokens_at = now_us
-        return server.tokens >= 1
+        earned_tokens = tokens_per_second * (now_us - server.slow_start_tokens_at_us) / SECOND
+        server.slow_start_tokens = min(MAX_TOKENS, server.slow_start_tokens + earned_tokens)
+        server.slow_start_tokens_at_us = now_us
+        return server.slow_start_tokens >= 1
--- a/tests/policy_driver.py
+++ b/tests/policy_driver.py
@@ -1,7 +1,12 @@
-"""A node's surroundings for tests: delivers legal events, and holds every action to the four rules."""
+"""Drives one Balancer in tests: delivers legal events, and checks every action against the rules.
+
+The rules: one final answer a request, in time; attempts only at ready servers, one at a time; retries only
+where they are safe; and migrations of established connections only.
+"""
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, field, replace
 from random import Random
@@ -27,6 +32,7 @@
     Event,
     ExistingConnection,
     HealthCheckResult,
+    LoadSample,
     NewRequest,
     ServerEntry,
     ServerState,
@@ -70,6 +76,8 @@
     report_fields=("queue", "x0"),
     prices={"probe": 0.002},
 )
+PLAIN = replace(BASE, allows_health_checks=False, has_groups=False)
+SWEEPS = replace(BASE, prices={})  # probes cost nothing: every server is asked, again and again
 
 
 def entry(
@@ -78,36 +86,48 @@
     return ServerEntry(server, zone, 0, cell, state, 1.0, since)
 
 
+NEVER = 1 << 62  # a time that no test reaches
+
+
 @dataclass
 class Attempt:
-    """One send that has not ended."""
+    """An attempt, or the connection it established, that has not ended. Times in microseconds."""
 
     id: int
     number: int
     server: int
-    sent: int
-    ends: int
+    started_at: int
+    times_out_at: int
     live: bool = False
 
 
 @dataclass
-class Asked:
+class PossibleExecution:
+    """An attempt that its server may have executed."""
+
+    server: int
+    started_at: int
+
+
+@dataclass
+class TrackedRequest:
     """What the rules need to know of a request."""
 
-    cls: TrafficClass
+    traffic_class: TrafficClass
     deadline: int
     answered: bool = False
-    maybe_ran: list[tuple[int, int]] = field(default_factory=list)
+    possible_executions: list[PossibleExecution] = field(default_factory=list)
 
 
 class Driver:
-    """One Balancer with its clock, timers and attempts; `violations` never stay silent: they assert."""
+    """One Balancer with its clock, timers and attempts; asserts that no rule is broken."""
 
     def __init__(self, settings: Settings = BASE, seed: int = 1, servers: Sequence[ServerEntry] = ()) -> None:
-        self.settings, self.now = settings, 50 * SECOND
+        self.settings = settings
+        self.now = 50 * SECOND
         self.balancer = Balancer(settings, Random(seed))
         self.attempts: dict[int, Attempt] = {}
-        self.asked: dict[int, Asked] = {}
+        self.asked: dict[int, TrackedRequest] = {}
         self.sends: dict[int, int] = {}
         self.entries: dict[int, ServerEntry] = {}
         self.timers: list[tuple[int, int]] = []
@@ -117,100 +137,120 @@
             self.members(servers, UpdateKind.CACHED)
 
     def give(self, event: Event) -> list[Action]:
-        """Deliver one event and hold the actions to the rules."""
+        """Deliver one event and check the actions against the rules."""
         actions = self.balancer.handle(event, self.now)
         for action in actions:
             self.log.append(action)
             if isinstance(action, StartAttempt):
-                self._sent(action)
+                self._check_attempt(action)
             elif isinstance(action, RejectRequest | FailRequest):
-                self._final(action)
+                self._check_answer(action)
             elif isinstance(action, SetTimer):
                 self.timers.append((action.due_at_us, action.token))
             elif isinstance(action, CheckHealth):
-                assert self.settings.allows_health_checks, "probed where that is not allowed"
+                assert self.settings.allows_health_checks, "health checks are not allowed"
             elif isinstance(action, MigrateClient):
                 assert self.attempts[action.request_id].live
         self.check_counts()
         return actions
 
-    def _sent(self, action: StartAttempt) -> None:
-        asked, where = self.asked[action.request_id], self.entries[action.server_id]
-        assert not asked.answered, "sent after the final answer"
+    def _check_attempt(self, action: StartAttempt) -> None:
+        asked = self.asked[action.request_id]
+        entry = self.entries[action.server_id]
+        assert not asked.answered, "started after the final answer"
         assert action.request_id not in self.attempts, "two attempts out at once"
-        assert where.state == ServerState.READY, "sent to a server that drains or is gone"
+        assert entry.state == ServerState.READY, "started at a server that drains or is gone"
         number = self.sends.get(action.request_id, 0)
         assert number < self.settings.max_attempts
-        for server, sent in asked.maybe_ran:
-            assert asked.cls.effect != "unsafe", "an unsafe request that may have run was sent again"
-            if asked.cls.effect == "keyed":
-                there, scope = self.entries[server], asked.cls.key_scope
-                assert self.now <= sent + asked.cls.idempotency_window_us
-                assert scope != "zone" or there.zone == where.zone
-                assert scope != "cell" or there.cell == where.cell
+        for execution in asked.possible_executions:
+            assert (
+                asked.traffic_class.effect != "unsafe"
+            ), "an unsafe request that may have been executed was retried"
+            if asked.traffic_class.effect == "keyed":
+                previous = self.entries[execution.server]
+                scope = asked.traffic_class.key_scope
+                assert self.now <= execution.started_at + asked.traffic_class.idempotency_window_us
+                assert scope != "zone" or previous.zone == entry.zone
+                assert scope != "cell" or previous.cell == entry.cell
         self.sends[action.request_id] = number + 1
         ends = min(self.now + action.timeout_us, asked.deadline) if action.timeout_us else asked.deadline
         self.attempts[action.request_id] = Attempt(
             action.request_id, number, action.server_id, self.now, ends
         )
 
-    def _final(self, action: RejectRequest | FailRequest) -> None:
+    def _check_answer(self, action: RejectRequest | FailRequest) -> None:
         asked = self.asked[action.request_id]
         assert not asked.answered, "answered twice"
         assert action.request_id not in self.attempts, "answered while an attempt is out"
         assert self.now <= asked.deadline + self.settings.answer_slack_us, "answered late"
-        if isinstance(action, RejectRequest) and asked.maybe_ran:
-            assert asked.cls.effect == "safe" or asked.cls.key_scope == "all" != asked.cls.effect
-            assert asked.cls.effect != "unsafe"
+        if isinstance(action, RejectRequest) and asked.possible_executions:
+            traffic_class = asked.traffic_class
+            assert traffic_class.effect == "safe" or traffic_class.key_scope == "all" != traffic_class.effect
+            assert traffic_class.effect != "unsafe"
         asked.answered = True
 
     def check_counts(self) -> None:
-        """The count of each server is exactly the attempts and connections that are out there."""
-        out: dict[int, int] = {}
-        for attempt in self.attempts.values():
-            out[attempt.server] = out.get(attempt.server, 0) + 1
-        for server in self.balancer.servers.values():
-            assert server.count == len(server.flows) == out.get(server.id, 0)
-        held = sum(sum(h.values()) for h in self.balancer.holdings.groups.values())
-        assert held <= len(self.attempts)
+        """Each server's count is exactly its attempts under way and its connections."""
+        counts = Counter(attempt.server for attempt in self.attempts.values())
+        for server in self.balancer.registry.servers.values():
+            assert server.connection_count == len(server.connections) == counts[server.id]
+        servers_by_group = self.balancer.connections.index.servers_by_group
+        grouped = sum(servers.total() for servers in servers_by_group.values())
+        assert grouped <= len(self.attempts)
 
     def members(self, entries: Sequence[ServerEntry], kind: int = UpdateKind.DELTA) -> list[Action]:
         if kind in (UpdateKind.FULL, UpdateKind.CACHED):
-            self.entries = {s: e._replace(state=ServerState.GONE) for s, e in self.entries.items()}
-        self.entries.update({e.server_id: e for e in entries})
+            for server, entry in self.entries.items():
+                self.entries[server] = entry._replace(state=ServerState.GONE)
+        self.entries.update({entry.server_id: entry for entry in entries})
         return self.give(EndpointUpdate(kind, 1, entries))
 
     def request(
         self, cls: int = 0, group: int = 0, time_left: int | None = None, tenant: int = 0, flags: int = 0
     ) -> int:
-        number, self.next_id = self.next_id, self.next_id + 1
+        number = self._take_id()
         left = self.settings.classes[cls].deadline_us if time_left is None else time_left
-        self.asked[number] = Asked(self.settings.classes[cls], self.now + left)
+        self.asked[number] = TrackedRequest(self.settings.classes[cls], self.now + left)
         self.give(NewRequest(number, cls, tenant, 0, left, 0, group, flags))
         return number
 
     def open(self, server: int, cls: int = 0, group: int = 0) -> int:
-        number, self.next_id = self.next_id, self.next_id + 1
-        self.asked[number] = Asked(self.settings.classes[cls], self.now, answered=True)
-        self.attempts[number] = Attempt(number, 0, server, self.now, 1 << 62, live=True)
+        number = self._take_id()
+        self.asked[number] = TrackedRequest(self.settings.classes[cls], self.now, answered=True)
+        self.attempts[number] = Attempt(number, 0, server, self.now, NEVER, live=True)
         self.sends[number] = 1
         self.give(ExistingConnection(number, cls, 0, 0, 0, 0, group, 0, server))
         return number
 
+    def _take_id(self) -> int:
+        number = self.next_id
+        self.next_id += 1
+        return number
+
     def establish(self, number: int) -> None:
         attempt = self.attempts[number]
-        attempt.live, attempt.ends = True, 1 << 62
+        attempt.live = True
+        attempt.times_out_at = NEVER
         self.asked[number].answered = True
-        self.give(ConnectionEstablished(number, attempt.server, attempt.number, self.now - attempt.sent))
+        self.give(
+            ConnectionEstablished(number, attempt.server, attempt.number, self.now - attempt.started_at)
+        )
 
     def end(self, number: int, ending: int) -> list[Action]:
-        attempt, asked = self.attempts.pop(number), self.asked[number]
+        attempt = self.attempts.pop(number)
+        asked = self.asked[number]
         if ending == AttemptOutcome.OK:
             asked.answered = True
         if ending not in NOT_EXECUTED_OUTCOMES and not asked.answered:
-            asked.maybe_ran.append((attempt.server, attempt.sent))
+            asked.possible_executions.append(PossibleExecution(attempt.server, attempt.started_at))
         event = AttemptEnded(
-            number, attempt.number, attempt.server, ending, self.now - attempt.sent, int(asked.answered), ()
+            number,
+            attempt.number,
+            attempt.server,
+            ending,
+            self.now - attempt.started_at,
+            int(asked.answered),
+            (),
         )
         actions = self.give(event)
         assert not [
@@ -227,7 +267,7 @@
         until = self.now + duration
         while True:
             due = [(at, 0, token) for at, token in self.timers]
-            due += [(a.ends, 1, a.id) for a in self.attempts.values()]
+            due += [(attempt.times_out_at, 1, attempt.id) for attempt in self.attempts.values()]
             due = [d for d in due if d[0] <= until]
             if not due:
                 break
@@ -254,3 +294,17 @@
 
     def logged(self, kind: type) -> list[Action]:
         return [a for a in self.log if isinstance(a, kind)]
+
+
+def fleet(n: int, **kwargs: int) -> list[ServerEntry]:
+    return [entry(s, **kwargs) for s in range(1, n + 1)]
+
+
+def loaded() -> tuple[Driver, list[int]]:
+    """Two servers; the first holds ten connections, each dearer than the one before."""
+    driver = Driver(BASE, servers=fleet(2))
+    numbers = [driver.open(1) for _ in range(10)]
+    for i, number in enumerate(numbers):
+        driver.give(LoadSample(number, 1, 1000.0 + i, 0))
+    driver.run(2 * SECOND)
+    return driver, numbers
--- a/tests/test_discovery_timing.py
+++ b/tests/test_discovery_timing.py
@@ -139,7 +139,7 @@
         assert here.now - since < 60 * SECOND, "never heard"
         service.step()
         here.run(STEP)
-    server = here.node.balancer.servers[here.node.numbers["s-1"]]  # type: ignore[attr-defined]
+    server = here.node.balancer.registry.servers[here.node.numbers["s-1"]]  # type: ignore[attr-defined]
     assert server.state == ServerState.DRAINING, "the module goes by it too"
     return here.now - since
 
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -30,11 +30,9 @@
     encode,
     match_servers,
 )
-from limerudder.policy.policy_state import SHARE
 from limerudder.policy.records import SECOND
-from limerudder.policy.settings import (
-    Settings,
-)
+from limerudder.policy.settings import Settings
+from limerudder.policy.timers import TimerToken
 from tests.policy_driver import BASE, Driver, entry
 
 NODES, STEP = 20, SECOND // 50
@@ -100,8 +98,14 @@
 
     def informed_nodes(self) -> int:
         """The number of live nodes that know the load of every server."""
-        alive = [node.balancer for number, node in enumerate(self.nodes) if number not in self.dead]
-        return sum(all(b.estimate(s) is not None for s in b.ready) for b in alive)
+        alive = [node for number, node in enumerate(self.nodes) if number not in self.dead]
+        return sum(
+            all(
+                node.balancer.loads.estimate(server, node.now) is not None
+                for server in node.balancer.registry.ready
+            )
+            for node in alive
+        )
 
 
 def test_one_node_a_round_asks_and_all_know() -> None:
@@ -109,7 +113,7 @@
     tier = Tier()
     tier.run(20 * SECOND)
     assert tier.informed_nodes() == NODES
-    every = tier.nodes[0].balancer.sharing.round_interval_us
+    every = tier.nodes[0].balancer.gossip.round_interval_us
     assert tier.datagrams <= 20 * SECOND / every + 2
     assert tier.health_checks <= len(SERVERS) * (tier.datagrams + 1)
 
@@ -139,7 +143,7 @@
     new = tier.nodes[3] = Driver(old.settings, 99, ())
     new.now, tier.actions_read[3] = old.now, 0
     new.members(SERVERS, UpdateKind.CACHED)
-    tier.run(tier.nodes[0].balancer.sharing.round_interval_us + SECOND)
+    tier.run(tier.nodes[0].balancer.gossip.round_interval_us + SECOND)
     assert len(new.logged(SendPeerMessage)) <= 1
     assert tier.informed_nodes() == NODES
 
@@ -148,7 +152,9 @@
     tier = Tier(replace(TIER, node_count=4))
     tier.run(10 * SECOND)
     assert not tier.datagrams
-    assert not any(t.token == SHARE for t in tier.nodes[0].logged(SetTimer) if isinstance(t, SetTimer))
+    assert not any(
+        t.token == TimerToken.GOSSIP_ROUND for t in tier.nodes[0].logged(SetTimer) if isinstance(t, SetTimer)
+    )
 
 
 def test_a_decoded_message_holds_what_was_reported() -> None:
@@ -176,7 +182,7 @@
     assert (
         driver.give(PeerMessage(driver.settings.node_index, data)) == []
     ), "its own comes back from the network"
-    assert driver.balancer.malformed_peer_messages() == 1 and not driver.balancer.sharing.rounds_recorded
+    assert driver.balancer.malformed_peer_messages() == 1 and not driver.balancer.gossip.rounds_recorded
 
 
 def test_rounds_come_as_often_as_requests_pay_for() -> None:
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -261,7 +261,7 @@
     here, watch = fresh()
     here.served()
     watch.check(here.now)
-    servers = here.node.balancer.servers.values()  # type: ignore[attr-defined]
-    next(server for server in servers if server.flows).flows.clear()
+    servers = here.node.balancer.registry.servers.values()  # type: ignore[attr-defined]
+    next(server for server in servers if server.connections).connections.clear()
     with pytest.raises(InvariantViolation, match="counts other"):
         watch.check(here.now)
--- a/tests/test_load_inference.py
+++ b/tests/test_load_inference.py
@@ -60,7 +60,7 @@
     capacities = [size * unit for size in sizes]
     fleet = OverloadFleet(replace(settings, node_count=3), capacities, clients, seed, resets)
     for number, client in enumerate(clients):
-        fleet.later(number / 100, partial(fleet.come, client))
+        fleet.schedule(number / 100, partial(fleet.connect, client))
     return fleet
 
 
@@ -113,11 +113,11 @@
         for node in range(3):
             fleet.restart(node)
             fleet.run(4)
-        resets_before = fleet.broken
+        resets_before = fleet.resets
         attempts_before = fleet.attempts
         fleet.run(17)
-        resets += fleet.broken
-        resets_afterwards += fleet.broken - resets_before
+        resets += fleet.resets
+        resets_afterwards += fleet.resets - resets_before
         attempts_afterwards += fleet.attempts - attempts_before
     return ResetCounts(resets, resets_afterwards, attempts_afterwards)
 
@@ -135,7 +135,7 @@
     loads.record_reset(server, 20 * SECOND)
     assert loads.has_room(server, TARGET_LOAD, None, 20 * SECOND), "one may be chance"
     loads.record_reset(server, 20 * SECOND + SECOND // 2)
-    server.flows = {}
+    server.connections = {}
     assert not loads.has_room(server, TARGET_LOAD, None, 21 * SECOND)
     assert loads.has_room(server, TARGET_LOAD, None, 27 * SECOND)
 
@@ -182,10 +182,10 @@
         replace(BASE, prices={}) if reports else NO_REPORTS, servers=[entry(s) for s in range(1, 9)]
     )
     driver.end(driver.request(), AttemptOutcome.ERROR)
-    assert (driver.balancer.spacing.interval_us > 0) == reports
+    assert (driver.balancer.pacer.interval_us > 0) == reports
     for _ in range(0 if reports else 2):
         driver.end(driver.request(), AttemptOutcome.ERROR)
-    assert driver.balancer.spacing.interval_us > 0
+    assert driver.balancer.pacer.interval_us > 0
 
 
 def loaded_server() -> tuple[InferredLoads, Server]:
@@ -198,8 +198,8 @@
         flow = Connection(
             ExistingConnection(number + 1, 0, 0, 7, 0, 0, 0, 0, 1), NO_REPORTS.classes[0], SECOND
         )
-        flow.live = flow.up = True
-        server.flows[flow.id] = flow
+        flow.live = flow.established = True
+        server.connections[flow.id] = flow
         loads.record_connection_load(flow, MEAN_LOAD)
     return loads, server
 
@@ -223,7 +223,7 @@
     loads.record_message_latency(server, 100_000, 10 * SECOND)
     loads.remember_own_load(server)
     loads.record_message_latency(server, 350_000, 11 * SECOND)
-    server.flows = dict(list(server.flows.items())[:10])  # this node's own have left
+    server.connections = dict(list(server.connections.items())[:10])  # this node's own have left
     asked = [loads.total_load(server, (11 + s) * SECOND) for s in range(8)]
     assert asked == sorted(asked, reverse=True) and asked[7] == pytest.approx(loads.own_load(server))
     assert not loads.has_room(server, TARGET_LOAD, None, 11 * SECOND) and loads.has_room(
@@ -233,7 +233,7 @@
 
 def test_a_costly_key_is_costly_when_its_client_reconnects_and_a_bounded_number_is_remembered() -> None:
     loads, server = loaded_server()
-    flow = next(iter(server.flows.values()))
+    flow = next(iter(server.connections.values()))
     loads.record_connection_load(flow, 50 * MEAN_LOAD)
     reconnected = Connection(
         NewRequest(999, 0, 0, 7, SECOND, 0, 0, FLAG_RECONNECT), NO_REPORTS.classes[0], SECOND
--- a/tests/test_policy_fleet.py
+++ b/tests/test_policy_fleet.py
@@ -1,4 +1,4 @@
-"""What is harmless in one node and harmful in all: whole tiers of decision modules, without a network."""
+"""Tests of whole tiers of policies, without a network: what is harmless in one node and harmful in all."""
 
 from __future__ import annotations
 
@@ -25,9 +25,9 @@
 from tests.test_gossip import NODES, SERVERS, TIER, Tier
 
 
-def restart(tier: Tier, which: range) -> None:
-    """These nodes begin anew, with an old list and nothing else."""
-    for i in which:
+def restart(tier: Tier, nodes: range) -> None:
+    """Restart these nodes with an old endpoint list and nothing else."""
+    for i in nodes:
         old = tier.nodes[i]
         new = tier.nodes[i] = Driver(old.settings, 1000 + i, ())
         new.now = old.now
@@ -35,44 +35,44 @@
         new.members(SERVERS, UpdateKind.CACHED)
 
 
-def wave(tier: Tier, nodes: range, each: int) -> list[tuple[Driver, int]]:
+def wave(tier: Tier, nodes: range, clients_each: int) -> list[tuple[Driver, int]]:
     """So many clients come to each of these nodes over a second."""
-    came = []
-    for _ in range(each):
+    requests = []
+    for _ in range(clients_each):
         for i in nodes:
-            came.append((tier.nodes[i], tier.nodes[i].request()))
-        tier.run(SECOND // each)
-        for node, number in came:
+            requests.append((tier.nodes[i], tier.nodes[i].request()))
+        tier.run(SECOND // clients_each)
+        for node, number in requests:
             if number in node.attempts and not node.attempts[number].live:
                 node.establish(number)
-    return came
+    return requests
 
 
-def test_a_herd_that_begins_anew_with_an_old_list_serves_from_it_and_spreads_out() -> None:
+def test_nodes_that_restart_together_with_an_old_list_serve_from_it_and_spread_out() -> None:
     """Seven in ten nodes begin together; discovery answers nobody."""
     tier = Tier(replace(TIER, discovery="on_request"))
     tier.run(5 * SECOND)
     restart(tier, range(14))
     for node in tier.nodes[:14]:
         node.give(EndpointUpdate(UpdateKind.FAILED, 0, ()))
-    came = wave(tier, range(14), 4)
+    requests = wave(tier, range(14), 4)
     tier.run(SECOND)
-    placed = Counter(node.where(number) for node, number in came if number in node.attempts)
-    assert placed.total() == len(came), "turned away while there was room"
+    placed = Counter(node.where(number) for node, number in requests if number in node.attempts)
+    assert placed.total() == len(requests), "turned away while there was room"
     assert max(placed.values()) <= 2.5 * placed.total() / len(SERVERS)
 
 
-def test_first_requests_of_nodes_that_begin_together_do_not_meet() -> None:
+def test_first_requests_of_nodes_that_start_together_do_not_meet() -> None:
     """Ids begin at 1 at every node: without a group, all walked the ring from the same place."""
     met = set[tuple[int, ...]]()
     for i in range(NODES):
         node = Driver(replace(TIER, node_index=i, allows_health_checks=False), i, SERVERS)
-        first = node.balancer.flows[node.request()]
-        met.add(tuple(s.id for s in node.balancer._walk(first, None)))
+        first = node.balancer.connections.by_id[node.request()]
+        met.add(tuple(s.id for s in node.balancer.selector.ring_candidates(first, None)))
     assert len(met) >= 3
 
 
-def test_a_zone_that_returns_cold_is_not_run_over_by_all_nodes_together() -> None:
+def test_a_zone_that_returns_in_slow_start_is_not_overrun_by_all_nodes() -> None:
     """Every node wants it at once: what all send in 2 s stays within three times what it can do meanwhile."""
     tier = Tier(load=0.1)
     for _ in range(10):  # the tier's usual rate: four a second, for six servers
@@ -93,33 +93,33 @@
     assert got <= 20
 
 
-def test_what_a_leaving_server_carries_is_expected_at_the_others() -> None:
+def test_the_load_of_a_leaving_server_is_expected_at_the_others() -> None:
     """Six in ten hosts replaced within 7 s: 40 nodes filled what reports of before showed as empty."""
     driver = Driver(TIER, servers=SERVERS)
     for s in range(1, 7):
         driver.report(s, 0.6) if s == 1 else driver.give(
             HealthCheckResult(s, 1000, AttemptOutcome.OK, (0.0, 10.0, 0.6 if s < 4 else 0.2))
         )
-    before = {s: driver.balancer.servers[s].load or 0 for s in range(1, 7)}
+    before = {s: driver.balancer.registry.servers[s].load or 0 for s in range(1, 7)}
     driver.members([entry(2, ServerState.DRAINING)])
-    after = {s: driver.balancer.servers[s].load or 0 for s in range(1, 7)}
+    after = {s: driver.balancer.registry.servers[s].load or 0 for s in range(1, 7)}
     for s in (3, 4, 5, 6):
         assert after[s] > before[s]
     assert sum(after[s] - before[s] for s in (1, 3, 4, 5, 6) if before[s]) == pytest.approx(0.6, abs=0.13)
 
 
-def test_a_fleet_of_new_servers_with_few_warm_ones_left_turns_nobody_away_while_those_have_room() -> None:
+def test_a_fleet_of_new_servers_rejects_nobody_while_few_warm_ones_have_room() -> None:
     tier = Tier(load=0.3)
     tier.run(3 * SECOND)
     new = [entry(s, since=tier.nodes[0].now) for s in range(11, 15)]
     for node in tier.nodes:
         node.members([*new, *(entry(s, ServerState.GONE) for s in range(1, 5))])
-    came = wave(tier, range(NODES), 2)
+    requests = wave(tier, range(NODES), 2)
     tier.run(SECOND)
-    assert all(number in node.attempts for node, number in came)
+    assert all(number in node.attempts for node, number in requests)
 
 
-def test_a_bad_server_among_few_costs_each_node_one_try_and_no_more_for_a_while() -> None:
+def test_an_outlier_among_few_servers_costs_each_node_one_attempt_at_a_time() -> None:
     tier = Tier()
     tier.run(3 * SECOND)
     for node in tier.nodes:
@@ -136,7 +136,7 @@
         assert tries <= 2  # one, and a trial after a second
 
 
-def test_servers_out_of_connections_at_most_draws_leave_no_req_without_its_answer() -> None:
+def test_full_servers_leave_no_request_without_its_answer() -> None:
     driver = Driver(replace(TIER, allows_peer_messages=False), servers=SERVERS)
     served = 0
     for _ in range(30):
@@ -154,12 +154,12 @@
     assert served >= 15  # the one with room is found, by those that tries are left for
 
 
-def test_a_node_that_sees_one_request_a_second_knows_as_much_as_the_tier() -> None:
+def test_a_node_that_sees_one_request_a_second_knows_as_much_as_the_tier_does() -> None:
     tier = Tier()
     for _ in range(6):
         wave(tier, range(3, 4), 1)
     alone = tier.nodes[3].balancer
-    assert all(alone.estimate(s) is not None for s in alone.ready)
+    assert all(alone.loads.estimate(s, tier.nodes[3].now) is not None for s in alone.registry.ready)
     assert len(tier.nodes[3].logged(CheckHealth)) <= 2 * len(SERVERS)
 
 
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -46,31 +46,31 @@
 
 
 def some_servers_start(simulated: SlowStartFleet) -> None:
-    simulated.cool([1, 2, 3])
+    simulated.restart_servers([1, 2, 3])
     simulated.run(20)
 
 
 def half_the_servers_start(simulated: SlowStartFleet) -> None:
-    simulated.cool(list(simulated.since)[::2])
+    simulated.restart_servers(list(simulated.ready_since)[::2])
     simulated.run(20)
 
 
 def some_servers_start_as_a_third_of_the_nodes_restart(simulated: SlowStartFleet) -> None:
-    simulated.cool([1, 2, 3])
+    simulated.restart_servers([1, 2, 3])
     simulated.run(2)
-    simulated.restart(list(range(0, len(simulated.nodes), 3)))
+    simulated.restart_nodes(list(range(0, len(simulated.nodes), 3)))
     simulated.run(15)
 
 
 def some_servers_start_as_all_nodes_restart(simulated: SlowStartFleet) -> None:
-    simulated.restart(list(range(len(simulated.nodes))))
-    simulated.cool([1, 2, 3])
+    simulated.restart_nodes(list(range(len(simulated.nodes))))
+    simulated.restart_servers([1, 2, 3])
     simulated.run(15)
 
 
 def some_servers_start_as_traffic_doubles(simulated: SlowStartFleet) -> None:
-    simulated.cool([1, 2, 3])
-    simulated.grown = 2.0
+    simulated.restart_servers([1, 2, 3])
+    simulated.rate_factor = 2.0
     simulated.run(20)
 
 
@@ -90,9 +90,9 @@
     for seed in range(1 if nodes > 30 else 2):
         simulated = fleet(nodes, seed, 0.5 if disturbance is some_servers_start_as_traffic_doubles else 0.8)
         disturbance(simulated)  # type: ignore[operator]
-        assert simulated.worst() <= 1, f"seed {seed}"
+        assert simulated.worst_excess() <= 1, f"seed {seed}"
         assert any(
-            simulated.sends[server] for server, since in simulated.since.items() if since
+            simulated.attempts[server] for server, since in simulated.ready_since.items() if since
         ), "none was ever used"
 
 
@@ -101,7 +101,7 @@
     for disturbance in (half_the_servers_start, some_servers_start_as_all_nodes_restart):
         simulated = fleet(3, 5, 0.8, overload_factor=factor, overload_window_us=window)
         disturbance(simulated)
-        assert simulated.worst() <= 1
+        assert simulated.worst_excess() <= 1
 
 
 @pytest.mark.parametrize("nodes", [1, 3, 30])
@@ -112,19 +112,21 @@
     """All servers start at once, as after a zone's return: no warm server tells the usual rate."""
     simulated = fleet(nodes, 1, 0.5)
     if not memory:
-        simulated.restart(list(range(nodes)))
-    simulated.cool(list(simulated.since))
+        simulated.restart_nodes(list(range(nodes)))
+    simulated.restart_servers(list(simulated.ready_since))
     simulated.run(4)
-    assert simulated.worst() <= 1
-    first_calls = sum(map(len, simulated.sends.values()))
-    assert first_calls >= len(simulated.since) // 2, "within four seconds, though nobody knows what is usual"
+    assert simulated.worst_excess() <= 1
+    first_calls = sum(map(len, simulated.attempts.values()))
+    assert (
+        first_calls >= len(simulated.ready_since) // 2
+    ), "within four seconds, though nobody knows what is usual"
     simulated.run(20)
-    assert simulated.worst() <= 1
-    asked_before = simulated.asked
-    refused_before = simulated.refused
+    assert simulated.worst_excess() <= 1
+    asked_before = simulated.requests
+    refused_before = simulated.rejections
     simulated.run(2)
-    asked = simulated.asked - asked_before
-    refused = simulated.refused - refused_before
+    asked = simulated.requests - asked_before
+    refused = simulated.rejections - refused_before
     assert refused <= 0.05 * asked, (refused, asked)
 
 
@@ -136,7 +138,7 @@
         driver.run(SECOND)
         for _ in range(20):
             driver.establish(driver.request())
-        budget = driver.balancer.warming
+        budget = driver.balancer.slow_start
         known_since_us = budget.rate_known_since_us(driver.now)
         assert budget.request_rate.read(driver.now, known_since_us) == pytest.approx(rate, rel=0.05)
 
@@ -149,22 +151,22 @@
     driver.run(SECOND)
     for _ in range(20):
         driver.establish(driver.request(flags=flags))
-    server = driver.balancer.servers[3]
-    server.tokens = 0.0
-    server.tokens_at = driver.now - SECOND // 10
-    driver.balancer._may_warm(server)
+    server = driver.balancer.registry.servers[3]
+    server.slow_start_tokens = 0.0
+    server.slow_start_tokens_at_us = driver.now - SECOND // 10
+    driver.balancer.load_shedding.slow_start_allows(server)
     share = driver.balancer.loads.effective_size(server, driver.now)
-    earned = SETTINGS.overload_factor * share * rate / 2 + driver.balancer.warming.min_tokens_per_second
-    assert server.tokens == pytest.approx(earned / 10, rel=0.05)
+    earned = SETTINGS.overload_factor * share * rate / 2 + driver.balancer.slow_start.min_tokens_per_second
+    assert server.slow_start_tokens == pytest.approx(earned / 10, rel=0.05)
 
 
 def test_attempts_after_the_first_do_not_count_as_demand() -> None:
     driver = Driver(SETTINGS, servers=[entry(n) for n in range(1, 6)])
     number = driver.request()
-    first = driver.balancer.warming.request_rate.value
+    first = driver.balancer.slow_start.request_rate.rate
     for _ in range(2):
         driver.end(number, AttemptOutcome.CONNECT_FAILED)
-    assert driver.balancer.warming.request_rate.value == first
+    assert driver.balancer.slow_start.request_rate.rate == first
 
 
 def test_budgets_are_in_proportion_to_the_servers_sizes() -> None:
@@ -172,22 +174,22 @@
     big, small = (entry(n, since=50 * SECOND)._replace(weight=w) for n, w in ((3, 2.0), (4, 0.5)))
     driver = Driver(SETTINGS, servers=[entry(1), entry(2)])
     driver.members([big, small])
-    budget = driver.balancer.warming
-    servers = driver.balancer.servers
-    budget.request_rate.value = 10.0
-    budget.request_rate.at = driver.now
+    budget = driver.balancer.slow_start
+    servers = driver.balancer.registry.servers
+    budget.request_rate.rate = 10.0
+    budget.request_rate.updated_at_us = driver.now
     budget.min_tokens_per_second = 0.0
     assert budget.serving_weight == 2.0
     for number, weight in ((3, 2.0), (4, 0.5)):
         server = servers[number]
-        server.tokens = 0.0
-        server.tokens_at = driver.now - SECOND // 10
+        server.slow_start_tokens = 0.0
+        server.slow_start_tokens_at_us = driver.now - SECOND // 10
         budget.allows(server, 0.13, 1, 0.0, driver.now)
-        assert server.tokens == pytest.approx(3 * 0.13 * 10 * weight / 2 / 10)
+        assert server.slow_start_tokens == pytest.approx(3 * 0.13 * 10 * weight / 2 / 10)
 
 
 @pytest.mark.parametrize("nodes", [1, 7, 200])
 def test_the_minimum_budget_is_shared_by_all_nodes(nodes: int) -> None:
     driver = Driver(replace(SETTINGS, node_count=nodes), servers=[entry(1)])
-    calls = driver.balancer.warming.min_tokens_per_second * nodes * SETTINGS.overload_window_us / SECOND
+    calls = driver.balancer.slow_start.min_tokens_per_second * nodes * SETTINGS.overload_window_us / SECOND
     assert calls == pytest.approx(MIN_CALLS_PER_WINDOW)
