--- a/bench/lab_load.py
+++ b/bench/lab_load.py
@@ -16,7 +16,7 @@
 
 from limerudder.loadtest.arrivals import Mix, Phase, draw
 from limerudder.loadtest.latency_histogram import LatencyHistogram
-from limerudder.loadtest.load_generator import LoadGenerator, raise_descriptors
+from limerudder.loadtest.load_generator import LoadGenerator, raise_descriptor_limit
 
 SECOND = 1_000_000
 SLOW = 100_000  #: microseconds; far over what an answer takes outside the stall
@@ -44,7 +44,7 @@
     """The process; told when to begin to count."""
 
     async def run() -> None:
-        raise_descriptors()
+        raise_descriptor_limit()
         loop = asyncio.get_running_loop()
         server = await loop.create_server(Answers, "127.0.0.1", 0, backlog=4096)
         pipe.send(server.sockets[0].getsockname())
@@ -69,24 +69,24 @@
     process = multiprocessing.Process(target=stand_in, args=(theirs, seconds / 3, stall), daemon=True)
     process.start()
     where = ours.recv()
-    arrivals = draw([Phase(seconds, rate)], [], Mix(life=0.05), 1)
+    arrivals = draw([Phase(seconds, rate)], [], Mix(median_lifetime_seconds=0.05), 1)
 
     async def go() -> LatencyHistogram:
-        loader = LoadGenerator(arrivals, [where])
-        running = asyncio.ensure_future(loader.run())
+        generator = LoadGenerator(arrivals, [where])
+        running = asyncio.ensure_future(generator.run())
         await asyncio.sleep(0)
-        ours.send(loader.start / SECOND)
+        ours.send(generator.start_us / SECOND)
         return await running
 
-    raise_descriptors()
-    tally = uvloop.run(go())
+    raise_descriptor_limit()
+    histogram = uvloop.run(go())
     inside = 0
     if stall:
         begin, end = ours.recv()
-        inside = sum(begin * SECOND <= one.at < end * SECOND - SLOW for one in arrivals)
+        inside = sum(begin * SECOND <= one.at_us < end * SECOND - SLOW for one in arrivals)
     process.terminate()
     process.join()
-    return tally, inside
+    return histogram, inside
 
 
 def main() -> int:
@@ -95,14 +95,14 @@
     parser.add_argument("--seconds", type=float, default=6.0)
     given = parser.parse_args()
     for rate in (1000, 3000, 5000, 7000):
-        tally, _ = play(rate, given.seconds, 0)
-        told = tally.told()
+        histogram, _ = play(rate, given.seconds, 0)
+        told = histogram.summary()
         print(f"{rate}/s: {told['came']} came, {told['answers']}, latency {told['latency_us']}", flush=True)
         print(f"    generator: {told['generator']}", flush=True)
-    tally, inside = play(1000, 9.0, 2.0)
-    slow = tally.slow(SLOW)
+    histogram, inside = play(1000, 9.0, 2.0)
+    slow = histogram.count_slower_than(SLOW)
     print(f"a stall of 2 s at 1000/s: {inside} came in it, {slow} counted as slow ({slow / inside - 1:+.2%})")
-    print(f"    latency {tally.told()['latency_us']}")
+    print(f"    latency {histogram.summary()['latency_us']}")
     return 0
 
 
--- a/limerudder/cli.py
+++ b/limerudder/cli.py
@@ -57,7 +57,7 @@
     cls=Lazily,
     elsewhere={
         "state": (".store.cli", "state", "Look after the replicated store."),
-        "lab": (".lab.cli", "lab", "Drive nodes and judge them."),
+        "lab": (".loadtest.cli", "lab", "Drive nodes and judge them."),
     },
     epilog=EXAMPLES + "  limerudder node\n  limerudder check limerudder.cue\n  limerudder state status",
     context_settings={"help_option_names": ["-h", "--help"]},
@@ -93,7 +93,8 @@
 @click.option("--json", "as_json", is_flag=True, help="Print what the file says, with defaults.")
 def check(file: str | None, schema: bool, as_json: bool) -> None:
     """Check the operator's file and tell everything that is wrong with it."""
-    from limerudder.cue.syntax import MAX_FILE_BYTES, CueError
+    from limerudder.cue.errors import CueError
+    from limerudder.cue.parser import MAX_FILE_BYTES
     from limerudder.schema import SCHEMA, read_operator_file
 
     if schema:
--- a/limerudder/config.py
+++ b/limerudder/config.py
@@ -133,7 +133,8 @@
     if not path:
         return None
     # here, not above: the grammar's library is no part of a node that has no such file
-    from limerudder.cue.syntax import MAX_FILE_BYTES, CueError
+    from limerudder.cue.errors import CueError
+    from limerudder.cue.parser import MAX_FILE_BYTES
     from limerudder.schema import read_operator_file
 
     try:
--- a/limerudder/cue/__init__.py
+++ b/limerudder/cue/__init__.py
@@ -1,7 +1,9 @@
-"""Typed records: the language of the operator's file and of its schema.
+"""Typed records: the language of the operator's file and of its schema, a small part of CUE.
 
-A small part of CUE: a file is one record whose fields are values, types, bounds, alternatives or references;
-the file and the schema are unified, and what comes out must be concrete. `syntax` reads text, `values`
-is what text means, `unify` brings two meanings together, `load` does it all and gives plain values or every
-error.
+A file is one struct whose fields are values, types, bounds, disjunctions or references. The file and the
+schema are unified, and the result must be concrete. `parser` reads text into the tree of `syntax_tree`,
+`evaluation` gives expressions their `values`, `unification` brings two values together, `concrete_values`
+takes the defaults, and `load` does it all and returns plain values or raises every error.
+
+Source: the CUE language specification.
 """
--- a/limerudder/cue/load.py
+++ b/limerudder/cue/load.py
@@ -1,35 +1,47 @@
-"""A file against a schema, from text to plain values."""
+"""Loading of a file against a schema, from text to plain values."""
 
 from __future__ import annotations
 
 from typing import Any
 
-from limerudder.cue.syntax import CueError, SourceError, SourcePosition, parse
-from limerudder.cue.unification import Unifier, concrete
-from limerudder.cue.values import Evaluator, ReferenceScope, StructValue
+from limerudder.cue.concrete_values import Concretizer
+from limerudder.cue.errors import CueError, SourceError, SourcePosition
+from limerudder.cue.evaluation import Evaluator, ReferenceScope
+from limerudder.cue.parser import parse
+from limerudder.cue.unification import Unifier
+from limerudder.cue.values import StructValue
 
-SCHEMA = "schema"  #: the schema's name in messages
+SCHEMA_NAME = "schema"  #: the schema's file name in messages
 
 
 def load(text: str | bytes, file: str, schema: str, root: str) -> dict[str, Any]:
-    """The values of `file`, whose text may use the schema's definitions; it is held to the definition `root`.
+    """Return the values of a file that has to satisfy the schema's definition `root`.
 
-    Durations come as microseconds, sizes as bytes. Raises FileError with all that is wrong.
+    The file may refer to the schema's definitions. Durations are returned in microseconds, sizes in bytes.
+    Raises CueError with everything that is wrong.
     """
+    schema_scope = ReferenceScope(parse(schema, SCHEMA_NAME), None)
+    struct = parse(text, file)
+    (definition,) = schema_scope.expressions[root]
     errors: list[SourceError] = []
-    outer = ReferenceScope(parse(schema, SCHEMA), None)
-    record = parse(text, file)
-    (wanted,) = outer.trees[root]
-    told = Evaluator(errors).record(record, outer, closed=False)
-    held_to = Evaluator(errors).read(wanted, outer, closed=True)
-    unifier = Unifier(errors, own=file)
-    both = unifier.unify(held_to, told, ())
-    assert isinstance(both, StructValue)
-    lacking: list[SourceError] = []
-    values = concrete(both, (), lacking, SourcePosition(file, 1, 1))
-    told_of = {error.text.partition(":")[0] for error in errors}
-    errors += [error for error in lacking if error.text.partition(":")[0] not in told_of]
+    given = Evaluator(errors).struct(struct, schema_scope, closed=False)
+    required = Evaluator(errors).evaluate(definition, schema_scope, closed=True)
+    unified = Unifier(errors, own_file=file).unify(required, given, ())
+    assert isinstance(unified, StructValue)
+    concretizer = Concretizer()
+    values = concretizer.concretize(unified, (), SourcePosition(file, 1, 1))
+    errors += _not_reported_yet(concretizer.errors, errors)
     if errors:
         raise CueError(errors)
     assert isinstance(values, dict)
     return values
+
+
+def _not_reported_yet(errors: list[SourceError], reported: list[SourceError]) -> list[SourceError]:
+    """Return the errors on paths that no other error is about."""
+    reported_paths = {_path_text(error) for error in reported}
+    return [error for error in errors if _path_text(error) not in reported_paths]
+
+
+def _path_text(error: SourceError) -> str:
+    return error.text.partition(":")[0]
--- a/limerudder/cue/unification.py
+++ b/limerudder/cue/unification.py
@@ -1,166 +1,157 @@
-"""Bringing two meanings together, and making what comes out concrete."""
+"""Unification of two values: the greatest value that is an instance of both."""
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from typing import Any
-
-from limerudder.cue.syntax import SourceError, SourcePosition
+from limerudder.cue.errors import SourceError
+from limerudder.cue.suggestions import suggestion
 from limerudder.cue.values import (
     Constraint,
-    Disjunction,
+    DisjunctionValue,
     Field,
     ListValue,
-    Meaning,
     Scalar,
     StructValue,
-    nearest,
+    Value,
+    ValueAlternative,
 )
 
-Path = tuple[str, ...]
-SHAPES = {StructValue: "a record", ListValue: "a list"}
+Path = tuple[str, ...]  #: field names and list indexes from the file's top
 
 
 class Unifier:
-    """Unifies; what cannot be is added to `errors` with the place of the operator's own word."""
-
-    def __init__(self, errors: list[SourceError], own: str | None = None) -> None:
-        self.errors = errors
-        self.own = own  # the file whose places are told where there is a choice
-
-    def unify(self, a: Meaning, b: Meaning, path: Path) -> Meaning:
-        """What both allow."""
-        if isinstance(a, Disjunction) or isinstance(b, Disjunction):
-            return self._choose(a, b, path)
-        if isinstance(a, StructValue) and isinstance(b, StructValue):
-            return self._records(a, b, path)
-        if isinstance(a, ListValue) and isinstance(b, ListValue):
-            return self._lists(a, b, path)
-        if isinstance(a, Scalar | Constraint) and isinstance(b, Scalar | Constraint):
-            return self._scalars(a, b, path)
-        return self._clash(a, b, path)
-
-    def _scalars(self, a: Scalar | Constraint, b: Scalar | Constraint, path: Path) -> Meaning:
-        match a, b:
+    """Unifies values; conflicts are collected as errors, at the place in the operator's own file."""
+
+    def __init__(self, errors: list[SourceError], own_file: str | None = None) -> None:
+        self._errors = errors
+        self._own_file = own_file  # errors name places in this file, where there is a choice
+
+    def unify(self, left: Value, right: Value, path: Path) -> Value:
+        """Return what both values allow; after a conflict, the left value."""
+        if isinstance(left, DisjunctionValue) or isinstance(right, DisjunctionValue):
+            return self._unify_alternatives(left, right, path)
+        if isinstance(left, StructValue) and isinstance(right, StructValue):
+            return self._unify_structs(left, right, path)
+        if isinstance(left, ListValue) and isinstance(right, ListValue):
+            return self._unify_lists(left, right, path)
+        if isinstance(left, Scalar | Constraint) and isinstance(right, Scalar | Constraint):
+            return self._unify_scalars(left, right, path)
+        return self._conflict(left, right, path)
+
+    def _unify_scalars(self, left: Scalar | Constraint, right: Scalar | Constraint, path: Path) -> Value:
+        match left, right:
             case Scalar(), Scalar():
-                same = (a.kind, a.value) == (b.kind, b.value)
-                return a if same else self._clash(a, b, path)
+                is_same = (left.kind, left.value) == (right.kind, right.value)
+                return left if is_same else self._conflict(left, right, path)
             case Scalar(), Constraint():
-                return self._clash(a, b, path) if b.lacks(a) else a
+                return left if right.accepts(left) else self._conflict(left, right, path)
             case Constraint(), Scalar():
-                return self._clash(b, a, path) if a.lacks(b) else b
+                return right if left.accepts(right) else self._conflict(right, left, path)
             case Constraint(), Constraint():
-                kinds = a.kinds & b.kinds
-                return Constraint(a.place, kinds, a.bounds + b.bounds) if kinds else self._clash(a, b, path)
+                kinds = left.kinds & right.kinds
+                if not kinds:
+                    return self._conflict(left, right, path)
+                return Constraint(left.position, kinds, left.bounds + right.bounds)
         raise AssertionError("all pairs are above")
 
-    def _choose(self, a: Meaning, b: Meaning, path: Path) -> Meaning:
-        lefts = a.parts if isinstance(a, Disjunction) else ((a, False),)
-        rights = b.parts if isinstance(b, Disjunction) else ((b, False),)
-        fitting, failed = list[tuple[Meaning, bool]](), list[list[SourceError]]()
-        for left, left_mark in lefts:
-            for right, right_mark in rights:
+    def _unify_alternatives(self, left: Value, right: Value, path: Path) -> Value:
+        fitting: list[ValueAlternative] = []
+        failures: list[list[SourceError]] = []
+        for left_alternative in _alternatives(left):
+            for right_alternative in _alternatives(right):
                 errors: list[SourceError] = []
-                meaning = Unifier(errors, self.own).unify(left, right, path)
+                unifier = Unifier(errors, self._own_file)
+                value = unifier.unify(left_alternative.value, right_alternative.value, path)
                 if errors:
-                    failed.append(errors)
-                elif all(meaning != other for other, _ in fitting):
-                    fitting.append((meaning, left_mark or right_mark))
+                    failures.append(errors)
+                elif all(value != other.value for other in fitting):
+                    is_default = left_alternative.is_default or right_alternative.is_default
+                    fitting.append(ValueAlternative(value, is_default))
         if not fitting:
-            # where shapes agree, what is wrong lies inside: that is told, and not the list of alternatives
-            inner = [one for one in failed if not any(" stands here, " in e.text for e in one)]
-            deep = [one for one in failed if all(_depth(e) > len(path) for e in one)]
-            if deep or inner:
-                _, _, least = min((len(one), number, one) for number, one in enumerate(deep or inner))
-                self.errors.extend(least)
-                return fitting_any(a, b)
-            return self._clash(a, b, path)
-        place = a.place if isinstance(a, Disjunction) else b.place
-        return fitting[0][0] if len(fitting) == 1 else Disjunction(place, tuple(fitting))
-
-    def _records(self, a: StructValue, b: StructValue, path: Path) -> StructValue:
-        fields = dict[str, Field]()
-        for name in [*a.fields, *(name for name in b.fields if name not in a.fields)]:
-            mine, other = a.fields.get(name), b.fields.get(name)
-            where = (*path, name)
-            if mine and other:
-                meaning = self.unify(mine.meaning, other.meaning, where)
-                at = other.place if other.place.file == self.own else mine.place
-                fields[name] = Field(at, meaning, mine.optional and other.optional)
-                continue
-            here = mine or other
-            assert here
-            lacking = b if mine else a
-            if lacking.closed:
-                self.errors.append(
-                    SourceError(here.place, f"{dotted(where)}: no such field{nearest(name, lacking.fields)}")
-                )
-                continue
-            meaning = self.unify(here.meaning, lacking.others, where) if lacking.others else here.meaning
-            fields[name] = Field(here.place, meaning, here.optional)
-        place = b.place if b.place.file == self.own else a.place
-        return StructValue(place, fields, a.others or b.others, a.closed or b.closed)
-
-    def _lists(self, a: ListValue, b: ListValue, path: Path) -> Meaning:
+            return self._no_alternative_fits(left, right, failures, path)
+        if len(fitting) == 1:
+            return fitting[0].value
+        position = left.position if isinstance(left, DisjunctionValue) else right.position
+        return DisjunctionValue(position, tuple(fitting))
+
+    def _no_alternative_fits(
+        self, left: Value, right: Value, failures: list[list[SourceError]], path: Path
+    ) -> Value:
+        """Report the errors inside an alternative whose shape agrees, else the list of alternatives."""
+        inside = [errors for errors in failures if all(_depth(error) > len(path) for error in errors)]
+        without_conflict = [
+            errors for errors in failures if not any(" stands here, " in error.text for error in errors)
+        ]
+        telling = inside or without_conflict
+        if not telling:
+            return self._conflict(left, right, path)
+        fewest_errors: list[SourceError] = min(telling, key=len)
+        self._errors.extend(fewest_errors)
+        return right if isinstance(left, DisjunctionValue) else left
+
+    def _unify_structs(self, left: StructValue, right: StructValue, path: Path) -> StructValue:
+        fields: dict[str, Field] = {}
+        for name in [*left.fields, *(name for name in right.fields if name not in left.fields)]:
+            field = self._unify_field(left, right, name, (*path, name))
+            if field is not None:
+                fields[name] = field
+        position = right.position if right.position.file == self._own_file else left.position
+        return StructValue(position, fields, left.pattern or right.pattern, left.closed or right.closed)
+
+    def _unify_field(self, left: StructValue, right: StructValue, name: str, path: Path) -> Field | None:
+        """Return a field of the unified struct; None, and an error, where a closed struct lacks it."""
+        left_field = left.fields.get(name)
+        right_field = right.fields.get(name)
+        if left_field and right_field:
+            value = self.unify(left_field.value, right_field.value, path)
+            is_own = right_field.position.file == self._own_file
+            position = right_field.position if is_own else left_field.position
+            return Field(position, value, left_field.optional and right_field.optional)
+        present = left_field or right_field
+        assert present
+        lacking = right if left_field else left
+        if lacking.closed:
+            message = f"{dotted(path)}: no such field{suggestion(name, lacking.fields)}"
+            self._errors.append(SourceError(present.position, message))
+            return None
+        value = self.unify(present.value, lacking.pattern, path) if lacking.pattern else present.value
+        return Field(present.position, value, present.optional)
+
+    def _unify_lists(self, left: ListValue, right: ListValue, path: Path) -> Value:
         items = []
-        for number in range(max(len(a.items), len(b.items))):
-            mine = a.items[number] if number < len(a.items) else a.rest
-            other = b.items[number] if number < len(b.items) else b.rest
-            if mine is None or other is None:
-                return self._clash(a, b, path)
-            items.append(self.unify(mine, other, (*path, str(number))))
-        rest = self.unify(a.rest, b.rest, path) if a.rest and b.rest else None
-        return ListValue(b.place if b.place.file == self.own else a.place, tuple(items), rest)
-
-    def _clash(self, a: Meaning, b: Meaning, path: Path) -> Meaning:
-        here, other = (b, a) if b.place.file == self.own and a.place.file != self.own else (a, b)
-        if isinstance(other, Scalar) and not isinstance(here, Scalar) and here.place.file == other.place.file:
-            here, other = other, here
-        self.errors.append(SourceError(here.place, f"{dotted(path)}: {here} stands here, expected {other}"))
-        return a
-
-
-def fitting_any(a: Meaning, b: Meaning) -> Meaning:
-    """What to go on with after an error."""
-    return a if not isinstance(a, Disjunction) else b
+        for index in range(max(len(left.items), len(right.items))):
+            left_item = left.items[index] if index < len(left.items) else left.rest
+            right_item = right.items[index] if index < len(right.items) else right.rest
+            if left_item is None or right_item is None:
+                return self._conflict(left, right, path)
+            items.append(self.unify(left_item, right_item, (*path, str(index))))
+        rest = self.unify(left.rest, right.rest, path) if left.rest and right.rest else None
+        position = right.position if right.position.file == self._own_file else left.position
+        return ListValue(position, tuple(items), rest)
+
+    def _conflict(self, left: Value, right: Value, path: Path) -> Value:
+        found = left
+        expected = right
+        if right.position.file == self._own_file and left.position.file != self._own_file:
+            found, expected = right, left
+        same_file = found.position.file == expected.position.file
+        if same_file and isinstance(expected, Scalar) and not isinstance(found, Scalar):
+            found, expected = expected, found
+        message = f"{dotted(path)}: {found} stands here, expected {expected}"
+        self._errors.append(SourceError(found.position, message))
+        return left
+
+
+def _alternatives(value: Value) -> tuple[ValueAlternative, ...]:
+    if isinstance(value, DisjunctionValue):
+        return value.alternatives
+    return (ValueAlternative(value, is_default=False),)
 
 
 def _depth(error: SourceError) -> int:
+    """Return how many names the path has that an error's text begins with."""
     return error.text.partition(": ")[0].count(".") + 1
 
 
 def dotted(path: Path) -> str:
-    """Where in the record."""
+    """Return a path as error messages show it."""
     return ".".join(path) or "the file"
-
-
-def concrete(meaning: Meaning, path: Path, errors: list[SourceError], at: SourcePosition) -> Any:
-    """The plain value: defaults taken, optional fields left out; what is still open is an error at `at`."""
-    match meaning:
-        case Scalar():
-            return meaning.value
-        case Disjunction(_, parts):
-            favoured = [part for part, mark in parts if mark] or [
-                part for part, _ in parts if isinstance(part, Scalar)
-            ]
-            if len(favoured) == 1 or any(mark for _, mark in parts):
-                return concrete(favoured[0], path, errors, at)
-        case StructValue(place, fields):
-            return _record(place, fields, path, errors)
-        case ListValue(_, items):
-            return [concrete(item, (*path, str(n)), errors, item.place) for n, item in enumerate(items)]
-    errors.append(SourceError(at, f"{dotted(path)}: nothing is said, expected {meaning}"))
-    return None
-
-
-def _record(
-    place: SourcePosition, fields: Mapping[str, Field], path: Path, errors: list[SourceError]
-) -> dict[str, Any]:
-    values = {}
-    for name, one in fields.items():
-        if one.optional:
-            continue
-        values[name] = concrete(
-            one.meaning, (*path, name), errors, place if one.place.file != place.file else one.place
-        )
-    return values
--- a/limerudder/loadtest/arrivals.py
+++ b/limerudder/loadtest/arrivals.py
@@ -1,7 +1,7 @@
-"""Who comes and when: every arrival is drawn before the run, so that nothing a node does can change the load.
+"""Arrival plans: every arrival is drawn before the run, so that nothing a node does can change the load.
 
-An open loop: arrivals do not wait for answers. After Schroeder, Wierman and Harchol-Balter, "Open Versus
-Closed: A Cautionary Tale" (NSDI 2006).
+This is an open loop: arrivals do not wait for answers. Source: Schroeder, Wierman and Harchol-Balter, "Open
+Versus Closed: A Cautionary Tale" (NSDI 2006).
 """
 
 from __future__ import annotations
@@ -11,125 +11,169 @@
 from typing import NamedTuple
 
 import numpy as np
+from numpy.typing import NDArray
 
-SECOND = 1_000_000
+MICROSECONDS_PER_SECOND = 1_000_000
 MAX_ARRIVALS = 20_000_000  #: arrivals of one plan
+MAX_PHASE_SECONDS = 86_400
+MAX_RATE_PER_SECOND = 1e6
+
+Times = NDArray[np.float64]  #: seconds from the beginning of the run
 
 
 class PlanError(ValueError):
-    """A plan that cannot be."""
+    """A plan that cannot be drawn, or a trace that cannot be read."""
 
 
 class Arrival(NamedTuple):
-    """One client: when it means to come, and what it is."""
+    """One client: its intended moment, and what it asks for."""
 
-    at: int  # microseconds from the beginning
-    cls: str
+    at_us: int  #: from the beginning of the run
+    traffic_class: str
     tenant: str
-    group: int  # 0: none
-    life: int  # microseconds it stays once it is served
+    group: int  #: 0 for none
+    lifetime_us: int  #: how long it stays once it is served
 
 
 @dataclass(frozen=True, slots=True)
 class Phase:
-    """Poisson arrivals whose rate goes evenly from one to another; `within` bunches them at its beginning."""
+    """Poisson arrivals at a rate, or at a rate that changes evenly from `rate` to `final_rate`."""
 
     seconds: float
-    rate: float  # a second, at its beginning
-    to: float | None = None  # and at its end; None: the same
+    rate: float  #: arrivals a second at its beginning
+    final_rate: float | None = None  #: at its end; None for a constant rate
+
+    @property
+    def end_rate(self) -> float:
+        """Arrivals a second at the end of the phase."""
+        return self.rate if self.final_rate is None else self.final_rate
+
+    @property
+    def expected_arrivals(self) -> float:
+        """The mean number of arrivals."""
+        return self.seconds * (self.rate + self.end_rate) / 2
 
     def check(self) -> None:
-        """PlanError where it cannot be."""
-        rates = [self.rate, self.rate if self.to is None else self.to]
-        if not 0 < self.seconds <= 86_400:
-            raise PlanError(f"a phase of {self.seconds} s; from 0 to 86400 are wanted")
-        if not all(0 <= rate <= 1e6 for rate in rates):
-            raise PlanError(f"a rate of {max(rates, key=abs)} a second; from 0 to 1000000 are wanted")
+        """Raise PlanError if the phase cannot be drawn."""
+        if not 0 < self.seconds <= MAX_PHASE_SECONDS:
+            raise PlanError(f"a phase of {self.seconds} s; from 0 to {MAX_PHASE_SECONDS} are wanted")
+        rates = [self.rate, self.end_rate]
+        if not all(0 <= rate <= MAX_RATE_PER_SECOND for rate in rates):
+            worst = max(rates, key=abs)
+            raise PlanError(f"a rate of {worst} a second; from 0 to {MAX_RATE_PER_SECOND:.0f} are wanted")
 
 
 @dataclass(frozen=True, slots=True)
 class Burst:
-    """So many at once, spread evenly over a time: a shared launch, or a wave of reconnects."""
+    """Many arrivals at once, spread evenly over a short time: a shared launch, or a wave of reconnects."""
 
-    at: float  # seconds from the beginning
-    many: int
-    within: float = 0.0  # seconds
+    at_seconds: float  #: from the beginning of the run
+    arrivals: int
+    within_seconds: float = 0.0
 
     def check(self) -> None:
-        """PlanError where it cannot be."""
-        if self.at < 0 or self.within < 0 or self.many < 0:
+        """Raise PlanError if the burst cannot be drawn."""
+        if self.at_seconds < 0 or self.within_seconds < 0 or self.arrivals < 0:
             raise PlanError(
-                f"a burst of {self.many} at {self.at} s within {self.within} s: none may be negative"
+                f"a burst of {self.arrivals} at {self.at_seconds} s within {self.within_seconds} s:"
+                " none may be negative"
             )
 
 
 @dataclass(frozen=True, slots=True)
 class Mix:
-    """What those that come are: names with weights, group sizes, lifetimes."""
+    """What arrivals are: names with weights, group sizes, lifetimes."""
 
     classes: dict[str, float] = field(default_factory=lambda: {"chat": 1.0})
     tenants: dict[str, float] = field(default_factory=lambda: {"": 1.0})
-    groups: int = 0  # so many, by Zipf's law; 0: none has a group
-    zipf: float = 0.8
-    life: float = 1.0  # median seconds
-    life_sigma: float = 0.0  # of the logarithm; 0: all the same
+    groups: int = 0  #: number of groups, chosen by Zipf's law; 0 for no groups
+    zipf_exponent: float = 0.8
+    median_lifetime_seconds: float = 1.0
+    lifetime_sigma: float = 0.0  #: of the logarithm of lifetimes; 0 for equal lifetimes
 
     def check(self) -> None:
-        """PlanError where it cannot be."""
-        for what, weights in (("classes", self.classes), ("tenants", self.tenants)):
+        """Raise PlanError if the mix cannot be drawn."""
+        for name, weights in (("classes", self.classes), ("tenants", self.tenants)):
             if not weights or min(weights.values()) < 0 or sum(weights.values()) <= 0:
-                raise PlanError(f"{what}: names with weights are wanted, none negative and not all 0")
-        if self.groups < 0 or self.life < 0 or self.life_sigma < 0 or self.zipf < 0:
+                raise PlanError(f"{name}: names with weights are wanted, none negative and not all 0")
+        figures = (self.groups, self.median_lifetime_seconds, self.lifetime_sigma, self.zipf_exponent)
+        if min(figures) < 0:
             raise PlanError("groups, zipf, life and life_sigma may not be negative")
 
 
 def draw(phases: Sequence[Phase], bursts: Sequence[Burst], mix: Mix, seed: int) -> list[Arrival]:
-    """All arrivals, in order; the same for the same seed. PlanError where the plan cannot be."""
-    parts: list[Phase | Burst | Mix] = [*phases, *bursts, mix]
-    for part in parts:
-        part.check()
-    expected = sum(one.seconds * (one.rate + (one.rate if one.to is None else one.to)) / 2 for one in phases)
-    if expected + sum(one.many for one in bursts) > MAX_ARRIVALS:
-        raise PlanError(f"some {expected:.0f} arrivals; at most {MAX_ARRIVALS} are drawn")
+    """Return all arrivals in order of time; the same for the same seed. Raises PlanError."""
+    _check_plan(phases, bursts, mix)
     random = np.random.default_rng(seed)
-    moments = [
-        _phase(random, one, sum(before.seconds for before in phases[:n])) for n, one in enumerate(phases)
-    ]
-    moments += [one.at + np.linspace(0, one.within, one.many, endpoint=False) for one in bursts if one.many]
-    at = np.sort(np.concatenate(moments)) if moments else np.empty(0)
-    many = len(at)
-    classes = _names(random, mix.classes, many)
-    tenants = _names(random, mix.tenants, many)
-    groups = np.zeros(many, dtype=np.int64)
-    if mix.groups:
-        weights = 1 / np.arange(1, mix.groups + 1) ** mix.zipf
-        groups = 1 + random.choice(mix.groups, size=many, p=weights / weights.sum())
-    lives = (
-        mix.life * np.exp(random.normal(0, mix.life_sigma, many))
-        if mix.life_sigma
-        else np.full(many, mix.life)
-    )
+    times = _draw_times(random, phases, bursts)
+    count = len(times)
+    classes = _draw_names(random, mix.classes, count)
+    tenants = _draw_names(random, mix.tenants, count)
+    groups = _draw_groups(random, mix, count)
+    lifetimes = _draw_lifetimes(random, mix, count)
     return [
-        Arrival(int(moment * SECOND), cls, tenant, int(group), int(life * SECOND))
-        for moment, cls, tenant, group, life in zip(at, classes, tenants, groups, lives, strict=True)
+        Arrival(
+            int(at * MICROSECONDS_PER_SECOND),
+            traffic_class,
+            tenant,
+            int(group),
+            int(lifetime * MICROSECONDS_PER_SECOND),
+        )
+        for at, traffic_class, tenant, group, lifetime in zip(
+            times, classes, tenants, groups, lifetimes, strict=True
+        )
     ]
 
 
-def _phase(
-    random: np.random.Generator, one: Phase, start: float
-) -> np.ndarray[tuple[int], np.dtype[np.float64]]:
-    """By thinning (Lewis and Shedler, 1979): drawn at the highest rate, kept in proportion."""
-    to = one.rate if one.to is None else one.to
-    top = max(one.rate, to)
-    many = random.poisson(top * one.seconds)
-    at = random.uniform(0, one.seconds, many)
-    if one.rate != to:
-        there = one.rate + (to - one.rate) * at / one.seconds
-        at = at[random.uniform(0, top, many) < there]
-    return np.asarray(start + at, dtype=np.float64)
+def _check_plan(phases: Sequence[Phase], bursts: Sequence[Burst], mix: Mix) -> None:
+    parts: list[Phase | Burst | Mix] = [*phases, *bursts, mix]
+    for part in parts:
+        part.check()
+    expected = sum(phase.expected_arrivals for phase in phases)
+    if expected + sum(burst.arrivals for burst in bursts) > MAX_ARRIVALS:
+        raise PlanError(f"some {expected:.0f} arrivals; at most {MAX_ARRIVALS} are drawn")
 
 
-def _names(random: np.random.Generator, weights: dict[str, float], many: int) -> list[str]:
+def _draw_times(random: np.random.Generator, phases: Sequence[Phase], bursts: Sequence[Burst]) -> Times:
+    parts: list[Times] = []
+    phase_start = 0.0
+    for phase in phases:
+        parts.append(phase_start + _draw_phase(random, phase))
+        phase_start += phase.seconds
+    for burst in bursts:
+        if burst.arrivals:
+            offsets = np.linspace(0, burst.within_seconds, burst.arrivals, endpoint=False)
+            parts.append(burst.at_seconds + offsets)
+    if not parts:
+        return np.empty(0)
+    return np.sort(np.concatenate(parts))
+
+
+def _draw_phase(random: np.random.Generator, phase: Phase) -> Times:
+    """Draw by thinning: at the highest rate, then kept in proportion (Lewis and Shedler, 1979)."""
+    highest_rate = max(phase.rate, phase.end_rate)
+    count = random.poisson(highest_rate * phase.seconds)
+    times = random.uniform(0, phase.seconds, count)
+    if phase.rate != phase.end_rate:
+        rates = phase.rate + (phase.end_rate - phase.rate) * times / phase.seconds
+        times = times[random.uniform(0, highest_rate, count) < rates]
+    return np.asarray(times, dtype=np.float64)
+
+
+def _draw_names(random: np.random.Generator, weights: dict[str, float], count: int) -> list[str]:
     names = list(weights)
-    chances = np.array(list(weights.values())) / sum(weights.values())
-    return [names[number] for number in random.choice(len(names), size=many, p=chances)]
+    probabilities = np.array(list(weights.values())) / sum(weights.values())
+    return [names[index] for index in random.choice(len(names), size=count, p=probabilities)]
+
+
+def _draw_groups(random: np.random.Generator, mix: Mix, count: int) -> NDArray[np.int64]:
+    if not mix.groups:
+        return np.zeros(count, dtype=np.int64)
+    weights = 1 / np.arange(1, mix.groups + 1) ** mix.zipf_exponent
+    return 1 + random.choice(mix.groups, size=count, p=weights / weights.sum())
+
+
+def _draw_lifetimes(random: np.random.Generator, mix: Mix, count: int) -> Times:
+    if not mix.lifetime_sigma:
+        return np.full(count, mix.median_lifetime_seconds)
+    return np.asarray(mix.median_lifetime_seconds * np.exp(random.normal(0, mix.lifetime_sigma, count)))
--- a/limerudder/loadtest/cli.py
+++ b/limerudder/loadtest/cli.py
@@ -1,16 +1,23 @@
-"""`limerudder lab …`: driving nodes and judging them. Its libraries come with the extra `lab`."""
+"""The command `limerudder lab`: drives nodes and judges them. Its libraries come with the extra `lab`."""
 
 from __future__ import annotations
 
 import json
+from contextlib import AbstractContextManager, nullcontext
+from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import IO, Any
 
 import click
 
 from limerudder.cli import EXAMPLES, fail
 from limerudder.exits import FAILED, WRONG_INPUT
 
+PHASE_FORM = "SECONDS,RATE[,RATE]"
+BURST_FORM = "AT,MANY[,WITHIN]"
+DEFAULT_CLASS = "chat"
+DEFAULT_TENANT = ""
+
 
 @click.group(
     epilog=EXAMPLES + "  limerudder lab load 127.0.0.1:8081 --phase 10,200",
@@ -27,28 +34,18 @@
         fail(f"{exc.name} is not installed: pip install 'limerudder[lab]'", WRONG_INPUT)
 
 
-def _numbers(words: tuple[str, ...], least: int, most: int, what: str) -> list[list[float]]:
-    found = []
-    for word in words:
-        try:
-            numbers = [float(one) for one in word.split(",")]
-        except ValueError:
-            numbers = []
-        if not least <= len(numbers) <= most:
-            fail(f"{word} stands here, expected {what}", WRONG_INPUT)
-        found.append(numbers)
-    return found
+@dataclass(frozen=True, slots=True)
+class _PlanOptions:
+    """The options that say which arrivals are drawn."""
 
-
-def _weights(words: tuple[str, ...], default: str) -> dict[str, float]:
-    found: dict[str, float] = {}
-    for word in words or (default,):
-        name, _, weight = word.partition("=")
-        try:
-            found[name] = float(weight or 1)
-        except ValueError:
-            fail(f"{word} stands here, expected NAME=WEIGHT", WRONG_INPUT)
-    return found
+    phases: tuple[str, ...]
+    bursts: tuple[str, ...]
+    classes: tuple[str, ...]
+    tenants: tuple[str, ...]
+    groups: int
+    life: float
+    life_sigma: float
+    seed: int
 
 
 @lab.command(
@@ -76,44 +73,83 @@
     "--figures", type=click.Path(dir_okay=False, path_type=Path), help="Figures a second, JSON Lines."
 )
 def load(
-    targets: tuple[str, ...], trace: Path | None, save: Path | None, figures: Path | None, **given: Any
+    targets: tuple[str, ...],
+    deadline: int,
+    trace: Path | None,
+    save: Path | None,
+    figures: Path | None,
+    **plan_options: Any,
 ) -> None:
     """Load nodes in an open loop, and tell latencies from the intended moments."""
-    from limerudder.core.transport import read_address
-    from limerudder.loadtest.arrivals import Burst, Mix, Phase, PlanError, draw
-    from limerudder.loadtest.load_generator import run
-    from limerudder.loadtest.trace import read, write
+    from limerudder.loadtest.arrivals import PlanError
+    from limerudder.loadtest.load_generator import run_load_test
+    from limerudder.loadtest.trace import read_trace, write_trace
 
-    try:
-        where = [read_address(one) for one in targets]
-    except ValueError as exc:
-        fail(str(exc), WRONG_INPUT)
-    phases = _numbers(given["phases"], 2, 3, "SECONDS,RATE[,RATE]")
-    bursts = _numbers(given["bursts"], 2, 3, "AT,MANY[,WITHIN]")
-    if bool(trace) == bool(phases or bursts):
+    addresses = _addresses(targets)
+    options = _PlanOptions(**plan_options)
+    if bool(trace) == bool(options.phases or options.bursts):
         fail("say --phase or --burst, or --trace", WRONG_INPUT)
     try:
-        mix = Mix(
-            _weights(given["classes"], "chat"),
-            _weights(given["tenants"], ""),
-            given["groups"],
-            life=given["life"],
-            life_sigma=given["life_sigma"],
-        )
-        drawn = [Burst(at, int(many), *rest) for at, many, *rest in bursts]
-        arrivals = read(trace) if trace else draw([Phase(*one) for one in phases], drawn, mix, given["seed"])
+        arrivals = read_trace(trace) if trace else _draw(options)
         if save:
-            write(save, arrivals)
-        with figures.open("w") if figures else _nothing() as file:
-            tally = run(arrivals, where, given["deadline"], file)
+            write_trace(save, arrivals)
+        with _opened(figures) as file:
+            histogram = run_load_test(arrivals, addresses, deadline, file)
     except PlanError as exc:
         fail(str(exc), WRONG_INPUT)
     except OSError as exc:
         fail(f"{exc.filename}: {exc.strerror}", FAILED)
-    click.echo(json.dumps({"arrivals": len(arrivals), **tally.told()}, indent=2))
+    click.echo(json.dumps({"arrivals": len(arrivals), **histogram.summary()}, indent=2))
+
+
+def _addresses(targets: tuple[str, ...]) -> list[tuple[str, int]]:
+    from limerudder.core.transport import read_address
 
+    try:
+        return [read_address(target) for target in targets]
+    except ValueError as exc:
+        fail(str(exc), WRONG_INPUT)
+
+
+def _draw(options: _PlanOptions) -> list[Any]:
+    from limerudder.loadtest.arrivals import Burst, Mix, Phase, draw
+
+    phases = [Phase(*numbers) for numbers in _numbers(options.phases, PHASE_FORM)]
+    bursts = [Burst(at, int(count), *within) for at, count, *within in _numbers(options.bursts, BURST_FORM)]
+    mix = Mix(
+        classes=_weights(options.classes, DEFAULT_CLASS),
+        tenants=_weights(options.tenants, DEFAULT_TENANT),
+        groups=options.groups,
+        median_lifetime_seconds=options.life,
+        lifetime_sigma=options.life_sigma,
+    )
+    return draw(phases, bursts, mix, options.seed)
+
+
+def _numbers(words: tuple[str, ...], form: str) -> list[list[float]]:
+    """Return the numbers of options that have two or three, separated by commas."""
+    found = []
+    for word in words:
+        try:
+            numbers = [float(part) for part in word.split(",")]
+        except ValueError:
+            numbers = []
+        if len(numbers) not in (2, 3):
+            fail(f"{word} stands here, expected {form}", WRONG_INPUT)
+        found.append(numbers)
+    return found
+
+
+def _weights(words: tuple[str, ...], default: str) -> dict[str, float]:
+    weights: dict[str, float] = {}
+    for word in words or (default,):
+        name, _, weight = word.partition("=")
+        try:
+            weights[name] = float(weight or 1)
+        except ValueError:
+            fail(f"{word} stands here, expected NAME=WEIGHT", WRONG_INPUT)
+    return weights
 
-def _nothing() -> Any:
-    from contextlib import nullcontext
 
-    return nullcontext()
+def _opened(path: Path | None) -> AbstractContextManager[IO[str] | None]:
+    return path.open("w") if path else nullcontext()
--- a/limerudder/loadtest/latency_histogram.py
+++ b/limerudder/loadtest/latency_histogram.py
@@ -1,5 +1,8 @@
-"""What a run has seen. Latency counts from the intended moment, whoever was late: else a stall hides those
-it kept from coming (Tene, "How NOT to Measure Latency", on coordinated omission).
+"""What a load test has measured: latencies, the generator's lateness, and answers by kind.
+
+Latency counts from the intended moment of an arrival, whoever was late. Counted from the moment of sending,
+a stall of the system under test would hide the arrivals that it kept from being sent (coordinated omission;
+Gil Tene, "How NOT to Measure Latency").
 """
 
 from __future__ import annotations
@@ -9,50 +12,58 @@
 
 from hdrh.histogram import HdrHistogram  # type: ignore[import-untyped]
 
-HIGHEST = 3_600_000_000  #: microseconds that are told apart
-LATE = 1000  #: microseconds after its intended moment, from which an arrival counts as late by the generator
+MAX_LATENCY_US = 3_600_000_000  #: longer latencies count as this one
+SIGNIFICANT_DIGITS = 3
+LATE_ARRIVAL_US = 1000  #: an arrival that begins later than this counts as late by the generator
+PERCENTILES = {"p50": 50, "p90": 90, "p99": 99, "p99.9": 99.9, "max": 100}
 
 
 class LatencyHistogram:
-    """Counts and histograms, in microseconds."""
+    """Counters and histograms of one run; all times in microseconds."""
 
     def __init__(self) -> None:
-        self.latency = HdrHistogram(1, HIGHEST, 3)  # from the intended moment to the final answer
-        self.lateness = HdrHistogram(1, HIGHEST, 3)  # of the generator, at each arrival
+        self.latency = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
+        self.generator_lateness = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
         self.answers: Counter[str] = Counter()
-        self.came = self.late = self.waiting = 0
+        self.arrived = 0
+        self.late_arrivals = 0
+        self.waiting = 0
 
-    def begin(self, lateness: int) -> None:
-        """One has come, so long after it was meant to."""
-        self.came += 1
+    def record_arrival(self, lateness_us: int) -> None:
+        """Count an arrival that began this long after its intended moment."""
+        self.arrived += 1
         self.waiting += 1
-        self.late += lateness > LATE
-        self.lateness.record_value(max(lateness, 1))
+        if lateness_us > LATE_ARRIVAL_US:
+            self.late_arrivals += 1
+        self.generator_lateness.record_value(max(lateness_us, 1))
 
-    def end(self, answer: str, latency: int) -> None:
-        """It has its final answer, or will get none."""
+    def record_answer(self, answer: str, latency_us: int) -> None:
+        """Count a final answer, or that none came, this long after the intended moment."""
         self.waiting -= 1
         self.answers[answer] += 1
-        self.latency.record_value(min(max(latency, 1), HIGHEST))
+        self.latency.record_value(min(max(latency_us, 1), MAX_LATENCY_US))
 
-    def slow(self, over: int) -> int:
-        """How many took longer than that, those that still wait not among them."""
+    def count_slower_than(self, latency_us: int) -> int:
+        """Return how many answers took longer; arrivals that still wait are not counted."""
         steps = self.latency.get_recorded_iterator()
-        return sum(one.count_added_in_this_iter_step for one in steps if one.value_iterated_to > over)
+        return sum(
+            step.count_added_in_this_iter_step for step in steps if step.value_iterated_to > latency_us
+        )
 
-    def told(self) -> dict[str, Any]:
-        """All of it, for JSON."""
+    def summary(self) -> dict[str, Any]:
+        """Return all figures in the form in which they are printed as JSON."""
         return {
-            "came": self.came,
+            "came": self.arrived,
             "waiting": self.waiting,
             "answers": dict(sorted(self.answers.items())),
             "latency_us": _percentiles(self.latency),
-            "generator": {"late": self.late, "lateness_us": _percentiles(self.lateness)},
+            "generator": {"late": self.late_arrivals, "lateness_us": _percentiles(self.generator_lateness)},
         }
 
 
 def _percentiles(histogram: HdrHistogram) -> dict[str, int]:
     if not histogram.get_total_count():
         return {}
-    wanted = {"p50": 50, "p90": 90, "p99": 99, "p99.9": 99.9, "max": 100}
-    return {name: int(histogram.get_value_at_percentile(at)) for name, at in wanted.items()}
+    return {
+        name: int(histogram.get_value_at_percentile(percentile)) for name, percentile in PERCENTILES.items()
+    }
--- a/limerudder/loadtest/load_generator.py
+++ b/limerudder/loadtest/load_generator.py
@@ -1,118 +1,40 @@
-"""The load generator: open loop, every arrival at its intended moment or as soon after it as the generator
-can.
+"""The load generator: an open loop on real sockets.
 
-One that is late says so: an arrival is never skipped, its latency counts from its intended moment all the
-same, and its lateness is counted beside it, so that a slow generator is not taken for a slow node.
+Every arrival begins at its intended moment, or as soon after it as the generator can. A late arrival is never
+skipped: its latency counts from its intended moment all the same, and its lateness is counted beside it, so
+that a slow generator is not taken for a slow node.
 """
 
 from __future__ import annotations
 
 import asyncio
-import errno
+import gc
 import json
-import socket
+import resource
+import signal
 import sys
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from contextlib import suppress
 from typing import IO, Any
 
-from limerudder.loadtest.arrivals import Arrival
-from limerudder.loadtest.latency_histogram import LatencyHistogram
-
-SECOND = 1_000_000
-ANSWER_TIMEOUT_US = 10 * SECOND  #: for a final answer, from the intended moment; then it counts as `none`
-ARRIVALS_PER_STEP = 64  #: arrivals begun before answers are looked at again: guards answers against a burst
-MAX_LINE_BYTES = 4096
+import uvloop
 
+from limerudder.loadtest.arrivals import MICROSECONDS_PER_SECOND, Arrival
+from limerudder.loadtest.latency_histogram import LatencyHistogram
+from limerudder.loadtest.simulated_client import SimulatedClient
 
-class SimulatedClient:
-    """One client's connection, from its first line to its end."""
-
-    __slots__ = ("arrival", "began", "fd", "line", "loader", "number", "rest", "served", "sock", "timer")
-
-    def __init__(self, loader: LoadGenerator, number: int, arrival: Arrival, began: int) -> None:
-        self.loader, self.number, self.arrival, self.began = loader, number, arrival, began
-        self.rest, self.served = b"", False
-        self.timer: asyncio.TimerHandle | None = None
-        self.line = loader.first_line(number, arrival)
-        self.sock: socket.socket | None = None
-        self.fd = -1
-        try:
-            sock = self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        except OSError as exc:
-            # guards the node against blame for what this process lacks
-            return self._end(
-                "generator out of descriptors" if exc.errno == errno.EMFILE else "generator failed"
-            )
-        self.fd = sock.fileno()
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.connect_ex(loader.targets[number % len(loader.targets)])
-        loader.loop.add_writer(self.fd, self._connected)
-        self.timer = loader.loop.call_later(ANSWER_TIMEOUT_US / SECOND, self._end, "none")
-
-    def _connected(self) -> None:
-        assert self.sock
-        self.loader.loop.remove_writer(self.fd)
-        if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-            return self._end("refused connection")
-        try:
-            self.sock.send(self.line)  # a fresh connection takes a line whole
-        except OSError:
-            return self._end("reset")
-        self.loader.loop.add_reader(self.fd, self._readable)
-
-    def _readable(self) -> None:
-        assert self.sock
-        try:
-            data = self.sock.recv(65536)
-        except BlockingIOError:
-            return
-        except OSError:
-            data = b""
-        if self.served:  # it stands: lines are passed over, its end is the host's, the node's or MOVE
-            if not data or b"MOVE" in data:
-                self._close()
-            return
-        self.rest += data
-        line, found, _ = self.rest.partition(b"\n")
-        if found:
-            word = line.split()[0].decode("ascii", "replace") if line.split() else "empty"
-            if word != "UP":
-                return self._end(word)
-            self.served = True
-            self._count("UP")
-            self.loader.standing += 1
-            if self.timer:
-                self.timer.cancel()
-            self.timer = self.loader.loop.call_later(self.arrival.life / SECOND, self._close)
-        elif not data or len(self.rest) > MAX_LINE_BYTES:
-            self._end("closed without an answer")
-
-    def _count(self, answer: str) -> None:
-        self.loader.tally.end(answer, self.loader.now() - self.arrival.at)
-
-    def _end(self, answer: str) -> None:
-        self._count(answer)
-        self._close()
-
-    def _close(self) -> None:
-        if self.timer:
-            self.timer.cancel()
-            self.timer = None
-        if self.sock:
-            self.loader.loop.remove_reader(self.fd)
-            self.loader.loop.remove_writer(self.fd)
-            self.sock.close()
-            self.sock = None
-        if self.served:
-            self.served = False
-            self.loader.standing -= 1
-        self.loader.guests.discard(self)
+MAX_ARRIVALS_PER_STEP = 64  #: begun before answers are looked at again, so that a burst does not delay them
+START_DELAY_US = 50_000  #: from the call to the beginning of the run
+BUSY_WAIT_US = 2000  #: this close to the next arrival, timers are too coarse
+TIMER_LATENESS_US = 1500  #: how much later than asked a timer may fire
+DRAIN_POLL_SECONDS = 0.01
+REPORT_INTERVAL_SECONDS = 1.0
+THREAD_SWITCH_INTERVAL_SECONDS = 0.001
 
 
 class LoadGenerator:
-    """One run."""
+    """One run against one or more addresses, which arrivals take in turn."""
 
     def __init__(
         self,
@@ -120,115 +42,147 @@
         targets: Sequence[tuple[str, int]],
         deadline_ms: int = 2000,
         figures: IO[str] | None = None,
-        number_from: int = 1,
+        first_id: int = 1,
     ) -> None:
-        self.arrivals, self.targets, self.deadline = arrivals, list(targets), deadline_ms
-        self.tally, self.figures, self.number_from = LatencyHistogram(), figures, number_from
-        self.loop = asyncio.get_running_loop()
-        self.guests: set[SimulatedClient] = set()
-        self.standing = 0
-        self.start = 0
-        self.next = 0
-        self.halted = False
-        self.second: dict[str, int] = {}
-
-    def now(self) -> int:
-        """Microseconds from the beginning."""
-        return time.monotonic_ns() // 1000 - self.start
-
-    def first_line(self, number: int, one: Arrival) -> bytes:
-        """What a client says first; each has an id of its own."""
-        who = self.number_from + number
-        told = f"c={one.cls}" + (f",t={one.tenant}" if one.tenant else "") + f",d={self.deadline}"
-        told += f",g={one.group:016x}" if one.group else ""
-        return f"OPEN {who:016x} {who:016x} {told}\r\n".encode()
+        """Prepare a run; must be called within a running loop.
+
+        `deadline_ms` is how long clients say they will wait. `figures` gets a JSON line every second.
+        Requests have ids from `first_id` on.
+        """
+        self.histogram = LatencyHistogram()
+        self.clients: set[SimulatedClient] = set()
+        self.served_count = 0
+        self.start_us = 0
+        self._arrivals = arrivals
+        self._targets = list(targets)
+        self._deadline_ms = deadline_ms
+        self._figures = figures
+        self._first_id = first_id
+        self._loop = asyncio.get_running_loop()
+        self._next_index = 0
+        self._halted = False
+
+    def now_us(self) -> int:
+        """Return microseconds from the beginning of the run."""
+        return time.monotonic_ns() // 1000 - self.start_us
 
     def halt(self) -> None:
-        """Begin no more, and end what is there: what has been seen is still told."""
-        self.halted = True
+        """Begin no more arrivals and end what is there; what has been measured is still returned."""
+        self._halted = True
 
-    async def run(self, drain: float = 5.0) -> LatencyHistogram:
-        """All arrivals; then so many seconds at the most for answers that are out."""
-        self.start = time.monotonic_ns() // 1000 + 50_000
-        ticking = self.loop.create_task(self._tell())
+    async def run(self, drain_seconds: float = 5.0) -> LatencyHistogram:
+        """Play all arrivals, then wait up to `drain_seconds` for answers, and return what was measured."""
+        self.start_us = time.monotonic_ns() // 1000 + START_DELAY_US
+        reporting = self._loop.create_task(self._report_periodically())
         try:
-            await self._begin_all()
-            until = self.now() + int(drain * SECOND)
-            while self.tally.waiting and self.now() < until and not self.halted:
-                await asyncio.sleep(0.01)
+            await self._begin_arrivals()
+            await self._drain(drain_seconds)
         finally:
-            ticking.cancel()
-            for guest in list(self.guests):
-                if not guest.served:
-                    guest._count("none")
-                guest._close()
-            self._figures()
-        return self.tally
-
-    async def _begin_all(self) -> None:
-        while self.next < len(self.arrivals) and not self.halted:
-            begun = 0
-            now = self.now()
-            while (
-                self.next < len(self.arrivals)
-                and self.arrivals[self.next].at <= now
-                and begun < ARRIVALS_PER_STEP
-            ):
-                number, one = self.next, self.arrivals[self.next]
-                self.next, begun = number + 1, begun + 1
-                now = self.now()
-                self.tally.begin(now - one.at)
-                guest = SimulatedClient(self, number, one, now)
-                if guest.sock:
-                    self.guests.add(guest)
-            if self.next < len(self.arrivals):
-                wait = self.arrivals[self.next].at - self.now()
-                # a timer comes up to a millisecond late; the last stretch is waited out in rounds of the loop
-                await asyncio.sleep((wait - 1500) / SECOND if wait > 2000 else 0)
-
-    async def _tell(self) -> None:
+            reporting.cancel()
+            for client in list(self.clients):
+                client.give_up()
+            self._report()
+        return self.histogram
+
+    def client_answered(self, client: SimulatedClient, answer: str) -> None:
+        """Count a client's final answer."""
+        self.histogram.record_answer(answer, self.now_us() - client.arrival.at_us)
+        if answer == "UP":
+            self.served_count += 1
+
+    def client_closed(self, client: SimulatedClient, was_served: bool) -> None:
+        """Forget a client whose connection is closed."""
+        if was_served:
+            self.served_count -= 1
+        self.clients.discard(client)
+
+    async def _drain(self, drain_seconds: float) -> None:
+        until_us = self.now_us() + int(drain_seconds * MICROSECONDS_PER_SECOND)
+        while self.histogram.waiting and self.now_us() < until_us and not self._halted:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
+    async def _begin_arrivals(self) -> None:
+        while self._has_next():
+            self._begin_due_arrivals()
+            if self._has_next():
+                await self._wait_for_next_arrival()
+
+    def _has_next(self) -> bool:
+        return self._next_index < len(self._arrivals) and not self._halted
+
+    def _begin_due_arrivals(self) -> None:
+        """Begin the arrivals whose moment has come, up to a bound a step."""
+        now_us = self.now_us()
+        for _ in range(MAX_ARRIVALS_PER_STEP):
+            if not self._has_next() or self._arrivals[self._next_index].at_us > now_us:
+                return
+            now_us = self.now_us()
+            self._begin_arrival(self._next_index, now_us)
+            self._next_index += 1
+
+    def _begin_arrival(self, index: int, now_us: int) -> None:
+        arrival = self._arrivals[index]
+        self.histogram.record_arrival(now_us - arrival.at_us)
+        client = SimulatedClient(arrival, self._first_line(index, arrival), self, self._loop)
+        if client.connect(self._targets[index % len(self._targets)]):
+            self.clients.add(client)
+
+    async def _wait_for_next_arrival(self) -> None:
+        """Sleep until shortly before the next arrival; the rest is waited out in rounds of the loop."""
+        wait_us = self._arrivals[self._next_index].at_us - self.now_us()
+        sleep_us = wait_us - TIMER_LATENESS_US if wait_us > BUSY_WAIT_US else 0
+        await asyncio.sleep(sleep_us / MICROSECONDS_PER_SECOND)
+
+    def _first_line(self, index: int, arrival: Arrival) -> bytes:
+        """Return the OPEN line of an arrival; each has an id of its own."""
+        request_id = self._first_id + index
+        pairs = [f"c={arrival.traffic_class}"]
+        if arrival.tenant:
+            pairs.append(f"t={arrival.tenant}")
+        pairs.append(f"d={self._deadline_ms}")
+        if arrival.group:
+            pairs.append(f"g={arrival.group:016x}")
+        return f"OPEN {request_id:016x} {request_id:016x} {','.join(pairs)}\r\n".encode()
+
+    async def _report_periodically(self) -> None:
         while True:
-            await asyncio.sleep(1)
-            self._figures()
-
-    def _figures(self) -> None:
-        if self.figures:
-            told: dict[str, Any] = {"at_s": round(self.now() / SECOND, 1), "standing": self.standing}
-            print(json.dumps(told | self.tally.told()), file=self.figures, flush=True)
+            await asyncio.sleep(REPORT_INTERVAL_SECONDS)
+            self._report()
 
+    def _report(self) -> None:
+        if self._figures is None:
+            return
+        record: dict[str, Any] = {
+            "at_s": round(self.now_us() / MICROSECONDS_PER_SECOND, 1),
+            "standing": self.served_count,
+        }
+        record.update(self.histogram.summary())
+        print(json.dumps(record), file=self._figures, flush=True)
 
-def raise_descriptors() -> int:
-    """As many descriptors as this process may have; how many that is."""
-    import resource
 
-    _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+def raise_descriptor_limit() -> int:
+    """Allow this process as many descriptors as the system does; return how many that is."""
+    _, hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)
     with suppress(ValueError, OSError):
-        resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
+        resource.setrlimit(resource.RLIMIT_NOFILE, (hard_limit, hard_limit))
     return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
 
 
-def run(
+def run_load_test(
     arrivals: Sequence[Arrival],
     targets: Sequence[tuple[str, int]],
     deadline_ms: int,
     figures: IO[str] | None,
-    hear: Callable[[LoadGenerator], None] = lambda loader: None,
 ) -> LatencyHistogram:
-    """A run of its own loop; SIGINT halts it, and what has been seen is given all the same."""
-    import signal
-
-    import uvloop
-
-    async def go() -> LatencyHistogram:
-        loader = LoadGenerator(arrivals, targets, deadline_ms, figures, time.time_ns() & 0xFFFFFFFFFF)
-        asyncio.get_running_loop().add_signal_handler(signal.SIGINT, loader.halt)
-        hear(loader)
-        return await loader.run()
-
-    raise_descriptors()
-    # guards the last microseconds before an arrival against a collection of all that was drawn
-    import gc
-
-    gc.freeze()
-    sys.setswitchinterval(0.001)
-    return uvloop.run(go())
+    """Play arrivals in a loop of their own; SIGINT ends the run, and what was measured is returned."""
+
+    async def play() -> LatencyHistogram:
+        first_id = time.time_ns() & 0xFFFFFFFFFF
+        generator = LoadGenerator(arrivals, targets, deadline_ms, figures, first_id)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGINT, generator.halt)
+        return await generator.run()
+
+    raise_descriptor_limit()
+    gc.freeze()  # a collection of all arrivals would make the next ones late
+    sys.setswitchinterval(THREAD_SWITCH_INTERVAL_SECONDS)
+    return uvloop.run(play())
--- a/limerudder/loadtest/trace.py
+++ b/limerudder/loadtest/trace.py
@@ -1,70 +1,95 @@
-"""Arrivals as files: CSV with a heading, or JSON Lines, by the file's ending."""
+"""Arrivals as files: CSV with a heading, or JSON Lines, by the file's suffix. Times are microseconds."""
 
 from __future__ import annotations
 
 import csv
 import json
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 from limerudder.loadtest.arrivals import MAX_ARRIVALS, Arrival, PlanError
 
-FIELDS = Arrival._fields
+#: The columns of a trace, in the order of Arrival's fields.
+TRACE_FIELDS = ("at", "cls", "tenant", "group", "life")
+CSV_SUFFIX = ".csv"
 
 
-def write(path: Path, arrivals: Sequence[Arrival]) -> None:
-    """Write arrivals; times in microseconds."""
+class _Row(NamedTuple):
+    """A row of a trace, not checked yet."""
+
+    line_number: int
+    values: Any
+
+
+def write_trace(path: Path, arrivals: Sequence[Arrival]) -> None:
+    """Write arrivals to a file."""
     with path.open("w", newline="", encoding="utf-8") as file:
-        if path.suffix == ".csv":
+        if path.suffix == CSV_SUFFIX:
             rows = csv.writer(file)
-            rows.writerow(FIELDS)
+            rows.writerow(TRACE_FIELDS)
             rows.writerows(arrivals)
-        else:
-            file.writelines(json.dumps(one._asdict()) + "\n" for one in arrivals)
+            return
+        for arrival in arrivals:
+            record = dict(zip(TRACE_FIELDS, arrival, strict=True))
+            file.write(json.dumps(record) + "\n")
+
 
+def read_trace(path: Path) -> list[Arrival]:
+    """Return a file's arrivals in order of time.
 
-def read(path: Path) -> list[Arrival]:
-    """Read arrivals, put in order. PlanError names the line that cannot be read, and what was expected."""
-    found: list[Arrival] = []
+    Raises PlanError, which names the line that cannot be read and what was expected there.
+    """
+    arrivals: list[Arrival] = []
     try:
-        for number, given in _rows(path):
-            found.append(_arrival(path, number, given))
-            if len(found) > MAX_ARRIVALS:
+        for row in _rows(path):
+            arrivals.append(_parse_arrival(path, row))
+            if len(arrivals) > MAX_ARRIVALS:
                 raise PlanError(f"{path}: more than {MAX_ARRIVALS} arrivals")
     except OSError as exc:
-        raise PlanError(f"cannot read {path}: {exc.strerror}") from None
-    except UnicodeDecodeError:
-        raise PlanError(f"{path}: bytes that are no UTF-8") from None
-    return sorted(found)
+        raise PlanError(f"cannot read {path}: {exc.strerror}") from exc
+    except UnicodeDecodeError as exc:
+        raise PlanError(f"{path}: bytes that are no UTF-8") from exc
+    return sorted(arrivals)
 
 
-def _rows(path: Path) -> Iterator[tuple[int, Any]]:
+def _rows(path: Path) -> Iterator[_Row]:
     with path.open(newline="", encoding="utf-8") as file:
-        if path.suffix == ".csv":
+        if path.suffix == CSV_SUFFIX:
             reader = csv.DictReader(file)
-            yield from ((reader.line_num, row) for row in reader)
+            for record in reader:
+                yield _Row(reader.line_num, record)
             return
-        for number, line in enumerate(file, 1):
+        for line_number, line in enumerate(file, 1):
             if line.strip():
-                try:
-                    yield number, json.loads(line)
-                except (ValueError, RecursionError) as exc:
-                    raise PlanError(f"{path}:{number}: not JSON: {exc}") from None
+                yield _Row(line_number, _parse_json(path, line_number, line))
 
 
-def _arrival(path: Path, number: int, given: Any) -> Arrival:
+def _parse_json(path: Path, line_number: int, line: str) -> Any:
     try:
-        one = Arrival(
-            int(given["at"]),
-            str(given["cls"]),
-            str(given.get("tenant") or ""),
-            int(given.get("group") or 0),
-            int(given.get("life") or 0),
-        )
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
-        told = f"lacks {exc}" if isinstance(exc, KeyError) else str(exc)
-        raise PlanError(f"{path}:{number}: {told}; expected {', '.join(FIELDS)}") from None
-    if one.at < 0 or one.life < 0 or one.group < 0:
-        raise PlanError(f"{path}:{number}: a negative time or group")
-    return one
+        return json.loads(line)
+    except (ValueError, RecursionError) as exc:
+        raise PlanError(f"{path}:{line_number}: not JSON: {exc}") from exc
+
+
+def _parse_arrival(path: Path, row: _Row) -> Arrival:
+    place = f"{path}:{row.line_number}"
+    try:
+        arrival = _arrival(row.values)
+    except KeyError as exc:
+        raise PlanError(f"{place}: lacks {exc}; expected {', '.join(TRACE_FIELDS)}") from exc
+    except (TypeError, ValueError, AttributeError) as exc:
+        raise PlanError(f"{place}: {exc}; expected {', '.join(TRACE_FIELDS)}") from exc
+    if arrival.at_us < 0 or arrival.lifetime_us < 0 or arrival.group < 0:
+        raise PlanError(f"{place}: a negative time or group")
+    return arrival
+
+
+def _arrival(values: Mapping[str, Any]) -> Arrival:
+    return Arrival(
+        at_us=int(values["at"]),
+        traffic_class=str(values["cls"]),
+        tenant=str(values.get("tenant") or ""),
+        group=int(values.get("group") or 0),
+        lifetime_us=int(values.get("life") or 0),
+    )
--- a/limerudder/store/checks.py
+++ b/limerudder/store/checks.py
@@ -14,8 +14,8 @@
 import msgspec
 
 from limerudder.core.discovery.endpoint_list import EndpointListError, parse_endpoints
+from limerudder.cue.errors import CueError
 from limerudder.cue.load import load
-from limerudder.cue.syntax import CueError
 from limerudder.schema import SCHEMA
 from limerudder.store import state_machine as rec
 from limerudder.store.drain_log import HOST_KEY_PREFIX, decode_host_record
--- a/tests/test_compare_decisions.py
+++ b/tests/test_compare_decisions.py
@@ -11,9 +11,9 @@
 from bench.compare_decisions import JournalError, compare, main, mean_cpu_us_per_event
 
 
-def journal(folder: Path, name: str, **figures: Any) -> Path:
+def journal(folder: Path, file_name: str, **figures: Any) -> Path:
     day = {"name": "quiet-1", "G": 0.5, "cpu_us_event": 70.0, "signature": {"retries": 0.008}, **figures}
-    path = folder / name
+    path = folder / file_name
     path.write_text(json.dumps({"cmd": "score", "days": [day]}))
     return path
 
--- a/tests/test_cue.py
+++ b/tests/test_cue.py
@@ -8,8 +8,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from limerudder.cue.errors import MAX_REPORTED_ERRORS, CueError
 from limerudder.cue.load import load
-from limerudder.cue.syntax import MAX_DEPTH, MAX_ERRORS, MAX_FILE_BYTES, CueError
+from limerudder.cue.parser import MAX_FILE_BYTES, MAX_NESTING_DEPTH
 from limerudder.schema import SCHEMA, LogSettings, OperatorFile, read_operator_file
 
 LAB = r"""
@@ -109,7 +110,7 @@
         ("count: 3 }", "} stands here"),
         ("[int]: 3", "[int] stands here, expected [string]"),
         ("count: " + "9" * 5000, "a number of 5000 digits"),
-        ("note: " + "(" * (MAX_DEPTH + 1), f"nested deeper than {MAX_DEPTH} brackets"),
+        ("note: " + "(" * (MAX_NESTING_DEPTH + 1), f"nested deeper than {MAX_NESTING_DEPTH} brackets"),
         ("//" + "x" * MAX_FILE_BYTES, f"more than {MAX_FILE_BYTES} bytes"),
     ],
 )
@@ -122,7 +123,7 @@
     found = errors('mode: "x"\ncount: 0\nshare: 2\nnope: 1\nlimits: {a: "b"}\n')
     assert [line.split(":")[1] for line in found] == ["1", "2", "3", "4", "5"]
     assert len(errors("a: : 3\nb c: 2\nd: 1 ]\n")) == 3, "syntax errors too, one a line"
-    assert len(errors("".join(f"x{n}: 1\n" for n in range(200)))) == MAX_ERRORS
+    assert len(errors("".join(f"x{n}: 1\n" for n in range(200)))) == MAX_REPORTED_ERRORS
 
 
 def test_bytes_that_are_no_text_are_an_error() -> None:
--- a/tests/test_policy_fleet.py
+++ b/tests/test_policy_fleet.py
@@ -172,7 +172,7 @@
                 dial.accept(here.now)
         asked = len(here.dials)
         here.run(SECOND // 2)
-    calls, failures = (here.node.counters[f"director_{what}"] for what in ("calls", "failures"))
+    calls, failures = (here.node.counters[f"discovery_{what}"] for what in ("calls", "failures"))
     assert 3 <= failures <= calls <= 30, "asked again, and less often than it could bear"
     assert any(line.startswith("director: a call failed") for line in here.logged)
     here.served()
--- a/tests/test_rule_checker.py
+++ b/tests/test_rule_checker.py
@@ -1,4 +1,4 @@
-"""The rule checker: a clean exchange passes, and each rule is broken on purpose by a wrong one."""
+"""The rule checker: a clean exchange passes, and each rule is broken on purpose by a wrong checker."""
 
 from __future__ import annotations
 
@@ -6,129 +6,129 @@
 
 import pytest
 
-from limerudder.loadtest.rule_checker import RuleChecker, RuleLimits
+from limerudder.loadtest.rule_checker import Direction, RuleChecker, RuleLimits
 
-S = 1_000_000
+SECOND = 1_000_000
 
 
 def fleet() -> RuleChecker:
-    one = RuleChecker(RuleLimits())
-    one.listed(0, "h1", True, 50.0, -60 * S)
-    one.listed(0, "h2", True, 50.0, -60 * S)
-    return one
+    checker = RuleChecker(RuleLimits())
+    checker.server_listed(0, "h1", True, 50.0, -60 * SECOND)
+    checker.server_listed(0, "h2", True, 50.0, -60 * SECOND)
+    return checker
 
 
-def served(one: RuleChecker, request: str = "r", at: int = S, host: str = "h1") -> None:
-    one.asked(at, request, 2 * S)
-    one.sent(at + 1000, request, host)
-    one.answered(at + 3000, request, "UP 77")
+def served(checker: RuleChecker, request: str = "r", at: int = SECOND, host: str = "h1") -> None:
+    checker.request_sent(at, request, 2 * SECOND)
+    checker.attempt_received(at + 1000, request, host)
+    checker.line_answered(at + 3000, request, "UP 77")
 
 
 def test_clean_exchanges_of_all_kinds_pass() -> None:
-    one = fleet()
-    served(one)
-    one.line_in(S + 5000, "r", True, "M 1")
-    one.line_out(S + 5400, "r", True, "M 1")
-    one.line_in(S + 6000, "r", False, "M 1")
-    one.line_out(S + 6100, "r", False, "M 1")
-    one.answered(S + 7000, "r", "MOVE")
-    one.closed(S + 8000, "r")
-    one.ended(S + 8001, "r", "h1", by_host=False)
-    one.asked(2 * S, "again", 2 * S)  # refused at one host, taken at the next
-    one.sent(2 * S + 10, "again", "h1")
-    one.ended(2 * S + 20, "again", "h1", by_host=True)
-    one.sent(2 * S + 30, "again", "h2")
-    one.answered(2 * S + 40, "again", "UP 5")
-    one.ended(3 * S, "again", "h2", by_host=True)
-    one.closed(3 * S + 10, "again")
-    one.asked(4 * S, "busy", S)
-    one.answered(4 * S + 5, "busy", "BUSY 100")
-    one.closed(4 * S + 6, "busy")
-    one.asked(5 * S, "gone", S)
-    one.left(5 * S + 10, "gone")
-    one.closed(5 * S + 20, "gone")
-    one.listed(6 * S, "h1", False, 50.0, -60 * S)
-    served(one, "in the grace", 6 * S + 100_000)
-    one.listed(8 * S, "h1", True, 50.0, 8 * S - 5)  # started anew
-    served(one, "cold", 8 * S + 10)
-    assert one.finish(20 * S) == [] and one.checked == 29
+    checker = fleet()
+    served(checker)
+    checker.line_received(SECOND + 5000, "r", Direction.TO_SERVER, "M 1")
+    checker.line_delivered(SECOND + 5400, "r", Direction.TO_SERVER, "M 1")
+    checker.line_received(SECOND + 6000, "r", Direction.TO_CLIENT, "M 1")
+    checker.line_delivered(SECOND + 6100, "r", Direction.TO_CLIENT, "M 1")
+    checker.line_answered(SECOND + 7000, "r", "MOVE")
+    checker.client_closed_by_node(SECOND + 8000, "r")
+    checker.attempt_ended(SECOND + 8001, "r", "h1", by_server=False)
+    checker.request_sent(2 * SECOND, "again", 2 * SECOND)  # refused at one host, taken at the next
+    checker.attempt_received(2 * SECOND + 10, "again", "h1")
+    checker.attempt_ended(2 * SECOND + 20, "again", "h1", by_server=True)
+    checker.attempt_received(2 * SECOND + 30, "again", "h2")
+    checker.line_answered(2 * SECOND + 40, "again", "UP 5")
+    checker.attempt_ended(3 * SECOND, "again", "h2", by_server=True)
+    checker.client_closed_by_node(3 * SECOND + 10, "again")
+    checker.request_sent(4 * SECOND, "busy", SECOND)
+    checker.line_answered(4 * SECOND + 5, "busy", "BUSY 100")
+    checker.client_closed_by_node(4 * SECOND + 6, "busy")
+    checker.request_sent(5 * SECOND, "gone", SECOND)
+    checker.client_left(5 * SECOND + 10, "gone")
+    checker.client_closed_by_node(5 * SECOND + 20, "gone")
+    checker.server_listed(6 * SECOND, "h1", False, 50.0, -60 * SECOND)
+    served(checker, "in the grace", 6 * SECOND + 100_000)
+    checker.server_listed(8 * SECOND, "h1", True, 50.0, 8 * SECOND - 5)  # started anew
+    served(checker, "cold", 8 * SECOND + 10)
+    assert checker.finish(20 * SECOND) == [] and checker.events_checked == 29
 
 
-def two_answers(one: RuleChecker) -> None:
-    served(one)
-    one.answered(2 * S, "r", "BUSY 10")
+def two_answers(checker: RuleChecker) -> None:
+    served(checker)
+    checker.line_answered(2 * SECOND, "r", "BUSY 10")
 
 
-def late(one: RuleChecker) -> None:
-    one.asked(S, "r", S)
-    one.answered(2 * S + 20_001, "r", "FAIL")
+def late(checker: RuleChecker) -> None:
+    checker.request_sent(SECOND, "r", SECOND)
+    checker.line_answered(2 * SECOND + 20_001, "r", "FAIL")
 
 
-def never(one: RuleChecker) -> None:
-    one.asked(S, "r", S)
+def never(checker: RuleChecker) -> None:
+    checker.request_sent(SECOND, "r", SECOND)
 
 
-def closed_without(one: RuleChecker) -> None:
-    one.asked(S, "r", S)
-    one.closed(S + 5, "r")
+def closed_without(checker: RuleChecker) -> None:
+    checker.request_sent(SECOND, "r", SECOND)
+    checker.client_closed_by_node(SECOND + 5, "r")
 
 
-def moved_before_up(one: RuleChecker) -> None:
-    one.asked(S, "r", S)
-    one.answered(S + 5, "r", "MOVE")
-    one.left(S + 6, "r")
+def moved_before_up(checker: RuleChecker) -> None:
+    checker.request_sent(SECOND, "r", SECOND)
+    checker.line_answered(SECOND + 5, "r", "MOVE")
+    checker.client_left(SECOND + 6, "r")
 
 
-def two_out(one: RuleChecker) -> None:
-    one.asked(S, "r", S)
-    one.sent(S + 1, "r", "h1")
-    one.sent(S + 2, "r", "h2")
-    one.answered(S + 3, "r", "UP 1")
+def two_out(checker: RuleChecker) -> None:
+    checker.request_sent(SECOND, "r", SECOND)
+    checker.attempt_received(SECOND + 1, "r", "h1")
+    checker.attempt_received(SECOND + 2, "r", "h2")
+    checker.line_answered(SECOND + 3, "r", "UP 1")
 
 
-def after_the_answer(one: RuleChecker) -> None:
-    one.asked(S, "r", S)
-    one.answered(S + 3, "r", "FAIL")
-    one.sent(S + 4, "r", "h1")
+def after_the_answer(checker: RuleChecker) -> None:
+    checker.request_sent(SECOND, "r", SECOND)
+    checker.line_answered(SECOND + 3, "r", "FAIL")
+    checker.attempt_received(SECOND + 4, "r", "h1")
 
 
-def to_a_drained_host(one: RuleChecker) -> None:
-    one.listed(S, "h1", False, 50.0, -60 * S)
-    served(one, at=S + 500_000)
+def to_a_drained_host(checker: RuleChecker) -> None:
+    checker.server_listed(SECOND, "h1", False, 50.0, -60 * SECOND)
+    served(checker, at=SECOND + 500_000)
 
 
-def to_a_stranger(one: RuleChecker) -> None:
-    served(one, host="h9")
+def to_a_stranger(checker: RuleChecker) -> None:
+    served(checker, host="h9")
 
 
-def over_a_cold_host(one: RuleChecker) -> None:
-    one.listed(S, "h3", True, 10.0, S)
+def over_a_cold_host(checker: RuleChecker) -> None:
+    checker.server_listed(SECOND, "h3", True, 10.0, SECOND)
     for n in range(20):
-        served(one, f"r{n}", S + 500_000 + n * 5000, "h3")
+        served(checker, f"r{n}", SECOND + 500_000 + n * 5000, "h3")
 
 
-def cut_off(one: RuleChecker) -> None:
-    served(one)
-    one.closed(3 * S, "r")
+def cut_off(checker: RuleChecker) -> None:
+    served(checker)
+    checker.client_closed_by_node(3 * SECOND, "r")
 
 
-def held_too_long(one: RuleChecker) -> None:
-    served(one)
-    one.line_in(2 * S, "r", True, "M 1")
-    one.line_out(2 * S + 100_001, "r", True, "M 1")
+def held_too_long(checker: RuleChecker) -> None:
+    served(checker)
+    checker.line_received(2 * SECOND, "r", Direction.TO_SERVER, "M 1")
+    checker.line_delivered(2 * SECOND + 100_001, "r", Direction.TO_SERVER, "M 1")
 
 
-def swallowed(one: RuleChecker) -> None:
-    served(one)
-    one.line_in(2 * S, "r", False, "M 1")
+def swallowed(checker: RuleChecker) -> None:
+    served(checker)
+    checker.line_received(2 * SECOND, "r", Direction.TO_CLIENT, "M 1")
 
 
-def out_of_order(one: RuleChecker) -> None:
-    served(one)
-    one.line_in(2 * S, "r", True, "M 1")
-    one.line_in(2 * S, "r", True, "M 2")
-    one.line_out(2 * S + 1, "r", True, "M 2")
-    one.line_out(2 * S + 2, "r", True, "M 1")
+def out_of_order(checker: RuleChecker) -> None:
+    served(checker)
+    checker.line_received(2 * SECOND, "r", Direction.TO_SERVER, "M 1")
+    checker.line_received(2 * SECOND, "r", Direction.TO_SERVER, "M 2")
+    checker.line_delivered(2 * SECOND + 1, "r", Direction.TO_SERVER, "M 2")
+    checker.line_delivered(2 * SECOND + 2, "r", Direction.TO_SERVER, "M 1")
 
 
 @pytest.mark.parametrize(
@@ -149,13 +149,13 @@
         (swallowed, "held lines"),
         (out_of_order, "held lines"),
     ],
-    ids=lambda one: getattr(one, "__name__", one),
+    ids=lambda value: getattr(value, "__name__", value),
 )
 def test_each_rule_is_found_broken_with_the_exchange_that_shows_it(
     wrong: Callable[[RuleChecker], None], rule: str
 ) -> None:
-    one = fleet()
-    wrong(one)
-    found = one.finish(10 * S)
-    assert {breach.rule for breach in found} == {rule}, [str(breach) for breach in found]
+    checker = fleet()
+    wrong(checker)
+    found = checker.finish(10 * SECOND)
+    assert {violation.rule for violation in found} == {rule}, [str(violation) for violation in found]
     assert found[0].exchange and "client asks r" in str(found[0])
--- a/tests/test_simulator_adapter.py
+++ b/tests/test_simulator_adapter.py
@@ -69,7 +69,7 @@
     ("data", "words"),
     [
         (batch(7, b"\x63\x03\x00"), "batch 7: unknown event code 99"),
-        (batch(7, bytes.fromhex(REQUEST)), "batch 7: Request for instance 3, which is not attached"),
+        (batch(7, bytes.fromhex(REQUEST)), "batch 7: NewRequest for instance 3, which is not attached"),
         (batch(7, START)[:-4], "ends inside a batch"),
         (batch(7)[:9], "ends inside a header"),
         (struct.pack("<IQI", 0xFFFFFFFF, 0, 7), "claims 4294967295 bytes"),
