--- a/harness/single_member.py
+++ b/harness/single_member.py
@@ -8,7 +8,7 @@
 
 import uvloop
 
-from limerudder.core.transport import read_address
+from limerudder.core.transport import parse_address
 from limerudder.net.clock import Clock
 from limerudder.schema import StoreSettings
 from limerudder.store.control import ControlServer
@@ -17,7 +17,7 @@
 
 async def run_member(folder: str, address: str) -> None:
     """Until it is killed."""
-    where = read_address(address)
+    where = parse_address(address)
     store = Store(StoreSettings(folder, where), lambda kind, text: print(text, flush=True), Clock().now)
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -15,7 +15,7 @@
 
 import uvloop
 
-from limerudder.config import ConfigError, NodeConfig, load_config, reload_config
+from limerudder.config import ConfigError, ProcessConfig, load_config, reload_config
 from limerudder.core.client.session import LineSession
 from limerudder.core.discovery.endpoint_list import EndpointListError
 from limerudder.core.lifecycle.hot_restart import (
@@ -56,13 +56,15 @@
         """Set up a connection."""
         return self.dialler.dial(address, machine)
 
-    def tell(self, peer: int, data: bytes) -> None:
+    def send_datagram(self, peer: int, data: bytes) -> None:
         """Send a datagram."""
         if self.peers:
             self.peers.send(peer, data)
 
 
-async def serve(config: NodeConfig, log: Callable[[str, str], None], environment: Mapping[str, str]) -> None:
+async def serve(
+    config: ProcessConfig, log: Callable[[str, str], None], environment: Mapping[str, str]
+) -> None:
     """Run the node until it is told to stop; `environment` names the file that SIGHUP has read again."""
     loop, clock, stopped = asyncio.get_running_loop(), Clock(), asyncio.Event()
     folder = open_folder(config, log)
@@ -79,9 +81,9 @@
     marks: MaintenanceMarks = MarkFiles(folder.path) if folder else InMemoryMarks()
     recall = keeping.recall(hello.drained if hello else {})
     node = Node(config, network, log, clock.now(), keeping.marks(marks), recall)
-    node.stopped, node.reloaded = stopped.set, bool(hello and hello.reloaded)
+    node.on_shutdown_complete, node.config_reloaded = stopped.set, bool(hello and hello.reloaded)
     peers = PeerSocket(
-        config.peers, config.peers_all, lambda n, data: node.peering.heard(n, data, clock.now())
+        config.peers, config.peers_all, lambda n, data: node.peering.datagram_received(n, data, clock.now())
     )
     network.peers = peers
     door = ClientListener(sockets, lambda: TcpConnection(LineSession(node), clock), peers)
@@ -109,15 +111,15 @@
         log("start", "node: listening on {}:{}".format(*sockets[0].getsockname()))
 
     def status(_: str, now: int) -> str:
-        if node.stopping:
+        if node.shutdown_deadline_us:
             raise ConsoleError("stopping")
         if not door.server:
-            raise ConsoleError("another process takes the clients" if node.succeeded else "starting")
+            raise ConsoleError("another process takes the clients" if node.has_successor else "starting")
         return "done\n"
 
-    console = Console(node.wheel, node.counters)
+    console = Console(node.timer_wheel, node.counters)
     console.offer("status", status)
-    console.offer("stats", lambda _, now: node.figures.text(node.gauges(now)) + "end\n")
+    console.offer("stats", lambda _, now: node.metrics.text(node.gauges(now)) + "end\n")
 
     def by_hand(call: Callable[[str, int], bool]) -> Callable[[str, int], str | DeferredAnswer]:
         def answer(name: str, now: int) -> str | DeferredAnswer:
@@ -135,7 +137,7 @@
 
     def tick() -> None:
         loop.call_later(config.settings.tick / 1e6, tick)
-        node.wheel.advance(clock.now())
+        node.timer_wheel.advance(clock.now())
 
     def reload() -> None:
         try:
@@ -144,16 +146,16 @@
             log("config", f"config: {exc}; going on as before")
             return
         log("config", "config: read again; discovery is at {}:{}".format(*again.discovery))
-        node.reloaded = True
+        node.config_reloaded = True
         node.discovery.move(again.discovery, clock.now())
 
     def stop(number: signal.Signals) -> None:
         # guards whoever reads the log after a process ended with 0: this line names the signal that ended it
         log("stop", f"node: {number.name} received")
-        if not door.server and not node.succeeded:
+        if not door.server and not node.has_successor:
             stopped.set()  # it has not begun to serve
         elder.tell("stopping")
-        node.stop(clock.now())
+        node.start_graceful_shutdown(clock.now())
 
     # before the node listens: a signal that finds no handler ends the process and all that it holds
     for planned in (signal.SIGTERM, signal.SIGINT):
@@ -180,7 +182,7 @@
     log("end", f"counters: {node.counters.text()}")
 
 
-def open_folder(config: NodeConfig, log: Callable[[str, str], None]) -> StateDirectory | None:
+def open_folder(config: ProcessConfig, log: Callable[[str, str], None]) -> StateDirectory | None:
     """The folder that outlives this process; None, and a line, where there is none to be had."""
     try:
         return StateDirectory(config.state) if config.state else None
@@ -205,7 +207,7 @@
         return None, None
 
 
-def open_log(config: NodeConfig) -> Log:
+def open_log(config: ProcessConfig) -> Log:
     """The log, as the operator's file has it where there is one."""
     if config.operator is None:
         return Log(config.name)
@@ -215,7 +217,7 @@
     return log
 
 
-def bind_all(config: NodeConfig) -> list[socket.socket]:
+def bind_all(config: ProcessConfig) -> list[socket.socket]:
     """The clients' socket, and that for datagrams where peers may talk."""
     sockets = [bind(config.listen, socket.SOCK_STREAM, shared=True)]
     if config.settings.peers and config.peer_listen:
--- a/limerudder/config.py
+++ b/limerudder/config.py
@@ -9,9 +9,10 @@
 from hashlib import sha256
 from typing import TYPE_CHECKING, Any
 
-from limerudder.core.discovery.endpoint_list import EndpointList, parse_endpoints
-from limerudder.core.transport import Address, read_address
-from limerudder.policy.settings import Settings, TrafficClass
+from limerudder.core.discovery.endpoint_list import parse_endpoints
+from limerudder.core.node_config import Names, NodeConfig
+from limerudder.core.transport import Address, parse_address
+from limerudder.policy.settings import TrafficClass
 from limerudder.policy.settings_reader import flatten, read_settings
 
 if TYPE_CHECKING:
@@ -23,27 +24,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Names:
-    """What the settings call their classes, tenants, zones and kinds, each in the settings' order."""
-
-    classes: tuple[str, ...]
-    tenants: tuple[str, ...]
-    zones: tuple[str, ...]
-    kinds: tuple[str, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class NodeConfig:
-    """Everything a node knows when it starts."""
+class ProcessConfig(NodeConfig):
+    """Everything a node process knows when it starts: the node's configuration, its sockets and its files."""
 
     name: str
     listen: Address
-    discovery: Address
-    seed: int
-    sockets: int
-    settings: Settings
-    names: Names
-    known: EndpointList
     peer_listen: Address | None = None
     peers: tuple[Address, ...] = ()
     peers_all: Address | None = None
@@ -52,15 +37,15 @@
     operator: OperatorFile | None = None  # what the operator's file says, where there is one
 
 
-def parse_address(text: object) -> Address:
+def _parse_address(text: object) -> Address:
     """An IPv4 address and a port: there is no DNS where a node runs."""
     try:
-        return read_address(text)
+        return parse_address(text)
     except ValueError:
         raise ConfigError(f"not an address: {text!r}") from None
 
 
-def load_config(environment: Mapping[str, str]) -> NodeConfig:
+def load_config(environment: Mapping[str, str]) -> ProcessConfig:
     """Read the file that PROXY_CONFIG names; the other PROXY variables win over what it says."""
     path = environment.get("PROXY_CONFIG")
     if not path:
@@ -85,7 +70,7 @@
     return replace(config, state=os.path.join(shared, state_name(config)))
 
 
-def state_name(config: NodeConfig) -> str:
+def state_name(config: ProcessConfig) -> str:
     """Return the name of the state folder, which is unique to this node of this tier.
 
     The socket over which a new process takes over from the running one stands in that folder. The name
@@ -96,7 +81,7 @@
     return "limerudder-{}-{}-{}".format(*config.listen, digest)
 
 
-def _identity_text(config: NodeConfig) -> str:
+def _identity_text(config: ProcessConfig) -> str:
     """Return the text whose hash is in the state folder's name.
 
     The text is a stored form: processes of earlier releases build the same one, with these words in it.
@@ -145,7 +130,7 @@
         raise ConfigError(str(exc)) from None
 
 
-def reload_config(environment: Mapping[str, str]) -> NodeConfig:
+def reload_config(environment: Mapping[str, str]) -> ProcessConfig:
     """Read the file as it is now. Its `discovery` wins: the environment still holds that of the start."""
     return load_config({name: value for name, value in environment.items() if name != "PROXY_DISCOVERY"})
 
@@ -155,17 +140,17 @@
     return {key: environment[name] for key, name in variables.items() if environment.get(name)}
 
 
-def _read(given: dict[str, Any]) -> NodeConfig:
+def _read(given: dict[str, Any]) -> ProcessConfig:
     told = given["settings"]
     peer_listen, peers_all = given.get("peer_listen"), given.get("peers_all")
     console = given.get("console")
     settings = read_settings(flatten(told))
     if not settings.classes:
         raise ConfigError("the settings name no class")
-    return NodeConfig(
+    return ProcessConfig(
         name=str(given["name"]),
-        listen=parse_address(given["listen"]),
-        discovery=parse_address(given["discovery"]),
+        listen=_parse_address(given["listen"]),
+        discovery=_parse_address(given["discovery"]),
         seed=int(str(given["seed"]), 16),
         sockets=int(given.get("limits", {}).get("sockets", 4096)),
         settings=settings,
@@ -176,8 +161,8 @@
             kinds=tuple(told.get("kinds") or ()),
         ),
         known=parse_endpoints(given["known"]),
-        peer_listen=parse_address(peer_listen) if peer_listen else None,
-        peers=tuple(parse_address(peer) for peer in given.get("peers") or ()),
-        peers_all=parse_address(peers_all) if peers_all else None,
-        console=parse_address(console) if console else None,
+        peer_listen=_parse_address(peer_listen) if peer_listen else None,
+        peers=tuple(_parse_address(peer) for peer in given.get("peers") or ()),
+        peers_all=_parse_address(peers_all) if peers_all else None,
+        console=_parse_address(console) if console else None,
     )
--- a/limerudder/core/client/session.py
+++ b/limerudder/core/client/session.py
@@ -47,15 +47,15 @@
         raise MalformedLine(line)
     return ConnectRequest(
         id=_number(words[1]),
-        cls=told["c"],
+        class_name=told["c"],
         tenant=told.get("t", ""),
         key=_number(words[2]),
-        time_left=_figure(told["d"], WAIT, 1000) if "d" in told else None,
+        time_left_us=_figure(told["d"], WAIT, 1000) if "d" in told else None,
         hint=_figure(told["h"], FIGURE, 1) if "h" in told else None,
         group=_number(told["g"]) if "g" in told else 0,
-        retry="r" in told,
-        came_back="again" in told,
-        at=told.get("at"),
+        is_retry="r" in told,
+        is_reconnect="again" in told,
+        pinned_upstream=told.get("at"),
     )
 
 
@@ -87,12 +87,14 @@
 class RequestHandler(Protocol):
     """Who takes the requests of client sessions: the node."""
 
-    wheel: TimerWheel
+    timer_wheel: TimerWheel
     counters: Counters
     admission: AdmissionControl
     report_fields: Sequence[str]
 
-    def take(self, session: LineSession, request: ConnectRequest, now: int) -> RequestObserver | None:
+    def accept_request(
+        self, session: LineSession, request: ConnectRequest, now: int
+    ) -> RequestObserver | None:
         """Take a request; None, and counted, where it is none that this node can take."""
 
 
@@ -118,25 +120,25 @@
     def __init__(self, taker: RequestHandler) -> None:
         self.taker = taker
         self.stage = SessionState.FIRST
-        self.link: Transport | None = None
+        self.transport: Transport | None = None
         self.owner: RequestObserver | None = None
         self.line = b""  # the first line, as far as it has come: never longer than a line may be
         self.served: LineAttempt | None = None
-        self.timer = ResettableTimer(taker.wheel)
+        self.timer = ResettableTimer(taker.timer_wheel)
         self.pinged = False  # its last line was a PING, and no further one has begun
         self.discarded = 0
 
     # from the driver
 
-    def connected(self, link: Transport, now: int) -> None:
+    def connection_made(self, link: Transport, now: int) -> None:
         """A client has come."""
-        self.link = link
+        self.transport = link
         if self.taker.admission.enter(self, now):
             self._line_due(now)
         else:
             self._last(b"BUSY\r\n", now)
 
-    def feed(self, data: bytes, now: int) -> None:
+    def data_received(self, data: bytes, now: int) -> None:
         """Bytes from the client."""
         if self.stage is SessionState.OPEN and self.served:
             self.served.send(data, now)
@@ -144,12 +146,12 @@
             self._first(data, now)
         elif self.stage is SessionState.WAITING:
             self._impatient(now)
-        elif self.link:
+        elif self.transport:
             # guards the loop against a client that has its last line and sends on at full speed
             self.taker.counters["bytes_discarded"] += len(data)
             self.discarded += len(data)
             if self.discarded > DISCARDED:
-                self.link.hold(True)
+                self.transport.set_reading_paused(True)
 
     def _first(self, data: bytes, now: int) -> None:
         if not self.line and self.pinged:
@@ -181,9 +183,9 @@
         except MalformedLine:
             return self._malformed("requests_malformed", now)
         self.stage = SessionState.WAITING
-        self.timer.stop()
+        self.timer.cancel()
         self.taker.admission.seat(self)
-        self.owner = self.taker.take(self, request, now)
+        self.owner = self.taker.accept_request(self, request, now)
         if self.owner is None:
             self._last(ERROR, now)
 
@@ -221,26 +223,26 @@
         self.taker.counters.count(what)
         self._last(ERROR, now)
 
-    def eof(self, now: int) -> None:
+    def eof_received(self, now: int) -> None:
         """The client has ended its sending: it leaves."""
         if self.stage is SessionState.OPEN and self.served:
             self.served.finish(now)
         else:
             self._leave(now)
 
-    def lost(self, now: int) -> None:
+    def connection_lost(self, now: int) -> None:
         """The connection broke."""
         if self.stage is SessionState.OPEN and self.served:
             self.served.reset()
         self._leave(now)
 
-    def crowded(self, on: bool) -> None:
+    def set_writing_paused(self, on: bool) -> None:
         """The client reads slowly: its upstream, or what it asks before it has one, is read no faster."""
-        if self.served and self.served.link:
-            self.served.link.hold(on)
-        elif self.link and self.stage in (SessionState.FIRST, SessionState.WAITING):
+        if self.served and self.served.transport:
+            self.served.transport.set_reading_paused(on)
+        elif self.transport and self.stage in (SessionState.FIRST, SessionState.WAITING):
             # guards the sight of a client that leaves while it waits: one that is not read is not seen to
-            self.link.hold(on and self.stage is SessionState.FIRST)
+            self.transport.set_reading_paused(on and self.stage is SessionState.FIRST)
 
     def _leave(self, now: int) -> None:
         stage, self.stage = self.stage, SessionState.ENDED
@@ -252,9 +254,11 @@
 
     def new_attempt(self, owner: AttemptObserver, wait: int | None) -> LineAttempt:
         """A new attempt: the client's own line, but for `d`."""
-        return LineAttempt(owner, with_wait(self.line, wait), self.taker.report_fields, self.taker.wheel)
+        return LineAttempt(
+            owner, with_wait(self.line, wait), self.taker.report_fields, self.taker.timer_wheel
+        )
 
-    def serve(self, attempt: Attempt, now: int) -> None:
+    def start_proxying(self, attempt: Attempt, now: int) -> None:
         """Join the two sides and give the client the upstream's answer."""
         assert isinstance(attempt, LineAttempt)
         if self.stage is not SessionState.WAITING:
@@ -262,7 +266,7 @@
         self.stage, self.served = SessionState.OPEN, attempt
         attempt.join(self)
 
-    def refuse(self, wait: int, now: int) -> None:
+    def reject(self, wait: int, now: int) -> None:
         """BUSY, with the advice when to come again."""
         if self.stage is SessionState.WAITING:
             self._last(b"BUSY %d\r\n" % (wait // 1000) if wait else b"BUSY\r\n", now)
@@ -272,14 +276,14 @@
         if self.stage is SessionState.WAITING:
             self._last(ERROR, now)
 
-    def move(self, now: int) -> None:
+    def migrate(self, now: int) -> None:
         """MOVE stands between two lines, since only whole lines are passed to a client."""
         if self.stage is SessionState.OPEN:
             self._last(b"MOVE\r\n", now)
 
-    def look(self, now: int) -> None:
+    def check_disconnected(self, now: int) -> None:
         """A client that has gone, behind bytes that are not read yet too, is one that leaves."""
-        if self.stage is SessionState.WAITING and self.link and self.link.left():
+        if self.stage is SessionState.WAITING and self.transport and self.transport.has_disconnected():
             self.taker.counters.count("clients_left_unread")
             self._leave(now)
 
@@ -287,8 +291,8 @@
 
     def pass_on(self, data: bytes) -> None:
         """Bytes from the upstream for the client."""
-        if self.link:
-            self.link.write(data)
+        if self.transport:
+            self.transport.write(data)
 
     def end(self, now: int) -> None:
         """The upstream has ended: so does this side."""
@@ -297,8 +301,8 @@
     def break_off(self) -> None:
         """The upstream broke off: so does this side."""
         self.stage = SessionState.ENDED
-        if self.link:
-            self.link.reset()
+        if self.transport:
+            self.transport.reset()
         self._forget()
 
     # endings
@@ -307,21 +311,21 @@
         # guards against a reset that overtakes the last line: a socket closed with unread bytes sends one,
         # so the client is given a moment to read and to close first
         self.stage, self.served, self.line = SessionState.ENDED, None, b""
-        if self.link:
+        if self.transport:
             self.taker.admission.ending(self)
             if line:
-                self.link.write(line)
-            self.link.finish()
-            self.link.hold(False)
+                self.transport.write(line)
+            self.transport.half_close()
+            self.transport.set_reading_paused(False)
         self.timer.set(now + LINGER, lambda _: self._close())
 
     def _close(self) -> None:
         self.stage = SessionState.ENDED
-        if self.link:
-            self.link.close()
+        if self.transport:
+            self.transport.close()
         self._forget()
 
     def _forget(self) -> None:
-        self.timer.stop()
-        self.link = self.served = None
+        self.timer.cancel()
+        self.transport = self.served = None
         self.taker.admission.gone(self)
--- a/limerudder/core/discovery/discovery_client.py
+++ b/limerudder/core/discovery/discovery_client.py
@@ -17,7 +17,7 @@
     """Who hears what discovery tells: the node."""
 
     network: Network
-    wheel: TimerWheel
+    timer_wheel: TimerWheel
     counters: Counters
 
     def endpoints_received(self, hosts: EndpointList, now: int) -> None:
@@ -87,7 +87,7 @@
         self.hearer.counters.count("discovery_calls")
         host, port = self.address
         call = DiscoveryCall(f"{host}:{port}", after, self._told, self._over, CallDeadline(self.pushed, now))
-        call.link = self.hearer.network.dial(self.address, call)
+        call.transport = self.hearer.network.dial(self.address, call)
         return call
 
     def _told(self, call: DiscoveryCall, hosts: EndpointList, now: int) -> None:
@@ -111,10 +111,10 @@
 
     def _check(self, now: int) -> None:
         """Give up the calls that are dead."""
-        self.hearer.wheel.at(now + CHECK_INTERVAL_US, self._check)
+        self.hearer.timer_wheel.schedule(now + CHECK_INTERVAL_US, self._check)
         for call in [*self.calls, *([self.watch] if self.watch else [])]:
             if call.clock.dead(now):
-                call.lost(now)
+                call.connection_lost(now)
         if self.again_at is not None and now >= self.again_at:
             self.again_at = None
             self.keep_watch(now)
--- a/limerudder/core/discovery/endpoint_list.py
+++ b/limerudder/core/discovery/endpoint_list.py
@@ -9,7 +9,7 @@
 import httptools
 
 from limerudder.core.discovery.json_stream import JsonObjectStream, JsonStreamError
-from limerudder.core.transport import Address, OutboundMachineBase, read_address
+from limerudder.core.transport import Address, OutboundMachineBase, parse_address
 from limerudder.policy.discovery_timing import CallDeadline
 from limerudder.policy.events import ServerState
 
@@ -53,7 +53,7 @@
 
 
 def _host(given: Any) -> Endpoint:
-    address = read_address(given["hostPort"])
+    address = parse_address(given["hostPort"])
     if address[1] == 0:
         raise ValueError("port 0")
     return Endpoint(
@@ -114,12 +114,12 @@
 
     # the connection
 
-    def opening(self, now: int) -> bytes:
+    def first_bytes(self, now: int) -> bytes:
         """The request."""
         query = f"?watch=1&after={self.after}" if self.watch else ""
         return f"GET {PATH}{query} HTTP/1.1\r\nHost: {self.host}\r\nAccept: application/json\r\n\r\n".encode()
 
-    def feed(self, data: bytes, now: int) -> None:
+    def data_received(self, data: bytes, now: int) -> None:
         """Parse; what cannot be read fails the call."""
         if self.done:
             return
@@ -135,19 +135,19 @@
         if self.complete:  # a watch that is complete is a watch that has ended
             self._end(self.watch, now)
 
-    def eof(self, now: int) -> None:
+    def eof_received(self, now: int) -> None:
         """The service has ended the answer."""
         self._end(True, now)
 
-    def lost(self, now: int) -> None:
+    def connection_lost(self, now: int) -> None:
         """The connection broke or never came up."""
         self._end(True, now)
 
     def close(self) -> None:
         """No longer wanted."""
         self.done = True
-        if self.link:
-            self.link.close()
+        if self.transport:
+            self.transport.close()
 
     def _end(self, failed: bool, now: int) -> None:
         if not self.done:
--- a/limerudder/core/invariants.py
+++ b/limerudder/core/invariants.py
@@ -47,9 +47,11 @@
     def dial(self, held: ProxiedConnection, upstream: Upstream, wait: int | None, now: int) -> None:
         """One attempt out at a time, and none beyond the limit."""
         last = self.attempts.get(held.number)
-        hold(held.attempt is None and (last is None or last.done), "two attempts of a request are out")
-        hold(not held.answered, "an attempt of a request that has its answer")
-        hold(held.sends <= self.node.settings.max_attempts, "more attempts than the settings allow")
+        hold(held.attempt is None and (last is None or last.ended), "two attempts of a request are out")
+        hold(not held.has_final_answer, "an attempt of a request that has its answer")
+        hold(
+            held.attempts_started <= self.node.settings.max_attempts, "more attempts than the settings allow"
+        )
         self._dial(held, upstream, wait, now)
         if held.attempt:
             self.attempts[held.number] = held.attempt
@@ -60,9 +62,12 @@
         if may:
             upstream = held.upstream
             hold(upstream is not None and upstream.state == ServerState.READY, "a send to a host that drains")
-            hold(not held.answered and held.number in self.node.requests, "a send for a client that has gone")
+            hold(
+                not held.has_final_answer and held.number in self.node.requests,
+                "a send for a client that has gone",
+            )
             risk = self.risks.get(held.number)
-            cls = self.node.settings.classes[held.told[1]]
+            cls = self.node.settings.classes[held.description[1]]
             if risk is not None and upstream is not None and cls.effect != "safe":
                 hold(cls.effect == "keyed", "an unsafe request that may have run is sent again")
                 hold(now <= risk[0] + cls.repeat_window, "a keyed request is sent again after its window")
@@ -76,26 +81,26 @@
     @staticmethod
     def place(upstream: Upstream, cls: TrafficClass) -> object:
         """Where repeats of this class are known."""
-        return getattr(upstream.host, cls.key_scope)
+        return getattr(upstream.endpoint, cls.key_scope)
 
     def ended(
         self, held: ProxiedConnection, ending: AttemptOutcome, report: tuple[float, ...], now: int
     ) -> None:
         """What may have run is remembered as the rules count it: from its send on."""
         attempt = self.attempts.get(held.number)
-        hold(attempt is None or attempt.done, "an attempt that has ended is still open")
+        hold(attempt is None or attempt.ended, "an attempt that has ended is still open")
         hold(
-            attempt is None or not attempt.out or ending != AttemptOutcome.CONNECT_FAILED,
+            attempt is None or not attempt.sent or ending != AttemptOutcome.CONNECT_FAILED,
             "written, and told as never run",
         )
-        if ending not in NOT_EXECUTED_OUTCOMES and held.upstream and not held.answered:
+        if ending not in NOT_EXECUTED_OUTCOMES and held.upstream and not held.has_final_answer:
             self.risks.setdefault(held.number, (held.sent, held.upstream))
         self._ended(held, ending, report, now)
 
     def final(self, held: ProxiedConnection, what: str, figure: str, now: int) -> None:
         """One final answer, and a refusal only where trying again is harmless."""
         self.answered(held)
-        cls = self.node.settings.classes[held.told[1]]
+        cls = self.node.settings.classes[held.description[1]]
         if what == "refused" and held.number in self.risks:
             harmless = cls.effect == "safe" or (cls.effect == "keyed" and cls.key_scope == "all")
             hold(harmless, "refused, though it may have run")
@@ -103,7 +108,7 @@
 
     def up(self, held: ProxiedConnection, now: int) -> None:
         """The upstream's answer is a final one."""
-        if not held.answered:
+        if not held.has_final_answer:
             self.answered(held)
         self._up(held, now)
 
@@ -117,9 +122,11 @@
         node, slack = self.node, self.node.settings.answer_slack_us + 2 * self.node.settings.tick
         at = Counter[int]()
         for held in node.requests.values():
-            hold(held.answered or now <= held.deadline + slack, "a request without its answer in time")
+            hold(
+                held.has_final_answer or now <= held.deadline + slack, "a request without its answer in time"
+            )
             if held.attempt and held.upstream:
-                hold(not held.attempt.done, "an attempt that is closed is taken for open")
+                hold(not held.attempt.ended, "an attempt that is closed is taken for open")
                 at[held.upstream.number] += 1
         hold(
             node.ids == {held.request.id for held in node.requests.values()},
--- a/limerudder/core/lifecycle/graceful_shutdown.py
+++ b/limerudder/core/lifecycle/graceful_shutdown.py
@@ -20,11 +20,11 @@
 class ShutdownTarget(Protocol):
     """The node, as far as a stop goes."""
 
-    wheel: TimerWheel
+    timer_wheel: TimerWheel
     admission: AdmissionControl
-    stopping: int
-    succeeded: bool
-    stopped: Callable[[], None]
+    shutdown_deadline_us: int
+    has_successor: bool
+    on_shutdown_complete: Callable[[], None]
 
     @property
     def requests(self) -> Mapping[int, Any]:
@@ -33,10 +33,10 @@
     def log(self, kind: str, text: str) -> None:
         """A line for whoever is on call."""
 
-    def move_away(self, held: Any, now: int) -> None:
+    def migrate_client(self, held: Any, now: int) -> None:
         """Send a client that stands away."""
 
-    def answer_failed(self, held: Any, now: int) -> None:
+    def fail_request(self, held: Any, now: int) -> None:
         """Give a request its final answer."""
 
 
@@ -45,35 +45,38 @@
 
     def __init__(self, node: ShutdownTarget, longest: int, now: int) -> None:
         self.node = node
-        node.stopping = now + min(longest, STOP_LEAST) + STOP_SPARE
+        node.shutdown_deadline_us = now + min(longest, STOP_LEAST) + STOP_SPARE
         node.log(
-            "stop", f"node: told to stop; moving {sum(h.up for h in node.requests.values())} connections"
+            "stop",
+            f"node: told to stop; moving {sum(h.is_established for h in node.requests.values())} connections",
         )
         # guards clients against a tier whose other nodes are down too: what stands loses nothing by staying,
         # and a node that was stopped before this one may be back by then
         # and where a successor takes them already, they come back to it in steps as small as time allows
-        late = max(now + MOVE_AFTER, node.stopping - MOVES_DONE - MOVES_TAKE)
-        node.wheel.at(now if node.succeeded else late, self._move_some)
+        late = max(now + MOVE_AFTER, node.shutdown_deadline_us - MOVES_DONE - MOVES_TAKE)
+        node.timer_wheel.schedule(now if node.has_successor else late, self._move_some)
 
     def _move_some(self, now: int) -> None:
         node = self.node
-        until = node.stopping - MOVES_DONE
-        standing = [held for held in node.requests.values() if held.up]
+        until = node.shutdown_deadline_us - MOVES_DONE
+        standing = [held for held in node.requests.values() if held.is_established]
         steps = max((until - now) // MOVE_STEP, 1)
         for held in standing[: -(-len(standing) // steps)]:
-            node.move_away(held, now)
+            node.migrate_client(held, now)
         if now >= until:
             # guards a line of a client that rests until the process ends: it would be read by nobody
             node.admission.evict_all(now)
-        if now >= node.stopping - LAST_ANSWERS:  # guards requests whose class may wait longer than this node
-            for held in [h for h in node.requests.values() if not h.answered]:
-                node.answer_failed(held, now)
+        if (
+            now >= node.shutdown_deadline_us - LAST_ANSWERS
+        ):  # guards requests whose class may wait longer than this node
+            for held in [h for h in node.requests.values() if not h.has_final_answer]:
+                node.fail_request(held, now)
         # guards the last MOVEs: a process that ends closes sockets whose clients have not read them
-        over = not node.requests and not node.admission.guests and (now >= until or node.succeeded)
-        if over or now >= node.stopping - STOP_SPARE // 4:
-            node.stopped()
+        over = not node.requests and not node.admission.guests and (now >= until or node.has_successor)
+        if over or now >= node.shutdown_deadline_us - STOP_SPARE // 4:
+            node.on_shutdown_complete()
         else:
             left = max(until - now, 0) // max(len(standing), 1)
             # guards the hosts, and the successor's sight of them, against all in its first moment
-            wait = max(MOVE_STEP, min(left, MOVE_PACE)) if node.succeeded else MOVE_STEP
-            node.wheel.at(now + wait, self._move_some)
+            wait = max(MOVE_STEP, min(left, MOVE_PACE)) if node.has_successor else MOVE_STEP
+            node.timer_wheel.schedule(now + wait, self._move_some)
--- a/limerudder/core/lifecycle/hot_restart.py
+++ b/limerudder/core/lifecycle/hot_restart.py
@@ -70,41 +70,41 @@
 class RestartableNode(Protocol):
     """The node, as far as being replaced goes."""
 
-    wheel: TimerWheel
-    stopping: int
-    succeeded: bool
-    reloaded: bool
-    hear_taken: list[Callable[[int], None]]
-    recall: DrainMemory | None
-
-    def relist(self, name: str, now: int) -> None:
+    timer_wheel: TimerWheel
+    shutdown_deadline_us: int
+    has_successor: bool
+    config_reloaded: bool
+    on_request_accepted: list[Callable[[int], None]]
+    drain_memory: DrainMemory | None
+
+    def refresh_endpoint(self, name: str, now: int) -> None:
         """Tell the module of a host anew."""
 
     def log(self, kind: str, text: str) -> None:
         """A line for whoever is on call."""
 
-    def listed(self) -> EndpointList:
+    def endpoint_list(self) -> EndpointList:
         """Discovery's list as it stands here."""
 
-    def ids_lately(self) -> list[int]:
+    def recent_request_ids(self) -> list[int]:
         """The ids of the requests that are here, or were a moment ago."""
 
-    def taken_elsewhere(self, request: int) -> None:
+    def record_request_of_other_process(self, request: int) -> None:
         """Another process has this request."""
 
-    def returned(self) -> dict[str, int]:
+    def return_to_service_times(self) -> dict[str, int]:
         """When staff put hosts back."""
 
-    def returned_elsewhere(self, returned: dict[str, int], now: int) -> None:
+    def apply_return_to_service_times(self, returned: dict[str, int], now: int) -> None:
         """When they did so at the process before this one."""
 
-    def holds(self) -> ProcessUsage:
+    def resource_usage(self) -> ProcessUsage:
         """What this process holds."""
 
-    def held_elsewhere(self, holds: ProcessUsage, now: int) -> None:
+    def set_other_process_usage(self, holds: ProcessUsage, now: int) -> None:
         """What another process of this node holds."""
 
-    def informed(self) -> bool:
+    def is_ready_to_serve(self) -> bool:
         """Discovery has told its list, and no first probe is out."""
 
 
@@ -112,18 +112,18 @@
     """A connection between the two processes, as either's side: whole lines in, lines out."""
 
     def __init__(self) -> None:
-        self.link: Transport | None = None
+        self.transport: Transport | None = None
         self.rest = b""
 
-    def connected(self, link: Transport, now: int) -> None:
+    def connection_made(self, link: Transport, now: int) -> None:
         """It stands."""
-        self.link = link
+        self.transport = link
 
-    def feed(self, data: bytes, now: int) -> None:
+    def data_received(self, data: bytes, now: int) -> None:
         """Lines, in any pieces."""
         *lines, self.rest = (self.rest + data).split(b"\n")
         if len(self.rest) > MOST:
-            return self.lost(now)
+            return self.connection_lost(now)
         for line in lines:
             word, _, value = line.decode("ascii", "replace").partition(" ")
             self.heard(word, value, now)
@@ -133,20 +133,20 @@
 
     def say(self, text: str) -> None:
         """Send a line."""
-        if self.link:
-            self.link.write(text.encode() + b"\n")
+        if self.transport:
+            self.transport.write(text.encode() + b"\n")
 
-    def eof(self, now: int) -> None:
+    def eof_received(self, now: int) -> None:
         """The other process ends it."""
-        self.lost(now)
+        self.connection_lost(now)
 
-    def lost(self, now: int) -> None:
+    def connection_lost(self, now: int) -> None:
         """The other process is gone."""
-        if self.link:
-            self.link.close()
-            self.link = None
+        if self.transport:
+            self.transport.close()
+            self.transport = None
 
-    def crowded(self, on: bool) -> None:
+    def set_writing_paused(self, on: bool) -> None:
         """Few and short lines."""
 
 
@@ -160,17 +160,17 @@
         self.asking: list[SuccessorConnection] = []  # all that have connected, the successor among them
         self.successor: SuccessorConnection | None = None
         self.told = ProcessUsage()
-        node.hear_taken.append(lambda number: self.tell(f"taken {number:016x}"))
+        node.on_request_accepted.append(lambda number: self.tell(f"taken {number:016x}"))
 
     def hello(self) -> bytes:
         """The first line to whoever asks."""
         given: dict[str, Any] = {
-            "hosts": format_endpoints(self.node.listed()),
-            "ids": [f"{one:016x}" for one in self.node.ids_lately()],
-            "holds": self.node.holds()._asdict(),
-            "returned": self.node.returned(),
-            "reloaded": self.node.reloaded,
-            "drained": self.node.recall.drained() if self.node.recall else {},
+            "hosts": format_endpoints(self.node.endpoint_list()),
+            "ids": [f"{one:016x}" for one in self.node.recent_request_ids()],
+            "holds": self.node.resource_usage()._asdict(),
+            "returned": self.node.return_to_service_times(),
+            "reloaded": self.node.config_reloaded,
+            "drained": self.node.drain_memory.drained() if self.node.drain_memory else {},
         }
         return json.dumps(given).encode() + b"\n"
 
@@ -182,7 +182,7 @@
     def serves(self, asker: SuccessorConnection, now: int) -> None:
         """It takes clients from now on: this process takes no more, and serves all it has."""
         if self.successor is None:
-            self.successor, self.node.succeeded = asker, True
+            self.successor, self.node.has_successor = asker, True
             self.node.log("handover", "node: another process takes the clients from now on")
             self.shut()
             self._count(now)
@@ -192,14 +192,14 @@
         if asker in self.asking:
             self.asking.remove(asker)
         if asker is self.successor:
-            self.successor, self.node.succeeded = None, False
+            self.successor, self.node.has_successor = None, False
             self.node.log("handover", "node: the other process has ended; this one takes clients again")
             self.open_again()
 
     def _count(self, now: int) -> None:
         if self.successor:
-            self.node.wheel.at(now + TOLD, self._count)
-            holds = self.node.holds()
+            self.node.timer_wheel.schedule(now + TOLD, self._count)
+            holds = self.node.resource_usage()
             if holds != self.told:
                 self.told = holds
                 self.successor.say(f"holds {json.dumps(holds._asdict())}")
@@ -212,12 +212,12 @@
         super().__init__()
         self.elder = elder
 
-    def connected(self, link: Transport, now: int) -> None:
+    def connection_made(self, link: Transport, now: int) -> None:
         """It has its hello."""
-        super().connected(link, now)
+        super().connection_made(link, now)
         self.elder.asking.append(self)
         self.elder.node.log("handover", "node: another process has asked to take over")
-        if self.elder.node.stopping:
+        if self.elder.node.shutdown_deadline_us:
             self.say("stopping")
 
     def heard(self, word: str, value: str, now: int) -> None:
@@ -225,9 +225,9 @@
         if word == "serving":
             self.elder.serves(self, now)
 
-    def lost(self, now: int) -> None:
+    def connection_lost(self, now: int) -> None:
         """It has ended, or broken off."""
-        super().lost(now)
+        super().connection_lost(now)
         self.elder.gone(self, now)
 
 
@@ -245,17 +245,17 @@
         super().__init__()
         self.node, self.ready, self.over, self.started = node, ready, over, now
         self.called = False
-        self.node.held_elsewhere(hello.holds, now)
-        self.node.returned_elsewhere(hello.returned, now)
+        self.node.set_other_process_usage(hello.holds, now)
+        self.node.apply_return_to_service_times(hello.returned, now)
         for request in hello.ids:
-            self.node.taken_elsewhere(request)
-        node.wheel.at(now + LOOK, self._look)
+            self.node.record_request_of_other_process(request)
+        node.timer_wheel.schedule(now + LOOK, self._look)
 
     def _look(self, now: int) -> None:
         # guards clients against a process that knows too little yet: the old one serves them meanwhile
         if not self.called:
-            self.node.wheel.at(now + LOOK, self._look)
-            if self.node.informed() or now >= self.started + READY_MOST:
+            self.node.timer_wheel.schedule(now + LOOK, self._look)
+            if self.node.is_ready_to_serve() or now >= self.started + READY_MOST:
                 self._call()
 
     def _call(self) -> None:
@@ -267,21 +267,21 @@
         """The old process's words."""
         try:
             if word == "holds":
-                self.node.held_elsewhere(parse_usage(json.loads(value)), now)
+                self.node.set_other_process_usage(parse_usage(json.loads(value)), now)
             elif word == "taken":
-                self.node.taken_elsewhere(int(value, 16))
-            elif word == "drained" and isinstance(self.node.recall, InheritedDrains):
+                self.node.record_request_of_other_process(int(value, 16))
+            elif word == "drained" and isinstance(self.node.drain_memory, InheritedDrains):
                 start, _, name = value.partition(" ")
-                self.node.recall.told(name, int(start))
-                self.node.relist(name, now)
+                self.node.drain_memory.told(name, int(start))
+                self.node.refresh_endpoint(name, now)
             elif word == "stopping":
                 self._call()
         except (KeyError, TypeError, ValueError, AttributeError):  # guards against another build's words
             return
 
-    def lost(self, now: int) -> None:
+    def connection_lost(self, now: int) -> None:
         """The old process has ended: what it held is free, and nobody else takes clients."""
-        super().lost(now)
-        self.node.held_elsewhere(ProcessUsage(), now)
+        super().connection_lost(now)
+        self.node.set_other_process_usage(ProcessUsage(), now)
         self._call()
         self.over()
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -12,15 +12,14 @@
 from functools import partial
 from random import Random
 from typing import Any
-from zlib import crc32
 
-from limerudder.config import NodeConfig
 from limerudder.core.client.admission import AdmissionControl
 from limerudder.core.discovery.discovery_client import DiscoveryClient
 from limerudder.core.discovery.drain_memory import DrainMemory
 from limerudder.core.discovery.endpoint_list import Endpoint, EndpointList
 from limerudder.core.lifecycle.graceful_shutdown import GracefulShutdown
 from limerudder.core.lifecycle.hot_restart import ProcessUsage
+from limerudder.core.node_config import NodeConfig
 from limerudder.core.operations.counters import Counters
 from limerudder.core.operations.maintenance import InMemoryMarks, Maintenance, MaintenanceMarks
 from limerudder.core.operations.metrics import RequestMetrics
@@ -29,8 +28,9 @@
 from limerudder.core.timer_wheel import Timer, TimerWheel
 from limerudder.core.transport import Network
 from limerudder.core.upstream.health_check import HealthCheckConnection
-from limerudder.core.upstream.liveness import LOOK, LOOKS, LivenessMonitor
+from limerudder.core.upstream.liveness import CHECK_INTERVAL_US, MIGRATION_STEPS, LivenessMonitor
 from limerudder.core.upstream.load_report import MALFORMED_REPORT, is_malformed
+from limerudder.core.upstream.registry import Upstream, UpstreamRegistry
 from limerudder.policy import Balancer
 from limerudder.policy.actions import (
     CancelAttempt,
@@ -80,21 +80,6 @@
 Log = Callable[[str, str], None]  #: kind of line, text
 
 
-class Upstream:
-    """A host, as the node reaches it."""
-
-    def __init__(self, number: int, name: str) -> None:
-        self.number, self.name = number, name
-        self.host: Endpoint | None = None  # as discovery last listed it
-        self.address = ("", 0)
-        self.state: ServerState = ServerState.GONE
-        self.probe: HealthCheckConnection | None = None
-        self.silence, self.heard = LivenessMonitor(), 0  # heard: when a probe was last answered
-        self.slow, self.noted = False, -SECOND  # whether the module holds it slow, and since when
-        self.back_at = 0  # when staff last put it back
-        self.returning = False  # put back, and not listed as ready since
-
-
 class ProxiedConnection:
     """A request from its first line to the end of its connection; hears from its session and its attempt."""
 
@@ -102,17 +87,17 @@
         self, node: Node, session: ClientSession, request: ConnectRequest, told: Told, deadline: int
     ) -> None:
         self.node, self.session, self.request, self.deadline = node, session, request, deadline
-        self.told, self.number = told, told[0]
-        self.sends = self.sent = 0
+        self.description, self.number = told, told[0]
+        self.attempts_started = self.sent = 0
         self.attempt: Attempt | None = None
         self.upstream: Upstream | None = None
-        self.answered = self.up = False
+        self.has_final_answer = self.is_established = False
         self.timers: list[Timer] = []  # of the attempt that is out
         self.overdue: Timer | None = None
 
     def settle(self) -> None:
         """No answer is owed any more."""
-        self.answered = True
+        self.has_final_answer = True
         if self.overdue:
             self.overdue.cancel()
 
@@ -126,7 +111,7 @@
 
     def attempt_sent(self) -> None:
         """The attempt's first line is out."""
-        self.node.figures.relayed += 1
+        self.node.metrics.relayed += 1
 
     def attempt_established(self, now: int) -> None:
         """The upstream has taken the connection."""
@@ -155,36 +140,37 @@
         log: Log,
         now: int,
         marks: MaintenanceMarks | None = None,
-        recall: DrainMemory | None = None,
+        drain_memory: DrainMemory | None = None,
     ) -> None:
         self.config, self.settings, self.network, self.log = config, config.settings, network, log
-        self.wheel, self.counters = TimerWheel(self.settings.tick, now), Counters()
-        self.figures = RequestMetrics(config.names.classes)
+        self.timer_wheel, self.counters = TimerWheel(self.settings.tick, now), Counters()
+        self.metrics = RequestMetrics(config.names.classes)
         self.balancer: ConnectionPolicy = Balancer(self.settings, Random(config.seed))
         self.report_fields = self.settings.report_fields if self.settings.report_via != "none" else ()
         spare = min(SPARE_SOCKETS, max(config.sockets // 4, min(OWN_SOCKETS, config.sockets // 2)))
         self.classes = {name: number for number, name in enumerate(config.names.classes)}
         self.tenants = {name: number for number, name in enumerate(config.names.tenants)}
-        self.peering = Peering(self.counters, network, self.balancer, self.give, log, self.settings.peers)
+        self.peering = Peering(self.counters, network, self.balancer, self.dispatch, log, self.settings.peers)
         self.requests: dict[int, ProxiedConnection] = {}
         self.ids: set[int] = set()  # of these requests, as their clients named them
         self.past: dict[int, None] = {}  # of the last that ended, oldest first
         self.admission = AdmissionControl(config.sockets, spare, self.requests)
         self.next_request = 1
-        self.upstreams: dict[int, Upstream] = {}
-        self.numbers: dict[str, int] = {}
+        self.upstreams = UpstreamRegistry()
         self.maintenance = Maintenance(marks or InMemoryMarks(), self)
-        self.recall = recall  # drains that outlive a list, where there is a store
+        self.drain_memory = drain_memory  # drains that outlive a list, where there is a store
         pushed = self.settings.discovery == "pushed"
         self.discovery = DiscoveryClient(config.discovery, config.known.version, pushed, self, now)
         self.events: deque[Event] = deque()
         self.giving = False
-        self.stopping = 0  # when SIGKILL comes at the earliest
-        self.elsewhere = set[str]()  # upstreams where another process of this node holds connections
-        self.reloaded = False  # discovery is asked where the file says, whatever the environment does
-        self.succeeded = False  # another process takes this node's clients
-        self.hear_taken: list[Callable[[int], None]] = []  # hear the id of each request
-        self.stopped: Callable[[], None] = lambda: None
+        self.shutdown_deadline_us = 0  # when SIGKILL comes at the earliest
+        self._other_process_upstreams = set[
+            str
+        ]()  # upstreams where another process of this node holds connections
+        self.config_reloaded = False  # discovery is asked where the file says, whatever the environment does
+        self.has_successor = False  # another process takes this node's clients
+        self.on_request_accepted: list[Callable[[int], None]] = []  # hear the id of each request
+        self.on_shutdown_complete: Callable[[], None] = lambda: None
         aims = [c.message_objective_us for c in self.settings.classes if c.message_objective_us]
         self.long = min(aims, default=0) // 3  # a message that takes longer is told to the module
         self._list(config.known, UpdateKind.CACHED, now)
@@ -194,7 +180,7 @@
 
     # the module
 
-    def give(self, event: Event, now: int) -> None:
+    def dispatch(self, event: Event, now: int) -> None:
         """Hand an event to the module and carry out what it decides, in order."""
         self.events.append(event)
         if self.giving:
@@ -219,22 +205,22 @@
         text = f"{type(exc).__name__}: {exc} in {where.name} line {where.lineno}"
         self.log(f"fault {where.name}", f"module: {text}")
         if isinstance(event, TimerFired):  # its next one would have been set by the call that failed
-            self.wheel.at(now + SECOND, lambda at: self.give(event, at))
+            self.timer_wheel.schedule(now + SECOND, lambda at: self.dispatch(event, at))
         held = self.requests.get(getattr(event, "id", 0))
-        if held and not held.answered:
-            self.answer_failed(held, now)
-            self.give(ClientDisconnected(held.number), now)  # so that the module does not keep it
+        if held and not held.has_final_answer:
+            self.fail_request(held, now)
+            self.dispatch(ClientDisconnected(held.number), now)  # so that the module does not keep it
 
     def _fail(self, action: FailRequest, now: int) -> None:
-        if (held := self.requests.get(action.id)) and not held.answered:
-            self.answer_failed(held, now)
+        if (held := self.requests.get(action.id)) and not held.has_final_answer:
+            self.fail_request(held, now)
 
     def _refuse(self, action: RejectRequest, now: int) -> None:
-        if (held := self.requests.get(action.id)) and not held.answered:
+        if (held := self.requests.get(action.id)) and not held.has_final_answer:
             self._final(held, "refused", "throttled", now)
-            held.session.refuse(min(action.retry_after, self.settings.max_retry_after_us), now)
+            held.session.reject(min(action.retry_after, self.settings.max_retry_after_us), now)
 
-    def answer_failed(self, held: ProxiedConnection, now: int) -> None:
+    def fail_request(self, held: ProxiedConnection, now: int) -> None:
         """Give a request its final answer: it has failed."""
         self._final(held, "failed", "faulted", now)
         held.session.fail(now)
@@ -242,7 +228,7 @@
     def _final(self, held: ProxiedConnection, what: str, figure: str, now: int) -> None:
         """The request has its final answer, which is not an upstream's."""
         self.counters.count(f"answers_{what}")
-        self.figures.count(figure, held.told[1])
+        self.metrics.count(figure, held.description[1])
         held.settle()
         if held.attempt:
             self._give_up(held, AttemptOutcome.CANCELLED, now)
@@ -253,32 +239,32 @@
         """Nothing of the request is out any more."""
         if self.requests.pop(held.number, None):
             self.ids.discard(held.request.id)
-            self.taken_elsewhere(held.request.id)
+            self.record_request_of_other_process(held.request.id)
 
-    def taken_elsewhere(self, request: int) -> None:
+    def record_request_of_other_process(self, request: int) -> None:
         """A request of this id ended here, or is at another process of this node: it is rejected for now."""
         self.past[request] = None
         if len(self.past) > PAST:
             del self.past[next(iter(self.past))]
 
     def _send(self, action: StartAttempt, now: int) -> None:
-        held, upstream = self.requests.get(action.id), self.upstreams.get(action.server)
+        held, upstream = self.requests.get(action.id), self.upstreams.by_number.get(action.server)
         if held is None:
             return
-        attempt_number, held.sends = held.sends, held.sends + 1
+        attempt_number, held.attempts_started = held.attempts_started, held.attempts_started + 1
         left = held.deadline - now
         wait = min(action.timeout, left) if action.timeout else left
         # guards the rules whatever the module says: no second copy, nothing late, no host that drains
         may = (
-            not held.answered
+            not held.has_final_answer
             and held.attempt is None
             and attempt_number < self.settings.max_attempts
             and wait > 0
         )
         if not may or upstream is None or upstream.state != ServerState.READY:
             self.counters.count("attempts_moot")
-            answered = int(held.answered)
-            self.give(
+            answered = int(held.has_final_answer)
+            self.dispatch(
                 AttemptEnded(
                     held.number, attempt_number, action.server, AttemptOutcome.OBSOLETE, 0, answered, ()
                 ),
@@ -291,35 +277,35 @@
         self.counters.count("attempts")
         attempt = held.session.new_attempt(held, wait)
         held.attempt, held.upstream, held.sent = attempt, upstream, now
-        attempt.link = self.network.dial(upstream.address, attempt)
+        attempt.transport = self.network.dial(upstream.address, attempt)
         dial = self.settings.connect_timeout_us or AT_WAIT
-        held.timers = [self.wheel.at(now + dial, lambda at: self._dial_over(held, at))]
+        held.timers = [self.timer_wheel.schedule(now + dial, lambda at: self._dial_over(held, at))]
         if wait is not None:
-            held.timers.append(self.wheel.at(now + wait, lambda at: self._wait_over(held, at)))
+            held.timers.append(self.timer_wheel.schedule(now + wait, lambda at: self._wait_over(held, at)))
 
     def _dial_over(self, held: ProxiedConnection, now: int) -> None:
-        if held.attempt and not held.attempt.out:
+        if held.attempt and not held.attempt.sent:
             self._give_up(held, AttemptOutcome.CONNECT_FAILED, now)
 
     def _wait_over(self, held: ProxiedConnection, now: int) -> None:
-        if held.attempt and not held.up:
+        if held.attempt and not held.is_established:
             self._give_up(
-                held, AttemptOutcome.TIMEOUT if held.attempt.out else AttemptOutcome.CONNECT_FAILED, now
+                held, AttemptOutcome.TIMEOUT if held.attempt.sent else AttemptOutcome.CONNECT_FAILED, now
             )
 
     def _cancel(self, action: CancelAttempt, now: int) -> None:
         held = self.requests.get(action.id)
-        if held and held.attempt and not held.up and action.attempt == held.sends - 1:
+        if held and held.attempt and not held.is_established and action.attempt == held.attempts_started - 1:
             self._give_up(held, AttemptOutcome.CANCELLED, now)
 
     def _move(self, action: MigrateClient, now: int) -> None:
-        if (held := self.requests.get(action.id)) and held.up:
-            self.move_away(held, now)
+        if (held := self.requests.get(action.id)) and held.is_established:
+            self.migrate_client(held, now)
 
-    def move_away(self, held: ProxiedConnection, now: int) -> None:
+    def migrate_client(self, held: ProxiedConnection, now: int) -> None:
         """Send a client that stands away."""
         self.counters.count("moves")
-        held.session.move(now)
+        held.session.migrate(now)
         self._give_up(held, AttemptOutcome.CANCELLED, now)
 
     def _give_up(self, held: ProxiedConnection, ending: AttemptOutcome, now: int) -> None:
@@ -329,30 +315,30 @@
             self.ended(held, ending, (), now)
 
     def _set_timer(self, action: SetTimer, now: int) -> None:
-        self.wheel.at(action.at, lambda at: self.give(TimerFired(action.token), at))
+        self.timer_wheel.schedule(action.at, lambda at: self.dispatch(TimerFired(action.token), at))
 
     def _log(self, action: LogMessage | PolicyError, now: int) -> None:
         self.log("module", f"module: {action.text}")
 
     def _tell(self, action: SendPeerMessage, now: int) -> None:
-        self.peering.tell(action)
+        self.peering.send(action)
 
     # probes
 
     def _probe(self, action: CheckHealth, now: int) -> None:
-        upstream = self.upstreams.get(action.server)
+        upstream = self.upstreams.by_number.get(action.server)
         if upstream is None or not self.settings.probes:
             return
         self.counters.count("probes")
-        if upstream.probe is None or upstream.probe.done:
-            probe = upstream.probe = HealthCheckConnection(
+        if upstream.health_check is None or upstream.health_check.ended:
+            probe = upstream.health_check = HealthCheckConnection(
                 self.report_fields, partial(self._probed, upstream.number)
             )
-            probe.ask(now)
-            probe.link = self.network.dial(upstream.address, probe)
+            probe.send_check(now)
+            probe.transport = self.network.dial(upstream.address, probe)
         else:
-            upstream.probe.ask(now)
-        self.wheel.at(now + PROBE_WAIT, partial(upstream.probe.overdue, now))
+            upstream.health_check.send_check(now)
+        self.timer_wheel.schedule(now + PROBE_WAIT, partial(upstream.health_check.expire_pending, now))
 
     def _probed(
         self, number: int, latency: int, ending: AttemptOutcome, report: tuple[float, ...], now: int
@@ -360,15 +346,15 @@
         self.counters.count(f"probes_{ending.name.lower()}")
         if is_malformed(report):
             self.counters.count("reports_spoilt")
-            self.log("report", MALFORMED_REPORT.format(self.upstreams[number].name))
+            self.log("report", MALFORMED_REPORT.format(self.upstreams.by_number[number].name))
         if ending in (AttemptOutcome.OK, AttemptOutcome.ERROR, AttemptOutcome.FULL):
-            self.upstreams[number].heard = now
-        self.give(HealthCheckResult(number, latency, ending, report), now)
+            self.upstreams.by_number[number].last_health_check_answer_us = now
+        self.dispatch(HealthCheckResult(number, latency, ending, report), now)
 
     def _close_idle(self, action: CloseIdleConnections, now: int) -> None:
-        upstream = self.upstreams.get(action.server)
-        if upstream and upstream.probe and not upstream.probe.asked:
-            upstream.probe.close()
+        upstream = self.upstreams.by_number.get(action.server)
+        if upstream and upstream.health_check and not upstream.health_check.pending_since_us:
+            upstream.health_check.close()
 
     # discovery
 
@@ -387,43 +373,48 @@
 
     def endpoints_unchanged(self, version: int, now: int) -> None:
         """The module has asked again, and nothing was missed."""
-        self.give(EndpointUpdate(UpdateKind.DELTA, version, ()), now)
+        self.dispatch(EndpointUpdate(UpdateKind.DELTA, version, ()), now)
 
     def endpoints_failed(self, version: int, now: int) -> None:
         """A call failed or the watch ended."""
         self.log("director", "director: a call failed or the watch ended; it is asked anew within a second")
-        self.give(EndpointUpdate(UpdateKind.FAILED, version, ()), now)
+        self.dispatch(EndpointUpdate(UpdateKind.FAILED, version, ()), now)
 
     def _list(self, hosts: EndpointList, kind: UpdateKind, now: int) -> None:
         self.counters["lists"] += kind != UpdateKind.OPERATOR
         entries = [self._entry(host) for host in hosts.hosts]
         if kind in (UpdateKind.FULL, UpdateKind.CACHED):
             named = {entry.server for entry in entries}
-            for upstream in self.upstreams.values():
+            for upstream in self.upstreams.by_number.values():
                 if upstream.number not in named:
                     upstream.state = ServerState.GONE
         # before discovery's word, which then changes nothing there
-        returned = [e for e in entries if e.state == ServerState.READY and self.upstreams[e.server].returning]
+        returned = [
+            e
+            for e in entries
+            if e.state == ServerState.READY
+            and self.upstreams.by_number[e.server].awaiting_listing_after_return
+        ]
         for entry in returned:
-            self.upstreams[entry.server].returning = False
+            self.upstreams.by_number[entry.server].awaiting_listing_after_return = False
             if kind != UpdateKind.OPERATOR:
-                self.give(EndpointUpdate(UpdateKind.OPERATOR, hosts.version, [entry]), now)
-        self.give(EndpointUpdate(kind, hosts.version, entries), now)
+                self.dispatch(EndpointUpdate(UpdateKind.OPERATOR, hosts.version, [entry]), now)
+        self.dispatch(EndpointUpdate(kind, hosts.version, entries), now)
         if self.settings.probes:
-            self.admission.hosts = sum(b.state != ServerState.GONE for b in self.upstreams.values())
-        dialled = [h for h in self.requests.values() if h.attempt and not h.attempt.out]
+            self.admission.hosts = sum(b.state != ServerState.GONE for b in self.upstreams.by_number.values())
+        dialled = [h for h in self.requests.values() if h.attempt and not h.attempt.sent]
         for held in dialled:
             # guards against a line written after the grace by a dial begun before it
             if held.upstream and held.upstream.state != ServerState.READY:
                 self._give_up(held, AttemptOutcome.CONNECT_FAILED, now)
-        for upstream in self.upstreams.values():
-            if upstream.state != ServerState.READY and upstream.probe:
-                upstream.probe.close()
+        for upstream in self.upstreams.by_number.values():
+            if upstream.state != ServerState.READY and upstream.health_check:
+                upstream.health_check.close()
 
     def _entry(self, host: Endpoint) -> ServerEntry:
-        upstream = self.upstream(host.name)
-        upstream.host, upstream.address, upstream.state = host, host.address, host.state
-        out = self.recall.out(host) if self.recall else False
+        upstream = self.upstreams.get_or_create(host.name)
+        upstream.endpoint, upstream.address, upstream.state = host, host.address, host.state
+        out = self.drain_memory.out(host) if self.drain_memory else False
         if host.state == ServerState.READY and (out or host.name in self.maintenance.held):
             upstream.state = (
                 ServerState.DRAINING
@@ -432,52 +423,47 @@
         zone = names.zones.index(host.zone) if host.zone in names.zones else len(names.zones)
         kind = names.kinds.index(host.kind) if host.kind in names.kinds else len(names.kinds)
         # guards a host that comes back cold before discovery tells of its new start
-        since = max(host.started_ms * 1000, upstream.back_at)
+        since = max(host.started_ms * 1000, upstream.returned_to_service_us)
         return ServerEntry(upstream.number, zone, kind, host.cell, upstream.state, host.weight, since)
 
-    def upstream(self, name: str) -> Upstream:
-        """The upstream of this name; its number is the same at every node, so that rings agree."""
-        number = self.numbers.get(name)
-        if number is None:
-            number = crc32(name.encode())
-            while number in self.upstreams:
-                number = (number + 1) % (1 << 32)
-            self.numbers[name] = number
-            self.upstreams[number] = Upstream(number, name)
-        return self.upstreams[number]
-
     # maintenance
 
-    def lists(self, name: str) -> bool:
+    def is_listed(self, name: str) -> bool:
         """Whether discovery lists this host."""
-        return name in self.numbers and self.upstreams[self.numbers[name]].state != ServerState.GONE
+        return name in self.upstreams.by_name and self.upstreams.by_name[name].state != ServerState.GONE
 
     def take_out(self, name: str, now: int) -> None:
         """Staff hold this host."""
         self.counters.count("hosts_taken_out")
         self.log("hand", f"node: host {name} is taken out by hand")
-        self.relist(name, now, UpdateKind.OPERATOR)
+        self.refresh_endpoint(name, now, UpdateKind.OPERATOR)
 
     def put_back(self, name: str, now: int) -> None:
         """Staff hold it no more: it may have been restarted, and nothing known of it holds."""
         self.counters.count("hosts_put_back")
         self.log("hand", f"node: host {name} is put back by hand")
-        if name in self.numbers:
-            upstream = self.upstreams[self.numbers[name]]
-            upstream.back_at, upstream.returning = now, True
-            upstream.silence, upstream.heard, upstream.slow = LivenessMonitor(), now, False
-        self.relist(name, now, UpdateKind.OPERATOR)
+        if name in self.upstreams.by_name:
+            upstream = self.upstreams.by_name[name]
+            upstream.returned_to_service_us, upstream.awaiting_listing_after_return = now, True
+            upstream.liveness, upstream.last_health_check_answer_us, upstream.is_slow = (
+                LivenessMonitor(),
+                now,
+                False,
+            )
+        self.refresh_endpoint(name, now, UpdateKind.OPERATOR)
 
-    def relist(self, name: str, now: int, kind: UpdateKind = UpdateKind.DELTA) -> None:
+    def refresh_endpoint(self, name: str, now: int, kind: UpdateKind = UpdateKind.DELTA) -> None:
         """Tell the module of a host anew: what is known of it has changed."""
-        if self.lists(name) and (host := self.upstreams[self.numbers[name]].host):
+        if self.is_listed(name) and (host := self.upstreams.by_name[name].endpoint):
             self._list(EndpointList(self.discovery.version, False, (host,)), kind, now)
 
     # requests
 
-    def take(self, session: ClientSession, request: ConnectRequest, now: int) -> ProxiedConnection | None:
+    def accept_request(
+        self, session: ClientSession, request: ConnectRequest, now: int
+    ) -> ProxiedConnection | None:
         """Take a request; None where its names are unknown or its id is in use here, or was lately."""
-        cls = self.classes.get(request.cls)
+        cls = self.classes.get(request.class_name)
         if cls is None or (request.tenant and self.tenants and request.tenant not in self.tenants):
             self.counters.count("requests_of_unknown_names")
             return None
@@ -487,76 +473,82 @@
             return None
         self.counters.count("requests")
         number, self.next_request = self.next_request, self.next_request + 1
-        left = self.settings.classes[cls].deadline if request.time_left is None else request.time_left
+        left = self.settings.classes[cls].deadline if request.time_left_us is None else request.time_left_us
         tenant = self.tenants.get(request.tenant, len(self.tenants))
-        flags = (request.hint is not None) + 2 * request.retry + FLAG_RECONNECT * request.came_back
+        flags = (request.hint is not None) + 2 * request.is_retry + FLAG_RECONNECT * request.is_reconnect
         told = (number, cls, tenant, request.key, left, request.hint or 0, request.group, flags)
         held = ProxiedConnection(self, session, request, told, now + left)
-        turned_away = self.stopping and not self.succeeded
+        turned_away = self.shutdown_deadline_us and not self.has_successor
         if turned_away or 2 * len(self.requests) + 2 > self.admission.room:
             self.counters.count("answers_refused")
-            self.figures.count("throttled", cls)
-            held.answered = True
-            session.refuse(0, now)
+            self.metrics.count("throttled", cls)
+            held.has_final_answer = True
+            session.reject(0, now)
             return held
         self.requests[number] = held
         self.ids.add(request.id)
-        for hear in self.hear_taken:
+        for hear in self.on_request_accepted:
             hear(request.id)
         self.admission.make_room(now)  # for its attempt
-        if request.at is not None:
+        if request.pinned_upstream is not None:
             self.counters.count("requests_of_before")
             held.deadline = now + AT_WAIT
-            self._reopen(held, request.at, now)
+            self._reopen(held, request.pinned_upstream, now)
         else:
             last = held.deadline + self.settings.answer_slack_us
-            held.overdue = self.wheel.at(last, partial(self._overdue, held))
-            self.give(NewRequest(*held.told), now)
+            held.overdue = self.timer_wheel.schedule(last, partial(self._overdue, held))
+            self.dispatch(NewRequest(*held.description), now)
         return held
 
     def _reopen(self, held: ProxiedConnection, at: str, now: int) -> None:
         """Join a connection of before the start to its upstream."""
-        if held.answered or held.attempt:
+        if held.has_final_answer or held.attempt:
             return
-        upstream = self.upstreams.get(self.numbers.get(at, -1))  # a name of no list makes no upstream
-        if upstream and not held.sends:
-            held.sends, held.upstream = 1, upstream
-            self.give(ExistingConnection(*held.told, upstream.number), now)
-        if upstream and upstream.state == ServerState.READY and not self.stopping:
+        upstream = self.upstreams.by_name.get(at)  # a name of no list makes no upstream
+        if upstream and not held.attempts_started:
+            held.attempts_started, held.upstream = 1, upstream
+            self.dispatch(ExistingConnection(*held.description, upstream.number), now)
+        if upstream and upstream.state == ServerState.READY and not self.shutdown_deadline_us:
             self._dial(held, upstream, None, now)
         else:
             self._reopen_later(held, AttemptOutcome.CONNECT_FAILED, now)
 
     def _reopen_later(self, held: ProxiedConnection, ending: AttemptOutcome, now: int) -> None:
-        if now + AT_AGAIN < held.deadline and not self.stopping and held.request.at is not None:
-            self.wheel.at(now + AT_AGAIN, partial(self._reopen, held, held.request.at))
+        if (
+            now + AT_AGAIN < held.deadline
+            and not self.shutdown_deadline_us
+            and held.request.pinned_upstream is not None
+        ):
+            self.timer_wheel.schedule(
+                now + AT_AGAIN, partial(self._reopen, held, held.request.pinned_upstream)
+            )
             return
-        self.answer_failed(held, now)
+        self.fail_request(held, now)
         self._outcome(held, ending, (), now)
 
     def _overdue(self, held: ProxiedConnection, now: int) -> None:
         # guards the client against a module that never answers: the rule's time is nearly up
-        if not held.answered:
+        if not held.has_final_answer:
             self.counters.count("requests_overdue")
             self.log("overdue", "node: the module left a request without its answer; it is answered failed")
-            self.answer_failed(held, now)
-            self.give(ClientDisconnected(held.number), now)
+            self.fail_request(held, now)
+            self.dispatch(ClientDisconnected(held.number), now)
 
     def left(self, held: ProxiedConnection, now: int) -> None:
         """The client has gone."""
-        if held.up:
+        if held.is_established:
             self._give_up(held, AttemptOutcome.CANCELLED, now)
-        elif not held.answered:
+        elif not held.has_final_answer:
             self.counters.count("clients_left")
             held.settle()
-            if held.request.at is not None:
+            if held.request.pinned_upstream is not None:
                 if held.attempt:
                     self._give_up(held, AttemptOutcome.CANCELLED, now)
                 else:
                     self._forget(held)
                     self._outcome(held, AttemptOutcome.CANCELLED, (), now)
                 return
-            self.give(ClientDisconnected(held.number), now)
+            self.dispatch(ClientDisconnected(held.number), now)
             if held.attempt is None:
                 self._forget(held)
 
@@ -567,8 +559,13 @@
 
         All that may have changed since the dial began is looked at here, in the moment of the send.
         """
-        held.session.look(now)
-        if held.attempt and not held.answered and held.upstream and held.upstream.state == ServerState.READY:
+        held.session.check_disconnected(now)
+        if (
+            held.attempt
+            and not held.has_final_answer
+            and held.upstream
+            and held.upstream.state == ServerState.READY
+        ):
             return True
         self._give_up(held, AttemptOutcome.CONNECT_FAILED, now)
         return False
@@ -578,17 +575,20 @@
         attempt, upstream = held.attempt, held.upstream
         if attempt is None or upstream is None:
             return
-        if held.answered:  # its client has left meanwhile
+        if held.has_final_answer:  # its client has left meanwhile
             return self._give_up(held, AttemptOutcome.CANCELLED, now)
         self._stop_timers(held)
-        held.up = True
+        held.is_established = True
         held.settle()
         self.counters.count("answers_served")
-        self.figures.count("fulfilled", held.told[1])
-        held.session.serve(attempt, now)
-        if held.request.at is None:
-            self.give(
-                ConnectionEstablished(held.number, upstream.number, held.sends - 1, now - held.sent), now
+        self.metrics.count("fulfilled", held.description[1])
+        held.session.start_proxying(attempt, now)
+        if held.request.pinned_upstream is None:
+            self.dispatch(
+                ConnectionEstablished(
+                    held.number, upstream.number, held.attempts_started - 1, now - held.sent
+                ),
+                now,
             )
 
     def ended(
@@ -597,10 +597,10 @@
         """The attempt has ended and its connection is closed."""
         self._stop_timers(held)
         self.counters.count(f"attempts_{ending.name.lower()}")
-        was_up, held.attempt, held.up = held.up, None, False
-        if held.request.at is not None and not was_up and not held.answered:
+        was_up, held.attempt, held.is_established = held.is_established, None, False
+        if held.request.pinned_upstream is not None and not was_up and not held.has_final_answer:
             return self._reopen_later(held, ending, now)
-        if held.answered:
+        if held.has_final_answer:
             self._forget(held)
         self._outcome(held, ending, report, now)
 
@@ -609,9 +609,9 @@
     ) -> None:
         if held.upstream:
             told = report if self.settings.report_via == "answers" else ()
-            took, closed = min(now - held.sent, (1 << 32) - 1), int(held.answered)
-            number, attempt, server = held.number, held.sends - 1, held.upstream.number
-            self.give(AttemptEnded(number, attempt, server, ending, took, closed, told), now)
+            took, closed = min(now - held.sent, (1 << 32) - 1), int(held.has_final_answer)
+            number, attempt, server = held.number, held.attempts_started - 1, held.upstream.number
+            self.dispatch(AttemptEnded(number, attempt, server, ending, took, closed, told), now)
 
     def _stop_timers(self, held: ProxiedConnection) -> None:
         for timer in held.timers:
@@ -620,8 +620,8 @@
 
     def load_reported(self, held: ProxiedConnection, load: float, now: int) -> None:
         """The upstream has told the load of an open connection."""
-        if held.up and held.upstream:
-            self.give(LoadSample(held.number, held.upstream.number, load, held.sends - 1), now)
+        if held.is_established and held.upstream:
+            self.dispatch(LoadSample(held.number, held.upstream.number, load, held.attempts_started - 1), now)
 
     def delay(self, held: ProxiedConnection, took: int, now: int) -> None:
         """A message took so long: told once a second while that is long, and once when it is well again."""
@@ -629,92 +629,119 @@
         if upstream is None or not self.settings.reports_latency or not self.long:
             return
         slow = took > self.long
-        if slow and now < upstream.noted + SECOND or not slow and not upstream.slow:
+        if slow and now < upstream.latency_reported_us + SECOND or not slow and not upstream.is_slow:
             return
-        upstream.slow, upstream.noted = slow, now
+        upstream.is_slow, upstream.latency_reported_us = slow, now
         self.counters.count("notes_slow" if slow else "notes_well")
-        if held.up:
-            self.give(LatencySample(held.number, upstream.number, took / 1000, held.sends - 1), now)
+        if held.is_established:
+            self.dispatch(
+                LatencySample(held.number, upstream.number, took / 1000, held.attempts_started - 1), now
+            )
 
     def _look(self, now: int) -> None:
         """Look for upstreams that have fallen silent; send their clients away bit by bit while they are."""
-        self.wheel.at(now + LOOK, self._look)
+        self.timer_wheel.schedule(now + CHECK_INTERVAL_US, self._look)
         standing: dict[Upstream, list[Attempt]] = {}
         for held in self.requests.values():
-            if held.up and held.upstream and held.attempt:
+            if held.is_established and held.upstream and held.attempt:
                 standing.setdefault(held.upstream, []).append(held.attempt)
         for upstream, attempts in standing.items():
-            was = upstream.silence.since
-            if not upstream.silence.look(attempts, upstream.heard, now):
+            was = upstream.liveness.silent_since_us
+            if not upstream.liveness.update(attempts, upstream.last_health_check_answer_us, now):
                 continue
             if was is None:
                 self.counters.count("upstreams_silent")
                 self.log(
                     "silent", f"node: upstream {upstream.name} is silent; moving {len(attempts)} connections"
                 )
-            for attempt in attempts[: -(-len(attempts) // LOOKS)]:
+            for attempt in attempts[: -(-len(attempts) // MIGRATION_STEPS)]:
                 self.counters.count("moves")
-                attempt.vanish(now)
+                attempt.upstream_silent(now)
 
     # the numbers
 
     def gauges(self, now: int) -> dict[str, int]:
         """How things stand at this moment."""
-        listed = [b.number for b in self.upstreams.values() if b.state != ServerState.GONE]
+        listed = [b.number for b in self.upstreams.by_number.values() if b.state != ServerState.GONE]
         avoided = self.balancer.avoided(now)
-        avoided |= {self.numbers[name] for name in self.maintenance.held if name in self.numbers}
+        avoided |= {
+            self.upstreams.by_name[name].number
+            for name in self.maintenance.held
+            if name in self.upstreams.by_name
+        }
         return {
             # one whose client has left before its answer, and whose attempt is ending, has ended
-            "open_requests": sum(held.up or not held.answered for held in self.requests.values()),
+            "open_requests": sum(
+                held.is_established or not held.has_final_answer for held in self.requests.values()
+            ),
             "registry_entries": len(listed),
             "out_of_rotation": sum(number in avoided for number in listed),
         }
 
     # a successor
 
-    def listed(self) -> EndpointList:
+    def endpoint_list(self) -> EndpointList:
         """Discovery's list as it stands here."""
-        hosts = (b.host for b in self.upstreams.values() if b.host and b.state != ServerState.GONE)
+        hosts = (
+            b.endpoint
+            for b in self.upstreams.by_number.values()
+            if b.endpoint and b.state != ServerState.GONE
+        )
         return EndpointList(self.discovery.version, True, tuple(hosts))
 
-    def ids_lately(self) -> list[int]:
+    def recent_request_ids(self) -> list[int]:
         """The ids of the requests that are here, or were a moment ago."""
         return [*self.past, *self.ids]
 
-    def returned(self) -> dict[str, int]:
+    def return_to_service_times(self) -> dict[str, int]:
         """When staff put hosts back."""
-        return {b.name: b.back_at for b in self.upstreams.values() if b.back_at}
+        return {
+            b.name: b.returned_to_service_us
+            for b in self.upstreams.by_number.values()
+            if b.returned_to_service_us
+        }
 
-    def returned_elsewhere(self, returned: dict[str, int], now: int) -> None:
+    def apply_return_to_service_times(self, returned: dict[str, int], now: int) -> None:
         """The process before this one had these hosts put back: they are as cold and as due here."""
         for name, at in returned.items():
-            if name in self.numbers:
-                upstream = self.upstreams[self.numbers[name]]
-                upstream.back_at, upstream.returning = at, at > now - RETURN
-                self.relist(name, now, UpdateKind.OPERATOR if upstream.returning else UpdateKind.DELTA)
+            if name in self.upstreams.by_name:
+                upstream = self.upstreams.by_name[name]
+                upstream.returned_to_service_us, upstream.awaiting_listing_after_return = (
+                    at,
+                    at > now - RETURN,
+                )
+                self.refresh_endpoint(
+                    name,
+                    now,
+                    UpdateKind.OPERATOR if upstream.awaiting_listing_after_return else UpdateKind.DELTA,
+                )
 
-    def holds(self) -> ProcessUsage:
+    def resource_usage(self) -> ProcessUsage:
         """What this process holds: descriptors for clients, and connections by upstream."""
         at = Counter(h.upstream.name for h in self.requests.values() if h.attempt and h.upstream)
         return ProcessUsage(self.admission.in_use(), dict(at))
 
-    def held_elsewhere(self, holds: ProcessUsage, now: int) -> None:
+    def set_other_process_usage(self, holds: ProcessUsage, now: int) -> None:
         """What another process of this node holds: the module counts it as this node's own."""
         self.admission.share(holds.descriptors)
-        for name in self.elsewhere | holds.at.keys():
-            if name in self.numbers:
-                self.give(PredecessorConnections(self.numbers[name], holds.at.get(name, 0)), now)
-        self.elsewhere = set(holds.at)
+        for name in self._other_process_upstreams | holds.at.keys():
+            if name in self.upstreams.by_name:
+                self.dispatch(
+                    PredecessorConnections(self.upstreams.by_name[name].number, holds.at.get(name, 0)), now
+                )
+        self._other_process_upstreams = set(holds.at)
 
-    def informed(self) -> bool:
+    def is_ready_to_serve(self) -> bool:
         """Discovery has told its list, and no probe is out."""
-        return self.discovery.told and not any(b.probe and b.probe.asked for b in self.upstreams.values())
+        return self.discovery.told and not any(
+            b.health_check and b.health_check.pending_since_us for b in self.upstreams.by_number.values()
+        )
 
     # a planned stop
 
-    def stop(self, now: int) -> None:
+    def start_graceful_shutdown(self, now: int) -> None:
         """Refuse what comes and move what stands, spread out, before the earliest SIGKILL."""
-        if not self.stopping:
+        if not self.shutdown_deadline_us:
             GracefulShutdown(self, max(c.deadline for c in self.settings.classes), now)
 
     carry_out: dict[type, Callable[[Node, Any, int], None]] = {
--- a/limerudder/core/operations/console.py
+++ b/limerudder/core/operations/console.py
@@ -43,7 +43,7 @@
     """The calls by their names, and who is calling."""
 
     def __init__(self, wheel: TimerWheel, counters: Counters) -> None:
-        self.wheel, self.counters = wheel, counters
+        self.timer_wheel, self.counters = wheel, counters
         self.calls: dict[str, tuple[Call, bool]] = {}
         self.callers: dict[ConsoleSession, None] = {}  # in the order they came
 
@@ -82,19 +82,19 @@
 
     def __init__(self, console: Console) -> None:
         self.console = console
-        self.link: Transport | None = None
+        self.transport: Transport | None = None
         self.text = b""
         self.answered = False
         self.waiting: DeferredAnswer | None = None  # the answer, where it comes later
-        self.timer = ResettableTimer(console.wheel)
+        self.timer = ResettableTimer(console.timer_wheel)
 
-    def connected(self, link: Transport, now: int) -> None:
+    def connection_made(self, link: Transport, now: int) -> None:
         """An operator has come."""
-        self.link = link
+        self.transport = link
         self.console.enter(self)
         self.timer.set(now + PATIENCE, lambda _: self.close())
 
-    def feed(self, data: bytes, now: int) -> None:
+    def data_received(self, data: bytes, now: int) -> None:
         """Bytes of the call; what follows its line is passed over."""
         if self.answered:
             return
@@ -105,7 +105,7 @@
         elif end:
             self._say(self.console.answer(line, now), now)
 
-    def eof(self, now: int) -> None:
+    def eof_received(self, now: int) -> None:
         """The caller has ended its sending: what it said is its call."""
         if self.waiting:
             return  # it has ended its sending, as `echo … | nc` does, and is still owed the answer
@@ -116,11 +116,11 @@
         else:
             self.close()
 
-    def lost(self, now: int) -> None:
+    def connection_lost(self, now: int) -> None:
         """The connection is gone."""
         self.close()
 
-    def crowded(self, on: bool) -> None:
+    def set_writing_paused(self, on: bool) -> None:
         """An answer is short."""
 
     def _say(self, answer: str | DeferredAnswer, now: int) -> None:
@@ -132,16 +132,16 @@
             return
         self.waiting = None
         answer = answer if isinstance(answer, str) else answer.text or ""
-        if self.link:
-            self.link.write(answer.encode())
-            self.link.finish()
+        if self.transport:
+            self.transport.write(answer.encode())
+            self.transport.half_close()
         self.timer.set(now + LINGER, lambda _: self.close())
 
     def close(self) -> None:
         """End the connection now."""
         self.answered = True
-        self.timer.stop()
+        self.timer.cancel()
         self.console.callers.pop(self, None)
-        if self.link:
-            self.link.close()
-            self.link = None
+        if self.transport:
+            self.transport.close()
+            self.transport = None
--- a/limerudder/core/operations/maintenance.py
+++ b/limerudder/core/operations/maintenance.py
@@ -48,9 +48,9 @@
 class MaintenanceTarget(Protocol):
     """Who keeps from the hosts that are held: the node."""
 
-    wheel: TimerWheel
+    timer_wheel: TimerWheel
 
-    def lists(self, name: str) -> bool:
+    def is_listed(self, name: str) -> bool:
         """Whether discovery lists this host."""
 
     def take_out(self, name: str, now: int) -> None:
@@ -69,11 +69,11 @@
 
     def start(self, now: int) -> None:
         """Follow the marks from now on."""
-        self.ward.wheel.at(now + LOOK, self._look)
+        self.ward.timer_wheel.schedule(now + LOOK, self._look)
 
     def on(self, name: str, now: int) -> bool:
         """Hold a host; False where it is neither listed nor held. OSError where that would not outlive us."""
-        if name not in self.held and not self.ward.lists(name):
+        if name not in self.held and not self.ward.is_listed(name):
             return False
         self.marks.put(name)  # before the yes, and again where it was held: it may have been lost meanwhile
         self._follow(self.held | {name}, now)
@@ -81,14 +81,14 @@
 
     def off(self, name: str, now: int) -> bool:
         """Put a host back; False where it is neither listed nor held."""
-        if name not in self.held and not self.ward.lists(name):
+        if name not in self.held and not self.ward.is_listed(name):
             return False
         self.marks.remove(name)
         self._follow(self.held - {name}, now)
         return True
 
     def _look(self, now: int) -> None:
-        self.ward.wheel.at(now + LOOK, self._look)
+        self.ward.timer_wheel.schedule(now + LOOK, self._look)
         names = self._read()
         if names is not None:
             self._follow(names, now)
--- a/limerudder/core/peering.py
+++ b/limerudder/core/peering.py
@@ -1,4 +1,4 @@
-"""Datagrams from and to the other nodes of the tier: within the rules, and counted."""
+"""Datagrams from and to the peers, which are the other nodes of the tier."""
 
 from __future__ import annotations
 
@@ -6,48 +6,50 @@
 
 from limerudder.core.operations.counters import Counters
 from limerudder.core.transport import MAX_DATAGRAM_BYTES, Network
-from limerudder.policy.actions import (
-    SendPeerMessage,
-)
-from limerudder.policy.events import (
-    Event,
-    PeerMessage,
-)
+from limerudder.policy.actions import SendPeerMessage
+from limerudder.policy.events import Event, PeerMessage
 from limerudder.policy.interface import ConnectionPolicy
 
 
 class Peering:
-    """What one node hears from its peers and tells them."""
+    """Passes datagrams between the policy and the peers, counts them, and enforces the platform's limits."""
 
     def __init__(
         self,
         counters: Counters,
         network: Network,
         balancer: ConnectionPolicy,
-        give: Callable[[Event, int], None],
+        dispatch: Callable[[Event, int], None],
         log: Callable[[str, str], None],
         allowed: bool,
     ) -> None:
-        self.counters, self.network, self.balancer = counters, network, balancer
-        self.give, self.log, self.allowed = give, log, allowed
-
-    def heard(self, sender: int | None, data: bytes, now: int) -> None:
-        """A datagram; one that no peer sent, or that is too long, is counted and passed over."""
+        self.log = log
+        self._counters = counters
+        self._network = network
+        self._balancer = balancer
+        self._dispatch = dispatch
+        self._allowed = allowed
+
+    def datagram_received(self, sender: int | None, data: bytes, now_us: int) -> None:
+        """Give a peer's datagram to the policy; `sender` is None where the address is no peer's.
+
+        A datagram that is not from a peer, too long or malformed is counted and logged.
+        """
         if sender is None or len(data) > MAX_DATAGRAM_BYTES:
-            return self._passed_over(sender, f"of {len(data)} bytes (at most {MAX_DATAGRAM_BYTES} are taken)")
-        self.counters.count("peer_messages")
-        before = self.balancer.strange()
-        self.give(PeerMessage(sender, data), now)
-        if self.balancer.strange() > before:
-            self._passed_over(sender, "of no known form")
-
-    def _passed_over(self, sender: int | None, what: str) -> None:
-        self.counters.count("peer_messages_strange")
-        who = "an address that is no peer's" if sender is None else f"node {sender}"
-        self.log("peer", f"node: a datagram {what} came from {who}; passed over")
-
-    def tell(self, action: SendPeerMessage) -> None:
-        """Carry out what the module decides, within the platform's rules."""
-        if self.allowed and len(action.data) <= MAX_DATAGRAM_BYTES:
-            self.counters.count("peer_messages_sent")
-            self.network.tell(action.peer, action.data)
+            return self._malformed(sender, f"of {len(data)} bytes (at most {MAX_DATAGRAM_BYTES} are taken)")
+        self._counters.count("peer_messages")
+        malformed_before = self._balancer.strange()
+        self._dispatch(PeerMessage(sender, data), now_us)
+        if self._balancer.strange() > malformed_before:
+            self._malformed(sender, "of no known form")
+
+    def _malformed(self, sender: int | None, description: str) -> None:
+        self._counters.count("peer_messages_strange")
+        source = "an address that is no peer's" if sender is None else f"node {sender}"
+        self.log("peer", f"node: a datagram {description} came from {source}; passed over")
+
+    def send(self, action: SendPeerMessage) -> None:
+        """Send the policy's message, where the settings allow messages and it is not too long."""
+        if self._allowed and len(action.data) <= MAX_DATAGRAM_BYTES:
+            self._counters.count("peer_messages_sent")
+            self._network.send_datagram(action.peer, action.data)
--- a/limerudder/core/ports.py
+++ b/limerudder/core/ports.py
@@ -1,7 +1,8 @@
-"""What the node and a protocol say to each other, in neither's syntax.
+"""The interface between a client protocol and the node, free of any protocol's syntax.
 
-A protocol turns its clients' words into a request and its upstreams' words into calls of FetchOwner. A second
-protocol brings its own ClientSession and Fetch and goes through the same node.
+A protocol turns what its clients send into a `ConnectRequest`, and what its upstreams send into calls of
+`AttemptObserver`. A second protocol would bring its own `ClientSession` and `Attempt` and use the same node.
+Times are microseconds of the node's clock.
 """
 
 from __future__ import annotations
@@ -13,75 +14,78 @@
 
 
 class ConnectRequest(NamedTuple):
-    """A client wants a connection. Names are the settings' and discovery's; times are microseconds."""
+    """A client's request for a connection. Names are those of the settings and of discovery."""
 
-    id: int  # new for every request
-    cls: str
+    id: int  # chosen by the client, new for every request
+    class_name: str
     tenant: str
     key: int
-    time_left: int | None
+    time_left_us: int | None
     hint: int | None
     group: int
-    retry: bool
-    came_back: bool
-    at: str | None  # the upstream that holds this connection since before the node started
+    is_retry: bool
+    is_reconnect: bool
+    pinned_upstream: str | None  # the upstream that holds this connection since before the node started
 
 
 class ClientSession(Protocol):
     """The client's side of one request, as the node uses it."""
 
-    def new_attempt(self, owner: AttemptObserver, wait: int | None) -> Attempt:
-        """A new attempt for this request, to be dialled; the upstream is told how long it is waited for."""
+    def new_attempt(self, observer: AttemptObserver, timeout_us: int | None) -> Attempt:
+        """Return a new attempt for this request, not yet dialled.
 
-    def serve(self, attempt: Attempt, now: int) -> None:
-        """The final answer: the upstream's own; the two sides pass on what comes from now on."""
+        The upstream is told how long the node waits for its answer, where `timeout_us` is given.
+        """
 
-    def refuse(self, wait: int, now: int) -> None:
-        """The final answer: turned away, to come again after `wait` microseconds if not 0."""
+    def start_proxying(self, attempt: Attempt, now_us: int) -> None:
+        """Give the upstream's answer as the final one, and relay between the two sides from now on."""
 
-    def fail(self, now: int) -> None:
-        """The final answer: failed."""
+    def reject(self, retry_after_us: int, now_us: int) -> None:
+        """Give the final answer: rejected, to be retried after this time if it is not 0."""
 
-    def move(self, now: int) -> None:
-        """Send a served client away politely; it will come again."""
+    def fail(self, now_us: int) -> None:
+        """Give the final answer: failed."""
 
-    def look(self, now: int) -> None:
-        """Tell the owner now if the client has gone, though what it sent before is not read yet."""
+    def migrate(self, now_us: int) -> None:
+        """Ask the client of an established connection to reconnect, and end this connection."""
+
+    def check_disconnected(self, now_us: int) -> None:
+        """Report the client as disconnected now if it is, even if what it sent before is unread."""
 
 
 class Attempt(OutboundMachine, Protocol):
     """One attempt at an upstream, as the node uses it."""
 
-    link: Transport | None
-    done: bool  # it has ended
-    out: bool  # its last byte is written: from here on the upstream may have it
-    asked: int | None  # when the client's oldest unanswered message was passed on
-    heard: int  # when the upstream's last word came
+    transport: Transport | None
+    ended: bool
+    sent: bool  # the last byte of the request is written: from here on the upstream may have executed it
+    oldest_unanswered_us: int | None  # when the client's oldest unanswered message was relayed
+    last_received_us: int  # when the upstream sent something last
 
-    def vanish(self, now: int) -> None:
-        """Its upstream is silent: move its client, end it and tell its owner."""
+    def upstream_silent(self, now_us: int) -> None:
+        """End the attempt because its upstream is silent: migrate the client, report the end."""
 
     def close(self) -> None:
-        """Give the attempt up; its owner hears no more of it."""
+        """Close the connection; nothing more is reported to the observer."""
 
 
 class AttemptObserver(Protocol):
-    """Who hears how an attempt fares: the node."""
+    """What is told of an attempt's progress: the node's side of one request."""
 
-    def attempt_ready(self, now: int) -> bool:
-        """Whether the request's line may be written to the connected upstream; else the attempt is closed."""
+    def attempt_ready(self, now_us: int) -> bool:
+        """Return whether the request may be written to the connected upstream; else close the attempt."""
 
     def attempt_sent(self) -> None:
-        """The last byte of the request's line is written."""
+        """The last byte of the request is written."""
 
-    def attempt_established(self, now: int) -> None:
-        """The upstream has taken the connection."""
+    def attempt_established(self, now_us: int) -> None:
+        """The upstream has accepted the connection."""
 
-    def attempt_ended(self, ending: AttemptOutcome, report: tuple[float, ...], now: int) -> None:
+    def attempt_ended(self, outcome: AttemptOutcome, report: tuple[float, ...], now_us: int) -> None:
         """The attempt has ended and its connection is closed."""
 
-    def attempt_load_reported(self, load: float, now: int) -> None:
-        """The upstream tells the connection's load."""
+    def attempt_load_reported(self, load: float, now_us: int) -> None:
+        """The upstream has reported the load of the connection."""
 
-    def attempt_latency_measured(self, took: int, now: int) -> None:
-        """The upstream has answered a message after this long."""
+    def attempt_latency_measured(self, latency_us: int, now_us: int) -> None:
+        """The upstream has answered a message after this time."""
--- a/limerudder/core/transport.py
+++ b/limerudder/core/transport.py
@@ -1,4 +1,8 @@
-"""What joins a state machine to the driver of its connection."""
+"""The interface between protocol state machines and the drivers of their connections.
+
+A state machine does no I/O of its own: a driver reports what happens to its connection, and the machine acts
+through the `Transport` that the driver gives it. Times are microseconds of the node's clock.
+"""
 
 from __future__ import annotations
 
@@ -6,88 +10,89 @@
 from typing import Protocol
 
 Address = tuple[str, int]
-MAX_DATAGRAM_BYTES = 256  #: bytes to a peer; a longer one is against the rules
+MAX_DATAGRAM_BYTES = 256  #: the platform's limit for one datagram to a peer
+_MAX_PORT = 65535
 
 
-def read_address(text: object) -> Address:
-    """An IPv4 address and a port, or ValueError: there is no DNS where a node runs."""
+def parse_address(text: object) -> Address:
+    """Parse `IPv4:port`; there is no DNS where a node runs. Raises ValueError."""
     host, colon, port = str(text).rpartition(":")
-    if not colon or not 0 <= int(port) <= 65535:
+    if not colon or not 0 <= int(port) <= _MAX_PORT:
         raise ValueError(f"not an address: {text!r}")
     return str(IPv4Address(host)), int(port)
 
 
 class Transport(Protocol):
-    """A connection as a state machine sees it: what it may ask of the driver."""
+    """One connection, as its state machine uses it."""
 
     def write(self, data: bytes) -> None:
         """Send bytes, in order."""
 
-    def finish(self) -> None:
+    def half_close(self) -> None:
         """End the sending side once all is written; what comes in is still read."""
 
     def close(self) -> None:
-        """End the connection now, also while it is being set up. The machine hears no more of it."""
+        """End the connection now, even while it is being set up. The machine is told nothing more."""
 
     def reset(self) -> None:
-        """End the connection now with a reset. The machine hears no more of it."""
+        """End the connection now with a TCP reset. The machine is told nothing more."""
 
-    def hold(self, on: bool) -> None:
-        """Stop reading, or read on."""
+    def set_reading_paused(self, paused: bool) -> None:
+        """Stop reading from the connection, or resume."""
 
-    def left(self) -> bool:
-        """Whether the other side has ended its sending or broken off, read or not yet."""
+    def has_disconnected(self) -> bool:
+        """Return whether the other side's FIN or reset has arrived, even behind unread bytes."""
 
 
 class ConnectionMachine(Protocol):
-    """A state machine as a driver sees it. Times are the node's clock, in microseconds."""
+    """A protocol's state machine, as the driver of its connection uses it."""
 
-    def connected(self, link: Transport, now: int) -> None:
-        """The connection stands."""
+    def connection_made(self, transport: Transport, now_us: int) -> None:
+        """The connection is established."""
 
-    def feed(self, data: bytes, now: int) -> None:
-        """Bytes have come."""
+    def data_received(self, data: bytes, now_us: int) -> None:
+        """Bytes have arrived."""
 
-    def eof(self, now: int) -> None:
-        """The other side has ended its sending."""
+    def eof_received(self, now_us: int) -> None:
+        """The other side has ended its sending side."""
 
-    def lost(self, now: int) -> None:
-        """The connection is broken, or never came up."""
+    def connection_lost(self, now_us: int) -> None:
+        """The connection is broken, or could not be established."""
 
-    def crowded(self, on: bool) -> None:
-        """The other side reads too slowly, or reads again."""
+    def set_writing_paused(self, paused: bool) -> None:
+        """The write buffer is full because the other side reads slowly, or has drained again."""
 
 
 class OutboundMachine(ConnectionMachine, Protocol):
-    """A machine whose connection this node sets up: its first bytes are written as part of that."""
+    """A machine whose connection this node dials: its first bytes are written while dialling."""
 
-    def opening(self, now: int) -> bytes:
-        """The connection is up; these bytes are to be written first. It may close its link instead."""
+    def first_bytes(self, now_us: int) -> bytes:
+        """Return what to write first on the connection just dialled; it may close the transport instead."""
 
-    def written(self) -> None:
-        """The last of those bytes has been written."""
+    def first_bytes_sent(self) -> None:
+        """The last of the first bytes is written."""
 
 
 class OutboundMachineBase:
-    """What machines whose connection this node sets up have in common."""
+    """Defaults for outbound machines that send a few short lines only."""
 
-    link: Transport | None = None  # handed out when the dial begins
+    transport: Transport | None = None  # set as soon as the dial begins
 
-    def connected(self, link: Transport, now: int) -> None:
-        """The connection stands; it is the one that was dialled."""
+    def connection_made(self, transport: Transport, now_us: int) -> None:
+        """Ignore it: the transport is that of the dial."""
 
-    def written(self) -> None:
-        """Most have no need of it."""
+    def first_bytes_sent(self) -> None:
+        """Ignore it."""
 
-    def crowded(self, on: bool) -> None:
-        """Most send a few short lines only."""
+    def set_writing_paused(self, paused: bool) -> None:
+        """Ignore it: there is nothing to hold back."""
 
 
 class Network(Protocol):
-    """Sets up connections to other parties and sends datagrams to peers."""
+    """Dials connections and sends datagrams to peers."""
 
     def dial(self, address: Address, machine: OutboundMachine) -> Transport:
-        """Connect; failure comes as the machine's `lost`, later and never inside this call."""
+        """Start to connect. A failure is reported by `connection_lost`, never from within this call."""
 
-    def tell(self, peer: int, data: bytes) -> None:
-        """Send a datagram to one peer, by number, or to policy.actions.ALL_PEERS."""
+    def send_datagram(self, peer: int, data: bytes) -> None:
+        """Send a datagram to one peer, by its number, or to `policy.actions.ALL_PEERS`."""
--- a/limerudder/core/upstream/attempt.py
+++ b/limerudder/core/upstream/attempt.py
@@ -20,12 +20,12 @@
 class ServedClient(Protocol):
     """The client's side, as an attempt that serves it uses it."""
 
-    link: Transport | None
+    transport: Transport | None
 
     def pass_on(self, data: bytes) -> None:
         """Bytes for the client."""
 
-    def move(self, now: int) -> None:
+    def migrate(self, now: int) -> None:
         """Send the client away politely."""
 
     def end(self, now: int) -> None:
@@ -42,37 +42,39 @@
         self.owner, self.line, self.fields = owner, line, fields
         self.client: ServedClient | None = None
         self.framer = LineFramer()
-        self.out = self.up = self.done = False  # out: the last byte of its line is written
+        self.sent = self.up = self.ended = False  # sent: the last byte of its line is written
         self.leaving = False  # the client has ended its side
         self.last = b""
         self.report: tuple[float, ...] = ()
-        self.asked: int | None = None  # when the client's oldest unanswered message was passed on
-        self.heard = 0  # when the upstream's last word came
+        self.oldest_unanswered_us: int | None = (
+            None  # when the client's oldest unanswered message was passed on
+        )
+        self.last_received_us = 0  # when the upstream's last word came
         self.timer = ResettableTimer(wheel)
 
     # from the driver
 
-    def opening(self, now: int) -> bytes:
+    def first_bytes(self, now: int) -> bytes:
         """The client's line, if it may still be sent."""
         return self.line if self.owner.attempt_ready(now) else b""
 
-    def written(self) -> None:
+    def first_bytes_sent(self) -> None:
         """From here on the upstream may have it."""
-        self.out = True
+        self.sent = True
         self.owner.attempt_sent()
 
-    def feed(self, data: bytes, now: int) -> None:
+    def data_received(self, data: bytes, now: int) -> None:
         """Lines from the upstream: its answer first, then what it has for the client."""
-        if self.done:
+        if self.ended:
             return
-        self.heard = now
+        self.last_received_us = now
         try:
             lines = self.framer.feed(data)
         except LineError:
             return self._broken(now, AttemptOutcome.ERROR)
         if lines and not self.up:
             self._answer(lines[0], now)
-            if self.done:
+            if self.ended:
                 return
         if lines and self.client:
             # whole lines only, unchanged, LOAD and BYE among them: a MOVE can then never cut one
@@ -104,30 +106,30 @@
             return
         if word == b"BYE":
             self.report = parse_report(rest, self.fields)
-        if self.asked is not None:
-            took, self.asked = now - self.asked, None
-            self.timer.stop()
+        if self.oldest_unanswered_us is not None:
+            took, self.oldest_unanswered_us = now - self.oldest_unanswered_us, None
+            self.timer.cancel()
             self.owner.attempt_latency_measured(took, now)
 
-    def eof(self, now: int) -> None:
+    def eof_received(self, now: int) -> None:
         """The upstream has ended its side."""
-        if self.done:
+        if self.ended:
             return
-        if self.client and self.framer.rest:
-            self.client.pass_on(self.framer.rest)
+        if self.client and self.framer.partial_line:
+            self.client.pass_on(self.framer.partial_line)
         client = self.client
         self._end(self._how(), now)
         if client:
             client.end(now)
 
-    def lost(self, now: int) -> None:
+    def connection_lost(self, now: int) -> None:
         """The connection broke, or never came up."""
-        if not self.done:
+        if not self.ended:
             self._broken(now, self._how())
 
     def _how(self) -> AttemptOutcome:
         if not self.up:
-            return AttemptOutcome.RESET if self.out else AttemptOutcome.CONNECT_FAILED
+            return AttemptOutcome.RESET if self.sent else AttemptOutcome.CONNECT_FAILED
         said = {b"BYE": AttemptOutcome.OK, b"MOVE": AttemptOutcome.CANCELLED}
         return said.get(self.last, AttemptOutcome.CANCELLED if self.leaving else AttemptOutcome.RESET)
 
@@ -139,10 +141,10 @@
         elif client:
             client.break_off()
 
-    def crowded(self, on: bool) -> None:
+    def set_writing_paused(self, on: bool) -> None:
         """The upstream reads slowly: its client is read no faster."""
-        if self.client and self.client.link:
-            self.client.link.hold(on)
+        if self.client and self.client.transport:
+            self.client.transport.set_reading_paused(on)
 
     # from the client session
 
@@ -152,45 +154,47 @@
 
     def send(self, data: bytes, now: int) -> None:
         """Bytes from the client for the upstream, passed on as they come."""
-        if not self.link or self.done:
+        if not self.transport or self.ended:
             return
-        self.link.write(data)
-        if self.asked is None and b"\n" in data:
-            self.asked = now
-            self.timer.set(now + SILENT, self.vanish)
+        self.transport.write(data)
+        if self.oldest_unanswered_us is None and b"\n" in data:
+            self.oldest_unanswered_us = now
+            self.timer.set(now + SILENT, self.upstream_silent)
 
     def finish(self, now: int) -> None:
         """The client has ended its side: so does this one, and the upstream may have its last words."""
-        if self.link and not self.leaving and not self.done:
+        if self.transport and not self.leaving and not self.ended:
             self.leaving = True
-            self.link.finish()
-            self.asked = None  # guards this wait: an answer still to come would take the timer back
-            self.timer.set(now + LAST_WORDS, self.vanish)
+            self.transport.half_close()
+            self.oldest_unanswered_us = (
+                None  # guards this wait: an answer still to come would take the timer back
+            )
+            self.timer.set(now + LAST_WORDS, self.upstream_silent)
 
     def reset(self) -> None:
         """The client's side broke: so does this one."""
-        if self.link and not self.done:
-            self.link.reset()
+        if self.transport and not self.ended:
+            self.transport.reset()
         self.close()
 
-    def vanish(self, now: int) -> None:
+    def upstream_silent(self, now: int) -> None:
         """The upstream is silent: its client is moved. That tells nothing of what the upstream can hold."""
         client = self.client
         self._end(AttemptOutcome.CANCELLED, now)
         if client and self.leaving:
             client.end(now)
         elif client:
-            client.move(now)
+            client.migrate(now)
 
     # endings
 
     def close(self) -> None:
         """Give up: the connection is closed before anything else can be sent."""
-        self.done = True
-        self.timer.stop()
+        self.ended = True
+        self.timer.cancel()
         self.client = None
-        if self.link:
-            self.link.close()
+        if self.transport:
+            self.transport.close()
 
     def _end(self, ending: AttemptOutcome, now: int) -> None:
         self.close()
--- a/limerudder/core/upstream/health_check.py
+++ b/limerudder/core/upstream/health_check.py
@@ -19,57 +19,64 @@
         self.fields, self.heard = fields, heard
         self.word = b"STATS\r\n" if fields else b"PING\r\n"
         self.framer = LineFramer()
-        self.up = self.done = False
-        self.asked: list[int] = []  # when each probe that is out was asked
+        self.up = self.ended = False
+        self.pending_since_us: list[int] = []  # when each probe that is out was asked
 
-    def ask(self, now: int) -> None:
+    def send_check(self, now: int) -> None:
         """Ask once more; the first question goes out as the connection comes up."""
-        self.asked.append(now)
-        if self.up and self.link:
-            self.link.write(self.word)
+        self.pending_since_us.append(now)
+        if self.up and self.transport:
+            self.transport.write(self.word)
 
-    def opening(self, now: int) -> bytes:
+    def first_bytes(self, now: int) -> bytes:
         """All that was asked while the connection was set up."""
-        self.asked = [now] * len(self.asked)  # what setting up took says nothing of the upstream's work
+        self.pending_since_us = [now] * len(
+            self.pending_since_us
+        )  # what setting up took says nothing of the upstream's work
         self.up = True
-        return self.word * len(self.asked)
+        return self.word * len(self.pending_since_us)
 
-    def feed(self, data: bytes, now: int) -> None:
+    def data_received(self, data: bytes, now: int) -> None:
         """Answers, in the order of the questions."""
         try:
             lines = self.framer.feed(data)
         except LineError:
             return self._end(AttemptOutcome.ERROR, now)
         for line in lines:
-            if self.done:
+            if self.ended:
                 return
             word, _, rest = line.partition(b" ")
-            if word == b"PONG" and self.asked:
-                self.heard(now - self.asked.pop(0), AttemptOutcome.OK, parse_report(rest, self.fields), now)
+            if word == b"PONG" and self.pending_since_us:
+                self.heard(
+                    now - self.pending_since_us.pop(0),
+                    AttemptOutcome.OK,
+                    parse_report(rest, self.fields),
+                    now,
+                )
             else:
                 self._end(AttemptOutcome.FULL if word == b"BUSY" else AttemptOutcome.ERROR, now)
 
-    def eof(self, now: int) -> None:
+    def eof_received(self, now: int) -> None:
         """The upstream has ended the connection."""
         self._end(AttemptOutcome.RESET, now)
 
-    def lost(self, now: int) -> None:
+    def connection_lost(self, now: int) -> None:
         """The connection broke or never came up."""
         self._end(AttemptOutcome.RESET if self.up else AttemptOutcome.CONNECT_FAILED, now)
 
-    def overdue(self, since: int, now: int) -> None:
+    def expire_pending(self, since: int, now: int) -> None:
         """Give up what was asked before `since` and is not answered, and the connection with it."""
-        if self.asked and self.asked[0] <= since:
+        if self.pending_since_us and self.pending_since_us[0] <= since:
             self._end(AttemptOutcome.TIMEOUT, now)
 
     def _end(self, ending: AttemptOutcome, now: int) -> None:
-        asked = self.asked
+        asked = self.pending_since_us
         self.close()
         for at in asked:
             self.heard(now - at, ending, (), now)
 
     def close(self) -> None:
         """No longer wanted; nothing more is heard."""
-        self.done, self.asked = True, []
-        if self.link:
-            self.link.close()
+        self.ended, self.pending_since_us = True, []
+        if self.transport:
+            self.transport.close()
--- /dev/null
+++ b/limerudder/core/upstream/registry.py
@@ -0,0 +1,57 @@
+"""The upstreams that a node knows, by number and by name."""
+
+from __future__ import annotations
+
+from zlib import crc32
+
+from limerudder.core.discovery.endpoint_list import Endpoint
+from limerudder.core.transport import Address
+from limerudder.core.upstream.health_check import HealthCheckConnection
+from limerudder.core.upstream.liveness import LivenessMonitor
+from limerudder.policy.events import ServerState
+
+_NUMBER_SPACE = 1 << 32
+
+
+class Upstream:
+    """One host that serves connections, and what the node knows of it. Times are in microseconds."""
+
+    def __init__(self, number: int, name: str) -> None:
+        self.number = number
+        self.name = name
+        self.endpoint: Endpoint | None = None  # as discovery listed it last
+        self.address: Address = ("", 0)
+        self.state: ServerState = ServerState.GONE
+        self.health_check: HealthCheckConnection | None = None
+        self.liveness = LivenessMonitor()
+        self.last_health_check_answer_us = 0
+        self.is_slow = False  # the policy's last latency sample of this upstream was a slow one
+        self.latency_reported_us = -1_000_000  # when the policy was last given a latency sample
+        self.returned_to_service_us = 0  # when operators last ended a maintenance of this upstream
+        self.awaiting_listing_after_return = False  # returned, and not listed as ready since
+
+
+class UpstreamRegistry:
+    """All upstreams that were ever listed. An upstream keeps its number for the life of the process."""
+
+    def __init__(self) -> None:
+        self.by_number: dict[int, Upstream] = {}
+        self.by_name: dict[str, Upstream] = {}
+
+    def get_or_create(self, name: str) -> Upstream:
+        """Return the upstream of this name.
+
+        The number is derived from the name, so that all nodes of a tier build the same hash ring.
+        """
+        upstream = self.by_name.get(name)
+        if upstream is None:
+            upstream = Upstream(self._unused_number(name), name)
+            self.by_number[upstream.number] = upstream
+            self.by_name[name] = upstream
+        return upstream
+
+    def _unused_number(self, name: str) -> int:
+        number = crc32(name.encode())
+        while number in self.by_number:
+            number = (number + 1) % _NUMBER_SPACE
+        return number
--- a/limerudder/loadtest/cli.py
+++ b/limerudder/loadtest/cli.py
@@ -79,13 +79,13 @@
     targets: tuple[str, ...], trace: Path | None, save: Path | None, figures: Path | None, **given: Any
 ) -> None:
     """Load nodes in an open loop, and tell latencies from the intended moments."""
-    from limerudder.core.transport import read_address
+    from limerudder.core.transport import parse_address
     from limerudder.loadtest.arrivals import Burst, Mix, Phase, PlanError, draw
     from limerudder.loadtest.load_generator import run
     from limerudder.loadtest.trace import read, write
 
     try:
-        where = [read_address(one) for one in targets]
+        where = [parse_address(one) for one in targets]
     except ValueError as exc:
         fail(str(exc), WRONG_INPUT)
     phases = _numbers(given["phases"], 2, 3, "SECONDS,RATE[,RATE]")
--- a/limerudder/net/tcp.py
+++ b/limerudder/net/tcp.py
@@ -37,34 +37,34 @@
         transport.set_write_buffer_limits(BUFFER)
         if self.early:
             transport.write(self.early)
-        self.machine.connected(self, self.clock.now())
+        self.machine.connection_made(self, self.clock.now())
 
     def data_received(self, data: bytes) -> None:
         """Bytes."""
         if self.machine:
-            self.machine.feed(data, self.clock.now())
+            self.machine.data_received(data, self.clock.now())
 
     def eof_received(self) -> bool:
         """FIN; what goes out may still be sent."""
         if self.machine:
-            self.machine.eof(self.clock.now())
+            self.machine.eof_received(self.clock.now())
         return self.machine is not None
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The connection is gone."""
         machine, self.machine = self.machine, None
         if machine:
-            machine.lost(self.clock.now())
+            machine.connection_lost(self.clock.now())
 
     def pause_writing(self) -> None:
         """The other side reads slowly."""
         if self.machine:
-            self.machine.crowded(True)
+            self.machine.set_writing_paused(True)
 
     def resume_writing(self) -> None:
         """It reads again."""
         if self.machine:
-            self.machine.crowded(False)
+            self.machine.set_writing_paused(False)
 
     # Link
 
@@ -75,20 +75,20 @@
         elif not self.transport.is_closing() and not self.finishing:
             self.transport.write(data)
 
-    def finish(self) -> None:
+    def half_close(self) -> None:
         """FIN once all is written."""
         if self.transport and not self.finishing and not self.transport.is_closing():
             self.transport.write_eof()
         self.finishing = True
 
-    def hold(self, on: bool) -> None:
+    def set_reading_paused(self, on: bool) -> None:
         """Stop reading, or read on."""
         # guards last words to a client that has ended its side: reading on after a FIN would bring it again
         if on != self.held and self.transport and not self.transport.is_closing():
             self.held = on
             (self.transport.pause_reading if on else self.transport.resume_reading)()
 
-    def left(self) -> bool:
+    def has_disconnected(self) -> bool:
         """Whether the other side's FIN or reset is here, also behind bytes that are not read yet."""
         if self.transport is None or self.transport.is_closing():
             return True
@@ -137,11 +137,11 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             await self.loop.sock_connect(sock, address)
             # written here and not by the transport, which would not say when the last byte was out
-            first = machine.opening(self.clock.now())
+            first = machine.first_bytes(self.clock.now())
             if stream.machine is None:  # found out at the last moment that nobody wants it any more
                 raise ConnectionAbortedError
             await self.loop.sock_sendall(sock, first)
-            machine.written()
+            machine.first_bytes_sent()
             await self.loop.create_connection(lambda: stream, sock=sock)
         except (OSError, asyncio.CancelledError):  # refused, unreachable, no socket left; or given up
             stream.sock = None
@@ -149,4 +149,4 @@
                 sock.close()
             if stream.machine:
                 stream.machine = None
-                machine.lost(self.clock.now())
+                machine.connection_lost(self.clock.now())
--- a/limerudder/schema.py
+++ b/limerudder/schema.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass, field
 
-from limerudder.core.transport import Address, read_address
+from limerudder.core.transport import Address, parse_address
 from limerudder.cue.load import load
 
 SCHEMA = r"""// What may stand in the operator's file, by default limerudder.cue.
@@ -80,5 +80,5 @@
     given = load(text, file, SCHEMA, "#File")
     store = given.get("store")
     if store:
-        store = StoreSettings(**{**store, "listen": read_address(store["listen"])})
+        store = StoreSettings(**{**store, "listen": parse_address(store["listen"])})
     return OperatorFile(LogSettings(**given["log"]), store)
--- a/limerudder/store/cli.py
+++ b/limerudder/store/cli.py
@@ -107,13 +107,13 @@
 
 def pairs(members: Sequence[str]) -> list[tuple[str, str]]:
     """NAME=ADDRESS each."""
-    from limerudder.core.transport import read_address
+    from limerudder.core.transport import parse_address
 
     found = []
     for word in members:
         name, equals, address = word.partition("=")
         try:
-            read_address(address)
+            parse_address(address)
         except ValueError:
             equals = ""
         if not equals or not name:
--- a/limerudder/store/control.py
+++ b/limerudder/store/control.py
@@ -19,7 +19,7 @@
 
 import msgspec
 
-from limerudder.core.transport import read_address
+from limerudder.core.transport import parse_address
 from limerudder.store import data_directory as folders
 from limerudder.store.drain_log import HOST_KEY_PREFIX
 from limerudder.store.member import CallFailure
@@ -340,7 +340,7 @@
         role = MemberRole.LEARNER if given.get("learner") else MemberRole.JOINING
         new = Member(folders.random_id(), str(given["member"]), str(given["address"]), role)
         try:
-            read_address(new.address)
+            parse_address(new.address)
         except ValueError as exc:
             raise ControlError("wrong", str(exc)) from None
         ticket = folders.encode_join_token(self.store.opened.identity.cluster, new)
--- a/limerudder/store/node_bridge.py
+++ b/limerudder/store/node_bridge.py
@@ -13,7 +13,7 @@
 from dataclasses import replace
 from typing import Any, Protocol
 
-from limerudder.config import NodeConfig
+from limerudder.config import ProcessConfig
 from limerudder.core.discovery.endpoint_list import (
     Endpoint,
     EndpointList,
@@ -23,7 +23,7 @@
 )
 from limerudder.core.operations.maintenance import MaintenanceMarks
 from limerudder.core.timer_wheel import TimerWheel
-from limerudder.core.transport import read_address
+from limerudder.core.transport import parse_address
 from limerudder.policy.events import ServerState
 from limerudder.schema import StoreSettings
 from limerudder.store.checks import LIST, SETTINGS, read_setting
@@ -50,22 +50,22 @@
 class BridgedNode(Protocol):
     """The node, as far as the store goes."""
 
-    wheel: TimerWheel
+    timer_wheel: TimerWheel
     discovery: Any
 
-    def lists(self, name: str) -> bool:
+    def is_listed(self, name: str) -> bool:
         """Whether discovery lists this host."""
 
-    def relist(self, name: str, now: int) -> None:
+    def refresh_endpoint(self, name: str, now: int) -> None:
         """What is known of this host has changed."""
 
-    def listed(self) -> EndpointList:
+    def endpoint_list(self) -> EndpointList:
         """Discovery's list as it stands here."""
 
-    def returned(self) -> dict[str, int]:
+    def return_to_service_times(self) -> dict[str, int]:
         """When staff put hosts back."""
 
-    def returned_elsewhere(self, returned: dict[str, int], now: int) -> None:
+    def apply_return_to_service_times(self, returned: dict[str, int], now: int) -> None:
         """When they did so, as others know."""
 
 
@@ -144,7 +144,7 @@
 
     # before the node is there
 
-    def begin_with(self, config: NodeConfig) -> NodeConfig:
+    def begin_with(self, config: ProcessConfig) -> ProcessConfig:
         """The configuration with what is known here: a later list of hosts, another address of discovery."""
         _, value = self.store.member.value(LIST)
         if value is not None:
@@ -159,7 +159,7 @@
             ):  # guards the start against a value gone bad
                 self.log("store", "store: the last list of hosts cannot be read; the platform's is used")
         address = self._setting("config/discovery")
-        return replace(config, discovery=read_address(address)) if address else config
+        return replace(config, discovery=parse_address(address)) if address else config
 
     def _setting(self, key: str) -> Any:
         modified, value = self.store.member.value(key)
@@ -185,7 +185,7 @@
         backs = {
             host: self.store.member.ledger.view(host).back_at for host in self.store.member.ledger.hosts()
         }
-        node.returned_elsewhere({host: at for host, at in backs.items() if at}, self.now())
+        node.apply_return_to_service_times({host: at for host, at in backs.items() if at}, self.now())
         self._look(self.now())
 
     def close(self) -> None:
@@ -249,7 +249,7 @@
         """A setting takes effect, here and now."""
         revision = self.applied[key]
         if key == "config/discovery" and self.node:
-            self.node.discovery.move(read_address(told), self.now())
+            self.node.discovery.move(parse_address(told), self.now())
         elif key == "config/log":
             self.configure(told["format"], told["lines"], told["per"] / 1e6)
         self.log("store-config", f"store: {key} of revision {revision} is in force")
@@ -259,17 +259,17 @@
         node = self.node
         if node is None or self.store.closed:
             return
-        node.wheel.at(now + LOOK, self._look)
+        node.timer_wheel.schedule(now + LOOK, self._look)
         changed, self.changed_hosts = self.changed_hosts, set()
-        backs = node.returned() if changed else {}
+        backs = node.return_to_service_times() if changed else {}
         for host in sorted(changed):
             view = self.store.member.ledger.view(host)
             if view.drained >= 0:
                 self.hear_drained(host, view.drained)
             if view.back_at > backs.get(host, 0):
-                node.returned_elsewhere({host: view.back_at}, now)
-            elif node.lists(host):
-                node.relist(host, now)
+                node.apply_return_to_service_times({host: view.back_at}, now)
+            elif node.is_listed(host):
+                node.refresh_endpoint(host, now)
         if now >= self.list_due:
             self.list_due = now + LIST_EVERY
             self._write_list(now)
@@ -277,7 +277,7 @@
     def _write_list(self, now: int) -> None:
         """Whoever leads keeps the last list for all; a write that fails is made again with the next look."""
         member = self.store.member
-        hosts = self.node.listed() if self.node else None
+        hosts = self.node.endpoint_list() if self.node else None
         if not member.leads or hosts is None or hosts.version == self.version or not hosts.hosts:
             return
         if not self.session:
--- a/limerudder/store/peer_transport.py
+++ b/limerudder/store/peer_transport.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from limerudder.core.transport import Address, read_address
+from limerudder.core.transport import Address, parse_address
 from limerudder.store import rpc
 from limerudder.store.disk import Disk
 from limerudder.store.framing import FrameDecoder, FrameError, encode_frame
@@ -156,7 +156,7 @@
         for one in config.members:
             if one.id != self.me:
                 try:
-                    self.addresses[one.id] = read_address(one.address)
+                    self.addresses[one.id] = parse_address(one.address)
                 except ValueError:
                     self.log("store-peer", f"store: {one.name} has no address: {one.address!r}")
         for number in self.addresses:
--- a/limerudder/store_runtime.py
+++ b/limerudder/store_runtime.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from limerudder.config import ConfigError, NodeConfig
+from limerudder.config import ConfigError, ProcessConfig
 from limerudder.core.discovery.drain_memory import DrainMemory, InheritedDrains
 from limerudder.core.lifecycle.hot_restart import HotRestartParent
 from limerudder.core.node import Node
@@ -28,7 +28,7 @@
 class StoreRuntime:
     """A node's store, where the operator's file asks for one."""
 
-    def __init__(self, config: NodeConfig, log: Log, clock: Clock) -> None:
+    def __init__(self, config: ProcessConfig, log: Log, clock: Clock) -> None:
         self.settings = config.operator.store if config.operator else None
         self.name, self.log, self.clock = config.name, log, clock
         self.glue: NodeStoreBridge | None = None
@@ -43,7 +43,7 @@
         configure = getattr(self.log, "configure", lambda *args: None)
         return NodeStoreBridge(self.settings, self.name, self.log, self.clock.now, configure)
 
-    def open(self, config: NodeConfig) -> NodeConfig:
+    def open(self, config: ProcessConfig) -> ProcessConfig:
         """Open the store where there is to be one; gives the configuration with what is known there."""
         if self.settings is None:
             return config
@@ -114,15 +114,15 @@
                 await asyncio.sleep(AGAIN)
         if self.inherited:
             self.glue.inherit(self.inherited.heard)
-        node.recall = self.glue
+        node.drain_memory = self.glue
         node.maintenance.marks = self.marks(marks)
         try:
             await self.attach(node, marks, elder)
         except ConfigError as exc:  # guards a node that serves against an address that is taken
             self.log("store-disk", f"store: {exc}; this process goes on without its store")
             return
-        for host in node.listed().hosts:
-            node.relist(host.name, self.clock.now())
+        for host in node.endpoint_list().hosts:
+            node.refresh_endpoint(host.name, self.clock.now())
 
     def close(self) -> None:
         """The node ends."""
--- a/tests/scripted_peers.py
+++ b/tests/scripted_peers.py
@@ -14,29 +14,29 @@
 
 from harness.configurations import ID, KEY, LINE, SECOND, configuration, fresh, host, hosts, settings
 from limerudder.__main__ import serve
-from limerudder.config import NodeConfig, load_config
+from limerudder.config import ProcessConfig, load_config
 from limerudder.core.client.session import LineSession
 from limerudder.core.node import Node
-from limerudder.core.transport import OutboundMachine, read_address
+from limerudder.core.transport import OutboundMachine, parse_address
 
 __all__ = ["ID", "KEY", "LINE", "SECOND", "configuration", "fresh", "host", "hosts", "settings"]
 
 
-class FakeLink:
+class FakeTransport:
     """A link that remembers what was asked of it; for a dial, with the machine that dialled."""
 
     def __init__(self, machine: Any = None, address: tuple[str, int] = ("", 0)) -> None:
         self.machine, self.address = machine, address
         self.sent = b""
-        self.held = self.finished = self.closed = self.was_reset = False
-        self.gone = False  # the other side has left, and what it sent before is not read yet
+        self.reading_paused = self.half_closed = self.closed = self.was_reset = False
+        self.peer_disconnected = False  # the other side has left, and what it sent before is not read yet
 
     def write(self, data: bytes) -> None:
-        assert not self.finished and not self.closed
+        assert not self.half_closed and not self.closed
         self.sent += data
 
-    def finish(self) -> None:
-        self.finished = True
+    def half_close(self) -> None:
+        self.half_closed = True
 
     def close(self) -> None:
         self.closed = True
@@ -44,64 +44,64 @@
     def reset(self) -> None:
         self.closed = self.was_reset = True
 
-    def hold(self, on: bool) -> None:
-        self.held = on
+    def set_reading_paused(self, on: bool) -> None:
+        self.reading_paused = on
 
-    def left(self) -> bool:
-        return self.gone
+    def has_disconnected(self) -> bool:
+        return self.peer_disconnected
 
     def accept(self, now: int) -> str:
         """The dial succeeds and its first bytes are written; they are returned."""
-        first = self.machine.opening(now)
+        first = self.machine.first_bytes(now)
         if self.closed:
             return ""  # given up in the last moment
         self.sent += first
-        self.machine.written()
-        self.machine.connected(self, now)
+        self.machine.first_bytes_sent()
+        self.machine.connection_made(self, now)
         return self.sent.decode()
 
 
 class World:
     """A node in memory: its clock, its dials, its log; checks that no request has two attempts out."""
 
-    def __init__(self, config: NodeConfig) -> None:
-        self.now, self.dials, self.logged = 50 * SECOND, list[FakeLink](), list[str]()
+    def __init__(self, config: ProcessConfig) -> None:
+        self.now, self.dials, self.logged = 50 * SECOND, list[FakeTransport](), list[str]()
         self.came = 0
-        self.told: list[tuple[int, bytes]] = []
+        self.datagrams: list[tuple[int, bytes]] = []
         self.node = Node(config, self, lambda kind, text: self.logged.append(text), self.now)
 
-    def dial(self, address: tuple[str, int], machine: OutboundMachine) -> FakeLink:
-        self.dials.append(FakeLink(machine, address))
+    def dial(self, address: tuple[str, int], machine: OutboundMachine) -> FakeTransport:
+        self.dials.append(FakeTransport(machine, address))
         owners = [d.machine.owner for d in self.attempts()]
         assert len(owners) == len(set(owners)), "two attempts of a request are out"
         return self.dials[-1]
 
-    def tell(self, peer: int, data: bytes) -> None:
-        self.told.append((peer, data))
+    def send_datagram(self, peer: int, data: bytes) -> None:
+        self.datagrams.append((peer, data))
 
-    def connect(self) -> tuple[LineSession, FakeLink]:
+    def connect(self) -> tuple[LineSession, FakeTransport]:
         """A client connects and says nothing."""
-        session, link = LineSession(self.node), FakeLink()
-        session.connected(link, self.now)
+        session, link = LineSession(self.node), FakeTransport()
+        session.connection_made(link, self.now)
         return session, link
 
-    def client(self, line: str = LINE) -> tuple[LineSession, FakeLink]:
+    def client(self, line: str = LINE) -> tuple[LineSession, FakeTransport]:
         """A client connects and sends its first line, with an id of its own."""
         line, self.came = fresh(line, self.came), self.came + 1
         session, link = self.connect()
-        session.feed(line.encode() + b"\r\n", self.now)
+        session.data_received(line.encode() + b"\r\n", self.now)
         return session, link
 
-    def attempts(self) -> list[FakeLink]:
+    def attempts(self) -> list[FakeTransport]:
         """The dials to upstreams with a client's line that are not closed."""
         return [d for d in self.dials if hasattr(d.machine, "line") and not d.closed]
 
-    def served(self, line: str = LINE) -> tuple[LineSession, FakeLink, FakeLink]:
+    def served(self, line: str = LINE) -> tuple[LineSession, FakeTransport, FakeTransport]:
         """A client that is up: its session, its link and its attempt's."""
         session, link = self.client(line)
         attempt = self.attempts()[-1]
         attempt.accept(self.now)
-        attempt.machine.feed(b"UP 77\r\n", self.now)
+        attempt.machine.data_received(b"UP 77\r\n", self.now)
         assert link.sent == b"UP 77\r\n"
         return session, link, attempt
 
@@ -109,7 +109,7 @@
         """Let time pass, a tick at a time."""
         for _ in range(duration // 5000):
             self.now += 5000
-            self.node.wheel.advance(self.now)
+            self.node.timer_wheel.advance(self.now)
 
 
 def world(folder: Path, **changes: Any) -> World:
@@ -228,10 +228,10 @@
         told = (
             os.environ | configuration(self.folder, **given) | {"TMPDIR": str(self.shared)} | self.environment
         )
-        self.address = read_address(given["listen"])
+        self.address = parse_address(given["listen"])
         args = [sys.executable, "-m", "limerudder"]
         ran = await asyncio.create_subprocess_exec(*args, env=told, stderr=asyncio.subprocess.PIPE)
-        process = Process(ran, read_address(given["console"]))
+        process = Process(ran, parse_address(given["console"]))
         if not self.before:
             self.before = True
             await process.says("listening on")
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -19,7 +19,7 @@
 )
 from limerudder.core.operations.counters import Counters
 from limerudder.core.timer_wheel import TimerWheel
-from tests.scripted_peers import SECOND, FakeLink, World, configuration, settings, world
+from tests.scripted_peers import SECOND, FakeTransport, World, configuration, settings, world
 
 
 def no(word: str, now: int) -> str:
@@ -35,9 +35,9 @@
     return here
 
 
-def call(console: Console) -> tuple[ConsoleSession, FakeLink]:
-    session, link = ConsoleSession(console), FakeLink()
-    session.connected(link, 0)
+def call(console: Console) -> tuple[ConsoleSession, FakeTransport]:
+    session, link = ConsoleSession(console), FakeTransport()
+    session.connection_made(link, 0)
     return session, link
 
 
@@ -61,20 +61,20 @@
 def test_a_call_in_any_pieces_has_one_answer(console: Console, data: bytes, step: int) -> None:
     session, link = call(console)
     for at in range(0, len(data), step):
-        session.feed(data[at : at + step], 0)
-    assert link.sent.decode() == LINES[data] and link.finished and not link.closed
-    session.eof(0)
+        session.data_received(data[at : at + step], 0)
+    assert link.sent.decode() == LINES[data] and link.half_closed and not link.closed
+    session.eof_received(0)
     assert link.closed and not console.callers
 
 
 def test_a_call_ends_with_its_callers_sending_too(console: Console) -> None:
     session, link = call(console)
-    session.feed(b"status", 0)
-    session.eof(0)
+    session.data_received(b"status", 0)
+    session.eof_received(0)
     assert link.sent == b"done\n"
-    session.lost(0)
+    session.connection_lost(0)
     session, link = call(console)
-    session.eof(0)
+    session.eof_received(0)
     assert link.closed and not link.sent and not console.callers
 
 
@@ -82,14 +82,14 @@
     silent = [call(console)[1] for _ in range(3 * CALLERS)]
     assert sum(not link.closed for link in silent) == CALLERS, "their descriptors are bounded"
     session, link = call(console)
-    session.feed(b"status\n", 0)
+    session.data_received(b"status\n", 0)
     assert link.sent == b"done\n"
-    console.wheel.advance(5 * SECOND)
+    console.timer_wheel.advance(5 * SECOND)
     assert all(link.closed for link in silent) and not console.callers
 
 
 def stats(here: World) -> dict[str, str]:
-    lines = here.node.figures.text(here.node.gauges(here.now)).splitlines()
+    lines = here.node.metrics.text(here.node.gauges(here.now)).splitlines()
     assert all(line.startswith("app.") for line in lines)
     return dict(line.removeprefix("app.").split(":") for line in lines)
 
@@ -102,27 +102,27 @@
     later = DeferredAnswer()
     console.offer("hold", lambda word, now: later, takes=True)
     session, link = call(console)
-    session.feed(b"hold x\n", 0)
+    session.data_received(b"hold x\n", 0)
     if ends:
-        session.eof(0)
+        session.eof_received(0)
     assert link.sent == b"" and not link.closed
     if settled:
         later.settle("done\n", 5)
     else:
-        console.wheel.advance(PATIENCE + 10_000)
+        console.timer_wheel.advance(PATIENCE + 10_000)
     assert link.sent == (
         b"done\n" if settled else b"error that is not written down yet; it holds here, and is tried on\n"
     )
     later.settle("done\n", 9)
-    assert link.sent.count(b"\n") == 1 and link.finished, "one answer"
+    assert link.sent.count(b"\n") == 1 and link.half_closed, "one answer"
 
 
 def test_an_answer_for_a_caller_that_has_gone_is_passed_over(console: Console) -> None:
     later = DeferredAnswer()
     console.offer("hold", lambda word, now: later, takes=True)
     session, link = call(console)
-    session.feed(b"hold x\n", 0)
-    session.lost(0)
+    session.data_received(b"hold x\n", 0)
+    session.connection_lost(0)
     later.settle("done\n", 5)
     assert link.sent == b"" and not console.callers
 
@@ -139,27 +139,27 @@
 
 def ended(here: World) -> None:
     _, _, attempt = here.served()
-    attempt.machine.feed(b"BYE\r\n", here.now)
-    attempt.machine.eof(here.now)
+    attempt.machine.data_received(b"BYE\r\n", here.now)
+    attempt.machine.eof_received(here.now)
 
 
 def retried(here: World) -> None:
     here.client()
     (first,) = here.attempts()
     first.accept(here.now)
-    first.machine.feed(b"BUSY\r\n", here.now)
+    first.machine.data_received(b"BUSY\r\n", here.now)
     (second,) = here.attempts()
     second.accept(here.now)
-    second.machine.feed(b"UP 7\r\n", here.now)
+    second.machine.data_received(b"UP 7\r\n", here.now)
 
 
 def never_dialled_up(here: World) -> None:
     here.client()
-    here.attempts()[0].machine.lost(here.now)
+    here.attempts()[0].machine.connection_lost(here.now)
 
 
 def turned_away(here: World) -> None:
-    here.node.stop(here.now)
+    here.node.start_graceful_shutdown(here.now)
     here.client()
 
 
@@ -171,7 +171,7 @@
 
 def left(here: World) -> None:
     session, _ = here.client()
-    session.lost(here.now)
+    session.connection_lost(here.now)
 
 
 WAYS: dict[Callable[[World], None], dict[str, int]] = {
@@ -196,7 +196,7 @@
 def test_whom_the_module_avoids_by_choice_is_out_of_rotation(tmp_path: Path) -> None:
     here = world(tmp_path, settings=settings(tryLimit=1))
     here.client()
-    here.attempts()[0].machine.lost(here.now)  # a strike
+    here.attempts()[0].machine.connection_lost(here.now)  # a strike
     assert stats(here)["out_of_rotation"] == "1|g"
     here.run(4 * SECOND)
     assert stats(here)["out_of_rotation"] == "0|g", "it is tried again"
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -17,7 +17,7 @@
     COMPLETE_TIMEOUT_US,
     CallDeadline,
 )
-from tests.scripted_peers import SECOND, FakeLink, World, host, hosts, settings, world
+from tests.scripted_peers import SECOND, FakeTransport, World, host, hosts, settings, world
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 values = st.recursive(
@@ -61,11 +61,11 @@
         lambda c, f, n: over.append(f),
         CallDeadline(False, 0),
     )
-    call.connected(FakeLink(), 1)
+    call.connection_made(FakeTransport(), 1)
     text = json.dumps(hosts(host("s-1")), indent=2).encode()
     answer = HEAD + chunk(b"\r\n" + text + b"\r\n") + (b"" if watch else b"0\r\n\r\n")
     for at in range(0, len(answer), cut):
-        call.feed(answer[at : at + cut], 2)
+        call.data_received(answer[at : at + cut], 2)
     assert [len(one.hosts) for one in told] == [1]
     assert over == ([] if watch else [False])
 
@@ -74,7 +74,7 @@
     return world(folder, settings={**settings(), "discovery": "pushed"})
 
 
-def watches(here: World) -> list[FakeLink]:
+def watches(here: World) -> list[FakeTransport]:
     return [d for d in here.dials if isinstance(d.machine, DiscoveryCall) and d.machine.watch]
 
 
@@ -82,12 +82,12 @@
     here = pushed(tmp_path)
     (watch,) = watches(here)  # what the agent has counts from a process's first moment
     watch.accept(here.now)
-    watch.machine.feed(HEAD + chunk(json.dumps(hosts(host("s-new"))).encode() + b"\n"), here.now)
-    assert here.node.lists("s-new")
-    watch.machine.eof(here.now)
+    watch.machine.data_received(HEAD + chunk(json.dumps(hosts(host("s-new"))).encode() + b"\n"), here.now)
+    assert here.node.is_listed("s-new")
+    watch.machine.eof_received(here.now)
     here.run(AGENT_RETRY_INTERVAL_US + AGENT_FIRST_BYTE_TIMEOUT_US // 2)
     assert len(watches(here)) == 2 and not watches(here)[1].closed
-    assert b"after=41" in watches(here)[1].machine.opening(here.now), "what was missed comes first"
+    assert b"after=41" in watches(here)[1].machine.first_bytes(here.now), "what was missed comes first"
 
 
 def test_an_agent_that_says_nothing_is_asked_again_until_it_speaks(tmp_path: Path) -> None:
@@ -103,10 +103,10 @@
     here = pushed(tmp_path)
     (watch,) = watches(here)
     watch.accept(here.now)
-    watch.machine.feed(HEAD + chunk(b'{"generation": 42, '), here.now)
+    watch.machine.data_received(HEAD + chunk(b'{"generation": 42, '), here.now)
     for _ in range(COMPLETE_TIMEOUT_US // (SECOND // 2)):
         here.run(SECOND // 2)
         assert not watch.closed, "a long list takes its time, the first too"
-        watch.machine.feed(chunk(b"\r\n"), here.now)
+        watch.machine.data_received(chunk(b"\r\n"), here.now)
     here.run(SECOND // 2)
     assert watch.closed
--- a/tests/test_discovery_timing.py
+++ b/tests/test_discovery_timing.py
@@ -32,7 +32,7 @@
 from limerudder.policy.events import (
     ServerState,
 )
-from tests.scripted_peers import SECOND, FakeLink, World, host, hosts, settings, world
+from tests.scripted_peers import SECOND, FakeTransport, World, host, hosts, settings, world
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 STEP = 100_000
@@ -83,12 +83,12 @@
         text = hosts(host("s-1", lifecycle=state)) | {"generation": 41 + self.drained}
         return chunk(json.dumps(text).encode() + b"\n")
 
-    def play(self, at: int, link: FakeLink) -> None:
+    def play(self, at: int, link: FakeTransport) -> None:
         """One step of one call."""
         (fate, since), now = self.seen[at], self.here.now
         call = link.machine
         if fate == "refused":
-            call.lost(now)
+            call.connection_lost(now)
         elif fate == "unreached" or (fate == "late" or fate == "late, then good") and now - since < LATE:
             pass
         elif at not in self.told:
@@ -96,7 +96,7 @@
             link.accept(since)
             self.begin(fate, call)
         elif (fate in ("endless", "listless") or fate.endswith("good")) and (now - since) % HEARTBEAT < STEP:
-            call.feed(chunk(b"\n"), now)
+            call.data_received(chunk(b"\n"), now)
 
     def begin(self, fate: str, call: DiscoveryCall) -> None:
         """The first that comes on a call."""
@@ -109,11 +109,11 @@
             "endless": HEAD + chunk(b'{"generation": 42, '),
             "listless": HEAD,
         }
-        call.feed(first.get(fate, HEAD + self.list() + (b"" if call.watch else b"0\r\n\r\n")), now)
+        call.data_received(first.get(fate, HEAD + self.list() + (b"" if call.watch else b"0\r\n\r\n")), now)
         if fate == "cut":
-            call.eof(now)
+            call.eof_received(now)
         if fate == "reset":
-            call.lost(now)
+            call.connection_lost(now)
 
     def drain(self) -> None:
         """All is well from now on, and a change is there: watches that live hear of it."""
@@ -121,7 +121,7 @@
         for at, (fate, _) in self.seen.items():
             link = self.here.dials[at]
             if fate == "good" and at in self.told and not link.closed and link.machine.watch:
-                link.machine.feed(self.list(), self.here.now)
+                link.machine.data_received(self.list(), self.here.now)
 
 
 def play(folder: Path, discovery: str, fates: list[str], before: int, moves: list[int]) -> int:
@@ -135,11 +135,11 @@
             here.node.discovery.move(("127.0.0.1", 7000 + step), here.now)
     since = here.now
     service.drain()
-    while here.node.upstream("s-1").state == ServerState.READY:
+    while here.node.upstreams.get_or_create("s-1").state == ServerState.READY:
         assert here.now - since < 60 * SECOND, "never heard"
         service.step()
         here.run(STEP)
-    server = here.node.balancer.servers[here.node.numbers["s-1"]]  # type: ignore[attr-defined]
+    server = here.node.balancer.servers[here.node.upstreams.by_name["s-1"].number]  # type: ignore[attr-defined]
     assert server.state == ServerState.DRAINING, "the module goes by it too"
     return here.now - since
 
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -172,7 +172,7 @@
     link = TcpConnection(HealthCheckConnection((), lambda *heard: None), Clock())
     link.connection_made(transport)
     for on in (False, True, True, False, False):
-        link.hold(on)
+        link.set_reading_paused(on)
     asked = [name for name, _, _ in transport.method_calls if name.endswith("_reading")]
     assert asked == ["pause_reading", "resume_reading"], "uvloop brings a FIN again for each resume"
 
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -24,11 +24,11 @@
     PredecessorConnections,
     UpdateKind,
 )
-from tests.scripted_peers import LINE, SECOND, FakeLink, Loopback, World, host, hosts, world
+from tests.scripted_peers import LINE, SECOND, FakeTransport, Loopback, World, host, hosts, world
 from tests.test_node import events
 
 
-class Joined(FakeLink):
+class Joined(FakeTransport):
     """One end of the connection between two processes: what is written comes out of the other in pieces."""
 
     def __init__(self, here: World, step: int) -> None:
@@ -41,7 +41,7 @@
         other = self.other
         if other and other.owner and not self.closed:
             for at in range(0, len(data), self.step):
-                other.owner.feed(data[at : at + self.step], other.here.now)
+                other.owner.data_received(data[at : at + self.step], other.here.now)
 
 
 class Pair:
@@ -65,9 +65,9 @@
         there.owner = heir = HotRestartSuccessor(
             self.new.node, hello, lambda: self.did.append("ready"), self.new.now
         )
-        heir.connected(there, self.new.now)
+        heir.connection_made(there, self.new.now)
         here.owner = asker = SuccessorConnection(self.elder)
-        asker.connected(here, self.old.now)
+        asker.connection_made(here, self.old.now)
         return heir
 
     def run(self, duration: int) -> None:
@@ -81,7 +81,7 @@
     body = json.dumps(hosts(host("s-1"), host("s-2"))).encode() + b"\n"
     watch = next(dial.machine for dial in here.dials if getattr(dial.machine, "watch", False))
     head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-    watch.feed(head + f"{len(body):x}".encode() + b"\r\n" + body + b"\r\n", here.now)
+    watch.data_received(head + f"{len(body):x}".encode() + b"\r\n" + body + b"\r\n", here.now)
 
 
 @pytest.mark.parametrize("step", [1, 7, 5000])
@@ -94,9 +94,9 @@
     assert pair.did == [], "discovery has told it nothing yet"
     told(pair.new)
     pair.run(SECOND // 10)
-    assert pair.did == ["ready"] and not pair.old.node.succeeded
+    assert pair.did == ["ready"] and not pair.old.node.has_successor
     heir.say("serving")
-    assert pair.did == ["ready", "shut"] and pair.old.node.succeeded
+    assert pair.did == ["ready", "shut"] and pair.old.node.has_successor
     pair.run(3 * SECOND)
     assert pair.did == ["ready", "shut"]
 
@@ -108,7 +108,7 @@
     if why == "stopping":
         pair.elder.tell("stopping")
     elif why == "gone":
-        heir.lost(pair.new.now)
+        heir.connection_lost(pair.new.now)
     pair.run(after - 100_000 if after else 0)
     assert pair.did == ([] if after else ["ready"])
     pair.run(200_000)
@@ -117,7 +117,7 @@
 
 def test_one_that_asks_amid_a_stop_serves_at_once(tmp_path: Path) -> None:
     pair = Pair(tmp_path)
-    pair.old.node.stop(pair.old.now)
+    pair.old.node.start_graceful_shutdown(pair.old.now)
     pair.ask()
     assert pair.did == ["ready"]
 
@@ -127,8 +127,8 @@
     heir = pair.ask()
     heir.say("serving")
     (asker,) = pair.elder.asking
-    asker.lost(pair.old.now)
-    assert pair.did == ["shut", "open"] and not pair.old.node.succeeded and not pair.elder.asking
+    asker.connection_lost(pair.old.now)
+    assert pair.did == ["shut", "open"] and not pair.old.node.has_successor and not pair.elder.asking
     pair.ask().say("serving")
     assert pair.did == ["shut", "open", "shut"]
 
@@ -139,8 +139,8 @@
     second.say("serving")
     first.say("serving")
     assert pair.did == ["shut"], "one successor at a time"
-    pair.elder.asking[0].lost(pair.old.now)
-    assert pair.did == ["shut"] and pair.old.node.succeeded
+    pair.elder.asking[0].connection_lost(pair.old.now)
+    assert pair.did == ["shut"] and pair.old.node.has_successor
 
 
 def test_a_hello_tells_list_ids_and_what_is_held(tmp_path: Path) -> None:
@@ -163,9 +163,9 @@
 def test_words_that_cannot_be_read_are_passed_over(tmp_path: Path, words: bytes) -> None:
     pair = Pair(tmp_path)
     heir = pair.ask()
-    heir.feed(words, pair.new.now)
+    heir.data_received(words, pair.new.now)
     (asker,) = pair.elder.asking
-    asker.feed(words, pair.old.now)
+    asker.data_received(words, pair.old.now)
     assert pair.did == []
 
 
@@ -190,7 +190,7 @@
     assert pair.new.node.admission.room == room - 10
     heir.say("serving")
     for session, _, _ in standing:
-        session.lost(pair.old.now)
+        session.connection_lost(pair.old.now)
     pair.run(SECOND // 5)
     assert pair.new.node.admission.room == room
     counts = {e.server: e.many for e in heard if isinstance(e, PredecessorConnections)}
@@ -201,8 +201,8 @@
 def test_what_the_old_one_holds_counts_in_the_draw(tmp_path: Path) -> None:
     pair = Pair(tmp_path)
     pair.ask()
-    server = pair.new.node.numbers["s-1"]
-    pair.new.node.give(PredecessorConnections(server, 5), pair.new.now)
+    server = pair.new.node.upstreams.by_name["s-1"].number
+    pair.new.node.dispatch(PredecessorConnections(server, 5), pair.new.now)
     for _ in range(4):
         pair.new.served()
     assert {dial.machine.owner.upstream.name for dial in pair.new.attempts()} == {"s-2"}
@@ -213,14 +213,14 @@
     here = pair.old
     standing = [here.served()[1] for _ in range(30)]
     _, waiting = here.client()
-    (attempt,) = (d for d in here.attempts() if not d.machine.out)
+    (attempt,) = (d for d in here.attempts() if not d.machine.sent)
     quiet, late = here.connect()
     pair.ask().say("serving")
-    here.node.stop(here.now)
+    here.node.start_graceful_shutdown(here.now)
     attempt.accept(here.now)
-    attempt.machine.feed(b"UP 7\r\n", here.now)
-    quiet.feed(LINE.replace("9b", "77").encode() + b"\r\n", here.now)
-    assert not late.sent and not here.attempts()[-1].machine.out, "it is tried like any other"
+    attempt.machine.data_received(b"UP 7\r\n", here.now)
+    quiet.data_received(LINE.replace("9b", "77").encode() + b"\r\n", here.now)
+    assert not late.sent and not here.attempts()[-1].machine.sent, "it is tried like any other"
     seen = []
     for _ in range(
         12
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -18,7 +18,7 @@
 from limerudder.policy.events import (
     ServerState,
 )
-from tests.scripted_peers import LINE, SECOND, FakeLink, World, host, hosts, settings, world
+from tests.scripted_peers import LINE, SECOND, FakeTransport, World, host, hosts, settings, world
 
 CLASSES = ["safe", "unsafe", "all", "zone", "cell"]
 NAMES = ["s-1", "s-2", "s-3", "s-4"]
@@ -44,7 +44,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.folder = TemporaryDirectory()
-        self.clients: list[tuple[LineSession, FakeLink]] = []
+        self.clients: list[tuple[LineSession, FakeTransport]] = []
         self.left: set[int] = set()
         self.stopped = False
 
@@ -81,23 +81,26 @@
         if dials and far != "asked":
             dials[0].accept(self.here.now)
             if far == "up":
-                dials[0].machine.feed(b"UP 7\r\n", self.here.now)
+                dials[0].machine.data_received(b"UP 7\r\n", self.here.now)
 
     @precondition(lambda self: self.clients)
     @rule(which=st.integers(0, 99), data=st.sampled_from([b"M 1\r\n", b"M", b"x" * 5000, b"PING\r\n"]))
     def say(self, which: int, data: bytes) -> None:
         if which % 4 == 0:  # one that rests
             session, link = self.here.connect()
-            session.feed(b"PING\r\n", self.here.now)
+            session.data_received(b"PING\r\n", self.here.now)
             self.clients.append((session, link))
             return
         which %= len(self.clients)
         session, link = self.clients[which]
-        if which not in self.left and not link.closed and not link.held:
-            session.feed(data, self.here.now)
+        if which not in self.left and not link.closed and not link.reading_paused:
+            session.data_received(data, self.here.now)
 
     @precondition(lambda self: self.clients)
-    @rule(which=st.integers(0, 99), how=st.sampled_from(["eof", "lost", "unread", "unread", "crowded"]))
+    @rule(
+        which=st.integers(0, 99),
+        how=st.sampled_from(["eof_received", "connection_lost", "unread", "unread", "crowded"]),
+    )
     def leave(self, which: int, how: str) -> None:
         here = [n for n, (_, link) in enumerate(self.clients) if n not in self.left and not link.closed]
         # the last that came: it may still wait, and what happens to one that waits is what matters
@@ -106,44 +109,52 @@
         which = here[-1 - which % min(len(here), 3)]
         session, link = self.clients[which]
         if how == "crowded":
-            session.crowded(True)
-            session.crowded(False)
+            session.set_writing_paused(True)
+            session.set_writing_paused(False)
             return
         self.left.add(which)
         if how == "unread":  # its FIN is there, behind bytes that the loop has not come to
-            link.gone = True
+            link.peer_disconnected = True
         else:
             getattr(session, how)(self.here.now)
 
     @rule(which=st.integers(0, 99), up=st.booleans())
     def dialled(self, which: int, up: bool) -> None:
-        waiting = [d for d in self.here.attempts() if not d.machine.out]
+        waiting = [d for d in self.here.attempts() if not d.machine.sent]
         if waiting:
             link = waiting[-1 - which % min(len(waiting), 3)]
             if not up:
-                link.machine.lost(self.here.now)
+                link.machine.connection_lost(self.here.now)
                 return
             session = link.machine.owner.session
-            gone = session.link is None or session.link.gone
+            gone = session.transport is None or session.transport.peer_disconnected
             assert not link.accept(self.here.now) or not gone, "written for a client that has gone"
 
     @rule(
         which=st.integers(0, 99),
         what=st.sampled_from(
             [b"UP 7\r\n", b"UP 7", b"ERR\r\n", b"BUSY\r\n", b"UP 7\r\nUP 8\r\n", b"BYE\r\n", b"M 1\r\n"]
-            + [b"\xff\x00\r\n", b"y" * 5000, "eof", "lost", "lost", "lost", "crowded"]
+            + [
+                b"\xff\x00\r\n",
+                b"y" * 5000,
+                "eof_received",
+                "connection_lost",
+                "connection_lost",
+                "connection_lost",
+                "crowded",
+            ]
         ),
     )
     def answer(self, which: int, what: bytes | str) -> None:
-        out = [d for d in self.here.attempts() if d.machine.out]
+        out = [d for d in self.here.attempts() if d.machine.sent]
         if not out:
             return
         machine = out[-1 - which % min(len(out), 3)].machine
         if isinstance(what, bytes):
-            machine.feed(what, self.here.now)
+            machine.data_received(what, self.here.now)
         elif what == "crowded":
-            machine.crowded(True)
-            machine.crowded(False)
+            machine.set_writing_paused(True)
+            machine.set_writing_paused(False)
         else:
             getattr(machine, what)(self.here.now)
 
@@ -166,7 +177,7 @@
     @rule(which=st.integers(0, 19))
     def signal(self, which: int) -> None:
         if which == 0:
-            self.here.node.stop(self.here.now)
+            self.here.node.start_graceful_shutdown(self.here.now)
         else:
             self.here.node.discovery.move(("127.0.0.1", which), self.here.now)
 
@@ -180,7 +191,7 @@
             for _ in range(8 * SECOND // 50_000):
                 self.here.run(50_000)
                 self.watch.check(self.here.now)
-            waiting = [h for h in self.here.node.requests.values() if not h.answered]
+            waiting = [h for h in self.here.node.requests.values() if not h.has_final_answer]
             assert not waiting, "after all, each request has its answer"
             for which, (_, link) in enumerate(self.clients):
                 if which not in self.left and not link.closed:
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -21,11 +21,11 @@
 
 
 def upstream(here: World, name: str) -> int:
-    return here.node.numbers[name]
+    return here.node.upstreams.by_name[name].number
 
 
 def hold_all_but(here: World, name: str) -> None:
-    for other in set(here.node.numbers) - {name}:
+    for other in set(here.node.upstreams.by_name) - {name}:
         assert here.node.maintenance.on(other, here.now)
 
 
@@ -52,13 +52,13 @@
     (setting_up,) = (d for d in here.attempts() if d not in [attempt for _, _, attempt in standing])
     setting_up.accept(here.now)
     here.client()
-    (dialled,) = (d for d in here.attempts() if not d.machine.out)
+    (dialled,) = (d for d in here.attempts() if not d.machine.sent)
     assert here.node.maintenance.on("s-1", here.now)
     assert dialled.closed, "no line is written after the yes"
     here.run(SECOND // 2)
     moved = sum(link.sent.endswith(b"MOVE\r\n") for _, link, _ in standing)
     assert 3 <= moved <= 7
-    setting_up.machine.feed(b"UP 8\r\n", here.now)
+    setting_up.machine.data_received(b"UP 8\r\n", here.now)
     here.run(SECOND // 2)
     assert all(link.sent.endswith(b"MOVE\r\n") for _, link, _ in standing)
     assert late.sent == b"UP 8\r\nMOVE\r\n", "it came up after the yes"
@@ -83,7 +83,7 @@
     assert node.on("s-1", here.now), "held, though listed no more"
     assert node.off("s-1", here.now) and not node.held and not node.off("s-1", here.now)
     assert node.off("s-2", here.now), "listed, though not held"
-    assert not here.node.lists("s-1")
+    assert not here.node.is_listed("s-1")
 
 
 @pytest.mark.parametrize("way", ["listed all along", "listed again later", "listed with its new start"])
@@ -98,7 +98,7 @@
     else:
         here.node.maintenance.off("s-1", here.now)
     if way == "listed with its new start":
-        assert here.node.upstreams[upstream(here, "s-1")].back_at == here.now
+        assert here.node.upstreams.by_name["s-1"].returned_to_service_us == here.now
         here.node.endpoints_received(
             parse_endpoints(hosts(host("s-1") | {"startedAtMs": 40_000}, host("s-2"))), here.now
         )
@@ -146,7 +146,7 @@
     other = world(tmp_path)
     other.now = here.now
     told = events(other)
-    other.node.returned_elsewhere(here.node.returned(), other.now)
+    other.node.apply_return_to_service_times(here.node.return_to_service_times(), other.now)
     (entry,) = (e for m in told if isinstance(m, EndpointUpdate) for e in m.entries)
     assert entry.since == here.now - ago
     other.served()
@@ -156,7 +156,7 @@
 
 def test_discovery_is_asked_no_later_for_a_call_by_hand(tmp_path: Path) -> None:
     here = world(tmp_path)
-    here.dials[0].machine.lost(here.now)  # the watch
+    here.dials[0].machine.connection_lost(here.now)  # the watch
     before = len(here.dials)
     hold_all_but(here, "s-2")
     here.run(2 * SECOND)
@@ -179,11 +179,11 @@
     assert here.node.maintenance.on("s-1", here.now)
     other.run(SECOND // 10 + 10_000)
     assert other.node.maintenance.held == {"s-1"}
-    assert other.node.upstreams[upstream(other, "s-1")].state == ServerState.DRAINING
+    assert other.node.upstreams.by_name["s-1"].state == ServerState.DRAINING
     assert other.node.maintenance.off("s-1", other.now)
     here.run(SECOND // 10 + 10_000)
     assert not here.node.maintenance.held
-    assert here.node.upstreams[upstream(here, "s-1")].state == ServerState.READY
+    assert here.node.upstreams.by_name["s-1"].state == ServerState.READY
 
 
 class Broken(InMemoryMarks):
@@ -221,15 +221,15 @@
 
 def test_a_remembered_drain_outlives_the_list_and_is_lifted_by_a_newer_start_alone(tmp_path: Path) -> None:
     here = world(tmp_path)
-    here.node.recall = recall = InheritedDrains({"s-1": START})
+    here.node.drain_memory = recall = InheritedDrains({"s-1": START})
     for started, out in [(START, True), (START - 5, True), (START + 1, False)]:
         entry = host("s-1") | {"startedAtMs": started}
         here.node.endpoints_received(parse_endpoints(hosts(entry, host("s-2"))), here.now)
-        assert (here.node.upstreams[upstream(here, "s-1")].state == ServerState.DRAINING) == out, started
+        assert (here.node.upstreams.by_name["s-1"].state == ServerState.DRAINING) == out, started
     recall.told("s-1", START + 9)
-    here.node.relist("s-1", here.now)
-    assert here.node.upstreams[upstream(here, "s-1")].state == ServerState.DRAINING
+    here.node.refresh_endpoint("s-1", here.now)
+    assert here.node.upstreams.by_name["s-1"].state == ServerState.DRAINING
     leaving = host("s-2", lifecycle="leaving") | {"startedAtMs": 7}
     here.node.endpoints_received(parse_endpoints(hosts(leaving)), here.now)
     assert recall.heard == {"s-2": 7} and recall.drained() == {"s-1": START + 9, "s-2": 7}
-    assert upstream(here, "s-2") and not here.node.lists("s-1")
+    assert upstream(here, "s-2") and not here.node.is_listed("s-1")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -32,7 +32,7 @@
     TimerFired,
     UpdateKind,
 )
-from tests.scripted_peers import LINE, SECOND, FakeLink, World, host, hosts, settings, world
+from tests.scripted_peers import LINE, SECOND, FakeTransport, World, host, hosts, settings, world
 
 
 def events(node: World) -> list[Event]:
@@ -53,13 +53,13 @@
     told = events(here)
     session, link, attempt = here.served()
     assert attempt.sent.decode().startswith(LINE.split("d=")[0]) and "d=1000," in attempt.sent.decode()
-    session.feed(b"M 1\r\nM 2\r\n", here.now)
+    session.data_received(b"M 1\r\nM 2\r\n", here.now)
     assert attempt.sent.endswith(b"M 1\r\nM 2\r\n")
     data = b"LOAD 2500.5\r\nM 1\r\nBYE\r\n"
     for at in range(0, len(data), -(-len(data) // pieces)):
-        attempt.machine.feed(data[at : at + -(-len(data) // pieces)], here.now)
-    attempt.machine.eof(here.now)
-    assert link.sent == b"UP 77\r\n" + data and link.finished and attempt.closed
+        attempt.machine.data_received(data[at : at + -(-len(data) // pieces)], here.now)
+    attempt.machine.eof_received(here.now)
+    assert link.sent == b"UP 77\r\n" + data and link.half_closed and attempt.closed
     assert [e.load for e in told if isinstance(e, LoadSample)] == [2500.5]
     (end,) = (e for e in told if isinstance(e, AttemptEnded))
     assert (end.ending, end.closed) == (AttemptOutcome.OK, 1) and not here.node.requests
@@ -91,9 +91,9 @@
     session, link = here.connect()
     step = max(len(data) // pieces, 1)
     for at in range(0, len(data), step):
-        session.feed(data[at : at + step], here.now)
+        session.data_received(data[at : at + step], here.now)
         assert len(session.line) < 4096
-    assert link.sent.replace(b"PONG\r\n", b"") == b"ERR\r\n" and link.finished and not link.closed
+    assert link.sent.replace(b"PONG\r\n", b"") == b"ERR\r\n" and link.half_closed and not link.closed
     if pieces == 1:
         assert here.node.counters[BAD[data]] == 1
     assert not here.node.requests and not here.node.ids and not here.attempts()
@@ -107,7 +107,7 @@
     session, link = here.client()
     (attempt,) = here.attempts()
     attempt.accept(here.now)
-    session.feed(LINE.encode() + b"\r\n", here.now)
+    session.data_received(LINE.encode() + b"\r\n", here.now)
     assert link.sent == b"ERR\r\n" and attempt.closed and b"OPEN" not in attempt.sent[5:]
     assert not here.node.requests and [type(e) for e in told] == [
         NewRequest,
@@ -125,19 +125,19 @@
     line = attempt.sent.partition(b"d=")[0] + b"d=2000\r\n"
     for turn in range(2):
         session, other = here.connect()
-        session.feed(line, here.now)
+        session.data_received(line, here.now)
         assert other.sent == b"ERR\r\n" and not attempt.closed and here.attempts() == [attempt]
         assert (
             here.node.counters["requests_of_id_in_use"] == turn + 1 == here.node.counters["requests"] + turn
         )
     assert [type(e) for e in told] == [NewRequest, ConnectionEstablished], "the module hears nothing of it"
-    first.lost(here.now)
+    first.connection_lost(here.now)
     session, other = here.connect()
-    session.feed(line, here.now)
+    session.data_received(line, here.now)
     assert other.sent == b"ERR\r\n" and not here.attempts(), "a copy may come when the request has just ended"
     monkeypatch.setattr("limerudder.core.node.PAST", 3)
     for _ in range(4):
-        here.served()[0].lost(here.now)
+        here.served()[0].connection_lost(here.now)
     assert len(here.node.past) == 3 and not here.node.ids, "what is kept is bounded"
 
 
@@ -148,15 +148,15 @@
     here = world(tmp_path)
     session, link = here.connect()
     for at in range(len(said)):  # a dribbler gains nothing
-        session.feed(said[at : at + 1], here.now)
+        session.data_received(said[at : at + 1], here.now)
         here.run(100_000)
     here.run(2_500_000 - (len(said) - 6 if said[:1] == b"P" else len(said)) * 100_000)
     here.run(5000)
     # a first line that crosses this end has its final answer: BUSY, where none has begun
     assert link.sent.removeprefix(b"PONG\r\n") == (b"ERR\r\n" if said else b"BUSY\r\n")
-    assert link.finished and not link.closed
+    assert link.half_closed and not link.closed
     if not said:
-        session.feed(LINE.encode() + b"\r\n", here.now)
+        session.data_received(LINE.encode() + b"\r\n", here.now)
         assert not here.node.requests and not here.attempts(), "read after the end, and never sent on"
     here.run(SECOND + 5000)
     assert link.closed and not here.node.admission.guests
@@ -168,7 +168,7 @@
     text = LINE.encode() + b"\r\n"
     for at in range(len(text)):
         here.run(25_000)
-        session.feed(text[at : at + 1], here.now)
+        session.data_received(text[at : at + 1], here.now)
     (attempt,) = here.attempts()
     assert attempt.accept(here.now).startswith(LINE.partition("d=")[0]) and not link.sent
 
@@ -177,9 +177,9 @@
     here = world(tmp_path)
     session, link = here.connect()
     for _ in range(6):
-        assert not link.held
-        session.feed(b"x" * 65_536, here.now)
-    assert link.sent == b"ERR\r\n" and link.held
+        assert not link.reading_paused
+        session.data_received(b"x" * 65_536, here.now)
+    assert link.sent == b"ERR\r\n" and link.reading_paused
     here.run(SECOND + 5000)
     assert link.closed
 
@@ -188,8 +188,8 @@
     here = world(tmp_path)
     session, link = here.client("PING")
     for on in (True, False):
-        session.crowded(on)
-        assert link.held is on
+        session.set_writing_paused(on)
+        assert link.reading_paused is on
 
 
 def test_where_sockets_are_short_those_without_a_request_make_place_the_longest_idle_first(
@@ -198,12 +198,12 @@
     here = world(tmp_path, limits={"sockets": 24})  # room for 12; of the 12 spared, 3 are for last words
     standing = [here.served() for _ in range(3)]
     silent = [here.connect() for _ in range(6)]
-    silent[0][0].feed(b"PING\r\n", here.now)
+    silent[0][0].data_received(b"PING\r\n", here.now)
     session, link = here.connect()
-    ended = [guest.finished for _, guest in silent]
+    ended = [guest.half_closed for _, guest in silent]
     assert ended == [False, True] + [False] * 4 and silent[1][1].sent == b"BUSY\r\n"
-    session.feed(LINE.replace("9b", "77").encode() + b"\r\n", here.now)
-    ended = [guest.finished for _, guest in silent]
+    session.data_received(LINE.replace("9b", "77").encode() + b"\r\n", here.now)
+    ended = [guest.half_closed for _, guest in silent]
     assert ended == [False, True, True] + [False] * 3, "its attempt needs one"
     assert not any(guest.closed for _, guest in silent), "a moment to read it"
     for _ in range(100):
@@ -228,12 +228,12 @@
     """Its PONGs were not read in time, and reading it had stopped; its first line came all the same."""
     here = world(tmp_path)
     session, link = here.client("PING")
-    session.crowded(True)
-    session.feed(LINE.encode() + b"\r\n", here.now)
-    session.crowded(True)
-    assert not link.held
+    session.set_writing_paused(True)
+    session.data_received(LINE.encode() + b"\r\n", here.now)
+    session.set_writing_paused(True)
+    assert not link.reading_paused
     (attempt,) = here.attempts()
-    link.gone = True  # its FIN is there, behind bytes that the loop has not come to
+    link.peer_disconnected = True  # its FIN is there, behind bytes that the loop has not come to
     assert attempt.accept(here.now) == "" and attempt.closed and link.closed
     assert not here.node.requests and here.node.counters["clients_left_unread"] == 1
     here.run(SECOND)
@@ -245,7 +245,7 @@
     here = world(tmp_path, settings=settings(cancel=False))
     session, _ = here.client()
     (attempt,) = here.attempts()
-    session.eof(here.now)
+    session.eof_received(here.now)
     assert attempt.accept(here.now) == "" and attempt.closed
     assert not here.node.requests and here.node.counters["attempts_connect_failed"] == 1
 
@@ -276,11 +276,11 @@
     elif how != "refused":
         first.accept(here.now)
     if how in ("refused", "broken after the line"):
-        first.machine.lost(here.now)
+        first.machine.connection_lost(here.now)
     elif how == "silent":
         here.run(1_010_000)
     else:
-        first.machine.feed(how.encode() + b"\r\n", here.now)
+        first.machine.data_received(how.encode() + b"\r\n", here.now)
     assert [e.ending for e in told if isinstance(e, AttemptEnded)] == [ending]
     (second,) = here.attempts()
     assert first.closed and second is not first and not link.sent
@@ -288,7 +288,7 @@
 
 def test_the_rules_hold_whatever_the_module_sends(tmp_path: Path) -> None:
     here = world(tmp_path)
-    first, other = here.node.upstreams.values()
+    first, other = here.node.upstreams.by_number.values()
     other.state = ServerState.DRAINING
     sends = [
         StartAttempt(1, other.number, 0),
@@ -306,7 +306,7 @@
     here = world(tmp_path)
     _, link = here.client()
     for _ in range(2):  # as many upstreams as there are
-        here.attempts()[0].machine.lost(here.now)
+        here.attempts()[0].machine.connection_lost(here.now)
     here.run(1_990_000)
     assert link.sent == b"BUSY\r\n" and not here.node.requests and not here.attempts()
 
@@ -327,7 +327,7 @@
     told = events(here)
     session, link = here.client()
     (attempt,) = here.attempts()
-    session.eof(here.now)
+    session.eof_received(here.now)
     assert attempt.closed and link.closed and not here.node.requests
     (end,) = (e for e in told if isinstance(e, AttemptEnded))
     assert (end.ending, end.closed) == (AttemptOutcome.CANCELLED, 1)
@@ -339,36 +339,36 @@
     here = world(tmp_path)
     session, link, attempt = here.served()
     if way == "upstream resets":
-        attempt.machine.lost(here.now)
+        attempt.machine.connection_lost(here.now)
         assert link.was_reset
     elif way == "client resets":
-        session.lost(here.now)
+        session.connection_lost(here.now)
         assert attempt.was_reset
     else:
-        session.eof(here.now)
-        assert attempt.finished and not attempt.closed
+        session.eof_received(here.now)
+        assert attempt.half_closed and not attempt.closed
         here.run(800_000)
-        assert attempt.closed and link.finished
+        assert attempt.closed and link.half_closed
     assert not here.node.requests
 
 
 def test_a_upstream_that_answers_a_client_that_has_ended_is_not_waited_for_for_ever(tmp_path: Path) -> None:
     here = world(tmp_path)
     session, link, attempt = here.served()
-    session.feed(b"M 1\r\n", here.now)
-    session.eof(here.now)
-    attempt.machine.feed(b"M 1\r\n", here.now)
+    session.data_received(b"M 1\r\n", here.now)
+    session.eof_received(here.now)
+    attempt.machine.data_received(b"M 1\r\n", here.now)
     here.run(800_000)
-    assert attempt.closed and link.finished and not here.node.requests
+    assert attempt.closed and link.half_closed and not here.node.requests
 
 
 def test_a_slow_reader_holds_the_other_side(tmp_path: Path) -> None:
     here = world(tmp_path)
     session, link, attempt = here.served()
     for on in (True, False):
-        session.crowded(on)
-        attempt.machine.crowded(on)
-        assert (link.held, attempt.held) == (on, on)
+        session.set_writing_paused(on)
+        attempt.machine.set_writing_paused(on)
+        assert (link.reading_paused, attempt.reading_paused) == (on, on)
 
 
 @pytest.mark.parametrize("said", [b"M 1\r\n", b"M 1\r\nM"], ids=["a line", "a line and a half"])
@@ -378,16 +378,16 @@
     here = world(tmp_path)
     told = events(here)
     session, link, attempt = here.served()
-    upstream = here.node.upstreams[here.node.numbers["s-1"]]
-    session.feed(said, here.now)
+    upstream = here.node.upstreams.by_name["s-1"]
+    session.data_received(said, here.now)
     for _ in range(25):  # the machine answers on other connections
-        for each in here.node.upstreams.values():
-            each.heard = here.now
+        for each in here.node.upstreams.by_number.values():
+            each.last_health_check_answer_us = here.now
         attempt.machine.framer.feed(b"half a li")
-        assert not link.finished and upstream.silence.since is None
+        assert not link.half_closed and upstream.liveness.silent_since_us is None
         here.run(100_000)
     here.run(5000)
-    assert link.sent == b"UP 77\r\nMOVE\r\n" and link.finished and attempt.closed
+    assert link.sent == b"UP 77\r\nMOVE\r\n" and link.half_closed and attempt.closed
     (end,) = (e for e in told if isinstance(e, AttemptEnded))
     assert end.ending == AttemptOutcome.CANCELLED, "nothing is learned of what the upstream can hold"
 
@@ -399,14 +399,14 @@
     """Incident rcd69b2: two machines were cut off, and 42 clients waited until they were back."""
     here = world(tmp_path, known=hosts(host("s-1")))
     all_up = [here.served() for _ in range(20)]
-    all_up[0][0].feed(b"M 1\r\n", here.now)  # the others have nothing to say
+    all_up[0][0].data_received(b"M 1\r\n", here.now)  # the others have nothing to say
     here.run(990_000)
-    moved = [sum(link.finished for _, link, _ in all_up)]
+    moved = [sum(link.half_closed for _, link, _ in all_up)]
     for _ in range(20):
         here.run(200_000)
-        moved.append(sum(link.finished for _, link, _ in all_up))
+        moved.append(sum(link.half_closed for _, link, _ in all_up))
         if back and moved[-1]:
-            all_up[-1][2].machine.feed(b"LOAD 1\r\n", here.now)
+            all_up[-1][2].machine.data_received(b"LOAD 1\r\n", here.now)
     assert moved[0] == 0 and 0 < moved[1] < 10 and (moved[-1] < 10 if back else moved[-1] == 20)
     assert here.node.counters["upstreams_silent"] == 1
     assert len([text for text in here.logged if "s-1 is silent" in text]) == 1
@@ -417,9 +417,9 @@
     told = events(here)
     session, _, attempt = here.served()
     for took in (30_000, 30_000, 5000, 5000):
-        session.feed(b"M\r\n", here.now)
+        session.data_received(b"M\r\n", here.now)
         here.run(took)
-        attempt.machine.feed(b"M\r\n", here.now)
+        attempt.machine.data_received(b"M\r\n", here.now)
     samples = [(type(e), e[2]) for e in told if isinstance(e, LatencySample | LoadSample)]
     assert samples == [(LatencySample, 30.0), (LatencySample, 5.0)]
 
@@ -429,12 +429,12 @@
     told = events(here)
     line = LINE.replace("d=2000", "d=4294967") + ",at=s-2"
     _, link = here.client(line)
-    here.attempts()[0].machine.lost(here.now)
+    here.attempts()[0].machine.connection_lost(here.now)
     assert not here.attempts()
     here.run(260_000)
     (attempt,) = here.attempts()
     assert attempt.accept(here.now) == line + "\r\n"
-    attempt.machine.feed(b"UP 5\r\n", here.now)
+    attempt.machine.data_received(b"UP 5\r\n", here.now)
     assert link.sent == b"UP 5\r\n"
     assert [type(e) for e in told if not isinstance(e, TimerFired | HealthCheckResult)] == [
         ExistingConnection
@@ -443,11 +443,13 @@
 
 def test_a_connection_of_before_at_a_host_of_no_list_fails_and_leaves_nothing(tmp_path: Path) -> None:
     here = world(tmp_path)
-    told, known = events(here), len(here.node.upstreams)
+    told, known = events(here), len(here.node.upstreams.by_number)
     _, link = here.client(LINE + ",at=s-99")
     here.run(31 * SECOND)
     assert link.sent == b"ERR\r\n" and not here.node.requests and not here.attempts()
-    assert len(here.node.upstreams) == known and not [e for e in told if isinstance(e, ExistingConnection)]
+    assert len(here.node.upstreams.by_number) == known and not [
+        e for e in told if isinstance(e, ExistingConnection)
+    ]
 
 
 def test_where_sockets_are_short_a_client_is_refused_at_once(tmp_path: Path) -> None:
@@ -472,9 +474,9 @@
 def test_a_silent_watch_is_a_dead_one(tmp_path: Path) -> None:
     here = world(tmp_path)
     told = events(here)
-    watch = next(d for d in here.dials if b"watch=1" in d.machine.opening(here.now))
-    watch.machine.connected(watch, here.now)
-    watch.machine.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", here.now)
+    watch = next(d for d in here.dials if b"watch=1" in d.machine.first_bytes(here.now))
+    watch.machine.connection_made(watch, here.now)
+    watch.machine.data_received(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", here.now)
     here.run(3 * SECOND + 300_000)
     assert watch.closed
     assert [e.kind for e in told if isinstance(e, EndpointUpdate)] == [UpdateKind.FAILED]
@@ -485,9 +487,9 @@
 ANSWER = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
-def _say(call: FakeLink, told: dict[str, Any], now: int) -> None:
+def _say(call: FakeTransport, told: dict[str, Any], now: int) -> None:
     text = json.dumps(told).encode() + b"\n"
-    call.machine.feed(ANSWER + b"%x\r\n%b\r\n" % (len(text), text), now)
+    call.machine.data_received(ANSWER + b"%x\r\n%b\r\n" % (len(text), text), now)
 
 
 @pytest.mark.parametrize("whole", [True, False])
@@ -501,16 +503,16 @@
     here.node.discovery.ask(here.now)
     old.append(here.dials[-1])
     here.node.discovery.move(("127.0.0.1", 99), here.now)
-    assert all(call.closed for call in old) and not link.finished
+    assert all(call.closed for call in old) and not link.half_closed
     new = here.dials[-1]
-    assert new.address == ("127.0.0.1", 99) and b"&after=0 " in new.machine.opening(here.now)
+    assert new.address == ("127.0.0.1", 99) and b"&after=0 " in new.machine.first_bytes(here.now)
     for call in old:
         _say(call, hosts(), here.now)
     assert not [e for e in told if isinstance(e, EndpointUpdate)]
-    assert [b.state for b in here.node.upstreams.values()] == [ServerState.READY] * 2
+    assert [b.state for b in here.node.upstreams.by_number.values()] == [ServerState.READY] * 2
     _say(new, hosts(host("s-3"), reset=whole) | {"generation": 3}, here.now)
     assert here.node.discovery.version == 3
-    ready = [b.name for b in here.node.upstreams.values() if b.state == ServerState.READY]
+    ready = [b.name for b in here.node.upstreams.by_number.values() if b.state == ServerState.READY]
     assert ready == (["s-3"] if whole else ["s-1", "s-2", "s-3"])
     question = here.dials[-1]
     assert (question is new) is whole, "changes alone say nothing of what else there is"
@@ -521,7 +523,7 @@
 def test_a_watch_that_fails_before_its_first_word_asks_again_for_all(tmp_path: Path) -> None:
     here = world(tmp_path)
     here.node.discovery.move(("127.0.0.1", 99), here.now)
-    here.dials[-1].machine.lost(here.now)
+    here.dials[-1].machine.connection_lost(here.now)
     here.run(SECOND)
     again = here.dials[-1].machine
     assert isinstance(again, DiscoveryCall) and again.after == 0
@@ -531,13 +533,13 @@
     here = world(tmp_path)
     here.node.discovery.move(("127.0.0.1", 99), here.now)
     _say(here.dials[-1], hosts(reset=False) | {"generation": 3}, here.now)
-    here.dials[-1].machine.lost(here.now)
+    here.dials[-1].machine.connection_lost(here.now)
     here.run(SECOND)
     again = here.dials[-1]
     assert isinstance(again.machine, DiscoveryCall) and again.machine.after is None
     _say(again, hosts(host("s-3")), here.now)
-    again.machine.feed(b"0\r\n\r\n", here.now)
-    assert [b.name for b in here.node.upstreams.values() if b.state == ServerState.READY] == ["s-3"]
+    again.machine.data_received(b"0\r\n\r\n", here.now)
+    assert [b.name for b in here.node.upstreams.by_number.values() if b.state == ServerState.READY] == ["s-3"]
 
 
 def test_a_node_that_starts_asks_for_changes_alone(tmp_path: Path) -> None:
@@ -559,7 +561,7 @@
         return handle(event, now)
 
     here.node.balancer.handle = fails_once  # type: ignore[method-assign]
-    here.node.give(TimerFired(77), here.now)
+    here.node.dispatch(TimerFired(77), here.now)
     _, link = here.client()
     assert (link.sent == b"ERR\r\n") is (kind is NewRequest)
     assert len([t for t in here.logged if "ZeroDivisionError: in a test" in t]) == 1
@@ -574,7 +576,7 @@
     here.node.balancer.handle = lambda event, now: []  # type: ignore[method-assign]
     _, link = here.client()
     here.run(2 * SECOND + 15_000)
-    assert not link.finished
+    assert not link.half_closed
     here.run(10_000)
     assert link.sent == b"ERR\r\n" and not here.node.requests
 
@@ -583,9 +585,9 @@
     here = world(tmp_path)
     links = [here.served()[1] for _ in range(30)]
     done: list[int] = []
-    here.node.stopped = lambda: done.append(here.now)
+    here.node.on_shutdown_complete = lambda: done.append(here.now)
     begun = here.now
-    here.node.stop(here.now)
+    here.node.start_graceful_shutdown(here.now)
     _, late = here.client()
     assert late.sent == b"BUSY\r\n"
     moved = []
@@ -601,9 +603,9 @@
     slow["classes"][0] |= {"aimUs": 60 * SECOND, "deadlineUs": 60 * SECOND}
     here = world(tmp_path, settings=slow)
     _, link = here.client(LINE.replace("d=2000", "d=60000"))
-    here.node.stop(here.now)
+    here.node.start_graceful_shutdown(here.now)
     here.run(3_200_000)
-    assert not link.finished
+    assert not link.half_closed
     here.run(200_000)
     assert link.sent == b"ERR\r\n" and not here.attempts()
 
@@ -611,12 +613,12 @@
 def test_a_fault_in_an_action_does_not_deafen_the_node(tmp_path: Path) -> None:
     here = world(tmp_path)
     here.node.balancer.handle = lambda event, now: [SendPeerMessage(1, b"")]  # type: ignore[method-assign]
-    here.tell = lambda peer, data: 1 / 0  # type: ignore[method-assign, assignment]
+    here.send_datagram = lambda peer, data: 1 / 0  # type: ignore[method-assign, assignment]
     with pytest.raises(ZeroDivisionError):
-        here.node.give(TimerFired(5), here.now)
+        here.node.dispatch(TimerFired(5), here.now)
     told = events(here)
     with pytest.raises(ZeroDivisionError):
-        here.node.give(TimerFired(6), here.now)
+        here.node.dispatch(TimerFired(6), here.now)
     assert told == [TimerFired(6)]
 
 
@@ -624,8 +626,8 @@
     here = world(tmp_path)
     session, link = here.client("PING")
     here.run(20 * SECOND)
-    session.feed(b"PI", here.now)
-    session.feed(b"NG\r\n", here.now)
+    session.data_received(b"PI", here.now)
+    session.data_received(b"NG\r\n", here.now)
     here.run(20 * SECOND)
     assert link.sent == b"PONG\r\n" * 2 and not link.closed
     here.run(11 * SECOND)
@@ -636,21 +638,21 @@
     here = world(tmp_path)
     for size in (256, 257):
         here.node._tell(SendPeerMessage(1, b"x" * size), here.now)
-    assert [len(data) for _, data in here.told] == [256]
+    assert [len(data) for _, data in here.datagrams] == [256]
     alone = world(tmp_path, settings=settings(peers=False))
     alone.node._tell(SendPeerMessage(1, b"x"), alone.now)
-    assert not alone.told
+    assert not alone.datagrams
 
 
 def test_datagrams_that_mean_nothing_are_counted_and_told_of(tmp_path: Path) -> None:
     here = world(tmp_path)
     told, said = events(here), list[tuple[str, str]]()
     here.node.peering.log = lambda kind, text: said.append((kind, text))
-    here.node.peering.heard(None, b"hello", here.now)
-    here.node.peering.heard(1, b"\xa7" * 257, here.now)
+    here.node.peering.datagram_received(None, b"hello", here.now)
+    here.node.peering.datagram_received(1, b"\xa7" * 257, here.now)
     assert not told, "the module hears of peers only, and within the rules"
-    here.node.peering.heard(1, b"hello", here.now)
-    here.node.peering.heard(1, bytes((0xA7, 0, 0, 0, 0)), here.now)
+    here.node.peering.datagram_received(1, b"hello", here.now)
+    here.node.peering.datagram_received(1, bytes((0xA7, 0, 0, 0, 0)), here.now)
     assert here.node.counters["peer_messages_strange"] == 3 and here.node.counters["peer_messages"] == 2
     assert {kind for kind, _ in said} == {"peer"}, "of a kind of its own: a flood hides no other line"
     assert [text.removeprefix("node: a datagram ") for _, text in said] == [
@@ -674,10 +676,10 @@
 def test_a_report_that_cannot_be_read_is_counted_and_told_of(tmp_path: Path, said: str, spoilt: int) -> None:
     here = world(tmp_path, settings=settings(probes=True))
     told = events(here)
-    here.node._probe(CheckHealth(next(iter(here.node.upstreams))), here.now)
+    here.node._probe(CheckHealth(next(iter(here.node.upstreams.by_number))), here.now)
     link = here.dials[-1]
     link.accept(here.now)
-    link.machine.feed(f"PONG {said}".strip().encode() + b"\r\n", here.now)
+    link.machine.data_received(f"PONG {said}".strip().encode() + b"\r\n", here.now)
     assert [type(event) for event in told] == [HealthCheckResult], "the module hears of it either way"
     assert here.node.counters["reports_spoilt"] == spoilt == sum("load report" in t for t in here.logged)
 
--- a/tests/test_race_conditions.py
+++ b/tests/test_race_conditions.py
@@ -56,13 +56,13 @@
 
 def sessions(patch: pytest.MonkeyPatch) -> list[LineSession]:
     """The clients that come from here on, as the node has them."""
-    came, connected = list[LineSession](), LineSession.connected
+    came, connected = list[LineSession](), LineSession.connection_made
 
     def spy(session: LineSession, link: Any, now: int) -> None:
         came.append(session)
         connected(session, link, now)
 
-    patch.setattr(LineSession, "connected", spy)
+    patch.setattr(LineSession, "connection_made", spy)
     return came
 
 
@@ -172,12 +172,12 @@
         client = await here.client()
         client.say(here.line())
         upstream = await here.upstream.take()
-        link = came[-1].link
-        assert isinstance(link, TcpConnection) and not link.left()
-        link.hold(True)  # as where the loop has not come to it yet
+        link = came[-1].transport
+        assert isinstance(link, TcpConnection) and not link.has_disconnected()
+        link.set_reading_paused(True)  # as where the loop has not come to it yet
         client.say("M 1")
         client.writer.close()
-        while not link.left():
+        while not link.has_disconnected():
             await asyncio.sleep(0)
         late.gate.set()
         assert await all_that_comes(upstream) == b""
@@ -334,7 +334,7 @@
     came, many = sessions(patch), 5000
     async with here.running():
         client, upstream = await served(here)
-        link = came[-1].served and came[-1].served.link
+        link = came[-1].served and came[-1].served.transport
         assert isinstance(link, TcpConnection) and link.transport
         upstream.reader._transport.pause_reading()  # type: ignore[attr-defined]
         for _ in range(many):  # twenty megabytes
