--- a/tests/test_state_machines.py
+++ b/tests/test_state_machines.py
@@ -17,7 +17,7 @@
 from limerudder.policy.events import (
     AttemptOutcome,
 )
-from tests.scripted_peers import ID, KEY, LINE, SECOND, FakeLink, configuration, host, hosts, settings
+from tests.scripted_peers import ID, KEY, LINE, SECOND, FakeTransport, configuration, host, hosts, settings
 
 TEXT = b"OPEN a\r\n\r\nLOAD 1.5\r\nhalf"
 
@@ -26,7 +26,7 @@
 def test_lines_cut_anywhere_come_out_whole(cut: int) -> None:
     framer = LineFramer()
     assert framer.feed(TEXT[:cut]) + framer.feed(TEXT[cut:]) == [b"OPEN a", b"", b"LOAD 1.5"]
-    assert framer.rest == b"half"
+    assert framer.partial_line == b"half"
 
 
 @pytest.mark.parametrize("data", [b"x" * 4096, b"x" * 4095 + b"\r\n"])
@@ -38,13 +38,13 @@
 
 def test_a_first_line_is_read_and_passed_on_unchanged_but_for_d() -> None:
     request = parse_open((LINE + ",r=1,again=1,h=12,x=y").encode())
-    assert (request.cls, request.tenant, request.key, request.time_left) == (
+    assert (request.class_name, request.tenant, request.key, request.time_left_us) == (
         "chat",
         "acme",
         int(KEY, 16),
         2 * SECOND,
     )
-    assert (request.group, request.retry, request.came_back, request.hint) == (
+    assert (request.group, request.is_retry, request.is_reconnect, request.hint) == (
         0x5C0F6E1A2B3D4C59,
         True,
         True,
@@ -118,11 +118,11 @@
     told, ended = list[EndpointList](), list[bool]()
     call = _watch(told, ended)
     assert b"GET /discovery/hosts?watch=1&after=41 HTTP/1.1\r\n" in call.opening(0)
-    call.feed(WATCH[:cut], 1)
-    call.feed(WATCH[cut:], 2)
+    call.data_received(WATCH[:cut], 1)
+    call.data_received(WATCH[cut:], 2)
     assert [h.version for h in told] == [43] and not ended
     assert told[0].hosts[0][:2] == ("s-9", ("10.1.0.18", 8081)) and told[0].hosts[0].started_ms == 7
-    call.feed(b"0\r\n\r\n", 3)
+    call.data_received(b"0\r\n\r\n", 3)
     assert ended == [True], "a watch that is complete has ended"
 
 
@@ -143,7 +143,7 @@
 )
 def test_what_discovery_gets_wrong_is_a_failed_call(answer: bytes) -> None:
     told, ended = list[EndpointList](), list[bool]()
-    _watch(told, ended).feed(answer, 1)
+    _watch(told, ended).data_received(answer, 1)
     assert (told, ended) == ([], [True])
 
 
@@ -162,18 +162,18 @@
     probe = HealthCheckConnection(
         ("inflight", "x0"), lambda took, ending, report, now: got.append((took, ending, report))
     )
-    probe.ask(0)
-    link = FakeLink(probe)
+    probe.send_check(0)
+    link = FakeTransport(probe)
     assert link.accept(30) == "STATS\r\n"
-    probe.feed(answer, 40)
-    probe.overdue(50, 60)
+    probe.data_received(answer, 40)
+    probe.expire_pending(50, 60)
     assert got == [(10, *heard)], "setting up the connection does not count"
 
 
 def test_a_wheel_calls_at_the_first_tick_not_before_the_time_and_never_what_was_cancelled() -> None:
     wheel, called = TimerWheel(5000, 0), list[tuple[str, int]]()
     for name, at in (("near", 12_000), ("far", 6 * SECOND), ("past", -1), ("gone", 12_000)):
-        timer = wheel.at(at, lambda now, name=name: called.append((name, now)))  # type: ignore[misc]
+        timer = wheel.schedule(at, lambda now, name=name: called.append((name, now)))  # type: ignore[misc]
     timer.cancel()
     for now in range(0, 7 * SECOND, 5000):
         wheel.advance(now)
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -282,7 +282,7 @@
 
 
 class _Wheel:
-    def at(self, when: int, call: Any) -> None:
+    def schedule(self, when: int, call: Any) -> None:
         """No time passes."""
 
 
@@ -290,42 +290,42 @@
     """What hot restart asks of a node, and what it tells it."""
 
     def __init__(self) -> None:
-        self.wheel = _Wheel()
-        self.stopping = 0
-        self.succeeded = False
-        self.reloaded = True
-        self.hear_taken: list[Any] = []
-        self.recall = InheritedDrains({"s-2": 1700000000123})
+        self.timer_wheel = _Wheel()
+        self.shutdown_deadline_us = 0
+        self.has_successor = False
+        self.config_reloaded = True
+        self.on_request_accepted: list[Any] = []
+        self.drain_memory = InheritedDrains({"s-2": 1700000000123})
         self.heard: list[Any] = []
 
     def log(self, kind: str, text: str) -> None:
         """Not looked at here."""
 
-    def listed(self) -> EndpointList:
+    def endpoint_list(self) -> EndpointList:
         return parse_endpoints(hosts(host("s-1"), host("s-2", "127.0.0.1:10", "leaving"), reset=True))
 
-    def ids_lately(self) -> list[int]:
+    def recent_request_ids(self) -> list[int]:
         return [1, 0x9B1F03AA5C7E2D41]
 
-    def returned(self) -> dict[str, int]:
+    def return_to_service_times(self) -> dict[str, int]:
         return {"s-1": 1700000001000000}
 
-    def holds(self) -> ProcessUsage:
+    def resource_usage(self) -> ProcessUsage:
         return ProcessUsage(12, {"s-1": 7, "s-2": 3})
 
-    def held_elsewhere(self, holds: ProcessUsage, now: int) -> None:
+    def set_other_process_usage(self, holds: ProcessUsage, now: int) -> None:
         self.heard.append(holds)
 
-    def returned_elsewhere(self, returned: dict[str, int], now: int) -> None:
+    def apply_return_to_service_times(self, returned: dict[str, int], now: int) -> None:
         self.heard.append(returned)
 
-    def taken_elsewhere(self, number: int) -> None:
+    def record_request_of_other_process(self, number: int) -> None:
         self.heard.append(number)
 
-    def relist(self, name: str, now: int) -> None:
+    def refresh_endpoint(self, name: str, now: int) -> None:
         self.heard.append(f"relist {name}")
 
-    def informed(self) -> bool:
+    def is_ready_to_serve(self) -> bool:
         return False
 
 
@@ -334,38 +334,38 @@
     elder = HotRestartParent(node, lambda: None, lambda: None)
     assert elder.hello().decode() == WRITTEN["handover"]["hello"]
     asker, link = SuccessorConnection(elder), _Link()
-    asker.connected(link, 0)  # type: ignore[arg-type]
-    for hear in node.hear_taken:
+    asker.connection_made(link, 0)  # type: ignore[arg-type]
+    for hear in node.on_request_accepted:
         hear(0x9B1F03AA5C7E2D42)
     elder.tell("drained 1700000000999 s-1")
-    asker.feed(WRITTEN["handover"]["successor_lines"].encode(), 0)
+    asker.data_received(WRITTEN["handover"]["successor_lines"].encode(), 0)
     elder.tell("stopping")
     assert link.sent.decode() == WRITTEN["handover"]["parent_lines"]
-    assert node.succeeded
+    assert node.has_successor
 
 
 def test_handover_lines_as_the_successor_reads_them() -> None:
     node: Any = _Node()
     hello = parse_handover_state(WRITTEN["handover"]["hello"].encode())
-    assert hello.hosts == node.listed()
+    assert hello.hosts == node.endpoint_list()
     assert hello.ids == (1, 0x9B1F03AA5C7E2D41)
     assert hello.reloaded
     assert hello.drained == {"s-2": 1700000000123}
     called: list[str] = []
     heir = HotRestartSuccessor(node, hello, lambda: called.append("ready"), 0)
-    heir.feed(WRITTEN["handover"]["parent_lines"].encode(), 0)
+    heir.data_received(WRITTEN["handover"]["parent_lines"].encode(), 0)
     assert node.heard == [
-        node.holds(),
-        node.returned(),
+        node.resource_usage(),
+        node.return_to_service_times(),
         *hello.ids,
         0x9B1F03AA5C7E2D42,
         "relist s-1",
-        node.holds(),
+        node.resource_usage(),
     ]
-    assert node.recall.drained() == {"s-1": 1700000000999, "s-2": 1700000000123}
+    assert node.drain_memory.drained() == {"s-1": 1700000000999, "s-2": 1700000000123}
     assert called == ["ready"]
     link = _Link()
-    heir.connected(link, 0)  # type: ignore[arg-type]
+    heir.connection_made(link, 0)  # type: ignore[arg-type]
     heir.say("serving")
     assert link.sent.decode() == WRITTEN["handover"]["successor_lines"]
 
