--- a/limerudder/core/invariants.py
+++ b/limerudder/core/invariants.py
@@ -1,22 +1,19 @@
-"""What must hold at every moment, as checks that watch a node from outside; none is loaded in service."""
+"""The node's invariants, checked from outside by tests; nothing in service imports this module."""
 
 from __future__ import annotations
 
 from collections import Counter
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING, NamedTuple, cast
 
-from limerudder.policy.events import (
-    NOT_EXECUTED_OUTCOMES,
-    AttemptOutcome,
-    ServerState,
-)
-from limerudder.policy.settings import (
-    TrafficClass,
-)
+from limerudder.core.requests.final_answers import FinalAnswer
+from limerudder.policy.events import NOT_EXECUTED_OUTCOMES, AttemptOutcome, ServerState
+from limerudder.policy.settings import TrafficClass
 
 if TYPE_CHECKING:
-    from limerudder.core.node import Node, ProxiedConnection, Upstream
+    from limerudder.core.node import Node
     from limerudder.core.ports import Attempt
+    from limerudder.core.requests.proxied_connection import ProxiedConnection
+    from limerudder.core.upstream.registry import Upstream
     from limerudder.policy.balancer import Balancer
 
 
@@ -24,126 +21,183 @@
     """An invariant does not hold."""
 
 
-def hold(what: bool, text: str) -> None:
-    """Break off where it does not hold; not an `assert`, which an optimised run would leave out."""
-    if not what:
+def require(condition: bool, text: str) -> None:
+    """Raise InvariantViolation unless the condition holds.
+
+    An `assert` would be left out of an optimised run.
+    """
+    if not condition:
         raise InvariantViolation(text)
 
 
+class PossibleExecution(NamedTuple):
+    """The first attempt of a request that its upstream may have executed."""
+
+    sent_us: int
+    upstream: Upstream
+
+
 class Invariants:
-    """Checks at the node's transitions, and `check` for what holds between any two events."""
+    """Checks a node's transitions as they happen, and with `check` what holds between any two events."""
 
     def __init__(self, node: Node) -> None:
         self.node = node
-        self.answers = Counter[int]()
-        self.attempts: dict[int, Attempt] = {}  # the last of each request
-        #: by request: when the first attempt that may have run was sent, and its upstream
-        self.risks: dict[int, tuple[int, Upstream]] = {}
-        self._dial, self._final, self._up = node._dial, node._final, node.up
-        self._may_write, self._ended = node.may_write, node.ended
-        node._dial, node._final, node.up = self.dial, self.final, self.up  # type: ignore[method-assign]
-        node.may_write, node.ended = self.may_write, self.ended  # type: ignore[method-assign]
-
-    def dial(self, held: ProxiedConnection, upstream: Upstream, wait: int | None, now: int) -> None:
-        """One attempt out at a time, and none beyond the limit."""
-        last = self.attempts.get(held.number)
-        hold(held.attempt is None and (last is None or last.ended), "two attempts of a request are out")
-        hold(not held.has_final_answer, "an attempt of a request that has its answer")
-        hold(
-            held.attempts_started <= self.node.settings.max_attempts, "more attempts than the settings allow"
+        self.final_answers = Counter[int]()  # by request
+        self.last_attempts: dict[int, Attempt] = {}  # by request
+        self.possible_executions: dict[int, PossibleExecution] = {}  # by request
+        attempts = node.attempts
+        self._dial = attempts.dial
+        self._attempt_ready = attempts.attempt_ready
+        self._attempt_established = attempts.attempt_established
+        self._attempt_ended = attempts.attempt_ended
+        self._conclude = node.answers.conclude
+        attempts.dial = self.dial  # type: ignore[method-assign]
+        attempts.attempt_ready = self.attempt_ready  # type: ignore[method-assign]
+        attempts.attempt_established = self.attempt_established  # type: ignore[method-assign]
+        attempts.attempt_ended = self.attempt_ended  # type: ignore[method-assign]
+        node.answers.conclude = self.conclude  # type: ignore[method-assign]
+
+    # transitions
+
+    def dial(
+        self, connection: ProxiedConnection, upstream: Upstream, timeout_us: int | None, now_us: int
+    ) -> None:
+        """A request has one attempt at a time, and none beyond the limit or after its final answer."""
+        last = self.last_attempts.get(connection.number)
+        require(
+            connection.attempt is None and (last is None or last.ended),
+            "two attempts of a request are out",
         )
-        self._dial(held, upstream, wait, now)
-        if held.attempt:
-            self.attempts[held.number] = held.attempt
-
-    def may_write(self, held: ProxiedConnection, now: int) -> bool:
-        """No send to a host that drains, for a client that has gone, or that might repeat an effect."""
-        may = self._may_write(held, now)
-        if may:
-            upstream = held.upstream
-            hold(upstream is not None and upstream.state == ServerState.READY, "a send to a host that drains")
-            hold(
-                not held.has_final_answer and held.number in self.node.requests,
+        require(not connection.has_final_answer, "an attempt of a request that has its answer")
+        require(
+            connection.attempts_started <= self.node.settings.max_attempts,
+            "more attempts than the settings allow",
+        )
+        self._dial(connection, upstream, timeout_us, now_us)
+        if connection.attempt:
+            self.last_attempts[connection.number] = connection.attempt
+
+    def attempt_ready(self, connection: ProxiedConnection, now_us: int) -> bool:
+        """No request is sent to a draining host, for a disconnected client, or twice against its class."""
+        is_ready = self._attempt_ready(connection, now_us)
+        if is_ready:
+            upstream = connection.upstream
+            require(
+                upstream is not None and upstream.state == ServerState.READY, "a send to a host that drains"
+            )
+            require(
+                not connection.has_final_answer and connection.number in self.node.requests.by_number,
                 "a send for a client that has gone",
             )
-            risk = self.risks.get(held.number)
-            cls = self.node.settings.classes[held.description[1]]
-            if risk is not None and upstream is not None and cls.effect != "safe":
-                hold(cls.effect == "keyed", "an unsafe request that may have run is sent again")
-                hold(now <= risk[0] + cls.repeat_window, "a keyed request is sent again after its window")
-                hold(
-                    cls.key_scope not in ("zone", "cell")
-                    or self.place(upstream, cls) == self.place(risk[1], cls),
-                    "a keyed request is sent again where the first attempt is not known",
-                )
-        return may
-
-    @staticmethod
-    def place(upstream: Upstream, cls: TrafficClass) -> object:
-        """Where repeats of this class are known."""
-        return getattr(upstream.endpoint, cls.key_scope)
-
-    def ended(
-        self, held: ProxiedConnection, ending: AttemptOutcome, report: tuple[float, ...], now: int
+            if upstream is not None:
+                self._check_repeated_send(connection, upstream, now_us)
+        return is_ready
+
+    def _check_repeated_send(self, connection: ProxiedConnection, upstream: Upstream, now_us: int) -> None:
+        execution = self.possible_executions.get(connection.number)
+        traffic_class = self.node.settings.classes[connection.class_index]
+        if execution is None or traffic_class.effect == "safe":
+            return
+        require(traffic_class.effect == "keyed", "an unsafe request that may have run is sent again")
+        require(
+            now_us <= execution.sent_us + traffic_class.repeat_window,
+            "a keyed request is sent again after its window",
+        )
+        require(
+            traffic_class.key_scope not in ("zone", "cell")
+            or key_location(upstream, traffic_class) == key_location(execution.upstream, traffic_class),
+            "a keyed request is sent again where the first attempt is not known",
+        )
+
+    def attempt_established(self, connection: ProxiedConnection, now_us: int) -> None:
+        """An upstream's answer is a final one."""
+        if not connection.has_final_answer:
+            self._count_final_answer(connection)
+        self._attempt_established(connection, now_us)
+
+    def attempt_ended(
+        self, connection: ProxiedConnection, outcome: AttemptOutcome, report: tuple[float, ...], now_us: int
     ) -> None:
-        """What may have run is remembered as the rules count it: from its send on."""
-        attempt = self.attempts.get(held.number)
-        hold(attempt is None or attempt.ended, "an attempt that has ended is still open")
-        hold(
-            attempt is None or not attempt.sent or ending != AttemptOutcome.CONNECT_FAILED,
+        """An attempt that has ended is closed; what it may have executed is remembered from its send on."""
+        attempt = self.last_attempts.get(connection.number)
+        require(attempt is None or attempt.ended, "an attempt that has ended is still open")
+        require(
+            attempt is None or not attempt.sent or outcome != AttemptOutcome.CONNECT_FAILED,
             "written, and told as never run",
         )
-        if ending not in NOT_EXECUTED_OUTCOMES and held.upstream and not held.has_final_answer:
-            self.risks.setdefault(held.number, (held.sent, held.upstream))
-        self._ended(held, ending, report, now)
-
-    def final(self, held: ProxiedConnection, what: str, figure: str, now: int) -> None:
-        """One final answer, and a refusal only where trying again is harmless."""
-        self.answered(held)
-        cls = self.node.settings.classes[held.description[1]]
-        if what == "refused" and held.number in self.risks:
-            harmless = cls.effect == "safe" or (cls.effect == "keyed" and cls.key_scope == "all")
-            hold(harmless, "refused, though it may have run")
-        self._final(held, what, figure, now)
-
-    def up(self, held: ProxiedConnection, now: int) -> None:
-        """The upstream's answer is a final one."""
-        if not held.has_final_answer:
-            self.answered(held)
-        self._up(held, now)
-
-    def answered(self, held: ProxiedConnection) -> None:
-        """Count a final answer."""
-        self.answers[held.number] += 1
-        hold(self.answers[held.number] == 1, "two final answers")
-
-    def check(self, now: int) -> None:
-        """Between two events: answers in time, and the books of node and module agree."""
-        node, slack = self.node, self.node.settings.answer_slack_us + 2 * self.node.settings.tick
-        at = Counter[int]()
-        for held in node.requests.values():
-            hold(
-                held.has_final_answer or now <= held.deadline + slack, "a request without its answer in time"
+        upstream = connection.upstream
+        if outcome not in NOT_EXECUTED_OUTCOMES and upstream and not connection.has_final_answer:
+            execution = PossibleExecution(connection.attempt_started_us, upstream)
+            self.possible_executions.setdefault(connection.number, execution)
+        self._attempt_ended(connection, outcome, report, now_us)
+
+    def conclude(self, connection: ProxiedConnection, answer: FinalAnswer, now_us: int) -> None:
+        """A request has one final answer, and is rejected only where a retry by its client is harmless."""
+        self._count_final_answer(connection)
+        traffic_class = self.node.settings.classes[connection.class_index]
+        if answer is FinalAnswer.REJECTED and connection.number in self.possible_executions:
+            is_harmless = traffic_class.effect == "safe" or (
+                traffic_class.effect == "keyed" and traffic_class.key_scope == "all"
+            )
+            require(is_harmless, "refused, though it may have run")
+        self._conclude(connection, answer, now_us)
+
+    def _count_final_answer(self, connection: ProxiedConnection) -> None:
+        self.final_answers[connection.number] += 1
+        require(self.final_answers[connection.number] == 1, "two final answers")
+
+    # between two events
+
+    def check(self, now_us: int) -> None:
+        """Requests have their answers in time, and the accounts of node and policy agree."""
+        connections = self._check_requests(now_us)
+        self._check_policy(connections)
+        self._check_admission()
+
+    def _check_requests(self, now_us: int) -> Counter[int]:
+        """Check all requests; return the number of attempts in progress by upstream."""
+        requests = self.node.requests
+        settings = self.node.settings
+        slack_us = settings.answer_slack_us + 2 * settings.tick
+        attempts = Counter[int]()
+        for connection in requests.values():
+            require(
+                connection.has_final_answer or now_us <= connection.deadline_us + slack_us,
+                "a request without its answer in time",
             )
-            if held.attempt and held.upstream:
-                hold(not held.attempt.ended, "an attempt that is closed is taken for open")
-                at[held.upstream.number] += 1
-        hold(
-            node.ids == {held.request.id for held in node.requests.values()},
+            if connection.attempt and connection.upstream:
+                require(not connection.attempt.ended, "an attempt that is closed is taken for open")
+                attempts[connection.upstream.number] += 1
+        require(
+            requests.open_ids == {connection.request.id for connection in requests.values()},
             "ids that are not those of the requests",
         )
-        servers = cast("Balancer", node.balancer).servers
+        return attempts
+
+    def _check_policy(self, attempts: Counter[int]) -> None:
+        servers = cast("Balancer", self.node.balancer).servers
         for number, server in servers.items():
-            hold(len(server.flows) == at[number], "the module counts other connections than there are")
-            hold(server.setting_up >= 0, "a set-up that ended twice")
-        admission = node.admission
-        hold(not admission.idle.keys() & admission.ended.keys(), "a client that rests and has its last word")
-        hold(
+            require(
+                len(server.flows) == attempts[number], "the module counts other connections than there are"
+            )
+            require(server.setting_up >= 0, "a set-up that ended twice")
+
+    def _check_admission(self) -> None:
+        admission = self.node.admission
+        require(
+            not admission.idle.keys() & admission.ended.keys(), "a client that rests and has its last word"
+        )
+        require(
             admission.guests >= admission.idle.keys() | admission.ended.keys(),
             "a client that is gone makes place",
         )
-        spared = admission.spare // 4
-        hold(
-            len(admission.guests) + len(node.requests) <= admission.room + spared + 1,
+        spare_for_closing = admission.spare // 4
+        require(
+            len(admission.guests) + len(self.node.requests) <= admission.room + spare_for_closing + 1,
             "more descriptors than there are",
         )
+
+
+def key_location(upstream: Upstream, traffic_class: TrafficClass) -> object:
+    """Return the zone or cell of an upstream, whichever of them shares the keys of this class."""
+    return getattr(upstream.endpoint, traffic_class.key_scope)
--- /dev/null
+++ b/limerudder/core/lifecycle/resource_sharing.py
@@ -0,0 +1,47 @@
+"""File descriptors and connections that the two processes of a hot restart share."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from limerudder.core.client.admission import AdmissionControl
+from limerudder.core.lifecycle.hot_restart import ProcessUsage
+from limerudder.core.requests.request_table import RequestTable
+from limerudder.core.services import NodeServices
+from limerudder.core.upstream.registry import UpstreamRegistry
+from limerudder.policy.events import PredecessorConnections
+
+
+class ResourceSharing:
+    """Reports what this process uses, and accounts here for what the other process uses."""
+
+    def __init__(
+        self,
+        requests: RequestTable,
+        upstreams: UpstreamRegistry,
+        admission: AdmissionControl,
+        services: NodeServices,
+    ) -> None:
+        self._requests = requests
+        self._upstreams = upstreams
+        self._admission = admission
+        self._dispatch = services.dispatch
+        self._other_process_upstreams: set[str] = set()  # where the other process has connections
+
+    def usage(self) -> ProcessUsage:
+        """Return the descriptors for clients of this process, and its connections by upstream."""
+        connections = Counter(
+            connection.upstream.name
+            for connection in self._requests.values()
+            if connection.attempt and connection.upstream
+        )
+        return ProcessUsage(self._admission.in_use(), dict(connections))
+
+    def set_other_process_usage(self, usage: ProcessUsage, now_us: int) -> None:
+        """Leave the other process its descriptors; the policy counts its connections as this node's."""
+        self._admission.share(usage.descriptors)
+        for name in self._other_process_upstreams | usage.at.keys():
+            upstream = self._upstreams.by_name.get(name)
+            if upstream:
+                self._dispatch(PredecessorConnections(upstream.number, usage.at.get(name, 0)), now_us)
+        self._other_process_upstreams = set(usage.at)
--- a/limerudder/core/peering.py
+++ b/limerudder/core/peering.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
-from limerudder.core.operations.counters import Counters
-from limerudder.core.transport import MAX_DATAGRAM_BYTES, Network
+from limerudder.core.services import NodeServices
+from limerudder.core.transport import MAX_DATAGRAM_BYTES
 from limerudder.policy.actions import SendPeerMessage
-from limerudder.policy.events import Event, PeerMessage
+from limerudder.policy.events import PeerMessage
 from limerudder.policy.interface import ConnectionPolicy
 
 
@@ -16,19 +14,15 @@
 
     def __init__(
         self,
-        counters: Counters,
-        network: Network,
-        balancer: ConnectionPolicy,
-        dispatch: Callable[[Event, int], None],
-        log: Callable[[str, str], None],
-        allowed: bool,
+        policy: ConnectionPolicy,
+        services: NodeServices,
     ) -> None:
-        self.log = log
-        self._counters = counters
-        self._network = network
-        self._balancer = balancer
-        self._dispatch = dispatch
-        self._allowed = allowed
+        self.log = services.log
+        self._policy = policy
+        self._is_allowed = services.settings.peers
+        self._network = services.network
+        self._counters = services.counters
+        self._dispatch = services.dispatch
 
     def datagram_received(self, sender: int | None, data: bytes, now_us: int) -> None:
         """Give a peer's datagram to the policy; `sender` is None where the address is no peer's.
@@ -38,9 +32,9 @@
         if sender is None or len(data) > MAX_DATAGRAM_BYTES:
             return self._malformed(sender, f"of {len(data)} bytes (at most {MAX_DATAGRAM_BYTES} are taken)")
         self._counters.count("peer_messages")
-        malformed_before = self._balancer.strange()
+        malformed_before = self._policy.strange()
         self._dispatch(PeerMessage(sender, data), now_us)
-        if self._balancer.strange() > malformed_before:
+        if self._policy.strange() > malformed_before:
             self._malformed(sender, "of no known form")
 
     def _malformed(self, sender: int | None, description: str) -> None:
@@ -50,6 +44,6 @@
 
     def send(self, action: SendPeerMessage) -> None:
         """Send the policy's message, where the settings allow messages and it is not too long."""
-        if self._allowed and len(action.data) <= MAX_DATAGRAM_BYTES:
+        if self._is_allowed and len(action.data) <= MAX_DATAGRAM_BYTES:
             self._counters.count("peer_messages_sent")
             self._network.send_datagram(action.peer, action.data)
--- /dev/null
+++ b/limerudder/core/policy_dispatch.py
@@ -0,0 +1,99 @@
+"""The loop between the node and its connection policy: events in, actions out, strictly in order."""
+
+from __future__ import annotations
+
+import traceback
+from collections import deque
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from limerudder.core.operations.counters import Counters
+from limerudder.core.services import Log
+from limerudder.core.timer_wheel import TimerWheel
+from limerudder.policy.actions import LogMessage, PolicyError, SetTimer
+from limerudder.policy.events import Event, TimerFired
+from limerudder.policy.interface import ConnectionPolicy
+
+_TIMER_RETRY_US = 1_000_000
+
+ActionHandler = Callable[[Any, int], None]  #: carries out one type of action at a time in microseconds
+
+
+class PolicyDispatcher:
+    """Gives events to the policy one at a time and has its actions carried out.
+
+    An exception in the policy costs at most the request whose event it was handling.
+    """
+
+    def __init__(
+        self,
+        policy: ConnectionPolicy,
+        timer_wheel: TimerWheel,
+        counters: Counters,
+        log: Log,
+    ) -> None:
+        self._policy = policy
+        self._timer_wheel = timer_wheel
+        self._counters = counters
+        self._log = log
+        self._pending_events: deque[Event] = deque()
+        self._is_dispatching = False
+        self._action_handlers: dict[type, ActionHandler] = {
+            SetTimer: self._set_timer,
+            LogMessage: self._log_text,
+            PolicyError: self._log_text,
+        }
+        self._request_failed: Callable[[int, int], None] = lambda request_number, now_us: None
+
+    def set_handlers(
+        self, action_handlers: Mapping[type, ActionHandler], request_failed: Callable[[int, int], None]
+    ) -> None:
+        """Set what carries out each type of action; SetTimer and the types that are logged are handled here.
+
+        `request_failed` is given the number of the request whose event the policy could not handle.
+        """
+        self._action_handlers.update(action_handlers)
+        self._request_failed = request_failed
+
+    def dispatch(self, event: Event, now_us: int) -> None:
+        """Give an event to the policy and carry out its actions.
+
+        An event that follows from an action is queued until the actions before it are carried out.
+        """
+        self._pending_events.append(event)
+        if self._is_dispatching:
+            return
+        self._is_dispatching = True
+        try:
+            self._drain(now_us)
+        finally:  # also where an action raises, else no event would ever be dispatched again
+            self._is_dispatching = False
+
+    def _drain(self, now_us: int) -> None:
+        pending_events = self._pending_events
+        action_handlers = self._action_handlers
+        while pending_events:
+            event = pending_events.popleft()
+            try:
+                actions = self._policy.handle(event, now_us)
+            except Exception as exc:  # the other requests go on
+                self._policy_raised(event, exc, now_us)
+                continue
+            for action in actions:
+                action_handlers[type(action)](action, now_us)
+
+    def _policy_raised(self, event: Event, exc: Exception, now_us: int) -> None:
+        self._counters.count("module_faults")
+        frame = traceback.extract_tb(exc.__traceback__)[-1]
+        text = f"{type(exc).__name__}: {exc} in {frame.name} line {frame.lineno}"
+        self._log(f"fault {frame.name}", f"module: {text}")
+        if isinstance(event, TimerFired):  # the call that failed would have set the next timer
+            self._timer_wheel.schedule(now_us + _TIMER_RETRY_US, lambda at_us: self.dispatch(event, at_us))
+        self._request_failed(getattr(event, "id", 0), now_us)
+
+    def _set_timer(self, action: SetTimer, now_us: int) -> None:
+        event = TimerFired(action.token)
+        self._timer_wheel.schedule(action.at, lambda at_us: self.dispatch(event, at_us))
+
+    def _log_text(self, action: LogMessage | PolicyError, now_us: int) -> None:
+        self._log("module", f"module: {action.text}")
--- /dev/null
+++ b/limerudder/core/requests/attempt_runner.py
@@ -0,0 +1,217 @@
+"""Attempts at upstreams: their start, their timeouts, and what follows from what they report."""
+
+from __future__ import annotations
+
+from functools import partial
+
+from limerudder.core.requests.proxied_connection import ConnectionState, ProxiedConnection
+from limerudder.core.requests.request_table import RequestTable
+from limerudder.core.services import NodeServices
+from limerudder.core.upstream.registry import Upstream, UpstreamRegistry
+from limerudder.policy.actions import CancelAttempt, MigrateClient, StartAttempt
+from limerudder.policy.events import (
+    AttemptEnded,
+    AttemptOutcome,
+    ConnectionEstablished,
+    ServerState,
+)
+
+_DEFAULT_CONNECT_TIMEOUT_US = 30_000_000
+_MAX_DURATION_US = (1 << 32) - 1  # of an attempt, as the policy's event holds it
+
+
+class AttemptRunner:
+    """Carries out the policy's decisions on attempts, within the rules that hold whatever it decides.
+
+    A request has one attempt at a time and no more than the settings allow, is not sent after its deadline or
+    its final answer, and is sent only to an upstream that is ready at the moment of the send.
+    """
+
+    def __init__(
+        self,
+        requests: RequestTable,
+        upstreams: UpstreamRegistry,
+        services: NodeServices,
+    ) -> None:
+        self._requests = requests
+        self._upstreams = upstreams
+        self._settings = services.settings
+        self._network = services.network
+        self._timer_wheel = services.timer_wheel
+        self._counters = services.counters
+        self._metrics = services.metrics
+        self._dispatch = services.dispatch
+
+    # actions of the policy
+
+    def start(self, action: StartAttempt, now_us: int) -> None:
+        """Start an attempt, or report it as obsolete where the rules forbid it by now."""
+        connection = self._requests.by_number.get(action.id)
+        if connection is None:
+            return
+        upstream = self._upstreams.by_number.get(action.server)
+        attempt_number = connection.attempts_started
+        connection.attempts_started += 1
+        time_left_us = connection.deadline_us - now_us
+        timeout_us = min(action.timeout, time_left_us) if action.timeout else time_left_us
+        allowed = (
+            connection.state is ConnectionState.WAITING
+            and connection.attempt is None
+            and attempt_number < self._settings.max_attempts
+            and timeout_us > 0
+        )
+        if allowed and upstream is not None and upstream.state == ServerState.READY:
+            self.dial(connection, upstream, timeout_us, now_us)
+        else:
+            self._report_obsolete(connection, attempt_number, action.server, now_us)
+
+    def _report_obsolete(
+        self, connection: ProxiedConnection, attempt_number: int, server: int, now_us: int
+    ) -> None:
+        self._counters.count("attempts_moot")
+        has_final_answer = int(connection.has_final_answer)
+        outcome = AttemptOutcome.OBSOLETE
+        self._dispatch(
+            AttemptEnded(connection.number, attempt_number, server, outcome, 0, has_final_answer, ()), now_us
+        )
+
+    def cancel(self, action: CancelAttempt, now_us: int) -> None:
+        """Give up the attempt that the policy names, unless its upstream serves the connection by now."""
+        connection = self._requests.by_number.get(action.id)
+        if connection is None or connection.attempt is None or connection.is_established:
+            return
+        if action.attempt == connection.attempts_started - 1:
+            self.give_up(connection, AttemptOutcome.CANCELLED, now_us)
+
+    def migrate(self, action: MigrateClient, now_us: int) -> None:
+        """Migrate a client if its connection is established."""
+        connection = self._requests.by_number.get(action.id)
+        if connection and connection.is_established:
+            self.migrate_client(connection, now_us)
+
+    def migrate_client(self, connection: ProxiedConnection, now_us: int) -> None:
+        """Ask the client of an established connection to reconnect, and end the connection."""
+        self._counters.count("moves")
+        connection.session.migrate(now_us)
+        self.give_up(connection, AttemptOutcome.CANCELLED, now_us)
+
+    # dialling and giving up
+
+    def dial(
+        self, connection: ProxiedConnection, upstream: Upstream, timeout_us: int | None, now_us: int
+    ) -> None:
+        """Begin an attempt; it has `timeout_us` to be accepted by the upstream, where that is given."""
+        self._counters.count("attempts")
+        attempt = connection.session.new_attempt(connection, timeout_us)
+        connection.attempt = attempt
+        connection.upstream = upstream
+        connection.attempt_started_us = now_us
+        attempt.transport = self._network.dial(upstream.address, attempt)
+        schedule = self._timer_wheel.schedule
+        connect_timeout_us = self._settings.connect_timeout_us or _DEFAULT_CONNECT_TIMEOUT_US
+        connection.attempt_timers = [
+            schedule(now_us + connect_timeout_us, partial(self._connect_timed_out, connection))
+        ]
+        if timeout_us is not None:
+            connection.attempt_timers.append(
+                schedule(now_us + timeout_us, partial(self._attempt_timed_out, connection))
+            )
+
+    def _connect_timed_out(self, connection: ProxiedConnection, now_us: int) -> None:
+        if connection.attempt and not connection.attempt.sent:
+            self.give_up(connection, AttemptOutcome.CONNECT_FAILED, now_us)
+
+    def _attempt_timed_out(self, connection: ProxiedConnection, now_us: int) -> None:
+        if connection.attempt and not connection.is_established:
+            sent = connection.attempt.sent
+            outcome = AttemptOutcome.TIMEOUT if sent else AttemptOutcome.CONNECT_FAILED
+            self.give_up(connection, outcome, now_us)
+
+    def give_up(self, connection: ProxiedConnection, outcome: AttemptOutcome, now_us: int) -> None:
+        """Close the attempt in progress, if there is one, and then handle its end."""
+        if connection.attempt:
+            connection.attempt.close()
+            self.attempt_ended(connection, outcome, (), now_us)
+
+    def give_up_unsent_to_unready(self, now_us: int) -> None:
+        """Give up the attempts that are still being dialled to upstreams that are not ready any more.
+
+        Else their requests could be written to an upstream after the grace period in which it drains.
+        """
+        dialling = [c for c in self._requests.values() if c.attempt and not c.attempt.sent]
+        for connection in dialling:
+            if connection.upstream and connection.upstream.state != ServerState.READY:
+                self.give_up(connection, AttemptOutcome.CONNECT_FAILED, now_us)
+
+    # reports of attempts
+
+    def attempt_ready(self, connection: ProxiedConnection, now_us: int) -> bool:
+        """Return whether the request may be written to the upstream just connected; else close the attempt.
+
+        All that may have changed since the dial began is checked here, at the moment of the send.
+        """
+        connection.session.check_disconnected(now_us)
+        upstream = connection.upstream
+        is_waiting = connection.state is ConnectionState.WAITING
+        if connection.attempt and is_waiting and upstream and upstream.state == ServerState.READY:
+            return True
+        self.give_up(connection, AttemptOutcome.CONNECT_FAILED, now_us)
+        return False
+
+    def attempt_sent(self) -> None:
+        """Count a request whose last byte was written to an upstream."""
+        self._metrics.relayed += 1
+
+    def attempt_established(self, connection: ProxiedConnection, now_us: int) -> None:
+        """Relay between client and upstream from now on, unless the client has gone meanwhile."""
+        attempt = connection.attempt
+        upstream = connection.upstream
+        if attempt is None or upstream is None:
+            return
+        if connection.state is not ConnectionState.WAITING:
+            return self.give_up(connection, AttemptOutcome.CANCELLED, now_us)
+        connection.cancel_attempt_timers()
+        connection.establish()
+        self._counters.count("answers_served")
+        self._metrics.count("fulfilled", connection.class_index)
+        connection.session.start_proxying(attempt, now_us)
+        if connection.request.pinned_upstream is None:
+            latency_us = now_us - connection.attempt_started_us
+            attempt_number = connection.attempts_started - 1
+            event = ConnectionEstablished(connection.number, upstream.number, attempt_number, latency_us)
+            self._dispatch(event, now_us)
+
+    def attempt_ended(
+        self, connection: ProxiedConnection, outcome: AttemptOutcome, report: tuple[float, ...], now_us: int
+    ) -> None:
+        """Handle the end of an attempt whose connection is closed."""
+        connection.cancel_attempt_timers()
+        self._counters.count(f"attempts_{outcome.name.lower()}")
+        connection.attempt = None
+        if connection.is_established:
+            connection.finish()
+        if connection.state is ConnectionState.FINISHED:
+            self._requests.remove(connection)
+        elif connection.retry_pinned:
+            return connection.retry_pinned(outcome, now_us)
+        self.report_outcome(connection, outcome, report, now_us)
+
+    def report_outcome(
+        self, connection: ProxiedConnection, outcome: AttemptOutcome, report: tuple[float, ...], now_us: int
+    ) -> None:
+        """Tell the policy how the last attempt ended, if there was one."""
+        if connection.upstream is None:
+            return
+        used_report = report if self._settings.report_via == "answers" else ()
+        duration_us = min(now_us - connection.attempt_started_us, _MAX_DURATION_US)
+        has_final_answer = int(connection.has_final_answer)
+        event = AttemptEnded(
+            connection.number,
+            connection.attempts_started - 1,
+            connection.upstream.number,
+            outcome,
+            duration_us,
+            has_final_answer,
+            used_report,
+        )
+        self._dispatch(event, now_us)
--- /dev/null
+++ b/limerudder/core/requests/final_answers.py
@@ -0,0 +1,56 @@
+"""Final answers that the node gives by itself; an upstream's own answer is relayed by its attempt."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from limerudder.core.requests.attempt_runner import AttemptRunner
+from limerudder.core.requests.proxied_connection import ProxiedConnection
+from limerudder.core.requests.request_table import RequestTable
+from limerudder.core.services import NodeServices
+from limerudder.policy.events import AttemptOutcome
+
+
+class FinalAnswer(Enum):
+    """A final answer of the node, with the names of its counter and of its metric."""
+
+    REJECTED = ("answers_refused", "throttled")
+    FAILED = ("answers_failed", "faulted")
+
+    def __init__(self, counter: str, metric: str) -> None:
+        self.counter = counter
+        self.metric = metric
+
+
+class FinalAnswers:
+    """Gives waiting requests their final answer and ends their attempt."""
+
+    def __init__(self, requests: RequestTable, attempts: AttemptRunner, services: NodeServices) -> None:
+        self._requests = requests
+        self._attempts = attempts
+        self._counters = services.counters
+        self._metrics = services.metrics
+
+    def reject(self, connection: ProxiedConnection, retry_after_us: int, now_us: int) -> None:
+        """Reject a request; its client is advised to retry after this time if it is not 0."""
+        self.conclude(connection, FinalAnswer.REJECTED, now_us)
+        connection.session.reject(retry_after_us, now_us)
+
+    def fail(self, connection: ProxiedConnection, now_us: int) -> None:
+        """Fail a request."""
+        self.conclude(connection, FinalAnswer.FAILED, now_us)
+        connection.session.fail(now_us)
+
+    def conclude(self, connection: ProxiedConnection, answer: FinalAnswer, now_us: int) -> None:
+        """Count the answer and end the request; the caller sends the answer to the client."""
+        self.count(answer, connection.class_index)
+        connection.finish()
+        if connection.attempt:
+            self._attempts.give_up(connection, AttemptOutcome.CANCELLED, now_us)
+        else:
+            self._requests.remove(connection)
+
+    def count(self, answer: FinalAnswer, class_index: int) -> None:
+        """Count a final answer to a request of this class."""
+        self._counters.count(answer.counter)
+        self._metrics.count(answer.metric, class_index)
--- /dev/null
+++ b/limerudder/core/requests/proxied_connection.py
@@ -0,0 +1,124 @@
+"""The record of one request and its connection, which its session and its attempt report to."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum, auto
+from typing import TYPE_CHECKING
+
+from limerudder.core.ports import Attempt, ClientSession, ConnectRequest
+from limerudder.core.timer_wheel import Timer
+from limerudder.core.upstream.registry import Upstream
+from limerudder.policy.events import AttemptOutcome, NewRequest
+
+if TYPE_CHECKING:
+    from limerudder.core.requests.attempt_runner import AttemptRunner
+    from limerudder.core.requests.connection_sampler import ConnectionSampler
+    from limerudder.core.requests.request_lifecycle import RequestLifecycle
+
+
+class ConnectionState(Enum):
+    """How far a request has come; it never returns to an earlier state."""
+
+    WAITING = auto()  # for its final answer
+    ESTABLISHED = auto()  # an upstream serves it
+    FINISHED = auto()  # it has had its final answer, or its client has gone; its attempt may still be closing
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionEventHandlers:
+    """The parts of the node that handle what sessions and attempts report."""
+
+    lifecycle: RequestLifecycle
+    attempts: AttemptRunner
+    sampler: ConnectionSampler
+
+
+class ProxiedConnection:
+    """One request and, once an upstream serves it, its connection.
+
+    It is the `RequestObserver` of its client's session and the `AttemptObserver` of its attempts.
+    """
+
+    def __init__(
+        self,
+        description: NewRequest,
+        session: ClientSession,
+        request: ConnectRequest,
+        deadline_us: int,
+        handlers: ConnectionEventHandlers,
+    ) -> None:
+        self.number = description.id
+        self.class_index = description.cls
+        self.description = description  # the request as the policy is told of it
+        self.session = session
+        self.request = request
+        self.deadline_us = deadline_us
+        self.state = ConnectionState.WAITING
+        self.overdue_timer: Timer | None = None
+        self.retry_pinned: Callable[[AttemptOutcome, int], None] | None = None  # for a pinned connection
+        self.attempts_started = 0
+        self.attempt: Attempt | None = None  # the one in progress
+        self.attempt_started_us = 0
+        self.attempt_timers: list[Timer] = []
+        self.upstream: Upstream | None = None  # of the last attempt
+        self._handlers = handlers
+
+    @property
+    def is_established(self) -> bool:
+        """Whether an upstream serves this connection."""
+        return self.state is ConnectionState.ESTABLISHED
+
+    @property
+    def has_final_answer(self) -> bool:
+        """Whether no answer is owed any more."""
+        return self.state is not ConnectionState.WAITING
+
+    def establish(self) -> None:
+        """An upstream serves the connection from now on."""
+        self.state = ConnectionState.ESTABLISHED
+        self._cancel_overdue_timer()
+
+    def finish(self) -> None:
+        """No answer is owed any more, and no upstream serves the connection."""
+        self.state = ConnectionState.FINISHED
+        self._cancel_overdue_timer()
+
+    def _cancel_overdue_timer(self) -> None:
+        if self.overdue_timer:
+            self.overdue_timer.cancel()
+
+    def cancel_attempt_timers(self) -> None:
+        """Cancel the timeouts of the attempt."""
+        for timer in self.attempt_timers:
+            timer.cancel()
+        self.attempt_timers = []
+
+    def client_disconnected(self, now_us: int) -> None:
+        """The client has gone."""
+        self._handlers.lifecycle.client_disconnected(self, now_us)
+
+    def attempt_ready(self, now_us: int) -> bool:
+        """Return whether the request may be written to the connected upstream."""
+        return self._handlers.attempts.attempt_ready(self, now_us)
+
+    def attempt_sent(self) -> None:
+        """The last byte of the request is written."""
+        self._handlers.attempts.attempt_sent()
+
+    def attempt_established(self, now_us: int) -> None:
+        """The upstream has accepted the connection."""
+        self._handlers.attempts.attempt_established(self, now_us)
+
+    def attempt_ended(self, outcome: AttemptOutcome, report: tuple[float, ...], now_us: int) -> None:
+        """The attempt has ended and its connection is closed."""
+        self._handlers.attempts.attempt_ended(self, outcome, report, now_us)
+
+    def attempt_load_reported(self, load: float, now_us: int) -> None:
+        """The upstream has reported the load of the connection."""
+        self._handlers.sampler.load_reported(self, load, now_us)
+
+    def attempt_latency_measured(self, latency_us: int, now_us: int) -> None:
+        """The upstream has answered a message after this time."""
+        self._handlers.sampler.latency_measured(self, latency_us, now_us)
--- /dev/null
+++ b/limerudder/core/requests/request_table.py
@@ -0,0 +1,61 @@
+"""The requests that a node holds, and the ids that new requests must not use."""
+
+from __future__ import annotations
+
+from collections.abc import ValuesView
+
+from limerudder.core.requests.proxied_connection import ProxiedConnection
+
+MAX_RECENT_IDS = 4096  #: a late copy of a request is rejected as long as its id is among so many
+
+
+class RequestTable:
+    """Requests by number, the ids in use, and the ids that were used recently.
+
+    Clients take a new id for every request. A second request with the id of an open or recent one is a copy,
+    which would endanger the first one and the upstreams' own record of ids.
+    """
+
+    def __init__(self) -> None:
+        self.by_number: dict[int, ProxiedConnection] = {}
+        self.open_ids: set[int] = set()
+        self.recent_ids: dict[int, None] = {}  # of ended requests and of another process, oldest first
+        self._next_number = 1
+
+    def __len__(self) -> int:
+        return len(self.by_number)
+
+    def values(self) -> ValuesView[ProxiedConnection]:
+        """Return all requests, oldest first."""
+        return self.by_number.values()
+
+    def next_number(self) -> int:
+        """Return a number that no request has had."""
+        number = self._next_number
+        self._next_number += 1
+        return number
+
+    def is_id_used(self, request_id: int) -> bool:
+        """Return whether a request with this id is open, or was recently."""
+        return request_id in self.open_ids or request_id in self.recent_ids
+
+    def add(self, connection: ProxiedConnection) -> None:
+        """Hold a request."""
+        self.by_number[connection.number] = connection
+        self.open_ids.add(connection.request.id)
+
+    def remove(self, connection: ProxiedConnection) -> None:
+        """Forget a request, and remember its id as a recent one; does nothing if it is not held."""
+        if self.by_number.pop(connection.number, None):
+            self.open_ids.discard(connection.request.id)
+            self.add_recent_id(connection.request.id)
+
+    def add_recent_id(self, request_id: int) -> None:
+        """Have requests with this id rejected, until MAX_RECENT_IDS further ones have been added."""
+        self.recent_ids[request_id] = None
+        if len(self.recent_ids) > MAX_RECENT_IDS:
+            del self.recent_ids[next(iter(self.recent_ids))]
+
+    def used_ids(self) -> list[int]:
+        """Return the ids that are recent or in use."""
+        return [*self.recent_ids, *self.open_ids]
--- /dev/null
+++ b/limerudder/core/services.py
@@ -0,0 +1,29 @@
+"""What the parts of a node share: its settings, its clock's timers, its way out, its counters and its log."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from limerudder.core.operations.counters import Counters
+from limerudder.core.operations.metrics import RequestMetrics
+from limerudder.core.timer_wheel import TimerWheel
+from limerudder.core.transport import Network
+from limerudder.policy.events import Event
+from limerudder.policy.settings import Settings
+
+Log = Callable[[str, str], None]  #: kind of event, text
+EventDispatch = Callable[[Event, int], None]  #: event for the policy, time in microseconds
+
+
+@dataclass(frozen=True, slots=True)
+class NodeServices:
+    """The services that every part of one node may use."""
+
+    settings: Settings
+    network: Network
+    timer_wheel: TimerWheel
+    counters: Counters
+    metrics: RequestMetrics
+    log: Log
+    dispatch: EventDispatch
--- /dev/null
+++ b/limerudder/core/upstream/endpoint_updater.py
@@ -0,0 +1,119 @@
+"""Taking over discovery's endpoint lists into the registry of upstreams, and telling the policy."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from limerudder.core.client.admission import AdmissionControl
+from limerudder.core.discovery.drain_memory import DrainMemory
+from limerudder.core.discovery.endpoint_list import Endpoint, EndpointList
+from limerudder.core.node_config import Names
+from limerudder.core.requests.attempt_runner import AttemptRunner
+from limerudder.core.services import NodeServices
+from limerudder.core.upstream.health_checker import HealthChecker
+from limerudder.core.upstream.registry import UpstreamRegistry
+from limerudder.policy.events import EndpointUpdate, ServerEntry, ServerState, UpdateKind
+
+_MICROSECONDS_PER_MILLISECOND = 1000
+
+
+class EndpointUpdater:
+    """Applies endpoint lists; what other parts know of an endpoint may make its state worse than listed."""
+
+    def __init__(
+        self,
+        upstreams: UpstreamRegistry,
+        names: Names,
+        attempts: AttemptRunner,
+        health_checker: HealthChecker,
+        admission: AdmissionControl,
+        is_in_maintenance: Callable[[str], bool],
+        drain_memory: DrainMemory | None,
+        services: NodeServices,
+    ) -> None:
+        self.drain_memory = drain_memory  # drains that are remembered although discovery lists them no more
+        self._upstreams = upstreams
+        self._names = names
+        self._attempts = attempts
+        self._health_checker = health_checker
+        self._admission = admission
+        self._is_in_maintenance = is_in_maintenance
+        self._checks_health = services.settings.probes
+        self._counters = services.counters
+        self._dispatch = services.dispatch
+
+    def apply(self, endpoints: EndpointList, kind: UpdateKind, now_us: int) -> None:
+        """Apply a list to the registry, tell the policy, and end what may no longer go on."""
+        if kind != UpdateKind.OPERATOR:
+            self._counters.count("lists")
+        entries = [self._update_upstream(endpoint) for endpoint in endpoints.hosts]
+        if kind in (UpdateKind.FULL, UpdateKind.CACHED):
+            self._mark_others_gone(entries)
+        self._complete_returns(entries, kind, endpoints.version, now_us)
+        self._dispatch(EndpointUpdate(kind, endpoints.version, entries), now_us)
+        if self._checks_health:  # each upstream may take one descriptor for its health checks
+            self._admission.hosts = self._upstreams.listed_count()
+        self._attempts.give_up_unsent_to_unready(now_us)
+        self._health_checker.close_unready()
+
+    def refresh(self, name: str, version: int, kind: UpdateKind, now_us: int) -> None:
+        """Apply an endpoint's entry again because something else that is known of it has changed."""
+        upstream = self._upstreams.listed(name)
+        if upstream and upstream.endpoint:
+            self.apply(EndpointList(version, False, (upstream.endpoint,)), kind, now_us)
+
+    def _mark_others_gone(self, entries: Sequence[ServerEntry]) -> None:
+        listed = {entry.server for entry in entries}
+        for upstream in self._upstreams.by_number.values():
+            if upstream.number not in listed:
+                upstream.state = ServerState.GONE
+
+    def _complete_returns(
+        self, entries: Sequence[ServerEntry], kind: UpdateKind, version: int, now_us: int
+    ) -> None:
+        """Tell the policy first of upstreams that return from maintenance and are listed as ready again.
+
+        It hears of them as of an operator's call; discovery's own entry, which follows, changes nothing then.
+        """
+        by_number = self._upstreams.by_number
+        returned = [
+            entry
+            for entry in entries
+            if entry.state == ServerState.READY and by_number[entry.server].awaiting_listing_after_return
+        ]
+        for entry in returned:
+            by_number[entry.server].awaiting_listing_after_return = False
+            if kind != UpdateKind.OPERATOR:
+                self._dispatch(EndpointUpdate(UpdateKind.OPERATOR, version, [entry]), now_us)
+
+    def _update_upstream(self, endpoint: Endpoint) -> ServerEntry:
+        upstream = self._upstreams.get_or_create(endpoint.name)
+        upstream.endpoint = endpoint
+        upstream.address = endpoint.address
+        upstream.state = self._effective_state(endpoint)
+        # an upstream returned to service may have been restarted before discovery lists its new start
+        warm_up_start_us = max(
+            endpoint.started_ms * _MICROSECONDS_PER_MILLISECOND, upstream.returned_to_service_us
+        )
+        return ServerEntry(
+            upstream.number,
+            index_or_length(self._names.zones, endpoint.zone),
+            index_or_length(self._names.kinds, endpoint.kind),
+            endpoint.cell,
+            upstream.state,
+            endpoint.weight,
+            warm_up_start_us,
+        )
+
+    def _effective_state(self, endpoint: Endpoint) -> ServerState:
+        """Return the worst of what discovery lists, what is remembered, and what operators have ordered."""
+        # asked for every endpoint: the memory also learns from it which ones are listed as draining
+        drains = self.drain_memory.out(endpoint) if self.drain_memory else False
+        if endpoint.state == ServerState.READY and (drains or self._is_in_maintenance(endpoint.name)):
+            return ServerState.DRAINING
+        return endpoint.state
+
+
+def index_or_length(names: Sequence[str], name: str) -> int:
+    """Return the index of a name, or one past the last index where the settings do not have the name."""
+    return names.index(name) if name in names else len(names)
--- /dev/null
+++ b/limerudder/core/upstream/health_checker.py
@@ -0,0 +1,88 @@
+"""Health checks of upstreams, as the policy asks for them."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from functools import partial
+
+from limerudder.core.services import NodeServices
+from limerudder.core.upstream.health_check import HealthCheckConnection
+from limerudder.core.upstream.load_report import MALFORMED_REPORT, is_malformed
+from limerudder.core.upstream.registry import Upstream, UpstreamRegistry
+from limerudder.policy.actions import CheckHealth, CloseIdleConnections
+from limerudder.policy.events import AttemptOutcome, HealthCheckResult, ServerState
+
+_ANSWER_TIMEOUT_US = 120_000
+_ANSWERED_OUTCOMES = (AttemptOutcome.OK, AttemptOutcome.ERROR, AttemptOutcome.FULL)
+
+
+class HealthChecker:
+    """Sends health checks over one connection to each upstream, kept open as long as the upstream answers."""
+
+    def __init__(
+        self,
+        upstreams: UpstreamRegistry,
+        report_fields: Sequence[str],
+        services: NodeServices,
+    ) -> None:
+        self._upstreams = upstreams
+        self._report_fields = report_fields
+        self._is_enabled = services.settings.probes
+        self._network = services.network
+        self._timer_wheel = services.timer_wheel
+        self._counters = services.counters
+        self._log = services.log
+        self._dispatch = services.dispatch
+
+    def check(self, action: CheckHealth, now_us: int) -> None:
+        """Send a health check; its result comes as an event for the policy."""
+        upstream = self._upstreams.by_number.get(action.server)
+        if upstream is None or not self._is_enabled:
+            return
+        self._counters.count("probes")
+        connection = upstream.health_check
+        if connection is None or connection.ended:
+            connection = self._connect(upstream, now_us)
+        else:
+            connection.send_check(now_us)
+        self._timer_wheel.schedule(now_us + _ANSWER_TIMEOUT_US, partial(connection.expire_pending, now_us))
+
+    def _connect(self, upstream: Upstream, now_us: int) -> HealthCheckConnection:
+        connection = HealthCheckConnection(self._report_fields, partial(self._completed, upstream))
+        upstream.health_check = connection
+        connection.send_check(now_us)
+        connection.transport = self._network.dial(upstream.address, connection)
+        return connection
+
+    def _completed(
+        self,
+        upstream: Upstream,
+        latency_us: int,
+        outcome: AttemptOutcome,
+        report: tuple[float, ...],
+        now_us: int,
+    ) -> None:
+        self._counters.count(f"probes_{outcome.name.lower()}")
+        if is_malformed(report):
+            self._counters.count("reports_spoilt")
+            self._log("report", MALFORMED_REPORT.format(upstream.name))
+        if outcome in _ANSWERED_OUTCOMES:
+            upstream.last_health_check_answer_us = now_us
+        self._dispatch(HealthCheckResult(upstream.number, latency_us, outcome, report), now_us)
+
+    def close_idle(self, action: CloseIdleConnections, now_us: int) -> None:
+        """Close the connection to an upstream unless a health check is pending on it."""
+        upstream = self._upstreams.by_number.get(action.server)
+        if upstream and upstream.health_check and not upstream.health_check.pending_since_us:
+            upstream.health_check.close()
+
+    def close_unready(self) -> None:
+        """Close the connections to upstreams that are not ready any more."""
+        for upstream in self._upstreams.by_number.values():
+            if upstream.state != ServerState.READY and upstream.health_check:
+                upstream.health_check.close()
+
+    def has_pending(self) -> bool:
+        """Return whether a health check is pending on any connection."""
+        connections = (upstream.health_check for upstream in self._upstreams.by_number.values())
+        return any(connection and connection.pending_since_us for connection in connections)
--- /dev/null
+++ b/limerudder/core/upstream/maintenance_effects.py
@@ -0,0 +1,73 @@
+"""What the maintenance of an upstream, and its end, change at the node."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from limerudder.core.services import NodeServices
+from limerudder.core.upstream.liveness import LivenessMonitor
+from limerudder.core.upstream.registry import UpstreamRegistry
+from limerudder.policy.events import UpdateKind
+
+_RETURN_TIMEOUT_US = 5_000_000  #: an upstream that operators have returned is in use again by then
+
+EndpointRefresher = Callable[[str, UpdateKind, int], None]  #: name, kind of update, time in microseconds
+
+
+class MaintenanceEffects:
+    """The `MaintenanceTarget` of a node: drains an upstream in maintenance, and warms it up after it."""
+
+    def __init__(
+        self,
+        upstreams: UpstreamRegistry,
+        refresh_endpoint: EndpointRefresher,
+        services: NodeServices,
+    ) -> None:
+        self.timer_wheel = services.timer_wheel
+        self._upstreams = upstreams
+        self._refresh_endpoint = refresh_endpoint
+        self._counters = services.counters
+        self._log = services.log
+
+    def is_listed(self, name: str) -> bool:
+        """Return whether discovery lists this upstream."""
+        return self._upstreams.listed(name) is not None
+
+    def take_out(self, name: str, now_us: int) -> None:
+        """Operators have begun maintenance of an upstream."""
+        self._counters.count("hosts_taken_out")
+        self._log("hand", f"node: host {name} is taken out by hand")
+        self._refresh_endpoint(name, UpdateKind.OPERATOR, now_us)
+
+    def put_back(self, name: str, now_us: int) -> None:
+        """Operators have ended the maintenance: the upstream may have been restarted, so all is unlearned."""
+        self._counters.count("hosts_put_back")
+        self._log("hand", f"node: host {name} is put back by hand")
+        upstream = self._upstreams.by_name.get(name)
+        if upstream:
+            upstream.returned_to_service_us = now_us
+            upstream.awaiting_listing_after_return = True
+            upstream.liveness = LivenessMonitor()
+            upstream.last_health_check_answer_us = now_us
+            upstream.is_slow = False
+        self._refresh_endpoint(name, UpdateKind.OPERATOR, now_us)
+
+    def return_to_service_times(self) -> dict[str, int]:
+        """Return when each upstream was returned to service last, by name; the others are left out."""
+        return {
+            upstream.name: upstream.returned_to_service_us
+            for upstream in self._upstreams.by_number.values()
+            if upstream.returned_to_service_us
+        }
+
+    def apply_return_to_service_times(self, times: dict[str, int], now_us: int) -> None:
+        """Treat upstreams that were returned to service elsewhere as if that had been done here."""
+        for name, returned_us in times.items():
+            upstream = self._upstreams.by_name.get(name)
+            if upstream is None:
+                continue
+            upstream.returned_to_service_us = returned_us
+            is_recent = returned_us > now_us - _RETURN_TIMEOUT_US
+            upstream.awaiting_listing_after_return = is_recent
+            kind = UpdateKind.OPERATOR if is_recent else UpdateKind.DELTA
+            self._refresh_endpoint(name, kind, now_us)
--- a/limerudder/core/upstream/registry.py
+++ b/limerudder/core/upstream/registry.py
@@ -4,12 +4,13 @@
 
 from zlib import crc32
 
-from limerudder.core.discovery.endpoint_list import Endpoint
+from limerudder.core.discovery.endpoint_list import Endpoint, EndpointList
 from limerudder.core.transport import Address
 from limerudder.core.upstream.health_check import HealthCheckConnection
 from limerudder.core.upstream.liveness import LivenessMonitor
 from limerudder.policy.events import ServerState
 
+_MICROSECONDS_PER_SECOND = 1_000_000
 _NUMBER_SPACE = 1 << 32
 
 
@@ -26,10 +27,15 @@
         self.liveness = LivenessMonitor()
         self.last_health_check_answer_us = 0
         self.is_slow = False  # the policy's last latency sample of this upstream was a slow one
-        self.latency_reported_us = -1_000_000  # when the policy was last given a latency sample
+        self.latency_reported_us = -_MICROSECONDS_PER_SECOND  # when the policy was last given one, long ago
         self.returned_to_service_us = 0  # when operators last ended a maintenance of this upstream
         self.awaiting_listing_after_return = False  # returned, and not listed as ready since
 
+    @property
+    def is_listed(self) -> bool:
+        """Whether discovery lists this upstream, in whatever state."""
+        return self.state != ServerState.GONE
+
 
 class UpstreamRegistry:
     """All upstreams that were ever listed. An upstream keeps its number for the life of the process."""
@@ -50,6 +56,24 @@
             self.by_name[name] = upstream
         return upstream
 
+    def listed(self, name: str) -> Upstream | None:
+        """Return the upstream of this name if discovery lists it."""
+        upstream = self.by_name.get(name)
+        return upstream if upstream and upstream.is_listed else None
+
+    def listed_count(self) -> int:
+        """Return how many upstreams discovery lists."""
+        return sum(upstream.is_listed for upstream in self.by_number.values())
+
+    def endpoint_list(self, version: int) -> EndpointList:
+        """Return the complete list of endpoints as it stands here."""
+        endpoints = (
+            upstream.endpoint
+            for upstream in self.by_number.values()
+            if upstream.endpoint and upstream.is_listed
+        )
+        return EndpointList(version, True, tuple(endpoints))
+
     def _unused_number(self, name: str) -> int:
         number = crc32(name.encode())
         while number in self.by_number:
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -61,7 +61,7 @@
         here, there = Joined(self.old, self.step), Joined(self.new, self.step)
         here.other, there.other = there, here
         hello = parse_handover_state(self.elder.hello())
-        self.new.node._list(hello.hosts, UpdateKind.CACHED, self.new.now)
+        self.new.node.endpoint_updater.apply(hello.hosts, UpdateKind.CACHED, self.new.now)
         there.owner = heir = HotRestartSuccessor(
             self.new.node, hello, lambda: self.did.append("ready"), self.new.now
         )
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -14,7 +14,8 @@
 
 from limerudder.core.client.session import LineSession
 from limerudder.core.discovery.endpoint_list import EndpointList, parse_endpoints
-from limerudder.core.invariants import Invariants, InvariantViolation
+from limerudder.core.invariants import Invariants, InvariantViolation, PossibleExecution
+from limerudder.core.requests.final_answers import FinalAnswer
 from limerudder.policy.events import (
     ServerState,
 )
@@ -222,29 +223,29 @@
     held = next(iter(here.node.requests.values()))
     assert held.upstream
     with pytest.raises(InvariantViolation, match="two attempts"):
-        here.node._dial(held, held.upstream, None, here.now)
+        here.node.attempts.dial(held, held.upstream, None, here.now)
 
     here, watch = fresh()
     here.client()
     held = next(iter(here.node.requests.values()))
-    here.node._final(held, "failed", "faulted", here.now)
+    here.node.answers.conclude(held, FinalAnswer.FAILED, here.now)
     with pytest.raises(InvariantViolation, match="two final answers"):
-        here.node._final(held, "failed", "faulted", here.now)
+        here.node.answers.conclude(held, FinalAnswer.FAILED, here.now)
 
     here, watch = fresh()
     here.client()
     held = next(iter(here.node.requests.values()))
     assert held.upstream
     held.upstream.state = ServerState.DRAINING
-    watch._may_write = lambda held, now: True
+    watch._attempt_ready = lambda held, now: True
     with pytest.raises(InvariantViolation, match="drains"):
         here.attempts()[0].accept(here.now)
 
     here, watch = fresh()
     here.client()
     held = next(iter(here.node.requests.values()))
-    held.settle()
-    watch._may_write = lambda held, now: True
+    held.finish()
+    watch._attempt_ready = lambda held, now: True
     with pytest.raises(InvariantViolation, match="gone"):
         here.attempts()[0].accept(here.now)
 
@@ -254,18 +255,18 @@
     here.client()
     held = next(iter(here.node.requests.values()))
     assert held.upstream
-    watch.risks[held.number] = here.now, held.upstream
+    watch.possible_executions[held.number] = PossibleExecution(here.now, held.upstream)
     with pytest.raises(InvariantViolation, match="unsafe"):
         here.attempts()[0].accept(here.now)
     with pytest.raises(InvariantViolation, match="may have run"):
-        here.node._final(held, "refused", "throttled", here.now)
+        here.node.answers.conclude(held, FinalAnswer.REJECTED, here.now)
 
     here, watch = fresh()
     here.client()
     held = next(iter(here.node.requests.values()))
-    assert held.overdue
-    held.overdue.cancel()
-    held.timers.clear()
+    assert held.overdue_timer
+    held.overdue_timer.cancel()
+    held.attempt_timers.clear()
     with pytest.raises(InvariantViolation, match="in time"):
         watch.check(here.now + 3 * SECOND)
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -96,7 +96,7 @@
     assert link.sent.replace(b"PONG\r\n", b"") == b"ERR\r\n" and link.half_closed and not link.closed
     if pieces == 1:
         assert here.node.counters[BAD[data]] == 1
-    assert not here.node.requests and not here.node.ids and not here.attempts()
+    assert not here.node.requests and not here.node.requests.open_ids and not here.attempts()
     here.run(SECOND + 5000)
     assert link.closed and not here.node.admission.guests and not here.node.admission.idle
 
@@ -135,10 +135,12 @@
     session, other = here.connect()
     session.data_received(line, here.now)
     assert other.sent == b"ERR\r\n" and not here.attempts(), "a copy may come when the request has just ended"
-    monkeypatch.setattr("limerudder.core.node.PAST", 3)
+    monkeypatch.setattr("limerudder.core.requests.request_table.MAX_RECENT_IDS", 3)
     for _ in range(4):
         here.served()[0].connection_lost(here.now)
-    assert len(here.node.past) == 3 and not here.node.ids, "what is kept is bounded"
+    assert (
+        len(here.node.requests.recent_ids) == 3 and not here.node.requests.open_ids
+    ), "what is kept is bounded"
 
 
 @pytest.mark.parametrize("said", [b"", b"OPEN ", b"PING\r\nOPEN"])
@@ -637,10 +639,10 @@
 def test_peers_are_told_and_heard_only_within_the_rules(tmp_path: Path) -> None:
     here = world(tmp_path)
     for size in (256, 257):
-        here.node._tell(SendPeerMessage(1, b"x" * size), here.now)
+        here.node.peering.send(SendPeerMessage(1, b"x" * size))
     assert [len(data) for _, data in here.datagrams] == [256]
     alone = world(tmp_path, settings=settings(peers=False))
-    alone.node._tell(SendPeerMessage(1, b"x"), alone.now)
+    alone.node.peering.send(SendPeerMessage(1, b"x"))
     assert not alone.datagrams
 
 
@@ -676,7 +678,7 @@
 def test_a_report_that_cannot_be_read_is_counted_and_told_of(tmp_path: Path, said: str, spoilt: int) -> None:
     here = world(tmp_path, settings=settings(probes=True))
     told = events(here)
-    here.node._probe(CheckHealth(next(iter(here.node.upstreams.by_number))), here.now)
+    here.node.health_checker.check(CheckHealth(next(iter(here.node.upstreams.by_number))), here.now)
     link = here.dials[-1]
     link.accept(here.now)
     link.machine.data_received(f"PONG {said}".strip().encode() + b"\r\n", here.now)
