--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -117,8 +117,8 @@
         return "done\n"
 
     console = Console(node.wheel, node.counters)
-    console.offer("status", status)
-    console.offer("stats", lambda _, now: node.figures.text(node.gauges(now)) + "end\n")
+    console.register("status", status)
+    console.register("stats", lambda _, now: node.figures.text(node.gauges(now)) + "end\n")
 
     def by_hand(call: Callable[[str, int], bool]) -> Callable[[str, int], str | DeferredAnswer]:
         def answer(name: str, now: int) -> str | DeferredAnswer:
@@ -131,8 +131,8 @@
 
         return answer
 
-    console.offer("maint-on", by_hand(node.maintenance.on), takes=True)
-    console.offer("maint-off", by_hand(node.maintenance.off), takes=True)
+    console.register("maint-on", by_hand(node.maintenance.enable), takes_argument=True)
+    console.register("maint-off", by_hand(node.maintenance.disable), takes_argument=True)
 
     def tick() -> None:
         loop.call_later(config.settings.tick / 1e6, tick)
@@ -146,7 +146,7 @@
             return
         log(LogKind.CONFIG, "config: reloaded; discovery is at {}:{}".format(*again.discovery))
         node.reloaded = True
-        node.discovery.move(again.discovery, clock.now())
+        node.discovery.change_address(again.discovery, clock.now())
 
     def stop(number: signal.Signals) -> None:
         # guards whoever reads the log after a process ended with 0: this line names the signal that ended it
--- a/limerudder/config.py
+++ b/limerudder/config.py
@@ -9,7 +9,7 @@
 from hashlib import sha256
 from typing import TYPE_CHECKING, Any
 
-from limerudder.core.discovery.endpoint_list import EndpointList, parse_endpoints
+from limerudder.core.discovery.endpoint_list import EndpointList, parse_endpoint_list
 from limerudder.core.transport import Address, read_address
 from limerudder.policy.settings import Settings, TrafficClass
 from limerudder.policy.settings_reader import flatten, read_settings
@@ -175,7 +175,7 @@
             zones=tuple(told.get("areas") or ()),
             kinds=tuple(told.get("kinds") or ()),
         ),
-        known=parse_endpoints(given["known"]),
+        known=parse_endpoint_list(given["known"]),
         peer_listen=parse_address(peer_listen) if peer_listen else None,
         peers=tuple(parse_address(peer) for peer in given.get("peers") or ()),
         peers_all=parse_address(peers_all) if peers_all else None,
--- a/limerudder/core/client/admission.py
+++ b/limerudder/core/client/admission.py
@@ -1,4 +1,4 @@
-"""Who is connected, and who of them makes place when descriptors run short."""
+"""Admission control: which client connections may stay open when file descriptors run short."""
 
 from __future__ import annotations
 
@@ -7,76 +7,88 @@
 
 
 class AdmittedConnection(Protocol):
-    """A client's connection, as the admission sees it."""
+    """A client's connection, as admission control sees it."""
 
     def evict(self, now: int) -> None:
-        """Give it its last word; it has no request."""
+        """Send the final response and begin to close; the client has no request in progress."""
 
     def force_close(self) -> None:
-        """Close it at once; it has had its last word."""
+        """Close at once; the final response has been sent."""
 
 
 class AdmissionControl:
-    """All client connections; those without a request in the order of their last sign of life."""
-
-    def __init__(self, sockets: int, spare: int, attempts: Sized) -> None:
-        # descriptors for clients and attempts, with and without a second process; the attempts that are out
-        self.sockets, self.spare, self.attempts = sockets, spare, attempts
-        self.others = self.hosts = 0
-        self.guests: set[AdmittedConnection] = set()
-        self.idle: dict[AdmittedConnection, None] = {}  # before their first line, or after a PING
-        self.ended: dict[
-            AdmittedConnection, None
-        ] = {}  # that have their last word and are given a moment to read it
+    """Tracks all client connections; when descriptors run short, closes idle ones, the longest idle first.
+
+    A connection is idle while it has no request: before its first line, or after a PING. It is closing once
+    it has its final response and is given a moment to read it.
+    """
+
+    def __init__(self, max_descriptors: int, reserved: int, attempts: Sized) -> None:
+        self.max_descriptors = max_descriptors
+        self.reserved = reserved  # for discovery, health checks, peers and closing connections
+        self.attempts = attempts  # the requests that hold, or may need, an upstream connection
+        self.other_process_descriptors = 0  # of this node's other process during a hot restart
+        self.listed_hosts = 0  # hosts that may each hold one health check connection
+        self.connections: set[AdmittedConnection] = set()
+        self.idle: dict[AdmittedConnection, None] = {}  # the longest idle first
+        self.closing: dict[AdmittedConnection, None] = {}  # the first to begin closing first
 
     @property
-    def room(self) -> int:
-        """Descriptors for clients and attempts; the rest is for discovery, probes, peers and last words."""
-        # guards probes of a large list: each host may hold one connection of this node beside its attempts
-        kept = min(self.spare + self.hosts, max(self.sockets // 2, self.spare))
-        return max(self.sockets - kept - self.others, 0)
-
-    def in_use(self) -> int:
-        """Descriptors of clients and attempts. Of those that are ending, a part is what was spared."""
-        return len(self.guests) - min(len(self.ended), self.spare // 4) + len(self.attempts)
-
-    def share(self, others: int) -> None:
-        """Another process of this node holds so many: only the rest is here."""
-        self.others = others
-
-    def enter(self, guest: AdmittedConnection, now: int) -> bool:
-        """Let a new client in; False where that leaves too few descriptors though nobody idle is left."""
-        self.guests.add(guest)
-        self.rest(guest)
-        return self.make_room(now)
-
-    def rest(self, guest: AdmittedConnection) -> None:
-        """A sign of life from a client without a request: all others make place before it."""
-        self.idle.pop(guest, None)
-        self.idle[guest] = None
-
-    def seat(self, guest: AdmittedConnection) -> None:
-        """The client has a request: it stays."""
-        self.idle.pop(guest, None)
-
-    def ending(self, guest: AdmittedConnection) -> None:
-        """It has its last word."""
-        self.idle.pop(guest, None)
-        self.ended[guest] = None
-
-    def gone(self, guest: AdmittedConnection) -> None:
-        """Its connection is closed."""
-        self.idle.pop(guest, None)
-        self.ended.pop(guest, None)
-        self.guests.discard(guest)
-
-    def make_room(self, now: int) -> bool:
-        """End idle connections until the rest has the descriptors it needs."""
-        # guards usual clients and their attempts against hundreds that connect and say nothing: the longest
-        # idle goes first, and a usual client says its first line soon after it has come
-        while self.in_use() > self.room:
-            if len(self.ended) > self.spare // 4:
-                next(iter(self.ended)).force_close()
+    def capacity(self) -> int:
+        """Descriptors available to clients and attempts."""
+        # Each listed host may hold one health check connection of this node beside its attempts. A long list
+        # must leave descriptors for those, but may not take more than half of all.
+        max_reserved = max(self.max_descriptors // 2, self.reserved)
+        reserved = min(self.reserved + self.listed_hosts, max_reserved)
+        return max(self.max_descriptors - reserved - self.other_process_descriptors, 0)
+
+    @property
+    def max_closing(self) -> int:
+        """How many closing connections are paid for by the reserve."""
+        return self.reserved // 4
+
+    def descriptors_in_use(self) -> int:
+        """Descriptors that clients and attempts hold, without the closing ones that the reserve pays for."""
+        return len(self.connections) - min(len(self.closing), self.max_closing) + len(self.attempts)
+
+    def set_other_process_descriptors(self, descriptors: int) -> None:
+        """Leave this many to this node's other process."""
+        self.other_process_descriptors = descriptors
+
+    def admit(self, connection: AdmittedConnection, now: int) -> bool:
+        """Track a new connection; False if descriptors are short though no other idle connection is left."""
+        self.connections.add(connection)
+        self.mark_idle(connection)
+        return self.free_descriptors(now)
+
+    def mark_idle(self, connection: AdmittedConnection) -> None:
+        """Record activity of a connection without a request: it becomes the last to be evicted."""
+        self.idle.pop(connection, None)
+        self.idle[connection] = None
+
+    def mark_active(self, connection: AdmittedConnection) -> None:
+        """The connection has a request: it is not evicted."""
+        self.idle.pop(connection, None)
+
+    def mark_closing(self, connection: AdmittedConnection) -> None:
+        """The connection has its final response."""
+        self.idle.pop(connection, None)
+        self.closing[connection] = None
+
+    def remove(self, connection: AdmittedConnection) -> None:
+        """The connection is closed."""
+        self.idle.pop(connection, None)
+        self.closing.pop(connection, None)
+        self.connections.discard(connection)
+
+    def free_descriptors(self, now: int) -> bool:
+        """Close idle and closing connections until usage fits the capacity; False if it still does not."""
+        # Hundreds of connections that never send anything must not starve ordinary clients and their
+        # attempts. The longest idle goes first: an ordinary client sends its first line soon after it has
+        # connected.
+        while self.descriptors_in_use() > self.capacity:
+            if len(self.closing) > self.max_closing:
+                next(iter(self.closing)).force_close()
             elif len(self.idle) > 1:
                 next(iter(self.idle)).evict(now)
             else:
@@ -84,6 +96,6 @@
         return True
 
     def evict_all(self, now: int) -> None:
-        """The node stops: nobody rests here any more."""
-        for guest in list(self.idle):
-            guest.evict(now)
+        """Evict every idle connection, as the node shuts down."""
+        for connection in list(self.idle):
+            connection.evict(now)
--- /dev/null
+++ b/limerudder/core/client/connection.py
@@ -0,0 +1,94 @@
+"""A client's connection whatever it speaks: admission, the final response and the lingering close."""
+
+from __future__ import annotations
+
+from enum import Enum, auto
+
+from limerudder.core.client.admission import AdmissionControl
+from limerudder.core.operations.counters import CounterName, Counters
+from limerudder.core.timer_wheel import ResettableTimer, TimerWheel
+from limerudder.core.transport import Transport
+
+LINGER_US = 1_000_000  #: for a client to read its final response and to close first
+MAX_DISCARDED_BYTES = 1 << 18  #: read and thrown away meanwhile; from there on nothing is read
+BUSY_RESPONSE = b"BUSY\r\n"
+
+
+class ConnectionState(Enum):
+    """What a client's connection waits for."""
+
+    READING_LINE = auto()  # the client's first line
+    AWAITING_ANSWER = auto()  # the final answer to its request
+    PROXYING = auto()  # data from either side
+    CLOSING = auto()  # the client's close; the final response has been sent, or the connection is closed
+
+
+class ClientConnection:
+    """The part of a client session that does not depend on what the client requests."""
+
+    def __init__(self, admission: AdmissionControl, counters: Counters, wheel: TimerWheel) -> None:
+        self.link: Transport | None = None
+        self._state = ConnectionState.READING_LINE
+        self._admission = admission
+        self._counters = counters
+        self._timer = ResettableTimer(wheel)
+        self._discarded_bytes = 0
+
+    # called by admission control
+
+    def evict(self, now: int) -> None:
+        """End the connection of a client without a request."""
+        self._end_without_request(CounterName.CLIENTS_EVICTED, now)
+
+    def force_close(self) -> None:
+        """Close at once: the final response has been sent, and the descriptor is needed."""
+        self._counters.increment(CounterName.CLIENTS_FORCE_CLOSED)
+        self._close()
+
+    # endings
+
+    def _end_without_request(self, counter: CounterName, now: int) -> None:
+        # A first line may be on its way: nobody will read it, and BUSY is its final answer.
+        self._counters.increment(counter)
+        self._finish(BUSY_RESPONSE, now)
+
+    def _finish(self, response: bytes, now: int) -> None:
+        """Send the final response, if any, and begin a lingering close."""
+        # A socket that is closed with unread data sends a reset, which may overtake the final response.
+        # So the client is given a moment to read it and to close first.
+        self._enter_closing()
+        if self.link:
+            self._admission.mark_closing(self)
+            if response:
+                self.link.write(response)
+            self.link.finish()
+            self.link.hold(False)
+        self._timer.set(now + LINGER_US, lambda _: self._close())
+
+    def _discard(self, data: bytes) -> None:
+        """Drop data that came after the final response."""
+        # A client that keeps sending at full speed must not occupy the event loop.
+        self._counters.increment(CounterName.BYTES_DISCARDED, len(data))
+        self._discarded_bytes += len(data)
+        if self._discarded_bytes > MAX_DISCARDED_BYTES and self.link:
+            self.link.hold(True)
+
+    def _close(self) -> None:
+        self._enter_closing()
+        if self.link:
+            self.link.close()
+        self._release()
+
+    def _reset(self) -> None:
+        self._enter_closing()
+        if self.link:
+            self.link.reset()
+        self._release()
+
+    def _enter_closing(self) -> None:
+        self._state = ConnectionState.CLOSING
+
+    def _release(self) -> None:
+        self._timer.stop()
+        self.link = None
+        self._admission.remove(self)
--- /dev/null
+++ b/limerudder/core/client/open_line.py
@@ -0,0 +1,141 @@
+"""The first line of the line protocol, `OPEN ID KEY c=CLASS,...`: reading, parsing and forwarding it."""
+
+from __future__ import annotations
+
+import re
+from typing import ClassVar
+
+from limerudder.core.line_framing import MAX_LINE_BYTES
+from limerudder.core.operations.counters import CounterName
+from limerudder.core.ports import ConnectRequest
+
+LINE_END = b"\r\n"
+MICROSECONDS_PER_MILLISECOND = 1000
+FIELD_VALUE_LIMIT = 1 << 32  #: numbers in fields are smaller than this, after conversion to their unit
+_IDENTIFIER = re.compile("[0-9a-f]{16}")
+_FIELD_NAME = re.compile("[A-Za-z][A-Za-z0-9_]*")
+_WHOLE_NUMBER = re.compile("0|[1-9][0-9]{0,9}")
+_DECIMAL_NUMBER = re.compile(r"[0-9]{1,10}(\.[0-9]{1,10})?")
+
+
+class OpenLineError(ValueError):
+    """A first line that the node does not accept; the client is answered ERR."""
+
+    counter: ClassVar[CounterName]  #: where such lines are counted
+
+
+class MalformedLineError(OpenLineError):
+    """A line that does not follow the protocol."""
+
+    counter = CounterName.REQUESTS_MALFORMED
+
+
+class OverlongLineError(OpenLineError):
+    """A line longer than the protocol allows."""
+
+    counter = CounterName.REQUESTS_OVERLONG
+
+
+class EarlyDataError(OpenLineError):
+    """Data behind a line whose answer the client has not waited for."""
+
+    counter = CounterName.REQUESTS_PIPELINED_EARLY
+
+
+class FirstLineBuffer:
+    """Collects a client's first line; holds less than one line's length at any time."""
+
+    __slots__ = ("line",)
+
+    def __init__(self) -> None:
+        self.line = b""  # without its line end
+
+    def feed(self, data: bytes) -> bool:
+        """Add received bytes; True once the line is complete. Raises OpenLineError."""
+        # A client that never ends its line, or sends a huge value, must not cost memory or time: no more than
+        # one line's length is kept and searched.
+        text = self.line + data[:MAX_LINE_BYTES]
+        line, end, rest = text.partition(LINE_END)
+        if len(line) + len(LINE_END) > MAX_LINE_BYTES:
+            raise OverlongLineError(line)
+        self.line = line
+        if not end:
+            if not is_printable_ascii(line.removesuffix(b"\r")):
+                raise MalformedLineError(line)
+            return False
+        # A client waits for the answer to its line; commands sent in one go are not executed.
+        if rest or len(data) > MAX_LINE_BYTES:
+            raise EarlyDataError(line)
+        return True
+
+    def clear(self) -> None:
+        """Forget the line."""
+        self.line = b""
+
+
+def parse_open_line(line: bytes) -> ConnectRequest:
+    """Parse `OPEN ID KEY c=CLASS,...`, without its line end. Raises MalformedLineError.
+
+    The accepted forms are narrower than what Python reads as a number or a name: a line in a form that no
+    client sends, or one that can be read in two ways, must not reach an upstream.
+    """
+    words = line.decode("ascii", "replace").split(" ")
+    if not is_printable_ascii(line) or len(words) != 4 or words[0] != "OPEN":
+        raise MalformedLineError(line)
+    fields = _parse_fields(words[3])
+    if "c" not in fields or fields.get("r", "1") != "1" or fields.get("again", "1") != "1":
+        raise MalformedLineError(line)
+    return ConnectRequest(
+        id=_parse_identifier(words[1]),
+        cls=fields["c"],
+        tenant=fields.get("t", ""),
+        key=_parse_identifier(words[2]),
+        time_left=(
+            _parse_number(fields["d"], _WHOLE_NUMBER, MICROSECONDS_PER_MILLISECOND) if "d" in fields else None
+        ),
+        hint=_parse_number(fields["h"], _DECIMAL_NUMBER, 1) if "h" in fields else None,
+        group=_parse_identifier(fields["g"]) if "g" in fields else 0,
+        retry="r" in fields,
+        came_back="again" in fields,
+        at=fields.get("at"),
+    )
+
+
+def format_attempt_line(line: bytes, wait_us: int | None) -> bytes:
+    """The client's line as an upstream gets it: `d` tells how long the node waits, in whole milliseconds.
+
+    Everything else is unchanged. Without a limit (`wait_us` is None) the whole line is.
+    """
+    if wait_us is None:
+        return line + LINE_END
+    head, _, pairs = line.rpartition(b" ")
+    wait = b"d=%d" % max(wait_us // MICROSECONDS_PER_MILLISECOND, 1)
+    forwarded = [wait if pair.startswith(b"d=") else pair for pair in pairs.split(b",")]
+    return head + b" " + b",".join(forwarded) + LINE_END
+
+
+def is_printable_ascii(text: bytes) -> bool:
+    """Whether the text has printable ASCII characters only; an empty one has."""
+    return text.isascii() and text.decode().isprintable()
+
+
+def _parse_fields(text: str) -> dict[str, str]:
+    fields: dict[str, str] = {}
+    for pair in text.split(","):
+        name, _, value = pair.partition("=")
+        if not _FIELD_NAME.fullmatch(name) or name in fields or not value or "=" in value:
+            raise MalformedLineError(text)
+        fields[name] = value
+    return fields
+
+
+def _parse_identifier(text: str) -> int:
+    if not _IDENTIFIER.fullmatch(text):
+        raise MalformedLineError(text)
+    return int(text, 16)
+
+
+def _parse_number(text: str, form: re.Pattern[str], unit: int) -> int:
+    if not form.fullmatch(text) or float(text) * unit >= FIELD_VALUE_LIMIT:
+        raise MalformedLineError(text)
+    return int(float(text) * unit)
--- a/limerudder/core/client/session.py
+++ b/limerudder/core/client/session.py
@@ -1,327 +1,200 @@
-"""The line protocol's client session: the first line, the final answer, and the passing on of lines."""
+"""The line protocol's client session: from the first line through the final answer to the end of proxying."""
 
 from __future__ import annotations
 
-import re
-from collections.abc import Sequence
-from enum import Enum, auto
-from typing import Protocol
-
-from limerudder.core.client.admission import AdmissionControl
-from limerudder.core.line_framing import MAX_LINE_BYTES
-from limerudder.core.operations.counters import CounterName, Counters
+from limerudder.core.client.connection import BUSY_RESPONSE, ClientConnection, ConnectionState
+from limerudder.core.client.open_line import (
+    EarlyDataError,
+    FirstLineBuffer,
+    OpenLineError,
+    format_attempt_line,
+    parse_open_line,
+)
+from limerudder.core.client.request_handler import RequestHandler, RequestObserver
+from limerudder.core.operations.counters import CounterName
 from limerudder.core.ports import Attempt, AttemptObserver, ConnectRequest
-from limerudder.core.timer_wheel import ResettableTimer, TimerWheel
 from limerudder.core.transport import Transport
 from limerudder.core.upstream.attempt import LineAttempt
 
-LINGER = 1_000_000  #: to let a client read its last line before its connection is closed
-DISCARDED = 1 << 18  #: bytes read and thrown away meanwhile; from there on nothing is read
-FIRST_LINE = 2_500_000  #: for a first line to come whole: a client is owed a word or a close within 3 s
-BETWEEN_PINGS = 30_000_000  #: for one that has been answered PONG to begin another line
-ERROR = b"ERR\r\n"
-ID = re.compile("[0-9a-f]{16}")
-NAME = re.compile("[A-Za-z][A-Za-z0-9_]*")
-WAIT = re.compile("0|[1-9][0-9]{0,9}")
-FIGURE = re.compile(r"[0-9]{1,10}(\.[0-9]{1,10})?")
-
-
-class MalformedLine(ValueError):
-    """A first line that does not follow the protocol."""
-
-
-def parse_open(line: bytes) -> ConnectRequest:
-    """`OPEN ID KEY c=..,t=..,...` as a request."""
-    # guards upstreams against a line in a form that no client sends, and against one read in two ways: what
-    # Python would read as a number or a name is wider than what clients write
-    words = line.decode("ascii", "replace").split(" ")
-    if not _printable(line) or len(words) != 4 or words[0] != "OPEN":
-        raise MalformedLine(line)
-    told: dict[str, str] = {}
-    for pair in words[3].split(","):
-        name, _, value = pair.partition("=")
-        if not NAME.fullmatch(name) or name in told or not value or "=" in value:
-            raise MalformedLine(line)
-        told[name] = value
-    if "c" not in told or {told.get("r", "1"), told.get("again", "1")} != {"1"}:
-        raise MalformedLine(line)
-    return ConnectRequest(
-        id=_number(words[1]),
-        cls=told["c"],
-        tenant=told.get("t", ""),
-        key=_number(words[2]),
-        time_left=_figure(told["d"], WAIT, 1000) if "d" in told else None,
-        hint=_figure(told["h"], FIGURE, 1) if "h" in told else None,
-        group=_number(told["g"]) if "g" in told else 0,
-        retry="r" in told,
-        came_back="again" in told,
-        at=told.get("at"),
-    )
-
-
-def _printable(text: bytes) -> bool:
-    return text.isascii() and text.decode().isprintable()
-
-
-def _number(text: str) -> int:
-    if not ID.fullmatch(text):
-        raise MalformedLine(text)
-    return int(text, 16)
-
-
-def _figure(text: str, form: re.Pattern[str], unit: int) -> int:
-    if not form.fullmatch(text) or float(text) * unit >= 1 << 32:
-        raise MalformedLine(text)
-    return int(float(text) * unit)
-
-
-def with_wait(line: bytes, wait: int | None) -> bytes:
-    """The client's line, unchanged but for `d`: how long the node will wait, in whole milliseconds."""
-    if wait is None:
-        return line + b"\r\n"
-    head, _, pairs = line.rpartition(b" ")
-    told = [b"d=%d" % max(wait // 1000, 1) if p.startswith(b"d=") else p for p in pairs.split(b",")]
-    return head + b" " + b",".join(told) + b"\r\n"
-
-
-class RequestHandler(Protocol):
-    """Who takes the requests of client sessions: the node."""
-
-    wheel: TimerWheel
-    counters: Counters
-    admission: AdmissionControl
-    report_fields: Sequence[str]
-
-    def take(self, session: LineSession, request: ConnectRequest, now: int) -> RequestObserver | None:
-        """Take a request; None, and counted, where it is none that this node can take."""
-
-
-class RequestObserver(Protocol):
-    """Who is told that the client has left."""
-
-    def client_disconnected(self, now: int) -> None:
-        """The client has gone; before its final answer, or after it."""
-
-
-class SessionState(Enum):
-    """How far a session has come."""
-
-    FIRST = auto()
-    WAITING = auto()
-    OPEN = auto()
-    ENDED = auto()
+FIRST_LINE_TIMEOUT_US = 2_500_000  #: for a complete first line; clients are owed an answer or a close in 3 s
+PING_IDLE_TIMEOUT_US = 30_000_000  #: for a client that was answered PONG to begin another line
+PING_LINE = b"PING"
+PONG_RESPONSE = b"PONG\r\n"
+ERROR_RESPONSE = b"ERR\r\n"
+MOVE_RESPONSE = b"MOVE\r\n"
 
 
-class LineSession:
-    """One client connection."""
+class LineSession(ClientConnection):
+    """The state machine of one client connection that speaks the line protocol."""
 
-    def __init__(self, taker: RequestHandler) -> None:
-        self.taker = taker
-        self.stage = SessionState.FIRST
-        self.link: Transport | None = None
-        self.owner: RequestObserver | None = None
-        self.line = b""  # the first line, as far as it has come: never longer than a line may be
-        self.served: LineAttempt | None = None
-        self.timer = ResettableTimer(taker.wheel)
-        self.pinged = False  # its last line was a PING, and no further one has begun
-        self.discarded = 0
+    def __init__(self, handler: RequestHandler) -> None:
+        super().__init__(handler.admission, handler.counters, handler.wheel)
+        self.first_line = FirstLineBuffer()
+        self.attempt: LineAttempt | None = None  # the one that serves this client
+        self._handler = handler
+        self._observer: RequestObserver | None = None
+        self._ping_idle = False  # a PING was answered, and no further line has begun
 
-    # from the driver
+    # called by the driver
 
     def connected(self, link: Transport, now: int) -> None:
-        """A client has come."""
+        """A client has connected."""
         self.link = link
-        if self.taker.admission.enter(self, now):
-            self._line_due(now)
+        if self._admission.admit(self, now):
+            self._start_line_timeout(now)
         else:
-            self._last(b"BUSY\r\n", now)
+            self._finish(BUSY_RESPONSE, now)
 
     def feed(self, data: bytes, now: int) -> None:
-        """Bytes from the client."""
-        if self.stage is SessionState.OPEN and self.served:
-            self.served.send(data, now)
-        elif self.stage is SessionState.FIRST:
-            self._first(data, now)
-        elif self.stage is SessionState.WAITING:
-            self._impatient(now)
+        """The client has sent data."""
+        if self._state is ConnectionState.PROXYING and self.attempt:
+            self.attempt.send(data, now)
+        elif self._state is ConnectionState.READING_LINE:
+            self._read_line(data, now)
+        elif self._state is ConnectionState.AWAITING_ANSWER:
+            self._reject_early_data(now)
         elif self.link:
-            # guards the loop against a client that has its last line and sends on at full speed
-            self.taker.counters.increment(CounterName.BYTES_DISCARDED, len(data))
-            self.discarded += len(data)
-            if self.discarded > DISCARDED:
-                self.link.hold(True)
-
-    def _first(self, data: bytes, now: int) -> None:
-        if not self.line and self.pinged:
-            self._line_due(now)
-        # guards against values and lines without end: what is kept and looked at is one line at most
-        text = self.line + data[:MAX_LINE_BYTES]
-        line, end, more = text.partition(b"\r\n")
-        if len(line) + 2 > MAX_LINE_BYTES:
-            return self._malformed(CounterName.REQUESTS_OVERLONG, now)
-        self.line = line
-        if not end:
-            if not _printable(line.removesuffix(b"\r")):
-                self._malformed(CounterName.REQUESTS_MALFORMED, now)
-        elif more or len(data) > MAX_LINE_BYTES:
-            # guards against commands sent in one go: a client waits for the answer to its line
-            self._malformed(CounterName.REQUESTS_PIPELINED_EARLY, now)
-        elif line == b"PING":
-            self.taker.counters.increment(CounterName.PINGS)
-            self.line, self.pinged = b"", True
-            self.pass_on(b"PONG\r\n")
-            self.taker.admission.rest(self)
-            self.timer.set(now + BETWEEN_PINGS, self._silent)
-        else:
-            self._open(line, now)
-
-    def _open(self, line: bytes, now: int) -> None:
-        try:
-            request = parse_open(line)
-        except MalformedLine:
-            return self._malformed(CounterName.REQUESTS_MALFORMED, now)
-        self.stage = SessionState.WAITING
-        self.timer.stop()
-        self.taker.admission.seat(self)
-        self.owner = self.taker.take(self, request, now)
-        if self.owner is None:
-            self._last(ERROR, now)
-
-    def _line_due(self, now: int) -> None:
-        # guards against dribblers: the time runs from the line's first byte or the connection's first moment
-        self.pinged = False
-        self.timer.set(now + FIRST_LINE, self._silent)
-
-    def _silent(self, now: int) -> None:
-        """The first line has not come in time."""
-        if self.line:
-            self._malformed(CounterName.REQUESTS_INCOMPLETE, now)
-        else:
-            self.evict(now, CounterName.CLIENTS_TIMED_OUT)
-
-    def evict(self, now: int, counter: CounterName = CounterName.CLIENTS_EVICTED) -> None:
-        """End the connection of a client without a request."""
-        # guards a first line that crosses this end: it is read by nobody, and BUSY is its final answer
-        self.taker.counters.increment(counter)
-        self._last(b"BUSY\r\n", now)
-
-    def force_close(self) -> None:
-        """Close at once: the client has had its last word, and its descriptor is needed."""
-        self.taker.counters.increment(CounterName.CLIENTS_FORCE_CLOSED)
-        self._close()
-
-    def _impatient(self, now: int) -> None:
-        # guards against what follows a first line before its answer: nothing of it is kept or passed on
-        owner, self.owner = self.owner, None
-        self._malformed(CounterName.REQUESTS_PIPELINED_EARLY, now)
-        if owner:
-            owner.client_disconnected(now)
-
-    def _malformed(self, counter: CounterName, now: int) -> None:
-        self.taker.counters.increment(counter)
-        self._last(ERROR, now)
+            self._discard(data)
 
     def eof(self, now: int) -> None:
-        """The client has ended its sending: it leaves."""
-        if self.stage is SessionState.OPEN and self.served:
-            self.served.finish(now)
+        """The client has ended its sending side."""
+        if self._state is ConnectionState.PROXYING and self.attempt:
+            self.attempt.finish(now)
         else:
-            self._leave(now)
+            self._disconnect(now)
 
     def lost(self, now: int) -> None:
         """The connection broke."""
-        if self.stage is SessionState.OPEN and self.served:
-            self.served.reset()
-        self._leave(now)
+        if self._state is ConnectionState.PROXYING and self.attempt:
+            self.attempt.reset()
+        self._disconnect(now)
 
     def crowded(self, on: bool) -> None:
-        """The client reads slowly: its upstream, or what it asks before it has one, is read no faster."""
-        if self.served and self.served.link:
-            self.served.link.hold(on)
-        elif self.link and self.stage in (SessionState.FIRST, SessionState.WAITING):
-            # guards the sight of a client that leaves while it waits: one that is not read is not seen to
-            self.link.hold(on and self.stage is SessionState.FIRST)
-
-    def _leave(self, now: int) -> None:
-        stage, self.stage = self.stage, SessionState.ENDED
-        self._close()
-        if stage in (SessionState.WAITING, SessionState.OPEN) and self.owner:
-            self.owner.client_disconnected(now)
+        """The client reads slowly: its upstream, or its own requests until it has one, are read no faster."""
+        if self.attempt and self.attempt.link:
+            self.attempt.link.hold(on)
+        elif self.link and self._state in (ConnectionState.READING_LINE, ConnectionState.AWAITING_ANSWER):
+            # A disconnect is only noticed while the connection is read, so one that waits is always read.
+            self.link.hold(on and self._state is ConnectionState.READING_LINE)
 
-    # from the node
+    # called by the node
 
     def new_attempt(self, owner: AttemptObserver, wait: int | None) -> LineAttempt:
-        """A new attempt: the client's own line, but for `d`."""
-        return LineAttempt(owner, with_wait(self.line, wait), self.taker.report_fields, self.taker.wheel)
+        """An attempt that sends the client's line; the upstream is told how long (us) the node waits."""
+        line = format_attempt_line(self.first_line.line, wait)
+        return LineAttempt(owner, line, self._handler.report_fields, self._handler.wheel)
 
     def serve(self, attempt: Attempt, now: int) -> None:
-        """Join the two sides and give the client the upstream's answer."""
+        """Final answer: the upstream's own. From now on both sides' data is passed on."""
         assert isinstance(attempt, LineAttempt)
-        if self.stage is not SessionState.WAITING:
+        if self._state is not ConnectionState.AWAITING_ANSWER:
             return
-        self.stage, self.served = SessionState.OPEN, attempt
+        self._state = ConnectionState.PROXYING
+        self.attempt = attempt
         attempt.join(self)
 
     def refuse(self, wait: int, now: int) -> None:
-        """BUSY, with the advice when to come again."""
-        if self.stage is SessionState.WAITING:
-            self._last(b"BUSY %d\r\n" % (wait // 1000) if wait else b"BUSY\r\n", now)
+        """Final answer: rejected, to retry after `wait` microseconds if that is not 0."""
+        if self._state is ConnectionState.AWAITING_ANSWER:
+            self._finish(b"BUSY %d\r\n" % (wait // 1000) if wait else BUSY_RESPONSE, now)
 
     def fail(self, now: int) -> None:
-        """Any other line means failed."""
-        if self.stage is SessionState.WAITING:
-            self._last(ERROR, now)
+        """Final answer: failed."""
+        if self._state is ConnectionState.AWAITING_ANSWER:
+            self._finish(ERROR_RESPONSE, now)
 
     def move(self, now: int) -> None:
-        """MOVE stands between two lines, since only whole lines are passed to a client."""
-        if self.stage is SessionState.OPEN:
-            self._last(b"MOVE\r\n", now)
+        """Ask a proxied client to connect again. It gets complete lines only, so MOVE never cuts one."""
+        if self._state is ConnectionState.PROXYING:
+            self._finish(MOVE_RESPONSE, now)
 
     def look(self, now: int) -> None:
-        """A client that has gone, behind bytes that are not read yet too, is one that leaves."""
-        if self.stage is SessionState.WAITING and self.link and self.link.left():
-            self.taker.counters.increment(CounterName.CLIENTS_DISCONNECTED_UNREAD)
-            self._leave(now)
+        """Notice a disconnect that is hidden behind data not read yet."""
+        if self._state is ConnectionState.AWAITING_ANSWER and self.link and self.link.left():
+            self._counters.increment(CounterName.CLIENTS_DISCONNECTED_UNREAD)
+            self._disconnect(now)
 
-    # from the attempt that serves
+    # called by the attempt that serves this client
 
     def pass_on(self, data: bytes) -> None:
-        """Bytes from the upstream for the client."""
+        """Send the upstream's data to the client."""
         if self.link:
             self.link.write(data)
 
     def end(self, now: int) -> None:
-        """The upstream has ended: so does this side."""
-        self._last(b"", now)
+        """The upstream has ended its side: end this one."""
+        self._finish(b"", now)
 
     def break_off(self) -> None:
-        """The upstream broke off: so does this side."""
-        self.stage = SessionState.ENDED
-        if self.link:
-            self.link.reset()
-        self._forget()
+        """The upstream's connection broke: reset this one."""
+        self._reset()
+
+    # the first line
+
+    def _read_line(self, data: bytes, now: int) -> None:
+        if self._ping_idle and not self.first_line.line:
+            self._start_line_timeout(now)
+        try:
+            if not self.first_line.feed(data):
+                return
+            line = self.first_line.line
+            request = None if line == PING_LINE else parse_open_line(line)
+        except OpenLineError as error:
+            return self._answer_error(error.counter, now)
+        if request is None:
+            self._answer_ping(now)
+        else:
+            self._submit(request, now)
+
+    def _answer_ping(self, now: int) -> None:
+        self._counters.increment(CounterName.PINGS)
+        self.first_line.clear()
+        self._ping_idle = True
+        self.pass_on(PONG_RESPONSE)
+        self._admission.mark_idle(self)
+        self._timer.set(now + PING_IDLE_TIMEOUT_US, self._time_out)
+
+    def _submit(self, request: ConnectRequest, now: int) -> None:
+        self._state = ConnectionState.AWAITING_ANSWER
+        self._timer.stop()
+        self._admission.mark_active(self)
+        self._observer = self._handler.take(self, request, now)
+        if self._observer is None:
+            self._finish(ERROR_RESPONSE, now)
+
+    def _start_line_timeout(self, now: int) -> None:
+        # The time runs from the connection's start or the line's first byte: a client that sends its line one
+        # byte at a time gains nothing.
+        self._ping_idle = False
+        self._timer.set(now + FIRST_LINE_TIMEOUT_US, self._time_out)
+
+    def _time_out(self, now: int) -> None:
+        if self.first_line.line:
+            self._answer_error(CounterName.REQUESTS_INCOMPLETE, now)
+        else:
+            self._end_without_request(CounterName.CLIENTS_TIMED_OUT, now)
 
     # endings
 
-    def _last(self, line: bytes, now: int) -> None:
-        # guards against a reset that overtakes the last line: a socket closed with unread bytes sends one,
-        # so the client is given a moment to read and to close first
-        self.stage, self.served, self.line = SessionState.ENDED, None, b""
-        if self.link:
-            self.taker.admission.ending(self)
-            if line:
-                self.link.write(line)
-            self.link.finish()
-            self.link.hold(False)
-        self.timer.set(now + LINGER, lambda _: self._close())
-
-    def _close(self) -> None:
-        self.stage = SessionState.ENDED
-        if self.link:
-            self.link.close()
-        self._forget()
+    def _answer_error(self, counter: CounterName, now: int) -> None:
+        self._counters.increment(counter)
+        self._finish(ERROR_RESPONSE, now)
+
+    def _reject_early_data(self, now: int) -> None:
+        # Data that follows a first line before its answer is neither kept nor passed on; it ends the request.
+        observer = self._observer
+        self._observer = None
+        self._answer_error(EarlyDataError.counter, now)
+        if observer:
+            observer.client_disconnected(now)
+
+    def _disconnect(self, now: int) -> None:
+        had_request = self._state in (ConnectionState.AWAITING_ANSWER, ConnectionState.PROXYING)
+        self._close()
+        if had_request and self._observer:
+            self._observer.client_disconnected(now)
 
-    def _forget(self) -> None:
-        self.timer.stop()
-        self.link = self.served = None
-        self.taker.admission.gone(self)
+    def _enter_closing(self) -> None:
+        super()._enter_closing()
+        self.attempt = None
+        self.first_line.clear()
--- a/limerudder/core/discovery/discovery_client.py
+++ b/limerudder/core/discovery/discovery_client.py
@@ -1,120 +1,134 @@
-"""How a node keeps in touch with discovery: the address, the watch, single questions, and what fails."""
+"""How a node follows discovery: one watch at a time, polls beside it, and retries of what fails."""
 
 from __future__ import annotations
 
 from typing import Protocol
 
-from limerudder.core.discovery.endpoint_list import DiscoveryCall, EndpointList
+from limerudder.core.discovery.discovery_call import DiscoveryCall
+from limerudder.core.discovery.endpoint_list import EndpointList
 from limerudder.core.operations.counters import CounterName, Counters
 from limerudder.core.timer_wheel import TimerWheel
 from limerudder.core.transport import Address, Network
 from limerudder.policy.discovery_timing import AGENT_RETRY_INTERVAL_US, CHECK_INTERVAL_US, CallDeadline
 
-NO_VERSION = 0  #: before any version a service tells: what is asked after it is all there is
+NO_VERSION = 0  #: before any version a service has: a watch after it begins with everything there is
 
 
 class EndpointObserver(Protocol):
-    """Who hears what discovery tells: the node."""
+    """Receives what discovery tells: the node."""
 
     network: Network
     wheel: TimerWheel
     counters: Counters
 
     def endpoints_received(self, hosts: EndpointList, now: int) -> None:
-        """A list, or changes of it."""
+        """A complete list, or changes of it."""
 
     def endpoints_unchanged(self, version: int, now: int) -> None:
-        """Asked while the watch lives: nothing was missed."""
+        """A poll was not necessary, since the watch has missed nothing."""
 
     def endpoints_failed(self, version: int, now: int) -> None:
-        """A call failed or the watch ended; the list held so far stays."""
+        """A call failed or the watch ended; the list received so far stays."""
 
 
 class DiscoveryClient:
-    """One watch at a time, and questions beside it, all at one address that may be changed."""
+    """Watches and polls discovery at one address, which may be changed."""
 
     def __init__(
-        self, address: Address, version: int, pushed: bool, hearer: EndpointObserver, now: int
+        self, address: Address, version: int, pushed: bool, observer: EndpointObserver, now: int
     ) -> None:
-        self.address, self.version, self.pushed, self.hearer = address, version, pushed, hearer
-        self.again_at: int | None = None  # when the watch of an agent is opened anew
+        self.version = version  # of the list that the observer has
         self.watch: DiscoveryCall | None = None
-        self.told = False  # the watch has given its first list
-        self.moved = False  # to a service that has not told its list yet
-        self.calls: set[DiscoveryCall] = set()  # questions that are out
-        self._check(now)
+        self.has_endpoint_list = False  # the current watch has brought its first list
+        self._address = address
+        self._pushed = pushed  # an agent on this machine pushes lists; otherwise a shared service is asked
+        self._observer = observer
+        self._reopen_watch_at: int | None = None
+        self._awaits_complete_list = False  # of the service at a new address
+        self._polls: set[DiscoveryCall] = set()
+        self._check_deadlines(now)
 
     def start(self, now: int) -> None:
-        """Where lists are pushed, watch the agent from now on."""
-        # guards a node whose module never asks, since it is told that lists come by themselves
-        if self.pushed:
-            self.keep_watch(now)
+        """Open the watch if lists are pushed: the policy expects them without asking."""
+        if self._pushed:
+            self.ensure_watch(now)
 
-    def keep_watch(self, now: int) -> None:
-        """Open the watch. Where it lives, nothing was missed: no need to ask the shared service again."""
+    def ensure_watch(self, now: int) -> None:
+        """Open the watch. If it is alive nothing was missed, and the shared service is not asked again."""
         if self.watch is None:
-            self.told = False
+            self.has_endpoint_list = False
             self.watch = self._call(self.version, now)
-        elif self.told and self.moved:
-            self.ask(now)  # the question before it has failed
-        elif self.told:
-            self.hearer.endpoints_unchanged(self.version, now)
+        elif self.has_endpoint_list and self._awaits_complete_list:
+            self.poll(now)  # the poll before this one has failed
+        elif self.has_endpoint_list:
+            self._observer.endpoints_unchanged(self.version, now)
 
-    def drop_watch(self) -> None:
+    def close_watch(self) -> None:
         """Close the watch."""
         if self.watch:
             self.watch.close()
         self.watch = None
 
-    def ask(self, now: int) -> None:
-        """Ask once for the whole list."""
-        self.calls.add(self._call(None, now))
+    def poll(self, now: int) -> None:
+        """Ask once for the complete list."""
+        self._polls.add(self._call(None, now))
 
-    def move(self, address: Address, now: int) -> None:
-        """Discovery is elsewhere from now on. What is known stays until the new service has told its own."""
-        if address == self.address:
+    def change_address(self, address: Address, now: int) -> None:
+        """Call discovery at another address; the list stays until the new service has sent its own."""
+        if address == self._address:
             return
-        self.address = address
-        # guards against changes that never come: another service counts its versions as it likes
-        self.version, self.moved = NO_VERSION, True
-        self.drop_watch()
-        for call in self.calls:  # guards against an old answer that would undo what the new service tells
+        self._address = address
+        # Another service counts its versions as it likes: after a version of the old one, its changes might
+        # never come.
+        self.version = NO_VERSION
+        self._awaits_complete_list = True
+        self.close_watch()
+        # A late answer of the old service must not undo what the new one tells.
+        for call in self._polls:
             call.close()
-        self.calls.clear()
-        self.keep_watch(now)
-
-    def _call(self, after: int | None, now: int) -> DiscoveryCall:
-        self.hearer.counters.increment(CounterName.DISCOVERY_CALLS)
-        host, port = self.address
-        call = DiscoveryCall(f"{host}:{port}", after, self._told, self._over, CallDeadline(self.pushed, now))
-        call.link = self.hearer.network.dial(self.address, call)
+        self._polls.clear()
+        self.ensure_watch(now)
+
+    def _call(self, after_version: int | None, now: int) -> DiscoveryCall:
+        self._observer.counters.increment(CounterName.DISCOVERY_CALLS)
+        host, port = self._address
+        deadline = CallDeadline(self._pushed, now)
+        call = DiscoveryCall(f"{host}:{port}", after_version, self._list_received, self._call_ended, deadline)
+        call.link = self._observer.network.dial(self._address, call)
         return call
 
-    def _told(self, call: DiscoveryCall, hosts: EndpointList, now: int) -> None:
-        first = call is self.watch and not self.told
-        self.told = self.told or call is self.watch
-        self.version = hosts.version
-        self.hearer.endpoints_received(hosts, now)
-        if first and self.moved and not hosts.whole:
-            self.ask(now)  # guards against changes to a list that this node never had
-        # guards the shared service: changes to the list a node starts with are enough, whatever its number
-        self.moved = self.moved and not hosts.whole
-
-    def _over(self, call: DiscoveryCall, failed: bool, now: int) -> None:
-        self.calls.discard(call)
+    def _list_received(self, call: DiscoveryCall, endpoint_list: EndpointList, now: int) -> None:
+        is_first_of_watch = call is self.watch and not self.has_endpoint_list
+        self.has_endpoint_list = self.has_endpoint_list or call is self.watch
+        self.version = endpoint_list.version
+        self._observer.endpoints_received(endpoint_list, now)
+        if is_first_of_watch and self._awaits_complete_list and not endpoint_list.is_complete:
+            self.poll(now)  # these are changes of a list that this node never had
+        # At the first address no complete list is awaited, which spares the shared service: changes of the
+        # list that a node starts with are enough, whatever its version.
+        self._awaits_complete_list = self._awaits_complete_list and not endpoint_list.is_complete
+
+    def _call_ended(self, call: DiscoveryCall, failed: bool, now: int) -> None:
+        self._polls.discard(call)
         if call is self.watch:
             self.watch = None
-            self.again_at = now + AGENT_RETRY_INTERVAL_US if self.pushed else None
+            self._reopen_watch_at = now + AGENT_RETRY_INTERVAL_US if self._pushed else None
         if failed:
-            self.hearer.counters.increment(CounterName.DISCOVERY_FAILURES)
-            self.hearer.endpoints_failed(self.version, now)
-
-    def _check(self, now: int) -> None:
-        """Give up the calls that are dead."""
-        self.hearer.wheel.at(now + CHECK_INTERVAL_US, self._check)
-        for call in [*self.calls, *([self.watch] if self.watch else [])]:
-            if call.clock.dead(now):
+            self._observer.counters.increment(CounterName.DISCOVERY_FAILURES)
+            self._observer.endpoints_failed(self.version, now)
+
+    def _check_deadlines(self, now: int) -> None:
+        """Fail the calls that are past their deadline, and reopen the watch when that is due."""
+        self._observer.wheel.at(now + CHECK_INTERVAL_US, self._check_deadlines)
+        for call in self._open_calls():
+            if call.deadline.dead(now):
                 call.lost(now)
-        if self.again_at is not None and now >= self.again_at:
-            self.again_at = None
-            self.keep_watch(now)
+        if self._reopen_watch_at is not None and now >= self._reopen_watch_at:
+            self._reopen_watch_at = None
+            self.ensure_watch(now)
+
+    def _open_calls(self) -> list[DiscoveryCall]:
+        calls = [*self._polls]
+        if self.watch:
+            calls.append(self.watch)
+        return calls
--- a/limerudder/core/discovery/json_stream.py
+++ b/limerudder/core/discovery/json_stream.py
@@ -1,69 +1,88 @@
-"""JSON objects cut out of a stream as they end, however they are laid out and wherever chunks are cut."""
+"""Splits a byte stream into JSON objects, whatever their layout and wherever chunks are cut."""
 
 from __future__ import annotations
 
 import re
 
-DEEPEST = 32  #: objects and arrays within each other; a list of upstreams has three
-_BETWEEN = re.compile(rb'[{}\[\]"]')  # outside strings
-_WITHIN = re.compile(rb'["\\]')  # within a string
-_SPACE = b" \t\r\n"
+MAX_DEPTH = 32  #: nested objects and arrays; an endpoint list has three
+_STRUCTURAL = re.compile(rb'[{}\[\]"]')  # the next character that matters outside strings
+_IN_STRING = re.compile(rb'["\\]')  # the next character that matters within a string
+_WHITESPACE = b" \t\r\n"
+_OPENING_BRACE = ord("{")
 
 
 class JsonStreamError(ValueError):
-    """A stream that is no sequence of JSON objects."""
+    """The stream is not a sequence of JSON objects, or one exceeds a limit."""
 
 
 class JsonObjectStream:
-    """Fed bytes, gives each object's text once its last brace is there; empty lines between them are nothing.
+    """Returns each object's text once its closing brace has come; whitespace between objects is skipped.
 
-    What is within an object is not checked here, but for its depth; `most` bounds its bytes.
+    Only the nesting of brackets and strings is checked, not what is inside. Every byte is scanned once.
     """
 
-    def __init__(self, most: int) -> None:
-        self.most, self.begun = most, bytearray()  # of the object that has not ended
-        self._depth, self._string, self._at = 0, False, 0
+    def __init__(self, max_object_bytes: int) -> None:
+        self.partial_object = bytearray()  # what has come of the object that is not complete
+        self._max_object_bytes = max_object_bytes
+        self._depth = 0
+        self._in_string = False
+        self._position = 0  # up to where `partial_object` is scanned
 
     def feed(self, data: bytes) -> list[bytes]:
-        """The objects that end in these bytes; an ObjectsError where they can be none."""
-        self.begun += data
-        found: list[bytes] = []
-        while self._scan(found):
+        """Add bytes; the objects that are complete with them. Raises JsonStreamError."""
+        self.partial_object += data
+        objects: list[bytes] = []
+        while self._scan_next(objects):
             pass
-        if len(self.begun) > self.most:
-            raise JsonStreamError(f"an object is longer than {self.most} bytes")
-        return found
+        if len(self.partial_object) > self._max_object_bytes:
+            raise JsonStreamError(f"an object is longer than {self._max_object_bytes} bytes")
+        return objects
 
-    def _scan(self, found: list[bytes]) -> bool:
-        """Go on to the next mark; whether there was one."""
-        begun = self.begun
-        if not self._depth:  # between objects: drop what parts them
-            start = len(begun) - len(begun.lstrip(_SPACE))
-            del begun[:start]
-            self._at = 0
-            if begun and begun[0] != 0x7B:
-                raise JsonStreamError(f"an object was expected, not {bytes(begun[:20])!r}")
-        if self._at >= len(begun):
+    def _scan_next(self, objects: list[bytes]) -> bool:
+        """Scan up to the next character that matters; False if there is none yet."""
+        if not self._depth:
+            self._skip_to_object()
+        if self._position >= len(self.partial_object):
             return False
-        mark = (_WITHIN if self._string else _BETWEEN).search(begun, self._at)
-        if mark is None:
-            self._at = len(begun)
+        pattern = _IN_STRING if self._in_string else _STRUCTURAL
+        match = pattern.search(self.partial_object, self._position)
+        if match is None:
+            self._position = len(self.partial_object)
             return False
-        what, self._at = mark.group(), mark.end()
-        if what == b"\\":
-            if self._at >= len(begun):  # what it escapes is yet to come: look at it again then
-                self._at = mark.start()
-                return False
-            self._at += 1
-        elif what == b'"':
-            self._string = not self._string
-        elif what in b"{[":
-            self._depth += 1
-            if self._depth > DEEPEST:
-                raise JsonStreamError(f"more than {DEEPEST} levels within each other")
+        character = match.group()
+        self._position = match.end()
+        if character == b"\\":
+            return self._skip_escaped_character()
+        if character == b'"':
+            self._in_string = not self._in_string
+        elif character in b"{[":
+            self._enter()
         else:
-            self._depth -= 1
-            if not self._depth:
-                found.append(bytes(begun[: self._at]))
-                del begun[: self._at]
+            self._leave(objects)
         return True
+
+    def _skip_to_object(self) -> None:
+        buffer = self.partial_object
+        whitespace_bytes = len(buffer) - len(buffer.lstrip(_WHITESPACE))
+        del buffer[:whitespace_bytes]
+        self._position = 0
+        if buffer and buffer[0] != _OPENING_BRACE:
+            raise JsonStreamError(f"an object was expected, not {bytes(buffer[:20])!r}")
+
+    def _skip_escaped_character(self) -> bool:
+        if self._position >= len(self.partial_object):
+            self._position -= 1  # the escaped character is yet to come: scan the backslash again then
+            return False
+        self._position += 1
+        return True
+
+    def _enter(self) -> None:
+        self._depth += 1
+        if self._depth > MAX_DEPTH:
+            raise JsonStreamError(f"more than {MAX_DEPTH} levels within each other")
+
+    def _leave(self, objects: list[bytes]) -> None:
+        self._depth -= 1
+        if not self._depth:
+            objects.append(bytes(self.partial_object[: self._position]))
+            del self.partial_object[: self._position]
--- a/limerudder/core/invariants.py
+++ b/limerudder/core/invariants.py
@@ -132,13 +132,15 @@
             hold(len(server.flows) == at[number], "the module counts other connections than there are")
             hold(server.setting_up >= 0, "a set-up that ended twice")
         admission = node.admission
-        hold(not admission.idle.keys() & admission.ended.keys(), "a client that rests and has its last word")
         hold(
-            admission.guests >= admission.idle.keys() | admission.ended.keys(),
+            not admission.idle.keys() & admission.closing.keys(), "a client that rests and has its last word"
+        )
+        hold(
+            admission.connections >= admission.idle.keys() | admission.closing.keys(),
             "a client that is gone makes place",
         )
-        spared = admission.spare // 4
+        spared = admission.reserved // 4
         hold(
-            len(admission.guests) + len(node.requests) <= admission.room + spared + 1,
+            len(admission.connections) + len(node.requests) <= admission.capacity + spared + 1,
             "more descriptors than there are",
         )
--- a/limerudder/core/lifecycle/graceful_shutdown.py
+++ b/limerudder/core/lifecycle/graceful_shutdown.py
@@ -71,7 +71,7 @@
             for held in [h for h in node.requests.values() if not h.answered]:
                 node.answer_failed(held, now)
         # guards the last MOVEs: a process that ends closes sockets whose clients have not read them
-        over = not node.requests and not node.admission.guests and (now >= until or node.succeeded)
+        over = not node.requests and not node.admission.connections and (now >= until or node.succeeded)
         if over or now >= node.stopping - STOP_SPARE // 4:
             node.stopped()
         else:
--- a/limerudder/core/lifecycle/hot_restart.py
+++ b/limerudder/core/lifecycle/hot_restart.py
@@ -16,8 +16,8 @@
 from limerudder.core.discovery.endpoint_list import (
     EndpointList,
     EndpointListError,
-    format_endpoints,
-    parse_endpoints,
+    format_endpoint_list,
+    parse_endpoint_list,
 )
 from limerudder.core.operations.log_events import LogKind
 from limerudder.core.timer_wheel import TimerWheel
@@ -63,7 +63,7 @@
         returned = {str(name): int(at) for name, at in given["returned"].items()}
         holds, reloaded = parse_usage(given["holds"]), bool(given["reloaded"])
         drained = {str(name): int(start) for name, start in given.get("drained", {}).items()}
-        return HandoverState(parse_endpoints(given["hosts"]), ids, holds, returned, reloaded, drained)
+        return HandoverState(parse_endpoint_list(given["hosts"]), ids, holds, returned, reloaded, drained)
     except (KeyError, TypeError, ValueError, AttributeError, RecursionError) as exc:
         raise EndpointListError(f"malformed handover state: {type(exc).__name__} {exc}") from None
 
@@ -166,12 +166,12 @@
     def hello(self) -> bytes:
         """The first line to whoever asks."""
         given: dict[str, Any] = {
-            "hosts": format_endpoints(self.node.listed()),
+            "hosts": format_endpoint_list(self.node.listed()),
             "ids": [f"{one:016x}" for one in self.node.ids_lately()],
             "holds": self.node.holds()._asdict(),
             "returned": self.node.returned(),
             "reloaded": self.node.reloaded,
-            "drained": self.node.recall.drained() if self.node.recall else {},
+            "drained": self.node.recall.drained_starts() if self.node.recall else {},
         }
         return json.dumps(given).encode() + b"\n"
 
@@ -275,7 +275,7 @@
                 self.node.taken_elsewhere(int(value, 16))
             elif word == "drained" and isinstance(self.node.recall, InheritedDrains):
                 start, _, name = value.partition(" ")
-                self.node.recall.told(name, int(start))
+                self.node.recall.record_drain(name, int(start))
                 self.node.relist(name, now)
             elif word == "stopping":
                 self._call()
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -381,16 +381,16 @@
 
     def _watch(self, action: WatchEndpoints, now: int) -> None:
         if action.on:
-            self.discovery.keep_watch(now)
+            self.discovery.ensure_watch(now)
         else:
-            self.discovery.drop_watch()
+            self.discovery.close_watch()
 
     def _poll_endpoints(self, action: PollEndpoints, now: int) -> None:
-        self.discovery.ask(now)
+        self.discovery.poll(now)
 
     def endpoints_received(self, hosts: EndpointList, now: int) -> None:
         """Discovery's list, or changes of it."""
-        self._list(hosts, UpdateKind.FULL if hosts.whole else UpdateKind.DELTA, now)
+        self._list(hosts, UpdateKind.FULL if hosts.is_complete else UpdateKind.DELTA, now)
 
     def endpoints_unchanged(self, version: int, now: int) -> None:
         """The module has asked again, and nothing was missed."""
@@ -407,7 +407,7 @@
     def _list(self, hosts: EndpointList, kind: UpdateKind, now: int) -> None:
         if kind != UpdateKind.OPERATOR:
             self.counters.increment(CounterName.ENDPOINT_UPDATES)
-        entries = [self._entry(host) for host in hosts.hosts]
+        entries = [self._entry(host) for host in hosts.endpoints]
         if kind in (UpdateKind.FULL, UpdateKind.CACHED):
             named = {entry.server for entry in entries}
             for upstream in self.upstreams.values():
@@ -421,7 +421,7 @@
                 self.give(EndpointUpdate(UpdateKind.OPERATOR, hosts.version, [entry]), now)
         self.give(EndpointUpdate(kind, hosts.version, entries), now)
         if self.settings.probes:
-            self.admission.hosts = sum(b.state != ServerState.GONE for b in self.upstreams.values())
+            self.admission.listed_hosts = sum(b.state != ServerState.GONE for b in self.upstreams.values())
         dialled = [h for h in self.requests.values() if h.attempt and not h.attempt.out]
         for held in dialled:
             # guards against a line written after the grace by a dial begun before it
@@ -434,14 +434,14 @@
     def _entry(self, host: Endpoint) -> ServerEntry:
         upstream = self.upstream(host.name)
         upstream.host, upstream.address, upstream.state = host, host.address, host.state
-        out = self.recall.out(host) if self.recall else False
-        if host.state == ServerState.READY and (out or host.name in self.maintenance.held):
+        out = self.recall.observe(host) if self.recall else False
+        if host.state == ServerState.READY and (out or host.name in self.maintenance.hosts):
             upstream.state = (
                 ServerState.DRAINING
             )  # the worse of the list's word, that of staff and what is known
         names = self.config.names
         zone = names.zones.index(host.zone) if host.zone in names.zones else len(names.zones)
-        kind = names.kinds.index(host.kind) if host.kind in names.kinds else len(names.kinds)
+        kind = names.kinds.index(host.machine_type) if host.machine_type in names.kinds else len(names.kinds)
         # guards a host that comes back cold before discovery tells of its new start
         since = max(host.started_ms * 1000, upstream.back_at)
         return ServerEntry(upstream.number, zone, kind, host.cell, upstream.state, host.weight, since)
@@ -463,13 +463,13 @@
         """Whether discovery lists this host."""
         return name in self.numbers and self.upstreams[self.numbers[name]].state != ServerState.GONE
 
-    def take_out(self, name: str, now: int) -> None:
+    def maintenance_started(self, name: str, now: int) -> None:
         """Staff hold this host."""
         self.counters.increment(CounterName.MAINTENANCE_STARTED)
         self.log(LogKind.HOST_MAINTENANCE, f"node: host {name} entered maintenance")
         self.relist(name, now, UpdateKind.OPERATOR)
 
-    def put_back(self, name: str, now: int) -> None:
+    def maintenance_ended(self, name: str, now: int) -> None:
         """Staff hold it no more: it may have been restarted, and nothing known of it holds."""
         self.counters.increment(CounterName.MAINTENANCE_ENDED)
         self.log(LogKind.HOST_MAINTENANCE, f"node: host {name} left maintenance")
@@ -504,7 +504,7 @@
         told = (number, cls, tenant, request.key, left, request.hint or 0, request.group, flags)
         held = ProxiedConnection(self, session, request, told, now + left)
         turned_away = self.stopping and not self.succeeded
-        if turned_away or 2 * len(self.requests) + 2 > self.admission.room:
+        if turned_away or 2 * len(self.requests) + 2 > self.admission.capacity:
             self.counters.increment(CounterName.ANSWERS_REJECTED)
             self.figures.record(RequestOutcome.THROTTLED, cls)
             held.answered = True
@@ -514,7 +514,7 @@
         self.ids.add(request.id)
         for hear in self.hear_taken:
             hear(request.id)
-        self.admission.make_room(now)  # for its attempt
+        self.admission.free_descriptors(now)  # for its attempt
         if request.at is not None:
             self.counters.increment(CounterName.REQUESTS_REATTACHED)
             held.deadline = now + AT_WAIT
@@ -677,7 +677,7 @@
         """How things stand at this moment."""
         listed = [b.number for b in self.upstreams.values() if b.state != ServerState.GONE]
         avoided = self.balancer.avoided(now)
-        avoided |= {self.numbers[name] for name in self.maintenance.held if name in self.numbers}
+        avoided |= {self.numbers[name] for name in self.maintenance.hosts if name in self.numbers}
         return {
             # one whose client has left before its answer, and whose attempt is ending, has ended
             "open_requests": sum(held.up or not held.answered for held in self.requests.values()),
@@ -711,11 +711,11 @@
     def holds(self) -> ProcessUsage:
         """What this process holds: descriptors for clients, and connections by upstream."""
         at = Counter(h.upstream.name for h in self.requests.values() if h.attempt and h.upstream)
-        return ProcessUsage(self.admission.in_use(), dict(at))
+        return ProcessUsage(self.admission.descriptors_in_use(), dict(at))
 
     def held_elsewhere(self, holds: ProcessUsage, now: int) -> None:
         """What another process of this node holds: the module counts it as this node's own."""
-        self.admission.share(holds.descriptors)
+        self.admission.set_other_process_descriptors(holds.descriptors)
         for name in self.elsewhere | holds.at.keys():
             if name in self.numbers:
                 self.give(PredecessorConnections(self.numbers[name], holds.at.get(name, 0)), now)
@@ -723,7 +723,9 @@
 
     def informed(self) -> bool:
         """Discovery has told its list, and no probe is out."""
-        return self.discovery.told and not any(b.probe and b.probe.asked for b in self.upstreams.values())
+        return self.discovery.has_endpoint_list and not any(
+            b.probe and b.probe.asked for b in self.upstreams.values()
+        )
 
     # a planned stop
 
--- a/limerudder/core/operations/console.py
+++ b/limerudder/core/operations/console.py
@@ -1,18 +1,24 @@
-"""The console: operators' calls, each one line on a connection of its own, and their answers."""
+"""The operators' console: calls of one line, each on a connection of its own, and their answers."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from functools import partial
+from typing import NamedTuple
 
 from limerudder.core.operations.counters import CounterName, Counters
 from limerudder.core.timer_wheel import ResettableTimer, TimerWheel
 from limerudder.core.transport import Transport
 
-MOST = 1024  #: bytes of a call
-CALLERS = 16  #: at a time; their descriptors are among those kept spare
-PATIENCE = 5_000_000  #: for a call to come whole
-LINGER = 1_000_000  #: for a caller to read its answer and to close first
+MAX_CALL_BYTES = 1024
+MAX_SESSIONS = 16  #: at a time; their descriptors are among those kept in reserve
+CALL_TIMEOUT_US = 5_000_000  #: for a call to be complete, and for a deferred answer
+LINGER_US = 1_000_000  #: for a caller to read its answer and to close first
+DEFERRED_TIMEOUT_ANSWER = "error that is not written down yet; it holds here, and is tried on\n"
+
+
+class ConsoleError(Exception):
+    """A call that cannot be carried out; its text is the answer."""
 
 
 class DeferredAnswer:
@@ -20,128 +26,149 @@
 
     def __init__(self) -> None:
         self.text: str | None = None
-        self.hear: Callable[[str, int], None] | None = None
+        self._on_resolved: Callable[[str, int], None] | None = None
 
-    def settle(self, text: str, now: int) -> None:
-        """Give the answer; only the first counts."""
+    def resolve(self, text: str, now: int) -> None:
+        """Give the answer; only the first one counts."""
         if self.text is None:
             self.text = text
-            if self.hear:
-                self.hear(text, now)
+            if self._on_resolved:
+                self._on_resolved(text, now)
 
+    def notify(self, callback: Callable[[str, int], None]) -> None:
+        """Have the answer passed to `callback` once it is given."""
+        self._on_resolved = callback
 
-Call = Callable[
-    [str, int], str | DeferredAnswer
-]  #: what follows the call's name, and the time; gives the answer
 
+#: Carries out a call, given its argument ("" if it has none) and the time; may raise ConsoleError.
+CallHandler = Callable[[str, int], str | DeferredAnswer]
 
-class ConsoleError(Exception):
-    """A call that cannot be done; its text is the answer."""
+
+class RegisteredCall(NamedTuple):
+    """A call of the console."""
+
+    handler: CallHandler
+    takes_argument: bool
 
 
 class Console:
-    """The calls by their names, and who is calling."""
+    """The calls by name, and the sessions of their callers."""
 
     def __init__(self, wheel: TimerWheel, counters: Counters) -> None:
-        self.wheel, self.counters = wheel, counters
-        self.calls: dict[str, tuple[Call, bool]] = {}
-        self.callers: dict[ConsoleSession, None] = {}  # in the order they came
+        self.wheel = wheel
+        self.sessions: dict[ConsoleSession, None] = {}  # in the order they came
+        self._counters = counters
+        self._calls: dict[str, RegisteredCall] = {}
 
-    def offer(self, name: str, call: Call, takes: bool = False) -> None:
-        """Have `name` answered by `call`; `takes` where a word follows the name."""
-        self.calls[name] = call, takes
+    def register(self, name: str, handler: CallHandler, takes_argument: bool = False) -> None:
+        """Have calls of this name carried out by `handler`."""
+        self._calls[name] = RegisteredCall(handler, takes_argument)
 
     def answer(self, line: bytes, now: int) -> str | DeferredAnswer:
-        """What is answered to a line."""
-        self.counters.increment(CounterName.CONSOLE_CALLS)
-        name, _, rest = line.decode("ascii", "replace").strip().partition(" ")
-        rest = rest.strip()
-        call, takes = self.calls.get(name, (None, False))
+        """Carry out the call in a line and return its answer."""
+        self._counters.increment(CounterName.CONSOLE_CALLS)
+        name, _, argument = line.decode("ascii", "replace").strip().partition(" ")
         try:
-            if call is None:
-                raise ConsoleError(
-                    f"no such call; there are {' '.join(self.calls)}" if name else "an empty line"
-                )
-            if takes != bool(rest) or " " in rest:
-                raise ConsoleError(f"{name} takes {'one word' if takes else 'nothing'} after it")
-            return call(rest, now)
-        except ConsoleError as exc:
-            self.counters.increment(CounterName.CONSOLE_CALLS_FAILED)
-            return f"error {exc}\n"
-
-    def enter(self, session: ConsoleSession) -> None:
-        """A caller has come."""
-        # guards callers, and the descriptors, against those that connect and say nothing
-        while len(self.callers) >= CALLERS:
-            next(iter(self.callers)).close()
-        self.callers[session] = None
+            return self._carry_out(name, argument.strip(), now)
+        except ConsoleError as error:
+            self._counters.increment(CounterName.CONSOLE_CALLS_FAILED)
+            return f"error {error}\n"
+
+    def _carry_out(self, name: str, argument: str, now: int) -> str | DeferredAnswer:
+        call = self._calls.get(name)
+        if call is None:
+            known = " ".join(self._calls)
+            raise ConsoleError(f"no such call; there are {known}" if name else "an empty line")
+        if call.takes_argument != bool(argument) or " " in argument:
+            expected = "one word" if call.takes_argument else "nothing"
+            raise ConsoleError(f"{name} takes {expected} after it")
+        return call.handler(argument, now)
+
+    def admit(self, session: ConsoleSession) -> None:
+        """Track a new session; the oldest is closed if there are too many.
+
+        Connections that never send anything can so take neither the descriptors nor other callers' place.
+        """
+        while len(self.sessions) >= MAX_SESSIONS:
+            next(iter(self.sessions)).close()
+        self.sessions[session] = None
+
+    def remove(self, session: ConsoleSession) -> None:
+        """The session is closed."""
+        self.sessions.pop(session, None)
 
 
 class ConsoleSession:
-    """One caller's connection: a line in any pieces, closed by LF or CRLF or by the end of its sending."""
+    """The state machine of one caller's connection.
+
+    The call ends with LF or CRLF, or with the end of the caller's sending.
+    """
 
     def __init__(self, console: Console) -> None:
-        self.console = console
         self.link: Transport | None = None
-        self.text = b""
-        self.answered = False
-        self.waiting: DeferredAnswer | None = None  # the answer, where it comes later
-        self.timer = ResettableTimer(console.wheel)
+        self._console = console
+        self._received = b""
+        self._answered = False  # no further call is read
+        self._deferred: DeferredAnswer | None = None  # the answer that is still to come
+        self._timer = ResettableTimer(console.wheel)
 
     def connected(self, link: Transport, now: int) -> None:
-        """An operator has come."""
+        """An operator has connected."""
         self.link = link
-        self.console.enter(self)
-        self.timer.set(now + PATIENCE, lambda _: self.close())
+        self._console.admit(self)
+        self._timer.set(now + CALL_TIMEOUT_US, lambda _: self.close())
 
     def feed(self, data: bytes, now: int) -> None:
-        """Bytes of the call; what follows its line is passed over."""
-        if self.answered:
+        """Part of the call; what follows its line is ignored."""
+        if self._answered:
             return
-        self.text += data[: MOST + 1]
-        line, end, _ = self.text.partition(b"\n")
-        if len(line) > MOST:
-            self._say("error the line is too long\n", now)
+        self._received += data[: MAX_CALL_BYTES + 1]
+        line, end, _ = self._received.partition(b"\n")
+        if len(line) > MAX_CALL_BYTES:
+            self._answer("error the line is too long\n", now)
         elif end:
-            self._say(self.console.answer(line, now), now)
+            self._answer(self._console.answer(line, now), now)
 
     def eof(self, now: int) -> None:
-        """The caller has ended its sending: what it said is its call."""
-        if self.waiting:
-            return  # it has ended its sending, as `echo … | nc` does, and is still owed the answer
-        if self.answered:
-            self.close()
-        elif self.text:
-            self._say(self.console.answer(self.text, now), now)
+        """The caller has ended its sending: what it has sent is its call."""
+        if self._deferred:
+            return  # `echo CALL | nc` ends its sending at once, and still waits for the answer
+        if self._received and not self._answered:
+            self._answer(self._console.answer(self._received, now), now)
         else:
             self.close()
 
     def lost(self, now: int) -> None:
-        """The connection is gone."""
+        """The connection broke."""
         self.close()
 
     def crowded(self, on: bool) -> None:
-        """An answer is short."""
-
-    def _say(self, answer: str | DeferredAnswer, now: int) -> None:
-        self.answered, self.text = True, b""
-        if isinstance(answer, DeferredAnswer) and answer.text is None:
-            answer.hear, self.waiting = self._say, answer
-            late = "error that is not written down yet; it holds here, and is tried on\n"
-            self.timer.set(now + PATIENCE, partial(answer.settle, late))
-            return
-        self.waiting = None
-        answer = answer if isinstance(answer, str) else answer.text or ""
-        if self.link:
-            self.link.write(answer.encode())
-            self.link.finish()
-        self.timer.set(now + LINGER, lambda _: self.close())
+        """Answers are short: the transport buffers them."""
 
     def close(self) -> None:
-        """End the connection now."""
-        self.answered = True
-        self.timer.stop()
-        self.console.callers.pop(self, None)
+        """Close the connection at once."""
+        self._answered = True
+        self._timer.stop()
+        self._console.remove(self)
         if self.link:
             self.link.close()
             self.link = None
+
+    def _answer(self, answer: str | DeferredAnswer, now: int) -> None:
+        self._answered = True
+        self._received = b""
+        if isinstance(answer, str):
+            self._send(answer, now)
+        elif answer.text is not None:
+            self._send(answer.text, now)
+        else:
+            self._deferred = answer
+            answer.notify(self._send)
+            self._timer.set(now + CALL_TIMEOUT_US, partial(answer.resolve, DEFERRED_TIMEOUT_ANSWER))
+
+    def _send(self, text: str, now: int) -> None:
+        self._deferred = None
+        if self.link:
+            self.link.write(text.encode())
+            self.link.finish()
+        self._timer.set(now + LINGER_US, lambda _: self.close())
--- a/limerudder/core/operations/maintenance.py
+++ b/limerudder/core/operations/maintenance.py
@@ -1,7 +1,7 @@
-"""Maintenance: the hosts that staff have taken out by hand, whatever discovery lists.
+"""Maintenance: hosts that staff have taken out of service, whatever discovery lists.
 
-Each has a mark that outlives the process; every process of a node looks at the marks, so that all follow a
-call to any of them.
+Each has a mark that outlives the process. Every process of a node reads the marks regularly, so that all of
+them follow a console call to any of them.
 """
 
 from __future__ import annotations
@@ -10,98 +10,111 @@
 
 from limerudder.core.timer_wheel import TimerWheel
 
-LOOK = 100_000  #: between looks at the marks: both processes follow well inside the grace for drains
+MARKS_CHECK_INTERVAL_US = 100_000  #: all processes follow a call well within the grace period for drains
 
 
 class MaintenanceMarks(Protocol):
-    """Names kept where they outlive a process. Any of these may raise OSError."""
+    """Host names, kept where they outlive the process. Every method may raise OSError."""
 
     def read(self) -> set[str]:
-        """All that are there."""
+        """All marked hosts."""
 
-    def put(self, name: str) -> None:
-        """Add one; it may be there already."""
+    def add(self, name: str) -> None:
+        """Mark a host, which may be marked already."""
 
     def remove(self, name: str) -> None:
-        """Take one away; it may be gone already."""
+        """Remove the mark of a host, which may have none."""
 
 
 class InMemoryMarks:
-    """Marks where nothing outlives the process."""
+    """Marks of a process without a state directory: they end with it."""
 
     def __init__(self) -> None:
-        self.names: set[str] = set()
+        self._names: set[str] = set()
 
     def read(self) -> set[str]:
-        """All of them."""
-        return set(self.names)
+        """All marked hosts."""
+        return set(self._names)
 
-    def put(self, name: str) -> None:
-        """Add one."""
-        self.names.add(name)
+    def add(self, name: str) -> None:
+        """Mark a host, which may be marked already."""
+        self._names.add(name)
 
     def remove(self, name: str) -> None:
-        """Take one away."""
-        self.names.discard(name)
+        """Remove the mark of a host, which may have none."""
+        self._names.discard(name)
 
 
 class MaintenanceTarget(Protocol):
-    """Who keeps from the hosts that are held: the node."""
+    """Keeps traffic away from hosts in maintenance: the node."""
 
     wheel: TimerWheel
 
     def lists(self, name: str) -> bool:
         """Whether discovery lists this host."""
 
-    def take_out(self, name: str, now: int) -> None:
-        """It is held from now on."""
+    def maintenance_started(self, name: str, now: int) -> None:
+        """The host is in maintenance from now on."""
 
-    def put_back(self, name: str, now: int) -> None:
-        """It is held no more."""
+    def maintenance_ended(self, name: str, now: int) -> None:
+        """The host is in maintenance no more."""
 
 
 class Maintenance:
-    """Which hosts are held."""
+    """Which hosts are in maintenance."""
 
-    def __init__(self, marks: MaintenanceMarks, ward: MaintenanceTarget) -> None:
-        self.marks, self.ward = marks, ward
-        self.held: set[str] = self._read() or set()
+    def __init__(self, marks: MaintenanceMarks, target: MaintenanceTarget) -> None:
+        self.marks = marks
+        self.hosts: set[str] = self._read_marks() or set()
+        self._target = target
 
     def start(self, now: int) -> None:
         """Follow the marks from now on."""
-        self.ward.wheel.at(now + LOOK, self._look)
+        self._target.wheel.at(now + MARKS_CHECK_INTERVAL_US, self._follow_marks)
 
-    def on(self, name: str, now: int) -> bool:
-        """Hold a host; False where it is neither listed nor held. OSError where that would not outlive us."""
-        if name not in self.held and not self.ward.lists(name):
+    def enable(self, name: str, now: int) -> bool:
+        """Put a host into maintenance; False if it is neither listed nor in maintenance.
+
+        Raises OSError, and changes nothing, if the mark cannot be written.
+        """
+        if not self._is_known(name):
             return False
-        self.marks.put(name)  # before the yes, and again where it was held: it may have been lost meanwhile
-        self._follow(self.held | {name}, now)
+        # Written before the change takes effect, and anew where it did already: the mark may have been lost.
+        self.marks.add(name)
+        self._apply(self.hosts | {name}, now)
         return True
 
-    def off(self, name: str, now: int) -> bool:
-        """Put a host back; False where it is neither listed nor held."""
-        if name not in self.held and not self.ward.lists(name):
+    def disable(self, name: str, now: int) -> bool:
+        """End a host's maintenance; False if it is neither listed nor in maintenance.
+
+        Raises OSError, and changes nothing, if the mark cannot be removed.
+        """
+        if not self._is_known(name):
             return False
         self.marks.remove(name)
-        self._follow(self.held - {name}, now)
+        self._apply(self.hosts - {name}, now)
         return True
 
-    def _look(self, now: int) -> None:
-        self.ward.wheel.at(now + LOOK, self._look)
-        names = self._read()
+    def _is_known(self, name: str) -> bool:
+        return name in self.hosts or self._target.lists(name)
+
+    def _follow_marks(self, now: int) -> None:
+        self._target.wheel.at(now + MARKS_CHECK_INTERVAL_US, self._follow_marks)
+        names = self._read_marks()
         if names is not None:
-            self._follow(names, now)
+            self._apply(names, now)
 
-    def _read(self) -> set[str] | None:
+    def _read_marks(self) -> set[str] | None:
+        """The marked hosts; None if they cannot be read at the moment, which must not end any maintenance."""
         try:
             return self.marks.read()
-        except OSError:  # guards hosts that are held against a folder that cannot be read for a moment
+        except OSError:
             return None
 
-    def _follow(self, names: set[str], now: int) -> None:
-        before, self.held = self.held, set(names)
-        for name in sorted(names - before):
-            self.ward.take_out(name, now)
-        for name in sorted(before - names):
-            self.ward.put_back(name, now)
+    def _apply(self, names: set[str], now: int) -> None:
+        previous = self.hosts
+        self.hosts = set(names)
+        for name in sorted(self.hosts - previous):
+            self._target.maintenance_started(name, now)
+        for name in sorted(previous - self.hosts):
+            self._target.maintenance_ended(name, now)
--- a/limerudder/core/upstream/attempt.py
+++ b/limerudder/core/upstream/attempt.py
@@ -13,185 +13,204 @@
 from limerudder.core.upstream.load_report import parse_report
 from limerudder.policy.events import AttemptOutcome
 
-SILENT = 2_500_000  #: a message unanswered for so long: its stream has stopped, though nothing said so
-LAST_WORDS = 700_000  #: for an upstream to end its side once the client has ended its own
+MESSAGE_TIMEOUT_US = 2_500_000  #: a message unanswered for so long: its stream has stopped without an error
+UPSTREAM_CLOSE_TIMEOUT_US = 700_000  #: for an upstream to end its side after the client has ended its own
+LINE_END = b"\r\n"
+
+#: How a proxied connection has ended, by the last word its upstream sent.
+_OUTCOME_BY_LAST_WORD = {b"BYE": AttemptOutcome.OK, b"MOVE": AttemptOutcome.CANCELLED}
 
 
 class ServedClient(Protocol):
-    """The client's side, as an attempt that serves it uses it."""
+    """The client's side, as the attempt that serves it uses it."""
 
     link: Transport | None
 
     def pass_on(self, data: bytes) -> None:
-        """Bytes for the client."""
+        """Send data to the client."""
 
     def move(self, now: int) -> None:
-        """Send the client away politely."""
+        """Ask the client to connect again, and end its connection."""
 
     def end(self, now: int) -> None:
         """The upstream has ended its side."""
 
     def break_off(self) -> None:
-        """The upstream's side is broken."""
+        """The upstream's connection broke."""
 
 
 class LineAttempt(OutboundMachineBase):
-    """A state machine fed what its upstream sends. It tells its owner of its end once."""
+    """The state machine of one upstream connection. It tells its owner of its end exactly once."""
 
     def __init__(self, owner: AttemptObserver, line: bytes, fields: Sequence[str], wheel: TimerWheel) -> None:
-        self.owner, self.line, self.fields = owner, line, fields
-        self.client: ServedClient | None = None
-        self.framer = LineFramer()
-        self.out = self.up = self.done = False  # out: the last byte of its line is written
-        self.leaving = False  # the client has ended its side
-        self.last = b""
-        self.report: tuple[float, ...] = ()
-        self.asked: int | None = None  # when the client's oldest unanswered message was passed on
-        self.heard = 0  # when the upstream's last word came
-        self.timer = ResettableTimer(wheel)
-
-    # from the driver
+        self.owner = owner
+        self.line = line  # the request, with its line end
+        self.out = False  # the request is written: from here on the upstream may have it
+        self.done = False
+        self.asked: int | None = None  # when the client's oldest unanswered message was sent
+        self.heard = 0  # when the upstream last sent anything
+        self._report_fields = fields
+        self._client: ServedClient | None = None
+        self._framer = LineFramer()
+        self._established = False
+        self._client_ended = False  # the client has ended its side
+        self._last_word = b""
+        self._report: tuple[float, ...] = ()
+        self._timer = ResettableTimer(wheel)
+
+    # called by the driver
 
     def opening(self, now: int) -> bytes:
-        """The client's line, if it may still be sent."""
+        """The request, if it may still be sent; otherwise the owner has closed this attempt."""
         return self.line if self.owner.attempt_ready(now) else b""
 
     def written(self) -> None:
-        """From here on the upstream may have it."""
+        """From here on the upstream may have the request."""
         self.out = True
         self.owner.attempt_sent()
 
     def feed(self, data: bytes, now: int) -> None:
-        """Lines from the upstream: its answer first, then what it has for the client."""
+        """The upstream has sent data: its answer first, then what it has for the client."""
         if self.done:
             return
         self.heard = now
         try:
-            lines = self.framer.feed(data)
+            lines = self._framer.feed(data)
         except LineError:
-            return self._broken(now, AttemptOutcome.ERROR)
-        if lines and not self.up:
-            self._answer(lines[0], now)
+            return self._fail(AttemptOutcome.ERROR, now)
+        if not lines:
+            return
+        if not self._established:
+            self._read_answer(lines[0], now)
             if self.done:
                 return
-        if lines and self.client:
-            # whole lines only, unchanged, LOAD and BYE among them: a MOVE can then never cut one
-            self.client.pass_on(b"".join(line + b"\r\n" for line in lines))
+        if self._client:
+            # Complete lines only, unchanged, LOAD and BYE among them: so a MOVE never cuts a line.
+            self._client.pass_on(b"".join(line + LINE_END for line in lines))
         for line in lines:
-            self._read(line, now)
-
-    def _answer(self, line: bytes, now: int) -> None:
-        word, _, rest = line.partition(b" ")
-        if word == b"UP" and rest:
-            self.up = True
-            self.owner.attempt_established(now)
-        elif word in (b"ERR", b"BUSY"):
-            self.report = parse_report(rest, self.fields)
-            self._end(AttemptOutcome.ERROR if word == b"ERR" else AttemptOutcome.FULL, now)
-        else:
-            self._end(AttemptOutcome.ERROR, now)  # a malformed line is an error of this attempt
-
-    def _read(self, line: bytes, now: int) -> None:
-        word, _, rest = line.partition(b" ")
-        self.last = word
-        if word == b"LOAD":
-            try:
-                load = float(rest)
-            except ValueError:
-                return
-            if isfinite(load):
-                self.owner.attempt_load_reported(load, now)
-            return
-        if word == b"BYE":
-            self.report = parse_report(rest, self.fields)
-        if self.asked is not None:
-            took, self.asked = now - self.asked, None
-            self.timer.stop()
-            self.owner.attempt_latency_measured(took, now)
+            self._read_line(line, now)
 
     def eof(self, now: int) -> None:
         """The upstream has ended its side."""
         if self.done:
             return
-        if self.client and self.framer.rest:
-            self.client.pass_on(self.framer.rest)
-        client = self.client
-        self._end(self._how(), now)
+        client = self._client
+        if client and self._framer.rest:
+            client.pass_on(self._framer.rest)
+        self._end(self._outcome(), now)
         if client:
             client.end(now)
 
     def lost(self, now: int) -> None:
-        """The connection broke, or never came up."""
+        """The connection broke, or could not be established."""
         if not self.done:
-            self._broken(now, self._how())
-
-    def _how(self) -> AttemptOutcome:
-        if not self.up:
-            return AttemptOutcome.RESET if self.out else AttemptOutcome.CONNECT_FAILED
-        said = {b"BYE": AttemptOutcome.OK, b"MOVE": AttemptOutcome.CANCELLED}
-        return said.get(self.last, AttemptOutcome.CANCELLED if self.leaving else AttemptOutcome.RESET)
-
-    def _broken(self, now: int, ending: AttemptOutcome) -> None:
-        client = self.client
-        self._end(ending, now)
-        if client and ending in (AttemptOutcome.OK, AttemptOutcome.CANCELLED):
-            client.end(now)
-        elif client:
-            client.break_off()
+            self._fail(self._outcome(), now)
 
     def crowded(self, on: bool) -> None:
         """The upstream reads slowly: its client is read no faster."""
-        if self.client and self.client.link:
-            self.client.link.hold(on)
+        if self._client and self._client.link:
+            self._client.link.hold(on)
 
-    # from the client session
+    # called by the client's session
 
     def join(self, client: ServedClient) -> None:
-        """The attempt serves: what comes from the upstream goes to the client."""
-        self.client = client
+        """Serve the client: from now on, what the upstream sends goes there."""
+        self._client = client
 
     def send(self, data: bytes, now: int) -> None:
-        """Bytes from the client for the upstream, passed on as they come."""
+        """Pass the client's data on to the upstream."""
         if not self.link or self.done:
             return
         self.link.write(data)
         if self.asked is None and b"\n" in data:
             self.asked = now
-            self.timer.set(now + SILENT, self.vanish)
+            self._timer.set(now + MESSAGE_TIMEOUT_US, self.vanish)
 
     def finish(self, now: int) -> None:
-        """The client has ended its side: so does this one, and the upstream may have its last words."""
-        if self.link and not self.leaving and not self.done:
-            self.leaving = True
+        """The client has ended its side: end this one. The upstream may still send its last lines."""
+        if self.link and not self._client_ended and not self.done:
+            self._client_ended = True
             self.link.finish()
-            self.asked = None  # guards this wait: an answer still to come would take the timer back
-            self.timer.set(now + LAST_WORDS, self.vanish)
+            self.asked = None  # so that an answer still to come does not cancel the timer set here
+            self._timer.set(now + UPSTREAM_CLOSE_TIMEOUT_US, self.vanish)
 
     def reset(self) -> None:
-        """The client's side broke: so does this one."""
+        """The client's connection broke: reset this one."""
         if self.link and not self.done:
             self.link.reset()
         self.close()
 
+    # called by the node
+
     def vanish(self, now: int) -> None:
-        """The upstream is silent: its client is moved. That tells nothing of what the upstream can hold."""
-        client = self.client
+        """The upstream is silent: migrate its client. The outcome is not held against its capacity."""
+        client = self._client
         self._end(AttemptOutcome.CANCELLED, now)
-        if client and self.leaving:
+        if client and self._client_ended:
             client.end(now)
         elif client:
             client.move(now)
 
-    # endings
-
     def close(self) -> None:
-        """Give up: the connection is closed before anything else can be sent."""
+        """Close the connection at once; the owner is not told."""
         self.done = True
-        self.timer.stop()
-        self.client = None
+        self._timer.stop()
+        self._client = None
         if self.link:
             self.link.close()
 
-    def _end(self, ending: AttemptOutcome, now: int) -> None:
+    # what the upstream says
+
+    def _read_answer(self, line: bytes, now: int) -> None:
+        word, _, rest = line.partition(b" ")
+        if word == b"UP" and rest:
+            self._established = True
+            self.owner.attempt_established(now)
+        elif word in (b"ERR", b"BUSY"):
+            self._report = parse_report(rest, self._report_fields)
+            self._end(AttemptOutcome.ERROR if word == b"ERR" else AttemptOutcome.FULL, now)
+        else:
+            self._end(AttemptOutcome.ERROR, now)
+
+    def _read_line(self, line: bytes, now: int) -> None:
+        word, _, rest = line.partition(b" ")
+        self._last_word = word
+        if word == b"LOAD":
+            self._read_load(rest, now)
+            return
+        if word == b"BYE":
+            self._report = parse_report(rest, self._report_fields)
+        if self.asked is not None:
+            latency_us = now - self.asked
+            self.asked = None
+            self._timer.stop()
+            self.owner.attempt_latency_measured(latency_us, now)
+
+    def _read_load(self, text: bytes, now: int) -> None:
+        try:
+            load = float(text)
+        except ValueError:
+            return
+        if isfinite(load):
+            self.owner.attempt_load_reported(load, now)
+
+    # endings
+
+    def _outcome(self) -> AttemptOutcome:
+        """How a connection that has ended without an answer of ERR or BUSY has ended."""
+        if not self._established:
+            return AttemptOutcome.RESET if self.out else AttemptOutcome.CONNECT_FAILED
+        otherwise = AttemptOutcome.CANCELLED if self._client_ended else AttemptOutcome.RESET
+        return _OUTCOME_BY_LAST_WORD.get(self._last_word, otherwise)
+
+    def _fail(self, outcome: AttemptOutcome, now: int) -> None:
+        client = self._client
+        self._end(outcome, now)
+        if client and outcome in (AttemptOutcome.OK, AttemptOutcome.CANCELLED):
+            client.end(now)
+        elif client:
+            client.break_off()
+
+    def _end(self, outcome: AttemptOutcome, now: int) -> None:
         self.close()
-        self.owner.attempt_ended(ending, self.report, now)
+        self.owner.attempt_ended(outcome, self._report, now)
--- a/limerudder/net/mark_files.py
+++ b/limerudder/net/mark_files.py
@@ -23,7 +23,7 @@
         found = (name for name in os.listdir(self.folder) if name.startswith(PREFIX))
         return {unquote(name.removeprefix(PREFIX)) for name in found}
 
-    def put(self, name: str) -> None:
+    def add(self, name: str) -> None:
         """Make its file."""
         os.close(os.open(self._path(name), os.O_CREAT | os.O_WRONLY, 0o600))
 
--- a/limerudder/store/checks.py
+++ b/limerudder/store/checks.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from limerudder.core.discovery.endpoint_list import EndpointListError, parse_endpoints
+from limerudder.core.discovery.endpoint_list import EndpointListError, parse_endpoint_list
 from limerudder.cue.load import load
 from limerudder.cue.syntax import CueError
 from limerudder.schema import SCHEMA
@@ -58,7 +58,7 @@
         elif key.startswith(CONFIG):
             read_setting(key, value)
         elif key == LIST:
-            parse_endpoints(json.loads(value))
+            parse_endpoint_list(json.loads(value))
         elif not key.startswith(FREE):
             return f"{key}: keys begin with {HOST_KEY_PREFIX}, {CONFIG} or {FREE}, or are {LIST}"
     except (msgspec.DecodeError, EndpointListError, ValueError, RecursionError) as exc:
--- a/limerudder/store/node_bridge.py
+++ b/limerudder/store/node_bridge.py
@@ -18,8 +18,8 @@
     Endpoint,
     EndpointList,
     EndpointListError,
-    format_endpoints,
-    parse_endpoints,
+    format_endpoint_list,
+    parse_endpoint_list,
 )
 from limerudder.core.operations.log_events import LogKind, LogSink
 from limerudder.core.operations.maintenance import MaintenanceMarks
@@ -79,7 +79,7 @@
         self.glue, self.marks = glue, marks
         self.mirror = glue.store.member.ledger.held()
         for name in self.mirror - marks.read():
-            marks.put(name)
+            marks.add(name)
 
     def read(self) -> set[str]:
         """All that are held."""
@@ -90,15 +90,15 @@
             self.glue.back(name)
         held = ledger.held()
         for name in held - seen:
-            self.marks.put(name)
+            self.marks.add(name)
         for name in seen - held:
             self.marks.remove(name)
         self.mirror = held
         return held
 
-    def put(self, name: str) -> None:
+    def add(self, name: str) -> None:
         """Hold one."""
-        self.marks.put(name)
+        self.marks.add(name)
         self.mirror = self.mirror | {name}
         self.glue.hold(name)
 
@@ -148,9 +148,9 @@
         _, value = self.store.member.value(LIST)
         if value is not None:
             try:
-                hosts = parse_endpoints(json.loads(value))
+                hosts = parse_endpoint_list(json.loads(value))
                 if hosts.version > config.known.version:
-                    config = replace(config, known=hosts._replace(whole=True))
+                    config = replace(config, known=hosts._replace(is_complete=True))
             except (
                 EndpointListError,
                 ValueError,
@@ -195,7 +195,7 @@
         self.control.close()
         self.store.close()
 
-    def out(self, host: Endpoint) -> bool:
+    def observe(self, host: Endpoint) -> bool:
         """Whether this host gets nothing new, whatever discovery lists; hears what discovery lists, too."""
         ledger = self.store.member.ledger
         if host.state == ServerState.DRAINING:
@@ -204,7 +204,7 @@
             return True
         return ledger.view(host.name).out(host.started_ms)
 
-    def drained(self) -> dict[str, int]:
+    def drained_starts(self) -> dict[str, int]:
         """By host, the last start that is known to drain."""
         ledger = self.store.member.ledger
         views = {host: ledger.view(host).drained for host in ledger.hosts()}
@@ -251,7 +251,7 @@
         """A setting takes effect, here and now."""
         revision = self.applied[key]
         if key == "config/discovery" and self.node:
-            self.node.discovery.move(read_address(told), self.now())
+            self.node.discovery.change_address(read_address(told), self.now())
         elif key == "config/log":
             self.configure(told["format"], told["lines"], told["per"] / 1e6)
         self.log(LogKind.STORE_CONFIG, f"store: {key} of revision {revision} applied")
@@ -280,11 +280,11 @@
         """Whoever leads keeps the last list for all; a write that fails is made again with the next look."""
         member = self.store.member
         hosts = self.node.listed() if self.node else None
-        if not member.leads or hosts is None or hosts.version == self.version or not hosts.hosts:
+        if not member.leads or hosts is None or hosts.version == self.version or not hosts.endpoints:
             return
         if not self.session:
             return self._open_session(now)
-        value = json.dumps(format_endpoints(hosts)).encode()
+        value = json.dumps(format_endpoint_list(hosts)).encode()
         modified, before = member.value(LIST)
         self.version = hosts.version
         if before == value or len(value) > self.settings.value_most:
--- a/limerudder/store_runtime.py
+++ b/limerudder/store_runtime.py
@@ -82,7 +82,7 @@
         if self.glue is None:
             return "done\n"
         later = DeferredAnswer()
-        self.glue.durable(name, lambda now: later.settle("done\n", now))
+        self.glue.durable(name, lambda now: later.resolve("done\n", now))
         return later
 
     async def attach(self, node: Node, marks: MaintenanceMarks, elder: HotRestartParent) -> None:
@@ -114,7 +114,7 @@
                     self.log(LogKind.STORE_DISK, f"store: {exc}; retrying")
                 await asyncio.sleep(AGAIN)
         if self.inherited:
-            self.glue.inherit(self.inherited.heard)
+            self.glue.inherit(self.inherited.observed_here)
         node.recall = self.glue
         node.maintenance.marks = self.marks(marks)
         try:
@@ -122,7 +122,7 @@
         except ConfigError as exc:  # guards a node that serves against an address that is taken
             self.log(LogKind.STORE_DISK, f"store: {exc}; this process runs without its store")
             return
-        for host in node.listed().hosts:
+        for host in node.listed().endpoints:
             node.relist(host.name, self.clock.now())
 
     def close(self) -> None:
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -9,9 +9,9 @@
 
 from limerudder.config import ConfigError, load_config
 from limerudder.core.operations.console import (
-    CALLERS,
-    MOST,
-    PATIENCE,
+    CALL_TIMEOUT_US,
+    MAX_CALL_BYTES,
+    MAX_SESSIONS,
     Console,
     ConsoleError,
     ConsoleSession,
@@ -29,9 +29,9 @@
 @pytest.fixture
 def console() -> Console:
     here = Console(TimerWheel(5000, 0), Counters())
-    here.offer("status", lambda _, now: "done\n")
-    here.offer("maint-on", lambda word, now: f"done {word}\n", takes=True)
-    here.offer("deny", no, takes=True)
+    here.register("status", lambda _, now: "done\n")
+    here.register("maint-on", lambda word, now: f"done {word}\n", takes_argument=True)
+    here.register("deny", no, takes_argument=True)
     return here
 
 
@@ -52,7 +52,7 @@
     b"status now\n": "error status takes nothing after it\n",
     b"\r\n": "error an empty line\n",
     b"\xff\xfe\n": "error no such call; there are status maint-on deny\n",
-    b"x" * 3 * MOST: "error the line is too long\n",
+    b"x" * 3 * MAX_CALL_BYTES: "error the line is too long\n",
 }
 
 
@@ -64,7 +64,7 @@
         session.feed(data[at : at + step], 0)
     assert link.sent.decode() == LINES[data] and link.finished and not link.closed
     session.eof(0)
-    assert link.closed and not console.callers
+    assert link.closed and not console.sessions
 
 
 def test_a_call_ends_with_its_callers_sending_too(console: Console) -> None:
@@ -75,17 +75,17 @@
     session.lost(0)
     session, link = call(console)
     session.eof(0)
-    assert link.closed and not link.sent and not console.callers
+    assert link.closed and not link.sent and not console.sessions
 
 
 def test_silent_callers_delay_nobody_and_are_closed_in_time(console: Console) -> None:
-    silent = [call(console)[1] for _ in range(3 * CALLERS)]
-    assert sum(not link.closed for link in silent) == CALLERS, "their descriptors are bounded"
+    silent = [call(console)[1] for _ in range(3 * MAX_SESSIONS)]
+    assert sum(not link.closed for link in silent) == MAX_SESSIONS, "their descriptors are bounded"
     session, link = call(console)
     session.feed(b"status\n", 0)
     assert link.sent == b"done\n"
     console.wheel.advance(5 * SECOND)
-    assert all(link.closed for link in silent) and not console.callers
+    assert all(link.closed for link in silent) and not console.sessions
 
 
 def stats(here: World) -> dict[str, str]:
@@ -100,31 +100,31 @@
     console: Console, ends: bool, settled: bool
 ) -> None:
     later = DeferredAnswer()
-    console.offer("hold", lambda word, now: later, takes=True)
+    console.register("hold", lambda word, now: later, takes_argument=True)
     session, link = call(console)
     session.feed(b"hold x\n", 0)
     if ends:
         session.eof(0)
     assert link.sent == b"" and not link.closed
     if settled:
-        later.settle("done\n", 5)
+        later.resolve("done\n", 5)
     else:
-        console.wheel.advance(PATIENCE + 10_000)
+        console.wheel.advance(CALL_TIMEOUT_US + 10_000)
     assert link.sent == (
         b"done\n" if settled else b"error that is not written down yet; it holds here, and is tried on\n"
     )
-    later.settle("done\n", 9)
+    later.resolve("done\n", 9)
     assert link.sent.count(b"\n") == 1 and link.finished, "one answer"
 
 
 def test_an_answer_for_a_caller_that_has_gone_is_passed_over(console: Console) -> None:
     later = DeferredAnswer()
-    console.offer("hold", lambda word, now: later, takes=True)
+    console.register("hold", lambda word, now: later, takes_argument=True)
     session, link = call(console)
     session.feed(b"hold x\n", 0)
     session.lost(0)
-    later.settle("done\n", 5)
-    assert link.sent == b"" and not console.callers
+    later.resolve("done\n", 5)
+    assert link.sent == b"" and not console.sessions
 
 
 def test_every_number_is_there_from_the_start(tmp_path: Path) -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -9,8 +9,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from limerudder.core.discovery.endpoint_list import DiscoveryCall, EndpointList
-from limerudder.core.discovery.json_stream import DEEPEST, JsonObjectStream, JsonStreamError
+from limerudder.core.discovery.discovery_call import DiscoveryCall
+from limerudder.core.discovery.endpoint_list import EndpointList
+from limerudder.core.discovery.json_stream import MAX_DEPTH, JsonObjectStream, JsonStreamError
 from limerudder.policy.discovery_timing import (
     AGENT_FIRST_BYTE_TIMEOUT_US,
     AGENT_RETRY_INTERVAL_US,
@@ -41,10 +42,12 @@
     cutter, found = JsonObjectStream(1 << 20), list[bytes]()
     for start, end in zip([0, *cuts], [*cuts, len(text)], strict=True):
         found += cutter.feed(text[start:end])
-    assert [json.loads(one) for one in found] == told and not cutter.begun
+    assert [json.loads(one) for one in found] == told and not cutter.partial_object
 
 
-@pytest.mark.parametrize("bad", [b"x", b"[1]", b'{"a":1} 2', b'{"a":' * (DEEPEST + 1), b'{"a":"' + b"x" * 99])
+@pytest.mark.parametrize(
+    "bad", [b"x", b"[1]", b'{"a":1} 2', b'{"a":' * (MAX_DEPTH + 1), b'{"a":"' + b"x" * 99]
+)
 def test_what_is_no_object_is_an_error(bad: bytes) -> None:
     with pytest.raises(JsonStreamError):
         JsonObjectStream(64 if b"xxx" in bad else 1 << 20).feed(bad)
@@ -66,7 +69,7 @@
     answer = HEAD + chunk(b"\r\n" + text + b"\r\n") + (b"" if watch else b"0\r\n\r\n")
     for at in range(0, len(answer), cut):
         call.feed(answer[at : at + cut], 2)
-    assert [len(one.hosts) for one in told] == [1]
+    assert [len(one.endpoints) for one in told] == [1]
     assert over == ([] if watch else [False])
 
 
@@ -75,7 +78,7 @@
 
 
 def watches(here: World) -> list[FakeLink]:
-    return [d for d in here.dials if isinstance(d.machine, DiscoveryCall) and d.machine.watch]
+    return [d for d in here.dials if isinstance(d.machine, DiscoveryCall) and d.machine.is_watch]
 
 
 def test_where_lists_are_pushed_the_agent_is_watched_from_the_start_and_again(tmp_path: Path) -> None:
--- a/tests/test_discovery_timing.py
+++ b/tests/test_discovery_timing.py
@@ -17,7 +17,7 @@
 from hypothesis import settings as limits
 from hypothesis import strategies as st
 
-from limerudder.core.discovery.endpoint_list import DiscoveryCall
+from limerudder.core.discovery.discovery_call import DiscoveryCall
 from limerudder.policy.discovery_timing import (
     CALL_TIMEOUT_US,
     CHECK_INTERVAL_US,
@@ -132,7 +132,7 @@
         service.step()
         here.run(STEP)
         if step in moves:  # SIGHUP: discovery is elsewhere
-            here.node.discovery.move(("127.0.0.1", 7000 + step), here.now)
+            here.node.discovery.change_address(("127.0.0.1", 7000 + step), here.now)
     since = here.now
     service.drain()
     while here.node.upstream("s-1").state == ServerState.READY:
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -13,7 +13,7 @@
 
 from harness.configurations import configuration, settings
 from limerudder.config import load_config
-from limerudder.core.discovery.endpoint_list import EndpointListError, parse_endpoints
+from limerudder.core.discovery.endpoint_list import EndpointListError, parse_endpoint_list
 from limerudder.core.lifecycle.hot_restart import (
     HotRestartParent,
     HotRestartSuccessor,
@@ -146,10 +146,10 @@
 def test_a_hello_tells_list_ids_and_what_is_held(tmp_path: Path) -> None:
     pair = Pair(tmp_path)
     entries = [host("s-1") | {"startedAtMs": 7}, host("s-2", lifecycle="leaving")]
-    pair.old.node.endpoints_received(parse_endpoints(hosts(*entries)), pair.old.now)
+    pair.old.node.endpoints_received(parse_endpoint_list(hosts(*entries)), pair.old.now)
     pair.old.served()
     hello = parse_handover_state(pair.elder.hello())
-    assert hello.hosts == parse_endpoints(hosts(*entries))
+    assert hello.hosts == parse_endpoint_list(hosts(*entries))
     assert hello.holds == (2, {"s-1": 1}) and len(hello.ids) == 1
 
 
@@ -185,14 +185,14 @@
     pair = Pair(tmp_path)
     heard = events(pair.new)
     standing = [pair.old.served() for _ in range(5)]
-    room = pair.new.node.admission.room
+    room = pair.new.node.admission.capacity
     heir = pair.ask()
-    assert pair.new.node.admission.room == room - 10
+    assert pair.new.node.admission.capacity == room - 10
     heir.say("serving")
     for session, _, _ in standing:
         session.lost(pair.old.now)
     pair.run(SECOND // 5)
-    assert pair.new.node.admission.room == room
+    assert pair.new.node.admission.capacity == room
     counts = {e.server: e.many for e in heard if isinstance(e, PredecessorConnections)}
     assert counts and set(counts.values()) == {0}
     assert max(e.many for e in heard if isinstance(e, PredecessorConnections)) >= 2
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -13,7 +13,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from limerudder.core.client.session import LineSession
-from limerudder.core.discovery.endpoint_list import EndpointList, parse_endpoints
+from limerudder.core.discovery.endpoint_list import EndpointList, parse_endpoint_list
 from limerudder.core.invariants import Invariants, InvariantViolation
 from limerudder.core.operations.counters import CounterName
 from limerudder.core.operations.metrics import RequestOutcome
@@ -67,7 +67,7 @@
             Path(self.folder.name), settings=told, known=listed, limits={"sockets": sockets}
         )
         self.watch = Invariants(self.here.node)
-        self.hosts = {h.name: h for h in parse_endpoints(listed).hosts}
+        self.hosts = {h.name: h for h in parse_endpoint_list(listed).endpoints}
         self.deadline = deadline
 
     @rule(cls=st.integers(0, 4), far=st.sampled_from(["asked", "sent", "up"]), many=st.integers(1, 3))
@@ -170,7 +170,7 @@
         if which == 0:
             self.here.node.stop(self.here.now)
         else:
-            self.here.node.discovery.move(("127.0.0.1", which), self.here.now)
+            self.here.node.discovery.change_address(("127.0.0.1", which), self.here.now)
 
     @invariant()
     def hold(self) -> None:
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -7,7 +7,7 @@
 import pytest
 
 from limerudder.core.discovery.drain_memory import InheritedDrains
-from limerudder.core.discovery.endpoint_list import parse_endpoints
+from limerudder.core.discovery.endpoint_list import parse_endpoint_list
 from limerudder.core.operations.maintenance import InMemoryMarks
 from limerudder.net.mark_files import MarkFiles
 from limerudder.policy.events import (
@@ -26,7 +26,7 @@
 
 def hold_all_but(here: World, name: str) -> None:
     for other in set(here.node.numbers) - {name}:
-        assert here.node.maintenance.on(other, here.now)
+        assert here.node.maintenance.enable(other, here.now)
 
 
 @pytest.mark.parametrize("lists_meanwhile", ["nothing", "ready", "restarted", "gone and back"])
@@ -37,9 +37,9 @@
     if lists_meanwhile == "restarted":
         entry["startedAtMs"] = START
     if lists_meanwhile == "gone and back":
-        here.node.endpoints_received(parse_endpoints(hosts(host("s-2"))), here.now)
+        here.node.endpoints_received(parse_endpoint_list(hosts(host("s-2"))), here.now)
     if lists_meanwhile != "nothing":
-        here.node.endpoints_received(parse_endpoints(hosts(entry, host("s-2"))), here.now)
+        here.node.endpoints_received(parse_endpoint_list(hosts(entry, host("s-2"))), here.now)
     for _ in range(20):
         here.client()
     assert {dial.machine.owner.upstream.name for dial in here.attempts()} == {"s-2"}
@@ -53,7 +53,7 @@
     setting_up.accept(here.now)
     here.client()
     (dialled,) = (d for d in here.attempts() if not d.machine.out)
-    assert here.node.maintenance.on("s-1", here.now)
+    assert here.node.maintenance.enable("s-1", here.now)
     assert dialled.closed, "no line is written after the yes"
     here.run(SECOND // 2)
     moved = sum(link.sent.endswith(b"MOVE\r\n") for _, link, _ in standing)
@@ -69,7 +69,7 @@
     hold_all_but(here, "s-2")
     here.client(LINE + ",at=s-1")
     assert not here.attempts()
-    assert here.node.maintenance.off("s-1", here.now)
+    assert here.node.maintenance.disable("s-1", here.now)
     here.run(SECOND // 4 + 5000)
     assert [dial.machine.owner.upstream.name for dial in here.attempts()] == ["s-1"]
 
@@ -79,7 +79,7 @@
     node = here.node.maintenance
     assert not node.on("s-9", here.now) and not node.off("s-9", here.now) and not node.held
     assert node.on("s-1", here.now) and node.on("s-1", here.now)
-    here.node.endpoints_received(parse_endpoints(hosts(host("s-2"))), here.now)
+    here.node.endpoints_received(parse_endpoint_list(hosts(host("s-2"))), here.now)
     assert node.on("s-1", here.now), "held, though listed no more"
     assert node.off("s-1", here.now) and not node.held and not node.off("s-1", here.now)
     assert node.off("s-2", here.now), "listed, though not held"
@@ -92,15 +92,15 @@
     told = events(here)
     hold_all_but(here, "s-2")
     if way == "listed again later":
-        here.node.endpoints_received(parse_endpoints(hosts(host("s-2"))), here.now)
-        here.node.maintenance.off("s-1", here.now)
-        here.node.endpoints_received(parse_endpoints(hosts(host("s-1"), host("s-2"))), here.now)
+        here.node.endpoints_received(parse_endpoint_list(hosts(host("s-2"))), here.now)
+        here.node.maintenance.disable("s-1", here.now)
+        here.node.endpoints_received(parse_endpoint_list(hosts(host("s-1"), host("s-2"))), here.now)
     else:
-        here.node.maintenance.off("s-1", here.now)
+        here.node.maintenance.disable("s-1", here.now)
     if way == "listed with its new start":
         assert here.node.upstreams[upstream(here, "s-1")].back_at == here.now
         here.node.endpoints_received(
-            parse_endpoints(hosts(host("s-1") | {"startedAtMs": 40_000}, host("s-2"))), here.now
+            parse_endpoint_list(hosts(host("s-1") | {"startedAtMs": 40_000}, host("s-2"))), here.now
         )
     entries = [
         e
@@ -127,7 +127,7 @@
     here = world(tmp_path)
     hold_all_but(here, "s-2")
     standing = [here.served()[1] for _ in range(6)]
-    here.node.maintenance.off("s-1", here.now)
+    here.node.maintenance.disable("s-1", here.now)
     here.run(SECOND + 10_000)
     moved = sum(link.sent.endswith(b"MOVE\r\n") for link in standing)
     assert moved == 2
@@ -141,7 +141,7 @@
 def test_a_successor_knows_what_was_put_back(tmp_path: Path, ago: int) -> None:
     here = world(tmp_path)
     hold_all_but(here, "s-2")
-    here.node.maintenance.off("s-1", here.now)
+    here.node.maintenance.disable("s-1", here.now)
     here.run(ago)
     other = world(tmp_path)
     other.now = here.now
@@ -167,7 +167,7 @@
     here = world(tmp_path)
     hold_all_but(here, "s-2")
     assert here.node.gauges(here.now)["out_of_rotation"] == 1
-    here.node.endpoints_received(parse_endpoints(hosts(host("s-2"))), here.now)
+    here.node.endpoints_received(parse_endpoint_list(hosts(host("s-2"))), here.now)
     gauges = here.node.gauges(here.now)
     assert (gauges["registry_entries"], gauges["out_of_rotation"]) == (1, 0)
 
@@ -176,18 +176,18 @@
     here, other = world(tmp_path), world(tmp_path)
     marks = InMemoryMarks()
     here.node.maintenance.marks = other.node.maintenance.marks = marks
-    assert here.node.maintenance.on("s-1", here.now)
+    assert here.node.maintenance.enable("s-1", here.now)
     other.run(SECOND // 10 + 10_000)
-    assert other.node.maintenance.held == {"s-1"}
+    assert other.node.maintenance.hosts == {"s-1"}
     assert other.node.upstreams[upstream(other, "s-1")].state == ServerState.DRAINING
-    assert other.node.maintenance.off("s-1", other.now)
+    assert other.node.maintenance.disable("s-1", other.now)
     here.run(SECOND // 10 + 10_000)
-    assert not here.node.maintenance.held
+    assert not here.node.maintenance.hosts
     assert here.node.upstreams[upstream(here, "s-1")].state == ServerState.READY
 
 
 class Broken(InMemoryMarks):
-    def put(self, name: str) -> None:
+    def add(self, name: str) -> None:
         raise OSError(28, "No space left on device")
 
     def read(self) -> set[str]:
@@ -198,9 +198,9 @@
     here = world(tmp_path)
     here.node.maintenance.marks = Broken()
     with pytest.raises(OSError):
-        here.node.maintenance.on("s-1", here.now)
+        here.node.maintenance.enable("s-1", here.now)
     here.run(SECOND)
-    assert not here.node.maintenance.held
+    assert not here.node.maintenance.hosts
 
 
 @pytest.mark.parametrize("name", ["s-1", "../s-1", "a/b", ".", "%2F", "é\n"])
@@ -208,15 +208,15 @@
     folder = tmp_path / "state"
     folder.mkdir()
     marks = MarkFiles(str(folder))
-    marks.put(name)
-    marks.put(name)
+    marks.add(name)
+    marks.add(name)
     (folder / "handover").touch()
     assert MarkFiles(str(folder)).read() == {name} and len(list(tmp_path.iterdir())) == 1
     marks.remove(name)
     marks.remove(name)
     assert marks.read() == set()
     with pytest.raises(OSError):
-        marks.put("x" * 300)
+        marks.add("x" * 300)
 
 
 def test_a_remembered_drain_outlives_the_list_and_is_lifted_by_a_newer_start_alone(tmp_path: Path) -> None:
@@ -224,12 +224,12 @@
     here.node.recall = recall = InheritedDrains({"s-1": START})
     for started, out in [(START, True), (START - 5, True), (START + 1, False)]:
         entry = host("s-1") | {"startedAtMs": started}
-        here.node.endpoints_received(parse_endpoints(hosts(entry, host("s-2"))), here.now)
+        here.node.endpoints_received(parse_endpoint_list(hosts(entry, host("s-2"))), here.now)
         assert (here.node.upstreams[upstream(here, "s-1")].state == ServerState.DRAINING) == out, started
-    recall.told("s-1", START + 9)
+    recall.record_drain("s-1", START + 9)
     here.node.relist("s-1", here.now)
     assert here.node.upstreams[upstream(here, "s-1")].state == ServerState.DRAINING
     leaving = host("s-2", lifecycle="leaving") | {"startedAtMs": 7}
-    here.node.endpoints_received(parse_endpoints(hosts(leaving)), here.now)
-    assert recall.heard == {"s-2": 7} and recall.drained() == {"s-1": START + 9, "s-2": 7}
+    here.node.endpoints_received(parse_endpoint_list(hosts(leaving)), here.now)
+    assert recall.observed_here == {"s-2": 7} and recall.drained_starts() == {"s-1": START + 9, "s-2": 7}
     assert upstream(here, "s-2") and not here.node.lists("s-1")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from limerudder.core.discovery.endpoint_list import DiscoveryCall, parse_endpoints
+from limerudder.core.discovery.discovery_call import DiscoveryCall
+from limerudder.core.discovery.endpoint_list import parse_endpoint_list
 from limerudder.core.operations.counters import CounterName
 from limerudder.core.operations.log_events import LogKind
 from limerudder.net.peer_socket import PeerSocket
@@ -94,13 +95,13 @@
     step = max(len(data) // pieces, 1)
     for at in range(0, len(data), step):
         session.feed(data[at : at + step], here.now)
-        assert len(session.line) < 4096
+        assert len(session.first_line.line) < 4096
     assert link.sent.replace(b"PONG\r\n", b"") == b"ERR\r\n" and link.finished and not link.closed
     if pieces == 1:
         assert here.node.counters[BAD[data]] == 1
     assert not here.node.requests and not here.node.ids and not here.attempts()
     here.run(SECOND + 5000)
-    assert link.closed and not here.node.admission.guests and not here.node.admission.idle
+    assert link.closed and not here.node.admission.connections and not here.node.admission.idle
 
 
 def test_what_comes_before_the_answer_ends_the_request_and_its_attempt(tmp_path: Path) -> None:
@@ -163,7 +164,7 @@
         session.feed(LINE.encode() + b"\r\n", here.now)
         assert not here.node.requests and not here.attempts(), "read after the end, and never sent on"
     here.run(SECOND + 5000)
-    assert link.closed and not here.node.admission.guests
+    assert link.closed and not here.node.admission.connections
 
 
 def test_a_first_line_that_comes_slowly_is_served(tmp_path: Path) -> None:
@@ -214,9 +215,9 @@
         here.connect()
     assert all(guest.closed for _, guest in silent), "and no more than that"
     admission, counters = here.node.admission, here.node.counters
-    assert len(admission.guests) + len(here.node.requests) == 12 + 3
+    assert len(admission.connections) + len(here.node.requests) == 12 + 3
     assert (
-        len(admission.ended)
+        len(admission.closing)
         == 3
         == counters[CounterName.CLIENTS_EVICTED] - counters[CounterName.CLIENTS_FORCE_CLOSED]
     )
@@ -227,9 +228,9 @@
 def test_probes_of_many_hosts_have_descriptors_of_their_own(tmp_path: Path) -> None:
     listed = hosts(*(host(f"s-{n}") for n in range(300)))
     here = world(tmp_path, known=listed, settings=settings(probes=True), limits={"sockets": 384})
-    assert here.node.admission.room == 192, "half of all at most"
+    assert here.node.admission.capacity == 192, "half of all at most"
     here = world(tmp_path, known=hosts(host("s-1")), settings=settings(probes=True), limits={"sockets": 384})
-    assert here.node.admission.room == 384 - 96 - 1
+    assert here.node.admission.capacity == 384 - 96 - 1
 
 
 def test_one_that_waits_is_read_on_and_seen_to_leave(tmp_path: Path) -> None:
@@ -472,7 +473,7 @@
     (attempt,) = here.attempts()
     (held,) = here.node.requests.values()
     assert held.upstream
-    drains = parse_endpoints(hosts(host(held.upstream.name, lifecycle="leaving"), reset=False))
+    drains = parse_endpoint_list(hosts(host(held.upstream.name, lifecycle="leaving"), reset=False))
     here.node.endpoints_received(drains, here.now)
     assert attempt.closed and len(here.attempts()) == 1
 
@@ -506,9 +507,9 @@
     told = events(here)
     link = here.served()[1]
     old = [d for d in here.dials if isinstance(d.machine, DiscoveryCall)]
-    here.node.discovery.ask(here.now)
+    here.node.discovery.poll(here.now)
     old.append(here.dials[-1])
-    here.node.discovery.move(("127.0.0.1", 99), here.now)
+    here.node.discovery.change_address(("127.0.0.1", 99), here.now)
     assert all(call.closed for call in old) and not link.finished
     new = here.dials[-1]
     assert new.address == ("127.0.0.1", 99) and b"&after=0 " in new.machine.opening(here.now)
@@ -522,27 +523,27 @@
     assert ready == (["s-3"] if whole else ["s-1", "s-2", "s-3"])
     question = here.dials[-1]
     assert (question is new) is whole, "changes alone say nothing of what else there is"
-    here.node.discovery.move(("127.0.0.1", 99), here.now)
+    here.node.discovery.change_address(("127.0.0.1", 99), here.now)
     assert not new.closed, "discovery is where it was"
 
 
 def test_a_watch_that_fails_before_its_first_word_asks_again_for_all(tmp_path: Path) -> None:
     here = world(tmp_path)
-    here.node.discovery.move(("127.0.0.1", 99), here.now)
+    here.node.discovery.change_address(("127.0.0.1", 99), here.now)
     here.dials[-1].machine.lost(here.now)
     here.run(SECOND)
     again = here.dials[-1].machine
-    assert isinstance(again, DiscoveryCall) and again.after == 0
+    assert isinstance(again, DiscoveryCall) and again.after_version == 0
 
 
 def test_a_question_for_all_that_fails_is_asked_again(tmp_path: Path) -> None:
     here = world(tmp_path)
-    here.node.discovery.move(("127.0.0.1", 99), here.now)
+    here.node.discovery.change_address(("127.0.0.1", 99), here.now)
     _say(here.dials[-1], hosts(reset=False) | {"generation": 3}, here.now)
     here.dials[-1].machine.lost(here.now)
     here.run(SECOND)
     again = here.dials[-1]
-    assert isinstance(again.machine, DiscoveryCall) and again.machine.after is None
+    assert isinstance(again.machine, DiscoveryCall) and again.machine.after_version is None
     _say(again, hosts(host("s-3")), here.now)
     again.machine.feed(b"0\r\n\r\n", here.now)
     assert [b.name for b in here.node.upstreams.values() if b.state == ServerState.READY] == ["s-3"]
@@ -637,7 +638,7 @@
     here.run(20 * SECOND)
     assert link.sent == b"PONG\r\n" * 2 and not link.closed
     here.run(11 * SECOND)
-    assert link.closed and not here.node.admission.guests
+    assert link.closed and not here.node.admission.connections
 
 
 def test_peers_are_told_and_heard_only_within_the_rules(tmp_path: Path) -> None:
--- a/tests/test_race_conditions.py
+++ b/tests/test_race_conditions.py
@@ -79,7 +79,7 @@
 
 async def a_resting_client_is_told_before_it_is_ended(here: Loopback, patch: pytest.MonkeyPatch) -> None:
     """Its first line crosses the end: it has its final answer, is read by nobody and never sent on."""
-    patch.setattr("limerudder.core.client.session.BETWEEN_PINGS", 50_000)
+    patch.setattr("limerudder.core.client.session.PING_IDLE_TIMEOUT_US", 50_000)
     async with here.running():
         client = await here.client()
         client.say("PING")
@@ -330,11 +330,11 @@
     here: Loopback, patch: pytest.MonkeyPatch
 ) -> None:
     """Its host does not read. What it sends waits with it, in bounds; both sides are let go in the end."""
-    patch.setattr("limerudder.core.upstream.attempt.SILENT", 400_000)
+    patch.setattr("limerudder.core.upstream.attempt.MESSAGE_TIMEOUT_US", 400_000)
     came, many = sessions(patch), 5000
     async with here.running():
         client, upstream = await served(here)
-        link = came[-1].served and came[-1].served.link
+        link = came[-1].attempt and came[-1].attempt.link
         assert isinstance(link, TcpConnection) and link.transport
         upstream.reader._transport.pause_reading()  # type: ignore[attr-defined]
         for _ in range(many):  # twenty megabytes
--- a/tests/test_state_machines.py
+++ b/tests/test_state_machines.py
@@ -8,8 +8,9 @@
 import pytest
 
 from limerudder.config import ConfigError, load_config, reload_config
-from limerudder.core.client.session import MalformedLine, parse_open, with_wait
-from limerudder.core.discovery.endpoint_list import DiscoveryCall, EndpointList
+from limerudder.core.client.open_line import MalformedLineError, format_attempt_line, parse_open_line
+from limerudder.core.discovery.discovery_call import DiscoveryCall
+from limerudder.core.discovery.endpoint_list import EndpointList
 from limerudder.core.line_framing import LineError, LineFramer
 from limerudder.core.timer_wheel import TimerWheel
 from limerudder.core.upstream.health_check import HealthCheckConnection
@@ -37,7 +38,7 @@
 
 
 def test_a_first_line_is_read_and_passed_on_unchanged_but_for_d() -> None:
-    request = parse_open((LINE + ",r=1,again=1,h=12,x=y").encode())
+    request = parse_open_line((LINE + ",r=1,again=1,h=12,x=y").encode())
     assert (request.cls, request.tenant, request.key, request.time_left) == (
         "chat",
         "acme",
@@ -50,8 +51,10 @@
         True,
         12,
     )
-    assert with_wait(LINE.encode(), 1_234_567) == LINE.replace("d=2000", "d=1234").encode() + b"\r\n"
-    assert with_wait(LINE.encode(), None) == LINE.encode() + b"\r\n"
+    assert (
+        format_attempt_line(LINE.encode(), 1_234_567) == LINE.replace("d=2000", "d=1234").encode() + b"\r\n"
+    )
+    assert format_attempt_line(LINE.encode(), None) == LINE.encode() + b"\r\n"
 
 
 @pytest.mark.parametrize(
@@ -89,8 +92,8 @@
     ],
 )
 def test_a_malformed_first_line_is_told_apart(line: str) -> None:
-    with pytest.raises(MalformedLine):
-        parse_open(line.encode())
+    with pytest.raises(MalformedLineError):
+        parse_open_line(line.encode())
 
 
 def _watch(told: list[EndpointList], ended: list[bool]) -> DiscoveryCall:
@@ -121,7 +124,7 @@
     call.feed(WATCH[:cut], 1)
     call.feed(WATCH[cut:], 2)
     assert [h.version for h in told] == [43] and not ended
-    assert told[0].hosts[0][:2] == ("s-9", ("10.1.0.18", 8081)) and told[0].hosts[0].started_ms == 7
+    assert told[0].endpoints[0][:2] == ("s-9", ("10.1.0.18", 8081)) and told[0].endpoints[0].started_ms == 7
     call.feed(b"0\r\n\r\n", 3)
     assert ended == [True], "a watch that is complete has ended"
 
@@ -190,7 +193,7 @@
         ("inflight", "x0"),
     )
     assert told.classes[0].message_objective_us == 60_000 and told.prices == {"probe": 0.002}
-    assert config.names.zones == ("a", "b") and config.known.hosts[0].name == "s-1"
+    assert config.names.zones == ("a", "b") and config.known.endpoints[0].name == "s-1"
 
 
 def test_a_configuration_read_again_has_its_own_discovery_whatever_the_environment_says(
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -15,7 +15,7 @@
 from harness.configurations import configuration, host, hosts
 from limerudder.config import load_config
 from limerudder.core.discovery.drain_memory import InheritedDrains
-from limerudder.core.discovery.endpoint_list import EndpointList, parse_endpoints
+from limerudder.core.discovery.endpoint_list import EndpointList, parse_endpoint_list
 from limerudder.core.lifecycle.hot_restart import (
     HotRestartParent,
     HotRestartSuccessor,
@@ -264,7 +264,7 @@
     assert MarkFiles(str(folder)).read() == set(WRITTEN["state_folder_marks"])
     files = MarkFiles(str(tmp_path))
     for name in WRITTEN["state_folder_marks"]:
-        files.put(name)
+        files.add(name)
     assert sorted(path.name for path in tmp_path.iterdir()) == sorted(path.name for path in folder.iterdir())
 
 
@@ -303,7 +303,7 @@
         """Not looked at here."""
 
     def listed(self) -> EndpointList:
-        return parse_endpoints(hosts(host("s-1"), host("s-2", "127.0.0.1:10", "leaving"), reset=True))
+        return parse_endpoint_list(hosts(host("s-1"), host("s-2", "127.0.0.1:10", "leaving"), reset=True))
 
     def ids_lately(self) -> list[int]:
         return [1, 0x9B1F03AA5C7E2D41]
@@ -363,7 +363,7 @@
         "relist s-1",
         node.holds(),
     ]
-    assert node.recall.drained() == {"s-1": 1700000000999, "s-2": 1700000000123}
+    assert node.recall.drained_starts() == {"s-1": 1700000000999, "s-2": 1700000000123}
     assert called == ["ready"]
     link = _Link()
     heir.connected(link, 0)  # type: ignore[arg-type]
