--- a/limerudder/core/client/admission.py
+++ b/limerudder/core/client/admission.py
@@ -9,7 +9,7 @@
 class AdmittedConnection(Protocol):
     """A client's connection, as admission control sees it."""
 
-    def evict(self, now: int) -> None:
+    def evict(self, now_us: int) -> None:
         """Send the final response and begin to close; the client has no request in progress."""
 
     def force_close(self) -> None:
@@ -55,11 +55,11 @@
         """Leave this many to this node's other process."""
         self.other_process_descriptors = descriptors
 
-    def admit(self, connection: AdmittedConnection, now: int) -> bool:
+    def admit(self, connection: AdmittedConnection, now_us: int) -> bool:
         """Track a new connection; False if descriptors are short though no other idle connection is left."""
         self.connections.add(connection)
         self.mark_idle(connection)
-        return self.free_descriptors(now)
+        return self.free_descriptors(now_us)
 
     def mark_idle(self, connection: AdmittedConnection) -> None:
         """Record activity of a connection without a request: it becomes the last to be evicted."""
@@ -81,7 +81,7 @@
         self.closing.pop(connection, None)
         self.connections.discard(connection)
 
-    def free_descriptors(self, now: int) -> bool:
+    def free_descriptors(self, now_us: int) -> bool:
         """Close idle and closing connections until usage fits the capacity; False if it still does not."""
         # Hundreds of connections that never send anything must not starve ordinary clients and their
         # attempts. The longest idle goes first: an ordinary client sends its first line soon after it has
@@ -90,12 +90,12 @@
             if len(self.closing) > self.max_closing:
                 next(iter(self.closing)).force_close()
             elif len(self.idle) > 1:
-                next(iter(self.idle)).evict(now)
+                next(iter(self.idle)).evict(now_us)
             else:
                 return False
         return True
 
-    def evict_all(self, now: int) -> None:
+    def evict_all(self, now_us: int) -> None:
         """Evict every idle connection, as the node shuts down."""
         for connection in list(self.idle):
-            connection.evict(now)
+            connection.evict(now_us)
--- a/limerudder/core/client/connection.py
+++ b/limerudder/core/client/connection.py
@@ -26,19 +26,19 @@
 class ClientConnection:
     """The part of a client session that does not depend on what the client requests."""
 
-    def __init__(self, admission: AdmissionControl, counters: Counters, wheel: TimerWheel) -> None:
-        self.link: Transport | None = None
+    def __init__(self, admission: AdmissionControl, counters: Counters, timer_wheel: TimerWheel) -> None:
+        self.transport: Transport | None = None
         self._state = ConnectionState.READING_LINE
         self._admission = admission
         self._counters = counters
-        self._timer = ResettableTimer(wheel)
+        self._timer = ResettableTimer(timer_wheel)
         self._discarded_bytes = 0
 
     # called by admission control
 
-    def evict(self, now: int) -> None:
+    def evict(self, now_us: int) -> None:
         """End the connection of a client without a request."""
-        self._end_without_request(CounterName.CLIENTS_EVICTED, now)
+        self._end_without_request(CounterName.CLIENTS_EVICTED, now_us)
 
     def force_close(self) -> None:
         """Close at once: the final response has been sent, and the descriptor is needed."""
@@ -47,48 +47,48 @@
 
     # endings
 
-    def _end_without_request(self, counter: CounterName, now: int) -> None:
+    def _end_without_request(self, counter: CounterName, now_us: int) -> None:
         # A first line may be on its way: nobody will read it, and BUSY is its final answer.
         self._counters.increment(counter)
-        self._finish(BUSY_RESPONSE, now)
+        self._finish(BUSY_RESPONSE, now_us)
 
-    def _finish(self, response: bytes, now: int) -> None:
+    def _finish(self, response: bytes, now_us: int) -> None:
         """Send the final response, if any, and begin a lingering close."""
         # A socket that is closed with unread data sends a reset, which may overtake the final response.
         # So the client is given a moment to read it and to close first.
         self._enter_closing()
-        if self.link:
+        if self.transport:
             self._admission.mark_closing(self)
             if response:
-                self.link.write(response)
-            self.link.finish()
-            self.link.hold(False)
-        self._timer.set(now + LINGER_US, lambda _: self._close())
+                self.transport.write(response)
+            self.transport.half_close()
+            self.transport.set_reading_paused(False)
+        self._timer.set(now_us + LINGER_US, lambda _: self._close())
 
     def _discard(self, data: bytes) -> None:
         """Drop data that came after the final response."""
         # A client that keeps sending at full speed must not occupy the event loop.
         self._counters.increment(CounterName.BYTES_DISCARDED, len(data))
         self._discarded_bytes += len(data)
-        if self._discarded_bytes > MAX_DISCARDED_BYTES and self.link:
-            self.link.hold(True)
+        if self._discarded_bytes > MAX_DISCARDED_BYTES and self.transport:
+            self.transport.set_reading_paused(True)
 
     def _close(self) -> None:
         self._enter_closing()
-        if self.link:
-            self.link.close()
+        if self.transport:
+            self.transport.close()
         self._release()
 
     def _reset(self) -> None:
         self._enter_closing()
-        if self.link:
-            self.link.reset()
+        if self.transport:
+            self.transport.reset()
         self._release()
 
     def _enter_closing(self) -> None:
         self._state = ConnectionState.CLOSING
 
     def _release(self) -> None:
-        self._timer.stop()
-        self.link = None
+        self._timer.cancel()
+        self.transport = None
         self._admission.remove(self)
--- a/limerudder/core/client/open_line.py
+++ b/limerudder/core/client/open_line.py
@@ -87,17 +87,17 @@
         raise MalformedLineError(line)
     return ConnectRequest(
         id=_parse_identifier(words[1]),
-        cls=fields["c"],
+        class_name=fields["c"],
         tenant=fields.get("t", ""),
         key=_parse_identifier(words[2]),
-        time_left=(
+        time_left_us=(
             _parse_number(fields["d"], _WHOLE_NUMBER, MICROSECONDS_PER_MILLISECOND) if "d" in fields else None
         ),
         hint=_parse_number(fields["h"], _DECIMAL_NUMBER, 1) if "h" in fields else None,
         group=_parse_identifier(fields["g"]) if "g" in fields else 0,
-        retry="r" in fields,
-        came_back="again" in fields,
-        at=fields.get("at"),
+        is_retry="r" in fields,
+        is_reconnect="again" in fields,
+        pinned_upstream=fields.get("at"),
     )
 
 
--- a/limerudder/core/client/request_handler.py
+++ b/limerudder/core/client/request_handler.py
@@ -14,17 +14,19 @@
 class RequestHandler(Protocol):
     """Accepts the requests of client sessions: the node."""
 
-    wheel: TimerWheel
+    timer_wheel: TimerWheel
     counters: Counters
     admission: AdmissionControl
     report_fields: Sequence[str]
 
-    def take(self, session: ClientSession, request: ConnectRequest, now: int) -> RequestObserver | None:
+    def accept_request(
+        self, session: ClientSession, request: ConnectRequest, now_us: int
+    ) -> RequestObserver | None:
         """Accept a request; None, after counting it, if this node cannot accept it."""
 
 
 class RequestObserver(Protocol):
     """Is told that the client of a request has disconnected."""
 
-    def client_disconnected(self, now: int) -> None:
+    def client_disconnected(self, now_us: int) -> None:
         """The client has disconnected, before or after its final answer."""
--- a/limerudder/core/client/session.py
+++ b/limerudder/core/client/session.py
@@ -28,7 +28,7 @@
     """The state machine of one client connection that speaks the line protocol."""
 
     def __init__(self, handler: RequestHandler) -> None:
-        super().__init__(handler.admission, handler.counters, handler.wheel)
+        super().__init__(handler.admission, handler.counters, handler.timer_wheel)
         self.first_line = FirstLineBuffer()
         self.attempt: LineAttempt | None = None  # the one that serves this client
         self._handler = handler
@@ -37,54 +37,57 @@
 
     # called by the driver
 
-    def connected(self, link: Transport, now: int) -> None:
+    def connection_made(self, transport: Transport, now_us: int) -> None:
         """A client has connected."""
-        self.link = link
-        if self._admission.admit(self, now):
-            self._start_line_timeout(now)
+        self.transport = transport
+        if self._admission.admit(self, now_us):
+            self._start_line_timeout(now_us)
         else:
-            self._finish(BUSY_RESPONSE, now)
+            self._finish(BUSY_RESPONSE, now_us)
 
-    def feed(self, data: bytes, now: int) -> None:
+    def data_received(self, data: bytes, now_us: int) -> None:
         """The client has sent data."""
         if self._state is ConnectionState.PROXYING and self.attempt:
-            self.attempt.send(data, now)
+            self.attempt.send(data, now_us)
         elif self._state is ConnectionState.READING_LINE:
-            self._read_line(data, now)
+            self._read_line(data, now_us)
         elif self._state is ConnectionState.AWAITING_ANSWER:
-            self._reject_early_data(now)
-        elif self.link:
+            self._reject_early_data(now_us)
+        elif self.transport:
             self._discard(data)
 
-    def eof(self, now: int) -> None:
+    def eof_received(self, now_us: int) -> None:
         """The client has ended its sending side."""
         if self._state is ConnectionState.PROXYING and self.attempt:
-            self.attempt.finish(now)
+            self.attempt.finish(now_us)
         else:
-            self._disconnect(now)
+            self._disconnect(now_us)
 
-    def lost(self, now: int) -> None:
+    def connection_lost(self, now_us: int) -> None:
         """The connection broke."""
         if self._state is ConnectionState.PROXYING and self.attempt:
             self.attempt.reset()
-        self._disconnect(now)
+        self._disconnect(now_us)
 
-    def crowded(self, on: bool) -> None:
+    def set_writing_paused(self, paused: bool) -> None:
         """The client reads slowly: its upstream, or its own requests until it has one, are read no faster."""
-        if self.attempt and self.attempt.link:
-            self.attempt.link.hold(on)
-        elif self.link and self._state in (ConnectionState.READING_LINE, ConnectionState.AWAITING_ANSWER):
+        if self.attempt and self.attempt.transport:
+            self.attempt.transport.set_reading_paused(paused)
+        elif self.transport and self._state in (
+            ConnectionState.READING_LINE,
+            ConnectionState.AWAITING_ANSWER,
+        ):
             # A disconnect is only noticed while the connection is read, so one that waits is always read.
-            self.link.hold(on and self._state is ConnectionState.READING_LINE)
+            self.transport.set_reading_paused(paused and self._state is ConnectionState.READING_LINE)
 
     # called by the node
 
-    def new_attempt(self, owner: AttemptObserver, wait: int | None) -> LineAttempt:
-        """An attempt that sends the client's line; the upstream is told how long (us) the node waits."""
-        line = format_attempt_line(self.first_line.line, wait)
-        return LineAttempt(owner, line, self._handler.report_fields, self._handler.wheel)
+    def new_attempt(self, observer: AttemptObserver, timeout_us: int | None) -> LineAttempt:
+        """Return an attempt that sends the client's line, with the time the node waits for its answer."""
+        line = format_attempt_line(self.first_line.line, timeout_us)
+        return LineAttempt(observer, line, self._handler.report_fields, self._handler.timer_wheel)
 
-    def serve(self, attempt: Attempt, now: int) -> None:
+    def start_proxying(self, attempt: Attempt, now_us: int) -> None:
         """Final answer: the upstream's own. From now on both sides' data is passed on."""
         assert isinstance(attempt, LineAttempt)
         if self._state is not ConnectionState.AWAITING_ANSWER:
@@ -93,37 +96,41 @@
         self.attempt = attempt
         attempt.join(self)
 
-    def refuse(self, wait: int, now: int) -> None:
-        """Final answer: rejected, to retry after `wait` microseconds if that is not 0."""
+    def reject(self, retry_after_us: int, now_us: int) -> None:
+        """Final answer: rejected, to be retried after `retry_after_us` if that is not 0."""
         if self._state is ConnectionState.AWAITING_ANSWER:
-            self._finish(b"BUSY %d\r\n" % (wait // 1000) if wait else BUSY_RESPONSE, now)
+            self._finish(_format_busy(retry_after_us), now_us)
 
-    def fail(self, now: int) -> None:
+    def fail(self, now_us: int) -> None:
         """Final answer: failed."""
         if self._state is ConnectionState.AWAITING_ANSWER:
-            self._finish(ERROR_RESPONSE, now)
+            self._finish(ERROR_RESPONSE, now_us)
 
-    def move(self, now: int) -> None:
+    def migrate(self, now_us: int) -> None:
         """Ask a proxied client to connect again. It gets complete lines only, so MOVE never cuts one."""
         if self._state is ConnectionState.PROXYING:
-            self._finish(MOVE_RESPONSE, now)
+            self._finish(MOVE_RESPONSE, now_us)
 
-    def look(self, now: int) -> None:
+    def check_disconnected(self, now_us: int) -> None:
         """Notice a disconnect that is hidden behind data not read yet."""
-        if self._state is ConnectionState.AWAITING_ANSWER and self.link and self.link.left():
+        if (
+            self._state is ConnectionState.AWAITING_ANSWER
+            and self.transport
+            and self.transport.has_disconnected()
+        ):
             self._counters.increment(CounterName.CLIENTS_DISCONNECTED_UNREAD)
-            self._disconnect(now)
+            self._disconnect(now_us)
 
     # called by the attempt that serves this client
 
     def pass_on(self, data: bytes) -> None:
         """Send the upstream's data to the client."""
-        if self.link:
-            self.link.write(data)
+        if self.transport:
+            self.transport.write(data)
 
-    def end(self, now: int) -> None:
+    def end(self, now_us: int) -> None:
         """The upstream has ended its side: end this one."""
-        self._finish(b"", now)
+        self._finish(b"", now_us)
 
     def break_off(self) -> None:
         """The upstream's connection broke: reset this one."""
@@ -131,70 +138,74 @@
 
     # the first line
 
-    def _read_line(self, data: bytes, now: int) -> None:
+    def _read_line(self, data: bytes, now_us: int) -> None:
         if self._ping_idle and not self.first_line.line:
-            self._start_line_timeout(now)
+            self._start_line_timeout(now_us)
         try:
             if not self.first_line.feed(data):
                 return
             line = self.first_line.line
             request = None if line == PING_LINE else parse_open_line(line)
         except OpenLineError as error:
-            return self._answer_error(error.counter, now)
+            return self._answer_error(error.counter, now_us)
         if request is None:
-            self._answer_ping(now)
+            self._answer_ping(now_us)
         else:
-            self._submit(request, now)
+            self._submit(request, now_us)
 
-    def _answer_ping(self, now: int) -> None:
+    def _answer_ping(self, now_us: int) -> None:
         self._counters.increment(CounterName.PINGS)
         self.first_line.clear()
         self._ping_idle = True
         self.pass_on(PONG_RESPONSE)
         self._admission.mark_idle(self)
-        self._timer.set(now + PING_IDLE_TIMEOUT_US, self._time_out)
+        self._timer.set(now_us + PING_IDLE_TIMEOUT_US, self._time_out)
 
-    def _submit(self, request: ConnectRequest, now: int) -> None:
+    def _submit(self, request: ConnectRequest, now_us: int) -> None:
         self._state = ConnectionState.AWAITING_ANSWER
-        self._timer.stop()
+        self._timer.cancel()
         self._admission.mark_active(self)
-        self._observer = self._handler.take(self, request, now)
+        self._observer = self._handler.accept_request(self, request, now_us)
         if self._observer is None:
-            self._finish(ERROR_RESPONSE, now)
+            self._finish(ERROR_RESPONSE, now_us)
 
-    def _start_line_timeout(self, now: int) -> None:
+    def _start_line_timeout(self, now_us: int) -> None:
         # The time runs from the connection's start or the line's first byte: a client that sends its line one
         # byte at a time gains nothing.
         self._ping_idle = False
-        self._timer.set(now + FIRST_LINE_TIMEOUT_US, self._time_out)
+        self._timer.set(now_us + FIRST_LINE_TIMEOUT_US, self._time_out)
 
-    def _time_out(self, now: int) -> None:
+    def _time_out(self, now_us: int) -> None:
         if self.first_line.line:
-            self._answer_error(CounterName.REQUESTS_INCOMPLETE, now)
+            self._answer_error(CounterName.REQUESTS_INCOMPLETE, now_us)
         else:
-            self._end_without_request(CounterName.CLIENTS_TIMED_OUT, now)
+            self._end_without_request(CounterName.CLIENTS_TIMED_OUT, now_us)
 
     # endings
 
-    def _answer_error(self, counter: CounterName, now: int) -> None:
+    def _answer_error(self, counter: CounterName, now_us: int) -> None:
         self._counters.increment(counter)
-        self._finish(ERROR_RESPONSE, now)
+        self._finish(ERROR_RESPONSE, now_us)
 
-    def _reject_early_data(self, now: int) -> None:
+    def _reject_early_data(self, now_us: int) -> None:
         # Data that follows a first line before its answer is neither kept nor passed on; it ends the request.
         observer = self._observer
         self._observer = None
-        self._answer_error(EarlyDataError.counter, now)
+        self._answer_error(EarlyDataError.counter, now_us)
         if observer:
-            observer.client_disconnected(now)
+            observer.client_disconnected(now_us)
 
-    def _disconnect(self, now: int) -> None:
+    def _disconnect(self, now_us: int) -> None:
         had_request = self._state in (ConnectionState.AWAITING_ANSWER, ConnectionState.PROXYING)
         self._close()
         if had_request and self._observer:
-            self._observer.client_disconnected(now)
+            self._observer.client_disconnected(now_us)
 
     def _enter_closing(self) -> None:
         super()._enter_closing()
         self.attempt = None
         self.first_line.clear()
+
+
+def _format_busy(retry_after_us: int) -> bytes:
+    return b"BUSY %d\r\n" % (retry_after_us // 1000) if retry_after_us else BUSY_RESPONSE
--- a/limerudder/core/discovery/discovery_call.py
+++ b/limerudder/core/discovery/discovery_call.py
@@ -46,46 +46,46 @@
 
     # called by the driver
 
-    def opening(self, now: int) -> bytes:
+    def first_bytes(self, now_us: int) -> bytes:
         """The request."""
         query = f"?watch=1&after={self.after_version}" if self.is_watch else ""
         return f"GET {PATH}{query} HTTP/1.1\r\nHost: {self.host}\r\nAccept: application/json\r\n\r\n".encode()
 
-    def feed(self, data: bytes, now: int) -> None:
+    def data_received(self, data: bytes, now_us: int) -> None:
         """Part of the response; a malformed one fails the call."""
         if self._ended:
             return
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, EndpointListError, JsonStreamError):
-            self._end(True, now)
+            self._end(True, now_us)
             return
         parsed = self._parsed
         self._parsed = []
-        self.deadline.word(len(parsed), bool(self._objects.partial_object), now)
+        self.deadline.word(len(parsed), bool(self._objects.partial_object), now_us)
         for endpoint_list in parsed:
-            self._on_list(self, endpoint_list, now)
+            self._on_list(self, endpoint_list, now_us)
         if self._response_complete:
-            self._end(self.is_watch, now)  # a watch is never complete: its end is a failure
+            self._end(self.is_watch, now_us)  # a watch is never complete: its end is a failure
 
-    def eof(self, now: int) -> None:
+    def eof_received(self, now_us: int) -> None:
         """The service has closed the connection before the response was complete."""
-        self._end(True, now)
+        self._end(True, now_us)
 
-    def lost(self, now: int) -> None:
+    def connection_lost(self, now_us: int) -> None:
         """The connection broke, or could not be established."""
-        self._end(True, now)
+        self._end(True, now_us)
 
     def close(self) -> None:
         """Close the connection; nothing more is reported."""
         self._ended = True
-        if self.link:
-            self.link.close()
+        if self.transport:
+            self.transport.close()
 
-    def _end(self, failed: bool, now: int) -> None:
+    def _end(self, failed: bool, now_us: int) -> None:
         if not self._ended:
             self.close()
-            self._on_end(self, failed, now)
+            self._on_end(self, failed, now_us)
 
     # called by httptools; the names are its own
 
--- a/limerudder/core/discovery/discovery_client.py
+++ b/limerudder/core/discovery/discovery_client.py
@@ -18,16 +18,16 @@
     """Receives what discovery tells: the node."""
 
     network: Network
-    wheel: TimerWheel
+    timer_wheel: TimerWheel
     counters: Counters
 
-    def endpoints_received(self, hosts: EndpointList, now: int) -> None:
+    def endpoints_received(self, hosts: EndpointList, now_us: int) -> None:
         """A complete list, or changes of it."""
 
-    def endpoints_unchanged(self, version: int, now: int) -> None:
+    def endpoints_unchanged(self, version: int, now_us: int) -> None:
         """A poll was not necessary, since the watch has missed nothing."""
 
-    def endpoints_failed(self, version: int, now: int) -> None:
+    def endpoints_failed(self, version: int, now_us: int) -> None:
         """A call failed or the watch ended; the list received so far stays."""
 
 
@@ -35,7 +35,7 @@
     """Watches and polls discovery at one address, which may be changed."""
 
     def __init__(
-        self, address: Address, version: int, pushed: bool, observer: EndpointObserver, now: int
+        self, address: Address, version: int, pushed: bool, observer: EndpointObserver, now_us: int
     ) -> None:
         self.version = version  # of the list that the observer has
         self.watch: DiscoveryCall | None = None
@@ -46,22 +46,22 @@
         self._reopen_watch_at: int | None = None
         self._awaits_complete_list = False  # of the service at a new address
         self._polls: set[DiscoveryCall] = set()
-        self._check_deadlines(now)
+        self._check_deadlines(now_us)
 
-    def start(self, now: int) -> None:
+    def start(self, now_us: int) -> None:
         """Open the watch if lists are pushed: the policy expects them without asking."""
         if self._pushed:
-            self.ensure_watch(now)
+            self.ensure_watch(now_us)
 
-    def ensure_watch(self, now: int) -> None:
+    def ensure_watch(self, now_us: int) -> None:
         """Open the watch. If it is alive nothing was missed, and the shared service is not asked again."""
         if self.watch is None:
             self.has_endpoint_list = False
-            self.watch = self._call(self.version, now)
+            self.watch = self._call(self.version, now_us)
         elif self.has_endpoint_list and self._awaits_complete_list:
-            self.poll(now)  # the poll before this one has failed
+            self.poll(now_us)  # the poll before this one has failed
         elif self.has_endpoint_list:
-            self._observer.endpoints_unchanged(self.version, now)
+            self._observer.endpoints_unchanged(self.version, now_us)
 
     def close_watch(self) -> None:
         """Close the watch."""
@@ -69,11 +69,11 @@
             self.watch.close()
         self.watch = None
 
-    def poll(self, now: int) -> None:
+    def poll(self, now_us: int) -> None:
         """Ask once for the complete list."""
-        self._polls.add(self._call(None, now))
+        self._polls.add(self._call(None, now_us))
 
-    def change_address(self, address: Address, now: int) -> None:
+    def change_address(self, address: Address, now_us: int) -> None:
         """Call discovery at another address; the list stays until the new service has sent its own."""
         if address == self._address:
             return
@@ -87,45 +87,45 @@
         for call in self._polls:
             call.close()
         self._polls.clear()
-        self.ensure_watch(now)
+        self.ensure_watch(now_us)
 
-    def _call(self, after_version: int | None, now: int) -> DiscoveryCall:
+    def _call(self, after_version: int | None, now_us: int) -> DiscoveryCall:
         self._observer.counters.increment(CounterName.DISCOVERY_CALLS)
         host, port = self._address
-        deadline = CallDeadline(self._pushed, now)
+        deadline = CallDeadline(self._pushed, now_us)
         call = DiscoveryCall(f"{host}:{port}", after_version, self._list_received, self._call_ended, deadline)
-        call.link = self._observer.network.dial(self._address, call)
+        call.transport = self._observer.network.dial(self._address, call)
         return call
 
-    def _list_received(self, call: DiscoveryCall, endpoint_list: EndpointList, now: int) -> None:
+    def _list_received(self, call: DiscoveryCall, endpoint_list: EndpointList, now_us: int) -> None:
         is_first_of_watch = call is self.watch and not self.has_endpoint_list
         self.has_endpoint_list = self.has_endpoint_list or call is self.watch
         self.version = endpoint_list.version
-        self._observer.endpoints_received(endpoint_list, now)
+        self._observer.endpoints_received(endpoint_list, now_us)
         if is_first_of_watch and self._awaits_complete_list and not endpoint_list.is_complete:
-            self.poll(now)  # these are changes of a list that this node never had
+            self.poll(now_us)  # these are changes of a list that this node never had
         # At the first address no complete list is awaited, which spares the shared service: changes of the
         # list that a node starts with are enough, whatever its version.
         self._awaits_complete_list = self._awaits_complete_list and not endpoint_list.is_complete
 
-    def _call_ended(self, call: DiscoveryCall, failed: bool, now: int) -> None:
+    def _call_ended(self, call: DiscoveryCall, failed: bool, now_us: int) -> None:
         self._polls.discard(call)
         if call is self.watch:
             self.watch = None
-            self._reopen_watch_at = now + AGENT_RETRY_INTERVAL_US if self._pushed else None
+            self._reopen_watch_at = now_us + AGENT_RETRY_INTERVAL_US if self._pushed else None
         if failed:
             self._observer.counters.increment(CounterName.DISCOVERY_FAILURES)
-            self._observer.endpoints_failed(self.version, now)
+            self._observer.endpoints_failed(self.version, now_us)
 
-    def _check_deadlines(self, now: int) -> None:
+    def _check_deadlines(self, now_us: int) -> None:
         """Fail the calls that are past their deadline, and reopen the watch when that is due."""
-        self._observer.wheel.at(now + CHECK_INTERVAL_US, self._check_deadlines)
+        self._observer.timer_wheel.schedule(now_us + CHECK_INTERVAL_US, self._check_deadlines)
         for call in self._open_calls():
-            if call.deadline.dead(now):
-                call.lost(now)
-        if self._reopen_watch_at is not None and now >= self._reopen_watch_at:
+            if call.deadline.dead(now_us):
+                call.connection_lost(now_us)
+        if self._reopen_watch_at is not None and now_us >= self._reopen_watch_at:
             self._reopen_watch_at = None
-            self.ensure_watch(now)
+            self.ensure_watch(now_us)
 
     def _open_calls(self) -> list[DiscoveryCall]:
         calls = [*self._polls]
--- a/limerudder/core/discovery/endpoint_list.py
+++ b/limerudder/core/discovery/endpoint_list.py
@@ -4,7 +4,7 @@
 
 from typing import Any, NamedTuple
 
-from limerudder.core.transport import Address, read_address
+from limerudder.core.transport import Address, parse_address
 from limerudder.policy.events import ServerState
 
 #: Discovery's names of the states.
@@ -60,7 +60,7 @@
 
 
 def _parse_endpoint(instance: Any) -> Endpoint:
-    address = read_address(instance["hostPort"])
+    address = parse_address(instance["hostPort"])
     if address[1] == 0:
         raise ValueError("port 0")
     return Endpoint(
--- a/limerudder/core/operations/console.py
+++ b/limerudder/core/operations/console.py
@@ -28,12 +28,12 @@
         self.text: str | None = None
         self._on_resolved: Callable[[str, int], None] | None = None
 
-    def resolve(self, text: str, now: int) -> None:
+    def resolve(self, text: str, now_us: int) -> None:
         """Give the answer; only the first one counts."""
         if self.text is None:
             self.text = text
             if self._on_resolved:
-                self._on_resolved(text, now)
+                self._on_resolved(text, now_us)
 
     def notify(self, callback: Callable[[str, int], None]) -> None:
         """Have the answer passed to `callback` once it is given."""
@@ -54,8 +54,8 @@
 class Console:
     """The calls by name, and the sessions of their callers."""
 
-    def __init__(self, wheel: TimerWheel, counters: Counters) -> None:
-        self.wheel = wheel
+    def __init__(self, timer_wheel: TimerWheel, counters: Counters) -> None:
+        self.timer_wheel = timer_wheel
         self.sessions: dict[ConsoleSession, None] = {}  # in the order they came
         self._counters = counters
         self._calls: dict[str, RegisteredCall] = {}
@@ -64,17 +64,17 @@
         """Have calls of this name carried out by `handler`."""
         self._calls[name] = RegisteredCall(handler, takes_argument)
 
-    def answer(self, line: bytes, now: int) -> str | DeferredAnswer:
+    def answer(self, line: bytes, now_us: int) -> str | DeferredAnswer:
         """Carry out the call in a line and return its answer."""
         self._counters.increment(CounterName.CONSOLE_CALLS)
         name, _, argument = line.decode("ascii", "replace").strip().partition(" ")
         try:
-            return self._carry_out(name, argument.strip(), now)
+            return self._carry_out(name, argument.strip(), now_us)
         except ConsoleError as error:
             self._counters.increment(CounterName.CONSOLE_CALLS_FAILED)
             return f"error {error}\n"
 
-    def _carry_out(self, name: str, argument: str, now: int) -> str | DeferredAnswer:
+    def _carry_out(self, name: str, argument: str, now_us: int) -> str | DeferredAnswer:
         call = self._calls.get(name)
         if call is None:
             known = " ".join(self._calls)
@@ -82,7 +82,7 @@
         if call.takes_argument != bool(argument) or " " in argument:
             expected = "one word" if call.takes_argument else "nothing"
             raise ConsoleError(f"{name} takes {expected} after it")
-        return call.handler(argument, now)
+        return call.handler(argument, now_us)
 
     def admit(self, session: ConsoleSession) -> None:
         """Track a new session; the oldest is closed if there are too many.
@@ -105,70 +105,70 @@
     """
 
     def __init__(self, console: Console) -> None:
-        self.link: Transport | None = None
+        self.transport: Transport | None = None
         self._console = console
         self._received = b""
         self._answered = False  # no further call is read
         self._deferred: DeferredAnswer | None = None  # the answer that is still to come
-        self._timer = ResettableTimer(console.wheel)
+        self._timer = ResettableTimer(console.timer_wheel)
 
-    def connected(self, link: Transport, now: int) -> None:
+    def connection_made(self, transport: Transport, now_us: int) -> None:
         """An operator has connected."""
-        self.link = link
+        self.transport = transport
         self._console.admit(self)
-        self._timer.set(now + CALL_TIMEOUT_US, lambda _: self.close())
+        self._timer.set(now_us + CALL_TIMEOUT_US, lambda _: self.close())
 
-    def feed(self, data: bytes, now: int) -> None:
+    def data_received(self, data: bytes, now_us: int) -> None:
         """Part of the call; what follows its line is ignored."""
         if self._answered:
             return
         self._received += data[: MAX_CALL_BYTES + 1]
         line, end, _ = self._received.partition(b"\n")
         if len(line) > MAX_CALL_BYTES:
-            self._answer("error the line is too long\n", now)
+            self._answer("error the line is too long\n", now_us)
         elif end:
-            self._answer(self._console.answer(line, now), now)
+            self._answer(self._console.answer(line, now_us), now_us)
 
-    def eof(self, now: int) -> None:
+    def eof_received(self, now_us: int) -> None:
         """The caller has ended its sending: what it has sent is its call."""
         if self._deferred:
             return  # `echo CALL | nc` ends its sending at once, and still waits for the answer
         if self._received and not self._answered:
-            self._answer(self._console.answer(self._received, now), now)
+            self._answer(self._console.answer(self._received, now_us), now_us)
         else:
             self.close()
 
-    def lost(self, now: int) -> None:
+    def connection_lost(self, now_us: int) -> None:
         """The connection broke."""
         self.close()
 
-    def crowded(self, on: bool) -> None:
+    def set_writing_paused(self, paused: bool) -> None:
         """Answers are short: the transport buffers them."""
 
     def close(self) -> None:
         """Close the connection at once."""
         self._answered = True
-        self._timer.stop()
+        self._timer.cancel()
         self._console.remove(self)
-        if self.link:
-            self.link.close()
-            self.link = None
+        if self.transport:
+            self.transport.close()
+            self.transport = None
 
-    def _answer(self, answer: str | DeferredAnswer, now: int) -> None:
+    def _answer(self, answer: str | DeferredAnswer, now_us: int) -> None:
         self._answered = True
         self._received = b""
         if isinstance(answer, str):
-            self._send(answer, now)
+            self._send(answer, now_us)
         elif answer.text is not None:
-            self._send(answer.text, now)
+            self._send(answer.text, now_us)
         else:
             self._deferred = answer
             answer.notify(self._send)
-            self._timer.set(now + CALL_TIMEOUT_US, partial(answer.resolve, DEFERRED_TIMEOUT_ANSWER))
+            self._timer.set(now_us + CALL_TIMEOUT_US, partial(answer.resolve, DEFERRED_TIMEOUT_ANSWER))
 
-    def _send(self, text: str, now: int) -> None:
+    def _send(self, text: str, now_us: int) -> None:
         self._deferred = None
-        if self.link:
-            self.link.write(text.encode())
-            self.link.finish()
-        self._timer.set(now + LINGER_US, lambda _: self.close())
+        if self.transport:
+            self.transport.write(text.encode())
+            self.transport.half_close()
+        self._timer.set(now_us + LINGER_US, lambda _: self.close())
--- a/limerudder/core/operations/maintenance.py
+++ b/limerudder/core/operations/maintenance.py
@@ -48,15 +48,15 @@
 class MaintenanceTarget(Protocol):
     """Keeps traffic away from hosts in maintenance: the node."""
 
-    wheel: TimerWheel
+    timer_wheel: TimerWheel
 
-    def lists(self, name: str) -> bool:
+    def is_listed(self, name: str) -> bool:
         """Whether discovery lists this host."""
 
-    def maintenance_started(self, name: str, now: int) -> None:
+    def maintenance_started(self, name: str, now_us: int) -> None:
         """The host is in maintenance from now on."""
 
-    def maintenance_ended(self, name: str, now: int) -> None:
+    def maintenance_ended(self, name: str, now_us: int) -> None:
         """The host is in maintenance no more."""
 
 
@@ -68,11 +68,11 @@
         self.hosts: set[str] = self._read_marks() or set()
         self._target = target
 
-    def start(self, now: int) -> None:
+    def start(self, now_us: int) -> None:
         """Follow the marks from now on."""
-        self._target.wheel.at(now + MARKS_CHECK_INTERVAL_US, self._follow_marks)
+        self._target.timer_wheel.schedule(now_us + MARKS_CHECK_INTERVAL_US, self._follow_marks)
 
-    def enable(self, name: str, now: int) -> bool:
+    def enable(self, name: str, now_us: int) -> bool:
         """Put a host into maintenance; False if it is neither listed nor in maintenance.
 
         Raises OSError, and changes nothing, if the mark cannot be written.
@@ -81,10 +81,10 @@
             return False
         # Written before the change takes effect, and anew where it did already: the mark may have been lost.
         self.marks.add(name)
-        self._apply(self.hosts | {name}, now)
+        self._apply(self.hosts | {name}, now_us)
         return True
 
-    def disable(self, name: str, now: int) -> bool:
+    def disable(self, name: str, now_us: int) -> bool:
         """End a host's maintenance; False if it is neither listed nor in maintenance.
 
         Raises OSError, and changes nothing, if the mark cannot be removed.
@@ -92,17 +92,17 @@
         if not self._is_known(name):
             return False
         self.marks.remove(name)
-        self._apply(self.hosts - {name}, now)
+        self._apply(self.hosts - {name}, now_us)
         return True
 
     def _is_known(self, name: str) -> bool:
-        return name in self.hosts or self._target.lists(name)
+        return name in self.hosts or self._target.is_listed(name)
 
-    def _follow_marks(self, now: int) -> None:
-        self._target.wheel.at(now + MARKS_CHECK_INTERVAL_US, self._follow_marks)
+    def _follow_marks(self, now_us: int) -> None:
+        self._target.timer_wheel.schedule(now_us + MARKS_CHECK_INTERVAL_US, self._follow_marks)
         names = self._read_marks()
         if names is not None:
-            self._apply(names, now)
+            self._apply(names, now_us)
 
     def _read_marks(self) -> set[str] | None:
         """The marked hosts; None if they cannot be read at the moment, which must not end any maintenance."""
@@ -111,10 +111,10 @@
         except OSError:
             return None
 
-    def _apply(self, names: set[str], now: int) -> None:
+    def _apply(self, names: set[str], now_us: int) -> None:
         previous = self.hosts
         self.hosts = set(names)
         for name in sorted(self.hosts - previous):
-            self._target.maintenance_started(name, now)
+            self._target.maintenance_started(name, now_us)
         for name in sorted(previous - self.hosts):
-            self._target.maintenance_ended(name, now)
+            self._target.maintenance_ended(name, now_us)
--- a/limerudder/core/upstream/health_check.py
+++ b/limerudder/core/upstream/health_check.py
@@ -20,71 +20,71 @@
     """The state machine of a connection that carries health checks, answered in the order they are sent."""
 
     def __init__(self, report_fields: Sequence[str], on_result: ResultCallback) -> None:
-        self.done = False
-        self.asked: list[int] = []  # when each unanswered check was sent, in us
+        self.ended = False
+        self.pending_since_us: list[int] = []  # when each unanswered check was sent, in us
         self._report_fields = report_fields
         self._on_result = on_result
         self._request = STATS_REQUEST if report_fields else PING_REQUEST
         self._framer = LineFramer()
         self._established = False
 
-    def ask(self, now: int) -> None:
+    def send_check(self, now_us: int) -> None:
         """Send one more check; the first goes out once the connection is established."""
-        self.asked.append(now)
-        if self._established and self.link:
-            self.link.write(self._request)
+        self.pending_since_us.append(now_us)
+        if self._established and self.transport:
+            self.transport.write(self._request)
 
-    def overdue(self, since: int, now: int) -> None:
-        """If a check sent by `since` is unanswered, time out all checks and close the connection."""
-        if self.asked and self.asked[0] <= since:
-            self._fail(AttemptOutcome.TIMEOUT, now)
+    def expire_pending(self, since_us: int, now_us: int) -> None:
+        """If a check sent by `since_us` is unanswered, time out all checks and close the connection."""
+        if self.pending_since_us and self.pending_since_us[0] <= since_us:
+            self._fail(AttemptOutcome.TIMEOUT, now_us)
 
     def close(self) -> None:
         """Close the connection; nothing more is reported."""
-        self.done = True
-        self.asked = []
-        if self.link:
-            self.link.close()
+        self.ended = True
+        self.pending_since_us = []
+        if self.transport:
+            self.transport.close()
 
     # called by the driver
 
-    def opening(self, now: int) -> bytes:
+    def first_bytes(self, now_us: int) -> bytes:
         """All checks that were requested while the connection was being established."""
         # The time the connection took says nothing of the upstream's work.
-        self.asked = [now] * len(self.asked)
+        self.pending_since_us = [now_us] * len(self.pending_since_us)
         self._established = True
-        return self._request * len(self.asked)
+        return self._request * len(self.pending_since_us)
 
-    def feed(self, data: bytes, now: int) -> None:
+    def data_received(self, data: bytes, now_us: int) -> None:
         """Answers have come."""
         try:
             lines = self._framer.feed(data)
         except LineError:
-            return self._fail(AttemptOutcome.ERROR, now)
+            return self._fail(AttemptOutcome.ERROR, now_us)
         for line in lines:
-            if self.done:
+            if self.ended:
                 return
-            self._read_answer(line, now)
+            self._read_answer(line, now_us)
 
-    def eof(self, now: int) -> None:
+    def eof_received(self, now_us: int) -> None:
         """The upstream has ended the connection."""
-        self._fail(AttemptOutcome.RESET, now)
+        self._fail(AttemptOutcome.RESET, now_us)
 
-    def lost(self, now: int) -> None:
+    def connection_lost(self, now_us: int) -> None:
         """The connection broke, or could not be established."""
-        self._fail(AttemptOutcome.RESET if self._established else AttemptOutcome.CONNECT_FAILED, now)
+        self._fail(AttemptOutcome.RESET if self._established else AttemptOutcome.CONNECT_FAILED, now_us)
 
-    def _read_answer(self, line: bytes, now: int) -> None:
+    def _read_answer(self, line: bytes, now_us: int) -> None:
         word, _, rest = line.partition(b" ")
-        if word == b"PONG" and self.asked:
-            latency_us = now - self.asked.pop(0)
-            self._on_result(latency_us, AttemptOutcome.OK, parse_report(rest, self._report_fields), now)
+        if word == b"PONG" and self.pending_since_us:
+            latency_us = now_us - self.pending_since_us.pop(0)
+            self._on_result(latency_us, AttemptOutcome.OK, parse_report(rest, self._report_fields), now_us)
         else:
-            self._fail(AttemptOutcome.FULL if word == b"BUSY" else AttemptOutcome.ERROR, now)
+            self._fail(AttemptOutcome.FULL if word == b"BUSY" else AttemptOutcome.ERROR, now_us)
 
-    def _fail(self, outcome: AttemptOutcome, now: int) -> None:
+    def _fail(self, outcome: AttemptOutcome, now_us: int) -> None:
         """Close the connection, then report every unanswered check with this outcome."""
-        pending = self.asked
+        pending = self.pending_since_us
         self.close()
         for sent_at in pending:
-            self._on_result(now - sent_at, outcome, (), now)
+            self._on_result(now_us - sent_at, outcome, (), now_us)
--- a/limerudder/store_runtime.py
+++ b/limerudder/store_runtime.py
@@ -6,7 +6,7 @@
 import socket
 from typing import TYPE_CHECKING
 
-from limerudder.config import ConfigError, NodeConfig
+from limerudder.config import ConfigError, ProcessConfig
 from limerudder.core.discovery.drain_memory import DrainMemory, InheritedDrains
 from limerudder.core.lifecycle.hot_restart import HotRestartParent
 from limerudder.core.node import Node
@@ -26,7 +26,7 @@
 class StoreRuntime:
     """A node's store, where the operator's file asks for one."""
 
-    def __init__(self, config: NodeConfig, log: LogSink, clock: Clock) -> None:
+    def __init__(self, config: ProcessConfig, log: LogSink, clock: Clock) -> None:
         self.settings = config.operator.store if config.operator else None
         self.name, self.log, self.clock = config.name, log, clock
         self.glue: NodeStoreBridge | None = None
@@ -41,7 +41,7 @@
         configure = getattr(self.log, "configure", lambda *args: None)
         return NodeStoreBridge(self.settings, self.name, self.log, self.clock.now, configure)
 
-    def open(self, config: NodeConfig) -> NodeConfig:
+    def open(self, config: ProcessConfig) -> ProcessConfig:
         """Open the store where there is to be one; gives the configuration with what is known there."""
         if self.settings is None:
             return config
@@ -115,15 +115,15 @@
                 await asyncio.sleep(AGAIN)
         if self.inherited:
             self.glue.inherit(self.inherited.observed_here)
-        node.recall = self.glue
+        node.drain_memory = self.glue
         node.maintenance.marks = self.marks(marks)
         try:
             await self.attach(node, marks, elder)
         except ConfigError as exc:  # guards a node that serves against an address that is taken
             self.log(LogKind.STORE_DISK, f"store: {exc}; this process runs without its store")
             return
-        for host in node.listed().endpoints:
-            node.relist(host.name, self.clock.now())
+        for host in node.endpoint_list().endpoints:
+            node.refresh_endpoint(host.name, self.clock.now())
 
     def close(self) -> None:
         """The node ends."""
