Split the node's tests by the module they test

Change: one test file a module; the recorder of the policy's events moves to tests/scripted_peers.py.

--- a/limerudder/core/requests/attempt_runner.py
+++ b/limerudder/core/requests/attempt_runner.py
@@ -11,12 +11,7 @@
 from limerudder.core.services import NodeServices
 from limerudder.core.upstream.registry import Upstream, UpstreamRegistry
 from limerudder.policy.actions import CancelAttempt, MigrateClient, StartAttempt
-from limerudder.policy.events import (
-    AttemptEnded,
-    AttemptOutcome,
-    ConnectionEstablished,
-    ServerState,
-)
+from limerudder.policy.events import AttemptEnded, AttemptOutcome, ConnectionEstablished, ServerState
 
 _DEFAULT_CONNECT_TIMEOUT_US = 30_000_000
 _MAX_DURATION_US = (1 << 32) - 1  # of an attempt, as the policy's event holds it
--- a/limerudder/core/requests/request_lifecycle.py
+++ b/limerudder/core/requests/request_lifecycle.py
@@ -23,12 +23,7 @@
 from limerudder.core.requests.request_table import RequestTable
 from limerudder.core.services import NodeServices
 from limerudder.policy.actions import FailRequest, RejectRequest
-from limerudder.policy.events import (
-    FLAG_RECONNECT,
-    AttemptOutcome,
-    ClientDisconnected,
-    NewRequest,
-)
+from limerudder.policy.events import FLAG_RECONNECT, AttemptOutcome, ClientDisconnected, NewRequest
 
 _FLAG_HAS_HINT = 1
 _FLAG_RETRY = 2
--- a/tests/scripted_peers.py
+++ b/tests/scripted_peers.py
@@ -18,6 +18,8 @@
 from limerudder.core.client.session import LineSession
 from limerudder.core.node import Node
 from limerudder.core.transport import OutboundMachine, parse_address
+from limerudder.policy.actions import Action
+from limerudder.policy.events import Event
 
 __all__ = ["ID", "KEY", "LINE", "SECOND", "configuration", "fresh", "host", "hosts", "settings"]
 
@@ -117,6 +119,18 @@
     return World(load_config(configuration(folder, **changes)))
 
 
+def policy_events(here: World) -> list[Event]:
+    """The events that the policy of this node is given from here on."""
+    given, handle = list[Event](), here.node.balancer.handle
+
+    def record(event: Event, now: int) -> list[Action]:
+        given.append(event)
+        return handle(event, now)
+
+    here.node.balancer.handle = record  # type: ignore[method-assign]
+    return given
+
+
 class Peer:
     """One scripted connection, as a client or as an upstream."""
 
--- /dev/null
+++ b/tests/test_health_checker.py
@@ -0,0 +1,38 @@
+"""Health checks, as the policy asks for them."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from limerudder.core.operations.counters import CounterName
+from limerudder.policy.actions import CheckHealth
+from limerudder.policy.events import HealthCheckResult
+from tests.scripted_peers import policy_events, settings, world
+
+
+@pytest.mark.parametrize(
+    ("said", "spoilt"),
+    [
+        ("inflight=1,x0=0.5", 0),
+        ("inflight=1,x0=nan", 1),
+        ("inflight=1", 1),
+        ("inflight=-1,x0=0.5", 1),
+        ("who knows", 1),
+        ("", 0),
+    ],
+)
+def test_a_malformed_load_report_is_counted_and_logged(tmp_path: Path, said: str, spoilt: int) -> None:
+    here = world(tmp_path, settings=settings(probes=True))
+    told = policy_events(here)
+    here.node.health_checker.check(CheckHealth(next(iter(here.node.upstreams.by_number))), here.now)
+    link = here.dials[-1]
+    link.accept(here.now)
+    link.machine.data_received(f"PONG {said}".strip().encode() + b"\r\n", here.now)
+    assert [type(event) for event in told] == [HealthCheckResult], "the module hears of it either way"
+    assert (
+        here.node.counters[CounterName.LOAD_REPORTS_MALFORMED]
+        == spoilt
+        == sum("load report" in t for t in here.logged)
+    )
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -20,12 +20,18 @@
     SuccessorConnection,
     parse_handover_state,
 )
-from limerudder.policy.events import (
-    PredecessorConnections,
-    UpdateKind,
+from limerudder.policy.events import PredecessorConnections, UpdateKind
+from tests.scripted_peers import (
+    LINE,
+    SECOND,
+    FakeTransport,
+    Loopback,
+    World,
+    host,
+    hosts,
+    policy_events,
+    world,
 )
-from tests.scripted_peers import LINE, SECOND, FakeTransport, Loopback, World, host, hosts, world
-from tests.test_node import events
 
 
 class Joined(FakeTransport):
@@ -183,7 +189,7 @@
 
 def test_both_together_keep_to_one_room_and_one_count(tmp_path: Path) -> None:
     pair = Pair(tmp_path)
-    heard = events(pair.new)
+    heard = policy_events(pair.new)
     standing = [pair.old.served() for _ in range(5)]
     room = pair.new.node.admission.capacity
     heir = pair.ask()
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -10,12 +10,8 @@
 from limerudder.core.discovery.endpoint_list import parse_endpoint_list
 from limerudder.core.operations.maintenance import InMemoryMarks
 from limerudder.net.mark_files import MarkFiles
-from limerudder.policy.events import (
-    EndpointUpdate,
-    ServerState,
-)
-from tests.scripted_peers import LINE, SECOND, World, host, hosts, world
-from tests.test_node import events
+from limerudder.policy.events import EndpointUpdate, ServerState
+from tests.scripted_peers import LINE, SECOND, World, host, hosts, policy_events, world
 
 START = 1_700_000_000_000  #: milliseconds
 
@@ -89,7 +85,7 @@
 @pytest.mark.parametrize("way", ["listed all along", "listed again later", "listed with its new start"])
 def test_one_put_back_is_cold_and_tried_at_once(tmp_path: Path, way: str) -> None:
     here = world(tmp_path)
-    told = events(here)
+    told = policy_events(here)
     hold_all_but(here, "s-2")
     if way == "listed again later":
         here.node.endpoints_received(parse_endpoint_list(hosts(host("s-2"))), here.now)
@@ -145,7 +141,7 @@
     here.run(ago)
     other = world(tmp_path)
     other.now = here.now
-    told = events(other)
+    told = policy_events(other)
     other.node.apply_return_to_service_times(here.node.return_to_service_times(), other.now)
     (entry,) = (e for m in told if isinstance(m, EndpointUpdate) for e in m.entries)
     assert entry.since == here.now - ago
--- /dev/null
+++ b/tests/test_peering.py
@@ -0,0 +1,54 @@
+"""Datagrams from and to peers."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from limerudder.core.operations.counters import CounterName
+from limerudder.core.operations.log_events import LogKind
+from limerudder.net.peer_socket import PeerSocket
+from limerudder.policy.actions import SendPeerMessage
+from tests.scripted_peers import policy_events, settings, world
+
+
+def test_messages_to_peers_are_sent_only_within_the_rules(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    for size in (256, 257):
+        here.node.peering.send(SendPeerMessage(1, b"x" * size))
+    assert [len(data) for _, data in here.datagrams] == [256]
+    alone = world(tmp_path, settings=settings(peers=False))
+    alone.node.peering.send(SendPeerMessage(1, b"x"))
+    assert not alone.datagrams
+
+
+def test_malformed_datagrams_are_counted_and_logged(tmp_path: Path) -> None:
+    here = world(tmp_path)
+    told, said = policy_events(here), list[tuple[LogKind, str]]()
+    here.node.peering.log = lambda kind, text, detail="": said.append((kind, text))
+    here.node.peering.datagram_received(None, b"hello", here.now)
+    here.node.peering.datagram_received(1, b"\xa7" * 257, here.now)
+    assert not told, "the module hears of peers only, and within the rules"
+    here.node.peering.datagram_received(1, b"hello", here.now)
+    here.node.peering.datagram_received(1, bytes((0xA7, 0, 0, 0, 0)), here.now)
+    assert (
+        here.node.counters[CounterName.PEER_MESSAGES_MALFORMED] == 3
+        and here.node.counters[CounterName.PEER_MESSAGES_RECEIVED] == 2
+    )
+    assert {kind for kind, _ in said} == {
+        LogKind.PEER_DATAGRAM_DROPPED
+    }, "of a kind of its own: a flood hides no other line"
+    assert [text.removeprefix("node: a datagram ") for _, text in said] == [
+        "of 5 bytes (at most 256 are taken) came from an address that is no peer's; dropped",
+        "of 257 bytes (at most 256 are taken) came from node 1; dropped",
+        "of no known form came from node 1; dropped",
+    ]
+
+
+def test_the_peer_socket_tells_which_peer_sent_a_datagram() -> None:
+    heard: list[tuple[int | None, bytes]] = []
+    peers = PeerSocket(
+        [("127.0.0.1", 9001), ("127.0.0.1", 9002)], None, lambda n, data: heard.append((n, data))
+    )
+    peers.datagram_received(b"a", ("127.0.0.1", 9002))
+    peers.datagram_received(b"b", ("127.0.0.1", 9003))
+    assert heard == [(1, b"a"), (None, b"b")]
