Read the process's configuration in small steps; name the scripted peers' parts

Change: one function a step, exceptions raised from their cause; tests/scripted_peers.py with one field a line and whole names. Messages and formats stay.

--- a/limerudder/config.py
+++ b/limerudder/config.py
@@ -1,4 +1,4 @@
-"""What a node is told at its start: environment and configuration file, read into one typed object."""
+"""The configuration of a node process, read from environment and files."""
 
 from __future__ import annotations
 
@@ -18,6 +18,8 @@
 if TYPE_CHECKING:
     from limerudder.schema import OperatorFile
 
+_DEFAULT_SOCKETS = 4096
+
 
 class ConfigError(Exception):
     """A configuration the node cannot start with."""
@@ -32,42 +34,60 @@
     peer_listen: Address | None = None
     peers: tuple[Address, ...] = ()
     peers_all: Address | None = None
-    console: Address | None = None  # where operators call
-    state: str | None = None  # the folder that outlives this process, where there is one
-    operator: OperatorFile | None = None  # what the operator's file says, where there is one
-
-
-def _parse_address(text: object) -> Address:
-    """An IPv4 address and a port: there is no DNS where a node runs."""
-    try:
-        return parse_address(text)
-    except ValueError:
-        raise ConfigError(f"not an address: {text!r}") from None
+    console: Address | None = None  # where operators connect
+    state: str | None = None  # the directory that outlives this process, if any
+    operator: OperatorFile | None = None  # the content of the operator's file, if there is one
 
 
 def load_config(environment: Mapping[str, str]) -> ProcessConfig:
-    """Read the file that PROXY_CONFIG names; the other PROXY variables win over what it says."""
+    """Read the file that PROXY_CONFIG names; the other PROXY variables override what it says.
+
+    Raises ConfigError.
+    """
     path = environment.get("PROXY_CONFIG")
     if not path:
         raise ConfigError("PROXY_CONFIG is not set")
+    content = _read_json_object(path)
     try:
-        with open(path, encoding="utf-8") as file:
-            given = json.load(file)
-    except (OSError, ValueError, RecursionError) as exc:
-        raise ConfigError(f"cannot read {path}: {exc}") from None
-    if not isinstance(given, dict):
-        raise ConfigError(f"{path} holds no JSON object")
-    try:
-        config = _read({**given, **_overrides(environment)})
+        config = _parse_config({**content, **_overrides(environment)})
     except KeyError as exc:
-        raise ConfigError(f"{path} lacks {exc}") from None
+        raise ConfigError(f"{path} lacks {exc}") from exc
     except (TypeError, ValueError, AttributeError, OverflowError) as exc:
-        raise ConfigError(f"{path}: {exc}") from None
+        raise ConfigError(f"{path}: {exc}") from exc
     config = replace(config, operator=load_operator_file(environment))
-    shared = environment.get("TMPDIR")
-    if not shared:
+    shared_directory = environment.get("TMPDIR")
+    if not shared_directory:
         return config
-    return replace(config, state=os.path.join(shared, state_name(config)))
+    return replace(config, state=os.path.join(shared_directory, state_name(config)))
+
+
+def reload_config(environment: Mapping[str, str]) -> ProcessConfig:
+    """Read the file as it is now.
+
+    The file wins for `discovery`: the environment still holds the address of the start. Raises ConfigError.
+    """
+    return load_config({name: value for name, value in environment.items() if name != "PROXY_DISCOVERY"})
+
+
+def load_operator_file(environment: Mapping[str, str]) -> OperatorFile | None:
+    """Read the file that LIMERUDDER_FILE names, if it names one.
+
+    Raises ConfigError with everything that is wrong with the file.
+    """
+    path = environment.get("LIMERUDDER_FILE")
+    if not path:
+        return None
+    # imported here, so that a node without such a file does not load the grammar's library
+    from limerudder.cue.syntax import MAX_FILE_BYTES, CueError
+    from limerudder.schema import read_operator_file
+
+    try:
+        with open(path, "rb") as file:
+            return read_operator_file(file.read(MAX_FILE_BYTES + 1), path)
+    except OSError as exc:
+        raise ConfigError(f"cannot read {path}: {exc}") from exc
+    except CueError as exc:
+        raise ConfigError(str(exc)) from exc
 
 
 def state_name(config: ProcessConfig) -> str:
@@ -112,27 +132,15 @@
     )
 
 
-def load_operator_file(environment: Mapping[str, str]) -> OperatorFile | None:
-    """The file that LIMERUDDER_FILE names, if it names one; ConfigError with all that is wrong with it."""
-    path = environment.get("LIMERUDDER_FILE")
-    if not path:
-        return None
-    # here, not above: the grammar's library is no part of a node that has no such file
-    from limerudder.cue.syntax import MAX_FILE_BYTES, CueError
-    from limerudder.schema import read_operator_file
-
+def _read_json_object(path: str) -> dict[str, Any]:
     try:
-        with open(path, "rb") as file:
-            return read_operator_file(file.read(MAX_FILE_BYTES + 1), path)
-    except OSError as exc:
-        raise ConfigError(f"cannot read {path}: {exc}") from None
-    except CueError as exc:
-        raise ConfigError(str(exc)) from None
-
-
-def reload_config(environment: Mapping[str, str]) -> ProcessConfig:
-    """Read the file as it is now. Its `discovery` wins: the environment still holds that of the start."""
-    return load_config({name: value for name, value in environment.items() if name != "PROXY_DISCOVERY"})
+        with open(path, encoding="utf-8") as file:
+            content = json.load(file)
+    except (OSError, ValueError, RecursionError) as exc:
+        raise ConfigError(f"cannot read {path}: {exc}") from exc
+    if not isinstance(content, dict):
+        raise ConfigError(f"{path} holds no JSON object")
+    return content
 
 
 def _overrides(environment: Mapping[str, str]) -> dict[str, str]:
@@ -140,29 +148,42 @@
     return {key: environment[name] for key, name in variables.items() if environment.get(name)}
 
 
-def _read(given: dict[str, Any]) -> ProcessConfig:
-    told = given["settings"]
-    peer_listen, peers_all = given.get("peer_listen"), given.get("peers_all")
-    console = given.get("console")
-    settings = read_settings(flatten(told))
+def _parse_config(content: Mapping[str, Any]) -> ProcessConfig:
+    settings = read_settings(flatten(content["settings"]))
     if not settings.classes:
         raise ConfigError("the settings name no class")
     return ProcessConfig(
-        name=str(given["name"]),
-        listen=_parse_address(given["listen"]),
-        discovery=_parse_address(given["discovery"]),
-        seed=int(str(given["seed"]), 16),
-        sockets=int(given.get("limits", {}).get("sockets", 4096)),
+        name=str(content["name"]),
+        listen=_parse_address(content["listen"]),
+        discovery=_parse_address(content["discovery"]),
+        seed=int(str(content["seed"]), 16),
+        sockets=int(content.get("limits", {}).get("sockets", _DEFAULT_SOCKETS)),
         settings=settings,
-        names=Names(
-            classes=tuple(item["name"] for item in told["classes"]),
-            tenants=tuple(item["name"] for item in told.get("customers") or ()),
-            zones=tuple(told.get("areas") or ()),
-            kinds=tuple(told.get("kinds") or ()),
-        ),
-        known=parse_endpoint_list(given["known"]),
-        peer_listen=_parse_address(peer_listen) if peer_listen else None,
-        peers=tuple(_parse_address(peer) for peer in given.get("peers") or ()),
-        peers_all=_parse_address(peers_all) if peers_all else None,
-        console=_parse_address(console) if console else None,
+        names=_parse_names(content["settings"]),
+        known=parse_endpoint_list(content["known"]),
+        peer_listen=_parse_optional_address(content.get("peer_listen")),
+        peers=tuple(_parse_address(peer) for peer in content.get("peers") or ()),
+        peers_all=_parse_optional_address(content.get("peers_all")),
+        console=_parse_optional_address(content.get("console")),
+    )
+
+
+def _parse_names(settings: Mapping[str, Any]) -> Names:
+    return Names(
+        classes=tuple(traffic_class["name"] for traffic_class in settings["classes"]),
+        tenants=tuple(customer["name"] for customer in settings.get("customers") or ()),
+        zones=tuple(settings.get("areas") or ()),
+        kinds=tuple(settings.get("kinds") or ()),
     )
+
+
+def _parse_address(text: object) -> Address:
+    """Parse `IPv4:port`; there is no DNS where a node runs. Raises ConfigError."""
+    try:
+        return parse_address(text)
+    except ValueError as exc:
+        raise ConfigError(f"not an address: {text!r}") from exc
+
+
+def _parse_optional_address(text: object) -> Address | None:
+    return _parse_address(text) if text else None
--- a/tests/scripted_peers.py
+++ b/tests/scripted_peers.py
@@ -1,4 +1,4 @@
-"""The one helper of the node's tests: a node among scripted peers, in memory or on loopback sockets."""
+"""Nodes among scripted clients, upstreams and discovery services: in memory, or on loopback sockets."""
 
 from __future__ import annotations
 
@@ -17,21 +17,27 @@
 from limerudder.config import ProcessConfig, load_config
 from limerudder.core.client.session import LineSession
 from limerudder.core.node import Node
-from limerudder.core.transport import OutboundMachine, parse_address
+from limerudder.core.transport import Address, OutboundMachine, parse_address
 from limerudder.policy.actions import Action
 from limerudder.policy.events import Event
 
 __all__ = ["ID", "KEY", "LINE", "SECOND", "configuration", "fresh", "host", "hosts", "settings"]
 
+TICK_US = 5000
+
 
 class FakeTransport:
-    """A link that remembers what was asked of it; for a dial, with the machine that dialled."""
+    """A transport that records what its state machine asks of it."""
 
-    def __init__(self, machine: Any = None, address: tuple[str, int] = ("", 0)) -> None:
-        self.machine, self.address = machine, address
+    def __init__(self, machine: Any = None, address: Address = ("", 0)) -> None:
+        self.machine = machine  # that dialled, for an outbound connection
+        self.address = address
         self.sent = b""
-        self.reading_paused = self.half_closed = self.closed = self.was_reset = False
-        self.peer_disconnected = False  # the other side has left, and what it sent before is not read yet
+        self.reading_paused = False
+        self.half_closed = False
+        self.closed = False
+        self.was_reset = False
+        self.peer_disconnected = False  # the other side has disconnected, behind bytes that are not read yet
 
     def write(self, data: bytes) -> None:
         assert not self.half_closed and not self.closed
@@ -44,39 +50,46 @@
         self.closed = True
 
     def reset(self) -> None:
-        self.closed = self.was_reset = True
+        self.was_reset = True
+        self.closed = True
 
-    def set_reading_paused(self, on: bool) -> None:
-        self.reading_paused = on
+    def set_reading_paused(self, paused: bool) -> None:
+        self.reading_paused = paused
 
     def has_disconnected(self) -> bool:
         return self.peer_disconnected
 
     def accept(self, now: int) -> str:
-        """The dial succeeds and its first bytes are written; they are returned."""
-        first = self.machine.first_bytes(now)
+        """Let the dial succeed; return what the machine wrote first, nothing if it gave the dial up."""
+        first_bytes = self.machine.first_bytes(now)
         if self.closed:
-            return ""  # given up in the last moment
-        self.sent += first
+            return ""
+        self.sent += first_bytes
         self.machine.first_bytes_sent()
         self.machine.connection_made(self, now)
         return self.sent.decode()
 
 
 class World:
-    """A node in memory: its clock, its dials, its log; checks that no request has two attempts out."""
+    """A node in memory with its clock, its dials and its log.
+
+    It checks that no request has two attempts in progress.
+    """
 
     def __init__(self, config: ProcessConfig) -> None:
-        self.now, self.dials, self.logged = 50 * SECOND, list[FakeTransport](), list[str]()
-        self.came = 0
+        self.now = 50 * SECOND
+        self.dials: list[FakeTransport] = []
+        self.logged: list[str] = []
+        self.client_count = 0
         self.datagrams: list[tuple[int, bytes]] = []
         self.node = Node(config, self, lambda kind, text, detail="": self.logged.append(text), self.now)
 
-    def dial(self, address: tuple[str, int], machine: OutboundMachine) -> FakeTransport:
-        self.dials.append(FakeTransport(machine, address))
-        owners = [d.machine.observer for d in self.attempts()]
-        assert len(owners) == len(set(owners)), "two attempts of a request are out"
-        return self.dials[-1]
+    def dial(self, address: Address, machine: OutboundMachine) -> FakeTransport:
+        transport = FakeTransport(machine, address)
+        self.dials.append(transport)
+        observers = [dial.machine.observer for dial in self.attempts()]
+        assert len(observers) == len(set(observers)), "two attempts of a request are out"
+        return transport
 
     def send_datagram(self, peer: int, data: bytes) -> None:
         self.datagrams.append((peer, data))
@@ -89,17 +102,18 @@
 
     def client(self, line: str = LINE) -> tuple[LineSession, FakeTransport]:
         """A client connects and sends its first line, with an id of its own."""
-        line, self.came = fresh(line, self.came), self.came + 1
+        line = fresh(line, self.client_count)
+        self.client_count += 1
         session, link = self.connect()
         session.data_received(line.encode() + b"\r\n", self.now)
         return session, link
 
     def attempts(self) -> list[FakeTransport]:
         """The dials to upstreams with a client's line that are not closed."""
-        return [d for d in self.dials if hasattr(d.machine, "line") and not d.closed]
+        return [dial for dial in self.dials if hasattr(dial.machine, "line") and not dial.closed]
 
     def served(self, line: str = LINE) -> tuple[LineSession, FakeTransport, FakeTransport]:
-        """A client that is up: its session, its link and its attempt's."""
+        """An established client: its session, its transport and its attempt's transport."""
         session, link = self.client(line)
         attempt = self.attempts()[-1]
         attempt.accept(self.now)
@@ -109,8 +123,8 @@
 
     def run(self, duration: int) -> None:
         """Let time pass, a tick at a time."""
-        for _ in range(duration // 5000):
-            self.now += 5000
+        for _ in range(duration // TICK_US):
+            self.now += TICK_US
             self.node.timer_wheel.advance(self.now)
 
 
@@ -121,24 +135,26 @@
 
 def policy_events(here: World) -> list[Event]:
     """The events that the policy of this node is given from here on."""
-    given, handle = list[Event](), here.node.balancer.handle
+    events: list[Event] = []
+    handle = here.node.balancer.handle
 
     def record(event: Event, now: int) -> list[Action]:
-        given.append(event)
+        events.append(event)
         return handle(event, now)
 
     here.node.balancer.handle = record  # type: ignore[method-assign]
-    return given
+    return events
 
 
 class Peer:
     """One scripted connection, as a client or as an upstream."""
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.reader, self.writer = reader, writer
+        self.reader = reader
+        self.writer = writer
 
     async def line(self) -> str:
-        """The next line; nothing at the end."""
+        """Return the next line, an empty one at the end."""
         return (await self.reader.readline()).decode().removesuffix("\r\n")
 
     def say(self, *lines: str) -> None:
@@ -146,7 +162,7 @@
 
 
 class Listener:
-    """A scripted server; `take` gives its next connection."""
+    """A scripted server; `take` returns its next connection."""
 
     def __init__(self) -> None:
         self.came: asyncio.Queue[Peer] = asyncio.Queue()
@@ -160,10 +176,11 @@
 
 
 class Process:
-    """A node in a process of its own, its console, and what it prints."""
+    """A node in a process of its own, with its console and what it prints."""
 
-    def __init__(self, ran: asyncio.subprocess.Process, console: tuple[str, int]) -> None:
-        self.ran, self.console = ran, console
+    def __init__(self, ran: asyncio.subprocess.Process, console: Address) -> None:
+        self.ran = ran
+        self.console = console
 
     async def says(self, words: str) -> None:
         """Wait for a line with these words."""
@@ -175,35 +192,37 @@
         self.ran.send_signal(number)
 
     async def ended(self) -> int:
-        """Its exit code."""
+        """Wait for the end of the process; return its exit code."""
         assert self.ran.stderr
         await self.ran.stderr.read()
         return await self.ran.wait()
 
 
 def free() -> str:
-    """An address that nobody has."""
+    """Return an address on loopback that is not in use."""
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
         return "{}:{}".format(*sock.getsockname())
 
 
 class Loopback:
-    """A real node on loopback with scripted upstreams and director."""
+    """A real node on loopback with scripted upstreams and a scripted discovery service."""
 
     def __init__(self, folder: Path) -> None:
-        self.folder, self.discovery, self.upstream = folder, Listener(), Listener()
-        self.came = 0
+        self.folder = folder
+        self.discovery = Listener()
+        self.upstream = Listener()
+        self.request_count = 0
         self.logged: asyncio.Queue[str] = asyncio.Queue()
-        self.given: dict[str, Any] = {}  # what all processes of the node are told
+        self.given: dict[str, Any] = {}  # the configuration of all processes of the node
         self.before = False  # one of them has served
-        self.environment: dict[str, str] = {}  # what they are told beside the file
-        self.watches: list[Peer] = []  # that the director has answered
+        self.environment: dict[str, str] = {}  # of the processes, beside what the configuration needs
+        self.watches: list[Peer] = []  # that the discovery service has answered
 
     def line(self) -> str:
-        """A first line with an id of its own."""
-        self.came += 1
-        return fresh(LINE, self.came)
+        """Return a first line with an id of its own."""
+        self.request_count += 1
+        return fresh(LINE, self.request_count)
 
     async def client(self) -> Peer:
         return Peer(*await asyncio.open_connection(*self.address))
@@ -226,25 +245,15 @@
 
     @asynccontextmanager
     async def process(self, **changes: Any) -> AsyncIterator[Process]:
-        """Run the node as the operators do: each with a console of its own, all with one TMPDIR."""
+        """Run a process of the node as operators do: each with its own console, all with one TMPDIR."""
         if not self.given:
-            where = [await listener.start() for listener in (self.upstream, self.upstream)]
-            listed = hosts(*(host(name, at) for name, at in zip(("s-1", "s-2"), where, strict=True)))
-            self.telling = asyncio.create_task(self._tell(listed))
-            fixed = {"listen": free(), "discovery": await self.discovery.start(), "known": listed}
-            quick = settings(peers=False)
-            quick["classes"][0] |= {"aimUs": 100_000, "deadlineUs": 800_000}
-            self.given = {**fixed, "settings": quick}
-            # longer than a Unix socket's name may be
-            self.shared = self.folder / ("t" * 120)
-            self.shared.mkdir()
+            await self._configure()
         given = {**self.given, "console": free(), **changes}
-        told = (
-            os.environ | configuration(self.folder, **given) | {"TMPDIR": str(self.shared)} | self.environment
-        )
+        directories = {"TMPDIR": str(self.shared)}
+        environment = os.environ | configuration(self.folder, **given) | directories | self.environment
         self.address = parse_address(given["listen"])
         args = [sys.executable, "-m", "limerudder"]
-        ran = await asyncio.create_subprocess_exec(*args, env=told, stderr=asyncio.subprocess.PIPE)
+        ran = await asyncio.create_subprocess_exec(*args, env=environment, stderr=asyncio.subprocess.PIPE)
         process = Process(ran, parse_address(given["console"]))
         if not self.before:
             self.before = True
@@ -256,27 +265,44 @@
                 ran.kill()
             await process.ended()
 
-    async def _tell(self, listed: dict[str, Any]) -> None:
-        """The director: each watch hears the list."""
-        text = json.dumps(listed) + "\n"
+    async def _configure(self) -> None:
+        """Start two upstreams and the discovery service, and set what all processes are configured with."""
+        addresses = [await self.upstream.start(), await self.upstream.start()]
+        endpoints = hosts(*(host(name, at) for name, at in zip(("s-1", "s-2"), addresses, strict=True)))
+        self.discovery_task = asyncio.create_task(self._answer_watches(endpoints))
+        quick = settings(peers=False)
+        quick["classes"][0] |= {"aimUs": 100_000, "deadlineUs": 800_000}
+        self.given = {
+            "listen": free(),
+            "discovery": await self.discovery.start(),
+            "known": endpoints,
+            "settings": quick,
+        }
+        self.shared = self.folder / ("t" * 120)  # longer than a Unix socket's name may be
+        self.shared.mkdir()
+
+    async def _answer_watches(self, endpoints: dict[str, Any]) -> None:
+        """Be the discovery service: each watch is answered with the list."""
+        text = json.dumps(endpoints) + "\n"
         while True:
-            self.watches.append(peer := await self.discovery.take())
+            peer = await self.discovery.take()
+            self.watches.append(peer)
             peer.say("HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "", f"{len(text):x}", text)
 
     async def up(self) -> Peer:
-        """A client that is up."""
+        """Return a client whose connection is established."""
         client = await self.client()
         client.say(self.line())
         upstream = await self.upstream.take()
-        while not (line := await upstream.line()).startswith("OPEN"):  # a probe, or one that has ended
-            asyncio.create_task(self._probed(upstream, line))
+        while not (line := await upstream.line()).startswith("OPEN"):  # a health check, or a closed one
+            asyncio.create_task(self._answer_health_checks(upstream, line))
             upstream = await self.upstream.take()
         upstream.say("UP 77")
         asyncio.create_task(self._echo(upstream))
         assert await client.line() == "UP 77"
         return client
 
-    async def _probed(self, upstream: Peer, line: str) -> None:
+    async def _answer_health_checks(self, upstream: Peer, line: str) -> None:
         while line:
             upstream.say("PONG inflight=1,x0=0.1")
             line = await upstream.line()
@@ -286,11 +312,11 @@
             upstream.say(line)
 
     async def answer(self, process: Process, call: str) -> str:
-        """All that the console answers to a call."""
+        """Return all that the console answers to a call."""
         peer = Peer(*await asyncio.open_connection(*process.console))
         peer.say(call)
         return (await peer.reader.read()).decode()
 
     async def call(self, process: Process, call: str) -> str:
-        """The line that it answers."""
+        """Return the line that the console answers to a call."""
         return (await self.answer(process, call)).rstrip("\n")
