--- a/limerudder/loadtest/cli.py
+++ b/limerudder/loadtest/cli.py
@@ -9,7 +9,7 @@
 import click
 
 from limerudder.cli import EXAMPLES, fail
-from limerudder.exits import FAILED, WRONG_INPUT
+from limerudder.exit_codes import ExitCode
 
 
 @click.group(
@@ -24,7 +24,7 @@
 
         assert hdrh
     except ImportError as exc:
-        fail(f"{exc.name} is not installed: pip install 'limerudder[lab]'", WRONG_INPUT)
+        fail(f"{exc.name} is not installed: pip install 'limerudder[lab]'", ExitCode.INVALID_INPUT)
 
 
 def _numbers(words: tuple[str, ...], least: int, most: int, what: str) -> list[list[float]]:
@@ -35,7 +35,7 @@
         except ValueError:
             numbers = []
         if not least <= len(numbers) <= most:
-            fail(f"{word} stands here, expected {what}", WRONG_INPUT)
+            fail(f"{word} stands here, expected {what}", ExitCode.INVALID_INPUT)
         found.append(numbers)
     return found
 
@@ -47,7 +47,7 @@
         try:
             found[name] = float(weight or 1)
         except ValueError:
-            fail(f"{word} stands here, expected NAME=WEIGHT", WRONG_INPUT)
+            fail(f"{word} stands here, expected NAME=WEIGHT", ExitCode.INVALID_INPUT)
     return found
 
 
@@ -87,11 +87,11 @@
     try:
         where = [read_address(one) for one in targets]
     except ValueError as exc:
-        fail(str(exc), WRONG_INPUT)
+        fail(str(exc), ExitCode.INVALID_INPUT)
     phases = _numbers(given["phases"], 2, 3, "SECONDS,RATE[,RATE]")
     bursts = _numbers(given["bursts"], 2, 3, "AT,MANY[,WITHIN]")
     if bool(trace) == bool(phases or bursts):
-        fail("say --phase or --burst, or --trace", WRONG_INPUT)
+        fail("say --phase or --burst, or --trace", ExitCode.INVALID_INPUT)
     try:
         mix = Mix(
             _weights(given["classes"], "chat"),
@@ -107,9 +107,9 @@
         with figures.open("w") if figures else _nothing() as file:
             tally = run(arrivals, where, given["deadline"], file)
     except PlanError as exc:
-        fail(str(exc), WRONG_INPUT)
+        fail(str(exc), ExitCode.INVALID_INPUT)
     except OSError as exc:
-        fail(f"{exc.filename}: {exc.strerror}", FAILED)
+        fail(f"{exc.filename}: {exc.strerror}", ExitCode.FAILED)
     click.echo(json.dumps({"arrivals": len(arrivals), **tally.told()}, indent=2))
 
 
--- a/limerudder/store/cli.py
+++ b/limerudder/store/cli.py
@@ -11,16 +11,16 @@
 import click
 
 from limerudder.cli import EXAMPLES, fail
-from limerudder.exits import FAILED, NOT_NOW, NOT_THERE, OK, REFUSED, UNSURE, WRONG_INPUT
+from limerudder.exit_codes import ExitCode
 
 CODES = {
-    "wrong": WRONG_INPUT,
-    "refused": REFUSED,
-    "busy": NOT_NOW,
-    "not_now": NOT_NOW,
-    "unsure": UNSURE,
-    "not_there": NOT_THERE,
-    "compacted": NOT_THERE,
+    "wrong": ExitCode.INVALID_INPUT,
+    "refused": ExitCode.REJECTED,
+    "busy": ExitCode.UNAVAILABLE,
+    "not_now": ExitCode.UNAVAILABLE,
+    "unsure": ExitCode.OUTCOME_UNKNOWN,
+    "not_there": ExitCode.NOT_FOUND,
+    "compacted": ExitCode.NOT_FOUND,
 }
 
 
@@ -35,12 +35,15 @@
         from limerudder.store.client import ControlClient, ControlUnavailable
 
         if not self.folder:
-            fail("say --folder, or set LIMERUDDER_STATE: the folder of this node's store", WRONG_INPUT)
+            fail(
+                "say --folder, or set LIMERUDDER_STATE: the folder of this node's store",
+                ExitCode.INVALID_INPUT,
+            )
         try:
             with ControlClient(self.folder, self.wait) as client:
                 told = client.call(name, **given)
         except ControlUnavailable as exc:
-            fail(str(exc), NOT_NOW)
+            fail(str(exc), ExitCode.UNAVAILABLE)
         if not told.pop("ok"):
             self.failed(told)
         return told
@@ -50,7 +53,7 @@
         if self.as_json:
             click.echo(json.dumps(told))
         words = "; it may have been done" if told["kind"] == "unsure" else ""
-        fail(told["error"] + words, CODES.get(told["kind"], FAILED))
+        fail(told["error"] + words, CODES.get(told["kind"], ExitCode.FAILED))
 
     def show(self, told: Any, rows: Sequence[dict[str, Any]] | None = None) -> None:
         """Print an answer: as JSON, a table of its rows, or a line a field."""
@@ -100,9 +103,9 @@
     try:
         return call(*args)
     except DiskError as exc:
-        fail(str(exc), REFUSED)
+        fail(str(exc), ExitCode.REJECTED)
     except OSError as exc:
-        fail(f"{exc.filename or ''}: {exc.strerror}", FAILED)
+        fail(f"{exc.filename or ''}: {exc.strerror}", ExitCode.FAILED)
 
 
 def pairs(members: Sequence[str]) -> list[tuple[str, str]]:
@@ -117,7 +120,7 @@
         except ValueError:
             equals = ""
         if not equals or not name:
-            fail(f"{word} stands here, expected NAME=IPv4:PORT", WRONG_INPUT)
+            fail(f"{word} stands here, expected NAME=IPv4:PORT", ExitCode.INVALID_INPUT)
         found.append((name, address))
     return found
 
@@ -140,7 +143,7 @@
     from limerudder.store import data_directory as folders
 
     if bool(ticket) == bool(members):
-        fail("say the first members as NAME=ADDRESS, or --ticket", WRONG_INPUT)
+        fail("say the first members as NAME=ADDRESS, or --ticket", ExitCode.INVALID_INPUT)
     if ticket:
         one = offline(folders.join_cluster, folder, ticket)
         return self.show({"name": one.name, "listen": one.address, "folder": folder})
@@ -217,7 +220,7 @@
     self.show(told, [{"revision": told["revision"], "done": told["done"]}])
     if not told["done"]:
         item = told["items"][0]
-        fail(f"nothing was done: its last change is revision {item.get('modified', 0)}", REFUSED)
+        fail(f"nothing was done: its last change is revision {item.get('modified', 0)}", ExitCode.REJECTED)
 
 
 @state.command(epilog=EXAMPLES + "  limerudder state watch config/\n  limerudder state watch '' --after 12")
@@ -230,7 +233,7 @@
     from limerudder.store.client import ControlClient, ControlUnavailable
 
     if not self.folder:
-        fail("say --folder, or set LIMERUDDER_STATE: the folder of this node's store", WRONG_INPUT)
+        fail("say --folder, or set LIMERUDDER_STATE: the folder of this node's store", ExitCode.INVALID_INPUT)
     try:
         with ControlClient(self.folder, self.wait) as client:
             told = client.call("watch", prefix=prefix, **({} if after is None else {"after": after}))
@@ -243,9 +246,9 @@
                 if number + 1 == most:
                     return
     except ControlUnavailable as exc:
-        fail(str(exc), NOT_NOW)
+        fail(str(exc), ExitCode.UNAVAILABLE)
     except KeyboardInterrupt:
-        sys.exit(OK)
+        sys.exit(ExitCode.OK)
 
 
 @state.command(epilog=EXAMPLES + "  limerudder state add n4 10.0.0.8:7950")
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -11,9 +11,9 @@
 import pytest
 from click.testing import CliRunner
 
-from limerudder import exits
 from limerudder.cli import main
 from limerudder.config import ConfigError, load_config
+from limerudder.exit_codes import ExitCode
 from limerudder.net.log import Log, LogRateLimiter
 from tests.scripted_peers import configuration
 
@@ -26,15 +26,15 @@
 
 
 def test_check_says_good_or_everything_that_is_wrong(tmp_path: Path) -> None:
-    assert run("check", str(ROOT / "deploy/limerudder.cue"))[0] == exits.OK
+    assert run("check", str(ROOT / "deploy/limerudder.cue"))[0] == ExitCode.OK
     bad = tmp_path / "bad.cue"
     bad.write_text('log: {format: "xml", lines: 0}\nstroe: 1\n')
     code, out, err = run("check", str(bad))
-    assert (code, out) == (exits.WRONG_INPUT, "")
+    assert (code, out) == (ExitCode.INVALID_INPUT, "")
     assert err.count(f"{bad}:1:") == 2 and f"{bad}:2:1: stroe: no such field; did you mean store?" in err
     assert err.endswith("has 3 errors\n")
-    assert run("check", str(tmp_path / "none"))[0] == exits.WRONG_INPUT
-    assert run("check")[0] == exits.WRONG_INPUT
+    assert run("check", str(tmp_path / "none"))[0] == ExitCode.INVALID_INPUT
+    assert run("check")[0] == ExitCode.INVALID_INPUT
     schema = run("check", "--schema")[1]
     told = json.loads(run("check", "--json", str(ROOT / "deploy/limerudder.cue"))[1])
     assert "#Store" in schema and told["log"] == {"format": "text", "lines": 5, "per": 10_000_000}
--- a/tests/test_load_generator.py
+++ b/tests/test_load_generator.py
@@ -12,8 +12,8 @@
 from click.testing import CliRunner
 
 from harness.multi_process import StandInHost
-from limerudder import exits
 from limerudder.cli import main
+from limerudder.exit_codes import ExitCode
 from limerudder.loadtest.arrivals import Arrival, Burst, Mix, Phase, PlanError, draw
 from limerudder.loadtest.latency_histogram import LatencyHistogram
 from limerudder.loadtest.load_generator import LoadGenerator
@@ -151,4 +151,4 @@
         (["127.0.0.1:9", "--trace", str(tmp_path / "none.csv")], "cannot read"),
     ]:
         code, told = run(*args)
-        assert code == exits.WRONG_INPUT and words in told, (args, told)
+        assert code == ExitCode.INVALID_INPUT and words in told, (args, told)
--- a/tests/test_store_control.py
+++ b/tests/test_store_control.py
@@ -14,8 +14,8 @@
 import uvloop
 from click.testing import CliRunner
 
-from limerudder import exits
 from limerudder.cli import main
+from limerudder.exit_codes import ExitCode
 from limerudder.net.clock import Clock
 from limerudder.schema import StoreSettings
 from limerudder.store.control import ControlServer
@@ -207,18 +207,18 @@
         return result.exit_code, result.stdout, result.stderr
 
     made = str(tmp_path / "made")
-    assert run("init", made, "n0=127.0.0.1:1", "n1=127.0.0.1:2")[0] == exits.OK
-    assert run("init", made, "n0=127.0.0.1:1")[0] == exits.REFUSED, "it is there already"
-    assert run("init", made)[0] == exits.WRONG_INPUT
-    assert run("init", made, "n0=nowhere")[0] == exits.WRONG_INPUT
-    assert run("--folder", made + "/n0", "status")[0] == exits.NOT_NOW
-    assert run("status")[0] == exits.WRONG_INPUT
+    assert run("init", made, "n0=127.0.0.1:1", "n1=127.0.0.1:2")[0] == ExitCode.OK
+    assert run("init", made, "n0=127.0.0.1:1")[0] == ExitCode.REJECTED, "it is there already"
+    assert run("init", made)[0] == ExitCode.INVALID_INPUT
+    assert run("init", made, "n0=nowhere")[0] == ExitCode.INVALID_INPUT
+    assert run("--folder", made + "/n0", "status")[0] == ExitCode.UNAVAILABLE
+    assert run("status")[0] == ExitCode.INVALID_INPUT
     code, out, _ = run("recover", made + "/n0")
-    assert code == exits.OK and "Nothing was done" in out and "n1 may have more" in out
+    assert code == ExitCode.OK and "Nothing was done" in out and "n1 may have more" in out
     code, out, _ = run("--json", "recover", made + "/n0", "--do-it")
-    assert code == exits.OK and json.loads(out)["done"]
-    assert run("recover", str(tmp_path))[0] == exits.REFUSED
-    assert run("restore", str(tmp_path / "none"), made + "2", "n0=127.0.0.1:1")[0] == exits.REFUSED
+    assert code == ExitCode.OK and json.loads(out)["done"]
+    assert run("recover", str(tmp_path))[0] == ExitCode.REJECTED
+    assert run("restore", str(tmp_path / "none"), made + "2", "n0=127.0.0.1:1")[0] == ExitCode.REJECTED
 
     async def story(here: Here) -> None:
         await here.start()
@@ -227,23 +227,23 @@
         async def state(*args: str) -> tuple[int, str, str]:
             return await asyncio.to_thread(run, "--folder", folder, *args)
 
-        assert (await state("put", "kv/a", "one"))[0] == exits.OK
+        assert (await state("put", "kv/a", "one"))[0] == ExitCode.OK
         assert (await state("get", "kv/a"))[1] == "one\n"
-        assert (await state("get", "kv/b"))[0] == exits.NOT_THERE
-        assert (await state("put", "kv/a", "two", "--modified", "0"))[0] == exits.REFUSED
-        assert (await state("put", "config/log", "nonsense"))[0] == exits.REFUSED
+        assert (await state("get", "kv/b"))[0] == ExitCode.NOT_FOUND
+        assert (await state("put", "kv/a", "two", "--modified", "0"))[0] == ExitCode.REJECTED
+        assert (await state("put", "config/log", "nonsense"))[0] == ExitCode.REJECTED
         rows = (await state("get", "--prefix", "kv/", "--stale"))[1].splitlines()
         assert rows[1].split()[:2] == ["kv/a", "one"]
         code, out, _ = await state("watch", "kv/", "--after", "0", "--most", "1")
-        assert code == exits.OK and json.loads(out)["value"] == "one"
+        assert code == ExitCode.OK and json.loads(out)["value"] == "one"
         assert "leader" in (await state("status"))[1]
         assert (await state("members"))[1].splitlines()[1].startswith("n0")
-        assert (await state("transfer", "n9"))[0] == exits.NOT_THERE
+        assert (await state("transfer", "n9"))[0] == ExitCode.NOT_FOUND
         backup = str(tmp_path / "backup")
-        assert (await state("backup", backup))[0] == exits.OK
-        assert run("restore", backup, str(tmp_path / "again"), "m0=127.0.0.1:3")[0] == exits.OK
-        assert (await state("delete", "kv/a"))[0] == exits.OK
-        assert (await state("hosts"))[0] == exits.OK
+        assert (await state("backup", backup))[0] == ExitCode.OK
+        assert run("restore", backup, str(tmp_path / "again"), "m0=127.0.0.1:3")[0] == ExitCode.OK
+        assert (await state("delete", "kv/a"))[0] == ExitCode.OK
+        assert (await state("hosts"))[0] == ExitCode.OK
 
     told(story, tmp_path)
 
