Name the sockets, files and log of the network drivers by what they are

Cause: doors, folders, hellos and several steps on a line hid plain socket code. Change: listener, peer socket, socket hand-over, mark files, clock and log in whole names with units; the log's window is a record; each reason stands in technical English.

--- a/harness/single_member.py
+++ b/harness/single_member.py
@@ -18,7 +18,7 @@
 async def run_member(folder: str, address: str) -> None:
     """Until it is killed."""
     where = read_address(address)
-    store = Store(StoreSettings(folder, where), lambda kind, text: print(text, flush=True), Clock().now)
+    store = Store(StoreSettings(folder, where), lambda kind, text: print(text, flush=True), Clock().now_us)
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind(where)
--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -30,7 +30,7 @@
 from limerudder.core.operations.maintenance import InMemoryMarks, MaintenanceMarks
 from limerudder.core.transport import Address, OutboundMachine
 from limerudder.net.clock import Clock
-from limerudder.net.listener import ClientListener, bind, listen
+from limerudder.net.listener import ClientListener, bind_socket, start_server
 from limerudder.net.log import Log
 from limerudder.net.mark_files import MarkFiles
 from limerudder.net.peer_socket import PeerSocket
@@ -78,10 +78,10 @@
     network = Network(TcpConnector(loop, clock))
     marks: MaintenanceMarks = MarkFiles(folder.path) if folder else InMemoryMarks()
     recall = keeping.recall(hello.drained if hello else {})
-    node = Node(config, network, log, clock.now(), keeping.marks(marks), recall)
+    node = Node(config, network, log, clock.now_us(), keeping.marks(marks), recall)
     node.stopped, node.reloaded = stopped.set, bool(hello and hello.reloaded)
     peers = PeerSocket(
-        config.peers, config.peers_all, lambda n, data: node.peering.heard(n, data, clock.now())
+        config.peers, config.peers_all, lambda n, data: node.peering.heard(n, data, clock.now_us())
     )
     network.peers = peers
     door = ClientListener(sockets, lambda: TcpConnection(LineSession(node), clock), peers)
@@ -111,7 +111,7 @@
     def status(_: str, now: int) -> str:
         if node.stopping:
             raise ConsoleError("stopping")
-        if not door.server:
+        if not door.is_open:
             raise ConsoleError("another process takes the clients" if node.succeeded else "starting")
         return "done\n"
 
@@ -135,7 +135,7 @@
 
     def tick() -> None:
         loop.call_later(config.settings.tick / 1e6, tick)
-        node.wheel.advance(clock.now())
+        node.wheel.advance(clock.now_us())
 
     def reload() -> None:
         try:
@@ -145,15 +145,15 @@
             return
         log("config", "config: read again; discovery is at {}:{}".format(*again.discovery))
         node.reloaded = True
-        node.discovery.move(again.discovery, clock.now())
+        node.discovery.move(again.discovery, clock.now_us())
 
     def stop(number: signal.Signals) -> None:
         # guards whoever reads the log after a process ended with 0: this line names the signal that ended it
         log("stop", f"node: {number.name} received")
-        if not door.server and not node.succeeded:
+        if not door.is_open and not node.succeeded:
             stopped.set()  # it has not begun to serve
         elder.tell("stopping")
-        node.stop(clock.now())
+        node.stop(clock.now_us())
 
     # before the node listens: a signal that finds no handler ends the process and all that it holds
     for planned in (signal.SIGTERM, signal.SIGINT):
@@ -161,14 +161,14 @@
     loop.add_signal_handler(signal.SIGHUP, reload)
     loop.add_signal_handler(signal.SIGUSR1, lambda: log("counters", f"counters: {node.counters.text()}"))
     if config.console:
-        calls = bind(config.console, socket.SOCK_STREAM)
-        await listen(lambda: TcpConnection(ConsoleSession(console), clock), calls)
+        calls = bind_socket(config.console, socket.SOCK_STREAM)
+        await start_server(lambda: TcpConnection(ConsoleSession(console), clock), calls)
     heir = None
     if legacy and hello:
         # the store's folder is the old process's until it has ended
         over = partial(keeping.attach_soon, node, marks, elder)
-        heir = HotRestartSuccessor(node, hello, enter, clock.now(), over)
-        await drive_connection(legacy.line, heir, clock)
+        heir = HotRestartSuccessor(node, hello, enter, clock.now_us(), over)
+        await drive_connection(legacy.connection, heir, clock)
     else:
         await keeping.attach(node, marks, elder)
         await serving()
@@ -197,10 +197,10 @@
     if legacy is None:
         return None, None
     try:
-        return legacy, parse_handover_state(legacy.hello)
+        return legacy, parse_handover_state(legacy.state_line)
     except EndpointListError as exc:  # guards this process against another build: it binds its own sockets
         log("state", f"state: {exc}")
-        for sock in [legacy.line, *legacy.sockets]:
+        for sock in [legacy.connection, *legacy.sockets]:
             sock.close()
         return None, None
 
@@ -211,15 +211,15 @@
         return Log(config.name)
     told = config.operator.log
     log = Log(config.name, told.format, told.lines, told.per / 1e6)
-    log.through_structlog()
+    log.use_structlog()
     return log
 
 
 def bind_all(config: NodeConfig) -> list[socket.socket]:
     """The clients' socket, and that for datagrams where peers may talk."""
-    sockets = [bind(config.listen, socket.SOCK_STREAM, shared=True)]
+    sockets = [bind_socket(config.listen, socket.SOCK_STREAM, reuse_port=True)]
     if config.settings.peers and config.peer_listen:
-        sockets.append(bind(config.peer_listen, socket.SOCK_DGRAM, shared=True))
+        sockets.append(bind_socket(config.peer_listen, socket.SOCK_DGRAM, reuse_port=True))
     return sockets
 
 
--- a/limerudder/net/clock.py
+++ b/limerudder/net/clock.py
@@ -1,16 +1,18 @@
-"""The node's one clock: the system's time at the start, and monotonic progress from there."""
+"""The node's clock: the system's time at start-up, then monotonic progress from there."""
 
 from __future__ import annotations
 
 import time
 
+NANOSECONDS_PER_MICROSECOND = 1000
+
 
 class Clock:
-    """Microseconds since 1970, as discovery counts them; never goes back."""
+    """Microseconds since 1970, the unit in which discovery counts; never goes back."""
 
     def __init__(self) -> None:
-        self.start = time.time_ns() - time.monotonic_ns()
+        self._monotonic_offset_ns = time.time_ns() - time.monotonic_ns()
 
-    def now(self) -> int:
-        """The time now."""
-        return (self.start + time.monotonic_ns()) // 1000
+    def now_us(self) -> int:
+        """Return the time now, in microseconds since 1970."""
+        return (self._monotonic_offset_ns + time.monotonic_ns()) // NANOSECONDS_PER_MICROSECOND
--- a/limerudder/net/listener.py
+++ b/limerudder/net/listener.py
@@ -1,75 +1,97 @@
-"""The node's own addresses: sockets bound to them, and taking connections there or not."""
+"""The node's own addresses: sockets bound to them, and servers that accept connections there."""
 
 from __future__ import annotations
 
 import asyncio
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from limerudder.config import ConfigError
 from limerudder.core.transport import Address
 from limerudder.net.peer_socket import PeerSocket
 from limerudder.net.tcp import TcpConnection
 
-BACKLOG = 4096
-RECEIVED = 64 * 1024  #: bytes of a client that the system keeps, and so what one event's read can bring
+LISTEN_BACKLOG = 4096
+#: What the system buffers of a client's data, and so the most that one read event can bring.
+RECEIVE_BUFFER_BYTES = 64 * 1024
 
+ConnectionFactory = Callable[[], TcpConnection]
 
-def bind(address: Address, kind: socket.SocketKind, shared: bool = False) -> socket.socket:
-    """A socket at one of the node's own addresses."""
+
+def bind_socket(address: Address, kind: socket.SocketKind, *, reuse_port: bool = False) -> socket.socket:
+    """Return a socket bound to one of the node's own addresses; raises ConfigError if that fails."""
     sock = socket.socket(socket.AF_INET, kind)
     try:
-        if kind is socket.SOCK_STREAM:  # a node starts again while connections of its last run are ending
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            # guards the loop against one sender at full speed; connections inherit it
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVED)
-            # guards last words: what the system holds back goes with a close over unread bytes. Inherited too
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        if shared:  # guards a successor that the old process does not answer
+        if kind is socket.SOCK_STREAM:
+            _set_listening_options(sock)
+        if reuse_port:
+            # a successor whose predecessor does not answer must be able to bind the same address
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         sock.bind(address)
         sock.setblocking(False)
     except OSError as exc:
         sock.close()
-        raise cannot_listen(address, exc) from None
+        raise _cannot_listen(address, exc) from exc
     return sock
 
 
-def cannot_listen(address: Address, exc: OSError) -> ConfigError:
-    """One of the node's own addresses is not to be had."""
+def _set_listening_options(sock: socket.socket) -> None:
+    """Set the options that accepted connections inherit, except for SO_REUSEADDR."""
+    # a restarted node binds while connections of its last run are still closing
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # bounds what one client that sends at full speed can occupy the event loop with in one read
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    # without it the system may hold back a final response, which is lost if the connection is then closed
+    # while received data is still unread
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+def _cannot_listen(address: Address, exc: OSError) -> ConfigError:
     return ConfigError("cannot listen on {}:{}: {}".format(*address, exc.strerror))
 
 
-async def listen(take: Callable[[], TcpConnection], sock: socket.socket) -> asyncio.Server:
-    """Take connections at a socket that is bound."""
+async def start_server(connection_factory: ConnectionFactory, sock: socket.socket) -> asyncio.Server:
+    """Accept connections at a bound socket, which the server owns; raises ConfigError if that fails."""
     address = sock.getsockname()
+    loop = asyncio.get_running_loop()
     try:
-        return await asyncio.get_running_loop().create_server(take, sock=sock, backlog=BACKLOG)
+        return await loop.create_server(connection_factory, sock=sock, backlog=LISTEN_BACKLOG)
     except OSError as exc:
-        raise cannot_listen(address, exc) from None
+        raise _cannot_listen(address, exc) from exc
 
 
 class ClientListener:
-    """Where clients and peers come in: their sockets are kept, open here or not."""
+    """Accepts clients, and datagrams from peers, while it is open.
+
+    It opens on duplicates of the bound sockets, so that the sockets themselves stay with the process: it can
+    open again after it was closed, and pass the sockets on to a successor.
+    """
 
     def __init__(
-        self, sockets: list[socket.socket], take: Callable[[], TcpConnection], peers: PeerSocket
+        self, sockets: Sequence[socket.socket], connection_factory: ConnectionFactory, peer_socket: PeerSocket
     ) -> None:
-        self.sockets, self.take, self.peers = sockets, take, peers
-        self.server: asyncio.Server | None = None
+        """Take the clients' socket, and after it the peers' if there is one."""
+        self._sockets = sockets
+        self._connection_factory = connection_factory
+        self._peer_socket = peer_socket
+        self._server: asyncio.Server | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether clients are accepted here."""
+        return self._server is not None
 
     async def open(self) -> None:
-        """Take what comes, on copies of the sockets."""
-        clients, *datagrams = (sock.dup() for sock in self.sockets)
-        self.server = await listen(self.take, clients)
-        for sock in datagrams:
-            await asyncio.get_running_loop().create_datagram_endpoint(lambda: self.peers, sock=sock)
+        """Accept clients and datagrams from now on; raises ConfigError if that fails."""
+        client_socket, *datagram_sockets = (sock.dup() for sock in self._sockets)
+        self._server = await start_server(self._connection_factory, client_socket)
+        loop = asyncio.get_running_loop()
+        for sock in datagram_sockets:
+            await loop.create_datagram_endpoint(lambda: self._peer_socket, sock=sock)
 
     def close(self) -> None:
-        """Take no more. What waits in the queue waits for whoever shares the socket."""
-        if self.server:
-            self.server.close()
-            self.server = None
-        if self.peers.transport:
-            self.peers.transport.close()
-            self.peers.transport = None
+        """Accept nothing more; what waits in a socket's queue is left to a process that shares the socket."""
+        if self._server:
+            self._server.close()
+            self._server = None
+        self._peer_socket.close()
--- a/limerudder/net/log.py
+++ b/limerudder/net/log.py
@@ -1,8 +1,8 @@
-"""Log lines on standard error: an event goes through steps, and the last of them is printed.
+"""Log events on standard error: each passes a chain of processors, the last of which renders its line.
 
-Each step is one of structlog's processors, so that the same steps stand in a structlog pipeline where the
-operator's file asks for one. Without it the steps are run by hand: structlog alone would cost a node 6 MB and
-some 80 ms at its start.
+The processors have structlog's signature, so that the same ones run in a structlog pipeline where the
+operator's file configures the log. Without that file they are called directly: importing structlog would
+cost a node 6 MB of memory and some 80 ms at start-up.
 """
 
 from __future__ import annotations
@@ -11,67 +11,108 @@
 import sys
 import time
 from collections.abc import Callable, MutableMapping
+from dataclasses import dataclass
 from typing import Any
 
 from limerudder.core.operations.log_events import event_for_kind
 
-MOST, WHILE = 5, 10.0  #: lines of a kind, in so many seconds
+MAX_LINES_PER_WINDOW = 5  #: of one kind
+WINDOW_SECONDS = 10.0
+JSON_FORMAT = "json"
+TEXT_FORMAT = "text"
 
-EventDict = MutableMapping[str, Any]
-Step = Callable[[Any, str, EventDict], EventDict | str | None]  #: None ends the event there
+EventDict = MutableMapping[str, Any]  #: structlog's form of an event
+Renderer = Callable[[Any, str, EventDict], str]
+
+
+@dataclass(slots=True)
+class LogWindow:
+    """The events of one kind since a moment of the monotonic clock."""
+
+    started_at_seconds: float
+    event_count: int
 
 
 class LogRateLimiter:
-    """Lets so many events of a kind pass in a while; those left out are counted in the kind's next one."""
+    """Passes at most `max_lines` events of a kind in a window.
+
+    The first event of the kind's next window tells in its field `left_out` how many were dropped.
+    """
 
-    def __init__(self, most: int = MOST, while_: float = WHILE) -> None:
-        self.most, self.while_ = most, while_
-        self.kinds: dict[str, tuple[float, int]] = {}  # since when, how many
+    def __init__(self, max_lines: int = MAX_LINES_PER_WINDOW, window_seconds: float = WINDOW_SECONDS) -> None:
+        self.max_lines = max_lines
+        self.window_seconds = window_seconds
+        self.windows: dict[str, LogWindow] = {}  # by kind
 
     def __call__(self, logger: Any, method: str, event: EventDict) -> EventDict | None:
-        """Pass the event on, or not."""
-        now, kind = time.monotonic(), event.pop("kind")
-        since, many = self.kinds.get(kind, (now, 0))
-        if now >= since + self.while_:
-            if many > self.most:
-                event["left_out"] = many - self.most
-            since, many = now, 0
-        self.kinds[kind] = since, many + 1
-        return event if many < self.most else None
-
-
-def as_text(logger: Any, method: str, event: EventDict) -> str:
-    """The line that ONCALL.md tells of."""
+        """Return the event, or None if it is to be dropped; a structlog processor but for the None."""
+        now_seconds = time.monotonic()
+        window = self.windows.setdefault(event.pop("kind"), LogWindow(now_seconds, 0))
+        if now_seconds >= window.started_at_seconds + self.window_seconds:
+            if window.event_count > self.max_lines:
+                event["left_out"] = window.event_count - self.max_lines
+            window.started_at_seconds = now_seconds
+            window.event_count = 0
+        window.event_count += 1
+        return event if window.event_count <= self.max_lines else None
+
+
+def render_text(logger: Any, method: str, event: EventDict) -> str:
+    """Return the event as the line that ONCALL.md documents; a structlog processor."""
     left_out = event.get("left_out")
-    more = f" ({left_out} more like this not shown)" if left_out else ""
-    return f"limerudder {event['node']}: {event['text']}{more}"
+    suffix = f" ({left_out} more like this not shown)" if left_out else ""
+    return f"limerudder {event['node']}: {event['text']}{suffix}"
 
 
-def as_json(logger: Any, method: str, event: EventDict) -> str:
-    """The same fields as one JSON object."""
+def render_json(logger: Any, method: str, event: EventDict) -> str:
+    """Return the event's fields as one JSON object; a structlog processor."""
     return json.dumps(dict(event), ensure_ascii=False)
 
 
+def _renderer(log_format: str) -> Renderer:
+    return render_json if log_format == JSON_FORMAT else render_text
+
+
 class Log:
-    """Prints events: `log(kind, text)`, where the kind gives the event's stable name and level."""
+    """Writes events: `log(kind, text)`, where the kind determines the event's stable name and its level."""
+
+    def __init__(
+        self,
+        node_name: str,
+        log_format: str = TEXT_FORMAT,
+        max_lines: int = MAX_LINES_PER_WINDOW,
+        window_seconds: float = WINDOW_SECONDS,
+    ) -> None:
+        self.node_name = node_name
+        self.rate_limiter = LogRateLimiter(max_lines, window_seconds)
+        self._render = _renderer(log_format)
+        self._write: Callable[[str, EventDict], None] = self._write_directly
+
+    def __call__(self, kind: str, text: str) -> None:
+        """Log an event of this kind."""
+        name, level = event_for_kind(kind)
+        self._write(
+            level, {"node": self.node_name, "event": name, "level": level, "text": text, "kind": kind}
+        )
 
-    def __init__(self, name: str, format: str = "text", most: int = MOST, while_: float = WHILE) -> None:
-        self.name, self.rate = name, LogRateLimiter(most, while_)
-        self.render = as_json if format == "json" else as_text
-        self.print: Callable[[str, EventDict], None] = self._by_hand
+    def configure(self, log_format: str, max_lines: int, window_seconds: float) -> None:
+        """Change the format and the rate limit from now on; what has been counted stays."""
+        self._render = _renderer(log_format)
+        self.rate_limiter.max_lines = max_lines
+        self.rate_limiter.window_seconds = window_seconds
 
-    def through_structlog(self) -> None:
-        """Run the same steps in a structlog pipeline from now on."""
+    def use_structlog(self) -> None:
+        """Run the same processors in a structlog pipeline from now on."""
         import structlog
 
         def limit(logger: Any, method: str, event: EventDict) -> EventDict:
-            passed = self.rate(logger, method, event)
-            if passed is None:
+            passed_event = self.rate_limiter(logger, method, event)
+            if passed_event is None:
                 raise structlog.DropEvent
-            return passed
+            return passed_event
 
         def render(logger: Any, method: str, event: EventDict) -> str:
-            return self.render(logger, method, event)
+            return self._render(logger, method, event)
 
         logger = structlog.wrap_logger(
             structlog.PrintLogger(sys.stderr),
@@ -80,18 +121,8 @@
             context_class=dict,
             cache_logger_on_first_use=True,
         )
-        self.print = lambda level, event: getattr(logger, level)(**event)
-
-    def configure(self, format: str, most: int, while_: float) -> None:
-        """Another form or rate from now on; what has been counted stays."""
-        self.render = as_json if format == "json" else as_text
-        self.rate.most, self.rate.while_ = most, while_
-
-    def __call__(self, kind: str, text: str) -> None:
-        """An event of this kind."""
-        name, level = event_for_kind(kind)
-        self.print(level, {"node": self.name, "event": name, "level": level, "text": text, "kind": kind})
+        self._write = lambda level, event: getattr(logger, level)(**event)
 
-    def _by_hand(self, level: str, event: EventDict) -> None:
-        if self.rate(None, level, event) is not None:
-            print(self.render(None, level, event), file=sys.stderr, flush=True)
+    def _write_directly(self, level: str, event: EventDict) -> None:
+        if self.rate_limiter(None, level, event) is not None:
+            print(self._render(None, level, event), file=sys.stderr, flush=True)
--- a/limerudder/net/mark_files.py
+++ b/limerudder/net/mark_files.py
@@ -1,4 +1,8 @@
-"""Marks as empty files in the state folder: made and removed whole, seen by every process there."""
+"""Maintenance marks as empty files in the state directory, which every process of a node sees.
+
+A file is created and removed in one system call, so that no process ever sees half a mark. The file names
+are a stored form.
+"""
 
 from __future__ import annotations
 
@@ -6,28 +10,32 @@
 from contextlib import suppress
 from urllib.parse import quote, unquote
 
-PREFIX = "held-"
+FILE_NAME_PREFIX = "held-"
+FILE_MODE = 0o600
 
 
 class MarkFiles:
-    """One empty file a name."""
-
-    def __init__(self, folder: str) -> None:
-        self.folder = folder
+    """Maintenance marks, one empty file each. All methods raise OSError if the directory cannot be used."""
 
-    def _path(self, name: str) -> str:
-        return os.path.join(self.folder, PREFIX + quote(name, safe=""))
+    def __init__(self, directory: str) -> None:
+        self._directory = directory
 
     def read(self) -> set[str]:
-        """All that are there."""
-        found = (name for name in os.listdir(self.folder) if name.startswith(PREFIX))
-        return {unquote(name.removeprefix(PREFIX)) for name in found}
+        """Return the names of all marks."""
+        return {
+            unquote(file_name.removeprefix(FILE_NAME_PREFIX))
+            for file_name in os.listdir(self._directory)
+            if file_name.startswith(FILE_NAME_PREFIX)
+        }
 
     def put(self, name: str) -> None:
-        """Make its file."""
-        os.close(os.open(self._path(name), os.O_CREAT | os.O_WRONLY, 0o600))
+        """Create the mark of this name; it may exist already."""
+        os.close(os.open(self._path(name), os.O_CREAT | os.O_WRONLY, FILE_MODE))
 
     def remove(self, name: str) -> None:
-        """Remove its file."""
+        """Remove the mark of this name; it may be gone already."""
         with suppress(FileNotFoundError):
             os.unlink(self._path(name))
+
+    def _path(self, name: str) -> str:
+        return os.path.join(self._directory, FILE_NAME_PREFIX + quote(name, safe=""))
--- a/limerudder/net/peer_socket.py
+++ b/limerudder/net/peer_socket.py
@@ -1,4 +1,4 @@
-"""Datagrams between nodes."""
+"""The UDP socket for datagrams between the nodes of a tier."""
 
 from __future__ import annotations
 
@@ -11,28 +11,50 @@
 
 
 class PeerSocket(asyncio.DatagramProtocol):
-    """Sends to a peer by number; `heard` gets each datagram with its sender's number, if a peer's."""
+    """Sends datagrams to peers by number, and passes on each one received with its sender's number.
+
+    `on_datagram` is called with None as the number if the sender is no peer of this node.
+    """
 
     def __init__(
-        self, peers: Sequence[Address], everyone: Address | None, heard: Callable[[int | None, bytes], None]
+        self,
+        peer_addresses: Sequence[Address],
+        broadcast_address: Address | None,
+        on_datagram: Callable[[int | None, bytes], None],
     ) -> None:
-        self.peers, self.everyone, self.heard = peers, everyone, heard
-        self.numbers = {address: number for number, address in enumerate(peers)}
-        self.transport: asyncio.DatagramTransport | None = None
+        self._peer_addresses = peer_addresses
+        self._broadcast_address = broadcast_address
+        self._on_datagram = on_datagram
+        self._number_by_address = {address: number for number, address in enumerate(peer_addresses)}
+        self._transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """The socket is there."""
-        self.transport = cast(asyncio.DatagramTransport, transport)
+        """Keep the transport that asyncio has opened on the socket."""
+        # cast instead of a check: uvloop's transports do not inherit from asyncio's classes
+        self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: Address) -> None:
-        """A datagram, whoever sent it."""
-        self.heard(self.numbers.get((addr[0], addr[1])), data)
+        """Pass a datagram on, whoever sent it."""
+        self._on_datagram(self._number_by_address.get((addr[0], addr[1])), data)
 
     def error_received(self, exc: Exception) -> None:
-        """Datagrams may be lost."""
+        """Ignore the error: datagrams may be lost."""
 
     def send(self, peer: int, data: bytes) -> None:
-        """To one peer, or to all of them."""
-        address = self.everyone if peer == ALL_PEERS else self.peers[peer] if peer < len(self.peers) else None
-        if self.transport and address and len(data) <= MAX_DATAGRAM_BYTES:
-            self.transport.sendto(data, address)
+        """Send a datagram to one peer, or to all if `peer` is ALL_PEERS; too long a one is dropped."""
+        address = self._address_of(peer)
+        if self._transport and address and len(data) <= MAX_DATAGRAM_BYTES:
+            self._transport.sendto(data, address)
+
+    def close(self) -> None:
+        """Close the socket, if it is open; what is sent from now on is dropped."""
+        if self._transport:
+            self._transport.close()
+            self._transport = None
+
+    def _address_of(self, peer: int) -> Address | None:
+        if peer == ALL_PEERS:
+            return self._broadcast_address
+        if peer < len(self._peer_addresses):
+            return self._peer_addresses[peer]
+        return None
--- a/limerudder/net/socket_handover.py
+++ b/limerudder/net/socket_handover.py
@@ -1,4 +1,4 @@
-"""The socket file in the state folder, and the passing of listening sockets through it."""
+"""Passes listening sockets from a serving process to its successor, through a Unix socket file."""
 
 from __future__ import annotations
 
@@ -7,126 +7,159 @@
 import socket
 from collections.abc import Callable, Sequence
 from contextlib import suppress
-from typing import NamedTuple
+from dataclasses import dataclass
 
 from limerudder.core.lifecycle.hot_restart import MOST
 from limerudder.core.transport import ConnectionMachine
 from limerudder.net.clock import Clock
 from limerudder.net.tcp import TcpConnection
 
-NAME = "handover"
-WAIT = 1.0  #: seconds for the old process to answer; one that hangs holds nobody up for longer
-MOST_SOCKETS = 4
-
-
-class InheritedSockets(NamedTuple):
-    """What the old process has passed on."""
-
-    sockets: list[socket.socket]
-    hello: bytes
-    line: socket.socket  # the connection to it
+SOCKET_FILE_NAME = "handover"
+#: How long a process that serves may take to answer; one that hangs delays its successor no longer.
+ANSWER_TIMEOUT_SECONDS = 1.0
+MAX_PASSED_SOCKETS = 4
+RECEIVE_BYTES = 64 * 1024
 
 
 class StateDirectory:
-    """The folder that outlives a process; its files are reached by names of any length."""
+    """The directory that outlives a process of the node; it stays open as long as the process runs."""
 
     def __init__(self, path: str) -> None:
+        """Create the directory if it is not there; raises OSError if it cannot be used."""
         os.makedirs(path, mode=0o700, exist_ok=True)
-        self.path, self.fd = path, os.open(path, os.O_RDONLY | os.O_DIRECTORY)
+        self.path = path
+        self.descriptor = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
+
+    def socket_path(self, file_name: str) -> str:
+        """Return a short path to a Unix socket here: the system limits one to 108 bytes."""
+        return f"/proc/self/fd/{self.descriptor}/{file_name}"
+
+    def close(self) -> None:
+        """Close the directory's descriptor."""
+        os.close(self.descriptor)
+
+
+@dataclass(frozen=True, slots=True)
+class InheritedSockets:
+    """What the process that serves has passed to its successor."""
 
-    def short(self, name: str) -> str:
-        """A name for a Unix socket here: those are bounded at 108 bytes, and a folder's path is not."""
-        return f"/proc/self/fd/{self.fd}/{name}"
+    sockets: list[socket.socket]  #: bound to the node's addresses
+    state_line: bytes  #: the parent's first line, with its line end
+    connection: socket.socket  #: to the parent process
 
+    def close(self) -> None:
+        """Close all sockets and the connection."""
+        for sock in [self.connection, *self.sockets]:
+            sock.close()
 
-def request_handover(folder: StateDirectory) -> InheritedSockets | None:
-    """Ask the process that serves here for its sockets; None where nobody answers."""
-    line = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
-    line.settimeout(WAIT)
+
+def request_handover(directory: StateDirectory) -> InheritedSockets | None:
+    """Ask the process that serves for its sockets; None if there is none, or it does not answer in time."""
+    connection = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    connection.settimeout(ANSWER_TIMEOUT_SECONDS)
     sockets: list[socket.socket] = []
     try:
-        line.connect(folder.short(NAME))
-        hello = b""
-        while not hello.endswith(b"\n"):
-            data, fds, _, _ = socket.recv_fds(line, 65536, MOST_SOCKETS)
-            sockets += [socket.socket(fileno=fd) for fd in fds]
-            hello += data
-            if not data or len(hello) > MOST:
-                raise OSError("no hello")
+        connection.connect(directory.socket_path(SOCKET_FILE_NAME))
+        state_line = _receive_state_line(connection, sockets)
         if not sockets:
-            raise OSError("no sockets")
-    except OSError:  # no file, a stale one, one that hangs or ends meanwhile
-        for sock in [line, *sockets]:
+            raise OSError("no sockets came with the state")
+    except OSError:  # no socket file, a stale one, or a process that hangs or ends meanwhile
+        for sock in [connection, *sockets]:
             sock.close()
         return None
-    line.setblocking(False)
-    return InheritedSockets(sockets, hello, line)
+    connection.setblocking(False)
+    return InheritedSockets(sockets, state_line, connection)
+
+
+def _receive_state_line(connection: socket.socket, sockets: list[socket.socket]) -> bytes:
+    """Return the parent's first line, and add the sockets that come with it to `sockets`."""
+    line = b""
+    while not line.endswith(b"\n"):
+        data, descriptors, _, _ = socket.recv_fds(connection, RECEIVE_BYTES, MAX_PASSED_SOCKETS)
+        sockets += [socket.socket(fileno=descriptor) for descriptor in descriptors]
+        line += data
+        if not data or len(line) > MOST:
+            raise OSError("the state line is incomplete or too long")
+    return line
 
 
 class HandoverListener:
-    """Offers this process's sockets to whoever asks under the folder's one name."""
+    """Answers processes that connect to the state directory's socket file with this process's sockets."""
 
     def __init__(
         self,
-        folder: StateDirectory,
+        directory: StateDirectory,
         sockets: Sequence[socket.socket],
-        hello: Callable[[], bytes],
-        asker: Callable[[], ConnectionMachine],
+        state_line: Callable[[], bytes],
+        machine_factory: Callable[[], ConnectionMachine],
         clock: Clock,
         log: Callable[[str, str], None],
     ) -> None:
-        self.folder, self.sockets, self.hello, self.asker, self.clock = folder, sockets, hello, asker, clock
-        self.log = log
-        self.loop = asyncio.get_running_loop()
-        self.tasks: set[asyncio.Task[None]] = set()
-        self.sock: socket.socket | None = None
+        """Send `state_line()` and the sockets first; a machine of the factory drives the rest."""
+        self._directory = directory
+        self._sockets = sockets
+        self._state_line = state_line
+        self._machine_factory = machine_factory
+        self._clock = clock
+        self._log = log
+        self._loop = asyncio.get_running_loop()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._listening_socket: socket.socket | None = None
 
     def open(self) -> None:
-        """Take the name: from now on this process is asked. A file left by another is replaced whole."""
+        """Answer under the directory's one name from now on, in place of the process that did so before."""
         self.close()
-        own = f"{NAME}.{os.getpid()}"
         sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         try:
-            sock.setblocking(False)
-            with suppress(OSError):
-                os.unlink(own, dir_fd=self.folder.fd)
-            sock.bind(self.folder.short(own))
-            sock.listen()
-            os.rename(own, NAME, src_dir_fd=self.folder.fd, dst_dir_fd=self.folder.fd)
-        except OSError as exc:  # guards a node that serves: without the file, a successor binds anew
-            self.log("state", f"state: cannot be asked to hand over: {exc.strerror}")
+            self._publish(sock)
+        except OSError as exc:
+            # the node serves without the socket file; a successor then binds the addresses itself
+            self._log("state", f"state: cannot be asked to hand over: {exc.strerror}")
             sock.close()
             return
-        self.sock = sock
-        self.loop.add_reader(sock, self._accept)
+        self._listening_socket = sock
+        self._loop.add_reader(sock, self._accept)
 
     def close(self) -> None:
-        """Be asked no more."""
-        if self.sock:
-            self.loop.remove_reader(self.sock)
-            self.sock.close()
-            self.sock = None
+        """Answer nobody from now on; connections that are established stay."""
+        if self._listening_socket:
+            self._loop.remove_reader(self._listening_socket)
+            self._listening_socket.close()
+            self._listening_socket = None
+
+    def _publish(self, sock: socket.socket) -> None:
+        """Listen on the socket; its file replaces that of another process in one step."""
+        own_file_name = f"{SOCKET_FILE_NAME}.{os.getpid()}"
+        descriptor = self._directory.descriptor
+        sock.setblocking(False)
+        with suppress(OSError):
+            os.unlink(own_file_name, dir_fd=descriptor)
+        sock.bind(self._directory.socket_path(own_file_name))
+        sock.listen()
+        os.rename(own_file_name, SOCKET_FILE_NAME, src_dir_fd=descriptor, dst_dir_fd=descriptor)
 
     def _accept(self) -> None:
+        if self._listening_socket is None:
+            return
         with suppress(OSError):
-            line, _ = self.sock.accept() if self.sock else (None, None)
-            if line:
-                line.setblocking(False)
-                task = self.loop.create_task(self._pass(line))
-                self.tasks.add(task)
-                task.add_done_callback(self.tasks.discard)
-
-    async def _pass(self, line: socket.socket) -> None:
+            connection, _ = self._listening_socket.accept()
+            connection.setblocking(False)
+            task = self._loop.create_task(self._hand_over(connection))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _hand_over(self, connection: socket.socket) -> None:
         try:
-            hello = self.hello()
-            sent = socket.send_fds(line, [hello], [sock.fileno() for sock in self.sockets])
-            await self.loop.sock_sendall(line, hello[sent:])
-            await drive_connection(line, self.asker(), self.clock)
-        except OSError:  # whoever asked has gone again
-            line.close()
+            state_line = self._state_line()
+            descriptors = [sock.fileno() for sock in self._sockets]
+            sent_bytes = socket.send_fds(connection, [state_line], descriptors)
+            await self._loop.sock_sendall(connection, state_line[sent_bytes:])
+            await drive_connection(connection, self._machine_factory(), self._clock)
+        except OSError:  # the other process has ended already
+            connection.close()
 
 
-async def drive_connection(line: socket.socket, machine: ConnectionMachine, clock: Clock) -> None:
-    """Drive a machine with the connection between two processes."""
+async def drive_connection(sock: socket.socket, machine: ConnectionMachine, clock: Clock) -> None:
+    """Drive a state machine with the connection between two processes of a node."""
     loop = asyncio.get_running_loop()
-    await loop.create_unix_connection(lambda: TcpConnection(machine, clock), sock=line)
+    await loop.create_unix_connection(lambda: TcpConnection(machine, clock), sock=sock)
--- a/limerudder/net/tcp.py
+++ b/limerudder/net/tcp.py
@@ -37,24 +37,24 @@
         transport.set_write_buffer_limits(BUFFER)
         if self.early:
             transport.write(self.early)
-        self.machine.connected(self, self.clock.now())
+        self.machine.connected(self, self.clock.now_us())
 
     def data_received(self, data: bytes) -> None:
         """Bytes."""
         if self.machine:
-            self.machine.feed(data, self.clock.now())
+            self.machine.feed(data, self.clock.now_us())
 
     def eof_received(self) -> bool:
         """FIN; what goes out may still be sent."""
         if self.machine:
-            self.machine.eof(self.clock.now())
+            self.machine.eof(self.clock.now_us())
         return self.machine is not None
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The connection is gone."""
         machine, self.machine = self.machine, None
         if machine:
-            machine.lost(self.clock.now())
+            machine.lost(self.clock.now_us())
 
     def pause_writing(self) -> None:
         """The other side reads slowly."""
@@ -137,7 +137,7 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             await self.loop.sock_connect(sock, address)
             # written here and not by the transport, which would not say when the last byte was out
-            first = machine.opening(self.clock.now())
+            first = machine.opening(self.clock.now_us())
             if stream.machine is None:  # found out at the last moment that nobody wants it any more
                 raise ConnectionAbortedError
             await self.loop.sock_sendall(sock, first)
@@ -149,4 +149,4 @@
                 sock.close()
             if stream.machine:
                 stream.machine = None
-                machine.lost(self.clock.now())
+                machine.lost(self.clock.now_us())
--- a/limerudder/store_runtime.py
+++ b/limerudder/store_runtime.py
@@ -14,7 +14,7 @@
 from limerudder.core.operations.console import DeferredAnswer
 from limerudder.core.operations.maintenance import MaintenanceMarks
 from limerudder.net.clock import Clock
-from limerudder.net.listener import bind
+from limerudder.net.listener import bind_socket
 
 if TYPE_CHECKING:
     from limerudder.store.node_bridge import NodeStoreBridge
@@ -41,7 +41,7 @@
 
         assert self.settings
         configure = getattr(self.log, "configure", lambda *args: None)
-        return NodeStoreBridge(self.settings, self.name, self.log, self.clock.now, configure)
+        return NodeStoreBridge(self.settings, self.name, self.log, self.clock.now_us, configure)
 
     def open(self, config: NodeConfig) -> NodeConfig:
         """Open the store where there is to be one; gives the configuration with what is known there."""
@@ -92,7 +92,7 @@
             return
         assert self.settings
         self.glue.hear_drained = lambda host, start: elder.tell(f"drained {start} {host}")
-        await self.glue.run(node, bind(self.settings.listen, socket.SOCK_STREAM))
+        await self.glue.run(node, bind_socket(self.settings.listen, socket.SOCK_STREAM))
 
     def attach_soon(self, node: Node, marks: MaintenanceMarks, elder: HotRestartParent) -> None:
         """The process before this one has ended: take the store over."""
@@ -122,7 +122,7 @@
             self.log("store-disk", f"store: {exc}; this process goes on without its store")
             return
         for host in node.listed().hosts:
-            node.relist(host.name, self.clock.now())
+            node.relist(host.name, self.clock.now_us())
 
     def close(self) -> None:
         """The node ends."""
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -14,7 +14,7 @@
 from limerudder.cli import main
 from limerudder.config import ConfigError, load_config
 from limerudder.exit_codes import ExitCode
-from limerudder.net.log import Log, LogRateLimiter
+from limerudder.net.log import Log, LogRateLimiter, LogWindow
 from tests.scripted_peers import configuration
 
 ROOT = Path(__file__).parent.parent
@@ -83,13 +83,13 @@
 
 @pytest.mark.parametrize("through", [False, True], ids=["by hand", "structlog"])
 def test_both_forms_hold_the_same_fields(capsys: pytest.CaptureFixture[str], through: bool) -> None:
-    def lines(format: str) -> list[str]:
-        log = Log("n0", format, most=2, while_=60.0)
+    def lines(log_format: str) -> list[str]:
+        log = Log("n0", log_format, max_lines=2, window_seconds=60.0)
         if through:
-            log.through_structlog()
+            log.use_structlog()
         for n in range(4):
             log("silent", f"node: upstream s-{n} is silent; moving 3 connections")
-        log.rate.kinds["silent"] = (-1e9, 4)  # the while is over
+        log.rate_limiter.windows["silent"] = LogWindow(-1e9, event_count=4)  # the window is over
         log("silent", "node: again")
         log("fault f", "module: bad")
         return capsys.readouterr().err.splitlines()
--- a/tests/test_store_control.py
+++ b/tests/test_store_control.py
@@ -45,7 +45,7 @@
         )
         for sock, path in zip(socks, paths, strict=True):
             settings = StoreSettings(path, sock.getsockname(), **{**LIMITS, **changes})
-            store = Store(settings, lambda kind, text: self.lines.append(text), Clock().now)
+            store = Store(settings, lambda kind, text: self.lines.append(text), Clock().now_us)
             await store.run(sock)
             control = ControlServer(store)
             await control.listen()
@@ -194,7 +194,7 @@
             control.close()
         for store in here.stores:
             store.close()
-        again = Store(one.settings, lambda kind, text: None, Clock().now)  # and nobody else
+        again = Store(one.settings, lambda kind, text: None, Clock().now_us)  # and nobody else
         assert again.member.ledger.view("h").out(7) and not again.member.ledger.view("h").out(8)
         again.close()
 
@@ -263,7 +263,9 @@
         folder = str(tmp_path / "joined")
         result = CliRunner().invoke(main, ["state", "init", folder, "--ticket", added["ticket"]])
         assert result.exit_code == 0, result.output
-        new = Store(StoreSettings(folder, sock.getsockname(), **LIMITS), lambda kind, text: None, Clock().now)
+        new = Store(
+            StoreSettings(folder, sock.getsockname(), **LIMITS), lambda kind, text: None, Clock().now_us
+        )
         await new.run(sock)
         here.stores.append(new)
         while True:
