--- a/limerudder/core/lifecycle/__init__.py
+++ b/limerudder/core/lifecycle/__init__.py
@@ -1,1 +1,1 @@
-"""The life of a node process: graceful shutdown and hot restart."""
+"""The end of a node's process: graceful shutdown, and hot restart with a successor."""
--- a/limerudder/core/lifecycle/graceful_shutdown.py
+++ b/limerudder/core/lifecycle/graceful_shutdown.py
@@ -1,82 +1,135 @@
-"""A planned stop: refuse what comes, move what stands bit by bit, and be done before the earliest SIGKILL."""
+"""Graceful shutdown: migrate established connections step by step, and end before the earliest SIGKILL.
+
+New requests are rejected meanwhile, unless a successor process accepts this node's clients.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
-from typing import Any, Protocol
+from dataclasses import dataclass
+from typing import Generic, Protocol, TypeVar
 
 from limerudder.core.client.admission import AdmissionControl
 from limerudder.core.timer_wheel import TimerWheel
 
-SECOND = 1_000_000
-MOVE_AFTER = 450_000  #: after a SIGTERM: until then the front may send clients right back here
-STOP_LEAST, STOP_SPARE = 3 * SECOND, 700_000  #: SIGKILL comes no sooner than their sum, as told
-MOVES_TAKE = 6 * SECOND // 5  #: moves are spread over this time, as late as may be
-MOVES_DONE = 7 * SECOND // 10  #: they are over this long before the earliest SIGKILL
-LAST_ANSWERS = 400_000  #: as long before it, what still waits is answered failed
-MOVE_STEP, MOVE_PACE = 20_000, 200_000  #: between moves: at least, and where a successor waits for them
-
-
-class ShutdownTarget(Protocol):
-    """The node, as far as a stop goes."""
-
-    timer_wheel: TimerWheel
-    admission: AdmissionControl
-    shutdown_deadline_us: int
-    has_successor: bool
-    on_shutdown_complete: Callable[[], None]
-
-    @property
-    def requests(self) -> Mapping[int, Any]:
-        """Those that are here."""
-
-    def log(self, kind: str, text: str) -> None:
-        """A line for whoever is on call."""
-
-    def migrate_client(self, held: Any, now: int) -> None:
-        """Send a client that stands away."""
-
-    def fail_request(self, held: Any, now: int) -> None:
-        """Give a request its final answer."""
-
-
-class GracefulShutdown:
-    """One stop, begun now."""
-
-    def __init__(self, node: ShutdownTarget, longest: int, now: int) -> None:
-        self.node = node
-        node.shutdown_deadline_us = now + min(longest, STOP_LEAST) + STOP_SPARE
-        node.log(
-            "stop",
-            f"node: told to stop; moving {sum(h.is_established for h in node.requests.values())} connections",
-        )
-        # guards clients against a tier whose other nodes are down too: what stands loses nothing by staying,
-        # and a node that was stopped before this one may be back by then
-        # and where a successor takes them already, they come back to it in steps as small as time allows
-        late = max(now + MOVE_AFTER, node.shutdown_deadline_us - MOVES_DONE - MOVES_TAKE)
-        node.timer_wheel.schedule(now if node.has_successor else late, self._move_some)
-
-    def _move_some(self, now: int) -> None:
-        node = self.node
-        until = node.shutdown_deadline_us - MOVES_DONE
-        standing = [held for held in node.requests.values() if held.is_established]
-        steps = max((until - now) // MOVE_STEP, 1)
-        for held in standing[: -(-len(standing) // steps)]:
-            node.migrate_client(held, now)
-        if now >= until:
-            # guards a line of a client that rests until the process ends: it would be read by nobody
-            node.admission.evict_all(now)
-        if (
-            now >= node.shutdown_deadline_us - LAST_ANSWERS
-        ):  # guards requests whose class may wait longer than this node
-            for held in [h for h in node.requests.values() if not h.has_final_answer]:
-                node.fail_request(held, now)
-        # guards the last MOVEs: a process that ends closes sockets whose clients have not read them
-        over = not node.requests and not node.admission.guests and (now >= until or node.has_successor)
-        if over or now >= node.shutdown_deadline_us - STOP_SPARE // 4:
-            node.on_shutdown_complete()
+# SIGKILL comes no sooner than the longest request deadline (of which at most MAX_DEADLINE_US counts) and
+# KILL_MARGIN_US after the signal to stop: the platform's promise.
+MAX_DEADLINE_US = 3_000_000
+KILL_MARGIN_US = 700_000
+
+#: After the signal to stop; until then the platform's front may send clients right back to this node.
+MIN_MIGRATION_DELAY_US = 450_000
+#: Migrations are spread over this time, as late as possible.
+MIGRATION_DURATION_US = 1_200_000
+
+# How long before the earliest SIGKILL
+MIGRATION_END_MARGIN_US = 700_000  #: migrations are over
+FINAL_ANSWER_MARGIN_US = 400_000  #: requests that still wait are answered as failed
+COMPLETION_MARGIN_US = KILL_MARGIN_US // 4  #: the shutdown ends, whatever is left
+
+MIN_STEP_INTERVAL_US = 20_000
+MAX_STEP_INTERVAL_US = 200_000  #: where a successor waits for the clients
+
+
+class ShutdownRequest(Protocol):
+    """A request of the node, as far as a shutdown looks at it."""
+
+    is_established: bool
+    has_final_answer: bool
+
+
+RequestT = TypeVar("RequestT", bound=ShutdownRequest)
+
+
+@dataclass(frozen=True, slots=True)
+class ShutdownHooks(Generic[RequestT]):
+    """What a shutdown reads from its node, and calls on it."""
+
+    has_successor: Callable[[], bool]
+    migrate_client: Callable[[RequestT, int], None]
+    fail_request: Callable[[RequestT, int], None]
+    on_complete: Callable[[], None]
+    log: Callable[[str, str], None]
+
+
+def earliest_kill_time_us(longest_deadline_us: int, now_us: int) -> int:
+    """Return when SIGKILL may come after a signal to stop that has come now."""
+    return now_us + min(longest_deadline_us, MAX_DEADLINE_US) + KILL_MARGIN_US
+
+
+class GracefulShutdown(Generic[RequestT]):
+    """One shutdown of a node, from the signal to stop until its process may end."""
+
+    def __init__(
+        self,
+        requests: Mapping[int, RequestT],
+        admission: AdmissionControl,
+        timers: TimerWheel,
+        hooks: ShutdownHooks[RequestT],
+        kill_time_us: int,
+    ) -> None:
+        self._requests = requests
+        self._admission = admission
+        self._timers = timers
+        self._hooks = hooks
+        self._kill_time_us = kill_time_us
+        self._migration_end_us = kill_time_us - MIGRATION_END_MARGIN_US
+
+    def start(self, now_us: int) -> None:
+        """Begin; the first connections are migrated later, unless a successor accepts clients already."""
+        self._hooks.log("stop", f"node: told to stop; moving {len(self._established())} connections")
+        if self._hooks.has_successor():
+            # clients come back to the successor, in steps as small as the time allows
+            first_step_us = now_us
+        else:
+            # the tier's other nodes may be stopping too: waiting costs established connections nothing, and
+            # a node that was stopped before this one may be back by then
+            latest_us = self._migration_end_us - MIGRATION_DURATION_US
+            first_step_us = max(now_us + MIN_MIGRATION_DELAY_US, latest_us)
+        self._timers.schedule(first_step_us, self._run_step)
+
+    def _run_step(self, now_us: int) -> None:
+        established = self._established()
+        self._migrate_share(established, now_us)
+        if now_us >= self._migration_end_us:
+            # an idle client's line would be read by nobody once the process has ended
+            self._admission.evict_all(now_us)
+        if now_us >= self._kill_time_us - FINAL_ANSWER_MARGIN_US:
+            self._fail_waiting_requests(now_us)
+        if self._is_complete(now_us):
+            self._hooks.on_complete()
         else:
-            left = max(until - now, 0) // max(len(standing), 1)
-            # guards the hosts, and the successor's sight of them, against all in its first moment
-            wait = max(MOVE_STEP, min(left, MOVE_PACE)) if node.has_successor else MOVE_STEP
-            node.timer_wheel.schedule(now + wait, self._move_some)
+            self._timers.schedule(now_us + self._step_interval_us(len(established), now_us), self._run_step)
+
+    def _established(self) -> list[RequestT]:
+        return [request for request in self._requests.values() if request.is_established]
+
+    def _migrate_share(self, established: list[RequestT], now_us: int) -> None:
+        """Migrate so many connections that all are migrated in the steps that are left."""
+        steps_left = max((self._migration_end_us - now_us) // MIN_STEP_INTERVAL_US, 1)
+        share = -(-len(established) // steps_left)
+        for request in established[:share]:
+            self._hooks.migrate_client(request, now_us)
+
+    def _fail_waiting_requests(self, now_us: int) -> None:
+        """Answer requests whose deadline is later than the end of this process."""
+        waiting = [request for request in self._requests.values() if not request.has_final_answer]
+        for request in waiting:
+            self._hooks.fail_request(request, now_us)
+
+    def _is_complete(self, now_us: int) -> bool:
+        if now_us >= self._kill_time_us - COMPLETION_MARGIN_US:
+            return True
+        # until all clients have closed: sockets that the process closes as it ends lose what their clients
+        # have not read yet, such as a MOVE
+        everything_closed = not self._requests and not self._admission.guests
+        return everything_closed and (now_us >= self._migration_end_us or self._hooks.has_successor())
+
+    def _step_interval_us(self, established_count: int, now_us: int) -> int:
+        if not self._hooks.has_successor():
+            return MIN_STEP_INTERVAL_US
+        # spread over all the time that is left: if all clients came back to the successor at once, they would
+        # load the upstreams before it sees any load
+        time_left_us = max(self._migration_end_us - now_us, 0)
+        interval_us = time_left_us // max(established_count, 1)
+        return max(MIN_STEP_INTERVAL_US, min(interval_us, MAX_STEP_INTERVAL_US))
--- /dev/null
+++ b/limerudder/core/lifecycle/hot_restart/messages.py
@@ -0,0 +1,110 @@
+"""The messages between parent and successor after the state line, and the lines that carry them.
+
+A line is a word, and for some words a space and a value. The two processes may be of different releases:
+words and values are a stored form, and a word that is not known is ignored.
+"""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from enum import StrEnum
+
+from limerudder.core.lifecycle.hot_restart.errors import HandoverFormatError
+from limerudder.core.lifecycle.hot_restart.handover_state import (
+    MALFORMED_VALUE_ERRORS,
+    ProcessUsage,
+    usage_from_json,
+    usage_to_json,
+)
+
+
+class ParentWord(StrEnum):
+    """The first word of a line from the parent."""
+
+    REQUEST_ACCEPTED = "taken"
+    USAGE_CHANGED = "holds"
+    ENDPOINT_DRAINED = "drained"
+    STOPPING = "stopping"
+
+
+class SuccessorWord(StrEnum):
+    """The first word of a line from the successor."""
+
+    SERVING = "serving"
+
+
+@dataclass(frozen=True, slots=True)
+class RequestAccepted:
+    """The parent has accepted a request: its id is in use."""
+
+    request_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class UsageChanged:
+    """What the parent holds has changed."""
+
+    usage: ProcessUsage
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointDrained:
+    """The parent has learned that an upstream drains."""
+
+    name: str
+    started_ms: int  #: the start of the upstream that drains, in ms since 1970
+
+
+@dataclass(frozen=True, slots=True)
+class ParentStopping:
+    """The parent stops: the successor is to accept clients at once."""
+
+
+@dataclass(frozen=True, slots=True)
+class SuccessorServing:
+    """The successor accepts clients: the parent is to accept no more."""
+
+
+ParentMessage = RequestAccepted | UsageChanged | EndpointDrained | ParentStopping
+Message = ParentMessage | SuccessorServing
+
+
+def format_message(message: Message) -> str:
+    """Return the message's line, without its line end."""
+    match message:
+        case RequestAccepted(request_id):
+            return f"{ParentWord.REQUEST_ACCEPTED} {request_id:016x}"
+        case UsageChanged(usage):
+            return f"{ParentWord.USAGE_CHANGED} {json.dumps(usage_to_json(usage))}"
+        case EndpointDrained(name, started_ms):
+            return f"{ParentWord.ENDPOINT_DRAINED} {started_ms} {name}"
+        case ParentStopping():
+            return ParentWord.STOPPING
+        case SuccessorServing():
+            return SuccessorWord.SERVING
+
+
+def parse_parent_message(line: str) -> ParentMessage | None:
+    """Read a line from the parent; None if its word is not known. Raises HandoverFormatError."""
+    word, _, value = line.partition(" ")
+    try:
+        match word:
+            case ParentWord.REQUEST_ACCEPTED:
+                return RequestAccepted(int(value, 16))
+            case ParentWord.USAGE_CHANGED:
+                return UsageChanged(usage_from_json(json.loads(value)))
+            case ParentWord.ENDPOINT_DRAINED:
+                started_ms, _, name = value.partition(" ")
+                return EndpointDrained(name, int(started_ms))
+            case ParentWord.STOPPING:
+                return ParentStopping()
+    except MALFORMED_VALUE_ERRORS as exc:
+        raise HandoverFormatError(f"malformed value of {word}: {exc}") from exc
+    return None
+
+
+def parse_successor_message(line: str) -> SuccessorServing | None:
+    """Read a line from the successor; None if its word is not known."""
+    word, _, _ = line.partition(" ")
+    return SuccessorServing() if word == SuccessorWord.SERVING else None
--- /dev/null
+++ b/limerudder/core/lifecycle/hot_restart/node_binding.py
@@ -0,0 +1,80 @@
+"""Joins the two sides of a hot restart to a node."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+from typing import TYPE_CHECKING
+
+from limerudder.core.discovery.drain_memory import InheritedDrains
+from limerudder.core.lifecycle.hot_restart.handover_state import HandoverState
+from limerudder.core.lifecycle.hot_restart.parent import HotRestartParent, ParentHooks
+from limerudder.core.lifecycle.hot_restart.successor import HotRestartSuccessor, SuccessorHooks
+
+if TYPE_CHECKING:
+    from limerudder.core.node import Node
+
+
+def current_handover_state(node: Node) -> HandoverState:
+    """Return what a successor of this node's process is to start with."""
+    return HandoverState(
+        endpoints=node.endpoint_list(),
+        request_ids=tuple(node.recent_request_ids()),
+        usage=node.resource_usage(),
+        return_to_service_times=node.return_to_service_times(),
+        config_reloaded=node.config_reloaded,
+        drained_starts=node.drain_memory.drained() if node.drain_memory else {},
+    )
+
+
+def create_parent(
+    node: Node, stop_accepting: Callable[[], None], resume_accepting: Callable[[], None]
+) -> HotRestartParent:
+    """Return the parent's side for a node; the callbacks close and open its listeners."""
+
+    def hand_over() -> None:
+        node.has_successor = True
+        stop_accepting()
+
+    def take_back() -> None:
+        node.has_successor = False
+        resume_accepting()
+
+    hooks = ParentHooks(
+        handover_state=partial(current_handover_state, node),
+        resource_usage=node.resource_usage,
+        is_stopping=lambda: node.shutdown_deadline_us != 0,
+        stop_accepting=hand_over,
+        resume_accepting=take_back,
+        log=node.log,
+    )
+    parent = HotRestartParent(hooks, node.timer_wheel)
+    node.on_request_accepted.append(parent.announce_request)
+    return parent
+
+
+def create_successor(
+    node: Node,
+    state: HandoverState,
+    now_us: int,
+    start_serving: Callable[[], None],
+    parent_ended: Callable[[], None],
+) -> HotRestartSuccessor:
+    """Return the successor's side for a node that was built with the parent's list of endpoints."""
+    hooks = SuccessorHooks(
+        is_ready_to_serve=node.is_ready_to_serve,
+        set_parent_usage=node.set_other_process_usage,
+        apply_return_to_service_times=node.apply_return_to_service_times,
+        record_request=node.record_request_of_other_process,
+        record_drain=partial(_record_drain, node),
+        start_serving=start_serving,
+        parent_ended=parent_ended,
+    )
+    return HotRestartSuccessor(hooks, node.timer_wheel, state, now_us)
+
+
+def _record_drain(node: Node, name: str, started_ms: int, now_us: int) -> None:
+    """Record a drain that the parent knows of, unless this process has the store open, which knows itself."""
+    if isinstance(node.drain_memory, InheritedDrains):
+        node.drain_memory.told(name, started_ms)
+        node.refresh_endpoint(name, now_us)
--- /dev/null
+++ b/limerudder/core/lifecycle/hot_restart/successor.py
@@ -0,0 +1,105 @@
+"""The new process's side of a hot restart."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from limerudder.core.lifecycle.hot_restart.errors import HandoverFormatError
+from limerudder.core.lifecycle.hot_restart.handover_state import HandoverState, ProcessUsage
+from limerudder.core.lifecycle.hot_restart.line_connection import LineConnection
+from limerudder.core.lifecycle.hot_restart.messages import (
+    EndpointDrained,
+    ParentMessage,
+    ParentStopping,
+    RequestAccepted,
+    SuccessorServing,
+    UsageChanged,
+    parse_parent_message,
+)
+from limerudder.core.timer_wheel import TimerWheel
+
+READINESS_CHECK_INTERVAL_US = 50_000
+#: How long discovery's first list and the first health checks are waited for; then the parent's list will do.
+MAX_PREPARATION_US = 2_000_000
+
+
+class SuccessorPhase(Enum):
+    """How far the successor is."""
+
+    PREPARING = auto()  #: the parent accepts the clients, while discovery and the upstreams are asked
+    SERVING = auto()  #: it has been told to accept clients, once and for all
+
+
+@dataclass(frozen=True, slots=True)
+class SuccessorHooks:
+    """What the successor's side reads from its node, and calls on it."""
+
+    is_ready_to_serve: Callable[[], bool]  #: discovery has answered, and no first health check is pending
+    set_parent_usage: Callable[[ProcessUsage, int], None]
+    apply_return_to_service_times: Callable[[dict[str, int], int], None]
+    record_request: Callable[[int], None]  #: a request of this id is at the parent
+    record_drain: Callable[[str, int, int], None]  #: the upstream's name, its start in ms, and the time now
+    start_serving: Callable[[], None]
+    parent_ended: Callable[[], None]
+
+
+class HotRestartSuccessor(LineConnection):
+    """Takes the node over: prepares with the parent's state, then calls `start_serving` once."""
+
+    def __init__(self, hooks: SuccessorHooks, timers: TimerWheel, state: HandoverState, now_us: int) -> None:
+        super().__init__()
+        self.phase = SuccessorPhase.PREPARING
+        self._hooks = hooks
+        self._timers = timers
+        self._started_at_us = now_us
+        hooks.set_parent_usage(state.usage, now_us)
+        hooks.apply_return_to_service_times(state.return_to_service_times, now_us)
+        for request_id in state.request_ids:
+            hooks.record_request(request_id)
+        timers.schedule(now_us + READINESS_CHECK_INTERVAL_US, self._check_readiness)
+
+    def announce_serving(self) -> None:
+        """Tell the parent that this process accepts clients."""
+        self.send(SuccessorServing())
+
+    def line_received(self, line: str, now_us: int) -> None:
+        """Handle a line from the parent; one that cannot be read is ignored."""
+        try:
+            message = parse_parent_message(line)
+        except HandoverFormatError:  # the parent may be of another release
+            return
+        if message is not None:
+            self._handle(message, now_us)
+
+    def connection_lost(self, now_us: int) -> None:
+        """Serve alone: the parent has ended, and what it held is free."""
+        super().connection_lost(now_us)
+        self._hooks.set_parent_usage(ProcessUsage(), now_us)
+        self._start_serving()
+        self._hooks.parent_ended()
+
+    def _handle(self, message: ParentMessage, now_us: int) -> None:
+        match message:
+            case UsageChanged(usage):
+                self._hooks.set_parent_usage(usage, now_us)
+            case RequestAccepted(request_id):
+                self._hooks.record_request(request_id)
+            case EndpointDrained(name, started_ms):
+                self._hooks.record_drain(name, started_ms, now_us)
+            case ParentStopping():
+                self._start_serving()
+
+    def _check_readiness(self, now_us: int) -> None:
+        # a process that knows too little would serve clients badly; the parent serves them meanwhile
+        if self.phase is SuccessorPhase.SERVING:
+            return
+        self._timers.schedule(now_us + READINESS_CHECK_INTERVAL_US, self._check_readiness)
+        if self._hooks.is_ready_to_serve() or now_us >= self._started_at_us + MAX_PREPARATION_US:
+            self._start_serving()
+
+    def _start_serving(self) -> None:
+        if self.phase is SuccessorPhase.PREPARING:
+            self.phase = SuccessorPhase.SERVING
+            self._hooks.start_serving()
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -17,7 +17,11 @@
 from limerudder.core.discovery.discovery_client import DiscoveryClient
 from limerudder.core.discovery.drain_memory import DrainMemory
 from limerudder.core.discovery.endpoint_list import Endpoint, EndpointList
-from limerudder.core.lifecycle.graceful_shutdown import GracefulShutdown
+from limerudder.core.lifecycle.graceful_shutdown import (
+    GracefulShutdown,
+    ShutdownHooks,
+    earliest_kill_time_us,
+)
 from limerudder.core.lifecycle.hot_restart import ProcessUsage
 from limerudder.core.node_config import NodeConfig
 from limerudder.core.operations.counters import Counters
@@ -724,12 +728,15 @@
     def set_other_process_usage(self, holds: ProcessUsage, now: int) -> None:
         """What another process of this node holds: the module counts it as this node's own."""
         self.admission.share(holds.descriptors)
-        for name in self._other_process_upstreams | holds.at.keys():
+        for name in self._other_process_upstreams | holds.connections_by_upstream.keys():
             if name in self.upstreams.by_name:
                 self.dispatch(
-                    PredecessorConnections(self.upstreams.by_name[name].number, holds.at.get(name, 0)), now
+                    PredecessorConnections(
+                        self.upstreams.by_name[name].number, holds.connections_by_upstream.get(name, 0)
+                    ),
+                    now,
                 )
-        self._other_process_upstreams = set(holds.at)
+        self._other_process_upstreams = set(holds.connections_by_upstream)
 
     def is_ready_to_serve(self) -> bool:
         """Discovery has told its list, and no probe is out."""
@@ -741,8 +748,21 @@
 
     def start_graceful_shutdown(self, now: int) -> None:
         """Refuse what comes and move what stands, spread out, before the earliest SIGKILL."""
-        if not self.shutdown_deadline_us:
-            GracefulShutdown(self, max(c.deadline for c in self.settings.classes), now)
+        if self.shutdown_deadline_us:
+            return
+        longest_deadline_us = max(traffic_class.deadline for traffic_class in self.settings.classes)
+        self.shutdown_deadline_us = earliest_kill_time_us(longest_deadline_us, now)
+        hooks = ShutdownHooks(
+            has_successor=lambda: self.has_successor,
+            migrate_client=self.migrate_client,
+            fail_request=self.fail_request,
+            on_complete=lambda: self.on_shutdown_complete(),
+            log=self.log,
+        )
+        shutdown = GracefulShutdown(
+            self.requests, self.admission, self.timer_wheel, hooks, self.shutdown_deadline_us
+        )
+        shutdown.start(now)
 
     carry_out: dict[type, Callable[[Node, Any, int], None]] = {
         StartAttempt: _send,
--- a/limerudder/net/socket_handover.py
+++ b/limerudder/net/socket_handover.py
@@ -9,7 +9,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 
-from limerudder.core.lifecycle.hot_restart import MOST
+from limerudder.core.lifecycle.hot_restart import MAX_LINE_BYTES
 from limerudder.core.transport import ConnectionMachine
 from limerudder.net.clock import Clock
 from limerudder.net.tcp import TcpConnection
@@ -78,7 +78,7 @@
         data, descriptors, _, _ = socket.recv_fds(connection, RECEIVE_BYTES, MAX_PASSED_SOCKETS)
         sockets += [socket.socket(fileno=descriptor) for descriptor in descriptors]
         line += data
-        if not data or len(line) > MOST:
+        if not data or len(line) > MAX_LINE_BYTES:
             raise OSError("the state line is incomplete or too long")
     return line
 
--- a/limerudder/net/tcp.py
+++ b/limerudder/net/tcp.py
@@ -1,4 +1,4 @@
-"""TCP connections: an asyncio Protocol that hands what happens to a state machine, and dials."""
+"""TCP connections: an asyncio protocol that drives a state machine, and a connector that dials."""
 
 from __future__ import annotations
 
@@ -12,141 +12,159 @@
 from limerudder.core.transport import Address, ConnectionMachine, OutboundMachine
 from limerudder.net.clock import Clock
 
-BUFFER = 64 * 1024  #: bytes waiting to be sent, before the machine is told that it is crowded
+#: Bytes that may wait to be sent before the machine is told to pause writing.
+WRITE_BUFFER_LIMIT_BYTES = 64 * 1024
+#: The value of SO_LINGER (on, 0 s) that makes a close send a reset instead of a FIN.
+LINGER_RESET = struct.pack("ii", 1, 0)
 
 
 class TcpConnection(asyncio.Protocol):
-    """Drives one machine with one connection; to the machine it is the Link."""
+    """Drives one state machine with one connection; it is the machine's Transport.
+
+    It passes events on as they come and decides nothing itself.
+    """
 
     def __init__(self, machine: ConnectionMachine, clock: Clock) -> None:
-        self.machine: ConnectionMachine | None = machine
-        self.clock = clock
+        self.machine: ConnectionMachine | None = machine  # None once it is to hear no more
         self.transport: asyncio.Transport | None = None
-        self.sock: socket.socket | None = None  # of a connection that this node dialled
-        self.task: asyncio.Task[None] | None = None
-        self.early = b""  # written while there was no transport yet
-        self.finishing = self.held = False
+        self.dialled_socket: socket.socket | None = None  # of a connection that this node set up
+        self.connect_task: asyncio.Task[None] | None = None
+        self._clock = clock
+        self._early_data = b""  # written before there was a transport
+        self._half_closed = False
+        self._reading_paused = False
+
+    # asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Asyncio's word that the connection stands."""
-        # cast, not checked: uvloop's transports do not descend from asyncio's classes
-        transport = self.transport = cast(asyncio.Transport, transport)
+        """Pass on that the connection is established, unless it was closed meanwhile."""
+        # cast instead of a check: uvloop's transports do not inherit from asyncio's classes
+        self.transport = cast(asyncio.Transport, transport)
         if self.machine is None:
-            transport.abort()
+            self.transport.abort()
             return
-        transport.set_write_buffer_limits(BUFFER)
-        if self.early:
-            transport.write(self.early)
-        self.machine.connection_made(self, self.clock.now_us())
+        self.transport.set_write_buffer_limits(WRITE_BUFFER_LIMIT_BYTES)
+        if self._early_data:
+            self.transport.write(self._early_data)
+        self.machine.connection_made(self, self._clock.now_us())
 
     def data_received(self, data: bytes) -> None:
-        """Bytes."""
+        """Pass on received bytes."""
         if self.machine:
-            self.machine.data_received(data, self.clock.now_us())
+            self.machine.data_received(data, self._clock.now_us())
 
     def eof_received(self) -> bool:
-        """FIN; what goes out may still be sent."""
+        """Pass on that the other side has ended its sending; returns True to keep the transport open."""
         if self.machine:
-            self.machine.eof_received(self.clock.now_us())
+            self.machine.eof_received(self._clock.now_us())
         return self.machine is not None
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """The connection is gone."""
-        machine, self.machine = self.machine, None
+        """Pass on that the connection is gone."""
+        machine = self.machine
+        self.machine = None
         if machine:
-            machine.connection_lost(self.clock.now_us())
+            machine.connection_lost(self._clock.now_us())
 
     def pause_writing(self) -> None:
-        """The other side reads slowly."""
+        """Pass on that the other side reads too slowly."""
         if self.machine:
             self.machine.set_writing_paused(True)
 
     def resume_writing(self) -> None:
-        """It reads again."""
+        """Pass on that the other side has caught up."""
         if self.machine:
             self.machine.set_writing_paused(False)
 
-    # Link
+    # Transport
 
     def write(self, data: bytes) -> None:
         """Send bytes, in order."""
         if self.transport is None:
-            self.early += data
-        elif not self.transport.is_closing() and not self.finishing:
+            self._early_data += data
+        elif not self.transport.is_closing() and not self._half_closed:
             self.transport.write(data)
 
     def half_close(self) -> None:
-        """FIN once all is written."""
-        if self.transport and not self.finishing and not self.transport.is_closing():
+        """Send a FIN once all is written."""
+        if self.transport and not self._half_closed and not self.transport.is_closing():
             self.transport.write_eof()
-        self.finishing = True
+        self._half_closed = True
 
-    def set_reading_paused(self, on: bool) -> None:
-        """Stop reading, or read on."""
-        # guards last words to a client that has ended its side: reading on after a FIN would bring it again
-        if on != self.held and self.transport and not self.transport.is_closing():
-            self.held = on
-            (self.transport.pause_reading if on else self.transport.resume_reading)()
+    def set_reading_paused(self, paused: bool) -> None:
+        """Pause or resume reading; nothing is done if that is so already."""
+        # resuming without need would make uvloop report a FIN of the other side again, and a client that has
+        # ended its sending would lose its final response
+        if paused == self._reading_paused or self.transport is None or self.transport.is_closing():
+            return
+        self._reading_paused = paused
+        if paused:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
 
     def has_disconnected(self) -> bool:
-        """Whether the other side's FIN or reset is here, also behind bytes that are not read yet."""
+        """Return whether the other side's FIN or reset has arrived, also behind bytes not read yet."""
         if self.transport is None or self.transport.is_closing():
             return True
-        look = select.poll()
-        look.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-        return bool(look.poll(0))
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
 
     def close(self) -> None:
-        """End the connection now."""
+        """End the connection now; the machine hears no more of it."""
         self.machine = None
-        if self.task and self.transport is None:
-            self.task.cancel()
-        if self.sock:
-            # guards against two attempts of a request out: a transport closes in the loop's next round only,
-            # and by then the next attempt would be on its way
+        if self.connect_task and self.transport is None:
+            self.connect_task.cancel()
+        if self.dialled_socket:
+            # a transport closes its socket in the event loop's next iteration only; the next attempt of the
+            # same request would start before that, and two attempts of one request would be out
             with suppress(OSError):
-                self.sock.shutdown(socket.SHUT_RDWR)
+                self.dialled_socket.shutdown(socket.SHUT_RDWR)
         if self.transport:
             self.transport.abort()
 
     def reset(self) -> None:
-        """End the connection now with a reset."""
+        """End the connection now with a reset; the machine hears no more of it."""
         if self.transport and not self.transport.is_closing():
             sock = self.transport.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        self.sock = None
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+        self.dialled_socket = None  # a shutdown would send a FIN first
         self.close()
 
 
 class TcpConnector:
-    """Sets up connections."""
+    """Sets up connections to other parties."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock) -> None:
-        self.loop, self.clock = loop, clock
+        self.loop = loop
+        self._clock = clock
 
     def dial(self, address: Address, machine: OutboundMachine) -> TcpConnection:
-        """Connect and write the machine's first bytes; the task ends when the connection stands."""
-        stream = TcpConnection(machine, self.clock)
-        stream.task = self.loop.create_task(self._connect(address, machine, stream))
-        return stream
+        """Connect and write the machine's first bytes, in a task that the connection owns."""
+        connection = TcpConnection(machine, self._clock)
+        connection.connect_task = self.loop.create_task(self._connect(address, machine, connection))
+        return connection
 
-    async def _connect(self, address: Address, machine: OutboundMachine, stream: TcpConnection) -> None:
+    async def _connect(self, address: Address, machine: OutboundMachine, connection: TcpConnection) -> None:
+        """Set the connection up, or tell the machine that it is lost."""
         sock = None
         try:
-            sock = stream.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            connection.dialled_socket = sock
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             await self.loop.sock_connect(sock, address)
-            # written here and not by the transport, which would not say when the last byte was out
-            first = machine.first_bytes(self.clock.now_us())
-            if stream.machine is None:  # found out at the last moment that nobody wants it any more
+            # written here and not by the transport, which does not report when the last byte has been sent
+            first_bytes = machine.first_bytes(self._clock.now_us())
+            if connection.machine is None:  # the machine has closed it: nobody needs it any more
                 raise ConnectionAbortedError
-            await self.loop.sock_sendall(sock, first)
+            await self.loop.sock_sendall(sock, first_bytes)
             machine.first_bytes_sent()
-            await self.loop.create_connection(lambda: stream, sock=sock)
-        except (OSError, asyncio.CancelledError):  # refused, unreachable, no socket left; or given up
-            stream.sock = None
+            await self.loop.create_connection(lambda: connection, sock=sock)
+        except (OSError, asyncio.CancelledError):  # refused, unreachable, no descriptor left, or closed
+            connection.dialled_socket = None
             if sock:
                 sock.close()
-            if stream.machine:
-                stream.machine = None
-                machine.connection_lost(self.clock.now_us())
+            if connection.machine:
+                connection.machine = None
+                machine.connection_lost(self._clock.now_us())
--- /dev/null
+++ b/limerudder/node_process.py
@@ -0,0 +1,244 @@
+"""One process of a node: start-up, service until it has been stopped, and shutdown."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import signal
+import socket
+from collections.abc import Callable, Mapping
+from dataclasses import replace
+
+from limerudder.config import ConfigError, ProcessConfig, reload_config
+from limerudder.console_calls import ConsoleCalls
+from limerudder.core.client.session import LineSession
+from limerudder.core.lifecycle.hot_restart import HotRestartSuccessor, SuccessorConnection
+from limerudder.core.lifecycle.hot_restart.messages import EndpointDrained, ParentStopping
+from limerudder.core.lifecycle.hot_restart.node_binding import create_parent, create_successor
+from limerudder.core.node import Node
+from limerudder.core.operations.console import ConsoleSession
+from limerudder.core.operations.maintenance import InMemoryMarks, MaintenanceMarks
+from limerudder.net.clock import Clock
+from limerudder.net.listener import ClientListener, bind_socket, start_server
+from limerudder.net.mark_files import MarkFiles
+from limerudder.net.node_network import NodeNetwork
+from limerudder.net.peer_socket import PeerSocket
+from limerudder.net.socket_handover import HandoverListener, drive_connection
+from limerudder.net.tcp import TcpConnection, TcpConnector
+from limerudder.process_startup import Inheritance, bind_sockets, inherit, open_state_directory
+from limerudder.store_runtime import ConfigureLog, StoreRuntime
+
+MICROSECONDS_PER_SECOND = 1e6
+
+Log = Callable[[str, str], None]
+
+
+def keep_log_settings(log_format: str, max_lines: int, window_seconds: float) -> None:
+    """Ignore log settings from the store, for a log that cannot be configured."""
+
+
+async def run_node(
+    config: ProcessConfig,
+    log: Log,
+    environment: Mapping[str, str],
+    configure_log: ConfigureLog = keep_log_settings,
+) -> None:
+    """Run a node until a signal has stopped it; raises ConfigError if it cannot start.
+
+    `environment` names the configuration file, which SIGHUP has read again.
+    """
+    process = NodeProcess(config, log, environment, configure_log)
+    await process.run()
+
+
+class NodeProcess:
+    """Builds a node with all that it needs, and runs it. To be created within the running event loop."""
+
+    def __init__(
+        self,
+        config: ProcessConfig,
+        log: Log,
+        environment: Mapping[str, str],
+        configure_log: ConfigureLog,
+    ) -> None:
+        """Take over from the process that serves this node, if there is one, and build the node."""
+        self._log = log
+        self._environment = environment
+        self._loop = asyncio.get_running_loop()
+        self._clock = Clock()
+        self._stopped = asyncio.Event()
+        self._serving_tasks: set[asyncio.Task[None]] = set()
+        self._successor: HotRestartSuccessor | None = None  # this process's side, if it takes over
+        self._console_server: asyncio.Server | None = None
+        self._tick_timer: asyncio.TimerHandle | None = None
+        self._state_directory = open_state_directory(config, log)
+        self._inheritance = inherit(self._state_directory, log) if self._state_directory else None
+        self._store = StoreRuntime(config, log, self._clock, configure_log)
+        self._config = self._complete_config(config)
+        self._sockets = self._inheritance.sockets if self._inheritance else bind_sockets(self._config)
+        self._marks = self._create_marks()
+        self._network = NodeNetwork(TcpConnector(self._loop, self._clock))
+        self._node = self._create_node()
+        self._peer_socket = self._create_peer_socket()
+        self._listener = ClientListener(self._sockets, self._create_client_connection, self._peer_socket)
+        self._parent = create_parent(self._node, self._listener.close, self._start_serving)
+        self._handover_listener = self._create_handover_listener()
+        self._console = ConsoleCalls(self._node, self._listener, self._store).create_console()
+
+    async def run(self) -> None:
+        """Serve until a signal has stopped the node."""
+        # before anything listens: a signal without its handler would end the process and all that it holds
+        self._install_signal_handlers()
+        await self._open_console()
+        if self._inheritance:
+            await self._join_parent(self._inheritance)
+        else:
+            await self._store.start(self._node, self._marks, self._announce_drain)
+            await self._serve()
+        self._tick()
+        gc.freeze()
+        await self._stopped.wait()
+        self._shut_down()
+
+    # start-up
+
+    def _complete_config(self, config: ProcessConfig) -> ProcessConfig:
+        """Return the configuration with what the parent process, or else the store, knows newer."""
+        if self._inheritance is None:
+            return self._store.open(config)  # with a parent, the store's directory is the parent's yet
+        state = self._inheritance.state
+        discovery = config.discovery
+        if state.config_reloaded:
+            # SIGHUP has overruled the environment at the parent, and the environment has not changed since
+            discovery = reload_config(self._environment).discovery
+        return replace(config, known=state.endpoints, discovery=discovery)
+
+    def _create_marks(self) -> MaintenanceMarks:
+        return MarkFiles(self._state_directory.path) if self._state_directory else InMemoryMarks()
+
+    def _create_node(self) -> Node:
+        parent_drains = self._inheritance.state.drained_starts if self._inheritance else {}
+        drain_memory = self._store.drain_memory(parent_drains)
+        now_us = self._clock.now_us()
+        marks = self._store.marks(self._marks)
+        node = Node(self._config, self._network, self._log, now_us, marks, drain_memory)
+        node.on_shutdown_complete = self._stopped.set
+        node.config_reloaded = self._inheritance is not None and self._inheritance.state.config_reloaded
+        return node
+
+    def _create_peer_socket(self) -> PeerSocket:
+        peer_socket = PeerSocket(self._config.peers, self._config.peers_all, self._on_datagram)
+        self._network.peer_socket = peer_socket
+        return peer_socket
+
+    def _on_datagram(self, sender: int | None, data: bytes) -> None:
+        self._node.peering.datagram_received(sender, data, self._clock.now_us())
+
+    def _create_client_connection(self) -> TcpConnection:
+        return TcpConnection(LineSession(self._node), self._clock)
+
+    def _create_console_connection(self) -> TcpConnection:
+        return TcpConnection(ConsoleSession(self._console), self._clock)
+
+    def _create_handover_listener(self) -> HandoverListener | None:
+        if self._state_directory is None:
+            return None
+        return HandoverListener(
+            self._state_directory,
+            self._sockets,
+            self._parent.state_line,
+            lambda: SuccessorConnection(self._parent),
+            self._clock,
+            self._log,
+        )
+
+    async def _open_console(self) -> None:
+        if self._config.console:
+            sock = bind_socket(self._config.console, socket.SOCK_STREAM)
+            self._console_server = await start_server(self._create_console_connection, sock)
+
+    async def _join_parent(self, inheritance: Inheritance) -> None:
+        """Prepare to serve; the hot restart's messages decide when to begin."""
+        self._successor = create_successor(
+            self._node,
+            inheritance.state,
+            self._clock.now_us(),
+            start_serving=self._start_serving,
+            # the store's directory is the parent's until the parent has ended
+            parent_ended=lambda: self._store.start_takeover(self._node, self._marks, self._announce_drain),
+        )
+        await drive_connection(inheritance.connection, self._successor, self._clock)
+
+    # service
+
+    def _start_serving(self) -> None:
+        """Serve in a task: as a successor, or again after a successor has ended."""
+        task = self._loop.create_task(self._serve())
+        self._serving_tasks.add(task)
+        task.add_done_callback(self._serving_tasks.discard)
+
+    async def _serve(self) -> None:
+        """Accept clients here, and hand over to whichever process asks."""
+        await self._listener.open()
+        if self._handover_listener:
+            self._handover_listener.open()
+        if self._successor:
+            self._successor.announce_serving()
+        self._log("start", "node: listening on {}:{}".format(*self._sockets[0].getsockname()))
+
+    def _tick(self) -> None:
+        interval_seconds = self._config.settings.tick / MICROSECONDS_PER_SECOND
+        self._tick_timer = self._loop.call_later(interval_seconds, self._tick)
+        self._node.timer_wheel.advance(self._clock.now_us())
+
+    def _announce_drain(self, name: str, started_ms: int) -> None:
+        self._parent.announce(EndpointDrained(name, started_ms))
+
+    # signals
+
+    def _install_signal_handlers(self) -> None:
+        for stop_signal in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(stop_signal, self._on_stop_signal, stop_signal)
+        self._loop.add_signal_handler(signal.SIGHUP, self._on_reload_signal)
+        self._loop.add_signal_handler(signal.SIGUSR1, self._log_counters, "counters")
+
+    def _on_stop_signal(self, number: signal.Signals) -> None:
+        # a process that was stopped ends with exit code 0: only this line tells which signal ended it
+        self._log("stop", f"node: {number.name} received")
+        if not self._listener.is_open and not self._node.has_successor:
+            self._stopped.set()  # it has not begun to serve
+        self._parent.announce(ParentStopping())
+        self._node.start_graceful_shutdown(self._clock.now_us())
+
+    def _on_reload_signal(self) -> None:
+        try:
+            config = reload_config(self._environment)
+        except ConfigError as exc:  # the node serves on with what it has
+            self._log("config", f"config: {exc}; going on as before")
+            return
+        self._log("config", "config: read again; discovery is at {}:{}".format(*config.discovery))
+        self._node.config_reloaded = True
+        self._node.discovery.move(config.discovery, self._clock.now_us())
+
+    def _log_counters(self, kind: str) -> None:
+        self._log(kind, f"counters: {self._node.counters.text()}")
+
+    # shutdown
+
+    def _shut_down(self) -> None:
+        """Close the store and the listeners, then what belongs to the process alone."""
+        self._store.close()
+        self._listener.close()
+        self._log_counters("end")
+        if self._tick_timer:
+            self._tick_timer.cancel()
+        for task in self._serving_tasks:
+            task.cancel()
+        if self._console_server:
+            self._console_server.close()
+        if self._handover_listener:
+            self._handover_listener.close()
+        for sock in self._sockets:
+            sock.close()
+        if self._state_directory:
+            self._state_directory.close()
--- /dev/null
+++ b/limerudder/process_startup.py
@@ -0,0 +1,57 @@
+"""What a process of a node starts with: its state directory, its sockets, and its parent's state."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from limerudder.config import ProcessConfig
+from limerudder.core.lifecycle.hot_restart import HandoverFormatError, HandoverState, parse_handover_state
+from limerudder.net.listener import bind_socket
+from limerudder.net.socket_handover import StateDirectory, request_handover
+
+Log = Callable[[str, str], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Inheritance:
+    """What a successor gets from its parent process."""
+
+    state: HandoverState
+    sockets: list[socket.socket]
+    connection: socket.socket  #: to the parent
+
+
+def open_state_directory(config: ProcessConfig, log: Log) -> StateDirectory | None:
+    """Open the directory that outlives this process; None if there is to be none, or it cannot be used."""
+    if config.state is None:
+        return None
+    try:
+        return StateDirectory(config.state)
+    except OSError as exc:
+        log("state", f"state: cannot use {config.state}: {exc.strerror}; nothing will outlive this process")
+        return None
+
+
+def inherit(directory: StateDirectory, log: Log) -> Inheritance | None:
+    """Take over from the process that serves; None if there is none, or its state cannot be read."""
+    inherited = request_handover(directory)
+    if inherited is None:
+        return None
+    try:
+        state = parse_handover_state(inherited.state_line)
+    except HandoverFormatError as exc:
+        # the parent may be of another release: this process starts without it, on sockets of its own
+        log("state", f"state: {exc}")
+        inherited.close()
+        return None
+    return Inheritance(state, inherited.sockets, inherited.connection)
+
+
+def bind_sockets(config: ProcessConfig) -> list[socket.socket]:
+    """Bind the clients' socket, and after it the peers' if there is one; raises ConfigError."""
+    sockets = [bind_socket(config.listen, socket.SOCK_STREAM, reuse_port=True)]
+    if config.settings.peers and config.peer_listen:
+        sockets.append(bind_socket(config.peer_listen, socket.SOCK_DGRAM, reuse_port=True))
+    return sockets
--- a/limerudder/store_runtime.py
+++ b/limerudder/store_runtime.py
@@ -1,4 +1,7 @@
-"""Whether a node keeps a store: without one, all here does nothing and none of the store is loaded."""
+"""A node's store, if the operator's file asks for one.
+
+Without one all methods do nothing, and none of the store's modules is imported: a node's memory is limited.
+"""
 
 from __future__ import annotations
 
@@ -9,7 +12,6 @@
 
 from limerudder.config import ConfigError, ProcessConfig
 from limerudder.core.discovery.drain_memory import DrainMemory, InheritedDrains
-from limerudder.core.lifecycle.hot_restart import HotRestartParent
 from limerudder.core.node import Node
 from limerudder.core.operations.console import DeferredAnswer
 from limerudder.core.operations.maintenance import MaintenanceMarks
@@ -17,116 +19,132 @@
 from limerudder.net.listener import bind_socket
 
 if TYPE_CHECKING:
+    from limerudder.schema import StoreSettings
     from limerudder.store.node_bridge import NodeStoreBridge
 
-AGAIN = 0.05  #: seconds between looks whether the process before this one has let go of the folder
-PATIENCE = 5.0  #: seconds after which the log says that it has not
+OPEN_RETRY_INTERVAL_SECONDS = 0.05  #: while another process of this node has the store's directory
+OPEN_WARNING_SECONDS = 5.0  #: after which the log says that it still has it
+DONE_ANSWER = "done\n"  #: the console's answer to a call that has been carried out
 
 Log = Callable[[str, str], None]
+ConfigureLog = Callable[[str, int, float], None]  #: format, lines of a kind in a window, seconds of a window
+AnnounceDrain = Callable[[str, int], None]  #: the upstream's name, and its start in ms
 
 
 class StoreRuntime:
-    """A node's store, where the operator's file asks for one."""
-
-    def __init__(self, config: ProcessConfig, log: Log, clock: Clock) -> None:
-        self.settings = config.operator.store if config.operator else None
-        self.name, self.log, self.clock = config.name, log, clock
-        self.glue: NodeStoreBridge | None = None
-        self.inherited: InheritedDrains | None = None
-        self.late = False  # the folder is another process's as yet
-        self.task: asyncio.Task[None] | None = None
-
-    def _open(self) -> NodeStoreBridge:
-        from limerudder.store.node_bridge import NodeStoreBridge
-
-        assert self.settings
-        configure = getattr(self.log, "configure", lambda *args: None)
-        return NodeStoreBridge(self.settings, self.name, self.log, self.clock.now_us, configure)
+    """Opens, starts and closes the store of one process of a node."""
+
+    def __init__(self, config: ProcessConfig, log: Log, clock: Clock, configure_log: ConfigureLog) -> None:
+        self._settings = config.operator.store if config.operator else None
+        self._node_name = config.name
+        self._log = log
+        self._clock = clock
+        self._configure_log = configure_log
+        self._bridge: NodeStoreBridge | None = None  # None while the store is not open here
+        self._inherited_drains: InheritedDrains | None = None
+        self._directory_is_busy = False
+        self._takeover: asyncio.Task[None] | None = None
 
     def open(self, config: ProcessConfig) -> ProcessConfig:
-        """Open the store where there is to be one; gives the configuration with what is known there."""
-        if self.settings is None:
+        """Open the store; return the configuration with what the store knows newer. Raises ConfigError."""
+        if self._settings is None:
             return config
         from limerudder.store.disk import DiskBusy, DiskError
 
         try:
-            self.glue = self._open()
+            self._bridge = self._open_bridge(self._settings)
         except DiskBusy as exc:
-            # guards clients against an old process that hangs: this one serves, and has the store after it
-            self.log("store-disk", f"store: {exc}; this process goes on without it until that one has ended")
-            self.late = True
+            # a process of this node that hangs must not keep this one from serving
+            self._log("store-disk", f"store: {exc}; this process goes on without it until that one has ended")
+            self._directory_is_busy = True
             return config
         except DiskError as exc:
-            raise ConfigError(f"store: {exc}") from None
-        return self.glue.begin_with(config)
+            raise ConfigError(f"store: {exc}") from exc
+        return self._bridge.begin_with(config)
 
-    def recall(self, drained: dict[str, int]) -> DrainMemory | None:
-        """Who remembers drains: the store, or until it is open what the process before this one knew."""
-        if self.settings is None:
+    def drain_memory(self, parent_drains: dict[str, int]) -> DrainMemory | None:
+        """Return what remembers drains: the store, or until it is open what the parent process knew."""
+        if self._settings is None:
             return None
-        if self.glue is None:
-            self.inherited = InheritedDrains(drained)
-        return self.glue or self.inherited
-
-    def marks(self, marks: MaintenanceMarks) -> MaintenanceMarks:
-        """Hosts held out by hand: in the store as well, where it is open."""
-        if self.glue is None:
-            return marks
+        if self._bridge is not None:
+            return self._bridge
+        self._inherited_drains = InheritedDrains(parent_drains)
+        return self._inherited_drains
+
+    def marks(self, local_marks: MaintenanceMarks) -> MaintenanceMarks:
+        """Return the maintenance marks of the whole tier if the store is open, else those of this node."""
+        if self._bridge is None:
+            return local_marks
         from limerudder.store.node_bridge import StoreMarks
 
-        return StoreMarks(self.glue, marks)
-
-    def done(self, name: str) -> str | DeferredAnswer:
-        """The yes to a hand, once it is durable here."""
-        if self.glue is None:
-            return "done\n"
-        later = DeferredAnswer()
-        self.glue.durable(name, lambda now: later.settle("done\n", now))
-        return later
-
-    async def attach(self, node: Node, marks: MaintenanceMarks, elder: HotRestartParent) -> None:
-        """Have the store talk, now that the node is there."""
-        if self.glue is None:
-            if self.late:
-                self.attach_soon(node, marks, elder)
+        return StoreMarks(self._bridge, local_marks)
+
+    def maintenance_answer(self, name: str) -> str | DeferredAnswer:
+        """Return the console's answer to a change of a host's maintenance, given once it is durable."""
+        if self._bridge is None:
+            return DONE_ANSWER
+        answer = DeferredAnswer()
+        self._bridge.durable(name, lambda now_us: answer.settle(DONE_ANSWER, now_us))
+        return answer
+
+    async def start(self, node: Node, marks: MaintenanceMarks, announce_drain: AnnounceDrain) -> None:
+        """Have the store talk to its peers and to the node; raises ConfigError if its address is taken."""
+        if self._bridge is not None:
+            await self._run_bridge(self._bridge, node, announce_drain)
+        elif self._directory_is_busy:
+            self.start_takeover(node, marks, announce_drain)
+
+    def start_takeover(self, node: Node, marks: MaintenanceMarks, announce_drain: AnnounceDrain) -> None:
+        """Open and start the store as soon as the process before this one lets go of its directory."""
+        if self._settings is None or self._takeover is not None:
             return
-        assert self.settings
-        self.glue.hear_drained = lambda host, start: elder.tell(f"drained {start} {host}")
-        await self.glue.run(node, bind_socket(self.settings.listen, socket.SOCK_STREAM))
+        takeover = self._take_over(self._settings, node, marks, announce_drain)
+        self._takeover = asyncio.get_running_loop().create_task(takeover)
 
-    def attach_soon(self, node: Node, marks: MaintenanceMarks, elder: HotRestartParent) -> None:
-        """The process before this one has ended: take the store over."""
-        if self.settings is not None and self.task is None:
-            self.task = asyncio.get_running_loop().create_task(self._take_over(node, marks, elder))
+    def close(self) -> None:
+        """End the takeover if one is going on, and close the store if it is open."""
+        if self._takeover:
+            self._takeover.cancel()
+        if self._bridge:
+            self._bridge.close()
 
-    async def _take_over(self, node: Node, marks: MaintenanceMarks, elder: HotRestartParent) -> None:
-        from limerudder.store.disk import DiskError
+    def _open_bridge(self, settings: StoreSettings) -> NodeStoreBridge:
+        from limerudder.store.node_bridge import NodeStoreBridge
 
-        waited, told = 0.0, False
-        while self.glue is None:
-            try:
-                self.glue = self._open()
-            except DiskError as exc:
-                waited += AGAIN
-                if waited > PATIENCE and not told:
-                    told = True
-                    self.log("store-disk", f"store: {exc}; tried on")
-                await asyncio.sleep(AGAIN)
-        if self.inherited:
-            self.glue.inherit(self.inherited.heard)
-        node.drain_memory = self.glue
+        return NodeStoreBridge(settings, self._node_name, self._log, self._clock.now_us, self._configure_log)
+
+    async def _run_bridge(self, bridge: NodeStoreBridge, node: Node, announce_drain: AnnounceDrain) -> None:
+        bridge.hear_drained = announce_drain
+        await bridge.run(node, bind_socket(bridge.settings.listen, socket.SOCK_STREAM))
+
+    async def _take_over(
+        self, settings: StoreSettings, node: Node, marks: MaintenanceMarks, announce_drain: AnnounceDrain
+    ) -> None:
+        bridge = await self._open_when_free(settings)
+        self._bridge = bridge
+        if self._inherited_drains:
+            bridge.inherit(self._inherited_drains.heard)
+        node.drain_memory = bridge
         node.maintenance.marks = self.marks(marks)
         try:
-            await self.attach(node, marks, elder)
-        except ConfigError as exc:  # guards a node that serves against an address that is taken
-            self.log("store-disk", f"store: {exc}; this process goes on without its store")
+            await self._run_bridge(bridge, node, announce_drain)
+        except ConfigError as exc:  # the node serves already, and goes on doing so
+            self._log("store-disk", f"store: {exc}; this process goes on without its store")
             return
-        for host in node.endpoint_list().hosts:
-            node.refresh_endpoint(host.name, self.clock.now_us())
+        for endpoint in node.endpoint_list().hosts:
+            node.refresh_endpoint(endpoint.name, self._clock.now_us())
 
-    def close(self) -> None:
-        """The node ends."""
-        if self.task:
-            self.task.cancel()
-        if self.glue:
-            self.glue.close()
+    async def _open_when_free(self, settings: StoreSettings) -> NodeStoreBridge:
+        from limerudder.store.disk import DiskError
+
+        waited_seconds = 0.0
+        warned = False
+        while True:
+            try:
+                return self._open_bridge(settings)
+            except DiskError as exc:
+                waited_seconds += OPEN_RETRY_INTERVAL_SECONDS
+                if waited_seconds > OPEN_WARNING_SECONDS and not warned:
+                    warned = True
+                    self._log("store-disk", f"store: {exc}; tried on")
+            await asyncio.sleep(OPEN_RETRY_INTERVAL_SECONDS)
--- a/tests/scripted_peers.py
+++ b/tests/scripted_peers.py
@@ -13,11 +13,11 @@
 from typing import Any
 
 from harness.configurations import ID, KEY, LINE, SECOND, configuration, fresh, host, hosts, settings
-from limerudder.__main__ import serve
 from limerudder.config import ProcessConfig, load_config
 from limerudder.core.client.session import LineSession
 from limerudder.core.node import Node
 from limerudder.core.transport import OutboundMachine, parse_address
+from limerudder.node_process import run_node
 
 __all__ = ["ID", "KEY", "LINE", "SECOND", "configuration", "fresh", "host", "hosts", "settings"]
 
@@ -201,7 +201,7 @@
         given = {"discovery": await self.discovery.start(), "known": hosts(host("s-1", where)), **changes}
         environment = configuration(self.folder, **given) | {"PROXY_DISCOVERY": given["discovery"]}
         log = lambda kind, text: self.logged.put_nowait(text)  # noqa: E731
-        task = asyncio.create_task(serve(load_config(environment), log, environment))
+        task = asyncio.create_task(run_node(load_config(environment), log, environment))
         port = (await self.logged.get()).rpartition(":")[2]
         self.address = ("127.0.0.1", int(port))
         try:
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -180,7 +180,7 @@
 async def a_link_that_is_closed_is_ended_before_close_returns(here: Loopback) -> None:
     ours, theirs = socket.socketpair()
     link = TcpConnection(HealthCheckConnection((), lambda *heard: None), Clock())
-    link.sock = ours
+    link.dialled_socket = ours
     link.close()
     theirs.setblocking(False)
     assert (
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -17,12 +17,12 @@
 from limerudder.core.discovery.drain_memory import InheritedDrains
 from limerudder.core.discovery.endpoint_list import EndpointList, parse_endpoints
 from limerudder.core.lifecycle.hot_restart import (
-    HotRestartParent,
-    HotRestartSuccessor,
     ProcessUsage,
     SuccessorConnection,
     parse_handover_state,
 )
+from limerudder.core.lifecycle.hot_restart.messages import EndpointDrained, ParentStopping
+from limerudder.core.lifecycle.hot_restart.node_binding import create_parent, create_successor
 from limerudder.net.mark_files import MarkFiles
 from limerudder.policy import gossip
 from limerudder.store import drain_log, rpc
@@ -329,35 +329,35 @@
         return False
 
 
-def test_handover_lines_of_the_old_process() -> None:
+def test_handover_lines_of_the_parent() -> None:
     node: Any = _Node()
-    elder = HotRestartParent(node, lambda: None, lambda: None)
-    assert elder.hello().decode() == WRITTEN["handover"]["hello"]
-    asker, link = SuccessorConnection(elder), _Link()
-    asker.connection_made(link, 0)  # type: ignore[arg-type]
-    for hear in node.on_request_accepted:
-        hear(0x9B1F03AA5C7E2D42)
-    elder.tell("drained 1700000000999 s-1")
-    asker.data_received(WRITTEN["handover"]["successor_lines"].encode(), 0)
-    elder.tell("stopping")
+    parent = create_parent(node, lambda: None, lambda: None)
+    assert parent.state_line().decode() == WRITTEN["handover"]["hello"]
+    connection, link = SuccessorConnection(parent), _Link()
+    connection.connection_made(link, 0)  # type: ignore[arg-type]
+    for request_accepted in node.on_request_accepted:
+        request_accepted(0x9B1F03AA5C7E2D42)
+    parent.announce(EndpointDrained("s-1", 1700000000999))
+    connection.data_received(WRITTEN["handover"]["successor_lines"].encode(), 0)
+    parent.announce(ParentStopping())
     assert link.sent.decode() == WRITTEN["handover"]["parent_lines"]
     assert node.has_successor
 
 
 def test_handover_lines_as_the_successor_reads_them() -> None:
     node: Any = _Node()
-    hello = parse_handover_state(WRITTEN["handover"]["hello"].encode())
-    assert hello.hosts == node.endpoint_list()
-    assert hello.ids == (1, 0x9B1F03AA5C7E2D41)
-    assert hello.reloaded
-    assert hello.drained == {"s-2": 1700000000123}
+    state = parse_handover_state(WRITTEN["handover"]["hello"].encode())
+    assert state.endpoints == node.endpoint_list()
+    assert state.request_ids == (1, 0x9B1F03AA5C7E2D41)
+    assert state.config_reloaded
+    assert state.drained_starts == {"s-2": 1700000000123}
     called: list[str] = []
-    heir = HotRestartSuccessor(node, hello, lambda: called.append("ready"), 0)
-    heir.data_received(WRITTEN["handover"]["parent_lines"].encode(), 0)
+    successor = create_successor(node, state, 0, lambda: called.append("ready"), lambda: None)
+    successor.data_received(WRITTEN["handover"]["parent_lines"].encode(), 0)
     assert node.heard == [
         node.resource_usage(),
         node.return_to_service_times(),
-        *hello.ids,
+        *state.request_ids,
         0x9B1F03AA5C7E2D42,
         "relist s-1",
         node.resource_usage(),
@@ -365,8 +365,8 @@
     assert node.drain_memory.drained() == {"s-1": 1700000000999, "s-2": 1700000000123}
     assert called == ["ready"]
     link = _Link()
-    heir.connection_made(link, 0)  # type: ignore[arg-type]
-    heir.say("serving")
+    successor.connection_made(link, 0)  # type: ignore[arg-type]
+    successor.announce_serving()
     assert link.sent.decode() == WRITTEN["handover"]["successor_lines"]
 
 
