--- a/limerudder/core/lifecycle/resource_sharing.py
+++ b/limerudder/core/lifecycle/resource_sharing.py
@@ -40,8 +40,9 @@
     def set_other_process_usage(self, usage: ProcessUsage, now_us: int) -> None:
         """Leave the other process its descriptors; the policy counts its connections as this node's."""
         self._admission.set_other_process_descriptors(usage.descriptors)
-        for name in self._other_process_upstreams | usage.at.keys():
+        for name in self._other_process_upstreams | usage.connections_by_upstream.keys():
             upstream = self._upstreams.by_name.get(name)
             if upstream:
-                self._dispatch(PredecessorConnections(upstream.number, usage.at.get(name, 0)), now_us)
-        self._other_process_upstreams = set(usage.at)
+                connections = usage.connections_by_upstream.get(name, 0)
+                self._dispatch(PredecessorConnections(upstream.number, connections), now_us)
+        self._other_process_upstreams = set(usage.connections_by_upstream)
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -9,7 +9,11 @@
 from limerudder.core.discovery.discovery_client import DiscoveryClient
 from limerudder.core.discovery.drain_memory import DrainMemory
 from limerudder.core.discovery.endpoint_list import EndpointList
-from limerudder.core.lifecycle.graceful_shutdown import GracefulShutdown
+from limerudder.core.lifecycle.graceful_shutdown import (
+    GracefulShutdown,
+    ShutdownHooks,
+    earliest_kill_time_us,
+)
 from limerudder.core.lifecycle.hot_restart import ProcessUsage
 from limerudder.core.lifecycle.resource_sharing import ResourceSharing
 from limerudder.core.lifecycle.serving_state import ServingState
@@ -271,16 +275,22 @@
 
     def start_graceful_shutdown(self, now_us: int) -> None:
         """Reject new requests and migrate clients step by step, to be done before the earliest SIGKILL."""
-        if not self.shutdown_deadline_us:
-            GracefulShutdown(self, max(c.deadline for c in self.settings.classes), now_us)
-
-    def migrate_client(self, connection: ProxiedConnection, now_us: int) -> None:
-        """Ask the client of an established connection to reconnect, and end the connection."""
-        self.attempts.migrate_client(connection, now_us)
-
-    def fail_request(self, connection: ProxiedConnection, now_us: int) -> None:
-        """Fail a request that waits for its answer."""
-        self.answers.fail(connection, now_us)
+        if self.shutdown_deadline_us:
+            return
+        longest_deadline_us = max(traffic_class.deadline for traffic_class in self.settings.classes)
+        self.shutdown_deadline_us = earliest_kill_time_us(longest_deadline_us, now_us)
+        hooks = ShutdownHooks(
+            has_successor=lambda: self.has_successor,
+            migrate_client=self.attempts.migrate_client,
+            fail_request=self.answers.fail,
+            on_complete=lambda: self.on_shutdown_complete(),
+            log=self.log,
+        )
+        requests = self.requests.by_number
+        shutdown = GracefulShutdown(
+            requests, self.admission, self.timer_wheel, hooks, self.shutdown_deadline_us
+        )
+        shutdown.start(now_us)
 
 
 def spare_descriptors(descriptors: int) -> int:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -11,11 +11,11 @@
 import pytest
 from click.testing import CliRunner
 
-from limerudder import exits
 from limerudder.cli import main
 from limerudder.config import ConfigError, load_config
 from limerudder.core.operations.log_events import LogKind
-from limerudder.net.log import Log, LogRateLimiter
+from limerudder.exit_codes import ExitCode
+from limerudder.net.log import Log, LogRateLimiter, LogWindow
 from tests.scripted_peers import configuration
 
 ROOT = Path(__file__).parent.parent
@@ -27,15 +27,15 @@
 
 
 def test_check_says_good_or_everything_that_is_wrong(tmp_path: Path) -> None:
-    assert run("check", str(ROOT / "deploy/limerudder.cue"))[0] == exits.OK
+    assert run("check", str(ROOT / "deploy/limerudder.cue"))[0] == ExitCode.OK
     bad = tmp_path / "bad.cue"
     bad.write_text('log: {format: "xml", lines: 0}\nstroe: 1\n')
     code, out, err = run("check", str(bad))
-    assert (code, out) == (exits.WRONG_INPUT, "")
+    assert (code, out) == (ExitCode.INVALID_INPUT, "")
     assert err.count(f"{bad}:1:") == 2 and f"{bad}:2:1: stroe: no such field; did you mean store?" in err
     assert err.endswith("has 3 errors\n")
-    assert run("check", str(tmp_path / "none"))[0] == exits.WRONG_INPUT
-    assert run("check")[0] == exits.WRONG_INPUT
+    assert run("check", str(tmp_path / "none"))[0] == ExitCode.INVALID_INPUT
+    assert run("check")[0] == ExitCode.INVALID_INPUT
     schema = run("check", "--schema")[1]
     told = json.loads(run("check", "--json", str(ROOT / "deploy/limerudder.cue"))[1])
     assert "#Store" in schema and told["log"] == {"format": "text", "lines": 5, "per": 10_000_000}
@@ -84,16 +84,18 @@
 
 @pytest.mark.parametrize("through", [False, True], ids=["by hand", "structlog"])
 def test_both_forms_hold_the_same_fields(capsys: pytest.CaptureFixture[str], through: bool) -> None:
-    def lines(format: str) -> list[str]:
-        log = Log("n0", format, most=2, while_=60.0)
+    def lines(log_format: str) -> list[str]:
+        log = Log("n0", log_format, max_lines=2, window_seconds=60.0)
         if through:
-            log.through_structlog()
+            log.use_structlog()
         for n in range(4):
             log(
                 LogKind.HOST_UNRESPONSIVE,
                 f"node: upstream s-{n} is unresponsive; migrating 3 connections",
             )
-        log.rate.kinds[LogKind.HOST_UNRESPONSIVE, ""] = (-1e9, 4)  # the while is over
+        log.rate_limiter.windows[LogKind.HOST_UNRESPONSIVE, ""] = LogWindow(
+            -1e9, event_count=4
+        )  # the window is over
         log(LogKind.HOST_UNRESPONSIVE, "node: again")
         log(LogKind.POLICY_ERROR, "policy: bad", "f")
         return capsys.readouterr().err.splitlines()
