Use the field's terms in the names of the node's tests

Change: names only; the same steps and assertions. The machine of random events is NodeMachine.

Tests not run yet: the machine is reserved.

--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -41,7 +41,7 @@
     tmp_path: Path, how: str, ending: AttemptOutcome
 ) -> None:
     here = world(tmp_path)
-    told = policy_events(here)
+    events = policy_events(here)
     _, link = here.client()
     (first,) = here.attempts()
     if how == "no answer to the dial":
@@ -54,7 +54,7 @@
         here.run(1_010_000)
     else:
         first.machine.data_received(how.encode() + b"\r\n", here.now)
-    assert [e.ending for e in told if isinstance(e, AttemptEnded)] == [ending]
+    assert [e.ending for e in events if isinstance(e, AttemptEnded)] == [ending]
     (second,) = here.attempts()
     assert first.closed and second is not first and not link.sent
 
@@ -75,14 +75,14 @@
     assert len(here.attempts()) == 1 and here.node.counters[CounterName.ATTEMPTS_OBSOLETE] == 2
 
 
-@pytest.mark.parametrize("way", ["upstream resets", "client resets", "client ends"])
-def test_one_side_ends_as_the_other_did(tmp_path: Path, way: str) -> None:
+@pytest.mark.parametrize("ending_side", ["upstream resets", "client resets", "client ends"])
+def test_one_side_ends_as_the_other_did(tmp_path: Path, ending_side: str) -> None:
     here = world(tmp_path)
     session, link, attempt = here.served()
-    if way == "upstream resets":
+    if ending_side == "upstream resets":
         attempt.machine.connection_lost(here.now)
         assert link.was_reset
-    elif way == "client resets":
+    elif ending_side == "client resets":
         session.connection_lost(here.now)
         assert attempt.was_reset
     else:
@@ -116,8 +116,8 @@
     here = world(tmp_path)
     here.client()
     (attempt,) = here.attempts()
-    (held,) = here.node.requests.values()
-    assert held.upstream
-    drains = parse_endpoint_list(hosts(host(held.upstream.name, lifecycle="leaving"), reset=False))
+    (connection,) = here.node.requests.values()
+    assert connection.upstream
+    drains = parse_endpoint_list(hosts(host(connection.upstream.name, lifecycle="leaving"), reset=False))
     here.node.endpoints_received(drains, here.now)
     assert attempt.closed and len(here.attempts()) == 1
--- a/tests/test_client_session.py
+++ b/tests/test_client_session.py
@@ -43,21 +43,21 @@
     assert link.closed and not here.node.admission.connections and not here.node.admission.idle
 
 
-@pytest.mark.parametrize("said", [b"", b"OPEN ", b"PING\r\nOPEN"])
+@pytest.mark.parametrize("sent", [b"", b"OPEN ", b"PING\r\nOPEN"])
 def test_a_first_line_that_does_not_come_is_waited_for_two_and_a_half_seconds(
-    tmp_path: Path, said: bytes
+    tmp_path: Path, sent: bytes
 ) -> None:
     here = world(tmp_path)
     session, link = here.connect()
-    for at in range(len(said)):  # a dribbler gains nothing
-        session.data_received(said[at : at + 1], here.now)
+    for at in range(len(sent)):  # a dribbler gains nothing
+        session.data_received(sent[at : at + 1], here.now)
         here.run(100_000)
-    here.run(2_500_000 - (len(said) - 6 if said[:1] == b"P" else len(said)) * 100_000)
+    here.run(2_500_000 - (len(sent) - 6 if sent[:1] == b"P" else len(sent)) * 100_000)
     here.run(5000)
     # a first line that crosses this end has its final answer: BUSY, where none has begun
-    assert link.sent.removeprefix(b"PONG\r\n") == (b"ERR\r\n" if said else b"BUSY\r\n")
+    assert link.sent.removeprefix(b"PONG\r\n") == (b"ERR\r\n" if sent else b"BUSY\r\n")
     assert link.half_closed and not link.closed
-    if not said:
+    if not sent:
         session.data_received(LINE.encode() + b"\r\n", here.now)
         assert not here.node.requests and not here.attempts(), "read after the end, and never sent on"
     here.run(SECOND + 5000)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -14,13 +14,13 @@
 def test_the_configuration_file_has_the_same_settings_as_the_simulator(tmp_path: Path) -> None:
     config = load_config(configuration(tmp_path) | {"PROXY_NAME": "n7", "PROXY_LISTEN": "127.0.0.1:81"})
     assert (config.name, config.listen, config.seed) == ("n7", ("127.0.0.1", 81), 0x8C1F30D27A5BE964)
-    told = config.settings
-    assert (told.max_attempts, told.connect_timeout_us, told.report_fields) == (
+    read = config.settings
+    assert (read.max_attempts, read.connect_timeout_us, read.report_fields) == (
         3,
         100_000,
         ("inflight", "x0"),
     )
-    assert told.classes[0].message_objective_us == 60_000 and told.prices == {"probe": 0.002}
+    assert read.classes[0].message_objective_us == 60_000 and read.prices == {"probe": 0.002}
     assert config.names.zones == ("a", "b") and config.known.endpoints[0].name == "s-1"
 
 
--- a/tests/test_discovery_call.py
+++ b/tests/test_discovery_call.py
@@ -9,11 +9,11 @@
 from limerudder.policy.discovery_timing import CallDeadline
 
 
-def _watch(told: list[EndpointList], ended: list[bool]) -> DiscoveryCall:
+def _watch(lists: list[EndpointList], ended: list[bool]) -> DiscoveryCall:
     return DiscoveryCall(
         "d",
         41,
-        lambda call, hosts, now: told.append(hosts),
+        lambda call, hosts, now: lists.append(hosts),
         lambda c, failed, now: ended.append(failed),
         CallDeadline(False, 0),
     )
@@ -31,13 +31,13 @@
 
 @pytest.mark.parametrize("cut", range(0, len(WATCH) + 1, 3))
 def test_a_watch_gives_each_list_however_it_is_cut(cut: int) -> None:
-    told, ended = list[EndpointList](), list[bool]()
-    call = _watch(told, ended)
-    assert b"GET /discovery/hosts?watch=1&after=41 HTTP/1.1\r\n" in call.opening(0)
+    lists, ended = list[EndpointList](), list[bool]()
+    call = _watch(lists, ended)
+    assert b"GET /discovery/hosts?watch=1&after=41 HTTP/1.1\r\n" in call.first_bytes(0)
     call.data_received(WATCH[:cut], 1)
     call.data_received(WATCH[cut:], 2)
-    assert [h.version for h in told] == [43] and not ended
-    assert told[0].endpoints[0][:2] == ("s-9", ("10.1.0.18", 8081)) and told[0].endpoints[0].started_ms == 7
+    assert [h.version for h in lists] == [43] and not ended
+    assert lists[0].endpoints[0][:2] == ("s-9", ("10.1.0.18", 8081)) and lists[0].endpoints[0].started_ms == 7
     call.data_received(b"0\r\n\r\n", 3)
     assert ended == [True], "a watch that is complete has ended"
 
@@ -58,6 +58,6 @@
     ],
 )
 def test_a_malformed_answer_of_discovery_is_a_failed_call(answer: bytes) -> None:
-    told, ended = list[EndpointList](), list[bool]()
-    _watch(told, ended).data_received(answer, 1)
-    assert (told, ended) == ([], [True])
+    lists, ended = list[EndpointList](), list[bool]()
+    _watch(lists, ended).data_received(answer, 1)
+    assert (lists, ended) == ([], [True])
--- a/tests/test_health_checker.py
+++ b/tests/test_health_checker.py
@@ -13,7 +13,7 @@
 
 
 @pytest.mark.parametrize(
-    ("said", "spoilt"),
+    ("report", "malformed"),
     [
         ("inflight=1,x0=0.5", 0),
         ("inflight=1,x0=nan", 1),
@@ -23,16 +23,16 @@
         ("", 0),
     ],
 )
-def test_a_malformed_load_report_is_counted_and_logged(tmp_path: Path, said: str, spoilt: int) -> None:
+def test_a_malformed_load_report_is_counted_and_logged(tmp_path: Path, report: str, malformed: int) -> None:
     here = world(tmp_path, settings=settings(probes=True))
-    told = policy_events(here)
+    events = policy_events(here)
     here.node.health_checker.check(CheckHealth(next(iter(here.node.upstreams.by_number))), here.now)
     link = here.dials[-1]
     link.accept(here.now)
-    link.machine.data_received(f"PONG {said}".strip().encode() + b"\r\n", here.now)
-    assert [type(event) for event in told] == [HealthCheckResult], "the module hears of it either way"
+    link.machine.data_received(f"PONG {report}".strip().encode() + b"\r\n", here.now)
+    assert [type(event) for event in events] == [HealthCheckResult], "the policy is told of it either way"
     assert (
         here.node.counters[CounterName.LOAD_REPORTS_MALFORMED]
-        == spoilt
+        == malformed
         == sum("load report" in t for t in here.logged)
     )
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -1,4 +1,4 @@
-"""Random orders of events over the node's real machines, with every invariant switched on."""
+"""Random sequences of events on a node in memory, with every invariant checked."""
 
 from __future__ import annotations
 
@@ -25,22 +25,24 @@
 NAMES = ["s-1", "s-2", "s-3", "s-4"]
 
 
-def site(effects: list[str], window: int, tries: int, cancel: bool, deadline: int) -> dict[str, Any]:
-    """Settings whose classes have these effects; a keyed one is named by its scope."""
-    told = settings(peers=False)
-    first = told["classes"][0]
-    told["classes"] = [
+def settings_with_effects(
+    effects: list[str], window: int, tries: int, cancel: bool, deadline: int
+) -> dict[str, Any]:
+    """Return settings whose classes have these effects; a keyed class is given by its scope."""
+    changed = settings(peers=False)
+    first = changed["classes"][0]
+    changed["classes"] = [
         first
         | {"name": f"c{number}", "aimUs": deadline // 3, "deadlineUs": deadline, "repeatWindowUs": window}
-        | ({"effect": what} if what in ("safe", "unsafe") else {"effect": "keyed", "keyScope": what})
-        for number, what in enumerate(effects)
+        | ({"effect": effect} if effect in ("safe", "unsafe") else {"effect": "keyed", "keyScope": effect})
+        for number, effect in enumerate(effects)
     ]
-    told["caps"] = told["caps"] | {"tryLimit": tries, "cancel": cancel}
-    return told
+    changed["caps"] = changed["caps"] | {"tryLimit": tries, "cancel": cancel}
+    return changed
 
 
-class Crossings(RuleBasedStateMachine):
-    """A node, clients that come and leave, hosts that answer as they like, lists, signals and time."""
+class NodeMachine(RuleBasedStateMachine):
+    """A node with clients that connect and disconnect, hosts that answer anything, lists, signals and time."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -60,10 +62,10 @@
     def begin(
         self, effects: list[str], window: int, tries: int, cancel: bool, deadline: int, sockets: int
     ) -> None:
-        told = site(effects, window, tries, cancel, deadline)
+        changed = settings_with_effects(effects, window, tries, cancel, deadline)
         listed = hosts(*(host(name) | {"zone": "ab"[n % 2], "cell": n // 2} for n, name in enumerate(NAMES)))
         self.here: World = world(
-            Path(self.folder.name), settings=told, known=listed, limits={"sockets": sockets}
+            Path(self.folder.name), settings=changed, known=listed, limits={"sockets": sockets}
         )
         self.watch = Invariants(self.here.node)
         self.hosts = {h.name: h for h in parse_endpoint_list(listed).endpoints}
@@ -87,7 +89,7 @@
     @precondition(lambda self: self.clients)
     @rule(which=st.integers(0, 99), data=st.sampled_from([b"M 1\r\n", b"M", b"x" * 5000, b"PING\r\n"]))
     def say(self, which: int, data: bytes) -> None:
-        if which % 4 == 0:  # one that rests
+        if which % 4 == 0:  # an idle client
             session, link = self.here.connect()
             session.data_received(b"PING\r\n", self.here.now)
             self.clients.append((session, link))
@@ -103,33 +105,33 @@
         how=st.sampled_from(["eof_received", "connection_lost", "unread", "unread", "crowded"]),
     )
     def leave(self, which: int, how: str) -> None:
-        here = [n for n, (_, link) in enumerate(self.clients) if n not in self.left and not link.closed]
-        # the last that came: it may still wait, and what happens to one that waits is what matters
-        if not here:
+        connected = [n for n, (_, link) in enumerate(self.clients) if n not in self.left and not link.closed]
+        if not connected:
             return
-        which = here[-1 - which % min(len(here), 3)]
+        # one of the last: it may still wait, and what happens to clients that wait is what matters
+        which = connected[-1 - which % min(len(connected), 3)]
         session, link = self.clients[which]
         if how == "crowded":
             session.set_writing_paused(True)
             session.set_writing_paused(False)
             return
         self.left.add(which)
-        if how == "unread":  # its FIN is there, behind bytes that the loop has not come to
+        if how == "unread":  # its FIN has arrived behind bytes that are not read yet
             link.peer_disconnected = True
         else:
             getattr(session, how)(self.here.now)
 
     @rule(which=st.integers(0, 99), up=st.booleans())
     def dialled(self, which: int, up: bool) -> None:
-        waiting = [d for d in self.here.attempts() if not d.machine.sent]
-        if waiting:
-            link = waiting[-1 - which % min(len(waiting), 3)]
+        dialling = [dial for dial in self.here.attempts() if not dial.machine.sent]
+        if dialling:
+            link = dialling[-1 - which % min(len(dialling), 3)]
             if not up:
                 link.machine.connection_lost(self.here.now)
                 return
             session = link.machine.observer.session
-            gone = session.transport is None or session.transport.peer_disconnected
-            assert not link.accept(self.here.now) or not gone, "written for a client that has gone"
+            disconnected = session.transport is None or session.transport.peer_disconnected
+            assert not link.accept(self.here.now) or not disconnected, "written for a client that has gone"
 
     @rule(
         which=st.integers(0, 99),
@@ -147,10 +149,10 @@
         ),
     )
     def answer(self, which: int, what: bytes | str) -> None:
-        out = [d for d in self.here.attempts() if d.machine.sent]
-        if not out:
+        sent = [dial for dial in self.here.attempts() if dial.machine.sent]
+        if not sent:
             return
-        machine = out[-1 - which % min(len(out), 3)].machine
+        machine = sent[-1 - which % min(len(sent), 3)].machine
         if isinstance(what, bytes):
             machine.data_received(what, self.here.now)
         elif what == "crowded":
@@ -192,7 +194,7 @@
             for _ in range(8 * SECOND // 50_000):
                 self.here.run(50_000)
                 self.watch.check(self.here.now)
-            waiting = [h for h in self.here.node.requests.values() if not h.has_final_answer]
+            waiting = [c for c in self.here.node.requests.values() if not c.has_final_answer]
             assert not waiting, "after all, each request has its answer"
             for which, (_, link) in enumerate(self.clients):
                 if which not in self.left and not link.closed:
@@ -200,7 +202,7 @@
         self.folder.cleanup()
 
 
-Crossings.TestCase.settings = limits(
+NodeMachine.TestCase.settings = limits(
     max_examples=200,
     phases=[Phase.generate],  # shrinking a failed order takes minutes, and the order as it came is short
     stateful_step_count=50,
@@ -208,11 +210,11 @@
     derandomize=True,
     suppress_health_check=[HealthCheck.too_slow],
 )
-TestCrossings = Crossings.TestCase
+TestNodeMachine = NodeMachine.TestCase
 
 
 def test_each_invariant_can_break(tmp_path: Path) -> None:
-    """Planted faults: none of them goes unseen."""
+    """Each planted fault is detected."""
 
     def fresh(**changes: Any) -> tuple[World, Invariants]:
         here = world(tmp_path, **changes)
@@ -220,53 +222,53 @@
 
     here, watch = fresh()
     here.client()
-    held = next(iter(here.node.requests.values()))
-    assert held.upstream
+    connection = next(iter(here.node.requests.values()))
+    assert connection.upstream
     with pytest.raises(InvariantViolation, match="two attempts"):
-        here.node.attempts.dial(held, held.upstream, None, here.now)
+        here.node.attempts.dial(connection, connection.upstream, None, here.now)
 
     here, watch = fresh()
     here.client()
-    held = next(iter(here.node.requests.values()))
-    here.node.answers.conclude(held, FinalAnswer.FAILED, here.now)
+    connection = next(iter(here.node.requests.values()))
+    here.node.answers.conclude(connection, FinalAnswer.FAILED, here.now)
     with pytest.raises(InvariantViolation, match="two final answers"):
-        here.node.answers.conclude(held, FinalAnswer.FAILED, here.now)
+        here.node.answers.conclude(connection, FinalAnswer.FAILED, here.now)
 
     here, watch = fresh()
     here.client()
-    held = next(iter(here.node.requests.values()))
-    assert held.upstream
-    held.upstream.state = ServerState.DRAINING
-    watch._attempt_ready = lambda held, now: True
+    connection = next(iter(here.node.requests.values()))
+    assert connection.upstream
+    connection.upstream.state = ServerState.DRAINING
+    watch._attempt_ready = lambda connection, now: True
     with pytest.raises(InvariantViolation, match="drains"):
         here.attempts()[0].accept(here.now)
 
     here, watch = fresh()
     here.client()
-    held = next(iter(here.node.requests.values()))
-    held.finish()
-    watch._attempt_ready = lambda held, now: True
+    connection = next(iter(here.node.requests.values()))
+    connection.finish()
+    watch._attempt_ready = lambda connection, now: True
     with pytest.raises(InvariantViolation, match="gone"):
         here.attempts()[0].accept(here.now)
 
-    told = site(["unsafe"], 0, 3, True, 2 * SECOND)
-    told["classes"][0]["name"] = "chat"
-    here, watch = fresh(settings=told)
+    changed = settings_with_effects(["unsafe"], 0, 3, True, 2 * SECOND)
+    changed["classes"][0]["name"] = "chat"
+    here, watch = fresh(settings=changed)
     here.client()
-    held = next(iter(here.node.requests.values()))
-    assert held.upstream
-    watch.possible_executions[held.number] = PossibleExecution(here.now, held.upstream)
+    connection = next(iter(here.node.requests.values()))
+    assert connection.upstream
+    watch.possible_executions[connection.number] = PossibleExecution(here.now, connection.upstream)
     with pytest.raises(InvariantViolation, match="unsafe"):
         here.attempts()[0].accept(here.now)
     with pytest.raises(InvariantViolation, match="may have run"):
-        here.node.answers.conclude(held, FinalAnswer.REJECTED, here.now)
+        here.node.answers.conclude(connection, FinalAnswer.REJECTED, here.now)
 
     here, watch = fresh()
     here.client()
-    held = next(iter(here.node.requests.values()))
-    assert held.overdue_timer
-    held.overdue_timer.cancel()
-    held.attempt_timers.clear()
+    connection = next(iter(here.node.requests.values()))
+    assert connection.overdue_timer
+    connection.overdue_timer.cancel()
+    connection.attempt_timers.clear()
     with pytest.raises(InvariantViolation, match="in time"):
         watch.check(here.now + 3 * SECOND)
 
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -11,15 +11,15 @@
 from tests.scripted_peers import host, hosts, policy_events, world
 
 
-@pytest.mark.parametrize("said", [b"M 1\r\n", b"M 1\r\nM"], ids=["a line", "a line and a half"])
+@pytest.mark.parametrize("sent", [b"M 1\r\n", b"M 1\r\nM"], ids=["a line", "a line and a half"])
 def test_a_stream_that_stops_is_noticed_and_its_client_migrated_between_two_lines(
-    tmp_path: Path, said: bytes
+    tmp_path: Path, sent: bytes
 ) -> None:
     here = world(tmp_path)
-    told = policy_events(here)
+    events = policy_events(here)
     session, link, attempt = here.served()
     upstream = here.node.upstreams.by_name["s-1"]
-    session.data_received(said, here.now)
+    session.data_received(sent, here.now)
     for _ in range(25):  # the machine answers on other connections
         for each in here.node.upstreams.by_number.values():
             each.last_health_check_answer_us = here.now
@@ -28,7 +28,7 @@
         here.run(100_000)
     here.run(5000)
     assert link.sent == b"UP 77\r\nMOVE\r\n" and link.half_closed and attempt.closed
-    (end,) = (e for e in told if isinstance(e, AttemptEnded))
+    (end,) = (e for e in events if isinstance(e, AttemptEnded))
     assert end.ending == AttemptOutcome.CANCELLED, "nothing is learned of what the upstream can hold"
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,7 +13,7 @@
 @pytest.mark.parametrize("pieces", [1, 2, 5])
 def test_a_served_client_and_its_end(tmp_path: Path, pieces: int) -> None:
     here = world(tmp_path)
-    told = policy_events(here)
+    events = policy_events(here)
     session, link, attempt = here.served()
     assert attempt.sent.decode().startswith(LINE.split("d=")[0]) and "d=1000," in attempt.sent.decode()
     session.data_received(b"M 1\r\nM 2\r\n", here.now)
@@ -23,6 +23,6 @@
         attempt.machine.data_received(data[at : at + -(-len(data) // pieces)], here.now)
     attempt.machine.eof_received(here.now)
     assert link.sent == b"UP 77\r\n" + data and link.half_closed and attempt.closed
-    assert [e.load for e in told if isinstance(e, LoadSample)] == [2500.5]
-    (end,) = (e for e in told if isinstance(e, AttemptEnded))
+    assert [e.load for e in events if isinstance(e, LoadSample)] == [2500.5]
+    (end,) = (e for e in events if isinstance(e, AttemptEnded))
     assert (end.ending, end.closed) == (AttemptOutcome.OK, 1) and not here.node.requests
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -23,21 +23,22 @@
 
 def test_malformed_datagrams_are_counted_and_logged(tmp_path: Path) -> None:
     here = world(tmp_path)
-    told, said = policy_events(here), list[tuple[LogKind, str]]()
-    here.node.peering.log = lambda kind, text, detail="": said.append((kind, text))
+    events = policy_events(here)
+    logged = list[tuple[LogKind, str]]()
+    here.node.peering.log = lambda kind, text, detail="": logged.append((kind, text))
     here.node.peering.datagram_received(None, b"hello", here.now)
     here.node.peering.datagram_received(1, b"\xa7" * 257, here.now)
-    assert not told, "the module hears of peers only, and within the rules"
+    assert not events, "the policy hears of peers only, and within the rules"
     here.node.peering.datagram_received(1, b"hello", here.now)
     here.node.peering.datagram_received(1, bytes((0xA7, 0, 0, 0, 0)), here.now)
     assert (
         here.node.counters[CounterName.PEER_MESSAGES_MALFORMED] == 3
         and here.node.counters[CounterName.PEER_MESSAGES_RECEIVED] == 2
     )
-    assert {kind for kind, _ in said} == {
+    assert {kind for kind, _ in logged} == {
         LogKind.PEER_DATAGRAM_DROPPED
     }, "of a kind of its own: a flood hides no other line"
-    assert [text.removeprefix("node: a datagram ") for _, text in said] == [
+    assert [text.removeprefix("node: a datagram ") for _, text in logged] == [
         "of 5 bytes (at most 256 are taken) came from an address that is no peer's; dropped",
         "of 257 bytes (at most 256 are taken) came from node 1; dropped",
         "of no known form came from node 1; dropped",
--- a/tests/test_policy_dispatch.py
+++ b/tests/test_policy_dispatch.py
@@ -41,7 +41,7 @@
     here.send_datagram = lambda peer, data: 1 / 0  # type: ignore[method-assign, assignment]
     with pytest.raises(ZeroDivisionError):
         here.node.dispatch(TimerFired(5), here.now)
-    told = policy_events(here)
+    events = policy_events(here)
     with pytest.raises(ZeroDivisionError):
         here.node.dispatch(TimerFired(6), here.now)
-    assert told == [TimerFired(6)]
+    assert events == [TimerFired(6)]
--- a/tests/test_request_lifecycle.py
+++ b/tests/test_request_lifecycle.py
@@ -22,13 +22,13 @@
 
 def test_what_comes_before_the_answer_ends_the_request_and_its_attempt(tmp_path: Path) -> None:
     here = world(tmp_path)
-    told = policy_events(here)
+    events = policy_events(here)
     session, link = here.client()
     (attempt,) = here.attempts()
     attempt.accept(here.now)
     session.data_received(LINE.encode() + b"\r\n", here.now)
     assert link.sent == b"ERR\r\n" and attempt.closed and b"OPEN" not in attempt.sent[5:]
-    assert not here.node.requests and [type(e) for e in told] == [
+    assert not here.node.requests and [type(e) for e in events] == [
         NewRequest,
         ClientDisconnected,
         AttemptEnded,
@@ -39,7 +39,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     here = world(tmp_path)
-    told = policy_events(here)
+    events = policy_events(here)
     first, link, attempt = here.served()
     line = attempt.sent.partition(b"d=")[0] + b"d=2000\r\n"
     for turn in range(2):
@@ -51,7 +51,7 @@
             == turn + 1
             == here.node.counters[CounterName.REQUESTS] + turn
         )
-    assert [type(e) for e in told] == [NewRequest, ConnectionEstablished], "the module hears nothing of it"
+    assert [type(e) for e in events] == [NewRequest, ConnectionEstablished], "the policy is not told of it"
     first.connection_lost(here.now)
     session, other = here.connect()
     session.data_received(line, here.now)
@@ -77,8 +77,8 @@
 def test_advice_is_given_where_allowed_and_never_more_than_clients_follow(
     tmp_path: Path, allowed: bool, advice: bytes
 ) -> None:
-    told = settings(retryAfter=allowed, maxRetryAfterUs=700_000)
-    here = world(tmp_path, settings=told, known=hosts())
+    changed = settings(retryAfter=allowed, maxRetryAfterUs=700_000)
+    here = world(tmp_path, settings=changed, known=hosts())
     _, link = here.client()
     here.run(400_000)
     assert link.sent == advice
@@ -86,19 +86,19 @@
 
 def test_a_client_that_disconnects_early_cancels_its_attempt(tmp_path: Path) -> None:
     here = world(tmp_path)
-    told = policy_events(here)
+    events = policy_events(here)
     session, link = here.client()
     (attempt,) = here.attempts()
     session.eof_received(here.now)
     assert attempt.closed and link.closed and not here.node.requests
-    (end,) = (e for e in told if isinstance(e, AttemptEnded))
+    (end,) = (e for e in events if isinstance(e, AttemptEnded))
     assert (end.ending, end.closed) == (AttemptOutcome.CANCELLED, 1)
-    assert any(isinstance(e, ClientDisconnected) for e in told)
+    assert any(isinstance(e, ClientDisconnected) for e in events)
 
 
 def test_a_pinned_connection_goes_to_its_upstream_and_is_retried(tmp_path: Path) -> None:
     here = world(tmp_path)
-    told = policy_events(here)
+    events = policy_events(here)
     line = LINE.replace("d=2000", "d=4294967") + ",at=s-2"
     _, link = here.client(line)
     here.attempts()[0].machine.connection_lost(here.now)
@@ -108,19 +108,20 @@
     assert attempt.accept(here.now) == line + "\r\n"
     attempt.machine.data_received(b"UP 5\r\n", here.now)
     assert link.sent == b"UP 5\r\n"
-    assert [type(e) for e in told if not isinstance(e, TimerFired | HealthCheckResult)] == [
+    assert [type(e) for e in events if not isinstance(e, TimerFired | HealthCheckResult)] == [
         ExistingConnection
     ]
 
 
 def test_a_pinned_connection_at_an_unlisted_host_fails_and_leaves_nothing(tmp_path: Path) -> None:
     here = world(tmp_path)
-    told, known = policy_events(here), len(here.node.upstreams.by_number)
+    events = policy_events(here)
+    known = len(here.node.upstreams.by_number)
     _, link = here.client(LINE + ",at=s-99")
     here.run(31 * SECOND)
     assert link.sent == b"ERR\r\n" and not here.node.requests and not here.attempts()
     assert len(here.node.upstreams.by_number) == known and not [
-        e for e in told if isinstance(e, ExistingConnection)
+        e for e in events if isinstance(e, ExistingConnection)
     ]
 
 
