--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,4 +1,4 @@
-"""Lists however they are laid out, and the agent's watch where lists are pushed."""
+"""Endpoint lists in any layout, and the watch of an agent that pushes lists."""
 
 from __future__ import annotations
 
@@ -34,56 +34,59 @@
 
 
 @given(objects, st.integers(0, 4), st.data())
-def test_objects_come_out_whole_however_laid_out_and_cut(
-    told: list[dict[str, object]], indent: int, data: st.DataObject
+def test_objects_are_found_in_any_layout_and_chunks(
+    expected: list[dict[str, object]], indent: int, data: st.DataObject
 ) -> None:
-    text = b"\n\n".join(json.dumps(one, indent=indent or None).encode() for one in told) + b"\n"
+    text = b"\n\n".join(json.dumps(value, indent=indent or None).encode() for value in expected) + b"\n"
     cuts = sorted(data.draw(st.lists(st.integers(0, len(text)), max_size=6)))
-    cutter, found = JsonObjectStream(1 << 20), list[bytes]()
+    stream = JsonObjectStream(1 << 20)
+    found = list[bytes]()
     for start, end in zip([0, *cuts], [*cuts, len(text)], strict=True):
-        found += cutter.feed(text[start:end])
-    assert [json.loads(one) for one in found] == told and not cutter.partial_object
+        found += stream.feed(text[start:end])
+    assert [json.loads(text) for text in found] == expected
+    assert not stream.partial_object
 
 
 @pytest.mark.parametrize(
-    "bad", [b"x", b"[1]", b'{"a":1} 2', b'{"a":' * (MAX_DEPTH + 1), b'{"a":"' + b"x" * 99]
+    "malformed", [b"x", b"[1]", b'{"a":1} 2', b'{"a":' * (MAX_DEPTH + 1), b'{"a":"' + b"x" * 99]
 )
-def test_what_is_no_object_is_an_error(bad: bytes) -> None:
+def test_anything_but_objects_is_an_error(malformed: bytes) -> None:
     with pytest.raises(JsonStreamError):
-        JsonObjectStream(64 if b"xxx" in bad else 1 << 20).feed(bad)
+        JsonObjectStream(64 if b"xxx" in malformed else 1 << 20).feed(malformed)
 
 
 @pytest.mark.parametrize("watch", [True, False])
-@pytest.mark.parametrize("cut", [1, 7, 1000])
-def test_a_list_may_come_indented(watch: bool, cut: int) -> None:
-    told, over = list[EndpointList](), list[bool]()
+@pytest.mark.parametrize("chunk_bytes", [1, 7, 1000])
+def test_a_list_may_be_indented(watch: bool, chunk_bytes: int) -> None:
+    received = list[EndpointList]()
+    failures = list[bool]()
     call = DiscoveryCall(
         "x",
         0 if watch else None,
-        lambda c, h, n: told.append(h),
-        lambda c, f, n: over.append(f),
+        lambda call, endpoint_list, now_us: received.append(endpoint_list),
+        lambda call, failed, now_us: failures.append(failed),
         CallDeadline(False, 0),
     )
     call.connection_made(FakeTransport(), 1)
     text = json.dumps(hosts(host("s-1")), indent=2).encode()
     answer = HEAD + chunk(b"\r\n" + text + b"\r\n") + (b"" if watch else b"0\r\n\r\n")
-    for at in range(0, len(answer), cut):
-        call.data_received(answer[at : at + cut], 2)
-    assert [len(one.endpoints) for one in told] == [1]
-    assert over == ([] if watch else [False])
+    for start in range(0, len(answer), chunk_bytes):
+        call.data_received(answer[start : start + chunk_bytes], 2)
+    assert [len(endpoint_list.endpoints) for endpoint_list in received] == [1]
+    assert failures == ([] if watch else [False])
 
 
-def pushed(folder: Path) -> World:
-    return world(folder, settings={**settings(), "discovery": "pushed"})
+def world_with_agent(directory: Path) -> World:
+    return world(directory, settings={**settings(), "discovery": "pushed"})
 
 
 def watches(here: World) -> list[FakeTransport]:
-    return [d for d in here.dials if isinstance(d.machine, DiscoveryCall) and d.machine.is_watch]
+    return [dial for dial in here.dials if isinstance(dial.machine, DiscoveryCall) and dial.machine.is_watch]
 
 
-def test_where_lists_are_pushed_the_agent_is_watched_from_the_start_and_again(tmp_path: Path) -> None:
-    here = pushed(tmp_path)
-    (watch,) = watches(here)  # what the agent has counts from a process's first moment
+def test_an_agent_is_watched_from_the_start_and_again_after_its_watch_ends(tmp_path: Path) -> None:
+    here = world_with_agent(tmp_path)
+    (watch,) = watches(here)  # the agent's list counts from the process's start
     watch.accept(here.now)
     watch.machine.data_received(HEAD + chunk(json.dumps(hosts(host("s-new"))).encode() + b"\n"), here.now)
     assert here.node.is_listed("s-new")
@@ -93,17 +96,17 @@
     assert b"after=41" in watches(here)[1].machine.first_bytes(here.now), "what was missed comes first"
 
 
-def test_an_agent_that_says_nothing_is_asked_again_until_it_speaks(tmp_path: Path) -> None:
-    here = pushed(tmp_path)
+def test_a_silent_agent_is_called_again_until_it_answers(tmp_path: Path) -> None:
+    here = world_with_agent(tmp_path)
     for _ in range(3):
         here.run(AGENT_FIRST_BYTE_TIMEOUT_US + AGENT_RETRY_INTERVAL_US + SECOND)
         watches(here)[-1].accept(here.now)
     assert len(watches(here)) >= 3
-    assert sum(not d.closed for d in watches(here)) == 1, "one watch at a time"
+    assert sum(not watch.closed for watch in watches(here)) == 1, "one watch at a time"
 
 
-def test_a_list_that_never_ends_is_no_sign_of_life(tmp_path: Path) -> None:
-    here = pushed(tmp_path)
+def test_a_list_that_never_ends_does_not_keep_its_watch_alive(tmp_path: Path) -> None:
+    here = world_with_agent(tmp_path)
     (watch,) = watches(here)
     watch.accept(here.now)
     watch.machine.data_received(HEAD + chunk(b'{"generation": 42, '), here.now)
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -1,4 +1,4 @@
-"""Hosts held by hand: the yes comes when it holds, and putting one back brings it into use soon and cold."""
+"""Maintenance: it holds once the call is answered, and a host returns to service soon and in slow start."""
 
 from __future__ import annotations
 
@@ -17,56 +17,61 @@
 from tests.scripted_peers import LINE, SECOND, World, host, hosts, world
 from tests.test_node import events
 
-START = 1_700_000_000_000  #: milliseconds
+START_MS = 1_700_000_000_000
 
 
-def upstream(here: World, name: str) -> int:
+def upstream_number(here: World, name: str) -> int:
     return here.node.upstreams.by_name[name].number
 
 
-def hold_all_but(here: World, name: str) -> None:
+def put_all_into_maintenance_but(here: World, name: str) -> None:
     for other in set(here.node.upstreams.by_name) - {name}:
         assert here.node.maintenance.enable(other, here.now)
 
 
-@pytest.mark.parametrize("lists_meanwhile", ["nothing", "ready", "restarted", "gone and back"])
-def test_a_held_host_gets_nothing_new_whatever_discovery_lists(tmp_path: Path, lists_meanwhile: str) -> None:
+@pytest.mark.parametrize("listed_meanwhile", ["nothing", "ready", "restarted", "gone and back"])
+def test_a_host_in_maintenance_gets_nothing_new_whatever_discovery_lists(
+    tmp_path: Path, listed_meanwhile: str
+) -> None:
     here = world(tmp_path)
-    hold_all_but(here, "s-2")
+    put_all_into_maintenance_but(here, "s-2")
     entry = host("s-1")
-    if lists_meanwhile == "restarted":
-        entry["startedAtMs"] = START
-    if lists_meanwhile == "gone and back":
+    if listed_meanwhile == "restarted":
+        entry["startedAtMs"] = START_MS
+    if listed_meanwhile == "gone and back":
         here.node.endpoints_received(parse_endpoint_list(hosts(host("s-2"))), here.now)
-    if lists_meanwhile != "nothing":
+    if listed_meanwhile != "nothing":
         here.node.endpoints_received(parse_endpoint_list(hosts(entry, host("s-2"))), here.now)
     for _ in range(20):
         here.client()
     assert {dial.machine.observer.upstream.name for dial in here.attempts()} == {"s-2"}
 
 
-def test_what_is_pending_ends_and_what_stands_is_moved_at_once_and_spread(tmp_path: Path) -> None:
+def test_maintenance_cancels_pending_attempts_and_migrates_connections_spread_over_time(
+    tmp_path: Path,
+) -> None:
     here = world(tmp_path, known=hosts(host("s-1")))
-    standing = [here.served() for _ in range(10)]
-    _, late = here.client()
-    (setting_up,) = (d for d in here.attempts() if d not in [attempt for _, _, attempt in standing])
-    setting_up.accept(here.now)
+    established = [here.served() for _ in range(10)]
+    _, late_client = here.client()
+    established_attempts = [attempt for _, _, attempt in established]
+    (awaiting_answer,) = (dial for dial in here.attempts() if dial not in established_attempts)
+    awaiting_answer.accept(here.now)
     here.client()
-    (dialled,) = (d for d in here.attempts() if not d.machine.sent)
+    (dialling,) = (dial for dial in here.attempts() if not dial.machine.sent)
     assert here.node.maintenance.enable("s-1", here.now)
-    assert dialled.closed, "no line is written after the yes"
+    assert dialling.closed, "no request is written once the call is answered"
     here.run(SECOND // 2)
-    moved = sum(link.sent.endswith(b"MOVE\r\n") for _, link, _ in standing)
-    assert 3 <= moved <= 7
-    setting_up.machine.data_received(b"UP 8\r\n", here.now)
+    migrated = sum(link.sent.endswith(b"MOVE\r\n") for _, link, _ in established)
+    assert 3 <= migrated <= 7
+    awaiting_answer.machine.data_received(b"UP 8\r\n", here.now)
     here.run(SECOND // 2)
-    assert all(link.sent.endswith(b"MOVE\r\n") for _, link, _ in standing)
-    assert late.sent == b"UP 8\r\nMOVE\r\n", "it came up after the yes"
+    assert all(link.sent.endswith(b"MOVE\r\n") for _, link, _ in established)
+    assert late_client.sent == b"UP 8\r\nMOVE\r\n", "it was established after the call"
 
 
-def test_a_connection_of_before_the_start_waits_for_its_held_host(tmp_path: Path) -> None:
+def test_a_connection_from_before_the_start_waits_for_its_host_in_maintenance(tmp_path: Path) -> None:
     here = world(tmp_path)
-    hold_all_but(here, "s-2")
+    put_all_into_maintenance_but(here, "s-2")
     here.client(LINE + ",at=s-1")
     assert not here.attempts()
     assert here.node.maintenance.disable("s-1", here.now)
@@ -74,98 +79,107 @@
     assert [dial.machine.observer.upstream.name for dial in here.attempts()] == ["s-1"]
 
 
-def test_two_calls_out_are_undone_by_one_back_and_unknown_ids_are_refused(tmp_path: Path) -> None:
+def test_one_disable_undoes_two_enables_and_unknown_hosts_are_rejected(tmp_path: Path) -> None:
     here = world(tmp_path)
-    node = here.node.maintenance
-    assert not node.on("s-9", here.now) and not node.off("s-9", here.now) and not node.held
-    assert node.on("s-1", here.now) and node.on("s-1", here.now)
+    maintenance = here.node.maintenance
+    assert not maintenance.enable("s-9", here.now)
+    assert not maintenance.disable("s-9", here.now)
+    assert not maintenance.hosts
+    assert maintenance.enable("s-1", here.now)
+    assert maintenance.enable("s-1", here.now)
     here.node.endpoints_received(parse_endpoint_list(hosts(host("s-2"))), here.now)
-    assert node.on("s-1", here.now), "held, though listed no more"
-    assert node.off("s-1", here.now) and not node.held and not node.off("s-1", here.now)
-    assert node.off("s-2", here.now), "listed, though not held"
+    assert maintenance.enable("s-1", here.now), "in maintenance, though listed no more"
+    assert maintenance.disable("s-1", here.now)
+    assert not maintenance.hosts
+    assert not maintenance.disable("s-1", here.now)
+    assert maintenance.disable("s-2", here.now), "listed, though not in maintenance"
     assert not here.node.is_listed("s-1")
 
 
-@pytest.mark.parametrize("way", ["listed all along", "listed again later", "listed with its new start"])
-def test_one_put_back_is_cold_and_tried_at_once(tmp_path: Path, way: str) -> None:
+@pytest.mark.parametrize("listing", ["listed all along", "listed again later", "listed with its new start"])
+def test_a_returned_host_is_cold_and_tried_at_once(tmp_path: Path, listing: str) -> None:
     here = world(tmp_path)
-    told = events(here)
-    hold_all_but(here, "s-2")
-    if way == "listed again later":
+    reported = events(here)
+    put_all_into_maintenance_but(here, "s-2")
+    if listing == "listed again later":
         here.node.endpoints_received(parse_endpoint_list(hosts(host("s-2"))), here.now)
         here.node.maintenance.disable("s-1", here.now)
         here.node.endpoints_received(parse_endpoint_list(hosts(host("s-1"), host("s-2"))), here.now)
     else:
         here.node.maintenance.disable("s-1", here.now)
-    if way == "listed with its new start":
+    if listing == "listed with its new start":
         assert here.node.upstreams.by_name["s-1"].returned_to_service_us == here.now
         here.node.endpoints_received(
             parse_endpoint_list(hosts(host("s-1") | {"startedAtMs": 40_000}, host("s-2"))), here.now
         )
     entries = [
-        e
-        for m in told
-        if isinstance(m, EndpointUpdate)
-        for e in m.entries
-        if e.server == upstream(here, "s-1")
+        entry
+        for event in reported
+        if isinstance(event, EndpointUpdate)
+        for entry in event.entries
+        if entry.server == upstream_number(here, "s-1")
     ]
     assert (
         entries[-1].state == ServerState.READY and entries[-1].since == here.now
     ), "cold, whatever is listed"
     here.served()
     assert here.attempts()[-1].machine.observer.upstream.name == "s-1", "the next one goes there"
-    placed = set[str]()
+    chosen = set[str]()
     for _ in range(19):
         here.served()
-        placed |= {dial.machine.observer.upstream.name for dial in here.attempts()}
-    assert placed == {"s-1", "s-2"}
-    many = sum(dial.machine.observer.upstream.name == "s-1" for dial in here.attempts())
-    assert many <= 4, "inside the cold budget"
+        chosen |= {dial.machine.observer.upstream.name for dial in here.attempts()}
+    assert chosen == {"s-1", "s-2"}
+    on_returned_host = sum(dial.machine.observer.upstream.name == "s-1" for dial in here.attempts())
+    assert on_returned_host <= 4, "within the slow start budget"
 
 
-def test_where_nobody_new_comes_a_connection_is_moved_for_one_put_back(tmp_path: Path) -> None:
+def test_without_new_clients_connections_are_migrated_to_a_returned_host(tmp_path: Path) -> None:
     here = world(tmp_path)
-    hold_all_but(here, "s-2")
-    standing = [here.served()[1] for _ in range(6)]
+    put_all_into_maintenance_but(here, "s-2")
+    established = [here.served()[1] for _ in range(6)]
     here.node.maintenance.disable("s-1", here.now)
     here.run(SECOND + 10_000)
-    moved = sum(link.sent.endswith(b"MOVE\r\n") for link in standing)
-    assert moved == 2
+    migrated = sum(link.sent.endswith(b"MOVE\r\n") for link in established)
+    assert migrated == 2
     here.served()
     assert here.attempts()[-1].machine.observer.upstream.name == "s-1"
     here.run(5 * SECOND)
-    assert sum(link.sent.endswith(b"MOVE\r\n") for link in standing) == moved, "and no more than it takes"
+    assert (
+        sum(link.sent.endswith(b"MOVE\r\n") for link in established) == migrated
+    ), "and no more than necessary"
 
 
-@pytest.mark.parametrize("ago", [SECOND, 20 * SECOND])
-def test_a_successor_knows_what_was_put_back(tmp_path: Path, ago: int) -> None:
+@pytest.mark.parametrize("returned_ago_us", [SECOND, 20 * SECOND])
+def test_a_successor_knows_which_hosts_returned(tmp_path: Path, returned_ago_us: int) -> None:
     here = world(tmp_path)
-    hold_all_but(here, "s-2")
+    put_all_into_maintenance_but(here, "s-2")
     here.node.maintenance.disable("s-1", here.now)
-    here.run(ago)
-    other = world(tmp_path)
-    other.now = here.now
-    told = events(other)
-    other.node.apply_return_to_service_times(here.node.return_to_service_times(), other.now)
-    (entry,) = (e for m in told if isinstance(m, EndpointUpdate) for e in m.entries)
-    assert entry.since == here.now - ago
-    other.served()
-    (attempt,) = other.attempts()
-    assert ago > SECOND or attempt.machine.observer.upstream.name == "s-1"
-
-
-def test_discovery_is_asked_no_later_for_a_call_by_hand(tmp_path: Path) -> None:
+    here.run(returned_ago_us)
+    successor = world(tmp_path)
+    successor.now = here.now
+    reported = events(successor)
+    return_times = here.node.return_to_service_times()
+    successor.node.apply_return_to_service_times(return_times, successor.now)
+    updates = [event for event in reported if isinstance(event, EndpointUpdate)]
+    (entry,) = (entry for update in updates for entry in update.entries)
+    assert entry.since == here.now - returned_ago_us
+    successor.served()
+    (attempt,) = successor.attempts()
+    assert returned_ago_us > SECOND or attempt.machine.observer.upstream.name == "s-1"
+
+
+def test_maintenance_calls_do_not_delay_discovery(tmp_path: Path) -> None:
     here = world(tmp_path)
     here.dials[0].machine.connection_lost(here.now)  # the watch
-    before = len(here.dials)
-    hold_all_but(here, "s-2")
+    dials_before = len(here.dials)
+    put_all_into_maintenance_but(here, "s-2")
     here.run(2 * SECOND)
-    assert len(here.dials) > before
+    assert len(here.dials) > dials_before
 
 
-def test_numbers_count_a_held_host_once(tmp_path: Path) -> None:
+def test_gauges_count_a_host_in_maintenance_once(tmp_path: Path) -> None:
     here = world(tmp_path)
-    hold_all_but(here, "s-2")
+    put_all_into_maintenance_but(here, "s-2")
     assert here.node.gauges(here.now)["out_of_rotation"] == 1
     here.node.endpoints_received(parse_endpoint_list(hosts(host("s-2"))), here.now)
     gauges = here.node.gauges(here.now)
@@ -175,7 +189,8 @@
 def test_both_processes_follow_the_marks(tmp_path: Path) -> None:
     here, other = world(tmp_path), world(tmp_path)
     marks = InMemoryMarks()
-    here.node.maintenance.marks = other.node.maintenance.marks = marks
+    here.node.maintenance.marks = marks
+    other.node.maintenance.marks = marks
     assert here.node.maintenance.enable("s-1", here.now)
     other.run(SECOND // 10 + 10_000)
     assert other.node.maintenance.hosts == {"s-1"}
@@ -186,7 +201,7 @@
     assert here.node.upstreams.by_name["s-1"].state == ServerState.READY
 
 
-class Broken(InMemoryMarks):
+class BrokenMarks(InMemoryMarks):
     def add(self, name: str) -> None:
         raise OSError(28, "No space left on device")
 
@@ -194,9 +209,9 @@
         raise OSError(5, "gone")
 
 
-def test_a_mark_that_cannot_be_written_holds_nothing(tmp_path: Path) -> None:
+def test_maintenance_does_not_begin_if_its_mark_cannot_be_written(tmp_path: Path) -> None:
     here = world(tmp_path)
-    here.node.maintenance.marks = Broken()
+    here.node.maintenance.marks = BrokenMarks()
     with pytest.raises(OSError):
         here.node.maintenance.enable("s-1", here.now)
     here.run(SECOND)
@@ -204,14 +219,14 @@
 
 
 @pytest.mark.parametrize("name", ["s-1", "../s-1", "a/b", ".", "%2F", "é\n"])
-def test_marks_are_files_in_their_folder_whatever_the_name(tmp_path: Path, name: str) -> None:
-    folder = tmp_path / "state"
-    folder.mkdir()
-    marks = MarkFiles(str(folder))
+def test_marks_are_files_in_their_directory_whatever_the_name(tmp_path: Path, name: str) -> None:
+    directory = tmp_path / "state"
+    directory.mkdir()
+    marks = MarkFiles(str(directory))
     marks.add(name)
     marks.add(name)
-    (folder / "handover").touch()
-    assert MarkFiles(str(folder)).read() == {name} and len(list(tmp_path.iterdir())) == 1
+    (directory / "handover").touch()
+    assert MarkFiles(str(directory)).read() == {name} and len(list(tmp_path.iterdir())) == 1
     marks.remove(name)
     marks.remove(name)
     assert marks.read() == set()
@@ -219,17 +234,19 @@
         marks.add("x" * 300)
 
 
-def test_a_remembered_drain_outlives_the_list_and_is_lifted_by_a_newer_start_alone(tmp_path: Path) -> None:
+def test_a_remembered_drain_outlives_the_list_and_ends_with_a_newer_start_only(tmp_path: Path) -> None:
     here = world(tmp_path)
-    here.node.drain_memory = recall = InheritedDrains({"s-1": START})
-    for started, out in [(START, True), (START - 5, True), (START + 1, False)]:
-        entry = host("s-1") | {"startedAtMs": started}
+    drain_memory = InheritedDrains({"s-1": START_MS})
+    here.node.drain_memory = drain_memory
+    for started_ms, drains in [(START_MS, True), (START_MS - 5, True), (START_MS + 1, False)]:
+        entry = host("s-1") | {"startedAtMs": started_ms}
         here.node.endpoints_received(parse_endpoint_list(hosts(entry, host("s-2"))), here.now)
-        assert (here.node.upstreams.by_name["s-1"].state == ServerState.DRAINING) == out, started
-    recall.record_drain("s-1", START + 9)
+        assert (here.node.upstreams.by_name["s-1"].state == ServerState.DRAINING) == drains, started_ms
+    drain_memory.record_drain("s-1", START_MS + 9)
     here.node.refresh_endpoint("s-1", here.now)
     assert here.node.upstreams.by_name["s-1"].state == ServerState.DRAINING
     leaving = host("s-2", lifecycle="leaving") | {"startedAtMs": 7}
     here.node.endpoints_received(parse_endpoint_list(hosts(leaving)), here.now)
-    assert recall.observed_here == {"s-2": 7} and recall.drained_starts() == {"s-1": START + 9, "s-2": 7}
-    assert upstream(here, "s-2") and not here.node.is_listed("s-1")
+    assert drain_memory.observed_here == {"s-2": 7}
+    assert drain_memory.drained_starts() == {"s-1": START_MS + 9, "s-2": 7}
+    assert upstream_number(here, "s-2") and not here.node.is_listed("s-1")
--- a/tests/test_race_conditions.py
+++ b/tests/test_race_conditions.py
@@ -1,6 +1,6 @@
-"""What comes between two lines: crossings forced over real loopback sockets, one story each.
+"""Race conditions: events that cross each other, forced over real loopback sockets, one scenario each.
 
-docs/design/crossings.md has the table of states and events, with these names.
+docs/design/crossings.md has the table of states and events.
 """
 
 from __future__ import annotations
@@ -22,27 +22,29 @@
 from tests.scripted_peers import LINE, SECOND, Listener, Loopback, Peer, free, host, hosts, settings
 from tests.test_end_to_end import reset, served
 
-Story = Callable[[Loopback, pytest.MonkeyPatch], Awaitable[None]]
+Scenario = Callable[[Loopback, pytest.MonkeyPatch], Awaitable[None]]
 
 
-def quick(deadline: int = 800_000, **caps: Any) -> dict[str, Any]:
-    """Settings under which a planned stop is soon over."""
-    told = settings(**caps)
-    told["classes"][0] |= {"aimUs": deadline // 8, "deadlineUs": deadline}
-    return told
+def quick_settings(deadline_us: int = 800_000, **caps: Any) -> dict[str, Any]:
+    """Settings under which a graceful shutdown takes little time."""
+    quick = settings(**caps)
+    quick["classes"][0] |= {"aimUs": deadline_us // 8, "deadlineUs": deadline_us}
+    return quick
 
 
-class Late:
-    """The loop as a dial sees it: hosts take the connection at once, and the node learns of it at `open`."""
+class DelayedDials:
+    """The event loop as dials see it: hosts accept at once, the node learns of it when `gate` is set."""
 
     def __init__(self, patch: pytest.MonkeyPatch) -> None:
-        self.gate, begin = asyncio.Event(), TcpConnector.__init__
+        self.gate = asyncio.Event()
         self.loop: Any = None
-        late = self
+        delayed_dials = self
+        original_init = TcpConnector.__init__
 
         def init(dialler: TcpConnector, loop: Any, clock: Any) -> None:
-            begin(dialler, loop, clock)
-            late.loop, dialler.loop = loop, late  # type: ignore[assignment]
+            original_init(dialler, loop, clock)
+            delayed_dials.loop = loop
+            dialler.loop = delayed_dials  # type: ignore[assignment]
 
         patch.setattr(TcpConnector, "__init__", init)
 
@@ -54,31 +56,34 @@
         await self.gate.wait()
 
 
-def sessions(patch: pytest.MonkeyPatch) -> list[LineSession]:
-    """The clients that come from here on, as the node has them."""
-    came, connected = list[LineSession](), LineSession.connection_made
+def record_sessions(patch: pytest.MonkeyPatch) -> list[LineSession]:
+    """The sessions of clients that connect from now on."""
+    sessions = list[LineSession]()
+    original_connection_made = LineSession.connection_made
 
-    def spy(session: LineSession, link: Any, now: int) -> None:
-        came.append(session)
-        connected(session, link, now)
+    def spy(session: LineSession, transport: Any, now_us: int) -> None:
+        sessions.append(session)
+        original_connection_made(session, transport, now_us)
 
     patch.setattr(LineSession, "connection_made", spy)
-    return came
+    return sessions
 
 
-async def all_that_comes(peer: Peer) -> bytes:
-    """Whatever a host gets until the end, ended cleanly or not."""
+async def read_to_end(peer: Peer) -> bytes:
+    """All data until the connection ends, cleanly or not."""
     try:
         return await peer.reader.read()
     except ConnectionError:
         return b""
 
 
-# a client that rests
+# an idle client
 
 
-async def a_resting_client_is_told_before_it_is_ended(here: Loopback, patch: pytest.MonkeyPatch) -> None:
-    """Its first line crosses the end: it has its final answer, is read by nobody and never sent on."""
+async def an_idle_client_gets_busy_before_its_connection_ends(
+    here: Loopback, patch: pytest.MonkeyPatch
+) -> None:
+    """Its first line crosses the end: BUSY is its final answer; the line is neither read nor forwarded."""
     patch.setattr("limerudder.core.client.session.PING_IDLE_TIMEOUT_US", 50_000)
     async with here.running():
         client = await here.client()
@@ -91,28 +96,28 @@
         assert here.upstream.came.empty()
 
 
-async def a_planned_stop_ends_those_who_rest(here: Loopback, patch: pytest.MonkeyPatch) -> None:
-    """They would rest until the process ends, and what they ask then would be reset."""
-    async with here.running(settings=quick()) as node:
+async def a_graceful_shutdown_evicts_idle_clients(here: Loopback, patch: pytest.MonkeyPatch) -> None:
+    """They would stay idle until the process ends, and a request sent then would be reset."""
+    async with here.running(settings=quick_settings()) as node:
         client, silent = await here.client(), await here.client()
         client.say("PING")
         assert await client.line() == "PONG"
         os.kill(os.getpid(), signal.SIGTERM)
         assert [await client.line(), await client.line()] == ["BUSY", ""]
         assert [await silent.line(), await silent.line()] == ["BUSY", ""]
-        assert not node.done(), "told while the process is there to take what crosses"
+        assert not node.done(), "answered while the process is there to receive what crosses"
         client.say(here.line())
         await node
     assert here.upstream.came.empty()
 
 
-# a close over unread bytes
+# a close with unread data
 
 
-async def a_move_reaches_a_client_that_never_stops_sending(here: Loopback, patch: pytest.MonkeyPatch) -> None:
-    async with here.running(settings=quick()) as node:
+async def move_reaches_a_client_that_never_stops_sending(here: Loopback, patch: pytest.MonkeyPatch) -> None:
+    async with here.running(settings=quick_settings()) as node:
         client, upstream = await served(here)
-        taking = asyncio.create_task(all_that_comes(upstream))
+        taking = asyncio.create_task(read_to_end(upstream))
 
         async def send() -> None:
             while True:
@@ -129,123 +134,133 @@
         await taking
 
 
-async def small_writes_are_never_held_back(here: Loopback, patch: pytest.MonkeyPatch) -> None:
-    """What the system still holds back goes with a close over unread bytes."""
-    told, made = list[int](), TcpConnection.connection_made
+async def small_writes_are_not_delayed(here: Loopback, patch: pytest.MonkeyPatch) -> None:
+    """Data that the system delays is lost in a close with unread data."""
+    no_delay = list[int]()
+    original_connection_made = TcpConnection.connection_made
 
     def spy(stream: TcpConnection, transport: Any) -> None:
         sock = transport.get_extra_info("socket")
-        told.append(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
-        made(stream, transport)
+        no_delay.append(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+        original_connection_made(stream, transport)
 
     patch.setattr(TcpConnection, "connection_made", spy)
     async with here.running():
         await here.discovery.take()
         await served(here)
-        assert len(told) >= 3 and all(told), "client, upstream and director"
+        assert len(no_delay) >= 3 and all(no_delay), "client, upstream and discovery"
 
 
-# a client that has gone
+# a client that disconnects
 
 
-async def one_that_leaves_as_its_host_is_dialled_is_never_sent_on(
+async def a_request_is_not_forwarded_if_its_client_disconnects_during_the_dial(
     here: Loopback, patch: pytest.MonkeyPatch
 ) -> None:
     for cancel in (True, False):
-        late = Late(patch)
+        dials = DelayedDials(patch)
         async with here.running(settings=settings(dialTimeoutUs=5 * SECOND, cancel=cancel)):
             client = await here.client()
             client.say(here.line())
             upstream = await here.upstream.take()
-            client.writer.write_eof()  # it ends its sending: it leaves
+            client.writer.write_eof()  # a half-close counts as a disconnect
             assert await client.line() == "", "the node has seen it"
-            late.gate.set()
-            assert await all_that_comes(upstream) == b""
+            dials.gate.set()
+            assert await read_to_end(upstream) == b""
         patch.undo()
 
 
-async def one_whose_end_lies_behind_unread_bytes_is_never_sent_on(
+async def a_request_is_not_forwarded_if_a_disconnect_is_hidden_by_unread_data(
     here: Loopback, patch: pytest.MonkeyPatch
 ) -> None:
-    late, came = Late(patch), sessions(patch)
+    dials = DelayedDials(patch)
+    sessions = record_sessions(patch)
     async with here.running(settings=settings(dialTimeoutUs=5 * SECOND)):
         client = await here.client()
         client.say(here.line())
         upstream = await here.upstream.take()
-        link = came[-1].transport
-        assert isinstance(link, TcpConnection) and not link.has_disconnected()
-        link.set_reading_paused(True)  # as where the loop has not come to it yet
+        transport = sessions[-1].transport
+        assert isinstance(transport, TcpConnection) and not transport.has_disconnected()
+        transport.set_reading_paused(True)  # as if the event loop had not come to it yet
         client.say("M 1")
         client.writer.close()
-        while not link.has_disconnected():
+        while not transport.has_disconnected():
             await asyncio.sleep(0)
-        late.gate.set()
-        assert await all_that_comes(upstream) == b""
+        dials.gate.set()
+        assert await read_to_end(upstream) == b""
 
 
-async def hundreds_that_leave_at_once_are_never_sent_on(here: Loopback, patch: pytest.MonkeyPatch) -> None:
-    late, many = Late(patch), 120
+async def no_request_is_forwarded_if_hundreds_of_clients_disconnect_at_once(
+    here: Loopback, patch: pytest.MonkeyPatch
+) -> None:
+    dials = DelayedDials(patch)
+    client_count = 120
     async with here.running(settings=settings(dialTimeoutUs=5 * SECOND)):
-        clients = [await here.client() for _ in range(many)]
+        clients = [await here.client() for _ in range(client_count)]
         for client in clients:
             client.say(here.line())
-        upstreams = [await here.upstream.take() for _ in range(4)]  # as many are set up there at a time
+        # so many attempts are in progress there at a time
+        upstreams = [await here.upstream.take() for _ in range(4)]
         for client in clients:
             client.writer.close()
         for client in clients:
             await client.writer.wait_closed()
-        late.gate.set()
-        assert [await all_that_comes(upstream) for upstream in upstreams] == [b""] * len(upstreams)
+        dials.gate.set()
+        assert [await read_to_end(upstream) for upstream in upstreams] == [b""] * len(upstreams)
         while not here.upstream.came.empty():
-            assert await all_that_comes(await here.upstream.take()) == b""
+            assert await read_to_end(await here.upstream.take()) == b""
         await served(here)
 
 
 # attempts
 
 
-async def a_dial_that_comes_up_after_it_was_given_up_writes_nothing(
+async def a_dial_that_connects_after_its_timeout_writes_nothing(
     here: Loopback, patch: pytest.MonkeyPatch
 ) -> None:
-    late = Late(patch)
-    where = await here.upstream.start()
-    async with here.running(known=hosts(host("s-1", where), host("s-2", where))):
+    dials = DelayedDials(patch)
+    address = await here.upstream.start()
+    async with here.running(known=hosts(host("s-1", address), host("s-2", address))):
         client = await here.client()
         client.say(here.line())
-        first, second = await here.upstream.take(), await here.upstream.take()  # given up after 100 ms
-        late.gate.set()
-        assert await all_that_comes(first) == b""
+        first = await here.upstream.take()
+        second = await here.upstream.take()  # the first dial times out after 100 ms
+        dials.gate.set()
+        assert await read_to_end(first) == b""
         assert (await second.line()).startswith("OPEN")
         second.say("UP 7")
         assert await client.line() == "UP 7"
         assert here.upstream.came.empty()
 
 
-@pytest.mark.parametrize("how", ["reset", "end"])
-def test_half_an_answer_is_none(how: str, tmp_path: Path) -> None:
-    """`UP` without its line's end, then nothing: it may have run; a safe one is tried elsewhere, once."""
+@pytest.mark.parametrize("ending", ["reset", "end"])
+def test_an_incomplete_answer_is_retried_once_elsewhere(ending: str, tmp_path: Path) -> None:
+    """`UP` without a line end, then nothing: it may have run; a safe one is retried once elsewhere."""
 
-    async def story(here: Loopback, patch: pytest.MonkeyPatch) -> None:
-        where = await here.upstream.start()
-        async with here.running(known=hosts(host("s-1", where), host("s-2", where))):
+    async def scenario(here: Loopback, patch: pytest.MonkeyPatch) -> None:
+        address = await here.upstream.start()
+        async with here.running(known=hosts(host("s-1", address), host("s-2", address))):
             client = await here.client()
             client.say(here.line())
             first = await here.upstream.take()
             assert (await first.line()).startswith("OPEN")
             first.writer.write(b"UP 8")
             await first.writer.drain()
-            reset(first) if how == "reset" else first.writer.close()
+            if ending == "reset":
+                reset(first)
+            else:
+                first.writer.close()
             second = await here.upstream.take()
             assert (await second.line()).startswith("OPEN")
             second.say("BUSY")
             assert [await client.line(), await client.line()] == ["BUSY", ""]
 
-    play(story, tmp_path)
+    run_scenario(scenario, tmp_path)
 
 
-async def a_second_answer_is_for_nobody(here: Loopback, patch: pytest.MonkeyPatch) -> None:
-    """ERR, and some milliseconds later UP: the client has had its answer, and has one."""
-    async with here.running(settings=quick(tryLimit=1)):
+async def a_second_answer_is_dropped(here: Loopback, patch: pytest.MonkeyPatch) -> None:
+    """ERR, and some milliseconds later UP: the client gets exactly one answer."""
+    async with here.running(settings=quick_settings(tryLimit=1)):
         client = await here.client()
         client.say(here.line())
         upstream = await here.upstream.take()
@@ -256,10 +271,10 @@
         assert answer in ("BUSY", "ERR") and await client.line() == ""
 
 
-async def an_answer_that_never_ends_leaves_the_client_its_own_in_time(
+async def an_answer_that_never_ends_does_not_delay_the_final_answer(
     here: Loopback, patch: pytest.MonkeyPatch
 ) -> None:
-    async with here.running(settings=quick(400_000)):
+    async with here.running(settings=quick_settings(400_000)):
         client = await here.client()
         client.say(LINE.replace("d=2000", "d=400"))
         upstream = await here.upstream.take()
@@ -279,18 +294,18 @@
 # signals
 
 
-async def a_stop_as_hosts_hang_and_a_dial_is_under_way_leaves_nobody_without_an_answer(
+async def a_shutdown_with_hanging_hosts_and_dials_answers_every_client(
     here: Loopback, patch: pytest.MonkeyPatch
 ) -> None:
-    """SIGTERM comes twice; one client's host has its line and hangs, another's is dialled."""
-    late = Late(patch)
-    late.gate.set()
-    async with here.running(settings=quick(dialTimeoutUs=5 * SECOND)) as node:
+    """SIGTERM comes twice; one client's host has the request and hangs, another's is being dialled."""
+    dials = DelayedDials(patch)
+    dials.gate.set()
+    async with here.running(settings=quick_settings(dialTimeoutUs=5 * SECOND)) as node:
         hanging = await here.client()
         hanging.say(here.line())
         upstream = await here.upstream.take()
         assert (await upstream.line()).startswith("OPEN")
-        late.gate.clear()
+        dials.gate.clear()
         dialling = await here.client()
         dialling.say(here.line())
         other = await here.upstream.take()
@@ -300,12 +315,10 @@
             assert await client.line() in ("BUSY", "ERR")
             assert await client.line() == ""
         await node
-        assert await all_that_comes(other) == b""
+        assert await read_to_end(other) == b""
 
 
-async def a_reload_in_the_middle_of_a_list_forgets_its_half(
-    here: Loopback, patch: pytest.MonkeyPatch
-) -> None:
+async def a_reload_drops_a_partly_received_list(here: Loopback, patch: pytest.MonkeyPatch) -> None:
     async with here.running():
         old = await here.discovery.take()
         await old.line()
@@ -319,48 +332,51 @@
         asked = await new.take()
         assert "after=0" in await asked.line()
         old.say(gone[40:])
-        assert await all_that_comes(old) != b"", "the rest of its call, and the end"
-        await served(here)  # by the list of before: the old service's half is no word
+        assert await read_to_end(old) != b"", "the rest of the request, and the end"
+        await served(here)  # by the previous list: the old service's partial one does not count
 
 
 # descriptors, floods, restarts
 
 
-async def a_flood_of_one_that_then_leaves_is_bounded_and_others_are_served(
+async def a_flood_from_a_client_that_disconnects_is_bounded(
     here: Loopback, patch: pytest.MonkeyPatch
 ) -> None:
-    """Its host does not read. What it sends waits with it, in bounds; both sides are let go in the end."""
+    """Its host does not read. What it sends is buffered within bounds; both sides are closed in the end."""
     patch.setattr("limerudder.core.upstream.attempt.MESSAGE_TIMEOUT_US", 400_000)
-    came, many = sessions(patch), 5000
+    sessions = record_sessions(patch)
+    message_count = 5000
     async with here.running():
         client, upstream = await served(here)
-        link = came[-1].attempt and came[-1].attempt.transport
-        assert isinstance(link, TcpConnection) and link.transport
+        attempt = sessions[-1].attempt
+        transport = attempt and attempt.transport
+        assert isinstance(transport, TcpConnection) and transport.transport
         upstream.reader._transport.pause_reading()  # type: ignore[attr-defined]
-        for _ in range(many):  # twenty megabytes
+        for _ in range(message_count):  # twenty megabytes
             client.say("M " + "x" * 4000)
-        kept = list[int]()
-        while not link.transport.is_closing():  # it is let go, since no message is answered
-            kept.append(link.transport.get_write_buffer_size())
+        buffered_bytes = list[int]()
+        while not transport.transport.is_closing():  # it is closed, since no message is answered
+            buffered_bytes.append(transport.transport.get_write_buffer_size())
             await asyncio.sleep(0)
-        assert 0 < max(kept) < 1 << 20, "what waits for a host that does not read"
+        assert 0 < max(buffered_bytes) < 1 << 20, "buffered for a host that does not read"
         client.writer.transport.abort()
         await served(here)
         upstream.reader._transport.resume_reading()  # type: ignore[attr-defined]
-        assert len(await all_that_comes(upstream)) < many * 4000
+        assert len(await read_to_end(upstream)) < message_count * 4000
 
 
-async def idle_clients_fill_the_descriptors_while_discovery_is_down(
+async def idle_clients_cannot_exhaust_descriptors_while_discovery_is_down(
     here: Loopback, patch: pytest.MonkeyPatch
 ) -> None:
-    """Usual clients, their attempts and discovery still get theirs; nothing raises, accept goes on."""
-    where, discovery = await here.upstream.start(), free()
+    """Ordinary clients, attempts and discovery still get descriptors; nothing raises, accept goes on."""
+    upstream_address = await here.upstream.start()
+    discovery_address = free()
     here.shared = here.folder / "t"
     here.shared.mkdir()
     here.given = {
         "listen": free(),
-        "discovery": discovery,
-        "known": hosts(host("s-1", where)),
+        "discovery": discovery_address,
+        "known": hosts(host("s-1", upstream_address)),
         "settings": settings(peers=False),
         "limits": {"sockets": 64},
     }
@@ -371,12 +387,13 @@
             idle += [await here.client() for _ in range(60)]
             await served(here)
         service = await asyncio.start_server(
-            lambda r, w: here.discovery.came.put_nowait(Peer(r, w)), *discovery.rsplit(":", 1)
+            lambda r, w: here.discovery.came.put_nowait(Peer(r, w)), *discovery_address.rsplit(":", 1)
         )
-        director = await here.discovery.take()
-        told = json.dumps(hosts(host("s-1", where, "leaving"), host("s-9", where))) + "\n"
-        director.say("HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "", f"{len(told):x}", told)
-        assert await first.line() == "MOVE", "its host drains, and the node has heard"
+        watch = await here.discovery.take()
+        listed = hosts(host("s-1", upstream_address, "leaving"), host("s-9", upstream_address))
+        text = json.dumps(listed) + "\n"
+        watch.say("HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "", f"{len(text):x}", text)
+        assert await first.line() == "MOVE", "its host drains, and the node knows"
         process.signal(signal.SIGTERM)
         assert process.ran.stderr
         printed = (await process.ran.stderr.read()).decode()
@@ -384,57 +401,57 @@
         service.close()
 
 
-async def a_restarted_process_is_ready_whatever_discovery_does(
+async def a_restarted_process_serves_whatever_discovery_does(
     here: Loopback, patch: pytest.MonkeyPatch
 ) -> None:
-    """It takes the connection and says nothing: PONG and the list of before do not wait for it."""
-    where = await here.upstream.start()
+    """It accepts the connection and sends nothing: PONG and the previous list do not wait for it."""
+    address = await here.upstream.start()
     here.shared = here.folder / "t"
     here.shared.mkdir()
     here.given = {
         "listen": free(),
         "discovery": await here.discovery.start(),
-        "known": hosts(host("s-1", where)),
+        "known": hosts(host("s-1", address)),
         "settings": settings(peers=False),
     }
-    for ends in ("silent", "closed"):
+    for behaviour in ("silent", "closed"):
         here.before = False
         async with here.process():
-            director = await here.discovery.take()
-            if ends == "closed":
-                director.writer.close()
+            watch = await here.discovery.take()
+            if behaviour == "closed":
+                watch.writer.close()
             await served(here)
 
 
-STORIES = [
-    a_resting_client_is_told_before_it_is_ended,
-    a_planned_stop_ends_those_who_rest,
-    a_move_reaches_a_client_that_never_stops_sending,
-    small_writes_are_never_held_back,
-    one_that_leaves_as_its_host_is_dialled_is_never_sent_on,
-    one_whose_end_lies_behind_unread_bytes_is_never_sent_on,
-    hundreds_that_leave_at_once_are_never_sent_on,
-    a_dial_that_comes_up_after_it_was_given_up_writes_nothing,
-    a_second_answer_is_for_nobody,
-    an_answer_that_never_ends_leaves_the_client_its_own_in_time,
-    a_stop_as_hosts_hang_and_a_dial_is_under_way_leaves_nobody_without_an_answer,
-    a_reload_in_the_middle_of_a_list_forgets_its_half,
-    a_flood_of_one_that_then_leaves_is_bounded_and_others_are_served,
-    idle_clients_fill_the_descriptors_while_discovery_is_down,
-    a_restarted_process_is_ready_whatever_discovery_does,
+SCENARIOS = [
+    an_idle_client_gets_busy_before_its_connection_ends,
+    a_graceful_shutdown_evicts_idle_clients,
+    move_reaches_a_client_that_never_stops_sending,
+    small_writes_are_not_delayed,
+    a_request_is_not_forwarded_if_its_client_disconnects_during_the_dial,
+    a_request_is_not_forwarded_if_a_disconnect_is_hidden_by_unread_data,
+    no_request_is_forwarded_if_hundreds_of_clients_disconnect_at_once,
+    a_dial_that_connects_after_its_timeout_writes_nothing,
+    a_second_answer_is_dropped,
+    an_answer_that_never_ends_does_not_delay_the_final_answer,
+    a_shutdown_with_hanging_hosts_and_dials_answers_every_client,
+    a_reload_drops_a_partly_received_list,
+    a_flood_from_a_client_that_disconnects_is_bounded,
+    idle_clients_cannot_exhaust_descriptors_while_discovery_is_down,
+    a_restarted_process_serves_whatever_discovery_does,
 ]
 
 
-def play(story: Story, folder: Path) -> None:
-    """Play one; what hangs fails, whatever the machine."""
+def run_scenario(scenario: Scenario, folder: Path) -> None:
+    """Run a scenario; one that hangs fails, on any machine."""
 
-    async def told() -> None:
+    async def run() -> None:
         with pytest.MonkeyPatch.context() as patch:
-            await asyncio.wait_for(story(Loopback(folder), patch), 60)
+            await asyncio.wait_for(scenario(Loopback(folder), patch), 60)
 
-    uvloop.run(told())
+    uvloop.run(run())
 
 
-@pytest.mark.parametrize("story", STORIES, ids=lambda story: story.__name__)
-def test_crossing(story: Story, tmp_path: Path) -> None:
-    play(story, tmp_path)
+@pytest.mark.parametrize("scenario", SCENARIOS, ids=lambda scenario: scenario.__name__)
+def test_race(scenario: Scenario, tmp_path: Path) -> None:
+    run_scenario(scenario, tmp_path)
