--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -42,7 +42,7 @@
 
 
 class NodeMachine(RuleBasedStateMachine):
-    """A node with clients that connect and disconnect, hosts that answer anything, lists, signals and time."""
+    """A node with clients that come and go, hosts that answer anything, lists, signals and time."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -239,7 +239,7 @@
     connection = next(iter(here.node.requests.values()))
     assert connection.upstream
     connection.upstream.state = ServerState.DRAINING
-    watch._attempt_ready = lambda connection, now: True
+    watch._attempt_ready = lambda connection, now_us: True
     with pytest.raises(InvariantViolation, match="drains"):
         here.attempts()[0].accept(here.now)
 
@@ -247,7 +247,7 @@
     here.client()
     connection = next(iter(here.node.requests.values()))
     connection.finish()
-    watch._attempt_ready = lambda connection, now: True
+    watch._attempt_ready = lambda connection, now_us: True
     with pytest.raises(InvariantViolation, match="gone"):
         here.attempts()[0].accept(here.now)
 
