Follow the discovery client's new names in its timing tests

Cause: three attributes were renamed, and mypy found them still under their old names.

Change: call sites only.

Measured: mypy's run before this named these lines; tests not run yet: the machine is reserved.

--- a/tests/test_discovery_timing.py
+++ b/tests/test_discovery_timing.py
@@ -72,7 +72,7 @@
             if isinstance(link.machine, DiscoveryCall) and not link.closed:
                 if at not in self.seen:
                     # from the moment on each call is answered: by an agent at once, by a busy service late
-                    well = "good" if here.node.discovery.pushed else "late, then good"
+                    well = "good" if here.node.settings.discovery == "pushed" else "late, then good"
                     fate = well if self.drained else next(self.fates, "silent")
                     self.seen[at] = fate, here.now
                 self.play(at, link)
@@ -109,7 +109,7 @@
             "endless": HEAD + chunk(b'{"generation": 42, '),
             "listless": HEAD,
         }
-        call.data_received(first.get(fate, HEAD + self.list() + (b"" if call.watch else b"0\r\n\r\n")), now)
+        call.data_received(first.get(fate, HEAD + self.list() + (b"" if call.is_watch else b"0\r\n\r\n")), now)
         if fate == "cut":
             call.eof_received(now)
         if fate == "reset":
@@ -120,7 +120,7 @@
         self.drained = True
         for at, (fate, _) in self.seen.items():
             link = self.here.dials[at]
-            if fate == "good" and at in self.told and not link.closed and link.machine.watch:
+            if fate == "good" and at in self.told and not link.closed and link.machine.is_watch:
                 link.machine.data_received(self.list(), self.here.now)
 
 
