--- a/limerudder/loadtest/cli.py
+++ b/limerudder/loadtest/cli.py
@@ -11,7 +11,7 @@
 import click
 
 from limerudder.cli import EXAMPLES, fail
-from limerudder.exits import FAILED, WRONG_INPUT
+from limerudder.exit_codes import ExitCode
 
 PHASE_FORM = "SECONDS,RATE[,RATE]"
 BURST_FORM = "AT,MANY[,WITHIN]"
@@ -31,7 +31,7 @@
 
         assert hdrh
     except ImportError as exc:
-        fail(f"{exc.name} is not installed: pip install 'limerudder[lab]'", WRONG_INPUT)
+        fail(f"{exc.name} is not installed: pip install 'limerudder[lab]'", ExitCode.INVALID_INPUT)
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,7 +88,7 @@
     addresses = _addresses(targets)
     options = _PlanOptions(**plan_options)
     if bool(trace) == bool(options.phases or options.bursts):
-        fail("say --phase or --burst, or --trace", WRONG_INPUT)
+        fail("say --phase or --burst, or --trace", ExitCode.INVALID_INPUT)
     try:
         arrivals = read_trace(trace) if trace else _draw(options)
         if save:
@@ -96,19 +96,19 @@
         with _opened(figures) as file:
             histogram = run_load_test(arrivals, addresses, deadline, file)
     except PlanError as exc:
-        fail(str(exc), WRONG_INPUT)
+        fail(str(exc), ExitCode.INVALID_INPUT)
     except OSError as exc:
-        fail(f"{exc.filename}: {exc.strerror}", FAILED)
+        fail(f"{exc.filename}: {exc.strerror}", ExitCode.FAILED)
     click.echo(json.dumps({"arrivals": len(arrivals), **histogram.summary()}, indent=2))
 
 
 def _addresses(targets: tuple[str, ...]) -> list[tuple[str, int]]:
-    from limerudder.core.transport import read_address
+    from limerudder.core.transport import parse_address
 
     try:
-        return [read_address(target) for target in targets]
+        return [parse_address(target) for target in targets]
     except ValueError as exc:
-        fail(str(exc), WRONG_INPUT)
+        fail(str(exc), ExitCode.INVALID_INPUT)
 
 
 def _draw(options: _PlanOptions) -> list[Any]:
@@ -135,7 +135,7 @@
         except ValueError:
             numbers = []
         if len(numbers) not in (2, 3):
-            fail(f"{word} stands here, expected {form}", WRONG_INPUT)
+            fail(f"{word} stands here, expected {form}", ExitCode.INVALID_INPUT)
         found.append(numbers)
     return found
 
@@ -147,7 +147,7 @@
         try:
             weights[name] = float(weight or 1)
         except ValueError:
-            fail(f"{word} stands here, expected NAME=WEIGHT", WRONG_INPUT)
+            fail(f"{word} stands here, expected NAME=WEIGHT", ExitCode.INVALID_INPUT)
     return weights
 
 
--- a/tests/test_store_control.py
+++ b/tests/test_store_control.py
@@ -14,8 +14,8 @@
 import uvloop
 from click.testing import CliRunner
 
-from limerudder import exits
 from limerudder.cli import main
+from limerudder.exit_codes import ExitCode
 from limerudder.net.clock import Clock
 from limerudder.schema import StoreSettings
 from limerudder.store.control import ControlServer
@@ -45,7 +45,7 @@
         )
         for sock, path in zip(socks, paths, strict=True):
             settings = StoreSettings(path, sock.getsockname(), **{**LIMITS, **changes})
-            store = Store(settings, lambda kind, text: self.lines.append(text), Clock().now)
+            store = Store(settings, lambda kind, text, detail="": self.lines.append(text), Clock().now_us)
             await store.run(sock)
             control = ControlServer(store)
             await control.listen()
@@ -147,7 +147,7 @@
             out.write_eof()
             assert await peer.read() == b"", "whoever is unknown is told nothing"
             out.close()
-        assert any("store: refused" in line for line in here.lines)
+        assert any("store: rejected" in line for line in here.lines)
         assert (await here.call("put", key="kv/a", value="1"))["ok"]
 
     told(story, tmp_path)
@@ -194,7 +194,7 @@
             control.close()
         for store in here.stores:
             store.close()
-        again = Store(one.settings, lambda kind, text: None, Clock().now)  # and nobody else
+        again = Store(one.settings, lambda kind, text, detail="": None, Clock().now_us)  # and nobody else
         assert again.member.ledger.view("h").out(7) and not again.member.ledger.view("h").out(8)
         again.close()
 
@@ -207,18 +207,18 @@
         return result.exit_code, result.stdout, result.stderr
 
     made = str(tmp_path / "made")
-    assert run("init", made, "n0=127.0.0.1:1", "n1=127.0.0.1:2")[0] == exits.OK
-    assert run("init", made, "n0=127.0.0.1:1")[0] == exits.REFUSED, "it is there already"
-    assert run("init", made)[0] == exits.WRONG_INPUT
-    assert run("init", made, "n0=nowhere")[0] == exits.WRONG_INPUT
-    assert run("--folder", made + "/n0", "status")[0] == exits.NOT_NOW
-    assert run("status")[0] == exits.WRONG_INPUT
+    assert run("init", made, "n0=127.0.0.1:1", "n1=127.0.0.1:2")[0] == ExitCode.OK
+    assert run("init", made, "n0=127.0.0.1:1")[0] == ExitCode.REJECTED, "it is there already"
+    assert run("init", made)[0] == ExitCode.INVALID_INPUT
+    assert run("init", made, "n0=nowhere")[0] == ExitCode.INVALID_INPUT
+    assert run("--folder", made + "/n0", "status")[0] == ExitCode.UNAVAILABLE
+    assert run("status")[0] == ExitCode.INVALID_INPUT
     code, out, _ = run("recover", made + "/n0")
-    assert code == exits.OK and "Nothing was done" in out and "n1 may have more" in out
+    assert code == ExitCode.OK and "Nothing was done" in out and "n1 may have more" in out
     code, out, _ = run("--json", "recover", made + "/n0", "--do-it")
-    assert code == exits.OK and json.loads(out)["done"]
-    assert run("recover", str(tmp_path))[0] == exits.REFUSED
-    assert run("restore", str(tmp_path / "none"), made + "2", "n0=127.0.0.1:1")[0] == exits.REFUSED
+    assert code == ExitCode.OK and json.loads(out)["done"]
+    assert run("recover", str(tmp_path))[0] == ExitCode.REJECTED
+    assert run("restore", str(tmp_path / "none"), made + "2", "n0=127.0.0.1:1")[0] == ExitCode.REJECTED
 
     async def story(here: Here) -> None:
         await here.start()
@@ -227,23 +227,23 @@
         async def state(*args: str) -> tuple[int, str, str]:
             return await asyncio.to_thread(run, "--folder", folder, *args)
 
-        assert (await state("put", "kv/a", "one"))[0] == exits.OK
+        assert (await state("put", "kv/a", "one"))[0] == ExitCode.OK
         assert (await state("get", "kv/a"))[1] == "one\n"
-        assert (await state("get", "kv/b"))[0] == exits.NOT_THERE
-        assert (await state("put", "kv/a", "two", "--modified", "0"))[0] == exits.REFUSED
-        assert (await state("put", "config/log", "nonsense"))[0] == exits.REFUSED
+        assert (await state("get", "kv/b"))[0] == ExitCode.NOT_FOUND
+        assert (await state("put", "kv/a", "two", "--modified", "0"))[0] == ExitCode.REJECTED
+        assert (await state("put", "config/log", "nonsense"))[0] == ExitCode.REJECTED
         rows = (await state("get", "--prefix", "kv/", "--stale"))[1].splitlines()
         assert rows[1].split()[:2] == ["kv/a", "one"]
         code, out, _ = await state("watch", "kv/", "--after", "0", "--most", "1")
-        assert code == exits.OK and json.loads(out)["value"] == "one"
+        assert code == ExitCode.OK and json.loads(out)["value"] == "one"
         assert "leader" in (await state("status"))[1]
         assert (await state("members"))[1].splitlines()[1].startswith("n0")
-        assert (await state("transfer", "n9"))[0] == exits.NOT_THERE
+        assert (await state("transfer", "n9"))[0] == ExitCode.NOT_FOUND
         backup = str(tmp_path / "backup")
-        assert (await state("backup", backup))[0] == exits.OK
-        assert run("restore", backup, str(tmp_path / "again"), "m0=127.0.0.1:3")[0] == exits.OK
-        assert (await state("delete", "kv/a"))[0] == exits.OK
-        assert (await state("hosts"))[0] == exits.OK
+        assert (await state("backup", backup))[0] == ExitCode.OK
+        assert run("restore", backup, str(tmp_path / "again"), "m0=127.0.0.1:3")[0] == ExitCode.OK
+        assert (await state("delete", "kv/a"))[0] == ExitCode.OK
+        assert (await state("hosts"))[0] == ExitCode.OK
 
     told(story, tmp_path)
 
@@ -263,7 +263,11 @@
         folder = str(tmp_path / "joined")
         result = CliRunner().invoke(main, ["state", "init", folder, "--ticket", added["ticket"]])
         assert result.exit_code == 0, result.output
-        new = Store(StoreSettings(folder, sock.getsockname(), **LIMITS), lambda kind, text: None, Clock().now)
+        new = Store(
+            StoreSettings(folder, sock.getsockname(), **LIMITS),
+            lambda kind, text, detail="": None,
+            Clock().now_us,
+        )
         await new.run(sock)
         here.stores.append(new)
         while True:
