--- a/limerudder/core/policy_dispatch.py
+++ b/limerudder/core/policy_dispatch.py
@@ -50,6 +50,7 @@
     ) -> None:
         """Set what carries out each type of action; SetTimer and the types that are logged are handled here.
 
+        They are not given to the constructor since they are methods of parts that dispatch events themselves.
         `request_failed` is given the number of the request whose event the policy could not handle.
         """
         self._action_handlers.update(action_handlers)
--- a/tests/test_discovery_timing.py
+++ b/tests/test_discovery_timing.py
@@ -109,7 +109,8 @@
             "endless": HEAD + chunk(b'{"generation": 42, '),
             "listless": HEAD,
         }
-        call.data_received(first.get(fate, HEAD + self.list() + (b"" if call.is_watch else b"0\r\n\r\n")), now)
+        complete_answer = HEAD + self.list() + (b"" if call.is_watch else b"0\r\n\r\n")
+        call.data_received(first.get(fate, complete_answer), now)
         if fate == "cut":
             call.eof_received(now)
         if fate == "reset":
