--- a/limerudder/core/lifecycle/hot_restart/__init__.py
+++ b/limerudder/core/lifecycle/hot_restart/__init__.py
@@ -4,6 +4,7 @@
 it, says when it accepts clients, and the parent then serves what it has until it is told to stop.
 """
 
+from limerudder.core.lifecycle.hot_restart.errors import HandoverFormatError
 from limerudder.core.lifecycle.hot_restart.handover_state import (
     HandoverState,
     ProcessUsage,
@@ -11,7 +12,6 @@
     parse_handover_state,
 )
 from limerudder.core.lifecycle.hot_restart.line_connection import MAX_LINE_BYTES
-from limerudder.core.lifecycle.hot_restart.messages import HandoverFormatError
 from limerudder.core.lifecycle.hot_restart.parent import HotRestartParent, ParentHooks, SuccessorConnection
 from limerudder.core.lifecycle.hot_restart.successor import HotRestartSuccessor, SuccessorHooks
 
--- a/limerudder/core/lifecycle/hot_restart/parent.py
+++ b/limerudder/core/lifecycle/hot_restart/parent.py
@@ -129,9 +129,8 @@
 
     def line_received(self, line: str, now_us: int) -> None:
         """Pass on that the successor serves."""
-        match parse_successor_message(line):
-            case SuccessorServing():
-                self._parent.successor_serving(self, now_us)
+        if isinstance(parse_successor_message(line), SuccessorServing):
+            self._parent.successor_serving(self, now_us)
 
     def connection_lost(self, now_us: int) -> None:
         """Pass on that the process has ended, or closed the connection."""
--- a/limerudder/node_process.py
+++ b/limerudder/node_process.py
@@ -102,9 +102,9 @@
     # start-up
 
     def _complete_config(self, config: ProcessConfig) -> ProcessConfig:
-        """Return the configuration with what the parent process, or else the store, knows newer."""
+        """Return the configuration with the newer values of the parent process, or else of the store."""
         if self._inheritance is None:
-            return self._store.open(config)  # with a parent, the store's directory is the parent's yet
+            return self._store.open(config)  # a parent would still have the store's directory open
         state = self._inheritance.state
         discovery = config.discovery
         if state.config_reloaded:
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -87,7 +87,7 @@
 def send_endpoints(here: World) -> None:
     """Discovery's watch gives its list."""
     body = json.dumps(hosts(host("s-1"), host("s-2"))).encode() + b"\n"
-    watch = next(dial.machine for dial in here.dials if getattr(dial.machine, "watch", False))
+    watch = next(dial.machine for dial in here.dials if getattr(dial.machine, "is_watch", False))
     head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     watch.data_received(head + f"{len(body):x}".encode() + b"\r\n" + body + b"\r\n", here.now)
 
