--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -21,8 +21,7 @@
     PredecessorConnections,
     UpdateKind,
 )
-from tests.scripted_peers import LINE, SECOND, FakeTransport, World, host, hosts, world
-from tests.test_node import events
+from tests.scripted_peers import LINE, SECOND, FakeTransport, World, host, hosts, policy_events, world
 
 
 class JoinedTransport(FakeTransport):
@@ -63,7 +62,7 @@
         parent_end.other_end = successor_end
         successor_end.other_end = parent_end
         state = parse_handover_state(self.parent.state_line())
-        self.new.node._list(state.endpoints, UpdateKind.CACHED, self.new.now)
+        self.new.node.endpoint_updater.apply(state.endpoints, UpdateKind.CACHED, self.new.now)
         successor = create_successor(
             self.new.node,
             state,
@@ -195,7 +194,7 @@
 
 def test_both_processes_together_keep_to_one_capacity_and_one_connection_count(tmp_path: Path) -> None:
     pair = Pair(tmp_path)
-    heard = events(pair.new)
+    heard = policy_events(pair.new)
     established = [pair.old.served() for _ in range(5)]
     room = pair.new.node.admission.capacity
     successor = pair.connect_successor()
