--- a/bench/hot_restart_compatibility.py
+++ b/bench/hot_restart_compatibility.py
@@ -35,6 +35,9 @@
 MESSAGE_INTERVAL_SECONDS = 0.25
 SHORT_LIFETIMES_SECONDS = (0.2, 1.0)
 PAUSE_AFTER_REFUSAL_SECONDS = 0.05
+#: The node sheds load while many clients come at once to upstreams whose capacity it has not learned yet.
+WARM_UP_SECONDS = 4.0
+PAUSE_AFTER_REJECTION_SECONDS = 0.25
 CLIENT_LINE = "OPEN {request_id:016x} {key:016x} c=chat,t=acme,d=2000\r\n"
 
 
@@ -133,8 +136,8 @@
     def start(self, long_lived: int, short_lived: int) -> None:
         """Start so many clients of either sort."""
         for number in range(long_lived + short_lived):
-            is_long_lived = number < long_lived
-            self._clients.append(asyncio.create_task(self._run_client(is_long_lived)))
+            lives_long = number < long_lived
+            self._clients.append(asyncio.create_task(self._run_client(lives_long)))
 
     async def stop(self) -> None:
         """End all clients; their connections count no more."""
@@ -145,9 +148,9 @@
             if isinstance(result, Exception):
                 raise result
 
-    async def _run_client(self, is_long_lived: bool) -> None:
+    async def _run_client(self, lives_long: bool) -> None:
         while True:
-            lifetime = float("inf") if is_long_lived else self._random.uniform(*SHORT_LIFETIMES_SECONDS)
+            lifetime = float("inf") if lives_long else self._random.uniform(*SHORT_LIFETIMES_SECONDS)
             await self._connect_once(lifetime)
 
     async def _connect_once(self, lifetime_seconds: float) -> None:
@@ -171,6 +174,8 @@
         answer = await _read_line(reader)
         outcome = OUTCOME_OF_ANSWER.get(answer.partition(b" ")[0], Outcome.LOST)
         self.outcomes[outcome] += 1
+        if outcome is Outcome.REJECTED:
+            await asyncio.sleep(PAUSE_AFTER_REJECTION_SECONDS)
         return outcome is Outcome.ANSWERED
 
     async def _exchange_messages(
@@ -222,7 +227,8 @@
             await self._prepare()
             serving = await self._start_process(self._old)
             self.load.start(long_lived, short_lived)
-            await asyncio.sleep(self._serve_seconds)
+            await asyncio.sleep(WARM_UP_SECONDS)
+            print(f"{serving.release.name} alone: {describe(self.load.outcomes)}", flush=True)
             for release in (self._new, self._old):
                 serving = await self._replace(serving, release)
             await self.load.stop()
@@ -236,12 +242,16 @@
             await upstream.start()
         listed = {upstream.name: host(upstream.name, upstream.address) for upstream in self._upstreams}
         self._discovery.entries = listed
+        node_settings = settings(probes=True, peers=False)
+        # of what the stand-in upstreams report all is constant; from a constant load the node would conclude
+        # that they are full, and shed load
+        node_settings["loadInfo"]["fields"] = ["inflight"]
         given = configuration(
             self._folder,
             listen=f"127.0.0.1:{self._listen_port}",
             discovery=self._discovery.address,
             known=hosts(*listed.values()),
-            settings=settings(probes=True, peers=False),
+            settings=node_settings,
         )
         self._environment = os.environ | given | {"TMPDIR": str(self._folder)}
 
