--- a/limerudder/core/client/connection.py
+++ b/limerudder/core/client/connection.py
@@ -4,6 +4,7 @@
 
 from enum import Enum, auto
 
+from limerudder.core.client import responses
 from limerudder.core.client.admission import AdmissionControl
 from limerudder.core.operations.counters import CounterName, Counters
 from limerudder.core.timer_wheel import ResettableTimer, TimerWheel
@@ -11,10 +12,9 @@
 
 LINGER_US = 1_000_000  #: for a client to read its final response and to close first
 MAX_DISCARDED_BYTES = 1 << 18  #: read and thrown away meanwhile; from there on nothing is read
-BUSY_RESPONSE = b"BUSY\r\n"
 
 
-class ConnectionState(Enum):
+class ClientState(Enum):
     """What a client's connection waits for."""
 
     READING_LINE = auto()  # the client's first line
@@ -28,7 +28,7 @@
 
     def __init__(self, admission: AdmissionControl, counters: Counters, timer_wheel: TimerWheel) -> None:
         self.transport: Transport | None = None
-        self._state = ConnectionState.READING_LINE
+        self._state = ClientState.READING_LINE
         self._admission = admission
         self._counters = counters
         self._timer = ResettableTimer(timer_wheel)
@@ -50,7 +50,7 @@
     def _end_without_request(self, counter: CounterName, now_us: int) -> None:
         # A first line may be on its way: nobody will read it, and BUSY is its final answer.
         self._counters.increment(counter)
-        self._finish(BUSY_RESPONSE, now_us)
+        self._finish(responses.BUSY, now_us)
 
     def _finish(self, response: bytes, now_us: int) -> None:
         """Send the final response, if any, and begin a lingering close."""
@@ -86,7 +86,7 @@
         self._release()
 
     def _enter_closing(self) -> None:
-        self._state = ConnectionState.CLOSING
+        self._state = ClientState.CLOSING
 
     def _release(self) -> None:
         self._timer.cancel()
--- a/limerudder/core/client/session.py
+++ b/limerudder/core/client/session.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from limerudder.core.client.connection import BUSY_RESPONSE, ClientConnection, ConnectionState
+from limerudder.core.client import responses
+from limerudder.core.client.connection import ClientConnection, ClientState
 from limerudder.core.client.open_line import (
     EarlyDataError,
     FirstLineBuffer,
@@ -19,9 +20,6 @@
 FIRST_LINE_TIMEOUT_US = 2_500_000  #: for a complete first line; clients are owed an answer or a close in 3 s
 PING_IDLE_TIMEOUT_US = 30_000_000  #: for a client that was answered PONG to begin another line
 PING_LINE = b"PING"
-PONG_RESPONSE = b"PONG\r\n"
-ERROR_RESPONSE = b"ERR\r\n"
-MOVE_RESPONSE = b"MOVE\r\n"
 
 
 class LineSession(ClientConnection):
@@ -43,29 +41,29 @@
         if self._admission.admit(self, now_us):
             self._start_line_timeout(now_us)
         else:
-            self._finish(BUSY_RESPONSE, now_us)
+            self._finish(responses.BUSY, now_us)
 
     def data_received(self, data: bytes, now_us: int) -> None:
         """The client has sent data."""
-        if self._state is ConnectionState.PROXYING and self.attempt:
+        if self._state is ClientState.PROXYING and self.attempt:
             self.attempt.send(data, now_us)
-        elif self._state is ConnectionState.READING_LINE:
+        elif self._state is ClientState.READING_LINE:
             self._read_line(data, now_us)
-        elif self._state is ConnectionState.AWAITING_ANSWER:
+        elif self._state is ClientState.AWAITING_ANSWER:
             self._reject_early_data(now_us)
         elif self.transport:
             self._discard(data)
 
     def eof_received(self, now_us: int) -> None:
         """The client has ended its sending side."""
-        if self._state is ConnectionState.PROXYING and self.attempt:
+        if self._state is ClientState.PROXYING and self.attempt:
             self.attempt.finish(now_us)
         else:
             self._disconnect(now_us)
 
     def connection_lost(self, now_us: int) -> None:
         """The connection broke."""
-        if self._state is ConnectionState.PROXYING and self.attempt:
+        if self._state is ClientState.PROXYING and self.attempt:
             self.attempt.reset()
         self._disconnect(now_us)
 
@@ -73,12 +71,9 @@
         """The client reads slowly: its upstream, or its own requests until it has one, are read no faster."""
         if self.attempt and self.attempt.transport:
             self.attempt.transport.set_reading_paused(paused)
-        elif self.transport and self._state in (
-            ConnectionState.READING_LINE,
-            ConnectionState.AWAITING_ANSWER,
-        ):
+        elif self.transport and self._state in (ClientState.READING_LINE, ClientState.AWAITING_ANSWER):
             # A disconnect is only noticed while the connection is read, so one that waits is always read.
-            self.transport.set_reading_paused(paused and self._state is ConnectionState.READING_LINE)
+            self.transport.set_reading_paused(paused and self._state is ClientState.READING_LINE)
 
     # called by the node
 
@@ -90,34 +85,32 @@
     def start_proxying(self, attempt: Attempt, now_us: int) -> None:
         """Final answer: the upstream's own. From now on both sides' data is passed on."""
         assert isinstance(attempt, LineAttempt)
-        if self._state is not ConnectionState.AWAITING_ANSWER:
+        if self._state is not ClientState.AWAITING_ANSWER:
             return
-        self._state = ConnectionState.PROXYING
+        self._state = ClientState.PROXYING
         self.attempt = attempt
         attempt.join(self)
 
     def reject(self, retry_after_us: int, now_us: int) -> None:
         """Final answer: rejected, to be retried after `retry_after_us` if that is not 0."""
-        if self._state is ConnectionState.AWAITING_ANSWER:
-            self._finish(_format_busy(retry_after_us), now_us)
+        if self._state is ClientState.AWAITING_ANSWER:
+            self._finish(responses.format_busy(retry_after_us), now_us)
 
     def fail(self, now_us: int) -> None:
         """Final answer: failed."""
-        if self._state is ConnectionState.AWAITING_ANSWER:
-            self._finish(ERROR_RESPONSE, now_us)
+        if self._state is ClientState.AWAITING_ANSWER:
+            self._finish(responses.ERROR, now_us)
 
     def migrate(self, now_us: int) -> None:
         """Ask a proxied client to connect again. It gets complete lines only, so MOVE never cuts one."""
-        if self._state is ConnectionState.PROXYING:
-            self._finish(MOVE_RESPONSE, now_us)
+        if self._state is ClientState.PROXYING:
+            self._finish(responses.MOVE, now_us)
 
     def check_disconnected(self, now_us: int) -> None:
         """Notice a disconnect that is hidden behind data not read yet."""
-        if (
-            self._state is ConnectionState.AWAITING_ANSWER
-            and self.transport
-            and self.transport.has_disconnected()
-        ):
+        if self._state is not ClientState.AWAITING_ANSWER or not self.transport:
+            return
+        if self.transport.has_disconnected():
             self._counters.increment(CounterName.CLIENTS_DISCONNECTED_UNREAD)
             self._disconnect(now_us)
 
@@ -157,17 +150,17 @@
         self._counters.increment(CounterName.PINGS)
         self.first_line.clear()
         self._ping_idle = True
-        self.pass_on(PONG_RESPONSE)
+        self.pass_on(responses.PONG)
         self._admission.mark_idle(self)
         self._timer.set(now_us + PING_IDLE_TIMEOUT_US, self._time_out)
 
     def _submit(self, request: ConnectRequest, now_us: int) -> None:
-        self._state = ConnectionState.AWAITING_ANSWER
+        self._state = ClientState.AWAITING_ANSWER
         self._timer.cancel()
         self._admission.mark_active(self)
         self._observer = self._handler.accept_request(self, request, now_us)
         if self._observer is None:
-            self._finish(ERROR_RESPONSE, now_us)
+            self._finish(responses.ERROR, now_us)
 
     def _start_line_timeout(self, now_us: int) -> None:
         # The time runs from the connection's start or the line's first byte: a client that sends its line one
@@ -185,7 +178,7 @@
 
     def _answer_error(self, counter: CounterName, now_us: int) -> None:
         self._counters.increment(counter)
-        self._finish(ERROR_RESPONSE, now_us)
+        self._finish(responses.ERROR, now_us)
 
     def _reject_early_data(self, now_us: int) -> None:
         # Data that follows a first line before its answer is neither kept nor passed on; it ends the request.
@@ -196,7 +189,7 @@
             observer.client_disconnected(now_us)
 
     def _disconnect(self, now_us: int) -> None:
-        had_request = self._state in (ConnectionState.AWAITING_ANSWER, ConnectionState.PROXYING)
+        had_request = self._state in (ClientState.AWAITING_ANSWER, ClientState.PROXYING)
         self._close()
         if had_request and self._observer:
             self._observer.client_disconnected(now_us)
@@ -205,7 +198,3 @@
         super()._enter_closing()
         self.attempt = None
         self.first_line.clear()
-
-
-def _format_busy(retry_after_us: int) -> bytes:
-    return b"BUSY %d\r\n" % (retry_after_us // 1000) if retry_after_us else BUSY_RESPONSE
