--- a/harness/single_member.py
+++ b/harness/single_member.py
@@ -19,7 +19,7 @@
     """Until it is killed."""
     where = parse_address(address)
     store = Store(
-        StoreSettings(folder, where), lambda kind, text, detail="": print(text, flush=True), Clock().now
+        StoreSettings(folder, where), lambda kind, text, detail="": print(text, flush=True), Clock().now_us
     )
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -181,7 +181,7 @@
 async def a_transport_is_shut_down_before_close_returns(here: Loopback) -> None:
     ours, theirs = socket.socketpair()
     connection = TcpConnection(HealthCheckConnection((), lambda *result: None), Clock())
-    connection.sock = ours
+    connection.dialled_socket = ours
     connection.close()
     theirs.setblocking(False)
     # the event loop has not run since: an attempt that follows cannot overtake this end
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -14,8 +14,7 @@
     EndpointUpdate,
     ServerState,
 )
-from tests.scripted_peers import LINE, SECOND, World, host, hosts, world
-from tests.test_node import events
+from tests.scripted_peers import LINE, SECOND, World, host, hosts, policy_events, world
 
 START_MS = 1_700_000_000_000
 
@@ -99,7 +98,7 @@
 @pytest.mark.parametrize("listing", ["listed all along", "listed again later", "listed with its new start"])
 def test_a_returned_host_is_cold_and_tried_at_once(tmp_path: Path, listing: str) -> None:
     here = world(tmp_path)
-    reported = events(here)
+    reported = policy_events(here)
     put_all_into_maintenance_but(here, "s-2")
     if listing == "listed again later":
         here.node.endpoints_received(parse_endpoint_list(hosts(host("s-2"))), here.now)
@@ -157,7 +156,7 @@
     here.run(returned_ago_us)
     successor = world(tmp_path)
     successor.now = here.now
-    reported = events(successor)
+    reported = policy_events(successor)
     return_times = here.node.return_to_service_times()
     successor.node.apply_return_to_service_times(return_times, successor.now)
     updates = [event for event in reported if isinstance(event, EndpointUpdate)]
