--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -23,7 +23,7 @@
     for _ in range(25):  # the machine answers on other connections
         for each in here.node.upstreams.by_number.values():
             each.last_health_check_answer_us = here.now
-        attempt.machine.framer.feed(b"half a li")
+        attempt.machine._framer.feed(b"half a li")
         assert not link.half_closed and upstream.liveness.silent_since_us is None
         here.run(100_000)
     here.run(5000)
