Mend a parameter's name in the discovery timing tests

Cause: a rename left @parametrize("ask_every") beside an argument poll_interval_us, so that the whole file was not collected.

--- a/tests/test_discovery_timing.py
+++ b/tests/test_discovery_timing.py
@@ -109,7 +109,9 @@
             "endless": HEAD + chunk(b'{"generation": 42, '),
             "listless": HEAD,
         }
-        call.data_received(first.get(fate, HEAD + self.list() + (b"" if call.is_watch else b"0\r\n\r\n")), now)
+        call.data_received(
+            first.get(fate, HEAD + self.list() + (b"" if call.is_watch else b"0\r\n\r\n")), now
+        )
         if fate == "cut":
             call.eof_received(now)
         if fate == "reset":
@@ -172,7 +174,7 @@
     assert IDLE_TIMEOUT_US > 2 * SECOND, "an empty line is due every 2 s"
 
 
-@pytest.mark.parametrize("ask_every", [0, SECOND, 10 * SECOND])
+@pytest.mark.parametrize("poll_interval_us", [0, SECOND, 10 * SECOND])
 def test_waits_grow_and_stay_bounded_and_begin_anew_once_discovery_has_told(poll_interval_us: int) -> None:
     waits, rng = Backoff(poll_interval_us), Random(7)
     drawn = [waits.failed(rng) for _ in range(200)]
