Name the calls between a session and its attempt by what has happened

Cause: pass_on, end, break_off, join, finish and reset did not tell which side had done what.

Change: send, upstream_ended, upstream_reset, serve, client_ended, client_reset.

--- a/limerudder/core/client/session.py
+++ b/limerudder/core/client/session.py
@@ -57,14 +57,14 @@
     def eof_received(self, now_us: int) -> None:
         """The client has ended its sending side."""
         if self._state is ClientState.PROXYING and self.attempt:
-            self.attempt.finish(now_us)
+            self.attempt.client_ended(now_us)
         else:
             self._disconnect(now_us)
 
     def connection_lost(self, now_us: int) -> None:
         """The connection broke."""
         if self._state is ClientState.PROXYING and self.attempt:
-            self.attempt.reset()
+            self.attempt.client_reset()
         self._disconnect(now_us)
 
     def set_writing_paused(self, paused: bool) -> None:
@@ -89,7 +89,7 @@
             return
         self._state = ClientState.PROXYING
         self.attempt = attempt
-        attempt.join(self)
+        attempt.serve(self)
 
     def reject(self, retry_after_us: int, now_us: int) -> None:
         """Final answer: rejected, to be retried after `retry_after_us` if that is not 0."""
@@ -116,16 +116,16 @@
 
     # called by the attempt that serves this client
 
-    def pass_on(self, data: bytes) -> None:
+    def send(self, data: bytes) -> None:
         """Send the upstream's data to the client."""
         if self.transport:
             self.transport.write(data)
 
-    def end(self, now_us: int) -> None:
+    def upstream_ended(self, now_us: int) -> None:
         """The upstream has ended its side: end this one."""
         self._finish(b"", now_us)
 
-    def break_off(self) -> None:
+    def upstream_reset(self) -> None:
         """The upstream's connection broke: reset this one."""
         self._reset()
 
@@ -150,7 +150,7 @@
         self._counters.increment(CounterName.PINGS)
         self.first_line.clear()
         self._ping_idle = True
-        self.pass_on(responses.PONG)
+        self.send(responses.PONG)
         self._admission.mark_idle(self)
         self._timer.set(now_us + PING_IDLE_TIMEOUT_US, self._time_out)
 
--- a/limerudder/core/upstream/attempt.py
+++ b/limerudder/core/upstream/attempt.py
@@ -26,16 +26,16 @@
 
     transport: Transport | None
 
-    def pass_on(self, data: bytes) -> None:
+    def send(self, data: bytes) -> None:
         """Send data to the client."""
 
     def migrate(self, now_us: int) -> None:
         """Ask the client to connect again, and end its connection."""
 
-    def end(self, now_us: int) -> None:
+    def upstream_ended(self, now_us: int) -> None:
         """The upstream has ended its side."""
 
-    def break_off(self) -> None:
+    def upstream_reset(self) -> None:
         """The upstream's connection broke."""
 
 
@@ -43,7 +43,7 @@
     """The state machine of one upstream connection. It tells its observer of its end exactly once."""
 
     def __init__(
-        self, observer: AttemptObserver, line: bytes, fields: Sequence[str], timer_wheel: TimerWheel
+        self, observer: AttemptObserver, line: bytes, report_fields: Sequence[str], timer_wheel: TimerWheel
     ) -> None:
         self.observer = observer
         self.line = line  # the request, with its line end
@@ -51,11 +51,11 @@
         self.ended = False
         self.oldest_unanswered_us: int | None = None  # when the client's oldest unanswered message was sent
         self.last_received_us = 0  # when the upstream last sent anything
-        self._report_fields = fields
+        self._report_fields = report_fields
         self._client: ServedClient | None = None
         self._framer = LineFramer()
         self._established = False
-        self._client_ended = False  # the client has ended its side
+        self._client_has_ended = False  # the client has ended its side
         self._last_word = b""
         self._report: tuple[float, ...] = ()
         self._timer = ResettableTimer(timer_wheel)
@@ -88,7 +88,7 @@
                 return
         if self._client:
             # Complete lines only, unchanged, LOAD and BYE among them: so a MOVE never cuts a line.
-            self._client.pass_on(b"".join(line + LINE_END for line in lines))
+            self._client.send(b"".join(line + LINE_END for line in lines))
         for line in lines:
             self._read_line(line, now_us)
 
@@ -98,10 +98,10 @@
             return
         client = self._client
         if client and self._framer.partial_line:
-            client.pass_on(self._framer.partial_line)
+            client.send(self._framer.partial_line)
         self._end(self._outcome(), now_us)
         if client:
-            client.end(now_us)
+            client.upstream_ended(now_us)
 
     def connection_lost(self, now_us: int) -> None:
         """The connection broke, or could not be established."""
@@ -115,7 +115,7 @@
 
     # called by the client's session
 
-    def join(self, client: ServedClient) -> None:
+    def serve(self, client: ServedClient) -> None:
         """Serve the client: from now on, what the upstream sends goes there."""
         self._client = client
 
@@ -128,17 +128,16 @@
             self.oldest_unanswered_us = now_us
             self._timer.set(now_us + MESSAGE_TIMEOUT_US, self.upstream_silent)
 
-    def finish(self, now_us: int) -> None:
+    def client_ended(self, now_us: int) -> None:
         """The client has ended its side: end this one. The upstream may still send its last lines."""
-        if self.transport and not self._client_ended and not self.ended:
-            self._client_ended = True
+        if self.transport and not self._client_has_ended and not self.ended:
+            self._client_has_ended = True
             self.transport.half_close()
-            self.oldest_unanswered_us = (
-                None  # so that an answer still to come does not cancel the timer set here
-            )
+            # An answer still to come must not cancel the timer set here.
+            self.oldest_unanswered_us = None
             self._timer.set(now_us + UPSTREAM_CLOSE_TIMEOUT_US, self.upstream_silent)
 
-    def reset(self) -> None:
+    def client_reset(self) -> None:
         """The client's connection broke: reset this one."""
         if self.transport and not self.ended:
             self.transport.reset()
@@ -150,8 +149,8 @@
         """The upstream is silent: migrate its client. The outcome is not held against its capacity."""
         client = self._client
         self._end(AttemptOutcome.CANCELLED, now_us)
-        if client and self._client_ended:
-            client.end(now_us)
+        if client and self._client_has_ended:
+            client.upstream_ended(now_us)
         elif client:
             client.migrate(now_us)
 
@@ -204,16 +203,16 @@
         """How a connection that has ended without an answer of ERR or BUSY has ended."""
         if not self._established:
             return AttemptOutcome.RESET if self.sent else AttemptOutcome.CONNECT_FAILED
-        otherwise = AttemptOutcome.CANCELLED if self._client_ended else AttemptOutcome.RESET
+        otherwise = AttemptOutcome.CANCELLED if self._client_has_ended else AttemptOutcome.RESET
         return _OUTCOME_BY_LAST_WORD.get(self._last_word, otherwise)
 
     def _fail(self, outcome: AttemptOutcome, now_us: int) -> None:
         client = self._client
         self._end(outcome, now_us)
         if client and outcome in (AttemptOutcome.OK, AttemptOutcome.CANCELLED):
-            client.end(now_us)
+            client.upstream_ended(now_us)
         elif client:
-            client.break_off()
+            client.upstream_reset()
 
     def _end(self, outcome: AttemptOutcome, now_us: int) -> None:
         self.close()
