--- a/tests/test_discovery_timing.py
+++ b/tests/test_discovery_timing.py
@@ -109,8 +109,9 @@
             "endless": HEAD + chunk(b'{"generation": 42, '),
             "listless": HEAD,
         }
-        complete_answer = HEAD + self.list() + (b"" if call.is_watch else b"0\r\n\r\n")
-        call.data_received(first.get(fate, complete_answer), now)
+        call.data_received(
+            first.get(fate, HEAD + self.list() + (b"" if call.is_watch else b"0\r\n\r\n")), now
+        )
         if fate == "cut":
             call.eof_received(now)
         if fate == "reset":
