--- a/bench/store_failover.py
+++ b/bench/store_failover.py
@@ -20,8 +20,8 @@
 from limerudder.store.data_directory import init_cluster
 from limerudder.store.disk import Disk
 from limerudder.store.member import Member
-from limerudder.store.raft.messages import Snapshot, SnapshotMeta
-from limerudder.store.raft.raft import HardState, snapshot_digest
+from limerudder.store.raft.messages import Snapshot, SnapshotMeta, snapshot_digest
+from limerudder.store.raft.persistence import HardState
 from limerudder.store.state_machine import (
     KeyValueState,
     OpenSession,
@@ -68,7 +68,9 @@
     disk = Disk(path)
     opened = disk.load(start=False)
     pieces = tuple(records.freeze().pieces())
-    meta = SnapshotMeta(records.applied, 1, opened.start.saved.config, len(pieces), snapshot_digest(pieces))
+    meta = SnapshotMeta(
+        records.applied, 1, opened.start.saved.initial_config, len(pieces), snapshot_digest(pieces)
+    )
     disk.begin_anew(opened.identity, HardState(1, 0), Snapshot(meta, pieces))
     disk.close()
     took = []
--- a/harness/cluster_simulation.py
+++ b/harness/cluster_simulation.py
@@ -32,7 +32,7 @@
     RequestVoteReply,
 )
 from limerudder.store.raft.messages import Member as MemberEntry
-from limerudder.store.raft.raft import RaftRole, RaftTiming
+from limerudder.store.raft.state import RaftRole, RaftTiming
 from limerudder.store.rpc import RequestKind
 from limerudder.store.state_machine import (
     Compare,
@@ -49,7 +49,7 @@
 MS = 1000
 SECOND = 1_000_000
 LIMITS = MemberLimits(snapshot_entries=40, keep_entries=8, piece=200, waiting=64, history=100)
-TIMING = RaftTiming(election=150 * MS, heartbeat=30 * MS)
+TIMING = RaftTiming(election_timeout_us=150 * MS, heartbeat_interval_us=30 * MS)
 KEYS = ("kv/a", "kv/b", "kv/c")
 CLUSTER = 7
 
@@ -298,7 +298,7 @@
         snapshot = server.disk.do(job)
         for to, message in after:
             self.send(server, to, message)
-        gave = any(isinstance(m, RequestVoteReply) and m.granted and not m.pre for _, m in after)
+        gave = any(isinstance(m, RequestVoteReply) and m.granted and not m.is_pre_vote for _, m in after)
         if gave and self._spited(server):
             return
         for _, fact in job.facts:
@@ -359,7 +359,7 @@
             server.met[sender.number] = life, server.life
             sender.met[to] = server.life, life
         message = rpc.decode_message(data)
-        if isinstance(message, AppendEntriesReply) and message.ok:
+        if isinstance(message, AppendEntriesReply) and message.success:
             server.doorman.acknowledged(sender.number, message.term, message.index)
         server.member.receive(sender.number, message, self.clock(server))
         self.pump(server)
@@ -440,7 +440,7 @@
             self.servers[number] = SimulatedMember(number, entry.name, MemoryDisk(ClusterConfig(())))
             self.boot(self.servers[number])
             wish, data = RequestKind.ADD, msgspec.msgpack.encode(entry)
-        elif kind == 1 and len(config.voters()) > self.plan.least:
+        elif kind == 1 and len(config.voter_ids()) > self.plan.least:
             wish, data = (
                 RequestKind.REMOVE,
                 self.random.choice([m.id for m in config.members]).to_bytes(8, "big"),
@@ -501,7 +501,7 @@
         assert member
         raft = member.raft
         where = f"seed {self.seed}, {self.now / SECOND:.3f} s, {server.name}"
-        if raft.standing == RaftRole.LEADER:
+        if raft.role == RaftRole.LEADER:
             if raft.term not in self.leaders:
                 life = server.life
                 later = self.random.randrange(1, 15 * MS)
@@ -512,9 +512,9 @@
                     f"{where}: two leaders in term {raft.term}: {led} and {server.number}"
                 )
             self._complete(server, where)
-        first = max(server.checked, raft.log.base) + 1
+        first = max(server.checked, raft.log.base_index) + 1
         for index in range(first, member.records.applied + 1):
-            entry = raft.log.get(index)
+            entry = raft.log.entry_at(index)
             found = entry.term, crc32(entry.data + bytes([entry.kind]))
             known = self.committed.setdefault(index, (*found, raft.term))
             if entry.kind == EntryKind.DATA:
@@ -539,9 +539,9 @@
         if server.complete == raft.term:
             return
         server.complete = raft.term
-        for index in range(raft.log.base + 1, self.committed_upto + 1):
+        for index in range(raft.log.base_index + 1, self.committed_upto + 1):
             term, _, when = self.committed.get(index, (0, 0, 1 << 62))
-            if when < raft.term and raft.log.term(index) != term:
+            if when < raft.term and raft.log.term_at(index) != term:
                 raise InvariantViolation(
                     f"{where}: leads term {raft.term} without entry {index} of term {term}"
                 )
@@ -553,10 +553,10 @@
         for other in self.alive():
             assert other.member
             log = other.member.raft.log
-            low, high = max(mine.base, log.base) + 1, min(mine.last, log.last)
+            low, high = max(mine.base_index, log.base_index) + 1, min(mine.last_index, log.last_index)
             agree = False
             for index in range(high, low - 1, -1):
-                a, b = mine.get(index), log.get(index)
+                a, b = mine.entry_at(index), log.entry_at(index)
                 if agree and a != b or a.term == b.term and a != b:
                     raise InvariantViolation(
                         f"{where}: log differs from that of {other.name} at entry {index}"
@@ -583,7 +583,7 @@
         leader = max(leaders, key=lambda s: s.member.raft.term if s.member else 0)
         assert leader.member
         config = leader.member.config
-        part = [s for s in sound if config.get(s.number)]
+        part = [s for s in sound if config.find_by_id(s.number)]
         states = set[tuple[int, int]]()
         for _ in range(100):  # a client's last write may come at this very moment
             states = {(s.member.records.revision, fingerprint(s.member)) for s in part if s.member}
@@ -591,12 +591,14 @@
                 break
             self._until(self.now + 20 * MS)
         if len(states) != 1:
-            revisions = {s.name: (s.member.records.revision, s.member.raft.commit) for s in part if s.member}
+            revisions = {
+                s.name: (s.member.records.revision, s.member.raft.commit_index) for s in part if s.member
+            }
             raise InvariantViolation(f"{where}: members differ: {revisions}")
         for server in part:
             assert server.member
             for (number, host), started in self.promised.items():
-                if config.get(number) and not server.member.ledger.view(host).out(started):
+                if config.find_by_id(number) and not server.member.ledger.view(host).out(started):
                     raise InvariantViolation(
                         f"{where}: {server.name} does not know that {host} drains ({started})"
                     )
--- a/harness/memory_disk.py
+++ b/harness/memory_disk.py
@@ -7,8 +7,8 @@
 from limerudder.store.drain_log import DrainFact, decode_fact, encode_fact
 from limerudder.store.member import DurabilityJob, MemberStart
 from limerudder.store.peer_authentication import DurabilityProof, Incarnation
-from limerudder.store.raft.messages import ClusterConfig, Entry, Snapshot, SnapshotMeta
-from limerudder.store.raft.raft import HardState, PersistentState
+from limerudder.store.raft.messages import ClusterConfig, Entry, Snapshot
+from limerudder.store.raft.persistence import HardState, IncomingSnapshot, PersistentState
 
 
 @dataclass
@@ -19,7 +19,7 @@
     hard: HardState = HardState(0, 0)
     log: dict[int, Entry] = field(default_factory=dict)
     snapshot: Snapshot | None = None
-    incoming: tuple[SnapshotMeta, tuple[bytes, ...]] | None = None
+    incoming: IncomingSnapshot | None = None
     facts: dict[int, bytes] = field(default_factory=dict)
     known: dict[str, tuple[int, bytes | None]] = field(default_factory=dict)
     boot: Incarnation = Incarnation(0, 0)
@@ -35,19 +35,19 @@
         """Make a job durable; gives the snapshot that was built for it."""
         write = job.write
         if write:
-            if write.hard:
-                self.hard = write.hard
-            if write.truncate is not None:
-                self._drop(lambda index: index >= (write.truncate or 0))
-            for meta, number, data in write.pieces:
+            if write.hard_state:
+                self.hard = write.hard_state
+            if write.truncate_from is not None:
+                self._drop(lambda index: index >= (write.truncate_from or 0))
+            for meta, number, data in write.snapshot_chunks:
                 held = self.incoming[1] if self.incoming and self.incoming[0] == meta and number else ()
                 assert number == len(held), "pieces come in order"
-                self.incoming = meta, (*held, data)
-            if write.install:
-                assert self.incoming and self.incoming[0] == write.install
+                self.incoming = IncomingSnapshot(meta, (*held, data))
+            if write.install_snapshot:
+                assert self.incoming and self.incoming[0] == write.install_snapshot
                 self.snapshot, self.incoming = Snapshot(*self.incoming), None
-                upto = write.install.index
-                self._drop((lambda index: index <= upto) if write.keep else (lambda index: True))
+                upto = write.install_snapshot.index
+                self._drop((lambda index: index <= upto) if write.keep_log_suffix else (lambda index: True))
             for entry in write.entries:
                 assert entry.index not in self.log, "an entry is written once, or truncated first"
                 self.log[entry.index] = entry
--- a/limerudder/store/control.py
+++ b/limerudder/store/control.py
@@ -355,7 +355,7 @@
         self.store.member.wish(RequestKind.ADD, msgspec.msgpack.encode(new), deadline, done, self.store.now())
 
     def _named(self, given: dict[str, Any]) -> int:
-        one = self.store.member.config.named(str(given["member"]))
+        one = self.store.member.config.find_by_name(str(given["member"]))
         if one is None:
             raise ControlError("not_there", f"there is no member {given['member']}")
         return one.id
--- a/limerudder/store/data_directory.py
+++ b/limerudder/store/data_directory.py
@@ -18,8 +18,9 @@
     MemberRole,
     Snapshot,
     SnapshotMeta,
+    snapshot_digest,
 )
-from limerudder.store.raft.raft import HardState, snapshot_digest
+from limerudder.store.raft.persistence import HardState
 from limerudder.store.state_machine import KeyValueState, SnapshotError
 
 BACKUP = 1  #: format of a backup file; its frames are a head and the snapshot's pieces
@@ -83,7 +84,7 @@
     """Write a backup; the file is there whole or not at all."""
     with open(path + ".part", "wb") as file:
         file.write(encode_frame(_encode(BackupHead(BACKUP, cluster, snapshot.meta))))
-        for piece in snapshot.pieces:
+        for piece in snapshot.chunks:
             file.write(encode_frame(piece))
         file.flush()
         os.fsync(file.fileno())
@@ -102,7 +103,7 @@
         raise DiskError(f"{path} is no backup: {exc}") from None
     if head.format > BACKUP:
         raise DiskError(f"{path} has format {head.format}; this build reads up to {BACKUP}")
-    if len(pieces) != head.meta.pieces or snapshot_digest(pieces) != head.meta.digest:
+    if len(pieces) != head.meta.chunk_count or snapshot_digest(pieces) != head.meta.digest:
         raise DiskError(f"{path} is not whole")
     return head, Snapshot(head.meta, tuple(pieces))
 
@@ -112,7 +113,7 @@
     _, old = read_backup(backup)
     records = KeyValueState()
     try:
-        records.restore(old.pieces)
+        records.restore(old.chunks)
     except SnapshotError as exc:
         raise DiskError(f"{backup}: {exc}") from None
     made = init_cluster(folder, members)
@@ -120,9 +121,9 @@
         disk = Disk(path)
         try:
             opened = disk.load(start=False)
-            config: ClusterConfig = opened.start.saved.config
-            meta = SnapshotMeta(old.meta.index, 1, config, old.meta.pieces, old.meta.digest)
-            disk.begin_anew(opened.identity, HardState(1, 0), Snapshot(meta, old.pieces))
+            config: ClusterConfig = opened.start.saved.initial_config
+            meta = SnapshotMeta(old.meta.index, 1, config, old.meta.chunk_count, old.meta.digest)
+            disk.begin_anew(opened.identity, HardState(1, 0), Snapshot(meta, old.chunks))
         finally:
             disk.close()
     return made
@@ -149,8 +150,8 @@
         saved = opened.start.saved
         records = KeyValueState()
         if saved.snapshot:
-            records.restore(saved.snapshot.pieces)
-        config = saved.snapshot.meta.config if saved.snapshot else saved.config
+            records.restore(saved.snapshot.chunks)
+        config = saved.snapshot.meta.config if saved.snapshot else saved.initial_config
         base = records.applied
         for entry in saved.entries:
             if entry.index > base:
@@ -163,10 +164,10 @@
         others = tuple(one.name for one in config.members if one.id != me.me)
         lost = DataLoss(me.name, records.applied, base, records.applied - base, others)
         if do:
-            mine = config.get(me.me) or Member(me.me, me.name, "127.0.0.1:1")
+            mine = config.find_by_id(me.me) or Member(me.me, me.name, "127.0.0.1:1")
             alone = ClusterConfig((Member(random_id(), me.name, mine.address, MemberRole.VOTER),))
             pieces = tuple(records.freeze().pieces())
-            term = saved.hard.term + 1
+            term = saved.hard_state.term + 1
             meta = SnapshotMeta(records.applied, term, alone, len(pieces), snapshot_digest(pieces))
             identity = Identity(random_id(), alone.members[0].id, me.name)
             disk.begin_anew(identity, HardState(term, 0), Snapshot(meta, pieces))
--- a/limerudder/store/disk.py
+++ b/limerudder/store/disk.py
@@ -23,8 +23,15 @@
 from limerudder.store.drain_log import DrainFact, decode_fact, encode_fact
 from limerudder.store.member import DurabilityJob, MemberStart
 from limerudder.store.peer_authentication import DurabilityProof, Incarnation
-from limerudder.store.raft.messages import ClusterConfig, Entry, EntryKind, Snapshot, SnapshotMeta
-from limerudder.store.raft.raft import HardState, PersistentState, snapshot_digest
+from limerudder.store.raft.messages import (
+    ClusterConfig,
+    Entry,
+    EntryKind,
+    Snapshot,
+    SnapshotMeta,
+    snapshot_digest,
+)
+from limerudder.store.raft.persistence import HardState, IncomingSnapshot, PersistentState
 
 FORMAT = 2  #: of the file; 1 lacked the table `shown`
 FILE, LOCK = "store.sqlite", "lock"
@@ -231,16 +238,18 @@
         if meta is None:
             return None
         pieces = tuple(data for _, data in self._pieces(table))
-        if len(pieces) != meta.pieces or snapshot_digest(pieces) != meta.digest:
+        if len(pieces) != meta.chunk_count or snapshot_digest(pieces) != meta.digest:
             raise DiskError(f"{self.path}: the snapshot of entry {meta.index} is not whole")
         return Snapshot(meta, pieces)
 
     def _pieces(self, table: str) -> Iterator[tuple[Any, ...]]:
         return self._rows(f"SELECT number, data, crc FROM {table} ORDER BY number", f"{table} piece")
 
-    def _incoming(self) -> tuple[SnapshotMeta, tuple[bytes, ...]] | None:
+    def _incoming(self) -> IncomingSnapshot | None:
         meta = self._maybe_meta("incoming", SnapshotMeta)
-        return (meta, tuple(data for _, data in self._pieces("incoming"))) if meta else None
+        if not meta:
+            return None
+        return IncomingSnapshot(meta, tuple(data for _, data in self._pieces("incoming")))
 
     def _maybe_meta(self, name: str, kind: Any) -> Any:
         row = self._sql.execute("SELECT value, crc FROM meta WHERE name=?", (name,)).fetchone()
@@ -276,22 +285,22 @@
     def _do(self, job: DurabilityJob) -> Snapshot | None:
         sql, write = self._sql, job.write
         if write:
-            if write.hard:
-                self._meta("hard", tuple(write.hard))
-            if write.truncate is not None:
-                sql.execute("DELETE FROM log WHERE idx>=?", (write.truncate,))
-            for meta, number, data in write.pieces:
+            if write.hard_state:
+                self._meta("hard", tuple(write.hard_state))
+            if write.truncate_from is not None:
+                sql.execute("DELETE FROM log WHERE idx>=?", (write.truncate_from,))
+            for meta, number, data in write.snapshot_chunks:
                 if number == 0:
                     sql.execute("DELETE FROM incoming")
                     self._meta("incoming", meta)
                 sql.execute("INSERT INTO incoming VALUES (?,?,?)", (number, data, _crc(number, data)))
-            if write.install:
+            if write.install_snapshot:
                 sql.execute("DELETE FROM snapshot")
                 sql.execute("INSERT INTO snapshot SELECT number, data, crc FROM incoming")
                 sql.execute("DELETE FROM incoming")
                 sql.execute("DELETE FROM meta WHERE name='incoming'")
-                self._meta("snapshot", write.install)
-                upto = write.install.index if write.keep else 1 << 62
+                self._meta("snapshot", write.install_snapshot)
+                upto = write.install_snapshot.index if write.keep_log_suffix else 1 << 62
                 sql.execute("DELETE FROM log WHERE idx<=?", (upto,))
             sql.executemany(
                 "INSERT INTO log VALUES (?,?,?,?,?)",
@@ -320,7 +329,7 @@
     def put_snapshot(self, snapshot: Snapshot) -> None:
         """Replace the snapshot; within a transaction."""
         self._sql.execute("DELETE FROM snapshot")
-        rows = [(n, data, _crc(n, data)) for n, data in enumerate(snapshot.pieces)]
+        rows = [(n, data, _crc(n, data)) for n, data in enumerate(snapshot.chunks)]
         self._sql.executemany("INSERT INTO snapshot VALUES (?,?,?)", rows)
         self._meta("snapshot", snapshot.meta)
 
--- a/limerudder/store/member.py
+++ b/limerudder/store/member.py
@@ -18,6 +18,7 @@
 from limerudder.store import state_machine as rec
 from limerudder.store.drain_log import HOST_KEY_PREFIX, DrainFact, DrainLog
 from limerudder.store.peer_authentication import DurabilityProof
+from limerudder.store.raft.errors import MembershipChangeError, NotLeader
 from limerudder.store.raft.messages import (
     AppendEntries,
     ClusterConfig,
@@ -25,19 +26,13 @@
     MemberRole,
     Snapshot,
     SnapshotMeta,
-)
-from limerudder.store.raft.messages import Member as MemberEntry
-from limerudder.store.raft.raft import (
-    MembershipChangeError,
-    NotLeader,
-    PersistentState,
-    Raft,
-    RaftOutput,
-    RaftRole,
-    RaftTiming,
-    RaftWrite,
     snapshot_digest,
 )
+from limerudder.store.raft.messages import Member as MemberEntry
+from limerudder.store.raft.output import RaftOutput
+from limerudder.store.raft.persistence import PersistentState, RaftWrite
+from limerudder.store.raft.raft import Raft
+from limerudder.store.raft.state import RaftRole, RaftTiming
 from limerudder.store.rpc import Reply, ReplyStatus, Request, RequestKind
 from limerudder.store.state_machine import KeyValueState, OpenSession, Result, SessionWrite, Transaction
 
@@ -147,7 +142,7 @@
         self.raft = Raft(me, start.saved, random, now, timing)
         self.records = KeyValueState(self.limits.history)
         if start.saved.snapshot:
-            self.records.restore(start.saved.snapshot.pieces)
+            self.records.restore(start.saved.snapshot.chunks)
         self.known = dict(start.known)  # the keys that the node needs, as last known here
         hosts = {key: value for key, value in start.known.items() if key.startswith(HOST_KEY_PREFIX)}
         self.ledger = DrainLog({}, start.facts)
@@ -179,7 +174,7 @@
             Callable[[int], None]
         ] = []  # the records, the members or the leader have changed
         self.out = MemberOutput()
-        self.led_by = self.raft.leader  # when wishes were last said
+        self.led_by = self.raft.leader_id  # when wishes were last said
         self.learn_all()
 
     # what is known
@@ -192,7 +187,7 @@
     @property
     def leads(self) -> bool:
         """Whether this member leads."""
-        return self.raft.standing == RaftRole.LEADER
+        return self.raft.role == RaftRole.LEADER
 
     def value(self, key: str) -> tuple[int, bytes | None]:
         """A key that the node needs, as last known here: the revision of its last change, and its value."""
@@ -202,7 +197,11 @@
 
     def age(self, now: int) -> int:
         """How old, at the most, what the records here say is; a leader's word on how far it is counts."""
-        return 0 if self.leads and self.raft.commit >= self.raft.first else max(now - self.fresh, 0)
+        return (
+            0
+            if self.leads and self.raft.commit_index >= self.raft.term_start_index
+            else max(now - self.fresh, 0)
+        )
 
     # what is wanted
 
@@ -253,7 +252,7 @@
             call(now)
 
     def _say(self, one: PendingCall, now: int) -> None:
-        leader = self.raft.leader
+        leader = self.raft.leader_id
         if not leader:
             return
         one.said, one.to, one.tried = now, leader, True
@@ -275,20 +274,20 @@
             case _:
                 self.raft.receive(sender, message, now)
                 if isinstance(message, AppendEntries) and message.term == self.raft.term:
-                    self.fresh = now if message.commit <= self.raft.commit else self.fresh
+                    self.fresh = now if message.leader_commit <= self.raft.commit_index else self.fresh
 
     def tick(self, now: int) -> None:
         """Time has passed."""
-        if now >= self.raft.next_due():
+        if now >= self.raft.next_deadline():
             self.raft.tick(now)
-        retry = self.raft.timing.election
+        retry = self.raft.timing.election_timeout_us
         under_way = self._under_way() if self.leads and self.wishes else set()
         for one in list(self.wishes.values()):
             if now >= one.deadline:
                 del self.wishes[one.number]
-                why = "nobody leads" if not self.raft.leader else "no answer came in time"
+                why = "nobody leads" if not self.raft.leader_id else "no answer came in time"
                 one.done(CallFailure("not_now", why, unsure=one.tried and one.wish != RequestKind.INDEX), now)
-            elif one.to != self.raft.leader or now >= one.said + retry:
+            elif one.to != self.raft.leader_id or now >= one.said + retry:
                 # guards against a wish lost on its way or with its leader; sessions keep it from being done
                 # twice
                 if not (one.to == self.me and one.number in under_way):
@@ -311,7 +310,7 @@
             self.raft.compact(snapshot, self.limits.keep_entries)
         number = self.raft_writes.pop(job, None)
         if number is not None:
-            self.raft.written(number, now)
+            self.raft.on_write_durable(number, now)
         facts = self.fact_jobs.pop(job, [])
         due = [call for fact, call in self.fact_hooks if fact in facts]
         self.fact_hooks = [one for one in self.fact_hooks if one[0] not in facts]
@@ -320,8 +319,10 @@
 
     def next_due(self) -> int:
         """When `tick` must be called at the latest."""
-        dues = [self.raft.next_due(), self.push_due]
-        dues += [min(one.deadline, one.said + self.raft.timing.election) for one in self.wishes.values()]
+        dues = [self.raft.next_deadline(), self.push_due]
+        dues += [
+            min(one.deadline, one.said + self.raft.timing.election_timeout_us) for one in self.wishes.values()
+        ]
         return min(dues)
 
     # the leader's side
@@ -338,14 +339,14 @@
                         )
                     self.proposals.append((ask.data, sender, ask.number))
                 case RequestKind.INDEX:
-                    self.asked_reads[self.raft.read(now)] = sender, ask.number
+                    self.asked_reads[self.raft.request_read(now)] = sender, ask.number
                 case RequestKind.LEAD:
-                    self.raft.transfer(int.from_bytes(ask.data, "big"), now)
+                    self.raft.transfer_leadership(int.from_bytes(ask.data, "big"), now)
                     self._answer(sender, ask.number, ReplyStatus.DONE, b"", now)
                 case RequestKind.ADD | RequestKind.REMOVE:
                     after = self._changed(ask)
                     same = after == self.config  # said again, after its answer was lost
-                    index = self.raft.log.config_index if same else self.raft.change(after, now)
+                    index = self.raft.log.config_index if same else self.raft.propose_config(after, now)
                     if index <= self.records.applied:
                         return self._answer(
                             sender, ask.number, ReplyStatus.DONE, index.to_bytes(8, "big"), now
@@ -367,7 +368,7 @@
             raise MembershipChangeError(f"no member: {exc}") from None
         if new.role == MemberRole.VOTER:
             raise MembershipChangeError("a member joins first and becomes a voter once it has caught up")
-        before = self.config.get(new.id)
+        before = self.config.find_by_id(new.id)
         if before and (before.name, before.address) == (new.name, new.address):
             return self.config
         for one in members:
@@ -397,19 +398,19 @@
 
     def take(self, now: int) -> MemberOutput | None:
         """What is to be done since the last call; None where there is nothing."""
-        if self.raft.leader != self.led_by:
-            self.led_by = self.raft.leader
+        if self.raft.leader_id != self.led_by:
+            self.led_by = self.raft.leader_id
             for one in list(self.wishes.values()):  # guards whoever waits against waiting for a tick as well
                 self._say(one, now)
         if self.proposals:
             self._propose(now)
-        raft = self.raft.take(now)
+        raft = self.raft.take_output(now)
         if raft:
             self._carry_out(raft, now)
         out = self.out
         if raft:
-            out.send += raft.send
-            out.after += raft.after
+            out.send += raft.messages
+            out.after += raft.messages_after_write
         out.job = self._job(raft.write if raft else None)
         if not (out.send or out.job or out.after):
             return None
@@ -428,11 +429,11 @@
             self.proposed[first + n] = term, sender, number
 
     def _carry_out(self, raft: RaftOutput, now: int) -> None:
-        changed = bool(raft.committed or raft.install)
-        if raft.install:
-            self.records.restore(raft.install.pieces)
+        changed = bool(raft.committed_entries or raft.installed_snapshot)
+        if raft.installed_snapshot:
+            self.records.restore(raft.installed_snapshot.chunks)
             self.learn_all()
-        for entry in raft.committed:
+        for entry in raft.committed_entries:
             before = self.records.revision
             result = None
             if entry.kind == EntryKind.DATA:
@@ -449,18 +450,20 @@
                 else:
                     data = msgspec.msgpack.encode(result) if result else entry.index.to_bytes(8, "big")
                     self._answer(sender, number, ReplyStatus.DONE, data, now)
-        for number, index in raft.reads:
+        for number, index in raft.confirmed_reads:
             asked = self.asked_reads.pop(number, None)
             if asked:
                 self._answer(*asked, ReplyStatus.DONE, index.to_bytes(8, "big"), now)
-        for number in raft.reads_lost:
+        for number in raft.aborted_reads:
             asked = self.asked_reads.pop(number, None)
             if asked:
                 self._answer(*asked, ReplyStatus.NOT_LEADING, b"", now)
         if not self.leads and self.proposed:
             # their entries may still be committed; whoever asked says it again, and sessions see to the rest
             lost = [
-                i for i, one in self.proposed.items() if one[0] != self.raft.term and i > self.raft.log.last
+                i
+                for i, one in self.proposed.items()
+                if one[0] != self.raft.term and i > self.raft.log.last_index
             ]
             for index in lost:
                 del self.proposed[index]
@@ -517,7 +520,7 @@
         log, applied = self.raft.log, self.records.applied
         last = self.raft.snapshot.meta.index if self.raft.snapshot else 0
         many = applied - last >= self.limits.snapshot_entries
-        large = log.bytes >= self.limits.snapshot_bytes and applied > last
+        large = log.size_bytes >= self.limits.snapshot_bytes and applied > last
         if self.snapshotting or not (many or large):
             return None
         return self.snapshot_now()
@@ -530,9 +533,9 @@
     def frozen_now(self) -> SnapshotJob:
         """The records as they are, to be written out beside the member."""
         log, applied = self.raft.log, self.records.applied
-        term = log.term(applied)
+        term = log.term_at(applied)
         assert term is not None
-        keep_from = max(applied - self.limits.keep_entries, log.base) + 1
+        keep_from = max(applied - self.limits.keep_entries, log.base_index) + 1
         return SnapshotJob(
             applied, term, log.config_at(applied), self.records.freeze(self.limits.piece), keep_from
         )
@@ -541,7 +544,7 @@
 
     def _push(self, now: int) -> None:
         hosts = self.ledger.waiting()
-        if not hosts or not self.raft.leader:
+        if not hosts or not self.raft.leader_id:
             return
         if not self.session:
             return self._open_session(now)
--- a/limerudder/store/peer_authentication.py
+++ b/limerudder/store/peer_authentication.py
@@ -67,8 +67,8 @@
             return f"cluster {hello.cluster:016x}; this is {self.cluster:016x}"
         if hello.to != self.me:
             return f"it looks for member {hello.to:016x}; this is {self.me:016x}"
-        if sure and config.get(hello.sender) is None:
-            known = config.named(hello.name)
+        if sure and config.find_by_id(hello.sender) is None:
+            known = config.find_by_name(hello.name)
             if known:
                 return (
                     f"{hello.name} is member {known.id:016x} and this is {hello.sender:016x}: a new disk"
--- a/limerudder/store/raft/log.py
+++ b/limerudder/store/raft/log.py
@@ -8,18 +8,18 @@
 
 
 class RaftLog:
-    """Entries `base + 1` to `last`; those up to `base` stand in a snapshot."""
+    """Entries `base_index + 1` to `last_index`; those up to `base_index` stand in a snapshot."""
 
     def __init__(self, base: int, base_term: int, config: ClusterConfig) -> None:
-        self.base, self.base_term = base, base_term
+        self.base_index, self.base_term = base, base_term
         self.entries: list[Entry] = []
-        self.bytes = 0
+        self.size_bytes = 0
         self.configs: list[tuple[int, ClusterConfig]] = [(base, config)]  # each with its entry's index
 
     @property
-    def last(self) -> int:
+    def last_index(self) -> int:
         """The last entry's index."""
-        return self.base + len(self.entries)
+        return self.base_index + len(self.entries)
 
     @property
     def last_term(self) -> int:
@@ -37,27 +37,27 @@
         return self.configs[-1][0]
 
     def config_at(self, index: int) -> ClusterConfig:
-        """Who the members were as of an entry; not before `base`."""
+        """Who the members were as of an entry; not before `base_index`."""
         return next(config for at, config in reversed(self.configs) if at <= index)
 
-    def term(self, index: int) -> int | None:
+    def term_at(self, index: int) -> int | None:
         """The term of an entry; None where it is not here."""
-        if index == self.base:
+        if index == self.base_index:
             return self.base_term
-        if self.base < index <= self.last:
-            return self.entries[index - self.base - 1].term
+        if self.base_index < index <= self.last_index:
+            return self.entries[index - self.base_index - 1].term
         return None
 
-    def get(self, index: int) -> Entry:
+    def entry_at(self, index: int) -> Entry:
         """The entry of this index."""
-        return self.entries[index - self.base - 1]
+        return self.entries[index - self.base_index - 1]
 
-    def slice(self, first: int, most_bytes: int, most: int) -> tuple[Entry, ...]:
+    def entries_from(self, first: int, max_bytes: int, max_entries: int) -> tuple[Entry, ...]:
         """Entries from `first` on: at least one where there is one, else within both bounds."""
         found: list[Entry] = []
-        room = most_bytes
-        for entry in self.entries[first - self.base - 1 : first - self.base - 1 + most]:
-            room -= entry.size()
+        room = max_bytes
+        for entry in self.entries[first - self.base_index - 1 : first - self.base_index - 1 + max_entries]:
+            room -= entry.size_bytes()
             if room < 0 and found:
                 break
             found.append(entry)
@@ -66,38 +66,38 @@
     def append(self, entries: Sequence[Entry]) -> None:
         """Put entries at the end."""
         for entry in entries:
-            assert entry.index == self.last + 1, "the log has no gaps"
+            assert entry.index == self.last_index + 1, "the log has no gaps"
             assert entry.term >= self.last_term, "terms never fall along the log"
             self.entries.append(entry)
-            self.bytes += entry.size()
+            self.size_bytes += entry.size_bytes()
             if entry.kind == EntryKind.CONFIG:
                 self.configs.append((entry.index, decode_config(entry.data)))
 
     def truncate(self, first: int) -> None:
         """Take away all entries from `first` on, and with them what they said of the members."""
-        assert first > self.base
-        for entry in self.entries[first - self.base - 1 :]:
-            self.bytes -= entry.size()
-        del self.entries[first - self.base - 1 :]
+        assert first > self.base_index
+        for entry in self.entries[first - self.base_index - 1 :]:
+            self.size_bytes -= entry.size_bytes()
+        del self.entries[first - self.base_index - 1 :]
         while self.configs[-1][0] >= first:
             self.configs.pop()
 
     def compact(self, index: int) -> None:
         """Let go of all entries up to `index`, which a snapshot holds."""
-        if index <= self.base:
+        if index <= self.base_index:
             return
-        assert index <= self.last
-        term, config = self.term(index), self.config_at(index)
+        assert index <= self.last_index
+        term, config = self.term_at(index), self.config_at(index)
         assert term is not None
-        for entry in self.entries[: index - self.base]:
-            self.bytes -= entry.size()
-        del self.entries[: index - self.base]
-        self.base, self.base_term = index, term
+        for entry in self.entries[: index - self.base_index]:
+            self.size_bytes -= entry.size_bytes()
+        del self.entries[: index - self.base_index]
+        self.base_index, self.base_term = index, term
         self.configs = [(index, config), *((at, one) for at, one in self.configs if at > index)]
 
-    def agreeing(self, index: int, term: int) -> int:
+    def find_conflict_by_term(self, index: int, term: int) -> int:
         """The last index up to `index` whose term is not over `term`: two logs may agree up to it."""
-        index = min(index, self.last)
-        while index > self.base and (self.term(index) or 0) > term:
+        index = min(index, self.last_index)
+        while index > self.base_index and (self.term_at(index) or 0) > term:
             index -= 1
         return index
--- a/limerudder/store/raft/messages.py
+++ b/limerudder/store/raft/messages.py
@@ -1,34 +1,38 @@
-"""What members say to each other, what stands in the log, and who is a member.
+"""Raft's messages, log entries, snapshots and cluster configurations.
 
-Everything here is frozen and goes over the wire as it stands, by msgspec's MessagePack, as arrays.
+All of them are immutable and are encoded by msgspec as MessagePack arrays, on the wire and on disk: the
+order of their fields and the tags are part of both formats, the names are not.
 """
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from enum import IntEnum
-from typing import Any
+from zlib import crc32
 
 import msgspec
 
+ENTRY_OVERHEAD_BYTES = 24  #: of an entry besides its data, about
+
 
 class EntryKind(IntEnum):
     """What an entry holds."""
 
-    DATA = 0  #: a command for the records
-    CONFIG = 1  #: who the members are from this entry on
+    DATA = 0  #: a command for the state machine
+    CONFIG = 1  #: the cluster configuration from this entry on
     EMPTY = 2  #: a new leader's first entry
 
 
 class MemberRole(IntEnum):
-    """What a member may do."""
+    """A member's part in the cluster."""
 
     VOTER = 0
-    JOINING = 1  #: hears all, counts for nothing, and becomes a voter once it has caught up
-    LEARNER = 2  #: hears all and counts for nothing for good
+    JOINING = 1  #: receives the log without a vote, and becomes a voter once it has caught up (4.2.1)
+    LEARNER = 2  #: receives the log and never has a vote
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
-    """A member: its number is drawn at random with its disk, and never used again by another disk."""
+    """A member. Its id is drawn at random together with its disk and is never used with another disk."""
 
     id: int
     name: str
@@ -37,21 +41,21 @@
 
 
 class ClusterConfig(msgspec.Struct, frozen=True, array_like=True):
-    """Who the members are."""
+    """The members of the cluster."""
 
     members: tuple[Member, ...]
 
-    def voters(self) -> frozenset[int]:
-        """The numbers of those that count."""
-        return frozenset(one.id for one in self.members if one.role == MemberRole.VOTER)
+    def voter_ids(self) -> frozenset[int]:
+        """The ids of the members that have a vote."""
+        return frozenset(member.id for member in self.members if member.role == MemberRole.VOTER)
 
-    def get(self, number: int) -> Member | None:
-        """The member of this number."""
-        return next((one for one in self.members if one.id == number), None)
+    def find_by_id(self, member_id: int) -> Member | None:
+        """The member with this id, or None."""
+        return next((member for member in self.members if member.id == member_id), None)
 
-    def named(self, name: str) -> Member | None:
-        """The member of this name."""
-        return next((one for one in self.members if one.name == name), None)
+    def find_by_name(self, name: str) -> Member | None:
+        """The member with this name, or None."""
+        return next((member for member in self.members if member.name == name), None)
 
 
 class Entry(msgspec.Struct, frozen=True, array_like=True):
@@ -62,90 +66,102 @@
     kind: EntryKind
     data: bytes = b""
 
-    def size(self) -> int:
-        """Bytes it takes, about."""
-        return len(self.data) + 24
+    def size_bytes(self) -> int:
+        """The approximate size of the encoded entry."""
+        return len(self.data) + ENTRY_OVERHEAD_BYTES
 
 
 class SnapshotMeta(msgspec.Struct, frozen=True, array_like=True):
-    """What a snapshot stands for, and how to know it again: the same numbers are the same bytes."""
+    """Describes and identifies a snapshot: equal metadata means equal bytes."""
 
-    index: int
-    term: int
+    index: int  #: of the last entry that the snapshot covers
+    term: int  #: of that entry
     config: ClusterConfig
-    pieces: int
-    digest: int  #: CRC-32 over all pieces
+    chunk_count: int
+    digest: int  #: see `snapshot_digest`
 
 
 class Snapshot(msgspec.Struct, frozen=True, array_like=True):
-    """A snapshot, whole."""
+    """A complete snapshot."""
 
     meta: SnapshotMeta
-    pieces: tuple[bytes, ...]
+    chunks: tuple[bytes, ...]
+
+
+def snapshot_digest(chunks: Sequence[bytes]) -> int:
+    """The CRC-32 over all chunks, which together with the index identifies a snapshot."""
+    checksum = 0
+    for chunk in chunks:
+        checksum = crc32(chunk, checksum)
+    return checksum
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True, tag="Message"):
-    """Anything that one member's machine says to another's."""
+    """Base of the messages between members."""
 
     term: int
 
 
 class RequestVote(Message, frozen=True, array_like=True, tag="Vote"):
-    """Asks for a vote; `pre`: only whether it would be given (9.6), `transfer`: at a leader's word."""
+    """Asks for a vote (3.4)."""
 
-    last_index: int
-    last_term: int
-    pre: bool
-    transfer: bool
+    last_log_index: int
+    last_log_term: int
+    is_pre_vote: bool  #: asks only whether the vote would be given (9.6)
+    is_leader_transfer: bool  #: the leader has asked for this election (3.10)
 
 
 class RequestVoteReply(Message, frozen=True, array_like=True, tag="Voted"):
-    """The answer to it."""
+    """The answer to `RequestVote`."""
 
     granted: bool
-    pre: bool
+    is_pre_vote: bool
 
 
 class AppendEntries(Message, frozen=True, array_like=True, tag="Append"):
-    """Entries after `prev_index`, none for a sign of life; `round` is given back with the answer (6.4)."""
+    """Entries that follow `prev_log_index`; a heartbeat has none (3.5)."""
 
-    prev_index: int
-    prev_term: int
+    prev_log_index: int
+    prev_log_term: int
     entries: tuple[Entry, ...]
-    commit: int
-    round: int
+    leader_commit: int
+    read_round: int  #: returned with the answer: confirms reads (6.4)
 
 
 class AppendEntriesReply(Message, frozen=True, array_like=True, tag="Appended"):
-    """The answer: the log agrees up to `index`; or it does not at `index`, and may up to `hint`."""
+    """The answer to `AppendEntries`.
+
+    With `success` the log matches the leader's up to `index`. Without it, it does not at `index`; it may up
+    to `hint_index`, whose term is `hint_term`.
+    """
 
-    ok: bool
+    success: bool
     index: int
-    hint: int
+    hint_index: int
     hint_term: int
-    round: int
+    read_round: int
 
 
 class InstallSnapshotChunk(Message, frozen=True, array_like=True, tag="Piece"):
-    """A piece of a snapshot; one without data asks how many the other has already."""
+    """One chunk of a snapshot; without data it asks how many chunks the receiver already holds (5.4)."""
 
     meta: SnapshotMeta
-    number: int
+    chunk_number: int
     data: bytes
-    round: int
+    read_round: int
 
 
 class InstallSnapshotReply(Message, frozen=True, array_like=True, tag="PieceHeld"):
-    """How many pieces of that snapshot are held, from the first on without a gap."""
+    """How many chunks of that snapshot the receiver holds, from the first on without a gap."""
 
-    index: int
-    digest: int
-    held: int
-    round: int
+    snapshot_index: int
+    snapshot_digest: int
+    chunks_held: int
+    read_round: int
 
 
 class TimeoutNow(Message, frozen=True, array_like=True, tag="TakeOver"):
-    """The leader's word to stand for election at once (3.10)."""
+    """The leader asks the receiver to start an election at once (3.10)."""
 
 
 RaftMessage = (
@@ -159,24 +175,14 @@
 )
 
 _encode = msgspec.msgpack.Encoder().encode
-_decode_config: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(ClusterConfig)
+_config_decoder: msgspec.msgpack.Decoder[ClusterConfig] = msgspec.msgpack.Decoder(ClusterConfig)
 
 
 def encode_config(config: ClusterConfig) -> bytes:
-    """A configuration as an entry holds it."""
+    """The data of a configuration entry."""
     return _encode(config)
 
 
 def decode_config(data: bytes) -> ClusterConfig:
-    """A configuration from an entry; msgspec.DecodeError where it is none."""
-    config: ClusterConfig = _decode_config.decode(data)
-    return config
-
-
-def to_plain(what: Any) -> Any:
-    """Plain values, for people and for JSON."""
-    if isinstance(what, msgspec.Struct):
-        return {name: to_plain(getattr(what, name)) for name in what.__struct_fields__}
-    if isinstance(what, tuple | list):
-        return [to_plain(one) for one in what]
-    return what.name.lower() if isinstance(what, IntEnum) else what
+    """The configuration in an entry's data; raises msgspec.DecodeError if it is malformed."""
+    return _config_decoder.decode(data)
--- a/limerudder/store/raft/progress.py
+++ b/limerudder/store/raft/progress.py
@@ -15,7 +15,7 @@
     """How entries go to a member."""
 
     PROBE = 0  #: one append at a time, until it is known where the logs agree
-    FOLLOW = 1  #: append after append, without waiting (10.2.1)
+    REPLICATE = 1  #: append after append, without waiting (10.2.1)
     SNAPSHOT = 2  #: what it lacks is no longer in the log
 
 
@@ -23,47 +23,51 @@
     """One member, as its leader sees it."""
 
     def __init__(self, next_index: int, now: int) -> None:
-        self.match = 0  # its log agrees with ours up to here, durably
-        self.next = next_index
+        self.match_index = 0  # its log agrees with ours up to here, durably
+        self.next_index = next_index
         self.mode = ProgressMode.PROBE
-        self.under_way: deque[int] = deque()  # the last index of each append that is not answered
-        self.waits = False  # a probe, or an offer of a snapshot, is out
-        self.sent = now  # when anything last went to it
-        self.heard = now  # when it last answered
-        self.active = True  # it has answered since the last look at the quorum
-        self.round = 0  # the last round it has answered
+        self.inflight: deque[int] = deque()  # the last index of each append that is not answered
+        self.is_paused = False  # a probe, or an offer of a snapshot, is out
+        self.last_sent_us = now  # when anything last went to it
+        self.last_heard_us = now  # when it last answered
+        self.recently_active = True  # it has answered since the last look at the quorum
+        self.acked_read_round = 0  # the last round it has answered
         self.snapshot: Snapshot | None = None  # that is being sent
-        self.held = self.sent_pieces = 0  # pieces it has, and pieces sent
+        self.chunks_held = self.chunks_sent = 0  # pieces it has, and pieces sent
 
-    def probe(self, next_index: int) -> None:
+    def become_probe(self, next_index: int) -> None:
         """Find out where the logs agree, from here downwards."""
-        self.mode, self.next, self.waits = ProgressMode.PROBE, max(next_index, self.match + 1), False
-        self.under_way.clear()
+        self.mode, self.next_index, self.is_paused = (
+            ProgressMode.PROBE,
+            max(next_index, self.match_index + 1),
+            False,
+        )
+        self.inflight.clear()
         self.snapshot = None
 
-    def follow(self) -> None:
+    def become_replicate(self) -> None:
         """It agrees: send on without waiting."""
-        self.mode, self.next, self.waits = ProgressMode.FOLLOW, self.match + 1, False
-        self.under_way.clear()
+        self.mode, self.next_index, self.is_paused = ProgressMode.REPLICATE, self.match_index + 1, False
+        self.inflight.clear()
         self.snapshot = None
 
-    def send_snapshot(self, snapshot: Snapshot) -> None:
+    def become_snapshot(self, snapshot: Snapshot) -> None:
         """Begin with a snapshot: first ask what it has of it."""
-        self.mode, self.snapshot, self.waits = ProgressMode.SNAPSHOT, snapshot, False
-        self.held = self.sent_pieces = -1
-        self.under_way.clear()
+        self.mode, self.snapshot, self.is_paused = ProgressMode.SNAPSHOT, snapshot, False
+        self.chunks_held = self.chunks_sent = -1
+        self.inflight.clear()
 
-    def agreed(self, index: int) -> bool:
+    def record_match(self, index: int) -> bool:
         """Its log agrees up to `index`; whether that is news."""
-        news = index > self.match
-        self.match = max(self.match, index)
-        self.next = max(self.next, self.match + 1)
-        while self.under_way and self.under_way[0] <= index:
-            self.under_way.popleft()
+        news = index > self.match_index
+        self.match_index = max(self.match_index, index)
+        self.next_index = max(self.next_index, self.match_index + 1)
+        while self.inflight and self.inflight[0] <= index:
+            self.inflight.popleft()
         return news
 
-    def full(self) -> bool:
+    def is_full(self) -> bool:
         """Nothing more may go to it before it has answered."""
-        if self.mode == ProgressMode.FOLLOW:
-            return len(self.under_way) >= MAX_INFLIGHT_APPENDS
-        return self.waits
+        if self.mode == ProgressMode.REPLICATE:
+            return len(self.inflight) >= MAX_INFLIGHT_APPENDS
+        return self.is_paused
--- a/limerudder/store/store.py
+++ b/limerudder/store/store.py
@@ -19,7 +19,7 @@
 from limerudder.store.peer_authentication import PROTOCOL_BUILD, Handshake, PeerAuthenticator
 from limerudder.store.peer_transport import DiskWriter, PeerObserver, PeerTransport
 from limerudder.store.raft.messages import AppendEntriesReply, ClusterConfig, Snapshot
-from limerudder.store.raft.raft import RaftRole, RaftTiming
+from limerudder.store.raft.state import RaftRole, RaftTiming
 
 TICK = 0.01  #: seconds between looks at what is due; elections and signs of life are far coarser
 END_WAIT = 0.5  #: seconds for the last jobs at a planned end
@@ -52,7 +52,7 @@
         me = opened.identity.me
         self.member = Member(me, opened.start, random, now(), limits, timing, check)
         self.doorman = PeerAuthenticator(opened.identity.cluster, me, opened.shown)
-        self.durable_term = opened.start.saved.hard.term
+        self.durable_term = opened.start.saved.hard_state.term
         self.net = PeerTransport(self, me, log)
         self.afters: deque[tuple[int, list[tuple[int, rpc.StoreMessage]]]] = (
             deque()
@@ -79,7 +79,7 @@
         if self.timer:
             self.timer.cancel()
         if self.member.leads:  # guards clients against an election that nobody saw coming
-            self.member.raft.yield_lead(self.now())
+            self.member.raft.transfer_to_best_follower(self.now())
             out = self.member.take(self.now())
             for to, message in out.send if out else ():
                 self.net.send(to, message)
@@ -94,7 +94,7 @@
     def hello(self, to: int) -> Handshake:
         """Ours."""
         identity, raft = self.opened.identity, self.member.raft
-        last = max(min(raft.durable, raft.log.last), raft.log.base)
+        last = max(min(raft.durable_index, raft.log.last_index), raft.log.base_index)
         return Handshake(
             PROTOCOL_BUILD,
             identity.cluster,
@@ -116,7 +116,7 @@
 
     def heard(self, sender: int, message: rpc.StoreMessage) -> None:
         """A message."""
-        if isinstance(message, AppendEntriesReply) and message.ok:
+        if isinstance(message, AppendEntriesReply) and message.success:
             self.doorman.acknowledged(sender, message.term, message.index)
         self.member.receive(sender, message, self.now())
         self.pump_soon()
@@ -150,9 +150,9 @@
         if raft.log.config != self.config:
             self.config = raft.log.config
             self.net.follow(self.config)
-        if raft.leader != self.leader and (raft.leader or raft.standing == RaftRole.FOLLOWER):
-            self.leader = raft.leader
-            one = self.member.config.get(self.leader)
+        if raft.leader_id != self.leader and (raft.leader_id or raft.role == RaftRole.FOLLOWER):
+            self.leader = raft.leader_id
+            one = self.member.config.find_by_id(self.leader)
             who = f"{one.name} leads" if one else "nobody leads"
             self.log("store-lead", f"store: {who} in term {raft.term}")
 
@@ -165,8 +165,8 @@
         now = self.now()
         for job, snapshot in zip(jobs, results, strict=True):
             self.done = job.number
-            if job.write and job.write.hard:
-                self.durable_term = job.write.hard.term
+            if job.write and job.write.hard_state:
+                self.durable_term = job.write.hard_state.term
             for _, fact in job.facts:
                 if isinstance(fact, DrainObserved):
                     self.log(
@@ -191,26 +191,26 @@
     def status(self) -> dict[str, Any]:
         """How it stands."""
         member, raft, now = self.member, self.member.raft, self.now()
-        leader = member.config.get(raft.leader)
+        leader = member.config.find_by_id(raft.leader_id)
         return {
             "cluster": f"{self.opened.identity.cluster:016x}",
             "name": self.opened.identity.name,
             "member": f"{member.me:016x}",
-            "standing": raft.standing.name.lower(),
+            "standing": raft.role.status_text,
             "leader": leader.name if leader else "",
             "term": raft.term,
             "revision": member.records.revision,
-            "committed": raft.commit,
+            "committed": raft.commit_index,
             "applied": member.records.applied,
-            "log_from": raft.log.base + 1,
-            "log_to": raft.log.last,
+            "log_from": raft.log.base_index + 1,
+            "log_to": raft.log.last_index,
             "age_ms": member.age(now) // 1000,
             "keys": len(member.records.items),
             "sessions": len(member.records.sessions),
             "waiting": len(member.wishes),
             "facts_waiting": len(member.ledger.facts),
             "disk_failing": self.writer.failing if self.writer else "",
-            "disk_stuck": raft.stuck(now),
+            "disk_stuck": raft.is_disk_stalled(now),
             "dropped": self.net.dropped,
             "start": self.opened.boot.number,
         }
@@ -227,10 +227,14 @@
                     "member": f"{one.id:016x}",
                     "address": one.address,
                     "role": one.role.name.lower(),
-                    "leads": one.id == raft.leader,
+                    "leads": one.id == raft.leader_id,
                     "connected": one.id == self.member.me or one.id in self.net.dialled,
-                    "match": seen.match if seen else raft.durable if one.id == self.member.me else None,
-                    "heard_ms": (now - seen.heard) // 1000 if seen else None,
+                    "match": seen.match_index
+                    if seen
+                    else raft.durable_index
+                    if one.id == self.member.me
+                    else None,
+                    "heard_ms": (now - seen.last_heard_us) // 1000 if seen else None,
                 }
             )
         return rows
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from limerudder.store.raft.errors import MembershipChangeError, NotLeader
 from limerudder.store.raft.messages import (
     AppendEntries,
     ClusterConfig,
@@ -21,17 +22,11 @@
     Snapshot,
     SnapshotMeta,
     TimeoutNow,
-)
-from limerudder.store.raft.raft import (
-    HardState,
-    MembershipChangeError,
-    NotLeader,
-    PersistentState,
-    Raft,
-    RaftRole,
-    RaftTiming,
     snapshot_digest,
 )
+from limerudder.store.raft.persistence import HardState, IncomingSnapshot, PersistentState
+from limerudder.store.raft.raft import Raft
+from limerudder.store.raft.state import RaftRole, RaftTiming
 
 MS = 1000
 TIMING = RaftTiming(150 * MS, 30 * MS)
@@ -62,7 +57,7 @@
         members: ClusterConfig,
         hard: HardState = HardState(0, 0),  # noqa: B008
         entries: tuple[Entry, ...] = (),
-        incoming: tuple[SnapshotMeta, tuple[bytes, ...]] | None = None,
+        incoming: IncomingSnapshot | None = None,
     ) -> Raft:
         saved = PersistentState(hard, None, entries, members, incoming)
         return Raft(number, saved, Random(number), self.now, TIMING)
@@ -73,20 +68,20 @@
         while moved:
             moved = False
             for number, raft in list(self.all.items()):
-                out = raft.take(self.now)
+                out = raft.take_output(self.now)
                 if out is None:
                     continue
                 moved = True
-                self.reads.setdefault(number, []).extend(out.reads)
-                if out.install:
-                    self.installed[number] = out.install
-                after = out.after
+                self.reads.setdefault(number, []).extend(out.confirmed_reads)
+                if out.installed_snapshot:
+                    self.installed[number] = out.installed_snapshot
+                after = out.messages_after_write
                 if out.write:
                     if number in self.stuck:
                         after = []
                     else:
-                        raft.written(out.write.number, self.now)
-                for to, message in [*out.send, *after]:
+                        raft.on_write_durable(out.write.number, self.now)
+                for to, message in [*out.messages, *after]:
                     self.seen.append((number, to, message))
                     if to in self.all and not self.lost(number, to, message):
                         self.all[to].receive(number, message, self.now)
@@ -104,14 +99,14 @@
         raft = self.all[number]
         for _ in range(3):  # it may learn of a later term first
             self.now += 200 * MS
-            raft.due = 0
+            raft.election_due = 0
             for one in self.all.values():
-                one.heard_leader = -(10**9)
+                one.leader_heard_at = -(10**9)
             raft.tick(self.now)
             self.settle()
-            if raft.standing == RaftRole.LEADER:
+            if raft.role == RaftRole.LEADER:
                 break
-        assert raft.standing == RaftRole.LEADER
+        assert raft.role == RaftRole.LEADER
         return raft
 
 
@@ -123,16 +118,16 @@
 def test_one_leads_and_what_it_proposes_is_committed_everywhere() -> None:
     bench = Bench(1, 2, 3)
     bench.run(700)
-    leaders = [raft for raft in bench.all.values() if raft.standing == RaftRole.LEADER]
+    leaders = [raft for raft in bench.all.values() if raft.role == RaftRole.LEADER]
     assert len(leaders) == 1
     leaders[0].propose([b"a", b"b"], bench.now)
     bench.settle()
     bench.run(60)
-    assert {raft.commit for raft in bench.all.values()} == {3}
+    assert {raft.commit_index for raft in bench.all.values()} == {3}
     other = next(raft for raft in bench.all.values() if raft is not leaders[0])
     with pytest.raises(NotLeader) as caught:
         other.propose([b"c"], bench.now)
-    assert caught.value.leader == leaders[0].me
+    assert caught.value.leader == leaders[0].member_id
 
 
 def test_one_that_was_cut_off_does_not_disturb_the_leader_when_it_is_back() -> None:
@@ -144,28 +139,28 @@
     assert bench.all[3].term == term, "it asks before it stands"
     bench.lost = lambda sender, to, message: False
     bench.run(500)
-    assert leader.standing == RaftRole.LEADER and leader.term == term
+    assert leader.role == RaftRole.LEADER and leader.term == term
 
 
 def test_a_leader_that_nobody_hears_gives_up_and_its_reads_are_lost() -> None:
     bench = Bench(1, 2, 3)
     leader = bench.elect(1)
     bench.lost = lambda sender, to, message: True
-    leader.read(bench.now)
+    leader.request_read(bench.now)
     bench.run(400)
-    assert leader.standing != RaftRole.LEADER and bench.reads[1] == []
+    assert leader.role != RaftRole.LEADER and bench.reads[1] == []
 
 
 def test_a_read_waits_for_a_round_begun_after_it() -> None:
     bench = Bench(1, 2, 3)
     leader = bench.elect(1)
     bench.lost = lambda sender, to, message: to == 1
-    leader.read(bench.now)
+    leader.request_read(bench.now)
     bench.settle()
     assert bench.reads[1] == []
     bench.lost = lambda sender, to, message: False
     bench.run(40)
-    assert bench.reads[1] == [(1, leader.commit)]
+    assert bench.reads[1] == [(1, leader.commit_index)]
 
 
 def test_a_leader_whose_disk_is_stuck_hands_the_lead_over() -> None:
@@ -174,37 +169,43 @@
     bench.stuck = {1}
     leader.propose([b"a"], bench.now)
     bench.settle()
-    assert leader.commit == 2, "the others have it: a quorum without the leader's own disk"
+    assert leader.commit_index == 2, "the others have it: a quorum without the leader's own disk"
     bench.run(400)
-    assert leader.standing == RaftRole.FOLLOWER and leader.stuck(bench.now)
+    assert leader.role == RaftRole.FOLLOWER and leader.is_disk_stalled(bench.now)
     assert any(isinstance(message, TimeoutNow) for _, _, message in bench.seen)
     bench.run(1000)
-    assert leader.standing == RaftRole.FOLLOWER, "and stands for nothing meanwhile"
-    assert any(raft.standing == RaftRole.LEADER for raft in bench.all.values())
+    assert leader.role == RaftRole.FOLLOWER, "and stands for nothing meanwhile"
+    assert any(raft.role == RaftRole.LEADER for raft in bench.all.values())
 
 
 def test_the_lead_is_handed_over_without_an_election_time_out() -> None:
     bench = Bench(1, 2, 3)
     leader = bench.elect(1)
-    leader.transfer(3, bench.now)
+    leader.transfer_leadership(3, bench.now)
     with pytest.raises(NotLeader):
         leader.propose([b"a"], bench.now)
     bench.settle()
-    assert bench.all[3].standing == RaftRole.LEADER and leader.leader == 3
+    assert bench.all[3].role == RaftRole.LEADER and leader.leader_id == 3
     with pytest.raises(MembershipChangeError, match="only a voter"):
-        bench.all[3].transfer(9, bench.now)
+        bench.all[3].transfer_leadership(9, bench.now)
 
 
 def test_no_vote_leaves_before_it_is_durable_and_none_is_given_twice_in_a_term() -> None:
     bench = Bench(1, 2, 3)
     one = bench.all[3]
     one.receive(1, RequestVote(5, 0, 0, False, False), bench.now)
-    out = one.take(bench.now)
-    assert out and not out.send and out.write and out.write.hard == HardState(5, 1) and len(out.after) == 1
-    again = bench.fresh(3, config(1, 2, 3), hard=out.write.hard)
+    out = one.take_output(bench.now)
+    assert (
+        out
+        and not out.messages
+        and out.write
+        and out.write.hard_state == HardState(5, 1)
+        and len(out.messages_after_write) == 1
+    )
+    again = bench.fresh(3, config(1, 2, 3), hard=out.write.hard_state)
     again.receive(2, RequestVote(5, 9, 4, False, False), bench.now)
-    out = again.take(bench.now)
-    assert out and out.after[0][1].granted is False  # type: ignore[union-attr]
+    out = again.take_output(bench.now)
+    assert out and out.messages_after_write[0][1].granted is False  # type: ignore[union-attr]
 
 
 def test_an_older_terms_entry_is_not_committed_by_count() -> None:
@@ -223,13 +224,13 @@
     )
     leader = bench.elect(1)
     bench.run(60)
-    assert sum(one.match >= 1 for one in leader.progress.values()) >= 2
-    assert leader.commit == 0, "a leader with the newer entry may still come"
+    assert sum(one.match_index >= 1 for one in leader.progress.values()) >= 2
+    assert leader.commit_index == 0, "a leader with the newer entry may still come"
     del bench.all[1]
     bench.lost = lambda sender, to, message: False
     bench.elect(5)
     bench.run(60)
-    assert bench.all[2].log.get(1) == newer
+    assert bench.all[2].log.entry_at(1) == newer
 
 
 def test_a_snapshot_goes_on_from_the_piece_that_is_held_even_after_a_restart() -> None:
@@ -239,24 +240,24 @@
     leader = bench.elect(1)
     leader.propose([b"x"] * 30, bench.now)
     bench.settle()
-    whole = snapshot(leader.commit, leader.term, members, 10)
+    whole = snapshot(leader.commit_index, leader.term, members, 10)
     leader.compact(whole, 0)
     behind = bench.all[2]
 
     def late(sender: int, to: int, message: RaftMessage) -> bool:
-        return isinstance(message, InstallSnapshotChunk) and message.number >= 6 and bool(message.data)
+        return isinstance(message, InstallSnapshotChunk) and message.chunk_number >= 6 and bool(message.data)
 
     bench.lost = late
     bench.run(100)
-    assert behind.incoming and len(behind.incoming[1]) == 6 and 2 not in bench.installed
-    incoming = behind.incoming[0], tuple(behind.incoming[1])
+    assert behind.incoming_snapshot and len(behind.incoming_snapshot[1]) == 6 and 2 not in bench.installed
+    incoming = IncomingSnapshot(behind.incoming_snapshot[0], tuple(behind.incoming_snapshot[1]))
     bench.all[2] = bench.fresh(2, members, hard=HardState(leader.term, 1), incoming=incoming)
     bench.lost = lambda sender, to, message: False
     bench.seen.clear()
     bench.run(100)
-    sent = [m.number for _, _, m in bench.seen if isinstance(m, InstallSnapshotChunk) and m.data]
+    sent = [m.chunk_number for _, _, m in bench.seen if isinstance(m, InstallSnapshotChunk) and m.data]
     assert bench.installed[2] == whole and min(sent) >= 6, sent
-    assert bench.all[2].commit == leader.commit
+    assert bench.all[2].commit_index == leader.commit_index
 
 
 def test_spoiled_pieces_are_asked_for_again_and_never_installed() -> None:
@@ -265,10 +266,13 @@
     whole = snapshot(9, 1, members, 2)
     one = bench.all[2]
     one.receive(1, InstallSnapshotChunk(1, whole.meta, 0, b"spoiled", 0), bench.now)
-    one.receive(1, InstallSnapshotChunk(1, whole.meta, 1, whole.pieces[1], 0), bench.now)
-    out = one.take(bench.now)
-    assert out and out.install is None and one.incoming is None
-    assert isinstance(out.after[-1][1], InstallSnapshotReply) and out.after[-1][1].held == 0
+    one.receive(1, InstallSnapshotChunk(1, whole.meta, 1, whole.chunks[1], 0), bench.now)
+    out = one.take_output(bench.now)
+    assert out and out.installed_snapshot is None and one.incoming_snapshot is None
+    assert (
+        isinstance(out.messages_after_write[-1][1], InstallSnapshotReply)
+        and out.messages_after_write[-1][1].chunks_held == 0
+    )
 
 
 def test_a_joining_member_counts_for_nothing_until_it_has_caught_up() -> None:
@@ -277,34 +281,34 @@
     leader.propose([b"x"] * 10, bench.now)
     bench.settle()
     bench.lost = lambda sender, to, message: 4 in (sender, to)
-    leader.change(config(1, 2, 3, joining=4), bench.now)
+    leader.propose_config(config(1, 2, 3, joining=4), bench.now)
     with pytest.raises(MembershipChangeError, match="another change is under way"):
-        leader.change(config(1, 2), bench.now)
+        leader.propose_config(config(1, 2), bench.now)
     bench.run(100)
-    assert leader.log.config.voters() == {1, 2, 3} and leader.commit == leader.log.last
+    assert leader.log.config.voter_ids() == {1, 2, 3} and leader.commit_index == leader.log.last_index
     bench.all[4] = bench.fresh(4, ClusterConfig(()))
     bench.lost = lambda sender, to, message: False
     bench.run(100)
-    assert leader.log.config.voters() == {1, 2, 3, 4} and bench.all[4].commit == leader.commit
+    assert leader.log.config.voter_ids() == {1, 2, 3, 4} and bench.all[4].commit_index == leader.commit_index
     with pytest.raises(MembershipChangeError, match="one voter at a time"):
-        leader.change(config(1, 2), bench.now)
+        leader.propose_config(config(1, 2), bench.now)
     with pytest.raises(MembershipChangeError, match="the last voter"):
         alone = Bench(1)
         alone.run(400)
-        alone.all[1].change(ClusterConfig(()), alone.now)
+        alone.all[1].propose_config(ClusterConfig(()), alone.now)
 
 
 def test_a_leader_that_is_taken_out_leads_until_that_is_agreed_on() -> None:
     bench = Bench(1, 2, 3)
     leader = bench.elect(1)
     bench.settle()
-    leader.change(config(2, 3), bench.now)
+    leader.propose_config(config(2, 3), bench.now)
     bench.settle()
-    assert leader.standing == RaftRole.FOLLOWER
+    assert leader.role == RaftRole.FOLLOWER
     bench.run(20)
-    assert any(bench.all[n].standing == RaftRole.LEADER for n in (2, 3)), "at once, and not after a time-out"
+    assert any(bench.all[n].role == RaftRole.LEADER for n in (2, 3)), "at once, and not after a time-out"
     bench.run(2000)
-    assert bench.all[1].standing == RaftRole.FOLLOWER, "it stands for nothing any more"
+    assert bench.all[1].role == RaftRole.FOLLOWER, "it stands for nothing any more"
 
 
 def test_a_member_with_an_empty_disk_and_no_configuration_never_stands() -> None:
@@ -319,16 +323,16 @@
     old = tuple(Entry(n, 1, EntryKind.DATA, b"%d" % n) for n in range(1, 6))
     one = bench.fresh(2, config(1, 2), hard=HardState(1, 0), entries=old)
     whole = snapshot(3, 2, config(1, 2), 1)
-    one.receive(1, InstallSnapshotChunk(2, whole.meta, 0, whole.pieces[0], 0), bench.now)
-    out = one.take(bench.now)
-    assert out and out.install == whole and out.write and out.write.keep is False
-    assert (one.log.base, one.log.last, one.log.last_term) == (
+    one.receive(1, InstallSnapshotChunk(2, whole.meta, 0, whole.chunks[0], 0), bench.now)
+    out = one.take_output(bench.now)
+    assert out and out.installed_snapshot == whole and out.write and out.write.keep_log_suffix is False
+    assert (one.log.base_index, one.log.last_index, one.log.last_term) == (
         3,
         3,
         2,
     ), "entries 4 and 5 are of another history"
     agreeing = tuple(Entry(n, 2, EntryKind.DATA, b"%d" % n) for n in range(1, 6))
     two = bench.fresh(2, config(1, 2), hard=HardState(2, 0), entries=agreeing)
-    two.receive(1, InstallSnapshotChunk(2, whole.meta, 0, whole.pieces[0], 0), bench.now)
-    out = two.take(bench.now)
-    assert out and out.write and out.write.keep is True and two.log.last == 5
+    two.receive(1, InstallSnapshotChunk(2, whole.meta, 0, whole.chunks[0], 0), bench.now)
+    out = two.take_output(bench.now)
+    assert out and out.write and out.write.keep_log_suffix is True and two.log.last_index == 5
--- a/tests/test_store_disk.py
+++ b/tests/test_store_disk.py
@@ -31,9 +31,16 @@
 from limerudder.store.member import DurabilityJob, Member, MemberLimits, SnapshotJob
 from limerudder.store.peer_authentication import DurabilityProof, Incarnation
 from limerudder.store.peer_transport import DiskWriter
-from limerudder.store.raft.messages import ClusterConfig, Entry, EntryKind, MemberRole, SnapshotMeta
+from limerudder.store.raft.messages import (
+    ClusterConfig,
+    Entry,
+    EntryKind,
+    MemberRole,
+    SnapshotMeta,
+    snapshot_digest,
+)
 from limerudder.store.raft.messages import Member as MemberEntry
-from limerudder.store.raft.raft import HardState, RaftWrite, snapshot_digest
+from limerudder.store.raft.persistence import HardState, RaftWrite, SnapshotChunk
 from limerudder.store.state_machine import (
     Command,
     KeyValueState,
@@ -110,7 +117,9 @@
                 first = random.randrange(records.applied + 1, last + 1)
                 term += 1
                 hard = HardState(term, random.randrange(3))
-                jobs.append(write(number, hard=hard, truncate=first, entries=entries(first, first, term)))
+                jobs.append(
+                    write(number, hard_state=hard, truncate_from=first, entries=entries(first, first, term))
+                )
                 last = first
             elif kind == 3 and last > records.applied:
                 records.applied = random.randrange(records.applied + 1, last + 1)
@@ -124,8 +133,8 @@
                 pieces = (b"a" * random.randrange(1, 9), b"b")
                 index = last + random.randrange(1, 5)
                 meta = SnapshotMeta(index, term, CONFIG, 2, snapshot_digest(pieces))
-                held = tuple((meta, n, piece) for n, piece in enumerate(pieces))
-                jobs.append(write(number, pieces=held, install=meta))
+                held = tuple(SnapshotChunk(meta, n, piece) for n, piece in enumerate(pieces))
+                jobs.append(write(number, snapshot_chunks=held, install_snapshot=meta))
                 last = records.applied = index
             else:
                 facts = (
@@ -143,8 +152,11 @@
         real = Disk(str(folder / "s"))
         opened = real.load()
         saved, told = opened.start.saved, model.start()
-        assert (saved.hard, list(saved.entries)) == (told.saved.hard, list(told.saved.entries))
-        assert (saved.snapshot, saved.incoming) == (told.saved.snapshot, told.saved.incoming)
+        assert (saved.hard_state, list(saved.entries)) == (told.saved.hard_state, list(told.saved.entries))
+        assert (saved.snapshot, saved.incoming_snapshot) == (
+            told.saved.snapshot,
+            told.saved.incoming_snapshot,
+        )
         assert (opened.start.facts, opened.start.known) == (told.facts, told.known)
         assert opened.shown == model.shown
     real.close()
@@ -155,10 +167,10 @@
     one.load()
     one.do([write(1, entries=entries(1, 3))])
     with pytest.raises(sqlite3.IntegrityError):
-        one.do([write(2, hard=HardState(7, 7)), write(3, entries=entries(3, 5))])
+        one.do([write(2, hard_state=HardState(7, 7)), write(3, entries=entries(3, 5))])
     one.close()
     saved = reopened(tmp_path)
-    assert saved.hard == HardState(0, 0) and [e.index for e in saved.entries] == [1, 2, 3]
+    assert saved.hard_state == HardState(0, 0) and [e.index for e in saved.entries] == [1, 2, 3]
 
 
 def filled(folder: Path, rounds: int = 30) -> Path:
@@ -200,7 +212,7 @@
     one.load()
     one.do(
         [
-            write(1, entries=entries(1, 40), hard=HardState(3, 5)),
+            write(1, entries=entries(1, 40), hard_state=HardState(3, 5)),
             DurabilityJob(2, facts=((1, DrainObserved("h", 7)),)),
         ]
     )
@@ -330,7 +342,7 @@
 def test_a_backup_is_restored_as_another_cluster_and_a_cut_one_is_refused(tmp_path: Path) -> None:
     frozen = some_records(30).freeze(100)
     snapshot = SnapshotJob(31, 4, CONFIG, frozen, 0).build()
-    assert snapshot.meta.pieces > 3
+    assert snapshot.meta.chunk_count > 3
     write_backup(str(tmp_path / "b"), 9, snapshot)
     assert read_backup(str(tmp_path / "b"))[1] == snapshot
     made = restore_backup(
@@ -369,7 +381,7 @@
         SessionWrite(1, 2, 0, Transaction((), (Put("kv/b", b"2"),))),
     ]
     log = tuple(Entry(n + 1, 2, EntryKind.DATA, encode_command(c)) for n, c in enumerate(commands))
-    one.do([write(1, hard=HardState(2, 1), entries=log)])
+    one.do([write(1, hard_state=HardState(2, 1), entries=log)])
     one.close()
     told = recover_single_member(paths[0], False)
     assert (told.last, told.unknown, told.others) == (3, 3, ("n1", "n2"))
@@ -392,7 +404,7 @@
     one = Disk(str(tmp_path / "n4"))
     opened = one.load()
     one.close()
-    assert opened.identity == Identity(9, 77, "n4") and opened.start.saved.config.members == ()
+    assert opened.identity == Identity(9, 77, "n4") and opened.start.saved.initial_config.members == ()
     with pytest.raises(DiskError, match="no ticket"):
         join_cluster(str(tmp_path / "n5"), "nonsense")
     with pytest.raises(DiskError, match="a name and an address of its own"):
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -32,7 +32,7 @@
 from limerudder.store.member import DurabilityJob, SnapshotJob
 from limerudder.store.peer_authentication import DurabilityProof, Handshake, Incarnation
 from limerudder.store.raft import messages as raft
-from limerudder.store.raft.raft import HardState, RaftWrite, snapshot_digest
+from limerudder.store.raft.persistence import HardState, IncomingSnapshot, RaftWrite, SnapshotChunk
 from limerudder.store.state_machine import (
     CloseSession,
     Command,
@@ -203,13 +203,13 @@
         "config/log": (1, None),
     }
     saved = opened.start.saved
-    assert saved.hard == HardState(2, 6)
-    assert saved.config == CONFIG
-    assert saved.incoming == (INCOMING, (b"first", b"second"))
+    assert saved.hard_state == HardState(2, 6)
+    assert saved.initial_config == CONFIG
+    assert saved.incoming_snapshot == IncomingSnapshot(INCOMING, (b"first", b"second"))
     assert saved.snapshot is not None
     assert saved.snapshot.meta.index == 7
     records = KeyValueState()
-    records.restore(saved.snapshot.pieces)
+    records.restore(saved.snapshot.chunks)
     assert [entry.index for entry in saved.entries] == list(range(5, 13))
     assert saved.entries[-1].kind == raft.EntryKind.CONFIG
     for entry in saved.entries:
@@ -227,7 +227,7 @@
         raft.Entry(i, 1, raft.EntryKind.DATA, encode_command(one)) for i, one in enumerate(COMMANDS, 2)
     ]
     entries.append(raft.Entry(12, 1, raft.EntryKind.CONFIG, raft.encode_config(CONFIG)))
-    disk.do([DurabilityJob(1, RaftWrite(1, hard=HardState(1, 5), entries=tuple(entries[:8])))])
+    disk.do([DurabilityJob(1, RaftWrite(1, hard_state=HardState(1, 5), entries=tuple(entries[:8])))])
     records = KeyValueState()
     for entry in entries[1:7]:
         records.apply(entry.index, entry.data)
@@ -237,8 +237,10 @@
     shown = ((6, DurabilityProof(Incarnation(3, 77), 1, 9)),)
     write = RaftWrite(3, entries=tuple(entries[8:]))
     disk.do([DurabilityJob(3, write, facts=facts, known=known, shown=shown)])
-    pieces = ((INCOMING, 0, b"first"), (INCOMING, 1, b"second"))
-    disk.do([DurabilityJob(4, RaftWrite(4, hard=HardState(2, 6), pieces=pieces), gone_facts=(2,))])
+    chunks = (SnapshotChunk(INCOMING, 0, b"first"), SnapshotChunk(INCOMING, 1, b"second"))
+    disk.do(
+        [DurabilityJob(4, RaftWrite(4, hard_state=HardState(2, 6), snapshot_chunks=chunks), gone_facts=(2,))]
+    )
     disk.close()
     assert list(_rows(folder)) == list(_rows(killed_store))
 
@@ -246,8 +248,8 @@
 def test_backup_file(tmp_path: Path) -> None:
     head, snapshot = read_backup(str(DATA / "backup"))
     assert (head.cluster, snapshot.meta.index, snapshot.meta.config) == (9, 11, CONFIG)
-    assert [piece.hex() for piece in snapshot.pieces] == WRITTEN["snapshot_pieces"]
-    assert snapshot.meta.digest == snapshot_digest(snapshot.pieces)
+    assert [piece.hex() for piece in snapshot.chunks] == WRITTEN["snapshot_pieces"]
+    assert snapshot.meta.digest == raft.snapshot_digest(snapshot.chunks)
     write_backup(str(tmp_path / "backup"), 9, snapshot)
     assert (tmp_path / "backup").read_bytes() == (DATA / "backup").read_bytes()
 
