--- a/limerudder/store/member.py
+++ b/limerudder/store/member.py
@@ -197,11 +197,7 @@
 
     def age(self, now: int) -> int:
         """How old, at the most, what the records here say is; a leader's word on how far it is counts."""
-        return (
-            0
-            if self.leads and self.raft.commit_index >= self.raft.term_start_index
-            else max(now - self.fresh, 0)
-        )
+        return 0 if self.leads and self.raft.has_committed_in_term else max(now - self.fresh, 0)
 
     # what is wanted
 
@@ -278,7 +274,7 @@
 
     def tick(self, now: int) -> None:
         """Time has passed."""
-        if now >= self.raft.next_deadline():
+        if now >= self.raft.next_deadline_us():
             self.raft.tick(now)
         retry = self.raft.timing.election_timeout_us
         under_way = self._under_way() if self.leads and self.wishes else set()
@@ -319,7 +315,7 @@
 
     def next_due(self) -> int:
         """When `tick` must be called at the latest."""
-        dues = [self.raft.next_deadline(), self.push_due]
+        dues = [self.raft.next_deadline_us(), self.push_due]
         dues += [
             min(one.deadline, one.said + self.raft.timing.election_timeout_us) for one in self.wishes.values()
         ]
@@ -339,7 +335,7 @@
                         )
                     self.proposals.append((ask.data, sender, ask.number))
                 case RequestKind.INDEX:
-                    self.asked_reads[self.raft.request_read(now)] = sender, ask.number
+                    self.asked_reads[self.raft.request_read()] = sender, ask.number
                 case RequestKind.LEAD:
                     self.raft.transfer_leadership(int.from_bytes(ask.data, "big"), now)
                     self._answer(sender, ask.number, ReplyStatus.DONE, b"", now)
--- a/limerudder/store/raft/__init__.py
+++ b/limerudder/store/raft/__init__.py
@@ -1,7 +1,12 @@
-"""Raft, as a machine one can hold in the hand.
+"""The Raft consensus protocol, without I/O.
 
-Messages, time and durability go in; messages, writes and entries come out. After D. Ongaro, "Consensus:
-Bridging Theory and Practice" (PhD thesis, Stanford 2014); chapter and section are given where a mechanism
-comes from there. `machine` is the machine, `log` its log, `progress` what a leader knows of a member,
-`messages` what members say.
+Messages, time and durability go in; messages, writes and committed entries come out. After D. Ongaro,
+"Consensus: Bridging Theory and Practice" (PhD dissertation, Stanford 2014); comments cite its chapters and
+sections.
+
+- `raft` is the entry point: it routes messages and time, and changes the role. All parts share `state`.
+- `election` covers timeouts and votes; `leader` a leader's duties, with `replication`, `snapshots`,
+  `membership`, `reads`, and `leadership`, which tells when it ends.
+- `log` is the log, `progress` what a leader knows of another member, `write_buffer` tracks durability.
+- `messages`, `persistence`, `output` and `errors` define what is exchanged with members, disk and driver.
 """
--- a/limerudder/store/raft/log.py
+++ b/limerudder/store/raft/log.py
@@ -1,4 +1,4 @@
-"""The log in memory: the entries since the last snapshot, and who the members are at its end."""
+"""The replicated log in memory: the entries after its base, and the configurations in force in it."""
 
 from __future__ import annotations
 
@@ -8,40 +8,41 @@
 
 
 class RaftLog:
-    """Entries `base_index + 1` to `last_index`; those up to `base_index` stand in a snapshot."""
+    """Entries `base_index + 1` to `last_index`; a snapshot covers those up to `base_index`."""
 
-    def __init__(self, base: int, base_term: int, config: ClusterConfig) -> None:
-        self.base_index, self.base_term = base, base_term
+    def __init__(self, base_index: int, base_term: int, config: ClusterConfig) -> None:
+        self.base_index = base_index
+        self.base_term = base_term
         self.entries: list[Entry] = []
         self.size_bytes = 0
-        self.configs: list[tuple[int, ClusterConfig]] = [(base, config)]  # each with its entry's index
+        self._configs: list[tuple[int, ClusterConfig]] = [(base_index, config)]  # each with its entry's index
 
     @property
     def last_index(self) -> int:
-        """The last entry's index."""
+        """The index of the last entry."""
         return self.base_index + len(self.entries)
 
     @property
     def last_term(self) -> int:
-        """The last entry's term."""
+        """The term of the last entry."""
         return self.entries[-1].term if self.entries else self.base_term
 
     @property
     def config(self) -> ClusterConfig:
-        """Who the members are: by the last such entry, committed or not (4.1)."""
-        return self.configs[-1][1]
+        """The latest configuration, committed or not (4.1)."""
+        return self._configs[-1][1]
 
     @property
     def config_index(self) -> int:
-        """Where that entry stands."""
-        return self.configs[-1][0]
+        """The index of the entry that holds the latest configuration."""
+        return self._configs[-1][0]
 
     def config_at(self, index: int) -> ClusterConfig:
-        """Who the members were as of an entry; not before `base_index`."""
-        return next(config for at, config in reversed(self.configs) if at <= index)
+        """The configuration in force at an entry, which must not be before `base_index`."""
+        return next(config for config_index, config in reversed(self._configs) if config_index <= index)
 
     def term_at(self, index: int) -> int | None:
-        """The term of an entry; None where it is not here."""
+        """The term of an entry, or None if it is not in the log."""
         if index == self.base_index:
             return self.base_term
         if self.base_index < index <= self.last_index:
@@ -49,54 +50,63 @@
         return None
 
     def entry_at(self, index: int) -> Entry:
-        """The entry of this index."""
+        """The entry with this index, which must be in the log."""
         return self.entries[index - self.base_index - 1]
 
-    def entries_from(self, first: int, max_bytes: int, max_entries: int) -> tuple[Entry, ...]:
-        """Entries from `first` on: at least one where there is one, else within both bounds."""
-        found: list[Entry] = []
-        room = max_bytes
-        for entry in self.entries[first - self.base_index - 1 : first - self.base_index - 1 + max_entries]:
-            room -= entry.size_bytes()
-            if room < 0 and found:
+    def entries_from(self, first_index: int, max_bytes: int, max_entries: int) -> tuple[Entry, ...]:
+        """Entries from `first_index` on within both limits, but at least one where there is one."""
+        start = first_index - self.base_index - 1
+        selected: list[Entry] = []
+        remaining_bytes = max_bytes
+        for entry in self.entries[start : start + max_entries]:
+            remaining_bytes -= entry.size_bytes()
+            if remaining_bytes < 0 and selected:
                 break
-            found.append(entry)
-        return tuple(found)
+            selected.append(entry)
+        return tuple(selected)
 
     def append(self, entries: Sequence[Entry]) -> None:
-        """Put entries at the end."""
+        """Add entries at the end."""
         for entry in entries:
             assert entry.index == self.last_index + 1, "the log has no gaps"
-            assert entry.term >= self.last_term, "terms never fall along the log"
+            assert entry.term >= self.last_term, "terms never decrease along the log"
             self.entries.append(entry)
             self.size_bytes += entry.size_bytes()
             if entry.kind == EntryKind.CONFIG:
-                self.configs.append((entry.index, decode_config(entry.data)))
+                self._configs.append((entry.index, decode_config(entry.data)))
 
-    def truncate(self, first: int) -> None:
-        """Take away all entries from `first` on, and with them what they said of the members."""
-        assert first > self.base_index
-        for entry in self.entries[first - self.base_index - 1 :]:
+    def truncate(self, first_index: int) -> None:
+        """Delete all entries from `first_index` on, together with their configurations."""
+        assert first_index > self.base_index
+        start = first_index - self.base_index - 1
+        for entry in self.entries[start:]:
             self.size_bytes -= entry.size_bytes()
-        del self.entries[first - self.base_index - 1 :]
-        while self.configs[-1][0] >= first:
-            self.configs.pop()
+        del self.entries[start:]
+        while self._configs[-1][0] >= first_index:
+            self._configs.pop()
 
     def compact(self, index: int) -> None:
-        """Let go of all entries up to `index`, which a snapshot holds."""
+        """Delete all entries up to `index`, which a snapshot covers (5.1)."""
         if index <= self.base_index:
             return
         assert index <= self.last_index
-        term, config = self.term_at(index), self.config_at(index)
+        term = self.term_at(index)
+        config = self.config_at(index)
         assert term is not None
-        for entry in self.entries[: index - self.base_index]:
+        deleted_count = index - self.base_index
+        for entry in self.entries[:deleted_count]:
             self.size_bytes -= entry.size_bytes()
-        del self.entries[: index - self.base_index]
-        self.base_index, self.base_term = index, term
-        self.configs = [(index, config), *((at, one) for at, one in self.configs if at > index)]
+        del self.entries[:deleted_count]
+        self.base_index = index
+        self.base_term = term
+        later_configs = [item for item in self._configs if item[0] > index]
+        self._configs = [(index, config), *later_configs]
 
     def find_conflict_by_term(self, index: int, term: int) -> int:
-        """The last index up to `index` whose term is not over `term`: two logs may agree up to it."""
+        """The last index up to `index` whose term is at most `term`: two logs can match no further.
+
+        Skips a whole term in one round trip, as section 5.3 of the Raft paper proposes and etcd does.
+        """
         index = min(index, self.last_index)
         while index > self.base_index and (self.term_at(index) or 0) > term:
             index -= 1
--- /dev/null
+++ b/limerudder/store/raft/snapshots.py
@@ -0,0 +1,141 @@
+"""Snapshots: compaction of the log (5.1), and transfer to a member that lacks deleted entries (5.3, 5.4)."""
+
+from __future__ import annotations
+
+from limerudder.store.raft.log import RaftLog
+from limerudder.store.raft.messages import (
+    AppendEntriesReply,
+    InstallSnapshotChunk,
+    InstallSnapshotReply,
+    Snapshot,
+    SnapshotMeta,
+    snapshot_digest,
+)
+from limerudder.store.raft.persistence import IncomingSnapshot, SnapshotChunk
+from limerudder.store.raft.progress import CHUNKS_UNKNOWN, MAX_INFLIGHT_CHUNKS, Progress
+from limerudder.store.raft.state import RaftState
+
+
+def compact_log(state: RaftState, snapshot: Snapshot, keep_entries: int) -> None:
+    """Delete the entries that a durable snapshot of this member covers, except the last `keep_entries`."""
+    meta = snapshot.meta
+    if meta.index <= state.log.base_index:
+        return
+    assert meta.index <= state.commit_index, "a snapshot covers only committed entries"
+    state.snapshot = snapshot
+    # Entries that are kept let a member that is a little behind catch up without a snapshot.
+    compact_up_to = max(meta.index - keep_entries, state.log.base_index)
+    state.log.compact(min(compact_up_to, state.delivered_index))
+
+
+class SnapshotSender:
+    """The leader's side: sends a snapshot in chunks, and goes on where the receiver has been before."""
+
+    def __init__(self, state: RaftState) -> None:
+        self._state = state
+
+    def start(self, member_id: int, progress: Progress, now_us: int) -> None:
+        """Begin to send the current snapshot, if there is one."""
+        if self._state.snapshot:
+            progress.become_snapshot(self._state.snapshot)
+            self.send_chunks(member_id, progress, now_us)
+
+    def send_chunks(self, member_id: int, progress: Progress, now_us: int) -> None:
+        """Send as many chunks as may be in flight; ask first how many the receiver holds."""
+        snapshot = progress.snapshot
+        assert snapshot
+        if progress.chunks_held == CHUNKS_UNKNOWN:
+            if not progress.is_paused:
+                progress.is_paused = True
+                progress.last_sent_us = now_us
+                self._send_chunk(member_id, snapshot.meta, 0, b"")
+            return
+        while progress.chunks_sent < min(
+            progress.chunks_held + MAX_INFLIGHT_CHUNKS, snapshot.meta.chunk_count
+        ):
+            number = progress.chunks_sent
+            self._send_chunk(member_id, snapshot.meta, number, snapshot.chunks[number])
+            progress.chunks_sent += 1
+            progress.last_sent_us = now_us
+
+    def send_heartbeat(self, member_id: int, progress: Progress) -> None:
+        """Ask how many chunks the receiver holds, so that lost ones are noticed."""
+        assert progress.snapshot
+        self._send_chunk(member_id, progress.snapshot.meta, max(progress.chunks_held, 0), b"")
+
+    def _send_chunk(self, member_id: int, meta: SnapshotMeta, number: int, data: bytes) -> None:
+        state = self._state
+        state.send(member_id, InstallSnapshotChunk(state.term, meta, number, data, state.read_round))
+
+    def on_reply(self, progress: Progress, message: InstallSnapshotReply) -> None:
+        """The receiver holds so many chunks of a snapshot."""
+        meta = progress.snapshot.meta if progress.snapshot else None
+        if meta is None or (meta.index, meta.digest) != (message.snapshot_index, message.snapshot_digest):
+            return
+        progress.record_chunks_held(message.chunks_held)
+
+
+class SnapshotReceiver:
+    """The follower's side: collects the chunks and installs the snapshot when it is complete."""
+
+    def __init__(self, state: RaftState, incoming: IncomingSnapshot | None) -> None:
+        self._state = state
+        self._meta: SnapshotMeta | None = None
+        self._chunks: list[bytes] = []
+        if incoming:
+            self._meta = incoming.meta
+            self._chunks = list(incoming.chunks)
+
+    @property
+    def incoming(self) -> IncomingSnapshot | None:
+        """What has been received of a snapshot that is not complete."""
+        return IncomingSnapshot(self._meta, tuple(self._chunks)) if self._meta else None
+
+    def on_chunk(self, sender: int, message: InstallSnapshotChunk) -> None:
+        """Add a chunk, and install the snapshot with its last one."""
+        state = self._state
+        meta = message.meta
+        if meta.index <= state.commit_index:  # this member has everything that the snapshot covers
+            self._reply_installed(sender, state.commit_index, message.read_round)
+            return
+        if self._meta is None or self._meta != meta:
+            self._meta = meta
+            self._chunks = []
+        if message.chunk_number == len(self._chunks) and message.data:
+            self._chunks.append(message.data)
+            state.writes.add_chunk(SnapshotChunk(meta, message.chunk_number, message.data))
+        if len(self._chunks) < meta.chunk_count:
+            self._reply_held(sender, meta, len(self._chunks), message.read_round)
+            return
+        chunks = self._chunks
+        self._meta = None
+        self._chunks = []
+        if snapshot_digest(chunks) != meta.digest:  # chunks were corrupted on their way: begin again
+            self._reply_held(sender, meta, 0, message.read_round)
+            return
+        self._install(Snapshot(meta, tuple(chunks)))
+        self._reply_installed(sender, meta.index, message.read_round)
+
+    def _reply_held(self, sender: int, meta: SnapshotMeta, held: int, read_round: int) -> None:
+        reply = InstallSnapshotReply(self._state.term, meta.index, meta.digest, held, read_round)
+        self._state.send_after_write(sender, reply)
+
+    def _reply_installed(self, sender: int, index: int, read_round: int) -> None:
+        """The log matches up to `index`, as after an append."""
+        reply = AppendEntriesReply(self._state.term, True, index, 0, 0, read_round)
+        self._state.send_after_write(sender, reply)
+
+    def _install(self, snapshot: Snapshot) -> None:
+        state = self._state
+        meta = snapshot.meta
+        keep_log_suffix = state.log.term_at(meta.index) == meta.term  # the entries after it are valid
+        if keep_log_suffix:
+            state.log.compact(meta.index)
+        else:
+            state.log = RaftLog(meta.index, meta.term, meta.config)
+        state.writes.install_snapshot(meta, keep_log_suffix)
+        state.snapshot = snapshot
+        state.commit_index = meta.index
+        state.delivered_index = meta.index
+        state.output.installed_snapshot = snapshot
+        state.output.committed_entries = []
--- a/limerudder/store/raft/state.py
+++ b/limerudder/store/raft/state.py
@@ -1,10 +1,18 @@
-"""A member's role and timing."""
+"""The state that the parts of the protocol share: term, vote, role, log, commit index and peers."""
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Sequence
 from enum import IntEnum
 from typing import NamedTuple
 
+from limerudder.store.raft.log import RaftLog
+from limerudder.store.raft.messages import Entry, RaftMessage
+from limerudder.store.raft.output import Envelope, RaftOutput
+from limerudder.store.raft.persistence import HardState, PersistentState
+from limerudder.store.raft.progress import Progress
+from limerudder.store.raft.write_buffer import WriteBuffer
+
 NO_LEADER = 0  #: no member has this id
 
 
@@ -33,7 +41,106 @@
 class RaftTiming(NamedTuple):
     """Intervals in microseconds."""
 
-    election_timeout_us: int = (
-        300_000  #: without a leader for one to two of these, a member starts an election
-    )
+    election_timeout_us: int = 300_000  #: a member waits for a leader for one to two of these
     heartbeat_interval_us: int = 100_000
+
+
+class RaftState:
+    """One member's state (figure 3.1), and the output that it collects for its driver."""
+
+    def __init__(self, member_id: int, saved: PersistentState, timing: RaftTiming) -> None:
+        self.member_id = member_id
+        self.timing = timing
+        self.term = saved.hard_state.term
+        self.voted_for = saved.hard_state.voted_for
+        self.role = RaftRole.FOLLOWER
+        self.leader_id = NO_LEADER
+        self.snapshot = saved.snapshot
+        self.log = _load_log(saved)
+        self.commit_index = self.log.base_index
+        self.delivered_index = self.commit_index  # entries up to here have been given to the driver
+        self.writes = WriteBuffer(saved.hard_state, self.log.last_index)
+        self.output = RaftOutput()
+        # the leader's
+        self.progress: dict[int, Progress] = {}  # by member id, for all other members
+        self.term_start_index = 0  # the index of this leader's first entry
+        self.read_round = 0  # sent with every message to a follower; see `reads`
+        self.heartbeat_requested = False  # one has to be sent with the next output
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this member leads."""
+        return self.role == RaftRole.LEADER
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this member has a vote."""
+        return self.member_id in self.log.config.voter_ids()
+
+    @property
+    def has_committed_in_term(self) -> bool:
+        """Whether this leader has committed an entry of its own term (3.6.2)."""
+        return self.commit_index >= self.term_start_index
+
+    @property
+    def hard_state(self) -> HardState:
+        """The part of the state that has to be durable before messages that depend on it leave."""
+        return HardState(self.term, self.voted_for)
+
+    def is_disk_stalled(self, now_us: int) -> bool:
+        """Whether a write has been pending for longer than an election takes."""
+        return self.writes.is_stalled(now_us, self.timing.election_timeout_us)
+
+    def is_majority(self, member_ids: Iterable[int]) -> bool:
+        """Whether these members include more than half of the voters."""
+        voters = self.log.config.voter_ids()
+        return 2 * len(voters.intersection(member_ids)) > len(voters)
+
+    def send(self, recipient: int, message: RaftMessage) -> None:
+        """Send a message at once."""
+        self.output.messages.append(Envelope(recipient, message))
+
+    def send_after_write(self, recipient: int, message: RaftMessage) -> None:
+        """Send a message once everything that has changed so far is durable."""
+        self.output.messages_after_write.append(Envelope(recipient, message))
+
+    def append_entries(self, entries: Sequence[Entry]) -> None:
+        """Add entries at the end of the log."""
+        self.log.append(entries)
+        self.writes.append(entries)
+
+    def truncate_log(self, first_index: int) -> None:
+        """Delete the log's entries from `first_index` on."""
+        assert first_index > self.commit_index, "committed entries are never deleted"
+        self.log.truncate(first_index)
+        self.writes.truncate(first_index)
+
+    def advance_commit_to(self, index: int) -> None:
+        """Commit the log up to `index`."""
+        if index > self.commit_index:
+            assert index <= self.log.last_index, "only entries of the log are committed"
+            self.commit_index = index
+
+    def take_output(self, now_us: int) -> RaftOutput | None:
+        """What has been collected since the last call, or None if that is nothing."""
+        output = self.output
+        if self.commit_index > self.delivered_index:
+            start = self.delivered_index - self.log.base_index
+            end = self.commit_index - self.log.base_index
+            output.committed_entries = self.log.entries[start:end]
+            self.delivered_index = self.commit_index
+        output.write = self.writes.take_write(self.hard_state, self.member_id, self.log.last_index, now_us)
+        if output.is_empty():
+            return None
+        self.output = RaftOutput()
+        return output
+
+
+def _load_log(saved: PersistentState) -> RaftLog:
+    if saved.snapshot:
+        meta = saved.snapshot.meta
+        log = RaftLog(meta.index, meta.term, meta.config)
+    else:
+        log = RaftLog(0, 0, saved.initial_config)
+    log.append([entry for entry in saved.entries if entry.index > log.base_index])
+    return log
