--- a/limerudder/simulator/decoding.py
+++ b/limerudder/simulator/decoding.py
@@ -72,7 +72,11 @@
 
 
 class _FrameReader:
-    """Reads the records of one frame, one after the other."""
+    """Reads the records of one frame, one after the other.
+
+    The `read_` methods for single records take the record's fixed fields, of which the first is the instance,
+    and read what follows these. What does not fit raises ProtocolError or, past the end, struct.error.
+    """
 
     def __init__(self, body: bytes, server_lists: dict[int, list[ServerEntry]]) -> None:
         self.position = 0  # of the next byte to read
@@ -82,7 +86,8 @@
 
     def read_record(self) -> tuple[int, SimulatorEvent | None]:
         """Read a record; return its instance and its event, None for a record that is no event."""
-        start = self._record_start = self.position
+        start = self.position
+        self._record_start = start
         code = self._body[start]
         name = "record"
         try:
