--- a/limerudder/simulator/adapter.py
+++ b/limerudder/simulator/adapter.py
@@ -12,20 +12,7 @@
 
 from limerudder.policy.actions import PolicyError
 from limerudder.policy.balancer import Balancer
-from limerudder.policy.events import (
-    AttemptEnded,
-    ClientDisconnected,
-    ConnectionEstablished,
-    EndpointUpdate,
-    ExistingConnection,
-    HealthCheckResult,
-    LatencySample,
-    LoadSample,
-    NewRequest,
-    PeerMessage,
-    ServerEntry,
-    TimerFired,
-)
+from limerudder.policy.events import ServerEntry
 from limerudder.simulator.decoding import decode
 from limerudder.simulator.encoding import encode
 from limerudder.simulator.protocol import (
@@ -41,22 +28,6 @@
 EXIT_OK = 0
 EXIT_MALFORMED_INPUT = 2
 
-#: What error messages call the events.
-EVENT_NAMES: dict[type, str] = {
-    EndpointUpdate: "Members",
-    NewRequest: "Request",
-    ExistingConnection: "Open",
-    ConnectionEstablished: "Established",
-    AttemptEnded: "Outcome",
-    ClientDisconnected: "Gone",
-    LoadSample: "Note",
-    LatencySample: "Note",
-    TimerFired: "Timer",
-    HealthCheckResult: "Probed",
-    PeerMessage: "PeerMessage",
-    InstanceCrashed: "Crash",
-}
-
 
 class InstanceHost:
     """The simulator's instances, each with its Balancer."""
@@ -78,7 +49,7 @@
             return
         balancer = self._balancers.get(instance)
         if balancer is None:
-            name = EVENT_NAMES[type(event)]
+            name = type(event).__name__
             raise ProtocolError(f"{name} for instance {instance}, which is not attached")
         if isinstance(event, InstanceCrashed):
             del self._balancers[instance]
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -15,14 +15,15 @@
 from harness.configurations import configuration, host, hosts
 from limerudder.config import load_config
 from limerudder.core.discovery.drain_memory import InheritedDrains
-from limerudder.core.discovery.endpoint_list import EndpointList, parse_endpoints
+from limerudder.core.discovery.endpoint_list import EndpointList, parse_endpoint_list
 from limerudder.core.lifecycle.hot_restart import (
-    HotRestartParent,
-    HotRestartSuccessor,
     ProcessUsage,
     SuccessorConnection,
     parse_handover_state,
 )
+from limerudder.core.lifecycle.hot_restart.messages import EndpointDrained, ParentStopping
+from limerudder.core.lifecycle.hot_restart.node_binding import create_parent, create_successor
+from limerudder.core.operations.log_events import LogKind
 from limerudder.net.mark_files import MarkFiles
 from limerudder.policy import gossip
 from limerudder.store import drain_log, rpc
@@ -32,7 +33,7 @@
 from limerudder.store.member import DurabilityJob, SnapshotJob
 from limerudder.store.peer_authentication import DurabilityProof, Handshake, Incarnation
 from limerudder.store.raft import messages as raft
-from limerudder.store.raft.raft import HardState, RaftWrite, snapshot_digest
+from limerudder.store.raft.persistence import HardState, IncomingSnapshot, RaftWrite, SnapshotChunk
 from limerudder.store.state_machine import (
     CloseSession,
     Command,
@@ -203,13 +204,13 @@
         "config/log": (1, None),
     }
     saved = opened.start.saved
-    assert saved.hard == HardState(2, 6)
-    assert saved.config == CONFIG
-    assert saved.incoming == (INCOMING, (b"first", b"second"))
+    assert saved.hard_state == HardState(2, 6)
+    assert saved.initial_config == CONFIG
+    assert saved.incoming_snapshot == IncomingSnapshot(INCOMING, (b"first", b"second"))
     assert saved.snapshot is not None
     assert saved.snapshot.meta.index == 7
     records = KeyValueState()
-    records.restore(saved.snapshot.pieces)
+    records.restore(saved.snapshot.chunks)
     assert [entry.index for entry in saved.entries] == list(range(5, 13))
     assert saved.entries[-1].kind == raft.EntryKind.CONFIG
     for entry in saved.entries:
@@ -227,7 +228,7 @@
         raft.Entry(i, 1, raft.EntryKind.DATA, encode_command(one)) for i, one in enumerate(COMMANDS, 2)
     ]
     entries.append(raft.Entry(12, 1, raft.EntryKind.CONFIG, raft.encode_config(CONFIG)))
-    disk.do([DurabilityJob(1, RaftWrite(1, hard=HardState(1, 5), entries=tuple(entries[:8])))])
+    disk.do([DurabilityJob(1, RaftWrite(1, hard_state=HardState(1, 5), entries=tuple(entries[:8])))])
     records = KeyValueState()
     for entry in entries[1:7]:
         records.apply(entry.index, entry.data)
@@ -237,8 +238,10 @@
     shown = ((6, DurabilityProof(Incarnation(3, 77), 1, 9)),)
     write = RaftWrite(3, entries=tuple(entries[8:]))
     disk.do([DurabilityJob(3, write, facts=facts, known=known, shown=shown)])
-    pieces = ((INCOMING, 0, b"first"), (INCOMING, 1, b"second"))
-    disk.do([DurabilityJob(4, RaftWrite(4, hard=HardState(2, 6), pieces=pieces), gone_facts=(2,))])
+    chunks = (SnapshotChunk(INCOMING, 0, b"first"), SnapshotChunk(INCOMING, 1, b"second"))
+    disk.do(
+        [DurabilityJob(4, RaftWrite(4, hard_state=HardState(2, 6), snapshot_chunks=chunks), gone_facts=(2,))]
+    )
     disk.close()
     assert list(_rows(folder)) == list(_rows(killed_store))
 
@@ -246,8 +249,8 @@
 def test_backup_file(tmp_path: Path) -> None:
     head, snapshot = read_backup(str(DATA / "backup"))
     assert (head.cluster, snapshot.meta.index, snapshot.meta.config) == (9, 11, CONFIG)
-    assert [piece.hex() for piece in snapshot.pieces] == WRITTEN["snapshot_pieces"]
-    assert snapshot.meta.digest == snapshot_digest(snapshot.pieces)
+    assert [piece.hex() for piece in snapshot.chunks] == WRITTEN["snapshot_pieces"]
+    assert snapshot.meta.digest == raft.snapshot_digest(snapshot.chunks)
     write_backup(str(tmp_path / "backup"), 9, snapshot)
     assert (tmp_path / "backup").read_bytes() == (DATA / "backup").read_bytes()
 
@@ -263,7 +266,7 @@
     assert MarkFiles(str(folder)).read() == set(WRITTEN["state_folder_marks"])
     files = MarkFiles(str(tmp_path))
     for name in WRITTEN["state_folder_marks"]:
-        files.put(name)
+        files.add(name)
     assert sorted(path.name for path in tmp_path.iterdir()) == sorted(path.name for path in folder.iterdir())
 
 
@@ -283,7 +286,7 @@
 
 
 class _Wheel:
-    def at(self, when: int, call: Any) -> None:
+    def schedule(self, when: int, call: Any) -> None:
         """No time passes."""
 
 
@@ -291,83 +294,83 @@
     """What hot restart asks of a node, and what it tells it."""
 
     def __init__(self) -> None:
-        self.wheel = _Wheel()
-        self.stopping = 0
-        self.succeeded = False
-        self.reloaded = True
-        self.hear_taken: list[Any] = []
-        self.recall = InheritedDrains({"s-2": 1700000000123})
+        self.timer_wheel = _Wheel()
+        self.shutdown_deadline_us = 0
+        self.has_successor = False
+        self.config_reloaded = True
+        self.on_request_accepted: list[Any] = []
+        self.drain_memory = InheritedDrains({"s-2": 1700000000123})
         self.heard: list[Any] = []
 
-    def log(self, kind: str, text: str) -> None:
+    def log(self, kind: LogKind, text: str, /, detail: str = "") -> None:
         """Not looked at here."""
 
-    def listed(self) -> EndpointList:
-        return parse_endpoints(hosts(host("s-1"), host("s-2", "127.0.0.1:10", "leaving"), reset=True))
+    def endpoint_list(self) -> EndpointList:
+        return parse_endpoint_list(hosts(host("s-1"), host("s-2", "127.0.0.1:10", "leaving"), reset=True))
 
-    def ids_lately(self) -> list[int]:
+    def recent_request_ids(self) -> list[int]:
         return [1, 0x9B1F03AA5C7E2D41]
 
-    def returned(self) -> dict[str, int]:
+    def return_to_service_times(self) -> dict[str, int]:
         return {"s-1": 1700000001000000}
 
-    def holds(self) -> ProcessUsage:
+    def resource_usage(self) -> ProcessUsage:
         return ProcessUsage(12, {"s-1": 7, "s-2": 3})
 
-    def held_elsewhere(self, holds: ProcessUsage, now: int) -> None:
+    def set_other_process_usage(self, holds: ProcessUsage, now: int) -> None:
         self.heard.append(holds)
 
-    def returned_elsewhere(self, returned: dict[str, int], now: int) -> None:
+    def apply_return_to_service_times(self, returned: dict[str, int], now: int) -> None:
         self.heard.append(returned)
 
-    def taken_elsewhere(self, number: int) -> None:
+    def record_request_of_other_process(self, number: int) -> None:
         self.heard.append(number)
 
-    def relist(self, name: str, now: int) -> None:
+    def refresh_endpoint(self, name: str, now: int) -> None:
         self.heard.append(f"relist {name}")
 
-    def informed(self) -> bool:
+    def is_ready_to_serve(self) -> bool:
         return False
 
 
-def test_handover_lines_of_the_old_process() -> None:
+def test_handover_lines_of_the_parent() -> None:
     node: Any = _Node()
-    elder = HotRestartParent(node, lambda: None, lambda: None)
-    assert elder.hello().decode() == WRITTEN["handover"]["hello"]
-    asker, link = SuccessorConnection(elder), _Link()
-    asker.connected(link, 0)  # type: ignore[arg-type]
-    for hear in node.hear_taken:
-        hear(0x9B1F03AA5C7E2D42)
-    elder.tell("drained 1700000000999 s-1")
-    asker.feed(WRITTEN["handover"]["successor_lines"].encode(), 0)
-    elder.tell("stopping")
+    parent = create_parent(node, lambda: None, lambda: None)
+    assert parent.state_line().decode() == WRITTEN["handover"]["hello"]
+    connection, link = SuccessorConnection(parent), _Link()
+    connection.connection_made(link, 0)  # type: ignore[arg-type]
+    for request_accepted in node.on_request_accepted:
+        request_accepted(0x9B1F03AA5C7E2D42)
+    parent.announce(EndpointDrained("s-1", 1700000000999))
+    connection.data_received(WRITTEN["handover"]["successor_lines"].encode(), 0)
+    parent.announce(ParentStopping())
     assert link.sent.decode() == WRITTEN["handover"]["parent_lines"]
-    assert node.succeeded
+    assert node.has_successor
 
 
 def test_handover_lines_as_the_successor_reads_them() -> None:
     node: Any = _Node()
-    hello = parse_handover_state(WRITTEN["handover"]["hello"].encode())
-    assert hello.hosts == node.listed()
-    assert hello.ids == (1, 0x9B1F03AA5C7E2D41)
-    assert hello.reloaded
-    assert hello.drained == {"s-2": 1700000000123}
+    state = parse_handover_state(WRITTEN["handover"]["hello"].encode())
+    assert state.endpoints == node.endpoint_list()
+    assert state.request_ids == (1, 0x9B1F03AA5C7E2D41)
+    assert state.config_reloaded
+    assert state.drained_starts == {"s-2": 1700000000123}
     called: list[str] = []
-    heir = HotRestartSuccessor(node, hello, lambda: called.append("ready"), 0)
-    heir.feed(WRITTEN["handover"]["parent_lines"].encode(), 0)
+    successor = create_successor(node, state, 0, lambda: called.append("ready"), lambda: None)
+    successor.data_received(WRITTEN["handover"]["parent_lines"].encode(), 0)
     assert node.heard == [
-        node.holds(),
-        node.returned(),
-        *hello.ids,
+        node.resource_usage(),
+        node.return_to_service_times(),
+        *state.request_ids,
         0x9B1F03AA5C7E2D42,
         "relist s-1",
-        node.holds(),
+        node.resource_usage(),
     ]
-    assert node.recall.drained() == {"s-1": 1700000000999, "s-2": 1700000000123}
+    assert node.drain_memory.drained_starts() == {"s-1": 1700000000999, "s-2": 1700000000123}
     assert called == ["ready"]
     link = _Link()
-    heir.connected(link, 0)  # type: ignore[arg-type]
-    heir.say("serving")
+    successor.connection_made(link, 0)  # type: ignore[arg-type]
+    successor.announce_serving()
     assert link.sent.decode() == WRITTEN["handover"]["successor_lines"]
 
 
