Hand discovery and maintenance the services they use instead of a look into the node

Cause: EndpointObserver and MaintenanceTarget listed the node's network, timers and counters beside the calls that they are for.

Change: DiscoveryClient takes NodeServices, Maintenance the timer wheel; the protocols keep calls only.

--- a/limerudder/core/discovery/discovery_client.py
+++ b/limerudder/core/discovery/discovery_client.py
@@ -6,9 +6,9 @@
 
 from limerudder.core.discovery.discovery_call import DiscoveryCall
 from limerudder.core.discovery.endpoint_list import EndpointList
-from limerudder.core.operations.counters import CounterName, Counters
-from limerudder.core.timer_wheel import TimerWheel
-from limerudder.core.transport import Address, Network
+from limerudder.core.operations.counters import CounterName
+from limerudder.core.services import NodeServices
+from limerudder.core.transport import Address
 from limerudder.policy.discovery_timing import AGENT_RETRY_INTERVAL_US, CHECK_INTERVAL_US, CallDeadline
 
 NO_VERSION = 0  #: before any version a service has: a watch after it begins with everything there is
@@ -17,11 +17,7 @@
 class EndpointObserver(Protocol):
     """Receives what discovery tells: the node."""
 
-    network: Network
-    timer_wheel: TimerWheel
-    counters: Counters
-
-    def endpoints_received(self, hosts: EndpointList, now_us: int) -> None:
+    def endpoints_received(self, endpoints: EndpointList, now_us: int) -> None:
         """A complete list, or changes of it."""
 
     def endpoints_unchanged(self, version: int, now_us: int) -> None:
@@ -35,22 +31,31 @@
     """Watches and polls discovery at one address, which may be changed."""
 
     def __init__(
-        self, address: Address, version: int, pushed: bool, observer: EndpointObserver, now_us: int
+        self,
+        address: Address,
+        version: int,
+        is_pushed: bool,
+        observer: EndpointObserver,
+        services: NodeServices,
+        now_us: int,
     ) -> None:
         self.version = version  # of the list that the observer has
         self.watch: DiscoveryCall | None = None
         self.has_endpoint_list = False  # the current watch has brought its first list
         self._address = address
-        self._pushed = pushed  # an agent on this machine pushes lists; otherwise a shared service is asked
+        self._is_pushed = is_pushed  # by an agent on this machine; otherwise a shared service is asked
         self._observer = observer
-        self._reopen_watch_at: int | None = None
+        self._network = services.network
+        self._timer_wheel = services.timer_wheel
+        self._counters = services.counters
+        self._reopen_watch_at_us: int | None = None
         self._awaits_complete_list = False  # of the service at a new address
         self._polls: set[DiscoveryCall] = set()
         self._check_deadlines(now_us)
 
     def start(self, now_us: int) -> None:
         """Open the watch if lists are pushed: the policy expects them without asking."""
-        if self._pushed:
+        if self._is_pushed:
             self.ensure_watch(now_us)
 
     def ensure_watch(self, now_us: int) -> None:
@@ -90,11 +95,11 @@
         self.ensure_watch(now_us)
 
     def _call(self, after_version: int | None, now_us: int) -> DiscoveryCall:
-        self._observer.counters.increment(CounterName.DISCOVERY_CALLS)
+        self._counters.increment(CounterName.DISCOVERY_CALLS)
         host, port = self._address
-        deadline = CallDeadline(self._pushed, now_us)
+        deadline = CallDeadline(self._is_pushed, now_us)
         call = DiscoveryCall(f"{host}:{port}", after_version, self._list_received, self._call_ended, deadline)
-        call.transport = self._observer.network.dial(self._address, call)
+        call.transport = self._network.dial(self._address, call)
         return call
 
     def _list_received(self, call: DiscoveryCall, endpoint_list: EndpointList, now_us: int) -> None:
@@ -112,19 +117,19 @@
         self._polls.discard(call)
         if call is self.watch:
             self.watch = None
-            self._reopen_watch_at = now_us + AGENT_RETRY_INTERVAL_US if self._pushed else None
+            self._reopen_watch_at_us = now_us + AGENT_RETRY_INTERVAL_US if self._is_pushed else None
         if failed:
-            self._observer.counters.increment(CounterName.DISCOVERY_FAILURES)
+            self._counters.increment(CounterName.DISCOVERY_FAILURES)
             self._observer.endpoints_failed(self.version, now_us)
 
     def _check_deadlines(self, now_us: int) -> None:
         """Fail the calls that are past their deadline, and reopen the watch when that is due."""
-        self._observer.timer_wheel.schedule(now_us + CHECK_INTERVAL_US, self._check_deadlines)
+        self._timer_wheel.schedule(now_us + CHECK_INTERVAL_US, self._check_deadlines)
         for call in self._open_calls():
             if call.deadline.dead(now_us):
                 call.connection_lost(now_us)
-        if self._reopen_watch_at is not None and now_us >= self._reopen_watch_at:
-            self._reopen_watch_at = None
+        if self._reopen_watch_at_us is not None and now_us >= self._reopen_watch_at_us:
+            self._reopen_watch_at_us = None
             self.ensure_watch(now_us)
 
     def _open_calls(self) -> list[DiscoveryCall]:
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -93,10 +93,12 @@
         self.upstreams = UpstreamRegistry()
         self._build_request_parts(services)
         self._build_upstream_parts(services, drain_memory)
-        self.maintenance = Maintenance(marks or InMemoryMarks(), self._maintenance_effects)
+        self.maintenance = Maintenance(marks or InMemoryMarks(), self._maintenance_effects, self.timer_wheel)
         self._resource_sharing = ResourceSharing(self.requests, self.upstreams, self.admission, services)
         is_pushed = self.settings.discovery == "pushed"
-        self.discovery = DiscoveryClient(config.discovery, config.known.version, is_pushed, self, now_us)
+        self.discovery = DiscoveryClient(
+            config.discovery, config.known.version, is_pushed, self, services, now_us
+        )
         self._dispatcher.set_handlers(self._action_handlers(), self.lifecycle.policy_failed)
         self._start(now_us)
 
--- a/limerudder/core/operations/maintenance.py
+++ b/limerudder/core/operations/maintenance.py
@@ -48,8 +48,6 @@
 class MaintenanceTarget(Protocol):
     """Keeps traffic away from hosts in maintenance: the node."""
 
-    timer_wheel: TimerWheel
-
     def is_listed(self, name: str) -> bool:
         """Whether discovery lists this host."""
 
@@ -63,14 +61,15 @@
 class Maintenance:
     """Which hosts are in maintenance."""
 
-    def __init__(self, marks: MaintenanceMarks, target: MaintenanceTarget) -> None:
+    def __init__(self, marks: MaintenanceMarks, target: MaintenanceTarget, timer_wheel: TimerWheel) -> None:
         self.marks = marks
         self.hosts: set[str] = self._read_marks() or set()
         self._target = target
+        self._timer_wheel = timer_wheel
 
     def start(self, now_us: int) -> None:
         """Follow the marks from now on."""
-        self._target.timer_wheel.schedule(now_us + MARKS_CHECK_INTERVAL_US, self._follow_marks)
+        self._timer_wheel.schedule(now_us + MARKS_CHECK_INTERVAL_US, self._follow_marks)
 
     def enable(self, name: str, now_us: int) -> bool:
         """Put a host into maintenance; False if it is neither listed nor in maintenance.
@@ -99,7 +98,7 @@
         return name in self.hosts or self._target.is_listed(name)
 
     def _follow_marks(self, now_us: int) -> None:
-        self._target.timer_wheel.schedule(now_us + MARKS_CHECK_INTERVAL_US, self._follow_marks)
+        self._timer_wheel.schedule(now_us + MARKS_CHECK_INTERVAL_US, self._follow_marks)
         names = self._read_marks()
         if names is not None:
             self._apply(names, now_us)
--- a/limerudder/core/upstream/maintenance_effects.py
+++ b/limerudder/core/upstream/maintenance_effects.py
@@ -25,7 +25,6 @@
         refresh_endpoint: EndpointRefresher,
         services: NodeServices,
     ) -> None:
-        self.timer_wheel = services.timer_wheel
         self._upstreams = upstreams
         self._refresh_endpoint = refresh_endpoint
         self._counters = services.counters
