--- a/limerudder/cli.py
+++ b/limerudder/cli.py
@@ -131,7 +131,8 @@
 
 def _read_operator_file(path: str) -> OperatorFile:
     """Read the operator's file, or end the process with every error in it."""
-    from limerudder.cue.syntax import MAX_FILE_BYTES, CueError
+    from limerudder.cue.errors import CueError
+    from limerudder.cue.parser import MAX_FILE_BYTES
     from limerudder.schema import read_operator_file
 
     try:
--- a/limerudder/config.py
+++ b/limerudder/config.py
@@ -78,7 +78,8 @@
     if not path:
         return None
     # imported here, so that a node without such a file does not load the grammar's library
-    from limerudder.cue.syntax import MAX_FILE_BYTES, CueError
+    from limerudder.cue.errors import CueError
+    from limerudder.cue.parser import MAX_FILE_BYTES
     from limerudder.schema import read_operator_file
 
     try:
