--- a/limerudder/core/discovery/discovery_call.py
+++ b/limerudder/core/discovery/discovery_call.py
@@ -31,7 +31,7 @@
         on_end: Callable[[DiscoveryCall, bool, int], None],
         deadline: CallDeadline,
     ) -> None:
-        self.host = host
+        self._host = host
         self.after_version = after_version  # a watch gets the changes since then; a poll has None
         self.is_watch = after_version is not None
         self.deadline = deadline
@@ -49,7 +49,7 @@
     def first_bytes(self, now_us: int) -> bytes:
         """The request."""
         query = f"?watch=1&after={self.after_version}" if self.is_watch else ""
-        return f"GET {PATH}{query} HTTP/1.1\r\nHost: {self.host}\r\nAccept: application/json\r\n\r\n".encode()
+        return f"GET {PATH}{query} HTTP/1.1\r\nHost: {self._host}\r\nAccept: application/json\r\n\r\n".encode()
 
     def data_received(self, data: bytes, now_us: int) -> None:
         """Part of the response; a malformed one fails the call."""
