Merge the named fields of events, actions and settings; follow them in the node's parts

Cause: the policy's fields were renamed while the node was split; its call sites stand in new files.

Change: call sites in core, the process and the tests.

--- a/limerudder/core/invariants.py
+++ b/limerudder/core/invariants.py
@@ -100,7 +100,7 @@
             return
         require(traffic_class.effect == "keyed", "an unsafe request that may have run is sent again")
         require(
-            now_us <= execution.sent_us + traffic_class.repeat_window,
+            now_us <= execution.sent_us + traffic_class.idempotency_window_us,
             "a keyed request is sent again after its window",
         )
         require(
@@ -158,7 +158,7 @@
         """Check all requests; return the number of attempts in progress by upstream."""
         requests = self.node.requests
         settings = self.node.settings
-        slack_us = settings.answer_slack_us + 2 * settings.tick
+        slack_us = settings.answer_slack_us + 2 * settings.tick_us
         attempts = Counter[int]()
         for connection in requests.values():
             require(
--- a/limerudder/core/peering.py
+++ b/limerudder/core/peering.py
@@ -21,7 +21,7 @@
     ) -> None:
         self.log = services.log
         self._policy = policy
-        self._is_allowed = services.settings.peers
+        self._is_allowed = services.settings.allows_peer_messages
         self._network = services.network
         self._counters = services.counters
         self._dispatch = services.dispatch
@@ -34,9 +34,9 @@
         if sender is None or len(data) > MAX_DATAGRAM_BYTES:
             return self._malformed(sender, f"of {len(data)} bytes (at most {MAX_DATAGRAM_BYTES} are taken)")
         self._counters.increment(CounterName.PEER_MESSAGES_RECEIVED)
-        malformed_before = self._policy.strange()
+        malformed_before = self._policy.malformed_peer_messages()
         self._dispatch(PeerMessage(sender, data), now_us)
-        if self._policy.strange() > malformed_before:
+        if self._policy.malformed_peer_messages() > malformed_before:
             self._malformed(sender, "of no known form")
 
     def _malformed(self, sender: int | None, description: str) -> None:
--- a/limerudder/core/requests/request_lifecycle.py
+++ b/limerudder/core/requests/request_lifecycle.py
@@ -100,7 +100,7 @@
     ) -> ProxiedConnection:
         time_left_us = request.time_left_us
         if time_left_us is None:
-            time_left_us = self._settings.classes[class_index].deadline
+            time_left_us = self._settings.classes[class_index].deadline_us
         flags = (
             _FLAG_HAS_HINT * (request.hint is not None)
             + _FLAG_RETRY * request.is_retry
@@ -147,14 +147,14 @@
 
     def reject(self, action: RejectRequest, now_us: int) -> None:
         """Reject a request that waits for its answer."""
-        connection = self._requests.by_number.get(action.id)
+        connection = self._requests.by_number.get(action.request_id)
         if connection and connection.state is ConnectionState.WAITING:
-            retry_after_us = min(action.retry_after, self._settings.max_retry_after_us)
+            retry_after_us = min(action.retry_after_us, self._settings.max_retry_after_us)
             self._answers.reject(connection, retry_after_us, now_us)
 
     def fail(self, action: FailRequest, now_us: int) -> None:
         """Fail a request that waits for its answer."""
-        connection = self._requests.by_number.get(action.id)
+        connection = self._requests.by_number.get(action.request_id)
         if connection and connection.state is ConnectionState.WAITING:
             self._answers.fail(connection, now_us)
 
--- a/limerudder/node_process.py
+++ b/limerudder/node_process.py
@@ -186,7 +186,7 @@
         self._log(LogKind.LISTENING, "node: listening on {}:{}".format(*self._sockets[0].getsockname()))
 
     def _tick(self) -> None:
-        interval_seconds = self._config.settings.tick / MICROSECONDS_PER_SECOND
+        interval_seconds = self._config.settings.tick_us / MICROSECONDS_PER_SECOND
         self._tick_timer = self._loop.call_later(interval_seconds, self._tick)
         self._node.timer_wheel.advance(self._clock.now_us())
 
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -116,10 +116,10 @@
         for event in reported
         if isinstance(event, EndpointUpdate)
         for entry in event.entries
-        if entry.server == upstream_number(here, "s-1")
+        if entry.server_id == upstream_number(here, "s-1")
     ]
     assert (
-        entries[-1].state == ServerState.READY and entries[-1].since == here.now
+        entries[-1].state == ServerState.READY and entries[-1].ready_since_us == here.now
     ), "cold, whatever is listed"
     here.served()
     assert here.attempts()[-1].machine.observer.upstream.name == "s-1", "the next one goes there"
@@ -161,7 +161,7 @@
     successor.node.apply_return_to_service_times(return_times, successor.now)
     updates = [event for event in reported if isinstance(event, EndpointUpdate)]
     (entry,) = (entry for update in updates for entry in update.entries)
-    assert entry.since == here.now - returned_ago_us
+    assert entry.ready_since_us == here.now - returned_ago_us
     successor.served()
     (attempt,) = successor.attempts()
     assert returned_ago_us > SECOND or attempt.machine.observer.upstream.name == "s-1"
--- a/tests/test_request_lifecycle.py
+++ b/tests/test_request_lifecycle.py
@@ -92,7 +92,7 @@
     session.eof_received(here.now)
     assert attempt.closed and link.closed and not here.node.requests
     (end,) = (e for e in events if isinstance(e, AttemptEnded))
-    assert (end.ending, end.closed) == (AttemptOutcome.CANCELLED, 1)
+    assert (end.outcome, end.request_closed) == (AttemptOutcome.CANCELLED, 1)
     assert any(isinstance(e, ClientDisconnected) for e in events)
 
 
