--- a/tests/scripted_peers.py
+++ b/tests/scripted_peers.py
@@ -138,9 +138,9 @@
     events: list[Event] = []
     handle = here.node.balancer.handle
 
-    def record(event: Event, now: int) -> list[Action]:
+    def record(event: Event, now_us: int) -> list[Action]:
         events.append(event)
-        return handle(event, now)
+        return handle(event, now_us)
 
     here.node.balancer.handle = record  # type: ignore[method-assign]
     return events
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -68,7 +68,7 @@
         StartAttempt(1, first.number, 0),
         StartAttempt(1, first.number, 0),
     ]
-    here.node.balancer.handle = lambda event, now: (  # type: ignore[method-assign]
+    here.node.balancer.handle = lambda event, now_us: (  # type: ignore[method-assign]
         list(sends) if isinstance(event, NewRequest) else []
     )
     here.client()
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -166,7 +166,7 @@
 
 
 def left_unanswered(here: World) -> None:
-    here.node.balancer.handle = lambda event, now: []  # type: ignore[method-assign]
+    here.node.balancer.handle = lambda event, now_us: []  # type: ignore[method-assign]
     here.client()
     here.run(3 * SECOND)
 
--- a/tests/test_policy_dispatch.py
+++ b/tests/test_policy_dispatch.py
@@ -17,12 +17,12 @@
     here = world(tmp_path)
     handle, met = here.node.balancer.handle, list[Event]()
 
-    def fails_once(event: Event, now: int) -> list[Action]:
+    def fails_once(event: Event, now_us: int) -> list[Action]:
         if isinstance(event, kind):
             met.append(event)
             if len(met) == 1:
                 raise ZeroDivisionError("in a test")
-        return handle(event, now)
+        return handle(event, now_us)
 
     here.node.balancer.handle = fails_once  # type: ignore[method-assign]
     here.node.dispatch(TimerFired(77), here.now)
@@ -37,7 +37,7 @@
 
 def test_after_an_exception_in_an_action_events_are_still_dispatched(tmp_path: Path) -> None:
     here = world(tmp_path)
-    here.node.balancer.handle = lambda event, now: [SendPeerMessage(1, b"")]  # type: ignore[method-assign]
+    here.node.balancer.handle = lambda event, now_us: [SendPeerMessage(1, b"")]  # type: ignore[method-assign]
     here.send_datagram = lambda peer, data: 1 / 0  # type: ignore[method-assign, assignment]
     with pytest.raises(ZeroDivisionError):
         here.node.dispatch(TimerFired(5), here.now)
--- a/tests/test_request_lifecycle.py
+++ b/tests/test_request_lifecycle.py
@@ -127,7 +127,7 @@
 
 def test_a_request_that_the_policy_never_answers_is_answered_as_failed(tmp_path: Path) -> None:
     here = world(tmp_path)
-    here.node.balancer.handle = lambda event, now: []  # type: ignore[method-assign]
+    here.node.balancer.handle = lambda event, now_us: []  # type: ignore[method-assign]
     _, link = here.client()
     here.run(2 * SECOND + 15_000)
     assert not link.half_closed
