--- a/limerudder/core/invariants.py
+++ b/limerudder/core/invariants.py
@@ -66,9 +66,9 @@
         last = self.last_attempts.get(connection.number)
         require(
             connection.attempt is None and (last is None or last.ended),
-            "two attempts of a request are out",
+            "two attempts of a request in progress",
         )
-        require(not connection.has_final_answer, "an attempt of a request that has its answer")
+        require(not connection.has_final_answer, "an attempt after the final answer")
         require(
             connection.attempts_started <= self.node.settings.max_attempts,
             "more attempts than the settings allow",
@@ -83,11 +83,12 @@
         if is_ready:
             upstream = connection.upstream
             require(
-                upstream is not None and upstream.state == ServerState.READY, "a send to a host that drains"
+                upstream is not None and upstream.state == ServerState.READY,
+                "a request sent to a draining upstream",
             )
             require(
                 not connection.has_final_answer and connection.number in self.node.requests.by_number,
-                "a send for a client that has gone",
+                "a request sent for a disconnected client",
             )
             if upstream is not None:
                 self._check_repeated_send(connection, upstream, now_us)
@@ -98,15 +99,17 @@
         traffic_class = self.node.settings.classes[connection.class_index]
         if execution is None or traffic_class.effect == "safe":
             return
-        require(traffic_class.effect == "keyed", "an unsafe request that may have run is sent again")
+        require(
+            traffic_class.effect == "keyed", "an unsafe request that may have been executed is sent again"
+        )
         require(
             now_us <= execution.sent_us + traffic_class.idempotency_window_us,
-            "a keyed request is sent again after its window",
+            "a keyed request is sent again after its idempotency window",
         )
         require(
             traffic_class.key_scope not in ("zone", "cell")
             or key_location(upstream, traffic_class) == key_location(execution.upstream, traffic_class),
-            "a keyed request is sent again where the first attempt is not known",
+            "a keyed request is sent again where its key is not known",
         )
 
     def attempt_established(self, connection: ProxiedConnection, now_us: int) -> None:
@@ -123,7 +126,7 @@
         require(attempt is None or attempt.ended, "an attempt that has ended is still open")
         require(
             attempt is None or not attempt.sent or outcome != AttemptOutcome.CONNECT_FAILED,
-            "written, and told as never run",
+            "an attempt that was sent is reported as never executed",
         )
         upstream = connection.upstream
         if outcome not in NOT_EXECUTED_OUTCOMES and upstream and not connection.has_final_answer:
@@ -139,7 +142,7 @@
             is_harmless = traffic_class.effect == "safe" or (
                 traffic_class.effect == "keyed" and traffic_class.key_scope == "all"
             )
-            require(is_harmless, "refused, though it may have run")
+            require(is_harmless, "a request that may have been executed is rejected")
         self._conclude(connection, answer, now_us)
 
     def _count_final_answer(self, connection: ProxiedConnection) -> None:
@@ -163,14 +166,14 @@
         for connection in requests.values():
             require(
                 connection.has_final_answer or now_us <= connection.deadline_us + slack_us,
-                "a request without its answer in time",
+                "a request without its final answer in time",
             )
             if connection.attempt and connection.upstream:
-                require(not connection.attempt.ended, "an attempt that is closed is taken for open")
+                require(not connection.attempt.ended, "a closed attempt counts as in progress")
                 attempts[connection.upstream.number] += 1
         require(
             requests.open_ids == {connection.request.id for connection in requests.values()},
-            "ids that are not those of the requests",
+            "the ids in use are not those of the requests",
         )
         return attempts
 
@@ -178,24 +181,22 @@
         servers = cast("Balancer", self.node.balancer).servers
         for number, server in servers.items():
             require(
-                len(server.flows) == attempts[number], "the module counts other connections than there are"
+                len(server.flows) == attempts[number], "the policy counts other connections than there are"
             )
-            require(server.setting_up >= 0, "a set-up that ended twice")
+            require(server.setting_up >= 0, "an attempt that the policy has ended twice")
 
     def _check_admission(self) -> None:
         admission = self.node.admission
-        require(
-            not admission.idle.keys() & admission.closing.keys(), "a client that rests and has its last word"
-        )
+        require(not admission.idle.keys() & admission.closing.keys(), "a client is idle and closing at once")
         require(
             admission.connections >= admission.idle.keys() | admission.closing.keys(),
-            "a client that is gone makes place",
+            "a closed client counts as idle or closing",
         )
         reserved_for_closing = admission.reserved // 4
         descriptors = len(admission.connections) + len(self.node.requests)
         require(
             descriptors <= admission.capacity + reserved_for_closing + 1,
-            "more descriptors than there are",
+            "more descriptors in use than there are",
         )
 
 
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -235,7 +235,7 @@
         self._serving_state.has_successor = has_successor
 
     def is_ready_to_serve(self) -> bool:
-        """Return whether discovery has told its list and no health check is pending."""
+        """Return whether discovery has sent its list and no health check is pending."""
         return self.discovery.has_endpoint_list and not self.health_checker.has_pending()
 
     def recent_request_ids(self) -> list[int]:
--- a/limerudder/core/node_config.py
+++ b/limerudder/core/node_config.py
@@ -1,4 +1,4 @@
-"""What a node is told at its start, as far as the core uses it."""
+"""The configuration of a node, as far as the core uses it."""
 
 from __future__ import annotations
 
@@ -28,4 +28,4 @@
     sockets: int  # the file descriptors that the process may have open
     settings: Settings
     names: Names
-    known: EndpointList  # the endpoints to start with, until discovery has told its own list
+    known: EndpointList  # the endpoints to start with, until discovery has sent its own list
--- a/limerudder/core/ports.py
+++ b/limerudder/core/ports.py
@@ -34,7 +34,7 @@
     def new_attempt(self, observer: AttemptObserver, timeout_us: int | None) -> Attempt:
         """Return a new attempt for this request, not yet dialled.
 
-        The upstream is told how long the node waits for its answer, where `timeout_us` is given.
+        It tells the upstream how long the node waits for the answer, where `timeout_us` is given.
         """
 
     def start_proxying(self, attempt: Attempt, now_us: int) -> None:
@@ -70,7 +70,7 @@
 
 
 class AttemptObserver(Protocol):
-    """What is told of an attempt's progress: the node's side of one request."""
+    """Receives an attempt's progress: the node's side of one request."""
 
     def attempt_ready(self, now_us: int) -> bool:
         """Return whether the request may be written to the connected upstream; else close the attempt."""
--- a/limerudder/core/requests/pinned_reconnect.py
+++ b/limerudder/core/requests/pinned_reconnect.py
@@ -43,7 +43,7 @@
     def _reconnect(self, connection: ProxiedConnection, pinned_upstream: str, now_us: int) -> None:
         if connection.state is not ConnectionState.WAITING or connection.attempt:
             return
-        # not get_or_create: a name that no list has held must not create an upstream
+        # not get_or_create: a client's line must not create an upstream that discovery never listed
         upstream = self._upstreams.by_name.get(pinned_upstream)
         if upstream and not connection.attempts_started:
             connection.attempts_started = 1
--- a/limerudder/core/requests/proxied_connection.py
+++ b/limerudder/core/requests/proxied_connection.py
@@ -51,7 +51,7 @@
     ) -> None:
         self.number = description.request_id
         self.class_index = description.traffic_class
-        self.description = description  # the request as the policy is told of it
+        self.description = description  # the request as the policy receives it
         self.session = session
         self.request = request
         self.deadline_us = deadline_us
--- a/limerudder/core/requests/request_table.py
+++ b/limerudder/core/requests/request_table.py
@@ -40,12 +40,12 @@
         return request_id in self.open_ids or request_id in self.recent_ids
 
     def add(self, connection: ProxiedConnection) -> None:
-        """Hold a request."""
+        """Add a request that has been accepted."""
         self.by_number[connection.number] = connection
         self.open_ids.add(connection.request.id)
 
     def remove(self, connection: ProxiedConnection) -> None:
-        """Forget a request, and remember its id as a recent one; does nothing if it is not held."""
+        """Forget a request, and remember its id as a recent one; does nothing if it is not in the table."""
         if self.by_number.pop(connection.number, None):
             self.open_ids.discard(connection.request.id)
             self.add_recent_id(connection.request.id)
--- a/limerudder/core/transport.py
+++ b/limerudder/core/transport.py
@@ -32,10 +32,10 @@
         """End the sending side once all is written; what comes in is still read."""
 
     def close(self) -> None:
-        """End the connection now, even while it is being set up. The machine is told nothing more."""
+        """End the connection now, even while it is being set up. Nothing more is reported to the machine."""
 
     def reset(self) -> None:
-        """End the connection now with a TCP reset. The machine is told nothing more."""
+        """End the connection now with a TCP reset. Nothing more is reported to the machine."""
 
     def set_reading_paused(self, paused: bool) -> None:
         """Stop reading from the connection, or resume."""
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -224,7 +224,7 @@
     here.client()
     connection = next(iter(here.node.requests.values()))
     assert connection.upstream
-    with pytest.raises(InvariantViolation, match="two attempts"):
+    with pytest.raises(InvariantViolation, match="two attempts of a request"):
         here.node.attempts.dial(connection, connection.upstream, None, here.now)
 
     here, watch = fresh()
@@ -240,7 +240,7 @@
     assert connection.upstream
     connection.upstream.state = ServerState.DRAINING
     watch._attempt_ready = lambda connection, now_us: True
-    with pytest.raises(InvariantViolation, match="drains"):
+    with pytest.raises(InvariantViolation, match="draining"):
         here.attempts()[0].accept(here.now)
 
     here, watch = fresh()
@@ -248,7 +248,7 @@
     connection = next(iter(here.node.requests.values()))
     connection.finish()
     watch._attempt_ready = lambda connection, now_us: True
-    with pytest.raises(InvariantViolation, match="gone"):
+    with pytest.raises(InvariantViolation, match="disconnected client"):
         here.attempts()[0].accept(here.now)
 
     changed = settings_with_effects(["unsafe"], 0, 3, True, 2 * SECOND)
@@ -260,7 +260,7 @@
     watch.possible_executions[connection.number] = PossibleExecution(here.now, connection.upstream)
     with pytest.raises(InvariantViolation, match="unsafe"):
         here.attempts()[0].accept(here.now)
-    with pytest.raises(InvariantViolation, match="may have run"):
+    with pytest.raises(InvariantViolation, match="may have been executed is rejected"):
         here.node.answers.conclude(connection, FinalAnswer.REJECTED, here.now)
 
     here, watch = fresh()
