--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -80,7 +80,7 @@
         self.on_shutdown_complete: Callable[[], None] = lambda: None
         self.config_reloaded = False  # discovery's address is the file's, whatever the environment says
         self.report_fields = self.settings.report_fields if self.settings.report_via != "none" else ()
-        self.timer_wheel = TimerWheel(self.settings.tick, now_us)
+        self.timer_wheel = TimerWheel(self.settings.tick_us, now_us)
         self.counters = Counters()
         self.metrics = RequestMetrics(config.names.classes)
         self.balancer: ConnectionPolicy = Balancer(self.settings, Random(config.seed))
@@ -163,7 +163,7 @@
         self.peering.send(action)
 
     def _watch_endpoints(self, action: WatchEndpoints, now_us: int) -> None:
-        if action.on:
+        if action.enabled:
             self.discovery.ensure_watch(now_us)
         else:
             self.discovery.close_watch()
@@ -222,7 +222,7 @@
 
     def gauges(self, now_us: int) -> dict[str, int]:
         """Return how things stand at this moment, by the gauges' names."""
-        avoided = self.balancer.avoided(now_us)
+        avoided = self.balancer.avoided_servers(now_us)
         return read_gauges(self.requests, self.upstreams, avoided, self.maintenance.hosts)
 
     # hot restart
@@ -237,7 +237,7 @@
         self._serving_state.has_successor = has_successor
 
     def is_ready_to_serve(self) -> bool:
-        """Return whether discovery has told its list and no health check is pending."""
+        """Return whether discovery has sent its list and no health check is pending."""
         return self.discovery.has_endpoint_list and not self.health_checker.has_pending()
 
     def recent_request_ids(self) -> list[int]:
@@ -279,7 +279,7 @@
         """Reject new requests and migrate clients step by step, to be done before the earliest SIGKILL."""
         if self.shutdown_deadline_us:
             return
-        longest_deadline_us = max(traffic_class.deadline for traffic_class in self.settings.classes)
+        longest_deadline_us = max(traffic_class.deadline_us for traffic_class in self.settings.classes)
         self.shutdown_deadline_us = earliest_kill_time_us(longest_deadline_us, now_us)
         hooks = ShutdownHooks(
             has_successor=lambda: self.has_successor,
--- a/limerudder/core/policy_dispatch.py
+++ b/limerudder/core/policy_dispatch.py
@@ -90,11 +90,11 @@
         self._log(LogKind.POLICY_ERROR, f"policy: {text}", frame.name)
         if isinstance(event, TimerFired):  # the call that failed would have set the next timer
             self._timer_wheel.schedule(now_us + _TIMER_RETRY_US, lambda at_us: self.dispatch(event, at_us))
-        self._request_failed(getattr(event, "id", 0), now_us)
+        self._request_failed(getattr(event, "request_id", 0), now_us)
 
     def _set_timer(self, action: SetTimer, now_us: int) -> None:
         event = TimerFired(action.token)
-        self._timer_wheel.schedule(action.at, lambda at_us: self.dispatch(event, at_us))
+        self._timer_wheel.schedule(action.due_at_us, lambda at_us: self.dispatch(event, at_us))
 
     def _log_text(self, action: LogMessage | PolicyError, now_us: int) -> None:
         self._log(LogKind.POLICY_MESSAGE, f"policy: {action.text}")
--- a/limerudder/core/requests/attempt_runner.py
+++ b/limerudder/core/requests/attempt_runner.py
@@ -43,14 +43,14 @@
 
     def start(self, action: StartAttempt, now_us: int) -> None:
         """Start an attempt, or report it as obsolete where the rules forbid it by now."""
-        connection = self._requests.by_number.get(action.id)
+        connection = self._requests.by_number.get(action.request_id)
         if connection is None:
             return
-        upstream = self._upstreams.by_number.get(action.server)
+        upstream = self._upstreams.by_number.get(action.server_id)
         attempt_number = connection.attempts_started
         connection.attempts_started += 1
         time_left_us = connection.deadline_us - now_us
-        timeout_us = min(action.timeout, time_left_us) if action.timeout else time_left_us
+        timeout_us = min(action.timeout_us, time_left_us) if action.timeout_us else time_left_us
         allowed = (
             connection.state is ConnectionState.WAITING
             and connection.attempt is None
@@ -60,7 +60,7 @@
         if allowed and upstream is not None and upstream.state == ServerState.READY:
             self.dial(connection, upstream, timeout_us, now_us)
         else:
-            self._report_obsolete(connection, attempt_number, action.server, now_us)
+            self._report_obsolete(connection, attempt_number, action.server_id, now_us)
 
     def _report_obsolete(
         self, connection: ProxiedConnection, attempt_number: int, server: int, now_us: int
@@ -74,7 +74,7 @@
 
     def cancel(self, action: CancelAttempt, now_us: int) -> None:
         """Give up the attempt that the policy names, unless its upstream serves the connection by now."""
-        connection = self._requests.by_number.get(action.id)
+        connection = self._requests.by_number.get(action.request_id)
         if connection is None or connection.attempt is None or connection.is_established:
             return
         if action.attempt == connection.attempts_started - 1:
@@ -82,7 +82,7 @@
 
     def migrate(self, action: MigrateClient, now_us: int) -> None:
         """Migrate a client if its connection is established."""
-        connection = self._requests.by_number.get(action.id)
+        connection = self._requests.by_number.get(action.request_id)
         if connection and connection.is_established:
             self.migrate_client(connection, now_us)
 
--- a/limerudder/core/requests/proxied_connection.py
+++ b/limerudder/core/requests/proxied_connection.py
@@ -49,9 +49,9 @@
         deadline_us: int,
         handlers: ConnectionEventHandlers,
     ) -> None:
-        self.number = description.id
-        self.class_index = description.cls
-        self.description = description  # the request as the policy is told of it
+        self.number = description.request_id
+        self.class_index = description.traffic_class
+        self.description = description  # the request as the policy receives it
         self.session = session
         self.request = request
         self.deadline_us = deadline_us
--- a/limerudder/core/upstream/endpoint_updater.py
+++ b/limerudder/core/upstream/endpoint_updater.py
@@ -39,7 +39,7 @@
         self._health_checker = health_checker
         self._admission = admission
         self._is_in_maintenance = is_in_maintenance
-        self._checks_health = services.settings.probes
+        self._checks_health = services.settings.allows_health_checks
         self._counters = services.counters
         self._dispatch = services.dispatch
 
@@ -64,7 +64,7 @@
             self.apply(EndpointList(version, False, (upstream.endpoint,)), kind, now_us)
 
     def _mark_others_gone(self, entries: Sequence[ServerEntry]) -> None:
-        listed = {entry.server for entry in entries}
+        listed = {entry.server_id for entry in entries}
         for upstream in self._upstreams.by_number.values():
             if upstream.number not in listed:
                 upstream.state = ServerState.GONE
@@ -80,10 +80,10 @@
         returned = [
             entry
             for entry in entries
-            if entry.state == ServerState.READY and by_number[entry.server].awaiting_listing_after_return
+            if entry.state == ServerState.READY and by_number[entry.server_id].awaiting_listing_after_return
         ]
         for entry in returned:
-            by_number[entry.server].awaiting_listing_after_return = False
+            by_number[entry.server_id].awaiting_listing_after_return = False
             if kind != UpdateKind.OPERATOR:
                 self._dispatch(EndpointUpdate(UpdateKind.OPERATOR, version, [entry]), now_us)
 
@@ -93,7 +93,7 @@
         upstream.address = endpoint.address
         upstream.state = self._effective_state(endpoint)
         # an upstream returned to service may have been restarted before discovery lists its new start
-        warm_up_start_us = max(
+        ready_since_us = max(
             endpoint.started_ms * _MICROSECONDS_PER_MILLISECOND, upstream.returned_to_service_us
         )
         return ServerEntry(
@@ -103,7 +103,7 @@
             endpoint.cell,
             upstream.state,
             endpoint.weight,
-            warm_up_start_us,
+            ready_since_us,
         )
 
     def _effective_state(self, endpoint: Endpoint) -> ServerState:
--- a/limerudder/core/upstream/health_checker.py
+++ b/limerudder/core/upstream/health_checker.py
@@ -29,7 +29,7 @@
     ) -> None:
         self._upstreams = upstreams
         self._report_fields = report_fields
-        self._is_enabled = services.settings.probes
+        self._is_enabled = services.settings.allows_health_checks
         self._network = services.network
         self._timer_wheel = services.timer_wheel
         self._counters = services.counters
@@ -38,7 +38,7 @@
 
     def check(self, action: CheckHealth, now_us: int) -> None:
         """Send a health check; its result comes as an event for the policy."""
-        upstream = self._upstreams.by_number.get(action.server)
+        upstream = self._upstreams.by_number.get(action.server_id)
         if upstream is None or not self._is_enabled:
             return
         self._counters.increment(CounterName.HEALTH_CHECKS)
@@ -74,7 +74,7 @@
 
     def close_idle(self, action: CloseIdleConnections, now_us: int) -> None:
         """Close the connection to an upstream unless a health check is pending on it."""
-        upstream = self._upstreams.by_number.get(action.server)
+        upstream = self._upstreams.by_number.get(action.server_id)
         if upstream and upstream.health_check and not upstream.health_check.pending_since_us:
             upstream.health_check.close()
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -54,7 +54,7 @@
         here.run(1_010_000)
     else:
         first.machine.data_received(how.encode() + b"\r\n", here.now)
-    assert [e.ending for e in events if isinstance(e, AttemptEnded)] == [ending]
+    assert [e.outcome for e in events if isinstance(e, AttemptEnded)] == [ending]
     (second,) = here.attempts()
     assert first.closed and second is not first and not link.sent
 
@@ -68,7 +68,7 @@
         StartAttempt(1, first.number, 0),
         StartAttempt(1, first.number, 0),
     ]
-    here.node.balancer.handle = lambda event, now: (  # type: ignore[method-assign]
+    here.node.balancer.handle = lambda event, now_us: (  # type: ignore[method-assign]
         list(sends) if isinstance(event, NewRequest) else []
     )
     here.client()
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -204,9 +204,9 @@
         session.connection_lost(pair.old.now)
     pair.run(SECOND // 5)
     assert pair.new.node.admission.capacity == room
-    counts = {e.server: e.many for e in heard if isinstance(e, PredecessorConnections)}
+    counts = {e.server_id: e.connections for e in heard if isinstance(e, PredecessorConnections)}
     assert counts and set(counts.values()) == {0}
-    assert max(e.many for e in heard if isinstance(e, PredecessorConnections)) >= 2
+    assert max(e.connections for e in heard if isinstance(e, PredecessorConnections)) >= 2
 
 
 def test_connections_of_the_parent_count_in_the_choice_of_an_upstream(tmp_path: Path) -> None:
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -29,7 +29,7 @@
     here.run(5000)
     assert link.sent == b"UP 77\r\nMOVE\r\n" and link.half_closed and attempt.closed
     (end,) = (e for e in events if isinstance(e, AttemptEnded))
-    assert end.ending == AttemptOutcome.CANCELLED, "nothing is learned of what the upstream can hold"
+    assert end.outcome == AttemptOutcome.CANCELLED, "nothing is learned of what the upstream can hold"
 
 
 @pytest.mark.parametrize("back", [False, True], ids=["gone", "heard again"])
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -23,6 +23,6 @@
         attempt.machine.data_received(data[at : at + -(-len(data) // pieces)], here.now)
     attempt.machine.eof_received(here.now)
     assert link.sent == b"UP 77\r\n" + data and link.half_closed and attempt.closed
-    assert [e.load for e in events if isinstance(e, LoadSample)] == [2500.5]
+    assert [e.load_us_per_second for e in events if isinstance(e, LoadSample)] == [2500.5]
     (end,) = (e for e in events if isinstance(e, AttemptEnded))
-    assert (end.ending, end.closed) == (AttemptOutcome.OK, 1) and not here.node.requests
+    assert (end.outcome, end.request_closed) == (AttemptOutcome.OK, 1) and not here.node.requests
--- a/tests/test_request_lifecycle.py
+++ b/tests/test_request_lifecycle.py
@@ -92,7 +92,7 @@
     session.eof_received(here.now)
     assert attempt.closed and link.closed and not here.node.requests
     (end,) = (e for e in events if isinstance(e, AttemptEnded))
-    assert (end.ending, end.closed) == (AttemptOutcome.CANCELLED, 1)
+    assert (end.outcome, end.request_closed) == (AttemptOutcome.CANCELLED, 1)
     assert any(isinstance(e, ClientDisconnected) for e in events)
 
 
@@ -127,7 +127,7 @@
 
 def test_a_request_that_the_policy_never_answers_is_answered_as_failed(tmp_path: Path) -> None:
     here = world(tmp_path)
-    here.node.balancer.handle = lambda event, now: []  # type: ignore[method-assign]
+    here.node.balancer.handle = lambda event, now_us: []  # type: ignore[method-assign]
     _, link = here.client()
     here.run(2 * SECOND + 15_000)
     assert not link.half_closed
