--- a/limerudder/core/discovery/discovery_call.py
+++ b/limerudder/core/discovery/discovery_call.py
@@ -62,7 +62,7 @@
             return
         parsed = self._parsed
         self._parsed = []
-        self.deadline.word(len(parsed), bool(self._objects.partial_object), now_us)
+        self.deadline.record_bytes(len(parsed), bool(self._objects.partial_object), now_us)
         for endpoint_list in parsed:
             self._on_list(self, endpoint_list, now_us)
         if self._response_complete:
--- a/limerudder/core/discovery/discovery_client.py
+++ b/limerudder/core/discovery/discovery_client.py
@@ -126,7 +126,7 @@
         """Fail the calls that are past their deadline, and reopen the watch when that is due."""
         self._timer_wheel.schedule(now_us + CHECK_INTERVAL_US, self._check_deadlines)
         for call in self._open_calls():
-            if call.deadline.dead(now_us):
+            if call.deadline.is_expired(now_us):
                 call.connection_lost(now_us)
         if self._reopen_watch_at_us is not None and now_us >= self._reopen_watch_at_us:
             self._reopen_watch_at_us = None
