--- a/bench/store_failover.py
+++ b/bench/store_failover.py
@@ -17,19 +17,13 @@
 
 from bench.store_speed import Cluster, percentile
 from limerudder.store.client import ControlClient
+from limerudder.store.commands import OpenSession, Put, SessionWrite, Transaction, encode_command
 from limerudder.store.data_directory import init_cluster
 from limerudder.store.disk import Disk
 from limerudder.store.member import Member
 from limerudder.store.raft.messages import Snapshot, SnapshotMeta
 from limerudder.store.raft.raft import HardState, snapshot_digest
-from limerudder.store.state_machine import (
-    KeyValueState,
-    OpenSession,
-    Put,
-    SessionWrite,
-    Transaction,
-    encode_command,
-)
+from limerudder.store.state_machine import KeyValueState
 
 
 def failover(folder: Path, kills: int) -> None:
@@ -67,8 +61,10 @@
     (path,) = init_cluster(str(folder), [("n0", "127.0.0.1:1")])
     disk = Disk(path)
     opened = disk.load(start=False)
-    pieces = tuple(records.freeze().pieces())
-    meta = SnapshotMeta(records.applied, 1, opened.start.saved.config, len(pieces), snapshot_digest(pieces))
+    pieces = tuple(records.snapshot_view().chunks())
+    meta = SnapshotMeta(
+        records.applied_index, 1, opened.start.raft_state.config, len(pieces), snapshot_digest(pieces)
+    )
     disk.begin_anew(opened.identity, HardState(1, 0), Snapshot(meta, pieces))
     disk.close()
     took = []
@@ -77,7 +73,7 @@
         disk = Disk(path)
         member = Member(opened.identity.me, disk.load().start, Random(1), 0)
         took.append(time.perf_counter() - began)
-        assert len(member.records.items) == many
+        assert len(member.state.items) == many
         disk.close()
     took.sort()
     print(f"{many} records opened in {took[3]:.3f} s at the median of 7, {took[-1]:.3f} s at the most")
--- a/harness/cluster_simulation.py
+++ b/harness/cluster_simulation.py
@@ -21,8 +21,22 @@
 
 from harness.memory_disk import MemoryDisk
 from limerudder.store import rpc
+from limerudder.store.client_calls import CallFailure, CallFailureKind
+from limerudder.store.commands import (
+    CommandResult,
+    Compare,
+    CompareTarget,
+    Delete,
+    Get,
+    OpenSession,
+    Put,
+    SessionWrite,
+    Transaction,
+)
 from limerudder.store.drain_log import NEVER_DRAINED
-from limerudder.store.member import CallFailure, DurabilityJob, Member, MemberLimits
+from limerudder.store.durability import DurabilityJob
+from limerudder.store.limits import MemberLimits
+from limerudder.store.member import Member
 from limerudder.store.peer_authentication import PROTOCOL_BUILD, Handshake, Incarnation, PeerAuthenticator
 from limerudder.store.raft.messages import (
     AppendEntriesReply,
@@ -34,21 +48,16 @@
 from limerudder.store.raft.messages import Member as MemberEntry
 from limerudder.store.raft.raft import RaftRole, RaftTiming
 from limerudder.store.rpc import RequestKind
-from limerudder.store.state_machine import (
-    Compare,
-    CompareTarget,
-    Delete,
-    Get,
-    OpenSession,
-    Put,
-    Result,
-    SessionWrite,
-    Transaction,
-)
 
 MS = 1000
 SECOND = 1_000_000
-LIMITS = MemberLimits(snapshot_entries=40, keep_entries=8, piece=200, waiting=64, history=100)
+LIMITS = MemberLimits(
+    snapshot_after_entries=40,
+    kept_entries=8,
+    snapshot_chunk_bytes=200,
+    max_pending_requests=64,
+    max_history_events=100,
+)
 TIMING = RaftTiming(election=150 * MS, heartbeat=30 * MS)
 KEYS = ("kv/a", "kv/b", "kv/c")
 CLUSTER = 7
@@ -265,13 +274,13 @@
         member = server.member
         assert member
         for _ in range(50):
-            out = member.take(self.clock(server))
+            out = member.take_output(self.clock(server))
             if out is None:
                 break
-            for to, message in out.send:
+            for to, message in out.messages:
                 self.send(server, to, message)
-            if out.job or out.after:
-                server.queue.append((out.job, out.after))
+            if out.job or out.messages_after_job:
+                server.queue.append((out.job, out.messages_after_job))
                 self._work(server)
         self.check(server)
 
@@ -301,12 +310,12 @@
         gave = any(isinstance(m, RequestVoteReply) and m.granted and not m.pre for _, m in after)
         if gave and self._spited(server):
             return
-        for _, fact in job.facts:
+        for _, fact in job.new_facts:
             started = getattr(fact, "started_ms", None)
             if started is not None:
                 key = server.number, fact.host
                 self.promised[key] = max(self.promised.get(key, NEVER_DRAINED), started)
-        server.member.written(job.number, snapshot, self.clock(server))
+        server.member.on_job_durable(job.number, snapshot, self.clock(server))
         self._work(server)
         self.pump(server)
 
@@ -350,17 +359,16 @@
             pairs = ((server, hello), (sender, self._hello(server, sender.number)))
             for door, said in pairs:
                 assert door.doorman and door.member
-                why = door.doorman.judge(said, door.member.config, door.member.leads)
+                why = door.doorman.rejection_reason(said, door.member.config, door.member.is_leader)
                 if why:
                     self.refused.append(why)
                     return
-                door.member.new_shown.update(door.doorman.new)
-                door.doorman.new.clear()
+                door.member.record_proofs(door.doorman.take_unsaved_proofs())
             server.met[sender.number] = life, server.life
             sender.met[to] = server.life, life
         message = rpc.decode_message(data)
         if isinstance(message, AppendEntriesReply) and message.ok:
-            server.doorman.acknowledged(sender.number, message.term, message.index)
+            server.doorman.record_acknowledgement(sender.number, message.term, message.index)
         server.member.receive(sender.number, message, self.clock(server))
         self.pump(server)
 
@@ -369,7 +377,7 @@
     def _crash_some(self) -> None:
         alive = self.alive()
         many = self.random.choice((1, 1, 1, 2, len(alive)))  # all of them too
-        leads = [server for server in alive if server.member and server.member.leads]
+        leads = [server for server in alive if server.member and server.member.is_leader]
         some = self.random.sample(alive, min(many, len(alive)))
         for server in leads if leads and many == 1 and self.random.random() < 0.5 else some:
             self.crash(server)
@@ -422,7 +430,7 @@
         alive = self.alive()
         if not alive:
             return
-        leads = [server for server in alive if server.member and server.member.leads]
+        leads = [server for server in alive if server.member and server.member.is_leader]
         server = self.random.choice(leads if leads and self.plan.burst > 1 else alive)
         for _ in range(self.random.randrange(self.plan.burst) + 1):
             if server.member:
@@ -433,20 +441,23 @@
         kind = self.random.randrange(3)
         if not config.members:
             return
-        wish, data = RequestKind.LEAD, self.random.choice([m.id for m in config.members]).to_bytes(8, "big")
+        wish, data = (
+            RequestKind.TRANSFER_LEADERSHIP,
+            self.random.choice([m.id for m in config.members]).to_bytes(8, "big"),
+        )
         if kind == 0 and len(config.members) < self.plan.members + 2:
             number, self.next_number = self.next_number, self.next_number + 1
             entry = MemberEntry(number, f"n{number}", f"127.0.0.1:{7000 + number}", MemberRole.JOINING)
             self.servers[number] = SimulatedMember(number, entry.name, MemoryDisk(ClusterConfig(())))
             self.boot(self.servers[number])
-            wish, data = RequestKind.ADD, msgspec.msgpack.encode(entry)
+            wish, data = RequestKind.ADD_MEMBER, msgspec.msgpack.encode(entry)
         elif kind == 1 and len(config.voters()) > self.plan.least:
             wish, data = (
-                RequestKind.REMOVE,
+                RequestKind.REMOVE_MEMBER,
                 self.random.choice([m.id for m in config.members]).to_bytes(8, "big"),
             )
         now = self.clock(server)
-        member.wish(wish, data, now + SECOND, lambda outcome, at: None, now)
+        member.submit_request(wish, data, now + SECOND, lambda outcome, at: None, now)
         self.pump(server)
 
     def _restore_some(self) -> None:
@@ -461,7 +472,7 @@
         shown = [other.disk.shown.get(server.number) for other in others]
         copy = server.copies[0]
         # the others must all have met its later self: only then is what it forgot sure to be noticed
-        if not all(one and one.boot.number > copy.boot.number + 1 for one in shown):
+        if not all(one and one.incarnation.number > copy.boot.number + 1 for one in shown):
             return
         if server.member:
             self.crash(server)
@@ -477,7 +488,7 @@
             server = self.random.choice(alive)
             assert server.member
             host, started = f"h{self.random.randrange(8)}", self.random.randrange(1, 4) * 1000
-            server.member.ledger.drain(host, started)
+            server.member.drain_log.record_drain(host, started)
             self.pump(server)
 
     def _hand_some(self) -> None:
@@ -488,9 +499,9 @@
             assert server.member
             host = f"hand{self.random.randrange(3)}"
             if self.random.random() < 0.5:
-                server.member.ledger.hold(host, server.name)
+                server.member.drain_log.record_hold(host, server.name)
             else:
-                server.member.ledger.back(host, self.clock(server))
+                server.member.drain_log.record_return(host, self.clock(server))
             self.pump(server)
 
     # checks
@@ -513,7 +524,7 @@
                 )
             self._complete(server, where)
         first = max(server.checked, raft.log.base) + 1
-        for index in range(first, member.records.applied + 1):
+        for index in range(first, member.state.applied_index + 1):
             entry = raft.log.get(index)
             found = entry.term, crc32(entry.data + bytes([entry.kind]))
             known = self.committed.setdefault(index, (*found, raft.term))
@@ -522,8 +533,8 @@
             if known[:2] != found:
                 raise InvariantViolation(f"{where}: entry {index} was committed as {known} and is {found}")
             self.committed_upto = max(self.committed_upto, index)
-        server.checked = member.records.applied
-        applied = member.records.applied
+        server.checked = member.state.applied_index
+        applied = member.state.applied_index
         if applied % 8 == 0:
             state = fingerprint(member)
             if self.states.setdefault(applied, state) != state:
@@ -568,7 +579,7 @@
         member = server.member
         assert member
         for (number, host), started in self.promised.items():
-            if number == server.number and not member.ledger.view(host).out(started):
+            if number == server.number and not member.drain_log.effective_record(host).excludes(started):
                 raise InvariantViolation(
                     f"seed {self.seed}, {self.now / SECOND:.3f} s, {server.name}:"
                     f" forgot that {host} drains ({started})"
@@ -577,7 +588,7 @@
     def _end(self) -> None:
         where = f"seed {self.seed}, end"
         sound = [server for server in self.alive() if not server.dead]
-        leaders = [s for s in sound if s.member and s.member.leads]
+        leaders = [s for s in sound if s.member and s.member.is_leader]
         if not leaders:
             raise InvariantViolation(f"{where}: nobody leads after six quiet seconds")
         leader = max(leaders, key=lambda s: s.member.raft.term if s.member else 0)
@@ -586,17 +597,19 @@
         part = [s for s in sound if config.get(s.number)]
         states = set[tuple[int, int]]()
         for _ in range(100):  # a client's last write may come at this very moment
-            states = {(s.member.records.revision, fingerprint(s.member)) for s in part if s.member}
+            states = {(s.member.state.revision, fingerprint(s.member)) for s in part if s.member}
             if len(states) == 1:
                 break
             self._until(self.now + 20 * MS)
         if len(states) != 1:
-            revisions = {s.name: (s.member.records.revision, s.member.raft.commit) for s in part if s.member}
+            revisions = {s.name: (s.member.state.revision, s.member.raft.commit) for s in part if s.member}
             raise InvariantViolation(f"{where}: members differ: {revisions}")
         for server in part:
             assert server.member
             for (number, host), started in self.promised.items():
-                if config.get(number) and not server.member.ledger.view(host).out(started):
+                if config.get(number) and not server.member.drain_log.effective_record(host).excludes(
+                    started
+                ):
                     raise InvariantViolation(
                         f"{where}: {server.name} does not know that {host} drains ({started})"
                     )
@@ -688,8 +701,8 @@
         assert member
         now = self.sim.clock(server)
 
-        def done(outcome: Result | CallFailure, at: int) -> None:
-            if isinstance(outcome, Result):
+        def done(outcome: CommandResult | CallFailure, at: int) -> None:
+            if isinstance(outcome, CommandResult):
                 self.session, self.serial = outcome.index, 0
             self._next()
 
@@ -709,7 +722,7 @@
         call(told)
         if server.member and server.life == life:
             self.sim.pump(server)
-        self.sim.at(700 * MS, lambda: told(CallFailure("not_now", "it was killed", True), 0))
+        self.sim.at(700 * MS, lambda: told(CallFailure(CallFailureKind.NOT_NOW, "it was killed", True), 0))
 
     def _write(self) -> None:
         self.serial += 1
@@ -735,7 +748,7 @@
         server = self.sim.random.choice(alive)
         now = self.sim.clock(server)
 
-        def done(outcome: Result | CallFailure, at: int) -> None:
+        def done(outcome: CommandResult | CallFailure, at: int) -> None:
             if isinstance(outcome, CallFailure):
                 self.sim.at(20 * MS, lambda: self._say(command, record))  # the same serial
                 return
@@ -755,17 +768,17 @@
         def done(outcome: CallFailure | None, at: int) -> None:
             member = server.member
             if outcome is None and member:
-                item = member.records.get(key)
+                item = member.state.get(key)
                 record.value = item.value if item else None
-                record.end, record.revision = self.sim.now, member.records.revision
+                record.end, record.revision = self.sim.now, member.state.revision
             self._next()
 
-        self._guarded(server, done, lambda told: server.member.read(now + 400 * MS, told, now))  # type: ignore[union-attr]
+        self._guarded(server, done, lambda told: server.member.read_barrier(now + 400 * MS, told, now))  # type: ignore[union-attr]
 
 
 def fingerprint(member: Member) -> int:
     """A digest of all that the records hold."""
     crc = 0
-    for piece in member.records.freeze(1 << 20).pieces():
+    for piece in member.state.snapshot_view(1 << 20).chunks():
         crc = crc32(piece, crc)
     return crc
--- a/harness/memory_disk.py
+++ b/harness/memory_disk.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field, replace
 
 from limerudder.store.drain_log import DrainFact, decode_fact, encode_fact
-from limerudder.store.member import DurabilityJob, MemberStart
+from limerudder.store.durability import DurabilityJob, DurableState, KnownValue
 from limerudder.store.peer_authentication import DurabilityProof, Incarnation
 from limerudder.store.raft.messages import ClusterConfig, Entry, Snapshot, SnapshotMeta
 from limerudder.store.raft.raft import HardState, PersistentState
@@ -21,19 +21,23 @@
     snapshot: Snapshot | None = None
     incoming: tuple[SnapshotMeta, tuple[bytes, ...]] | None = None
     facts: dict[int, bytes] = field(default_factory=dict)
-    known: dict[str, tuple[int, bytes | None]] = field(default_factory=dict)
+    known: dict[str, KnownValue] = field(default_factory=dict)
     boot: Incarnation = Incarnation(0, 0)
     shown: dict[int, DurabilityProof] = field(default_factory=dict)
 
     def copy(self) -> MemoryDisk:
         """The disk as it is now."""
         return replace(
-            self, log=dict(self.log), facts=dict(self.facts), known=dict(self.known), shown=dict(self.shown)
+            self,
+            log=dict(self.log),
+            facts=dict(self.facts),
+            known=dict(self.known),
+            shown=dict(self.shown),
         )
 
     def do(self, job: DurabilityJob) -> Snapshot | None:
         """Make a job durable; gives the snapshot that was built for it."""
-        write = job.write
+        write = job.raft_write
         if write:
             if write.hard:
                 self.hard = write.hard
@@ -54,15 +58,15 @@
         built = None
         if job.snapshot:
             built = self.snapshot = job.snapshot.build()
-            keep_from = job.snapshot.keep_from
+            keep_from = job.snapshot.keep_from_index
             self._drop(lambda index: index < keep_from)
-        for fact_number, fact in job.facts:
+        for fact_number, fact in job.new_facts:
             self.facts[fact_number] = encode_fact(fact)
-        for fact_number in job.gone_facts:
+        for fact_number in job.deleted_facts:
             self.facts.pop(fact_number, None)
-        for key, modified, value in job.known:
-            self.known[key] = modified, value
-        self.shown.update(job.shown)
+        for key, known in job.known_values.items():
+            self.known[key] = known
+        self.shown.update(job.proofs)
         return built
 
     def _drop(self, goes: object) -> None:
@@ -70,9 +74,9 @@
         for index in [index for index in self.log if goes(index)]:
             del self.log[index]
 
-    def start(self) -> MemberStart:
+    def start(self) -> DurableState:
         """What a member starts with."""
         entries = [self.log[index] for index in sorted(self.log)]
         facts: dict[int, DrainFact] = {number: decode_fact(data) for number, data in self.facts.items()}
         saved = PersistentState(self.hard, self.snapshot, entries, self.config, self.incoming)
-        return MemberStart(saved, facts, dict(self.known))
+        return DurableState(saved, facts, dict(self.known))
--- a/harness/mutations.py
+++ b/harness/mutations.py
@@ -14,6 +14,7 @@
 from types import CodeType, ModuleType
 
 MACHINE, RECORDS = "limerudder.store.raft.raft", "limerudder.store.state_machine"
+SNAPSHOTS = "limerudder.store.snapshots"
 MEMBER, LEDGER, DOORMAN = (
     "limerudder.store.member",
     "limerudder.store.drain_log",
@@ -88,9 +89,10 @@
     Mutation(
         "acknowledged before it is durable",
         CLUSTER,
-        "            if out.job or out.after:",
-        "            for to, message in out.after:\n                self.send(server, to, message)\n"
-        "            out.after = []\n            if out.job or out.after:",
+        "            if out.job or out.messages_after_job:",
+        "            for to, message in out.messages_after_job:\n"
+        "                self.send(server, to, message)\n"
+        "            out.messages_after_job = []\n            if out.job or out.messages_after_job:",
     ),
     Mutation(
         "leader counts its own entries before they are durable",
@@ -130,15 +132,17 @@
     ),
     Mutation(
         "snapshot without its sessions",
-        RECORDS,
-        "self.sessions = [(n, one.seen, dict(one.results)) for n, one in records.sessions.items()]",
-        "self.sessions = []\n        self.head = msgspec.structs.replace(self.head, sessions=0)",
+        SNAPSHOTS,
+        "            (session_id, session.acknowledged_serial, dict(session.results))\n"
+        "            for session_id, session in sessions.items()\n"
+        "        ]\n",
+        "        ]\n        self._header = msgspec.structs.replace(self._header, session_count=0)\n",
     ),
     Mutation(
         "snapshot without sessions' results",
-        RECORDS,
-        "self.sessions = [(n, one.seen, dict(one.results))",
-        "self.sessions = [(n, one.seen, {})",
+        SNAPSHOTS,
+        "(session_id, session.acknowledged_serial, dict(session.results))",
+        "(session_id, session.acknowledged_serial, {})",
     ),
     Mutation(
         "a write said again is done again",
@@ -168,17 +172,17 @@
     Mutation(
         "facts dropped when answered, not when applied here",
         MEMBER,
-        "self.once_applied(outcome.index, lambda _: self.ledger.pushed(host, revision), at)",
-        "self.ledger.pushed(host, revision)",
+        "self.when_applied(outcome.index, lambda _: self.drain_log.finish_write(host, revision), at)",
+        "self.drain_log.finish_write(host, revision)",
     ),
-    Mutation("known records not persisted", DISK, "self.known[key] = modified, value", "pass"),
+    Mutation("known records not persisted", DISK, "self.known[key] = known", "pass"),
     Mutation(
         "a later, smaller drain replaces a greater one",
         LEDGER,
         "return HostRecord(max(record.drained, started_ms), record.held",
         "return HostRecord(started_ms, record.held",
     ),
-    Mutation("an older disk is let in", DOORMAN, "if before and (why := _less(before, hello)):", "if False:"),
+    Mutation("an older disk is let in", DOORMAN, "if outdated is not None:", "if False:"),
 ]
 
 
--- a/limerudder/store/control.py
+++ b/limerudder/store/control.py
@@ -21,26 +21,26 @@
 
 from limerudder.core.transport import read_address
 from limerudder.store import data_directory as folders
-from limerudder.store.drain_log import HOST_KEY_PREFIX
-from limerudder.store.member import CallFailure
-from limerudder.store.raft.messages import Member, MemberRole
-from limerudder.store.rpc import RequestKind
-from limerudder.store.state_machine import (
+from limerudder.store.client_calls import CallFailure, CallFailureKind
+from limerudder.store.commands import (
     Command,
-    CompactedError,
+    CommandResult,
     Compare,
     CompareTarget,
     Delete,
     Get,
     Item,
-    Op,
     OpenSession,
+    Operation,
     Put,
-    RequestSequence,
-    Result,
     SessionWrite,
     Transaction,
 )
+from limerudder.store.drain_log import HOST_KEY_PREFIX
+from limerudder.store.raft.messages import Member, MemberRole
+from limerudder.store.rpc import RequestKind
+from limerudder.store.sessions import RequestSequence
+from limerudder.store.state_machine import CompactedError
 from limerudder.store.store import Store
 
 NAME = "control"  #: the socket in the folder
@@ -82,8 +82,8 @@
     """An item as JSON has it."""
     if item is None:
         return {"key": key, "gone": True}
-    told = {"key": key, "value": value_out(item.value), "modified": item.modified}
-    return told | {"created": item.created, "version": item.version}
+    told = {"key": key, "value": value_out(item.value), "modified": item.modified_revision}
+    return told | {"created": item.created_revision, "version": item.version}
 
 
 def read_txn(given: Any) -> Transaction:
@@ -111,7 +111,7 @@
     return Compare(key, what, b"", number)
 
 
-def _read_op(given: Any) -> Op:
+def _read_op(given: Any) -> Operation:
     if "put" in given:
         return Put(str(given["put"]), value_in(given["value"]))
     return Delete(str(given["delete"])) if "delete" in given else Get(str(given["get"]))
@@ -172,7 +172,7 @@
 
             def told(outcome: Any) -> None:
                 if isinstance(outcome, CallFailure):
-                    kind = "unsure" if outcome.unsure else outcome.kind
+                    kind = "unsure" if outcome.outcome_unknown else outcome.kind
                     outcome = {"ok": False, "kind": kind, "error": outcome.text}
                 else:
                     outcome = {"ok": True, **outcome}
@@ -206,14 +206,20 @@
 
         def answer() -> None:
             if prefix is not None:
-                items = [item_out(*one) for one in member.records.under(str(prefix), most)]
+                items = [item_out(*one) for one in member.state.list_prefix(str(prefix), most)]
             else:
-                item = member.records.get(key)
+                item = member.state.get(key)
                 if item is None:
-                    return told(CallFailure("not_there", f"there is no {key}"))
+                    return told(CallFailure(CallFailureKind.NOT_THERE, f"there is no {key}"))
                 items = [item_out(key, item)]
             now = self.store.now()
-            told({"items": items, "revision": member.records.revision, "age_ms": member.age(now) // 1000})
+            told(
+                {
+                    "items": items,
+                    "revision": member.state.revision,
+                    "age_ms": member.max_staleness_us(now) // 1000,
+                }
+            )
 
         if given.get("stale"):
             return answer()
@@ -223,7 +229,7 @@
                 return told(outcome)
             answer()
 
-        member.read(deadline, read, self.store.now())
+        member.read_barrier(deadline, read, self.store.now())
 
     def put(self, given: dict[str, Any], deadline: int, told: Callable[[Any], None]) -> None:
         """Set a key; `modified` only where that was its last change."""
@@ -263,14 +269,18 @@
 
         def go() -> None:
             if not self.session:
-                return told(CallFailure("not_now", "no session could be opened: nothing was done"))
-            serial = self.serials.next()
+                return told(
+                    CallFailure(CallFailureKind.NOT_NOW, "no session could be opened: nothing was done")
+                )
+            serial = self.serials.next_serial()
 
             def answered(outcome: Any) -> None:
-                self.serials.done(serial)
+                self.serials.mark_answered(serial)
                 told(outcome)
 
-            self._command(SessionWrite(self.session, serial, self.serials.seen, txn), deadline, answered)
+            self._command(
+                SessionWrite(self.session, serial, self.serials.acknowledged_serial, txn), deadline, answered
+            )
             self.store.pump_soon()
 
         if self.session:
@@ -279,9 +289,9 @@
             return self.opening.append(go)
         self.opening = [go]
 
-        def opened(outcome: Result | CallFailure, at: int) -> None:
+        def opened(outcome: CommandResult | CallFailure, at: int) -> None:
             waiting, self.opening = self.opening or [], None
-            if isinstance(outcome, Result):
+            if isinstance(outcome, CommandResult):
                 self.session = outcome.index
             for one in waiting:
                 one()
@@ -289,28 +299,32 @@
         self.store.member.write(OpenSession(), deadline, opened, self.store.now())
 
     def _command(self, command: Command, deadline: int, told: Callable[[Any], None]) -> None:
-        def done(outcome: Result | CallFailure, at: int) -> None:
+        def done(outcome: CommandResult | CallFailure, at: int) -> None:
             if isinstance(outcome, CallFailure):
                 return told(outcome)
             if outcome.error:
-                return told(CallFailure("refused", outcome.error))
+                return told(CallFailure(CallFailureKind.REFUSED, outcome.error))
             if isinstance(command, OpenSession):
                 return told({"session": outcome.index})
-            txn = command.txn if isinstance(command, SessionWrite) else Transaction()
-            gets = [op.key for op in (txn.then if outcome.ok else txn.other) if isinstance(op, Get)]
+            txn = command.transaction if isinstance(command, SessionWrite) else Transaction()
+            gets = [
+                op.key
+                for op in (txn.on_success if outcome.succeeded else txn.on_failure)
+                if isinstance(op, Get)
+            ]
             items = [item_out(*one) for one in zip(gets, outcome.items, strict=True)]
-            told({"done": outcome.ok, "revision": outcome.revision, "items": items})
+            told({"done": outcome.succeeded, "revision": outcome.revision, "items": items})
 
         self.store.member.write(command, deadline, done, self.store.now())
 
     def watch(self, given: dict[str, Any], deadline: int, told: Callable[[Any], None]) -> None:
         """Changes under a prefix after a revision, as they come; the first answer tells where it begins."""
-        records = self.store.member.records
+        records = self.store.member.state
         revision = given.get("after", records.revision)
         if not isinstance(revision, int) or revision < 0:
             raise ControlError("wrong", f"after: {revision!r} is no revision")
-        if revision < records.compacted:
-            raise ControlError("compacted", str(CompactedError(records.compacted)))
+        if revision < records.compacted_revision:
+            raise ControlError("compacted", str(CompactedError(records.compacted_revision)))
         told({"watching": True, "after": revision})
         self.watching = str(given.get("prefix", "")), revision
         self.watch_on()
@@ -320,7 +334,7 @@
         while self.watching and self.transport and self.transport.get_write_buffer_size() < BUFFER:
             prefix, revision = self.watching
             try:
-                events, upto = self.store.member.records.since(revision, prefix, 500)
+                events, upto = self.store.member.state.changes_since(revision, prefix, 500)
             except CompactedError as exc:  # guards the caller against a gap that it would not notice
                 self.watching = None
                 self._say({"ok": False, "kind": "compacted", "error": str(exc), "revision": exc.revision})
@@ -352,7 +366,9 @@
                 else {"member": f"{new.id:016x}", "ticket": ticket}
             )
 
-        self.store.member.wish(RequestKind.ADD, msgspec.msgpack.encode(new), deadline, done, self.store.now())
+        self.store.member.submit_request(
+            RequestKind.ADD_MEMBER, msgspec.msgpack.encode(new), deadline, done, self.store.now()
+        )
 
     def _named(self, given: dict[str, Any]) -> int:
         one = self.store.member.config.named(str(given["member"]))
@@ -362,17 +378,17 @@
 
     def remove(self, given: dict[str, Any], deadline: int, told: Callable[[Any], None]) -> None:
         """Take a member out."""
-        self._simple(RequestKind.REMOVE, self._named(given), deadline, told)
+        self._simple(RequestKind.REMOVE_MEMBER, self._named(given), deadline, told)
 
     def transfer(self, given: dict[str, Any], deadline: int, told: Callable[[Any], None]) -> None:
         """Have a member lead."""
-        self._simple(RequestKind.LEAD, self._named(given), deadline, told)
+        self._simple(RequestKind.TRANSFER_LEADERSHIP, self._named(given), deadline, told)
 
     def _simple(self, wish: RequestKind, number: int, deadline: int, told: Callable[[Any], None]) -> None:
         def done(outcome: bytes | CallFailure, at: int) -> None:
             told(outcome if isinstance(outcome, CallFailure) else {})
 
-        self.store.member.wish(wish, number.to_bytes(8, "big"), deadline, done, self.store.now())
+        self.store.member.submit_request(wish, number.to_bytes(8, "big"), deadline, done, self.store.now())
 
     def backup(self, given: dict[str, Any], deadline: int, told: Callable[[Any], None]) -> None:
         """Write the records, as of a linearizable read, into a file."""
@@ -384,28 +400,32 @@
         def read(outcome: CallFailure | None, at: int) -> None:
             if outcome:
                 return told(outcome)
-            job = member.frozen_now()
-            revision = member.records.revision
+            job = member.capture_snapshot()
+            revision = member.state.revision
 
             def write() -> None:
                 folders.write_backup(path, self.store.opened.identity.cluster, job.build())
 
             def written(future: asyncio.Future[None]) -> None:
                 exc = future.exception()
-                failed = CallFailure("refused", f"cannot write {path}: {exc}") if exc else None
+                failed = CallFailure(CallFailureKind.REFUSED, f"cannot write {path}: {exc}") if exc else None
                 told(failed or {"path": path, "revision": revision, "entry": job.index})
 
             # beside the loop: a large file would keep clients waiting
             self.store.loop.run_in_executor(None, write).add_done_callback(written)
 
-        member.read(deadline, read, self.store.now())
+        member.read_barrier(deadline, read, self.store.now())
 
     def hosts(self, given: dict[str, Any], deadline: int, told: Callable[[Any], None]) -> None:
         """What holds for hosts here and now, agreed on or not yet."""
-        ledger = self.store.member.ledger
-        waiting = {fact.host for fact in ledger.facts.values()}
+        ledger = self.store.member.drain_log
+        waiting = {fact.host for fact in ledger.pending_facts.values()}
         rows = [
-            {"host": host, "agreed": host not in waiting, **msgspec.to_builtins(ledger.view(host))}
+            {
+                "host": host,
+                "agreed": host not in waiting,
+                **msgspec.to_builtins(ledger.effective_record(host)),
+            }
             for host in sorted(ledger.hosts())
         ]
         told({"hosts": rows, "key": HOST_KEY_PREFIX})
@@ -437,7 +457,7 @@
         self.callers: set[ControlSession] = set()
         self.server: asyncio.Server | None = None
         self.path = os.path.join(store.settings.folder, NAME)
-        store.member.on_change.append(self._changed)
+        store.member.change_listeners.append(self._changed)
 
     async def listen(self) -> None:
         """Take calls. A socket left by a process that was killed makes place: the folder is locked."""
--- a/limerudder/store/data_directory.py
+++ b/limerudder/store/data_directory.py
@@ -20,7 +20,8 @@
     SnapshotMeta,
 )
 from limerudder.store.raft.raft import HardState, snapshot_digest
-from limerudder.store.state_machine import KeyValueState, SnapshotError
+from limerudder.store.snapshots import SnapshotError
+from limerudder.store.state_machine import KeyValueState
 
 BACKUP = 1  #: format of a backup file; its frames are a head and the snapshot's pieces
 
@@ -120,7 +121,7 @@
         disk = Disk(path)
         try:
             opened = disk.load(start=False)
-            config: ClusterConfig = opened.start.saved.config
+            config: ClusterConfig = opened.start.raft_state.config
             meta = SnapshotMeta(old.meta.index, 1, config, old.meta.pieces, old.meta.digest)
             disk.begin_anew(opened.identity, HardState(1, 0), Snapshot(meta, old.pieces))
         finally:
@@ -146,28 +147,28 @@
     disk = Disk(folder)
     try:
         opened = disk.load(start=False)
-        saved = opened.start.saved
+        saved = opened.start.raft_state
         records = KeyValueState()
         if saved.snapshot:
             records.restore(saved.snapshot.pieces)
         config = saved.snapshot.meta.config if saved.snapshot else saved.config
-        base = records.applied
+        base = records.applied_index
         for entry in saved.entries:
             if entry.index > base:
                 if entry.kind == EntryKind.DATA:
                     records.apply(entry.index, entry.data)
-                records.applied = entry.index
+                records.applied_index = entry.index
                 if entry.kind == EntryKind.CONFIG:
                     config = msgspec.msgpack.decode(entry.data, type=ClusterConfig)
         me = opened.identity
         others = tuple(one.name for one in config.members if one.id != me.me)
-        lost = DataLoss(me.name, records.applied, base, records.applied - base, others)
+        lost = DataLoss(me.name, records.applied_index, base, records.applied_index - base, others)
         if do:
             mine = config.get(me.me) or Member(me.me, me.name, "127.0.0.1:1")
             alone = ClusterConfig((Member(random_id(), me.name, mine.address, MemberRole.VOTER),))
-            pieces = tuple(records.freeze().pieces())
+            pieces = tuple(records.snapshot_view().chunks())
             term = saved.hard.term + 1
-            meta = SnapshotMeta(records.applied, term, alone, len(pieces), snapshot_digest(pieces))
+            meta = SnapshotMeta(records.applied_index, term, alone, len(pieces), snapshot_digest(pieces))
             identity = Identity(random_id(), alone.members[0].id, me.name)
             disk.begin_anew(identity, HardState(term, 0), Snapshot(meta, pieces))
         return lost
--- a/limerudder/store/disk.py
+++ b/limerudder/store/disk.py
@@ -21,7 +21,7 @@
 import msgspec
 
 from limerudder.store.drain_log import DrainFact, decode_fact, encode_fact
-from limerudder.store.member import DurabilityJob, MemberStart
+from limerudder.store.durability import DurabilityJob, DurableState, KnownValue
 from limerudder.store.peer_authentication import DurabilityProof, Incarnation
 from limerudder.store.raft.messages import ClusterConfig, Entry, EntryKind, Snapshot, SnapshotMeta
 from limerudder.store.raft.raft import HardState, PersistentState, snapshot_digest
@@ -63,7 +63,7 @@
 
     identity: Identity
     boot: Incarnation
-    start: MemberStart
+    start: DurableState
     shown: dict[int, DurabilityProof]
 
 
@@ -203,16 +203,16 @@
                 facts[number] = decode_fact(data)
             except msgspec.DecodeError as exc:
                 raise DiskError(f"{self.path}: fact {number} cannot be read: {exc}") from None
-        known: dict[str, tuple[int, bytes | None]] = {}
+        known: dict[str, KnownValue] = {}
         for name, value in self._rows("SELECT name, value, crc FROM known", "known record"):
-            known[name] = _decode(value, tuple[int, bytes | None], f"known record {name}")
+            known[name] = _decode(value, KnownValue, f"known record {name}")
         shown = {
             number: _decode(data, DurabilityProof, f"what member {number:016x} has shown")
             for number, data in self._rows("SELECT number, data, crc FROM shown", "what a member has shown,")
         }
         hard = HardState(*self._get_meta("hard", tuple[int, int]))
         saved = PersistentState(hard, snapshot, entries, self._get_meta("config", ClusterConfig), incoming)
-        return OpenedDisk(identity, boot, MemberStart(saved, facts, known), shown)
+        return OpenedDisk(identity, boot, DurableState(saved, facts, known), shown)
 
     def _migrate(self) -> None:
         """Format 1 to 2."""
@@ -274,7 +274,7 @@
             return [self._do(job) for job in jobs]
 
     def _do(self, job: DurabilityJob) -> Snapshot | None:
-        sql, write = self._sql, job.write
+        sql, write = self._sql, job.raft_write
         if write:
             if write.hard:
                 self._meta("hard", tuple(write.hard))
@@ -304,15 +304,15 @@
         if job.snapshot:
             snapshot = job.snapshot.build()
             self.put_snapshot(snapshot)
-            sql.execute("DELETE FROM log WHERE idx<?", (job.snapshot.keep_from,))
-        for number, fact in job.facts:
+            sql.execute("DELETE FROM log WHERE idx<?", (job.snapshot.keep_from_index,))
+        for number, fact in job.new_facts:
             data = encode_fact(fact)
             sql.execute("INSERT OR REPLACE INTO facts VALUES (?,?,?)", (number, data, _crc(number, data)))
-        sql.executemany("DELETE FROM facts WHERE number=?", [(number,) for number in job.gone_facts])
-        for key, modified, value in job.known:
-            data = _encode((modified, value))
+        sql.executemany("DELETE FROM facts WHERE number=?", [(number,) for number in job.deleted_facts])
+        for key, known in job.known_values.items():
+            data = _encode(known)
             sql.execute("INSERT OR REPLACE INTO known VALUES (?,?,?)", (key, data, _crc(key, data)))
-        for number, shown in job.shown:
+        for number, shown in job.proofs.items():
             data = _encode(shown)
             sql.execute("INSERT OR REPLACE INTO shown VALUES (?,?,?)", (number, data, _crc(number, data)))
         return snapshot
--- a/limerudder/store/drain_log.py
+++ b/limerudder/store/drain_log.py
@@ -1,13 +1,13 @@
-"""What a node knows of hosts that must get nothing new: what it heard itself, and what all have agreed on.
+"""Hosts that must not receive new connections: observed by this node, or agreed on by the cluster.
 
-A fact is kept durably here the moment it is heard, with or without a quorum, and written to the records
-when that can be done. Until then, and ever after, a host is out where either says so. Only two things lift
-a drain:
+A fact is made durable at this member as soon as it is observed, with or without a quorum, and is written to
+the replicated state once that is possible. A host is excluded if either the member's own facts or the agreed
+record say so. Only two things end a drain:
 
-- a newer start of the host than the one that was drained: a drain is remembered with the host's start, and
-  covers that start and all before it. A list that says `active` with the same start changes nothing;
-- the hand, by `maint-off`, for what stood when it was called. What others put down meanwhile stays: where
-  words meet, the safer wins.
+- a newer start of the host than the one that was drained: a drain is recorded with the host's start time and
+  covers that start and all earlier ones. A list that shows the same start as active again changes nothing;
+- an operator's `maint-off`, for what was in force when it was called. What others recorded in the meantime
+  stays: of two conflicting facts the one that excludes the host wins.
 
 No I/O, no clock.
 """
@@ -15,227 +15,255 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 import msgspec
 
-from limerudder.store.state_machine import Compare, CompareTarget, Put, Transaction
+from limerudder.store.commands import Compare, CompareTarget, Put, Transaction
 
-HOST_KEY_PREFIX = "hosts/"  #: a key a host
-NEVER_DRAINED = -1  #: no start of this host was drained
+HOST_KEY_PREFIX = "hosts/"  #: a host's agreed record stands under this prefix and the host's name
+NEVER_DRAINED = -1  #: no start of the host has been drained
 
 
 class HostRecord(msgspec.Struct, frozen=True, omit_defaults=True):
-    """What is agreed on about a host; JSON in the records."""
+    """The agreed record of a host, stored as JSON: the field names are part of the stored format."""
 
-    drained: int = NEVER_DRAINED  # starts up to this one, in ms since 1970, get nothing new
-    held: bool = False
-    by: str = ""  # whose hand holds it
-    back_at: int = 0  # when a hand last put it back, in us
+    drained: int = NEVER_DRAINED  # starts up to this time (ms since 1970) get no new connections
+    held: bool = False  # an operator holds the host out
+    by: str = ""  # the node at which the hold was placed
+    back_at: int = 0  # when an operator last returned the host to service, in microseconds
 
-    def out(self, started_ms: int) -> bool:
-        """Whether the process of this start gets nothing new."""
+    def excludes(self, started_ms: int) -> bool:
+        """Whether a process of the host that started at this time gets no new connections."""
         return self.held or started_ms <= self.drained
 
 
 class DrainObserved(msgspec.Struct, frozen=True, array_like=True, tag="drain"):
-    """Discovery has said that this start of a host drains."""
+    """Discovery has listed this start of a host as draining."""
 
     host: str
     started_ms: int
 
 
 class MaintenanceHold(msgspec.Struct, frozen=True, array_like=True, tag="hold"):
-    """A hand holds the host out."""
+    """An operator holds a host out, at the node `held_by`."""
 
     host: str
-    by: str
+    held_by: str
 
 
 class ReturnToService(msgspec.Struct, frozen=True, array_like=True, tag="back"):
-    """A hand puts it back, having seen the record as of this revision."""
+    """An operator returns a host to service, having seen its record as of `basis_revision`."""
 
     host: str
-    at: int
-    basis: int
+    returned_at_us: int
+    basis_revision: int
 
 
 DrainFact = DrainObserved | MaintenanceHold | ReturnToService
 
-_json = msgspec.json.Encoder().encode
-_decode_record: msgspec.json.Decoder[Any] = msgspec.json.Decoder(HostRecord)
-_encode_fact = msgspec.msgpack.Encoder().encode
-_decode_fact: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(DrainFact)
+_encode_json = msgspec.json.Encoder().encode
+_record_decoder: msgspec.json.Decoder[HostRecord] = msgspec.json.Decoder(HostRecord)
+_encode_msgpack = msgspec.msgpack.Encoder().encode
+_fact_decoder: msgspec.msgpack.Decoder[DrainFact] = msgspec.msgpack.Decoder(DrainFact)
 
 
 def encode_fact(fact: DrainFact) -> bytes:
-    """A fact as the disk keeps it."""
-    return _encode_fact(fact)
+    """Encodes a fact as the disk keeps it."""
+    return _encode_msgpack(fact)
 
 
 def decode_fact(data: bytes) -> DrainFact:
-    """A fact from the disk; msgspec.DecodeError where it is none."""
-    fact: DrainFact = _decode_fact.decode(data)
-    return fact
+    """Decodes a fact from the disk; raises msgspec.DecodeError if it is malformed."""
+    return _fact_decoder.decode(data)
 
 
 def encode_host_record(record: HostRecord) -> bytes:
-    """A record's value."""
-    return _json(record)
+    """Encodes a record as the value of its key."""
+    return _encode_json(record)
 
 
 def decode_host_record(value: bytes) -> HostRecord:
-    """A record from a value; msgspec.DecodeError where it is none."""
-    record: HostRecord = _decode_record.decode(value)
-    return record
+    """Decodes a record from the value of its key; raises msgspec.DecodeError if it is malformed."""
+    return _record_decoder.decode(value)
 
 
-def apply_fact(record: HostRecord, modified: int, fact: DrainFact) -> HostRecord:
-    """The record with a fact: `modified` is the revision at which it last changed."""
+def apply_fact(record: HostRecord, modified_revision: int, fact: DrainFact) -> HostRecord:
+    """Returns a host's record, last modified at this revision, with a fact applied to it."""
     match fact:
         case DrainObserved(_, started_ms):
             return HostRecord(max(record.drained, started_ms), record.held, record.by, record.back_at)
-        case MaintenanceHold(_, by):
-            return HostRecord(record.drained, True, by if not record.held else record.by, record.back_at)
-        case ReturnToService(_, at, basis):
-            if modified > basis:  # guards what others have put down since the hand looked
+        case MaintenanceHold(_, held_by):
+            holder = record.by if record.held else held_by
+            return HostRecord(record.drained, True, holder, record.back_at)
+        case ReturnToService(_, returned_at_us, basis_revision):
+            if modified_revision > basis_revision:
+                # others have recorded something since the operator looked, which must stay in force
                 return record
-            return HostRecord(NEVER_DRAINED, False, "", max(record.back_at, at))
-    raise AssertionError("all facts are above")
+            return HostRecord(NEVER_DRAINED, False, "", max(record.back_at, returned_at_us))
+    raise AssertionError("every type of fact is handled above")
 
 
-class KnownRecord(NamedTuple):
-    """A record as the disk last kept it."""
+class AgreedRecord(NamedTuple):
+    """A host's agreed record, and the revision at which it was last modified."""
 
-    modified: int
+    modified_revision: int
     record: HostRecord
 
 
+NO_AGREED_RECORD = AgreedRecord(0, HostRecord())
+
+
+class NumberedFact(NamedTuple):
+    """A fact and its number, which identifies it on this member's disk."""
+
+    number: int
+    fact: DrainFact
+
+
 class DrainLog:
-    """Facts that are not in the records yet, over the records as they were last known here."""
-
-    def __init__(self, known: Mapping[str, KnownRecord], facts: Mapping[int, DrainFact]) -> None:
-        self.known = dict(known)  # by host
-        self.facts = dict(sorted(facts.items()))  # by number, in the order they came
-        self.next_fact = max(facts, default=0) + 1
-        self.views: dict[str, HostRecord] = {}  # reckoned when asked for
-        self.pushing: dict[str, tuple[int, ...]] = {}  # the facts of a host that are under way
-        self.new_facts: list[tuple[int, DrainFact]] = []  # to be made durable
-        self.gone_facts: list[int] = []  # to be forgotten by the disk
-        self.changed: Callable[[str], None] = lambda host: None
-
-    def view(self, host: str) -> HostRecord:
-        """What holds for a host here and now."""
-        view = self.views.get(host)
-        if view is None:
-            modified, view = self.known.get(host, KnownRecord(0, HostRecord()))
-            for fact in self.facts.values():
-                if fact.host == host:
-                    view = apply_fact(view, modified, fact)
-            self.views[host] = view
-        return view
+    """The facts that are not in the replicated state yet, and the agreed records as last known here."""
+
+    def __init__(self, agreed: Mapping[str, AgreedRecord], facts: Mapping[int, DrainFact]) -> None:
+        self.pending_facts = dict(sorted(facts.items()))  # by number, in the order of observation
+        self.unsaved_facts: list[NumberedFact] = []  # to be made durable
+        self.unsaved_deletions: list[int] = []  # numbers of facts to be deleted from the disk
+        self.host_changed: Callable[[str], None] = lambda host: None
+        self._agreed = dict(agreed)  # by host
+        self._next_number = max(facts, default=0) + 1
+        self._effective: dict[str, HostRecord] = {}  # cache of `effective_record`, by host
+        self._writing: dict[str, tuple[int, ...]] = {}  # numbers of the facts being written, by host
+
+    def effective_record(self, host: str) -> HostRecord:
+        """Returns what is in force for a host at this member: its agreed record with all pending facts."""
+        record = self._effective.get(host)
+        if record is None:
+            modified_revision, agreed = self._agreed.get(host, NO_AGREED_RECORD)
+            record = self._with_facts(agreed, modified_revision, self._fact_numbers(host))
+            self._effective[host] = record
+        return record
 
     def hosts(self) -> set[str]:
-        """All that anything is known of."""
-        return self.known.keys() | {fact.host for fact in self.facts.values()}
+        """Returns all hosts with an agreed record or a pending fact."""
+        return self._agreed.keys() | {fact.host for fact in self.pending_facts.values()}
 
-    def held(self) -> set[str]:
-        """Those that a hand holds."""
-        return {host for host in self.hosts() if self.view(host).held}
+    def held_hosts(self) -> set[str]:
+        """Returns the hosts that operators hold out."""
+        return {host for host in self.hosts() if self.effective_record(host).held}
 
-    # what is heard here
+    def _fact_numbers(self, host: str) -> tuple[int, ...]:
+        return tuple(number for number, fact in self.pending_facts.items() if fact.host == host)
 
-    def drain(self, host: str, started_ms: int) -> int | None:
-        """Discovery says that it drains; gives the new fact's number, None where that is no news."""
-        if started_ms <= self.view(host).drained:
+    def _with_facts(self, record: HostRecord, modified_revision: int, numbers: tuple[int, ...]) -> HostRecord:
+        for number in numbers:
+            record = apply_fact(record, modified_revision, self.pending_facts[number])
+        return record
+
+    def record_drain(self, host: str, started_ms: int) -> int | None:
+        """Records that discovery lists a start of a host as draining; returns the new fact's number, or None.
+
+        None means that the drain is in force already.
+        """
+        if started_ms <= self.effective_record(host).drained:
             return None
         return self._add(DrainObserved(host, started_ms))
 
-    def hold(self, host: str, by: str) -> int | None:
-        """A hand holds it."""
-        return None if self.view(host).held else self._add(MaintenanceHold(host, by))
+    def record_hold(self, host: str, held_by: str) -> int | None:
+        """Records an operator's hold; returns the new fact's number, or None if the host is held already."""
+        if self.effective_record(host).held:
+            return None
+        return self._add(MaintenanceHold(host, held_by))
 
-    def back(self, host: str, at: int) -> int:
-        """A hand puts it back: what was only noted here is dropped, what is agreed on is undone."""
-        for number, fact in list(self.facts.items()):
-            if fact.host == host and number not in self.pushing.get(host, ()):
+    def record_return(self, host: str, returned_at_us: int) -> int:
+        """Records that an operator returns a host to service; returns the new fact's number.
+
+        Pending facts that are not being written yet are dropped. What is agreed on, or about to be, is undone
+        by the new fact.
+        """
+        for number in self._fact_numbers(host):
+            if number not in self._writing.get(host, ()):
                 self._drop(number)
-        return self._add(
-            ReturnToService(host, at, self.known.get(host, KnownRecord(0, HostRecord())).modified)
-        )
+        basis_revision = self._agreed.get(host, NO_AGREED_RECORD).modified_revision
+        return self._add(ReturnToService(host, returned_at_us, basis_revision))
 
     def _add(self, fact: DrainFact) -> int:
-        number, self.next_fact = self.next_fact, self.next_fact + 1
-        self.facts[number] = fact
-        self.new_facts.append((number, fact))
-        self._touch(fact.host)
+        number = self._next_number
+        self._next_number += 1
+        self.pending_facts[number] = fact
+        self.unsaved_facts.append(NumberedFact(number, fact))
+        self._refresh(fact.host)
         return number
 
     def _drop(self, number: int) -> None:
-        fact = self.facts.pop(number)
-        self.new_facts = [one for one in self.new_facts if one[0] != number]
-        self.gone_facts.append(number)
-        self._touch(fact.host)
-
-    def _touch(self, host: str) -> None:
-        self.views.pop(host, None)
-        self.changed(host)
-
-    # the records
-
-    def learn(self, host: str, modified: int, value: bytes | None) -> None:
-        """The records say this of a host, as of that revision."""
-        before = self.known.get(host)
-        if before and before.modified >= modified:
-            return  # guards what is known here against records that are still catching up
+        fact = self.pending_facts.pop(number)
+        self.unsaved_facts = [unsaved for unsaved in self.unsaved_facts if unsaved.number != number]
+        self.unsaved_deletions.append(number)
+        self._refresh(fact.host)
+
+    def _refresh(self, host: str) -> None:
+        self._effective.pop(host, None)
+        self.host_changed(host)
+
+    def update_agreed(self, host: str, modified_revision: int, value: bytes | None) -> None:
+        """Takes over a host's agreed record from the replicated state; `value` is None if it was removed."""
+        known = self._agreed.get(host)
+        if known and known.modified_revision >= modified_revision:
+            return  # a replicated state that is still catching up must not replace a newer record
         try:
             record = decode_host_record(value) if value is not None else HostRecord()
-        except msgspec.DecodeError:  # guards hosts that are out against a value that nobody can read
-            return
-        self.known[host] = KnownRecord(modified, record)
-        self._touch(host)
+        except msgspec.DecodeError:
+            return  # a malformed value must not return an excluded host to service
+        self._agreed[host] = AgreedRecord(modified_revision, record)
+        self._refresh(host)
 
-    def push(
-        self, host: str, modified: int, value: bytes | None
-    ) -> tuple[Transaction, tuple[int, ...]] | None:
-        """The write that brings a host's facts into the records, which hold this of it now.
+    def prepare_write(self, host: str, modified_revision: int, value: bytes | None) -> Transaction | None:
+        """Returns the write that adds a host's facts to its agreed record, and marks them as being written.
 
-        Gives the write and the facts in it, None where nothing has to be written; those facts are then
-        dropped.
+        `modified_revision` and `value` are those of the host's key now. Returns None, and drops the facts, if
+        they change nothing.
         """
-        numbers = tuple(number for number, fact in self.facts.items() if fact.host == host)
-        try:
-            record = decode_host_record(value) if value is not None else HostRecord()
-        except msgspec.DecodeError:
-            record = HostRecord()
-        after = record
-        for number in numbers:
-            after = apply_fact(after, modified, self.facts[number])
-        if after == record:
+        numbers = self._fact_numbers(host)
+        record = _record_or_default(value)
+        updated = self._with_facts(record, modified_revision, numbers)
+        if updated == record:
             for number in numbers:
                 self._drop(number)
             return None
+        self._writing[host] = numbers
         key = HOST_KEY_PREFIX + host
-        self.pushing[host] = numbers
-        return Transaction(
-            (Compare(key, CompareTarget.MODIFIED, b"", modified),), (Put(key, encode_host_record(after)),)
-        ), numbers
-
-    def pushed(self, host: str, revision: int | None) -> None:
-        """A push has ended: its facts stand in the records as of a revision, or do not."""
-        numbers = self.pushing.pop(host, ())
+        unchanged = Compare(key, CompareTarget.MODIFIED, b"", modified_revision)
+        return Transaction((unchanged,), (Put(key, encode_host_record(updated)),))
+
+    def finish_write(self, host: str, revision: int | None) -> None:
+        """Ends a write: its facts are agreed on as of this revision, or remain pending if it is None."""
+        numbers = self._writing.pop(host, ())
         if revision is None:
             return
         for number in numbers:
-            if number in self.facts:
+            if number in self.pending_facts:
                 self._drop(number)
-        for number, fact in list(self.facts.items()):
-            # a hand that came amid the push has seen what was pushed
-            if isinstance(fact, ReturnToService) and fact.host == host and fact.basis < revision:
-                self.facts[number] = ReturnToService(host, fact.at, revision)
-                self.new_facts.append((number, self.facts[number]))
-        self._touch(host)
-
-    def waiting(self) -> list[str]:
-        """Hosts with facts that no push is under way for."""
-        return sorted({fact.host for fact in self.facts.values()} - self.pushing.keys())
+        self._rebase_returns(host, revision)
+        self._refresh(host)
+
+    def _rebase_returns(self, host: str, revision: int) -> None:
+        """An operator who returned the host during the write had seen the facts that were being written."""
+        for number, fact in list(self.pending_facts.items()):
+            if not isinstance(fact, ReturnToService) or fact.host != host:
+                continue
+            if fact.basis_revision < revision:
+                rebased = ReturnToService(host, fact.returned_at_us, revision)
+                self.pending_facts[number] = rebased
+                self.unsaved_facts.append(NumberedFact(number, rebased))
+
+    def hosts_to_write(self) -> list[str]:
+        """Returns the hosts with pending facts of which none are being written."""
+        return sorted({fact.host for fact in self.pending_facts.values()} - self._writing.keys())
+
+
+def _record_or_default(value: bytes | None) -> HostRecord:
+    if value is None:
+        return HostRecord()
+    try:
+        return decode_host_record(value)
+    except msgspec.DecodeError:
+        return HostRecord()
--- a/limerudder/store/member.py
+++ b/limerudder/store/member.py
@@ -10,13 +10,25 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from random import Random
-from typing import Any, NamedTuple
 
 import msgspec
 
 from limerudder.store import rpc
-from limerudder.store import state_machine as rec
-from limerudder.store.drain_log import HOST_KEY_PREFIX, DrainFact, DrainLog
+from limerudder.store.client_calls import CallFailure, CallFailureKind
+from limerudder.store.commands import (
+    Command,
+    CommandResult,
+    OpenSession,
+    SessionWrite,
+    Transaction,
+    decode_result,
+    encode_command,
+    encode_result,
+    transaction_error,
+)
+from limerudder.store.drain_log import HOST_KEY_PREFIX, DrainLog
+from limerudder.store.durability import DurabilityJob, DurableState, KnownValue, SnapshotJob
+from limerudder.store.limits import MemberLimits
 from limerudder.store.peer_authentication import DurabilityProof
 from limerudder.store.raft.messages import (
     AppendEntries,
@@ -24,85 +36,32 @@
     EntryKind,
     MemberRole,
     Snapshot,
-    SnapshotMeta,
 )
 from limerudder.store.raft.messages import Member as MemberEntry
 from limerudder.store.raft.raft import (
     MembershipChangeError,
     NotLeader,
-    PersistentState,
     Raft,
     RaftOutput,
     RaftRole,
     RaftTiming,
     RaftWrite,
-    snapshot_digest,
 )
 from limerudder.store.rpc import Reply, ReplyStatus, Request, RequestKind
-from limerudder.store.state_machine import KeyValueState, OpenSession, Result, SessionWrite, Transaction
+from limerudder.store.sessions import RequestSequence
+from limerudder.store.state_machine import KeyValueState
 
 PUSH_AGAIN = 500_000  #: between tries to bring the ledger's facts into the records
 KEPT_KEYS = (HOST_KEY_PREFIX, "config/", "list/")  #: the node needs these at its start, quorum or not
 
 
-class MemberLimits(NamedTuple):
-    """How much a member takes."""
-
-    snapshot_entries: int = 20_000
-    snapshot_bytes: int = 16 << 20
-    keep_entries: int = 1000  # behind a snapshot, for members that are a little late
-    waiting: int = 4096
-    value: int = 64 << 10
-    piece: int = rec.SNAPSHOT_CHUNK_BYTES
-    history: int = 10_000
-
-
-@dataclass(slots=True)
-class SnapshotJob:
-    """A snapshot to be written out: `build` may run beside the member, since all it needs is frozen."""
-
-    index: int
-    term: int
-    config: ClusterConfig
-    frozen: rec.SnapshotView
-    keep_from: int  # entries before this one may go
-
-    def build(self) -> Snapshot:
-        """It as bytes."""
-        pieces = tuple(self.frozen.pieces())
-        return Snapshot(
-            SnapshotMeta(self.index, self.term, self.config, len(pieces), snapshot_digest(pieces)), pieces
-        )
-
-
-@dataclass(slots=True)
-class DurabilityJob:
-    """What is made durable together."""
-
-    number: int
-    write: RaftWrite | None = None
-    snapshot: SnapshotJob | None = None
-    facts: tuple[tuple[int, DrainFact], ...] = ()
-    gone_facts: tuple[int, ...] = ()
-    known: tuple[tuple[str, int, bytes | None], ...] = ()  # key, revision, value
-    shown: tuple[tuple[int, DurabilityProof], ...] = ()  # what members have shown of their disks
-
-
 @dataclass(slots=True)
 class MemberOutput:
     """What is to be done: send, make durable, and only then send `after`."""
 
-    send: list[tuple[int, rpc.StoreMessage]] = field(default_factory=list)
+    messages: list[tuple[int, rpc.StoreMessage]] = field(default_factory=list)
     job: DurabilityJob | None = None
-    after: list[tuple[int, rpc.StoreMessage]] = field(default_factory=list)
-
-
-class CallFailure(NamedTuple):
-    """Why a wish was not granted. `unsure`: it may have been, or may be yet."""
-
-    kind: str  # refused, busy, not_now
-    text: str
-    unsure: bool = False
+    messages_after_job: list[tuple[int, rpc.StoreMessage]] = field(default_factory=list)
 
 
 Done = Callable[[bytes | CallFailure, int], None]
@@ -113,7 +72,7 @@
     """A wish that waits for its answer; it is said again until then."""
 
     number: int
-    wish: RequestKind
+    kind: RequestKind
     data: bytes
     deadline: int
     done: Done
@@ -122,43 +81,40 @@
     tried: bool = False  # it has gone out at least once: it may have been granted
 
 
-class MemberStart(NamedTuple):
-    """What a member starts with: all that was durable."""
-
-    saved: PersistentState
-    facts: Mapping[int, DrainFact]
-    known: Mapping[str, tuple[int, bytes | None]]
-
-
 class Member:
     """One member. Numbers of wishes are its own; times are microseconds of a clock that never goes back."""
 
     def __init__(
         self,
         me: int,
-        start: MemberStart,
+        start: DurableState,
         random: Random,
         now: int,
         limits: MemberLimits | None = None,
         timing: RaftTiming | None = None,
-        check: Callable[[Transaction, int], str] = rec.validate_transaction,
+        validate: Callable[[Transaction, int], str | None] = transaction_error,
     ) -> None:
-        self.me, self.limits, self.random, self.check = me, limits or MemberLimits(), random, check
-        self.raft = Raft(me, start.saved, random, now, timing)
-        self.records = KeyValueState(self.limits.history)
-        if start.saved.snapshot:
-            self.records.restore(start.saved.snapshot.pieces)
-        self.known = dict(start.known)  # the keys that the node needs, as last known here
-        hosts = {key: value for key, value in start.known.items() if key.startswith(HOST_KEY_PREFIX)}
-        self.ledger = DrainLog({}, start.facts)
+        self.member_id, self.limits, self.random, self.validate = (
+            me,
+            limits or MemberLimits(),
+            random,
+            validate,
+        )
+        self.raft = Raft(me, start.raft_state, random, now, timing)
+        self.state = KeyValueState(self.limits.max_history_events)
+        if start.raft_state.snapshot:
+            self.state.restore(start.raft_state.snapshot.pieces)
+        self.known = dict(start.known_values)  # the keys that the node needs, as last known here
+        hosts = {key: value for key, value in start.known_values.items() if key.startswith(HOST_KEY_PREFIX)}
+        self.drain_log = DrainLog({}, start.drain_facts)
         for key, (modified, value) in hosts.items():
-            self.ledger.learn(key.removeprefix(HOST_KEY_PREFIX), modified, value)
-        self.new_known: dict[str, tuple[int, bytes | None]] = {}
+            self.drain_log.update_agreed(key.removeprefix(HOST_KEY_PREFIX), modified, value)
+        self.new_known: dict[str, KnownValue] = {}
         self.new_shown: dict[int, DurabilityProof] = {}  # to be made durable, for the doorman
         self.jobs = 0
         self.raft_writes: dict[int, int] = {}  # by job, the machine's write
         self.snapshotting = False
-        self.wishes: dict[int, PendingCall] = {}  # of this member, by number
+        self.pending_calls: dict[int, PendingCall] = {}  # of this member, by number
         # numbers of wishes must not be those of an earlier life: late answers to these may still come
         self.next_wish = random.getrandbits(48)
         self.proposals: list[tuple[bytes, int, int]] = []  # command, who asked, number: for one proposal
@@ -173,9 +129,9 @@
         self.fact_jobs: dict[int, list[int]] = {}  # by job
         self.fresh = now  # when this member last had all that it knew to be committed
         self.session, self.session_asked = 0, False
-        self.serials = rec.RequestSequence()
+        self.serials = RequestSequence()
         self.push_due = now
-        self.on_change: list[
+        self.change_listeners: list[
             Callable[[int], None]
         ] = []  # the records, the members or the leader have changed
         self.out = MemberOutput()
@@ -190,62 +146,76 @@
         return self.raft.log.config
 
     @property
-    def leads(self) -> bool:
+    def is_leader(self) -> bool:
         """Whether this member leads."""
         return self.raft.standing == RaftRole.LEADER
 
-    def value(self, key: str) -> tuple[int, bytes | None]:
+    def known_value(self, key: str) -> KnownValue:
         """A key that the node needs, as last known here: the revision of its last change, and its value."""
-        item = self.records.get(key)
-        known = self.known.get(key, (0, None))
-        return (item.modified, item.value) if item and item.modified >= known[0] else known
+        item = self.state.get(key)
+        known = self.known.get(key, KnownValue(0, None))
+        if item and item.modified_revision >= known.modified_revision:
+            return KnownValue(item.modified_revision, item.value)
+        return known
 
-    def age(self, now: int) -> int:
+    def max_staleness_us(self, now: int) -> int:
         """How old, at the most, what the records here say is; a leader's word on how far it is counts."""
-        return 0 if self.leads and self.raft.commit >= self.raft.first else max(now - self.fresh, 0)
+        return 0 if self.is_leader and self.raft.commit >= self.raft.first else max(now - self.fresh, 0)
+
+    def record_proofs(self, proofs: Mapping[int, DurabilityProof]) -> None:
+        """Make durable what members have shown of their disks."""
+        self.new_shown.update(proofs)
 
     # what is wanted
 
-    def wish(self, wish: RequestKind, data: bytes, deadline: int, done: Done, now: int) -> None:
+    def submit_request(self, kind: RequestKind, data: bytes, deadline: int, done: Done, now: int) -> None:
         """Have something done by whoever leads; `done` hears once, at the deadline at the latest."""
-        if len(self.wishes) >= self.limits.waiting:
-            return done(CallFailure("busy", f"{len(self.wishes)} wishes wait already"), now)
+        if len(self.pending_calls) >= self.limits.max_pending_requests:
+            return done(
+                CallFailure(CallFailureKind.BUSY, f"{len(self.pending_calls)} wishes wait already"), now
+            )
         number, self.next_wish = self.next_wish, self.next_wish + 1
-        one = self.wishes[number] = PendingCall(number, wish, data, deadline, done)
+        one = self.pending_calls[number] = PendingCall(number, kind, data, deadline, done)
         self._say(one, now)
 
     def write(
-        self, command: rec.Command, deadline: int, done: Callable[[Result | CallFailure, int], None], now: int
+        self,
+        command: Command,
+        deadline: int,
+        done: Callable[[CommandResult | CallFailure, int], None],
+        now: int,
     ) -> None:
         """Have a command applied; `done` hears its result. A `Do` may be given again with the same serial."""
-        if isinstance(command, SessionWrite) and (wrong := self.check(command.txn, self.limits.value)):
-            return done(CallFailure("refused", wrong), now)
+        if isinstance(command, SessionWrite) and (
+            wrong := self.validate(command.transaction, self.limits.max_value_bytes)
+        ):
+            return done(CallFailure(CallFailureKind.REFUSED, wrong), now)
 
         def told(outcome: bytes | CallFailure, at: int) -> None:
-            done(outcome if isinstance(outcome, CallFailure) else _read_result(outcome), at)
+            done(outcome if isinstance(outcome, CallFailure) else decode_result(outcome), at)
 
-        self.wish(RequestKind.WRITE, rec.encode_command(command), deadline, told, now)
+        self.submit_request(RequestKind.WRITE, encode_command(command), deadline, told, now)
 
-    def read(self, deadline: int, done: Callable[[CallFailure | None, int], None], now: int) -> None:
+    def read_barrier(self, deadline: int, done: Callable[[CallFailure | None, int], None], now: int) -> None:
         """`done` hears once the records here hold all that was committed when this was called."""
 
         def told(outcome: bytes | CallFailure, at: int) -> None:
             if isinstance(outcome, CallFailure):
                 return done(outcome, at)
-            self.once_applied(int.from_bytes(outcome, "big"), lambda then: done(None, then), at)
+            self.when_applied(int.from_bytes(outcome, "big"), lambda then: done(None, then), at)
 
-        self.wish(RequestKind.INDEX, b"", deadline, told, now)
+        self.submit_request(RequestKind.READ_INDEX, b"", deadline, told, now)
 
-    def once_applied(self, index: int, call: Callable[[int], None], now: int) -> None:
+    def when_applied(self, index: int, call: Callable[[int], None], now: int) -> None:
         """Make a call once the entry of this index is in the records here."""
-        if self.records.applied >= index:
+        if self.state.applied_index >= index:
             call(now)
         else:
             self.applied_hooks.append((index, call))
 
-    def once_durable(self, fact: int, call: Callable[[int], None], now: int) -> None:
+    def when_durable(self, fact: int, call: Callable[[int], None], now: int) -> None:
         """Make a call once a fact is durable here."""
-        if any(number == fact for number, _ in self.ledger.new_facts) or any(
+        if any(number == fact for number, _ in self.drain_log.unsaved_facts) or any(
             fact in n for n in self.fact_jobs.values()
         ):
             self.fact_hooks.append((fact, call))
@@ -257,11 +227,11 @@
         if not leader:
             return
         one.said, one.to, one.tried = now, leader, True
-        ask = Request(one.number, one.wish, one.data)
-        if leader == self.me:
-            self._asked(self.me, ask, now)
+        ask = Request(one.number, one.kind, one.data)
+        if leader == self.member_id:
+            self._asked(self.member_id, ask, now)
         else:
-            self.out.send.append((leader, ask))
+            self.out.messages.append((leader, ask))
 
     # what happens
 
@@ -282,12 +252,19 @@
         if now >= self.raft.next_due():
             self.raft.tick(now)
         retry = self.raft.timing.election
-        under_way = self._under_way() if self.leads and self.wishes else set()
-        for one in list(self.wishes.values()):
+        under_way = self._under_way() if self.is_leader and self.pending_calls else set()
+        for one in list(self.pending_calls.values()):
             if now >= one.deadline:
-                del self.wishes[one.number]
+                del self.pending_calls[one.number]
                 why = "nobody leads" if not self.raft.leader else "no answer came in time"
-                one.done(CallFailure("not_now", why, unsure=one.tried and one.wish != RequestKind.INDEX), now)
+                one.done(
+                    CallFailure(
+                        CallFailureKind.NOT_NOW,
+                        why,
+                        outcome_unknown=one.tried and one.kind != RequestKind.READ_INDEX,
+                    ),
+                    now,
+                )
             elif one.to != self.raft.leader or now >= one.said + retry:
                 # guards against a wish lost on its way or with its leader; sessions keep it from being done
                 # twice
@@ -304,11 +281,11 @@
         asked += [one[1:] for one in self.proposals]
         return {number for sender, number in asked if sender == self.me}
 
-    def written(self, job: int, snapshot: Snapshot | None, now: int) -> None:
+    def on_job_durable(self, job: int, snapshot: Snapshot | None, now: int) -> None:
         """A job is durable; `snapshot` is what its SnapshotJob has built."""
         if snapshot:
             self.snapshotting = False
-            self.raft.compact(snapshot, self.limits.keep_entries)
+            self.raft.compact(snapshot, self.limits.kept_entries)
         number = self.raft_writes.pop(job, None)
         if number is not None:
             self.raft.written(number, now)
@@ -318,35 +295,37 @@
         for call in due:
             call(now)
 
-    def next_due(self) -> int:
+    def next_deadline(self) -> int:
         """When `tick` must be called at the latest."""
         dues = [self.raft.next_due(), self.push_due]
-        dues += [min(one.deadline, one.said + self.raft.timing.election) for one in self.wishes.values()]
+        dues += [
+            min(one.deadline, one.said + self.raft.timing.election) for one in self.pending_calls.values()
+        ]
         return min(dues)
 
     # the leader's side
 
     def _asked(self, sender: int, ask: Request, now: int) -> None:
-        if not self.leads:
-            return self._answer(sender, ask.number, ReplyStatus.NOT_LEADING, b"", now)
+        if not self.is_leader:
+            return self._answer(sender, ask.number, ReplyStatus.NOT_LEADER, b"", now)
         try:
-            match ask.wish:
+            match ask.kind:
                 case RequestKind.WRITE:
-                    if len(self.proposals) + len(self.proposed) >= self.limits.waiting:
+                    if len(self.proposals) + len(self.proposed) >= self.limits.max_pending_requests:
                         return self._answer(
                             sender, ask.number, ReplyStatus.BUSY, b"too much waits at the leader", now
                         )
                     self.proposals.append((ask.data, sender, ask.number))
-                case RequestKind.INDEX:
+                case RequestKind.READ_INDEX:
                     self.asked_reads[self.raft.read(now)] = sender, ask.number
-                case RequestKind.LEAD:
+                case RequestKind.TRANSFER_LEADERSHIP:
                     self.raft.transfer(int.from_bytes(ask.data, "big"), now)
                     self._answer(sender, ask.number, ReplyStatus.DONE, b"", now)
-                case RequestKind.ADD | RequestKind.REMOVE:
+                case RequestKind.ADD_MEMBER | RequestKind.REMOVE_MEMBER:
                     after = self._changed(ask)
                     same = after == self.config  # said again, after its answer was lost
                     index = self.raft.log.config_index if same else self.raft.change(after, now)
-                    if index <= self.records.applied:
+                    if index <= self.state.applied_index:
                         return self._answer(
                             sender, ask.number, ReplyStatus.DONE, index.to_bytes(8, "big"), now
                         )
@@ -354,11 +333,11 @@
         except MembershipChangeError as exc:
             self._answer(sender, ask.number, ReplyStatus.REFUSED, str(exc).encode(), now)
         except NotLeader:
-            self._answer(sender, ask.number, ReplyStatus.NOT_LEADING, b"", now)
+            self._answer(sender, ask.number, ReplyStatus.NOT_LEADER, b"", now)
 
     def _changed(self, ask: Request) -> ClusterConfig:
         members = self.config.members
-        if ask.wish == RequestKind.REMOVE:
+        if ask.kind == RequestKind.REMOVE_MEMBER:
             number = int.from_bytes(ask.data, "big")
             return ClusterConfig(tuple(one for one in members if one.id != number))
         try:
@@ -377,29 +356,31 @@
 
     def _answer(self, to: int, number: int, status: ReplyStatus, data: bytes, now: int) -> None:
         told = Reply(number, status, data)
-        if to == self.me:
+        if to == self.member_id:
             self._told(told, now)
         else:
-            self.out.send.append((to, told))
+            self.out.messages.append((to, told))
 
     def _told(self, told: Reply, now: int) -> None:
-        one = self.wishes.get(told.number)
-        if one is None or told.status == ReplyStatus.NOT_LEADING:
+        one = self.pending_calls.get(told.number)
+        if one is None or told.status == ReplyStatus.NOT_LEADER:
             return  # said again in time
-        del self.wishes[told.number]
+        del self.pending_calls[told.number]
         if told.status == ReplyStatus.DONE:
             one.done(told.data, now)
         else:
-            kind = "busy" if told.status == ReplyStatus.BUSY else "refused"
+            kind = CallFailureKind.BUSY if told.status == ReplyStatus.BUSY else CallFailureKind.REFUSED
             one.done(CallFailure(kind, told.data.decode("utf-8", "replace")), now)
 
     # what is to be done
 
-    def take(self, now: int) -> MemberOutput | None:
+    def take_output(self, now: int) -> MemberOutput | None:
         """What is to be done since the last call; None where there is nothing."""
         if self.raft.leader != self.led_by:
             self.led_by = self.raft.leader
-            for one in list(self.wishes.values()):  # guards whoever waits against waiting for a tick as well
+            for one in list(
+                self.pending_calls.values()
+            ):  # guards whoever waits against waiting for a tick as well
                 self._say(one, now)
         if self.proposals:
             self._propose(now)
@@ -408,10 +389,10 @@
             self._carry_out(raft, now)
         out = self.out
         if raft:
-            out.send += raft.send
-            out.after += raft.after
+            out.messages += raft.send
+            out.messages_after_job += raft.after
         out.job = self._job(raft.write if raft else None)
-        if not (out.send or out.job or out.after):
+        if not (out.messages or out.job or out.messages_after_job):
             return None
         self.out = MemberOutput()
         return out
@@ -422,7 +403,7 @@
             first, term = self.raft.propose([command for command, _, _ in wanted], now)
         except NotLeader:
             for _, sender, number in wanted:
-                self._answer(sender, number, ReplyStatus.NOT_LEADING, b"", now)
+                self._answer(sender, number, ReplyStatus.NOT_LEADER, b"", now)
             return
         for n, (_, sender, number) in enumerate(wanted):
             self.proposed[first + n] = term, sender, number
@@ -430,24 +411,24 @@
     def _carry_out(self, raft: RaftOutput, now: int) -> None:
         changed = bool(raft.committed or raft.install)
         if raft.install:
-            self.records.restore(raft.install.pieces)
+            self.state.restore(raft.install.pieces)
             self.learn_all()
         for entry in raft.committed:
-            before = self.records.revision
+            before = self.state.revision
             result = None
             if entry.kind == EntryKind.DATA:
-                result = self.records.apply(entry.index, entry.data)
+                result = self.state.apply(entry.index, entry.data)
             else:
-                self.records.applied = entry.index
-            if self.records.revision != before:
+                self.state.applied_index = entry.index
+            if self.state.revision != before:
                 self._learn_since(before)
             waiting = self.proposed.pop(entry.index, None)
             if waiting:
                 term, sender, number = waiting
                 if term != entry.term:  # guards whoever asked against the result of another's command
-                    self._answer(sender, number, ReplyStatus.NOT_LEADING, b"", now)
+                    self._answer(sender, number, ReplyStatus.NOT_LEADER, b"", now)
                 else:
-                    data = msgspec.msgpack.encode(result) if result else entry.index.to_bytes(8, "big")
+                    data = encode_result(result) if result else entry.index.to_bytes(8, "big")
                     self._answer(sender, number, ReplyStatus.DONE, data, now)
         for number, index in raft.reads:
             asked = self.asked_reads.pop(number, None)
@@ -456,8 +437,8 @@
         for number in raft.reads_lost:
             asked = self.asked_reads.pop(number, None)
             if asked:
-                self._answer(*asked, ReplyStatus.NOT_LEADING, b"", now)
-        if not self.leads and self.proposed:
+                self._answer(*asked, ReplyStatus.NOT_LEADER, b"", now)
+        if not self.is_leader and self.proposed:
             # their entries may still be committed; whoever asked says it again, and sessions see to the rest
             lost = [
                 i for i, one in self.proposed.items() if one[0] != self.raft.term and i > self.raft.log.last
@@ -465,35 +446,35 @@
             for index in lost:
                 del self.proposed[index]
         if changed:
-            due = [call for index, call in self.applied_hooks if index <= self.records.applied]
-            self.applied_hooks = [one for one in self.applied_hooks if one[0] > self.records.applied]
+            due = [call for index, call in self.applied_hooks if index <= self.state.applied_index]
+            self.applied_hooks = [one for one in self.applied_hooks if one[0] > self.state.applied_index]
             for call in due:
                 call(now)
-            for hear in self.on_change:
+            for hear in self.change_listeners:
                 hear(now)
 
     def learn_all(self) -> None:
         """The keys that the node needs, from all the records."""
         for prefix in KEPT_KEYS:
-            for key, item in self.records.under(prefix):
-                self._learn(key, item.modified, item.value)
+            for key, item in self.state.list_prefix(prefix):
+                self._learn(key, item.modified_revision, item.value)
 
     def _learn_since(self, revision: int) -> None:
-        for event in self.records.since(revision)[0]:
+        for event in self.state.changes_since(revision)[0]:
             if event.key.startswith(KEPT_KEYS):
                 self._learn(event.key, event.revision, event.item.value if event.item else None)
 
     def _learn(self, key: str, modified: int, value: bytes | None) -> None:
         if self.known.get(key, (0, None))[0] >= modified:
             return
-        self.known[key] = self.new_known[key] = modified, value
+        self.known[key] = self.new_known[key] = KnownValue(modified, value)
         if key.startswith(HOST_KEY_PREFIX):
-            self.ledger.learn(key.removeprefix(HOST_KEY_PREFIX), modified, value)
+            self.drain_log.update_agreed(key.removeprefix(HOST_KEY_PREFIX), modified, value)
 
     def _job(self, write: RaftWrite | None) -> DurabilityJob | None:
-        ledger = self.ledger
+        ledger = self.drain_log
         snapshot = self._snapshot_due()
-        ledgers = ledger.new_facts or ledger.gone_facts
+        ledgers = ledger.unsaved_facts or ledger.unsaved_deletions
         if not (write or snapshot or ledgers or self.new_known or self.new_shown):
             return None
         self.jobs += 1
@@ -501,23 +482,23 @@
             self.jobs,
             write,
             snapshot,
-            tuple(ledger.new_facts),
-            tuple(ledger.gone_facts),
-            tuple((key, modified, value) for key, (modified, value) in self.new_known.items()),
-            tuple(self.new_shown.items()),
+            tuple(ledger.unsaved_facts),
+            tuple(ledger.unsaved_deletions),
+            self.new_known,
+            self.new_shown,
         )
         if write:
             self.raft_writes[job.number] = write.number
-        if ledger.new_facts:
-            self.fact_jobs[job.number] = [number for number, _ in ledger.new_facts]
-        ledger.new_facts, ledger.gone_facts, self.new_known, self.new_shown = [], [], {}, {}
+        if ledger.unsaved_facts:
+            self.fact_jobs[job.number] = [number for number, _ in ledger.unsaved_facts]
+        ledger.unsaved_facts, ledger.unsaved_deletions, self.new_known, self.new_shown = [], [], {}, {}
         return job
 
     def _snapshot_due(self) -> SnapshotJob | None:
-        log, applied = self.raft.log, self.records.applied
+        log, applied = self.raft.log, self.state.applied_index
         last = self.raft.snapshot.meta.index if self.raft.snapshot else 0
-        many = applied - last >= self.limits.snapshot_entries
-        large = log.bytes >= self.limits.snapshot_bytes and applied > last
+        many = applied - last >= self.limits.snapshot_after_entries
+        large = log.bytes >= self.limits.snapshot_after_bytes and applied > last
         if self.snapshotting or not (many or large):
             return None
         return self.snapshot_now()
@@ -525,50 +506,56 @@
     def snapshot_now(self) -> SnapshotJob:
         """Begin a snapshot of the records as they are."""
         self.snapshotting = True
-        return self.frozen_now()
+        return self.capture_snapshot()
 
-    def frozen_now(self) -> SnapshotJob:
+    def capture_snapshot(self) -> SnapshotJob:
         """The records as they are, to be written out beside the member."""
-        log, applied = self.raft.log, self.records.applied
+        log, applied = self.raft.log, self.state.applied_index
         term = log.term(applied)
         assert term is not None
-        keep_from = max(applied - self.limits.keep_entries, log.base) + 1
+        keep_from = max(applied - self.limits.kept_entries, log.base) + 1
         return SnapshotJob(
-            applied, term, log.config_at(applied), self.records.freeze(self.limits.piece), keep_from
+            applied,
+            term,
+            log.config_at(applied),
+            self.state.snapshot_view(self.limits.snapshot_chunk_bytes),
+            keep_from,
         )
 
     # the ledger's way into the records
 
     def _push(self, now: int) -> None:
-        hosts = self.ledger.waiting()
+        hosts = self.drain_log.hosts_to_write()
         if not hosts or not self.raft.leader:
             return
         if not self.session:
             return self._open_session(now)
         for host in hosts:
-            item = self.records.get(HOST_KEY_PREFIX + host)
-            push = self.ledger.push(host, item.modified if item else 0, item.value if item else None)
+            item = self.state.get(HOST_KEY_PREFIX + host)
+            push = self.drain_log.prepare_write(
+                host, item.modified_revision if item else 0, item.value if item else None
+            )
             if push:
-                self._push_one(host, push[0], now)
+                self._push_one(host, push, now)
 
     def _push_one(self, host: str, txn: Transaction, now: int) -> None:
-        serial = self.serials.next()
+        serial = self.serials.next_serial()
 
         session = self.session
 
-        def done(outcome: Result | CallFailure, at: int) -> None:
+        def done(outcome: CommandResult | CallFailure, at: int) -> None:
             if session == self.session:
-                self.serials.done(serial)
+                self.serials.mark_answered(serial)
             if isinstance(outcome, CallFailure):
-                return self.ledger.pushed(host, None)
+                return self.drain_log.finish_write(host, None)
             if outcome.error:
                 self.session = 0 if session == self.session else self.session
-                return self.ledger.pushed(host, None)
+                return self.drain_log.finish_write(host, None)
             # only once they stand in the records here: what is known here must not fall behind the facts
-            revision = outcome.revision if outcome.ok else None
-            self.once_applied(outcome.index, lambda _: self.ledger.pushed(host, revision), at)
+            revision = outcome.revision if outcome.succeeded else None
+            self.when_applied(outcome.index, lambda _: self.drain_log.finish_write(host, revision), at)
 
-        command = SessionWrite(session, serial, self.serials.seen, txn)
+        command = SessionWrite(session, serial, self.serials.acknowledged_serial, txn)
         self.write(command, now + 20 * PUSH_AGAIN, done, now)
 
     def _open_session(self, now: int) -> None:
@@ -576,18 +563,10 @@
             return
         self.session_asked = True
 
-        def done(outcome: Result | CallFailure, at: int) -> None:
+        def done(outcome: CommandResult | CallFailure, at: int) -> None:
             self.session_asked = False
-            if isinstance(outcome, Result):
-                self.session, self.serials = outcome.index, rec.RequestSequence()
+            if isinstance(outcome, CommandResult):
+                self.session, self.serials = outcome.index, RequestSequence()
                 self._push(at)
 
         self.write(OpenSession(), now + 20 * PUSH_AGAIN, done, now)
-
-
-_decode_result: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(Result)
-
-
-def _read_result(data: bytes) -> Result:
-    result: Result = _decode_result.decode(data)
-    return result
--- a/limerudder/store/node_bridge.py
+++ b/limerudder/store/node_bridge.py
@@ -26,19 +26,19 @@
 from limerudder.core.transport import read_address
 from limerudder.policy.events import ServerState
 from limerudder.schema import StoreSettings
-from limerudder.store.checks import LIST, SETTINGS, read_setting
-from limerudder.store.control import ControlServer
-from limerudder.store.member import CallFailure
-from limerudder.store.state_machine import (
+from limerudder.store.client_calls import CallFailure
+from limerudder.store.commands import (
+    CommandResult,
     Compare,
     CompareTarget,
     OpenSession,
     Put,
-    RequestSequence,
-    Result,
     SessionWrite,
     Transaction,
 )
+from limerudder.store.control import ControlServer
+from limerudder.store.key_schema import ENDPOINT_LIST_KEY, SETTINGS, read_setting
+from limerudder.store.sessions import RequestSequence
 from limerudder.store.store import Store
 
 LOOK = 25_000  #: between looks at what has changed: far inside the grace for drains
@@ -78,18 +78,18 @@
 
     def __init__(self, glue: NodeStoreBridge, marks: MaintenanceMarks) -> None:
         self.glue, self.marks = glue, marks
-        self.mirror = glue.store.member.ledger.held()
+        self.mirror = glue.store.member.drain_log.held_hosts()
         for name in self.mirror - marks.read():
             marks.put(name)
 
     def read(self) -> set[str]:
         """All that are held."""
-        ledger, seen = self.glue.store.member.ledger, self.marks.read()
+        ledger, seen = self.glue.store.member.drain_log, self.marks.read()
         for name in seen - self.mirror:
             self.glue.hold(name)
         for name in self.mirror - seen:
             self.glue.back(name)
-        held = ledger.held()
+        held = ledger.held_hosts()
         for name in held - seen:
             self.marks.put(name)
         for name in seen - held:
@@ -136,17 +136,17 @@
         self.version = -1  # of the list that was written last
         self.list_due = now()
         self.session, self.serials, self.opening = 0, RequestSequence(), False
-        ledger = self.store.member.ledger
-        ledger.changed = self._host_changed
+        ledger = self.store.member.drain_log
+        ledger.host_changed = self._host_changed
         self.changed_hosts: set[str] = set()
         self.hear_drained: Callable[[str, int], None] = lambda host, start: None
-        self.store.member.on_change.append(self._records_changed)
+        self.store.member.change_listeners.append(self._records_changed)
 
     # before the node is there
 
     def begin_with(self, config: NodeConfig) -> NodeConfig:
         """The configuration with what is known here: a later list of hosts, another address of discovery."""
-        _, value = self.store.member.value(LIST)
+        _, value = self.store.member.known_value(ENDPOINT_LIST_KEY)
         if value is not None:
             try:
                 hosts = parse_endpoints(json.loads(value))
@@ -162,7 +162,7 @@
         return replace(config, discovery=read_address(address)) if address else config
 
     def _setting(self, key: str) -> Any:
-        modified, value = self.store.member.value(key)
+        modified, value = self.store.member.known_value(key)
         if value is None:
             return None
         self.applied[key] = modified
@@ -183,7 +183,8 @@
         if told:
             self._set("config/log", told)
         backs = {
-            host: self.store.member.ledger.view(host).back_at for host in self.store.member.ledger.hosts()
+            host: self.store.member.drain_log.effective_record(host).back_at
+            for host in self.store.member.drain_log.hosts()
         }
         node.returned_elsewhere({host: at for host, at in backs.items() if at}, self.now())
         self._look(self.now())
@@ -195,42 +196,42 @@
 
     def out(self, host: Endpoint) -> bool:
         """Whether this host gets nothing new, whatever discovery lists; hears what discovery lists, too."""
-        ledger = self.store.member.ledger
+        ledger = self.store.member.drain_log
         if host.state == ServerState.DRAINING:
-            if ledger.drain(host.name, host.started_ms) is not None:
+            if ledger.record_drain(host.name, host.started_ms) is not None:
                 self.store.pump_soon()
             return True
-        return ledger.view(host.name).out(host.started_ms)
+        return ledger.effective_record(host.name).excludes(host.started_ms)
 
     def drained(self) -> dict[str, int]:
         """By host, the last start that is known to drain."""
-        ledger = self.store.member.ledger
-        views = {host: ledger.view(host).drained for host in ledger.hosts()}
+        ledger = self.store.member.drain_log
+        views = {host: ledger.effective_record(host).drained for host in ledger.hosts()}
         return {host: start for host, start in views.items() if start >= 0}
 
     def inherit(self, heard: dict[str, int]) -> None:
         """Drains that were heard before the store could be opened."""
         for host, start in heard.items():
-            self.store.member.ledger.drain(host, start)
+            self.store.member.drain_log.record_drain(host, start)
         self.store.pump_soon()
 
     def hold(self, name: str) -> None:
         """A hand holds a host."""
-        self.store.member.ledger.hold(name, self.store.opened.identity.name)
+        self.store.member.drain_log.record_hold(name, self.store.opened.identity.name)
         self.store.pump_soon()
 
     def back(self, name: str) -> None:
         """A hand puts it back."""
-        self.store.member.ledger.back(name, self.now())
+        self.store.member.drain_log.record_return(name, self.now())
         self.store.pump_soon()
 
     def durable(self, name: str, call: Callable[[int], None]) -> None:
         """Make a call once all that hands have said of a host is durable here."""
         member, now = self.store.member, self.now()
-        facts = [number for number, fact in member.ledger.facts.items() if fact.host == name]
+        facts = [number for number, fact in member.drain_log.pending_facts.items() if fact.host == name]
         if facts:
             self.store.pump_soon()
-            member.once_durable(facts[-1], call, now)
+            member.when_durable(facts[-1], call, now)
         else:
             call(now)
 
@@ -239,7 +240,7 @@
 
     def _records_changed(self, now: int) -> None:
         for key in SETTINGS:
-            modified, value = self.store.member.value(key)
+            modified, value = self.store.member.known_value(key)
             if value is not None and modified > self.applied.get(key, 0):
                 told = self._setting(key)
                 if told is not None:
@@ -263,7 +264,7 @@
         changed, self.changed_hosts = self.changed_hosts, set()
         backs = node.returned() if changed else {}
         for host in sorted(changed):
-            view = self.store.member.ledger.view(host)
+            view = self.store.member.drain_log.effective_record(host)
             if view.drained >= 0:
                 self.hear_drained(host, view.drained)
             if view.back_at > backs.get(host, 0):
@@ -278,25 +279,33 @@
         """Whoever leads keeps the last list for all; a write that fails is made again with the next look."""
         member = self.store.member
         hosts = self.node.listed() if self.node else None
-        if not member.leads or hosts is None or hosts.version == self.version or not hosts.hosts:
+        if not member.is_leader or hosts is None or hosts.version == self.version or not hosts.hosts:
             return
         if not self.session:
             return self._open_session(now)
         value = json.dumps(format_endpoints(hosts)).encode()
-        modified, before = member.value(LIST)
+        modified, before = member.known_value(ENDPOINT_LIST_KEY)
         self.version = hosts.version
         if before == value or len(value) > self.settings.value_most:
             return
-        txn = Transaction((Compare(LIST, CompareTarget.MODIFIED, b"", modified),), (Put(LIST, value),))
-        serial = self.serials.next()
-
-        def done(outcome: Result | CallFailure, at: int) -> None:
-            self.serials.done(serial)
-            if isinstance(outcome, CallFailure) or outcome.error or not outcome.ok:
+        txn = Transaction(
+            (Compare(ENDPOINT_LIST_KEY, CompareTarget.MODIFIED, b"", modified),),
+            (Put(ENDPOINT_LIST_KEY, value),),
+        )
+        serial = self.serials.next_serial()
+
+        def done(outcome: CommandResult | CallFailure, at: int) -> None:
+            self.serials.mark_answered(serial)
+            if isinstance(outcome, CallFailure) or outcome.error or not outcome.succeeded:
                 self.version = -1
-                self.session = 0 if isinstance(outcome, Result) and outcome.error else self.session
-
-        member.write(SessionWrite(self.session, serial, self.serials.seen, txn), now + LIST_EVERY, done, now)
+                self.session = 0 if isinstance(outcome, CommandResult) and outcome.error else self.session
+
+        member.write(
+            SessionWrite(self.session, serial, self.serials.acknowledged_serial, txn),
+            now + LIST_EVERY,
+            done,
+            now,
+        )
         self.store.pump_soon()
 
     def _open_session(self, now: int) -> None:
@@ -304,9 +313,9 @@
             return
         self.opening = True
 
-        def done(outcome: Result | CallFailure, at: int) -> None:
+        def done(outcome: CommandResult | CallFailure, at: int) -> None:
             self.opening = False
-            if isinstance(outcome, Result):
+            if isinstance(outcome, CommandResult):
                 self.session, self.serials = outcome.index, RequestSequence()
 
         self.store.member.write(OpenSession(), now + LIST_EVERY, done, now)
--- a/limerudder/store/peer_transport.py
+++ b/limerudder/store/peer_transport.py
@@ -16,8 +16,8 @@
 from limerudder.core.transport import Address, read_address
 from limerudder.store import rpc
 from limerudder.store.disk import Disk
+from limerudder.store.durability import DurabilityJob
 from limerudder.store.framing import FrameDecoder, FrameError, encode_frame
-from limerudder.store.member import DurabilityJob
 from limerudder.store.peer_authentication import Handshake
 from limerudder.store.raft.messages import ClusterConfig, Snapshot
 
@@ -95,14 +95,14 @@
             )
             return self.close()
         why = self.net.hall.judge(hello)
-        if self.dialled and not why and hello.sender != self.to:
-            why = f"is member {hello.sender:016x} and not {self.to:016x}"
+        if self.dialled and not why and hello.sender_id != self.to:
+            why = f"is member {hello.sender_id:016x} and not {self.to:016x}"
         if why:
             self.net.refused(self, why)
             if not self.dialled:  # only one that speaks our language is told why
                 self._say(why)
             return self.close()
-        self.to, self.up = hello.sender, True
+        self.to, self.up = hello.sender_id, True
         self.frames.most = FrameDecoder().most
         if self.timer:
             self.timer.cancel()
--- a/limerudder/store/rpc.py
+++ b/limerudder/store/rpc.py
@@ -1,4 +1,4 @@
-"""What members say to each other beside the agreement: writes and reads passed on to whoever leads."""
+"""Messages between members beside Raft's own: requests forwarded to the leader, and its replies."""
 
 from __future__ import annotations
 
@@ -11,53 +11,52 @@
 
 
 class RequestKind(IntEnum):
-    """What is wanted of the leader."""
+    """What the leader is asked to do."""
 
-    WRITE = 0  #: a command; comes back once it is applied
-    INDEX = 1  #: an index that a linearizable read must see
-    ADD = 2  #: a member, as `Member`
-    REMOVE = 3  #: a member's number
-    LEAD = 4  #: the member of this number is to lead
+    WRITE = 0  #: append the command in `data`; the reply carries its `CommandResult`
+    READ_INDEX = 1  #: return the log index that a linearizable read must wait for
+    ADD_MEMBER = 2  #: add the `raft.messages.Member` in `data`
+    REMOVE_MEMBER = 3  #: remove the member whose identifier is in `data`
+    TRANSFER_LEADERSHIP = 4  #: hand the leadership to the member whose identifier is in `data`
 
 
 class ReplyStatus(IntEnum):
-    """How it went."""
+    """The outcome of a request."""
 
     DONE = 0
-    REFUSED = 1  #: it cannot be, and why
-    BUSY = 2  #: too much waits already: nothing was done
-    NOT_LEADING = 3  #: nothing was done
+    REFUSED = 1  #: the request is invalid; `data` holds the reason as text
+    BUSY = 2  #: too many requests are pending; nothing was done
+    NOT_LEADER = 3  #: the receiver does not lead; nothing was done
 
 
 class Request(msgspec.Struct, frozen=True, array_like=True, tag="Ask"):
-    """A wish; `number` is given back with the answer."""
+    """A request to the leader; the reply repeats `number`."""
 
     number: int
-    wish: RequestKind
+    kind: RequestKind
     data: bytes
 
 
 class Reply(msgspec.Struct, frozen=True, array_like=True, tag="Told"):
-    """The answer."""
+    """The leader's reply to the request of this number."""
 
     number: int
     status: ReplyStatus
     data: bytes
 
 
-Rpc = Request | Reply
-StoreMessage = RaftMessage | Rpc
+StoreMessage = RaftMessage | Request | Reply
 
 _encode = msgspec.msgpack.Encoder().encode
-_decode: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(StoreMessage)
+_decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(StoreMessage)
 
 
 def encode_message(message: StoreMessage) -> bytes:
-    """A message as it goes over the wire."""
+    """Encodes a message as a frame's body."""
     return _encode(message)
 
 
 def decode_message(data: bytes) -> StoreMessage:
-    """A message; msgspec.DecodeError where it is none."""
-    message: StoreMessage = _decode.decode(data)
+    """Decodes a message from a frame's body; raises msgspec.DecodeError if it is malformed."""
+    message: StoreMessage = _decoder.decode(data)
     return message
--- /dev/null
+++ b/limerudder/store/snapshots.py
@@ -0,0 +1,136 @@
+"""Snapshots of the replicated key-value state, encoded as a sequence of chunks.
+
+The first chunk is a header; chunks of items and then chunks of sessions follow. The same state always gives
+the same bytes, so members can compare snapshots by their digest.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from typing import NamedTuple, TypeVar
+
+import msgspec
+
+from limerudder.store.commands import CommandResult, Item
+from limerudder.store.sessions import Session
+
+SNAPSHOT_CHUNK_BYTES = 128 * 1024  #: approximate size of a chunk
+SNAPSHOT_FORMAT = 1  #: older formats are read as well, newer ones are rejected
+ITEM_OVERHEAD_BYTES = 32  #: estimate of an item's encoded size without its key and value
+SESSION_OVERHEAD_BYTES = 32  #: estimate of a session's encoded size without its results
+RESULT_BYTES = 64  #: estimate of a result's encoded size
+
+Row = TypeVar("Row")
+ItemRow = tuple[str, Item]
+SessionRow = tuple[int, int, dict[int, CommandResult]]  # identifier, acknowledged serial, results
+
+
+class SnapshotError(Exception):
+    """A snapshot that cannot be decoded."""
+
+
+class SnapshotHeader(msgspec.Struct, frozen=True, array_like=True):
+    """The first chunk: the position of the snapshot in the log, and what the other chunks hold."""
+
+    format: int
+    applied_index: int
+    revision: int
+    item_count: int
+    session_count: int
+
+
+class SnapshotContents(NamedTuple):
+    """A decoded snapshot."""
+
+    header: SnapshotHeader
+    items: dict[str, Item]
+    sessions: dict[int, Session]
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_header_decoder: msgspec.msgpack.Decoder[SnapshotHeader] = msgspec.msgpack.Decoder(SnapshotHeader)
+_items_decoder: msgspec.msgpack.Decoder[list[ItemRow]] = msgspec.msgpack.Decoder(list[ItemRow])
+_sessions_decoder: msgspec.msgpack.Decoder[list[SessionRow]] = msgspec.msgpack.Decoder(list[SessionRow])
+
+
+class SnapshotView:
+    """The state at one moment, copied so that it can be encoded while the state goes on changing."""
+
+    def __init__(
+        self,
+        applied_index: int,
+        revision: int,
+        items: Mapping[str, Item],
+        sessions: Mapping[int, Session],
+        chunk_bytes: int,
+    ) -> None:
+        self._chunk_bytes = chunk_bytes
+        self._header = SnapshotHeader(SNAPSHOT_FORMAT, applied_index, revision, len(items), len(sessions))
+        self._items: list[ItemRow] = list(items.items())
+        self._sessions: list[SessionRow] = [
+            (session_id, session.acknowledged_serial, dict(session.results))
+            for session_id, session in sessions.items()
+        ]
+
+    def chunks(self) -> Iterator[bytes]:
+        """Yields the encoded chunks; the same state always gives the same bytes."""
+        yield _encode(self._header)
+        yield from _encode_chunks(self._items, _item_bytes, self._chunk_bytes)
+        yield from _encode_chunks(self._sessions, _session_bytes, self._chunk_bytes)
+
+
+def _item_bytes(row: ItemRow) -> int:
+    key, item = row
+    return len(item.value) + len(key) + ITEM_OVERHEAD_BYTES
+
+
+def _session_bytes(row: SessionRow) -> int:
+    _, _, results = row
+    return SESSION_OVERHEAD_BYTES + RESULT_BYTES * len(results)
+
+
+def _encode_chunks(rows: Sequence[Row], row_bytes: Callable[[Row], int], chunk_bytes: int) -> Iterator[bytes]:
+    """Encodes rows in lists of about `chunk_bytes`; the last row of a list may exceed it."""
+    chunk: list[Row] = []
+    room_bytes = chunk_bytes
+    for row in rows:
+        chunk.append(row)
+        room_bytes -= row_bytes(row)
+        if room_bytes <= 0:
+            yield _encode(chunk)
+            chunk = []
+            room_bytes = chunk_bytes
+    if chunk:
+        yield _encode(chunk)
+
+
+def decode_snapshot(chunks: Sequence[bytes]) -> SnapshotContents:
+    """Decodes a snapshot; raises SnapshotError if it is malformed, incomplete or of a newer format."""
+    try:
+        contents = _decode_chunks(chunks)
+    except (msgspec.DecodeError, IndexError) as exc:
+        raise SnapshotError(f"a snapshot that cannot be read: {exc}") from exc
+    header = contents.header
+    found_counts = len(contents.items), len(contents.sessions)
+    if found_counts != (header.item_count, header.session_count):
+        raise SnapshotError("a snapshot that lacks a piece")
+    return contents
+
+
+def _decode_chunks(chunks: Sequence[bytes]) -> SnapshotContents:
+    header = _header_decoder.decode(chunks[0])
+    if header.format > SNAPSHOT_FORMAT:
+        raise SnapshotError(f"a snapshot of format {header.format}; this build reads up to {SNAPSHOT_FORMAT}")
+    items: dict[str, Item] = {}
+    sessions: dict[int, Session] = {}
+    for chunk in chunks[1:]:
+        if len(items) < header.item_count:
+            items.update(_items_decoder.decode(chunk))
+        else:
+            sessions.update(_decode_sessions(chunk))
+    return SnapshotContents(header, items, sessions)
+
+
+def _decode_sessions(chunk: bytes) -> Iterator[tuple[int, Session]]:
+    for session_id, acknowledged_serial, results in _sessions_decoder.decode(chunk):
+        yield session_id, Session(acknowledged_serial, results)
--- a/limerudder/store/store.py
+++ b/limerudder/store/store.py
@@ -12,10 +12,12 @@
 
 from limerudder.schema import StoreSettings
 from limerudder.store import rpc
-from limerudder.store.checks import check
 from limerudder.store.disk import Disk
 from limerudder.store.drain_log import DrainObserved
-from limerudder.store.member import DurabilityJob, Member, MemberLimits
+from limerudder.store.durability import DurabilityJob
+from limerudder.store.key_schema import write_error
+from limerudder.store.limits import MemberLimits
+from limerudder.store.member import Member
 from limerudder.store.peer_authentication import PROTOCOL_BUILD, Handshake, PeerAuthenticator
 from limerudder.store.peer_transport import DiskWriter, PeerObserver, PeerTransport
 from limerudder.store.raft.messages import AppendEntriesReply, ClusterConfig, Snapshot
@@ -42,17 +44,17 @@
         limits = MemberLimits(
             settings.snapshot_entries,
             settings.snapshot_bytes,
-            min(MemberLimits().keep_entries, settings.snapshot_entries),
+            min(MemberLimits().kept_entries, settings.snapshot_entries),
             settings.waiting_most,
             settings.value_most,
-            history=settings.history,
+            max_history_events=settings.history,
         )
         timing = RaftTiming(settings.election, settings.heartbeat)
         random = Random(secrets.randbits(64))
         me = opened.identity.me
-        self.member = Member(me, opened.start, random, now(), limits, timing, check)
+        self.member = Member(me, opened.start, random, now(), limits, timing, write_error)
         self.doorman = PeerAuthenticator(opened.identity.cluster, me, opened.shown)
-        self.durable_term = opened.start.saved.hard.term
+        self.durable_term = opened.start.raft_state.hard.term
         self.net = PeerTransport(self, me, log)
         self.afters: deque[tuple[int, list[tuple[int, rpc.StoreMessage]]]] = (
             deque()
@@ -78,10 +80,10 @@
         self.closed = True
         if self.timer:
             self.timer.cancel()
-        if self.member.leads:  # guards clients against an election that nobody saw coming
+        if self.member.is_leader:  # guards clients against an election that nobody saw coming
             self.member.raft.yield_lead(self.now())
-            out = self.member.take(self.now())
-            for to, message in out.send if out else ():
+            out = self.member.take_output(self.now())
+            for to, message in out.messages if out else ():
                 self.net.send(to, message)
         self.net.close()
         if self.writer:
@@ -108,16 +110,15 @@
 
     def judge(self, hello: Handshake) -> str:
         """Theirs."""
-        why = self.doorman.judge(hello, self.member.config, self.member.leads)
-        self.member.new_shown.update(self.doorman.new)
-        self.doorman.new.clear()
+        why = self.doorman.rejection_reason(hello, self.member.config, self.member.is_leader)
+        self.member.record_proofs(self.doorman.take_unsaved_proofs())
         self.pump_soon()
-        return why
+        return why or ""
 
     def heard(self, sender: int, message: rpc.StoreMessage) -> None:
         """A message."""
         if isinstance(message, AppendEntriesReply) and message.ok:
-            self.doorman.acknowledged(sender, message.term, message.index)
+            self.doorman.record_acknowledgement(sender, message.term, message.index)
         self.member.receive(sender, message, self.now())
         self.pump_soon()
 
@@ -133,19 +134,19 @@
         self.pumping = False
         if self.closed or self.writer is None:
             return
-        out = self.member.take(self.now())
+        out = self.member.take_output(self.now())
         if out:
             self.pump_soon()  # what follows from it, after what is at hand has left
-            for to, message in out.send:
+            for to, message in out.messages:
                 self.net.send(to, message)
             if out.job:
                 self.given = out.job.number
                 self.writer.put(out.job)
-            if out.after:
+            if out.messages_after_job:
                 if self.done >= self.given:
-                    self._send(out.after)
+                    self._send(out.messages_after_job)
                 else:
-                    self.afters.append((self.given, out.after))
+                    self.afters.append((self.given, out.messages_after_job))
         raft = self.member.raft
         if raft.log.config != self.config:
             self.config = raft.log.config
@@ -165,14 +166,14 @@
         now = self.now()
         for job, snapshot in zip(jobs, results, strict=True):
             self.done = job.number
-            if job.write and job.write.hard:
-                self.durable_term = job.write.hard.term
-            for _, fact in job.facts:
+            if job.raft_write and job.raft_write.hard:
+                self.durable_term = job.raft_write.hard.term
+            for _, fact in job.new_facts:
                 if isinstance(fact, DrainObserved):
                     self.log(
                         "drain", f"store: host {fact.host} drains; remembered for its start {fact.started_ms}"
                     )
-            self.member.written(job.number, snapshot, now)
+            self.member.on_job_durable(job.number, snapshot, now)
         while self.afters and self.afters[0][0] <= self.done:
             self._send(self.afters.popleft()[1])
         if not self.closed:
@@ -182,7 +183,7 @@
         if not self.closed:
             self.timer = self.loop.call_later(TICK, self._tick)
             now = self.now()
-            if now >= self.member.next_due():
+            if now >= self.member.next_deadline():
                 self.member.tick(now)
                 self._pump()
 
@@ -195,20 +196,20 @@
         return {
             "cluster": f"{self.opened.identity.cluster:016x}",
             "name": self.opened.identity.name,
-            "member": f"{member.me:016x}",
+            "member": f"{member.member_id:016x}",
             "standing": raft.standing.name.lower(),
             "leader": leader.name if leader else "",
             "term": raft.term,
-            "revision": member.records.revision,
+            "revision": member.state.revision,
             "committed": raft.commit,
-            "applied": member.records.applied,
+            "applied": member.state.applied_index,
             "log_from": raft.log.base + 1,
             "log_to": raft.log.last,
-            "age_ms": member.age(now) // 1000,
-            "keys": len(member.records.items),
-            "sessions": len(member.records.sessions),
-            "waiting": len(member.wishes),
-            "facts_waiting": len(member.ledger.facts),
+            "age_ms": member.max_staleness_us(now) // 1000,
+            "keys": len(member.state.items),
+            "sessions": len(member.state.sessions),
+            "waiting": len(member.pending_calls),
+            "facts_waiting": len(member.drain_log.pending_facts),
             "disk_failing": self.writer.failing if self.writer else "",
             "disk_stuck": raft.stuck(now),
             "dropped": self.net.dropped,
@@ -228,8 +229,12 @@
                     "address": one.address,
                     "role": one.role.name.lower(),
                     "leads": one.id == raft.leader,
-                    "connected": one.id == self.member.me or one.id in self.net.dialled,
-                    "match": seen.match if seen else raft.durable if one.id == self.member.me else None,
+                    "connected": one.id == self.member.member_id or one.id in self.net.dialled,
+                    "match": seen.match
+                    if seen
+                    else raft.durable
+                    if one.id == self.member.member_id
+                    else None,
                     "heard_ms": (now - seen.heard) // 1000 if seen else None,
                 }
             )
--- a/tests/test_store_components.py
+++ b/tests/test_store_components.py
@@ -11,8 +11,20 @@
 
 from harness.configurations import host, hosts
 from limerudder.store import rpc
-from limerudder.store import state_machine as rec
-from limerudder.store.checks import check, read_setting
+from limerudder.store.commands import (
+    CloseSession,
+    CommandResult,
+    Compare,
+    CompareTarget,
+    Delete,
+    Get,
+    OpenSession,
+    Operation,
+    Put,
+    SessionWrite,
+    Transaction,
+    encode_command,
+)
 from limerudder.store.drain_log import (
     DrainLog,
     DrainObserved,
@@ -23,6 +35,7 @@
     encode_host_record,
 )
 from limerudder.store.framing import MAX_FRAME_BYTES, FrameDecoder, FrameError, encode_frame
+from limerudder.store.key_schema import read_setting, write_error
 from limerudder.store.peer_authentication import (
     PROTOCOL_BUILD,
     DurabilityProof,
@@ -40,19 +53,12 @@
     RequestVote,
     SnapshotMeta,
 )
+from limerudder.store.snapshots import SnapshotError
 from limerudder.store.state_machine import (
-    CloseSession,
+    MAX_SESSIONS,
+    MAX_UNACKNOWLEDGED_RESULTS,
     CompactedError,
-    Compare,
-    CompareTarget,
-    Delete,
-    Get,
     KeyValueState,
-    OpenSession,
-    Put,
-    SessionWrite,
-    SnapshotError,
-    Transaction,
 )
 
 # frames and messages
@@ -112,38 +118,41 @@
     def __init__(self, history: int = 1000) -> None:
         self.records = KeyValueState(history)
         self.index = 1
-        self.session = self.records.apply(1, rec.encode_command(OpenSession())).index
+        self.session = self.records.apply(1, encode_command(OpenSession())).index
         self.serial = 0
 
     def do(
-        self, *then: rec.Op, compares: tuple[Compare, ...] = (), other: tuple[rec.Op, ...] = ()
-    ) -> rec.Result:
+        self, *then: Operation, compares: tuple[Compare, ...] = (), other: tuple[Operation, ...] = ()
+    ) -> CommandResult:
         self.serial += 1
         return self.say(self.serial, self.serial - 1, Transaction(compares, then, other))
 
-    def say(self, serial: int, seen: int, txn: Transaction) -> rec.Result:
+    def say(self, serial: int, seen: int, txn: Transaction) -> CommandResult:
         self.index += 1
-        return self.records.apply(
-            self.index, rec.encode_command(SessionWrite(self.session, serial, seen, txn))
-        )
+        return self.records.apply(self.index, encode_command(SessionWrite(self.session, serial, seen, txn)))
 
 
 def test_a_transaction_is_one_revision_and_compares_first() -> None:
     one = Writer()
     assert one.do(Put("a", b"1"), Put("b", b"1")).revision == 1
     again = one.do(Put("a", b"2"), Get("a"), Delete("b"), compares=(Compare("a", CompareTarget.VALUE, b"1"),))
-    assert again.ok and again.revision == 2
+    assert again.succeeded and again.revision == 2
     (item,) = again.items
-    assert item and (item.value, item.created, item.modified, item.version) == (b"2", 1, 2, 2)
+    assert item and (item.value, item.created_revision, item.modified_revision, item.version) == (
+        b"2",
+        1,
+        2,
+        2,
+    )
     refused = one.do(
         Put("a", b"3"), compares=(Compare("a", CompareTarget.MODIFIED, b"", 1),), other=(Get("a"),)
     )
-    assert not refused.ok and refused.revision == 2 and refused.items == (item,)
+    assert not refused.succeeded and refused.revision == 2 and refused.items == (item,)
     assert one.do(
         Put("b", b"1"), compares=(Compare("b", CompareTarget.VERSION, b"", 0),)
-    ).ok, "not there: version 0"
+    ).succeeded, "not there: version 0"
     assert one.do(Delete("nothing")).revision == 3, "what changes nothing is no revision"
-    assert [key for key, _ in one.records.under("")] == ["a", "b"]
+    assert [key for key, _ in one.records.list_prefix("")] == ["a", "b"]
 
 
 def test_a_write_said_again_gives_its_first_result_and_is_done_once() -> None:
@@ -153,10 +162,10 @@
     assert one.say(1, 0, add) == first and one.records.revision == 1
     assert one.say(3, 0, add).revision == 2 and one.say(2, 0, add).revision == 3, "in any order"
     assert "passed this serial" in one.say(1, 2, add).error and one.records.revision == 3
-    for n in range(10, 10 + rec.MAX_UNACKNOWLEDGED_RESULTS - 1):
+    for n in range(10, 10 + MAX_UNACKNOWLEDGED_RESULTS - 1):
         assert not one.say(n, 2, add).error
     assert "not seen" in one.say(9999, 2, add).error
-    one.records.apply(one.index + 1, rec.encode_command(CloseSession(one.session)))
+    one.records.apply(one.index + 1, encode_command(CloseSession(one.session)))
     one.index += 1
     assert "has ended" in one.say(10_000, 2, add).error
 
@@ -164,10 +173,10 @@
 def test_the_longest_unused_session_goes_first() -> None:
     one = Writer()
     one.do(Put("a", b"1"))
-    for n in range(rec.MAX_SESSIONS):
-        one.records.apply(one.index + 1 + n, rec.encode_command(OpenSession()))
-    one.index += rec.MAX_SESSIONS
-    assert len(one.records.sessions) == rec.MAX_SESSIONS
+    for n in range(MAX_SESSIONS):
+        one.records.apply(one.index + 1 + n, encode_command(OpenSession()))
+    one.index += MAX_SESSIONS
+    assert len(one.records.sessions) == MAX_SESSIONS
     assert "has ended" in one.do(Put("a", b"2")).error
 
 
@@ -175,37 +184,37 @@
     one = Writer(history=10)
     for n in range(8):
         one.do(Put(f"k/{n}", b"1"), Put("other", b"1"))
-    events, upto = one.records.since(4, "k/")
+    events, upto = one.records.changes_since(4, "k/")
     assert [(e.revision, e.key) for e in events] == [
         (5, "k/4"),
         (6, "k/5"),
         (7, "k/6"),
         (8, "k/7"),
     ] and upto == 8
-    events, upto = one.records.since(4, "", 1)
+    events, upto = one.records.changes_since(4, "", 1)
     assert [e.key for e in events] == ["k/4", "other"] and upto == 5, "a transaction's changes stay together"
     with pytest.raises(CompactedError) as caught:
-        one.records.since(1)
-    assert caught.value.revision == 3 == one.records.compacted
+        one.records.changes_since(1)
+    assert caught.value.revision == 3 == one.records.compacted_revision
     fresh = KeyValueState()
-    fresh.restore(list(one.records.freeze().pieces()))
-    assert fresh.compacted == 8 and fresh.since(8) == ([], 8)
+    fresh.restore(list(one.records.snapshot_view().chunks()))
+    assert fresh.compacted_revision == 8 and fresh.changes_since(8) == ([], 8)
 
 
 def test_a_snapshot_holds_all_and_a_spoiled_one_changes_nothing() -> None:
     one = Writer()
     for n in range(50):
         one.do(Put(f"k/{n}", b"v" * n))
-    pieces = list(one.records.freeze(200).pieces())
+    pieces = list(one.records.snapshot_view(200).chunks())
     assert len(pieces) > 5
     fresh = KeyValueState()
     fresh.restore(pieces)
-    assert list(fresh.freeze(200).pieces()) == pieces, "the same records are the same bytes"
+    assert list(fresh.snapshot_view(200).chunks()) == pieces, "the same records are the same bytes"
     newer = msgspec.msgpack.encode([99, 1, 1, 0, 0])
     for spoiled in (pieces[:-2], pieces[:1], [b"?"], [], [pieces[0], b"?"], [newer]):
         with pytest.raises(SnapshotError):
             fresh.restore(spoiled)
-    assert list(fresh.freeze(200).pieces()) == pieces
+    assert list(fresh.snapshot_view(200).chunks()) == pieces
 
 
 @given(st.binary(max_size=60))
@@ -244,7 +253,8 @@
     ],
 )
 def test_a_write_that_breaks_the_schema_is_told_why(txn: Transaction, told: str) -> None:
-    assert told in check(txn, 65536)
+    error = write_error(txn, 65536)
+    assert error is not None and told in error
 
 
 def test_what_keeps_the_schema_passes() -> None:
@@ -256,7 +266,7 @@
         Put("list/last", json.dumps(hosts(host("a"))).encode()),
         Delete("anything"),
     )
-    assert check(Transaction((), good), 65536) == ""
+    assert write_error(Transaction((), good), 65536) is None
     assert read_setting("config/log", b'{"lines":7}') == {"format": "text", "lines": 7, "per": 10_000_000}
 
 
@@ -265,51 +275,59 @@
 
 def test_only_a_newer_start_or_the_hand_lifts_a_drain() -> None:
     ledger = DrainLog({}, {})
-    assert ledger.drain("h", 100) and ledger.drain("h", 100) is None and ledger.drain("h", 50) is None
-    assert ledger.view("h").out(100) and ledger.view("h").out(50) and not ledger.view("h").out(101)
-    ledger.back("h", 7)
-    assert not ledger.view("h").out(100) and ledger.view("h").back_at == 7
-    ledger.drain("h", 100)
-    assert ledger.view("h").out(100), "heard again, it holds again"
+    assert (
+        ledger.record_drain("h", 100)
+        and ledger.record_drain("h", 100) is None
+        and ledger.record_drain("h", 50) is None
+    )
+    assert (
+        ledger.effective_record("h").excludes(100)
+        and ledger.effective_record("h").excludes(50)
+        and not ledger.effective_record("h").excludes(101)
+    )
+    ledger.record_return("h", 7)
+    assert not ledger.effective_record("h").excludes(100) and ledger.effective_record("h").back_at == 7
+    ledger.record_drain("h", 100)
+    assert ledger.effective_record("h").excludes(100), "heard again, it holds again"
 
 
 def test_a_hand_puts_back_what_it_has_seen_and_not_what_others_put_down_meanwhile() -> None:
     ledger = DrainLog({}, {})
-    ledger.learn("h", 5, encode_host_record(HostRecord(held=True, by="n1")))
-    ledger.back("h", 9)
-    assert not ledger.view("h").held
-    push = ledger.push("h", 8, encode_host_record(HostRecord(held=True, by="n2")))
-    assert push is None and ledger.facts == {}, "it was held anew at revision 8: that stands"
-    ledger.learn("h", 8, encode_host_record(HostRecord(held=True, by="n2")))
-    assert ledger.view("h").held
-    ledger.back("h", 10)
-    push = ledger.push("h", 8, encode_host_record(HostRecord(held=True, by="n2")))
+    ledger.update_agreed("h", 5, encode_host_record(HostRecord(held=True, by="n1")))
+    ledger.record_return("h", 9)
+    assert not ledger.effective_record("h").held
+    push = ledger.prepare_write("h", 8, encode_host_record(HostRecord(held=True, by="n2")))
+    assert push is None and ledger.pending_facts == {}, "it was held anew at revision 8: that stands"
+    ledger.update_agreed("h", 8, encode_host_record(HostRecord(held=True, by="n2")))
+    assert ledger.effective_record("h").held
+    ledger.record_return("h", 10)
+    push = ledger.prepare_write("h", 8, encode_host_record(HostRecord(held=True, by="n2")))
     assert push
-    (put,) = push[0].then
+    (put,) = push.on_success
     assert isinstance(put, Put) and json.loads(put.value) == {"back_at": 10}
 
 
 def test_a_hand_amid_a_push_of_its_own_hold_is_heard() -> None:
     ledger = DrainLog({}, {})
-    ledger.hold("h", "n0")
-    push = ledger.push("h", 0, None)
+    ledger.record_hold("h", "n0")
+    push = ledger.prepare_write("h", 0, None)
     assert push
-    ledger.back("h", 3)
-    ledger.learn("h", 4, push[0].then[0].value if isinstance(push[0].then[0], Put) else b"")
-    ledger.pushed("h", 4)
-    assert not ledger.view("h").held
-    again = ledger.push("h", 4, encode_host_record(HostRecord(held=True, by="n0")))
+    ledger.record_return("h", 3)
+    ledger.update_agreed("h", 4, push.on_success[0].value if isinstance(push.on_success[0], Put) else b"")
+    ledger.finish_write("h", 4)
+    assert not ledger.effective_record("h").held
+    again = ledger.prepare_write("h", 4, encode_host_record(HostRecord(held=True, by="n0")))
     assert again, "and goes into the records after it"
 
 
 def test_what_is_known_never_falls_back_and_bad_values_change_nothing() -> None:
     ledger = DrainLog({}, {})
-    ledger.learn("h", 5, encode_host_record(HostRecord(drained=9)))
-    ledger.learn("h", 4, encode_host_record(HostRecord()))
-    ledger.learn("h", 6, b"nonsense")
-    assert ledger.view("h").out(9)
-    ledger.learn("h", 7, None)
-    assert not ledger.view("h").out(9), "a record that was deleted is forgotten"
+    ledger.update_agreed("h", 5, encode_host_record(HostRecord(drained=9)))
+    ledger.update_agreed("h", 4, encode_host_record(HostRecord()))
+    ledger.update_agreed("h", 6, b"nonsense")
+    assert ledger.effective_record("h").excludes(9)
+    ledger.update_agreed("h", 7, None)
+    assert not ledger.effective_record("h").excludes(9), "a record that was deleted is forgotten"
 
 
 @given(
@@ -347,35 +365,42 @@
 @pytest.mark.parametrize(
     ("hello", "told"),
     [
-        (GOOD, ""),
-        (_with(build=PROTOCOL_BUILD + 1), f"this member speaks {PROTOCOL_BUILD}"),
-        (_with(cluster=8), "cluster 0000000000000008; this is 0000000000000007"),
-        (_with(to=9), "it looks for member 0000000000000009"),
-        (_with(sender=9), "n1 is member 0000000000000002 and this is 0000000000000009: a new disk"),
-        (_with(sender=9, name="n9"), "is no member, or is one no more"),
-        (_with(boot=Incarnation(2, 22)), "shows start 2 after start 3: it is an older copy"),
-        (_with(boot=Incarnation(3, 34)), "is used by two processes, or is a copy"),
-        (_with(boot=Incarnation(4, 44), term=4), "shows term 4 after term 5"),
-        (_with(boot=Incarnation(4, 44), term=5, last=49), "has acknowledged entry 50 and shows 49"),
-        (_with(boot=Incarnation(4, 44), term=5, last=50), ""),
-        (_with(boot=Incarnation(4, 44), term=6, last=10), ""),
+        (GOOD, None),
+        (_with(protocol_build=PROTOCOL_BUILD + 1), f"this member speaks {PROTOCOL_BUILD}"),
+        (_with(cluster_id=8), "cluster 0000000000000008; this is 0000000000000007"),
+        (_with(recipient_id=9), "it looks for member 0000000000000009"),
+        (_with(sender_id=9), "n1 is member 0000000000000002 and this is 0000000000000009: a new disk"),
+        (_with(sender_id=9, name="n9"), "is no member, or is one no more"),
+        (_with(incarnation=Incarnation(2, 22)), "shows start 2 after start 3: it is an older copy"),
+        (_with(incarnation=Incarnation(3, 34)), "is used by two processes, or is a copy"),
+        (_with(incarnation=Incarnation(4, 44), term=4), "shows term 4 after term 5"),
+        (
+            _with(incarnation=Incarnation(4, 44), term=5, last_index=49),
+            "has acknowledged entry 50 and shows 49",
+        ),
+        (_with(incarnation=Incarnation(4, 44), term=5, last_index=50), None),
+        (_with(incarnation=Incarnation(4, 44), term=6, last_index=10), None),
     ],
 )
-def test_who_may_talk(hello: Handshake, told: str) -> None:
+def test_who_may_talk(hello: Handshake, told: str | None) -> None:
     doorman = PeerAuthenticator(7, 1, {})
-    assert doorman.judge(GOOD, CONFIG, True) == "" and doorman.new == {2: DurabilityProof(Incarnation(3, 33))}
-    doorman.acknowledged(2, 5, 50)
-    doorman.acknowledged(2, 5, 40)
-    said = doorman.judge(hello, CONFIG, True)
-    assert told in said and bool(told) == bool(said)
+    assert doorman.rejection_reason(GOOD, CONFIG, True) is None and doorman.take_unsaved_proofs() == {
+        2: DurabilityProof(Incarnation(3, 33))
+    }
+    doorman.record_acknowledgement(2, 5, 50)
+    doorman.record_acknowledgement(2, 5, 40)
+    said = doorman.rejection_reason(hello, CONFIG, True)
+    assert said is None if told is None else said is not None and told in said
 
 
 def test_who_does_not_lead_hears_members_that_it_does_not_know_yet() -> None:
-    stranger = _with(sender=9, name="n9")
-    assert PeerAuthenticator(7, 1, {}).judge(stranger, CONFIG, False) == ""
-    assert PeerAuthenticator(7, 1, {}).judge(stranger, CONFIG, True) != ""
+    stranger = _with(sender_id=9, name="n9")
+    assert PeerAuthenticator(7, 1, {}).judge(stranger, CONFIG, False) is None
+    assert PeerAuthenticator(7, 1, {}).judge(stranger, CONFIG, True) is not None
 
 
 def test_an_old_copy_passes_where_nobody_has_seen_more() -> None:
     fresh = PeerAuthenticator(7, 1, {})
-    assert fresh.judge(_with(boot=Incarnation(1, 1)), CONFIG, True) == "", "so it is the memory that refuses"
+    assert (
+        fresh.judge(_with(incarnation=Incarnation(1, 1)), CONFIG, True) is None
+    ), "so it is the memory that refuses"
--- a/tests/test_store_control.py
+++ b/tests/test_store_control.py
@@ -187,7 +187,7 @@
         for number in range(3):
             assert (await here.call("put", number, key="hosts/h", value='{"drained":7}'))["ok"]
         one = here.stores[1]
-        while one.member.records.revision < 3:
+        while one.member.state.revision < 3:
             await asyncio.sleep(0.001)
         one.pump_soon()
         for control in here.controls:
@@ -195,7 +195,9 @@
         for store in here.stores:
             store.close()
         again = Store(one.settings, lambda kind, text: None, Clock().now)  # and nobody else
-        assert again.member.ledger.view("h").out(7) and not again.member.ledger.view("h").out(8)
+        assert again.member.drain_log.effective_record("h").excludes(
+            7
+        ) and not again.member.drain_log.effective_record("h").excludes(8)
         again.close()
 
     told(story, tmp_path)
@@ -251,7 +253,7 @@
 @pytest.mark.parametrize("role", ["voter", "learner"])
 def test_a_member_joins_catches_up_and_goes(tmp_path: Path, role: str) -> None:
     async def story(here: Here) -> None:
-        await here.start(snapshot_entries=100)
+        await here.start(snapshot_after_entries=100)
         for n in range(250):  # so that only a snapshot can bring it up
             await here.call("put", key=f"kv/{n}", value="x" * 200)
         sock = socket.socket()
@@ -268,7 +270,7 @@
         here.stores.append(new)
         while True:
             rows = {row["name"]: row for row in (await here.call("members"))["members"]}
-            if rows["n1"]["role"] == role and len(new.member.records.items) == 250:
+            if rows["n1"]["role"] == role and len(new.member.state.items) == 250:
                 break
             await asyncio.sleep(0.005)
         assert new.member.raft.snapshot, "it came by a snapshot"
--- a/tests/test_store_disk.py
+++ b/tests/test_store_disk.py
@@ -17,6 +17,7 @@
 from hypothesis import strategies as st
 
 from harness.memory_disk import MemoryDisk
+from limerudder.store.commands import Command, OpenSession, Put, SessionWrite, Transaction, encode_command
 from limerudder.store.data_directory import (
     encode_join_token,
     init_cluster,
@@ -27,22 +28,16 @@
     write_backup,
 )
 from limerudder.store.disk import FILE, Disk, DiskError, Identity
-from limerudder.store.drain_log import DrainObserved, MaintenanceHold
-from limerudder.store.member import DurabilityJob, Member, MemberLimits, SnapshotJob
+from limerudder.store.drain_log import DrainObserved, MaintenanceHold, NumberedFact
+from limerudder.store.durability import DurabilityJob, KnownValue, SnapshotJob
+from limerudder.store.limits import MemberLimits
+from limerudder.store.member import Member
 from limerudder.store.peer_authentication import DurabilityProof, Incarnation
 from limerudder.store.peer_transport import DiskWriter
 from limerudder.store.raft.messages import ClusterConfig, Entry, EntryKind, MemberRole, SnapshotMeta
 from limerudder.store.raft.messages import Member as MemberEntry
 from limerudder.store.raft.raft import HardState, RaftWrite, snapshot_digest
-from limerudder.store.state_machine import (
-    Command,
-    KeyValueState,
-    OpenSession,
-    Put,
-    SessionWrite,
-    Transaction,
-    encode_command,
-)
+from limerudder.store.state_machine import KeyValueState
 
 CONFIG = ClusterConfig((MemberEntry(5, "n0", "127.0.0.1:7000"),))
 ME = Identity(9, 5, "n0")
@@ -63,7 +58,7 @@
 def reopened(folder: Path) -> Any:
     again = Disk(str(folder / "s"))
     try:
-        return again.load(start=False).start.saved
+        return again.load(start=False).start.raft_state
     finally:
         again.close()
 
@@ -106,18 +101,20 @@
                 more = random.randrange(4)
                 jobs.append(write(number, entries=entries(last + 1, last + more, term)))
                 last += more
-            elif kind == 2 and last > records.applied:
-                first = random.randrange(records.applied + 1, last + 1)
+            elif kind == 2 and last > records.applied_index:
+                first = random.randrange(records.applied_index + 1, last + 1)
                 term += 1
                 hard = HardState(term, random.randrange(3))
                 jobs.append(write(number, hard=hard, truncate=first, entries=entries(first, first, term)))
                 last = first
-            elif kind == 3 and last > records.applied:
-                records.applied = random.randrange(records.applied + 1, last + 1)
-                frozen = records.freeze(64)
+            elif kind == 3 and last > records.applied_index:
+                records.applied_index = random.randrange(records.applied_index + 1, last + 1)
+                frozen = records.snapshot_view(64)
                 jobs.append(
                     DurabilityJob(
-                        number, None, SnapshotJob(records.applied, 1, CONFIG, frozen, records.applied + 1)
+                        number,
+                        None,
+                        SnapshotJob(records.applied_index, 1, CONFIG, frozen, records.applied_index + 1),
                     )
                 )
             elif kind == 4:
@@ -126,14 +123,14 @@
                 meta = SnapshotMeta(index, term, CONFIG, 2, snapshot_digest(pieces))
                 held = tuple((meta, n, piece) for n, piece in enumerate(pieces))
                 jobs.append(write(number, pieces=held, install=meta))
-                last = records.applied = index
+                last = records.applied_index = index
             else:
                 facts = (
-                    (number, DrainObserved(f"h{random.randrange(3)}", number)),
-                    (number + 1000, MaintenanceHold("h", "x")),
+                    NumberedFact(number, DrainObserved(f"h{random.randrange(3)}", number)),
+                    NumberedFact(number + 1000, MaintenanceHold("h", "x")),
                 )
-                known = ((f"hosts/{random.randrange(3)}", number, random.choice((None, b"{}"))),)
-                shown = ((random.randrange(3), DurabilityProof(Incarnation(number, 7), 1, number)),)
+                known = {f"hosts/{random.randrange(3)}": KnownValue(number, random.choice((None, b"{}")))}
+                shown = {random.randrange(3): DurabilityProof(Incarnation(number, 7), 1, number)}
                 gone = (random.randrange(1, number + 1),)
                 jobs.append(DurabilityJob(number, None, None, facts, gone, known, shown))
         real.do(jobs)
@@ -142,10 +139,10 @@
         real.close()
         real = Disk(str(folder / "s"))
         opened = real.load()
-        saved, told = opened.start.saved, model.start()
+        saved, told = opened.start.raft_state, model.start()
         assert (saved.hard, list(saved.entries)) == (told.saved.hard, list(told.saved.entries))
         assert (saved.snapshot, saved.incoming) == (told.saved.snapshot, told.saved.incoming)
-        assert (opened.start.facts, opened.start.known) == (told.facts, told.known)
+        assert (opened.start.drain_facts, opened.start.known_values) == (told.facts, told.known)
         assert opened.shown == model.shown
     real.close()
 
@@ -178,7 +175,7 @@
     wal = killed / (FILE + "-wal")
     os.truncate(wal, wal.stat().st_size - cut)
     again = Disk(str(killed))
-    found = [entry.index for entry in again.load(start=False).start.saved.entries]
+    found = [entry.index for entry in again.load(start=False).start.raft_state.entries]
     again.close()
     assert found == list(range(1, len(found) + 1)) and 28 <= len(found) <= 29
 
@@ -201,7 +198,7 @@
     one.do(
         [
             write(1, entries=entries(1, 40), hard=HardState(3, 5)),
-            DurabilityJob(2, facts=((1, DrainObserved("h", 7)),)),
+            DurabilityJob(2, new_facts=(NumberedFact(1, DrainObserved("h", 7)),)),
         ]
     )
     one.close()
@@ -233,8 +230,8 @@
     one.close()
     again = Disk(str(tmp_path / "s"))
     opened = again.load()
-    assert opened.shown == {} and len(opened.start.saved.entries) == 2
-    again.do([DurabilityJob(1, shown=((3, DurabilityProof(Incarnation(1, 1))),))])
+    assert opened.shown == {} and len(opened.start.raft_state.entries) == 2
+    again.do([DurabilityJob(1, proofs={3: DurabilityProof(Incarnation(1, 1))})])
     again._meta("format", 99)
     again.close()
     newer = Disk(str(tmp_path / "s"))
@@ -328,7 +325,7 @@
 
 
 def test_a_backup_is_restored_as_another_cluster_and_a_cut_one_is_refused(tmp_path: Path) -> None:
-    frozen = some_records(30).freeze(100)
+    frozen = some_records(30).snapshot_view(100)
     snapshot = SnapshotJob(31, 4, CONFIG, frozen, 0).build()
     assert snapshot.meta.pieces > 3
     write_backup(str(tmp_path / "b"), 9, snapshot)
@@ -343,7 +340,7 @@
         one.close()
         clusters.add(opened.identity.cluster)
         member = Member(opened.identity.me, opened.start, Random(1), 0)
-        assert member.records.items == some_records(30).items and len(member.config.members) == 2
+        assert member.state.items == some_records(30).items and len(member.config.members) == 2
     assert len(clusters) == 1 and clusters != {9}
     whole = (tmp_path / "b").read_bytes()
     for spoiled in (
@@ -383,7 +380,7 @@
     assert opened.identity.cluster != before.identity.cluster
     member = Member(opened.identity.me, opened.start, Random(1), 0, MemberLimits())
     assert [m.name for m in member.config.members] == ["n0"] and member.raft.term == 3
-    assert {key: item.value for key, item in member.records.items.items()} == {"kv/a": b"1", "kv/b": b"2"}
+    assert {key: item.value for key, item in member.state.items.items()} == {"kv/a": b"1", "kv/b": b"2"}
 
 
 def test_a_ticket_makes_one_members_folder(tmp_path: Path) -> None:
@@ -392,7 +389,7 @@
     one = Disk(str(tmp_path / "n4"))
     opened = one.load()
     one.close()
-    assert opened.identity == Identity(9, 77, "n4") and opened.start.saved.config.members == ()
+    assert opened.identity == Identity(9, 77, "n4") and opened.start.raft_state.config.members == ()
     with pytest.raises(DiskError, match="no ticket"):
         join_cluster(str(tmp_path / "n5"), "nonsense")
     with pytest.raises(DiskError, match="a name and an address of its own"):
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -26,21 +26,13 @@
 from limerudder.net.mark_files import MarkFiles
 from limerudder.policy import gossip
 from limerudder.store import drain_log, rpc
-from limerudder.store.data_directory import encode_join_token, join_cluster, read_backup, write_backup
-from limerudder.store.disk import FILE, Disk, Identity
-from limerudder.store.framing import FrameDecoder, encode_frame
-from limerudder.store.member import DurabilityJob, SnapshotJob
-from limerudder.store.peer_authentication import DurabilityProof, Handshake, Incarnation
-from limerudder.store.raft import messages as raft
-from limerudder.store.raft.raft import HardState, RaftWrite, snapshot_digest
-from limerudder.store.state_machine import (
+from limerudder.store.commands import (
     CloseSession,
     Command,
     Compare,
     CompareTarget,
     Delete,
     Get,
-    KeyValueState,
     OpenSession,
     Put,
     SessionWrite,
@@ -48,6 +40,14 @@
     decode_command,
     encode_command,
 )
+from limerudder.store.data_directory import encode_join_token, join_cluster, read_backup, write_backup
+from limerudder.store.disk import FILE, Disk, Identity
+from limerudder.store.durability import DurabilityJob, KnownValue, SnapshotJob
+from limerudder.store.framing import FrameDecoder, encode_frame
+from limerudder.store.peer_authentication import DurabilityProof, Handshake, Incarnation
+from limerudder.store.raft import messages as raft
+from limerudder.store.raft.raft import HardState, RaftWrite, snapshot_digest
+from limerudder.store.state_machine import KeyValueState
 
 DATA = Path(__file__).parent / "data" / "formats"
 WRITTEN: dict[str, Any] = json.loads((DATA / "formats.json").read_text())
@@ -79,7 +79,7 @@
     "Piece": raft.InstallSnapshotChunk(3, INCOMING, 1, b"piece", 4),
     "PieceHeld": raft.InstallSnapshotReply(3, 40, 12345, 2, 4),
     "TakeOver": raft.TimeoutNow(3),
-    "Ask": rpc.Request(17, rpc.RequestKind.LEAD, b"5"),
+    "Ask": rpc.Request(17, rpc.RequestKind.TRANSFER_LEADERSHIP, b"5"),
     "Told": rpc.Reply(17, rpc.ReplyStatus.BUSY, b"why"),
 }
 
@@ -152,12 +152,12 @@
     applied = KeyValueState()
     for index, command in enumerate(COMMANDS, 2):
         applied.apply(index, encode_command(command))
-    assert list(applied.freeze(200).pieces()) == written
+    assert list(applied.snapshot_view(200).chunks()) == written
     restored = KeyValueState()
     restored.restore(written)
     assert restored.items == applied.items
     assert list(restored.sessions) == list(applied.sessions) == [2]
-    assert list(restored.freeze(200).pieces()) == written
+    assert list(restored.snapshot_view(200).chunks()) == written
 
 
 def test_drain_facts_and_host_records() -> None:
@@ -197,12 +197,12 @@
     assert opened.identity == Identity(9, 5, "n0")
     assert opened.boot.number == 1
     assert opened.shown == {6: DurabilityProof(Incarnation(3, 77), 1, 9)}
-    assert opened.start.facts == {1: FACTS["drain"], 3: FACTS["back"]}
-    assert opened.start.known == {
+    assert opened.start.drain_facts == {1: FACTS["drain"], 3: FACTS["back"]}
+    assert opened.start.known_values == {
         "hosts/s-1": (2, drain_log.encode_host_record(HOST_RECORD)),
         "config/log": (1, None),
     }
-    saved = opened.start.saved
+    saved = opened.start.raft_state
     assert saved.hard == HardState(2, 6)
     assert saved.config == CONFIG
     assert saved.incoming == (INCOMING, (b"first", b"second"))
@@ -231,14 +231,17 @@
     records = KeyValueState()
     for entry in entries[1:7]:
         records.apply(entry.index, entry.data)
-    disk.do([DurabilityJob(2, None, SnapshotJob(7, 1, CONFIG, records.freeze(200), 5))])
-    facts = tuple(enumerate(FACTS.values(), 1))
-    known = (("hosts/s-1", 2, drain_log.encode_host_record(HOST_RECORD)), ("config/log", 1, None))
-    shown = ((6, DurabilityProof(Incarnation(3, 77), 1, 9)),)
+    disk.do([DurabilityJob(2, None, SnapshotJob(7, 1, CONFIG, records.snapshot_view(200), 5))])
+    facts = tuple(drain_log.NumberedFact(number, fact) for number, fact in enumerate(FACTS.values(), 1))
+    known = {
+        "hosts/s-1": KnownValue(2, drain_log.encode_host_record(HOST_RECORD)),
+        "config/log": KnownValue(1, None),
+    }
+    shown = {6: DurabilityProof(Incarnation(3, 77), 1, 9)}
     write = RaftWrite(3, entries=tuple(entries[8:]))
-    disk.do([DurabilityJob(3, write, facts=facts, known=known, shown=shown)])
+    disk.do([DurabilityJob(3, write, new_facts=facts, known_values=known, proofs=shown)])
     pieces = ((INCOMING, 0, b"first"), (INCOMING, 1, b"second"))
-    disk.do([DurabilityJob(4, RaftWrite(4, hard=HardState(2, 6), pieces=pieces), gone_facts=(2,))])
+    disk.do([DurabilityJob(4, RaftWrite(4, hard=HardState(2, 6), pieces=pieces), deleted_facts=(2,))])
     disk.close()
     assert list(_rows(folder)) == list(_rows(killed_store))
 
