--- a/harness/cluster_simulation.py
+++ b/harness/cluster_simulation.py
@@ -21,7 +21,7 @@
 
 from harness.memory_disk import MemoryDisk
 from limerudder.store import rpc
-from limerudder.store.client_calls import CallFailure, CallFailureKind
+from limerudder.store.calls import CallFailure, CallFailureKind
 from limerudder.store.commands import (
     CommandResult,
     Compare,
--- a/limerudder/store/control.py
+++ b/limerudder/store/control.py
@@ -21,7 +21,7 @@
 
 from limerudder.core.transport import read_address
 from limerudder.store import data_directory as folders
-from limerudder.store.client_calls import CallFailure, CallFailureKind
+from limerudder.store.calls import CallFailure, CallFailureKind
 from limerudder.store.commands import (
     Command,
     CommandResult,
--- a/limerudder/store/drain_log.py
+++ b/limerudder/store/drain_log.py
@@ -121,14 +121,21 @@
     fact: DrainFact
 
 
+class DrainLogChanges(NamedTuple):
+    """Changes of the pending facts that have to be made durable."""
+
+    added: tuple[NumberedFact, ...]
+    deleted: tuple[int, ...]  # numbers of facts
+
+
 class DrainLog:
     """The facts that are not in the replicated state yet, and the agreed records as last known here."""
 
     def __init__(self, agreed: Mapping[str, AgreedRecord], facts: Mapping[int, DrainFact]) -> None:
         self.pending_facts = dict(sorted(facts.items()))  # by number, in the order of observation
-        self.unsaved_facts: list[NumberedFact] = []  # to be made durable
-        self.unsaved_deletions: list[int] = []  # numbers of facts to be deleted from the disk
         self.host_changed: Callable[[str], None] = lambda host: None
+        self._unsaved_facts: list[NumberedFact] = []  # to be made durable
+        self._unsaved_deletions: list[int] = []  # numbers of facts to be deleted from the disk
         self._agreed = dict(agreed)  # by host
         self._next_number = max(facts, default=0) + 1
         self._effective: dict[str, HostRecord] = {}  # cache of `effective_record`, by host
@@ -190,20 +197,35 @@
         number = self._next_number
         self._next_number += 1
         self.pending_facts[number] = fact
-        self.unsaved_facts.append(NumberedFact(number, fact))
+        self._unsaved_facts.append(NumberedFact(number, fact))
         self._refresh(fact.host)
         return number
 
     def _drop(self, number: int) -> None:
         fact = self.pending_facts.pop(number)
-        self.unsaved_facts = [unsaved for unsaved in self.unsaved_facts if unsaved.number != number]
-        self.unsaved_deletions.append(number)
+        self._unsaved_facts = [unsaved for unsaved in self._unsaved_facts if unsaved.number != number]
+        self._unsaved_deletions.append(number)
         self._refresh(fact.host)
 
     def _refresh(self, host: str) -> None:
         self._effective.pop(host, None)
         self.host_changed(host)
 
+    def has_unsaved(self) -> bool:
+        """Whether there are changes that are not durable yet, nor taken to be made so."""
+        return bool(self._unsaved_facts or self._unsaved_deletions)
+
+    def is_unsaved(self, number: int) -> bool:
+        """Whether the fact of this number is one of these changes."""
+        return any(unsaved.number == number for unsaved in self._unsaved_facts)
+
+    def take_unsaved(self) -> DrainLogChanges:
+        """Returns, once, the changes that have to be made durable."""
+        changes = DrainLogChanges(tuple(self._unsaved_facts), tuple(self._unsaved_deletions))
+        self._unsaved_facts = []
+        self._unsaved_deletions = []
+        return changes
+
     def update_agreed(self, host: str, modified_revision: int, value: bytes | None) -> None:
         """Takes over a host's agreed record from the replicated state; `value` is None if it was removed."""
         known = self._agreed.get(host)
@@ -253,7 +275,7 @@
             if fact.basis_revision < revision:
                 rebased = ReturnToService(host, fact.returned_at_us, revision)
                 self.pending_facts[number] = rebased
-                self.unsaved_facts.append(NumberedFact(number, rebased))
+                self._unsaved_facts.append(NumberedFact(number, rebased))
 
     def hosts_to_write(self) -> list[str]:
         """Returns the hosts with pending facts of which none are being written."""
--- a/limerudder/store/member.py
+++ b/limerudder/store/member.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from limerudder.store import rpc
-from limerudder.store.client_calls import CallFailure, CallFailureKind
+from limerudder.store.calls import CallFailure, CallFailureKind
 from limerudder.store.commands import (
     Command,
     CommandResult,
@@ -215,9 +215,7 @@
 
     def when_durable(self, fact: int, call: Callable[[int], None], now: int) -> None:
         """Make a call once a fact is durable here."""
-        if any(number == fact for number, _ in self.drain_log.unsaved_facts) or any(
-            fact in n for n in self.fact_jobs.values()
-        ):
+        if self.drain_log.is_unsaved(fact) or any(fact in n for n in self.fact_jobs.values()):
             self.fact_hooks.append((fact, call))
         else:
             call(now)
@@ -474,24 +472,25 @@
     def _job(self, write: RaftWrite | None) -> DurabilityJob | None:
         ledger = self.drain_log
         snapshot = self._snapshot_due()
-        ledgers = ledger.unsaved_facts or ledger.unsaved_deletions
+        ledgers = ledger.has_unsaved()
         if not (write or snapshot or ledgers or self.new_known or self.new_shown):
             return None
         self.jobs += 1
+        added, deleted = ledger.take_unsaved()
         job = DurabilityJob(
             self.jobs,
             write,
             snapshot,
-            tuple(ledger.unsaved_facts),
-            tuple(ledger.unsaved_deletions),
+            added,
+            deleted,
             self.new_known,
             self.new_shown,
         )
         if write:
             self.raft_writes[job.number] = write.number
-        if ledger.unsaved_facts:
-            self.fact_jobs[job.number] = [number for number, _ in ledger.unsaved_facts]
-        ledger.unsaved_facts, ledger.unsaved_deletions, self.new_known, self.new_shown = [], [], {}, {}
+        if added:
+            self.fact_jobs[job.number] = [number for number, _ in added]
+        self.new_known, self.new_shown = {}, {}
         return job
 
     def _snapshot_due(self) -> SnapshotJob | None:
--- a/limerudder/store/node_bridge.py
+++ b/limerudder/store/node_bridge.py
@@ -26,7 +26,7 @@
 from limerudder.core.transport import read_address
 from limerudder.policy.events import ServerState
 from limerudder.schema import StoreSettings
-from limerudder.store.client_calls import CallFailure
+from limerudder.store.calls import CallFailure
 from limerudder.store.commands import (
     CommandResult,
     Compare,
--- a/limerudder/store/rpc.py
+++ b/limerudder/store/rpc.py
@@ -46,6 +46,7 @@
 
 
 StoreMessage = RaftMessage | Request | Reply
+AddressedMessage = tuple[int, StoreMessage]  #: with the identifier of the member that it goes to
 
 _encode = msgspec.msgpack.Encoder().encode
 _decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(StoreMessage)
