--- a/limerudder/store/member.py
+++ b/limerudder/store/member.py
@@ -266,7 +266,7 @@
             elif one.to != self.raft.leader or now >= one.said + retry:
                 # guards against a wish lost on its way or with its leader; sessions keep it from being done
                 # twice
-                if not (one.to == self.me and one.number in under_way):
+                if not (one.to == self.member_id and one.number in under_way):
                     self._say(one, now)
         if now >= self.push_due:
             self.push_due = now + PUSH_AGAIN
@@ -277,7 +277,7 @@
         asked = [one[1:] for one in self.proposed.values() if one[0] == self.raft.term]
         asked += self.asked_reads.values()
         asked += [one[1:] for one in self.proposals]
-        return {number for sender, number in asked if sender == self.me}
+        return {number for sender, number in asked if sender == self.member_id}
 
     def on_job_durable(self, job: int, snapshot: Snapshot | None, now: int) -> None:
         """A job is durable; `snapshot` is what its SnapshotJob has built."""
--- a/tests/test_store_control.py
+++ b/tests/test_store_control.py
@@ -253,7 +253,7 @@
 @pytest.mark.parametrize("role", ["voter", "learner"])
 def test_a_member_joins_catches_up_and_goes(tmp_path: Path, role: str) -> None:
     async def story(here: Here) -> None:
-        await here.start(snapshot_after_entries=100)
+        await here.start(snapshot_entries=100)
         for n in range(250):  # so that only a snapshot can bring it up
             await here.call("put", key=f"kv/{n}", value="x" * 200)
         sock = socket.socket()
--- a/tests/test_store_disk.py
+++ b/tests/test_store_disk.py
@@ -140,9 +140,9 @@
         real = Disk(str(folder / "s"))
         opened = real.load()
         saved, told = opened.start.raft_state, model.start()
-        assert (saved.hard, list(saved.entries)) == (told.saved.hard, list(told.saved.entries))
-        assert (saved.snapshot, saved.incoming) == (told.saved.snapshot, told.saved.incoming)
-        assert (opened.start.drain_facts, opened.start.known_values) == (told.facts, told.known)
+        assert (saved.hard, list(saved.entries)) == (told.raft_state.hard, list(told.raft_state.entries))
+        assert (saved.snapshot, saved.incoming) == (told.raft_state.snapshot, told.raft_state.incoming)
+        assert (opened.start.drain_facts, opened.start.known_values) == (told.drain_facts, told.known_values)
         assert opened.shown == model.shown
     real.close()
 
