--- a/harness/mutations.py
+++ b/harness/mutations.py
@@ -15,8 +15,9 @@
 
 MACHINE, RECORDS = "limerudder.store.raft.raft", "limerudder.store.state_machine"
 SNAPSHOTS = "limerudder.store.snapshots"
-MEMBER, LEDGER, DOORMAN = (
-    "limerudder.store.member",
+LEADER_REQUESTS = "limerudder.store.leader_requests"
+DRAIN_REPLICATION = "limerudder.store.drain_replication"
+LEDGER, DOORMAN = (
     "limerudder.store.drain_log",
     "limerudder.store.peer_authentication",
 )
@@ -152,8 +153,8 @@
     ),
     Mutation(
         "another's result given after an overwritten entry",
-        MEMBER,
-        "if term != entry.term:",
+        LEADER_REQUESTS,
+        "if proposed.term != entry.term:",
         "if False:",
     ),
     Mutation(
@@ -171,9 +172,9 @@
     Mutation("facts not persisted", DISK, "self.facts[fact_number] = write_fact(fact)", "pass"),
     Mutation(
         "facts dropped when answered, not when applied here",
-        MEMBER,
-        "self.when_applied(outcome.index, lambda _: self.drain_log.finish_write(host, revision), at)",
-        "self.drain_log.finish_write(host, revision)",
+        DRAIN_REPLICATION,
+        "self._finish_write_when_applied(host, outcome, now_us)",
+        "self._drain_log.finish_write(host, outcome.revision if outcome.succeeded else None)",
     ),
     Mutation("known records not persisted", DISK, "self.known[key] = known", "pass"),
     Mutation(
--- /dev/null
+++ b/limerudder/store/client_calls.py
@@ -0,0 +1,118 @@
+"""Requests of this member's clients that wait for the leader's reply."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Set
+from dataclasses import dataclass
+
+from limerudder.store.calls import CallFailure, CallFailureKind, ReplyCallback
+from limerudder.store.raft.raft import NO_LEADER, Raft
+from limerudder.store.rpc import Reply, ReplyStatus, Request, RequestKind
+
+#: sends a request to the leader: the leader's identifier, the request, and the time in microseconds
+RequestSender = Callable[[int, Request, int], None]
+
+
+@dataclass(slots=True, eq=False)
+class PendingCall:
+    """A request that waits for its reply."""
+
+    request: Request
+    deadline_us: int
+    callback: ReplyCallback
+    sent_at_us: int = 0  # when it was last sent
+    sent_to: int = NO_LEADER  # the member that it was last sent to
+    was_sent: bool = False  # at least once, so that it may have been carried out
+
+    def timeout_failure(self, leader_id: int) -> CallFailure:
+        """Returns the failure to report once the deadline has passed."""
+        text = "no answer came in time" if leader_id else "nobody leads"
+        changes_state = self.request.kind != RequestKind.READ_INDEX
+        return CallFailure(CallFailureKind.NOT_NOW, text, outcome_unknown=self.was_sent and changes_state)
+
+
+class ClientCalls:
+    """Sends requests to the leader and retries them until a reply arrives or the deadline passes."""
+
+    def __init__(self, raft: Raft, send: RequestSender, max_pending: int, first_number: int) -> None:
+        """`first_number` must differ between processes: late replies to an earlier one may still arrive."""
+        self._raft = raft
+        self._send_request = send
+        self._max_pending = max_pending
+        self._next_number = first_number
+        self._pending: dict[int, PendingCall] = {}  # by the request's number
+        self._resent_to = raft.leader  # the leader that all pending calls have been sent to
+
+    def __len__(self) -> int:
+        """The number of pending calls."""
+        return len(self._pending)
+
+    def submit(
+        self, kind: RequestKind, data: bytes, deadline_us: int, callback: ReplyCallback, now_us: int
+    ) -> None:
+        """Sends a request to the leader; the callback is called once, by the deadline at the latest."""
+        if len(self._pending) >= self._max_pending:
+            failure = CallFailure(CallFailureKind.BUSY, f"{len(self._pending)} wishes wait already")
+            callback(failure, now_us)
+            return
+        number = self._next_number
+        self._next_number += 1
+        call = PendingCall(Request(number, kind, data), deadline_us, callback)
+        self._pending[number] = call
+        self._send(call, now_us)
+
+    def _send(self, call: PendingCall, now_us: int) -> None:
+        leader_id = self._raft.leader
+        if not leader_id:
+            return
+        call.sent_at_us = now_us
+        call.sent_to = leader_id
+        call.was_sent = True
+        self._send_request(leader_id, call.request, now_us)
+
+    def handle_reply(self, reply: Reply, now_us: int) -> None:
+        """Ends the call that a reply belongs to; a call that did not reach the leader is retried later."""
+        call = self._pending.get(reply.number)
+        if call is None or reply.status == ReplyStatus.NOT_LEADER:
+            return
+        del self._pending[reply.number]
+        if reply.status == ReplyStatus.DONE:
+            call.callback(reply.data, now_us)
+            return
+        busy = reply.status == ReplyStatus.BUSY
+        kind = CallFailureKind.BUSY if busy else CallFailureKind.REFUSED
+        call.callback(CallFailure(kind, reply.data.decode("utf-8", "replace")), now_us)
+
+    def tick(self, in_progress_here: Set[int], now_us: int) -> None:
+        """Fails calls whose deadline has passed, and retries those that may have been lost.
+
+        A request or its reply may be lost on the way or with its leader; the session of a write keeps a retry
+        from being applied twice. `in_progress_here`: the requests that this member itself is working on.
+        """
+        for call in list(self._pending.values()):
+            if now_us >= call.deadline_us:
+                del self._pending[call.request.number]
+                call.callback(call.timeout_failure(self._raft.leader), now_us)
+            elif self._is_retry_due(call, in_progress_here, now_us):
+                self._send(call, now_us)
+
+    def _is_retry_due(self, call: PendingCall, in_progress_here: Set[int], now_us: int) -> bool:
+        if call.sent_to == self._raft.leader and now_us < self._retry_at_us(call):
+            return False
+        return call.sent_to != self._raft.me or call.request.number not in in_progress_here
+
+    def _retry_at_us(self, call: PendingCall) -> int:
+        return call.sent_at_us + self._raft.timing.election
+
+    def resend_after_leader_change(self, now_us: int) -> None:
+        """Sends all pending calls to a new leader at once, without waiting for the next tick."""
+        if self._raft.leader == self._resent_to:
+            return
+        self._resent_to = self._raft.leader
+        for call in list(self._pending.values()):
+            self._send(call, now_us)
+
+    def deadlines_us(self) -> Iterator[int]:
+        """Yields the times at which `tick` has to look at a pending call."""
+        for call in self._pending.values():
+            yield min(call.deadline_us, self._retry_at_us(call))
--- /dev/null
+++ b/limerudder/store/durability_scheduler.py
@@ -0,0 +1,127 @@
+"""Collects what has to be made durable into jobs, and tells those who wait for a job."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from limerudder.store.calls import TimeCallback
+from limerudder.store.drain_log import DrainLog
+from limerudder.store.durability import DurabilityJob, SnapshotJob
+from limerudder.store.known_values import KnownValues
+from limerudder.store.limits import MemberLimits
+from limerudder.store.peer_authentication import DurabilityProof
+from limerudder.store.raft.messages import Snapshot
+from limerudder.store.raft.raft import Raft, RaftWrite
+from limerudder.store.state_machine import KeyValueState
+
+
+class _FactWaiter(NamedTuple):
+    fact_number: int
+    callback: TimeCallback
+
+
+class DurabilityScheduler:
+    """Numbers the jobs, schedules snapshots, and follows which jobs have completed."""
+
+    def __init__(
+        self,
+        raft: Raft,
+        state: KeyValueState,
+        drain_log: DrainLog,
+        known_values: KnownValues,
+        limits: MemberLimits,
+    ) -> None:
+        self._raft = raft
+        self._state = state
+        self._drain_log = drain_log
+        self._known_values = known_values
+        self._limits = limits
+        self._last_job_number = 0
+        self._raft_writes: dict[int, int] = {}  # Raft's number of the write, by job
+        self._facts_in_jobs: dict[int, list[int]] = {}  # numbers of facts, by job
+        self._fact_waiters: list[_FactWaiter] = []
+        self._unsaved_proofs: dict[int, DurabilityProof] = {}  # by member
+        self._snapshot_in_progress = False
+
+    def record_proofs(self, proofs: Mapping[int, DurabilityProof]) -> None:
+        """Makes what members have proved about their disks part of the next job."""
+        self._unsaved_proofs.update(proofs)
+
+    def next_job(self, raft_write: RaftWrite | None) -> DurabilityJob | None:
+        """Returns a job with all that is not durable yet, or None if there is nothing."""
+        snapshot = self._due_snapshot()
+        unsaved = self._drain_log.has_unsaved() or self._known_values.has_unsaved() or self._unsaved_proofs
+        if not (raft_write or snapshot or unsaved):
+            return None
+        self._last_job_number += 1
+        facts = self._drain_log.take_unsaved()
+        job = DurabilityJob(
+            self._last_job_number,
+            raft_write,
+            snapshot,
+            facts.added,
+            facts.deleted,
+            self._known_values.take_unsaved(),
+            self._unsaved_proofs,
+        )
+        self._unsaved_proofs = {}
+        if raft_write:
+            self._raft_writes[job.number] = raft_write.number
+        if facts.added:
+            self._facts_in_jobs[job.number] = [added.number for added in facts.added]
+        return job
+
+    def on_job_durable(self, job_number: int, snapshot: Snapshot | None, now_us: int) -> None:
+        """Handles the completion of a job; `snapshot` is the one that was built for it, if any."""
+        if snapshot:
+            self._snapshot_in_progress = False
+            self._raft.compact(snapshot, self._limits.kept_entries)
+        write_number = self._raft_writes.pop(job_number, None)
+        if write_number is not None:
+            self._raft.written(write_number, now_us)
+        self._notify_fact_waiters(self._facts_in_jobs.pop(job_number, []), now_us)
+
+    def when_durable(self, fact_number: int, callback: TimeCallback, now_us: int) -> None:
+        """Calls back once a fact of the drain log is durable here: at once if it is already."""
+        in_job = any(fact_number in numbers for numbers in self._facts_in_jobs.values())
+        if in_job or self._drain_log.is_unsaved(fact_number):
+            self._fact_waiters.append(_FactWaiter(fact_number, callback))
+        else:
+            callback(now_us)
+
+    def _notify_fact_waiters(self, durable_facts: list[int], now_us: int) -> None:
+        due = [waiter for waiter in self._fact_waiters if waiter.fact_number in durable_facts]
+        self._fact_waiters = [
+            waiter for waiter in self._fact_waiters if waiter.fact_number not in durable_facts
+        ]
+        for waiter in due:
+            waiter.callback(now_us)
+
+    def _due_snapshot(self) -> SnapshotJob | None:
+        if self._snapshot_in_progress or not self._is_snapshot_due():
+            return None
+        self._snapshot_in_progress = True
+        return self.capture_snapshot()
+
+    def _is_snapshot_due(self) -> bool:
+        applied_index = self._state.applied_index
+        last_snapshot = self._raft.snapshot
+        entries_since = applied_index - (last_snapshot.meta.index if last_snapshot else 0)
+        if entries_since >= self._limits.snapshot_after_entries:
+            return True
+        return self._raft.log.bytes >= self._limits.snapshot_after_bytes and entries_since > 0
+
+    def capture_snapshot(self) -> SnapshotJob:
+        """Returns the replicated state as it is now, to be encoded and stored elsewhere."""
+        log = self._raft.log
+        applied_index = self._state.applied_index
+        term = log.term(applied_index)
+        assert term is not None, "the last applied entry is in the log or at its base"
+        return SnapshotJob(
+            index=applied_index,
+            term=term,
+            config=log.config_at(applied_index),
+            view=self._state.snapshot_view(self._limits.snapshot_chunk_bytes),
+            keep_from_index=max(applied_index - self._limits.kept_entries, log.base) + 1,
+        )
--- /dev/null
+++ b/limerudder/store/log_applier.py
@@ -0,0 +1,56 @@
+"""Applies committed log entries to the replicated state, and tells those who wait for an entry."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from limerudder.store.calls import TimeCallback
+from limerudder.store.commands import CommandResult
+from limerudder.store.known_values import KnownValues
+from limerudder.store.raft.messages import Entry, EntryKind, Snapshot
+from limerudder.store.state_machine import KeyValueState
+
+
+class _Waiter(NamedTuple):
+    entry_index: int
+    callback: TimeCallback
+
+
+class LogApplier:
+    """Keeps the replicated state, and the values known from it, up to date with the committed log."""
+
+    def __init__(self, state: KeyValueState, known_values: KnownValues) -> None:
+        self._state = state
+        self._known_values = known_values
+        self._waiters: list[_Waiter] = []
+
+    def install(self, snapshot: Snapshot) -> None:
+        """Replaces the replicated state by a snapshot; raises SnapshotError if it cannot be decoded."""
+        self._state.restore(snapshot.pieces)
+        self._known_values.refresh()
+
+    def apply(self, entry: Entry) -> CommandResult | None:
+        """Applies an entry; returns the result of its command, or None if it holds none."""
+        if entry.kind != EntryKind.DATA:
+            self._state.applied_index = entry.index
+            return None
+        previous_revision = self._state.revision
+        result = self._state.apply(entry.index, entry.data)
+        if self._state.revision != previous_revision:
+            self._known_values.refresh_changes(previous_revision)
+        return result
+
+    def when_applied(self, index: int, callback: TimeCallback, now_us: int) -> None:
+        """Calls back once the entry at this index has been applied here: at once if it has been already."""
+        if self._state.applied_index >= index:
+            callback(now_us)
+        else:
+            self._waiters.append(_Waiter(index, callback))
+
+    def notify_waiters(self, now_us: int) -> None:
+        """Calls back those who wait for an entry that has been applied."""
+        applied_index = self._state.applied_index
+        due = [waiter for waiter in self._waiters if waiter.entry_index <= applied_index]
+        self._waiters = [waiter for waiter in self._waiters if waiter.entry_index > applied_index]
+        for waiter in due:
+            waiter.callback(now_us)
--- a/limerudder/store/member.py
+++ b/limerudder/store/member.py
@@ -1,8 +1,8 @@
-"""One member of the cluster: the machine, the records, the ledger, and all that waits for an answer.
+"""One member of the cluster: wires Raft, the replicated state, the drain log and the clients' calls together.
 
-As the machine it is told what happens and asked what to do; it does no I/O and reads no clock. What a
-driver owes it is what it owes the machine (see `raft.machine`), with a `Job` in place of a `Write`: jobs
-are made durable one after the other, each whole or not at all.
+Like Raft, a member does no I/O and reads no clock. The driver owes it what it owes Raft (see `raft.raft`),
+with a `DurabilityJob` in place of a `RaftWrite`: jobs are made durable one after the other, each completely
+or not at all. Times are microseconds of a clock that never goes back.
 """
 
 from __future__ import annotations
@@ -11,138 +11,102 @@
 from dataclasses import dataclass, field
 from random import Random
 
-import msgspec
-
-from limerudder.store import rpc
-from limerudder.store.calls import CallFailure, CallFailureKind
+from limerudder.store.calls import (
+    CallFailure,
+    CallFailureKind,
+    ReadCallback,
+    ReplyCallback,
+    ResultCallback,
+    TimeCallback,
+)
+from limerudder.store.client_calls import ClientCalls
 from limerudder.store.commands import (
     Command,
-    CommandResult,
-    OpenSession,
     SessionWrite,
     Transaction,
     decode_result,
     encode_command,
-    encode_result,
     transaction_error,
 )
-from limerudder.store.drain_log import HOST_KEY_PREFIX, DrainLog
+from limerudder.store.drain_log import DrainLog
+from limerudder.store.drain_replication import DrainReplicator
 from limerudder.store.durability import DurabilityJob, DurableState, KnownValue, SnapshotJob
+from limerudder.store.durability_scheduler import DurabilityScheduler
+from limerudder.store.known_values import KnownValues
+from limerudder.store.leader_requests import LeaderRequests
 from limerudder.store.limits import MemberLimits
+from limerudder.store.log_applier import LogApplier
 from limerudder.store.peer_authentication import DurabilityProof
-from limerudder.store.raft.messages import (
-    AppendEntries,
-    ClusterConfig,
-    EntryKind,
-    MemberRole,
-    Snapshot,
-)
-from limerudder.store.raft.messages import Member as MemberEntry
-from limerudder.store.raft.raft import (
-    MembershipChangeError,
-    NotLeader,
-    Raft,
-    RaftOutput,
-    RaftRole,
-    RaftTiming,
-    RaftWrite,
-)
-from limerudder.store.rpc import Reply, ReplyStatus, Request, RequestKind
-from limerudder.store.sessions import RequestSequence
+from limerudder.store.raft.messages import AppendEntries, ClusterConfig, Snapshot
+from limerudder.store.raft.raft import Raft, RaftOutput, RaftRole, RaftTiming
+from limerudder.store.rpc import AddressedMessage, Reply, Request, RequestKind, StoreMessage
 from limerudder.store.state_machine import KeyValueState
 
-PUSH_AGAIN = 500_000  #: between tries to bring the ledger's facts into the records
-KEPT_KEYS = (HOST_KEY_PREFIX, "config/", "list/")  #: the node needs these at its start, quorum or not
+REQUEST_NUMBER_BITS = 48  #: of the random number that a process's first request gets
+
+#: returns why a transaction of at most this value size is rejected, or None
+TransactionValidator = Callable[[Transaction, int], str | None]
 
 
 @dataclass(slots=True)
 class MemberOutput:
-    """What is to be done: send, make durable, and only then send `after`."""
+    """Work for the driver: messages to send now, a job, and messages to send once the job is durable."""
 
-    messages: list[tuple[int, rpc.StoreMessage]] = field(default_factory=list)
+    messages: list[AddressedMessage] = field(default_factory=list)
     job: DurabilityJob | None = None
-    messages_after_job: list[tuple[int, rpc.StoreMessage]] = field(default_factory=list)
-
-
-Done = Callable[[bytes | CallFailure, int], None]
-
-
-@dataclass(slots=True, eq=False)
-class PendingCall:
-    """A wish that waits for its answer; it is said again until then."""
+    messages_after_job: list[AddressedMessage] = field(default_factory=list)
 
-    number: int
-    kind: RequestKind
-    data: bytes
-    deadline: int
-    done: Done
-    said: int = 0  # when it last went out
-    to: int = 0  # to whom
-    tried: bool = False  # it has gone out at least once: it may have been granted
+    def is_empty(self) -> bool:
+        """Whether there is nothing to do."""
+        return not (self.messages or self.job or self.messages_after_job)
 
 
 class Member:
-    """One member. Numbers of wishes are its own; times are microseconds of a clock that never goes back."""
+    """One member: events come in through its methods, and `take_output` returns what is to be done."""
 
     def __init__(
         self,
-        me: int,
+        member_id: int,
         start: DurableState,
         random: Random,
-        now: int,
+        now_us: int,
         limits: MemberLimits | None = None,
         timing: RaftTiming | None = None,
-        validate: Callable[[Transaction, int], str | None] = transaction_error,
+        validate: TransactionValidator = transaction_error,
     ) -> None:
-        self.member_id, self.limits, self.random, self.validate = (
-            me,
-            limits or MemberLimits(),
-            random,
-            validate,
-        )
-        self.raft = Raft(me, start.raft_state, random, now, timing)
-        self.state = KeyValueState(self.limits.max_history_events)
+        limits = limits or MemberLimits()
+        self.member_id = member_id
+        self.raft = Raft(member_id, start.raft_state, random, now_us, timing)
+        self.state = KeyValueState(limits.max_history_events)
         if start.raft_state.snapshot:
             self.state.restore(start.raft_state.snapshot.pieces)
-        self.known = dict(start.known_values)  # the keys that the node needs, as last known here
-        hosts = {key: value for key, value in start.known_values.items() if key.startswith(HOST_KEY_PREFIX)}
         self.drain_log = DrainLog({}, start.drain_facts)
-        for key, (modified, value) in hosts.items():
-            self.drain_log.update_agreed(key.removeprefix(HOST_KEY_PREFIX), modified, value)
-        self.new_known: dict[str, KnownValue] = {}
-        self.new_shown: dict[int, DurabilityProof] = {}  # to be made durable, for the doorman
-        self.jobs = 0
-        self.raft_writes: dict[int, int] = {}  # by job, the machine's write
-        self.snapshotting = False
-        self.pending_calls: dict[int, PendingCall] = {}  # of this member, by number
-        # numbers of wishes must not be those of an earlier life: late answers to these may still come
-        self.next_wish = random.getrandbits(48)
-        self.proposals: list[tuple[bytes, int, int]] = []  # command, who asked, number: for one proposal
-        self.proposed: dict[int, tuple[int, int, int]] = {}  # by index: term, who asked, number
-        self.asked_reads: dict[int, tuple[int, int]] = {}  # by the machine's read: who asked, number
-        self.applied_hooks: list[
-            tuple[int, Callable[[int], None]]
-        ] = []  # index, call once it is applied here
-        self.fact_hooks: list[
-            tuple[int, Callable[[int], None]]
-        ] = []  # fact's number, call once it is durable
-        self.fact_jobs: dict[int, list[int]] = {}  # by job
-        self.fresh = now  # when this member last had all that it knew to be committed
-        self.session, self.session_asked = 0, False
-        self.serials = RequestSequence()
-        self.push_due = now
-        self.change_listeners: list[
-            Callable[[int], None]
-        ] = []  # the records, the members or the leader have changed
-        self.out = MemberOutput()
-        self.led_by = self.raft.leader  # when wishes were last said
-        self.learn_all()
-
-    # what is known
+        #: called with the time after the state, the membership or the leader may have changed
+        self.change_listeners: list[TimeCallback] = []
+        self.pending_calls = ClientCalls(
+            self.raft,
+            self._send_request,
+            limits.max_pending_requests,
+            random.getrandbits(REQUEST_NUMBER_BITS),
+        )
+        self._limits = limits
+        self._validate = validate
+        self._known_values = KnownValues(start.known_values, self.state, self.drain_log)
+        self._applier = LogApplier(self.state, self._known_values)
+        self._leader_requests = LeaderRequests(
+            self.raft, self.state, self._send_reply, limits.max_pending_requests
+        )
+        self._scheduler = DurabilityScheduler(
+            self.raft, self.state, self.drain_log, self._known_values, limits
+        )
+        self._drain_replicator = DrainReplicator(self.drain_log, self.state, self.raft, self, now_us)
+        self._fresh_at_us = now_us  # when this member last had all that it knew to be committed
+        self._output = MemberOutput()
+        self._known_values.refresh()
 
     @property
     def config(self) -> ClusterConfig:
-        """Who the members are."""
+        """The cluster's membership, by the last entry in this member's log that changes it."""
         return self.raft.log.config
 
     @property
@@ -151,421 +115,137 @@
         return self.raft.standing == RaftRole.LEADER
 
     def known_value(self, key: str) -> KnownValue:
-        """A key that the node needs, as last known here: the revision of its last change, and its value."""
-        item = self.state.get(key)
-        known = self.known.get(key, KnownValue(0, None))
-        if item and item.modified_revision >= known.modified_revision:
-            return KnownValue(item.modified_revision, item.value)
-        return known
+        """Returns the value, as last known here, of a key that the node needs when it starts."""
+        return self._known_values.get(key)
 
-    def max_staleness_us(self, now: int) -> int:
-        """How old, at the most, what the records here say is; a leader's word on how far it is counts."""
-        return 0 if self.is_leader and self.raft.commit >= self.raft.first else max(now - self.fresh, 0)
+    def max_staleness_us(self, now_us: int) -> int:
+        """Returns how old the state here may be at most, by the commit index that the leader has sent."""
+        if self.is_leader and self.raft.commit >= self.raft.first:
+            return 0
+        return max(now_us - self._fresh_at_us, 0)
 
-    def record_proofs(self, proofs: Mapping[int, DurabilityProof]) -> None:
-        """Make durable what members have shown of their disks."""
-        self.new_shown.update(proofs)
-
-    # what is wanted
-
-    def submit_request(self, kind: RequestKind, data: bytes, deadline: int, done: Done, now: int) -> None:
-        """Have something done by whoever leads; `done` hears once, at the deadline at the latest."""
-        if len(self.pending_calls) >= self.limits.max_pending_requests:
-            return done(
-                CallFailure(CallFailureKind.BUSY, f"{len(self.pending_calls)} wishes wait already"), now
-            )
-        number, self.next_wish = self.next_wish, self.next_wish + 1
-        one = self.pending_calls[number] = PendingCall(number, kind, data, deadline, done)
-        self._say(one, now)
-
-    def write(
-        self,
-        command: Command,
-        deadline: int,
-        done: Callable[[CommandResult | CallFailure, int], None],
-        now: int,
+    def submit_request(
+        self, kind: RequestKind, data: bytes, deadline_us: int, callback: ReplyCallback, now_us: int
     ) -> None:
-        """Have a command applied; `done` hears its result. A `Do` may be given again with the same serial."""
-        if isinstance(command, SessionWrite) and (
-            wrong := self.validate(command.transaction, self.limits.max_value_bytes)
-        ):
-            return done(CallFailure(CallFailureKind.REFUSED, wrong), now)
+        """Has the leader carry out a request; calls back once, by the deadline at the latest."""
+        self.pending_calls.submit(kind, data, deadline_us, callback, now_us)
 
-        def told(outcome: bytes | CallFailure, at: int) -> None:
-            done(outcome if isinstance(outcome, CallFailure) else decode_result(outcome), at)
+    def write(self, command: Command, deadline_us: int, callback: ResultCallback, now_us: int) -> None:
+        """Has a command applied and calls back with its result; a `SessionWrite` may be retried."""
+        if isinstance(command, SessionWrite):
+            error = self._validate(command.transaction, self._limits.max_value_bytes)
+            if error:
+                callback(CallFailure(CallFailureKind.REFUSED, error), now_us)
+                return
 
-        self.submit_request(RequestKind.WRITE, encode_command(command), deadline, told, now)
+        def on_reply(outcome: bytes | CallFailure, now_us: int) -> None:
+            callback(outcome if isinstance(outcome, CallFailure) else decode_result(outcome), now_us)
 
-    def read_barrier(self, deadline: int, done: Callable[[CallFailure | None, int], None], now: int) -> None:
-        """`done` hears once the records here hold all that was committed when this was called."""
+        self.submit_request(RequestKind.WRITE, encode_command(command), deadline_us, on_reply, now_us)
 
-        def told(outcome: bytes | CallFailure, at: int) -> None:
+    def read_barrier(self, deadline_us: int, callback: ReadCallback, now_us: int) -> None:
+        """Calls back once the state here holds all that was committed now: reads of it are linearizable."""
+
+        def on_reply(outcome: bytes | CallFailure, now_us: int) -> None:
             if isinstance(outcome, CallFailure):
-                return done(outcome, at)
-            self.when_applied(int.from_bytes(outcome, "big"), lambda then: done(None, then), at)
+                callback(outcome, now_us)
+                return
+            read_index = int.from_bytes(outcome, "big")
+            self.when_applied(read_index, lambda now_us: callback(None, now_us), now_us)
 
-        self.submit_request(RequestKind.READ_INDEX, b"", deadline, told, now)
+        self.submit_request(RequestKind.READ_INDEX, b"", deadline_us, on_reply, now_us)
 
-    def when_applied(self, index: int, call: Callable[[int], None], now: int) -> None:
-        """Make a call once the entry of this index is in the records here."""
-        if self.state.applied_index >= index:
-            call(now)
-        else:
-            self.applied_hooks.append((index, call))
+    def when_applied(self, index: int, callback: TimeCallback, now_us: int) -> None:
+        """Calls back once the entry at this index has been applied here: at once if it has been already."""
+        self._applier.when_applied(index, callback, now_us)
 
-    def when_durable(self, fact: int, call: Callable[[int], None], now: int) -> None:
-        """Make a call once a fact is durable here."""
-        if self.drain_log.is_unsaved(fact) or any(fact in n for n in self.fact_jobs.values()):
-            self.fact_hooks.append((fact, call))
-        else:
-            call(now)
-
-    def _say(self, one: PendingCall, now: int) -> None:
-        leader = self.raft.leader
-        if not leader:
-            return
-        one.said, one.to, one.tried = now, leader, True
-        ask = Request(one.number, one.kind, one.data)
-        if leader == self.member_id:
-            self._asked(self.member_id, ask, now)
-        else:
-            self.out.messages.append((leader, ask))
+    def when_durable(self, fact_number: int, callback: TimeCallback, now_us: int) -> None:
+        """Calls back once a fact of the drain log is durable here: at once if it is already."""
+        self._scheduler.when_durable(fact_number, callback, now_us)
 
-    # what happens
+    def record_proofs(self, proofs: Mapping[int, DurabilityProof]) -> None:
+        """Makes durable what members have proved about their disks."""
+        self._scheduler.record_proofs(proofs)
+
+    def capture_snapshot(self) -> SnapshotJob:
+        """Returns the replicated state as it is now, to be encoded elsewhere."""
+        return self._scheduler.capture_snapshot()
 
-    def receive(self, sender: int, message: rpc.StoreMessage, now: int) -> None:
-        """A message from another member."""
+    def receive(self, sender_id: int, message: StoreMessage, now_us: int) -> None:
+        """Handles a message from another member."""
         match message:
             case Request():
-                self._asked(sender, message, now)
+                self._leader_requests.handle(sender_id, message, now_us)
             case Reply():
-                self._told(message, now)
+                self.pending_calls.handle_reply(message, now_us)
             case _:
-                self.raft.receive(sender, message, now)
-                if isinstance(message, AppendEntries) and message.term == self.raft.term:
-                    self.fresh = now if message.commit <= self.raft.commit else self.fresh
-
-    def tick(self, now: int) -> None:
-        """Time has passed."""
-        if now >= self.raft.next_due():
-            self.raft.tick(now)
-        retry = self.raft.timing.election
-        under_way = self._under_way() if self.is_leader and self.pending_calls else set()
-        for one in list(self.pending_calls.values()):
-            if now >= one.deadline:
-                del self.pending_calls[one.number]
-                why = "nobody leads" if not self.raft.leader else "no answer came in time"
-                one.done(
-                    CallFailure(
-                        CallFailureKind.NOT_NOW,
-                        why,
-                        outcome_unknown=one.tried and one.kind != RequestKind.READ_INDEX,
-                    ),
-                    now,
-                )
-            elif one.to != self.raft.leader or now >= one.said + retry:
-                # guards against a wish lost on its way or with its leader; sessions keep it from being done
-                # twice
-                if not (one.to == self.member_id and one.number in under_way):
-                    self._say(one, now)
-        if now >= self.push_due:
-            self.push_due = now + PUSH_AGAIN
-            self._push(now)
-
-    def _under_way(self) -> set[int]:
-        """Wishes of this member that wait in its own log or among its reads: no need to say them again."""
-        asked = [one[1:] for one in self.proposed.values() if one[0] == self.raft.term]
-        asked += self.asked_reads.values()
-        asked += [one[1:] for one in self.proposals]
-        return {number for sender, number in asked if sender == self.member_id}
-
-    def on_job_durable(self, job: int, snapshot: Snapshot | None, now: int) -> None:
-        """A job is durable; `snapshot` is what its SnapshotJob has built."""
-        if snapshot:
-            self.snapshotting = False
-            self.raft.compact(snapshot, self.limits.kept_entries)
-        number = self.raft_writes.pop(job, None)
-        if number is not None:
-            self.raft.written(number, now)
-        facts = self.fact_jobs.pop(job, [])
-        due = [call for fact, call in self.fact_hooks if fact in facts]
-        self.fact_hooks = [one for one in self.fact_hooks if one[0] not in facts]
-        for call in due:
-            call(now)
+                self.raft.receive(sender_id, message, now_us)
+                if isinstance(message, AppendEntries):
+                    self._update_freshness(message, now_us)
+
+    def _update_freshness(self, message: AppendEntries, now_us: int) -> None:
+        if message.term == self.raft.term and message.commit <= self.raft.commit:
+            self._fresh_at_us = now_us
+
+    def tick(self, now_us: int) -> None:
+        """Handles the passing of time; to be called by `next_deadline` at the latest."""
+        if now_us >= self.raft.next_due():
+            self.raft.tick(now_us)
+        self.pending_calls.tick(self._own_requests_in_progress(), now_us)
+        self._drain_replicator.tick(now_us)
+
+    def _own_requests_in_progress(self) -> set[int]:
+        if not self.is_leader or not self.pending_calls:
+            return set()
+        return self._leader_requests.in_progress_from(self.member_id)
 
     def next_deadline(self) -> int:
-        """When `tick` must be called at the latest."""
-        dues = [self.raft.next_due(), self.push_due]
-        dues += [
-            min(one.deadline, one.said + self.raft.timing.election) for one in self.pending_calls.values()
-        ]
-        return min(dues)
-
-    # the leader's side
-
-    def _asked(self, sender: int, ask: Request, now: int) -> None:
-        if not self.is_leader:
-            return self._answer(sender, ask.number, ReplyStatus.NOT_LEADER, b"", now)
-        try:
-            match ask.kind:
-                case RequestKind.WRITE:
-                    if len(self.proposals) + len(self.proposed) >= self.limits.max_pending_requests:
-                        return self._answer(
-                            sender, ask.number, ReplyStatus.BUSY, b"too much waits at the leader", now
-                        )
-                    self.proposals.append((ask.data, sender, ask.number))
-                case RequestKind.READ_INDEX:
-                    self.asked_reads[self.raft.read(now)] = sender, ask.number
-                case RequestKind.TRANSFER_LEADERSHIP:
-                    self.raft.transfer(int.from_bytes(ask.data, "big"), now)
-                    self._answer(sender, ask.number, ReplyStatus.DONE, b"", now)
-                case RequestKind.ADD_MEMBER | RequestKind.REMOVE_MEMBER:
-                    after = self._changed(ask)
-                    same = after == self.config  # said again, after its answer was lost
-                    index = self.raft.log.config_index if same else self.raft.change(after, now)
-                    if index <= self.state.applied_index:
-                        return self._answer(
-                            sender, ask.number, ReplyStatus.DONE, index.to_bytes(8, "big"), now
-                        )
-                    self.proposed[index] = self.raft.term, sender, ask.number
-        except MembershipChangeError as exc:
-            self._answer(sender, ask.number, ReplyStatus.REFUSED, str(exc).encode(), now)
-        except NotLeader:
-            self._answer(sender, ask.number, ReplyStatus.NOT_LEADER, b"", now)
-
-    def _changed(self, ask: Request) -> ClusterConfig:
-        members = self.config.members
-        if ask.kind == RequestKind.REMOVE_MEMBER:
-            number = int.from_bytes(ask.data, "big")
-            return ClusterConfig(tuple(one for one in members if one.id != number))
-        try:
-            new: MemberEntry = msgspec.msgpack.decode(ask.data, type=MemberEntry)
-        except msgspec.DecodeError as exc:
-            raise MembershipChangeError(f"no member: {exc}") from None
-        if new.role == MemberRole.VOTER:
-            raise MembershipChangeError("a member joins first and becomes a voter once it has caught up")
-        before = self.config.get(new.id)
-        if before and (before.name, before.address) == (new.name, new.address):
-            return self.config
-        for one in members:
-            if one.id == new.id or one.name == new.name or one.address == new.address:
-                raise MembershipChangeError(f"{one.name} at {one.address} is a member already")
-        return ClusterConfig((*members, new))
-
-    def _answer(self, to: int, number: int, status: ReplyStatus, data: bytes, now: int) -> None:
-        told = Reply(number, status, data)
-        if to == self.member_id:
-            self._told(told, now)
-        else:
-            self.out.messages.append((to, told))
-
-    def _told(self, told: Reply, now: int) -> None:
-        one = self.pending_calls.get(told.number)
-        if one is None or told.status == ReplyStatus.NOT_LEADER:
-            return  # said again in time
-        del self.pending_calls[told.number]
-        if told.status == ReplyStatus.DONE:
-            one.done(told.data, now)
-        else:
-            kind = CallFailureKind.BUSY if told.status == ReplyStatus.BUSY else CallFailureKind.REFUSED
-            one.done(CallFailure(kind, told.data.decode("utf-8", "replace")), now)
-
-    # what is to be done
-
-    def take_output(self, now: int) -> MemberOutput | None:
-        """What is to be done since the last call; None where there is nothing."""
-        if self.raft.leader != self.led_by:
-            self.led_by = self.raft.leader
-            for one in list(
-                self.pending_calls.values()
-            ):  # guards whoever waits against waiting for a tick as well
-                self._say(one, now)
-        if self.proposals:
-            self._propose(now)
-        raft = self.raft.take(now)
-        if raft:
-            self._carry_out(raft, now)
-        out = self.out
-        if raft:
-            out.messages += raft.send
-            out.messages_after_job += raft.after
-        out.job = self._job(raft.write if raft else None)
-        if not (out.messages or out.job or out.messages_after_job):
+        """Returns when `tick` must be called at the latest."""
+        deadlines_us = [self.raft.next_due(), self._drain_replicator.due_at_us]
+        return min(*deadlines_us, *self.pending_calls.deadlines_us())
+
+    def on_job_durable(self, job_number: int, snapshot: Snapshot | None, now_us: int) -> None:
+        """Handles the completion of a job; `snapshot` is the one that its `SnapshotJob` has built."""
+        self._scheduler.on_job_durable(job_number, snapshot, now_us)
+
+    def take_output(self, now_us: int) -> MemberOutput | None:
+        """Returns what is to be done since the last call, or None if there is nothing."""
+        self.pending_calls.resend_after_leader_change(now_us)
+        self._leader_requests.propose_queued(now_us)
+        raft_output = self.raft.take(now_us)
+        if raft_output:
+            self._apply(raft_output, now_us)
+        output = self._output
+        if raft_output:
+            output.messages += raft_output.send
+            output.messages_after_job += raft_output.after
+        output.job = self._scheduler.next_job(raft_output.write if raft_output else None)
+        if output.is_empty():
             return None
-        self.out = MemberOutput()
-        return out
-
-    def _propose(self, now: int) -> None:
-        wanted, self.proposals = self.proposals, []
-        try:
-            first, term = self.raft.propose([command for command, _, _ in wanted], now)
-        except NotLeader:
-            for _, sender, number in wanted:
-                self._answer(sender, number, ReplyStatus.NOT_LEADER, b"", now)
-            return
-        for n, (_, sender, number) in enumerate(wanted):
-            self.proposed[first + n] = term, sender, number
-
-    def _carry_out(self, raft: RaftOutput, now: int) -> None:
-        changed = bool(raft.committed or raft.install)
-        if raft.install:
-            self.state.restore(raft.install.pieces)
-            self.learn_all()
-        for entry in raft.committed:
-            before = self.state.revision
-            result = None
-            if entry.kind == EntryKind.DATA:
-                result = self.state.apply(entry.index, entry.data)
-            else:
-                self.state.applied_index = entry.index
-            if self.state.revision != before:
-                self._learn_since(before)
-            waiting = self.proposed.pop(entry.index, None)
-            if waiting:
-                term, sender, number = waiting
-                if term != entry.term:  # guards whoever asked against the result of another's command
-                    self._answer(sender, number, ReplyStatus.NOT_LEADER, b"", now)
-                else:
-                    data = encode_result(result) if result else entry.index.to_bytes(8, "big")
-                    self._answer(sender, number, ReplyStatus.DONE, data, now)
-        for number, index in raft.reads:
-            asked = self.asked_reads.pop(number, None)
-            if asked:
-                self._answer(*asked, ReplyStatus.DONE, index.to_bytes(8, "big"), now)
-        for number in raft.reads_lost:
-            asked = self.asked_reads.pop(number, None)
-            if asked:
-                self._answer(*asked, ReplyStatus.NOT_LEADER, b"", now)
-        if not self.is_leader and self.proposed:
-            # their entries may still be committed; whoever asked says it again, and sessions see to the rest
-            lost = [
-                i for i, one in self.proposed.items() if one[0] != self.raft.term and i > self.raft.log.last
-            ]
-            for index in lost:
-                del self.proposed[index]
-        if changed:
-            due = [call for index, call in self.applied_hooks if index <= self.state.applied_index]
-            self.applied_hooks = [one for one in self.applied_hooks if one[0] > self.state.applied_index]
-            for call in due:
-                call(now)
-            for hear in self.change_listeners:
-                hear(now)
-
-    def learn_all(self) -> None:
-        """The keys that the node needs, from all the records."""
-        for prefix in KEPT_KEYS:
-            for key, item in self.state.list_prefix(prefix):
-                self._learn(key, item.modified_revision, item.value)
-
-    def _learn_since(self, revision: int) -> None:
-        for event in self.state.changes_since(revision)[0]:
-            if event.key.startswith(KEPT_KEYS):
-                self._learn(event.key, event.revision, event.item.value if event.item else None)
-
-    def _learn(self, key: str, modified: int, value: bytes | None) -> None:
-        if self.known.get(key, (0, None))[0] >= modified:
-            return
-        self.known[key] = self.new_known[key] = KnownValue(modified, value)
-        if key.startswith(HOST_KEY_PREFIX):
-            self.drain_log.update_agreed(key.removeprefix(HOST_KEY_PREFIX), modified, value)
-
-    def _job(self, write: RaftWrite | None) -> DurabilityJob | None:
-        ledger = self.drain_log
-        snapshot = self._snapshot_due()
-        ledgers = ledger.has_unsaved()
-        if not (write or snapshot or ledgers or self.new_known or self.new_shown):
-            return None
-        self.jobs += 1
-        added, deleted = ledger.take_unsaved()
-        job = DurabilityJob(
-            self.jobs,
-            write,
-            snapshot,
-            added,
-            deleted,
-            self.new_known,
-            self.new_shown,
-        )
-        if write:
-            self.raft_writes[job.number] = write.number
-        if added:
-            self.fact_jobs[job.number] = [number for number, _ in added]
-        self.new_known, self.new_shown = {}, {}
-        return job
-
-    def _snapshot_due(self) -> SnapshotJob | None:
-        log, applied = self.raft.log, self.state.applied_index
-        last = self.raft.snapshot.meta.index if self.raft.snapshot else 0
-        many = applied - last >= self.limits.snapshot_after_entries
-        large = log.bytes >= self.limits.snapshot_after_bytes and applied > last
-        if self.snapshotting or not (many or large):
-            return None
-        return self.snapshot_now()
-
-    def snapshot_now(self) -> SnapshotJob:
-        """Begin a snapshot of the records as they are."""
-        self.snapshotting = True
-        return self.capture_snapshot()
-
-    def capture_snapshot(self) -> SnapshotJob:
-        """The records as they are, to be written out beside the member."""
-        log, applied = self.raft.log, self.state.applied_index
-        term = log.term(applied)
-        assert term is not None
-        keep_from = max(applied - self.limits.kept_entries, log.base) + 1
-        return SnapshotJob(
-            applied,
-            term,
-            log.config_at(applied),
-            self.state.snapshot_view(self.limits.snapshot_chunk_bytes),
-            keep_from,
-        )
+        self._output = MemberOutput()
+        return output
+
+    def _apply(self, raft_output: RaftOutput, now_us: int) -> None:
+        if raft_output.install:
+            self._applier.install(raft_output.install)
+        for entry in raft_output.committed:
+            result = self._applier.apply(entry)
+            self._leader_requests.reply_to_entry(entry, result, now_us)
+        self._leader_requests.reply_to_reads(raft_output, now_us)
+        self._leader_requests.forget_lost_proposals()
+        if raft_output.committed or raft_output.install:
+            self._applier.notify_waiters(now_us)
+            for listener in self.change_listeners:
+                listener(now_us)
+
+    def _send_request(self, leader_id: int, request: Request, now_us: int) -> None:
+        if leader_id == self.member_id:
+            self._leader_requests.handle(self.member_id, request, now_us)
+        else:
+            self._output.messages.append((leader_id, request))
 
-    # the ledger's way into the records
-
-    def _push(self, now: int) -> None:
-        hosts = self.drain_log.hosts_to_write()
-        if not hosts or not self.raft.leader:
-            return
-        if not self.session:
-            return self._open_session(now)
-        for host in hosts:
-            item = self.state.get(HOST_KEY_PREFIX + host)
-            push = self.drain_log.prepare_write(
-                host, item.modified_revision if item else 0, item.value if item else None
-            )
-            if push:
-                self._push_one(host, push, now)
-
-    def _push_one(self, host: str, txn: Transaction, now: int) -> None:
-        serial = self.serials.next_serial()
-
-        session = self.session
-
-        def done(outcome: CommandResult | CallFailure, at: int) -> None:
-            if session == self.session:
-                self.serials.mark_answered(serial)
-            if isinstance(outcome, CallFailure):
-                return self.drain_log.finish_write(host, None)
-            if outcome.error:
-                self.session = 0 if session == self.session else self.session
-                return self.drain_log.finish_write(host, None)
-            # only once they stand in the records here: what is known here must not fall behind the facts
-            revision = outcome.revision if outcome.succeeded else None
-            self.when_applied(outcome.index, lambda _: self.drain_log.finish_write(host, revision), at)
-
-        command = SessionWrite(session, serial, self.serials.acknowledged_serial, txn)
-        self.write(command, now + 20 * PUSH_AGAIN, done, now)
-
-    def _open_session(self, now: int) -> None:
-        if self.session_asked:
-            return
-        self.session_asked = True
-
-        def done(outcome: CommandResult | CallFailure, at: int) -> None:
-            self.session_asked = False
-            if isinstance(outcome, CommandResult):
-                self.session, self.serials = outcome.index, RequestSequence()
-                self._push(at)
-
-        self.write(OpenSession(), now + 20 * PUSH_AGAIN, done, now)
+    def _send_reply(self, recipient_id: int, reply: Reply, now_us: int) -> None:
+        if recipient_id == self.member_id:
+            self.pending_calls.handle_reply(reply, now_us)
+        else:
+            self._output.messages.append((recipient_id, reply))
