--- a/bench/store_failover.py
+++ b/bench/store_failover.py
@@ -21,8 +21,8 @@
 from limerudder.store.data_directory import init_cluster
 from limerudder.store.disk import Disk
 from limerudder.store.member import Member
-from limerudder.store.raft.messages import Snapshot, SnapshotMeta
-from limerudder.store.raft.raft import HardState, snapshot_digest
+from limerudder.store.raft.messages import Snapshot, SnapshotMeta, snapshot_digest
+from limerudder.store.raft.persistence import HardState
 from limerudder.store.state_machine import KeyValueState
 
 
@@ -63,7 +63,7 @@
     opened = disk.load(start=False)
     pieces = tuple(records.snapshot_view().chunks())
     meta = SnapshotMeta(
-        records.applied_index, 1, opened.start.raft_state.config, len(pieces), snapshot_digest(pieces)
+        records.applied_index, 1, opened.start.raft_state.initial_config, len(pieces), snapshot_digest(pieces)
     )
     disk.begin_anew(opened.identity, HardState(1, 0), Snapshot(meta, pieces))
     disk.close()
--- a/limerudder/store/client_calls.py
+++ b/limerudder/store/client_calls.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass
 
 from limerudder.store.calls import CallFailure, CallFailureKind, ReplyCallback
-from limerudder.store.raft.raft import NO_LEADER, Raft
+from limerudder.store.raft.raft import Raft
+from limerudder.store.raft.state import NO_LEADER
 from limerudder.store.rpc import Reply, ReplyStatus, Request, RequestKind
 
 #: sends a request to the leader: the leader's identifier, the request, and the time in microseconds
@@ -41,7 +42,7 @@
         self._max_pending = max_pending
         self._next_number = first_number
         self._pending: dict[int, PendingCall] = {}  # by the request's number
-        self._resent_to = raft.leader  # the leader that all pending calls have been sent to
+        self._resent_to = raft.leader_id  # the leader that all pending calls have been sent to
 
     def __len__(self) -> int:
         """The number of pending calls."""
@@ -62,7 +63,7 @@
         self._send(call, now_us)
 
     def _send(self, call: PendingCall, now_us: int) -> None:
-        leader_id = self._raft.leader
+        leader_id = self._raft.leader_id
         if not leader_id:
             return
         call.sent_at_us = now_us
@@ -92,23 +93,23 @@
         for call in list(self._pending.values()):
             if now_us >= call.deadline_us:
                 del self._pending[call.request.number]
-                call.callback(call.timeout_failure(self._raft.leader), now_us)
+                call.callback(call.timeout_failure(self._raft.leader_id), now_us)
             elif self._is_retry_due(call, in_progress_here, now_us):
                 self._send(call, now_us)
 
     def _is_retry_due(self, call: PendingCall, in_progress_here: Set[int], now_us: int) -> bool:
-        if call.sent_to == self._raft.leader and now_us < self._retry_at_us(call):
+        if call.sent_to == self._raft.leader_id and now_us < self._retry_at_us(call):
             return False
-        return call.sent_to != self._raft.me or call.request.number not in in_progress_here
+        return call.sent_to != self._raft.member_id or call.request.number not in in_progress_here
 
     def _retry_at_us(self, call: PendingCall) -> int:
-        return call.sent_at_us + self._raft.timing.election
+        return call.sent_at_us + self._raft.timing.election_timeout_us
 
     def resend_after_leader_change(self, now_us: int) -> None:
         """Sends all pending calls to a new leader at once, without waiting for the next tick."""
-        if self._raft.leader == self._resent_to:
+        if self._raft.leader_id == self._resent_to:
             return
-        self._resent_to = self._raft.leader
+        self._resent_to = self._raft.leader_id
         for call in list(self._pending.values()):
             self._send(call, now_us)
 
--- a/limerudder/store/control.py
+++ b/limerudder/store/control.py
@@ -371,7 +371,7 @@
         )
 
     def _named(self, given: dict[str, Any]) -> int:
-        one = self.store.member.config.named(str(given["member"]))
+        one = self.store.member.config.find_by_name(str(given["member"]))
         if one is None:
             raise ControlError("not_there", f"there is no member {given['member']}")
         return one.id
--- a/limerudder/store/drain_replication.py
+++ b/limerudder/store/drain_replication.py
@@ -49,7 +49,7 @@
 
     def _write_pending(self, now_us: int) -> None:
         hosts = self._drain_log.hosts_to_write()
-        if not hosts or not self._raft.leader:
+        if not hosts or not self._raft.leader_id:
             return
         if self._session_id == NO_SESSION:
             self._open_session(now_us)
--- a/limerudder/store/leader_requests.py
+++ b/limerudder/store/leader_requests.py
@@ -6,9 +6,12 @@
 from typing import NamedTuple
 
 from limerudder.store.commands import CommandResult, encode_result
-from limerudder.store.membership import config_with, config_without
+from limerudder.store.membership_requests import config_with, config_without
+from limerudder.store.raft.errors import MembershipChangeError, NotLeader
 from limerudder.store.raft.messages import Entry
-from limerudder.store.raft.raft import MembershipChangeError, NotLeader, Raft, RaftOutput, RaftRole
+from limerudder.store.raft.output import RaftOutput
+from limerudder.store.raft.raft import Raft
+from limerudder.store.raft.state import RaftRole
 from limerudder.store.rpc import Reply, ReplyStatus, Request, RequestKind
 from limerudder.store.state_machine import KeyValueState
 
@@ -52,7 +55,7 @@
     def handle(self, sender_id: int, request: Request, now_us: int) -> None:
         """Starts to carry out a request, or replies at once that it cannot be done."""
         origin = RequestOrigin(sender_id, request.number)
-        if self._raft.standing != RaftRole.LEADER:
+        if self._raft.role != RaftRole.LEADER:
             self._reply(origin, ReplyStatus.NOT_LEADER, b"", now_us)
             return
         try:
@@ -67,10 +70,10 @@
             case RequestKind.WRITE:
                 self._queue_write(origin, request.data, now_us)
             case RequestKind.READ_INDEX:
-                read_id = self._raft.read(now_us)
+                read_id = self._raft.request_read()
                 self._reads[read_id] = origin
             case RequestKind.TRANSFER_LEADERSHIP:
-                self._raft.transfer(_decode_number(request.data), now_us)
+                self._raft.transfer_leadership(_decode_number(request.data), now_us)
                 self._reply(origin, ReplyStatus.DONE, b"", now_us)
             case RequestKind.ADD_MEMBER | RequestKind.REMOVE_MEMBER:
                 self._change_members(origin, request, now_us)
@@ -88,7 +91,7 @@
         else:
             requested = config_with(log.config, request.data)
         is_retry = requested == log.config  # its first reply was lost
-        index = log.config_index if is_retry else self._raft.change(requested, now_us)
+        index = log.config_index if is_retry else self._raft.propose_config(requested, now_us)
         if index <= self._state.applied_index:
             self._reply(origin, ReplyStatus.DONE, _encode_number(index), now_us)
         else:
@@ -135,11 +138,11 @@
 
     def reply_to_reads(self, output: RaftOutput, now_us: int) -> None:
         """Replies to the reads that Raft has confirmed or aborted."""
-        for read_id, index in output.reads:
+        for read_id, index in output.confirmed_reads:
             origin = self._reads.pop(read_id, None)
             if origin:
                 self._reply(origin, ReplyStatus.DONE, _encode_number(index), now_us)
-        for read_id in output.reads_lost:
+        for read_id in output.aborted_reads:
             origin = self._reads.pop(read_id, None)
             if origin:
                 self._reply(origin, ReplyStatus.NOT_LEADER, b"", now_us)
@@ -150,12 +153,12 @@
         They get no reply: their entries may still be committed elsewhere. The member that sent the request
         retries it, and the session keeps it from being applied twice.
         """
-        if self._raft.standing == RaftRole.LEADER:
+        if self._raft.role == RaftRole.LEADER:
             return
         lost = [
             index
             for index, proposed in self._proposed.items()
-            if proposed.term != self._raft.term and index > self._raft.log.last
+            if proposed.term != self._raft.term and index > self._raft.log.last_index
         ]
         for index in lost:
             del self._proposed[index]
--- a/limerudder/store/member.py
+++ b/limerudder/store/member.py
@@ -38,7 +38,9 @@
 from limerudder.store.log_applier import LogApplier
 from limerudder.store.peer_authentication import DurabilityProof
 from limerudder.store.raft.messages import AppendEntries, ClusterConfig, Snapshot
-from limerudder.store.raft.raft import Raft, RaftOutput, RaftRole, RaftTiming
+from limerudder.store.raft.output import RaftOutput
+from limerudder.store.raft.raft import Raft
+from limerudder.store.raft.state import RaftRole, RaftTiming
 from limerudder.store.rpc import AddressedMessage, Reply, Request, RequestKind, StoreMessage
 from limerudder.store.state_machine import KeyValueState
 
@@ -79,7 +81,7 @@
         self.raft = Raft(member_id, start.raft_state, random, now_us, timing)
         self.state = KeyValueState(limits.max_history_events)
         if start.raft_state.snapshot:
-            self.state.restore(start.raft_state.snapshot.pieces)
+            self.state.restore(start.raft_state.snapshot.chunks)
         self.drain_log = DrainLog({}, start.drain_facts)
         #: called with the time after the state, the membership or the leader may have changed
         self.change_listeners: list[TimeCallback] = []
@@ -112,7 +114,7 @@
     @property
     def is_leader(self) -> bool:
         """Whether this member leads."""
-        return self.raft.standing == RaftRole.LEADER
+        return self.raft.role == RaftRole.LEADER
 
     def known_value(self, key: str) -> KnownValue:
         """Returns the value, as last known here, of a key that the node needs when it starts."""
@@ -120,7 +122,7 @@
 
     def max_staleness_us(self, now_us: int) -> int:
         """Returns how old the state here may be at most, by the commit index that the leader has sent."""
-        if self.is_leader and self.raft.commit >= self.raft.first:
+        if self.is_leader and self.raft.has_committed_in_term:
             return 0
         return max(now_us - self._fresh_at_us, 0)
 
@@ -184,12 +186,12 @@
                     self._update_freshness(message, now_us)
 
     def _update_freshness(self, message: AppendEntries, now_us: int) -> None:
-        if message.term == self.raft.term and message.commit <= self.raft.commit:
+        if message.term == self.raft.term and message.leader_commit <= self.raft.commit_index:
             self._fresh_at_us = now_us
 
     def tick(self, now_us: int) -> None:
         """Handles the passing of time; to be called by `next_deadline` at the latest."""
-        if now_us >= self.raft.next_due():
+        if now_us >= self.raft.next_deadline_us():
             self.raft.tick(now_us)
         self.pending_calls.tick(self._own_requests_in_progress(), now_us)
         self._drain_replicator.tick(now_us)
@@ -201,7 +203,7 @@
 
     def next_deadline(self) -> int:
         """Returns when `tick` must be called at the latest."""
-        deadlines_us = [self.raft.next_due(), self._drain_replicator.due_at_us]
+        deadlines_us = [self.raft.next_deadline_us(), self._drain_replicator.due_at_us]
         return min(*deadlines_us, *self.pending_calls.deadlines_us())
 
     def on_job_durable(self, job_number: int, snapshot: Snapshot | None, now_us: int) -> None:
@@ -212,13 +214,13 @@
         """Returns what is to be done since the last call, or None if there is nothing."""
         self.pending_calls.resend_after_leader_change(now_us)
         self._leader_requests.propose_queued(now_us)
-        raft_output = self.raft.take(now_us)
+        raft_output = self.raft.take_output(now_us)
         if raft_output:
             self._apply(raft_output, now_us)
         output = self._output
         if raft_output:
-            output.messages += raft_output.send
-            output.messages_after_job += raft_output.after
+            output.messages += raft_output.messages
+            output.messages_after_job += raft_output.messages_after_write
         output.job = self._scheduler.next_job(raft_output.write if raft_output else None)
         if output.is_empty():
             return None
@@ -226,14 +228,14 @@
         return output
 
     def _apply(self, raft_output: RaftOutput, now_us: int) -> None:
-        if raft_output.install:
-            self._applier.install(raft_output.install)
-        for entry in raft_output.committed:
+        if raft_output.installed_snapshot:
+            self._applier.install(raft_output.installed_snapshot)
+        for entry in raft_output.committed_entries:
             result = self._applier.apply(entry)
             self._leader_requests.reply_to_entry(entry, result, now_us)
         self._leader_requests.reply_to_reads(raft_output, now_us)
         self._leader_requests.forget_lost_proposals()
-        if raft_output.committed or raft_output.install:
+        if raft_output.committed_entries or raft_output.installed_snapshot:
             self._applier.notify_waiters(now_us)
             for listener in self.change_listeners:
                 listener(now_us)
--- a/limerudder/store/membership.py
+++ b/limerudder/store/membership_requests.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
+from limerudder.store.raft.errors import MembershipChangeError
 from limerudder.store.raft.messages import ClusterConfig, Member, MemberRole
-from limerudder.store.raft.raft import MembershipChangeError
 
 
 def config_without(config: ClusterConfig, member_id: int) -> ClusterConfig:
@@ -22,7 +22,7 @@
     new = _decode_member(encoded_member)
     if new.role == MemberRole.VOTER:
         raise MembershipChangeError("a member joins first and becomes a voter once it has caught up")
-    existing = config.get(new.id)
+    existing = config.find_by_id(new.id)
     if existing and (existing.name, existing.address) == (new.name, new.address):
         return config
     for member in config.members:
--- a/limerudder/store/peer_authentication.py
+++ b/limerudder/store/peer_authentication.py
@@ -111,9 +111,9 @@
 
 
 def _unknown_member(handshake: Handshake, config: ClusterConfig) -> str | None:
-    if config.get(handshake.sender_id) is not None:
+    if config.find_by_id(handshake.sender_id) is not None:
         return None
-    namesake = config.named(handshake.name)
+    namesake = config.find_by_name(handshake.name)
     if namesake:
         return (
             f"{handshake.name} is member {namesake.id:016x} and this is {handshake.sender_id:016x}:"
