--- a/tests/test_store_disk.py
+++ b/tests/test_store_disk.py
@@ -144,11 +144,11 @@
                 jobs.append(DurabilityJob(number, None, None, facts, gone, known, shown))
         real.do(jobs)
         for job in jobs:
-            model.do(job)
+            model.apply(job)
         real.close()
         real = Disk(str(folder / "s"))
         opened = real.load()
-        saved, told = opened.start.raft_state, model.start()
+        saved, told = opened.start.raft_state, model.load()
         assert (saved.hard_state, list(saved.entries)) == (
             told.raft_state.hard_state,
             list(told.raft_state.entries),
@@ -158,7 +158,7 @@
             told.raft_state.incoming_snapshot,
         )
         assert (opened.start.drain_facts, opened.start.known_values) == (told.drain_facts, told.known_values)
-        assert opened.shown == model.shown
+        assert opened.shown == model.proofs
     real.close()
 
 
