--- a/harness/cluster_checks.py
+++ b/harness/cluster_checks.py
@@ -8,7 +8,8 @@
 
 from harness.simulation_environment import SimulationEnvironment
 from limerudder.store.drain_log import NEVER_DRAINED, DrainObserved
-from limerudder.store.member import DurabilityJob, Member
+from limerudder.store.durability import DurabilityJob
+from limerudder.store.member import Member
 from limerudder.store.raft.messages import EntryKind
 from limerudder.store.raft.raft import Raft
 from limerudder.store.raft.state import RaftRole
@@ -95,7 +96,7 @@
     def _check_applied_entries(self, member: SimulatedMember, process: Member, where: str) -> None:
         """All members apply the same entry at an index."""
         raft = process.raft
-        applied_index = process.records.applied
+        applied_index = process.state.applied_index
         first_index = max(self._checked_index.get(member.member_id, 0), raft.log.base_index) + 1
         for index in range(first_index, applied_index + 1):
             entry = raft.log.entry_at(index)
@@ -112,7 +113,7 @@
 
     def _check_state(self, process: Member, where: str) -> None:
         """All state machines are equal after the same entry."""
-        applied_index = process.records.applied
+        applied_index = process.state.applied_index
         if applied_index % STATE_CHECK_INTERVAL:
             return
         digest = state_digest(process)
@@ -140,7 +141,7 @@
 
     def record_durable_facts(self, member: SimulatedMember, job: DurabilityJob) -> None:
         """The drains of a job have become durable at a member."""
-        for _, fact in job.facts:
+        for _, fact in job.new_facts:
             if isinstance(fact, DrainObserved):
                 key = member.member_id, fact.host
                 known_ms = self.durable_drains.get(key, NEVER_DRAINED)
@@ -154,9 +155,9 @@
 
     def check_drains_remembered(self, member: SimulatedMember) -> None:
         """A drain that was durable at a member is remembered there for ever."""
-        ledger = member.running_process.ledger
+        drain_log = member.running_process.drain_log
         for (member_id, host), started_ms in self.durable_drains.items():
-            if member_id == member.member_id and not ledger.view(host).out(started_ms):
+            if member_id == member.member_id and not drain_log.effective_record(host).excludes(started_ms):
                 raise InvariantViolation(
                     f"{self._environment.describe_moment()}, {member.name}:"
                     f" forgot that {host} drains ({started_ms})"
@@ -165,9 +166,9 @@
     def check_drains_agreed(self, members: Iterable[SimulatedMember], config_ids: set[int]) -> None:
         """All members know every drain that is durable at a member of the configuration."""
         for member in members:
-            ledger = member.running_process.ledger
+            drain_log = member.running_process.drain_log
             for (member_id, host), started_ms in self.durable_drains.items():
-                if member_id in config_ids and not ledger.view(host).out(started_ms):
+                if member_id in config_ids and not drain_log.effective_record(host).excludes(started_ms):
                     raise InvariantViolation(
                         f"seed {self._environment.seed}, end: {member.name} does not know that"
                         f" {host} drains ({started_ms})"
@@ -177,6 +178,6 @@
 def state_digest(process: Member) -> int:
     """A digest of a member's whole state machine."""
     checksum = 0
-    for chunk in process.records.freeze(1 << 20).pieces():
+    for chunk in process.state.snapshot_view(1 << 20).chunks():
         checksum = crc32(chunk, checksum)
     return checksum
--- a/harness/cluster_simulation.py
+++ b/harness/cluster_simulation.py
@@ -73,7 +73,7 @@
         """There is a leader, and all members of its configuration have the same state."""
         where = f"seed {self.environment.seed}, end"
         running = [member for member in self.checks.running_members() if not member.is_abandoned]
-        leaders = [member for member in running if member.running_process.leads]
+        leaders = [member for member in running if member.running_process.is_leader]
         if not leaders:
             raise InvariantViolation(f"{where}: there is no leader after {RECOVERY_SECONDS} quiet seconds")
         leader = max(leaders, key=lambda member: member.running_process.raft.term)
@@ -89,7 +89,7 @@
             self.environment.clock.run_until(self.environment.clock.now_us + CONVERGENCE_INTERVAL_US)
         progress = {
             member.name: (
-                member.running_process.records.revision,
+                member.running_process.state.revision,
                 member.running_process.raft.commit_index,
             )
             for member in members
@@ -110,5 +110,5 @@
 
 def _states(members: list[SimulatedMember]) -> set[tuple[int, int]]:
     return {
-        (member.running_process.records.revision, state_digest(member.running_process)) for member in members
+        (member.running_process.state.revision, state_digest(member.running_process)) for member in members
     }
--- a/harness/mutations.py
+++ b/harness/mutations.py
@@ -22,7 +22,9 @@
 RAFT_SNAPSHOTS = "limerudder.store.raft.snapshots"
 RAFT_STATE = "limerudder.store.raft.state"
 STATE_MACHINE = "limerudder.store.state_machine"
-MEMBER = "limerudder.store.member"
+STATE_SNAPSHOTS = "limerudder.store.snapshots"
+LEADER_REQUESTS = "limerudder.store.leader_requests"
+DRAIN_REPLICATION = "limerudder.store.drain_replication"
 DRAIN_LOG = "limerudder.store.drain_log"
 PEER_AUTHENTICATION = "limerudder.store.peer_authentication"
 MEMORY_DISK = "harness.memory_disk"
@@ -113,9 +115,9 @@
     Mutation(
         "acknowledged before it is durable",
         SIMULATED_MEMBER,
-        "            if out.job or out.after:",
-        "            self._send_all(out.after)\n            out.after = []\n"
-        "            if out.job or out.after:",
+        "            if out.job or out.messages_after_job:",
+        "            self._send_all(out.messages_after_job)\n            out.messages_after_job = []\n"
+        "            if out.job or out.messages_after_job:",
     ),
     Mutation(
         "leader counts its own entries before they are durable",
@@ -156,15 +158,17 @@
     ),
     Mutation(
         "snapshot without its sessions",
-        STATE_MACHINE,
-        "self.sessions = [(n, one.seen, dict(one.results)) for n, one in records.sessions.items()]",
-        "self.sessions = []\n        self.head = msgspec.structs.replace(self.head, sessions=0)",
+        STATE_SNAPSHOTS,
+        "            (session_id, session.acknowledged_serial, dict(session.results))\n"
+        "            for session_id, session in sessions.items()\n"
+        "        ]\n",
+        "        ]\n        self._header = msgspec.structs.replace(self._header, session_count=0)\n",
     ),
     Mutation(
         "snapshot without sessions' results",
-        STATE_MACHINE,
-        "self.sessions = [(n, one.seen, dict(one.results))",
-        "self.sessions = [(n, one.seen, {})",
+        STATE_SNAPSHOTS,
+        "(session_id, session.acknowledged_serial, dict(session.results))",
+        "(session_id, session.acknowledged_serial, {})",
     ),
     Mutation(
         "a write said again is done again",
@@ -174,8 +178,8 @@
     ),
     Mutation(
         "another's result given after an overwritten entry",
-        MEMBER,
-        "if term != entry.term:",
+        LEADER_REQUESTS,
+        "if proposed.term != entry.term:",
         "if False:",
     ),
     Mutation(
@@ -193,23 +197,18 @@
     Mutation("facts not persisted", MEMORY_DISK, "self.facts[fact_number] = encode_fact(fact)", "pass"),
     Mutation(
         "facts dropped when answered, not when applied here",
-        MEMBER,
-        "self.once_applied(outcome.index, lambda _: self.ledger.pushed(host, revision), at)",
-        "self.ledger.pushed(host, revision)",
+        DRAIN_REPLICATION,
+        "self._finish_write_when_applied(host, outcome, now_us)",
+        "self._drain_log.finish_write(host, outcome.revision if outcome.succeeded else None)",
     ),
-    Mutation("known records not persisted", MEMORY_DISK, "self.known[key] = modified, value", "pass"),
+    Mutation("known records not persisted", MEMORY_DISK, "self.known[key] = known_value", "pass"),
     Mutation(
         "a later, smaller drain replaces a greater one",
         DRAIN_LOG,
         "return HostRecord(max(record.drained, started_ms), record.held",
         "return HostRecord(started_ms, record.held",
     ),
-    Mutation(
-        "an older disk is let in",
-        PEER_AUTHENTICATION,
-        "if before and (why := _less(before, hello)):",
-        "if False:",
-    ),
+    Mutation("an older disk is let in", PEER_AUTHENTICATION, "if outdated is not None:", "if False:"),
 ]
 
 
--- a/harness/simulated_client.py
+++ b/harness/simulated_client.py
@@ -10,18 +10,19 @@
 from harness.simulated_clock import MICROSECONDS_PER_MILLISECOND
 from harness.simulated_member import SimulatedMember
 from harness.simulation_environment import SimulationEnvironment
-from limerudder.store.member import CallFailure, Member
-from limerudder.store.state_machine import (
+from limerudder.store.calls import CallFailure, CallFailureKind
+from limerudder.store.commands import (
+    CommandResult,
     Compare,
     CompareTarget,
     Delete,
     Get,
     OpenSession,
     Put,
-    Result,
     SessionWrite,
     Transaction,
 )
+from limerudder.store.member import Member
 
 KEYS = ("kv/a", "kv/b", "kv/c")
 CALL_TIMEOUT_US = 400 * MICROSECONDS_PER_MILLISECOND
@@ -91,14 +92,14 @@
         call(member.running_process, answer_once)
         if member.process and member.generation == generation:
             member.run_output()
-        crashed = CallFailure("not_now", "the member crashed", True)
+        crashed = CallFailure(CallFailureKind.NOT_NOW, "the member crashed", True)
         self._environment.clock.schedule(CRASH_TIMEOUT_US, lambda: answer_once(crashed, 0))
 
     def _open_session(self, member: SimulatedMember) -> None:
         now_us = member.local_time_us()
 
-        def done(outcome: Result | CallFailure, _: int) -> None:
-            if isinstance(outcome, Result):
+        def done(outcome: CommandResult | CallFailure, _: int) -> None:
+            if isinstance(outcome, CommandResult):
                 self._session_id = outcome.index
                 self._serial = 0
             self._pause()
@@ -137,7 +138,7 @@
         member = self._environment.random.choice(running)
         now_us = member.local_time_us()
 
-        def done(outcome: Result | CallFailure, _: int) -> None:
+        def done(outcome: CommandResult | CallFailure, _: int) -> None:
             if isinstance(outcome, CallFailure):
                 clock.schedule(WRITE_RETRY_US, lambda: self._send_write(command, call))
                 return
@@ -166,14 +167,14 @@
         def done(outcome: CallFailure | None, _: int) -> None:
             process = member.process
             if outcome is None and process:
-                item = process.records.get(key)
+                item = process.state.get(key)
                 call.value = item.value if item else None
                 call.finished_us = self._environment.clock.now_us
-                call.revision = process.records.revision
+                call.revision = process.state.revision
             self._pause()
 
         self._call(
             member,
             done,
-            lambda process, answer: process.read(now_us + CALL_TIMEOUT_US, answer, now_us),
+            lambda process, answer: process.read_barrier(now_us + CALL_TIMEOUT_US, answer, now_us),
         )
--- a/harness/simulated_network.py
+++ b/harness/simulated_network.py
@@ -72,7 +72,7 @@
             return
         message = rpc.decode_message(data)
         if isinstance(message, AppendEntriesReply) and message.success:
-            recipient.authenticator.acknowledged(sender.member_id, message.term, message.index)
+            recipient.authenticator.record_acknowledgement(sender.member_id, message.term, message.index)
         recipient.process.receive(sender.member_id, message, recipient.local_time_us())
         recipient.run_output()
 
--- a/limerudder/store/store.py
+++ b/limerudder/store/store.py
@@ -13,10 +13,12 @@
 from limerudder.core.operations.log_events import LogKind, LogSink
 from limerudder.schema import StoreSettings
 from limerudder.store import rpc
-from limerudder.store.checks import check
 from limerudder.store.disk import Disk
 from limerudder.store.drain_log import DrainObserved
-from limerudder.store.member import DurabilityJob, Member, MemberLimits
+from limerudder.store.durability import DurabilityJob
+from limerudder.store.key_schema import write_error
+from limerudder.store.limits import MemberLimits
+from limerudder.store.member import Member
 from limerudder.store.peer_authentication import PROTOCOL_BUILD, Handshake, PeerAuthenticator
 from limerudder.store.peer_transport import DiskWriter, PeerObserver, PeerTransport
 from limerudder.store.raft.messages import AppendEntriesReply, ClusterConfig, Snapshot
@@ -41,17 +43,17 @@
         limits = MemberLimits(
             settings.snapshot_entries,
             settings.snapshot_bytes,
-            min(MemberLimits().keep_entries, settings.snapshot_entries),
+            min(MemberLimits().kept_entries, settings.snapshot_entries),
             settings.waiting_most,
             settings.value_most,
-            history=settings.history,
+            max_history_events=settings.history,
         )
         timing = RaftTiming(settings.election, settings.heartbeat)
         random = Random(secrets.randbits(64))
         me = opened.identity.me
-        self.member = Member(me, opened.start, random, now(), limits, timing, check)
+        self.member = Member(me, opened.start, random, now(), limits, timing, write_error)
         self.doorman = PeerAuthenticator(opened.identity.cluster, me, opened.shown)
-        self.durable_term = opened.start.saved.hard_state.term
+        self.durable_term = opened.start.raft_state.hard_state.term
         self.net = PeerTransport(self, me, log)
         self.afters: deque[tuple[int, list[tuple[int, rpc.StoreMessage]]]] = (
             deque()
@@ -77,10 +79,10 @@
         self.closed = True
         if self.timer:
             self.timer.cancel()
-        if self.member.leads:  # guards clients against an election that nobody saw coming
+        if self.member.is_leader:  # guards clients against an election that nobody saw coming
             self.member.raft.transfer_to_best_follower(self.now())
-            out = self.member.take(self.now())
-            for to, message in out.send if out else ():
+            out = self.member.take_output(self.now())
+            for to, message in out.messages if out else ():
                 self.net.send(to, message)
         self.net.close()
         if self.writer:
@@ -107,16 +109,15 @@
 
     def judge(self, hello: Handshake) -> str:
         """Theirs."""
-        why = self.doorman.judge(hello, self.member.config, self.member.leads)
-        self.member.new_shown.update(self.doorman.new)
-        self.doorman.new.clear()
+        why = self.doorman.rejection_reason(hello, self.member.config, self.member.is_leader)
+        self.member.record_proofs(self.doorman.take_unsaved_proofs())
         self.pump_soon()
-        return why
+        return why or ""
 
     def heard(self, sender: int, message: rpc.StoreMessage) -> None:
         """A message."""
         if isinstance(message, AppendEntriesReply) and message.success:
-            self.doorman.acknowledged(sender, message.term, message.index)
+            self.doorman.record_acknowledgement(sender, message.term, message.index)
         self.member.receive(sender, message, self.now())
         self.pump_soon()
 
@@ -132,19 +133,19 @@
         self.pumping = False
         if self.closed or self.writer is None:
             return
-        out = self.member.take(self.now())
+        out = self.member.take_output(self.now())
         if out:
             self.pump_soon()  # what follows from it, after what is at hand has left
-            for to, message in out.send:
+            for to, message in out.messages:
                 self.net.send(to, message)
             if out.job:
                 self.given = out.job.number
                 self.writer.put(out.job)
-            if out.after:
+            if out.messages_after_job:
                 if self.done >= self.given:
-                    self._send(out.after)
+                    self._send(out.messages_after_job)
                 else:
-                    self.afters.append((self.given, out.after))
+                    self.afters.append((self.given, out.messages_after_job))
         raft = self.member.raft
         if raft.log.config != self.config:
             self.config = raft.log.config
@@ -164,15 +165,15 @@
         now = self.now()
         for job, snapshot in zip(jobs, results, strict=True):
             self.done = job.number
-            if job.write and job.write.hard_state:
-                self.durable_term = job.write.hard_state.term
-            for _, fact in job.facts:
+            if job.raft_write and job.raft_write.hard_state:
+                self.durable_term = job.raft_write.hard_state.term
+            for _, fact in job.new_facts:
                 if isinstance(fact, DrainObserved):
                     self.log(
                         LogKind.HOST_DRAIN_RECORDED,
                         f"store: host {fact.host} is draining; recorded for its start {fact.started_ms}",
                     )
-            self.member.written(job.number, snapshot, now)
+            self.member.on_job_durable(job.number, snapshot, now)
         while self.afters and self.afters[0][0] <= self.done:
             self._send(self.afters.popleft()[1])
         if not self.closed:
@@ -182,7 +183,7 @@
         if not self.closed:
             self.timer = self.loop.call_later(TICK, self._tick)
             now = self.now()
-            if now >= self.member.next_due():
+            if now >= self.member.next_deadline():
                 self.member.tick(now)
                 self._pump()
 
@@ -195,20 +196,20 @@
         return {
             "cluster": f"{self.opened.identity.cluster:016x}",
             "name": self.opened.identity.name,
-            "member": f"{member.me:016x}",
+            "member": f"{member.member_id:016x}",
             "standing": raft.role.status_text,
             "leader": leader.name if leader else "",
             "term": raft.term,
-            "revision": member.records.revision,
+            "revision": member.state.revision,
             "committed": raft.commit_index,
-            "applied": member.records.applied,
+            "applied": member.state.applied_index,
             "log_from": raft.log.base_index + 1,
             "log_to": raft.log.last_index,
-            "age_ms": member.age(now) // 1000,
-            "keys": len(member.records.items),
-            "sessions": len(member.records.sessions),
-            "waiting": len(member.wishes),
-            "facts_waiting": len(member.ledger.facts),
+            "age_ms": member.max_staleness_us(now) // 1000,
+            "keys": len(member.state.items),
+            "sessions": len(member.state.sessions),
+            "waiting": len(member.pending_calls),
+            "facts_waiting": len(member.drain_log.pending_facts),
             "disk_failing": self.writer.failing if self.writer else "",
             "disk_stuck": raft.is_disk_stalled(now),
             "dropped": self.net.dropped,
@@ -228,11 +229,11 @@
                     "address": one.address,
                     "role": one.role.name.lower(),
                     "leads": one.id == raft.leader_id,
-                    "connected": one.id == self.member.me or one.id in self.net.dialled,
+                    "connected": one.id == self.member.member_id or one.id in self.net.dialled,
                     "match": seen.match_index
                     if seen
                     else raft.durable_index
-                    if one.id == self.member.me
+                    if one.id == self.member.member_id
                     else None,
                     "heard_ms": (now - seen.last_heard_us) // 1000 if seen else None,
                 }
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -27,21 +27,13 @@
 from limerudder.net.mark_files import MarkFiles
 from limerudder.policy import gossip
 from limerudder.store import drain_log, rpc
-from limerudder.store.data_directory import encode_join_token, join_cluster, read_backup, write_backup
-from limerudder.store.disk import FILE, Disk, Identity
-from limerudder.store.framing import FrameDecoder, encode_frame
-from limerudder.store.member import DurabilityJob, SnapshotJob
-from limerudder.store.peer_authentication import DurabilityProof, Handshake, Incarnation
-from limerudder.store.raft import messages as raft
-from limerudder.store.raft.persistence import HardState, IncomingSnapshot, RaftWrite, SnapshotChunk
-from limerudder.store.state_machine import (
+from limerudder.store.commands import (
     CloseSession,
     Command,
     Compare,
     CompareTarget,
     Delete,
     Get,
-    KeyValueState,
     OpenSession,
     Put,
     SessionWrite,
@@ -49,6 +41,15 @@
     decode_command,
     encode_command,
 )
+from limerudder.store.data_directory import encode_join_token, join_cluster, read_backup, write_backup
+from limerudder.store.disk import FILE, Disk, Identity
+from limerudder.store.durability import DurabilityJob, KnownValue, SnapshotJob
+from limerudder.store.framing import FrameDecoder, encode_frame
+from limerudder.store.peer_authentication import DurabilityProof, Handshake, Incarnation
+from limerudder.store.raft import messages as raft
+from limerudder.store.raft.messages import snapshot_digest
+from limerudder.store.raft.persistence import HardState, IncomingSnapshot, RaftWrite, SnapshotChunk
+from limerudder.store.state_machine import KeyValueState
 
 DATA = Path(__file__).parent / "data" / "formats"
 WRITTEN: dict[str, Any] = json.loads((DATA / "formats.json").read_text())
@@ -80,7 +81,7 @@
     "Piece": raft.InstallSnapshotChunk(3, INCOMING, 1, b"piece", 4),
     "PieceHeld": raft.InstallSnapshotReply(3, 40, 12345, 2, 4),
     "TakeOver": raft.TimeoutNow(3),
-    "Ask": rpc.Request(17, rpc.RequestKind.LEAD, b"5"),
+    "Ask": rpc.Request(17, rpc.RequestKind.TRANSFER_LEADERSHIP, b"5"),
     "Told": rpc.Reply(17, rpc.ReplyStatus.BUSY, b"why"),
 }
 
@@ -153,12 +154,12 @@
     applied = KeyValueState()
     for index, command in enumerate(COMMANDS, 2):
         applied.apply(index, encode_command(command))
-    assert list(applied.freeze(200).pieces()) == written
+    assert list(applied.snapshot_view(200).chunks()) == written
     restored = KeyValueState()
     restored.restore(written)
     assert restored.items == applied.items
     assert list(restored.sessions) == list(applied.sessions) == [2]
-    assert list(restored.freeze(200).pieces()) == written
+    assert list(restored.snapshot_view(200).chunks()) == written
 
 
 def test_drain_facts_and_host_records() -> None:
@@ -198,12 +199,12 @@
     assert opened.identity == Identity(9, 5, "n0")
     assert opened.boot.number == 1
     assert opened.shown == {6: DurabilityProof(Incarnation(3, 77), 1, 9)}
-    assert opened.start.facts == {1: FACTS["drain"], 3: FACTS["back"]}
-    assert opened.start.known == {
+    assert opened.start.drain_facts == {1: FACTS["drain"], 3: FACTS["back"]}
+    assert opened.start.known_values == {
         "hosts/s-1": (2, drain_log.encode_host_record(HOST_RECORD)),
         "config/log": (1, None),
     }
-    saved = opened.start.saved
+    saved = opened.start.raft_state
     assert saved.hard_state == HardState(2, 6)
     assert saved.initial_config == CONFIG
     assert saved.incoming_snapshot == IncomingSnapshot(INCOMING, (b"first", b"second"))
@@ -232,15 +233,22 @@
     records = KeyValueState()
     for entry in entries[1:7]:
         records.apply(entry.index, entry.data)
-    disk.do([DurabilityJob(2, None, SnapshotJob(7, 1, CONFIG, records.freeze(200), 5))])
-    facts = tuple(enumerate(FACTS.values(), 1))
-    known = (("hosts/s-1", 2, drain_log.encode_host_record(HOST_RECORD)), ("config/log", 1, None))
-    shown = ((6, DurabilityProof(Incarnation(3, 77), 1, 9)),)
+    disk.do([DurabilityJob(2, None, SnapshotJob(7, 1, CONFIG, records.snapshot_view(200), 5))])
+    facts = tuple(drain_log.NumberedFact(number, fact) for number, fact in enumerate(FACTS.values(), 1))
+    known = {
+        "hosts/s-1": KnownValue(2, drain_log.encode_host_record(HOST_RECORD)),
+        "config/log": KnownValue(1, None),
+    }
+    shown = {6: DurabilityProof(Incarnation(3, 77), 1, 9)}
     write = RaftWrite(3, entries=tuple(entries[8:]))
-    disk.do([DurabilityJob(3, write, facts=facts, known=known, shown=shown)])
-    chunks = (SnapshotChunk(INCOMING, 0, b"first"), SnapshotChunk(INCOMING, 1, b"second"))
+    disk.do([DurabilityJob(3, write, new_facts=facts, known_values=known, proofs=shown)])
+    pieces = (SnapshotChunk(INCOMING, 0, b"first"), SnapshotChunk(INCOMING, 1, b"second"))
     disk.do(
-        [DurabilityJob(4, RaftWrite(4, hard_state=HardState(2, 6), snapshot_chunks=chunks), gone_facts=(2,))]
+        [
+            DurabilityJob(
+                4, RaftWrite(4, hard_state=HardState(2, 6), snapshot_chunks=pieces), deleted_facts=(2,)
+            )
+        ]
     )
     disk.close()
     assert list(_rows(folder)) == list(_rows(killed_store))
@@ -250,7 +258,7 @@
     head, snapshot = read_backup(str(DATA / "backup"))
     assert (head.cluster, snapshot.meta.index, snapshot.meta.config) == (9, 11, CONFIG)
     assert [piece.hex() for piece in snapshot.chunks] == WRITTEN["snapshot_pieces"]
-    assert snapshot.meta.digest == raft.snapshot_digest(snapshot.chunks)
+    assert snapshot.meta.digest == snapshot_digest(snapshot.chunks)
     write_backup(str(tmp_path / "backup"), 9, snapshot)
     assert (tmp_path / "backup").read_bytes() == (DATA / "backup").read_bytes()
 
