Keep hot restart's records as named tuples; ask for the parent's inheritance in a step

Cause: a dataclass costs more at import than a named tuple, and a node's start is part of a hot restart. Change: messages, states and hooks are named tuples, those without fields plain classes.

--- a/limerudder/core/lifecycle/graceful_shutdown.py
+++ b/limerudder/core/lifecycle/graceful_shutdown.py
@@ -6,8 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
-from typing import Generic, Protocol, TypeVar
+from typing import Generic, NamedTuple, Protocol, TypeVar
 
 from limerudder.core.client.admission import AdmissionControl
 from limerudder.core.operations.log_events import LogKind, LogSink
@@ -47,8 +46,7 @@
 RequestT = TypeVar("RequestT", bound=ShutdownRequest)
 
 
-@dataclass(frozen=True, slots=True)
-class ShutdownHooks(Generic[RequestT]):
+class ShutdownHooks(NamedTuple, Generic[RequestT]):
     """What a shutdown reads from its node, and calls on it."""
 
     has_successor: Callable[[], bool]
--- a/limerudder/core/lifecycle/hot_restart/handover_state.py
+++ b/limerudder/core/lifecycle/hot_restart/handover_state.py
@@ -7,7 +7,7 @@
 
 import json
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, NamedTuple
 
 from limerudder.core.discovery.endpoint_list import EndpointList, format_endpoint_list, parse_endpoint_list
 from limerudder.core.lifecycle.hot_restart.errors import HandoverFormatError
@@ -24,8 +24,7 @@
     connections_by_upstream: dict[str, int] = field(default_factory=dict)  #: by the upstream's name
 
 
-@dataclass(frozen=True, slots=True)
-class HandoverState:
+class HandoverState(NamedTuple):
     """What the parent knows when a successor connects."""
 
     endpoints: EndpointList
--- a/limerudder/core/lifecycle/hot_restart/messages.py
+++ b/limerudder/core/lifecycle/hot_restart/messages.py
@@ -7,8 +7,8 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
 from enum import StrEnum
+from typing import NamedTuple
 
 from limerudder.core.lifecycle.hot_restart.errors import HandoverFormatError
 from limerudder.core.lifecycle.hot_restart.handover_state import (
@@ -34,34 +34,29 @@
     SERVING = "serving"
 
 
-@dataclass(frozen=True, slots=True)
-class RequestAccepted:
+class RequestAccepted(NamedTuple):
     """The parent has accepted a request: its id is in use."""
 
     request_id: int
 
 
-@dataclass(frozen=True, slots=True)
-class UsageChanged:
+class UsageChanged(NamedTuple):
     """What the parent holds has changed."""
 
     usage: ProcessUsage
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointDrained:
+class EndpointDrained(NamedTuple):
     """The parent has learned that an upstream drains."""
 
     name: str
     started_ms: int  #: the start of the upstream that drains, in ms since 1970
 
 
-@dataclass(frozen=True, slots=True)
 class ParentStopping:
     """The parent stops: the successor is to accept clients at once."""
 
 
-@dataclass(frozen=True, slots=True)
 class SuccessorServing:
     """The successor accepts clients: the parent is to accept no more."""
 
--- a/limerudder/core/lifecycle/hot_restart/parent.py
+++ b/limerudder/core/lifecycle/hot_restart/parent.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from enum import Enum, auto
+from typing import NamedTuple
 
 from limerudder.core.lifecycle.hot_restart.handover_state import (
     HandoverState,
@@ -34,8 +34,7 @@
     HANDED_OVER = auto()  #: a successor
 
 
-@dataclass(frozen=True, slots=True)
-class ParentHooks:
+class ParentHooks(NamedTuple):
     """What the parent's side reads from its node, and calls on it."""
 
     handover_state: Callable[[], HandoverState]
--- a/limerudder/core/lifecycle/hot_restart/successor.py
+++ b/limerudder/core/lifecycle/hot_restart/successor.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from enum import Enum, auto
+from typing import NamedTuple
 
 from limerudder.core.lifecycle.hot_restart.errors import HandoverFormatError
 from limerudder.core.lifecycle.hot_restart.handover_state import HandoverState, ProcessUsage
@@ -32,8 +32,7 @@
     SERVING = auto()  #: it has been told to accept clients, once and for all
 
 
-@dataclass(frozen=True, slots=True)
-class SuccessorHooks:
+class SuccessorHooks(NamedTuple):
     """What the successor's side reads from its node, and calls on it."""
 
     is_ready_to_serve: Callable[[], bool]  #: discovery has answered, and no first health check is pending
--- a/limerudder/net/socket_handover.py
+++ b/limerudder/net/socket_handover.py
@@ -7,7 +7,7 @@
 import socket
 from collections.abc import Callable, Sequence
 from contextlib import suppress
-from dataclasses import dataclass
+from typing import NamedTuple
 
 from limerudder.core.lifecycle.hot_restart import MAX_LINE_BYTES
 from limerudder.core.operations.log_events import LogKind, LogSink
@@ -40,8 +40,7 @@
         os.close(self.descriptor)
 
 
-@dataclass(frozen=True, slots=True)
-class InheritedSockets:
+class InheritedSockets(NamedTuple):
     """What the process that serves has passed to its successor."""
 
     sockets: list[socket.socket]  #: bound to the node's addresses
--- a/limerudder/node_process.py
+++ b/limerudder/node_process.py
@@ -26,7 +26,7 @@
 from limerudder.net.peer_socket import PeerSocket
 from limerudder.net.socket_handover import HandoverListener, drive_connection
 from limerudder.net.tcp import TcpConnection, TcpConnector
-from limerudder.process_startup import Inheritance, bind_sockets, inherit, open_state_directory
+from limerudder.process_startup import Inheritance, bind_sockets, inherit_from_parent, open_state_directory
 from limerudder.store_runtime import ConfigureLog, StoreRuntime
 
 MICROSECONDS_PER_SECOND = 1e6
@@ -71,7 +71,7 @@
         self._console_server: asyncio.Server | None = None
         self._tick_timer: asyncio.TimerHandle | None = None
         self._state_directory = open_state_directory(config, log)
-        self._inheritance = inherit(self._state_directory, log) if self._state_directory else None
+        self._inheritance = self._inherit_from_parent()
         self._store = StoreRuntime(config, log, self._clock, configure_log)
         self._config = self._complete_config(config)
         self._sockets = self._inheritance.sockets if self._inheritance else bind_sockets(self._config)
@@ -101,6 +101,11 @@
 
     # start-up
 
+    def _inherit_from_parent(self) -> Inheritance | None:
+        if self._state_directory is None:
+            return None
+        return inherit_from_parent(self._state_directory, self._log)
+
     def _complete_config(self, config: ProcessConfig) -> ProcessConfig:
         """Return the configuration with the newer values of the parent process, or else of the store."""
         if self._inheritance is None:
--- a/limerudder/process_startup.py
+++ b/limerudder/process_startup.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import socket
-from dataclasses import dataclass
+from typing import NamedTuple
 
 from limerudder.config import ProcessConfig
 from limerudder.core.lifecycle.hot_restart import HandoverFormatError, HandoverState, parse_handover_state
@@ -12,8 +12,7 @@
 from limerudder.net.socket_handover import StateDirectory, request_handover
 
 
-@dataclass(frozen=True, slots=True)
-class Inheritance:
+class Inheritance(NamedTuple):
     """What a successor gets from its parent process."""
 
     state: HandoverState
@@ -35,7 +34,7 @@
         return None
 
 
-def inherit(directory: StateDirectory, log: LogSink) -> Inheritance | None:
+def inherit_from_parent(directory: StateDirectory, log: LogSink) -> Inheritance | None:
     """Take over from the process that serves; None if there is none, or its state cannot be read."""
     inherited = request_handover(directory)
     if inherited is None:
