--- a/limerudder/core/lifecycle/graceful_shutdown.py
+++ b/limerudder/core/lifecycle/graceful_shutdown.py
@@ -12,8 +12,8 @@
 from limerudder.core.operations.log_events import LogKind, LogSink
 from limerudder.core.timer_wheel import TimerWheel
 
-# SIGKILL comes no sooner than the longest request deadline (of which at most MAX_DEADLINE_US counts) and
-# KILL_MARGIN_US after the signal to stop: the platform's promise.
+# The platform guarantees that SIGKILL comes no sooner after the signal to stop than the longest request
+# deadline, of which at most MAX_DEADLINE_US counts, and KILL_MARGIN_US together.
 MAX_DEADLINE_US = 3_000_000
 KILL_MARGIN_US = 700_000
 
@@ -22,7 +22,7 @@
 #: Migrations are spread over this time, as late as possible.
 MIGRATION_DURATION_US = 1_200_000
 
-# How long before the earliest SIGKILL
+# How long before the earliest SIGKILL:
 MIGRATION_END_MARGIN_US = 700_000  #: migrations are over
 FINAL_ANSWER_MARGIN_US = 400_000  #: requests that still wait are answered as failed
 COMPLETION_MARGIN_US = KILL_MARGIN_US // 4  #: the shutdown ends, whatever is left
@@ -57,7 +57,7 @@
 
 
 def earliest_kill_time_us(longest_deadline_us: int, now_us: int) -> int:
-    """Return when SIGKILL may come after a signal to stop that has come now."""
+    """Return the earliest time of a SIGKILL after a signal to stop that is received now."""
     return now_us + min(longest_deadline_us, MAX_DEADLINE_US) + KILL_MARGIN_US
 
 
@@ -110,7 +110,7 @@
         return [request for request in self._requests.values() if request.is_established]
 
     def _migrate_share(self, established: list[RequestT], now_us: int) -> None:
-        """Migrate so many connections that all are migrated in the steps that are left."""
+        """Migrate the share of the connections with which the steps that are left migrate all."""
         steps_left = max((self._migration_end_us - now_us) // MIN_STEP_INTERVAL_US, 1)
         share = -(-len(established) // steps_left)
         for request in established[:share]:
--- a/limerudder/core/lifecycle/hot_restart/node_binding.py
+++ b/limerudder/core/lifecycle/hot_restart/node_binding.py
@@ -74,7 +74,7 @@
 
 
 def _record_drain(node: Node, name: str, started_ms: int, now_us: int) -> None:
-    """Record a drain that the parent knows of, unless this process has the store open, which knows itself."""
+    """Record a drain of which the parent has learned, unless this process reads the store itself by now."""
     if isinstance(node.drain_memory, InheritedDrains):
         node.drain_memory.record_drain(name, started_ms)
         node.refresh_endpoint(name, now_us)
--- a/limerudder/core/lifecycle/hot_restart/parent.py
+++ b/limerudder/core/lifecycle/hot_restart/parent.py
@@ -50,7 +50,7 @@
 
     def __init__(self, hooks: ParentHooks, timers: TimerWheel) -> None:
         self.phase = ParentPhase.SERVING
-        self.connections: list[SuccessorConnection] = []  # of all that have asked, the successor's among them
+        self.connections: list[SuccessorConnection] = []  # of all processes that have asked to take over
         self._hooks = hooks
         self._timers = timers
         self._successor: SuccessorConnection | None = None
@@ -71,7 +71,7 @@
             self.announce(RequestAccepted(request_id))
 
     def successor_connected(self, connection: SuccessorConnection) -> None:
-        """Record a process that asks to take over; it has the state line."""
+        """Record a process that asks to take over; it has been sent the state line."""
         self.connections.append(connection)
         self._hooks.log(LogKind.HANDOVER, "node: another process has asked to take over")
         if self._hooks.is_stopping():
--- a/limerudder/core/lifecycle/hot_restart/successor.py
+++ b/limerudder/core/lifecycle/hot_restart/successor.py
@@ -26,10 +26,10 @@
 
 
 class SuccessorPhase(Enum):
-    """How far the successor is."""
+    """Whether the successor has been told to serve."""
 
-    PREPARING = auto()  #: the parent accepts the clients, while discovery and the upstreams are asked
-    SERVING = auto()  #: it has been told to accept clients, once and for all
+    PREPARING = auto()  #: it asks discovery and checks the upstreams, while the parent accepts the clients
+    SERVING = auto()  #: it has been told to accept clients, which happens once
 
 
 class SuccessorHooks(NamedTuple):
--- a/limerudder/store_runtime.py
+++ b/limerudder/store_runtime.py
@@ -48,7 +48,7 @@
         self._takeover: asyncio.Task[None] | None = None
 
     def open(self, config: ProcessConfig) -> ProcessConfig:
-        """Open the store; return the configuration with what the store knows newer. Raises ConfigError."""
+        """Open the store; return the configuration with the newer values it holds. Raises ConfigError."""
         if self._settings is None:
             return config
         from limerudder.store.disk import DiskBusy, DiskError
@@ -93,14 +93,14 @@
         return answer
 
     async def start(self, node: Node, marks: MaintenanceMarks, announce_drain: AnnounceDrain) -> None:
-        """Have the store talk to its peers and to the node; raises ConfigError if its address is taken."""
+        """Connect the store to its peers and to the node; raises ConfigError if its address is taken."""
         if self._bridge is not None:
             await self._run_bridge(self._bridge, node, announce_drain)
         elif self._directory_is_busy:
             self.start_takeover(node, marks, announce_drain)
 
     def start_takeover(self, node: Node, marks: MaintenanceMarks, announce_drain: AnnounceDrain) -> None:
-        """Open and start the store as soon as the process before this one lets go of its directory."""
+        """Open and start the store as soon as the previous process has released its directory."""
         if self._settings is None or self._takeover is not None:
             return
         takeover = self._take_over(self._settings, node, marks, announce_drain)
