--- a/limerudder/core/discovery/discovery_call.py
+++ b/limerudder/core/discovery/discovery_call.py
@@ -49,7 +49,8 @@
     def first_bytes(self, now_us: int) -> bytes:
         """The request."""
         query = f"?watch=1&after={self.after_version}" if self.is_watch else ""
-        return f"GET {PATH}{query} HTTP/1.1\r\nHost: {self._host}\r\nAccept: application/json\r\n\r\n".encode()
+        headers = f"Host: {self._host}\r\nAccept: application/json\r\n"
+        return f"GET {PATH}{query} HTTP/1.1\r\n{headers}\r\n".encode()
 
     def data_received(self, data: bytes, now_us: int) -> None:
         """Part of the response; a malformed one fails the call."""
