--- a/harness/configurations.py
+++ b/harness/configurations.py
@@ -1,4 +1,4 @@
-"""What a node is told, as JSON: settings, hosts, a configuration file. For tests, rigs and measurements."""
+"""Configurations of nodes as JSON: settings, endpoint lists, a configuration file."""
 
 from __future__ import annotations
 
@@ -7,17 +7,18 @@
 from typing import Any
 
 SECOND = 1_000_000
-ID, KEY = "9b1f03aa5c7e2d41", "7f3a9c21e0b4d655"
+ID = "9b1f03aa5c7e2d41"
+KEY = "7f3a9c21e0b4d655"
 LINE = f"OPEN {ID} {KEY} c=chat,t=acme,d=2000,g=5c0f6e1a2b3d4c59"
 
 
 def fresh(line: str, number: int) -> str:
-    """The line with an id of its own for each number; the first is as it stands."""
+    """Return the line with an id of its own for each number; number 0 leaves it unchanged."""
     return line.replace(ID, f"{int(ID, 16) + number:016x}")
 
 
 def settings(**caps: Any) -> dict[str, Any]:
-    """Settings as a configuration file holds them."""
+    """Return settings as a configuration file holds them; `caps` change what the platform allows."""
     chat = {"aimUs": 300_000, "deadlineUs": 2 * SECOND, "effect": "safe", "name": "chat", "stream": True}
     allowed = {"cancel": True, "probes": False, "peers": True, "tryLimit": 3, "dialTimeoutUs": 100_000}
     return {
@@ -46,18 +47,18 @@
 
 
 def host(name: str, address: str = "127.0.0.1:9", lifecycle: str = "active") -> dict[str, Any]:
-    """One entry of discovery's list."""
+    """Return one entry of discovery's list."""
     fixed = {"zone": "a", "machineType": "m1", "cell": 0, "weight": 1.0, "startedAtMs": 0}
     return {"instanceId": name, "hostPort": address, "lifecycle": lifecycle, **fixed}
 
 
 def hosts(*entries: dict[str, Any], reset: bool = True) -> dict[str, Any]:
-    """Discovery's list."""
+    """Return discovery's list; `reset` marks a complete one."""
     return {"generation": 41, "reset": reset, "instances": list(entries)}
 
 
 def configuration(folder: Path, **changes: Any) -> dict[str, str]:
-    """Write a configuration; return the environment that names it."""
+    """Write a configuration file, and return the environment that names it."""
     given = {
         "name": "n0",
         "listen": "127.0.0.1:0",
