--- a/bench/filter.py
+++ b/bench/filter.py
@@ -23,7 +23,7 @@
 
 import uvloop
 
-from harness.multi_process import MultiProcessTier, until
+from harness.multi_process import MultiProcessTier, wait_until
 
 #: the calls the page names, and those that would reveal a second process or a socket of another family
 WATCHED = (
@@ -72,25 +72,25 @@
 
 async def play(folder: Path) -> tuple[Counter[str], Counter[str], list[str], int | None]:
     """One node under the tracer: clients, a new configuration, a planned stop."""
-    tier = MultiProcessTier(folder, 1, stand_ins=3, keeps=False)
+    tier = MultiProcessTier(folder, 1, host_count=3, with_store=False)
     trace = folder / "trace"
-    tier.nodes[0].wrapper = tracer(trace)
+    tier.nodes[0].command_prefix = tracer(trace)
     try:
         await tier.start()
-        tier.come(8)
-        await until(lambda: tier.counts["UP"] >= 40, "40 clients served")
+        tier.start_clients(8)
+        await wait_until(lambda: tier.answer_counts["UP"] >= 40, "40 clients served")
         node = tier.nodes[0]
-        assert node.ran
-        traced = child(node.ran.pid)
+        assert node.process
+        traced = child(node.process.pid)
         os.kill(traced, signal.SIGHUP)
-        before = tier.counts["UP"]
-        await until(lambda: tier.counts["UP"] >= before + 40, "40 more served after SIGHUP")
-        tier.ended = True
+        before = tier.answer_counts["UP"]
+        await wait_until(lambda: tier.answer_counts["UP"] >= before + 40, "40 more served after SIGHUP")
+        tier.stopping = True
         os.kill(traced, signal.SIGTERM)
-        code = await asyncio.wait_for(node.ran.wait(), 30)
+        code = await asyncio.wait_for(node.process.wait(), 30)
     finally:
         await tier.close()
-    return kinds(trace.read_text()), tier.counts, tier.wrong, code
+    return kinds(trace.read_text()), tier.answer_counts, tier.violations, code
 
 
 def main() -> None:
--- a/bench/store_cost.py
+++ b/bench/store_cost.py
@@ -32,18 +32,18 @@
 
 async def once(folder: Path, keeps: bool, clients: int, seconds: float) -> tuple[float, float]:
     """CPU milliseconds a request, over all nodes, and the largest node's memory."""
-    tier = MultiProcessTier(folder, 4, keeps=keeps)
+    tier = MultiProcessTier(folder, 4, with_store=keeps)
     try:
         await tier.start()
         if keeps:
-            await tier.settled()
-        tier.come(clients)
+            await tier.wait_until_settled()
+        tier.start_clients(clients)
         await asyncio.sleep(1)
-        pids = [node.ran.pid for node in tier.nodes if node.ran]
-        before, requests = sum(map(cpu, pids)), sum(tier.counts.values())
+        pids = [node.process.pid for node in tier.nodes if node.process]
+        before, requests = sum(map(cpu, pids)), sum(tier.answer_counts.values())
         await asyncio.sleep(seconds)
-        used, done = sum(map(cpu, pids)) - before, sum(tier.counts.values()) - requests
-        assert not tier.wrong, tier.wrong
+        used, done = sum(map(cpu, pids)) - before, sum(tier.answer_counts.values()) - requests
+        assert not tier.violations, tier.violations
         return used / done * 1000, max(map(memory, pids))
     finally:
         await tier.close()
--- a/bench/store_failover.py
+++ b/bench/store_failover.py
@@ -66,16 +66,18 @@
         records.apply(n + 2, encode_command(SessionWrite(1, n + 1, n, Transaction((), puts))))
     (path,) = init_cluster(str(folder), [("n0", "127.0.0.1:1")])
     disk = Disk(path)
-    opened = disk.load(start=False)
+    opened = disk.load(count_start=False)
     pieces = tuple(records.freeze().pieces())
-    meta = SnapshotMeta(records.applied, 1, opened.start.saved.config, len(pieces), snapshot_digest(pieces))
-    disk.begin_anew(opened.identity, HardState(1, 0), Snapshot(meta, pieces))
+    meta = SnapshotMeta(
+        records.applied, 1, opened.member_start.saved.config, len(pieces), snapshot_digest(pieces)
+    )
+    disk.start_new_cluster(opened.identity, HardState(1, 0), Snapshot(meta, pieces))
     disk.close()
     took = []
     for _ in range(7):
         began = time.perf_counter()
         disk = Disk(path)
-        member = Member(opened.identity.me, disk.load().start, Random(1), 0)
+        member = Member(opened.identity.member_id, disk.load().member_start, Random(1), 0)
         took.append(time.perf_counter() - began)
         assert len(member.records.items) == many
         disk.close()
--- a/harness/multi_process.py
+++ b/harness/multi_process.py
@@ -72,7 +72,7 @@
         finally:
             self.watches.pop(writer, None)
 
-    def tell(self, only: int | None = None) -> None:
+    def publish(self, only: int | None = None) -> None:
         """Tell a new list to all who watch, or to so many of them."""
         self.generation += 1
         for writer in list(self.watches)[:only]:
@@ -95,7 +95,7 @@
 
     def __init__(self, name: str) -> None:
         self.name = name
-        self.came: list[float] = []
+        self.request_times: list[float] = []
         self.address = ""
         self.server: asyncio.Server | None = None
 
@@ -108,7 +108,7 @@
         try:
             while line := await reader.readline():
                 if line.startswith(b"OPEN"):
-                    self.came.append(time.monotonic())
+                    self.request_times.append(time.monotonic())
                     writer.write(b"UP 77\r\n")
                 elif line.startswith((b"STATS", b"PING")):
                     writer.write(b"PONG inflight=1,x0=0.1\r\n")
@@ -132,11 +132,11 @@
         self.folder = tier.folder / self.name
         self.folder.mkdir()
         self.store = tier.folder / "store" / self.name
-        self.ran: asyncio.subprocess.Process | None = None
+        self.process: asyncio.subprocess.Process | None = None
         self.lines: list[str] = []
         self.reading: asyncio.Task[None] | None = None
         self.serving = asyncio.Event()
-        self.wrapper: list[str] = []  # a program that runs the node's process, such as a tracer
+        self.command_prefix: list[str] = []  # a program that runs the node's process, such as a tracer
 
     def write(self, listen: str, console: str, store: str, given: dict[str, Any], extra: str) -> None:
         """Write its files."""
@@ -144,7 +144,7 @@
         told = configuration(self.folder, name=self.name, listen=listen, console=console, **given)
         (self.folder / "tmp").mkdir(exist_ok=True)
         self.environment = os.environ | told | {"TMPDIR": str(self.folder / "tmp")}
-        if self.tier.keeps:
+        if self.tier.with_store:
             file = self.folder / "limerudder.cue"
             file.write_text(f'store: {{folder: "{self.store}", listen: "{store}"\n{extra}}}\n')
             self.environment["LIMERUDDER_FILE"] = str(file)
@@ -152,15 +152,15 @@
     async def start(self) -> None:
         """Run it, until it serves."""
         self.serving = asyncio.Event()
-        self.ran = await asyncio.create_subprocess_exec(
-            *self.wrapper,
+        self.process = await asyncio.create_subprocess_exec(
+            *self.command_prefix,
             sys.executable,
             "-m",
             "limerudder",
             env=self.environment,
             stderr=asyncio.subprocess.PIPE,
         )
-        self.reading = asyncio.create_task(self._read(self.ran))
+        self.reading = asyncio.create_task(self._read(self.process))
         await self.serving.wait()
 
     async def _read(self, ran: asyncio.subprocess.Process) -> None:
@@ -173,14 +173,14 @@
 
     async def kill(self, number: int = signal.SIGKILL) -> None:
         """End it now."""
-        if self.ran and self.ran.returncode is None:
-            self.ran.send_signal(number)
-        if self.ran:
-            await self.ran.wait()
+        if self.process and self.process.returncode is None:
+            self.process.send_signal(number)
+        if self.process:
+            await self.process.wait()
         if self.reading:
             await self.reading
 
-    def call(self, name: str, wait: float = 2.0, **given: Any) -> dict[str, Any]:
+    def call_store_blocking(self, name: str, wait: float = 2.0, **given: Any) -> dict[str, Any]:
         """A call to its store; not `ok` where nobody answers."""
         try:
             with ControlClient(str(self.store), wait) as client:
@@ -188,11 +188,11 @@
         except ControlUnavailable as exc:
             return {"ok": False, "kind": "not_now", "error": str(exc)}
 
-    async def ask(self, name: str, wait: float = 2.0, **given: Any) -> dict[str, Any]:
+    async def call_store(self, name: str, wait: float = 2.0, **given: Any) -> dict[str, Any]:
         """The same, without holding up the loop."""
-        return await asyncio.to_thread(self.call, name, wait, **given)
+        return await asyncio.to_thread(self.call_store_blocking, name, wait, **given)
 
-    async def hand(self, line: str) -> str:
+    async def call_console(self, line: str) -> str:
         """A call to its console."""
         reader, writer = await asyncio.open_connection(*self.console.split(":"))
         writer.write(line.encode() + b"\n")
@@ -205,14 +205,14 @@
 class MultiProcessTier:
     """Nodes, director, hosts, clients."""
 
-    def __init__(self, folder: Path, nodes: int = 4, stand_ins: int = 5, keeps: bool = True) -> None:
-        self.folder, self.keeps = folder, keeps
+    def __init__(self, folder: Path, nodes: int = 4, host_count: int = 5, with_store: bool = True) -> None:
+        self.folder, self.with_store = folder, with_store
         self.discovery = StandInDiscovery()
-        self.hosts = {name: StandInHost(name) for name in (f"h{n}" for n in range(stand_ins))}
+        self.hosts = {name: StandInHost(name) for name in (f"h{n}" for n in range(host_count))}
         self.nodes = [NodeProcess(n, self) for n in range(nodes)]
-        self.counts: Counter[str] = Counter()
-        self.wrong: list[str] = []
-        self.ended = False
+        self.answer_counts: Counter[str] = Counter()
+        self.violations: list[str] = []
+        self.stopping = False
         self.next_id = 1
         self.clients: list[asyncio.Task[None]] = []
 
@@ -225,7 +225,7 @@
         ports = free_ports(3 * len(self.nodes))
         addresses = [f"127.0.0.1:{port}" for port in ports]
         members = [(node.name, addresses[3 * node.number + 2]) for node in self.nodes]
-        if self.keeps:
+        if self.with_store:
             init_cluster(str(self.folder / "store"), members)
         listed = hosts(*self.discovery.entries.values())
         told = settings(probes=True, peers=False, **caps)
@@ -236,11 +236,11 @@
             node.write(listen, console, store, given, extra)
         await asyncio.gather(*(node.start() for node in self.nodes))
 
-    async def settled(self, wait: float = 30.0) -> float:
+    async def wait_until_settled(self, wait: float = 30.0) -> float:
         """Until all nodes are at one revision and see a leader; seconds that took."""
         began = time.monotonic()
         while time.monotonic() - began < wait:
-            told = await asyncio.gather(*(node.ask("status") for node in self.nodes))
+            told = await asyncio.gather(*(node.call_store("status") for node in self.nodes))
             if all(one["ok"] for one in told):
                 same = {(one["leader"], one["revision"], one["applied"]) for one in told}
                 if len(same) == 1 and told[0]["leader"] and not any(one["facts_waiting"] for one in told):
@@ -252,21 +252,23 @@
         """The node that leads."""
         while True:
             for node in self.nodes:
-                told = await node.ask("status")
+                told = await node.call_store("status")
                 if told["ok"] and told["standing"] == "leader":
                     return node
             await asyncio.sleep(0.02)
 
-    def come(self, many: int) -> None:
+    def start_clients(self, many: int) -> None:
         """Clients that come again and again, through any node."""
         self.clients += [asyncio.create_task(self._client(number)) for number in range(many)]
 
     async def _client(self, number: int) -> None:
         at = number
-        while not self.ended:
+        while not self.stopping:
             self.next_id += 1
             line = f"OPEN {self.next_id:016x} {number:016x} c=chat,t=acme,d=2000\r\n".encode()
-            while not self.ended:  # until it is answered: a node that is killed owes its clients nothing more
+            while (
+                not self.stopping
+            ):  # until it is answered: a node that is killed owes its clients nothing more
                 at += 1
                 if await self._once(self.nodes[at % len(self.nodes)], line):
                     break
@@ -275,11 +277,11 @@
                 line = f"OPEN {self.next_id:016x} {number:016x} c=chat,t=acme,d=2000\r\n".encode()
 
     async def _once(self, node: NodeProcess, line: bytes) -> bool:
-        life = node.ran
+        life = node.process
         try:
             reader, writer = await asyncio.open_connection(*node.listen.split(":"))
         except OSError:
-            self.counts["refused connections"] += 1
+            self.answer_counts["refused connections"] += 1
             return False
         answers = []
         try:
@@ -287,7 +289,7 @@
             answer = await asyncio.wait_for(reader.readline(), 4)
             if answer:
                 answers.append(answer)
-                self.counts[answer.split()[0].decode()] += 1
+                self.answer_counts[answer.split()[0].decode()] += 1
             if answer.startswith(b"UP"):
                 try:
                     more = await asyncio.wait_for(reader.readline(), 0.3)
@@ -296,26 +298,26 @@
                 except TimeoutError:
                     pass
         except TimeoutError:
-            self.wrong.append(f"{node.name}: no answer within 4 s")
+            self.violations.append(f"{node.name}: no answer within 4 s")
         except OSError:
             pass
         finally:
             writer.close()
         if len(answers) > 1:
-            self.wrong.append(f"{node.name}: two answers: {answers}")
-        if not answers and life is node.ran and life is not None and life.returncode is None:
+            self.violations.append(f"{node.name}: two answers: {answers}")
+        if not answers and life is node.process and life is not None and life.returncode is None:
             await asyncio.sleep(0.2)
-            if life.returncode is None and life is node.ran:
-                self.wrong.append(f"{node.name}: closed without an answer, and it lives")
+            if life.returncode is None and life is node.process:
+                self.violations.append(f"{node.name}: closed without an answer, and it lives")
         return bool(answers)
 
-    def sends_after(self, name: str, since: float) -> int:
+    def count_requests_since(self, name: str, since: float) -> int:
         """How many requests a host got after a moment."""
-        return sum(at > since for at in self.hosts[name].came)
+        return sum(at > since for at in self.hosts[name].request_times)
 
     async def close(self) -> None:
         """End all of it."""
-        self.ended = True
+        self.stopping = True
         for task in self.clients:
             task.cancel()
         await asyncio.gather(*self.clients, return_exceptions=True)
@@ -326,7 +328,7 @@
             one.close()
 
 
-async def until(wanted: Callable[[], Any], what: str, wait: float = 20.0) -> None:
+async def wait_until(wanted: Callable[[], Any], what: str, wait: float = 20.0) -> None:
     """Until it is so; fails loudly where that never comes."""
     end = time.monotonic() + wait
     while not wanted():
--- a/limerudder/store/control.py
+++ b/limerudder/store/control.py
@@ -21,6 +21,7 @@
 
 from limerudder.core.transport import read_address
 from limerudder.store import data_directory as folders
+from limerudder.store.backup import write_backup
 from limerudder.store.drain_log import HOST_KEY_PREFIX
 from limerudder.store.member import CallFailure
 from limerudder.store.raft.messages import Member, MemberRole
@@ -343,7 +344,7 @@
             read_address(new.address)
         except ValueError as exc:
             raise ControlError("wrong", str(exc)) from None
-        ticket = folders.encode_join_token(self.store.opened.identity.cluster, new)
+        ticket = folders.encode_join_token(self.store.opened.identity.cluster_id, new)
 
         def done(outcome: bytes | CallFailure, at: int) -> None:
             told(
@@ -388,7 +389,7 @@
             revision = member.records.revision
 
             def write() -> None:
-                folders.write_backup(path, self.store.opened.identity.cluster, job.build())
+                write_backup(path, self.store.opened.identity.cluster_id, job.build())
 
             def written(future: asyncio.Future[None]) -> None:
                 exc = future.exception()
--- a/limerudder/store/data_directory.py
+++ b/limerudder/store/data_directory.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from limerudder.store.disk import Disk, DiskError, Identity
-from limerudder.store.framing import FrameDecoder, FrameError, encode_frame
+from limerudder.store.backup import read_backup
+from limerudder.store.disk import Disk, DiskError, MemberIdentity
 from limerudder.store.raft.messages import (
     ClusterConfig,
     EntryKind,
@@ -22,16 +22,6 @@
 from limerudder.store.raft.raft import HardState, snapshot_digest
 from limerudder.store.state_machine import KeyValueState, SnapshotError
 
-BACKUP = 1  #: format of a backup file; its frames are a head and the snapshot's pieces
-
-
-class BackupHead(msgspec.Struct, frozen=True, array_like=True):
-    """The first frame of a backup."""
-
-    format: int
-    cluster: int
-    meta: SnapshotMeta
-
 
 class JoinToken(msgspec.Struct, frozen=True, array_like=True):
     """What a new member's folder is made from."""
@@ -59,7 +49,7 @@
     made = []
     for one in config.members:
         path = os.path.join(folder, one.name)
-        Disk(path, Identity(cluster, one.id, one.name), config).close()
+        Disk(path, MemberIdentity(cluster, one.id, one.name), config).close()
         made.append(path)
     return made
 
@@ -75,38 +65,10 @@
         told: JoinToken = msgspec.msgpack.decode(base64.urlsafe_b64decode(ticket.encode()), type=JoinToken)
     except (ValueError, msgspec.DecodeError) as exc:
         raise DiskError(f"that is no ticket: {exc}") from None
-    Disk(folder, Identity(told.cluster, told.member.id, told.member.name), ClusterConfig(())).close()
+    Disk(folder, MemberIdentity(told.cluster, told.member.id, told.member.name), ClusterConfig(())).close()
     return told.member
 
 
-def write_backup(path: str, cluster: int, snapshot: Snapshot) -> None:
-    """Write a backup; the file is there whole or not at all."""
-    with open(path + ".part", "wb") as file:
-        file.write(encode_frame(_encode(BackupHead(BACKUP, cluster, snapshot.meta))))
-        for piece in snapshot.pieces:
-            file.write(encode_frame(piece))
-        file.flush()
-        os.fsync(file.fileno())
-    os.replace(path + ".part", path)
-
-
-def read_backup(path: str) -> tuple[BackupHead, Snapshot]:
-    """Read a backup; DiskError where it is not whole."""
-    try:
-        with open(path, "rb") as file:
-            first, *pieces = FrameDecoder().feed(file.read())
-        head: BackupHead = msgspec.msgpack.decode(first, type=BackupHead)
-    except OSError as exc:
-        raise DiskError(f"cannot read {path}: {exc.strerror}") from None
-    except (FrameError, ValueError, msgspec.DecodeError) as exc:
-        raise DiskError(f"{path} is no backup: {exc}") from None
-    if head.format > BACKUP:
-        raise DiskError(f"{path} has format {head.format}; this build reads up to {BACKUP}")
-    if len(pieces) != head.meta.pieces or snapshot_digest(pieces) != head.meta.digest:
-        raise DiskError(f"{path} is not whole")
-    return head, Snapshot(head.meta, tuple(pieces))
-
-
 def restore_backup(folder: str, backup: str, members: Sequence[tuple[str, str]]) -> list[str]:
     """Begin a new cluster with a backup's records."""
     _, old = read_backup(backup)
@@ -119,10 +81,10 @@
     for path in made:
         disk = Disk(path)
         try:
-            opened = disk.load(start=False)
-            config: ClusterConfig = opened.start.saved.config
+            opened = disk.load(count_start=False)
+            config: ClusterConfig = opened.member_start.saved.config
             meta = SnapshotMeta(old.meta.index, 1, config, old.meta.pieces, old.meta.digest)
-            disk.begin_anew(opened.identity, HardState(1, 0), Snapshot(meta, old.pieces))
+            disk.start_new_cluster(opened.identity, HardState(1, 0), Snapshot(meta, old.pieces))
         finally:
             disk.close()
     return made
@@ -145,8 +107,8 @@
     """
     disk = Disk(folder)
     try:
-        opened = disk.load(start=False)
-        saved = opened.start.saved
+        opened = disk.load(count_start=False)
+        saved = opened.member_start.saved
         records = KeyValueState()
         if saved.snapshot:
             records.restore(saved.snapshot.pieces)
@@ -160,16 +122,16 @@
                 if entry.kind == EntryKind.CONFIG:
                     config = msgspec.msgpack.decode(entry.data, type=ClusterConfig)
         me = opened.identity
-        others = tuple(one.name for one in config.members if one.id != me.me)
+        others = tuple(one.name for one in config.members if one.id != me.member_id)
         lost = DataLoss(me.name, records.applied, base, records.applied - base, others)
         if do:
-            mine = config.get(me.me) or Member(me.me, me.name, "127.0.0.1:1")
+            mine = config.get(me.member_id) or Member(me.member_id, me.name, "127.0.0.1:1")
             alone = ClusterConfig((Member(random_id(), me.name, mine.address, MemberRole.VOTER),))
             pieces = tuple(records.freeze().pieces())
             term = saved.hard.term + 1
             meta = SnapshotMeta(records.applied, term, alone, len(pieces), snapshot_digest(pieces))
-            identity = Identity(random_id(), alone.members[0].id, me.name)
-            disk.begin_anew(identity, HardState(term, 0), Snapshot(meta, pieces))
+            identity = MemberIdentity(random_id(), alone.members[0].id, me.name)
+            disk.start_new_cluster(identity, HardState(term, 0), Snapshot(meta, pieces))
         return lost
     except SnapshotError as exc:
         raise DiskError(f"{folder}: {exc}") from None
--- a/limerudder/store/disk.py
+++ b/limerudder/store/disk.py
@@ -27,7 +27,7 @@
 from limerudder.store.raft.raft import HardState, PersistentState, snapshot_digest
 
 FORMAT = 2  #: of the file; 1 lacked the table `shown`
-FILE, LOCK = "store.sqlite", "lock"
+DATABASE_FILE, LOCK = "store.sqlite", "lock"
 CHECKPOINT = 500  #: pages of the write-ahead log, before they go into the file
 
 SCHEMA = """
@@ -50,21 +50,21 @@
     """A folder that another process has."""
 
 
-class Identity(msgspec.Struct, frozen=True, array_like=True):
+class MemberIdentity(msgspec.Struct, frozen=True, array_like=True):
     """Whose disk this is."""
 
-    cluster: int
-    me: int
+    cluster_id: int
+    member_id: int
     name: str
 
 
-class OpenedDisk(NamedTuple):
+class DiskContents(NamedTuple):
     """What a disk holds when it is opened."""
 
-    identity: Identity
-    boot: Incarnation
-    start: MemberStart
-    shown: dict[int, DurabilityProof]
+    identity: MemberIdentity
+    incarnation: Incarnation
+    member_start: MemberStart
+    durability_proofs: dict[int, DurabilityProof]
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -85,11 +85,11 @@
     """One member's folder. Only one process may have it."""
 
     def __init__(
-        self, folder: str, identity: Identity | None = None, config: ClusterConfig | None = None
+        self, folder: str, identity: MemberIdentity | None = None, config: ClusterConfig | None = None
     ) -> None:
         """Open a folder, or make it where an identity is given. DiskError where it cannot be used."""
         self.folder = folder
-        self.path = os.path.join(folder, FILE)
+        self.path = os.path.join(folder, DATABASE_FILE)
         try:
             if identity:
                 os.makedirs(folder, mode=0o700, exist_ok=True)
@@ -112,7 +112,7 @@
 
     db: sqlite3.Connection | None = None
 
-    def _open(self, identity: Identity | None, config: ClusterConfig | None) -> None:
+    def _open(self, identity: MemberIdentity | None, config: ClusterConfig | None) -> None:
         there = os.path.exists(self.path)
         if identity and there:
             raise DiskError(f"{self.folder} holds a member already")
@@ -163,22 +163,22 @@
 
     # reading
 
-    def load(self, start: bool = True) -> OpenedDisk:
-        """All that is kept; `start` counts a start of the disk. DiskError names what is spoiled."""
+    def load(self, count_start: bool = True) -> DiskContents:
+        """All that is kept; `count_start` counts a start of the disk. DiskError names what is spoiled."""
         try:
-            return self._load(start)
+            return self._load(count_start)
         except sqlite3.Error as exc:
             raise DiskError(f"{self.path}: {exc}") from None
 
-    def _load(self, start: bool) -> OpenedDisk:
+    def _load(self, count_start: bool) -> DiskContents:
         found = self._get_meta("format", int)
         if found > FORMAT:
             raise DiskError(f"{self.path} has format {found}; this build reads up to {FORMAT}")
         if found < FORMAT:
             self._migrate()
-        identity = self._get_meta("identity", Identity)
+        identity = self._get_meta("identity", MemberIdentity)
         boot = self._get_meta("boot", Incarnation)
-        if start:
+        if count_start:
             boot = Incarnation(boot.number + 1, secrets.randbits(32))
             with self._transaction():
                 self._meta("boot", boot)
@@ -212,7 +212,7 @@
         }
         hard = HardState(*self._get_meta("hard", tuple[int, int]))
         saved = PersistentState(hard, snapshot, entries, self._get_meta("config", ClusterConfig), incoming)
-        return OpenedDisk(identity, boot, MemberStart(saved, facts, known), shown)
+        return DiskContents(identity, boot, MemberStart(saved, facts, known), shown)
 
     def _migrate(self) -> None:
         """Format 1 to 2."""
@@ -265,7 +265,7 @@
     def _transaction(self) -> _Transaction:
         return _Transaction(self._sql)
 
-    def do(self, jobs: list[DurabilityJob]) -> list[Snapshot | None]:
+    def persist(self, jobs: list[DurabilityJob]) -> list[Snapshot | None]:
         """Make jobs durable, all in one transaction; gives the snapshots built for them.
 
         sqlite3.Error where that fails: nothing of them is there then, and they may be done again.
@@ -324,7 +324,7 @@
         self._sql.executemany("INSERT INTO snapshot VALUES (?,?,?)", rows)
         self._meta("snapshot", snapshot.meta)
 
-    def begin_anew(self, identity: Identity, hard: HardState, snapshot: Snapshot) -> None:
+    def start_new_cluster(self, identity: MemberIdentity, hard: HardState, snapshot: Snapshot) -> None:
         """Be another cluster's disk, which begins with this snapshot."""
         with self._transaction():
             for table in ("log", "incoming", "shown"):
--- a/limerudder/store/node_bridge.py
+++ b/limerudder/store/node_bridge.py
@@ -10,8 +10,8 @@
 import json
 import socket
 from collections.abc import Callable
-from dataclasses import replace
-from typing import Any, Protocol
+from dataclasses import dataclass, replace
+from typing import Any
 
 from limerudder.config import NodeConfig
 from limerudder.core.discovery.endpoint_list import (
@@ -23,7 +23,7 @@
 )
 from limerudder.core.operations.maintenance import MaintenanceMarks
 from limerudder.core.timer_wheel import TimerWheel
-from limerudder.core.transport import read_address
+from limerudder.core.transport import Address, read_address
 from limerudder.policy.events import ServerState
 from limerudder.schema import StoreSettings
 from limerudder.store.checks import LIST, SETTINGS, read_setting
@@ -47,26 +47,17 @@
 Log = Callable[[str, str], None]
 
 
-class BridgedNode(Protocol):
-    """The node, as far as the store goes."""
+@dataclass(frozen=True, slots=True)
+class NodeHooks:
+    """What the bridge calls on the node. Times are microseconds of the node's clock."""
 
-    wheel: TimerWheel
-    discovery: Any
-
-    def lists(self, name: str) -> bool:
-        """Whether discovery lists this host."""
-
-    def relist(self, name: str, now: int) -> None:
-        """What is known of this host has changed."""
-
-    def listed(self) -> EndpointList:
-        """Discovery's list as it stands here."""
-
-    def returned(self) -> dict[str, int]:
-        """When staff put hosts back."""
-
-    def returned_elsewhere(self, returned: dict[str, int], now: int) -> None:
-        """When they did so, as others know."""
+    timers: TimerWheel
+    set_discovery_address: Callable[[Address, int], None]  # address, now
+    is_listed: Callable[[str], bool]  # whether discovery lists the host of this name
+    refresh_host: Callable[[str, int], None]  # host, now: evaluate its listed state anew
+    endpoint_list: Callable[[], EndpointList]  # discovery's list as the node has it
+    returns_to_service: Callable[[], dict[str, int]]  # by host, when staff put it back
+    record_returns_to_service: Callable[[dict[str, int], int], None]  # the same as known elsewhere, now
 
 
 class StoreMarks:
@@ -131,7 +122,7 @@
             self.store.disk.close()
             raise DiskError(f"{settings.folder} is the folder of {found}; this node is {name}")
         self.control = ControlServer(self.store)
-        self.node: BridgedNode | None = None
+        self.node: NodeHooks | None = None
         self.applied: dict[str, int] = {}  # settings in force, by the revision that set them
         self.version = -1  # of the list that was written last
         self.list_due = now()
@@ -139,12 +130,12 @@
         ledger = self.store.member.ledger
         ledger.changed = self._host_changed
         self.changed_hosts: set[str] = set()
-        self.hear_drained: Callable[[str, int], None] = lambda host, start: None
+        self.on_drain_recorded: Callable[[str, int], None] = lambda host, start: None
         self.store.member.on_change.append(self._records_changed)
 
     # before the node is there
 
-    def begin_with(self, config: NodeConfig) -> NodeConfig:
+    def restore_config(self, config: NodeConfig) -> NodeConfig:
         """The configuration with what is known here: a later list of hosts, another address of discovery."""
         _, value = self.store.member.value(LIST)
         if value is not None:
@@ -174,7 +165,7 @@
 
     # with the node
 
-    async def run(self, node: BridgedNode, sock: socket.socket) -> None:
+    async def run(self, node: NodeHooks, sock: socket.socket) -> None:
         """Begin: the node is there and knows its hosts."""
         self.node = node
         await self.store.run(sock)
@@ -185,7 +176,7 @@
         backs = {
             host: self.store.member.ledger.view(host).back_at for host in self.store.member.ledger.hosts()
         }
-        node.returned_elsewhere({host: at for host, at in backs.items() if at}, self.now())
+        node.record_returns_to_service({host: at for host, at in backs.items() if at}, self.now())
         self._look(self.now())
 
     def close(self) -> None:
@@ -208,7 +199,7 @@
         views = {host: ledger.view(host).drained for host in ledger.hosts()}
         return {host: start for host, start in views.items() if start >= 0}
 
-    def inherit(self, heard: dict[str, int]) -> None:
+    def record_inherited_drains(self, heard: dict[str, int]) -> None:
         """Drains that were heard before the store could be opened."""
         for host, start in heard.items():
             self.store.member.ledger.drain(host, start)
@@ -224,7 +215,7 @@
         self.store.member.ledger.back(name, self.now())
         self.store.pump_soon()
 
-    def durable(self, name: str, call: Callable[[int], None]) -> None:
+    def call_when_durable(self, name: str, call: Callable[[int], None]) -> None:
         """Make a call once all that hands have said of a host is durable here."""
         member, now = self.store.member, self.now()
         facts = [number for number, fact in member.ledger.facts.items() if fact.host == name]
@@ -249,7 +240,7 @@
         """A setting takes effect, here and now."""
         revision = self.applied[key]
         if key == "config/discovery" and self.node:
-            self.node.discovery.move(read_address(told), self.now())
+            self.node.set_discovery_address(read_address(told), self.now())
         elif key == "config/log":
             self.configure(told["format"], told["lines"], told["per"] / 1e6)
         self.log("store-config", f"store: {key} of revision {revision} is in force")
@@ -259,17 +250,17 @@
         node = self.node
         if node is None or self.store.closed:
             return
-        node.wheel.at(now + LOOK, self._look)
+        node.timers.at(now + LOOK, self._look)
         changed, self.changed_hosts = self.changed_hosts, set()
-        backs = node.returned() if changed else {}
+        backs = node.returns_to_service() if changed else {}
         for host in sorted(changed):
             view = self.store.member.ledger.view(host)
             if view.drained >= 0:
-                self.hear_drained(host, view.drained)
+                self.on_drain_recorded(host, view.drained)
             if view.back_at > backs.get(host, 0):
-                node.returned_elsewhere({host: view.back_at}, now)
-            elif node.lists(host):
-                node.relist(host, now)
+                node.record_returns_to_service({host: view.back_at}, now)
+            elif node.is_listed(host):
+                node.refresh_host(host, now)
         if now >= self.list_due:
             self.list_due = now + LIST_EVERY
             self._write_list(now)
@@ -277,7 +268,7 @@
     def _write_list(self, now: int) -> None:
         """Whoever leads keeps the last list for all; a write that fails is made again with the next look."""
         member = self.store.member
-        hosts = self.node.listed() if self.node else None
+        hosts = self.node.endpoint_list() if self.node else None
         if not member.leads or hosts is None or hosts.version == self.version or not hosts.hosts:
             return
         if not self.session:
--- a/limerudder/store/peer_transport.py
+++ b/limerudder/store/peer_transport.py
@@ -286,7 +286,7 @@
     def _do(self, jobs: list[DurabilityJob]) -> list[Snapshot | None]:
         while True:
             try:
-                results = self.disk.do(jobs)
+                results = self.disk.persist(jobs)
             except sqlite3.Error as exc:
                 # guards acknowledgements: none leaves before its write stands, however long that takes
                 self._say(str(exc))
--- a/limerudder/store/store.py
+++ b/limerudder/store/store.py
@@ -49,10 +49,10 @@
         )
         timing = RaftTiming(settings.election, settings.heartbeat)
         random = Random(secrets.randbits(64))
-        me = opened.identity.me
-        self.member = Member(me, opened.start, random, now(), limits, timing, check)
-        self.doorman = PeerAuthenticator(opened.identity.cluster, me, opened.shown)
-        self.durable_term = opened.start.saved.hard.term
+        me = opened.identity.member_id
+        self.member = Member(me, opened.member_start, random, now(), limits, timing, check)
+        self.doorman = PeerAuthenticator(opened.identity.cluster_id, me, opened.durability_proofs)
+        self.durable_term = opened.member_start.saved.hard.term
         self.net = PeerTransport(self, me, log)
         self.afters: deque[tuple[int, list[tuple[int, rpc.StoreMessage]]]] = (
             deque()
@@ -97,11 +97,11 @@
         last = max(min(raft.durable, raft.log.last), raft.log.base)
         return Handshake(
             PROTOCOL_BUILD,
-            identity.cluster,
-            identity.me,
+            identity.cluster_id,
+            identity.member_id,
             to,
             identity.name,
-            self.opened.boot,
+            self.opened.incarnation,
             self.durable_term,
             last,
         )
@@ -193,7 +193,7 @@
         member, raft, now = self.member, self.member.raft, self.now()
         leader = member.config.get(raft.leader)
         return {
-            "cluster": f"{self.opened.identity.cluster:016x}",
+            "cluster": f"{self.opened.identity.cluster_id:016x}",
             "name": self.opened.identity.name,
             "member": f"{member.me:016x}",
             "standing": raft.standing.name.lower(),
@@ -212,7 +212,7 @@
             "disk_failing": self.writer.failing if self.writer else "",
             "disk_stuck": raft.stuck(now),
             "dropped": self.net.dropped,
-            "start": self.opened.boot.number,
+            "start": self.opened.incarnation.number,
         }
 
     def members(self) -> list[dict[str, Any]]:
--- a/limerudder/store_runtime.py
+++ b/limerudder/store_runtime.py
@@ -17,7 +17,7 @@
 from limerudder.net.listener import bind
 
 if TYPE_CHECKING:
-    from limerudder.store.node_bridge import NodeStoreBridge
+    from limerudder.store.node_bridge import NodeHooks, NodeStoreBridge
 
 AGAIN = 0.05  #: seconds between looks whether the process before this one has let go of the folder
 PATIENCE = 5.0  #: seconds after which the log says that it has not
@@ -58,7 +58,7 @@
             return config
         except DiskError as exc:
             raise ConfigError(f"store: {exc}") from None
-        return self.glue.begin_with(config)
+        return self.glue.restore_config(config)
 
     def recall(self, drained: dict[str, int]) -> DrainMemory | None:
         """Who remembers drains: the store, or until it is open what the process before this one knew."""
@@ -81,7 +81,7 @@
         if self.glue is None:
             return "done\n"
         later = DeferredAnswer()
-        self.glue.durable(name, lambda now: later.settle("done\n", now))
+        self.glue.call_when_durable(name, lambda now: later.settle("done\n", now))
         return later
 
     async def attach(self, node: Node, marks: MaintenanceMarks, elder: HotRestartParent) -> None:
@@ -91,8 +91,8 @@
                 self.attach_soon(node, marks, elder)
             return
         assert self.settings
-        self.glue.hear_drained = lambda host, start: elder.tell(f"drained {start} {host}")
-        await self.glue.run(node, bind(self.settings.listen, socket.SOCK_STREAM))
+        self.glue.on_drain_recorded = lambda host, start: elder.tell(f"drained {start} {host}")
+        await self.glue.run(_node_hooks(node), bind(self.settings.listen, socket.SOCK_STREAM))
 
     def attach_soon(self, node: Node, marks: MaintenanceMarks, elder: HotRestartParent) -> None:
         """The process before this one has ended: take the store over."""
@@ -113,7 +113,7 @@
                     self.log("store-disk", f"store: {exc}; tried on")
                 await asyncio.sleep(AGAIN)
         if self.inherited:
-            self.glue.inherit(self.inherited.heard)
+            self.glue.record_inherited_drains(self.inherited.heard)
         node.recall = self.glue
         node.maintenance.marks = self.marks(marks)
         try:
@@ -130,3 +130,18 @@
             self.task.cancel()
         if self.glue:
             self.glue.close()
+
+
+def _node_hooks(node: Node) -> NodeHooks:
+    """What the store calls on this node."""
+    from limerudder.store.node_bridge import NodeHooks
+
+    return NodeHooks(
+        timers=node.wheel,
+        set_discovery_address=node.discovery.move,
+        is_listed=node.lists,
+        refresh_host=node.relist,
+        endpoint_list=node.listed,
+        returns_to_service=node.returned,
+        record_returns_to_service=node.returned_elsewhere,
+    )
--- a/tests/test_load_generator.py
+++ b/tests/test_load_generator.py
@@ -100,7 +100,7 @@
         tally = await loader.run()
         host.close()
         assert tally.came == 400 == sum(tally.answers.values()) and tally.waiting == 0
-        assert tally.answers["UP"] == 400 == len(host.came)
+        assert tally.answers["UP"] == 400 == len(host.request_times)
         assert tally.late > 0, "and it says that it was late"
         assert (
             tally.latency.get_max_value() >= tally.lateness.get_max_value() * 0.99
--- a/tests/test_store_disk.py
+++ b/tests/test_store_disk.py
@@ -17,16 +17,15 @@
 from hypothesis import strategies as st
 
 from harness.memory_disk import MemoryDisk
+from limerudder.store.backup import read_backup, write_backup
 from limerudder.store.data_directory import (
     encode_join_token,
     init_cluster,
     join_cluster,
-    read_backup,
     recover_single_member,
     restore_backup,
-    write_backup,
 )
-from limerudder.store.disk import FILE, Disk, DiskError, Identity
+from limerudder.store.disk import DATABASE_FILE, Disk, DiskError, MemberIdentity
 from limerudder.store.drain_log import DrainObserved, MaintenanceHold
 from limerudder.store.member import DurabilityJob, Member, MemberLimits, SnapshotJob
 from limerudder.store.peer_authentication import DurabilityProof, Incarnation
@@ -45,7 +44,7 @@
 )
 
 CONFIG = ClusterConfig((MemberEntry(5, "n0", "127.0.0.1:7000"),))
-ME = Identity(9, 5, "n0")
+ME = MemberIdentity(9, 5, "n0")
 
 
 def disk(folder: Path) -> Disk:
@@ -63,7 +62,7 @@
 def reopened(folder: Path) -> Any:
     again = Disk(str(folder / "s"))
     try:
-        return again.load(start=False).start.saved
+        return again.load(count_start=False).member_start.saved
     finally:
         again.close()
 
@@ -73,7 +72,7 @@
     with pytest.raises(DiskError, match="in use by another process"):
         Disk(str(tmp_path / "s"))
     opened = first.load()
-    assert opened.identity == ME and opened.boot.number == 1
+    assert opened.identity == ME and opened.incarnation.number == 1
     first.close()
     with pytest.raises(DiskError, match="holds a member already"):
         disk(tmp_path)
@@ -83,7 +82,7 @@
     with pytest.raises(DiskError, match="No such file"):
         Disk(str(tmp_path / "none"))
     second = Disk(str(tmp_path / "s"))
-    assert second.load().boot.number == 2, "each start is counted"
+    assert second.load().incarnation.number == 2, "each start is counted"
     second.close()
 
 
@@ -136,26 +135,26 @@
                 shown = ((random.randrange(3), DurabilityProof(Incarnation(number, 7), 1, number)),)
                 gone = (random.randrange(1, number + 1),)
                 jobs.append(DurabilityJob(number, None, None, facts, gone, known, shown))
-        real.do(jobs)
+        real.persist(jobs)
         for job in jobs:
             model.do(job)
         real.close()
         real = Disk(str(folder / "s"))
         opened = real.load()
-        saved, told = opened.start.saved, model.start()
+        saved, told = opened.member_start.saved, model.start()
         assert (saved.hard, list(saved.entries)) == (told.saved.hard, list(told.saved.entries))
         assert (saved.snapshot, saved.incoming) == (told.saved.snapshot, told.saved.incoming)
-        assert (opened.start.facts, opened.start.known) == (told.facts, told.known)
-        assert opened.shown == model.shown
+        assert (opened.member_start.facts, opened.member_start.known) == (told.facts, told.known)
+        assert opened.durability_proofs == model.shown
     real.close()
 
 
 def test_a_transaction_that_fails_leaves_nothing(tmp_path: Path) -> None:
     one = disk(tmp_path)
     one.load()
-    one.do([write(1, entries=entries(1, 3))])
+    one.persist([write(1, entries=entries(1, 3))])
     with pytest.raises(sqlite3.IntegrityError):
-        one.do([write(2, hard=HardState(7, 7)), write(3, entries=entries(3, 5))])
+        one.persist([write(2, hard=HardState(7, 7)), write(3, entries=entries(3, 5))])
     one.close()
     saved = reopened(tmp_path)
     assert saved.hard == HardState(0, 0) and [e.index for e in saved.entries] == [1, 2, 3]
@@ -166,7 +165,7 @@
     one = disk(folder)
     one.load()
     for n in range(1, rounds + 1):
-        one.do([write(n, entries=entries(n, n))])
+        one.persist([write(n, entries=entries(n, n))])
     shutil.copytree(folder / "s", folder / "killed")
     one.close()
     return folder / "killed"
@@ -175,17 +174,17 @@
 @pytest.mark.parametrize("cut", [1, 700, 4119, 4120])
 def test_a_torn_tail_is_cut_and_the_rest_is_there(tmp_path: Path, cut: int) -> None:
     killed = filled(tmp_path)
-    wal = killed / (FILE + "-wal")
+    wal = killed / (DATABASE_FILE + "-wal")
     os.truncate(wal, wal.stat().st_size - cut)
     again = Disk(str(killed))
-    found = [entry.index for entry in again.load(start=False).start.saved.entries]
+    found = [entry.index for entry in again.load(count_start=False).member_start.saved.entries]
     again.close()
     assert found == list(range(1, len(found) + 1)) and 28 <= len(found) <= 29
 
 
 def test_a_hole_in_the_write_ahead_log_is_no_torn_tail(tmp_path: Path) -> None:
     killed = filled(tmp_path)
-    wal = killed / (FILE + "-wal")
+    wal = killed / (DATABASE_FILE + "-wal")
     data = bytearray(wal.read_bytes())
     data[len(data) // 2] ^= 4
     wal.write_bytes(data)
@@ -198,14 +197,14 @@
 def test_a_flipped_bit_is_found_and_named(tmp_path: Path) -> None:
     one = disk(tmp_path)
     one.load()
-    one.do(
+    one.persist(
         [
             write(1, entries=entries(1, 40), hard=HardState(3, 5)),
             DurabilityJob(2, facts=((1, DrainObserved("h", 7)),)),
         ]
     )
     one.close()
-    path = tmp_path / "s" / FILE
+    path = tmp_path / "s" / DATABASE_FILE
     whole = path.read_bytes()
     for what, named in [(b"17.1", "log entry 17"), (b"drain", "fact 1")]:
         spoiled = bytearray(whole)
@@ -227,14 +226,14 @@
 def test_an_older_format_is_read_and_a_newer_one_refused(tmp_path: Path) -> None:
     one = disk(tmp_path)
     one.load()
-    one.do([write(1, entries=entries(1, 2))])
+    one.persist([write(1, entries=entries(1, 2))])
     one._sql.execute("DROP TABLE shown")  # as format 1 was
     one._meta("format", 1)
     one.close()
     again = Disk(str(tmp_path / "s"))
     opened = again.load()
-    assert opened.shown == {} and len(opened.start.saved.entries) == 2
-    again.do([DurabilityJob(1, shown=((3, DurabilityProof(Incarnation(1, 1))),))])
+    assert opened.durability_proofs == {} and len(opened.member_start.saved.entries) == 2
+    again.persist([DurabilityJob(1, shown=((3, DurabilityProof(Incarnation(1, 1))),))])
     again._meta("format", 99)
     again.close()
     newer = Disk(str(tmp_path / "s"))
@@ -246,7 +245,7 @@
 def test_a_gap_in_the_log_is_named(tmp_path: Path) -> None:
     one = disk(tmp_path)
     one.load()
-    one.do([write(1, entries=entries(1, 5))])
+    one.persist([write(1, entries=entries(1, 5))])
     one._sql.execute("DELETE FROM log WHERE idx=3")
     one.close()
     with pytest.raises(DiskError, match="log entry 3 is missing"):
@@ -288,14 +287,14 @@
     async def story() -> None:
         one = disk(tmp_path)
         one.load()
-        release, entered, do = threading.Event(), threading.Event(), one.do
+        release, entered, persist = threading.Event(), threading.Event(), one.persist
 
         def stuck(jobs: list[DurabilityJob]) -> Any:
             entered.set()
             release.wait(20)
-            return do(jobs)
+            return persist(jobs)
 
-        one.do = stuck  # type: ignore[method-assign]
+        one.persist = stuck  # type: ignore[method-assign]
         order, all_done = list[int](), asyncio.Event()
 
         def durable(jobs: list[DurabilityJob], results: object) -> None:
@@ -341,8 +340,8 @@
         one = Disk(path)
         opened = one.load()
         one.close()
-        clusters.add(opened.identity.cluster)
-        member = Member(opened.identity.me, opened.start, Random(1), 0)
+        clusters.add(opened.identity.cluster_id)
+        member = Member(opened.identity.member_id, opened.member_start, Random(1), 0)
         assert member.records.items == some_records(30).items and len(member.config.members) == 2
     assert len(clusters) == 1 and clusters != {9}
     whole = (tmp_path / "b").read_bytes()
@@ -369,7 +368,7 @@
         SessionWrite(1, 2, 0, Transaction((), (Put("kv/b", b"2"),))),
     ]
     log = tuple(Entry(n + 1, 2, EntryKind.DATA, encode_command(c)) for n, c in enumerate(commands))
-    one.do([write(1, hard=HardState(2, 1), entries=log)])
+    one.persist([write(1, hard=HardState(2, 1), entries=log)])
     one.close()
     told = recover_single_member(paths[0], False)
     assert (told.last, told.unknown, told.others) == (3, 3, ("n1", "n2"))
@@ -380,8 +379,8 @@
     one = Disk(paths[0])
     opened = one.load()
     one.close()
-    assert opened.identity.cluster != before.identity.cluster
-    member = Member(opened.identity.me, opened.start, Random(1), 0, MemberLimits())
+    assert opened.identity.cluster_id != before.identity.cluster_id
+    member = Member(opened.identity.member_id, opened.member_start, Random(1), 0, MemberLimits())
     assert [m.name for m in member.config.members] == ["n0"] and member.raft.term == 3
     assert {key: item.value for key, item in member.records.items.items()} == {"kv/a": b"1", "kv/b": b"2"}
 
@@ -392,7 +391,7 @@
     one = Disk(str(tmp_path / "n4"))
     opened = one.load()
     one.close()
-    assert opened.identity == Identity(9, 77, "n4") and opened.start.saved.config.members == ()
+    assert opened.identity == MemberIdentity(9, 77, "n4") and opened.member_start.saved.config.members == ()
     with pytest.raises(DiskError, match="no ticket"):
         join_cluster(str(tmp_path / "n5"), "nonsense")
     with pytest.raises(DiskError, match="a name and an address of its own"):
--- a/tests/test_store_multi_process.py
+++ b/tests/test_store_multi_process.py
@@ -11,7 +11,7 @@
 
 import uvloop
 
-from harness.multi_process import MultiProcessTier, NodeProcess, free_ports, overlapping_kills, until
+from harness.multi_process import MultiProcessTier, NodeProcess, free_ports, overlapping_kills, wait_until
 
 
 def told(story: Callable[[MultiProcessTier], Awaitable[None]], folder: Path, nodes: int = 4) -> None:
@@ -32,7 +32,7 @@
     for node in tier.nodes:
         end = time.monotonic() + 20
         while True:
-            answer = await node.ask("hosts")
+            answer = await node.call_store("hosts")
             if answer["ok"] and wanted({row["host"]: row for row in answer["hosts"]}):
                 break
             assert time.monotonic() < end, f"{node.name} never knew: {what}; {answer}"
@@ -42,45 +42,48 @@
 def test_four_nodes_killed_in_overlapping_order_remember_drains_and_lose_nothing(tmp_path: Path) -> None:
     async def story(tier: MultiProcessTier) -> None:
         await tier.start()
-        await tier.settled()
+        await tier.wait_until_settled()
         tier.discovery.entries["h0"]["lifecycle"] = "leaving"
-        tier.discovery.tell(only=1)  # one node alone hears it
-        assert await tier.nodes[2].hand("maint-on h1") == "done"
+        tier.discovery.publish(only=1)  # one node alone hears it
+        assert await tier.nodes[2].call_console("maint-on h1") == "done"
         await everybody(tier, lambda rows: "h0" in rows and bool(rows.get("h1", {}).get("held")), "h0 and h1")
         tier.discovery.entries["h0"]["lifecycle"] = "active"  # the same start: discovery's stale word
-        tier.discovery.tell()
+        tier.discovery.publish()
         since = time.monotonic()
-        tier.come(12)
+        tier.start_clients(12)
         acked: dict[str, int] = {}
 
         async def write() -> None:
             for n in range(10_000):
-                answer = await tier.nodes[n % 4].ask("put", 1.0, key=f"kv/{n}", value="x")
+                answer = await tier.nodes[n % 4].call_store("put", 1.0, key=f"kv/{n}", value="x")
                 if answer["ok"]:
                     acked[f"kv/{n}"] = answer["revision"]
                 await asyncio.sleep(0.01)
 
         writing = asyncio.create_task(write())
         # guards a verdict by the machine's pace: how many writes fit between the kills is chance
-        await until(lambda: len(acked) > 5, "writes are acknowledged")
+        await wait_until(lambda: len(acked) > 5, "writes are acknowledged")
         await overlapping_kills(tier, [2, 0, 3, 1], gap=0.2, down=0.5)
-        await tier.settled()
+        await tier.wait_until_settled()
         writing.cancel()
         await asyncio.gather(writing, return_exceptions=True)
-        await tier.settled()
-        before = tier.counts["UP"]
-        await until(lambda: tier.counts["UP"] > before + 20, "clients are served again")
+        await tier.wait_until_settled()
+        before = tier.answer_counts["UP"]
+        await wait_until(lambda: tier.answer_counts["UP"] > before + 20, "clients are served again")
         for node in tier.nodes:
-            answer = await node.ask("get", prefix="kv/", stale=True)
+            answer = await node.call_store("get", prefix="kv/", stale=True)
             have = {item["key"]: item["modified"] for item in answer["items"]}
             assert {key: have.get(key) for key in acked} == acked, f"{node.name} lost an acknowledged write"
-        assert tier.wrong == []
-        assert (tier.sends_after("h0", since), tier.sends_after("h1", since)) == (0, 0)
-        assert sum(tier.sends_after(name, since) for name in ("h2", "h3", "h4")) > 20
-        assert await tier.nodes[0].hand("maint-off h1") == "done"
+        assert tier.violations == []
+        assert (tier.count_requests_since("h0", since), tier.count_requests_since("h1", since)) == (0, 0)
+        assert sum(tier.count_requests_since(name, since) for name in ("h2", "h3", "h4")) > 20
+        assert await tier.nodes[0].call_console("maint-off h1") == "done"
         tier.discovery.entries["h0"]["startedAtMs"] = 1000  # a newer start
-        tier.discovery.tell()
-        await until(lambda: tier.sends_after("h0", since) and tier.sends_after("h1", since), "both are back")
+        tier.discovery.publish()
+        await wait_until(
+            lambda: tier.count_requests_since("h0", since) and tier.count_requests_since("h1", since),
+            "both are back",
+        )
 
     told(story, tmp_path)
 
@@ -89,16 +92,16 @@
     """So the story above can fail."""
 
     async def run() -> None:
-        tier = MultiProcessTier(tmp_path, 1, keeps=False)
+        tier = MultiProcessTier(tmp_path, 1, with_store=False)
         try:
             await tier.start()
             tier.discovery.entries["h0"]["lifecycle"] = "leaving"
-            tier.discovery.tell()
+            tier.discovery.publish()
             tier.discovery.entries["h0"]["lifecycle"] = "active"
-            tier.discovery.tell()
+            tier.discovery.publish()
             since = time.monotonic()
-            tier.come(6)
-            await until(lambda: tier.sends_after("h0", since), "the drained host gets new work")
+            tier.start_clients(6)
+            await wait_until(lambda: tier.count_requests_since("h0", since), "the drained host gets new work")
         finally:
             await tier.close()
 
@@ -108,12 +111,12 @@
 def test_settings_take_effect_in_service_and_at_one_revision_everywhere(tmp_path: Path) -> None:
     async def story(tier: MultiProcessTier) -> None:
         await tier.start()
-        await tier.settled()
-        answer = await tier.nodes[1].ask("put", key="config/log", value='{"format":"json","lines":50}')
+        await tier.wait_until_settled()
+        answer = await tier.nodes[1].call_store("put", key="config/log", value='{"format":"json","lines":50}')
         assert answer["ok"]
         words = f"store: config/log of revision {answer['revision']} is in force"
         for node in tier.nodes:
-            await until(lambda node=node: any(words in line for line in node.lines), words)  # type: ignore[misc]
+            await wait_until(lambda node=node: any(words in line for line in node.lines), words)  # type: ignore[misc]
             said = next(line for line in node.lines if words in line)
             assert json.loads(said)["event"] == "store.config", "by then it is JSON"
         await tier.nodes[3].kill()
@@ -127,25 +130,25 @@
 def test_a_node_serves_without_a_quorum_and_keeps_what_it_hears_then(tmp_path: Path) -> None:
     async def story(tier: MultiProcessTier) -> None:
         await tier.start()
-        await tier.settled()
+        await tier.wait_until_settled()
         alone = tier.nodes[0]
         for node in tier.nodes[1:]:
             await node.kill()
-        tier.come(4)
-        assert await alone.hand("maint-on h1") == "done", "durable here, quorum or not"
-        assert (await alone.ask("put", 0.5, key="kv/a", value="1"))["kind"] in ("not_now", "unsure")
+        tier.start_clients(4)
+        assert await alone.call_console("maint-on h1") == "done", "durable here, quorum or not"
+        assert (await alone.call_store("put", 0.5, key="kv/a", value="1"))["kind"] in ("not_now", "unsure")
         await alone.kill()
         await alone.start()
         since = time.monotonic()
-        assert (await alone.ask("hosts"))["hosts"][0]["held"]
-        before = tier.counts["UP"]
-        await until(lambda: tier.counts["UP"] > before + 10, "it serves alone, from its own disk")
-        assert tier.sends_after("h1", since) == 0
+        assert (await alone.call_store("hosts"))["hosts"][0]["held"]
+        before = tier.answer_counts["UP"]
+        await wait_until(lambda: tier.answer_counts["UP"] > before + 10, "it serves alone, from its own disk")
+        assert tier.count_requests_since("h1", since) == 0
         for node in tier.nodes[1:]:
             await node.start()
-        await tier.settled()
+        await tier.wait_until_settled()
         await everybody(tier, lambda rows: bool(rows.get("h1", {}).get("held")), "what one heard alone")
-        assert tier.wrong == []
+        assert tier.violations == []
 
     told(story, tmp_path)
 
@@ -153,26 +156,26 @@
 def test_a_successor_takes_the_store_over_and_knows_drains_all_along(tmp_path: Path) -> None:
     async def story(tier: MultiProcessTier) -> None:
         await tier.start()
-        await tier.settled()
+        await tier.wait_until_settled()
         old = tier.nodes[0]
         tier.discovery.entries["h0"]["lifecycle"] = "leaving"
-        tier.discovery.tell()
+        tier.discovery.publish()
         await everybody(tier, lambda rows: "h0" in rows, "h0")
         tier.discovery.entries["h0"]["lifecycle"] = "active"
-        tier.discovery.tell()
+        tier.discovery.publish()
         since = time.monotonic()
-        tier.come(8)
-        old_process, reading = old.ran, old.reading
+        tier.start_clients(8)
+        old_process, reading = old.process, old.reading
         old.console = f"127.0.0.1:{free_ports(1)[0]}"
         old.environment["PROXY_CONSOLE"] = old.console
         await old.start()  # beside the old process: the same files and TMPDIR
         assert old_process and old_process.returncode is None and reading
         old_process.terminate()
         await old_process.wait()
-        await until(lambda: (old.store / "control").exists(), "the new process has the store")
-        await tier.settled()
-        assert tier.sends_after("h0", since) == 0 and tier.wrong == []
-        assert (await old.ask("status"))["start"] == 2
+        await wait_until(lambda: (old.store / "control").exists(), "the new process has the store")
+        await tier.wait_until_settled()
+        assert tier.count_requests_since("h0", since) == 0 and tier.violations == []
+        assert (await old.call_store("status"))["start"] == 2
 
     told(story, tmp_path, nodes=3)
 
@@ -180,20 +183,20 @@
 def test_a_node_whose_old_process_hangs_serves_and_has_the_store_after_it(tmp_path: Path) -> None:
     async def story(tier: MultiProcessTier) -> None:
         await tier.start()
-        await tier.settled()
+        await tier.wait_until_settled()
         one = tier.nodes[0]
-        hangs, reading = one.ran, one.reading
+        hangs, reading = one.process, one.reading
         assert hangs and reading
         hangs.send_signal(signal.SIGSTOP)
         one.console = f"127.0.0.1:{free_ports(1)[0]}"
         one.environment["PROXY_CONSOLE"] = one.console
         await one.start()
         assert any("goes on without it until that one has ended" in line for line in one.lines)
-        assert await one.hand("maint-on h1") == "done"
+        assert await one.call_console("maint-on h1") == "done"
         hangs.kill()
         await hangs.wait()
         await everybody(tier, lambda rows: bool(rows.get("h1", {}).get("held")), "the hold of meanwhile")
-        await tier.settled()
+        await tier.wait_until_settled()
 
     told(story, tmp_path, nodes=3)
 
@@ -207,7 +210,7 @@
         file: Path = one.folder / "limerudder.cue"
         file.write_text(file.read_text().replace("/n0", "/n1"))
         await NodeProcess.start(one)
-        assert one.ran and await one.ran.wait() == 2
+        assert one.process and await one.process.wait() == 2
         assert any("is the folder of n1; this node is n0" in line for line in one.lines)
 
     told(story, tmp_path, nodes=2)
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -26,8 +26,9 @@
 from limerudder.net.mark_files import MarkFiles
 from limerudder.policy import gossip
 from limerudder.store import drain_log, rpc
-from limerudder.store.data_directory import encode_join_token, join_cluster, read_backup, write_backup
-from limerudder.store.disk import FILE, Disk, Identity
+from limerudder.store.backup import read_backup, write_backup
+from limerudder.store.data_directory import encode_join_token, join_cluster
+from limerudder.store.disk import DATABASE_FILE, Disk, MemberIdentity
 from limerudder.store.framing import FrameDecoder, encode_frame
 from limerudder.store.member import DurabilityJob, SnapshotJob
 from limerudder.store.peer_authentication import DurabilityProof, Handshake, Incarnation
@@ -180,7 +181,7 @@
 
 def _rows(folder: Path) -> Iterator[tuple[Any, ...]]:
     """Every row of a closed store's file, but for the start's random word."""
-    database = sqlite3.connect(folder / FILE)
+    database = sqlite3.connect(folder / DATABASE_FILE)
     try:
         for table in ("meta", "log", "snapshot", "incoming", "facts", "known", "shown"):
             for row in database.execute(f"SELECT * FROM {table} ORDER BY 1"):
@@ -192,17 +193,17 @@
 
 def test_a_killed_members_folder_is_read(killed_store: Path) -> None:
     disk = Disk(str(killed_store))
-    opened = disk.load(start=False)
+    opened = disk.load(count_start=False)
     disk.close()
-    assert opened.identity == Identity(9, 5, "n0")
-    assert opened.boot.number == 1
-    assert opened.shown == {6: DurabilityProof(Incarnation(3, 77), 1, 9)}
-    assert opened.start.facts == {1: FACTS["drain"], 3: FACTS["back"]}
-    assert opened.start.known == {
+    assert opened.identity == MemberIdentity(9, 5, "n0")
+    assert opened.incarnation.number == 1
+    assert opened.durability_proofs == {6: DurabilityProof(Incarnation(3, 77), 1, 9)}
+    assert opened.member_start.facts == {1: FACTS["drain"], 3: FACTS["back"]}
+    assert opened.member_start.known == {
         "hosts/s-1": (2, drain_log.encode_host_record(HOST_RECORD)),
         "config/log": (1, None),
     }
-    saved = opened.start.saved
+    saved = opened.member_start.saved
     assert saved.hard == HardState(2, 6)
     assert saved.config == CONFIG
     assert saved.incoming == (INCOMING, (b"first", b"second"))
@@ -220,32 +221,32 @@
 
 def test_the_same_jobs_write_the_same_rows(killed_store: Path, tmp_path: Path) -> None:
     folder = tmp_path / "anew"
-    disk = Disk(str(folder), Identity(9, 5, "n0"), CONFIG)
+    disk = Disk(str(folder), MemberIdentity(9, 5, "n0"), CONFIG)
     disk.load()
     entries = [raft.Entry(1, 1, raft.EntryKind.EMPTY)]
     entries += [
         raft.Entry(i, 1, raft.EntryKind.DATA, encode_command(one)) for i, one in enumerate(COMMANDS, 2)
     ]
     entries.append(raft.Entry(12, 1, raft.EntryKind.CONFIG, raft.encode_config(CONFIG)))
-    disk.do([DurabilityJob(1, RaftWrite(1, hard=HardState(1, 5), entries=tuple(entries[:8])))])
+    disk.persist([DurabilityJob(1, RaftWrite(1, hard=HardState(1, 5), entries=tuple(entries[:8])))])
     records = KeyValueState()
     for entry in entries[1:7]:
         records.apply(entry.index, entry.data)
-    disk.do([DurabilityJob(2, None, SnapshotJob(7, 1, CONFIG, records.freeze(200), 5))])
+    disk.persist([DurabilityJob(2, None, SnapshotJob(7, 1, CONFIG, records.freeze(200), 5))])
     facts = tuple(enumerate(FACTS.values(), 1))
     known = (("hosts/s-1", 2, drain_log.encode_host_record(HOST_RECORD)), ("config/log", 1, None))
     shown = ((6, DurabilityProof(Incarnation(3, 77), 1, 9)),)
     write = RaftWrite(3, entries=tuple(entries[8:]))
-    disk.do([DurabilityJob(3, write, facts=facts, known=known, shown=shown)])
+    disk.persist([DurabilityJob(3, write, facts=facts, known=known, shown=shown)])
     pieces = ((INCOMING, 0, b"first"), (INCOMING, 1, b"second"))
-    disk.do([DurabilityJob(4, RaftWrite(4, hard=HardState(2, 6), pieces=pieces), gone_facts=(2,))])
+    disk.persist([DurabilityJob(4, RaftWrite(4, hard=HardState(2, 6), pieces=pieces), gone_facts=(2,))])
     disk.close()
     assert list(_rows(folder)) == list(_rows(killed_store))
 
 
 def test_backup_file(tmp_path: Path) -> None:
     head, snapshot = read_backup(str(DATA / "backup"))
-    assert (head.cluster, snapshot.meta.index, snapshot.meta.config) == (9, 11, CONFIG)
+    assert (head.cluster_id, snapshot.meta.index, snapshot.meta.config) == (9, 11, CONFIG)
     assert [piece.hex() for piece in snapshot.pieces] == WRITTEN["snapshot_pieces"]
     assert snapshot.meta.digest == snapshot_digest(snapshot.pieces)
     write_backup(str(tmp_path / "backup"), 9, snapshot)
