--- a/tests/test_race_conditions.py
+++ b/tests/test_race_conditions.py
@@ -56,13 +56,13 @@
 
 def sessions(patch: pytest.MonkeyPatch) -> list[LineSession]:
     """The clients that come from here on, as the node has them."""
-    came, connected = list[LineSession](), LineSession.connected
+    came, connected = list[LineSession](), LineSession.connection_made
 
     def spy(session: LineSession, link: Any, now: int) -> None:
         came.append(session)
         connected(session, link, now)
 
-    patch.setattr(LineSession, "connected", spy)
+    patch.setattr(LineSession, "connection_made", spy)
     return came
 
 
@@ -79,7 +79,7 @@
 
 async def a_resting_client_is_told_before_it_is_ended(here: Loopback, patch: pytest.MonkeyPatch) -> None:
     """Its first line crosses the end: it has its final answer, is read by nobody and never sent on."""
-    patch.setattr("limerudder.core.client.session.BETWEEN_PINGS", 50_000)
+    patch.setattr("limerudder.core.client.session.PING_IDLE_TIMEOUT_US", 50_000)
     async with here.running():
         client = await here.client()
         client.say("PING")
@@ -172,12 +172,12 @@
         client = await here.client()
         client.say(here.line())
         upstream = await here.upstream.take()
-        link = came[-1].link
-        assert isinstance(link, TcpConnection) and not link.left()
-        link.hold(True)  # as where the loop has not come to it yet
+        link = came[-1].transport
+        assert isinstance(link, TcpConnection) and not link.has_disconnected()
+        link.set_reading_paused(True)  # as where the loop has not come to it yet
         client.say("M 1")
         client.writer.close()
-        while not link.left():
+        while not link.has_disconnected():
             await asyncio.sleep(0)
         late.gate.set()
         assert await all_that_comes(upstream) == b""
@@ -330,11 +330,11 @@
     here: Loopback, patch: pytest.MonkeyPatch
 ) -> None:
     """Its host does not read. What it sends waits with it, in bounds; both sides are let go in the end."""
-    patch.setattr("limerudder.core.upstream.attempt.SILENT", 400_000)
+    patch.setattr("limerudder.core.upstream.attempt.MESSAGE_TIMEOUT_US", 400_000)
     came, many = sessions(patch), 5000
     async with here.running():
         client, upstream = await served(here)
-        link = came[-1].served and came[-1].served.link
+        link = came[-1].attempt and came[-1].attempt.transport
         assert isinstance(link, TcpConnection) and link.transport
         upstream.reader._transport.pause_reading()  # type: ignore[attr-defined]
         for _ in range(many):  # twenty megabytes
@@ -380,7 +380,7 @@
         process.signal(signal.SIGTERM)
         assert process.ran.stderr
         printed = (await process.ran.stderr.read()).decode()
-        assert "Traceback" not in printed and "Errno" not in printed and "clients_put_out" in printed
+        assert "Traceback" not in printed and "Errno" not in printed and "clients_evicted" in printed
         service.close()
 
 
