Split the durable log by job: schema, reader, writer, write-ahead-log check, typed errors

Cause: one class of 300 lines locked, opened, verified, read, migrated and wrote the database, and every failure was the same DiskError. Rows, checksums, the order of writes and the error texts are unchanged.

--- a/bench/store_failover.py
+++ b/bench/store_failover.py
@@ -63,7 +63,7 @@
     opened = disk.load(count_start=False)
     pieces = tuple(records.snapshot_view().chunks())
     meta = SnapshotMeta(
-        records.applied_index, 1, opened.member_start.raft_state.config, len(pieces), snapshot_digest(pieces)
+        records.applied_index, 1, opened.durable_state.raft_state.config, len(pieces), snapshot_digest(pieces)
     )
     disk.start_new_cluster(opened.identity, HardState(1, 0), Snapshot(meta, pieces))
     disk.close()
@@ -71,7 +71,7 @@
     for _ in range(7):
         began = time.perf_counter()
         disk = Disk(path)
-        member = Member(opened.identity.member_id, disk.load().member_start, Random(1), 0)
+        member = Member(opened.identity.member_id, disk.load().durable_state, Random(1), 0)
         took.append(time.perf_counter() - began)
         assert len(member.state.items) == many
         disk.close()
--- a/limerudder/store/backup.py
+++ b/limerudder/store/backup.py
@@ -1,17 +1,19 @@
-"""The backup file: a cluster's data as frames, a header and then the chunks of one snapshot."""
+"""The backup file: frames of a header and of the chunks of one snapshot."""
 
 from __future__ import annotations
 
 import os
+from typing import NamedTuple
 
 import msgspec
 
-from limerudder.store.disk import DiskError
+from limerudder.store.disk_errors import InvalidBackup, UnsupportedFormat
 from limerudder.store.framing import FrameDecoder, FrameError, encode_frame
 from limerudder.store.raft.messages import Snapshot, SnapshotMeta
 from limerudder.store.raft.raft import snapshot_digest
 
-BACKUP = 1  #: format of a backup file; its frames are a head and the snapshot's pieces
+BACKUP_FORMAT_VERSION = 1
+PARTIAL_FILE_SUFFIX = ".part"  #: of a backup that is being written
 
 
 class BackupHeader(msgspec.Struct, frozen=True, array_like=True):
@@ -22,32 +24,43 @@
     meta: SnapshotMeta
 
 
+class Backup(NamedTuple):
+    """A backup that has been read and verified."""
+
+    header: BackupHeader
+    snapshot: Snapshot
+
+
 _encode = msgspec.msgpack.Encoder().encode
 
 
 def write_backup(path: str, cluster_id: int, snapshot: Snapshot) -> None:
-    """Write a backup; the file is there whole or not at all."""
-    with open(path + ".part", "wb") as file:
-        file.write(encode_frame(_encode(BackupHeader(BACKUP, cluster_id, snapshot.meta))))
-        for piece in snapshot.pieces:
-            file.write(encode_frame(piece))
+    """Write a backup, which appears at its path complete or not at all. Raises OSError."""
+    partial_path = path + PARTIAL_FILE_SUFFIX
+    header = BackupHeader(BACKUP_FORMAT_VERSION, cluster_id, snapshot.meta)
+    with open(partial_path, "wb") as file:
+        file.write(encode_frame(_encode(header)))
+        for chunk in snapshot.pieces:
+            file.write(encode_frame(chunk))
         file.flush()
         os.fsync(file.fileno())
-    os.replace(path + ".part", path)
+    os.replace(partial_path, path)
 
 
-def read_backup(path: str) -> tuple[BackupHeader, Snapshot]:
-    """Read a backup; DiskError where it is not whole."""
+def read_backup(path: str) -> Backup:
+    """Read and verify a backup. Raises InvalidBackup or UnsupportedFormat."""
     try:
         with open(path, "rb") as file:
-            first, *pieces = FrameDecoder().feed(file.read())
-        head: BackupHeader = msgspec.msgpack.decode(first, type=BackupHeader)
-    except OSError as exc:
-        raise DiskError(f"cannot read {path}: {exc.strerror}") from None
-    except (FrameError, ValueError, msgspec.DecodeError) as exc:
-        raise DiskError(f"{path} is no backup: {exc}") from None
-    if head.format > BACKUP:
-        raise DiskError(f"{path} has format {head.format}; this build reads up to {BACKUP}")
-    if len(pieces) != head.meta.pieces or snapshot_digest(pieces) != head.meta.digest:
-        raise DiskError(f"{path} is not whole")
-    return head, Snapshot(head.meta, tuple(pieces))
+            first_frame, *chunks = FrameDecoder().feed(file.read())
+        header: BackupHeader = msgspec.msgpack.decode(first_frame, type=BackupHeader)
+    except OSError as error:
+        raise InvalidBackup(f"cannot read {path}: {error.strerror}") from error
+    except (FrameError, ValueError, msgspec.DecodeError) as error:
+        raise InvalidBackup(f"{path} is no backup: {error}") from error
+    if header.format > BACKUP_FORMAT_VERSION:
+        raise UnsupportedFormat(
+            f"{path} has format {header.format}; this build reads up to {BACKUP_FORMAT_VERSION}"
+        )
+    if len(chunks) != header.meta.pieces or snapshot_digest(chunks) != header.meta.digest:
+        raise InvalidBackup(f"{path} is not whole")
+    return Backup(header, Snapshot(header.meta, tuple(chunks)))
--- a/limerudder/store/cli.py
+++ b/limerudder/store/cli.py
@@ -98,7 +98,7 @@
 
 def offline(call: Any, *args: Any) -> Any:
     """Do something to folders; ends the command where that cannot be."""
-    from limerudder.store.disk import DiskError
+    from limerudder.store.disk_errors import DiskError
 
     try:
         return call(*args)
@@ -314,21 +314,25 @@
     """
     import msgspec
 
-    from limerudder.store import data_directory as folders
+    from limerudder.store.recovery import recover_single_member
 
-    lost = offline(folders.recover_single_member, folder, do_it)
+    lost = offline(recover_single_member, folder, do_it)
     if self.as_json:
         return self.show({**msgspec.to_builtins(lost), "done": do_it})
-    others = ", ".join(lost.others) or "nobody else"
-    click.echo(f"{lost.name} has all entries up to {lost.last}; its snapshot stands at {lost.snapshot}.")
+    others = ", ".join(lost.other_members) or "nobody else"
+    click.echo(
+        f"{lost.name} has all entries up to {lost.last_index}; its snapshot stands at {lost.snapshot_index}."
+    )
     click.echo(
-        f"May be lost: every write acknowledged after entry {lost.last} by a quorum without {lost.name}."
+        f"May be lost: every write acknowledged after entry {lost.last_index}"
+        f" by a quorum without {lost.name}."
     )
     click.echo(
         f"  {others} may have more: look at each folder that is left, and recover the one with the most."
     )
     click.echo(
-        f"May come back: the last {lost.unknown} entries, of which some may never have been acknowledged."
+        f"May come back: the last {lost.uncertain_entries} entries,"
+        " of which some may never have been acknowledged."
     )
     click.echo("Lost in any case: sessions of writers that wait for an answer with the other members.")
     if do_it:
--- a/limerudder/store/data_directory.py
+++ b/limerudder/store/data_directory.py
@@ -1,4 +1,7 @@
-"""What is done to members' folders while no process has them: begin a cluster, join, restore, recover."""
+"""Creates members' data directories: for a new cluster, a joining member, or from a backup.
+
+No process has these directories open meanwhile. `recovery` deals with a cluster that has lost its quorum.
+"""
 
 from __future__ import annotations
 
@@ -6,28 +9,34 @@
 import os
 import secrets
 from collections.abc import Sequence
+from typing import NamedTuple
 
 import msgspec
 
 from limerudder.store.backup import read_backup
-from limerudder.store.disk import Disk, DiskError, MemberIdentity
-from limerudder.store.raft.messages import (
-    ClusterConfig,
-    EntryKind,
-    Member,
-    MemberRole,
-    Snapshot,
-    SnapshotMeta,
-)
-from limerudder.store.raft.raft import HardState, snapshot_digest
+from limerudder.store.disk import Disk, MemberIdentity
+from limerudder.store.disk_errors import InvalidBackup, InvalidJoinToken, InvalidMembers
+from limerudder.store.raft.messages import ClusterConfig, Member, Snapshot
+from limerudder.store.raft.raft import HardState
 from limerudder.store.snapshots import SnapshotError
 from limerudder.store.state_machine import KeyValueState
 
+ID_BITS = 63
+NO_VOTE = 0
+RESTORED_TERM = 1  #: the term of a restored snapshot, and the first of the new cluster
+
+
+class MemberAddress(NamedTuple):
+    """A member that a cluster begins with: its name, and where the others reach it."""
+
+    name: str
+    address: str  # IPv4:PORT
+
 
 class JoinToken(msgspec.Struct, frozen=True, array_like=True):
-    """What a new member's folder is made from."""
+    """What a new member's data directory is created from."""
 
-    cluster: int
+    cluster_id: int
     member: Member
 
 
@@ -35,106 +44,74 @@
 
 
 def random_id() -> int:
-    """A member's or a cluster's number."""
-    return secrets.randbits(63) | 1
+    """Return a new random identifier of a member or cluster; never 0."""
+    return secrets.randbits(ID_BITS) | 1
 
 
-def init_cluster(folder: str, members: Sequence[tuple[str, str]]) -> list[str]:
-    """Begin a cluster: a folder for each member, to be taken to its machine; gives them."""
-    names = [name for name, _ in members]
-    addresses = [address for _, address in members]
-    if len(set(names)) < len(names) or len(set(addresses)) < len(addresses):
-        raise DiskError("each member needs a name and an address of its own")
-    cluster = random_id()
+def init_cluster(parent_directory: str, members: Sequence[MemberAddress | tuple[str, str]]) -> list[str]:
+    """Create a data directory for each member of a new cluster; return their paths.
+
+    Each is to be moved to its member's machine. Raises DiskError.
+    """
+    names = {name for name, _ in members}
+    addresses = {address for _, address in members}
+    if len(names) < len(members) or len(addresses) < len(members):
+        raise InvalidMembers("each member needs a name and an address of its own")
+    cluster_id = random_id()
     config = ClusterConfig(tuple(Member(random_id(), name, address) for name, address in members))
-    made = []
-    for one in config.members:
-        path = os.path.join(folder, one.name)
-        Disk(path, MemberIdentity(cluster, one.id, one.name), config).close()
-        made.append(path)
-    return made
+    directories = []
+    for member in config.members:
+        directory = os.path.join(parent_directory, member.name)
+        Disk(directory, MemberIdentity(cluster_id, member.id, member.name), config).close()
+        directories.append(directory)
+    return directories
 
 
-def encode_join_token(cluster: int, member: Member) -> str:
-    """A ticket as a word."""
-    return base64.urlsafe_b64encode(_encode(JoinToken(cluster, member))).decode()
+def encode_join_token(cluster_id: int, member: Member) -> str:
+    """Return the text from which `join_cluster` creates the member's data directory."""
+    return base64.urlsafe_b64encode(_encode(JoinToken(cluster_id, member))).decode()
 
 
-def join_cluster(folder: str, ticket: str) -> Member:
-    """Make a new member's folder from its ticket."""
+def decode_join_token(text: str) -> JoinToken:
+    """Decode a join token; raises InvalidJoinToken."""
     try:
-        told: JoinToken = msgspec.msgpack.decode(base64.urlsafe_b64decode(ticket.encode()), type=JoinToken)
-    except (ValueError, msgspec.DecodeError) as exc:
-        raise DiskError(f"that is no ticket: {exc}") from None
-    Disk(folder, MemberIdentity(told.cluster, told.member.id, told.member.name), ClusterConfig(())).close()
-    return told.member
+        return msgspec.msgpack.decode(base64.urlsafe_b64decode(text.encode()), type=JoinToken)
+    except (ValueError, msgspec.DecodeError) as error:
+        raise InvalidJoinToken(f"that is no ticket: {error}") from error
 
 
-def restore_backup(folder: str, backup: str, members: Sequence[tuple[str, str]]) -> list[str]:
-    """Begin a new cluster with a backup's records."""
-    _, old = read_backup(backup)
-    records = KeyValueState()
-    try:
-        records.restore(old.pieces)
-    except SnapshotError as exc:
-        raise DiskError(f"{backup}: {exc}") from None
-    made = init_cluster(folder, members)
-    for path in made:
-        disk = Disk(path)
-        try:
-            opened = disk.load(count_start=False)
-            config: ClusterConfig = opened.member_start.raft_state.config
-            meta = SnapshotMeta(old.meta.index, 1, config, old.meta.pieces, old.meta.digest)
-            disk.start_new_cluster(opened.identity, HardState(1, 0), Snapshot(meta, old.pieces))
-        finally:
-            disk.close()
-    return made
-
-
-class DataLoss(msgspec.Struct, frozen=True):
-    """What a recovery found, and what it cannot know."""
-
-    name: str
-    last: int  # the last entry here
-    snapshot: int
-    unknown: int  # entries here that may never have been agreed on, and are taken as if they had
-    others: tuple[str, ...]  # members that may have had more
+def join_cluster(directory: str, token_text: str) -> Member:
+    """Create a new member's data directory from its join token. Raises DiskError."""
+    token = decode_join_token(token_text)
+    member = token.member
+    # a joining member learns the configuration from the leader
+    empty_config = ClusterConfig(())
+    Disk(directory, MemberIdentity(token.cluster_id, member.id, member.name), empty_config).close()
+    return member
 
 
-def recover_single_member(folder: str, do: bool) -> DataLoss:
-    """Begin a new cluster of this one member with all that it has, after its quorum is lost for good.
+def restore_backup(
+    parent_directory: str, backup_path: str, members: Sequence[MemberAddress | tuple[str, str]]
+) -> list[str]:
+    """Create the data directories of a new cluster that begins with a backup's state; return their paths.
 
-    Without `do` only what that would mean is told.
+    Raises DiskError.
     """
-    disk = Disk(folder)
+    snapshot = read_backup(backup_path).snapshot
     try:
-        opened = disk.load(count_start=False)
-        saved = opened.member_start.raft_state
-        records = KeyValueState()
-        if saved.snapshot:
-            records.restore(saved.snapshot.pieces)
-        config = saved.snapshot.meta.config if saved.snapshot else saved.config
-        base = records.applied_index
-        for entry in saved.entries:
-            if entry.index > base:
-                if entry.kind == EntryKind.DATA:
-                    records.apply(entry.index, entry.data)
-                records.applied_index = entry.index
-                if entry.kind == EntryKind.CONFIG:
-                    config = msgspec.msgpack.decode(entry.data, type=ClusterConfig)
-        me = opened.identity
-        others = tuple(one.name for one in config.members if one.id != me.member_id)
-        lost = DataLoss(me.name, records.applied_index, base, records.applied_index - base, others)
-        if do:
-            mine = config.get(me.member_id) or Member(me.member_id, me.name, "127.0.0.1:1")
-            alone = ClusterConfig((Member(random_id(), me.name, mine.address, MemberRole.VOTER),))
-            pieces = tuple(records.snapshot_view().chunks())
-            term = saved.hard.term + 1
-            meta = SnapshotMeta(records.applied_index, term, alone, len(pieces), snapshot_digest(pieces))
-            identity = MemberIdentity(random_id(), alone.members[0].id, me.name)
-            disk.start_new_cluster(identity, HardState(term, 0), Snapshot(meta, pieces))
-        return lost
-    except SnapshotError as exc:
-        raise DiskError(f"{folder}: {exc}") from None
-    finally:
-        disk.close()
+        KeyValueState().restore(snapshot.pieces)
+    except SnapshotError as error:
+        raise InvalidBackup(f"{backup_path}: {error}") from error
+    directories = init_cluster(parent_directory, members)
+    for directory in directories:
+        with Disk(directory) as disk:
+            _start_with_snapshot(disk, snapshot)
+    return directories
+
+
+def _start_with_snapshot(disk: Disk, snapshot: Snapshot) -> None:
+    contents = disk.load(count_start=False)
+    config = contents.durable_state.raft_state.config
+    meta = msgspec.structs.replace(snapshot.meta, term=RESTORED_TERM, config=config)
+    hard_state = HardState(RESTORED_TERM, NO_VOTE)
+    disk.start_new_cluster(contents.identity, hard_state, Snapshot(meta, snapshot.pieces))
--- a/limerudder/store/framing.py
+++ b/limerudder/store/framing.py
@@ -1,46 +1,52 @@
-"""Frames: a length, a checksum, and that many bytes. Fed in any pieces; gives whole frames or an error."""
+"""Frames of a byte stream: a length, a CRC-32 and that many bytes."""
 
 from __future__ import annotations
 
 import struct
 from zlib import crc32
 
-MAX_FRAME_BYTES = 1 << 20  #: bytes of a frame; more is never believed
-HEAD = struct.Struct("!II")
+MAX_FRAME_BYTES = 1 << 20  #: of the payload; a longer frame is rejected
+FRAME_HEADER = struct.Struct("!II")  #: length and checksum of the payload
 
 
 class FrameError(Exception):
-    """Bytes that are no frames: the connection cannot go on."""
+    """Bytes that are no frames: nothing after them can be decoded."""
 
 
-def encode_frame(data: bytes) -> bytes:
-    """A frame with this in it."""
-    assert len(data) <= MAX_FRAME_BYTES, "whoever writes keeps to the limit"
-    return HEAD.pack(len(data), crc32(data)) + data
+def encode_frame(payload: bytes) -> bytes:
+    """Return the frame of a payload, which must not exceed MAX_FRAME_BYTES."""
+    assert len(payload) <= MAX_FRAME_BYTES, "the sender limits its payloads"
+    return FRAME_HEADER.pack(len(payload), crc32(payload)) + payload
 
 
 class FrameDecoder:
-    """What has come of a connection."""
+    """Splits a stream, received in pieces of any size, into payloads."""
 
-    def __init__(self, most: int = MAX_FRAME_BYTES) -> None:
-        self.most = most
-        self.rest = bytearray()
+    def __init__(self, max_frame_bytes: int = MAX_FRAME_BYTES) -> None:
+        self.max_frame_bytes = max_frame_bytes  # may be changed between calls
+        self._buffer = bytearray()
 
     def feed(self, data: bytes) -> list[bytes]:
-        """The frames that are whole now. FrameError on a length over the limit, or a wrong checksum."""
-        self.rest += data
-        found: list[bytes] = []
-        at = 0
-        while len(self.rest) - at >= HEAD.size:
-            length, crc = HEAD.unpack_from(self.rest, at)
-            if length > self.most:
-                raise FrameError(f"a frame of {length} bytes; at most {self.most} are taken")
-            if len(self.rest) - at - HEAD.size < length:
+        """Return the payloads that are complete now.
+
+        Raises FrameError on a length over the limit or a wrong checksum.
+        """
+        buffer = self._buffer
+        buffer += data
+        payloads: list[bytes] = []
+        start = 0
+        while len(buffer) - start >= FRAME_HEADER.size:
+            length, checksum = FRAME_HEADER.unpack_from(buffer, start)
+            if length > self.max_frame_bytes:
+                raise FrameError(f"a frame of {length} bytes; at most {self.max_frame_bytes} are taken")
+            payload_start = start + FRAME_HEADER.size
+            payload_end = payload_start + length
+            if len(buffer) < payload_end:
                 break
-            body = bytes(self.rest[at + HEAD.size : at + HEAD.size + length])
-            if crc32(body) != crc:
+            payload = bytes(buffer[payload_start:payload_end])
+            if crc32(payload) != checksum:
                 raise FrameError("a frame whose checksum does not match")
-            found.append(body)
-            at += HEAD.size + length
-        del self.rest[:at]
-        return found
+            payloads.append(payload)
+            start = payload_end
+        del buffer[:start]
+        return payloads
--- a/limerudder/store/node_bridge.py
+++ b/limerudder/store/node_bridge.py
@@ -116,7 +116,7 @@
         self.store = Store(settings, log, now)
         found = self.store.opened.identity.name
         if found != name:
-            from limerudder.store.disk import DiskError
+            from limerudder.store.disk_errors import DiskError
 
             self.store.disk.close()
             raise DiskError(f"{settings.folder} is the folder of {found}; this node is {name}")
--- a/limerudder/store/peer_transport.py
+++ b/limerudder/store/peer_transport.py
@@ -18,7 +18,7 @@
 from limerudder.store import rpc
 from limerudder.store.disk import Disk
 from limerudder.store.durability import DurabilityJob
-from limerudder.store.framing import FrameDecoder, FrameError, encode_frame
+from limerudder.store.framing import MAX_FRAME_BYTES, FrameDecoder, FrameError, encode_frame
 from limerudder.store.peer_authentication import Handshake
 from limerudder.store.raft.messages import ClusterConfig, Snapshot
 
@@ -103,7 +103,7 @@
                 self._say(why)
             return self.close()
         self.to, self.up = hello.sender_id, True
-        self.frames.most = FrameDecoder().most
+        self.frames.max_frame_bytes = MAX_FRAME_BYTES
         if self.timer:
             self.timer.cancel()
         if not self.dialled:
--- /dev/null
+++ b/limerudder/store/sqlite_reader.py
@@ -0,0 +1,136 @@
+"""Reads the rows of a data directory's database and verifies the checksum of each."""
+
+from __future__ import annotations
+
+import sqlite3
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from limerudder.store.disk_errors import DiskCorrupted
+from limerudder.store.drain_log import DrainFact, decode_fact
+from limerudder.store.durability import DurableState, KnownValue
+from limerudder.store.peer_authentication import DurabilityProof
+from limerudder.store.raft.messages import ClusterConfig, Entry, EntryKind, Snapshot, SnapshotMeta
+from limerudder.store.raft.raft import HardState, PersistentState, snapshot_digest
+from limerudder.store.sqlite_schema import ChunkTable, MetaName, row_checksum
+
+NO_SNAPSHOT_INDEX = 0
+
+
+class SqliteReader:
+    """Reads one database; all methods raise DiskCorrupted or sqlite3.Error if the data cannot be used."""
+
+    def __init__(self, connection: sqlite3.Connection, path: str) -> None:
+        self._connection = connection
+        self._path = path  # for error messages
+
+    def require_meta(self, name: MetaName, value_type: Any) -> Any:
+        """Return the decoded value of a row of `meta` that must exist."""
+        value = self.get_meta(name, value_type)
+        if value is None:
+            raise DiskCorrupted(f"{self._path}: meta {name.value} is missing")
+        return value
+
+    def get_meta(self, name: MetaName, value_type: Any) -> Any:
+        """Return the decoded value of a row of `meta`, or None if there is no such row."""
+        query = "SELECT value, crc FROM meta WHERE name=?"
+        row = self._connection.execute(query, (name.value,)).fetchone()
+        if row is None:
+            return None
+        data, checksum = row
+        if row_checksum(name.value, data) != checksum:
+            raise DiskCorrupted(f"{self._path}: meta {name.value}: its checksum does not match")
+        return _decode(data, value_type, f"{self._path}: meta {name.value}")
+
+    def durable_state(self) -> DurableState:
+        """Return everything that a member starts with."""
+        entries = self._log_entries()
+        snapshot = self._snapshot()
+        self._check_log_meets_snapshot(entries, snapshot)
+        incoming_snapshot = self._incoming_snapshot()
+        facts = self._drain_facts()
+        known_values = self._known_values()
+        hard_state = HardState(*self.require_meta(MetaName.HARD_STATE, tuple[int, int]))
+        config = self.require_meta(MetaName.CONFIG, ClusterConfig)
+        raft_state = PersistentState(hard_state, snapshot, entries, config, incoming_snapshot)
+        return DurableState(raft_state, facts, known_values)
+
+    def durability_proofs(self) -> dict[int, DurabilityProof]:
+        """Return what other members have shown of their disks, by member."""
+        query = "SELECT number, data, crc FROM shown"
+        return {
+            member_id: _decode(data, DurabilityProof, f"what member {member_id:016x} has shown")
+            for member_id, data in self._rows(query, "what a member has shown,")
+        }
+
+    def _log_entries(self) -> list[Entry]:
+        query = "SELECT idx, term, kind, data, crc FROM log ORDER BY idx"
+        entries = [
+            Entry(index, term, EntryKind(kind), data)
+            for index, term, kind, data in self._rows(query, "log entry")
+        ]
+        for entry, next_entry in zip(entries, entries[1:], strict=False):
+            if next_entry.index != entry.index + 1:
+                raise DiskCorrupted(f"{self._path}: log entry {entry.index + 1} is missing")
+        return entries
+
+    def _snapshot(self) -> Snapshot | None:
+        meta = self.get_meta(MetaName.SNAPSHOT, SnapshotMeta)
+        if meta is None:
+            return None
+        chunks = self._chunks(ChunkTable.SNAPSHOT)
+        if len(chunks) != meta.pieces or snapshot_digest(chunks) != meta.digest:
+            raise DiskCorrupted(f"{self._path}: the snapshot of entry {meta.index} is not whole")
+        return Snapshot(meta, chunks)
+
+    def _check_log_meets_snapshot(self, entries: list[Entry], snapshot: Snapshot | None) -> None:
+        if not entries:
+            return
+        first_index = entries[0].index
+        snapshot_index = snapshot.meta.index if snapshot else NO_SNAPSHOT_INDEX
+        if first_index > snapshot_index + 1:
+            raise DiskCorrupted(
+                f"{self._path}: the log begins at entry {first_index},"
+                f" after a snapshot of entry {snapshot_index}"
+            )
+
+    def _incoming_snapshot(self) -> tuple[SnapshotMeta, tuple[bytes, ...]] | None:
+        meta = self.get_meta(MetaName.INCOMING_SNAPSHOT, SnapshotMeta)
+        if meta is None:
+            return None
+        return meta, self._chunks(ChunkTable.INCOMING_SNAPSHOT)
+
+    def _chunks(self, table: ChunkTable) -> tuple[bytes, ...]:
+        query = f"SELECT number, data, crc FROM {table.value} ORDER BY number"
+        return tuple(data for _, data in self._rows(query, f"{table.value} piece"))
+
+    def _drain_facts(self) -> dict[int, DrainFact]:
+        facts: dict[int, DrainFact] = {}
+        for number, data in self._rows("SELECT number, data, crc FROM facts ORDER BY number", "fact"):
+            try:
+                facts[number] = decode_fact(data)
+            except msgspec.DecodeError as error:
+                raise DiskCorrupted(f"{self._path}: fact {number} cannot be read: {error}") from error
+        return facts
+
+    def _known_values(self) -> dict[str, KnownValue]:
+        known_values: dict[str, KnownValue] = {}
+        for key, data in self._rows("SELECT name, value, crc FROM known", "known record"):
+            known_values[key] = _decode(data, KnownValue, f"known record {key}")
+        return known_values
+
+    def _rows(self, query: str, description: str) -> Iterator[tuple[Any, ...]]:
+        """Yield the rows of a query without their checksum, which is the last column."""
+        for *values, checksum in self._connection.execute(query):
+            if row_checksum(*values) != checksum:
+                raise DiskCorrupted(f"{self._path}: {description} {values[0]}: its checksum does not match")
+            yield tuple(values)
+
+
+def _decode(data: bytes, value_type: Any, description: str) -> Any:
+    try:
+        return msgspec.msgpack.decode(data, type=value_type)
+    except msgspec.DecodeError as error:
+        raise DiskCorrupted(f"{description} cannot be read: {error}") from error
--- a/limerudder/store/store.py
+++ b/limerudder/store/store.py
@@ -51,9 +51,9 @@
         timing = RaftTiming(settings.election, settings.heartbeat)
         random = Random(secrets.randbits(64))
         me = opened.identity.member_id
-        self.member = Member(me, opened.member_start, random, now(), limits, timing, write_error)
+        self.member = Member(me, opened.durable_state, random, now(), limits, timing, write_error)
         self.doorman = PeerAuthenticator(opened.identity.cluster_id, me, opened.durability_proofs)
-        self.durable_term = opened.member_start.raft_state.hard.term
+        self.durable_term = opened.durable_state.raft_state.hard.term
         self.net = PeerTransport(self, me, log)
         self.afters: deque[tuple[int, list[tuple[int, rpc.StoreMessage]]]] = (
             deque()
--- a/limerudder/store_runtime.py
+++ b/limerudder/store_runtime.py
@@ -51,7 +51,7 @@
         """Open the store; return the configuration with what the store knows newer. Raises ConfigError."""
         if self._settings is None:
             return config
-        from limerudder.store.disk import DiskBusy, DiskError
+        from limerudder.store.disk_errors import DiskBusy, DiskError
 
         try:
             self._bridge = self._open_bridge(self._settings)
@@ -140,7 +140,7 @@
             node.refresh_endpoint(endpoint.name, self._clock.now_us())
 
     async def _open_when_free(self, settings: StoreSettings) -> NodeStoreBridge:
-        from limerudder.store.disk import DiskError
+        from limerudder.store.disk_errors import DiskError
 
         waited_seconds = 0.0
         warned = False
--- a/tests/test_store_disk.py
+++ b/tests/test_store_disk.py
@@ -7,6 +7,7 @@
 import shutil
 import sqlite3
 import threading
+from collections.abc import Sequence
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -24,10 +25,10 @@
     encode_join_token,
     init_cluster,
     join_cluster,
-    recover_single_member,
     restore_backup,
 )
-from limerudder.store.disk import DATABASE_FILE, Disk, DiskError, MemberIdentity
+from limerudder.store.disk import DATABASE_FILE, Disk, MemberIdentity
+from limerudder.store.disk_errors import DiskError
 from limerudder.store.drain_log import DrainObserved, MaintenanceHold, NumberedFact
 from limerudder.store.durability import DurabilityJob, KnownValue, SnapshotJob
 from limerudder.store.limits import MemberLimits
@@ -37,6 +38,9 @@
 from limerudder.store.raft.messages import ClusterConfig, Entry, EntryKind, MemberRole, SnapshotMeta
 from limerudder.store.raft.messages import Member as MemberEntry
 from limerudder.store.raft.raft import HardState, RaftWrite, snapshot_digest
+from limerudder.store.recovery import recover_single_member
+from limerudder.store.sqlite_schema import MetaName
+from limerudder.store.sqlite_writer import SqliteWriter
 from limerudder.store.state_machine import KeyValueState
 
 CONFIG = ClusterConfig((MemberEntry(5, "n0", "127.0.0.1:7000"),))
@@ -58,7 +62,7 @@
 def reopened(folder: Path) -> Any:
     again = Disk(str(folder / "s"))
     try:
-        return again.load(count_start=False).member_start.raft_state
+        return again.load(count_start=False).durable_state.raft_state
     finally:
         again.close()
 
@@ -139,10 +143,10 @@
         real.close()
         real = Disk(str(folder / "s"))
         opened = real.load()
-        saved, told = opened.member_start.raft_state, model.start()
+        saved, told = opened.durable_state.raft_state, model.start()
         assert (saved.hard, list(saved.entries)) == (told.raft_state.hard, list(told.raft_state.entries))
         assert (saved.snapshot, saved.incoming) == (told.raft_state.snapshot, told.raft_state.incoming)
-        assert (opened.member_start.drain_facts, opened.member_start.known_values) == (
+        assert (opened.durable_state.drain_facts, opened.durable_state.known_values) == (
             told.drain_facts,
             told.known_values,
         )
@@ -178,7 +182,7 @@
     wal = killed / (DATABASE_FILE + "-wal")
     os.truncate(wal, wal.stat().st_size - cut)
     again = Disk(str(killed))
-    found = [entry.index for entry in again.load(count_start=False).member_start.raft_state.entries]
+    found = [entry.index for entry in again.load(count_start=False).durable_state.raft_state.entries]
     again.close()
     assert found == list(range(1, len(found) + 1)) and 28 <= len(found) <= 29
 
@@ -228,14 +232,14 @@
     one = disk(tmp_path)
     one.load()
     one.persist([write(1, entries=entries(1, 2))])
-    one._sql.execute("DROP TABLE shown")  # as format 1 was
-    one._meta("format", 1)
+    one.connection.execute("DROP TABLE shown")  # as format 1 was
+    SqliteWriter(one.connection).put_meta(MetaName.FORMAT, 1)
     one.close()
     again = Disk(str(tmp_path / "s"))
     opened = again.load()
-    assert opened.durability_proofs == {} and len(opened.member_start.raft_state.entries) == 2
+    assert opened.durability_proofs == {} and len(opened.durable_state.raft_state.entries) == 2
     again.persist([DurabilityJob(1, proofs={3: DurabilityProof(Incarnation(1, 1))})])
-    again._meta("format", 99)
+    SqliteWriter(again.connection).put_meta(MetaName.FORMAT, 99)
     again.close()
     newer = Disk(str(tmp_path / "s"))
     with pytest.raises(DiskError, match="has format 99; this build reads up to 2"):
@@ -247,7 +251,7 @@
     one = disk(tmp_path)
     one.load()
     one.persist([write(1, entries=entries(1, 5))])
-    one._sql.execute("DELETE FROM log WHERE idx=3")
+    one.connection.execute("DELETE FROM log WHERE idx=3")
     one.close()
     with pytest.raises(DiskError, match="log entry 3 is missing"):
         reopened(tmp_path)
@@ -257,8 +261,8 @@
     async def story() -> None:
         one = disk(tmp_path)
         one.load()
-        pages = one._sql.execute("PRAGMA page_count").fetchone()[0]
-        one._sql.execute(f"PRAGMA max_page_count={pages}")
+        pages = one.connection.execute("PRAGMA page_count").fetchone()[0]
+        one.connection.execute(f"PRAGMA max_page_count={pages}")
         told, lines, failed = list[int](), list[str](), asyncio.Event()
 
         def log(kind: LogKind, text: str, /, detail: str = "") -> None:
@@ -276,7 +280,7 @@
         writer.put(write(1, entries=big))
         await failed.wait()
         assert not told and "full" in lines[0] and "retrying" in lines[0]
-        one._sql.execute("PRAGMA max_page_count=100000")
+        one.connection.execute("PRAGMA max_page_count=100000")
         await done.wait()
         assert told == [1] and await asyncio.to_thread(writer.close, 5.0)
 
@@ -290,7 +294,7 @@
         one.load()
         release, entered, persist = threading.Event(), threading.Event(), one.persist
 
-        def stuck(jobs: list[DurabilityJob]) -> Any:
+        def stuck(jobs: Sequence[DurabilityJob]) -> Any:
             entered.set()
             release.wait(20)
             return persist(jobs)
@@ -342,7 +346,7 @@
         opened = one.load()
         one.close()
         clusters.add(opened.identity.cluster_id)
-        member = Member(opened.identity.member_id, opened.member_start, Random(1), 0)
+        member = Member(opened.identity.member_id, opened.durable_state, Random(1), 0)
         assert member.state.items == some_records(30).items and len(member.config.members) == 2
     assert len(clusters) == 1 and clusters != {9}
     whole = (tmp_path / "b").read_bytes()
@@ -371,17 +375,17 @@
     log = tuple(Entry(n + 1, 2, EntryKind.DATA, encode_command(c)) for n, c in enumerate(commands))
     one.persist([write(1, hard=HardState(2, 1), entries=log)])
     one.close()
-    told = recover_single_member(paths[0], False)
-    assert (told.last, told.unknown, told.others) == (3, 3, ("n1", "n2"))
+    told = recover_single_member(paths[0], confirmed=False)
+    assert (told.last_index, told.uncertain_entries, told.other_members) == (3, 3, ("n1", "n2"))
     one = Disk(paths[0])
     assert one.load().identity == before.identity, "nothing was done"
     one.close()
-    recover_single_member(paths[0], True)
+    recover_single_member(paths[0], confirmed=True)
     one = Disk(paths[0])
     opened = one.load()
     one.close()
     assert opened.identity.cluster_id != before.identity.cluster_id
-    member = Member(opened.identity.member_id, opened.member_start, Random(1), 0, MemberLimits())
+    member = Member(opened.identity.member_id, opened.durable_state, Random(1), 0, MemberLimits())
     assert [m.name for m in member.config.members] == ["n0"] and member.raft.term == 3
     assert {key: item.value for key, item in member.state.items.items()} == {"kv/a": b"1", "kv/b": b"2"}
 
@@ -393,7 +397,8 @@
     opened = one.load()
     one.close()
     assert (
-        opened.identity == MemberIdentity(9, 77, "n4") and opened.member_start.raft_state.config.members == ()
+        opened.identity == MemberIdentity(9, 77, "n4")
+        and opened.durable_state.raft_state.config.members == ()
     )
     with pytest.raises(DiskError, match="no ticket"):
         join_cluster(str(tmp_path / "n5"), "nonsense")
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -199,12 +199,12 @@
     assert opened.identity == MemberIdentity(9, 5, "n0")
     assert opened.incarnation.number == 1
     assert opened.durability_proofs == {6: DurabilityProof(Incarnation(3, 77), 1, 9)}
-    assert opened.member_start.drain_facts == {1: FACTS["drain"], 3: FACTS["back"]}
-    assert opened.member_start.known_values == {
+    assert opened.durable_state.drain_facts == {1: FACTS["drain"], 3: FACTS["back"]}
+    assert opened.durable_state.known_values == {
         "hosts/s-1": (2, drain_log.encode_host_record(HOST_RECORD)),
         "config/log": (1, None),
     }
-    saved = opened.member_start.raft_state
+    saved = opened.durable_state.raft_state
     assert saved.hard == HardState(2, 6)
     assert saved.config == CONFIG
     assert saved.incoming == (INCOMING, (b"first", b"second"))
