--- a/limerudder/store/backup.py
+++ b/limerudder/store/backup.py
@@ -9,8 +9,7 @@
 
 from limerudder.store.disk_errors import InvalidBackup, UnsupportedFormat
 from limerudder.store.framing import FrameDecoder, FrameError, encode_frame
-from limerudder.store.raft.messages import Snapshot, SnapshotMeta
-from limerudder.store.raft.raft import snapshot_digest
+from limerudder.store.raft.messages import Snapshot, SnapshotMeta, snapshot_digest
 
 BACKUP_FORMAT_VERSION = 1
 PARTIAL_FILE_SUFFIX = ".part"  #: of a backup that is being written
@@ -40,7 +39,7 @@
     header = BackupHeader(BACKUP_FORMAT_VERSION, cluster_id, snapshot.meta)
     with open(partial_path, "wb") as file:
         file.write(encode_frame(_encode(header)))
-        for chunk in snapshot.pieces:
+        for chunk in snapshot.chunks:
             file.write(encode_frame(chunk))
         file.flush()
         os.fsync(file.fileno())
@@ -61,6 +60,6 @@
         raise UnsupportedFormat(
             f"{path} has format {header.format}; this build reads up to {BACKUP_FORMAT_VERSION}"
         )
-    if len(chunks) != header.meta.pieces or snapshot_digest(chunks) != header.meta.digest:
+    if len(chunks) != header.meta.chunk_count or snapshot_digest(chunks) != header.meta.digest:
         raise InvalidBackup(f"{path} is not whole")
     return Backup(header, Snapshot(header.meta, tuple(chunks)))
--- a/limerudder/store/data_directory.py
+++ b/limerudder/store/data_directory.py
@@ -17,7 +17,7 @@
 from limerudder.store.disk import Disk, MemberIdentity
 from limerudder.store.disk_errors import InvalidBackup, InvalidJoinToken, InvalidMembers
 from limerudder.store.raft.messages import ClusterConfig, Member, Snapshot
-from limerudder.store.raft.raft import HardState
+from limerudder.store.raft.persistence import HardState
 from limerudder.store.snapshots import SnapshotError
 from limerudder.store.state_machine import KeyValueState
 
@@ -99,7 +99,7 @@
     """
     snapshot = read_backup(backup_path).snapshot
     try:
-        KeyValueState().restore(snapshot.pieces)
+        KeyValueState().restore(snapshot.chunks)
     except SnapshotError as error:
         raise InvalidBackup(f"{backup_path}: {error}") from error
     directories = init_cluster(parent_directory, members)
@@ -111,7 +111,7 @@
 
 def _start_with_snapshot(disk: Disk, snapshot: Snapshot) -> None:
     contents = disk.load(count_start=False)
-    config = contents.durable_state.raft_state.config
+    config = contents.durable_state.raft_state.initial_config
     meta = msgspec.structs.replace(snapshot.meta, term=RESTORED_TERM, config=config)
     hard_state = HardState(RESTORED_TERM, NO_VOTE)
-    disk.start_new_cluster(contents.identity, hard_state, Snapshot(meta, snapshot.pieces))
+    disk.start_new_cluster(contents.identity, hard_state, Snapshot(meta, snapshot.chunks))
--- a/limerudder/store/disk.py
+++ b/limerudder/store/disk.py
@@ -30,7 +30,7 @@
 from limerudder.store.durability import DurabilityJob, DurableState
 from limerudder.store.peer_authentication import DurabilityProof, Incarnation
 from limerudder.store.raft.messages import ClusterConfig, Snapshot
-from limerudder.store.raft.raft import HardState
+from limerudder.store.raft.persistence import HardState
 from limerudder.store.sqlite_reader import SqliteReader
 from limerudder.store.sqlite_schema import (
     FORMAT_VERSION,
--- a/limerudder/store/durability.py
+++ b/limerudder/store/durability.py
@@ -8,8 +8,8 @@
 
 from limerudder.store.drain_log import DrainFact, NumberedFact
 from limerudder.store.peer_authentication import DurabilityProof
-from limerudder.store.raft.messages import ClusterConfig, Snapshot, SnapshotMeta
-from limerudder.store.raft.raft import PersistentState, RaftWrite, snapshot_digest
+from limerudder.store.raft.messages import ClusterConfig, Snapshot, SnapshotMeta, snapshot_digest
+from limerudder.store.raft.persistence import PersistentState, RaftWrite
 from limerudder.store.snapshots import SnapshotView
 
 
--- a/limerudder/store/durability_scheduler.py
+++ b/limerudder/store/durability_scheduler.py
@@ -12,7 +12,8 @@
 from limerudder.store.limits import MemberLimits
 from limerudder.store.peer_authentication import DurabilityProof
 from limerudder.store.raft.messages import Snapshot
-from limerudder.store.raft.raft import Raft, RaftWrite
+from limerudder.store.raft.persistence import RaftWrite
+from limerudder.store.raft.raft import Raft
 from limerudder.store.state_machine import KeyValueState
 
 
@@ -79,7 +80,7 @@
             self._raft.compact(snapshot, self._limits.kept_entries)
         write_number = self._raft_writes.pop(job_number, None)
         if write_number is not None:
-            self._raft.written(write_number, now_us)
+            self._raft.on_write_durable(write_number, now_us)
         self._notify_fact_waiters(self._facts_in_jobs.pop(job_number, []), now_us)
 
     def when_durable(self, fact_number: int, callback: TimeCallback, now_us: int) -> None:
@@ -110,18 +111,18 @@
         entries_since = applied_index - (last_snapshot.meta.index if last_snapshot else 0)
         if entries_since >= self._limits.snapshot_after_entries:
             return True
-        return self._raft.log.bytes >= self._limits.snapshot_after_bytes and entries_since > 0
+        return self._raft.log.size_bytes >= self._limits.snapshot_after_bytes and entries_since > 0
 
     def capture_snapshot(self) -> SnapshotJob:
         """Returns the replicated state as it is now, to be encoded and stored elsewhere."""
         log = self._raft.log
         applied_index = self._state.applied_index
-        term = log.term(applied_index)
+        term = log.term_at(applied_index)
         assert term is not None, "the last applied entry is in the log or at its base"
         return SnapshotJob(
             index=applied_index,
             term=term,
             config=log.config_at(applied_index),
             view=self._state.snapshot_view(self._limits.snapshot_chunk_bytes),
-            keep_from_index=max(applied_index - self._limits.kept_entries, log.base) + 1,
+            keep_from_index=max(applied_index - self._limits.kept_entries, log.base_index) + 1,
         )
--- a/limerudder/store/log_applier.py
+++ b/limerudder/store/log_applier.py
@@ -26,7 +26,7 @@
 
     def install(self, snapshot: Snapshot) -> None:
         """Replaces the replicated state by a snapshot; raises SnapshotError if it cannot be decoded."""
-        self._state.restore(snapshot.pieces)
+        self._state.restore(snapshot.chunks)
         self._known_values.refresh()
 
     def apply(self, entry: Entry) -> CommandResult | None:
--- a/limerudder/store/recovery.py
+++ b/limerudder/store/recovery.py
@@ -19,8 +19,9 @@
     MemberRole,
     Snapshot,
     SnapshotMeta,
+    snapshot_digest,
 )
-from limerudder.store.raft.raft import HardState, PersistentState, snapshot_digest
+from limerudder.store.raft.persistence import HardState, PersistentState
 from limerudder.store.snapshots import SnapshotError
 from limerudder.store.state_machine import KeyValueState
 
@@ -58,9 +59,9 @@
 
     def __init__(self, raft_state: PersistentState) -> None:
         self.state = KeyValueState()
-        self.config = raft_state.config
+        self.config = raft_state.initial_config
         if raft_state.snapshot:
-            self.state.restore(raft_state.snapshot.pieces)
+            self.state.restore(raft_state.snapshot.chunks)
             self.config = raft_state.snapshot.meta.config
         self.snapshot_index = self.state.applied_index
         for entry in raft_state.entries:
@@ -89,11 +90,11 @@
 
 def _start_single_member_cluster(disk: Disk, contents: DiskContents, recovered: _RecoveredState) -> None:
     old_identity = contents.identity
-    old_member = recovered.config.get(old_identity.member_id)
+    old_member = recovered.config.find_by_id(old_identity.member_id)
     address = old_member.address if old_member else UNKNOWN_ADDRESS
     member = Member(random_id(), old_identity.name, address, MemberRole.VOTER)
     chunks = tuple(recovered.state.snapshot_view().chunks())
-    term = contents.durable_state.raft_state.hard.term + 1
+    term = contents.durable_state.raft_state.hard_state.term + 1
     meta = SnapshotMeta(
         recovered.state.applied_index, term, ClusterConfig((member,)), len(chunks), snapshot_digest(chunks)
     )
--- a/limerudder/store/sqlite_reader.py
+++ b/limerudder/store/sqlite_reader.py
@@ -12,8 +12,15 @@
 from limerudder.store.drain_log import DrainFact, decode_fact
 from limerudder.store.durability import DurableState, KnownValue
 from limerudder.store.peer_authentication import DurabilityProof
-from limerudder.store.raft.messages import ClusterConfig, Entry, EntryKind, Snapshot, SnapshotMeta
-from limerudder.store.raft.raft import HardState, PersistentState, snapshot_digest
+from limerudder.store.raft.messages import (
+    ClusterConfig,
+    Entry,
+    EntryKind,
+    Snapshot,
+    SnapshotMeta,
+    snapshot_digest,
+)
+from limerudder.store.raft.persistence import HardState, PersistentState
 from limerudder.store.sqlite_schema import ChunkTable, MetaName, row_checksum
 
 NO_SNAPSHOT_INDEX = 0
@@ -81,7 +88,7 @@
         if meta is None:
             return None
         chunks = self._chunks(ChunkTable.SNAPSHOT)
-        if len(chunks) != meta.pieces or snapshot_digest(chunks) != meta.digest:
+        if len(chunks) != meta.chunk_count or snapshot_digest(chunks) != meta.digest:
             raise DiskCorrupted(f"{self._path}: the snapshot of entry {meta.index} is not whole")
         return Snapshot(meta, chunks)
 
--- a/limerudder/store/sqlite_writer.py
+++ b/limerudder/store/sqlite_writer.py
@@ -12,7 +12,7 @@
 from limerudder.store.durability import DurabilityJob, KnownValue, SnapshotJob
 from limerudder.store.peer_authentication import DurabilityProof
 from limerudder.store.raft.messages import Entry, Snapshot, SnapshotMeta
-from limerudder.store.raft.raft import HardState, RaftWrite
+from limerudder.store.raft.persistence import HardState, RaftWrite
 from limerudder.store.sqlite_schema import MetaName, row_checksum
 
 #: above the index of every log entry
@@ -40,7 +40,7 @@
     def put_snapshot(self, snapshot: Snapshot) -> None:
         """Replace the snapshot."""
         self._connection.execute("DELETE FROM snapshot")
-        rows = [(number, data, row_checksum(number, data)) for number, data in enumerate(snapshot.pieces)]
+        rows = [(number, data, row_checksum(number, data)) for number, data in enumerate(snapshot.chunks)]
         self._connection.executemany("INSERT INTO snapshot VALUES (?,?,?)", rows)
         self.put_meta(MetaName.SNAPSHOT, snapshot.meta)
 
@@ -61,14 +61,14 @@
         return snapshot
 
     def _write_raft(self, write: RaftWrite) -> None:
-        if write.hard:
-            self.put_hard_state(write.hard)
-        if write.truncate is not None:
-            self._connection.execute("DELETE FROM log WHERE idx>=?", (write.truncate,))
-        for meta, number, data in write.pieces:
+        if write.hard_state:
+            self.put_hard_state(write.hard_state)
+        if write.truncate_from is not None:
+            self._connection.execute("DELETE FROM log WHERE idx>=?", (write.truncate_from,))
+        for meta, number, data in write.snapshot_chunks:
             self._write_incoming_chunk(meta, number, data)
-        if write.install:
-            self._install_incoming_snapshot(write.install, keep_log_suffix=write.keep)
+        if write.install_snapshot:
+            self._install_incoming_snapshot(write.install_snapshot, keep_log_suffix=write.keep_log_suffix)
         self._write_entries(write.entries)
 
     def _write_incoming_chunk(self, meta: SnapshotMeta, number: int, data: bytes) -> None:
--- a/tests/test_store_disk.py
+++ b/tests/test_store_disk.py
@@ -35,9 +35,16 @@
 from limerudder.store.member import Member
 from limerudder.store.peer_authentication import DurabilityProof, Incarnation
 from limerudder.store.peer_transport import DiskWriter
-from limerudder.store.raft.messages import ClusterConfig, Entry, EntryKind, MemberRole, SnapshotMeta
+from limerudder.store.raft.messages import (
+    ClusterConfig,
+    Entry,
+    EntryKind,
+    MemberRole,
+    SnapshotMeta,
+    snapshot_digest,
+)
 from limerudder.store.raft.messages import Member as MemberEntry
-from limerudder.store.raft.raft import HardState, RaftWrite, snapshot_digest
+from limerudder.store.raft.persistence import HardState, RaftWrite, SnapshotChunk
 from limerudder.store.recovery import recover_single_member
 from limerudder.store.sqlite_schema import MetaName
 from limerudder.store.sqlite_writer import SqliteWriter
@@ -109,7 +116,9 @@
                 first = random.randrange(records.applied_index + 1, last + 1)
                 term += 1
                 hard = HardState(term, random.randrange(3))
-                jobs.append(write(number, hard=hard, truncate=first, entries=entries(first, first, term)))
+                jobs.append(
+                    write(number, hard_state=hard, truncate_from=first, entries=entries(first, first, term))
+                )
                 last = first
             elif kind == 3 and last > records.applied_index:
                 records.applied_index = random.randrange(records.applied_index + 1, last + 1)
@@ -125,8 +134,8 @@
                 pieces = (b"a" * random.randrange(1, 9), b"b")
                 index = last + random.randrange(1, 5)
                 meta = SnapshotMeta(index, term, CONFIG, 2, snapshot_digest(pieces))
-                held = tuple((meta, n, piece) for n, piece in enumerate(pieces))
-                jobs.append(write(number, pieces=held, install=meta))
+                held = tuple(SnapshotChunk(meta, n, piece) for n, piece in enumerate(pieces))
+                jobs.append(write(number, snapshot_chunks=held, install_snapshot=meta))
                 last = records.applied_index = index
             else:
                 facts = (
@@ -144,8 +153,14 @@
         real = Disk(str(folder / "s"))
         opened = real.load()
         saved, told = opened.durable_state.raft_state, model.start()
-        assert (saved.hard, list(saved.entries)) == (told.raft_state.hard, list(told.raft_state.entries))
-        assert (saved.snapshot, saved.incoming) == (told.raft_state.snapshot, told.raft_state.incoming)
+        assert (saved.hard_state, list(saved.entries)) == (
+            told.raft_state.hard_state,
+            list(told.raft_state.entries),
+        )
+        assert (saved.snapshot, saved.incoming_snapshot) == (
+            told.raft_state.snapshot,
+            told.raft_state.incoming_snapshot,
+        )
         assert (opened.durable_state.drain_facts, opened.durable_state.known_values) == (
             told.drain_facts,
             told.known_values,
@@ -159,10 +174,10 @@
     one.load()
     one.persist([write(1, entries=entries(1, 3))])
     with pytest.raises(sqlite3.IntegrityError):
-        one.persist([write(2, hard=HardState(7, 7)), write(3, entries=entries(3, 5))])
+        one.persist([write(2, hard_state=HardState(7, 7)), write(3, entries=entries(3, 5))])
     one.close()
     saved = reopened(tmp_path)
-    assert saved.hard == HardState(0, 0) and [e.index for e in saved.entries] == [1, 2, 3]
+    assert saved.hard_state == HardState(0, 0) and [e.index for e in saved.entries] == [1, 2, 3]
 
 
 def filled(folder: Path, rounds: int = 30) -> Path:
@@ -204,7 +219,7 @@
     one.load()
     one.persist(
         [
-            write(1, entries=entries(1, 40), hard=HardState(3, 5)),
+            write(1, entries=entries(1, 40), hard_state=HardState(3, 5)),
             DurabilityJob(2, new_facts=(NumberedFact(1, DrainObserved("h", 7)),)),
         ]
     )
@@ -334,7 +349,7 @@
 def test_a_backup_is_restored_as_another_cluster_and_a_cut_one_is_refused(tmp_path: Path) -> None:
     frozen = some_records(30).snapshot_view(100)
     snapshot = SnapshotJob(31, 4, CONFIG, frozen, 0).build()
-    assert snapshot.meta.pieces > 3
+    assert snapshot.meta.chunk_count > 3
     write_backup(str(tmp_path / "b"), 9, snapshot)
     assert read_backup(str(tmp_path / "b"))[1] == snapshot
     made = restore_backup(
@@ -373,7 +388,7 @@
         SessionWrite(1, 2, 0, Transaction((), (Put("kv/b", b"2"),))),
     ]
     log = tuple(Entry(n + 1, 2, EntryKind.DATA, encode_command(c)) for n, c in enumerate(commands))
-    one.persist([write(1, hard=HardState(2, 1), entries=log)])
+    one.persist([write(1, hard_state=HardState(2, 1), entries=log)])
     one.close()
     told = recover_single_member(paths[0], confirmed=False)
     assert (told.last_index, told.uncertain_entries, told.other_members) == (3, 3, ("n1", "n2"))
@@ -398,7 +413,7 @@
     one.close()
     assert (
         opened.identity == MemberIdentity(9, 77, "n4")
-        and opened.durable_state.raft_state.config.members == ()
+        and opened.durable_state.raft_state.initial_config.members == ()
     )
     with pytest.raises(DiskError, match="no ticket"):
         join_cluster(str(tmp_path / "n5"), "nonsense")
