--- a/bench/filter.py
+++ b/bench/filter.py
@@ -85,7 +85,7 @@
         os.kill(traced, signal.SIGHUP)
         before = tier.answer_counts["UP"]
         await wait_until(lambda: tier.answer_counts["UP"] >= before + 40, "40 more served after SIGHUP")
-        tier.stopping = True
+        tier.clients.stopping = True
         os.kill(traced, signal.SIGTERM)
         code = await asyncio.wait_for(node.process.wait(), 30)
     finally:
--- a/bench/hot_restart_compatibility.py
+++ b/bench/hot_restart_compatibility.py
@@ -25,7 +25,8 @@
 import uvloop
 
 from harness.configurations import configuration, host, hosts, settings
-from harness.multi_process import StandInDiscovery, StandInHost, free_ports
+from harness.node_process import free_ports
+from harness.stand_ins import StandInDiscovery, StandInHost
 
 UPSTREAM_COUNT = 5
 ANSWER_TIMEOUT_SECONDS = 4.0
--- a/bench/store_cost.py
+++ b/bench/store_cost.py
@@ -11,65 +11,96 @@
 import sys
 import tempfile
 from pathlib import Path
+from typing import NamedTuple
 
 import uvloop
 
 from harness.multi_process import MultiProcessTier
 
-TICKS = os.sysconf("SC_CLK_TCK")
+NODES = 4
+WARM_UP_SECONDS = 1.0
+CLOCK_TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+MILLISECONDS_PER_SECOND = 1000
+BYTES_PER_MEGABYTE = 1e6
+USER_TICKS_FIELD = 11  #: of /proc/PID/stat, counted after the command's name
+SYSTEM_TICKS_FIELD = 12
 
 
-def cpu(pid: int) -> float:
-    """Seconds of CPU that a process has used."""
+class Cost(NamedTuple):
+    """What serving the load has cost."""
+
+    cpu_ms_per_request: float  # of all nodes together
+    max_memory_megabytes: float  # resident, of the largest node
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the CPU time that a process has used."""
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS
+    return (int(fields[USER_TICKS_FIELD]) + int(fields[SYSTEM_TICKS_FIELD])) / CLOCK_TICKS_PER_SECOND
 
 
-def memory(pid: int) -> float:
-    """MB resident."""
-    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+def resident_megabytes(pid: int) -> float:
+    """Return the resident memory of a process."""
+    resident_pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return resident_pages * PAGE_BYTES / BYTES_PER_MEGABYTE
 
 
-async def once(folder: Path, keeps: bool, clients: int, seconds: float) -> tuple[float, float]:
-    """CPU milliseconds a request, over all nodes, and the largest node's memory."""
-    tier = MultiProcessTier(folder, 4, with_store=keeps)
+async def measure(folder: Path, with_store: bool, clients: int, seconds: float) -> Cost:
+    """Serve the load for some seconds, and return what that has cost."""
+    tier = MultiProcessTier(folder, NODES, with_store=with_store)
     try:
         await tier.start()
-        if keeps:
+        if with_store:
             await tier.wait_until_settled()
         tier.start_clients(clients)
-        await asyncio.sleep(1)
+        await asyncio.sleep(WARM_UP_SECONDS)
         pids = [node.process.pid for node in tier.nodes if node.process]
-        before, requests = sum(map(cpu, pids)), sum(tier.answer_counts.values())
+        cpu_before = sum(map(cpu_seconds, pids))
+        requests_before = sum(tier.answer_counts.values())
         await asyncio.sleep(seconds)
-        used, done = sum(map(cpu, pids)) - before, sum(tier.answer_counts.values()) - requests
+        cpu_used = sum(map(cpu_seconds, pids)) - cpu_before
+        requests = sum(tier.answer_counts.values()) - requests_before
         assert not tier.violations, tier.violations
-        return used / done * 1000, max(map(memory, pids))
+        return Cost(cpu_used / requests * MILLISECONDS_PER_SECOND, max(map(resident_megabytes, pids)))
     finally:
         await tier.close()
 
 
+def measure_in_new_folder(with_store: bool, clients: int, seconds: float) -> Cost:
+    """Measure a new tier."""
+    with tempfile.TemporaryDirectory() as folder:
+        return uvloop.run(measure(Path(folder), with_store, clients, seconds))
+
+
+def measure_pair(store_first: bool, clients: int, seconds: float) -> float:
+    """Measure with and without the store; return the ratio of the CPU times."""
+    costs: dict[bool, Cost] = {}
+    for with_store in (store_first, not store_first):
+        costs[with_store] = measure_in_new_folder(with_store, clients, seconds)
+    store_on = costs[True]
+    store_off = costs[False]
+    ratio = store_on.cpu_ms_per_request / store_off.cpu_ms_per_request
+    print(
+        f"on {store_on.cpu_ms_per_request:.3f} ms a request and {store_on.max_memory_megabytes:.0f} MB,"
+        f" off {store_off.cpu_ms_per_request:.3f} ms and {store_off.max_memory_megabytes:.0f} MB: {ratio:.3f}"
+    )
+    return ratio
+
+
 def main() -> int:
-    """Pairs, the order within each in turn."""
+    """Measure pairs, the order within them in turn."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--pairs", type=int, default=5)
     parser.add_argument("--clients", type=int, default=400)
     parser.add_argument("--seconds", type=float, default=5.0)
-    given = parser.parse_args()
-    ratios = []
-    for number in range(given.pairs):
-        found = {}
-        for keeps in (True, False) if number % 2 else (False, True):
-            with tempfile.TemporaryDirectory() as name:
-                found[keeps] = uvloop.run(once(Path(name), keeps, given.clients, given.seconds))
-        ratios.append(found[True][0] / found[False][0])
-        print(
-            f"on {found[True][0]:.3f} ms a request and {found[True][1]:.0f} MB,"
-            f" off {found[False][0]:.3f} ms and {found[False][1]:.0f} MB: {ratios[-1]:.3f}"
-        )
-    ratios.sort()
-    middle = ratios[len(ratios) // 2]
-    print(f"CPU a request, on over off: median {middle:.3f}, from {ratios[0]:.3f} to {ratios[-1]:.3f}")
+    arguments = parser.parse_args()
+    ratios = sorted(
+        measure_pair(bool(number % 2), arguments.clients, arguments.seconds)
+        for number in range(arguments.pairs)
+    )
+    median = ratios[len(ratios) // 2]
+    print(f"CPU a request, on over off: median {median:.3f}, from {ratios[0]:.3f} to {ratios[-1]:.3f}")
     return 0
 
 
--- a/bench/store_failover.py
+++ b/bench/store_failover.py
@@ -1,7 +1,7 @@
 """How long writes stop when the leader is killed: `python -m bench.store_failover --kills 50`.
 
-From the SIGKILL to the acknowledgement of a write that was given to another member at that moment. Also:
-how long a member with 100,000 records takes to open its folder.
+Measured from the SIGKILL to the acknowledgement of a write that was given to another member at that moment.
+Also: how long a member with 100,000 keys takes to open its data directory.
 """
 
 from __future__ import annotations
@@ -15,7 +15,8 @@
 from pathlib import Path
 from random import Random
 
-from bench.store_speed import Cluster, percentile
+from bench.store_speed import percentile
+from harness.member_cluster import MemberCluster
 from limerudder.store.client import ControlClient
 from limerudder.store.commands import OpenSession, Put, SessionWrite, Transaction, encode_command
 from limerudder.store.data_directory import init_cluster
@@ -25,73 +26,90 @@
 from limerudder.store.raft.persistence import HardState
 from limerudder.store.state_machine import KeyValueState
 
+CALL_WAIT_SECONDS = 10
+KEYS_PER_WRITE = 50
+VALUE = b"v" * 100
+OPENINGS = 7
 
-def failover(folder: Path, kills: int) -> None:
-    """Kill whoever leads, so many times."""
-    cluster = Cluster(folder)
-    took = []
+
+def measure_failover(folder: Path, kills: int) -> None:
+    """Kill the leader some times, and print how long writes stopped."""
+    cluster = MemberCluster.create(folder)
     try:
-        for number in range(kills):
-            leads = cluster.leader()
-            other = random.choice([name for name in cluster.addresses if name != leads])
-            with ControlClient(cluster.folders[other], 10) as client:
-                assert client.call("put", key="kv/before", value="x")["ok"]
-                began = time.perf_counter()
-                cluster.kill(leads)
-                told = client.call("put", key="kv/x", value=str(number))
-                took.append(time.perf_counter() - began)
-                assert told["ok"], told
-            cluster.start(leads)
+        stops_seconds = sorted(_kill_leader(cluster, str(number)) for number in range(kills))
     finally:
         cluster.close()
-    took.sort()
     print(
-        f"{kills} leaders killed: writes stood still for {percentile(took, 0.5):.3f} s at the median,"
-        f" p99 {percentile(took, 0.99):.3f} s, at the most {took[-1]:.3f} s"
+        f"{kills} leaders killed: writes stood still for {percentile(stops_seconds, 0.5):.3f} s"
+        f" at the median, p99 {percentile(stops_seconds, 0.99):.3f} s, at the most {stops_seconds[-1]:.3f} s"
     )
 
 
-def opening(folder: Path, many: int) -> None:
-    """Open a folder with so many records in its snapshot, and as many thousand entries in its log."""
-    records = KeyValueState()
-    records.apply(1, encode_command(OpenSession()))
-    for n in range(many // 50):
-        puts = tuple(Put(f"kv/{n * 50 + k:06d}", b"v" * 100) for k in range(50))
-        records.apply(n + 2, encode_command(SessionWrite(1, n + 1, n, Transaction((), puts))))
-    (path,) = init_cluster(str(folder), [("n0", "127.0.0.1:1")])
-    disk = Disk(path)
-    opened = disk.load(count_start=False)
-    pieces = tuple(records.snapshot_view().chunks())
-    meta = SnapshotMeta(
-        records.applied_index,
-        1,
-        opened.durable_state.raft_state.initial_config,
-        len(pieces),
-        snapshot_digest(pieces),
+def _kill_leader(cluster: MemberCluster, value: str) -> float:
+    """Kill the leader and write through another member; return the seconds until the acknowledgement."""
+    leader = cluster.leader()
+    follower = random.choice([name for name in cluster.addresses if name != leader])
+    with ControlClient(cluster.directories[follower], CALL_WAIT_SECONDS) as client:
+        assert client.call("put", key="kv/before", value="x")["ok"]
+        started = time.perf_counter()
+        cluster.kill(leader)
+        answer = client.call("put", key="kv/x", value=value)
+        stop_seconds = time.perf_counter() - started
+        assert answer["ok"], answer
+    cluster.start(leader)
+    return stop_seconds
+
+
+def measure_opening(folder: Path, key_count: int) -> None:
+    """Print how long it takes to open a data directory whose snapshot has this many keys."""
+    (directory,) = init_cluster(str(folder), [("n0", "127.0.0.1:1")])
+    _store_snapshot(directory, _state_with(key_count))
+    openings_seconds = sorted(_open_member(directory, key_count) for _ in range(OPENINGS))
+    print(
+        f"{key_count} records opened in {openings_seconds[OPENINGS // 2]:.3f} s at the median of {OPENINGS},"
+        f" {openings_seconds[-1]:.3f} s at the most"
     )
-    disk.start_new_cluster(opened.identity, HardState(1, 0), Snapshot(meta, pieces))
-    disk.close()
-    took = []
-    for _ in range(7):
-        began = time.perf_counter()
-        disk = Disk(path)
-        member = Member(opened.identity.member_id, disk.load().durable_state, Random(1), 0)
-        took.append(time.perf_counter() - began)
-        assert len(member.state.items) == many
-        disk.close()
-    took.sort()
-    print(f"{many} records opened in {took[3]:.3f} s at the median of 7, {took[-1]:.3f} s at the most")
+
+
+def _state_with(key_count: int) -> KeyValueState:
+    state = KeyValueState()
+    session_id = state.apply(1, encode_command(OpenSession())).index
+    for number in range(key_count // KEYS_PER_WRITE):
+        first_key = number * KEYS_PER_WRITE
+        puts = tuple(Put(f"kv/{first_key + offset:06d}", VALUE) for offset in range(KEYS_PER_WRITE))
+        write = SessionWrite(session_id, number + 1, number, Transaction((), puts))
+        state.apply(number + 2, encode_command(write))
+    return state
+
+
+def _store_snapshot(directory: str, state: KeyValueState) -> None:
+    chunks = tuple(state.snapshot_view().chunks())
+    with Disk(directory) as disk:
+        contents = disk.load(count_start=False)
+        config = contents.durable_state.raft_state.initial_config
+        meta = SnapshotMeta(state.applied_index, 1, config, len(chunks), snapshot_digest(chunks))
+        disk.start_new_cluster(contents.identity, HardState(1, 0), Snapshot(meta, chunks))
+
+
+def _open_member(directory: str, key_count: int) -> float:
+    started = time.perf_counter()
+    with Disk(directory) as disk:
+        contents = disk.load()
+        member = Member(contents.identity.member_id, contents.durable_state, Random(1), 0)
+        seconds = time.perf_counter() - started
+    assert len(member.state.items) == key_count
+    return seconds
 
 
 def main() -> int:
-    """Both."""
+    """Measure both."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--kills", type=int, default=50)
     parser.add_argument("--records", type=int, default=100_000)
-    given = parser.parse_args()
-    with tempfile.TemporaryDirectory(dir=os.getcwd()) as name:
-        opening(Path(name) / "open", given.records)
-        failover(Path(name) / "fail", given.kills)
+    arguments = parser.parse_args()
+    with tempfile.TemporaryDirectory(dir=os.getcwd()) as folder:
+        measure_opening(Path(folder) / "open", arguments.records)
+        measure_failover(Path(folder) / "fail", arguments.kills)
     return 0
 
 
--- a/bench/store_speed.py
+++ b/bench/store_speed.py
@@ -1,8 +1,7 @@
 """Writes a second and their latency on four processes, beside PySyncObj and beside the floor.
 
-`python -m bench.store_speed`; PySyncObj, pinned here, must be installed by hand: `pip install
-pysyncobj==0.3.17`. The floor is one append with fdatasync, and a round trip between two processes, at their
-medians.
+`python -m bench.store_speed`; PySyncObj must be installed by hand: `pip install pysyncobj==0.3.17`. The floor
+is one append with fdatasync, and a round trip between two processes, at their medians.
 """
 
 from __future__ import annotations
@@ -12,260 +11,204 @@
 import json
 import multiprocessing
 import os
-import signal
-import subprocess
 import sys
 import tempfile
 import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from multiprocessing.connection import Connection
 from pathlib import Path
 from typing import Any
 
 import uvloop
 
-from harness.multi_process import free_ports
-from limerudder.store.client import ControlClient, ControlUnavailable
-from limerudder.store.data_directory import init_cluster
+from harness.member_cluster import MemberCluster
+from limerudder.store.control_protocol import socket_path
 
 VALUE = "v" * 100
-
-
-def percentile(sorted_values: list[float], share: float) -> float:
-    """Of values in order."""
+KEYS = 1000
+IN_FLIGHT = (1, 64)
+FLOOR_BYTES = b"x" * 200
+FLOOR_SYNCS = 500
+FLOOR_ROUND_TRIPS = 2000
+WARM_UP_IN_FLIGHT = 8
+WARM_UP_SECONDS = 0.5
+MICROSECONDS_PER_SECOND = 1e6
+
+
+def percentile(sorted_values: Sequence[float], share: float) -> float:
+    """Return the value below which a share of the values lies."""
     return sorted_values[min(int(len(sorted_values) * share), len(sorted_values) - 1)]
 
 
-def told(name: str, seconds: float, took: list[float]) -> dict[str, Any]:
-    """A row."""
-    took.sort()
-    row = {
-        "what": name,
-        "writes_s": round(len(took) / seconds),
-        "p50_us": round(percentile(took, 0.5) * 1e6),
-        "p99_us": round(percentile(took, 0.99) * 1e6),
-    }
-    print(row, flush=True)
-    return row
-
-
-def floor(folder: Path) -> float:
-    """Seconds of an fdatasync and a round trip, medians."""
-    handle = os.open(folder / "floor", os.O_CREAT | os.O_WRONLY)
-    synced = []
-    for _ in range(500):
-        began = time.perf_counter()
-        os.write(handle, b"x" * 200)
-        os.fdatasync(handle)
-        synced.append(time.perf_counter() - began)
-    os.close(handle)
-    ours, theirs = multiprocessing.Pipe()
-    echo = multiprocessing.Process(target=_echo, args=(theirs,))
+@dataclass(frozen=True)
+class Measurement:
+    """Writes of one run."""
+
+    name: str
+    writes_per_second: int
+    median_us: int
+    p99_us: int
+
+    @classmethod
+    def of(cls, name: str, seconds: float, latencies_seconds: list[float]) -> Measurement:
+        """Summarize and print a run."""
+        latencies = sorted(latencies_seconds)
+        measurement = cls(
+            name,
+            round(len(latencies) / seconds),
+            round(percentile(latencies, 0.5) * MICROSECONDS_PER_SECOND),
+            round(percentile(latencies, 0.99) * MICROSECONDS_PER_SECOND),
+        )
+        print(measurement.row(), flush=True)
+        return measurement
+
+    def row(self) -> dict[str, Any]:
+        """Return the row that is printed."""
+        return {
+            "what": self.name,
+            "writes_s": self.writes_per_second,
+            "p50_us": self.median_us,
+            "p99_us": self.p99_us,
+        }
+
+
+def measure_floor(folder: Path) -> float:
+    """Return the seconds of an fdatasync and a round trip, each at its median."""
+    sync_seconds = percentile(sorted(_time_syncs(folder / "floor")), 0.5)
+    trip_seconds = percentile(sorted(_time_round_trips()), 0.5)
+    sync_us = sync_seconds * MICROSECONDS_PER_SECOND
+    trip_us = trip_seconds * MICROSECONDS_PER_SECOND
+    print(f"floor: fdatasync {sync_us:.0f} us + round trip {trip_us:.0f} us", flush=True)
+    return sync_seconds + trip_seconds
+
+
+def _time_syncs(path: Path) -> list[float]:
+    descriptor = os.open(path, os.O_CREAT | os.O_WRONLY)
+    seconds = []
+    for _ in range(FLOOR_SYNCS):
+        started = time.perf_counter()
+        os.write(descriptor, FLOOR_BYTES)
+        os.fdatasync(descriptor)
+        seconds.append(time.perf_counter() - started)
+    os.close(descriptor)
+    return seconds
+
+
+def _time_round_trips() -> list[float]:
+    near_end, far_end = multiprocessing.Pipe()
+    echo = multiprocessing.Process(target=_echo, args=(far_end,))
     echo.start()
-    tripped = []
-    for _ in range(2000):
-        began = time.perf_counter()
-        ours.send_bytes(b"x" * 200)
-        ours.recv_bytes()
-        tripped.append(time.perf_counter() - began)
-    ours.send_bytes(b"")
+    seconds = []
+    for _ in range(FLOOR_ROUND_TRIPS):
+        started = time.perf_counter()
+        near_end.send_bytes(FLOOR_BYTES)
+        near_end.recv_bytes()
+        seconds.append(time.perf_counter() - started)
+    near_end.send_bytes(b"")
     echo.join()
-    sync, trip = percentile(sorted(synced), 0.5), percentile(sorted(tripped), 0.5)
-    print(f"floor: fdatasync {sync * 1e6:.0f} us + round trip {trip * 1e6:.0f} us", flush=True)
-    return sync + trip
+    return seconds
 
 
-def _echo(pipe: Any) -> None:
+def _echo(pipe: Connection) -> None:
     while data := pipe.recv_bytes():
         pipe.send_bytes(data)
 
 
-class Cluster:
-    """Four members without nodes."""
-
-    def __init__(self, folder: Path) -> None:
-        self.addresses = {f"n{n}": f"127.0.0.1:{port}" for n, port in enumerate(free_ports(4))}
-        self.folders = dict(
-            zip(self.addresses, init_cluster(str(folder), list(self.addresses.items())), strict=True)
-        )
-        self.ran: dict[str, subprocess.Popen[bytes]] = {}
-        for name in self.addresses:
-            self.start(name)
-
-    def start(self, name: str) -> None:
-        """Start one, and wait until it answers."""
-        args = [sys.executable, "-m", "harness.single_member", self.folders[name], self.addresses[name]]
-        self.ran[name] = subprocess.Popen(args, stdout=subprocess.DEVNULL)
-        while not self.status(name):
-            time.sleep(0.02)
-
-    def status(self, name: str) -> dict[str, Any]:
-        """Its status; empty where it does not answer."""
-        try:
-            with ControlClient(self.folders[name], 1) as client:
-                found = client.call("status")
-                return found if found.pop("ok") else {}
-        except ControlUnavailable:
-            return {}
-
-    def leader(self) -> str:
-        """Who leads, once somebody does and all others know."""
-        while True:
-            states = [self.status(name) for name in self.addresses]
-            names = {one.get("leader", "") for one in states}
-            if len(names) == 1 and "" not in names and len({one["applied"] for one in states}) == 1:
-                return str(names.pop())
-            time.sleep(0.02)
-
-    def kill(self, name: str) -> None:
-        """End one now."""
-        self.ran[name].send_signal(signal.SIGKILL)
-        self.ran[name].wait()
-
-    def close(self) -> None:
-        """End all."""
-        for name in self.ran:
-            self.kill(name)
-
-
-async def pipelined(folder: str, flight: int, seconds: float) -> list[float]:
-    """Writes through one member, so many under way at a time; seconds each took."""
-    handle = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
-    reader, writer = await asyncio.open_unix_connection(f"/proc/self/fd/{handle}/control")
-    os.close(handle)
-    took: list[float] = []
-    sent: dict[int, float] = {}
-    number, end = 0, time.perf_counter() + seconds
-
-    def say() -> None:
-        nonlocal number
-        number += 1
-        call = {"call": "put", "key": f"kv/{number % 1000}", "value": VALUE, "tag": number}
-        sent[number] = time.perf_counter()
-        writer.write(json.dumps(call).encode() + b"\n")
-
-    for _ in range(flight):
-        say()
-    while sent:
-        answer = json.loads(await reader.readline())
-        now = time.perf_counter()
-        assert answer["ok"], answer
-        took.append(now - sent.pop(answer["tag"]))
-        if now < end:
-            say()
+@dataclass
+class PipelinedWriter:
+    """Writes through one member for some time, with a constant number of writes in flight."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    end: float
+    sent: dict[int, float] = field(default_factory=dict)  # when, by the number of the write
+    latencies: list[float] = field(default_factory=list)
+    last_number: int = 0
+
+    async def run(self, in_flight: int) -> None:
+        """Write until the end, and wait for all answers."""
+        for _ in range(in_flight):
+            self._send()
+        while self.sent:
+            answer = json.loads(await self.reader.readline())
+            received = time.perf_counter()
+            assert answer["ok"], answer
+            self.latencies.append(received - self.sent.pop(answer["tag"]))
+            if received < self.end:
+                self._send()
+
+    def _send(self) -> None:
+        self.last_number += 1
+        number = self.last_number
+        call = {"call": "put", "key": f"kv/{number % KEYS}", "value": VALUE, "tag": number}
+        self.sent[number] = time.perf_counter()
+        self.writer.write(json.dumps(call).encode() + b"\n")
+
+
+async def write_pipelined(directory: str, in_flight: int, seconds: float) -> list[float]:
+    """Write through the member of a data directory; return the seconds that each write took."""
+    with socket_path(directory) as path:
+        reader, writer = await asyncio.open_unix_connection(path)
+    pipelined = PipelinedWriter(reader, writer, time.perf_counter() + seconds)
+    await pipelined.run(in_flight)
     writer.close()
-    return took
+    return pipelined.latencies
 
 
-def ours(folder: Path, seconds: float) -> list[dict[str, Any]]:
-    """Our own store."""
-    cluster = Cluster(folder)
+def measure_store(folder: Path, seconds: float) -> list[Measurement]:
+    """Measure this store."""
+    cluster = MemberCluster.create(folder)
     try:
-        leads = cluster.leader()
-        uvloop.run(pipelined(cluster.folders[leads], 8, 0.5))
-        rows = []
-        for flight in (1, 64):
-            took = uvloop.run(pipelined(cluster.folders[leads], flight, seconds))
-            rows.append(told(f"limerudder, {flight} in flight", seconds, took))
-        return rows
+        directory = cluster.directories[cluster.leader()]
+        uvloop.run(write_pipelined(directory, WARM_UP_IN_FLIGHT, WARM_UP_SECONDS))
+        measurements = []
+        for in_flight in IN_FLIGHT:
+            latencies = uvloop.run(write_pipelined(directory, in_flight, seconds))
+            measurements.append(Measurement.of(f"limerudder, {in_flight} in flight", seconds, latencies))
+        return measurements
     finally:
         cluster.close()
 
 
-def _syncobj(number: int, ports: list[int], folder: str, flight: int, seconds: float, pipe: Any) -> None:
-    # mypy is run where it is not installed, too
-    from pysyncobj import (  # type: ignore[import-not-found,import-untyped,unused-ignore]
-        SyncObj,
-        SyncObjConf,
-        replicated,
-    )
-
-    class Keys(SyncObj):  # type: ignore[misc,unused-ignore]
-        def __init__(self) -> None:
-            addresses = [f"127.0.0.1:{port}" for port in ports]
-            conf = SyncObjConf(journalFile=f"{folder}/journal{number}", dynamicMembershipChange=False)
-            super().__init__(addresses[number], addresses[:number] + addresses[number + 1 :], conf)
-            self.values: dict[str, str] = {}
-
-        @replicated  # type: ignore[misc,unused-ignore]
-        def put(self, key: str, value: str) -> None:
-            self.values[key] = value
-
-    keys = Keys()
-    while not keys.isReady():
-        time.sleep(0.01)
-    pipe.send(keys._isLeader())
-    if not pipe.recv():
-        pipe.recv()
+def measure_pysyncobj(folder: Path, seconds: float) -> list[Measurement]:
+    """Measure PySyncObj, with its journal."""
+    from bench.pysyncobj_writes import time_writes
+
+    measurements = []
+    for in_flight in IN_FLIGHT:
+        journals = folder / f"flight{in_flight}"
+        journals.mkdir()
+        latencies = time_writes(journals, in_flight, seconds, VALUE, KEYS)
+        measurements.append(Measurement.of(f"PySyncObj, {in_flight} in flight", seconds, latencies))
+    return measurements
+
+
+def compare(folder: Path, seconds: float, with_pysyncobj: bool) -> None:
+    """Measure the floor and the stores once, and print their ratios."""
+    floor_seconds = measure_floor(folder)
+    store = measure_store(folder / "ours", seconds)
+    floor_us = floor_seconds * MICROSECONDS_PER_SECOND
+    print(f"p50 at 1 in flight is {store[0].median_us / floor_us:.2f} times the floor")
+    if not with_pysyncobj:
         return
-    took: list[float] = []
-    out, state = [0], {"n": 0}
-    end = time.perf_counter() + seconds
-
-    def say() -> None:
-        state["n"] += 1
-        out[0] += 1
-        began = time.perf_counter()
-
-        def done(result: Any, error: Any) -> None:
-            out[0] -= 1
-            took.append(time.perf_counter() - began)
-            if time.perf_counter() < end:
-                say()
-
-        keys.put(f"kv/{state['n'] % 1000}", VALUE, callback=done)
-
-    for _ in range(flight):
-        say()
-    while out[0] and time.perf_counter() < end + 5:
-        time.sleep(0.01)
-    pipe.send(took)
-    pipe.recv()
-
-
-def syncobj(folder: Path, seconds: float) -> list[dict[str, Any]]:
-    """PySyncObj, with its journal."""
-    rows = []
-    for flight in (1, 64):
-        ports, pipes, processes = free_ports(4), [], []
-        place = folder / f"flight{flight}"
-        place.mkdir()
-        for number in range(4):
-            mine, its = multiprocessing.Pipe()
-            args = (number, ports, str(place), flight, seconds, its)
-            processes.append(multiprocessing.Process(target=_syncobj, args=args, daemon=True))
-            processes[-1].start()
-            pipes.append(mine)
-        leads = [pipe.recv() for pipe in pipes]
-        chosen = leads.index(True)
-        for number, pipe in enumerate(pipes):
-            pipe.send(number == chosen)
-        rows.append(told(f"PySyncObj, {flight} in flight", seconds, pipes[chosen].recv()))
-        for pipe, process in zip(pipes, processes, strict=True):
-            pipe.send(None)
-            process.terminate()
-            process.join()
-    return rows
+    (folder / "theirs").mkdir()
+    pysyncobj = measure_pysyncobj(folder / "theirs", seconds)
+    for ours, theirs in zip(store, pysyncobj, strict=True):
+        ratio = ours.writes_per_second / max(theirs.writes_per_second, 1)
+        print(f"{ours.name}: {ratio:.1f} times PySyncObj's writes")
 
 
 def main() -> int:
-    """All of it, one after the other, in turn."""
+    """Measure everything, some times in turn."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=5.0)
     parser.add_argument("--turns", type=int, default=3)
     parser.add_argument("--without-syncobj", action="store_true")
-    given = parser.parse_args()
-    for _ in range(given.turns):
-        with tempfile.TemporaryDirectory(dir=os.getcwd()) as name:
-            folder = Path(name)
-            least = floor(folder)
-            mine = ours(folder / "ours", given.seconds)
-            print(f"p50 at 1 in flight is {mine[0]['p50_us'] / least / 1e6:.2f} times the floor")
-            if not given.without_syncobj:
-                (folder / "theirs").mkdir()
-                others = syncobj(folder / "theirs", given.seconds)
-                for a, b in zip(mine, others, strict=True):
-                    print(
-                        f"{a['what']}: {a['writes_s'] / max(b['writes_s'], 1):.1f} times PySyncObj's writes"
-                    )
+    arguments = parser.parse_args()
+    for _ in range(arguments.turns):
+        with tempfile.TemporaryDirectory(dir=os.getcwd()) as folder:
+            compare(Path(folder), arguments.seconds, not arguments.without_syncobj)
     return 0
 
 
--- /dev/null
+++ b/harness/member_cluster.py
@@ -0,0 +1,110 @@
+"""A store cluster of member processes on loopback, without nodes."""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from harness.node_process import free_ports
+from limerudder.store.client import ControlClient, ControlUnavailable
+from limerudder.store.data_directory import init_cluster
+
+CHECKOUT = Path(__file__).resolve().parent.parent
+POLL_SECONDS = 0.02
+STATUS_WAIT_SECONDS = 1.0
+START_TIMEOUT_SECONDS = 20.0
+
+
+class MemberNotStarted(Exception):
+    """A member's process does not answer."""
+
+
+@dataclass(frozen=True)
+class MemberProgram:
+    """A program that runs one member, given its data directory and its address."""
+
+    python: str
+    module: str
+    checkout: Path
+
+    def start(self, directory: str, address: str) -> subprocess.Popen[bytes]:
+        """Start a process."""
+        command = [self.python, "-m", self.module, directory, address]
+        return subprocess.Popen(command, cwd=self.checkout, stdout=subprocess.DEVNULL)
+
+
+CURRENT_PROGRAM = MemberProgram(sys.executable, "harness.single_member", CHECKOUT)
+
+
+def loopback_addresses(member_count: int) -> dict[str, str]:
+    """Return free addresses, by the names of members."""
+    return {f"n{number}": f"127.0.0.1:{port}" for number, port in enumerate(free_ports(member_count))}
+
+
+class MemberCluster:
+    """Members with their addresses and data directories, each run by a process."""
+
+    def __init__(self, addresses: Mapping[str, str], directories: Mapping[str, str]) -> None:
+        self.addresses = addresses  # by name
+        self.directories = directories  # by name
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}  # by name
+
+    @classmethod
+    def create(cls, folder: Path, member_count: int = 4) -> MemberCluster:
+        """Create a cluster and its data directories, and start all members."""
+        addresses = loopback_addresses(member_count)
+        directories = init_cluster(str(folder), list(addresses.items()))
+        cluster = cls(addresses, dict(zip(addresses, directories, strict=True)))
+        for name in addresses:
+            cluster.start(name)
+        return cluster
+
+    def start(self, name: str, program: MemberProgram = CURRENT_PROGRAM) -> None:
+        """Start a member, and wait until it answers; raises MemberNotStarted."""
+        self._processes[name] = program.start(self.directories[name], self.addresses[name])
+        deadline = time.monotonic() + START_TIMEOUT_SECONDS
+        while not self.status(name):
+            if time.monotonic() > deadline:
+                raise MemberNotStarted(f"{name} does not answer after {START_TIMEOUT_SECONDS:.0f} s")
+            time.sleep(POLL_SECONDS)
+
+    def status(self, name: str) -> dict[str, Any]:
+        """Return a member's status, which is empty if it does not answer."""
+        try:
+            with ControlClient(self.directories[name], STATUS_WAIT_SECONDS) as client:
+                status = client.call("status")
+        except ControlUnavailable:
+            return {}
+        return status if status.pop("ok") else {}
+
+    def leader(self) -> str:
+        """Wait until all members know the leader and have applied the same entries; return its name."""
+        while True:
+            statuses = [self.status(name) for name in self.addresses]
+            leaders = {status.get("leader", "") for status in statuses}
+            if len(leaders) == 1 and "" not in leaders:
+                applied = {status["applied"] for status in statuses}
+                if len(applied) == 1:
+                    return str(leaders.pop())
+            time.sleep(POLL_SECONDS)
+
+    def kill(self, name: str) -> None:
+        """End a member's process without a warning."""
+        self.stop(name, signal.SIGKILL)
+
+    def stop(self, name: str, signal_number: int = signal.SIGTERM) -> None:
+        """End a member's process with a signal, and wait until it has ended."""
+        process = self._processes.pop(name)
+        process.send_signal(signal_number)
+        process.wait()
+
+    def close(self) -> None:
+        """End all members."""
+        for name in list(self._processes):
+            self.kill(name)
--- /dev/null
+++ b/harness/node_process.py
@@ -0,0 +1,113 @@
+"""One node as a process of its own, which can be killed and started again."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+from harness.configurations import configuration
+from limerudder.store.client import ControlClient, ControlUnavailable
+
+LISTENING_TEXT = "listening on"  #: in the line that a node logs once it serves
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free, all different."""
+    sockets = [socket.socket() for _ in range(count)]
+    for free_socket in sockets:
+        free_socket.bind(("127.0.0.1", 0))
+    ports = [free_socket.getsockname()[1] for free_socket in sockets]
+    for free_socket in sockets:
+        free_socket.close()
+    return ports
+
+
+class NodeProcess:
+    """A node with its own folder: runs as one process after the other, and may run as two at a time."""
+
+    def __init__(self, number: int, tier_folder: Path, with_store: bool) -> None:
+        self.number = number
+        self.name = f"n{number}"
+        self.folder = tier_folder / self.name
+        self.folder.mkdir()
+        self.store = tier_folder / "store" / self.name  # the data directory
+        self.listen = ""
+        self.console = ""
+        self.environment: dict[str, str] = {}
+        self.command_prefix: list[str] = []  # a program that runs the node's process, such as a tracer
+        self.process: asyncio.subprocess.Process | None = None  # the one started last
+        self.lines: list[str] = []  # of the log, of all processes
+        self.reading: asyncio.Task[None] | None = None
+        self._with_store = with_store
+        self._serving = asyncio.Event()
+
+    def write_files(
+        self, listen: str, console: str, store_listen: str, values: dict[str, Any], store_settings: str
+    ) -> None:
+        """Write the configuration, and with a store the operator's file."""
+        self.listen = listen
+        self.console = console
+        paths = configuration(self.folder, name=self.name, listen=listen, console=console, **values)
+        temporary_folder = self.folder / "tmp"
+        temporary_folder.mkdir(exist_ok=True)
+        self.environment = os.environ | paths | {"TMPDIR": str(temporary_folder)}
+        if self._with_store:
+            operator_file = self.folder / "limerudder.cue"
+            operator_file.write_text(
+                f'store: {{folder: "{self.store}", listen: "{store_listen}"\n{store_settings}}}\n'
+            )
+            self.environment["LIMERUDDER_FILE"] = str(operator_file)
+
+    async def start(self) -> None:
+        """Start a process and wait until it serves or has ended."""
+        self._serving = asyncio.Event()
+        command = [*self.command_prefix, sys.executable, "-m", "limerudder"]
+        self.process = await asyncio.create_subprocess_exec(
+            *command, env=self.environment, stderr=asyncio.subprocess.PIPE
+        )
+        self.reading = asyncio.create_task(self._read_log(self.process, self._serving))
+        await self._serving.wait()
+
+    async def kill(self, signal_number: int = signal.SIGKILL) -> None:
+        """End the process and wait until it has ended."""
+        if self.process:
+            if self.process.returncode is None:
+                self.process.send_signal(signal_number)
+            await self.process.wait()
+        if self.reading:
+            await self.reading
+
+    def call_store_blocking(self, name: str, wait_seconds: float = 2.0, **arguments: Any) -> dict[str, Any]:
+        """Make a call to the node's store; the answer is not `ok` if no process answers."""
+        try:
+            with ControlClient(str(self.store), wait_seconds) as client:
+                return client.call(name, **arguments)
+        except ControlUnavailable as error:
+            return {"ok": False, "kind": "not_now", "error": str(error)}
+
+    async def call_store(self, name: str, wait_seconds: float = 2.0, **arguments: Any) -> dict[str, Any]:
+        """Do the same without blocking the event loop."""
+        return await asyncio.to_thread(self.call_store_blocking, name, wait_seconds, **arguments)
+
+    async def call_console(self, line: str) -> str:
+        """Send a line to the node's console and return the answer."""
+        host, port = self.console.split(":")
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(line.encode() + b"\n")
+        writer.write_eof()  # as `echo … | nc` does
+        answer = (await reader.read()).decode().strip()
+        writer.close()
+        return answer
+
+    async def _read_log(self, process: asyncio.subprocess.Process, serving: asyncio.Event) -> None:
+        assert process.stderr
+        while line := (await process.stderr.readline()).decode():
+            self.lines.append(line.rstrip())
+            if LISTENING_TEXT in line:
+                serving.set()
+        serving.set()
--- a/harness/single_member.py
+++ b/harness/single_member.py
@@ -1,4 +1,7 @@
-"""A store member in its own process, without a node: `python -m harness.single_member FOLDER ADDRESS`."""
+"""A store member as a process of its own, without a node: `python -m harness.single_member FOLDER ADDRESS`.
+
+It prints `ready` once it takes calls, and runs until it is killed.
+"""
 
 from __future__ import annotations
 
@@ -8,28 +11,35 @@
 
 import uvloop
 
-from limerudder.core.transport import parse_address
+from limerudder.core.operations.log_events import LogKind
+from limerudder.core.transport import Address, parse_address
 from limerudder.net.clock import Clock
 from limerudder.schema import StoreSettings
 from limerudder.store.control import ControlServer
 from limerudder.store.store import Store
 
 
-async def run_member(folder: str, address: str) -> None:
-    """Until it is killed."""
-    where = parse_address(address)
-    store = Store(
-        StoreSettings(folder, where), lambda kind, text, detail="": print(text, flush=True), Clock().now_us
-    )
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind(where)
-    sock.setblocking(False)
-    await store.run(sock)
+async def run_member(directory: str, address_text: str) -> None:
+    """Run the member of a data directory until the process is killed."""
+    address = parse_address(address_text)
+    store = Store(StoreSettings(directory, address), _print_event, Clock().now_us)
+    await store.run(_bind(address))
     await ControlServer(store).listen()
     print("ready", flush=True)
     await asyncio.Event().wait()
 
 
+def _bind(address: Address) -> socket.socket:
+    listening_socket = socket.socket()
+    listening_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listening_socket.bind(address)
+    listening_socket.setblocking(False)
+    return listening_socket
+
+
+def _print_event(kind: LogKind, text: str, detail: str = "") -> None:
+    print(text, flush=True)
+
+
 if __name__ == "__main__":
     uvloop.run(run_member(*sys.argv[1:3]))
--- /dev/null
+++ b/harness/stand_ins.py
@@ -0,0 +1,115 @@
+"""Stand-ins for what surrounds a tier of node processes: discovery, and hosts that serve requests."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from typing import Any
+
+from harness.configurations import hosts
+
+FIRST_GENERATION = 41
+KEEP_ALIVE_SECONDS = 1.0  #: between empty chunks of a watch
+ACCEPTED_ANSWER = b"UP 77\r\n"
+PROBE_ANSWER = b"PONG inflight=1,x0=0.1\r\n"
+
+
+class StandInDiscovery:
+    """A discovery service: gives its list to whoever asks, and publishes changes to those who watch."""
+
+    def __init__(self) -> None:
+        self.generation = FIRST_GENERATION
+        self.entries: dict[str, dict[str, Any]] = {}  # by host; as discovery's JSON has them
+        self.address = ""
+        self._watches: list[asyncio.StreamWriter] = []
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen at a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = "{}:{}".format(*self._server.sockets[0].getsockname())
+
+    def publish(self, only: int | None = None) -> None:
+        """Send the list, as a new generation, to all watches or to the first few of them only."""
+        self.generation += 1
+        for watch in self._watches[:only]:
+            watch.write(_encode_chunk(self._encode_list()))
+
+    def close(self) -> None:
+        """Stop listening and end the watches."""
+        if self._server:
+            self._server.close()
+        for watch in list(self._watches):
+            watch.close()
+
+    def _encode_list(self) -> bytes:
+        endpoint_list = hosts(*self.entries.values()) | {"generation": self.generation}
+        return json.dumps(endpoint_list).encode() + b"\n"
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            request = await reader.readuntil(b"\r\n\r\n")
+            if b"watch=1" in request:
+                await self._serve_watch(writer)
+            else:
+                self._serve_list(writer)
+        except (OSError, EOFError, asyncio.CancelledError):
+            return
+
+    def _serve_list(self, writer: asyncio.StreamWriter) -> None:
+        body = self._encode_list()
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+        writer.close()
+
+    async def _serve_watch(self, writer: asyncio.StreamWriter) -> None:
+        header = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        writer.write(header + _encode_chunk(self._encode_list()))
+        self._watches.append(writer)
+        try:
+            while True:
+                await asyncio.sleep(KEEP_ALIVE_SECONDS)
+                writer.write(_encode_chunk(b"\n"))
+                await writer.drain()
+        finally:
+            self._watches.remove(writer)
+
+
+def _encode_chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+class StandInHost:
+    """A host that accepts every request, answers probes, and notes when each request came."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.address = ""
+        self.request_times: list[float] = []  # of the monotonic clock, in seconds
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen at a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = "{}:{}".format(*self._server.sockets[0].getsockname())
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._server:
+            self._server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while line := await reader.readline():
+                self._answer(line, writer)
+        except OSError:
+            return
+        finally:
+            writer.close()
+
+    def _answer(self, line: bytes, writer: asyncio.StreamWriter) -> None:
+        if line.startswith(b"OPEN"):
+            self.request_times.append(time.monotonic())
+            writer.write(ACCEPTED_ANSWER)
+        elif line.startswith((b"STATS", b"PING")):
+            writer.write(PROBE_ANSWER)
--- a/limerudder/store/client.py
+++ b/limerudder/store/client.py
@@ -1,72 +1,78 @@
-"""A tool's side of the control socket: one call, one answer, blocking."""
+"""A blocking client of the control socket: one call, one answer."""
 
 from __future__ import annotations
 
 import json
-import os
 import socket
 from collections.abc import Iterator
 from typing import Any
 
-from limerudder.store.control import NAME
+from limerudder.store.control_protocol import (
+    ControlErrorKind,
+    JsonObject,
+    encode_line,
+    error_answer,
+    socket_path,
+)
+
+MILLISECONDS_PER_SECOND = 1000
+SOCKET_TIMEOUT_MARGIN_SECONDS = 2  #: beyond the wait that a call asks for
 
 
 class ControlUnavailable(Exception):
-    """No member can be called there."""
+    """No member runs on a data directory."""
 
 
 class ControlClient:
-    """A connection to the member that runs on a folder."""
+    """A connection to the member that runs on a data directory."""
 
-    def __init__(self, folder: str, wait: float = 5.0) -> None:
-        self.wait = wait  # seconds
-        self.sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
-        self.sock.settimeout(wait + 2)
+    def __init__(self, directory: str, wait_seconds: float = 5.0) -> None:
+        """Connect; `wait_seconds` is how long calls wait for their answer. Raises ControlUnavailable."""
+        self._wait_seconds = wait_seconds
+        self._socket = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        self._socket.settimeout(wait_seconds + SOCKET_TIMEOUT_MARGIN_SECONDS)
         try:
-            handle = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
-            try:  # by a way that is short enough for a Unix socket's name
-                self.sock.connect(f"/proc/self/fd/{handle}/{NAME}")
-            finally:
-                os.close(handle)
-        except OSError as exc:
-            self.sock.close()
-            raise ControlUnavailable(f"no node with a store runs on {folder}: {exc.strerror}") from None
-        self.file = self.sock.makefile("rb")
+            with socket_path(directory) as short_path:
+                self._socket.connect(short_path)
+        except OSError as error:
+            self._socket.close()
+            raise ControlUnavailable(f"no node with a store runs on {directory}: {error.strerror}") from error
+        self._reader = self._socket.makefile("rb")
 
-    def call(self, name: str, **given: Any) -> dict[str, Any]:
-        """Make a call; its answer, `ok` or not."""
-        told = {"call": name, "wait_ms": int(self.wait * 1000), **given}
+    def call(self, name: str, **arguments: Any) -> JsonObject:
+        """Make a call and return its answer, whether `ok` or not."""
+        wait_ms = int(self._wait_seconds * MILLISECONDS_PER_SECOND)
         try:
-            self.sock.sendall(json.dumps(told).encode() + b"\n")
-            return self._line()
+            self._socket.sendall(encode_line({"call": name, "wait_ms": wait_ms, **arguments}))
+            return self._read_answer()
         except TimeoutError:
-            return {"ok": False, "kind": "unsure", "error": "no answer came in time"}
-        except OSError as exc:
-            return {"ok": False, "kind": "unsure", "error": f"the node has gone: {exc.strerror}"}
+            return error_answer(ControlErrorKind.OUTCOME_UNKNOWN, "no answer came in time")
+        except OSError as error:
+            return error_answer(ControlErrorKind.OUTCOME_UNKNOWN, f"the node has gone: {error.strerror}")
 
-    def lines(self) -> Iterator[dict[str, Any]]:
-        """What comes after the answer to a watch."""
-        self.sock.settimeout(None)
+    def changes(self) -> Iterator[JsonObject]:
+        """Yield what follows the answer to a watch, without a timeout, to the first that is not `ok`."""
+        self._socket.settimeout(None)
         while True:
-            told = self._line()
-            yield told
-            if not told["ok"]:
+            answer = self._read_answer()
+            yield answer
+            if not answer["ok"]:
                 return
 
-    def _line(self) -> dict[str, Any]:
-        line = self.file.readline()
-        if not line:
-            return {"ok": False, "kind": "unsure", "error": "the node has gone"}
-        told: dict[str, Any] = json.loads(line)
-        return told
-
     def close(self) -> None:
-        """Go."""
-        self.file.close()
-        self.sock.close()
+        """Disconnect."""
+        self._reader.close()
+        self._socket.close()
 
     def __enter__(self) -> ControlClient:
         return self
 
-    def __exit__(self, *exc: object) -> None:
+    def __exit__(self, *exception: object) -> None:
         self.close()
+
+    def _read_answer(self) -> JsonObject:
+        line = self._reader.readline()
+        if not line:
+            return error_answer(ControlErrorKind.OUTCOME_UNKNOWN, "the node has gone")
+        answer: JsonObject = json.loads(line)
+        return answer
--- /dev/null
+++ b/limerudder/store/endpoint_list_writer.py
@@ -0,0 +1,94 @@
+"""Keeps discovery's last endpoint list in the store, so that a node can start while discovery is down."""
+
+from __future__ import annotations
+
+import json
+
+from limerudder.core.discovery.endpoint_list import EndpointList, format_endpoint_list
+from limerudder.store.calls import CallFailure
+from limerudder.store.commands import (
+    CommandResult,
+    Compare,
+    CompareTarget,
+    OpenSession,
+    Put,
+    SessionWrite,
+    Transaction,
+)
+from limerudder.store.key_schema import ENDPOINT_LIST_KEY
+from limerudder.store.sessions import RequestSequence
+from limerudder.store.store import Store
+
+WRITE_INTERVAL_US = 2_000_000
+NO_SESSION = 0  #: the identifier of no session
+NOTHING_WRITTEN = -1  #: the version of no list
+
+
+class EndpointListWriter:
+    """Writes the list of the node whose member leads; a write that fails is repeated after an interval."""
+
+    def __init__(self, store: Store, max_value_bytes: int) -> None:
+        self._store = store
+        self._max_value_bytes = max_value_bytes
+        self._next_write_us = store.now_us()
+        self._written_version = NOTHING_WRITTEN
+        self._session_id = NO_SESSION
+        self._opening_session = False
+        self._sequence = RequestSequence()
+
+    def is_due(self, now_us: int) -> bool:
+        """Return, once per interval, that the list is to be written."""
+        if now_us < self._next_write_us:
+            return False
+        self._next_write_us = now_us + WRITE_INTERVAL_US
+        return True
+
+    def write(self, endpoint_list: EndpointList, now_us: int) -> None:
+        """Write a list that is newer than the one written last, if this member leads."""
+        is_new = endpoint_list.version != self._written_version
+        if not self._store.member.is_leader or not is_new or not endpoint_list.endpoints:
+            return
+        if self._session_id == NO_SESSION:
+            self._open_session(now_us)
+            return
+        value = json.dumps(format_endpoint_list(endpoint_list)).encode()
+        known = self._store.member.known_value(ENDPOINT_LIST_KEY)
+        self._written_version = endpoint_list.version
+        if known.value == value or len(value) > self._max_value_bytes:
+            return
+        unchanged = Compare(ENDPOINT_LIST_KEY, CompareTarget.MODIFIED, number=known.modified_revision)
+        self._submit(Transaction((unchanged,), (Put(ENDPOINT_LIST_KEY, value),)), now_us)
+
+    def _submit(self, transaction: Transaction, now_us: int) -> None:
+        serial = self._sequence.next_serial()
+
+        def on_result(outcome: CommandResult | CallFailure, now_us: int) -> None:
+            self._sequence.mark_answered(serial)
+            self._result_received(outcome)
+
+        command = SessionWrite(self._session_id, serial, self._sequence.acknowledged_serial, transaction)
+        self._store.member.write(command, now_us + WRITE_INTERVAL_US, on_result, now_us)
+        self._store.schedule_output()
+
+    def _result_received(self, outcome: CommandResult | CallFailure) -> None:
+        if isinstance(outcome, CallFailure):
+            self._written_version = NOTHING_WRITTEN
+            return
+        if outcome.error or not outcome.succeeded:
+            self._written_version = NOTHING_WRITTEN
+        if outcome.error:
+            self._session_id = NO_SESSION
+
+    def _open_session(self, now_us: int) -> None:
+        if self._opening_session:
+            return
+        self._opening_session = True
+        deadline_us = now_us + WRITE_INTERVAL_US
+        self._store.member.write(OpenSession(), deadline_us, self._on_session_opened, now_us)
+        self._store.schedule_output()
+
+    def _on_session_opened(self, outcome: CommandResult | CallFailure, now_us: int) -> None:
+        self._opening_session = False
+        if isinstance(outcome, CommandResult):
+            self._session_id = outcome.index
+            self._sequence = RequestSequence()
--- a/limerudder/store/peer_transport.py
+++ b/limerudder/store/peer_transport.py
@@ -1,313 +1,157 @@
-"""The connections between members, and the thread that writes to the disk. They decide nothing."""
+"""All connections of one member to the others.
+
+Each pair of members has up to two connections, one dialled by either side; a message takes whichever is up.
+Messages may be lost: Raft and the requests to the leader repeat what is not answered.
+"""
 
 from __future__ import annotations
 
 import asyncio
-import queue
 import socket
-import sqlite3
-import threading
-import time
-from collections.abc import Callable
-from typing import Any, cast
-
-import msgspec
 
 from limerudder.core.operations.log_events import LogKind, LogSink
 from limerudder.core.transport import Address, parse_address
 from limerudder.store import rpc
-from limerudder.store.disk import Disk
-from limerudder.store.durability import DurabilityJob
-from limerudder.store.framing import MAX_FRAME_BYTES, FrameDecoder, FrameError, encode_frame
-from limerudder.store.peer_authentication import Handshake
-from limerudder.store.raft.messages import ClusterConfig, Snapshot
-
-MOST_HELLO = 4096  #: bytes of a frame before the hello has been taken
-BUFFER = 8 << 20  #: bytes that wait for a slow member; what comes on top is dropped, as a network would
-AGAIN = 0.1  #: seconds before a member is dialled again
-PATIENCE = 2.0  #: seconds for a hello
-STRANGERS = 64  #: connections that have said no hello yet
-RETRY = 0.1  #: seconds before a disk that has failed is tried again
-
-_encode = msgspec.msgpack.Encoder().encode
-_decode_hello: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(Handshake | str)
-
-
-class PeerObserver:
-    """What the connections need of the store."""
-
-    def hello(self, to: int) -> Handshake:
-        """Ours, for this member."""
-        raise NotImplementedError
-
-    def judge(self, hello: Handshake) -> str:
-        """Why it may not talk here; nothing where it may."""
-        raise NotImplementedError
-
-    def heard(self, sender: int, message: rpc.StoreMessage) -> None:
-        """A message."""
-        raise NotImplementedError
-
-
-class PeerConnection(asyncio.Protocol):
-    """One connection between two members; `to` is known where we have dialled."""
-
-    def __init__(self, net: PeerTransport, to: int = 0) -> None:
-        self.net, self.to = net, to
-        self.dialled = to != 0
-        self.frames = FrameDecoder(MOST_HELLO)
-        self.transport: asyncio.Transport | None = None
-        self.up = False
-        self.timer: asyncio.TimerHandle | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """It stands: whoever has dialled speaks first."""
-        self.transport = cast(asyncio.Transport, transport)
-        self.timer = asyncio.get_running_loop().call_later(PATIENCE, self.close)
-        self.net.all.add(self)
-        if self.dialled:
-            self._say(self.net.hall.hello(self.to))
-        else:
-            self.net.let_in(self)
+from limerudder.store.framing import encode_frame
+from limerudder.store.peer_connection import UNKNOWN_MEMBER, PeerConnection, PeerObserver
+from limerudder.store.raft.messages import ClusterConfig
 
-    def _say(self, what: Handshake | str) -> None:
-        if self.transport:
-            self.transport.write(encode_frame(_encode(what)))
-
-    def data_received(self, data: bytes) -> None:
-        """Bytes, of whoever it is."""
-        try:
-            for body in self.frames.feed(data):
-                if self.up:
-                    self.net.hall.heard(self.to, rpc.decode_message(body))
-                elif self.transport and not self.transport.is_closing():
-                    self._greeted(body)
-        except (FrameError, msgspec.DecodeError) as exc:  # guards the store against garbage on its port
-            self.net.refused(self, f"sends what is no message: {exc}")
-            self.close()
-
-    def _greeted(self, body: bytes) -> None:
-        hello = _decode_hello.decode(body)
-        if isinstance(hello, str):
-            self.net.log(
-                LogKind.STORE_PEER_REJECTED,
-                f"store: member {self.to:016x} rejected this one: {hello[:300]}",
-            )
-            return self.close()
-        why = self.net.hall.judge(hello)
-        if self.dialled and not why and hello.sender_id != self.to:
-            why = f"is member {hello.sender_id:016x} and not {self.to:016x}"
-        if why:
-            self.net.refused(self, why)
-            if not self.dialled:  # only one that speaks our language is told why
-                self._say(why)
-            return self.close()
-        self.to, self.up = hello.sender_id, True
-        self.frames.max_frame_bytes = MAX_FRAME_BYTES
-        if self.timer:
-            self.timer.cancel()
-        if not self.dialled:
-            self._say(self.net.hall.hello(self.to))
-        self.net.came_up(self)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """It is gone."""
-        self.close()
-        self.net.gone(self)
-
-    def close(self) -> None:
-        """End it, once what was said is out."""
-        if self.timer:
-            self.timer.cancel()
-        if self.transport:
-            self.transport.close()
-
-    def send(self, data: bytes) -> None:
-        """A message; dropped where too much waits."""
-        if self.transport and not self.transport.is_closing():
-            if self.transport.get_write_buffer_size() > BUFFER:
-                self.net.dropped += 1
-            else:
-                self.transport.write(data)
+REDIAL_SECONDS = 0.1  #: after a connection could not be made or has ended
+MAX_UNAUTHENTICATED = 64  #: accepted connections whose handshake is outstanding; the oldest is closed
 
 
 class PeerTransport:
-    """All connections of one member."""
-
-    def __init__(self, hall: PeerObserver, me: int, log: LogSink) -> None:
-        self.hall, self.me, self.log = hall, me, log
-        self.all: set[PeerConnection] = set()
-        self.dialled: dict[int, PeerConnection] = {}  # those that are up, by member
-        self.accepted: dict[int, PeerConnection] = {}
-        self.dialling: dict[int, asyncio.Task[None]] = {}
-        self.addresses: dict[int, Address] = {}
-        self.strangers: dict[PeerConnection, None] = {}
-        self.server: asyncio.Server | None = None
-        self.dropped = 0
-        self.closed = False
-
-    async def listen(self, sock: socket.socket) -> None:
-        """Take connections at a bound socket."""
-        self.server = await asyncio.get_running_loop().create_server(lambda: PeerConnection(self), sock=sock)
-
-    def follow(self, config: ClusterConfig) -> None:
-        """Be connected to these members, and dial no others."""
-        self.addresses = {}
-        for one in config.members:
-            if one.id != self.me:
-                try:
-                    self.addresses[one.id] = parse_address(one.address)
-                except ValueError:
-                    self.log(
-                        LogKind.STORE_PEER_REJECTED,
-                        f"store: {one.name} has no valid address: {one.address!r}",
-                    )
-        for number in self.addresses:
-            self._dial(number)
-        for number, peer in list(self.dialled.items()):
-            if number not in self.addresses:
-                peer.close()
-
-    def _dial(self, number: int) -> None:
-        if number not in self.dialling and number not in self.dialled and not self.closed:
-            self.dialling[number] = asyncio.get_running_loop().create_task(self._keep_dialling(number))
-
-    async def _keep_dialling(self, number: int) -> None:
-        """Until it is connected; whether it is taken up is told by `came_up` and `gone`."""
+    """Dials the other members, accepts connections from them, and sends messages."""
+
+    def __init__(self, observer: PeerObserver, member_id: int, log: LogSink) -> None:
+        self.dropped_messages = 0
+        self._observer = observer
+        self._member_id = member_id
+        self._log = log
+        self._addresses: dict[int, Address] = {}  # of the other members, by member
+        self._connections: set[PeerConnection] = set()  # in any state
+        self._unauthenticated: dict[PeerConnection, None] = {}  # accepted ones, the oldest first
+        self._dialled: dict[int, PeerConnection] = {}  # established, by member
+        self._accepted: dict[int, PeerConnection] = {}  # established, by member
+        self._dial_tasks: dict[int, asyncio.Task[None]] = {}  # by member
+        self._redial_timers: dict[int, asyncio.TimerHandle] = {}  # by member
+        self._server: asyncio.Server | None = None
+        self._closed = False
+
+    async def listen(self, bound_socket: socket.socket) -> None:
+        """Accept connections."""
         loop = asyncio.get_running_loop()
-        try:
-            while number in self.addresses and not self.closed:
-                try:
-                    peer = PeerConnection(self, number)
-                    await loop.create_connection(lambda peer=peer: peer, *self.addresses[number])  # type: ignore[misc]
-                    return
-                except OSError:
-                    await asyncio.sleep(AGAIN)
-        finally:
-            self.dialling.pop(number, None)
-
-    def let_in(self, peer: PeerConnection) -> None:
-        """Somebody has come, unknown as yet; the oldest of too many goes."""
-        self.strangers[peer] = None
-        while len(self.strangers) > STRANGERS:
-            oldest = next(iter(self.strangers))
-            del self.strangers[oldest]
-            oldest.close()
-
-    def came_up(self, peer: PeerConnection) -> None:
-        """Both sides have taken the other's hello."""
-        self.strangers.pop(peer, None)
-        (self.dialled if peer.dialled else self.accepted)[peer.to] = peer
-
-    def gone(self, peer: PeerConnection) -> None:
-        """A connection has ended."""
-        self.all.discard(peer)
-        self.strangers.pop(peer, None)
-        side = self.dialled if peer.dialled else self.accepted
-        if side.get(peer.to) is peer:
-            del side[peer.to]
-        if peer.dialled and not self.closed:
-            asyncio.get_running_loop().call_later(AGAIN, self._again, peer.to)
-
-    def _again(self, number: int) -> None:
-        if number in self.addresses:
-            self._dial(number)
-
-    def refused(self, peer: PeerConnection, why: str) -> None:
-        """A line for whoever is on call."""
-        where = peer.transport.get_extra_info("peername") if peer.transport else None
-        address = ":".join(map(str, where or ("nobody",)))
-        self.log(LogKind.STORE_PEER_REJECTED, f"store: rejected {address}: {why}")
-
-    def send(self, to: int, message: rpc.StoreMessage) -> None:
-        """Send, or drop it where there is no connection: it is said again."""
-        peer = self.dialled.get(to) or self.accepted.get(to)
-        if peer:
-            peer.send(encode_frame(rpc.encode_message(message)))
-        else:
-            self.dropped += 1
+        self._server = await loop.create_server(self._create_connection, sock=bound_socket)
+
+    def set_members(self, config: ClusterConfig) -> None:
+        """Stay connected to the members of this configuration, and dial nobody else."""
+        self._addresses = self._peer_addresses(config)
+        for member_id in self._addresses:
+            self._dial(member_id)
+        for member_id, connection in list(self._dialled.items()):
+            if member_id not in self._addresses:
+                connection.close()
+
+    def is_connected_to(self, member_id: int) -> bool:
+        """Whether the connection that this member has dialled to another one is established."""
+        return member_id in self._dialled
+
+    def send(self, recipient_id: int, message: rpc.StoreMessage) -> None:
+        """Send a message, or drop it if there is no connection or too much is waiting on it."""
+        connection = self._dialled.get(recipient_id) or self._accepted.get(recipient_id)
+        if connection is None or connection.is_congested():
+            self.dropped_messages += 1
+            return
+        connection.send(encode_frame(rpc.encode_message(message)))
 
     def close(self) -> None:
-        """End all connections."""
-        self.closed = True
-        if self.server:
-            self.server.close()
-        for task in self.dialling.values():
+        """Abort all connections and end all tasks and timers."""
+        self._closed = True
+        if self._server:
+            self._server.close()
+        for timer in self._redial_timers.values():
+            timer.cancel()
+        for task in self._dial_tasks.values():
             task.cancel()
-        for peer in list(self.all):
-            if peer.timer:
-                peer.timer.cancel()
-            if peer.transport:
-                peer.transport.abort()
-
-
-class DiskWriter:
-    """The thread that makes jobs durable: all that wait go in one transaction."""
-
-    def __init__(
-        self, disk: Disk, done: Callable[[list[DurabilityJob], list[Snapshot | None]], None], log: LogSink
-    ) -> None:
-        self.disk, self.done, self.log = disk, done, log
-        self.loop = asyncio.get_running_loop()
-        self.jobs: queue.SimpleQueue[DurabilityJob | None] = queue.SimpleQueue()
-        self.failing = ""  # what the disk said last, while it fails
-        self.ended = threading.Event()
-        self.thread = threading.Thread(target=self._run, name="store-disk", daemon=True)
-        self.thread.start()
-
-    def put(self, job: DurabilityJob) -> None:
-        """Make it durable in its turn; `done` hears of it in the loop."""
-        self.jobs.put(job)
-
-    def close(self, wait: float) -> bool:
-        """End once what waits is done; whether it has ended in time."""
-        self.jobs.put(None)
-        return self.ended.wait(wait)
-
-    def _run(self) -> None:
-        last = False
-        while not last:
-            jobs, last = [], False
-            job = self.jobs.get()
-            while True:
-                if job is None:
-                    last = True
-                    break
-                jobs.append(job)
-                try:
-                    job = self.jobs.get_nowait()
-                except queue.Empty:
-                    break
-            if jobs:
-                results = self._do(jobs)
-                try:
-                    self.loop.call_soon_threadsafe(self.done, jobs, results)
-                except RuntimeError:  # the loop has ended
-                    break
-        self.disk.close()
-        self.ended.set()
+        for connection in list(self._connections):
+            connection.abort()
+
+    def connection_opened(self, connection: PeerConnection) -> None:
+        """Keep track of a connection, and bound the number of those that are not authenticated."""
+        self._connections.add(connection)
+        if connection.is_dialled:
+            return
+        self._unauthenticated[connection] = None
+        while len(self._unauthenticated) > MAX_UNAUTHENTICATED:
+            oldest = next(iter(self._unauthenticated))
+            del self._unauthenticated[oldest]
+            oldest.close()
 
-    def _do(self, jobs: list[DurabilityJob]) -> list[Snapshot | None]:
-        while True:
-            try:
-                results = self.disk.persist(jobs)
-            except sqlite3.Error as exc:
-                # guards acknowledgements: none leaves before its write stands, however long that takes
-                self._say(str(exc))
-                time.sleep(RETRY)
+    def connection_established(self, connection: PeerConnection) -> None:
+        """Use a connection for messages to its member."""
+        self._unauthenticated.pop(connection, None)
+        self._established_like(connection)[connection.member_id] = connection
+
+    def connection_closed(self, connection: PeerConnection) -> None:
+        """Forget a connection, and dial its member again if this member had dialled it."""
+        self._connections.discard(connection)
+        self._unauthenticated.pop(connection, None)
+        established = self._established_like(connection)
+        if established.get(connection.member_id) is connection:
+            del established[connection.member_id]
+        if connection.is_dialled and not self._closed:
+            self._schedule_redial(connection.member_id)
+
+    def _create_connection(self, member_id: int = UNKNOWN_MEMBER) -> PeerConnection:
+        return PeerConnection(self, self._observer, self._log, member_id)
+
+    def _established_like(self, connection: PeerConnection) -> dict[int, PeerConnection]:
+        return self._dialled if connection.is_dialled else self._accepted
+
+    def _peer_addresses(self, config: ClusterConfig) -> dict[int, Address]:
+        addresses: dict[int, Address] = {}
+        for member in config.members:
+            if member.id == self._member_id:
                 continue
-            self._say("")
-            return results
-
-    def _say(self, failing: str) -> None:
-        if failing != self.failing:
-            self.failing = failing
-            text = (
-                f"store: disk write failed: {failing}; retrying"
-                if failing
-                else "store: disk writes succeed again"
-            )
             try:
-                self.loop.call_soon_threadsafe(self.log, LogKind.STORE_DISK, text)
-            except RuntimeError:  # the loop has ended
-                return
+                addresses[member.id] = parse_address(member.address)
+            except ValueError:
+                text = f"store: {member.name} has no valid address: {member.address!r}"
+                self._log(LogKind.STORE_PEER_REJECTED, text)
+        return addresses
+
+    def _dial(self, member_id: int) -> None:
+        if self._closed or member_id in self._dial_tasks or member_id in self._dialled:
+            return
+        task = asyncio.get_running_loop().create_task(self._dial_until_connected(member_id))
+        self._dial_tasks[member_id] = task
+
+    async def _dial_until_connected(self, member_id: int) -> None:
+        try:
+            while member_id in self._addresses and not self._closed:
+                if await self._try_connect(member_id):
+                    return
+                await asyncio.sleep(REDIAL_SECONDS)
+        finally:
+            self._dial_tasks.pop(member_id, None)
+
+    async def _try_connect(self, member_id: int) -> bool:
+        """Return whether TCP has connected; the handshake's result comes to `connection_established`."""
+        loop = asyncio.get_running_loop()
+        host, port = self._addresses[member_id]
+        try:
+            await loop.create_connection(lambda: self._create_connection(member_id), host, port)
+        except OSError:
+            return False
+        return True
+
+    def _schedule_redial(self, member_id: int) -> None:
+        if member_id in self._redial_timers:
+            return
+        loop = asyncio.get_running_loop()
+        self._redial_timers[member_id] = loop.call_later(REDIAL_SECONDS, self._redial, member_id)
+
+    def _redial(self, member_id: int) -> None:
+        del self._redial_timers[member_id]
+        if member_id in self._addresses:
+            self._dial(member_id)
--- a/limerudder/store/sqlite_reader.py
+++ b/limerudder/store/sqlite_reader.py
@@ -20,7 +20,7 @@
     SnapshotMeta,
     snapshot_digest,
 )
-from limerudder.store.raft.persistence import HardState, PersistentState
+from limerudder.store.raft.persistence import HardState, IncomingSnapshot, PersistentState
 from limerudder.store.sqlite_schema import ChunkTable, MetaName, row_checksum
 
 NO_SNAPSHOT_INDEX = 0
@@ -103,11 +103,11 @@
                 f" after a snapshot of entry {snapshot_index}"
             )
 
-    def _incoming_snapshot(self) -> tuple[SnapshotMeta, tuple[bytes, ...]] | None:
+    def _incoming_snapshot(self) -> IncomingSnapshot | None:
         meta = self.get_meta(MetaName.INCOMING_SNAPSHOT, SnapshotMeta)
         if meta is None:
             return None
-        return meta, self._chunks(ChunkTable.INCOMING_SNAPSHOT)
+        return IncomingSnapshot(meta, self._chunks(ChunkTable.INCOMING_SNAPSHOT))
 
     def _chunks(self, table: ChunkTable) -> tuple[bytes, ...]:
         query = f"SELECT number, data, crc FROM {table.value} ORDER BY number"
--- a/limerudder/store/store.py
+++ b/limerudder/store/store.py
@@ -1,241 +1,221 @@
-"""The store in a process: one member with its disk, its connections and its time. It decides nothing."""
+"""A running member: wires the member's logic to its disk, its peers and the clock of an event loop."""
 
 from __future__ import annotations
 
 import asyncio
 import secrets
 import socket
-from collections import deque
 from collections.abc import Callable
 from random import Random
-from typing import Any
 
 from limerudder.core.operations.log_events import LogKind, LogSink
 from limerudder.schema import StoreSettings
 from limerudder.store import rpc
 from limerudder.store.disk import Disk
+from limerudder.store.disk_writer import NO_ERROR, DiskWriter
 from limerudder.store.drain_log import DrainObserved
 from limerudder.store.durability import DurabilityJob
 from limerudder.store.key_schema import write_error
 from limerudder.store.limits import MemberLimits
 from limerudder.store.member import Member
+from limerudder.store.output_dispatcher import OutputDispatcher
 from limerudder.store.peer_authentication import PROTOCOL_BUILD, Handshake, PeerAuthenticator
-from limerudder.store.peer_transport import DiskWriter, PeerObserver, PeerTransport
+from limerudder.store.peer_transport import PeerTransport
 from limerudder.store.raft.messages import AppendEntriesReply, ClusterConfig, Snapshot
 from limerudder.store.raft.state import RaftRole, RaftTiming
+from limerudder.store.status import MemberStatus, StoreStatus, member_statuses, store_status
 
-TICK = 0.01  #: seconds between looks at what is due; elections and signs of life are far coarser
-END_WAIT = 0.5  #: seconds for the last jobs at a planned end
+TICK_SECONDS = 0.01  #: between checks of the member's deadlines, which are far longer
+CLOSE_TIMEOUT_SECONDS = 0.5  #: for the last jobs to become durable
+RANDOM_SEED_BITS = 64
+UNREPORTED_LEADER = -1  #: differs from the identifier of every member, and from that of no leader
 
 
-class Store(PeerObserver):
-    """One member, running. All calls come from its loop; `now` is in microseconds and never goes back."""
+class Store:
+    """One member, running. All methods are called from its event loop.
 
-    def __init__(self, settings: StoreSettings, log: LogSink, now: Callable[[], int]) -> None:
-        """Open the folder: DiskError where it cannot be used."""
-        self.settings, self.log, self.now = settings, log, now
-        self.disk = Disk(settings.folder)
+    `now_us` is a clock in microseconds that never goes back.
+    """
+
+    def __init__(self, settings: StoreSettings, log: LogSink, now_us: Callable[[], int]) -> None:
+        """Open the data directory; raises DiskError."""
+        self.settings = settings
+        self.now_us = now_us
+        self.is_closed = False
+        self._log = log
+        self._loop = asyncio.get_running_loop()
+        self._disk = Disk(settings.folder)
         try:
-            self.opened = opened = self.disk.load()
-        except Exception:
-            self.disk.close()
+            contents = self._disk.load()
+        except BaseException:
+            self._disk.close()
             raise
-        limits = MemberLimits(
-            settings.snapshot_entries,
-            settings.snapshot_bytes,
-            min(MemberLimits().kept_entries, settings.snapshot_entries),
-            settings.waiting_most,
-            settings.value_most,
-            max_history_events=settings.history,
+        self.identity = contents.identity
+        self.incarnation = contents.incarnation
+        member_id = self.identity.member_id
+        self.member = Member(
+            member_id,
+            contents.durable_state,
+            Random(secrets.randbits(RANDOM_SEED_BITS)),
+            now_us(),
+            _member_limits(settings),
+            RaftTiming(settings.election, settings.heartbeat),
+            write_error,
+        )
+        self.transport = PeerTransport(self, member_id, log)
+        self._authenticator = PeerAuthenticator(
+            self.identity.cluster_id, member_id, contents.durability_proofs
         )
-        timing = RaftTiming(settings.election, settings.heartbeat)
-        random = Random(secrets.randbits(64))
-        me = opened.identity.member_id
-        self.member = Member(me, opened.durable_state, random, now(), limits, timing, write_error)
-        self.doorman = PeerAuthenticator(opened.identity.cluster_id, me, opened.durability_proofs)
-        self.durable_term = opened.durable_state.raft_state.hard_state.term
-        self.net = PeerTransport(self, me, log)
-        self.afters: deque[tuple[int, list[tuple[int, rpc.StoreMessage]]]] = (
-            deque()
-        )  # by the job they wait for
-        self.given = self.done = 0  # jobs
-        self.pumping = self.closed = False
-        self.leader = -1
-        self.config: ClusterConfig | None = None
-        self.loop = asyncio.get_running_loop()
-        self.writer: DiskWriter | None = None
-        self.timer: asyncio.TimerHandle | None = None
-
-    async def run(self, sock: socket.socket) -> None:
-        """Begin to talk, at a bound socket."""
-        self.writer = DiskWriter(self.disk, self._durable, self.log)
-        await self.net.listen(sock)
+        self._dispatcher = OutputDispatcher(self.transport)
+        self._durable_term = contents.durable_state.raft_state.hard_state.term
+        self._output_scheduled = False
+        self._reported_leader = UNREPORTED_LEADER
+        self._config: ClusterConfig | None = None  # that the transport connects to
+        self._writer: DiskWriter | None = None
+        self._tick_timer: asyncio.TimerHandle | None = None
+
+    async def run(self, bound_socket: socket.socket) -> None:
+        """Begin to talk to the other members, which connect to this socket."""
+        self._writer = DiskWriter(self._disk, self._jobs_durable, self._log)
+        await self.transport.listen(bound_socket)
         self._tick()
 
     def close(self) -> None:
-        """End; what waits for the disk is written first, as far as that is quick."""
-        if self.closed:
+        """End, after a short wait for jobs that are not durable yet; may be called again."""
+        if self.is_closed:
             return
-        self.closed = True
-        if self.timer:
-            self.timer.cancel()
-        if self.member.is_leader:  # guards clients against an election that nobody saw coming
-            self.member.raft.transfer_to_best_follower(self.now())
-            out = self.member.take_output(self.now())
-            for to, message in out.messages if out else ():
-                self.net.send(to, message)
-        self.net.close()
-        if self.writer:
-            self.writer.close(END_WAIT)
+        self.is_closed = True
+        if self._tick_timer:
+            self._tick_timer.cancel()
+        if self.member.is_leader:
+            self._hand_over_leadership()
+        self.transport.close()
+        if self._writer:
+            self._writer.close(CLOSE_TIMEOUT_SECONDS)
         else:
-            self.disk.close()
+            self._disk.close()
 
-    # Hall
+    @property
+    def disk_error(self) -> str:
+        """The error of a write that is being retried, or an empty text."""
+        return self._writer.current_error if self._writer else NO_ERROR
 
-    def hello(self, to: int) -> Handshake:
-        """Ours."""
-        identity, raft = self.opened.identity, self.member.raft
-        last = max(min(raft.durable_index, raft.log.last_index), raft.log.base_index)
-        return Handshake(
-            PROTOCOL_BUILD,
-            identity.cluster_id,
-            identity.member_id,
-            to,
-            identity.name,
-            self.opened.incarnation,
-            self.durable_term,
-            last,
-        )
+    def status(self) -> StoreStatus:
+        """Return the state of this member."""
+        return store_status(self)
 
-    def judge(self, hello: Handshake) -> str:
-        """Theirs."""
-        why = self.doorman.rejection_reason(hello, self.member.config, self.member.is_leader)
-        self.member.record_proofs(self.doorman.take_unsaved_proofs())
-        self.pump_soon()
-        return why or ""
+    def member_statuses(self) -> list[MemberStatus]:
+        """Return the members of the cluster, and how far each is as far as this one knows."""
+        return member_statuses(self)
 
-    def heard(self, sender: int, message: rpc.StoreMessage) -> None:
-        """A message."""
-        if isinstance(message, AppendEntriesReply) and message.success:
-            self.doorman.record_acknowledgement(sender, message.term, message.index)
-        self.member.receive(sender, message, self.now())
-        self.pump_soon()
+    def schedule_output(self) -> None:
+        """Have the member's output carried out soon; the events until then share a write and messages."""
+        if self._output_scheduled or self.is_closed:
+            return
+        self._output_scheduled = True
+        self._loop.call_soon(self._carry_out_output)
 
-    # the pump
+    def create_handshake(self, recipient_id: int) -> Handshake:
+        """Return this member's handshake for a peer."""
+        raft = self.member.raft
+        last_durable_index = max(min(raft.durable_index, raft.log.last_index), raft.log.base_index)
+        return Handshake(
+            protocol_build=PROTOCOL_BUILD,
+            cluster_id=self.identity.cluster_id,
+            sender_id=self.identity.member_id,
+            recipient_id=recipient_id,
+            name=self.identity.name,
+            incarnation=self.incarnation,
+            term=self._durable_term,
+            last_index=last_durable_index,
+        )
 
-    def pump_soon(self) -> None:
-        """Carry out what the member wants, once: all of this round's events share a write and a message."""
-        if not self.pumping and not self.closed:
-            self.pumping = True
-            self.loop.call_soon(self._pump)
+    def handshake_rejection(self, handshake: Handshake) -> str | None:
+        """Return why a peer with this handshake is rejected, or None if it is accepted."""
+        reason = self._authenticator.rejection_reason(
+            handshake, self.member.config, config_is_current=self.member.is_leader
+        )
+        self.member.record_proofs(self._authenticator.take_unsaved_proofs())
+        self.schedule_output()
+        return reason
 
-    def _pump(self) -> None:
-        self.pumping = False
-        if self.closed or self.writer is None:
+    def message_received(self, sender_id: int, message: rpc.StoreMessage) -> None:
+        """Take a message of an accepted peer."""
+        if isinstance(message, AppendEntriesReply) and message.success:
+            self._authenticator.record_acknowledgement(sender_id, message.term, message.index)
+        self.member.receive(sender_id, message, self.now_us())
+        self.schedule_output()
+
+    def _hand_over_leadership(self) -> None:
+        """Spare clients the election timeout that would follow if the leader just disappeared."""
+        self.member.raft.transfer_to_best_follower(self.now_us())
+        output = self.member.take_output(self.now_us())
+        if output:
+            self._dispatcher.send(output.messages)
+
+    def _carry_out_output(self) -> None:
+        self._output_scheduled = False
+        if self.is_closed or self._writer is None:
             return
-        out = self.member.take_output(self.now())
-        if out:
-            self.pump_soon()  # what follows from it, after what is at hand has left
-            for to, message in out.messages:
-                self.net.send(to, message)
-            if out.job:
-                self.given = out.job.number
-                self.writer.put(out.job)
-            if out.messages_after_job:
-                if self.done >= self.given:
-                    self._send(out.messages_after_job)
-                else:
-                    self.afters.append((self.given, out.messages_after_job))
+        output = self.member.take_output(self.now_us())
+        if output:
+            self.schedule_output()  # for what follows from this output, after it has been carried out
+            self._dispatcher.dispatch(output, self._writer)
+        self._update_transport_members()
+        self._report_leader()
+
+    def _update_transport_members(self) -> None:
+        config = self.member.raft.log.config
+        if config != self._config:
+            self._config = config
+            self.transport.set_members(config)
+
+    def _report_leader(self) -> None:
+        """Log a new leader, or that there is none unless an election is going on."""
         raft = self.member.raft
-        if raft.log.config != self.config:
-            self.config = raft.log.config
-            self.net.follow(self.config)
-        if raft.leader_id != self.leader and (raft.leader_id or raft.role == RaftRole.FOLLOWER):
-            self.leader = raft.leader_id
-            one = self.member.config.find_by_id(self.leader)
-            who = f"{one.name} leads" if one else "nobody leads"
-            self.log("store-lead", f"store: {who} in term {raft.term}")
-
-    def _send(self, messages: list[tuple[int, rpc.StoreMessage]]) -> None:
-        for to, message in messages:
-            self.net.send(to, message)
-
-    def _durable(self, jobs: list[DurabilityJob], results: list[Snapshot | None]) -> None:
-        """The disk has these; now what waited for them may leave."""
-        now = self.now()
-        for job, snapshot in zip(jobs, results, strict=True):
-            self.done = job.number
-            if job.raft_write and job.raft_write.hard_state:
-                self.durable_term = job.raft_write.hard_state.term
-            for _, fact in job.new_facts:
-                if isinstance(fact, DrainObserved):
-                    self.log(
-                        LogKind.HOST_DRAIN_RECORDED,
-                        f"store: host {fact.host} is draining; recorded for its start {fact.started_ms}",
-                    )
-            self.member.on_job_durable(job.number, snapshot, now)
-        while self.afters and self.afters[0][0] <= self.done:
-            self._send(self.afters.popleft()[1])
-        if not self.closed:
-            self._pump()
+        if raft.leader_id == self._reported_leader:
+            return
+        if not raft.leader_id and raft.role != RaftRole.FOLLOWER:
+            return
+        self._reported_leader = raft.leader_id
+        leader = self.member.config.find_by_id(raft.leader_id)
+        text = f"{leader.name} is the leader" if leader else "there is no leader"
+        self._log(LogKind.STORE_LEADER, f"store: {text} in term {raft.term}")
+
+    def _jobs_durable(self, jobs: list[DurabilityJob], snapshots: list[Snapshot | None]) -> None:
+        now_us = self.now_us()
+        for job, snapshot in zip(jobs, snapshots, strict=True):
+            self._job_durable(job, snapshot, now_us)
+        self._dispatcher.send_released()
+        if not self.is_closed:
+            self._carry_out_output()
+
+    def _job_durable(self, job: DurabilityJob, snapshot: Snapshot | None, now_us: int) -> None:
+        self._dispatcher.job_became_durable(job.number)
+        if job.raft_write and job.raft_write.hard_state:
+            self._durable_term = job.raft_write.hard_state.term
+        for _, fact in job.new_facts:
+            if isinstance(fact, DrainObserved):
+                text = f"store: host {fact.host} is draining; recorded for its start {fact.started_ms}"
+                self._log(LogKind.HOST_DRAIN_RECORDED, text)
+        self.member.on_job_durable(job.number, snapshot, now_us)
 
     def _tick(self) -> None:
-        if not self.closed:
-            self.timer = self.loop.call_later(TICK, self._tick)
-            now = self.now()
-            if now >= self.member.next_deadline():
-                self.member.tick(now)
-                self._pump()
-
-    # for people
-
-    def status(self) -> dict[str, Any]:
-        """How it stands."""
-        member, raft, now = self.member, self.member.raft, self.now()
-        leader = member.config.find_by_id(raft.leader_id)
-        return {
-            "cluster": f"{self.opened.identity.cluster_id:016x}",
-            "name": self.opened.identity.name,
-            "member": f"{member.member_id:016x}",
-            "standing": raft.role.status_text,
-            "leader": leader.name if leader else "",
-            "term": raft.term,
-            "revision": member.state.revision,
-            "committed": raft.commit_index,
-            "applied": member.state.applied_index,
-            "log_from": raft.log.base_index + 1,
-            "log_to": raft.log.last_index,
-            "age_ms": member.max_staleness_us(now) // 1000,
-            "keys": len(member.state.items),
-            "sessions": len(member.state.sessions),
-            "waiting": len(member.pending_calls),
-            "facts_waiting": len(member.drain_log.pending_facts),
-            "disk_failing": self.writer.failing if self.writer else "",
-            "disk_stuck": raft.is_disk_stalled(now),
-            "dropped": self.net.dropped,
-            "start": self.opened.incarnation.number,
-        }
-
-    def members(self) -> list[dict[str, Any]]:
-        """Who they are, and how far each is as far as this member knows."""
-        raft, now = self.member.raft, self.now()
-        rows = []
-        for one in self.member.config.members:
-            seen = raft.progress.get(one.id)
-            rows.append(
-                {
-                    "name": one.name,
-                    "member": f"{one.id:016x}",
-                    "address": one.address,
-                    "role": one.role.name.lower(),
-                    "leads": one.id == raft.leader_id,
-                    "connected": one.id == self.member.member_id or one.id in self.net.dialled,
-                    "match": seen.match_index
-                    if seen
-                    else raft.durable_index
-                    if one.id == self.member.member_id
-                    else None,
-                    "heard_ms": (now - seen.last_heard_us) // 1000 if seen else None,
-                }
-            )
-        return rows
+        if self.is_closed:
+            return
+        self._tick_timer = self._loop.call_later(TICK_SECONDS, self._tick)
+        now_us = self.now_us()
+        if now_us >= self.member.next_deadline():
+            self.member.tick(now_us)
+            self._carry_out_output()
+
+
+def _member_limits(settings: StoreSettings) -> MemberLimits:
+    return MemberLimits(
+        snapshot_after_entries=settings.snapshot_entries,
+        snapshot_after_bytes=settings.snapshot_bytes,
+        kept_entries=min(MemberLimits().kept_entries, settings.snapshot_entries),
+        max_pending_requests=settings.waiting_most,
+        max_value_bytes=settings.value_most,
+        max_history_events=settings.history,
+    )
--- a/limerudder/store_runtime.py
+++ b/limerudder/store_runtime.py
@@ -80,7 +80,7 @@
         """Return the maintenance marks of the whole tier if the store is open, else those of this node."""
         if self._bridge is None:
             return local_marks
-        from limerudder.store.node_bridge import StoreMarks
+        from limerudder.store.store_marks import StoreMarks
 
         return StoreMarks(self._bridge, local_marks)
 
--- a/tests/test_load_generator.py
+++ b/tests/test_load_generator.py
@@ -11,7 +11,7 @@
 import uvloop
 from click.testing import CliRunner
 
-from harness.multi_process import StandInHost
+from harness.stand_ins import StandInHost
 from limerudder.cli import main
 from limerudder.exit_codes import ExitCode
 from limerudder.loadtest.arrivals import Arrival, Burst, Mix, Phase, PlanError, draw
--- a/tests/test_store_control.py
+++ b/tests/test_store_control.py
@@ -189,7 +189,7 @@
         one = here.stores[1]
         while one.member.state.revision < 3:
             await asyncio.sleep(0.001)
-        one.pump_soon()
+        one.schedule_output()
         for control in here.controls:
             control.close()
         for store in here.stores:
--- a/tests/test_store_disk.py
+++ b/tests/test_store_disk.py
@@ -29,12 +29,12 @@
 )
 from limerudder.store.disk import DATABASE_FILE, Disk, MemberIdentity
 from limerudder.store.disk_errors import DiskError
+from limerudder.store.disk_writer import DiskWriter
 from limerudder.store.drain_log import DrainObserved, MaintenanceHold, NumberedFact
 from limerudder.store.durability import DurabilityJob, KnownValue, SnapshotJob
 from limerudder.store.limits import MemberLimits
 from limerudder.store.member import Member
 from limerudder.store.peer_authentication import DurabilityProof, Incarnation
-from limerudder.store.peer_transport import DiskWriter
 from limerudder.store.raft.messages import (
     ClusterConfig,
     Entry,
@@ -292,7 +292,7 @@
 
         writer = DiskWriter(one, durable, log)
         big = tuple(Entry(n, 1, EntryKind.DATA, b"x" * 9000) for n in range(1, 9))
-        writer.put(write(1, entries=big))
+        writer.submit(write(1, entries=big))
         await failed.wait()
         assert not told and "full" in lines[0] and "retrying" in lines[0]
         one.connection.execute("PRAGMA max_page_count=100000")
@@ -324,7 +324,7 @@
 
         writer = DiskWriter(one, durable, lambda kind, text, detail="": None)
         for n in (1, 2, 3):
-            writer.put(write(n, entries=entries(n, n)))
+            writer.submit(write(n, entries=entries(n, n)))
         await asyncio.to_thread(entered.wait, 20)
         for _ in range(100):  # the loop goes on
             await asyncio.sleep(0)
--- a/tests/test_store_multi_process.py
+++ b/tests/test_store_multi_process.py
@@ -11,7 +11,8 @@
 
 import uvloop
 
-from harness.multi_process import MultiProcessTier, NodeProcess, free_ports, overlapping_kills, wait_until
+from harness.multi_process import MultiProcessTier, overlapping_kills, wait_until
+from harness.node_process import NodeProcess, free_ports
 
 
 def told(story: Callable[[MultiProcessTier], Awaitable[None]], folder: Path, nodes: int = 4) -> None:
@@ -63,7 +64,7 @@
         writing = asyncio.create_task(write())
         # guards a verdict by the machine's pace: how many writes fit between the kills is chance
         await wait_until(lambda: len(acked) > 5, "writes are acknowledged")
-        await overlapping_kills(tier, [2, 0, 3, 1], gap=0.2, down=0.5)
+        await overlapping_kills(tier, [2, 0, 3, 1], gap_seconds=0.2, down_seconds=0.5)
         await tier.wait_until_settled()
         writing.cancel()
         await asyncio.gather(writing, return_exceptions=True)
