--- a/tests/test_store_disk.py
+++ b/tests/test_store_disk.py
@@ -148,11 +148,11 @@
                 jobs.append(DurabilityJob(number, None, None, facts, gone, known, shown))
         real.persist(jobs)
         for job in jobs:
-            model.do(job)
+            model.apply(job)
         real.close()
         real = Disk(str(folder / "s"))
         opened = real.load()
-        saved, told = opened.durable_state.raft_state, model.start()
+        saved, told = opened.durable_state.raft_state, model.load()
         assert (saved.hard_state, list(saved.entries)) == (
             told.raft_state.hard_state,
             list(told.raft_state.entries),
@@ -165,7 +165,7 @@
             told.drain_facts,
             told.known_values,
         )
-        assert opened.durability_proofs == model.shown
+        assert opened.durability_proofs == model.proofs
     real.close()
 
 
