--- a/limerudder/core/lifecycle/graceful_shutdown.py
+++ b/limerudder/core/lifecycle/graceful_shutdown.py
@@ -35,8 +35,13 @@
 class ShutdownRequest(Protocol):
     """A request of the node, as far as a shutdown looks at it."""
 
-    is_established: bool
-    has_final_answer: bool
+    @property
+    def is_established(self) -> bool:
+        """Whether an upstream serves its connection."""
+
+    @property
+    def has_final_answer(self) -> bool:
+        """Whether no answer is owed any more."""
 
 
 RequestT = TypeVar("RequestT", bound=ShutdownRequest)
--- a/limerudder/node_process.py
+++ b/limerudder/node_process.py
@@ -102,9 +102,9 @@
     # start-up
 
     def _complete_config(self, config: ProcessConfig) -> ProcessConfig:
-        """Return the configuration with what the parent process, or else the store, knows newer."""
+        """Return the configuration with the newer values of the parent process, or else of the store."""
         if self._inheritance is None:
-            return self._store.open(config)  # with a parent, the store's directory is the parent's yet
+            return self._store.open(config)  # a parent would still have the store's directory open
         state = self._inheritance.state
         discovery = config.discovery
         if state.config_reloaded:
@@ -186,7 +186,7 @@
         self._log(LogKind.LISTENING, "node: listening on {}:{}".format(*self._sockets[0].getsockname()))
 
     def _tick(self) -> None:
-        interval_seconds = self._config.settings.tick / MICROSECONDS_PER_SECOND
+        interval_seconds = self._config.settings.tick_us / MICROSECONDS_PER_SECOND
         self._tick_timer = self._loop.call_later(interval_seconds, self._tick)
         self._node.timer_wheel.advance(self._clock.now_us())
 
--- a/limerudder/policy/policy_state.py
+++ b/limerudder/policy/policy_state.py
@@ -50,7 +50,9 @@
         fields = list(settings.report_fields)
         self.load_field = next((fields.index(name) for name in ("x0", "util") if name in fields), -1)
         self.held_field = fields.index("inflight") if "inflight" in fields else -1
-        self.probing = settings.probes and settings.report_via != "none" and self.load_field >= 0
+        self.probing = (
+            settings.allows_health_checks and settings.report_via != "none" and self.load_field >= 0
+        )
         self.felt = (
             InferredLoads(settings, SWEEP_LEAST) if settings.reports_latency and not self.probing else None
         )
@@ -78,11 +80,11 @@
 
     def adds(self, server: Server) -> float:
         """What one more connection adds to this server's load."""
-        return self.loads.adds(server, self.now)
+        return self.loads.marginal_load(server, self.now)
 
-    def strange(self) -> int:
+    def malformed_peer_messages(self) -> int:
         """Datagrams of peers that were passed over."""
-        return self.sharing.strange
+        return self.sharing.malformed
 
     def healthy(self, server: Server) -> bool:
         """Whether a server is not avoided for how it fares."""
--- a/limerudder/process_startup.py
+++ b/limerudder/process_startup.py
@@ -53,6 +53,6 @@
 def bind_sockets(config: ProcessConfig) -> list[socket.socket]:
     """Bind the clients' socket, and after it the peers' if there is one; raises ConfigError."""
     sockets = [bind_socket(config.listen, socket.SOCK_STREAM, reuse_port=True)]
-    if config.settings.peers and config.peer_listen:
+    if config.settings.allows_peer_messages and config.peer_listen:
         sockets.append(bind_socket(config.peer_listen, socket.SOCK_DGRAM, reuse_port=True))
     return sockets
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -21,8 +21,7 @@
     PredecessorConnections,
     UpdateKind,
 )
-from tests.scripted_peers import LINE, SECOND, FakeTransport, World, host, hosts, world
-from tests.test_node import events
+from tests.scripted_peers import LINE, SECOND, FakeTransport, World, host, hosts, policy_events, world
 
 
 class JoinedTransport(FakeTransport):
@@ -63,7 +62,7 @@
         parent_end.other_end = successor_end
         successor_end.other_end = parent_end
         state = parse_handover_state(self.parent.state_line())
-        self.new.node._list(state.endpoints, UpdateKind.CACHED, self.new.now)
+        self.new.node.endpoint_updater.apply(state.endpoints, UpdateKind.CACHED, self.new.now)
         successor = create_successor(
             self.new.node,
             state,
@@ -87,7 +86,7 @@
 def send_endpoints(here: World) -> None:
     """Discovery's watch gives its list."""
     body = json.dumps(hosts(host("s-1"), host("s-2"))).encode() + b"\n"
-    watch = next(dial.machine for dial in here.dials if getattr(dial.machine, "watch", False))
+    watch = next(dial.machine for dial in here.dials if getattr(dial.machine, "is_watch", False))
     head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     watch.data_received(head + f"{len(body):x}".encode() + b"\r\n" + body + b"\r\n", here.now)
 
@@ -195,7 +194,7 @@
 
 def test_both_processes_together_keep_to_one_capacity_and_one_connection_count(tmp_path: Path) -> None:
     pair = Pair(tmp_path)
-    heard = events(pair.new)
+    heard = policy_events(pair.new)
     established = [pair.old.served() for _ in range(5)]
     room = pair.new.node.admission.capacity
     successor = pair.connect_successor()
@@ -205,9 +204,9 @@
         session.connection_lost(pair.old.now)
     pair.run(SECOND // 5)
     assert pair.new.node.admission.capacity == room
-    counts = {e.server: e.many for e in heard if isinstance(e, PredecessorConnections)}
+    counts = {e.server_id: e.connections for e in heard if isinstance(e, PredecessorConnections)}
     assert counts and set(counts.values()) == {0}
-    assert max(e.many for e in heard if isinstance(e, PredecessorConnections)) >= 2
+    assert max(e.connections for e in heard if isinstance(e, PredecessorConnections)) >= 2
 
 
 def test_connections_of_the_parent_count_in_the_choice_of_an_upstream(tmp_path: Path) -> None:
