--- a/limerudder/core/lifecycle/hot_restart/parent.py
+++ b/limerudder/core/lifecycle/hot_restart/parent.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from enum import Enum, auto
+from typing import NamedTuple
 
 from limerudder.core.lifecycle.hot_restart.handover_state import (
     HandoverState,
@@ -34,8 +34,7 @@
     HANDED_OVER = auto()  #: a successor
 
 
-@dataclass(frozen=True, slots=True)
-class ParentHooks:
+class ParentHooks(NamedTuple):
     """What the parent's side reads from its node, and calls on it."""
 
     handover_state: Callable[[], HandoverState]
@@ -51,7 +50,7 @@
 
     def __init__(self, hooks: ParentHooks, timers: TimerWheel) -> None:
         self.phase = ParentPhase.SERVING
-        self.connections: list[SuccessorConnection] = []  # of all that have asked, the successor's among them
+        self.connections: list[SuccessorConnection] = []  # of all processes that have asked to take over
         self._hooks = hooks
         self._timers = timers
         self._successor: SuccessorConnection | None = None
@@ -72,7 +71,7 @@
             self.announce(RequestAccepted(request_id))
 
     def successor_connected(self, connection: SuccessorConnection) -> None:
-        """Record a process that asks to take over; it has the state line."""
+        """Record a process that asks to take over; it has been sent the state line."""
         self.connections.append(connection)
         self._hooks.log(LogKind.HANDOVER, "node: another process has asked to take over")
         if self._hooks.is_stopping():
--- a/tests/test_store_control.py
+++ b/tests/test_store_control.py
@@ -195,9 +195,9 @@
         for store in here.stores:
             store.close()
         again = Store(one.settings, lambda kind, text, detail="": None, Clock().now_us)  # and nobody else
-        assert again.member.drain_log.effective_record("h").excludes(
-            7
-        ) and not again.member.drain_log.effective_record("h").excludes(8)
+        record = again.member.drain_log.effective_record("h")
+        assert record.excludes(7)
+        assert not record.excludes(8)
         again.close()
 
     told(story, tmp_path)
