Split the disk's tests by module; name the store's I/O tests and pages in the field's terms

Cause: one test file covered the disk, its thread, backups, recovery and join tokens; test names and the operators' page used the withdrawn house words.

--- a/limerudder/store/__init__.py
+++ b/limerudder/store/__init__.py
@@ -12,8 +12,12 @@
 
 The other half does the I/O:
 
-- `disk`, `data_directory`: the durable log and snapshots, and operations on a member's directory;
-- `framing`, `peer_transport`: frames, and the connections between members;
-- `store`, `node_bridge`: a running member, and its place inside a node;
-- `control`, `client`, `cli`: the control socket, and `limerudder state`.
+- `disk`, `sqlite_schema`, `sqlite_reader`, `sqlite_writer`, `wal_check`, `disk_errors`: the durable log;
+- `disk_writer`: the thread that writes it;
+- `data_directory`, `backup`, `recovery`: operations on a member's directory while it is not running;
+- `framing`, `peer_connection`, `peer_transport`: frames, and the connections between members;
+- `store`, `output_dispatcher`, `status`: a running member;
+- `node_bridge`, `store_marks`, `settings_applier`, `endpoint_list_writer`: its place inside a node;
+- `control` and `control_…`: the control socket, its protocol and its calls;
+- `client`, `cli` and `cli_…`: the calling side, and `limerudder state`.
 """
--- /dev/null
+++ b/tests/test_store_disk_writer.py
@@ -0,0 +1,89 @@
+"""The disk's thread: jobs are acknowledged in order, once they are durable."""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from limerudder.core.operations.log_events import LogKind
+from limerudder.store.disk_writer import DiskWriter
+from limerudder.store.durability import DurabilityJob
+from limerudder.store.raft.messages import (
+    Entry,
+    EntryKind,
+)
+from tests.store_disk_helpers import create_disk, entries, load_raft_state, write_job
+
+
+def test_a_write_to_a_full_disk_is_retried_and_not_acknowledged_before(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        member_disk = create_disk(tmp_path)
+        member_disk.load()
+        pages = member_disk.connection.execute("PRAGMA page_count").fetchone()[0]
+        member_disk.connection.execute(f"PRAGMA max_page_count={pages}")
+        durable_jobs = list[int]()
+        lines = list[str]()
+        failed = asyncio.Event()
+
+        def log(kind: LogKind, text: str, /, detail: str = "") -> None:
+            lines.append(text)
+            failed.set()
+
+        done = asyncio.Event()
+
+        def durable(jobs: list[DurabilityJob], results: object) -> None:
+            durable_jobs.extend(job.number for job in jobs)
+            done.set()
+
+        writer = DiskWriter(member_disk, durable, log)
+        big = tuple(Entry(n, 1, EntryKind.DATA, b"x" * 9000) for n in range(1, 9))
+        writer.submit(write_job(1, entries=big))
+        await failed.wait()
+        assert not durable_jobs and "full" in lines[0] and "retrying" in lines[0]
+        member_disk.connection.execute("PRAGMA max_page_count=100000")
+        await done.wait()
+        assert durable_jobs == [1] and await asyncio.to_thread(writer.close, 5.0)
+
+    uvloop.run(asyncio.wait_for(scenario(), 30))
+    assert len(load_raft_state(tmp_path).entries) == 8
+
+
+def test_a_stalled_sync_blocks_neither_the_loop_nor_the_order(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        member_disk = create_disk(tmp_path)
+        member_disk.load()
+        release = threading.Event()
+        entered = threading.Event()
+        persist = member_disk.persist
+
+        def stuck(jobs: Sequence[DurabilityJob]) -> Any:
+            entered.set()
+            release.wait(20)
+            return persist(jobs)
+
+        member_disk.persist = stuck  # type: ignore[method-assign]
+        order = list[int]()
+        all_done = asyncio.Event()
+
+        def durable(jobs: list[DurabilityJob], results: object) -> None:
+            order.extend(job.number for job in jobs)
+            if len(order) == 3:
+                all_done.set()
+
+        writer = DiskWriter(member_disk, durable, lambda kind, text, detail="": None)
+        for n in (1, 2, 3):
+            writer.submit(write_job(n, entries=entries(n, n)))
+        await asyncio.to_thread(entered.wait, 20)
+        for _ in range(100):  # the loop goes on
+            await asyncio.sleep(0)
+        assert order == []
+        release.set()
+        await all_done.wait()
+        assert order == [1, 2, 3] and await asyncio.to_thread(writer.close, 5.0)
+
+    uvloop.run(asyncio.wait_for(scenario(), 30))
--- a/tests/test_store_multi_process.py
+++ b/tests/test_store_multi_process.py
@@ -15,55 +15,64 @@
 from harness.node_process import NodeProcess, free_ports
 
 
-def told(story: Callable[[MultiProcessTier], Awaitable[None]], folder: Path, nodes: int = 4) -> None:
+def run_scenario(
+    scenario: Callable[[MultiProcessTier], Awaitable[None]], folder: Path, nodes: int = 4
+) -> None:
     async def run() -> None:
         tier = MultiProcessTier(folder, nodes)
         try:
-            await asyncio.wait_for(story(tier), 120)
+            await asyncio.wait_for(scenario(tier), 120)
         finally:
             await tier.close()
 
     uvloop.run(run())
 
 
-async def everybody(
-    tier: MultiProcessTier, wanted: Callable[[dict[str, dict[str, object]]], bool], what: str
+Rows = dict[str, dict[str, object]]  #: what a node knows of hosts, by host
+
+
+def is_held(rows: Rows) -> bool:
+    return bool(rows.get("h1", {}).get("held"))
+
+
+async def wait_until_all_nodes(
+    tier: MultiProcessTier, condition: Callable[[Rows], bool], description: str
 ) -> None:
     """Until all nodes say so of their hosts."""
     for node in tier.nodes:
         end = time.monotonic() + 20
         while True:
             answer = await node.call_store("hosts")
-            if answer["ok"] and wanted({row["host"]: row for row in answer["hosts"]}):
+            if answer["ok"] and condition({row["host"]: row for row in answer["hosts"]}):
                 break
-            assert time.monotonic() < end, f"{node.name} never knew: {what}; {answer}"
+            assert time.monotonic() < end, f"{node.name} never knew: {description}; {answer}"
             await asyncio.sleep(0.01)
 
 
 def test_four_nodes_killed_in_overlapping_order_remember_drains_and_lose_nothing(tmp_path: Path) -> None:
-    async def story(tier: MultiProcessTier) -> None:
+    async def scenario(tier: MultiProcessTier) -> None:
         await tier.start()
         await tier.wait_until_settled()
         tier.discovery.entries["h0"]["lifecycle"] = "leaving"
         tier.discovery.publish(only=1)  # one node alone hears it
         assert await tier.nodes[2].call_console("maint-on h1") == "done"
-        await everybody(tier, lambda rows: "h0" in rows and bool(rows.get("h1", {}).get("held")), "h0 and h1")
+        await wait_until_all_nodes(tier, lambda rows: "h0" in rows and is_held(rows), "h0 and h1")
         tier.discovery.entries["h0"]["lifecycle"] = "active"  # the same start: discovery's stale word
         tier.discovery.publish()
         since = time.monotonic()
         tier.start_clients(12)
-        acked: dict[str, int] = {}
+        acknowledged: dict[str, int] = {}
 
         async def write() -> None:
             for n in range(10_000):
                 answer = await tier.nodes[n % 4].call_store("put", 1.0, key=f"kv/{n}", value="x")
                 if answer["ok"]:
-                    acked[f"kv/{n}"] = answer["revision"]
+                    acknowledged[f"kv/{n}"] = answer["revision"]
                 await asyncio.sleep(0.01)
 
         writing = asyncio.create_task(write())
-        # guards a verdict by the machine's pace: how many writes fit between the kills is chance
-        await wait_until(lambda: len(acked) > 5, "writes are acknowledged")
+        # how many writes fit between the kills depends on the machine's pace, so some are waited for
+        await wait_until(lambda: len(acknowledged) > 5, "writes are acknowledged")
         await overlapping_kills(tier, [2, 0, 3, 1], gap_seconds=0.2, down_seconds=0.5)
         await tier.wait_until_settled()
         writing.cancel()
@@ -73,8 +82,9 @@
         await wait_until(lambda: tier.answer_counts["UP"] > before + 20, "clients are served again")
         for node in tier.nodes:
             answer = await node.call_store("get", prefix="kv/", stale=True)
-            have = {item["key"]: item["modified"] for item in answer["items"]}
-            assert {key: have.get(key) for key in acked} == acked, f"{node.name} lost an acknowledged write"
+            revisions = {item["key"]: item["modified"] for item in answer["items"]}
+            found = {key: revisions.get(key) for key in acknowledged}
+            assert found == acknowledged, f"{node.name} lost an acknowledged write"
         assert tier.violations == []
         assert (tier.count_requests_since("h0", since), tier.count_requests_since("h1", since)) == (0, 0)
         assert sum(tier.count_requests_since(name, since) for name in ("h2", "h3", "h4")) > 20
@@ -86,11 +96,11 @@
             "both are back",
         )
 
-    told(story, tmp_path)
+    run_scenario(scenario, tmp_path)
 
 
 def test_without_a_store_the_same_drain_is_forgotten(tmp_path: Path) -> None:
-    """So the story above can fail."""
+    """So the scenario above can fail."""
 
     async def run() -> None:
         tier = MultiProcessTier(tmp_path, 1, with_store=False)
@@ -110,26 +120,26 @@
 
 
 def test_settings_take_effect_in_service_and_at_one_revision_everywhere(tmp_path: Path) -> None:
-    async def story(tier: MultiProcessTier) -> None:
+    async def scenario(tier: MultiProcessTier) -> None:
         await tier.start()
         await tier.wait_until_settled()
         answer = await tier.nodes[1].call_store("put", key="config/log", value='{"format":"json","lines":50}')
         assert answer["ok"]
-        words = f"store: config/log of revision {answer['revision']} applied"
+        log_text = f"store: config/log of revision {answer['revision']} applied"
         for node in tier.nodes:
-            await wait_until(lambda node=node: any(words in line for line in node.lines), words)  # type: ignore[misc]
-            said = next(line for line in node.lines if words in line)
-            assert json.loads(said)["event"] == "store.config", "by then it is JSON"
+            await wait_until(lambda node=node: any(log_text in line for line in node.lines), log_text)  # type: ignore[misc]
+            line_found = next(line for line in node.lines if log_text in line)
+            assert json.loads(line_found)["event"] == "store.config", "by then it is JSON"
         await tier.nodes[3].kill()
         await tier.nodes[3].start()
-        again = [line for line in tier.nodes[3].lines if words in line]
+        again = [line for line in tier.nodes[3].lines if log_text in line]
         assert len(again) == 2, "a restarted node has it from its own disk"
 
-    told(story, tmp_path)
+    run_scenario(scenario, tmp_path)
 
 
 def test_a_node_serves_without_a_quorum_and_keeps_what_it_hears_then(tmp_path: Path) -> None:
-    async def story(tier: MultiProcessTier) -> None:
+    async def scenario(tier: MultiProcessTier) -> None:
         await tier.start()
         await tier.wait_until_settled()
         alone = tier.nodes[0]
@@ -148,20 +158,20 @@
         for node in tier.nodes[1:]:
             await node.start()
         await tier.wait_until_settled()
-        await everybody(tier, lambda rows: bool(rows.get("h1", {}).get("held")), "what one heard alone")
+        await wait_until_all_nodes(tier, is_held, "what one heard alone")
         assert tier.violations == []
 
-    told(story, tmp_path)
+    run_scenario(scenario, tmp_path)
 
 
 def test_a_successor_takes_the_store_over_and_knows_drains_all_along(tmp_path: Path) -> None:
-    async def story(tier: MultiProcessTier) -> None:
+    async def scenario(tier: MultiProcessTier) -> None:
         await tier.start()
         await tier.wait_until_settled()
         old = tier.nodes[0]
         tier.discovery.entries["h0"]["lifecycle"] = "leaving"
         tier.discovery.publish()
-        await everybody(tier, lambda rows: "h0" in rows, "h0")
+        await wait_until_all_nodes(tier, lambda rows: "h0" in rows, "h0")
         tier.discovery.entries["h0"]["lifecycle"] = "active"
         tier.discovery.publish()
         since = time.monotonic()
@@ -178,11 +188,11 @@
         assert tier.count_requests_since("h0", since) == 0 and tier.violations == []
         assert (await old.call_store("status"))["start"] == 2
 
-    told(story, tmp_path, nodes=3)
+    run_scenario(scenario, tmp_path, nodes=3)
 
 
 def test_a_node_whose_old_process_hangs_serves_and_has_the_store_after_it(tmp_path: Path) -> None:
-    async def story(tier: MultiProcessTier) -> None:
+    async def scenario(tier: MultiProcessTier) -> None:
         await tier.start()
         await tier.wait_until_settled()
         one = tier.nodes[0]
@@ -196,14 +206,14 @@
         assert await one.call_console("maint-on h1") == "done"
         hangs.kill()
         await hangs.wait()
-        await everybody(tier, lambda rows: bool(rows.get("h1", {}).get("held")), "the hold of meanwhile")
+        await wait_until_all_nodes(tier, is_held, "the hold of meanwhile")
         await tier.wait_until_settled()
 
-    told(story, tmp_path, nodes=3)
+    run_scenario(scenario, tmp_path, nodes=3)
 
 
 def test_a_folder_of_another_member_stops_a_node_at_its_start(tmp_path: Path) -> None:
-    async def story(tier: MultiProcessTier) -> None:
+    async def scenario(tier: MultiProcessTier) -> None:
         await tier.start()
         one, other = tier.nodes[0], tier.nodes[1]
         await one.kill()
@@ -214,4 +224,4 @@
         assert one.process and await one.process.wait() == 2
         assert any("is the folder of n1; this node is n0" in line for line in one.lines)
 
-    told(story, tmp_path, nodes=2)
+    run_scenario(scenario, tmp_path, nodes=2)
