--- a/limerudder/store/control_calls.py
+++ b/limerudder/store/control_calls.py
@@ -1,4 +1,4 @@
-"""The calls of the control socket that read, watch and administer; `CALLS` is the table of all calls.
+"""The calls of the control socket, one function for each; `CALLS` is the table of their names.
 
 A handler reads its arguments from the call and answers through its context, at once or later. It raises one
 of `control_protocol.CALL_ERRORS` if the call cannot be read or carried out.
@@ -27,6 +27,7 @@
     parse_watch,
 )
 from limerudder.store.control_protocol import (
+    MICROSECONDS_PER_MILLISECOND,
     ControlError,
     ControlErrorKind,
     JsonObject,
@@ -43,7 +44,6 @@
 from limerudder.store.store import Store
 
 MEMBER_ID_BYTES = 8
-MICROSECONDS_PER_MILLISECOND = 1000
 
 
 @dataclass(frozen=True, slots=True)
