End the names of the store's exceptions in Error

Measured: 91 tests of the store's control, disk, data directory, formats, command line, load generator and architecture pass; mypy clean over the whole tree; ruff clean in this part.

--- a/bench/rolling_upgrade.py
+++ b/bench/rolling_upgrade.py
@@ -23,11 +23,11 @@
 from harness.member_cluster import (
     CURRENT_PROGRAM,
     MemberCluster,
-    MemberNotStarted,
+    MemberNotStartedError,
     MemberProgram,
     loopback_addresses,
 )
-from limerudder.store.client import ControlClient, ControlUnavailable
+from limerudder.store.client import ControlClient, ControlUnavailableError
 
 MEMBERS = 3
 TIME_LIMIT_SECONDS = 55.0
@@ -41,7 +41,7 @@
 RUN_COMMAND_LINE = "import limerudder.cli; limerudder.cli.main()"
 
 
-class UpgradeTimeout(Exception):
+class UpgradeTimeoutError(Exception):
     """The measurement has exceeded its time limit."""
 
 
@@ -105,7 +105,7 @@
         try:
             with ControlClient(directory, CALL_WAIT_SECONDS) as client:
                 return client.call(name, **arguments)
-        except ControlUnavailable:
+        except ControlUnavailableError:
             return {"ok": False, "kind": "no member"}
 
 
@@ -177,7 +177,7 @@
 
     def _pause(self) -> None:
         if time.monotonic() > self._deadline:
-            raise UpgradeTimeout(f"not done after {TIME_LIMIT_SECONDS:.0f} s")
+            raise UpgradeTimeoutError(f"not done after {TIME_LIMIT_SECONDS:.0f} s")
         time.sleep(RETRY_SECONDS)
 
     def _check(self) -> int:
@@ -223,7 +223,7 @@
     with tempfile.TemporaryDirectory() as folder:
         try:
             broken = RollingUpgrade(old_checkout, Path(folder) / "members").run()
-        except (UpgradeTimeout, MemberNotStarted) as error:
+        except (UpgradeTimeoutError, MemberNotStartedError) as error:
             print(f"failed: {error}")
             return 1
     print(f"broken promises: {broken}")
--- a/harness/member_cluster.py
+++ b/harness/member_cluster.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from harness.node_process import free_ports
-from limerudder.store.client import ControlClient, ControlUnavailable
+from limerudder.store.client import ControlClient, ControlUnavailableError
 from limerudder.store.data_directory import init_cluster
 
 CHECKOUT = Path(__file__).resolve().parent.parent
@@ -21,7 +21,7 @@
 START_TIMEOUT_SECONDS = 20.0
 
 
-class MemberNotStarted(Exception):
+class MemberNotStartedError(Exception):
     """A member's process does not answer."""
 
 
@@ -66,12 +66,12 @@
         return cluster
 
     def start(self, name: str, program: MemberProgram = CURRENT_PROGRAM) -> None:
-        """Start a member, and wait until it answers; raises MemberNotStarted."""
+        """Start a member, and wait until it answers; raises MemberNotStartedError."""
         self._processes[name] = program.start(self.directories[name], self.addresses[name])
         deadline = time.monotonic() + START_TIMEOUT_SECONDS
         while not self.status(name):
             if time.monotonic() > deadline:
-                raise MemberNotStarted(f"{name} does not answer after {START_TIMEOUT_SECONDS:.0f} s")
+                raise MemberNotStartedError(f"{name} does not answer after {START_TIMEOUT_SECONDS:.0f} s")
             time.sleep(POLL_SECONDS)
 
     def status(self, name: str) -> dict[str, Any]:
@@ -79,7 +79,7 @@
         try:
             with ControlClient(self.directories[name], STATUS_WAIT_SECONDS) as client:
                 status = client.call("status")
-        except ControlUnavailable:
+        except ControlUnavailableError:
             return {}
         return status if status.pop("ok") else {}
 
--- a/harness/node_process.py
+++ b/harness/node_process.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from harness.configurations import configuration
-from limerudder.store.client import ControlClient, ControlUnavailable
+from limerudder.store.client import ControlClient, ControlUnavailableError
 
 LISTENING_TEXT = "listening on"  #: in the line that a node logs once it serves
 
@@ -87,7 +87,7 @@
         try:
             with ControlClient(str(self.store), wait_seconds) as client:
                 return client.call(name, **arguments)
-        except ControlUnavailable as error:
+        except ControlUnavailableError as error:
             return {"ok": False, "kind": "not_now", "error": str(error)}
 
     async def call_store(self, name: str, wait_seconds: float = 2.0, **arguments: Any) -> dict[str, Any]:
--- a/limerudder/store/backup.py
+++ b/limerudder/store/backup.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from limerudder.store.disk_errors import InvalidBackup, UnsupportedFormat
+from limerudder.store.disk_errors import InvalidBackupError, UnsupportedFormatError
 from limerudder.store.framing import FrameDecoder, FrameError, encode_frame
 from limerudder.store.raft.messages import Snapshot, SnapshotMeta, snapshot_digest
 
@@ -47,19 +47,19 @@
 
 
 def read_backup(path: str) -> Backup:
-    """Read and verify a backup. Raises InvalidBackup or UnsupportedFormat."""
+    """Read and verify a backup. Raises InvalidBackupError or UnsupportedFormatError."""
     try:
         with open(path, "rb") as file:
             first_frame, *chunks = FrameDecoder().feed(file.read())
         header: BackupHeader = msgspec.msgpack.decode(first_frame, type=BackupHeader)
     except OSError as error:
-        raise InvalidBackup(f"cannot read {path}: {error.strerror}") from error
+        raise InvalidBackupError(f"cannot read {path}: {error.strerror}") from error
     except (FrameError, ValueError, msgspec.DecodeError) as error:
-        raise InvalidBackup(f"{path} is no backup: {error}") from error
+        raise InvalidBackupError(f"{path} is no backup: {error}") from error
     if header.format > BACKUP_FORMAT_VERSION:
-        raise UnsupportedFormat(
+        raise UnsupportedFormatError(
             f"{path} has format {header.format}; this build reads up to {BACKUP_FORMAT_VERSION}"
         )
     if len(chunks) != header.meta.chunk_count or snapshot_digest(chunks) != header.meta.digest:
-        raise InvalidBackup(f"{path} is not whole")
+        raise InvalidBackupError(f"{path} is not whole")
     return Backup(header, Snapshot(header.meta, tuple(chunks)))
--- a/limerudder/store/cli_session.py
+++ b/limerudder/store/cli_session.py
@@ -46,7 +46,7 @@
     @contextmanager
     def connect(self) -> Iterator[ControlClient]:
         """Give a connection to the node; ends the process if there is none."""
-        from limerudder.store.client import ControlClient, ControlUnavailable
+        from limerudder.store.client import ControlClient, ControlUnavailableError
 
         if not self._directory:
             fail(
@@ -56,7 +56,7 @@
         try:
             with ControlClient(self._directory, self._wait_seconds) as client:
                 yield client
-        except ControlUnavailable as error:
+        except ControlUnavailableError as error:
             fail(str(error), ExitCode.UNAVAILABLE)
 
     def call(self, name: str, **arguments: Any) -> JsonObject:
--- a/limerudder/store/client.py
+++ b/limerudder/store/client.py
@@ -19,7 +19,7 @@
 SOCKET_TIMEOUT_MARGIN_SECONDS = 2  #: beyond the wait that a call asks for
 
 
-class ControlUnavailable(Exception):
+class ControlUnavailableError(Exception):
     """No member runs on a data directory."""
 
 
@@ -27,7 +27,7 @@
     """A connection to the member that runs on a data directory."""
 
     def __init__(self, directory: str, wait_seconds: float = 5.0) -> None:
-        """Connect; `wait_seconds` is how long calls wait for their answer. Raises ControlUnavailable."""
+        """Connect; `wait_seconds` is how long calls wait for their answer. Raises ControlUnavailableError."""
         self._wait_seconds = wait_seconds
         self._socket = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         self._socket.settimeout(wait_seconds + SOCKET_TIMEOUT_MARGIN_SECONDS)
@@ -36,7 +36,9 @@
                 self._socket.connect(short_path)
         except OSError as error:
             self._socket.close()
-            raise ControlUnavailable(f"no node with a store runs on {directory}: {error.strerror}") from error
+            raise ControlUnavailableError(
+                f"no node with a store runs on {directory}: {error.strerror}"
+            ) from error
         self._reader = self._socket.makefile("rb")
 
     def call(self, name: str, **arguments: Any) -> JsonObject:
--- a/limerudder/store/data_directory.py
+++ b/limerudder/store/data_directory.py
@@ -15,7 +15,7 @@
 
 from limerudder.store.backup import read_backup
 from limerudder.store.disk import Disk, MemberIdentity
-from limerudder.store.disk_errors import InvalidBackup, InvalidJoinToken, InvalidMembers
+from limerudder.store.disk_errors import InvalidBackupError, InvalidJoinTokenError, InvalidMembersError
 from limerudder.store.raft.messages import ClusterConfig, Member, Snapshot
 from limerudder.store.raft.persistence import HardState
 from limerudder.store.snapshots import SnapshotError
@@ -56,7 +56,7 @@
     names = {name for name, _ in members}
     addresses = {address for _, address in members}
     if len(names) < len(members) or len(addresses) < len(members):
-        raise InvalidMembers("each member needs a name and an address of its own")
+        raise InvalidMembersError("each member needs a name and an address of its own")
     cluster_id = random_id()
     config = ClusterConfig(tuple(Member(random_id(), name, address) for name, address in members))
     directories = []
@@ -73,11 +73,11 @@
 
 
 def decode_join_token(text: str) -> JoinToken:
-    """Decode a join token; raises InvalidJoinToken."""
+    """Decode a join token; raises InvalidJoinTokenError."""
     try:
         return msgspec.msgpack.decode(base64.urlsafe_b64decode(text.encode()), type=JoinToken)
     except (ValueError, msgspec.DecodeError) as error:
-        raise InvalidJoinToken(f"that is no ticket: {error}") from error
+        raise InvalidJoinTokenError(f"that is no ticket: {error}") from error
 
 
 def join_cluster(directory: str, token_text: str) -> Member:
@@ -101,7 +101,7 @@
     try:
         KeyValueState().restore(snapshot.chunks)
     except SnapshotError as error:
-        raise InvalidBackup(f"{backup_path}: {error}") from error
+        raise InvalidBackupError(f"{backup_path}: {error}") from error
     directories = init_cluster(parent_directory, members)
     for directory in directories:
         with Disk(directory) as disk:
--- a/limerudder/store/disk.py
+++ b/limerudder/store/disk.py
@@ -20,12 +20,12 @@
 
 from limerudder.store.disk_errors import (
     DatabaseError,
-    DirectoryUnavailable,
-    DiskBusy,
-    DiskClosed,
-    MemberExists,
-    MemberMissing,
-    UnsupportedFormat,
+    DirectoryUnavailableError,
+    DiskBusyError,
+    DiskClosedError,
+    MemberExistsError,
+    MemberMissingError,
+    UnsupportedFormatError,
 )
 from limerudder.store.durability import DurabilityJob, DurableState
 from limerudder.store.peer_authentication import DurabilityProof, Incarnation
@@ -109,9 +109,9 @@
 
     @property
     def connection(self) -> sqlite3.Connection:
-        """The database; raises DiskClosed."""
+        """The database; raises DiskClosedError."""
         if self._connection is None:
-            raise DiskClosed("closed")
+            raise DiskClosedError("closed")
         return self._connection
 
     def load(self, count_start: bool = True) -> DiskContents:
@@ -145,9 +145,9 @@
     def _check_database_exists(self, expected: bool) -> None:
         exists = os.path.exists(self.path)
         if exists and not expected:
-            raise MemberExists(f"{self._directory} holds a member already")
+            raise MemberExistsError(f"{self._directory} holds a member already")
         if expected and not exists:
-            raise MemberMissing(f"{self._directory} holds no member; `limerudder state init` makes one")
+            raise MemberMissingError(f"{self._directory} holds no member; `limerudder state init` makes one")
 
     def _initialize(self, identity: MemberIdentity, config: ClusterConfig) -> None:
         connection = self.connection
@@ -174,7 +174,7 @@
 
     def _migrate(self, format_version: int) -> None:
         if format_version > FORMAT_VERSION:
-            raise UnsupportedFormat(
+            raise UnsupportedFormatError(
                 f"{self.path} has format {format_version}; this build reads up to {FORMAT_VERSION}"
             )
         if format_version == FORMAT_VERSION:
@@ -199,14 +199,14 @@
             os.makedirs(directory, mode=0o700, exist_ok=True)
         lock_file = os.open(os.path.join(directory, LOCK_FILE), os.O_CREAT | os.O_RDWR, 0o600)
     except OSError as error:
-        raise DirectoryUnavailable(
+        raise DirectoryUnavailableError(
             f"{directory}: {error.strerror}; `limerudder state init` makes one"
         ) from error
     try:
         fcntl.flock(lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
     except OSError as error:
         os.close(lock_file)
-        raise DiskBusy(f"{directory} is in use by another process") from error
+        raise DiskBusyError(f"{directory} is in use by another process") from error
     return lock_file
 
 
--- a/limerudder/store/disk_errors.py
+++ b/limerudder/store/disk_errors.py
@@ -7,27 +7,27 @@
     """A data directory or backup that cannot be used; the text says which and why."""
 
 
-class DirectoryUnavailable(DiskError):
+class DirectoryUnavailableError(DiskError):
     """The directory cannot be created or opened."""
 
 
-class DiskBusy(DiskError):
+class DiskBusyError(DiskError):
     """The directory is locked by another process."""
 
 
-class DiskClosed(DiskError):
+class DiskClosedError(DiskError):
     """The data directory has been closed."""
 
 
-class MemberExists(DiskError):
+class MemberExistsError(DiskError):
     """A new member was to be created in a directory that holds one already."""
 
 
-class MemberMissing(DiskError):
+class MemberMissingError(DiskError):
     """The directory holds no member."""
 
 
-class MemberMismatch(DiskError):
+class MemberMismatchError(DiskError):
     """The directory holds another member than the one it was opened for."""
 
 
@@ -35,21 +35,21 @@
     """SQLite cannot open or read the database."""
 
 
-class DiskCorrupted(DiskError):
+class DiskCorruptedError(DiskError):
     """Stored data does not match its checksum, cannot be decoded or is incomplete."""
 
 
-class UnsupportedFormat(DiskError):
+class UnsupportedFormatError(DiskError):
     """The data was written in a newer format than this build reads."""
 
 
-class InvalidBackup(DiskError):
+class InvalidBackupError(DiskError):
     """A backup file that cannot be read, is damaged or is incomplete."""
 
 
-class InvalidJoinToken(DiskError):
+class InvalidJoinTokenError(DiskError):
     """A join token that cannot be decoded."""
 
 
-class InvalidMembers(DiskError):
+class InvalidMembersError(DiskError):
     """A list of members that cannot form a cluster."""
--- a/limerudder/store/node_bridge.py
+++ b/limerudder/store/node_bridge.py
@@ -25,7 +25,7 @@
 from limerudder.policy.events import ServerState
 from limerudder.schema import StoreSettings
 from limerudder.store.control import ControlServer
-from limerudder.store.disk_errors import MemberMismatch
+from limerudder.store.disk_errors import MemberMismatchError
 from limerudder.store.drain_log import NEVER_DRAINED
 from limerudder.store.endpoint_list_writer import EndpointListWriter
 from limerudder.store.key_schema import ENDPOINT_LIST_KEY
@@ -153,7 +153,7 @@
         stored_name = self._store.identity.name
         if stored_name != node_name:
             self._store.close()
-            raise MemberMismatch(
+            raise MemberMismatchError(
                 f"{self.settings.folder} is the folder of {stored_name}; this node is {node_name}"
             )
 
--- a/limerudder/store/recovery.py
+++ b/limerudder/store/recovery.py
@@ -10,7 +10,7 @@
 
 from limerudder.store.data_directory import NO_VOTE, random_id
 from limerudder.store.disk import Disk, DiskContents, MemberIdentity
-from limerudder.store.disk_errors import DiskCorrupted
+from limerudder.store.disk_errors import DiskCorruptedError
 from limerudder.store.raft.messages import (
     ClusterConfig,
     Entry,
@@ -48,7 +48,7 @@
         try:
             recovered = _RecoveredState(contents.durable_state.raft_state)
         except SnapshotError as error:
-            raise DiskCorrupted(f"{directory}: {error}") from error
+            raise DiskCorruptedError(f"{directory}: {error}") from error
         if confirmed:
             _start_single_member_cluster(disk, contents, recovered)
         return recovered.data_loss(contents.identity)
--- a/limerudder/store/sqlite_reader.py
+++ b/limerudder/store/sqlite_reader.py
@@ -4,11 +4,12 @@
 
 import sqlite3
 from collections.abc import Iterator
+from itertools import pairwise
 from typing import Any
 
 import msgspec
 
-from limerudder.store.disk_errors import DiskCorrupted
+from limerudder.store.disk_errors import DiskCorruptedError
 from limerudder.store.drain_log import DrainFact, decode_fact
 from limerudder.store.durability import DurableState, KnownValue
 from limerudder.store.peer_authentication import DurabilityProof
@@ -27,7 +28,7 @@
 
 
 class SqliteReader:
-    """Reads one database; all methods raise DiskCorrupted or sqlite3.Error if the data cannot be used."""
+    """Reads one database; methods raise DiskCorruptedError or sqlite3.Error if data cannot be used."""
 
     def __init__(self, connection: sqlite3.Connection, path: str) -> None:
         self._connection = connection
@@ -37,7 +38,7 @@
         """Return the decoded value of a row of `meta` that must exist."""
         value = self.get_meta(name, value_type)
         if value is None:
-            raise DiskCorrupted(f"{self._path}: meta {name.value} is missing")
+            raise DiskCorruptedError(f"{self._path}: meta {name.value} is missing")
         return value
 
     def get_meta(self, name: MetaName, value_type: Any) -> Any:
@@ -48,7 +49,7 @@
             return None
         data, checksum = row
         if row_checksum(name.value, data) != checksum:
-            raise DiskCorrupted(f"{self._path}: meta {name.value}: its checksum does not match")
+            raise DiskCorruptedError(f"{self._path}: meta {name.value}: its checksum does not match")
         return _decode(data, value_type, f"{self._path}: meta {name.value}")
 
     def durable_state(self) -> DurableState:
@@ -78,9 +79,9 @@
             Entry(index, term, EntryKind(kind), data)
             for index, term, kind, data in self._rows(query, "log entry")
         ]
-        for entry, next_entry in zip(entries, entries[1:], strict=False):
+        for entry, next_entry in pairwise(entries):
             if next_entry.index != entry.index + 1:
-                raise DiskCorrupted(f"{self._path}: log entry {entry.index + 1} is missing")
+                raise DiskCorruptedError(f"{self._path}: log entry {entry.index + 1} is missing")
         return entries
 
     def _snapshot(self) -> Snapshot | None:
@@ -89,7 +90,7 @@
             return None
         chunks = self._chunks(ChunkTable.SNAPSHOT)
         if len(chunks) != meta.chunk_count or snapshot_digest(chunks) != meta.digest:
-            raise DiskCorrupted(f"{self._path}: the snapshot of entry {meta.index} is not whole")
+            raise DiskCorruptedError(f"{self._path}: the snapshot of entry {meta.index} is not whole")
         return Snapshot(meta, chunks)
 
     def _check_log_meets_snapshot(self, entries: list[Entry], snapshot: Snapshot | None) -> None:
@@ -98,7 +99,7 @@
         first_index = entries[0].index
         snapshot_index = snapshot.meta.index if snapshot else NO_SNAPSHOT_INDEX
         if first_index > snapshot_index + 1:
-            raise DiskCorrupted(
+            raise DiskCorruptedError(
                 f"{self._path}: the log begins at entry {first_index},"
                 f" after a snapshot of entry {snapshot_index}"
             )
@@ -119,7 +120,7 @@
             try:
                 facts[number] = decode_fact(data)
             except msgspec.DecodeError as error:
-                raise DiskCorrupted(f"{self._path}: fact {number} cannot be read: {error}") from error
+                raise DiskCorruptedError(f"{self._path}: fact {number} cannot be read: {error}") from error
         return facts
 
     def _known_values(self) -> dict[str, KnownValue]:
@@ -132,7 +133,9 @@
         """Yield the rows of a query without their checksum, which is the last column."""
         for *values, checksum in self._connection.execute(query):
             if row_checksum(*values) != checksum:
-                raise DiskCorrupted(f"{self._path}: {description} {values[0]}: its checksum does not match")
+                raise DiskCorruptedError(
+                    f"{self._path}: {description} {values[0]}: its checksum does not match"
+                )
             yield tuple(values)
 
 
@@ -140,4 +143,4 @@
     try:
         return msgspec.msgpack.decode(data, type=value_type)
     except msgspec.DecodeError as error:
-        raise DiskCorrupted(f"{description} cannot be read: {error}") from error
+        raise DiskCorruptedError(f"{description} cannot be read: {error}") from error
--- a/limerudder/store/wal_check.py
+++ b/limerudder/store/wal_check.py
@@ -11,7 +11,7 @@
 import struct
 from typing import NamedTuple
 
-from limerudder.store.disk_errors import DiskCorrupted
+from limerudder.store.disk_errors import DiskCorruptedError
 
 WAL_HEADER = struct.Struct(">8I")
 FRAME_HEADER = struct.Struct(">6I")
@@ -36,7 +36,7 @@
 
 
 def check_write_ahead_log(path: str) -> None:
-    """Raise DiskCorrupted if a damaged frame is followed by complete transactions.
+    """Raise DiskCorruptedError if a damaged frame is followed by complete transactions.
 
     A missing file, or a header that SQLite ignores as well, is no damage.
     """
@@ -79,7 +79,7 @@
         if damaged_frame is not None and database_pages != 0:  # nonzero in the last frame of a transaction
             transactions_after_damage += 1
     if damaged_frame is not None and transactions_after_damage > MAX_TORN_TRANSACTIONS:
-        raise DiskCorrupted(
+        raise DiskCorruptedError(
             f"{path}: frame {damaged_frame}: its checksum does not match,"
             f" and {transactions_after_damage} transactions end at or after it"
         )
--- a/limerudder/store_runtime.py
+++ b/limerudder/store_runtime.py
@@ -51,11 +51,11 @@
         """Open the store; return the configuration with the newer values it holds. Raises ConfigError."""
         if self._settings is None:
             return config
-        from limerudder.store.disk_errors import DiskBusy, DiskError
+        from limerudder.store.disk_errors import DiskBusyError, DiskError
 
         try:
             self._bridge = self._open_bridge(self._settings)
-        except DiskBusy as exc:
+        except DiskBusyError as exc:
             # a process of this node that hangs must not keep this one from serving
             self._log(
                 LogKind.STORE_DISK,
