--- a/limerudder/store_runtime.py
+++ b/limerudder/store_runtime.py
@@ -21,7 +21,7 @@
 
 if TYPE_CHECKING:
     from limerudder.schema import StoreSettings
-    from limerudder.store.node_bridge import NodeStoreBridge
+    from limerudder.store.node_bridge import NodeHooks, NodeStoreBridge
 
 OPEN_RETRY_INTERVAL_SECONDS = 0.05  #: while another process of this node has the store's directory
 OPEN_WARNING_SECONDS = 5.0  #: after which the log says that it still has it
@@ -51,11 +51,11 @@
         """Open the store; return the configuration with the newer values it holds. Raises ConfigError."""
         if self._settings is None:
             return config
-        from limerudder.store.disk import DiskBusy, DiskError
+        from limerudder.store.disk_errors import DiskBusyError, DiskError
 
         try:
             self._bridge = self._open_bridge(self._settings)
-        except DiskBusy as exc:
+        except DiskBusyError as exc:
             # a process of this node that hangs must not keep this one from serving
             self._log(
                 LogKind.STORE_DISK,
@@ -65,7 +65,7 @@
             return config
         except DiskError as exc:
             raise ConfigError(f"store: {exc}") from exc
-        return self._bridge.begin_with(config)
+        return self._bridge.restore_config(config)
 
     def drain_memory(self, parent_drains: dict[str, int]) -> DrainMemory | None:
         """Return what remembers drains: the store, or until it is open what the parent process knew."""
@@ -80,7 +80,7 @@
         """Return the maintenance marks of the whole tier if the store is open, else those of this node."""
         if self._bridge is None:
             return local_marks
-        from limerudder.store.node_bridge import StoreMarks
+        from limerudder.store.store_marks import StoreMarks
 
         return StoreMarks(self._bridge, local_marks)
 
@@ -89,7 +89,7 @@
         if self._bridge is None:
             return DONE_ANSWER
         answer = DeferredAnswer()
-        self._bridge.durable(name, lambda now_us: answer.resolve(DONE_ANSWER, now_us))
+        self._bridge.call_when_durable(name, lambda now_us: answer.resolve(DONE_ANSWER, now_us))
         return answer
 
     async def start(self, node: Node, marks: MaintenanceMarks, announce_drain: AnnounceDrain) -> None:
@@ -119,8 +119,8 @@
         return NodeStoreBridge(settings, self._node_name, self._log, self._clock.now_us, self._configure_log)
 
     async def _run_bridge(self, bridge: NodeStoreBridge, node: Node, announce_drain: AnnounceDrain) -> None:
-        bridge.hear_drained = announce_drain
-        await bridge.run(node, bind_socket(bridge.settings.listen, socket.SOCK_STREAM))
+        bridge.on_drain_recorded = announce_drain
+        await bridge.run(_node_hooks(node), bind_socket(bridge.settings.listen, socket.SOCK_STREAM))
 
     async def _take_over(
         self, settings: StoreSettings, node: Node, marks: MaintenanceMarks, announce_drain: AnnounceDrain
@@ -128,7 +128,7 @@
         bridge = await self._open_when_free(settings)
         self._bridge = bridge
         if self._inherited_drains:
-            bridge.inherit(self._inherited_drains.observed_here)
+            bridge.record_inherited_drains(self._inherited_drains.observed_here)
         node.drain_memory = bridge
         node.maintenance.marks = self.marks(marks)
         try:
@@ -140,7 +140,7 @@
             node.refresh_endpoint(endpoint.name, self._clock.now_us())
 
     async def _open_when_free(self, settings: StoreSettings) -> NodeStoreBridge:
-        from limerudder.store.disk import DiskError
+        from limerudder.store.disk_errors import DiskError
 
         waited_seconds = 0.0
         warned = False
@@ -153,3 +153,18 @@
                     warned = True
                     self._log(LogKind.STORE_DISK, f"store: {exc}; retrying")
             await asyncio.sleep(OPEN_RETRY_INTERVAL_SECONDS)
+
+
+def _node_hooks(node: Node) -> NodeHooks:
+    """Return what the store calls on this node."""
+    from limerudder.store.node_bridge import NodeHooks
+
+    return NodeHooks(
+        timers=node.timer_wheel,
+        set_discovery_address=node.discovery.change_address,
+        is_listed=node.is_listed,
+        refresh_endpoint=node.refresh_endpoint,
+        endpoint_list=node.endpoint_list,
+        return_to_service_times=node.return_to_service_times,
+        apply_return_to_service_times=node.apply_return_to_service_times,
+    )
--- a/tests/test_load_generator.py
+++ b/tests/test_load_generator.py
@@ -11,7 +11,7 @@
 import uvloop
 from click.testing import CliRunner
 
-from harness.multi_process import StandInHost
+from harness.stand_ins import StandInHost
 from limerudder.cli import main
 from limerudder.exit_codes import ExitCode
 from limerudder.loadtest.arrivals import Arrival, Burst, Mix, Phase, PlanError, draw
@@ -100,7 +100,7 @@
         histogram = await generator.run()
         host.close()
         assert histogram.arrived == 400 == sum(histogram.answers.values()) and histogram.waiting == 0
-        assert histogram.answers["UP"] == 400 == len(host.came)
+        assert histogram.answers["UP"] == 400 == len(host.request_times)
         assert histogram.late_arrivals > 0, "and it says that it was late"
         assert (
             histogram.latency.get_max_value() >= histogram.generator_lateness.get_max_value() * 0.99
