--- a/bench/store_defects.py
+++ b/bench/store_defects.py
@@ -59,7 +59,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--most", type=int, default=2000, help="seeds to try for each")
     parser.add_argument("--one", type=int, help="only the defect of this number, in this process")
-    parser.add_argument("--kind", type=int, help="only seeds of this kind of trouble, 0 to 5")
+    parser.add_argument("--kind", type=int, help="only seeds of this kind of plan, 0 to 5")
     args = parser.parse_args()
     if args.one is None:
         return 1 if _find_all(args.most) else 0
--- a/bench/store_sim.py
+++ b/bench/store_sim.py
@@ -69,7 +69,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=200)
     parser.add_argument("--first", type=int, default=0)
-    parser.add_argument("--seconds", type=float, default=6.0, help="of trouble in each, simulated")
+    parser.add_argument("--seconds", type=float, default=6.0, help="with faults in each, simulated")
     parser.add_argument("--jobs", type=int, default=8)
     args = parser.parse_args()
     started = time.monotonic()
--- a/limerudder/store/raft/election.py
+++ b/limerudder/store/raft/election.py
@@ -43,8 +43,7 @@
         caller records the member's own vote.
         """
         state = self._state
-        state.role = RaftRole.PRE_CANDIDATE
-        state.leader_id = NO_LEADER
+        state.set_role(RaftRole.PRE_CANDIDATE, NO_LEADER)
         self._votes = {}
         self.reset_timer(now_us)
         self._request_votes(state.term + 1, is_pre_vote=True, is_leader_transfer=False)
@@ -52,8 +51,7 @@
     def campaign(self, now_us: int, is_leader_transfer: bool = False) -> None:
         """Start an election in a new term. The member's own vote counts once it is durable."""
         state = self._state
-        state.role = RaftRole.CANDIDATE
-        state.leader_id = NO_LEADER
+        state.set_role(RaftRole.CANDIDATE, NO_LEADER)
         state.term += 1
         state.voted_for = state.member_id
         self._votes = {}
@@ -94,7 +92,7 @@
         """
         state = self._state
         lease_end_us = self.leader_heard_at_us + state.timing.election_timeout_us
-        has_leader = state.role == RaftRole.LEADER or now_us < lease_end_us
+        has_leader = state.is_leader or now_us < lease_end_us
         return has_leader and not message.is_leader_transfer and message.term > state.term
 
     def answer_pre_vote(self, sender: int, message: RequestVote) -> None:
--- a/limerudder/store/raft/log.py
+++ b/limerudder/store/raft/log.py
@@ -13,15 +13,11 @@
     def __init__(self, base_index: int, base_term: int, config: ClusterConfig) -> None:
         self.base_index = base_index
         self.base_term = base_term
+        self.last_index = base_index
         self.entries: list[Entry] = []
         self.size_bytes = 0
         self._configs: list[tuple[int, ClusterConfig]] = [(base_index, config)]  # each with its entry's index
 
-    @property
-    def last_index(self) -> int:
-        """The index of the last entry."""
-        return self.base_index + len(self.entries)
-
     @property
     def last_term(self) -> int:
         """The term of the last entry."""
@@ -71,6 +67,7 @@
             assert entry.index == self.last_index + 1, "the log has no gaps"
             assert entry.term >= self.last_term, "terms never decrease along the log"
             self.entries.append(entry)
+            self.last_index = entry.index
             self.size_bytes += entry.size_bytes()
             if entry.kind == EntryKind.CONFIG:
                 self._configs.append((entry.index, decode_config(entry.data)))
@@ -82,6 +79,7 @@
         for entry in self.entries[start:]:
             self.size_bytes -= entry.size_bytes()
         del self.entries[start:]
+        self.last_index = first_index - 1
         while self._configs[-1][0] >= first_index:
             self._configs.pop()
 
--- a/limerudder/store/raft/raft.py
+++ b/limerudder/store/raft/raft.py
@@ -61,8 +61,10 @@
 
     def take_output(self, now_us: int) -> RaftOutput | None:
         """What the driver has to do since the last call, or None if there is nothing."""
-        self._leader.send_pending(now_us)
-        return self._state.take_output(now_us)
+        state = self._state
+        if state.is_leader or state.heartbeat_requested:
+            self._leader.send_pending(now_us)
+        return state.take_output(now_us)
 
     def on_write_durable(self, number: int, now_us: int) -> None:
         """All writes up to this one are durable."""
@@ -208,8 +210,7 @@
                 self._become_leader(now_us)
 
     def _become_leader(self, now_us: int) -> None:
-        self._state.role = RaftRole.LEADER
-        self._state.leader_id = self._state.member_id
+        self._state.set_role(RaftRole.LEADER, self._state.member_id)
         self._leader.begin_term(now_us)
 
     def _step_down(self, now_us: int) -> None:
@@ -225,8 +226,7 @@
             self._leader.end_term()
         if state.role != RaftRole.FOLLOWER or leader_id != NO_LEADER:
             self._election.reset_timer(now_us)
-        state.role = RaftRole.FOLLOWER
-        state.leader_id = leader_id
+        state.set_role(RaftRole.FOLLOWER, leader_id)
 
     # what is known
 
--- a/limerudder/store/raft/replication.py
+++ b/limerudder/store/raft/replication.py
@@ -24,17 +24,15 @@
 
     def send_entries_to_all(self, now_us: int) -> None:
         """Send every member what it lacks, as far as its flow control allows."""
+        last_index = self._state.log.last_index
         for member_id, progress in self._state.progress.items():
             if progress.mode == ProgressMode.SNAPSHOT:
                 self._snapshot_sender.send_chunks(member_id, progress, now_us)
-            while self._may_send_entries(progress):
+                continue
+            while progress.next_index <= last_index and not progress.is_full():
                 if not self._send_entries(member_id, progress, now_us):
                     break
 
-    def _may_send_entries(self, progress: Progress) -> bool:
-        has_entries = progress.next_index <= self._state.log.last_index
-        return progress.mode != ProgressMode.SNAPSHOT and has_entries and not progress.is_full()
-
     def _send_entries(self, member_id: int, progress: Progress, now_us: int) -> bool:
         """Send one append; returns False if the member needs a snapshot instead."""
         state = self._state
--- a/limerudder/store/raft/state.py
+++ b/limerudder/store/raft/state.py
@@ -54,6 +54,7 @@
         self.term = saved.hard_state.term
         self.voted_for = saved.hard_state.voted_for
         self.role = RaftRole.FOLLOWER
+        self.is_leader = False
         self.leader_id = NO_LEADER
         self.snapshot = saved.snapshot
         self.log = _load_log(saved)
@@ -67,11 +68,6 @@
         self.read_round = 0  # sent with every message to a follower; see `reads`
         self.heartbeat_requested = False  # one has to be sent with the next output
 
-    @property
-    def is_leader(self) -> bool:
-        """Whether this member leads."""
-        return self.role == RaftRole.LEADER
-
     @property
     def is_voter(self) -> bool:
         """Whether this member has a vote."""
@@ -82,10 +78,11 @@
         """Whether this leader has committed an entry of its own term (3.6.2)."""
         return self.commit_index >= self.term_start_index
 
-    @property
-    def hard_state(self) -> HardState:
-        """The part of the state that has to be durable before messages that depend on it leave."""
-        return HardState(self.term, self.voted_for)
+    def set_role(self, role: RaftRole, leader_id: int) -> None:
+        """Change the role, and the leader as far as it is known."""
+        self.role = role
+        self.is_leader = role == RaftRole.LEADER
+        self.leader_id = leader_id
 
     def is_disk_stalled(self, now_us: int) -> bool:
         """Whether a write has been pending for longer than an election takes."""
@@ -129,7 +126,8 @@
             end = self.commit_index - self.log.base_index
             output.committed_entries = self.log.entries[start:end]
             self.delivered_index = self.commit_index
-        output.write = self.writes.take_write(self.hard_state, self.member_id, self.log.last_index, now_us)
+        hard_state = HardState(self.term, self.voted_for)
+        output.write = self.writes.take_write(hard_state, self.member_id, self.log.last_index, now_us)
         if output.is_empty():
             return None
         self.output = RaftOutput()
--- a/limerudder/store/raft/write_buffer.py
+++ b/limerudder/store/raft/write_buffer.py
@@ -33,6 +33,7 @@
         self._written_hard_state = hard_state  # as of the last write, durable or not
         self._last_number = 0
         self._pending: deque[PendingWrite] = deque()
+        self._has_changes = False
         self._entries: list[Entry] = []
         self._truncate_from: int | None = None
         self._snapshot_chunks: list[SnapshotChunk] = []
@@ -43,10 +44,14 @@
 
     def append(self, entries: Sequence[Entry]) -> None:
         """Entries have been added to the log."""
+        if not entries:
+            return
+        self._has_changes = True
         self._entries.extend(entries)
 
     def truncate(self, first_index: int) -> None:
         """The log's entries from `first_index` on have been deleted."""
+        self._has_changes = True
         self.durable_index = min(self.durable_index, first_index - 1)
         self._limit_pending(first_index - 1)
         self._entries = [entry for entry in self._entries if entry.index < first_index]
@@ -57,10 +62,12 @@
 
     def add_chunk(self, chunk: SnapshotChunk) -> None:
         """A chunk of a snapshot has been received."""
+        self._has_changes = True
         self._snapshot_chunks.append(chunk)
 
     def install_snapshot(self, meta: SnapshotMeta, keep_log_suffix: bool) -> None:
         """A snapshot whose chunks were all added replaces the log, or only the part that it covers."""
+        self._has_changes = True
         if keep_log_suffix:
             self._entries = [entry for entry in self._entries if entry.index > meta.index]
         else:
@@ -82,7 +89,7 @@
     ) -> RaftWrite | None:
         """The next write, or None if nothing has changed since the last one."""
         hard_state_changed = hard_state != self._written_hard_state
-        if not (hard_state_changed or self._has_changes()):
+        if not (hard_state_changed or self._has_changes):
             return None
         self._last_number += 1
         write = RaftWrite(
@@ -101,13 +108,8 @@
         self._pending.append(PendingWrite(self._last_number, last_index, self_vote_term, now_us))
         return write
 
-    def _has_changes(self) -> bool:
-        has_truncation = self._truncate_from is not None
-        return bool(
-            self._entries or self._snapshot_chunks or self._install_snapshot is not None or has_truncation
-        )
-
     def _clear_changes(self) -> None:
+        self._has_changes = False
         self._entries = []
         self._truncate_from = None
         self._snapshot_chunks = []
