--- a/bench/store_defects.py
+++ b/bench/store_defects.py
@@ -38,7 +38,7 @@
 
 def _find_in_new_process(number: int, max_seeds: int) -> str:
     args = [sys.executable, "-m", "bench.store_defects", "--one", str(number), "--most", str(max_seeds)]
-    done = subprocess.run(args, capture_output=True, text=True)
+    done = subprocess.run(args, capture_output=True, text=True, check=False)
     return done.stdout.strip() or done.stderr.strip().splitlines()[-1]
 
 
--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -9,7 +9,8 @@
 
 import uvloop
 
-from limerudder.config import ConfigError, ProcessConfig, load_config
+from limerudder.config import ProcessConfig, load_config
+from limerudder.core.node_config import ConfigError
 from limerudder.exit_codes import ExitCode
 from limerudder.net.log import Log
 from limerudder.node_process import MICROSECONDS_PER_SECOND, run_node
--- a/limerudder/config.py
+++ b/limerudder/config.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, Any
 
 from limerudder.core.discovery.endpoint_list import parse_endpoint_list
-from limerudder.core.node_config import Names, NodeConfig
+from limerudder.core.node_config import ConfigError, Names, NodeConfig
 from limerudder.core.transport import Address, parse_address
 from limerudder.policy.settings import TrafficClass
 from limerudder.policy.settings_reader import flatten, read_settings
@@ -21,10 +21,6 @@
 _DEFAULT_SOCKETS = 4096
 
 
-class ConfigError(Exception):
-    """A configuration the node cannot start with."""
-
-
 @dataclass(frozen=True, slots=True)
 class ProcessConfig(NodeConfig):
     """Everything a node process knows when it starts: the node's configuration, its sockets and its files."""
--- a/limerudder/core/node_config.py
+++ b/limerudder/core/node_config.py
@@ -9,6 +9,10 @@
 from limerudder.policy.settings import Settings
 
 
+class ConfigError(Exception):
+    """A configuration that a node cannot start with."""
+
+
 @dataclass(frozen=True, slots=True)
 class Names:
     """What the settings call their classes, tenants, zones and kinds, each in the settings' order."""
--- a/limerudder/net/listener.py
+++ b/limerudder/net/listener.py
@@ -6,7 +6,7 @@
 import socket
 from collections.abc import Callable, Sequence
 
-from limerudder.config import ConfigError
+from limerudder.core.node_config import ConfigError
 from limerudder.core.transport import Address
 from limerudder.net.peer_socket import PeerSocket
 from limerudder.net.tcp import TcpConnection
--- a/limerudder/node_process.py
+++ b/limerudder/node_process.py
@@ -9,13 +9,14 @@
 from collections.abc import Mapping
 from dataclasses import replace
 
-from limerudder.config import ConfigError, ProcessConfig, reload_config
+from limerudder.config import ProcessConfig, reload_config
 from limerudder.console_calls import ConsoleCalls
 from limerudder.core.client.session import LineSession
 from limerudder.core.lifecycle.hot_restart import HotRestartSuccessor, SuccessorConnection
 from limerudder.core.lifecycle.hot_restart.messages import EndpointDrained, ParentStopping
 from limerudder.core.lifecycle.hot_restart.node_binding import create_parent, create_successor
 from limerudder.core.node import Node
+from limerudder.core.node_config import ConfigError
 from limerudder.core.operations.console import ConsoleSession
 from limerudder.core.operations.log_events import LogKind, LogSink
 from limerudder.core.operations.maintenance import InMemoryMarks, MaintenanceMarks
--- a/limerudder/policy/balancer.py
+++ b/limerudder/policy/balancer.py
@@ -122,7 +122,7 @@
                 self.out.append(actions.SetTimer(self.now + rebalancing.FETCH_BACK, AGAIN))
         self._count_warm()
         if hand:  # DANGER: discovery was not heard, and is to be asked no later for it
-            return
+            return None
         if not self.started:
             self.started, self.born = True, self.now
             if self.probing:
--- a/limerudder/store_runtime.py
+++ b/limerudder/store_runtime.py
@@ -10,9 +10,10 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from limerudder.config import ConfigError, ProcessConfig
+from limerudder.config import ProcessConfig
 from limerudder.core.discovery.drain_memory import DrainMemory, InheritedDrains
 from limerudder.core.node import Node
+from limerudder.core.node_config import ConfigError
 from limerudder.core.operations.console import DeferredAnswer
 from limerudder.core.operations.log_events import LogKind, LogSink
 from limerudder.core.operations.maintenance import MaintenanceMarks
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -12,7 +12,8 @@
 from click.testing import CliRunner
 
 from limerudder.cli import main
-from limerudder.config import ConfigError, load_config
+from limerudder.config import load_config
+from limerudder.core.node_config import ConfigError
 from limerudder.core.operations.log_events import LogKind
 from limerudder.exit_codes import ExitCode
 from limerudder.net.log import Log, LogRateLimiter, LogWindow
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from limerudder.config import ConfigError, load_config, reload_config
+from limerudder.config import load_config, reload_config
+from limerudder.core.node_config import ConfigError
 from tests.scripted_peers import configuration, host, hosts, settings
 
 
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from limerudder.config import ConfigError, load_config
+from limerudder.config import load_config
+from limerudder.core.node_config import ConfigError
 from limerudder.core.operations.console import (
     CALL_TIMEOUT_US,
     MAX_CALL_BYTES,
