Keep the number of reserved sockets with the node's configuration

Cause: core/node.py builds the parts; how many descriptors clients may not have is a property of the configuration.

Change: NodeConfig.reserved_sockets in place of node.spare_descriptors, with the same arithmetic.

--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -57,9 +57,6 @@
 from limerudder.policy.events import EndpointUpdate, UpdateKind
 from limerudder.policy.interface import ConnectionPolicy
 
-_SPARE_DESCRIPTORS = 128  #: for discovery, health checks, peers and connections that are ending
-_MIN_SPARE_DESCRIPTORS = 40  #: of these at least: 24 are open before the first client connects
-
 
 class Node:
     """One node of the load balancer, without sockets and files. Times are microseconds of its clock."""
@@ -103,10 +100,10 @@
         self._start(now_us)
 
     def _build_request_parts(self, services: NodeServices) -> None:
-        sockets = self.config.sockets
+        config = self.config
         self._serving_state = ServingState()
         self.requests = RequestTable()
-        self.admission = AdmissionControl(sockets, spare_descriptors(sockets), self.requests)
+        self.admission = AdmissionControl(config.sockets, config.reserved_sockets, self.requests)
         self.attempts = AttemptRunner(self.requests, self.upstreams, services)
         self.answers = FinalAnswers(self.requests, self.attempts, services)
         self.lifecycle = RequestLifecycle(
@@ -117,7 +114,7 @@
             ConnectionSampler(services),
             self.admission,
             self._serving_state,
-            self.config.names,
+            config.names,
             services,
         )
         self.on_request_accepted = self.lifecycle.on_request_accepted
@@ -293,9 +290,3 @@
             requests, self.admission, self.timer_wheel, hooks, self.shutdown_deadline_us
         )
         shutdown.start(now_us)
-
-
-def spare_descriptors(descriptors: int) -> int:
-    """Return how many of the process's file descriptors are kept from clients and their attempts."""
-    min_spare = min(_MIN_SPARE_DESCRIPTORS, descriptors // 2)
-    return min(_SPARE_DESCRIPTORS, max(descriptors // 4, min_spare))
--- a/limerudder/core/node_config.py
+++ b/limerudder/core/node_config.py
@@ -8,6 +8,9 @@
 from limerudder.core.transport import Address
 from limerudder.policy.settings import Settings
 
+_RESERVED_SOCKETS = 128  #: for discovery, health checks, peers and connections that are ending
+_MIN_RESERVED_SOCKETS = 40  #: of these at least: 24 are open before the first client connects
+
 
 @dataclass(frozen=True, slots=True)
 class Names:
@@ -29,3 +32,9 @@
     settings: Settings
     names: Names
     known: EndpointList  # the endpoints to start with, until discovery has sent its own list
+
+    @property
+    def reserved_sockets(self) -> int:
+        """How many of the sockets are kept from clients and their attempts."""
+        min_reserved = min(_MIN_RESERVED_SOCKETS, self.sockets // 2)
+        return min(_RESERVED_SOCKETS, max(self.sockets // 4, min_reserved))
