--- a/bench/store_sim.py
+++ b/bench/store_sim.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field, replace
 from multiprocessing import Pool
 
-from harness.cluster_checks import InvariantViolation
+from harness.cluster_checks import InvariantError
 from harness.cluster_simulation import ClusterSimulation
 from harness.fault_plan import FaultPlan
 
@@ -38,7 +38,7 @@
     simulation = ClusterSimulation(task.seed, task.plan)
     try:
         simulation.run()
-    except InvariantViolation as exc:
+    except InvariantError as exc:
         return SimulationResult(task.seed, str(exc))
     except Exception as exc:
         frame = traceback.extract_tb(exc.__traceback__)[-1]
@@ -69,7 +69,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=200)
     parser.add_argument("--first", type=int, default=0)
-    parser.add_argument("--seconds", type=float, default=6.0, help="of trouble in each, simulated")
+    parser.add_argument("--seconds", type=float, default=6.0, help="with faults in each, simulated")
     parser.add_argument("--jobs", type=int, default=8)
     args = parser.parse_args()
     started = time.monotonic()
--- a/harness/fault_injector.py
+++ b/harness/fault_injector.py
@@ -94,7 +94,7 @@
         """Crash some members, all of them, or often the leader, and restart each after a while."""
         running = self._checks.running_members()
         count = self._random.choice((*CRASH_COUNTS, len(running)))
-        leaders = [member for member in running if member.running_process.leads]
+        leaders = [member for member in running if member.running_process.is_leader]
         victims = self._random.sample(running, min(count, len(running)))
         if leaders and count == 1 and self._random.random() < 0.5:
             victims = leaders
@@ -142,7 +142,7 @@
         """Whether all others have met a later process of the member, and so must notice what is missing."""
         others = [other for other in self._members.values() if other is not member and not other.is_abandoned]
         proofs = [other.disk.proofs.get(member.member_id) for other in others]
-        return all(proof and proof.boot.number > copy.incarnation.number + 1 for proof in proofs)
+        return all(proof and proof.incarnation.number > copy.incarnation.number + 1 for proof in proofs)
 
     # the network
 
@@ -171,7 +171,7 @@
         running = self._checks.running_members()
         if not running:
             return
-        leaders = [member for member in running if member.running_process.leads]
+        leaders = [member for member in running if member.running_process.is_leader]
         asks_leader = leaders and self._plan.max_concurrent_changes > 1
         member = self._random.choice(leaders if asks_leader else running)
         for _ in range(self._random.randrange(self._plan.max_concurrent_changes) + 1):
@@ -183,16 +183,16 @@
         kind = self._random.randrange(3)
         if not config.members:
             return
-        request = RequestKind.LEAD
+        request = RequestKind.TRANSFER_LEADERSHIP
         data = self._any_member_id(config)
         if kind == 0 and len(config.members) < self._plan.members + MAX_ADDED_MEMBERS:
-            request = RequestKind.ADD
+            request = RequestKind.ADD_MEMBER
             data = msgspec.msgpack.encode(self._start_joining_member())
         elif kind == 1 and len(config.voter_ids()) > self._plan.min_voters:
-            request = RequestKind.REMOVE
+            request = RequestKind.REMOVE_MEMBER
             data = self._any_member_id(config)
         now_us = member.local_time_us()
-        process.wish(request, data, now_us + CHANGE_TIMEOUT_US, lambda outcome, at: None, now_us)
+        process.submit_request(request, data, now_us + CHANGE_TIMEOUT_US, lambda outcome, at: None, now_us)
         member.run_output()
 
     def _any_member_id(self, config: ClusterConfig) -> bytes:
@@ -213,7 +213,7 @@
         member = self._random.choice(members)
         host = f"h{self._random.randrange(DRAINED_HOSTS)}"
         started_ms = self._random.randrange(1, 4) * 1000
-        member.running_process.ledger.drain(host, started_ms)
+        member.running_process.drain_log.record_drain(host, started_ms)
         member.run_output()
 
     def _hold_or_return_host(self) -> None:
@@ -223,9 +223,9 @@
             return
         member = self._random.choice(members)
         host = f"hand{self._random.randrange(HELD_HOSTS)}"
-        ledger = member.running_process.ledger
+        drain_log = member.running_process.drain_log
         if self._random.random() < 0.5:
-            ledger.hold(host, member.name)
+            drain_log.record_hold(host, member.name)
         else:
-            ledger.back(host, member.local_time_us())
+            drain_log.record_return(host, member.local_time_us())
         member.run_output()
--- a/harness/memory_disk.py
+++ b/harness/memory_disk.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field, replace
 
 from limerudder.store.drain_log import decode_fact, encode_fact
-from limerudder.store.member import DurabilityJob, MemberStart
+from limerudder.store.durability import DurabilityJob, DurableState, KnownValue
 from limerudder.store.peer_authentication import DurabilityProof, Incarnation
 from limerudder.store.raft.messages import ClusterConfig, Entry, Snapshot
 from limerudder.store.raft.persistence import (
@@ -23,13 +23,13 @@
     """What is durable at a member."""
 
     config: ClusterConfig
-    hard_state: HardState = HardState(0, 0)
+    hard_state: HardState = field(default_factory=lambda: HardState(0, 0))
     log: dict[int, Entry] = field(default_factory=dict)  # by index
     snapshot: Snapshot | None = None
     incoming_snapshot: IncomingSnapshot | None = None
     facts: dict[int, bytes] = field(default_factory=dict)  # of the drain log, by number
-    known: dict[str, tuple[int, bytes | None]] = field(default_factory=dict)  # by key: revision and value
-    incarnation: Incarnation = Incarnation(0, 0)
+    known: dict[str, KnownValue] = field(default_factory=dict)  # by key
+    incarnation: Incarnation = field(default_factory=lambda: Incarnation(0, 0))
     proofs: dict[int, DurabilityProof] = field(default_factory=dict)  # by member
 
     def copy(self) -> MemoryDisk:
@@ -38,30 +38,30 @@
             self, log=dict(self.log), facts=dict(self.facts), known=dict(self.known), proofs=dict(self.proofs)
         )
 
-    def load(self) -> MemberStart:
+    def load(self) -> DurableState:
         """What a member starts with."""
         entries = [self.log[index] for index in sorted(self.log)]
         facts = {number: decode_fact(data) for number, data in self.facts.items()}
         saved = PersistentState(self.hard_state, self.snapshot, entries, self.config, self.incoming_snapshot)
-        return MemberStart(saved, facts, dict(self.known))
+        return DurableState(saved, facts, dict(self.known))
 
     def apply(self, job: DurabilityJob) -> Snapshot | None:
         """Make a job durable; returns the snapshot that was built for it."""
-        if job.write:
-            self._apply_raft_write(job.write)
+        if job.raft_write:
+            self._apply_raft_write(job.raft_write)
         built_snapshot = None
         if job.snapshot:
             built_snapshot = job.snapshot.build()
             self.snapshot = built_snapshot
-            keep_from = job.snapshot.keep_from
+            keep_from = job.snapshot.keep_from_index
             self._delete_entries(lambda index: index < keep_from)
-        for fact_number, fact in job.facts:
+        for fact_number, fact in job.new_facts:
             self.facts[fact_number] = encode_fact(fact)
-        for fact_number in job.gone_facts:
+        for fact_number in job.deleted_facts:
             self.facts.pop(fact_number, None)
-        for key, modified, value in job.known:
-            self.known[key] = modified, value
-        self.proofs.update(job.shown)
+        for key, known_value in job.known_values.items():
+            self.known[key] = known_value
+        self.proofs.update(job.proofs)
         return built_snapshot
 
     def _apply_raft_write(self, write: RaftWrite) -> None:
--- a/harness/simulated_member.py
+++ b/harness/simulated_member.py
@@ -12,13 +12,21 @@
 from harness.simulated_network import SimulatedNetwork
 from harness.simulation_environment import SimulationEnvironment
 from limerudder.store import rpc
-from limerudder.store.member import DurabilityJob, Member, MemberLimits
+from limerudder.store.durability import DurabilityJob
+from limerudder.store.limits import MemberLimits
+from limerudder.store.member import Member
 from limerudder.store.peer_authentication import PROTOCOL_BUILD, Handshake, Incarnation, PeerAuthenticator
 from limerudder.store.raft.messages import RequestVoteReply
 from limerudder.store.raft.state import RaftTiming
 
 CLUSTER_ID = 7
-LIMITS = MemberLimits(snapshot_entries=40, keep_entries=8, piece=200, waiting=64, history=100)
+LIMITS = MemberLimits(
+    snapshot_after_entries=40,
+    kept_entries=8,
+    snapshot_chunk_bytes=200,
+    max_pending_requests=64,
+    max_history_events=100,
+)
 TIMING = RaftTiming(
     election_timeout_us=150 * MICROSECONDS_PER_MILLISECOND,
     heartbeat_interval_us=30 * MICROSECONDS_PER_MILLISECOND,
@@ -137,12 +145,12 @@
         """Carry out what the process asks for, and check the invariants."""
         process = self.running_process
         for _ in range(MAX_OUTPUTS_PER_EVENT):
-            out = process.take(self.local_time_us())
+            out = process.take_output(self.local_time_us())
             if out is None:
                 break
-            self._send_all(out.send)
-            if out.job or out.after:
-                self._write_queue.append(QueuedWrite(out.job, out.after))
+            self._send_all(out.messages)
+            if out.job or out.messages_after_job:
+                self._write_queue.append(QueuedWrite(out.job, out.messages_after_job))
                 self._start_next_write()
         if self._checks.is_new_leader(self):
             self._crash_after_election()
@@ -177,7 +185,7 @@
         if any(_is_granted_vote(message) for _, message in messages) and self.crash_at_critical_moment():
             return
         self._checks.record_durable_facts(self, job)
-        self.running_process.written(job.number, snapshot, self.local_time_us())
+        self.running_process.on_job_durable(job.number, snapshot, self.local_time_us())
         self._start_next_write()
         self.run_output()
 
@@ -227,14 +235,13 @@
             last_index,
         )
 
-    def check_handshake(self, handshake: Handshake) -> str:
-        """Why a peer is rejected, or nothing; records what an accepted peer has proved of its disk."""
+    def check_handshake(self, handshake: Handshake) -> str | None:
+        """Why a peer is rejected, or None; records what an accepted peer has proved of its disk."""
         process = self.running_process
         authenticator = self.authenticator
-        rejection = authenticator.judge(handshake, process.config, process.leads)
+        rejection = authenticator.rejection_reason(handshake, process.config, process.is_leader)
         if not rejection:
-            process.new_shown.update(authenticator.new)
-            authenticator.new.clear()
+            process.record_proofs(authenticator.take_unsaved_proofs())
         return rejection
 
     def is_connected_to(self, peer: SimulatedMember) -> bool:
--- a/limerudder/core/lifecycle/hot_restart/successor.py
+++ b/limerudder/core/lifecycle/hot_restart/successor.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from enum import Enum, auto
+from typing import NamedTuple
 
 from limerudder.core.lifecycle.hot_restart.errors import HandoverFormatError
 from limerudder.core.lifecycle.hot_restart.handover_state import HandoverState, ProcessUsage
@@ -26,14 +26,13 @@
 
 
 class SuccessorPhase(Enum):
-    """How far the successor is."""
+    """Whether the successor has been told to serve."""
 
-    PREPARING = auto()  #: the parent accepts the clients, while discovery and the upstreams are asked
-    SERVING = auto()  #: it has been told to accept clients, once and for all
+    PREPARING = auto()  #: it asks discovery and checks the upstreams, while the parent accepts the clients
+    SERVING = auto()  #: it has been told to accept clients, which happens once
 
 
-@dataclass(frozen=True, slots=True)
-class SuccessorHooks:
+class SuccessorHooks(NamedTuple):
     """What the successor's side reads from its node, and calls on it."""
 
     is_ready_to_serve: Callable[[], bool]  #: discovery has answered, and no first health check is pending
--- a/limerudder/core/upstream/endpoint_updater.py
+++ b/limerudder/core/upstream/endpoint_updater.py
@@ -93,7 +93,7 @@
         upstream.address = endpoint.address
         upstream.state = self._effective_state(endpoint)
         # an upstream returned to service may have been restarted before discovery lists its new start
-        warm_up_start_us = max(
+        ready_since_us = max(
             endpoint.started_ms * _MICROSECONDS_PER_MILLISECOND, upstream.returned_to_service_us
         )
         return ServerEntry(
@@ -103,7 +103,7 @@
             endpoint.cell,
             upstream.state,
             endpoint.weight,
-            warm_up_start_us,
+            ready_since_us,
         )
 
     def _effective_state(self, endpoint: Endpoint) -> ServerState:
--- a/limerudder/policy/rejection_log.py
+++ b/limerudder/policy/rejection_log.py
@@ -12,7 +12,7 @@
 from limerudder.policy.server_registry import ServerRegistry
 
 LOG_INTERVAL_US = 5 * SECOND
-TEXT = "turning away: of {} servers {} healthy, {} have room, {} warm; level {:.2f}, gap {} ms"
+TEXT = "rejecting: of {} servers {} healthy, {} have room, {} warm; level {:.2f}, gap {} ms"
 
 
 class RejectionLog:
--- a/limerudder/store_runtime.py
+++ b/limerudder/store_runtime.py
@@ -10,9 +10,10 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from limerudder.config import ConfigError, ProcessConfig
+from limerudder.config import ProcessConfig
 from limerudder.core.discovery.drain_memory import DrainMemory, InheritedDrains
 from limerudder.core.node import Node
+from limerudder.core.node_config import ConfigError
 from limerudder.core.operations.console import DeferredAnswer
 from limerudder.core.operations.log_events import LogKind, LogSink
 from limerudder.core.operations.maintenance import MaintenanceMarks
@@ -21,7 +22,7 @@
 
 if TYPE_CHECKING:
     from limerudder.schema import StoreSettings
-    from limerudder.store.node_bridge import NodeStoreBridge
+    from limerudder.store.node_bridge import NodeHooks, NodeStoreBridge
 
 OPEN_RETRY_INTERVAL_SECONDS = 0.05  #: while another process of this node has the store's directory
 OPEN_WARNING_SECONDS = 5.0  #: after which the log says that it still has it
@@ -48,14 +49,14 @@
         self._takeover: asyncio.Task[None] | None = None
 
     def open(self, config: ProcessConfig) -> ProcessConfig:
-        """Open the store; return the configuration with what the store knows newer. Raises ConfigError."""
+        """Open the store; return the configuration with the newer values it holds. Raises ConfigError."""
         if self._settings is None:
             return config
-        from limerudder.store.disk import DiskBusy, DiskError
+        from limerudder.store.disk_errors import DiskBusyError, DiskError
 
         try:
             self._bridge = self._open_bridge(self._settings)
-        except DiskBusy as exc:
+        except DiskBusyError as exc:
             # a process of this node that hangs must not keep this one from serving
             self._log(
                 LogKind.STORE_DISK,
@@ -65,7 +66,7 @@
             return config
         except DiskError as exc:
             raise ConfigError(f"store: {exc}") from exc
-        return self._bridge.begin_with(config)
+        return self._bridge.restore_config(config)
 
     def drain_memory(self, parent_drains: dict[str, int]) -> DrainMemory | None:
         """Return what remembers drains: the store, or until it is open what the parent process knew."""
@@ -80,7 +81,7 @@
         """Return the maintenance marks of the whole tier if the store is open, else those of this node."""
         if self._bridge is None:
             return local_marks
-        from limerudder.store.node_bridge import StoreMarks
+        from limerudder.store.store_marks import StoreMarks
 
         return StoreMarks(self._bridge, local_marks)
 
@@ -89,18 +90,18 @@
         if self._bridge is None:
             return DONE_ANSWER
         answer = DeferredAnswer()
-        self._bridge.durable(name, lambda now_us: answer.resolve(DONE_ANSWER, now_us))
+        self._bridge.call_when_durable(name, lambda now_us: answer.resolve(DONE_ANSWER, now_us))
         return answer
 
     async def start(self, node: Node, marks: MaintenanceMarks, announce_drain: AnnounceDrain) -> None:
-        """Have the store talk to its peers and to the node; raises ConfigError if its address is taken."""
+        """Connect the store to its peers and to the node; raises ConfigError if its address is taken."""
         if self._bridge is not None:
             await self._run_bridge(self._bridge, node, announce_drain)
         elif self._directory_is_busy:
             self.start_takeover(node, marks, announce_drain)
 
     def start_takeover(self, node: Node, marks: MaintenanceMarks, announce_drain: AnnounceDrain) -> None:
-        """Open and start the store as soon as the process before this one lets go of its directory."""
+        """Open and start the store as soon as the previous process has released its directory."""
         if self._settings is None or self._takeover is not None:
             return
         takeover = self._take_over(self._settings, node, marks, announce_drain)
@@ -119,8 +120,8 @@
         return NodeStoreBridge(settings, self._node_name, self._log, self._clock.now_us, self._configure_log)
 
     async def _run_bridge(self, bridge: NodeStoreBridge, node: Node, announce_drain: AnnounceDrain) -> None:
-        bridge.hear_drained = announce_drain
-        await bridge.run(node, bind_socket(bridge.settings.listen, socket.SOCK_STREAM))
+        bridge.on_drain_recorded = announce_drain
+        await bridge.run(_node_hooks(node), bind_socket(bridge.settings.listen, socket.SOCK_STREAM))
 
     async def _take_over(
         self, settings: StoreSettings, node: Node, marks: MaintenanceMarks, announce_drain: AnnounceDrain
@@ -128,7 +129,7 @@
         bridge = await self._open_when_free(settings)
         self._bridge = bridge
         if self._inherited_drains:
-            bridge.inherit(self._inherited_drains.observed_here)
+            bridge.record_inherited_drains(self._inherited_drains.observed_here)
         node.drain_memory = bridge
         node.maintenance.marks = self.marks(marks)
         try:
@@ -140,7 +141,7 @@
             node.refresh_endpoint(endpoint.name, self._clock.now_us())
 
     async def _open_when_free(self, settings: StoreSettings) -> NodeStoreBridge:
-        from limerudder.store.disk import DiskError
+        from limerudder.store.disk_errors import DiskError
 
         waited_seconds = 0.0
         warned = False
@@ -153,3 +154,18 @@
                     warned = True
                     self._log(LogKind.STORE_DISK, f"store: {exc}; retrying")
             await asyncio.sleep(OPEN_RETRY_INTERVAL_SECONDS)
+
+
+def _node_hooks(node: Node) -> NodeHooks:
+    """Return what the store calls on this node."""
+    from limerudder.store.node_bridge import NodeHooks
+
+    return NodeHooks(
+        timers=node.timer_wheel,
+        set_discovery_address=node.discovery.change_address,
+        is_listed=node.is_listed,
+        refresh_endpoint=node.refresh_endpoint,
+        endpoint_list=node.endpoint_list,
+        return_to_service_times=node.return_to_service_times,
+        apply_return_to_service_times=node.apply_return_to_service_times,
+    )
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from limerudder.config import ConfigError, load_config
+from limerudder.config import load_config
+from limerudder.core.node_config import ConfigError
 from limerudder.core.operations.console import (
     CALL_TIMEOUT_US,
     MAX_CALL_BYTES,
@@ -166,7 +167,7 @@
 
 
 def left_unanswered(here: World) -> None:
-    here.node.balancer.handle = lambda event, now: []  # type: ignore[method-assign]
+    here.node.balancer.handle = lambda event, now_us: []  # type: ignore[method-assign]
     here.client()
     here.run(3 * SECOND)
 
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -68,8 +68,8 @@
         driver = Driver(replace(BASE, allows_health_checks=False), seed, fleet(50))
         places.append(driver.where(driver.connect(group=99)))
     assert len(set(places)) <= 2
-    groups = [Driver(replace(BASE, allows_health_checks=False), 1, fleet(50)) for _ in range(1)][0]
-    assert len({groups.where(groups.connect(group=g)) for g in range(1, 60)}) > 15
+    driver = Driver(replace(BASE, allows_health_checks=False), 1, fleet(50))
+    assert len({driver.where(driver.connect(group=g)) for g in range(1, 60)}) > 15
 
 
 def test_a_request_costs_the_same_with_ten_and_with_two_hundred_servers(
