--- a/limerudder/core/invariants.py
+++ b/limerudder/core/invariants.py
@@ -178,12 +178,13 @@
         return attempts
 
     def _check_policy(self, attempts: Counter[int]) -> None:
-        servers = cast("Balancer", self.node.balancer).servers
+        servers = cast("Balancer", self.node.balancer).registry.servers
         for number, server in servers.items():
             require(
-                len(server.flows) == attempts[number], "the policy counts other connections than there are"
+                len(server.connections) == attempts[number],
+                "the policy counts other connections than there are",
             )
-            require(server.setting_up >= 0, "an attempt that the policy has ended twice")
+            require(server.pending_attempts >= 0, "an attempt that the policy has ended twice")
 
     def _check_admission(self) -> None:
         admission = self.node.admission
--- a/tests/test_discovery_timing.py
+++ b/tests/test_discovery_timing.py
@@ -172,7 +172,7 @@
         assert simulated.now - drained_at_us < 60 * SECOND, "the node never knew"
         service.step()
         simulated.run(STEP_US)
-    server = node.balancer.servers[node.upstreams.by_name["s-1"].number]  # type: ignore[attr-defined]
+    server = node.balancer.registry.servers[node.upstreams.by_name["s-1"].number]  # type: ignore[attr-defined]
     assert server.state == ServerState.DRAINING, "the policy knows it too"
     return simulated.now - drained_at_us
 
