--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -6,21 +6,22 @@
 
 import pytest
 
+from harness.configurations import host, hosts, settings
 from limerudder.core.discovery.endpoint_list import parse_endpoint_list
 from limerudder.core.operations.counters import CounterName
 from limerudder.policy.actions import StartAttempt
 from limerudder.policy.events import AttemptEnded, AttemptOutcome, NewRequest, ServerState
-from tests.scripted_peers import host, hosts, policy_events, settings, world
+from tests.node_testbed import node_testbed, policy_events
 
 
 def test_a_client_that_disconnects_while_its_attempt_is_dialled_is_never_forwarded(tmp_path: Path) -> None:
     """Also where the settings allow no attempt to be called off: this one has not begun."""
-    here = world(tmp_path, settings=settings(cancel=False))
-    session, _ = here.client()
-    (attempt,) = here.attempts()
-    session.eof_received(here.now)
-    assert attempt.accept(here.now) == "" and attempt.closed
-    assert not here.node.requests and here.node.counters[CounterName.ATTEMPTS_CONNECT_FAILED] == 1
+    testbed = node_testbed(tmp_path, settings=settings(cancel=False))
+    session, _ = testbed.send_request()
+    (attempt,) = testbed.attempts()
+    session.eof_received(testbed.now)
+    assert attempt.accept(testbed.now) == "" and attempt.closed
+    assert not testbed.node.requests and testbed.node.counters[CounterName.ATTEMPTS_CONNECT_FAILED] == 1
 
 
 @pytest.mark.parametrize(
@@ -40,84 +41,84 @@
 def test_an_attempt_that_fails_is_closed_before_the_next(
     tmp_path: Path, how: str, ending: AttemptOutcome
 ) -> None:
-    here = world(tmp_path)
-    events = policy_events(here)
-    _, link = here.client()
-    (first,) = here.attempts()
+    testbed = node_testbed(tmp_path)
+    events = policy_events(testbed)
+    _, transport = testbed.send_request()
+    (first,) = testbed.attempts()
     if how == "no answer to the dial":
-        here.run(110_000)
+        testbed.run(110_000)
     elif how != "refused":
-        first.accept(here.now)
+        first.accept(testbed.now)
     if how in ("refused", "broken after the line"):
-        first.machine.connection_lost(here.now)
+        first.machine.connection_lost(testbed.now)
     elif how == "silent":
-        here.run(1_010_000)
+        testbed.run(1_010_000)
     else:
-        first.machine.data_received(how.encode() + b"\r\n", here.now)
+        first.machine.data_received(how.encode() + b"\r\n", testbed.now)
     assert [e.outcome for e in events if isinstance(e, AttemptEnded)] == [ending]
-    (second,) = here.attempts()
-    assert first.closed and second is not first and not link.sent
+    (second,) = testbed.attempts()
+    assert first.closed and second is not first and not transport.sent
 
 
 def test_the_rules_of_attempts_hold_whatever_the_policy_decides(tmp_path: Path) -> None:
-    here = world(tmp_path)
-    first, other = here.node.upstreams.by_number.values()
+    testbed = node_testbed(tmp_path)
+    first, other = testbed.node.upstreams.by_number.values()
     other.state = ServerState.DRAINING
     sends = [
         StartAttempt(1, other.number, 0),
         StartAttempt(1, first.number, 0),
         StartAttempt(1, first.number, 0),
     ]
-    here.node.balancer.handle = lambda event, now_us: (  # type: ignore[method-assign]
+    testbed.node.balancer.handle = lambda event, now_us: (  # type: ignore[method-assign]
         list(sends) if isinstance(event, NewRequest) else []
     )
-    here.client()
-    assert len(here.attempts()) == 1 and here.node.counters[CounterName.ATTEMPTS_OBSOLETE] == 2
+    testbed.send_request()
+    assert len(testbed.attempts()) == 1 and testbed.node.counters[CounterName.ATTEMPTS_OBSOLETE] == 2
 
 
 @pytest.mark.parametrize("ending_side", ["upstream resets", "client resets", "client ends"])
 def test_one_side_ends_as_the_other_did(tmp_path: Path, ending_side: str) -> None:
-    here = world(tmp_path)
-    session, link, attempt = here.served()
+    testbed = node_testbed(tmp_path)
+    session, transport, attempt = testbed.establish_client()
     if ending_side == "upstream resets":
-        attempt.machine.connection_lost(here.now)
-        assert link.was_reset
+        attempt.machine.connection_lost(testbed.now)
+        assert transport.was_reset
     elif ending_side == "client resets":
-        session.connection_lost(here.now)
+        session.connection_lost(testbed.now)
         assert attempt.was_reset
     else:
-        session.eof_received(here.now)
+        session.eof_received(testbed.now)
         assert attempt.half_closed and not attempt.closed
-        here.run(800_000)
-        assert attempt.closed and link.half_closed
-    assert not here.node.requests
+        testbed.run(800_000)
+        assert attempt.closed and transport.half_closed
+    assert not testbed.node.requests
 
 
 def test_the_wait_for_an_upstream_after_its_client_has_ended_is_bounded(tmp_path: Path) -> None:
-    here = world(tmp_path)
-    session, link, attempt = here.served()
-    session.data_received(b"M 1\r\n", here.now)
-    session.eof_received(here.now)
-    attempt.machine.data_received(b"M 1\r\n", here.now)
-    here.run(800_000)
-    assert attempt.closed and link.half_closed and not here.node.requests
+    testbed = node_testbed(tmp_path)
+    session, transport, attempt = testbed.establish_client()
+    session.data_received(b"M 1\r\n", testbed.now)
+    session.eof_received(testbed.now)
+    attempt.machine.data_received(b"M 1\r\n", testbed.now)
+    testbed.run(800_000)
+    assert attempt.closed and transport.half_closed and not testbed.node.requests
 
 
 def test_while_one_side_reads_slowly_reading_from_the_other_is_paused(tmp_path: Path) -> None:
-    here = world(tmp_path)
-    session, link, attempt = here.served()
+    testbed = node_testbed(tmp_path)
+    session, transport, attempt = testbed.establish_client()
     for on in (True, False):
         session.set_writing_paused(on)
         attempt.machine.set_writing_paused(on)
-        assert (link.reading_paused, attempt.reading_paused) == (on, on)
+        assert (transport.reading_paused, attempt.reading_paused) == (on, on)
 
 
 def test_a_dial_to_an_upstream_that_begins_to_drain_is_given_up(tmp_path: Path) -> None:
-    here = world(tmp_path)
-    here.client()
-    (attempt,) = here.attempts()
-    (connection,) = here.node.requests.values()
+    testbed = node_testbed(tmp_path)
+    testbed.send_request()
+    (attempt,) = testbed.attempts()
+    (connection,) = testbed.node.requests.values()
     assert connection.upstream
     drains = parse_endpoint_list(hosts(host(connection.upstream.name, lifecycle="leaving"), reset=False))
-    here.node.endpoints_received(drains, here.now)
-    assert attempt.closed and len(here.attempts()) == 1
+    testbed.node.endpoints_received(drains, testbed.now)
+    assert attempt.closed and len(testbed.attempts()) == 1
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -11,13 +11,13 @@
 import pytest
 from click.testing import CliRunner
 
+from harness.configurations import configuration
 from limerudder.cli import main
 from limerudder.config import load_config
 from limerudder.core.node_config import ConfigError
 from limerudder.core.operations.log_events import LogKind
 from limerudder.exit_codes import ExitCode
 from limerudder.net.log import Log, LogRateLimiter, LogWindow
-from tests.scripted_peers import configuration
 
 ROOT = Path(__file__).parent.parent
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -7,9 +7,9 @@
 
 import pytest
 
+from harness.configurations import configuration, host, hosts, settings
 from limerudder.config import load_config, reload_config
 from limerudder.core.node_config import ConfigError
-from tests.scripted_peers import configuration, host, hosts, settings
 
 
 def test_the_configuration_file_has_the_same_settings_as_the_simulator(tmp_path: Path) -> None:
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from harness.configurations import SECOND, configuration, settings
 from limerudder.config import load_config
 from limerudder.core.node_config import ConfigError
 from limerudder.core.operations.console import (
@@ -20,7 +21,7 @@
 )
 from limerudder.core.operations.counters import Counters
 from limerudder.core.timer_wheel import TimerWheel
-from tests.scripted_peers import SECOND, FakeTransport, World, configuration, settings, world
+from tests.node_testbed import FakeTransport, NodeTestbed, node_testbed
 
 
 def deny(argument: str, now_us: int) -> str:
@@ -37,9 +38,9 @@
 
 
 def open_session(console: Console) -> tuple[ConsoleSession, FakeTransport]:
-    session, link = ConsoleSession(console), FakeTransport()
-    session.connection_made(link, 0)
-    return session, link
+    session, transport = ConsoleSession(console), FakeTransport()
+    session.connection_made(transport, 0)
+    return session, transport
 
 
 ANSWERS = {
@@ -62,37 +63,37 @@
 def test_a_call_in_any_number_of_chunks_has_one_answer(
     console: Console, data: bytes, chunk_bytes: int
 ) -> None:
-    session, link = open_session(console)
+    session, transport = open_session(console)
     for start in range(0, len(data), chunk_bytes):
         session.data_received(data[start : start + chunk_bytes], 0)
-    assert link.sent.decode() == ANSWERS[data] and link.half_closed and not link.closed
+    assert transport.sent.decode() == ANSWERS[data] and transport.half_closed and not transport.closed
     session.eof_received(0)
-    assert link.closed and not console.sessions
+    assert transport.closed and not console.sessions
 
 
 def test_a_call_may_end_with_the_end_of_sending(console: Console) -> None:
-    session, link = open_session(console)
+    session, transport = open_session(console)
     session.data_received(b"status", 0)
     session.eof_received(0)
-    assert link.sent == b"done\n"
+    assert transport.sent == b"done\n"
     session.connection_lost(0)
-    session, link = open_session(console)
+    session, transport = open_session(console)
     session.eof_received(0)
-    assert link.closed and not link.sent and not console.sessions
+    assert transport.closed and not transport.sent and not console.sessions
 
 
 def test_silent_callers_delay_nobody_and_time_out(console: Console) -> None:
     silent = [open_session(console)[1] for _ in range(3 * MAX_SESSIONS)]
-    assert sum(not link.closed for link in silent) == MAX_SESSIONS, "their descriptors are bounded"
-    session, link = open_session(console)
+    assert sum(not transport.closed for transport in silent) == MAX_SESSIONS, "their descriptors are bounded"
+    session, transport = open_session(console)
     session.data_received(b"status\n", 0)
-    assert link.sent == b"done\n"
+    assert transport.sent == b"done\n"
     console.timer_wheel.advance(5 * SECOND)
-    assert all(link.closed for link in silent) and not console.sessions
+    assert all(transport.closed for transport in silent) and not console.sessions
 
 
-def metrics(here: World) -> dict[str, str]:
-    lines = here.node.metrics.text(here.node.gauges(here.now)).splitlines()
+def metrics(testbed: NodeTestbed) -> dict[str, str]:
+    lines = testbed.node.metrics.text(testbed.node.gauges(testbed.now)).splitlines()
     assert all(line.startswith("app.") for line in lines)
     return dict(line.removeprefix("app.").split(":") for line in lines)
 
@@ -104,80 +105,80 @@
 ) -> None:
     deferred = DeferredAnswer()
     console.register("hold", lambda argument, now_us: deferred, takes_argument=True)
-    session, link = open_session(console)
+    session, transport = open_session(console)
     session.data_received(b"hold x\n", 0)
     if sending_ended:
         session.eof_received(0)
-    assert link.sent == b"" and not link.closed
+    assert transport.sent == b"" and not transport.closed
     if resolved:
         deferred.resolve("done\n", 5)
     else:
         console.timer_wheel.advance(CALL_TIMEOUT_US + 10_000)
-    assert link.sent == (
+    assert transport.sent == (
         b"done\n" if resolved else b"error that is not written down yet; it holds here, and is tried on\n"
     )
     deferred.resolve("done\n", 9)
-    assert link.sent.count(b"\n") == 1 and link.half_closed, "one answer"
+    assert transport.sent.count(b"\n") == 1 and transport.half_closed, "one answer"
 
 
 def test_a_deferred_answer_for_a_caller_that_has_disconnected_is_dropped(console: Console) -> None:
     deferred = DeferredAnswer()
     console.register("hold", lambda argument, now_us: deferred, takes_argument=True)
-    session, link = open_session(console)
+    session, transport = open_session(console)
     session.data_received(b"hold x\n", 0)
     session.connection_lost(0)
     deferred.resolve("done\n", 5)
-    assert link.sent == b"" and not console.sessions
+    assert transport.sent == b"" and not console.sessions
 
 
 def test_every_metric_is_printed_from_the_start(tmp_path: Path) -> None:
     names = ["fulfilled.chat", "throttled.chat", "faulted.chat", "relayed"]
     gauges = {"open_requests": "0|g", "registry_entries": "2|g", "out_of_rotation": "0|g"}
-    assert metrics(world(tmp_path)) == dict.fromkeys(names, "0|c") | gauges
+    assert metrics(node_testbed(tmp_path)) == dict.fromkeys(names, "0|c") | gauges
 
 
-def established(here: World) -> None:
-    here.served()
+def established(testbed: NodeTestbed) -> None:
+    testbed.establish_client()
 
 
-def ended(here: World) -> None:
-    _, _, attempt = here.served()
-    attempt.machine.data_received(b"BYE\r\n", here.now)
-    attempt.machine.eof_received(here.now)
+def ended(testbed: NodeTestbed) -> None:
+    _, _, attempt = testbed.establish_client()
+    attempt.machine.data_received(b"BYE\r\n", testbed.now)
+    attempt.machine.eof_received(testbed.now)
 
 
-def retried(here: World) -> None:
-    here.client()
-    (first,) = here.attempts()
-    first.accept(here.now)
-    first.machine.data_received(b"BUSY\r\n", here.now)
-    (second,) = here.attempts()
-    second.accept(here.now)
-    second.machine.data_received(b"UP 7\r\n", here.now)
+def retried(testbed: NodeTestbed) -> None:
+    testbed.send_request()
+    (first,) = testbed.attempts()
+    first.accept(testbed.now)
+    first.machine.data_received(b"BUSY\r\n", testbed.now)
+    (second,) = testbed.attempts()
+    second.accept(testbed.now)
+    second.machine.data_received(b"UP 7\r\n", testbed.now)
 
 
-def dial_failed(here: World) -> None:
-    here.client()
-    here.attempts()[0].machine.connection_lost(here.now)
+def dial_failed(testbed: NodeTestbed) -> None:
+    testbed.send_request()
+    testbed.attempts()[0].machine.connection_lost(testbed.now)
 
 
-def rejected(here: World) -> None:
-    here.node.start_graceful_shutdown(here.now)
-    here.client()
+def rejected(testbed: NodeTestbed) -> None:
+    testbed.node.start_graceful_shutdown(testbed.now)
+    testbed.send_request()
 
 
-def left_unanswered(here: World) -> None:
-    here.node.balancer.handle = lambda event, now_us: []  # type: ignore[method-assign]
-    here.client()
-    here.run(3 * SECOND)
+def left_unanswered(testbed: NodeTestbed) -> None:
+    testbed.node.balancer.handle = lambda event, now_us: []  # type: ignore[method-assign]
+    testbed.send_request()
+    testbed.run(3 * SECOND)
 
 
-def client_disconnected(here: World) -> None:
-    session, _ = here.client()
-    session.connection_lost(here.now)
+def client_disconnected(testbed: NodeTestbed) -> None:
+    session, _ = testbed.send_request()
+    session.connection_lost(testbed.now)
 
 
-METRICS_AFTER: dict[Callable[[World], None], dict[str, int]] = {
+METRICS_AFTER: dict[Callable[[NodeTestbed], None], dict[str, int]] = {
     established: {"fulfilled.chat": 1, "relayed": 1, "open_requests": 1},
     ended: {"fulfilled.chat": 1, "relayed": 1},
     retried: {"fulfilled.chat": 1, "relayed": 2, "open_requests": 1, "out_of_rotation": 1},
@@ -190,22 +191,24 @@
 
 @pytest.mark.parametrize("scenario", METRICS_AFTER, ids=lambda scenario: scenario.__name__)
 def test_each_request_is_counted_once_where_it_is_answered(
-    tmp_path: Path, scenario: Callable[[World], None]
+    tmp_path: Path, scenario: Callable[[NodeTestbed], None]
 ) -> None:
-    here = world(tmp_path)
-    scenario(here)
-    values = {name: int(value.partition("|")[0]) for name, value in metrics(here).items()}
+    testbed = node_testbed(tmp_path)
+    scenario(testbed)
+    values = {name: int(value.partition("|")[0]) for name, value in metrics(testbed).items()}
     counted = {name: value for name, value in values.items() if value and name != "registry_entries"}
     assert counted == METRICS_AFTER[scenario]
 
 
 def test_hosts_that_the_policy_avoids_are_out_of_rotation(tmp_path: Path) -> None:
-    here = world(tmp_path, settings=settings(tryLimit=1))
-    here.client()
-    here.attempts()[0].machine.connection_lost(here.now)  # a failure, for which the policy avoids the host
-    assert metrics(here)["out_of_rotation"] == "1|g"
-    here.run(4 * SECOND)
-    assert metrics(here)["out_of_rotation"] == "0|g", "it is tried again"
+    testbed = node_testbed(tmp_path, settings=settings(tryLimit=1))
+    testbed.send_request()
+    testbed.attempts()[0].machine.connection_lost(
+        testbed.now
+    )  # a failure, for which the policy avoids the host
+    assert metrics(testbed)["out_of_rotation"] == "1|g"
+    testbed.run(4 * SECOND)
+    assert metrics(testbed)["out_of_rotation"] == "0|g", "it is tried again"
 
 
 def test_the_consoles_address_in_the_environment_precedes_the_files(tmp_path: Path) -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from harness.configurations import SECOND, host, hosts, settings
 from limerudder.core.discovery.discovery_call import DiscoveryCall
 from limerudder.core.discovery.endpoint_list import EndpointList
 from limerudder.core.discovery.json_stream import MAX_DEPTH, JsonObjectStream, JsonStreamError
@@ -18,7 +19,7 @@
     COMPLETE_TIMEOUT_US,
     CallDeadline,
 )
-from tests.scripted_peers import SECOND, FakeTransport, World, host, hosts, settings, world
+from tests.node_testbed import FakeTransport, NodeTestbed, node_testbed
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 values = st.recursive(
@@ -76,43 +77,45 @@
     assert failures == ([] if watch else [False])
 
 
-def world_with_agent(directory: Path) -> World:
-    return world(directory, settings={**settings(), "discovery": "pushed"})
+def testbed_with_agent(directory: Path) -> NodeTestbed:
+    return node_testbed(directory, settings={**settings(), "discovery": "pushed"})
 
 
-def watches(here: World) -> list[FakeTransport]:
-    return [dial for dial in here.dials if isinstance(dial.machine, DiscoveryCall) and dial.machine.is_watch]
+def watches(testbed: NodeTestbed) -> list[FakeTransport]:
+    return [
+        dial for dial in testbed.dials if isinstance(dial.machine, DiscoveryCall) and dial.machine.is_watch
+    ]
 
 
 def test_an_agent_is_watched_from_the_start_and_again_after_its_watch_ends(tmp_path: Path) -> None:
-    here = world_with_agent(tmp_path)
-    (watch,) = watches(here)  # the agent's list counts from the process's start
-    watch.accept(here.now)
-    watch.machine.data_received(HEAD + chunk(json.dumps(hosts(host("s-new"))).encode() + b"\n"), here.now)
-    assert here.node.is_listed("s-new")
-    watch.machine.eof_received(here.now)
-    here.run(AGENT_RETRY_INTERVAL_US + AGENT_FIRST_BYTE_TIMEOUT_US // 2)
-    assert len(watches(here)) == 2 and not watches(here)[1].closed
-    assert b"after=41" in watches(here)[1].machine.first_bytes(here.now), "what was missed comes first"
+    testbed = testbed_with_agent(tmp_path)
+    (watch,) = watches(testbed)  # the agent's list counts from the process's start
+    watch.accept(testbed.now)
+    watch.machine.data_received(HEAD + chunk(json.dumps(hosts(host("s-new"))).encode() + b"\n"), testbed.now)
+    assert testbed.node.is_listed("s-new")
+    watch.machine.eof_received(testbed.now)
+    testbed.run(AGENT_RETRY_INTERVAL_US + AGENT_FIRST_BYTE_TIMEOUT_US // 2)
+    assert len(watches(testbed)) == 2 and not watches(testbed)[1].closed
+    assert b"after=41" in watches(testbed)[1].machine.first_bytes(testbed.now), "what was missed comes first"
 
 
 def test_a_silent_agent_is_called_again_until_it_answers(tmp_path: Path) -> None:
-    here = world_with_agent(tmp_path)
+    testbed = testbed_with_agent(tmp_path)
     for _ in range(3):
-        here.run(AGENT_FIRST_BYTE_TIMEOUT_US + AGENT_RETRY_INTERVAL_US + SECOND)
-        watches(here)[-1].accept(here.now)
-    assert len(watches(here)) >= 3
-    assert sum(not watch.closed for watch in watches(here)) == 1, "one watch at a time"
+        testbed.run(AGENT_FIRST_BYTE_TIMEOUT_US + AGENT_RETRY_INTERVAL_US + SECOND)
+        watches(testbed)[-1].accept(testbed.now)
+    assert len(watches(testbed)) >= 3
+    assert sum(not watch.closed for watch in watches(testbed)) == 1, "one watch at a time"
 
 
 def test_a_list_that_never_ends_does_not_keep_its_watch_alive(tmp_path: Path) -> None:
-    here = world_with_agent(tmp_path)
-    (watch,) = watches(here)
-    watch.accept(here.now)
-    watch.machine.data_received(HEAD + chunk(b'{"generation": 42, '), here.now)
+    testbed = testbed_with_agent(tmp_path)
+    (watch,) = watches(testbed)
+    watch.accept(testbed.now)
+    watch.machine.data_received(HEAD + chunk(b'{"generation": 42, '), testbed.now)
     for _ in range(COMPLETE_TIMEOUT_US // (SECOND // 2)):
-        here.run(SECOND // 2)
+        testbed.run(SECOND // 2)
         assert not watch.closed, "a long list takes its time, the first too"
-        watch.machine.data_received(chunk(b"\r\n"), here.now)
-    here.run(SECOND // 2)
+        watch.machine.data_received(chunk(b"\r\n"), testbed.now)
+    testbed.run(SECOND // 2)
     assert watch.closed
--- a/tests/test_discovery_timing.py
+++ b/tests/test_discovery_timing.py
@@ -19,6 +19,7 @@
 from hypothesis import settings as limits
 from hypothesis import strategies as st
 
+from harness.configurations import SECOND, host, hosts, settings
 from limerudder.core.discovery.discovery_call import DiscoveryCall
 from limerudder.policy.discovery_timing import (
     CALL_TIMEOUT_US,
@@ -32,7 +33,7 @@
     CallDeadline,
 )
 from limerudder.policy.events import ServerState
-from tests.scripted_peers import SECOND, FakeTransport, World, host, hosts, settings, world
+from tests.node_testbed import FakeTransport, NodeTestbed, node_testbed
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 FAILURE = b"HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n"
@@ -79,32 +80,32 @@
 class ScriptedDiscovery:
     """Answers a node's calls, each by its fate; from `drain` on it answers every new call."""
 
-    def __init__(self, world: World, fates: list[Fate]) -> None:
-        self.world = world
+    def __init__(self, testbed: NodeTestbed, fates: list[Fate]) -> None:
+        self.testbed = testbed
         self.fates = iter(fates)
         self.drained = False
         self.calls: dict[int, ScriptedCall] = {}  # by number of the dial
         self.answered: set[int] = set()
 
     def step(self) -> None:
-        for number, transport in enumerate(self.world.dials):
+        for number, transport in enumerate(self.testbed.dials):
             if not isinstance(transport.machine, DiscoveryCall) or transport.closed:
                 continue
             if number not in self.calls:
-                self.calls[number] = ScriptedCall(self._next_fate(), self.world.now)
+                self.calls[number] = ScriptedCall(self._next_fate(), self.testbed.now)
             self._continue_call(number, transport)
 
     def _next_fate(self) -> Fate:
         if not self.drained:
             return next(self.fates, Fate.SILENT)
         # an agent on the same machine answers at once, a service with many callers late
-        is_agent = self.world.node.settings.discovery == "pushed"
+        is_agent = self.testbed.node.settings.discovery == "pushed"
         return Fate.GOOD if is_agent else Fate.LATE_THEN_GOOD
 
     def _continue_call(self, number: int, transport: FakeTransport) -> None:
         fate, began_at_us = self.calls[number]
         call = transport.machine
-        now_us = self.world.now
+        now_us = self.testbed.now
         age_us = now_us - began_at_us
         if fate == Fate.REFUSED:
             call.connection_lost(now_us)
@@ -118,7 +119,7 @@
             call.data_received(chunk(b"\n"), now_us)
 
     def _begin_answer(self, fate: Fate, call: DiscoveryCall) -> None:
-        now_us = self.world.now
+        now_us = self.testbed.now
         partial_list = HEAD + chunk(b'{"generation": 42, ')
         answers = {
             Fate.SILENT: b"",
@@ -145,10 +146,10 @@
         """Drain the host, send the change on the watches that live, and answer every new call from now on."""
         self.drained = True
         for number, (fate, _) in self.calls.items():
-            transport = self.world.dials[number]
+            transport = self.testbed.dials[number]
             is_live = number in self.answered and not transport.closed
             if fate == Fate.GOOD and is_live and transport.machine.is_watch:
-                transport.machine.data_received(self._list(), self.world.now)
+                transport.machine.data_received(self._list(), self.testbed.now)
 
 
 def time_until_drain_is_known(
@@ -158,7 +159,7 @@
 
     The node runs for `steps_before` steps first; at each step in `moves`, discovery's address changes.
     """
-    simulated = world(folder, settings={**settings(), "discovery": discovery})
+    simulated = node_testbed(folder, settings={**settings(), "discovery": discovery})
     node = simulated.node
     service = ScriptedDiscovery(simulated, fates)
     for step in range(steps_before):
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -17,158 +17,159 @@
 import pytest
 import uvloop
 
+from harness.configurations import LINE, configuration, host, hosts, settings
 from limerudder.core.upstream.health_check import HealthCheckConnection
 from limerudder.net.clock import Clock
 from limerudder.net.tcp import TcpConnection
-from tests.scripted_peers import LINE, Listener, Loopback, Peer, configuration, host, hosts, settings
+from tests.loopback_testbed import Listener, LoopbackTestbed, Peer
 
-Scenario = Callable[[Loopback], Awaitable[None]]
+Scenario = Callable[[LoopbackTestbed], Awaitable[None]]
 
 
-def reset(peer: Peer) -> None:
+def reset_connection(peer: Peer) -> None:
     """Reset a scripted connection."""
     sock = peer.writer.get_extra_info("socket")
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     peer.writer.transport.abort()
 
 
-async def served(here: Loopback) -> tuple[Peer, Peer]:
+async def establish_client(testbed: LoopbackTestbed) -> tuple[Peer, Peer]:
     """A client whose connection is established, and its upstream's side."""
-    client = await here.client()
-    client.say("PING")
-    assert await client.line() == "PONG"
-    line = here.line()
-    client.say(line)
-    upstream = await here.upstream.take()
-    assert (await upstream.line()).startswith(line.partition("d=")[0])
-    upstream.say("UP 77")
-    assert await client.line() == "UP 77"
+    client = await testbed.connect()
+    client.send_lines("PING")
+    assert await client.read_line() == "PONG"
+    line = testbed.request_line()
+    client.send_lines(line)
+    upstream = await testbed.upstream.accept()
+    assert (await upstream.read_line()).startswith(line.partition("d=")[0])
+    upstream.send_lines("UP 77")
+    assert await client.read_line() == "UP 77"
     return client, upstream
 
 
-async def lines_are_relayed_both_ways_until_the_upstream_ends(here: Loopback) -> None:
-    async with here.running():
-        client, upstream = await served(here)
-        client.say("M 1")
-        assert await upstream.line() == "M 1"
-        upstream.say("LOAD 12.5", "M 1", "BYE")
+async def lines_are_relayed_both_ways_until_the_upstream_ends(testbed: LoopbackTestbed) -> None:
+    async with testbed.running_node():
+        client, upstream = await establish_client(testbed)
+        client.send_lines("M 1")
+        assert await upstream.read_line() == "M 1"
+        upstream.send_lines("LOAD 12.5", "M 1", "BYE")
         upstream.writer.close()
-        assert [await client.line() for _ in range(4)] == ["LOAD 12.5", "M 1", "BYE", ""]
+        assert [await client.read_line() for _ in range(4)] == ["LOAD 12.5", "M 1", "BYE", ""]
 
 
-async def a_reset_on_one_side_resets_the_other(here: Loopback) -> None:
-    async with here.running():
-        client, upstream = await served(here)
-        reset(upstream)
+async def a_reset_on_one_side_resets_the_other(testbed: LoopbackTestbed) -> None:
+    async with testbed.running_node():
+        client, upstream = await establish_client(testbed)
+        reset_connection(upstream)
         with pytest.raises(ConnectionResetError):
-            await client.line()
-        client, upstream = await served(here)
-        reset(client)
+            await client.read_line()
+        client, upstream = await establish_client(testbed)
+        reset_connection(client)
         with pytest.raises(ConnectionResetError):
-            await upstream.line()
+            await upstream.read_line()
 
 
-async def a_client_that_half_closes_still_gets_its_upstreams_last_lines(here: Loopback) -> None:
-    async with here.running():
-        client, upstream = await served(here)
+async def a_client_that_half_closes_still_gets_its_upstreams_last_lines(testbed: LoopbackTestbed) -> None:
+    async with testbed.running_node():
+        client, upstream = await establish_client(testbed)
         client.writer.write_eof()
-        assert await upstream.line() == ""
+        assert await upstream.read_line() == ""
         last = ["x" * 4000] * 100 + ["BYE"]
-        upstream.say(*last)
+        upstream.send_lines(*last)
         upstream.writer.close()
-        assert [await client.line() for _ in last] == last and await client.line() == ""
+        assert [await client.read_line() for _ in last] == last and await client.read_line() == ""
 
 
-async def a_slow_reader_gets_more_than_the_buffers_hold_completely(here: Loopback) -> None:
-    async with here.running():
-        client, upstream = await served(here)
+async def a_slow_reader_gets_more_than_the_buffers_hold_completely(testbed: LoopbackTestbed) -> None:
+    async with testbed.running_node():
+        client, upstream = await establish_client(testbed)
         text = ["x" * 4000] * 2000
-        upstream.say(*text)
+        upstream.send_lines(*text)
         upstream.writer.close()
-        assert [await client.line() for _ in text] == text and await client.line() == ""
+        assert [await client.read_line() for _ in text] == text and await client.read_line() == ""
 
 
-async def an_endless_line_is_answered_with_an_error_and_closed(here: Loopback) -> None:
-    async with here.running():
-        client, upstream = await served(here)
-        bad = await here.client()
+async def an_endless_line_is_answered_with_an_error_and_closed(testbed: LoopbackTestbed) -> None:
+    async with testbed.running_node():
+        client, upstream = await establish_client(testbed)
+        bad = await testbed.connect()
         for _ in range(200):
-            bad.say("k" * 300_000)
-        assert await bad.line() == "ERR"
+            bad.send_lines("k" * 300_000)
+        assert await bad.read_line() == "ERR"
         with pytest.raises(ConnectionError):
             await bad.writer.drain()
-        client.say("M 1")
-        assert await upstream.line() == "M 1"
+        client.send_lines("M 1")
+        assert await upstream.read_line() == "M 1"
 
 
-async def a_request_is_rejected_if_its_upstream_refuses_the_connection(here: Loopback) -> None:
-    async with here.running(known=hosts(host("s-1", "127.0.0.1:9"))):
-        client = await here.client()
-        client.say(LINE)
-        assert [await client.line(), await client.line()] == ["BUSY", ""]
+async def a_request_is_rejected_if_its_upstream_refuses_the_connection(testbed: LoopbackTestbed) -> None:
+    async with testbed.running_node(known=hosts(host("s-1", "127.0.0.1:9"))):
+        client = await testbed.connect()
+        client.send_lines(LINE)
+        assert [await client.read_line(), await client.read_line()] == ["BUSY", ""]
 
 
-async def a_cancelled_attempt_is_closed_at_its_upstream(here: Loopback) -> None:
-    async with here.running():
-        client = await here.client()
-        client.say(LINE)
-        upstream = await here.upstream.take()
-        await upstream.line()
+async def a_cancelled_attempt_is_closed_at_its_upstream(testbed: LoopbackTestbed) -> None:
+    async with testbed.running_node():
+        client = await testbed.connect()
+        client.send_lines(LINE)
+        upstream = await testbed.upstream.accept()
+        await upstream.read_line()
         client.writer.close()
-        assert await upstream.line() == ""
+        assert await upstream.read_line() == ""
 
 
-async def discovery_adds_an_upstream_that_was_not_known(here: Loopback) -> None:
-    async with here.running(known=hosts()):
-        watch = await here.discovery.take()
-        assert await watch.line() == "GET /discovery/hosts?watch=1&after=41 HTTP/1.1"
-        text = json.dumps(hosts(host("s-1", await here.upstream.start()))) + "\n"
-        watch.say("HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "", f"{len(text):x}", text)
-        await served(here)
+async def discovery_adds_an_upstream_that_was_not_known(testbed: LoopbackTestbed) -> None:
+    async with testbed.running_node(known=hosts()):
+        watch = await testbed.discovery.accept()
+        assert await watch.read_line() == "GET /discovery/hosts?watch=1&after=41 HTTP/1.1"
+        text = json.dumps(hosts(host("s-1", await testbed.upstream.start()))) + "\n"
+        watch.send_lines("HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "", f"{len(text):x}", text)
+        await establish_client(testbed)
 
 
-async def a_graceful_shutdown_migrates_its_clients_and_ends(here: Loopback) -> None:
+async def a_graceful_shutdown_migrates_its_clients_and_ends(testbed: LoopbackTestbed) -> None:
     quick = settings()
     quick["classes"][0] |= {"aimUs": 100_000, "deadlineUs": 800_000}
-    async with here.running(settings=quick) as node:
-        clients = [(await served(here))[0] for _ in range(3)]
+    async with testbed.running_node(settings=quick) as node:
+        clients = [(await establish_client(testbed))[0] for _ in range(3)]
         os.kill(os.getpid(), signal.SIGTERM)
-        late = await here.client()
-        late.say(LINE)
-        assert await late.line() == "BUSY"
-        assert [await client.line() for client in clients] == ["MOVE"] * 3
+        late = await testbed.connect()
+        late.send_lines(LINE)
+        assert await late.read_line() == "BUSY"
+        assert [await client.read_line() for client in clients] == ["MOVE"] * 3
         await node
-    lines = [await here.logged.get() for _ in range(here.logged.qsize())]
+    lines = [await testbed.logged.get() for _ in range(testbed.logged.qsize())]
     assert "answers_served=3" in lines[-1] and "migrations=3" in lines[-1]
     assert any(line.endswith("node: SIGTERM received") for line in lines)
 
 
-async def a_reload_watches_the_new_address_and_keeps_connections(here: Loopback) -> None:
-    async with here.running() as node:
-        client, upstream = await served(here)
-        old = await here.discovery.take()
-        config = here.folder / "config.json"
+async def a_reload_watches_the_new_address_and_keeps_connections(testbed: LoopbackTestbed) -> None:
+    async with testbed.running_node() as node:
+        client, upstream = await establish_client(testbed)
+        old = await testbed.discovery.accept()
+        config = testbed.folder / "config.json"
         new = Listener()
         given = json.loads(config.read_text())
         config.write_text("{")
         os.kill(os.getpid(), signal.SIGHUP)
-        while not (await here.logged.get()).endswith("; keeping the previous configuration"):
+        while not (await testbed.logged.get()).endswith("; keeping the previous configuration"):
             pass
         config.write_text(json.dumps(given | {"discovery": await new.start()}))
         for _ in range(2):  # a repeat changes nothing
             os.kill(os.getpid(), signal.SIGHUP)
-        watch = await new.take()
-        assert await watch.line() == "GET /discovery/hosts?watch=1&after=0 HTTP/1.1"
+        watch = await new.accept()
+        assert await watch.read_line() == "GET /discovery/hosts?watch=1&after=0 HTTP/1.1"
         assert await old.reader.read() != b"" and old.reader.at_eof()
-        client.say("M 1")
-        assert await upstream.line() == "M 1" and new.came.empty()
+        client.send_lines("M 1")
+        assert await upstream.read_line() == "M 1" and new.connections.empty()
         os.kill(os.getpid(), signal.SIGTERM)
         os.kill(os.getpid(), signal.SIGHUP)
-        assert await client.line() == "MOVE"
+        assert await client.read_line() == "MOVE"
         await node
 
 
-async def a_transport_resumes_reading_only_after_a_pause(here: Loopback) -> None:
+async def a_transport_resumes_reading_only_after_a_pause(testbed: LoopbackTestbed) -> None:
     transport = Mock(is_closing=lambda: False)
     connection = TcpConnection(HealthCheckConnection((), lambda *result: None), Clock())
     connection.connection_made(transport)
@@ -178,7 +179,7 @@
     assert calls == ["pause_reading", "resume_reading"], "uvloop reports a FIN again for each resume"
 
 
-async def a_transport_is_shut_down_before_close_returns(here: Loopback) -> None:
+async def a_transport_is_shut_down_before_close_returns(testbed: LoopbackTestbed) -> None:
     ours, theirs = socket.socketpair()
     connection = TcpConnection(HealthCheckConnection((), lambda *result: None), Clock())
     connection.dialled_socket = ours
@@ -208,7 +209,7 @@
 def test_scenario(scenario: Scenario, tmp_path: Path) -> None:
     async def run() -> None:
         # a scenario that hangs fails, on any machine
-        await asyncio.wait_for(scenario(Loopback(tmp_path)), 60)
+        await asyncio.wait_for(scenario(LoopbackTestbed(tmp_path)), 60)
 
     uvloop.run(run())
 
--- a/tests/test_health_check.py
+++ b/tests/test_health_check.py
@@ -8,7 +8,7 @@
 
 from limerudder.core.upstream.health_check import HealthCheckConnection
 from limerudder.policy.events import AttemptOutcome
-from tests.scripted_peers import FakeTransport
+from tests.node_testbed import FakeTransport
 
 
 @pytest.mark.parametrize(
@@ -27,8 +27,8 @@
         ("inflight", "x0"), lambda took, ending, report, now: got.append((took, ending, report))
     )
     probe.send_check(0)
-    link = FakeTransport(probe)
-    assert link.accept(30) == "STATS\r\n"
+    transport = FakeTransport(probe)
+    assert transport.accept(30) == "STATS\r\n"
     probe.data_received(answer, 40)
     probe.expire_pending(50, 60)
     assert got == [(10, *heard)], "setting up the connection does not count"
--- a/tests/test_health_checker.py
+++ b/tests/test_health_checker.py
@@ -6,10 +6,11 @@
 
 import pytest
 
+from harness.configurations import settings
 from limerudder.core.operations.counters import CounterName
 from limerudder.policy.actions import CheckHealth
 from limerudder.policy.events import HealthCheckResult
-from tests.scripted_peers import policy_events, settings, world
+from tests.node_testbed import node_testbed, policy_events
 
 
 @pytest.mark.parametrize(
@@ -24,15 +25,15 @@
     ],
 )
 def test_a_malformed_load_report_is_counted_and_logged(tmp_path: Path, report: str, malformed: int) -> None:
-    here = world(tmp_path, settings=settings(probes=True))
-    events = policy_events(here)
-    here.node.health_checker.check(CheckHealth(next(iter(here.node.upstreams.by_number))), here.now)
-    link = here.dials[-1]
-    link.accept(here.now)
-    link.machine.data_received(f"PONG {report}".strip().encode() + b"\r\n", here.now)
+    testbed = node_testbed(tmp_path, settings=settings(probes=True))
+    events = policy_events(testbed)
+    testbed.node.health_checker.check(CheckHealth(next(iter(testbed.node.upstreams.by_number))), testbed.now)
+    transport = testbed.dials[-1]
+    transport.accept(testbed.now)
+    transport.machine.data_received(f"PONG {report}".strip().encode() + b"\r\n", testbed.now)
     assert [type(event) for event in events] == [HealthCheckResult], "the policy is told of it either way"
     assert (
-        here.node.counters[CounterName.LOAD_REPORTS_MALFORMED]
+        testbed.node.counters[CounterName.LOAD_REPORTS_MALFORMED]
         == malformed
-        == sum("load report" in t for t in here.logged)
+        == sum("load report" in t for t in testbed.logged)
     )
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from harness.configurations import LINE, SECOND, host, hosts
 from limerudder.core.discovery.endpoint_list import parse_endpoint_list
 from limerudder.core.lifecycle.hot_restart import (
     HandoverFormatError,
@@ -21,15 +22,15 @@
     PredecessorConnections,
     UpdateKind,
 )
-from tests.scripted_peers import LINE, SECOND, FakeTransport, World, host, hosts, policy_events, world
+from tests.node_testbed import FakeTransport, NodeTestbed, node_testbed, policy_events
 
 
 class JoinedTransport(FakeTransport):
     """One end of the connection between two processes: what is written arrives at the other end in pieces."""
 
-    def __init__(self, world: World, piece_bytes: int) -> None:
+    def __init__(self, testbed: NodeTestbed, piece_bytes: int) -> None:
         super().__init__()
-        self.world = world
+        self.testbed = testbed
         self.piece_bytes = piece_bytes
         self.other_end: JoinedTransport | None = None
         self.connection: SuccessorConnection | HotRestartSuccessor | None = None
@@ -39,15 +40,15 @@
         if receiver and receiver.connection and not self.closed:
             for start in range(0, len(data), self.piece_bytes):
                 piece = data[start : start + self.piece_bytes]
-                receiver.connection.data_received(piece, receiver.world.now)
+                receiver.connection.data_received(piece, receiver.testbed.now)
 
 
 class Pair:
     """A parent process, and processes that ask to take over, all of the latter on one node."""
 
     def __init__(self, folder: Path, piece_bytes: int = 5000) -> None:
-        self.old = world(folder, known=hosts(host("s-1"), host("s-2")))
-        self.new = world(folder, known=hosts())
+        self.old = node_testbed(folder, known=hosts(host("s-1"), host("s-2")))
+        self.new = node_testbed(folder, known=hosts())
         self.piece_bytes = piece_bytes
         self.calls: list[str] = []  # that were made to open and close listeners
         self.parent = create_parent(
@@ -83,12 +84,12 @@
             self.new.run(5000)
 
 
-def send_endpoints(here: World) -> None:
+def send_endpoints(testbed: NodeTestbed) -> None:
     """Discovery's watch gives its list."""
     body = json.dumps(hosts(host("s-1"), host("s-2"))).encode() + b"\n"
-    watch = next(dial.machine for dial in here.dials if getattr(dial.machine, "is_watch", False))
+    watch = next(dial.machine for dial in testbed.dials if getattr(dial.machine, "is_watch", False))
     head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-    watch.data_received(head + f"{len(body):x}".encode() + b"\r\n" + body + b"\r\n", here.now)
+    watch.data_received(head + f"{len(body):x}".encode() + b"\r\n" + body + b"\r\n", testbed.now)
 
 
 @pytest.mark.parametrize("piece_bytes", [1, 7, 5000])
@@ -158,7 +159,7 @@
     pair = Pair(tmp_path)
     entries = [host("s-1") | {"startedAtMs": 7}, host("s-2", lifecycle="leaving")]
     pair.old.node.endpoints_received(parse_endpoint_list(hosts(*entries)), pair.old.now)
-    pair.old.served()
+    pair.old.establish_client()
     state = parse_handover_state(pair.parent.state_line())
     assert state.endpoints == parse_endpoint_list(hosts(*entries))
     assert state.usage == ProcessUsage(2, {"s-1": 1}) and len(state.request_ids) == 1
@@ -182,20 +183,20 @@
 
 def test_a_request_id_in_use_at_the_parent_is_rejected_by_the_successor(tmp_path: Path) -> None:
     pair = Pair(tmp_path)
-    pair.old.served()
+    pair.old.establish_client()
     pair.connect_successor()
-    pair.old.served()
+    pair.old.establish_client()
     for _ in range(2):
-        _, link = pair.new.client()
-        assert link.sent == b"ERR\r\n"
-    _, link = pair.new.client()
-    assert not link.sent
+        _, transport = pair.new.send_request()
+        assert transport.sent == b"ERR\r\n"
+    _, transport = pair.new.send_request()
+    assert not transport.sent
 
 
 def test_both_processes_together_keep_to_one_capacity_and_one_connection_count(tmp_path: Path) -> None:
     pair = Pair(tmp_path)
     heard = policy_events(pair.new)
-    established = [pair.old.served() for _ in range(5)]
+    established = [pair.old.establish_client() for _ in range(5)]
     room = pair.new.node.admission.capacity
     successor = pair.connect_successor()
     assert pair.new.node.admission.capacity == room - 10
@@ -215,27 +216,27 @@
     server = pair.new.node.upstreams.by_name["s-1"].number
     pair.new.node.dispatch(PredecessorConnections(server, 5), pair.new.now)
     for _ in range(4):
-        pair.new.served()
+        pair.new.establish_client()
     assert {dial.machine.observer.upstream.name for dial in pair.new.attempts()} == {"s-2"}
 
 
 def test_a_shutdown_with_a_successor_rejects_nobody_and_migrates_over_all_its_time(tmp_path: Path) -> None:
     pair = Pair(tmp_path)
-    here = pair.old
-    established = [here.served()[1] for _ in range(30)]
-    _, waiting = here.client()
-    (attempt,) = (d for d in here.attempts() if not d.machine.sent)
-    quiet, late = here.connect()
+    testbed = pair.old
+    established = [testbed.establish_client()[1] for _ in range(30)]
+    _, waiting = testbed.send_request()
+    (attempt,) = (d for d in testbed.attempts() if not d.machine.sent)
+    quiet, late = testbed.connect()
     pair.connect_successor().announce_serving()
-    here.node.start_graceful_shutdown(here.now)
-    attempt.accept(here.now)
-    attempt.machine.data_received(b"UP 7\r\n", here.now)
-    quiet.data_received(LINE.replace("9b", "77").encode() + b"\r\n", here.now)
-    assert not late.sent and not here.attempts()[-1].machine.sent, "it is tried like any other"
+    testbed.node.start_graceful_shutdown(testbed.now)
+    attempt.accept(testbed.now)
+    attempt.machine.data_received(b"UP 7\r\n", testbed.now)
+    quiet.data_received(LINE.replace("9b", "77").encode() + b"\r\n", testbed.now)
+    assert not late.sent and not testbed.attempts()[-1].machine.sent, "it is tried like any other"
     seen = []
     # SIGKILL comes 2.7 s after the signal at the earliest, and all is done 0.7 s before it
     for _ in range(12):
-        here.run(SECOND // 6)
-        seen.append(sum(link.sent.endswith(b"MOVE\r\n") for link in established))
+        testbed.run(SECOND // 6)
+        seen.append(sum(transport.sent.endswith(b"MOVE\r\n") for transport in established))
     assert waiting.sent == b"UP 7\r\nMOVE\r\n"
     assert seen[-1] == 30 and max(b - a for a, b in zip([0, *seen], seen, strict=False)) <= 5, seen
--- a/tests/test_hot_restart_processes.py
+++ b/tests/test_hot_restart_processes.py
@@ -12,106 +12,108 @@
 
 from harness.configurations import configuration, host, hosts, settings
 from limerudder.config import load_config
-from tests.scripted_peers import Loopback
-
-
-async def a_successor_serves_and_no_client_is_rejected(here: Loopback) -> None:
-    async with here.process() as old:
-        established = await here.up()
-        assert await here.call(old, "maint-on s-2") == "done"
-        async with here.process() as new:
-            await new.says("listening on")
-            assert await here.call(new, "status") == "done"
-            old.signal(signal.SIGTERM)
-            assert (await here.call(old, "status")).startswith("error")
-            fresh = await here.up()
-            assert await established.line() == "MOVE"
-            assert await old.ended() == 0
-            fresh.say("M 1")
-            assert await fresh.line() == "M 1"
-            assert "app.out_of_rotation:1|g" in await here.answer(new, "stats")
-            assert await here.call(new, "maint-off s-2") == "done"
-            async with here.process() as third:  # the name in the folder is the new one's by now
-                await third.says("listening on")
-                new.signal(signal.SIGTERM)
-                assert await fresh.line() == "MOVE"
-                assert await new.ended() == 0
-                await here.up()
-                assert "app.out_of_rotation:0|g" in await here.answer(third, "stats")
-
-
-async def the_parent_accepts_clients_again_where_the_successor_dies(here: Loopback) -> None:
-    async with here.process() as old:
-        established = await here.up()
-        async with here.process() as new:
-            await new.says("listening on")
-            new.signal(signal.SIGKILL)
-            await new.ended()
-        await old.says("listening on")
-        assert await here.call(old, "status") == "done"
-        established.say("M 1")
-        assert await established.line() == "M 1"
-        await here.up()
-        async with here.process() as new:
-            await new.says("listening on")
-            await here.up()
-
-
-async def a_stop_before_the_successor_is_ready_hands_over_at_once(here: Loopback) -> None:
-    async with here.process() as old:
-        established = await here.up()
+from tests.loopback_testbed import LoopbackTestbed
+
+
+async def a_successor_serves_and_no_client_is_rejected(testbed: LoopbackTestbed) -> None:
+    async with testbed.node_process() as old:
+        established = await testbed.establish_client()
+        assert await testbed.call_console(old, "maint-on s-2") == "done"
+        async with testbed.node_process() as new:
+            await new.wait_for_log("listening on")
+            assert await testbed.call_console(new, "status") == "done"
+            old.send_signal(signal.SIGTERM)
+            assert (await testbed.call_console(old, "status")).startswith("error")
+            fresh = await testbed.establish_client()
+            assert await established.read_line() == "MOVE"
+            assert await old.wait_for_exit() == 0
+            fresh.send_lines("M 1")
+            assert await fresh.read_line() == "M 1"
+            assert "app.out_of_rotation:1|g" in await testbed.read_console(new, "stats")
+            assert await testbed.call_console(new, "maint-off s-2") == "done"
+            async with testbed.node_process() as third:  # the name in the folder is the new one's by now
+                await third.wait_for_log("listening on")
+                new.send_signal(signal.SIGTERM)
+                assert await fresh.read_line() == "MOVE"
+                assert await new.wait_for_exit() == 0
+                await testbed.establish_client()
+                assert "app.out_of_rotation:0|g" in await testbed.read_console(third, "stats")
+
+
+async def the_parent_accepts_clients_again_where_the_successor_dies(testbed: LoopbackTestbed) -> None:
+    async with testbed.node_process() as old:
+        established = await testbed.establish_client()
+        async with testbed.node_process() as new:
+            await new.wait_for_log("listening on")
+            new.send_signal(signal.SIGKILL)
+            await new.wait_for_exit()
+        await old.wait_for_log("listening on")
+        assert await testbed.call_console(old, "status") == "done"
+        established.send_lines("M 1")
+        assert await established.read_line() == "M 1"
+        await testbed.establish_client()
+        async with testbed.node_process() as new:
+            await new.wait_for_log("listening on")
+            await testbed.establish_client()
+
+
+async def a_stop_before_the_successor_is_ready_hands_over_at_once(testbed: LoopbackTestbed) -> None:
+    async with testbed.node_process() as old:
+        established = await testbed.establish_client()
         # discovery is not there: the new one would wait for its word
-        async with here.process(discovery="127.0.0.1:9") as new:
-            await old.says("another process has asked to take over")
-            old.signal(signal.SIGTERM)
-            await new.says("listening on")
-            await old.says("another process accepts clients")
-            fresh = await here.up()
-            assert await established.line() == "MOVE"
-            assert await old.ended() == 0
-            fresh.say("M 1")
-            assert await fresh.line() == "M 1"
-
-
-async def a_successor_stopped_before_it_is_ready_leaves_its_parent_as_it_was(here: Loopback) -> None:
-    async with here.process() as old:
-        async with here.process(discovery="127.0.0.1:9") as new:
-            await old.says("another process has asked to take over")
-            new.signal(signal.SIGTERM)
-            assert await new.ended() in (0, -signal.SIGTERM)
-        assert await here.call(old, "status") == "done"
-        await here.up()
-
-
-async def a_successor_asks_discovery_where_sighup_had_it_asked(here: Loopback) -> None:
-    here.environment["PROXY_DISCOVERY"] = "127.0.0.1:9"
-    async with here.process() as old:
-        old.signal(signal.SIGHUP)
-        await old.says("config: reloaded")
-        async with here.process() as new:
-            await new.says("listening on")
-            assert len(here.watches) == 2, "the file's, as the parent"
-
-
-async def a_successor_that_fails_to_start_leaves_its_parent_as_it_was(here: Loopback) -> None:
-    async with here.process() as old:
-        async with here.process(console="{}:{}".format(*old.console)) as new:
-            assert await new.ended() == 2
-        assert await here.call(old, "status") == "done"
-        await here.up()
-
-
-async def stale_socket_files_are_ignored(here: Loopback) -> None:
-    async with here.process() as old:
-        old.signal(signal.SIGKILL)
-        await old.ended()
-    async with here.process() as new:
-        await new.says("listening on")
-        await here.up()
-        async with here.process() as newer:
-            await newer.says("listening on")
-            new.signal(signal.SIGTERM)
-            assert await new.ended() == 0
+        async with testbed.node_process(discovery="127.0.0.1:9") as new:
+            await old.wait_for_log("another process has asked to take over")
+            old.send_signal(signal.SIGTERM)
+            await new.wait_for_log("listening on")
+            await old.wait_for_log("another process accepts clients")
+            fresh = await testbed.establish_client()
+            assert await established.read_line() == "MOVE"
+            assert await old.wait_for_exit() == 0
+            fresh.send_lines("M 1")
+            assert await fresh.read_line() == "M 1"
+
+
+async def a_successor_stopped_before_it_is_ready_leaves_its_parent_as_it_was(
+    testbed: LoopbackTestbed,
+) -> None:
+    async with testbed.node_process() as old:
+        async with testbed.node_process(discovery="127.0.0.1:9") as new:
+            await old.wait_for_log("another process has asked to take over")
+            new.send_signal(signal.SIGTERM)
+            assert await new.wait_for_exit() in (0, -signal.SIGTERM)
+        assert await testbed.call_console(old, "status") == "done"
+        await testbed.establish_client()
+
+
+async def a_successor_asks_discovery_where_sighup_had_it_asked(testbed: LoopbackTestbed) -> None:
+    testbed.environment["PROXY_DISCOVERY"] = "127.0.0.1:9"
+    async with testbed.node_process() as old:
+        old.send_signal(signal.SIGHUP)
+        await old.wait_for_log("config: reloaded")
+        async with testbed.node_process() as new:
+            await new.wait_for_log("listening on")
+            assert len(testbed.watches) == 2, "the file's, as the parent"
+
+
+async def a_successor_that_fails_to_start_leaves_its_parent_as_it_was(testbed: LoopbackTestbed) -> None:
+    async with testbed.node_process() as old:
+        async with testbed.node_process(console="{}:{}".format(*old.console)) as new:
+            assert await new.wait_for_exit() == 2
+        assert await testbed.call_console(old, "status") == "done"
+        await testbed.establish_client()
+
+
+async def stale_socket_files_are_ignored(testbed: LoopbackTestbed) -> None:
+    async with testbed.node_process() as old:
+        old.send_signal(signal.SIGKILL)
+        await old.wait_for_exit()
+    async with testbed.node_process() as new:
+        await new.wait_for_log("listening on")
+        await testbed.establish_client()
+        async with testbed.node_process() as newer:
+            await newer.wait_for_log("listening on")
+            new.send_signal(signal.SIGTERM)
+            assert await new.wait_for_exit() == 0
 
 
 SCENARIOS = [
@@ -126,8 +128,8 @@
 
 
 @pytest.mark.parametrize("scenario", SCENARIOS, ids=lambda scenario: scenario.__name__)
-def test_two_processes(scenario: Callable[[Loopback], Awaitable[None]], tmp_path: Path) -> None:
-    uvloop.run(asyncio.wait_for(scenario(Loopback(tmp_path)), 60))
+def test_two_processes(scenario: Callable[[LoopbackTestbed], Awaitable[None]], tmp_path: Path) -> None:
+    uvloop.run(asyncio.wait_for(scenario(LoopbackTestbed(tmp_path)), 60))
 
 
 OTHER_DEPLOYMENTS = {
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from harness.configurations import LINE, SECOND, host, hosts
 from limerudder.core.discovery.drain_memory import InheritedDrains
 from limerudder.core.discovery.endpoint_list import parse_endpoint_list
 from limerudder.core.operations.maintenance import InMemoryMarks
@@ -14,190 +15,190 @@
     EndpointUpdate,
     ServerState,
 )
-from tests.scripted_peers import LINE, SECOND, World, host, hosts, policy_events, world
+from tests.node_testbed import NodeTestbed, node_testbed, policy_events
 
 START_MS = 1_700_000_000_000
 
 
-def upstream_number(here: World, name: str) -> int:
-    return here.node.upstreams.by_name[name].number
+def upstream_number(testbed: NodeTestbed, name: str) -> int:
+    return testbed.node.upstreams.by_name[name].number
 
 
-def put_all_into_maintenance_but(here: World, name: str) -> None:
-    for other in set(here.node.upstreams.by_name) - {name}:
-        assert here.node.maintenance.enable(other, here.now)
+def put_all_into_maintenance_but(testbed: NodeTestbed, name: str) -> None:
+    for other in set(testbed.node.upstreams.by_name) - {name}:
+        assert testbed.node.maintenance.enable(other, testbed.now)
 
 
 @pytest.mark.parametrize("listed_meanwhile", ["nothing", "ready", "restarted", "gone and back"])
 def test_a_host_in_maintenance_gets_nothing_new_whatever_discovery_lists(
     tmp_path: Path, listed_meanwhile: str
 ) -> None:
-    here = world(tmp_path)
-    put_all_into_maintenance_but(here, "s-2")
+    testbed = node_testbed(tmp_path)
+    put_all_into_maintenance_but(testbed, "s-2")
     entry = host("s-1")
     if listed_meanwhile == "restarted":
         entry["startedAtMs"] = START_MS
     if listed_meanwhile == "gone and back":
-        here.node.endpoints_received(parse_endpoint_list(hosts(host("s-2"))), here.now)
+        testbed.node.endpoints_received(parse_endpoint_list(hosts(host("s-2"))), testbed.now)
     if listed_meanwhile != "nothing":
-        here.node.endpoints_received(parse_endpoint_list(hosts(entry, host("s-2"))), here.now)
+        testbed.node.endpoints_received(parse_endpoint_list(hosts(entry, host("s-2"))), testbed.now)
     for _ in range(20):
-        here.client()
-    assert {dial.machine.observer.upstream.name for dial in here.attempts()} == {"s-2"}
+        testbed.send_request()
+    assert {dial.machine.observer.upstream.name for dial in testbed.attempts()} == {"s-2"}
 
 
 def test_maintenance_cancels_pending_attempts_and_migrates_connections_spread_over_time(
     tmp_path: Path,
 ) -> None:
-    here = world(tmp_path, known=hosts(host("s-1")))
-    established = [here.served() for _ in range(10)]
-    _, late_client = here.client()
+    testbed = node_testbed(tmp_path, known=hosts(host("s-1")))
+    established = [testbed.establish_client() for _ in range(10)]
+    _, late_client = testbed.send_request()
     established_attempts = [attempt for _, _, attempt in established]
-    (awaiting_answer,) = (dial for dial in here.attempts() if dial not in established_attempts)
-    awaiting_answer.accept(here.now)
-    here.client()
-    (dialling,) = (dial for dial in here.attempts() if not dial.machine.sent)
-    assert here.node.maintenance.enable("s-1", here.now)
+    (awaiting_answer,) = (dial for dial in testbed.attempts() if dial not in established_attempts)
+    awaiting_answer.accept(testbed.now)
+    testbed.send_request()
+    (dialling,) = (dial for dial in testbed.attempts() if not dial.machine.sent)
+    assert testbed.node.maintenance.enable("s-1", testbed.now)
     assert dialling.closed, "no request is written once the call is answered"
-    here.run(SECOND // 2)
-    migrated = sum(link.sent.endswith(b"MOVE\r\n") for _, link, _ in established)
+    testbed.run(SECOND // 2)
+    migrated = sum(transport.sent.endswith(b"MOVE\r\n") for _, transport, _ in established)
     assert 3 <= migrated <= 7
-    awaiting_answer.machine.data_received(b"UP 8\r\n", here.now)
-    here.run(SECOND // 2)
-    assert all(link.sent.endswith(b"MOVE\r\n") for _, link, _ in established)
+    awaiting_answer.machine.data_received(b"UP 8\r\n", testbed.now)
+    testbed.run(SECOND // 2)
+    assert all(transport.sent.endswith(b"MOVE\r\n") for _, transport, _ in established)
     assert late_client.sent == b"UP 8\r\nMOVE\r\n", "it was established after the call"
 
 
 def test_a_connection_from_before_the_start_waits_for_its_host_in_maintenance(tmp_path: Path) -> None:
-    here = world(tmp_path)
-    put_all_into_maintenance_but(here, "s-2")
-    here.client(LINE + ",at=s-1")
-    assert not here.attempts()
-    assert here.node.maintenance.disable("s-1", here.now)
-    here.run(SECOND // 4 + 5000)
-    assert [dial.machine.observer.upstream.name for dial in here.attempts()] == ["s-1"]
+    testbed = node_testbed(tmp_path)
+    put_all_into_maintenance_but(testbed, "s-2")
+    testbed.send_request(LINE + ",at=s-1")
+    assert not testbed.attempts()
+    assert testbed.node.maintenance.disable("s-1", testbed.now)
+    testbed.run(SECOND // 4 + 5000)
+    assert [dial.machine.observer.upstream.name for dial in testbed.attempts()] == ["s-1"]
 
 
 def test_one_disable_undoes_two_enables_and_unknown_hosts_are_rejected(tmp_path: Path) -> None:
-    here = world(tmp_path)
-    maintenance = here.node.maintenance
-    assert not maintenance.enable("s-9", here.now)
-    assert not maintenance.disable("s-9", here.now)
+    testbed = node_testbed(tmp_path)
+    maintenance = testbed.node.maintenance
+    assert not maintenance.enable("s-9", testbed.now)
+    assert not maintenance.disable("s-9", testbed.now)
     assert not maintenance.hosts
-    assert maintenance.enable("s-1", here.now)
-    assert maintenance.enable("s-1", here.now)
-    here.node.endpoints_received(parse_endpoint_list(hosts(host("s-2"))), here.now)
-    assert maintenance.enable("s-1", here.now), "in maintenance, though listed no more"
-    assert maintenance.disable("s-1", here.now)
+    assert maintenance.enable("s-1", testbed.now)
+    assert maintenance.enable("s-1", testbed.now)
+    testbed.node.endpoints_received(parse_endpoint_list(hosts(host("s-2"))), testbed.now)
+    assert maintenance.enable("s-1", testbed.now), "in maintenance, though listed no more"
+    assert maintenance.disable("s-1", testbed.now)
     assert not maintenance.hosts
-    assert not maintenance.disable("s-1", here.now)
-    assert maintenance.disable("s-2", here.now), "listed, though not in maintenance"
-    assert not here.node.is_listed("s-1")
+    assert not maintenance.disable("s-1", testbed.now)
+    assert maintenance.disable("s-2", testbed.now), "listed, though not in maintenance"
+    assert not testbed.node.is_listed("s-1")
 
 
 @pytest.mark.parametrize("listing", ["listed all along", "listed again later", "listed with its new start"])
 def test_a_returned_host_is_cold_and_tried_at_once(tmp_path: Path, listing: str) -> None:
-    here = world(tmp_path)
-    reported = policy_events(here)
-    put_all_into_maintenance_but(here, "s-2")
+    testbed = node_testbed(tmp_path)
+    reported = policy_events(testbed)
+    put_all_into_maintenance_but(testbed, "s-2")
     if listing == "listed again later":
-        here.node.endpoints_received(parse_endpoint_list(hosts(host("s-2"))), here.now)
-        here.node.maintenance.disable("s-1", here.now)
-        here.node.endpoints_received(parse_endpoint_list(hosts(host("s-1"), host("s-2"))), here.now)
+        testbed.node.endpoints_received(parse_endpoint_list(hosts(host("s-2"))), testbed.now)
+        testbed.node.maintenance.disable("s-1", testbed.now)
+        testbed.node.endpoints_received(parse_endpoint_list(hosts(host("s-1"), host("s-2"))), testbed.now)
     else:
-        here.node.maintenance.disable("s-1", here.now)
+        testbed.node.maintenance.disable("s-1", testbed.now)
     if listing == "listed with its new start":
-        assert here.node.upstreams.by_name["s-1"].returned_to_service_us == here.now
-        here.node.endpoints_received(
-            parse_endpoint_list(hosts(host("s-1") | {"startedAtMs": 40_000}, host("s-2"))), here.now
+        assert testbed.node.upstreams.by_name["s-1"].returned_to_service_us == testbed.now
+        testbed.node.endpoints_received(
+            parse_endpoint_list(hosts(host("s-1") | {"startedAtMs": 40_000}, host("s-2"))), testbed.now
         )
     entries = [
         entry
         for event in reported
         if isinstance(event, EndpointUpdate)
         for entry in event.entries
-        if entry.server_id == upstream_number(here, "s-1")
+        if entry.server_id == upstream_number(testbed, "s-1")
     ]
     assert (
-        entries[-1].state == ServerState.READY and entries[-1].ready_since_us == here.now
+        entries[-1].state == ServerState.READY and entries[-1].ready_since_us == testbed.now
     ), "cold, whatever is listed"
-    here.served()
-    assert here.attempts()[-1].machine.observer.upstream.name == "s-1", "the next one goes there"
+    testbed.establish_client()
+    assert testbed.attempts()[-1].machine.observer.upstream.name == "s-1", "the next one goes there"
     chosen = set[str]()
     for _ in range(19):
-        here.served()
-        chosen |= {dial.machine.observer.upstream.name for dial in here.attempts()}
+        testbed.establish_client()
+        chosen |= {dial.machine.observer.upstream.name for dial in testbed.attempts()}
     assert chosen == {"s-1", "s-2"}
-    on_returned_host = sum(dial.machine.observer.upstream.name == "s-1" for dial in here.attempts())
+    on_returned_host = sum(dial.machine.observer.upstream.name == "s-1" for dial in testbed.attempts())
     assert on_returned_host <= 4, "within the slow start budget"
 
 
 def test_without_new_clients_connections_are_migrated_to_a_returned_host(tmp_path: Path) -> None:
-    here = world(tmp_path)
-    put_all_into_maintenance_but(here, "s-2")
-    established = [here.served()[1] for _ in range(6)]
-    here.node.maintenance.disable("s-1", here.now)
-    here.run(SECOND + 10_000)
-    migrated = sum(link.sent.endswith(b"MOVE\r\n") for link in established)
+    testbed = node_testbed(tmp_path)
+    put_all_into_maintenance_but(testbed, "s-2")
+    established = [testbed.establish_client()[1] for _ in range(6)]
+    testbed.node.maintenance.disable("s-1", testbed.now)
+    testbed.run(SECOND + 10_000)
+    migrated = sum(transport.sent.endswith(b"MOVE\r\n") for transport in established)
     assert migrated == 2
-    here.served()
-    assert here.attempts()[-1].machine.observer.upstream.name == "s-1"
-    here.run(5 * SECOND)
+    testbed.establish_client()
+    assert testbed.attempts()[-1].machine.observer.upstream.name == "s-1"
+    testbed.run(5 * SECOND)
     assert (
-        sum(link.sent.endswith(b"MOVE\r\n") for link in established) == migrated
+        sum(transport.sent.endswith(b"MOVE\r\n") for transport in established) == migrated
     ), "and no more than necessary"
 
 
 @pytest.mark.parametrize("returned_ago_us", [SECOND, 20 * SECOND])
 def test_a_successor_knows_which_hosts_returned(tmp_path: Path, returned_ago_us: int) -> None:
-    here = world(tmp_path)
-    put_all_into_maintenance_but(here, "s-2")
-    here.node.maintenance.disable("s-1", here.now)
-    here.run(returned_ago_us)
-    successor = world(tmp_path)
-    successor.now = here.now
+    testbed = node_testbed(tmp_path)
+    put_all_into_maintenance_but(testbed, "s-2")
+    testbed.node.maintenance.disable("s-1", testbed.now)
+    testbed.run(returned_ago_us)
+    successor = node_testbed(tmp_path)
+    successor.now = testbed.now
     reported = policy_events(successor)
-    return_times = here.node.return_to_service_times()
+    return_times = testbed.node.return_to_service_times()
     successor.node.apply_return_to_service_times(return_times, successor.now)
     updates = [event for event in reported if isinstance(event, EndpointUpdate)]
     (entry,) = (entry for update in updates for entry in update.entries)
-    assert entry.ready_since_us == here.now - returned_ago_us
-    successor.served()
+    assert entry.ready_since_us == testbed.now - returned_ago_us
+    successor.establish_client()
     (attempt,) = successor.attempts()
     assert returned_ago_us > SECOND or attempt.machine.observer.upstream.name == "s-1"
 
 
 def test_maintenance_calls_do_not_delay_discovery(tmp_path: Path) -> None:
-    here = world(tmp_path)
-    here.dials[0].machine.connection_lost(here.now)  # the watch
-    dials_before = len(here.dials)
-    put_all_into_maintenance_but(here, "s-2")
-    here.run(2 * SECOND)
-    assert len(here.dials) > dials_before
+    testbed = node_testbed(tmp_path)
+    testbed.dials[0].machine.connection_lost(testbed.now)  # the watch
+    dials_before = len(testbed.dials)
+    put_all_into_maintenance_but(testbed, "s-2")
+    testbed.run(2 * SECOND)
+    assert len(testbed.dials) > dials_before
 
 
 def test_gauges_count_a_host_in_maintenance_once(tmp_path: Path) -> None:
-    here = world(tmp_path)
-    put_all_into_maintenance_but(here, "s-2")
-    assert here.node.gauges(here.now)["out_of_rotation"] == 1
-    here.node.endpoints_received(parse_endpoint_list(hosts(host("s-2"))), here.now)
-    gauges = here.node.gauges(here.now)
+    testbed = node_testbed(tmp_path)
+    put_all_into_maintenance_but(testbed, "s-2")
+    assert testbed.node.gauges(testbed.now)["out_of_rotation"] == 1
+    testbed.node.endpoints_received(parse_endpoint_list(hosts(host("s-2"))), testbed.now)
+    gauges = testbed.node.gauges(testbed.now)
     assert (gauges["registry_entries"], gauges["out_of_rotation"]) == (1, 0)
 
 
 def test_both_processes_follow_the_marks(tmp_path: Path) -> None:
-    here, other = world(tmp_path), world(tmp_path)
+    testbed, other = node_testbed(tmp_path), node_testbed(tmp_path)
     marks = InMemoryMarks()
-    here.node.maintenance.marks = marks
+    testbed.node.maintenance.marks = marks
     other.node.maintenance.marks = marks
-    assert here.node.maintenance.enable("s-1", here.now)
+    assert testbed.node.maintenance.enable("s-1", testbed.now)
     other.run(SECOND // 10 + 10_000)
     assert other.node.maintenance.hosts == {"s-1"}
     assert other.node.upstreams.by_name["s-1"].state == ServerState.DRAINING
     assert other.node.maintenance.disable("s-1", other.now)
-    here.run(SECOND // 10 + 10_000)
-    assert not here.node.maintenance.hosts
-    assert here.node.upstreams.by_name["s-1"].state == ServerState.READY
+    testbed.run(SECOND // 10 + 10_000)
+    assert not testbed.node.maintenance.hosts
+    assert testbed.node.upstreams.by_name["s-1"].state == ServerState.READY
 
 
 class BrokenMarks(InMemoryMarks):
@@ -209,12 +210,12 @@
 
 
 def test_maintenance_does_not_begin_if_its_mark_cannot_be_written(tmp_path: Path) -> None:
-    here = world(tmp_path)
-    here.node.maintenance.marks = BrokenMarks()
+    testbed = node_testbed(tmp_path)
+    testbed.node.maintenance.marks = BrokenMarks()
     with pytest.raises(OSError):
-        here.node.maintenance.enable("s-1", here.now)
-    here.run(SECOND)
-    assert not here.node.maintenance.hosts
+        testbed.node.maintenance.enable("s-1", testbed.now)
+    testbed.run(SECOND)
+    assert not testbed.node.maintenance.hosts
 
 
 @pytest.mark.parametrize("name", ["s-1", "../s-1", "a/b", ".", "%2F", "é\n"])
@@ -234,18 +235,18 @@
 
 
 def test_a_remembered_drain_outlives_the_list_and_ends_with_a_newer_start_only(tmp_path: Path) -> None:
-    here = world(tmp_path)
+    testbed = node_testbed(tmp_path)
     drain_memory = InheritedDrains({"s-1": START_MS})
-    here.node.drain_memory = drain_memory
+    testbed.node.drain_memory = drain_memory
     for started_ms, drains in [(START_MS, True), (START_MS - 5, True), (START_MS + 1, False)]:
         entry = host("s-1") | {"startedAtMs": started_ms}
-        here.node.endpoints_received(parse_endpoint_list(hosts(entry, host("s-2"))), here.now)
-        assert (here.node.upstreams.by_name["s-1"].state == ServerState.DRAINING) == drains, started_ms
+        testbed.node.endpoints_received(parse_endpoint_list(hosts(entry, host("s-2"))), testbed.now)
+        assert (testbed.node.upstreams.by_name["s-1"].state == ServerState.DRAINING) == drains, started_ms
     drain_memory.record_drain("s-1", START_MS + 9)
-    here.node.refresh_endpoint("s-1", here.now)
-    assert here.node.upstreams.by_name["s-1"].state == ServerState.DRAINING
+    testbed.node.refresh_endpoint("s-1", testbed.now)
+    assert testbed.node.upstreams.by_name["s-1"].state == ServerState.DRAINING
     leaving = host("s-2", lifecycle="leaving") | {"startedAtMs": 7}
-    here.node.endpoints_received(parse_endpoint_list(hosts(leaving)), here.now)
+    testbed.node.endpoints_received(parse_endpoint_list(hosts(leaving)), testbed.now)
     assert drain_memory.observed_here == {"s-2": 7}
     assert drain_memory.drained_starts() == {"s-1": START_MS + 9, "s-2": 7}
-    assert upstream_number(here, "s-2") and not here.node.is_listed("s-1")
+    assert upstream_number(testbed, "s-2") and not testbed.node.is_listed("s-1")
--- a/tests/test_open_line.py
+++ b/tests/test_open_line.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from harness.configurations import ID, KEY, LINE, SECOND
 from limerudder.core.client.open_line import MalformedLineError, format_attempt_line, parse_open_line
-from tests.scripted_peers import ID, KEY, LINE, SECOND
 
 
 def test_a_first_line_is_forwarded_unchanged_but_for_d() -> None:
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -4,36 +4,37 @@
 
 from pathlib import Path
 
+from harness.configurations import settings
 from limerudder.core.operations.counters import CounterName
 from limerudder.core.operations.log_events import LogKind
 from limerudder.net.peer_socket import PeerSocket
 from limerudder.policy.actions import SendPeerMessage
-from tests.scripted_peers import policy_events, settings, world
+from tests.node_testbed import node_testbed, policy_events
 
 
 def test_messages_to_peers_are_sent_only_within_the_rules(tmp_path: Path) -> None:
-    here = world(tmp_path)
+    testbed = node_testbed(tmp_path)
     for size in (256, 257):
-        here.node.peering.send(SendPeerMessage(1, b"x" * size))
-    assert [len(data) for _, data in here.datagrams] == [256]
-    alone = world(tmp_path, settings=settings(peers=False))
+        testbed.node.peering.send(SendPeerMessage(1, b"x" * size))
+    assert [len(data) for _, data in testbed.datagrams] == [256]
+    alone = node_testbed(tmp_path, settings=settings(peers=False))
     alone.node.peering.send(SendPeerMessage(1, b"x"))
     assert not alone.datagrams
 
 
 def test_malformed_datagrams_are_counted_and_logged(tmp_path: Path) -> None:
-    here = world(tmp_path)
-    events = policy_events(here)
+    testbed = node_testbed(tmp_path)
+    events = policy_events(testbed)
     logged = list[tuple[LogKind, str]]()
-    here.node.peering.log = lambda kind, text, detail="": logged.append((kind, text))
-    here.node.peering.datagram_received(None, b"hello", here.now)
-    here.node.peering.datagram_received(1, b"\xa7" * 257, here.now)
+    testbed.node.peering.log = lambda kind, text, detail="": logged.append((kind, text))
+    testbed.node.peering.datagram_received(None, b"hello", testbed.now)
+    testbed.node.peering.datagram_received(1, b"\xa7" * 257, testbed.now)
     assert not events, "the policy hears of peers only, and within the rules"
-    here.node.peering.datagram_received(1, b"hello", here.now)
-    here.node.peering.datagram_received(1, bytes((0xA7, 0, 0, 0, 0)), here.now)
+    testbed.node.peering.datagram_received(1, b"hello", testbed.now)
+    testbed.node.peering.datagram_received(1, bytes((0xA7, 0, 0, 0, 0)), testbed.now)
     assert (
-        here.node.counters[CounterName.PEER_MESSAGES_MALFORMED] == 3
-        and here.node.counters[CounterName.PEER_MESSAGES_RECEIVED] == 2
+        testbed.node.counters[CounterName.PEER_MESSAGES_MALFORMED] == 3
+        and testbed.node.counters[CounterName.PEER_MESSAGES_RECEIVED] == 2
     )
     assert {kind for kind, _ in logged} == {
         LogKind.PEER_DATAGRAM_DROPPED
--- a/tests/test_policy_dispatch.py
+++ b/tests/test_policy_dispatch.py
@@ -6,15 +6,16 @@
 
 import pytest
 
+from harness.configurations import SECOND
 from limerudder.core.operations.counters import CounterName
 from limerudder.policy.actions import Action, SendPeerMessage
 from limerudder.policy.events import Event, NewRequest, TimerFired
-from tests.scripted_peers import SECOND, policy_events, world
+from tests.node_testbed import node_testbed, policy_events
 
 
 @pytest.mark.parametrize("kind", [NewRequest, TimerFired])
 def test_an_exception_in_the_policy_costs_one_request_at_most(tmp_path: Path, kind: type) -> None:
-    here = world(tmp_path)
+    here = node_testbed(tmp_path)
     handle, met = here.node.balancer.handle, list[Event]()
 
     def fails_once(event: Event, now_us: int) -> list[Action]:
@@ -26,17 +27,17 @@
 
     here.node.balancer.handle = fails_once  # type: ignore[method-assign]
     here.node.dispatch(TimerFired(77), here.now)
-    _, link = here.client()
+    _, link = here.send_request()
     assert (link.sent == b"ERR\r\n") is (kind is NewRequest)
     assert len([t for t in here.logged if "ZeroDivisionError: in a test" in t]) == 1
-    here.served()
+    here.establish_client()
     here.run(SECOND + 5000)
     assert here.node.counters[CounterName.POLICY_ERRORS] == 1
     assert met.count(TimerFired(77)) == (2 if kind is TimerFired else 0), "the timer it would have set anew"
 
 
 def test_after_an_exception_in_an_action_events_are_still_dispatched(tmp_path: Path) -> None:
-    here = world(tmp_path)
+    here = node_testbed(tmp_path)
     here.node.balancer.handle = lambda event, now_us: [SendPeerMessage(1, b"")]  # type: ignore[method-assign]
     here.send_datagram = lambda peer, data: 1 / 0  # type: ignore[method-assign, assignment]
     with pytest.raises(ZeroDivisionError):
--- a/tests/test_policy_fleet.py
+++ b/tests/test_policy_fleet.py
@@ -21,8 +21,8 @@
     UpdateKind,
 )
 from limerudder.policy.records import SECOND
+from tests.node_testbed import node_testbed
 from tests.policy_driver import Driver, entry
-from tests.scripted_peers import world
 from tests.test_gossip import NODES, SERVERS, TIER, Tier
 
 
@@ -166,7 +166,7 @@
 
 def test_a_silent_discovery_is_asked_again_and_the_list_of_before_serves(tmp_path: Path) -> None:
     """Seven in ten nodes begin together and overbook discovery: it takes the call, and no answer comes."""
-    here = world(tmp_path)
+    here = node_testbed(tmp_path)
     asked = 0
     for _ in range(60):
         for dial in here.dials[asked:]:
@@ -178,4 +178,4 @@
     failures = here.node.counters[CounterName.DISCOVERY_FAILURES]
     assert 3 <= failures <= calls <= 30, "asked again, and less often than it could bear"
     assert any(line.startswith("discovery: a call failed") for line in here.logged)
-    here.served()
+    here.establish_client()
--- a/tests/test_race_conditions.py
+++ b/tests/test_race_conditions.py
@@ -17,12 +17,13 @@
 import pytest
 import uvloop
 
+from harness.configurations import LINE, SECOND, host, hosts, settings
 from limerudder.core.client.session import LineSession
 from limerudder.net.tcp import TcpConnection, TcpConnector
-from tests.scripted_peers import LINE, SECOND, Listener, Loopback, Peer, free, host, hosts, settings
-from tests.test_end_to_end import reset, served
+from tests.loopback_testbed import Listener, LoopbackTestbed, Peer, unused_address
+from tests.test_end_to_end import establish_client, reset_connection
 
-Scenario = Callable[[Loopback, pytest.MonkeyPatch], Awaitable[None]]
+Scenario = Callable[[LoopbackTestbed, pytest.MonkeyPatch], Awaitable[None]]
 
 
 def quick_settings(deadline_us: int = 800_000, **caps: Any) -> dict[str, Any]:
@@ -81,60 +82,64 @@
 
 
 async def an_idle_client_gets_busy_before_its_connection_ends(
-    here: Loopback, patch: pytest.MonkeyPatch
+    testbed: LoopbackTestbed, patch: pytest.MonkeyPatch
 ) -> None:
     """Its first line crosses the end: BUSY is its final answer; the line is neither read nor forwarded."""
     patch.setattr("limerudder.core.client.session.PING_IDLE_TIMEOUT_US", 50_000)
-    async with here.running():
-        client = await here.client()
-        client.say("PING")
-        assert [await client.line(), await client.line()] == ["PONG", "BUSY"]
-        client.say(here.line())
-        assert await client.line() == ""
+    async with testbed.running_node():
+        client = await testbed.connect()
+        client.send_lines("PING")
+        assert [await client.read_line(), await client.read_line()] == ["PONG", "BUSY"]
+        client.send_lines(testbed.request_line())
+        assert await client.read_line() == ""
         patch.undo()
-        await served(here)  # and its host has this one alone
-        assert here.upstream.came.empty()
+        await establish_client(testbed)  # and its host has this one alone
+        assert testbed.upstream.connections.empty()
 
 
-async def a_graceful_shutdown_evicts_idle_clients(here: Loopback, patch: pytest.MonkeyPatch) -> None:
+async def a_graceful_shutdown_evicts_idle_clients(
+    testbed: LoopbackTestbed, patch: pytest.MonkeyPatch
+) -> None:
     """They would stay idle until the process ends, and a request sent then would be reset."""
-    async with here.running(settings=quick_settings()) as node:
-        client, silent = await here.client(), await here.client()
-        client.say("PING")
-        assert await client.line() == "PONG"
+    async with testbed.running_node(settings=quick_settings()) as node:
+        client, silent = await testbed.connect(), await testbed.connect()
+        client.send_lines("PING")
+        assert await client.read_line() == "PONG"
         os.kill(os.getpid(), signal.SIGTERM)
-        assert [await client.line(), await client.line()] == ["BUSY", ""]
-        assert [await silent.line(), await silent.line()] == ["BUSY", ""]
+        assert [await client.read_line(), await client.read_line()] == ["BUSY", ""]
+        assert [await silent.read_line(), await silent.read_line()] == ["BUSY", ""]
         assert not node.done(), "answered while the process is there to receive what crosses"
-        client.say(here.line())
+        client.send_lines(testbed.request_line())
         await node
-    assert here.upstream.came.empty()
+    assert testbed.upstream.connections.empty()
 
 
 # a close with unread data
 
 
-async def move_reaches_a_client_that_never_stops_sending(here: Loopback, patch: pytest.MonkeyPatch) -> None:
-    async with here.running(settings=quick_settings()) as node:
-        client, upstream = await served(here)
+async def move_reaches_a_client_that_never_stops_sending(
+    testbed: LoopbackTestbed, patch: pytest.MonkeyPatch
+) -> None:
+    async with testbed.running_node(settings=quick_settings()) as node:
+        client, upstream = await establish_client(testbed)
         taking = asyncio.create_task(read_to_end(upstream))
 
         async def send() -> None:
             while True:
-                client.say("M " + "x" * 4000)
+                client.send_lines("M " + "x" * 4000)
                 await client.writer.drain()
                 await asyncio.sleep(0)
 
         sending = asyncio.create_task(send())
         os.kill(os.getpid(), signal.SIGTERM)
-        assert await client.line() == "MOVE"
-        assert await client.line() == ""
+        assert await client.read_line() == "MOVE"
+        assert await client.read_line() == ""
         sending.cancel()
         await node
         await taking
 
 
-async def small_writes_are_not_delayed(here: Loopback, patch: pytest.MonkeyPatch) -> None:
+async def small_writes_are_not_delayed(testbed: LoopbackTestbed, patch: pytest.MonkeyPatch) -> None:
     """Data that the system delays is lost in a close with unread data."""
     no_delay = list[int]()
     original_connection_made = TcpConnection.connection_made
@@ -145,9 +150,9 @@
         original_connection_made(stream, transport)
 
     patch.setattr(TcpConnection, "connection_made", spy)
-    async with here.running():
-        await here.discovery.take()
-        await served(here)
+    async with testbed.running_node():
+        await testbed.discovery.accept()
+        await establish_client(testbed)
         assert len(no_delay) >= 3 and all(no_delay), "client, upstream and discovery"
 
 
@@ -155,34 +160,34 @@
 
 
 async def a_request_is_not_forwarded_if_its_client_disconnects_during_the_dial(
-    here: Loopback, patch: pytest.MonkeyPatch
+    testbed: LoopbackTestbed, patch: pytest.MonkeyPatch
 ) -> None:
     for cancel in (True, False):
         dials = DelayedDials(patch)
-        async with here.running(settings=settings(dialTimeoutUs=5 * SECOND, cancel=cancel)):
-            client = await here.client()
-            client.say(here.line())
-            upstream = await here.upstream.take()
+        async with testbed.running_node(settings=settings(dialTimeoutUs=5 * SECOND, cancel=cancel)):
+            client = await testbed.connect()
+            client.send_lines(testbed.request_line())
+            upstream = await testbed.upstream.accept()
             client.writer.write_eof()  # a half-close counts as a disconnect
-            assert await client.line() == "", "the node has seen it"
+            assert await client.read_line() == "", "the node has seen it"
             dials.gate.set()
             assert await read_to_end(upstream) == b""
         patch.undo()
 
 
 async def a_request_is_not_forwarded_if_a_disconnect_is_hidden_by_unread_data(
-    here: Loopback, patch: pytest.MonkeyPatch
+    testbed: LoopbackTestbed, patch: pytest.MonkeyPatch
 ) -> None:
     dials = DelayedDials(patch)
     sessions = record_sessions(patch)
-    async with here.running(settings=settings(dialTimeoutUs=5 * SECOND)):
-        client = await here.client()
-        client.say(here.line())
-        upstream = await here.upstream.take()
+    async with testbed.running_node(settings=settings(dialTimeoutUs=5 * SECOND)):
+        client = await testbed.connect()
+        client.send_lines(testbed.request_line())
+        upstream = await testbed.upstream.accept()
         transport = sessions[-1].transport
         assert isinstance(transport, TcpConnection) and not transport.has_disconnected()
         transport.set_reading_paused(True)  # as if the event loop had not come to it yet
-        client.say("M 1")
+        client.send_lines("M 1")
         client.writer.close()
         while not transport.has_disconnected():
             await asyncio.sleep(0)
@@ -191,94 +196,94 @@
 
 
 async def no_request_is_forwarded_if_hundreds_of_clients_disconnect_at_once(
-    here: Loopback, patch: pytest.MonkeyPatch
+    testbed: LoopbackTestbed, patch: pytest.MonkeyPatch
 ) -> None:
     dials = DelayedDials(patch)
     client_count = 120
-    async with here.running(settings=settings(dialTimeoutUs=5 * SECOND)):
-        clients = [await here.client() for _ in range(client_count)]
+    async with testbed.running_node(settings=settings(dialTimeoutUs=5 * SECOND)):
+        clients = [await testbed.connect() for _ in range(client_count)]
         for client in clients:
-            client.say(here.line())
+            client.send_lines(testbed.request_line())
         # so many attempts are in progress there at a time
-        upstreams = [await here.upstream.take() for _ in range(4)]
+        upstreams = [await testbed.upstream.accept() for _ in range(4)]
         for client in clients:
             client.writer.close()
         for client in clients:
             await client.writer.wait_closed()
         dials.gate.set()
         assert [await read_to_end(upstream) for upstream in upstreams] == [b""] * len(upstreams)
-        while not here.upstream.came.empty():
-            assert await read_to_end(await here.upstream.take()) == b""
-        await served(here)
+        while not testbed.upstream.connections.empty():
+            assert await read_to_end(await testbed.upstream.accept()) == b""
+        await establish_client(testbed)
 
 
 # attempts
 
 
 async def a_dial_that_connects_after_its_timeout_writes_nothing(
-    here: Loopback, patch: pytest.MonkeyPatch
+    testbed: LoopbackTestbed, patch: pytest.MonkeyPatch
 ) -> None:
     dials = DelayedDials(patch)
-    address = await here.upstream.start()
-    async with here.running(known=hosts(host("s-1", address), host("s-2", address))):
-        client = await here.client()
-        client.say(here.line())
-        first = await here.upstream.take()
-        second = await here.upstream.take()  # the first dial times out after 100 ms
+    address = await testbed.upstream.start()
+    async with testbed.running_node(known=hosts(host("s-1", address), host("s-2", address))):
+        client = await testbed.connect()
+        client.send_lines(testbed.request_line())
+        first = await testbed.upstream.accept()
+        second = await testbed.upstream.accept()  # the first dial times out after 100 ms
         dials.gate.set()
         assert await read_to_end(first) == b""
-        assert (await second.line()).startswith("OPEN")
-        second.say("UP 7")
-        assert await client.line() == "UP 7"
-        assert here.upstream.came.empty()
+        assert (await second.read_line()).startswith("OPEN")
+        second.send_lines("UP 7")
+        assert await client.read_line() == "UP 7"
+        assert testbed.upstream.connections.empty()
 
 
 @pytest.mark.parametrize("ending", ["reset", "end"])
 def test_an_incomplete_answer_is_retried_once_elsewhere(ending: str, tmp_path: Path) -> None:
     """`UP` without a line end, then nothing: it may have run; a safe one is retried once elsewhere."""
 
-    async def scenario(here: Loopback, patch: pytest.MonkeyPatch) -> None:
-        address = await here.upstream.start()
-        async with here.running(known=hosts(host("s-1", address), host("s-2", address))):
-            client = await here.client()
-            client.say(here.line())
-            first = await here.upstream.take()
-            assert (await first.line()).startswith("OPEN")
+    async def scenario(testbed: LoopbackTestbed, patch: pytest.MonkeyPatch) -> None:
+        address = await testbed.upstream.start()
+        async with testbed.running_node(known=hosts(host("s-1", address), host("s-2", address))):
+            client = await testbed.connect()
+            client.send_lines(testbed.request_line())
+            first = await testbed.upstream.accept()
+            assert (await first.read_line()).startswith("OPEN")
             first.writer.write(b"UP 8")
             await first.writer.drain()
             if ending == "reset":
-                reset(first)
+                reset_connection(first)
             else:
                 first.writer.close()
-            second = await here.upstream.take()
-            assert (await second.line()).startswith("OPEN")
-            second.say("BUSY")
-            assert [await client.line(), await client.line()] == ["BUSY", ""]
+            second = await testbed.upstream.accept()
+            assert (await second.read_line()).startswith("OPEN")
+            second.send_lines("BUSY")
+            assert [await client.read_line(), await client.read_line()] == ["BUSY", ""]
 
     run_scenario(scenario, tmp_path)
 
 
-async def a_second_answer_is_dropped(here: Loopback, patch: pytest.MonkeyPatch) -> None:
+async def a_second_answer_is_dropped(testbed: LoopbackTestbed, patch: pytest.MonkeyPatch) -> None:
     """ERR, and some milliseconds later UP: the client gets exactly one answer."""
-    async with here.running(settings=quick_settings(tryLimit=1)):
-        client = await here.client()
-        client.say(here.line())
-        upstream = await here.upstream.take()
-        assert (await upstream.line()).startswith("OPEN")
-        upstream.say("ERR")
-        answer = await client.line()
-        upstream.say("UP 7")
-        assert answer in ("BUSY", "ERR") and await client.line() == ""
+    async with testbed.running_node(settings=quick_settings(tryLimit=1)):
+        client = await testbed.connect()
+        client.send_lines(testbed.request_line())
+        upstream = await testbed.upstream.accept()
+        assert (await upstream.read_line()).startswith("OPEN")
+        upstream.send_lines("ERR")
+        answer = await client.read_line()
+        upstream.send_lines("UP 7")
+        assert answer in ("BUSY", "ERR") and await client.read_line() == ""
 
 
 async def an_answer_that_never_ends_does_not_delay_the_final_answer(
-    here: Loopback, patch: pytest.MonkeyPatch
+    testbed: LoopbackTestbed, patch: pytest.MonkeyPatch
 ) -> None:
-    async with here.running(settings=quick_settings(400_000)):
-        client = await here.client()
-        client.say(LINE.replace("d=2000", "d=400"))
-        upstream = await here.upstream.take()
-        assert (await upstream.line()).startswith("OPEN")
+    async with testbed.running_node(settings=quick_settings(400_000)):
+        client = await testbed.connect()
+        client.send_lines(LINE.replace("d=2000", "d=400"))
+        upstream = await testbed.upstream.accept()
+        assert (await upstream.read_line()).startswith("OPEN")
 
         async def drip() -> None:
             while True:
@@ -286,8 +291,8 @@
                 await asyncio.sleep(0.01)
 
         dripping = asyncio.create_task(drip())
-        assert await client.line() in ("BUSY", "ERR")
-        assert await client.line() == ""
+        assert await client.read_line() in ("BUSY", "ERR")
+        assert await client.read_line() == ""
         dripping.cancel()
 
 
@@ -295,132 +300,133 @@
 
 
 async def a_shutdown_with_hanging_hosts_and_dials_answers_every_client(
-    here: Loopback, patch: pytest.MonkeyPatch
+    testbed: LoopbackTestbed, patch: pytest.MonkeyPatch
 ) -> None:
     """SIGTERM comes twice; one client's host has the request and hangs, another's is being dialled."""
     dials = DelayedDials(patch)
     dials.gate.set()
-    async with here.running(settings=quick_settings(dialTimeoutUs=5 * SECOND)) as node:
-        hanging = await here.client()
-        hanging.say(here.line())
-        upstream = await here.upstream.take()
-        assert (await upstream.line()).startswith("OPEN")
+    async with testbed.running_node(settings=quick_settings(dialTimeoutUs=5 * SECOND)) as node:
+        hanging = await testbed.connect()
+        hanging.send_lines(testbed.request_line())
+        upstream = await testbed.upstream.accept()
+        assert (await upstream.read_line()).startswith("OPEN")
         dials.gate.clear()
-        dialling = await here.client()
-        dialling.say(here.line())
-        other = await here.upstream.take()
+        dialling = await testbed.connect()
+        dialling.send_lines(testbed.request_line())
+        other = await testbed.upstream.accept()
         os.kill(os.getpid(), signal.SIGTERM)
         os.kill(os.getpid(), signal.SIGTERM)
         for client in (hanging, dialling):
-            assert await client.line() in ("BUSY", "ERR")
-            assert await client.line() == ""
+            assert await client.read_line() in ("BUSY", "ERR")
+            assert await client.read_line() == ""
         await node
         assert await read_to_end(other) == b""
 
 
-async def a_reload_drops_a_partly_received_list(here: Loopback, patch: pytest.MonkeyPatch) -> None:
-    async with here.running():
-        old = await here.discovery.take()
-        await old.line()
+async def a_reload_drops_a_partly_received_list(testbed: LoopbackTestbed, patch: pytest.MonkeyPatch) -> None:
+    async with testbed.running_node():
+        old = await testbed.discovery.accept()
+        await old.read_line()
         gone = json.dumps(hosts(host("s-1", lifecycle="leaving"))) + "\n"
-        old.say("HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "", f"{len(gone):x}", gone[:40])
+        old.send_lines("HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "", f"{len(gone):x}", gone[:40])
         await old.writer.drain()
-        config, new = here.folder / "config.json", Listener()
+        config, new = testbed.folder / "config.json", Listener()
         given = json.loads(config.read_text())
         config.write_text(json.dumps(given | {"discovery": await new.start()}))
         os.kill(os.getpid(), signal.SIGHUP)
-        asked = await new.take()
-        assert "after=0" in await asked.line()
-        old.say(gone[40:])
+        asked = await new.accept()
+        assert "after=0" in await asked.read_line()
+        old.send_lines(gone[40:])
         assert await read_to_end(old) != b"", "the rest of the request, and the end"
-        await served(here)  # by the previous list: the old service's partial one does not count
+        await establish_client(testbed)  # by the previous list: the old service's partial one does not count
 
 
 # descriptors, floods, restarts
 
 
 async def a_flood_from_a_client_that_disconnects_is_bounded(
-    here: Loopback, patch: pytest.MonkeyPatch
+    testbed: LoopbackTestbed, patch: pytest.MonkeyPatch
 ) -> None:
     """Its host does not read. What it sends is buffered within bounds; both sides are closed in the end."""
     patch.setattr("limerudder.core.upstream.attempt.MESSAGE_TIMEOUT_US", 400_000)
     sessions = record_sessions(patch)
     message_count = 5000
-    async with here.running():
-        client, upstream = await served(here)
+    async with testbed.running_node():
+        client, upstream = await establish_client(testbed)
         attempt = sessions[-1].attempt
         transport = attempt and attempt.transport
         assert isinstance(transport, TcpConnection) and transport.transport
         upstream.reader._transport.pause_reading()  # type: ignore[attr-defined]
         for _ in range(message_count):  # twenty megabytes
-            client.say("M " + "x" * 4000)
+            client.send_lines("M " + "x" * 4000)
         buffered_bytes = list[int]()
         while not transport.transport.is_closing():  # it is closed, since no message is answered
             buffered_bytes.append(transport.transport.get_write_buffer_size())
             await asyncio.sleep(0)
         assert 0 < max(buffered_bytes) < 1 << 20, "buffered for a host that does not read"
         client.writer.transport.abort()
-        await served(here)
+        await establish_client(testbed)
         upstream.reader._transport.resume_reading()  # type: ignore[attr-defined]
         assert len(await read_to_end(upstream)) < message_count * 4000
 
 
 async def idle_clients_cannot_exhaust_descriptors_while_discovery_is_down(
-    here: Loopback, patch: pytest.MonkeyPatch
+    testbed: LoopbackTestbed, patch: pytest.MonkeyPatch
 ) -> None:
     """Ordinary clients, attempts and discovery still get descriptors; nothing raises, accept goes on."""
-    upstream_address = await here.upstream.start()
-    discovery_address = free()
-    here.shared = here.folder / "t"
-    here.shared.mkdir()
-    here.given = {
-        "listen": free(),
+    upstream_address = await testbed.upstream.start()
+    discovery_address = unused_address()
+    testbed.temporary_directory = testbed.folder / "t"
+    testbed.temporary_directory.mkdir()
+    testbed.shared_config = {
+        "listen": unused_address(),
         "discovery": discovery_address,
         "known": hosts(host("s-1", upstream_address)),
         "settings": settings(peers=False),
         "limits": {"sockets": 64},
     }
-    async with here.process() as process:
-        idle = [await here.client() for _ in range(200)]
-        first, _ = await served(here)
+    async with testbed.node_process() as process:
+        idle = [await testbed.connect() for _ in range(200)]
+        first, _ = await establish_client(testbed)
         for _ in range(3):
-            idle += [await here.client() for _ in range(60)]
-            await served(here)
+            idle += [await testbed.connect() for _ in range(60)]
+            await establish_client(testbed)
         service = await asyncio.start_server(
-            lambda r, w: here.discovery.came.put_nowait(Peer(r, w)), *discovery_address.rsplit(":", 1)
+            lambda r, w: testbed.discovery.connections.put_nowait(Peer(r, w)),
+            *discovery_address.rsplit(":", 1),
         )
-        watch = await here.discovery.take()
+        watch = await testbed.discovery.accept()
         listed = hosts(host("s-1", upstream_address, "leaving"), host("s-9", upstream_address))
         text = json.dumps(listed) + "\n"
-        watch.say("HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "", f"{len(text):x}", text)
-        assert await first.line() == "MOVE", "its host drains, and the node knows"
-        process.signal(signal.SIGTERM)
-        assert process.ran.stderr
-        printed = (await process.ran.stderr.read()).decode()
+        watch.send_lines("HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "", f"{len(text):x}", text)
+        assert await first.read_line() == "MOVE", "its host drains, and the node knows"
+        process.send_signal(signal.SIGTERM)
+        assert process.subprocess.stderr
+        printed = (await process.subprocess.stderr.read()).decode()
         assert "Traceback" not in printed and "Errno" not in printed and "clients_evicted" in printed
         service.close()
 
 
 async def a_restarted_process_serves_whatever_discovery_does(
-    here: Loopback, patch: pytest.MonkeyPatch
+    testbed: LoopbackTestbed, patch: pytest.MonkeyPatch
 ) -> None:
     """It accepts the connection and sends nothing: PONG and the previous list do not wait for it."""
-    address = await here.upstream.start()
-    here.shared = here.folder / "t"
-    here.shared.mkdir()
-    here.given = {
-        "listen": free(),
-        "discovery": await here.discovery.start(),
+    address = await testbed.upstream.start()
+    testbed.temporary_directory = testbed.folder / "t"
+    testbed.temporary_directory.mkdir()
+    testbed.shared_config = {
+        "listen": unused_address(),
+        "discovery": await testbed.discovery.start(),
         "known": hosts(host("s-1", address)),
         "settings": settings(peers=False),
     }
     for behaviour in ("silent", "closed"):
-        here.before = False
-        async with here.process():
-            watch = await here.discovery.take()
+        testbed.has_started = False
+        async with testbed.node_process():
+            watch = await testbed.discovery.accept()
             if behaviour == "closed":
                 watch.writer.close()
-            await served(here)
+            await establish_client(testbed)
 
 
 SCENARIOS = [
@@ -447,7 +453,7 @@
 
     async def run() -> None:
         with pytest.MonkeyPatch.context() as patch:
-            await asyncio.wait_for(scenario(Loopback(folder), patch), 60)
+            await asyncio.wait_for(scenario(LoopbackTestbed(folder), patch), 60)
 
     uvloop.run(run())
 
--- a/tests/test_timer_wheel.py
+++ b/tests/test_timer_wheel.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+from harness.configurations import SECOND
 from limerudder.core.timer_wheel import TimerWheel
-from tests.scripted_peers import SECOND
 
 
 def test_timers_are_called_at_the_first_tick_not_before_their_time_unless_cancelled() -> None:
