--- a/tests/loopback_testbed.py
+++ b/tests/loopback_testbed.py
@@ -6,6 +6,7 @@
 import json
 import os
 import socket
+import struct
 import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -17,6 +18,8 @@
 from limerudder.core.transport import Address, parse_address
 from limerudder.node_process import run_node
 
+LONG_DIRECTORY_NAME = "t" * 120  # longer than a Unix socket's name may be
+
 
 class Peer:
     """One scripted connection, as a client or as an upstream."""
@@ -32,6 +35,19 @@
     def send_lines(self, *lines: str) -> None:
         self.writer.write("".join(line + "\r\n" for line in lines).encode())
 
+    async def read_to_end(self) -> bytes:
+        """Return all data until the connection ends, cleanly or not."""
+        try:
+            return await self.reader.read()
+        except ConnectionError:
+            return b""
+
+    def reset(self) -> None:
+        """Reset the connection."""
+        sock = self.writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.writer.transport.abort()
+
     def send_watch_answer(self, endpoints: dict[str, Any]) -> None:
         """Answer a discovery watch with this endpoint list, and leave the watch open."""
         text = json.dumps(endpoints) + "\n"
@@ -93,15 +109,15 @@
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
-        self._tasks: list[asyncio.Task[None]] = []  # of scripted upstreams, for as long as the loop runs
         self.discovery = Listener()
         self.upstream = Listener()
         self.request_count = 0
         self.logged: asyncio.Queue[str] = asyncio.Queue()
         self.shared_config: dict[str, Any] = {}  # the configuration of all processes of the node
-        self.has_started = False  # one of them has served
+        self.has_started = False  # a process of the node has accepted clients
         self.environment: dict[str, str] = {}  # of the processes, beside what the configuration needs
         self.watches: list[Peer] = []  # that the discovery service has answered
+        self._tasks: list[asyncio.Task[None]] = []  # of scripted upstreams, for as long as the loop runs
 
     def request_line(self) -> str:
         """Return a first line with an id of its own."""
@@ -132,7 +148,7 @@
     async def node_process(self, **changes: Any) -> AsyncIterator[BalancerProcess]:
         """Run a process of the node as operators do: each with its own console, all with one TMPDIR."""
         if not self.shared_config:
-            await self._configure()
+            await self._start_services()
         config = {**self.shared_config, "console": unused_address(), **changes}
         directories = {"TMPDIR": str(self.temporary_directory)}
         environment = os.environ | configuration(self.folder, **config) | directories | self.environment
@@ -152,21 +168,25 @@
                 subprocess.kill()
             await process.wait_for_exit()
 
-    async def _configure(self) -> None:
-        """Start two upstreams and the discovery service, and set what all processes are configured with."""
+    async def _start_services(self) -> None:
+        """Start two upstreams and the discovery service, and configure the processes with them."""
         addresses = [await self.upstream.start(), await self.upstream.start()]
         endpoints = hosts(host("s-1", addresses[0]), host("s-2", addresses[1]))
         self.discovery_task = asyncio.create_task(self._answer_watches(endpoints))
         quick = settings(peers=False)
         quick["classes"][0] |= {"aimUs": 100_000, "deadlineUs": 800_000}
-        self.shared_config = {
+        config = {
             "listen": unused_address(),
             "discovery": await self.discovery.start(),
             "known": endpoints,
             "settings": quick,
         }
-        # longer than a Unix socket's name may be
-        self.temporary_directory = self.folder / ("t" * 120)
+        self.configure_processes(config, LONG_DIRECTORY_NAME)
+
+    def configure_processes(self, config: dict[str, Any], temporary_directory_name: str) -> None:
+        """Set what all processes of the node are configured with, and create their TMPDIR."""
+        self.shared_config = config
+        self.temporary_directory = self.folder / temporary_directory_name
         self.temporary_directory.mkdir()
 
     async def _answer_watches(self, endpoints: dict[str, Any]) -> None:
@@ -176,8 +196,21 @@
             self.watches.append(peer)
             peer.send_watch_answer(endpoints)
 
-    async def establish_client(self) -> Peer:
-        """Return a client whose connection is established."""
+    async def establish_connection(self) -> tuple[Peer, Peer]:
+        """Return a client whose connection is established, and its upstream's side."""
+        client = await self.connect()
+        client.send_lines("PING")
+        assert await client.read_line() == "PONG"
+        line = self.request_line()
+        client.send_lines(line)
+        upstream = await self.upstream.accept()
+        assert (await upstream.read_line()).startswith(line.partition("d=")[0])
+        upstream.send_lines("UP 77")
+        assert await client.read_line() == "UP 77"
+        return client, upstream
+
+    async def establish_echo_client(self) -> Peer:
+        """Return a client whose connection is established with an upstream that returns each line."""
         client = await self.connect()
         client.send_lines(self.request_line())
         upstream = await self._accept_request()
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -7,7 +7,6 @@
 import os
 import signal
 import socket
-import struct
 import subprocess
 import sys
 from collections.abc import Awaitable, Callable
@@ -21,35 +20,14 @@
 from limerudder.core.upstream.health_check import HealthCheckConnection
 from limerudder.net.clock import Clock
 from limerudder.net.tcp import TcpConnection
-from tests.loopback_testbed import Listener, LoopbackTestbed, Peer
+from tests.loopback_testbed import Listener, LoopbackTestbed
 
 Scenario = Callable[[LoopbackTestbed], Awaitable[None]]
 
 
-def reset_connection(peer: Peer) -> None:
-    """Reset a scripted connection."""
-    sock = peer.writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    peer.writer.transport.abort()
-
-
-async def establish_client(testbed: LoopbackTestbed) -> tuple[Peer, Peer]:
-    """A client whose connection is established, and its upstream's side."""
-    client = await testbed.connect()
-    client.send_lines("PING")
-    assert await client.read_line() == "PONG"
-    line = testbed.request_line()
-    client.send_lines(line)
-    upstream = await testbed.upstream.accept()
-    assert (await upstream.read_line()).startswith(line.partition("d=")[0])
-    upstream.send_lines("UP 77")
-    assert await client.read_line() == "UP 77"
-    return client, upstream
-
-
 async def lines_are_relayed_both_ways_until_the_upstream_ends(testbed: LoopbackTestbed) -> None:
     async with testbed.running_node():
-        client, upstream = await establish_client(testbed)
+        client, upstream = await testbed.establish_connection()
         client.send_lines("M 1")
         assert await upstream.read_line() == "M 1"
         upstream.send_lines("LOAD 12.5", "M 1", "BYE")
@@ -59,45 +37,47 @@
 
 async def a_reset_on_one_side_resets_the_other(testbed: LoopbackTestbed) -> None:
     async with testbed.running_node():
-        client, upstream = await establish_client(testbed)
-        reset_connection(upstream)
+        client, upstream = await testbed.establish_connection()
+        upstream.reset()
         with pytest.raises(ConnectionResetError):
             await client.read_line()
-        client, upstream = await establish_client(testbed)
-        reset_connection(client)
+        client, upstream = await testbed.establish_connection()
+        client.reset()
         with pytest.raises(ConnectionResetError):
             await upstream.read_line()
 
 
 async def a_client_that_half_closes_still_gets_its_upstreams_last_lines(testbed: LoopbackTestbed) -> None:
     async with testbed.running_node():
-        client, upstream = await establish_client(testbed)
+        client, upstream = await testbed.establish_connection()
         client.writer.write_eof()
         assert await upstream.read_line() == ""
-        last = ["x" * 4000] * 100 + ["BYE"]
-        upstream.send_lines(*last)
+        last_lines = ["x" * 4000] * 100 + ["BYE"]
+        upstream.send_lines(*last_lines)
         upstream.writer.close()
-        assert [await client.read_line() for _ in last] == last and await client.read_line() == ""
+        assert [await client.read_line() for _ in last_lines] == last_lines
+        assert await client.read_line() == ""
 
 
 async def a_slow_reader_gets_more_than_the_buffers_hold_completely(testbed: LoopbackTestbed) -> None:
     async with testbed.running_node():
-        client, upstream = await establish_client(testbed)
-        text = ["x" * 4000] * 2000
-        upstream.send_lines(*text)
+        client, upstream = await testbed.establish_connection()
+        lines = ["x" * 4000] * 2000
+        upstream.send_lines(*lines)
         upstream.writer.close()
-        assert [await client.read_line() for _ in text] == text and await client.read_line() == ""
+        assert [await client.read_line() for _ in lines] == lines
+        assert await client.read_line() == ""
 
 
 async def an_endless_line_is_answered_with_an_error_and_closed(testbed: LoopbackTestbed) -> None:
     async with testbed.running_node():
-        client, upstream = await establish_client(testbed)
-        bad = await testbed.connect()
+        client, upstream = await testbed.establish_connection()
+        endless = await testbed.connect()
         for _ in range(200):
-            bad.send_lines("k" * 300_000)
-        assert await bad.read_line() == "ERR"
+            endless.send_lines("k" * 300_000)
+        assert await endless.read_line() == "ERR"
         with pytest.raises(ConnectionError):
-            await bad.writer.drain()
+            await endless.writer.drain()
         client.send_lines("M 1")
         assert await upstream.read_line() == "M 1"
 
@@ -123,20 +103,19 @@
     async with testbed.running_node(known=hosts()):
         watch = await testbed.discovery.accept()
         assert await watch.read_line() == "GET /discovery/hosts?watch=1&after=41 HTTP/1.1"
-        text = json.dumps(hosts(host("s-1", await testbed.upstream.start()))) + "\n"
-        watch.send_lines("HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "", f"{len(text):x}", text)
-        await establish_client(testbed)
+        watch.send_watch_answer(hosts(host("s-1", await testbed.upstream.start())))
+        await testbed.establish_connection()
 
 
 async def a_graceful_shutdown_migrates_its_clients_and_ends(testbed: LoopbackTestbed) -> None:
     quick = settings()
     quick["classes"][0] |= {"aimUs": 100_000, "deadlineUs": 800_000}
     async with testbed.running_node(settings=quick) as node:
-        clients = [(await establish_client(testbed))[0] for _ in range(3)]
+        clients = [(await testbed.establish_connection())[0] for _ in range(3)]
         os.kill(os.getpid(), signal.SIGTERM)
-        late = await testbed.connect()
-        late.send_lines(LINE)
-        assert await late.read_line() == "BUSY"
+        late_client = await testbed.connect()
+        late_client.send_lines(LINE)
+        assert await late_client.read_line() == "BUSY"
         assert [await client.read_line() for client in clients] == ["MOVE"] * 3
         await node
     lines = [await testbed.logged.get() for _ in range(testbed.logged.qsize())]
@@ -146,23 +125,25 @@
 
 async def a_reload_watches_the_new_address_and_keeps_connections(testbed: LoopbackTestbed) -> None:
     async with testbed.running_node() as node:
-        client, upstream = await establish_client(testbed)
-        old = await testbed.discovery.accept()
+        client, upstream = await testbed.establish_connection()
+        old_watch = await testbed.discovery.accept()
         config = testbed.folder / "config.json"
-        new = Listener()
-        given = json.loads(config.read_text())
+        new_discovery = Listener()
+        values = json.loads(config.read_text())
         config.write_text("{")
         os.kill(os.getpid(), signal.SIGHUP)
         while not (await testbed.logged.get()).endswith("; keeping the previous configuration"):
             pass
-        config.write_text(json.dumps(given | {"discovery": await new.start()}))
+        config.write_text(json.dumps(values | {"discovery": await new_discovery.start()}))
         for _ in range(2):  # a repeat changes nothing
             os.kill(os.getpid(), signal.SIGHUP)
-        watch = await new.accept()
+        watch = await new_discovery.accept()
         assert await watch.read_line() == "GET /discovery/hosts?watch=1&after=0 HTTP/1.1"
-        assert await old.reader.read() != b"" and old.reader.at_eof()
+        assert await old_watch.reader.read() != b""
+        assert old_watch.reader.at_eof()
         client.send_lines("M 1")
-        assert await upstream.read_line() == "M 1" and new.connections.empty()
+        assert await upstream.read_line() == "M 1"
+        assert new_discovery.connections.empty()
         os.kill(os.getpid(), signal.SIGTERM)
         os.kill(os.getpid(), signal.SIGHUP)
         assert await client.read_line() == "MOVE"
@@ -180,13 +161,13 @@
 
 
 async def a_transport_is_shut_down_before_close_returns(testbed: LoopbackTestbed) -> None:
-    ours, theirs = socket.socketpair()
+    near_end, far_end = socket.socketpair()
     connection = TcpConnection(HealthCheckConnection((), lambda *result: None), Clock())
-    connection.dialled_socket = ours
+    connection.dialled_socket = near_end
     connection.close()
-    theirs.setblocking(False)
+    far_end.setblocking(False)
     # the event loop has not run since: an attempt that follows cannot overtake this end
-    assert theirs.recv(1) == b""
+    assert far_end.recv(1) == b""
 
 
 SCENARIOS = [
@@ -218,9 +199,9 @@
 def test_a_bad_configuration_is_one_line_and_exit_code_2(tmp_path: Path, message: str) -> None:
     with socket.create_server(("127.0.0.1", 0)) as taken:
         listen = "nowhere" if message == "not an address" else "{}:{}".format(*taken.getsockname())
-        given = os.environ | configuration(tmp_path, listen=listen)
+        environment = os.environ | configuration(tmp_path, listen=listen)
         ran = subprocess.run(
-            [sys.executable, "-m", "limerudder"], env=given, capture_output=True, text=True, check=False
+            [sys.executable, "-m", "limerudder"], env=environment, capture_output=True, text=True, check=False
         )
     assert (ran.returncode, ran.stdout) == (2, "")
     assert ran.stderr.count("\n") == 1 and message in ran.stderr
--- a/tests/test_hot_restart_processes.py
+++ b/tests/test_hot_restart_processes.py
@@ -17,32 +17,32 @@
 
 async def a_successor_serves_and_no_client_is_rejected(testbed: LoopbackTestbed) -> None:
     async with testbed.node_process() as old:
-        established = await testbed.establish_client()
+        established = await testbed.establish_echo_client()
         assert await testbed.call_console(old, "maint-on s-2") == "done"
         async with testbed.node_process() as new:
             await new.wait_for_log("listening on")
             assert await testbed.call_console(new, "status") == "done"
             old.send_signal(signal.SIGTERM)
             assert (await testbed.call_console(old, "status")).startswith("error")
-            fresh = await testbed.establish_client()
+            new_client = await testbed.establish_echo_client()
             assert await established.read_line() == "MOVE"
             assert await old.wait_for_exit() == 0
-            fresh.send_lines("M 1")
-            assert await fresh.read_line() == "M 1"
+            new_client.send_lines("M 1")
+            assert await new_client.read_line() == "M 1"
             assert "app.out_of_rotation:1|g" in await testbed.read_console(new, "stats")
             assert await testbed.call_console(new, "maint-off s-2") == "done"
-            async with testbed.node_process() as third:  # the name in the folder is the new one's by now
+            async with testbed.node_process() as third:  # by now the socket files are the second process's
                 await third.wait_for_log("listening on")
                 new.send_signal(signal.SIGTERM)
-                assert await fresh.read_line() == "MOVE"
+                assert await new_client.read_line() == "MOVE"
                 assert await new.wait_for_exit() == 0
-                await testbed.establish_client()
+                await testbed.establish_echo_client()
                 assert "app.out_of_rotation:0|g" in await testbed.read_console(third, "stats")
 
 
 async def the_parent_accepts_clients_again_where_the_successor_dies(testbed: LoopbackTestbed) -> None:
     async with testbed.node_process() as old:
-        established = await testbed.establish_client()
+        established = await testbed.establish_echo_client()
         async with testbed.node_process() as new:
             await new.wait_for_log("listening on")
             new.send_signal(signal.SIGKILL)
@@ -51,26 +51,26 @@
         assert await testbed.call_console(old, "status") == "done"
         established.send_lines("M 1")
         assert await established.read_line() == "M 1"
-        await testbed.establish_client()
+        await testbed.establish_echo_client()
         async with testbed.node_process() as new:
             await new.wait_for_log("listening on")
-            await testbed.establish_client()
+            await testbed.establish_echo_client()
 
 
 async def a_stop_before_the_successor_is_ready_hands_over_at_once(testbed: LoopbackTestbed) -> None:
     async with testbed.node_process() as old:
-        established = await testbed.establish_client()
-        # discovery is not there: the new one would wait for its word
+        established = await testbed.establish_echo_client()
+        # discovery is unreachable, and the successor would wait for its list
         async with testbed.node_process(discovery="127.0.0.1:9") as new:
             await old.wait_for_log("another process has asked to take over")
             old.send_signal(signal.SIGTERM)
             await new.wait_for_log("listening on")
             await old.wait_for_log("another process accepts clients")
-            fresh = await testbed.establish_client()
+            new_client = await testbed.establish_echo_client()
             assert await established.read_line() == "MOVE"
             assert await old.wait_for_exit() == 0
-            fresh.send_lines("M 1")
-            assert await fresh.read_line() == "M 1"
+            new_client.send_lines("M 1")
+            assert await new_client.read_line() == "M 1"
 
 
 async def a_successor_stopped_before_it_is_ready_leaves_its_parent_as_it_was(
@@ -82,7 +82,7 @@
             new.send_signal(signal.SIGTERM)
             assert await new.wait_for_exit() in (0, -signal.SIGTERM)
         assert await testbed.call_console(old, "status") == "done"
-        await testbed.establish_client()
+        await testbed.establish_echo_client()
 
 
 async def a_successor_asks_discovery_where_sighup_had_it_asked(testbed: LoopbackTestbed) -> None:
@@ -92,7 +92,7 @@
         await old.wait_for_log("config: reloaded")
         async with testbed.node_process() as new:
             await new.wait_for_log("listening on")
-            assert len(testbed.watches) == 2, "the file's, as the parent"
+            assert len(testbed.watches) == 2, "the address in the file, as for the parent"
 
 
 async def a_successor_that_fails_to_start_leaves_its_parent_as_it_was(testbed: LoopbackTestbed) -> None:
@@ -100,7 +100,7 @@
         async with testbed.node_process(console="{}:{}".format(*old.console)) as new:
             assert await new.wait_for_exit() == 2
         assert await testbed.call_console(old, "status") == "done"
-        await testbed.establish_client()
+        await testbed.establish_echo_client()
 
 
 async def stale_socket_files_are_ignored(testbed: LoopbackTestbed) -> None:
@@ -109,7 +109,7 @@
         await old.wait_for_exit()
     async with testbed.node_process() as new:
         await new.wait_for_log("listening on")
-        await testbed.establish_client()
+        await testbed.establish_echo_client()
         async with testbed.node_process() as newer:
             await newer.wait_for_log("listening on")
             new.send_signal(signal.SIGTERM)
@@ -141,19 +141,18 @@
 }
 
 
-def state_directory(folder: Path, **given: object) -> str | None:
+def state_directory(folder: Path, **changes: object) -> str | None:
     """The directory in which a node so configured looks for its parent process."""
-    return load_config(
-        configuration(folder, listen="127.0.0.1:8081", **given) | {"TMPDIR": str(folder)}
-    ).state
+    environment = configuration(folder, listen="127.0.0.1:8081", **changes)
+    return load_config({**environment, "TMPDIR": str(folder)}).state
 
 
-@pytest.mark.parametrize("given", OTHER_DEPLOYMENTS.values(), ids=OTHER_DEPLOYMENTS.keys())
+@pytest.mark.parametrize("changes", OTHER_DEPLOYMENTS.values(), ids=OTHER_DEPLOYMENTS.keys())
 def test_nothing_is_taken_over_from_a_node_of_another_deployment(
-    given: dict[str, object], tmp_path: Path
+    changes: dict[str, object], tmp_path: Path
 ) -> None:
-    """Fleet days side by side: all have an n0 at one address. One ended with 0, and no signal was seen."""
-    assert state_directory(tmp_path) != state_directory(tmp_path, **given)
+    """Deployments side by side on one machine may all have an n0 at one address."""
+    assert state_directory(tmp_path) != state_directory(tmp_path, **changes)
 
 
 def test_a_successor_with_a_newer_configuration_is_the_same_node(tmp_path: Path) -> None:
--- a/tests/test_race_conditions.py
+++ b/tests/test_race_conditions.py
@@ -1,6 +1,6 @@
 """Race conditions: events that cross each other, forced over real loopback sockets, one scenario each.
 
-docs/design/crossings.md has the table of states and events.
+docs/design/race-conditions.md has the table of states and events.
 """
 
 from __future__ import annotations
@@ -20,8 +20,7 @@
 from harness.configurations import LINE, SECOND, host, hosts, settings
 from limerudder.core.client.session import LineSession
 from limerudder.net.tcp import TcpConnection, TcpConnector
-from tests.loopback_testbed import Listener, LoopbackTestbed, Peer, unused_address
-from tests.test_end_to_end import establish_client, reset_connection
+from tests.loopback_testbed import Listener, LoopbackTestbed, unused_address
 
 Scenario = Callable[[LoopbackTestbed, pytest.MonkeyPatch], Awaitable[None]]
 
@@ -70,14 +69,6 @@
     return sessions
 
 
-async def read_to_end(peer: Peer) -> bytes:
-    """All data until the connection ends, cleanly or not."""
-    try:
-        return await peer.reader.read()
-    except ConnectionError:
-        return b""
-
-
 # an idle client
 
 
@@ -93,7 +84,7 @@
         client.send_lines(testbed.request_line())
         assert await client.read_line() == ""
         patch.undo()
-        await establish_client(testbed)  # and its host has this one alone
+        await testbed.establish_connection()  # and its host has this one alone
         assert testbed.upstream.connections.empty()
 
 
@@ -102,7 +93,8 @@
 ) -> None:
     """They would stay idle until the process ends, and a request sent then would be reset."""
     async with testbed.running_node(settings=quick_settings()) as node:
-        client, silent = await testbed.connect(), await testbed.connect()
+        client = await testbed.connect()
+        silent = await testbed.connect()
         client.send_lines("PING")
         assert await client.read_line() == "PONG"
         os.kill(os.getpid(), signal.SIGTERM)
@@ -121,8 +113,8 @@
     testbed: LoopbackTestbed, patch: pytest.MonkeyPatch
 ) -> None:
     async with testbed.running_node(settings=quick_settings()) as node:
-        client, upstream = await establish_client(testbed)
-        taking = asyncio.create_task(read_to_end(upstream))
+        client, upstream = await testbed.establish_connection()
+        reading = asyncio.create_task(upstream.read_to_end())
 
         async def send() -> None:
             while True:
@@ -136,7 +128,7 @@
         assert await client.read_line() == ""
         sending.cancel()
         await node
-        await taking
+        await reading
 
 
 async def small_writes_are_not_delayed(testbed: LoopbackTestbed, patch: pytest.MonkeyPatch) -> None:
@@ -152,8 +144,9 @@
     patch.setattr(TcpConnection, "connection_made", spy)
     async with testbed.running_node():
         await testbed.discovery.accept()
-        await establish_client(testbed)
-        assert len(no_delay) >= 3 and all(no_delay), "client, upstream and discovery"
+        await testbed.establish_connection()
+        assert len(no_delay) >= 3, "client, upstream and discovery"
+        assert all(no_delay)
 
 
 # a client that disconnects
@@ -171,7 +164,7 @@
             client.writer.write_eof()  # a half-close counts as a disconnect
             assert await client.read_line() == "", "the node has seen it"
             dials.gate.set()
-            assert await read_to_end(upstream) == b""
+            assert await upstream.read_to_end() == b""
         patch.undo()
 
 
@@ -192,7 +185,7 @@
         while not transport.has_disconnected():
             await asyncio.sleep(0)
         dials.gate.set()
-        assert await read_to_end(upstream) == b""
+        assert await upstream.read_to_end() == b""
 
 
 async def no_request_is_forwarded_if_hundreds_of_clients_disconnect_at_once(
@@ -211,10 +204,10 @@
         for client in clients:
             await client.writer.wait_closed()
         dials.gate.set()
-        assert [await read_to_end(upstream) for upstream in upstreams] == [b""] * len(upstreams)
+        assert [await upstream.read_to_end() for upstream in upstreams] == [b""] * len(upstreams)
         while not testbed.upstream.connections.empty():
-            assert await read_to_end(await testbed.upstream.accept()) == b""
-        await establish_client(testbed)
+            assert await (await testbed.upstream.accept()).read_to_end() == b""
+        await testbed.establish_connection()
 
 
 # attempts
@@ -231,7 +224,7 @@
         first = await testbed.upstream.accept()
         second = await testbed.upstream.accept()  # the first dial times out after 100 ms
         dials.gate.set()
-        assert await read_to_end(first) == b""
+        assert await first.read_to_end() == b""
         assert (await second.read_line()).startswith("OPEN")
         second.send_lines("UP 7")
         assert await client.read_line() == "UP 7"
@@ -252,7 +245,7 @@
             first.writer.write(b"UP 8")
             await first.writer.drain()
             if ending == "reset":
-                reset_connection(first)
+                first.reset()
             else:
                 first.writer.close()
             second = await testbed.upstream.accept()
@@ -273,7 +266,8 @@
         upstream.send_lines("ERR")
         answer = await client.read_line()
         upstream.send_lines("UP 7")
-        assert answer in ("BUSY", "ERR") and await client.read_line() == ""
+        assert answer in ("BUSY", "ERR")
+        assert await client.read_line() == ""
 
 
 async def an_answer_that_never_ends_does_not_delay_the_final_answer(
@@ -313,32 +307,36 @@
         dials.gate.clear()
         dialling = await testbed.connect()
         dialling.send_lines(testbed.request_line())
-        other = await testbed.upstream.accept()
+        dialled = await testbed.upstream.accept()
         os.kill(os.getpid(), signal.SIGTERM)
         os.kill(os.getpid(), signal.SIGTERM)
         for client in (hanging, dialling):
             assert await client.read_line() in ("BUSY", "ERR")
             assert await client.read_line() == ""
         await node
-        assert await read_to_end(other) == b""
+        assert await dialled.read_to_end() == b""
 
 
 async def a_reload_drops_a_partly_received_list(testbed: LoopbackTestbed, patch: pytest.MonkeyPatch) -> None:
     async with testbed.running_node():
-        old = await testbed.discovery.accept()
-        await old.read_line()
-        gone = json.dumps(hosts(host("s-1", lifecycle="leaving"))) + "\n"
-        old.send_lines("HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "", f"{len(gone):x}", gone[:40])
-        await old.writer.drain()
-        config, new = testbed.folder / "config.json", Listener()
-        given = json.loads(config.read_text())
-        config.write_text(json.dumps(given | {"discovery": await new.start()}))
+        old_watch = await testbed.discovery.accept()
+        await old_watch.read_line()
+        drained = json.dumps(hosts(host("s-1", lifecycle="leaving"))) + "\n"
+        head = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "", f"{len(drained):x}"]
+        old_watch.send_lines(*head, drained[:40])
+        await old_watch.writer.drain()
+        config = testbed.folder / "config.json"
+        new_discovery = Listener()
+        values = json.loads(config.read_text())
+        config.write_text(json.dumps(values | {"discovery": await new_discovery.start()}))
         os.kill(os.getpid(), signal.SIGHUP)
-        asked = await new.accept()
-        assert "after=0" in await asked.read_line()
-        old.send_lines(gone[40:])
-        assert await read_to_end(old) != b"", "the rest of the request, and the end"
-        await establish_client(testbed)  # by the previous list: the old service's partial one does not count
+        new_watch = await new_discovery.accept()
+        assert "after=0" in await new_watch.read_line()
+        old_watch.send_lines(drained[40:])
+        assert await old_watch.read_to_end() != b"", "the rest of the request, and the end"
+        await (
+            testbed.establish_connection()
+        )  # by the previous list: the old service's partial one does not count
 
 
 # descriptors, floods, restarts
@@ -352,9 +350,10 @@
     sessions = record_sessions(patch)
     message_count = 5000
     async with testbed.running_node():
-        client, upstream = await establish_client(testbed)
+        client, upstream = await testbed.establish_connection()
         attempt = sessions[-1].attempt
-        transport = attempt and attempt.transport
+        assert attempt
+        transport = attempt.transport
         assert isinstance(transport, TcpConnection) and transport.transport
         upstream.reader._transport.pause_reading()  # type: ignore[attr-defined]
         for _ in range(message_count):  # twenty megabytes
@@ -365,9 +364,9 @@
             await asyncio.sleep(0)
         assert 0 < max(buffered_bytes) < 1 << 20, "buffered for a host that does not read"
         client.writer.transport.abort()
-        await establish_client(testbed)
+        await testbed.establish_connection()
         upstream.reader._transport.resume_reading()  # type: ignore[attr-defined]
-        assert len(await read_to_end(upstream)) < message_count * 4000
+        assert len(await upstream.read_to_end()) < message_count * 4000
 
 
 async def idle_clients_cannot_exhaust_descriptors_while_discovery_is_down(
@@ -376,34 +375,32 @@
     """Ordinary clients, attempts and discovery still get descriptors; nothing raises, accept goes on."""
     upstream_address = await testbed.upstream.start()
     discovery_address = unused_address()
-    testbed.temporary_directory = testbed.folder / "t"
-    testbed.temporary_directory.mkdir()
-    testbed.shared_config = {
+    config = {
         "listen": unused_address(),
         "discovery": discovery_address,
         "known": hosts(host("s-1", upstream_address)),
         "settings": settings(peers=False),
         "limits": {"sockets": 64},
     }
+    testbed.configure_processes(config, "t")
     async with testbed.node_process() as process:
         idle = [await testbed.connect() for _ in range(200)]
-        first, _ = await establish_client(testbed)
+        first, _ = await testbed.establish_connection()
         for _ in range(3):
             idle += [await testbed.connect() for _ in range(60)]
-            await establish_client(testbed)
-        service = await asyncio.start_server(
-            lambda r, w: testbed.discovery.connections.put_nowait(Peer(r, w)),
-            *discovery_address.rsplit(":", 1),
-        )
+            await testbed.establish_connection()
+        service = await asyncio.start_server(testbed.discovery.connected, *discovery_address.rsplit(":", 1))
         watch = await testbed.discovery.accept()
-        listed = hosts(host("s-1", upstream_address, "leaving"), host("s-9", upstream_address))
-        text = json.dumps(listed) + "\n"
-        watch.send_lines("HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "", f"{len(text):x}", text)
+        watch.send_watch_answer(
+            hosts(host("s-1", upstream_address, "leaving"), host("s-9", upstream_address))
+        )
         assert await first.read_line() == "MOVE", "its host drains, and the node knows"
         process.send_signal(signal.SIGTERM)
         assert process.subprocess.stderr
-        printed = (await process.subprocess.stderr.read()).decode()
-        assert "Traceback" not in printed and "Errno" not in printed and "clients_evicted" in printed
+        logged = (await process.subprocess.stderr.read()).decode()
+        assert "Traceback" not in logged
+        assert "Errno" not in logged
+        assert "clients_evicted" in logged
         service.close()
 
 
@@ -412,21 +409,20 @@
 ) -> None:
     """It accepts the connection and sends nothing: PONG and the previous list do not wait for it."""
     address = await testbed.upstream.start()
-    testbed.temporary_directory = testbed.folder / "t"
-    testbed.temporary_directory.mkdir()
-    testbed.shared_config = {
+    config = {
         "listen": unused_address(),
         "discovery": await testbed.discovery.start(),
         "known": hosts(host("s-1", address)),
         "settings": settings(peers=False),
     }
+    testbed.configure_processes(config, "t")
     for behaviour in ("silent", "closed"):
         testbed.has_started = False
         async with testbed.node_process():
             watch = await testbed.discovery.accept()
             if behaviour == "closed":
                 watch.writer.close()
-            await establish_client(testbed)
+            await testbed.establish_connection()
 
 
 SCENARIOS = [
