--- a/bench/filter.py
+++ b/bench/filter.py
@@ -1,10 +1,10 @@
 """Shows whether a node serves where system calls are refused: `python -m bench.filter [--rounds N]`.
 
-The days of the fleet bench refuse fork, other programs, io_uring, splice and sendfile (ENOSYS; splice EINVAL),
-and no process connects to a Unix socket. This probe runs one real node under `strace`, which refuses
-those calls the same way, drives it through clients, a SIGHUP and a SIGTERM, and then reads the
-trace for every such call. The node does its ordinary work: what the probe shows is what its own
-code and its libraries (uvloop's libuv among them) ask for.
+The days of the fleet bench refuse fork, other programs, io_uring, splice and sendfile (ENOSYS;
+splice EINVAL), and no process connects to a Unix socket. This probe runs one real node under
+`strace`, which refuses those calls the same way, drives it through clients, a SIGHUP and a SIGTERM,
+and then reads the trace for every such call. The node does its ordinary work: what the probe shows
+is what its own code and its libraries (uvloop's libuv among them) ask for.
 Needs `strace` on the PATH; a measurement, not run in CI.
 """
 
