--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -12,31 +12,31 @@
 def test_where_descriptors_are_short_clients_without_a_request_are_evicted_the_longest_idle_first(
     tmp_path: Path,
 ) -> None:
-    testbed = node_testbed(
-        tmp_path, limits={"sockets": 24}
-    )  # room for 12; of the 12 spared, 3 are for last words
-    standing = [testbed.establish_client() for _ in range(3)]
-    silent = [testbed.connect() for _ in range(6)]
-    silent[0][0].data_received(b"PING\r\n", testbed.now)
+    # a capacity of 12; of the 12 descriptors spared, 3 are for final answers
+    testbed = node_testbed(tmp_path, limits={"sockets": 24})
+    established = [testbed.establish_client() for _ in range(3)]
+    idle = [testbed.connect() for _ in range(6)]
+    idle_transports = [transport for _, transport in idle]
+    first_session, _ = idle[0]
+    first_session.data_received(b"PING\r\n", testbed.now)
     session, transport = testbed.connect()
-    ended = [guest.half_closed for _, guest in silent]
-    assert ended == [False, True] + [False] * 4 and silent[1][1].sent == b"BUSY\r\n"
+    assert [each.half_closed for each in idle_transports] == [False, True] + [False] * 4
+    assert idle_transports[1].sent == b"BUSY\r\n"
     session.data_received(LINE.replace("9b", "77").encode() + b"\r\n", testbed.now)
-    ended = [guest.half_closed for _, guest in silent]
-    assert ended == [False, True, True] + [False] * 3, "its attempt needs one"
-    assert not any(guest.closed for _, guest in silent), "a moment to read it"
+    half_closed = [each.half_closed for each in idle_transports]
+    assert half_closed == [False, True, True] + [False] * 3, "its attempt needs a descriptor"
+    assert not any(each.closed for each in idle_transports), "clients have a moment to read the answer"
     for _ in range(100):
         testbed.connect()
-    assert all(guest.closed for _, guest in silent), "and no more than that"
-    admission, counters = testbed.node.admission, testbed.node.counters
+    assert all(each.closed for each in idle_transports), "and no more than that"
+    admission = testbed.node.admission
+    counters = testbed.node.counters
     assert len(admission.connections) + len(testbed.node.requests) == 12 + 3
-    assert (
-        len(admission.closing)
-        == 3
-        == counters[CounterName.CLIENTS_EVICTED] - counters[CounterName.CLIENTS_FORCE_CLOSED]
-    )
-    assert not transport.closed and not any(attempt.closed for _, _, attempt in standing)
-    assert counters[CounterName.CLIENTS_EVICTED] == 102
+    evicted = counters[CounterName.CLIENTS_EVICTED]
+    assert len(admission.closing) == 3 == evicted - counters[CounterName.CLIENTS_FORCE_CLOSED]
+    assert not transport.closed
+    assert not any(attempt.closed for _, _, attempt in established)
+    assert evicted == 102
 
 
 def test_health_checks_of_many_hosts_have_descriptors_of_their_own(tmp_path: Path) -> None:
@@ -51,11 +51,10 @@
 
 def test_where_descriptors_are_short_a_request_is_rejected_at_once(tmp_path: Path) -> None:
     testbed = node_testbed(tmp_path, limits={"sockets": 6})
-    transports = [testbed.establish_client()[1], testbed.send_request()[1], testbed.send_request("PING")[1]]
+    _, established, _ = testbed.establish_client()
+    _, rejected = testbed.send_request()
+    _, idle = testbed.send_request("PING")
+    transports = [established, rejected, idle]
     assert [transport.sent for transport in transports] == [b"UP 77\r\n", b"BUSY\r\n", b"PONG\r\n"]
-    assert [transport.closed for transport in transports] == [
-        False,
-        True,
-        False,
-    ], "the second has had its answer"
+    assert [transport.closed for transport in transports] == [False, True, False], "only the rejected one"
     assert len(testbed.attempts()) == 1
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -15,7 +15,7 @@
 
 
 def test_a_client_that_disconnects_while_its_attempt_is_dialled_is_never_forwarded(tmp_path: Path) -> None:
-    """Also where the settings allow no attempt to be called off: this one has not begun."""
+    """Also if the settings do not allow attempts to be cancelled: this one has not begun."""
     testbed = node_testbed(tmp_path, settings=settings(cancel=False))
     session, _ = testbed.send_request()
     (attempt,) = testbed.attempts()
@@ -25,7 +25,7 @@
 
 
 @pytest.mark.parametrize(
-    ("how", "ending"),
+    ("failure", "ending"),
     [
         ("refused", AttemptOutcome.CONNECT_FAILED),
         ("no answer to the dial", AttemptOutcome.CONNECT_FAILED),
@@ -39,38 +39,39 @@
     ids=lambda value: str(value)[:20],
 )
 def test_an_attempt_that_fails_is_closed_before_the_next(
-    tmp_path: Path, how: str, ending: AttemptOutcome
+    tmp_path: Path, failure: str, ending: AttemptOutcome
 ) -> None:
     testbed = node_testbed(tmp_path)
     events = policy_events(testbed)
     _, transport = testbed.send_request()
     (first,) = testbed.attempts()
-    if how == "no answer to the dial":
+    if failure == "no answer to the dial":
         testbed.run(110_000)
-    elif how != "refused":
+    elif failure != "refused":
         first.accept(testbed.now)
-    if how in ("refused", "broken after the line"):
+    if failure in ("refused", "broken after the line"):
         first.machine.connection_lost(testbed.now)
-    elif how == "silent":
+    elif failure == "silent":
         testbed.run(1_010_000)
     else:
-        first.machine.data_received(how.encode() + b"\r\n", testbed.now)
-    assert [e.outcome for e in events if isinstance(e, AttemptEnded)] == [ending]
+        first.machine.data_received(failure.encode() + b"\r\n", testbed.now)
+    assert [event.outcome for event in events if isinstance(event, AttemptEnded)] == [ending]
     (second,) = testbed.attempts()
-    assert first.closed and second is not first and not transport.sent
+    assert first.closed and second is not first
+    assert not transport.sent
 
 
 def test_the_rules_of_attempts_hold_whatever_the_policy_decides(tmp_path: Path) -> None:
     testbed = node_testbed(tmp_path)
-    first, other = testbed.node.upstreams.by_number.values()
-    other.state = ServerState.DRAINING
-    sends = [
-        StartAttempt(1, other.number, 0),
-        StartAttempt(1, first.number, 0),
-        StartAttempt(1, first.number, 0),
+    ready, draining = testbed.node.upstreams.by_number.values()
+    draining.state = ServerState.DRAINING
+    actions = [
+        StartAttempt(1, draining.number, 0),
+        StartAttempt(1, ready.number, 0),
+        StartAttempt(1, ready.number, 0),
     ]
     testbed.node.balancer.handle = lambda event, now_us: (  # type: ignore[method-assign]
-        list(sends) if isinstance(event, NewRequest) else []
+        list(actions) if isinstance(event, NewRequest) else []
     )
     testbed.send_request()
     assert len(testbed.attempts()) == 1 and testbed.node.counters[CounterName.ATTEMPTS_OBSOLETE] == 2
@@ -107,10 +108,10 @@
 def test_while_one_side_reads_slowly_reading_from_the_other_is_paused(tmp_path: Path) -> None:
     testbed = node_testbed(tmp_path)
     session, transport, attempt = testbed.establish_client()
-    for on in (True, False):
-        session.set_writing_paused(on)
-        attempt.machine.set_writing_paused(on)
-        assert (transport.reading_paused, attempt.reading_paused) == (on, on)
+    for paused in (True, False):
+        session.set_writing_paused(paused)
+        attempt.machine.set_writing_paused(paused)
+        assert (transport.reading_paused, attempt.reading_paused) == (paused, paused)
 
 
 def test_a_dial_to_an_upstream_that_begins_to_drain_is_given_up(tmp_path: Path) -> None:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -27,7 +27,7 @@
     return result.exit_code, result.stdout, result.stderr
 
 
-def test_check_says_good_or_everything_that_is_wrong(tmp_path: Path) -> None:
+def test_check_accepts_a_file_or_reports_all_its_errors(tmp_path: Path) -> None:
     assert run("check", str(ROOT / "deploy/limerudder.cue"))[0] == ExitCode.OK
     bad = tmp_path / "bad.cue"
     bad.write_text('log: {format: "xml", lines: 0}\nstroe: 1\n')
@@ -38,25 +38,26 @@
     assert run("check", str(tmp_path / "none"))[0] == ExitCode.INVALID_INPUT
     assert run("check")[0] == ExitCode.INVALID_INPUT
     schema = run("check", "--schema")[1]
-    told = json.loads(run("check", "--json", str(ROOT / "deploy/limerudder.cue"))[1])
-    assert "#Store" in schema and told["log"] == {"format": "text", "lines": 5, "per": 10_000_000}
+    checked = json.loads(run("check", "--json", str(ROOT / "deploy/limerudder.cue"))[1])
+    assert "#Store" in schema
+    assert checked["log"] == {"format": "text", "lines": 5, "per": 10_000_000}
 
 
 def test_every_command_has_help_with_an_example() -> None:
     pending: list[tuple[tuple[str, ...], click.Command]] = [((), main)]
-    seen = 0
+    command_count = 0
     while pending:
         words, command = pending.pop()
         code, out, _ = run(*words, "--help")
         assert code == 0 and "Example" in out and f"limerudder {' '.join(words)}".rstrip() in out, words
-        seen += 1
+        command_count += 1
         if isinstance(command, click.Group):
             ctx = click.Context(command)
             for name in command.list_commands(ctx):
                 inner = command.get_command(ctx, name)
                 assert inner
                 pending.append(((*words, name), inner))
-    assert seen >= 4
+    assert command_count >= 4
     assert run("--version")[1].startswith("limerudder 0.")
     for shell in ("bash", "zsh", "fish"):
         assert "_LIMERUDDER_COMPLETE" in run("completion", shell)[1]
@@ -73,8 +74,8 @@
     file = tmp_path / "op.cue"
     file.write_text("log: {lines: 9}")
     environment = configuration(tmp_path) | {"LIMERUDDER_FILE": str(file)}
-    told = load_config(environment).operator
-    assert told and told.log.lines == 9
+    operator_file = load_config(environment).operator
+    assert operator_file and operator_file.log.lines == 9
     file.write_text("log: {lines: 9\n")
     with pytest.raises(ConfigError, match=r"op.cue:2:1: the end of the file stands here"):
         load_config(environment)
@@ -83,32 +84,32 @@
         load_config(environment)
 
 
-@pytest.mark.parametrize("through", [False, True], ids=["by hand", "structlog"])
-def test_both_forms_hold_the_same_fields(capsys: pytest.CaptureFixture[str], through: bool) -> None:
+@pytest.mark.parametrize("with_structlog", [False, True], ids=["builtin", "structlog"])
+def test_both_forms_hold_the_same_fields(capsys: pytest.CaptureFixture[str], with_structlog: bool) -> None:
     def lines(log_format: str) -> list[str]:
         log = Log("n0", log_format, max_lines=2, window_seconds=60.0)
-        if through:
+        if with_structlog:
             log.use_structlog()
         for n in range(4):
             log(
                 LogKind.HOST_UNRESPONSIVE,
                 f"node: upstream s-{n} is unresponsive; migrating 3 connections",
             )
-        log.rate_limiter.windows[LogKind.HOST_UNRESPONSIVE, ""] = LogWindow(
-            -1e9, event_count=4
-        )  # the window is over
+        window_in_the_past = LogWindow(-1e9, event_count=4)
+        log.rate_limiter.windows[LogKind.HOST_UNRESPONSIVE, ""] = window_in_the_past
         log(LogKind.HOST_UNRESPONSIVE, "node: again")
         log(LogKind.POLICY_ERROR, "policy: bad", "f")
         return capsys.readouterr().err.splitlines()
 
-    text, objects = lines("text"), [json.loads(line) for line in lines("json")]
+    text = lines("text")
+    objects = [json.loads(line) for line in lines("json")]
     assert text == [
         "limerudder n0: node: upstream s-0 is unresponsive; migrating 3 connections",
         "limerudder n0: node: upstream s-1 is unresponsive; migrating 3 connections",
         "limerudder n0: node: again (2 more like this not shown)",
         "limerudder n0: policy: bad",
     ]
-    assert [one["event"] for one in objects] == ["host.unresponsive"] * 3 + ["policy.error"]
+    assert [entry["event"] for entry in objects] == ["host.unresponsive"] * 3 + ["policy.error"]
     assert objects[2] == {
         "node": "n0",
         "event": "host.unresponsive",
@@ -119,7 +120,7 @@
     assert objects[3]["level"] == "error"
 
 
-def test_the_rate_is_a_step_of_its_own() -> None:
+def test_the_rate_limiter_counts_each_kind_alone() -> None:
     rate = LogRateLimiter(1, 60.0)
     assert rate(None, "info", {"kind": "a"}) is not None
     assert rate(None, "info", {"kind": "a"}) is None
--- a/tests/test_client_session.py
+++ b/tests/test_client_session.py
@@ -10,7 +10,7 @@
 from limerudder.core.operations.counters import CounterName
 from tests.node_testbed import node_testbed
 
-BAD = {
+MALFORMED_DATA = {
     b"HELLO\r\n": CounterName.REQUESTS_MALFORMED,
     b"\x16\x03\x01": CounterName.REQUESTS_MALFORMED,
     b"OPEN a\nOPEN": CounterName.REQUESTS_MALFORMED,
@@ -22,27 +22,29 @@
     b"PING\r\n" + LINE.encode() + b"\r\n": CounterName.REQUESTS_PIPELINED_EARLY,
     (LINE.encode() + b"\r\n") * 300: CounterName.REQUESTS_PIPELINED_EARLY,
 }
-# a PING alone is none of them: only what follows it in the same read is bad
-CUTS = [(data, n) for data in BAD for n in (1, 7, 5000) if n < 5000 or not data.startswith(b"PING")]
-
-
-@pytest.mark.parametrize(("data", "pieces"), CUTS, ids=lambda value: str(value)[:20])
-def test_a_bad_first_line_is_an_error_is_counted_and_leaves_nothing(
-    tmp_path: Path, data: bytes, pieces: int
+# a PING alone is valid: only what follows it in the same read is an error
+CUTS = [
+    (data, chunk_count)
+    for data in MALFORMED_DATA
+    for chunk_count in (1, 7, 5000)
+    if chunk_count < 5000 or not data.startswith(b"PING")
+]
+
+
+@pytest.mark.parametrize(("data", "chunk_count"), CUTS, ids=lambda value: str(value)[:20])
+def test_a_malformed_first_line_is_an_error_is_counted_and_leaves_nothing(
+    tmp_path: Path, data: bytes, chunk_count: int
 ) -> None:
     testbed = node_testbed(tmp_path)
     session, transport = testbed.connect()
-    step = max(len(data) // pieces, 1)
-    for at in range(0, len(data), step):
-        session.data_received(data[at : at + step], testbed.now)
+    chunk_bytes = max(len(data) // chunk_count, 1)
+    for start in range(0, len(data), chunk_bytes):
+        session.data_received(data[start : start + chunk_bytes], testbed.now)
         assert len(session.first_line.line) < 4096
-    assert (
-        transport.sent.replace(b"PONG\r\n", b"") == b"ERR\r\n"
-        and transport.half_closed
-        and not transport.closed
-    )
-    if pieces == 1:
-        assert testbed.node.counters[BAD[data]] == 1
+    assert transport.sent.replace(b"PONG\r\n", b"") == b"ERR\r\n"
+    assert transport.half_closed and not transport.closed
+    if chunk_count == 1:
+        assert testbed.node.counters[MALFORMED_DATA[data]] == 1
     assert not testbed.node.requests and not testbed.node.requests.open_ids and not testbed.attempts()
     testbed.run(SECOND + 5000)
     assert transport.closed and not testbed.node.admission.connections and not testbed.node.admission.idle
@@ -54,17 +56,18 @@
 ) -> None:
     testbed = node_testbed(tmp_path)
     session, transport = testbed.connect()
-    for at in range(len(sent)):  # a dribbler gains nothing
-        session.data_received(sent[at : at + 1], testbed.now)
+    for start in range(len(sent)):  # sending slowly gains no time
+        session.data_received(sent[start : start + 1], testbed.now)
         testbed.run(100_000)
-    testbed.run(2_500_000 - (len(sent) - 6 if sent[:1] == b"P" else len(sent)) * 100_000)
+    first_line_bytes = len(sent.removeprefix(b"PING\r\n"))
+    testbed.run(2_500_000 - first_line_bytes * 100_000)
     testbed.run(5000)
-    # a first line that crosses this end has its final answer: BUSY, where none has begun
+    # a first line that crosses this end has its final answer: BUSY, if none has begun
     assert transport.sent.removeprefix(b"PONG\r\n") == (b"ERR\r\n" if sent else b"BUSY\r\n")
     assert transport.half_closed and not transport.closed
     if not sent:
         session.data_received(LINE.encode() + b"\r\n", testbed.now)
-        assert not testbed.node.requests and not testbed.attempts(), "read after the end, and never sent on"
+        assert not testbed.node.requests and not testbed.attempts(), "read after the end, and never forwarded"
     testbed.run(SECOND + 5000)
     assert transport.closed and not testbed.node.admission.connections
 
@@ -73,14 +76,14 @@
     testbed = node_testbed(tmp_path)
     session, transport = testbed.connect()
     text = LINE.encode() + b"\r\n"
-    for at in range(len(text)):
+    for start in range(len(text)):
         testbed.run(25_000)
-        session.data_received(text[at : at + 1], testbed.now)
+        session.data_received(text[start : start + 1], testbed.now)
     (attempt,) = testbed.attempts()
     assert attempt.accept(testbed.now).startswith(LINE.partition("d=")[0]) and not transport.sent
 
 
-def test_a_client_that_sends_on_after_its_final_answer_is_read_no_further(tmp_path: Path) -> None:
+def test_a_client_that_keeps_sending_after_its_final_answer_is_read_no_further(tmp_path: Path) -> None:
     testbed = node_testbed(tmp_path)
     session, transport = testbed.connect()
     for _ in range(6):
@@ -94,9 +97,9 @@
 def test_a_client_that_pings_and_does_not_read_is_not_read_either(tmp_path: Path) -> None:
     testbed = node_testbed(tmp_path)
     session, transport = testbed.send_request("PING")
-    for on in (True, False):
-        session.set_writing_paused(on)
-        assert transport.reading_paused is on
+    for paused in (True, False):
+        session.set_writing_paused(paused)
+        assert transport.reading_paused is paused
 
 
 def test_a_client_that_waits_is_read_on_and_seen_to_disconnect(tmp_path: Path) -> None:
@@ -108,11 +111,11 @@
     session.set_writing_paused(True)
     assert not transport.reading_paused
     (attempt,) = testbed.attempts()
-    transport.peer_disconnected = True  # its FIN is there, behind bytes that the loop has not come to
+    transport.peer_disconnected = True  # its FIN has arrived, behind bytes that the event loop has not read
     assert attempt.accept(testbed.now) == "" and attempt.closed and transport.closed
     assert not testbed.node.requests and testbed.node.counters[CounterName.CLIENTS_DISCONNECTED_UNREAD] == 1
     testbed.run(SECOND)
-    assert not testbed.attempts(), "and never sent on"
+    assert not testbed.attempts(), "and never forwarded"
 
 
 def test_a_connection_that_only_pings_is_kept_while_it_does(tmp_path: Path) -> None:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -15,21 +15,21 @@
 def test_the_configuration_file_has_the_same_settings_as_the_simulator(tmp_path: Path) -> None:
     config = load_config(configuration(tmp_path) | {"PROXY_NAME": "n7", "PROXY_LISTEN": "127.0.0.1:81"})
     assert (config.name, config.listen, config.seed) == ("n7", ("127.0.0.1", 81), 0x8C1F30D27A5BE964)
-    read = config.settings
-    assert (read.max_attempts, read.connect_timeout_us, read.report_fields) == (
-        3,
-        100_000,
-        ("inflight", "x0"),
-    )
-    assert read.classes[0].message_objective_us == 60_000 and read.prices == {"probe": 0.002}
-    assert config.names.zones == ("a", "b") and config.known.endpoints[0].name == "s-1"
+    assert config.settings.max_attempts == 3
+    assert config.settings.connect_timeout_us == 100_000
+    assert config.settings.report_fields == ("inflight", "x0")
+    assert config.settings.classes[0].message_objective_us == 60_000
+    assert config.settings.prices == {"probe": 0.002}
+    assert config.names.zones == ("a", "b")
+    assert config.known.endpoints[0].name == "s-1"
 
 
 def test_a_reloaded_configuration_has_its_own_discovery_whatever_the_environment_says(
     tmp_path: Path,
 ) -> None:
-    given = configuration(tmp_path, discovery="127.0.0.1:7") | {"PROXY_DISCOVERY": "127.0.0.1:8"}
-    assert load_config(given).discovery[1] == 8 and reload_config(given).discovery[1] == 7
+    environment = configuration(tmp_path, discovery="127.0.0.1:7") | {"PROXY_DISCOVERY": "127.0.0.1:8"}
+    assert load_config(environment).discovery[1] == 8
+    assert reload_config(environment).discovery[1] == 7
 
 
 @pytest.mark.parametrize(
--- a/tests/test_connection_sampler.py
+++ b/tests/test_connection_sampler.py
@@ -12,9 +12,9 @@
     testbed = node_testbed(tmp_path)
     events = policy_events(testbed)
     session, _, attempt = testbed.establish_client()
-    for took in (30_000, 30_000, 5000, 5000):
+    for latency_us in (30_000, 30_000, 5000, 5000):
         session.data_received(b"M\r\n", testbed.now)
-        testbed.run(took)
+        testbed.run(latency_us)
         attempt.machine.data_received(b"M\r\n", testbed.now)
-    samples = [(type(e), e[2]) for e in events if isinstance(e, LatencySample | LoadSample)]
+    samples = [(type(event), event[2]) for event in events if isinstance(event, LatencySample | LoadSample)]
     assert samples == [(LatencySample, 30.0), (LatencySample, 5.0)]
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -38,7 +38,8 @@
 
 
 def open_session(console: Console) -> tuple[ConsoleSession, FakeTransport]:
-    session, transport = ConsoleSession(console), FakeTransport()
+    session = ConsoleSession(console)
+    transport = FakeTransport()
     session.connection_made(transport, 0)
     return session, transport
 
@@ -203,9 +204,8 @@
 def test_hosts_that_the_policy_avoids_are_out_of_rotation(tmp_path: Path) -> None:
     testbed = node_testbed(tmp_path, settings=settings(tryLimit=1))
     testbed.send_request()
-    testbed.attempts()[0].machine.connection_lost(
-        testbed.now
-    )  # a failure, for which the policy avoids the host
+    (attempt,) = testbed.attempts()
+    attempt.machine.connection_lost(testbed.now)  # a failure, after which the policy avoids the host
     assert metrics(testbed)["out_of_rotation"] == "1|g"
     testbed.run(4 * SECOND)
     assert metrics(testbed)["out_of_rotation"] == "0|g", "it is tried again"
--- a/tests/test_discovery_call.py
+++ b/tests/test_discovery_call.py
@@ -9,12 +9,12 @@
 from limerudder.policy.discovery_timing import CallDeadline
 
 
-def _watch(lists: list[EndpointList], ended: list[bool]) -> DiscoveryCall:
+def _watch(lists: list[EndpointList], failures: list[bool]) -> DiscoveryCall:
     return DiscoveryCall(
         "d",
         41,
-        lambda call, hosts, now: lists.append(hosts),
-        lambda c, failed, now: ended.append(failed),
+        lambda call, endpoint_list, now_us: lists.append(endpoint_list),
+        lambda call, failed, now_us: failures.append(failed),
         CallDeadline(False, 0),
     )
 
@@ -31,15 +31,19 @@
 
 @pytest.mark.parametrize("cut", range(0, len(WATCH) + 1, 3))
 def test_a_watch_gives_each_list_however_it_is_cut(cut: int) -> None:
-    lists, ended = list[EndpointList](), list[bool]()
-    call = _watch(lists, ended)
+    lists = list[EndpointList]()
+    failures = list[bool]()
+    call = _watch(lists, failures)
     assert b"GET /discovery/hosts?watch=1&after=41 HTTP/1.1\r\n" in call.first_bytes(0)
     call.data_received(WATCH[:cut], 1)
     call.data_received(WATCH[cut:], 2)
-    assert [h.version for h in lists] == [43] and not ended
-    assert lists[0].endpoints[0][:2] == ("s-9", ("10.1.0.18", 8081)) and lists[0].endpoints[0].started_ms == 7
+    assert [endpoint_list.version for endpoint_list in lists] == [43]
+    assert not failures
+    endpoint = lists[0].endpoints[0]
+    assert endpoint[:2] == ("s-9", ("10.1.0.18", 8081))
+    assert endpoint.started_ms == 7
     call.data_received(b"0\r\n\r\n", 3)
-    assert ended == [True], "a watch that is complete has ended"
+    assert failures == [True], "a watch that is complete has ended"
 
 
 @pytest.mark.parametrize(
@@ -58,6 +62,7 @@
     ],
 )
 def test_a_malformed_answer_of_discovery_is_a_failed_call(answer: bytes) -> None:
-    lists, ended = list[EndpointList](), list[bool]()
-    _watch(lists, ended).data_received(answer, 1)
-    assert (lists, ended) == ([], [True])
+    lists = list[EndpointList]()
+    failures = list[bool]()
+    _watch(lists, failures).data_received(answer, 1)
+    assert (lists, failures) == ([], [True])
--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -11,18 +11,20 @@
 def test_graceful_shutdown_rejects_new_requests_and_migrates_all_clients_step_by_step(tmp_path: Path) -> None:
     testbed = node_testbed(tmp_path)
     transports = [testbed.establish_client()[1] for _ in range(30)]
-    done: list[int] = []
-    testbed.node.on_shutdown_complete = lambda: done.append(testbed.now)
-    begun = testbed.now
+    completed_at: list[int] = []
+    testbed.node.on_shutdown_complete = lambda: completed_at.append(testbed.now)
+    started_us = testbed.now
     testbed.node.start_graceful_shutdown(testbed.now)
-    _, late = testbed.send_request()
-    assert late.sent == b"BUSY\r\n"
-    moved = []
-    while not done and testbed.now < begun + 4 * SECOND:
+    _, late_client = testbed.send_request()
+    assert late_client.sent == b"BUSY\r\n"
+    migrated = []
+    while not completed_at and testbed.now < started_us + 4 * SECOND:
         testbed.run(100_000)
-        moved.append(sum(transport.sent.endswith(b"MOVE\r\n") for transport in transports))
-    assert moved[6] == 0 and 0 < moved[11] < 30, "what stands may stay while other nodes are down too"
-    assert moved[19] == 30 and done and done[0] < begun + 2_700_000, "SIGKILL may come then"
+        migrated.append(sum(transport.sent.endswith(b"MOVE\r\n") for transport in transports))
+    assert migrated[6] == 0, "connections stay at first, while other nodes may be down too"
+    assert 0 < migrated[11] < 30
+    assert migrated[19] == 30
+    assert completed_at and completed_at[0] < started_us + 2_700_000, "SIGKILL may come then"
 
 
 def test_graceful_shutdown_leaves_no_request_without_its_answer(tmp_path: Path) -> None:
--- a/tests/test_health_check.py
+++ b/tests/test_health_check.py
@@ -12,7 +12,7 @@
 
 
 @pytest.mark.parametrize(
-    ("answer", "heard"),
+    ("answer", "expected"),
     [
         (b"PONG inflight=7,x0=0.61\r\n", (AttemptOutcome.OK, (7.0, 0.61))),
         (b"PONG\r\n", (AttemptOutcome.OK, ())),
@@ -21,14 +21,16 @@
         (b"x" * 5000, (AttemptOutcome.ERROR, ())),
     ],
 )
-def test_a_health_check_is_answered_once(answer: bytes, heard: tuple[Any, ...]) -> None:
-    got: list[tuple[Any, ...]] = []
-    probe = HealthCheckConnection(
-        ("inflight", "x0"), lambda took, ending, report, now: got.append((took, ending, report))
-    )
-    probe.send_check(0)
-    transport = FakeTransport(probe)
+def test_a_health_check_is_answered_once(answer: bytes, expected: tuple[Any, ...]) -> None:
+    results: list[tuple[Any, ...]] = []
+
+    def record(latency_us: int, outcome: AttemptOutcome, report: tuple[float, ...], now_us: int) -> None:
+        results.append((latency_us, outcome, report))
+
+    health_check = HealthCheckConnection(("inflight", "x0"), record)
+    health_check.send_check(0)
+    transport = FakeTransport(health_check)
     assert transport.accept(30) == "STATS\r\n"
-    probe.data_received(answer, 40)
-    probe.expire_pending(50, 60)
-    assert got == [(10, *heard)], "setting up the connection does not count"
+    health_check.data_received(answer, 40)
+    health_check.expire_pending(50, 60)
+    assert results == [(10, *expected)], "the time to connect does not count"
--- a/tests/test_health_checker.py
+++ b/tests/test_health_checker.py
@@ -1,4 +1,4 @@
-"""Health checks, as the policy asks for them."""
+"""Health checks that the policy requests."""
 
 from __future__ import annotations
 
@@ -27,13 +27,11 @@
 def test_a_malformed_load_report_is_counted_and_logged(tmp_path: Path, report: str, malformed: int) -> None:
     testbed = node_testbed(tmp_path, settings=settings(probes=True))
     events = policy_events(testbed)
-    testbed.node.health_checker.check(CheckHealth(next(iter(testbed.node.upstreams.by_number))), testbed.now)
+    server_id = next(iter(testbed.node.upstreams.by_number))
+    testbed.node.health_checker.check(CheckHealth(server_id), testbed.now)
     transport = testbed.dials[-1]
     transport.accept(testbed.now)
     transport.machine.data_received(f"PONG {report}".strip().encode() + b"\r\n", testbed.now)
-    assert [type(event) for event in events] == [HealthCheckResult], "the policy is told of it either way"
-    assert (
-        testbed.node.counters[CounterName.LOAD_REPORTS_MALFORMED]
-        == malformed
-        == sum("load report" in t for t in testbed.logged)
-    )
+    assert [type(event) for event in events] == [HealthCheckResult], "the policy gets it either way"
+    assert testbed.node.counters[CounterName.LOAD_REPORTS_MALFORMED] == malformed
+    assert sum("load report" in text for text in testbed.logged) == malformed
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -11,10 +11,7 @@
 from limerudder.core.discovery.endpoint_list import parse_endpoint_list
 from limerudder.core.operations.maintenance import InMemoryMarks
 from limerudder.net.mark_files import MarkFiles
-from limerudder.policy.events import (
-    EndpointUpdate,
-    ServerState,
-)
+from limerudder.policy.events import EndpointUpdate, ServerState
 from tests.node_testbed import NodeTestbed, node_testbed, policy_events
 
 START_MS = 1_700_000_000_000
@@ -119,9 +116,8 @@
         for entry in event.entries
         if entry.server_id == upstream_number(testbed, "s-1")
     ]
-    assert (
-        entries[-1].state == ServerState.READY and entries[-1].ready_since_us == testbed.now
-    ), "cold, whatever is listed"
+    assert entries[-1].state == ServerState.READY
+    assert entries[-1].ready_since_us == testbed.now, "cold, whatever is listed"
     testbed.establish_client()
     assert testbed.attempts()[-1].machine.observer.upstream.name == "s-1", "the next one goes there"
     chosen = set[str]()
@@ -144,9 +140,8 @@
     testbed.establish_client()
     assert testbed.attempts()[-1].machine.observer.upstream.name == "s-1"
     testbed.run(5 * SECOND)
-    assert (
-        sum(transport.sent.endswith(b"MOVE\r\n") for transport in established) == migrated
-    ), "and no more than necessary"
+    migrated_later = sum(transport.sent.endswith(b"MOVE\r\n") for transport in established)
+    assert migrated_later == migrated, "and no more than necessary"
 
 
 @pytest.mark.parametrize("returned_ago_us", [SECOND, 20 * SECOND])
@@ -187,7 +182,8 @@
 
 
 def test_both_processes_follow_the_marks(tmp_path: Path) -> None:
-    testbed, other = node_testbed(tmp_path), node_testbed(tmp_path)
+    testbed = node_testbed(tmp_path)
+    other = node_testbed(tmp_path)
     marks = InMemoryMarks()
     testbed.node.maintenance.marks = marks
     other.node.maintenance.marks = marks
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -29,16 +29,13 @@
     testbed.node.peering.log = lambda kind, text, detail="": logged.append((kind, text))
     testbed.node.peering.datagram_received(None, b"hello", testbed.now)
     testbed.node.peering.datagram_received(1, b"\xa7" * 257, testbed.now)
-    assert not events, "the policy hears of peers only, and within the rules"
+    assert not events, "the policy gets datagrams of peers only, and of allowed sizes only"
     testbed.node.peering.datagram_received(1, b"hello", testbed.now)
     testbed.node.peering.datagram_received(1, bytes((0xA7, 0, 0, 0, 0)), testbed.now)
-    assert (
-        testbed.node.counters[CounterName.PEER_MESSAGES_MALFORMED] == 3
-        and testbed.node.counters[CounterName.PEER_MESSAGES_RECEIVED] == 2
-    )
-    assert {kind for kind, _ in logged} == {
-        LogKind.PEER_DATAGRAM_DROPPED
-    }, "of a kind of its own: a flood hides no other line"
+    assert testbed.node.counters[CounterName.PEER_MESSAGES_MALFORMED] == 3
+    assert testbed.node.counters[CounterName.PEER_MESSAGES_RECEIVED] == 2
+    kinds = {kind for kind, _ in logged}
+    assert kinds == {LogKind.PEER_DATAGRAM_DROPPED}, "of a kind of its own: a flood hides no other line"
     assert [text.removeprefix("node: a datagram ") for _, text in logged] == [
         "of 5 bytes (at most 256 are taken) came from an address that is no peer's; dropped",
         "of 257 bytes (at most 256 are taken) came from node 1; dropped",
@@ -46,11 +43,10 @@
     ]
 
 
-def test_the_peer_socket_tells_which_peer_sent_a_datagram() -> None:
-    heard: list[tuple[int | None, bytes]] = []
-    peers = PeerSocket(
-        [("127.0.0.1", 9001), ("127.0.0.1", 9002)], None, lambda n, data: heard.append((n, data))
-    )
-    peers.datagram_received(b"a", ("127.0.0.1", 9002))
-    peers.datagram_received(b"b", ("127.0.0.1", 9003))
-    assert heard == [(1, b"a"), (None, b"b")]
+def test_the_peer_socket_identifies_the_peer_that_sent_a_datagram() -> None:
+    received: list[tuple[int | None, bytes]] = []
+    peer_addresses = [("127.0.0.1", 9001), ("127.0.0.1", 9002)]
+    peer_socket = PeerSocket(peer_addresses, None, lambda number, data: received.append((number, data)))
+    peer_socket.datagram_received(b"a", ("127.0.0.1", 9002))
+    peer_socket.datagram_received(b"b", ("127.0.0.1", 9003))
+    assert received == [(1, b"a"), (None, b"b")]
--- a/tests/test_race_conditions.py
+++ b/tests/test_race_conditions.py
@@ -84,7 +84,7 @@
         client.send_lines(testbed.request_line())
         assert await client.read_line() == ""
         patch.undo()
-        await testbed.establish_connection()  # and its host has this one alone
+        await testbed.establish_connection()  # the only connection that its host has
         assert testbed.upstream.connections.empty()
 
 
@@ -334,9 +334,8 @@
         assert "after=0" in await new_watch.read_line()
         old_watch.send_lines(drained[40:])
         assert await old_watch.read_to_end() != b"", "the rest of the request, and the end"
-        await (
-            testbed.establish_connection()
-        )  # by the previous list: the old service's partial one does not count
+        # the previous list is still in effect: the old service's partial one does not count
+        await testbed.establish_connection()
 
 
 # descriptors, floods, restarts
--- a/tests/test_store_data_directory.py
+++ b/tests/test_store_data_directory.py
@@ -60,11 +60,11 @@
         member = Member(opened.identity.member_id, opened.durable_state, Random(1), 0)
         assert member.state.items == state_with_keys(30).items and len(member.config.members) == 2
     assert len(clusters) == 1 and clusters != {9}
-    whole = (tmp_path / "b").read_bytes()
+    intact = (tmp_path / "b").read_bytes()
     for damaged in (
-        whole[:-3],
-        whole[: len(whole) // 2],
-        whole[:40] + b"?" + whole[41:],
+        intact[:-3],
+        intact[: len(intact) // 2],
+        intact[:40] + b"?" + intact[41:],
         b"",
         b"garbage" * 9,
     ):
--- a/tests/test_store_disk.py
+++ b/tests/test_store_disk.py
@@ -210,16 +210,16 @@
     )
     member_disk.close()
     path = tmp_path / "s" / DATABASE_FILE
-    whole = path.read_bytes()
-    for what, named in [(b"17.1", "log entry 17"), (b"drain", "fact 1")]:
-        damaged = bytearray(whole)
-        damaged[whole.rindex(what)] ^= 1
+    intact = path.read_bytes()
+    for content, row_name in [(b"17.1", "log entry 17"), (b"drain", "fact 1")]:
+        damaged = bytearray(intact)
+        damaged[intact.rindex(content)] ^= 1
         path.write_bytes(damaged)
         reopened_disk = Disk(str(tmp_path / "s"))
-        with pytest.raises(DiskError, match=f"{named}: its checksum does not match"):
+        with pytest.raises(DiskError, match=f"{row_name}: its checksum does not match"):
             reopened_disk.load()
         reopened_disk.close()
-    path.write_bytes(whole[: len(whole) // 2])
+    path.write_bytes(intact[: len(intact) // 2])
     with pytest.raises(DiskError, match="malformed|disk image|missing|no such"):
         reopened_disk = Disk(str(tmp_path / "s"))
         try:
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -237,13 +237,13 @@
         records.apply(entry.index, entry.data)
     disk.persist([DurabilityJob(2, None, SnapshotJob(7, 1, CONFIG, records.snapshot_view(200), 5))])
     facts = tuple(drain_log.NumberedFact(number, fact) for number, fact in enumerate(FACTS.values(), 1))
-    known = {
+    known_values = {
         "hosts/s-1": KnownValue(2, drain_log.encode_host_record(HOST_RECORD)),
         "config/log": KnownValue(1, None),
     }
     proofs = {6: DurabilityProof(Incarnation(3, 77), 1, 9)}
     write = RaftWrite(3, entries=tuple(entries[8:]))
-    disk.persist([DurabilityJob(3, write, new_facts=facts, known_values=known, proofs=proofs)])
+    disk.persist([DurabilityJob(3, write, new_facts=facts, known_values=known_values, proofs=proofs)])
     chunks = (SnapshotChunk(INCOMING, 0, b"first"), SnapshotChunk(INCOMING, 1, b"second"))
     write = RaftWrite(4, hard_state=HardState(2, 6), snapshot_chunks=chunks)
     disk.persist([DurabilityJob(4, write, deleted_facts=(2,))])
