--- a/limerudder/core/lifecycle/hot_restart/handover_state.py
+++ b/limerudder/core/lifecycle/hot_restart/handover_state.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
 from limerudder.core.discovery.endpoint_list import EndpointList, format_endpoint_list, parse_endpoint_list
@@ -16,12 +15,11 @@
 MALFORMED_VALUE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
 
 
-@dataclass(frozen=True, slots=True)
-class ProcessUsage:
+class ProcessUsage(NamedTuple):
     """What one process of a node holds of the limits that all its processes share."""
 
-    descriptors: int = 0  #: for clients and attempts
-    connections_by_upstream: dict[str, int] = field(default_factory=dict)  #: by the upstream's name
+    descriptors: int  #: for clients and attempts
+    connections_by_upstream: dict[str, int]  #: by the upstream's name
 
 
 class HandoverState(NamedTuple):
--- a/limerudder/core/lifecycle/hot_restart/parent.py
+++ b/limerudder/core/lifecycle/hot_restart/parent.py
@@ -54,7 +54,7 @@
         self._hooks = hooks
         self._timers = timers
         self._successor: SuccessorConnection | None = None
-        self._sent_usage = ProcessUsage()
+        self._sent_usage = ProcessUsage(0, {})
 
     def state_line(self) -> bytes:
         """Return the line that a process gets as soon as it has connected."""
--- a/limerudder/core/lifecycle/hot_restart/successor.py
+++ b/limerudder/core/lifecycle/hot_restart/successor.py
@@ -75,7 +75,7 @@
     def connection_lost(self, now_us: int) -> None:
         """Serve alone: the parent has ended, and what it held is free."""
         super().connection_lost(now_us)
-        self._hooks.set_parent_usage(ProcessUsage(), now_us)
+        self._hooks.set_parent_usage(ProcessUsage(0, {}), now_us)
         self._start_serving()
         self._hooks.parent_ended()
 
--- a/limerudder/core/requests/proxied_connection.py
+++ b/limerudder/core/requests/proxied_connection.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from enum import Enum, auto
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from limerudder.core.ports import Attempt, ClientSession, ConnectRequest
 from limerudder.core.timer_wheel import Timer
@@ -26,8 +25,7 @@
     FINISHED = auto()  # it has had its final answer, or its client has gone; its attempt may still be closing
 
 
-@dataclass(frozen=True, slots=True)
-class ConnectionEventHandlers:
+class ConnectionEventHandlers(NamedTuple):
     """The parts of the node that handle what sessions and attempts report."""
 
     lifecycle: RequestLifecycle
--- a/limerudder/core/services.py
+++ b/limerudder/core/services.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from typing import NamedTuple
 
 from limerudder.core.operations.counters import Counters
 from limerudder.core.operations.log_events import LogSink
@@ -16,8 +16,7 @@
 EventDispatch = Callable[[Event, int], None]  #: event for the policy, time in microseconds
 
 
-@dataclass(frozen=True, slots=True)
-class NodeServices:
+class NodeServices(NamedTuple):
     """The services that every part of one node may use."""
 
     settings: Settings
--- a/limerudder/net/log.py
+++ b/limerudder/net/log.py
@@ -11,7 +11,6 @@
 import sys
 import time
 from collections.abc import Callable, Hashable, MutableMapping
-from dataclasses import dataclass
 from typing import Any
 
 from limerudder.core.operations.log_events import LogKind
@@ -25,12 +24,12 @@
 Renderer = Callable[[Any, str, EventDict], str]
 
 
-@dataclass(slots=True)
 class LogWindow:
     """The events of one kind since a moment of the monotonic clock."""
 
-    started_at_seconds: float
-    event_count: int
+    def __init__(self, started_at_seconds: float) -> None:
+        self.started_at_seconds = started_at_seconds
+        self.event_count = 0
 
 
 class LogRateLimiter:
@@ -47,7 +46,7 @@
     def __call__(self, logger: Any, method: str, event: EventDict) -> EventDict | None:
         """Return the event, or None if it is to be dropped; a structlog processor but for the None."""
         now_seconds = time.monotonic()
-        window = self.windows.setdefault(event.pop("kind"), LogWindow(now_seconds, 0))
+        window = self.windows.setdefault(event.pop("kind"), LogWindow(now_seconds))
         if now_seconds >= window.started_at_seconds + self.window_seconds:
             if window.event_count > self.max_lines:
                 event["left_out"] = window.event_count - self.max_lines
--- a/limerudder/policy/context.py
+++ b/limerudder/policy/context.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from random import Random
+from typing import NamedTuple
 
 from limerudder.policy.actions import Action
 from limerudder.policy.settings import Settings
@@ -21,8 +21,7 @@
         self.now_us = max(now_us, self.now_us)
 
 
-@dataclass(frozen=True, slots=True)
-class PolicyContext:
+class PolicyContext(NamedTuple):
     """Shared by the parts of one Balancer; `actions` are those of the event that is being handled."""
 
     settings: Settings
--- a/limerudder/policy/load_events.py
+++ b/limerudder/policy/load_events.py
@@ -17,7 +17,7 @@
 from limerudder.policy.server_registry import ServerRegistry
 
 
-@dataclass(eq=False)
+@dataclass(eq=False, repr=False)
 class LoadEvents:
     """Handles load samples, latency samples, health checks and peers' datagrams."""
 
--- a/limerudder/policy/load_shedding.py
+++ b/limerudder/policy/load_shedding.py
@@ -27,7 +27,7 @@
 MAX_UNANSWERED_HEALTH_CHECKS = 16  #: as many unanswered mean that health checks fail, not the servers
 
 
-@dataclass(eq=False)
+@dataclass(eq=False, repr=False)
 class LoadShedding:
     """Decides whether one more connection may join a server."""
 
--- a/limerudder/policy/outlier_detection.py
+++ b/limerudder/policy/outlier_detection.py
@@ -26,7 +26,7 @@
 NEUTRAL_OUTCOMES = frozenset({AttemptOutcome.OK, AttemptOutcome.CANCELLED, AttemptOutcome.OBSOLETE})
 
 
-@dataclass(eq=False)
+@dataclass(eq=False, repr=False)
 class OutlierDetector:
     """Learns from attempts and latencies which servers to avoid."""
 
--- a/limerudder/policy/request_lifecycle.py
+++ b/limerudder/policy/request_lifecycle.py
@@ -21,7 +21,7 @@
 RING_KEY_BITS = 32
 
 
-@dataclass(eq=False)
+@dataclass(eq=False, repr=False)
 class RequestLifecycle:
     """Handles the events of requests, attempts and connections."""
 
--- a/limerudder/policy/retry.py
+++ b/limerudder/policy/retry.py
@@ -27,7 +27,7 @@
 MIN_TIME_LEFT_TICKS = 2  #: with less time left, an attempt could not end before the deadline
 
 
-@dataclass(eq=False)
+@dataclass(eq=False, repr=False)
 class RequestPlacement:
     """Brings each request to a server or to its final answer."""
 
--- a/limerudder/policy/selection.py
+++ b/limerudder/policy/selection.py
@@ -30,7 +30,7 @@
 MIN_ROOM = 0.1  #: of a server's size, by which a loaded server is still drawn
 
 
-@dataclass(eq=False)
+@dataclass(eq=False, repr=False)
 class ServerSelector:
     """Draws the server that a connection joins."""
 
