--- a/limerudder/net/log.py
+++ b/limerudder/net/log.py
@@ -27,9 +27,9 @@
 class LogWindow:
     """The events of one kind since a moment of the monotonic clock."""
 
-    def __init__(self, started_at_seconds: float) -> None:
+    def __init__(self, started_at_seconds: float, event_count: int) -> None:
         self.started_at_seconds = started_at_seconds
-        self.event_count = 0
+        self.event_count = event_count
 
 
 class LogRateLimiter:
@@ -46,7 +46,7 @@
     def __call__(self, logger: Any, method: str, event: EventDict) -> EventDict | None:
         """Return the event, or None if it is to be dropped; a structlog processor but for the None."""
         now_seconds = time.monotonic()
-        window = self.windows.setdefault(event.pop("kind"), LogWindow(now_seconds))
+        window = self.windows.setdefault(event.pop("kind"), LogWindow(now_seconds, 0))
         if now_seconds >= window.started_at_seconds + self.window_seconds:
             if window.event_count > self.max_lines:
                 event["left_out"] = window.event_count - self.max_lines
--- a/limerudder/schema.py
+++ b/limerudder/schema.py
@@ -76,7 +76,7 @@
 
 
 def read_operator_file(text: str | bytes, file: str) -> OperatorFile:
-    """The operator's file as objects; FileError with every error of it."""
+    """The operator's file as objects; CueError with every error of it."""
     given = load(text, file, SCHEMA, "#File")
     store = given.get("store")
     if store:
