Rename the policy test driver's methods and settings to plain terms

The driver's names (give, members, gone, where, asked, sends, cls) needed explaining. Renamed by token in all users, nothing else changed.

--- a/tests/policy_driver.py
+++ b/tests/policy_driver.py
@@ -45,17 +45,17 @@
     TrafficClass,
 )
 
-SAFE = TrafficClass(
+SAFE_CLASS = TrafficClass(
     latency_objective_us=500_000, deadline_us=2 * SECOND, effect="safe", message_objective_us=100_000
 )
-BASE = Settings(
+BASE_SETTINGS = Settings(
     node_count=2,
     zone=0,
     classes=(
-        SAFE,
-        replace(SAFE, effect="unsafe"),
+        SAFE_CLASS,
+        replace(SAFE_CLASS, effect="unsafe"),
         *(
-            replace(SAFE, effect="keyed", key_scope=s, idempotency_window_us=SECOND)
+            replace(SAFE_CLASS, effect="keyed", key_scope=s, idempotency_window_us=SECOND)
             for s in ("all", "zone", "cell")
         ),
     ),
@@ -76,11 +76,13 @@
     report_fields=("queue", "x0"),
     prices={"probe": 0.002},
 )
-PLAIN = replace(BASE, allows_health_checks=False, has_groups=False)
-SWEEPS = replace(BASE, prices={})  # probes cost nothing: every server is asked, again and again
+MINIMAL_SETTINGS = replace(BASE_SETTINGS, allows_health_checks=False, has_groups=False)
+FREE_HEALTH_CHECKS = replace(
+    BASE_SETTINGS, prices={}
+)  # probes cost nothing: every server is asked, again and again
 
 
-def entry(
+def server_entry(
     server: int, state: int = ServerState.READY, zone: int = 0, since: int = 0, cell: int = 0
 ) -> ServerEntry:
     return ServerEntry(server, zone, 0, cell, state, 1.0, since)
@@ -122,25 +124,27 @@
 class Driver:
     """One Balancer with its clock, timers and attempts; asserts that no rule is broken."""
 
-    def __init__(self, settings: Settings = BASE, seed: int = 1, servers: Sequence[ServerEntry] = ()) -> None:
+    def __init__(
+        self, settings: Settings = BASE_SETTINGS, seed: int = 1, servers: Sequence[ServerEntry] = ()
+    ) -> None:
         self.settings = settings
-        self.now = 50 * SECOND
+        self.now_us = 50 * SECOND
         self.balancer = Balancer(settings, Random(seed))
         self.attempts: dict[int, Attempt] = {}
-        self.asked: dict[int, TrackedRequest] = {}
-        self.sends: dict[int, int] = {}
+        self.requests: dict[int, TrackedRequest] = {}
+        self.attempts_started: dict[int, int] = {}
         self.entries: dict[int, ServerEntry] = {}
         self.timers: list[tuple[int, int]] = []
-        self.log: list[Action] = []
+        self.actions: list[Action] = []
         self.next_id = 1
         if servers:
-            self.members(servers, UpdateKind.CACHED)
+            self.update_endpoints(servers, UpdateKind.CACHED)
 
-    def give(self, event: Event) -> list[Action]:
+    def deliver(self, event: Event) -> list[Action]:
         """Deliver one event and check the actions against the rules."""
-        actions = self.balancer.handle(event, self.now)
+        actions = self.balancer.handle(event, self.now_us)
         for action in actions:
-            self.log.append(action)
+            self.actions.append(action)
             if isinstance(action, StartAttempt):
                 self._check_attempt(action)
             elif isinstance(action, RejectRequest | FailRequest):
@@ -155,12 +159,12 @@
         return actions
 
     def _check_attempt(self, action: StartAttempt) -> None:
-        asked = self.asked[action.request_id]
-        entry = self.entries[action.server_id]
+        asked = self.requests[action.request_id]
+        server_entry = self.entries[action.server_id]
         assert not asked.answered, "started after the final answer"
         assert action.request_id not in self.attempts, "two attempts out at once"
-        assert entry.state == ServerState.READY, "started at a server that drains or is gone"
-        number = self.sends.get(action.request_id, 0)
+        assert server_entry.state == ServerState.READY, "started at a server that drains or is gone"
+        number = self.attempts_started.get(action.request_id, 0)
         assert number < self.settings.max_attempts
         for execution in asked.possible_executions:
             assert (
@@ -169,20 +173,20 @@
             if asked.traffic_class.effect == "keyed":
                 previous = self.entries[execution.server]
                 scope = asked.traffic_class.key_scope
-                assert self.now <= execution.started_at + asked.traffic_class.idempotency_window_us
-                assert scope != "zone" or previous.zone == entry.zone
-                assert scope != "cell" or previous.cell == entry.cell
-        self.sends[action.request_id] = number + 1
-        ends = min(self.now + action.timeout_us, asked.deadline) if action.timeout_us else asked.deadline
+                assert self.now_us <= execution.started_at + asked.traffic_class.idempotency_window_us
+                assert scope != "zone" or previous.zone == server_entry.zone
+                assert scope != "cell" or previous.cell == server_entry.cell
+        self.attempts_started[action.request_id] = number + 1
+        ends = min(self.now_us + action.timeout_us, asked.deadline) if action.timeout_us else asked.deadline
         self.attempts[action.request_id] = Attempt(
-            action.request_id, number, action.server_id, self.now, ends
+            action.request_id, number, action.server_id, self.now_us, ends
         )
 
     def _check_answer(self, action: RejectRequest | FailRequest) -> None:
-        asked = self.asked[action.request_id]
+        asked = self.requests[action.request_id]
         assert not asked.answered, "answered twice"
         assert action.request_id not in self.attempts, "answered while an attempt is out"
-        assert self.now <= asked.deadline + self.settings.answer_slack_us, "answered late"
+        assert self.now_us <= asked.deadline + self.settings.answer_slack_us, "answered late"
         if isinstance(action, RejectRequest) and asked.possible_executions:
             traffic_class = asked.traffic_class
             assert traffic_class.effect == "safe" or traffic_class.key_scope == "all" != traffic_class.effect
@@ -198,28 +202,35 @@
         grouped = sum(servers.total() for servers in servers_by_group.values())
         assert grouped <= len(self.attempts)
 
-    def members(self, entries: Sequence[ServerEntry], kind: int = UpdateKind.DELTA) -> list[Action]:
+    def update_endpoints(self, entries: Sequence[ServerEntry], kind: int = UpdateKind.DELTA) -> list[Action]:
         if kind in (UpdateKind.FULL, UpdateKind.CACHED):
-            for server, entry in self.entries.items():
-                self.entries[server] = entry._replace(state=ServerState.GONE)
-        self.entries.update({entry.server_id: entry for entry in entries})
-        return self.give(EndpointUpdate(kind, 1, entries))
+            for server, server_entry in self.entries.items():
+                self.entries[server] = server_entry._replace(state=ServerState.GONE)
+        self.entries.update({server_entry.server_id: server_entry for server_entry in entries})
+        return self.deliver(EndpointUpdate(kind, 1, entries))
 
     def request(
-        self, cls: int = 0, group: int = 0, time_left: int | None = None, tenant: int = 0, flags: int = 0
+        self,
+        traffic_class: int = 0,
+        group: int = 0,
+        time_left_us: int | None = None,
+        tenant: int = 0,
+        flags: int = 0,
     ) -> int:
         number = self._take_id()
-        left = self.settings.classes[cls].deadline_us if time_left is None else time_left
-        self.asked[number] = TrackedRequest(self.settings.classes[cls], self.now + left)
-        self.give(NewRequest(number, cls, tenant, 0, left, 0, group, flags))
+        left = self.settings.classes[traffic_class].deadline_us if time_left_us is None else time_left_us
+        self.requests[number] = TrackedRequest(self.settings.classes[traffic_class], self.now_us + left)
+        self.deliver(NewRequest(number, traffic_class, tenant, 0, left, 0, group, flags))
         return number
 
-    def open(self, server: int, cls: int = 0, group: int = 0) -> int:
+    def add_connection(self, server: int, traffic_class: int = 0, group: int = 0) -> int:
         number = self._take_id()
-        self.asked[number] = TrackedRequest(self.settings.classes[cls], self.now, answered=True)
-        self.attempts[number] = Attempt(number, 0, server, self.now, NEVER, live=True)
-        self.sends[number] = 1
-        self.give(ExistingConnection(number, cls, 0, 0, 0, 0, group, 0, server))
+        self.requests[number] = TrackedRequest(
+            self.settings.classes[traffic_class], self.now_us, answered=True
+        )
+        self.attempts[number] = Attempt(number, 0, server, self.now_us, NEVER, live=True)
+        self.attempts_started[number] = 1
+        self.deliver(ExistingConnection(number, traffic_class, 0, 0, 0, 0, group, 0, server))
         return number
 
     def _take_id(self) -> int:
@@ -231,14 +242,14 @@
         attempt = self.attempts[number]
         attempt.live = True
         attempt.times_out_at = NEVER
-        self.asked[number].answered = True
-        self.give(
-            ConnectionEstablished(number, attempt.server, attempt.number, self.now - attempt.started_at)
+        self.requests[number].answered = True
+        self.deliver(
+            ConnectionEstablished(number, attempt.server, attempt.number, self.now_us - attempt.started_at)
         )
 
-    def end(self, number: int, ending: int) -> list[Action]:
+    def end_attempt(self, number: int, ending: int) -> list[Action]:
         attempt = self.attempts.pop(number)
-        asked = self.asked[number]
+        asked = self.requests[number]
         if ending == AttemptOutcome.OK:
             asked.answered = True
         if ending not in NOT_EXECUTED_OUTCOMES and not asked.answered:
@@ -248,23 +259,23 @@
             attempt.number,
             attempt.server,
             ending,
-            self.now - attempt.started_at,
+            self.now_us - attempt.started_at,
             int(asked.answered),
             (),
         )
-        actions = self.give(event)
+        actions = self.deliver(event)
         assert not [
-            a for a in self.give(event) if not isinstance(a, LogMessage)
+            a for a in self.deliver(event) if not isinstance(a, LogMessage)
         ], "acted on a repeated outcome"
         return actions
 
-    def gone(self, number: int) -> None:
-        self.asked[number].answered = True
-        self.give(ClientDisconnected(number))
+    def disconnect_client(self, number: int) -> None:
+        self.requests[number].answered = True
+        self.deliver(ClientDisconnected(number))
 
     def run(self, duration: int) -> None:
         """Let time pass: timers fall due, attempts time out at their time."""
-        until = self.now + duration
+        until = self.now_us + duration
         while True:
             due = [(at, 0, token) for at, token in self.timers]
             due += [(attempt.times_out_at, 1, attempt.id) for attempt in self.attempts.values()]
@@ -272,13 +283,13 @@
             if not due:
                 break
             at, kind, which = min(due)
-            self.now = max(self.now, at)
+            self.now_us = max(self.now_us, at)
             if kind:
-                self.end(which, AttemptOutcome.TIMEOUT)
+                self.end_attempt(which, AttemptOutcome.TIMEOUT)
             else:
                 self.timers.remove((at, which))
-                self.give(TimerFired(which))
-        self.now = until
+                self.deliver(TimerFired(which))
+        self.now_us = until
 
     def connect(self, **kwargs: int) -> int:
         """A request that is set up at once."""
@@ -286,25 +297,25 @@
         self.establish(number)
         return number
 
-    def report(self, server: int, load: float) -> list[Action]:
-        return self.give(HealthCheckResult(server, 1000, AttemptOutcome.OK, (0.0, load)))
+    def report_load(self, server: int, load: float) -> list[Action]:
+        return self.deliver(HealthCheckResult(server, 1000, AttemptOutcome.OK, (0.0, load)))
 
-    def where(self, number: int) -> int:
+    def server_of(self, number: int) -> int:
         return self.attempts[number].server
 
-    def logged(self, kind: type) -> list[Action]:
-        return [a for a in self.log if isinstance(a, kind)]
+    def actions_of_type(self, kind: type) -> list[Action]:
+        return [a for a in self.actions if isinstance(a, kind)]
 
 
-def fleet(n: int, **kwargs: int) -> list[ServerEntry]:
-    return [entry(s, **kwargs) for s in range(1, n + 1)]
+def server_entries(n: int, **kwargs: int) -> list[ServerEntry]:
+    return [server_entry(s, **kwargs) for s in range(1, n + 1)]
 
 
-def loaded() -> tuple[Driver, list[int]]:
+def driver_with_loaded_server() -> tuple[Driver, list[int]]:
     """Two servers; the first holds ten connections, each dearer than the one before."""
-    driver = Driver(BASE, servers=fleet(2))
-    numbers = [driver.open(1) for _ in range(10)]
+    driver = Driver(BASE_SETTINGS, servers=server_entries(2))
+    numbers = [driver.add_connection(1) for _ in range(10)]
     for i, number in enumerate(numbers):
-        driver.give(LoadSample(number, 1, 1000.0 + i, 0))
+        driver.deliver(LoadSample(number, 1, 1000.0 + i, 0))
     driver.run(2 * SECOND)
     return driver, numbers
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -33,17 +33,17 @@
 from limerudder.policy.records import SECOND
 from limerudder.policy.settings import Settings
 from limerudder.policy.timers import TimerToken
-from tests.policy_driver import BASE, Driver, entry
+from tests.policy_driver import BASE_SETTINGS, Driver, server_entry
 
 NODES, STEP = 20, SECOND // 50
 TIER = replace(
-    BASE,
+    BASE_SETTINGS,
     node_count=NODES,
     allows_peer_messages=True,
     report_fields=("eps", "inflight", "x0"),
     prices={"probe": 0.002, "peer": 0.01},
 )
-SERVERS = [entry(s) for s in range(1, 7)]
+SERVERS = [server_entry(s) for s in range(1, 7)]
 
 
 class Tier:
@@ -60,7 +60,7 @@
         self.health_checks = 0
         self.datagrams = 0
         for node in self.nodes:
-            node.open(1 + node.settings.node_index % len(SERVERS))
+            node.add_connection(1 + node.settings.node_index % len(SERVERS))
 
     def run(self, duration: int) -> None:
         for _ in range(duration // STEP):
@@ -76,8 +76,8 @@
             if number in self.dead:
                 continue
             node.run(STEP)
-            new_actions = node.log[self.actions_read[number] :]
-            self.actions_read[number] = len(node.log)
+            new_actions = node.actions[self.actions_read[number] :]
+            self.actions_read[number] = len(node.actions)
             for action in new_actions:
                 if isinstance(action, CheckHealth):
                     self._answer(node, action.server_id)
@@ -88,20 +88,20 @@
 
     def _answer(self, node: Driver, server: int) -> None:
         self.health_checks += 1
-        node.give(HealthCheckResult(server, 1000, AttemptOutcome.OK, (0.0, 4.0, self.load)))
+        node.deliver(HealthCheckResult(server, 1000, AttemptOutcome.OK, (0.0, 4.0, self.load)))
 
     def _deliver(self, sent: list[tuple[int, bytes]]) -> None:
         for number, node in enumerate(self.nodes):
             for sender, data in sent:
                 if number != sender and number not in self.dead:
-                    node.give(PeerMessage(sender, data))
+                    node.deliver(PeerMessage(sender, data))
 
     def informed_nodes(self) -> int:
         """The number of live nodes that know the load of every server."""
         alive = [node for number, node in enumerate(self.nodes) if number not in self.dead]
         return sum(
             all(
-                node.balancer.loads.estimate(server, node.now) is not None
+                node.balancer.loads.estimate(server, node.now_us) is not None
                 for server in node.balancer.registry.ready
             )
             for node in alive
@@ -132,7 +132,7 @@
     tier = Tier()
     tier.drops_datagrams = True
     tier.run(20 * SECOND)
-    asked = [sum(isinstance(a, CheckHealth) for a in node.log) for node in tier.nodes]
+    asked = [sum(isinstance(a, CheckHealth) for a in node.actions) for node in tier.nodes]
     assert min(asked) >= len(SERVERS)
 
 
@@ -141,10 +141,10 @@
     tier.run(10 * SECOND)
     old = tier.nodes[3]
     new = tier.nodes[3] = Driver(old.settings, 99, ())
-    new.now, tier.actions_read[3] = old.now, 0
-    new.members(SERVERS, UpdateKind.CACHED)
+    new.now_us, tier.actions_read[3] = old.now_us, 0
+    new.update_endpoints(SERVERS, UpdateKind.CACHED)
     tier.run(tier.nodes[0].balancer.gossip.round_interval_us + SECOND)
-    assert len(new.logged(SendPeerMessage)) <= 1
+    assert len(new.actions_of_type(SendPeerMessage)) <= 1
     assert tier.informed_nodes() == NODES
 
 
@@ -153,7 +153,9 @@
     tier.run(10 * SECOND)
     assert not tier.datagrams
     assert not any(
-        t.token == TimerToken.GOSSIP_ROUND for t in tier.nodes[0].logged(SetTimer) if isinstance(t, SetTimer)
+        t.token == TimerToken.GOSSIP_ROUND
+        for t in tier.nodes[0].actions_of_type(SetTimer)
+        if isinstance(t, SetTimer)
     )
 
 
@@ -178,9 +180,9 @@
 def test_foreign_datagrams_are_passed_over(data: bytes) -> None:
     assert decode(data) is None
     driver = Driver(TIER, servers=SERVERS)
-    assert driver.give(PeerMessage(3, data)) == [] and driver.balancer.malformed_peer_messages() == 1
+    assert driver.deliver(PeerMessage(3, data)) == [] and driver.balancer.malformed_peer_messages() == 1
     assert (
-        driver.give(PeerMessage(driver.settings.node_index, data)) == []
+        driver.deliver(PeerMessage(driver.settings.node_index, data)) == []
     ), "its own comes back from the network"
     assert driver.balancer.malformed_peer_messages() == 1 and not driver.balancer.gossip.rounds_recorded
 
@@ -201,23 +203,23 @@
 def test_a_load_of_nothing_with_work_piled_up_moves_nobody() -> None:
     """join+vast, seed 32: a division by zero in the module as a report of 0.0 met work that had piled up."""
     driver = Driver(TIER, servers=SERVERS)
-    driver.open(1)
+    driver.add_connection(1)
     for load in (3.0, 0.0):
         driver.run(SECOND)
-        driver.give(HealthCheckResult(1, 1000, AttemptOutcome.OK, (0.0, 4.0, load)))
-    assert not driver.logged(MigrateClient)
+        driver.deliver(HealthCheckResult(1, 1000, AttemptOutcome.OK, (0.0, 4.0, load)))
+    assert not driver.actions_of_type(MigrateClient)
 
 
 def eased(tier: Tier, load: float) -> int:
     """How many connections all nodes together move in 20 s off servers that report this load."""
     for node in tier.nodes:
-        for number in [node.open(1 + i % len(SERVERS)) for i in range(11)]:
+        for number in [node.add_connection(1 + i % len(SERVERS)) for i in range(11)]:
             where = node.attempts[number].server
-            node.give(LoadSample(number, where, 1000.0, 0))
+            node.deliver(LoadSample(number, where, 1000.0, 0))
     tier.run(3 * SECOND)
     tier.load = load
     tier.run(17 * SECOND)
-    return sum(len(node.logged(MigrateClient)) for node in tier.nodes)
+    return sum(len(node.actions_of_type(MigrateClient)) for node in tier.nodes)
 
 
 def test_what_all_nodes_hear_at_once_moves_no_wave() -> None:
@@ -234,7 +236,7 @@
     tier.run(SECOND // 2)
     for node in tier.nodes:
         for _ in range(5):
-            node.open(1)
+            node.add_connection(1)
     tier.run(4 * SECOND)
     assert tier.datagrams >= 3
 
@@ -246,6 +248,6 @@
     before = tier.datagrams
     for node in tier.nodes:
         for _ in range(5):
-            node.open(1)
+            node.add_connection(1)
     tier.run(SECOND + SECOND // 2)
     assert tier.datagrams > before
--- a/tests/test_load_inference.py
+++ b/tests/test_load_inference.py
@@ -30,11 +30,11 @@
 from limerudder.policy.load_inference import COSTLY_FACTOR, MAX_COSTLY_KEYS, TARGET_LOAD, InferredLoads
 from limerudder.policy.records import SECOND, Connection, Server
 from limerudder.policy.settings import Settings
-from tests.policy_driver import BASE, SAFE, Driver, entry
+from tests.policy_driver import BASE_SETTINGS, SAFE_CLASS, Driver, server_entry
 
 NO_REPORTS = replace(
-    BASE,
-    classes=(replace(SAFE, priority_weight=3.0), replace(SAFE, priority_weight=1.0)),
+    BASE_SETTINGS,
+    classes=(replace(SAFE_CLASS, priority_weight=3.0), replace(SAFE_CLASS, priority_weight=1.0)),
     allows_health_checks=False,
     report_via="none",
     report_fields=(),
@@ -79,13 +79,15 @@
 
 @pytest.mark.parametrize("seed", range(6))
 def test_one_costly_connection_leaves_and_not_all_the_others_in_its_stead(seed: int) -> None:
-    driver = Driver(NO_REPORTS, seed, [entry(s) for s in (1, 2)])
+    driver = Driver(NO_REPORTS, seed, [server_entry(s) for s in (1, 2)])
     for number in range(1, 31):
-        driver.give(LoadSample(driver.open(1), 1, MEAN_LOAD if number > 1 else 100 * MEAN_LOAD, 0))
+        driver.deliver(
+            LoadSample(driver.add_connection(1), 1, MEAN_LOAD if number > 1 else 100 * MEAN_LOAD, 0)
+        )
     for latency_ms in (100.0, 400.0):
-        driver.now += SECOND
-        driver.give(LatencySample(2, 1, latency_ms, 0))
-    moved = [action.request_id for action in driver.log if isinstance(action, MigrateClient)]
+        driver.now_us += SECOND
+        driver.deliver(LatencySample(2, 1, latency_ms, 0))
+    moved = [action.request_id for action in driver.actions if isinstance(action, MigrateClient)]
     assert moved == [1]
 
 
@@ -139,24 +141,26 @@
 
 
 def test_a_guess_draws_a_full_host_last_and_rejects_nobody() -> None:
-    driver = Driver(replace(NO_REPORTS, tenant_quotas=(math.inf, 100.0)), servers=[entry(s) for s in (1, 2)])
+    driver = Driver(
+        replace(NO_REPORTS, tenant_quotas=(math.inf, 100.0)), servers=[server_entry(s) for s in (1, 2)]
+    )
     for _ in range(90):
-        driver.give(LoadSample(driver.open(1, group=5), 1, MEAN_LOAD, 0))
-    assert driver.where(driver.connect(group=5)) == 2, "though its group stands at the other"
+        driver.deliver(LoadSample(driver.add_connection(1, group=5), 1, MEAN_LOAD, 0))
+    assert driver.server_of(driver.connect(group=5)) == 2, "though its group stands at the other"
     for _ in range(40):
         driver.connect()
-    assert not driver.logged(RejectRequest)
+    assert not driver.actions_of_type(RejectRequest)
 
 
 def test_a_slow_set_up_keeps_connections_from_its_host_for_a_second() -> None:
-    driver = Driver(NO_REPORTS, servers=[entry(s) for s in (1, 2)])
+    driver = Driver(NO_REPORTS, servers=[server_entry(s) for s in (1, 2)])
     number = driver.request()
-    slow = driver.where(number)
-    driver.now += SAFE.latency_objective_us // 2
+    slow = driver.server_of(number)
+    driver.now_us += SAFE_CLASS.latency_objective_us // 2
     driver.establish(number)
-    assert {driver.where(driver.connect()) for _ in range(6)} == {3 - slow}
+    assert {driver.server_of(driver.connect()) for _ in range(6)} == {3 - slow}
     driver.run(SECOND)
-    assert driver.where(driver.connect()) == slow
+    assert driver.server_of(driver.connect()) == slow
 
 
 @pytest.mark.parametrize("quotas", [(200.0,), ()])
@@ -164,25 +168,28 @@
     quotas: tuple[float],
 ) -> None:
     priced = replace(NO_REPORTS, prices={"crossZone": 0.13, "moves": 0.01}, tenant_quotas=quotas)
-    driver = Driver(priced, servers=[entry(1), entry(2, zone=1)])
+    driver = Driver(priced, servers=[server_entry(1), server_entry(2, zone=1)])
     for _ in range(8):
-        driver.give(LoadSample(driver.open(2), 2, MEAN_LOAD, 0))
+        driver.deliver(LoadSample(driver.add_connection(2), 2, MEAN_LOAD, 0))
     driver.run(20 * SECOND)
-    assert not driver.logged(MigrateClient)
-    driver.give(LatencySample(1, 2, 30.0, 0))
+    assert not driver.actions_of_type(MigrateClient)
+    driver.deliver(LatencySample(1, 2, 30.0, 0))
     driver.run(20 * SECOND)
-    assert bool(driver.logged(MigrateClient)) == bool(quotas), "nor where nothing tells a host's capacity"
+    assert bool(driver.actions_of_type(MigrateClient)) == bool(
+        quotas
+    ), "nor where nothing tells a host's capacity"
 
 
 @pytest.mark.parametrize("reports", [False, True])
 def test_one_error_starts_pacing_at_once_except_at_a_young_process_without_reports(reports: bool) -> None:
     driver = Driver(
-        replace(BASE, prices={}) if reports else NO_REPORTS, servers=[entry(s) for s in range(1, 9)]
+        replace(BASE_SETTINGS, prices={}) if reports else NO_REPORTS,
+        servers=[server_entry(s) for s in range(1, 9)],
     )
-    driver.end(driver.request(), AttemptOutcome.ERROR)
+    driver.end_attempt(driver.request(), AttemptOutcome.ERROR)
     assert (driver.balancer.pacer.interval_us > 0) == reports
     for _ in range(0 if reports else 2):
-        driver.end(driver.request(), AttemptOutcome.ERROR)
+        driver.end_attempt(driver.request(), AttemptOutcome.ERROR)
     assert driver.balancer.pacer.interval_us > 0
 
 
--- a/tests/test_policy_fleet.py
+++ b/tests/test_policy_fleet.py
@@ -21,7 +21,7 @@
     UpdateKind,
 )
 from limerudder.policy.records import SECOND
-from tests.policy_driver import Driver, entry
+from tests.policy_driver import Driver, server_entry
 from tests.scripted_peers import world
 from tests.test_gossip import NODES, SERVERS, TIER, Tier
 
@@ -31,9 +31,9 @@
     for i in nodes:
         old = tier.nodes[i]
         new = tier.nodes[i] = Driver(old.settings, 1000 + i, ())
-        new.now = old.now
+        new.now_us = old.now_us
         tier.actions_read[i] = 0
-        new.members(SERVERS, UpdateKind.CACHED)
+        new.update_endpoints(SERVERS, UpdateKind.CACHED)
 
 
 def wave(tier: Tier, nodes: range, clients_each: int) -> list[tuple[Driver, int]]:
@@ -55,10 +55,10 @@
     tier.run(5 * SECOND)
     restart(tier, range(14))
     for node in tier.nodes[:14]:
-        node.give(EndpointUpdate(UpdateKind.FAILED, 0, ()))
+        node.deliver(EndpointUpdate(UpdateKind.FAILED, 0, ()))
     requests = wave(tier, range(14), 4)
     tier.run(SECOND)
-    placed = Counter(node.where(number) for node, number in requests if number in node.attempts)
+    placed = Counter(node.server_of(number) for node, number in requests if number in node.attempts)
     assert placed.total() == len(requests), "turned away while there was room"
     assert max(placed.values()) <= 2.5 * placed.total() / len(SERVERS)
 
@@ -78,17 +78,17 @@
     tier = Tier(load=0.1)
     for _ in range(10):  # the tier's usual rate: four a second, for six servers
         wave(tier, range(4), 1)
-    cold = entry(1, since=tier.nodes[0].now)
+    cold = server_entry(1, since=tier.nodes[0].now_us)
     for node in tier.nodes:
-        node.members([entry(1, ServerState.GONE)])
-        node.members([cold])
-    marks = [len(node.log) for node in tier.nodes]
+        node.update_endpoints([server_entry(1, ServerState.GONE)])
+        node.update_endpoints([cold])
+    marks = [len(node.actions) for node in tier.nodes]
     for _ in range(2):
         wave(tier, range(NODES), 4)
     got = sum(
         isinstance(a, StartAttempt) and a.server_id == 1
         for node, mark in zip(tier.nodes, marks, strict=True)
-        for a in node.log[mark:]
+        for a in node.actions[mark:]
     )
     # 160 clients in 2 s, 27 to a server; three times a quarter of that is 20. With no budget it got 51
     assert got <= 20
@@ -98,11 +98,11 @@
     """Six in ten hosts replaced within 7 s: 40 nodes filled what reports of before showed as empty."""
     driver = Driver(TIER, servers=SERVERS)
     for s in range(1, 7):
-        driver.report(s, 0.6) if s == 1 else driver.give(
+        driver.report_load(s, 0.6) if s == 1 else driver.deliver(
             HealthCheckResult(s, 1000, AttemptOutcome.OK, (0.0, 10.0, 0.6 if s < 4 else 0.2))
         )
     before = {s: driver.balancer.registry.servers[s].load or 0 for s in range(1, 7)}
-    driver.members([entry(2, ServerState.DRAINING)])
+    driver.update_endpoints([server_entry(2, ServerState.DRAINING)])
     after = {s: driver.balancer.registry.servers[s].load or 0 for s in range(1, 7)}
     for s in (3, 4, 5, 6):
         assert after[s] > before[s]
@@ -112,9 +112,9 @@
 def test_a_fleet_of_new_servers_rejects_nobody_while_few_warm_ones_have_room() -> None:
     tier = Tier(load=0.3)
     tier.run(3 * SECOND)
-    new = [entry(s, since=tier.nodes[0].now) for s in range(11, 15)]
+    new = [server_entry(s, since=tier.nodes[0].now_us) for s in range(11, 15)]
     for node in tier.nodes:
-        node.members([*new, *(entry(s, ServerState.GONE) for s in range(1, 5))])
+        node.update_endpoints([*new, *(server_entry(s, ServerState.GONE) for s in range(1, 5))])
     requests = wave(tier, range(NODES), 2)
     tier.run(SECOND)
     assert all(number in node.attempts for node, number in requests)
@@ -128,12 +128,12 @@
         for _ in range(20):
             number = node.request()
             node.run(SECOND // 10)
-            while number in node.attempts and node.where(number) == 1:
+            while number in node.attempts and node.server_of(number) == 1:
                 tries += 1
-                node.end(number, AttemptOutcome.CONNECT_FAILED)
+                node.end_attempt(number, AttemptOutcome.CONNECT_FAILED)
             if number in node.attempts:
                 node.establish(number)
-                node.end(number, AttemptOutcome.OK)
+                node.end_attempt(number, AttemptOutcome.OK)
         assert tries <= 2  # one, and a trial after a second
 
 
@@ -144,14 +144,14 @@
         number = driver.request()
         driver.run(SECOND // 10)
         while number in driver.attempts:
-            if driver.where(number) == 6:
+            if driver.server_of(number) == 6:
                 driver.establish(number)
                 served += 1
                 break
-            driver.end(number, AttemptOutcome.FULL)
+            driver.end_attempt(number, AttemptOutcome.FULL)
             driver.run(SECOND // 10)
         driver.run(SECOND)
-        assert driver.asked[number].answered
+        assert driver.requests[number].answered
     assert served >= 15  # the one with room is found, by those that tries are left for
 
 
@@ -160,8 +160,8 @@
     for _ in range(6):
         wave(tier, range(3, 4), 1)
     alone = tier.nodes[3].balancer
-    assert all(alone.loads.estimate(s, tier.nodes[3].now) is not None for s in alone.registry.ready)
-    assert len(tier.nodes[3].logged(CheckHealth)) <= 2 * len(SERVERS)
+    assert all(alone.loads.estimate(s, tier.nodes[3].now_us) is not None for s in alone.registry.ready)
+    assert len(tier.nodes[3].actions_of_type(CheckHealth)) <= 2 * len(SERVERS)
 
 
 def test_a_silent_discovery_is_asked_again_and_the_list_of_before_serves(tmp_path: Path) -> None:
--- a/tests/test_policy_rules.py
+++ b/tests/test_policy_rules.py
@@ -26,13 +26,13 @@
 from limerudder.policy.settings import (
     Settings,
 )
-from tests.policy_driver import BASE, Driver, entry
+from tests.policy_driver import BASE_SETTINGS, Driver, server_entry
 
 SETTINGS = (
-    BASE,
-    replace(BASE, discovery="on_request", prices={"crossZone": 0.1, "probe": 0.0}, max_attempts=2),
+    BASE_SETTINGS,
+    replace(BASE_SETTINGS, discovery="on_request", prices={"crossZone": 0.1, "probe": 0.0}, max_attempts=2),
     replace(
-        BASE,
+        BASE_SETTINGS,
         allows_health_checks=False,
         allows_cancellation=False,
         allows_hedging=True,
@@ -63,7 +63,7 @@
     elif kind_of_step == "end" and attempt_ids:
         number = rng.choice(attempt_ids)
         live = driver.attempts[number].live
-        driver.end(
+        driver.end_attempt(
             number,
             rng.choice(
                 [AttemptOutcome.OK, AttemptOutcome.RESET, AttemptOutcome.CANCELLED]
@@ -72,44 +72,44 @@
             ),
         )
     elif kind_of_step == "gone":
-        open_ids = [i for i, a in driver.asked.items() if not a.answered]
+        open_ids = [i for i, a in driver.requests.items() if not a.answered]
         if open_ids:
-            driver.gone(rng.choice(open_ids))
+            driver.disconnect_client(rng.choice(open_ids))
     elif kind_of_step == "time":
         driver.run(rng.choice([5_000, 100_000, SECOND, 20 * SECOND]))
     elif kind_of_step == "list":
         kind = rng.choice([UpdateKind.DELTA, UpdateKind.FULL])
         chosen = rng.sample(range(1, 9), rng.randrange(1, 9))
-        driver.members(
+        driver.update_endpoints(
             [
-                entry(s, rng.choice([1, 1, 1, 2, 0]), s % 2, rng.choice([0, driver.now]), s % 3)
+                server_entry(s, rng.choice([1, 1, 1, 2, 0]), s % 2, rng.choice([0, driver.now_us]), s % 3)
                 for s in chosen
             ],
             kind,
         )
     elif kind_of_step == "report":
         load = rng.choice([0.1, 0.6, 0.9, 2.0, float("nan"), -1.0, 1e30])
-        driver.give(
+        driver.deliver(
             HealthCheckResult(rng.randrange(12), 900, rng.choice([200, 408]), rng.choice([(), (0.0, load)]))
         )
     elif kind_of_step == "open" and driver.entries:
-        driver.open(rng.choice(list(driver.entries)), rng.randrange(5), rng.randrange(4))
+        driver.add_connection(rng.choice(list(driver.entries)), rng.randrange(5), rng.randrange(4))
     elif kind_of_step == "note" and attempt_ids:
         number = rng.choice(attempt_ids)
         value = rng.choice([0.0, 500.0, float("nan")])
         if rng.choice([True, False]):
-            driver.give(LoadSample(number, driver.where(number), value, 0))
+            driver.deliver(LoadSample(number, driver.server_of(number), value, 0))
         else:
-            driver.give(LatencySample(number, driver.where(number), value, 0))
+            driver.deliver(LatencySample(number, driver.server_of(number), value, 0))
     elif kind_of_step == "stray":
-        driver.give(AttemptEnded(10**6, 0, 1, 200, 1, 1, ()))
-        driver.give(ConnectionEstablished(10**6, 1, 0, 1))
-        driver.give(ClientDisconnected(10**6))
-        driver.give(LoadSample(10**6, 1, 1.0, 0))
-        driver.give(PeerMessage(1, b"\xff\x00"))
-        driver.give(TimerFired(987_654))
+        driver.deliver(AttemptEnded(10**6, 0, 1, 200, 1, 1, ()))
+        driver.deliver(ConnectionEstablished(10**6, 1, 0, 1))
+        driver.deliver(ClientDisconnected(10**6))
+        driver.deliver(LoadSample(10**6, 1, 1.0, 0))
+        driver.deliver(PeerMessage(1, b"\xff\x00"))
+        driver.deliver(TimerFired(987_654))
     elif kind_of_step == "failed":
-        driver.give(EndpointUpdate(UpdateKind.FAILED, 0, ()))
+        driver.deliver(EndpointUpdate(UpdateKind.FAILED, 0, ()))
 
 
 @pytest.mark.parametrize("policy_settings", SETTINGS)
@@ -117,13 +117,13 @@
 @settings(max_examples=120, derandomize=True, deadline=None, database=None)
 def test_rules_and_counts_hold_on_any_legal_sequence(policy_settings: Settings, seed: int) -> None:
     rng = Random(seed)
-    driver = Driver(policy_settings, seed, [entry(s, 1, s % 2, 0, s % 3) for s in range(1, 7)])
+    driver = Driver(policy_settings, seed, [server_entry(s, 1, s % 2, 0, s % 3) for s in range(1, 7)])
     for _ in range(80):
         step(driver, rng)
     driver.run(3 * SECOND)
-    assert all(asked.answered for asked in driver.asked.values()), "a request was lost"
+    assert all(asked.answered for asked in driver.requests.values()), "a request was lost"
     for number in list(driver.attempts):
-        driver.end(number, AttemptOutcome.OK)
+        driver.end_attempt(number, AttemptOutcome.OK)
     assert (
         not driver.balancer.connections.by_id
         and not driver.balancer.connections.index.servers_by_group
--- a/tests/test_rebalancing.py
+++ b/tests/test_rebalancing.py
@@ -12,21 +12,21 @@
 from limerudder.policy.settings import (
     Settings,
 )
-from tests.policy_driver import BASE, Driver, entry
+from tests.policy_driver import BASE_SETTINGS, Driver, server_entry
 
-AWAY = replace(BASE, prices={"crossZone": 0.16, "moves": 0.0087, "probe": 0.002})
+AWAY = replace(BASE_SETTINGS, prices={"crossZone": 0.16, "moves": 0.0087, "probe": 0.002})
 
 
 def moved_home(settings: Settings, load: float) -> int:
     """How many of four connections that stand in another zone are sent away in 20 s."""
-    driver = Driver(settings, servers=[entry(1), entry(2, zone=1)])
+    driver = Driver(settings, servers=[server_entry(1), server_entry(2, zone=1)])
     for _ in range(4):
-        driver.open(2)
+        driver.add_connection(2)
     for _ in range(200):
         driver.run(SECOND // 10)
-        driver.report(1, load)
-        driver.report(2, 0.3)
-    return len(driver.logged(MigrateClient))
+        driver.report_load(1, load)
+        driver.report_load(2, 0.3)
+    return len(driver.actions_of_type(MigrateClient))
 
 
 def test_connections_in_another_zone_are_migrated_to_the_local_zone_where_there_is_room() -> None:
@@ -39,36 +39,36 @@
 
 
 def test_a_node_that_polls_on_demand_polls_local_servers_before_it_migrates() -> None:
-    driver = Driver(AWAY, servers=[entry(1), entry(2, zone=1)])
-    driver.open(2)
+    driver = Driver(AWAY, servers=[server_entry(1), server_entry(2, zone=1)])
+    driver.add_connection(2)
     driver.run(12 * SECOND)
-    assert not driver.logged(MigrateClient), "moved to a home of which nothing is known"
-    assert {p.server_id for p in driver.logged(CheckHealth) if isinstance(p, CheckHealth)} >= {1}
+    assert not driver.actions_of_type(MigrateClient), "moved to a home of which nothing is known"
+    assert {p.server_id for p in driver.actions_of_type(CheckHealth) if isinstance(p, CheckHealth)} >= {1}
 
 
 def test_migration_to_the_local_zone_is_spread_over_time() -> None:
-    driver = Driver(AWAY, servers=[entry(1), entry(2, zone=1)])
+    driver = Driver(AWAY, servers=[server_entry(1), server_entry(2, zone=1)])
     for _ in range(30):
-        driver.open(2)
+        driver.add_connection(2)
     for _ in range(10):
-        driver.report(1, 0.1)
-        driver.report(2, 0.5)
+        driver.report_load(1, 0.1)
+        driver.report_load(2, 0.5)
         driver.run(SECOND // 10)
-    assert 0 < len(driver.logged(MigrateClient)) <= 4
+    assert 0 < len(driver.actions_of_type(MigrateClient)) <= 4
 
 
 def test_the_local_zone_is_filled_no_further_than_the_fleet_or_the_current_server() -> None:
     """calm+mass: a zone's own servers at 0.7 had no room for a burst; 289 resets, 393 set-ups timed out."""
 
     def moved(home: float, away: float) -> int:
-        driver = Driver(AWAY, servers=[entry(1), entry(2, zone=1)])
+        driver = Driver(AWAY, servers=[server_entry(1), server_entry(2, zone=1)])
         for _ in range(10):
-            driver.open(2)
+            driver.add_connection(2)
         for _ in range(100):
-            driver.report(1, home)
-            driver.report(2, away)
+            driver.report_load(1, home)
+            driver.report_load(2, away)
             driver.run(SECOND // 10)
-        return len(driver.logged(MigrateClient))
+        return len(driver.actions_of_type(MigrateClient))
 
     assert moved(0.3, 0.6) > 0
     assert moved(0.6, 0.3) == 0
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -14,11 +14,11 @@
 )
 from limerudder.policy.records import SECOND
 from limerudder.policy.slow_start import MIN_CALLS_PER_WINDOW
-from tests.policy_driver import BASE, SAFE, Driver, entry
+from tests.policy_driver import BASE_SETTINGS, SAFE_CLASS, Driver, server_entry
 
 SETTINGS = replace(
-    BASE,
-    classes=(replace(SAFE, latency_objective_us=300_000, deadline_us=1_800_000),),
+    BASE_SETTINGS,
+    classes=(replace(SAFE_CLASS, latency_objective_us=300_000, deadline_us=1_800_000),),
     initial_capacity=0.13,
     warm_up_us=24 * SECOND,
     overload_factor=3.0,
@@ -132,64 +132,64 @@
 
 def test_a_process_without_memory_knows_no_rate_and_one_with_connections_knows_its_own() -> None:
     for opened, rate in ((False, 20 / 16), (True, 20 / 2)):
-        driver = Driver(SETTINGS, servers=[entry(1), entry(2)])
+        driver = Driver(SETTINGS, servers=[server_entry(1), server_entry(2)])
         if opened:
-            driver.open(1)
+            driver.add_connection(1)
         driver.run(SECOND)
         for _ in range(20):
             driver.establish(driver.request())
         budget = driver.balancer.slow_start
-        known_since_us = budget.rate_known_since_us(driver.now)
-        assert budget.request_rate.read(driver.now, known_since_us) == pytest.approx(rate, rel=0.05)
+        known_since_us = budget.rate_known_since_us(driver.now_us)
+        assert budget.request_rate.read(driver.now_us, known_since_us) == pytest.approx(rate, rel=0.05)
 
 
 @pytest.mark.parametrize(("flags", "rate"), [(FLAG_RECONNECT, 20 / 16), (0, 20 / 2)])
 def test_a_young_process_is_believed_in_its_fresh_connections(flags: int, rate: float) -> None:
     """Twenty requests in its first second: a wave, or its usual traffic. Reconnections are marked as such."""
-    driver = Driver(SETTINGS, servers=[entry(1), entry(2)])
-    driver.members([entry(3, since=driver.now)])
+    driver = Driver(SETTINGS, servers=[server_entry(1), server_entry(2)])
+    driver.update_endpoints([server_entry(3, since=driver.now_us)])
     driver.run(SECOND)
     for _ in range(20):
         driver.establish(driver.request(flags=flags))
     server = driver.balancer.registry.servers[3]
     server.slow_start_tokens = 0.0
-    server.slow_start_tokens_at_us = driver.now - SECOND // 10
+    server.slow_start_tokens_at_us = driver.now_us - SECOND // 10
     driver.balancer.load_shedding.slow_start_allows(server)
-    share = driver.balancer.loads.effective_size(server, driver.now)
+    share = driver.balancer.loads.effective_size(server, driver.now_us)
     earned = SETTINGS.overload_factor * share * rate / 2 + driver.balancer.slow_start.min_tokens_per_second
     assert server.slow_start_tokens == pytest.approx(earned / 10, rel=0.05)
 
 
 def test_attempts_after_the_first_do_not_count_as_demand() -> None:
-    driver = Driver(SETTINGS, servers=[entry(n) for n in range(1, 6)])
+    driver = Driver(SETTINGS, servers=[server_entry(n) for n in range(1, 6)])
     number = driver.request()
     first = driver.balancer.slow_start.request_rate.rate
     for _ in range(2):
-        driver.end(number, AttemptOutcome.CONNECT_FAILED)
+        driver.end_attempt(number, AttemptOutcome.CONNECT_FAILED)
     assert driver.balancer.slow_start.request_rate.rate == first
 
 
 def test_budgets_are_in_proportion_to_the_servers_sizes() -> None:
     """Of two cold servers the one four times as large gets four times as much; warm ones set the scale."""
-    big, small = (entry(n, since=50 * SECOND)._replace(weight=w) for n, w in ((3, 2.0), (4, 0.5)))
-    driver = Driver(SETTINGS, servers=[entry(1), entry(2)])
-    driver.members([big, small])
+    big, small = (server_entry(n, since=50 * SECOND)._replace(weight=w) for n, w in ((3, 2.0), (4, 0.5)))
+    driver = Driver(SETTINGS, servers=[server_entry(1), server_entry(2)])
+    driver.update_endpoints([big, small])
     budget = driver.balancer.slow_start
     servers = driver.balancer.registry.servers
     budget.request_rate.rate = 10.0
-    budget.request_rate.updated_at_us = driver.now
+    budget.request_rate.updated_at_us = driver.now_us
     budget.min_tokens_per_second = 0.0
     assert budget.serving_weight == 2.0
     for number, weight in ((3, 2.0), (4, 0.5)):
         server = servers[number]
         server.slow_start_tokens = 0.0
-        server.slow_start_tokens_at_us = driver.now - SECOND // 10
-        budget.allows(server, 0.13, 1, 0.0, driver.now)
+        server.slow_start_tokens_at_us = driver.now_us - SECOND // 10
+        budget.allows(server, 0.13, 1, 0.0, driver.now_us)
         assert server.slow_start_tokens == pytest.approx(3 * 0.13 * 10 * weight / 2 / 10)
 
 
 @pytest.mark.parametrize("nodes", [1, 7, 200])
 def test_the_minimum_budget_is_shared_by_all_nodes(nodes: int) -> None:
-    driver = Driver(replace(SETTINGS, node_count=nodes), servers=[entry(1)])
+    driver = Driver(replace(SETTINGS, node_count=nodes), servers=[server_entry(1)])
     calls = driver.balancer.slow_start.min_tokens_per_second * nodes * SETTINGS.overload_window_us / SECOND
     assert calls == pytest.approx(MIN_CALLS_PER_WINDOW)
