--- a/tests/policy_driver.py
+++ b/tests/policy_driver.py
@@ -1,15 +1,17 @@
-"""Drives one Balancer in tests: delivers legal events, and checks every action against the rules.
+"""Drives one Balancer in tests: delivers legal events, and checks every action against the policy's rules.
 
 The rules: one final answer a request, in time; attempts only at ready servers, one at a time; retries only
-where they are safe; and migrations of established connections only.
+where they are safe; and migrations of established connections only. Times are microseconds.
 """
 
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field, replace
+from enum import IntEnum
 from random import Random
+from typing import NamedTuple, TypeVar
 
 from limerudder.policy.actions import (
     Action,
@@ -40,24 +42,29 @@
     UpdateKind,
 )
 from limerudder.policy.records import SECOND
-from limerudder.policy.settings import (
-    Settings,
-    TrafficClass,
-)
+from limerudder.policy.settings import Settings, TrafficClass
+
+ActionT = TypeVar("ActionT", bound=Action)
 
 SAFE_CLASS = TrafficClass(
     latency_objective_us=500_000, deadline_us=2 * SECOND, effect="safe", message_objective_us=100_000
 )
+UNSAFE_CLASS = replace(SAFE_CLASS, effect="unsafe")
+KEYED_CLASS = replace(SAFE_CLASS, effect="keyed", idempotency_window_us=SECOND)
+
+#: Indexes of the traffic classes in BASE_SETTINGS.
+UNSAFE = 1
+KEYED_EVERYWHERE = 2
+
 BASE_SETTINGS = Settings(
     node_count=2,
     zone=0,
     classes=(
         SAFE_CLASS,
-        replace(SAFE_CLASS, effect="unsafe"),
-        *(
-            replace(SAFE_CLASS, effect="keyed", key_scope=s, idempotency_window_us=SECOND)
-            for s in ("all", "zone", "cell")
-        ),
+        UNSAFE_CLASS,
+        replace(KEYED_CLASS, key_scope="all"),
+        replace(KEYED_CLASS, key_scope="zone"),
+        replace(KEYED_CLASS, key_scope="cell"),
     ),
     discovery="pushed",
     poll_interval_us=10 * SECOND,
@@ -76,39 +83,44 @@
     report_fields=("queue", "x0"),
     prices={"probe": 0.002},
 )
+#: Without load reports and without groups.
 MINIMAL_SETTINGS = replace(BASE_SETTINGS, allows_health_checks=False, has_groups=False)
-FREE_HEALTH_CHECKS = replace(
-    BASE_SETTINGS, prices={}
-)  # probes cost nothing: every server is asked, again and again
+#: Health checks cost nothing, so every server is polled in every sweep.
+FREE_HEALTH_CHECKS = replace(BASE_SETTINGS, prices={})
+
+NEVER_US = 1 << 62  #: a time that no test reaches
 
 
 def server_entry(
-    server: int, state: int = ServerState.READY, zone: int = 0, since: int = 0, cell: int = 0
+    server_id: int, state: int = ServerState.READY, zone: int = 0, ready_since_us: int = 0, cell: int = 0
 ) -> ServerEntry:
-    return ServerEntry(server, zone, 0, cell, state, 1.0, since)
+    """One line of the endpoint list: a server of weight 1."""
+    return ServerEntry(server_id, zone, 0, cell, state, 1.0, ready_since_us)
 
 
-NEVER = 1 << 62  # a time that no test reaches
+def server_entries(count: int, **fields: int) -> list[ServerEntry]:
+    """Entries of servers 1 to `count`, alike in all other fields."""
+    return [server_entry(server_id, **fields) for server_id in range(1, count + 1)]
 
 
 @dataclass
 class Attempt:
-    """An attempt, or the connection it established, that has not ended. Times in microseconds."""
+    """An attempt, or the connection it established, that has not ended."""
 
-    id: int
+    request_id: int
     number: int
-    server: int
-    started_at: int
-    times_out_at: int
-    live: bool = False
+    server_id: int
+    started_at_us: int
+    times_out_at_us: int
+    established: bool = False
 
 
 @dataclass
 class PossibleExecution:
     """An attempt that its server may have executed."""
 
-    server: int
-    started_at: int
+    server_id: int
+    started_at_us: int
 
 
 @dataclass
@@ -116,16 +128,34 @@
     """What the rules need to know of a request."""
 
     traffic_class: TrafficClass
-    deadline: int
+    deadline_us: int
     answered: bool = False
     possible_executions: list[PossibleExecution] = field(default_factory=list)
 
 
+class DueKind(IntEnum):
+    """What falls due as time passes. Of what is due at the same time, timers come first."""
+
+    TIMER = 0
+    ATTEMPT_TIMEOUT = 1
+
+
+class DueItem(NamedTuple):
+    """A timer or an attempt's timeout. Items sort in the order in which they are delivered."""
+
+    due_at_us: int
+    kind: DueKind
+    id: int  #: the timer's token, or the id of the attempt's request
+
+
 class Driver:
     """One Balancer with its clock, timers and attempts; asserts that no rule is broken."""
 
     def __init__(
-        self, settings: Settings = BASE_SETTINGS, seed: int = 1, servers: Sequence[ServerEntry] = ()
+        self,
+        settings: Settings = BASE_SETTINGS,
+        seed: int = 1,
+        servers: Sequence[ServerEntry] = (),
     ) -> None:
         self.settings = settings
         self.now_us = 50 * SECOND
@@ -134,9 +164,9 @@
         self.requests: dict[int, TrackedRequest] = {}
         self.attempts_started: dict[int, int] = {}
         self.entries: dict[int, ServerEntry] = {}
-        self.timers: list[tuple[int, int]] = []
+        self.timers: list[SetTimer] = []
         self.actions: list[Action] = []
-        self.next_id = 1
+        self._next_request_id = 1
         if servers:
             self.update_endpoints(servers, UpdateKind.CACHED)
 
@@ -145,57 +175,67 @@
         actions = self.balancer.handle(event, self.now_us)
         for action in actions:
             self.actions.append(action)
-            if isinstance(action, StartAttempt):
-                self._check_attempt(action)
-            elif isinstance(action, RejectRequest | FailRequest):
-                self._check_answer(action)
-            elif isinstance(action, SetTimer):
-                self.timers.append((action.due_at_us, action.token))
-            elif isinstance(action, CheckHealth):
-                assert self.settings.allows_health_checks, "health checks are not allowed"
-            elif isinstance(action, MigrateClient):
-                assert self.attempts[action.request_id].live
-        self.check_counts()
+            self._check_action(action)
+        self._check_connection_counts()
         return actions
 
+    def _check_action(self, action: Action) -> None:
+        if isinstance(action, StartAttempt):
+            self._check_attempt(action)
+            self._record_attempt(action)
+        elif isinstance(action, RejectRequest | FailRequest):
+            self._check_answer(action)
+            self.requests[action.request_id].answered = True
+        elif isinstance(action, SetTimer):
+            self.timers.append(action)
+        elif isinstance(action, CheckHealth):
+            assert self.settings.allows_health_checks, "health checks are not allowed"
+        elif isinstance(action, MigrateClient):
+            assert self.attempts[action.request_id].established, "migrated before it was established"
+
     def _check_attempt(self, action: StartAttempt) -> None:
-        asked = self.requests[action.request_id]
-        server_entry = self.entries[action.server_id]
-        assert not asked.answered, "started after the final answer"
-        assert action.request_id not in self.attempts, "two attempts out at once"
-        assert server_entry.state == ServerState.READY, "started at a server that drains or is gone"
+        request = self.requests[action.request_id]
+        assert not request.answered, "started after the final answer"
+        assert action.request_id not in self.attempts, "two attempts of a request at the same time"
+        state = self.entries[action.server_id].state
+        assert state == ServerState.READY, "started at a server that is draining or gone"
+        assert self.attempts_started.get(action.request_id, 0) < self.settings.max_attempts
+        for execution in request.possible_executions:
+            self._check_retry(request.traffic_class, execution, action.server_id)
+
+    def _check_retry(self, traffic_class: TrafficClass, execution: PossibleExecution, server_id: int) -> None:
+        """Check that a request which may have been executed may be sent to this server."""
+        assert traffic_class.effect != "unsafe", "an unsafe request that may have been executed was retried"
+        if traffic_class.effect == "keyed":
+            previous = self.entries[execution.server_id]
+            entry = self.entries[server_id]
+            assert self.now_us <= execution.started_at_us + traffic_class.idempotency_window_us
+            assert traffic_class.key_scope != "zone" or previous.zone == entry.zone
+            assert traffic_class.key_scope != "cell" or previous.cell == entry.cell
+
+    def _record_attempt(self, action: StartAttempt) -> None:
         number = self.attempts_started.get(action.request_id, 0)
-        assert number < self.settings.max_attempts
-        for execution in asked.possible_executions:
-            assert (
-                asked.traffic_class.effect != "unsafe"
-            ), "an unsafe request that may have been executed was retried"
-            if asked.traffic_class.effect == "keyed":
-                previous = self.entries[execution.server]
-                scope = asked.traffic_class.key_scope
-                assert self.now_us <= execution.started_at + asked.traffic_class.idempotency_window_us
-                assert scope != "zone" or previous.zone == server_entry.zone
-                assert scope != "cell" or previous.cell == server_entry.cell
         self.attempts_started[action.request_id] = number + 1
-        ends = min(self.now_us + action.timeout_us, asked.deadline) if action.timeout_us else asked.deadline
+        times_out_at_us = self.requests[action.request_id].deadline_us
+        if action.timeout_us:
+            times_out_at_us = min(self.now_us + action.timeout_us, times_out_at_us)
         self.attempts[action.request_id] = Attempt(
-            action.request_id, number, action.server_id, self.now_us, ends
+            action.request_id, number, action.server_id, self.now_us, times_out_at_us
         )
 
     def _check_answer(self, action: RejectRequest | FailRequest) -> None:
-        asked = self.requests[action.request_id]
-        assert not asked.answered, "answered twice"
-        assert action.request_id not in self.attempts, "answered while an attempt is out"
-        assert self.now_us <= asked.deadline + self.settings.answer_slack_us, "answered late"
-        if isinstance(action, RejectRequest) and asked.possible_executions:
-            traffic_class = asked.traffic_class
-            assert traffic_class.effect == "safe" or traffic_class.key_scope == "all" != traffic_class.effect
-            assert traffic_class.effect != "unsafe"
-        asked.answered = True
-
-    def check_counts(self) -> None:
+        request = self.requests[action.request_id]
+        assert not request.answered, "answered twice"
+        assert action.request_id not in self.attempts, "answered during an attempt"
+        assert self.now_us <= request.deadline_us + self.settings.answer_slack_us, "answered late"
+        if isinstance(action, RejectRequest) and request.possible_executions:
+            traffic_class = request.traffic_class
+            assert traffic_class.effect in ("safe", "keyed"), "rejected though it may have been executed"
+            assert traffic_class.effect == "safe" or traffic_class.key_scope == "all"
+
+    def _check_connection_counts(self) -> None:
         """Each server's count is exactly its attempts under way and its connections."""
-        counts = Counter(attempt.server for attempt in self.attempts.values())
+        counts = Counter(attempt.server_id for attempt in self.attempts.values())
         for server in self.balancer.registry.servers.values():
             assert server.connection_count == len(server.connections) == counts[server.id]
         servers_by_group = self.balancer.connections.index.servers_by_group
@@ -203,10 +243,11 @@
         assert grouped <= len(self.attempts)
 
     def update_endpoints(self, entries: Sequence[ServerEntry], kind: int = UpdateKind.DELTA) -> list[Action]:
+        """Deliver an endpoint list, or changes of the list."""
         if kind in (UpdateKind.FULL, UpdateKind.CACHED):
-            for server, server_entry in self.entries.items():
-                self.entries[server] = server_entry._replace(state=ServerState.GONE)
-        self.entries.update({server_entry.server_id: server_entry for server_entry in entries})
+            for server_id, entry in self.entries.items():
+                self.entries[server_id] = entry._replace(state=ServerState.GONE)
+        self.entries.update({entry.server_id: entry for entry in entries})
         return self.deliver(EndpointUpdate(kind, 1, entries))
 
     def request(
@@ -217,105 +258,136 @@
         tenant: int = 0,
         flags: int = 0,
     ) -> int:
-        number = self._take_id()
-        left = self.settings.classes[traffic_class].deadline_us if time_left_us is None else time_left_us
-        self.requests[number] = TrackedRequest(self.settings.classes[traffic_class], self.now_us + left)
-        self.deliver(NewRequest(number, traffic_class, tenant, 0, left, 0, group, flags))
-        return number
-
-    def add_connection(self, server: int, traffic_class: int = 0, group: int = 0) -> int:
-        number = self._take_id()
-        self.requests[number] = TrackedRequest(
-            self.settings.classes[traffic_class], self.now_us, answered=True
-        )
-        self.attempts[number] = Attempt(number, 0, server, self.now_us, NEVER, live=True)
-        self.attempts_started[number] = 1
-        self.deliver(ExistingConnection(number, traffic_class, 0, 0, 0, 0, group, 0, server))
-        return number
-
-    def _take_id(self) -> int:
-        number = self.next_id
-        self.next_id += 1
-        return number
-
-    def establish(self, number: int) -> None:
-        attempt = self.attempts[number]
-        attempt.live = True
-        attempt.times_out_at = NEVER
-        self.requests[number].answered = True
-        self.deliver(
-            ConnectionEstablished(number, attempt.server, attempt.number, self.now_us - attempt.started_at)
-        )
-
-    def end_attempt(self, number: int, ending: int) -> list[Action]:
-        attempt = self.attempts.pop(number)
-        asked = self.requests[number]
-        if ending == AttemptOutcome.OK:
-            asked.answered = True
-        if ending not in NOT_EXECUTED_OUTCOMES and not asked.answered:
-            asked.possible_executions.append(PossibleExecution(attempt.server, attempt.started_at))
+        """Deliver a new request, by default with its class's whole time; return its id."""
+        request_id = self._take_request_id()
+        class_settings = self.settings.classes[traffic_class]
+        if time_left_us is None:
+            time_left_us = class_settings.deadline_us
+        self.requests[request_id] = TrackedRequest(class_settings, self.now_us + time_left_us)
+        self.deliver(NewRequest(request_id, traffic_class, tenant, 0, time_left_us, 0, group, flags))
+        return request_id
+
+    def add_connection(self, server_id: int, traffic_class: int = 0, group: int = 0) -> int:
+        """Deliver a connection that was open when the policy started; return its request id."""
+        request_id = self._take_request_id()
+        class_settings = self.settings.classes[traffic_class]
+        self.requests[request_id] = TrackedRequest(class_settings, self.now_us, answered=True)
+        self.attempts[request_id] = Attempt(request_id, 0, server_id, self.now_us, NEVER_US, established=True)
+        self.attempts_started[request_id] = 1
+        self.deliver(ExistingConnection(request_id, traffic_class, 0, 0, 0, 0, group, 0, server_id))
+        return request_id
+
+    def _take_request_id(self) -> int:
+        request_id = self._next_request_id
+        self._next_request_id += 1
+        return request_id
+
+    def connect(self, **fields: int) -> int:
+        """Deliver a request whose first attempt succeeds at once; return its id."""
+        request_id = self.request(**fields)
+        self.establish(request_id)
+        return request_id
+
+    def establish(self, request_id: int) -> None:
+        """Let a request's attempt succeed."""
+        attempt = self.attempts[request_id]
+        attempt.established = True
+        attempt.times_out_at_us = NEVER_US
+        self.requests[request_id].answered = True
+        latency_us = self.now_us - attempt.started_at_us
+        self.deliver(ConnectionEstablished(request_id, attempt.server_id, attempt.number, latency_us))
+
+    def end_attempt(self, request_id: int, outcome: int) -> list[Action]:
+        """End a request's attempt, or its connection; check that the event's repetition changes nothing."""
+        attempt = self.attempts.pop(request_id)
+        request = self.requests[request_id]
+        if outcome == AttemptOutcome.OK:
+            request.answered = True
+        if outcome not in NOT_EXECUTED_OUTCOMES and not request.answered:
+            request.possible_executions.append(PossibleExecution(attempt.server_id, attempt.started_at_us))
         event = AttemptEnded(
-            number,
+            request_id,
             attempt.number,
-            attempt.server,
-            ending,
-            self.now_us - attempt.started_at,
-            int(asked.answered),
+            attempt.server_id,
+            outcome,
+            self.now_us - attempt.started_at_us,
+            int(request.answered),
             (),
         )
         actions = self.deliver(event)
-        assert not [
-            a for a in self.deliver(event) if not isinstance(a, LogMessage)
-        ], "acted on a repeated outcome"
+        repeated_actions = self.deliver(event)
+        assert all(
+            isinstance(action, LogMessage) for action in repeated_actions
+        ), "acted on a repeated outcome"
         return actions
 
-    def disconnect_client(self, number: int) -> None:
-        self.requests[number].answered = True
-        self.deliver(ClientDisconnected(number))
-
-    def run(self, duration: int) -> None:
-        """Let time pass: timers fall due, attempts time out at their time."""
-        until = self.now_us + duration
-        while True:
-            due = [(at, 0, token) for at, token in self.timers]
-            due += [(attempt.times_out_at, 1, attempt.id) for attempt in self.attempts.values()]
-            due = [d for d in due if d[0] <= until]
-            if not due:
-                break
-            at, kind, which = min(due)
-            self.now_us = max(self.now_us, at)
-            if kind:
-                self.end_attempt(which, AttemptOutcome.TIMEOUT)
+    def disconnect_client(self, request_id: int) -> None:
+        """Let the client of a request disconnect."""
+        self.requests[request_id].answered = True
+        self.deliver(ClientDisconnected(request_id))
+
+    def report_load(self, server_id: int, load: float) -> list[Action]:
+        """Deliver a server's load report."""
+        return self.deliver(HealthCheckResult(server_id, 1000, AttemptOutcome.OK, (0.0, load)))
+
+    def run(self, duration_us: int) -> None:
+        """Let time pass: timers fire and attempts time out when they are due."""
+        until_us = self.now_us + duration_us
+        item = self._next_due_item(until_us)
+        while item is not None:
+            self.now_us = max(self.now_us, item.due_at_us)
+            if item.kind == DueKind.ATTEMPT_TIMEOUT:
+                self.end_attempt(item.id, AttemptOutcome.TIMEOUT)
             else:
-                self.timers.remove((at, which))
-                self.deliver(TimerFired(which))
-        self.now_us = until
+                self.timers.remove(SetTimer(item.due_at_us, item.id))
+                self.deliver(TimerFired(item.id))
+            item = self._next_due_item(until_us)
+        self.now_us = until_us
+
+    def _next_due_item(self, until_us: int) -> DueItem | None:
+        return min(self._due_items(until_us), default=None)
+
+    def _due_items(self, until_us: int) -> Iterator[DueItem]:
+        for timer in self.timers:
+            if timer.due_at_us <= until_us:
+                yield DueItem(timer.due_at_us, DueKind.TIMER, timer.token)
+        for attempt in self.attempts.values():
+            if attempt.times_out_at_us <= until_us:
+                yield DueItem(attempt.times_out_at_us, DueKind.ATTEMPT_TIMEOUT, attempt.request_id)
+
+    def server_of(self, request_id: int) -> int:
+        """Return the server of a request's attempt or connection."""
+        return self.attempts[request_id].server_id
+
+    def pending_requests(self) -> list[int]:
+        """Return the ids of the requests whose attempt is under way."""
+        return [attempt.request_id for attempt in self.attempts.values() if not attempt.established]
 
-    def connect(self, **kwargs: int) -> int:
-        """A request that is set up at once."""
-        number = self.request(**kwargs)
-        self.establish(number)
-        return number
+    def is_pending(self, request_id: int) -> bool:
+        """Whether an attempt of this request is under way."""
+        return request_id in self.attempts and not self.attempts[request_id].established
 
-    def report_load(self, server: int, load: float) -> list[Action]:
-        return self.deliver(HealthCheckResult(server, 1000, AttemptOutcome.OK, (0.0, load)))
+    def actions_of_type(self, action_type: type[ActionT]) -> list[ActionT]:
+        """Return all actions of one type so far, in order."""
+        return [action for action in self.actions if isinstance(action, action_type)]
 
-    def server_of(self, number: int) -> int:
-        return self.attempts[number].server
+    def migrated_requests(self) -> list[int]:
+        """Return the ids of the requests whose clients were asked to migrate, in order."""
+        return [migration.request_id for migration in self.actions_of_type(MigrateClient)]
 
-    def actions_of_type(self, kind: type) -> list[Action]:
-        return [a for a in self.actions if isinstance(a, kind)]
 
+class LoadedServer(NamedTuple):
+    """A driver with two servers of which the first holds ten connections."""
 
-def server_entries(n: int, **kwargs: int) -> list[ServerEntry]:
-    return [server_entry(s, **kwargs) for s in range(1, n + 1)]
+    driver: Driver
+    connections: list[int]  #: request ids; each connection is costlier than the one before
 
 
-def driver_with_loaded_server() -> tuple[Driver, list[int]]:
-    """Two servers; the first holds ten connections, each dearer than the one before."""
+def driver_with_loaded_server() -> LoadedServer:
+    """Two servers; the first holds ten connections, each costlier than the one before."""
     driver = Driver(BASE_SETTINGS, servers=server_entries(2))
-    numbers = [driver.add_connection(1) for _ in range(10)]
-    for i, number in enumerate(numbers):
-        driver.deliver(LoadSample(number, 1, 1000.0 + i, 0))
+    connections = [driver.add_connection(1) for _ in range(10)]
+    for index, request_id in enumerate(connections):
+        driver.deliver(LoadSample(request_id, 1, 1000.0 + index, 0))
     driver.run(2 * SECOND)
-    return driver, numbers
+    return LoadedServer(driver, connections)
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -1,4 +1,4 @@
-"""Load gossip in a tier of nodes: which node asks the servers, which nodes know, which one takes over."""
+"""Load gossip in a tier of nodes: which node polls the servers, which are informed, which takes over."""
 
 from __future__ import annotations
 
@@ -6,20 +6,8 @@
 
 import pytest
 
-from limerudder.policy.actions import (
-    ALL_PEERS,
-    CheckHealth,
-    MigrateClient,
-    SendPeerMessage,
-    SetTimer,
-)
-from limerudder.policy.events import (
-    AttemptOutcome,
-    HealthCheckResult,
-    LoadSample,
-    PeerMessage,
-    UpdateKind,
-)
+from limerudder.policy.actions import CheckHealth, MigrateClient, SendPeerMessage, SetTimer
+from limerudder.policy.events import AttemptOutcome, HealthCheckResult, LoadSample, PeerMessage
 from limerudder.policy.gossip import (
     MAX_ROUND_INTERVAL_US,
     ROWS_PER_DATAGRAM,
@@ -31,178 +19,101 @@
     match_servers,
 )
 from limerudder.policy.records import SECOND
-from limerudder.policy.settings import Settings
 from limerudder.policy.timers import TimerToken
-from tests.policy_driver import BASE_SETTINGS, Driver, server_entry
-
-NODES, STEP = 20, SECOND // 50
-TIER = replace(
-    BASE_SETTINGS,
-    node_count=NODES,
-    allows_peer_messages=True,
-    report_fields=("eps", "inflight", "x0"),
-    prices={"probe": 0.002, "peer": 0.01},
-)
-SERVERS = [server_entry(s) for s in range(1, 7)]
-
-
-class Tier:
-    """Nodes that receive each other's datagrams one step late, and servers that report `load`."""
-
-    def __init__(self, settings: Settings = TIER, load: float = 0.5) -> None:
-        self.nodes = [
-            Driver(replace(settings, node_index=i), i + 1, SERVERS) for i in range(settings.node_count)
-        ]
-        self.load = load
-        self.drops_datagrams = False
-        self.actions_read = [0] * len(self.nodes)
-        self.dead = set[int]()
-        self.health_checks = 0
-        self.datagrams = 0
-        for node in self.nodes:
-            node.add_connection(1 + node.settings.node_index % len(SERVERS))
-
-    def run(self, duration: int) -> None:
-        for _ in range(duration // STEP):
-            sent = self._run_step()
-            self.datagrams += len(sent)
-            if not self.drops_datagrams:
-                self._deliver(sent)
-
-    def _run_step(self) -> list[tuple[int, bytes]]:
-        """Run each node for one step; return the datagrams sent, each with its sender."""
-        sent: list[tuple[int, bytes]] = []
-        for number, node in enumerate(self.nodes):
-            if number in self.dead:
-                continue
-            node.run(STEP)
-            new_actions = node.actions[self.actions_read[number] :]
-            self.actions_read[number] = len(node.actions)
-            for action in new_actions:
-                if isinstance(action, CheckHealth):
-                    self._answer(node, action.server_id)
-                elif isinstance(action, SendPeerMessage):
-                    assert action.peer == ALL_PEERS and len(action.data) <= 256
-                    sent.append((number, action.data))
-        return sent
-
-    def _answer(self, node: Driver, server: int) -> None:
-        self.health_checks += 1
-        node.deliver(HealthCheckResult(server, 1000, AttemptOutcome.OK, (0.0, 4.0, self.load)))
-
-    def _deliver(self, sent: list[tuple[int, bytes]]) -> None:
-        for number, node in enumerate(self.nodes):
-            for sender, data in sent:
-                if number != sender and number not in self.dead:
-                    node.deliver(PeerMessage(sender, data))
-
-    def informed_nodes(self) -> int:
-        """The number of live nodes that know the load of every server."""
-        alive = [node for number, node in enumerate(self.nodes) if number not in self.dead]
-        return sum(
-            all(
-                node.balancer.loads.estimate(server, node.now_us) is not None
-                for server in node.balancer.registry.ready
-            )
-            for node in alive
-        )
-
-
-def test_one_node_a_round_asks_and_all_know() -> None:
-    """On the vast days 40 nodes asked 520 times in 25 s, and knew two servers of twelve."""
+from tests.policy_driver import Driver
+from tests.policy_tier import NODE_COUNT, SERVERS, TIER_SETTINGS, Tier
+
+
+def test_one_node_a_round_polls_and_all_are_informed() -> None:
+    """Without gossip 40 nodes polled 520 times in 25 s, and knew the loads of two servers of twelve."""
     tier = Tier()
     tier.run(20 * SECOND)
-    assert tier.informed_nodes() == NODES
-    every = tier.nodes[0].balancer.gossip.round_interval_us
-    assert tier.datagrams <= 20 * SECOND / every + 2
+    assert tier.informed_nodes() == NODE_COUNT
+    round_interval_us = tier.nodes[0].balancer.gossip.round_interval_us
+    assert tier.datagrams <= 20 * SECOND / round_interval_us + 2
     assert tier.health_checks <= len(SERVERS) * (tier.datagrams + 1)
 
 
-def test_the_turn_goes_on_when_most_nodes_are_gone() -> None:
+def test_rounds_continue_when_most_nodes_have_stopped() -> None:
     tier = Tier()
     tier.run(10 * SECOND)
-    tier.dead = set(range(2, 16))
-    before = tier.datagrams
+    tier.stopped_nodes = set(range(2, 16))
+    datagrams_before = tier.datagrams
     tier.run(30 * SECOND)
-    assert tier.datagrams - before >= 2
-    assert tier.informed_nodes() == NODES - 14
+    assert tier.datagrams - datagrams_before >= 2
+    assert tier.informed_nodes() == NODE_COUNT - 14
 
 
-def test_a_node_that_hears_nobody_asks_for_itself() -> None:
+def test_a_node_without_messages_from_peers_polls_for_itself() -> None:
     tier = Tier()
     tier.drops_datagrams = True
     tier.run(20 * SECOND)
-    asked = [sum(isinstance(a, CheckHealth) for a in node.actions) for node in tier.nodes]
-    assert min(asked) >= len(SERVERS)
+    health_checks = [len(node.actions_of_type(CheckHealth)) for node in tier.nodes]
+    assert min(health_checks) >= len(SERVERS)
 
 
-def test_a_node_begun_anew_learns_from_the_next_round() -> None:
+def test_a_restarted_node_is_informed_by_the_next_round() -> None:
     tier = Tier()
     tier.run(10 * SECOND)
-    old = tier.nodes[3]
-    new = tier.nodes[3] = Driver(old.settings, 99, ())
-    new.now_us, tier.actions_read[3] = old.now_us, 0
-    new.update_endpoints(SERVERS, UpdateKind.CACHED)
+    restarted = tier.restart_node(3, seed=99)
     tier.run(tier.nodes[0].balancer.gossip.round_interval_us + SECOND)
-    assert len(new.actions_of_type(SendPeerMessage)) <= 1
-    assert tier.informed_nodes() == NODES
+    assert len(restarted.actions_of_type(SendPeerMessage)) <= 1
+    assert tier.informed_nodes() == NODE_COUNT
 
 
-def test_few_nodes_share_nothing() -> None:
-    tier = Tier(replace(TIER, node_count=4))
+def test_a_tier_of_few_nodes_has_no_gossip() -> None:
+    tier = Tier(replace(TIER_SETTINGS, node_count=4))
     tier.run(10 * SECOND)
     assert not tier.datagrams
-    assert not any(
-        t.token == TimerToken.GOSSIP_ROUND
-        for t in tier.nodes[0].actions_of_type(SetTimer)
-        if isinstance(t, SetTimer)
-    )
+    timers = tier.nodes[0].actions_of_type(SetTimer)
+    assert not any(timer.token == TimerToken.GOSSIP_ROUND for timer in timers)
 
 
-def test_a_decoded_message_holds_what_was_reported() -> None:
+def test_a_decoded_message_holds_what_was_encoded() -> None:
     rows = [LoadRow(0x12345678, 0.5, 12), LoadRow(0x0000FFFF, 9.0, 4000)]
     (data,) = encode(ConnectionRates(1.25, 0.5), rows)
     message = decode(data)
     assert message == ((1.25, 0.5), [(0x5678, 0.5, 12), (0xFFFF, 255 / 64, 255)])
     assert list(match_servers(message.rows, [0x12345678, 7])) == [(0x12345678, 0.5, 12)]
-    assert not list(match_servers(message.rows, [0x12345678, 0x99995678])), "a row that two servers share"
+    ambiguous_servers = [0x12345678, 0x99995678]
+    assert not list(match_servers(message.rows, ambiguous_servers)), "two servers share the row's low bits"
 
 
 def test_a_large_fleet_takes_several_datagrams() -> None:
-    rows = [LoadRow(server, 0.25, 1) for server in range(2 * ROWS_PER_DATAGRAM + 1)]
+    rows = [LoadRow(server_id, 0.25, 1) for server_id in range(2 * ROWS_PER_DATAGRAM + 1)]
     messages = [decode(data) for data in encode(ConnectionRates(0.0, 0.0), rows)]
-    assert [len(message.rows) for message in messages if message] == [ROWS_PER_DATAGRAM, ROWS_PER_DATAGRAM, 1]
+    row_counts = [len(message.rows) for message in messages if message]
+    assert row_counts == [ROWS_PER_DATAGRAM, ROWS_PER_DATAGRAM, 1]
 
 
 @pytest.mark.parametrize(
     "data", [b"", b"\xa7", b"\xa7\0\0\0", b"hello there", b"\xff" * 256, b"\xa7\0\0\0\0" + b"x" * 5]
 )
-def test_foreign_datagrams_are_passed_over(data: bytes) -> None:
+def test_malformed_datagrams_are_dropped_and_counted(data: bytes) -> None:
     assert decode(data) is None
-    driver = Driver(TIER, servers=SERVERS)
-    assert driver.deliver(PeerMessage(3, data)) == [] and driver.balancer.malformed_peer_messages() == 1
-    assert (
-        driver.deliver(PeerMessage(driver.settings.node_index, data)) == []
-    ), "its own comes back from the network"
-    assert driver.balancer.malformed_peer_messages() == 1 and not driver.balancer.gossip.rounds_recorded
-
-
-def test_rounds_come_as_often_as_requests_pay_for() -> None:
-    thin = LoadGossip(TIER)
-    busy = LoadGossip(TIER)
-    thin.update_interval(60, 0.2)
+    driver = Driver(TIER_SETTINGS, servers=SERVERS)
+    assert driver.deliver(PeerMessage(3, data)) == []
+    assert driver.balancer.malformed_peer_messages() == 1
+    own_message = PeerMessage(driver.settings.node_index, data)
+    assert driver.deliver(own_message) == [], "the network may return a node's own datagram"
+    assert driver.balancer.malformed_peer_messages() == 1
+    assert not driver.balancer.gossip.rounds_recorded
+
+
+def test_rounds_are_as_frequent_as_requests_pay_for() -> None:
+    quiet = LoadGossip(TIER_SETTINGS)
+    busy = LoadGossip(TIER_SETTINGS)
+    quiet.update_interval(60, 0.2)
     busy.update_interval(60, 0.4)
-    assert (
-        thin.round_interval_us == pytest.approx(2 * busy.round_interval_us, rel=0.01)
-        and thin.round_interval_us < MAX_ROUND_INTERVAL_US
-    )
-    thin.update_interval(60, 0.05)
-    assert thin.round_interval_us == MAX_ROUND_INTERVAL_US
+    assert quiet.round_interval_us == pytest.approx(2 * busy.round_interval_us, rel=0.01)
+    assert quiet.round_interval_us < MAX_ROUND_INTERVAL_US
+    quiet.update_interval(60, 0.05)
+    assert quiet.round_interval_us == MAX_ROUND_INTERVAL_US
 
 
-def test_a_load_of_nothing_with_work_piled_up_moves_nobody() -> None:
-    """join+vast, seed 32: a division by zero in the module as a report of 0.0 met work that had piled up."""
-    driver = Driver(TIER, servers=SERVERS)
+def test_a_reported_load_of_zero_with_a_backlog_migrates_nobody() -> None:
+    """A report of 0.0 while a backlog was left led to a division by zero."""
+    driver = Driver(TIER_SETTINGS, servers=SERVERS)
     driver.add_connection(1)
     for load in (3.0, 0.0):
         driver.run(SECOND)
@@ -210,44 +121,40 @@
     assert not driver.actions_of_type(MigrateClient)
 
 
-def eased(tier: Tier, load: float) -> int:
-    """How many connections all nodes together move in 20 s off servers that report this load."""
+def count_migrations(tier: Tier, load: float) -> int:
+    """Return how many connections all nodes together migrate in 20 s off servers that report this load."""
     for node in tier.nodes:
-        for number in [node.add_connection(1 + i % len(SERVERS)) for i in range(11)]:
-            where = node.attempts[number].server
-            node.deliver(LoadSample(number, where, 1000.0, 0))
+        connections = [node.add_connection(1 + index % len(SERVERS)) for index in range(11)]
+        for request_id in connections:
+            node.deliver(LoadSample(request_id, node.server_of(request_id), 1000.0, 0))
     tier.run(3 * SECOND)
     tier.load = load
     tier.run(17 * SECOND)
     return sum(len(node.actions_of_type(MigrateClient)) for node in tier.nodes)
 
 
-def test_what_all_nodes_hear_at_once_moves_no_wave() -> None:
-    """calm+mass with 60 nodes: each eased the same servers again before reports showed the first moves."""
-    few = eased(Tier(), 1.2)
-    # 240 stand there; two a node at once, then no more than the store of set-ups bears
-    assert 0 < few <= NODES * 4
-    assert eased(Tier(), 0.8) == 0
+def test_a_report_that_reaches_all_nodes_at_once_starts_no_wave_of_migrations() -> None:
+    """60 nodes relieved the same servers once more before reports showed the first migrations."""
+    migrations = count_migrations(Tier(), 1.2)
+    # 240 connections; each node migrates two at once, then no more than the store of set-ups bears
+    assert 0 < migrations <= NODE_COUNT * 4
+    assert count_migrations(Tier(), 0.8) == 0
 
 
-def test_a_round_after_the_first_does_not_wait_for_what_the_first_knew() -> None:
-    """What stood at the start came after the first round: for 8 s all servers were taken for empty."""
+def test_the_second_round_does_not_wait_for_the_interval_that_the_first_computed() -> None:
+    """Connections added after the first round: for 8 s all servers were taken for idle."""
     tier = Tier()
     tier.run(SECOND // 2)
-    for node in tier.nodes:
-        for _ in range(5):
-            node.add_connection(1)
+    tier.add_connections(5)
     tier.run(4 * SECOND)
     assert tier.datagrams >= 3
 
 
-def test_rounds_come_sooner_as_soon_as_connections_pay_for_them() -> None:
-    """Each node looks at whose turn it is every second, not when the turn of before would have come."""
+def test_rounds_become_more_frequent_as_soon_as_connections_pay_for_them() -> None:
+    """Each node checks every second whose turn it is, not only when the previous interval has passed."""
     tier = Tier()
-    tier.run(2 * SECOND + SECOND // 4)  # each has looked once, in its place
-    before = tier.datagrams
-    for node in tier.nodes:
-        for _ in range(5):
-            node.add_connection(1)
+    tier.run(2 * SECOND + SECOND // 4)  # each node has checked once
+    datagrams_before = tier.datagrams
+    tier.add_connections(5)
     tier.run(SECOND + SECOND // 2)
-    assert tier.datagrams > before
+    assert tier.datagrams > datagrams_before
--- a/tests/test_load_inference.py
+++ b/tests/test_load_inference.py
@@ -1,4 +1,7 @@
-"""Loads inferred where nothing is reported: room, costly connections, recovery from waves of resets."""
+"""Loads inferred where nothing is reported: capacity, costly connections, recovery from waves of resets.
+
+Loads are in microseconds of work a second.
+"""
 
 from __future__ import annotations
 
@@ -14,10 +17,7 @@
 from hypothesis import strategies as st
 
 from harness.overload_fleet import STEP, OverloadFleet, SimulatedClient
-from limerudder.policy.actions import (
-    MigrateClient,
-    RejectRequest,
-)
+from limerudder.policy.actions import MigrateClient, RejectRequest
 from limerudder.policy.events import (
     FLAG_RECONNECT,
     AttemptOutcome,
@@ -30,7 +30,14 @@
 from limerudder.policy.load_inference import COSTLY_FACTOR, MAX_COSTLY_KEYS, TARGET_LOAD, InferredLoads
 from limerudder.policy.records import SECOND, Connection, Server
 from limerudder.policy.settings import Settings
-from tests.policy_driver import BASE_SETTINGS, SAFE_CLASS, Driver, server_entry
+from tests.policy_driver import (
+    BASE_SETTINGS,
+    FREE_HEALTH_CHECKS,
+    SAFE_CLASS,
+    Driver,
+    server_entries,
+    server_entry,
+)
 
 NO_REPORTS = replace(
     BASE_SETTINGS,
@@ -42,53 +49,61 @@
     tenant_quotas=(200.0,),
     prices={},
 )
+NO_REPORTS_NOR_LATENCY = replace(NO_REPORTS, reports_latency=False)
 MEAN_LOAD = 30_000.0
+CLIENT_COUNT = 200
+HOST_SIZES = [1.6, 1.0, 0.7] * 2
 
 
 def make_fleet(
     seed: int, load: float, settings: Settings = NO_REPORTS, resets: bool = False
 ) -> OverloadFleet:
-    """Three nodes, hosts of three sizes, and clients that ask for `load` of what all hosts can do."""
+    """Three nodes, hosts of three sizes, and clients that ask for `load` of all hosts' capacity."""
     rng = Random(seed)
-    sizes = [1.6, 1.0, 0.7] * 2
     clients = [
-        SimulatedClient(n + 1, n % 2, rng.expovariate(1 / MEAN_LOAD), rng.randrange(1, 9)) for n in range(200)
+        SimulatedClient(
+            key=index + 1,
+            traffic_class=index % 2,
+            load=rng.expovariate(1 / MEAN_LOAD),
+            group=rng.randrange(1, 9),
+        )
+        for index in range(CLIENT_COUNT)
     ]
-    unit = len(clients) * MEAN_LOAD / load / sum(sizes)
-    capacities = [size * unit for size in sizes]
+    capacity_unit = len(clients) * MEAN_LOAD / load / sum(HOST_SIZES)
+    capacities = [size * capacity_unit for size in HOST_SIZES]
     fleet = OverloadFleet(replace(settings, node_count=3), capacities, clients, seed, resets)
-    for number, client in enumerate(clients):
-        fleet.schedule(number / 100, partial(fleet.connect, client))
+    for index, client in enumerate(clients):
+        fleet.schedule(index / 100, partial(fleet.connect, client))
     return fleet
 
 
 def mean_served(fleet: OverloadFleet, seconds: float) -> float:
-    """The mean share of the clients' worth that was served over the last seconds."""
+    """Return the mean share of the clients' priority weight that was served over the last seconds."""
     return mean(fleet.served[-int(seconds * SECOND / STEP) :])
 
 
 @pytest.mark.parametrize("seed", range(3))
-def test_backlogs_do_not_stand_where_messages_tell_of_them(seed: int) -> None:
-    inferring = make_fleet(seed, 0.65)
-    ignorant = make_fleet(seed, 0.65, replace(NO_REPORTS, reports_latency=False))
-    inferring.run(25)
-    ignorant.run(25)
-    assert mean_served(inferring, 10) > 0.8
-    assert mean_served(inferring, 10) > mean_served(ignorant, 10) + 0.1
+def test_backlogs_do_not_last_where_message_latency_shows_them(seed: int) -> None:
+    with_latency = make_fleet(seed, 0.65)
+    without_latency = make_fleet(seed, 0.65, NO_REPORTS_NOR_LATENCY)
+    with_latency.run(25)
+    without_latency.run(25)
+    assert mean_served(with_latency, 10) > 0.8
+    assert mean_served(with_latency, 10) > mean_served(without_latency, 10) + 0.1
 
 
 @pytest.mark.parametrize("seed", range(6))
-def test_one_costly_connection_leaves_and_not_all_the_others_in_its_stead(seed: int) -> None:
-    driver = Driver(NO_REPORTS, seed, [server_entry(s) for s in (1, 2)])
-    for number in range(1, 31):
-        driver.deliver(
-            LoadSample(driver.add_connection(1), 1, MEAN_LOAD if number > 1 else 100 * MEAN_LOAD, 0)
-        )
+def test_one_costly_connection_is_migrated_instead_of_all_the_others(seed: int) -> None:
+    driver = Driver(NO_REPORTS, seed, server_entries(2))
+    costly = driver.add_connection(1)
+    driver.deliver(LoadSample(costly, 1, 100 * MEAN_LOAD, 0))
+    for _ in range(29):
+        request_id = driver.add_connection(1)
+        driver.deliver(LoadSample(request_id, 1, MEAN_LOAD, 0))
     for latency_ms in (100.0, 400.0):
         driver.now_us += SECOND
-        driver.deliver(LatencySample(2, 1, latency_ms, 0))
-    moved = [action.request_id for action in driver.actions if isinstance(action, MigrateClient)]
-    assert moved == [1]
+        driver.deliver(LatencySample(costly + 1, 1, latency_ms, 0))
+    assert driver.migrated_requests() == [costly]
 
 
 class ResetCounts(NamedTuple):
@@ -100,7 +115,7 @@
 
 
 def count_resets_while_nodes_restart(settings: Settings) -> ResetCounts:
-    """Replace all nodes while hosts reset their newest connections, and messages tell nothing.
+    """Replace all nodes while hosts reset their newest connections, and no message latency is sampled.
 
     Resets and attempts afterwards are those of the 17 s after the last restart.
     """
@@ -124,143 +139,167 @@
 
 def test_hosts_reset_fewer_connections_through_restarts_where_own_load_is_counted() -> None:
     inferring = count_resets_while_nodes_restart(NO_REPORTS)
-    ignorant = count_resets_while_nodes_restart(replace(NO_REPORTS, reports_latency=False))
-    assert inferring.resets < 0.6 * ignorant.resets
-    assert inferring.resets_afterwards < 0.6 * ignorant.resets_afterwards
+    not_inferring = count_resets_while_nodes_restart(NO_REPORTS_NOR_LATENCY)
+    assert inferring.resets < 0.6 * not_inferring.resets
+    assert inferring.resets_afterwards < 0.6 * not_inferring.resets_afterwards
     assert inferring.attempts_afterwards < 200, "of 800 clients in all"
 
 
 def test_a_host_that_resets_two_connections_within_a_second_gets_none_until_that_decays() -> None:
-    loads, server = loaded_server()
+    loads, server = make_inferred_server()
     loads.record_reset(server, 20 * SECOND)
-    assert loads.has_room(server, TARGET_LOAD, None, 20 * SECOND), "one may be chance"
+    assert loads.has_room(server, TARGET_LOAD, None, 20 * SECOND), "a single reset may be chance"
     loads.record_reset(server, 20 * SECOND + SECOND // 2)
     server.connections = {}
     assert not loads.has_room(server, TARGET_LOAD, None, 21 * SECOND)
     assert loads.has_room(server, TARGET_LOAD, None, 27 * SECOND)
 
 
-def test_a_guess_draws_a_full_host_last_and_rejects_nobody() -> None:
-    driver = Driver(
-        replace(NO_REPORTS, tenant_quotas=(math.inf, 100.0)), servers=[server_entry(s) for s in (1, 2)]
-    )
+def test_an_estimate_makes_a_full_host_the_last_choice_but_rejects_nobody() -> None:
+    driver = Driver(replace(NO_REPORTS, tenant_quotas=(math.inf, 100.0)), servers=server_entries(2))
     for _ in range(90):
-        driver.deliver(LoadSample(driver.add_connection(1, group=5), 1, MEAN_LOAD, 0))
-    assert driver.server_of(driver.connect(group=5)) == 2, "though its group stands at the other"
+        request_id = driver.add_connection(1, group=5)
+        driver.deliver(LoadSample(request_id, 1, MEAN_LOAD, 0))
+    assert driver.server_of(driver.connect(group=5)) == 2, "although the other server holds the group"
     for _ in range(40):
         driver.connect()
     assert not driver.actions_of_type(RejectRequest)
 
 
-def test_a_slow_set_up_keeps_connections_from_its_host_for_a_second() -> None:
-    driver = Driver(NO_REPORTS, servers=[server_entry(s) for s in (1, 2)])
-    number = driver.request()
-    slow = driver.server_of(number)
+def test_a_connection_established_slowly_keeps_others_from_its_host_for_a_second() -> None:
+    driver = Driver(NO_REPORTS, servers=server_entries(2))
+    request_id = driver.request()
+    slow_server = driver.server_of(request_id)
+    other_server = 3 - slow_server
     driver.now_us += SAFE_CLASS.latency_objective_us // 2
-    driver.establish(number)
-    assert {driver.server_of(driver.connect()) for _ in range(6)} == {3 - slow}
+    driver.establish(request_id)
+    assert {driver.server_of(driver.connect()) for _ in range(6)} == {other_server}
     driver.run(SECOND)
-    assert driver.server_of(driver.connect()) == slow
+    assert driver.server_of(driver.connect()) == slow_server
 
 
 @pytest.mark.parametrize("quotas", [(200.0,), ()])
-def test_no_client_is_moved_home_before_a_message_tells_the_load_and_no_host_is_checked(
-    quotas: tuple[float],
+def test_clients_migrate_to_the_local_zone_only_once_message_latency_and_quotas_tell_the_load(
+    quotas: tuple[float, ...],
 ) -> None:
-    priced = replace(NO_REPORTS, prices={"crossZone": 0.13, "moves": 0.01}, tenant_quotas=quotas)
-    driver = Driver(priced, servers=[server_entry(1), server_entry(2, zone=1)])
+    """The driver also checks that no server gets a health check, for the settings do not allow any."""
+    settings = replace(NO_REPORTS, prices={"crossZone": 0.13, "moves": 0.01}, tenant_quotas=quotas)
+    driver = Driver(settings, servers=[server_entry(1), server_entry(2, zone=1)])
     for _ in range(8):
-        driver.deliver(LoadSample(driver.add_connection(2), 2, MEAN_LOAD, 0))
+        request_id = driver.add_connection(2)
+        driver.deliver(LoadSample(request_id, 2, MEAN_LOAD, 0))
     driver.run(20 * SECOND)
     assert not driver.actions_of_type(MigrateClient)
     driver.deliver(LatencySample(1, 2, 30.0, 0))
     driver.run(20 * SECOND)
-    assert bool(driver.actions_of_type(MigrateClient)) == bool(
-        quotas
-    ), "nor where nothing tells a host's capacity"
+    migrates = bool(driver.actions_of_type(MigrateClient))
+    assert migrates == bool(quotas), "without quotas a host's capacity is unknown"
 
 
-@pytest.mark.parametrize("reports", [False, True])
-def test_one_error_starts_pacing_at_once_except_at_a_young_process_without_reports(reports: bool) -> None:
-    driver = Driver(
-        replace(BASE_SETTINGS, prices={}) if reports else NO_REPORTS,
-        servers=[server_entry(s) for s in range(1, 9)],
-    )
+@pytest.mark.parametrize(
+    ("settings", "errors_until_paced"),
+    [(NO_REPORTS, 3), (FREE_HEALTH_CHECKS, 1)],
+    ids=["without reports", "with reports"],
+)
+def test_one_error_starts_pacing_except_in_a_young_process_without_reports(
+    settings: Settings, errors_until_paced: int
+) -> None:
+    driver = Driver(settings, servers=server_entries(8))
     driver.end_attempt(driver.request(), AttemptOutcome.ERROR)
-    assert (driver.balancer.pacer.interval_us > 0) == reports
-    for _ in range(0 if reports else 2):
+    assert (driver.balancer.pacer.interval_us > 0) == (errors_until_paced == 1)
+    for _ in range(errors_until_paced - 1):
         driver.end_attempt(driver.request(), AttemptOutcome.ERROR)
     assert driver.balancer.pacer.interval_us > 0
 
 
-def loaded_server() -> tuple[InferredLoads, Server]:
+class InferredServer(NamedTuple):
+    """One server with 100 connections of the mean load, as one of two nodes sees it."""
+
+    loads: InferredLoads
+    server: Server
+
+
+def make_inferred_server() -> InferredServer:
     """One server with 100 connections of the mean load, as one of two nodes sees it."""
     loads = InferredLoads(replace(NO_REPORTS, node_count=2), SECOND)
     server = Server(1, SECOND, 0.0)
     server.state = ServerState.READY
     loads.on_server_state_change(server, [server], SECOND)
-    for number in range(100):
-        flow = Connection(
-            ExistingConnection(number + 1, 0, 0, 7, 0, 0, 0, 0, 1), NO_REPORTS.classes[0], SECOND
-        )
-        flow.live = flow.established = True
-        server.connections[flow.id] = flow
-        loads.record_connection_load(flow, MEAN_LOAD)
-    return loads, server
+    for index in range(100):
+        event = ExistingConnection(index + 1, 0, 0, 7, 0, 0, 0, 0, 1)
+        connection = Connection(event, NO_REPORTS.classes[0], SECOND)
+        connection.established = True
+        connection.live = True
+        server.connections[connection.id] = connection
+        loads.record_connection_load(connection, MEAN_LOAD)
+    return InferredServer(loads, server)
 
 
-def test_the_slope_of_message_latency_tells_the_load_and_how_much_has_to_leave() -> None:
-    loads, server = loaded_server()
+def new_connection(request_id: int, client_key: int, flags: int = 0, now_us: int = SECOND) -> Connection:
+    """A request that has not been sent to any server."""
+    event = NewRequest(request_id, 0, 0, client_key, SECOND, 0, 0, flags)
+    return Connection(event, NO_REPORTS.classes[0], now_us)
+
+
+def record_rising_latency(loads: InferredLoads, server: Server) -> float:
+    """Record a latency that rises by a quarter of a second a second, which means a load of 1.25.
+
+    Returns the load of this node's that has to leave the server.
+    """
     loads.record_message_latency(server, 100_000, 10 * SECOND)
     loads.remember_own_load(server)
-    excess = loads.record_message_latency(
-        server, 350_000, 11 * SECOND
-    )  # a quarter of a second a second: a load of 1.25
-    assert loads.total_load(server, 11 * SECOND) == pytest.approx(
-        1.25 * loads.capacity(server, 11 * SECOND), rel=0.01
-    )
-    assert excess == pytest.approx(loads.own_load(server) * (1 - loads.permitted_load(350_000) / 1.25))
+    return loads.record_message_latency(server, 350_000, 11 * SECOND)
+
+
+def test_the_slope_of_message_latency_tells_the_load_and_how_much_has_to_leave() -> None:
+    loads, server = make_inferred_server()
+    excess = record_rising_latency(loads, server)
+    expected_load = 1.25 * loads.capacity(server, 11 * SECOND)
+    assert loads.total_load(server, 11 * SECOND) == pytest.approx(expected_load, rel=0.01)
+    expected_excess = loads.own_load(server) * (1 - loads.permitted_load(350_000) / 1.25)
+    assert excess == pytest.approx(expected_excess)
     assert not loads.has_room(server, TARGET_LOAD, None, 11 * SECOND)
 
 
-def test_the_load_of_other_nodes_decays_while_a_server_is_quiet() -> None:
-    loads, server = loaded_server()
-    loads.record_message_latency(server, 100_000, 10 * SECOND)
-    loads.remember_own_load(server)
-    loads.record_message_latency(server, 350_000, 11 * SECOND)
-    server.connections = dict(list(server.connections.items())[:10])  # this node's own have left
-    asked = [loads.total_load(server, (11 + s) * SECOND) for s in range(8)]
-    assert asked == sorted(asked, reverse=True) and asked[7] == pytest.approx(loads.own_load(server))
-    assert not loads.has_room(server, TARGET_LOAD, None, 11 * SECOND) and loads.has_room(
-        server, TARGET_LOAD, None, 16 * SECOND
-    )
-
-
-def test_a_costly_key_is_costly_when_its_client_reconnects_and_a_bounded_number_is_remembered() -> None:
-    loads, server = loaded_server()
-    flow = next(iter(server.connections.values()))
-    loads.record_connection_load(flow, 50 * MEAN_LOAD)
-    reconnected = Connection(
-        NewRequest(999, 0, 0, 7, SECOND, 0, 0, FLAG_RECONNECT), NO_REPORTS.classes[0], SECOND
-    )
-    other = Connection(NewRequest(998, 0, 0, 8, SECOND, 0, 0, 0), NO_REPORTS.classes[0], SECOND)
-    assert loads.connection_load(reconnected) == 50 * MEAN_LOAD and loads.is_costly(reconnected)
-    assert loads.connection_load(other) == pytest.approx(MEAN_LOAD) and not loads.is_costly(other)
-    for key in range(2 * MAX_COSTLY_KEYS):
-        loads.record_connection_load(
-            Connection(NewRequest(key, 0, 0, key + 9, SECOND, 0, 0, 0), NO_REPORTS.classes[0], 0),
-            99 * COSTLY_FACTOR * MEAN_LOAD,
-        )
+def test_the_load_of_other_nodes_decays_while_a_server_has_no_messages() -> None:
+    loads, server = make_inferred_server()
+    record_rising_latency(loads, server)
+    remaining = list(server.connections.items())[:10]
+    server.connections = dict(remaining)  # the node's other connections have ended
+    total_loads = [loads.total_load(server, (11 + seconds) * SECOND) for seconds in range(8)]
+    assert total_loads == sorted(total_loads, reverse=True)
+    assert total_loads[7] == pytest.approx(loads.own_load(server))
+    assert not loads.has_room(server, TARGET_LOAD, None, 11 * SECOND)
+    assert loads.has_room(server, TARGET_LOAD, None, 16 * SECOND)
+
+
+def test_a_costly_client_is_recognized_when_it_reconnects() -> None:
+    loads, server = make_inferred_server()
+    connection = next(iter(server.connections.values()))
+    loads.record_connection_load(connection, 50 * MEAN_LOAD)
+    reconnected = new_connection(999, connection.client_key, FLAG_RECONNECT)
+    other = new_connection(998, connection.client_key + 1)
+    assert loads.connection_load(reconnected) == 50 * MEAN_LOAD
+    assert loads.is_costly(reconnected)
+    assert loads.connection_load(other) == pytest.approx(MEAN_LOAD)
+    assert not loads.is_costly(other)
+
+
+def test_the_number_of_costly_clients_remembered_is_bounded() -> None:
+    loads, _ = make_inferred_server()
+    costly_load = 99 * COSTLY_FACTOR * MEAN_LOAD
+    for index in range(2 * MAX_COSTLY_KEYS):
+        loads.record_connection_load(new_connection(index, index + 9, now_us=0), costly_load)
     assert len(loads._costly_keys) <= MAX_COSTLY_KEYS
 
 
 @given(st.lists(st.tuples(st.floats(0, 1e7), st.integers(1, 5 * SECOND)), max_size=30))
 def test_estimates_stay_in_bounds_for_any_message_latencies(samples: list[tuple[float, int]]) -> None:
-    loads, server = loaded_server()
-    now = 10 * SECOND
+    loads, server = make_inferred_server()
+    now_us = 10 * SECOND
     for latency_us, wait_us in samples:
-        now += wait_us
-        excess = loads.record_message_latency(server, latency_us, now)
+        now_us += wait_us
+        excess = loads.record_message_latency(server, latency_us, now_us)
         assert 0 <= excess <= loads.own_load(server)
-        assert loads.own_load(server) <= loads.total_load(server, now) < math.inf
-        assert loads.capacity(server, now) > 0
+        assert loads.own_load(server) <= loads.total_load(server, now_us) < math.inf
+        assert loads.capacity(server, now_us) > 0
--- a/tests/test_load_polling.py
+++ b/tests/test_load_polling.py
@@ -1,52 +1,51 @@
-"""Tests of health checks for load reports: what they cost, and what silence means."""
+"""Tests of health checks for load reports: what they cost, and what a missing answer means."""
 
 from __future__ import annotations
 
 from dataclasses import replace
 
-from limerudder.policy.actions import (
-    CheckHealth,
-)
+from limerudder.policy.actions import CheckHealth
 from limerudder.policy.records import SECOND
 from tests.policy_driver import BASE_SETTINGS, Driver, server_entries
 
+PRICED_HEALTH_CHECKS = replace(BASE_SETTINGS, prices={"probe": 0.002})
 
-def test_health_checks_that_nobody_answers_reject_nobody() -> None:
-    """Asked and silent is a sign of overload at one server; at all of them, probing itself has failed."""
+
+def test_health_checks_without_any_answer_reject_nobody() -> None:
+    """No answer from one server is a sign of overload; none from any means that health checks fail."""
     driver = Driver(BASE_SETTINGS, servers=server_entries(30))
-    numbers = []
+    requests = []
     for _ in range(10):
-        numbers.append(driver.request())
+        requests.append(driver.request())
         driver.run(SECOND // 2)
-        for number in numbers:
-            if number in driver.attempts and not driver.attempts[number].live:
-                driver.establish(number)
-    assert all(number in driver.attempts for number in numbers[5:])
+        for request_id in requests:
+            if driver.is_pending(request_id):
+                driver.establish(request_id)
+    assert all(request_id in driver.attempts for request_id in requests[5:])
 
 
-def test_a_server_that_does_not_report_is_not_taken_for_empty() -> None:
-    """At full size a quarter of all joins went to servers past their capacity that had not answered yet."""
+def test_a_server_that_has_not_reported_is_not_taken_for_idle() -> None:
+    """A quarter of all connections went to overloaded servers that had not answered yet."""
     driver = Driver(BASE_SETTINGS, servers=server_entries(2))
-    number = driver.request()
-    asked = [a.server_id for a in driver.actions_of_type(CheckHealth) if isinstance(a, CheckHealth)]
-    assert sorted(asked) == [1, 2] and number not in driver.attempts
+    request_id = driver.request()
+    polled = [health_check.server_id for health_check in driver.actions_of_type(CheckHealth)]
+    assert sorted(polled) == [1, 2]
+    assert request_id not in driver.attempts
     driver.report_load(1, 0.2)
     driver.run(SECOND // 2)
-    assert driver.server_of(number) == 1
+    assert driver.server_of(request_id) == 1
 
 
 def test_a_node_with_few_requests_polls_only_the_servers_it_may_choose() -> None:
-    """Incident iad2208: 1,667 nodes swept 196 servers each, five million probes in eight seconds."""
-    driver = Driver(
-        replace(BASE_SETTINGS, prices={"probe": 0.002}, node_count=600), servers=server_entries(100)
-    )
+    """Incident iad2208: 1,667 nodes swept 196 servers each, five million health checks in eight seconds."""
+    driver = Driver(replace(PRICED_HEALTH_CHECKS, node_count=600), servers=server_entries(100))
     for _ in range(20):
         driver.run(5 * SECOND)
-        number = driver.request(group=7)
-        for probe in driver.actions_of_type(CheckHealth)[-2:]:
-            driver.report_load(getattr(probe, "server_id"), 0.3)  # noqa: B009
+        request_id = driver.request(group=7)
+        for health_check in driver.actions_of_type(CheckHealth)[-2:]:
+            driver.report_load(health_check.server_id, 0.3)
         driver.run(SECOND // 10)
-        driver.establish(number)
+        driver.establish(request_id)
     assert 0 < len(driver.actions_of_type(CheckHealth)) <= 20 * 5 + 8
 
 
@@ -61,14 +60,15 @@
 
 
 def test_sweeps_start_as_soon_as_requests_pay_for_them() -> None:
-    """A node that lost its past is met by its clients at once; it must not stay blind for a whole sweep."""
-    driver = Driver(replace(BASE_SETTINGS, prices={"probe": 0.002}), servers=server_entries(10))
+    """A node that starts without state gets its clients at once; it must not wait for a whole sweep."""
+    driver = Driver(PRICED_HEALTH_CHECKS, servers=server_entries(10))
     for group in range(10):
         driver.request(group=group)
     driver.run(SECOND * 3 // 5)
-    assert len({getattr(a, "server_id") for a in driver.actions_of_type(CheckHealth)}) == 10  # noqa: B009
-    for server in range(1, 11):
-        driver.report_load(server, 0.5)
-    before = len(driver.actions_of_type(CheckHealth))
-    driver.run(2 * SECOND)  # the price paces them
-    assert len(driver.actions_of_type(CheckHealth)) - before <= 30
+    polled = {health_check.server_id for health_check in driver.actions_of_type(CheckHealth)}
+    assert len(polled) == 10
+    for server_id in range(1, 11):
+        driver.report_load(server_id, 0.5)
+    health_checks_before = len(driver.actions_of_type(CheckHealth))
+    driver.run(2 * SECOND)  # their price limits the rate of sweeps
+    assert len(driver.actions_of_type(CheckHealth)) - health_checks_before <= 30
--- a/tests/test_policy_rules.py
+++ b/tests/test_policy_rules.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import replace
 from random import Random
 
@@ -19,13 +20,12 @@
     LatencySample,
     LoadSample,
     PeerMessage,
+    ServerState,
     TimerFired,
     UpdateKind,
 )
 from limerudder.policy.records import SECOND
-from limerudder.policy.settings import (
-    Settings,
-)
+from limerudder.policy.settings import Settings
 from tests.policy_driver import BASE_SETTINGS, Driver, server_entry
 
 SETTINGS = (
@@ -48,68 +48,124 @@
     AttemptOutcome.ERROR,
     AttemptOutcome.OK,
 ]
-STEPS = "request request request establish establish end gone time list report open note stray failed".split()
+CONNECTION_OUTCOMES = [AttemptOutcome.OK, AttemptOutcome.RESET, AttemptOutcome.CANCELLED]
+LISTED_STATES = [
+    ServerState.READY,
+    ServerState.READY,
+    ServerState.READY,
+    ServerState.DRAINING,
+    ServerState.GONE,
+]
+CLASS_COUNT = len(BASE_SETTINGS.classes)
+GROUP_COUNT = 4
+UNKNOWN_REQUEST = 10**6
+UNKNOWN_TIMER = 987_654
+STEPS_PER_SEQUENCE = 80
+
+
+def new_request(driver: Driver, rng: Random) -> None:
+    time_left_us = rng.choice([None, 0, 1, 5_000, 300_000])
+    driver.request(rng.randrange(CLASS_COUNT), rng.randrange(GROUP_COUNT), time_left_us, rng.randrange(2))
 
 
-def step(driver: Driver, rng: Random) -> None:
-    kind_of_step = rng.choice(STEPS)
-    pending = [attempt.id for attempt in driver.attempts.values() if not attempt.live]
-    attempt_ids = list(driver.attempts)
-    if kind_of_step == "request":
-        left = rng.choice([None, 0, 1, 5_000, 300_000])
-        driver.request(rng.randrange(5), rng.randrange(4), left, rng.randrange(2))
-    elif kind_of_step == "establish" and pending:
+def connection_established(driver: Driver, rng: Random) -> None:
+    pending = driver.pending_requests()
+    if pending:
         driver.establish(rng.choice(pending))
-    elif kind_of_step == "end" and attempt_ids:
-        number = rng.choice(attempt_ids)
-        live = driver.attempts[number].live
-        driver.end_attempt(
-            number,
-            rng.choice(
-                [AttemptOutcome.OK, AttemptOutcome.RESET, AttemptOutcome.CANCELLED]
-                if live
-                else PENDING_ATTEMPT_OUTCOMES
-            ),
-        )
-    elif kind_of_step == "gone":
-        open_ids = [i for i, a in driver.requests.items() if not a.answered]
-        if open_ids:
-            driver.disconnect_client(rng.choice(open_ids))
-    elif kind_of_step == "time":
-        driver.run(rng.choice([5_000, 100_000, SECOND, 20 * SECOND]))
-    elif kind_of_step == "list":
-        kind = rng.choice([UpdateKind.DELTA, UpdateKind.FULL])
-        chosen = rng.sample(range(1, 9), rng.randrange(1, 9))
-        driver.update_endpoints(
-            [
-                server_entry(s, rng.choice([1, 1, 1, 2, 0]), s % 2, rng.choice([0, driver.now_us]), s % 3)
-                for s in chosen
-            ],
-            kind,
-        )
-    elif kind_of_step == "report":
-        load = rng.choice([0.1, 0.6, 0.9, 2.0, float("nan"), -1.0, 1e30])
-        driver.deliver(
-            HealthCheckResult(rng.randrange(12), 900, rng.choice([200, 408]), rng.choice([(), (0.0, load)]))
+
+
+def attempt_ended(driver: Driver, rng: Random) -> None:
+    if not driver.attempts:
+        return
+    request_id = rng.choice(list(driver.attempts))
+    established = driver.attempts[request_id].established
+    outcomes = CONNECTION_OUTCOMES if established else PENDING_ATTEMPT_OUTCOMES
+    driver.end_attempt(request_id, rng.choice(outcomes))
+
+
+def client_disconnected(driver: Driver, rng: Random) -> None:
+    unanswered = [request_id for request_id, request in driver.requests.items() if not request.answered]
+    if unanswered:
+        driver.disconnect_client(rng.choice(unanswered))
+
+
+def time_passed(driver: Driver, rng: Random) -> None:
+    driver.run(rng.choice([5_000, 100_000, SECOND, 20 * SECOND]))
+
+
+def endpoints_changed(driver: Driver, rng: Random) -> None:
+    kind = rng.choice([UpdateKind.DELTA, UpdateKind.FULL])
+    server_ids = rng.sample(range(1, 9), rng.randrange(1, 9))
+    entries = [
+        server_entry(
+            server_id,
+            rng.choice(LISTED_STATES),
+            zone=server_id % 2,
+            ready_since_us=rng.choice([0, driver.now_us]),
+            cell=server_id % 3,
         )
-    elif kind_of_step == "open" and driver.entries:
-        driver.add_connection(rng.choice(list(driver.entries)), rng.randrange(5), rng.randrange(4))
-    elif kind_of_step == "note" and attempt_ids:
-        number = rng.choice(attempt_ids)
-        value = rng.choice([0.0, 500.0, float("nan")])
-        if rng.choice([True, False]):
-            driver.deliver(LoadSample(number, driver.server_of(number), value, 0))
-        else:
-            driver.deliver(LatencySample(number, driver.server_of(number), value, 0))
-    elif kind_of_step == "stray":
-        driver.deliver(AttemptEnded(10**6, 0, 1, 200, 1, 1, ()))
-        driver.deliver(ConnectionEstablished(10**6, 1, 0, 1))
-        driver.deliver(ClientDisconnected(10**6))
-        driver.deliver(LoadSample(10**6, 1, 1.0, 0))
-        driver.deliver(PeerMessage(1, b"\xff\x00"))
-        driver.deliver(TimerFired(987_654))
-    elif kind_of_step == "failed":
-        driver.deliver(EndpointUpdate(UpdateKind.FAILED, 0, ()))
+        for server_id in server_ids
+    ]
+    driver.update_endpoints(entries, kind)
+
+
+def discovery_failed(driver: Driver, rng: Random) -> None:
+    driver.deliver(EndpointUpdate(UpdateKind.FAILED, 0, ()))
+
+
+def load_reported(driver: Driver, rng: Random) -> None:
+    load = rng.choice([0.1, 0.6, 0.9, 2.0, float("nan"), -1.0, 1e30])
+    server_id = rng.randrange(12)
+    outcome = rng.choice([AttemptOutcome.OK, AttemptOutcome.TIMEOUT])
+    load_report = rng.choice([(), (0.0, load)])
+    driver.deliver(HealthCheckResult(server_id, 900, outcome, load_report))
+
+
+def existing_connection_found(driver: Driver, rng: Random) -> None:
+    if driver.entries:
+        server_id = rng.choice(list(driver.entries))
+        driver.add_connection(server_id, rng.randrange(CLASS_COUNT), rng.randrange(GROUP_COUNT))
+
+
+def connection_sampled(driver: Driver, rng: Random) -> None:
+    if not driver.attempts:
+        return
+    request_id = rng.choice(list(driver.attempts))
+    server_id = driver.server_of(request_id)
+    value = rng.choice([0.0, 500.0, float("nan")])
+    samples_load = rng.choice([True, False])
+    if samples_load:
+        driver.deliver(LoadSample(request_id, server_id, value, 0))
+    else:
+        driver.deliver(LatencySample(request_id, server_id, value, 0))
+
+
+def unknown_ids_reported(driver: Driver, rng: Random) -> None:
+    driver.deliver(AttemptEnded(UNKNOWN_REQUEST, 0, 1, AttemptOutcome.OK, 1, 1, ()))
+    driver.deliver(ConnectionEstablished(UNKNOWN_REQUEST, 1, 0, 1))
+    driver.deliver(ClientDisconnected(UNKNOWN_REQUEST))
+    driver.deliver(LoadSample(UNKNOWN_REQUEST, 1, 1.0, 0))
+    driver.deliver(PeerMessage(1, b"\xff\x00"))
+    driver.deliver(TimerFired(UNKNOWN_TIMER))
+
+
+#: Steps that are listed more than once are drawn more often.
+STEPS: list[Callable[[Driver, Random], None]] = [
+    new_request,
+    new_request,
+    new_request,
+    connection_established,
+    connection_established,
+    attempt_ended,
+    client_disconnected,
+    time_passed,
+    endpoints_changed,
+    load_reported,
+    existing_connection_found,
+    connection_sampled,
+    unknown_ids_reported,
+    discovery_failed,
+]
 
 
 @pytest.mark.parametrize("policy_settings", SETTINGS)
@@ -117,15 +173,15 @@
 @settings(max_examples=120, derandomize=True, deadline=None, database=None)
 def test_rules_and_counts_hold_on_any_legal_sequence(policy_settings: Settings, seed: int) -> None:
     rng = Random(seed)
-    driver = Driver(policy_settings, seed, [server_entry(s, 1, s % 2, 0, s % 3) for s in range(1, 7)])
-    for _ in range(80):
+    entries = [server_entry(server_id, zone=server_id % 2, cell=server_id % 3) for server_id in range(1, 7)]
+    driver = Driver(policy_settings, seed, entries)
+    for _ in range(STEPS_PER_SEQUENCE):
+        step = rng.choice(STEPS)
         step(driver, rng)
     driver.run(3 * SECOND)
-    assert all(asked.answered for asked in driver.requests.values()), "a request was lost"
-    for number in list(driver.attempts):
-        driver.end_attempt(number, AttemptOutcome.OK)
-    assert (
-        not driver.balancer.connections.by_id
-        and not driver.balancer.connections.index.servers_by_group
-        and not driver.balancer.timers.pending
-    )
+    assert all(request.answered for request in driver.requests.values()), "a request was never answered"
+    for request_id in list(driver.attempts):
+        driver.end_attempt(request_id, AttemptOutcome.OK)
+    assert not driver.balancer.connections.by_id
+    assert not driver.balancer.connections.index.servers_by_group
+    assert not driver.balancer.timers.pending
--- a/tests/test_rebalancing.py
+++ b/tests/test_rebalancing.py
@@ -4,71 +4,69 @@
 
 from dataclasses import replace
 
-from limerudder.policy.actions import (
-    CheckHealth,
-    MigrateClient,
-)
+import pytest
+
+from limerudder.policy.actions import CheckHealth, MigrateClient
 from limerudder.policy.records import SECOND
-from limerudder.policy.settings import (
-    Settings,
-)
+from limerudder.policy.settings import Settings
 from tests.policy_driver import BASE_SETTINGS, Driver, server_entry
 
-AWAY = replace(BASE_SETTINGS, prices={"crossZone": 0.16, "moves": 0.0087, "probe": 0.002})
+TWO_ZONES = replace(BASE_SETTINGS, prices={"crossZone": 0.16, "moves": 0.0087, "probe": 0.002})
+COSTLY_MIGRATIONS = replace(TWO_ZONES, prices={"crossZone": 0.16, "moves": 0.1})
+LOCAL_SERVER = 1
+REMOTE_SERVER = 2
+SERVERS = [server_entry(LOCAL_SERVER), server_entry(REMOTE_SERVER, zone=1)]
 
 
-def moved_home(settings: Settings, load: float) -> int:
-    """How many of four connections that stand in another zone are sent away in 20 s."""
-    driver = Driver(settings, servers=[server_entry(1), server_entry(2, zone=1)])
+@pytest.mark.parametrize(
+    ("settings", "local_load", "migrations"),
+    [(TWO_ZONES, 0.2, 4), (TWO_ZONES, 0.8, 0), (COSTLY_MIGRATIONS, 0.2, 0)],
+    ids=["local capacity", "no local capacity", "costly migrations"],
+)
+def test_connections_are_migrated_to_the_local_zone_where_that_has_capacity_and_pays(
+    settings: Settings, local_load: float, migrations: int
+) -> None:
+    """Four connections stood in another zone at first, which cost 0.067 to 0.096 of the fleet's result."""
+    driver = Driver(settings, servers=SERVERS)
     for _ in range(4):
-        driver.add_connection(2)
+        driver.add_connection(REMOTE_SERVER)
     for _ in range(200):
         driver.run(SECOND // 10)
-        driver.report_load(1, load)
-        driver.report_load(2, 0.3)
-    return len(driver.actions_of_type(MigrateClient))
-
-
-def test_connections_in_another_zone_are_migrated_to_the_local_zone_where_there_is_room() -> None:
-    """On six of six fleet days crossings cost 0.067 to 0.096 of the result, by what stood at first."""
-    assert moved_home(AWAY, 0.2) == 4
-    assert moved_home(AWAY, 0.8) == 0, "no room at home"
-    assert (
-        moved_home(replace(AWAY, prices={"crossZone": 0.16, "moves": 0.1}), 0.2) == 0
-    ), "moves cost too much"
+        driver.report_load(LOCAL_SERVER, local_load)
+        driver.report_load(REMOTE_SERVER, 0.3)
+    assert len(driver.actions_of_type(MigrateClient)) == migrations
 
 
 def test_a_node_that_polls_on_demand_polls_local_servers_before_it_migrates() -> None:
-    driver = Driver(AWAY, servers=[server_entry(1), server_entry(2, zone=1)])
-    driver.add_connection(2)
+    driver = Driver(TWO_ZONES, servers=SERVERS)
+    driver.add_connection(REMOTE_SERVER)
     driver.run(12 * SECOND)
-    assert not driver.actions_of_type(MigrateClient), "moved to a home of which nothing is known"
-    assert {p.server_id for p in driver.actions_of_type(CheckHealth) if isinstance(p, CheckHealth)} >= {1}
+    assert not driver.actions_of_type(MigrateClient), "migrated to a zone whose load is unknown"
+    polled = {health_check.server_id for health_check in driver.actions_of_type(CheckHealth)}
+    assert polled >= {LOCAL_SERVER}
 
 
 def test_migration_to_the_local_zone_is_spread_over_time() -> None:
-    driver = Driver(AWAY, servers=[server_entry(1), server_entry(2, zone=1)])
+    driver = Driver(TWO_ZONES, servers=SERVERS)
     for _ in range(30):
-        driver.add_connection(2)
+        driver.add_connection(REMOTE_SERVER)
     for _ in range(10):
-        driver.report_load(1, 0.1)
-        driver.report_load(2, 0.5)
+        driver.report_load(LOCAL_SERVER, 0.1)
+        driver.report_load(REMOTE_SERVER, 0.5)
         driver.run(SECOND // 10)
     assert 0 < len(driver.actions_of_type(MigrateClient)) <= 4
 
 
-def test_the_local_zone_is_filled_no_further_than_the_fleet_or_the_current_server() -> None:
-    """calm+mass: a zone's own servers at 0.7 had no room for a burst; 289 resets, 393 set-ups timed out."""
-
-    def moved(home: float, away: float) -> int:
-        driver = Driver(AWAY, servers=[server_entry(1), server_entry(2, zone=1)])
-        for _ in range(10):
-            driver.add_connection(2)
-        for _ in range(100):
-            driver.report_load(1, home)
-            driver.report_load(2, away)
-            driver.run(SECOND // 10)
-        return len(driver.actions_of_type(MigrateClient))
-
-    assert moved(0.3, 0.6) > 0
-    assert moved(0.6, 0.3) == 0
+@pytest.mark.parametrize(("local_load", "remote_load", "migrates"), [(0.3, 0.6, True), (0.6, 0.3, False)])
+def test_the_local_zone_is_filled_no_further_than_the_fleet_or_the_current_server(
+    local_load: float, remote_load: float, migrates: bool
+) -> None:
+    """Local servers at 0.7 had no capacity for a burst: 289 resets, 393 attempts timed out."""
+    driver = Driver(TWO_ZONES, servers=SERVERS)
+    for _ in range(10):
+        driver.add_connection(REMOTE_SERVER)
+    for _ in range(100):
+        driver.report_load(LOCAL_SERVER, local_load)
+        driver.report_load(REMOTE_SERVER, remote_load)
+        driver.run(SECOND // 10)
+    assert bool(driver.actions_of_type(MigrateClient)) is migrates
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -2,101 +2,116 @@
 
 from __future__ import annotations
 
-from limerudder.policy.actions import (
-    FailRequest,
-    RejectRequest,
-    StartAttempt,
-)
-from limerudder.policy.events import (
-    AttemptOutcome,
-    ServerState,
-    UpdateKind,
-)
+import pytest
+
+from limerudder.policy.actions import FailRequest, RejectRequest, StartAttempt
+from limerudder.policy.events import AttemptOutcome, ServerState, UpdateKind
 from limerudder.policy.records import SECOND
-from tests.policy_driver import BASE_SETTINGS, MINIMAL_SETTINGS, Driver, server_entries
+from tests.policy_driver import (
+    BASE_SETTINGS,
+    KEYED_EVERYWHERE,
+    MINIMAL_SETTINGS,
+    UNSAFE,
+    Driver,
+    server_entries,
+)
 
+DIAL_LIMIT_US = BASE_SETTINGS.connect_timeout_us
+KEY_WINDOW_US = BASE_SETTINGS.classes[KEYED_EVERYWHERE].idempotency_window_us
 
-def test_a_retry_leaves_out_servers_tried() -> None:
+
+def test_a_retry_leaves_out_servers_that_were_tried() -> None:
     driver = Driver(MINIMAL_SETTINGS, servers=server_entries(3))
-    number = driver.request()
-    seen = {driver.server_of(number)}
+    request_id = driver.request()
+    tried = {driver.server_of(request_id)}
     for _ in range(2):
-        driver.end_attempt(number, AttemptOutcome.CONNECT_FAILED)
-        assert driver.server_of(number) not in seen
-        seen.add(driver.server_of(number))
+        driver.end_attempt(request_id, AttemptOutcome.CONNECT_FAILED)
+        assert driver.server_of(request_id) not in tried
+        tried.add(driver.server_of(request_id))
 
 
 def test_an_unsafe_request_that_may_have_executed_is_failed_not_rejected() -> None:
     driver = Driver(MINIMAL_SETTINGS, servers=server_entries(3))
-    number = driver.request(traffic_class=1)
-    actions = driver.end_attempt(number, AttemptOutcome.RESET)
-    assert [type(a) for a in actions if isinstance(a, FailRequest | RejectRequest | StartAttempt)] == [
-        FailRequest
+    request_id = driver.request(traffic_class=UNSAFE)
+    actions = driver.end_attempt(request_id, AttemptOutcome.RESET)
+    decisions = [
+        type(action) for action in actions if isinstance(action, FailRequest | RejectRequest | StartAttempt)
     ]
+    assert decisions == [FailRequest]
 
 
 def test_an_attempt_outlasts_the_latency_objective_while_half_of_the_time_is_left() -> None:
-    """Incident r3c1a4b: after a restart 25 set-ups were given up at the aim and sent again."""
+    """Incident r3c1a4b: after a restart 25 attempts were given up at the objective and retried."""
     driver = Driver(MINIMAL_SETTINGS, servers=server_entries(2))
-    number = driver.request()
-    first = driver.server_of(number)
+    request_id = driver.request()
+    first_server = driver.server_of(request_id)
     driver.run(SECOND * 9 // 10)
-    assert driver.attempts_started[number] == 1, "the aim of 500 ms is past"
+    assert driver.attempts_started[request_id] == 1, "the objective of 500 ms has passed"
     driver.run(SECOND // 5)
-    assert driver.attempts_started[number] == 2 and driver.server_of(number) != first
-    late = driver.request(time_left_us=SECOND * 6 // 10)
+    assert driver.attempts_started[request_id] == 2
+    assert driver.server_of(request_id) != first_server
+    late_request = driver.request(time_left_us=SECOND * 6 // 10)
     driver.run(SECOND * 4 // 10)
-    assert driver.attempts_started[late] == 1, "with little time left, the aim is what an attempt gets"
+    assert (
+        driver.attempts_started[late_request] == 1
+    ), "with little time left, an attempt has the objective's time"
 
 
 def test_requests_wait_and_are_rejected_on_an_empty_endpoint_list() -> None:
     driver = Driver(BASE_SETTINGS)
     driver.update_endpoints([], UpdateKind.CACHED)
-    number = driver.request()
+    request_id = driver.request()
     driver.run(3 * SECOND)
-    assert driver.requests[number].answered
+    assert driver.requests[request_id].answered
 
 
-def test_a_keyed_request_is_sent_again_only_while_a_late_dial_would_be_within_its_window() -> None:
+@pytest.mark.parametrize(
+    ("elapsed_us", "retried"),
+    [(KEY_WINDOW_US - DIAL_LIMIT_US - 1, True), (KEY_WINDOW_US - DIAL_LIMIT_US, False)],
+)
+def test_a_keyed_request_is_retried_only_while_a_slow_dial_would_end_within_its_window(
+    elapsed_us: int, retried: bool
+) -> None:
     """The line is written when the connection is up, as late as the settings let a dial take."""
-    window, dial = BASE_SETTINGS.classes[2].idempotency_window_us, BASE_SETTINGS.connect_timeout_us
-    for after, again in ((window - dial - 1, True), (window - dial, False)):
-        driver = Driver(MINIMAL_SETTINGS, servers=server_entries(4))
-        number = driver.request(traffic_class=2)
-        driver.now_us += after
-        actions = driver.end_attempt(number, AttemptOutcome.RESET)
-        assert any(isinstance(a, StartAttempt) for a in actions) is again, after
+    driver = Driver(MINIMAL_SETTINGS, servers=server_entries(4))
+    request_id = driver.request(traffic_class=KEYED_EVERYWHERE)
+    driver.now_us += elapsed_us
+    actions = driver.end_attempt(request_id, AttemptOutcome.RESET)
+    assert any(isinstance(action, StartAttempt) for action in actions) is retried
 
 
-def test_all_draining_rejects_and_recovers() -> None:
+def test_requests_are_rejected_while_all_servers_drain_and_served_afterwards() -> None:
     driver = Driver(MINIMAL_SETTINGS, servers=server_entries(2, state=ServerState.DRAINING))
-    number = driver.request()
+    request_id = driver.request()
     driver.run(SECOND)
-    assert driver.requests[number].answered
+    assert driver.requests[request_id].answered
     driver.update_endpoints(server_entries(2))
     driver.connect()
 
 
-def test_connects_that_fail_everywhere_are_paced() -> None:
-    """Incident i4f7320: tries at once kept the shared store behind for good (185 attempts a request)."""
+def test_attempts_that_fail_at_all_servers_are_paced() -> None:
+    """Incident i4f7320: immediate retries kept the shared store overloaded (185 attempts a request)."""
     driver = Driver(MINIMAL_SETTINGS, servers=server_entries(20))
     for _ in range(50):
         driver.request()
     for _ in range(20):
         driver.run(50_000)
-        for number in [a.id for a in driver.attempts.values() if not a.live]:
-            driver.end_attempt(number, AttemptOutcome.ERROR)
-    before = len(driver.actions_of_type(StartAttempt))
+        fail_pending_attempts(driver)
+    attempts_before = len(driver.actions_of_type(StartAttempt))
     for _ in range(20):
         driver.request()
-        for number in [a.id for a in driver.attempts.values() if not a.live]:
-            driver.end_attempt(number, AttemptOutcome.ERROR)
+        fail_pending_attempts(driver)
         driver.run(50_000)
-    assert len(driver.actions_of_type(StartAttempt)) - before <= 4
+    assert len(driver.actions_of_type(StartAttempt)) - attempts_before <= 4
     driver.run(3 * SECOND)
-    for _ in range(30):  # the store is back: successes take the spacing away
+    for _ in range(30):  # the store has recovered: successes end the pacing
         driver.request()
         driver.run(SECOND // 3)
-        for number in [a.id for a in driver.attempts.values() if not a.live]:
-            driver.establish(number)
+        for request_id in driver.pending_requests():
+            driver.establish(request_id)
     assert driver.balancer.pacer.interval_us == 0
+
+
+def fail_pending_attempts(driver: Driver) -> None:
+    for request_id in driver.pending_requests():
+        driver.end_attempt(request_id, AttemptOutcome.ERROR)
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -1,4 +1,4 @@
-"""Tests of the choice of a server: the power of d choices, groups, zones and sizes."""
+"""Tests of the selection of a server: the power of d choices, groups, zones and weights."""
 
 from __future__ import annotations
 
@@ -7,166 +7,177 @@
 
 import pytest
 
-from limerudder.policy.actions import (
-    CheckHealth,
-    StartAttempt,
-)
-from limerudder.policy.events import (
-    AttemptOutcome,
-    ServerState,
-)
+from limerudder.policy.actions import CheckHealth, StartAttempt
+from limerudder.policy.events import AttemptOutcome, ServerState
 from limerudder.policy.records import SECOND, Server
 from limerudder.policy.selection import MAX_WEIGHED_SERVERS, ServerSelector
 from tests.policy_driver import BASE_SETTINGS, MINIMAL_SETTINGS, Driver, server_entries, server_entry
 
+WITHOUT_GROUPS = replace(BASE_SETTINGS, has_groups=False)
+WITHOUT_REPORTS = replace(BASE_SETTINGS, allows_health_checks=False)
+CHOICES = 2  # d of the power of d choices
+LOAD_LEVELS = 2  # levels of load that servers are tried at, one after the other
+MAX_CANDIDATES = 16  # servers that are looked at for each level
 
-def test_the_draw_joins_the_fewer_own_connections() -> None:
+
+def test_the_candidate_with_fewer_own_connections_is_selected() -> None:
     driver = Driver(MINIMAL_SETTINGS, servers=server_entries(2))
     for _ in range(40):
         driver.connect()
-    assert {s.connection_count for s in driver.balancer.registry.servers.values()} == {20}
+    assert {server.connection_count for server in driver.balancer.registry.servers.values()} == {20}
 
 
-def test_the_draw_is_random_among_more_servers_than_d() -> None:
+def test_candidates_are_drawn_at_random_among_more_than_d_servers() -> None:
     """With d = 2 of 10 the emptiest server is not always drawn: it is a sample, not a scan."""
     driver = Driver(MINIMAL_SETTINGS, servers=server_entries(10))
-    for s in range(1, 10):
-        driver.add_connection(s)
-    hits = 0
+    for server_id in range(1, 10):
+        driver.add_connection(server_id)
+    selections_of_emptiest = 0
     for _ in range(200):
-        number = driver.connect()
-        hits += driver.server_of(number) == 10
-        driver.end_attempt(number, AttemptOutcome.OK)
-    assert 20 < hits < 80  # 2 in 10 draws contain it
+        request_id = driver.connect()
+        if driver.server_of(request_id) == 10:
+            selections_of_emptiest += 1
+        driver.end_attempt(request_id, AttemptOutcome.OK)
+    assert 20 < selections_of_emptiest < 80  # 2 in 10 draws contain it
 
 
-def test_reports_spare_the_busier_server() -> None:
-    driver = Driver(replace(BASE_SETTINGS, has_groups=False), servers=server_entries(4))
-    for s, load in ((1, 0.84), (2, 0.3), (3, 0.3), (4, 0.3)):
+def test_a_server_that_reports_a_higher_load_is_avoided() -> None:
+    driver = Driver(WITHOUT_GROUPS, servers=server_entries(4))
+    for server_id, load in ((1, 0.84), (2, 0.3), (3, 0.3), (4, 0.3)):
         for _ in range(8):
-            driver.add_connection(s)
-        driver.report_load(s, load)
+            driver.add_connection(server_id)
+        driver.report_load(server_id, load)
     driver.balancer.poller.sweep()
-    assert 1 not in {driver.server_of(driver.connect()) for _ in range(4)}
+    selected = {driver.server_of(driver.connect()) for _ in range(4)}
+    assert 1 not in selected
 
 
-def test_servers_that_are_all_at_the_mean_reject_nobody() -> None:
-    """Incident i4f7320: 32 servers healthy at 0.74, none under the mean, everyone refused."""
-    driver = Driver(replace(BASE_SETTINGS, has_groups=False), servers=server_entries(4))
-    for s in range(1, 5):
+def test_servers_that_are_all_at_the_mean_load_reject_nobody() -> None:
+    """Incident i4f7320: 32 servers healthy at 0.74, none below the mean, every request rejected."""
+    driver = Driver(WITHOUT_GROUPS, servers=server_entries(4))
+    for server_id in range(1, 5):
         for _ in range(10):
-            driver.add_connection(s)
-        driver.report_load(s, 0.74)
+            driver.add_connection(server_id)
+        driver.report_load(server_id, 0.74)
     driver.balancer.poller.sweep()
     driver.connect()
 
 
-def test_independent_nodes_choose_the_same_servers_for_a_group() -> None:
-    """At full size no node holds any of a group; drawn afresh at each, its shared work is done everywhere."""
-    places = []
+def test_independent_nodes_select_the_same_servers_for_a_group() -> None:
+    """In a large tier no node holds any of a group; were servers drawn at random, all would do its work."""
+    selected = []
     for seed in range(40):
-        driver = Driver(replace(BASE_SETTINGS, allows_health_checks=False), seed, server_entries(50))
-        places.append(driver.server_of(driver.connect(group=99)))
-    assert len(set(places)) <= 2
-    driver = Driver(replace(BASE_SETTINGS, allows_health_checks=False), 1, server_entries(50))
-    assert len({driver.server_of(driver.connect(group=g)) for g in range(1, 60)}) > 15
+        driver = Driver(WITHOUT_REPORTS, seed, server_entries(50))
+        selected.append(driver.server_of(driver.connect(group=99)))
+    assert len(set(selected)) <= 2
+    driver = Driver(WITHOUT_REPORTS, 1, server_entries(50))
+    selected_by_groups = {driver.server_of(driver.connect(group=group)) for group in range(1, 60)}
+    assert len(selected_by_groups) > 15
 
 
 def test_a_request_costs_the_same_with_ten_and_with_two_hundred_servers(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Incident if1c6f9: while all were full, each look at a request touched every server, 431 us an event."""
-    looked: list[int] = []
-    plain = ServerSelector.is_eligible
-
-    def counted(self: ServerSelector, *args: Any) -> bool:
-        looked.append(1)
-        return plain(self, *args)
-
-    monkeypatch.setattr(ServerSelector, "is_eligible", counted)
-    cost = {}
-    for n in (10, 200):
-        driver = Driver(MINIMAL_SETTINGS, servers=server_entries(n))
-        looked.clear()
+    """Incident if1c6f9: while all were full, each selection looked at every server, 431 us an event."""
+    eligibility_checks: list[int] = []
+    is_eligible = ServerSelector.is_eligible
+
+    def counting_is_eligible(self: ServerSelector, *args: Any) -> bool:
+        eligibility_checks.append(1)
+        return is_eligible(self, *args)
+
+    monkeypatch.setattr(ServerSelector, "is_eligible", counting_is_eligible)
+    checks_with_capacity = {}
+    checks_when_full = {}
+    for server_count in (10, 200):
+        driver = Driver(MINIMAL_SETTINGS, servers=server_entries(server_count))
+        eligibility_checks.clear()
         driver.connect()
-        cost[n, "room"] = len(looked)
-        for s in range(1, n + 1):
-            for _ in range(2):
-                driver.add_connection(s)
-            (
-                driver.balancer.registry.servers[s].connection_limit,
-                driver.balancer.registry.servers[s].connection_limit_set_at_us,
-            ) = 1, driver.now_us
-        looked.clear()
+        checks_with_capacity[server_count] = len(eligibility_checks)
+        fill_all_servers(driver)
+        eligibility_checks.clear()
         driver.request()
-        cost[n, "full"] = len(looked)
-    assert cost[10, "room"] == cost[200, "room"] == 2
-    assert cost[200, "full"] <= 2 * 16 and cost[10, "full"] == 2 * 10
+        checks_when_full[server_count] = len(eligibility_checks)
+    assert checks_with_capacity == {10: CHOICES, 200: CHOICES}
+    assert checks_when_full[200] <= LOAD_LEVELS * MAX_CANDIDATES
+    assert checks_when_full[10] == LOAD_LEVELS * 10
+
+
+def fill_all_servers(driver: Driver) -> None:
+    """Open two connections at each server, and limit it to one."""
+    for server_id, server in driver.balancer.registry.servers.items():
+        for _ in range(2):
+            driver.add_connection(server_id)
+        server.connection_limit = 1
+        server.connection_limit_set_at_us = driver.now_us
 
 
 def test_a_group_stays_on_the_servers_that_hold_it() -> None:
-    driver = Driver(replace(BASE_SETTINGS, allows_health_checks=False), servers=server_entries(8))
-    places = {driver.server_of(driver.connect(group=7)) for _ in range(20)}
-    assert len(places) == 1
-    assert len({driver.server_of(driver.connect(group=8 + i)) for i in range(40)}) > 3
+    driver = Driver(WITHOUT_REPORTS, servers=server_entries(8))
+    servers_of_one_group = {driver.server_of(driver.connect(group=7)) for _ in range(20)}
+    assert len(servers_of_one_group) == 1
+    servers_of_many_groups = {driver.server_of(driver.connect(group=8 + index)) for index in range(40)}
+    assert len(servers_of_many_groups) > 3
 
 
-def test_own_zone_first_where_crossing_is_priced() -> None:
+def test_the_local_zone_is_preferred_where_other_zones_have_a_price() -> None:
     settings = replace(MINIMAL_SETTINGS, prices={"crossZone": 0.1})
-    driver = Driver(
-        settings, servers=[server_entry(1, zone=0), server_entry(2, zone=1), server_entry(3, zone=1)]
-    )
+    entries = [server_entry(1, zone=0), server_entry(2, zone=1), server_entry(3, zone=1)]
+    driver = Driver(settings, servers=entries)
     assert {driver.server_of(driver.connect()) for _ in range(10)} == {1}
     driver.update_endpoints([server_entry(1, ServerState.DRAINING)])
     assert driver.server_of(driver.connect()) in (2, 3)
 
 
-def test_a_group_does_not_pull_its_members_over_a_priced_zone() -> None:
-    settings = replace(BASE_SETTINGS, allows_health_checks=False, prices={"crossZone": 0.1})
+def test_a_group_does_not_attract_connections_to_a_zone_that_has_a_price() -> None:
+    settings = replace(WITHOUT_REPORTS, prices={"crossZone": 0.1})
     driver = Driver(settings, servers=[server_entry(1, zone=0), server_entry(2, zone=1)])
     driver.add_connection(2, group=5)
     assert driver.server_of(driver.connect(group=5)) == 1
 
 
 def test_a_group_is_not_scattered_where_its_servers_are_full() -> None:
-    """Each further server does the group's work again: at full size 119 group-server pairs became 680."""
-    places = set()
+    """Each further server repeats the group's shared work: 119 pairs of group and server became 680."""
+    settings = replace(BASE_SETTINGS, prices={"probe": 0.002}, node_count=600)
+    selected = set()
     for seed in range(20):  # as many nodes that know nothing of each other
-        driver = Driver(
-            replace(BASE_SETTINGS, prices={"probe": 0.002}, node_count=600), seed, server_entries(60)
-        )
+        driver = Driver(settings, seed, server_entries(60))
         driver.request(group=7)
         for _ in range(12):
-            for probe in driver.actions_of_type(CheckHealth):
-                driver.report_load(getattr(probe, "server_id"), 0.95)  # noqa: B009
+            for health_check in driver.actions_of_type(CheckHealth):
+                driver.report_load(health_check.server_id, 0.95)
             driver.run(SECOND // 20)
-        places |= {getattr(a, "server_id") for a in driver.actions_of_type(StartAttempt)}  # noqa: B009
-    assert len(places) <= 4
+        selected |= {attempt.server_id for attempt in driver.actions_of_type(StartAttempt)}
+    assert len(selected) <= 4
 
 
-def test_larger_servers_are_drawn_more_often() -> None:
-    """Drawn alike, hosts of 1.5 stood at 1.5 times what they can do while those of 4 stood at 0.05."""
-    sizes = {1: 4.0, 2: 4.0, **{s: 1.0 for s in range(3, 11)}}
-    large = 0
+def test_servers_with_a_higher_weight_are_drawn_more_often() -> None:
+    """Drawn alike, hosts of 1.5 stood at 1.5 times their capacity while those of 4 stood at 0.05."""
+    weights = dict.fromkeys(range(1, 11), 1.0)
+    weights[1] = 4.0
+    weights[2] = 4.0
+    entries = [server_entry(server_id)._replace(weight=weight) for server_id, weight in weights.items()]
+    selections_of_large_servers = 0
     for seed in range(40):
-        driver = Driver(
-            MINIMAL_SETTINGS, seed, [server_entry(s)._replace(weight=w) for s, w in sizes.items()]
-        )
-        for _ in range(5):  # as many nodes that hold a few each
-            large += driver.server_of(driver.connect()) <= 2
-    assert 70 < large < 150  # of 200: half by size, a fifth by number
+        driver = Driver(MINIMAL_SETTINGS, seed, entries)
+        for _ in range(5):  # as many nodes that hold a few connections each
+            if driver.server_of(driver.connect()) <= 2:
+                selections_of_large_servers += 1
+    assert 70 < selections_of_large_servers < 150  # of 200: half by weight, a fifth by number
 
 
-def test_a_draw_among_thousands_weighs_no_more_of_them_than_among_hundreds() -> None:
+def test_a_draw_among_thousands_weighs_no_more_servers_than_among_hundreds() -> None:
     driver = Driver(MINIMAL_SETTINGS, servers=server_entries(3000))
-    loads, size = driver.balancer.loads, driver.balancer.loads.effective_size
+    loads = driver.balancer.loads
+    effective_size = loads.effective_size
     weighed: list[int] = []
 
-    def count(server: Server, now_us: int) -> float:
+    def counting_effective_size(server: Server, now_us: int) -> float:
         weighed.append(server.id)
-        return size(server, now_us)
+        return effective_size(server, now_us)
 
-    loads.effective_size = count  # type: ignore[method-assign]
-    met = {driver.balancer.selector.sample(driver.balancer.registry.ready)[0].id for _ in range(100)}
+    loads.effective_size = counting_effective_size  # type: ignore[method-assign]
+    ready = driver.balancer.registry.ready
+    drawn_first = {driver.balancer.selector.sample(ready)[0].id for _ in range(100)}
     assert len(weighed) <= 100 * MAX_WEIGHED_SERVERS
-    assert len(met) > 90, "any of them may be drawn"
+    assert len(drawn_first) > 90, "any of them may be drawn"
