--- a/limerudder/net/log.py
+++ b/limerudder/net/log.py
@@ -11,7 +11,6 @@
 import sys
 import time
 from collections.abc import Callable, Hashable, MutableMapping
-from dataclasses import dataclass
 from typing import Any
 
 from limerudder.core.operations.log_events import LogKind
@@ -25,12 +24,12 @@
 Renderer = Callable[[Any, str, EventDict], str]
 
 
-@dataclass(slots=True)
 class LogWindow:
     """The events of one kind since a moment of the monotonic clock."""
 
-    started_at_seconds: float
-    event_count: int
+    def __init__(self, started_at_seconds: float, event_count: int) -> None:
+        self.started_at_seconds = started_at_seconds
+        self.event_count = event_count
 
 
 class LogRateLimiter:
