--- a/tests/test_policy_fleet.py
+++ b/tests/test_policy_fleet.py
@@ -18,9 +18,9 @@
     UpdateKind,
 )
 from limerudder.policy.records import SECOND
+from tests.node_testbed import node_testbed
 from tests.policy_driver import Driver, server_entry
 from tests.policy_tier import NODE_COUNT, SERVERS, TIER_SETTINGS, Tier, knows_all_loads
-from tests.scripted_peers import world
 
 
 def test_nodes_that_restart_together_with_a_cached_list_serve_from_it_and_spread_requests() -> None:
@@ -165,7 +165,7 @@
 
 def test_a_silent_discovery_is_asked_again_and_the_list_of_before_serves(tmp_path: Path) -> None:
     """Seven in ten nodes begin together and overbook discovery: it takes the call, and no answer comes."""
-    here = world(tmp_path)
+    here = node_testbed(tmp_path)
     asked = 0
     for _ in range(60):
         for dial in here.dials[asked:]:
@@ -177,4 +177,4 @@
     failures = here.node.counters[CounterName.DISCOVERY_FAILURES]
     assert 3 <= failures <= calls <= 30, "asked again, and less often than it could bear"
     assert any(line.startswith("discovery: a call failed") for line in here.logged)
-    here.served()
+    here.establish_client()
