Create the policy's selection and its request handling in methods of their own

Cause: one function of 54 lines wired both. Change: two methods; the order of construction is the same but for the slow-start boost, which is built first and draws nothing.

--- a/limerudder/policy/balancer.py
+++ b/limerudder/policy/balancer.py
@@ -47,7 +47,9 @@
         self._context = context = PolicyContext(settings, rng, Clock(), [])
         self._started = False
         self._create_state(context)
-        self._create_decisions(context)
+        slow_start_boost = SlowStartBoost(context, self.loads)
+        self._create_selection(context, slow_start_boost)
+        self._create_request_handling(context, slow_start_boost)
         self._create_periodic_tasks(context)
         self._handlers: dict[type, Callable[[Any], None]] = {
             events.EndpointUpdate: self._on_endpoint_update,
@@ -106,10 +108,9 @@
         self.loads = self.inferred_loads or ReportedLoads(settings, MIN_SWEEP_INTERVAL_US)
         self.poller = LoadPoller(context, self.registry, self.loads, self.gossip, self.rates)
 
-    def _create_decisions(self, context: PolicyContext) -> None:
-        """Create the parts that choose servers, retry and reject."""
+    def _create_selection(self, context: PolicyContext, slow_start_boost: SlowStartBoost) -> None:
+        """Create the parts that choose servers."""
         self._draining = DrainMigration(context, self.timers)
-        slow_start_boost = SlowStartBoost(context, self.loads)
         self.outliers = OutlierDetector(context, self.inferred_loads, self.pacer, self.rates)
         self.load_shedding = LoadShedding(
             context,
@@ -133,6 +134,9 @@
             outliers=self.outliers,
             draining=self._draining,
         )
+
+    def _create_request_handling(self, context: PolicyContext, slow_start_boost: SlowStartBoost) -> None:
+        """Create the parts that retry, reject, and follow each request."""
         placement = RequestPlacement(
             context,
             registry=self.registry,
