--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -7,7 +7,6 @@
 import os
 import signal
 import socket
-import struct
 import subprocess
 import sys
 from collections.abc import Awaitable, Callable
@@ -17,158 +16,141 @@
 import pytest
 import uvloop
 
+from harness.configurations import LINE, configuration, host, hosts, settings
 from limerudder.core.upstream.health_check import HealthCheckConnection
 from limerudder.net.clock import Clock
 from limerudder.net.tcp import TcpConnection
-from tests.scripted_peers import LINE, Listener, Loopback, Peer, configuration, host, hosts, settings
-
-Scenario = Callable[[Loopback], Awaitable[None]]
-
-
-def reset(peer: Peer) -> None:
-    """Reset a scripted connection."""
-    sock = peer.writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    peer.writer.transport.abort()
-
-
-async def served(here: Loopback) -> tuple[Peer, Peer]:
-    """A client whose connection is established, and its upstream's side."""
-    client = await here.client()
-    client.say("PING")
-    assert await client.line() == "PONG"
-    line = here.line()
-    client.say(line)
-    upstream = await here.upstream.take()
-    assert (await upstream.line()).startswith(line.partition("d=")[0])
-    upstream.say("UP 77")
-    assert await client.line() == "UP 77"
-    return client, upstream
-
-
-async def lines_are_relayed_both_ways_until_the_upstream_ends(here: Loopback) -> None:
-    async with here.running():
-        client, upstream = await served(here)
-        client.say("M 1")
-        assert await upstream.line() == "M 1"
-        upstream.say("LOAD 12.5", "M 1", "BYE")
+from tests.loopback_testbed import Listener, LoopbackTestbed
+
+Scenario = Callable[[LoopbackTestbed], Awaitable[None]]
+
+
+async def lines_are_relayed_both_ways_until_the_upstream_ends(testbed: LoopbackTestbed) -> None:
+    async with testbed.running_node():
+        client, upstream = await testbed.establish_connection()
+        client.send_lines("M 1")
+        assert await upstream.read_line() == "M 1"
+        upstream.send_lines("LOAD 12.5", "M 1", "BYE")
         upstream.writer.close()
-        assert [await client.line() for _ in range(4)] == ["LOAD 12.5", "M 1", "BYE", ""]
+        assert [await client.read_line() for _ in range(4)] == ["LOAD 12.5", "M 1", "BYE", ""]
 
 
-async def a_reset_on_one_side_resets_the_other(here: Loopback) -> None:
-    async with here.running():
-        client, upstream = await served(here)
-        reset(upstream)
+async def a_reset_on_one_side_resets_the_other(testbed: LoopbackTestbed) -> None:
+    async with testbed.running_node():
+        client, upstream = await testbed.establish_connection()
+        upstream.reset()
         with pytest.raises(ConnectionResetError):
-            await client.line()
-        client, upstream = await served(here)
-        reset(client)
+            await client.read_line()
+        client, upstream = await testbed.establish_connection()
+        client.reset()
         with pytest.raises(ConnectionResetError):
-            await upstream.line()
+            await upstream.read_line()
 
 
-async def a_client_that_half_closes_still_gets_its_upstreams_last_lines(here: Loopback) -> None:
-    async with here.running():
-        client, upstream = await served(here)
+async def a_client_that_half_closes_still_gets_its_upstreams_last_lines(testbed: LoopbackTestbed) -> None:
+    async with testbed.running_node():
+        client, upstream = await testbed.establish_connection()
         client.writer.write_eof()
-        assert await upstream.line() == ""
-        last = ["x" * 4000] * 100 + ["BYE"]
-        upstream.say(*last)
+        assert await upstream.read_line() == ""
+        last_lines = ["x" * 4000] * 100 + ["BYE"]
+        upstream.send_lines(*last_lines)
         upstream.writer.close()
-        assert [await client.line() for _ in last] == last and await client.line() == ""
+        assert [await client.read_line() for _ in last_lines] == last_lines
+        assert await client.read_line() == ""
 
 
-async def a_slow_reader_gets_more_than_the_buffers_hold_completely(here: Loopback) -> None:
-    async with here.running():
-        client, upstream = await served(here)
-        text = ["x" * 4000] * 2000
-        upstream.say(*text)
+async def a_slow_reader_gets_more_than_the_buffers_hold_completely(testbed: LoopbackTestbed) -> None:
+    async with testbed.running_node():
+        client, upstream = await testbed.establish_connection()
+        lines = ["x" * 4000] * 2000
+        upstream.send_lines(*lines)
         upstream.writer.close()
-        assert [await client.line() for _ in text] == text and await client.line() == ""
+        assert [await client.read_line() for _ in lines] == lines
+        assert await client.read_line() == ""
 
 
-async def an_endless_line_is_answered_with_an_error_and_closed(here: Loopback) -> None:
-    async with here.running():
-        client, upstream = await served(here)
-        bad = await here.client()
+async def an_endless_line_is_answered_with_an_error_and_closed(testbed: LoopbackTestbed) -> None:
+    async with testbed.running_node():
+        client, upstream = await testbed.establish_connection()
+        endless = await testbed.connect()
         for _ in range(200):
-            bad.say("k" * 300_000)
-        assert await bad.line() == "ERR"
+            endless.send_lines("k" * 300_000)
+        assert await endless.read_line() == "ERR"
         with pytest.raises(ConnectionError):
-            await bad.writer.drain()
-        client.say("M 1")
-        assert await upstream.line() == "M 1"
+            await endless.writer.drain()
+        client.send_lines("M 1")
+        assert await upstream.read_line() == "M 1"
 
 
-async def a_request_is_rejected_if_its_upstream_refuses_the_connection(here: Loopback) -> None:
-    async with here.running(known=hosts(host("s-1", "127.0.0.1:9"))):
-        client = await here.client()
-        client.say(LINE)
-        assert [await client.line(), await client.line()] == ["BUSY", ""]
+async def a_request_is_rejected_if_its_upstream_refuses_the_connection(testbed: LoopbackTestbed) -> None:
+    async with testbed.running_node(known=hosts(host("s-1", "127.0.0.1:9"))):
+        client = await testbed.connect()
+        client.send_lines(LINE)
+        assert [await client.read_line(), await client.read_line()] == ["BUSY", ""]
 
 
-async def a_cancelled_attempt_is_closed_at_its_upstream(here: Loopback) -> None:
-    async with here.running():
-        client = await here.client()
-        client.say(LINE)
-        upstream = await here.upstream.take()
-        await upstream.line()
+async def a_cancelled_attempt_is_closed_at_its_upstream(testbed: LoopbackTestbed) -> None:
+    async with testbed.running_node():
+        client = await testbed.connect()
+        client.send_lines(LINE)
+        upstream = await testbed.upstream.accept()
+        await upstream.read_line()
         client.writer.close()
-        assert await upstream.line() == ""
+        assert await upstream.read_line() == ""
 
 
-async def discovery_adds_an_upstream_that_was_not_known(here: Loopback) -> None:
-    async with here.running(known=hosts()):
-        watch = await here.discovery.take()
-        assert await watch.line() == "GET /discovery/hosts?watch=1&after=41 HTTP/1.1"
-        text = json.dumps(hosts(host("s-1", await here.upstream.start()))) + "\n"
-        watch.say("HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "", f"{len(text):x}", text)
-        await served(here)
+async def discovery_adds_an_upstream_that_was_not_known(testbed: LoopbackTestbed) -> None:
+    async with testbed.running_node(known=hosts()):
+        watch = await testbed.discovery.accept()
+        assert await watch.read_line() == "GET /discovery/hosts?watch=1&after=41 HTTP/1.1"
+        watch.send_watch_answer(hosts(host("s-1", await testbed.upstream.start())))
+        await testbed.establish_connection()
 
 
-async def a_graceful_shutdown_migrates_its_clients_and_ends(here: Loopback) -> None:
+async def a_graceful_shutdown_migrates_its_clients_and_ends(testbed: LoopbackTestbed) -> None:
     quick = settings()
     quick["classes"][0] |= {"aimUs": 100_000, "deadlineUs": 800_000}
-    async with here.running(settings=quick) as node:
-        clients = [(await served(here))[0] for _ in range(3)]
+    async with testbed.running_node(settings=quick) as node:
+        clients = [(await testbed.establish_connection())[0] for _ in range(3)]
         os.kill(os.getpid(), signal.SIGTERM)
-        late = await here.client()
-        late.say(LINE)
-        assert await late.line() == "BUSY"
-        assert [await client.line() for client in clients] == ["MOVE"] * 3
+        late_client = await testbed.connect()
+        late_client.send_lines(LINE)
+        assert await late_client.read_line() == "BUSY"
+        assert [await client.read_line() for client in clients] == ["MOVE"] * 3
         await node
-    lines = [await here.logged.get() for _ in range(here.logged.qsize())]
+    lines = [await testbed.logged.get() for _ in range(testbed.logged.qsize())]
     assert "answers_served=3" in lines[-1] and "migrations=3" in lines[-1]
     assert any(line.endswith("node: SIGTERM received") for line in lines)
 
 
-async def a_reload_watches_the_new_address_and_keeps_connections(here: Loopback) -> None:
-    async with here.running() as node:
-        client, upstream = await served(here)
-        old = await here.discovery.take()
-        config = here.folder / "config.json"
-        new = Listener()
-        given = json.loads(config.read_text())
+async def a_reload_watches_the_new_address_and_keeps_connections(testbed: LoopbackTestbed) -> None:
+    async with testbed.running_node() as node:
+        client, upstream = await testbed.establish_connection()
+        old_watch = await testbed.discovery.accept()
+        config = testbed.folder / "config.json"
+        new_discovery = Listener()
+        values = json.loads(config.read_text())
         config.write_text("{")
         os.kill(os.getpid(), signal.SIGHUP)
-        while not (await here.logged.get()).endswith("; keeping the previous configuration"):
+        while not (await testbed.logged.get()).endswith("; keeping the previous configuration"):
             pass
-        config.write_text(json.dumps(given | {"discovery": await new.start()}))
+        config.write_text(json.dumps(values | {"discovery": await new_discovery.start()}))
         for _ in range(2):  # a repeat changes nothing
             os.kill(os.getpid(), signal.SIGHUP)
-        watch = await new.take()
-        assert await watch.line() == "GET /discovery/hosts?watch=1&after=0 HTTP/1.1"
-        assert await old.reader.read() != b"" and old.reader.at_eof()
-        client.say("M 1")
-        assert await upstream.line() == "M 1" and new.came.empty()
+        watch = await new_discovery.accept()
+        assert await watch.read_line() == "GET /discovery/hosts?watch=1&after=0 HTTP/1.1"
+        assert await old_watch.reader.read() != b""
+        assert old_watch.reader.at_eof()
+        client.send_lines("M 1")
+        assert await upstream.read_line() == "M 1"
+        assert new_discovery.connections.empty()
         os.kill(os.getpid(), signal.SIGTERM)
         os.kill(os.getpid(), signal.SIGHUP)
-        assert await client.line() == "MOVE"
+        assert await client.read_line() == "MOVE"
         await node
 
 
-async def a_transport_resumes_reading_only_after_a_pause(here: Loopback) -> None:
+async def a_transport_resumes_reading_only_after_a_pause(testbed: LoopbackTestbed) -> None:
     transport = Mock(is_closing=lambda: False)
     connection = TcpConnection(HealthCheckConnection((), lambda *result: None), Clock())
     connection.connection_made(transport)
@@ -178,14 +160,14 @@
     assert calls == ["pause_reading", "resume_reading"], "uvloop reports a FIN again for each resume"
 
 
-async def a_transport_is_shut_down_before_close_returns(here: Loopback) -> None:
-    ours, theirs = socket.socketpair()
+async def a_transport_is_shut_down_before_close_returns(testbed: LoopbackTestbed) -> None:
+    near_end, far_end = socket.socketpair()
     connection = TcpConnection(HealthCheckConnection((), lambda *result: None), Clock())
-    connection.dialled_socket = ours
+    connection.dialled_socket = near_end
     connection.close()
-    theirs.setblocking(False)
+    far_end.setblocking(False)
     # the event loop has not run since: an attempt that follows cannot overtake this end
-    assert theirs.recv(1) == b""
+    assert far_end.recv(1) == b""
 
 
 SCENARIOS = [
@@ -208,7 +190,7 @@
 def test_scenario(scenario: Scenario, tmp_path: Path) -> None:
     async def run() -> None:
         # a scenario that hangs fails, on any machine
-        await asyncio.wait_for(scenario(Loopback(tmp_path)), 60)
+        await asyncio.wait_for(scenario(LoopbackTestbed(tmp_path)), 60)
 
     uvloop.run(run())
 
@@ -217,9 +199,9 @@
 def test_a_bad_configuration_is_one_line_and_exit_code_2(tmp_path: Path, message: str) -> None:
     with socket.create_server(("127.0.0.1", 0)) as taken:
         listen = "nowhere" if message == "not an address" else "{}:{}".format(*taken.getsockname())
-        given = os.environ | configuration(tmp_path, listen=listen)
+        environment = os.environ | configuration(tmp_path, listen=listen)
         ran = subprocess.run(
-            [sys.executable, "-m", "limerudder"], env=given, capture_output=True, text=True, check=False
+            [sys.executable, "-m", "limerudder"], env=environment, capture_output=True, text=True, check=False
         )
     assert (ran.returncode, ran.stdout) == (2, "")
     assert ran.stderr.count("\n") == 1 and message in ran.stderr
