--- a/limerudder/core/client/request_handler.py
+++ b/limerudder/core/client/request_handler.py
@@ -26,7 +26,7 @@
 
 
 class RequestObserver(Protocol):
-    """Is told that the client of a request has disconnected."""
+    """Is notified that the client of a request has disconnected."""
 
     def client_disconnected(self, now_us: int) -> None:
         """The client has disconnected, before or after its final answer."""
--- a/limerudder/core/discovery/drain_memory.py
+++ b/limerudder/core/discovery/drain_memory.py
@@ -24,7 +24,7 @@
     """What the previous process of this node remembers, until this one can read the store itself."""
 
     def __init__(self, drained_starts: dict[str, int]) -> None:
-        self.observed_here: dict[str, int] = {}  # drains that the previous process has not told
+        self.observed_here: dict[str, int] = {}  # drains that the parent process has not announced
         self._drained_starts = dict(drained_starts)
 
     def observe(self, endpoint: Endpoint) -> bool:
--- a/limerudder/core/lifecycle/hot_restart/successor.py
+++ b/limerudder/core/lifecycle/hot_restart/successor.py
@@ -26,10 +26,10 @@
 
 
 class SuccessorPhase(Enum):
-    """Whether the successor has been told to serve."""
+    """Whether the successor has been asked to serve."""
 
     PREPARING = auto()  #: it asks discovery and checks the upstreams, while the parent accepts the clients
-    SERVING = auto()  #: it has been told to accept clients, which happens once
+    SERVING = auto()  #: it has been asked to accept clients, which happens once
 
 
 class SuccessorHooks(NamedTuple):
--- a/limerudder/core/operations/maintenance.py
+++ b/limerudder/core/operations/maintenance.py
@@ -1,4 +1,4 @@
-"""Maintenance: hosts that staff have taken out of service, whatever discovery lists.
+"""Maintenance: hosts that operators have taken out of service, whatever discovery lists.
 
 Each has a mark that outlives the process. Every process of a node reads the marks regularly, so that all of
 them follow a console call to any of them.
--- a/limerudder/core/upstream/attempt.py
+++ b/limerudder/core/upstream/attempt.py
@@ -156,7 +156,7 @@
             client.migrate(now_us)
 
     def close(self) -> None:
-        """Close the connection at once; the observer is not told."""
+        """Close the connection at once; the observer is not notified."""
         self.ended = True
         self._timer.cancel()
         self._client = None
--- a/limerudder/loadtest/rule_checker.py
+++ b/limerudder/loadtest/rule_checker.py
@@ -94,11 +94,11 @@
 
 @dataclass(slots=True)
 class _TrackedServer:
-    """A server as the node has been told of it."""
+    """A server as the node has been notified of it."""
 
     capacity_per_second: float  #: new connections, once it is warm
     started_us: int
-    unavailable_since_us: int | None = None  #: when the node was first told that it drains or is gone
+    unavailable_since_us: int | None = None  #: when the node was first notified that it drains or is gone
     recent_attempts_us: deque[int] = field(default_factory=deque)  #: within the overload window
 
 
@@ -239,12 +239,12 @@
         if held_us > self._limits.line_grace_us:
             self._violated(Rule.HELD_LINES, at_us, f"{request_id}: a line was held for {held_us} us", request)
 
-    # what discovery has told
+    # what discovery has announced
 
     def server_listed(
         self, at_us: int, server_name: str, ready: bool, capacity_per_second: float, started_us: int
     ) -> None:
-        """The node has been told of a server: whether it may get new work, its capacity, its start."""
+        """The node has been notified of a server: whether it may get new work, its capacity, its start."""
         self._now_us = max(self._now_us, at_us)
         server = self._servers.get(server_name)
         if server is None or started_us > server.started_us:
--- a/limerudder/net/tcp.py
+++ b/limerudder/net/tcp.py
@@ -12,7 +12,7 @@
 from limerudder.core.transport import Address, ConnectionMachine, OutboundMachine
 from limerudder.net.clock import Clock
 
-#: Bytes that may wait to be sent before the machine is told to pause writing.
+#: Bytes that may wait to be sent before the machine is asked to pause writing.
 WRITE_BUFFER_LIMIT_BYTES = 64 * 1024
 #: The value of SO_LINGER (on, 0 s) that makes a close send a reset instead of a FIN.
 LINGER_RESET = struct.pack("ii", 1, 0)
--- a/limerudder/policy/load_events.py
+++ b/limerudder/policy/load_events.py
@@ -32,7 +32,7 @@
     overload_relief: OverloadRelief
 
     def on_load_sample(self, event: events.LoadSample) -> None:
-        """An established connection has told its load."""
+        """An established connection has reported its load."""
         connection = self.connections.find_attempt(event)
         if connection is not None and event.load_us_per_second >= 0:
             self.loads.record_connection_load(connection, event.load_us_per_second)
--- a/limerudder/policy/load_inference.py
+++ b/limerudder/policy/load_inference.py
@@ -68,7 +68,7 @@
 
     def __init__(self, settings: Settings, report_interval_us: int) -> None:
         super().__init__(settings, report_interval_us)
-        self.max_load = math.inf  # no server counts as full before a message has told its load
+        self.max_load = math.inf  # no server counts as full before a message's latency shows its load
         self.has_load_data = False  # until a message's latency is known
         self._node_count = max(settings.node_count, 1)
         self._counts_groups = settings.has_groups
--- a/limerudder/policy/retry.py
+++ b/limerudder/policy/retry.py
@@ -23,7 +23,7 @@
 from limerudder.policy.traffic_rates import TrafficRates
 
 PENDING_RETRY_INTERVAL_US = SECOND // 10  #: between draws for a request that waits for room
-RETRY_AFTER_US = SECOND  #: what a rejected client is told to wait
+RETRY_AFTER_US = SECOND  #: the Retry-After of a rejected client
 MIN_TIME_LEFT_TICKS = 2  #: with less time left, an attempt could not end before the deadline
 
 
--- a/limerudder/policy/slow_start.py
+++ b/limerudder/policy/slow_start.py
@@ -1,7 +1,7 @@
 """Slow start: one node's part of what all nodes together may send a server that is warming up.
 
 The settings bound the sum: `overload_factor` times what the server can do by now, over `overload_window_us`.
-No node is told what a server can do, only which share of its full capacity it has by now. What warm servers
+No node knows what a server can do, only which share of its full capacity it has by now. What warm servers
 of its size are usually asked serves as the measure of the rest. Each node goes by its own traffic. So the
 parts add up to the bound, whatever the number of nodes and however uneven their traffic.
 
