--- a/bench/store_sim.py
+++ b/bench/store_sim.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field, replace
 from multiprocessing import Pool
 
-from harness.cluster_checks import InvariantViolation
+from harness.cluster_checks import InvariantError
 from harness.cluster_simulation import ClusterSimulation
 from harness.fault_plan import FaultPlan
 
@@ -38,7 +38,7 @@
     simulation = ClusterSimulation(task.seed, task.plan)
     try:
         simulation.run()
-    except InvariantViolation as exc:
+    except InvariantError as exc:
         return SimulationResult(task.seed, str(exc))
     except Exception as exc:
         frame = traceback.extract_tb(exc.__traceback__)[-1]
--- a/harness/cluster_checks.py
+++ b/harness/cluster_checks.py
@@ -22,7 +22,7 @@
 NEVER_COMMITTED_TERM = 1 << 62  #: later than all terms
 
 
-class InvariantViolation(AssertionError):
+class InvariantError(AssertionError):
     """An invariant does not hold; the text says which, when, and at which member."""
 
 
@@ -76,7 +76,7 @@
     def _check_one_leader_per_term(self, member: SimulatedMember, raft: Raft, where: str) -> None:
         leader_id = self.leaders_by_term.setdefault(raft.term, member.member_id)
         if leader_id != member.member_id:
-            raise InvariantViolation(
+            raise InvariantError(
                 f"{where}: two leaders in term {raft.term}: {leader_id} and {member.member_id}"
             )
 
@@ -89,7 +89,7 @@
         for index in range(raft.log.base_index + 1, self.committed_index + 1):
             entry = self.committed.get(index, unknown)
             if entry.applied_in_term < raft.term and raft.log.term_at(index) != entry.term:
-                raise InvariantViolation(
+                raise InvariantError(
                     f"{where}: leads term {raft.term} without entry {index} of term {entry.term}"
                 )
 
@@ -105,7 +105,7 @@
             if entry.kind == EntryKind.DATA:
                 self.commands.setdefault(index, entry.data)
             if (known.term, known.digest) != (entry.term, digest):
-                raise InvariantViolation(
+                raise InvariantError(
                     f"{where}: entry {index} was committed as {known} and is of term {entry.term}"
                 )
             self.committed_index = max(self.committed_index, index)
@@ -118,7 +118,7 @@
             return
         digest = state_digest(process)
         if self._state_digests.setdefault(applied_index, digest) != digest:
-            raise InvariantViolation(f"{where}: the states differ at entry {applied_index}")
+            raise InvariantError(f"{where}: the states differ at entry {applied_index}")
 
     def _check_log_matching(self, raft: Raft, where: str) -> None:
         """Two logs with an entry of the same index and term are equal up to it."""
@@ -133,7 +133,7 @@
                 other_entry = other_log.entry_at(index)
                 must_be_equal = must_be_equal or entry.term == other_entry.term
                 if must_be_equal and entry != other_entry:
-                    raise InvariantViolation(
+                    raise InvariantError(
                         f"{where}: the log differs from that of {other.name} at entry {index}"
                     )
 
@@ -158,7 +158,7 @@
         drain_log = member.running_process.drain_log
         for (member_id, host), started_ms in self.durable_drains.items():
             if member_id == member.member_id and not drain_log.effective_record(host).excludes(started_ms):
-                raise InvariantViolation(
+                raise InvariantError(
                     f"{self._environment.describe_moment()}, {member.name}:"
                     f" forgot that {host} drains ({started_ms})"
                 )
@@ -169,7 +169,7 @@
             drain_log = member.running_process.drain_log
             for (member_id, host), started_ms in self.durable_drains.items():
                 if member_id in config_ids and not drain_log.effective_record(host).excludes(started_ms):
-                    raise InvariantViolation(
+                    raise InvariantError(
                         f"seed {self._environment.seed}, end: {member.name} does not know that"
                         f" {host} drains ({started_ms})"
                     )
--- a/harness/linearizability.py
+++ b/harness/linearizability.py
@@ -21,7 +21,7 @@
     revision: int = 0
 
 
-class NotLinearizable(AssertionError):
+class LinearizabilityError(AssertionError):
     """The history of the clients' calls is not linearizable; the text says why."""
 
 
@@ -54,7 +54,7 @@
             continue
         is_stale = call.revision < seen_revision
         if is_stale or call.is_write and call.revision <= seen_revision:
-            raise NotLinearizable(f"{call} came after revision {seen_revision} was seen")
+            raise LinearizabilityError(f"{call} came after revision {seen_revision} was seen")
 
 
 def _replay(
@@ -66,7 +66,7 @@
     for revision, key, value in _changes(commands):
         if value is not None and key in checked_keys:
             if value in written:
-                raise NotLinearizable(
+                raise LinearizabilityError(
                     f"{value[:20]!r} was written twice, the second time at revision {revision}"
                 )
             written.add(value)
@@ -86,7 +86,7 @@
 def _check_write(call: ClientCall, values: Mapping[tuple[str, int], bytes | None]) -> None:
     key = call.key, call.revision
     if key not in values or values[key] != call.value:
-        raise NotLinearizable(f"the acknowledged {call} was not applied")
+        raise LinearizabilityError(f"the acknowledged {call} was not applied")
 
 
 def _check_read(call: ClientCall, values: Mapping[tuple[str, int], bytes | None]) -> None:
@@ -94,4 +94,4 @@
     last_revision = max(revisions, default=0)
     value = values[call.key, last_revision] if last_revision else None
     if value != call.value:
-        raise NotLinearizable(f"{call} read a value that was not there")
+        raise LinearizabilityError(f"{call} read a value that was not there")
--- a/harness/memory_disk.py
+++ b/harness/memory_disk.py
@@ -23,13 +23,13 @@
     """What is durable at a member."""
 
     config: ClusterConfig
-    hard_state: HardState = HardState(0, 0)
+    hard_state: HardState = field(default_factory=lambda: HardState(0, 0))
     log: dict[int, Entry] = field(default_factory=dict)  # by index
     snapshot: Snapshot | None = None
     incoming_snapshot: IncomingSnapshot | None = None
     facts: dict[int, bytes] = field(default_factory=dict)  # of the drain log, by number
     known: dict[str, KnownValue] = field(default_factory=dict)  # by key
-    incarnation: Incarnation = Incarnation(0, 0)
+    incarnation: Incarnation = field(default_factory=lambda: Incarnation(0, 0))
     proofs: dict[int, DurabilityProof] = field(default_factory=dict)  # by member
 
     def copy(self) -> MemoryDisk:
--- a/harness/simulated_client.py
+++ b/harness/simulated_client.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from harness.cluster_checks import ClusterChecks, InvariantViolation
+from harness.cluster_checks import ClusterChecks, InvariantError
 from harness.linearizability import ClientCall
 from harness.simulated_clock import MICROSECONDS_PER_MILLISECOND
 from harness.simulated_member import SimulatedMember
@@ -143,7 +143,7 @@
                 clock.schedule(WRITE_RETRY_US, lambda: self._send_write(command, call))
                 return
             if outcome.error:
-                raise InvariantViolation(
+                raise InvariantError(
                     f"seed {self._environment.seed}: a session in use was refused: {outcome.error}"
                 )
             call.finished_us = clock.now_us
--- a/limerudder/core/client/open_line.py
+++ b/limerudder/core/client/open_line.py
@@ -12,6 +12,7 @@
 LINE_END = b"\r\n"
 MICROSECONDS_PER_MILLISECOND = 1000
 FIELD_VALUE_LIMIT = 1 << 32  #: numbers in fields are smaller than this, after conversion to their unit
+_OPEN_LINE_WORDS = 4  #: OPEN, the id, the key, and the fields
 _IDENTIFIER = re.compile("[0-9a-f]{16}")
 _FIELD_NAME = re.compile("[A-Za-z][A-Za-z0-9_]*")
 _WHOLE_NUMBER = re.compile("0|[1-9][0-9]{0,9}")
@@ -80,7 +81,7 @@
     client sends, or one that can be read in two ways, must not reach an upstream.
     """
     words = line.decode("ascii", "replace").split(" ")
-    if not is_printable_ascii(line) or len(words) != 4 or words[0] != "OPEN":
+    if not is_printable_ascii(line) or len(words) != _OPEN_LINE_WORDS or words[0] != "OPEN":
         raise MalformedLineError(line)
     fields = _parse_fields(words[3])
     if "c" not in fields or fields.get("r", "1") != "1" or fields.get("again", "1") != "1":
--- a/limerudder/core/client/session.py
+++ b/limerudder/core/client/session.py
@@ -140,7 +140,8 @@
             line = self.first_line.line
             request = None if line == PING_LINE else parse_open_line(line)
         except OpenLineError as error:
-            return self._answer_error(error.counter, now_us)
+            self._answer_error(error.counter, now_us)
+            return
         if request is None:
             self._answer_ping(now_us)
         else:
--- a/limerudder/core/invariants.py
+++ b/limerudder/core/invariants.py
@@ -17,17 +17,17 @@
     from limerudder.policy.balancer import Balancer
 
 
-class InvariantViolation(AssertionError):
+class InvariantError(AssertionError):
     """An invariant does not hold."""
 
 
 def require(condition: bool, text: str) -> None:
-    """Raise InvariantViolation unless the condition holds.
+    """Raise InvariantError unless the condition holds.
 
     An `assert` would be left out of an optimised run.
     """
     if not condition:
-        raise InvariantViolation(text)
+        raise InvariantError(text)
 
 
 class PossibleExecution(NamedTuple):
--- a/limerudder/core/peering.py
+++ b/limerudder/core/peering.py
@@ -32,7 +32,8 @@
         A datagram that is not from a peer, too long or malformed is counted and logged.
         """
         if sender is None or len(data) > MAX_DATAGRAM_BYTES:
-            return self._malformed(sender, f"of {len(data)} bytes (at most {MAX_DATAGRAM_BYTES} are taken)")
+            self._malformed(sender, f"of {len(data)} bytes (at most {MAX_DATAGRAM_BYTES} are taken)")
+            return
         self._counters.increment(CounterName.PEER_MESSAGES_RECEIVED)
         malformed_before = self._policy.malformed_peer_messages()
         self._dispatch(PeerMessage(sender, data), now_us)
--- a/limerudder/core/requests/attempt_runner.py
+++ b/limerudder/core/requests/attempt_runner.py
@@ -166,7 +166,8 @@
         if attempt is None or upstream is None:
             return
         if connection.state is not ConnectionState.WAITING:
-            return self.give_up(connection, AttemptOutcome.CANCELLED, now_us)
+            self.give_up(connection, AttemptOutcome.CANCELLED, now_us)
+            return
         connection.cancel_attempt_timers()
         connection.establish()
         self._counters.increment(CounterName.ANSWERS_SERVED)
@@ -190,7 +191,8 @@
         if connection.state is ConnectionState.FINISHED:
             self._requests.remove(connection)
         elif connection.retry_pinned:
-            return connection.retry_pinned(outcome, now_us)
+            connection.retry_pinned(outcome, now_us)
+            return
         self.report_outcome(connection, outcome, report, now_us)
 
     def report_outcome(
--- a/limerudder/store/leader_requests.py
+++ b/limerudder/store/leader_requests.py
@@ -7,7 +7,7 @@
 
 from limerudder.store.commands import CommandResult, encode_result
 from limerudder.store.membership_requests import config_with, config_without
-from limerudder.store.raft.errors import MembershipChangeError, NotLeader
+from limerudder.store.raft.errors import MembershipChangeError, NotLeaderError
 from limerudder.store.raft.messages import Entry
 from limerudder.store.raft.output import RaftOutput
 from limerudder.store.raft.raft import Raft
@@ -62,7 +62,7 @@
             self._start(origin, request, now_us)
         except MembershipChangeError as exc:
             self._reply(origin, ReplyStatus.REFUSED, str(exc).encode(), now_us)
-        except NotLeader:
+        except NotLeaderError:
             self._reply(origin, ReplyStatus.NOT_LEADER, b"", now_us)
 
     def _start(self, origin: RequestOrigin, request: Request, now_us: int) -> None:
@@ -117,7 +117,7 @@
         self._queued_writes = []
         try:
             first_index, term = self._raft.propose([queued.command for queued in queued_writes], now_us)
-        except NotLeader:
+        except NotLeaderError:
             for queued in queued_writes:
                 self._reply(queued.origin, ReplyStatus.NOT_LEADER, b"", now_us)
             return
--- a/limerudder/store/raft/errors.py
+++ b/limerudder/store/raft/errors.py
@@ -7,7 +7,7 @@
     """Base class of this package's errors."""
 
 
-class NotLeader(RaftError):
+class NotLeaderError(RaftError):
     """Only the leader can do this; `leader` is its member id as far as known, or `NO_LEADER`."""
 
     def __init__(self, leader: int) -> None:
--- a/limerudder/store/raft/leader.py
+++ b/limerudder/store/raft/leader.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Sequence
 
 from limerudder.store.raft import membership
-from limerudder.store.raft.errors import MembershipChangeError, NotLeader
+from limerudder.store.raft.errors import MembershipChangeError, NotLeaderError
 from limerudder.store.raft.leadership import LeadershipTransfer, QuorumCheck, nominate_successor
 from limerudder.store.raft.messages import (
     AppendEntriesReply,
@@ -23,7 +23,7 @@
 
 
 class Leader:
-    """What a member does while it leads. Requests raise NotLeader on a member that does not.
+    """What a member does while it leads. Requests raise NotLeaderError on a member that does not.
 
     `step_down` makes the member a follower of nobody in the same term; it ends in a call of `end_term`.
     """
@@ -95,7 +95,7 @@
         """Append commands to the log; returns the index of the first one and the term."""
         self._require_leader()
         if self._transfer.in_progress:
-            raise NotLeader(NO_LEADER)
+            raise NotLeaderError(NO_LEADER)
         first_index = self._state.log.last_index + 1
         self._append(EntryKind.DATA, commands, now_us)
         return first_index, self._state.term
@@ -138,7 +138,7 @@
 
     def _require_leader(self) -> None:
         if not self._state.is_leader:
-            raise NotLeader(self._state.leader_id)
+            raise NotLeaderError(self._state.leader_id)
 
     def _append(self, kind: EntryKind, payloads: Sequence[bytes], now_us: int) -> None:
         state = self._state
--- a/limerudder/store/raft/raft.py
+++ b/limerudder/store/raft/raft.py
@@ -97,12 +97,12 @@
                 self._election.start_pre_vote(now_us)
                 self._record_vote(state.member_id, True, now_us)
 
-    # requests to the leader; other members raise NotLeader
+    # requests to the leader; other members raise NotLeaderError
 
     def propose(self, commands: Sequence[bytes], now_us: int) -> tuple[int, int]:
         """Append commands to the log; returns the index of the first one and the term.
 
-        Raises NotLeader also while leadership is being transferred.
+        Raises NotLeaderError also while leadership is being transferred.
         """
         return self._leader.propose(commands, now_us)
 
