Log request ids, host states, failed attempts and calls in slow start

Now a request's id (the same at every node) stands in a line for each attempt that fails and each final answer of the node's own; a host's change of state in a line with its age; and each request written to a host in slow start in a line with the host's age at that moment. Lines about one host share a rate limit. A large fleet of warm hosts is not logged at the start.

The testbed on loopback waits for the line "listening on" instead of taking the first line; what it checks is unchanged.

--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -23,6 +23,7 @@
 from limerudder.core.operations.log_events import LogKind, LogSink
 from limerudder.core.operations.maintenance import InMemoryMarks, Maintenance, MaintenanceMarks
 from limerudder.core.operations.metrics import RequestMetrics
+from limerudder.core.operations.traffic_log import TrafficLog
 from limerudder.core.peering import Peering
 from limerudder.core.policy_dispatch import ActionHandler, PolicyDispatcher
 from limerudder.core.ports import ClientSession, ConnectRequest
@@ -84,7 +85,14 @@
         self._dispatcher = PolicyDispatcher(self.balancer, self.timer_wheel, self.counters, log)
         self.dispatch = self._dispatcher.dispatch
         services = NodeServices(
-            self.settings, network, self.timer_wheel, self.counters, self.metrics, log, self.dispatch
+            self.settings,
+            network,
+            self.timer_wheel,
+            self.counters,
+            self.metrics,
+            log,
+            TrafficLog(log, self.settings.warm_up_us),
+            self.dispatch,
         )
         self.peering = Peering(self.balancer, services)
         self.upstreams = UpstreamRegistry()
--- /dev/null
+++ b/limerudder/core/operations/traffic_log.py
@@ -0,0 +1,58 @@
+"""Log lines that let one request, or one host's slow start, be followed through the logs of all nodes.
+
+Requests are named by the id that their client chose, which is the same at every node. Lines about one host
+share a rate limit, so that a host in trouble does not silence the others.
+"""
+
+from __future__ import annotations
+
+from limerudder.core.operations.log_events import LogKind, LogSink
+from limerudder.policy.events import AttemptOutcome, ServerState
+
+MICROSECONDS_PER_MILLISECOND = 1000
+
+#: Outcomes of attempts and connections that ended as they should.
+ORDINARY_OUTCOMES = frozenset({AttemptOutcome.OK, AttemptOutcome.CANCELLED})
+
+
+class TrafficLog:
+    """Writes what happens to requests and hosts. Times are microseconds."""
+
+    def __init__(self, log: LogSink, warm_up_us: int) -> None:
+        self._log = log
+        self._warm_up_us = warm_up_us
+
+    def host_changed(self, host: str, state: ServerState, ready_since_us: int, now_us: int) -> None:
+        """Log the state in which a host is listed now, and how long ago it started.
+
+        A host that is listed as ready and warm is the ordinary case, and not logged.
+        """
+        if state == ServerState.READY and now_us - ready_since_us >= self._warm_up_us:
+            return
+        text = f"host {host}: {state.name.lower()}"
+        if ready_since_us:
+            text += f", started {_milliseconds(now_us - ready_since_us)} ms ago"
+        self._log(LogKind.HOST_STATE, text, host)
+
+    def request_sent(self, request_id: int, host: str, ready_since_us: int, now_us: int) -> None:
+        """Log a request that was written to a host in slow start; others are not logged."""
+        age_us = now_us - ready_since_us
+        if ready_since_us and age_us < self._warm_up_us:
+            text = f"request {request_id:016x}: sent to {host}, {_milliseconds(age_us)} ms after its start"
+            self._log(LogKind.SLOW_START_REQUEST, text, host)
+
+    def attempt_ended(self, request_id: int, host: str, outcome: AttemptOutcome, duration_us: int) -> None:
+        """Log an attempt, or a connection, that ended in a failure."""
+        if outcome not in ORDINARY_OUTCOMES:
+            name = outcome.name.lower()
+            text = f"request {request_id:016x}: {name} at {host} after {_milliseconds(duration_us)} ms"
+            self._log(LogKind.ATTEMPT_FAILED, text, host)
+
+    def request_answered(self, request_id: int, answer: str, attempts: int) -> None:
+        """Log a final answer that this node gave by itself."""
+        text = f"request {request_id:016x}: {answer} after {attempts} attempts"
+        self._log(LogKind.REQUEST_ANSWERED, text, answer)
+
+
+def _milliseconds(duration_us: int) -> int:
+    return duration_us // MICROSECONDS_PER_MILLISECOND
--- a/limerudder/core/ports.py
+++ b/limerudder/core/ports.py
@@ -75,7 +75,7 @@
     def attempt_ready(self, now_us: int) -> bool:
         """Return whether the request may be written to the connected upstream; else close the attempt."""
 
-    def attempt_sent(self) -> None:
+    def attempt_sent(self, now_us: int) -> None:
         """The last byte of the request is written."""
 
     def attempt_established(self, now_us: int) -> None:
--- a/limerudder/core/requests/attempt_runner.py
+++ b/limerudder/core/requests/attempt_runner.py
@@ -37,6 +37,7 @@
         self._timer_wheel = services.timer_wheel
         self._counters = services.counters
         self._metrics = services.metrics
+        self._traffic_log = services.traffic_log
         self._dispatch = services.dispatch
 
     # actions of the policy
@@ -155,9 +156,13 @@
         self.give_up(connection, AttemptOutcome.CONNECT_FAILED, now_us)
         return False
 
-    def attempt_sent(self) -> None:
+    def attempt_sent(self, connection: ProxiedConnection, now_us: int) -> None:
         """Count a request whose last byte was written to an upstream."""
         self._metrics.record_relayed()
+        upstream = connection.upstream
+        if upstream:
+            request_id = connection.request.id
+            self._traffic_log.request_sent(request_id, upstream.name, upstream.ready_since_us, now_us)
 
     def attempt_established(self, connection: ProxiedConnection, now_us: int) -> None:
         """Relay between client and upstream from now on, unless the client has gone meanwhile."""
@@ -203,6 +208,8 @@
             return
         used_report = report if self._settings.report_via == "answers" else ()
         duration_us = min(now_us - connection.attempt_started_us, _MAX_DURATION_US)
+        request_id = connection.request.id
+        self._traffic_log.attempt_ended(request_id, connection.upstream.name, outcome, duration_us)
         has_final_answer = int(connection.has_final_answer)
         event = AttemptEnded(
             connection.number,
--- a/limerudder/core/requests/final_answers.py
+++ b/limerudder/core/requests/final_answers.py
@@ -32,6 +32,7 @@
         self._attempts = attempts
         self._counters = services.counters
         self._metrics = services.metrics
+        self._traffic_log = services.traffic_log
 
     def reject(self, connection: ProxiedConnection, retry_after_us: int, now_us: int) -> None:
         """Reject a request; its client is advised to retry after this time if it is not 0."""
@@ -46,6 +47,8 @@
     def conclude(self, connection: ProxiedConnection, answer: FinalAnswer, now_us: int) -> None:
         """Count the answer and end the request; the caller sends the answer to the client."""
         self.count(answer, connection.class_index)
+        answer_name = answer.name.lower()
+        self._traffic_log.request_answered(connection.request.id, answer_name, connection.attempts_started)
         connection.finish()
         if connection.attempt:
             self._attempts.give_up(connection, AttemptOutcome.CANCELLED, now_us)
--- a/limerudder/core/requests/proxied_connection.py
+++ b/limerudder/core/requests/proxied_connection.py
@@ -101,9 +101,9 @@
         """Return whether the request may be written to the connected upstream."""
         return self._handlers.attempts.attempt_ready(self, now_us)
 
-    def attempt_sent(self) -> None:
+    def attempt_sent(self, now_us: int) -> None:
         """The last byte of the request is written."""
-        self._handlers.attempts.attempt_sent()
+        self._handlers.attempts.attempt_sent(self, now_us)
 
     def attempt_established(self, now_us: int) -> None:
         """The upstream has accepted the connection."""
--- a/limerudder/core/transport.py
+++ b/limerudder/core/transport.py
@@ -69,7 +69,7 @@
     def first_bytes(self, now_us: int) -> bytes:
         """Return what to write first on the connection just dialled; it may close the transport instead."""
 
-    def first_bytes_sent(self) -> None:
+    def first_bytes_sent(self, now_us: int) -> None:
         """The last of the first bytes is written."""
 
 
@@ -81,7 +81,7 @@
     def connection_made(self, transport: Transport, now_us: int) -> None:
         """Ignore it: the transport is that of the dial."""
 
-    def first_bytes_sent(self) -> None:
+    def first_bytes_sent(self, now_us: int) -> None:
         """Ignore it."""
 
     def set_writing_paused(self, paused: bool) -> None:
--- a/limerudder/core/upstream/attempt.py
+++ b/limerudder/core/upstream/attempt.py
@@ -66,10 +66,10 @@
         """The request, if it may still be sent; otherwise the observer has closed this attempt."""
         return self.line if self.observer.attempt_ready(now_us) else b""
 
-    def first_bytes_sent(self) -> None:
+    def first_bytes_sent(self, now_us: int) -> None:
         """From here on the upstream may have the request."""
         self.sent = True
-        self.observer.attempt_sent()
+        self.observer.attempt_sent(now_us)
 
     def data_received(self, data: bytes, now_us: int) -> None:
         """The upstream has sent data: its answer first, then what it has for the client."""
--- a/limerudder/core/upstream/endpoint_updater.py
+++ b/limerudder/core/upstream/endpoint_updater.py
@@ -41,13 +41,14 @@
         self._is_in_maintenance = is_in_maintenance
         self._checks_health = services.settings.allows_health_checks
         self._counters = services.counters
+        self._traffic_log = services.traffic_log
         self._dispatch = services.dispatch
 
     def apply(self, endpoints: EndpointList, kind: UpdateKind, now_us: int) -> None:
         """Apply a list to the registry, tell the policy, and end what may no longer go on."""
         if kind != UpdateKind.OPERATOR:
             self._counters.increment(CounterName.ENDPOINT_UPDATES)
-        entries = [self._update_upstream(endpoint) for endpoint in endpoints.endpoints]
+        entries = [self._update_upstream(endpoint, now_us) for endpoint in endpoints.endpoints]
         if kind in (UpdateKind.FULL, UpdateKind.CACHED):
             self._mark_others_gone(entries)
         self._complete_returns(entries, kind, endpoints.version, now_us)
@@ -87,15 +88,19 @@
             if kind != UpdateKind.OPERATOR:
                 self._dispatch(EndpointUpdate(UpdateKind.OPERATOR, version, [entry]), now_us)
 
-    def _update_upstream(self, endpoint: Endpoint) -> ServerEntry:
+    def _update_upstream(self, endpoint: Endpoint, now_us: int) -> ServerEntry:
         upstream = self._upstreams.get_or_create(endpoint.name)
         upstream.endpoint = endpoint
         upstream.address = endpoint.address
+        previous = (upstream.state, upstream.ready_since_us)
         upstream.state = self._effective_state(endpoint)
         # an upstream returned to service may have been restarted before discovery lists its new start
         ready_since_us = max(
             endpoint.started_ms * _MICROSECONDS_PER_MILLISECOND, upstream.returned_to_service_us
         )
+        upstream.ready_since_us = ready_since_us
+        if previous != (upstream.state, ready_since_us):
+            self._traffic_log.host_changed(upstream.name, upstream.state, ready_since_us, now_us)
         return ServerEntry(
             upstream.number,
             index_or_length(self._names.zones, endpoint.zone),
--- a/limerudder/core/upstream/registry.py
+++ b/limerudder/core/upstream/registry.py
@@ -23,6 +23,7 @@
         self.endpoint: Endpoint | None = None  # as discovery listed it last
         self.address: Address = ("", 0)
         self.state: ServerState = ServerState.GONE
+        self.ready_since_us = 0  # its last start, or return to service, by the node's clock; 0: long ago
         self.health_check: HealthCheckConnection | None = None
         self.liveness = LivenessMonitor()
         self.last_health_check_answer_us = 0
--- a/limerudder/net/tcp.py
+++ b/limerudder/net/tcp.py
@@ -159,7 +159,7 @@
             if connection.machine is None:  # the machine has closed it: nobody needs it any more
                 raise ConnectionAbortedError
             await self.loop.sock_sendall(sock, first_bytes)
-            machine.first_bytes_sent()
+            machine.first_bytes_sent(self._clock.now_us())
             await self.loop.create_connection(lambda: connection, sock=sock)
         except (OSError, asyncio.CancelledError):  # refused, unreachable, no descriptor left, or closed
             connection.dialled_socket = None
--- a/tests/loopback_testbed.py
+++ b/tests/loopback_testbed.py
@@ -136,7 +136,10 @@
         environment = configuration(self.folder, **config) | {"PROXY_DISCOVERY": config["discovery"]}
         log = lambda kind, text, detail="": self.logged.put_nowait(text)  # noqa: E731
         task = asyncio.create_task(run_node(load_config(environment), log, environment))
-        port = (await self.logged.get()).rpartition(":")[2]
+        line = ""
+        while "listening on" not in line:
+            line = await self.logged.get()
+        port = line.rpartition(":")[2]
         self.address = ("127.0.0.1", int(port))
         try:
             yield task
--- a/tests/node_testbed.py
+++ b/tests/node_testbed.py
@@ -56,7 +56,7 @@
         if self.closed:
             return ""
         self.sent += first_bytes
-        self.machine.first_bytes_sent()
+        self.machine.first_bytes_sent(now_us)
         self.machine.connection_made(self, now_us)
         return self.sent.decode()
 
