Budget slow start by fixed turns and by what was known before a disturbance

Cause: each node guessed its part of the budget from its own demand, divided it among the servers that were warm at that moment, and kept up to a whole token for as long as it liked.

Now a node may send only in its turns, which follow from the server's id, the slot of time and the node's index: three base requests in any two slots of a window's length from all nodes together, whatever their number, memory, traffic or restarts; more where reports tell how many connections fill a server. A turn ends with its slot, a process has none in the slot in which it begins, and one that the settings do not count has none. Reports of an idle server raise no budget any more, nor does a return by operators (slow_start_boost is gone). A server is tried before the draw while there is a turn at it, else thin traffic would lose most turns.

Class of bug: a bound on a sum that each part keeps by its own estimate.

--- a/harness/configurations.py
+++ b/harness/configurations.py
@@ -23,6 +23,7 @@
     allowed = {"cancel": True, "probes": False, "peers": True, "tryLimit": 3, "dialTimeoutUs": 100_000}
     return {
         "balancers": 2,
+        "me": 0,
         "zone": 0,
         "areas": ["a", "b"],
         "kinds": ["m1"],
--- a/limerudder/policy/balancer.py
+++ b/limerudder/policy/balancer.py
@@ -35,7 +35,6 @@
 from limerudder.policy.server_registry import ServerRegistry
 from limerudder.policy.settings import Settings
 from limerudder.policy.slow_start import SlowStartBudget
-from limerudder.policy.slow_start_boost import SlowStartBoost
 from limerudder.policy.timers import ConnectionTimers, TimerToken
 from limerudder.policy.traffic_rates import TrafficRates
 
@@ -47,9 +46,8 @@
         self._context = context = PolicyContext(settings, rng, Clock(), [])
         self._started = False
         self._create_state(context)
-        slow_start_boost = SlowStartBoost(context, self.loads)
-        self._create_selection(context, slow_start_boost)
-        self._create_request_handling(context, slow_start_boost)
+        self._create_selection(context)
+        self._create_request_handling(context)
         self._create_periodic_tasks(context)
         self._handlers: dict[type, Callable[[Any], None]] = {
             events.EndpointUpdate: self._on_endpoint_update,
@@ -64,6 +62,7 @@
             events.HealthCheckResult: self._load_events.on_health_check_result,
             events.PeerMessage: self._load_events.on_peer_message,
             events.PredecessorConnections: self._requests.on_predecessor_connections,
+            events.TurnOwnership: self._on_turn_ownership,
         }
         self._timer_handlers: dict[int, Callable[[], None]] = {
             TimerToken.LOAD_SWEEP: self.poller.sweep,
@@ -90,13 +89,29 @@
         """Return how many datagrams of peers were dropped because they are of no known form."""
         return self.gossip.malformed
 
+    def confirm_send(self, request_id: int, server_id: int, now_us: int) -> bool:
+        """Return whether a request may be written to a server now; asked directly before it is written.
+
+        A server in slow start takes it only in a turn of this node: the one that was taken with the decision,
+        or, if that has ended since or the server has restarted, another one.
+        """
+        self._context.clock.advance(now_us)
+        server = self.registry.servers.get(server_id)
+        if server is None or not self.slow_start.is_warming_up(server, now_us):
+            return True
+        connection = self.connections.by_id.get(request_id)
+        permit = connection.permit if connection else None
+        if connection:
+            connection.permit = None
+        if permit is None or not permit.is_valid(server, now_us):
+            permit = self.slow_start.take(server, now_us)
+        return permit is not None
+
     # Construction
 
     def _create_state(self, context: PolicyContext) -> None:
         """Create what is known of servers, connections, loads and traffic."""
         settings = context.settings
-        self.slow_start = SlowStartBudget(settings)
-        self.registry = ServerRegistry(context, self.slow_start)
         self.connections = ConnectionTable()
         self.timers = ConnectionTimers(context.actions)
         self.rates = TrafficRates(context.clock)
@@ -106,9 +121,11 @@
         if settings.reports_latency and not polls_load_reports(settings):
             self.inferred_loads = InferredLoads(settings, MIN_SWEEP_INTERVAL_US)
         self.loads = self.inferred_loads or ReportedLoads(settings, MIN_SWEEP_INTERVAL_US)
+        self.slow_start = SlowStartBudget(settings, self.loads)
+        self.registry = ServerRegistry(context, self.slow_start)
         self.poller = LoadPoller(context, self.registry, self.loads, self.gossip, self.rates)
 
-    def _create_selection(self, context: PolicyContext, slow_start_boost: SlowStartBoost) -> None:
+    def _create_selection(self, context: PolicyContext) -> None:
         """Create the parts that choose servers."""
         self._draining = DrainMigration(context, self.timers)
         self.outliers = OutlierDetector(context, self.inferred_loads, self.pacer, self.rates)
@@ -119,9 +136,7 @@
             loads=self.loads,
             inferred_loads=self.inferred_loads,
             poller=self.poller,
-            rates=self.rates,
             slow_start=self.slow_start,
-            slow_start_boost=slow_start_boost,
         )
         self.selector = ServerSelector(
             context,
@@ -135,7 +150,7 @@
             draining=self._draining,
         )
 
-    def _create_request_handling(self, context: PolicyContext, slow_start_boost: SlowStartBoost) -> None:
+    def _create_request_handling(self, context: PolicyContext) -> None:
         """Create the parts that retry, reject, and follow each request."""
         placement = RequestPlacement(
             context,
@@ -159,7 +174,6 @@
             timers=self.timers,
             rates=self.rates,
             slow_start=self.slow_start,
-            slow_start_boost=slow_start_boost,
             pacer=self.pacer,
             outliers=self.outliers,
             placement=placement,
@@ -215,6 +229,12 @@
         else:
             self._start()
 
+    def _on_turn_ownership(self, event: events.TurnOwnership) -> None:
+        if event.is_own:
+            self.slow_start.take_turns_from(self._context.clock.now_us)
+        else:
+            self.slow_start.leave_turns()
+
     def _on_server_state_change(self, server: Server) -> None:
         self.loads.on_server_state_change(server, self.registry.ready, self._context.clock.now_us)
         if server.state == events.ServerState.DRAINING:
@@ -224,6 +244,7 @@
         """Begin with the periodic tasks: the first endpoint list has come."""
         self._started = True
         self._context.clock.started_at_us = self._context.clock.now_us
+        self.slow_start.take_turns_from(self._context.clock.now_us)
         if self.poller.enabled:
             self.poller.sweep()
         if self.poller.enabled or self.inferred_loads:
--- a/limerudder/policy/events.py
+++ b/limerudder/policy/events.py
@@ -157,6 +157,12 @@
     connections: int
 
 
+class TurnOwnership(NamedTuple):
+    """Whether this process, and no other one of the same node, uses the node's turns (see slow_start)."""
+
+    is_own: bool
+
+
 class TimerFired(NamedTuple):
     """A timer that the policy has set is due."""
 
@@ -192,4 +198,5 @@
     | HealthCheckResult
     | PeerMessage
     | PredecessorConnections
+    | TurnOwnership
 )
--- a/limerudder/policy/interface.py
+++ b/limerudder/policy/interface.py
@@ -17,5 +17,8 @@
     def avoided_servers(self, now_us: int) -> set[int]:
         """Return the ids of the ready servers that new connections avoid, whatever the endpoint list says."""
 
+    def confirm_send(self, request_id: int, server_id: int, now_us: int) -> bool:
+        """Return whether a request may be written to a server now; asked directly before it is written."""
+
     def malformed_peer_messages(self) -> int:
         """Return how many datagrams of peers were dropped because they are of no known form."""
--- a/limerudder/policy/load_shedding.py
+++ b/limerudder/policy/load_shedding.py
@@ -15,8 +15,6 @@
 from limerudder.policy.reported_loads import ReportedLoads
 from limerudder.policy.server_registry import ServerRegistry
 from limerudder.policy.slow_start import SlowStartBudget
-from limerudder.policy.slow_start_boost import SlowStartBoost
-from limerudder.policy.traffic_rates import TrafficRates
 
 #: In place of a load level: a server's own report alone decides, without what this node has added since.
 REPORTED_LOAD_ONLY = math.inf
@@ -37,9 +35,7 @@
     loads: ReportedLoads
     inferred_loads: InferredLoads | None
     poller: LoadPoller
-    rates: TrafficRates
     slow_start: SlowStartBudget
-    slow_start_boost: SlowStartBoost
 
     def has_room(self, server: Server, level: float = 1.0, connection: Connection | None = None) -> bool:
         """Whether a server has room for one more connection below a load level, as far as is known."""
@@ -81,14 +77,12 @@
         A new server holds no connections, and would be chosen in nearly every draw of every node.
         """
         now_us = self.context.clock.now_us
-        capacity_share = self.loads.effective_size(server, now_us) / server.weight
-        if capacity_share >= 1:
-            return True
-        # Where a fleet is restarted piece by piece no node remembers much traffic. Without the rate of fresh
-        # requests, which is believed from the first second on, servers in slow start would stay empty.
-        return self.slow_start.allows(
-            server, capacity_share, self.slow_start_boost.factor(server), self.rates.fresh_rate(), now_us
-        )
+        return not self.slow_start.is_warming_up(server, now_us) or self.slow_start.allows(server, now_us)
+
+    def has_slow_start_turn(self, server: Server) -> bool:
+        """Whether a server is in slow start and its budget allows one more connection."""
+        now_us = self.context.clock.now_us
+        return self.slow_start.is_warming_up(server, now_us) and self.slow_start.allows(server, now_us)
 
     def _must_wait_for_report(self, server: Server, level: float) -> bool:
         """Whether a server of unknown load is kept from a connection, where servers are polled on demand.
--- a/limerudder/policy/records.py
+++ b/limerudder/policy/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import dataclass
 from typing import NamedTuple
 
 from limerudder.policy.events import (
@@ -18,12 +19,13 @@
 
 
 class RateEstimator:
-    """Estimates how often something happens per second, over the last 15 s or since the process started.
+    """Estimates how often something happens per second, over a window or since the process started.
 
-    An exponentially decaying count whose window grows until it is 15 s long.
+    An exponentially decaying count whose window grows until it is `window_us` long.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, window_us: int = RATE_WINDOW_US) -> None:
+        self._max_window_us = window_us
         self.rate = 0.0
         self.updated_at_us = 0
 
@@ -41,7 +43,7 @@
         return self.rate * max(0.0, 1 - (now_us - self.updated_at_us) / window_us)
 
     def _window_us(self, now_us: int, started_at_us: int) -> int:
-        return min(now_us - started_at_us, RATE_WINDOW_US) + SECOND
+        return min(now_us - started_at_us, self._max_window_us) + SECOND
 
 
 class TokenBucket:
@@ -66,10 +68,37 @@
         self._refilled_at_us = now_us
 
 
+@dataclass(slots=True)
+class Turns:
+    """What is left of a node's turns at one server in one slot of time (see slow_start_schedule)."""
+
+    slot: int = -1
+    left: int = 0
+
+
+class Permit:
+    """A turn at a server in slow start that was taken for a request, which may be written until it ends."""
+
+    __slots__ = ("_expires_at_us", "_server", "_server_ready_since_us")
+
+    def __init__(self, server: Server, expires_at_us: int) -> None:
+        self._server = server
+        self._server_ready_since_us = server.ready_since_us
+        self._expires_at_us = expires_at_us
+
+    def is_valid(self, server: Server, now_us: int) -> bool:
+        """Whether the request may be written to this server now, which may have restarted meanwhile."""
+        return (
+            server is self._server
+            and server.ready_since_us == self._server_ready_since_us
+            and now_us < self._expires_at_us
+        )
+
+
 class Server:
     """What the policy knows of one server."""
 
-    def __init__(self, server_id: int, now_us: int, slow_start_tokens: float) -> None:
+    def __init__(self, server_id: int) -> None:
         self.id = server_id
         self.zone = 0
         self.cell = 0
@@ -81,27 +110,28 @@
         self.pending_attempts = 0
         #: Connections that the process which this one replaces still holds.
         self.predecessor_connections = 0
-        self.reset(now_us, slow_start_tokens)
+        #: What is left of this node's turns while the server is in slow start; a restart brings no new ones.
+        self.base_turns = Turns()
+        self.share_turns = Turns()
+        self.reset()
 
     @property
     def connection_count(self) -> int:
         """The node's own connections here, with attempts under way."""
         return len(self.connections) + self.predecessor_connections
 
-    def reset(self, now_us: int, slow_start_tokens: float) -> None:
+    def reset(self) -> None:
         """Forget everything learned: the server is new, or has restarted."""
-        self._reset_availability(now_us, slow_start_tokens)
+        self._reset_availability()
         self._reset_reports()
         self._reset_inference()
 
-    def _reset_availability(self, now_us: int, slow_start_tokens: float) -> None:
+    def _reset_availability(self) -> None:
         self.connection_limit: int | None = None  # learned when the server refused or reset a connection
         self.connection_limit_set_at_us = 0
         self.consecutive_failures = 0
         self.ejected_until_us = 0
         self.slow_until_us = 0  # avoided until then because messages or health checks took long
-        self.slow_start_tokens = slow_start_tokens
-        self.slow_start_tokens_at_us = now_us
 
     def _reset_reports(self) -> None:
         #: Share of its capacity that the server is asked for, smoothed over its reports.
@@ -160,6 +190,7 @@
         self.possibly_executed: PossibleExecution | None = None
         self.candidates_polled = False  # reports of the servers it may join were requested
         self.paced_start_us = 0  # when its next attempt may start, while connects are paced
+        self.permit: Permit | None = None  # for its attempt at a server in slow start
 
 
 class GroupIndex:
--- a/limerudder/policy/reported_loads.py
+++ b/limerudder/policy/reported_loads.py
@@ -23,6 +23,7 @@
     4 * SECOND
 )  #: a backlog is taken to have grown for no longer than this without a report
 REPORT_LIFETIME_INTERVALS = 3  #: number of report intervals after which a report no longer counts
+MIN_TELLING_LOAD = 0.1  #: mean load from which reports tell how many connections fill a server
 ERROR_MEAN_SWEEPS = 4  #: the mean estimate error is taken over about so many reports of each server
 
 
@@ -42,6 +43,8 @@
         self.load_per_connection = 0.0  #: what one connection adds to a server of the mean effective size
         self.has_load_data = True  #: whether anything tells of loads
         self.mean_reported_load = 1.0  #: by reports alone, over all servers that report
+        #: How many connections fill a warm server of weight 1, by reports; 0 while none has told.
+        self.connections_per_weight = 0.0
 
     def record_report(
         self, server: Server, load: float, connections: float, server_count: int, now_us: int
@@ -126,6 +129,7 @@
         sizes = [self.effective_size(server, now_us) for server in servers]
         self._mean_effective_size = sum(sizes) / len(servers)
         self._update_load_per_connection(servers, node_count, counts_own_only, now_us)
+        self._update_connections_per_weight(servers, now_us)
         mean_estimate = sum(self.estimate(server, now_us) or 0 for server in servers) / len(servers)
         self.max_load = min(MAX_LOAD, 1 - ERROR_MARGIN_DEVIATIONS * self._mean_estimate_error)
         self.preferred_max_load = min(max(COMFORTABLE_LOAD, mean_estimate), self.max_load)
@@ -149,6 +153,15 @@
             load / (counted_connections + len(servers)), MAX_LOAD - COMFORTABLE_LOAD
         )
 
+    def _update_connections_per_weight(self, servers: Sequence[Server], now_us: int) -> None:
+        """Connections over load does not depend on the traffic, so it holds amid a disturbance as well."""
+        if not self._reports_connections:
+            return
+        warm = [s for s in servers if self.effective_size(s, now_us) >= s.weight]
+        load = sum(server.load_report[0] * server.weight for server in warm)
+        if load >= MIN_TELLING_LOAD * len(warm) > 0:
+            self.connections_per_weight = sum(server.load_report[1] for server in warm) / load
+
     def estimate(self, server: Server, now_us: int) -> float | None:
         """The server's load now: as last reported, with what this node has added or lost since.
 
--- a/limerudder/policy/request_lifecycle.py
+++ b/limerudder/policy/request_lifecycle.py
@@ -14,7 +14,6 @@
 from limerudder.policy.retry import RequestPlacement
 from limerudder.policy.server_registry import ServerRegistry
 from limerudder.policy.slow_start import SlowStartBudget
-from limerudder.policy.slow_start_boost import SlowStartBoost
 from limerudder.policy.timers import ConnectionTimers
 from limerudder.policy.traffic_rates import TrafficRates
 
@@ -31,7 +30,6 @@
     timers: ConnectionTimers
     rates: TrafficRates
     slow_start: SlowStartBudget
-    slow_start_boost: SlowStartBoost
     pacer: ConnectPacer
     outliers: OutlierDetector
     placement: RequestPlacement
@@ -55,7 +53,7 @@
         connection.established = True
         connection.answered = True
         self.rates.existing_connections += 1
-        self.slow_start.started_at_us = self.context.clock.started_at_us
+        self.slow_start.reference.believe_from(self.context.clock.started_at_us)
         self.connections.attach(connection, server)
 
     def on_predecessor_connections(self, event: events.PredecessorConnections) -> None:
@@ -67,7 +65,6 @@
         server = self.registry.servers.get(event.server_id)
         if server is not None:
             server.predecessor_connections = event.connections
-            self.slow_start_boost.begin_handover()
 
     def on_connection_established(self, event: events.ConnectionEstablished) -> None:
         """An attempt has succeeded."""
@@ -76,6 +73,8 @@
             return
         server = connection.server
         self.connections.establish(connection, server, self.context.clock.now_us)
+        if not connection.is_reconnect:
+            self.slow_start.reference.record_connection(self.context.clock.now_us)
         if server.state == events.ServerState.DRAINING:  # since the attempt started: migrate it, too
             self.timers.schedule(connection, self.context.clock.now_us)
         self.outliers.on_established(server, connection, event.latency_us)
--- a/limerudder/policy/retry.py
+++ b/limerudder/policy/retry.py
@@ -14,7 +14,7 @@
 from limerudder.policy.load_polling import REPORT_WAIT_US, LoadPoller
 from limerudder.policy.outlier_detection import OutlierDetector
 from limerudder.policy.pacing import ConnectPacer
-from limerudder.policy.records import SECOND, Connection, PossibleExecution, Server
+from limerudder.policy.records import SECOND, Connection, Permit, PossibleExecution, Server
 from limerudder.policy.rejection_log import RejectionLog
 from limerudder.policy.selection import ServerSelector
 from limerudder.policy.server_registry import ServerRegistry
@@ -134,14 +134,20 @@
         connection.paced_start_us = 0
         self.registry.returned.pop(server, None)
         self.connections.attach(connection, server)
-        server.slow_start_tokens -= 1
+        connection.permit = self._take_permit(server)
         self.outliers.on_attempt_started(server)
         if connection.attempts_started == 1:
             self.rates.record_request(connection.is_reconnect)
-            self.slow_start.record_request(self.context.clock.now_us)
             self.poller.earn_credit()
         self.context.actions.append(StartAttempt(connection.id, server.id, timeout_us))
 
+    def _take_permit(self, server: Server) -> Permit | None:
+        """Take a turn at a server in slow start; others need no permit."""
+        now_us = self.context.clock.now_us
+        if not self.slow_start.is_warming_up(server, now_us):
+            return None
+        return self.slow_start.take(server, now_us)
+
     def _attempt_timeout_us(self, connection: Connection) -> int:
         """Return how long an attempt may take: about half of the time left, unless it is the last.
 
--- a/limerudder/policy/selection.py
+++ b/limerudder/policy/selection.py
@@ -139,7 +139,9 @@
         if registry.returned:
             # One that operators put back is among the candidates until it gets its first connection.
             yield [*registry.returned, *self.sample(registry.ready)]
+        in_turn = [] if connection.group else self._servers_in_turn()
         for zone in self.zones:
+            yield [s for s in in_turn if zone is None or zone == s.zone]
             if connection.group:
                 # Servers that hold some of the group already do its shared work.
                 holders = self.connections.index.servers_by_group.get(connection.group, ())
@@ -150,6 +152,16 @@
             if not (connection.group and on_demand) or self.gossip.is_active(self.context.clock.now_us):
                 yield [s for s in self.sample(registry.ready) if zone is None or zone == s.zone]
 
+    def _servers_in_turn(self) -> list[Server]:
+        """Return the servers in slow start at which this node has a turn, in random order.
+
+        A turn is short and rare, and no other node can use it: left to a draw among all servers, which weighs
+        a server in slow start by the little that it can do, most turns would be lost.
+        """
+        servers = [s for s in self.registry.warming_up if self.load_shedding.has_slow_start_turn(s)]
+        self.context.rng.shuffle(servers)
+        return servers
+
     def _choose(
         self, connection: Connection, pool: list[Server], level: float, ignore_health: bool = False
     ) -> Server | None:
--- a/limerudder/policy/server_registry.py
+++ b/limerudder/policy/server_registry.py
@@ -30,11 +30,10 @@
         #: Servers that operators put back and that are not used yet, and until when that matters.
         self.returned: dict[Server, int] = {}
         self._settings = context.settings
-        self._rng = context.rng
         self._clock = context.clock
         self._actions = context.actions
         self._slow_start = slow_start
-        self._warming_up: dict[Server, None] = {}
+        self.warming_up: dict[Server, None] = {}  #: ready servers in slow start, used as an ordered set
 
     def apply(self, update: EndpointUpdate, on_state_change: StateListener) -> None:
         """Take over an update; `on_state_change` is called when a server becomes or ceases to be ready."""
@@ -42,7 +41,7 @@
             self._remove_unlisted({entry.server_id for entry in update.entries}, on_state_change)
         by_operator = update.kind == UpdateKind.OPERATOR
         for entry in update.entries:
-            server = self._update_server(entry, by_operator)
+            server = self._update_server(entry)
             self._set_state(server, entry.state, on_state_change)
             if by_operator and entry.state == ServerState.READY:
                 self._mark_returned(server)
@@ -52,7 +51,7 @@
         """Return a server, which may not be listed yet."""
         server = self.servers.get(server_id)
         if server is None:
-            server = Server(server_id, self._clock.now_us, 0.0)
+            server = Server(server_id)
             self.servers[server_id] = server
         return server
 
@@ -60,8 +59,9 @@
         """Tell the slow-start budget which ready servers are still warming up."""
         now_us = self._clock.now_us
         warm_up_us = self._settings.warm_up_us
-        self._warming_up = {s: None for s in self._warming_up if now_us < s.ready_since_us + warm_up_us}
-        self._slow_start.update_servers(self.ready, self._warming_up)
+        self.warming_up = {s: None for s in self.warming_up if now_us < s.ready_since_us + warm_up_us}
+        warm_from_us = max((s.ready_since_us + warm_up_us for s in self.warming_up), default=now_us)
+        self._slow_start.reference.update_servers(self.ready, warm_from_us, now_us)
 
     def _mark_returned(self, server: Server) -> None:
         now_us = self._clock.now_us
@@ -72,16 +72,14 @@
         for server in [s for s in self.ready if s.id not in listed_ids]:
             self._set_state(server, ServerState.GONE, on_state_change)
 
-    def _update_server(self, entry: ServerEntry, by_operator: bool) -> Server:
+    def _update_server(self, entry: ServerEntry) -> Server:
         server = self.servers.get(entry.server_id)
         if server is None:
-            server = Server(entry.server_id, self._clock.now_us, self._rng.random())
+            server = Server(entry.server_id)
         becomes_ready = entry.state == ServerState.READY and server.state != ServerState.READY
         if entry.ready_since_us != server.ready_since_us or becomes_ready:
-            # A server that operators put back is tried at once: each node has its own operators' update, so
-            # the nodes do not all try it in the same moment.
-            server.reset(self._clock.now_us, 1.0 if by_operator else self._rng.random())
-            self._warming_up[server] = None
+            server.reset()
+            self.warming_up[server] = None
         self.servers[server.id] = server
         server.zone = entry.zone
         server.cell = entry.cell
--- a/limerudder/policy/settings.py
+++ b/limerudder/policy/settings.py
@@ -38,6 +38,7 @@
     overload_factor: float
     overload_window_us: int
     node_index: int = 0
+    is_node_index_known: bool = True
     answer_slack_us: int = 0
     max_attempts: int = 1
     allows_hedging: bool = False
--- a/limerudder/policy/settings_reader.py
+++ b/limerudder/policy/settings_reader.py
@@ -73,6 +73,7 @@
         overload_factor=pairs.required("invariants.overloadFactor", float),
         overload_window_us=pairs.required("invariants.overloadForUs", int),
         node_index=pairs.optional("me", 0, int),
+        is_node_index_known="me" in pairs,
         answer_slack_us=pairs.optional("invariants.graceToAnswerUs", 0, int),
         max_attempts=pairs.optional("caps.tryLimit", 1, int),
         allows_hedging=pairs.optional("caps.parallelTries", False, _parse_flag),
@@ -123,6 +124,9 @@
     def __init__(self, given: Mapping[str, str]) -> None:
         self._pairs = {key: value for key, value in given.items() if value != NULL}
 
+    def __contains__(self, key: str) -> bool:
+        return key in self._pairs
+
     def required(self, key: str, parse: Callable[[str], T]) -> T:
         if key not in self._pairs:
             raise SettingsError(f"settings lack the key {key}, which has no safe default")
