Let one guard pass every send, and count broken rules while the node runs

SendGuard now decides in one place whether a request may be dialled, and again in the moment before it is written: client there, host ready, deadline not over, and for a host in slow start a turn that has not ended (confirm_send). RuleMonitor checks what was written, answered and left unanswered at the end of the process, and counts violations (rule_violations, a log line each).

Class of bug: a decision that is carried out later than it was made.

--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from random import Random
 
 from limerudder.core.client.admission import AdmissionControl
@@ -23,6 +24,7 @@
 from limerudder.core.operations.log_events import LogKind, LogSink
 from limerudder.core.operations.maintenance import InMemoryMarks, Maintenance, MaintenanceMarks
 from limerudder.core.operations.metrics import RequestMetrics
+from limerudder.core.operations.rule_monitor import Rule, RuleMonitor
 from limerudder.core.operations.traffic_log import TrafficLog
 from limerudder.core.peering import Peering
 from limerudder.core.policy_dispatch import ActionHandler, PolicyDispatcher
@@ -34,6 +36,7 @@
 from limerudder.core.requests.proxied_connection import ProxiedConnection
 from limerudder.core.requests.request_lifecycle import RequestLifecycle
 from limerudder.core.requests.request_table import RequestTable
+from limerudder.core.requests.send_guard import SendGuard
 from limerudder.core.services import NodeServices
 from limerudder.core.timer_wheel import TimerWheel
 from limerudder.core.transport import Network
@@ -55,7 +58,7 @@
     StartAttempt,
     WatchEndpoints,
 )
-from limerudder.policy.events import EndpointUpdate, UpdateKind
+from limerudder.policy.events import EndpointUpdate, TurnOwnership, UpdateKind
 from limerudder.policy.interface import ConnectionPolicy
 
 
@@ -84,6 +87,7 @@
         self.balancer: ConnectionPolicy = Balancer(self.settings, Random(config.seed))
         self._dispatcher = PolicyDispatcher(self.balancer, self.timer_wheel, self.counters, log)
         self.dispatch = self._dispatcher.dispatch
+        self._rule_monitor = RuleMonitor(self.counters, log)
         services = NodeServices(
             self.settings,
             network,
@@ -92,6 +96,7 @@
             self.metrics,
             log,
             TrafficLog(log, self.settings.warm_up_us),
+            self._rule_monitor,
             self.dispatch,
         )
         self.peering = Peering(self.balancer, services)
@@ -112,7 +117,8 @@
         self._serving_state = ServingState()
         self.requests = RequestTable()
         self.admission = AdmissionControl(config.sockets, config.reserved_sockets, self.requests)
-        self.attempts = AttemptRunner(self.requests, self.upstreams, services)
+        guard = SendGuard(self.settings, self._dispatcher.confirm_send, services.rule_monitor)
+        self.attempts = AttemptRunner(self.requests, self.upstreams, guard, services)
         self.answers = FinalAnswers(self.requests, self.attempts, services)
         self.lifecycle = RequestLifecycle(
             self.requests,
@@ -257,6 +263,21 @@
         """Return what this process uses of the node's resources."""
         return self._resource_sharing.usage()
 
+    def leave_turns(self) -> None:
+        """Send nothing more to hosts in slow start: another process of this node does, within its turns."""
+        self.timer_wheel.schedule(0, partial(self._set_turn_ownership, False))
+
+    def take_turns(self, delay_us: int = 0) -> None:
+        """Use this node's turns at hosts in slow start after this time; no other process does by then."""
+
+        def schedule(now_us: int) -> None:
+            self.timer_wheel.schedule(now_us + delay_us, partial(self._set_turn_ownership, True))
+
+        self.timer_wheel.schedule(0, schedule)
+
+    def _set_turn_ownership(self, is_own: bool, now_us: int) -> None:
+        self.dispatch(TurnOwnership(is_own), now_us)
+
     def set_other_process_usage(self, usage: ProcessUsage, now_us: int) -> None:
         """Account here for what another process of this node uses."""
         self._resource_sharing.set_other_process_usage(usage, now_us)
@@ -271,6 +292,12 @@
 
     # graceful shutdown
 
+    def check_all_answered(self) -> None:
+        """Check, as the process ends, that every request has had its final answer."""
+        for connection in self.requests.values():
+            request_id = connection.request.id
+            self._rule_monitor.check(connection.has_final_answer, Rule.ANSWER_BEFORE_CLOSE, request_id)
+
     @property
     def shutdown_deadline_us(self) -> int:
         """When SIGKILL comes at the earliest; 0 while the node is not shutting down."""
--- a/limerudder/core/operations/counters.py
+++ b/limerudder/core/operations/counters.py
@@ -40,6 +40,7 @@
     ATTEMPTS_RESET = "attempts_reset"
     ATTEMPTS_CONNECT_FAILED = "attempts_connect_failed"
     MIGRATIONS = "migrations"
+    RULE_VIOLATIONS = "rule_violations"
     UPSTREAMS_UNRESPONSIVE = "upstreams_unresponsive"
     HEALTH_CHECKS = "health_checks"
     HEALTH_CHECKS_OK = "health_checks_ok"
--- a/limerudder/core/operations/log_events.py
+++ b/limerudder/core/operations/log_events.py
@@ -35,6 +35,7 @@
     ATTEMPT_FAILED = ("attempt.failed", LogLevel.INFO)
     SLOW_START_REQUEST = ("slow_start.request", LogLevel.INFO)
     REQUEST_ANSWERED = ("request.answered", LogLevel.INFO)
+    RULE_VIOLATED = ("rule.violated", LogLevel.ERROR)
     REQUEST_OVERDUE = ("request.overdue", LogLevel.ERROR)
     PEER_DATAGRAM_DROPPED = ("peer.datagram_dropped", LogLevel.WARNING)
     STORE_ENDPOINTS_MALFORMED = ("store.endpoints_malformed", LogLevel.INFO)
--- a/limerudder/core/policy_dispatch.py
+++ b/limerudder/core/policy_dispatch.py
@@ -70,6 +70,14 @@
         finally:  # also where an action raises, else no event would ever be dispatched again
             self._is_dispatching = False
 
+    def confirm_send(self, request_number: int, server_number: int, now_us: int) -> bool:
+        """Ask the policy whether a request may be written to a server now; not where the policy fails."""
+        try:
+            return self._policy.confirm_send(request_number, server_number, now_us)
+        except Exception as exc:  # the other requests go on
+            self._log_exception(exc)
+            return False
+
     def _drain(self, now_us: int) -> None:
         pending_events = self._pending_events
         action_handlers = self._action_handlers
@@ -84,13 +92,16 @@
                 action_handlers[type(action)](action, now_us)
 
     def _policy_raised(self, event: Event, exc: Exception, now_us: int) -> None:
+        self._log_exception(exc)
+        if isinstance(event, TimerFired):  # the call that failed would have set the next timer
+            self._timer_wheel.schedule(now_us + _TIMER_RETRY_US, lambda at_us: self.dispatch(event, at_us))
+        self._request_failed(getattr(event, "request_id", 0), now_us)
+
+    def _log_exception(self, exc: Exception) -> None:
         self._counters.increment(CounterName.POLICY_ERRORS)
         frame = traceback.extract_tb(exc.__traceback__)[-1]
         text = f"{type(exc).__name__}: {exc} in {frame.name} line {frame.lineno}"
         self._log(LogKind.POLICY_ERROR, f"policy: {text}", frame.name)
-        if isinstance(event, TimerFired):  # the call that failed would have set the next timer
-            self._timer_wheel.schedule(now_us + _TIMER_RETRY_US, lambda at_us: self.dispatch(event, at_us))
-        self._request_failed(getattr(event, "request_id", 0), now_us)
 
     def _set_timer(self, action: SetTimer, now_us: int) -> None:
         event = TimerFired(action.token)
--- a/limerudder/core/requests/attempt_runner.py
+++ b/limerudder/core/requests/attempt_runner.py
@@ -6,8 +6,10 @@
 
 from limerudder.core.operations.counters import ATTEMPT_COUNTERS, CounterName
 from limerudder.core.operations.metrics import RequestOutcome
+from limerudder.core.operations.rule_monitor import Rule
 from limerudder.core.requests.proxied_connection import ConnectionState, ProxiedConnection
 from limerudder.core.requests.request_table import RequestTable
+from limerudder.core.requests.send_guard import SendGuard
 from limerudder.core.services import NodeServices
 from limerudder.core.upstream.registry import Upstream, UpstreamRegistry
 from limerudder.policy.actions import CancelAttempt, MigrateClient, StartAttempt
@@ -28,9 +30,12 @@
         self,
         requests: RequestTable,
         upstreams: UpstreamRegistry,
+        guard: SendGuard,
         services: NodeServices,
     ) -> None:
         self._requests = requests
+        self._guard = guard
+        self._rule_monitor = services.rule_monitor
         self._upstreams = upstreams
         self._settings = services.settings
         self._network = services.network
@@ -49,16 +54,11 @@
             return
         upstream = self._upstreams.by_number.get(action.server_id)
         attempt_number = connection.attempts_started
-        connection.attempts_started += 1
         time_left_us = connection.deadline_us - now_us
         timeout_us = min(action.timeout_us, time_left_us) if action.timeout_us else time_left_us
-        allowed = (
-            connection.state is ConnectionState.WAITING
-            and connection.attempt is None
-            and attempt_number < self._settings.max_attempts
-            and timeout_us > 0
-        )
-        if allowed and upstream is not None and upstream.state == ServerState.READY:
+        is_allowed = self._guard.may_start(connection, upstream, timeout_us)
+        connection.attempts_started += 1
+        if upstream is not None and is_allowed:
             self.dial(connection, upstream, timeout_us, now_us)
         else:
             self._report_obsolete(connection, attempt_number, action.server_id, now_us)
@@ -99,6 +99,7 @@
         self, connection: ProxiedConnection, upstream: Upstream, timeout_us: int | None, now_us: int
     ) -> None:
         """Begin an attempt; it has `timeout_us` to be accepted by the upstream, where that is given."""
+        self._rule_monitor.check(connection.attempt is None, Rule.ONE_ATTEMPT, connection.request.id)
         self._counters.increment(CounterName.ATTEMPTS)
         attempt = connection.session.new_attempt(connection, timeout_us)
         connection.attempt = attempt
@@ -148,17 +149,15 @@
 
         All that may have changed since the dial began is checked here, at the moment of the send.
         """
-        connection.session.check_disconnected(now_us)
-        upstream = connection.upstream
-        is_waiting = connection.state is ConnectionState.WAITING
-        if connection.attempt and is_waiting and upstream and upstream.state == ServerState.READY:
+        if self._guard.may_write(connection, now_us):
             return True
         self.give_up(connection, AttemptOutcome.CONNECT_FAILED, now_us)
         return False
 
     def attempt_sent(self, connection: ProxiedConnection, now_us: int) -> None:
-        """Count a request whose last byte was written to an upstream."""
+        """Count and check a request whose last byte was written to an upstream."""
         self._metrics.record_relayed()
+        self._guard.check_written(connection, now_us)
         upstream = connection.upstream
         if upstream:
             request_id = connection.request.id
--- a/limerudder/core/requests/proxied_connection.py
+++ b/limerudder/core/requests/proxied_connection.py
@@ -59,6 +59,7 @@
         self.attempts_started = 0
         self.attempt: Attempt | None = None  # the one in progress
         self.attempt_started_us = 0
+        self.write_allowed_us: int | None = None  # when the guard consented to a write that is not complete
         self.attempt_timers: list[Timer] = []
         self.upstream: Upstream | None = None  # of the last attempt
         self._handlers = handlers
--- a/limerudder/core/services.py
+++ b/limerudder/core/services.py
@@ -8,6 +8,7 @@
 from limerudder.core.operations.counters import Counters
 from limerudder.core.operations.log_events import LogSink
 from limerudder.core.operations.metrics import RequestMetrics
+from limerudder.core.operations.rule_monitor import RuleMonitor
 from limerudder.core.operations.traffic_log import TrafficLog
 from limerudder.core.timer_wheel import TimerWheel
 from limerudder.core.transport import Network
@@ -27,4 +28,5 @@
     metrics: RequestMetrics
     log: LogSink
     traffic_log: TrafficLog
+    rule_monitor: RuleMonitor
     dispatch: EventDispatch
--- a/limerudder/node_process.py
+++ b/limerudder/node_process.py
@@ -232,6 +232,7 @@
 
     def _shut_down(self) -> None:
         """Close the store and the listeners, then what belongs to the process alone."""
+        self._node.check_all_answered()
         self._store.close()
         self._listener.close()
         self._log_counters(LogKind.STOPPED)
