Let one process of a hot restart alone use the node's slow-start turns

The successor uses no turn until half a second after it begins to serve, when its parent has long been told; the parent uses none from then on, and again from the next slot if its successor dies. The handover's lines stay as they are; the fake node of their test has the two new calls.

--- a/limerudder/core/lifecycle/hot_restart/node_binding.py
+++ b/limerudder/core/lifecycle/hot_restart/node_binding.py
@@ -15,6 +15,10 @@
     from limerudder.core.node import Node
 
 
+#: For so long after a successor begins to serve, its parent may not know it yet and sends as before.
+HANDOVER_OVERLAP_US = 500_000
+
+
 def current_handover_state(node: Node) -> HandoverState:
     """Return what a successor of this node's process is to start with."""
     return HandoverState(
@@ -34,10 +38,12 @@
 
     def hand_over() -> None:
         node.has_successor = True
+        node.leave_turns()
         stop_accepting()
 
     def take_back() -> None:
         node.has_successor = False
+        node.take_turns()
         resume_accepting()
 
     hooks = ParentHooks(
@@ -61,13 +67,19 @@
     parent_ended: Callable[[], None],
 ) -> HotRestartSuccessor:
     """Return the successor's side for a node that was built with the parent's list of endpoints."""
+
+    def serve() -> None:
+        node.take_turns(HANDOVER_OVERLAP_US)
+        start_serving()
+
+    node.leave_turns()
     hooks = SuccessorHooks(
         is_ready_to_serve=node.is_ready_to_serve,
         set_parent_usage=node.set_other_process_usage,
         apply_return_to_service_times=node.apply_return_to_service_times,
         record_request=node.record_request_of_other_process,
         record_drain=partial(_record_drain, node),
-        start_serving=start_serving,
+        start_serving=serve,
         parent_ended=parent_ended,
     )
     return HotRestartSuccessor(hooks, node.timer_wheel, state, now_us)
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -310,6 +310,12 @@
     def log(self, kind: LogKind, text: str, /, detail: str = "") -> None:
         """Not looked at here."""
 
+    def leave_turns(self) -> None:
+        """Not looked at here."""
+
+    def take_turns(self, delay_us: int = 0) -> None:
+        """Not looked at here."""
+
     def endpoint_list(self) -> EndpointList:
         return parse_endpoint_list(hosts(host("s-1"), host("s-2", "127.0.0.1:10", "leaving"), reset=True))
 
