Keep clients in the accept queue while the system lacks descriptors

Callers whose connection came while accept failed with EMFILE or ENFILE were closed unanswered: libuv then frees a spare descriptor, accepts what waits and closes it.

AcceptLoop accepts by itself: a failure of one connection (ECONNABORTED) skips that one, any other leaves the queue as it is for 20 ms. The console is served the same way. A burst is accepted in portions of 64.

Class of bug: a failure of a moment that ends more than the one call.

--- a/limerudder/net/listener.py
+++ b/limerudder/net/listener.py
@@ -8,6 +8,7 @@
 
 from limerudder.core.node_config import ConfigError
 from limerudder.core.transport import Address
+from limerudder.net.accept_loop import AcceptLoop
 from limerudder.net.peer_socket import PeerSocket
 from limerudder.net.tcp import TcpConnection
 
@@ -50,14 +51,16 @@
     return ConfigError("cannot listen on {}:{}: {}".format(*address, exc.strerror))
 
 
-async def start_server(connection_factory: ConnectionFactory, sock: socket.socket) -> asyncio.Server:
-    """Accept connections at a bound socket, which the server owns; raises ConfigError if that fails."""
+def start_accepting(connection_factory: ConnectionFactory, sock: socket.socket) -> AcceptLoop:
+    """Accept connections at a bound socket, which the loop owns; raises ConfigError if that fails."""
     address = sock.getsockname()
-    loop = asyncio.get_running_loop()
     try:
-        return await loop.create_server(connection_factory, sock=sock, backlog=LISTEN_BACKLOG)
+        sock.listen(LISTEN_BACKLOG)
     except OSError as exc:
         raise _cannot_listen(address, exc) from exc
+    accept_loop = AcceptLoop(asyncio.get_running_loop(), sock, connection_factory)
+    accept_loop.open()
+    return accept_loop
 
 
 class ClientListener:
@@ -74,24 +77,24 @@
         self._sockets = sockets
         self._connection_factory = connection_factory
         self._peer_socket = peer_socket
-        self._server: asyncio.Server | None = None
+        self._accept_loop: AcceptLoop | None = None
 
     @property
     def is_open(self) -> bool:
         """Whether clients are accepted here."""
-        return self._server is not None
+        return self._accept_loop is not None
 
     async def open(self) -> None:
         """Accept clients and datagrams from now on; raises ConfigError if that fails."""
         client_socket, *datagram_sockets = (sock.dup() for sock in self._sockets)
-        self._server = await start_server(self._connection_factory, client_socket)
+        self._accept_loop = start_accepting(self._connection_factory, client_socket)
         loop = asyncio.get_running_loop()
         for sock in datagram_sockets:
             await loop.create_datagram_endpoint(lambda: self._peer_socket, sock=sock)
 
     def close(self) -> None:
         """Accept nothing more; what waits in a socket's queue is left to a process that shares the socket."""
-        if self._server:
-            self._server.close()
-            self._server = None
+        if self._accept_loop:
+            self._accept_loop.close()
+            self._accept_loop = None
         self._peer_socket.close()
--- a/limerudder/node_process.py
+++ b/limerudder/node_process.py
@@ -20,8 +20,9 @@
 from limerudder.core.operations.console import ConsoleSession
 from limerudder.core.operations.log_events import LogKind, LogSink
 from limerudder.core.operations.maintenance import InMemoryMarks, MaintenanceMarks
+from limerudder.net.accept_loop import AcceptLoop
 from limerudder.net.clock import Clock
-from limerudder.net.listener import ClientListener, bind_socket, start_server
+from limerudder.net.listener import ClientListener, bind_socket, start_accepting
 from limerudder.net.mark_files import MarkFiles
 from limerudder.net.node_network import NodeNetwork
 from limerudder.net.peer_socket import PeerSocket
@@ -69,7 +70,7 @@
         self._stopped = asyncio.Event()
         self._serving_tasks: set[asyncio.Task[None]] = set()
         self._successor: HotRestartSuccessor | None = None  # this process's side, if it takes over
-        self._console_server: asyncio.Server | None = None
+        self._console_server: AcceptLoop | None = None
         self._tick_timer: asyncio.TimerHandle | None = None
         self._state_directory = open_state_directory(config, log)
         self._inheritance = self._inherit_from_parent()
@@ -89,7 +90,7 @@
         """Serve until a signal has stopped the node."""
         # before anything listens: a signal without its handler would end the process and all that it holds
         self._install_signal_handlers()
-        await self._open_console()
+        self._open_console()
         if self._inheritance:
             await self._join_parent(self._inheritance)
         else:
@@ -157,10 +158,10 @@
             self._log,
         )
 
-    async def _open_console(self) -> None:
+    def _open_console(self) -> None:
         if self._config.console:
             sock = bind_socket(self._config.console, socket.SOCK_STREAM)
-            self._console_server = await start_server(self._create_console_connection, sock)
+            self._console_server = start_accepting(self._create_console_connection, sock)
 
     async def _join_parent(self, inheritance: Inheritance) -> None:
         """Prepare to serve; the hot restart's messages decide when to begin."""
