--- a/limerudder/policy/load_shedding.py
+++ b/limerudder/policy/load_shedding.py
@@ -79,11 +79,6 @@
         now_us = self.context.clock.now_us
         return not self.slow_start.is_warming_up(server, now_us) or self.slow_start.allows(server, now_us)
 
-    def has_slow_start_turn(self, server: Server) -> bool:
-        """Whether a server is in slow start and its budget allows one more connection."""
-        now_us = self.context.clock.now_us
-        return self.slow_start.is_warming_up(server, now_us) and self.slow_start.allows(server, now_us)
-
     def _must_wait_for_report(self, server: Server, level: float) -> bool:
         """Whether a server of unknown load is kept from a connection, where servers are polled on demand.
 
--- a/limerudder/policy/selection.py
+++ b/limerudder/policy/selection.py
@@ -158,7 +158,8 @@
         A turn is short and rare, and no other node can use it: left to a draw among all servers, which weighs
         a server in slow start by the little that it can do, most turns would be lost.
         """
-        servers = [s for s in self.registry.warming_up if self.load_shedding.has_slow_start_turn(s)]
+        now_us = self.context.clock.now_us
+        servers = self.load_shedding.slow_start.servers_in_turn(self.registry.warming_up, now_us)
         self.context.rng.shuffle(servers)
         return servers
 
--- a/limerudder/policy/slow_start.py
+++ b/limerudder/policy/slow_start.py
@@ -19,6 +19,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from math import sqrt
 
 from limerudder.policy.capacity_reference import CapacityReference
@@ -43,6 +44,7 @@
 MAX_STALL_US = 150_000
 MAX_STALL_SHARE_OF_SLOT = 8  #: at most an eighth of a slot
 NEVER_US = 1 << 62
+NO_SLOT = -1
 UNKNOWN_NODE_INDEX = -1  #: of a node that the settings do not number: it has no turns
 
 
@@ -62,6 +64,9 @@
         self._stall_us = min(MAX_STALL_US, self._window_us // MAX_STALL_SHARE_OF_SLOT)
         #: Turns of slots that began earlier may have been used by another process of this node.
         self._first_slot_start_us = NEVER_US
+        self._in_turn: list[Server] = []  # as of the share slot in which they were looked up
+        self._in_turn_slot = NO_SLOT
+        self._in_turn_among: Collection[Server] = ()
 
     def take_turns_from(self, now_us: int) -> None:
         """Use this node's turns from the next slot on.
@@ -70,6 +75,7 @@
         one may have sent in the present slot is unknown here.
         """
         self._first_slot_start_us = now_us
+        self._in_turn_slot = NO_SLOT
 
     def leave_turns(self) -> None:
         """Use no turn any more: another process of this node does."""
@@ -86,6 +92,23 @@
         self._refresh(server, now_us)
         return server.share_turns.left > 0 or self._has_base_turn(server, now_us)
 
+    def servers_in_turn(self, warming_up: Collection[Server], now_us: int) -> list[Server]:
+        """Return the servers among `warming_up` at which this node has a turn.
+
+        All of them are looked at once a slot only, since thousands may warm up at a time. `warming_up` is
+        replaced by another object when it changes.
+        """
+        slot = self._shares.slot_at(now_us)
+        if slot != self._in_turn_slot or warming_up is not self._in_turn_among:
+            self._in_turn_slot = slot
+            self._in_turn_among = warming_up
+            self._in_turn = [server for server in warming_up if self.allows(server, now_us)]
+        return [
+            server
+            for server in self._in_turn
+            if self.is_warming_up(server, now_us) and self.allows(server, now_us)
+        ]
+
     def take(self, server: Server, now_us: int) -> Permit | None:
         """Take a turn at a server that is warming up; None if there is none."""
         self._refresh(server, now_us)
