--- /dev/null
+++ b/bench/process_soak.py
@@ -0,0 +1,50 @@
+"""Soaks real node processes under overlapping faults: `python -m bench.process_soak --seeds 50`.
+
+A line for each seed: its faults, requests served, the fullest window of a host in slow start over what is
+allowed, and what was found. The exit code says whether anything was.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import tempfile
+from pathlib import Path
+
+import uvloop
+
+from harness.process_soak import ProcessSoak, SoakReport
+
+
+def soak(seed: int, nodes: int, hosts: int, clients: int, seconds: float) -> SoakReport:
+    """Run one seed."""
+    with tempfile.TemporaryDirectory() as folder:
+        run = ProcessSoak(Path(folder), nodes, hosts, clients, seed).run(seconds)
+        return uvloop.run(asyncio.wait_for(run, 20 * seconds + 60))
+
+
+def main() -> None:
+    """Run the seeds one after the other."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=50)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--nodes", type=int, default=10)
+    parser.add_argument("--hosts", type=int, default=5)
+    parser.add_argument("--clients", type=int, default=24)
+    parser.add_argument("--seconds", type=float, default=8.0)
+    options = parser.parse_args()
+    failed = 0
+    for seed in range(options.first, options.first + options.seeds):
+        report = soak(seed, options.nodes, options.hosts, options.clients, options.seconds)
+        failed += bool(report.violations)
+        print(
+            f"seed {seed}: {len(report.faults)} faults, {report.answers} served,"
+            f" fullest window {report.worst_share:.2f}, violations {report.violations[:3]}",
+            flush=True,
+        )
+    print(f"{failed} of {options.seeds} seeds found something")
+    raise SystemExit(failed > 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/harness/stand_ins.py
+++ b/harness/stand_ins.py
@@ -33,15 +33,19 @@
     def publish(self, only: int | None = None) -> None:
         """Send the list, as a new generation, to all watches or to the first few of them only."""
         self.generation += 1
-        for watch in self._watches[:only]:
+        for watch in [watch for watch in self._watches if not watch.is_closing()][:only]:
             watch.write(_encode_chunk(self._encode_list()))
 
+    def end_watches(self) -> None:
+        """End the watches that are open; whoever watches calls again."""
+        for watch in list(self._watches):
+            watch.close()
+
     def close(self) -> None:
         """Stop listening and end the watches."""
         if self._server:
             self._server.close()
-        for watch in list(self._watches):
-            watch.close()
+        self.end_watches()
 
     def _encode_list(self) -> bytes:
         endpoint_list = hosts(*self.entries.values()) | {"generation": self.generation}
@@ -69,6 +73,8 @@
         try:
             while True:
                 await asyncio.sleep(KEEP_ALIVE_SECONDS)
+                if writer.is_closing():
+                    return
                 writer.write(_encode_chunk(b"\n"))
                 await writer.drain()
         finally:
--- a/tests/test_slow_start_processes.py
+++ b/tests/test_slow_start_processes.py
@@ -4,17 +4,15 @@
 
 import asyncio
 import time
-from collections.abc import Sequence
 from pathlib import Path
 
 import pytest
 import uvloop
 
-from harness.configurations import SECOND, settings
 from harness.faulty_calls import compile_faulty_calls, stepped_clock
 from harness.multi_process import MultiProcessTier
 from harness.node_process import NodeProcess
-from harness.slow_start_fleet import allowed_calls
+from harness.slow_start_processes import fullest_window_share
 
 NODES = 8
 HOSTS = 2
@@ -24,26 +22,6 @@
 OBSERVED_SECONDS = 6.0
 SCENARIO_TIMEOUT_SECONDS = 90
 
-INVARIANTS = settings()["invariants"]
-WINDOW_SECONDS = INVARIANTS["overloadForUs"] / SECOND
-
-
-def fullest_window_share(arrivals: Sequence[float], started: float, usual_rate: float) -> float:
-    """Return the fullest window's requests over those that are allowed there.
-
-    `usual_rate`: what a warm host is sent in a second, and so what it can do at least.
-    """
-    start_share = INVARIANTS["startCapacity"]
-    warm_up_seconds = INVARIANTS["warmUpUs"] / SECOND
-    worst = 0.0
-    for position, first in enumerate(arrivals):
-        age = (first - started) / warm_up_seconds
-        capacity = usual_rate * (start_share + (1 - start_share) * age)
-        budget = INVARIANTS["overloadFactor"] * capacity * WINDOW_SECONDS
-        calls = sum(first <= arrival < first + WINDOW_SECONDS for arrival in arrivals[position:])
-        worst = max(worst, calls / allowed_calls(budget))
-    return worst
-
 
 async def restart(node: NodeProcess, environment: dict[str, str]) -> None:
     node.environment |= environment
