Count a return to service that lies in the future as now

Where this process's clock is behind, that lies in the future, and the host stayed in slow start until this clock had caught up, by an hour for a clock an hour behind. The opposite, a clock ahead, cannot be seen from the handover's lines, which keep their form; it is named among the open risks.

--- a/limerudder/core/upstream/maintenance_effects.py
+++ b/limerudder/core/upstream/maintenance_effects.py
@@ -67,7 +67,8 @@
             upstream = self._upstreams.by_name.get(name)
             if upstream is None:
                 continue
-            upstream.returned_to_service_us = returned_us
+            # by the clock of another process, which may be ahead of this one's
+            upstream.returned_to_service_us = min(returned_us, now_us)
             is_recent = returned_us > now_us - _RETURN_TIMEOUT_US
             upstream.awaiting_listing_after_return = is_recent
             kind = UpdateKind.OPERATOR if is_recent else UpdateKind.DELTA
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -246,3 +246,12 @@
     assert drain_memory.observed_here == {"s-2": 7}
     assert drain_memory.drained_starts() == {"s-1": START_MS + 9, "s-2": 7}
     assert upstream_number(testbed, "s-2") and not testbed.node.is_listed("s-1")
+
+
+def test_a_return_that_lies_in_the_future_by_another_clock_counts_as_now(tmp_path: Path) -> None:
+    """Guards against a host that stays in slow start for an hour since its parent's clock was ahead."""
+    testbed = node_testbed(tmp_path)
+    reported = policy_events(testbed)
+    testbed.node.apply_return_to_service_times({"s-1": testbed.now + 3600 * SECOND}, testbed.now)
+    (entry,) = (entry for event in reported if isinstance(event, EndpointUpdate) for entry in event.entries)
+    assert entry.ready_since_us == testbed.now
