Use no slow-start turns in a process that shuts down

A process that begins its graceful shutdown leaves its turns. It rejects new requests then anyway; what is lost is the retry of one that waits.

Measured: the new test, and the tests of the guard, the node and the graceful shutdown pass.

--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -311,6 +311,7 @@
         """Reject new requests and migrate clients step by step, to be done before the earliest SIGKILL."""
         if self.shutdown_deadline_us:
             return
+        self.leave_turns()  # the process that replaces this one may run already
         longest_deadline_us = max(traffic_class.deadline_us for traffic_class in self.settings.classes)
         self.shutdown_deadline_us = earliest_kill_time_us(longest_deadline_us, now_us)
         hooks = ShutdownHooks(
--- a/tests/test_send_guard.py
+++ b/tests/test_send_guard.py
@@ -72,6 +72,16 @@
     assert testbed.node.balancer.confirm_send(0, number, testbed.now)
 
 
+def test_a_process_that_shuts_down_leaves_its_turns_to_the_one_that_replaces_it(tmp_path: Path) -> None:
+    """Guards against issue 33: two processes with one node's index, each with all of its turns."""
+    testbed = node_testbed(tmp_path, settings=settings() | {"balancers": 1})
+    restart_host(testbed, "s-1")
+    number = testbed.node.upstreams.by_name["s-1"].number
+    testbed.node.start_graceful_shutdown(testbed.now)
+    testbed.run(2 * SECOND + 5000)
+    assert not testbed.node.balancer.confirm_send(0, number, testbed.now)
+
+
 def test_a_send_that_passes_the_guard_by_is_counted(tmp_path: Path) -> None:
     testbed = node_testbed(tmp_path)
     testbed.send_request()
