Log errors that nothing handled and dials that fail for a shortage here

An exception that ends the process now leaves one line with its type, text and place, and exit code 1 as before; one that a callback of the event loop raises leaves a line and counts as callback_errors, in place of a traceback of many lines. A dial that fails for a shortage on this side (EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL, EAGAIN) is logged with its errno and counted as dials_failed_locally; until now it looked like a host that refuses.

--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -12,12 +12,13 @@
 from limerudder.config import ProcessConfig, load_config
 from limerudder.core.node_config import ConfigError
 from limerudder.exit_codes import ExitCode
+from limerudder.net.error_text import error_text
 from limerudder.net.log import Log
 from limerudder.node_process import MICROSECONDS_PER_SECOND, run_node
 
 
 def main() -> int:
-    """Run a node; a bad configuration is one line on standard error and an exit code of its own."""
+    """Run a node; whatever ends it but a signal is one line on standard error and an exit code."""
     try:
         config = limit_descriptors(load_config(os.environ))
         log = create_log(config)
@@ -25,6 +26,9 @@
     except ConfigError as exc:
         print(f"limerudder: {exc}", file=sys.stderr)
         return ExitCode.INVALID_INPUT
+    except Exception as exc:  # a defect, or a shortage of the system: the line has to name the place
+        print(f"limerudder: ended by an error: {error_text(exc)}", file=sys.stderr)
+        return ExitCode.FAILED
     return ExitCode.OK
 
 
--- a/limerudder/core/operations/counters.py
+++ b/limerudder/core/operations/counters.py
@@ -65,6 +65,8 @@
     CONSOLE_CALLS = "console_calls"
     CONSOLE_CALLS_FAILED = "console_calls_failed"
     POLICY_ERRORS = "policy_errors"
+    CALLBACK_ERRORS = "callback_errors"
+    DIALS_FAILED_LOCALLY = "dials_failed_locally"
 
 
 #: How attempts ended.
--- a/limerudder/core/operations/log_events.py
+++ b/limerudder/core/operations/log_events.py
@@ -23,6 +23,8 @@
     COUNTERS = ("node.counters", LogLevel.INFO)
     STOPPING = ("node.stopping", LogLevel.INFO)
     STOPPED = ("node.stopped", LogLevel.INFO)
+    CALLBACK_FAILED = ("node.callback_failed", LogLevel.ERROR)
+    CALL_FAILED = ("node.system_call_failed", LogLevel.WARNING)
     HANDOVER = ("node.handover", LogLevel.INFO)
     HOST_MAINTENANCE = ("host.maintenance", LogLevel.INFO)
     HOST_STATE = ("host.state", LogLevel.INFO)
--- a/limerudder/net/tcp.py
+++ b/limerudder/net/tcp.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import select
 import socket
 import struct
+from collections.abc import Callable
 from contextlib import suppress
 from typing import cast
 
@@ -16,6 +18,10 @@
 WRITE_BUFFER_LIMIT_BYTES = 64 * 1024
 #: The value of SO_LINGER (on, 0 s) that makes a close send a reset instead of a FIN.
 LINGER_RESET = struct.pack("ii", 1, 0)
+#: Errors of a connect that say nothing of the other side: this machine is short of something.
+LOCAL_SHORTAGES = frozenset(
+    {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.EAGAIN}
+)
 
 
 class TcpConnection(asyncio.Protocol):
@@ -139,6 +145,8 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock) -> None:
         self.loop = loop
         self._clock = clock
+        #: Called with the address and the error of a dial that failed for a shortage on this side.
+        self.on_local_failure: Callable[[Address, OSError], None] = lambda address, error: None
 
     def dial(self, address: Address, machine: OutboundMachine) -> TcpConnection:
         """Connect and write the machine's first bytes, in a task that the connection owns."""
@@ -161,7 +169,9 @@
             await self.loop.sock_sendall(sock, first_bytes)
             machine.first_bytes_sent(self._clock.now_us())
             await self.loop.create_connection(lambda: connection, sock=sock)
-        except (OSError, asyncio.CancelledError):  # refused, unreachable, no descriptor left, or closed
+        except (OSError, asyncio.CancelledError) as exc:  # refused, unreachable, a shortage, or closed
+            if isinstance(exc, OSError) and exc.errno in LOCAL_SHORTAGES:
+                self.on_local_failure(address, exc)
             connection.dialled_socket = None
             if sock:
                 sock.close()
--- a/limerudder/node_process.py
+++ b/limerudder/node_process.py
@@ -8,6 +8,7 @@
 import socket
 from collections.abc import Mapping
 from dataclasses import replace
+from typing import Any
 
 from limerudder.config import ProcessConfig, reload_config
 from limerudder.console_calls import ConsoleCalls
@@ -18,10 +19,13 @@
 from limerudder.core.node import Node
 from limerudder.core.node_config import ConfigError
 from limerudder.core.operations.console import ConsoleSession
+from limerudder.core.operations.counters import CounterName
 from limerudder.core.operations.log_events import LogKind, LogSink
 from limerudder.core.operations.maintenance import InMemoryMarks, MaintenanceMarks
+from limerudder.core.transport import Address
 from limerudder.net.accept_loop import AcceptLoop
 from limerudder.net.clock import Clock
+from limerudder.net.error_text import error_text
 from limerudder.net.listener import ClientListener, bind_socket, start_accepting
 from limerudder.net.mark_files import MarkFiles
 from limerudder.net.node_network import NodeNetwork
@@ -78,8 +82,11 @@
         self._config = self._complete_config(config)
         self._sockets = self._inheritance.sockets if self._inheritance else bind_sockets(self._config)
         self._marks = self._create_marks()
-        self._network = NodeNetwork(TcpConnector(self._loop, self._clock))
+        self._connector = TcpConnector(self._loop, self._clock)
+        self._network = NodeNetwork(self._connector)
         self._node = self._create_node()
+        self._connector.on_local_failure = self._on_dial_failed
+        self._loop.set_exception_handler(self._on_callback_failed)
         self._peer_socket = self._create_peer_socket()
         self._listener = ClientListener(self._sockets, self._create_client_connection, self._peer_socket)
         self._parent = create_parent(self._node, self._listener.close, self._start_serving)
@@ -226,6 +233,20 @@
         self._node.config_reloaded = True
         self._node.discovery.change_address(config.discovery, self._clock.now_us())
 
+    # errors
+
+    def _on_dial_failed(self, address: Address, error: OSError) -> None:
+        self._node.counters.increment(CounterName.DIALS_FAILED_LOCALLY)
+        text = "node: cannot connect to {}:{}: {}".format(*address, error.strerror)
+        self._log(LogKind.CALL_FAILED, text)
+
+    def _on_callback_failed(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """Log an exception that a callback or task of the event loop did not handle; the others go on."""
+        self._node.counters.increment(CounterName.CALLBACK_ERRORS)
+        error = context.get("exception")
+        text = error_text(error) if error else str(context.get("message"))
+        self._log(LogKind.CALLBACK_FAILED, f"node: a callback failed: {text}", text)
+
     def _log_counters(self, kind: LogKind) -> None:
         self._log(kind, f"counters: {self._node.counters.text()}")
 
