--- a/harness/faulty_calls.py
+++ b/harness/faulty_calls.py
@@ -25,12 +25,18 @@
     return {"LD_PRELOAD": str(library), "FAULTS_CLOCK_STEP_MS": str(step_ms)}
 
 
-def failing_calls(library: Path, calls: str, one_in: int, seed: int, after_ms: int = 0) -> dict[str, str]:
-    """Return the environment of a process in which one in so many of these calls fails."""
+def failing_calls(
+    library: Path, calls: str, one_in: int, seed: int, after_ms: int = 0, until_ms: int = 0
+) -> dict[str, str]:
+    """Return the environment of a process in which one in so many of these calls fails.
+
+    `after_ms`, `until_ms`: since the process began; `until_ms` 0: without end.
+    """
     return {
         "LD_PRELOAD": str(library),
         "FAULTS_CALLS": calls,
         "FAULTS_ONE_IN": str(one_in),
         "FAULTS_SEED": str(seed),
         "FAULTS_AFTER_MS": str(after_ms),
+        "FAULTS_UNTIL_MS": str(until_ms),
     }
--- a/harness/multi_process.py
+++ b/harness/multi_process.py
@@ -68,13 +68,16 @@
             init_cluster(str(self.folder / "store"), members)
         values = self._configuration_values(caps)
         for node, (listen, console, store_listen) in zip(self.nodes, node_addresses, strict=True):
-            own_settings = values["settings"] | {"me": node.number}
             node.write_files(
-                listen, console, store_listen, values | {"settings": own_settings}, store_settings
+                listen, console, store_listen, values | self._own_values(node, values), store_settings
             )
 
+    def _own_values(self, node: NodeProcess, values: dict[str, Any]) -> dict[str, Any]:
+        """Return what one node's configuration has in place of the tier's values."""
+        return {"settings": values["settings"] | {"me": node.number}}
+
     def _configuration_values(self, caps: dict[str, Any]) -> dict[str, Any]:
-        policy_settings = settings(probes=True, peers=False, **caps)
+        policy_settings = settings(**{"probes": True, "peers": False, **caps})
         policy_settings["balancers"] = len(self.nodes)
         return {
             "discovery": self.discovery.address,
--- a/harness/node_process.py
+++ b/harness/node_process.py
@@ -7,12 +7,14 @@
 import signal
 import socket
 import sys
+import tomllib
 from pathlib import Path
 from typing import Any
 
 from harness.configurations import configuration
 from limerudder.store.client import ControlClient, ControlUnavailableError
 
+DEPLOY_FILE = Path(__file__).resolve().parent.parent / "deploy" / "balancer.toml"
 LISTENING_TEXT = "listening on"  #: in the line that a node logs once it serves
 
 
@@ -65,13 +67,35 @@
 
     async def start(self) -> None:
         """Start a process and wait until it serves or has ended."""
+        await self.launch()
+        await self._serving.wait()
+
+    async def launch(self) -> asyncio.subprocess.Process:
+        """Start a process and return it at once; its log is read."""
+        self._serving = asyncio.Event()
+        process = await self.launch_with_log(asyncio.subprocess.PIPE)
+        self.reading = asyncio.create_task(self._read_log(process, self._serving))
+        return process
+
+    async def launch_as_operators_do(self) -> asyncio.subprocess.Process:
+        """Start a process by the command of the deploy file; its log is read."""
+        with open(DEPLOY_FILE, "rb") as file:
+            command = tomllib.load(file)["run"]
         self._serving = asyncio.Event()
-        command = [*self.command_prefix, sys.executable, "-m", "limerudder"]
         self.process = await asyncio.create_subprocess_exec(
-            *command, env=self.environment, stderr=asyncio.subprocess.PIPE
+            *["/bin/sh", "-c", command.replace(".venv/bin/python", sys.executable)],
+            env=self.environment,
+            stderr=asyncio.subprocess.PIPE,
+            cwd=DEPLOY_FILE.parent.parent,
         )
         self.reading = asyncio.create_task(self._read_log(self.process, self._serving))
-        await self._serving.wait()
+        return self.process
+
+    async def launch_with_log(self, log: int) -> asyncio.subprocess.Process:
+        """Start a process that writes its log to this descriptor, and return it at once."""
+        command = [*self.command_prefix, sys.executable, "-m", "limerudder"]
+        self.process = await asyncio.create_subprocess_exec(*command, env=self.environment, stderr=log)
+        return self.process
 
     async def kill(self, signal_number: int = signal.SIGKILL) -> None:
         """End the process and wait until it has ended."""
--- a/harness/shims/faulty_calls.c
+++ b/harness/shims/faulty_calls.c
@@ -5,18 +5,23 @@
  *   FAULTS_SEED            of the sequence that decides which calls fail
  *   FAULTS_ONE_IN          one call in so many fails, of the calls that FAULTS_CALLS names
  *   FAULTS_CALLS           comma-separated: accept=ENFILE+EMFILE,connect=EADDRNOTAVAIL,socket=ENFILE,
- *                          read=EINTR,write=EINTR+SHORT,wait=EINTR; SHORT cuts a write to one byte
+ *                          read=EINTR,write=EINTR+SHORT,wait=EINTR; SHORT cuts a write to one byte;
+ *                          bind, listen, dup, poller (epoll_create1, eventfd) and sendto likewise
  *   FAULTS_AFTER_MS        the process's first calls, for so long, do not fail
+ *   FAULTS_UNTIL_MS        calls after this time do not fail; 0: no end
  */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
+#include <fcntl.h>
 #include <pthread.h>
+#include <stdarg.h>
 #include <signal.h>
 #include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/time.h>
@@ -24,8 +29,9 @@
 #include <time.h>
 #include <unistd.h>
 
-enum call { ACCEPT, CONNECT, SOCKET, READ, WRITE, WAIT, CALL_COUNT };
-static const char *const CALL_NAMES[CALL_COUNT] = {"accept", "connect", "socket", "read", "write", "wait"};
+enum call { ACCEPT, CONNECT, SOCKET, READ, WRITE, WAIT, BIND, LISTEN, DUP, POLLER, SENDTO, CALL_COUNT };
+static const char *const CALL_NAMES[CALL_COUNT] = {"accept", "connect", "socket", "read",   "write", "wait",
+                                                   "bind",   "listen",  "dup",    "poller", "sendto"};
 
 #define MAX_ERRORS 8
 #define SHORT_WRITE -1
@@ -41,6 +47,9 @@
     {"ENOMEM", ENOMEM},             {"EINTR", EINTR},
     {"EADDRNOTAVAIL", EADDRNOTAVAIL}, {"ENETUNREACH", ENETUNREACH},
     {"EHOSTUNREACH", EHOSTUNREACH}, {"ETIMEDOUT", ETIMEDOUT},
+    {"EADDRINUSE", EADDRINUSE},     {"EPERM", EPERM},
+    {"EAGAIN", EAGAIN},             {"ENOSPC", ENOSPC},
+    {"EIO", EIO},
     {"SHORT", SHORT_WRITE},
 };
 
@@ -51,6 +60,7 @@
 static unsigned long one_in;
 static long long clock_step_ns;
 static long long faults_from_ns;
+static long long faults_until_ns;
 
 static int (*real_clock_gettime)(clockid_t, struct timespec *);
 static int (*real_accept4)(int, struct sockaddr *, socklen_t *, int);
@@ -64,6 +74,13 @@
 static ssize_t (*real_send)(int, const void *, size_t, int);
 static int (*real_epoll_pwait)(int, struct epoll_event *, int, int, const sigset_t *);
 static int (*real_epoll_wait)(int, struct epoll_event *, int, int);
+static int (*real_bind)(int, const struct sockaddr *, socklen_t);
+static int (*real_listen)(int, int);
+static int (*real_fcntl)(int, int, ...);
+static int (*real_epoll_create1)(int);
+static int (*real_eventfd)(unsigned int, int);
+static ssize_t (*real_sendto)(int, const void *, size_t, int, const struct sockaddr *, socklen_t);
+static ssize_t (*real_sendmsg)(int, const struct msghdr *, int);
 
 static long long monotonic_ns(void)
 {
@@ -127,10 +144,19 @@
     real_send = dlsym(RTLD_NEXT, "send");
     real_epoll_pwait = dlsym(RTLD_NEXT, "epoll_pwait");
     real_epoll_wait = dlsym(RTLD_NEXT, "epoll_wait");
+    real_bind = dlsym(RTLD_NEXT, "bind");
+    real_listen = dlsym(RTLD_NEXT, "listen");
+    real_fcntl = dlsym(RTLD_NEXT, "fcntl64");
+    real_epoll_create1 = dlsym(RTLD_NEXT, "epoll_create1");
+    real_eventfd = dlsym(RTLD_NEXT, "eventfd");
+    real_sendto = dlsym(RTLD_NEXT, "sendto");
+    real_sendmsg = dlsym(RTLD_NEXT, "sendmsg");
     clock_step_ns = number_of("FAULTS_CLOCK_STEP_MS") * 1000000LL;
     random_state = (uint64_t)number_of("FAULTS_SEED") * 2862933555777941757ULL + 3037000493ULL;
     one_in = (unsigned long)number_of("FAULTS_ONE_IN");
     faults_from_ns = monotonic_ns() + number_of("FAULTS_AFTER_MS") * 1000000LL;
+    if (number_of("FAULTS_UNTIL_MS"))
+        faults_until_ns = monotonic_ns() + number_of("FAULTS_UNTIL_MS") * 1000000LL;
     parse_calls(getenv("FAULTS_CALLS"));
 }
 
@@ -146,6 +172,8 @@
     int error = 0;
     if (!one_in || !error_count[call] || monotonic_ns() < faults_from_ns)
         return 0;
+    if (faults_until_ns && monotonic_ns() >= faults_until_ns)
+        return 0;
     pthread_mutex_lock(&lock);
     if (next_random() % one_in == 0)
         error = errors[call][next_random() % (unsigned long)error_count[call]];
@@ -288,3 +316,52 @@
     FAIL_IF_DUE(WAIT);
     return real_epoll_wait(descriptor, events, count, timeout);
 }
+
+int bind(int descriptor, const struct sockaddr *address, socklen_t length)
+{
+    FAIL_IF_DUE(BIND);
+    return real_bind(descriptor, address, length);
+}
+
+int listen(int descriptor, int backlog)
+{
+    FAIL_IF_DUE(LISTEN);
+    return real_listen(descriptor, backlog);
+}
+
+int fcntl64(int descriptor, int command, ...)
+{
+    va_list arguments;
+    va_start(arguments, command);
+    void *argument = va_arg(arguments, void *);
+    va_end(arguments);
+    if (command == F_DUPFD_CLOEXEC)
+        FAIL_IF_DUE(DUP);
+    return real_fcntl(descriptor, command, argument);
+}
+
+int epoll_create1(int flags)
+{
+    FAIL_IF_DUE(POLLER);
+    return real_epoll_create1(flags);
+}
+
+int eventfd(unsigned int count, int flags)
+{
+    FAIL_IF_DUE(POLLER);
+    return real_eventfd(count, flags);
+}
+
+ssize_t sendto(int descriptor, const void *data, size_t length, int flags, const struct sockaddr *address,
+               socklen_t address_length)
+{
+    FAIL_IF_DUE(SENDTO);
+    return real_sendto(descriptor, data, length, flags, address, address_length);
+}
+
+ssize_t sendmsg(int descriptor, const struct msghdr *message, int flags)
+{
+    if (message->msg_name)
+        FAIL_IF_DUE(SENDTO);
+    return real_sendmsg(descriptor, message, flags);
+}
--- /dev/null
+++ b/tests/test_start_with_many_hosts.py
@@ -0,0 +1,215 @@
+"""Real node processes that start with 3,200 listed hosts: whatever happens meanwhile, they serve."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+import uvloop
+
+from harness.faulty_calls import compile_faulty_calls, failing_calls
+from harness.many_hosts import CHECK_SECONDS, READY_SECONDS, ManyHostsTier, wait_until_ready
+from harness.multi_process import wait_until
+from harness.node_process import NodeProcess
+
+SCENARIO_TIMEOUT_SECONDS = 60
+KILL_SECONDS = 0.5  #: after the start, as in the report
+CLIENTS = 6
+SERVED_REQUESTS = 40
+SHORTAGE_MS = 1200  #: from the start of the process on
+STOP_SECONDS = 3.7  #: from SIGTERM to the earliest SIGKILL
+
+
+def play(
+    folder: Path, scenario: Callable[[ManyHostsTier, NodeProcess], Awaitable[None]], sockets: int = 384
+) -> None:
+    """Play a scenario with one node and all that surrounds it."""
+
+    async def run() -> None:
+        tier = ManyHostsTier(folder, sockets=sockets)
+        (node,) = tier.nodes
+        try:
+            await scenario(tier, node)
+        finally:
+            await tier.close()
+
+    uvloop.run(asyncio.wait_for(run(), SCENARIO_TIMEOUT_SECONDS))
+
+
+async def serve_clients(tier: ManyHostsTier, node: NodeProcess) -> None:
+    """Send requests through the node; all are answered, and the process lives on."""
+    tier.start_clients(CLIENTS)
+    await wait_until(lambda: tier.answer_counts["UP"] >= SERVED_REQUESTS, "served requests")
+    assert not tier.violations
+    assert node.process and node.process.returncode is None
+
+
+async def counters(node: NodeProcess) -> str:
+    """Return the process's counters, as it logs them."""
+    assert node.process
+    node.process.send_signal(signal.SIGUSR1)
+    await wait_until(lambda: any("counters: " in line for line in node.lines), "counters")
+    return next(line for line in node.lines if "counters: " in line)
+
+
+@pytest.mark.parametrize("sockets", [384, 1024])
+def test_a_node_that_has_to_ask_all_hosts_for_their_load_starts(tmp_path: Path, sockets: int) -> None:
+    """Guards against report 47952f: node 0 dialled all hosts, and ended for lack of descriptors."""
+
+    async def scenario(tier: ManyHostsTier, node: NodeProcess) -> None:
+        await tier.prepare()
+        process = await node.launch()
+        await asyncio.sleep(KILL_SECONDS)
+        process.kill()
+        await process.wait()
+        process = await node.launch()
+        await wait_until_ready(node, process)
+        await serve_clients(tier, node)
+        text = await counters(node)
+        assert "dials_failed_locally" not in text
+        assert "health_checks_timeout" not in text
+        assert "discovery_failures" not in text
+
+    play(tmp_path, scenario, sockets)
+
+
+async def unread_pipe() -> int:
+    """Return the end of a pipe that nobody reads; its other end stays open as long as this process."""
+    _, write_end = os.pipe()
+    return write_end
+
+
+async def closed_pipe() -> int:
+    """Return the end of a pipe whose reader has gone."""
+    read_end, write_end = os.pipe()
+    os.close(read_end)
+    return write_end
+
+
+async def full_device() -> int:
+    """Return a device on which no byte finds room (ENOSPC)."""
+    return os.open("/dev/full", os.O_WRONLY)
+
+
+@pytest.mark.parametrize("cold_share", [0.0, 0.5])
+@pytest.mark.parametrize("open_log", [unread_pipe, closed_pipe, full_device])
+def test_a_log_that_takes_nothing_keeps_no_node_from_serving(
+    tmp_path: Path, open_log: Callable[[], Awaitable[int]], cold_share: float
+) -> None:
+    """Guards against a log that blocked a node before it listened, or ended it with an error of a write."""
+
+    async def scenario(tier: ManyHostsTier, node: NodeProcess) -> None:
+        tier.cold_share = cold_share
+        await tier.prepare(probes=False)
+        process = await node.launch_with_log(await open_log())
+        await wait_until_ready(node, process)
+        for _ in range(20):
+            process.send_signal(signal.SIGUSR1)  # each signal writes a line
+            await asyncio.sleep(CHECK_SECONDS)
+        await wait_until_ready(node, process)
+        process.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(process.wait(), STOP_SECONDS) == 0
+
+    play(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGUSR1])
+def test_signals_in_series_from_the_first_moment_on_end_no_node(tmp_path: Path, number: int) -> None:
+    """Guards against a new configuration, or a call for counters, that ended a node while it started."""
+
+    async def scenario(tier: ManyHostsTier, node: NodeProcess) -> None:
+        await tier.prepare(probes=False)
+        process = await node.launch_as_operators_do()
+        for _ in range(50):
+            if process.returncode is None:
+                process.send_signal(number)
+            await asyncio.sleep(CHECK_SECONDS)
+        await wait_until_ready(node, process)
+
+    play(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("delay_seconds", [0.1, 0.2, 0.3, 0.5])
+def test_a_node_that_is_stopped_while_it_starts_ends_in_time(tmp_path: Path, delay_seconds: float) -> None:
+    """Guards against a SIGTERM during start-up that is lost, or leaves a traceback."""
+
+    async def scenario(tier: ManyHostsTier, node: NodeProcess) -> None:
+        await tier.prepare(probes=False)
+        process = await node.launch_as_operators_do()
+        await asyncio.sleep(delay_seconds)
+        process.send_signal(signal.SIGTERM)
+        exit_code = await asyncio.wait_for(process.wait(), STOP_SECONDS)
+        assert exit_code in (0, -signal.SIGTERM)  # the signal's own code until Python code runs
+        assert not any("Traceback" in line for line in node.lines)
+
+    play(tmp_path, scenario)
+
+
+SHORTAGES = {
+    "sockets": "socket=EMFILE+ENFILE+ENOBUFS",
+    "duplicates": "dup=EMFILE",
+    "addresses": "bind=EADDRINUSE+ENOMEM,listen=EADDRINUSE",
+    "pollers": "poller=EMFILE+ENFILE+ENOMEM",
+}
+
+
+@pytest.mark.parametrize("calls", SHORTAGES.values(), ids=list(SHORTAGES))
+def test_a_shortage_while_a_node_starts_delays_it_only(tmp_path: Path, calls: str) -> None:
+    """Guards against a system call that failed for a moment during start-up and ended the process with 1."""
+
+    async def scenario(tier: ManyHostsTier, node: NodeProcess) -> None:
+        await tier.prepare(probes=False)
+        library = compile_faulty_calls(tmp_path)
+        node.environment |= failing_calls(library, calls, one_in=1, seed=1, until_ms=SHORTAGE_MS)
+        process = await node.launch()
+        await wait_until_ready(node, process)
+        await serve_clients(tier, node)
+
+    play(tmp_path, scenario)
+
+
+def test_a_parent_that_sends_its_state_in_trickles_does_not_hold_its_successor(tmp_path: Path) -> None:
+    """Guards against a successor that waited without end for the state of a process that hangs."""
+
+    async def trickle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                writer.write(b"x")
+                await asyncio.sleep(KILL_SECONDS)
+        except (OSError, asyncio.CancelledError):
+            writer.close()
+
+    async def scenario(tier: ManyHostsTier, node: NodeProcess) -> None:
+        await tier.prepare(probes=False)
+        process = await node.launch()
+        await wait_until_ready(node, process)
+        process.kill()
+        await process.wait()
+        (socket_file,) = (node.folder / "tmp").glob("*/handover")
+        socket_file.unlink()
+        server = await asyncio.start_unix_server(trickle, str(socket_file))
+        try:
+            await wait_until_ready(node, await node.launch())
+        finally:
+            server.close()
+
+    play(tmp_path, scenario)
+
+
+def test_the_exit_code_of_a_node_without_descriptors_comes_with_one_line(tmp_path: Path) -> None:
+    """Guards against a limit too low to start with that left a traceback of the event loop."""
+
+    async def scenario(tier: ManyHostsTier, node: NodeProcess) -> None:
+        await tier.prepare(probes=False)
+        process = await node.launch()
+        assert await asyncio.wait_for(process.wait(), READY_SECONDS) == 2
+        assert node.reading
+        await node.reading
+        assert len(node.lines) == 1, node.lines
+        assert node.lines[0].startswith("limerudder: ")
+
+    play(tmp_path, scenario, sockets=10)
