Keep health checks within their descriptors, and open the node's own before any dial

What callers saw: node 0 of a tier of more than six nodes that may probe ended with exit code 1 as it started, with thousands of hosts; its clients were refused, and discovery was never called.

Cause: the node whose turn it is to ask for load reports asks every host at once, node 0 in the first moment of its process. Nothing bounded those dials by the descriptors kept for them: with 3,200 hosts and 384 (or 1,024) descriptors the first 367 (1,007) sockets took all of them. The start then waited for its datagram endpoint, the dials ran, and the hand-over's socket was opened outside its handler: EMFILE ended the process.

Change: the health checker holds no more connections than admission control keeps descriptors for; the longest idle one makes room, and a check for which there is none is counted as obsolete and blamed on no host. A process takes all descriptors that it needs to serve without letting anything else run in between. A hand-over's socket that cannot be had is logged, as was meant.

--- a/harness/node_process.py
+++ b/harness/node_process.py
@@ -45,6 +45,7 @@
         self.process: asyncio.subprocess.Process | None = None  # the one started last
         self.lines: list[str] = []  # of the log, of all processes
         self.reading: asyncio.Task[None] | None = None
+        self.kills = 0  # of processes that had begun to serve, or may have
         self._with_store = with_store
         self._serving = asyncio.Event()
 
@@ -78,7 +79,10 @@
         return process
 
     async def launch_as_operators_do(self) -> asyncio.subprocess.Process:
-        """Start a process by the command of the deploy file; its log is read."""
+        """Start a process by the command of the deploy file; its log is read.
+
+        Returns when the shell has become the program: signals go to that, and not to the shell around it.
+        """
         with open(DEPLOY_FILE, "rb") as file:
             command = tomllib.load(file)["run"]
         self._serving = asyncio.Event()
@@ -89,6 +93,8 @@
             cwd=DEPLOY_FILE.parent.parent,
         )
         self.reading = asyncio.create_task(self._read_log(self.process, self._serving))
+        while os.readlink(f"/proc/{self.process.pid}/exe") != os.path.realpath(sys.executable):
+            await asyncio.sleep(0)
         return self.process
 
     async def launch_with_log(self, log: int) -> asyncio.subprocess.Process:
@@ -99,6 +105,7 @@
 
     async def kill(self, signal_number: int = signal.SIGKILL) -> None:
         """End the process and wait until it has ended."""
+        self.kills += signal_number == signal.SIGKILL
         if self.process:
             if self.process.returncode is None:
                 self.process.send_signal(signal_number)
--- a/limerudder/core/client/admission.py
+++ b/limerudder/core/client/admission.py
@@ -42,6 +42,12 @@
         reserved = min(self.reserved + self.listed_hosts, max_reserved)
         return max(self.max_descriptors - reserved - self.other_process_descriptors, 0)
 
+    @property
+    def max_health_checks(self) -> int:
+        """How many health check connections are paid for by the reserve."""
+        beyond_base = min(self.listed_hosts, max(self.max_descriptors // 2 - self.reserved, 0))
+        return max(beyond_base, self.reserved // 4)
+
     @property
     def max_closing(self) -> int:
         """How many closing connections are paid for by the reserve."""
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -134,7 +134,9 @@
         self.on_request_accepted = self.lifecycle.on_request_accepted
 
     def _build_upstream_parts(self, services: NodeServices, drain_memory: DrainMemory | None) -> None:
-        self.health_checker = HealthChecker(self.upstreams, self.report_fields, services)
+        self.health_checker = HealthChecker(
+            self.upstreams, self.report_fields, lambda: self.admission.max_health_checks, services
+        )
         self._liveness_scanner = LivenessScanner(self.requests, services)
         self.endpoint_updater = EndpointUpdater(
             self.upstreams,
--- a/limerudder/core/upstream/health_check.py
+++ b/limerudder/core/upstream/health_check.py
@@ -19,11 +19,18 @@
 class HealthCheckConnection(OutboundMachineBase):
     """The state machine of a connection that carries health checks, answered in the order they are sent."""
 
-    def __init__(self, report_fields: Sequence[str], on_result: ResultCallback) -> None:
+    def __init__(
+        self,
+        report_fields: Sequence[str],
+        on_result: ResultCallback,
+        on_end: Callable[[], None] = lambda: None,
+    ) -> None:
+        """`on_end` is called once, when the connection is closed or lost."""
         self.ended = False
         self.pending_since_us: list[int] = []  # when each unanswered check was sent, in us
         self._report_fields = report_fields
         self._on_result = on_result
+        self._on_end = on_end
         self._request = STATS_REQUEST if report_fields else PING_REQUEST
         self._framer = LineFramer()
         self._established = False
@@ -40,11 +47,14 @@
             self._fail(AttemptOutcome.TIMEOUT, now_us)
 
     def close(self) -> None:
-        """Close the connection; nothing more is reported."""
+        """Close the connection; no result is reported any more."""
+        has_ended = self.ended
         self.ended = True
         self.pending_since_us = []
         if self.transport:
             self.transport.close()
+        if not has_ended:
+            self._on_end()
 
     # called by the driver
 
--- a/limerudder/core/upstream/health_checker.py
+++ b/limerudder/core/upstream/health_checker.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from functools import partial
 
 from limerudder.core.operations.counters import HEALTH_CHECK_COUNTERS, CounterName
@@ -25,10 +25,15 @@
         self,
         upstreams: UpstreamRegistry,
         report_fields: Sequence[str],
+        max_connections: Callable[[], int],
         services: NodeServices,
     ) -> None:
+        """`max_connections` tells how many descriptors may be used for health checks at this moment."""
         self._upstreams = upstreams
         self._report_fields = report_fields
+        self._max_connections = max_connections
+        self._connected: dict[Upstream, None] = {}  # with a connection, in the order they were dialled
+        self._idle: dict[Upstream, None] = {}  # those without a pending check, the longest idle first
         self._is_enabled = services.settings.allows_health_checks
         self._network = services.network
         self._timer_wheel = services.timer_wheel
@@ -37,21 +42,47 @@
         self._dispatch = services.dispatch
 
     def check(self, action: CheckHealth, now_us: int) -> None:
-        """Send a health check; its result comes as an event for the policy."""
+        """Send a health check; its result comes as an event for the policy.
+
+        A check for which there is no descriptor is not sent, and says nothing of the upstream.
+        """
         upstream = self._upstreams.by_number.get(action.server_id)
         if upstream is None or not self._is_enabled:
             return
-        self._counters.increment(CounterName.HEALTH_CHECKS)
         connection = upstream.health_check
-        if connection is None or connection.ended:
-            connection = self._connect(upstream, now_us)
-        else:
+        is_connected = connection is not None and not connection.ended
+        if not is_connected and not self._make_room():
+            self._counters.increment(CounterName.HEALTH_CHECKS_OBSOLETE)
+            return
+        self._counters.increment(CounterName.HEALTH_CHECKS)
+        self._idle.pop(upstream, None)
+        if connection is not None and is_connected:
             connection.send_check(now_us)
+        else:
+            connection = self._connect(upstream, now_us)
         self._timer_wheel.schedule(now_us + _ANSWER_TIMEOUT_US, partial(connection.expire_pending, now_us))
 
+    def _make_room(self) -> bool:
+        """Close idle connections until one more is within the limit; return whether it is."""
+        max_connections = self._max_connections()
+        while self._idle and len(self._connected) >= max_connections:
+            self._close(next(iter(self._idle)))
+        return len(self._connected) < max_connections
+
+    def _close(self, upstream: Upstream) -> None:
+        if upstream.health_check:
+            upstream.health_check.close()
+
+    def _ended(self, upstream: Upstream) -> None:
+        self._connected.pop(upstream, None)
+        self._idle.pop(upstream, None)
+
     def _connect(self, upstream: Upstream, now_us: int) -> HealthCheckConnection:
-        connection = HealthCheckConnection(self._report_fields, partial(self._completed, upstream))
+        connection = HealthCheckConnection(
+            self._report_fields, partial(self._completed, upstream), partial(self._ended, upstream)
+        )
         upstream.health_check = connection
+        self._connected[upstream] = None
         connection.send_check(now_us)
         connection.transport = self._network.dial(upstream.address, connection)
         return connection
@@ -68,6 +99,9 @@
         if is_malformed(report):
             self._counters.increment(CounterName.LOAD_REPORTS_MALFORMED)
             self._log(LogKind.LOAD_REPORT_MALFORMED, MALFORMED_REPORT.format(upstream.name))
+        connection = upstream.health_check
+        if connection and not connection.ended and not connection.pending_since_us:
+            self._idle[upstream] = None
         if outcome in _ANSWERED_OUTCOMES:
             upstream.last_health_check_answer_us = now_us
         self._dispatch(HealthCheckResult(upstream.number, latency_us, outcome, report), now_us)
@@ -75,16 +109,16 @@
     def close_idle(self, action: CloseIdleConnections, now_us: int) -> None:
         """Close the connection to an upstream unless a health check is pending on it."""
         upstream = self._upstreams.by_number.get(action.server_id)
-        if upstream and upstream.health_check and not upstream.health_check.pending_since_us:
-            upstream.health_check.close()
+        if upstream and upstream in self._idle:
+            self._close(upstream)
 
     def close_unready(self) -> None:
         """Close the connections to upstreams that are not ready any more."""
-        for upstream in self._upstreams.by_number.values():
-            if upstream.state != ServerState.READY and upstream.health_check:
-                upstream.health_check.close()
+        for upstream in list(self._connected):
+            if upstream.state != ServerState.READY:
+                self._close(upstream)
 
     def has_pending(self) -> bool:
         """Return whether a health check is pending on any connection."""
-        connections = (upstream.health_check for upstream in self._upstreams.by_number.values())
+        connections = (upstream.health_check for upstream in self._connected)
         return any(connection and connection.pending_since_us for connection in connections)
--- a/limerudder/net/listener.py
+++ b/limerudder/net/listener.py
@@ -63,6 +63,19 @@
     return accept_loop
 
 
+def duplicate_sockets(sockets: Sequence[socket.socket]) -> list[socket.socket]:
+    """Return duplicates of all sockets; raises OSError, and leaves none open, if one cannot be had."""
+    duplicates: list[socket.socket] = []
+    try:
+        for sock in sockets:
+            duplicates.append(sock.dup())
+    except OSError:
+        for duplicate in duplicates:
+            duplicate.close()
+        raise
+    return duplicates
+
+
 class ClientListener:
     """Accepts clients, and datagrams from peers, while it is open.
 
@@ -78,19 +91,36 @@
         self._connection_factory = connection_factory
         self._peer_socket = peer_socket
         self._accept_loop: AcceptLoop | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
 
     @property
     def is_open(self) -> bool:
         """Whether clients are accepted here."""
         return self._accept_loop is not None
 
-    async def open(self) -> None:
-        """Accept clients and datagrams from now on; raises ConfigError if that fails."""
-        client_socket, *datagram_sockets = (sock.dup() for sock in self._sockets)
-        self._accept_loop = start_accepting(self._connection_factory, client_socket)
-        loop = asyncio.get_running_loop()
+    def open(self) -> None:
+        """Accept clients and datagrams from now on; raises OSError or ConfigError if that fails.
+
+        Nothing else runs between the first descriptor that this takes and the last one.
+        """
+        client_socket, *datagram_sockets = duplicate_sockets(self._sockets)
+        try:
+            self._accept_loop = start_accepting(self._connection_factory, client_socket)
+        except ConfigError:
+            for sock in (client_socket, *datagram_sockets):
+                sock.close()
+            raise
         for sock in datagram_sockets:
+            task = asyncio.get_running_loop().create_task(self._receive_datagrams(sock))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _receive_datagrams(self, sock: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        try:
             await loop.create_datagram_endpoint(lambda: self._peer_socket, sock=sock)
+        except OSError:  # datagrams are lost, as they may be at any time
+            sock.close()
 
     def close(self) -> None:
         """Accept nothing more; what waits in a socket's queue is left to a process that shares the socket."""
--- a/limerudder/net/socket_handover.py
+++ b/limerudder/net/socket_handover.py
@@ -109,16 +109,13 @@
     def open(self) -> None:
         """Answer under the directory's one name from now on, in place of the process that did so before."""
         self.close()
-        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         try:
-            self._publish(sock)
+            self._listening_socket = self._publish()
         except OSError as exc:
             # the node serves without the socket file; a successor then binds the addresses itself
             self._log(LogKind.STATE_DIRECTORY, f"state: cannot offer a handover: {exc.strerror}")
-            sock.close()
             return
-        self._listening_socket = sock
-        self._loop.add_reader(sock, self._accept)
+        self._loop.add_reader(self._listening_socket, self._accept)
 
     def close(self) -> None:
         """Answer nobody from now on; connections that are established stay."""
@@ -127,16 +124,22 @@
             self._listening_socket.close()
             self._listening_socket = None
 
-    def _publish(self, sock: socket.socket) -> None:
-        """Listen on the socket; its file replaces that of another process in one step."""
+    def _publish(self) -> socket.socket:
+        """Return a listening socket; its file replaces that of another process in one step."""
         own_file_name = f"{SOCKET_FILE_NAME}.{os.getpid()}"
         descriptor = self._directory.descriptor
-        sock.setblocking(False)
-        with suppress(OSError):
-            os.unlink(own_file_name, dir_fd=descriptor)
-        sock.bind(self._directory.socket_path(own_file_name))
-        sock.listen()
-        os.rename(own_file_name, SOCKET_FILE_NAME, src_dir_fd=descriptor, dst_dir_fd=descriptor)
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        try:
+            sock.setblocking(False)
+            with suppress(OSError):
+                os.unlink(own_file_name, dir_fd=descriptor)
+            sock.bind(self._directory.socket_path(own_file_name))
+            sock.listen()
+            os.rename(own_file_name, SOCKET_FILE_NAME, src_dir_fd=descriptor, dst_dir_fd=descriptor)
+        except OSError:
+            sock.close()
+            raise
+        return sock
 
     def _accept(self) -> None:
         if self._listening_socket is None:
--- a/limerudder/node_process.py
+++ b/limerudder/node_process.py
@@ -72,7 +72,6 @@
         self._loop = asyncio.get_running_loop()
         self._clock = Clock()
         self._stopped = asyncio.Event()
-        self._serving_tasks: set[asyncio.Task[None]] = set()
         self._successor: HotRestartSuccessor | None = None  # this process's side, if it takes over
         self._console_server: AcceptLoop | None = None
         self._tick_timer: asyncio.TimerHandle | None = None
@@ -89,7 +88,7 @@
         self._loop.set_exception_handler(self._on_callback_failed)
         self._peer_socket = self._create_peer_socket()
         self._listener = ClientListener(self._sockets, self._create_client_connection, self._peer_socket)
-        self._parent = create_parent(self._node, self._listener.close, self._start_serving)
+        self._parent = create_parent(self._node, self._listener.close, self._serve)
         self._handover_listener = self._create_handover_listener()
         self._console = ConsoleCalls(self._node, self._listener, self._store).create_console()
 
@@ -102,7 +101,7 @@
             await self._join_parent(self._inheritance)
         else:
             await self._store.start(self._node, self._marks, self._announce_drain)
-            await self._serve()
+            self._serve()
         self._tick()
         gc.freeze()
         await self._stopped.wait()
@@ -176,7 +175,7 @@
             self._node,
             inheritance.state,
             self._clock.now_us(),
-            start_serving=self._start_serving,
+            start_serving=self._serve,
             # the store's directory is the parent's until the parent has ended
             parent_ended=lambda: self._store.start_takeover(self._node, self._marks, self._announce_drain),
         )
@@ -184,15 +183,9 @@
 
     # service
 
-    def _start_serving(self) -> None:
-        """Serve in a task: as a successor, or again after a successor has ended."""
-        task = self._loop.create_task(self._serve())
-        self._serving_tasks.add(task)
-        task.add_done_callback(self._serving_tasks.discard)
-
-    async def _serve(self) -> None:
+    def _serve(self) -> None:
         """Accept clients here, and hand over to whichever process asks."""
-        await self._listener.open()
+        self._listener.open()
         if self._handover_listener:
             self._handover_listener.open()
         if self._successor:
@@ -260,8 +253,6 @@
         self._log_counters(LogKind.STOPPED)
         if self._tick_timer:
             self._tick_timer.cancel()
-        for task in self._serving_tasks:
-            task.cancel()
         if self._console_server:
             self._console_server.close()
         if self._handover_listener:
--- a/tests/test_health_checker.py
+++ b/tests/test_health_checker.py
@@ -6,11 +6,16 @@
 
 import pytest
 
-from harness.configurations import settings
+from harness.configurations import host, hosts, settings
 from limerudder.core.operations.counters import CounterName
+from limerudder.core.upstream.health_check import HealthCheckConnection
 from limerudder.policy.actions import CheckHealth
 from limerudder.policy.events import HealthCheckResult
-from tests.node_testbed import node_testbed, policy_events
+from tests.node_testbed import FakeTransport, NodeTestbed, node_testbed, policy_events
+
+
+def health_check_dials(testbed: NodeTestbed) -> list[FakeTransport]:
+    return [dial for dial in testbed.dials if isinstance(dial.machine, HealthCheckConnection)]
 
 
 @pytest.mark.parametrize(
@@ -35,3 +40,45 @@
     assert [type(event) for event in events] == [HealthCheckResult], "the policy gets it either way"
     assert testbed.node.counters[CounterName.LOAD_REPORTS_MALFORMED] == malformed
     assert sum("load report" in text for text in testbed.logged) == malformed
+
+
+def test_health_checks_take_no_more_descriptors_than_are_kept_for_them(tmp_path: Path) -> None:
+    """Guards against report 47952f: a check of each of 3,200 hosts took all descriptors of a process."""
+    listed = hosts(*(host(f"s-{n}") for n in range(3200)))
+    testbed = node_testbed(tmp_path, known=listed, settings=settings(probes=True), limits={"sockets": 384})
+    events = policy_events(testbed)
+    node = testbed.node
+    numbers = list(node.upstreams.by_number)
+    for number in numbers:
+        node.health_checker.check(CheckHealth(number), testbed.now)
+    reserve = 384 - node.admission.capacity
+    dials = health_check_dials(testbed)
+    assert len(dials) == node.admission.max_health_checks == reserve - 96
+    assert node.counters[CounterName.HEALTH_CHECKS_OBSOLETE] == 3200 - len(dials)
+    assert not events, "a check that was not sent says nothing of its host"
+    first, second = dials[:2]
+    for dial in (second, first):
+        dial.accept(testbed.now)
+        dial.machine.data_received(b"PONG inflight=1,x0=0.5\r\n", testbed.now)
+    node.health_checker.check(CheckHealth(numbers[-1]), testbed.now)
+    assert second.closed and not first.closed, "the longest idle makes room"
+    second_number, first_number = numbers[1], numbers[0]
+    node.health_checker.check(CheckHealth(first_number), testbed.now)
+    assert first.sent.count(b"STATS") == 2, "over the connection that there is"
+    node.health_checker.check(CheckHealth(second_number), testbed.now)
+    assert len(health_check_dials(testbed)) == len(dials) + 1, "all others are pending"
+
+
+def test_connections_that_were_lost_make_room_for_others(tmp_path: Path) -> None:
+    listed = hosts(*(host(f"s-{n}") for n in range(300)))
+    testbed = node_testbed(tmp_path, known=listed, settings=settings(probes=True), limits={"sockets": 384})
+    numbers = list(testbed.node.upstreams.by_number)
+    for number in numbers:
+        testbed.node.health_checker.check(CheckHealth(number), testbed.now)
+    lost = health_check_dials(testbed)
+    limit = len(lost)
+    for dial in lost:
+        dial.machine.connection_lost(testbed.now)
+    for number in numbers[limit : 2 * limit]:
+        testbed.node.health_checker.check(CheckHealth(number), testbed.now)
+    assert len(health_check_dials(testbed)) == 2 * limit
--- a/tests/test_start_with_many_hosts.py
+++ b/tests/test_start_with_many_hosts.py
@@ -191,11 +191,13 @@
         await process.wait()
         (socket_file,) = (node.folder / "tmp").glob("*/handover")
         socket_file.unlink()
-        server = await asyncio.start_unix_server(trickle, str(socket_file))
+        directory = os.open(socket_file.parent, os.O_RDONLY)  # its path is longer than a socket's may be
+        server = await asyncio.start_unix_server(trickle, f"/proc/self/fd/{directory}/{socket_file.name}")
         try:
             await wait_until_ready(node, await node.launch())
         finally:
             server.close()
+            os.close(directory)
 
     play(tmp_path, scenario)
 
