Ask at most 256 hosts for their load at a time, whatever the size of the fleet

A fleet of more than 256 ready hosts is cut into segments by the hosts' ids, and each node asks one segment, always the same. Turns come as many times faster as there are segments or nodes, so that a round of the whole fleet takes no longer than before. Up to 256 hosts nothing changes.

--- a/limerudder/policy/gossip.py
+++ b/limerudder/policy/gossip.py
@@ -23,6 +23,7 @@
 )
 from limerudder.policy.records import SECOND, Server
 from limerudder.policy.settings import Settings
+from limerudder.policy.sweep_segments import own_segment, segment_count
 
 MAX_COST_SHARE = 0.02  #: share of the result that shared reports may cost
 MAX_INDEPENDENT_NODES = 6  #: up to so many nodes, each sees enough of every server by itself
@@ -129,7 +130,9 @@
         )
         self._health_check_price = settings.prices.get("probe", 0)
         self._byte_price = settings.prices.get("peer", 0) / MAX_DATAGRAM_BYTES
+        #: In which all servers are asked, by one node after the other where they are many.
         self.round_interval_us = MAX_ROUND_INTERVAL_US
+        self._turns_per_round = 1
         # mean rates of one node, over the nodes whose rounds were recorded last
         self.mean_rate = 0.0
         self.mean_fresh_rate = 0.0
@@ -164,10 +167,12 @@
         rate = self.mean_rate if is_mean_settled else max(self.mean_rate, own_rate)
         affordable_us = SECOND * round_cost / (MAX_COST_SHARE * self._node_count * rate)
         self.round_interval_us = int(min(max(affordable_us, MIN_ROUND_INTERVAL_US), MAX_ROUND_INTERVAL_US))
+        self._turns_per_round = min(segment_count(server_count), self._node_count)
 
     def next_turn_us(self) -> int:
-        """When this node has to ask all servers, unless another node's round comes before."""
-        interval_us = self.round_interval_us * (self.rounds_recorded > 0)
+        """When this node has to ask its servers, unless another node's round comes before."""
+        turn_interval_us = self.round_interval_us // self._turns_per_round
+        interval_us = turn_interval_us * (self.rounds_recorded > 0)
         distance = (self._own_number - self._last_sender - 1) % self._node_count
         return self.last_round_at_us + interval_us + TAKEOVER_STEP_US * distance
 
@@ -184,13 +189,14 @@
     def run_round(
         self, ready: Sequence[Server], rates: ConnectionRates, needs_reports: bool, now_us: int
     ) -> RoundStep:
-        """Ask all servers when it is this node's turn; send their answers to all peers a moment later.
+        """Ask the servers when it is this node's turn; send their answers to all peers a moment later.
 
         In a tier of dozens of nodes, each node sees too few requests to pay for the reports that it needs,
         and all together would pay for the same reports many times.
 
         `ready`: the servers that are ready; `rates`: this node's own; `needs_reports`: False for a node whose
-        own requests pay for all the reports that it needs.
+        own requests pay for all the reports that it needs. Of a fleet too large to be asked at once, each
+        node asks a segment of its own.
         """
         self.update_interval(len(ready), rates.total)
         turn_us = self.next_turn_us()
@@ -200,7 +206,7 @@
             return self._send_reports(ready, rates, now_us)
         if now_us >= turn_us:
             self._own_round_started_at_us = now_us
-            checks: list[Action] = [CheckHealth(server.id) for server in ready]
+            checks: list[Action] = [CheckHealth(server.id) for server in own_segment(ready, self._own_number)]
             return RoundStep(checks, now_us + REPORT_WAIT_US)
         return RoundStep([], turn_us)
 
--- a/limerudder/policy/load_polling.py
+++ b/limerudder/policy/load_polling.py
@@ -14,6 +14,7 @@
 from limerudder.policy.reported_loads import ReportedLoads
 from limerudder.policy.server_registry import ServerRegistry
 from limerudder.policy.settings import Settings
+from limerudder.policy.sweep_segments import segment_count
 from limerudder.policy.timers import TimerToken
 from limerudder.policy.traffic_rates import TrafficRates
 
@@ -63,13 +64,14 @@
         Hundreds of nodes that sweep a large fleet spend more than reports are worth: a node whose own
         requests do not pay for sweeps polls only the servers that it is about to choose from. Connections
         that existed at the start pay too: a node with few new requests but many old connections would
-        otherwise never learn of overload.
+        otherwise never learn of overload. A fleet that is too large to be asked at once is not swept either.
         """
         now_us = self._clock.now_us
         ready = self._registry.ready
         paid_interval_us = SECOND * len(ready) / (self._credit_per_request * self._rates.usual_request_rate())
         gossips = self._gossip.is_active(now_us)
-        self.on_demand = paid_interval_us > MAX_SWEEP_INTERVAL_US or gossips
+        is_too_large = segment_count(len(ready)) > 1
+        self.on_demand = paid_interval_us > MAX_SWEEP_INTERVAL_US or is_too_large or gossips
         if not self.on_demand:
             self._loads.report_interval_us = int(max(paid_interval_us, MIN_SWEEP_INTERVAL_US))
             self._actions.extend(CheckHealth(server.id) for server in ready)
