Never wait for the log, and never end for it

What callers saw: with thousands of hosts in slow start and a log that nobody read, a node was never ready; with a log on a full device or without a reader, it ended with exit code 1 at its next line.

Cause: the log was printed to a blocking descriptor from the event loop, and an error of the write was raised through whoever logged.

Change: lines go through a writer that takes what the descriptor takes at once, drops the rest and tells how many were dropped; a pipe is opened anew without blocking, so that processes sharing it are left as they are. sys.stderr is that writer too, since the interpreter and libraries print by themselves. A list that changes more than ten hosts is one line, and the lines of one kind are bounded whatever hosts they are about.

test_both_forms_hold_the_same_fields looks at the descriptor in place of sys.stderr, which the log no longer uses; its assertions are the same.

--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -14,14 +14,17 @@
 from limerudder.exit_codes import ExitCode
 from limerudder.net.error_text import error_text
 from limerudder.net.log import Log
+from limerudder.net.log_writer import LineStream, LogWriter
 from limerudder.node_process import MICROSECONDS_PER_SECOND, run_node
 
 
 def main() -> int:
     """Run a node; whatever ends it but a signal is one line on standard error and an exit code."""
+    writer = LogWriter()
+    sys.stderr = LineStream(writer)
     try:
         config = limit_descriptors(load_config(os.environ))
-        log = create_log(config)
+        log = create_log(config, writer)
         uvloop.run(run_node(config, log, os.environ, log.configure))
     except ConfigError as exc:
         print(f"limerudder: {exc}", file=sys.stderr)
@@ -44,12 +47,13 @@
     return config
 
 
-def create_log(config: ProcessConfig) -> Log:
+def create_log(config: ProcessConfig, writer: LogWriter) -> Log:
     """Return the log, as the operator's file configures it if there is one."""
     if config.operator is None:
-        return Log(config.name)
+        return Log(config.name, writer=writer)
     settings = config.operator.log
-    log = Log(config.name, settings.format, settings.lines, settings.per / MICROSECONDS_PER_SECOND)
+    window_seconds = settings.per / MICROSECONDS_PER_SECOND
+    log = Log(config.name, settings.format, settings.lines, window_seconds, writer)
     log.use_structlog()
     return log
 
--- a/limerudder/core/operations/traffic_log.py
+++ b/limerudder/core/operations/traffic_log.py
@@ -6,15 +6,29 @@
 
 from __future__ import annotations
 
+from collections import Counter
+from collections.abc import Sequence
+from typing import NamedTuple
+
 from limerudder.core.operations.log_events import LogKind, LogSink
 from limerudder.policy.events import AttemptOutcome, ServerState
 
 MICROSECONDS_PER_MILLISECOND = 1000
 
+MAX_HOST_LINES = 10  #: for one list of hosts; the states of more are told in one line
+
 #: Outcomes of attempts and connections that ended as they should.
 ORDINARY_OUTCOMES = frozenset({AttemptOutcome.OK, AttemptOutcome.CANCELLED})
 
 
+class HostChange(NamedTuple):
+    """A host whose state, or whose last start, has changed. Times are microseconds."""
+
+    host: str
+    state: ServerState
+    ready_since_us: int  #: 0: long ago
+
+
 class TrafficLog:
     """Writes what happens to requests and hosts. Times are microseconds."""
 
@@ -22,13 +36,27 @@
         self._log = log
         self._warm_up_us = warm_up_us
 
-    def host_changed(self, host: str, state: ServerState, ready_since_us: int, now_us: int) -> None:
-        """Log the state in which a host is listed now, and how long ago it started.
+    def hosts_changed(self, changes: Sequence[HostChange], now_us: int) -> None:
+        """Log the states in which hosts are listed now, and how long ago they started.
 
-        A host that is listed as ready and warm is the ordinary case, and not logged.
+        A host that is listed as ready and warm is the ordinary case, and not logged. Many changes at a time,
+        as in the first list, are counted in one line.
         """
-        if state == ServerState.READY and now_us - ready_since_us >= self._warm_up_us:
+        told = [change for change in changes if not self._is_ordinary(change, now_us)]
+        if len(told) > MAX_HOST_LINES:
+            counts = Counter(change.state.name.lower() for change in told)
+            text = ", ".join(f"{count} {state}" for state, count in sorted(counts.items()))
+            self._log(LogKind.HOST_STATE, f"hosts: {len(told)} draining, gone or in slow start: {text}")
             return
+        for change in told:
+            self._host_changed(change, now_us)
+
+    def _is_ordinary(self, change: HostChange, now_us: int) -> bool:
+        is_warm = now_us - change.ready_since_us >= self._warm_up_us
+        return change.state == ServerState.READY and is_warm
+
+    def _host_changed(self, change: HostChange, now_us: int) -> None:
+        host, state, ready_since_us = change
         text = f"host {host}: {state.name.lower()}"
         if ready_since_us:
             text += f", started {_milliseconds(now_us - ready_since_us)} ms ago"
--- a/limerudder/core/upstream/endpoint_updater.py
+++ b/limerudder/core/upstream/endpoint_updater.py
@@ -10,6 +10,7 @@
 from limerudder.core.discovery.start_times import ListedStart, StartTimes
 from limerudder.core.node_config import Names
 from limerudder.core.operations.counters import CounterName
+from limerudder.core.operations.traffic_log import HostChange
 from limerudder.core.requests.attempt_runner import AttemptRunner
 from limerudder.core.services import NodeServices
 from limerudder.core.upstream.health_checker import HealthChecker
@@ -50,7 +51,9 @@
             self._counters.increment(CounterName.ENDPOINT_UPDATES)
         starts = [ListedStart(endpoint.name, endpoint.started_ms) for endpoint in endpoints.endpoints]
         self._start_times.observe(starts, now_us)
-        entries = [self._update_upstream(endpoint, now_us) for endpoint in endpoints.endpoints]
+        changes: list[HostChange] = []
+        entries = [self._update_upstream(endpoint, changes) for endpoint in endpoints.endpoints]
+        self._traffic_log.hosts_changed(changes, now_us)
         if kind in (UpdateKind.FULL, UpdateKind.CACHED):
             self._mark_others_gone(entries)
         self._complete_returns(entries, kind, endpoints.version, now_us)
@@ -90,7 +93,8 @@
             if kind != UpdateKind.OPERATOR:
                 self._dispatch(EndpointUpdate(UpdateKind.OPERATOR, version, [entry]), now_us)
 
-    def _update_upstream(self, endpoint: Endpoint, now_us: int) -> ServerEntry:
+    def _update_upstream(self, endpoint: Endpoint, changes: list[HostChange]) -> ServerEntry:
+        """Take over an endpoint, and add it to `changes` if its state or its start is another one now."""
         upstream = self._upstreams.get_or_create(endpoint.name)
         upstream.endpoint = endpoint
         upstream.address = endpoint.address
@@ -101,7 +105,7 @@
         ready_since_us = max(started_us, upstream.returned_to_service_us)
         upstream.ready_since_us = ready_since_us
         if previous != (upstream.state, ready_since_us):
-            self._traffic_log.host_changed(upstream.name, upstream.state, ready_since_us, now_us)
+            changes.append(HostChange(upstream.name, upstream.state, ready_since_us))
         return ServerEntry(
             upstream.number,
             index_or_length(self._names.zones, endpoint.zone),
--- a/limerudder/net/log.py
+++ b/limerudder/net/log.py
@@ -8,15 +8,17 @@
 from __future__ import annotations
 
 import json
-import sys
 import time
 from collections.abc import Callable, Hashable, MutableMapping
 from typing import Any
 
 from limerudder.core.operations.log_events import LogKind
+from limerudder.net.log_writer import LogWriter
 
-MAX_LINES_PER_WINDOW = 5  #: of one kind
+MAX_LINES_PER_WINDOW = 5  #: of one kind and detail
 WINDOW_SECONDS = 10.0
+MAX_DETAILS_PER_WINDOW = 20  #: of one kind, that get their full number of lines
+MAX_WINDOWS = 1024  #: kept at a time; details may be as many as there are hosts
 JSON_FORMAT = "json"
 TEXT_FORMAT = "text"
 
@@ -33,27 +35,44 @@
 
 
 class LogRateLimiter:
-    """Passes at most `max_lines` events of a kind in a window.
+    """Passes at most `max_lines` events of a kind and detail in a window, and a multiple of that of a kind.
 
-    The first event of the kind's next window tells in its field `left_out` how many were dropped.
+    The first event of the next window tells in its field `left_out` how many were dropped.
     """
 
     def __init__(self, max_lines: int = MAX_LINES_PER_WINDOW, window_seconds: float = WINDOW_SECONDS) -> None:
         self.max_lines = max_lines
         self.window_seconds = window_seconds
         self.windows: dict[Hashable, LogWindow] = {}  # by kind and detail
+        self.windows_by_kind: dict[Hashable, LogWindow] = {}
 
     def __call__(self, logger: Any, method: str, event: EventDict) -> EventDict | None:
         """Return the event, or None if it is to be dropped; a structlog processor but for the None."""
+        key = event.pop("kind")
+        if key not in self.windows and len(self.windows) >= MAX_WINDOWS:
+            del self.windows[next(iter(self.windows))]  # the first one, and with it what it would have told
+        is_within_limit = self._count(self.windows, key, self.max_lines, event)
+        if isinstance(key, tuple):  # a kind and its detail
+            kind, _ = key
+            max_lines_of_kind = self.max_lines * MAX_DETAILS_PER_WINDOW
+            is_within_limit = is_within_limit and self._count(
+                self.windows_by_kind, kind, max_lines_of_kind, event
+            )
+        return event if is_within_limit else None
+
+    def _count(
+        self, windows: dict[Hashable, LogWindow], key: Hashable, max_lines: int, event: EventDict
+    ) -> bool:
+        """Count the event in the key's window; return whether it is among the first `max_lines` there."""
         now_seconds = time.monotonic()
-        window = self.windows.setdefault(event.pop("kind"), LogWindow(now_seconds, 0))
+        window = windows.setdefault(key, LogWindow(now_seconds, 0))
         if now_seconds >= window.started_at_seconds + self.window_seconds:
-            if window.event_count > self.max_lines:
-                event["left_out"] = window.event_count - self.max_lines
+            if window.event_count > max_lines:
+                event["left_out"] = event.get("left_out", 0) + window.event_count - max_lines
             window.started_at_seconds = now_seconds
             window.event_count = 0
         window.event_count += 1
-        return event if window.event_count <= self.max_lines else None
+        return window.event_count <= max_lines
 
 
 def render_text(logger: Any, method: str, event: EventDict) -> str:
@@ -72,8 +91,18 @@
     return render_json if log_format == JSON_FORMAT else render_text
 
 
+class LineLogger:
+    """The end of a structlog pipeline: writes what has been rendered."""
+
+    def __init__(self, writer: LogWriter) -> None:
+        self.info = self.warning = self.error = writer.write
+
+
 class Log:
-    """Writes events: the LogSink of a process. Events of one kind with equal details share a rate limit."""
+    """Writes events: the LogSink of a process. Events of one kind with equal details share a rate limit.
+
+    Logging never waits and never raises: what standard error does not take is dropped.
+    """
 
     def __init__(
         self,
@@ -81,10 +110,12 @@
         log_format: str = TEXT_FORMAT,
         max_lines: int = MAX_LINES_PER_WINDOW,
         window_seconds: float = WINDOW_SECONDS,
+        writer: LogWriter | None = None,
     ) -> None:
         self.node_name = node_name
         self.rate_limiter = LogRateLimiter(max_lines, window_seconds)
         self._render = _renderer(log_format)
+        self._writer = writer or LogWriter()
         self._write: Callable[[str, EventDict], None] = self._write_directly
 
     def __call__(self, kind: LogKind, text: str, /, detail: str = "") -> None:
@@ -113,7 +144,7 @@
             return self._render(logger, method, event)
 
         logger = structlog.wrap_logger(
-            structlog.PrintLogger(sys.stderr),
+            LineLogger(self._writer),
             processors=[limit, render],
             wrapper_class=structlog.BoundLogger,
             context_class=dict,
@@ -123,4 +154,4 @@
 
     def _write_directly(self, level: str, event: EventDict) -> None:
         if self.rate_limiter(None, level, event) is not None:
-            print(self._render(None, level, event), file=sys.stderr, flush=True)
+            self._writer.write(self._render(None, level, event))
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -17,7 +17,7 @@
 from limerudder.core.node_config import ConfigError
 from limerudder.core.operations.log_events import LogKind
 from limerudder.exit_codes import ExitCode
-from limerudder.net.log import Log, LogRateLimiter, LogWindow
+from limerudder.net.log import MAX_DETAILS_PER_WINDOW, MAX_WINDOWS, Log, LogRateLimiter, LogWindow
 
 ROOT = Path(__file__).parent.parent
 
@@ -85,7 +85,7 @@
 
 
 @pytest.mark.parametrize("with_structlog", [False, True], ids=["builtin", "structlog"])
-def test_both_forms_hold_the_same_fields(capsys: pytest.CaptureFixture[str], with_structlog: bool) -> None:
+def test_both_forms_hold_the_same_fields(capfd: pytest.CaptureFixture[str], with_structlog: bool) -> None:
     def lines(log_format: str) -> list[str]:
         log = Log("n0", log_format, max_lines=2, window_seconds=60.0)
         if with_structlog:
@@ -99,7 +99,7 @@
         log.rate_limiter.windows[LogKind.HOST_UNRESPONSIVE, ""] = window_in_the_past
         log(LogKind.HOST_UNRESPONSIVE, "node: again")
         log(LogKind.POLICY_ERROR, "policy: bad", "f")
-        return capsys.readouterr().err.splitlines()
+        return capfd.readouterr().err.splitlines()
 
     text = lines("text")
     objects = [json.loads(line) for line in lines("json")]
@@ -131,3 +131,13 @@
     command = Path(sys.executable).parent / "limerudder"
     ran = subprocess.run([command, "--help"], cwd=tmp_path, capture_output=True, text=True, check=False)
     assert ran.returncode == 0 and "check" in ran.stdout
+
+
+def test_the_lines_of_one_kind_are_bounded_however_many_hosts_they_are_about() -> None:
+    rate = LogRateLimiter(1, 60.0)
+    events = [rate(None, "info", {"kind": (LogKind.HOST_STATE, f"s-{n}")}) for n in range(3200)]
+    assert sum(event is not None for event in events) == MAX_DETAILS_PER_WINDOW
+    assert len(rate.windows) <= MAX_WINDOWS
+    rate.windows_by_kind[LogKind.HOST_STATE].started_at_seconds = -1e9
+    next_event = rate(None, "info", {"kind": (LogKind.HOST_STATE, "s-x")})
+    assert next_event and next_event["left_out"] == 3200 - MAX_DETAILS_PER_WINDOW
--- /dev/null
+++ b/tests/test_log_writer.py
@@ -0,0 +1,75 @@
+"""Writing the log to a standard error that does not take it: nothing waits and nothing is raised."""
+
+from __future__ import annotations
+
+import os
+import socket
+
+import pytest
+
+from limerudder.net.log_writer import LineStream, LogWriter
+
+LONG_LINE = "x" * 3000
+
+
+def test_lines_for_a_pipe_that_is_full_are_dropped_and_counted_when_it_is_read_again() -> None:
+    read_end, write_end = os.pipe()
+    writer = LogWriter(write_end)
+    for number in range(100):
+        writer.write(f"{number} {LONG_LINE}")
+    received = os.read(read_end, 1 << 20)
+    assert received.startswith(b"0 x")
+    assert writer.lines_dropped
+    writer.write("read again")
+    lines = os.read(read_end, 1 << 20).decode().splitlines()
+    assert lines == [
+        f"limerudder: {100 - received.count(b' x')} log lines could not be written",
+        "read again",
+    ]
+    assert not writer.lines_dropped
+    assert os.get_blocking(write_end), "other processes may share the pipe"
+
+
+def test_lines_for_a_pipe_whose_reader_has_gone_are_dropped() -> None:
+    read_end, write_end = os.pipe()
+    os.close(read_end)
+    writer = LogWriter(write_end)
+    for _ in range(3):
+        writer.write("nobody reads it")
+    assert writer.lines_dropped == 3
+
+
+@pytest.mark.parametrize("flags", [os.O_WRONLY, os.O_RDONLY])
+def test_lines_that_cannot_be_written_are_dropped(flags: int) -> None:
+    descriptor = os.open("/dev/full", flags)
+    writer = LogWriter(descriptor)
+    writer.write("no room")
+    os.close(descriptor)
+    writer.write("closed")
+    assert writer.lines_dropped == 2
+
+
+def test_a_socket_that_is_not_read_drops_lines_and_never_half_of_one() -> None:
+    here, there = socket.socketpair()
+    writer = LogWriter(here.fileno())
+    for number in range(200):
+        writer.write(f"{number} {LONG_LINE}")
+    there.setblocking(False)
+    received = b""
+    for _ in range(200):
+        writer.write(f"200 {LONG_LINE}")
+        try:
+            received += there.recv(1 << 20)
+        except BlockingIOError:
+            break
+    lines = received.decode().splitlines()[:-1]
+    assert all(line.endswith(LONG_LINE) or line.endswith("could not be written") for line in lines)
+    assert len(lines) > 10
+
+
+def test_a_stream_writes_a_line_when_it_ends(capfd: pytest.CaptureFixture[str]) -> None:
+    stream = LineStream(LogWriter())
+    print("one", "two", file=stream, end="")
+    assert capfd.readouterr().err == ""
+    print(" three\nfour", file=stream)
+    assert capfd.readouterr().err == "one two three\nfour\n"
--- a/tests/test_traffic_log.py
+++ b/tests/test_traffic_log.py
@@ -38,3 +38,11 @@
         parse_endpoint_list(hosts(restarted | {"lifecycle": "leaving"}, just_started)), testbed.now
     )
     assert testbed.logged[-1] == "host s-1: draining, started 300 ms ago"
+
+
+def test_a_list_that_changes_thousands_of_hosts_is_one_line(tmp_path: Path) -> None:
+    """Guards against report 47952f's candidate I: a line a host, written before the node listened."""
+    cold = [host(f"s-{n}") | {"startedAtMs": STARTED_MS} for n in range(3200)]
+    testbed = node_testbed(tmp_path, known=hosts(*cold))
+    lines = [text for text in testbed.logged if text.startswith("host")]
+    assert lines == ["hosts: 3200 draining, gone or in slow start: 3200 ready"]
