Wait for a shortage on this side to pass in place of blaming the host that is dialled

Cause: the connector reported every OSError of socket() and connect() as a lost connection.

Change: EMFILE, ENFILE, ENOBUFS, ENOMEM and EADDRNOTAVAIL are tried again after 10 ms, until whoever asked for the connection gives it up at its own time-out. They are logged and counted as before. Nothing is written meanwhile, and the guard looks at the request again at the write.

Evidence: test_a_dial_waits_for_a_shortage_to_pass fails on the old text (the machine is told that it is lost).

--- /dev/null
+++ b/limerudder/net/shortage.py
@@ -0,0 +1,50 @@
+"""Errors of system calls that pass: this process, or its machine, is short of something for a while.
+
+Such an error says nothing of the other side of a connection or of the configuration, and is a reason to try
+again and never one to end. Errors as documented for Linux in socket(2), connect(2), bind(2), open(2).
+"""
+
+from __future__ import annotations
+
+import errno
+from collections.abc import Iterator
+
+SHORTAGES = frozenset(
+    {
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.ENOSR,
+        errno.EAGAIN,
+        errno.EINTR,
+        errno.EADDRNOTAVAIL,
+    }
+)
+START_RETRY_SECONDS = 20.0  #: for which a start is tried again; nodes have 30 s to be ready
+#: A killed process may hold its addresses a moment longer; for longer somebody else has them.
+ADDRESS_RETRY_SECONDS = 3.0
+
+
+def is_shortage(error: BaseException) -> bool:
+    """Return whether the error, or one that it was raised from, is a shortage."""
+    return any(
+        isinstance(cause, MemoryError) or (isinstance(cause, OSError) and cause.errno in SHORTAGES)
+        for cause in _causes(error)
+    )
+
+
+def start_retry_seconds(error: BaseException) -> float:
+    """Return for how long a start that fails with this error is to be tried again; 0 if it is not."""
+    if is_shortage(error):
+        return START_RETRY_SECONDS
+    if any(isinstance(cause, OSError) and cause.errno == errno.EADDRINUSE for cause in _causes(error)):
+        return ADDRESS_RETRY_SECONDS
+    return 0.0
+
+
+def _causes(error: BaseException) -> Iterator[BaseException]:
+    cause: BaseException | None = error
+    while cause is not None:
+        yield cause
+        cause = cause.__cause__
--- a/limerudder/net/tcp.py
+++ b/limerudder/net/tcp.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import select
 import socket
 import struct
@@ -13,15 +12,13 @@
 
 from limerudder.core.transport import Address, ConnectionMachine, OutboundMachine
 from limerudder.net.clock import Clock
+from limerudder.net.shortage import is_shortage
 
 #: Bytes that may wait to be sent before the machine is asked to pause writing.
 WRITE_BUFFER_LIMIT_BYTES = 64 * 1024
 #: The value of SO_LINGER (on, 0 s) that makes a close send a reset instead of a FIN.
 LINGER_RESET = struct.pack("ii", 1, 0)
-#: Errors of a connect that say nothing of the other side: this machine is short of something.
-LOCAL_SHORTAGES = frozenset(
-    {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.EAGAIN}
-)
+SHORTAGE_RETRY_SECONDS = 0.01
 
 
 class TcpConnection(asyncio.Protocol):
@@ -158,10 +155,7 @@
         """Set the connection up, or tell the machine that it is lost."""
         sock = None
         try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-            connection.dialled_socket = sock
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            await self.loop.sock_connect(sock, address)
+            sock = await self._open_socket(address, connection)
             # written here and not by the transport, which does not report when the last byte has been sent
             first_bytes = machine.first_bytes(self._clock.now_us())
             if connection.machine is None:  # the machine has closed it: nobody needs it any more
@@ -169,12 +163,37 @@
             await self.loop.sock_sendall(sock, first_bytes)
             machine.first_bytes_sent(self._clock.now_us())
             await self.loop.create_connection(lambda: connection, sock=sock)
-        except (OSError, asyncio.CancelledError) as exc:  # refused, unreachable, a shortage, or closed
-            if isinstance(exc, OSError) and exc.errno in LOCAL_SHORTAGES:
-                self.on_local_failure(address, exc)
+        except (OSError, asyncio.CancelledError):  # refused, unreachable, or closed
             connection.dialled_socket = None
             if sock:
                 sock.close()
             if connection.machine:
                 connection.machine = None
                 machine.connection_lost(self._clock.now_us())
+
+    async def _open_socket(self, address: Address, connection: TcpConnection) -> socket.socket:
+        """Return a connected socket; raises OSError for what the other side, or the way to it, refuses.
+
+        A shortage on this side says nothing of the other one: the dial is tried again until whoever asked for
+        it closes the connection.
+        """
+        while True:
+            try:
+                return await self._try_to_open_socket(address, connection)
+            except OSError as exc:
+                if not is_shortage(exc):
+                    raise
+                self.on_local_failure(address, exc)
+            await asyncio.sleep(SHORTAGE_RETRY_SECONDS)
+
+    async def _try_to_open_socket(self, address: Address, connection: TcpConnection) -> socket.socket:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        connection.dialled_socket = sock
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            await self.loop.sock_connect(sock, address)
+        except BaseException:
+            connection.dialled_socket = None
+            sock.close()
+            raise
+        return sock
