Let a list cost what it changes: no work for all hosts at each change of one

Cause: each change of one server's state summed the weights of all ready servers; each update built the set of all ready servers anew, and that of those in slow start; the ring moved all its points for each point; the listed hosts were counted one by one.

Change: the registry keeps the weight and a version of its ready servers, recomputes those in slow start only when one joins or is warm, and counts listed hosts as their state changes. The ring takes what came and went in one sort at the next walk.

--- a/limerudder/core/upstream/endpoint_updater.py
+++ b/limerudder/core/upstream/endpoint_updater.py
@@ -59,7 +59,7 @@
         self._complete_returns(entries, kind, endpoints.version, now_us)
         self._dispatch(EndpointUpdate(kind, endpoints.version, entries), now_us)
         if self._checks_health:  # each upstream may take one descriptor for its health checks
-            self._admission.listed_hosts = self._upstreams.listed_count()
+            self._admission.listed_hosts = self._upstreams.listed_count
         self._attempts.give_up_unsent_to_unready(now_us)
         self._health_checker.close_unready()
 
@@ -73,7 +73,7 @@
         listed = {entry.server_id for entry in entries}
         for upstream in self._upstreams.by_number.values():
             if upstream.number not in listed:
-                upstream.state = ServerState.GONE
+                self._upstreams.set_state(upstream, ServerState.GONE)
 
     def _complete_returns(
         self, entries: Sequence[ServerEntry], kind: UpdateKind, version: int, now_us: int
@@ -99,7 +99,7 @@
         upstream.endpoint = endpoint
         upstream.address = endpoint.address
         previous = (upstream.state, upstream.ready_since_us)
-        upstream.state = self._effective_state(endpoint)
+        self._upstreams.set_state(upstream, self._effective_state(endpoint))
         # an upstream returned to service may have been restarted before discovery lists its new start
         started_us = self._start_times.local_us(endpoint.name, endpoint.started_ms)
         ready_since_us = max(started_us, upstream.returned_to_service_us)
--- a/limerudder/core/upstream/registry.py
+++ b/limerudder/core/upstream/registry.py
@@ -44,6 +44,13 @@
     def __init__(self) -> None:
         self.by_number: dict[int, Upstream] = {}
         self.by_name: dict[str, Upstream] = {}
+        self.listed_count = 0  #: upstreams that discovery lists, in whatever state
+
+    def set_state(self, upstream: Upstream, state: ServerState) -> None:
+        """Change the state in which an upstream is listed."""
+        self.listed_count -= upstream.is_listed
+        upstream.state = state
+        self.listed_count += upstream.is_listed
 
     def get_or_create(self, name: str) -> Upstream:
         """Return the upstream of this name.
@@ -62,10 +69,6 @@
         upstream = self.by_name.get(name)
         return upstream if upstream and upstream.is_listed else None
 
-    def listed_count(self) -> int:
-        """Return how many upstreams discovery lists."""
-        return sum(upstream.is_listed for upstream in self.by_number.values())
-
     def endpoint_list(self, version: int) -> EndpointList:
         """Return the complete list of endpoints as it stands here."""
         endpoints = (
--- a/limerudder/policy/balancer.py
+++ b/limerudder/policy/balancer.py
@@ -236,7 +236,9 @@
             self.slow_start.leave_turns()
 
     def _on_server_state_change(self, server: Server) -> None:
-        self.loads.on_server_state_change(server, self.registry.ready, self._context.clock.now_us)
+        registry = self.registry
+        now_us = self._context.clock.now_us
+        self.loads.on_server_state_change(server, registry.ready, registry.ready_weight, now_us)
         if server.state == events.ServerState.DRAINING:
             self._draining.start(server)
 
--- a/limerudder/policy/capacity_reference.py
+++ b/limerudder/policy/capacity_reference.py
@@ -7,9 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
-
-from limerudder.policy.records import SECOND, RateEstimator, Server
+from limerudder.policy.records import SECOND, RateEstimator
 
 RATE_WINDOW_US = 60 * SECOND  #: long beside the waves that follow when other nodes restart
 SETTLING_US = RATE_WINDOW_US  #: after a disturbance, until its last wave of clients is forgotten
@@ -21,7 +19,7 @@
     def __init__(self) -> None:
         self._rate = RateEstimator(RATE_WINDOW_US)  # of connections that servers accepted
         self._known_since_us: int | None = None  # when a process that inherited connections began
-        self._servers: frozenset[int] = frozenset()
+        self._ready_version = 0  # of the servers that are ready; 0 before there are any
         self._weight = 0.0
         self._disturbed_until_us = 0
         self._undisturbed_rate = 0.0  # per weight, of before the disturbance
@@ -38,15 +36,17 @@
         """Record that a server accepted a connection which is no reconnection."""
         self._rate.record(now_us, self._measured_since_us(now_us))
 
-    def update_servers(self, ready: Collection[Server], warm_from_us: int, now_us: int) -> None:
-        """Take over the servers that are ready; `warm_from_us`: when the last in slow start will be warm."""
-        servers = frozenset(server.id for server in ready)
-        weight = sum(server.weight for server in ready)
-        is_first_list = not self._servers
-        if (servers != self._servers and not is_first_list) or warm_from_us > now_us:
+    def update_servers(self, ready_version: int, weight: float, warm_from_us: int, now_us: int) -> None:
+        """Take over which servers are ready.
+
+        `ready_version` is another number for each set of them, 0 before there are any; `weight`: of all
+        together; `warm_from_us`: when the last in slow start will be warm.
+        """
+        is_first_list = not self._ready_version
+        if (ready_version != self._ready_version and not is_first_list) or warm_from_us > now_us:
             self._undisturbed_rate = self.rate_per_weight(now_us)
             self._disturbed_until_us = max(now_us, warm_from_us) + SETTLING_US
-        self._servers = servers
+        self._ready_version = ready_version
         self._weight = weight
 
     def rate_per_weight(self, now_us: int) -> float:
--- a/limerudder/policy/hash_ring.py
+++ b/limerudder/policy/hash_ring.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left, insort
+from bisect import bisect_left
 from collections.abc import Iterator
 from zlib import crc32
 
@@ -17,26 +17,35 @@
 
 
 class HashRing:
-    """A ring of members with 32-bit ids; adding or removing one touches its own points only."""
+    """A ring of members with 32-bit ids.
+
+    Members that are added and removed take their places together at the next walk: one after the other,
+    thousands would each move the whole ring.
+    """
 
     def __init__(self) -> None:
         self._points: list[int] = []  # sorted; hash in the high bits, member in the low bits
         self._point_counts: dict[int, int] = {}
+        self._added_points: set[int] = set()
+        self._removed_points: set[int] = set()
 
     def add(self, member: int, weight: float = 1.0) -> None:
         """Add a member that is not on the ring, with points in proportion to its weight."""
         point_count = min(max(round(POINTS_PER_WEIGHT * weight), 1), MAX_POINTS)
         self._point_counts[member] = point_count
-        for number in range(point_count):
-            insort(self._points, _point(member, number))
+        points = {_point(member, number) for number in range(point_count)}
+        self._added_points |= points - self._removed_points
+        self._removed_points -= points
 
     def remove(self, member: int) -> None:
         """Remove a member that is on the ring."""
-        for number in range(self._point_counts[member]):
-            del self._points[bisect_left(self._points, _point(member, number))]
+        points = {_point(member, number) for number in range(self._point_counts.pop(member))}
+        self._removed_points |= points - self._added_points
+        self._added_points -= points
 
     def walk(self, key: int) -> Iterator[int]:
         """Yield every member once, in the order of the ring from the key's place on."""
+        self._settle()
         points = self._points
         visited = set[int]()
         start = bisect_left(points, crc32(b"%d" % key) << MEMBER_BITS)
@@ -46,6 +55,15 @@
                 visited.add(member)
                 yield member
 
+    def _settle(self) -> None:
+        if self._removed_points:
+            self._points = [point for point in self._points if point not in self._removed_points]
+            self._removed_points = set()
+        if self._added_points:
+            # a new list, since a walk may be under way; nearly sorted, which the sort makes use of
+            self._points = sorted([*self._points, *sorted(self._added_points)])
+            self._added_points = set()
+
 
 def _point(member: int, number: int) -> int:
     return crc32(b"%d %d" % (member, number)) << MEMBER_BITS | member & MEMBER_MASK
--- a/limerudder/policy/load_inference.py
+++ b/limerudder/policy/load_inference.py
@@ -88,13 +88,15 @@
 
     # Records of events
 
-    def on_server_state_change(self, server: Server, ready_servers: Sequence[Server], now_us: int) -> None:
+    def on_server_state_change(
+        self, server: Server, ready_servers: Sequence[Server], ready_weight: float, now_us: int
+    ) -> None:
         """Note the ready servers; the largest fleet ever listed is the one that the quotas were made for.
 
-        `ready_servers` is kept: the caller may change it in place.
+        `ready_servers` is kept: the caller may change it in place. `ready_weight`: of all of them together.
         """
         self._ready_servers = ready_servers
-        self._fleet_weight = max(self._fleet_weight, sum(ready.weight for ready in ready_servers))
+        self._fleet_weight = max(self._fleet_weight, ready_weight)
 
     def record_connection_load(self, connection: Connection, load: float) -> None:
         """Record the load that a connection has reported."""
--- a/limerudder/policy/reported_loads.py
+++ b/limerudder/policy/reported_loads.py
@@ -98,7 +98,9 @@
         """Record the load that a connection has reported, in microseconds of work a second."""
         connection.load_us_per_second = load
 
-    def on_server_state_change(self, server: Server, ready_servers: Sequence[Server], now_us: int) -> None:
+    def on_server_state_change(
+        self, server: Server, ready_servers: Sequence[Server], ready_weight: float, now_us: int
+    ) -> None:
         """Spread the load of a server that has left over the servers that are ready.
 
         Its clients come again within a second or two, to every node, and no report shows them yet: each node
--- a/limerudder/policy/server_registry.py
+++ b/limerudder/policy/server_registry.py
@@ -15,6 +15,7 @@
 MAX_WEIGHT = 100.0  #: a listed size beyond that, or below its inverse, is a mistake and cut off there
 #: A server that operators put back counts as returned for so long, or until it gets its first connection.
 RETURNED_SERVER_LIFETIME_US = 4 * SECOND
+NEVER_US = 1 << 62
 RETURNED_SERVER_INTERVAL_US = SECOND // 2  #: between two connections that are migrated for its sake
 
 StateListener = Callable[[Server], None]
@@ -26,6 +27,8 @@
     def __init__(self, context: PolicyContext, slow_start: SlowStartBudget) -> None:
         self.servers: dict[int, Server] = {}
         self.ready: list[Server] = []
+        self.ready_weight = 0.0  #: of all ready servers together
+        self._ready_version = 0  # counts the changes of the set of ready servers
         self.ring = HashRing()
         #: Servers that operators put back and that are not used yet, and until when that matters.
         self.returned: dict[Server, int] = {}
@@ -33,12 +36,17 @@
         self._clock = context.clock
         self._actions = context.actions
         self._slow_start = slow_start
-        self.warming_up: dict[Server, None] = {}  #: ready servers in slow start, used as an ordered set
+        #: Servers in slow start, used as an ordered set; replaced by another one when it changes.
+        self.warming_up: dict[Server, None] = {}
+        self._starting: dict[Server, None] = {}  # to be added to them when the update is through
+        self._first_warm_us = NEVER_US  # when the first of them is warm
+        self._last_warm_us = 0  # when the last of them is
 
     def apply(self, update: EndpointUpdate, on_state_change: StateListener) -> None:
         """Take over an update; `on_state_change` is called when a server becomes or ceases to be ready."""
         if update.kind in (UpdateKind.FULL, UpdateKind.CACHED):
             self._remove_unlisted({entry.server_id for entry in update.entries}, on_state_change)
+            self.ready_weight = sum(server.weight for server in self.ready)  # free of rounding errors again
         by_operator = update.kind == UpdateKind.OPERATOR
         for entry in update.entries:
             server = self._update_server(entry)
@@ -59,9 +67,16 @@
         """Tell the slow-start budget which ready servers are still warming up."""
         now_us = self._clock.now_us
         warm_up_us = self._settings.warm_up_us
-        self.warming_up = {s: None for s in self.warming_up if now_us < s.ready_since_us + warm_up_us}
-        warm_from_us = max((s.ready_since_us + warm_up_us for s in self.warming_up), default=now_us)
-        self._slow_start.reference.update_servers(self.ready, warm_from_us, now_us)
+        if self._starting or now_us >= self._first_warm_us:
+            servers = {**self.warming_up, **self._starting}
+            self._starting = {}
+            self.warming_up = {s: None for s in servers if now_us < s.ready_since_us + warm_up_us}
+            warm_times_us = [s.ready_since_us + warm_up_us for s in self.warming_up]
+            self._first_warm_us = min(warm_times_us, default=NEVER_US)
+            self._last_warm_us = max(warm_times_us, default=now_us)
+        warm_from_us = max(self._last_warm_us, now_us)
+        reference = self._slow_start.reference
+        reference.update_servers(self._ready_version, self.ready_weight, warm_from_us, now_us)
 
     def _mark_returned(self, server: Server) -> None:
         now_us = self._clock.now_us
@@ -79,12 +94,15 @@
         becomes_ready = entry.state == ServerState.READY and server.state != ServerState.READY
         if entry.ready_since_us != server.ready_since_us or becomes_ready:
             server.reset()
-            self.warming_up[server] = None
+            self._starting[server] = None
         self.servers[server.id] = server
         server.zone = entry.zone
         server.cell = entry.cell
         server.ready_since_us = entry.ready_since_us
-        server.weight = min(MAX_WEIGHT, max(1 / MAX_WEIGHT, entry.weight))  # NaN becomes the smallest
+        weight = min(MAX_WEIGHT, max(1 / MAX_WEIGHT, entry.weight))  # NaN becomes the smallest
+        if server.state == ServerState.READY:
+            self.ready_weight += weight - server.weight
+        server.weight = weight
         return server
 
     def _set_state(self, server: Server, state: int, on_state_change: StateListener) -> None:
@@ -95,9 +113,12 @@
         if state == ServerState.READY:
             self.ring.add(server.id, server.weight)
             self.ready.append(server)
+            self.ready_weight += server.weight
         elif previous_state == ServerState.READY:
             self.ring.remove(server.id)
             self.ready.remove(server)
+            self.ready_weight -= server.weight
         else:
             return
+        self._ready_version += 1
         on_state_change(server)
--- a/tests/test_load_inference.py
+++ b/tests/test_load_inference.py
@@ -224,7 +224,7 @@
     loads = InferredLoads(replace(NO_REPORTS, node_count=2), SECOND)
     server = Server(1)
     server.state = ServerState.READY
-    loads.on_server_state_change(server, [server], SECOND)
+    loads.on_server_state_change(server, [server], server.weight, SECOND)
     for index in range(100):
         event = ExistingConnection(index + 1, 0, 0, 7, 0, 0, 0, 0, 1)
         connection = Connection(event, NO_REPORTS.classes[0], SECOND)
--- a/tests/test_server_registry.py
+++ b/tests/test_server_registry.py
@@ -4,6 +4,7 @@
 
 import math
 from dataclasses import replace
+from random import Random
 
 import pytest
 
@@ -87,3 +88,29 @@
     driver.update_endpoints([server_entry(1, ServerState.GONE)])
     driver.update_endpoints([invalid_entry])
     driver.connect(group=7)
+
+
+def test_the_weight_of_the_ready_servers_is_the_sum_whatever_came_and_went() -> None:
+    driver = Driver(BASE_SETTINGS, servers=server_entries(20))
+    registry = driver.balancer.registry
+    rng = Random(2)
+    for _ in range(300):
+        state = rng.choice([ServerState.READY, ServerState.DRAINING, ServerState.GONE])
+        entry = server_entry(rng.randrange(1, 30), state)._replace(weight=rng.choice([0.3, 1.0, 2.5]))
+        driver.update_endpoints([entry])
+        assert registry.ready_weight == pytest.approx(sum(server.weight for server in registry.ready))
+
+
+def test_servers_in_slow_start_are_those_that_started_less_than_the_warm_up_ago() -> None:
+    driver = Driver(BASE_SETTINGS, servers=server_entries(3))
+    registry = driver.balancer.registry
+    warm_up_us = BASE_SETTINGS.warm_up_us
+    for server_id in (1, 2):
+        restarted = server_entry(server_id)._replace(ready_since_us=driver.now_us)
+        driver.update_endpoints([restarted])
+        driver.run(warm_up_us // 2 + SECOND)
+    registry.update_slow_start()
+    assert [server.id for server in registry.warming_up] == [2]
+    driver.run(warm_up_us)
+    registry.update_slow_start()
+    assert not registry.warming_up
