Let a defect of one timer or action cost that one alone

The other timers of its slot were lost, deadlines of requests among them, and in the first tick it ended the process with exit code 1; likewise the actions of the policy after one that raised. No case of it was seen; it was found by reading for ways to exit code 1.

Change: in a node's process each is reported (callback_errors, with its place), and the others go on. Without a handler, as in the simulations and the tests, exceptions go on as before, so that nothing is hidden there.

--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -38,7 +38,7 @@
 from limerudder.core.requests.request_table import RequestTable
 from limerudder.core.requests.send_guard import SendGuard
 from limerudder.core.services import NodeServices
-from limerudder.core.timer_wheel import TimerWheel
+from limerudder.core.timer_wheel import ErrorHandler, TimerWheel
 from limerudder.core.transport import Network
 from limerudder.core.upstream.endpoint_updater import EndpointUpdater
 from limerudder.core.upstream.health_checker import HealthChecker
@@ -170,6 +170,11 @@
         self.maintenance.start(now_us)
         self._liveness_scanner.scan(now_us)
 
+    def set_error_handler(self, on_error: ErrorHandler) -> None:
+        """Have defects of one timer, or of one action of the policy, reported; the others go on."""
+        self.timer_wheel.on_error = on_error
+        self._dispatcher.on_error = on_error
+
     # actions of the policy
 
     def _send_peer_message(self, action: SendPeerMessage, now_us: int) -> None:
--- a/limerudder/core/policy_dispatch.py
+++ b/limerudder/core/policy_dispatch.py
@@ -9,8 +9,8 @@
 
 from limerudder.core.operations.counters import CounterName, Counters
 from limerudder.core.operations.log_events import LogKind, LogSink
-from limerudder.core.timer_wheel import TimerWheel
-from limerudder.policy.actions import LogMessage, PolicyError, SetTimer
+from limerudder.core.timer_wheel import ErrorHandler, TimerWheel
+from limerudder.policy.actions import Action, LogMessage, PolicyError, SetTimer
 from limerudder.policy.events import Event, TimerFired
 from limerudder.policy.interface import ConnectionPolicy
 
@@ -44,6 +44,8 @@
             PolicyError: self._log_text,
         }
         self._request_failed: Callable[[int, int], None] = lambda request_number, now_us: None
+        #: Called with an exception that an action raised; without it the exception ends `dispatch`.
+        self.on_error: ErrorHandler | None = None
 
     def set_handlers(
         self, action_handlers: Mapping[type, ActionHandler], request_failed: Callable[[int, int], None]
@@ -80,7 +82,6 @@
 
     def _drain(self, now_us: int) -> None:
         pending_events = self._pending_events
-        action_handlers = self._action_handlers
         while pending_events:
             event = pending_events.popleft()
             try:
@@ -89,7 +90,15 @@
                 self._policy_raised(event, exc, now_us)
                 continue
             for action in actions:
-                action_handlers[type(action)](action, now_us)
+                self._carry_out(action, now_us)
+
+    def _carry_out(self, action: Action, now_us: int) -> None:
+        try:
+            self._action_handlers[type(action)](action, now_us)
+        except Exception as exc:  # the other actions are carried out all the same
+            if self.on_error is None:
+                raise
+            self.on_error(exc)
 
     def _policy_raised(self, event: Event, exc: Exception, now_us: int) -> None:
         self._log_exception(exc)
--- a/limerudder/core/timer_wheel.py
+++ b/limerudder/core/timer_wheel.py
@@ -10,6 +10,7 @@
 _SLOT_COUNT = 1024
 
 TimerCallback = Callable[[int], None]  #: called with the time in microseconds
+ErrorHandler = Callable[[Exception], None]
 
 
 class Timer:
@@ -51,6 +52,8 @@
         self._tick_us = tick_us
         self._current_tick = now_us // tick_us
         self._slots: list[list[Timer]] = [[] for _ in range(_SLOT_COUNT)]
+        #: Called with an exception that a timer raised; without it the exception ends `advance`.
+        self.on_error: ErrorHandler | None = None
 
     def schedule(self, due_us: int, callback: TimerCallback) -> Timer:
         """Schedule `callback` at this time, or at the next tick if the time is past."""
@@ -73,4 +76,12 @@
             callback = timer.callback  # None where a callback before it in this slot has cancelled it
             if timer.due_tick <= self._current_tick and callback:
                 timer.callback = None
-                callback(now_us)
+                self._call(callback, now_us)
+
+    def _call(self, callback: TimerCallback, now_us: int) -> None:
+        try:
+            callback(now_us)
+        except Exception as exc:  # the other timers of the slot are due all the same
+            if self.on_error is None:
+                raise
+            self.on_error(exc)
--- a/limerudder/node_process.py
+++ b/limerudder/node_process.py
@@ -86,6 +86,7 @@
         self._node = self._create_node()
         self._connector.on_local_failure = self._on_dial_failed
         self._loop.set_exception_handler(self._on_callback_failed)
+        self._node.set_error_handler(self._on_error)
         self._peer_socket = self._create_peer_socket()
         self._listener = ClientListener(self._sockets, self._create_client_connection, self._peer_socket)
         self._parent = create_parent(self._node, self._listener.close, self._serve)
@@ -235,9 +236,11 @@
 
     def _on_callback_failed(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         """Log an exception that a callback or task of the event loop did not handle; the others go on."""
+        self._on_error(context.get("exception") or RuntimeError(context.get("message")))
+
+    def _on_error(self, error: BaseException) -> None:
         self._node.counters.increment(CounterName.CALLBACK_ERRORS)
-        error = context.get("exception")
-        text = error_text(error) if error else str(context.get("message"))
+        text = error_text(error)
         self._log(LogKind.CALLBACK_FAILED, f"node: a callback failed: {text}", text)
 
     def _log_counters(self, kind: LogKind) -> None:
--- a/tests/test_policy_dispatch.py
+++ b/tests/test_policy_dispatch.py
@@ -46,3 +46,22 @@
     with pytest.raises(ZeroDivisionError):
         here.node.dispatch(TimerFired(6), here.now)
     assert events == [TimerFired(6)]
+
+
+def test_an_action_that_raises_does_not_keep_the_others_from_being_carried_out(tmp_path: Path) -> None:
+    here = node_testbed(tmp_path)
+    sent: list[bytes] = []
+    errors: list[Exception] = []
+
+    def send(peer: int, data: bytes) -> None:
+        if not data:
+            raise ZeroDivisionError
+        sent.append(data)
+
+    actions: list[Action] = [SendPeerMessage(1, b""), SendPeerMessage(1, b"x")]
+    here.node.balancer.handle = lambda event, now_us: actions  # type: ignore[method-assign]
+    here.send_datagram = send  # type: ignore[method-assign]
+    here.node.set_error_handler(errors.append)
+    here.node.dispatch(TimerFired(5), here.now)
+    assert sent == [b"x"]
+    assert [type(error) for error in errors] == [ZeroDivisionError]
--- a/tests/test_timer_wheel.py
+++ b/tests/test_timer_wheel.py
@@ -22,3 +22,19 @@
     for now_us in range(0, 7 * SECOND, TICK_US):
         wheel.advance(now_us)
     assert called == [("past", 5000), ("near", 15_000), ("far", 6 * SECOND)]
+
+
+def test_a_timer_that_raises_does_not_keep_the_others_of_its_slot_from_being_called() -> None:
+    wheel = TimerWheel(TICK_US, 0)
+    errors: list[Exception] = []
+    called: list[int] = []
+
+    def fail(now_us: int) -> None:
+        raise ZeroDivisionError
+
+    wheel.schedule(TICK_US, fail)
+    wheel.schedule(TICK_US, called.append)
+    wheel.on_error = errors.append
+    wheel.advance(TICK_US)
+    assert called == [TICK_US]
+    assert [type(error) for error in errors] == [ZeroDivisionError]
