Begin to call discovery when the endpoints are loaded, by the time it is then

What was seen: the line "discovery: a call failed" before "listening on", and a successor of a hot restart that became ready 0.8 s later than with 90 hosts.

Cause: the call's deadline (0.3 s for an agent) began with the constructor's time, before the endpoints were taken over.

Change: a node is built, loads its endpoints and starts in three steps, the last by a time of its own; a node that is only built dials nobody.

--- a/limerudder/core/discovery/discovery_client.py
+++ b/limerudder/core/discovery/discovery_client.py
@@ -37,7 +37,6 @@
         is_pushed: bool,
         observer: EndpointObserver,
         services: NodeServices,
-        now_us: int,
     ) -> None:
         self.version = version  # of the list that the observer has
         self.watch: DiscoveryCall | None = None
@@ -51,10 +50,10 @@
         self._reopen_watch_at_us: int | None = None
         self._awaits_complete_list = False  # of the service at a new address
         self._polls: set[DiscoveryCall] = set()
-        self._check_deadlines(now_us)
 
     def start(self, now_us: int) -> None:
         """Open the watch if lists are pushed: the policy expects them without asking."""
+        self._check_deadlines(now_us)
         if self._is_pushed:
             self.ensure_watch(now_us)
 
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -106,11 +106,8 @@
         self.maintenance = Maintenance(marks or InMemoryMarks(), self._maintenance_effects, self.timer_wheel)
         self._resource_sharing = ResourceSharing(self.requests, self.upstreams, self.admission, services)
         is_pushed = self.settings.discovery == "pushed"
-        self.discovery = DiscoveryClient(
-            config.discovery, config.known.version, is_pushed, self, services, now_us
-        )
+        self.discovery = DiscoveryClient(config.discovery, config.known.version, is_pushed, self, services)
         self._dispatcher.set_handlers(self._action_handlers(), self.lifecycle.policy_failed)
-        self._start(now_us)
 
     def _build_request_parts(self, services: NodeServices) -> None:
         config = self.config
@@ -164,8 +161,12 @@
             PollEndpoints: self._poll_endpoints,
         }
 
-    def _start(self, now_us: int) -> None:
+    def load_endpoints(self, now_us: int) -> None:
+        """Take over the configured endpoints, which takes long if they are many."""
         self.endpoint_updater.apply(self.config.known, UpdateKind.CACHED, now_us)
+
+    def start(self, now_us: int) -> None:
+        """Begin to follow discovery, the marks of maintenance and the upstreams."""
         self.discovery.start(now_us)
         self.maintenance.start(now_us)
         self._liveness_scanner.scan(now_us)
--- a/limerudder/node_process.py
+++ b/limerudder/node_process.py
@@ -98,6 +98,8 @@
         # before anything listens: a signal without its handler would end the process and all that it holds
         self._install_signal_handlers()
         self._open_console()
+        self._node.load_endpoints(self._clock.now_us())
+        self._node.start(self._clock.now_us())
         if self._inheritance:
             await self._join_parent(self._inheritance)
         else:
--- a/tests/node_testbed.py
+++ b/tests/node_testbed.py
@@ -74,6 +74,8 @@
         self.request_count = 0
         self.datagrams: list[tuple[int, bytes]] = []
         self.node = Node(config, self, lambda kind, text, detail="": self.logged.append(text), self.now)
+        self.node.load_endpoints(self.now)
+        self.node.start(self.now)
 
     def dial(self, address: Address, machine: OutboundMachine) -> FakeTransport:
         transport = FakeTransport(machine, address)
