Give a parent one second for its whole state, and say why a takeover failed

A shortage of descriptors in the parent made its hand-over's socket spin the event loop; one in the successor looked like having no parent, and any other failure was silent.

Change: one second for the whole line; a shortage is raised and not taken for a missing parent; other failures are logged; the parent pauses 20 ms before it accepts again.

--- a/limerudder/net/socket_handover.py
+++ b/limerudder/net/socket_handover.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import socket
+import time
 from collections.abc import Callable, Sequence
 from contextlib import suppress
 from typing import NamedTuple
@@ -16,8 +17,9 @@
 from limerudder.net.tcp import TcpConnection
 
 SOCKET_FILE_NAME = "handover"
-#: How long a process that serves may take to answer; one that hangs delays its successor no longer.
+#: For the whole answer of a process that serves; one that hangs delays its successor no longer.
 ANSWER_TIMEOUT_SECONDS = 1.0
+ACCEPT_RETRY_SECONDS = 0.02  #: after a failure to accept, which would come again at once
 MAX_PASSED_SOCKETS = 4
 RECEIVE_BYTES = 64 * 1024
 
@@ -54,7 +56,10 @@
 
 
 def request_handover(directory: StateDirectory) -> InheritedSockets | None:
-    """Ask the process that serves for its sockets; None if there is none, or it does not answer in time."""
+    """Ask the process that serves for its sockets; None if there is none.
+
+    Raises OSError if there is one that does not answer as it should and in time, or for a shortage here.
+    """
     connection = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
     connection.settimeout(ANSWER_TIMEOUT_SECONDS)
     sockets: list[socket.socket] = []
@@ -63,24 +68,35 @@
         state_line = _receive_state_line(connection, sockets)
         if not sockets:
             raise OSError("no sockets came with the state")
-    except OSError:  # no socket file, a stale one, or a process that hangs or ends meanwhile
+    except (FileNotFoundError, ConnectionRefusedError):  # no socket file, or that of a process that has ended
+        connection.close()
+        return None
+    except BlockingIOError:  # no shortage here: that process does not accept
+        connection.close()
+        raise TimeoutError("its queue of connections is full") from None
+    except OSError:
         for sock in [connection, *sockets]:
             sock.close()
-        return None
+        raise
     connection.setblocking(False)
     return InheritedSockets(sockets, state_line, connection)
 
 
 def _receive_state_line(connection: socket.socket, sockets: list[socket.socket]) -> bytes:
     """Return the parent's first line, and add the sockets that come with it to `sockets`."""
-    line = b""
+    deadline = time.monotonic() + ANSWER_TIMEOUT_SECONDS
+    line = bytearray()
     while not line.endswith(b"\n"):
+        seconds_left = deadline - time.monotonic()
+        if seconds_left <= 0:
+            raise TimeoutError("the state line did not come in time")
+        connection.settimeout(seconds_left)
         data, descriptors, _, _ = socket.recv_fds(connection, RECEIVE_BYTES, MAX_PASSED_SOCKETS)
         sockets += [socket.socket(fileno=descriptor) for descriptor in descriptors]
         line += data
         if not data or len(line) > MAX_LINE_BYTES:
             raise OSError("the state line is incomplete or too long")
-    return line
+    return bytes(line)
 
 
 class HandoverListener:
@@ -105,6 +121,7 @@
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
         self._listening_socket: socket.socket | None = None
+        self._retry: asyncio.TimerHandle | None = None
 
     def open(self) -> None:
         """Answer under the directory's one name from now on, in place of the process that did so before."""
@@ -115,10 +132,13 @@
             # the node serves without the socket file; a successor then binds the addresses itself
             self._log(LogKind.STATE_DIRECTORY, f"state: cannot offer a handover: {exc.strerror}")
             return
-        self._loop.add_reader(self._listening_socket, self._accept)
+        self._listen()
 
     def close(self) -> None:
         """Answer nobody from now on; connections that are established stay."""
+        if self._retry:
+            self._retry.cancel()
+            self._retry = None
         if self._listening_socket:
             self._loop.remove_reader(self._listening_socket)
             self._listening_socket.close()
@@ -141,15 +161,26 @@
             raise
         return sock
 
+    def _listen(self) -> None:
+        self._retry = None
+        if self._listening_socket:
+            self._loop.add_reader(self._listening_socket, self._accept)
+
     def _accept(self) -> None:
         if self._listening_socket is None:
             return
-        with suppress(OSError):
+        try:
             connection, _ = self._listening_socket.accept()
-            connection.setblocking(False)
-            task = self._loop.create_task(self._hand_over(connection))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:  # a shortage: whoever connects waits in the socket's queue
+            self._loop.remove_reader(self._listening_socket)
+            self._retry = self._loop.call_later(ACCEPT_RETRY_SECONDS, self._listen)
+            return
+        connection.setblocking(False)
+        task = self._loop.create_task(self._hand_over(connection))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _hand_over(self, connection: socket.socket) -> None:
         try:
--- a/limerudder/process_startup.py
+++ b/limerudder/process_startup.py
@@ -9,6 +9,7 @@
 from limerudder.core.lifecycle.hot_restart import HandoverFormatError, HandoverState, parse_handover_state
 from limerudder.core.operations.log_events import LogKind, LogSink
 from limerudder.net.listener import bind_socket
+from limerudder.net.shortage import is_shortage
 from limerudder.net.socket_handover import StateDirectory, request_handover
 
 
@@ -21,12 +22,17 @@
 
 
 def open_state_directory(config: ProcessConfig, log: LogSink) -> StateDirectory | None:
-    """Open the directory that outlives this process; None if there is to be none, or it cannot be used."""
+    """Open the directory that outlives this process; None if there is to be none, or it cannot be used.
+
+    Raises OSError for a shortage, which passes.
+    """
     if config.state is None:
         return None
     try:
         return StateDirectory(config.state)
     except OSError as exc:
+        if is_shortage(exc):
+            raise
         log(
             LogKind.STATE_DIRECTORY,
             f"state: cannot use {config.state}: {exc.strerror}; nothing will outlive this process",
@@ -35,8 +41,17 @@
 
 
 def inherit_from_parent(directory: StateDirectory, log: LogSink) -> Inheritance | None:
-    """Take over from the process that serves; None if there is none, or its state cannot be read."""
-    inherited = request_handover(directory)
+    """Take over from the process that serves; None if there is none, or its state cannot be read.
+
+    Raises OSError for a shortage, which passes.
+    """
+    try:
+        inherited = request_handover(directory)
+    except OSError as exc:
+        if is_shortage(exc):
+            raise
+        log(LogKind.STATE_DIRECTORY, f"state: the process that serves does not hand over: {exc}")
+        return None
     if inherited is None:
         return None
     try:
--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import socket
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -19,6 +20,7 @@
     is_shortage,
     start_retry_seconds,
 )
+from limerudder.net.socket_handover import StateDirectory, request_handover
 from limerudder.net.tcp import TcpConnector
 
 TIMEOUT_SECONDS = 10
@@ -109,3 +111,20 @@
         assert not machine.lost, "whoever closes a connection hears no more of it"
 
     uvloop.run(run())
+
+
+def test_a_process_that_serves_and_accepts_no_successor_is_no_shortage(tmp_path: Path) -> None:
+    directory = StateDirectory(str(tmp_path))
+    assert request_handover(directory) is None
+    listener = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    listener.bind(directory.socket_path("handover"))
+    listener.listen(0)
+    waiting = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    waiting.connect(directory.socket_path("handover"))
+    with pytest.raises(OSError, match="queue") as raised:
+        request_handover(directory)
+    assert not is_shortage(raised.value)
+    listener.close()
+    waiting.close()
+    assert request_handover(directory) is None, "it has ended"
+    directory.close()
