Handle signals from the first moment of a process on

What was seen: SIGHUP or SIGUSR1 within 0.6 s of a start with 3,200 hosts ended the process (-1, -10), SIGINT ended it with a traceback and 1 or -2; with more hosts the span grows.

Cause: the signals had their default until the event loop ran, after all modules were loaded and all hosts taken over.

Change: handlers are set before anything else is imported. A stop ends the process at once with 0: it holds nothing yet. A reload is remembered and carried out once the node is built; the counters, which do not exist yet, are not printed.

--- a/limerudder/__main__.py
+++ b/limerudder/__main__.py
@@ -1,61 +1,20 @@
-"""`python -m limerudder`: reads the configuration and runs a node."""
+"""`python -m limerudder`: handles signals from the first moment on, then loads and runs a node."""
 
 from __future__ import annotations
 
-import os
-import resource
 import sys
-from dataclasses import replace
 
-import uvloop
-
-from limerudder.config import ProcessConfig, load_config
-from limerudder.core.node_config import ConfigError
-from limerudder.exit_codes import ExitCode
-from limerudder.net.error_text import error_text
-from limerudder.net.log import Log
-from limerudder.net.log_writer import LineStream, LogWriter
-from limerudder.node_process import MICROSECONDS_PER_SECOND, run_node
+from limerudder.startup_signals import StartupSignals
 
 
 def main() -> int:
-    """Run a node; whatever ends it but a signal is one line on standard error and an exit code."""
-    writer = LogWriter()
-    sys.stderr = LineStream(writer)
-    try:
-        config = limit_descriptors(load_config(os.environ))
-        log = create_log(config, writer)
-        uvloop.run(run_node(config, log, os.environ, log.configure))
-    except ConfigError as exc:
-        print(f"limerudder: {exc}", file=sys.stderr)
-        return ExitCode.INVALID_INPUT
-    except Exception as exc:  # a defect, or a shortage of the system: the line has to name the place
-        print(f"limerudder: ended by an error: {error_text(exc)}", file=sys.stderr)
-        return ExitCode.FAILED
-    return ExitCode.OK
-
-
-def limit_descriptors(config: ProcessConfig) -> ProcessConfig:
-    """Limit this process to the descriptors it is configured for; return what it may use of them.
-
-    A descriptor too many then fails here, instead of breaking the platform's limit.
-    """
-    _, hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if hard_limit != resource.RLIM_INFINITY:
-        config = replace(config, sockets=min(config.sockets, hard_limit))
-    resource.setrlimit(resource.RLIMIT_NOFILE, (config.sockets, hard_limit))
-    return config
-
-
-def create_log(config: ProcessConfig, writer: LogWriter) -> Log:
-    """Return the log, as the operator's file configures it if there is one."""
-    if config.operator is None:
-        return Log(config.name, writer=writer)
-    settings = config.operator.log
-    window_seconds = settings.per / MICROSECONDS_PER_SECOND
-    log = Log(config.name, settings.format, settings.lines, window_seconds, writer)
-    log.use_structlog()
-    return log
+    """Run a node until a signal stops it; return the process's exit code."""
+    signals = StartupSignals()
+    signals.install()
+    # loaded only now: it takes most of a start, and a signal without its handler would end the process
+    from limerudder.node_main import NodeMain
+
+    return NodeMain(signals).run()
 
 
 if __name__ == "__main__":
--- a/limerudder/node_process.py
+++ b/limerudder/node_process.py
@@ -33,6 +33,7 @@
 from limerudder.net.socket_handover import HandoverListener, drive_connection
 from limerudder.net.tcp import TcpConnection, TcpConnector
 from limerudder.process_startup import Inheritance, bind_sockets, inherit_from_parent, open_state_directory
+from limerudder.startup_signals import StartupSignals
 from limerudder.store_runtime import ConfigureLog, StoreRuntime
 
 MICROSECONDS_PER_SECOND = 1e6
@@ -47,12 +48,13 @@
     log: LogSink,
     environment: Mapping[str, str],
     configure_log: ConfigureLog = keep_log_settings,
+    signals: StartupSignals | None = None,
 ) -> None:
     """Run a node until a signal has stopped it; raises ConfigError if it cannot start.
 
-    `environment` names the configuration file, which SIGHUP has read again.
+    `environment` names the configuration file, which SIGHUP has read again. `signals` tells what came before.
     """
-    process = NodeProcess(config, log, environment, configure_log)
+    process = NodeProcess(config, log, environment, configure_log, signals or StartupSignals())
     await process.run()
 
 
@@ -65,9 +67,11 @@
         log: LogSink,
         environment: Mapping[str, str],
         configure_log: ConfigureLog,
+        signals: StartupSignals,
     ) -> None:
         """Take over from the process that serves this node, if there is one, and build the node."""
         self._log = log
+        self._signals = signals
         self._environment = environment
         self._loop = asyncio.get_running_loop()
         self._clock = Clock()
@@ -105,6 +109,8 @@
         else:
             await self._store.start(self._node, self._marks, self._announce_drain)
             self._serve()
+        if self._signals.reload_requested:
+            self._on_reload_signal()
         self._tick()
         gc.freeze()
         await self._stopped.wait()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -65,7 +65,7 @@
 
 def test_a_node_without_an_operators_file_loads_none_of_the_libraries_for_it() -> None:
     heavy = ["click", "lark", "structlog", "msgspec", "sqlite3", "limerudder.store", "limerudder.cue"]
-    code = f"import sys, limerudder.__main__; print([m for m in {heavy} if m in sys.modules])"
+    code = f"import sys, limerudder.node_main; print([m for m in {heavy} if m in sys.modules])"
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT, check=False)
     assert done.stdout == "[]\n", done.stderr
 
