Try a start again while a shortage lasts, and refuse limits too low with one line

What was seen: a system call that failed for a moment during a start (EMFILE, ENFILE, ENOBUFS or ENOMEM at socket, dup, bind, epoll_create; EADDRINUSE of an address that a killed process still held) ended the process with 1 or 2; so did a limit of 10 or 16 descriptors, with a traceback. After the end of a successor, a parent that could not open its listener again never accepted anybody: the error was lost in a task.

Cause: every step of the start took its first failure for final.

Signals that come between two tries wait. A listener that cannot be opened later, a reload whose file cannot be opened and marks of maintenance that cannot be read for a shortage are tried again too. Fewer than 32 descriptors are refused with one line and exit code 2.

--- a/limerudder/net/listener.py
+++ b/limerudder/net/listener.py
@@ -21,7 +21,10 @@
 
 def bind_socket(address: Address, kind: socket.SocketKind, *, reuse_port: bool = False) -> socket.socket:
     """Return a socket bound to one of the node's own addresses; raises ConfigError if that fails."""
-    sock = socket.socket(socket.AF_INET, kind)
+    try:
+        sock = socket.socket(socket.AF_INET, kind)
+    except OSError as exc:
+        raise _cannot_listen(address, exc) from exc
     try:
         if kind is socket.SOCK_STREAM:
             _set_listening_options(sock)
--- a/limerudder/node_main.py
+++ b/limerudder/node_main.py
@@ -1,10 +1,12 @@
-"""A node as a process: its configuration, its limits and its log."""
+"""A node as a process: its configuration, its limits, its log, and starts that are tried again."""
 
 from __future__ import annotations
 
+import gc
 import os
 import resource
 import sys
+import time
 from dataclasses import replace
 
 import uvloop
@@ -15,47 +17,78 @@
 from limerudder.net.error_text import error_text
 from limerudder.net.log import Log
 from limerudder.net.log_writer import LineStream, LogWriter
+from limerudder.net.shortage import start_retry_seconds
 from limerudder.node_process import MICROSECONDS_PER_SECOND, run_node
 from limerudder.startup_signals import StartupSignals
 
+START_RETRY_INTERVAL_SECONDS = 0.05
+MIN_SOCKETS = 32  #: a process holds about 20 by itself; the others are for clients, hosts and discovery
+
 
 class NodeMain:
-    """Runs a node. Whatever ends it but a signal is one line on standard error and an exit code."""
+    """Runs a node, and starts it again while a shortage keeps it from starting.
+
+    Only a start is tried again, in which nothing was accepted: each try begins with nothing. Whatever ends
+    the process but a signal is one line on standard error and an exit code.
+    """
 
     def __init__(self, signals: StartupSignals) -> None:
         self._signals = signals
         self._writer = LogWriter()
+        self._has_started = False
+        self._began_at = time.monotonic()
         sys.stderr = LineStream(self._writer)
 
     def run(self) -> int:
         """Run the node until a signal has stopped it; return the exit code."""
-        try:
-            self._run_once()
-        except Exception as exc:  # a defect, or a shortage of the system: the line has to name the place
-            return self._report(exc)
-        return ExitCode.OK
+        while True:
+            try:
+                self._run_once()
+                return ExitCode.OK
+            except Exception as exc:  # a defect, or a shortage of the system: the line has to name the place
+                exit_code = self._report(exc)
+                if not self._may_start_again(exc):
+                    return exit_code
+            if self._signals.stop_requested:
+                return ExitCode.OK
+            self._signals.install()
+            gc.collect()  # what the failed start has opened is closed
+            time.sleep(START_RETRY_INTERVAL_SECONDS)
 
     def _run_once(self) -> None:
         config = limit_descriptors(load_config(os.environ))
         log = create_log(config, self._writer)
-        uvloop.run(run_node(config, log, os.environ, log.configure, self._signals))
+        uvloop.run(
+            run_node(config, log, os.environ, log.configure, self._signals, on_started=self._note_started)
+        )
+
+    def _note_started(self) -> None:
+        self._has_started = True
+
+    def _may_start_again(self, error: Exception) -> bool:
+        elapsed_seconds = time.monotonic() - self._began_at
+        return not self._has_started and elapsed_seconds < start_retry_seconds(error)
 
     def _report(self, error: Exception) -> ExitCode:
-        """Write one line on the error; return the exit code."""
+        """Write one line if the process ends for the error; return its exit code then."""
         is_config_error = isinstance(error, ConfigError)
         text = str(error) if is_config_error else f"ended by an error: {error_text(error)}"
-        self._writer.write(f"limerudder: {text}")
+        if not self._may_start_again(error):
+            self._writer.write(f"limerudder: {text}")
         return ExitCode.INVALID_INPUT if is_config_error else ExitCode.FAILED
 
 
 def limit_descriptors(config: ProcessConfig) -> ProcessConfig:
     """Limit this process to the descriptors it is configured for; return what it may use of them.
 
-    A descriptor too many then fails here, instead of breaking the platform's limit.
+    A descriptor too many then fails here, instead of breaking the platform's limit. Raises ConfigError for a
+    limit that no node can serve with.
     """
     _, hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)
     if hard_limit != resource.RLIM_INFINITY:
         config = replace(config, sockets=min(config.sockets, hard_limit))
+    if config.sockets < MIN_SOCKETS:
+        raise ConfigError(f"a node may have {config.sockets} descriptors, but needs at least {MIN_SOCKETS}")
     resource.setrlimit(resource.RLIMIT_NOFILE, (config.sockets, hard_limit))
     return config
 
--- a/limerudder/node_process.py
+++ b/limerudder/node_process.py
@@ -6,7 +6,7 @@
 import gc
 import signal
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from typing import Any
 
@@ -30,6 +30,7 @@
 from limerudder.net.mark_files import MarkFiles
 from limerudder.net.node_network import NodeNetwork
 from limerudder.net.peer_socket import PeerSocket
+from limerudder.net.shortage import is_shortage
 from limerudder.net.socket_handover import HandoverListener, drive_connection
 from limerudder.net.tcp import TcpConnection, TcpConnector
 from limerudder.process_startup import Inheritance, bind_sockets, inherit_from_parent, open_state_directory
@@ -37,6 +38,7 @@
 from limerudder.store_runtime import ConfigureLog, StoreRuntime
 
 MICROSECONDS_PER_SECOND = 1e6
+RETRY_SECONDS = 0.05  #: after a shortage, which as a rule lasts a moment
 
 
 def keep_log_settings(log_format: str, max_lines: int, window_seconds: float) -> None:
@@ -49,12 +51,21 @@
     environment: Mapping[str, str],
     configure_log: ConfigureLog = keep_log_settings,
     signals: StartupSignals | None = None,
+    on_started: Callable[[], None] = lambda: None,
 ) -> None:
-    """Run a node until a signal has stopped it; raises ConfigError if it cannot start.
+    """Run a node until a signal has stopped it; raises ConfigError or OSError if it cannot start.
 
     `environment` names the configuration file, which SIGHUP has read again. `signals` tells what came before.
+    `on_started` is called when the start is through: errors before it leave nothing behind.
     """
-    process = NodeProcess(config, log, environment, configure_log, signals or StartupSignals())
+    signals = signals or StartupSignals()
+    try:
+        process = NodeProcess(config, log, environment, configure_log, signals)
+        await process.start()
+    except BaseException:
+        signals.hold()
+        raise
+    on_started()
     await process.run()
 
 
@@ -79,6 +90,7 @@
         self._successor: HotRestartSuccessor | None = None  # this process's side, if it takes over
         self._console_server: AcceptLoop | None = None
         self._tick_timer: asyncio.TimerHandle | None = None
+        self._serve_retry: asyncio.TimerHandle | None = None
         self._state_directory = open_state_directory(config, log)
         self._inheritance = self._inherit_from_parent()
         self._store = StoreRuntime(config, log, self._clock, configure_log)
@@ -93,12 +105,15 @@
         self._node.set_error_handler(self._on_error)
         self._peer_socket = self._create_peer_socket()
         self._listener = ClientListener(self._sockets, self._create_client_connection, self._peer_socket)
-        self._parent = create_parent(self._node, self._listener.close, self._serve)
+        self._parent = create_parent(self._node, self._stop_accepting, self._serve_when_possible)
         self._handover_listener = self._create_handover_listener()
         self._console = ConsoleCalls(self._node, self._listener, self._store).create_console()
 
-    async def run(self) -> None:
-        """Serve until a signal has stopped the node."""
+    async def start(self) -> None:
+        """Begin to serve, or to prepare for it beside the process that serves.
+
+        Raises ConfigError or OSError.
+        """
         # before anything listens: a signal without its handler would end the process and all that it holds
         self._install_signal_handlers()
         self._open_console()
@@ -111,6 +126,9 @@
             self._serve()
         if self._signals.reload_requested:
             self._on_reload_signal()
+
+    async def run(self) -> None:
+        """Serve until a signal has stopped the node."""
         self._tick()
         gc.freeze()
         await self._stopped.wait()
@@ -135,7 +153,16 @@
         return replace(config, known=state.endpoints, discovery=discovery)
 
     def _create_marks(self) -> MaintenanceMarks:
-        return MarkFiles(self._state_directory.path) if self._state_directory else InMemoryMarks()
+        """Return the marks of maintenance; raises OSError for a shortage that hides them for now."""
+        if self._state_directory is None:
+            return InMemoryMarks()
+        marks = MarkFiles(self._state_directory.path)
+        try:
+            marks.read()
+        except OSError as exc:
+            if is_shortage(exc):
+                raise
+        return marks
 
     def _create_node(self) -> Node:
         parent_drains = self._inheritance.state.drained_starts if self._inheritance else {}
@@ -184,14 +211,33 @@
             self._node,
             inheritance.state,
             self._clock.now_us(),
-            start_serving=self._serve,
+            start_serving=self._serve_when_possible,
             # the store's directory is the parent's until the parent has ended
             parent_ended=lambda: self._store.start_takeover(self._node, self._marks, self._announce_drain),
         )
-        await drive_connection(inheritance.connection, self._successor, self._clock)
+        try:
+            await drive_connection(inheritance.connection, self._successor, self._clock)
+        except OSError:  # the parent has ended already
+            inheritance.connection.close()
+            self._successor.connection_lost(self._clock.now_us())
 
     # service
 
+    def _serve_when_possible(self) -> None:
+        """Serve as a successor, or again after a successor has ended; later, where something is short."""
+        self._serve_retry = None
+        try:
+            self._serve()
+        except (OSError, ConfigError) as exc:
+            self._log(LogKind.CALL_FAILED, f"node: cannot accept clients: {exc}; retrying")
+            self._serve_retry = self._loop.call_later(RETRY_SECONDS, self._serve_when_possible)
+
+    def _stop_accepting(self) -> None:
+        if self._serve_retry:
+            self._serve_retry.cancel()
+            self._serve_retry = None
+        self._listener.close()
+
     def _serve(self) -> None:
         """Accept clients here, and hand over to whichever process asks."""
         self._listener.open()
@@ -220,15 +266,19 @@
     def _on_stop_signal(self, number: signal.Signals) -> None:
         # a process that was stopped ends with exit code 0: only this line tells which signal ended it
         self._log(LogKind.STOPPING, f"node: {number.name} received")
+        self._signals.stop_requested = True
         if not self._listener.is_open and not self._node.has_successor:
             self._stopped.set()  # it has not begun to serve
         self._parent.announce(ParentStopping())
         self._node.start_graceful_shutdown(self._clock.now_us())
 
     def _on_reload_signal(self) -> None:
+        self._signals.reload_requested = True
         try:
             config = reload_config(self._environment)
         except ConfigError as exc:  # the node serves on with what it has
+            if is_shortage(exc):
+                self._loop.call_later(RETRY_SECONDS, self._on_reload_signal)
             self._log(LogKind.CONFIG, f"config: {exc}; keeping the previous configuration")
             return
         self._log(LogKind.CONFIG, "config: reloaded; discovery is at {}:{}".format(*config.discovery))
@@ -260,7 +310,7 @@
         """Close the store and the listeners, then what belongs to the process alone."""
         self._node.check_all_answered()
         self._store.close()
-        self._listener.close()
+        self._stop_accepting()
         self._log_counters(LogKind.STOPPED)
         if self._tick_timer:
             self._tick_timer.cancel()
--- a/limerudder/startup_signals.py
+++ b/limerudder/startup_signals.py
@@ -14,6 +14,7 @@
 from types import FrameType
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+HANDLED_SIGNALS = (*STOP_SIGNALS, signal.SIGHUP, signal.SIGUSR1)
 
 
 class StartupSignals:
@@ -21,6 +22,7 @@
 
     def __init__(self) -> None:
         self.reload_requested = False
+        self.stop_requested = False  #: set by the event loop's handler, for a start that fails after it
 
     def install(self) -> None:
         """Handle signals here from now on."""
@@ -28,6 +30,11 @@
             signal.signal(number, _exit)
         signal.signal(signal.SIGHUP, self._remember_reload)
         signal.signal(signal.SIGUSR1, signal.SIG_IGN)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
+
+    def hold(self) -> None:
+        """Let signals wait until they are handled here again: an event loop that ends leaves them to none."""
+        signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
 
     def _remember_reload(self, number: int, frame: FrameType | None) -> None:
         self.reload_requested = True
