Look at no host's slow-start turns one by one in a draw that finds none

Change: servers in slow start that have a turn are known once a slot already; the others are only asked whether they are healthy. The index is built when a server is added. What is decided stays the same (test_whether_any_server_is_healthy_is_known_without_a_look_at_each_in_slow_start compares it with the old expression).

--- a/limerudder/policy/gossip.py
+++ b/limerudder/policy/gossip.py
@@ -12,7 +12,7 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Collection, Iterable, Iterator, Sequence
 from typing import NamedTuple
 
 from limerudder.policy.actions import (
@@ -105,16 +105,32 @@
     return LoadMessage(rates, rows)
 
 
-def match_servers(rows: Iterable[LoadRow], known_servers: Iterable[int]) -> Iterator[LoadRow]:
-    """Yield the rows with whole server ids; a row that two known servers share, or none has, is left out."""
-    id_by_low_bits: dict[int, int] = {}
-    for server in known_servers:
-        low_bits = server & SERVER_ID_MASK
-        id_by_low_bits[low_bits] = _AMBIGUOUS if low_bits in id_by_low_bits else server
-    for low_bits, load, connections in rows:
-        server = id_by_low_bits.get(low_bits, _AMBIGUOUS)
-        if server >= 0:
-            yield LoadRow(server, load, connections)
+class ServerIdIndex:
+    """Finds servers by the bits of their ids that a row carries."""
+
+    def __init__(self) -> None:
+        self._id_by_low_bits: dict[int, int] = {}
+        self._server_count = 0  # how many servers there were when the index was built
+
+    def match(self, rows: Iterable[LoadRow], known_servers: Collection[int]) -> Iterator[LoadRow]:
+        """Yield the rows with whole server ids; a row that two known servers share, or none has, is left out.
+
+        Servers may have been added to `known_servers` since the last call, and none removed.
+        """
+        if len(known_servers) != self._server_count:
+            self._build(known_servers)
+        for low_bits, load, connections in rows:
+            server = self._id_by_low_bits.get(low_bits, _AMBIGUOUS)
+            if server >= 0:
+                yield LoadRow(server, load, connections)
+
+    def _build(self, known_servers: Collection[int]) -> None:
+        self._server_count = len(known_servers)
+        id_by_low_bits: dict[int, int] = {}
+        for server in known_servers:
+            low_bits = server & SERVER_ID_MASK
+            id_by_low_bits[low_bits] = _AMBIGUOUS if low_bits in id_by_low_bits else server
+        self._id_by_low_bits = id_by_low_bits
 
 
 class LoadGossip:
--- a/limerudder/policy/gossip_exchange.py
+++ b/limerudder/policy/gossip_exchange.py
@@ -7,7 +7,7 @@
 from limerudder.policy.actions import SetTimer
 from limerudder.policy.context import PolicyContext
 from limerudder.policy.events import PeerMessage
-from limerudder.policy.gossip import ConnectionRates, LoadGossip, decode, match_servers
+from limerudder.policy.gossip import ConnectionRates, LoadGossip, ServerIdIndex, decode
 from limerudder.policy.load_polling import LoadPoller
 from limerudder.policy.records import SECOND, Server
 from limerudder.policy.server_registry import ServerRegistry
@@ -33,6 +33,7 @@
         self._gossip = gossip
         self._rates = rates
         self._poller = poller
+        self._server_index = ServerIdIndex()
 
     def start(self) -> None:
         """Begin with the rounds."""
@@ -63,5 +64,5 @@
             return
         rates, rows = message
         self._gossip.record_round(event.sender, rates, self._clock.now_us)
-        for server_id, load, connections in match_servers(rows, self._registry.servers):
+        for server_id, load, connections in self._server_index.match(rows, self._registry.servers):
             yield self._registry.servers[server_id], load, connections
--- a/limerudder/policy/selection.py
+++ b/limerudder/policy/selection.py
@@ -188,8 +188,25 @@
 
         What all servers share may make all of them look bad; with no healthy one left, health is no guide.
         """
-        ready = self.registry.ready
-        if any(self.outliers.is_healthy(s) and self.load_shedding.slow_start_allows(s) for s in ready):
+        if self._has_healthy_server():
             return None
         level = 1.0 if self.poller.on_demand else COMFORTABLE_LOAD
-        return self._choose(connection, self.sample(ready), level, ignore_health=True)
+        return self._choose(connection, self.sample(self.registry.ready), level, ignore_health=True)
+
+    def _has_healthy_server(self) -> bool:
+        """Whether any ready server is healthy and, by its slow start, may get one more connection.
+
+        Asked for each draw that found none, and thousands may warm up at a time: each server's turns are not
+        looked at then, but those servers that are known to have one.
+        """
+        ready = self.registry.ready
+        is_healthy = self.outliers.is_healthy
+        warming_up = self.registry.warming_up
+        now_us = self.context.clock.now_us
+        if now_us >= self.registry.first_warm_us or self.context.settings.initial_capacity >= 1:
+            # some that are held to warm up no longer do
+            return any(is_healthy(s) and self.load_shedding.slow_start_allows(s) for s in ready)
+        if any(is_healthy(server) for server in ready if server not in warming_up):
+            return True
+        in_turn = self.load_shedding.slow_start.servers_in_turn(warming_up, now_us)
+        return any(is_healthy(server) for server in in_turn if server.state == ServerState.READY)
--- a/limerudder/policy/server_registry.py
+++ b/limerudder/policy/server_registry.py
@@ -39,7 +39,7 @@
         #: Servers in slow start, used as an ordered set; replaced by another one when it changes.
         self.warming_up: dict[Server, None] = {}
         self._starting: dict[Server, None] = {}  # to be added to them when the update is through
-        self._first_warm_us = NEVER_US  # when the first of them is warm
+        self.first_warm_us = NEVER_US  #: when the first of them is warm
         self._last_warm_us = 0  # when the last of them is
 
     def apply(self, update: EndpointUpdate, on_state_change: StateListener) -> None:
@@ -67,12 +67,12 @@
         """Tell the slow-start budget which ready servers are still warming up."""
         now_us = self._clock.now_us
         warm_up_us = self._settings.warm_up_us
-        if self._starting or now_us >= self._first_warm_us:
+        if self._starting or now_us >= self.first_warm_us:
             servers = {**self.warming_up, **self._starting}
             self._starting = {}
             self.warming_up = {s: None for s in servers if now_us < s.ready_since_us + warm_up_us}
             warm_times_us = [s.ready_since_us + warm_up_us for s in self.warming_up]
-            self._first_warm_us = min(warm_times_us, default=NEVER_US)
+            self.first_warm_us = min(warm_times_us, default=NEVER_US)
             self._last_warm_us = max(warm_times_us, default=now_us)
         warm_from_us = max(self._last_warm_us, now_us)
         reference = self._slow_start.reference
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -14,9 +14,9 @@
     ConnectionRates,
     LoadGossip,
     LoadRow,
+    ServerIdIndex,
     decode,
     encode,
-    match_servers,
 )
 from limerudder.policy.records import SECOND
 from limerudder.policy.timers import TimerToken
@@ -74,9 +74,12 @@
     (data,) = encode(ConnectionRates(1.25, 0.5), rows)
     message = decode(data)
     assert message == ((1.25, 0.5), [(0x5678, 0.5, 12), (0xFFFF, 255 / 64, 255)])
-    assert list(match_servers(message.rows, [0x12345678, 7])) == [(0x12345678, 0.5, 12)]
+    index = ServerIdIndex()
+    assert list(index.match(message.rows, [0x12345678, 7])) == [(0x12345678, 0.5, 12)]
     ambiguous_servers = [0x12345678, 0x99995678]
-    assert not list(match_servers(message.rows, ambiguous_servers)), "two servers share the row's low bits"
+    assert not list(
+        ServerIdIndex().match(message.rows, ambiguous_servers)
+    ), "two servers share the row's low bits"
 
 
 def test_a_large_fleet_takes_several_datagrams() -> None:
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from random import Random
 from typing import Any
 
 import pytest
@@ -11,6 +12,7 @@
 from limerudder.policy.events import AttemptOutcome, ServerState
 from limerudder.policy.records import SECOND, Server
 from limerudder.policy.selection import MAX_WEIGHED_SERVERS, ServerSelector
+from limerudder.policy.server_registry import NEVER_US
 from tests.policy_driver import BASE_SETTINGS, MINIMAL_SETTINGS, Driver, server_entries, server_entry
 
 WITHOUT_GROUPS = replace(BASE_SETTINGS, has_groups=False)
@@ -181,3 +183,23 @@
     drawn_first = {driver.balancer.selector.sample(ready)[0].id for _ in range(100)}
     assert len(weighed) <= 100 * MAX_WEIGHED_SERVERS
     assert len(drawn_first) > 90, "any of them may be drawn"
+
+
+def test_whether_any_server_is_healthy_is_known_without_a_look_at_each_in_slow_start() -> None:
+    """Report 47952f: with 3,200 hosts in slow start each draw looked at the turns of all of them."""
+    driver = Driver(BASE_SETTINGS, servers=server_entries(40))
+    selector = driver.balancer.selector
+    registry = driver.balancer.registry
+    rng = Random(3)
+    for step in range(200):
+        server_id = rng.randrange(1, 41)
+        started_us = rng.choice([0, driver.now_us])
+        driver.update_endpoints([server_entry(server_id)._replace(ready_since_us=started_us)])
+        for server in registry.ready:
+            server.ejected_until_us = rng.choice([0, driver.now_us + SECOND]) if step % 2 else NEVER_US
+        driver.run(rng.choice([SECOND // 10, BASE_SETTINGS.warm_up_us]))
+        expected = any(
+            selector.outliers.is_healthy(server) and selector.load_shedding.slow_start_allows(server)
+            for server in registry.ready
+        )
+        assert selector._has_healthy_server() == expected
