Close all that a failed start has opened, and offer the hand-over again

A socket file that could not be created was never tried again, and a listening socket that could not be watched stayed closed for ever.

Change: what is opened is registered and closed in reverse when a start fails and at the end; the socket file is tried again each second, watching after 20 ms.

--- a/limerudder/net/accept_loop.py
+++ b/limerudder/net/accept_loop.py
@@ -34,7 +34,10 @@
     def open(self) -> None:
         """Accept from now on."""
         self._retry = None
-        self._loop.add_reader(self._socket.fileno(), self._accept_waiting)
+        try:
+            self._loop.add_reader(self._socket.fileno(), self._accept_waiting)
+        except OSError:  # no room for one more watched descriptor
+            self._retry = self._loop.call_later(RETRY_SECONDS, self.open)
 
     def close(self) -> None:
         """Stop, and close the socket; what waits in its queue is left to processes that share it."""
--- a/limerudder/net/socket_handover.py
+++ b/limerudder/net/socket_handover.py
@@ -19,6 +19,7 @@
 SOCKET_FILE_NAME = "handover"
 #: For the whole answer of a process that serves; one that hangs delays its successor no longer.
 ANSWER_TIMEOUT_SECONDS = 1.0
+PUBLISH_RETRY_SECONDS = 1.0  #: after a failure to create the socket file
 ACCEPT_RETRY_SECONDS = 0.02  #: after a failure to accept, which would come again at once
 MAX_PASSED_SOCKETS = 4
 RECEIVE_BYTES = 64 * 1024
@@ -131,6 +132,7 @@
         except OSError as exc:
             # the node serves without the socket file; a successor then binds the addresses itself
             self._log(LogKind.STATE_DIRECTORY, f"state: cannot offer a handover: {exc.strerror}")
+            self._retry = self._loop.call_later(PUBLISH_RETRY_SECONDS, self.open)
             return
         self._listen()
 
--- a/limerudder/node_process.py
+++ b/limerudder/node_process.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 from collections.abc import Callable, Mapping
+from contextlib import ExitStack
 from dataclasses import replace
 from typing import Any
 
@@ -23,7 +24,6 @@
 from limerudder.core.operations.log_events import LogKind, LogSink
 from limerudder.core.operations.maintenance import InMemoryMarks, MaintenanceMarks
 from limerudder.core.transport import Address
-from limerudder.net.accept_loop import AcceptLoop
 from limerudder.net.clock import Clock
 from limerudder.net.error_text import error_text
 from limerudder.net.listener import ClientListener, bind_socket, start_accepting
@@ -59,11 +59,12 @@
     `on_started` is called when the start is through: errors before it leave nothing behind.
     """
     signals = signals or StartupSignals()
+    process = NodeProcess(config, log, environment, configure_log, signals)
     try:
-        process = NodeProcess(config, log, environment, configure_log, signals)
         await process.start()
     except BaseException:
         signals.hold()
+        process.abandon()
         raise
     on_started()
     await process.run()
@@ -80,7 +81,10 @@
         configure_log: ConfigureLog,
         signals: StartupSignals,
     ) -> None:
-        """Take over from the process that serves this node, if there is one, and build the node."""
+        """Take over from the process that serves this node, if there is one, and build the node.
+
+        What was opened is closed again if that fails.
+        """
         self._log = log
         self._signals = signals
         self._environment = environment
@@ -88,15 +92,34 @@
         self._clock = Clock()
         self._stopped = asyncio.Event()
         self._successor: HotRestartSuccessor | None = None  # this process's side, if it takes over
-        self._console_server: AcceptLoop | None = None
         self._tick_timer: asyncio.TimerHandle | None = None
         self._serve_retry: asyncio.TimerHandle | None = None
-        self._state_directory = open_state_directory(config, log)
-        self._inheritance = self._inherit_from_parent()
+        self._resources = ExitStack()  # closes what has been opened, the last first
         self._store = StoreRuntime(config, log, self._clock, configure_log)
+        self._resources.callback(self._store.close)
+        try:
+            self._open_resources(config)
+            self._build()
+        except BaseException:
+            self._resources.close()
+            raise
+
+    def _open_resources(self, config: ProcessConfig) -> None:
+        """Open what outlives this process, and the node's sockets."""
+        self._state_directory = open_state_directory(config, self._log)
+        if self._state_directory:
+            self._resources.callback(self._state_directory.close)
+        self._inheritance = self._inherit_from_parent()
+        if self._inheritance:
+            self._resources.callback(self._inheritance.connection.close)
         self._config = self._complete_config(config)
         self._sockets = self._inheritance.sockets if self._inheritance else bind_sockets(self._config)
+        for sock in self._sockets:
+            self._resources.callback(sock.close)
         self._marks = self._create_marks()
+
+    def _build(self) -> None:
+        """Build the node and the listeners around it."""
         self._connector = TcpConnector(self._loop, self._clock)
         self._network = NodeNetwork(self._connector)
         self._node = self._create_node()
@@ -191,7 +214,7 @@
     def _create_handover_listener(self) -> HandoverListener | None:
         if self._state_directory is None:
             return None
-        return HandoverListener(
+        listener = HandoverListener(
             self._state_directory,
             self._sockets,
             self._parent.state_line,
@@ -199,11 +222,14 @@
             self._clock,
             self._log,
         )
+        self._resources.callback(listener.close)
+        return listener
 
     def _open_console(self) -> None:
         if self._config.console:
             sock = bind_socket(self._config.console, socket.SOCK_STREAM)
-            self._console_server = start_accepting(self._create_console_connection, sock)
+            console_server = start_accepting(self._create_console_connection, sock)
+            self._resources.callback(console_server.close)
 
     async def _join_parent(self, inheritance: Inheritance) -> None:
         """Prepare to serve; the hot restart's messages decide when to begin."""
@@ -314,11 +340,9 @@
         self._log_counters(LogKind.STOPPED)
         if self._tick_timer:
             self._tick_timer.cancel()
-        if self._console_server:
-            self._console_server.close()
-        if self._handover_listener:
-            self._handover_listener.close()
-        for sock in self._sockets:
-            sock.close()
-        if self._state_directory:
-            self._state_directory.close()
+        self._resources.close()
+
+    def abandon(self) -> None:
+        """Close what was opened by a start that has failed."""
+        self._stop_accepting()
+        self._resources.close()
