--- a/harness/process_soak.py
+++ b/harness/process_soak.py
@@ -33,6 +33,7 @@
     "connect=EADDRNOTAVAIL+ENETUNREACH,socket=ENFILE",
     "read=EINTR,write=EINTR+SHORT,wait=EINTR",
 )
+DEFECT_MARKS = ("rule: ", "Traceback", "a callback failed", "ended by an error")
 SHIM_VARIABLES = (
     "LD_PRELOAD",
     "FAULTS_CLOCK_STEP_MS",
@@ -43,6 +44,9 @@
 )
 
 
+Fault = Callable[[Path], Awaitable[None]]  #: given the preloaded library
+
+
 @dataclass
 class SoakReport:
     """What a soak found."""
@@ -60,7 +64,7 @@
         self._rng = Random(seed)
         self._seed = seed
         self._folder = folder
-        self._tier = MultiProcessTier(folder, nodes, hosts, with_store=False)
+        self._tier = self._create_tier(nodes, hosts)
         self._client_count = clients
         self._busy_nodes: set[NodeProcess] = set()
         self._host_starts: dict[str, tuple[float, float]] = {}  # when it started, and when all were notified
@@ -68,6 +72,9 @@
         self._usual_rate = 0.0
         self.report = SoakReport()
 
+    def _create_tier(self, nodes: int, hosts: int) -> MultiProcessTier:
+        return MultiProcessTier(self._folder, nodes, hosts, with_store=False)
+
     async def run(self, seconds: float) -> SoakReport:
         """Run the soak with faults for so long."""
         library = compile_faulty_calls(self._folder)
@@ -90,8 +97,9 @@
         counts = [self._tier.count_requests_since(name, since) for name in self._tier.hosts]
         self._usual_rate = sum(counts) / len(counts) / WARM_SECONDS
 
-    async def _inject_faults(self, seconds: float, library: Path) -> None:
-        faults: list[Callable[[Path], Awaitable[None]]] = [
+    def _fault_kinds(self) -> list[Fault]:
+        """Return the faults to draw from."""
+        return [
             self._restart_host,
             self._restart_host,
             self._drain_host,
@@ -101,6 +109,9 @@
             self._silence_discovery,
             self._send_crowd,
         ]
+
+    async def _inject_faults(self, seconds: float, library: Path) -> None:
+        faults = self._fault_kinds()
         until = time.monotonic() + seconds
         while time.monotonic() < until:
             fault = self._rng.choice(faults)
@@ -200,10 +211,19 @@
             if share > 1:
                 self.report.violations.append(f"{name}: {share:.2f} of what a host in slow start may get")
 
+    def _check_requests(self) -> None:
+        """No host may have been sent what no client sent."""
+        for stand_in in self._tier.hosts.values():
+            self.report.violations += [f"{stand_in.name}: sent {line!r}" for line in stand_in.unknown_lines]
+            for request_id in stand_in.request_ids:
+                if not self._tier.clients.has_sent(request_id):
+                    self.report.violations.append(f"{stand_in.name}: request {request_id:016x} of no client")
+
     def _check_clients_and_nodes(self) -> None:
         self.report.answers = self._tier.answer_counts["UP"]
         self.report.violations += self._tier.violations
+        self._check_requests()
         for node in self._tier.nodes:
             for line in node.lines:
-                if "rule: " in line or "Traceback" in line or "policy: " in line and "Error" in line:
+                if any(mark in line for mark in DEFECT_MARKS) or "policy: " in line and "Error" in line:
                     self.report.violations.append(line)
--- a/harness/stand_ins.py
+++ b/harness/stand_ins.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import re
 import time
 from typing import Any
 
@@ -85,6 +86,10 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
+REQUEST_FORM = re.compile(rb"OPEN (?P<id>[0-9a-f]{16}) [0-9a-f]{16} c=chat,t=acme,d=\d+\r\n")
+PROBES = (b"STATS\r\n", b"PING\r\n")
+
+
 class StandInHost:
     """A host that accepts every request, answers probes, and notes when each request came."""
 
@@ -92,6 +97,8 @@
         self.name = name
         self.address = ""
         self.request_times: list[float] = []  # of the monotonic clock, in seconds
+        self.request_ids: set[int] = set()
+        self.unknown_lines: list[bytes] = []  # that are neither a client's nor a probe
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -114,8 +121,12 @@
             writer.close()
 
     def _answer(self, line: bytes, writer: asyncio.StreamWriter) -> None:
-        if line.startswith(b"OPEN"):
+        request = REQUEST_FORM.fullmatch(line)
+        if request:
             self.request_times.append(time.monotonic())
+            self.request_ids.add(int(request["id"], 16))
             writer.write(ACCEPTED_ANSWER)
-        elif line.startswith((b"STATS", b"PING")):
+        elif line in PROBES:
             writer.write(PROBE_ANSWER)
+        elif line.endswith(b"\n"):  # else a connection that broke within a line
+            self.unknown_lines.append(line)
