Reserve descriptors for health checks before the policy asks for the first ones

The hosts are counted first now.

Evidence: test_the_first_round_of_a_process_has_the_descriptors_for_all_that_it_asks fails on the text before.

--- a/limerudder/core/upstream/endpoint_updater.py
+++ b/limerudder/core/upstream/endpoint_updater.py
@@ -57,9 +57,9 @@
         if kind in (UpdateKind.FULL, UpdateKind.CACHED):
             self._mark_others_gone(entries)
         self._complete_returns(entries, kind, endpoints.version, now_us)
-        self._dispatch(EndpointUpdate(kind, endpoints.version, entries), now_us)
         if self._checks_health:  # each upstream may take one descriptor for its health checks
             self._admission.listed_hosts = self._upstreams.listed_count
+        self._dispatch(EndpointUpdate(kind, endpoints.version, entries), now_us)
         self._attempts.give_up_unsent_to_unready(now_us)
         self._health_checker.close_unready()
 
--- a/tests/test_health_checker.py
+++ b/tests/test_health_checker.py
@@ -82,3 +82,11 @@
     for number in numbers[limit : 2 * limit]:
         testbed.node.health_checker.check(CheckHealth(number), testbed.now)
     assert len(health_check_dials(testbed)) == 2 * limit
+
+
+def test_the_first_round_of_a_process_has_the_descriptors_for_all_that_it_asks(tmp_path: Path) -> None:
+    tier = settings(probes=True) | {"balancers": 8, "discovery": "pushed"}
+    listed = hosts(*(host(f"s-{n}") for n in range(100)))
+    testbed = node_testbed(tmp_path, known=listed, settings=tier, limits={"sockets": 1024})
+    assert len(health_check_dials(testbed)) == 100
+    assert not testbed.node.counters[CounterName.HEALTH_CHECKS_OBSOLETE]
