Ask at most 128 hosts at a time, and take no less than 100 ms for each turn

Of 25 segments each turn gets the 100 ms that a round of health checks and a late datagram take, and the round interval, after which reports count as old, is no shorter than all turns together.

--- a/limerudder/policy/gossip.py
+++ b/limerudder/policy/gossip.py
@@ -182,8 +182,9 @@
         is_mean_settled = self.rounds_recorded >= MEAN_RATE_ROUNDS
         rate = self.mean_rate if is_mean_settled else max(self.mean_rate, own_rate)
         affordable_us = SECOND * round_cost / (MAX_COST_SHARE * self._node_count * rate)
-        self.round_interval_us = int(min(max(affordable_us, MIN_ROUND_INTERVAL_US), MAX_ROUND_INTERVAL_US))
         self._turns_per_round = min(segment_count(server_count), self._node_count)
+        min_interval_us = max(MIN_ROUND_INTERVAL_US, self._turns_per_round * TAKEOVER_STEP_US)
+        self.round_interval_us = int(max(min(affordable_us, MAX_ROUND_INTERVAL_US), min_interval_us))
 
     def next_turn_us(self) -> int:
         """When this node has to ask its servers, unless another node's round comes before."""
--- a/limerudder/policy/sweep_segments.py
+++ b/limerudder/policy/sweep_segments.py
@@ -11,7 +11,7 @@
 
 from limerudder.policy.records import Server
 
-MAX_SWEPT_SERVERS = 256
+MAX_SWEPT_SERVERS = 128
 
 
 def segment_count(server_count: int) -> int:
