--- a/harness/many_hosts_soak.py
+++ b/harness/many_hosts_soak.py
@@ -100,7 +100,9 @@
 
     async def _launch_and_wait(self, node: NodeProcess) -> None:
         """Start a process of the node, which has to be ready in time."""
-        process = await node.launch()
+        await self._expect_ready(node, await node.launch())
+
+    async def _expect_ready(self, node: NodeProcess, process: asyncio.subprocess.Process) -> None:
         try:
             await wait_until_ready(node, process)
         except AssertionError as error:
@@ -136,7 +138,7 @@
             await self._stop_process(node, process, allowed=(0, -signal.SIGTERM))
             await self._launch_and_wait(node)
         else:
-            await wait_until_ready(node, process)
+            await self._expect_ready(node, process)
         self._busy_nodes.discard(node)
 
     async def _stop_process(
@@ -167,7 +169,7 @@
         if self._rng.random() < 0.5:
             os.close(read_end)
         process = await node.launch_with_log(log)
-        await wait_until_ready(node, process)
+        await self._expect_ready(node, process)
         await asyncio.sleep(self._rng.uniform(0, 1))
         await self._stop_process(node, process)
         await self._launch_and_wait(node)
@@ -200,7 +202,7 @@
         successor = await node.launch()
         await asyncio.sleep(self._rng.choice([self._rng.uniform(0, MAX_START_SECONDS), HANDOVER_SECONDS]))
         await self._stop_process(node, parent)
-        await wait_until_ready(node, successor)
+        await self._expect_ready(node, successor)
         self._busy_nodes.discard(node)
 
     async def _kill_successor(self, library: Path) -> None:
@@ -222,7 +224,7 @@
             await successor_reading
         node.process = parent
         node.reading = parent_reading
-        await wait_until_ready(node, parent)
+        await self._expect_ready(node, parent)
         self._busy_nodes.discard(node)
 
     def _check_hosts(self) -> None:
