--- a/limerudder/net/log_writer.py
+++ b/limerudder/net/log_writer.py
@@ -58,6 +58,8 @@
 
     def _write_some(self, data: bytes) -> int:
         """Return how many bytes could be written without waiting; 0 after an error."""
+        if not self._mode:  # was closed at the start; the number may be another file's by now
+            return 0
         try:
             if stat.S_ISSOCK(self._mode):
                 return self._send(data)
--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -4,6 +4,8 @@
 
 import os
 import socket
+import subprocess
+import sys
 
 import pytest
 
@@ -73,3 +75,25 @@
     assert capfd.readouterr().err == ""
     print(" three\nfour", file=stream)
     assert capfd.readouterr().err == "one two three\nfour\n"
+
+
+def test_a_connection_that_has_the_number_of_a_closed_standard_error_gets_no_line_of_the_log() -> None:
+    """Guards against hosts and clients that are sent what nobody sent them."""
+    descriptor = os.open(os.devnull, os.O_WRONLY)
+    os.close(descriptor)
+    writer = LogWriter(descriptor)
+    here, there = socket.socketpair()
+    assert here.fileno() == descriptor
+    writer.write("for the log")
+    there.setblocking(False)
+    with pytest.raises(BlockingIOError):
+        there.recv(100)
+
+
+def test_a_process_started_without_standard_descriptors_opens_no_connection_in_their_place() -> None:
+    code = (
+        "import socket, sys, limerudder.__main__ as program; program.open_standard_descriptors();"
+        "sys.exit(40 + socket.socket().fileno())"
+    )
+    command = ["/bin/sh", "-c", 'exec "$@" 0<&- 1>&- 2>&-', "sh", sys.executable, "-c", code]
+    assert subprocess.run(command, check=False).returncode == 43
