--- a/limerudder/net/socket_handover.py
+++ b/limerudder/net/socket_handover.py
@@ -17,8 +17,9 @@
 from limerudder.net.tcp import TcpConnection
 
 SOCKET_FILE_NAME = "handover"
-#: For the whole answer of a process that serves; one that hangs delays its successor no longer.
+#: For the next piece of a serving process's answer, and for all of it; one that hangs delays no longer.
 ANSWER_TIMEOUT_SECONDS = 1.0
+STATE_LINE_TIMEOUT_SECONDS = 3.0
 PUBLISH_RETRY_SECONDS = 1.0  #: after a failure to create the socket file
 ACCEPT_RETRY_SECONDS = 0.02  #: after a failure to accept, which would come again at once
 MAX_PASSED_SOCKETS = 4
@@ -85,13 +86,13 @@
 
 def _receive_state_line(connection: socket.socket, sockets: list[socket.socket]) -> bytes:
     """Return the parent's first line, and add the sockets that come with it to `sockets`."""
-    deadline = time.monotonic() + ANSWER_TIMEOUT_SECONDS
+    deadline = time.monotonic() + STATE_LINE_TIMEOUT_SECONDS
     line = bytearray()
     while not line.endswith(b"\n"):
         seconds_left = deadline - time.monotonic()
         if seconds_left <= 0:
             raise TimeoutError("the state line did not come in time")
-        connection.settimeout(seconds_left)
+        connection.settimeout(min(seconds_left, ANSWER_TIMEOUT_SECONDS))
         data, descriptors, _, _ = socket.recv_fds(connection, RECEIVE_BYTES, MAX_PASSED_SOCKETS)
         sockets += [socket.socket(fileno=descriptor) for descriptor in descriptors]
         line += data
