Keep the name of the hand-over with the process that serves, and end a stop with 0

A listening socket of the hand-over that cannot be watched is tried again, and an exception while a stopped process closes is reported and no longer its exit code: all clients have their answers by then.

The reports of errors that no caller handles stand in a module of their own (net/error_reports.py).

Evidence: test_a_process_that_has_handed_over_does_not_take_the_name_back fails without the change. The other two were found by reading.

--- a/limerudder/net/socket_handover.py
+++ b/limerudder/net/socket_handover.py
@@ -123,7 +123,8 @@
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
         self._listening_socket: socket.socket | None = None
-        self._retry: asyncio.TimerHandle | None = None
+        self._publish_retry: asyncio.TimerHandle | None = None
+        self._accept_retry: asyncio.TimerHandle | None = None
 
     def open(self) -> None:
         """Answer under the directory's one name from now on, in place of the process that did so before."""
@@ -133,20 +134,27 @@
         except OSError as exc:
             # the node serves without the socket file; a successor then binds the addresses itself
             self._log(LogKind.STATE_DIRECTORY, f"state: cannot offer a handover: {exc.strerror}")
-            self._retry = self._loop.call_later(PUBLISH_RETRY_SECONDS, self.open)
+            self._publish_retry = self._loop.call_later(PUBLISH_RETRY_SECONDS, self.open)
             return
         self._listen()
 
     def close(self) -> None:
         """Answer nobody from now on; connections that are established stay."""
-        if self._retry:
-            self._retry.cancel()
-            self._retry = None
+        self.stop_publishing()
+        if self._accept_retry:
+            self._accept_retry.cancel()
+            self._accept_retry = None
         if self._listening_socket:
             self._loop.remove_reader(self._listening_socket)
             self._listening_socket.close()
             self._listening_socket = None
 
+    def stop_publishing(self) -> None:
+        """Try no more to create the socket file: another process has the name by now."""
+        if self._publish_retry:
+            self._publish_retry.cancel()
+            self._publish_retry = None
+
     def _publish(self) -> socket.socket:
         """Return a listening socket; its file replaces that of another process in one step."""
         own_file_name = f"{SOCKET_FILE_NAME}.{os.getpid()}"
@@ -165,9 +173,13 @@
         return sock
 
     def _listen(self) -> None:
-        self._retry = None
-        if self._listening_socket:
+        self._accept_retry = None
+        if self._listening_socket is None:
+            return
+        try:
             self._loop.add_reader(self._listening_socket, self._accept)
+        except OSError:  # no room for one more watched descriptor
+            self._accept_retry = self._loop.call_later(ACCEPT_RETRY_SECONDS, self._listen)
 
     def _accept(self) -> None:
         if self._listening_socket is None:
@@ -178,7 +190,7 @@
             return
         except OSError:  # a shortage: whoever connects waits in the socket's queue
             self._loop.remove_reader(self._listening_socket)
-            self._retry = self._loop.call_later(ACCEPT_RETRY_SECONDS, self._listen)
+            self._accept_retry = self._loop.call_later(ACCEPT_RETRY_SECONDS, self._listen)
             return
         connection.setblocking(False)
         task = self._loop.create_task(self._hand_over(connection))
--- a/limerudder/node_process.py
+++ b/limerudder/node_process.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable, Mapping
 from contextlib import ExitStack
 from dataclasses import replace
-from typing import Any
 
 from limerudder.config import ProcessConfig, reload_config
 from limerudder.console_calls import ConsoleCalls
@@ -20,12 +19,10 @@
 from limerudder.core.node import Node
 from limerudder.core.node_config import ConfigError
 from limerudder.core.operations.console import ConsoleSession
-from limerudder.core.operations.counters import CounterName
 from limerudder.core.operations.log_events import LogKind, LogSink
 from limerudder.core.operations.maintenance import InMemoryMarks, MaintenanceMarks
-from limerudder.core.transport import Address
 from limerudder.net.clock import Clock
-from limerudder.net.error_text import error_text
+from limerudder.net.error_reports import ErrorReports
 from limerudder.net.listener import ClientListener, bind_socket, start_accepting
 from limerudder.net.mark_files import MarkFiles
 from limerudder.net.node_network import NodeNetwork
@@ -120,12 +117,13 @@
 
     def _build(self) -> None:
         """Build the node and the listeners around it."""
-        self._connector = TcpConnector(self._loop, self._clock)
-        self._network = NodeNetwork(self._connector)
+        connector = TcpConnector(self._loop, self._clock)
+        self._network = NodeNetwork(connector)
         self._node = self._create_node()
-        self._connector.on_local_failure = self._on_dial_failed
-        self._loop.set_exception_handler(self._on_callback_failed)
-        self._node.set_error_handler(self._on_error)
+        self._error_reports = ErrorReports(self._node.counters, self._log)
+        connector.on_local_failure = self._error_reports.failed_dial
+        self._loop.set_exception_handler(self._error_reports.loop_failure)
+        self._node.set_error_handler(self._error_reports.defect)
         self._peer_socket = self._create_peer_socket()
         self._listener = ClientListener(self._sockets, self._create_client_connection, self._peer_socket)
         self._parent = create_parent(self._node, self._stop_accepting, self._serve_when_possible)
@@ -155,7 +153,10 @@
         self._tick()
         gc.freeze()
         await self._stopped.wait()
-        self._shut_down()
+        try:
+            self._shut_down()
+        except Exception as exc:  # all clients have their answers: the process ends as it should
+            self._error_reports.defect(exc)
 
     # start-up
 
@@ -262,6 +263,8 @@
         if self._serve_retry:
             self._serve_retry.cancel()
             self._serve_retry = None
+        if self._handover_listener:
+            self._handover_listener.stop_publishing()
         self._listener.close()
 
     def _serve(self) -> None:
@@ -311,22 +314,6 @@
         self._node.config_reloaded = True
         self._node.discovery.change_address(config.discovery, self._clock.now_us())
 
-    # errors
-
-    def _on_dial_failed(self, address: Address, error: OSError) -> None:
-        self._node.counters.increment(CounterName.DIALS_FAILED_LOCALLY)
-        text = "node: cannot connect to {}:{}: {}".format(*address, error.strerror)
-        self._log(LogKind.CALL_FAILED, text)
-
-    def _on_callback_failed(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
-        """Log an exception that a callback or task of the event loop did not handle; the others go on."""
-        self._on_error(context.get("exception") or RuntimeError(context.get("message")))
-
-    def _on_error(self, error: BaseException) -> None:
-        self._node.counters.increment(CounterName.CALLBACK_ERRORS)
-        text = error_text(error)
-        self._log(LogKind.CALLBACK_FAILED, f"node: a callback failed: {text}", text)
-
     def _log_counters(self, kind: LogKind) -> None:
         self._log(kind, f"counters: {self._node.counters.text()}")
 
