Check in soaks that every node has a running process, and name faults' nodes once

A process that ended by itself was found only where a later fault met it. The wrapper of the faults takes a free node, resets its environment and gives it back, in place of the same lines in six faults.

--- a/harness/many_hosts_soak.py
+++ b/harness/many_hosts_soak.py
@@ -11,6 +11,8 @@
 import os
 import signal
 import time
+from collections.abc import Awaitable, Callable
+from functools import wraps
 from pathlib import Path
 
 from harness.faulty_calls import failing_calls
@@ -29,6 +31,7 @@
     "bind=EADDRINUSE+ENOMEM,listen=EADDRINUSE",
     "connect=EADDRNOTAVAIL+ENOBUFS,sendto=ENOBUFS+EPERM,accept=EMFILE",
 )
+NodeFault = Callable[[NodeProcess, Path], Awaitable[None]]  #: given the node and the preloaded library
 HOST_SHARES = (0.001, 0.05, 0.5)  #: of all hosts that one fault changes
 
 
@@ -46,14 +49,14 @@
             self._drain_hosts,
             self._replace_hosts,
             self._kill_node,
-            self._kill_starting_node,
-            self._kill_starting_node,
-            self._signal_starting_node,
+            self._at_an_idle_node(self._kill_starting_node),
+            self._at_an_idle_node(self._kill_starting_node),
+            self._at_an_idle_node(self._signal_starting_node),
             self._stop_node,
-            self._start_without_log,
-            self._start_during_shortage,
-            self._hot_restart,
-            self._kill_successor,
+            self._at_an_idle_node(self._start_without_log),
+            self._at_an_idle_node(self._start_during_shortage),
+            self._at_an_idle_node(self._hot_restart),
+            self._at_an_idle_node(self._kill_successor),
             self._reload_node,
             self._silence_discovery,
             self._send_crowd,
@@ -94,6 +97,21 @@
 
     # faults of processes
 
+    def _at_an_idle_node(self, fault: NodeFault) -> Fault:
+        """Return the fault at a node that no other fault has and whose system calls do not fail."""
+
+        @wraps(fault)
+        async def at_an_idle_node(library: Path) -> None:
+            node = self._take_node()
+            if node is None:
+                return
+            self._reset_environment(node)
+            await fault(node, library)
+            self._reset_environment(node)
+            self._busy_nodes.discard(node)
+
+        return at_an_idle_node
+
     def _reset_environment(self, node: NodeProcess) -> None:
         for variable in SHIM_VARIABLES:
             node.environment.pop(variable, None)
@@ -108,26 +126,17 @@
         except AssertionError as error:
             self.report.violations.append(f"{node.name}: {error}")
 
-    async def _kill_starting_node(self, library: Path) -> None:
+    async def _kill_starting_node(self, node: NodeProcess, library: Path) -> None:
         """A node is killed, and killed again and again while it starts."""
-        node = self._take_node()
-        if node is None:
-            return
-        self._reset_environment(node)
         for _ in range(self._rng.randint(1, MAX_INTERRUPTED_STARTS)):
             await node.kill()
             await node.launch()
             await asyncio.sleep(self._rng.uniform(0, MAX_START_SECONDS))
         await node.kill()
         await self._launch_and_wait(node)
-        self._busy_nodes.discard(node)
 
-    async def _signal_starting_node(self, library: Path) -> None:
+    async def _signal_starting_node(self, node: NodeProcess, library: Path) -> None:
         """A node gets reloads in series while it starts, and may be told to end."""
-        node = self._take_node()
-        if node is None:
-            return
-        self._reset_environment(node)
         await node.kill()
         process = await node.launch_as_operators_do()
         for _ in range(self._rng.randint(1, 20)):
@@ -139,7 +148,6 @@
             await self._launch_and_wait(node)
         else:
             await self._expect_ready(node, process)
-        self._busy_nodes.discard(node)
 
     async def _stop_process(
         self, node: NodeProcess, process: asyncio.subprocess.Process, allowed: tuple[int, ...] = (0,)
@@ -157,12 +165,8 @@
         if exit_code not in allowed:
             self.report.violations.append(f"{node.name}: exited with {exit_code}")
 
-    async def _start_without_log(self, library: Path) -> None:
+    async def _start_without_log(self, node: NodeProcess, library: Path) -> None:
         """A node starts with a log that takes nothing: an unread pipe, one without a reader, /dev/full."""
-        node = self._take_node()
-        if node is None:
-            return
-        self._reset_environment(node)
         await node.kill()
         read_end, write_end = os.pipe()
         log = self._rng.choice([write_end, os.open("/dev/full", os.O_WRONLY)])
@@ -173,48 +177,37 @@
         await asyncio.sleep(self._rng.uniform(0, 1))
         await self._stop_process(node, process)
         await self._launch_and_wait(node)
-        self._busy_nodes.discard(node)
 
-    async def _start_during_shortage(self, library: Path) -> None:
+    async def _start_during_shortage(self, node: NodeProcess, library: Path) -> None:
         """System calls of a node fail while it starts."""
-        node = self._take_node()
-        if node is None:
-            return
         await node.kill()
-        self._reset_environment(node)
         one_in = self._rng.choice([1, 2, 5])
         until_ms = self._rng.randrange(200, 1500)
         calls = self._rng.choice(START_SHORTAGES)
         seed = self._rng.randrange(1000)
         node.environment |= failing_calls(library, calls, one_in, seed, until_ms=until_ms)
         await self._launch_and_wait(node)
-        self._reset_environment(node)
-        self._busy_nodes.discard(node)
 
-    async def _hot_restart(self, library: Path) -> None:
-        """A second process takes a node over; the first one is told to end, at any moment."""
-        node = self._take_node()
-        if node is None or node.process is None:
-            return
-        self._reset_environment(node)
-        node.environment["PROXY_CONSOLE"] = f"127.0.0.1:{free_ports(1)[0]}"  # each process has its own
+    async def _launch_successor(
+        self, node: NodeProcess
+    ) -> tuple[asyncio.subprocess.Process, asyncio.subprocess.Process]:
+        """Start a second process beside the one that serves; return both, the serving one first."""
+        assert node.process
         parent = node.process
-        successor = await node.launch()
+        node.environment["PROXY_CONSOLE"] = f"127.0.0.1:{free_ports(1)[0]}"  # each process has its own
+        return parent, await node.launch()
+
+    async def _hot_restart(self, node: NodeProcess, library: Path) -> None:
+        """A second process takes a node over; the first one is told to end, at any moment."""
+        parent, successor = await self._launch_successor(node)
         await asyncio.sleep(self._rng.choice([self._rng.uniform(0, MAX_START_SECONDS), HANDOVER_SECONDS]))
         await self._stop_process(node, parent)
         await self._expect_ready(node, successor)
-        self._busy_nodes.discard(node)
 
-    async def _kill_successor(self, library: Path) -> None:
+    async def _kill_successor(self, node: NodeProcess, library: Path) -> None:
         """A second process begins to take a node over and is killed; the first one serves on."""
-        node = self._take_node()
-        if node is None or node.process is None:
-            return
-        self._reset_environment(node)
-        node.environment["PROXY_CONSOLE"] = f"127.0.0.1:{free_ports(1)[0]}"  # each process has its own
-        parent = node.process
         parent_reading = node.reading
-        successor = await node.launch()
+        parent, successor = await self._launch_successor(node)
         successor_reading = node.reading
         await asyncio.sleep(self._rng.uniform(0, MAX_START_SECONDS))
         node.kills += 1
@@ -225,7 +218,6 @@
         node.process = parent
         node.reading = parent_reading
         await self._expect_ready(node, parent)
-        self._busy_nodes.discard(node)
 
     def _check_hosts(self) -> None:
         """Judge nothing: all hosts are reached at one address."""
--- a/harness/process_soak.py
+++ b/harness/process_soak.py
@@ -86,6 +86,7 @@
             await asyncio.gather(*self._tasks)
             await asyncio.sleep(1)
             self._check_hosts()
+            self._check_processes()
         finally:
             await self._tier.close()
         self._check_clients_and_nodes()
@@ -211,6 +212,13 @@
             if share > 1:
                 self.report.violations.append(f"{name}: {share:.2f} of what a host in slow start may get")
 
+    def _check_processes(self) -> None:
+        """Every node has a process that runs."""
+        for node in self._tier.nodes:
+            if node.process and node.process.returncode is not None:
+                exit_code = node.process.returncode
+                self.report.violations.append(f"{node.name}: exited with {exit_code}: {node.lines[-3:]}")
+
     def _check_requests(self) -> None:
         """No host may have been sent what no client sent."""
         for stand_in in self._tier.hosts.values():
