Hold signals only where the process has taken them

A fault of: a node that failed to start inside another program, as in tests, left that program's signals blocked, and its child processes inherited that. test_signals_that_were_never_taken_are_not_held fails on the text before.

--- a/limerudder/startup_signals.py
+++ b/limerudder/startup_signals.py
@@ -21,6 +21,7 @@
     """Handles signals until the event loop does."""
 
     def __init__(self) -> None:
+        self._is_installed = False
         self.reload_requested = False
         self.stop_requested = False  #: set by the event loop's handler, for a start that fails after it
 
@@ -31,10 +32,12 @@
         signal.signal(signal.SIGHUP, self._remember_reload)
         signal.signal(signal.SIGUSR1, signal.SIG_IGN)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
+        self._is_installed = True
 
     def hold(self) -> None:
         """Let signals wait until they are handled here again: an event loop that ends leaves them to none."""
-        signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
+        if self._is_installed:
+            signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
 
     def _remember_reload(self, number: int, frame: FrameType | None) -> None:
         self.reload_requested = True
