--- a/limerudder/core/transport.py
+++ b/limerudder/core/transport.py
@@ -6,14 +6,17 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
 from ipaddress import IPv4Address
 from typing import Protocol
 
 Address = tuple[str, int]
 MAX_DATAGRAM_BYTES = 256  #: the platform's limit for one datagram to a peer
 _MAX_PORT = 65535
+MAX_CACHED_ADDRESSES = 4096  #: lists of hosts repeat theirs, and checking one is most of the work on an entry
 
 
+@lru_cache(MAX_CACHED_ADDRESSES)
 def parse_address(text: object) -> Address:
     """Parse `IPv4:port`; there is no DNS where a node runs. Raises ValueError."""
     host, colon, port = str(text).rpartition(":")
