Give a large list the time that it takes, when a call was too short for it

A list of 3,200 hosts that took discovery over 3 s to send was cut off by the deadline of every call, and its node never knew it.

Change: where at least 64 KB of a list had come as its call expired, the next call allows twice the time, up to 24 s. Lists that begin and stop, and all of usual size, keep their 3 s.

--- a/limerudder/core/discovery/discovery_call.py
+++ b/limerudder/core/discovery/discovery_call.py
@@ -44,6 +44,11 @@
         self._lists_received = 0
         self._response_complete = False
 
+    @property
+    def partial_list_bytes(self) -> int:
+        """How many bytes have come of the list that is not complete."""
+        return len(self._objects.partial_object)
+
     # called by the driver
 
     def first_bytes(self, now_us: int) -> bytes:
--- a/limerudder/core/discovery/discovery_client.py
+++ b/limerudder/core/discovery/discovery_client.py
@@ -9,7 +9,14 @@
 from limerudder.core.operations.counters import CounterName
 from limerudder.core.services import NodeServices
 from limerudder.core.transport import Address
-from limerudder.policy.discovery_timing import AGENT_RETRY_INTERVAL_US, CHECK_INTERVAL_US, CallDeadline
+from limerudder.policy.discovery_timing import (
+    AGENT_RETRY_INTERVAL_US,
+    CHECK_INTERVAL_US,
+    COMPLETE_TIMEOUT_US,
+    LARGE_LIST_BYTES,
+    MAX_COMPLETE_TIMEOUT_US,
+    CallDeadline,
+)
 
 NO_VERSION = 0  #: before any version a service has: a watch after it begins with everything there is
 
@@ -50,6 +57,7 @@
         self._reopen_watch_at_us: int | None = None
         self._awaits_complete_list = False  # of the service at a new address
         self._polls: set[DiscoveryCall] = set()
+        self._complete_timeout_us = COMPLETE_TIMEOUT_US
 
     def start(self, now_us: int) -> None:
         """Open the watch if lists are pushed: the policy expects them without asking."""
@@ -96,7 +104,7 @@
     def _call(self, after_version: int | None, now_us: int) -> DiscoveryCall:
         self._counters.increment(CounterName.DISCOVERY_CALLS)
         host, port = self._address
-        deadline = CallDeadline(self._is_pushed, now_us)
+        deadline = CallDeadline(self._is_pushed, now_us, self._complete_timeout_us)
         call = DiscoveryCall(f"{host}:{port}", after_version, self._list_received, self._call_ended, deadline)
         call.transport = self._network.dial(self._address, call)
         return call
@@ -126,11 +134,17 @@
         self._timer_wheel.schedule(now_us + CHECK_INTERVAL_US, self._check_deadlines)
         for call in self._open_calls():
             if call.deadline.is_expired(now_us):
+                self._allow_for_size(call.partial_list_bytes)
                 call.connection_lost(now_us)
         if self._reopen_watch_at_us is not None and now_us >= self._reopen_watch_at_us:
             self._reopen_watch_at_us = None
             self.ensure_watch(now_us)
 
+    def _allow_for_size(self, partial_list_bytes: int) -> None:
+        """Give the next calls more time, if the list of one that expires was under way and is large."""
+        if partial_list_bytes >= LARGE_LIST_BYTES:
+            self._complete_timeout_us = min(2 * self._complete_timeout_us, MAX_COMPLETE_TIMEOUT_US)
+
     def _open_calls(self) -> list[DiscoveryCall]:
         calls = [*self._polls]
         if self.watch:
--- a/limerudder/policy/discovery_timing.py
+++ b/limerudder/policy/discovery_timing.py
@@ -21,6 +21,9 @@
 FIRST_BYTE_TIMEOUT_US = 2 * SECOND
 #: For a list from its first byte on, and for a call's first list from the call on.
 COMPLETE_TIMEOUT_US = 3 * SECOND
+#: A list cut off with so much of it received was no stopped one but large: the next call has twice the time.
+LARGE_LIST_BYTES = 64 * 1024
+MAX_COMPLETE_TIMEOUT_US = 8 * COMPLETE_TIMEOUT_US
 #: For a watch on which nothing comes. The service sends an empty line every 2 s.
 IDLE_TIMEOUT_US = 3 * SECOND
 #: No call is out and dead for longer than this.
@@ -41,8 +44,9 @@
 class CallDeadline:
     """Decides by a call's signs of life whether the call is dead."""
 
-    def __init__(self, pushed: bool, now_us: int) -> None:
+    def __init__(self, pushed: bool, now_us: int, complete_timeout_us: int = COMPLETE_TIMEOUT_US) -> None:
         """`pushed`: the call goes to an agent on the same machine."""
+        self._complete_timeout_us = complete_timeout_us
         self._called_at_us = now_us
         self._first_byte_timeout_us = AGENT_FIRST_BYTE_TIMEOUT_US if pushed else FIRST_BYTE_TIMEOUT_US
         self._last_byte_at_us: int | None = None
@@ -67,10 +71,13 @@
         if self._last_byte_at_us is None:
             return now_us - self._called_at_us > self._first_byte_timeout_us
         # Empty lines prove that the call lives, and not that its list ever ends or begins.
-        if self._list_started_at_us is not None and now_us - self._list_started_at_us > COMPLETE_TIMEOUT_US:
+        list_started_at_us = self._list_started_at_us
+        if list_started_at_us is not None and now_us - list_started_at_us > self._complete_timeout_us:
             return True
-        last_progress_us = self._last_byte_at_us if self._lists_completed else self._called_at_us
-        return now_us - last_progress_us > IDLE_TIMEOUT_US
+        if self._lists_completed:
+            return now_us - self._last_byte_at_us > IDLE_TIMEOUT_US
+        first_list_timeout_us = IDLE_TIMEOUT_US if list_started_at_us is None else self._complete_timeout_us
+        return now_us - self._called_at_us > max(first_list_timeout_us, IDLE_TIMEOUT_US)
 
 
 class Backoff:
--- a/tests/test_discovery_client.py
+++ b/tests/test_discovery_client.py
@@ -97,3 +97,26 @@
     _answer(testbed.dials[0], hosts(reset=False) | {"generation": 0}, testbed.now)
     # many nodes start at once, and each complete list costs the service they share
     assert len(testbed.dials) == 1
+
+
+@pytest.mark.parametrize("listed_hosts", [3200, 5])
+def test_a_list_that_takes_longer_than_a_call_may_arrives_if_it_is_large(
+    tmp_path: Path, listed_hosts: int
+) -> None:
+    """A list of thousands of hosts from a slow service was cut off by every call's deadline, for ever."""
+    testbed = node_testbed(tmp_path)
+    text = json.dumps(hosts(*(host(f"s-{n}") for n in range(listed_hosts)))).encode() + b"\n"
+    step_us = SECOND // 2
+    sent_bytes: dict[FakeTransport, int] = {}
+    for _ in range(80):
+        for dial in testbed.dials:
+            if dial.closed or not isinstance(dial.machine, DiscoveryCall):
+                continue
+            if dial not in sent_bytes:
+                dial.machine.first_bytes(testbed.now)
+                dial.machine.data_received(ANSWER_HEAD + b"%x\r\n" % len(text), testbed.now)
+            start = sent_bytes.get(dial, 0)
+            sent_bytes[dial] = start + len(text) // 16  # complete after 8 s
+            dial.machine.data_received(text[start : sent_bytes[dial]], testbed.now)
+        testbed.run(step_us)
+    assert testbed.node.upstreams.listed_count == (listed_hosts if listed_hosts > 5 else 2)
