Send the first health checks when the endpoints are loaded

Change: checks that are asked for before the node has started are sent with its first tick.

Evidence: test_the_first_round_of_a_process_has_the_descriptors_for_all_that_it_asks, with a second between loading and the first tick, fails on the text before (100 time-outs).

--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -79,6 +79,7 @@
         self.network = network
         self.log = log
         self.on_shutdown_complete: Callable[[], None] = lambda: None
+        self._has_started = False
         self.config_reloaded = False  # discovery's address is the file's, whatever the environment says
         self.report_fields = self.settings.report_fields if self.settings.report_via != "none" else ()
         self.timer_wheel = TimerWheel(self.settings.tick_us, now_us)
@@ -154,7 +155,7 @@
             MigrateClient: self.attempts.migrate,
             RejectRequest: self.lifecycle.reject,
             FailRequest: self.lifecycle.fail,
-            CheckHealth: self.health_checker.check,
+            CheckHealth: self._check_health,
             CloseIdleConnections: self.health_checker.close_idle,
             SendPeerMessage: self._send_peer_message,
             WatchEndpoints: self._watch_endpoints,
@@ -167,6 +168,7 @@
 
     def start(self, now_us: int) -> None:
         """Begin to follow discovery, the marks of maintenance and the upstreams."""
+        self._has_started = True
         self.discovery.start(now_us)
         self.maintenance.start(now_us)
         self._liveness_scanner.scan(now_us)
@@ -181,6 +183,12 @@
     def _send_peer_message(self, action: SendPeerMessage, now_us: int) -> None:
         self.peering.send(action)
 
+    def _check_health(self, action: CheckHealth, now_us: int) -> None:
+        if self._has_started:
+            self.health_checker.check(action, now_us)
+        else:  # while many endpoints are loaded its answer would be late before it is sent
+            self.timer_wheel.schedule(now_us, partial(self.health_checker.check, action))
+
     def _watch_endpoints(self, action: WatchEndpoints, now_us: int) -> None:
         if action.enabled:
             self.discovery.ensure_watch(now_us)
--- a/tests/test_health_checker.py
+++ b/tests/test_health_checker.py
@@ -6,12 +6,12 @@
 
 import pytest
 
-from harness.configurations import host, hosts, settings
+from harness.configurations import SECOND, host, hosts, settings
 from limerudder.core.operations.counters import CounterName
 from limerudder.core.upstream.health_check import HealthCheckConnection
 from limerudder.policy.actions import CheckHealth
 from limerudder.policy.events import HealthCheckResult
-from tests.node_testbed import FakeTransport, NodeTestbed, node_testbed, policy_events
+from tests.node_testbed import TICK_US, FakeTransport, NodeTestbed, node_testbed, policy_events
 
 
 def health_check_dials(testbed: NodeTestbed) -> list[FakeTransport]:
@@ -88,5 +88,8 @@
     tier = settings(probes=True) | {"balancers": 8, "discovery": "pushed"}
     listed = hosts(*(host(f"s-{n}") for n in range(100)))
     testbed = node_testbed(tmp_path, known=listed, settings=tier, limits={"sockets": 1024})
+    testbed.now += SECOND  # as long as a process on a small share of a core may take to load its endpoints
+    testbed.run(TICK_US)
     assert len(health_check_dials(testbed)) == 100
+    assert not testbed.node.counters[CounterName.HEALTH_CHECKS_TIMEOUT]
     assert not testbed.node.counters[CounterName.HEALTH_CHECKS_OBSOLETE]
