End a stopped process at once when all is closed

After the shutdown's last step the event loop and the interpreter went on for what was open; nothing of that is owed, and it only delays the end.

--- a/limerudder/node_main.py
+++ b/limerudder/node_main.py
@@ -44,7 +44,6 @@
         while True:
             try:
                 self._run_once()
-                return ExitCode.OK
             except Exception as exc:  # a defect, or a shortage of the system: the line has to name the place
                 exit_code = self._report(exc)
                 if not self._may_start_again(exc):
@@ -58,9 +57,12 @@
     def _run_once(self) -> None:
         config = limit_descriptors(load_config(os.environ))
         log = create_log(config, self._writer)
-        uvloop.run(
-            run_node(config, log, os.environ, log.configure, self._signals, on_started=self._note_started)
-        )
+        uvloop.run(self._serve(config, log))
+
+    async def _serve(self, config: ProcessConfig, log: Log) -> None:
+        await run_node(config, log, os.environ, log.configure, self._signals, self._note_started)
+        # all is closed that has to be: what event loop and interpreter would still do only delays the end
+        os._exit(ExitCode.OK)
 
     def _note_started(self) -> None:
         self._has_started = True
