--- a/harness/many_hosts_soak.py
+++ b/harness/many_hosts_soak.py
@@ -72,7 +72,7 @@
         started_ms = int(time.time() * 1000)
         for name in self._draw_hosts():
             self._tier.discovery.entries[name]["startedAtMs"] = started_ms
-        self._tier.discovery.publish()
+        self._tier.discovery.publish_changes()
 
     async def _drain_hosts(self, library: Path) -> None:
         names = self._draw_hosts()
@@ -85,7 +85,7 @@
         for name in names:
             if name in entries:
                 entries[name]["lifecycle"] = lifecycle
-        self._tier.discovery.publish()
+        self._tier.discovery.publish_changes()
 
     async def _replace_hosts(self, library: Path) -> None:
         entries = self._tier.discovery.entries
@@ -93,7 +93,7 @@
             entry = entries.pop(name)
             new_name = f"r-{self._rng.getrandbits(32):08x}"
             entries[new_name] = entry | {"instanceId": new_name, "startedAtMs": int(time.time() * 1000)}
-        self._tier.discovery.publish()
+        self._tier.discovery.publish_changes()
 
     # faults of processes
 
@@ -153,8 +153,7 @@
         self, node: NodeProcess, process: asyncio.subprocess.Process, allowed: tuple[int, ...] = (0,)
     ) -> None:
         """Tell a process to end; it has to in time, and with an exit code that is allowed."""
-        if process.returncode is None:
-            process.send_signal(signal.SIGTERM)
+        node.stop(process)
         try:
             exit_code = await asyncio.wait_for(process.wait(), STOP_SECONDS)
         except TimeoutError:
--- a/harness/node_process.py
+++ b/harness/node_process.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import sys
+import time
 import tomllib
 from pathlib import Path
 from typing import Any
@@ -46,6 +47,7 @@
         self.lines: list[str] = []  # of the log, of all processes
         self.reading: asyncio.Task[None] | None = None
         self.kills = 0  # of processes that had begun to serve, or may have
+        self.stop_sent_at: dict[int, float] = {}  # by process id: when it got SIGTERM, by the monotonic clock
         self._with_store = with_store
         self._serving = asyncio.Event()
 
@@ -103,6 +105,12 @@
         self.process = await asyncio.create_subprocess_exec(*command, env=self.environment, stderr=log)
         return self.process
 
+    def stop(self, process: asyncio.subprocess.Process) -> None:
+        """Tell a process to end, unless it has."""
+        if process.returncode is None:
+            self.stop_sent_at.setdefault(process.pid, time.monotonic())
+            process.send_signal(signal.SIGTERM)
+
     async def kill(self, signal_number: int = signal.SIGKILL) -> None:
         """End the process and wait until it has ended."""
         self.kills += signal_number == signal.SIGKILL
--- a/harness/process_soak.py
+++ b/harness/process_soak.py
@@ -160,7 +160,9 @@
             return
         process = node.process
         for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
-            if process.returncode is None:
+            if number == signal.SIGTERM:
+                node.stop(process)
+            elif process.returncode is None:
                 process.send_signal(number)
             await asyncio.sleep(self._rng.uniform(0, 0.2))
         try:
--- a/harness/stand_ins.py
+++ b/harness/stand_ins.py
@@ -23,6 +23,7 @@
         self.generation = FIRST_GENERATION
         self.entries: dict[str, dict[str, Any]] = {}  # by host; as discovery's JSON has them
         self.address = ""
+        self._published: dict[str, dict[str, Any]] = {}  # as of the last changes
         self._watches: list[asyncio.StreamWriter] = []
         self._server: asyncio.Server | None = None
 
@@ -37,6 +38,24 @@
         for watch in [watch for watch in self._watches if not watch.is_closing()][:only]:
             watch.write(_encode_chunk(self._encode_list()))
 
+    def publish_changes(self) -> None:
+        """Send all watches, as a new generation, the entries that changed since the last call only.
+
+        Hosts that are listed no more have left. Whoever watches later gets the whole list first.
+        """
+        self.generation += 1
+        gone = [
+            entry | {"lifecycle": "left"}
+            for name, entry in self._published.items()
+            if name not in self.entries
+        ]
+        changed = [entry for name, entry in self.entries.items() if self._published.get(name) != entry]
+        self._published = {name: dict(entry) for name, entry in self.entries.items()}
+        changes = hosts(*changed, *gone, reset=False) | {"generation": self.generation}
+        for watch in self._watches:
+            if not watch.is_closing():
+                watch.write(_encode_chunk(json.dumps(changes).encode() + b"\n"))
+
     def end_watches(self) -> None:
         """End the watches that are open; whoever watches calls again."""
         for watch in list(self._watches):
