--- a/harness/stand_ins.py
+++ b/harness/stand_ins.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import re
 import time
 from typing import Any
 
@@ -22,6 +23,7 @@
         self.generation = FIRST_GENERATION
         self.entries: dict[str, dict[str, Any]] = {}  # by host; as discovery's JSON has them
         self.address = ""
+        self._published: dict[str, dict[str, Any]] = {}  # as of the last changes
         self._watches: list[asyncio.StreamWriter] = []
         self._server: asyncio.Server | None = None
 
@@ -36,6 +38,24 @@
         for watch in [watch for watch in self._watches if not watch.is_closing()][:only]:
             watch.write(_encode_chunk(self._encode_list()))
 
+    def publish_changes(self) -> None:
+        """Send all watches, as a new generation, the entries that changed since the last call only.
+
+        Hosts that are listed no more have left. Whoever watches later gets the whole list first.
+        """
+        self.generation += 1
+        gone = [
+            entry | {"lifecycle": "left"}
+            for name, entry in self._published.items()
+            if name not in self.entries
+        ]
+        changed = [entry for name, entry in self.entries.items() if self._published.get(name) != entry]
+        self._published = {name: dict(entry) for name, entry in self.entries.items()}
+        changes = hosts(*changed, *gone, reset=False) | {"generation": self.generation}
+        for watch in self._watches:
+            if not watch.is_closing():
+                watch.write(_encode_chunk(json.dumps(changes).encode() + b"\n"))
+
     def end_watches(self) -> None:
         """End the watches that are open; whoever watches calls again."""
         for watch in list(self._watches):
@@ -85,6 +105,10 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
+REQUEST_FORM = re.compile(rb"OPEN (?P<id>[0-9a-f]{16}) [0-9a-f]{16} c=chat,t=acme,d=\d+\r\n")
+PROBES = (b"STATS\r\n", b"PING\r\n")
+
+
 class StandInHost:
     """A host that accepts every request, answers probes, and notes when each request came."""
 
@@ -92,6 +116,8 @@
         self.name = name
         self.address = ""
         self.request_times: list[float] = []  # of the monotonic clock, in seconds
+        self.request_ids: set[int] = set()
+        self.unknown_lines: list[bytes] = []  # that are neither a client's nor a probe
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -114,8 +140,12 @@
             writer.close()
 
     def _answer(self, line: bytes, writer: asyncio.StreamWriter) -> None:
-        if line.startswith(b"OPEN"):
+        request = REQUEST_FORM.fullmatch(line)
+        if request:
             self.request_times.append(time.monotonic())
+            self.request_ids.add(int(request["id"], 16))
             writer.write(ACCEPTED_ANSWER)
-        elif line.startswith((b"STATS", b"PING")):
+        elif line in PROBES:
             writer.write(PROBE_ANSWER)
+        elif line.endswith(b"\n"):  # else a connection that broke within a line
+            self.unknown_lines.append(line)
--- a/limerudder/net/socket_handover.py
+++ b/limerudder/net/socket_handover.py
@@ -17,8 +17,10 @@
 from limerudder.net.tcp import TcpConnection
 
 SOCKET_FILE_NAME = "handover"
-#: For the whole answer of a process that serves; one that hangs delays its successor no longer.
+#: For the next piece of a serving process's answer, and for all of it; one that hangs delays no longer.
 ANSWER_TIMEOUT_SECONDS = 1.0
+STATE_LINE_TIMEOUT_SECONDS = 3.0
+PUBLISH_RETRY_SECONDS = 1.0  #: after a failure to create the socket file
 ACCEPT_RETRY_SECONDS = 0.02  #: after a failure to accept, which would come again at once
 MAX_PASSED_SOCKETS = 4
 RECEIVE_BYTES = 64 * 1024
@@ -84,13 +86,13 @@
 
 def _receive_state_line(connection: socket.socket, sockets: list[socket.socket]) -> bytes:
     """Return the parent's first line, and add the sockets that come with it to `sockets`."""
-    deadline = time.monotonic() + ANSWER_TIMEOUT_SECONDS
+    deadline = time.monotonic() + STATE_LINE_TIMEOUT_SECONDS
     line = bytearray()
     while not line.endswith(b"\n"):
         seconds_left = deadline - time.monotonic()
         if seconds_left <= 0:
             raise TimeoutError("the state line did not come in time")
-        connection.settimeout(seconds_left)
+        connection.settimeout(min(seconds_left, ANSWER_TIMEOUT_SECONDS))
         data, descriptors, _, _ = socket.recv_fds(connection, RECEIVE_BYTES, MAX_PASSED_SOCKETS)
         sockets += [socket.socket(fileno=descriptor) for descriptor in descriptors]
         line += data
@@ -121,7 +123,8 @@
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
         self._listening_socket: socket.socket | None = None
-        self._retry: asyncio.TimerHandle | None = None
+        self._publish_retry: asyncio.TimerHandle | None = None
+        self._accept_retry: asyncio.TimerHandle | None = None
 
     def open(self) -> None:
         """Answer under the directory's one name from now on, in place of the process that did so before."""
@@ -131,19 +134,27 @@
         except OSError as exc:
             # the node serves without the socket file; a successor then binds the addresses itself
             self._log(LogKind.STATE_DIRECTORY, f"state: cannot offer a handover: {exc.strerror}")
+            self._publish_retry = self._loop.call_later(PUBLISH_RETRY_SECONDS, self.open)
             return
         self._listen()
 
     def close(self) -> None:
         """Answer nobody from now on; connections that are established stay."""
-        if self._retry:
-            self._retry.cancel()
-            self._retry = None
+        self.stop_publishing()
+        if self._accept_retry:
+            self._accept_retry.cancel()
+            self._accept_retry = None
         if self._listening_socket:
             self._loop.remove_reader(self._listening_socket)
             self._listening_socket.close()
             self._listening_socket = None
 
+    def stop_publishing(self) -> None:
+        """Try no more to create the socket file: another process has the name by now."""
+        if self._publish_retry:
+            self._publish_retry.cancel()
+            self._publish_retry = None
+
     def _publish(self) -> socket.socket:
         """Return a listening socket; its file replaces that of another process in one step."""
         own_file_name = f"{SOCKET_FILE_NAME}.{os.getpid()}"
@@ -162,9 +173,13 @@
         return sock
 
     def _listen(self) -> None:
-        self._retry = None
-        if self._listening_socket:
+        self._accept_retry = None
+        if self._listening_socket is None:
+            return
+        try:
             self._loop.add_reader(self._listening_socket, self._accept)
+        except OSError:  # no room for one more watched descriptor
+            self._accept_retry = self._loop.call_later(ACCEPT_RETRY_SECONDS, self._listen)
 
     def _accept(self) -> None:
         if self._listening_socket is None:
@@ -175,7 +190,7 @@
             return
         except OSError:  # a shortage: whoever connects waits in the socket's queue
             self._loop.remove_reader(self._listening_socket)
-            self._retry = self._loop.call_later(ACCEPT_RETRY_SECONDS, self._listen)
+            self._accept_retry = self._loop.call_later(ACCEPT_RETRY_SECONDS, self._listen)
             return
         connection.setblocking(False)
         task = self._loop.create_task(self._hand_over(connection))
