--- a/harness/stand_ins.py
+++ b/harness/stand_ins.py
@@ -105,7 +105,7 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-REQUEST_FORM = re.compile(rb"OPEN (?P<id>[0-9a-f]{16}) [0-9a-f]{16} c=chat,t=acme,d=\d+\r\n")
+REQUEST_FORM = re.compile(rb"OPEN (?P<id>[0-9a-f]{16}) [0-9a-f]{16} c=\w+(,\w+=\w+)*\r\n")
 PROBES = (b"STATS\r\n", b"PING\r\n")
 
 
