--- a/tests/node_testbed.py
+++ b/tests/node_testbed.py
@@ -74,6 +74,10 @@
         self.request_count = 0
         self.datagrams: list[tuple[int, bytes]] = []
         self.node = Node(config, self, lambda kind, text, detail="": self.logged.append(text), self.now)
+        self.start_node()
+
+    def start_node(self) -> None:
+        """Load the endpoints and start the node."""
         self.node.load_endpoints(self.now)
         self.node.start(self.now)
 
