--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,92 +1,101 @@
-"""One host's wrong report makes all nodes send nearly every client to a host that has just started."""
+"""A late answer of discovery puts a draining host back into use."""
 
 from __future__ import annotations
 
 import asyncio
-import math
+import contextlib
 import sys
 import time
-from collections import deque
 from pathlib import Path
+from signal import SIGHUP
+from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "common"))
 
-from rig import TROUBLE, Case, CaseError, Clients, Discovery, Host, Node, Record, run_case
+from rig import TROUBLE, Case, CaseError, Clients, Discovery, Host, Node, run_case
 
 NODES = 4
-HOSTS = 8
-RATE = 20.0  # new connections a second at all nodes together
-LOAD = 0.5  # what the warm hosts report, so that a host's capacity is RATE / HOSTS / LOAD a second when warm
-INFLIGHT = 20
-WRONG_INFLIGHT = 2**32 - 1  # a counter of 32 bits that was taken below 0
-# of the settings
-OVERLOAD_FACTOR = 3.0
-WINDOW = 2.0
-START_CAPACITY = 0.13
-WARM_UP = 24.0
-FEW = 30  # requests, under which the page allows more for chance
-
-
-class ColdHost(Host):
-    """A host that falls over as the page says: more in a window than the multiple of what it can do then."""
-
-    def __init__(self, name: str, record: Record) -> None:
-        super().__init__(name, record)
-        self.started: float | None = None  # on the monotonic clock; None: long ago
-        self.fell: str = ""
-        self._window: deque[float] = deque()
-
-    def arrived(self) -> bool:
-        """Count a request; return whether the host is up."""
-        if self.started is None:
-            return True
-        now = time.monotonic()
-        self._window.append(now)
-        while self._window[0] < now - WINDOW:
-            self._window.popleft()
-        share = START_CAPACITY + (1 - START_CAPACITY) * min((now - self.started) / WARM_UP, 1)
-        allowed = OVERLOAD_FACTOR * share * RATE / HOSTS / LOAD * WINDOW
-        roots = 3 if allowed < FEW else 2
-        slack = roots * math.sqrt(allowed) + roots
-        if len(self._window) > allowed + slack and not self.fell:
-            age = now - self.started
-            self.fell = (
-                f"{len(self._window)} requests within {WINDOW:g} s, {age:.2f} s after its start;"
-                f" {allowed:.1f} are allowed, and {slack:.1f} for chance"
-            )
-            self.record(f"host {self.name} falls over: {self.fell}")
-            self.close()
-        return not self.fell
+HOSTS = 6
+LATE_SECONDS = 1.2  # of an answer with the whole list; the page has answers "arriving seconds late"
+DRAIN_AFTER = 0.5  # seconds from the new configuration to the drain
+TOLD_AFTER_SIGHUP = 4.0  # what discovery has to tell counts as told then, at the latest
+GRACE = 0.55  # 500 ms, and 50 ms as every time limit on sockets is longer
+
+
+class ChangesFirst(Discovery):
+    """A discovery service that answers a watch with what has changed after the version asked for."""
+
+    def first_of_watch(self, after: int) -> dict[str, Any]:
+        """Return all entries as changes: each has changed since version 0."""
+        return self.whole_list() | {"reset": after != 0}
+
+
+class SlowPath:
+    """The way to discovery: answers to calls for the whole list arrive late, watches at once."""
+
+    def __init__(self, case: Case, discovery: Discovery, late_seconds: float) -> None:
+        self.address = ""
+        self._case = case
+        self._discovery = discovery
+        self._late_seconds = late_seconds
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = "{}:{}".format(*server.sockets[0].getsockname())
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError, EOFError, asyncio.CancelledError):
+            request = await reader.readuntil(b"\r\n\r\n")
+            from_discovery, to_discovery = await asyncio.open_connection(*self._discovery.address.split(":"))
+            to_discovery.write(request)
+            is_list = b"watch=1" not in request
+            while data := await from_discovery.read(65536):
+                if is_list:
+                    self._case.record(
+                        f"discovery has answered; its answer is {self._late_seconds:g} s under way"
+                    )
+                    await asyncio.sleep(self._late_seconds)
+                writer.write(data)
+            to_discovery.close()
+        writer.close()
 
 
 async def play(case: Case) -> bool:
-    """Start nodes and hosts, one of them with wrong reports; then a host comes back cold."""
-    hosts = [Host(f"h{number}", case.record) for number in range(HOSTS - 1)]
-    cold = ColdHost(f"h{HOSTS - 1}", case.record)
-    discovery = Discovery("d", case.record)
-    for host in [*hosts, cold]:
-        host.report = f"eps=0,inflight={INFLIGHT},x0={LOAD}"
+    """Name another discovery with SIGHUP, let a host drain half a second later, and look at that host."""
+    hosts = [Host(f"h{number}", case.record) for number in range(HOSTS)]
+    old, new = Discovery("old", case.record), ChangesFirst("new", case.record, generation=7)
+    for host in hosts:
         await host.start()
-        discovery.entries[host.name] = host.entry()
-    if TROUBLE:
-        hosts[0].report = f"eps=0,inflight={WRONG_INFLIGHT},x0={LOAD}"
-        case.record(f"host h0 reports {hosts[0].report}")
-    await discovery.start()
+        old.entries[host.name] = host.entry()
+        new.entries[host.name] = host.entry()
+    await old.start()
+    await new.start()
+    path = SlowPath(case, new, LATE_SECONDS if TROUBLE else 0.0)
+    await path.start()
     nodes = [Node(number, case) for number in range(NODES)]
     for node in nodes:
-        node.write_files(discovery.address, discovery.whole_list(), NODES)
+        node.write_files(old.address, old.whole_list(), NODES)
         await node.start()
-    clients = Clients(nodes, case.record, RATE)
+    clients = Clients(nodes, case.record)
     clients.start()
-    await asyncio.sleep(5)
-    cold.started = time.monotonic()
-    if discovery.change(cold.name, startedAtMs=int(time.time() * 1000)) != NODES:
-        raise CaseError("not every node watches discovery")
-    await asyncio.sleep(WARM_UP)
+    await asyncio.sleep(3)
+    for node in nodes:
+        node.write_files(path.address, old.whole_list(), NODES)
+        if node.process:
+            node.process.send(SIGHUP)
+    reloaded = time.monotonic()
+    old.stop_accepting()
+    await asyncio.sleep(DRAIN_AFTER)
+    if new.change("h1", lifecycle="leaving") != NODES:
+        raise CaseError("not every node watches the new discovery")
+    await asyncio.sleep(1.5 - DRAIN_AFTER)
+    old.close()
+    await asyncio.sleep(10)
     await clients.close()
-    counts = {host.name: len(host.arrivals_after(cold.started)) for host in [*hosts, cold]}
-    case.record(f"requests since the start: {counts}; answers {clients.answers}")
-    return not cold.fell
+    late = hosts[1].arrivals_after(reloaded + TOLD_AFTER_SIGHUP + GRACE)
+    case.record(f"answers {clients.answers}; new requests at h1, which drains, after its grace: {len(late)}")
+    return not late
 
 
 run_case(__file__, play)
--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -109,6 +109,10 @@
         """Return the whole list."""
         return {"generation": self.generation, "reset": True, "instances": list(self.entries.values())}
 
+    def first_of_watch(self, after: int) -> dict[str, Any]:
+        """Return the first list of a watch after a version: here always the whole list."""
+        return self.whole_list()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task
@@ -121,7 +125,9 @@
             if b"watch=1" not in request:
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
                 return
-            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(body))
+            after = int(request.split(b"after=")[1].split()[0])
+            first = json.dumps(self.first_of_watch(after)).encode() + b"\n"
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(first))
             self._watches.add(writer)
             try:
                 while not writer.is_closing():
@@ -592,6 +598,11 @@
 
     async def run() -> int:
         case = Case(Path(case_file).resolve().parent)
+
+        def note(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+            case.record(f"in the rig: {context.get('message')} {context.get('exception') or ''}")
+
+        asyncio.get_running_loop().set_exception_handler(note)
         try:
             held = await asyncio.wait_for(play(case), LIMIT_SECONDS)
         except (CaseError, TimeoutError, OSError, subprocess.CalledProcessError) as error:
