Log and count lists of discovery that arrive after a newer version

Need: review case 1 puts a draining host back into use, and the log did not show which list had done it: a late answer of the new service, one of the old service, or the node's own repetition of an entry.

Change: the discovery client logs such a list with both versions and counts it (`endpoint_lists_outdated`). It is still applied.

The new test fails on the text before, which has no such counter.

--- a/limerudder/core/discovery/discovery_client.py
+++ b/limerudder/core/discovery/discovery_client.py
@@ -7,6 +7,7 @@
 from limerudder.core.discovery.discovery_call import DiscoveryCall
 from limerudder.core.discovery.endpoint_list import EndpointList
 from limerudder.core.operations.counters import CounterName
+from limerudder.core.operations.log_events import LogKind
 from limerudder.core.services import NodeServices
 from limerudder.core.transport import Address
 from limerudder.policy.discovery_timing import (
@@ -54,6 +55,7 @@
         self._network = services.network
         self._timer_wheel = services.timer_wheel
         self._counters = services.counters
+        self._log = services.log
         self._reopen_watch_at_us: int | None = None
         self._awaits_complete_list = False  # Whether a new service has yet to send its complete list
         self._polls: set[DiscoveryCall] = set()
@@ -112,6 +114,7 @@
     def _list_received(self, call: DiscoveryCall, endpoint_list: EndpointList, now_us: int) -> None:
         is_first_of_watch = call is self.watch and not self.has_endpoint_list
         self.has_endpoint_list = self.has_endpoint_list or call is self.watch
+        self._report_if_outdated(endpoint_list)
         self.version = endpoint_list.version
         self._observer.endpoints_received(endpoint_list, now_us)
         if is_first_of_watch and self._awaits_complete_list and not endpoint_list.is_complete:
@@ -120,6 +123,14 @@
         # to the list that a node starts with are enough, regardless of its version.
         self._awaits_complete_list = self._awaits_complete_list and not endpoint_list.is_complete
 
+    def _report_if_outdated(self, received: EndpointList) -> None:
+        if received.version >= self.version:
+            return
+        self._counters.increment(CounterName.ENDPOINT_LISTS_OUTDATED)
+        kind = "complete list" if received.is_complete else "list of changes"
+        text = f"discovery: a {kind} of version {received.version} arrived after version {self.version}"
+        self._log(LogKind.ENDPOINT_LIST_OUTDATED, text)
+
     def _call_ended(self, call: DiscoveryCall, failed: bool, now_us: int) -> None:
         self._polls.discard(call)
         if call is self.watch:
--- a/tests/test_discovery_client.py
+++ b/tests/test_discovery_client.py
@@ -10,6 +10,7 @@
 
 from harness.configurations import SECOND, host, hosts
 from limerudder.core.discovery.discovery_call import DiscoveryCall
+from limerudder.core.operations.counters import CounterName
 from limerudder.policy.events import EndpointUpdate, ServerState, UpdateKind
 from tests.node_testbed import FakeTransport, NodeTestbed, node_testbed, policy_events
 
@@ -36,8 +37,13 @@
 
 
 def _answer(call: FakeTransport, content: dict[str, Any], now_us: int) -> None:
+    call.machine.data_received(ANSWER_HEAD, now_us)
+    _send_list(call, content, now_us)
+
+
+def _send_list(call: FakeTransport, content: dict[str, Any], now_us: int) -> None:
     text = json.dumps(content).encode() + b"\n"
-    call.machine.data_received(ANSWER_HEAD + b"%x\r\n%b\r\n" % (len(text), text), now_us)
+    call.machine.data_received(b"%x\r\n%b\r\n" % (len(text), text), now_us)
 
 
 @pytest.mark.parametrize("complete", [True, False])
@@ -92,6 +98,19 @@
     assert ready_names(testbed) == ["s-3"]
 
 
+def test_a_list_that_arrives_after_a_newer_version_is_counted_and_logged(tmp_path: Path) -> None:
+    """Guards against an outdated answer that leaves no trace (review case 1)."""
+    testbed = node_testbed(tmp_path)
+    testbed.node.discovery.change_address(("127.0.0.1", 99), testbed.now)
+    watch = testbed.dials[-1]
+    _answer(watch, hosts(host("s-1"), reset=False) | {"generation": 7}, testbed.now)
+    poll = testbed.dials[-1]
+    _send_list(watch, hosts(host("s-1"), reset=False) | {"generation": 8}, testbed.now)
+    _answer(poll, hosts(host("s-1")) | {"generation": 7}, testbed.now)
+    assert testbed.node.counters[CounterName.ENDPOINT_LISTS_OUTDATED] == 1
+    assert any("version 7 arrived after version 8" in line for line in testbed.logged)
+
+
 def test_a_node_that_starts_polls_for_changes_only(tmp_path: Path) -> None:
     testbed = node_testbed(tmp_path, known=hosts(host("s-1")) | {"generation": 0})
     _answer(testbed.dials[0], hosts(reset=False) | {"generation": 0}, testbed.now)
