Repeat a failed call for the complete list until discovery has sent it

Cause: the policy alone repeated failed calls. Where lists are pushed its poller does nothing; where they are asked for, any other answer, and an entry applied again from the store, cancelled the retry for up to 0.9 of `askEveryUs`. A hot restart and the store's `list/last` forgot that a complete list was still awaited.

Change: the client repeats failed calls itself (0.1 s where lists are pushed, 0.7 s otherwise, unless the policy does before), which nothing postpones. `hosts` of the hand-over line says `"reset":false` while the complete list is awaited, so that a successor asks for it too; `list/last` is not written meanwhile.

The waits keep the six seconds (`test_the_clients_own_retry_keeps_the_deadline`).

--- a/limerudder/core/discovery/discovery_client.py
+++ b/limerudder/core/discovery/discovery_client.py
@@ -11,12 +11,12 @@
 from limerudder.core.services import NodeServices
 from limerudder.core.transport import Address
 from limerudder.policy.discovery_timing import (
-    AGENT_RETRY_INTERVAL_US,
     CHECK_INTERVAL_US,
     COMPLETE_TIMEOUT_US,
     LARGE_LIST_BYTES,
     MAX_COMPLETE_TIMEOUT_US,
     CallDeadline,
+    client_retry_wait_us,
 )
 
 NO_VERSION = 0  #: Version lower than any that a service uses: a watch after it starts with the complete list
@@ -41,14 +41,16 @@
     def __init__(
         self,
         address: Address,
-        version: int,
+        known: EndpointList,
         is_pushed: bool,
         observer: EndpointObserver,
         services: NodeServices,
     ) -> None:
-        self.version = version  # Version of the observer's list
+        """`known`: the observer's list; if it is incomplete, a complete one is requested."""
+        self.version = known.version  # Version of the observer's list
         self.watch: DiscoveryCall | None = None
         self.has_endpoint_list = False  # Whether the current watch has received its first list
+        self.awaits_complete_list = not known.is_complete  # Whether the service has yet to send one
         self._address = address
         self._is_pushed = is_pushed  # Whether an agent on this machine sends the lists, not a shared service
         self._observer = observer
@@ -57,23 +59,22 @@
         self._counters = services.counters
         self._log = services.log
         self._reopen_watch_at_us: int | None = None
-        self._awaits_complete_list = False  # Whether a new service has yet to send its complete list
+        self._repeat_poll_at_us: int | None = None
         self._polls: set[DiscoveryCall] = set()
         self._complete_timeout_us = COMPLETE_TIMEOUT_US
 
     def start(self, now_us: int) -> None:
         """Open the watch if lists are pushed: the policy then does not request them."""
-        self._check_deadlines(now_us)
+        self._check_calls(now_us)
         if self._is_pushed:
             self.ensure_watch(now_us)
 
     def ensure_watch(self, now_us: int) -> None:
         """Open the watch. If it is already open, nothing was missed and the shared service is not polled."""
         if self.watch is None:
-            self.has_endpoint_list = False
-            self.watch = self._call(self.version, now_us)
-        elif self.has_endpoint_list and self._awaits_complete_list:
-            self.poll(now_us)  # The previous poll has failed
+            self._open_watch(now_us)
+        elif self.has_endpoint_list and self.awaits_complete_list:
+            self._poll_if_none_is_open(now_us)  # The previous poll has failed
         elif self.has_endpoint_list:
             self._observer.endpoints_unchanged(self.version, now_us)
 
@@ -82,6 +83,7 @@
         if self.watch:
             self.watch.close()
         self.watch = None
+        self._reopen_watch_at_us = None
 
     def poll(self, now_us: int) -> None:
         """Request the complete list once."""
@@ -93,16 +95,25 @@
             return
         self._address = address
         # Versions of two services are unrelated: a watch after a version of the old service might never
-        # receive the changes of the new one.
+        # receive the changes of the new one. A late answer from the old service must not overwrite the list.
         self.version = NO_VERSION
-        self._awaits_complete_list = True
+        self.awaits_complete_list = True
         self.close_watch()
-        # A late answer from the old service must not overwrite the new service's list.
-        for call in self._polls:
-            call.close()
-        self._polls.clear()
+        self._close_polls()
         self.ensure_watch(now_us)
 
+    # Calls
+
+    def _open_watch(self, now_us: int) -> None:
+        self._reopen_watch_at_us = None
+        self.has_endpoint_list = False
+        self.watch = self._call(self.version, now_us)
+
+    def _poll_if_none_is_open(self, now_us: int) -> None:
+        self._repeat_poll_at_us = None
+        if not self._polls:
+            self.poll(now_us)
+
     def _call(self, after_version: int | None, now_us: int) -> DiscoveryCall:
         self._counters.increment(CounterName.DISCOVERY_CALLS)
         host, port = self._address
@@ -111,17 +122,37 @@
         call.transport = self._network.dial(self._address, call)
         return call
 
-    def _list_received(self, call: DiscoveryCall, endpoint_list: EndpointList, now_us: int) -> None:
-        is_first_of_watch = call is self.watch and not self.has_endpoint_list
+    def _close_polls(self) -> None:
+        for poll in self._polls:
+            poll.close()
+        self._polls.clear()
+        self._repeat_poll_at_us = None
+
+    def _call_ended(self, call: DiscoveryCall, failed: bool, now_us: int) -> None:
+        retry_at_us = now_us + client_retry_wait_us(self._is_pushed)
+        if call is self.watch:
+            self.watch = None
+            self._reopen_watch_at_us = retry_at_us
+        else:
+            self._polls.discard(call)
+            if self.awaits_complete_list:
+                self._repeat_poll_at_us = retry_at_us
+        if failed:
+            self._counters.increment(CounterName.DISCOVERY_FAILURES)
+            self._observer.endpoints_failed(self.version, now_us)
+
+    # Lists
+
+    def _list_received(self, call: DiscoveryCall, received: EndpointList, now_us: int) -> None:
         self.has_endpoint_list = self.has_endpoint_list or call is self.watch
-        self._report_if_outdated(endpoint_list)
-        self.version = endpoint_list.version
-        self._observer.endpoints_received(endpoint_list, now_us)
-        if is_first_of_watch and self._awaits_complete_list and not endpoint_list.is_complete:
-            self.poll(now_us)  # The changes apply to a list that this node never received
+        self._report_if_outdated(received)
+        self.version = received.version
+        self._observer.endpoints_received(received, now_us)
         # At the first address no complete list is awaited, to limit the load on the shared service: changes
         # to the list that a node starts with are enough, regardless of its version.
-        self._awaits_complete_list = self._awaits_complete_list and not endpoint_list.is_complete
+        self.awaits_complete_list = self.awaits_complete_list and not received.is_complete
+        if self.awaits_complete_list and self._repeat_poll_at_us is None:
+            self._poll_if_none_is_open(now_us)  # The changes apply to a list that this node never received
 
     def _report_if_outdated(self, received: EndpointList) -> None:
         if received.version >= self.version:
@@ -131,25 +162,19 @@
         text = f"discovery: a {kind} of version {received.version} arrived after version {self.version}"
         self._log(LogKind.ENDPOINT_LIST_OUTDATED, text)
 
-    def _call_ended(self, call: DiscoveryCall, failed: bool, now_us: int) -> None:
-        self._polls.discard(call)
-        if call is self.watch:
-            self.watch = None
-            self._reopen_watch_at_us = now_us + AGENT_RETRY_INTERVAL_US if self._is_pushed else None
-        if failed:
-            self._counters.increment(CounterName.DISCOVERY_FAILURES)
-            self._observer.endpoints_failed(self.version, now_us)
+    # Deadlines and retries
 
-    def _check_deadlines(self, now_us: int) -> None:
-        """Fail the calls that are past their deadline, and reopen the watch when it is due."""
-        self._timer_wheel.schedule(now_us + CHECK_INTERVAL_US, self._check_deadlines)
+    def _check_calls(self, now_us: int) -> None:
+        """Fail the calls that are past their deadline, and repeat failed ones that are due."""
+        self._timer_wheel.schedule(now_us + CHECK_INTERVAL_US, self._check_calls)
         for call in self._open_calls():
             if call.deadline.is_expired(now_us):
                 self._extend_timeout_for_size(call.partial_list_bytes)
                 call.connection_lost(now_us)
-        if self._reopen_watch_at_us is not None and now_us >= self._reopen_watch_at_us:
-            self._reopen_watch_at_us = None
-            self.ensure_watch(now_us)
+        if self.watch is None and _is_due(self._reopen_watch_at_us, now_us):
+            self._open_watch(now_us)
+        if self.awaits_complete_list and _is_due(self._repeat_poll_at_us, now_us):
+            self._poll_if_none_is_open(now_us)
 
     def _extend_timeout_for_size(self, partial_list_bytes: int) -> None:
         """Extend the timeout of later calls if an expired call had received part of a large list."""
@@ -161,3 +186,7 @@
         if self.watch:
             calls.append(self.watch)
         return calls
+
+
+def _is_due(time_us: int | None, now_us: int) -> bool:
+    return time_us is not None and now_us >= time_us
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -107,7 +107,7 @@
         self.maintenance = Maintenance(marks or InMemoryMarks(), self._maintenance_effects, self.timer_wheel)
         self._resource_sharing = ResourceSharing(self.requests, self.upstreams, self.admission, services)
         is_pushed = self.settings.discovery == "pushed"
-        self.discovery = DiscoveryClient(config.discovery, config.known.version, is_pushed, self, services)
+        self.discovery = DiscoveryClient(config.discovery, config.known, is_pushed, self, services)
         self._dispatcher.set_handlers(self._action_handlers(), self.lifecycle.policy_failed)
 
     def _build_request_parts(self, services: NodeServices) -> None:
@@ -220,8 +220,13 @@
         return self.upstreams.listed(name) is not None
 
     def endpoint_list(self) -> EndpointList:
-        """Return the complete endpoint list as this node has applied it."""
-        return self.upstreams.endpoint_list(self.discovery.version)
+        """Return the endpoint list as this node has applied it.
+
+        It is marked as incomplete while entries may be missing or outdated, since the service has not sent
+        its complete list yet.
+        """
+        endpoints = self.upstreams.endpoint_list(self.discovery.version)
+        return endpoints._replace(is_complete=not self.discovery.awaits_complete_list)
 
     def refresh_endpoint(self, name: str, now_us: int) -> None:
         """Apply an endpoint's entry again, after a change to its recorded drains."""
@@ -265,7 +270,8 @@
 
     def is_ready_to_serve(self) -> bool:
         """Return whether discovery has sent its list and no health check is pending."""
-        return self.discovery.has_endpoint_list and not self.health_checker.has_pending_checks()
+        has_current_list = self.discovery.has_endpoint_list and not self.discovery.awaits_complete_list
+        return has_current_list and not self.health_checker.has_pending_checks()
 
     def recent_request_ids(self) -> list[int]:
         """Return the ids of requests that are open in this process or were so recently."""
--- a/limerudder/policy/discovery_timing.py
+++ b/limerudder/policy/discovery_timing.py
@@ -41,6 +41,15 @@
 MAX_DOUBLINGS = 4
 
 
+def client_retry_wait_us(pushed: bool) -> int:
+    """Return after which time the client repeats a failed call by itself.
+
+    Where lists are polled, the policy's `Backoff` normally repeats it earlier. But the policy discards that
+    retry when another answer arrives, so the client has its own, which nothing postpones.
+    """
+    return AGENT_RETRY_INTERVAL_US if pushed else MAX_BACKOFF_US - CHECK_INTERVAL_US
+
+
 class CallDeadline:
     """Decides by the bytes received on a call whether it is dead."""
 
--- a/limerudder/store/endpoint_list_writer.py
+++ b/limerudder/store/endpoint_list_writer.py
@@ -44,9 +44,15 @@
         return True
 
     def write(self, endpoint_list: EndpointList, now_us: int) -> None:
-        """Write the list if it differs from the last one written and this member leads."""
+        """Write the list if it differs from the last one written and this member leads.
+
+        A list that the service has not sent completely is not written: a restarted node would begin with its
+        outdated entries and ask only for later changes.
+        """
         is_new = endpoint_list.version != self._written_version
-        if not self._store.member.is_leader or not is_new or not endpoint_list.endpoints:
+        if not (is_new and endpoint_list.is_complete and endpoint_list.endpoints):
+            return
+        if not self._store.member.is_leader:
             return
         if self._session_id == NO_SESSION:
             self._open_session(now_us)
