Order discovery's lists by version, so that a late answer undoes no drain

Cause: `DiscoveryClient._list_received` applied lists in the order of their arrival and took each version over.

Change: `ListHistory` orders the lists of concurrent calls. A complete list keeps what newer changes have said since its call began; a list older than the last complete one is ignored. A service whose numbering begins anew is still believed, at this address too: each call remembers the version known when it was opened, and only a new numbering answers with less. Other calls of the earlier numbering are then closed, and a complete list is requested if this was none.

Why it works: every entry that changed after the version of a complete list stands in the changes received since its call was opened.

--- a/limerudder/core/discovery/discovery_call.py
+++ b/limerudder/core/discovery/discovery_call.py
@@ -34,6 +34,7 @@
         self._host = host
         self.after_version = after_version  # A watch receives the changes since this version; None for a poll
         self.is_watch = after_version is not None
+        self.min_version = 0  # A list of a lower version shows that the service's numbering has begun anew
         self.deadline = deadline
         self._ended = False
         self._on_list = on_list
--- a/limerudder/core/discovery/discovery_client.py
+++ b/limerudder/core/discovery/discovery_client.py
@@ -6,6 +6,7 @@
 
 from limerudder.core.discovery.discovery_call import DiscoveryCall
 from limerudder.core.discovery.endpoint_list import EndpointList
+from limerudder.core.discovery.list_history import ListHistory
 from limerudder.core.operations.counters import CounterName
 from limerudder.core.operations.log_events import LogKind
 from limerudder.core.services import NodeServices
@@ -19,8 +20,6 @@
     client_retry_wait_us,
 )
 
-NO_VERSION = 0  #: Version lower than any that a service uses: a watch after it starts with the complete list
-
 
 class EndpointObserver(Protocol):
     """Receives endpoint lists and failures; implemented by the node."""
@@ -36,7 +35,11 @@
 
 
 class DiscoveryClient:
-    """Watches and polls discovery at one address, which can be changed."""
+    """Watches and polls discovery at one address, which can be changed.
+
+    Lists of concurrent calls are ordered by their version (`ListHistory`). A call that answers with a version
+    below the one known when it was opened shows that the service has begun a new numbering.
+    """
 
     def __init__(
         self,
@@ -47,7 +50,6 @@
         services: NodeServices,
     ) -> None:
         """`known`: the observer's list; if it is incomplete, a complete one is requested."""
-        self.version = known.version  # Version of the observer's list
         self.watch: DiscoveryCall | None = None
         self.has_endpoint_list = False  # Whether the current watch has received its first list
         self.awaits_complete_list = not known.is_complete  # Whether the service has yet to send one
@@ -58,11 +60,17 @@
         self._timer_wheel = services.timer_wheel
         self._counters = services.counters
         self._log = services.log
+        self._history = ListHistory(known.version)
         self._reopen_watch_at_us: int | None = None
         self._repeat_poll_at_us: int | None = None
         self._polls: set[DiscoveryCall] = set()
         self._complete_timeout_us = COMPLETE_TIMEOUT_US
 
+    @property
+    def version(self) -> int:
+        """Version of the observer's list."""
+        return self._history.version
+
     def start(self, now_us: int) -> None:
         """Open the watch if lists are pushed: the policy then does not request them."""
         self._check_calls(now_us)
@@ -96,8 +104,7 @@
         self._address = address
         # Versions of two services are unrelated: a watch after a version of the old service might never
         # receive the changes of the new one. A late answer from the old service must not overwrite the list.
-        self.version = NO_VERSION
-        self.awaits_complete_list = True
+        self._begin_history()
         self.close_watch()
         self._close_polls()
         self.ensure_watch(now_us)
@@ -119,6 +126,7 @@
         host, port = self._address
         deadline = CallDeadline(self._is_pushed, now_us, self._complete_timeout_us)
         call = DiscoveryCall(f"{host}:{port}", after_version, self._list_received, self._call_ended, deadline)
+        call.min_version = self.version
         call.transport = self._network.dial(self._address, call)
         return call
 
@@ -137,6 +145,8 @@
             self._polls.discard(call)
             if self.awaits_complete_list:
                 self._repeat_poll_at_us = retry_at_us
+        if not self._polls:
+            self._history.forget_changes()
         if failed:
             self._counters.increment(CounterName.DISCOVERY_FAILURES)
             self._observer.endpoints_failed(self.version, now_us)
@@ -144,23 +154,49 @@
     # Lists
 
     def _list_received(self, call: DiscoveryCall, received: EndpointList, now_us: int) -> None:
+        """Apply a list. If that fails, the list does not count as received, and a later call repeats it."""
+        is_renumbered = received.version < call.min_version
+        if is_renumbered:
+            self._begin_numbering(call, received, now_us)
+        current = self._history.merge(received)
+        self._report_outdated(received, current)
+        self._observer.endpoints_received(current, now_us)
+        self._history.record(received, keep_changes=bool(self._polls))
+        call.min_version = received.version
         self.has_endpoint_list = self.has_endpoint_list or call is self.watch
-        self._report_if_outdated(received)
-        self.version = received.version
-        self._observer.endpoints_received(received, now_us)
         # At the first address no complete list is awaited, to limit the load on the shared service: changes
-        # to the list that a node starts with are enough, regardless of its version.
+        # to the list that a node starts with are enough.
         self.awaits_complete_list = self.awaits_complete_list and not received.is_complete
-        if self.awaits_complete_list and self._repeat_poll_at_us is None:
+        if self.awaits_complete_list and not is_renumbered and self._repeat_poll_at_us is None:
             self._poll_if_none_is_open(now_us)  # The changes apply to a list that this node never received
 
-    def _report_if_outdated(self, received: EndpointList) -> None:
-        if received.version >= self.version:
+    def _begin_numbering(self, call: DiscoveryCall, received: EndpointList, now_us: int) -> None:
+        """Discard what was received in an earlier numbering of the service, and the calls opened in it."""
+        self._counters.increment(CounterName.DISCOVERY_RENUMBERED)
+        text = f"discovery: version {received.version} follows version {call.min_version}"
+        self._log(LogKind.DISCOVERY_RENUMBERED, f"{text}: its numbering has begun anew")
+        self._begin_history()
+        self._polls.discard(call)
+        self._close_polls()
+        retry_at_us = now_us + client_retry_wait_us(self._is_pushed)
+        if call is not self.watch:
+            self._polls.add(call)
+            self.close_watch()
+            self._reopen_watch_at_us = retry_at_us
+        if not received.is_complete:
+            self._repeat_poll_at_us = retry_at_us
+
+    def _begin_history(self) -> None:
+        self._history = ListHistory()
+        self.awaits_complete_list = True
+
+    def _report_outdated(self, received: EndpointList, current: EndpointList) -> None:
+        if received.version >= current.version:
             return
         self._counters.increment(CounterName.ENDPOINT_LISTS_OUTDATED)
         kind = "complete list" if received.is_complete else "list of changes"
-        text = f"discovery: a {kind} of version {received.version} arrived after version {self.version}"
-        self._log(LogKind.ENDPOINT_LIST_OUTDATED, text)
+        text = f"discovery: a {kind} of version {received.version} arrived after version {current.version}"
+        self._log(LogKind.ENDPOINT_LIST_OUTDATED, f"{text}; newer entries are kept")
 
     # Deadlines and retries
 
--- a/limerudder/core/operations/counters.py
+++ b/limerudder/core/operations/counters.py
@@ -60,6 +60,7 @@
     ENDPOINT_UPDATES = "endpoint_updates"
     DISCOVERY_CALLS = "discovery_calls"
     DISCOVERY_FAILURES = "discovery_failures"
+    DISCOVERY_RENUMBERED = "discovery_renumbered"
     ENDPOINT_LISTS_OUTDATED = "endpoint_lists_outdated"
     MAINTENANCE_STARTED = "maintenance_started"
     MAINTENANCE_ENDED = "maintenance_ended"
--- a/limerudder/core/operations/log_events.py
+++ b/limerudder/core/operations/log_events.py
@@ -32,6 +32,7 @@
     HOST_DRAIN_RECORDED = ("host.drain_recorded", LogLevel.INFO)
     LOAD_REPORT_MALFORMED = ("host.load_report_malformed", LogLevel.WARNING)
     DISCOVERY_FAILED = ("discovery.failed", LogLevel.WARNING)
+    DISCOVERY_RENUMBERED = ("discovery.renumbered", LogLevel.WARNING)
     ENDPOINT_LIST_OUTDATED = ("discovery.list_outdated", LogLevel.INFO)
     POLICY_MESSAGE = ("policy.message", LogLevel.INFO)
     POLICY_ERROR = ("policy.error", LogLevel.ERROR)
--- a/limerudder/store/endpoint_list_writer.py
+++ b/limerudder/store/endpoint_list_writer.py
@@ -21,7 +21,6 @@
 
 WRITE_INTERVAL_US = 2_000_000
 NO_SESSION = 0  #: Reserved identifier that no session has
-NOTHING_WRITTEN = -1  #: Reserved version that no list has
 
 
 class EndpointListWriter:
@@ -31,7 +30,7 @@
         self._store = store
         self._max_value_bytes = max_value_bytes
         self._next_write_us = store.now_us()
-        self._written_version = NOTHING_WRITTEN
+        self._written: EndpointList | None = None
         self._session_id = NO_SESSION
         self._opening_session = False
         self._sequence = RequestSequence()
@@ -49,7 +48,7 @@
         A list that the service has not sent completely is not written: a restarted node would begin with its
         outdated entries and ask only for later changes.
         """
-        is_new = endpoint_list.version != self._written_version
+        is_new = endpoint_list != self._written  # Not only the version: its numbering may have begun anew
         if not (is_new and endpoint_list.is_complete and endpoint_list.endpoints):
             return
         if not self._store.member.is_leader:
@@ -59,7 +58,7 @@
             return
         value = json.dumps(format_endpoint_list(endpoint_list)).encode()
         stored = self._store.member.persisted_value(ENDPOINT_LIST_KEY)
-        self._written_version = endpoint_list.version
+        self._written = endpoint_list
         if stored.value == value or len(value) > self._max_value_bytes:
             return
         unchanged = Compare(ENDPOINT_LIST_KEY, CompareTarget.MODIFIED, number=stored.modified_revision)
@@ -78,10 +77,10 @@
 
     def _result_received(self, outcome: CommandResult | CallFailure) -> None:
         if isinstance(outcome, CallFailure):
-            self._written_version = NOTHING_WRITTEN
+            self._written = None
             return
         if outcome.error or not outcome.succeeded:
-            self._written_version = NOTHING_WRITTEN
+            self._written = None
         if outcome.error:
             self._session_id = NO_SESSION
 
--- a/tests/test_endpoint_list_writer.py
+++ b/tests/test_endpoint_list_writer.py
@@ -63,3 +63,8 @@
 def test_a_list_whose_complete_form_is_still_awaited_is_not_saved() -> None:
     """Guards against a restart from hosts of the old service, for which no change is ever told."""
     assert written_lists(endpoint_list(7, "old", "h1", complete=False)) == 0
+
+
+def test_a_list_of_a_numbering_that_began_anew_is_saved() -> None:
+    """Guards against a comparison of versions alone: a new service's list may have the same one."""
+    assert written_lists(endpoint_list(7, "h1"), endpoint_list(7, "h2")) == 2
