Keep a change of the list that arrives with a malformed one or fails to apply

What callers saw: a change behind which a malformed list came in the same piece was dropped, and arrived a retry later at best; an instance's name with half a surrogate pair raised while it was applied, and the lists after it were lost until the next change.

Cause: an exception between two effects dropped the second: in the call between parsing and reporting, and in the stream of objects between two of them.

Change: the call reports what was complete before the malformed part, and ends with the first list that cannot be applied. Its version does not count as received, so the next call repeats it. Names that have no UTF-8 form are malformed.

--- a/limerudder/core/discovery/discovery_call.py
+++ b/limerudder/core/discovery/discovery_call.py
@@ -59,21 +59,34 @@
         return f"GET {PATH}{query} HTTP/1.1\r\n{headers}\r\n".encode()
 
     def data_received(self, data: bytes, now_us: int) -> None:
-        """Part of the response has arrived; a malformed response fails the call."""
+        """Part of the response has arrived; a malformed response fails the call after the lists before it."""
         if self._ended:
             return
+        is_malformed = False
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, EndpointListError, JsonStreamError):
+            is_malformed = True
+        self._report_lists(now_us)
+        if is_malformed:
             self._end(True, now_us)
-            return
+        elif self._response_complete:
+            self._end(self.is_watch, now_us)  # A watch never completes: its end is a failure
+
+    def _report_lists(self, now_us: int) -> None:
         parsed = self._parsed
         self._parsed = []
         self.deadline.record_bytes(len(parsed), bool(self._objects.partial_object), now_us)
         for endpoint_list in parsed:
+            if not self._ended:
+                self._report_list(endpoint_list, now_us)
+
+    def _report_list(self, endpoint_list: EndpointList, now_us: int) -> None:
+        try:
             self._on_list(self, endpoint_list, now_us)
-        if self._response_complete:
-            self._end(self.is_watch, now_us)  # A watch never completes: its end is a failure
+        except Exception:  # the next call repeats this list and those that follow it
+            self._end(True, now_us)
+            raise
 
     def eof_received(self, now_us: int) -> None:
         """The service has closed the connection before the response was complete."""
@@ -107,7 +120,15 @@
 
         Raises EndpointListError or JsonStreamError.
         """
-        for text in self._objects.feed(data):
+        try:
+            objects = self._objects.feed(data)
+        except JsonStreamError as error:
+            self._parse_lists(error.completed)
+            raise
+        self._parse_lists(objects)
+
+    def _parse_lists(self, objects: list[bytes]) -> None:
+        for text in objects:
             self._parsed.append(_parse_json(text))
             self._lists_received += 1
 
--- a/limerudder/core/discovery/endpoint_list.py
+++ b/limerudder/core/discovery/endpoint_list.py
@@ -63,8 +63,10 @@
     address = parse_address(instance["hostPort"])
     if address[1] == 0:
         raise ValueError("port 0")
+    name = str(instance["instanceId"])
+    name.encode()  # Rejects unpaired surrogates, which JSON allows
     return Endpoint(
-        name=str(instance["instanceId"]),
+        name=name,
         address=address,
         zone=str(instance["zone"]),
         machine_type=str(instance["machineType"]),
--- a/limerudder/core/discovery/json_stream.py
+++ b/limerudder/core/discovery/json_stream.py
@@ -12,7 +12,14 @@
 
 
 class JsonStreamError(ValueError):
-    """The stream is not a sequence of JSON objects, or one exceeds a limit."""
+    """The stream is not a sequence of JSON objects, or one exceeds a limit.
+
+    `completed` are the objects that the same bytes had completed before the error.
+    """
+
+    def __init__(self, text: str) -> None:
+        super().__init__(text)
+        self.completed: list[bytes] = []
 
 
 class JsonObjectStream:
@@ -32,11 +39,18 @@
         """Add bytes, and return the objects that they complete. Raises JsonStreamError."""
         self.partial_object += data
         objects: list[bytes] = []
+        try:
+            self._scan(objects)
+        except JsonStreamError as error:
+            error.completed = objects
+            raise
+        return objects
+
+    def _scan(self, objects: list[bytes]) -> None:
         while self._scan_next(objects):
             pass
         if len(self.partial_object) > self._max_object_bytes:
             raise JsonStreamError(f"JSON object longer than {self._max_object_bytes} bytes")
-        return objects
 
     def _scan_next(self, objects: list[bytes]) -> bool:
         """Scan up to the next significant character; return False if there is none yet."""
