Let an earlier return to service not replace a later one

What callers saw: nothing reported.

Cause: `apply_return_to_service_times` took over every time that it was given.

Change: an earlier time than the one known is left out.

Evidence: `test_an_earlier_return_to_service_does_not_replace_a_later_one` failed before and passes now.

--- a/limerudder/core/upstream/maintenance_effects.py
+++ b/limerudder/core/upstream/maintenance_effects.py
@@ -66,8 +66,8 @@
         """Apply returns to service that another process recorded, as if they had been made here."""
         for name, returned_us in times.items():
             upstream = self._upstreams.by_name.get(name)
-            if upstream is None:
-                continue
+            if upstream is None or returned_us < upstream.returned_to_service_us:
+                continue  # A later return has been applied already
             # The time is by another process's clock, which may be ahead of this one's.
             upstream.returned_to_service_us = min(returned_us, now_us)
             is_recent = returned_us > now_us - _RETURN_TIMEOUT_US
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -257,3 +257,12 @@
     testbed.node.apply_return_to_service_times({"s-1": testbed.now + 3600 * SECOND}, testbed.now)
     (entry,) = (entry for event in reported if isinstance(event, EndpointUpdate) for entry in event.entries)
     assert entry.ready_since_us == testbed.now
+
+
+def test_an_earlier_return_to_service_does_not_replace_a_later_one(tmp_path: Path) -> None:
+    """Guards against another process's older record that makes a returned host look warm."""
+    testbed = node_testbed(tmp_path)
+    returned_at = testbed.now
+    testbed.node.apply_return_to_service_times({"s-1": returned_at}, testbed.now)
+    testbed.node.apply_return_to_service_times({"s-1": returned_at - 30 * SECOND}, testbed.now)
+    assert testbed.node.return_to_service_times() == {"s-1": returned_at}
