Name the message that does not fit into a frame in the store's log

Change: `encode_frame` raises a typed error, and the transport logs the kind of message, its recipient and its size. The error still reaches the caller, as the assertion did.

The new test fails on the text before, which has no such error.

--- a/limerudder/core/operations/log_events.py
+++ b/limerudder/core/operations/log_events.py
@@ -44,6 +44,7 @@
     PEER_DATAGRAM_DROPPED = ("peer.datagram_dropped", LogLevel.WARNING)
     STORE_ENDPOINTS_MALFORMED = ("store.endpoints_malformed", LogLevel.INFO)
     STORE_PEER_REJECTED = ("store.peer_rejected", LogLevel.WARNING)
+    STORE_MESSAGE_TOO_LONG = ("store.message_too_long", LogLevel.ERROR)
     STORE_DISK = ("store.disk", LogLevel.ERROR)
     STORE_LEADER = ("store.leader", LogLevel.INFO)
     STORE_CONFIG = ("store.config", LogLevel.INFO)
--- a/limerudder/store/framing.py
+++ b/limerudder/store/framing.py
@@ -13,9 +13,18 @@
     """The stream contains an invalid frame, after which nothing can be decoded."""
 
 
+class FrameTooLongError(Exception):
+    """A payload exceeds the limit, so that the receiver would reject its frame; `size_bytes` is its size."""
+
+    def __init__(self, size_bytes: int) -> None:
+        super().__init__(f"{size_bytes} bytes; at most {MAX_FRAME_BYTES} fit into a frame")
+        self.size_bytes = size_bytes
+
+
 def encode_frame(payload: bytes) -> bytes:
-    """Return the frame of a payload, which must not exceed MAX_FRAME_BYTES."""
-    assert len(payload) <= MAX_FRAME_BYTES, "the sender limits its payloads"
+    """Return the frame of a payload; raises FrameTooLongError."""
+    if len(payload) > MAX_FRAME_BYTES:
+        raise FrameTooLongError(len(payload))
     return FRAME_HEADER.pack(len(payload), crc32(payload)) + payload
 
 
--- a/limerudder/store/peer_transport.py
+++ b/limerudder/store/peer_transport.py
@@ -13,7 +13,7 @@
 from limerudder.core.operations.log_events import LogKind, LogSink
 from limerudder.core.transport import Address, parse_address
 from limerudder.store import rpc
-from limerudder.store.framing import encode_frame
+from limerudder.store.framing import FrameTooLongError, encode_frame
 from limerudder.store.peer_connection import UNKNOWN_MEMBER, PeerConnection, PeerHandler
 from limerudder.store.raft.messages import ClusterConfig
 
@@ -58,12 +58,23 @@
         return member_id in self._dialled
 
     def send(self, recipient_id: int, message: rpc.StoreMessage) -> None:
-        """Send a message; drop it if there is no connection or its unsent output exceeds the limit."""
+        """Send a message.
+
+        Drop it if there is no connection or its unsent output exceeds the limit. Raises FrameTooLongError if
+        the message does not fit into a frame.
+        """
         connection = self._dialled.get(recipient_id) or self._accepted.get(recipient_id)
         if connection is None or connection.is_congested():
             self.dropped_messages += 1
             return
-        connection.send(encode_frame(rpc.encode_message(message)))
+        try:
+            frame = encode_frame(rpc.encode_message(message))
+        except FrameTooLongError as error:
+            kind = type(message).__name__
+            text = f"store: cannot send {kind} to member {recipient_id:016x}: {error}; dropped"
+            self._log(LogKind.STORE_MESSAGE_TOO_LONG, text, kind)
+            raise
+        connection.send(frame)
 
     def close(self) -> None:
         """Abort all connections and end all tasks and timers."""
--- a/tests/test_store_messages.py
+++ b/tests/test_store_messages.py
@@ -8,7 +8,13 @@
 from hypothesis import strategies as st
 
 from limerudder.store import rpc
-from limerudder.store.framing import MAX_FRAME_BYTES, FrameDecoder, FrameError, encode_frame
+from limerudder.store.framing import (
+    MAX_FRAME_BYTES,
+    FrameDecoder,
+    FrameError,
+    FrameTooLongError,
+    encode_frame,
+)
 from limerudder.store.raft.messages import (
     AppendEntries,
     ClusterConfig,
@@ -57,6 +63,12 @@
         FrameDecoder().feed(bytes(corrupted))
 
 
+def test_a_payload_that_the_receiver_would_reject_is_not_framed() -> None:
+    assert FrameDecoder().feed(encode_frame(bytes(MAX_FRAME_BYTES)))
+    with pytest.raises(FrameTooLongError, match=f"at most {MAX_FRAME_BYTES} fit"):
+        encode_frame(bytes(MAX_FRAME_BYTES + 1))
+
+
 def test_messages_survive_encoding_and_decoding() -> None:
     config = ClusterConfig((Member(1, "a", "127.0.0.1:1"),))
     meta = SnapshotMeta(4, 2, config, 3, 77)
