Lose no write for the disk when a message or a callback fails

Cause: `OutputDispatcher.dispatch` sent messages before it submitted the job of the same output, so the first exception dropped the job. `WriteBuffer.complete_next` took the next durable write for the end of the lost one too. Listeners and callers' callbacks inside `Member.take_output` dropped the whole output the same way.

The same cause mended beside it: completion of several jobs, the last output of a closing store, the disk thread, watches of the control socket.

Why it works: nothing that may raise stands between taking an output and submitting its job any more, and if it ever did again, the member would stall with a sound disk.

--- a/limerudder/store/control.py
+++ b/limerudder/store/control.py
@@ -47,5 +47,5 @@
         return ControlSession(self._store, self._sessions)
 
     def _state_changed(self, now_us: int) -> None:
-        for session in self._sessions:
-            session.send_changes()
+        for session in list(self._sessions):
+            self._store.member.callback_guard.run(session.send_changes)
--- a/limerudder/store/control_session.py
+++ b/limerudder/store/control_session.py
@@ -52,6 +52,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Carry out the calls whose lines are complete."""
+        self._store.schedule_output()
         *lines, self._partial_line = (self._partial_line + data).split(b"\n")
         if len(self._partial_line) > MAX_LINE_BYTES:
             text = f"a line of more than {MAX_LINE_BYTES} bytes"
@@ -61,7 +62,6 @@
         for line in lines:
             if line.strip():
                 self._line_received(line)
-        self._store.schedule_output()
 
     def resume_writing(self) -> None:
         """Resume a watch that was paused because the caller read too slowly."""
--- a/limerudder/store/disk_writer.py
+++ b/limerudder/store/disk_writer.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import queue
-import sqlite3
 import threading
 import time
 from collections.abc import Callable
@@ -87,8 +86,8 @@
         while True:
             try:
                 snapshots = self._disk.persist(jobs)
-            except sqlite3.Error as error:
-                self._report_error(str(error))
+            except Exception as error:  # the thread must not end: nothing would be written any more
+                self._report_error(str(error) or type(error).__name__)
                 time.sleep(WRITE_RETRY_SECONDS)
             else:
                 self._report_error(NO_ERROR)
--- a/limerudder/store/durability_scheduler.py
+++ b/limerudder/store/durability_scheduler.py
@@ -39,6 +39,7 @@
         self._persisted_values = persisted_values
         self._limits = limits
         self._last_job_number = 0
+        self._unsaved_raft_write: RaftWrite | None = None
         self._raft_writes: dict[int, int] = {}  # job number -> Raft's number of its write
         self._facts_in_jobs: dict[int, list[int]] = {}  # job number -> numbers of its facts
         self._fact_waiters: list[_FactWaiter] = []
@@ -49,8 +50,18 @@
         """Adds other members' durability proofs to the next job."""
         self._unsaved_proofs.update(proofs)
 
-    def next_job(self, raft_write: RaftWrite | None) -> DurabilityJob | None:
+    @property
+    def has_raft_write(self) -> bool:
+        """Whether Raft's last write is in no job yet; the next one must wait until it is."""
+        return self._unsaved_raft_write is not None
+
+    def add_raft_write(self, raft_write: RaftWrite | None) -> None:
+        """Adds Raft's write to the next job."""
+        self._unsaved_raft_write = raft_write
+
+    def next_job(self) -> DurabilityJob | None:
         """Returns a job with all changes since the last one, or None if there are none."""
+        raft_write = self._unsaved_raft_write
         snapshot = self._due_snapshot()
         unsaved = (
             self._drain_log.has_unsaved() or self._persisted_values.has_unsaved() or self._unsaved_proofs
@@ -69,6 +80,7 @@
             self._unsaved_proofs,
         )
         self._unsaved_proofs = {}
+        self._unsaved_raft_write = None
         if raft_write:
             self._raft_writes[job.number] = raft_write.number
         if facts.added:
@@ -77,12 +89,12 @@
 
     def on_job_durable(self, job_number: int, snapshot: Snapshot | None, now_us: int) -> None:
         """Handles the completion of a job; `snapshot` is the one built for it, if any."""
-        if snapshot:
-            self._snapshot_in_progress = False
-            self._raft.compact(snapshot, self._limits.retained_entries)
         write_number = self._raft_writes.pop(job_number, None)
         if write_number is not None:
             self._raft.on_write_durable(write_number, now_us)
+        if snapshot:
+            self._snapshot_in_progress = False
+            self._raft.compact(snapshot, self._limits.retained_entries)
         self._notify_fact_waiters(self._facts_in_jobs.pop(job_number, []), now_us)
 
     def when_durable(self, fact_number: int, callback: TimeCallback, now_us: int) -> None:
--- a/limerudder/store/member.py
+++ b/limerudder/store/member.py
@@ -7,10 +7,12 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from random import Random
 
+from limerudder.store.callback_guard import CallbackGuard
 from limerudder.store.calls import (
     CallFailure,
     CallFailureKind,
@@ -37,7 +39,7 @@
 from limerudder.store.log_applier import LogApplier
 from limerudder.store.peer_authentication import DurabilityProof
 from limerudder.store.persisted_values import PersistedValues
-from limerudder.store.raft.messages import AppendEntries, ClusterConfig, Snapshot
+from limerudder.store.raft.messages import AppendEntries, ClusterConfig, Entry, Snapshot
 from limerudder.store.raft.output import RaftOutput
 from limerudder.store.raft.raft import Raft
 from limerudder.store.raft.state import RaftRole, RaftTiming
@@ -78,6 +80,8 @@
     ) -> None:
         limits = limits or MemberLimits()
         self.member_id = member_id
+        #: Runs the callers' callbacks; its `on_error` receives their exceptions
+        self.callback_guard = CallbackGuard()
         self.raft = Raft(member_id, start.raft_state, random, now_us, timing)
         self.state = KeyValueState(limits.max_history_events)
         if start.raft_state.snapshot:
@@ -104,6 +108,7 @@
         self._drain_replicator = DrainReplicator(self.drain_log, self.state, self.raft, self, now_us)
         self._up_to_date_at_us = now_us  # last time the state was up to date with the leader's commit index
         self._output = MemberOutput()
+        self._unapplied: deque[Snapshot | Entry] = deque()  # Committed, in order
         self._persisted_values.refresh()
 
     @property
@@ -130,7 +135,7 @@
         self, kind: RequestKind, data: bytes, deadline_us: int, callback: ReplyCallback, now_us: int
     ) -> None:
         """Submits a request to the leader; calls back exactly once, no later than the deadline."""
-        self.pending_calls.submit(kind, data, deadline_us, callback, now_us)
+        self.pending_calls.submit(kind, data, deadline_us, self.callback_guard.wrap(callback), now_us)
 
     def write(self, command: Command, deadline_us: int, callback: ResultCallback, now_us: int) -> None:
         """Submits a command and calls back with its result; a `SessionWrite` may be retried."""
@@ -159,11 +164,11 @@
 
     def when_applied(self, index: int, callback: TimeCallback, now_us: int) -> None:
         """Calls back once the entry at this index has been applied locally; immediately if it already has."""
-        self._applier.when_applied(index, callback, now_us)
+        self._applier.when_applied(index, self.callback_guard.wrap(callback), now_us)
 
     def when_durable(self, fact_number: int, callback: TimeCallback, now_us: int) -> None:
         """Calls back once a fact of the drain log is durable locally; immediately if it already is."""
-        self._scheduler.when_durable(fact_number, callback, now_us)
+        self._scheduler.when_durable(fact_number, self.callback_guard.wrap(callback), now_us)
 
     def record_proofs(self, proofs: Mapping[int, DurabilityProof]) -> None:
         """Adds the durability proofs of peers to the next job, which makes them durable."""
@@ -211,34 +216,54 @@
         self._scheduler.on_job_durable(job_number, snapshot, now_us)
 
     def take_output(self, now_us: int) -> MemberOutput | None:
-        """Returns the driver's work since the last call, or None if there is none."""
+        """Returns the driver's work since the last call, or None if there is none.
+
+        An exception loses none of it: what Raft has put out is kept until it is returned, and the job is
+        determined before committed entries are applied.
+        """
         self.pending_calls.resend_after_leader_change(now_us)
         self._leader_requests.propose_queued(now_us)
-        raft_output = self.raft.take_output(now_us)
-        if raft_output:
-            self._apply(raft_output, now_us)
         output = self._output
+        raft_output = None if self._scheduler.has_raft_write else self.raft.take_output(now_us)
         if raft_output:
+            self._scheduler.add_raft_write(raft_output.write)
             output.messages += raft_output.messages
             output.messages_after_job += raft_output.messages_after_write
-        output.job = self._scheduler.next_job(raft_output.write if raft_output else None)
+            self._queue_committed(raft_output)
+            self._leader_requests.reply_to_reads(raft_output, now_us)
+        output.job = self._scheduler.next_job()
+        if self._unapplied:
+            self.callback_guard.run(self._apply_committed, now_us)
+        if raft_output:
+            self._leader_requests.discard_lost_proposals()
         if output.is_empty():
             return None
         self._output = MemberOutput()
         return output
 
-    def _apply(self, raft_output: RaftOutput, now_us: int) -> None:
+    def _queue_committed(self, raft_output: RaftOutput) -> None:
         if raft_output.installed_snapshot:
-            self._applier.install(raft_output.installed_snapshot)
-        for entry in raft_output.committed_entries:
-            result = self._applier.apply(entry)
-            self._leader_requests.reply_to_entry(entry, result, now_us)
-        self._leader_requests.reply_to_reads(raft_output, now_us)
-        self._leader_requests.discard_lost_proposals()
-        if raft_output.committed_entries or raft_output.installed_snapshot:
+            self._unapplied.append(raft_output.installed_snapshot)
+        self._unapplied.extend(raft_output.committed_entries)
+
+    def _apply_committed(self, now_us: int) -> None:
+        """Applies snapshots and entries in order; one that cannot be applied is tried again, not skipped."""
+        try:
+            while self._unapplied:
+                self._apply_next(self._unapplied[0], now_us)
+        finally:
             self._applier.notify_waiters(now_us)
             for listener in self.change_listeners:
-                listener(now_us)
+                self.callback_guard.run(listener, now_us)
+
+    def _apply_next(self, committed: Snapshot | Entry, now_us: int) -> None:
+        if isinstance(committed, Snapshot):
+            self._applier.install(committed)
+            self._unapplied.popleft()
+            return
+        result = self._applier.apply(committed)
+        self._unapplied.popleft()
+        self._leader_requests.reply_to_entry(committed, result, now_us)
 
     def _send_request(self, leader_id: int, request: Request, now_us: int) -> None:
         if leader_id == self.member_id:
--- a/limerudder/store/raft/errors.py
+++ b/limerudder/store/raft/errors.py
@@ -15,5 +15,9 @@
         self.leader = leader
 
 
+class LostWriteError(RaftError):
+    """A write has become durable before an earlier one, which is therefore missing on the disk."""
+
+
 class MembershipChangeError(RaftError):
     """The configuration change is invalid or not possible now; the message states the reason."""
--- a/limerudder/store/raft/raft.py
+++ b/limerudder/store/raft/raft.py
@@ -67,11 +67,11 @@
         return state.take_output(now_us)
 
     def on_write_durable(self, number: int, now_us: int) -> None:
-        """Process the completion of all writes up to this one."""
+        """Process the completion of a write; raises LostWriteError if an earlier one has not completed."""
         state = self._state
-        while write := state.writes.complete_next(number, state.log.last_index):
-            if write.self_vote_term == state.term and state.role == RaftRole.CANDIDATE:
-                self._record_vote(state.member_id, True, now_us)
+        write = state.writes.complete(number, state.log.last_index)
+        if write.self_vote_term == state.term and state.role == RaftRole.CANDIDATE:
+            self._record_vote(state.member_id, True, now_us)
         if state.is_leader:
             self._leader.advance_commit(now_us)
 
--- a/limerudder/store/raft/write_buffer.py
+++ b/limerudder/store/raft/write_buffer.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from limerudder.store.raft.errors import LostWriteError
 from limerudder.store.raft.messages import Entry, SnapshotMeta
 from limerudder.store.raft.persistence import HardState, RaftWrite, SnapshotChunk
 
@@ -116,10 +117,14 @@
         self._install_snapshot = None
         self._keep_log_suffix = False
 
-    def complete_next(self, number: int, last_index: int) -> PendingWrite | None:
-        """Mark the oldest pending write durable and return it, if its number is at most `number`."""
-        if not self._pending or self._pending[0].number > number:
-            return None
+    def complete(self, number: int, last_index: int) -> PendingWrite:
+        """Mark the oldest pending write durable and return it.
+
+        Raises LostWriteError if `number` is not its number: nothing must count as durable then.
+        """
+        oldest = self._pending[0].number if self._pending else None
+        if oldest != number:
+            raise LostWriteError(f"write {number} is durable, but the oldest pending one is {oldest}")
         write = self._pending.popleft()
         self.durable_index = max(self.durable_index, min(write.last_index, last_index))
         return write
--- a/limerudder/store/store.py
+++ b/limerudder/store/store.py
@@ -66,7 +66,8 @@
         self._authenticator = PeerAuthenticator(
             self.identity.cluster_id, member_id, contents.durability_proofs
         )
-        self._dispatcher = OutputDispatcher(self.transport)
+        self.member.callback_guard.on_error = self._report_error
+        self._dispatcher = OutputDispatcher(self.transport, self.member.callback_guard)
         self._durable_term = contents.durable_state.raft_state.hard_state.term
         self._output_scheduled = False
         self._reported_leader = UNREPORTED_LEADER
@@ -87,8 +88,8 @@
         self.is_closed = True
         if self._tick_timer:
             self._tick_timer.cancel()
-        if self.member.is_leader:
-            self._transfer_leadership()
+        if self._writer:
+            self.member.callback_guard.run(self._process_last_output, self._writer)
         self.transport.close()
         if self._writer:
             self._writer.close(CLOSE_TIMEOUT_SECONDS)
@@ -141,17 +142,21 @@
 
     def message_received(self, sender_id: int, message: rpc.StoreMessage) -> None:
         """Handle a message of an accepted peer."""
+        self.schedule_output()
         if isinstance(message, AppendEntriesReply) and message.success:
             self._authenticator.record_acknowledgement(sender_id, message.term, message.index)
         self.member.receive(sender_id, message, self.now_us())
-        self.schedule_output()
 
-    def _transfer_leadership(self) -> None:
-        """Save clients the election timeout that would follow if the leader closed without a transfer."""
-        self.member.raft.transfer_to_best_follower(self.now_us())
-        output = self.member.take_output(self.now_us())
-        if output:
-            self._dispatcher.send(output.messages)
+    def _process_last_output(self, writer: DiskWriter) -> None:
+        """Submit what is not on the disk yet, and transfer the leadership.
+
+        The transfer saves clients the election timeout that would follow if the leader closed without it.
+        """
+        now_us = self.now_us()
+        if self.member.is_leader:
+            self.member.raft.transfer_to_best_follower(now_us)
+        while output := self.member.take_output(now_us):
+            self._dispatcher.dispatch(output, writer)
 
     def _process_output(self) -> None:
         self._output_scheduled = False
@@ -167,8 +172,8 @@
     def _update_transport_members(self) -> None:
         config = self.member.raft.log.config
         if config != self._config:
-            self._config = config
             self.transport.set_members(config)
+            self._config = config
 
     def _report_leader(self) -> None:
         """Log a new leader, or its absence unless an election is in progress."""
@@ -185,7 +190,7 @@
     def _on_jobs_durable(self, jobs: list[DurabilityJob], snapshots: list[Snapshot | None]) -> None:
         now_us = self.now_us()
         for job, snapshot in zip(jobs, snapshots, strict=True):
-            self._on_job_durable(job, snapshot, now_us)
+            self.member.callback_guard.run(self._on_job_durable, job, snapshot, now_us)
         self._dispatcher.send_deferred()
         if not self.is_closed:
             self._process_output()
@@ -200,6 +205,9 @@
                 self._log(LogKind.HOST_DRAIN_RECORDED, text)
         self.member.on_job_durable(job.number, snapshot, now_us)
 
+    def _report_error(self, error: Exception) -> None:
+        self._loop.call_exception_handler({"message": "a callback of the store failed", "exception": error})
+
     def _tick(self) -> None:
         if self.is_closed:
             return
--- a/tests/test_store_control.py
+++ b/tests/test_store_control.py
@@ -5,26 +5,23 @@
 import asyncio
 import json
 import os
-import socket
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any, NamedTuple
 
 import pytest
-import uvloop
 from click.testing import CliRunner
 
 from limerudder.cli import main
-from limerudder.core.operations.log_events import LogKind
 from limerudder.exit_codes import ExitCode
 from limerudder.net.clock import Clock
-from limerudder.schema import StoreSettings
-from limerudder.store.control import ControlServer
-from limerudder.store.data_directory import init_cluster
 from limerudder.store.store import Store
-
-SCENARIO_TIMEOUT_SECONDS = 60
-LIMITS = {"election": 50_000, "heartbeat": 10_000, "history": 100}
+from tests.in_process_cluster import (
+    InProcessCluster,
+    bind_loopback_socket,
+    ignore_log,
+    run_scenario,
+    start_joined_member,
+)
 
 
 class InvalidCall(NamedTuple):
@@ -64,74 +61,6 @@
     output: str
 
 
-def bind_loopback_socket() -> socket.socket:
-    """Return a socket on an unused loopback port."""
-    bound_socket = socket.socket()
-    bound_socket.bind(("127.0.0.1", 0))
-    bound_socket.setblocking(False)
-    return bound_socket
-
-
-def ignore_log(kind: LogKind, text: str, /, detail: str = "") -> None:
-    """Discard a log line."""
-
-
-class InProcessCluster:
-    """Members that run in this process, with calls to their control sockets."""
-
-    def __init__(self, folder: Path) -> None:
-        self.folder = folder
-        self.stores: list[Store] = []
-        self.controls: list[ControlServer] = []
-        self.logged: list[str] = []
-
-    async def start(self, member_count: int = 1, **changes: Any) -> None:
-        sockets = [bind_loopback_socket() for _ in range(member_count)]
-        addresses = ["{}:{}".format(*bound_socket.getsockname()) for bound_socket in sockets]
-        paths = init_cluster(
-            str(self.folder / "s"), [(f"n{n}", address) for n, address in enumerate(addresses)]
-        )
-        for bound_socket, path in zip(sockets, paths, strict=True):
-            settings = StoreSettings(path, bound_socket.getsockname(), **{**LIMITS, **changes})
-            store = Store(settings, lambda kind, text, detail="": self.logged.append(text), Clock().now_us)
-            await store.run(bound_socket)
-            control = ControlServer(store)
-            await control.listen()
-            self.stores.append(store)
-            self.controls.append(control)
-
-    async def connect(self, number: int = 0) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        descriptor = os.open(self.stores[number].settings.folder, os.O_RDONLY | os.O_DIRECTORY)
-        try:
-            return await asyncio.open_unix_connection(f"/proc/self/fd/{descriptor}/control", limit=1 << 23)
-        finally:
-            os.close(descriptor)
-
-    async def call(self, name: str, number: int = 0, **arguments: Any) -> dict[str, Any]:
-        reader, writer = await self.connect(number)
-        writer.write(json.dumps({"call": name, **arguments}).encode() + b"\n")
-        answer: dict[str, Any] = json.loads(await reader.readline())
-        writer.close()
-        return answer
-
-    def close(self) -> None:
-        for control in self.controls:
-            control.close()
-        for store in self.stores:
-            store.close()
-
-
-def run_scenario(scenario: Callable[[InProcessCluster], Awaitable[None]], folder: Path) -> None:
-    async def run() -> None:
-        cluster = InProcessCluster(folder)
-        try:
-            await asyncio.wait_for(scenario(cluster), SCENARIO_TIMEOUT_SECONDS)
-        finally:
-            cluster.close()
-
-    uvloop.run(run())
-
-
 def test_calls_and_their_errors(tmp_path: Path) -> None:
     async def scenario(cluster: InProcessCluster) -> None:
         await cluster.start()
@@ -286,16 +215,6 @@
     run_scenario(check_commands_of_a_member, tmp_path)
 
 
-async def start_joined_member(folder: str, join_token: str, bound_socket: socket.socket) -> Store:
-    """Create and start a member that was added to a cluster, from its join token."""
-    result = CliRunner().invoke(main, ["state", "init", folder, "--ticket", join_token])
-    assert result.exit_code == 0, result.output
-    settings = StoreSettings(folder, bound_socket.getsockname(), **LIMITS)
-    store = Store(settings, ignore_log, Clock().now_us)
-    await store.run(bound_socket)
-    return store
-
-
 @pytest.mark.parametrize("role", ["voter", "learner"])
 def test_a_member_joins_catches_up_and_is_removed(tmp_path: Path, role: str) -> None:
     async def scenario(cluster: InProcessCluster) -> None:
