Let an exception about one client or host drop none of the effects that follow

What callers saw: nothing reported. Where a hot restart's parent ends, at a stop signal and at a process's end, the first step that raised dropped the others.

Cause: loops of effects in one call, and state recorded before or after all of them instead of with each.

Change: each effect runs as a timer's callback of its own (`TimerWheel.call`), marks are recorded one by one, and the bridge applies the records before it opens the control socket.

--- a/limerudder/core/client/admission.py
+++ b/limerudder/core/client/admission.py
@@ -100,8 +100,3 @@
             else:
                 return False
         return True
-
-    def evict_all(self, now_us: int) -> None:
-        """Evict all idle connections when the node shuts down."""
-        for connection in list(self.idle):
-            connection.evict(now_us)
--- a/limerudder/core/lifecycle/graceful_shutdown.py
+++ b/limerudder/core/lifecycle/graceful_shutdown.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from functools import partial
 from typing import Generic, NamedTuple, Protocol, TypeVar
 
 from limerudder.core.client.admission import AdmissionControl
@@ -94,11 +95,13 @@
         self._timers.schedule(first_step_us, self._run_step)
 
     def _run_step(self, now_us: int) -> None:
+        """Run a step; an exception about one client must affect neither the others nor the later steps."""
         established = self._established()
         self._migrate_share(established, now_us)
         if now_us >= self._migration_end_us:
             # a line sent by an idle client would be lost once the process has ended
-            self._admission.evict_all(now_us)
+            for connection in list(self._admission.idle):
+                self._timers.call(connection.evict, now_us)
         if now_us >= self._kill_time_us - FINAL_ANSWER_MARGIN_US:
             self._fail_waiting_requests(now_us)
         if self._is_complete(now_us):
@@ -114,13 +117,13 @@
         steps_left = max((self._migration_end_us - now_us) // MIN_STEP_INTERVAL_US, 1)
         share = -(-len(established) // steps_left)
         for request in established[:share]:
-            self._hooks.migrate_client(request, now_us)
+            self._timers.call(partial(self._hooks.migrate_client, request), now_us)
 
     def _fail_waiting_requests(self, now_us: int) -> None:
         """Answer waiting requests as failed; their deadlines are after the end of this process."""
         waiting = [request for request in self._requests.values() if not request.is_concluded]
         for request in waiting:
-            self._hooks.fail_request(request, now_us)
+            self._timers.call(partial(self._hooks.fail_request, request), now_us)
 
     def _is_complete(self, now_us: int) -> bool:
         if now_us >= self._kill_time_us - COMPLETION_MARGIN_US:
--- a/limerudder/core/lifecycle/hot_restart/successor.py
+++ b/limerudder/core/lifecycle/hot_restart/successor.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from enum import Enum, auto
+from functools import partial
 from typing import NamedTuple
 
 from limerudder.core.lifecycle.hot_restart.errors import HandoverFormatError
@@ -75,9 +76,10 @@
     def connection_lost(self, now_us: int) -> None:
         """Serve alone: the parent has ended, and its resources are free."""
         super().connection_lost(now_us)
-        self._hooks.set_parent_usage(ProcessUsage(0, {}), now_us)
-        self._start_serving()
-        self._hooks.parent_ended()
+        call = self._timers.call  # each of these must happen, whatever becomes of the others
+        call(partial(self._hooks.set_parent_usage, ProcessUsage(0, {})), now_us)
+        call(lambda _: self._start_serving(), now_us)
+        call(lambda _: self._hooks.parent_ended(), now_us)
 
     def _handle(self, message: ParentMessage, now_us: int) -> None:
         match message:
--- a/limerudder/core/operations/maintenance.py
+++ b/limerudder/core/operations/maintenance.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import Protocol
 
 from limerudder.core.timer_wheel import TimerWheel
@@ -114,7 +115,8 @@
     def _apply(self, names: set[str], now_us: int) -> None:
         previous = self.hosts
         self.hosts = set(names)
+        call = self._timer_wheel.call  # an exception about one host must not affect the others
         for name in sorted(self.hosts - previous):
-            self._target.maintenance_started(name, now_us)
+            call(partial(self._target.maintenance_started, name), now_us)
         for name in sorted(previous - self.hosts):
-            self._target.maintenance_ended(name, now_us)
+            call(partial(self._target.maintenance_ended, name), now_us)
--- a/limerudder/core/timer_wheel.py
+++ b/limerudder/core/timer_wheel.py
@@ -76,12 +76,13 @@
             callback = timer.callback  # None if an earlier callback of this slot cancelled it
             if timer.due_tick <= self._current_tick and callback:
                 timer.callback = None
-                self._call(callback, now_us)
+                self.call(callback, now_us)
 
-    def _call(self, callback: TimerCallback, now_us: int) -> None:
+    def call(self, callback: TimerCallback, now_us: int) -> None:
+        """Call a callback immediately, as if it were a timer: its exception does not reach the caller."""
         try:
             callback(now_us)
-        except Exception as exc:  # the remaining timers of the slot must still run
+        except Exception as exc:  # what follows must still run, such as the remaining timers of the slot
             if self.on_error is None:
                 raise
             self.on_error(exc)
--- a/limerudder/node_process.py
+++ b/limerudder/node_process.py
@@ -298,8 +298,10 @@
         self._signals.stop_requested = True
         if not self._listener.is_open and not self._node.has_successor:
             self._stopped.set()  # it has not started serving
-        self._parent.announce(ParentStopping())
-        self._node.start_graceful_shutdown(self._clock.now_us())
+        try:
+            self._parent.announce(ParentStopping())
+        finally:
+            self._node.start_graceful_shutdown(self._clock.now_us())
 
     def _on_reload_signal(self) -> None:
         self._signals.reload_requested = True
@@ -321,13 +323,14 @@
 
     def _shut_down(self) -> None:
         """Close the store and the listeners, then the other resources of the process."""
-        self._node.check_all_answered()
-        self._store.close()
-        self._stop_accepting()
-        self._log_counters(LogKind.STOPPED)
-        if self._tick_timer:
-            self._tick_timer.cancel()
-        self._resources.close()
+        with ExitStack() as steps:  # in reverse order, each even if one before it raises
+            steps.callback(self._resources.close)
+            if self._tick_timer:
+                steps.callback(self._tick_timer.cancel)
+            steps.callback(self._log_counters, LogKind.STOPPED)
+            steps.callback(self._stop_accepting)
+            steps.callback(self._store.close)
+            steps.callback(self._node.check_all_answered)
 
     def close_failed_start(self) -> None:
         """Close everything opened by a failed start."""
--- a/limerudder/store/node_bridge.py
+++ b/limerudder/store/node_bridge.py
@@ -11,6 +11,7 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from functools import partial
 
 from limerudder.config import ProcessConfig
 from limerudder.core.discovery.endpoint_list import (
@@ -95,15 +96,17 @@
         """Run the store on a bound socket, and start to update a node that has loaded its endpoint list."""
         self._node = node
         await self._store.run(bound_socket)
-        await self._control.listen()
         self._settings_applier.apply_log_settings()
         node.apply_return_to_service_times(self._return_to_service_times(), self._now_us())
         self._update_node(self._now_us())
+        await self._control.listen()  # last: without its socket the node still applies the records
 
     def close(self) -> None:
         """Close the store when the node stops, or before its successor opens the store."""
-        self._control.close()
-        self._store.close()
+        try:
+            self._control.close()
+        finally:
+            self._store.close()
 
     def observe(self, endpoint: Endpoint) -> bool:
         """Record a drain if the endpoint is listed as draining; return whether it gets no new attempts."""
@@ -194,7 +197,8 @@
         if changed_hosts:
             applied_return_times_us = node.return_to_service_times()
             for host in sorted(changed_hosts):
-                self._update_host(node, host, applied_return_times_us.get(host, 0), now_us)
+                applied_us = applied_return_times_us.get(host, 0)
+                node.timers.call(partial(self._update_host, node, host, applied_us), now_us)
         if self._endpoint_list_writer.is_due(now_us):
             self._endpoint_list_writer.write(node.endpoint_list(), now_us)
 
--- a/limerudder/store/store_marks.py
+++ b/limerudder/store/store_marks.py
@@ -16,33 +16,43 @@
     def __init__(self, bridge: NodeStoreBridge, local_marks: MaintenanceMarks) -> None:
         self._bridge = bridge
         self._local_marks = local_marks
-        self._last_synchronized = bridge.held_hosts()  # Local marks as last written by this process
-        for name in self._last_synchronized - local_marks.read():
-            local_marks.add(name)
+        #: Hosts that both sides have marked, as far as this process knows. It follows each single change: if
+        #: a later one fails, those before it must not be made again.
+        self._synchronized = bridge.held_hosts() & _read_if_possible(local_marks)
 
     def read(self) -> set[str]:
         """Return all hosts in maintenance, after synchronizing changes on either side."""
         local = self._local_marks.read()
-        for name in local - self._last_synchronized:
+        for name in local - self._synchronized:
             self._bridge.hold_host(name)
-        for name in self._last_synchronized - local:
+            self._synchronized.add(name)
+        for name in self._synchronized - local:
             self._bridge.return_host(name)
+            self._synchronized.discard(name)
         held = self._bridge.held_hosts()
         for name in held - local:
             self._local_marks.add(name)
+            self._synchronized.add(name)
         for name in local - held:
             self._local_marks.remove(name)
-        self._last_synchronized = held
+            self._synchronized.discard(name)
         return held
 
     def add(self, name: str) -> None:
         """Hold a host out of service."""
         self._local_marks.add(name)
-        self._last_synchronized = self._last_synchronized | {name}
+        self._synchronized.add(name)
         self._bridge.hold_host(name)
 
     def remove(self, name: str) -> None:
         """Return a host to service; this also ends a recorded drain."""
         self._local_marks.remove(name)
-        self._last_synchronized = self._last_synchronized - {name}
+        self._synchronized.discard(name)
         self._bridge.return_host(name)
+
+
+def _read_if_possible(marks: MaintenanceMarks) -> set[str]:
+    try:
+        return marks.read()
+    except OSError:  # the first synchronization reads them again
+        return set()
--- a/limerudder/store_runtime.py
+++ b/limerudder/store_runtime.py
@@ -8,6 +8,7 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING
 
 from limerudder.config import ProcessConfig
@@ -140,8 +141,10 @@
         except ConfigError as exc:  # the node is already serving and continues to do so
             self._log(LogKind.STORE_DISK, f"store: {exc}; this process runs without its store")
             return
+        except OSError as exc:
+            self._log(LogKind.STORE_DISK, f"store: {exc}; this process has no control socket")
         for endpoint in node.endpoint_list().endpoints:
-            node.refresh_endpoint(endpoint.name, self._clock.now_us())
+            node.timer_wheel.call(partial(node.refresh_endpoint, endpoint.name), self._clock.now_us())
 
     async def _open_when_free(self, settings: StoreSettings) -> NodeStoreBridge:
         from limerudder.store.disk_errors import DiskError
