Keep every message between members within a frame, whatever results hold

A transaction over 1,008 KiB is rejected; a result over it is read from the session at the member that asked. A message that fits into no frame is dropped alone.

--- a/limerudder/store/client_calls.py
+++ b/limerudder/store/client_calls.py
@@ -4,14 +4,21 @@
 
 from collections.abc import Callable, Iterator, Set
 from dataclasses import dataclass
+from functools import partial
 
-from limerudder.store.calls import CallFailure, CallFailureKind, ReplyCallback
+from limerudder.store.calls import CallFailure, CallFailureKind, ReplyCallback, TimeCallback
 from limerudder.store.raft.raft import Raft
 from limerudder.store.raft.state import NO_LEADER
 from limerudder.store.rpc import Reply, ReplyStatus, Request, RequestKind
 
 #: Sends a request to the leader; receives the leader's identifier, the request, and the time in microseconds
 RequestSender = Callable[[int, Request, int], None]
+#: Calls back once this member has applied the log up to an index; receives the index, the callback, the time
+ApplyWaiter = Callable[[int, TimeCallback, int], None]
+#: Returns the encoded result that this member's state keeps for an encoded command, or None
+ResultLookup = Callable[[bytes], bytes | None]
+
+RESULT_DISCARDED = CallFailure(CallFailureKind.UNAVAILABLE, "the result is no longer kept", True)
 
 
 @dataclass(slots=True, eq=False)
@@ -35,10 +42,20 @@
 class ClientCalls:
     """Sends requests to the leader and retries them until a reply arrives or the deadline passes."""
 
-    def __init__(self, raft: Raft, send: RequestSender, max_pending: int, first_number: int) -> None:
+    def __init__(
+        self,
+        raft: Raft,
+        send: RequestSender,
+        when_applied: ApplyWaiter,
+        stored_result: ResultLookup,
+        max_pending: int,
+        first_number: int,
+    ) -> None:
         """`first_number` must differ between processes: replies to an earlier process may still arrive."""
         self._raft = raft
         self._send_request = send
+        self._when_applied = when_applied
+        self._stored_result = stored_result
         self._max_pending = max_pending
         self._next_number = first_number
         self._pending: dict[int, PendingCall] = {}  # Calls by request number
@@ -76,6 +93,10 @@
         call = self._pending.get(reply.number)
         if call is None or reply.status == ReplyStatus.NOT_LEADER:
             return
+        if reply.status == ReplyStatus.RESULT_IN_SESSION:
+            index = int.from_bytes(reply.data, "big")
+            self._when_applied(index, partial(self._complete_with_stored_result, reply.number), now_us)
+            return
         del self._pending[reply.number]
         if reply.status == ReplyStatus.DONE:
             call.callback(reply.data, now_us)
@@ -84,6 +105,11 @@
         kind = CallFailureKind.BUSY if busy else CallFailureKind.REJECTED
         call.callback(CallFailure(kind, reply.data.decode("utf-8", "replace")), now_us)
 
+    def _complete_with_stored_result(self, number: int, now_us: int) -> None:
+        call = self._pending.pop(number, None)
+        if call is not None:
+            call.callback(self._stored_result(call.request.data) or RESULT_DISCARDED, now_us)
+
     def tick(self, in_progress_here: Set[int], now_us: int) -> None:
         """Fails calls whose deadline has passed, and retries those that may have been lost.
 
--- a/limerudder/store/commands.py
+++ b/limerudder/store/commands.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from limerudder.store.raft.messages import MAX_DATA_BYTES
+
 MAX_KEY_BYTES = 256
 MAX_OPERATIONS = 64  #: Maximum total of comparisons and operations per transaction
 MAX_TRANSACTION_VALUES = 4  #: Maximum bytes written per transaction, in multiples of the value size limit
@@ -134,6 +136,14 @@
     return _result_decoder.decode(data)
 
 
+def encoded_size_error(command: bytes) -> str | None:
+    """Returns why an encoded command cannot be sent to other members, or None if it can."""
+    if len(command) <= MAX_DATA_BYTES:
+        return None
+    size = f"a transaction of {len(command)} bytes with its keys and comparisons"
+    return f"{size}; at most {MAX_DATA_BYTES} are taken"
+
+
 def transaction_error(transaction: Transaction, max_value_bytes: int) -> str | None:
     """Returns the size limit or key rule that a transaction violates, or None if it is valid."""
     operations = (*transaction.on_success, *transaction.on_failure)
--- a/limerudder/store/durability_scheduler.py
+++ b/limerudder/store/durability_scheduler.py
@@ -45,6 +45,8 @@
         self._fact_waiters: list[_FactWaiter] = []
         self._unsaved_proofs: dict[int, DurabilityProof] = {}  # member id -> proof
         self._snapshot_in_progress = False
+        self._checked_snapshot: Snapshot | None = None  # Checked once, since a snapshot may have many chunks
+        self._checked_snapshot_is_oversized = False
 
     def record_proofs(self, proofs: Mapping[int, DurabilityProof]) -> None:
         """Adds other members' durability proofs to the next job."""
@@ -125,8 +127,16 @@
         entries_since = applied_index - (last_snapshot.meta.index if last_snapshot else 0)
         if entries_since >= self._limits.snapshot_after_entries:
             return True
+        if entries_since > 0 and last_snapshot and self._is_oversized(last_snapshot):
+            return True
         return self._raft.log.size_bytes >= self._limits.snapshot_after_bytes and entries_since > 0
 
+    def _is_oversized(self, snapshot: Snapshot) -> bool:
+        if snapshot is not self._checked_snapshot:
+            self._checked_snapshot = snapshot
+            self._checked_snapshot_is_oversized = snapshot.has_oversized_chunk()
+        return self._checked_snapshot_is_oversized
+
     def capture_snapshot(self) -> SnapshotJob:
         """Returns a job to encode and store the current replicated state."""
         log = self._raft.log
--- a/limerudder/store/leader_requests.py
+++ b/limerudder/store/leader_requests.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
-from limerudder.store.commands import CommandResult, encode_result
+from limerudder.store.commands import CommandResult, encode_result, encoded_size_error
 from limerudder.store.membership_requests import config_with_member, config_without_member
 from limerudder.store.raft.errors import MembershipChangeError, NotLeaderError
-from limerudder.store.raft.messages import Entry
+from limerudder.store.raft.messages import MAX_DATA_BYTES, Entry
 from limerudder.store.raft.output import RaftOutput
 from limerudder.store.raft.raft import Raft
 from limerudder.store.raft.state import RaftRole
@@ -82,6 +82,10 @@
         if len(self._queued_writes) + len(self._proposed) >= self._max_pending_writes:
             self._reply(origin, ReplyStatus.BUSY, b"too much waits at the leader", now_us)
             return
+        error = encoded_size_error(command)  # members of earlier releases do not check it
+        if error:
+            self._reply(origin, ReplyStatus.REJECTED, error.encode(), now_us)
+            return
         self._queued_writes.append(QueuedWrite(command, origin))
 
     def _change_members(self, origin: RequestOrigin, request: Request, now_us: int) -> None:
@@ -134,6 +138,10 @@
             self._reply(proposed.origin, ReplyStatus.NOT_LEADER, b"", now_us)
             return
         data = _encode_number(entry.index) if result is None else encode_result(result)
+        if len(data) > MAX_DATA_BYTES and proposed.origin.member_id != self._raft.member_id:
+            data = _encode_number(entry.index)
+            self._reply(proposed.origin, ReplyStatus.RESULT_IN_SESSION, data, now_us)
+            return
         self._reply(proposed.origin, ReplyStatus.DONE, data, now_us)
 
     def reply_to_reads(self, output: RaftOutput, now_us: int) -> None:
--- a/limerudder/store/member.py
+++ b/limerudder/store/member.py
@@ -26,8 +26,11 @@
     Command,
     SessionWrite,
     Transaction,
+    decode_command,
     decode_result,
     encode_command,
+    encode_result,
+    encoded_size_error,
     transaction_error,
 )
 from limerudder.store.drain_log import DrainLog
@@ -92,6 +95,8 @@
         self.pending_calls = ClientCalls(
             self.raft,
             self._send_request,
+            self.when_applied,
+            self._stored_result,
             limits.max_pending_requests,
             random.getrandbits(REQUEST_NUMBER_BITS),
         )
@@ -148,7 +153,19 @@
         def on_reply(outcome: bytes | CallFailure, now_us: int) -> None:
             callback(outcome if isinstance(outcome, CallFailure) else decode_result(outcome), now_us)
 
-        self.submit_request(RequestKind.WRITE, encode_command(command), deadline_us, on_reply, now_us)
+        data = encode_command(command)
+        size_error = encoded_size_error(data)
+        if size_error:
+            callback(CallFailure(CallFailureKind.REJECTED, size_error), now_us)
+            return
+        self.submit_request(RequestKind.WRITE, data, deadline_us, on_reply, now_us)
+
+    def _stored_result(self, command: bytes) -> bytes | None:
+        """Returns the result that the session of an applied write keeps, or None."""
+        write = decode_command(command)
+        session = self.state.sessions.get(write.session_id) if isinstance(write, SessionWrite) else None
+        result = session.results.get(write.serial) if session and isinstance(write, SessionWrite) else None
+        return encode_result(result) if result else None
 
     def read_barrier(self, deadline_us: int, callback: ReadCallback, now_us: int) -> None:
         """Calls back once all entries committed before this call are applied here, for linearizable reads."""
--- a/limerudder/store/peer_transport.py
+++ b/limerudder/store/peer_transport.py
@@ -60,8 +60,8 @@
     def send(self, recipient_id: int, message: rpc.StoreMessage) -> None:
         """Send a message.
 
-        Drop it if there is no connection or its unsent output exceeds the limit. Raises FrameTooLongError if
-        the message does not fit into a frame.
+        Drop it if there is no connection, the connection's unsent output exceeds the limit, or the message
+        does not fit into a frame; the latter is a defect of the sender.
         """
         connection = self._dialled.get(recipient_id) or self._accepted.get(recipient_id)
         if connection is None or connection.is_congested():
@@ -70,10 +70,11 @@
         try:
             frame = encode_frame(rpc.encode_message(message))
         except FrameTooLongError as error:
+            self.dropped_messages += 1
             kind = type(message).__name__
             text = f"store: cannot send {kind} to member {recipient_id:016x}: {error}; dropped"
             self._log(LogKind.STORE_MESSAGE_TOO_LONG, text, kind)
-            raise
+            return
         connection.send(frame)
 
     def close(self) -> None:
--- a/limerudder/store/raft/messages.py
+++ b/limerudder/store/raft/messages.py
@@ -13,6 +13,9 @@
 import msgspec
 
 ENTRY_OVERHEAD_BYTES = 24  #: Approximate encoded size of an entry without its data
+#: Maximum size of an entry's data, a snapshot chunk or a reply's data. It leaves room for the other fields of
+#: the message in a frame.
+MAX_DATA_BYTES = 1008 * 1024
 
 
 class EntryKind(IntEnum):
@@ -87,6 +90,10 @@
     meta: SnapshotMeta
     chunks: tuple[bytes, ...]
 
+    def has_oversized_chunk(self) -> bool:
+        """Whether a chunk is too large to be sent; snapshots of earlier releases may contain such chunks."""
+        return any(len(chunk) > MAX_DATA_BYTES for chunk in self.chunks)
+
 
 def snapshot_digest(chunks: Sequence[bytes]) -> int:
     """The CRC-32 of all chunks. Digest and index together identify a snapshot."""
--- a/limerudder/store/raft/snapshots.py
+++ b/limerudder/store/raft/snapshots.py
@@ -61,6 +61,10 @@
     def send_heartbeat(self, member_id: int, progress: Progress) -> None:
         """Query the number of received chunks, to detect lost ones."""
         assert progress.snapshot
+        replacement = self._state.snapshot
+        if replacement is not progress.snapshot and replacement and progress.snapshot.has_oversized_chunk():
+            progress.become_snapshot(replacement)  # the one being sent can never arrive
+        assert progress.snapshot
         self._send_chunk(member_id, progress.snapshot.meta, max(progress.chunks_received, 0), b"")
 
     def _send_chunk(self, member_id: int, meta: SnapshotMeta, number: int, data: bytes) -> None:
--- a/limerudder/store/rpc.py
+++ b/limerudder/store/rpc.py
@@ -27,6 +27,9 @@
     REJECTED = 1  #: The request is invalid; `data` contains the reason as text
     BUSY = 2  #: Too many requests are pending; nothing was done
     NOT_LEADER = 3  #: The receiver does not lead; nothing was done
+    #: Done, but the result is too large for a reply: the sender of the request has it in the write's session
+    #: once it has applied the log up to the index in `data`
+    RESULT_IN_SESSION = 4
 
 
 class Request(msgspec.Struct, frozen=True, array_like=True, tag="Ask"):
--- a/limerudder/store/snapshots.py
+++ b/limerudder/store/snapshots.py
@@ -1,21 +1,28 @@
 """Snapshots of the replicated key-value state, encoded as a sequence of chunks.
 
-The first chunk is a header, followed by chunks of items and chunks of sessions. The encoding of a state is
-deterministic, so members can compare snapshots by their digest.
+The first chunk is a header, followed by blocks of items and blocks of sessions. Normally each block is a
+chunk. A block may be too large for that, since a session's results contain the items that it has read: then
+the blocks form a stream, each after its length, which is cut into chunks of equal size. The encoding of a
+state is deterministic, so members can compare snapshots by their digest.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator, Mapping, Sequence
+import struct
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from typing import NamedTuple, TypeVar
 
 import msgspec
 
 from limerudder.store.commands import CommandResult, Item
+from limerudder.store.raft.messages import MAX_DATA_BYTES
 from limerudder.store.sessions import Session
 
 SNAPSHOT_CHUNK_BYTES = 128 * 1024  #: Approximate size of a chunk
-SNAPSHOT_FORMAT = 1  #: Current format; older formats are read as well, newer ones are rejected
+SNAPSHOT_FORMAT = 1  #: Format in which each block is a chunk
+#: Format in which the blocks are a stream; earlier releases reject it, so it is used only where necessary
+STREAM_FORMAT = 2
+BLOCK_LENGTH = struct.Struct("!Q")  #: Length that precedes each block of the stream
 ITEM_OVERHEAD_BYTES = 32  #: Estimated encoded size of an item without its key and value
 SESSION_OVERHEAD_BYTES = 32  #: Estimated encoded size of a session without its results
 RESULT_BYTES = 64  #: Estimated encoded size of a result
@@ -74,9 +81,16 @@
 
     def chunks(self) -> Iterator[bytes]:
         """Yields the encoded chunks; the encoding of a state is deterministic."""
-        yield _encode(self._header)
-        yield from _encode_chunks(self._items, _item_bytes, self._chunk_bytes)
-        yield from _encode_chunks(self._sessions, _session_bytes, self._chunk_bytes)
+        blocks = [
+            *_encode_blocks(self._items, _item_bytes, self._chunk_bytes),
+            *_encode_blocks(self._sessions, _session_bytes, self._chunk_bytes),
+        ]
+        if all(len(block) <= MAX_DATA_BYTES for block in blocks):
+            yield _encode(self._header)
+            yield from blocks
+        else:
+            yield _encode(msgspec.structs.replace(self._header, format=STREAM_FORMAT))
+            yield from _encode_stream(blocks, self._chunk_bytes)
 
 
 def _item_bytes(row: ItemRow) -> int:
@@ -86,10 +100,35 @@
 
 def _session_bytes(row: SessionRow) -> int:
     _, _, results = row
-    return SESSION_OVERHEAD_BYTES + RESULT_BYTES * len(results)
+    return SESSION_OVERHEAD_BYTES + sum(map(_result_bytes, results.values()))
+
+
+def _result_bytes(result: CommandResult) -> int:
+    return RESULT_BYTES + sum(len(item.value) for item in result.items if item)
+
+
+def _encode_stream(blocks: Iterable[bytes], chunk_bytes: int) -> Iterator[bytes]:
+    stream = b"".join(part for block in blocks for part in (BLOCK_LENGTH.pack(len(block)), block))
+    for start in range(0, len(stream), chunk_bytes):
+        yield stream[start : start + chunk_bytes]
+
+
+def _decode_stream(chunks: Iterable[bytes]) -> Iterator[bytes]:
+    """Yields the blocks of a stream; raises SnapshotError if it ends within one."""
+    stream = b"".join(chunks)
+    position = 0
+    while position < len(stream):
+        start = position + BLOCK_LENGTH.size
+        if start > len(stream):
+            raise SnapshotError("snapshot ends within a block's length")
+        (length,) = BLOCK_LENGTH.unpack_from(stream, position)
+        position = start + length
+        if position > len(stream):
+            raise SnapshotError("snapshot ends within a block")
+        yield stream[start:position]
 
 
-def _encode_chunks(rows: Sequence[Row], row_bytes: Callable[[Row], int], chunk_bytes: int) -> Iterator[bytes]:
+def _encode_blocks(rows: Sequence[Row], row_bytes: Callable[[Row], int], chunk_bytes: int) -> Iterator[bytes]:
     """Encodes rows in lists of about `chunk_bytes`, which the last row of a list may exceed."""
     chunk: list[Row] = []
     remaining_bytes = chunk_bytes
@@ -119,18 +158,19 @@
 
 def _decode_chunks(chunks: Sequence[bytes]) -> SnapshotContents:
     header = _header_decoder.decode(chunks[0])
-    if header.format > SNAPSHOT_FORMAT:
-        raise SnapshotError(f"snapshot has format {header.format}; this build reads up to {SNAPSHOT_FORMAT}")
+    if header.format > STREAM_FORMAT:
+        raise SnapshotError(f"snapshot has format {header.format}; this build reads up to {STREAM_FORMAT}")
+    blocks = _decode_stream(chunks[1:]) if header.format == STREAM_FORMAT else iter(chunks[1:])
     items: dict[str, Item] = {}
     sessions: dict[int, Session] = {}
-    for chunk in chunks[1:]:
+    for block in blocks:
         if len(items) < header.item_count:
-            items.update(_items_decoder.decode(chunk))
+            items.update(_items_decoder.decode(block))
         else:
-            sessions.update(_decode_sessions(chunk))
+            sessions.update(_decode_sessions(block))
     return SnapshotContents(header, items, sessions)
 
 
-def _decode_sessions(chunk: bytes) -> Iterator[tuple[int, Session]]:
-    for session_id, acknowledged_serial, results in _sessions_decoder.decode(chunk):
+def _decode_sessions(block: bytes) -> Iterator[tuple[int, Session]]:
+    for session_id, acknowledged_serial, results in _sessions_decoder.decode(block):
         yield session_id, Session(acknowledged_serial, results)
