--- a/limerudder/policy/reported_loads.py
+++ b/limerudder/policy/reported_loads.py
@@ -8,7 +8,6 @@
 
 import math
 from collections.abc import Sequence
-from statistics import median_low
 
 from limerudder.policy.events import ServerState
 from limerudder.policy.records import SECOND, Connection, Server
@@ -22,8 +21,6 @@
 MAX_BACKLOG_US = 3 * SECOND  #: Maximum backlog: no server queues more work than this
 MAX_BACKLOG_GROWTH_US = 4 * SECOND  #: Maximum time without a report for which growth is assumed
 REPORT_LIFETIME_INTERVALS = 3  #: Number of report intervals after which a report expires
-#: Most connections that a server plausibly has, as a multiple of the median server's at the same load
-MAX_CONNECTIONS_RATIO = 4
 MIN_SIGNIFICANT_LOAD = 0.1  #: Mean load from which reports show how many connections fill a server
 ERROR_MEAN_REPORTS = 4  #: Approximate number of reports of each server in the mean estimate error
 
@@ -146,7 +143,7 @@
         # Counts reported by the servers are preferred: a node that has just restarted has few connections,
         # so from its own count it would overestimate the load of each one by a factor of dozens.
         if self._reports_connections:
-            all_connections = _plausible_connections(servers)
+            all_connections = sum(server.reported_connections for server in servers)
         else:
             all_connections = node_count * sum(server.load_connection_count for server in servers)
         counted_connections = all_connections if counts_own_only else all_connections / node_count
@@ -161,7 +158,7 @@
         warm = [s for s in servers if self.effective_size(s, now_us) >= s.weight]
         load = sum(server.load_report[0] * server.weight for server in warm)
         if load >= MIN_SIGNIFICANT_LOAD * len(warm) > 0:
-            self.connections_per_weight = _plausible_connections(warm) / load
+            self.connections_per_weight = sum(server.load_report[1] for server in warm) / load
 
     def estimate(self, server: Server, now_us: int) -> float | None:
         """Return the server's load: as last reported, with the connections this node added or lost since.
@@ -189,18 +186,3 @@
         """Return the server's current capacity, in the unit of the size listed by discovery."""
         age = max(now_us - server.ready_since_us, 0) / self._warm_up_us if server.ready_since_us else 1.0
         return server.weight * min(1.0, self._initial_capacity + (1 - self._initial_capacity) * age)
-
-
-def _plausible_connections(servers: Sequence[Server]) -> float:
-    """Return the sum of the connections that the servers report, each limited to what it plausibly has.
-
-    A server's connections follow its load and size, though not exactly. Without a limit, one report that is
-    wrong, however well it is formed, would decide the sum.
-    """
-    work = [max(server.load_report[0], MIN_SIGNIFICANT_LOAD) * server.weight for server in servers]
-    connections = [server.reported_connections for server in servers]
-    ratios = [count / amount for count, amount in zip(connections, work, strict=True) if count]
-    if not ratios:
-        return 0.0
-    max_ratio = MAX_CONNECTIONS_RATIO * median_low(ratios)
-    return sum(min(count, max_ratio * amount) for count, amount in zip(connections, work, strict=True))
