Review: show the lost drain of an upgrade with a crowded roster instead of an outage (case 7)

The earlier form of the case needed a drain within 0.2 s before an outage. Calls that wait too long while the open watches go on need no narrow moment, and the process that serves is told throughout.

--- a/review/rig2/roster.py
+++ b/review/rig2/roster.py
@@ -12,6 +12,7 @@
 from rig2.record import Record
 
 EMPTY_LINE_SECONDS = 2.0  #: Interval of empty lines on a watch, as the protocol page says
+WAIT_SECONDS = 1.0  #: How long a call waits in turn before it fails (`timeout_ms` of the site)
 RETIRED_CLOSE_SECONDS = 1.5  #: Time after which a retired address closes its open calls
 
 Entry = dict[str, Any]
@@ -25,6 +26,7 @@
         self.entries: dict[str, Entry] = {}  # without `hostPort`, by instance id
         self.addresses: dict[tuple[str, str], str] = {}  # `hostPort` by node and instance id
         self._listed: dict[str, Entry] = {}  # as last listed, also of boxes that are no longer
+        self.is_crowded = False  # calls wait too long and fail; the open watches go on
         self.calls: Counter[str] = Counter()  # by node
         self._record = record
         self._name = name
@@ -32,8 +34,7 @@
         self._first_generation = generation
         self._changes: list[tuple[int, str, Entry]] = []  # generation, instance id, entry
         self._watches: dict[asyncio.StreamWriter, str] = {}  # the node of each open watch
-        self._servers: dict[str, asyncio.Server] = {}  # by node
-        self._ports: dict[str, int] = {}  # by node
+        self._servers: list[asyncio.Server] = []
         self._calls_open: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -49,10 +50,9 @@
                 self._calls_open.discard(writer)
                 writer.close()
 
-        server = await asyncio.start_server(serve, "127.0.0.1", self._ports.get(node, 0))
-        self._servers[node] = server
-        self._ports[node] = server.sockets[0].getsockname()[1]
-        return f"127.0.0.1:{self._ports[node]}"
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self._servers.append(server)
+        return "{}:{}".format(*server.sockets[0].getsockname())
 
     def add(self, box: str, addresses: dict[str, str], zone: str, kind: str) -> None:
         """List a front box as active; call it before the start, or `change` it afterwards."""
@@ -89,29 +89,15 @@
 
     def retire(self) -> None:
         """Take no new connection; the open ones are closed 1.5 s later."""
-        for server in self._servers.values():
+        for server in self._servers:
             server.close()
         self._record.note(f"{self._name}: takes no new connection")
         task = asyncio.get_running_loop().create_task(self._close_watches_later())
         self._tasks.add(task)
 
-    def go_down(self) -> None:
-        """End at once: open calls end in a reset, and new ones are refused."""
-        for server in self._servers.values():
-            server.close()
-        for writer in list(self._calls_open):
-            writer.transport.abort()
-        self._record.note(f"{self._name}: is down")
-
-    async def come_back(self) -> None:
-        """Listen again, at the same addresses."""
-        for node in list(self._servers):
-            await self.listen(node)
-        self._record.note(f"{self._name}: is back")
-
     def close(self) -> None:
         """End."""
-        for server in self._servers.values():
+        for server in self._servers:
             server.close()
         for writer in list(self._calls_open):
             writer.close()
@@ -125,6 +111,11 @@
         request = (await reader.readuntil(b"\r\n\r\n")).split(b"\r\n")[0].decode("ascii", "replace")
         self.calls[node] += 1
         self._record.note(f"{self._name}: {node} calls {request}")
+        if self.is_crowded:
+            await asyncio.sleep(WAIT_SECONDS)
+            writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+            self._record.note(f"{self._name}: the call of {node} has waited too long: 503")
+            return
         await asyncio.sleep(self._answer_seconds)
         if writer.is_closing():
             return
