--- a/review/rig2/case.py
+++ b/review/rig2/case.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import shutil
+import signal
 import tempfile
 import traceback
 from collections.abc import Awaitable, Callable
@@ -18,7 +19,7 @@
 from rig2.roster import Roster
 
 LIMIT_SECONDS = 110.0
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+HELD, BROKEN, NOT_RUN = 0, 11, 2  #: run.sh makes 1 of 11, so that no error of Python counts as a broken rule
 
 
 class World:
@@ -86,7 +87,7 @@
 
 
 def main(case_file: str, case: Callable[[World], Awaitable[list[str]]]) -> int:
-    """Run a case, which returns what broke the rule; return the exit code."""
+    """Run a case, which returns what broke the rule; return the exit code for run.sh."""
     record = Record(Path(case_file).resolve().parent)
     folder = Path(tempfile.mkdtemp(prefix="review-"))
     try:
@@ -99,9 +100,13 @@
 async def _run(world: World, case: Callable[[World], Awaitable[list[str]]]) -> int:
     record = world.record
     record.note(f"with the disruption: {world.with_trouble}")
+    task = asyncio.current_task()
+    assert task is not None
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     try:
         broken = await asyncio.wait_for(case(world), LIMIT_SECONDS)
-    except Exception as error:  # whatever it is, it says nothing about the rule
+    except (Exception, asyncio.CancelledError) as error:  # whatever it is, it says nothing about the rule
         record.note("not run: " + "".join(traceback.format_exception(error)))
         print(f"the case could not run: {error!r}")
         return NOT_RUN
