--- a/review/10/case.py
+++ b/review/10/case.py
@@ -27,36 +27,21 @@
     rosters = [
         world.add_roster(name, GENERATION) for name in ("first roster", "second roster", "third roster")
     ]
-    for name in BOXES:
-        box = world.add_box(name)
-        addresses = {node.name: await box.listen(node.name) for node in nodes}
-        for roster in rosters:
-            roster.add(name, addresses, "levis", "standard")
-    await world.add_store()
     first, second, third = rosters
-    for node in nodes:
-        address = await first.listen(node.name)
-        node.configure(discovery=address, known=first.whole_list(node.name))
-    await asyncio.gather(*(node.start() for node in nodes))
+    await world.list_boxes(BOXES, *rosters)
+    await world.add_store()
+    await world.configure_nodes(first)
+    await world.start_nodes()
     world.clients.start([node.listen for node in nodes], rate_per_s=12, life_s=4)
     await move_by_store(nodes, first, second)
     await move_by_file(nodes, second, third)
     if world.with_trouble:
         await asyncio.gather(*(restart(node, KILL_GAP_SECONDS * turn) for turn, node in enumerate(nodes)))
     await asyncio.sleep(4)
-    drained_at = world.record.now()
-    for name in DRAINED:
-        world.boxes[name].wants_new_work = False
-        third.change(name, lifecycle="leaving")
+    told_at = world.record.now() + TOLD_SECONDS
+    world.drain(third, DRAINED)
     await asyncio.sleep(TOLD_SECONDS + 10)
-    last_allowed = drained_at + TOLD_SECONDS + GRACE_SECONDS
-    return [
-        f"{send.node} sent OPEN {send.request_id} to {name} {send.at - drained_at:.2f} s after the roster had"
-        " listed it as leaving"
-        for name in DRAINED
-        for send in world.boxes[name].sends
-        if send.at > last_allowed
-    ]
+    return world.late_sends(DRAINED, told_at, GRACE_SECONDS)
 
 
 async def restart(node: Node, delay_seconds: float) -> None:
@@ -90,4 +75,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(__file__, case))
+    sys.exit(main(case))
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -25,35 +25,20 @@
     old_roster = world.add_roster("roster", GENERATION, ROSTER_ANSWER_SECONDS)
     new_roster = world.add_roster("new roster", GENERATION, ROSTER_ANSWER_SECONDS)
     nodes = [world.add_node(2) for _ in range(2)]
-    for name in BOXES:
-        box = world.add_box(name)
-        addresses = {node.name: await box.listen(node.name) for node in nodes}
-        for roster in (old_roster, new_roster):
-            roster.add(name, addresses, "levis", "standard")
+    await world.list_boxes(BOXES, old_roster, new_roster)
     new_addresses = {node.name: await new_roster.listen(node.name) for node in nodes}
-    for node in nodes:
-        address = await old_roster.listen(node.name)
-        node.configure(discovery=address, known=old_roster.whole_list(node.name))
-    await asyncio.gather(*(node.start() for node in nodes))
+    await world.configure_nodes(old_roster)
+    await world.start_nodes()
     world.clients.start([node.listen for node in nodes], rate_per_s=10, life_s=4)
     await asyncio.sleep(4)
 
     await upgrade(world, nodes, old_roster, new_addresses)
     roster = new_roster if world.with_trouble else old_roster
     await asyncio.sleep(4)
-    drained_at = world.record.now()
-    for name in DRAINED:
-        world.boxes[name].wants_new_work = False
-        roster.change(name, lifecycle="leaving")
+    told_at = world.record.now() + TOLD_SECONDS
+    world.drain(roster, DRAINED)
     await asyncio.sleep(TOLD_SECONDS + 10)
-    last_allowed = drained_at + TOLD_SECONDS + GRACE_SECONDS
-    return [
-        f"{send.node} sent OPEN {send.request_id} to {name} {send.at - drained_at:.2f} s after the roster had"
-        " listed it as leaving"
-        for name in DRAINED
-        for send in world.boxes[name].sends
-        if send.at > last_allowed
-    ]
+    return world.late_sends(DRAINED, told_at, GRACE_SECONDS)
 
 
 async def upgrade(world: World, nodes: list[Node], old_roster: Roster, new_addresses: dict[str, str]) -> None:
@@ -79,4 +64,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(__file__, case))
+    sys.exit(main(case))
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -58,15 +58,10 @@
     """Start the nodes with a store, the roster and the front boxes, and the clients."""
     nodes = [world.add_node(TIER_SIZE) for _ in range(TIER_SIZE)]
     roster = world.add_roster("roster", GENERATION)
-    for name in BOXES:
-        box = world.add_box(name)
-        addresses = {node.name: await box.listen(node.name) for node in nodes}
-        roster.add(name, addresses, "levis", "standard")
-    for node in nodes:
-        address = await roster.listen(node.name)
-        node.configure(discovery=address, known=roster.whole_list(node.name))
+    await world.list_boxes(BOXES, roster)
+    await world.configure_nodes(roster)
     await world.add_store()
-    await asyncio.gather(*(node.start() for node in nodes))
+    await world.start_nodes()
     for node in nodes:
         await node.wait_for_leader()
     world.clients.start([node.listen for node in nodes], rate_per_s=12, life_s=4)
@@ -74,4 +69,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(__file__, case))
+    sys.exit(main(case))
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -35,15 +35,10 @@
         victim.configure(known=known)
         await victim.start()
     await asyncio.sleep(3)
-    world.boxes[DRAINED].wants_new_work = False
-    roster.change(DRAINED, lifecycle="leaving")
+    world.drain(roster, (DRAINED,))
     told_at = world.record.now()  # written to all watches
     await asyncio.sleep(WATCHED_SECONDS)
-    late = [send for send in world.boxes[DRAINED].sends if send.at > told_at + GRACE_SECONDS]
-    return [
-        f"{send.node} sent OPEN {send.request_id} to {DRAINED} {send.at - told_at:.2f} s after it was told"
-        for send in late
-    ]
+    return world.late_sends((DRAINED,), told_at, GRACE_SECONDS)
 
 
 async def start_tier(world: World) -> tuple[list[Node], Roster]:
@@ -57,15 +52,13 @@
         addresses = {node.name: network.address(node.name, box.name) for node in nodes}
         roster.add(box.name, addresses, "levis", "standard")
     del roster.entries[ADDED]
-    for node in nodes:
-        address = await roster.listen(node.name)
-        node.configure(discovery=address, known=roster.whole_list(node.name))
+    await world.configure_nodes(roster)
     await world.add_store()
-    await asyncio.gather(*(node.start() for node in nodes))
+    await world.start_nodes()
     for node in nodes:
         world.clients_of(node.name).start([node.listen], rate_per_s=5, life_s=4)
     return nodes, roster
 
 
 if __name__ == "__main__":
-    sys.exit(main(__file__, case))
+    sys.exit(main(case))
--- a/review/rig2/case.py
+++ b/review/rig2/case.py
@@ -6,9 +6,10 @@
 import os
 import shutil
 import signal
+import sys
 import tempfile
 import traceback
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 
 from rig2.clients import Clients
@@ -69,6 +70,40 @@
         self.boxes[name] = FrontBox(self.record, name)
         return self.boxes[name]
 
+    async def list_boxes(self, names: Sequence[str], *rosters: Roster) -> None:
+        """Add front boxes, each with an address for each node, and list them as active."""
+        for name in names:
+            box = self.add_box(name)
+            addresses = {node.name: await box.listen(node.name) for node in self.nodes}
+            for roster in rosters:
+                roster.add(name, addresses, "levis", "standard")
+
+    async def configure_nodes(self, roster: Roster) -> None:
+        """Write the configuration of each node, with the roster's list of now."""
+        for node in self.nodes:
+            address = await roster.listen(node.name)
+            node.configure(discovery=address, known=roster.whole_list(node.name))
+
+    async def start_nodes(self) -> None:
+        """Start all nodes side by side, and wait until each says yes."""
+        await asyncio.gather(*(node.start() for node in self.nodes))
+
+    def drain(self, roster: Roster, names: Sequence[str]) -> None:
+        """Let front boxes drain, and list them as leaving."""
+        for name in names:
+            self.boxes[name].wants_new_work = False
+            roster.change(name, lifecycle="leaving")
+
+    def late_sends(self, names: Sequence[str], told_at: float, grace_seconds: float) -> list[str]:
+        """Return the first lines that came to these boxes too late after the drain counted as told."""
+        return [
+            f"{send.node} sent OPEN {send.request_id} to {name} {send.at - told_at:.2f} s after the drain"
+            " counted as told"
+            for name in names
+            for send in self.boxes[name].sends
+            if send.at > told_at + grace_seconds
+        ]
+
     async def close(self) -> None:
         """End everything."""
         for clients in (self.clients, *self._clients_by_node.values()):
@@ -86,9 +121,12 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-def main(case_file: str, case: Callable[[World], Awaitable[list[str]]]) -> int:
-    """Run a case, which returns what broke the rule; return the exit code for run.sh."""
-    record = Record(Path(case_file).resolve().parent)
+def main(case: Callable[[World], Awaitable[list[str]]]) -> int:
+    """Run a case, which returns what broke the rule; return the exit code for run.sh.
+
+    The first argument of the program is the path of the record.
+    """
+    record = Record(Path(sys.argv[1]))
     folder = Path(tempfile.mkdtemp(prefix="review-"))
     try:
         return asyncio.run(_run(World(record, folder), case))
--- a/review/rig2/record.py
+++ b/review/rig2/record.py
@@ -7,11 +7,11 @@
 
 
 class Record:
-    """Writes lines to `record.txt` in the folder of a case; times are seconds since the start of the run."""
+    """Writes lines to a file; times are seconds since the start of the run."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, path: Path) -> None:
         self._started_at = time.monotonic()
-        self._file = (folder / "record.txt").open("w", encoding="utf-8")
+        self._file = path.open("w", encoding="utf-8")
 
     def now(self) -> float:
         """Return the time since the start of the run, in seconds."""
