Review: a setting deleted while a node is down stays in force there for good

It asks a service that no other node asks, and goes on sending new work to a host that has left the list.

--- a/review/rig3/rig.py
+++ b/review/rig3/rig.py
@@ -69,14 +69,23 @@
         self.generation = FIRST_GENERATION
         self.address = ""
         self.entries: dict[str, Json] = {}
+        self.calls = 0  # since the start
+        self._server: asyncio.Server | None = None
         self._changes: list[tuple[int, str]] = []
         self._watches: list[asyncio.StreamWriter] = []
         self._record = record
 
     async def start(self) -> None:
         """Listen on a free port."""
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = "{}:{}".format(*server.sockets[0].getsockname())
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = "{}:{}".format(*self._server.sockets[0].getsockname())
+
+    def close(self) -> None:
+        """Take no new connection, and end the open watches."""
+        if self._server:
+            self._server.close()
+        for watch in list(self._watches):
+            watch.close()
 
     def change(self, name: str, **values: Any) -> None:
         """Change an entry and write the change to every open watch."""
@@ -86,7 +95,7 @@
         watches = [watch for watch in self._watches if not watch.is_closing()]
         for watch in watches:
             watch.write(_chunk(self._list([name], reset=False)))
-        self._record.write(f"discovery: {name} is now {values}; written to {len(watches)} watches")
+        self._record.write(f"discovery {self.address}: {name}: {values}; written to {len(watches)} watches")
 
     def _list(self, names: list[str], *, reset: bool) -> bytes:
         instances = [self.entries[name] for name in names]
@@ -100,6 +109,7 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with suppress(OSError, EOFError, asyncio.CancelledError):
             request = await reader.readuntil(b"\r\n\r\n")
+            self.calls += 1
             if b"watch=1" in request:
                 await self._serve_watch(int(request.split(b"after=")[1].split()[0]), writer)
                 return
@@ -224,17 +234,22 @@
 
 
 class Node:
-    """One node, started by the `run` command of the deploy file."""
+    """One node of a tier, started by the `run` command of the deploy file."""
 
-    def __init__(self, folder: Path, discovery: Discovery, record: Record) -> None:
+    def __init__(
+        self, folder: Path, discovery: Discovery, record: Record, number: int = 0, node_count: int = 1
+    ) -> None:
         listen, console = free_ports(2)
+        self.name = f"n{number}"
         self.listen = ("127.0.0.1", listen)
+        self.operator_file: Path | None = None
         self._console = ("127.0.0.1", console)
-        self._folder = folder
+        self._folder = folder / self.name
+        self._folder.mkdir()
         self._record = record
         self._process: subprocess.Popen[bytes] | None = None
         self._config = {
-            "name": "n0",
+            "name": self.name,
             "listen": f"127.0.0.1:{listen}",
             "console": f"127.0.0.1:{console}",
             "discovery": discovery.address,
@@ -245,7 +260,7 @@
                 "reset": True,
                 "instances": list(discovery.entries.values()),
             },
-            "settings": quebec_settings(),
+            "settings": {**quebec_settings(), "me": number, "balancers": node_count},
         }
 
     async def start(self) -> None:
@@ -253,6 +268,7 @@
         config = self._folder / "config.json"
         config.write_text(json.dumps(self._config), encoding="utf-8")
         shared = self._folder / "tmp"
+        shutil.rmtree(shared, ignore_errors=True)
         shared.mkdir()
         environment = {
             "PATH": os.environ.get("PATH", os.defpath),
@@ -260,12 +276,14 @@
             "PYTHONDONTWRITEBYTECODE": "1",
             "TMPDIR": str(shared),
         }
+        if self.operator_file:
+            environment["LIMERUDDER_FILE"] = str(self.operator_file)
         command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text(encoding="utf-8"))["run"]
-        with (self._folder / "log").open("wb") as log:
+        with (self._folder / "log").open("ab") as log:
             self._process = subprocess.Popen(
                 ["/bin/sh", "-c", command], env=environment, cwd=ROOT, stdout=log, stderr=log
             )
-        self._record.write(f"node: started as process {self._process.pid}")
+        self._record.write(f"node {self.name}: started as process {self._process.pid}")
         async with asyncio.timeout(READY_SECONDS):
             while not await self._is_ready():
                 await asyncio.sleep(POLL_SECONDS)
@@ -280,6 +298,13 @@
             return False
         return answer.startswith(b"done")
 
+    def kill(self) -> None:
+        """Kill the node's process."""
+        if self._process:
+            self._process.kill()
+            self._process.wait()
+            self._record.write(f"node {self.name}: killed")
+
     def stop(self) -> None:
         """End the node's process and copy its log to the record."""
         if self._process is None:
@@ -290,9 +315,11 @@
         except subprocess.TimeoutExpired:
             self._process.kill()
             self._process.wait()
-        self._record.write(f"node: process {self._process.pid} ended with {self._process.returncode}")
+        self._record.write(
+            f"node {self.name}: process {self._process.pid} ended with {self._process.returncode}"
+        )
         for line in (self._folder / "log").read_text(encoding="utf-8", errors="replace").splitlines():
-            self._record.write(f"node's log: {line}")
+            self._record.write(f"log of {self.name}: {line}")
 
 
 def open_line(class_name: str, deadline_ms: int) -> tuple[str, bytes]:
