--- a/review/rig3/rig.py
+++ b/review/rig3/rig.py
@@ -9,8 +9,10 @@
 import json
 import os
 import shutil
+import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -21,7 +23,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HELD = 0  #: Exit code: the rule was kept
-BROKEN = 1  #: Exit code: the rule was broken
+BROKEN = 11  #: Exit code: the rule was broken; not 1, with which an error of the script would end it
 NOT_RUN = 2  #: Exit code: the case could not run
 FIRST_GENERATION = 41
 HEARTBEAT_SECONDS = 2.0
@@ -41,14 +43,15 @@
 class Record:
     """The file `record.txt` beside a case: what was sent, answered and run."""
 
-    def __init__(self, folder: Path) -> None:
-        self._file = (folder / "record.txt").open("w", encoding="utf-8")
+    def __init__(self, path: str) -> None:
+        self._path = Path(path)
+        self._path.write_text("", encoding="utf-8")
         self._started = time.monotonic()
 
     def write(self, text: str) -> None:
         """Write one line with the time since the start."""
-        self._file.write(f"{time.monotonic() - self._started:8.3f} {text}\n")
-        self._file.flush()
+        with self._path.open("a", encoding="utf-8") as file:
+            file.write(f"{time.monotonic() - self._started:8.3f} {text}\n")
 
 
 def free_ports(count: int) -> list[int]:
@@ -329,14 +332,14 @@
     return request, f"OPEN {request} {key} {pairs}\r\n".encode()
 
 
-def run_case(script: str, case: Callable[[Path, Record], Awaitable[int]], limit_seconds: float) -> None:
-    """Run a case in a temporary folder of its own, and exit with its code."""
-    record = Record(Path(script).resolve().parent)
+def run_case(case: Callable[[Path, Record], Awaitable[int]], limit_seconds: float) -> None:
+    """Run a case in a temporary folder of its own, with the record that the command line names; then exit."""
+    record = Record(sys.argv[1])
     record.write(f"disruption: {'yes' if is_troubled() else 'no'}")
     folder = Path(tempfile.mkdtemp(prefix="review-"))
     try:
         code = asyncio.run(_run_limited(case, folder, record, limit_seconds))
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.write(f"could not run: {type(error).__name__} {error}")
         code = NOT_RUN
     shutil.rmtree(folder, ignore_errors=True)
@@ -349,5 +352,9 @@
 async def _run_limited(
     case: Callable[[Path, Record], Awaitable[int]], folder: Path, record: Record, limit_seconds: float
 ) -> int:
+    """Run a case until it ends, its time is up or SIGTERM comes; it ends its processes in each case."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     async with asyncio.timeout(limit_seconds):
         return await case(folder, record)
