--- a/limerudder/core/client/session.py
+++ b/limerudder/core/client/session.py
@@ -69,8 +69,8 @@
 
     def set_writing_paused(self, paused: bool) -> None:
         """Apply backpressure from a slow client to its upstream, or to its own data until it has one."""
-        if self.attempt and self.attempt.transport:
-            self.attempt.transport.set_reading_paused(paused)
+        if self.attempt:
+            self.attempt.set_reading_paused(paused)
         elif self.transport and self._state in (ClientState.READING_LINE, ClientState.AWAITING_ANSWER):
             # Disconnects are detected only while reading, so reading continues until the answer.
             self.transport.set_reading_paused(paused and self._state is ClientState.READING_LINE)
@@ -125,6 +125,11 @@
         """Close this connection after the upstream has ended its side."""
         self._finish(b"", now_us)
 
+    def upstream_close_timed_out(self, now_us: int) -> None:
+        """Close this connection, whose upstream did not end its side after this one had ended."""
+        self._counters.increment(CounterName.UPSTREAM_CLOSES_TIMED_OUT)
+        self._finish(b"", now_us)
+
     def upstream_reset(self) -> None:
         """Reset this connection after the upstream's connection was lost."""
         self._reset()
--- a/limerudder/core/operations/counters.py
+++ b/limerudder/core/operations/counters.py
@@ -51,6 +51,7 @@
     HEALTH_CHECKS_ERROR = "health_checks_error"
     HEALTH_CHECKS_RESET = "health_checks_reset"
     HEALTH_CHECKS_CONNECT_FAILED = "health_checks_connect_failed"
+    UPSTREAM_CLOSES_TIMED_OUT = "upstream_closes_timed_out"
     LATENCY_EXCEEDED = "latency_exceeded"
     LATENCY_RECOVERED = "latency_recovered"
     LOAD_REPORTS_MALFORMED = "load_reports_malformed"
--- a/limerudder/core/transport.py
+++ b/limerudder/core/transport.py
@@ -47,6 +47,9 @@
     def has_disconnected(self) -> bool:
         """Return whether a FIN or reset has arrived from the other side, even behind unread bytes."""
 
+    def unsent_bytes(self) -> int:
+        """Return the number of written bytes that the other side has not acknowledged; 0 once closed."""
+
 
 class ConnectionMachine(Protocol):
     """A protocol's state machine as seen by the driver of its connection."""
--- a/limerudder/core/upstream/attempt.py
+++ b/limerudder/core/upstream/attempt.py
@@ -8,13 +8,16 @@
 
 from limerudder.core.line_framing import LineError, LineFramer
 from limerudder.core.ports import AttemptObserver
+from limerudder.core.progress_timeout import DELIVERY_TIMEOUT_US, ProgressLimits, ProgressTimeout
 from limerudder.core.timer_wheel import ResettableTimer, TimerWheel
 from limerudder.core.transport import OutboundMachineBase, Transport
 from limerudder.core.upstream.load_report import parse_report
 from limerudder.policy.events import AttemptOutcome
 
 MESSAGE_TIMEOUT_US = 2_500_000  #: Answer timeout of a message; detects a stream that stopped without an error
-UPSTREAM_CLOSE_TIMEOUT_US = 700_000  #: Time for the upstream to close after the client has closed its side
+MAX_MESSAGE_WAIT_US = 6_000_000  #: Limit of the wait for an answer while the upstream still takes in bytes
+#: Time without progress, after the client has ended its side, for an upstream that has answered all messages
+UPSTREAM_CLOSE_TIMEOUT_US = 700_000
 LINE_END = b"\r\n"
 
 #: Outcome of a proxied connection by the first word of the last line from its upstream.
@@ -35,6 +38,9 @@
     def upstream_ended(self, now_us: int) -> None:
         """The upstream has ended its side."""
 
+    def upstream_close_timed_out(self, now_us: int) -> None:
+        """The upstream has not ended its side in time after the client had ended its own."""
+
     def upstream_reset(self) -> None:
         """The upstream's connection broke."""
 
@@ -58,7 +64,11 @@
         self._client_has_ended = False  # Whether the client has ended its side
         self._last_word = b""
         self._report: tuple[float, ...] = ()
-        self._timer = ResettableTimer(timer_wheel)
+        self._unanswered_lines = 0  # the client's messages, less the lines that came back since
+        self._progress_timeout = ProgressTimeout(timer_wheel)
+        self._reading_paused = False  # whether the client reads too slowly for more of the upstream's data
+        self._answer_outstanding = False  # whether a message is unanswered while reading is paused
+        self._pause_timer = ResettableTimer(timer_wheel)
 
     # Called by the driver
 
@@ -76,6 +86,8 @@
         if self.ended:
             return
         self.last_received_us = now_us
+        if self._client_has_ended:
+            self._progress_timeout.record_progress(now_us)
         try:
             lines = self._framer.feed(data)
         except LineError:
@@ -92,6 +104,8 @@
             self._client.send(b"".join(line + LINE_END for line in lines))
         for line in lines:
             self._read_line(line, now_us)
+        if self._client_has_ended:
+            self._limit_close(now_us)
 
     def eof_received(self, now_us: int) -> None:
         """The upstream has ended its side."""
@@ -124,10 +138,27 @@
         """Forward the client's data to the upstream."""
         if not self.transport or self.ended:
             return
+        line_count = data.count(b"\n")
+        self._unanswered_lines += line_count
+        if line_count and self._reading_paused:
+            self._answer_outstanding = True
+        elif line_count and self.oldest_unanswered_us is None:
+            self._await_answer(now_us)
         self.transport.write(data)
-        if self.oldest_unanswered_us is None and b"\n" in data:
-            self.oldest_unanswered_us = now_us
-            self._timer.set(now_us + MESSAGE_TIMEOUT_US, self.end_unresponsive)
+
+    def set_reading_paused(self, paused: bool) -> None:
+        """Pause or resume reading from the upstream, whose time to answer does not run meanwhile."""
+        if not self.transport or self.ended or paused == self._reading_paused:
+            return
+        self.transport.set_reading_paused(paused)
+        self._reading_paused = paused
+        if self._client_has_ended:
+            return  # the limit on the upstream's close watches the client's progress too
+        if paused:
+            self._answer_outstanding = self.oldest_unanswered_us is not None
+            self.oldest_unanswered_us = None
+            self._progress_timeout.cancel()
+        self._pause_timer.set(0, self._limit_paused_wait)
 
     def client_ended(self, now_us: int) -> None:
         """The client has ended its side: end this side too. The upstream may still send its last lines."""
@@ -136,7 +167,9 @@
             self.transport.half_close()
             # An answer that is still outstanding must not cancel the timer set here.
             self.oldest_unanswered_us = None
-            self._timer.set(now_us + UPSTREAM_CLOSE_TIMEOUT_US, self.end_unresponsive)
+            self._progress_timeout.cancel()
+            self._pause_timer.cancel()
+            self._limit_close(now_us)
 
     def client_reset(self) -> None:
         """The client's connection broke: reset the upstream's."""
@@ -151,14 +184,15 @@
         client = self._client
         self._end(AttemptOutcome.CANCELLED, now_us)
         if client and self._client_has_ended:
-            client.upstream_ended(now_us)
+            client.upstream_close_timed_out(now_us)
         elif client:
             client.migrate(now_us)
 
     def close(self) -> None:
         """Close the connection at once; the observer is not notified."""
         self.ended = True
-        self._timer.cancel()
+        self._progress_timeout.cancel()
+        self._pause_timer.cancel()
         self._client = None
         if self.transport:
             self.transport.close()
@@ -184,10 +218,12 @@
             return
         if word == b"BYE":
             self._report = parse_report(rest, self._report_fields)
+        self._unanswered_lines = max(self._unanswered_lines - 1, 0)
+        self._answer_outstanding = False
         if self.oldest_unanswered_us is not None:
             latency_us = now_us - self.oldest_unanswered_us
             self.oldest_unanswered_us = None
-            self._timer.cancel()
+            self._progress_timeout.cancel()
             self.observer.attempt_latency_measured(latency_us, now_us)
 
     def _read_load(self, text: bytes, now_us: int) -> None:
@@ -198,6 +234,35 @@
         if isfinite(load):
             self.observer.attempt_load_reported(load, now_us)
 
+    # Limits on the upstream's silence
+
+    def _await_answer(self, now_us: int) -> None:
+        """Limit the time to the answer of a message that is about to be written."""
+        if self.transport:
+            self.oldest_unanswered_us = now_us
+            limits = ProgressLimits(MESSAGE_TIMEOUT_US, MESSAGE_TIMEOUT_US, MAX_MESSAGE_WAIT_US)
+            self._progress_timeout.start([self.transport], limits, now_us, self.end_unresponsive)
+
+    def _limit_paused_wait(self, now_us: int) -> None:
+        """Limit the client's time without progress while reading is paused, or the upstream's afterwards."""
+        if not self._answer_outstanding or not self._client or not self._client.transport:
+            return
+        if self._reading_paused:
+            limits = ProgressLimits(DELIVERY_TIMEOUT_US)
+            self._progress_timeout.start([self._client.transport], limits, now_us, self.end_unresponsive)
+        else:
+            self._answer_outstanding = False
+            self._await_answer(now_us)
+
+    def _limit_close(self, now_us: int) -> None:
+        """Limit the time without progress in either direction until the upstream ends its side."""
+        limits = ProgressLimits(MESSAGE_TIMEOUT_US if self._unanswered_lines else UPSTREAM_CLOSE_TIMEOUT_US)
+        if self.ended or limits == self._progress_timeout.limits:
+            return
+        client_transport = self._client.transport if self._client else None
+        transports = [transport for transport in (self.transport, client_transport) if transport]
+        self._progress_timeout.start(transports, limits, now_us, self.end_unresponsive)
+
     # Outcomes and the end of the connection
 
     def _outcome(self) -> AttemptOutcome:
--- a/limerudder/net/tcp.py
+++ b/limerudder/net/tcp.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import select
 import socket
 import struct
+import termios
 from collections.abc import Callable
 from contextlib import suppress
 from typing import cast
@@ -19,6 +21,7 @@
 #: SO_LINGER value (on, 0 s) that makes a close send a reset instead of a FIN.
 LINGER_RESET = struct.pack("ii", 1, 0)
 SHORTAGE_RETRY_SECONDS = 0.01
+_QUEUE_SIZE = struct.Struct("i")  # the result of the ioctl call for the size of a send queue
 
 
 class TcpConnection(asyncio.Protocol):
@@ -114,6 +117,15 @@
         poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
         return bool(poll.poll(0))
 
+    def unsent_bytes(self) -> int:
+        """Return the bytes written but not acknowledged, in the buffers of this process and of the system."""
+        if self.transport is None:
+            return len(self._early_data)
+        if self.transport.is_closing():
+            return 0
+        descriptor = self.transport.get_extra_info("socket").fileno()
+        return self.transport.get_write_buffer_size() + _unacknowledged_bytes(descriptor)
+
     def close(self) -> None:
         """Close the connection immediately; the machine receives no further events."""
         self.machine = None
@@ -136,6 +148,15 @@
         self.close()
 
 
+def _unacknowledged_bytes(descriptor: int) -> int:
+    """Return the size of a socket's send queue (SIOCOUTQ, see tcp(7)); 0 where the system cannot tell it."""
+    try:
+        answer = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(_QUEUE_SIZE.size))
+    except OSError:
+        return 0
+    return int(_QUEUE_SIZE.unpack(answer)[0])
+
+
 class TcpConnector:
     """Opens outgoing connections."""
 
--- a/tests/node_testbed.py
+++ b/tests/node_testbed.py
@@ -15,6 +15,8 @@
 
 TICK_US = 5000
 START_TIME_US = 50 * SECOND
+STEP_US = SECOND // 2
+MANY_BYTES = 1 << 20
 
 
 class FakeTransport:
@@ -29,6 +31,7 @@
         self.closed = False
         self.was_reset = False
         self.peer_disconnected = False  # the other side has disconnected, with bytes still unread
+        self.unsent = 0  # number of bytes that the other side has not acknowledged
 
     def write(self, data: bytes) -> None:
         assert not self.half_closed and not self.closed
@@ -50,6 +53,9 @@
     def has_disconnected(self) -> bool:
         return self.peer_disconnected
 
+    def unsent_bytes(self) -> int:
+        return self.unsent
+
     def accept(self, now_us: int) -> str:
         """Let the dial succeed; return the first bytes written, empty if the machine cancelled the dial."""
         first_bytes = self.machine.first_bytes(now_us)
@@ -142,3 +148,10 @@
 
     testbed.node.balancer.handle = record  # type: ignore[method-assign]
     return events
+
+
+def drain(testbed: NodeTestbed, transport: FakeTransport, duration_us: int) -> None:
+    """Let the other side of a transport take in a part of the unsent bytes in each step."""
+    for _ in range(duration_us // STEP_US):
+        transport.unsent -= 1
+        testbed.run(STEP_US)
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -17,6 +17,7 @@
 import uvloop
 
 from harness.configurations import LINE, configuration, host, hosts, settings
+from limerudder.core.transport import parse_address
 from limerudder.core.upstream.health_check import HealthCheckConnection
 from limerudder.net.clock import Clock
 from limerudder.net.tcp import TcpConnection
@@ -170,7 +171,28 @@
     assert far_end.recv(1) == b""
 
 
+async def unsent_bytes_become_fewer_as_the_other_side_reads(testbed: LoopbackTestbed) -> None:
+    address = parse_address(await testbed.upstream.start())
+    connection = TcpConnection(HealthCheckConnection((), lambda *result: None), Clock())
+    await asyncio.get_running_loop().create_connection(lambda: connection, *address)
+    upstream = await testbed.upstream.accept()
+    upstream.reader._transport.pause_reading()  # type: ignore[attr-defined]
+    data = b"x" * (16 << 20)
+    connection.write(data)
+    unread_bytes = connection.unsent_bytes()
+    assert 0 < unread_bytes <= len(data)
+    upstream.reader._transport.resume_reading()  # type: ignore[attr-defined]
+    await upstream.reader.readexactly(len(data) // 2)
+    assert connection.unsent_bytes() < unread_bytes
+    await upstream.reader.readexactly(len(data) // 2)
+    while connection.unsent_bytes():
+        await asyncio.sleep(0)
+    connection.close()
+    assert connection.unsent_bytes() == 0
+
+
 SCENARIOS = [
+    unsent_bytes_become_fewer_as_the_other_side_reads,
     a_transport_resumes_reading_only_after_a_pause,
     a_transport_is_shut_down_before_close_returns,
     lines_are_relayed_both_ways_until_the_upstream_ends,
