--- a/limerudder/core/client/admission.py
+++ b/limerudder/core/client/admission.py
@@ -12,6 +12,9 @@
     def evict(self, now_us: int) -> None:
         """Send the final response and start to close; the client has no request in progress."""
 
+    def has_undelivered_data(self) -> bool:
+        """Return whether the client has not yet received everything that was sent to it."""
+
     def force_close(self) -> None:
         """Close immediately; the final response has been sent."""
 
@@ -87,6 +90,11 @@
         self.closing.pop(connection, None)
         self.connections.discard(connection)
 
+    def _next_to_force_close(self) -> AdmittedConnection:
+        """Return the oldest closing connection that has received everything, or else the oldest."""
+        delivered = (each for each in self.closing if not each.has_undelivered_data())
+        return next(delivered, next(iter(self.closing)))
+
     def free_descriptors(self, now_us: int) -> bool:
         """Close idle and closing connections until usage fits the capacity; return False if it does not."""
         # Hundreds of connections that never send anything must not starve ordinary clients and their
@@ -94,7 +102,7 @@
         # line soon after connecting.
         while self.descriptors_in_use() > self.capacity:
             if len(self.closing) > self.max_closing:
-                next(iter(self.closing)).force_close()
+                self._next_to_force_close().force_close()
             elif len(self.idle) > 1:
                 next(iter(self.idle)).evict(now_us)
             else:
--- a/limerudder/core/client/connection.py
+++ b/limerudder/core/client/connection.py
@@ -7,10 +7,11 @@
 from limerudder.core.client import responses
 from limerudder.core.client.admission import AdmissionControl
 from limerudder.core.operations.counters import CounterName, Counters
+from limerudder.core.progress_timeout import ProgressLimits, ProgressTimeout
 from limerudder.core.timer_wheel import ResettableTimer, TimerWheel
 from limerudder.core.transport import Transport
 
-LINGER_US = 1_000_000  #: Time for a client to read its final response and close first
+LINGER_US = 1_000_000  #: Time for a client to close first once its final response has been delivered
 MAX_DISCARDED_BYTES = 1 << 18  #: Maximum data read and discarded while closing; then reading stops
 
 
@@ -32,6 +33,7 @@
         self._admission = admission
         self._counters = counters
         self._timer = ResettableTimer(timer_wheel)
+        self._linger_timeout = ProgressTimeout(timer_wheel)
         self._discarded_bytes = 0
 
     # called by admission control
@@ -40,6 +42,10 @@
         """Answer BUSY and close; the client has no request."""
         self._end_without_request(CounterName.CLIENTS_EVICTED, now_us)
 
+    def has_undelivered_data(self) -> bool:
+        """Return whether the client has not yet received everything that was sent to it."""
+        return self.transport is not None and self.transport.unsent_bytes() > 0
+
     def force_close(self) -> None:
         """Close immediately to free the descriptor; the final response has been sent."""
         self._counters.increment(CounterName.CLIENTS_FORCE_CLOSED)
@@ -55,15 +61,25 @@
     def _finish(self, response: bytes, now_us: int) -> None:
         """Send the final response, if any, and start a lingering close."""
         # Closing a socket that has unread data sends a reset, which may overtake the final response.
-        # The client therefore gets time to read the response and close first.
+        # The client therefore gets time to read the response, and all that is unsent before it, and to close
+        # first. A client on a slow line needs as long as it makes progress.
         self._enter_closing()
-        if self.transport:
-            self._admission.mark_closing(self)
-            if response:
-                self.transport.write(response)
-            self.transport.half_close()
-            self.transport.set_reading_paused(False)
-        self._timer.set(now_us + LINGER_US, lambda _: self._close())
+        self._timer.cancel()
+        if not self.transport:
+            return
+        self._admission.mark_closing(self)
+        if response:
+            self.transport.write(response)
+        self.transport.half_close()
+        self.transport.set_reading_paused(False)
+        limits = ProgressLimits(LINGER_US)
+        self._linger_timeout.start([self.transport], limits, now_us, self._linger_timed_out)
+
+    def _linger_timed_out(self, now_us: int) -> None:
+        """Close a connection whose client has neither closed nor received anything for too long."""
+        if self.has_undelivered_data():
+            self._counters.increment(CounterName.CLIENTS_CLOSED_UNSENT)
+        self._close()
 
     def _discard(self, data: bytes) -> None:
         """Drop data received after the final response."""
@@ -90,5 +106,6 @@
 
     def _release(self) -> None:
         self._timer.cancel()
+        self._linger_timeout.cancel()
         self.transport = None
         self._admission.remove(self)
--- a/limerudder/core/client/session.py
+++ b/limerudder/core/client/session.py
@@ -58,7 +58,7 @@
         """Handle the end of the client's data."""
         if self._state is ClientState.PROXYING and self.attempt:
             self.attempt.client_ended(now_us)
-        else:
+        elif self._state is not ClientState.CLOSING or not self.has_undelivered_data():
             self._disconnect(now_us)
 
     def connection_lost(self, now_us: int) -> None:
--- a/limerudder/core/operations/counters.py
+++ b/limerudder/core/operations/counters.py
@@ -24,6 +24,7 @@
     CLIENTS_TIMED_OUT = "clients_timed_out"
     CLIENTS_EVICTED = "clients_evicted"
     CLIENTS_FORCE_CLOSED = "clients_force_closed"
+    CLIENTS_CLOSED_UNSENT = "clients_closed_unsent"
     CLIENTS_DISCONNECTED = "clients_disconnected"
     CLIENTS_DISCONNECTED_UNREAD = "clients_disconnected_unread"
     BYTES_DISCARDED = "bytes_discarded"
