--- a/limerudder/node_process.py
+++ b/limerudder/node_process.py
@@ -174,6 +174,7 @@
         if state.config_reloaded:
             # SIGHUP has overridden the environment in the parent, and the environment has not changed since
             discovery = reload_config(self._environment).discovery
+            self._store.configured_discovery = discovery
         return replace(config, known=state.endpoints, discovery=discovery)
 
     def _create_marks(self) -> MaintenanceMarks:
@@ -314,6 +315,7 @@
             return
         self._log(LogKind.CONFIG, "config: reloaded; discovery is at {}:{}".format(*config.discovery))
         self._node.config_reloaded = True
+        self._store.configured_discovery = config.discovery
         self._node.discovery.change_address(config.discovery, self._clock.now_us())
 
     def _log_counters(self, kind: LogKind) -> None:
--- a/limerudder/store/control_watch.py
+++ b/limerudder/store/control_watch.py
@@ -50,8 +50,8 @@
                 return
             for change in changes:
                 self._send_change(change)
-            if complete_revision == watch.after_revision:
-                return
+            if complete_revision <= watch.after_revision:
+                return  # a restarted member may still be behind the caller
             self._watch = watch._replace(after_revision=complete_revision)
 
     def _can_send(self) -> bool:
--- a/limerudder/store/drain_log.py
+++ b/limerudder/store/drain_log.py
@@ -230,7 +230,7 @@
     def update_agreed(self, host: str, modified_revision: int, value: bytes | None) -> None:
         """Applies a host's agreed record from the replicated state; `value` is None if it was removed."""
         current = self._agreed.get(host)
-        if current and current.modified_revision >= modified_revision:
+        if current and current.modified_revision > modified_revision:
             return  # a replicated state that is still catching up must not replace a newer record
         try:
             record = decode_host_record(value) if value is not None else HostRecord()
--- a/limerudder/store/endpoint_list_writer.py
+++ b/limerudder/store/endpoint_list_writer.py
@@ -20,6 +20,7 @@
 from limerudder.store.store import Store
 
 WRITE_INTERVAL_US = 2_000_000
+KEY_MISSING = 0  #: Revision that a comparison expects of a key that does not exist
 NO_SESSION = 0  #: Reserved identifier that no session has
 
 
@@ -48,20 +49,21 @@
         A list that the service has not sent completely is not written: a restarted node would begin with its
         outdated entries and ask only for later changes.
         """
-        is_new = endpoint_list != self._written  # Not only the version: its numbering may have begun anew
-        if not (is_new and endpoint_list.is_complete and endpoint_list.endpoints):
+        if not (endpoint_list.is_complete and endpoint_list.endpoints and self._store.member.is_leader):
             return
-        if not self._store.member.is_leader:
+        stored = self._store.member.persisted_value(ENDPOINT_LIST_KEY)
+        # Not only the version is compared: its numbering may have begun anew
+        if endpoint_list == self._written and stored.value is not None:
             return
         if self._session_id == NO_SESSION:
             self._open_session(now_us)
             return
         value = json.dumps(format_endpoint_list(endpoint_list)).encode()
-        stored = self._store.member.persisted_value(ENDPOINT_LIST_KEY)
         self._written = endpoint_list
         if stored.value == value or len(value) > self._max_value_bytes:
             return
-        unchanged = Compare(ENDPOINT_LIST_KEY, CompareTarget.MODIFIED, number=stored.modified_revision)
+        revision = stored.modified_revision if stored.value is not None else KEY_MISSING
+        unchanged = Compare(ENDPOINT_LIST_KEY, CompareTarget.MODIFIED, number=revision)
         self._submit(Transaction((unchanged,), (Put(ENDPOINT_LIST_KEY, value),)), now_us)
 
     def _submit(self, transaction: Transaction, now_us: int) -> None:
--- a/limerudder/store/node_bridge.py
+++ b/limerudder/store/node_bridge.py
@@ -30,7 +30,7 @@
 from limerudder.store.drain_log import NEVER_DRAINED
 from limerudder.store.endpoint_list_writer import EndpointListWriter
 from limerudder.store.key_schema import ENDPOINT_LIST_KEY
-from limerudder.store.settings_applier import ConfigureLog, SettingsApplier
+from limerudder.store.settings_applier import ConfiguredSettings, ConfigureLog, SettingsApplier
 from limerudder.store.store import Store
 
 UPDATE_INTERVAL_US = 25_000  #: Interval of node updates, far below the grace period of drains
@@ -63,6 +63,7 @@
         log: LogSink,
         now_us: Callable[[], int],
         configure_log: ConfigureLog,
+        configured: ConfiguredSettings,
     ) -> None:
         """Open the store; raises DiskError, also if the directory belongs to another member."""
         self.settings = settings
@@ -73,7 +74,7 @@
         self._check_name(node_name)
         self._control = ControlServer(self._store)
         self._settings_applier = SettingsApplier(
-            self._store.member, log, configure_log, self._set_discovery_address
+            self._store.member, log, configure_log, self._set_discovery_address, configured
         )
         self._endpoint_list_writer = EndpointListWriter(self._store, settings.value_most)
         self._drain_log = self._store.member.drain_log
--- a/limerudder/store/persisted_values.py
+++ b/limerudder/store/persisted_values.py
@@ -38,10 +38,17 @@
         return persisted
 
     def refresh(self) -> None:
-        """Copies all keys from the replicated state, after a snapshot has replaced it."""
+        """Copies all keys from the replicated state, after a snapshot has replaced it.
+
+        A snapshot does not tell which keys were removed: a copy that is not newer than the state and that the
+        state lacks is one of them. At a start the copies may be newer than the last snapshot.
+        """
         for prefix in COPIED_PREFIXES:
             for key, item in self._state.list_prefix(prefix):
                 self._update(key, PersistedValue(item.modified_revision, item.value))
+        for key, copy in list(self._persisted.items()):
+            if copy.value is not None and self._state.get(key) is None:
+                self._update(key, PersistedValue(self._state.revision, None))
 
     def refresh_changes(self, since_revision: int) -> None:
         """Copies the keys changed after a revision."""
@@ -53,7 +60,7 @@
 
     def _update(self, key: str, value: PersistedValue) -> None:
         persisted = self._persisted.get(key, NO_PERSISTED_VALUE)
-        if persisted.modified_revision >= value.modified_revision:
+        if persisted.modified_revision > value.modified_revision or persisted == value:
             return
         self._persisted[key] = value
         self._unsaved[key] = value
--- a/limerudder/store_runtime.py
+++ b/limerudder/store_runtime.py
@@ -28,6 +28,7 @@
 #: Interval of attempts to open the store while another process of this node owns its directory
 OPEN_RETRY_INTERVAL_SECONDS = 0.05
 OPEN_WARNING_SECONDS = 5.0  #: Time after which the log warns that the directory is still in use
+MICROSECONDS_PER_SECOND = 1e6
 DONE_ANSWER = "done\n"  #: Console answer to a successful call
 
 #: Configures the log; parameters: format, maximum lines of a kind in a window, window length in seconds.
@@ -42,7 +43,10 @@
     def __init__(
         self, config: ProcessConfig, log: LogSink, clock: Clock, configure_log: ConfigureLog
     ) -> None:
+        self._operator = config.operator
         self._settings = config.operator.store if config.operator else None
+        #: Address of discovery by the node's own configuration, which the store's setting may replace
+        self.configured_discovery = config.discovery
         self._node_name = config.name
         self._log = log
         self._clock = clock
@@ -120,8 +124,19 @@
 
     def _open_bridge(self, settings: StoreSettings) -> NodeStoreBridge:
         from limerudder.store.node_bridge import NodeStoreBridge
+        from limerudder.store.settings_applier import ConfiguredSettings
 
-        return NodeStoreBridge(settings, self._node_name, self._log, self._clock.now_us, self._configure_log)
+        configured = ConfiguredSettings(lambda: self.configured_discovery, self._restore_log)
+        return NodeStoreBridge(
+            settings, self._node_name, self._log, self._clock.now_us, self._configure_log, configured
+        )
+
+    def _restore_log(self) -> None:
+        """Configure the log as the operator's file says."""
+        if self._operator is None:
+            return
+        settings = self._operator.log
+        self._configure_log(settings.format, settings.lines, settings.per / MICROSECONDS_PER_SECOND)
 
     async def _run_bridge(self, bridge: NodeStoreBridge, node: Node, announce_drain: AnnounceDrain) -> None:
         bridge.on_drain_recorded = announce_drain
--- a/tests/test_endpoint_list_writer.py
+++ b/tests/test_endpoint_list_writer.py
@@ -20,6 +20,7 @@
         self.member = self
         self.is_leader = True
         self.written: list[bytes] = []
+        self.compared_revisions: list[int] = []
 
     def now_us(self) -> int:
         return 0
@@ -34,6 +35,7 @@
         if isinstance(command, SessionWrite):
             (put,) = command.transaction.on_success
             assert isinstance(put, Put)
+            self.compared_revisions += [compare.number for compare in command.transaction.comparisons]
             self.written.append(put.value)
         else:
             assert isinstance(command, OpenSession)
