--- a/limerudder/core/operations/maintenance.py
+++ b/limerudder/core/operations/maintenance.py
@@ -28,6 +28,19 @@
         """Remove the mark of a host; no effect if it has none."""
 
 
+class SharedMarks(MaintenanceMarks, Protocol):
+    """Marks that other processes of the node may change as well."""
+
+    def take_renewed(self) -> set[str]:
+        """Return the marked hosts that another process has marked again since the last call.
+
+        May raise OSError.
+        """
+
+    def marked_here(self) -> set[str]:
+        """Return the hosts that this process has marked itself."""
+
+
 class InMemoryMarks:
     """Marks for a process without a state directory; they are lost when it ends."""
 
@@ -46,6 +59,14 @@
         """Remove the mark of a host; no effect if it has none."""
         self._names.discard(name)
 
+    def take_renewed(self) -> set[str]:
+        """Return no host: there is no other process."""
+        return set()
+
+    def marked_here(self) -> set[str]:
+        """Return all marked hosts."""
+        return set(self._names)
+
 
 class MaintenanceTarget(Protocol):
     """Keeps traffic away from hosts in maintenance; `MaintenanceEffects` implements it."""
--- a/limerudder/node_process.py
+++ b/limerudder/node_process.py
@@ -20,7 +20,7 @@
 from limerudder.core.node_config import ConfigError
 from limerudder.core.operations.console import ConsoleSession
 from limerudder.core.operations.log_events import LogKind, LogSink
-from limerudder.core.operations.maintenance import InMemoryMarks, MaintenanceMarks
+from limerudder.core.operations.maintenance import InMemoryMarks, SharedMarks
 from limerudder.net.clock import Clock
 from limerudder.net.error_reporter import ErrorReporter
 from limerudder.net.listener import ClientListener, bind_socket, start_accepting
@@ -177,7 +177,7 @@
             self._store.configured_discovery = discovery
         return replace(config, known=state.endpoints, discovery=discovery)
 
-    def _create_marks(self) -> MaintenanceMarks:
+    def _create_marks(self) -> SharedMarks:
         """Return the maintenance marks; raises OSError if a shortage prevents reading them for now."""
         if self._state_directory is None:
             return InMemoryMarks()
--- a/limerudder/store/drain_log.py
+++ b/limerudder/store/drain_log.py
@@ -176,10 +176,17 @@
             return None
         return self._add(DrainObserved(host, started_ms))
 
-    def record_hold(self, host: str, held_by: str) -> int | None:
-        """Records an operator's hold; returns the new fact's number, or None if the host is held already."""
-        if self.effective_record(host).held:
-            return None
+    def record_hold(self, host: str, held_by: str) -> int:
+        """Records an operator's hold; returns the number of the fact that stands for it.
+
+        A host that is held already is held anew: another member may have recorded a return to service that is
+        older than this call but has not arrived here, and is based on the hold that this member knows. Only a
+        hold that is still to be written counts for this call too.
+        """
+        for number in self._fact_numbers(host):
+            is_hold = isinstance(self.pending_facts[number], MaintenanceHold)
+            if is_hold and number not in self._facts_being_written.get(host, ()):
+                return number
         return self._add(MaintenanceHold(host, held_by))
 
     def record_return(self, host: str, returned_at_us: int) -> int:
@@ -243,12 +250,14 @@
         """Returns the write that adds a host's facts to its agreed record, and marks them as being written.
 
         `modified_revision` and `value` are the current ones of the host's key. Deletes the facts and returns
-        None if they change nothing.
+        None if they change nothing. A hold is written even if the record has one: the record's new revision
+        makes returns without effect that are based on an older one.
         """
         numbers = self._fact_numbers(host)
         record = _record_or_default(value)
         updated = self._with_facts(record, modified_revision, numbers)
-        if updated == record:
+        has_hold = any(isinstance(self.pending_facts[number], MaintenanceHold) for number in numbers)
+        if updated == record and not (has_hold and updated.held):
             for number in numbers:
                 self._drop(number)
             return None
--- a/limerudder/store/node_bridge.py
+++ b/limerudder/store/node_bridge.py
@@ -134,12 +134,14 @@
 
     def hold_host(self, name: str) -> None:
         """Record that an operator holds a host out of service."""
-        self._drain_log.record_hold(name, self._store.identity.name)
+        fact_number = self._drain_log.record_hold(name, self._store.identity.name)
+        self._log(LogKind.HOST_MAINTENANCE, f"store: host {name}: maintenance recorded as fact {fact_number}")
         self._store.schedule_output()
 
     def return_host(self, name: str) -> None:
         """Record that an operator returns a host to service."""
-        self._drain_log.record_return(name, self._now_us())
+        fact_number = self._drain_log.record_return(name, self._now_us())
+        self._log(LogKind.HOST_MAINTENANCE, f"store: host {name}: return recorded as fact {fact_number}")
         self._store.schedule_output()
 
     def call_when_durable(self, name: str, callback: Callable[[int], None]) -> None:
--- a/limerudder/store/store_marks.py
+++ b/limerudder/store/store_marks.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from limerudder.core.operations.maintenance import MaintenanceMarks
+from limerudder.core.operations.maintenance import SharedMarks
 from limerudder.store.node_bridge import NodeStoreBridge
 
 
@@ -13,17 +13,19 @@
     the drain log.
     """
 
-    def __init__(self, bridge: NodeStoreBridge, local_marks: MaintenanceMarks) -> None:
+    def __init__(self, bridge: NodeStoreBridge, local_marks: SharedMarks) -> None:
         self._bridge = bridge
         self._local_marks = local_marks
         #: Hosts that both sides have marked, as far as this process knows. It follows each single change: if
-        #: a later one fails, those before it must not be made again.
-        self._synchronized = bridge.held_hosts() & _read_if_possible(local_marks)
+        #: a later one fails, those before it must not be made again. What this process has marked before it
+        #: had the store is recorded anew, even if the host is held already.
+        local = _read_if_possible(local_marks)
+        self._synchronized = (bridge.held_hosts() & local) - local_marks.marked_here()
 
     def read(self) -> set[str]:
         """Return all hosts in maintenance, after synchronizing changes on either side."""
         local = self._local_marks.read()
-        for name in local - self._synchronized:
+        for name in (local - self._synchronized) | (local & self._local_marks.take_renewed()):
             self._bridge.hold_host(name)
             self._synchronized.add(name)
         for name in self._synchronized - local:
@@ -51,7 +53,7 @@
         self._bridge.return_host(name)
 
 
-def _read_if_possible(marks: MaintenanceMarks) -> set[str]:
+def _read_if_possible(marks: SharedMarks) -> set[str]:
     try:
         return marks.read()
     except OSError:  # the first synchronization reads them again
--- a/limerudder/store_runtime.py
+++ b/limerudder/store_runtime.py
@@ -17,7 +17,7 @@
 from limerudder.core.node_config import ConfigError
 from limerudder.core.operations.console import DeferredAnswer
 from limerudder.core.operations.log_events import LogKind, LogSink
-from limerudder.core.operations.maintenance import MaintenanceMarks
+from limerudder.core.operations.maintenance import MaintenanceMarks, SharedMarks
 from limerudder.net.clock import Clock
 from limerudder.net.listener import bind_socket
 
@@ -85,7 +85,7 @@
         self._inherited_drains = InheritedDrains(parent_drains)
         return self._inherited_drains
 
-    def marks(self, local_marks: MaintenanceMarks) -> MaintenanceMarks:
+    def marks(self, local_marks: SharedMarks) -> MaintenanceMarks:
         """Return the maintenance marks of the whole tier if the store is open, else those of this node."""
         if self._bridge is None:
             return local_marks
@@ -101,14 +101,14 @@
         self._bridge.call_when_durable(name, lambda now_us: answer.resolve(DONE_ANSWER, now_us))
         return answer
 
-    async def start(self, node: Node, marks: MaintenanceMarks, announce_drain: AnnounceDrain) -> None:
+    async def start(self, node: Node, marks: SharedMarks, announce_drain: AnnounceDrain) -> None:
         """Connect the store to its peers and the node; raises ConfigError if its address is in use."""
         if self._bridge is not None:
             await self._run_bridge(self._bridge, node, announce_drain)
         elif self._directory_is_busy:
             self.start_takeover(node, marks, announce_drain)
 
-    def start_takeover(self, node: Node, marks: MaintenanceMarks, announce_drain: AnnounceDrain) -> None:
+    def start_takeover(self, node: Node, marks: SharedMarks, announce_drain: AnnounceDrain) -> None:
         """Open and start the store as soon as the previous process has released its directory."""
         if self._settings is None or self._takeover is not None:
             return
@@ -143,7 +143,7 @@
         await bridge.run(_node_hooks(node), bind_socket(bridge.settings.listen, socket.SOCK_STREAM))
 
     async def _take_over(
-        self, settings: StoreSettings, node: Node, marks: MaintenanceMarks, announce_drain: AnnounceDrain
+        self, settings: StoreSettings, node: Node, marks: SharedMarks, announce_drain: AnnounceDrain
     ) -> None:
         bridge = await self._open_when_free(settings)
         self._bridge = bridge
--- a/tests/test_isolated_effects.py
+++ b/tests/test_isolated_effects.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from pathlib import Path
 from typing import Any
 
@@ -15,6 +16,7 @@
 from limerudder.core.operations.maintenance import InMemoryMarks
 from limerudder.core.timer_wheel import TimerWheel
 from limerudder.core.upstream.maintenance_effects import MaintenanceEffects
+from limerudder.net.mark_files import MarkFiles
 from limerudder.policy.events import ServerState
 from limerudder.store.store_marks import StoreMarks
 from tests.node_testbed import TICK_US, node_testbed
@@ -194,3 +196,33 @@
     local.can_be_read = True
     assert marks.read() == {"h1"} == local.read()
     assert not bridge.calls
+
+
+def test_a_host_that_another_process_marks_again_is_held_anew(tmp_path: Path) -> None:
+    """Regression (review/9), in a hot restart: the call at the process without the store recorded nothing."""
+    bridge = RecordingBridge({"h1", "h2"})
+    local, other_process = MarkFiles(str(tmp_path)), MarkFiles(str(tmp_path))
+    marks = StoreMarks(bridge, local)  # type: ignore[arg-type]
+    for _ in range(2):
+        assert marks.read() == {"h1", "h2"}
+    assert not bridge.calls
+    os.utime(tmp_path / "held-h1", (0, 0))  # the mark is old
+    marks.read()
+    bridge.calls.clear()
+    other_process.add("h1")
+    for _ in range(2):
+        marks.read()
+    assert bridge.calls == ["hold h1"]
+    marks.add("h1")
+    marks.read()
+    assert bridge.calls == ["hold h1"] * 2, "this process's own call is recorded once"
+
+
+def test_a_host_marked_while_its_process_had_no_store_is_held_anew(tmp_path: Path) -> None:
+    bridge = RecordingBridge({"h1", "h2"})
+    local = MarkFiles(str(tmp_path))
+    local.add("h1")
+    marks = StoreMarks(bridge, local)  # type: ignore[arg-type]
+    for _ in range(2):
+        marks.read()
+    assert bridge.calls == ["hold h1"]
--- a/tests/test_store_drain_log.py
+++ b/tests/test_store_drain_log.py
@@ -4,6 +4,7 @@
 
 import json
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -68,6 +69,51 @@
     assert drain_log.prepare_write("h", 4, _held_by("n0")), "the return is written after the hold"
 
 
+@pytest.mark.parametrize("first_written", ["hold", "return"])
+def test_a_hold_of_a_held_host_outlasts_an_older_return_of_another_member(first_written: str) -> None:
+    """Regression (review/9): the later hold was answered from the record, and the older return undid it."""
+    returning, holding = DrainLog({}, {}), DrainLog({}, {})
+    for drain_log in (returning, holding):
+        drain_log.update_agreed("h", 5, _held_by("n0"))
+    returning.record_return("h", 7)
+    number = holding.record_hold("h", "n1")
+    assert holding.is_unsaved(number) and number in holding.pending_facts, "durable before the answer"
+    order = [holding, returning] if first_written == "hold" else [returning, holding]
+    revision, value = 5, _held_by("n0")
+    for drain_log in order:
+        transaction = drain_log.prepare_write("h", revision, value)
+        if transaction:
+            (put,) = transaction.on_success
+            assert isinstance(put, Put)
+            revision, value = revision + 1, put.value
+            for each in order:
+                each.update_agreed("h", revision, value)
+            drain_log.finish_write("h", revision)
+        assert holding.effective_record("h").held
+    assert returning.effective_record("h").held
+    assert not returning.pending_facts and not holding.pending_facts
+
+
+def test_a_repeated_hold_needs_a_new_fact_only_while_the_last_one_is_being_written() -> None:
+    drain_log = DrainLog({}, {})
+    number = drain_log.record_hold("h", "n0")
+    assert drain_log.record_hold("h", "n0") == number
+    assert drain_log.prepare_write("h", 0, None)
+    assert drain_log.record_hold("h", "n0") != number, "a return may be based on the one being written"
+    drain_log.finish_write("h", 1)
+    assert len(drain_log.pending_facts) == 1 and drain_log.effective_record("h").held
+
+
+def test_a_hold_is_not_dropped_for_a_record_that_this_member_alone_still_knows() -> None:
+    """Guards against a write that is omitted by an outdated state: the leader's record may be returned."""
+    drain_log = DrainLog({}, {})
+    drain_log.record_hold("h", "n1")
+    transaction = drain_log.prepare_write("h", 5, _held_by("n0"))
+    assert transaction and transaction.comparisons[0].number == 5
+    (put,) = transaction.on_success
+    assert isinstance(put, Put) and put.value == _held_by("n0")
+
+
 def test_outdated_agreed_records_and_malformed_values_are_ignored() -> None:
     drain_log = DrainLog({}, {})
     drain_log.update_agreed("h", 5, encode_host_record(HostRecord(drained=9)))
