Read an upstream's lines at a cost that does not grow with their number

Cause: LineAttempt split each read into lines and took a step in Python for each of them, and for each LOAD line one through the policy. A read from an upstream had no limit but the system's: uvloop reads 256 KB up to 32 times in a row while the socket has more.

Change: complete lines are forwarded as one block and looked at as a whole: the last line, the newest load, the number of answers.

--- a/limerudder/core/upstream/attempt.py
+++ b/limerudder/core/upstream/attempt.py
@@ -6,7 +6,7 @@
 from math import isfinite
 from typing import Protocol
 
-from limerudder.core.line_framing import LineError, LineFramer
+from limerudder.core.line_framing import LINE_END, LineError, LineFramer
 from limerudder.core.ports import AttemptObserver
 from limerudder.core.progress_timeout import DELIVERY_TIMEOUT_US, ProgressLimits, ProgressTimeout
 from limerudder.core.timer_wheel import ResettableTimer, TimerWheel
@@ -18,7 +18,7 @@
 MAX_MESSAGE_WAIT_US = 6_000_000  #: Limit of the wait for an answer while the upstream still takes in bytes
 #: Time without progress, after the client has ended its side, for an upstream that has answered all messages
 UPSTREAM_CLOSE_TIMEOUT_US = 700_000
-LINE_END = b"\r\n"
+LOAD_PREFIX = b"LOAD "
 
 #: Outcome of a proxied connection by the first word of the last line from its upstream.
 _OUTCOME_BY_LAST_WORD = {b"BYE": AttemptOutcome.OK, b"MOVE": AttemptOutcome.CANCELLED}
@@ -89,21 +89,20 @@
         if self._client_has_ended:
             self._progress_timeout.record_progress(now_us)
         try:
-            lines = self._framer.feed(data)
+            block = self._framer.feed_block(data)
         except LineError:
             self._fail(AttemptOutcome.ERROR, now_us)
             return
-        if not lines:
+        if not block:
             return
         if not self._established:
-            self._read_answer(lines[0], now_us)
+            self._read_answer(block.partition(LINE_END)[0], now_us)
             if self.ended:
                 return
         if self._client:
             # Only complete lines are forwarded, unchanged, including LOAD and BYE: MOVE never splits a line.
-            self._client.send(b"".join(line + LINE_END for line in lines))
-        for line in lines:
-            self._read_line(line, now_us)
+            self._client.send(block)
+        self._read_block(block, now_us)
         if self._client_has_ended:
             self._limit_close(now_us)
 
@@ -210,15 +209,24 @@
         else:
             self._end(AttemptOutcome.ERROR, now_us)
 
-    def _read_line(self, line: bytes, now_us: int) -> None:
-        word, _, rest = line.partition(b" ")
-        self._last_word = word
-        if word == b"LOAD":
-            self._read_load(rest, now_us)
-            return
-        if word == b"BYE":
+    def _read_block(self, block: bytes, now_us: int) -> None:
+        """Read complete lines. One read may hold thousands, so no step is taken for each of them."""
+        last_line = block.removesuffix(LINE_END).rpartition(LINE_END)[2]
+        self._last_word, _, rest = last_line.partition(b" ")
+        if self._last_word == b"BYE":
             self._report = parse_report(rest, self._report_fields)
-        self._unanswered_lines = max(self._unanswered_lines - 1, 0)
+        last_load_start = _last_load_start(block)
+        load_count = 0 if last_load_start < 0 else _count_load_lines(block)
+        if self._unanswered_lines or self.oldest_unanswered_us is not None:
+            self._read_answers(block.count(b"\n") - load_count, now_us)
+        if last_load_start >= 0:
+            self._read_load(block[last_load_start : block.index(LINE_END, last_load_start)], now_us)
+
+    def _read_answers(self, line_count: int, now_us: int) -> None:
+        """Read this number of lines, each of which may answer a message of the client."""
+        if not line_count:
+            return
+        self._unanswered_lines = max(self._unanswered_lines - line_count, 0)
         self._answer_outstanding = False
         if self.oldest_unanswered_us is not None:
             latency_us = now_us - self.oldest_unanswered_us
@@ -226,9 +234,10 @@
             self._progress_timeout.cancel()
             self.observer.attempt_latency_measured(latency_us, now_us)
 
-    def _read_load(self, text: bytes, now_us: int) -> None:
+    def _read_load(self, line: bytes, now_us: int) -> None:
+        """Report the load in the last LOAD line of a block; those before it are outdated already."""
         try:
-            load = float(text)
+            load = float(line.removeprefix(LOAD_PREFIX))
         except ValueError:
             return
         if isfinite(load):
@@ -283,3 +292,15 @@
     def _end(self, outcome: AttemptOutcome, now_us: int) -> None:
         self.close()
         self.observer.attempt_ended(outcome, self._report, now_us)
+
+
+def _last_load_start(block: bytes) -> int:
+    """Return where the last LOAD line of a block of lines begins, or -1 if there is none."""
+    line_end = block.rfind(LINE_END + LOAD_PREFIX)
+    if line_end >= 0:
+        return line_end + len(LINE_END)
+    return 0 if block.startswith(LOAD_PREFIX) else -1
+
+
+def _count_load_lines(block: bytes) -> int:
+    return block.count(LINE_END + LOAD_PREFIX) + block.startswith(LOAD_PREFIX)
--- a/limerudder/net/listener.py
+++ b/limerudder/net/listener.py
@@ -10,11 +10,9 @@
 from limerudder.core.transport import Address
 from limerudder.net.accept_loop import AcceptLoop
 from limerudder.net.peer_socket import PeerSocket
-from limerudder.net.tcp import TcpConnection
+from limerudder.net.tcp import RECEIVE_BUFFER_BYTES, TcpConnection
 
 LISTEN_BACKLOG = 4096
-#: Receive buffer size per client, and so the maximum amount of data in one read event.
-RECEIVE_BUFFER_BYTES = 64 * 1024
 
 ConnectionFactory = Callable[[], TcpConnection]
 
--- a/limerudder/net/tcp.py
+++ b/limerudder/net/tcp.py
@@ -18,6 +18,8 @@
 
 #: Maximum number of unsent bytes before the machine has to pause writing.
 WRITE_BUFFER_LIMIT_BYTES = 64 * 1024
+#: Receive buffer size, and so the maximum amount of data in one read event of a connection.
+RECEIVE_BUFFER_BYTES = 64 * 1024
 #: SO_LINGER value (on, 0 s) that makes a close send a reset instead of a FIN.
 LINGER_RESET = struct.pack("ii", 1, 0)
 SHORTAGE_RETRY_SECONDS = 0.01
@@ -212,6 +214,8 @@
         connection.dialled_socket = sock
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            # bounds the time that an upstream sending at full speed can occupy the event loop in one read
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
             await self.loop.sock_connect(sock, address)
         except BaseException:
             connection.dialled_socket = None
