Keep one timer on the wheel for a timer that is set again and again

Cause: each PING cancelled and scheduled the client's timer, and a cancelled timer stays on the wheel until its slot comes round, up to 5 s later.

Change: ResettableTimer keeps the earlier timer on the wheel and schedules anew when that is due.

The new test failed before (2,000 timers on the wheel).

--- a/limerudder/core/timer_wheel.py
+++ b/limerudder/core/timer_wheel.py
@@ -28,21 +28,47 @@
 
 
 class ResettableTimer:
-    """A timer that is scheduled at most once: setting it again cancels the previous timer."""
+    """A timer that is scheduled at most once: setting it again replaces the previous time and callback.
+
+    A timer that is set to a later time stays on the wheel until the earlier one and is then scheduled anew.
+    One that is set with each message thus leaves nothing behind for each of them.
+    """
 
     def __init__(self, timer_wheel: TimerWheel) -> None:
         self._timer_wheel = timer_wheel
-        self._timer: Timer | None = None
+        self._timer: Timer | None = None  # the one on the wheel
+        self._scheduled_us = 0
+        self._due_us = 0
+        self._callback: TimerCallback | None = None
 
     def set(self, due_us: int, callback: TimerCallback) -> None:
         """Schedule `callback` at this time, replacing any earlier one."""
-        self.cancel()
-        self._timer = self._timer_wheel.schedule(due_us, callback)
+        self._due_us = due_us
+        self._callback = callback
+        if self._timer is None or due_us < self._scheduled_us:
+            self.cancel()
+            self._callback = callback
+            self._schedule()
 
     def cancel(self) -> None:
         """Cancel the timer if it is set."""
+        self._callback = None
         if self._timer:
             self._timer.cancel()
+            self._timer = None
+
+    def _schedule(self) -> None:
+        self._scheduled_us = self._due_us
+        self._timer = self._timer_wheel.schedule(self._due_us, self._wheel_timer_due)
+
+    def _wheel_timer_due(self, now_us: int) -> None:
+        self._timer = None
+        callback = self._callback
+        if now_us < self._due_us:
+            self._schedule()
+        elif callback:
+            self._callback = None
+            callback(now_us)
 
 
 class TimerWheel:
--- a/tests/test_timer_wheel.py
+++ b/tests/test_timer_wheel.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from harness.configurations import SECOND
-from limerudder.core.timer_wheel import Timer, TimerWheel
+from limerudder.core.timer_wheel import ResettableTimer, Timer, TimerWheel
 
 TICK_US = 5000
 
@@ -38,3 +38,24 @@
     wheel.advance(TICK_US)
     assert called == [TICK_US]
     assert [type(error) for error in errors] == [ZeroDivisionError]
+
+
+def test_a_timer_that_is_set_again_and_again_leaves_one_on_the_wheel() -> None:
+    """Guards against memory that grows with each PING of a client (picture b of issue 51)."""
+    wheel = TimerWheel(TICK_US, 0)
+    timer = ResettableTimer(wheel)
+    called: list[str] = []
+    for number in range(1000):
+        timer.set((1000 + number) * TICK_US, lambda now_us: called.append("long"))
+        timer.set(500 * TICK_US + number, lambda now_us: called.append("short"))
+    assert sum(map(len, wheel._slots)) <= 2
+    wheel.advance(499 * TICK_US)
+    timer.set(2000 * TICK_US, lambda now_us: called.append("last"))
+    for tick in range(499, 2002):
+        assert not called or tick > 2000
+        wheel.advance(tick * TICK_US)
+    assert called == ["last"]
+    timer.set(3000 * TICK_US, lambda now_us: called.append("cancelled"))
+    timer.cancel()
+    wheel.advance(4000 * TICK_US)
+    assert called == ["last"]
