Spend no dial on a client that has left when its line is read

Cause: a line and the end of its connection arrive together, but the end is seen a turn of the event loop later, so that each such request went through the policy and began a dial.

Change: whether the client has left is asked when its line is read, as it was before the write already. The fields of a line are checked with one match, since a line may hold hundreds.

What remains is the listen queue, in which a new connection waits behind those of the flood.

--- a/limerudder/core/client/open_line.py
+++ b/limerudder/core/client/open_line.py
@@ -14,7 +14,8 @@
 FIELD_VALUE_LIMIT = 1 << 32  #: Exclusive upper bound of numbers in fields, after conversion to their unit
 _OPEN_LINE_WORDS = 4  #: Number of words: OPEN, id, key and fields
 _IDENTIFIER = re.compile("[0-9a-f]{16}")
-_FIELD_NAME = re.compile("[A-Za-z][A-Za-z0-9_]*")
+_FIELD = "[A-Za-z][A-Za-z0-9_]*=[^,=]+"
+_FIELDS = re.compile(f"{_FIELD}(?:,{_FIELD})*")
 _WHOLE_NUMBER = re.compile("0|[1-9][0-9]{0,9}")
 _DECIMAL_NUMBER = re.compile(r"[0-9]{1,10}(\.[0-9]{1,10})?")
 
@@ -121,12 +122,13 @@
 
 
 def _parse_fields(text: str) -> dict[str, str]:
-    fields: dict[str, str] = {}
-    for pair in text.split(","):
-        name, _, value = pair.partition("=")
-        if not _FIELD_NAME.fullmatch(name) or name in fields or not value or "=" in value:
-            raise MalformedLineError(text)
-        fields[name] = value
+    # one match for the whole list, since a line may hold hundreds of short fields
+    if not _FIELDS.fullmatch(text):
+        raise MalformedLineError(text)
+    pairs = text.split(",")
+    fields = dict(pair.split("=") for pair in pairs)
+    if len(fields) < len(pairs):
+        raise MalformedLineError(text)
     return fields
 
 
--- a/limerudder/core/client/session.py
+++ b/limerudder/core/client/session.py
@@ -149,6 +149,10 @@
             return
         if request is None:
             self._answer_ping(now_us)
+        elif self.transport and self.transport.has_disconnected():
+            # its data and its end have arrived together: nobody waits for an answer
+            self._counters.increment(CounterName.CLIENTS_DISCONNECTED_UNREAD)
+            self._close()
         else:
             self._submit(request, now_us)
 
--- a/tests/test_client_session.py
+++ b/tests/test_client_session.py
@@ -126,3 +126,14 @@
     assert transport.sent == b"PONG\r\n" * 2 and not transport.closed
     testbed.run(11 * SECOND)
     assert transport.closed and not testbed.node.admission.connections
+
+
+def test_a_client_that_has_left_when_its_line_is_read_costs_no_dial(tmp_path: Path) -> None:
+    """Guards against clients that leave at once and keep a node busy for others (picture b of issue 51)."""
+    testbed = node_testbed(tmp_path)
+    session, transport = testbed.connect()
+    transport.peer_disconnected = True
+    session.data_received(LINE.encode() + b"\r\n", testbed.now)
+    assert transport.closed and not testbed.attempts() and not testbed.node.requests
+    assert testbed.node.counters[CounterName.CLIENTS_DISCONNECTED_UNREAD] == 1
+    assert not testbed.node.admission.connections
