Remember ids by time, and tell them in both directions of a hot restart

Cause: RequestTable kept the last 4,096 ids of ended requests, and only the parent announced the ids that it accepted.

Change: ids are kept for 5 minutes, or longer where the settings' window for repeats is, with a bound of 65,536 for the memory; ids of requests that reached no upstream are not kept, so that a flood of those displaces none. The successor announces ids too, with the parent's word; earlier releases ignore it.

Two processes that accept one id within the milliseconds that a message takes still both run it.

--- a/harness/hostile_peers.py
+++ b/harness/hostile_peers.py
@@ -53,6 +53,8 @@
         if data.startswith((b"STATS", b"PING")):
             self._transport.write(b"PONG inflight=1,x0=0.1\r\n")
             return
+        if self._kind == "host-record":
+            print(data.split()[1].decode(), time.monotonic(), flush=True)
         self._established = True
         self._transport.write(b"UP 77\r\n")
         if self._kind == "host-deaf":
@@ -243,6 +245,17 @@
         writer.transport.abort()
 
 
+async def leave_and_note(address: Address, until: float) -> None:
+    """Send a first line, close at once, and print the id and the time of the close."""
+    while time.monotonic() < until:
+        _, writer = await _open(address)
+        line = IDENTIFIERS.first_line()
+        writer.write(line)
+        writer.close()
+        print(line.split()[1].decode(), time.monotonic(), flush=True)
+        await asyncio.sleep(SLOW_WRITE_SECONDS)
+
+
 KINDS: dict[str, Callable[[Address, float], Awaitable[None]]] = {
     client.__name__: client
     for client in (
@@ -260,6 +273,7 @@
         lines,
         console_calls,
         leave_at_once,
+        leave_and_note,
     )
 }
 
--- a/limerudder/core/lifecycle/hot_restart/messages.py
+++ b/limerudder/core/lifecycle/hot_restart/messages.py
@@ -32,10 +32,11 @@
     """The first word of a line from the successor."""
 
     SERVING = "serving"
+    REQUEST_ACCEPTED = "taken"
 
 
 class RequestAccepted(NamedTuple):
-    """The parent has accepted a request; its id is in use."""
+    """The sender has accepted a request; its id is in use."""
 
     request_id: int
 
@@ -62,7 +63,8 @@
 
 
 ParentMessage = RequestAccepted | UsageChanged | EndpointDrained | ParentStopping
-Message = ParentMessage | SuccessorServing
+SuccessorMessage = SuccessorServing | RequestAccepted
+Message = ParentMessage | SuccessorMessage
 
 
 def format_message(message: Message) -> str:
@@ -99,7 +101,19 @@
     return None
 
 
-def parse_successor_message(line: str) -> SuccessorServing | None:
-    """Parse a line from the successor; None if its word is not recognised."""
-    word, _, _ = line.partition(" ")
-    return SuccessorServing() if word == SuccessorWord.SERVING else None
+def parse_successor_message(line: str) -> SuccessorMessage | None:
+    """Parse a line from the successor; None if its word is not recognised. Raises HandoverFormatError."""
+    word, _, value = line.partition(" ")
+    match word:
+        case SuccessorWord.SERVING:
+            return SuccessorServing()
+        case SuccessorWord.REQUEST_ACCEPTED:
+            return RequestAccepted(_parse_request_id(word, value))
+    return None
+
+
+def _parse_request_id(word: str, value: str) -> int:
+    try:
+        return int(value, 16)
+    except ValueError as exc:
+        raise HandoverFormatError(f"malformed value of {word}: {exc}") from exc
--- a/limerudder/core/lifecycle/hot_restart/node_binding.py
+++ b/limerudder/core/lifecycle/hot_restart/node_binding.py
@@ -49,6 +49,7 @@
     hooks = ParentHooks(
         handover_state=partial(current_handover_state, node),
         resource_usage=node.resource_usage,
+        record_request=node.record_request_of_other_process,
         is_stopping=lambda: node.shutdown_deadline_us != 0,
         stop_accepting=hand_over,
         resume_accepting=resume_serving,
@@ -82,7 +83,9 @@
         start_serving=serve,
         parent_ended=parent_ended,
     )
-    return HotRestartSuccessor(hooks, node.timer_wheel, state, now_us)
+    successor = HotRestartSuccessor(hooks, node.timer_wheel, state, now_us)
+    node.on_request_accepted.append(successor.announce_request)
+    return successor
 
 
 def _record_drain(node: Node, name: str, started_ms: int, now_us: int) -> None:
--- a/limerudder/core/lifecycle/hot_restart/parent.py
+++ b/limerudder/core/lifecycle/hot_restart/parent.py
@@ -6,6 +6,7 @@
 from enum import Enum, auto
 from typing import NamedTuple
 
+from limerudder.core.lifecycle.hot_restart.errors import HandoverFormatError
 from limerudder.core.lifecycle.hot_restart.handover_state import (
     HandoverState,
     ProcessUsage,
@@ -39,6 +40,7 @@
 
     handover_state: Callable[[], HandoverState]
     resource_usage: Callable[[], ProcessUsage]
+    record_request: Callable[[int], None]  #: Records the id of a request that a successor has accepted.
     is_stopping: Callable[[], bool]
     stop_accepting: Callable[[], None]  #: Called when a successor starts to accept clients.
     resume_accepting: Callable[[], None]  #: Called when the successor has ended.
@@ -87,6 +89,10 @@
         self._hooks.stop_accepting()
         self._send_usage(now_us)
 
+    def record_request(self, request_id: int) -> None:
+        """Record the id of a request that a successor has accepted."""
+        self._hooks.record_request(request_id)
+
     def successor_lost(self, connection: SuccessorConnection) -> None:
         """Remove a process that has ended; accept clients again if it was serving.
 
@@ -127,9 +133,16 @@
         self._parent.successor_connected(self)
 
     def line_received(self, line: str, now_us: int) -> None:
-        """Report to the parent's side that the successor serves."""
-        if isinstance(parse_successor_message(line), SuccessorServing):
-            self._parent.successor_serving(self, now_us)
+        """Report what the successor announces to the parent's side; malformed lines are ignored."""
+        try:
+            message = parse_successor_message(line)
+        except HandoverFormatError:  # the successor may run another release
+            return
+        match message:
+            case SuccessorServing():
+                self._parent.successor_serving(self, now_us)
+            case RequestAccepted(request_id):
+                self._parent.record_request(request_id)
 
     def connection_lost(self, now_us: int) -> None:
         """Report to the parent's side that the process has ended or closed the connection."""
--- a/limerudder/core/lifecycle/hot_restart/successor.py
+++ b/limerudder/core/lifecycle/hot_restart/successor.py
@@ -64,6 +64,13 @@
         """Notify the parent that this process accepts clients."""
         self.send(SuccessorServing())
 
+    def announce_request(self, request_id: int) -> None:
+        """Notify the parent of the id of a request that this process has accepted.
+
+        The parent may still accept requests of the clients that are connected to it.
+        """
+        self.send(RequestAccepted(request_id))
+
     def line_received(self, line: str, now_us: int) -> None:
         """Handle a line from the parent; malformed lines are ignored."""
         try:
--- a/limerudder/core/node.py
+++ b/limerudder/core/node.py
@@ -35,7 +35,7 @@
 from limerudder.core.requests.pinned_reconnect import PinnedReconnector
 from limerudder.core.requests.proxied_connection import ProxiedConnection
 from limerudder.core.requests.request_lifecycle import RequestLifecycle
-from limerudder.core.requests.request_table import RequestTable
+from limerudder.core.requests.request_table import RequestTable, recent_id_lifetime_us
 from limerudder.core.requests.send_guard import SendGuard
 from limerudder.core.services import NodeServices
 from limerudder.core.timer_wheel import ErrorHandler, TimerWheel
@@ -61,6 +61,8 @@
 from limerudder.policy.events import EndpointUpdate, TurnOwnership, UpdateKind
 from limerudder.policy.interface import ConnectionPolicy
 
+ID_EXPIRY_INTERVAL_US = 1_000_000  #: Interval at which the ids of ended requests are forgotten
+
 
 class Node:
     """One node of the load balancer, without sockets and files. Times are microseconds of its clock."""
@@ -113,7 +115,7 @@
     def _build_request_parts(self, services: NodeServices) -> None:
         config = self.config
         self._serving_state = ServingState()
-        self.requests = RequestTable()
+        self.requests = RequestTable(recent_id_lifetime_us(self.settings))
         self.admission = AdmissionControl(config.sockets, config.reserved_sockets, self.requests)
         guard = SendGuard(self.settings, self._dispatcher.confirm_send, services.rule_monitor)
         self.attempts = AttemptRunner(self.requests, self.upstreams, guard, services)
@@ -172,12 +174,17 @@
         self.discovery.start(now_us)
         self.maintenance.start(now_us)
         self._liveness_scanner.scan(now_us)
+        self._expire_recent_ids(now_us)
 
     def set_error_handler(self, on_error: ErrorHandler) -> None:
         """Set the handler for exceptions of a timer or policy action; the others continue."""
         self.timer_wheel.on_error = on_error
         self._dispatcher.on_error = on_error
 
+    def _expire_recent_ids(self, now_us: int) -> None:
+        self.timer_wheel.schedule(now_us + ID_EXPIRY_INTERVAL_US, self._expire_recent_ids)
+        self.requests.expire_recent_ids(now_us)
+
     # actions of the policy
 
     def _send_peer_message(self, action: SendPeerMessage, now_us: int) -> None:
--- a/limerudder/core/requests/attempt_runner.py
+++ b/limerudder/core/requests/attempt_runner.py
@@ -157,6 +157,7 @@
 
     def attempt_sent(self, connection: ProxiedConnection, now_us: int) -> None:
         """Count and check a request whose last byte was written to an upstream."""
+        connection.was_sent = True
         self._metrics.record_relayed()
         self._guard.check_written(connection, now_us)
         upstream = connection.upstream
--- a/limerudder/core/requests/proxied_connection.py
+++ b/limerudder/core/requests/proxied_connection.py
@@ -57,6 +57,7 @@
         self.overdue_timer: Timer | None = None
         self.retry_pinned: Callable[[AttemptOutcome, int], None] | None = None  # set for pinned connections
         self.attempts_started = 0
+        self.was_sent = False  # whether an upstream may have received the request
         self.attempt: Attempt | None = None  # the attempt in progress
         self.attempt_started_us = 0
         self.write_allowed_us: int | None = None  # time at which the guard allowed the write in progress
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -245,3 +245,26 @@
     assert waiting.sent == b"UP 7\r\nMOVE\r\n"
     assert migrated[-1] == 30, migrated
     assert max(after - before for before, after in pairwise(migrated)) <= 5, migrated
+
+
+def test_a_parent_rejects_a_request_that_its_successor_has_accepted(tmp_path: Path) -> None:
+    """Regression (picture c of issue 51): only the parent told its successor of ids, so one ran twice."""
+    pair = ProcessPair(tmp_path)
+    idle_session, idle_transport = pair.old.connect()
+    successor = pair.connect_successor()
+    send_endpoints(pair.new)
+    pair.run(SECOND // 10)
+    successor.announce_serving()
+    session, _, attempt = pair.new.establish_client()
+    line = attempt.sent.partition(b"d=")[0] + b"d=2000\r\n"
+    idle_session.data_received(line, pair.old.now)
+    assert idle_transport.sent == b"ERR\r\n" and not pair.old.attempts()
+
+
+@pytest.mark.parametrize("line", [b"taken zz\n", b"taken\n", b"what\n", b"\xff\n\n"])
+def test_a_parent_ignores_malformed_lines_of_a_successor(tmp_path: Path, line: bytes) -> None:
+    pair = ProcessPair(tmp_path)
+    connection = SuccessorConnection(pair.parent)
+    connection.connection_made(FakeTransport(), pair.old.now)
+    connection.data_received(line, pair.old.now)
+    assert not pair.old.node.requests.recent_ids and connection in pair.parent.connections
--- a/tests/test_request_lifecycle.py
+++ b/tests/test_request_lifecycle.py
@@ -8,6 +8,7 @@
 
 from harness.configurations import LINE, SECOND, hosts, settings
 from limerudder.core.operations.counters import CounterName
+from limerudder.core.requests.request_table import RECENT_ID_LIFETIME_US
 from limerudder.policy.events import (
     AttemptEnded,
     AttemptOutcome,
@@ -18,7 +19,7 @@
     NewRequest,
     TimerFired,
 )
-from tests.node_testbed import node_testbed, policy_events
+from tests.node_testbed import NodeTestbed, node_testbed, policy_events
 
 
 def test_data_before_the_answer_ends_the_request_and_its_attempt(tmp_path: Path) -> None:
@@ -63,6 +64,37 @@
     assert not testbed.node.requests.open_ids
 
 
+def test_an_id_is_rejected_by_time_and_not_by_the_number_of_later_ones(tmp_path: Path) -> None:
+    """Regression (picture c of issue 51): an id ran twice when it came again after 4,096 other requests."""
+    testbed = node_testbed(tmp_path)
+    session, transport, attempt = testbed.establish_client()
+    line = attempt.sent.partition(b"d=")[0] + b"d=2000\r\n"
+    session.connection_lost(testbed.now)
+    for _ in range(4200):
+        testbed.establish_client()[0].connection_lost(testbed.now)
+        testbed.dials.clear()
+    testbed.run(RECENT_ID_LIFETIME_US - SECOND)
+    assert copy_answer(testbed, line) == b"ERR\r\n"
+    testbed.run(3 * SECOND)
+    assert copy_answer(testbed, line) == b"", "accepted, and waiting for its upstream"
+    assert len(testbed.node.requests.recent_ids) == 0
+
+
+def copy_answer(testbed: NodeTestbed, line: bytes) -> bytes:
+    """Return what a client gets at once that sends this line."""
+    session, transport = testbed.connect()
+    session.data_received(line, testbed.now)
+    return transport.sent
+
+
+def test_ids_of_requests_that_reached_no_upstream_are_not_kept(tmp_path: Path) -> None:
+    """Guards against a flood of such requests that displaces the ids of those that have run."""
+    testbed = node_testbed(tmp_path)
+    session, _ = testbed.send_request()
+    session.eof_received(testbed.now)
+    assert not testbed.node.requests and not testbed.node.requests.recent_ids
+
+
 def test_a_request_whose_upstreams_have_all_failed_is_answered_in_time(tmp_path: Path) -> None:
     testbed = node_testbed(tmp_path)
     _, transport = testbed.send_request()
