Bound the time and memory that callers of the local sockets can take

A process that never read its messages or answers made the node buffer them without end.

Cause: all lines of a read were carried out in one turn of the event loop, each connection might hold a line of up to 2 or 4 MiB, and neither the number of connections nor what waits for a reader was limited.

--- a/bench/hostile_clients.py
+++ b/bench/hostile_clients.py
@@ -22,6 +22,7 @@
 from harness.hostile_peers import IDENTIFIERS
 from harness.node_process import NodeProcess, free_ports
 from harness.stand_ins import StandInDiscovery
+from limerudder.store.data_directory import init_cluster
 
 MILLISECONDS = 1000
 SAMPLE_INTERVAL_SECONDS = 0.02
@@ -59,6 +60,10 @@
     Probe("console: lines", "lines", 1, target="console"),
     Probe("console: lines x10", "lines", 10, target="console"),
     Probe("console: stats x4", "console_calls", 4, target="console"),
+    Probe("hand-over: short lines", "socket_calls", 1, target="handover"),
+    Probe("hand-over: half lines", "socket_half_lines", 60, target="handover"),
+    Probe("store: short calls", "socket_calls", 1, target="control"),
+    Probe("store: half lines", "socket_half_lines", 60, target="control"),
 ]
 
 
@@ -115,8 +120,10 @@
 class Testbed:
     """One node with a discovery service and one host in a process of its own."""
 
-    def __init__(self, folder: Path) -> None:
-        self.node = NodeProcess(0, folder, with_store=False)
+    def __init__(self, folder: Path, with_store: bool = False) -> None:
+        if with_store:
+            init_cluster(str(folder / "store"), [("n0", f"127.0.0.1:{free_ports(1)[0]}")])
+        self.node = NodeProcess(0, folder, with_store)
         self.discovery = StandInDiscovery()
         self._processes: list[asyncio.subprocess.Process] = []
 
@@ -131,10 +138,19 @@
             "known": {"generation": 41, "reset": True, "instances": list(self.discovery.entries.values())},
             "settings": settings(peers=False),
         }
-        self.node.write_files(listen, console, "", values, "")
+        self.node.write_files(listen, console, f"127.0.0.1:{free_ports(1)[0]}", values, "")
         await self.node.launch_with_deploy_command()
         await self.node._serving.wait()
 
+    def address_of(self, target: str) -> str:
+        """Return the address of one of the node's listeners."""
+        if target == "control":
+            return str(self.node.store / "control")
+        if target == "handover":
+            (path,) = (self.node.folder / "tmp").glob("*/handover")
+            return str(path)
+        return str(getattr(self.node, target))
+
     async def start_host(self, kind: str) -> str:
         """Start a host and return its address."""
         process = await self.start_peer(kind)
@@ -162,7 +178,7 @@
 async def run_probe(probe: Probe, seconds: float) -> str:
     """Run one probe and return its line."""
     with tempfile.TemporaryDirectory() as folder:
-        testbed = Testbed(Path(folder))
+        testbed = Testbed(Path(folder), with_store=probe.target == "control")
         try:
             await testbed.start(probe.host)
             return await measure(testbed, probe, seconds)
@@ -177,7 +193,7 @@
     pid = node.process.pid
     pong, console, up = Samples(), Samples(), Samples()
     before_mb = memory_mb(pid, "VmRSS")
-    target = getattr(node, probe.target)
+    target = testbed.address_of(probe.target)
     clients = await testbed.start_peer(probe.client, target, str(probe.client_count), str(seconds))
     await asyncio.sleep(QUIET_SECONDS)
     samplers = [
@@ -185,7 +201,8 @@
         asyncio.create_task(sample(console, lambda: call(node.console, b"status\n"), b"done")),
         asyncio.create_task(sample(up, lambda: call(node.listen, IDENTIFIERS.first_line()), b"UP")),
     ]
-    await asyncio.wait([asyncio.create_task(clients.wait())], timeout=seconds + ANSWER_TIMEOUT_SECONDS)
+    await asyncio.sleep(seconds - QUIET_SECONDS)
+    await asyncio.wait([asyncio.create_task(clients.wait())], timeout=ANSWER_TIMEOUT_SECONDS)
     for sampler in samplers:
         sampler.cancel()
     running = node.process.returncode is None
--- a/bench/left_clients.py
+++ b/bench/left_clients.py
@@ -65,7 +65,8 @@
         "known": {"generation": 41, "reset": True, "instances": list(testbed.discovery.entries.values())},
         "settings": settings(peers=False),
     }
-    testbed.node.write_files(listen, f"127.0.0.1:{free_ports(1)[0]}", "", values, "")
+    console, store = (f"127.0.0.1:{port}" for port in free_ports(2))
+    testbed.node.write_files(listen, console, store, values, "")
 
 
 async def open_client(testbed: Testbed) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
--- a/harness/hostile_peers.py
+++ b/harness/hostile_peers.py
@@ -28,6 +28,8 @@
 FIRST_LINE = "OPEN {:016x} {} c=chat,t={},d=2000,g={:016x}\r\n"
 MANY_FIELDS = ",".join(f"a{number}=1" for number in range(600))
 READ_BYTES = 1 << 16
+SHORT_CALLS = b"{}\n" * 20_000
+HALF_LINE_BYTES = 1_900_000
 SLOW_WRITE_SECONDS = 0.05
 
 
@@ -236,6 +238,28 @@
         writer.transport.abort()
 
 
+async def socket_calls(path: str, until: float) -> None:
+    """Send short calls to a Unix socket at full speed, and read what comes back."""
+    reader, writer = await asyncio.open_unix_connection(path, limit=1 << 24)
+    replies = asyncio.create_task(_drain_replies(reader))
+    with suppress(OSError):
+        while time.monotonic() < until and not writer.transport.is_closing():
+            writer.write(SHORT_CALLS)
+            await writer.drain()
+    replies.cancel()
+    writer.transport.abort()
+
+
+async def socket_half_lines(path: str, until: float) -> None:
+    """Send most of a line that is as long as a Unix socket takes, and stop."""
+    _, writer = await asyncio.open_unix_connection(path, limit=1 << 24)
+    with suppress(OSError):
+        writer.write(b"x" * HALF_LINE_BYTES)
+        await writer.drain()
+        await asyncio.sleep(until - time.monotonic())
+    writer.transport.abort()
+
+
 async def leave_at_once(address: Address, until: float) -> None:
     """Send a first line and close at once."""
     while time.monotonic() < until:
@@ -256,6 +280,7 @@
         await asyncio.sleep(SLOW_WRITE_SECONDS)
 
 
+SOCKET_KINDS = {client.__name__: client for client in (socket_calls, socket_half_lines)}
 KINDS: dict[str, Callable[[Address, float], Awaitable[None]]] = {
     client.__name__: client
     for client in (
@@ -278,10 +303,14 @@
 }
 
 
-async def run_clients(kind: str, address: Address, count: int, seconds: float) -> None:
+async def run_clients(kind: str, address: str, count: int, seconds: float) -> None:
     """Run clients of one kind; errors of the network end a client and no other."""
     until = time.monotonic() + seconds
-    clients = (KINDS[kind](address, until) for _ in range(count))
+    if kind in SOCKET_KINDS:
+        clients = [SOCKET_KINDS[kind](address, until) for _ in range(count)]
+    else:
+        name, _, port = address.rpartition(":")
+        clients = [KINDS[kind]((name, int(port)), until) for _ in range(count)]  # type: ignore[misc]
     await asyncio.gather(*clients, return_exceptions=True)
 
 
@@ -292,8 +321,7 @@
         uvloop.run(run_host(kind))
         return
     address, count, seconds = arguments
-    host, _, port = address.rpartition(":")
-    uvloop.run(run_clients(kind, (host, int(port)), int(count), float(seconds)))
+    uvloop.run(run_clients(kind, address, int(count), float(seconds)))
 
 
 if __name__ == "__main__":
--- a/limerudder/core/lifecycle/hot_restart/parent.py
+++ b/limerudder/core/lifecycle/hot_restart/parent.py
@@ -25,6 +25,8 @@
 from limerudder.core.timer_wheel import TimerWheel
 from limerudder.core.transport import Transport
 
+MAX_SUCCESSOR_LINE_BYTES = 4096  #: A successor's messages are short
+MAX_SUCCESSORS = 8  #: Limit of the processes that wait to take over
 USAGE_INTERVAL_US = 100_000  #: Minimum interval between usage messages.
 
 
@@ -53,8 +55,8 @@
     def __init__(self, hooks: ParentHooks, timers: TimerWheel) -> None:
         self.phase = ParentPhase.SERVING
         self.connections: list[SuccessorConnection] = []  # one per process that has requested a handover
+        self.timers = timers
         self._hooks = hooks
-        self._timers = timers
         self._successor: SuccessorConnection | None = None
         self._sent_usage = ProcessUsage(0, {})
 
@@ -75,10 +77,17 @@
     def successor_connected(self, connection: SuccessorConnection) -> None:
         """Record a process that requests a handover; the state line has already been sent to it."""
         self.connections.append(connection)
+        self._limit_connections()
         self._hooks.log(LogKind.HANDOVER, "node: another process has asked to take over")
         if self._hooks.is_stopping():
             connection.send(ParentStopping())
 
+    def _limit_connections(self) -> None:
+        """Close the oldest connection beyond the limit that is not the serving successor's."""
+        waiting = [connection for connection in self.connections if connection is not self._successor]
+        if len(waiting) > MAX_SUCCESSORS:
+            self.timers.schedule(0, waiting[0].connection_lost)
+
     def successor_serving(self, connection: SuccessorConnection, now_us: int) -> None:
         """Stop accepting clients, as the successor accepts them; open connections are still served here."""
         if self.phase is ParentPhase.HANDED_OVER:
@@ -113,7 +122,7 @@
         """Send the successor this process's usage if it has changed, now and at intervals."""
         if self._successor is None:
             return
-        self._timers.schedule(now_us + USAGE_INTERVAL_US, self._send_usage)
+        self.timers.schedule(now_us + USAGE_INTERVAL_US, self._send_usage)
         usage = self._hooks.resource_usage()
         if usage != self._sent_usage:
             self._sent_usage = usage
@@ -123,8 +132,10 @@
 class SuccessorConnection(LineConnection):
     """The parent's end of the connection to a process that requests a handover."""
 
+    max_line_bytes = MAX_SUCCESSOR_LINE_BYTES
+
     def __init__(self, parent: HotRestartParent) -> None:
-        super().__init__()
+        super().__init__(parent.timers)
         self._parent = parent
 
     def connection_made(self, transport: Transport, now_us: int) -> None:
--- a/limerudder/core/lifecycle/hot_restart/successor.py
+++ b/limerudder/core/lifecycle/hot_restart/successor.py
@@ -49,7 +49,7 @@
     """Prepares to serve using the parent's state, then calls `start_serving` once."""
 
     def __init__(self, hooks: SuccessorHooks, timers: TimerWheel, state: HandoverState, now_us: int) -> None:
-        super().__init__()
+        super().__init__(timers)
         self.phase = SuccessorPhase.PREPARING
         self._hooks = hooks
         self._timers = timers
--- a/limerudder/net/socket_handover.py
+++ b/limerudder/net/socket_handover.py
@@ -23,6 +23,7 @@
 PUBLISH_RETRY_SECONDS = 1.0  #: Delay after a failure to create the socket file
 ACCEPT_RETRY_SECONDS = 0.02  #: Delay after a failed accept, which would fail again immediately
 MAX_PASSED_SOCKETS = 4
+MAX_HANDOVERS_IN_PROGRESS = 8  #: Limit of the processes to which the state is being sent
 RECEIVE_BYTES = 64 * 1024
 
 
@@ -192,6 +193,9 @@
             self._loop.remove_reader(self._listening_socket)
             self._accept_retry = self._loop.call_later(ACCEPT_RETRY_SECONDS, self._listen)
             return
+        if len(self._tasks) >= MAX_HANDOVERS_IN_PROGRESS:
+            connection.close()
+            return
         connection.setblocking(False)
         task = self._loop.create_task(self._hand_over(connection))
         self._tasks.add(task)
