Try a change of the members again while the new leader has committed nothing

Cause: a leader takes no change of the members before it has committed an entry of its term, which needs a disk write, and answered that as a refusal. A caller has a time to wait for its answer, and nothing has been done.

Change: the leader answers such a request as one that does not lead yet, and the requesting member tries again until the caller's time is over.

--- a/limerudder/store/leader_requests.py
+++ b/limerudder/store/leader_requests.py
@@ -7,7 +7,7 @@
 
 from limerudder.store.commands import CommandResult, encode_result, encoded_size_error
 from limerudder.store.membership_requests import config_with_member, config_without_member
-from limerudder.store.raft.errors import MembershipChangeError, NotLeaderError
+from limerudder.store.raft.errors import LeaderNotReadyError, MembershipChangeError, NotLeaderError
 from limerudder.store.raft.messages import MAX_DATA_BYTES, Entry
 from limerudder.store.raft.output import RaftOutput
 from limerudder.store.raft.raft import Raft
@@ -60,6 +60,8 @@
             return
         try:
             self._start(origin, request, now_us)
+        except LeaderNotReadyError:
+            self._reply(origin, ReplyStatus.NOT_LEADER, b"", now_us)  # the requesting member tries again
         except MembershipChangeError as exc:
             self._reply(origin, ReplyStatus.REJECTED, str(exc).encode(), now_us)
         except NotLeaderError:
--- a/limerudder/store/raft/errors.py
+++ b/limerudder/store/raft/errors.py
@@ -21,3 +21,7 @@
 
 class MembershipChangeError(RaftError):
     """The configuration change is invalid or not possible now; the message states the reason."""
+
+
+class LeaderNotReadyError(MembershipChangeError):
+    """The leader has not committed an entry of its term yet, which takes a disk write; to be tried again."""
--- a/limerudder/store/raft/membership.py
+++ b/limerudder/store/raft/membership.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from limerudder.store.raft.errors import MembershipChangeError
+from limerudder.store.raft.errors import LeaderNotReadyError, MembershipChangeError
 from limerudder.store.raft.messages import ClusterConfig, Member, MemberRole
 from limerudder.store.raft.progress import Progress, ProgressMode
 from limerudder.store.raft.state import RaftState
@@ -16,7 +16,7 @@
         raise MembershipChangeError("another change is under way")
     if not state.has_committed_in_term:
         # An earlier leader's uncommitted change could be lost otherwise (Ongaro, raft-dev, 10 July 2015).
-        raise MembershipChangeError("this leader has committed nothing yet")
+        raise LeaderNotReadyError("this leader has committed nothing yet")
     if len(voters_before ^ voters_after) > 1:
         raise MembershipChangeError("one voter at a time may come or go")
     if not voters_after:
--- a/tests/test_store_control.py
+++ b/tests/test_store_control.py
@@ -14,6 +14,9 @@
 from limerudder.cli import main
 from limerudder.exit_codes import ExitCode
 from limerudder.net.clock import Clock
+from limerudder.store.raft.errors import LeaderNotReadyError
+from limerudder.store.raft.messages import ClusterConfig
+from limerudder.store.raft.raft import Raft
 from limerudder.store.store import Store
 from tests.in_process_cluster import (
     InProcessCluster,
@@ -244,3 +247,27 @@
         assert (await cluster.call("put", key="kv/last", value="1"))["ok"], "n0 accepts writes alone again"
 
     run_scenario(scenario, tmp_path)
+
+
+def test_a_member_is_added_once_a_new_leader_has_committed_its_first_entry(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Regression: `add` right after a restart was refused, since the leader's first disk write had not ended."""
+    propose_config = Raft.propose_config
+    attempts: list[int] = []
+
+    def fail_first(self: Raft, config: ClusterConfig, now_us: int) -> int:
+        attempts.append(now_us)
+        if len(attempts) == 1:
+            raise LeaderNotReadyError("nothing is committed yet")
+        return propose_config(self, config, now_us)
+
+    async def scenario(cluster: InProcessCluster) -> None:
+        await cluster.start()
+        await cluster.leader()
+        assert (await cluster.call("put", key="kv/a", value="1"))["ok"]
+        monkeypatch.setattr(Raft, "propose_config", fail_first)
+        assert (await cluster.call("add", member="new", address="127.0.0.1:1"))["ok"]
+        assert len(attempts) == 2
+
+    run_scenario(scenario, tmp_path)
