--- a/limerudder/core/lifecycle/hot_restart/messages.py
+++ b/limerudder/core/lifecycle/hot_restart/messages.py
@@ -26,6 +26,7 @@
     USAGE_CHANGED = "holds"
     ENDPOINT_DRAINED = "drained"
     STOPPING = "stopping"
+    CONFIG_RELOADED = "reloaded"
 
 
 class SuccessorWord(StrEnum):
@@ -58,11 +59,15 @@
     """The parent is stopping; the successor must accept clients at once."""
 
 
+class ConfigReloaded:
+    """The parent has reloaded the configuration file; discovery's address is the one that the file names."""
+
+
 class SuccessorServing:
     """The successor accepts clients; the parent must stop accepting."""
 
 
-ParentMessage = RequestAccepted | UsageChanged | EndpointDrained | ParentStopping
+ParentMessage = RequestAccepted | UsageChanged | EndpointDrained | ParentStopping | ConfigReloaded
 SuccessorMessage = SuccessorServing | RequestAccepted
 Message = ParentMessage | SuccessorMessage
 
@@ -78,6 +83,8 @@
             return f"{ParentWord.ENDPOINT_DRAINED} {started_ms} {name}"
         case ParentStopping():
             return ParentWord.STOPPING
+        case ConfigReloaded():
+            return ParentWord.CONFIG_RELOADED
         case SuccessorServing():
             return SuccessorWord.SERVING
 
@@ -96,6 +103,8 @@
                 return EndpointDrained(name, int(started_ms))
             case ParentWord.STOPPING:
                 return ParentStopping()
+            case ParentWord.CONFIG_RELOADED:
+                return ConfigReloaded()
     except MALFORMED_VALUE_ERRORS as exc:
         raise HandoverFormatError(f"malformed value of {word}: {exc}") from exc
     return None
--- a/limerudder/core/lifecycle/hot_restart/node_binding.py
+++ b/limerudder/core/lifecycle/hot_restart/node_binding.py
@@ -66,6 +66,7 @@
     now_us: int,
     start_serving: Callable[[], None],
     parent_ended: Callable[[], None],
+    reload_config: Callable[[], None] = lambda: None,
 ) -> HotRestartSuccessor:
     """Create the successor's side for a node that was built with the parent's endpoint list."""
 
@@ -82,6 +83,7 @@
         record_drain=partial(_record_drain, node),
         start_serving=serve,
         parent_ended=parent_ended,
+        reload_config=reload_config,
     )
     successor = HotRestartSuccessor(hooks, node.timer_wheel, state, now_us)
     node.on_request_accepted.append(successor.announce_request)
--- a/limerudder/core/lifecycle/hot_restart/parent.py
+++ b/limerudder/core/lifecycle/hot_restart/parent.py
@@ -14,6 +14,7 @@
 )
 from limerudder.core.lifecycle.hot_restart.line_connection import LineConnection
 from limerudder.core.lifecycle.hot_restart.messages import (
+    ConfigReloaded,
     ParentMessage,
     ParentStopping,
     RequestAccepted,
@@ -56,6 +57,7 @@
         self.phase = ParentPhase.SERVING
         self.connections: list[SuccessorConnection] = []  # one per process that has requested a handover
         self.timers = timers
+        self._has_reloaded = False
         self._hooks = hooks
         self._successor: SuccessorConnection | None = None
         self._sent_usage = ProcessUsage(0, {})
@@ -69,6 +71,11 @@
         for connection in self.connections:
             connection.send(message)
 
+    def announce_reload(self) -> None:
+        """Announce that this process has reloaded its configuration, also to those that connect later."""
+        self._has_reloaded = True
+        self.announce(ConfigReloaded())
+
     def announce_request(self, request_id: int) -> None:
         """Announce the id of a request that this process has accepted."""
         if self.connections:
@@ -79,6 +86,8 @@
         self.connections.append(connection)
         self._limit_connections()
         self._hooks.log(LogKind.HANDOVER, "node: another process has asked to take over")
+        if self._has_reloaded:  # perhaps after the state line was written
+            connection.send(ConfigReloaded())
         if self._hooks.is_stopping():
             connection.send(ParentStopping())
 
--- a/limerudder/core/lifecycle/hot_restart/successor.py
+++ b/limerudder/core/lifecycle/hot_restart/successor.py
@@ -11,6 +11,7 @@
 from limerudder.core.lifecycle.hot_restart.handover_state import HandoverState, ProcessUsage
 from limerudder.core.lifecycle.hot_restart.line_connection import LineConnection
 from limerudder.core.lifecycle.hot_restart.messages import (
+    ConfigReloaded,
     EndpointDrained,
     ParentMessage,
     ParentStopping,
@@ -43,6 +44,7 @@
     record_drain: Callable[[str, int, int], None]  #: Arguments: upstream name, its start (ms), time (us).
     start_serving: Callable[[], None]
     parent_ended: Callable[[], None]
+    reload_config: Callable[[], None] = lambda: None  #: Reads the configuration file again.
 
 
 class HotRestartSuccessor(LineConnection):
@@ -98,6 +100,8 @@
                 self._hooks.record_drain(name, started_ms, now_us)
             case ParentStopping():
                 self._start_serving()
+            case ConfigReloaded():
+                self._hooks.reload_config()
 
     def _check_readiness(self, now_us: int) -> None:
         # without an endpoint list and health checks it would serve clients badly; until then the parent does
--- a/limerudder/node_process.py
+++ b/limerudder/node_process.py
@@ -242,6 +242,7 @@
             start_serving=self._serve_when_possible,
             # the parent owns the store's directory until it exits
             parent_ended=lambda: self._store.start_takeover(self._node, self._marks, self._announce_drain),
+            reload_config=self._on_reload_signal,
         )
         try:
             await drive_connection(inheritance.connection, self._successor, self._clock)
@@ -315,6 +316,8 @@
             return
         self._log(LogKind.CONFIG, "config: reloaded; discovery is at {}:{}".format(*config.discovery))
         self._node.config_reloaded = True
+        # a process that prepares to take over may get no signal of its own, and has read the file already
+        self._parent.announce_reload()
         self._store.configured_discovery = config.discovery
         self._node.discovery.change_address(config.discovery, self._clock.now_us())
 
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -68,6 +68,7 @@
             self.new.now,
             start_serving=lambda: self.calls.append("start serving"),
             parent_ended=lambda: None,
+            reload_config=lambda: self.calls.append("reload"),
         )
         successor_end.connection = successor
         successor.connection_made(successor_end, self.new.now)
@@ -268,3 +269,19 @@
     connection.connection_made(FakeTransport(), pair.old.now)
     connection.data_received(line, pair.old.now)
     assert not pair.old.node.requests.recent_ids and connection in pair.parent.connections
+
+
+@pytest.mark.parametrize("connects_first", [True, False])
+def test_a_process_that_prepares_to_take_over_reloads_its_configuration_with_its_parent(
+    tmp_path: Path, connects_first: bool
+) -> None:
+    """Regression (review/8): it asked the old discovery for good; the signal reaches its parent alone."""
+    pair = ProcessPair(tmp_path)
+    if not connects_first:
+        pair.parent.announce_reload()
+    successor = pair.connect_successor()
+    if connects_first:
+        pair.parent.announce_reload()
+    assert pair.calls == ["reload"]
+    successor.data_received(b"reloaded\n", pair.new.now)
+    assert pair.calls == ["reload"] * 2
