--- a/tests/test_store_control.py
+++ b/tests/test_store_control.py
@@ -252,7 +252,7 @@
 def test_a_member_is_added_once_a_new_leader_has_committed_its_first_entry(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Regression: `add` right after a restart was refused, since the leader's first disk write had not ended."""
+    """Regression: `add` right after a restart was refused before the leader's first disk write had ended."""
     propose_config = Raft.propose_config
     attempts: list[int] = []
 
